Measure rollouts on real agents with paced links

Change: marlramp experiment rollout with baselines (star, chain, tree) and faults; weights are staged in pieces of 16 MB instead of one call per chunk.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -18,7 +18,6 @@
 from marlramp.core import lifecycle
 from marlramp.core import limits
 from marlramp.core import swap
-from marlramp.core import swarm
 from marlramp.platform import clients
 from marlramp.protocol import messages
 from marlramp.settings import process
@@ -330,12 +329,7 @@
     def _settings_accepted(self) -> None:
         tree = self._store.tree
         values = tree.effective(self._service_id)
-        policy = swarm.SwarmPolicy(
-            values.origin_copies_max, values.origin_takeover_ms
-        )
-        self._node.set_policy(
-            policy, values.neighbours, values.weights_link_share
-        )
+        self._node.set_policy(values)
         for entry_id, link in self._entries.links.items():
             newer = self._store.newer_than(link.revisions)
             if newer and link.revisions:
--- a/src/marlramp/agent/engine_client.py
+++ b/src/marlramp/agent/engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Protocol
 
 import msgspec
@@ -13,6 +14,7 @@
 
 READ_TIMEOUT_MS = 1_000.0
 STAGE_TIMEOUT_MS = 30_000.0
+STAGE_PIECE_BYTES = 16 * 1024 * 1024
 ORDER_TIMEOUT_MS = 120_000.0
 _OK = 200
 _CONFLICT = 409
@@ -66,6 +68,21 @@
         ...
 
 
+def _pieces(whole: manifest.Whole) -> Iterator[bytes]:
+    """Yields the weights in pieces of several chunks, to save calls."""
+    piece = bytearray()
+    for index in range(len(whole.manifest.chunks)):
+        data = whole.get(index)
+        if data is None:
+            raise EngineError(f"chunk {index} is missing")
+        piece += data
+        if len(piece) >= STAGE_PIECE_BYTES:
+            yield bytes(piece)
+            piece.clear()
+    if piece:
+        yield bytes(piece)
+
+
 class HttpEngine:
     """Engine over HTTP; every call raises `EngineError` when it fails."""
 
@@ -96,12 +113,9 @@
         self, version: ids.VersionId, whole: manifest.Whole
     ) -> None:
         """Hands verified weights to the engine without loading them."""
-        for index in range(len(whole.manifest.chunks)):
-            data = whole.get(index)
-            if data is None:
-                raise EngineError(f"chunk {index} is missing")
-            path = f"/admin/weights/{version}/{index}"
-            await self._call("PUT", path, data, STAGE_TIMEOUT_MS)
+        for number, piece in enumerate(_pieces(whole)):
+            path = f"/admin/weights/{version}/{number}"
+            await self._call("PUT", path, piece, STAGE_TIMEOUT_MS)
 
     async def load(self, version: ids.VersionId, fencing: int) -> None:
         """Orders the engine to load staged weights."""
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import random
 
 import msgspec
@@ -25,6 +26,7 @@
 from marlramp.platform import clients
 from marlramp.protocol import codec
 from marlramp.protocol import messages
+from marlramp.settings import schema
 from marlramp.shell import links
 
 TICK_MS = 40.0
@@ -43,6 +45,28 @@
 BYTES_MAX = messages.MESSAGE_BYTES_MAX
 
 
+def _policy(
+    use: swarm.OriginUse, credits_per_peer: int
+) -> Callable[[schema.Settings], swarm.SwarmPolicy]:
+    def make(values: schema.Settings) -> swarm.SwarmPolicy:
+        return swarm.SwarmPolicy(
+            values.origin_copies_max,
+            values.origin_takeover_ms,
+            use,
+            credits_per_peer,
+        )
+
+    return make
+
+
+_POLICIES = {
+    schema.Distribution.SWARM: _policy(swarm.OriginUse.RANKED, 1),
+    schema.Distribution.STAR: _policy(swarm.OriginUse.EVERYONE, 1),
+    schema.Distribution.CHAIN: _policy(swarm.OriginUse.ROOT, 4),
+    schema.Distribution.TREE: _policy(swarm.OriginUse.ROOT, 4),
+}
+
+
 class _Upload(msgspec.Struct, frozen=True):
     peer_id: ids.VmId
     manifest: ids.Digest
@@ -106,6 +130,7 @@
         self._neighbours_wanted = 8
         self._swarm: swarm.Swarm | None = None
         self._policy = swarm.SwarmPolicy(1.0, 2_000.0)
+        self._distribution = schema.Distribution.SWARM
         self._uploads: collections.deque[_Upload] = collections.deque()
         self._upload_ready = asyncio.Event()
         self._wake = asyncio.Event()
@@ -131,13 +156,12 @@
         """Returns the chunks held of a manifest, None if it is unknown."""
         return self._wholes.get(digest)
 
-    def set_policy(
-        self, policy: swarm.SwarmPolicy, neighbours: int, share: float
-    ) -> None:
-        """Applies settings in force."""
-        self._policy = policy
-        self._neighbours_wanted = neighbours
-        self._set_rates(self._link_bytes_per_s * share)
+    def set_policy(self, values: schema.Settings) -> None:
+        """Applies settings in force; a fetch under way keeps its policy."""
+        self._distribution = values.distribution
+        self._policy = _POLICIES[values.distribution](values)
+        self._neighbours_wanted = values.neighbours
+        self._set_rates(self._link_bytes_per_s * values.weights_link_share)
 
     def set_live_rate(self, live_bytes_per_s: float, share: float) -> None:
         """Leaves room on the link for the live traffic seen lately."""
@@ -254,14 +278,27 @@
         }
         if self._vm_id not in data_centres:
             return
-        chosen = swarm.choose_neighbours(
-            self._vm_id, digest, data_centres, self._neighbours_wanted
-        )
-        for peer_id in chosen:
-            channel = self._channels.get(peer_id)
-            if channel is None:
+        for peer_id in self._choose_neighbours(digest, data_centres):
+            if peer_id not in self._channels:
                 self._connect(peer_id)
 
+    def _choose_neighbours(
+        self,
+        digest: ids.Digest,
+        data_centres: dict[ids.VmId, ids.DataCentreId],
+    ) -> list[ids.VmId]:
+        match self._distribution:
+            case schema.Distribution.STAR:
+                return []
+            case schema.Distribution.CHAIN:
+                return swarm.choose_parent(self._vm_id, [*data_centres], 1)
+            case schema.Distribution.TREE:
+                return swarm.choose_parent(self._vm_id, [*data_centres], 2)
+            case schema.Distribution.SWARM:
+                return swarm.choose_neighbours(
+                    self._vm_id, digest, data_centres, self._neighbours_wanted
+                )
+
     def _connect(self, peer_id: ids.VmId) -> None:
         vm = self._members[peer_id]
         connector = links.Connector(
--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -10,6 +10,7 @@
 from marlramp.console.commands import check
 from marlramp.console.commands import demo
 from marlramp.console.commands import drain
+from marlramp.console.commands import experiment
 from marlramp.console.commands import explain
 from marlramp.console.commands import limits
 from marlramp.console.commands import refusals
@@ -31,6 +32,7 @@
 app.command(refusals.refusals)
 app.command(drain.drain)
 app.command(demo.demo)
+app.command(experiment.app)
 
 
 def main() -> None:
--- /dev/null
+++ b/src/marlramp/console/commands/experiment.py
@@ -0,0 +1,76 @@
+"""`marlramp experiment`: measurements on processes started for the purpose."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+from typing import Annotated
+
+import cyclopts
+import msgspec
+
+from marlramp.console import admin_client
+from marlramp.console import exit_codes
+from marlramp.console import output
+from marlramp.experiments import rollout as rollout_run
+
+app = cyclopts.App(
+    name="experiment", help="Run a measurement; needs a source checkout."
+)
+
+
+@app.command
+def rollout(
+    *,
+    vms: Annotated[int, cyclopts.Parameter(name="--vms")] = 12,
+    policy: rollout_run.Policy = rollout_run.Policy.SWARM,
+    fault: rollout_run.Fault = rollout_run.Fault.NONE,
+    copy_time_s: float = 10.0,
+    origin_copies_max: float = 1.05,
+    two_versions: bool = True,
+    calls_per_s: float = 20.0,
+    plot: pathlib.Path | None = None,
+    json: admin_client.Json = False,
+) -> int:
+    """Measure the rollout of a version to agents with paced links.
+
+    Args:
+      vms: agents that take part.
+      policy: how weights are distributed; all but swarm are baselines.
+      fault: what goes wrong midway.
+      copy_time_s: time that one copy takes on a VM's link.
+      origin_copies_max: the setting of the same name.
+      two_versions: whether engines can hold two versions.
+      calls_per_s: live calls during the rollout.
+      plot: PNG or SVG file for replicas serving over time.
+      json: print JSON, for scripts.
+    """
+    plan = rollout_run.Plan(
+        vms=vms,
+        policy=policy,
+        fault=fault,
+        copy_time_s=copy_time_s,
+        origin_copies_max=origin_copies_max,
+        two_versions=two_versions,
+        calls_per_s=calls_per_s,
+    )
+    report = asyncio.run(rollout_run.run(plan))
+    if plot is not None:
+        from marlramp.experiments import plotting
+
+        plotting.plot_serving(report, plot)
+    if json:
+        output.print_json(report)
+    else:
+        _print_rollout(report)
+    complete = report.serving == report.survivors
+    held = complete and not report.live_calls.mixed
+    return int(exit_codes.ExitCode.OK if held else exit_codes.ExitCode.NOT_HELD)
+
+
+def _print_rollout(report: rollout_run.Report) -> None:
+    rows = []
+    for name, value in msgspec.structs.asdict(report).items():
+        if name != "serving_over_time":
+            rows.append((name, msgspec.to_builtins(value)))
+    output.print_table("Rollout", ["figure", "value"], rows)
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import enum
 import random
 
 import msgspec
@@ -76,30 +77,40 @@
     Attributes:
       held: chunks it holds.
       pace_ms: smoothed time per chunk, None before the first.
-      in_flight: chunk asked for, None when its credit is free.
-      asked_ms: when it was asked.
+      in_flight: chunks asked for and when.
       not_before_ms: it is asked for nothing before this.
       corrupt: corrupt chunks it sent.
     """
 
     held: set[int]
     pace_ms: float | None = None
-    in_flight: int | None = None
-    asked_ms: float = 0.0
+    in_flight: dict[int, float] = {}
     not_before_ms: float = 0.0
     corrupt: int = 0
 
 
+class OriginUse(enum.Enum):
+    """Who draws a chunk from the origin."""
+
+    RANKED = "ranked"
+    EVERYONE = "everyone"
+    ROOT = "root"
+
+
 class SwarmPolicy(msgspec.Struct, frozen=True):
     """Settings of the swarm.
 
     Attributes:
       origin_copies_max: copies that may leave the origin without a fault.
       takeover_ms: least wait per rank before a chunk is drawn again.
+      origin_use: who draws from the origin; RANKED but for baselines.
+      credits_per_peer: chunks asked of one neighbour at once.
     """
 
     origin_copies_max: float
     takeover_ms: float
+    origin_use: OriginUse = OriginUse.RANKED
+    credits_per_peer: int = 1
 
 
 class Swarm:
@@ -131,6 +142,7 @@
         self._fetching: set[int] = set()
         self._from_origin: dict[int, float] = {}
         self._ranks: list[int] = [0] * len(self._group_keys)
+        self._is_root = False
         self._started_ms: float = now_ms
         self._entered_ms: dict[int, float] = {}
         self._progress_ms: float = now_ms
@@ -162,6 +174,7 @@
     def set_members(self, vm_ids: Sequence[ids.VmId]) -> None:
         """Takes the VMs that fetch this manifest, to rank origin fetchers."""
         members = set(vm_ids) | {self._vm_id}
+        self._is_root = self._vm_id == min(members)
         self._ranks = [
             rendezvous.order(key, members).index(self._vm_id)
             for key in self._group_keys
@@ -171,7 +184,7 @@
         self, peer_id: ids.VmId, indexes: Sequence[int], seen: Sequence[int]
     ) -> None:
         """Records chunks that a neighbour holds or has seen."""
-        peer = self._peers.setdefault(peer_id, Peer(set()))
+        peer = self._peers.setdefault(peer_id, Peer(set(), in_flight={}))
         for index in indexes:
             if 0 <= index < self._count and index not in peer.held:
                 peer.held.add(index)
@@ -194,8 +207,8 @@
         """Forgets a neighbour; its chunk in flight is asked for elsewhere."""
         self.peer_reset(peer_id)
         peer = self._peers.pop(peer_id, None)
-        if peer is not None and peer.in_flight is not None:
-            self._fetching.discard(peer.in_flight)
+        if peer is not None:
+            self._fetching.difference_update(peer.in_flight)
 
     def received(
         self,
@@ -229,9 +242,9 @@
     ) -> None:
         """Records that a neighbour cannot send a chunk now."""
         peer = self._peers.get(peer_id)
-        if peer is None or peer.in_flight != index:
+        if peer is None or index not in peer.in_flight:
             return
-        peer.in_flight = None
+        del peer.in_flight[index]
         peer.not_before_ms = now_ms + BUSY_PENALTY_MS
         self._drop_fetch(index)
 
@@ -273,14 +286,13 @@
         self, peer_id: ids.VmId, index: int, now_ms: clock.Millis
     ) -> None:
         peer = self._peers.get(peer_id)
-        if peer is None or peer.in_flight != index:
+        if peer is None or index not in peer.in_flight:
             return
-        taken_ms = now_ms - peer.asked_ms
+        taken_ms = now_ms - peer.in_flight.pop(index)
         if peer.pace_ms is None:
             peer.pace_ms = taken_ms
         else:
             peer.pace_ms += PACE_SMOOTHING * (taken_ms - peer.pace_ms)
-        peer.in_flight = None
 
     def _distrust(self, peer_id: ids.VmId) -> None:
         peer = self._peers.get(peer_id)
@@ -297,16 +309,18 @@
             sum(paces) / len(paces) if paces else self._policy.takeover_ms
         )
         for peer_id, peer in self._peers.items():
-            if peer.in_flight is None:
-                continue
             pace_ms = peer.pace_ms or usual_ms
             limit_ms = max(LATE_FLOOR_MS, LATE_FACTOR * pace_ms)
-            if now_ms - peer.asked_ms <= limit_ms:
-                continue
-            actions.append(CancelFetch(peer_id, peer.in_flight))
-            self._drop_fetch(peer.in_flight)
-            peer.in_flight = None
-            peer.not_before_ms = now_ms + SLOW_PENALTY_MS
+            late = [
+                index
+                for index, asked_ms in peer.in_flight.items()
+                if now_ms - asked_ms > limit_ms
+            ]
+            for index in late:
+                actions.append(CancelFetch(peer_id, index))
+                del peer.in_flight[index]
+                self._drop_fetch(index)
+                peer.not_before_ms = now_ms + SLOW_PENALTY_MS
         return actions
 
     def _fetch_from_origin(self, now_ms: clock.Millis) -> list[Action]:
@@ -314,6 +328,8 @@
         if now_ms < self._origin_not_before_ms:
             return actions
         window_end = min(self._count, len(self._seen) + ORIGIN_WINDOW)
+        if self._policy.origin_use is not OriginUse.RANKED:
+            window_end = self._count
         for index in range(window_end):
             if len(self._from_origin) >= ORIGIN_IN_FLIGHT_MAX:
                 break
@@ -327,6 +343,10 @@
         return actions
 
     def _may_draw(self, index: int, now_ms: clock.Millis) -> bool:
+        if self._policy.origin_use is OriginUse.EVERYONE:
+            return True
+        if self._policy.origin_use is OriginUse.ROOT:
+            return self._is_root
         rank = self._ranks[index % len(self._group_keys)]
         if rank == 0 and index not in self._seen:
             return True
@@ -355,15 +375,15 @@
         free = [
             (peer_id, peer)
             for peer_id, peer in self._peers.items()
-            if peer.in_flight is None and peer.not_before_ms <= now_ms
+            if peer.not_before_ms <= now_ms
+            for _ in range(self._policy.credits_per_peer - len(peer.in_flight))
         ]
         self._rng.shuffle(free)
         for peer_id, peer in free:
             index = self._rarest(peer)
             if index is None:
                 continue
-            peer.in_flight = index
-            peer.asked_ms = now_ms
+            peer.in_flight[index] = now_ms
             self._fetching.add(index)
             actions.append(FetchFromPeer(peer_id, index))
         return actions
@@ -410,6 +430,21 @@
     return list(dict.fromkeys(chosen))[:opened]
 
 
+def choose_parent(
+    vm_id: ids.VmId, vm_ids: Sequence[ids.VmId], children: int
+) -> list[ids.VmId]:
+    """Returns the one neighbour in a tree, none for its root; a baseline.
+
+    Args:
+      vm_id: the VM.
+      vm_ids: all VMs that take part.
+      children: children of each VM; 1 makes a chain.
+    """
+    ordered = sorted({*vm_ids, vm_id})
+    position = ordered.index(vm_id)
+    return [] if position == 0 else [ordered[(position - 1) // children]]
+
+
 def to_bitmap(indexes: set[int]) -> bytes:
     """Returns chunk indexes as a bit map, least significant bit first."""
     if not indexes:
--- a/src/marlramp/settings/schema.py
+++ b/src/marlramp/settings/schema.py
@@ -34,6 +34,15 @@
     PLAIN = "plain"
 
 
+class Distribution(enum.Enum):
+    """Ways to distribute weights; all but the swarm are baselines."""
+
+    SWARM = "swarm"
+    STAR = "star"
+    CHAIN = "chain"
+    TREE = "tree"
+
+
 _Name = Annotated[
     str,
     msgspec.Meta(
@@ -60,6 +69,10 @@
             ge=1.0, le=4.0, description="copies of new weights from the origin"
         ),
     ] = 1.05
+    distribution: Annotated[
+        Distribution,
+        msgspec.Meta(description="way weights travel; others are baselines"),
+    ] = Distribution.SWARM
     origin_takeover_ms: Annotated[
         int,
         msgspec.Meta(
