Watch link sockets by file descriptor and read them in batches

Cause: a profile of an agent during a rollout showed most time in the futures and timers of zmq.asyncio.

--- a/src/marlramp/agent/entry_links.py
+++ b/src/marlramp/agent/entry_links.py
@@ -130,13 +130,18 @@
 
     async def _receive(self, entry_id: ids.VmId, link: EntryLink) -> None:
         while True:
-            data = await link.connector.receive()
-            try:
-                message = self._decoder.decode(data)
-            except codec.DecodeError as error:
-                self._totals.add(
-                    counters.CounterName.MESSAGES_DROPPED, error.reason
-                )
-                continue
-            link.heard_ms = self._clock.now_ms()
-            self._on_message(entry_id, message)
+            for data in await link.connector.receive():
+                self._on_data(entry_id, link, data)
+
+    def _on_data(
+        self, entry_id: ids.VmId, link: EntryLink, data: bytes
+    ) -> None:
+        try:
+            message = self._decoder.decode(data)
+        except codec.DecodeError as error:
+            self._totals.add(
+                counters.CounterName.MESSAGES_DROPPED, error.reason
+            )
+            return
+        link.heard_ms = self._clock.now_ms()
+        self._on_message(entry_id, message)
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -324,22 +324,26 @@
         self, peer_id: ids.VmId, connector: links.Connector
     ) -> None:
         while True:
-            self._handle(peer_id, await connector.receive())
+            for data in await connector.receive():
+                self._handle(peer_id, data)
 
     async def _receive_all(self) -> None:
         while True:
-            routing_id, data = await self._listener.receive()
-            link_id = links.LinkId.decode(routing_id)
-            if link_id is None:
-                self._drop_message("identity")
-                continue
-            peer_id = ids.VmId(link_id.vm_id)
-            channel = self._channels.get(peer_id)
-            if channel is None:
-                channel = _Channel(None, routing_id, self._clock.now_ms())
-                self._channels[peer_id] = channel
-            channel.routing_id = routing_id
-            self._handle(peer_id, data)
+            for received in await self._listener.receive():
+                self._on_received(received)
+
+    def _on_received(self, received: links.Received) -> None:
+        link_id = links.LinkId.decode(received.routing_id)
+        if link_id is None:
+            self._drop_message("identity")
+            return
+        peer_id = ids.VmId(link_id.vm_id)
+        channel = self._channels.get(peer_id)
+        if channel is None:
+            channel = _Channel(None, None, self._clock.now_ms())
+            self._channels[peer_id] = channel
+        channel.routing_id = received.routing_id
+        self._handle(peer_id, received.data)
 
     def _handle(self, peer_id: ids.VmId, data: bytes) -> None:
         try:
--- a/src/marlramp/entry/agent_links.py
+++ b/src/marlramp/entry/agent_links.py
@@ -44,21 +44,24 @@
     async def run(self) -> None:
         """Receives for ever."""
         while True:
-            routing_id, data = await self._listener.receive()
-            link_id = links.LinkId.decode(routing_id)
-            if link_id is None:
-                self._drop("identity")
-                continue
-            try:
-                message = self._decoder.decode(data)
-            except codec.DecodeError as error:
-                self._drop(error.reason)
-                continue
-            if self._foreign(link_id, message):
-                self._drop("identity")
-                continue
-            self._routes[ids.VmId(link_id.vm_id)] = routing_id
-            self._on_message(link_id, message)
+            for received in await self._listener.receive():
+                self._on_received(received)
+
+    def _on_received(self, received: links.Received) -> None:
+        link_id = links.LinkId.decode(received.routing_id)
+        if link_id is None:
+            self._drop("identity")
+            return
+        try:
+            message = self._decoder.decode(received.data)
+        except codec.DecodeError as error:
+            self._drop(error.reason)
+            return
+        if self._foreign(link_id, message):
+            self._drop("identity")
+            return
+        self._routes[ids.VmId(link_id.vm_id)] = received.routing_id
+        self._on_message(link_id, message)
 
     def _foreign(
         self, link_id: links.LinkId, message: messages.FromAgent
--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -3,12 +3,15 @@
 A listener (ROUTER) serves many connectors (DEALER). Sending never blocks: a
 message that a link cannot take is dropped and counted, since every protocol
 on top repeats or times out.
+
+Plain sockets are watched through their file descriptor and read in batches:
+the futures of `zmq.asyncio` cost more than the messages themselves, see
+docs/design/links.md.
 """
 
 from __future__ import annotations
 
 import asyncio
-import typing
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -27,7 +30,12 @@
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2_000
 HANDSHAKE_TIMEOUT_MS = 5_000
+BATCH_MESSAGES_MAX = 256
+"""Messages read before other tasks get their turn."""
+
 _SEPARATOR = "|"
+_FRAMES = 2
+_POLLIN = int(zmq.POLLIN)
 
 
 class LinkId(msgspec.Struct, frozen=True):
@@ -91,9 +99,13 @@
     def __init__(self, keys: Keys) -> None:
         """Starts accepting links that hold the fleet's client key."""
         self.keys = keys
-        self.context = zmq.asyncio.Context()
+        asynchronous = zmq.asyncio.Context()
+        self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
+            asynchronous.underlying
+        )
+        self._asynchronous = asynchronous
         self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            self.context
+            asynchronous
         )
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
@@ -103,10 +115,10 @@
     def close(self) -> None:
         """Closes all sockets without waiting for queued messages."""
         self._authenticator.stop()
-        self.context.destroy(linger=0)
+        self._asynchronous.destroy(linger=0)
 
 
-def _configure(socket: zmq.asyncio.Socket) -> None:
+def _configure(socket: zmq.Socket[bytes]) -> None:
     socket.set(zmq.LINGER, 0)
     socket.set(zmq.SNDHWM, QUEUE_MESSAGES_MAX)
     socket.set(zmq.RCVHWM, QUEUE_MESSAGES_MAX)
@@ -115,37 +127,97 @@
     socket.set(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
 
 
+class _Channel:
+    """A socket that is sent to without blocking and read in batches."""
+
+    def __init__(self, socket: zmq.Socket[bytes]) -> None:
+        """Watches a bound or connected socket."""
+        self._socket = socket
+        self._readable = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._fd = int(socket.get(zmq.FD))
+        self._loop.add_reader(self._fd, self._readable.set)
+
+    async def receive(self) -> list[list[bytes]]:
+        """Returns the frames of at least one message."""
+        while True:
+            batch = self._drain()
+            if batch:
+                return batch
+            self._readable.clear()
+            if not self._has_input():
+                await self._readable.wait()
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Queues a message; returns False if the socket cannot take it."""
+        try:
+            self._socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        # Sending may take in the signal of an arrival, so that the file
+        # descriptor does not become readable for it.
+        if self._has_input():
+            self._readable.set()
+        return True
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._loop.remove_reader(self._fd)
+        self._socket.close(linger=0)
+
+    def _drain(self) -> list[list[bytes]]:
+        batch: list[list[bytes]] = []
+        try:
+            while len(batch) < BATCH_MESSAGES_MAX:
+                batch.append(self._socket.recv_multipart(zmq.NOBLOCK))
+        except zmq.Again:
+            pass
+        return batch
+
+    def _has_input(self) -> bool:
+        events = int(self._socket.get(zmq.EVENTS))
+        return bool(events & _POLLIN)
+
+
+class Received(msgspec.Struct, frozen=True):
+    """A message at a listener and the routing id of its sender."""
+
+    routing_id: bytes
+    data: bytes
+
+
 class Listener:
     """The listening end of links from many processes."""
 
     def __init__(
         self, links: LinkContext, host: str, port: int, bytes_max: int
     ) -> None:
-        """Binds to an address; larger messages than `bytes_max` are cut off."""
-        self._socket = links.context.socket(zmq.ROUTER)
-        _configure(self._socket)
-        self._socket.set(zmq.ROUTER_MANDATORY, 1)
-        self._socket.set(zmq.ROUTER_HANDOVER, 1)
-        self._socket.set(zmq.MAXMSGSIZE, bytes_max)
-        self._socket.set(zmq.CURVE_SERVER, 1)
-        self._socket.set(zmq.CURVE_SECRETKEY, links.keys.server_secret)
-        self._socket.set(zmq.CURVE_PUBLICKEY, links.keys.server_public)
-        self._socket.bind(f"tcp://{host}:{port}")
-
-    async def receive(self) -> tuple[bytes, bytes]:
-        """Returns the routing id of a sender and its message."""
-        frames: list[bytes] = await self._socket.recv_multipart()
-        if len(frames) != 2:
-            return frames[0], b""
-        return frames[0], frames[1]
+        """Binds to an address; senders of more than `bytes_max` are cut off."""
+        socket = links.context.socket(zmq.ROUTER)
+        _configure(socket)
+        socket.set(zmq.ROUTER_MANDATORY, 1)
+        socket.set(zmq.ROUTER_HANDOVER, 1)
+        socket.set(zmq.MAXMSGSIZE, bytes_max)
+        socket.set(zmq.CURVE_SERVER, 1)
+        socket.set(zmq.CURVE_SECRETKEY, links.keys.server_secret)
+        socket.set(zmq.CURVE_PUBLICKEY, links.keys.server_public)
+        socket.bind(f"tcp://{host}:{port}")
+        self._channel = _Channel(socket)
+
+    async def receive(self) -> list[Received]:
+        """Returns the messages that have arrived, at least one."""
+        return [
+            Received(frames[0], frames[1] if len(frames) == _FRAMES else b"")
+            for frames in await self._channel.receive()
+        ]
 
     def send(self, routing_id: bytes, data: bytes) -> bool:
         """Queues a message; returns False if the link cannot take it."""
-        return _send(self._socket, [routing_id, data])
+        return self._channel.send([routing_id, data])
 
     def close(self) -> None:
         """Closes the socket."""
-        self._socket.close(linger=0)
+        self._channel.close()
 
 
 class Connector:
@@ -155,33 +227,25 @@
         self, links: LinkContext, link_id: LinkId, host: str, port: int
     ) -> None:
         """Connects in the background and reconnects by itself."""
-        self._socket = links.context.socket(zmq.DEALER)
-        _configure(self._socket)
-        self._socket.set(zmq.ROUTING_ID, link_id.encode())
-        self._socket.set(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
-        self._socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-        self._socket.set(zmq.CURVE_SERVERKEY, links.keys.server_public)
-        self._socket.set(zmq.CURVE_PUBLICKEY, links.keys.client_public)
-        self._socket.set(zmq.CURVE_SECRETKEY, links.keys.client_secret)
-        self._socket.connect(f"tcp://{host}:{port}")
-
-    async def receive(self) -> bytes:
-        """Returns the next message."""
-        frames: list[bytes] = await self._socket.recv_multipart()
-        return frames[-1]
+        socket = links.context.socket(zmq.DEALER)
+        _configure(socket)
+        socket.set(zmq.ROUTING_ID, link_id.encode())
+        socket.set(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
+        socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        socket.set(zmq.CURVE_SERVERKEY, links.keys.server_public)
+        socket.set(zmq.CURVE_PUBLICKEY, links.keys.client_public)
+        socket.set(zmq.CURVE_SECRETKEY, links.keys.client_secret)
+        socket.connect(f"tcp://{host}:{port}")
+        self._channel = _Channel(socket)
+
+    async def receive(self) -> list[bytes]:
+        """Returns the messages that have arrived, at least one."""
+        return [frames[-1] for frames in await self._channel.receive()]
 
     def send(self, data: bytes) -> bool:
         """Queues a message; returns False if the link cannot take it."""
-        return _send(self._socket, [data])
+        return self._channel.send([data])
 
     def close(self) -> None:
         """Closes the socket."""
-        self._socket.close(linger=0)
-
-
-def _send(socket: zmq.asyncio.Socket, frames: list[bytes]) -> bool:
-    future = typing.cast(
-        "asyncio.Future[None]",
-        socket.send_multipart(frames, flags=zmq.NOBLOCK, copy=True),
-    )
-    return not future.done() or future.exception() is None
+        self._channel.close()
