Announce chunks at most every 100 ms

Cause: each chunk that arrived woke the node, which told all neighbours at once and looked through all chunks for one to draw from the origin.

--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -30,6 +30,9 @@
 from marlramp.shell import links
 
 TICK_MS = 40.0
+ANNOUNCE_MS = 100.0
+"""Chunks newly held are announced together at most this often."""
+
 KEEPALIVE_MS = 1_000.0
 PEER_TIMEOUT_MS = 3_500.0
 UPLOADS_QUEUED_MAX = 16
@@ -543,8 +546,10 @@
     def _announce(self) -> None:
         if self._swarm is None or self._target is None:
             return
-        held, seen = self._swarm.take_news()
         now_ms = self._clock.now_ms()
+        if now_ms - self._announced_ms < ANNOUNCE_MS:
+            return
+        held, seen = self._swarm.take_news()
         quiet = not held and not seen
         if quiet and now_ms - self._announced_ms < KEEPALIVE_MS:
             return
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -29,6 +29,9 @@
 ORIGIN_IN_FLIGHT_MAX = 2
 """Chunks one VM draws from the origin at once."""
 
+ORIGIN_CHECK_MS = 50.0
+"""Least time between looks for chunks to draw from the origin."""
+
 LATE_FACTOR = 4.0
 """A chunk is late at this multiple of its neighbour's recent pace."""
 
@@ -327,6 +330,7 @@
         actions: list[Action] = []
         if now_ms < self._origin_not_before_ms:
             return actions
+        self._origin_not_before_ms = now_ms + ORIGIN_CHECK_MS
         window_end = min(self._count, len(self._seen) + ORIGIN_WINDOW)
         if self._policy.origin_use is not OriginUse.RANKED:
             window_end = self._count
