Mend eight faults that failure tests with real processes found

- A drained process never exited: destroying the shared zmq context waits for sockets that the authenticator's context does not know.
They are closed first.
- A resend with a run token that an entry could not pass on was answered with not run, though another entry may have run it.
- An entry that restarted never learned of agents whose links reconnected by themselves; it now asks for their report.
- A stream whose engine was switched by a stranger's order failed although another replica served the same version; it is resumed there, and fails at once when none does.
- Orders to an engine that keep failing back off.

Also: baselines for routing, marlramp experiment calls, cached effective settings.

--- a/models/grants.py
+++ b/models/grants.py
@@ -77,6 +77,7 @@
     cancel_voids: bool = True
     expiry_voids: bool = True
     close_voids: bool = True
+    entry_refusal_is_unknown: bool = True
 
 
 def _deliver(state: State, rules: Rules) -> State:
@@ -118,6 +119,12 @@
     )
 
 
+def _refuse_at_entry(state: State, rules: Rules) -> State:
+    """An entry refuses a resend, for a limit or a lost link."""
+    told = Told.UNKNOWN if rules.entry_refusal_is_unknown else Told.NOT_RUN
+    return dataclasses.replace(state, told=told)
+
+
 def _restart(state: State) -> State:
     return dataclasses.replace(
         state,
@@ -174,6 +181,11 @@
                 lambda s: s.status is Status.RUNNING,
                 lambda s: dataclasses.replace(s, status=Status.ENDED),
             ),
+            when(
+                "refuse_at_entry",
+                lambda s: True,
+                lambda s: _refuse_at_entry(s, rules),
+            ),
             when("close", lambda s: s.open, lambda s: _close(s, rules)),
             when("restart", lambda s: not s.restarted, _restart),
         ],
@@ -215,6 +227,8 @@
         if action.startswith("send_"):
             sent = state.sent | {action[-1]}
             self.model_state = dataclasses.replace(state, sent=sent)
+        elif action == "refuse_at_entry":
+            self._tell(Told.UNKNOWN)
         elif action == "cancel_sent":
             self.model_state = dataclasses.replace(state, cancel_sent=True)
         elif action == "deliver":
@@ -303,6 +317,11 @@
             build(Rules(restart_is_unknown=False)),
             "not_run_is_true",
         ),
+        report.SeededBug(
+            "an entry that refuses a resend says not run",
+            build(Rules(entry_refusal_is_unknown=False)),
+            "not_run_is_true",
+        ),
         report.SeededBug(
             "a cancel does not void",
             build(Rules(cancel_voids=False)),
--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -275,6 +275,8 @@
                     message.ttl_ms,
                     clock.Millis(self._permit_asked_ms),
                 )
+            case messages.ReportRequest():
+                self._on_link_open(entry_id)
             case messages.DrainOrder():
                 self.drain(message.reason)
 
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -19,6 +19,7 @@
 
 OBSERVE_INTERVAL_MS = 400.0
 STEP_RETRY_MS = 300.0
+STEP_RETRY_MAX_MS = 10_000.0
 PERMIT_WAIT_MS = 150.0
 
 
@@ -199,6 +200,7 @@
             rollout.model, version, ids.Digest(found.whole), self._revision
         )
         await self._observe()
+        failures = 0
         while rollout == self._rollout:
             if self._verdict is guard.Verdict.SERVE_TARGET:
                 self._set_note("serving target")
@@ -206,10 +208,12 @@
                 continue
             try:
                 await self._approach(digest, version)
+                failures = 0
             except engine_client.EngineError as error:
                 logs.log("engine_order_failed", detail=repr(error))
                 self._totals.add(counters.CounterName.ENGINE_ORDERS, "failed")
-                await asyncio.sleep(STEP_RETRY_MS / 1000)
+                failures += 1
+                await asyncio.sleep(_backoff_s(failures))
                 await self._observe()
 
     async def _trust_previous(self, rollout: schema.Rollout) -> None:
@@ -328,3 +332,8 @@
         if note != self.note:
             self.note = note
             self._on_change()
+
+
+def _backoff_s(failures: int) -> float:
+    bound_ms = min(STEP_RETRY_MAX_MS, STEP_RETRY_MS * 2.0 ** (failures - 1))
+    return bound_ms / clock.MILLIS_PER_SECOND
--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -12,7 +12,9 @@
 from marlramp.console import admin_client
 from marlramp.console import exit_codes
 from marlramp.console import output
+from marlramp.experiments import calls as calls_run
 from marlramp.experiments import rollout as rollout_run
+from marlramp.settings import schema
 
 app = cyclopts.App(
     name="experiment", help="Run a measurement; needs a source checkout."
@@ -68,6 +70,60 @@
     return int(exit_codes.ExitCode.OK if held else exit_codes.ExitCode.NOT_HELD)
 
 
+@app.command
+def calls(
+    *,
+    seconds: float = 8.0,
+    routing: schema.Routing = schema.Routing.PREDICTED,
+    limits: bool = True,
+    json: admin_client.Json = False,
+) -> int:
+    """Measure calls under load, a flood and faulty upstreams.
+
+    Args:
+      seconds: length of each measurement.
+      routing: how upstreams are chosen; all but predicted are baselines.
+      limits: whether queues are bounded and hopeless calls refused at once.
+      json: print JSON, for scripts.
+    """
+    plan = calls_run.Plan(seconds=seconds, routing=routing.value, limits=limits)
+    report = asyncio.run(calls_run.run(plan))
+    if json:
+        output.print_json(report)
+        return int(exit_codes.ExitCode.OK)
+    rows = [
+        (
+            point.name,
+            point.offered_per_s,
+            point.goodput_per_s,
+            group.customer,
+            group.priority,
+            f"{100 * group.within_deadline:.1f}%",
+            f"{group.summary.ttft_p50_ms:.0f}/{group.summary.ttft_p95_ms:.0f}",
+            f"{group.summary.gap_p50_ms:.0f}/{group.summary.gap_p95_ms:.0f}",
+            point.refusals,
+            point.retries,
+        )
+        for point in report.points
+        for group in point.groups
+    ]
+    columns = [
+        "load",
+        "offered/s",
+        "goodput/s",
+        "customer",
+        "priority",
+        "within deadline",
+        "first token p50/p95 ms",
+        "between tokens p50/p95 ms",
+        "refusals",
+        "retries",
+    ]
+    title = f"Calls, capacity {report.capacity_per_s} per second"
+    output.print_table(title, columns, rows)
+    return int(exit_codes.ExitCode.OK)
+
+
 def _print_rollout(report: rollout_run.Report) -> None:
     rows = []
     for name, value in msgspec.structs.asdict(report).items():
--- a/src/marlramp/core/routing.py
+++ b/src/marlramp/core/routing.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -59,6 +60,40 @@
     return candidate.service_ms * (0.5 * discount + wait)
 
 
+class Chooser(Protocol):
+    """A way to choose an upstream."""
+
+    def __call__(
+        self, candidates: Sequence[Candidate], rng: random.Random
+    ) -> Candidate | None:
+        """Returns the chosen upstream, None if there is none."""
+        ...
+
+
+def choose_random(
+    candidates: Sequence[Candidate], rng: random.Random
+) -> Candidate | None:
+    """Chooses any upstream; a baseline."""
+    return rng.choice(candidates) if candidates else None
+
+
+class RoundRobin:
+    """Chooses upstreams in turn; a baseline."""
+
+    def __init__(self) -> None:
+        """Starts with the first."""
+        self._turn = 0
+
+    def __call__(
+        self, candidates: Sequence[Candidate], rng: random.Random
+    ) -> Candidate | None:
+        """Returns the next upstream."""
+        if not candidates:
+            return None
+        self._turn += 1
+        return candidates[self._turn % len(candidates)]
+
+
 def choose(
     candidates: Sequence[Candidate], rng: random.Random
 ) -> Candidate | None:
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -230,17 +230,35 @@
     async def _submit(
         self, spec: calls.CallSpec, caller: caller_requests.CallerRequest
     ) -> call_module.Call:
-        token = None
         if caller.run_token:
-            token = self._signer.decode(caller.run_token)
-            self._check_reachable(token)
-        elif not spec.idempotent:
+            return self._submit_token(spec, caller.run_token)
+        if not spec.idempotent:
             values = self._settings.tree.effective(
                 spec.service_id, spec.customer_id
             )
             if values.run_token_required:
                 await self._require_token(spec)
-        return self._owner.submit(spec, token)
+        return self._owner.submit(spec, None)
+
+    def _submit_token(
+        self, spec: calls.CallSpec, text: str
+    ) -> call_module.Call:
+        """Submits a call with a run token.
+
+        A refusal here proves nothing about an earlier request with the same
+        token, which another entry may have run.
+        """
+        try:
+            token = self._signer.decode(text)
+            self._check_reachable(token)
+            return self._owner.submit(spec, token)
+        except errors.CallError as error:
+            raise errors.CallError(
+                error.kind,
+                error.detail,
+                ran=errors.Ran.UNKNOWN,
+                retry_after_ms=error.retry_after_ms,
+            ) from error
 
     def _check_reachable(self, token: run_tokens.RunToken) -> None:
         if self._owner.reaches(ids.VmId(token.vm_id)):
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -294,6 +294,9 @@
     def _on_heartbeat(
         self, vm_id: ids.VmId, message: messages.AgentHeartbeat
     ) -> None:
+        if self._table.get(vm_id) is None:
+            self._links.send(vm_id, messages.ReportRequest())
+            return
         self._table.heartbeat(vm_id, message, self._clock.now_ms())
         self._revisions[vm_id] = message.revisions
         self._compare_settings(vm_id)
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -86,6 +86,11 @@
         self._queued: dict[ids.RequestId, call_module.Call] = {}
         self._tries: dict[ids.RequestId, call_module.Call] = {}
         self._answers: dict[ids.RequestId, asyncio.Future[object]] = {}
+        self._choosers: dict[schema.Routing, routing.Chooser] = {
+            schema.Routing.PREDICTED: routing.choose,
+            schema.Routing.RANDOM: routing.choose_random,
+            schema.Routing.ROUND_ROBIN: routing.RoundRobin(),
+        }
         self.entries_listed = 1
         self.draining = False
 
@@ -303,7 +308,10 @@
 
     def _lost(self, call: call_module.Call) -> errors.CallError:
         """Returns the failure of a try whose agent is gone."""
-        ran = errors.Ran.UNKNOWN if call.sent else errors.Ran.NO
+        # Another entry may have run the same token, so that not having sent
+        # it proves nothing.
+        unsent = not call.sent and call.token is None
+        ran = errors.Ran.NO if unsent else errors.Ran.UNKNOWN
         return errors.CallError(errors.ErrorKind.UPSTREAM_LOST, ran=ran)
 
     # Regular work.
@@ -338,6 +346,12 @@
                 return
             call = self._queued[waiting.request_id]
             grant = self._choose_grant(call, now_ms)
+            if grant is None and self._version_gone(call):
+                del self._queued[waiting.request_id]
+                self._fail(
+                    call, errors.CallError(errors.ErrorKind.VERSION_CHANGED)
+                )
+                continue
             if grant is None:
                 service.queue.push_front(waiting)
                 return
@@ -356,7 +370,7 @@
             raise errors.CallError(errors.ErrorKind.SETTINGS_MISSING)
         if tree.service_kind(spec.service_id) is None:
             raise errors.CallError(errors.ErrorKind.UNKNOWN_SERVICE)
-        if spec.customer_id not in tree.customer_ids():
+        if not tree.knows_customer(spec.customer_id):
             raise errors.CallError(errors.ErrorKind.UNKNOWN_CUSTOMER)
         if token is None:
             return
@@ -384,6 +398,10 @@
             raise errors.CallError(
                 errors.ErrorKind.DEADLINE_EXCEEDED, ran=errors.Ran.NO
             )
+        if not self._settings.tree.effective(
+            spec.service_id
+        ).refuse_unreachable:
+            return
         ahead = service.queue.ahead(spec.priority)
         if ahead == 0:
             return
@@ -443,11 +461,21 @@
             now_ms,
         )
         fresh = [c for c in candidates if c.vm_id not in call.state.failed_vms]
-        chosen = routing.choose(fresh or candidates, self._rng)
+        values = self._settings.tree.effective(call.spec.service_id)
+        chooser = self._choosers[values.routing]
+        chosen = chooser(fresh or candidates, self._rng)
         if chosen is None:
             return None
         return self._table.wallet.use(chosen.vm_id, now_ms)
 
+    def _version_gone(self, call: call_module.Call) -> bool:
+        """Returns whether a stream cannot be resumed on its version."""
+        needed = call.state.needed_version
+        return needed != "" and not any(
+            info.report.version == needed
+            for info in self._table.serving(call.spec.service_id)
+        )
+
     def _start(self, call: call_module.Call, grant: wallet.HeldGrant) -> None:
         now_ms = self._clock.now_ms()
         call.grant = grant
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -123,8 +123,8 @@
 
     @property
     def crashed(self) -> bool:
-        """Whether it ended although nobody asked it to."""
-        return not self.running and not self.ended_by_us
+        """Whether it ended with an error although nobody asked it to."""
+        return self.process.poll() not in (None, 0) and not self.ended_by_us
 
     def send_signal(self, number: signal.Signals) -> None:
         """Sends it a signal."""
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -296,6 +296,10 @@
     documents: list[Document]
 
 
+class ReportRequest(_Message):
+    """Asks an agent that is heard but not known for its full state."""
+
+
 class DrainOrder(_Message):
     """An operator's order to an agent to drain."""
 
@@ -391,6 +395,7 @@
     | Reserve
     | RunQuery
     | SettingsOffer
+    | ReportRequest
     | DrainOrder
 )
 type FromPeer = (
--- a/src/marlramp/settings/schema.py
+++ b/src/marlramp/settings/schema.py
@@ -43,6 +43,14 @@
     TREE = "tree"
 
 
+class Routing(enum.Enum):
+    """Ways to choose an upstream; all but predicted are baselines."""
+
+    PREDICTED = "predicted"
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+
+
 _Name = Annotated[
     str,
     msgspec.Meta(
@@ -125,6 +133,17 @@
             ge=10, le=600_000, description="longest gap within an answer"
         ),
     ] = 5_000
+    routing: Annotated[
+        Routing,
+        msgspec.Meta(description="choice of upstream; others are baselines"),
+    ] = Routing.PREDICTED
+    refuse_unreachable: Annotated[
+        bool,
+        msgspec.Meta(
+            description="whether calls that cannot meet their deadline are "
+            "refused at once"
+        ),
+    ] = True
     queue_length_max: Annotated[
         int,
         msgspec.Meta(
--- a/src/marlramp/settings/tree.py
+++ b/src/marlramp/settings/tree.py
@@ -93,6 +93,12 @@
             for level in schema.LEVEL_ORDER
             if level in levels
         ]
+        self._services = frozenset(self.service_ids())
+        self._customers = frozenset(self.customer_ids())
+        self._effective: dict[
+            tuple[ids.ServiceId | None, ids.CustomerId | None],
+            schema.Settings,
+        ] = {}
 
     def service_ids(self) -> list[ids.ServiceId]:
         """Returns all declared services, sorted."""
@@ -108,6 +114,10 @@
                 names.update(service.customers)
         return sorted(ids.CustomerId(name) for name in names)
 
+    def knows_customer(self, customer_id: ids.CustomerId) -> bool:
+        """Returns whether any level declares a customer."""
+        return customer_id in self._customers
+
     def service_kind(
         self, service_id: ids.ServiceId
     ) -> schema.ServiceKind | None:
@@ -133,11 +143,21 @@
         service_id: ids.ServiceId | None = None,
         customer_id: ids.CustomerId | None = None,
     ) -> schema.Settings:
-        """Returns the settings in force for a service and customer."""
-        merged: dict[str, object] = {}
-        for _, table in self._layers(service_id, customer_id):
-            merged.update(table)
-        return msgspec.convert(merged, schema.Settings)
+        """Returns the settings in force for a service and customer.
+
+        Results are kept, since the tree never changes; unknown names share
+        the result for none, so that callers cannot make it grow.
+        """
+        known_service = service_id if service_id in self._services else None
+        known = customer_id if customer_id in self._customers else None
+        values = self._effective.get((known_service, known))
+        if values is None:
+            merged: dict[str, object] = {}
+            for _, table in self._layers(known_service, known):
+                merged.update(table)
+            values = msgspec.convert(merged, schema.Settings)
+            self._effective[known_service, known] = values
+        return values
 
     def explain(
         self,
--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -99,6 +100,7 @@
     def __init__(self, keys: Keys) -> None:
         """Starts accepting links that hold the fleet's client key."""
         self.keys = keys
+        self._channels: set[_Channel] = set()
         asynchronous = zmq.asyncio.Context()
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
             asynchronous.underlying
@@ -112,9 +114,17 @@
             credentials_provider=_OneKey(keys.client_public)
         )
 
+    def watch(self, socket: zmq.Socket[bytes]) -> _Channel:
+        """Returns the channel of a bound or connected socket."""
+        channel = _Channel(socket, self._channels.discard)
+        self._channels.add(channel)
+        return channel
+
     def close(self) -> None:
         """Closes all sockets without waiting for queued messages."""
         self._authenticator.stop()
+        for channel in list(self._channels):
+            channel.close()
         self._asynchronous.destroy(linger=0)
 
 
@@ -130,9 +140,14 @@
 class _Channel:
     """A socket that is sent to without blocking and read in batches."""
 
-    def __init__(self, socket: zmq.Socket[bytes]) -> None:
+    def __init__(
+        self,
+        socket: zmq.Socket[bytes],
+        on_close: Callable[[_Channel], None],
+    ) -> None:
         """Watches a bound or connected socket."""
         self._socket = socket
+        self._on_close = on_close
         self._readable = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._fd = int(socket.get(zmq.FD))
@@ -164,6 +179,7 @@
         """Closes the socket."""
         self._loop.remove_reader(self._fd)
         self._socket.close(linger=0)
+        self._on_close(self)
 
     def _drain(self) -> list[list[bytes]]:
         batch: list[list[bytes]] = []
@@ -202,7 +218,7 @@
         socket.set(zmq.CURVE_SECRETKEY, links.keys.server_secret)
         socket.set(zmq.CURVE_PUBLICKEY, links.keys.server_public)
         socket.bind(f"tcp://{host}:{port}")
-        self._channel = _Channel(socket)
+        self._channel = links.watch(socket)
 
     async def receive(self) -> list[Received]:
         """Returns the messages that have arrived, at least one."""
@@ -236,7 +252,7 @@
         socket.set(zmq.CURVE_PUBLICKEY, links.keys.client_public)
         socket.set(zmq.CURVE_SECRETKEY, links.keys.client_secret)
         socket.connect(f"tcp://{host}:{port}")
-        self._channel = _Channel(socket)
+        self._channel = links.watch(socket)
 
     async def receive(self) -> list[bytes]:
         """Returns the messages that have arrived, at least one."""
