Issue grants as soon as a run ends

Cause: an agent renewed an entry's grants only on heartbeats and on its tick of 500 ms, so freed capacity stayed idle for up to half a second.

Ruled out: the queue (it was empty at half load, yet first tokens waited) and routing (all replicas were alike).

Calls of the flooding customer are still started too late to end in time (403 deadline_exceeded): next.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -81,6 +81,7 @@
             self._entries,
             self._totals,
             self._clock,
+            self._issue_grants,
         )
         self._permit_round = swap.PermitRound()
         self._permit_asked_ms = self._clock.now_ms()
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -88,8 +89,10 @@
         outbox: Outbox,
         totals: counters.Counters,
         time: clock.Clock,
+        on_finished: Callable[[], None],
     ) -> None:
-        """Runs at the upstream at `upstream_url`."""
+        """Runs at `upstream_url`; calls `on_finished` as capacity is freed."""
+        self._on_finished = on_finished
         self._ledger = ledger
         self._client = client
         self._url = upstream_url.rstrip("/")
@@ -211,6 +214,7 @@
             failure = errors.CallError(errors.ErrorKind.INTERNAL, repr(error))
         self._ledger.finish(number, state, self._clock.now_ms())
         self._end(number, output, failure)
+        self._on_finished()
 
     async def _relay(
         self, run: messages.Run, version: ids.VersionId, output: _Output
