Refuse at once what would end after its deadline

Cause: the expected wait left out the call's own time and counted the whole queue, although fair queueing serves a small customer before a flood; calls whose time no longer sufficed were still started.

Change: expected time from smoothed first part and gap per part; the wait counts only what fair queueing puts ahead; a waiting call that would end too late is refused when its turn comes.

--- a/src/marlramp/core/queueing.py
+++ b/src/marlramp/core/queueing.py
@@ -4,6 +4,7 @@
 
 import collections
 import enum
+import itertools
 
 import msgspec
 
@@ -62,11 +63,25 @@
         """Returns the number of waiting requests."""
         return self._length
 
-    def ahead(self, priority: Priority) -> int:
-        """Returns how many requests have this priority or a higher one."""
-        return sum(
-            len(lane) for (p, _), lane in self._lanes.items() if p >= priority
-        )
+    def ahead(
+        self, priority: Priority, customer_id: ids.CustomerId
+    ) -> list[Waiting]:
+        """Returns what would be served before a new request, roughly.
+
+        That is all of higher priority, the customer's own of the same
+        priority, and as many of each other customer.
+        """
+        own = self._lanes.get((priority, customer_id), ())
+        found: list[Waiting] = []
+        for (other_priority, other_id), lane in self._lanes.items():
+            if other_priority > priority or other_id == customer_id:
+                count = len(lane) if other_priority >= priority else 0
+            elif other_priority == priority:
+                count = len(own) + 1
+            else:
+                count = 0
+            found.extend(itertools.islice(lane, count))
+        return found
 
     def push(self, waiting: Waiting) -> Waiting | None:
         """Adds a request.
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -19,6 +19,7 @@
 from marlramp.core import agent_table
 from marlramp.core import calls
 from marlramp.core import limits
+from marlramp.core import pace
 from marlramp.core import queueing
 from marlramp.core import retries
 from marlramp.core import routing
@@ -34,8 +35,6 @@
 
 RESERVE_WAIT_MS = 500.0
 RETRY_BUDGET_BURST = 20.0
-RUN_SMOOTHING = 0.1
-RUN_DEFAULT_MS = 200.0
 
 
 class AgentSender(Protocol):
@@ -55,7 +54,7 @@
         self.budget = retries.RetryBudget(
             values.retry_ratio, RETRY_BUDGET_BURST
         )
-        self.run_ms = RUN_DEFAULT_MS
+        self.pace = pace.RunPace()
         self.in_flight = 0
 
 
@@ -345,6 +344,16 @@
             if waiting is None:
                 return
             call = self._queued[waiting.request_id]
+            if self._too_late(call, service, now_ms):
+                del self._queued[waiting.request_id]
+                self._fail(
+                    call,
+                    errors.CallError(
+                        errors.ErrorKind.DEADLINE_UNREACHABLE,
+                        ran=self._ran_so_far(call),
+                    ),
+                )
+                continue
             grant = self._choose_grant(call, now_ms)
             if grant is None and self._version_gone(call):
                 del self._queued[waiting.request_id]
@@ -402,11 +411,12 @@
             spec.service_id
         ).refuse_unreachable:
             return
-        ahead = service.queue.ahead(spec.priority)
-        if ahead == 0:
+        ahead = service.queue.ahead(spec.priority, spec.customer_id)
+        if not ahead:
             return
-        slots = max(1, service.in_flight)
-        wait_ms = ahead / slots * service.run_ms
+        work_ms = sum(service.pace.expected_ms(w.cost) for w in ahead)
+        wait_ms = work_ms / max(1, service.in_flight)
+        wait_ms += service.pace.expected_ms(spec.tokens)
         if wait_ms > left_ms:
             raise errors.CallError(
                 errors.ErrorKind.DEADLINE_UNREACHABLE,
@@ -468,6 +478,20 @@
             return None
         return self._table.wallet.use(chosen.vm_id, now_ms)
 
+    def _too_late(
+        self,
+        call: call_module.Call,
+        service: ServiceQueue,
+        now_ms: clock.Millis,
+    ) -> bool:
+        """Returns whether a waiting call would end after its deadline."""
+        values = self._settings.tree.effective(call.spec.service_id)
+        if not values.refuse_unreachable or call.admitted_ms == now_ms:
+            return False
+        parts_left = call.spec.tokens - call.state.resume_from
+        expected_ms = service.pace.expected_ms(parts_left)
+        return now_ms + expected_ms > call.spec.deadline_ms
+
     def _version_gone(self, call: call_module.Call) -> bool:
         """Returns whether a stream cannot be resumed on its version."""
         needed = call.state.needed_version
@@ -668,9 +692,9 @@
     def _succeed(self, call: call_module.Call) -> None:
         now_ms = self._clock.now_ms()
         service = self._service(call.spec.service_id)
-        taken_ms = now_ms - call.started_ms
-        service.run_ms += RUN_SMOOTHING * (taken_ms - service.run_ms)
         used = call.state.assembly.next_seq
+        first_ms = (call.first_part_ms or now_ms) - call.started_ms
+        service.pace.record(first_ms, now_ms - call.started_ms, used)
         limit = self._limits.get(call.spec.customer_id)
         if limit is not None and call.spec.stream:
             limit.settle(call.spec.tokens, used, now_ms)
