Ignore breakers only when most of a service's are open

Cause: the panic rule counted only upstreams with a free grant. One that fails fast is always free, so it was often the only one counted, and its open breaker was ignored.

Change: the rule counts all upstreams of the service that take work. The new test of the agent table failed first.

--- a/src/marlramp/core/agent_table.py
+++ b/src/marlramp/core/agent_table.py
@@ -182,16 +182,24 @@
           prefix: digest of the prompt prefix, empty for none.
           now_ms: the entry's time.
         """
+        serving = self.serving(service_id)
+        allowing = sum(1 for info in serving if info.breaker.allows(now_ms))
+        panic = routing.panics(allowing, len(serving))
         return [
-            self._candidate(info, prefix, now_ms)
-            for info in self.serving(service_id)
+            self._candidate(info, prefix, now_ms, panic=panic)
+            for info in serving
             if not info.ahead
             and version in ("", info.report.version)
             and self.wallet.count(info.vm_id, now_ms) > 0
         ]
 
     def _candidate(
-        self, info: AgentInfo, prefix: str, now_ms: clock.Millis
+        self,
+        info: AgentInfo,
+        prefix: str,
+        now_ms: clock.Millis,
+        *,
+        panic: bool,
     ) -> routing.Candidate:
         load = None
         age_ms = 0.0
@@ -206,5 +214,5 @@
             age_ms,
             info.first_token_ms,
             bool(prefix) and prefix in info.prefixes,
-            info.breaker.allows(now_ms),
+            panic or info.breaker.allows(now_ms),
         )
--- a/src/marlramp/core/routing.py
+++ b/src/marlramp/core/routing.py
@@ -45,6 +45,16 @@
     breaker_allows: bool
 
 
+def panics(allowing: int, total: int) -> bool:
+    """Returns whether so many breakers are open that they are ignored.
+
+    Args:
+      allowing: upstreams of a service whose breaker lets requests through.
+      total: all upstreams of the service that take work, free or not.
+    """
+    return allowing < total * (1.0 - PANIC_FRACTION)
+
+
 def predicted_ms(candidate: Candidate) -> float:
     """Returns the predicted time to first token, in milliseconds.
 
@@ -104,8 +114,6 @@
       as drawn, or None if there is none.
     """
     allowed = [c for c in candidates if c.breaker_allows]
-    if len(allowed) < len(candidates) * (1.0 - PANIC_FRACTION):
-        allowed = list(candidates)
     if not allowed:
         return None
     drawn = rng.sample(allowed, min(2, len(allowed)))
--- /dev/null
+++ b/tests/core/test_agent_table.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import agent_table
+from marlramp.core import routing
+from marlramp.protocol import messages
+
+POOL = ids.ServiceId("pool")
+ANY = ids.VersionId("")
+
+
+def report(number: int, incarnation: int = 1) -> messages.AgentReport:
+    return messages.AgentReport(
+        vm_id=f"vm-{number}",
+        data_centre_id="randstad",
+        incarnation=incarnation,
+        service_id=POOL,
+        state=messages.AgentState.READY,
+        model="m",
+        version="v1",
+        target_version="v1",
+        chunks_held=0,
+        chunks_total=0,
+        capacity=4,
+        sent_bytes=0,
+        origin_bytes=0,
+        note="",
+    )
+
+
+@pytest.fixture
+def table(time: clock.ManualClock) -> agent_table.AgentTable:
+    result = agent_table.AgentTable(failures_max=2, open_ms=1_000.0)
+    for number in range(4):
+        result.report(report(number), time.now_ms())
+    for info in result:
+        info.ahead = False
+    return result
+
+
+def grant(
+    table: agent_table.AgentTable, number: int, now_ms: clock.Millis
+) -> None:
+    table.wallet.add(
+        ids.VmId(f"vm-{number}"),
+        ids.Incarnation(1),
+        [ids.GrantNumber(1)],
+        now_ms + 1_000.0,
+    )
+
+
+def open_breaker(
+    table: agent_table.AgentTable, number: int, now_ms: clock.Millis
+) -> None:
+    info = table.get(ids.VmId(f"vm-{number}"))
+    assert info is not None
+    for _ in range(2):
+        info.breaker.record_failure(now_ms)
+
+
+def test_only_free_upstream_is_not_used_while_its_breaker_is_open(
+    table: agent_table.AgentTable, time: clock.ManualClock, rng: random.Random
+) -> None:
+    grant(table, 0, time.now_ms())
+    open_breaker(table, 0, time.now_ms())
+    candidates = table.candidates(POOL, ANY, "", time.now_ms())
+    assert routing.choose(candidates, rng) is None
+
+
+def test_breakers_are_ignored_when_most_are_open(
+    table: agent_table.AgentTable, time: clock.ManualClock, rng: random.Random
+) -> None:
+    for number in range(3):
+        open_breaker(table, number, time.now_ms())
+    grant(table, 0, time.now_ms())
+    candidates = table.candidates(POOL, ANY, "", time.now_ms())
+    assert routing.choose(candidates, rng) is not None
+
+
+def test_restart_drops_grants_of_the_earlier_incarnation(
+    table: agent_table.AgentTable, time: clock.ManualClock
+) -> None:
+    grant(table, 1, time.now_ms())
+    assert table.report(report(1, incarnation=2), time.now_ms())
+    assert table.wallet.count(ids.VmId("vm-1"), time.now_ms()) == 0
+
+
+def test_agent_with_newer_settings_gets_no_work(
+    table: agent_table.AgentTable, time: clock.ManualClock
+) -> None:
+    grant(table, 2, time.now_ms())
+    info = table.get(ids.VmId("vm-2"))
+    assert info is not None
+    info.ahead = True
+    assert table.candidates(POOL, ANY, "", time.now_ms()) == []
+
+
+def test_silent_agents_are_found(
+    table: agent_table.AgentTable, time: clock.ManualClock
+) -> None:
+    time.advance(agent_table.HEARD_TIMEOUT_MS + 1)
+    table.heard(ids.VmId("vm-3"), time.now_ms())
+    assert len(table.silent(time.now_ms())) == 3
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -52,15 +52,17 @@
         assert found.vm_id == "vm-9"
 
 
-def test_open_breakers_are_ignored_in_panic(rng: random.Random) -> None:
-    bad = [candidate(n, breaker_allows=False) for n in range(9)]
-    assert routing.choose([*bad, candidate(9)], rng) in [*bad, candidate(9)]
-    found = {
-        c.vm_id
-        for _ in range(99)
-        if (c := routing.choose(bad, rng)) is not None
-    }
-    assert len(found) > 1
+def test_open_breakers_exclude_an_upstream(rng: random.Random) -> None:
+    candidates = [candidate(0, breaker_allows=False), candidate(1)]
+    for _ in range(50):
+        found = routing.choose(candidates, rng)
+        assert found is not None
+        assert found.vm_id == "vm-1"
+
+
+def test_panic_needs_most_breakers_open() -> None:
+    assert not routing.panics(2, 4)
+    assert routing.panics(1, 4)
 
 
 def test_breaker_opens_and_lets_one_trial_through(
