--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -61,7 +61,9 @@
         self._stopping = asyncio.Event()
         self._client = http.HttpClient()
         self._link_id = links.LinkId(self._vm_id, self._incarnation)
-        self._context = links.LinkContext(links.Keys.of(settings.links))
+        self._context = links.LinkContext(
+            links.Keys.of(settings.links), self._totals
+        )
         self._store = store.SettingsStore(
             process.document_keys(settings.identity)
         )
--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -13,6 +13,7 @@
 from marlramp.console import exit_codes
 from marlramp.console import output
 from marlramp.experiments import calls as calls_run
+from marlramp.experiments import capacity as capacity_run
 from marlramp.experiments import rollout as rollout_run
 from marlramp.settings import schema
 
@@ -124,6 +125,41 @@
     return int(exit_codes.ExitCode.OK)
 
 
+@app.command
+def capacity(*, json: admin_client.Json = False) -> int:
+    """Measure the slopes behind docs/CAPACITY.md; takes four minutes.
+
+    Args:
+      json: print JSON, for scripts.
+    """
+    report = asyncio.run(capacity_run.run())
+    if json:
+        output.print_json(report)
+        return int(exit_codes.ExitCode.OK)
+    rows = [
+        (
+            f.name,
+            f.x,
+            f.y,
+            f"{f.slope:.4g}",
+            f"{f.intercept:.4g}",
+            f"{f.residual_max:.2g}",
+        )
+        for f in report.fits
+    ]
+    columns = ["what", "per", "unit", "slope", "at zero", "largest residual"]
+    output.print_table("Slopes", columns, rows)
+    facts = [
+        ("settings in force, p95", f"{report.settings_p95_ms} ms"),
+        ("platform calls at start", report.platform_calls_at_start),
+        ("platform calls idle", f"{report.platform_calls_per_s_idle}/s"),
+        ("agent memory", f"{report.agent_idle_mb} MB"),
+        ("entry memory", f"{report.entry_idle_mb} MB"),
+    ]
+    output.print_table("Figures", ["what", "value"], facts)
+    return int(exit_codes.ExitCode.OK)
+
+
 def _print_rollout(report: rollout_run.Report) -> None:
     rows = []
     for name, value in msgspec.structs.asdict(report).items():
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -20,6 +20,7 @@
     ENGINE_ORDERS = "marlramp_engine_orders"
     PLATFORM_READS = "marlramp_platform_reads"
     REQUESTS = "marlramp_requests"
+    LINK_BYTES = "marlramp_link_bytes"
     INTERNAL_ERRORS = "marlramp_internal_errors"
 
 
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -69,7 +69,9 @@
         self._lifecycle = lifecycle.Lifecycle()
         self._stopping = asyncio.Event()
         self._client = http.HttpClient()
-        self._context = links.LinkContext(links.Keys.of(settings.links))
+        self._context = links.LinkContext(
+            links.Keys.of(settings.links), self._totals
+        )
         self._store = store.SettingsStore(
             process.document_keys(settings.identity)
         )
--- a/src/marlramp/experiments/load.py
+++ b/src/marlramp/experiments/load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import hashlib
 import random
@@ -81,6 +82,7 @@
     plan: CallPlan,
     prompt: str,
     request_id: str = "",
+    on_token: Callable[[], None] = lambda: None,
 ) -> CallResult:
     """Makes one streamed completion call and checks its answer."""
     time = clock.SystemClock()
@@ -101,7 +103,7 @@
             headers=_headers(plan, request_id),
             timeout_ms=plan.timeout_ms + 1_000.0,
         )
-        await _read(stream, plan, prompt, result, started_ms)
+        await _read(stream, plan, prompt, result, started_ms, on_token)
     except http.HttpError as error:
         result.kind = f"http: {error}"
     result.total_ms = time.now_ms() - started_ms
@@ -126,6 +128,7 @@
     prompt: str,
     result: CallResult,
     started_ms: float,
+    on_token: Callable[[], None],
 ) -> None:
     if stream.status != _OK:
         _note_error(result, await stream.body())
@@ -154,6 +157,7 @@
         previous_ms = now_ms
         texts.append(parsed.choices[0].text)
         result.tokens += 1
+        on_token()
 
 
 def _note_error(result: CallResult, body: bytes) -> None:
@@ -185,6 +189,7 @@
         self._driver: asyncio.Task[None] | None = None
         self.results: list[CallResult] = []
         self.sent = 0
+        self.tokens = 0
 
     def start(self) -> None:
         """Starts calling."""
@@ -212,7 +217,13 @@
         self.sent += 1
         url = self._urls[self.sent % len(self._urls)]
         prompt = f"quote {self.sent}"
-        self.results.append(await call(self._client, url, self._plan, prompt))
+        result = await call(
+            self._client, url, self._plan, prompt, on_token=self._count_token
+        )
+        self.results.append(result)
+
+    def _count_token(self) -> None:
+        self.tokens += 1
 
 
 class LoadSummary(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -20,6 +20,8 @@
 import zmq.asyncio
 import zmq.auth.asyncio
 
+from marlramp import counters
+
 if TYPE_CHECKING:
     from marlramp.settings import process
 
@@ -97,9 +99,10 @@
 class LinkContext:
     """Owns the ZeroMQ context and the authenticator of one process."""
 
-    def __init__(self, keys: Keys) -> None:
+    def __init__(self, keys: Keys, totals: counters.Counters) -> None:
         """Starts accepting links that hold the fleet's client key."""
         self.keys = keys
+        self._totals = totals
         self._channels: set[_Channel] = set()
         asynchronous = zmq.asyncio.Context()
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
@@ -116,7 +119,7 @@
 
     def watch(self, socket: zmq.Socket[bytes]) -> _Channel:
         """Returns the channel of a bound or connected socket."""
-        channel = _Channel(socket, self._channels.discard)
+        channel = _Channel(socket, self._totals, self._channels.discard)
         self._channels.add(channel)
         return channel
 
@@ -143,10 +146,12 @@
     def __init__(
         self,
         socket: zmq.Socket[bytes],
+        totals: counters.Counters,
         on_close: Callable[[_Channel], None],
     ) -> None:
         """Watches a bound or connected socket."""
         self._socket = socket
+        self._totals = totals
         self._on_close = on_close
         self._readable = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -158,6 +163,10 @@
         while True:
             batch = self._drain()
             if batch:
+                size = sum(len(frames[-1]) for frames in batch)
+                self._totals.add(
+                    counters.CounterName.LINK_BYTES, "received", size
+                )
                 return batch
             self._readable.clear()
             if not self._has_input():
@@ -169,6 +178,9 @@
             self._socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
             return False
+        self._totals.add(
+            counters.CounterName.LINK_BYTES, "sent", len(frames[-1])
+        )
         # Sending may take in the signal of an arrival, so that the file
         # descriptor does not become readable for it.
         if self._has_input():
