Measure an entry's processor time per relayed part

Change: marlramp experiment parts drives one real entry by stand-in agents that speak the real links. Grants are announced as a range.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -433,7 +433,8 @@
             if numbers:
                 issued = messages.GrantsIssued(
                     incarnation=self._incarnation,
-                    numbers=list(numbers),
+                    first=numbers[0],
+                    count=len(numbers),
                     ttl_ms=GRANT_TTL_MS * grants.USABLE_FRACTION,
                 )
                 self._entries.send(entry_id, issued)
--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -14,6 +14,7 @@
 from marlramp.console import output
 from marlramp.experiments import calls as calls_run
 from marlramp.experiments import capacity as capacity_run
+from marlramp.experiments import parts as parts_run
 from marlramp.experiments import rollout as rollout_run
 from marlramp.settings import schema
 
@@ -160,6 +161,32 @@
     return int(exit_codes.ExitCode.OK)
 
 
+@app.command
+def parts(
+    *,
+    agents: int = 20,
+    streams: int = 19,
+    seconds: float = 8.0,
+    json: admin_client.Json = False,
+) -> int:
+    """Measure an entry's processor time per relayed part.
+
+    Args:
+      agents: stand-in agents.
+      streams: open streams at each agent.
+      seconds: length of the measurement.
+      json: print JSON, for scripts.
+    """
+    plan = parts_run.Plan(agents=agents, streams=streams, seconds=seconds)
+    report = asyncio.run(parts_run.run(plan))
+    if json:
+        output.print_json(report)
+    else:
+        facts = list(msgspec.structs.asdict(report).items())
+        output.print_table("Relayed parts", ["figure", "value"], facts)
+    return int(exit_codes.ExitCode.OK)
+
+
 def _print_rollout(report: rollout_run.Report) -> None:
     rows = []
     for name, value in msgspec.structs.asdict(report).items():
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -245,7 +245,10 @@
         self._table.wallet.add(
             vm_id,
             ids.Incarnation(message.incarnation),
-            [ids.GrantNumber(number) for number in message.numbers],
+            [
+                ids.GrantNumber(message.first + offset)
+                for offset in range(message.count)
+            ],
             now_ms + message.ttl_ms,
         )
         info = self._table.get(vm_id)
--- a/src/marlramp/experiments/capacity.py
+++ b/src/marlramp/experiments/capacity.py
@@ -184,8 +184,8 @@
         await asyncio.sleep(SETTLE_S)
         calls_at_start = await _platform_calls(cluster)
         bytes_before = await _link_bytes(cluster)
-        entries = _Window(list(cluster.entries.values()))
-        others = _Window(list(cluster.agents.values()))
+        entries = Window(list(cluster.entries.values()))
+        others = Window(list(cluster.agents.values()))
         await asyncio.sleep(MEASURE_S)
         entry, agent = entries.close(), others.close()
         bytes_after = await _link_bytes(cluster)
@@ -260,8 +260,8 @@
     live.start()
     warm_up_s = tokens * TOKEN_MS / clock.MILLIS_PER_SECOND + 1.0
     await asyncio.sleep(warm_up_s)
-    entries = _Window(list(cluster.entries.values()))
-    agents = _Window(list(cluster.agents.values()))
+    entries = Window(list(cluster.entries.values()))
+    agents = Window(list(cluster.agents.values()))
     tokens_before = live.tokens
     await asyncio.sleep(MEASURE_S)
     entry, agent = entries.close(), agents.close()
@@ -275,10 +275,11 @@
     )
 
 
-class _Window:
+class Window:
     """Use of some processes over a time, as means per process."""
 
     def __init__(self, processes: list[fleet.Process]) -> None:
+        """Starts the window."""
         self._processes = processes
         self._time = clock.SystemClock()
         self._started_ms = self._time.now_ms()
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -23,6 +23,7 @@
 
 from marlramp import clock
 from marlramp.shell import http
+from marlramp.shell import links
 
 if TYPE_CHECKING:
     import types
@@ -34,6 +35,12 @@
 START_TIMEOUT_MS = 30_000.0
 STOP_TIMEOUT_S = 10.0
 POLL_MS = 50.0
+_KEY_NAMES = (
+    "server_public_key",
+    "server_secret_key",
+    "client_public_key",
+    "client_secret_key",
+)
 _OK = 200
 _FIRST_PORT = 20_000
 _LAST_PORT = 30_000
@@ -331,6 +338,10 @@
         answer = await self.standin_call("origin", "PUT", "/weights", body)
         return msgspec.json.decode(answer, type=Weights)
 
+    def link_keys(self) -> links.Keys:
+        """Returns the keys of the fleet's own links."""
+        return links.Keys(*(self._keys[name].encode() for name in _KEY_NAMES))
+
     def engine_name(self, vm_id: str) -> str:
         """Returns the stand-in process that hosts a VM's engine."""
         count = sum(1 for name in self.standins if name.startswith("engines"))
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -148,10 +148,11 @@
 
 
 class GrantsIssued(_Message):
-    """New grants for one entry."""
+    """New grants for one entry, numbered in a row from `first`."""
 
     incarnation: int
-    numbers: list[int]
+    first: int
+    count: Annotated[int, msgspec.Meta(ge=0, le=LIST_LENGTH_MAX)]
     ttl_ms: _Duration
 
 
