Correct the measurement of relayed parts; agents flush every 10 ms

Cause: the measuring callers dropped their writers, so asyncio closed their connections and the entry relayed nothing. The report now counts the bytes that callers read.

--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -19,7 +19,7 @@
 from marlramp.protocol import messages
 from marlramp.shell import http
 
-FLUSH_INTERVAL_MS = 4.0
+FLUSH_INTERVAL_MS = 10.0
 """Parts of all answers for one entry are sent together at this interval."""
 
 KEPT_BYTES_MAX = 16 * 1024 * 1024
--- a/src/marlramp/experiments/parts.py
+++ b/src/marlramp/experiments/parts.py
@@ -54,11 +54,12 @@
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """Figures of a run."""
+    """Figures of a run; `received_per_s` counts the bytes callers read."""
 
     agents: int
     streams: int
     parts_per_s: float
+    received_per_s: float
     entry_core: float
     us_per_part: float
     flush_interval_ms: float
@@ -195,8 +196,11 @@
         await cluster.await_ready(
             {SERVICE: plan.agents}, START_TIMEOUT_S * clock.MILLIS_PER_SECOND
         )
-        callers = await _open_streams(cluster, plan.agents * plan.streams)
-        report = await _measure(cluster, plan, agents)
+        received = _Received()
+        callers = await _open_streams(
+            cluster, plan.agents * plan.streams, received
+        )
+        report = await _measure(cluster, plan, agents, received)
         for task in [*tasks, *callers]:
             task.cancel()
         context.close()
@@ -216,15 +220,20 @@
 
 
 async def _open_streams(
-    cluster: fleet.Fleet, count: int
+    cluster: fleet.Fleet, count: int, received: _Received
 ) -> list[asyncio.Task[None]]:
     """Opens streams and reads their bytes in the background."""
     port = cluster.http_ports["entry-0"]
     opened = [await _open_stream(port) for _ in range(count)]
-    return [asyncio.create_task(_read(reader)) for reader in opened]
+    return [
+        asyncio.create_task(received.read(reader, writer))
+        for reader, writer in opened
+    ]
 
 
-async def _open_stream(port: int) -> asyncio.StreamReader:
+async def _open_stream(
+    port: int,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     reader, writer = await asyncio.open_connection(fleet.HOST, port)
     body = msgspec.json.encode(
         {"model": SERVICE, "prompt": "x", "max_tokens": 9, "stream": True}
@@ -237,29 +246,47 @@
     )
     writer.write(head.encode() + body)
     await writer.drain()
-    return reader
+    return reader, writer
+
 
+class _Received:
+    """Bytes that all callers have read."""
 
-async def _read(reader: asyncio.StreamReader) -> None:
-    while await reader.read(READ_BYTES):
-        pass
+    def __init__(self) -> None:
+        self.bytes = 0
+
+    async def read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Reads one stream to its end, holding its connection open."""
+        while data := await reader.read(READ_BYTES):
+            self.bytes += len(data)
+        writer.close()
 
 
 async def _measure(
-    cluster: fleet.Fleet, plan: Plan, agents: list[_StandInAgent]
+    cluster: fleet.Fleet,
+    plan: Plan,
+    agents: list[_StandInAgent],
+    received: _Received,
 ) -> Report:
     await asyncio.sleep(2.0)
     window = capacity.Window([cluster.entries["entry-0"]])
     before = sum(agent.parts for agent in agents)
+    bytes_before = received.bytes
     await asyncio.sleep(plan.seconds)
     core = window.close().cpu_s
     parts_per_s = (sum(a.parts for a in agents) - before) / plan.seconds
+    received_per_s = (received.bytes - bytes_before) / (
+        len(EVENT) * plan.seconds
+    )
     if parts_per_s == 0:
         raise errors.CallError(errors.ErrorKind.INTERNAL, "no part was sent")
     return Report(
         agents=plan.agents,
         streams=plan.agents * plan.streams,
         parts_per_s=round(parts_per_s, 1),
+        received_per_s=round(received_per_s, 1),
         entry_core=round(core, 3),
         us_per_part=round(1e6 * core / parts_per_s, 1),
         flush_interval_ms=runs.FLUSH_INTERVAL_MS,
