Relay parts to callers without a task wake-up

Cause: each part woke its stream's task, and passed two layers of starlette.

Change: after the first part, a part is written in the step of the loop that brought it; only a caller that reads too slowly gets a task, with at most 1 MB kept for it. The completion route is a plain ASGI endpoint in a bare router.

--- a/src/marlramp/entry/answers.py
+++ b/src/marlramp/entry/answers.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Generator
 import math
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 from starlette import responses
@@ -24,6 +28,9 @@
 VERSION_HEADER = "marlramp-version"
 ERROR_KIND_HEADER = "marlramp-error"
 
+KEPT_BYTES_MAX = 1024 * 1024
+"""Most data kept for a caller that reads more slowly than it is answered."""
+
 
 class ErrorBody(msgspec.Struct, frozen=True):
     """JSON form of an error.
@@ -139,13 +146,14 @@
             await response(scope, receive, send)
             return
         await send(self._start())
+        await send(_body(data, more=True))
+        writer = _DirectWriter(send, lambda: self._owner.abandon(call))
+        call.attach(writer.write)
         try:
-            while data:
-                await send(_body(data, more=True))
-                data = await call.next_data()
+            await call.whole()
         except errors.CallError as failure:
-            event = error_event(error_body(failure, request_id))
-            await send(_body(event, more=True))
+            writer.write(error_event(error_body(failure, request_id)))
+        await writer.flush()
         await send(_body(b"", more=False))
 
     def _start(self) -> dict[str, object]:
@@ -174,5 +182,74 @@
                 return
 
 
+class _DirectWriter:
+    """Writes to a caller in the step of the loop that brought the data.
+
+    The ASGI server's `send` only waits when the caller reads too slowly, so
+    it is run without a task; when it does wait, a task takes over and further
+    data is kept until it is done.
+    """
+
+    def __init__(
+        self, send: types.Send, on_too_slow: Callable[[], None]
+    ) -> None:
+        """Calls `on_too_slow` when too much data is kept."""
+        self._send = send
+        self._on_too_slow = on_too_slow
+        self._task: asyncio.Task[None] | None = None
+        self._kept: list[bytes] = []
+        self._kept_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        """Writes now, or keeps data for a caller that reads slowly."""
+        if self._task is not None:
+            self._keep(data)
+            return
+        sending = self._send(_body(data, more=True)).__await__()
+        try:
+            waited = next(sending)
+        except StopIteration:
+            return
+        self._task = asyncio.create_task(self._drain(sending, waited))
+
+    async def flush(self) -> None:
+        """Returns when everything has been written."""
+        while self._task is not None:
+            await self._task
+
+    def _keep(self, data: bytes) -> None:
+        self._kept.append(data)
+        self._kept_bytes += len(data)
+        if self._kept_bytes > KEPT_BYTES_MAX:
+            self._on_too_slow()
+
+    async def _drain(
+        self,
+        sending: Generator[Any, None, None],
+        waited: Awaitable[object],
+    ) -> None:
+        """Finishes a write that had to wait, then writes what was kept."""
+        try:
+            await _finish(sending, waited)
+            while self._kept:
+                data = b"".join(self._kept)
+                self._kept.clear()
+                self._kept_bytes = 0
+                await self._send(_body(data, more=True))
+        finally:
+            self._task = None
+
+
+async def _finish(
+    sending: Generator[Any, None, None], waited: Awaitable[object]
+) -> None:
+    while True:
+        await waited
+        try:
+            waited = next(sending)
+        except StopIteration:
+            return
+
+
 def _body(data: bytes, *, more: bool) -> dict[str, object]:
     return {"type": "http.response.body", "body": data, "more_body": more}
--- a/src/marlramp/entry/application.py
+++ b/src/marlramp/entry/application.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from starlette import applications
+from starlette import routing
 
 if TYPE_CHECKING:
     from marlramp.entry import admin_app
@@ -16,7 +16,11 @@
     callers: caller_app.CallerApp,
     admin: admin_app.AdminApp,
     exporter: metrics.MetricsExporter,
-) -> applications.Starlette:
-    """Returns the application with all routes."""
+) -> routing.Router:
+    """Returns the application with all routes.
+
+    A bare router: the layers of a whole starlette application would cost
+    every part of a stream, see docs/design/relay.md.
+    """
     routes = [*callers.routes(), *admin.routes(), *exporter.routes()]
-    return applications.Starlette(routes=routes)
+    return routing.Router(routes)
--- a/src/marlramp/entry/call.py
+++ b/src/marlramp/entry/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from marlramp import errors
 from marlramp import ids
@@ -53,6 +54,7 @@
         self.content_type = ""
         self.failure: errors.CallError | None = None
         self._ready: list[bytes] = []
+        self._sink: Callable[[bytes], None] | None = None
         self._ended = False
         self._waiter: asyncio.Future[None] | None = None
 
@@ -67,10 +69,23 @@
         return self._ended
 
     def deliver(self, parts: list[assembly.Part]) -> None:
-        """Hands parts that are in order to the caller's task."""
+        """Hands parts that are in order to the caller."""
+        if not parts:
+            return
+        if self._sink is not None:
+            self._sink(b"".join(part.data for part in parts))
+            return
         self._ready.extend(part.data for part in parts)
         self._wake()
 
+    def attach(self, sink: Callable[[bytes], None]) -> None:
+        """Sends all further data to `sink`, without waking a task for it."""
+        self._sink = sink
+        if self._ready:
+            data = b"".join(self._ready)
+            self._ready.clear()
+            sink(data)
+
     def end(self, failure: errors.CallError | None) -> None:
         """Ends the answer, whole if there is no failure."""
         if self._ended:
@@ -87,15 +102,31 @@
         """
         while not self._ready:
             if self._ended:
-                if self.failure is not None:
-                    raise self.failure
+                self._raise_failure()
                 return b""
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
+            await self._wait()
         data = b"".join(self._ready)
         self._ready.clear()
         return data
 
+    async def whole(self) -> None:
+        """Returns at the whole end of an answer that goes to a sink.
+
+        Raises:
+          errors.CallError: if the call failed.
+        """
+        while not self._ended:
+            await self._wait()
+        self._raise_failure()
+
+    def _raise_failure(self) -> None:
+        if self.failure is not None:
+            raise self.failure
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import msgspec
+from starlette import requests
 from starlette import responses
 from starlette import routing
 
@@ -20,7 +21,7 @@
 from marlramp.entry import requests as caller_requests
 
 if TYPE_CHECKING:
-    from starlette import requests
+    from starlette import types
 
     from marlramp.entry import call as call_module
     from marlramp.entry import dispatcher
@@ -122,7 +123,7 @@
             routing.Route("/v1/runs/{token}", self.run_outcome),
             routing.Route(
                 caller_requests.COMPLETION_PATH,
-                self.completions,
+                _CompletionEndpoint(self),
                 methods=["POST"],
             ),
             routing.Route(
@@ -363,6 +364,24 @@
         return answers.error_response(body)
 
 
+class _CompletionEndpoint:
+    """ASGI endpoint for completions.
+
+    A function would be wrapped by starlette in two layers that every part of
+    a stream passes through.
+    """
+
+    def __init__(self, app: CallerApp) -> None:
+        self._app = app
+
+    async def __call__(
+        self, scope: types.Scope, receive: types.Receive, send: types.Send
+    ) -> None:
+        request = requests.Request(scope, receive, send)
+        response = await self._app.completions(request)
+        await response(scope, receive, send)
+
+
 class _TokenNeededError(Exception):
     """A non-idempotent call came without a run token."""
 
