--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -417,19 +417,30 @@
             self._agent_lost(vm_id)
 
     def _send_heartbeats(self) -> None:
+        demands: dict[ids.ServiceId, int] = {}
         for info in list(self._table):
-            self._send_heartbeat(info.vm_id)
+            service_id = ids.ServiceId(info.report.service_id)
+            if service_id not in demands:
+                demands[service_id] = self._demand_per_replica(service_id)
+            self._send_heartbeat_to(info, demands[service_id])
 
     def _send_heartbeat(self, vm_id: ids.VmId) -> None:
         info = self._table.get(vm_id)
-        if info is None:
-            return
-        service_id = ids.ServiceId(info.report.service_id)
+        if info is not None:
+            service_id = ids.ServiceId(info.report.service_id)
+            demand = self._demand_per_replica(service_id)
+            self._send_heartbeat_to(info, demand)
+
+    def _demand_per_replica(self, service_id: ids.ServiceId) -> int:
         replicas = max(1, len(self._table.serving(service_id)))
-        demand = -(-self._dispatcher.demand(service_id) // replicas)
+        return -(-self._dispatcher.demand(service_id) // replicas)
+
+    def _send_heartbeat_to(
+        self, info: agent_table.AgentInfo, demand: int
+    ) -> None:
         heartbeat = messages.EntryHeartbeat(
             demand=max(demand, info.in_flight),
             leaving=self.leaving,
             revisions=self._store.revisions(),
         )
-        self._links.send(vm_id, heartbeat)
+        self._links.send(info.vm_id, heartbeat)
