Send heartbeats on change and every 2 s, keep-alives only in a rollout

Change: a heartbeat goes out when demand or load changed, else every 2 s; a neighbour is silent after 5 s. Neighbours that hold everything are quiet.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -29,7 +29,10 @@
 from marlramp.shell import safely
 from marlramp.shell import settings_sync
 
-HEARTBEAT_MS = 1_000.0
+HEARTBEAT_MS = 2_000.0
+HEARTBEAT_CHANGE_MS = 1_000.0
+"""A changed load is told this soon."""
+
 GRANT_TTL_MS = 5_000.0
 GRANT_TICK_MS = 500.0
 COUNTERS_INTERVAL_MS = 5_000.0
@@ -367,9 +370,15 @@
             await self._rollout.run()
 
     async def _heartbeat_all(self) -> None:
+        sent: messages.AgentHeartbeat | None = None
+        sent_ms = float("-inf")
         while True:
-            self._entries.send_all(self._heartbeat())
-            await asyncio.sleep(HEARTBEAT_MS / 1000)
+            heartbeat = self._heartbeat()
+            now_ms = self._clock.now_ms()
+            if not _alike(heartbeat, sent) or now_ms - sent_ms >= HEARTBEAT_MS:
+                self._entries.send_all(heartbeat)
+                sent, sent_ms = heartbeat, now_ms
+            await asyncio.sleep(HEARTBEAT_CHANGE_MS / 1000)
 
     async def _grant_all(self) -> None:
         while True:
@@ -484,3 +493,14 @@
         if phase is lifecycle.Phase.SUSPENDED:
             return messages.AgentState.SUSPENDED
         return messages.AgentState.STARTING
+
+
+def _alike(
+    heartbeat: messages.AgentHeartbeat, sent: messages.AgentHeartbeat | None
+) -> bool:
+    """Returns whether a heartbeat says nothing new, but for its age."""
+    return sent is not None and (
+        heartbeat.running,
+        heartbeat.reported_load,
+        heartbeat.revisions,
+    ) == (sent.running, sent.reported_load, sent.revisions)
--- a/src/marlramp/agent/entry_links.py
+++ b/src/marlramp/agent/entry_links.py
@@ -15,7 +15,7 @@
 from marlramp.protocol import messages
 from marlramp.shell import links
 
-HEARD_TIMEOUT_MS = 3_500.0
+HEARD_TIMEOUT_MS = 5_000.0
 """An entry silent for longer is treated as gone."""
 
 
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -269,7 +269,8 @@
         )
         self._swarm.set_members(list(self._members))
         self._connect_neighbours(digest)
-        for peer_id in self._channels:
+        for peer_id, channel in self._channels.items():
+            channel.heard_ms = self._clock.now_ms()
             self._send_hello(peer_id, reply=True)
         if self._swarm.complete:
             self._complete.set()
@@ -560,7 +561,8 @@
             return
         held, seen = self._swarm.take_news()
         quiet = not held and not seen
-        if quiet and now_ms - self._announced_ms < KEEPALIVE_MS:
+        since_ms = now_ms - self._announced_ms
+        if quiet and (since_ms < KEEPALIVE_MS or self._swarm.settled):
             return
         self._announced_ms = now_ms
         have = messages.PeerHave(manifest=self._target, indexes=held, seen=seen)
@@ -569,9 +571,11 @@
             self._send_bytes(peer_id, data)
 
     def _drop_silent_peers(self) -> None:
+        if self._swarm is None or self._swarm.settled:
+            return
         horizon_ms = self._clock.now_ms() - PEER_TIMEOUT_MS
         for peer_id, channel in list(self._channels.items()):
-            if channel.heard_ms < horizon_ms and self._swarm is not None:
+            if channel.heard_ms < horizon_ms:
                 self._drop_channel(peer_id)
                 if self._target is not None and not self._swarm.complete:
                     self._connect_neighbours(self._target)
--- a/src/marlramp/core/agent_table.py
+++ b/src/marlramp/core/agent_table.py
@@ -13,7 +13,7 @@
 from marlramp.core import wallet
 from marlramp.protocol import messages
 
-HEARD_TIMEOUT_MS = 3_500.0
+HEARD_TIMEOUT_MS = 5_000.0
 """An agent silent for longer is treated as lost."""
 
 FIRST_TOKEN_DEFAULT_MS = 100.0
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -159,6 +159,13 @@
         """Whether every chunk is held."""
         return not self._needed
 
+    @property
+    def settled(self) -> bool:
+        """Whether this VM and every neighbour hold every chunk."""
+        return self.complete and all(
+            len(peer.held) == self._count for peer in self._peers.values()
+        )
+
     @property
     def held(self) -> set[int]:
         """Chunks held."""
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -7,6 +7,7 @@
 import contextlib
 import random
 
+import msgspec
 import uvicorn
 
 from marlramp import clock
@@ -36,7 +37,10 @@
 from marlramp.shell import safely
 from marlramp.shell import settings_sync
 
-HEARTBEAT_MS = 1_000.0
+HEARTBEAT_MS = 2_000.0
+HEARTBEAT_CHANGE_MS = 500.0
+"""A changed demand is told this soon."""
+
 TICK_MS = 100.0
 READERS_PER_DATA_CENTRE = 3
 """Entries of a data centre that watch the configuration service."""
@@ -54,6 +58,13 @@
         yield
 
 
+class _SentHeartbeat(msgspec.Struct, frozen=True):
+    """The last heartbeat sent to an agent."""
+
+    demand: int
+    at_ms: float
+
+
 class EntryDaemon:
     """Wires the entry's parts together."""
 
@@ -81,6 +92,7 @@
         )
         self._desk = swap.PermitDesk()
         self._revisions: dict[ids.VmId, list[int]] = {}
+        self._heartbeats: dict[ids.VmId, _SentHeartbeat] = {}
         self._build_shell()
         self._dispatcher = dispatcher.Dispatcher(
             self._entry_id,
@@ -154,6 +166,7 @@
             return
         logs.log("draining", reason=reason)
         self._lifecycle.drain()
+        self._heartbeats.clear()
         self._send_heartbeats()
         self._stopping.set()
 
@@ -349,6 +362,7 @@
         self._table.remove(vm_id)
         self._desk.release(vm_id)
         self._revisions.pop(vm_id, None)
+        self._heartbeats.pop(vm_id, None)
         self._dispatcher.agent_lost(vm_id)
 
     # Changes from outside.
@@ -380,6 +394,7 @@
         for vm_id in list(self._revisions):
             self._compare_settings(vm_id)
             self._offer_settings(vm_id)
+        self._heartbeats.clear()
         self._send_heartbeats()
 
     def _compare_settings(self, vm_id: ids.VmId) -> None:
@@ -403,7 +418,7 @@
     async def _heartbeat_all(self) -> None:
         while True:
             safely.run_safely(self._send_heartbeats, "heartbeats", self._totals)
-            await asyncio.sleep(HEARTBEAT_MS / clock.MILLIS_PER_SECOND)
+            await asyncio.sleep(HEARTBEAT_CHANGE_MS / clock.MILLIS_PER_SECOND)
 
     async def _tick_all(self) -> None:
         while True:
@@ -422,14 +437,25 @@
             service_id = ids.ServiceId(info.report.service_id)
             if service_id not in demands:
                 demands[service_id] = self._demand_per_replica(service_id)
-            self._send_heartbeat_to(info, demands[service_id])
+            demand = max(demands[service_id], info.in_flight)
+            if self._heartbeat_due(info.vm_id, demand):
+                self._send_heartbeat_to(info, demand)
+
+    def _heartbeat_due(self, vm_id: ids.VmId, demand: int) -> bool:
+        sent = self._heartbeats.get(vm_id)
+        now_ms = self._clock.now_ms()
+        return (
+            sent is None
+            or sent.demand != demand
+            or now_ms - sent.at_ms >= HEARTBEAT_MS
+        )
 
     def _send_heartbeat(self, vm_id: ids.VmId) -> None:
         info = self._table.get(vm_id)
         if info is not None:
             service_id = ids.ServiceId(info.report.service_id)
             demand = self._demand_per_replica(service_id)
-            self._send_heartbeat_to(info, demand)
+            self._send_heartbeat_to(info, max(demand, info.in_flight))
 
     def _demand_per_replica(self, service_id: ids.ServiceId) -> int:
         replicas = max(1, len(self._table.serving(service_id)))
@@ -439,8 +465,11 @@
         self, info: agent_table.AgentInfo, demand: int
     ) -> None:
         heartbeat = messages.EntryHeartbeat(
-            demand=max(demand, info.in_flight),
+            demand=demand,
             leaving=self.leaving,
             revisions=self._store.revisions(),
         )
+        self._heartbeats[info.vm_id] = _SentHeartbeat(
+            demand, self._clock.now_ms()
+        )
         self._links.send(info.vm_id, heartbeat)
