--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -13,6 +13,7 @@
 from marlramp.console.commands import experiment
 from marlramp.console.commands import explain
 from marlramp.console.commands import limits
+from marlramp.console.commands import reference
 from marlramp.console.commands import refusals
 from marlramp.console.commands import rollouts
 from marlramp.console.commands import status
@@ -32,6 +33,7 @@
 app.command(refusals.refusals)
 app.command(drain.drain)
 app.command(demo.demo)
+app.command(reference.reference)
 app.command(experiment.app)
 
 
