Apply every accepted setting, also to what already runs

Cause: reading the settings reference against the code showed values that were accepted and had no effect: breaker settings, the lifetime of run tokens, the tree's link rate, a changed burst. Uploads were paced without regard to live requests, and the first-part metric was never recorded.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -37,6 +37,7 @@
 GRANT_TICK_MS = 500.0
 COUNTERS_INTERVAL_MS = 5_000.0
 LOAD_INTERVAL_MS = 1_000.0
+PACE_INTERVAL_MS = 1_000.0
 PROGRESS_INTERVAL_MS = 500.0
 DRAIN_LINGER_MS = 300.0
 """Wait for the last messages to leave before the process exits."""
@@ -148,8 +149,7 @@
             ),
             self._totals,
             self._clock,
-            self._upstream.link_bytes_per_s
-            or schema.Settings().link_bytes_per_s,
+            self._upstream.link_bytes_per_s,
         )
         self._engine = engine_client.HttpEngine(
             self._client, self._upstream.url
@@ -186,6 +186,7 @@
             self._grant_all(),
             self._report_all(),
             self._counters_all(),
+            self._pace_all(),
         ]
         if self._upstream.reports_load:
             tasks.append(self._load_all())
@@ -307,7 +308,7 @@
             request_id=message.request_id,
             incarnation=self._incarnation,
             number=number,
-            ttl_ms=schema.Settings().run_token_lifetime_ms,
+            ttl_ms=self._values().run_token_lifetime_ms,
         )
         self._entries.send(entry_id, reply)
 
@@ -344,8 +345,9 @@
 
     def _settings_accepted(self) -> None:
         tree = self._store.tree
-        values = tree.effective(self._service_id)
+        values = self._values()
         self._node.set_policy(values)
+        self._ledger.set_reserved_ttl(values.run_token_lifetime_ms)
         for entry_id, link in self._entries.links.items():
             newer = self._store.newer_than(link.revisions)
             if newer and link.revisions:
@@ -360,6 +362,9 @@
         if kind is schema.ServiceKind.PLAIN and self._store.complete:
             self.resume()
 
+    def _values(self) -> schema.Settings:
+        return self._store.tree.effective(self._service_id)
+
     # Regular work.
 
     async def _run_rollout(self) -> None:
@@ -406,6 +411,16 @@
             if changed:
                 self._entries.send_all(messages.AgentCounters(values=changed))
 
+    async def _pace_all(self) -> None:
+        """Leaves room on the link for the live requests seen lately."""
+        before = self._runs.relayed_bytes
+        while True:
+            await asyncio.sleep(PACE_INTERVAL_MS / 1000)
+            now = self._runs.relayed_bytes
+            live_bytes_per_s = (now - before) * 1000 / PACE_INTERVAL_MS
+            self._node.set_live_rate(live_bytes_per_s)
+            before = now
+
     async def _load_all(self) -> None:
         while True:
             try:
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -105,6 +105,7 @@
             collections.OrderedDict()
         )
         self._kept_bytes = 0
+        self.relayed_bytes = 0
         self._pending: dict[
             ids.VmId, dict[ids.RequestId, list[assembly.Part]]
         ] = {}
@@ -308,6 +309,7 @@
             self._send_headers(subscriber, status, content_type)
 
     def _add_part(self, output: _Output, part: assembly.Part) -> None:
+        self.relayed_bytes += len(part.data)
         if output.kept:
             output.parts.append(part)
             output.kept_bytes += len(part.data)
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -107,9 +107,23 @@
         store_bucket: limits.TokenBucket,
         totals: counters.Counters,
         time: clock.Clock,
-        link_bytes_per_s: float,
+        link_bytes_per_s: float | None,
     ) -> None:
-        """Serves neighbours on `listener`; fetches once given a manifest."""
+        """Serves neighbours on `listener`; fetches once given a manifest.
+
+        Args:
+          vm_id: this VM.
+          link_id: identity towards neighbours.
+          context: creates links.
+          listener: where neighbours connect.
+          origin: the origin of weights.
+          store: the weight store.
+          origin_bucket: this process's rate at the origin.
+          store_bucket: this process's rate at the store.
+          totals: counters.
+          time: the clock.
+          link_bytes_per_s: rate of this VM's link, None for the settings'.
+        """
         self._vm_id = vm_id
         self._link_id = link_id
         self._context = context
@@ -120,9 +134,14 @@
         self._store_bucket = store_bucket
         self._totals = totals
         self._clock = time
-        self._link_bytes_per_s = link_bytes_per_s
-        self._up = pacing.Pacer(link_bytes_per_s)
-        self._down = pacing.Pacer(link_bytes_per_s)
+        defaults = schema.Settings()
+        self._own_link_bytes_per_s = link_bytes_per_s
+        self._link_bytes_per_s = float(
+            link_bytes_per_s or defaults.link_bytes_per_s
+        )
+        self._share = defaults.weights_link_share
+        self._up = pacing.Pacer(self._link_bytes_per_s)
+        self._down = pacing.Pacer(self._link_bytes_per_s)
         self._decoder = codec.peer_decoder()
         self._channels: dict[ids.VmId, _Channel] = {}
         self._wholes: collections.OrderedDict[ids.Digest, manifest.Whole] = (
@@ -165,13 +184,17 @@
         self._distribution = values.distribution
         self._policy = _POLICIES[values.distribution](values)
         self._neighbours_wanted = values.neighbours
-        self._set_rates(self._link_bytes_per_s * values.weights_link_share)
+        self._share = values.weights_link_share
+        if self._own_link_bytes_per_s is None:
+            self._link_bytes_per_s = values.link_bytes_per_s
+        self.set_live_rate(0.0)
 
-    def set_live_rate(self, live_bytes_per_s: float, share: float) -> None:
+    def set_live_rate(self, live_bytes_per_s: float) -> None:
         """Leaves room on the link for the live traffic seen lately."""
         left = self._link_bytes_per_s - LIVE_MARGIN * live_bytes_per_s
         floor = self._link_bytes_per_s * LINK_SHARE_MIN
-        self._set_rates(max(floor, min(self._link_bytes_per_s * share, left)))
+        share = self._link_bytes_per_s * self._share
+        self._set_rates(max(floor, min(share, left)))
 
     def set_members(self, members: dict[ids.VmId, clients.ListedVm]) -> None:
         """Takes the agents that fetch the same target."""
--- a/src/marlramp/core/agent_table.py
+++ b/src/marlramp/core/agent_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from marlramp import clock
@@ -12,6 +13,7 @@
 from marlramp.core import swap
 from marlramp.core import wallet
 from marlramp.protocol import messages
+from marlramp.settings import schema
 
 HEARD_TIMEOUT_MS = 5_000.0
 """An agent silent for longer is treated as lost."""
@@ -74,12 +76,13 @@
 class AgentTable:
     """Agents by VM, their grants and what routing needs to know."""
 
-    def __init__(self, failures_max: int, open_ms: float) -> None:
-        """Takes the settings of circuit breakers."""
+    def __init__(
+        self, settings_of: Callable[[ids.ServiceId], schema.Settings]
+    ) -> None:
+        """Takes the settings in force for a service."""
         self.wallet = wallet.GrantWallet()
         self._agents: dict[ids.VmId, AgentInfo] = {}
-        self._failures_max = failures_max
-        self._open_ms = open_ms
+        self._settings_of = settings_of
 
     def __iter__(self) -> Iterator[AgentInfo]:
         """Iterates over all agents."""
@@ -104,7 +107,10 @@
             and known.report.incarnation != message.incarnation
         )
         if known is None or restarted:
-            new_breaker = breaker.Breaker(self._failures_max, self._open_ms)
+            values = self._settings_of(ids.ServiceId(message.service_id))
+            new_breaker = breaker.Breaker(
+                values.breaker_failures_max, values.breaker_open_ms
+            )
             self._agents[vm_id] = AgentInfo(message, new_breaker)
             self.wallet.drop(vm_id)
         info = self._agents[vm_id]
@@ -114,6 +120,14 @@
             self.wallet.drop(vm_id)
         return restarted
 
+    def settings_changed(self) -> None:
+        """Applies settings that came into force."""
+        for info in self._agents.values():
+            values = self._settings_of(ids.ServiceId(info.report.service_id))
+            info.breaker.configure(
+                values.breaker_failures_max, values.breaker_open_ms
+            )
+
     def heartbeat(
         self,
         vm_id: ids.VmId,
--- a/src/marlramp/core/breaker.py
+++ b/src/marlramp/core/breaker.py
@@ -26,6 +26,11 @@
         self._opened_ms: float | None = None
         self._trial_ms: float | None = None
 
+    def configure(self, failures_max: int, open_ms: float) -> None:
+        """Applies changed settings."""
+        self._failures_max = failures_max
+        self._open_ms = open_ms
+
     def state(self, now_ms: clock.Millis) -> BreakerState:
         """Returns the state now."""
         if self._opened_ms is None:
--- a/src/marlramp/core/grants.py
+++ b/src/marlramp/core/grants.py
@@ -98,6 +98,10 @@
         self._ended: dict[ids.GrantNumber, Run] = {}
         self._voided_ms: dict[ids.GrantNumber, float] = {}
 
+    def set_reserved_ttl(self, reserved_ttl_ms: float) -> None:
+        """Applies a changed lifetime to run tokens issued from now on."""
+        self._reserved_ttl_ms = reserved_ttl_ms
+
     @property
     def is_open(self) -> bool:
         """Whether grants are issued and taken."""
--- a/src/marlramp/core/limits.py
+++ b/src/marlramp/core/limits.py
@@ -100,10 +100,12 @@
         self,
         requests_per_s: float,
         tokens_per_s: float,
+        burst_s: float,
         entries: int,
         now_ms: clock.Millis,
     ) -> None:
         """Applies changed settings or a changed number of entries."""
+        self._burst_s = burst_s
         request_rate = requests_per_s / entries
         token_rate = tokens_per_s / entries
         self._requests.set_rate(
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -25,7 +25,6 @@
 
     from marlramp.entry import call as call_module
     from marlramp.entry import dispatcher
-    from marlramp.entry import metrics
     from marlramp.platform import clients
     from marlramp.settings import store
 
@@ -102,7 +101,6 @@
         settings: store.SettingsStore,
         signer: run_tokens.TokenSigner,
         directory: EntryDirectory,
-        exporter: metrics.MetricsExporter,
         time: clock.Clock,
     ) -> None:
         """Submits calls to `owner`."""
@@ -110,7 +108,6 @@
         self._settings = settings
         self._signer = signer
         self._directory = directory
-        self._exporter = exporter
         self._clock = time
 
     def routes(self) -> list[routing.Route]:
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -86,10 +86,7 @@
         self._store = store.SettingsStore(
             process.document_keys(settings.identity)
         )
-        defaults = schema.Settings()
-        self._table = agent_table.AgentTable(
-            defaults.breaker_failures_max, defaults.breaker_open_ms
-        )
+        self._table = agent_table.AgentTable(self._settings_of)
         self._desk = swap.PermitDesk()
         self._revisions: dict[ids.VmId, list[int]] = {}
         self._heartbeats: dict[ids.VmId, _SentHeartbeat] = {}
@@ -134,8 +131,9 @@
         exporter = metrics.MetricsExporter(
             self._totals, self._table, self._dispatcher
         )
+        self._dispatcher.on_first_part = exporter.first_part.record
         callers = caller_app.CallerApp(
-            self._dispatcher, self._store, signer, self, exporter, self._clock
+            self._dispatcher, self._store, signer, self, self._clock
         )
         admin = admin_app.AdminApp(
             self._entry.admin_key,
@@ -389,8 +387,12 @@
                 listed is not None and listed.state is clients.VmState.LEAVING
             )
 
+    def _settings_of(self, service_id: ids.ServiceId) -> schema.Settings:
+        return self._store.tree.effective(service_id)
+
     def _settings_accepted(self) -> None:
         self._dispatcher.settings_changed()
+        self._table.settings_changed()
         for vm_id in list(self._revisions):
             self._compare_settings(vm_id)
             self._offer_settings(vm_id)
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import itertools
 import random
 from typing import Protocol
@@ -37,6 +38,10 @@
 RETRY_BUDGET_BURST = 20.0
 
 
+def _ignore(value: float) -> None:
+    """Takes a measurement that nobody asked for."""
+
+
 class AgentSender(Protocol):
     """Sends messages to agents."""
 
@@ -90,6 +95,7 @@
             schema.Routing.RANDOM: routing.choose_random,
             schema.Routing.ROUND_ROBIN: routing.RoundRobin(),
         }
+        self.on_first_part: Callable[[float], None] = _ignore
         self.entries_listed = 1
         self.draining = False
 
@@ -129,6 +135,7 @@
             limit.update(
                 values.requests_per_s,
                 values.tokens_per_s,
+                values.burst_s,
                 max(1, self.entries_listed),
                 now_ms,
             )
@@ -625,6 +632,7 @@
         self, call: call_module.Call, now_ms: clock.Millis
     ) -> None:
         call.first_part_ms = now_ms
+        self.on_first_part(now_ms - call.admitted_ms)
         info = self._agent_of(call)
         if info is not None:
             info.record_first_token(now_ms - call.started_ms)
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -19,6 +19,7 @@
 from starlette import responses
 from starlette import routing
 
+from marlramp.entry import requests as requests_module
 from standins import serving
 
 DEFAULT_TOKENS = 16
@@ -107,7 +108,7 @@
                 yield b"data: [DONE]\n\n"
             finally:
                 self.running -= 1
-        self.prefixes[seed] = None
+        self.prefixes[requests_module.prefix_digest(prompt)] = None
 
     def _event(
         self, request_id: str, text: str, finish: str | None = None
--- a/tests/core/test_agent_table.py
+++ b/tests/core/test_agent_table.py
@@ -9,7 +9,9 @@
 from marlramp.core import agent_table
 from marlramp.core import routing
 from marlramp.protocol import messages
+from marlramp.settings import schema
 
+SETTINGS = schema.Settings(breaker_failures_max=2, breaker_open_ms=1_000)
 POOL = ids.ServiceId("pool")
 ANY = ids.VersionId("")
 
@@ -35,7 +37,7 @@
 
 @pytest.fixture
 def table(time: clock.ManualClock) -> agent_table.AgentTable:
-    result = agent_table.AgentTable(failures_max=2, open_ms=1_000.0)
+    result = agent_table.AgentTable(lambda _: SETTINGS)
     for number in range(4):
         result.report(report(number), time.now_ms())
     for info in result:
@@ -106,3 +108,17 @@
     time.advance(agent_table.HEARD_TIMEOUT_MS + 1)
     table.heard(ids.VmId("vm-3"), time.now_ms())
     assert len(table.silent(time.now_ms())) == 3
+
+
+def test_changed_breaker_settings_hold_for_known_agents(
+    time: clock.ManualClock,
+) -> None:
+    values = [SETTINGS]
+    table = agent_table.AgentTable(lambda _: values[-1])
+    table.report(report(0), time.now_ms())
+    info = table.get(ids.VmId("vm-0"))
+    assert info is not None
+    values.append(schema.Settings(breaker_failures_max=1))
+    table.settings_changed()
+    info.breaker.record_failure(time.now_ms())
+    assert not info.breaker.allows(time.now_ms())
