Split the dispatcher; give out each port once

A capacity run failed because a port was given to an entry and, before it bound it, to an agent: test runs could fail by chance.

Change: admission, questions and service queue are modules of their own. Ports are remembered (the new test failed first). Found while moving the code: requests were counted by a service name that any caller could make up, so the counters could grow without bound; a call waiting to be retried did not count as active, so an entry could leave before it; a call that failed kept its tokens charged.

--- a/src/marlramp/entry/admin_app.py
+++ b/src/marlramp/entry/admin_app.py
@@ -31,6 +31,7 @@
     from starlette import requests
 
     from marlramp.core import agent_table
+    from marlramp.entry import admission
     from marlramp.entry import dispatcher
     from marlramp.platform import clients
 
@@ -67,6 +68,7 @@
         settings: store.SettingsStore,
         table: agent_table.AgentTable,
         owner: dispatcher.Dispatcher,
+        admitting: admission.Admission,
         totals: counters.Counters,
         fleet: Fleet,
         time: clock.Clock,
@@ -77,6 +79,7 @@
         self._settings = settings
         self._table = table
         self._owner = owner
+        self._admission = admitting
         self._totals = totals
         self._fleet = fleet
         self._clock = time
@@ -144,7 +147,7 @@
 
     async def limits(self, request: requests.Request) -> responses.Response:
         """Tells each customer's limit and this entry's share of it."""
-        entries = max(1, self._owner.entries_listed)
+        entries = self._admission.entries_listed
         found = []
         for customer_id in self._settings.tree.customer_ids():
             values = self._settings.tree.effective(None, customer_id)
--- /dev/null
+++ b/src/marlramp/entry/admission.py
@@ -0,0 +1,148 @@
+"""Decides which calls an entry admits: settings, deadlines, limits."""
+
+from __future__ import annotations
+
+from marlramp import clock
+from marlramp import errors
+from marlramp import ids
+from marlramp.core import agent_table
+from marlramp.core import calls
+from marlramp.core import limits
+from marlramp.core import run_tokens
+from marlramp.entry import service_queue
+from marlramp.settings import store
+
+RETRY_AFTER_MAX_MS = 3_600_000
+
+
+class Admission:
+    """Refuses what must not or cannot be served, before anything is sent."""
+
+    def __init__(
+        self, settings: store.SettingsStore, table: agent_table.AgentTable
+    ) -> None:
+        """Starts with no customer known to have called."""
+        self._settings = settings
+        self._table = table
+        self._limits: dict[ids.CustomerId, limits.CustomerLimit] = {}
+        self.entries_listed = 1
+        self.draining = False
+
+    def settings_changed(self, now_ms: clock.Millis) -> None:
+        """Applies settings, or a number of entries, that came into force."""
+        for customer_id, limit in self._limits.items():
+            values = self._settings.tree.effective(None, customer_id)
+            limit.update(
+                values.requests_per_s,
+                values.tokens_per_s,
+                values.burst_s,
+                self.entries_listed,
+                now_ms,
+            )
+
+    def check(
+        self, spec: calls.CallSpec, token: run_tokens.RunToken | None
+    ) -> None:
+        """Checks a call against the settings.
+
+        Raises:
+          errors.CallError: if it is refused.
+        """
+        if self.draining:
+            raise errors.CallError(errors.ErrorKind.ENTRY_LEAVING)
+        tree = self._settings.tree
+        if not self._settings.complete:
+            raise errors.CallError(errors.ErrorKind.SETTINGS_MISSING)
+        if tree.service_kind(spec.service_id) is None:
+            raise errors.CallError(errors.ErrorKind.UNKNOWN_SERVICE)
+        if not tree.knows_customer(spec.customer_id):
+            raise errors.CallError(errors.ErrorKind.UNKNOWN_CUSTOMER)
+        wanted = (spec.service_id, spec.customer_id)
+        if token is not None and wanted != (
+            token.service_id,
+            token.customer_id,
+        ):
+            raise errors.CallError(
+                errors.ErrorKind.RUN_TOKEN_INVALID,
+                "the run token is for another service or customer",
+            )
+
+    def check_wait(
+        self,
+        spec: calls.CallSpec,
+        service: service_queue.ServiceQueue,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Checks that a call can meet its deadline.
+
+        Raises:
+          errors.CallError: if no upstream serves it or it would end too late.
+        """
+        if not self._table.serving(spec.service_id):
+            raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
+        left_ms = spec.deadline_ms - now_ms
+        if left_ms <= 0:
+            raise errors.CallError(
+                errors.ErrorKind.DEADLINE_EXCEEDED, ran=errors.Ran.NO
+            )
+        ahead = service.queue.ahead(spec.priority, spec.customer_id)
+        if not ahead or not self._refuses_unreachable(spec):
+            return
+        work_ms = sum(service.pace.expected_ms(w.cost) for w in ahead)
+        wait_ms = work_ms / max(1, service.in_flight)
+        wait_ms += service.pace.expected_ms(spec.tokens)
+        if wait_ms > left_ms:
+            raise errors.CallError(
+                errors.ErrorKind.DEADLINE_UNREACHABLE,
+                f"expected wait {wait_ms:.0f} ms",
+                retry_after_ms=int(wait_ms - left_ms) + 1,
+            )
+
+    def too_late(
+        self,
+        spec: calls.CallSpec,
+        parts_delivered: int,
+        service: service_queue.ServiceQueue,
+        now_ms: clock.Millis,
+    ) -> bool:
+        """Returns whether a call that waited would end after its deadline."""
+        if not self._refuses_unreachable(spec):
+            return False
+        expected_ms = service.pace.expected_ms(spec.tokens - parts_delivered)
+        return now_ms + expected_ms > spec.deadline_ms
+
+    def charge(self, spec: calls.CallSpec, now_ms: clock.Millis) -> None:
+        """Charges a call to its customer's limit.
+
+        Raises:
+          errors.CallError: if the limit is used up.
+        """
+        limit = self._limits.get(spec.customer_id)
+        if limit is None:
+            values = self._settings.tree.effective(None, spec.customer_id)
+            limit = limits.CustomerLimit(
+                values.requests_per_s,
+                values.tokens_per_s,
+                values.burst_s,
+                self.entries_listed,
+                now_ms,
+            )
+            self._limits[spec.customer_id] = limit
+        wait_ms = limit.admit(spec.tokens, now_ms)
+        if wait_ms > 0:
+            raise errors.CallError(
+                errors.ErrorKind.CUSTOMER_LIMIT,
+                retry_after_ms=min(int(wait_ms) + 1, RETRY_AFTER_MAX_MS),
+            )
+
+    def settle(
+        self, spec: calls.CallSpec, tokens: int, now_ms: clock.Millis
+    ) -> None:
+        """Gives back what was charged for tokens that were not generated."""
+        limit = self._limits.get(spec.customer_id)
+        if limit is not None:
+            limit.settle(spec.tokens, min(tokens, spec.tokens), now_ms)
+
+    def _refuses_unreachable(self, spec: calls.CallSpec) -> bool:
+        values = self._settings.tree.effective(spec.service_id)
+        return values.refuse_unreachable
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -25,6 +25,7 @@
 
     from marlramp.entry import call as call_module
     from marlramp.entry import dispatcher
+    from marlramp.entry import questions
     from marlramp.platform import clients
     from marlramp.settings import store
 
@@ -98,6 +99,7 @@
     def __init__(
         self,
         owner: dispatcher.Dispatcher,
+        asked: questions.Questions,
         settings: store.SettingsStore,
         signer: run_tokens.TokenSigner,
         directory: EntryDirectory,
@@ -105,6 +107,7 @@
     ) -> None:
         """Submits calls to `owner`."""
         self._owner = owner
+        self._questions = asked
         self._settings = settings
         self._signer = signer
         self._directory = directory
@@ -169,7 +172,7 @@
             token = self._signer.decode(request.path_params["token"])
         except errors.CallError as error:
             return self._error(error, request_id)
-        status = await self._owner.query(token)
+        status = await self._questions.query(token)
         if status is None:
             failure = errors.CallError(
                 errors.ErrorKind.UPSTREAM_LOST,
@@ -280,7 +283,7 @@
     async def _issue(
         self, service_id: ids.ServiceId, customer_id: ids.CustomerId
     ) -> str:
-        token = await self._owner.reserve(service_id, customer_id)
+        token = await self._questions.reserve(service_id, customer_id)
         return self._signer.encode(token)
 
     async def _whole_completion(
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -21,11 +21,13 @@
 from marlramp.core import run_tokens
 from marlramp.core import swap
 from marlramp.entry import admin_app
+from marlramp.entry import admission
 from marlramp.entry import agent_links
 from marlramp.entry import application
 from marlramp.entry import caller_app
 from marlramp.entry import dispatcher
 from marlramp.entry import metrics
+from marlramp.entry import questions
 from marlramp.platform import clients
 from marlramp.protocol import messages
 from marlramp.settings import process
@@ -91,14 +93,20 @@
         self._revisions: dict[ids.VmId, list[int]] = {}
         self._heartbeats: dict[ids.VmId, _SentHeartbeat] = {}
         self._build_shell()
+        rng = random.Random()
+        self._admission = admission.Admission(self._store, self._table)
+        self._questions = questions.Questions(
+            self._entry_id, self._table, self._links, rng
+        )
         self._dispatcher = dispatcher.Dispatcher(
-            self._entry_id,
             self._store,
             self._table,
+            self._admission,
+            self._questions,
             self._links,
             self._totals,
             self._clock,
-            random.Random(),
+            rng,
         )
         self._server = self._build_server()
 
@@ -133,7 +141,12 @@
         )
         self._dispatcher.on_first_part = exporter.first_part.record
         callers = caller_app.CallerApp(
-            self._dispatcher, self._store, signer, self, self._clock
+            self._dispatcher,
+            self._questions,
+            self._store,
+            signer,
+            self,
+            self._clock,
         )
         admin = admin_app.AdminApp(
             self._entry.admin_key,
@@ -141,6 +154,7 @@
             self._store,
             self._table,
             self._dispatcher,
+            self._admission,
             self._totals,
             self,
             self._clock,
@@ -194,7 +208,7 @@
         """Waits until no caller holds this address, then until calls end."""
         lifetime_ms = self._store.tree.effective().address_lifetime_ms
         await asyncio.sleep(lifetime_ms / clock.MILLIS_PER_SECOND)
-        self._dispatcher.draining = True
+        self._admission.draining = True
         while self._dispatcher.active:
             await asyncio.sleep(TICK_MS / clock.MILLIS_PER_SECOND)
 
@@ -274,7 +288,7 @@
             case messages.GrantsIssued():
                 self._dispatcher.on_grants(vm_id, message)
             case messages.Reserved() | messages.RunStatus():
-                self._dispatcher.on_reply(message)
+                self._questions.on_reply(message)
             case messages.AgentReport():
                 self._on_report(vm_id, message)
             case messages.AgentHeartbeat():
@@ -367,8 +381,8 @@
 
     def _members_changed(self) -> None:
         entries = self._members.find(clients.VmRole.ENTRY)
-        self._dispatcher.entries_listed = max(1, len(entries))
-        self._dispatcher.settings_changed()
+        self._admission.entries_listed = max(1, len(entries))
+        self._admission.settings_changed(self._clock.now_ms())
         data_centre = self._settings.identity.data_centre
         near = [vm.vm_id for vm in entries if vm.data_centre == data_centre]
         readers = rendezvous.subset(data_centre, near, READERS_PER_DATA_CENTRE)
@@ -392,6 +406,7 @@
 
     def _settings_accepted(self) -> None:
         self._dispatcher.settings_changed()
+        self._admission.settings_changed(self._clock.now_ms())
         self._table.settings_changed()
         for vm_id in list(self._revisions):
             self._compare_settings(vm_id)
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -1,16 +1,15 @@
-"""Admits, queues, routes, retries and ends calls at one entry.
+"""Queues, routes, retries and ends calls at one entry.
 
 The dispatcher owns all call state. It is driven by messages from agents, by
-calls from callers' tasks, and by a tick; it sends through an `AgentSender`.
+calls from callers' tasks, and by a tick; it sends through an
+`questions.AgentSender`.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
-import itertools
 import random
-from typing import Protocol
 
 from marlramp import clock
 from marlramp import counters
@@ -19,14 +18,15 @@
 from marlramp import logs
 from marlramp.core import agent_table
 from marlramp.core import calls
-from marlramp.core import limits
-from marlramp.core import pace
 from marlramp.core import queueing
 from marlramp.core import retries
 from marlramp.core import routing
 from marlramp.core import run_tokens
 from marlramp.core import wallet
+from marlramp.entry import admission as admission_module
 from marlramp.entry import call as call_module
+from marlramp.entry import questions
+from marlramp.entry import service_queue
 from marlramp.protocol import messages
 from marlramp.settings import schema
 from marlramp.settings import store
@@ -34,75 +34,49 @@
 CANCEL_WAIT_MS = 60.0
 """Longest wait for the proof that a given-up request did not run."""
 
-RESERVE_WAIT_MS = 500.0
-RETRY_BUDGET_BURST = 20.0
-
 
 def _ignore(value: float) -> None:
     """Takes a measurement that nobody asked for."""
 
 
-class AgentSender(Protocol):
-    """Sends messages to agents."""
-
-    def send(self, vm_id: ids.VmId, message: messages.FromEntry) -> bool:
-        """Sends a message; returns False if the agent cannot be reached."""
-        ...
-
-
-class ServiceQueue:
-    """Queue, retry budget and pace of one service at this entry."""
-
-    def __init__(self, values: schema.Settings) -> None:
-        """Starts empty."""
-        self.queue = queueing.FairQueue(values.queue_length_max)
-        self.budget = retries.RetryBudget(
-            values.retry_ratio, RETRY_BUDGET_BURST
-        )
-        self.pace = pace.RunPace()
-        self.in_flight = 0
-
-
 class Dispatcher:
     """All calls of one entry."""
 
     def __init__(
         self,
-        entry_id: ids.VmId,
         settings: store.SettingsStore,
         table: agent_table.AgentTable,
-        sender: AgentSender,
+        admission: admission_module.Admission,
+        asked: questions.Questions,
+        sender: questions.AgentSender,
         totals: counters.Counters,
         time: clock.Clock,
         rng: random.Random,
     ) -> None:
         """Starts with no call."""
-        self._entry_id = entry_id
         self._settings = settings
         self._table = table
+        self._admission = admission
+        self._questions = asked
         self._sender = sender
         self._totals = totals
         self._clock = time
         self._rng = rng
-        self._numbers = itertools.count(1)
-        self._services: dict[ids.ServiceId, ServiceQueue] = {}
-        self._limits: dict[ids.CustomerId, limits.CustomerLimit] = {}
+        self._services: dict[ids.ServiceId, service_queue.ServiceQueue] = {}
         self._queued: dict[ids.RequestId, call_module.Call] = {}
         self._tries: dict[ids.RequestId, call_module.Call] = {}
-        self._answers: dict[ids.RequestId, asyncio.Future[object]] = {}
+        self._backing_off: set[call_module.Call] = set()
         self._choosers: dict[schema.Routing, routing.Chooser] = {
             schema.Routing.PREDICTED: routing.choose,
             schema.Routing.RANDOM: routing.choose_random,
             schema.Routing.ROUND_ROBIN: routing.RoundRobin(),
         }
         self.on_first_part: Callable[[float], None] = _ignore
-        self.entries_listed = 1
-        self.draining = False
 
     @property
     def active(self) -> int:
         """Number of calls that have not ended."""
-        return len(self._queued) + len(self._tries)
+        return len(self._queued) + len(self._tries) + len(self._backing_off)
 
     def reaches(self, vm_id: ids.VmId) -> bool:
         """Whether an agent is linked to this entry."""
@@ -124,21 +98,8 @@
 
     def settings_changed(self) -> None:
         """Applies settings that came into force."""
-        tree = self._settings.tree
         for service_id, service in self._services.items():
-            values = tree.effective(service_id)
-            service.queue.length_max = values.queue_length_max
-            service.budget.ratio = values.retry_ratio
-        now_ms = self._clock.now_ms()
-        for customer_id, limit in self._limits.items():
-            values = tree.effective(None, customer_id)
-            limit.update(
-                values.requests_per_s,
-                values.tokens_per_s,
-                values.burst_s,
-                max(1, self.entries_listed),
-                now_ms,
-            )
+            service.configure(self._settings.tree.effective(service_id))
 
     # Calls from callers' tasks.
 
@@ -151,13 +112,13 @@
           errors.CallError: if it is refused; nothing was run then.
         """
         now_ms = self._clock.now_ms()
-        self._totals.add(counters.CounterName.REQUESTS, spec.service_id)
         try:
-            self._check(spec, token)
+            self._admission.check(spec, token)
+            self._totals.add(counters.CounterName.REQUESTS, spec.service_id)
             service = self._service(spec.service_id)
             if token is None:
-                self._check_wait(spec, service, now_ms)
-            self._charge(spec, now_ms)
+                self._admission.check_wait(spec, service, now_ms)
+            self._admission.charge(spec, now_ms)
         except errors.CallError as error:
             self._count_refusal(error)
             raise
@@ -168,7 +129,7 @@
             spec, values.retries_max, float(values.retry_backoff_ms)
         )
         waiting = queueing.Waiting(
-            self._new_id(),
+            self._questions.new_id(),
             spec.customer_id,
             spec.service_id,
             spec.priority,
@@ -190,58 +151,10 @@
             return
         self._forget(call)
         if call.grant is not None and call.token is None:
-            self._send_cancel(call, self._new_id(), stop=True)
+            self._send_cancel(call, self._questions.new_id(), stop=True)
         self._count_refusal(errors.CallError(errors.ErrorKind.CANCELLED))
         call.end(errors.CallError(errors.ErrorKind.CANCELLED))
 
-    async def reserve(
-        self, service_id: ids.ServiceId, customer_id: ids.CustomerId
-    ) -> run_tokens.RunToken:
-        """Reserves a grant for a run token.
-
-        Raises:
-          errors.CallError: if no agent of the service answers.
-        """
-        agents = self._table.serving(service_id)
-        if not agents:
-            raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
-        self._rng.shuffle(agents)
-        agents.sort(key=lambda info: info.in_flight)
-        for info in agents[:3]:
-            request_id = self._new_id()
-            reply = await self._ask(
-                info.vm_id,
-                request_id,
-                messages.Reserve(request_id=request_id),
-                RESERVE_WAIT_MS,
-            )
-            if isinstance(reply, messages.Reserved) and reply.number:
-                return run_tokens.RunToken(
-                    info.vm_id,
-                    reply.incarnation,
-                    reply.number,
-                    service_id,
-                    customer_id,
-                )
-        raise errors.CallError(errors.ErrorKind.UPSTREAM_BUSY)
-
-    async def query(
-        self, token: run_tokens.RunToken
-    ) -> messages.RunStatus | None:
-        """Returns what became of a run token, None if the agent is silent."""
-        request_id = self._new_id()
-        reply = await self._ask(
-            ids.VmId(token.vm_id),
-            request_id,
-            messages.RunQuery(
-                request_id=request_id,
-                incarnation=token.incarnation,
-                number=token.number,
-            ),
-            RESERVE_WAIT_MS,
-        )
-        return reply if isinstance(reply, messages.RunStatus) else None
-
     # Messages from agents.
 
     def on_grants(
@@ -303,12 +216,6 @@
                 call, errors.CallError(errors.ErrorKind.ANSWER_INCOMPLETE)
             )
 
-    def on_reply(self, message: messages.Reserved | messages.RunStatus) -> None:
-        """Takes the answer to a question asked of an agent."""
-        future = self._answers.pop(ids.RequestId(message.request_id), None)
-        if future is not None and not future.done():
-            future.set_result(message)
-
     def agent_lost(self, vm_id: ids.VmId) -> None:
         """Fails the tries that ran at an agent that is gone."""
         for call in list(self._tries.values()):
@@ -354,7 +261,9 @@
             if waiting is None:
                 return
             call = self._queued[waiting.request_id]
-            if self._too_late(call, service, now_ms):
+            if call.admitted_ms != now_ms and self._admission.too_late(
+                call.spec, call.state.resume_from, service, now_ms
+            ):
                 del self._queued[waiting.request_id]
                 self._fail(
                     call,
@@ -377,83 +286,11 @@
             del self._queued[waiting.request_id]
             self._start(call, grant)
 
-    # Admission.
+    # Queue.
 
-    def _check(
-        self, spec: calls.CallSpec, token: run_tokens.RunToken | None
+    def _enqueue(
+        self, call: call_module.Call, service: service_queue.ServiceQueue
     ) -> None:
-        if self.draining:
-            raise errors.CallError(errors.ErrorKind.ENTRY_LEAVING)
-        tree = self._settings.tree
-        if not self._settings.complete:
-            raise errors.CallError(errors.ErrorKind.SETTINGS_MISSING)
-        if tree.service_kind(spec.service_id) is None:
-            raise errors.CallError(errors.ErrorKind.UNKNOWN_SERVICE)
-        if not tree.knows_customer(spec.customer_id):
-            raise errors.CallError(errors.ErrorKind.UNKNOWN_CUSTOMER)
-        if token is None:
-            return
-        if (token.service_id, token.customer_id) != (
-            spec.service_id,
-            spec.customer_id,
-        ):
-            raise errors.CallError(
-                errors.ErrorKind.RUN_TOKEN_INVALID,
-                "the run token is for another service or customer",
-            )
-
-    def _check_wait(
-        self,
-        spec: calls.CallSpec,
-        service: ServiceQueue,
-        now_ms: clock.Millis,
-    ) -> None:
-        """Refuses at once what can no longer meet its deadline."""
-        serving = self._table.serving(spec.service_id)
-        if not serving:
-            raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
-        left_ms = spec.deadline_ms - now_ms
-        if left_ms <= 0:
-            raise errors.CallError(
-                errors.ErrorKind.DEADLINE_EXCEEDED, ran=errors.Ran.NO
-            )
-        if not self._settings.tree.effective(
-            spec.service_id
-        ).refuse_unreachable:
-            return
-        ahead = service.queue.ahead(spec.priority, spec.customer_id)
-        if not ahead:
-            return
-        work_ms = sum(service.pace.expected_ms(w.cost) for w in ahead)
-        wait_ms = work_ms / max(1, service.in_flight)
-        wait_ms += service.pace.expected_ms(spec.tokens)
-        if wait_ms > left_ms:
-            raise errors.CallError(
-                errors.ErrorKind.DEADLINE_UNREACHABLE,
-                f"expected wait {wait_ms:.0f} ms",
-                retry_after_ms=int(wait_ms - left_ms) + 1,
-            )
-
-    def _charge(self, spec: calls.CallSpec, now_ms: clock.Millis) -> None:
-        limit = self._limits.get(spec.customer_id)
-        if limit is None:
-            values = self._settings.tree.effective(None, spec.customer_id)
-            limit = limits.CustomerLimit(
-                values.requests_per_s,
-                values.tokens_per_s,
-                values.burst_s,
-                max(1, self.entries_listed),
-                now_ms,
-            )
-            self._limits[spec.customer_id] = limit
-        wait_ms = limit.admit(spec.tokens, now_ms)
-        if wait_ms > 0:
-            raise errors.CallError(
-                errors.ErrorKind.CUSTOMER_LIMIT,
-                retry_after_ms=min(int(wait_ms) + 1, 3_600_000),
-            )
-
-    def _enqueue(self, call: call_module.Call, service: ServiceQueue) -> None:
         displaced = service.queue.push(call.waiting)
         if displaced is call.waiting:
             error = errors.CallError(
@@ -488,20 +325,6 @@
             return None
         return self._table.wallet.use(chosen.vm_id, now_ms)
 
-    def _too_late(
-        self,
-        call: call_module.Call,
-        service: ServiceQueue,
-        now_ms: clock.Millis,
-    ) -> bool:
-        """Returns whether a waiting call would end after its deadline."""
-        values = self._settings.tree.effective(call.spec.service_id)
-        if not values.refuse_unreachable or call.admitted_ms == now_ms:
-            return False
-        parts_left = call.spec.tokens - call.state.resume_from
-        expected_ms = service.pace.expected_ms(parts_left)
-        return now_ms + expected_ms > call.spec.deadline_ms
-
     def _version_gone(self, call: call_module.Call) -> bool:
         """Returns whether a stream cannot be resumed on its version."""
         needed = call.state.needed_version
@@ -513,7 +336,7 @@
     def _start(self, call: call_module.Call, grant: wallet.HeldGrant) -> None:
         now_ms = self._clock.now_ms()
         call.grant = grant
-        call.try_id = self._new_id()
+        call.try_id = self._questions.new_id()
         call.started_ms = now_ms
         call.progress_ms = now_ms
         call.first_part_ms = None
@@ -584,9 +407,7 @@
             self._fail(call, step)
             return
         self._totals.add(counters.CounterName.RETRIES, step.reason.value)
-        asyncio.get_running_loop().call_later(
-            step.delay_ms / clock.MILLIS_PER_SECOND, self._retry, call
-        )
+        self._retry_later(call, step.delay_ms)
 
     def _token_try_failed(
         self, call: call_module.Call, failure: errors.CallError
@@ -602,11 +423,16 @@
             return
         reason = retries.RetryReason.UPSTREAM_BUSY
         self._totals.add(counters.CounterName.RETRIES, reason.value)
+        self._retry_later(call, delay_ms)
+
+    def _retry_later(self, call: call_module.Call, delay_ms: float) -> None:
+        self._backing_off.add(call)
         asyncio.get_running_loop().call_later(
             delay_ms / clock.MILLIS_PER_SECOND, self._retry, call
         )
 
     def _retry(self, call: call_module.Call) -> None:
+        self._backing_off.discard(call)
         if call.ended:
             return
         if call.token is not None:
@@ -649,7 +475,7 @@
             return
         values = self._settings.tree.effective(call.spec.service_id)
         if now_ms - call.progress_ms > values.part_timeout_ms:
-            self._send_cancel(call, self._new_id(), stop=True)
+            self._send_cancel(call, self._questions.new_id(), stop=True)
             self._try_failed(
                 call,
                 errors.CallError(
@@ -660,7 +486,7 @@
 
     def _give_up(self, call: call_module.Call) -> None:
         """Cancels a late run and tells the caller whether it ran."""
-        request_id = self._new_id()
+        request_id = self._questions.new_id()
         self._send_cancel(call, request_id, stop=call.token is None)
         started = call.state.resume_from > 0
         self._release(call)
@@ -676,7 +502,7 @@
     async def _end_after_cancel(
         self, call: call_module.Call, request_id: ids.RequestId
     ) -> None:
-        reply = await self._await_reply(request_id, CANCEL_WAIT_MS)
+        reply = await self._questions.reply(request_id, CANCEL_WAIT_MS)
         ran = errors.Ran.UNKNOWN
         if isinstance(reply, messages.RunStatus):
             ran = reply.ran
@@ -706,9 +532,8 @@
         used = call.state.assembly.next_seq
         first_ms = (call.first_part_ms or now_ms) - call.started_ms
         service.pace.record(first_ms, now_ms - call.started_ms, used)
-        limit = self._limits.get(call.spec.customer_id)
-        if limit is not None and call.spec.stream:
-            limit.settle(call.spec.tokens, used, now_ms)
+        if call.spec.stream:
+            self._admission.settle(call.spec, used, now_ms)
         info = self._agent_of(call)
         if info is not None:
             info.breaker.record_success()
@@ -717,6 +542,10 @@
 
     def _fail(self, call: call_module.Call, failure: errors.CallError) -> None:
         self._count_refusal(failure)
+        if call.spec.stream:
+            self._admission.settle(
+                call.spec, call.state.resume_from, self._clock.now_ms()
+            )
         logs.log(
             "call_failed",
             call=call.spec.call_id,
@@ -765,38 +594,10 @@
             return None
         return info
 
-    def _service(self, service_id: ids.ServiceId) -> ServiceQueue:
+    def _service(self, service_id: ids.ServiceId) -> service_queue.ServiceQueue:
         service = self._services.get(service_id)
         if service is None:
             values = self._settings.tree.effective(service_id)
-            service = ServiceQueue(values)
+            service = service_queue.ServiceQueue(values)
             self._services[service_id] = service
         return service
-
-    def _new_id(self) -> ids.RequestId:
-        return ids.RequestId(f"{self._entry_id}.{next(self._numbers)}")
-
-    async def _ask(
-        self,
-        vm_id: ids.VmId,
-        request_id: ids.RequestId,
-        message: messages.Reserve | messages.RunQuery,
-        wait_ms: float,
-    ) -> object | None:
-        if not self._sender.send(vm_id, message):
-            return None
-        return await self._await_reply(request_id, wait_ms)
-
-    async def _await_reply(
-        self, request_id: ids.RequestId, wait_ms: float
-    ) -> object | None:
-        future: asyncio.Future[object]
-        future = asyncio.get_running_loop().create_future()
-        self._answers[request_id] = future
-        try:
-            async with asyncio.timeout(wait_ms / clock.MILLIS_PER_SECOND):
-                return await future
-        except TimeoutError:
-            return None
-        finally:
-            self._answers.pop(request_id, None)
--- /dev/null
+++ b/src/marlramp/entry/questions.py
@@ -0,0 +1,122 @@
+"""Questions that an entry asks agents, and their answers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import Protocol
+
+from marlramp import clock
+from marlramp import errors
+from marlramp import ids
+from marlramp.core import agent_table
+from marlramp.core import run_tokens
+from marlramp.protocol import messages
+
+ANSWER_WAIT_MS = 500.0
+RESERVE_TRIES = 3
+
+type Reply = messages.Reserved | messages.RunStatus
+
+
+class AgentSender(Protocol):
+    """Sends messages to agents."""
+
+    def send(self, vm_id: ids.VmId, message: messages.FromEntry) -> bool:
+        """Sends a message; returns False if the agent cannot be reached."""
+        ...
+
+
+class Questions:
+    """Matches answers to questions by request id."""
+
+    def __init__(
+        self,
+        entry_id: ids.VmId,
+        table: agent_table.AgentTable,
+        sender: AgentSender,
+        rng: random.Random,
+    ) -> None:
+        """Starts with no question open."""
+        self._entry_id = entry_id
+        self._table = table
+        self._sender = sender
+        self._rng = rng
+        self._numbers = itertools.count(1)
+        self._open: dict[ids.RequestId, asyncio.Future[Reply]] = {}
+
+    def new_id(self) -> ids.RequestId:
+        """Returns an id that this entry has not used."""
+        return ids.RequestId(f"{self._entry_id}.{next(self._numbers)}")
+
+    def on_reply(self, message: Reply) -> None:
+        """Takes the answer to a question."""
+        future = self._open.pop(ids.RequestId(message.request_id), None)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    async def reply(
+        self, request_id: ids.RequestId, wait_ms: float
+    ) -> Reply | None:
+        """Waits for an answer; returns None when there is none in time."""
+        future: asyncio.Future[Reply]
+        future = asyncio.get_running_loop().create_future()
+        self._open[request_id] = future
+        try:
+            async with asyncio.timeout(wait_ms / clock.MILLIS_PER_SECOND):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self._open.pop(request_id, None)
+
+    async def reserve(
+        self, service_id: ids.ServiceId, customer_id: ids.CustomerId
+    ) -> run_tokens.RunToken:
+        """Reserves a grant for a run token.
+
+        Raises:
+          errors.CallError: if no agent of the service answers.
+        """
+        agents = self._table.serving(service_id)
+        if not agents:
+            raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
+        self._rng.shuffle(agents)
+        agents.sort(key=lambda info: info.in_flight)
+        for info in agents[:RESERVE_TRIES]:
+            request_id = self.new_id()
+            question = messages.Reserve(request_id=request_id)
+            answer = await self._ask(info.vm_id, request_id, question)
+            if isinstance(answer, messages.Reserved) and answer.number:
+                return run_tokens.RunToken(
+                    info.vm_id,
+                    answer.incarnation,
+                    answer.number,
+                    service_id,
+                    customer_id,
+                )
+        raise errors.CallError(errors.ErrorKind.UPSTREAM_BUSY)
+
+    async def query(
+        self, token: run_tokens.RunToken
+    ) -> messages.RunStatus | None:
+        """Returns what became of a run token, None if the agent is silent."""
+        request_id = self.new_id()
+        question = messages.RunQuery(
+            request_id=request_id,
+            incarnation=token.incarnation,
+            number=token.number,
+        )
+        answer = await self._ask(ids.VmId(token.vm_id), request_id, question)
+        return answer if isinstance(answer, messages.RunStatus) else None
+
+    async def _ask(
+        self,
+        vm_id: ids.VmId,
+        request_id: ids.RequestId,
+        question: messages.Reserve | messages.RunQuery,
+    ) -> Reply | None:
+        if not self._sender.send(vm_id, question):
+            return None
+        return await self.reply(request_id, ANSWER_WAIT_MS)
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -161,6 +161,10 @@
         raise FleetError(f"{self.name} still runs after {timeout_ms} ms")
 
 
+_handed_out: set[int] = set()
+"""Ports given out before: their process may not have bound them yet."""
+
+
 def free_ports(count: int) -> list[int]:
     """Returns ports that nothing listens on now.
 
@@ -171,12 +175,15 @@
     with contextlib.ExitStack() as stack:
         while len(found) < count:
             port = random.randrange(_FIRST_PORT, _LAST_PORT)
+            if port in _handed_out:
+                continue
             probe = stack.enter_context(socket.socket())
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
             found.append(port)
+            _handed_out.add(port)
     return found
 
 
