Keep serving the old version through a restart; read the VM list less

Cause: an agent that restarted while its engine served the target did not trust that version in the next rollout, and an agent that restarted within a rollout asked for the previous manifest before it had read its engine: both took a good replica out until the new version was there.

Uploads and platform sources are modules of their own. The first part of a run is sent at once.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -14,9 +14,9 @@
 from marlramp.agent import rollout
 from marlramp.agent import runs
 from marlramp.agent import swarm_node
+from marlramp.agent import weight_sources
 from marlramp.core import grants
 from marlramp.core import lifecycle
-from marlramp.core import limits
 from marlramp.core import swap
 from marlramp.platform import clients
 from marlramp.protocol import messages
@@ -101,7 +101,7 @@
         platform = self._settings.platform
         self._members = membership.Membership(
             clients.HttpVmListClient(self._client, platform.vm_list_url),
-            platform.vm_list_interval_ms,
+            process.vm_list_interval_ms(self._settings),
             self._totals,
             self._members_changed,
         )
@@ -126,7 +126,6 @@
     def _build_rollout(self) -> None:
         platform = self._settings.platform
         own = self._settings.links
-        now_ms = self._clock.now_ms()
         listener = links.Listener(
             self._context, own.host, own.port, swarm_node.BYTES_MAX
         )
@@ -135,17 +134,8 @@
             self._link_id,
             self._context,
             listener,
-            clients.HttpWeightSource(self._client, platform.origin_url),
-            clients.HttpWeightSource(self._client, platform.weight_store_url),
-            limits.TokenBucket(
-                platform.origin_requests_per_s,
-                platform.origin_requests_per_s,
-                now_ms,
-            ),
-            limits.TokenBucket(
-                platform.weight_store_requests_per_s,
-                platform.weight_store_requests_per_s,
-                now_ms,
+            weight_sources.RatedSources(
+                self._client, platform, self._totals, self._clock
             ),
             self._totals,
             self._clock,
@@ -354,10 +344,11 @@
                 offer = messages.SettingsOffer(documents=newer)
                 self._entries.send(entry_id, offer)
         self._entries.send_all(self._heartbeat())
-        self._members.hurry()
+        wanted = tree.rollout(self._service_id)
+        if wanted != self._rollout.rollout:
+            self._members.hurry()
         self._members_changed()
-        revision = max(self._store.revisions())
-        self._rollout.set_rollout(tree.rollout(self._service_id), revision)
+        self._rollout.set_rollout(wanted, max(self._store.revisions()))
         kind = tree.service_kind(self._service_id)
         if kind is schema.ServiceKind.PLAIN and self._store.complete:
             self.resume()
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -21,6 +21,8 @@
 STEP_RETRY_MS = 300.0
 STEP_RETRY_MAX_MS = 10_000.0
 PERMIT_WAIT_MS = 150.0
+PREVIOUS_WAIT_MS = 5_000.0
+"""Longest wait for the manifest of the version served before."""
 
 
 class Permits(Protocol):
@@ -199,6 +201,7 @@
         self._target = guard.Target(
             rollout.model, version, ids.Digest(found.whole), self._revision
         )
+        self._guard.trust(version, ids.Digest(found.whole))
         await self._observe()
         failures = 0
         while rollout == self._rollout:
@@ -218,13 +221,18 @@
 
     async def _trust_previous(self, rollout: schema.Rollout) -> None:
         """Learns the digest of the version served before, if it is named."""
-        state = self._guard.state
-        if rollout.previous_manifest is None or state is None:
+        if rollout.previous_manifest is None:
             return
         digest = ids.Digest(rollout.previous_manifest)
-        previous = await self._node.fetch_manifest(digest)
+        try:
+            async with asyncio.timeout(PREVIOUS_WAIT_MS / 1000):
+                previous = await self._node.fetch_manifest(digest)
+        except TimeoutError:
+            logs.log("previous_manifest_unavailable", manifest=digest)
+            return
         version = ids.VersionId(previous.version)
         self._guard.trust(version, ids.Digest(previous.whole))
+        self._apply_verdict()
 
     async def _approach(
         self, digest: ids.Digest, version: ids.VersionId
@@ -236,7 +244,6 @@
         target = self._target
         if target is None:
             return
-        self._guard.trust(target.version, target.whole)
         state = self._guard.state
         if state is None:
             await self._observe()
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -71,6 +71,7 @@
     def __init__(self, subscriber: _Subscriber, *, kept: bool) -> None:
         self.subscribers = [subscriber]
         self.kept = kept
+        self.first = True
         self.headers: tuple[int, str] | None = None
         self.parts: list[assembly.Part] = []
         self.kept_bytes = 0
@@ -316,6 +317,10 @@
             self._kept_bytes += len(part.data)
         for subscriber in output.subscribers:
             self._queue_part(subscriber, part)
+        if output.first:
+            # The time to the first token counts by itself.
+            output.first = False
+            self._flush()
 
     def _queue_part(self, subscriber: _Subscriber, part: assembly.Part) -> None:
         answers = self._pending.setdefault(subscriber.entry_id, {})
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -12,13 +12,12 @@
 from collections.abc import Callable
 import random
 
-import msgspec
-
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import limits
+from marlramp.agent import uploads
+from marlramp.agent import weight_sources
 from marlramp.core import manifest
 from marlramp.core import pacing
 from marlramp.core import rendezvous
@@ -36,7 +35,6 @@
 
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
-UPLOADS_QUEUED_MAX = 16
 MANIFEST_RETRY_MS = 400.0
 MANIFEST_READERS = 2
 """Agents that read a manifest from the weight store without waiting."""
@@ -71,12 +69,6 @@
 }
 
 
-class _Upload(msgspec.Struct, frozen=True):
-    peer_id: ids.VmId
-    manifest: ids.Digest
-    index: int
-
-
 class _Channel:
     """A way to send to one neighbour."""
 
@@ -101,10 +93,7 @@
         link_id: links.LinkId,
         context: links.LinkContext,
         listener: links.Listener,
-        origin: clients.WeightSource,
-        store: clients.WeightSource,
-        origin_bucket: limits.TokenBucket,
-        store_bucket: limits.TokenBucket,
+        sources: weight_sources.RatedSources,
         totals: counters.Counters,
         time: clock.Clock,
         link_bytes_per_s: float | None,
@@ -116,10 +105,7 @@
           link_id: identity towards neighbours.
           context: creates links.
           listener: where neighbours connect.
-          origin: the origin of weights.
-          store: the weight store.
-          origin_bucket: this process's rate at the origin.
-          store_bucket: this process's rate at the store.
+          sources: origin and weight store.
           totals: counters.
           time: the clock.
           link_bytes_per_s: rate of this VM's link, None for the settings'.
@@ -128,10 +114,7 @@
         self._link_id = link_id
         self._context = context
         self._listener = listener
-        self._origin = origin
-        self._store = store
-        self._origin_bucket = origin_bucket
-        self._store_bucket = store_bucket
+        self._sources = sources
         self._totals = totals
         self._clock = time
         defaults = schema.Settings()
@@ -140,7 +123,6 @@
             link_bytes_per_s or defaults.link_bytes_per_s
         )
         self._share = defaults.weights_link_share
-        self._up = pacing.Pacer(self._link_bytes_per_s)
         self._down = pacing.Pacer(self._link_bytes_per_s)
         self._decoder = codec.peer_decoder()
         self._channels: dict[ids.VmId, _Channel] = {}
@@ -154,13 +136,13 @@
         self._swarm: swarm.Swarm | None = None
         self._policy = swarm.SwarmPolicy(1.0, 2_000.0)
         self._distribution = schema.Distribution.SWARM
-        self._uploads: collections.deque[_Upload] = collections.deque()
-        self._upload_ready = asyncio.Event()
+        self._uploads = uploads.Uploads(
+            self.whole, self._send, time, self._link_bytes_per_s
+        )
         self._wake = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
         self._complete = asyncio.Event()
         self._announced_ms = 0.0
-        self.sent_bytes = 0
         self.origin_bytes = 0
 
     @property
@@ -168,6 +150,11 @@
         """Digest of the manifest being fetched or held."""
         return self._target
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of chunks sent to neighbours."""
+        return self._uploads.sent_bytes
+
     def progress(self) -> tuple[int, int]:
         """Returns chunks held and chunks in all of the target."""
         whole = self._wholes.get(self._target or ids.Digest(""))
@@ -235,11 +222,11 @@
         """Serves neighbours and drives fetches for ever."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._receive_all())
-            group.create_task(self._upload_all())
+            group.create_task(self._uploads.run())
             group.create_task(self._tick_all())
 
     def _set_rates(self, bytes_per_s: float) -> None:
-        self._up.bytes_per_s = bytes_per_s
+        self._uploads.pacer.bytes_per_s = bytes_per_s
         self._down.bytes_per_s = bytes_per_s
 
     def _reads_manifest(self, digest: ids.Digest, attempt: int) -> bool:
@@ -248,12 +235,8 @@
         return rank < MANIFEST_READERS or attempt > 2 * rank
 
     async def _read_manifest(self, digest: ids.Digest) -> None:
-        wait_ms = self._store_bucket.try_take(1.0, self._clock.now_ms())
-        if wait_ms > 0:
-            return
-        self._totals.add(counters.CounterName.PLATFORM_READS, "manifest")
         try:
-            data = await self._store.manifest(digest)
+            data = await self._sources.manifest(digest)
         except clients.PlatformError as error:
             logs.log("manifest_unavailable", detail=error)
             return
@@ -393,11 +376,11 @@
             case messages.PeerHave():
                 self._on_have(peer_id, message)
             case messages.ChunkRequest():
-                self._on_chunk_request(peer_id, message)
+                self._uploads.request(peer_id, message)
             case messages.ChunkReply():
                 self._on_chunk_reply(peer_id, message)
             case messages.ChunkCancel():
-                self._on_chunk_cancel(peer_id, message)
+                self._uploads.cancel(peer_id, message)
             case messages.ManifestRequest():
                 digest = ids.Digest(message.manifest)
                 data = self._manifest_bytes.get(digest, b"")
@@ -433,28 +416,6 @@
             current.peer_holds(peer_id, have.indexes, have.seen)
             self._wake.set()
 
-    def _on_chunk_request(
-        self, peer_id: ids.VmId, request: messages.ChunkRequest
-    ) -> None:
-        digest = ids.Digest(request.manifest)
-        whole = self._wholes.get(digest)
-        held = whole is not None and whole.get(request.index) is not None
-        if not held or len(self._uploads) >= UPLOADS_QUEUED_MAX:
-            reply = messages.ChunkReply(
-                manifest=digest, index=request.index, data=None
-            )
-            self._send(peer_id, reply)
-            return
-        self._uploads.append(_Upload(peer_id, digest, request.index))
-        self._upload_ready.set()
-
-    def _on_chunk_cancel(
-        self, peer_id: ids.VmId, cancel: messages.ChunkCancel
-    ) -> None:
-        upload = _Upload(peer_id, ids.Digest(cancel.manifest), cancel.index)
-        if upload in self._uploads:
-            self._uploads.remove(upload)
-
     def _on_chunk_reply(
         self, peer_id: ids.VmId, reply: messages.ChunkReply
     ) -> None:
@@ -548,7 +509,7 @@
     async def _draw_chunk(self, digest: ids.Digest, index: int) -> None:
         chunk_digest = self._wholes[digest].manifest.chunks[index]
         try:
-            data = await self._draw_from_sources(chunk_digest)
+            data = await self._sources.chunk(chunk_digest)
         except clients.PlatformError as error:
             logs.log("chunk_unavailable", index=index, detail=error)
             current = self._current(digest)
@@ -560,22 +521,6 @@
         self.origin_bytes += len(data)
         self._take_chunk(digest, index, data, None)
 
-    async def _draw_from_sources(self, chunk_digest: str) -> bytes:
-        """Draws from the origin, or from the store while the origin fails."""
-        now_ms = self._clock.now_ms()
-        wait_ms = self._origin_bucket.try_take(1.0, now_ms)
-        if wait_ms > 0:
-            raise clients.PlatformError("own rate of the origin", wait_ms)
-        self._totals.add(counters.CounterName.PLATFORM_READS, "origin")
-        try:
-            return await self._origin.chunk(chunk_digest)
-        except clients.PlatformError as error:
-            if self._store_bucket.try_take(1.0, self._clock.now_ms()) > 0:
-                raise
-            logs.log("origin_failed", detail=error)
-            self._totals.add(counters.CounterName.PLATFORM_READS, "store")
-            return await self._store.chunk(chunk_digest)
-
     def _announce(self) -> None:
         if self._swarm is None or self._target is None:
             return
@@ -603,25 +548,6 @@
                 if self._target is not None and not self._swarm.complete:
                     self._connect_neighbours(self._target)
 
-    async def _upload_all(self) -> None:
-        while True:
-            while not self._uploads:
-                self._upload_ready.clear()
-                await self._upload_ready.wait()
-            upload = self._uploads.popleft()
-            whole = self._wholes.get(upload.manifest)
-            data = None if whole is None else whole.get(upload.index)
-            if data is None:
-                continue
-            wait_ms = self._up.reserve(len(data), self._clock.now_ms())
-            if wait_ms > 0:
-                await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
-            reply = messages.ChunkReply(
-                manifest=upload.manifest, index=upload.index, data=data
-            )
-            if self._send(upload.peer_id, reply):
-                self.sent_bytes += len(data)
-
     def _send_hello(self, peer_id: ids.VmId, *, reply: bool) -> None:
         if self._target is None or self._swarm is None:
             return
--- /dev/null
+++ b/src/marlramp/agent/weight_sources.py
@@ -0,0 +1,67 @@
+"""Draws weights from the origin and the weight store within their rates."""
+
+from __future__ import annotations
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp import logs
+from marlramp.core import limits
+from marlramp.platform import clients
+from marlramp.settings import process
+from marlramp.shell import http
+
+
+class RatedSources:
+    """The platform's sources of weights, as one process may use them."""
+
+    def __init__(
+        self,
+        client: http.HttpClient,
+        platform: process.Platform,
+        totals: counters.Counters,
+        time: clock.Clock,
+    ) -> None:
+        """Uses the sources and rates in the process's settings."""
+        self._origin: clients.WeightSource = clients.HttpWeightSource(
+            client, platform.origin_url
+        )
+        self._store: clients.WeightSource = clients.HttpWeightSource(
+            client, platform.weight_store_url
+        )
+        now_ms = time.now_ms()
+        origin_rate = platform.origin_requests_per_s
+        store_rate = platform.weight_store_requests_per_s
+        self._origin_rate = limits.TokenBucket(origin_rate, origin_rate, now_ms)
+        self._store_rate = limits.TokenBucket(store_rate, store_rate, now_ms)
+        self._totals = totals
+        self._clock = time
+
+    async def manifest(self, digest: ids.Digest) -> bytes:
+        """Returns a manifest from the store, not yet verified.
+
+        Raises:
+          clients.PlatformError: if it is not to be had now.
+        """
+        self._take(self._store_rate, "manifest")
+        return await self._store.manifest(digest)
+
+    async def chunk(self, digest: str) -> bytes:
+        """Returns a chunk from the origin, or the store while that fails.
+
+        Raises:
+          clients.PlatformError: if it is not to be had now.
+        """
+        self._take(self._origin_rate, "origin")
+        try:
+            return await self._origin.chunk(digest)
+        except clients.PlatformError as error:
+            logs.log("origin_failed", detail=error)
+            self._take(self._store_rate, "store")
+            return await self._store.chunk(digest)
+
+    def _take(self, rate: limits.TokenBucket, reason: str) -> None:
+        wait_ms = rate.try_take(1.0, self._clock.now_ms())
+        if wait_ms > 0:
+            raise clients.PlatformError(f"own rate: {reason}", wait_ms)
+        self._totals.add(counters.CounterName.PLATFORM_READS, reason)
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -121,7 +121,7 @@
         )
         self._members = membership.Membership(
             clients.HttpVmListClient(self._client, platform.vm_list_url),
-            platform.vm_list_interval_ms,
+            process.vm_list_interval_ms(self._settings),
             self._totals,
             self._members_changed,
         )
--- a/src/marlramp/settings/process.py
+++ b/src/marlramp/settings/process.py
@@ -31,6 +31,10 @@
     AGENT = "agent"
 
 
+VM_LIST_INTERVALS_MS = {Role.ENTRY: 5_000, Role.AGENT: 30_000}
+"""Between reads of the VM list unless set: agents are many and need it less."""
+
+
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
     """Who and where this process is."""
 
@@ -63,9 +67,13 @@
     vm_list_url: _Url
     origin_url: _Url
     weight_store_url: _Url
-    vm_list_interval_ms: Annotated[
-        int, msgspec.Meta(ge=100, description="between reads of the VM list")
-    ] = 5_000
+    vm_list_interval_ms: (
+        Annotated[
+            int,
+            msgspec.Meta(ge=100, description="between reads of the VM list"),
+        ]
+        | None
+    ) = None
     origin_requests_per_s: Annotated[
         float, msgspec.Meta(gt=0, description="requests to the origin")
     ] = 50.0
@@ -119,6 +127,12 @@
     upstream: UpstreamSettings | None = None
 
 
+def vm_list_interval_ms(settings: ProcessSettings) -> int:
+    """Returns the time between reads of the VM list."""
+    configured = settings.platform.vm_list_interval_ms
+    return configured or VM_LIST_INTERVALS_MS[settings.role]
+
+
 def parse(text: str, source: str) -> ProcessSettings:
     """Returns the settings in a TOML text.
 
--- a/src/marlramp/shell/membership.py
+++ b/src/marlramp/shell/membership.py
@@ -13,6 +13,10 @@
 from marlramp.shell import safely
 
 JITTER = 0.2
+HURRY_READS_PER_S = 1_000.0
+"""Reads a second that all processes together may cause by hurrying."""
+
+HURRY_SPREAD_MIN_S = 0.2
 _COUNTER_REASON = "vm_list"
 
 
@@ -57,11 +61,15 @@
             try:
                 async with asyncio.timeout(delay_s):
                     await self._hurry.wait()
-                await asyncio.sleep(random.uniform(0.05, 0.2))
+                await asyncio.sleep(random.uniform(0.0, self._spread_s()))
             except TimeoutError:
                 pass
             self._hurry.clear()
 
+    def _spread_s(self) -> float:
+        """Returns over what time all listed processes may hurry at once."""
+        return max(HURRY_SPREAD_MIN_S, len(self._vms) / HURRY_READS_PER_S)
+
     async def _read(self) -> None:
         self._totals.add(counters.CounterName.PLATFORM_READS, _COUNTER_REASON)
         try:
--- a/tests/failures/test_version_failures.py
+++ b/tests/failures/test_version_failures.py
@@ -126,3 +126,42 @@
         await b.until(lambda: b.serves("v2", 2), 20_000)
 
     bench(scenario)
+
+
+def test_restarted_agent_keeps_serving_the_old_version_while_it_fetches(
+    bench: Callable[[conftest.Scenario], None],
+) -> None:
+    async def scenario(b: conftest.Bench) -> None:
+        await b.start(replicas=2, plain=0, link_bytes_per_s=300_000)
+        b.fleet.agents["vm-0"].kill()
+        b.fleet.agents["vm-0"].restart()
+        # Until the entries notice the restart, they still show it as ready.
+        await asyncio.sleep(4.0)
+        await b.fleet.await_ready({"pool": 2}, 15_000)
+        await b.roll_out("v2")
+        await asyncio.sleep(1.5)
+        vm = (await b.vms())["vm-0"]
+        assert (vm["state"], vm["version"]) == ("ready", "v1")
+        await b.until(lambda: b.serves("v2", 2), 30_000)
+
+    bench(scenario)
+
+
+def test_agent_restarted_mid_rollout_serves_the_previous_version(
+    bench: Callable[[conftest.Scenario], None],
+) -> None:
+    async def scenario(b: conftest.Bench) -> None:
+        await b.start(replicas=2, plain=0, link_bytes_per_s=200_000)
+        await b.roll_out("v2", "v1")
+        await asyncio.sleep(0.5)
+        b.fleet.agents["vm-1"].kill()
+        b.fleet.agents["vm-1"].restart()
+
+        async def serves_old() -> bool:
+            vm = (await b.vms()).get("vm-1", {})
+            return (vm.get("state"), vm.get("version")) == ("ready", "v1")
+
+        await b.until(serves_old, 6_000)
+        await b.until(lambda: b.serves("v2", 2), 40_000)
+
+    bench(scenario)
