End a call with its last part

Cause: a few calls in every run were counted as cancelled although all were whole: a caller that closes on the last part could be faster than the agent's message that the run ended, and the entry then cancelled a finished run.

Change: the last part ends the call; the later message finds it gone.

--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -198,23 +198,21 @@
                     call.deliver(call.state.assembly.add(part))
             except errors.CallError as error:
                 self._try_failed(call, error)
+                continue
+            if call.state.assembly.complete:
+                self._succeed(call)
 
     def on_ended(self, message: messages.RunEnded) -> None:
-        """Takes the end of a run."""
+        """Takes the end of a run whose answer is not whole yet."""
         call = self._tries.get(ids.RequestId(message.request_id))
         if call is None:
             return
+        failure = errors.CallError(errors.ErrorKind.ANSWER_INCOMPLETE)
         if message.kind is not None:
-            error = errors.CallError(
+            failure = errors.CallError(
                 message.kind, message.detail, ran=message.ran
             )
-            self._try_failed(call, error)
-        elif call.state.assembly.complete:
-            self._succeed(call)
-        else:
-            self._try_failed(
-                call, errors.CallError(errors.ErrorKind.ANSWER_INCOMPLETE)
-            )
+        self._try_failed(call, failure)
 
     def agent_lost(self, vm_id: ids.VmId) -> None:
         """Fails the tries that ran at an agent that is gone."""
