--- a/src/marlramp/console/daemon.py
+++ b/src/marlramp/console/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import pathlib
 import signal
 import sys
@@ -12,6 +13,8 @@
 
 from marlramp import __version__
 from marlramp import logs
+from marlramp.platform import settings as platform_settings
+from marlramp.settings import node
 from marlramp.settings import process
 
 EXIT_OK = 0
@@ -43,8 +46,19 @@
     return agent_daemon.AgentDaemon(settings)
 
 
-async def _run(settings: process.ProcessSettings) -> None:
-    daemon = create(settings)
+def create_node(settings: node.NodeSettings) -> _Daemon:
+    """Returns the daemon of the direct path for the role in the settings."""
+    if settings.role is node.NodeRole.ENTRY:
+        from marlramp.direct import entry_daemon
+
+        return entry_daemon.EntryDaemon(settings)
+    from marlramp.direct import agent_daemon
+
+    return agent_daemon.AgentDaemon(settings)
+
+
+async def _run(make: Callable[[], _Daemon]) -> None:
+    daemon = make()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         name = signal.Signals(number).name
@@ -53,12 +67,15 @@
 
 
 @app.default
-def run(*, settings: pathlib.Path) -> int:
+def run(*, settings: pathlib.Path | None = None) -> int:
     """Runs until SIGTERM, then drains and exits.
 
     Args:
-      settings: TOML file with this process's settings.
+      settings: TOML file with this process's settings; without it, the file
+        that the platform names in the environment.
     """
+    if settings is None:
+        return _run_on_platform()
     try:
         parsed = process.read(settings)
     except ExceptionGroup as group:
@@ -66,7 +83,27 @@
             print(f"marlrampd: {error}", file=sys.stderr)
         return EXIT_SETTINGS_REFUSED
     logs.start_logging(parsed.identity.vm_id)
-    asyncio.run(_run(parsed))
+    asyncio.run(_run(lambda: create(parsed)))
+    return EXIT_OK
+
+
+def _run_on_platform() -> int:
+    path = platform_settings.settings_path()
+    if path is None:
+        print(
+            "marlrampd: give --settings, or set "
+            f"{platform_settings.SETTINGS_VARIABLE}",
+            file=sys.stderr,
+        )
+        return EXIT_SETTINGS_REFUSED
+    try:
+        parsed = platform_settings.read(path)
+    except node.NodeSettingsError as error:
+        for problem in error.problems:
+            print(f"marlrampd: {problem}", file=sys.stderr)
+        return EXIT_SETTINGS_REFUSED
+    logs.start_logging(parsed.vm_id, sys.stdout)
+    asyncio.run(_run(lambda: create_node(parsed)))
     return EXIT_OK
 
 
--- /dev/null
+++ b/src/marlramp/core/catalog.py
@@ -0,0 +1,254 @@
+"""What a process believes the platform's store holds; it only goes forward.
+
+Every item carries the store's revision of its last change, so that changes
+read from the store and changes told by other processes merge alike: of each
+item the highest revision counts, in whatever order they arrive.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import fleet
+
+REPLICA_RETURN_MS = 2_300.0
+"""An entry that lapsed while the store was away is back within about 2 s of
+its return if the replica lives; what is missing after that is gone."""
+
+TOMBSTONE_MS = 60_000.0
+"""How long a removal is remembered, to outlive changes under way."""
+
+
+class ConfigChange(msgspec.Struct, frozen=True, tag="config"):
+    """A configuration was accepted."""
+
+    revision: int
+    config: fleet.FleetConfig
+
+
+class TargetChange(msgspec.Struct, frozen=True, tag="target"):
+    """New weights were named.
+
+    Attributes:
+      revision: revision of the change.
+      target: the weights.
+      age_ms: how long ago it was learnt, None if it was there at a first
+        read, so that its age is not known.
+    """
+
+    revision: int
+    target: fleet.WeightsTarget
+    age_ms: float | None = None
+
+
+class ReplicaChange(msgspec.Struct, frozen=True, tag="replica"):
+    """A replica's entry was written, or removed if `replica` is None."""
+
+    revision: int
+    replica_id: str
+    replica: fleet.Replica | None
+
+
+type Change = ConfigChange | TargetChange | ReplicaChange
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Changes and the revision up to which they are complete."""
+
+    revision: int
+    changes: list[Change]
+
+
+class KnownTarget(msgspec.Struct):
+    """Weights to be served.
+
+    Attributes:
+      target: the weights.
+      revision: revision of the change that named them.
+      named_ms: when that was learnt, None if it was there at a first read.
+      previous_version: version named before, 0 if none is known.
+    """
+
+    target: fleet.WeightsTarget
+    revision: int
+    named_ms: float | None
+    previous_version: int
+
+
+class KnownReplica(msgspec.Struct):
+    """A listed replica.
+
+    Attributes:
+      replica: its entry, None once it was removed.
+      revision: revision of that entry.
+      last: the last entry that there was.
+      missing_ms: since when the entry is missing though it may come back.
+      removed_ms: when it was taken as gone.
+    """
+
+    replica: fleet.Replica | None
+    revision: int
+    last: fleet.Replica | None
+    missing_ms: float | None = None
+    removed_ms: float | None = None
+
+
+class Catalog:
+    """Configuration, weights targets and replicas known to this process."""
+
+    def __init__(self) -> None:
+        """Starts knowing nothing."""
+        self.revision = 0
+        self.config: fleet.FleetConfig | None = None
+        self.config_revision = 0
+        self.targets: dict[str, KnownTarget] = {}
+        self._replicas: dict[str, KnownReplica] = {}
+        self._store_trouble_ms = float("-inf")
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force, 0 if there is none."""
+        return 0 if self.config is None else self.config.version
+
+    def replicas(self) -> list[fleet.Replica]:
+        """Returns the replicas that are listed or may come back."""
+        return [
+            known.last
+            for known in self._replicas.values()
+            if known.removed_ms is None and known.last is not None
+        ]
+
+    def replica(self, replica_id: str) -> fleet.Replica | None:
+        """Returns a replica that is listed or may come back."""
+        known = self._replicas.get(replica_id)
+        if known is None or known.removed_ms is not None:
+            return None
+        return known.last
+
+    def store_failed(self, now_ms: clock.Millis) -> None:
+        """Records that the store is not to be relied on now."""
+        self._store_trouble_ms = now_ms
+
+    def apply(
+        self, changes: Iterable[Change], now_ms: clock.Millis
+    ) -> list[Change]:
+        """Takes changes in any order; returns those that were new."""
+        return [c for c in changes if self._apply_one(c, now_ms)]
+
+    def advance(self, revision: int) -> None:
+        """Records that all changes up to `revision` were applied."""
+        self.revision = max(self.revision, revision)
+
+    def take_snapshot(
+        self, snapshot: Snapshot, now_ms: clock.Millis
+    ) -> list[Change]:
+        """Takes all that the store holds; what is missing there was removed.
+
+        Returns:
+          The changes that were new, removals among them.
+        """
+        changes = list(snapshot.changes)
+        listed = {c.replica_id for c in changes if isinstance(c, ReplicaChange)}
+        for replica_id, known in self._replicas.items():
+            gone = replica_id not in listed and known.replica is not None
+            if gone and known.revision <= snapshot.revision:
+                changes.append(
+                    ReplicaChange(snapshot.revision, replica_id, None)
+                )
+        new = self.apply(changes, now_ms)
+        self.advance(snapshot.revision)
+        return new
+
+    def changes_after(
+        self, revision: int, now_ms: clock.Millis
+    ) -> list[Change]:
+        """Returns the current form of every item that changed later."""
+        changes: list[Change] = []
+        if self.config is not None and self.config_revision > revision:
+            changes.append(ConfigChange(self.config_revision, self.config))
+        for known in self.targets.values():
+            if known.revision > revision:
+                age_ms = (
+                    None if known.named_ms is None else now_ms - known.named_ms
+                )
+                changes.append(
+                    TargetChange(known.revision, known.target, age_ms)
+                )
+        for replica_id, item in self._replicas.items():
+            if item.revision > revision:
+                changes.append(
+                    ReplicaChange(item.revision, replica_id, item.replica)
+                )
+        return changes
+
+    def tick(self, now_ms: clock.Millis) -> list[str]:
+        """Takes replicas as gone whose entries stayed away.
+
+        Returns:
+          Ids of the replicas that were taken as gone.
+        """
+        gone = []
+        trusted_ms = self._store_trouble_ms + REPLICA_RETURN_MS
+        for replica_id, known in list(self._replicas.items()):
+            if known.missing_ms is not None and now_ms >= trusted_ms:
+                known.missing_ms = None
+                known.removed_ms = now_ms
+                gone.append(replica_id)
+            elif (
+                known.removed_ms is not None
+                and now_ms - known.removed_ms > TOMBSTONE_MS
+            ):
+                del self._replicas[replica_id]
+        return gone
+
+    def _apply_one(self, change: Change, now_ms: clock.Millis) -> bool:
+        match change:
+            case ConfigChange():
+                return self._apply_config(change)
+            case TargetChange():
+                return self._apply_target(change, now_ms)
+            case ReplicaChange():
+                return self._apply_replica(change, now_ms)
+
+    def _apply_config(self, change: ConfigChange) -> bool:
+        if change.revision <= self.config_revision:
+            return False
+        if change.config.version <= self.config_version:
+            return False
+        self.config = change.config
+        self.config_revision = change.revision
+        return True
+
+    def _apply_target(self, change: TargetChange, now_ms: clock.Millis) -> bool:
+        known = self.targets.get(change.target.model)
+        if known is not None and change.revision <= known.revision:
+            return False
+        named_ms = None if change.age_ms is None else now_ms - change.age_ms
+        previous = 0 if known is None else known.target.version
+        self.targets[change.target.model] = KnownTarget(
+            change.target, change.revision, named_ms, previous
+        )
+        return True
+
+    def _apply_replica(
+        self, change: ReplicaChange, now_ms: clock.Millis
+    ) -> bool:
+        known = self._replicas.get(change.replica_id)
+        if known is not None and change.revision <= known.revision:
+            return False
+        if change.replica is not None:
+            self._replicas[change.replica_id] = KnownReplica(
+                change.replica, change.revision, change.replica
+            )
+            return True
+        last = None if known is None else known.last
+        item = KnownReplica(None, change.revision, last)
+        if now_ms < self._store_trouble_ms + REPLICA_RETURN_MS and last:
+            item.missing_ms = now_ms
+        else:
+            item.removed_ms = now_ms
+        self._replicas[change.replica_id] = item
+        return True
--- a/src/marlramp/core/manifest.py
+++ b/src/marlramp/core/manifest.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+import hashlib
+
 import blake3
 import msgspec
 
@@ -50,6 +53,11 @@
     return ids.Digest(blake3.blake3(data).hexdigest())
 
 
+def sha256_of(data: bytes) -> ids.Digest:
+    """Returns the SHA-256 digest of `data`, for platforms that publish it."""
+    return ids.Digest(hashlib.sha256(data).hexdigest())
+
+
 def encode(manifest: Manifest) -> bytes:
     """Returns the bytes whose digest names the manifest."""
     return _encoder.encode(manifest)
@@ -89,9 +97,14 @@
 class Whole:
     """Chunks of one manifest held by this VM, checked one by one."""
 
-    def __init__(self, manifest: Manifest) -> None:
-        """Starts with no chunk."""
+    def __init__(
+        self,
+        manifest: Manifest,
+        digest: Callable[[bytes], str] = digest_of,
+    ) -> None:
+        """Starts with no chunk; chunks are checked by their `digest`."""
         self.manifest = manifest
+        self._digest = digest
         self._chunks: dict[int, bytes] = {}
 
     @property
@@ -108,11 +121,15 @@
         """Returns a verified chunk, or None."""
         return self._chunks.get(index)
 
+    def matches(self, index: int, data: bytes) -> bool:
+        """Returns whether `data` is the chunk at `index`."""
+        return self._digest(data) == self.manifest.chunks[index]
+
     def add(self, index: int, data: bytes) -> bool:
         """Keeps a chunk if it is the right one; returns whether it is."""
         if not 0 <= index < len(self.manifest.chunks):
             return False
-        if digest_of(data) != self.manifest.chunks[index]:
+        if not self.matches(index, data):
             return False
         self._chunks[index] = data
         return True
--- a/src/marlramp/core/rendezvous.py
+++ b/src/marlramp/core/rendezvous.py
@@ -24,6 +24,12 @@
     )
 
 
+def fraction(key: str) -> float:
+    """Returns a number from 0 up to 1 that every process computes alike."""
+    digest = blake3.blake3(key.encode()).digest(length=_SCORE_BYTES)
+    return int.from_bytes(digest) / 256.0**_SCORE_BYTES
+
+
 def subset[Node: str](key: str, nodes: Iterable[Node], size: int) -> list[Node]:
     """Returns the first `size` nodes in the order for `key`."""
     return order(key, nodes)[:size]
--- /dev/null
+++ b/src/marlramp/core/replica_table.py
@@ -0,0 +1,247 @@
+"""The replicas of each service as one entry believes them to be.
+
+Three sources meet here: the platform's list (who exists, who is leaving), the
+reports of the agents beside engines (load and weights, fresh), and what this
+entry saw itself on its own requests, which goes before both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import breaker
+from marlramp.core import catalog
+from marlramp.core import fleet
+
+REPORT_FRESH_MS = 1_500.0
+"""An agent's report counts this long; agents report every 500 ms or sooner."""
+
+FAILURES_MAX = 3
+"""Failures in a row that open a replica's breaker."""
+
+BREAKER_OPEN_MS = 1_500.0
+"""How long a failing replica gets no requests, but for one trial."""
+
+BUSY_BACKOFF_MS = 150.0
+"""How long a replica that refused a request for lack of room is spared."""
+
+MISDIRECTED_BACKOFF_MS = 400.0
+"""How long a replica that did not hold the expected weights is spared: two
+of an engine's own reporting lags."""
+
+TIME_SMOOTHING = 0.1
+"""Weight of the newest answer in a replica's smoothed time."""
+
+RUN_DEFAULT_MS = 1_300.0
+"""Expected time of a stream before the first one ended: 18 passes of some
+70 ms."""
+
+FAILURE_SMOOTHING = 0.15
+"""Weight of the newest answer in a replica's share of failures: a replica
+that fails two in five requests stands out after some six answers."""
+
+TIME_DEFAULT_MS = 40.0
+"""Expected time of a plain answer before the first one was seen."""
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an agent reports of the engine on its VM.
+
+    Attributes:
+      address: "host:port" of the engine.
+      weights: version that all layers hold, 0 if none or several.
+      running: requests that have a place.
+      waiting: requests that wait.
+      pace: measured slowness, 1 for none.
+      opens: whether the engine takes new requests; False around a change of
+        weights.
+    """
+
+    address: str
+    weights: int
+    running: int
+    waiting: int
+    pace: float
+    opens: bool
+
+
+class ReplicaView(msgspec.Struct):
+    """What this entry believes of one replica.
+
+    Attributes:
+      replica: its entry in the list.
+      report: the last report of the agent beside it.
+      reported_ms: when that arrived.
+      in_flight: own requests there.
+      unread: prompt tokens of own requests there that brought no event yet.
+      sent_since: own requests sent since the last word on its load.
+      running: requests running there at the last word on its load.
+      waiting: requests waiting there at that time.
+      load_ms: time of the last word on its load.
+      seen_weights: version last seen on an answer, None before.
+      seen_ms: when that was.
+      answer_ms: smoothed time of a plain answer.
+      run_ms: smoothed time from a stream's first event to its end.
+      failure_share: smoothed share of answers that failed.
+      not_before_ms: it gets nothing before this.
+      heard_ms: when any byte of it arrived last.
+      breaker: its circuit breaker.
+    """
+
+    replica: fleet.Replica
+    breaker: breaker.Breaker
+    report: LoadReport | None = None
+    reported_ms: float = float("-inf")
+    in_flight: int = 0
+    unread: int = 0
+    sent_since: int = 0
+    running: int = 0
+    waiting: int = 0
+    load_ms: float = float("-inf")
+    seen_weights: int | None = None
+    seen_ms: float = float("-inf")
+    answer_ms: float = TIME_DEFAULT_MS
+    run_ms: float = RUN_DEFAULT_MS
+    failure_share: float = 0.0
+    not_before_ms: float = float("-inf")
+    heard_ms: float = float("-inf")
+
+    def weights(self, now_ms: clock.Millis) -> int:
+        """Returns the version believed to be loaded, 0 if none is."""
+        report_age_ms = now_ms - self.reported_ms
+        if self.report is not None and report_age_ms < REPORT_FRESH_MS:
+            if self.seen_ms > self.reported_ms:
+                return max(self.report.weights, self.seen_weights or 0)
+            return self.report.weights
+        listed = self.replica.weights or 0
+        return max(listed, self.seen_weights or 0)
+
+    def opens(self, now_ms: clock.Millis) -> bool:
+        """Returns whether it takes new requests as far as is known."""
+        if now_ms < self.not_before_ms:
+            return False
+        fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
+        return self.report is None or not fresh or self.report.opens
+
+    def load(self, now_ms: clock.Millis) -> float:
+        """Returns the requests believed to be there now."""
+        if now_ms - self.load_ms > REPORT_FRESH_MS:
+            return float(self.in_flight)
+        told = self.running + self.waiting + self.sent_since
+        return float(max(self.in_flight, told))
+
+    def note_load(
+        self, running: int, waiting: int, now_ms: clock.Millis
+    ) -> None:
+        """Takes a word on its load that is true now."""
+        self.running = running
+        self.waiting = waiting
+        self.load_ms = now_ms
+        self.sent_since = 0
+
+    def note_sent(self, prompt_tokens: int, now_ms: clock.Millis) -> None:
+        """Counts a request sent there."""
+        self.in_flight += 1
+        self.sent_since += 1
+        self.unread += prompt_tokens
+        self.breaker.record_start(now_ms)
+
+    def note_read(self, prompt_tokens: int) -> None:
+        """Counts a request whose prompt was read, or that ended unread."""
+        self.unread = max(0, self.unread - prompt_tokens)
+
+    def note_ended(self) -> None:
+        """Counts a request that ended there."""
+        self.in_flight -= 1
+
+    def note_answered(self, taken_ms: float) -> None:
+        """Takes the time of a good plain answer."""
+        self.answer_ms += TIME_SMOOTHING * (taken_ms - self.answer_ms)
+
+    def note_run(self, taken_ms: float) -> None:
+        """Takes the time from a stream's first event to its end."""
+        self.run_ms += TIME_SMOOTHING * (taken_ms - self.run_ms)
+
+    def note_good(self) -> None:
+        """Counts a good answer."""
+        self.failure_share -= FAILURE_SMOOTHING * self.failure_share
+        self.breaker.record_success()
+
+    def note_error(self) -> None:
+        """Counts an answer that reports a failure."""
+        self.failure_share += FAILURE_SMOOTHING * (1.0 - self.failure_share)
+
+    def note_broken(self, now_ms: clock.Millis) -> None:
+        """Counts a request that got no whole answer."""
+        self.note_error()
+        self.breaker.record_failure(now_ms)
+
+
+class ReplicaTable:
+    """Replicas by service, kept in step with the catalog."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._views: dict[str, ReplicaView] = {}
+        self._by_service: dict[ids.ServiceId, list[ReplicaView]] = {}
+        self._reports: dict[str, tuple[LoadReport, float]] = {}
+
+    def __iter__(self) -> Iterator[ReplicaView]:
+        """Iterates over all replicas."""
+        return iter(list(self._views.values()))
+
+    def get(self, replica_id: str) -> ReplicaView | None:
+        """Returns one replica."""
+        return self._views.get(replica_id)
+
+    def of(self, service_id: ids.ServiceId) -> list[ReplicaView]:
+        """Returns the replicas of a service, leaving ones too."""
+        return self._by_service.get(service_id, [])
+
+    def sync(self, known: catalog.Catalog, now_ms: clock.Millis) -> list[str]:
+        """Takes over the catalog's replicas.
+
+        Returns:
+          Ids of replicas that are no longer there.
+        """
+        listed = {r.replica_id: r for r in known.replicas()}
+        gone = [key for key in self._views if key not in listed]
+        for replica_id in gone:
+            del self._views[replica_id]
+        for replica_id, replica in listed.items():
+            view = self._views.get(replica_id)
+            if view is None:
+                view = ReplicaView(
+                    replica, breaker.Breaker(FAILURES_MAX, BREAKER_OPEN_MS)
+                )
+                self._views[replica_id] = view
+                self._adopt_report(view, now_ms)
+            view.replica = replica
+        self._by_service = {}
+        for view in self._views.values():
+            service_id = view.replica.service_id
+            self._by_service.setdefault(service_id, []).append(view)
+        return gone
+
+    def report(self, report: LoadReport, now_ms: clock.Millis) -> None:
+        """Takes an agent's report of the engine at an address."""
+        self._reports[report.address] = (report, now_ms)
+        for view in self._views.values():
+            if view.replica.address == report.address:
+                self._take(view, report, now_ms)
+
+    def _adopt_report(self, view: ReplicaView, now_ms: clock.Millis) -> None:
+        held = self._reports.get(view.replica.address)
+        if held is not None and now_ms - held[1] < REPORT_FRESH_MS:
+            self._take(view, held[0], now_ms)
+
+    def _take(
+        self, view: ReplicaView, report: LoadReport, now_ms: clock.Millis
+    ) -> None:
+        view.report = report
+        view.reported_ms = now_ms
+        view.note_load(report.running, report.waiting, now_ms)
--- a/src/marlramp/core/retries.py
+++ b/src/marlramp/core/retries.py
@@ -19,6 +19,7 @@
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_INCOMPLETE = "answer_incomplete"
+    ANSWER_INVALID = "answer_invalid"
     VERSION_CHANGED = "version_changed"
 
 
@@ -30,6 +31,7 @@
     errors.ErrorKind.UPSTREAM_FAILED: RetryReason.UPSTREAM_FAILED,
     errors.ErrorKind.UPSTREAM_LOST: RetryReason.UPSTREAM_LOST,
     errors.ErrorKind.ANSWER_INCOMPLETE: RetryReason.ANSWER_INCOMPLETE,
+    errors.ErrorKind.ANSWER_INVALID: RetryReason.ANSWER_INVALID,
     errors.ErrorKind.VERSION_CHANGED: RetryReason.VERSION_CHANGED,
 }
 
--- /dev/null
+++ b/src/marlramp/core/route_table.py
@@ -0,0 +1,73 @@
+"""Finds the route, the customer and the service of a request."""
+
+from __future__ import annotations
+
+from marlramp import errors
+from marlramp import ids
+from marlramp.core import fleet
+from marlramp.core import rendezvous
+
+_BEARER = "bearer "
+
+
+class RouteTable:
+    """An accepted configuration, indexed for look-ups per request."""
+
+    def __init__(self, config: fleet.FleetConfig) -> None:
+        """Indexes routes by host and customers by key."""
+        self.config = config
+        self.services = {s.service_id: s for s in config.services}
+        self._by_host: dict[str, list[fleet.Route]] = {}
+        for route in config.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+        self._by_key = {
+            key: customer
+            for customer in config.customers or []
+            for key in customer.keys
+        }
+
+    def find(self, host: str, path: str) -> fleet.Route:
+        """Returns the route with the longest prefix of `path` at `host`.
+
+        Raises:
+          CallError: if no route fits.
+        """
+        for route in self._by_host.get(host, []):
+            if path.startswith(route.path_prefix):
+                return route
+        raise errors.CallError(errors.ErrorKind.UNKNOWN_ROUTE)
+
+    def customer(
+        self, route: fleet.Route, authorization: str
+    ) -> fleet.Customer | None:
+        """Returns the customer that holds the key of a request.
+
+        Returns:
+          None for a public route or without customers in the configuration.
+
+        Raises:
+          CallError: if the route needs a key and this is none.
+        """
+        if route.public or self.config.customers is None:
+            return None
+        key = ""
+        if authorization[: len(_BEARER)].lower() == _BEARER:
+            key = authorization[len(_BEARER) :].strip()
+        found = self._by_key.get(key)
+        if found is None:
+            raise errors.CallError(errors.ErrorKind.UNAUTHORIZED)
+        return found
+
+    def service_of(self, route: fleet.Route, request_key: str) -> ids.ServiceId:
+        """Returns the service for a request, by weight and `request_key`."""
+        if len(route.targets) == 1:
+            return route.targets[0].service_id
+        total = sum(target.weight for target in route.targets)
+        point = rendezvous.fraction(request_key) * total
+        for target in route.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service_id
+        return route.targets[-1].service_id
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -153,6 +153,9 @@
         self._origin_not_before_ms = 0.0
         self._new_held: list[int] = sorted(held)
         self._new_seen: list[int] = []
+        self._near: frozenset[str] | None = None
+        self._import_ranks: list[int] = [0] * len(self._group_keys)
+        self._seen_ms: dict[int, float] = {}
 
     @property
     def complete(self) -> bool:
@@ -190,6 +193,19 @@
             for key in self._group_keys
         ]
 
+    def set_near(self, vm_ids: Sequence[ids.VmId]) -> None:
+        """Takes the members of the own region, itself included.
+
+        From then on each chunk is brought into the region by one of them and
+        fetched within it by the others: links between regions are scarce.
+        """
+        near = {*vm_ids, self._vm_id}
+        self._near = frozenset(near)
+        self._import_ranks = [
+            rendezvous.order(f"import\0{key}", near).index(self._vm_id)
+            for key in self._group_keys
+        ]
+
     def peer_holds(
         self, peer_id: ids.VmId, indexes: Sequence[int], seen: Sequence[int]
     ) -> None:
@@ -276,6 +292,9 @@
     def next_actions(self, now_ms: clock.Millis) -> list[Action]:
         """Returns the fetches to start and withdraw now."""
         actions: list[Action] = []
+        if len(self._seen_ms) < len(self._seen):
+            for index in self._seen:
+                self._seen_ms.setdefault(index, now_ms)
         if self.complete:
             return actions
         actions.extend(self._cancel_late(now_ms))
@@ -391,7 +410,7 @@
         ]
         self._rng.shuffle(free)
         for peer_id, peer in free:
-            index = self._rarest(peer)
+            index = self._rarest(peer_id, peer, now_ms)
             if index is None:
                 continue
             peer.in_flight[index] = now_ms
@@ -399,14 +418,24 @@
             actions.append(FetchFromPeer(peer_id, index))
         return actions
 
-    def _rarest(self, peer: Peer) -> int | None:
+    def _rarest(
+        self, peer_id: ids.VmId, peer: Peer, now_ms: clock.Millis
+    ) -> int | None:
         wanted = (peer.held & self._needed) - self._fetching
+        if self._near is not None and peer_id not in self._near:
+            wanted = {i for i in wanted if self._may_import(i, now_ms)}
         if not wanted:
             return None
         fewest = min(self._holders[index] for index in wanted)
         rarest = [i for i in wanted if self._holders[i] == fewest]
         return self._rng.choice(rarest)
 
+    def _may_import(self, index: int, now_ms: clock.Millis) -> bool:
+        """Returns whether a chunk may be fetched from another region."""
+        rank = self._import_ranks[index % len(self._group_keys)]
+        seen_ms = self._seen_ms.get(index, self._started_ms)
+        return now_ms - seen_ms >= rank * self._policy.takeover_ms
+
 
 def choose_neighbours(
     vm_id: ids.VmId,
--- /dev/null
+++ b/src/marlramp/core/upstream_choice.py
@@ -0,0 +1,110 @@
+"""Choice of the replica for one request on the direct path."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Sequence
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import engine_load
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import routing
+
+FAILURE_WEIGHT = 4.0
+"""How much a share of failures lengthens the predicted time."""
+
+REMOTE_PENALTY_MS = 15.0
+"""Advantage of a replica in the own region: the way there and back takes
+5.6 ms longer from another region, and bytes between regions are scarce."""
+
+
+class Wanted(msgspec.Struct, frozen=True, kw_only=True):
+    """What a request needs of a replica.
+
+    Attributes:
+      engine: the service's engine, None for a plain service.
+      prompt_tokens: tokens of the prompt.
+      oldest_weights: oldest version that the request may begin on.
+      failed: ids of replicas that this request already failed at.
+    """
+
+    engine: fleet.EngineSpec | None
+    prompt_tokens: int
+    oldest_weights: int
+    failed: Collection[str]
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A replica and when it is predicted to answer, in milliseconds."""
+
+    view: replica_table.ReplicaView
+    predicted_ms: float
+
+
+def usable(
+    view: replica_table.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> bool:
+    """Returns whether a replica may get the request at all."""
+    if view.replica.state is not fleet.ReplicaState.HEALTHY:
+        return False
+    if wanted.engine is not None:
+        weights = view.weights(now_ms)
+        if weights == 0 or weights < wanted.oldest_weights:
+            return False
+    return view.opens(now_ms)
+
+
+def predicted_ms(
+    view: replica_table.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> float:
+    """Returns the predicted time to the answer or its first event."""
+    load = view.load(now_ms)
+    if wanted.engine is None:
+        ahead = max(0.0, load + 1 - view.replica.slots)
+        return view.answer_ms * (1.0 + ahead / max(1, view.replica.slots))
+    slots = wanted.engine.batch
+    believed = engine_load.EngineLoad(
+        running=min(load, slots),
+        waiting=max(0.0, load - slots),
+        unread_tokens=view.unread,
+        pace=1.0 if view.report is None else max(1.0, view.report.pace),
+    )
+    return engine_load.first_token_ms(
+        wanted.engine, believed, wanted.prompt_tokens, view.run_ms
+    )
+
+
+def rank(
+    views: Sequence[replica_table.ReplicaView],
+    wanted: Wanted,
+    is_near: Collection[str],
+    now_ms: clock.Millis,
+) -> list[Choice]:
+    """Returns the replicas that may get the request, the best first.
+
+    Breakers are ignored when they exclude most replicas: then something else
+    is wrong than the replicas.
+
+    Args:
+      views: replicas of the service.
+      wanted: what the request needs.
+      is_near: data centres of the entry's own region.
+      now_ms: the time.
+    """
+    able = [view for view in views if usable(view, wanted, now_ms)]
+    allowed = [view for view in able if view.breaker.allows(now_ms)]
+    if routing.panics(len(allowed), len(able)):
+        allowed = able
+    fresh = [v for v in allowed if v.replica.replica_id not in wanted.failed]
+    choices = []
+    for view in fresh:
+        time_ms = predicted_ms(view, wanted, now_ms)
+        near = view.replica.data_centre in is_near
+        cost_ms = time_ms * (1.0 + FAILURE_WEIGHT * view.failure_share)
+        cost_ms += 0.0 if near else REMOTE_PENALTY_MS
+        choices.append((cost_ms, view.replica.replica_id, view, time_ms))
+    choices.sort(key=lambda choice: choice[:2])
+    return [Choice(view, time_ms) for _, _, view, time_ms in choices]
--- /dev/null
+++ b/src/marlramp/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The direct path: entries send requests straight to the replicas."""
--- /dev/null
+++ b/src/marlramp/direct/agent_daemon.py
@@ -0,0 +1,329 @@
+"""The agent on the direct path: one process beside each model engine.
+
+It keeps the engine at the named weights and tells the entries how loaded the
+engine is. Requests do not pass through it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp import logs
+from marlramp.core import catalog
+from marlramp.core import engine_state
+from marlramp.core import lifecycle
+from marlramp.core import members
+from marlramp.core import replica_table
+from marlramp.core import swap_times
+from marlramp.direct import member_sync
+from marlramp.direct import piece_exchange
+from marlramp.direct import weights_loader
+from marlramp.platform import clients
+from marlramp.platform import replica_api
+from marlramp.platform import store
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from marlramp.protocol import messages
+from marlramp.settings import node
+from marlramp.shell import http
+from marlramp.shell import links
+from marlramp.shell import member_links
+from marlramp.shell import safely
+
+TICK_MS = 100.0
+REPORT_POLL_MS = 60.0
+"""Between two reports read from the engine: free on the own VM."""
+
+TELL_MS = 150.0
+"""Least time between two reports to the entries while only the load changes."""
+
+TELL_ALWAYS_MS = 500.0
+"""Longest time between two reports: a third of the time that one counts."""
+
+UNGUIDED_READ_MS = 3_000.0
+"""An agent that no entry guides reads the store itself this often."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class AgentDaemon:
+    """Wires the agent's parts together."""
+
+    def __init__(self, settings: node.NodeSettings) -> None:
+        """Creates the parts that need no event loop.
+
+        Raises:
+          ValueError: if the settings name no replica.
+        """
+        if settings.replica is None:
+            raise ValueError("an agent needs the address of its replica")
+        self._settings = settings
+        self._replica = settings.replica
+        self._clock = clock.SystemClock()
+        self._totals = counters.Counters()
+        self._lifecycle = lifecycle.Lifecycle()
+        self._stopping = asyncio.Event()
+        self._own = members.Member(
+            vm_id=settings.vm_id,
+            kind=members.MemberKind.AGENT,
+            data_centre=settings.data_centre,
+            host=settings.host,
+            port=settings.own_ports[0],
+        )
+        self._sync = member_sync.MemberSync(
+            self._own, settings.seeds, self._clock, lambda _: None
+        )
+        self._exchange = piece_exchange.PieceExchange(
+            self._own, settings.link_bytes_per_s, self._totals, self._clock
+        )
+        self._targets = catalog.Catalog()
+        self._guided_ms = float("-inf")
+        self._origin = ""
+        self._model = ""
+        self._reached: bool | None = None
+        self._report: engine_state.EngineReport | None = None
+        self._told: replica_table.LoadReport | None = None
+        self._told_ms = float("-inf")
+
+    def drain(self, reason: str) -> None:
+        """Stops; the engine goes on serving without its agent."""
+        if self._lifecycle.phase is lifecycle.Phase.DRAINING:
+            return
+        logs.log("draining", reason=reason)
+        self._lifecycle.drain()
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Runs until drained."""
+        context = links.LinkContext(None, self._totals)
+        self._client = http.HttpClient()
+        self._engine = replica_api.ReplicaApi(self._client, self._replica)
+        self._store = store.StoreClient(self._client, self._settings.store)
+        self._build_links(context)
+        self._loader = weights_loader.WeightsLoader(
+            self,
+            self._engine,
+            self._exchange,
+            self._tell_now,
+            self._totals,
+            self._clock,
+        )
+        logs.log("agent_started", replica=self._replica)
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self._entry_links.run()),
+                group.create_task(self._peer_links.run()),
+                group.create_task(self._exchange.run()),
+                group.create_task(self._watch_engine()),
+                group.create_task(self._tick_all()),
+                group.create_task(self._loader.run()),
+                group.create_task(self._read_unguided()),
+            ]
+            await self._stopping.wait()
+            for task in tasks:
+                task.cancel()
+        self._lifecycle.stop()
+        context.close()
+        logs.log("agent_stopped")
+
+    def _build_links(self, context: links.LinkContext) -> None:
+        host = self._settings.host
+        first, last = self._settings.own_ports
+        peers = links.Listener(context, host, first, messages.MESSAGE_BYTES_MAX)
+        # Entries answer on the links that the agent opens; nothing connects
+        # to this listener, but it completes the pair that links consist of.
+        entries = links.Listener(context, host, last, messages.BODY_BYTES_MAX)
+        link_id = links.LinkId(self._settings.vm_id, ids.new_incarnation())
+        self._entry_links = member_links.MemberLinks(
+            context,
+            entries,
+            link_id,
+            codec.member_decoder(),
+            self._on_entry_message,
+            self._totals,
+            self._clock,
+        )
+        self._peer_links = member_links.MemberLinks(
+            context,
+            peers,
+            link_id,
+            codec.agent_peer_decoder(),
+            self._exchange.on_message,
+            self._totals,
+            self._clock,
+        )
+        self._sync.attach(self._entry_links)
+        self._exchange.attach(self._peer_links)
+
+    # What the loader asks for.
+
+    def wanted(self) -> piece_exchange.Wanted | None:
+        """Returns the weights to serve, None if they are not known."""
+        target = self._targets.targets.get(self._model)
+        if target is None:
+            return None
+        return piece_exchange.Wanted(self._model, target.target.version)
+
+    def report(self) -> engine_state.EngineReport | None:
+        """Returns the engine's last report, None while it is away."""
+        return self._report
+
+    async def read_report(self) -> engine_state.EngineReport | None:
+        """Reads a fresh report from the engine."""
+        try:
+            report = await self._engine.report()
+        except clients.PlatformError as error:
+            if self._reached is not False:
+                logs.log("engine_lost", detail=error)
+            self._reached = False
+            self._report = None
+            return None
+        if not self._reached:
+            logs.log("engine_reached", weights=report.weights)
+        self._reached = True
+        changed = self._report is None or (
+            self._report.weights != report.weights
+        )
+        self._report = report
+        if changed:
+            self._tell_now()
+        return report
+
+    def plan(self, wanted: piece_exchange.Wanted) -> swap_times.SwapPlan:
+        """Returns when the engine may load."""
+        now_ms = self._clock.now_ms()
+        target = self._targets.targets.get(wanted.model)
+        return swap_times.plan(
+            self._own.vm_id,
+            [peer.vm_id for peer in self._peers().values()],
+            wanted.name,
+            None if target is None else target.named_ms,
+            self._settings.bounds.version_ms,
+            now_ms,
+        )
+
+    # Messages.
+
+    def _on_entry_message(
+        self, name: str, message: fleet_messages.FromMember
+    ) -> None:
+        if self._sync.on_message(name, message):
+            self._place_peers()
+            return
+        match message:
+            case fleet_messages.Guide():
+                self._on_guide(message)
+
+    def _on_guide(self, guide: fleet_messages.Guide) -> None:
+        now_ms = self._clock.now_ms()
+        self._guided_ms = now_ms
+        self._take_targets(list(guide.targets))
+        self._take_origin(guide.origin)
+        if guide.engine is not None:
+            self._model = guide.engine.model
+
+    def _take_targets(self, changes: list[catalog.Change]) -> None:
+        now_ms = self._clock.now_ms()
+        for change in self._targets.apply(changes, now_ms):
+            if isinstance(change, catalog.TargetChange):
+                logs.log(
+                    "weights_named",
+                    model=change.target.model,
+                    version=change.target.version,
+                    revision=change.revision,
+                    age_ms=change.age_ms,
+                )
+
+    def _take_origin(self, origin: str) -> None:
+        if origin and origin != self._origin:
+            self._origin = origin
+            self._exchange.set_origin(
+                replica_api.OriginApi(self._client, origin)
+            )
+
+    def _peers(self) -> dict[str, members.Member]:
+        return {
+            known.member.vm_id: known.member
+            for known in self._sync.members.known()
+            if known.member.kind is members.MemberKind.AGENT
+        }
+
+    def _place_peers(self) -> None:
+        peers = self._peers()
+        regions = self._settings.regions
+        near = {
+            name
+            for name, peer in peers.items()
+            if regions.get(peer.data_centre) == self._settings.region
+        }
+        self._exchange.set_peers(peers, near)
+
+    # Regular work.
+
+    async def _watch_engine(self) -> None:
+        while True:
+            await self.read_report()
+            self._tell_if_due()
+            await asyncio.sleep(REPORT_POLL_MS / _MS)
+
+    def _tell_if_due(self) -> None:
+        report = self._load_report()
+        since_ms = self._clock.now_ms() - self._told_ms
+        changed = report != self._told
+        if since_ms >= TELL_ALWAYS_MS or (changed and since_ms >= TELL_MS):
+            self._tell_now()
+
+    def _tell_now(self) -> None:
+        """Tells all entries, also that there is no engine to report of."""
+        report = self._load_report()
+        self._told = report
+        self._told_ms = self._clock.now_ms()
+        self._sync.broadcast(
+            members.MemberKind.ENTRY, fleet_messages.EngineNews(report=report)
+        )
+
+    def _load_report(self) -> replica_table.LoadReport | None:
+        report = self._report
+        if report is None:
+            return None
+        loading = self._loader.state is weights_loader.LoaderState.LOADING
+        return replica_table.LoadReport(
+            address=str(self._replica),
+            weights=report.weights,
+            running=report.running,
+            waiting=report.waiting,
+            pace=report.pace,
+            opens=not loading and not report.busy,
+        )
+
+    async def _tick_all(self) -> None:
+        while True:
+            safely.run_safely(self._sync.tick, "agent_tick", self._totals)
+            await asyncio.sleep(TICK_MS / _MS)
+
+    async def _read_unguided(self) -> None:
+        """Learns from the store what no entry tells."""
+        while True:
+            await asyncio.sleep(UNGUIDED_READ_MS / _MS)
+            now_ms = self._clock.now_ms()
+            if self._sync.members.alive(members.MemberKind.ENTRY, now_ms):
+                continue
+            try:
+                snapshot = await self._store.read_all()
+            except clients.PlatformError as error:
+                logs.log("store_unavailable", detail=error)
+                continue
+            self._targets.take_snapshot(snapshot, now_ms)
+            self._learn_from_config()
+
+    def _learn_from_config(self) -> None:
+        config = self._targets.config
+        if config is None:
+            return
+        for service in config.services:
+            self._take_origin(service.origin)
+            if service.engine is not None:
+                self._model = service.engine.model
--- /dev/null
+++ b/src/marlramp/direct/entry_daemon.py
@@ -0,0 +1,470 @@
+"""The entry on the direct path: one process on each entry VM."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import errors
+from marlramp import ids
+from marlramp import logs
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import lifecycle
+from marlramp.core import members
+from marlramp.core import rendezvous
+from marlramp.core import replica_table
+from marlramp.core import route_table
+from marlramp.direct import catalog_news
+from marlramp.direct import forwarder
+from marlramp.direct import http_side
+from marlramp.direct import member_sync
+from marlramp.direct import metrics
+from marlramp.direct import store_reader
+from marlramp.platform import headers
+from marlramp.platform import lookup_app
+from marlramp.platform import store
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from marlramp.protocol import messages
+from marlramp.settings import node
+from marlramp.shell import http
+from marlramp.shell import http1_server
+from marlramp.shell import links
+from marlramp.shell import member_links
+from marlramp.shell import safely
+
+TICK_MS = 100.0
+HEARTBEAT_MS = 400.0
+"""A quarter of the time after which a silent member is taken as down."""
+
+READERS = 2
+"""Entries that watch the store: one more than is needed, so that the death of
+one delays nothing."""
+
+READER_HEARD_MS = 1_100.0
+READER_STORE_AGE_MS = 2_200.0
+"""A reader counts as working if it was heard this lately and the store
+answered it this lately: two waits of a watch."""
+
+REQUEST_NEWS_MS = 500.0
+"""Between two requests for changes that were missed."""
+
+LOOKUP_TTL_MS = 2_000.0
+"""How long callers keep addresses: short, so that they leave a VM that went
+down; each caller asks again that often."""
+
+LEAVE_ACCEPT_MS = 4_500.0
+"""After SIGTERM requests are taken this long: callers may keep an address for
+twice its lifetime, and what is taken must end before the process does."""
+
+LEAVE_IDLE_CLOSE_MS = 3_500.0
+LEAVE_MARGIN_MS = 700.0
+"""The process ends this long before it would be killed."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class EntryDaemon:
+    """Wires the entry's parts together."""
+
+    def __init__(self, settings: node.NodeSettings) -> None:
+        """Creates the parts that need no event loop.
+
+        Raises:
+          ValueError: if the settings are not those of an entry.
+        """
+        if settings.entry is None:
+            raise ValueError("an entry needs its addresses")
+        self._settings = settings
+        self._addresses = settings.entry
+        self._clock = clock.SystemClock()
+        self._totals = counters.Counters()
+        self._lifecycle = lifecycle.Lifecycle()
+        self._stopping = asyncio.Event()
+        self._catalog = catalog.Catalog()
+        self._table = replica_table.ReplicaTable()
+        self._routes: route_table.RouteTable | None = None
+        self._own = members.Member(
+            vm_id=settings.vm_id,
+            kind=members.MemberKind.ENTRY,
+            data_centre=settings.data_centre,
+            host=self._addresses.control.host,
+            port=self._addresses.control.port,
+            callers=str(self._addresses.callers),
+        )
+        self._sync = member_sync.MemberSync(
+            self._own, settings.seeds, self._clock, self._on_member
+        )
+        self._metrics = metrics.Metrics(self._totals)
+        self._forwarder = forwarder.Forwarder(
+            self,
+            self._catalog,
+            self._table,
+            headers.PlatformCallCodec(),
+            settings,
+            self._totals,
+            self._clock,
+        )
+        self._callers = http1_server.CallerServer(
+            self._forwarder.handle, self, self._clock
+        )
+        self._heartbeat_ms = float("-inf")
+        self._requested_ms = float("-inf")
+        self._left_ms: float | None = None
+
+    def drain(self, reason: str) -> None:
+        """Leaves the addresses, finishes what runs, then stops."""
+        if self._lifecycle.phase is lifecycle.Phase.DRAINING:
+            return
+        logs.log("draining", reason=reason)
+        self._lifecycle.drain()
+        self._left_ms = self._clock.now_ms()
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Runs until drained."""
+        context = links.LinkContext(None, self._totals)
+        self._build_shell(context)
+        logs.log("entry_started", callers=self._addresses.callers)
+        async with asyncio.TaskGroup() as group:
+            side = http_side.HttpSide(
+                lookup_app.build(
+                    self._lookup,
+                    min(LOOKUP_TTL_MS, self._settings.bounds.lookup_ttl_max_ms)
+                    / _MS,
+                    self._is_ready,
+                    self._metrics.text,
+                ),
+                [self._addresses.lookup, self._addresses.ready],
+            )
+            served = group.create_task(side.run())
+            await self._callers.start(
+                self._addresses.callers.host, self._addresses.callers.port
+            )
+            tasks = [
+                group.create_task(self._links.run()),
+                group.create_task(self._reader.run()),
+                group.create_task(self._tick_all()),
+            ]
+            await self._stopping.wait()
+            await self._leave()
+            side.stop()
+            await served
+            for task in tasks:
+                task.cancel()
+        self._lifecycle.stop()
+        context.close()
+        logs.log("entry_stopped")
+
+    def _build_shell(self, context: links.LinkContext) -> None:
+        control = self._addresses.control
+        listener = links.Listener(
+            context, control.host, control.port, messages.MESSAGE_BYTES_MAX
+        )
+        incarnation = ids.new_incarnation()
+        self._links = member_links.MemberLinks(
+            context,
+            listener,
+            links.LinkId(self._settings.vm_id, incarnation),
+            codec.member_decoder(),
+            self._on_message,
+            self._totals,
+            self._clock,
+        )
+        self._sync.attach(self._links)
+        self._client = http.HttpClient()
+        self._reader = store_reader.StoreReader(
+            store.StoreClient(self._client, self._settings.store),
+            self._catalog,
+            self._is_reader,
+            self._publish,
+            self._totals,
+            self._clock,
+        )
+
+    async def _leave(self) -> None:
+        """Lets callers go elsewhere and finishes their requests."""
+        start_ms = self._clock.now_ms()
+        end_ms = start_ms + self._settings.bounds.grace_ms - LEAVE_MARGIN_MS
+        self._heartbeat()
+        while self._clock.now_ms() < end_ms:
+            now_ms = self._clock.now_ms()
+            if now_ms - start_ms > LEAVE_IDLE_CLOSE_MS:
+                self._callers.close_idle()
+            if self.refuses() and not self._callers.busy:
+                break
+            await asyncio.sleep(TICK_MS / _MS)
+        self._callers.stop_listening()
+        self._callers.close_idle()
+
+    # What the forwarder and the caller server ask for.
+
+    @property
+    def routes(self) -> route_table.RouteTable | None:
+        """The configuration in force, None before the first."""
+        return self._routes
+
+    @property
+    def entries(self) -> int:
+        """The most entries known lately."""
+        return self._sync.members.count(members.MemberKind.ENTRY)
+
+    def refuses(self) -> bool:
+        """Whether this entry takes no new requests."""
+        return (
+            self._left_ms is not None
+            and self._clock.now_ms() - self._left_ms > LEAVE_ACCEPT_MS
+        )
+
+    @property
+    def closing(self) -> bool:
+        """Whether connections are closed after their answer."""
+        return self._left_ms is not None
+
+    def limits(self) -> fleet.CallerLimits:
+        """Returns the bounds on callers in force."""
+        if self._catalog.config is None:
+            return fleet.CallerLimits()
+        return self._catalog.config.limits
+
+    def refused(self, error: errors.CallError) -> None:
+        """Counts and logs a request that could not be read."""
+        self._totals.add(counters.CounterName.REFUSALS, error.kind.value)
+        logs.log("request_unreadable", kind=error.kind.value)
+
+    # Addresses.
+
+    def _is_ready(self) -> bool:
+        return self._state() is members.MemberState.READY
+
+    def _state(self) -> members.MemberState:
+        if self._left_ms is not None:
+            return members.MemberState.LEAVING
+        if self._routes is None:
+            return members.MemberState.STARTING
+        return members.MemberState.READY
+
+    def _lookup(self) -> list[str]:
+        """Returns the entries that take callers, else this one."""
+        now_ms = self._clock.now_ms()
+        found = [
+            known.member.callers
+            for known in self._sync.members.alive(
+                members.MemberKind.ENTRY, now_ms
+            )
+            if known.pulse is not None
+            and known.pulse.state is members.MemberState.READY
+        ]
+        if self._is_ready() or not found:
+            found.append(self._own.callers)
+        return sorted(found)
+
+    # Who reads the store, and what is told of it.
+
+    def _is_reader(self) -> bool:
+        now_ms = self._clock.now_ms()
+        if self._lifecycle.phase is lifecycle.Phase.DRAINING:
+            return False
+        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
+        staying = [
+            known
+            for known in alive
+            if known.pulse is None
+            or known.pulse.state is not members.MemberState.LEAVING
+        ]
+        names = [known.member.vm_id for known in staying]
+        names.append(self._own.vm_id)
+        if self._own.vm_id in rendezvous.subset("store", names, READERS):
+            return True
+        return not any(self._reads_well(known, now_ms) for known in staying)
+
+    def _reads_well(
+        self, known: members.KnownMember, now_ms: clock.Millis
+    ) -> bool:
+        pulse = known.pulse
+        return (
+            pulse is not None
+            and pulse.reads_store
+            and pulse.store_age_ms is not None
+            and pulse.store_age_ms < READER_STORE_AGE_MS
+            and now_ms - known.heard_ms < READER_HEARD_MS
+        )
+
+    def _publish(self, after: int, changes: list[catalog.Change]) -> None:
+        """Applies changes read from the store and tells the others."""
+        self._changed(changes, "store")
+        news = fleet_messages.CatalogNews(
+            after=after,
+            revision=self._catalog.revision,
+            changes=catalog_news.pack(changes),
+        )
+        self._sync.broadcast(members.MemberKind.ENTRY, news)
+
+    def _changed(self, changes: list[catalog.Change], source: str) -> None:
+        now_ms = self._clock.now_ms()
+        for change in changes:
+            self._log_change(change, source)
+        self._forwarder.forget(self._table.sync(self._catalog, now_ms))
+        configured = any(isinstance(c, catalog.ConfigChange) for c in changes)
+        if configured and self._catalog.config is not None:
+            self._routes = route_table.RouteTable(self._catalog.config)
+            self._lifecycle.serve()
+        named = any(isinstance(c, catalog.TargetChange) for c in changes)
+        if configured or named:
+            self._guide_all()
+
+    def _log_change(self, change: catalog.Change, source: str) -> None:
+        match change:
+            case catalog.ConfigChange():
+                logs.log(
+                    "config_applied",
+                    version=change.config.version,
+                    revision=change.revision,
+                    source=source,
+                )
+            case catalog.TargetChange():
+                logs.log(
+                    "weights_named",
+                    model=change.target.model,
+                    version=change.target.version,
+                    revision=change.revision,
+                    age_ms=change.age_ms,
+                    source=source,
+                )
+            case catalog.ReplicaChange():
+                replica = change.replica
+                logs.log(
+                    "replica_changed",
+                    replica=change.replica_id,
+                    revision=change.revision,
+                    state="removed" if replica is None else replica.state.value,
+                    weights=None if replica is None else replica.weights,
+                    source=source,
+                )
+
+    # Messages.
+
+    def _on_message(
+        self, name: str, message: fleet_messages.FromMember
+    ) -> None:
+        if self._sync.on_message(name, message):
+            return
+        match message:
+            case fleet_messages.Heartbeat():
+                self._on_heartbeat(name, message)
+            case fleet_messages.CatalogNews():
+                self._on_news(name, message)
+            case fleet_messages.CatalogRequest():
+                self._tell(name, message.after)
+            case fleet_messages.EngineNews():
+                if message.report is not None:
+                    self._table.report(message.report, self._clock.now_ms())
+
+    def _on_member(self, member: members.Member) -> None:
+        if member.kind is members.MemberKind.AGENT:
+            self._guide(member.vm_id)
+        else:
+            self._send_heartbeat(member.vm_id)
+
+    def _on_heartbeat(
+        self, name: str, message: fleet_messages.Heartbeat
+    ) -> None:
+        behind = message.pulse.revision > self._catalog.revision
+        if behind and not self._reader.reading:
+            self._request_news(name)
+
+    def _request_news(self, name: str) -> None:
+        now_ms = self._clock.now_ms()
+        first = self._catalog.revision == 0
+        if not first and now_ms - self._requested_ms < REQUEST_NEWS_MS:
+            return
+        self._requested_ms = now_ms
+        after = self._catalog.revision
+        self._sync.send(name, fleet_messages.CatalogRequest(after=after))
+
+    def _on_news(self, name: str, news: fleet_messages.CatalogNews) -> None:
+        now_ms = self._clock.now_ms()
+        before = self._catalog.revision
+        new = self._catalog.apply(catalog_news.unpack(news.changes), now_ms)
+        if news.after <= before:
+            self._catalog.advance(news.revision)
+        else:
+            self._request_news(name)
+        if new:
+            self._changed(new, name)
+
+    def _tell(self, name: str, after: int) -> None:
+        changes = self._catalog.changes_after(after, self._clock.now_ms())
+        news = fleet_messages.CatalogNews(
+            after=after,
+            revision=self._catalog.revision,
+            changes=catalog_news.pack(changes),
+        )
+        self._sync.send(name, news)
+
+    # What agents need.
+
+    def _guide_all(self) -> None:
+        now_ms = self._clock.now_ms()
+        for known in self._sync.members.alive(members.MemberKind.AGENT, now_ms):
+            self._guide(known.member.vm_id)
+
+    def _guide(self, vm_id: str) -> None:
+        config = self._catalog.config
+        if config is None:
+            return
+        engines = [s.engine for s in config.services if s.engine is not None]
+        origins = [s.origin for s in config.services if s.origin]
+        now_ms = self._clock.now_ms()
+        targets = [
+            change
+            for change in self._catalog.changes_after(0, now_ms)
+            if isinstance(change, catalog.TargetChange)
+        ]
+        guide = fleet_messages.Guide(
+            targets=targets,
+            engine=engines[0] if engines else None,
+            origin=origins[0] if origins else "",
+            revision=self._catalog.config_revision,
+        )
+        self._sync.send(vm_id, guide)
+
+    # Regular work.
+
+    async def _tick_all(self) -> None:
+        while True:
+            safely.run_safely(self._tick, "entry_tick", self._totals)
+            await asyncio.sleep(TICK_MS / _MS)
+
+    def _tick(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._sync.tick()
+        gone = self._catalog.tick(now_ms)
+        for replica_id in gone:
+            logs.log("replica_gone", replica=replica_id)
+        if gone:
+            self._forwarder.forget(self._table.sync(self._catalog, now_ms))
+        self._forwarder.tick()
+        if now_ms - self._heartbeat_ms >= HEARTBEAT_MS:
+            self._heartbeat()
+
+    def _heartbeat(self) -> None:
+        self._heartbeat_ms = self._clock.now_ms()
+        message = self._pulse()
+        for kind in members.MemberKind:
+            self._sync.broadcast(kind, message)
+
+    def _send_heartbeat(self, vm_id: str) -> None:
+        self._sync.send(vm_id, self._pulse())
+
+    def _pulse(self) -> fleet_messages.Heartbeat:
+        return fleet_messages.Heartbeat(
+            pulse=members.Pulse(
+                state=self._state(),
+                revision=self._catalog.revision,
+                store_age_ms=self._reader.age_ms,
+                reads_store=self._reader.reading,
+            )
+        )
--- /dev/null
+++ b/src/marlramp/direct/own_answers.py
@@ -0,0 +1,49 @@
+"""Answers of the system's own: failures, by the table of error kinds."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import clock
+from marlramp import errors
+from marlramp.shell import http1_server
+
+_CONTENT_TYPE = (b"content-type", b"application/json")
+
+
+class _Body(msgspec.Struct):
+    error: str
+    detail: str
+    ran: str
+    request_id: str
+
+
+def status_of(failure: errors.CallError) -> int:
+    """Returns the status for a failure.
+
+    A status that promises that nothing ran is given only where that is
+    proven.
+    """
+    status = failure.status
+    if status in (429, 503) and failure.ran is not errors.Ran.NO:
+        return 502
+    if status in (502, 504) and failure.ran is errors.Ran.NO:
+        return 503
+    return status
+
+
+def give(
+    responder: http1_server.Responder,
+    failure: errors.CallError,
+    request_id: str,
+) -> None:
+    """Answers a request with a failure."""
+    status = status_of(failure)
+    headers = [_CONTENT_TYPE]
+    if status in (429, 503) and failure.retry_after_ms is not None:
+        seconds = failure.retry_after_ms / clock.MILLIS_PER_SECOND
+        headers.append((b"retry-after", b"%.3f" % seconds))
+    body = _Body(
+        failure.kind.value, failure.detail, failure.ran.value, request_id
+    )
+    responder.answer(status, headers, msgspec.json.encode(body))
--- /dev/null
+++ b/src/marlramp/direct/piece_exchange.py
@@ -0,0 +1,526 @@
+"""Fetches and shares the pieces of weights between agents.
+
+`core.swarm` decides which piece comes from where. Here pieces travel in
+fragments, each asked for by the receiver: a whole piece at once would hold
+the link of a VM for 70 ms, in the way of the events of live requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+from typing import Protocol
+
+import msgspec
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp import logs
+from marlramp.core import manifest
+from marlramp.core import members
+from marlramp.core import pacing
+from marlramp.core import swarm
+from marlramp.platform import clients
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from marlramp.protocol import messages
+from marlramp.shell import member_links
+from marlramp.shell import safely
+
+FRAGMENT_BYTES = 4_096
+"""8.6 ms of a link of 3.8 Mbit/s."""
+
+LINK_SHARE = 0.86
+"""Part of the link that pieces may take beside live requests: more delays
+events, less brings new weights too late."""
+
+TICK_MS = 25.0
+ANNOUNCE_MS = 80.0
+"""Pieces newly held are announced together at most this often."""
+
+KEEPALIVE_MS = 500.0
+PEER_TIMEOUT_MS = 2_000.0
+TAKEOVER_MS = 700.0
+"""Wait per rank before another agent draws a piece from the origin or brings
+it into its region: ten times what one piece takes on an agent's link."""
+
+NEIGHBOURS = 16
+"""Agents that one is linked to, counting links opened from either side."""
+
+WHOLES_KEPT = 2
+MANIFEST_RETRY_MS = 200.0
+UPLOADS_MAX = 64
+"""Fragments waiting to be sent; beyond that a neighbour asks elsewhere."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Origin(Protocol):
+    """The origin of weights."""
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        """Returns the digests of a version's pieces."""
+        ...
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        """Returns a piece, not verified."""
+        ...
+
+
+class Wanted(msgspec.Struct, frozen=True):
+    """One version of one model."""
+
+    model: str
+    version: int
+
+    @property
+    def name(self) -> str:
+        """Name that agents use among themselves."""
+        return f"{self.model}@{self.version}"
+
+
+class _Upload(msgspec.Struct, frozen=True):
+    peer: str
+    request: fleet_messages.FragmentRequest
+
+
+class _Download(msgspec.Struct):
+    """A piece on its way from a neighbour."""
+
+    peer: str
+    data: bytearray
+
+
+class PieceExchange:
+    """This VM's part in distributing weights."""
+
+    def __init__(
+        self,
+        own: members.Member,
+        link_bytes_per_s: float,
+        totals: counters.Counters,
+        time: clock.Clock,
+    ) -> None:
+        """Holds nothing; fetches once told what is wanted."""
+        self._own = own
+        self._totals = totals
+        self._clock = time
+        self._rng = random.Random()
+        rate = link_bytes_per_s * LINK_SHARE
+        self._up = pacing.Pacer(rate)
+        self._down = pacing.Pacer(rate)
+        self._links: (
+            member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
+        ) = None
+        self._origin: Origin | None = None
+        self._wholes: collections.OrderedDict[str, manifest.Whole] = (
+            collections.OrderedDict()
+        )
+        self._wanted: Wanted | None = None
+        self._swarm: swarm.Swarm | None = None
+        self._peers: dict[str, members.Member] = {}
+        self._near: set[str] = set()
+        self._heard_ms: dict[str, float] = {}
+        self._downloads: dict[int, _Download] = {}
+        self._uploads: collections.deque[_Upload] = collections.deque()
+        self._upload_ready = asyncio.Event()
+        self._wake = asyncio.Event()
+        self.changed = asyncio.Event()
+        self._background: set[asyncio.Task[None]] = set()
+        self._announced_ms = 0.0
+
+    def attach(
+        self, links: member_links.MemberLinks[fleet_messages.FromAgentPeer]
+    ) -> None:
+        """Takes the links to other agents."""
+        self._links = links
+
+    def set_origin(self, origin: Origin | None) -> None:
+        """Takes the origin to draw from."""
+        self._origin = origin
+
+    def set_peers(
+        self, peers: dict[str, members.Member], near: set[str]
+    ) -> None:
+        """Takes the other agents and which are in the own region."""
+        if peers == self._peers and near == self._near:
+            return
+        self._peers = peers
+        self._near = near
+        self._link_peers()
+        self._place_in_swarm()
+
+    def whole(self, wanted: Wanted) -> manifest.Whole | None:
+        """Returns the pieces held of a version, None if it is unknown."""
+        return self._wholes.get(wanted.name)
+
+    def add(self, wanted: Wanted, index: int, data: bytes) -> bool:
+        """Takes a piece that was found on this VM; returns if it is right."""
+        whole = self._wholes.get(wanted.name)
+        if whole is None or not whole.add(index, data):
+            return False
+        current = self._current(wanted.name)
+        if current is not None:
+            now_ms = self._clock.now_ms()
+            current.received(index, None, valid=True, now_ms=now_ms)
+            self._wake.set()
+        return True
+
+    async def find_manifest(self, wanted: Wanted) -> manifest.Whole:
+        """Learns the digests of a version from the origin or neighbours."""
+        while wanted.name not in self._wholes:
+            await self._ask_manifest(wanted)
+            if wanted.name not in self._wholes:
+                await asyncio.sleep(MANIFEST_RETRY_MS / _MS)
+        return self._wholes[wanted.name]
+
+    def want(self, wanted: Wanted) -> None:
+        """Starts to fetch a version whose digests are known."""
+        if wanted == self._wanted:
+            return
+        whole = self._wholes[wanted.name]
+        self._wholes.move_to_end(wanted.name)
+        while len(self._wholes) > WHOLES_KEPT:
+            self._wholes.popitem(last=False)
+        self._wanted = wanted
+        self._downloads.clear()
+        self._swarm = swarm.Swarm(
+            ids.VmId(self._own.vm_id),
+            whole.manifest.chunks,
+            whole.held,
+            swarm.SwarmPolicy(1.0, TAKEOVER_MS),
+            self._clock.now_ms(),
+            self._rng,
+        )
+        self._place_in_swarm()
+        self._link_peers()
+        for name in self._peers:
+            self._send_hello(name, reply=True)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Serves neighbours and drives fetches for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._upload_all())
+            group.create_task(self._tick_all())
+
+    def on_message(
+        self, name: str, message: fleet_messages.FromAgentPeer
+    ) -> None:
+        """Takes a message of another agent."""
+        self._heard_ms[name] = self._clock.now_ms()
+        match message:
+            case messages.PeerHello():
+                self._on_hello(name, message)
+            case messages.PeerHave():
+                current = self._current(message.manifest)
+                if current is not None:
+                    peer = ids.VmId(name)
+                    current.peer_holds(peer, message.indexes, message.seen)
+                    self._wake.set()
+            case fleet_messages.FragmentRequest():
+                self._on_request(name, message)
+            case fleet_messages.FragmentReply():
+                self._on_fragment(name, message)
+            case messages.ManifestRequest():
+                self._on_manifest_request(name, message)
+            case messages.ManifestReply():
+                self._on_manifest(message)
+
+    # Digests.
+
+    async def _ask_manifest(self, wanted: Wanted) -> None:
+        request = messages.ManifestRequest(manifest=wanted.name)
+        for name in self._peers:
+            self._send(name, request)
+        if self._origin is None:
+            return
+        try:
+            found = await self._origin.manifest(wanted.model, wanted.version)
+        except clients.PlatformError as error:
+            logs.log("manifest_unavailable", name=wanted.name, detail=error)
+            return
+        self._take_manifest(wanted.name, found)
+
+    def _on_manifest_request(
+        self, name: str, request: messages.ManifestRequest
+    ) -> None:
+        whole = self._wholes.get(request.manifest)
+        if whole is not None:
+            data = manifest.encode(whole.manifest)
+            self._send(
+                name,
+                messages.ManifestReply(manifest=request.manifest, data=data),
+            )
+
+    def _on_manifest(self, reply: messages.ManifestReply) -> None:
+        if not reply.data or reply.manifest in self._wholes:
+            return
+        found = msgspec.json.decode(reply.data, type=manifest.Manifest)
+        if Wanted(found.model, int(found.version)).name == reply.manifest:
+            self._take_manifest(reply.manifest, found)
+
+    def _take_manifest(self, name: str, found: manifest.Manifest) -> None:
+        if name in self._wholes:
+            return
+        whole = manifest.Whole(found, manifest.sha256_of)
+        kept = sum(whole.adopt(other) for other in self._wholes.values())
+        self._wholes[name] = whole
+        logs.log("manifest_known", name=name, pieces_kept=kept)
+
+    # Neighbours.
+
+    def _link_peers(self) -> None:
+        if self._links is None or self._wanted is None:
+            return
+        data_centres = {
+            ids.VmId(name): ids.DataCentreId(peer.data_centre)
+            for name, peer in self._peers.items()
+        }
+        own = ids.VmId(self._own.vm_id)
+        data_centres[own] = ids.DataCentreId(self._own.data_centre)
+        chosen = swarm.choose_neighbours(
+            own, ids.Digest(self._wanted.name), data_centres, NEIGHBOURS
+        )
+        for name in chosen:
+            peer = self._peers[name]
+            if self._links.open(name, peer.host, peer.port):
+                self._heard_ms[name] = self._clock.now_ms()
+                self._send_hello(name, reply=True)
+
+    def _place_in_swarm(self) -> None:
+        if self._swarm is None:
+            return
+        self._swarm.set_members([ids.VmId(name) for name in self._peers])
+        self._swarm.set_near([ids.VmId(name) for name in self._near])
+
+    def _on_hello(self, name: str, hello: messages.PeerHello) -> None:
+        current = self._current(hello.manifest)
+        if current is not None:
+            peer = ids.VmId(name)
+            current.peer_reset(peer)
+            current.peer_holds(
+                peer,
+                swarm.from_bitmap(hello.held),
+                swarm.from_bitmap(hello.seen),
+            )
+            self._wake.set()
+        if hello.reply:
+            self._send_hello(name, reply=False, about=hello.manifest)
+
+    def _send_hello(self, name: str, *, reply: bool, about: str = "") -> None:
+        """Tells what is held, of the version asked about if it is known."""
+        manifest_name = about
+        if not manifest_name and self._wanted is not None:
+            manifest_name = self._wanted.name
+        whole = self._wholes.get(manifest_name)
+        if whole is None:
+            return
+        current = self._current(manifest_name)
+        seen = whole.held if current is None else current.seen
+        hello = messages.PeerHello(
+            vm_id=self._own.vm_id,
+            manifest=manifest_name,
+            held=swarm.to_bitmap(whole.held),
+            seen=swarm.to_bitmap(seen),
+            reply=reply,
+        )
+        self._send(name, hello)
+
+    # Uploads.
+
+    def _on_request(
+        self, name: str, request: fleet_messages.FragmentRequest
+    ) -> None:
+        held = self._fragment(request) is not None
+        if held and len(self._uploads) < UPLOADS_MAX:
+            self._uploads.append(_Upload(name, request))
+            self._upload_ready.set()
+            return
+        self._send(name, _reply(request, None))
+
+    def _fragment(
+        self, request: fleet_messages.FragmentRequest
+    ) -> bytes | None:
+        whole = self._wholes.get(request.manifest)
+        data = None if whole is None else whole.get(request.index)
+        if data is None:
+            return None
+        return data[request.offset : request.offset + FRAGMENT_BYTES]
+
+    async def _upload_all(self) -> None:
+        while True:
+            while not self._uploads:
+                self._upload_ready.clear()
+                await self._upload_ready.wait()
+            upload = self._uploads.popleft()
+            data = self._fragment(upload.request)
+            size = 0 if data is None else len(data)
+            wait_ms = self._up.reserve(size, self._clock.now_ms())
+            await asyncio.sleep(wait_ms / _MS)
+            self._send(upload.peer, _reply(upload.request, data))
+
+    # Downloads.
+
+    def _on_fragment(
+        self, name: str, reply: fleet_messages.FragmentReply
+    ) -> None:
+        download = self._downloads.get(reply.index)
+        current = self._current(reply.manifest)
+        if current is None or download is None or download.peer != name:
+            return
+        if reply.data is None:
+            del self._downloads[reply.index]
+            now_ms = self._clock.now_ms()
+            current.refused(reply.index, ids.VmId(name), now_ms)
+            return
+        if reply.offset != len(download.data):
+            return
+        download.data += reply.data
+        if len(download.data) < self._piece_bytes(reply.index):
+            self._request_fragment(reply.index)
+            return
+        del self._downloads[reply.index]
+        self._take_piece(
+            reply.manifest, reply.index, bytes(download.data), name
+        )
+
+    def _piece_bytes(self, index: int) -> int:
+        if self._wanted is None:
+            return 0
+        return self._wholes[self._wanted.name].manifest.chunk_size(index)
+
+    def _request_fragment(self, index: int) -> None:
+        """Asks for the next fragment when the link has room for it."""
+        wait_ms = self._down.reserve(FRAGMENT_BYTES, self._clock.now_ms())
+        asyncio.get_running_loop().call_later(
+            wait_ms / _MS, self._send_request, index
+        )
+
+    def _send_request(self, index: int) -> None:
+        download = self._downloads.get(index)
+        if download is None or self._wanted is None:
+            return
+        request = fleet_messages.FragmentRequest(
+            manifest=self._wanted.name, index=index, offset=len(download.data)
+        )
+        self._send(download.peer, request)
+
+    def _take_piece(
+        self, name: str, index: int, data: bytes, peer: str | None
+    ) -> None:
+        whole = self._wholes.get(name)
+        if whole is None:
+            return
+        known = whole.get(index) is not None
+        valid = known or whole.add(index, data)
+        source = "origin" if peer is None else "peer"
+        if valid:
+            reason = "duplicate" if known else source
+            self._totals.add(counters.CounterName.CHUNKS_RECEIVED, reason)
+        else:
+            self._totals.add(counters.CounterName.CHUNKS_REJECTED, source)
+            logs.log("piece_corrupt", index=index, source=peer or source)
+        current = self._current(name)
+        if current is not None:
+            sender = None if peer is None else ids.VmId(peer)
+            now_ms = self._clock.now_ms()
+            current.received(index, sender, valid=valid, now_ms=now_ms)
+        self.changed.set()
+        self._wake.set()
+
+    # Regular work.
+
+    async def _tick_all(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(TICK_MS / _MS):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            safely.run_safely(self._tick, "swarm", self._totals)
+
+    def _tick(self) -> None:
+        if self._swarm is None or self._wanted is None:
+            return
+        self._announce(self._swarm, self._wanted)
+        self._drop_silent(self._swarm)
+        for action in self._swarm.next_actions(self._clock.now_ms()):
+            match action:
+                case swarm.FetchFromPeer():
+                    self._downloads[action.index] = _Download(
+                        action.peer_id, bytearray()
+                    )
+                    self._request_fragment(action.index)
+                case swarm.CancelFetch():
+                    self._downloads.pop(action.index, None)
+                case swarm.FetchFromOrigin():
+                    self._draw(self._wanted, action.index)
+
+    def _draw(self, wanted: Wanted, index: int) -> None:
+        task = asyncio.create_task(self._draw_piece(wanted, index))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _draw_piece(self, wanted: Wanted, index: int) -> None:
+        try:
+            if self._origin is None:
+                raise clients.PlatformError("the origin is not known")
+            data = await self._origin.piece(wanted.model, wanted.version, index)
+        except clients.PlatformError as error:
+            logs.log("piece_unavailable", index=index, detail=error)
+            current = self._current(wanted.name)
+            if current is not None:
+                current.origin_failed(
+                    index, error.retry_after_ms, self._clock.now_ms()
+                )
+            return
+        self._take_piece(wanted.name, index, data, None)
+
+    def _announce(self, current: swarm.Swarm, wanted: Wanted) -> None:
+        now_ms = self._clock.now_ms()
+        since_ms = now_ms - self._announced_ms
+        if since_ms < ANNOUNCE_MS:
+            return
+        held, seen = current.take_news()
+        quiet = not held and not seen
+        if quiet and (since_ms < KEEPALIVE_MS or current.settled):
+            return
+        self._announced_ms = now_ms
+        have = messages.PeerHave(manifest=wanted.name, indexes=held, seen=seen)
+        data = codec.encode(have)
+        for name in self._peers:
+            if self._links is not None:
+                self._links.send_bytes(name, data)
+
+    def _drop_silent(self, current: swarm.Swarm) -> None:
+        if current.settled:
+            return
+        horizon_ms = self._clock.now_ms() - PEER_TIMEOUT_MS
+        for name in current.peer_ids:
+            if self._heard_ms.get(name, 0.0) < horizon_ms:
+                current.peer_lost(name)
+                for index, download in list(self._downloads.items()):
+                    if download.peer == name:
+                        del self._downloads[index]
+
+    def _current(self, name: str) -> swarm.Swarm | None:
+        wanted = self._wanted is not None and name == self._wanted.name
+        return self._swarm if wanted else None
+
+    def _send(self, name: str, message: msgspec.Struct) -> bool:
+        return self._links is not None and self._links.send(name, message)
+
+
+def _reply(
+    request: fleet_messages.FragmentRequest, data: bytes | None
+) -> fleet_messages.FragmentReply:
+    return fleet_messages.FragmentReply(
+        manifest=request.manifest,
+        index=request.index,
+        offset=request.offset,
+        data=data,
+    )
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+MISDIRECTED = 421
+"""Status of a replica that is not the one a request was meant for."""
+
 
 class Ran(enum.Enum):
     """Whether the request was run by an upstream."""
@@ -22,7 +25,10 @@
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_CUSTOMER = "unknown_customer"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
+    HEADER_TIMEOUT = "header_timeout"
     RUN_TOKEN_REQUIRED = "run_token_required"
     RUN_TOKEN_INVALID = "run_token_invalid"
     RUN_TOKEN_VOID = "run_token_void"
@@ -40,6 +46,7 @@
     UPSTREAM_LOST = "upstream_lost"
     VERSION_CHANGED = "version_changed"
     VERSION_NOT_READY = "version_not_ready"
+    ANSWER_INVALID = "answer_invalid"
     ANSWER_INCOMPLETE = "answer_incomplete"
     CANCELLED = "cancelled"
     ENTRY_LEAVING = "entry_leaving"
@@ -79,6 +86,15 @@
     ErrorKind.BODY_TOO_LARGE: Answer(
         413, Ran.NO, None, "The request body is too large."
     ),
+    ErrorKind.UNKNOWN_ROUTE: Answer(
+        404, Ran.NO, None, "No route fits this host and path."
+    ),
+    ErrorKind.HEADER_TOO_LARGE: Answer(
+        431, Ran.NO, None, "The request header is too large."
+    ),
+    ErrorKind.HEADER_TIMEOUT: Answer(
+        408, Ran.NO, 0, "The request header took too long."
+    ),
     ErrorKind.RUN_TOKEN_REQUIRED: Answer(
         428,
         Ran.NO,
@@ -132,6 +148,9 @@
     ErrorKind.VERSION_NOT_READY: Answer(
         503, Ran.NO, 500, "The upstream's model version is not ready."
     ),
+    ErrorKind.ANSWER_INVALID: Answer(
+        502, Ran.UNKNOWN, 500, "The upstream's answer was not valid."
+    ),
     ErrorKind.ANSWER_INCOMPLETE: Answer(
         502, Ran.YES, 500, "The answer ended before its last part."
     ),
--- /dev/null
+++ b/src/marlramp/platform/headers.py
@@ -0,0 +1,167 @@
+"""Reads and writes the platform's request headers."""
+
+from __future__ import annotations
+
+from marlramp import errors
+from marlramp import ids
+from marlramp.direct import wire
+from marlramp.shell import http1_client
+from marlramp.shell import http1_server
+
+_REQUEST_ID = b"x-attempt-id"
+# How long the sender of a request still waits, not a point in time.
+_WAIT = b"x-deadline-ms"
+_CUSTOMER = b"x-tenant"
+_EXPECT_REPLICA = b"x-expect-replica"
+_EXPECT_WEIGHTS = b"x-expect-version"
+_PRIORITY = b"x-request-priority"
+_RESUME = b"last-event-id"
+# Prompt tokens and the most output tokens, not what was used.
+_TOKENS = b"x-token-usage"
+_HINT = b"x-length-hint"
+_SIGNATURE = b"x-replica-signature"
+_NOT_RUN = b"x-not-executed"
+_LOAD = b"x-replica-load"
+_WEIGHTS = b"x-weight-versions"
+_PIPELINE = b"path"
+
+_MISDIRECTED = 421
+_LOAD_FIELDS = 3
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    }
+)
+_SET_BY_SYSTEM = frozenset(
+    {
+        b"authorization",
+        b"expect",
+        _WAIT,
+        _CUSTOMER,
+        _EXPECT_REPLICA,
+        _EXPECT_WEIGHTS,
+        _PRIORITY,
+        _PIPELINE,
+    }
+)
+
+
+class PlatformCallCodec:
+    """The platform's `CallCodec`."""
+
+    def read(self, request: http1_server.Request) -> wire.CallerCall:
+        """Returns what a caller says."""
+        tokens = _integers(request.header(_TOKENS), "token counts")
+        hint = _integers(request.header(_HINT), "length hint")
+        wait = request.header(_WAIT)
+        path, _, _ = request.target.partition(b"?")
+        return wire.CallerCall(
+            request_id=ids.RequestId(request.header(_REQUEST_ID)),
+            host=_host(request.header(b"host")),
+            path=path.decode("latin-1"),
+            authorization=request.header(b"authorization"),
+            wait_ms=_wait_ms(wait) if wait else None,
+            prompt_tokens=tokens[0] if tokens else 0,
+            output_tokens_max=tokens[1] if len(tokens) > 1 else 0,
+            output_tokens_hint=hint[0] if hint else 0,
+        )
+
+    def head(
+        self, request: http1_server.Request, dispatch: wire.Dispatch
+    ) -> bytes:
+        """Returns the head of the request to a replica."""
+        dropped = _HOP_BY_HOP | _SET_BY_SYSTEM | _named_in_connection(request)
+        if dispatch.resume_after:
+            dropped |= {_RESUME}
+        headers = [
+            (name, value)
+            for name, value in request.headers
+            if name not in dropped
+        ]
+        headers.append((_WAIT, b"%d" % max(1, int(dispatch.wait_ms))))
+        headers.append((_EXPECT_REPLICA, dispatch.replica_id.encode()))
+        if dispatch.customer_id is not None:
+            headers.append((_CUSTOMER, dispatch.customer_id.encode()))
+        if dispatch.weights is not None:
+            headers.append((_EXPECT_WEIGHTS, b"%d" % dispatch.weights))
+        if dispatch.priority is not None:
+            headers.append((_PRIORITY, b"%d" % dispatch.priority))
+        if dispatch.resume_after:
+            headers.append((_RESUME, dispatch.resume_after.encode()))
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        lines = [request.method.encode() + b" " + request.target + b" HTTP/1.1"]
+        lines.extend(name + b": " + value for name, value in headers)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    def answer(
+        self, head: http1_client.ResponseHead, call: wire.CallerCall
+    ) -> wire.ReplicaAnswer:
+        """Returns what the head of an answer says."""
+        echo = head.header(_REQUEST_ID)
+        not_run = head.header(_NOT_RUN) is not None
+        weights = head.header(_WEIGHTS)
+        mine = echo is None or echo.decode("latin-1") == call.request_id
+        return wire.ReplicaAnswer(
+            status=head.status,
+            mine=mine,
+            signed=head.header(_SIGNATURE) is not None,
+            not_run=not_run or head.status == _MISDIRECTED,
+            encoded=head.header(b"content-encoding") is not None,
+            weights=int(weights) if weights and weights.isdigit() else None,
+            load=_load(head.header(_LOAD)),
+            headers=[
+                (name, value)
+                for name, value in head.headers
+                if name not in _HOP_BY_HOP
+            ],
+        )
+
+
+def _host(value: str) -> str:
+    host, colon, port = value.lower().rpartition(":")
+    return host if colon and port.isdigit() else value.lower()
+
+
+def _wait_ms(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise errors.CallError(
+            errors.ErrorKind.INVALID_REQUEST, "the time to wait is no number"
+        ) from error
+    return max(0.0, value)
+
+
+def _integers(text: str, what: str) -> list[int]:
+    if not text:
+        return []
+    try:
+        return [int(part) for part in text.split(",")]
+    except ValueError as error:
+        raise errors.CallError(
+            errors.ErrorKind.INVALID_REQUEST, f"malformed {what}"
+        ) from error
+
+
+def _named_in_connection(request: http1_server.Request) -> frozenset[bytes]:
+    """Returns headers that the caller marked as its connection's own."""
+    names = request.header(b"connection").encode().lower().split(b",")
+    return frozenset(name.strip() for name in names) - {_REQUEST_ID}
+
+
+def _load(value: bytes | None) -> wire.ReplicaLoad | None:
+    parts = [] if value is None else value.split(b",")
+    if len(parts) < _LOAD_FIELDS or not all(p.strip().isdigit() for p in parts):
+        return None
+    return wire.ReplicaLoad(running=int(parts[0]), waiting=int(parts[1]))
--- /dev/null
+++ b/src/marlramp/platform/replica_api.py
@@ -0,0 +1,187 @@
+"""Calls to the replica on the own VM and to the origin of weights."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+import msgspec
+
+from marlramp.core import engine_state
+from marlramp.core import manifest
+from marlramp.platform import clients
+from marlramp.platform import documents
+from marlramp.settings import node
+from marlramp.shell import http
+
+REPORT_TIMEOUT_MS = 500.0
+STAGE_TIMEOUT_MS = 1_000.0
+ORDER_TIMEOUT_MS = 1_000.0
+MANIFEST_TIMEOUT_MS = 1_500.0
+PIECE_TIMEOUT_MS = 2_500.0
+"""A piece takes 70 ms of a side VM's link; at the origin it may wait for those
+of all other VMs."""
+
+_OK = 200
+_ACCEPTED = 202
+
+
+class _Report(msgspec.Struct):
+    busy: bool = False
+    # Orders accepted since the start of the replica.
+    call_seq: int = 0
+    queued: int = 0
+    active: int = 0
+    pace: float = 1.0
+    model_list: list[documents.HeldModel] = []
+    layers: documents.HeldLayers | None = None
+
+
+class _Held(msgspec.Struct):
+    # Indexes of staged pieces.
+    held: list[int] = []
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    block_bytes: int
+    hashes: list[str]
+
+
+class _Order(msgspec.Struct):
+    operation: str
+    model_name: str
+    version: int
+    # "queue" lets running requests end before the load.
+    swap_mode: str
+
+
+class ReplicaApi:
+    """The replica on the own VM."""
+
+    def __init__(self, client: http.HttpClient, address: node.Address) -> None:
+        """Uses the replica at `address`."""
+        self._client = client
+        self._url = f"http://{address}"
+        self._reports = msgspec.json.Decoder(_Report)
+        self._held = msgspec.json.Decoder(_Held)
+
+    async def report(self) -> engine_state.EngineReport:
+        """Returns the replica's state.
+
+        Raises:
+          PlatformError: if it does not answer usefully.
+        """
+        body = await _call(
+            self._client, "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
+        )
+        raw = _decode(self._reports, body)
+        held = documents.held_weights(raw.layers, raw.model_list)
+        return engine_state.EngineReport(
+            weights=held or 0,
+            running=raw.active,
+            waiting=raw.queued,
+            pace=raw.pace,
+            busy=raw.busy,
+            order_number=raw.call_seq,
+        )
+
+    async def staged(self, model: str) -> list[int]:
+        """Returns the indexes of the staged pieces."""
+        body = await _call(
+            self._client,
+            "GET",
+            f"{self._url}/v1/stage-get/{model}",
+            STAGE_TIMEOUT_MS,
+        )
+        return _decode(self._held, body).held
+
+    async def read_staged(self, model: str, index: int) -> bytes:
+        """Returns a staged piece, not verified."""
+        url = f"{self._url}/v1/stage-get/{model}?index={index}"
+        return await _call(self._client, "GET", url, STAGE_TIMEOUT_MS)
+
+    async def stage(self, model: str, index: int, data: bytes) -> None:
+        """Stages a piece in the place of any other of its index."""
+        url = f"{self._url}/v1/stage-put/{model}?index={index}"
+        await _call(self._client, "PUT", url, STAGE_TIMEOUT_MS, data)
+
+    async def load(self, model: str, version: int) -> None:
+        """Orders the replica to load what is staged.
+
+        Raises:
+          PlatformError: if it did not accept; without an answer it may have.
+        """
+        order = _Order("start", model, version, "queue")
+        await _call(
+            self._client,
+            "POST",
+            f"{self._url}/v1/order",
+            ORDER_TIMEOUT_MS,
+            msgspec.json.encode(order),
+        )
+
+
+class OriginApi:
+    """The origin of weights."""
+
+    def __init__(self, client: http.HttpClient, address: str) -> None:
+        """Uses the origin at "host:port"."""
+        self._client = client
+        self._url = f"http://{address}"
+        self._manifests = msgspec.json.Decoder(_Manifest)
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        """Returns the digests of a version's pieces.
+
+        Raises:
+          PlatformError: if the origin does not answer usefully.
+        """
+        query = urllib.parse.urlencode({"version": version})
+        url = f"{self._url}/v1/manifest/{model}?{query}"
+        body = await _call(self._client, "GET", url, MANIFEST_TIMEOUT_MS)
+        raw = _decode(self._manifests, body)
+        if raw.version != version:
+            raise clients.PlatformError(f"got version {raw.version}")
+        return manifest.Manifest(
+            model=model,
+            version=str(version),
+            chunk_bytes=raw.block_bytes,
+            total_bytes=raw.block_bytes * len(raw.hashes),
+            chunks=raw.hashes,
+            whole="",
+        )
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        """Returns a piece, not verified."""
+        query = urllib.parse.urlencode({"index": index, "version": version})
+        url = f"{self._url}/v1/piece/{model}?{query}"
+        return await _call(self._client, "GET", url, PIECE_TIMEOUT_MS)
+
+
+async def _call(
+    client: http.HttpClient,
+    method: str,
+    url: str,
+    timeout_ms: float,
+    body: bytes = b"",
+) -> bytes:
+    headers = {"Content-Type": "application/json"} if body else None
+    try:
+        reply = await client.request(
+            method, url, body=body, headers=headers, timeout_ms=timeout_ms
+        )
+    except http.HttpError as error:
+        raise clients.PlatformError(str(error)) from error
+    if reply.status not in (_OK, _ACCEPTED):
+        raise clients.PlatformError(
+            f"status {reply.status} for {method} {url}",
+            reply.retry_after_ms or clients.UNAVAILABLE_RETRY_MS,
+        )
+    return reply.body
+
+
+def _decode[Value](decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise clients.PlatformError(f"malformed answer: {error}") from error
--- /dev/null
+++ b/src/marlramp/platform/settings.py
@@ -0,0 +1,169 @@
+"""Decodes the platform's settings file, lines of the form a.b=value."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import os
+import pathlib
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.settings import node
+
+SETTINGS_VARIABLE = "MARLRAMP_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
+_BITS_PER_BYTE = 8
+_BITS_PER_MEGABIT = 1_000_000
+_ZONES = "zones."
+
+
+def settings_path() -> pathlib.Path | None:
+    """Returns the path that the platform gives, None outside of it."""
+    value = os.environ.get(SETTINGS_VARIABLE)
+    return pathlib.Path(value) if value else None
+
+
+def read(path: pathlib.Path) -> node.NodeSettings:
+    """Returns the settings in a file.
+
+    Raises:
+      NodeSettingsError: if the file can't be read or fields are missing or
+        wrong; it names all of them.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise node.NodeSettingsError([f"{path}: {error}"]) from error
+    return decode(text)
+
+
+def decode(text: str) -> node.NodeSettings:
+    """Returns the settings in the text of a file; unknown fields are ignored.
+
+    Raises:
+      NodeSettingsError: if fields are missing or wrong; it names all of them.
+    """
+    reader = _Reader(text)
+    settings = _decode_node(reader)
+    if reader.problems:
+        raise node.NodeSettingsError(reader.problems)
+    return settings
+
+
+class _Reader:
+    """Fields of a file; collects what is missing or wrong."""
+
+    def __init__(self, text: str) -> None:
+        self.problems: list[str] = []
+        self.fields: dict[str, str] = {}
+        for number, line in enumerate(text.splitlines(), start=1):
+            if not line.strip() or line.lstrip().startswith("#"):
+                continue
+            key, equals, value = line.partition("=")
+            if not equals:
+                self.problems.append(f"line {number}: no '=' in {line!r}")
+                continue
+            self.fields[key.strip()] = value.strip()
+
+    def text(self, key: str) -> str:
+        value = self.fields.get(key, "")
+        if not value:
+            self.problems.append(f"{key}: is missing")
+        return value
+
+    def parsed[Value](
+        self, key: str, parse: Callable[[str], Value], fallback: Value
+    ) -> Value:
+        text = self.text(key)
+        if not text:
+            return fallback
+        try:
+            return parse(text)
+        except ValueError as error:
+            self.problems.append(f"{key}: {error}, got {text!r}")
+            return fallback
+
+    def number(self, key: str) -> float:
+        return self.parsed(key, _positive, 1.0)
+
+    def address(self, key: str) -> node.Address:
+        return self.parsed(key, _address, node.Address("", 0))
+
+
+def _positive(text: str) -> float:
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError("must be a number of 0 or more")
+    return value
+
+
+def _address(text: str) -> node.Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError("must be IP:PORT")
+    return node.Address(host, int(port))
+
+
+def _addresses(text: str) -> list[node.Address]:
+    return [_address(part) for part in text.split(",") if part]
+
+
+def _ports(text: str) -> tuple[int, int]:
+    first, _, last = text.partition(",")
+    return int(first), int(last)
+
+
+def _role(reader: _Reader) -> node.NodeRole:
+    served = reader.text("serves").split(",")
+    return node.NodeRole.AGENT if served == ["side"] else node.NodeRole.ENTRY
+
+
+def _decode_node(reader: _Reader) -> node.NodeSettings:
+    role = _role(reader)
+    agent = role is node.NodeRole.AGENT
+    megabits = reader.number("limits.link_mbps")
+    return node.NodeSettings(
+        vm_id=ids.VmId(reader.text("node_name")),
+        role=role,
+        host=reader.text("ip"),
+        data_centre=ids.DataCentreId(reader.text("zone")),
+        region=reader.text("region"),
+        regions={
+            key.removeprefix(_ZONES): value
+            for key, value in reader.fields.items()
+            if key.startswith(_ZONES)
+        },
+        seeds=reader.parsed("seed_nodes", _addresses, []),
+        own_ports=reader.parsed("port_range", _ports, (0, 0)),
+        store=reader.address("platform.address"),
+        heartbeat_ms=reader.number("heartbeat_ms"),
+        link_bytes_per_s=megabits * _BITS_PER_MEGABIT / _BITS_PER_BYTE,
+        bounds=_decode_bounds(reader),
+        entry=None if agent else _decode_entry(reader),
+        replica=reader.address("app") if agent else None,
+        replica_service=ids.ServiceId(reader.fields.get("service", "")),
+    )
+
+
+def _decode_entry(reader: _Reader) -> node.EntryAddresses:
+    return node.EntryAddresses(
+        callers=reader.address("listen.frontend"),
+        ready=reader.address("listen.ready"),
+        lookup=reader.address("listen.directory_addr"),
+        control=reader.address("listen.control_plane"),
+    )
+
+
+def _decode_bounds(reader: _Reader) -> node.Bounds:
+    second_ms = clock.MILLIS_PER_SECOND
+    return node.Bounds(
+        drain_ms=reader.number("bounds.drain_ms"),
+        grace_ms=reader.number("bounds.grace_s") * second_ms,
+        config_apply_ms=reader.number("bounds.config_apply_ms"),
+        version_ms=reader.number("bounds.version_ms"),
+        retry_ratio=reader.number("bounds.retry_ratio"),
+        retry_window_ms=reader.number("bounds.retry_window_s") * second_ms,
+        retry_slack=reader.number("bounds.budget_slack"),
+        lookup_ttl_max_ms=reader.number("bounds.ttl_max_s") * second_ms,
+    )
--- /dev/null
+++ b/src/marlramp/platform/store.py
@@ -0,0 +1,170 @@
+"""Client of the platform's store, which can only be read and watched."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import urllib.parse
+
+import msgspec
+
+from marlramp import logs
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.platform import clients
+from marlramp.platform import documents
+from marlramp.settings import node
+from marlramp.shell import http
+
+READ_TIMEOUT_MS = 1_000.0
+"""250 times the store's usual answer; a store that is slower counts as down."""
+
+WATCH_MARGIN_MS = 600.0
+"""A watch that is answered this long after its wait counts as lost."""
+
+_OK = 200
+_GONE = 410
+
+
+class HistoryGoneError(clients.PlatformError):
+    """The store no longer has the changes after the revision asked for."""
+
+
+class _Item(msgspec.Struct):
+    key: str
+    # Revision of the item's last change.
+    revision: int
+    data: bytes = b""
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    entries: list[_Item] = []
+    has_more: bool = False
+    # The store's revision when it answered.
+    at: int = 0
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item] = []
+    at: int = 0
+
+
+class StoreClient:
+    """Reads configuration, weights targets and replicas from the store."""
+
+    def __init__(self, client: http.HttpClient, address: node.Address) -> None:
+        """Uses the store at `address`; nothing is sent before a call."""
+        self._client = client
+        self._url = f"http://{address}"
+        self._ranges = msgspec.json.Decoder(_Range)
+        self._events = msgspec.json.Decoder(_Events)
+
+    async def read_all(self) -> catalog.Snapshot:
+        """Returns all that the store holds for the system.
+
+        Raises:
+          PlatformError: if the store does not answer usefully.
+        """
+        changes: list[catalog.Change] = []
+        # A page's revision is at most the first page's, so that nothing that
+        # changed between two pages is taken as read.
+        revision: int | None = None
+        after = ""
+        while True:
+            page = await self._read_page(after)
+            changes.extend(_decode_items(page.entries))
+            revision = page.at if revision is None else min(revision, page.at)
+            if not page.has_more or not page.entries:
+                return catalog.Snapshot(revision, changes)
+            after = page.entries[-1].key
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        """Waits for changes after revision `after`.
+
+        Returns:
+          The changes and the revision to go on from; no changes after
+          `wait_ms`.
+
+        Raises:
+          HistoryGoneError: if the store has dropped that history.
+          PlatformError: if the store does not answer usefully.
+        """
+        query = urllib.parse.urlencode(
+            {"path_prefix": "", "after": after, "wait_ms": int(wait_ms)}
+        )
+        body = await self._get(
+            f"/v1/kv-watch?{query}", wait_ms + WATCH_MARGIN_MS
+        )
+        answer = _decoded(self._events.decode, body)
+        return catalog.Snapshot(
+            max(after, answer.at), _decode_items(answer.events)
+        )
+
+    async def _read_page(self, after: str) -> _Range:
+        query = urllib.parse.urlencode({"path_prefix": "", "after": after})
+        body = await self._get(f"/v1/kv-range?{query}", READ_TIMEOUT_MS)
+        return _decoded(self._ranges.decode, body)
+
+    async def _get(self, path: str, timeout_ms: float) -> bytes:
+        try:
+            reply = await self._client.request(
+                "GET", self._url + path, timeout_ms=timeout_ms
+            )
+        except http.HttpError as error:
+            raise clients.PlatformError(str(error)) from error
+        if reply.status == _GONE:
+            raise HistoryGoneError("history is gone")
+        if reply.status != _OK:
+            raise clients.PlatformError(
+                f"status {reply.status}",
+                reply.retry_after_ms or clients.UNAVAILABLE_RETRY_MS,
+            )
+        return reply.body
+
+
+def _decoded[Value](decode: Callable[[bytes], Value], body: bytes) -> Value:
+    try:
+        return decode(body)
+    except msgspec.DecodeError as error:
+        raise clients.PlatformError(f"malformed answer: {error}") from error
+
+
+def _decode_items(items: list[_Item]) -> list[catalog.Change]:
+    changes = []
+    for item in items:
+        try:
+            change = _decode_item(item)
+        except documents.DocumentError as error:
+            # One document that can't be read must not hide the others.
+            logs.log("document_refused", key=item.key, detail=error)
+            continue
+        if change is not None:
+            changes.append(change)
+    return changes
+
+
+def _decode_item(item: _Item) -> catalog.Change | None:
+    """Returns the change that an item means, None if it means nothing here."""
+    if item.key == documents.CONFIG_KEY:
+        if item.deleted:
+            return None
+        return catalog.ConfigChange(
+            item.revision, documents.decode_config(item.data)
+        )
+    if item.key.startswith(documents.WEIGHTS_PREFIX):
+        if item.deleted:
+            return None
+        return catalog.TargetChange(
+            item.revision, documents.decode_target(item.data)
+        )
+    if item.key.startswith(documents.REPLICAS_PREFIX):
+        return _decode_replica(item)
+    return None
+
+
+def _decode_replica(item: _Item) -> catalog.Change:
+    replica_id = item.key.removeprefix(documents.REPLICAS_PREFIX)
+    replica: fleet.Replica | None = None
+    if not item.deleted:
+        replica = documents.decode_replica(replica_id, item.data)
+    return catalog.ReplicaChange(item.revision, replica_id, replica)
--- a/src/marlramp/protocol/codec.py
+++ b/src/marlramp/protocol/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
 
 _VERSION_PREFIX = bytes([messages.PROTOCOL_VERSION])
@@ -25,7 +26,7 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
-def encode(message: messages.Message) -> bytes:
+def encode(message: msgspec.Struct) -> bytes:
     """Returns the bytes of a message."""
     return _VERSION_PREFIX + _encoder.encode(message)
 
@@ -67,3 +68,13 @@
 def peer_decoder() -> Decoder[messages.FromPeer]:
     """Returns a decoder for messages between agents."""
     return Decoder(messages.FromPeer)  # type: ignore[arg-type]
+
+
+def member_decoder() -> Decoder[fleet_messages.FromMember]:
+    """Returns a decoder for messages between members on the direct path."""
+    return Decoder(fleet_messages.FromMember)  # type: ignore[arg-type]
+
+
+def agent_peer_decoder() -> Decoder[fleet_messages.FromAgentPeer]:
+    """Returns a decoder for messages between agents on the direct path."""
+    return Decoder(fleet_messages.FromAgentPeer)  # type: ignore[arg-type]
