Change engines in four turns; cut what a short drain leaves

Cause: engines that wait for what runs were out for 1.3 to 2.9 s each, in a window of 2.5 s; 190 of 2,987 answers were late then. Ruled out: waiting alone with requests steered by their expected length (hints are off by half). Change: agents tell when their engine closes; requests that outlast it go elsewhere; after 350 ms what is left is cut and resumed at another engine. Added engines load the first version; near pieces are not imported.

--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -40,6 +40,10 @@
 """Expected time of a stream before the first one ended: 18 passes of some
 70 ms."""
 
+EVENT_DEFAULT_MS = 75.0
+"""Expected time between two events before the first stream ended: a pass of
+51 ms, and the prompts read between two passes."""
+
 FAILURE_SMOOTHING = 0.15
 """Weight of the newest answer in a replica's share of failures: a replica
 that fails two in five requests stands out after some six answers."""
@@ -59,6 +63,8 @@
       pace: measured slowness, 1 for none.
       opens: whether the engine takes new requests; False around a change of
         weights.
+      closes_in_ms: time until it is to close for a change of weights, None if
+        none is planned.
     """
 
     address: str
@@ -67,6 +73,7 @@
     waiting: int
     pace: float
     opens: bool
+    closes_in_ms: float | None = None
 
 
 class ReplicaView(msgspec.Struct):
@@ -86,6 +93,7 @@
       seen_ms: when that was.
       answer_ms: smoothed time of a plain answer.
       run_ms: smoothed time from a stream's first event to its end.
+      event_ms: smoothed time between two events of a stream.
       failure_share: smoothed share of answers that failed.
       not_before_ms: it gets nothing before this.
       heard_ms: when any byte of it arrived last.
@@ -106,6 +114,7 @@
     seen_ms: float = float("-inf")
     answer_ms: float = TIME_DEFAULT_MS
     run_ms: float = RUN_DEFAULT_MS
+    event_ms: float = EVENT_DEFAULT_MS
     failure_share: float = 0.0
     not_before_ms: float = float("-inf")
     heard_ms: float = float("-inf")
@@ -162,9 +171,19 @@
         """Takes the time of a good plain answer."""
         self.answer_ms += TIME_SMOOTHING * (taken_ms - self.answer_ms)
 
-    def note_run(self, taken_ms: float) -> None:
+    def note_run(self, taken_ms: float, events: int) -> None:
         """Takes the time from a stream's first event to its end."""
         self.run_ms += TIME_SMOOTHING * (taken_ms - self.run_ms)
+        if events > 1:
+            event_ms = taken_ms / (events - 1)
+            self.event_ms += TIME_SMOOTHING * (event_ms - self.event_ms)
+
+    def closes_in_ms(self, now_ms: clock.Millis) -> float:
+        """Returns the time until it closes for new weights, if it will."""
+        report = self.report
+        if report is None or report.closes_in_ms is None:
+            return float("inf")
+        return report.closes_in_ms - (now_ms - self.reported_ms)
 
     def note_good(self) -> None:
         """Counts a good answer."""
--- a/src/marlramp/core/swap_times.py
+++ b/src/marlramp/core/swap_times.py
@@ -13,22 +13,28 @@
 from marlramp import clock
 from marlramp.core import rendezvous
 
-WAVES = 2
-"""Turns in which the engines of a service load."""
+WAVES = 4
+"""Turns in which the engines of a service load: with three quarters left, the
+others carry the load."""
 
-WAVE_MS = 1_500.0
-"""Length of a turn: a stream's usual run, and the load."""
+WAVE_MS = 620.0
+"""Length of a turn: `DRAIN_MS` and a load of 300 ms, less what may overlap."""
 
-LATEST_MARGIN_MS = 1_100.0
+DRAIN_MS = 350.0
+"""How long an engine that closes finishes what runs before what is left is
+cut and goes on at another engine. Entries send it nothing that they expect to
+outlast its turn, so that this is little."""
+
+LATEST_MARGIN_MS = 1_000.0
 """Time before the bound at which every engine begins to load, since entries
 send it nothing on the old version from then on."""
 
 
 class SwapPlan(msgspec.Struct, frozen=True):
-    """A turn and the time at which it begins at the latest."""
+    """A turn and the time at which it begins."""
 
     wave: int
-    latest_ms: float
+    begins_ms: float
 
 
 def plan(
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -127,8 +127,20 @@
         policy: SwarmPolicy,
         now_ms: clock.Millis,
         rng: random.Random,
+        origin_after_ms: float = 0.0,
     ) -> None:
-        """Starts with the chunks already held and no neighbour."""
+        """Starts with the chunks already held and no neighbour.
+
+        Args:
+          vm_id: the own VM.
+          chunk_digests: digest of each chunk.
+          held: chunks already held.
+          policy: settings.
+          now_ms: the time.
+          rng: breaks ties.
+          origin_after_ms: wait before the origin is drawn from, for a version
+            that neighbours are likely to hold.
+        """
         self._vm_id = vm_id
         self._count = len(chunk_digests)
         self._group_keys = [
@@ -150,7 +162,7 @@
         self._entered_ms: dict[int, float] = {}
         self._progress_ms: float = now_ms
         self._origin_failed_ms = float("-inf")
-        self._origin_not_before_ms = 0.0
+        self._origin_not_before_ms = now_ms + origin_after_ms
         self._new_held: list[int] = sorted(held)
         self._new_seen: list[int] = []
         self._near: frozenset[str] | None = None
@@ -432,6 +444,13 @@
 
     def _may_import(self, index: int, now_ms: clock.Millis) -> bool:
         """Returns whether a chunk may be fetched from another region."""
+        near = self._near or frozenset()
+        if any(
+            index in peer.held
+            for peer_id, peer in self._peers.items()
+            if peer_id in near
+        ):
+            return False
         rank = self._import_ranks[index % len(self._group_keys)]
         seen_ms = self._seen_ms.get(index, self._started_ms)
         return now_ms - seen_ms >= rank * self._policy.takeover_ms
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -16,7 +16,7 @@
 FAILURE_WEIGHT = 4.0
 """How much a share of failures lengthens the predicted time."""
 
-REMOTE_PENALTY_MS = 15.0
+REMOTE_PENALTY_MS = 40.0
 """Advantage of a replica in the own region: the way there and back takes
 5.6 ms longer from another region, and bytes between regions are scarce."""
 
@@ -27,12 +27,14 @@
     Attributes:
       engine: the service's engine, None for a plain service.
       prompt_tokens: tokens of the prompt.
+      events: events that the answer is expected to have.
       oldest_weights: oldest version that the request may begin on.
       failed: ids of replicas that this request already failed at.
     """
 
     engine: fleet.EngineSpec | None
     prompt_tokens: int
+    events: float
     oldest_weights: int
     failed: Collection[str]
 
@@ -77,6 +79,27 @@
     )
 
 
+def outlasts(
+    choice_ms: float,
+    view: replica_table.ReplicaView,
+    wanted: Wanted,
+    now_ms: clock.Millis,
+) -> bool:
+    """Returns whether the request would still run when the replica closes.
+
+    An engine that changes its weights waits for what runs there; requests
+    that end in time keep it busy until then, and the others go elsewhere.
+
+    Args:
+      choice_ms: predicted time to the first event.
+      view: the replica.
+      wanted: what the request needs.
+      now_ms: the time.
+    """
+    run_ms = choice_ms + wanted.events * view.event_ms
+    return run_ms > view.closes_in_ms(now_ms)
+
+
 def rank(
     views: Sequence[replica_table.ReplicaView],
     wanted: Wanted,
@@ -105,6 +128,8 @@
         near = view.replica.data_centre in is_near
         cost_ms = time_ms * (1.0 + FAILURE_WEIGHT * view.failure_share)
         cost_ms += 0.0 if near else REMOTE_PENALTY_MS
-        choices.append((cost_ms, view.replica.replica_id, view, time_ms))
-    choices.sort(key=lambda choice: choice[:2])
-    return [Choice(view, time_ms) for _, _, view, time_ms in choices]
+        late = outlasts(time_ms, view, wanted, now_ms)
+        key = (late, cost_ms, view.replica.replica_id)
+        choices.append((key, Choice(view, time_ms)))
+    choices.sort(key=lambda choice: choice[0])
+    return [choice for _, choice in choices]
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -46,6 +46,14 @@
 UNGUIDED_READ_MS = 3_000.0
 """An agent that no entry guides reads the store itself this often."""
 
+NEW_VERSION_MS = 2_000.0
+"""A version named this lately is held by no agent as a whole: fetching one
+takes twice as long."""
+
+FIRST_VERSION = 1
+"""Version in force until another is named; engines that are added hold no
+weights at all."""
+
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -83,6 +91,7 @@
         self._guided_ms = float("-inf")
         self._origin = ""
         self._model = ""
+        self._may_cut = False
         self._reached: bool | None = None
         self._report: engine_state.EngineReport | None = None
         self._told: replica_table.LoadReport | None = None
@@ -162,10 +171,11 @@
 
     def wanted(self) -> piece_exchange.Wanted | None:
         """Returns the weights to serve, None if they are not known."""
-        target = self._targets.targets.get(self._model)
-        if target is None:
+        if not self._model:
             return None
-        return piece_exchange.Wanted(self._model, target.target.version)
+        target = self._targets.targets.get(self._model)
+        version = FIRST_VERSION if target is None else target.target.version
+        return piece_exchange.Wanted(self._model, version)
 
     def report(self) -> engine_state.EngineReport | None:
         """Returns the engine's last report, None while it is away."""
@@ -205,6 +215,17 @@
             now_ms,
         )
 
+    def may_cut(self) -> bool:
+        """Returns whether streams that are cut go on at another engine."""
+        return self._may_cut
+
+    def is_new(self, wanted: piece_exchange.Wanted) -> bool:
+        """Returns whether a version was named just now."""
+        target = self._targets.targets.get(wanted.model)
+        if target is None or target.named_ms is None:
+            return False
+        return self._clock.now_ms() - target.named_ms < NEW_VERSION_MS
+
     # Messages.
 
     def _on_entry_message(
@@ -222,6 +243,7 @@
         self._guided_ms = now_ms
         self._take_targets(list(guide.targets))
         self._take_origin(guide.origin)
+        self._may_cut = guide.streams_resume
         if guide.engine is not None:
             self._model = guide.engine.model
 
@@ -272,7 +294,7 @@
     def _tell_if_due(self) -> None:
         report = self._load_report()
         since_ms = self._clock.now_ms() - self._told_ms
-        changed = report != self._told
+        changed = _load_of(report) != _load_of(self._told)
         if since_ms >= TELL_ALWAYS_MS or (changed and since_ms >= TELL_MS):
             self._tell_now()
 
@@ -297,8 +319,16 @@
             waiting=report.waiting,
             pace=report.pace,
             opens=not loading and not report.busy,
+            closes_in_ms=self._closes_in_ms(report),
         )
 
+    def _closes_in_ms(self, report: engine_state.EngineReport) -> float | None:
+        """Returns the time until the engine's turn to load, None if none."""
+        wanted = self.wanted()
+        if wanted is None or report.weights in (0, wanted.version):
+            return None
+        return max(0.0, self.plan(wanted).begins_ms - self._clock.now_ms())
+
     async def _tick_all(self) -> None:
         while True:
             safely.run_safely(self._sync.tick, "agent_tick", self._totals)
@@ -327,3 +357,9 @@
             self._take_origin(service.origin)
             if service.engine is not None:
                 self._model = service.engine.model
+
+
+def _load_of(
+    report: replica_table.LoadReport | None,
+) -> tuple[int, int] | None:
+    return None if report is None else (report.running, report.waiting)
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -427,6 +427,9 @@
             targets=targets,
             engine=engines[0] if engines else None,
             origin=origins[0] if origins else "",
+            streams_resume=all(
+                route.resumable for route in config.routes if route.streaming
+            ),
             revision=self._catalog.config_revision,
         )
         self._sync.send(vm_id, guide)
--- a/src/marlramp/direct/forwarder.py
+++ b/src/marlramp/direct/forwarder.py
@@ -54,6 +54,12 @@
 """Part of a connection's idle time within which it takes a request that may
 run only once: a close on the way would leave its outcome unknown."""
 
+HINT_FACTOR = 1.6
+"""Margin on a caller's estimate of its output: half of all are too low."""
+
+EVENTS_LEFT_MIN = 3.0
+"""Events still expected of a stream that has outrun its estimate."""
+
 RETRY_AFTER_DEFAULT_MS = 500.0
 """When to come back if nothing better is known."""
 
@@ -107,6 +113,17 @@
         self.maybe_ran = False
         self.failed: set[str] = set()
 
+    def expected_events(self) -> float:
+        """Returns the events that the answer is expected to have."""
+        engine = self.service.engine
+        if engine is None:
+            return 1.0
+        tokens = float(self.said.output_tokens_max)
+        if self.said.output_tokens_hint:
+            tokens = min(tokens, HINT_FACTOR * self.said.output_tokens_hint)
+        expected = tokens / engine.steps_per_pass - self.relay.splitter.events
+        return max(EVENTS_LEFT_MIN, expected)
+
     def left_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long there is left."""
         return self.ends_ms - now_ms
@@ -152,17 +169,22 @@
         self._view.heard_ms = self._first_ms
         self._read()
 
-    def ended(self, outcome: attempts.Outcome, *, streaming: bool) -> None:
-        """Takes the end of the attempt."""
+    def ended(self, outcome: attempts.Outcome, events: int | None) -> None:
+        """Takes the end of the attempt.
+
+        Args:
+          outcome: how it ended.
+          events: events that a stream brought, None for a plain request.
+        """
         now_ms = self._clock.now_ms()
         self._read()
         self._view.note_ended()
         failure = outcome.failure
         if failure is None:
             self._view.note_good()
-            if streaming and self._first_ms is not None:
-                self._view.note_run(now_ms - self._first_ms)
-            elif not streaming:
+            if events is not None and self._first_ms is not None:
+                self._view.note_run(now_ms - self._first_ms, events)
+            elif events is None:
                 self._view.note_answered(now_ms - self._sent_ms)
         elif failure.ran is errors.Ran.NO:
             self._spare(outcome, now_ms)
@@ -330,6 +352,7 @@
         wanted = upstream_choice.Wanted(
             engine=call.service.engine,
             prompt_tokens=call.said.prompt_tokens,
+            events=call.expected_events(),
             oldest_weights=self._oldest_weights(call.service, now_ms),
             failed=call.failed,
         )
@@ -414,7 +437,7 @@
                         ran=errors.Ran.NO,
                     )
                 )
-                observer.ended(outcome, streaming=False)
+                observer.ended(outcome, None)
                 return _Try(outcome)
             tried = await self._exchange(call, choice, connection, observer)
         except asyncio.CancelledError:
@@ -423,7 +446,8 @@
                 connection.abort()
             logs.log("caller_left", request=call.said.request_id)
             raise
-        observer.ended(tried.outcome, streaming=call.route.streaming)
+        events = call.relay.splitter.events if call.route.streaming else None
+        observer.ended(tried.outcome, events)
         if tried.stalled:
             connection.abort()
         pool.give_back(connection)
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -32,9 +32,10 @@
 FRAGMENT_BYTES = 4_096
 """8.6 ms of a link of 3.8 Mbit/s."""
 
-LINK_SHARE = 0.86
-"""Part of the link that pieces may take beside live requests: more delays
-events, less brings new weights too late."""
+LINK_SHARE = 0.96
+"""Part of the link that pieces may take beside live requests, which need about
+3 in 100: a fragment delays an event by 9 ms, and every second that the weights
+come sooner leaves more time to change engines in turns."""
 
 TICK_MS = 25.0
 ANNOUNCE_MS = 80.0
@@ -46,6 +47,10 @@
 """Wait per rank before another agent draws a piece from the origin or brings
 it into its region: ten times what one piece takes on an agent's link."""
 
+NEIGHBOURS_FIRST_MS = 800.0
+"""How long an agent that starts asks only its neighbours for a version that
+was named before: they hold it, unless all are new."""
+
 NEIGHBOURS = 16
 """Agents that one is linked to, counting links opened from either side."""
 
@@ -176,8 +181,13 @@
                 await asyncio.sleep(MANIFEST_RETRY_MS / _MS)
         return self._wholes[wanted.name]
 
-    def want(self, wanted: Wanted) -> None:
-        """Starts to fetch a version whose digests are known."""
+    def want(self, wanted: Wanted, *, is_new: bool) -> None:
+        """Starts to fetch a version whose digests are known.
+
+        Args:
+          wanted: the version.
+          is_new: whether it was named just now, so that no agent has it.
+        """
         if wanted == self._wanted:
             return
         whole = self._wholes[wanted.name]
@@ -193,6 +203,7 @@
             swarm.SwarmPolicy(1.0, TAKEOVER_MS),
             self._clock.now_ms(),
             self._rng,
+            0.0 if is_new else NEIGHBOURS_FIRST_MS,
         )
         self._place_in_swarm()
         self._link_peers()
@@ -428,6 +439,8 @@
             sender = None if peer is None else ids.VmId(peer)
             now_ms = self._clock.now_ms()
             current.received(index, sender, valid=valid, now_ms=now_ms)
+            if current.complete and valid and not known:
+                logs.log("pieces_complete", name=name)
         self.changed.set()
         self._wake.set()
 
--- a/src/marlramp/direct/weights_loader.py
+++ b/src/marlramp/direct/weights_loader.py
@@ -58,8 +58,8 @@
         """Stages a piece."""
         ...
 
-    async def load(self, model: str, version: int) -> None:
-        """Orders the engine to load what is staged."""
+    async def load(self, model: str, version: int, *, cut: bool) -> None:
+        """Orders the engine to load what is staged; may cut what runs."""
         ...
 
 
@@ -91,6 +91,14 @@
         """Returns when the engine may load."""
         ...
 
+    def may_cut(self) -> bool:
+        """Returns whether streams that are cut go on at another engine."""
+        ...
+
+    def is_new(self, wanted: piece_exchange.Wanted) -> bool:
+        """Returns whether a version was named just now."""
+        ...
+
 
 class WeightsLoader:
     """Keeps the engine on this VM at the named weights."""
@@ -139,7 +147,7 @@
             return
         if self._staged_of != wanted:
             await self._adopt_staged(wanted, whole)
-        self._exchange.want(wanted)
+        self._exchange.want(wanted, is_new=self._surroundings.is_new(wanted))
         if whole.complete and report.weights == wanted.version:
             self._set_state(LoaderState.IDLE)
             await asyncio.sleep(POLL_MS / _MS)
@@ -212,7 +220,7 @@
         if report.weights == 0:
             return True
         plan = self._surroundings.plan(wanted)
-        return plan.wave == 0 or self._clock.now_ms() >= plan.latest_ms
+        return self._clock.now_ms() >= plan.begins_ms
 
     async def _load(
         self, wanted: piece_exchange.Wanted, whole: manifest.Whole
@@ -222,12 +230,14 @@
         if self._surroundings.wanted() != wanted:
             return
         self._set_state(LoaderState.LOADING)
-        await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
+        await self._drain()
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
         logs.log("load_ordered", name=wanted.name)
         started_ms = self._clock.now_ms()
         try:
-            await self._engine.load(wanted.model, wanted.version)
+            await self._engine.load(
+                wanted.model, wanted.version, cut=self._surroundings.may_cut()
+            )
         except clients.PlatformError as error:
             # Without an answer it may have been accepted: the reports tell.
             logs.log("load_unanswered", name=wanted.name, detail=error)
@@ -240,6 +250,16 @@
         )
         self._set_state(LoaderState.IDLE)
 
+    async def _drain(self) -> None:
+        """Gives what runs some time to end."""
+        end_ms = self._clock.now_ms() + swap_times.DRAIN_MS
+        await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
+        while self._clock.now_ms() < end_ms:
+            report = await self._surroundings.read_report()
+            if report is None or report.running + report.waiting == 0:
+                return
+            await asyncio.sleep(LOAD_POLL_MS / _MS)
+
     async def _mend_staged(
         self, wanted: piece_exchange.Wanted, whole: manifest.Whole
     ) -> None:
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -51,7 +51,7 @@
     operation: str
     model_name: str
     version: int
-    # "queue" lets running requests end before the load.
+    # "queue" lets running requests end before the load, "truncate" cuts them.
     swap_mode: str
 
 
@@ -105,13 +105,19 @@
         url = f"{self._url}/v1/stage-put/{model}?index={index}"
         await _call(self._client, "PUT", url, STAGE_TIMEOUT_MS, data)
 
-    async def load(self, model: str, version: int) -> None:
+    async def load(self, model: str, version: int, *, cut: bool) -> None:
         """Orders the replica to load what is staged.
 
+        Args:
+          model: the model.
+          version: the version that is staged.
+          cut: whether running requests are cut instead of waited for.
+
         Raises:
           PlatformError: if it did not accept; without an answer it may have.
         """
-        order = _Order("start", model, version, "queue")
+        mode = "truncate" if cut else "queue"
+        order = _Order("start", model, version, mode)
         await _call(
             self._client,
             "POST",
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -84,12 +84,14 @@
       targets: weights named, with their revisions and ages.
       engine: the engines of the agent's service, None if it is not known.
       origin: "host:port" of the origin, "" if it is not known.
+      streams_resume: whether every stream may go on at another engine.
       revision: revision of the configuration that this comes from.
     """
 
     targets: list[catalog.TargetChange]
     engine: fleet.EngineSpec | None
     origin: str
+    streams_resume: bool
     revision: int
 
 
