Fetch few pieces at once, imports first, one from the origin

Cause: up to 14 pieces shared a link, so that none could be passed on soon, and agents that were slow to import had their imports doubled by the next in rank. Ruled out: pacing (trial at 1.2 of the link: no change), 8 KiB fragments.

--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -27,7 +27,7 @@
 """Chunks of the common order that may be under way from the origin."""
 
 ORIGIN_IN_FLIGHT_MAX = 2
-"""Chunks one VM draws from the origin at once."""
+"""Chunks one VM draws from the origin at once, unless the policy says else."""
 
 ORIGIN_CHECK_MS = 50.0
 """Least time between looks for chunks to draw from the origin."""
@@ -108,12 +108,21 @@
       takeover_ms: least wait per rank before a chunk is drawn again.
       origin_use: who draws from the origin; RANKED but for baselines.
       credits_per_peer: chunks asked of one neighbour at once.
+      in_flight_max: chunks asked of all neighbours at once; few that arrive
+        soon can be passed on sooner than many that share the link.
+      origin_in_flight_max: chunks drawn from the origin at once; one comes
+        sooner than several that share the origin's link.
+      import_takeover_ms: least wait per rank before a chunk is brought into a
+        region by another of its VMs.
     """
 
     origin_copies_max: float
     takeover_ms: float
     origin_use: OriginUse = OriginUse.RANKED
     credits_per_peer: int = 1
+    in_flight_max: int = 1_000_000
+    import_takeover_ms: float = 2_500.0
+    origin_in_flight_max: int = ORIGIN_IN_FLIGHT_MAX
 
 
 class Swarm:
@@ -373,7 +382,7 @@
         if self._policy.origin_use is not OriginUse.RANKED:
             window_end = self._count
         for index in range(window_end):
-            if len(self._from_origin) >= ORIGIN_IN_FLIGHT_MAX:
+            if len(self._from_origin) >= self._policy.origin_in_flight_max:
                 break
             if index not in self._needed or index in self._fetching:
                 continue
@@ -421,10 +430,17 @@
             for _ in range(self._policy.credits_per_peer - len(peer.in_flight))
         ]
         self._rng.shuffle(free)
+        if self._near is not None:
+            # What only this VM is to bring into its region goes first.
+            free.sort(key=lambda item: item[0] in (self._near or ()))
+        in_flight = sum(len(peer.in_flight) for peer in self._peers.values())
         for peer_id, peer in free:
+            if in_flight >= self._policy.in_flight_max:
+                break
             index = self._rarest(peer_id, peer, now_ms)
             if index is None:
                 continue
+            in_flight += 1
             peer.in_flight[index] = now_ms
             self._fetching.add(index)
             actions.append(FetchFromPeer(peer_id, index))
@@ -453,7 +469,7 @@
             return False
         rank = self._import_ranks[index % len(self._group_keys)]
         seen_ms = self._seen_ms.get(index, self._started_ms)
-        return now_ms - seen_ms >= rank * self._policy.takeover_ms
+        return now_ms - seen_ms >= rank * self._policy.import_takeover_ms
 
 
 def choose_neighbours(
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -38,7 +38,7 @@
 come sooner leaves more time to change engines in turns."""
 
 TICK_MS = 25.0
-ANNOUNCE_MS = 80.0
+ANNOUNCE_MS = 50.0
 """Pieces newly held are announced together at most this often."""
 
 KEEPALIVE_MS = 500.0
@@ -47,6 +47,9 @@
 """Wait per rank before another agent draws a piece from the origin or brings
 it into its region: ten times what one piece takes on an agent's link."""
 
+DOWNLOADS_MAX = 12
+"""Pieces on their way from neighbours at once."""
+
 NEIGHBOURS_FIRST_MS = 800.0
 """How long an agent that starts asks only its neighbours for a version that
 was named before: they hold it, unless all are new."""
@@ -200,7 +203,13 @@
             ids.VmId(self._own.vm_id),
             whole.manifest.chunks,
             whole.held,
-            swarm.SwarmPolicy(1.0, TAKEOVER_MS),
+            swarm.SwarmPolicy(
+                1.0,
+                TAKEOVER_MS,
+                in_flight_max=DOWNLOADS_MAX,
+                origin_in_flight_max=1,
+                credits_per_peer=2,
+            ),
             self._clock.now_ms(),
             self._rng,
             0.0 if is_new else NEIGHBOURS_FIRST_MS,
