--- a/src/marlramp/console/daemon.py
+++ b/src/marlramp/console/daemon.py
@@ -89,6 +89,7 @@
         return EXIT_SETTINGS_REFUSED
     logs.start_logging(parsed.identity.vm_id)
     asyncio.run(_run(lambda: create(parsed)))
+    logs.stop_logging()
     return EXIT_OK
 
 
--- a/src/marlramp/core/retry_share.py
+++ b/src/marlramp/core/retry_share.py
@@ -58,7 +58,8 @@
 
     def try_spend(self, entries: int, now_ms: clock.Millis) -> bool:
         """Spends one repeat; returns whether there was one."""
-        if len(self._repeats) + 1 > self.allowed(entries, now_ms):
+        allowed = self.allowed(entries, now_ms)
+        if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_ms)
         return True
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -21,6 +21,7 @@
     PLATFORM_READS = "marlramp_platform_reads"
     REQUESTS = "marlramp_requests"
     LINK_BYTES = "marlramp_link_bytes"
+    LOG_LINES_DROPPED = "marlramp_log_lines_dropped"
     INTERNAL_ERRORS = "marlramp_internal_errors"
 
 
--- a/src/marlramp/direct/metrics.py
+++ b/src/marlramp/direct/metrics.py
@@ -10,6 +10,7 @@
 import prometheus_client
 
 from marlramp import counters
+from marlramp import logs
 
 
 class Metrics:
@@ -36,6 +37,11 @@
 
     def _observer(self, name: counters.CounterName) -> otel.CallbackT:
         def observe(_: otel.CallbackOptions) -> Iterable[otel.Observation]:
+            if name is counters.CounterName.LOG_LINES_DROPPED:
+                yield otel.Observation(
+                    logs.lines_dropped(), {"reason": "queue"}
+                )
+                return
             for value in self._totals.values():
                 if value.name is name:
                     yield otel.Observation(
--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -2,12 +2,31 @@
 
 from __future__ import annotations
 
+import collections
 import sys
+import threading
+import time
 import traceback
 from typing import TextIO
 
 import eliot
 
+ROUTINE_EVENTS = frozenset({"request_served", "caller_left"})
+"""Events of requests that went well; they are dropped before all others."""
+
+ROUTINE_LINES_PER_S_MAX = 300
+"""Routine lines a process writes in a second; at 30 us a line this bounds
+their cost at a hundredth of a core."""
+
+QUEUED_LINES_MAX = 4_000
+"""Lines that wait to be written, about a megabyte."""
+
+ROUTINE_SHARE = 0.5
+"""Part of the queue that routine lines may fill."""
+
+BATCH_S = 0.05
+FLUSH_POLL_S = 0.01
+
 _HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
 
 
@@ -31,19 +50,118 @@
     return " ".join(pairs)
 
 
+class LineWriter:
+    """Writes lines in a thread of its own, so that no caller ever waits.
+
+    A reader of the stream that stops reading costs lines, never requests:
+    lines wait in a bounded queue, routine ones are dropped first, and what
+    was dropped is counted and told once there is room again.
+    """
+
+    def __init__(
+        self, stream: TextIO, lines_max: int = QUEUED_LINES_MAX
+    ) -> None:
+        """Starts the thread."""
+        self._stream = stream
+        self._lines_max = lines_max
+        self._lines: collections.deque[str] = collections.deque()
+        self._ready = threading.Event()
+        self._untold = 0
+        self.dropped = 0
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def put(self, line: str, *, routine: bool) -> None:
+        """Queues a line, or drops it if too many wait."""
+        waiting = len(self._lines)
+        limit = self._lines_max * ROUTINE_SHARE if routine else self._lines_max
+        if waiting >= limit:
+            self.dropped += 1
+            self._untold += 1
+            return
+        self._lines.append(line)
+        if not waiting:
+            self._ready.set()
+
+    def flush(self, timeout_s: float) -> None:
+        """Waits until all lines are written, but no longer than told."""
+        end_s = time.monotonic() + timeout_s
+        while self._lines and time.monotonic() < end_s:
+            time.sleep(FLUSH_POLL_S)
+
+    def _run(self) -> None:
+        while True:
+            self._ready.wait()
+            # Lines of one moment are written together: a thread that wakes
+            # for each costs more than the lines.
+            time.sleep(BATCH_S)
+            self._ready.clear()
+            self._write_waiting()
+
+    def _write_waiting(self) -> None:
+        lines = [self._lines[n] for n in range(len(self._lines))]
+        if self._untold:
+            untold, self._untold = self._untold, 0
+            lines.append(f"event=lines_dropped count={untold}\n")
+        try:
+            self._stream.write("".join(lines))
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody can read a line about a stream that is closed.
+            self.dropped += len(lines)
+        for _ in range(min(len(lines), len(self._lines))):
+            self._lines.popleft()
+
+
+class _LineLimit:
+    """Bounds the routine lines of each second."""
+
+    def __init__(self, per_second_max: int) -> None:
+        self._per_second_max = per_second_max
+        self._second = 0
+        self._count = 0
+
+    def allows(self) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._count = 0
+        self._count += 1
+        return self._count <= self._per_second_max
+
+
+_routine_limit = _LineLimit(ROUTINE_LINES_PER_S_MAX)
+_writers: list[LineWriter] = []
+
+
 def start_logging(process: str, stream: TextIO = sys.stderr) -> None:
     """Sends all events to `stream`, each stamped with the process name."""
     eliot.add_global_fields(process=process)
+    writer = LineWriter(stream)
+    _writers.append(writer)
 
     def write(message: dict[str, object]) -> None:
-        stream.write(format_line(message) + "\n")
-        stream.flush()
+        event = str(message.get("message_type", ""))
+        routine = event in ROUTINE_EVENTS
+        writer.put(format_line(message) + "\n", routine=routine)
 
     eliot.add_destinations(write)
 
 
+def stop_logging(timeout_s: float = 1.0) -> None:
+    """Writes what waits, for at most some time."""
+    for writer in _writers:
+        writer.flush(timeout_s)
+
+
+def lines_dropped() -> int:
+    """Returns how many lines were dropped since the start."""
+    return sum(writer.dropped for writer in _writers)
+
+
 def log(event: str, **fields: object) -> None:
     """Logs one event with its fields."""
+    if event in ROUTINE_EVENTS and not _routine_limit.allows():
+        return
     eliot.log_message(message_type=event, **fields)
 
 
--- /dev/null
+++ b/standins/raw_http.py
@@ -0,0 +1,140 @@
+"""HTTP server whose answers are written byte by byte, for misbehaviour.
+
+A replica may send bytes that no HTTP library would write: a second answer, a
+body that ends in a reset, an answer before the request was read. A script is
+a coroutine that reads requests and writes what it likes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import socket
+import struct
+
+import msgspec
+
+
+class SeenRequest(msgspec.Struct, frozen=True):
+    """A request as it arrived, header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Peer:
+    """One connection, as a script sees it."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Wraps an open connection."""
+        self._reader = reader
+        self._writer = writer
+
+    async def read(self) -> SeenRequest | None:
+        """Returns the next request, None at the end of the connection."""
+        try:
+            head = await self._reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return None
+        first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+        method, target, _ = first.split(" ")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = b""
+        length = int(headers.get("content-length", "0"))
+        if length:
+            body = await self._reader.readexactly(length)
+        return SeenRequest(method, target, headers, body)
+
+    async def write(self, data: bytes) -> None:
+        """Writes bytes as they are."""
+        self._writer.write(data)
+        with contextlib.suppress(ConnectionError):
+            await self._writer.drain()
+
+    async def answer(
+        self,
+        request: SeenRequest,
+        status: int,
+        body: bytes = b"",
+        **headers: str,
+    ) -> None:
+        """Writes a whole answer that echoes the request's id."""
+        lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
+        echo = request.headers.get("x-attempt-id")
+        if echo:
+            lines.append(f"x-attempt-id: {echo}")
+        lines.extend(
+            f"{name.replace('_', '-')}: {value}"
+            for name, value in headers.items()
+        )
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        await self.write(head.encode("latin-1") + body)
+
+    def reset(self) -> None:
+        """Ends the connection with a reset."""
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Ends the connection properly."""
+        self._writer.close()
+
+
+type Script = Callable[[Peer], Awaitable[None]]
+
+
+class ScriptedServer:
+    """Runs a script on each connection; use as a context manager.
+
+    Attributes:
+      port: where it listens on loopback.
+      connections: connections taken so far.
+    """
+
+    def __init__(self, script: Script) -> None:
+        """Listens once entered."""
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self._peers: list[Peer] = []
+        self.port = 0
+        self.connections = 0
+
+    async def __aenter__(self) -> ScriptedServer:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops."""
+        if self._server is not None:
+            self._server.close()
+        for peer in self._peers:
+            peer.close()
+
+    @property
+    def address(self) -> str:
+        """Address as "host:port"."""
+        return f"127.0.0.1:{self.port}"
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        peer = Peer(reader, writer)
+        self._peers.append(peer)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await self._script(peer)
+        writer.close()
--- /dev/null
+++ b/tests/core/test_catalog.py
@@ -0,0 +1,140 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from marlramp import clock
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import weights_gate
+
+type MakeReplica = Callable[..., fleet.Replica]
+type MakeConfig = Callable[..., fleet.FleetConfig]
+
+BOUND_MS = 8_000.0
+
+
+def listed(revision: int, replica: fleet.Replica) -> catalog.ReplicaChange:
+    return catalog.ReplicaChange(revision, replica.replica_id, replica)
+
+
+def removed(revision: int, replica: fleet.Replica) -> catalog.ReplicaChange:
+    return catalog.ReplicaChange(revision, replica.replica_id, None)
+
+
+def named(
+    revision: int, version: int, age_ms: float | None = 0.0
+) -> catalog.TargetChange:
+    target = fleet.WeightsTarget(model="m", version=version)
+    return catalog.TargetChange(revision, target, age_ms)
+
+
+def test_older_configuration_is_never_taken(
+    known: catalog.Catalog, make_config: MakeConfig, time: clock.ManualClock
+) -> None:
+    newer = catalog.ConfigChange(9, make_config(version=7))
+    older = catalog.ConfigChange(5, make_config(version=4))
+    assert known.apply([newer], time.now_ms()) == [newer]
+    assert known.apply([older, newer], time.now_ms()) == []
+    assert known.config_version == 7
+
+
+def test_changes_merge_in_any_order(
+    known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    replica = make_replica()
+    draining = make_replica(state=fleet.ReplicaState.DRAINING)
+    known.apply([listed(6, draining)], time.now_ms())
+    known.apply([listed(5, replica)], time.now_ms())
+    assert known.replica("i-1") == draining
+    known.apply([removed(7, replica)], time.now_ms())
+    known.apply([listed(6, draining)], time.now_ms())
+    assert known.replica("i-1") is None
+
+
+def test_removal_while_the_store_works_counts_at_once(
+    known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    known.apply([listed(1, make_replica())], time.now_ms())
+    known.apply([removed(2, make_replica())], time.now_ms())
+    assert known.replicas() == []
+
+
+def test_entry_that_lapsed_with_the_store_may_come_back(
+    known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    known.apply([listed(1, make_replica())], time.now_ms())
+    known.store_failed(time.now_ms())
+    known.take_snapshot(catalog.Snapshot(4, []), time.now_ms())
+    assert known.replica("i-1") is not None
+    time.advance(1_000.0)
+    assert known.tick(time.now_ms()) == []
+    known.apply([listed(5, make_replica())], time.now_ms())
+    time.advance(5_000.0)
+    assert known.tick(time.now_ms()) == []
+    assert known.replica("i-1") is not None
+
+
+def test_entry_that_stays_away_is_gone(
+    known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    known.apply([listed(1, make_replica())], time.now_ms())
+    known.store_failed(time.now_ms())
+    known.take_snapshot(catalog.Snapshot(4, []), time.now_ms())
+    time.advance(catalog.REPLICA_RETURN_MS + 1.0)
+    assert known.tick(time.now_ms()) == ["i-1"]
+    assert known.replicas() == []
+
+
+def test_what_a_peer_missed_can_be_told(
+    known: catalog.Catalog,
+    make_replica: MakeReplica,
+    make_config: MakeConfig,
+    time: clock.ManualClock,
+) -> None:
+    known.apply(
+        [
+            catalog.ConfigChange(2, make_config(version=3)),
+            listed(3, make_replica()),
+            named(4, 2),
+            removed(5, make_replica()),
+        ],
+        time.now_ms(),
+    )
+    time.advance(250.0)
+    other = catalog.Catalog()
+    other.apply(known.changes_after(2, time.now_ms()), time.now_ms())
+    assert other.config is None
+    assert other.replica("i-1") is None
+    assert other.targets["m"].named_ms == time.now_ms() - 250.0
+
+
+def test_each_named_version_binds_by_itself(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    started_ms = time.now_ms()
+    known.apply([named(1, 2)], time.now_ms())
+    time.advance(2_000.0)
+    known.apply([named(2, 3)], time.now_ms())
+
+    def oldest() -> int:
+        return weights_gate.oldest_allowed(
+            known.targets["m"], BOUND_MS, started_ms, time.now_ms()
+        )
+
+    assert oldest() == 1
+    time.advance(BOUND_MS - 2_000.0 - weights_gate.QUEUE_MARGIN_MS)
+    assert oldest() == 2
+    time.advance(2_000.0)
+    assert oldest() == 3
+
+
+def test_version_of_unknown_age_binds_soon(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    known.apply([named(1, 2, age_ms=None)], time.now_ms())
+    started_ms = time.now_ms()
+    time.advance(weights_gate.FIRST_READ_GRACE_MS)
+    oldest = weights_gate.oldest_allowed(
+        known.targets["m"], BOUND_MS, started_ms, time.now_ms()
+    )
+    assert oldest == 2
--- /dev/null
+++ b/tests/core/test_direct_decisions.py
@@ -0,0 +1,179 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp.core import breaker
+from marlramp.core import engine_load
+from marlramp.core import event_stream
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import retry_share
+from marlramp.core import swap_times
+from marlramp.core import upstream_choice
+
+type MakeReplica = Callable[..., fleet.Replica]
+
+WANTED = upstream_choice.Wanted(
+    engine=None, prompt_tokens=0, events=1.0, oldest_weights=0, failed=()
+)
+REPORT = replica_table.LoadReport(
+    address="127.0.0.1:1", weights=1, running=0, waiting=0, pace=1.0, opens=True
+)
+
+
+def view_of(replica: fleet.Replica) -> replica_table.ReplicaView:
+    return replica_table.ReplicaView(replica, breaker.Breaker(3, 1_500.0))
+
+
+def ids_of(choices: list[upstream_choice.Choice]) -> list[str]:
+    return [choice.view.replica.replica_id for choice in choices]
+
+
+@pytest.fixture
+def wanted(engine: fleet.EngineSpec) -> upstream_choice.Wanted:
+    return msgspec.structs.replace(
+        WANTED, engine=engine, prompt_tokens=900, events=18.0, oldest_weights=1
+    )
+
+
+def test_engine_without_weights_gets_nothing(
+    make_replica: MakeReplica,
+    wanted: upstream_choice.Wanted,
+    time: clock.ManualClock,
+) -> None:
+    empty = view_of(make_replica(replica_id="i-0", weights=0))
+    loaded = view_of(make_replica())
+    loaded.note_load(15, 4, time.now_ms())
+    ranked = upstream_choice.rank([empty, loaded], wanted, {}, time.now_ms())
+    assert ids_of(ranked) == ["i-1"]
+
+
+def test_engine_on_a_version_that_no_longer_counts_gets_nothing(
+    make_replica: MakeReplica,
+    wanted: upstream_choice.Wanted,
+    time: clock.ManualClock,
+) -> None:
+    bound = msgspec.structs.replace(wanted, oldest_weights=2)
+    old = view_of(make_replica())
+    assert upstream_choice.rank([old], bound, {}, time.now_ms()) == []
+
+
+def test_draining_replica_gets_nothing(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    leaving = view_of(make_replica(state=fleet.ReplicaState.DRAINING))
+    assert upstream_choice.rank([leaving], WANTED, {}, time.now_ms()) == []
+
+
+def test_request_that_outlasts_a_closing_engine_goes_elsewhere(
+    make_replica: MakeReplica,
+    wanted: upstream_choice.Wanted,
+    time: clock.ManualClock,
+) -> None:
+    closing = view_of(make_replica(replica_id="i-0"))
+    closing.report = msgspec.structs.replace(REPORT, closes_in_ms=600.0)
+    closing.reported_ms = time.now_ms()
+    busy = view_of(make_replica())
+    busy.note_load(8, 0, time.now_ms())
+    views = [closing, busy]
+    long = upstream_choice.rank(views, wanted, {}, time.now_ms())
+    assert ids_of(long) == ["i-1", "i-0"]
+    brief = msgspec.structs.replace(wanted, events=2.0)
+    assert ids_of(upstream_choice.rank(views, brief, {}, time.now_ms())) == [
+        "i-0",
+        "i-1",
+    ]
+
+
+def test_failing_replica_ranks_behind_a_sound_one(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    failing = view_of(make_replica(replica_id="i-0"))
+    for _ in range(5):
+        failing.note_error()
+    sound = view_of(make_replica())
+    ranked = upstream_choice.rank([failing, sound], WANTED, {}, time.now_ms())
+    assert ids_of(ranked) == ["i-1", "i-0"]
+
+
+def test_breakers_are_ignored_when_most_are_open(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    views = [view_of(make_replica(replica_id=f"i-{n}")) for n in range(3)]
+    for view in views:
+        for _ in range(3):
+            view.note_broken(time.now_ms())
+    ranked = upstream_choice.rank(views, WANTED, {}, time.now_ms())
+    assert len(ranked) == 3
+
+
+def test_unread_prompts_delay_the_first_token(
+    engine: fleet.EngineSpec,
+) -> None:
+    idle = engine_load.EngineLoad(running=4, waiting=0, unread_tokens=0)
+    reading = engine_load.EngineLoad(running=4, waiting=0, unread_tokens=4_140)
+    later = engine_load.first_token_ms(engine, reading, 900, 1_300.0)
+    sooner = engine_load.first_token_ms(engine, idle, 900, 1_300.0)
+    assert later - sooner == pytest.approx(200.0)
+
+
+def test_shares_of_the_retry_budget_sum_to_no_more_than_it(
+    time: clock.ManualClock,
+) -> None:
+    entries = 12
+    spent = 0
+    requests = 0
+    for _ in range(entries):
+        share = retry_share.RetryShare(0.2, 104.0, 10_000.0)
+        for _ in range(60):
+            share.record_request(time.now_ms())
+            requests += 1
+        while share.try_spend(entries, time.now_ms()):
+            spent += 1
+    assert spent <= 0.2 * requests + 104.0
+
+
+def test_retry_budget_slides(time: clock.ManualClock) -> None:
+    share = retry_share.RetryShare(0.2, 104.0, 10_000.0)
+    while share.try_spend(8, time.now_ms()):
+        pass
+    time.advance(9_900.0)
+    assert not share.try_spend(8, time.now_ms())
+    time.advance(200.0)
+    assert share.try_spend(8, time.now_ms())
+
+
+def test_partial_event_is_held_back() -> None:
+    splitter = event_stream.EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == (
+        b"id: 1\ndata: a\n\n"
+    )
+    assert splitter.partial
+    assert splitter.last_id == "1"
+    splitter.reset()
+    assert splitter.feed(b"id: 2\r\ndata: b\r\n\r\n") == (
+        b"id: 2\r\ndata: b\r\n\r\n"
+    )
+    assert splitter.last_id == "2"
+    assert splitter.events == 2
+
+
+def test_engines_load_in_turns_before_the_bound(
+    time: clock.ManualClock,
+) -> None:
+    names = [f"vm-{n}" for n in range(12)]
+    plans = [
+        swap_times.plan(n, names, "m@2", 0.0, 8_000.0, time.now_ms())
+        for n in names
+    ]
+    waves = [plan.wave for plan in plans]
+    assert all(
+        waves.count(wave) == 12 // swap_times.WAVES
+        for wave in range(swap_times.WAVES)
+    )
+    latest_ms = 8_000.0 - swap_times.LATEST_MARGIN_MS
+    assert max(plan.begins_ms for plan in plans) == latest_ms
--- /dev/null
+++ b/tests/direct/conftest.py
@@ -0,0 +1,195 @@
+"""An entry's forwarding path before scripted replicas."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import errors
+from marlramp import ids
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import route_table
+from marlramp.direct import forwarder
+from marlramp.platform import headers
+from marlramp.settings import node
+from marlramp.shell import http1_server
+from standins import raw_http
+
+SETTINGS = node.NodeSettings(
+    vm_id=ids.VmId("vm-1"),
+    role=node.NodeRole.ENTRY,
+    host="127.0.0.1",
+    data_centre=ids.DataCentreId("dc-1"),
+    region="north",
+    regions={"dc-1": "north"},
+    seeds=[],
+    own_ports=(0, 0),
+    store=node.Address("127.0.0.1", 1),
+    heartbeat_ms=1_200.0,
+    link_bytes_per_s=1e9,
+    bounds=node.Bounds(
+        drain_ms=2_000.0,
+        grace_ms=8_000.0,
+        config_apply_ms=2_000.0,
+        version_ms=8_000.0,
+        retry_ratio=0.2,
+        retry_window_ms=10_000.0,
+        retry_slack=104.0,
+        lookup_ttl_max_ms=5_000.0,
+    ),
+)
+
+
+def route(kind: fleet.RouteKind, name: str) -> fleet.Route:
+    """Returns a route below /NAME/ to the service of that name."""
+    return fleet.Route(
+        name=name,
+        host="a.example",
+        path_prefix=f"/{name}/",
+        kind=kind,
+        targets=[fleet.ServiceShare(ids.ServiceId("s"), 1.0)],
+        timeout_ms=1_500.0,
+        objective_ms=400.0,
+        pause_objective_ms=400.0,
+        priority=1,
+        attempts_max=2,
+        public=True,
+        resumable=True,
+    )
+
+
+CONFIG = fleet.FleetConfig(
+    version=1,
+    routes=[
+        route(fleet.RouteKind.IDEMPOTENT, "safe"),
+        route(fleet.RouteKind.NON_IDEMPOTENT, "once"),
+        route(fleet.RouteKind.STREAMING, "stream"),
+        msgspec.structs.replace(
+            route(fleet.RouteKind.STREAMING, "whole"), resumable=False
+        ),
+    ],
+    services=[fleet.Service(service_id=ids.ServiceId("s"), connections_max=64)],
+    customers=None,
+    limits=fleet.CallerLimits(),
+)
+
+
+class Entry:
+    """A forwarder behind a caller server, before some replicas."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        """Knows one replica at each address."""
+        self.leaving = False
+        self.routes: route_table.RouteTable | None = route_table.RouteTable(
+            CONFIG
+        )
+        self.entries = 1
+        self.closing = False
+        self.catalog = catalog.Catalog()
+        self.table = replica_table.ReplicaTable()
+        time = clock.SystemClock()
+        changes: list[catalog.Change] = [
+            catalog.ReplicaChange(
+                number + 1,
+                f"i-{number}",
+                fleet.Replica(
+                    replica_id=f"i-{number}",
+                    service_id=ids.ServiceId("s"),
+                    address=address,
+                    data_centre=ids.DataCentreId("dc-1"),
+                    slots=8,
+                    state=fleet.ReplicaState.HEALTHY,
+                    weights=None,
+                ),
+            )
+            for number, address in enumerate(addresses)
+        ]
+        self.catalog.apply(changes, time.now_ms())
+        self.table.sync(self.catalog, time.now_ms())
+        self.totals = counters.Counters()
+        self.forwarder = forwarder.Forwarder(
+            self,
+            self.catalog,
+            self.table,
+            headers.PlatformCallCodec(),
+            SETTINGS,
+            self.totals,
+            time,
+        )
+        self.server = http1_server.CallerServer(
+            self.forwarder.handle, self, time
+        )
+
+    def refuses(self) -> bool:
+        """Whether no new requests are taken."""
+        return self.leaving
+
+    def limits(self) -> fleet.CallerLimits:
+        """Returns the bounds in force."""
+        return CONFIG.limits
+
+    def refused(self, error: errors.CallError) -> None:
+        """Ignores requests that could not be read."""
+
+    async def call(
+        self, path: str, method: str = "GET", wait_ms: int = 1_000
+    ) -> bytes:
+        """Sends one request and returns all bytes of the answer."""
+        reader, writer = await self.connect(path, method, wait_ms)
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while part := await reader.read(65_536):
+                data += part
+        writer.close()
+        return data
+
+    async def connect(
+        self, path: str, method: str = "GET", wait_ms: int = 1_000
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends one request and returns its connection."""
+        assert self.server._server is not None
+        port = self.server._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nhost: a.example\r\n"
+            f"x-attempt-id: id-1\r\nx-deadline-ms: {wait_ms}\r\n"
+            "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
+        )
+        return reader, writer
+
+
+type Use = Callable[[Entry], Awaitable[None]]
+type RunEntry = Callable[..., None]
+
+
+@pytest.fixture
+def run_entry() -> RunEntry:
+    """Runs a test before replicas that follow scripts."""
+
+    def run(use: Use, *scripts: raw_http.Script) -> None:
+        async def main() -> None:
+            async with contextlib.AsyncExitStack() as stack:
+                servers = [
+                    await stack.enter_async_context(
+                        raw_http.ScriptedServer(script)
+                    )
+                    for script in scripts
+                ]
+                entry = Entry([server.address for server in servers])
+                await entry.server.start("127.0.0.1", 0)
+                async with asyncio.timeout(5):
+                    await use(entry)
+                entry.server.stop_listening()
+
+        asyncio.run(main())
+
+    return run
--- /dev/null
+++ b/tests/direct/test_forwarder.py
@@ -0,0 +1,306 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from marlramp import errors
+from standins import raw_http
+from tests.direct import conftest
+
+RunEntry = conftest.RunEntry
+
+
+class Replica:
+    """Scripts of a replica and what it saw."""
+
+    def __init__(self) -> None:
+        self.seen: list[raw_http.SeenRequest] = []
+        self.cancelled = 0
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.answer(request, 200, b"ok", x_replica_signature="s")
+
+    async def refuse(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.answer(request, 503, x_not_executed="1")
+
+    async def fail(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.answer(request, 500, b"broken", x_replica_signature="s")
+
+    async def reset(self, peer: raw_http.Peer) -> None:
+        request = await peer.read()
+        if request is not None:
+            self.seen.append(request)
+        peer.reset()
+
+    async def hang(self, peer: raw_http.Peer) -> None:
+        request = await peer.read()
+        if request is not None:
+            self.seen.append(request)
+            if await peer.read() is None:
+                self.cancelled += 1
+
+    async def unsigned(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.answer(request, 200, b"forged")
+
+    async def other(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n"
+                b"x-attempt-id: other\r\nx-replica-signature: s\r\n\r\nelse"
+            )
+
+    async def full_without_word(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            await peer.answer(request, 503)
+
+    async def events(self, peer: raw_http.Peer, *, cut: bool) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen.append(request)
+            first = int(request.headers.get("last-event-id", "0")) + 1
+            await peer.write(
+                b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+                b"content-type: text/event-stream\r\n"
+                b"x-replica-signature: s\r\nx-attempt-id: id-1\r\n\r\n"
+            )
+            last = first + 2 if cut else 6
+            for number in range(first, last + 1):
+                event = f"id: {number}\ndata: e{number}\n\n".encode()
+                await peer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if cut:
+                await peer.write(b"7\r\nid: 99\n\r\n")
+                await asyncio.sleep(0.05)
+                peer.reset()
+                return
+            await peer.write(b"0\r\n\r\n")
+
+    async def cut_events(self, peer: raw_http.Peer) -> None:
+        await self.events(peer, cut=True)
+
+    async def whole_events(self, peer: raw_http.Peer) -> None:
+        await self.events(peer, cut=False)
+
+
+def status_of(answer: bytes) -> int:
+    return int(answer.split(b" ", 2)[1])
+
+
+def headers_of(answer: bytes) -> bytes:
+    return answer.split(b"\r\n\r\n", 1)[0]
+
+
+def test_request_is_served_by_the_expected_replica(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/safe/x?q=1")
+        assert status_of(answer) == 200
+        assert answer.endswith(b"ok")
+        (seen,) = replica.seen
+        assert seen.target == "/safe/x?q=1"
+        assert seen.headers["x-expect-replica"] == "i-0"
+        assert 0 < int(seen.headers["x-deadline-ms"]) <= 1_000
+
+    run_entry(use, replica.serve)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_refused_request_runs_at_another_replica(
+    path: str, run_entry: RunEntry
+) -> None:
+    full, free = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        for _ in range(3):
+            assert status_of(await entry.call(path)) == 200
+        assert len(free.seen) == 3
+
+    run_entry(use, full.refuse, free.serve)
+
+
+def test_non_idempotent_request_is_never_repeated_after_a_loss(
+    run_entry: RunEntry,
+) -> None:
+    first, second = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 502
+        assert len(first.seen) + len(second.seen) == 1
+
+    run_entry(use, first.reset, second.reset)
+
+
+def test_idempotent_request_is_repeated_within_its_attempts(
+    run_entry: RunEntry,
+) -> None:
+    replicas = [Replica() for _ in range(4)]
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/safe/x")
+        assert status_of(answer) == 502
+        assert sum(len(replica.seen) for replica in replicas) == 2
+
+    run_entry(use, *(replica.reset for replica in replicas))
+
+
+def test_failure_of_a_replica_is_passed_on_unchanged(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 500
+        assert answer.endswith(b"broken")
+        assert b"x-replica-signature: s" in headers_of(answer)
+
+    run_entry(use, replica.fail)
+
+
+def test_status_that_promises_not_run_needs_the_replicas_word(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        assert status_of(await entry.call("/once/x", "POST")) == 502
+
+    run_entry(use, replica.full_without_word)
+
+
+def test_refusal_says_when_to_come_back(run_entry: RunEntry) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 503
+        assert b"retry-after: " in headers_of(answer)
+
+    run_entry(use)
+
+
+@pytest.mark.parametrize("script", ["unsigned", "other"])
+def test_answer_that_is_not_the_replicas_is_not_passed_on(
+    script: str, run_entry: RunEntry
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 502
+        assert b"forged" not in answer
+        assert b"else" not in answer
+
+    run_entry(use, getattr(replica, script))
+
+
+def test_replica_stops_when_the_caller_leaves(run_entry: RunEntry) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        _, writer = await entry.connect("/once/x", "POST")
+        while not replica.seen:
+            await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(0.4):
+            while not replica.cancelled:
+                await asyncio.sleep(0.01)
+        assert entry.forwarder.active == 0
+
+    run_entry(use, replica.hang)
+
+
+def test_hanging_request_ends_at_the_callers_time(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        answer = await entry.call("/once/x", "POST", wait_ms=300)
+        assert status_of(answer) == 504
+        assert 0.25 < loop.time() - started < 0.6
+
+    run_entry(use, replica.hang)
+
+
+def test_idempotent_request_leaves_a_hanging_replica(
+    run_entry: RunEntry,
+) -> None:
+    hanging, sound = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        for _ in range(3):
+            answer = await entry.call("/safe/x", wait_ms=900)
+            assert status_of(answer) == 200
+
+    run_entry(use, hanging.hang, sound.serve)
+
+
+def test_stream_goes_on_at_another_replica_without_a_gap(
+    run_entry: RunEntry,
+) -> None:
+    cut, whole = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        # The first replica of equals is the one with the lower id.
+        answer = await entry.call("/stream/x", "POST")
+        numbers = [
+            int(line[4:])
+            for line in answer.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+        assert numbers == [1, 2, 3, 4, 5, 6]
+        assert answer.endswith(b"0\r\n\r\n")
+        assert whole.seen[0].headers["last-event-id"] == "3"
+
+    run_entry(use, cut.cut_events, whole.whole_events)
+
+
+def test_cut_stream_that_may_not_go_on_does_not_look_complete(
+    run_entry: RunEntry,
+) -> None:
+    cut, whole = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/whole/x", "POST")
+        assert b"id: 3" in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+        assert not whole.seen
+
+    run_entry(use, cut.cut_events, whole.whole_events)
+
+
+def test_entry_without_configuration_says_so(run_entry: RunEntry) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        entry.routes = None
+        assert status_of(await entry.call("/safe/x")) == 503
+
+    run_entry(use)
+
+
+def test_leaving_entry_refuses_what_it_could_not_finish(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.leaving = True
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 503
+        assert errors.ErrorKind.ENTRY_LEAVING.value.encode() in answer
+        assert not replica.seen
+
+    run_entry(use, replica.serve)
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,105 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from marlramp.core import fleet
+from marlramp.platform import documents
+
+CONFIG = {
+    "version": 7,
+    "route_table": [
+        {
+            "name": "r",
+            "host": "A.example",
+            "path_prefix": "/a/",
+            "route_kind": "streaming",
+            "timeout_ms": 6000,
+            "target_latency_ms": 405,
+            "priority": 1,
+            "split": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "target_itl_ms": 400,
+        }
+    ],
+    "services": [
+        {
+            "name": "s",
+            "max_conns": 274,
+            "runtime": {
+                "slots": 16,
+                "read_per_s": 20700.0,
+                "context_per_k": 0.0322,
+                "model_list": [{"name": "m", "warmup_s": 0.3}],
+                "layers": 16,
+                "blocks": 64,
+                "block_bytes": 32768,
+            },
+        },
+        {"name": "o", "upstream": "172.20.0.3:8006", "max_conns": 48},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "c", "api_keys": ["k"], "priority": 1}],
+}
+
+
+def replica(**changes: object) -> bytes:
+    entry: dict[str, object] = {
+        "service": "s",
+        "address": "10.0.0.9:80",
+        "zone": "dc-1",
+        "slots": 16,
+        "state": "healthy",
+    }
+    return json.dumps(entry | changes).encode()
+
+
+def test_configuration_is_decoded() -> None:
+    config = documents.decode_config(json.dumps(CONFIG).encode())
+    (route,) = config.routes
+    assert route.host == "a.example"
+    assert route.repeatable
+    assert [share.weight for share in route.targets] == [90, 10]
+    engine = config.services[0].engine
+    assert engine is not None
+    assert engine.read_tokens_per_ms == pytest.approx(20.7)
+    assert engine.load_ms == 300.0
+    assert config.services[1].origin == "172.20.0.3:8006"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"{", b'{"version": "x"}', b'{"version": 1, "route_table": [{}]}'],
+)
+def test_malformed_configuration_is_refused(data: bytes) -> None:
+    with pytest.raises(documents.DocumentError):
+        documents.decode_config(data)
+
+
+@pytest.mark.parametrize(
+    ("held", "expected"),
+    [
+        ({}, None),
+        ({"model_list": []}, 0),
+        ({"model_list": [{"name": "m", "version": 3}]}, 3),
+        ({"layers": {"source": 0, "target": 16, "version": 2}}, 2),
+        ({"layers": {"source": 0, "target": 0, "version": 2}}, 0),
+    ],
+)
+def test_weights_of_a_replica(
+    held: dict[str, object], expected: int | None
+) -> None:
+    decoded = documents.decode_replica("i-1", replica(**held))
+    assert decoded.weights == expected
+
+
+def test_draining_replica() -> None:
+    decoded = documents.decode_replica("i-1", replica(state="draining"))
+    assert decoded.state is fleet.ReplicaState.DRAINING
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,120 @@
+from __future__ import annotations
+
+import pytest
+
+from marlramp import clock
+from marlramp import errors
+from marlramp import ids
+from marlramp.direct import wire
+from marlramp.platform import headers
+from marlramp.shell import http1_client
+from marlramp.shell import http1_server
+
+CODEC = headers.PlatformCallCodec()
+DISPATCH = wire.Dispatch(
+    replica_id="i-1",
+    wait_ms=1_234.5,
+    customer_id=ids.CustomerId("c"),
+    weights=2,
+    priority=None,
+    resume_after="",
+)
+
+
+def request(*extra: tuple[bytes, bytes]) -> http1_server.Request:
+    return http1_server.Request(
+        method="POST",
+        target=b"/a/b?q=1",
+        headers=[(b"host", b"A.example:80"), (b"x-attempt-id", b"id"), *extra],
+        body=b"body",
+        received_ms=clock.Millis(0.0),
+        keep_alive=True,
+    )
+
+
+def head_lines(head: bytes) -> dict[bytes, bytes]:
+    lines = head.split(b"\r\n")[1:-2]
+    return {
+        name: value
+        for name, _, value in (line.partition(b": ") for line in lines)
+    }
+
+
+def test_request_is_read() -> None:
+    said = CODEC.read(
+        request(
+            (b"x-token-usage", b"1460,80"),
+            (b"x-length-hint", b"55"),
+            (b"x-deadline-ms", b"600"),
+        )
+    )
+    assert said.host == "a.example"
+    assert said.path == "/a/b"
+    assert (said.prompt_tokens, said.output_tokens_max) == (1460, 80)
+    assert said.output_tokens_hint == 55
+    assert said.wait_ms == 600.0
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [(b"x-token-usage", b"many"), (b"x-deadline-ms", b"soon")],
+)
+def test_malformed_header_is_an_invalid_request(
+    name: bytes, value: bytes
+) -> None:
+    with pytest.raises(errors.CallError) as caught:
+        CODEC.read(request((name, value)))
+    assert caught.value.status == 400
+
+
+def test_headers_of_the_system_replace_those_of_the_caller() -> None:
+    sent = request(
+        (b"authorization", b"Bearer secret"),
+        (b"x-tenant", b"somebody-else"),
+        (b"x-expect-replica", b"i-9"),
+        (b"x-expect-version", b"1"),
+        (b"path", b"10.0.0.1:80=0-16"),
+        (b"connection", b"keep-alive, x-hop"),
+        (b"x-hop", b"1"),
+        (b"transfer-encoding", b"chunked"),
+        (b"x-model", b"m"),
+    )
+    lines = head_lines(CODEC.head(sent, DISPATCH))
+    assert b"secret" not in CODEC.head(sent, DISPATCH)
+    assert lines[b"x-tenant"] == b"c"
+    assert lines[b"x-expect-replica"] == b"i-1"
+    assert lines[b"x-expect-version"] == b"2"
+    assert lines[b"x-deadline-ms"] == b"1234"
+    assert lines[b"content-length"] == b"4"
+    assert lines[b"x-model"] == b"m"
+    assert not {b"path", b"x-hop", b"transfer-encoding"} & set(lines)
+
+
+def test_resumed_stream_names_the_last_event() -> None:
+    sent = request((b"last-event-id", b"3"))
+    assert head_lines(CODEC.head(sent, DISPATCH))[b"last-event-id"] == b"3"
+    resumed = wire.Dispatch(
+        replica_id="i-1",
+        wait_ms=1.0,
+        customer_id=None,
+        weights=None,
+        priority=None,
+        resume_after="9",
+    )
+    assert head_lines(CODEC.head(sent, resumed))[b"last-event-id"] == b"9"
+
+
+def test_answer_of_another_request_is_noticed() -> None:
+    call = CODEC.read(request())
+    head = http1_client.ResponseHead(200, [(b"x-attempt-id", b"other")])
+    assert not CODEC.answer(head, call).mine
+
+
+def test_refusal_is_known_by_status_or_header() -> None:
+    call = CODEC.read(request())
+    for head in (
+        http1_client.ResponseHead(421, []),
+        http1_client.ResponseHead(503, [(b"x-not-executed", b"1")]),
+    ):
+        assert CODEC.answer(head, call).not_run
+    assert not CODEC.answer(http1_client.ResponseHead(503, []), call).not_run
--- /dev/null
+++ b/tests/shell/test_http1_client.py
@@ -0,0 +1,216 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import msgspec
+
+from marlramp import clock
+from marlramp.shell import http1_client
+from standins import raw_http
+
+HEAD = b"GET /a HTTP/1.1\r\nhost: a\r\nx-attempt-id: id\r\n\r\n"
+
+
+class Recorder:
+    """A response reader that records what it hears."""
+
+    def __init__(self) -> None:
+        self.heads: list[http1_client.ResponseHead] = []
+        self.body = b""
+        self.complete = False
+        self.lost: http1_client.LossKind | None = None
+        self.ended = asyncio.Event()
+
+    def on_head(self, head: http1_client.ResponseHead) -> None:
+        self.heads.append(head)
+
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
+    def on_complete(self) -> None:
+        self.complete = True
+        self.ended.set()
+
+    def on_lost(self, kind: http1_client.LossKind) -> None:
+        self.lost = kind
+        self.ended.set()
+
+
+class State(msgspec.Struct):
+    """A connection as it was right after the exchange."""
+
+    reusable: bool
+    closed: bool
+    idle_max_ms: float
+
+
+def state_of(connection: http1_client.ReplicaConnection) -> State:
+    return State(connection.reusable, connection.closed, connection.idle_max_ms)
+
+
+type Exchange = tuple[Recorder, State]
+
+
+def exchange(script: raw_http.Script, settle_s: float = 0.05) -> Exchange:
+    async def run() -> Exchange:
+        async with raw_http.ScriptedServer(script) as server:
+            connection = await http1_client.connect(
+                "127.0.0.1", server.port, clock.SystemClock()
+            )
+            recorder = Recorder()
+            connection.send("GET", HEAD, b"", recorder)
+            async with asyncio.timeout(3):
+                await recorder.ended.wait()
+            await asyncio.sleep(settle_s)
+            return recorder, state_of(connection)
+
+    return asyncio.run(run())
+
+
+def writes(
+    data: bytes, end: Callable[[raw_http.Peer], object] | None = None
+) -> raw_http.Script:
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        await peer.write(data)
+        if end is None:
+            await asyncio.sleep(1)
+            return
+        await asyncio.sleep(0.05)
+        end(peer)
+
+    return script
+
+
+WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+
+def test_whole_answer_leaves_the_connection_reusable() -> None:
+    recorder, connection = exchange(writes(WHOLE))
+    assert recorder.complete
+    assert recorder.body == b"ok"
+    assert connection.reusable
+
+
+def test_bytes_beyond_an_answer_end_the_connection() -> None:
+    recorder, connection = exchange(writes(WHOLE + b"junk"))
+    assert recorder.complete
+    assert not connection.reusable
+
+
+def test_second_answer_ends_the_connection() -> None:
+    recorder, connection = exchange(writes(WHOLE + WHOLE))
+    assert recorder.complete
+    assert recorder.body == b"ok"
+    assert len(recorder.heads) == 1
+    assert not connection.reusable
+
+
+def test_late_second_answer_ends_an_idle_connection() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        await peer.write(WHOLE)
+        await asyncio.sleep(0.05)
+        await peer.write(WHOLE)
+        await asyncio.sleep(1)
+
+    recorder, connection = exchange(script, settle_s=0.2)
+    assert recorder.complete
+    assert connection.closed
+
+
+def test_body_without_length_is_complete_at_a_close() -> None:
+    data = b"HTTP/1.1 200 OK\r\n\r\nunframed"
+    recorder, connection = exchange(writes(data, raw_http.Peer.close))
+    assert recorder.complete
+    assert recorder.body == b"unframed"
+    assert not connection.reusable
+
+
+def test_body_without_length_is_not_complete_at_a_reset() -> None:
+    data = b"HTTP/1.1 200 OK\r\n\r\nunframed"
+    recorder, _ = exchange(writes(data, raw_http.Peer.reset))
+    assert not recorder.complete
+    assert recorder.lost is http1_client.LossKind.RESET
+
+
+def test_short_body_is_lost() -> None:
+    data = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort"
+    recorder, _ = exchange(writes(data, raw_http.Peer.close))
+    assert recorder.lost is http1_client.LossKind.CLOSED
+
+
+def test_bytes_that_are_no_answer_are_malformed() -> None:
+    recorder, _ = exchange(writes(b"not http at all\r\n\r\n"))
+    assert recorder.lost is http1_client.LossKind.MALFORMED
+
+
+def test_connection_close_is_kept() -> None:
+    data = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    recorder, connection = exchange(writes(data))
+    assert recorder.complete
+    assert not connection.reusable
+
+
+def test_early_answer_to_a_long_body_ends_the_connection() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.write(WHOLE)
+        await asyncio.sleep(1)
+
+    async def run() -> Exchange:
+        async with raw_http.ScriptedServer(script) as server:
+            connection = await http1_client.connect(
+                "127.0.0.1", server.port, clock.SystemClock()
+            )
+            recorder = Recorder()
+            connection.send("POST", HEAD, b"x" * 20_000_000, recorder)
+            async with asyncio.timeout(3):
+                await recorder.ended.wait()
+            return recorder, state_of(connection)
+
+    recorder, connection = asyncio.run(run())
+    assert recorder.complete
+    assert not connection.reusable
+
+
+def test_idle_time_follows_the_replica() -> None:
+    data = (
+        b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=2\r\ncontent-length: 0\r\n\r\n"
+    )
+    _, connection = exchange(writes(data))
+    told_ms = 2_000.0 - http1_client.KEEP_ALIVE_MARGIN_MS
+    assert connection.idle_max_ms == told_ms
+
+
+def test_pool_does_not_hand_out_stale_connections() -> None:
+    async def run() -> list[bool]:
+        time = clock.ManualClock(0.0)
+        async with raw_http.ScriptedServer(writes(WHOLE)) as server:
+            pool = http1_client.ConnectionPool("127.0.0.1", server.port, time)
+            connection = await pool.open()
+            pool.give_back(connection)
+            found = [pool.take_idle(1.0) is connection]
+            pool.give_back(connection)
+            time.advance(http1_client.IDLE_DEFAULT_MS * 0.6)
+            found.append(pool.take_idle(0.5) is None)
+            found.append(pool.take_idle(1.0) is connection)
+            pool.give_back(connection)
+            time.advance(http1_client.IDLE_DEFAULT_MS)
+            found.append(pool.take_idle(1.0) is None)
+            found.append(connection.closed)
+            return found
+
+    assert asyncio.run(run()) == [True] * 5
+
+
+def test_connection_that_is_not_taken_fails() -> None:
+    async def run() -> Awaitable[object] | None:
+        try:
+            await http1_client.connect("127.0.0.1", 1, clock.SystemClock())
+        except OSError:
+            return None
+        raise AssertionError("connected")
+
+    assert asyncio.run(run()) is None
--- /dev/null
+++ b/tests/shell/test_http1_server.py
@@ -0,0 +1,200 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+
+from marlramp import clock
+from marlramp import errors
+from marlramp.core import fleet
+from marlramp.shell import http1_server
+
+LIMITS = fleet.CallerLimits(
+    header_bytes_max=400,
+    body_bytes_max=1_000,
+    header_timeout_ms=150.0,
+    idle_timeout_ms=300.0,
+)
+GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+class FakeGate:
+    """Bounds for tests; counts what could not be read."""
+
+    def __init__(self) -> None:
+        self.closing = False
+        self.refusals: list[errors.ErrorKind] = []
+
+    def limits(self) -> fleet.CallerLimits:
+        return LIMITS
+
+    def refused(self, error: errors.CallError) -> None:
+        self.refusals.append(error.kind)
+
+
+async def echo(
+    request: http1_server.Request, responder: http1_server.Responder
+) -> None:
+    responder.answer(200, [], request.target + b" " + request.body)
+
+
+type Talk = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bytes]
+]
+
+
+def talk(
+    conversation: Talk,
+    handler: http1_server.Handler = echo,
+    gate: FakeGate | None = None,
+) -> bytes:
+    async def run() -> bytes:
+        server = http1_server.CallerServer(
+            handler, gate or FakeGate(), clock.SystemClock()
+        )
+        await server.start("127.0.0.1", 0)
+        assert server._server is not None
+        port = server._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        async with asyncio.timeout(3):
+            result = await conversation(reader, writer)
+        writer.close()
+        server.stop_listening()
+        return result
+
+    return asyncio.run(run())
+
+
+def sends(*parts: bytes) -> Talk:
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        return await reader.read()
+
+    return conversation
+
+
+def test_requests_in_a_row_are_answered_in_order() -> None:
+    answer = talk(sends(GET + GET.replace(b"/a", b"/b")))
+    first, second = answer.index(b"/a "), answer.index(b"/b ")
+    assert first < second
+    assert answer.count(b"200 OK") == 2
+
+
+def test_chunked_body_is_read_whole() -> None:
+    answer = talk(
+        sends(
+            b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n",
+            b"2\r\nde\r\n0\r\n\r\n",
+        )
+    )
+    assert answer.endswith(b"/a abcde")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", b"400"),
+        (
+            b"POST /a HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (
+            b"POST /a HTTP/1.1\r\ncontent-length: 3\r\n"
+            b"content-length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (b"GET /a HTTP/1.1\r\nx: " + b"y" * 500 + b"\r\n\r\n", b"431"),
+        (b"POST /a HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", b"413"),
+        (
+            b"POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n400\r\n"
+            + b"z" * 1_024,
+            b"413",
+        ),
+        (b"GET /a HTT", b"408"),
+    ],
+)
+def test_unacceptable_requests_are_answered_and_closed(
+    data: bytes, status: bytes
+) -> None:
+    gate = FakeGate()
+    answer = talk(sends(data), gate=gate)
+    assert answer.split(b" ")[1] == status
+    assert b"connection: close" in answer
+    assert len(gate.refusals) == 1
+
+
+def test_idle_connection_is_closed_after_its_time() -> None:
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET)
+        await reader.readuntil(b"/a ")
+        await asyncio.sleep(0.2)
+        writer.write(GET)
+        await reader.readuntil(b"/a ")
+        started = asyncio.get_running_loop().time()
+        assert await reader.read() == b""
+        waited_ms = 1_000 * (asyncio.get_running_loop().time() - started)
+        assert waited_ms > 0.8 * LIMITS.idle_timeout_ms
+        return b""
+
+    talk(conversation)
+
+
+def test_leaving_entry_closes_after_the_answer() -> None:
+    gate = FakeGate()
+    gate.closing = True
+    answer = talk(sends(GET), gate=gate)
+    assert b"connection: close" in answer
+    assert answer.endswith(b"/a ")
+
+
+def test_unended_answer_does_not_look_complete() -> None:
+    async def half(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        responder.start(200, [], None)
+        responder.write(b"part")
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET)
+        try:
+            return await reader.read()
+        except ConnectionError:
+            return b"reset"
+
+    answer = talk(conversation, half)
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+def test_handler_is_cancelled_when_the_caller_leaves() -> None:
+    cancelled = asyncio.Event()
+
+    async def slow(_: http1_server.Request, __: http1_server.Responder) -> None:
+        try:
+            await asyncio.sleep(5)
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+
+    async def conversation(
+        _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.wait_for(cancelled.wait(), 0.5)
+        return b""
+
+    talk(conversation, slow)
--- /dev/null
+++ b/tests/shell/test_member_links.py
@@ -0,0 +1,116 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import struct
+
+from marlramp import clock
+from marlramp import counters
+from marlramp.core import members
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from marlramp.shell import member_links
+
+type Links = member_links.MemberLinks[fleet_messages.FromMember]
+type Heard = list[tuple[str, fleet_messages.FromMember]]
+
+
+def make(name: str) -> tuple[Links, Heard]:
+    heard: Heard = []
+    links: Links = member_links.MemberLinks(
+        name,
+        codec.member_decoder(),
+        lambda sender, message: heard.append((sender, message)),
+        counters.Counters(),
+        clock.SystemClock(),
+    )
+    return links, heard
+
+
+def pulse(revision: int) -> fleet_messages.Heartbeat:
+    return fleet_messages.Heartbeat(
+        pulse=members.Pulse(members.MemberState.READY, revision, None, False)
+    )
+
+
+def port_of(links: Links) -> int:
+    assert links._server is not None
+    port: int = links._server.sockets[0].getsockname()[1]
+    return port
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(3):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        await test()
+
+    asyncio.run(main())
+
+
+def test_link_carries_messages_both_ways() -> None:
+    async def test() -> None:
+        one, heard_one = make("one")
+        two, heard_two = make("two")
+        await two.listen("127.0.0.1", 0)
+        one.open("two", "127.0.0.1", port_of(two))
+        assert one.send("two", pulse(1))
+        await until(lambda: bool(heard_two))
+        assert heard_two[0][0] == "one"
+        assert two.send("one", pulse(2))
+        await until(lambda: bool(heard_one))
+        one.close_all()
+        two.close_all()
+
+    run(test)
+
+
+def test_link_opens_again_after_its_peer_restarted() -> None:
+    async def test() -> None:
+        one, _ = make("one")
+        two, _ = make("two")
+        await two.listen("127.0.0.1", 0)
+        port = port_of(two)
+        one.open("two", "127.0.0.1", port)
+        await until(lambda: bool(two._inbound))
+        two.close_all()
+        again, heard = make("two")
+        await again.listen("127.0.0.1", port)
+        await until(lambda: one.send("two", pulse(1)) and bool(heard))
+        one.close_all()
+        again.close_all()
+
+    run(test)
+
+
+def test_oversized_and_malformed_frames_do_no_harm() -> None:
+    async def test() -> None:
+        two, heard = make("two")
+        await two.listen("127.0.0.1", 0)
+        for data in (b"\xff" * 8, struct.pack(">I", 3) + b"abc" * 9):
+            _, writer = await asyncio.open_connection("127.0.0.1", port_of(two))
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.close()
+        one, _ = make("one")
+        one.open("two", "127.0.0.1", port_of(two))
+        one.send("two", pulse(1))
+        await until(lambda: bool(heard))
+        one.close_all()
+        two.close_all()
+
+    run(test)
+
+
+def test_nothing_is_sent_to_a_stranger() -> None:
+    async def test() -> None:
+        one, _ = make("one")
+        assert not one.send("nobody", pulse(1))
+
+    run(test)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,44 @@
+from __future__ import annotations
+
+import io
+import os
+import time
+
+from marlramp import logs
+
+
+def test_reader_that_stops_reading_delays_nobody() -> None:
+    read_end, write_end = os.pipe()
+    stream = os.fdopen(write_end, "w")
+    writer = logs.LineWriter(stream, lines_max=100)
+    started_s = time.monotonic()
+    for number in range(20_000):
+        writer.put(f"{number} " + "x" * 100 + "\n", routine=False)
+    assert time.monotonic() - started_s < 1.0
+    time.sleep(3 * logs.BATCH_S)
+    for _ in range(300):
+        writer.put("x" * 1_000 + "\n", routine=False)
+        time.sleep(0.001)
+    assert writer.dropped > 0
+    os.close(read_end)
+
+
+def test_routine_lines_are_dropped_first() -> None:
+    writer = logs.LineWriter(io.StringIO(), lines_max=10)
+    for number in range(10):
+        writer.put(f"routine {number}\n", routine=True)
+    for number in range(5):
+        writer.put(f"failure {number}\n", routine=False)
+    assert writer.dropped == 5
+
+
+def test_dropped_lines_are_told() -> None:
+    stream = io.StringIO()
+    writer = logs.LineWriter(stream, lines_max=4)
+    for number in range(9):
+        writer.put(f"line {number}\n", routine=False)
+    writer.flush(2.0)
+    time.sleep(2 * logs.BATCH_S)
+    written = stream.getvalue()
+    assert "line 3" in written
+    assert "event=lines_dropped count=5" in written
