Own calls to the platform; refuse what would begin late; draw stuck pieces again

Ruled out: the store's pages, its compaction. aiosonic did not show it on loopback (late head, late body, part of a body), so the exact way is open; calls now go on the project's own connections, which are dropped when a call times out, and a body of another kind is refused. Also: requests predicted to begin late are refused with a time to come back; pieces whose only holder has a slow link are drawn again.

--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -44,6 +44,10 @@
 """Expected time between two events before the first stream ended: a pass of
 51 ms, and the prompts read between two passes."""
 
+BIAS_MIN = 0.5
+BIAS_MAX = 3.0
+"""Bounds of one observation, so that one stall does not close an engine."""
+
 FAILURE_SMOOTHING = 0.15
 """Weight of the newest answer in a replica's share of failures: a replica
 that fails two in five requests stands out after some six answers."""
@@ -94,6 +98,7 @@
       answer_ms: smoothed time of a plain answer.
       run_ms: smoothed time from a stream's first event to its end.
       event_ms: smoothed time between two events of a stream.
+      bias: smoothed ratio of actual to predicted times to the first event.
       failure_share: smoothed share of answers that failed.
       not_before_ms: it gets nothing before this.
       heard_ms: when any byte of it arrived last.
@@ -115,6 +120,7 @@
     answer_ms: float = TIME_DEFAULT_MS
     run_ms: float = RUN_DEFAULT_MS
     event_ms: float = EVENT_DEFAULT_MS
+    bias: float = 1.0
     failure_share: float = 0.0
     not_before_ms: float = float("-inf")
     heard_ms: float = float("-inf")
@@ -185,6 +191,17 @@
             return float("inf")
         return report.closes_in_ms - (now_ms - self.reported_ms)
 
+    def note_first(self, taken_ms: float, predicted_ms: float) -> None:
+        """Takes the time to a first event and what was predicted.
+
+        Args:
+          taken_ms: the time that it took.
+          predicted_ms: prediction without the bias.
+        """
+        ratio = taken_ms / max(1.0, predicted_ms)
+        ratio = min(BIAS_MAX, max(BIAS_MIN, ratio))
+        self.bias += TIME_SMOOTHING * (ratio - self.bias)
+
     def note_good(self) -> None:
         """Counts a good answer."""
         self.failure_share -= FAILURE_SMOOTHING * self.failure_share
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -113,6 +113,8 @@
       origin_in_flight_max: chunks drawn from the origin at once; one comes
         sooner than several that share the origin's link.
       takeover_max_ms: most that the wait per rank grows to in a slow pass.
+      rare_wait_ms: wait per rank before a chunk that has one holder only is
+        drawn from the origin again, None for never.
       import_takeover_ms: least wait per rank before a chunk is brought into a
         region by another of its VMs.
     """
@@ -123,6 +125,7 @@
     credits_per_peer: int = 1
     in_flight_max: int = 1_000_000
     import_takeover_ms: float = 2_500.0
+    rare_wait_ms: float | None = None
     takeover_max_ms: float = float("inf")
     origin_in_flight_max: int = ORIGIN_IN_FLIGHT_MAX
 
@@ -413,10 +416,17 @@
             since_ms = max(self._entered_ms[index], self._origin_failed_ms)
             return now_ms - since_ms > wait_ms
         if self._holders[index] > 0:
-            return False
+            return self._is_stuck(index, rank, now_ms)
         since_ms = max(self._progress_ms, self._origin_failed_ms)
         return now_ms - since_ms > wait_ms
 
+    def _is_stuck(self, index: int, rank: int, now_ms: clock.Millis) -> bool:
+        """Returns whether a chunk's only holder passes it on too slowly."""
+        if self._holders[index] > 1 or self._policy.rare_wait_ms is None:
+            return False
+        seen_ms = self._seen_ms.get(index, now_ms)
+        return now_ms - seen_ms > (1 + rank) * self._policy.rare_wait_ms
+
     def _takeover_wait_ms(self) -> float:
         """Returns the wait per rank, never shorter than the pass is slow."""
         # Up to the last progress only: a pass that stands still is not slow,
@@ -471,15 +481,18 @@
     def _may_import(self, index: int, now_ms: clock.Millis) -> bool:
         """Returns whether a chunk may be fetched from another region."""
         near = self._near or frozenset()
-        if any(
+        holders = sum(
             index in peer.held
             for peer_id, peer in self._peers.items()
             if peer_id in near
-        ):
+        )
+        if holders > 1:
             return False
+        # The only near holder may have a link too slow for the whole region.
         rank = self._import_ranks[index % len(self._group_keys)]
+        turn = rank + 2 * holders
         seen_ms = self._seen_ms.get(index, self._started_ms)
-        return now_ms - seen_ms >= rank * self._policy.import_takeover_ms
+        return now_ms - seen_ms >= turn * self._policy.import_takeover_ms
 
 
 def choose_neighbours(
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -40,10 +40,17 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """A replica and when it is predicted to answer, in milliseconds."""
+    """A replica and when it is predicted to answer.
+
+    Attributes:
+      view: the replica.
+      predicted_ms: time to the answer or its first event.
+      unbiased_ms: the same by the engine's figures alone.
+    """
 
     view: replica_table.ReplicaView
     predicted_ms: float
+    unbiased_ms: float
 
 
 def usable(
@@ -124,12 +131,13 @@
     fresh = [v for v in allowed if v.replica.replica_id not in wanted.failed]
     choices = []
     for view in fresh:
-        time_ms = predicted_ms(view, wanted, now_ms)
+        unbiased_ms = predicted_ms(view, wanted, now_ms)
+        time_ms = unbiased_ms * view.bias
         near = view.replica.data_centre in is_near
         cost_ms = time_ms * (1.0 + FAILURE_WEIGHT * view.failure_share)
         cost_ms += 0.0 if near else REMOTE_PENALTY_MS
         late = outlasts(time_ms, view, wanted, now_ms)
         key = (late, cost_ms, view.replica.replica_id)
-        choices.append((key, Choice(view, time_ms)))
+        choices.append((key, Choice(view, time_ms, unbiased_ms)))
     choices.sort(key=lambda choice: choice[0])
     return [choice for _, choice in choices]
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -28,7 +28,7 @@
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
-from marlramp.shell import http
+from marlramp.shell import http1_call
 from marlramp.shell import member_links
 from marlramp.shell import safely
 
@@ -122,9 +122,9 @@
 
     async def run(self) -> None:
         """Runs until drained."""
-        self._client = http.HttpClient()
-        self._engine = replica_api.ReplicaApi(self._client, self._replica)
-        self._store = store.StoreClient(self._client, self._settings.store)
+        self._caller = http1_call.HttpCaller(self._clock)
+        self._engine = replica_api.ReplicaApi(self._caller, self._replica)
+        self._store = store.StoreClient(self._caller, self._settings.store)
         self._build_links()
         await self._peer_links.listen(
             self._settings.host, self._settings.own_ports[0]
@@ -275,7 +275,7 @@
         if origin and origin != self._origin:
             self._origin = origin
             self._exchange.set_origin(
-                replica_api.OriginApi(self._client, origin)
+                replica_api.OriginApi(self._caller, origin)
             )
 
     def _place_peers(self, agents: list[members.Member]) -> None:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -29,7 +29,7 @@
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
-from marlramp.shell import http
+from marlramp.shell import http1_call
 from marlramp.shell import http1_server
 from marlramp.shell import member_links
 from marlramp.shell import safely
@@ -183,9 +183,9 @@
             self._clock,
         )
         self._sync.attach(self._links)
-        self._client = http.HttpClient()
+        self._caller = http1_call.HttpCaller(self._clock)
         self._reader = store_reader.StoreReader(
-            store.StoreClient(self._client, self._settings.store),
+            store.StoreClient(self._caller, self._settings.store),
             self._catalog,
             self._is_reader,
             self._publish,
--- a/src/marlramp/direct/forwarder.py
+++ b/src/marlramp/direct/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Collection
+import random
 from typing import Protocol
 
 import msgspec
@@ -13,6 +14,7 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
+from marlramp.core import admission_rule
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import replica_table
@@ -60,10 +62,18 @@
 EVENTS_LEFT_MIN = 3.0
 """Events still expected of a stream that has outrun its estimate."""
 
+RESUMED_PRIORITY = 1
+"""Rank of a stream that goes on: its caller sees the gap."""
+
+RETURNING_PRIORITY = 3
+"""Rank of a request whose caller was refused before; others have 5."""
+
 RETRY_AFTER_DEFAULT_MS = 500.0
 """When to come back if nothing better is known."""
 
-RETRY_AFTER_MIN_MS = 250.0
+USUAL_PROMPT_TOKENS = 1_000.0
+"""Tokens of a usual prompt."""
+
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -134,6 +144,7 @@
 
     outcome: attempts.Outcome
     stalled: bool = False
+    first_event_ms: float | None = None
 
 
 class _ReplicaObserver:
@@ -141,15 +152,18 @@
 
     def __init__(
         self,
-        view: replica_table.ReplicaView,
+        choice: upstream_choice.Choice,
         prompt_tokens: int,
         time: clock.Clock,
     ) -> None:
+        view = choice.view
         self._view = view
+        self._unbiased_ms = choice.unbiased_ms
         self._tokens = prompt_tokens
         self._clock = time
         self._sent_ms = time.now_ms()
         self._first_ms: float | None = None
+        self.first_event_ms: float | None = None
         view.note_sent(prompt_tokens, time.now_ms())
 
     def on_answer(self, answer: wire.ReplicaAnswer) -> None:
@@ -167,6 +181,9 @@
         """Takes the prompt as read."""
         self._first_ms = self._clock.now_ms()
         self._view.heard_ms = self._first_ms
+        taken_ms = self._first_ms - self._sent_ms
+        self.first_event_ms = taken_ms
+        self._view.note_first(taken_ms, self._unbiased_ms)
         self._read()
 
     def ended(self, outcome: attempts.Outcome, events: int | None) -> None:
@@ -236,6 +253,7 @@
         self._totals = totals
         self._clock = time
         self._started_ms = time.now_ms()
+        self._rng = random.Random()
         self._near: Collection[str] = frozenset(
             name
             for name, region in settings.regions.items()
@@ -328,7 +346,7 @@
             tried = await self._try(call, choice)
             failure = tried.outcome.failure
             if failure is None:
-                self._succeed(call, tried.outcome, choice)
+                self._succeed(call, tried, choice)
                 return
             self._note_failure(call, choice, failure)
             step = self._may_retry(call, failure)
@@ -349,6 +367,7 @@
             now_ms = self._clock.now_ms()
             ranked = self._rank(call, now_ms)
             if ranked:
+                self._check_lateness(call, ranked[0], now_ms)
                 return ranked[0]
             if now_ms >= give_up_ms:
                 raise self._no_upstream(call)
@@ -367,6 +386,39 @@
         views = self._table.of(call.service.service_id)
         return upstream_choice.rank(views, wanted, self._near, now_ms)
 
+    def _check_lateness(
+        self, call: _Call, choice: upstream_choice.Choice, now_ms: float
+    ) -> None:
+        """Refuses a request that would begin too late even at the best engine.
+
+        Raises:
+          CallError: if it is refused.
+        """
+        engine = call.service.engine
+        if engine is None or call.relay.started or call.maybe_ran:
+            return
+        returning = admission_rule.is_returning(
+            call.said.wait_ms, call.route.timeout_ms
+        )
+        late_ms = admission_rule.lateness_ms(
+            choice.predicted_ms,
+            call.said.prompt_tokens / engine.read_tokens_per_ms,
+            USUAL_PROMPT_TOKENS / engine.read_tokens_per_ms,
+            now_ms - call.request.received_ms,
+            call.route.objective_ms,
+            returning=returning,
+        )
+        if late_ms <= 0.0:
+            return
+        raise errors.CallError(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            f"would begin {round(late_ms)} ms too late",
+            ran=errors.Ran.NO,
+            retry_after_ms=int(
+                admission_rule.retry_after_ms(late_ms, self._rng)
+            ),
+        )
+
     def _oldest_weights(
         self, service: fleet.Service, now_ms: clock.Millis
     ) -> int:
@@ -432,7 +484,9 @@
     async def _try(self, call: _Call, choice: upstream_choice.Choice) -> _Try:
         view = choice.view
         call.sends += 1
-        observer = _ReplicaObserver(view, call.said.prompt_tokens, self._clock)
+        observer = _ReplicaObserver(
+            choice, call.said.prompt_tokens, self._clock
+        )
         connection: http1_client.ReplicaConnection | None = None
         try:
             pool = self._pool(view.replica)
@@ -456,6 +510,7 @@
             raise
         events = call.relay.splitter.events if call.route.streaming else None
         observer.ended(tried.outcome, events)
+        tried.first_event_ms = observer.first_event_ms
         if tried.stalled:
             connection.abort()
         pool.give_back(connection)
@@ -520,10 +575,20 @@
             if call.customer is None
             else call.customer.customer_id,
             weights=None if engine is None else view.weights(now_ms),
-            priority=None,
+            priority=self._priority(call),
             resume_after=call.relay.splitter.last_id,
         )
 
+    def _priority(self, call: _Call) -> int | None:
+        """Returns the rank in the replica's queue, None for the default."""
+        if call.relay.started:
+            return RESUMED_PRIORITY
+        if call.service.engine is not None and admission_rule.is_returning(
+            call.said.wait_ms, call.route.timeout_ms
+        ):
+            return RETURNING_PRIORITY
+        return None
+
     def _limit_ms(
         self,
         call: _Call,
@@ -570,12 +635,13 @@
     def _succeed(
         self,
         call: _Call,
-        outcome: attempts.Outcome,
+        tried: _Try,
         choice: upstream_choice.Choice,
     ) -> None:
-        answer = outcome.answer
+        answer = tried.outcome.answer
         if answer is not None and not call.responder.ended:
-            call.responder.answer(answer.status, answer.headers, outcome.body)
+            body = tried.outcome.body
+            call.responder.answer(answer.status, answer.headers, body)
         logs.log(
             "request_served",
             request=call.said.request_id,
@@ -583,6 +649,7 @@
             status=0 if answer is None else answer.status,
             sends=call.sends,
             predicted_ms=round(choice.predicted_ms),
+            first_ms=round(tried.first_event_ms or 0.0),
             taken_ms=round(self._clock.now_ms() - call.request.received_ms),
         )
 
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -57,6 +57,14 @@
 TAKEOVER_MAX_MS = 1_200.0
 """Most that this wait grows to while pieces come slowly."""
 
+IMPORT_TAKEOVER_MS = 2_000.0
+"""Wait per rank before another agent brings a piece into its region."""
+
+RARE_WAIT_MS = 2_200.0
+"""Wait per rank before a piece whose only holder has a slow link is drawn
+again: 2.2 s of the 8 s that a version may take, and longer than a piece has
+one holder while links keep their rate."""
+
 NEIGHBOURS = 16
 """Agents that one is linked to, counting links opened from either side."""
 
@@ -213,6 +221,8 @@
                 origin_in_flight_max=1,
                 credits_per_peer=2,
                 takeover_max_ms=TAKEOVER_MAX_MS,
+                import_takeover_ms=IMPORT_TAKEOVER_MS,
+                rare_wait_ms=RARE_WAIT_MS,
             ),
             self._clock.now_ms(),
             self._rng,
--- a/src/marlramp/direct/store_reader.py
+++ b/src/marlramp/direct/store_reader.py
@@ -124,6 +124,12 @@
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
         snapshot = await self._source.read_all()
         now_ms = self._answered()
+        logs.log(
+            "store_read",
+            revision=snapshot.revision,
+            items=len(snapshot.changes),
+            known_revision=before,
+        )
         new = self._catalog.take_snapshot(snapshot, now_ms)
         if new:
             self._publish(before, new)
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -8,10 +8,11 @@
 
 from marlramp.core import engine_state
 from marlramp.core import manifest
+from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import documents
 from marlramp.settings import node
-from marlramp.shell import http
+from marlramp.shell import http1_call
 
 REPORT_TIMEOUT_MS = 500.0
 STAGE_TIMEOUT_MS = 1_000.0
@@ -21,9 +22,6 @@
 """A piece takes 70 ms of a side VM's link; at the origin it may wait for those
 of all other VMs."""
 
-_OK = 200
-_ACCEPTED = 202
-
 
 class _Report(msgspec.Struct):
     busy: bool = False
@@ -58,9 +56,11 @@
 class ReplicaApi:
     """The replica on the own VM."""
 
-    def __init__(self, client: http.HttpClient, address: node.Address) -> None:
+    def __init__(
+        self, caller: http1_call.HttpCaller, address: node.Address
+    ) -> None:
         """Uses the replica at `address`."""
-        self._client = client
+        self._calls = calls.PlatformCalls(caller)
         self._url = f"http://{address}"
         self._reports = msgspec.json.Decoder(_Report)
         self._held = msgspec.json.Decoder(_Held)
@@ -71,8 +71,8 @@
         Raises:
           PlatformError: if it does not answer usefully.
         """
-        body = await _call(
-            self._client, "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
+        body = await self._calls.make(
+            "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
         )
         raw = _decode(self._reports, body)
         held = documents.held_weights(raw.layers, raw.model_list)
@@ -87,8 +87,7 @@
 
     async def staged(self, model: str) -> list[int]:
         """Returns the indexes of the staged pieces."""
-        body = await _call(
-            self._client,
+        body = await self._calls.make(
             "GET",
             f"{self._url}/v1/stage-get/{model}",
             STAGE_TIMEOUT_MS,
@@ -98,12 +97,12 @@
     async def read_staged(self, model: str, index: int) -> bytes:
         """Returns a staged piece, not verified."""
         url = f"{self._url}/v1/stage-get/{model}?index={index}"
-        return await _call(self._client, "GET", url, STAGE_TIMEOUT_MS)
+        return await self._calls.make("GET", url, STAGE_TIMEOUT_MS)
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
         """Stages a piece in the place of any other of its index."""
         url = f"{self._url}/v1/stage-put/{model}?index={index}"
-        await _call(self._client, "PUT", url, STAGE_TIMEOUT_MS, data)
+        await self._calls.make("PUT", url, STAGE_TIMEOUT_MS, data)
 
     async def load(self, model: str, version: int, *, cut: bool) -> None:
         """Orders the replica to load what is staged.
@@ -118,8 +117,7 @@
         """
         mode = "truncate" if cut else "queue"
         order = _Order("start", model, version, mode)
-        await _call(
-            self._client,
+        await self._calls.make(
             "POST",
             f"{self._url}/v1/order",
             ORDER_TIMEOUT_MS,
@@ -130,9 +128,9 @@
 class OriginApi:
     """The origin of weights."""
 
-    def __init__(self, client: http.HttpClient, address: str) -> None:
+    def __init__(self, caller: http1_call.HttpCaller, address: str) -> None:
         """Uses the origin at "host:port"."""
-        self._client = client
+        self._calls = calls.PlatformCalls(caller)
         self._url = f"http://{address}"
         self._manifests = msgspec.json.Decoder(_Manifest)
 
@@ -144,7 +142,7 @@
         """
         query = urllib.parse.urlencode({"version": version})
         url = f"{self._url}/v1/manifest/{model}?{query}"
-        body = await _call(self._client, "GET", url, MANIFEST_TIMEOUT_MS)
+        body = await self._calls.make("GET", url, MANIFEST_TIMEOUT_MS)
         raw = _decode(self._manifests, body)
         if raw.version != version:
             raise clients.PlatformError(f"got version {raw.version}")
@@ -161,29 +159,7 @@
         """Returns a piece, not verified."""
         query = urllib.parse.urlencode({"index": index, "version": version})
         url = f"{self._url}/v1/piece/{model}?{query}"
-        return await _call(self._client, "GET", url, PIECE_TIMEOUT_MS)
-
-
-async def _call(
-    client: http.HttpClient,
-    method: str,
-    url: str,
-    timeout_ms: float,
-    body: bytes = b"",
-) -> bytes:
-    headers = {"Content-Type": "application/json"} if body else None
-    try:
-        reply = await client.request(
-            method, url, body=body, headers=headers, timeout_ms=timeout_ms
-        )
-    except http.HttpError as error:
-        raise clients.PlatformError(str(error)) from error
-    if reply.status not in (_OK, _ACCEPTED):
-        raise clients.PlatformError(
-            f"status {reply.status} for {method} {url}",
-            reply.retry_after_ms or clients.UNAVAILABLE_RETRY_MS,
-        )
-    return reply.body
+        return await self._calls.make("GET", url, PIECE_TIMEOUT_MS)
 
 
 def _decode[Value](decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -10,10 +10,11 @@
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import fleet
+from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import documents
 from marlramp.settings import node
-from marlramp.shell import http
+from marlramp.shell import http1_call
 
 READ_TIMEOUT_MS = 1_000.0
 """250 times the store's usual answer; a store that is slower counts as down."""
@@ -21,7 +22,6 @@
 WATCH_MARGIN_MS = 600.0
 """A watch that is answered this long after its wait counts as lost."""
 
-_OK = 200
 _GONE = 410
 
 
@@ -38,23 +38,25 @@
 
 
 class _Range(msgspec.Struct):
-    entries: list[_Item] = []
-    has_more: bool = False
+    entries: list[_Item]
     # The store's revision when it answered.
-    at: int = 0
+    at: int
+    has_more: bool = False
 
 
 class _Events(msgspec.Struct):
-    events: list[_Item] = []
-    at: int = 0
+    events: list[_Item]
+    at: int
 
 
 class StoreClient:
     """Reads configuration, weights targets and replicas from the store."""
 
-    def __init__(self, client: http.HttpClient, address: node.Address) -> None:
+    def __init__(
+        self, caller: http1_call.HttpCaller, address: node.Address
+    ) -> None:
         """Uses the store at `address`; nothing is sent before a call."""
-        self._client = client
+        self._calls = calls.PlatformCalls(caller)
         self._url = f"http://{address}"
         self._ranges = msgspec.json.Decoder(_Range)
         self._events = msgspec.json.Decoder(_Events)
@@ -107,19 +109,11 @@
 
     async def _get(self, path: str, timeout_ms: float) -> bytes:
         try:
-            reply = await self._client.request(
-                "GET", self._url + path, timeout_ms=timeout_ms
-            )
-        except http.HttpError as error:
-            raise clients.PlatformError(str(error)) from error
-        if reply.status == _GONE:
-            raise HistoryGoneError("history is gone")
-        if reply.status != _OK:
-            raise clients.PlatformError(
-                f"status {reply.status}",
-                reply.retry_after_ms or clients.UNAVAILABLE_RETRY_MS,
-            )
-        return reply.body
+            return await self._calls.make("GET", self._url + path, timeout_ms)
+        except calls.StatusError as error:
+            if error.status == _GONE:
+                raise HistoryGoneError("history is gone") from error
+            raise
 
 
 def _decoded[Value](decode: Callable[[bytes], Value], body: bytes) -> Value:
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from marlramp import clock
+from marlramp.core import catalog
+from marlramp.platform import clients
+from marlramp.platform import store
+from marlramp.settings import node
+from marlramp.shell import http1_call
+from standins import raw_http
+
+
+def item(key: str, revision: int, value: object) -> dict[str, object]:
+    data = base64.b64encode(json.dumps(value).encode()).decode()
+    return {"key": key, "revision": revision, "data": data}
+
+
+def read(bodies: list[object], *, watch: bool = False) -> catalog.Snapshot:
+    async def script(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            body = bodies.pop(0)
+            if isinstance(body, int):
+                await peer.answer(request, body)
+            else:
+                await peer.answer(request, 200, json.dumps(body).encode())
+
+    async def run() -> catalog.Snapshot:
+        async with raw_http.ScriptedServer(script) as server:
+            client = store.StoreClient(
+                http1_call.HttpCaller(clock.SystemClock()),
+                node.Address("127.0.0.1", server.port),
+            )
+            if watch:
+                return await client.watch(3, 50.0)
+            return await client.read_all()
+
+    return asyncio.run(run())
+
+
+REPLICA = {"service": "s", "address": "10.0.0.9:80", "state": "healthy"}
+
+
+def test_pages_are_put_together_at_the_lowest_revision() -> None:
+    target = {"model_name": "m", "version": 2}
+    snapshot = read(
+        [
+            {
+                "entries": [item("op/version/m", 5, target)],
+                "has_more": True,
+                "at": 8,
+            },
+            {"entries": [item("servers/i-1", 6, REPLICA)], "at": 9},
+        ]
+    )
+    assert snapshot.revision == 8
+    assert len(snapshot.changes) == 2
+
+
+def test_one_bad_document_does_not_hide_the_others() -> None:
+    snapshot = read(
+        [
+            {
+                "entries": [
+                    item("op/config", 5, {"version": "x"}),
+                    item("servers/i-1", 6, REPLICA),
+                    item("somebody/else", 7, {}),
+                ],
+                "at": 9,
+            }
+        ]
+    )
+    (change,) = snapshot.changes
+    assert isinstance(change, catalog.ReplicaChange)
+
+
+def test_removal_is_watched() -> None:
+    snapshot = read(
+        [
+            {
+                "events": [
+                    {"key": "servers/i-1", "revision": 7, "deleted": True}
+                ],
+                "at": 7,
+            }
+        ],
+        watch=True,
+    )
+    assert snapshot.changes == [catalog.ReplicaChange(7, "i-1", None)]
+
+
+def test_lost_history_is_an_error_of_its_own() -> None:
+    with pytest.raises(store.HistoryGoneError):
+        read([410], watch=True)
+
+
+@pytest.mark.parametrize("body", [503, {"events": [], "at": 14}, []])
+def test_answer_of_another_kind_is_no_empty_list(body: object) -> None:
+    with pytest.raises(clients.PlatformError):
+        read([body])
--- a/tests/shell/test_http.py
+++ b/tests/shell/test_http.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marlramp.shell import http
+from standins import raw_http
 
 
 class DroppingServer:
@@ -48,3 +49,27 @@
         return server.requests
 
     assert asyncio.run(check()) == 2
+
+
+def test_late_answer_is_not_taken_for_the_next_one() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        request = await peer.read()
+        while request is not None:
+            if request.target == "/slow":
+                await asyncio.sleep(0.3)
+            await peer.answer(request, 200, request.target.encode())
+            request = await peer.read()
+
+    async def main() -> bytes:
+        async with raw_http.ScriptedServer(script) as server:
+            client = http.HttpClient()
+            url = f"http://{server.address}"
+            with pytest.raises(http.HttpError):
+                await client.request("GET", f"{url}/slow", timeout_ms=100.0)
+            await asyncio.sleep(0.3)
+            reply = await client.request(
+                "GET", f"{url}/next", timeout_ms=1_000.0
+            )
+            return reply.body
+
+    assert asyncio.run(main()) == b"/next"
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -5,8 +5,10 @@
 from collections.abc import Callable
 
 import msgspec
+import pytest
 
 from marlramp import clock
+from marlramp.shell import http1_call
 from marlramp.shell import http1_client
 from standins import raw_http
 
@@ -214,3 +216,29 @@
         raise AssertionError("connected")
 
     assert asyncio.run(run()) is None
+
+
+def test_answer_held_back_is_not_taken_for_the_next_one() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            if request.target == "/slow":
+                await asyncio.sleep(0.3)
+            await peer.answer(request, 200, request.target.encode())
+
+    async def run() -> list[bytes]:
+        async with raw_http.ScriptedServer(script) as server:
+            caller = http1_call.HttpCaller(clock.SystemClock())
+            url = f"http://{server.address}"
+            with pytest.raises(http1_call.CallError):
+                await caller.call("GET", f"{url}/slow", b"", {}, 100.0)
+            answers = []
+            for wait_s in (0.0, 0.3):
+                await asyncio.sleep(wait_s)
+                answer = await caller.call(
+                    "GET", f"{url}/next?{wait_s}", b"", {}, 1_000.0
+                )
+                answers.append(answer.body)
+            assert server.connections == 2
+            return answers
+
+    assert asyncio.run(run()) == [b"/next?0.0", b"/next?0.3"]
