--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -21,6 +21,7 @@
 from marlramp.direct import member_sync
 from marlramp.direct import piece_exchange
 from marlramp.direct import settings_watch
+from marlramp.direct import version_digests
 from marlramp.direct import weights_loader
 from marlramp.platform import clients
 from marlramp.platform import replica_api
@@ -180,13 +181,13 @@
 
     # What the loader asks for.
 
-    def wanted(self) -> piece_exchange.Wanted | None:
+    def wanted(self) -> version_digests.Wanted | None:
         """Returns the weights to serve, None if they are not known."""
         if not self._model:
             return None
         target = self._targets.targets.get(self._model)
         version = FIRST_VERSION if target is None else target.target.version
-        return piece_exchange.Wanted(self._model, version)
+        return version_digests.Wanted(self._model, version)
 
     def report(self) -> engine_state.EngineReport | None:
         """Returns the engine's last report, None while it is away."""
@@ -213,7 +214,7 @@
             self._tell_now()
         return report
 
-    def plan(self, wanted: piece_exchange.Wanted) -> swap_times.SwapPlan:
+    def plan(self, wanted: version_digests.Wanted) -> swap_times.SwapPlan:
         """Returns when the engine may load."""
         now_ms = self._clock.now_ms()
         target = self._targets.targets.get(wanted.model)
@@ -231,7 +232,7 @@
         """Returns whether streams that are cut go on at another engine."""
         return self._may_cut
 
-    def is_new(self, wanted: piece_exchange.Wanted) -> bool:
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
         """Returns whether a version was named just now."""
         target = self._targets.targets.get(wanted.model)
         if target is None or target.named_ms is None:
--- /dev/null
+++ b/src/marlramp/direct/call.py
@@ -0,0 +1,83 @@
+"""A request under way on the direct path."""
+
+from __future__ import annotations
+
+from marlramp import clock
+from marlramp.core import admission_rule
+from marlramp.core import fleet
+from marlramp.direct import attempts
+from marlramp.direct import wire
+from marlramp.shell import http1_server
+
+HINT_FACTOR = 1.6
+"""Margin on a caller's estimate of its output: half of all are too low."""
+
+EVENTS_LEFT_MIN = 3.0
+"""Events still expected of a stream that has outrun its estimate."""
+
+
+class Call:
+    """A request under way.
+
+    Attributes:
+      request: as the caller sent it.
+      said: what the caller says of it.
+      route: its route.
+      service: the service that runs it.
+      customer: its customer, None if there is none.
+      responder: writes the answer.
+      relay: what the caller got of a stream.
+      ends_ms: when its caller or its route has waited long enough.
+      sends: replicas that it was sent to.
+      runs: replicas that may have run it.
+      maybe_ran: whether any replica may have run it.
+      failed: ids of replicas that it failed at.
+    """
+
+    def __init__(
+        self,
+        request: http1_server.Request,
+        said: wire.CallerCall,
+        route: fleet.Route,
+        service: fleet.Service,
+        customer: fleet.Customer | None,
+        responder: http1_server.Responder,
+    ) -> None:
+        """Starts before the first send."""
+        self.request = request
+        self.said = said
+        self.route = route
+        self.service = service
+        self.customer = customer
+        self.responder = responder
+        self.relay = attempts.StreamRelay(responder)
+        wait_ms = route.timeout_ms
+        if said.wait_ms is not None:
+            wait_ms = min(wait_ms, said.wait_ms)
+        self.ends_ms = request.received_ms + wait_ms
+        self.sends = 0
+        self.runs = 0
+        self.maybe_ran = False
+        self.failed: set[str] = set()
+
+    def expected_events(self) -> float:
+        """Returns the events that the answer is expected to have."""
+        engine = self.service.engine
+        if engine is None:
+            return 1.0
+        tokens = float(self.said.output_tokens_max)
+        if self.said.output_tokens_hint:
+            tokens = min(tokens, HINT_FACTOR * self.said.output_tokens_hint)
+        expected = tokens / engine.steps_per_pass - self.relay.splitter.events
+        return max(EVENTS_LEFT_MIN, expected)
+
+    def left_ms(self, now_ms: clock.Millis) -> float:
+        """Returns how long there is left."""
+        return self.ends_ms - now_ms
+
+    @property
+    def returning(self) -> bool:
+        """Whether the caller seems to have been refused before."""
+        return self.service.engine is not None and admission_rule.is_returning(
+            self.said.wait_ms, self.route.timeout_ms
+        )
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -13,9 +13,11 @@
 from marlramp.core import fleet
 from marlramp.core import lifecycle
 from marlramp.core import members
-from marlramp.core import rendezvous
+from marlramp.core import reader_duty
 from marlramp.core import replica_table
 from marlramp.core import route_table
+from marlramp.direct import agent_guide
+from marlramp.direct import catalog_log
 from marlramp.direct import catalog_news
 from marlramp.direct import forwarder
 from marlramp.direct import http_side
@@ -38,15 +40,6 @@
 HEARTBEAT_MS = 400.0
 """A quarter of the time after which a silent member is taken as down."""
 
-READERS = 2
-"""Entries that watch the store: one more than is needed, so that the death of
-one delays nothing."""
-
-READER_HEARD_MS = 1_100.0
-READER_STORE_AGE_MS = 2_200.0
-"""A reader counts as working if it was heard this lately and the store
-answered it this lately: two waits of a watch."""
-
 REQUEST_NEWS_MS = 500.0
 """Between two requests for changes that were missed."""
 
@@ -107,6 +100,9 @@
         self._sync = member_sync.MemberSync(
             self._own, settings.seeds, self._clock, self._on_member
         )
+        self._guide = agent_guide.AgentGuide(
+            self._catalog, self._sync, self._clock
+        )
         self._metrics = metrics.Metrics(self._totals)
         self._forwarder = forwarder.Forwarder(
             self,
@@ -115,6 +111,7 @@
             headers.PlatformCallCodec(),
             settings,
             self._totals,
+            self._metrics,
             self._clock,
         )
         self._callers = http1_server.CallerServer(
@@ -123,7 +120,6 @@
         self._heartbeat_ms = float("-inf")
         self._requested_ms = float("-inf")
         self._left_ms: float | None = None
-        self._guided_agents: list[members.Member] = []
 
     def reload(self, reason: str) -> None:
         """Reads the settings anew."""
@@ -279,33 +275,11 @@
     # Who reads the store, and what is told of it.
 
     def _is_reader(self) -> bool:
-        now_ms = self._clock.now_ms()
         if self._lifecycle.phase is lifecycle.Phase.DRAINING:
             return False
+        now_ms = self._clock.now_ms()
         alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
-        staying = [
-            known
-            for known in alive
-            if known.pulse is None
-            or known.pulse.state is not members.MemberState.LEAVING
-        ]
-        names = [known.member.vm_id for known in staying]
-        names.append(self._own.vm_id)
-        if self._own.vm_id in rendezvous.subset("store", names, READERS):
-            return True
-        return not any(self._reads_well(known, now_ms) for known in staying)
-
-    def _reads_well(
-        self, known: members.KnownMember, now_ms: clock.Millis
-    ) -> bool:
-        pulse = known.pulse
-        return (
-            pulse is not None
-            and pulse.reads_store
-            and pulse.store_age_ms is not None
-            and pulse.store_age_ms < READER_STORE_AGE_MS
-            and now_ms - known.heard_ms < READER_HEARD_MS
-        )
+        return reader_duty.is_reader(self._own, alive, now_ms)
 
     def _publish(self, after: int, changes: list[catalog.Change]) -> None:
         """Applies changes read from the store and tells the others."""
@@ -320,7 +294,7 @@
     def _changed(self, changes: list[catalog.Change], source: str) -> None:
         now_ms = self._clock.now_ms()
         for change in changes:
-            self._log_change(change, source)
+            catalog_log.log_change(change, source)
         self._forwarder.forget(self._table.sync(self._catalog, now_ms))
         configured = any(isinstance(c, catalog.ConfigChange) for c in changes)
         if configured and self._catalog.config is not None:
@@ -328,36 +302,7 @@
             self._lifecycle.serve()
         named = any(isinstance(c, catalog.TargetChange) for c in changes)
         if configured or named:
-            self._guide_all()
-
-    def _log_change(self, change: catalog.Change, source: str) -> None:
-        match change:
-            case catalog.ConfigChange():
-                logs.log(
-                    "config_applied",
-                    version=change.config.version,
-                    revision=change.revision,
-                    source=source,
-                )
-            case catalog.TargetChange():
-                logs.log(
-                    "weights_named",
-                    model=change.target.model,
-                    version=change.target.version,
-                    revision=change.revision,
-                    age_ms=change.age_ms,
-                    source=source,
-                )
-            case catalog.ReplicaChange():
-                replica = change.replica
-                logs.log(
-                    "replica_changed",
-                    replica=change.replica_id,
-                    revision=change.revision,
-                    state="removed" if replica is None else replica.state.value,
-                    weights=None if replica is None else replica.weights,
-                    source=source,
-                )
+            self._guide.tell_all()
 
     # Messages.
 
@@ -379,7 +324,7 @@
 
     def _on_member(self, member: members.Member) -> None:
         if member.kind is members.MemberKind.AGENT:
-            self._guide(member.vm_id)
+            self._guide.tell(member.vm_id)
         else:
             self._send_heartbeat(member.vm_id)
 
@@ -419,50 +364,6 @@
         )
         self._sync.send(name, news)
 
-    # What agents need.
-
-    def _guide_all(self) -> None:
-        now_ms = self._clock.now_ms()
-        for known in self._sync.members.alive(members.MemberKind.AGENT, now_ms):
-            self._guide(known.member.vm_id)
-
-    def _guide(self, vm_id: str) -> None:
-        config = self._catalog.config
-        if config is None:
-            return
-        engines = [s.engine for s in config.services if s.engine is not None]
-        origins = [s.origin for s in config.services if s.origin]
-        now_ms = self._clock.now_ms()
-        targets = [
-            change
-            for change in self._catalog.changes_after(0, now_ms)
-            if isinstance(change, catalog.TargetChange)
-        ]
-        guide = fleet_messages.Guide(
-            targets=targets,
-            engine=engines[0] if engines else None,
-            origin=origins[0] if origins else "",
-            streams_resume=all(
-                route.resumable for route in config.routes if route.streaming
-            ),
-            agents=self._agents_alive(),
-            revision=self._catalog.config_revision,
-        )
-        self._sync.send(vm_id, guide)
-
-    def _agents_alive(self) -> list[members.Member]:
-        alive = self._sync.members.alive(
-            members.MemberKind.AGENT, self._clock.now_ms()
-        )
-        return sorted((known.member for known in alive), key=lambda m: m.vm_id)
-
-    def _guide_on_change(self) -> None:
-        """Tells the agents of each other when one came or went."""
-        agents = self._agents_alive()
-        if agents != self._guided_agents:
-            self._guided_agents = agents
-            self._guide_all()
-
     # Regular work.
 
     async def _tick_all(self) -> None:
@@ -478,7 +379,7 @@
             logs.log("replica_gone", replica=replica_id)
         if gone:
             self._forwarder.forget(self._table.sync(self._catalog, now_ms))
-        self._guide_on_change()
+        self._guide.tell_on_change()
         self._forwarder.tick()
         if now_ms - self._heartbeat_ms >= HEARTBEAT_MS:
             self._heartbeat()
--- a/src/marlramp/direct/metrics.py
+++ b/src/marlramp/direct/metrics.py
@@ -26,10 +26,18 @@
             meter.create_observable_counter(
                 name.value, callbacks=[self._observer(name)]
             )
-        self.first_event = meter.create_histogram(
+        self._first_event = meter.create_histogram(
             "marlramp_first_event", unit="ms"
         )
-        self.answer = meter.create_histogram("marlramp_answer", unit="ms")
+        self._answer = meter.create_histogram("marlramp_answer", unit="ms")
+
+    def record_first_event(self, taken_ms: float) -> None:
+        """Takes the time from a send to the first event of a stream."""
+        self._first_event.record(taken_ms)
+
+    def record_answer(self, taken_ms: float) -> None:
+        """Takes the time from a request to the end of its answer."""
+        self._answer.record(taken_ms)
 
     def text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -8,9 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import random
-from typing import Protocol
 
 import msgspec
 
@@ -22,6 +20,8 @@
 from marlramp.core import members
 from marlramp.core import pacing
 from marlramp.core import swarm
+from marlramp.direct import piece_uploads
+from marlramp.direct import version_digests
 from marlramp.platform import clients
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
@@ -29,9 +29,6 @@
 from marlramp.shell import member_links
 from marlramp.shell import safely
 
-FRAGMENT_BYTES = 4_096
-"""8.6 ms of a link of 3.8 Mbit/s."""
-
 LINK_SHARE = 0.96
 """Part of the link that pieces may take beside live requests, which need about
 3 in 100: a fragment delays an event by 9 ms, and every second that the weights
@@ -69,42 +66,9 @@
 """Agents that one is linked to, counting links opened from either side."""
 
 WHOLES_KEPT = 2
-MANIFEST_RETRY_MS = 200.0
-UPLOADS_MAX = 64
-"""Fragments waiting to be sent; beyond that a neighbour asks elsewhere."""
-
 _MS = clock.MILLIS_PER_SECOND
 
 
-class Origin(Protocol):
-    """The origin of weights."""
-
-    async def manifest(self, model: str, version: int) -> manifest.Manifest:
-        """Returns the digests of a version's pieces."""
-        ...
-
-    async def piece(self, model: str, version: int, index: int) -> bytes:
-        """Returns a piece, not verified."""
-        ...
-
-
-class Wanted(msgspec.Struct, frozen=True):
-    """One version of one model."""
-
-    model: str
-    version: int
-
-    @property
-    def name(self) -> str:
-        """Name that agents use among themselves."""
-        return f"{self.model}@{self.version}"
-
-
-class _Upload(msgspec.Struct, frozen=True):
-    peer: str
-    request: fleet_messages.FragmentRequest
-
-
 class _Download(msgspec.Struct):
     """A piece on its way from a neighbour."""
 
@@ -128,23 +92,23 @@
         self._clock = time
         self._rng = random.Random()
         rate = link_bytes_per_s * LINK_SHARE
-        self._up = pacing.Pacer(rate)
         self._down = pacing.Pacer(rate)
         self._links: (
             member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
         ) = None
-        self._origin: Origin | None = None
-        self._wholes: collections.OrderedDict[str, manifest.Whole] = (
-            collections.OrderedDict()
+        self._digests = version_digests.VersionDigests(
+            lambda: self._peers, self._send
         )
-        self._wanted: Wanted | None = None
+        self._wholes = self._digests.wholes
+        self._wanted: version_digests.Wanted | None = None
         self._swarm: swarm.Swarm | None = None
         self._peers: dict[str, members.Member] = {}
         self._near: set[str] = set()
         self._heard_ms: dict[str, float] = {}
         self._downloads: dict[int, _Download] = {}
-        self._uploads: collections.deque[_Upload] = collections.deque()
-        self._upload_ready = asyncio.Event()
+        self._uploads = piece_uploads.PieceUploads(
+            self._wholes, self._send, rate, time
+        )
         self._wake = asyncio.Event()
         self.changed = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
@@ -156,9 +120,9 @@
         """Takes the links to other agents."""
         self._links = links
 
-    def set_origin(self, origin: Origin | None) -> None:
+    def set_origin(self, origin: version_digests.Origin | None) -> None:
         """Takes the origin to draw from."""
-        self._origin = origin
+        self._digests.origin = origin
 
     def set_peers(
         self, peers: dict[str, members.Member], near: set[str]
@@ -171,11 +135,13 @@
         self._link_peers()
         self._place_in_swarm()
 
-    def whole(self, wanted: Wanted) -> manifest.Whole | None:
+    def whole(self, wanted: version_digests.Wanted) -> manifest.Whole | None:
         """Returns the pieces held of a version, None if it is unknown."""
         return self._wholes.get(wanted.name)
 
-    def add(self, wanted: Wanted, index: int, data: bytes) -> bool:
+    def add(
+        self, wanted: version_digests.Wanted, index: int, data: bytes
+    ) -> bool:
         """Takes a piece that was found on this VM; returns if it is right."""
         whole = self._wholes.get(wanted.name)
         if whole is None or not whole.add(index, data):
@@ -187,15 +153,13 @@
             self._wake.set()
         return True
 
-    async def find_manifest(self, wanted: Wanted) -> manifest.Whole:
+    async def find_manifest(
+        self, wanted: version_digests.Wanted
+    ) -> manifest.Whole:
         """Learns the digests of a version from the origin or neighbours."""
-        while wanted.name not in self._wholes:
-            await self._ask_manifest(wanted)
-            if wanted.name not in self._wholes:
-                await asyncio.sleep(MANIFEST_RETRY_MS / _MS)
-        return self._wholes[wanted.name]
+        return await self._digests.find(wanted)
 
-    def want(self, wanted: Wanted, *, is_new: bool) -> None:
+    def want(self, wanted: version_digests.Wanted, *, is_new: bool) -> None:
         """Starts to fetch a version whose digests are known.
 
         Args:
@@ -237,7 +201,7 @@
     async def run(self) -> None:
         """Serves neighbours and drives fetches for ever."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._upload_all())
+            group.create_task(self._uploads.run())
             group.create_task(self._tick_all())
 
     def on_message(
@@ -255,54 +219,13 @@
                     current.peer_holds(peer, message.indexes, message.seen)
                     self._wake.set()
             case fleet_messages.FragmentRequest():
-                self._on_request(name, message)
+                self._uploads.request(name, message)
             case fleet_messages.FragmentReply():
                 self._on_fragment(name, message)
             case messages.ManifestRequest():
-                self._on_manifest_request(name, message)
+                self._digests.on_request(name, message)
             case messages.ManifestReply():
-                self._on_manifest(message)
-
-    # Digests.
-
-    async def _ask_manifest(self, wanted: Wanted) -> None:
-        request = messages.ManifestRequest(manifest=wanted.name)
-        for name in self._peers:
-            self._send(name, request)
-        if self._origin is None:
-            return
-        try:
-            found = await self._origin.manifest(wanted.model, wanted.version)
-        except clients.PlatformError as error:
-            logs.log("manifest_unavailable", name=wanted.name, detail=error)
-            return
-        self._take_manifest(wanted.name, found)
-
-    def _on_manifest_request(
-        self, name: str, request: messages.ManifestRequest
-    ) -> None:
-        whole = self._wholes.get(request.manifest)
-        if whole is not None:
-            data = manifest.encode(whole.manifest)
-            self._send(
-                name,
-                messages.ManifestReply(manifest=request.manifest, data=data),
-            )
-
-    def _on_manifest(self, reply: messages.ManifestReply) -> None:
-        if not reply.data or reply.manifest in self._wholes:
-            return
-        found = msgspec.json.decode(reply.data, type=manifest.Manifest)
-        if Wanted(found.model, int(found.version)).name == reply.manifest:
-            self._take_manifest(reply.manifest, found)
-
-    def _take_manifest(self, name: str, found: manifest.Manifest) -> None:
-        if name in self._wholes:
-            return
-        whole = manifest.Whole(found, manifest.sha256_of)
-        kept = sum(whole.adopt(other) for other in self._wholes.values())
-        self._wholes[name] = whole
-        logs.log("manifest_known", name=name, pieces_kept=kept)
+                self._digests.on_reply(message)
 
     # Neighbours.
 
@@ -363,39 +286,6 @@
         )
         self._send(name, hello)
 
-    # Uploads.
-
-    def _on_request(
-        self, name: str, request: fleet_messages.FragmentRequest
-    ) -> None:
-        held = self._fragment(request) is not None
-        if held and len(self._uploads) < UPLOADS_MAX:
-            self._uploads.append(_Upload(name, request))
-            self._upload_ready.set()
-            return
-        self._send(name, _reply(request, None))
-
-    def _fragment(
-        self, request: fleet_messages.FragmentRequest
-    ) -> bytes | None:
-        whole = self._wholes.get(request.manifest)
-        data = None if whole is None else whole.get(request.index)
-        if data is None:
-            return None
-        return data[request.offset : request.offset + FRAGMENT_BYTES]
-
-    async def _upload_all(self) -> None:
-        while True:
-            while not self._uploads:
-                self._upload_ready.clear()
-                await self._upload_ready.wait()
-            upload = self._uploads.popleft()
-            data = self._fragment(upload.request)
-            size = 0 if data is None else len(data)
-            wait_ms = self._up.reserve(size, self._clock.now_ms())
-            await asyncio.sleep(wait_ms / _MS)
-            self._send(upload.peer, _reply(upload.request, data))
-
     # Downloads.
 
     def _on_fragment(
@@ -428,7 +318,9 @@
 
     def _request_fragment(self, index: int) -> None:
         """Asks for the next fragment when the link has room for it."""
-        wait_ms = self._down.reserve(FRAGMENT_BYTES, self._clock.now_ms())
+        wait_ms = self._down.reserve(
+            piece_uploads.FRAGMENT_BYTES, self._clock.now_ms()
+        )
         asyncio.get_running_loop().call_later(
             wait_ms / _MS, self._send_request, index
         )
@@ -496,16 +388,20 @@
                 case swarm.FetchFromOrigin():
                     self._draw(self._wanted, action.index)
 
-    def _draw(self, wanted: Wanted, index: int) -> None:
+    def _draw(self, wanted: version_digests.Wanted, index: int) -> None:
         task = asyncio.create_task(self._draw_piece(wanted, index))
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
-    async def _draw_piece(self, wanted: Wanted, index: int) -> None:
+    async def _draw_piece(
+        self, wanted: version_digests.Wanted, index: int
+    ) -> None:
         try:
-            if self._origin is None:
+            if self._digests.origin is None:
                 raise clients.PlatformError("the origin is not known")
-            data = await self._origin.piece(wanted.model, wanted.version, index)
+            data = await self._digests.origin.piece(
+                wanted.model, wanted.version, index
+            )
         except clients.PlatformError as error:
             logs.log("piece_unavailable", index=index, detail=error)
             current = self._current(wanted.name)
@@ -516,7 +412,9 @@
             return
         self._take_piece(wanted.name, index, data, None)
 
-    def _announce(self, current: swarm.Swarm, wanted: Wanted) -> None:
+    def _announce(
+        self, current: swarm.Swarm, wanted: version_digests.Wanted
+    ) -> None:
         now_ms = self._clock.now_ms()
         since_ms = now_ms - self._announced_ms
         if since_ms < ANNOUNCE_MS:
@@ -549,14 +447,3 @@
 
     def _send(self, name: str, message: msgspec.Struct) -> bool:
         return self._links is not None and self._links.send(name, message)
-
-
-def _reply(
-    request: fleet_messages.FragmentRequest, data: bytes | None
-) -> fleet_messages.FragmentReply:
-    return fleet_messages.FragmentReply(
-        manifest=request.manifest,
-        index=request.index,
-        offset=request.offset,
-        data=data,
-    )
--- /dev/null
+++ b/src/marlramp/direct/replica_observer.py
@@ -0,0 +1,99 @@
+"""Keeps what is believed of a replica in step with an attempt there."""
+
+from __future__ import annotations
+
+from marlramp import clock
+from marlramp import errors
+from marlramp.core import replica_table
+from marlramp.core import upstream_choice
+from marlramp.direct import attempts
+from marlramp.direct import wire
+
+
+class ReplicaObserver:
+    """Keeps a replica's view in step with one attempt there.
+
+    Attributes:
+      first_event_ms: time from the send to the first event, None before it.
+    """
+
+    def __init__(
+        self,
+        choice: upstream_choice.Choice,
+        prompt_tokens: int,
+        time: clock.Clock,
+    ) -> None:
+        """Counts the request as sent to the chosen replica."""
+        view = choice.view
+        self._view = view
+        self._unbiased_ms = choice.unbiased_ms
+        self._tokens = prompt_tokens
+        self._clock = time
+        self._sent_ms = time.now_ms()
+        self._first_ms: float | None = None
+        self.first_event_ms: float | None = None
+        view.note_sent(prompt_tokens, time.now_ms())
+
+    def on_answer(self, answer: wire.ReplicaAnswer) -> None:
+        """Takes the load and the weights that the answer tells."""
+        now_ms = self._clock.now_ms()
+        view = self._view
+        view.heard_ms = now_ms
+        if answer.load is not None:
+            view.note_load(answer.load.running, answer.load.waiting, now_ms)
+        if answer.weights is not None:
+            view.seen_weights = answer.weights
+            view.seen_ms = now_ms
+
+    def on_first(self) -> None:
+        """Takes the prompt as read."""
+        self._first_ms = self._clock.now_ms()
+        self._view.heard_ms = self._first_ms
+        taken_ms = self._first_ms - self._sent_ms
+        self.first_event_ms = taken_ms
+        self._view.note_first(taken_ms, self._unbiased_ms)
+        self._read()
+
+    def ended(self, outcome: attempts.Outcome, events: int | None) -> None:
+        """Takes the end of the attempt.
+
+        Args:
+          outcome: how it ended.
+          events: events that a stream brought, None for a plain request.
+        """
+        now_ms = self._clock.now_ms()
+        self._read()
+        self._view.note_ended()
+        failure = outcome.failure
+        if failure is None:
+            self._view.note_good()
+            if events is not None and self._first_ms is not None:
+                self._view.note_run(now_ms - self._first_ms, events)
+            elif events is None:
+                self._view.note_answered(now_ms - self._sent_ms)
+        elif failure.ran is errors.Ran.NO:
+            self._spare(outcome, now_ms)
+        elif outcome.answer is not None:
+            self._view.note_error()
+        else:
+            self._view.note_broken(now_ms)
+
+    def left(self) -> None:
+        """The caller left before the attempt ended."""
+        self._read()
+        self._view.note_ended()
+
+    def _read(self) -> None:
+        self._view.note_read(self._tokens)
+        self._tokens = 0
+
+    def _spare(self, outcome: attempts.Outcome, now_ms: clock.Millis) -> None:
+        """Leaves a replica alone that refused or was not reached."""
+        if outcome.answer is None:
+            self._view.note_broken(now_ms)
+            return
+        wait_ms = replica_table.BUSY_BACKOFF_MS
+        if outcome.answer.status == errors.MISDIRECTED:
+            wait_ms = replica_table.MISDIRECTED_BACKOFF_MS
+            self._view.seen_weights = None
+        self._view.not_before_ms = now_ms + wait_ms
--- /dev/null
+++ b/src/marlramp/direct/selection.py
@@ -0,0 +1,147 @@
+"""Chooses the replica for a call, or refuses the call at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+import random
+
+from marlramp import clock
+from marlramp import errors
+from marlramp.core import admission_rule
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import upstream_choice
+from marlramp.core import weights_gate
+from marlramp.direct import call as call_module
+from marlramp.settings import node
+
+CHOICE_POLL_MS = 20.0
+"""Between two looks for a replica while none takes work: agents report a
+change as soon."""
+
+HOLD_SHARE_MAX = 0.22
+"""Part of its objective that a request waits for a replica to open; beyond a
+quarter a wait without an offer costs more than an early refusal."""
+
+RETRY_AFTER_DEFAULT_MS = 500.0
+"""When to come back if nothing better is known."""
+
+USUAL_PROMPT_TOKENS = 1_000.0
+"""Tokens of a usual prompt."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Selector:
+    """Ranks the replicas that may run a call."""
+
+    def __init__(
+        self,
+        known: catalog.Catalog,
+        table: replica_table.ReplicaTable,
+        settings: node.NodeSettings,
+        time: clock.Clock,
+    ) -> None:
+        """Chooses from `table`, by the versions named in `known`."""
+        self._catalog = known
+        self._table = table
+        self._clock = time
+        self._started_ms = time.now_ms()
+        self._rng = random.Random()
+        self._version_bound_ms = settings.bounds.version_ms
+        self._near: Collection[str] = frozenset(
+            name
+            for name, region in settings.regions.items()
+            if region == settings.region
+        )
+
+    def set_settings(self, settings: node.NodeSettings) -> None:
+        """Takes changed bounds."""
+        self._version_bound_ms = settings.bounds.version_ms
+
+    async def choose(self, call: call_module.Call) -> upstream_choice.Choice:
+        """Returns the best replica, waiting a little while none is open.
+
+        Raises:
+          CallError: if none can take the request in time.
+        """
+        hold_ms = HOLD_SHARE_MAX * call.route.objective_ms
+        give_up_ms = min(call.request.received_ms + hold_ms, call.ends_ms)
+        while True:
+            now_ms = self._clock.now_ms()
+            ranked = self._rank(call, now_ms)
+            if ranked:
+                self._check_lateness(call, ranked[0], now_ms)
+                return ranked[0]
+            if now_ms >= give_up_ms:
+                raise self._no_upstream(call)
+            await asyncio.sleep(CHOICE_POLL_MS / _MS)
+
+    def _rank(
+        self, call: call_module.Call, now_ms: clock.Millis
+    ) -> list[upstream_choice.Choice]:
+        wanted = upstream_choice.Wanted(
+            engine=call.service.engine,
+            prompt_tokens=call.said.prompt_tokens,
+            events=call.expected_events(),
+            oldest_weights=self._oldest_weights(call.service, now_ms),
+            failed=call.failed,
+        )
+        views = self._table.of(call.service.service_id)
+        return upstream_choice.rank(views, wanted, self._near, now_ms)
+
+    def _check_lateness(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        now_ms: float,
+    ) -> None:
+        """Refuses a request that would begin too late even at the best engine.
+
+        Raises:
+          CallError: if it is refused.
+        """
+        engine = call.service.engine
+        if engine is None or call.relay.started or call.maybe_ran:
+            return
+        late_ms = admission_rule.lateness_ms(
+            choice.predicted_ms,
+            call.said.prompt_tokens / engine.read_tokens_per_ms,
+            USUAL_PROMPT_TOKENS / engine.read_tokens_per_ms,
+            now_ms - call.request.received_ms,
+            call.route.objective_ms,
+            returning=call.returning,
+        )
+        if late_ms <= 0.0:
+            return
+        raise errors.CallError(
+            errors.ErrorKind.DEADLINE_UNREACHABLE,
+            f"would begin {round(late_ms)} ms too late",
+            ran=errors.Ran.NO,
+            retry_after_ms=int(
+                admission_rule.retry_after_ms(late_ms, self._rng)
+            ),
+        )
+
+    def _oldest_weights(
+        self, service: fleet.Service, now_ms: clock.Millis
+    ) -> int:
+        if service.engine is None:
+            return 0
+        target = self._catalog.targets.get(service.engine.model)
+        if target is None:
+            return 1
+        bound_ms = self._version_bound_ms
+        return weights_gate.oldest_allowed(
+            target, bound_ms, self._started_ms, now_ms
+        )
+
+    def _no_upstream(self, call: call_module.Call) -> errors.CallError:
+        ran = errors.Ran.UNKNOWN if call.maybe_ran else errors.Ran.NO
+        return errors.CallError(
+            errors.ErrorKind.NO_UPSTREAM,
+            ran=ran,
+            retry_after_ms=int(RETRY_AFTER_DEFAULT_MS),
+        )
--- /dev/null
+++ b/src/marlramp/direct/sender.py
@@ -0,0 +1,232 @@
+"""Sends a call to one replica and waits for what comes of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from marlramp import clock
+from marlramp import errors
+from marlramp import logs
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import upstream_choice
+from marlramp.direct import attempts
+from marlramp.direct import call as call_module
+from marlramp.direct import replica_observer
+from marlramp.direct import wire
+from marlramp.shell import http1_client
+
+STALL_FLOOR_MS = 900.0
+"""A stream that brought nothing for this long is taken to another replica:
+more than twice the longest pause that counts as on time."""
+
+STALL_FACTOR = 2.5
+"""A first event is late at this multiple of its predicted time."""
+
+PLAIN_STALL_SHARE = 0.4
+"""Part of the caller's time after which a plain idempotent request is tried
+elsewhere."""
+
+FRESH_IDLE_SHARE = 0.5
+"""Part of a connection's idle time within which it takes a request that may
+run only once: a close on the way would leave its outcome unknown."""
+
+RESUMED_PRIORITY = 1
+"""Rank of a stream that goes on: its caller sees the gap."""
+
+RETURNING_PRIORITY = 3
+"""Rank of a request whose caller was refused before; others have 5."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Sent(msgspec.Struct):
+    """What became of one send.
+
+    Attributes:
+      outcome: how the attempt ended.
+      stalled: whether it was given up while the replica was at work.
+      first_event_ms: time to the first event, None if none came.
+    """
+
+    outcome: attempts.Outcome
+    stalled: bool = False
+    first_event_ms: float | None = None
+
+
+class Sender:
+    """Owns the connections to replicas."""
+
+    def __init__(
+        self,
+        codec: wire.CallCodec,
+        time: clock.Clock,
+    ) -> None:
+        """Writes and reads headers through `codec`."""
+        self._codec = codec
+        self._clock = time
+        self._pools: dict[str, http1_client.ConnectionPool] = {}
+
+    def tick(self) -> None:
+        """Closes connections that were idle for too long."""
+        for pool in self._pools.values():
+            pool.drop_stale()
+
+    def forget(self, replica_ids: list[str]) -> None:
+        """Drops connections to replicas that are gone."""
+        for replica_id in replica_ids:
+            pool = self._pools.pop(replica_id, None)
+            if pool is not None:
+                pool.close()
+
+    async def send(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> Sent:
+        """Sends a call to the chosen replica; returns when that has ended."""
+        view = choice.view
+        call.sends += 1
+        observer = replica_observer.ReplicaObserver(
+            choice, call.said.prompt_tokens, self._clock
+        )
+        connection: http1_client.ReplicaConnection | None = None
+        try:
+            pool = self._pool(view.replica)
+            connection = await self._connect(call, pool)
+            if connection is None:
+                outcome = attempts.Outcome(
+                    failure=errors.CallError(
+                        errors.ErrorKind.UPSTREAM_LOST,
+                        "no connection",
+                        ran=errors.Ran.NO,
+                    )
+                )
+                observer.ended(outcome, None)
+                return Sent(outcome)
+            tried = await self._exchange(call, choice, connection, observer)
+        except asyncio.CancelledError:
+            observer.left()
+            if connection is not None:
+                connection.abort()
+            logs.log("caller_left", request=call.said.request_id)
+            raise
+        events = call.relay.splitter.events if call.route.streaming else None
+        observer.ended(tried.outcome, events)
+        tried.first_event_ms = observer.first_event_ms
+        if tried.stalled:
+            connection.abort()
+        pool.give_back(connection)
+        return tried
+
+    async def _connect(
+        self, call: call_module.Call, pool: http1_client.ConnectionPool
+    ) -> http1_client.ReplicaConnection | None:
+        share = 1.0 if call.route.repeatable else FRESH_IDLE_SHARE
+        connection = pool.take_idle(share)
+        if connection is not None:
+            return connection
+        try:
+            return await pool.open()
+        except OSError as error:
+            logs.log(
+                "connect_failed", request=call.said.request_id, error=error
+            )
+            return None
+
+    async def _exchange(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        connection: http1_client.ReplicaConnection,
+        observer: replica_observer.ReplicaObserver,
+    ) -> Sent:
+        attempt = self._attempt(call, observer)
+        dispatch = self._dispatch(call, choice.view)
+        head = self._codec.head(call.request, dispatch)
+        call.responder.on_pressure(connection.pause, connection.resume)
+        connection.send(call.request.method, head, call.request.body, attempt)
+        while True:
+            limit_ms = self._limit_ms(call, choice, attempt)
+            wait_ms = limit_ms - self._clock.now_ms()
+            if wait_ms > 0:
+                await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
+            if attempt.finished.done():
+                return Sent(attempt.finished.result())
+            if self._clock.now_ms() >= self._limit_ms(call, choice, attempt):
+                return Sent(self._stalled(call, attempt), stalled=True)
+
+    def _attempt(
+        self, call: call_module.Call, observer: replica_observer.ReplicaObserver
+    ) -> attempts.Attempt:
+        if call.route.streaming:
+            call.relay.splitter.reset()
+            return attempts.StreamAttempt(
+                self._codec, call.said, observer, self._clock, call.relay
+            )
+        return attempts.Attempt(self._codec, call.said, observer, self._clock)
+
+    def _dispatch(
+        self, call: call_module.Call, view: replica_table.ReplicaView
+    ) -> wire.Dispatch:
+        now_ms = self._clock.now_ms()
+        engine = call.service.engine
+        return wire.Dispatch(
+            replica_id=view.replica.replica_id,
+            wait_ms=call.left_ms(now_ms),
+            customer_id=None
+            if call.customer is None
+            else call.customer.customer_id,
+            weights=None if engine is None else view.weights(now_ms),
+            priority=self._priority(call),
+            resume_after=call.relay.splitter.last_id,
+        )
+
+    def _priority(self, call: call_module.Call) -> int | None:
+        """Returns the rank in the replica's queue, None for the default."""
+        if call.relay.started:
+            return RESUMED_PRIORITY
+        if call.returning:
+            return RETURNING_PRIORITY
+        return None
+
+    def _limit_ms(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
+    ) -> float:
+        """Returns until when the attempt is waited for."""
+        if not call.route.repeatable or call.runs + 1 > (
+            call.route.attempts_max - 1
+        ):
+            return call.ends_ms
+        if not call.route.streaming:
+            wait_ms = call.ends_ms - call.request.received_ms
+            stall_ms = PLAIN_STALL_SHARE * wait_ms
+        elif attempt.begun:
+            stall_ms = STALL_FLOOR_MS
+        else:
+            stall_ms = max(STALL_FLOOR_MS, STALL_FACTOR * choice.predicted_ms)
+        return min(call.ends_ms, attempt.progress_ms + stall_ms)
+
+    def _stalled(
+        self, call: call_module.Call, attempt: attempts.Attempt
+    ) -> attempts.Outcome:
+        late = self._clock.now_ms() >= call.ends_ms
+        kind = errors.ErrorKind.UPSTREAM_LOST
+        if late:
+            kind = errors.ErrorKind.DEADLINE_EXCEEDED
+        return attempts.Outcome(
+            failure=errors.CallError(
+                kind, "no answer in time", ran=errors.Ran.UNKNOWN
+            )
+        )
+
+    def _pool(self, replica: fleet.Replica) -> http1_client.ConnectionPool:
+        pool = self._pools.get(replica.replica_id)
+        if pool is None:
+            host, _, port = replica.address.rpartition(":")
+            pool = http1_client.ConnectionPool(host, int(port), self._clock)
+            self._pools[replica.replica_id] = pool
+        return pool
--- a/src/marlramp/direct/weights_loader.py
+++ b/src/marlramp/direct/weights_loader.py
@@ -21,6 +21,7 @@
 from marlramp.core import manifest
 from marlramp.core import swap_times
 from marlramp.direct import piece_exchange
+from marlramp.direct import version_digests
 from marlramp.platform import clients
 
 POLL_MS = 100.0
@@ -75,7 +76,7 @@
 class Surroundings(Protocol):
     """What the loader asks the agent that it belongs to."""
 
-    def wanted(self) -> piece_exchange.Wanted | None:
+    def wanted(self) -> version_digests.Wanted | None:
         """Returns the weights to serve, None if they are not known."""
         ...
 
@@ -87,7 +88,7 @@
         """Reads a fresh report from the engine."""
         ...
 
-    def plan(self, wanted: piece_exchange.Wanted) -> swap_times.SwapPlan:
+    def plan(self, wanted: version_digests.Wanted) -> swap_times.SwapPlan:
         """Returns when the engine may load."""
         ...
 
@@ -95,7 +96,7 @@
         """Returns whether streams that are cut go on at another engine."""
         ...
 
-    def is_new(self, wanted: piece_exchange.Wanted) -> bool:
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
         """Returns whether a version was named just now."""
         ...
 
@@ -120,7 +121,7 @@
         self._totals = totals
         self._clock = time
         self._staged: set[int] = set()
-        self._staged_of: piece_exchange.Wanted | None = None
+        self._staged_of: version_digests.Wanted | None = None
         self.state = LoaderState.IDLE
 
     async def run(self) -> None:
@@ -138,7 +139,7 @@
                 self._set_state(LoaderState.IDLE)
                 await asyncio.sleep(RETRY_MS / _MS)
 
-    async def _step(self, wanted: piece_exchange.Wanted) -> None:
+    async def _step(self, wanted: version_digests.Wanted) -> None:
         whole = await self._exchange.find_manifest(wanted)
         report = self._surroundings.report()
         if report is None:
@@ -165,7 +166,7 @@
         await asyncio.sleep(LOAD_POLL_MS / _MS)
 
     async def _adopt_staged(
-        self, wanted: piece_exchange.Wanted, whole: manifest.Whole
+        self, wanted: version_digests.Wanted, whole: manifest.Whole
     ) -> None:
         """Takes over what is staged already and right."""
         self._staged = set()
@@ -185,7 +186,7 @@
         )
 
     async def _stage_new(
-        self, wanted: piece_exchange.Wanted, whole: manifest.Whole
+        self, wanted: version_digests.Wanted, whole: manifest.Whole
     ) -> None:
         """Stages what is held and not staged yet."""
         missing = sorted(whole.held - self._staged)
@@ -211,7 +212,7 @@
 
     def _may_load(
         self,
-        wanted: piece_exchange.Wanted,
+        wanted: version_digests.Wanted,
         report: engine_state.EngineReport,
     ) -> bool:
         """Returns whether it is this engine's turn."""
@@ -223,7 +224,7 @@
         return self._clock.now_ms() >= plan.begins_ms
 
     async def _load(
-        self, wanted: piece_exchange.Wanted, whole: manifest.Whole
+        self, wanted: version_digests.Wanted, whole: manifest.Whole
     ) -> None:
         """Verifies what is staged and orders the load."""
         await self._mend_staged(wanted, whole)
@@ -261,7 +262,7 @@
             await asyncio.sleep(LOAD_POLL_MS / _MS)
 
     async def _mend_staged(
-        self, wanted: piece_exchange.Wanted, whole: manifest.Whole
+        self, wanted: version_digests.Wanted, whole: manifest.Whole
     ) -> None:
         """Reads back every staged piece and replaces what is wrong."""
         limit = asyncio.Semaphore(STAGE_PARALLEL)
@@ -278,7 +279,7 @@
 
         await _all(mend(i) for i in range(len(whole.manifest.chunks)))
 
-    async def _wait_loaded(self, wanted: piece_exchange.Wanted) -> bool:
+    async def _wait_loaded(self, wanted: version_digests.Wanted) -> bool:
         end_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
         while self._clock.now_ms() < end_ms:
             report = await self._surroundings.read_report()
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -19,6 +19,7 @@
 from marlramp.core import replica_table
 from marlramp.core import route_table
 from marlramp.direct import forwarder
+from marlramp.direct import metrics
 from marlramp.platform import headers
 from marlramp.settings import node
 from marlramp.shell import http1_server
@@ -123,6 +124,7 @@
             headers.PlatformCallCodec(),
             SETTINGS,
             self.totals,
+            metrics.Metrics(self.totals),
             time,
         )
         self.server = http1_server.CallerServer(
