--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -15,6 +15,7 @@
 from marlramp.console.commands import limits
 from marlramp.console.commands import reference
 from marlramp.console.commands import refusals
+from marlramp.console.commands import request
 from marlramp.console.commands import rollouts
 from marlramp.console.commands import status
 from marlramp.console.commands import vms
@@ -33,6 +34,7 @@
 app.command(refusals.refusals)
 app.command(drain.drain)
 app.command(demo.demo)
+app.command(request.request)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- a/src/marlramp/console/commands/check.py
+++ b/src/marlramp/console/commands/check.py
@@ -11,6 +11,8 @@
 
 from marlramp.console import exit_codes
 from marlramp.console import output
+from marlramp.platform import settings as platform_settings
+from marlramp.settings import node
 from marlramp.settings import process
 from marlramp.settings import tree
 
@@ -20,6 +22,7 @@
 
     TREE = "tree"
     PROCESS = "process"
+    PLATFORM = "platform"
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -37,9 +40,9 @@
     """Check settings files and report everything that is wrong.
 
     Args:
-      files: TOML files, one per level of the tree or one per process.
-      kind: whether the files are documents of the settings tree or the
-        settings of a process.
+      files: one per level of the tree or one per process.
+      kind: whether the files are documents of the settings tree, the
+        settings of a process, or a platform's settings of a process.
       json: print JSON, for scripts.
     """
     problems = [problem for file in files for problem in _check(file, kind)]
@@ -59,10 +62,14 @@
     try:
         if kind is Kind.PROCESS:
             process.read(file)
+        elif kind is Kind.PLATFORM:
+            platform_settings.read(file)
         else:
             tree.parse_document(file.read_text(encoding="utf-8"), str(file))
     except (OSError, UnicodeDecodeError) as error:
         return [f"{file}: not readable: {error}"]
     except ExceptionGroup as group:
         return [str(error) for error in group.exceptions]
+    except node.NodeSettingsError as error:
+        return [f"{file}: {problem}" for problem in error.problems]
     return []
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -18,7 +18,10 @@
 from marlramp.core import members
 from marlramp.core import replica_table
 from marlramp.core import swap_times
+from marlramp.direct import http_side
 from marlramp.direct import member_sync
+from marlramp.direct import metrics
+from marlramp.direct import metrics_app
 from marlramp.direct import piece_exchange
 from marlramp.direct import settings_watch
 from marlramp.direct import version_digests
@@ -139,7 +142,12 @@
             self._clock,
         )
         logs.log("agent_started", replica=self._replica)
+        side = http_side.HttpSide(
+            metrics_app.build(metrics.Metrics(self._totals).text),
+            [node.Address(self._settings.host, http_side.METRICS_PORT)],
+        )
         async with asyncio.TaskGroup() as group:
+            served = group.create_task(side.run())
             tasks = [
                 group.create_task(self._exchange.run()),
                 group.create_task(self._watch_engine()),
@@ -149,6 +157,8 @@
                 group.create_task(self._read_unguided()),
             ]
             await self._stopping.wait()
+            side.stop()
+            await served
             for task in tasks:
                 task.cancel()
         self._lifecycle.stop()
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -149,7 +149,11 @@
                     self._is_ready,
                     self._metrics.text,
                 ),
-                [self._addresses.lookup, self._addresses.ready],
+                [
+                    self._addresses.lookup,
+                    self._addresses.ready,
+                    node.Address(self._settings.host, http_side.METRICS_PORT),
+                ],
             )
             served = group.create_task(side.run())
             await self._callers.start(
--- a/src/marlramp/direct/http_side.py
+++ b/src/marlramp/direct/http_side.py
@@ -11,6 +11,10 @@
 
 from marlramp.settings import node
 
+METRICS_PORT = 9_464
+"""Port of the metrics on every VM, by OpenTelemetry's custom; the platform
+gives no address for them, and its own ports change from day to day."""
+
 _BACKLOG = 256
 
 
--- a/src/marlramp/platform/lookup_app.py
+++ b/src/marlramp/platform/lookup_app.py
@@ -9,6 +9,8 @@
 from starlette import responses
 from starlette import routing
 
+from marlramp.direct import metrics_app
+
 
 def build(
     addresses: Callable[[], list[str]],
@@ -33,13 +35,10 @@
     async def readyz(_: requests.Request) -> responses.Response:
         return responses.Response(status_code=200 if ready() else 503)
 
-    async def show_metrics(_: requests.Request) -> responses.Response:
-        return responses.Response(metrics(), media_type="text/plain")
-
     return applications.Starlette(
         routes=[
             routing.Route("/v1/lookup", lookup),
             routing.Route("/v1/readyz", readyz),
-            routing.Route("/metrics", show_metrics),
+            metrics_app.route(metrics),
         ]
     )
--- /dev/null
+++ b/standins/direct_fleet.py
@@ -0,0 +1,180 @@
+"""Starts real daemons before the stand-in of a platform, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import sys
+from typing import Self
+
+from standins import direct_platform
+from standins import raw_http
+
+ROOT = pathlib.Path(__file__).parents[1]
+NETWORK = "127.21"
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+class Fleet:
+    """Entries, engines with agents, a store and an origin.
+
+    Attributes:
+      store: the platform's store.
+      origin: the origin of weights.
+      engines: model engines, one on each agent's VM.
+      processes: the daemons, by the name of their VM.
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, entries: int, engines: int, group: int
+    ) -> None:
+        """Describes a fleet; nothing runs before it is entered.
+
+        Args:
+          folder: where settings files and logs go.
+          entries: entries to start.
+          engines: engines, each with an agent.
+          group: tells fleets that run at once apart, 0 to 255.
+        """
+        self._folder = folder
+        self._group = group
+        self._stack = contextlib.AsyncExitStack()
+        self.store = direct_platform.Store()
+        self.origin = direct_platform.Origin()
+        self.entry_hosts = [self._host(1 + n) for n in range(entries)]
+        self.engines = [
+            direct_platform.Engine(
+                f"i-{n}", self._host(100 + n), self.store, weights=1
+            )
+            for n in range(engines)
+        ]
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def __aenter__(self) -> Self:
+        """Starts everything and waits until all entries are ready."""
+        store_host = self._host(250)
+        await self._listen(
+            self.store.serve, store_host, direct_platform.STORE_PORT
+        )
+        await self._listen(self.origin.serve, store_host, 8_006)
+        for engine in self.engines:
+            await self._listen(
+                engine.serve, engine.host, direct_platform.REPLICA_PORT
+            )
+            engine.register()
+        self.store.put(
+            "op/config", direct_platform.configuration(f"{store_host}:8006")
+        )
+        for number in range(len(self.entry_hosts)):
+            await self.start_entry(number)
+        for number in range(len(self.engines)):
+            await self.start_agent(number)
+        for host in self.entry_hosts:
+            await self.wait_ready(host)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Ends the daemons that were started here."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        await self._stack.aclose()
+
+    async def start_entry(self, number: int) -> None:
+        """Starts an entry, also again after it ended."""
+        host = self.entry_hosts[number]
+        await self._start(f"entry-{number}", host, entry=True)
+
+    async def start_agent(self, number: int) -> None:
+        """Starts the agent beside an engine."""
+        host = self.engines[number].host
+        await self._start(f"agent-{number}", host, entry=False)
+
+    async def wait_ready(self, host: str) -> None:
+        """Waits until an entry takes callers."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while b" 200 " not in await self._get(host, 8_002, "/v1/readyz"):
+                await asyncio.sleep(POLL_S)
+
+    async def lookup(self, host: str) -> bytes:
+        """Asks an entry where to connect; returns the whole answer."""
+        path = f"/v1/lookup?name={direct_platform.HOST}"
+        return await self._get(host, 8_009, path)
+
+    async def stream(self, host: str, request_id: str) -> bytes:
+        """Sends a streaming request; returns all bytes of the answer."""
+        return await self._get(
+            host,
+            8_005,
+            "/chat/x",
+            "POST",
+            f"host: {direct_platform.HOST}\r\nx-attempt-id: {request_id}\r\n"
+            f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
+            f"authorization: Bearer {direct_platform.KEY}\r\n",
+        )
+
+    async def metrics(self, host: str) -> bytes:
+        """Returns the metrics of a VM's daemon."""
+        return await self._get(host, 9_464, "/metrics")
+
+    def log(self, name: str) -> str:
+        """Returns what a daemon has written."""
+        return (self._folder / f"{name}.log").read_text()
+
+    def _host(self, number: int) -> str:
+        return f"{NETWORK}.{self._group}.{number}"
+
+    async def _listen(
+        self, script: raw_http.Script, host: str, port: int
+    ) -> None:
+        await self._stack.enter_async_context(
+            raw_http.ScriptedServer(script, host, port)
+        )
+
+    async def _start(self, name: str, host: str, *, entry: bool) -> None:
+        file = self._folder / f"{name}.conf"
+        file.write_text(
+            direct_platform.settings_text(
+                name,
+                host,
+                seeds=self.entry_hosts[:3],
+                store=f"{self._host(250)}:{direct_platform.STORE_PORT}",
+                entry=entry,
+            )
+        )
+        with (self._folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "src" / "marlrampd.py"),
+                stdout=log,
+                stderr=log,
+                env={**os.environ, "MARLRAMP_SETTINGS": str(file)},
+            )
+
+    async def _get(
+        self,
+        host: str,
+        port: int,
+        path: str,
+        method: str = "GET",
+        headers: str = "",
+    ) -> bytes:
+        """Makes a call on a connection of its own; b"" if it failed."""
+        data = b""
+        try:
+            reader, writer = await asyncio.open_connection(host, port)
+            writer.write(
+                f"{method} {path} HTTP/1.1\r\n{headers or 'host: x'}"
+                f"{'' if headers else chr(13) + chr(10)}"
+                "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
+            )
+            while part := await reader.read(65_536):
+                data += part
+            writer.close()
+        except ConnectionError:
+            return data
+        return data
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -103,17 +103,22 @@
       connections: connections taken so far.
     """
 
-    def __init__(self, script: Script) -> None:
-        """Listens once entered."""
+    def __init__(
+        self, script: Script, host: str = "127.0.0.1", port: int = 0
+    ) -> None:
+        """Listens once entered; port 0 takes a free one."""
         self._script = script
+        self._host = host
+        self.port = port
         self._server: asyncio.Server | None = None
         self._peers: list[Peer] = []
-        self.port = 0
         self.connections = 0
 
     async def __aenter__(self) -> ScriptedServer:
         """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._serve, self._host, self.port
+        )
         self.port = self._server.sockets[0].getsockname()[1]
         return self
 
@@ -127,7 +132,7 @@
     @property
     def address(self) -> str:
         """Address as "host:port"."""
-        return f"127.0.0.1:{self.port}"
+        return f"{self._host}:{self.port}"
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- /dev/null
+++ b/tests/failures/test_direct_path.py
@@ -0,0 +1,179 @@
+"""The direct path with real daemons before the platform's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import signal
+
+import pytest
+
+from standins import direct_fleet
+from standins import direct_platform
+
+type Use = Callable[[direct_fleet.Fleet], Awaitable[None]]
+type RunFleet = Callable[[Use], None]
+
+
+@pytest.fixture
+def run_fleet(tmp_path: pathlib.Path) -> RunFleet:
+    """Runs a test with two entries and three engines."""
+
+    def run(use: Use) -> None:
+        async def main() -> None:
+            fleet = direct_fleet.Fleet(tmp_path, 2, 3, group=7)
+            async with asyncio.timeout(60), fleet:
+                await use(fleet)
+
+        asyncio.run(main())
+
+    return run
+
+
+def is_whole(answer: bytes) -> bool:
+    """Returns whether an answer is a stream with every event once."""
+    numbers = [
+        int(line[4:]) for line in answer.split(b"\n") if line[:4] == b"id: "
+    ]
+    expected = list(range(1, direct_platform.EVENTS + 1))
+    return numbers == expected and answer.endswith(b"0\r\n\r\n")
+
+
+async def until_served(fleet: direct_fleet.Fleet, host: str) -> None:
+    async with asyncio.timeout(15):
+        while not is_whole(await fleet.stream(host, "warm-up")):
+            await asyncio.sleep(0.1)
+
+
+async def until_weights(fleet: direct_fleet.Fleet, version: int) -> None:
+    async with asyncio.timeout(20):
+        while any(engine.weights != version for engine in fleet.engines):
+            await asyncio.sleep(0.05)
+
+
+def test_new_weights_are_loaded_whole_under_live_requests(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        fleet.engines[1].rot(3)
+        target = {"model_name": direct_platform.MODEL, "version": 2}
+        fleet.store.put(f"op/version/{direct_platform.MODEL}", target)
+        loaded = asyncio.create_task(until_weights(fleet, 2))
+        number = 0
+        while not loaded.done():
+            number += 1
+            assert is_whole(await fleet.stream(host, f"id-{number}"))
+        await loaded
+        assert is_whole(await fleet.stream(host, "after"))
+        assert all(engine.mixed == 0 for engine in fleet.engines)
+        assert all(
+            count <= 2
+            for engine in fleet.engines
+            for count in engine.runs.values()
+        )
+
+    run_fleet(use)
+
+
+def test_entry_that_is_stopped_cuts_no_stream_and_leaves_the_lookup(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        leaving, staying = fleet.entry_hosts
+        await until_served(fleet, leaving)
+        running = [
+            asyncio.create_task(fleet.stream(leaving, f"id-{n}"))
+            for n in range(8)
+        ]
+        await asyncio.sleep(0.03)
+        fleet.processes["entry-0"].send_signal(signal.SIGTERM)
+        assert all(
+            is_whole(answer) for answer in await asyncio.gather(*running)
+        )
+        async with asyncio.timeout(3):
+            while leaving.encode() in await fleet.lookup(staying):
+                await asyncio.sleep(0.05)
+        async with asyncio.timeout(8):
+            assert await fleet.processes["entry-0"].wait() == 0
+
+    run_fleet(use)
+
+
+def test_fleet_that_was_killed_serves_again_from_store_and_engines(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        for process in fleet.processes.values():
+            process.kill()
+            await process.wait()
+        for number in range(2):
+            await fleet.start_entry(number)
+        for number in range(3):
+            await fleet.start_agent(number)
+        async with asyncio.timeout(12):
+            await until_served(fleet, host)
+
+    run_fleet(use)
+
+
+def test_configuration_reaches_entries_and_survives_the_store(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[1]
+        await until_served(fleet, host)
+        config = direct_platform.configuration("127.0.0.1:1", version=2)
+        config["tenants"] = []
+        fleet.store.put("op/config", config)
+        async with asyncio.timeout(2):
+            while b" 401 " not in await fleet.stream(host, "revoked"):
+                await asyncio.sleep(0.02)
+        fleet.store.down = True
+        await asyncio.sleep(1.5)
+        assert b" 401 " in await fleet.stream(host, "still-revoked")
+
+    run_fleet(use)
+
+
+def test_reload_and_broken_settings_leave_the_process_running(
+    run_fleet: RunFleet, tmp_path: pathlib.Path
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        file = tmp_path / "entry-0.conf"
+        text = file.read_text()
+        file.write_text(text.replace("grace_s=8", "grace_s=never"))
+        fleet.processes["entry-0"].send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        file.write_text(text.replace("grace_s=8", "grace_s=6"))
+        await asyncio.sleep(1.5)
+        assert is_whole(await fleet.stream(host, "after"))
+        log = fleet.log("entry-0")
+        assert "event=settings_refused" in log
+        assert "event=settings_reloaded" in log
+
+    run_fleet(use)
+
+
+def test_metrics_count_requests_and_pieces(run_fleet: RunFleet) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        target = {"model_name": direct_platform.MODEL, "version": 2}
+        fleet.store.put(f"op/version/{direct_platform.MODEL}", target)
+        await until_weights(fleet, 2)
+        of_entry = await fleet.metrics(host)
+        assert b"marlramp_requests_total{" in of_entry
+        assert b'reason="streaming"' in of_entry
+        assert b"marlramp_first_event_milliseconds_bucket" in of_entry
+        of_agent = await fleet.metrics(fleet.engines[0].host)
+        assert b"marlramp_chunks_received_total" in of_agent
+
+    run_fleet(use)
