--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -40,7 +40,7 @@
 REPORT_POLL_MS = 60.0
 """Between two reports read from the engine: free on the own VM."""
 
-TELL_MS = 150.0
+TELL_MS = 200.0
 """Least time between two reports to the entries while only the load changes."""
 
 TELL_ALWAYS_MS = 500.0
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -35,7 +35,7 @@
 come sooner leaves more time to change engines in turns."""
 
 TICK_MS = 25.0
-ANNOUNCE_MS = 50.0
+ANNOUNCE_MS = 70.0
 """Pieces newly held are announced together at most this often."""
 
 KEEPALIVE_MS = 500.0
@@ -44,7 +44,7 @@
 """Wait per rank before another agent draws a piece from the origin or brings
 it into its region: ten times what one piece takes on an agent's link."""
 
-ORIGIN_COPIES_MAX = 3.0
+ORIGIN_COPIES_MAX = 2.0
 """Copies drawn from the origin without a fault: its link is idle after the
 first, and agents that load in later turns come by their pieces sooner."""
 
