--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -34,6 +34,10 @@
 3 in 100: a fragment delays an event by 9 ms, and every second that the weights
 come sooner leaves more time to change engines in turns."""
 
+UPLINK_SHARE = 0.88
+"""Part of the link on which events of live streams leave: the links of the
+receivers bind, so that this delays no piece."""
+
 TICK_MS = 25.0
 ANNOUNCE_MS = 70.0
 """Pieces newly held are announced together at most this often."""
@@ -95,8 +99,8 @@
         self._totals = totals
         self._clock = time
         self._rng = random.Random()
-        rate = link_bytes_per_s * LINK_SHARE
-        self._down = pacing.Pacer(rate)
+        up_rate = link_bytes_per_s * UPLINK_SHARE
+        self._down = pacing.Pacer(link_bytes_per_s * LINK_SHARE)
         self._links: (
             member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
         ) = None
@@ -111,7 +115,7 @@
         self._heard_ms: dict[str, float] = {}
         self._downloads: dict[int, _Download] = {}
         self._uploads = piece_uploads.PieceUploads(
-            self._wholes, self._send, rate, time
+            self._wholes, self._send, up_rate, time
         )
         self._wake = asyncio.Event()
         self.changed = asyncio.Event()
