--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -18,7 +18,10 @@
 from marlramp.core import members
 from marlramp.core import replica_table
 from marlramp.core import swap_times
+from marlramp.direct import http_side
 from marlramp.direct import member_sync
+from marlramp.direct import metrics
+from marlramp.direct import metrics_app
 from marlramp.direct import piece_exchange
 from marlramp.direct import settings_watch
 from marlramp.direct import version_digests
@@ -37,7 +40,7 @@
 REPORT_POLL_MS = 60.0
 """Between two reports read from the engine: free on the own VM."""
 
-TELL_MS = 150.0
+TELL_MS = 200.0
 """Least time between two reports to the entries while only the load changes."""
 
 TELL_ALWAYS_MS = 500.0
@@ -139,7 +142,12 @@
             self._clock,
         )
         logs.log("agent_started", replica=self._replica)
+        side = http_side.HttpSide(
+            metrics_app.build(metrics.Metrics(self._totals).text),
+            [node.Address(self._settings.host, http_side.METRICS_PORT)],
+        )
         async with asyncio.TaskGroup() as group:
+            served = group.create_task(side.run())
             tasks = [
                 group.create_task(self._exchange.run()),
                 group.create_task(self._watch_engine()),
@@ -149,6 +157,8 @@
                 group.create_task(self._read_unguided()),
             ]
             await self._stopping.wait()
+            side.stop()
+            await served
             for task in tasks:
                 task.cancel()
         self._lifecycle.stop()
@@ -214,12 +224,12 @@
             self._tell_now()
         return report
 
-    def plan(self, wanted: version_digests.Wanted) -> swap_times.SwapPlan:
+    def begins_ms(self, wanted: version_digests.Wanted) -> float:
         """Returns when the engine may load."""
         now_ms = self._clock.now_ms()
         target = self._targets.targets.get(wanted.model)
         held = 0 if self._report is None else self._report.weights
-        return swap_times.plan(
+        return swap_times.begins_ms(
             self._own.vm_id,
             list(self._peers),
             wanted.name,
@@ -339,7 +349,7 @@
         wanted = self.wanted()
         if wanted is None or report.weights in (0, wanted.version):
             return None
-        return max(0.0, self.plan(wanted).begins_ms - self._clock.now_ms())
+        return max(0.0, self.begins_ms(wanted) - self._clock.now_ms())
 
     async def _tick_all(self) -> None:
         while True:
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -34,8 +34,12 @@
 3 in 100: a fragment delays an event by 9 ms, and every second that the weights
 come sooner leaves more time to change engines in turns."""
 
+UPLINK_SHARE = 0.88
+"""Part of the link on which events of live streams leave: the links of the
+receivers bind, so that this delays no piece."""
+
 TICK_MS = 25.0
-ANNOUNCE_MS = 50.0
+ANNOUNCE_MS = 70.0
 """Pieces newly held are announced together at most this often."""
 
 KEEPALIVE_MS = 500.0
@@ -44,6 +48,10 @@
 """Wait per rank before another agent draws a piece from the origin or brings
 it into its region: ten times what one piece takes on an agent's link."""
 
+ORIGIN_COPIES_MAX = 2.0
+"""Copies drawn from the origin without a fault: its link is idle after the
+first, and agents that load in later turns come by their pieces sooner."""
+
 DOWNLOADS_MAX = 12
 """Pieces on their way from neighbours at once."""
 
@@ -91,8 +99,8 @@
         self._totals = totals
         self._clock = time
         self._rng = random.Random()
-        rate = link_bytes_per_s * LINK_SHARE
-        self._down = pacing.Pacer(rate)
+        up_rate = link_bytes_per_s * UPLINK_SHARE
+        self._down = pacing.Pacer(link_bytes_per_s * LINK_SHARE)
         self._links: (
             member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
         ) = None
@@ -107,7 +115,7 @@
         self._heard_ms: dict[str, float] = {}
         self._downloads: dict[int, _Download] = {}
         self._uploads = piece_uploads.PieceUploads(
-            self._wholes, self._send, rate, time
+            self._wholes, self._send, up_rate, time
         )
         self._wake = asyncio.Event()
         self.changed = asyncio.Event()
@@ -179,7 +187,7 @@
             whole.manifest.chunks,
             whole.held,
             swarm.SwarmPolicy(
-                1.0,
+                ORIGIN_COPIES_MAX,
                 TAKEOVER_MS,
                 in_flight_max=DOWNLOADS_MAX,
                 origin_in_flight_max=1,
