--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: $(INSTALLED)
 	$(BIN)/marlramp demo
+	$(BIN)/python -m standins.direct_demo
 
 test: lint types model unit
 
@@ -36,3 +37,4 @@
 lock: $(INSTALLED)
 	$(BIN)/pip install --quiet pip-tools
 	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --extra dev --strip-extras --no-emit-index-url --no-emit-trusted-host --no-emit-find-links -o requirements.lock pyproject.toml
+	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras --no-emit-index-url --no-emit-trusted-host --no-emit-find-links -o deploy/requirements.lock pyproject.toml
