Write lines that come during a write

The writer's thread was only woken for the first line in an empty queue: a line put while others were being written waited for ever, and all after it (test_line_that_comes_during_a_write_is_written_too failed first).

--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -79,8 +79,8 @@
             self._untold += 1
             return
         self._lines.append(line)
-        if not waiting:
-            self._ready.set()
+        # Also while others wait: the thread may have taken those already.
+        self._ready.set()
 
     def flush(self, timeout_s: float) -> None:
         """Waits until all lines are written, but no longer than told."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -42,3 +42,21 @@
     written = stream.getvalue()
     assert "line 3" in written
     assert "event=lines_dropped count=5" in written
+
+
+class SlowStream(io.StringIO):
+    """Takes a while for each write, as a busy reader does."""
+
+    def write(self, text: str) -> int:
+        time.sleep(0.02)
+        return super().write(text)
+
+
+def test_line_that_comes_during_a_write_is_written_too() -> None:
+    stream = SlowStream()
+    writer = logs.LineWriter(stream)
+    for number in range(20):
+        writer.put(f"line {number}\n", routine=False)
+        time.sleep(0.012)
+    time.sleep(0.5)
+    assert "line 19" in stream.getvalue()
