--- a/src/marlramp/core/swap_times.py
+++ b/src/marlramp/core/swap_times.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Collection
 
-from marlramp import clock
 from marlramp.core import rendezvous
 
 SPREAD_MS = 1_700.0
@@ -32,7 +31,6 @@
     key: str,
     named_ms: float | None,
     bound_ms: float,
-    now_ms: clock.Millis,
 ) -> float:
     """Returns when the engine of a VM begins to load.
 
@@ -42,10 +40,12 @@
       key: name of the version, which gives each version another order.
       named_ms: when the version was named, None if that is not known.
       bound_ms: time after its naming from which it binds.
-      now_ms: the time.
+
+    Returns:
+      A reading of the clock; minus infinity if it may load at once.
     """
     if named_ms is None:
-        return now_ms
+        return float("-inf")
     order = rendezvous.order(key, {*vm_ids, vm_id})
     share = order.index(vm_id) / max(1, len(order) - 1)
     latest_ms = named_ms + bound_ms - LATEST_MARGIN_MS
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -226,7 +226,6 @@
 
     def begins_ms(self, wanted: version_digests.Wanted) -> float:
         """Returns when the engine may load."""
-        now_ms = self._clock.now_ms()
         target = self._targets.targets.get(wanted.model)
         held = 0 if self._report is None else self._report.weights
         return swap_times.begins_ms(
@@ -235,7 +234,6 @@
             wanted.name,
             None if target is None else target.binds_first_ms(held),
             self._settings.bounds.version_ms,
-            now_ms,
         )
 
     def may_cut(self) -> bool:
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -163,15 +163,18 @@
     assert splitter.events == 2
 
 
-def test_engines_load_one_after_the_other_before_the_bound(
-    time: clock.ManualClock,
-) -> None:
+def test_engines_load_one_after_the_other_before_the_bound() -> None:
     names = [f"vm-{n}" for n in range(12)]
     begins = sorted(
-        swap_times.begins_ms(n, names, "m@2", 0.0, 8_000.0, time.now_ms())
-        for n in names
+        swap_times.begins_ms(n, names, "m@2", 0.0, 8_000.0) for n in names
     )
     assert begins[-1] == 8_000.0 - swap_times.LATEST_MARGIN_MS
     assert begins[0] == begins[-1] - swap_times.SPREAD_MS
     gaps = [later - sooner for sooner, later in itertools.pairwise(begins)]
     assert max(gaps) - min(gaps) < 1.0
+
+
+def test_version_of_unknown_age_is_loaded_at_once() -> None:
+    begins_ms = swap_times.begins_ms("vm-1", ["vm-2"], "m@2", None, 8_000.0)
+    # Also when the clock was read before this was asked.
+    assert begins_ms == float("-inf")
