Take requests for 2.8 s after SIGTERM, not 4.5 s

A caller that comes later is refused at once and goes elsewhere. test_stopped_entry_refuses_what_it_may_not_finish failed first.

--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -47,11 +47,12 @@
 """How long callers keep addresses: short, so that they leave a VM that went
 down; each caller asks again that often."""
 
-LEAVE_ACCEPT_MS = 4_500.0
-"""After SIGTERM requests are taken this long: callers may keep an address for
-twice its lifetime, and what is taken must end before the process does."""
+LEAVE_ACCEPT_MS = 2_800.0
+"""After SIGTERM requests are taken this long. A stream may run for 6 s and the
+process ends 7.3 s after the signal, so that what is taken later could be cut;
+it is refused at once instead, and its caller goes to another entry."""
 
-LEAVE_IDLE_CLOSE_MS = 3_500.0
+LEAVE_IDLE_CLOSE_MS = 2_800.0
 LEAVE_MARGIN_MS = 700.0
 """The process ends this long before it would be killed."""
 
