Give swap permits back when a round fails; number the rounds

Cause: an agent that got the permit of one entry and not of another forgot its permits but the entries kept them, and asking again renewed them before they lapsed. Two agents that each held the permit of another entry refused each other for as long as both asked (permits last 3 s, rounds follow each other after 0.2 s). Agents now withdraw, and wait for a time drawn between 0.2 and 0.8 s. Answers of an earlier round count no more: a late yes stood for a permit that had been given back. The wait before another VM draws a chunk is bounded by the last progress on both paths again. Ruled out: nothing yet. Whether this is the cause of the two known red tests is measured next; they stay listed until then.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -90,7 +90,6 @@
             self._issue_grants,
         )
         self._permit_round = swap.PermitRound()
-        self._permit_asked_ms = self._clock.now_ms()
         self._load: engine_client.LoadReport | None = None
         self._load_ms = self._clock.now_ms()
         self._sent_counters: dict[tuple[str, str], int] = {}
@@ -229,9 +228,11 @@
 
     def ask(self, version: ids.VersionId) -> None:
         """Sends a swap request to every entry heard from."""
-        self._permit_asked_ms = self._clock.now_ms()
+        request = messages.SwapRequest(
+            version=version,
+            round_number=self._permit_round.begin(self._clock.now_ms()),
+        )
         for entry_id in self._entries.heard():
-            request = messages.SwapRequest(version=version)
             self._entries.send(entry_id, request)
 
     def permitted(self) -> bool:
@@ -240,8 +241,14 @@
             self._entries.heard(), self._clock.now_ms()
         )
 
+    def withdraw(self) -> None:
+        """Gives the permits back."""
+        self._permit_round.reset()
+        for entry_id in self._entries.heard():
+            self._entries.send(entry_id, messages.SwapWithdrawal())
+
     def reset(self) -> None:
-        """Forgets the permits."""
+        """Forgets the permits, which the entries release by themselves."""
         self._permit_round.reset()
 
     # Messages from entries.
@@ -272,9 +279,9 @@
             case messages.SwapAnswer():
                 self._permit_round.answered(
                     entry_id,
+                    message.round_number,
                     message.granted,
                     message.ttl_ms,
-                    clock.Millis(self._permit_asked_ms),
                 )
             case messages.ReportRequest():
                 self._on_link_open(entry_id)
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 from typing import Protocol
 
 from marlramp import clock
@@ -36,8 +37,12 @@
         """Returns whether every entry heard from permits the swap."""
         ...
 
+    def withdraw(self) -> None:
+        """Gives the permits back."""
+        ...
+
     def reset(self) -> None:
-        """Forgets the permits."""
+        """Forgets the permits, which the entries release by themselves."""
         ...
 
 
@@ -296,8 +301,11 @@
         self._permits.ask(target.version)
         await asyncio.sleep(PERMIT_WAIT_MS / 1000)
         if not self._permits.permitted():
-            self._permits.reset()
-            await asyncio.sleep(swap.RETRY_MIN_MS / 1000)
+            # Two agents that each keep the permit of another entry would
+            # refuse each other for ever.
+            self._permits.withdraw()
+            wait_ms = random.uniform(swap.RETRY_MIN_MS, swap.RETRY_MAX_MS)
+            await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
             return
         await self._swap_closed(target)
         self._permits.reset()
--- a/src/marlramp/core/swap.py
+++ b/src/marlramp/core/swap.py
@@ -17,7 +17,9 @@
 """A permit lapses after this unless the agent asks again."""
 
 RETRY_MIN_MS = 200.0
-"""An agent that got only some permits gives them back and waits this long."""
+RETRY_MAX_MS = 800.0
+"""An agent that got only some permits gives them back and waits for a time
+drawn between these, so that two agents do not refuse each other for ever."""
 
 
 class Replica(msgspec.Struct, frozen=True):
@@ -86,18 +88,29 @@
 
     def __init__(self) -> None:
         """Starts with no permit."""
+        self._number = 0
+        self._asked_ms = 0.0
         self._granted_until_ms: dict[ids.VmId, float] = {}
 
+    def begin(self, now_ms: clock.Millis) -> int:
+        """Starts a round; returns its number, for the questions."""
+        self._number += 1
+        self._asked_ms = now_ms
+        self._granted_until_ms.clear()
+        return self._number
+
     def answered(
-        self,
-        entry_id: ids.VmId,
-        granted: bool,
-        ttl_ms: float,
-        asked_ms: clock.Millis,
+        self, entry_id: ids.VmId, number: int, granted: bool, ttl_ms: float
     ) -> None:
-        """Records an entry's answer; the permit counts from the question."""
+        """Records an entry's answer; the permit counts from the question.
+
+        An answer of an earlier round says nothing: what it permitted was
+        given back.
+        """
+        if number != self._number:
+            return
         if granted:
-            self._granted_until_ms[entry_id] = asked_ms + ttl_ms
+            self._granted_until_ms[entry_id] = self._asked_ms + ttl_ms
         else:
             self._granted_until_ms.pop(entry_id, None)
 
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Sequence
 import enum
-import math
 import random
 
 import msgspec
@@ -412,7 +411,7 @@
         all_seen = len(self._seen) == self._count
         if all_seen and rank < int(self._policy.origin_copies_max):
             return True
-        wait_ms = max(1, rank) * self._takeover_wait_ms(now_ms)
+        wait_ms = max(1, rank) * self._takeover_wait_ms()
         if index not in self._seen:
             since_ms = max(self._entered_ms[index], self._origin_failed_ms)
             return now_ms - since_ms > wait_ms
@@ -428,13 +427,11 @@
         seen_ms = self._seen_ms.get(index, now_ms)
         return now_ms - seen_ms > (1 + rank) * self._policy.rare_wait_ms
 
-    def _takeover_wait_ms(self, now_ms: clock.Millis) -> float:
+    def _takeover_wait_ms(self) -> float:
         """Returns the wait per rank, never shorter than the pass is slow."""
-        elapsed_ms = now_ms - self._started_ms
-        if math.isfinite(self._policy.takeover_max_ms):
-            # A pass that stands still is not slow, and waits that grow as it
-            # stands would never end.
-            elapsed_ms = self._seen_last_ms - self._started_ms
+        # Up to the last progress only: a pass that stands still is not slow,
+        # and waits that grow as it stands would never end.
+        elapsed_ms = self._seen_last_ms - self._started_ms
         per_chunk_ms = elapsed_ms / max(1, len(self._seen))
         if len(self._seen) < ORIGIN_WINDOW:
             per_chunk_ms = 0.0
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -303,6 +303,8 @@
                 self._on_prefixes(vm_id, message)
             case messages.SwapRequest():
                 self._on_swap_request(vm_id, message)
+            case messages.SwapWithdrawal():
+                self._desk.release(vm_id)
             case messages.SettingsOffer():
                 self._sync.offer(message.documents, vm_id)
 
@@ -366,6 +368,7 @@
         )
         answer = messages.SwapAnswer(
             version=message.version,
+            round_number=message.round_number,
             granted=granted,
             ttl_ms=swap.PERMIT_TTL_MS,
         )
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -137,12 +137,18 @@
     """Asks an entry whether this agent may stop serving to swap versions."""
 
     version: str
+    round_number: _Count
+
+
+class SwapWithdrawal(_Message):
+    """Gives a permit back that is not used."""
 
 
 class SwapAnswer(_Message):
     """An entry's answer to `SwapRequest`; a permit lapses after `ttl_ms`."""
 
     version: str
+    round_number: _Count
     granted: bool
     ttl_ms: _Duration
 
@@ -380,6 +386,7 @@
     | AgentCounters
     | CachedPrefixes
     | SwapRequest
+    | SwapWithdrawal
     | GrantsIssued
     | PartsBatch
     | RunHeaders
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -100,7 +100,11 @@
             if await condition():
                 return self.time.now_ms() - started_ms
             await asyncio.sleep(0.05)
-        raise AssertionError(f"not within {within_ms} ms")
+        try:
+            state = await self.fleet.admin("entry-0", "vms")
+        except fleet.FleetError as error:
+            state = str(error).encode()
+        raise AssertionError(f"not within {within_ms} ms: {state.decode()}")
 
     async def vms(self, entry: str = "entry-0") -> dict[str, Any]:
         """Returns the VMs as an entry sees them."""
