--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,84 @@
+"""Command line of the soak."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import cyclopts
+
+from soak import run
+from soak import schedule
+
+application = cyclopts.App(
+    name="soak", help="Plays seeded faults against real daemons on loopback."
+)
+
+
+@application.command(name="run")
+def run_seeds(
+    seeds: int = 50, *, first: int = 1, at_once: int = 4, keep: str = ""
+) -> None:
+    """Plays a row of seeds and prints the promises that each broke.
+
+    Args:
+      seeds: how many seeds are played.
+      first: the first of them.
+      at_once: how many are played at once.
+      keep: folder for the logs of seeds that broke a promise.
+    """
+    numbers = list(range(first, first + seeds))
+    failed = asyncio.run(_play_all(numbers, at_once, pathlib.Path(keep or ".")))
+    print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
+    if failed:
+        sys.exit(f"seeds that broke a promise: {failed}")
+
+
+@application.command
+def show(seed: int) -> None:
+    """Prints the faults of a seed."""
+    for fault in schedule.draw(seed, schedule.Size()).faults:
+        print(
+            f"{fault.at_ms:7.0f} ms  {fault.kind.value} {fault.target}"
+            f" {fault.network.value} for {fault.for_ms:.0f} ms"
+        )
+
+
+async def _play_all(
+    numbers: list[int], at_once: int, keep: pathlib.Path
+) -> list[int]:
+    limit = asyncio.Semaphore(at_once)
+    failed: list[int] = []
+
+    async def one(seed: int) -> None:
+        async with limit:
+            if not await _play(seed, keep):
+                failed.append(seed)
+
+    await asyncio.gather(*(one(seed) for seed in numbers))
+    return sorted(failed)
+
+
+async def _play(seed: int, keep: pathlib.Path) -> bool:
+    """Plays a seed; returns whether it kept all promises."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        result = await run.play(folder, seed, schedule.Size())
+        if not result.violations:
+            print(
+                f"seed {seed}: kept, {len(result.plan.faults)} faults,"
+                f" {result.served} of {result.calls} calls served"
+            )
+            return True
+        for violation in result.violations[:10]:
+            print(f"seed {seed}: {violation.promise}: {violation.detail}")
+        if keep != pathlib.Path("."):
+            folder.rename(keep / f"seed-{seed}")
+            folder.mkdir()
+        return False
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,210 @@
+"""Callers that ask where to connect and keep their connections open."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import Protocol
+
+import httptools
+
+from soak import promises
+from standins import direct_platform
+
+CALL_WAIT_MS = 6_000.0
+"""How long a caller waits for a stream; plain calls wait a third of it."""
+
+LOOKUP_TTL_MS = 2_000.0
+CONNECT_TIMEOUT_S = 1.0
+PAUSE_MS = (5.0, 120.0)
+"""Pause of a caller between two calls."""
+
+_MS = 1_000.0
+_PART_BYTES = 65_536
+
+
+class Surroundings(Protocol):
+    """What callers ask the run that they belong to."""
+
+    def now_ms(self) -> float:
+        """Returns the time since the calls began."""
+        ...
+
+    def key(self, rng: random.Random) -> str:
+        """Returns a key to send a call with."""
+        ...
+
+    async def entries(self, rng: random.Random) -> list[str]:
+        """Returns the entries that a look-up names, [] if it fails."""
+        ...
+
+    def lifetime(self, entry: str) -> int:
+        """Returns the start of an entry's process, counted from 0."""
+        ...
+
+    def address(self, entry: str) -> tuple[str, int]:
+        """Returns where callers reach an entry."""
+        ...
+
+
+class _Answer:
+    """Takes the parts of one answer from the parser."""
+
+    def __init__(self, call: promises.Call) -> None:
+        self._call = call
+        self._parser = httptools.HttpResponseParser(self)
+        self._body = b""
+        self.keeps = False
+        self.ended = False
+
+    def feed(self, data: bytes) -> None:
+        """Takes bytes.
+
+        Raises:
+          HttpParserError: if they are no answer.
+        """
+        self._parser.feed_data(data)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"x-attempt-id":
+            mine = value == self._call.request_id.encode()
+            self._call.foreign = self._call.foreign or not mine
+
+    def on_headers_complete(self) -> None:
+        self._call.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        self._body += data
+
+    def on_message_complete(self) -> None:
+        self._call.foreign = self._call.foreign or self.ended
+        self.ended = True
+        self.keeps = self._parser.should_keep_alive()
+
+    def finish(self) -> None:
+        """Writes what arrived into the call."""
+        self._call.whole = self.ended
+        self._call.body = self._body
+        self._call.events = [
+            int(line.removeprefix(b"id: "))
+            for line in self._body.split(b"\n")
+            if line.startswith(b"id: ")
+        ]
+
+
+class Caller:
+    """One caller; its calls follow each other on one connection."""
+
+    def __init__(self, name: str, seed: int, run: Surroundings) -> None:
+        """Calls nothing before `run`."""
+        self._name = name
+        self._rng = random.Random(f"{seed}:{name}")
+        self._run = run
+        self._entries: list[str] = []
+        self._asked_ms = float("-inf")
+        self._entry = ""
+        self._lifetime = 0
+        self._streams: (
+            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
+        ) = None
+        self._count = 0
+        self.calls: list[promises.Call] = []
+
+    async def run(self) -> None:
+        """Calls for ever."""
+        while True:
+            await self.call()
+            await asyncio.sleep(self._rng.uniform(*PAUSE_MS) / _MS)
+
+    async def call(self) -> promises.Call | None:
+        """Makes one call; returns None if no entry takes a connection."""
+        if self._streams is None and not await self._connect():
+            await asyncio.sleep(0.1)
+            return None
+        self._count += 1
+        kind = self._rng.choice(list(promises.CallKind))
+        call = promises.Call(
+            request_id=f"{self._name}-{self._count}",
+            kind=kind,
+            key=self._run.key(self._rng),
+            entry=self._entry,
+            lifetime=self._lifetime,
+            sent_ms=self._run.now_ms(),
+        )
+        self.calls.append(call)
+        try:
+            keeps = await self._exchange(call)
+        except (OSError, TimeoutError):
+            # The connection was cut: the call shows it by not being whole.
+            keeps = False
+        except httptools.HttpParserError:
+            call.foreign = True
+            keeps = False
+        call.ended_ms = self._run.now_ms()
+        if not keeps:
+            self.close()
+        return call
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+        self._streams = None
+
+    async def _connect(self) -> bool:
+        now_ms = self._run.now_ms()
+        if now_ms - self._asked_ms > LOOKUP_TTL_MS or not self._entries:
+            self._entries = await self._run.entries(self._rng) or self._entries
+            self._asked_ms = now_ms
+        if not self._entries:
+            return False
+        self._entry = self._rng.choice(self._entries)
+        self._lifetime = self._run.lifetime(self._entry)
+        host, port = self._run.address(self._entry)
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                self._streams = await asyncio.open_connection(host, port)
+        return self._streams is not None
+
+    async def _exchange(self, call: promises.Call) -> bool:
+        """Sends a call and reads its answer; returns if the connection stays.
+
+        Raises:
+          OSError: if the connection is cut.
+          HttpParserError: if bytes arrive that are no answer.
+        """
+        if self._streams is None:
+            raise OSError("no connection is open")
+        reader, writer = self._streams
+        wait_ms = CALL_WAIT_MS
+        if call.kind is not promises.CallKind.STREAM:
+            wait_ms /= 3.0
+        writer.write(_head(call, wait_ms))
+        answer = _Answer(call)
+        try:
+            async with asyncio.timeout(wait_ms / _MS + 1.0):
+                while not answer.ended:
+                    data = await reader.read(_PART_BYTES)
+                    if not data:
+                        return False
+                    answer.feed(data)
+        finally:
+            answer.finish()
+        return answer.keeps
+
+
+def _head(call: promises.Call, wait_ms: float) -> bytes:
+    method = "GET" if call.kind is promises.CallKind.STOCK else "POST"
+    lines = [
+        f"{method} /{call.kind.value}/x HTTP/1.1",
+        f"host: {direct_platform.HOST}",
+        f"x-attempt-id: {call.request_id}",
+        f"x-deadline-ms: {wait_ms:.0f}",
+        f"authorization: Bearer {call.key}",
+    ]
+    if call.kind is promises.CallKind.STREAM:
+        lines.append("x-token-usage: 100,30")
+    if method == "POST":
+        lines.append("content-length: 0")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,196 @@
+"""Runs one seed: a fleet of real processes, callers, faults, verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import random
+import time
+
+import msgspec
+
+from soak import callers
+from soak import promises
+from soak import schedule
+from soak import strikes
+from standins import direct_fleet
+from standins import direct_platform
+
+CALLERS = 8
+SETTLE_MS = 12_000.0
+"""After the last fault the system serves as before within this time, which
+the users' deployments give it too."""
+
+LAST_CALLS = 40
+RUN_TIMEOUT_S = 120.0
+ATTEMPTS_MAX = 2
+_MS = 1_000.0
+
+
+class Result(msgspec.Struct, frozen=True):
+    """What came of a seed.
+
+    Attributes:
+      plan: its faults.
+      violations: promises that were broken.
+      calls: calls made.
+      served: calls served.
+    """
+
+    plan: schedule.Plan
+    violations: list[promises.Violation]
+    calls: int
+    served: int
+
+
+class Run:
+    """One run; also what its callers ask for."""
+
+    def __init__(
+        self, folder: pathlib.Path, plan: schedule.Plan, size: schedule.Size
+    ) -> None:
+        """Starts nothing before `play`.
+
+        Args:
+          folder: where settings files and logs go.
+          plan: the faults.
+          size: size of the fleet.
+        """
+        self._plan = plan
+        self._size = size
+        self._fleet = direct_fleet.Fleet(
+            folder,
+            size.entries,
+            size.engines,
+            group=plan.seed % 200,
+            desks=size.desks,
+            proxied=True,
+        )
+        self._started_s = time.monotonic()
+        self._striker = strikes.Striker(self._fleet, self.now_ms)
+
+    async def play(self) -> Result:
+        """Plays the faults under calls and judges what was seen."""
+        async with asyncio.timeout(RUN_TIMEOUT_S), self._fleet:
+            self._striker.publish()
+            await self._until_served()
+            self._started_s = time.monotonic()
+            made = await self._under_faults()
+            last = await self._last_calls()
+            exits = [
+                name
+                for name, process in self._fleet.processes.items()
+                if process.returncode is not None
+            ]
+        seen = self._evidence(made, last, exits)
+        return Result(
+            self._plan,
+            promises.check(seen),
+            len(made),
+            sum(c.whole and c.status == 200 for c in made),
+        )
+
+    # What callers ask for.
+
+    def now_ms(self) -> float:
+        """Returns the time since the calls began."""
+        return (time.monotonic() - self._started_s) * _MS
+
+    def key(self, rng: random.Random) -> str:
+        """Returns a key, now and then one that was revoked."""
+        return rng.choice([direct_platform.KEY, *strikes.REVOCABLE_KEYS])
+
+    async def entries(self, rng: random.Random) -> list[str]:
+        """Returns the entries that a look-up names, [] if it fails."""
+        hosts = list(self._fleet.entry_hosts)
+        asked = rng.sample(hosts, len(hosts))
+        for host in asked:
+            try:
+                async with asyncio.timeout(1.0):
+                    answer = await self._fleet.lookup(host)
+            except (OSError, TimeoutError):
+                # A look-up that fails is made at the next entry.
+                continue
+            found = [
+                f"entry-{number}"
+                for number, entry in enumerate(hosts)
+                if f"{entry}:".encode() in answer
+            ]
+            if found:
+                return found
+        return []
+
+    def lifetime(self, entry: str) -> int:
+        """Returns the start of an entry's process, counted from 0."""
+        return self._striker.starts.get(entry, 0)
+
+    def address(self, entry: str) -> tuple[str, int]:
+        """Returns where callers reach an entry."""
+        proxy = self._fleet.proxies[f"callers:{entry}"]
+        host, _, port = proxy.address.rpartition(":")
+        return host, int(port)
+
+    # Phases.
+
+    async def _until_served(self) -> None:
+        caller = callers.Caller("warm-up", self._plan.seed, self)
+        async with asyncio.timeout(20.0):
+            while True:
+                call = await caller.call()
+                if call is not None and call.whole and call.status == 200:
+                    break
+        caller.close()
+
+    async def _under_faults(self) -> list[promises.Call]:
+        crowd = [
+            callers.Caller(f"c{number}", self._plan.seed, self)
+            for number in range(CALLERS)
+        ]
+        tasks = [asyncio.create_task(caller.run()) for caller in crowd]
+        await asyncio.gather(
+            *(self._striker.strike(fault) for fault in self._plan.faults)
+        )
+        await asyncio.sleep(SETTLE_MS / _MS)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for caller in crowd:
+            caller.close()
+        return [call for caller in crowd for call in caller.calls]
+
+    async def _last_calls(self) -> list[promises.Call]:
+        caller = callers.Caller("last", self._plan.seed, self)
+        for _ in range(LAST_CALLS):
+            await caller.call()
+        caller.close()
+        return caller.calls
+
+    def _evidence(
+        self,
+        made: list[promises.Call],
+        last: list[promises.Call],
+        exits: list[str],
+    ) -> promises.Evidence:
+        runs: collections.Counter[str] = collections.Counter()
+        for engine in self._fleet.engines:
+            runs.update(engine.runs)
+        for desk in self._fleet.desks:
+            runs.update(desk.runs)
+        return promises.Evidence(
+            calls=made,
+            runs=runs,
+            mixed_loads=sum(e.mixed for e in self._fleet.engines),
+            unexpected_exits=exits,
+            stops=self._striker.stops,
+            revoked=self._striker.revoked,
+            attempts_max=ATTEMPTS_MAX,
+            events=direct_platform.EVENTS,
+            last_calls=last,
+        )
+
+
+async def play(folder: pathlib.Path, seed: int, size: schedule.Size) -> Result:
+    """Plays one seed; settings files and logs go to `folder`."""
+    plan = schedule.draw(seed, size)
+    return await Run(folder, plan, size).play()
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,162 @@
+"""Draws the faults of one run from its seed."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import msgspec
+
+from standins import fault_proxy
+
+
+class FaultKind(enum.Enum):
+    """What is done to the system from outside."""
+
+    PROXY = "proxy"
+    STOP = "stop"
+    KILL = "kill"
+    PAUSE = "pause"
+    RELOAD = "reload"
+    KILL_ALL = "kill_all"
+    ENGINE_RESTART = "engine_restart"
+    ENGINE_DRAIN = "engine_drain"
+    ROT = "rot"
+    STORE_DOWN = "store_down"
+    CONFIG = "config"
+    REVOKE = "revoke"
+    WEIGHTS = "weights"
+
+
+class Fault(msgspec.Struct, frozen=True, kw_only=True):
+    """One fault.
+
+    Attributes:
+      at_ms: when it begins, from the start of the calls.
+      for_ms: how long it lasts, 0 for what happens at once.
+      kind: what it is.
+      target: what it strikes: a proxy, a process or the number of an engine.
+      network: what a proxy does, for `PROXY`.
+    """
+
+    at_ms: float
+    for_ms: float
+    kind: FaultKind
+    target: str = ""
+    network: fault_proxy.Fault = fault_proxy.Fault.NONE
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """The faults of one run, in order of time.
+
+    Attributes:
+      seed: what they were drawn from.
+      faults: the faults.
+      calm_ms: when the last of them has ended.
+    """
+
+    seed: int
+    faults: list[Fault]
+    calm_ms: float
+
+
+class Size(msgspec.Struct, frozen=True):
+    """Size and length of a run.
+
+    Attributes:
+      entries: entries.
+      engines: model engines, each with an agent.
+      desks: replicas of the plain service.
+      trouble_ms: time over which faults begin.
+      faults_mean: mean number of faults.
+    """
+
+    entries: int = 3
+    engines: int = 4
+    desks: int = 3
+    trouble_ms: float = 8_000.0
+    faults_mean: float = 9.0
+
+
+FAULT_MS = (300.0, 3_500.0)
+"""Shortest and longest duration of a fault."""
+
+_WEIGHTS: dict[FaultKind, float] = {
+    FaultKind.PROXY: 6.0,
+    FaultKind.STOP: 2.0,
+    FaultKind.KILL: 2.0,
+    FaultKind.PAUSE: 2.0,
+    FaultKind.RELOAD: 1.0,
+    FaultKind.KILL_ALL: 0.3,
+    FaultKind.ENGINE_RESTART: 1.0,
+    FaultKind.ENGINE_DRAIN: 0.7,
+    FaultKind.ROT: 1.0,
+    FaultKind.STORE_DOWN: 1.0,
+    FaultKind.CONFIG: 1.0,
+    FaultKind.REVOKE: 0.7,
+    FaultKind.WEIGHTS: 1.5,
+}
+"""How often a kind is drawn: networks fail most, and all at once seldom."""
+
+_ON_PROCESS = frozenset(
+    {FaultKind.STOP, FaultKind.KILL, FaultKind.PAUSE, FaultKind.RELOAD}
+)
+_ON_ENGINE = frozenset(
+    {FaultKind.ENGINE_RESTART, FaultKind.ENGINE_DRAIN, FaultKind.ROT}
+)
+_AT_ONCE = frozenset(
+    {
+        FaultKind.RELOAD,
+        FaultKind.ROT,
+        FaultKind.CONFIG,
+        FaultKind.REVOKE,
+        FaultKind.WEIGHTS,
+    }
+)
+
+
+def draw(seed: int, size: Size) -> Plan:
+    """Returns the faults of a seed; the same seed gives the same faults."""
+    rng = random.Random(seed)
+    count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
+    faults = [_draw_one(rng, size) for _ in range(min(count, 30))]
+    faults.sort(key=lambda fault: fault.at_ms)
+    calm_ms = max(fault.at_ms + fault.for_ms for fault in faults)
+    return Plan(seed, faults, calm_ms)
+
+
+def _draw_one(rng: random.Random, size: Size) -> Fault:
+    kinds = list(_WEIGHTS)
+    kind = rng.choices(kinds, [_WEIGHTS[k] for k in kinds])[0]
+    target = ""
+    network = fault_proxy.Fault.NONE
+    if kind in _ON_PROCESS:
+        target = rng.choice(process_names(size))
+    elif kind in _ON_ENGINE:
+        target = str(rng.randrange(size.engines))
+    elif kind is FaultKind.PROXY:
+        target = rng.choice(proxy_names(size))
+        network = rng.choice(
+            [f for f in fault_proxy.Fault if f is not fault_proxy.Fault.NONE]
+        )
+    return Fault(
+        at_ms=rng.uniform(0.0, size.trouble_ms),
+        for_ms=0.0 if kind in _AT_ONCE else rng.uniform(*FAULT_MS),
+        kind=kind,
+        target=target,
+        network=network,
+    )
+
+
+def process_names(size: Size) -> list[str]:
+    """Returns the names of all daemons."""
+    entries = [f"entry-{n}" for n in range(size.entries)]
+    return entries + [f"agent-{n}" for n in range(size.engines)]
+
+
+def proxy_names(size: Size) -> list[str]:
+    """Returns the names of all proxies."""
+    names = [f"store:{name}" for name in process_names(size)]
+    names += [f"callers:entry-{n}" for n in range(size.entries)]
+    names += [f"engine-{n}" for n in range(size.engines)]
+    return names + [f"desk-{n}" for n in range(size.desks)]
--- /dev/null
+++ b/soak/strikes.py
@@ -0,0 +1,220 @@
+"""Does the faults of a plan to a running fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import signal
+
+from soak import promises
+from soak import schedule
+from standins import direct_fleet
+from standins import direct_platform
+from standins import fault_proxy
+
+REVOCABLE_KEYS = ["spare-key-0", "spare-key-1", "spare-key-2"]
+"""Keys that may be revoked in a run; `direct_platform.KEY` never is."""
+
+PROXY_DELAY_MS = 180.0
+STOP_WAIT_S = 10.0
+_MS = 1_000.0
+
+
+class Striker:
+    """Does faults to one fleet, from outside its processes.
+
+    Attributes:
+      keys: keys in force.
+      revoked: when each key was revoked, in ms.
+      stops: daemons that were asked to end.
+      starts: how often each daemon was started, beyond the first time.
+    """
+
+    def __init__(
+        self, fleet: direct_fleet.Fleet, now_ms: Callable[[], float]
+    ) -> None:
+        """Does nothing before `strike`."""
+        self._fleet = fleet
+        self._now_ms = now_ms
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._config_version = 1
+        self._weights = 1
+        self._engine_starts = 0
+        self._proxy_holds: dict[str, int] = {}
+        self._store_holds = 0
+        self.keys = [direct_platform.KEY, *REVOCABLE_KEYS]
+        self.revoked: dict[str, float] = {}
+        self.stops: list[promises.Stop] = []
+        self.starts: dict[str, int] = {}
+        self._started_ms: dict[str, float] = {}
+        self._strikes: dict[
+            schedule.FaultKind, Callable[[schedule.Fault], Awaitable[None]]
+        ] = {
+            schedule.FaultKind.PROXY: self._fail_network,
+            schedule.FaultKind.STOP: self._stop,
+            schedule.FaultKind.KILL: self._kill,
+            schedule.FaultKind.PAUSE: self._pause,
+            schedule.FaultKind.RELOAD: self._reload,
+            schedule.FaultKind.KILL_ALL: self._kill_all,
+            schedule.FaultKind.ENGINE_RESTART: self._restart_engine,
+            schedule.FaultKind.ENGINE_DRAIN: self._drain_engine,
+            schedule.FaultKind.ROT: self._rot,
+            schedule.FaultKind.STORE_DOWN: self._fail_store,
+            schedule.FaultKind.CONFIG: self._change_config,
+            schedule.FaultKind.REVOKE: self._revoke,
+            schedule.FaultKind.WEIGHTS: self._name_weights,
+        }
+
+    def publish(self) -> None:
+        """Writes a configuration with the keys in force."""
+        self._config_version += 3
+        config = direct_platform.configuration(
+            self._fleet.origin_address, self._config_version, self.keys
+        )
+        self._fleet.store.put("op/config", config)
+
+    async def strike(self, fault: schedule.Fault) -> None:
+        """Does one fault at its time and ends it."""
+        wait_ms = fault.at_ms - self._now_ms()
+        await asyncio.sleep(max(0.0, wait_ms) / _MS)
+        await self._strikes[fault.kind](fault)
+
+    # The network.
+
+    async def _fail_network(self, fault: schedule.Fault) -> None:
+        proxy = self._fleet.proxies[fault.target]
+        holds = self._proxy_holds
+        holds[fault.target] = holds.get(fault.target, 0) + 1
+        proxy.set_fault(fault.network, PROXY_DELAY_MS)
+        await asyncio.sleep(fault.for_ms / _MS)
+        holds[fault.target] -= 1
+        if not holds[fault.target]:
+            proxy.set_fault(fault_proxy.Fault.NONE)
+
+    async def _fail_store(self, fault: schedule.Fault) -> None:
+        self._store_holds += 1
+        self._fleet.store.down = True
+        await asyncio.sleep(fault.for_ms / _MS)
+        self._store_holds -= 1
+        self._fleet.store.down = self._store_holds > 0
+
+    # Processes.
+
+    def _lock(self, name: str) -> asyncio.Lock:
+        """Signals to one process come one after the other."""
+        return self._locks.setdefault(name, asyncio.Lock())
+
+    async def _stop(self, fault: schedule.Fault) -> None:
+        async with self._lock(fault.target):
+            process = self._fleet.processes[fault.target]
+            if process.returncode is not None:
+                return
+            asked_ms = self._now_ms()
+            started_ms = self._started_ms.get(fault.target, float("-inf"))
+            process.send_signal(signal.SIGTERM)
+            exit_code: int | None = None
+            try:
+                async with asyncio.timeout(STOP_WAIT_S):
+                    exit_code = await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+            self.stops.append(
+                promises.Stop(
+                    process=fault.target,
+                    exit_code=exit_code,
+                    ran_ms=asked_ms - started_ms,
+                    taken_ms=self._now_ms() - asked_ms,
+                )
+            )
+            await self._start_again(fault)
+
+    async def _kill(self, fault: schedule.Fault) -> None:
+        async with self._lock(fault.target):
+            process = self._fleet.processes[fault.target]
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+                await self._start_again(fault)
+
+    async def _start_again(self, fault: schedule.Fault) -> None:
+        await asyncio.sleep(fault.for_ms / _MS)
+        self.starts[fault.target] = self.starts.get(fault.target, 0) + 1
+        self._started_ms[fault.target] = self._now_ms()
+        role, _, number = fault.target.partition("-")
+        if role == "entry":
+            await self._fleet.start_entry(int(number))
+        else:
+            await self._fleet.start_agent(int(number))
+
+    async def _pause(self, fault: schedule.Fault) -> None:
+        async with self._lock(fault.target):
+            process = self._fleet.processes[fault.target]
+            if process.returncode is not None:
+                return
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_ms / _MS)
+            process.send_signal(signal.SIGCONT)
+
+    async def _reload(self, fault: schedule.Fault) -> None:
+        async with self._lock(fault.target):
+            process = self._fleet.processes[fault.target]
+            if process.returncode is None:
+                process.send_signal(signal.SIGHUP)
+
+    async def _kill_all(self, fault: schedule.Fault) -> None:
+        kills = [
+            self._kill(
+                schedule.Fault(
+                    at_ms=fault.at_ms,
+                    for_ms=fault.for_ms,
+                    kind=schedule.FaultKind.KILL,
+                    target=name,
+                )
+            )
+            for name in list(self._fleet.processes)
+        ]
+        await asyncio.gather(*kills)
+
+    # Engines.
+
+    async def _restart_engine(self, fault: schedule.Fault) -> None:
+        engine = self._fleet.engines[int(fault.target)]
+        proxy = self._fleet.proxies[f"engine-{fault.target}"]
+        proxy.set_fault(fault_proxy.Fault.RESET)
+        await asyncio.sleep(fault.for_ms / _MS)
+        self._engine_starts += 1
+        engine.restart(f"i-again-{self._engine_starts}")
+        proxy.set_fault(fault_proxy.Fault.NONE)
+
+    async def _drain_engine(self, fault: schedule.Fault) -> None:
+        engine = self._fleet.engines[int(fault.target)]
+        engine.register("draining")
+        await asyncio.sleep(fault.for_ms / _MS)
+        engine.register()
+
+    async def _rot(self, fault: schedule.Fault) -> None:
+        self._fleet.engines[int(fault.target)].rot(0)
+
+    # The operator.
+
+    async def _change_config(self, fault: schedule.Fault) -> None:
+        del fault
+        self.publish()
+
+    async def _revoke(self, fault: schedule.Fault) -> None:
+        del fault
+        if len(self.keys) > 1:
+            key = self.keys.pop()
+            self.publish()
+            self.revoked[key] = self._now_ms()
+
+    async def _name_weights(self, fault: schedule.Fault) -> None:
+        del fault
+        self._weights += 1
+        model = direct_platform.MODEL
+        self._fleet.store.put(
+            f"op/version/{model}",
+            {"model_name": model, "version": self._weights},
+        )
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -10,12 +10,17 @@
 from typing import Self
 
 from standins import direct_platform
+from standins import fault_proxy
 from standins import raw_http
 
 ROOT = pathlib.Path(__file__).parents[1]
 NETWORK = "127.21"
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
+LOOKUP_PORT = 8_009
+CALLERS_PORT = 8_005
+PROXY_PORTS_UP = 1_000
+"""Added to a port to get that of the proxy before it."""
 
 
 class Fleet:
@@ -25,11 +30,21 @@
       store: the platform's store.
       origin: the origin of weights.
       engines: model engines, one on each agent's VM.
+      desks: replicas of the plain service.
       processes: the daemons, by the name of their VM.
+      proxies: before the store ("store:VM"), replicas ("engine-N", "desk-N")
+        and entries ("callers:VM"); empty unless the fleet is proxied.
     """
 
     def __init__(
-        self, folder: pathlib.Path, entries: int, engines: int, group: int
+        self,
+        folder: pathlib.Path,
+        entries: int,
+        engines: int,
+        group: int,
+        desks: int = 0,
+        *,
+        proxied: bool = False,
     ) -> None:
         """Describes a fleet; nothing runs before it is entered.
 
@@ -38,19 +53,34 @@
           entries: entries to start.
           engines: engines, each with an agent.
           group: tells fleets that run at once apart, 0 to 255.
+          desks: replicas of the plain service.
+          proxied: whether connections go through proxies that can fail them.
         """
         self._folder = folder
         self._group = group
+        self._proxied = proxied
+        self.proxies: dict[str, fault_proxy.FaultProxy] = {}
         self._stack = contextlib.AsyncExitStack()
         self.store = direct_platform.Store()
         self.origin = direct_platform.Origin()
         self.entry_hosts = [self._host(1 + n) for n in range(entries)]
+        replica_port = self._outer_port(direct_platform.REPLICA_PORT)
         self.engines = [
             direct_platform.Engine(
-                f"i-{n}", self._host(100 + n), self.store, weights=1
+                f"i-{n}",
+                self._host(100 + n),
+                self.store,
+                weights=1,
+                port=replica_port,
             )
             for n in range(engines)
         ]
+        self.desks = [
+            direct_platform.PlainReplica(
+                f"d-{n}", self._host(150 + n), self.store, replica_port
+            )
+            for n in range(desks)
+        ]
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     async def __aenter__(self) -> Self:
@@ -60,13 +90,9 @@
             self.store.serve, store_host, direct_platform.STORE_PORT
         )
         await self._listen(self.origin.serve, store_host, 8_006)
-        for engine in self.engines:
-            await self._listen(
-                engine.serve, engine.host, direct_platform.REPLICA_PORT
-            )
-            engine.register()
+        await self._start_replicas()
         self.store.put(
-            "op/config", direct_platform.configuration(f"{store_host}:8006")
+            "op/config", direct_platform.configuration(self.origin_address)
         )
         for number in range(len(self.entry_hosts)):
             await self.start_entry(number)
@@ -84,9 +110,26 @@
             await process.wait()
         await self._stack.aclose()
 
+    @property
+    def origin_address(self) -> str:
+        """Address of the origin of weights."""
+        return f"{self._host(250)}:8006"
+
+    async def _start_replicas(self) -> None:
+        port = direct_platform.REPLICA_PORT
+        for number, engine in enumerate(self.engines):
+            await self._listen(engine.serve, engine.host, port)
+            await self._proxy(f"engine-{number}", engine.host, port)
+            engine.register()
+        for number, desk in enumerate(self.desks):
+            await self._listen(desk.serve, desk.host, port)
+            await self._proxy(f"desk-{number}", desk.host, port)
+            desk.register()
+
     async def start_entry(self, number: int) -> None:
         """Starts an entry, also again after it ended."""
         host = self.entry_hosts[number]
+        await self._proxy(f"callers:entry-{number}", host, CALLERS_PORT)
         await self._start(f"entry-{number}", host, entry=True)
 
     async def start_agent(self, number: int) -> None:
@@ -103,13 +146,13 @@
     async def lookup(self, host: str) -> bytes:
         """Asks an entry where to connect; returns the whole answer."""
         path = f"/v1/lookup?name={direct_platform.HOST}"
-        return await self._get(host, 8_009, path)
+        return await self._get(host, LOOKUP_PORT, path)
 
     async def stream(self, host: str, request_id: str) -> bytes:
         """Sends a streaming request; returns all bytes of the answer."""
         return await self._get(
             host,
-            8_005,
+            CALLERS_PORT,
             "/chat/x",
             "POST",
             f"host: {direct_platform.HOST}\r\nx-attempt-id: {request_id}\r\n"
@@ -135,15 +178,39 @@
             raw_http.ScriptedServer(script, host, port)
         )
 
+    async def _proxy(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        target_host: str = "",
+    ) -> str:
+        """Starts a proxy before a port once; returns the address to use."""
+        if not self._proxied:
+            return f"{target_host or host}:{port}"
+        if name not in self.proxies:
+            proxy = fault_proxy.FaultProxy(
+                host, self._outer_port(port), target_host or host, port
+            )
+            self.proxies[name] = await self._stack.enter_async_context(proxy)
+        return self.proxies[name].address
+
+    def _outer_port(self, port: int) -> int:
+        return port + PROXY_PORTS_UP if self._proxied else port
+
     async def _start(self, name: str, host: str, *, entry: bool) -> None:
+        store = await self._proxy(
+            f"store:{name}", host, direct_platform.STORE_PORT, self._host(250)
+        )
         file = self._folder / f"{name}.conf"
         file.write_text(
             direct_platform.settings_text(
                 name,
                 host,
                 seeds=self.entry_hosts[:3],
-                store=f"{self._host(250)}:{direct_platform.STORE_PORT}",
+                store=store,
                 entry=entry,
+                replica_port=self._outer_port(direct_platform.REPLICA_PORT),
             )
         )
         with (self._folder / f"{name}.log").open("ab") as log:
--- a/standins/direct_platform.py
+++ b/standins/direct_platform.py
@@ -25,6 +25,8 @@
 EVENTS = 6
 EVENT_S = 0.02
 LOAD_S = 0.1
+DESK_SERVICE = "desk"
+DESK_S = 0.01
 HOST = "fleet.example"
 KEY = "secret-key"
 
@@ -160,11 +162,25 @@
     """
 
     def __init__(
-        self, replica_id: str, host: str, store: Store, weights: int
+        self,
+        replica_id: str,
+        host: str,
+        store: Store,
+        weights: int,
+        port: int = REPLICA_PORT,
     ) -> None:
-        """Holds `weights`, which are staged too; 0 for an empty engine."""
+        """Holds `weights`, which are staged too; 0 for an empty engine.
+
+        Args:
+          replica_id: its id.
+          host: its VM's address.
+          store: where it registers.
+          weights: version that it holds.
+          port: port under which it is listed, of a proxy if need be.
+        """
         self.replica_id = replica_id
         self.host = host
+        self.port = port
         self.weights = weights
         self.mixed = 0
         self.runs: dict[str, int] = {}
@@ -176,17 +192,35 @@
             index: piece(weights, index) for index in range(PIECES) if weights
         }
 
+    @property
+    def address(self) -> str:
+        """Address under which it is listed, "host:port"."""
+        return f"{self.host}:{self.port}"
+
     def rot(self, index: int) -> None:
         """Spoils a staged piece."""
         self._staged[index] = b"rotten"
 
+    def restart(self, replica_id: str) -> None:
+        """Starts anew under another id, with what is staged and no weights."""
+        self.leave()
+        self.replica_id = replica_id
+        self.weights = 0
+        self._orders = 0
+        self._busy = False
+        self.register()
+
+    def leave(self) -> None:
+        """Removes the engine's entry from the store."""
+        self._store.delete(f"servers/{self.replica_id}")
+
     def register(self, state: str = "healthy") -> None:
         """Writes the engine's entry into the store."""
         self._store.put(
             f"servers/{self.replica_id}",
             {
                 "service": SERVICE,
-                "address": f"{self.host}:{REPLICA_PORT}",
+                "address": self.address,
                 "zone": "dc-1",
                 "slots": 16,
                 "state": state,
@@ -286,11 +320,85 @@
         await peer.write(b"0\r\n\r\n")
 
 
-def configuration(origin: str, version: int = 1) -> dict[str, object]:
-    """Returns a configuration with one streaming route."""
+class PlainReplica:
+    """A replica of the plain service.
+
+    Attributes:
+      runs: how often each request id ran.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        host: str,
+        store: Store,
+        port: int = REPLICA_PORT,
+    ) -> None:
+        """Is listed under `port`, of a proxy if need be."""
+        self.replica_id = replica_id
+        self.host = host
+        self.port = port
+        self.runs: dict[str, int] = {}
+        self._store = store
+
+    def register(self, state: str = "healthy") -> None:
+        """Writes the replica's entry into the store."""
+        self._store.put(
+            f"servers/{self.replica_id}",
+            {
+                "service": DESK_SERVICE,
+                "address": f"{self.host}:{self.port}",
+                "zone": "dc-1",
+                "slots": 6,
+                "state": state,
+            },
+        )
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        """Answers requests with their own id as the body."""
+        while (request := await peer.read()) is not None:
+            if request.headers.get("x-expect-replica") != self.replica_id:
+                await peer.answer(request, 421)
+                continue
+            name = request.headers["x-attempt-id"]
+            self.runs[name] = self.runs.get(name, 0) + 1
+            await asyncio.sleep(DESK_S)
+            await peer.answer(
+                request,
+                200,
+                name.encode(),
+                x_replica_signature=self.replica_id,
+            )
+
+
+def _plain_route(name: str, kind: str) -> dict[str, object]:
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 2_500,
+        "target_latency_ms": 200,
+        "service": DESK_SERVICE,
+        "max_attempts": 2,
+    }
+
+
+def configuration(
+    origin: str, version: int = 1, keys: list[str] | None = None
+) -> dict[str, object]:
+    """Returns a configuration with a streaming and two plain routes.
+
+    Args:
+      origin: address of the origin of weights.
+      version: its version.
+      keys: keys of its customer, else `KEY` alone.
+    """
     return {
         "version": version,
         "route_table": [
+            _plain_route("order", "non_idempotent"),
+            _plain_route("stock", "idempotent"),
             {
                 "name": "r",
                 "host": HOST,
@@ -302,7 +410,7 @@
                 "service": SERVICE,
                 "max_attempts": 2,
                 "resumable": True,
-            }
+            },
         ],
         "services": [
             {
@@ -320,17 +428,33 @@
                     "model_list": [{"name": MODEL, "warmup_s": LOAD_S}],
                 },
             },
+            {"name": DESK_SERVICE, "max_conns": 64},
             {"name": "origin", "upstream": origin, "max_conns": 48},
         ],
         "limits": {},
-        "tenants": [{"name": "c", "api_keys": [KEY], "priority": 1}],
+        "tenants": [{"name": "c", "api_keys": keys or [KEY], "priority": 1}],
     }
 
 
 def settings_text(
-    name: str, host: str, *, seeds: list[str], store: str, entry: bool
+    name: str,
+    host: str,
+    *,
+    seeds: list[str],
+    store: str,
+    entry: bool,
+    replica_port: int = REPLICA_PORT,
 ) -> str:
-    """Returns the platform's settings file of one process."""
+    """Returns the platform's settings file of one process.
+
+    Args:
+      name: name of its VM.
+      host: address of its VM.
+      seeds: hosts of entries.
+      store: address of the store.
+      entry: whether it is an entry, else an agent.
+      replica_port: port of the engine beside an agent.
+    """
     lines = [
         f"node_name={name}",
         f"ip={host}",
@@ -360,5 +484,5 @@
             f"listen.directory_addr={host}:8009",
         ]
     else:
-        lines += ["serves=side", f"app={host}:{REPLICA_PORT}"]
+        lines += ["serves=side", f"app={host}:{replica_port}"]
     return "\n".join(lines) + "\n"
--- /dev/null
+++ b/standins/fault_proxy.py
@@ -0,0 +1,152 @@
+"""A TCP proxy on loopback that does to connections what a bad network does.
+
+Bytes that a cut holds back arrive when it heals, as a sender's repeats would;
+a silenced connection never carries a byte again, while new ones work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+_PART_BYTES = 65_536
+_MS = 1_000.0
+
+
+class Fault(enum.Enum):
+    """What the proxy does to connections."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_TO_SERVER = "cut_to_server"
+    CUT_TO_CLIENT = "cut_to_client"
+    CUT = "cut"
+    SILENCE = "silence"
+
+
+_STOPS_TO_SERVER = frozenset({Fault.CUT_TO_SERVER, Fault.CUT})
+_STOPS_TO_CLIENT = frozenset({Fault.CUT_TO_CLIENT, Fault.CUT})
+
+
+class _Connection:
+    """Both halves of one proxied connection."""
+
+    def __init__(
+        self, to_client: asyncio.StreamWriter, to_server: asyncio.StreamWriter
+    ) -> None:
+        self.to_client = to_client
+        self.to_server = to_server
+        self.silenced = False
+
+    def reset(self) -> None:
+        """Ends both halves with a reset."""
+        for writer in (self.to_client, self.to_server):
+            sock = writer.get_extra_info("socket")
+            if sock is not None and not writer.is_closing():
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+            writer.transport.abort()
+
+
+class FaultProxy:
+    """Passes connections on to one address; use as a context manager.
+
+    Attributes:
+      fault: what it does now.
+      delay_ms: how long each part waits while the fault is `DELAY`.
+    """
+
+    def __init__(
+        self, host: str, port: int, target_host: str, target_port: int
+    ) -> None:
+        """Listens once entered."""
+        self._listen = (host, port)
+        self._target = (target_host, target_port)
+        self._server: asyncio.Server | None = None
+        self._connections: set[_Connection] = set()
+        self._changed = asyncio.Event()
+        self.fault = Fault.NONE
+        self.delay_ms = 0.0
+
+    @property
+    def address(self) -> str:
+        """Address as "host:port"."""
+        return f"{self._listen[0]}:{self._listen[1]}"
+
+    async def __aenter__(self) -> FaultProxy:
+        """Starts to listen."""
+        self._server = await asyncio.start_server(self._serve, *self._listen)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops and ends all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.reset()
+
+    def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
+        """Starts a fault, or ends the one in force with `NONE`."""
+        self.fault = fault
+        self.delay_ms = delay_ms
+        if fault is Fault.RESET:
+            for connection in list(self._connections):
+                connection.reset()
+        if fault is Fault.SILENCE:
+            for connection in self._connections:
+                connection.silenced = True
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            from_server, to_server = await asyncio.open_connection(
+                *self._target
+            )
+        except OSError:
+            # Nothing listens behind the proxy: the caller sees a close.
+            writer.close()
+            return
+        connection = _Connection(writer, to_server)
+        if self.fault is Fault.RESET:
+            connection.reset()
+            return
+        self._connections.add(connection)
+        up = self._pump(connection, reader, to_server, _STOPS_TO_SERVER)
+        down = self._pump(connection, from_server, writer, _STOPS_TO_CLIENT)
+        try:
+            await asyncio.gather(up, down)
+        finally:
+            self._connections.discard(connection)
+
+    async def _pump(
+        self,
+        connection: _Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        stopped_by: frozenset[Fault],
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(_PART_BYTES):
+                await self._hold(stopped_by)
+                if connection.silenced:
+                    continue
+                writer.write(data)
+                await writer.drain()
+            await self._hold(stopped_by)
+        if not connection.silenced:
+            writer.close()
+
+    async def _hold(self, stopped_by: frozenset[Fault]) -> None:
+        """Waits as long as the fault in force holds bytes back."""
+        while self.fault in stopped_by:
+            await self._changed.wait()
+        if self.fault is Fault.DELAY:
+            await asyncio.sleep(self.delay_ms / _MS)
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,28 @@
+"""A short run of the soak, and every seed that ever broke a promise."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import tomllib
+
+import pytest
+
+from soak import run
+from soak import schedule
+
+REGRESSIONS = pathlib.Path(run.__file__).with_name("regressions.toml")
+SHORT_RUN = [3]
+"""Seeds that are always played: few faults, so that the run stays short."""
+
+
+def seeds() -> list[int]:
+    listed = tomllib.loads(REGRESSIONS.read_text())["seed"]
+    return [entry["number"] for entry in listed] + SHORT_RUN
+
+
+@pytest.mark.parametrize("seed", seeds())
+def test_seed_keeps_all_promises(seed: int, tmp_path: pathlib.Path) -> None:
+    result = asyncio.run(run.play(tmp_path, seed, schedule.Size()))
+    assert result.violations == []
+    assert result.served
--- /dev/null
+++ b/tests/standins/test_fault_proxy.py
@@ -0,0 +1,98 @@
+"""The proxy does to connections what its faults say."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+
+from standins import fault_proxy
+
+HOST = "127.0.0.1"
+WAIT_S = 0.2
+
+type Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+type Use = Callable[[fault_proxy.FaultProxy, int], Awaitable[None]]
+
+
+async def echo(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def sent(streams: Streams) -> bytes:
+    """Sends one byte; returns what comes back within the wait."""
+    reader, writer = streams
+    writer.write(b"x")
+    try:
+        async with asyncio.timeout(WAIT_S):
+            return await reader.read(100)
+    except TimeoutError:
+        return b"nothing"
+
+
+def play(use: Use) -> None:
+    async def main() -> None:
+        server = await asyncio.start_server(echo, HOST, 0)
+        target = server.sockets[0].getsockname()[1]
+        free = await asyncio.start_server(echo, HOST, 0)
+        port = free.sockets[0].getsockname()[1]
+        free.close()
+        await free.wait_closed()
+        async with fault_proxy.FaultProxy(HOST, port, HOST, target) as proxy:
+            await use(proxy, port)
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        fault_proxy.Fault.CUT,
+        fault_proxy.Fault.CUT_TO_CLIENT,
+        fault_proxy.Fault.CUT_TO_SERVER,
+    ],
+)
+def test_cut_holds_bytes_back_until_it_heals(fault: fault_proxy.Fault) -> None:
+    async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
+        streams = await asyncio.open_connection(HOST, port)
+        assert await sent(streams) == b"x"
+        proxy.set_fault(fault)
+        assert await sent(streams) == b"nothing"
+        proxy.set_fault(fault_proxy.Fault.NONE)
+        assert await streams[0].read(100) == b"x"
+        streams[1].close()
+
+    play(use)
+
+
+def test_silenced_connection_stays_silent_while_new_ones_work() -> None:
+    async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
+        old = await asyncio.open_connection(HOST, port)
+        assert await sent(old) == b"x"
+        proxy.set_fault(fault_proxy.Fault.SILENCE)
+        proxy.set_fault(fault_proxy.Fault.NONE)
+        assert await sent(old) == b"nothing"
+        new = await asyncio.open_connection(HOST, port)
+        assert await sent(new) == b"x"
+        old[1].close()
+        new[1].close()
+
+    play(use)
+
+
+def test_reset_ends_open_connections() -> None:
+    async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
+        streams = await asyncio.open_connection(HOST, port)
+        assert await sent(streams) == b"x"
+        proxy.set_fault(fault_proxy.Fault.RESET)
+        with pytest.raises(ConnectionResetError):
+            await streams[0].read(100)
+
+    play(use)
