Guide agents by three entries each; tell new members together and to entries only

Cause: guides, heartbeats and news of members went from all to all; at start each of the entries told every member of every new member. On the grown site (45 entries, 58 agents) entries fell behind and sent requests whose callers had left (GONE). Change: an agent is guided by two entries of its region and one elsewhere, in rendezvous order, and again every 2 s; agents hear heartbeats every 1 s instead of 0.4 s and learn entries from guides; new members are told to entries in one message a tick; an agent's changed load goes to its own region, its report to all every 0.5 s; a message to many is encoded once.

--- a/src/marlramp/core/members.py
+++ b/src/marlramp/core/members.py
@@ -16,6 +16,10 @@
 ALIVE_MS = 1_600.0
 """A member that was silent this long is taken as down: four heartbeats."""
 
+ALIVE_TO_AGENT_MS = 3_200.0
+"""The same at an agent, which hears most entries less often and loses nothing
+by reporting to one that is down."""
+
 FORGET_MS = 60_000.0
 """A member that was silent this long is forgotten."""
 
@@ -94,6 +98,9 @@
     def __init__(self, own: Member) -> None:
         """Starts knowing only itself."""
         self.own = own
+        self.alive_ms = (
+            ALIVE_TO_AGENT_MS if own.kind is MemberKind.AGENT else ALIVE_MS
+        )
         self._known: dict[str, KnownMember] = {}
 
     def get(self, vm_id: str) -> KnownMember | None:
@@ -151,7 +158,8 @@
         return [
             known
             for known in self._known.values()
-            if known.member.kind is kind and now_ms - known.heard_ms < ALIVE_MS
+            if known.member.kind is kind
+            and now_ms - known.heard_ms < self.alive_ms
         ]
 
     def to_tell(self, now_ms: clock.Millis) -> list[Member]:
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 
 from marlramp import clock
 from marlramp import counters
@@ -40,11 +41,14 @@
 REPORT_POLL_MS = 60.0
 """Between two reports read from the engine: free on the own VM."""
 
-TELL_MS = 200.0
-"""Least time between two reports to the entries while only the load changes."""
+TELL_NEAR_MS = 200.0
+"""Least time between two reports while only the load changes, to the entries
+of the own region: the others send here only what their own engines would begin
+later, and reports to all of them would grow with the square of the fleet."""
 
-TELL_ALWAYS_MS = 500.0
-"""Longest time between two reports: a third of the time that one counts."""
+TELL_ALL_MS = 500.0
+"""Longest time between two reports to any entry: a third of the time that one
+counts."""
 
 UNGUIDED_READ_MS = 3_000.0
 """An agent that no entry guides reads the store itself this often."""
@@ -111,6 +115,7 @@
         self._report: engine_state.EngineReport | None = None
         self._told: replica_table.LoadReport | None = None
         self._told_ms = float("-inf")
+        self._told_all_ms = float("-inf")
 
     def reload(self, reason: str) -> None:
         """Reads the settings anew."""
@@ -264,6 +269,7 @@
         self._take_targets(list(guide.targets))
         self._take_origin(guide.origin)
         self._place_peers(guide.agents)
+        self._sync.told(guide.entries)
         self._may_cut = guide.streams_resume
         if guide.engine is not None:
             self._model = guide.engine.model
@@ -312,19 +318,27 @@
             await asyncio.sleep(REPORT_POLL_MS / _MS)
 
     def _tell_if_due(self) -> None:
-        report = self._load_report()
-        since_ms = self._clock.now_ms() - self._told_ms
-        changed = _load_of(report) != _load_of(self._told)
-        if since_ms >= TELL_ALWAYS_MS or (changed and since_ms >= TELL_MS):
+        now_ms = self._clock.now_ms()
+        if now_ms - self._told_all_ms >= TELL_ALL_MS:
             self._tell_now()
+            return
+        changed = _load_of(self._load_report()) != _load_of(self._told)
+        if changed and now_ms - self._told_ms >= TELL_NEAR_MS:
+            self._tell(self._settings.near_data_centres)
 
     def _tell_now(self) -> None:
         """Tells all entries, also that there is no engine to report of."""
+        self._told_all_ms = self._clock.now_ms()
+        self._tell(None)
+
+    def _tell(self, within: Collection[str] | None) -> None:
         report = self._load_report()
         self._told = report
         self._told_ms = self._clock.now_ms()
         self._sync.broadcast(
-            members.MemberKind.ENTRY, fleet_messages.EngineNews(report=report)
+            members.MemberKind.ENTRY,
+            fleet_messages.EngineNews(report=report),
+            within,
         )
 
     def _load_report(self) -> replica_table.LoadReport | None:
--- a/src/marlramp/direct/agent_guide.py
+++ b/src/marlramp/direct/agent_guide.py
@@ -1,40 +1,81 @@
-"""Tells agents what they need to know: weights, engine, origin, agents."""
+"""Tells agents what they need to know: weights, engine, origin, members."""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from marlramp import clock
 from marlramp.core import catalog
+from marlramp.core import guidance
 from marlramp.core import members
 from marlramp.direct import member_sync
 from marlramp.protocol import fleet_messages
 
+REFRESH_MS = 2_000.0
+"""Agents are told again this often: another entry may have taken itself for
+one that guides them, or a message was lost."""
+
 
 class AgentGuide:
-    """Keeps the agents that an entry hears informed."""
+    """Keeps informed the agents that this entry guides."""
 
     def __init__(
         self,
+        own: members.Member,
+        regions: Mapping[str, str],
         known: catalog.Catalog,
         sync: member_sync.MemberSync,
         time: clock.Clock,
     ) -> None:
-        """Tells what `known` holds through `sync`."""
+        """Tells what `known` holds through `sync`.
+
+        Args:
+          own: this entry.
+          regions: region of each data centre.
+          known: the catalog.
+          sync: the other members.
+          time: the clock.
+        """
+        self._own = own
+        self._regions = regions
         self._catalog = known
         self._sync = sync
         self._clock = time
-        self._guided_agents: list[members.Member] = []
+        self._alive: list[members.Member] = []
+        self._guided: list[members.Member] = []
+        self._told_ms = float("-inf")
 
     def tell_all(self) -> None:
-        """Tells all agents that are alive."""
-        now_ms = self._clock.now_ms()
-        for known in self._sync.members.alive(members.MemberKind.AGENT, now_ms):
-            self.tell(known.member.vm_id)
+        """Tells all agents that this entry guides."""
+        guide = self._guide()
+        if guide is None:
+            return
+        self._told_ms = self._clock.now_ms()
+        for agent in self._guided:
+            self._sync.send(agent.vm_id, guide)
 
     def tell(self, vm_id: str) -> None:
-        """Tells one agent."""
+        """Tells one agent, which has just started."""
+        guide = self._guide()
+        if guide is not None:
+            self._sync.send(vm_id, guide)
+
+    def tick(self) -> None:
+        """Tells the agents when members came or went, and now and then."""
+        now_ms = self._clock.now_ms()
+        alive = self._members_alive(now_ms)
+        if alive != self._alive:
+            self._alive = alive
+            self._guided = self._find_guided(alive)
+            self.tell_all()
+        elif now_ms - self._told_ms >= REFRESH_MS:
+            self.tell_all()
+
+    def _guide(self) -> fleet_messages.Guide | None:
+        """Returns what agents need to know, None before a configuration."""
         config = self._catalog.config
         if config is None:
-            return
+            return None
         engines = [s.engine for s in config.services if s.engine is not None]
         origins = [s.origin for s in config.services if s.origin]
         now_ms = self._clock.now_ms()
@@ -43,27 +84,40 @@
             for change in self._catalog.changes_after(0, now_ms)
             if isinstance(change, catalog.TargetChange)
         ]
-        guide = fleet_messages.Guide(
+        return fleet_messages.Guide(
             targets=targets,
             engine=engines[0] if engines else None,
             origin=origins[0] if origins else "",
             streams_resume=all(
                 route.resumable for route in config.routes if route.streaming
             ),
-            agents=self._agents_alive(),
+            agents=self._of_kind(members.MemberKind.AGENT),
+            entries=[*self._of_kind(members.MemberKind.ENTRY), self._own],
             revision=self._catalog.config_revision,
         )
-        self._sync.send(vm_id, guide)
 
-    def tell_on_change(self) -> None:
-        """Tells the agents of each other when one came or went."""
-        agents = self._agents_alive()
-        if agents != self._guided_agents:
-            self._guided_agents = agents
-            self.tell_all()
+    def _of_kind(self, kind: members.MemberKind) -> list[members.Member]:
+        return [member for member in self._alive if member.kind is kind]
 
-    def _agents_alive(self) -> list[members.Member]:
-        alive = self._sync.members.alive(
-            members.MemberKind.AGENT, self._clock.now_ms()
-        )
-        return sorted((known.member for known in alive), key=lambda m: m.vm_id)
+    def _find_guided(self, alive: list[members.Member]) -> list[members.Member]:
+        entries = [m for m in alive if m.kind is members.MemberKind.ENTRY]
+        entries.append(self._own)
+        return [
+            member
+            for member in alive
+            if member.kind is members.MemberKind.AGENT
+            and self._own.vm_id
+            in guidance.guides_of(member, entries, self._near(member))
+        ]
+
+    def _near(self, member: members.Member) -> set[str]:
+        region = self._regions.get(member.data_centre)
+        return {name for name, of in self._regions.items() if of == region}
+
+    def _members_alive(self, now_ms: clock.Millis) -> list[members.Member]:
+        alive = [
+            known.member
+            for kind in members.MemberKind
+            for known in self._sync.members.alive(kind, now_ms)
+        ]
+        return sorted(alive, key=lambda member: member.vm_id)
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -38,8 +38,12 @@
 from marlramp.shell import safely
 
 TICK_MS = 100.0
-HEARTBEAT_MS = 400.0
-"""A quarter of the time after which a silent member is taken as down."""
+HEARTBEATS_MS = {
+    members.MemberKind.ENTRY: 400.0,
+    members.MemberKind.AGENT: 1_000.0,
+}
+"""Between two heartbeats: a quarter of the time after which an entry takes a
+silent member as down, a third of it at an agent."""
 
 REQUEST_NEWS_MS = 500.0
 """Between two requests for changes that were missed."""
@@ -103,7 +107,7 @@
             self._own, settings.seeds, self._clock, self._on_member
         )
         self._guide = agent_guide.AgentGuide(
-            self._catalog, self._sync, self._clock
+            self._own, settings.regions, self._catalog, self._sync, self._clock
         )
         self._load_exchange = load_exchange.LoadExchange(
             self._own,
@@ -127,7 +131,7 @@
         self._callers = http1_server.CallerServer(
             self._forwarder.handle, self, self._clock
         )
-        self._heartbeat_ms = float("-inf")
+        self._heartbeat_ms = dict.fromkeys(members.MemberKind, float("-inf"))
         self._requested_ms = float("-inf")
         self._left_ms: float | None = None
 
@@ -208,7 +212,8 @@
         """Lets callers go elsewhere and finishes their requests."""
         start_ms = self._clock.now_ms()
         end_ms = start_ms + self._settings.bounds.grace_ms - LEAVE_MARGIN_MS
-        self._heartbeat()
+        for kind in members.MemberKind:
+            self._heartbeat(kind)
         while self._clock.now_ms() < end_ms:
             now_ms = self._clock.now_ms()
             if now_ms - start_ms > LEAVE_IDLE_CLOSE_MS:
@@ -401,16 +406,15 @@
             logs.log("replica_gone", replica=replica_id)
         if gone:
             self._forget(self._table.sync(self._catalog, now_ms))
-        self._guide.tell_on_change()
+        self._guide.tick()
         self._forwarder.tick()
-        if now_ms - self._heartbeat_ms >= HEARTBEAT_MS:
-            self._heartbeat()
-
-    def _heartbeat(self) -> None:
-        self._heartbeat_ms = self._clock.now_ms()
-        message = self._pulse()
         for kind in members.MemberKind:
-            self._sync.broadcast(kind, message)
+            if now_ms - self._heartbeat_ms[kind] >= HEARTBEATS_MS[kind]:
+                self._heartbeat(kind)
+
+    def _heartbeat(self, kind: members.MemberKind) -> None:
+        self._heartbeat_ms[kind] = self._clock.now_ms()
+        self._sync.broadcast(kind, self._pulse())
 
     def _send_heartbeat(self, vm_id: str) -> None:
         self._sync.send(vm_id, self._pulse())
--- a/src/marlramp/direct/load_exchange.py
+++ b/src/marlramp/direct/load_exchange.py
@@ -79,8 +79,7 @@
             loads = self._news.all()
         if loads:
             message = fleet_messages.OwnLoads(loads=loads)
-            for name in self._peers:
-                self._sync.send(name, message)
+            self._sync.send_all(self._peers, message)
 
     def _find_peers(self, now_ms: clock.Millis) -> None:
         """Takes the entries of the own region that are heard."""
--- a/src/marlramp/direct/member_sync.py
+++ b/src/marlramp/direct/member_sync.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
 
 import msgspec
 
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import members
+from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 from marlramp.shell import member_links
@@ -50,6 +53,7 @@
         ) = None
         self._greeted_ms: dict[str, float] = {}
         self._alive: set[str] = set()
+        self._to_spread: dict[str, members.Member] = {}
 
     def attach(
         self, links: member_links.MemberLinks[fleet_messages.FromMember]
@@ -68,24 +72,52 @@
         if not entries:
             self._greet_seeds(now_ms)
         for known in self.members.known():
-            silent = now_ms - known.heard_ms >= members.ALIVE_MS
+            silent = now_ms - known.heard_ms >= self.members.alive_ms
             if silent and known.member.kind is members.MemberKind.ENTRY:
                 self._greet(known.member, now_ms)
         for vm_id in self.members.forget_silent(now_ms):
             self._open_links().close(vm_id)
+        self._spread()
         self._log_changes(now_ms)
 
     def send(self, vm_id: str, message: msgspec.Struct) -> bool:
         """Sends to one member."""
         return self._open_links().send(vm_id, message)
 
+    def send_all(self, vm_ids: Iterable[str], message: msgspec.Struct) -> None:
+        """Sends to some members."""
+        data = codec.encode(message)
+        for vm_id in vm_ids:
+            self._open_links().send_bytes(vm_id, data)
+
     def broadcast(
-        self, kind: members.MemberKind, message: msgspec.Struct
+        self,
+        kind: members.MemberKind,
+        message: msgspec.Struct,
+        within: Collection[str] | None = None,
     ) -> None:
-        """Sends to all members of a kind that are alive."""
+        """Sends to all members of a kind that are alive.
+
+        Args:
+          kind: the kind.
+          message: the message.
+          within: data centres that it is sent to, None for all.
+        """
+        alive = self.members.alive(kind, self._clock.now_ms())
+        names = [
+            known.member.vm_id
+            for known in alive
+            if within is None or known.member.data_centre in within
+        ]
+        self.send_all(names, message)
+
+    def told(self, found: Iterable[members.Member]) -> None:
+        """Takes members that another process knows; greets new entries."""
         now_ms = self._clock.now_ms()
-        for known in self.members.alive(kind, now_ms):
-            self.send(known.member.vm_id, message)
+        for member in self.members.told(found, now_ms):
+            self._note_new(member)
+            if member.kind is members.MemberKind.ENTRY:
+                self._greet(member, now_ms)
 
     def on_message(self, name: str, message: fleet_messages.FromMember) -> bool:
         """Takes a message; returns whether it was about members alone."""
@@ -96,7 +128,7 @@
                 self._on_hello(name, message, now_ms)
                 return True
             case fleet_messages.MembersFound():
-                self._told(message.found, now_ms)
+                self.told(message.found)
                 return True
             case fleet_messages.Heartbeat():
                 self.members.heartbeat(name, message.pulse, now_ms)
@@ -113,31 +145,30 @@
         if member.kind is members.MemberKind.ENTRY:
             self._open_links().open(member.vm_id, member.host, member.port)
         if new:
-            self._spread([member], now_ms)
+            self._note_new(member)
         if hello.reply:
             self.send(member.vm_id, self._hello(now_ms, reply=False))
-        self._told(hello.others, now_ms)
+        self.told(hello.others)
         if new or hello.reply:
             self._on_member(member)
 
-    def _told(self, found: list[members.Member], now_ms: clock.Millis) -> None:
-        new = self.members.told(found, now_ms)
-        for member in new:
-            if member.kind is members.MemberKind.ENTRY:
-                self._greet(member, now_ms)
-        if new:
-            self._spread(new, now_ms)
+    def _note_new(self, member: members.Member) -> None:
+        """Keeps a new member until the other entries are told."""
+        if self._own.kind is members.MemberKind.ENTRY:
+            self._to_spread[member.vm_id] = member
 
-    def _spread(
-        self, found: list[members.Member], now_ms: clock.Millis
-    ) -> None:
-        """Tells the other members; only entries pass news on."""
-        if self._own.kind is not members.MemberKind.ENTRY:
+    def _spread(self) -> None:
+        """Tells the other entries of new members, all in one message.
+
+        Agents hear of entries from those that guide them. A message for each
+        new member to each member would be a flood when all start at once.
+        """
+        if not self._to_spread:
             return
+        found = list(self._to_spread.values())
+        self._to_spread.clear()
         message = fleet_messages.MembersFound(found=found)
-        for kind in members.MemberKind:
-            for known in self.members.alive(kind, now_ms):
-                self.send(known.member.vm_id, message)
+        self.broadcast(members.MemberKind.ENTRY, message)
 
     def _greet(self, member: members.Member, now_ms: clock.Millis) -> None:
         last_ms = self._greeted_ms.get(member.vm_id, float("-inf"))
@@ -163,8 +194,12 @@
     def _hello(
         self, now_ms: clock.Millis, *, reply: bool
     ) -> fleet_messages.Hello:
+        # Entries hear every agent themselves.
+        others: list[members.Member] = []
+        if self._own.kind is members.MemberKind.ENTRY:
+            others = self.members.to_tell(now_ms)
         return fleet_messages.Hello(
-            member=self._own, others=self.members.to_tell(now_ms), reply=reply
+            member=self._own, others=others, reply=reply
         )
 
     def _log_changes(self, now_ms: clock.Millis) -> None:
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -93,6 +93,7 @@
       origin: "host:port" of the origin, "" if it is not known.
       streams_resume: whether every stream may go on at another engine.
       agents: agents that the sender hears.
+      entries: entries that the sender hears, itself too.
       revision: revision of the configuration that this comes from.
     """
 
@@ -101,6 +102,7 @@
     origin: str
     streams_resume: bool
     agents: list[members.Member]
+    entries: list[members.Member]
     revision: int
 
 
