--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -62,8 +62,10 @@
 TAKEOVER_MAX_MS = 1_200.0
 """Most that this wait grows to while pieces come slowly."""
 
-IMPORT_TAKEOVER_MS = 2_000.0
-"""Wait per rank before another agent brings a piece into its region."""
+IMPORT_TAKEOVER_MS = 3_200.0
+"""Wait per rank before another agent brings a piece into its region. It is
+longer than most imports take: with 2 s, 4 copies crossed between three regions
+where 2 are needed. A dead agent loses its rank at once."""
 
 RARE_WAIT_MS = 2_200.0
 """Wait per rank before a piece whose only holder has a slow link is drawn
