Versions named while the store is down bind after its return

The users count the time only while the store serves. Ruled out: the weights' way (they came within 6 s of being known). Change: an entry whose own calls fail, that hears others and none of them with a fresh answer, takes the store as down and lets versions that don't bind yet start anew; a version found after an outage has at most the age of the last answer. An entry that hears no other blames itself and postpones nothing. Tests: the three of the catalog and the reader fail without the change.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -137,6 +137,7 @@
         self.targets: dict[str, KnownTarget] = {}
         self._replicas: dict[str, KnownReplica] = {}
         self._store_trouble_ms = float("-inf")
+        self._store_down_ms = float("-inf")
 
     @property
     def config_version(self) -> int:
@@ -162,6 +163,27 @@
         """Records that the store is not to be relied on now."""
         self._store_trouble_ms = now_ms
 
+    def store_down(self, bound_ms: float, now_ms: clock.Millis) -> None:
+        """Records that the store serves no entry now.
+
+        The time within which a version must be in force counts only while
+        the store serves, so that versions that don't bind yet start anew:
+        engines on the old one need not stand idle meanwhile.
+
+        Args:
+          bound_ms: time after its naming from which a version binds.
+          now_ms: the time.
+        """
+        self._store_down_ms = now_ms
+        for known in self.targets.values():
+            known.named = [
+                NamedVersion(named.version, now_ms)
+                if named.named_ms is not None
+                and now_ms - named.named_ms < bound_ms
+                else named
+                for named in known.named
+            ]
+
     def apply(
         self, changes: Iterable[Change], now_ms: clock.Millis
     ) -> list[Change]:
@@ -256,7 +278,9 @@
         known = self.targets.get(change.target.model)
         if known is not None and change.revision <= known.revision:
             return False
-        named_ms = None if change.age_ms is None else now_ms - change.age_ms
+        named_ms: float | None = None
+        if change.age_ms is not None:
+            named_ms = max(now_ms - change.age_ms, self._store_down_ms)
         named = [] if known is None else known.named[-VERSIONS_KEPT:]
         self.targets[change.target.model] = KnownTarget(
             change.target,
--- a/src/marlramp/core/reader_duty.py
+++ b/src/marlramp/core/reader_duty.py
@@ -46,12 +46,38 @@
     return not any(_reads_well(known, now_ms) for known in staying)
 
 
-def _reads_well(known: members.KnownMember, now_ms: clock.Millis) -> bool:
+def store_serves_none(
+    alive: Sequence[members.KnownMember], *, own_fails: bool
+) -> bool:
+    """Returns whether the store seems to be down for every entry.
+
+    An entry that hears no other can't tell the store's failure from its own.
+
+    Args:
+      alive: the other entries that are heard.
+      own_fails: whether the own last call failed.
+    """
+    return (
+        own_fails
+        and bool(alive)
+        and not any(_was_answered(known) for known in alive)
+    )
+
+
+def _was_answered(known: members.KnownMember) -> bool:
     pulse = known.pulse
     return (
         pulse is not None
-        and pulse.reads_store
         and pulse.store_age_ms is not None
         and pulse.store_age_ms < READER_STORE_AGE_MS
+    )
+
+
+def _reads_well(known: members.KnownMember, now_ms: clock.Millis) -> bool:
+    pulse = known.pulse
+    return (
+        pulse is not None
+        and pulse.reads_store
+        and _was_answered(known)
         and now_ms - known.heard_ms < READER_HEARD_MS
     )
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -134,6 +134,7 @@
         self._heartbeat_ms = dict.fromkeys(members.MemberKind, float("-inf"))
         self._requested_ms = float("-inf")
         self._left_ms: float | None = None
+        self._store_down = False
 
     def reload(self, reason: str) -> None:
         """Reads the settings anew."""
@@ -401,6 +402,7 @@
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
         self._sync.tick()
+        self._note_store(now_ms)
         gone = self._catalog.tick(now_ms)
         for replica_id in gone:
             logs.log("replica_gone", replica=replica_id)
@@ -412,6 +414,19 @@
             if now_ms - self._heartbeat_ms[kind] >= HEARTBEATS_MS[kind]:
                 self._heartbeat(kind)
 
+    def _note_store(self, now_ms: clock.Millis) -> None:
+        """Notices a store that serves no entry."""
+        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
+        down = reader_duty.store_serves_none(
+            alive, own_fails=self._reader.failing
+        )
+        if down:
+            bound_ms = self._settings.bounds.version_ms
+            self._catalog.store_down(bound_ms, now_ms)
+        if down is not self._store_down:
+            self._store_down = down
+            logs.log("store_serves_none" if down else "store_serves")
+
     def _heartbeat(self, kind: members.MemberKind) -> None:
         self._heartbeat_ms[kind] = self._clock.now_ms()
         self._sync.broadcast(kind, self._pulse())
--- a/src/marlramp/direct/store_reader.py
+++ b/src/marlramp/direct/store_reader.py
@@ -90,6 +90,11 @@
             return None
         return self._clock.now_ms() - self._answered_ms
 
+    @property
+    def failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failing
+
     async def run(self) -> None:
         """Reads for ever, as long as it is this process's turn."""
         while True:
@@ -113,7 +118,7 @@
         self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
         snapshot = await self._source.watch(after, WATCH_WAIT_MS)
         now_ms = self._answered()
-        new = self._catalog.apply(_just_named(snapshot.changes), now_ms)
+        new = self._catalog.apply(_with_age(snapshot.changes, 0.0), now_ms)
         self._catalog.advance(snapshot.revision)
         if new:
             self._publish(after, new)
@@ -123,7 +128,13 @@
         before = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
         snapshot = await self._source.read_all()
+        answered_ms = self._answered_ms
         now_ms = self._answered()
+        if answered_ms is not None:
+            # What is new was named after the answer before, at the earliest.
+            age_ms = now_ms - answered_ms
+            changes = _with_age(snapshot.changes, age_ms)
+            snapshot = msgspec.structs.replace(snapshot, changes=changes)
         logs.log(
             "store_read",
             revision=snapshot.revision,
@@ -158,10 +169,12 @@
         await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
 
 
-def _just_named(changes: list[catalog.Change]) -> list[catalog.Change]:
-    """Returns changes of a watch, in which named weights have the age 0."""
+def _with_age(
+    changes: list[catalog.Change], age_ms: float
+) -> list[catalog.Change]:
+    """Returns changes in which named weights have an age."""
     return [
-        msgspec.structs.replace(change, age_ms=0.0)
+        msgspec.structs.replace(change, age_ms=age_ms)
         if isinstance(change, catalog.TargetChange)
         else change
         for change in changes
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -138,3 +138,38 @@
         known.targets["m"], BOUND_MS, started_ms, time.now_ms()
     )
     assert oldest == 2
+
+
+def oldest(known: catalog.Catalog, now_ms: clock.Millis) -> int:
+    """Returns the oldest version that counts, for a process long running."""
+    return weights_gate.oldest_allowed(
+        known.targets["m"], BOUND_MS, started_ms=-60_000.0, now_ms=now_ms
+    )
+
+
+def test_version_named_while_the_store_is_down_binds_after_its_return(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    time.advance(100_000.0)
+    known.apply([named(1, 1, age_ms=50_000.0)], time.now_ms())
+    known.apply([named(2, 2)], time.now_ms())
+    for _ in range(60):
+        time.advance(100.0)
+        known.store_down(BOUND_MS, time.now_ms())
+    time.advance(200.0)
+    # Learnt by a read of everything, 6.2 s after the answer before.
+    known.apply([named(3, 3, age_ms=6_200.0)], time.now_ms())
+    time.advance(BOUND_MS - 1_500.0)
+    assert oldest(known, time.now_ms()) == 1
+    time.advance(1_500.0)
+    assert oldest(known, time.now_ms()) == 3
+
+
+def test_version_that_binds_goes_on_binding_while_the_store_is_down(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    time.advance(100_000.0)
+    known.apply([named(2, 2)], time.now_ms())
+    time.advance(BOUND_MS + 1.0)
+    known.store_down(BOUND_MS, time.now_ms())
+    assert oldest(known, time.now_ms()) == 2
--- a/tests/direct/test_store_reader.py
+++ b/tests/direct/test_store_reader.py
@@ -102,3 +102,18 @@
         [clients.PlatformError("down")],
     )
     run_until(source, lambda c: c.revision == 9)
+
+
+def test_version_found_after_an_outage_has_the_greatest_age_it_may_have() -> (
+    None
+):
+    source = FakeStore(
+        reads=[
+            catalog.Snapshot(1, []),
+            catalog.Snapshot(2, [catalog.TargetChange(2, TARGET)]),
+        ],
+        watches=[clients.PlatformError("reset")],
+    )
+    known, _ = run_until(source, lambda c: "m" in c.targets)
+    named_ms = known.targets["m"].named_ms
+    assert named_ms is not None
