Divide pieces evenly; a second draw from the origin waits 1.6 s a rank

Cause: the agent with most pieces to draw or import decided when all were in; rendezvous alone gave one up to 9 of 64 among 15 agents. Pieces that waited for their turn were drawn again by the next in order after 0.7 s, which slowed the first copy. Each agent is now first for at most its equal share; it looks for the next piece every 20 ms instead of 50 ms.

--- a/src/marlramp/core/rendezvous.py
+++ b/src/marlramp/core/rendezvous.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import blake3
 
@@ -33,3 +34,31 @@
 def subset[Node: str](key: str, nodes: Iterable[Node], size: int) -> list[Node]:
     """Returns the first `size` nodes in the order for `key`."""
     return order(key, nodes)[:size]
+
+
+def balanced_orders[Node: str](
+    keys: Sequence[str], nodes: Iterable[Node]
+) -> list[list[Node]]:
+    """Returns an order for each key in which no node is first too often.
+
+    Each node is first for at most its equal share of the keys, rounded up:
+    the one that has most work decides when all is done. Where plain orders
+    give a node more, its further keys go to the next in their orders.
+
+    Args:
+      keys: what is to be divided, in the same order everywhere.
+      nodes: who divides it; everyone who names the same gets the same orders.
+    """
+    members = set(nodes)
+    share = -(-len(keys) // max(1, len(members)))
+    firsts = dict.fromkeys(members, 0)
+    orders = []
+    for key in keys:
+        ordered = order(key, members)
+        first = next((n for n in ordered if firsts[n] < share), None)
+        if first is not None:
+            firsts[first] += 1
+            ordered.remove(first)
+            ordered.insert(0, first)
+        orders.append(ordered)
+    return orders
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -29,8 +29,9 @@
 ORIGIN_IN_FLIGHT_MAX = 2
 """Chunks one VM draws from the origin at once, unless the policy says else."""
 
-ORIGIN_CHECK_MS = 50.0
-"""Least time between looks for chunks to draw from the origin."""
+ORIGIN_CHECK_MS = 20.0
+"""Least time between looks for chunks to draw from the origin: it stands idle
+for as long after each chunk."""
 
 LATE_FACTOR = 4.0
 """A chunk is late at this multiple of its neighbour's recent pace."""
@@ -215,10 +216,7 @@
         """Takes the VMs that fetch this manifest, to rank origin fetchers."""
         members = set(vm_ids) | {self._vm_id}
         self._is_root = self._vm_id == min(members)
-        self._ranks = [
-            rendezvous.order(key, members).index(self._vm_id)
-            for key in self._group_keys
-        ]
+        self._ranks = self._ranks_among(self._group_keys, members)
 
     def set_near(self, vm_ids: Sequence[ids.VmId]) -> None:
         """Takes the members of the own region, itself included.
@@ -228,10 +226,15 @@
         """
         near = {*vm_ids, self._vm_id}
         self._near = frozenset(near)
-        self._import_ranks = [
-            rendezvous.order(f"import\0{key}", near).index(self._vm_id)
-            for key in self._group_keys
-        ]
+        keys = [f"import\0{key}" for key in self._group_keys]
+        self._import_ranks = self._ranks_among(keys, near)
+
+    def _ranks_among(
+        self, keys: Sequence[str], members: set[ids.VmId]
+    ) -> list[int]:
+        """Returns the own place in the order of each key."""
+        orders = rendezvous.balanced_orders(keys, members)
+        return [ordered.index(self._vm_id) for ordered in orders]
 
     def peer_holds(
         self, peer_id: ids.VmId, indexes: Sequence[int], seen: Sequence[int]
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -44,9 +44,10 @@
 
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
-TAKEOVER_MS = 700.0
-"""Wait per rank before another agent draws a piece from the origin or brings
-it into its region: ten times what one piece takes on an agent's link."""
+TAKEOVER_MS = 1_600.0
+"""Wait per rank before another agent draws a piece from the origin: about the
+time in which one copy leaves it. With less, pieces that wait for their turn are
+drawn twice, and the first copy is whole later."""
 
 ORIGIN_COPIES_MAX = 2.0
 """Copies drawn from the origin without a fault: its link is idle after the
