Agents without an engine take no part in drawing pieces; log pieces that stand still

Agents whose engine had been taken away kept their share of the pieces and drew none; the next in order drew them 1.6 s later, while it also drew pieces of agents that were only slow. One to five pieces had not left by the crash, and all engines stood idle from 26 to 28 s. Ruled out: pieces held by one that does not pass them on (all held by all but those). Change: entries name to agents only those whose engine answers; a second draw waits 2.2 s a rank; lines piece_drawn and pieces_stand_still (missing pieces with the number of their holders) tell this from the logs.

--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -202,6 +202,10 @@
         """Chunks held."""
         return self._held
 
+    def missing(self) -> list[tuple[int, int]]:
+        """Returns chunks not held, each with its neighbours that hold it."""
+        return [(index, self._holders[index]) for index in sorted(self._needed)]
+
     @property
     def seen(self) -> set[int]:
         """Chunks known to be held by any VM."""
--- a/src/marlramp/direct/agent_guide.py
+++ b/src/marlramp/direct/agent_guide.py
@@ -43,6 +43,8 @@
         self._clock = time
         self._alive: list[members.Member] = []
         self._guided: list[members.Member] = []
+        self._with_engine: set[str] = set()
+        self._engines_changed = False
         self._told_ms = float("-inf")
 
     def tell_all(self) -> None:
@@ -60,11 +62,25 @@
         if guide is not None:
             self._sync.send(vm_id, guide)
 
+    def note_engine(self, vm_id: str, *, present: bool) -> None:
+        """Records whether the engine beside an agent answers it.
+
+        An agent without an engine brings no weights, so that the others must
+        not leave pieces to it.
+        """
+        if present is not (vm_id in self._with_engine):
+            self._engines_changed = True
+        if present:
+            self._with_engine.add(vm_id)
+        else:
+            self._with_engine.discard(vm_id)
+
     def tick(self) -> None:
         """Tells the agents when members came or went, and now and then."""
         now_ms = self._clock.now_ms()
         alive = self._members_alive(now_ms)
-        if alive != self._alive:
+        if alive != self._alive or self._engines_changed:
+            self._engines_changed = False
             self._alive = alive
             self._guided = self._find_guided(alive)
             self.tell_all()
@@ -91,7 +107,11 @@
             streams_resume=all(
                 route.resumable for route in config.routes if route.streaming
             ),
-            agents=self._of_kind(members.MemberKind.AGENT),
+            agents=[
+                agent
+                for agent in self._of_kind(members.MemberKind.AGENT)
+                if agent.vm_id in self._with_engine
+            ],
             entries=[*self._of_kind(members.MemberKind.ENTRY), self._own],
             revision=self._catalog.config_revision,
         )
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -347,6 +347,8 @@
             case fleet_messages.OwnLoads():
                 self._load_exchange.on_message(name, message)
             case fleet_messages.EngineNews():
+                present = message.report is not None
+                self._guide.note_engine(name, present=present)
                 if message.report is not None:
                     self._table.report(message.report, self._clock.now_ms())
 
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -44,9 +44,9 @@
 
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
-TAKEOVER_MS = 1_600.0
-"""Wait per rank before another agent draws a piece from the origin: about the
-time in which one copy leaves it. With less, pieces that wait for their turn are
+TAKEOVER_MS = 2_200.0
+"""Wait per rank before another agent draws a piece from the origin: the time
+in which one copy leaves it. With less, pieces that wait for their turn are
 drawn twice, and the first copy is whole later."""
 
 ORIGIN_COPIES_MAX = 2.0
@@ -76,6 +76,11 @@
 NEIGHBOURS = 16
 """Agents that one is linked to, counting links opened from either side."""
 
+STANDSTILL_MS = 1_000.0
+STANDSTILL_LISTED = 8
+"""After this long without a piece a line lists up to so many missing ones,
+each with the number of neighbours that hold it."""
+
 WHOLES_KEPT = 2
 _MS = clock.MILLIS_PER_SECOND
 
@@ -123,6 +128,8 @@
         self._wake = asyncio.Event()
         self.changed = asyncio.Event()
         self._background: set[asyncio.Task[None]] = set()
+        self._held_then = 0
+        self._held_ms = float("-inf")
         self._announced_ms = 0.0
 
     def attach(
@@ -387,6 +394,7 @@
             return
         self._announce(self._swarm, self._wanted)
         self._drop_silent(self._swarm)
+        self._log_standstill(self._swarm)
         for action in self._swarm.next_actions(self._clock.now_ms()):
             match action:
                 case swarm.FetchFromPeer():
@@ -407,6 +415,7 @@
     async def _draw_piece(
         self, wanted: version_digests.Wanted, index: int
     ) -> None:
+        started_ms = self._clock.now_ms()
         try:
             if self._digests.origin is None:
                 raise clients.PlatformError("the origin is not known")
@@ -421,6 +430,8 @@
                     index, error.retry_after_ms, self._clock.now_ms()
                 )
             return
+        taken_ms = self._clock.now_ms() - started_ms
+        logs.log("piece_drawn", index=index, taken_ms=round(taken_ms))
         self._take_piece(wanted.name, index, data, None)
 
     def _announce(
@@ -441,6 +452,22 @@
             if self._links is not None:
                 self._links.send_bytes(name, data)
 
+    def _log_standstill(self, current: swarm.Swarm) -> None:
+        """Says which pieces are missing while none comes."""
+        now_ms = self._clock.now_ms()
+        if current.complete or len(current.held) != self._held_then:
+            self._held_then = len(current.held)
+            self._held_ms = now_ms
+            return
+        if now_ms - self._held_ms < STANDSTILL_MS:
+            return
+        self._held_ms = now_ms
+        stuck = [
+            f"{index}:{holders}"
+            for index, holders in current.missing()[:STANDSTILL_LISTED]
+        ]
+        logs.log("pieces_stand_still", held=self._held_then, missing=stuck)
+
     def _drop_silent(self, current: swarm.Swarm) -> None:
         if current.settled:
             return
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -92,7 +92,7 @@
       engine: the engines of the agent's service, None if it is not known.
       origin: "host:port" of the origin, "" if it is not known.
       streams_resume: whether every stream may go on at another engine.
-      agents: agents that the sender hears.
+      agents: agents that the sender hears and whose engine answers.
       entries: entries that the sender hears, itself too.
       revision: revision of the configuration that this comes from.
     """
