Spare replicas that take no connection; tell callers of engines to come back in 1.4 s

Callers were told to come back in 0.5 s, when engines need 1.3 s to load what is staged, and were refused again.

--- a/src/marlramp/core/admission_rule.py
+++ b/src/marlramp/core/admission_rule.py
@@ -76,6 +76,10 @@
       late_ms: by how much it would have begun too late.
       rng: spreads callers.
     """
-    base_ms = RETRY_AFTER_MIN_MS + late_ms
-    spread_ms = base_ms * (1.0 + SPREAD * rng.random())
-    return min(RETRY_AFTER_MAX_MS, spread_ms)
+    return spread_ms(RETRY_AFTER_MIN_MS + late_ms, rng)
+
+
+def spread_ms(base_ms: float, rng: random.Random) -> float:
+    """Returns a time to come back that differs between callers."""
+    longest_ms = base_ms * (1.0 + SPREAD * rng.random())
+    return min(RETRY_AFTER_MAX_MS, longest_ms)
--- a/src/marlramp/core/breaker.py
+++ b/src/marlramp/core/breaker.py
@@ -60,9 +60,13 @@
         self._opened_ms = None
         self._trial_ms = None
 
+    def trip(self, now_ms: clock.Millis) -> None:
+        """Opens at once, for a failure that leaves no doubt."""
+        self._opened_ms = now_ms
+        self._trial_ms = None
+
     def record_failure(self, now_ms: clock.Millis) -> None:
         """Counts a failure and opens the breaker at the limit."""
         self._failures += 1
         if self._failures >= self._failures_max or self._opened_ms is not None:
-            self._opened_ms = now_ms
-            self._trial_ms = None
+            self.trip(now_ms)
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -230,6 +230,15 @@
         self.note_error()
         self.breaker.record_failure(now_ms)
 
+    def note_unreachable(self, now_ms: clock.Millis) -> None:
+        """Counts a connection that could not be opened.
+
+        The replica is down, cut off or has no room: another try by each of
+        several requests would cost each of them one of its few attempts.
+        """
+        self.note_error()
+        self.breaker.trip(now_ms)
+
 
 class ReplicaTable:
     """Replicas by service, kept in step with the catalog."""
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -61,6 +61,10 @@
 LEAVE_MARGIN_MS = 700.0
 """The process ends this long before it would be killed."""
 
+SIDE_STOP_MS = 1_200.0
+"""Look-ups and readiness end this long before: their server takes up to 1.1 s
+to close, in which the process would be killed."""
+
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -181,8 +185,7 @@
                 group.create_task(self._load_exchange.run()),
             ]
             await self._stopping.wait()
-            await self._leave()
-            side.stop()
+            await self._leave(side)
             await served
             for task in tasks:
                 task.cancel()
@@ -209,7 +212,7 @@
             self._clock,
         )
 
-    async def _leave(self) -> None:
+    async def _leave(self, side: http_side.HttpSide) -> None:
         """Lets callers go elsewhere and finishes their requests."""
         start_ms = self._clock.now_ms()
         end_ms = start_ms + self._settings.bounds.grace_ms - LEAVE_MARGIN_MS
@@ -219,9 +222,12 @@
             now_ms = self._clock.now_ms()
             if now_ms - start_ms > LEAVE_IDLE_CLOSE_MS:
                 self._callers.close_idle()
+            if now_ms > end_ms - SIDE_STOP_MS:
+                side.stop()
             if self.refuses() and not self._callers.busy:
                 break
             await asyncio.sleep(TICK_MS / _MS)
+        side.stop()
         self._callers.stop_listening()
         self._callers.close_idle()
 
--- a/src/marlramp/direct/forwarder.py
+++ b/src/marlramp/direct/forwarder.py
@@ -267,7 +267,7 @@
             failure.kind,
             failure.detail,
             ran=errors.Ran.UNKNOWN if call.maybe_ran else errors.Ran.NO,
-            retry_after_ms=int(selection.RETRY_AFTER_DEFAULT_MS),
+            retry_after_ms=self._selector.retry_after_ms(call),
         )
 
     def _fail(
--- a/src/marlramp/direct/replica_observer.py
+++ b/src/marlramp/direct/replica_observer.py
@@ -90,7 +90,7 @@
     def _spare(self, outcome: attempts.Outcome, now_ms: clock.Millis) -> None:
         """Leaves a replica alone that refused or was not reached."""
         if outcome.answer is None:
-            self._view.note_broken(now_ms)
+            self._view.note_unreachable(now_ms)
             return
         wait_ms = replica_table.BUSY_BACKOFF_MS
         if outcome.answer.status == errors.MISDIRECTED:
--- a/src/marlramp/direct/selection.py
+++ b/src/marlramp/direct/selection.py
@@ -24,8 +24,12 @@
 """Part of its objective that a request waits for a replica to open; beyond a
 quarter a wait without an offer costs more than an early refusal."""
 
-RETRY_AFTER_DEFAULT_MS = 500.0
-"""When to come back if nothing better is known."""
+RETRY_AFTER_PLAIN_MS = 500.0
+"""When to come back to a plain service if nothing better is known."""
+
+RETRY_AFTER_ENGINE_MS = 1_400.0
+"""The same for model engines: one that starts takes its weights from what is
+staged, within 1.3 s. A caller that comes back sooner is refused again."""
 
 USUAL_PROMPT_TOKENS = 1_000.0
 """Tokens of a usual prompt."""
@@ -138,5 +142,11 @@
         return errors.CallError(
             errors.ErrorKind.NO_UPSTREAM,
             ran=ran,
-            retry_after_ms=int(RETRY_AFTER_DEFAULT_MS),
+            retry_after_ms=self.retry_after_ms(call),
         )
+
+    def retry_after_ms(self, call: call_module.Call) -> int:
+        """Returns when a caller should come back if no replica took it."""
+        if call.service.engine is None:
+            return int(RETRY_AFTER_PLAIN_MS)
+        return int(admission_rule.spread_ms(RETRY_AFTER_ENGINE_MS, self._rng))
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -178,3 +178,14 @@
     begins_ms = swap_times.begins_ms("vm-1", ["vm-2"], "m@2", None, 8_000.0)
     # Also when the clock was read before this was asked.
     assert begins_ms == float("-inf")
+
+
+def test_replica_that_takes_no_connection_is_spared_at_once(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    views = [view_of(make_replica(replica_id=f"i-{n}")) for n in range(3)]
+    views[0].note_unreachable(time.now_ms())
+    ranked = upstream_choice.rank(views, WANTED, {}, time.now_ms())
+    assert ids_of(ranked) == ["i-1", "i-2"]
+    time.advance(1_500.0)
+    assert views[0].breaker.allows(time.now_ms())
