--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test lint types unit model lock setup docs
+.PHONY: demo test lint types unit model soak lock setup docs
 
 setup: $(INSTALLED)
 
@@ -31,6 +31,9 @@
 model: $(INSTALLED)
 	$(BIN)/python -m models
 
+soak: $(INSTALLED)
+	$(BIN)/python -m soak run --seeds 50
+
 unit: $(INSTALLED)
 	$(BIN)/pytest
 
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -17,8 +17,7 @@
 from marlramp.core import replica_table
 from marlramp.core import route_table
 from marlramp.direct import agent_guide
-from marlramp.direct import catalog_log
-from marlramp.direct import catalog_news
+from marlramp.direct import catalog_sync
 from marlramp.direct import forwarder
 from marlramp.direct import http_side
 from marlramp.direct import load_exchange
@@ -45,9 +44,6 @@
 """Between two heartbeats: a quarter of the time after which an entry takes a
 silent member as down, a third of it at an agent."""
 
-REQUEST_NEWS_MS = 500.0
-"""Between two requests for changes that were missed."""
-
 LOOKUP_TTL_MS = 2_000.0
 """How long callers keep addresses: short, so that they leave a VM that went
 down; each caller asks again that often."""
@@ -110,6 +106,9 @@
         self._sync = member_sync.MemberSync(
             self._own, settings.seeds, self._clock, self._on_member
         )
+        self._catalog_sync = catalog_sync.CatalogSync(
+            self._catalog, self._sync, self._changed, self._clock
+        )
         self._guide = agent_guide.AgentGuide(
             self._own, settings.regions, self._catalog, self._sync, self._clock
         )
@@ -136,9 +135,7 @@
             self._forwarder.handle, self, self._clock
         )
         self._heartbeat_ms = dict.fromkeys(members.MemberKind, float("-inf"))
-        self._requested_ms = float("-inf")
         self._left_ms: float | None = None
-        self._store_down = False
 
     def reload(self, reason: str) -> None:
         """Reads the settings anew."""
@@ -207,7 +204,7 @@
             store.StoreClient(self._caller, self._settings.store),
             self._catalog,
             self._is_reader,
-            self._publish,
+            self._catalog_sync.publish,
             self._totals,
             self._clock,
         )
@@ -299,7 +296,7 @@
             found.append(self._own.callers)
         return sorted(found)
 
-    # Who reads the store, and what is told of it.
+    # Who reads the store, and what follows from it.
 
     def _is_reader(self) -> bool:
         if self._lifecycle.phase is lifecycle.Phase.DRAINING:
@@ -308,20 +305,9 @@
         alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
         return reader_duty.is_reader(self._own, alive, now_ms)
 
-    def _publish(self, after: int, changes: list[catalog.Change]) -> None:
-        """Applies changes read from the store and tells the others."""
-        self._changed(changes, "store")
-        news = fleet_messages.CatalogNews(
-            after=after,
-            revision=self._catalog.revision,
-            changes=catalog_news.pack(changes),
-        )
-        self._sync.broadcast(members.MemberKind.ENTRY, news)
-
-    def _changed(self, changes: list[catalog.Change], source: str) -> None:
+    def _changed(self, changes: list[catalog.Change]) -> None:
+        """Takes over what changed in the catalog."""
         now_ms = self._clock.now_ms()
-        for change in changes:
-            catalog_log.log_change(change, source)
         self._forget(self._table.sync(self._catalog, now_ms))
         configured = any(isinstance(c, catalog.ConfigChange) for c in changes)
         if configured and self._catalog.config is not None:
@@ -345,11 +331,13 @@
             return
         match message:
             case fleet_messages.Heartbeat():
-                self._on_heartbeat(name, message)
+                self._catalog_sync.on_heartbeat(
+                    name, message.pulse, reading=self._reader.reading
+                )
             case fleet_messages.CatalogNews():
-                self._on_news(name, message)
+                self._catalog_sync.on_news(name, message)
             case fleet_messages.CatalogRequest():
-                self._tell(name, message.after)
+                self._catalog_sync.tell(name, message.after)
             case fleet_messages.OwnLoads():
                 self._load_exchange.on_message(name, message)
             case fleet_messages.EngineNews():
@@ -364,42 +352,6 @@
         else:
             self._send_heartbeat(member.vm_id)
 
-    def _on_heartbeat(
-        self, name: str, message: fleet_messages.Heartbeat
-    ) -> None:
-        behind = message.pulse.revision > self._catalog.revision
-        if behind and not self._reader.reading:
-            self._request_news(name)
-
-    def _request_news(self, name: str) -> None:
-        now_ms = self._clock.now_ms()
-        first = self._catalog.revision == 0
-        if not first and now_ms - self._requested_ms < REQUEST_NEWS_MS:
-            return
-        self._requested_ms = now_ms
-        after = self._catalog.revision
-        self._sync.send(name, fleet_messages.CatalogRequest(after=after))
-
-    def _on_news(self, name: str, news: fleet_messages.CatalogNews) -> None:
-        now_ms = self._clock.now_ms()
-        before = self._catalog.revision
-        new = self._catalog.apply(catalog_news.unpack(news.changes), now_ms)
-        if news.after <= before:
-            self._catalog.advance(news.revision)
-        else:
-            self._request_news(name)
-        if new:
-            self._changed(new, name)
-
-    def _tell(self, name: str, after: int) -> None:
-        changes = self._catalog.changes_after(after, self._clock.now_ms())
-        news = fleet_messages.CatalogNews(
-            after=after,
-            revision=self._catalog.revision,
-            changes=catalog_news.pack(changes),
-        )
-        self._sync.send(name, news)
-
     # Regular work.
 
     async def _tick_all(self) -> None:
@@ -410,7 +362,9 @@
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
         self._sync.tick()
-        self._note_store(now_ms)
+        self._catalog_sync.note_store(
+            self._settings.bounds.version_ms, own_fails=self._reader.failing
+        )
         gone = self._catalog.tick(now_ms)
         for replica_id in gone:
             logs.log("replica_gone", replica=replica_id)
@@ -422,19 +376,6 @@
             if now_ms - self._heartbeat_ms[kind] >= HEARTBEATS_MS[kind]:
                 self._heartbeat(kind)
 
-    def _note_store(self, now_ms: clock.Millis) -> None:
-        """Notices a store that serves no entry."""
-        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
-        down = reader_duty.store_serves_none(
-            alive, own_fails=self._reader.failing
-        )
-        if down:
-            bound_ms = self._settings.bounds.version_ms
-            self._catalog.store_down(bound_ms, now_ms)
-        if down is not self._store_down:
-            self._store_down = down
-            logs.log("store_serves_none" if down else "store_serves")
-
     def _heartbeat(self, kind: members.MemberKind) -> None:
         self._heartbeat_ms[kind] = self._clock.now_ms()
         self._sync.broadcast(kind, self._pulse())
--- a/src/marlramp/direct/piece_exchange.py
+++ b/src/marlramp/direct/piece_exchange.py
@@ -18,11 +18,13 @@
 from marlramp import logs
 from marlramp.core import manifest
 from marlramp.core import members
-from marlramp.core import pacing
 from marlramp.core import swarm
+from marlramp.direct import piece_downloads
+from marlramp.direct import piece_draws
+from marlramp.direct import piece_policy
 from marlramp.direct import piece_uploads
+from marlramp.direct import standstill
 from marlramp.direct import version_digests
-from marlramp.platform import clients
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
@@ -44,54 +46,17 @@
 
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
-TAKEOVER_MS = 2_200.0
-"""Wait per rank before another agent draws a piece from the origin: the time
-in which one copy leaves it. With less, pieces that wait for their turn are
-drawn twice, and the first copy is whole later."""
-
-ORIGIN_COPIES_MAX = 2.0
-"""Copies drawn from the origin without a fault: its link is idle after the
-first, and agents that load in later turns come by their pieces sooner."""
-
-DOWNLOADS_MAX = 12
-"""Pieces on their way from neighbours at once."""
-
 NEIGHBOURS_FIRST_MS = 800.0
 """How long an agent that starts asks only its neighbours for a version that
 was named before: they hold it, unless all are new."""
 
-TAKEOVER_MAX_MS = 1_200.0
-"""Most that this wait grows to while pieces come slowly."""
-
-IMPORT_TAKEOVER_MS = 3_200.0
-"""Wait per rank before another agent brings a piece into its region. It is
-longer than most imports take: with 2 s, 4 copies crossed between three regions
-where 2 are needed. A dead agent loses its rank at once."""
-
-RARE_WAIT_MS = 2_200.0
-"""Wait per rank before a piece whose only holder has a slow link is drawn
-again: 2.2 s of the 8 s that a version may take, and longer than a piece has
-one holder while links keep their rate."""
-
 NEIGHBOURS = 16
 """Agents that one is linked to, counting links opened from either side."""
 
-STANDSTILL_MS = 1_000.0
-STANDSTILL_LISTED = 8
-"""After this long without a piece a line lists up to so many missing ones,
-each with the number of neighbours that hold it."""
-
 WHOLES_KEPT = 2
 _MS = clock.MILLIS_PER_SECOND
 
 
-class _Download(msgspec.Struct):
-    """A piece on its way from a neighbour."""
-
-    peer: str
-    data: bytearray
-
-
 class PieceExchange:
     """This VM's part in distributing weights."""
 
@@ -108,7 +73,6 @@
         self._clock = time
         self._rng = random.Random()
         up_rate = link_bytes_per_s * UPLINK_SHARE
-        self._down = pacing.Pacer(link_bytes_per_s * LINK_SHARE)
         self._links: (
             member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
         ) = None
@@ -121,15 +85,18 @@
         self._peers: dict[str, members.Member] = {}
         self._near: set[str] = set()
         self._heard_ms: dict[str, float] = {}
-        self._downloads: dict[int, _Download] = {}
+        self._downloads = piece_downloads.PieceDownloads(
+            self._send, link_bytes_per_s * LINK_SHARE, time
+        )
         self._uploads = piece_uploads.PieceUploads(
             self._wholes, self._send, up_rate, time
         )
         self._wake = asyncio.Event()
         self.changed = asyncio.Event()
-        self._background: set[asyncio.Task[None]] = set()
-        self._held_then = 0
-        self._held_ms = float("-inf")
+        self._draws = piece_draws.PieceDraws(
+            self._on_drawn, self._on_not_drawn, time
+        )
+        self._standstill = standstill.Standstill(time)
         self._announced_ms = 0.0
 
     def attach(
@@ -141,6 +108,7 @@
     def set_origin(self, origin: version_digests.Origin | None) -> None:
         """Takes the origin to draw from."""
         self._digests.origin = origin
+        self._draws.origin = origin
 
     def set_peers(
         self, peers: dict[str, members.Member], near: set[str]
@@ -191,21 +159,14 @@
         while len(self._wholes) > WHOLES_KEPT:
             self._wholes.popitem(last=False)
         self._wanted = wanted
-        self._downloads.clear()
+        self._downloads.fetch(
+            piece_downloads.Version(wanted.name, whole.manifest.chunk_size)
+        )
         self._swarm = swarm.Swarm(
             ids.VmId(self._own.vm_id),
             whole.manifest.chunks,
             whole.held,
-            swarm.SwarmPolicy(
-                ORIGIN_COPIES_MAX,
-                TAKEOVER_MS,
-                in_flight_max=DOWNLOADS_MAX,
-                origin_in_flight_max=1,
-                credits_per_peer=2,
-                takeover_max_ms=TAKEOVER_MAX_MS,
-                import_takeover_ms=IMPORT_TAKEOVER_MS,
-                rare_wait_ms=RARE_WAIT_MS,
-            ),
+            piece_policy.POLICY,
             self._clock.now_ms(),
             self._rng,
             0.0 if is_new else NEIGHBOURS_FIRST_MS,
@@ -304,53 +265,22 @@
         )
         self._send(name, hello)
 
-    # Downloads.
+    # Pieces that arrive.
 
     def _on_fragment(
         self, name: str, reply: fleet_messages.FragmentReply
     ) -> None:
-        download = self._downloads.get(reply.index)
         current = self._current(reply.manifest)
-        if current is None or download is None or download.peer != name:
+        if current is None or not self._downloads.awaits(name, reply):
             return
         if reply.data is None:
-            del self._downloads[reply.index]
+            self._downloads.cancel(reply.index)
             now_ms = self._clock.now_ms()
             current.refused(reply.index, ids.VmId(name), now_ms)
             return
-        if reply.offset != len(download.data):
-            return
-        download.data += reply.data
-        if len(download.data) < self._piece_bytes(reply.index):
-            self._request_fragment(reply.index)
-            return
-        del self._downloads[reply.index]
-        self._take_piece(
-            reply.manifest, reply.index, bytes(download.data), name
-        )
-
-    def _piece_bytes(self, index: int) -> int:
-        if self._wanted is None:
-            return 0
-        return self._wholes[self._wanted.name].manifest.chunk_size(index)
-
-    def _request_fragment(self, index: int) -> None:
-        """Asks for the next fragment when the link has room for it."""
-        wait_ms = self._down.reserve(
-            piece_uploads.FRAGMENT_BYTES, self._clock.now_ms()
-        )
-        asyncio.get_running_loop().call_later(
-            wait_ms / _MS, self._send_request, index
-        )
-
-    def _send_request(self, index: int) -> None:
-        download = self._downloads.get(index)
-        if download is None or self._wanted is None:
-            return
-        request = fleet_messages.FragmentRequest(
-            manifest=self._wanted.name, index=index, offset=len(download.data)
-        )
-        self._send(download.peer, request)
+        data = self._downloads.take(reply)
+        if data is not None:
+            self._take_piece(reply.manifest, reply.index, data, name)
 
     def _take_piece(
         self, name: str, index: int, data: bytes, peer: str | None
@@ -394,46 +324,29 @@
             return
         self._announce(self._swarm, self._wanted)
         self._drop_silent(self._swarm)
-        self._log_standstill(self._swarm)
+        self._standstill.check(self._swarm)
         for action in self._swarm.next_actions(self._clock.now_ms()):
             match action:
                 case swarm.FetchFromPeer():
-                    self._downloads[action.index] = _Download(
-                        action.peer_id, bytearray()
-                    )
-                    self._request_fragment(action.index)
+                    self._downloads.start(action.index, action.peer_id)
                 case swarm.CancelFetch():
-                    self._downloads.pop(action.index, None)
+                    self._downloads.cancel(action.index)
                 case swarm.FetchFromOrigin():
-                    self._draw(self._wanted, action.index)
+                    self._draws.start(self._wanted, action.index)
 
-    def _draw(self, wanted: version_digests.Wanted, index: int) -> None:
-        task = asyncio.create_task(self._draw_piece(wanted, index))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
-
-    async def _draw_piece(
-        self, wanted: version_digests.Wanted, index: int
+    def _on_drawn(
+        self, wanted: version_digests.Wanted, index: int, data: bytes
     ) -> None:
-        started_ms = self._clock.now_ms()
-        try:
-            if self._digests.origin is None:
-                raise clients.PlatformError("the origin is not known")
-            data = await self._digests.origin.piece(
-                wanted.model, wanted.version, index
-            )
-        except clients.PlatformError as error:
-            logs.log("piece_unavailable", index=index, detail=error)
-            current = self._current(wanted.name)
-            if current is not None:
-                current.origin_failed(
-                    index, error.retry_after_ms, self._clock.now_ms()
-                )
-            return
-        taken_ms = self._clock.now_ms() - started_ms
-        logs.log("piece_drawn", index=index, taken_ms=round(taken_ms))
         self._take_piece(wanted.name, index, data, None)
 
+    def _on_not_drawn(
+        self, wanted: version_digests.Wanted, index: int, retry_after_ms: float
+    ) -> None:
+        current = self._current(wanted.name)
+        if current is not None:
+            now_ms = self._clock.now_ms()
+            current.origin_failed(index, retry_after_ms, now_ms)
+
     def _announce(
         self, current: swarm.Swarm, wanted: version_digests.Wanted
     ) -> None:
@@ -452,22 +365,6 @@
             if self._links is not None:
                 self._links.send_bytes(name, data)
 
-    def _log_standstill(self, current: swarm.Swarm) -> None:
-        """Says which pieces are missing while none comes."""
-        now_ms = self._clock.now_ms()
-        if current.complete or len(current.held) != self._held_then:
-            self._held_then = len(current.held)
-            self._held_ms = now_ms
-            return
-        if now_ms - self._held_ms < STANDSTILL_MS:
-            return
-        self._held_ms = now_ms
-        stuck = [
-            f"{index}:{holders}"
-            for index, holders in current.missing()[:STANDSTILL_LISTED]
-        ]
-        logs.log("pieces_stand_still", held=self._held_then, missing=stuck)
-
     def _drop_silent(self, current: swarm.Swarm) -> None:
         if current.settled:
             return
@@ -475,9 +372,7 @@
         for name in current.peer_ids:
             if self._heard_ms.get(name, 0.0) < horizon_ms:
                 current.peer_lost(name)
-                for index, download in list(self._downloads.items()):
-                    if download.peer == name:
-                        del self._downloads[index]
+                self._downloads.drop_peer(name)
 
     def _current(self, name: str) -> swarm.Swarm | None:
         wanted = self._wanted is not None and name == self._wanted.name
