--- /dev/null
+++ b/tests/direct/test_load_exchange.py
@@ -0,0 +1,108 @@
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import members
+from marlramp.core import peer_loads
+from marlramp.core import replica_table
+from marlramp.direct import load_exchange
+from marlramp.direct import member_sync
+from marlramp.protocol import fleet_messages
+
+REPLICA = fleet.Replica(
+    replica_id="i-1",
+    service_id=ids.ServiceId("s"),
+    address="127.0.0.1:1",
+    data_centre=ids.DataCentreId("dc-1"),
+    slots=16,
+    state=fleet.ReplicaState.HEALTHY,
+    weights=1,
+)
+
+
+def entry(name: str, data_centre: str = "dc-1") -> members.Member:
+    return members.Member(
+        name, members.MemberKind.ENTRY, data_centre, "127.0.0.1", 1
+    )
+
+
+class Sent(member_sync.MemberSync):
+    """Keeps what is sent instead of sending it."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        super().__init__(entry("entry-1"), [], time, lambda _: None)
+        self.sent: list[tuple[set[str], fleet_messages.OwnLoads]] = []
+
+    def send_all(self, vm_ids: Iterable[str], message: msgspec.Struct) -> None:
+        assert isinstance(message, fleet_messages.OwnLoads)
+        self.sent.append((set(vm_ids), message))
+
+
+@pytest.fixture
+def sync(time: clock.ManualClock) -> Sent:
+    found = Sent(time)
+    for member in (entry("entry-2"), entry("entry-3", "dc-2")):
+        found.members.introduced(member, time.now_ms())
+    return found
+
+
+@pytest.fixture
+def table(time: clock.ManualClock) -> replica_table.ReplicaTable:
+    known = catalog.Catalog()
+    known.apply([catalog.ReplicaChange(1, "i-1", REPLICA)], time.now_ms())
+    found = replica_table.ReplicaTable()
+    found.sync(known, time.now_ms())
+    return found
+
+
+@pytest.fixture
+def exchange(
+    sync: Sent, table: replica_table.ReplicaTable, time: clock.ManualClock
+) -> load_exchange.LoadExchange:
+    return load_exchange.LoadExchange(
+        entry("entry-1"), {"dc-1"}, sync, table, counters.Counters(), time
+    )
+
+
+def test_only_entries_of_the_region_are_told(
+    exchange: load_exchange.LoadExchange,
+    sync: Sent,
+    table: replica_table.ReplicaTable,
+    time: clock.ManualClock,
+) -> None:
+    view = table.get("i-1")
+    assert view is not None
+    view.note_sent(700, time.now_ms())
+    exchange._tell()
+    loads = [peer_loads.OwnLoad("i-1", 1, 700)]
+    assert sync.sent == [({"entry-2"}, fleet_messages.OwnLoads(loads=loads))]
+    time.advance(load_exchange.TELL_MS)
+    exchange._tell()
+    assert len(sync.sent) == 1
+    view.note_read(700)
+    time.advance(load_exchange.TELL_MS)
+    exchange._tell()
+    assert sync.sent[-1][1].loads == [peer_loads.OwnLoad("i-1", 1, 0)]
+
+
+def test_loads_of_an_entry_that_fell_silent_end(
+    exchange: load_exchange.LoadExchange,
+    table: replica_table.ReplicaTable,
+    time: clock.ManualClock,
+) -> None:
+    view = table.get("i-1")
+    assert view is not None
+    told = fleet_messages.OwnLoads(loads=[peer_loads.OwnLoad("i-1", 3, 900)])
+    exchange.on_message("entry-2", told)
+    assert view.others_in_flight == 3
+    time.advance(members.ALIVE_MS + load_exchange.REFRESH_MS)
+    exchange._tell()
+    assert (view.others_in_flight, view.others_unread) == (0, 0)
