--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -173,3 +173,18 @@
     time.advance(BOUND_MS + 1.0)
     known.store_down(BOUND_MS, time.now_ms())
     assert oldest(known, time.now_ms()) == 2
+
+
+def test_version_told_without_age_after_an_outage_binds_after_it(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    time.advance(100_000.0)
+    known.apply([named(1, 1, age_ms=50_000.0)], time.now_ms())
+    for _ in range(60):
+        time.advance(100.0)
+        known.store_down(BOUND_MS, time.now_ms())
+    time.advance(200.0)
+    # An entry that started meanwhile finds it at its first read.
+    known.apply([named(2, 2, age_ms=None)], time.now_ms())
+    time.advance(BOUND_MS - 1_500.0)
+    assert oldest(known, time.now_ms()) == 1
