Fleets of stand-ins take free addresses

A fleet now reserves its group and takes the next free one. Test: test_fleets_of_one_group_get_addresses_of_their_own (failed before: the same addresses).

--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import pathlib
+import socket
 import sys
 from typing import Self
 
@@ -19,6 +20,10 @@
 POLL_S = 0.05
 LOOKUP_PORT = 8_009
 CALLERS_PORT = 8_005
+GROUPS = 256
+RESERVED_PORT = 8_999
+"""Bound as long as a fleet uses its addresses."""
+
 PROXY_PORTS_UP = 1_000
 """Added to a port to get that of the proxy before it."""
 
@@ -52,15 +57,16 @@
           folder: where settings files and logs go.
           entries: entries to start.
           engines: engines, each with an agent.
-          group: tells fleets that run at once apart, 0 to 255.
+          group: number of its addresses, 0 to 255; the next free one is taken
+            if another fleet on this machine has it.
           desks: replicas of the plain service.
           proxied: whether connections go through proxies that can fail them.
         """
         self._folder = folder
-        self._group = group
+        self._stack = contextlib.AsyncExitStack()
+        self._group = self._reserve(group)
         self._proxied = proxied
         self.proxies: dict[str, fault_proxy.FaultProxy] = {}
-        self._stack = contextlib.AsyncExitStack()
         self.store = direct_platform.Store()
         self.origin = direct_platform.Origin()
         self.entry_hosts = [self._host(1 + n) for n in range(entries)]
@@ -168,6 +174,22 @@
         """Returns what a daemon has written."""
         return (self._folder / f"{name}.log").read_text()
 
+    def _reserve(self, group: int) -> int:
+        """Returns the first free group from `group` on, kept until the end.
+
+        Two fleets with the same addresses would answer for each other.
+        """
+        for number in range(group, group + GROUPS):
+            held = socket.socket()
+            try:
+                held.bind((f"{NETWORK}.{number % GROUPS}.254", RESERVED_PORT))
+            except OSError:
+                held.close()
+                continue
+            self._stack.callback(held.close)
+            return number % GROUPS
+        raise RuntimeError("no addresses are free for a fleet")
+
     def _host(self, number: int) -> str:
         return f"{NETWORK}.{self._group}.{number}"
 
