Connections that go silent are probed and ended; idle ones beside them are dropped

Cause: a connection can go silent for good while new ones work (new on the users' pages). TCP_USER_TIMEOUT ends one only with bytes unacknowledged; an idle one in a pool met the next request. Ruled out: application pings to replicas (priced as probes). After a stall or a call without an answer the pool's idle connections go too.

--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -95,6 +95,8 @@
                     pool, connection, method, head, body
                 )
         except TimeoutError as error:
+            # Idle connections there may have gone silent with this one.
+            pool.close()
             raise CallError("no answer in time", sent=True) from error
 
     async def _open(
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -10,13 +10,13 @@
 
 import asyncio
 import enum
-import socket
 from typing import Protocol
 
 import httptools
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import silence
 
 CONNECT_TIMEOUT_MS = 400.0
 """Some 60 round trips between regions; a replica that has not taken a
@@ -145,13 +145,7 @@
         if not isinstance(transport, asyncio.Transport):
             raise TypeError("a stream transport is needed")
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_MAX_MS,
-            )
+        silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
         """Parses what arrived; bytes without a request end the connection."""
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -12,7 +12,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import socket
 import struct
 
 import msgspec
@@ -23,6 +22,7 @@
 from marlramp.core import members
 from marlramp.protocol import codec
 from marlramp.shell import safely
+from marlramp.shell import silence
 
 FRAME_BYTES_MAX = 16_777_216
 NAME_BYTES_MAX = 256
@@ -86,13 +86,7 @@
         if not isinstance(transport, asyncio.Transport):
             raise TypeError("a stream transport is needed")
         self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_MAX_MS,
-            )
+        silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
         self._buffer += data
