Versions of unknown age: from an outage's end also for the first one; ages from peers

The first version ever named came during an outage of the store; processes that had restarted meanwhile found it without an age, let it bind at once, and told it so to the others. Now any process that knew the store before counts it from the outage's end, and one that found it without an age takes the age from another. Ruled out: to bind later by default, which would break the bound on versions. Two tests fail before.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -286,8 +286,9 @@
     def _apply_target(self, change: TargetChange, now_ms: clock.Millis) -> bool:
         known = self.targets.get(change.target.model)
         if known is not None and change.revision <= known.revision:
+            self._learn_age(change, known, now_ms)
             return False
-        named_ms = self._learnt_ms(change, known, now_ms)
+        named_ms = self._learnt_ms(change, now_ms)
         named = [] if known is None else known.named[-VERSIONS_KEPT:]
         self.targets[change.target.model] = KnownTarget(
             change.target,
@@ -297,22 +298,35 @@
         return True
 
     def _learnt_ms(
-        self,
-        change: TargetChange,
-        known: KnownTarget | None,
-        now_ms: clock.Millis,
+        self, change: TargetChange, now_ms: clock.Millis
     ) -> float | None:
         """Returns from when a named version counts, None if unknown.
 
-        A process that knew the version before when the store went down counts
-        a version of unknown age from the end of that outage, since the time to
-        bring it into force counts only while the store serves.
+        A process that knew the store before it went down counts a version of
+        unknown age from the end of that outage, since the time to bring it
+        into force counts only while the store serves.
         """
         if change.age_ms is not None:
             return max(now_ms - change.age_ms, self._store_down_ms)
-        if known is None or self._store_down_ms == float("-inf"):
-            return None
-        return self._store_down_ms
+        knew_before = self.config is not None or bool(self.targets)
+        if knew_before and self._store_down_ms > float("-inf"):
+            return self._store_down_ms
+        return None
+
+    def _learn_age(
+        self, change: TargetChange, known: KnownTarget, now_ms: clock.Millis
+    ) -> None:
+        """Takes the age of a version from a process that knows it.
+
+        A process that has just started finds versions in the store without an
+        age; without the word of the others it would let them bind at once and
+        leave every engine that still holds the version before.
+        """
+        newest = known.named[-1]
+        same = change.revision == known.revision
+        if same and newest.named_ms is None and change.age_ms is not None:
+            named_ms = max(now_ms - change.age_ms, self._store_down_ms)
+            known.named[-1] = NamedVersion(newest.version, named_ms)
 
     def _apply_replica(
         self, change: ReplicaChange, now_ms: clock.Millis
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -199,3 +199,56 @@
     known.apply([named(2, 2, age_ms=None)], time.now_ms())
     time.advance(BOUND_MS - 1_500.0)
     assert oldest(known, time.now_ms()) == 1
+
+
+def test_first_version_named_in_an_outage_binds_after_it(
+    known: catalog.Catalog, make_config: MakeConfig, time: clock.ManualClock
+) -> None:
+    # No version was ever named before the outage, so that none is known.
+    time.advance(100_000.0)
+    known.apply([catalog.ConfigChange(1, make_config())], time.now_ms())
+    for _ in range(60):
+        time.advance(100.0)
+        known.store_down(BOUND_MS, time.now_ms())
+    time.advance(200.0)
+    known.apply([named(2, 2, age_ms=None)], time.now_ms())
+    time.advance(BOUND_MS - 1_500.0)
+    assert oldest(known, time.now_ms()) == 1
+    time.advance(1_500.0)
+    assert oldest(known, time.now_ms()) == 2
+
+
+def test_restarted_process_learns_a_versions_age_from_another(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    time.advance(100_000.0)
+    known.apply([named(2, 2, age_ms=None)], time.now_ms())
+    assert oldest(known, time.now_ms()) == 2
+    known.apply([named(2, 2, age_ms=500.0)], time.now_ms())
+    assert oldest(known, time.now_ms()) == 1
+    time.advance(BOUND_MS - 500.0)
+    assert oldest(known, time.now_ms()) == 2
+
+
+def test_request_that_waits_may_begin_until_the_next_version_binds(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    known.apply([named(1, 2), named(2, 3)], time.now_ms())
+    target = known.targets["m"]
+    ends_ms = weights_gate.begins_until_ms(target, BOUND_MS, 1)
+    assert ends_ms == time.now_ms() + BOUND_MS - weights_gate.LEAVE_MARGIN_MS
+    ends_ms = weights_gate.begins_until_ms(target, BOUND_MS, 3)
+    assert ends_ms == float("inf")
+
+
+def test_request_that_yields_leaves_the_old_version_sooner(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    known.apply([named(1, 2)], time.now_ms())
+    time.advance(BOUND_MS - 2_000.0)
+    started_ms = -60_000.0
+    target = known.targets["m"]
+    for wait_ms, expected in ((700.0, 1), (2_400.0, 2)):
+        assert expected == weights_gate.oldest_allowed(
+            target, BOUND_MS, started_ms, time.now_ms(), wait_ms
+        )
