--- a/src/marlramp/direct/selection.py
+++ b/src/marlramp/direct/selection.py
@@ -22,9 +22,10 @@
 """Between two looks for a replica while none takes work: agents report a
 change as soon."""
 
-HOLD_SHARE_MAX = 0.22
-"""Part of its objective that a request waits for a replica to open; beyond a
-quarter a wait without an offer costs more than an early refusal."""
+HOLD_SHARE_MAX = 0.12
+"""Part of its objective that a request waits for a replica to open: long enough
+for one that is spared for a moment, short enough that its caller loses nothing
+if none does."""
 
 RETRY_AFTER_PLAIN_MS = 500.0
 """When to come back to a plain service if nothing better is known."""
--- /dev/null
+++ b/tests/direct/test_side_server.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from marlramp import clock
+from marlramp import counters
+from marlramp.direct import metrics
+from marlramp.direct import side_server
+from marlramp.experiments import fleet
+from marlramp.settings import node
+
+
+async def get(port: int, path: str) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        f"GET {path} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n".encode()
+    )
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [("/metrics?x=1", b"200"), ("/other", b"404"), ("/broken", b"500")],
+)
+def test_pages_are_found_by_their_path(path: str, status: bytes) -> None:
+    async def broken() -> side_server.Page:
+        raise ValueError("a page that fails")
+
+    async def main() -> bytes:
+        totals = counters.Counters()
+        totals.add(counters.CounterName.REFUSALS, "late", 3)
+        pages = {
+            **side_server.metrics_pages(metrics.Metrics(totals).text),
+            "/broken": broken,
+        }
+        (port,) = fleet.free_ports(1)
+        address = node.Address("127.0.0.1", port)
+        server = side_server.SideServer(pages, [address], clock.SystemClock())
+        await server.start()
+        answer = await get(port, path)
+        server.stop()
+        return answer
+
+    answer = asyncio.run(main())
+    assert answer.split(b" ", 2)[1] == status
+    if status == b"200":
+        assert b"marlramp_refusals_total{" in answer
+
+
+def test_latencies_from_before_the_first_look_are_exported() -> None:
+    async def main() -> bytes:
+        measured = metrics.Metrics(counters.Counters())
+        measured.record_answer(12.0)
+        measured.record_first_event(7.0)
+        return await measured.text()
+
+    text = asyncio.run(main())
+    assert b"marlramp_answer_milliseconds_count" in text
+    assert b"marlramp_first_event_milliseconds_count" in text
