Rooms for calls, weights and fleet on the direct path

direct/ was a flat room of 30 modules; a request's way and a piece's way crossed in it. Modules move unchanged but for imports; tests mirror them. No behaviour changes: linter, types and the tests of core, direct, console, platform and shell are green.

--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -20,13 +20,13 @@
 from marlramp.core import members
 from marlramp.core import replica_table
 from marlramp.core import swap_times
-from marlramp.direct import member_sync
 from marlramp.direct import metrics
-from marlramp.direct import piece_exchange
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
-from marlramp.direct import version_digests
-from marlramp.direct import weights_loader
+from marlramp.direct.fleet import member_sync
+from marlramp.direct.weights import piece_exchange
+from marlramp.direct.weights import version_digests
+from marlramp.direct.weights import weights_loader
 from marlramp.platform import clients
 from marlramp.platform import replica_api
 from marlramp.platform import store
--- /dev/null
+++ b/src/marlramp/direct/calls/__init__.py
@@ -0,0 +1,1 @@
+"""A request on its way: admission, choice, sends, answers."""
--- a/src/marlramp/direct/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -10,7 +10,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp.core import event_stream
-from marlramp.direct import wire
+from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
 
--- a/src/marlramp/direct/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -5,8 +5,8 @@
 from marlramp import clock
 from marlramp.core import caller_patience
 from marlramp.core import fleet
-from marlramp.direct import attempts
-from marlramp.direct import wire
+from marlramp.direct.calls import attempts
+from marlramp.direct.calls import wire
 from marlramp.shell import http1_server
 
 HINT_FACTOR = 1.6
--- a/src/marlramp/direct/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -19,12 +19,12 @@
 from marlramp.core import retry_share
 from marlramp.core import route_table
 from marlramp.core import upstream_choice
-from marlramp.direct import attempts
-from marlramp.direct import call as call_module
-from marlramp.direct import own_answers
-from marlramp.direct import selection
-from marlramp.direct import sender
-from marlramp.direct import wire
+from marlramp.direct.calls import attempts
+from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import own_answers
+from marlramp.direct.calls import selection
+from marlramp.direct.calls import sender
+from marlramp.direct.calls import wire
 from marlramp.settings import node
 from marlramp.shell import http1_server
 
--- a/src/marlramp/direct/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -7,8 +7,8 @@
 from marlramp.core import queue_place
 from marlramp.core import replica_table
 from marlramp.core import upstream_choice
-from marlramp.direct import attempts
-from marlramp.direct import wire
+from marlramp.direct.calls import attempts
+from marlramp.direct.calls import wire
 
 
 class ReplicaObserver:
--- a/src/marlramp/direct/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -15,7 +15,7 @@
 from marlramp.core import replica_table
 from marlramp.core import upstream_choice
 from marlramp.core import weights_gate
-from marlramp.direct import call as call_module
+from marlramp.direct.calls import call as call_module
 from marlramp.settings import node
 
 CHOICE_POLL_MS = 20.0
--- a/src/marlramp/direct/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -13,10 +13,10 @@
 from marlramp.core import fleet
 from marlramp.core import queue_place
 from marlramp.core import upstream_choice
-from marlramp.direct import attempts
-from marlramp.direct import call as call_module
-from marlramp.direct import replica_observer
-from marlramp.direct import wire
+from marlramp.direct.calls import attempts
+from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import replica_observer
+from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 
 STALL_FLOOR_MS = 900.0
--- /dev/null
+++ b/src/marlramp/direct/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""What processes tell one another and read from the store."""
--- a/src/marlramp/direct/agent_guide.py
+++ b/src/marlramp/direct/fleet/agent_guide.py
@@ -8,7 +8,7 @@
 from marlramp.core import catalog
 from marlramp.core import guidance
 from marlramp.core import members
-from marlramp.direct import member_sync
+from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 REFRESH_MS = 2_000.0
--- a/src/marlramp/direct/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -9,9 +9,9 @@
 from marlramp.core import catalog
 from marlramp.core import members
 from marlramp.core import reader_duty
-from marlramp.direct import catalog_log
-from marlramp.direct import catalog_news
-from marlramp.direct import member_sync
+from marlramp.direct.fleet import catalog_log
+from marlramp.direct.fleet import catalog_news
+from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 REQUEST_NEWS_MS = 500.0
--- a/src/marlramp/direct/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -10,7 +10,7 @@
 from marlramp.core import members
 from marlramp.core import peer_loads
 from marlramp.core import replica_table
-from marlramp.direct import member_sync
+from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 from marlramp.shell import safely
 
--- /dev/null
+++ b/src/marlramp/direct/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weights on their way: digests, pieces, loads."""
--- a/src/marlramp/direct/piece_downloads.py
+++ b/src/marlramp/direct/weights/piece_downloads.py
@@ -9,7 +9,7 @@
 
 from marlramp import clock
 from marlramp.core import pacing
-from marlramp.direct import piece_uploads
+from marlramp.direct.weights import piece_uploads
 from marlramp.protocol import fleet_messages
 
 _MS = clock.MILLIS_PER_SECOND
--- a/src/marlramp/direct/piece_draws.py
+++ b/src/marlramp/direct/weights/piece_draws.py
@@ -7,7 +7,7 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.direct import version_digests
+from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 
 type OnDrawn = Callable[[version_digests.Wanted, int, bytes], None]
--- a/src/marlramp/direct/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -20,8 +20,8 @@
 from marlramp.core import engine_state
 from marlramp.core import manifest
 from marlramp.core import swap_times
-from marlramp.direct import piece_exchange
-from marlramp.direct import version_digests
+from marlramp.direct.weights import piece_exchange
+from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 
 POLL_MS = 100.0
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -4,7 +4,7 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.direct import wire
+from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
 
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -18,8 +18,8 @@
 from marlramp.core import fleet
 from marlramp.core import replica_table
 from marlramp.core import route_table
-from marlramp.direct import forwarder
 from marlramp.direct import metrics
+from marlramp.direct.calls import forwarder
 from marlramp.platform import headers
 from marlramp.settings import node
 from marlramp.shell import http1_server
--- a/tests/direct/test_agent_guide.py
+++ b/tests/direct/fleet/test_agent_guide.py
@@ -7,8 +7,8 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import members
-from marlramp.direct import agent_guide
-from marlramp.direct import member_sync
+from marlramp.direct.fleet import agent_guide
+from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 CONFIG = fleet.FleetConfig(
--- a/tests/direct/test_load_exchange.py
+++ b/tests/direct/fleet/test_load_exchange.py
@@ -13,8 +13,8 @@
 from marlramp.core import members
 from marlramp.core import peer_loads
 from marlramp.core import replica_table
-from marlramp.direct import load_exchange
-from marlramp.direct import member_sync
+from marlramp.direct.fleet import load_exchange
+from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 REPLICA = fleet.Replica(
--- a/tests/direct/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -7,7 +7,7 @@
 from marlramp import counters
 from marlramp.core import catalog
 from marlramp.core import fleet
-from marlramp.direct import store_reader
+from marlramp.direct.fleet import store_reader
 from marlramp.platform import clients
 from marlramp.platform import store
 
--- a/tests/direct/test_piece_downloads.py
+++ b/tests/direct/weights/test_piece_downloads.py
@@ -6,8 +6,8 @@
 import pytest
 
 from marlramp import clock
-from marlramp.direct import piece_downloads
-from marlramp.direct import piece_uploads
+from marlramp.direct.weights import piece_downloads
+from marlramp.direct.weights import piece_uploads
 from marlramp.protocol import fleet_messages
 
 PIECE = bytes(range(256)) * 32
--- a/tests/direct/test_standstill.py
+++ b/tests/direct/weights/test_standstill.py
@@ -9,7 +9,7 @@
 from marlramp import ids
 from marlramp import logs
 from marlramp.core import swarm
-from marlramp.direct import standstill
+from marlramp.direct.weights import standstill
 
 
 @pytest.fixture
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,7 +5,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.direct import wire
+from marlramp.direct.calls import wire
 from marlramp.platform import headers
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
