--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -15,6 +15,7 @@
 from marlramp.experiments import calls as calls_run
 from marlramp.experiments import capacity as capacity_run
 from marlramp.experiments import overload as overload_run
+from marlramp.experiments import overload_plan
 from marlramp.experiments import parts as parts_run
 from marlramp.experiments import rollout as rollout_run
 from marlramp.settings import schema
@@ -191,7 +192,7 @@
 @app.command
 def overload(
     *,
-    policy: overload_run.Policy = overload_run.Policy.SHIPPED,
+    policy: overload_plan.Policy = overload_plan.Policy.SHIPPED,
     engines: int = 6,
     entries: int = 6,
     regions: int = 3,
@@ -215,7 +216,7 @@
       seed: seed of all that is random.
       json: print JSON, for scripts.
     """
-    plan = overload_run.Plan(
+    plan = overload_plan.Plan(
         policy=policy,
         engines=engines,
         entries=entries,
@@ -226,7 +227,7 @@
         seed=seed,
     )
     try:
-        overload_run.check(plan)
+        overload_plan.check(plan)
     except ValueError as error:
         output.print_error(str(error))
         return int(exit_codes.ExitCode.USAGE)
@@ -238,8 +239,8 @@
         (number, *msgspec.structs.astuple(second))
         for number, second in enumerate(played)
     ]
-    rows.append(("all", *msgspec.structs.astuple(overload_run.total(played))))
-    columns = ["from second", *overload_run.Second.__struct_fields__]
+    rows.append(("all", *msgspec.structs.astuple(overload_plan.total(played))))
+    columns = ["from second", *overload_plan.Second.__struct_fields__]
     output.print_table(f"Load replayed, {policy.value}", columns, rows)
     return int(exit_codes.ExitCode.OK)
 
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -7,13 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import enum
 import heapq
 import itertools
 import random
 
-import msgspec
-
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
@@ -28,6 +25,7 @@
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import wire
 from marlramp.experiments import overload_engine
+from marlramp.experiments import overload_plan
 
 SPEC = fleet.EngineSpec(
     model="m",
@@ -68,70 +66,6 @@
 _MS = clock.MILLIS_PER_SECOND
 
 
-class Policy(enum.Enum):
-    """Which decisions are replayed."""
-
-    SHIPPED = "shipped"
-    SEND_ALL = "send_all"
-
-
-class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """A load to replay.
-
-    Attributes:
-      policy: the decisions.
-      engines: model engines.
-      entries: entries, each in one of the regions by turns.
-      regions: regions; engines lie in them by turns too.
-      load: arrivals as a multiple of what the engines serve.
-      seconds: how long callers arrive.
-      outage_s: how long no engine serves, from a quarter of the time on.
-      seed: seed of all that is random.
-    """
-
-    policy: Policy = Policy.SHIPPED
-    engines: int = 6
-    entries: int = 6
-    regions: int = 3
-    load: float = 1.15
-    seconds: float = 20.0
-    outage_s: float = 0.0
-    seed: int = 1
-
-
-def check(plan: Plan) -> None:
-    """Refuses a plan that can't be replayed.
-
-    Raises:
-      ValueError: naming the first field that is wrong.
-    """
-    for name in ("engines", "entries", "regions", "load"):
-        if getattr(plan, name) <= 0:
-            raise ValueError(f"{name} must be more than 0")
-    if plan.seconds < 1.0:
-        raise ValueError("seconds must be 1 or more")
-    if not 0.0 <= plan.outage_s < plan.seconds:
-        raise ValueError("outage_s must be 0 or more and less than seconds")
-
-
-class Second(msgspec.Struct):
-    """What became of the callers that first tried in one second.
-
-    Attributes:
-      arrived: callers.
-      in_time: begun within the objective.
-      late: begun later.
-      refused: refused for good.
-      left: left without a first event.
-    """
-
-    arrived: int = 0
-    in_time: int = 0
-    late: int = 0
-    refused: int = 0
-    left: int = 0
-
-
 class _Caller:
     """A caller and its time."""
 
@@ -166,7 +100,7 @@
 class Replay:
     """One replay of a plan."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: overload_plan.Plan) -> None:
         """Builds engines and entries; nothing happens before `run`."""
         self._plan = plan
         self._rng = random.Random(plan.seed)
@@ -182,9 +116,11 @@
             _Entry(f"entry-{n}", n % plan.regions, known, 0.0)
             for n in range(plan.entries)
         ]
-        self.seconds = [Second() for _ in range(int(plan.seconds))]
+        self.seconds = [
+            overload_plan.Second() for _ in range(int(plan.seconds))
+        ]
 
-    def run(self) -> list[Second]:
+    def run(self) -> list[overload_plan.Second]:
         """Plays the load to its end; returns what became of each second."""
         rate = self._plan.load * CAPACITY_PER_ENGINE * self._plan.engines
         at_ms = 0.0
@@ -240,7 +176,7 @@
         self._second(caller).arrived += 1
         self._try(caller)
 
-    def _second(self, caller: _Caller) -> Second:
+    def _second(self, caller: _Caller) -> overload_plan.Second:
         return self.seconds[int(caller.first_ms / _MS)]
 
     def _try(self, caller: _Caller) -> None:
@@ -259,7 +195,7 @@
             elapsed_ms=entry.waits.spent_ms(left_ms),
             stays_ms=min(left_ms, GAP_MAX_MS),
             objective_ms=OBJECTIVE_MS,
-            begun=self._plan.policy is Policy.SEND_ALL,
+            begun=self._plan.policy is overload_plan.Policy.SEND_ALL,
         )
         views = entry.table.of(ids.ServiceId("s"))
         decision = admission.decide(
@@ -415,13 +351,3 @@
         load=wire.ReplicaLoad(engine.running, engine.waiting),
         headers=[],
     )
-
-
-def total(seconds: list[Second]) -> Second:
-    """Returns the sum of some seconds."""
-    return Second(
-        **{
-            name: sum(getattr(second, name) for second in seconds)
-            for name in Second.__struct_fields__
-        }
-    )
--- a/tests/experiments/test_overload.py
+++ b/tests/experiments/test_overload.py
@@ -5,17 +5,18 @@
 import pytest
 
 from marlramp.experiments import overload
+from marlramp.experiments import overload_plan
 
 
-def played(**changes: object) -> list[overload.Second]:
-    plan = overload.Plan(**changes)  # type: ignore[arg-type]
+def played(**changes: object) -> list[overload_plan.Second]:
+    plan = overload_plan.Plan(**changes)  # type: ignore[arg-type]
     return overload.Replay(plan).run()
 
 
-def served_in_time(seconds: list[overload.Second], engines: int) -> float:
+def served_in_time(seconds: list[overload_plan.Second], engines: int) -> float:
     """Returns the part of what the engines can serve that came in time."""
     capacity = overload.CAPACITY_PER_ENGINE * engines * len(seconds)
-    return overload.total(seconds).in_time / capacity
+    return overload_plan.total(seconds).in_time / capacity
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -34,19 +35,21 @@
 ) -> None:
     seconds = played(load=0.75, seconds=16.0, outage_s=2.0, seed=seed)
     # The outage lasts from 4 to 6 s, and those refused come back until 8 s.
-    after = overload.total(seconds[8:14])
+    after = overload_plan.total(seconds[8:14])
     assert after.in_time > 0.8 * after.arrived
 
 
 def test_entries_with_stale_views_serve_more_than_if_nobody_yields() -> None:
     size = {"entries": 24, "engines": 10, "load": 1.3, "seconds": 12.0}
-    shipped = overload.total(played(**size))
-    baseline = overload.total(played(**size, policy=overload.Policy.SEND_ALL))
+    shipped = overload_plan.total(played(**size))
+    baseline = overload_plan.total(
+        played(**size, policy=overload_plan.Policy.SEND_ALL)
+    )
     assert shipped.in_time > 2 * baseline.in_time
 
 
 def test_calm_load_is_served_in_time() -> None:
-    calm = overload.total(played(load=0.6, seconds=10.0))
+    calm = overload_plan.total(played(load=0.6, seconds=10.0))
     assert calm.in_time > 0.97 * calm.arrived
     assert calm.refused == calm.left == 0
 
@@ -63,4 +66,4 @@
     changes: dict[str, object], name: str
 ) -> None:
     with pytest.raises(ValueError, match=name):
-        overload.check(overload.Plan(**changes))  # type: ignore[arg-type]
+        overload_plan.check(overload_plan.Plan(**changes))  # type: ignore[arg-type]
