--- a/soak/promises.py
+++ b/soak/promises.py
@@ -113,8 +113,9 @@
 GRACE_MS = 8_000.0
 """A daemon that was asked to end is killed after this."""
 
-START_MS = 3_000.0
-"""A daemon that starts may end by the signal itself: it has taken nothing."""
+START_MS = 1_000.0
+"""A daemon whose interpreter still starts may end by the signal itself: it has
+taken nothing."""
 
 LAST_SHARE_MIN = 0.95
 """Part of the last calls that must be served."""
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -160,6 +160,9 @@
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_ms / _MS)
             process.send_signal(signal.SIGCONT)
+            # A process that stands still does not get on with its start.
+            if fault.target in self._started_ms:
+                self._started_ms[fault.target] += fault.for_ms
 
     async def _reload(self, fault: schedule.Fault) -> None:
         async with self._lock(fault.target):
--- a/src/marlrampd.py
+++ b/src/marlrampd.py
@@ -7,6 +7,10 @@
 # this, so that it misses no change.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# One that is stopped before it serves has nothing to finish: it ends well
+# instead of by the signal.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+
 
 def main() -> None:
     """Runs the daemon; the command line is loaded only if it is used."""
--- a/tests/console/test_daemon.py
+++ b/tests/console/test_daemon.py
@@ -68,3 +68,27 @@
         timeout=20,
     )
     assert ended.stdout == "[]\n", ended
+
+
+def test_process_that_is_stopped_while_it_starts_ends_well() -> None:
+    # Stands for the time that loading the daemon takes: it never ends here.
+    script = (
+        "import signal, sys\n"
+        "sys.modules['marlramp.console'] = None\n"
+        "sys.modules['marlramp.direct'] = None\n"
+        "import marlrampd\n"
+        "try:\n"
+        "    marlrampd.main()\n"
+        "except ImportError:\n"
+        "    signal.raise_signal(signal.SIGTERM)\n"
+        "    print('still there')\n"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", script],
+        cwd=SOURCES,
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=20,
+    )
+    assert (ended.returncode, ended.stdout) == (0, ""), ended
