--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -23,6 +23,7 @@
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
+from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
@@ -272,7 +273,7 @@
     def _on_guide(self, guide: fleet_messages.Guide) -> None:
         now_ms = self._clock.now_ms()
         self._guided_ms = now_ms
-        self._take_targets(list(guide.targets))
+        self._take_targets(list(guide.targets), "guide")
         self._take_origin(guide.origin)
         self._place_peers(guide.agents)
         self._sync.told(guide.entries)
@@ -280,17 +281,16 @@
         if guide.engine is not None:
             self._model = guide.engine.model
 
-    def _take_targets(self, changes: list[catalog.Change]) -> None:
-        now_ms = self._clock.now_ms()
-        for change in self._targets.apply(changes, now_ms):
+    def _take_targets(self, changes: list[catalog.Change], source: str) -> None:
+        """Takes named weights, and what the store holds besides.
+
+        Args:
+          changes: what was told or read.
+          source: who told it, for the log.
+        """
+        for change in self._targets.apply(changes, self._clock.now_ms()):
             if isinstance(change, catalog.TargetChange):
-                logs.log(
-                    "weights_named",
-                    model=change.target.model,
-                    version=change.target.version,
-                    revision=change.revision,
-                    age_ms=change.age_ms,
-                )
+                catalog_log.log_change(change, source)
 
     def _take_origin(self, origin: str) -> None:
         if origin and origin != self._origin:
@@ -394,7 +394,7 @@
         except clients.PlatformError as error:
             logs.log("store_unavailable", detail=error)
             return
-        self._take_targets(snapshot.changes)
+        self._take_targets(snapshot.changes, "store")
         self._targets.advance(snapshot.revision)
         self._learn_from_config()
 
