Sight: a process that ends by an error says why in its first line

Cause of the change: a failed start wrote a bare traceback, of which a report kept the first line, so that three hypotheses could not be told apart; lines of the log that waited were lost as well when an error ended the process. Now one line comes first (event=process_failed with error, place, uptime_s, python), from the standard library alone, since what fails may be the log's own library; waiting lines are written. No logic of start or serving changes.

--- a/src/marlramp/console/daemon.py
+++ b/src/marlramp/console/daemon.py
@@ -10,6 +10,7 @@
 
 from marlramp import __version__
 from marlramp import logs
+from marlramp import process_failure
 from marlramp.direct import launch
 from marlramp.settings import process
 
@@ -50,14 +51,16 @@
             print(f"marlrampd: {error}", file=sys.stderr)
         return launch.EXIT_SETTINGS_REFUSED
     logs.start_logging(parsed.identity.vm_id)
-    asyncio.run(launch.run(lambda: create(parsed)))
-    logs.stop_logging()
+    try:
+        asyncio.run(launch.run(lambda: create(parsed)))
+    finally:
+        logs.stop_logging()
     return launch.EXIT_OK
 
 
 def main() -> None:
     """Entry point of `marlrampd`."""
-    sys.exit(app())
+    process_failure.run_reported(lambda: sys.exit(app()))
 
 
 if __name__ == "__main__":
--- a/src/marlramp/direct/launch.py
+++ b/src/marlramp/direct/launch.py
@@ -88,8 +88,10 @@
             print(f"marlrampd: {problem}", file=sys.stderr)
         return EXIT_SETTINGS_REFUSED
     logs.start_logging(settings.vm_id, sys.stdout)
-    asyncio.run(run(lambda: create(settings, _reader(path))))
-    logs.stop_logging()
+    try:
+        asyncio.run(run(lambda: create(settings, _reader(path))))
+    finally:
+        logs.stop_logging()
     return EXIT_OK
 
 
--- /dev/null
+++ b/src/marlramp/log_line.py
@@ -0,0 +1,21 @@
+"""One log line of key=value pairs; needs nothing but the standard library."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+
+def format_value(value: object) -> str:
+    """Returns a value as text, quoted if it would not stay one word."""
+    text = str(value)
+    if text and not any(c.isspace() or c in '"=' for c in text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
+
+
+def format_pairs(pairs: Mapping[str, object]) -> str:
+    """Returns key=value pairs in their order, without newline."""
+    return " ".join(
+        f"{key}={format_value(value)}" for key, value in pairs.items()
+    )
--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -11,6 +11,8 @@
 
 import eliot
 
+from marlramp import log_line
+
 ROUTINE_EVENTS = frozenset({"request_served", "caller_left"})
 """Events of requests that went well; they are dropped before all others."""
 
@@ -30,24 +32,11 @@
 _HIDDEN_FIELDS = frozenset({"task_uuid", "task_level", "message_type"})
 
 
-def _format_value(value: object) -> str:
-    text = str(value)
-    if text and not any(c.isspace() or c in '"=' for c in text):
-        return text
-    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
-    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r") + '"'
-
-
 def format_line(message: dict[str, object]) -> str:
     """Returns an eliot message as one key=value line without newline."""
     event = message.get("message_type", message.get("action_type", "event"))
-    pairs = [f"event={_format_value(event)}"]
-    pairs.extend(
-        f"{key}={_format_value(value)}"
-        for key, value in message.items()
-        if key not in _HIDDEN_FIELDS
-    )
-    return " ".join(pairs)
+    shown = {k: v for k, v in message.items() if k not in _HIDDEN_FIELDS}
+    return log_line.format_pairs({"event": event, **shown})
 
 
 class LineWriter:
--- /dev/null
+++ b/src/marlramp/process_failure.py
@@ -0,0 +1,58 @@
+"""Says in one line why a process ends by an error.
+
+A process that can't load its libraries has no log yet, so that this module
+needs nothing but the standard library.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import sys
+import time
+import traceback
+
+from marlramp import log_line
+
+
+def describe(error: Exception, uptime_s: float) -> str:
+    """Returns the line for an error that ends a process.
+
+    Args:
+      error: what was raised; of a group the first one inside is named.
+      uptime_s: time since the process began to load, in seconds.
+    """
+    cause = _first_cause(error)
+    frames = traceback.extract_tb(cause.__traceback__)
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return log_line.format_pairs(
+        {
+            "event": "process_failed",
+            "error": repr(cause),
+            "place": place,
+            "uptime_s": round(uptime_s, 3),
+            "python": sys.version.split()[0],
+        }
+    )
+
+
+def run_reported(main: Callable[[], None]) -> None:
+    """Runs a program; an error is told in one line before its traceback.
+
+    Who restarts processes often keeps the first line of what they wrote only.
+
+    Raises:
+      Exception: what `main` raised.
+    """
+    start_s = time.monotonic()
+    try:
+        main()
+    except Exception as error:
+        uptime_s = time.monotonic() - start_s
+        print(describe(error, uptime_s), file=sys.stderr, flush=True)
+        raise
+
+
+def _first_cause(error: Exception) -> Exception:
+    while isinstance(error, ExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/src/marlrampd.py
+++ b/src/marlrampd.py
@@ -21,8 +21,10 @@
             sys.exit(launch.run_on_platform())
     from marlramp.console import daemon
 
-    daemon.main()
+    sys.exit(daemon.app())
 
 
 if __name__ == "__main__":
-    main()
+    from marlramp import process_failure
+
+    process_failure.run_reported(main)
