Repair of the failed start: dependencies are installed whole or not at all

Cause: packages were put one after the other into the folder that processes import from, and a later build took that folder as ready by its age alone. Class: a state is judged by a trace that its making leaves early, not by what it must hold. Now they are installed into a folder of their own, checked file by file against what each package recorded, marked with lock file, interpreter and machine, and renamed into place; one build works at a time. Ruled out: waiting longer, removing the folder at each build (15 s each, and it would take packages from a running system). Tests besides: another lock, a lost file, three builds at once, a failing one, read rights.

--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 
 from tests.deploy import conftest
@@ -41,3 +42,66 @@
     assert checkout.build({"PYTHONPATH": str(hook)}) != 0
     assert checkout.build() == 0
     assert checkout.missing() == []
+
+
+def test_build_replaces_what_was_installed_from_something_else(
+    checkout: conftest.Checkout,
+) -> None:
+    checkout.lock(("alpha",))
+    assert checkout.build() == 0
+    assert checkout.missing() == ["beta"]
+    checkout.lock(conftest.PACKAGES)
+    newer_s = checkout.dependencies.stat().st_mtime + 60
+    os.utime(checkout.dependencies, (newer_s, newer_s))
+    assert checkout.build() == 0
+    assert checkout.missing() == []
+
+
+def test_build_restores_a_file_that_was_lost(
+    checkout: conftest.Checkout,
+) -> None:
+    assert checkout.build() == 0
+    (checkout.dependencies / "beta" / "__init__.py").unlink()
+    assert checkout.build() == 0
+    assert checkout.missing() == []
+
+
+def test_builds_at_the_same_time_take_nothing_from_a_running_system(
+    checkout: conftest.Checkout,
+) -> None:
+    builds = [checkout.start_build() for _ in range(3)]
+    lost = []
+    is_built = False
+    while any(build.poll() is None for build in builds):
+        missing = checkout.missing()
+        is_built = is_built or not missing
+        if is_built:
+            lost += missing
+    assert [build.wait() for build in builds] == [0, 0, 0]
+    assert checkout.missing() == lost == []
+
+
+def test_failed_build_says_so_and_leaves_what_there_was(
+    checkout: conftest.Checkout,
+) -> None:
+    assert checkout.build() == 0
+    lock = checkout.root / "deploy" / "requirements.lock"
+    lock.write_text(lock.read_text().replace("beta==1.0", "beta==2.0"))
+    assert checkout.build() != 0
+    assert checkout.missing() == []
+
+
+def test_build_with_nothing_to_do_leaves_the_folder_alone(
+    checkout: conftest.Checkout,
+) -> None:
+    assert checkout.build() == 0
+    before = checkout.dependencies.stat().st_ino
+    assert checkout.build() == 0
+    assert checkout.dependencies.stat().st_ino == before
+
+
+def test_other_users_may_read_what_was_built(
+    checkout: conftest.Checkout,
+) -> None:
+    assert checkout.build() == 0
+    assert checkout.dependencies.stat().st_mode & 0o555 == 0o555
