Reproduction: one port that is taken ends a process at its start

Same class as the incomplete dependencies: what is not there at one moment ends the whole start. Fails on the code as it is; listed until the repair.

--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import pathlib
 import signal
+import socket
 
 import pytest
 
@@ -177,3 +178,44 @@
         assert b"marlramp_chunks_received_total" in of_agent
 
     run_fleet(use)
+
+
+def hold_port(host: str, port: int) -> socket.socket:
+    held = socket.create_server((host, port))
+    held.listen()
+    return held
+
+
+def test_process_whose_ports_are_taken_serves_as_soon_as_they_are_free(
+    run_fleet: RunFleet,
+) -> None:
+    """One port that was taken ended a process, again at each restart.
+
+    Whatever held it, also the port of the metrics, which serving doesn't need:
+    "OSError: [Errno 98] ... address already in use", and nothing listened on
+    any of the VM's other ports either.
+    """
+
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        agent_host = fleet.engines[0].host
+        for name in ("entry-0", "agent-0"):
+            fleet.processes[name].kill()
+            await fleet.processes[name].wait()
+        metrics = [hold_port(h, 9_464) for h in (host, agent_host)]
+        callers = hold_port(host, direct_fleet.CALLERS_PORT)
+        await fleet.start_entry(0)
+        await fleet.start_agent(0)
+        await asyncio.sleep(1.5)
+        callers.close()
+        await fleet.wait_ready(host)
+        assert is_whole(await fleet.stream(host, "served"))
+        assert fleet.processes["entry-0"].returncode is None
+        assert fleet.processes["agent-0"].returncode is None
+        for held in metrics:
+            held.close()
+        async with asyncio.timeout(10):
+            while b"marlramp_requests" not in await fleet.metrics(host):
+                await asyncio.sleep(0.1)
+
+    run_fleet(use)
