Repair: a port that is taken keeps no other one closed and ends no process

Cause: all ports of a process were bound in one sequence whose first failure ended it, the port of the metrics among them, which serving does not need. Ruled out: only excusing the metrics port (a listening port that an old process still holds ends a start as well).

--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -36,6 +36,7 @@
 from marlramp.settings import node
 from marlramp.shell import http1_call
 from marlramp.shell import member_links
+from marlramp.shell import port_opener
 from marlramp.shell import safely
 
 TICK_MS = 100.0
@@ -114,7 +115,7 @@
         )
         self._side = side_server.SideServer(
             side_server.metrics_pages(metrics.Metrics(self._totals).text),
-            [node.Address(settings.host, side_server.METRICS_PORT)],
+            {"metrics": side_server.metrics_address(settings)},
             self._clock,
         )
         self._targets = catalog.Catalog()
@@ -147,9 +148,6 @@
         self._engine = replica_api.ReplicaApi(self._caller, self._replica)
         self._store = store.StoreClient(self._caller, self._settings.store)
         self._build_links()
-        await self._peer_links.listen(
-            self._settings.host, self._settings.own_ports[0]
-        )
         self._loader = weights_loader.WeightsLoader(
             self,
             self._engine,
@@ -158,8 +156,8 @@
             self._totals,
             self._clock,
         )
+        await self._ports.open_free()
         logs.log("agent_started", replica=self._replica)
-        await self._side.start()
         async with asyncio.TaskGroup() as group:
             tasks = [
                 group.create_task(self._exchange.run()),
@@ -168,6 +166,7 @@
                 group.create_task(self._watch.run()),
                 group.create_task(self._loader.run()),
                 group.create_task(self._learn_unguided()),
+                group.create_task(self._ports.run()),
             ]
             await self._stopping.wait()
             for task in tasks:
@@ -193,6 +192,18 @@
             self._totals,
             self._clock,
         )
+        self._ports = port_opener.PortOpener(
+            [
+                port_opener.Opening(
+                    "links",
+                    self._own.host,
+                    self._own.port,
+                    self._peer_links.listen,
+                ),
+                *self._side.openings(),
+            ],
+            self._totals,
+        )
         self._sync.attach(self._entry_links)
         self._exchange.attach(self._peer_links)
 
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -34,6 +34,7 @@
 from marlramp.shell import http1_call
 from marlramp.shell import http1_server
 from marlramp.shell import member_links
+from marlramp.shell import port_opener
 from marlramp.shell import safely
 
 TICK_MS = 100.0
@@ -150,12 +151,7 @@
     async def run(self) -> None:
         """Runs until drained."""
         self._build_shell()
-        control = self._addresses.control
-        await self._links.listen(control.host, control.port)
-        await self._side.start()
-        await self._callers.start(
-            self._addresses.callers.host, self._addresses.callers.port
-        )
+        await self._ports.open_free()
         logs.log("entry_started", callers=self._addresses.callers)
         async with asyncio.TaskGroup() as group:
             tasks = [
@@ -163,6 +159,7 @@
                 group.create_task(self._tick_all()),
                 group.create_task(self._watch.run()),
                 group.create_task(self._load_exchange.run()),
+                group.create_task(self._ports.run()),
             ]
             await self._stopping.wait()
             await self._leave()
@@ -190,6 +187,20 @@
             self._totals,
             self._clock,
         )
+        control = self._addresses.control
+        callers = self._addresses.callers
+        self._ports = port_opener.PortOpener(
+            [
+                port_opener.Opening(
+                    "control", control.host, control.port, self._links.listen
+                ),
+                *self._side.openings(),
+                port_opener.Opening(
+                    "callers", callers.host, callers.port, self._callers.start
+                ),
+            ],
+            self._totals,
+        )
 
     def _build_side(self) -> side_server.SideServer:
         ttl_ms = min(LOOKUP_TTL_MS, self._settings.bounds.lookup_ttl_max_ms)
@@ -197,12 +208,11 @@
             **lookup_pages.build(self._lookup, ttl_ms / _MS, self._is_ready),
             **side_server.metrics_pages(self._metrics.text),
         }
-        metrics_port = side_server.METRICS_PORT
-        addresses = [
-            self._addresses.lookup,
-            self._addresses.ready,
-            node.Address(self._settings.host, metrics_port),
-        ]
+        addresses = {
+            "lookup": self._addresses.lookup,
+            "ready": self._addresses.ready,
+            "metrics": side_server.metrics_address(self._settings),
+        }
         return side_server.SideServer(pages, addresses, self._clock)
 
     async def _leave(self) -> None:
@@ -271,7 +281,7 @@
     def _state(self) -> members.MemberState:
         if self._left_ms is not None:
             return members.MemberState.LEAVING
-        if self._routes is None:
+        if self._routes is None or not self._callers.listening:
             return members.MemberState.STARTING
         return members.MemberState.READY
 
--- a/src/marlramp/direct/side_server.py
+++ b/src/marlramp/direct/side_server.py
@@ -19,6 +19,7 @@
 from marlramp.core import fleet
 from marlramp.settings import node
 from marlramp.shell import http1_server
+from marlramp.shell import port_opener
 
 METRICS_PORT = 9_464
 """Port of the metrics on every VM, by OpenTelemetry's custom; the platform
@@ -49,6 +50,11 @@
 """What answers each path."""
 
 
+def metrics_address(settings: node.NodeSettings) -> node.Address:
+    """Returns where a process shows its metrics."""
+    return node.Address(settings.host, METRICS_PORT)
+
+
 def metrics_pages(text: Callable[[], Awaitable[bytes]]) -> Pages:
     """Returns the page with the metrics, which `text` gives."""
 
@@ -62,27 +68,37 @@
     """The same pages on several addresses."""
 
     def __init__(
-        self, pages: Pages, addresses: list[node.Address], time: clock.Clock
+        self,
+        pages: Pages,
+        addresses: Mapping[str, node.Address],
+        time: clock.Clock,
     ) -> None:
-        """Binds nothing before `start`."""
-        self._pages = pages
-        self._servers = [
-            (address, http1_server.CallerServer(self._answer, self, time))
-            for address in addresses
-        ]
-
-    async def start(self) -> None:
-        """Binds and listens.
+        """Binds nothing before its openings are started.
 
-        Raises:
-          OSError: if an address can't be bound.
+        Args:
+          pages: what is answered.
+          addresses: where, by what each address is for.
+          time: the clock.
         """
-        for address, server in self._servers:
-            await server.start(address.host, address.port)
+        self._pages = pages
+        self._addresses = addresses
+        self._servers = {
+            name: http1_server.CallerServer(self._answer, self, time)
+            for name in addresses
+        }
+
+    def openings(self) -> list[port_opener.Opening]:
+        """Returns the ports to open."""
+        return [
+            port_opener.Opening(
+                name, address.host, address.port, self._servers[name].start
+            )
+            for name, address in self._addresses.items()
+        ]
 
     def stop(self) -> None:
         """Stops listening and closes connections without a call."""
-        for _, server in self._servers:
+        for server in self._servers.values():
             server.stop_listening()
             server.close_idle()
 
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -431,6 +431,11 @@
             backlog=1024,
         )
 
+    @property
+    def listening(self) -> bool:
+        """Whether connections are taken."""
+        return self._server is not None
+
     @property
     def busy(self) -> int:
         """Connections on which a request is read or answered."""
--- a/tests/direct/test_side_server.py
+++ b/tests/direct/test_side_server.py
@@ -39,8 +39,11 @@
         }
         (port,) = fleet.free_ports(1)
         address = node.Address("127.0.0.1", port)
-        server = side_server.SideServer(pages, [address], clock.SystemClock())
-        await server.start()
+        server = side_server.SideServer(
+            pages, {"pages": address}, clock.SystemClock()
+        )
+        (opening,) = server.openings()
+        await opening.start(opening.host, opening.port)
         answer = await get(port, path)
         server.stop()
         return answer
