Reproduction: one item of the store ends every entry

A replica's entry whose places no message can carry raises in the task that reads the store; the group ends all tasks and the process, on all VMs, after each restart. Fails on the code as it is; listed until the repair.

--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -219,3 +219,36 @@
                 await asyncio.sleep(0.1)
 
     run_fleet(use)
+
+
+def test_what_one_item_of_the_store_breaks_ends_no_process(
+    run_fleet: RunFleet,
+) -> None:
+    """An error in one task ended the whole process, in all VMs at once.
+
+    All tasks of a process share a group, and all processes read the same store.
+    A replica's entry with a number of places that no message can carry
+    ("OverflowError: can't serialize ints < -2**63 or > 2**64 - 1") ended
+    each entry that read it, again after each restart.
+    """
+
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        fleet.store.put(
+            "servers/i-other",
+            {
+                "service": direct_platform.SERVICE,
+                "address": "127.21.7.99:8001",
+                "zone": "z",
+                "slots": 10**30,
+                "state": "healthy",
+            },
+        )
+        await asyncio.sleep(1.5)
+        for name, process in fleet.processes.items():
+            assert process.returncode is None, fleet.log(name)[-2_000:]
+        for _ in range(3):
+            assert is_whole(await fleet.stream(host, "after"))
+
+    run_fleet(use)
