Repair: a task that fails starts again, and ends no other one

Cause: all tasks of a process share a group, so that an error nobody expected in one of them (here the reader of the store, by a number that no message carries) ended the process, on all VMs at once. Class: as before, one thing that fails ends all. The daemons of both paths start their tasks by the same function. Ruled out: catching around this one call only, since any other task has the same way to end all.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
 import random
 
 from marlramp import clock
@@ -172,25 +175,27 @@
     async def run(self) -> None:
         """Runs until drained."""
         logs.log("agent_started", incarnation=self._incarnation)
-        tasks = [
-            self._members.run(),
-            self._sync.run(reads_without_need=False),
-            self._node.run(),
-            self._heartbeat_all(),
-            self._grant_all(),
-            self._report_all(),
-            self._counters_all(),
-            self._pace_all(),
-        ]
+        works: dict[str, Callable[[], Awaitable[None]]] = {
+            "members": self._members.run,
+            "settings_sync": functools.partial(
+                self._sync.run, reads_without_need=False
+            ),
+            "swarm": self._node.run,
+            "heartbeats": self._heartbeat_all,
+            "grants": self._grant_all,
+            "reports": self._report_all,
+            "counters": self._counters_all,
+            "pace": self._pace_all,
+            "rollout": self._run_rollout,
+        }
         if self._upstream.reports_load:
-            tasks.append(self._load_all())
+            works["load"] = self._load_all
         async with asyncio.TaskGroup() as group:
-            running = [group.create_task(task) for task in tasks]
-            model = group.create_task(self._run_rollout())
+            tasks = safely.start_all(group, works, self._totals, self._clock)
             await self._stopping.wait()
             await self._runs.idle()
             await asyncio.sleep(DRAIN_LINGER_MS / 1000)
-            for task in [*running, model]:
+            for task in tasks:
                 task.cancel()
         self._lifecycle.stop()
         self._context.close()
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -159,15 +159,16 @@
         await self._ports.open_free()
         logs.log("agent_started", replica=self._replica)
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(self._exchange.run()),
-                group.create_task(self._watch_engine()),
-                group.create_task(self._tick_all()),
-                group.create_task(self._watch.run()),
-                group.create_task(self._loader.run()),
-                group.create_task(self._learn_unguided()),
-                group.create_task(self._ports.run()),
-            ]
+            works = {
+                "piece_exchange": self._exchange.run,
+                "engine_watch": self._watch_engine,
+                "agent_ticks": self._tick_all,
+                "settings_watch": self._watch.run,
+                "weights_loader": self._loader.run,
+                "store_reads": self._learn_unguided,
+                "ports": self._ports.run,
+            }
+            tasks = safely.start_all(group, works, self._totals, self._clock)
             await self._stopping.wait()
             for task in tasks:
                 task.cancel()
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -154,13 +154,14 @@
         await self._ports.open_free()
         logs.log("entry_started", callers=self._addresses.callers)
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(self._reader.run()),
-                group.create_task(self._tick_all()),
-                group.create_task(self._watch.run()),
-                group.create_task(self._load_exchange.run()),
-                group.create_task(self._ports.run()),
-            ]
+            works = {
+                "store_reader": self._reader.run,
+                "entry_ticks": self._tick_all,
+                "settings_watch": self._watch.run,
+                "load_exchange": self._load_exchange.run,
+                "ports": self._ports.run,
+            }
+            tasks = safely.start_all(group, works, self._totals, self._clock)
             await self._stopping.wait()
             await self._leave()
             for task in tasks:
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -131,6 +131,10 @@
 
     async def run(self) -> None:
         """Follows the named weights for ever."""
+        # Also after an error: the engine must not stay closed for a load that
+        # nobody carries out any more.
+        self._staged_of = None
+        self._set_state(LoaderState.IDLE)
         while True:
             wanted = self._surroundings.wanted()
             if wanted is None:
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import functools
 import random
 
 import msgspec
@@ -191,13 +194,16 @@
         """Runs until drained."""
         logs.log("entry_started", port=self._entry.http_port)
         async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(self._members.run()),
-                group.create_task(self._sync.run(reads_without_need=True)),
-                group.create_task(self._links.run()),
-                group.create_task(self._heartbeat_all()),
-                group.create_task(self._tick_all()),
-            ]
+            works: dict[str, Callable[[], Awaitable[None]]] = {
+                "members": self._members.run,
+                "settings_sync": functools.partial(
+                    self._sync.run, reads_without_need=True
+                ),
+                "links": self._links.run,
+                "heartbeats": self._heartbeat_all,
+                "entry_ticks": self._tick_all,
+            }
+            tasks = safely.start_all(group, works, self._totals, self._clock)
             server = group.create_task(self._server.serve())
             await self._stopping.wait()
             await self._leave()
--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -6,12 +6,12 @@
 import sys
 import threading
 import time
-import traceback
 from typing import TextIO
 
 import eliot
 
 from marlramp import log_line
+from marlramp import process_failure
 
 ROUTINE_EVENTS = frozenset({"request_served", "caller_left"})
 """Events of requests that went well; they are dropped before all others."""
@@ -154,8 +154,8 @@
     eliot.log_message(message_type=event, **fields)
 
 
-def log_exception(event: str, error: BaseException, **fields: object) -> None:
+def log_exception(event: str, error: Exception, **fields: object) -> None:
     """Logs one event with an exception and where it was raised."""
-    frames = traceback.extract_tb(error.__traceback__)
-    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
-    log(event, error=repr(error), place=place, **fields)
+    cause = process_failure.first_cause(error)
+    place = process_failure.place_of(cause)
+    log(event, error=repr(cause), place=place, **fields)
--- a/src/marlramp/process_failure.py
+++ b/src/marlramp/process_failure.py
@@ -21,14 +21,12 @@
       error: what was raised; of a group the first one inside is named.
       uptime_s: time since the process began to load, in seconds.
     """
-    cause = _first_cause(error)
-    frames = traceback.extract_tb(cause.__traceback__)
-    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    cause = first_cause(error)
     return log_line.format_pairs(
         {
             "event": "process_failed",
             "error": repr(cause),
-            "place": place,
+            "place": place_of(cause),
             "uptime_s": round(uptime_s, 3),
             "python": sys.version.split()[0],
         }
@@ -52,7 +50,14 @@
         raise
 
 
-def _first_cause(error: Exception) -> Exception:
+def first_cause(error: Exception) -> Exception:
+    """Returns the first error inside of groups, else the error itself."""
     while isinstance(error, ExceptionGroup):
         error = error.exceptions[0]
     return error
+
+
+def place_of(error: BaseException) -> str:
+    """Returns "file:line" where an error was raised, "" if nowhere."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
