Entries of the store by other writers name no replica, and the others hold

Cause: fields that were missing took defaults (no zone, one place, healthy), a state that is not named counted as healthy, an address was not looked at, a number that no message carries broke the task that told the others; a refused entry left what an earlier one said in force by a watch, but not by a reading. Before, by hand on the old decoder: entries without zone or state, with slots -1, 0 or 10**26, with addresses "" and "x" each became a replica. Now all fields that replicas write must be there in their type and bounds; items are decoded one by one; a refused entry names no replica from that moment on (what runs there is finished), also for others that are told of it; an entry of a service nobody configured hides no replica at its address. One line and one count by fault for each revision. Ruled out: keeping the earlier entry of a replica that serves, since nothing tells who wrote the newer one, and its requests would go where the store names nobody.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp import ids
 from marlramp.core import fleet
 
 REPLICA_RETURN_MS = 2_300.0
@@ -49,11 +50,20 @@
 
 
 class ReplicaChange(msgspec.Struct, frozen=True, tag="replica"):
-    """A replica's entry was written, or removed if `replica` is None."""
+    """A replica's entry was written, or removed.
+
+    Attributes:
+      revision: revision of the change.
+      replica_id: the replica.
+      replica: its entry, None if there is none any more.
+      unreadable: whether there is one that names no replica. It did not lapse,
+        so that no entry is to be expected back.
+    """
 
     revision: int
     replica_id: str
     replica: fleet.Replica | None
+    unreadable: bool = False
 
 
 type Change = ConfigChange | TargetChange | ReplicaChange
@@ -156,11 +166,21 @@
         for known in self._replicas.values():
             if known.removed_ms is not None or known.last is None:
                 continue
+            # An entry of a service that nobody configured hides no replica
+            # that has the same address.
+            if not self._is_configured(known.last.service_id):
+                continue
             other = newest.get(known.last.address)
             if other is None or other.revision < known.revision:
                 newest[known.last.address] = known
         return [known.last for known in newest.values() if known.last]
 
+    def _is_configured(self, service_id: ids.ServiceId) -> bool:
+        if self.config is None:
+            return True
+        services = self.config.services
+        return any(service.service_id == service_id for service in services)
+
     def replica(self, replica_id: str) -> fleet.Replica | None:
         """Returns a replica that is listed or may come back."""
         known = self._replicas.get(replica_id)
@@ -241,7 +261,12 @@
         for replica_id, item in self._replicas.items():
             if item.revision > revision:
                 changes.append(
-                    ReplicaChange(item.revision, replica_id, item.replica)
+                    ReplicaChange(
+                        item.revision,
+                        replica_id,
+                        item.replica,
+                        unreadable=item.last is None,
+                    )
                 )
         return changes
 
@@ -339,7 +364,7 @@
                 change.replica, change.revision, change.replica
             )
             return True
-        last = None if known is None else known.last
+        last = None if known is None or change.unreadable else known.last
         item = KnownReplica(None, change.revision, last)
         if now_ms < self._store_trouble_ms + REPLICA_RETURN_MS and last:
             item.missing_ms = now_ms
--- a/src/marlramp/core/fleet.py
+++ b/src/marlramp/core/fleet.py
@@ -159,7 +159,7 @@
     """A replica as last listed.
 
     Attributes:
-      replica_id: identity of one start of the replica.
+      replica_id: its id, which it may keep when it starts again.
       service_id: the service that it belongs to.
       address: "host:port".
       data_centre: where it is.
@@ -167,6 +167,8 @@
       state: whether it takes new work.
       weights: version of the weights that all its layers hold, 0 if it holds
         none or not all, None for a plain service.
+      born_ms: Unix time of its start, which tells two starts under one id
+        apart; None where the platform does not say.
     """
 
     replica_id: str
@@ -176,6 +178,7 @@
     slots: int
     state: ReplicaState
     weights: int | None
+    born_ms: int | None = None
 
 
 class WeightsTarget(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -23,6 +23,7 @@
     LINK_BYTES = "marlramp_link_bytes"
     LOG_LINES_DROPPED = "marlramp_log_lines_dropped"
     INTERNAL_ERRORS = "marlramp_internal_errors"
+    DOCUMENTS_REFUSED = "marlramp_documents_refused"
     PORTS_UNAVAILABLE = "marlramp_ports_unavailable"
 
 
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -146,7 +146,9 @@
         """Runs until drained."""
         self._caller = http1_call.HttpCaller(self._clock)
         self._engine = replica_api.ReplicaApi(self._caller, self._replica)
-        self._store = store.StoreClient(self._caller, self._settings.store)
+        self._store = store.StoreClient(
+            self._caller, self._settings.store, self._totals
+        )
         self._build_links()
         self._loader = weights_loader.WeightsLoader(
             self,
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -181,7 +181,7 @@
         self._sync.attach(self._links)
         self._caller = http1_call.HttpCaller(self._clock)
         self._reader = store_reader.StoreReader(
-            store.StoreClient(self._caller, self._settings.store),
+            store.StoreClient(self._caller, self._settings.store, self._totals),
             self._catalog,
             self._is_reader,
             self._catalog_sync.publish,
--- a/src/marlramp/direct/fleet/catalog_log.py
+++ b/src/marlramp/direct/fleet/catalog_log.py
@@ -31,7 +31,13 @@
                 "replica_changed",
                 replica=change.replica_id,
                 revision=change.revision,
-                state="removed" if replica is None else replica.state.value,
+                state=_state_of(change),
                 weights=None if replica is None else replica.weights,
                 source=source,
             )
+
+
+def _state_of(change: catalog.ReplicaChange) -> str:
+    if change.replica is not None:
+        return change.replica.state.value
+    return "unreadable" if change.unreadable else "removed"
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -2,20 +2,39 @@
 
 from __future__ import annotations
 
+import enum
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import fleet
+from marlramp.settings import node
 
 CONFIG_KEY = "op/config"
 WEIGHTS_PREFIX = "op/version/"
 REPLICAS_PREFIX = "servers/"
 
+_SHOWN_MAX = 40
+_DETAIL_MAX = 200
+"""Characters of a refused document, and of what is wrong with it, that are
+logged: what others write must not fill the log."""
+
 _TOKENS_PER_CONTEXT_UNIT = 1000.0
 """`context_per_k` counts thousands of tokens."""
 
 
+_COUNT_MAX = 2**53
+"""Greatest whole number that every reader of JSON holds exactly; a greater
+one could not be told to other processes."""
+
+type _Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+type _Positive = Annotated[int, msgspec.Meta(ge=1, le=_COUNT_MAX)]
+type _Duration = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -26,12 +45,12 @@
     host: str
     path_prefix: str
     route_kind: str
-    timeout_ms: float = 30_000.0
-    target_latency_ms: float = 1_000.0
-    priority: int = 5
+    timeout_ms: _Duration = 30_000.0
+    target_latency_ms: _Duration = 1_000.0
+    priority: _Count = 5
     service: str = ""
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
     # ITL: inter-token latency; it bounds the pause between two events.
@@ -46,23 +65,23 @@
 
 
 class _Runtime(msgspec.Struct):
-    slots: int = 1
-    kv_capacity: int = 0
-    pass_steps: int = 1
+    slots: _Positive = 1
+    kv_capacity: _Count = 0
+    pass_steps: _Positive = 1
     model_list: list[_Model] = []
     step_ms: float = 1.0
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     # Prompt tokens read in a second.
     read_per_s: float = 1_000.0
-    layers: int = 1
-    blocks: int = 0
-    block_bytes: int = 0
+    layers: _Positive = 1
+    blocks: _Count = 0
+    block_bytes: _Count = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 64
+    max_conns: _Count = 64
     # Address of the origin of weights; a service that has it runs requests
     # for weights only.
     upstream: str = ""
@@ -70,20 +89,20 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: _Count = 16_384
+    max_body_bytes: _Count = 4_194_304
+    header_timeout_ms: _Duration = 3_000.0
+    idle_timeout_ms: _Duration = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int = 5
+    priority: _Count = 5
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Count
     route_table: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -93,16 +112,16 @@
 class HeldLayers(msgspec.Struct):
     """Layers that a replica holds, from `source` up to, not with, `target`."""
 
-    source: int = 0
-    target: int = 0
-    version: int = 0
+    source: _Count = 0
+    target: _Count = 0
+    version: _Count = 0
 
 
 class HeldModel(msgspec.Struct):
     """A model that a replica holds, wholly or in part."""
 
     name: str
-    version: int = 0
+    version: _Count = 0
 
 
 def held_weights(
@@ -123,16 +142,23 @@
 class _ListedReplica(msgspec.Struct):
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "healthy"
+    zone: str
+    # Of the replica's software, not of its weights.
+    version: str
+    slots: _Positive
+    state: str
+    cold_left_ms: _Duration
+    # Orders accepted since the replica's start.
+    call_seq: _Count
+    # Unix milliseconds of the replica's start; not every platform tells it.
+    born: _Count | msgspec.UnsetType = msgspec.UNSET
     model_list: list[HeldModel] | None = None
     layers: HeldLayers | None = None
 
 
 class _NamedVersion(msgspec.Struct):
     model_name: str
-    version: int
+    version: _Count
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -140,8 +166,31 @@
 _version_decoder = msgspec.json.Decoder(_NamedVersion)
 
 
+_MALFORMED = (ValueError, RecursionError)
+"""What decoding raises, errors of msgspec among them; the second one for
+values nested too deeply."""
+
+
+class DocumentFault(enum.Enum):
+    """Why a document is refused."""
+
+    BYTES = "bytes"
+    FIELD = "field"
+    ADDRESS = "address"
+    STATE = "state"
+
+
 class DocumentError(Exception):
-    """A document that can't be decoded."""
+    """A document that can't be used.
+
+    Attributes:
+      fault: what is wrong with it.
+    """
+
+    def __init__(self, fault: DocumentFault, detail: str) -> None:
+        """Records the fault and, for the log, where it is."""
+        super().__init__(detail)
+        self.fault = fault
 
 
 def decode_config(data: bytes) -> fleet.FleetConfig:
@@ -164,34 +213,62 @@
                 idle_timeout_ms=raw.limits.idle_timeout_ms,
             ),
         )
-    except (msgspec.DecodeError, ValueError) as error:
-        raise DocumentError(f"configuration: {error}") from error
+    except _MALFORMED as error:
+        raise _refused("configuration", error) from error
 
 
 def decode_replica(replica_id: str, data: bytes) -> fleet.Replica:
     """Returns the replica in an entry of the replica list.
 
+    Every field that replicas write must be there in its type: an entry by
+    another writer names no replica that requests could go to.
+
     Raises:
-      DocumentError: if it is malformed.
+      DocumentError: if it is malformed, or says what is not known here.
     """
     try:
         raw = _replica_decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise DocumentError(f"replica {replica_id}: {error}") from error
-    draining = raw.state == fleet.ReplicaState.DRAINING.value
+    except _MALFORMED as error:
+        raise _refused("replica", error) from error
     return fleet.Replica(
         replica_id=replica_id,
         service_id=ids.ServiceId(raw.service),
-        address=raw.address,
+        address=_replica_address(raw.address),
         data_centre=ids.DataCentreId(raw.zone),
         slots=raw.slots,
-        state=fleet.ReplicaState.DRAINING
-        if draining
-        else fleet.ReplicaState.HEALTHY,
+        state=_replica_state(raw.state),
         weights=held_weights(raw.layers, raw.model_list),
+        born_ms=None if raw.born is msgspec.UNSET else raw.born,
     )
 
 
+def _replica_address(text: str) -> str:
+    try:
+        address = node.Address.parse(text)
+        ipaddress.IPv4Address(address.host)
+    except ValueError as error:
+        detail = f"replica: address {text[:_SHOWN_MAX]!r}: {error}"
+        raise DocumentError(DocumentFault.ADDRESS, detail) from error
+    return text
+
+
+def _replica_state(text: str) -> fleet.ReplicaState:
+    try:
+        return fleet.ReplicaState(text)
+    except ValueError as error:
+        detail = f"replica: state {text[:_SHOWN_MAX]!r}"
+        raise DocumentError(DocumentFault.STATE, detail) from error
+
+
+def _refused(what: str, error: Exception) -> DocumentError:
+    """Returns the error for a document that does not decode."""
+    unreadable = isinstance(error, (msgspec.DecodeError, RecursionError))
+    if isinstance(error, msgspec.ValidationError):
+        unreadable = False
+    fault = DocumentFault.BYTES if unreadable else DocumentFault.FIELD
+    return DocumentError(fault, f"{what}: {error}"[:_DETAIL_MAX])
+
+
 def decode_target(data: bytes) -> fleet.WeightsTarget:
     """Returns the weights that a document names.
 
@@ -200,8 +277,8 @@
     """
     try:
         raw = _version_decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise DocumentError(f"named version: {error}") from error
+    except _MALFORMED as error:
+        raise _refused("named version", error) from error
     return fleet.WeightsTarget(model=raw.model_name, version=raw.version)
 
 
--- a/src/marlramp/platform/settings.py
+++ b/src/marlramp/platform/settings.py
@@ -88,7 +88,7 @@
         return self.parsed(key, _positive, 1.0)
 
     def address(self, key: str) -> node.Address:
-        return self.parsed(key, _address, node.Address("", 0))
+        return self.parsed(key, node.Address.parse, node.Address("", 0))
 
 
 def _positive(text: str) -> float:
@@ -98,15 +98,8 @@
     return value
 
 
-def _address(text: str) -> node.Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError("must be IP:PORT")
-    return node.Address(host, int(port))
-
-
 def _addresses(text: str) -> list[node.Address]:
-    return [_address(part) for part in text.split(",") if part]
+    return [node.Address.parse(part) for part in text.split(",") if part]
 
 
 def _ports(text: str) -> tuple[int, int]:
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marlramp import counters
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import fleet
@@ -22,6 +23,10 @@
 WATCH_MARGIN_MS = 600.0
 """A watch that is answered this long after its wait counts as lost."""
 
+REFUSED_KEYS_MAX = 1_000
+"""Refused items that are remembered, so that each is logged and counted once
+and not with each reading of the store."""
+
 _GONE = 410
 
 
@@ -38,14 +43,15 @@
 
 
 class _Range(msgspec.Struct):
-    entries: list[_Item]
+    # Decoded one by one: an item that can't be must not hide the others.
+    entries: list[msgspec.Raw]
     # The store's revision when it answered.
     at: int
     has_more: bool = False
 
 
 class _Events(msgspec.Struct):
-    events: list[_Item]
+    events: list[msgspec.Raw]
     at: int
 
 
@@ -53,10 +59,14 @@
     """Reads configuration, weights targets and replicas from the store."""
 
     def __init__(
-        self, caller: http1_call.HttpCaller, address: node.Address
+        self,
+        caller: http1_call.HttpCaller,
+        address: node.Address,
+        totals: counters.Counters,
     ) -> None:
         """Uses the store at `address`; nothing is sent before a call."""
         self._calls = calls.PlatformCalls(caller)
+        self._items = _ItemDecoder(totals)
         self._url = f"http://{address}"
         self._ranges = msgspec.json.Decoder(_Range)
         self._events = msgspec.json.Decoder(_Events)
@@ -78,11 +88,12 @@
         after = ""
         while True:
             page = await self._read_page(after, stale=stale)
-            changes.extend(_decode_items(page.entries))
+            items = self._items.read(page.entries)
+            changes.extend(self._items.changes(items))
             revision = page.at if revision is None else min(revision, page.at)
-            if not page.has_more or not page.entries:
+            if not page.has_more or not items:
                 return catalog.Snapshot(revision, changes)
-            after = page.entries[-1].key
+            after = items[-1].key
 
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         """Waits for changes after revision `after`.
@@ -102,8 +113,9 @@
             f"/v1/kv-watch?{query}", wait_ms + WATCH_MARGIN_MS
         )
         answer = _decoded(self._events.decode, body)
+        items = self._items.read(answer.events)
         return catalog.Snapshot(
-            max(after, answer.at), _decode_items(answer.events)
+            max(after, answer.at), self._items.changes(items)
         )
 
     async def _read_page(self, after: str, *, stale: bool) -> _Range:
@@ -130,18 +142,67 @@
         raise clients.PlatformError(f"malformed answer: {error}") from error
 
 
-def _decode_items(items: list[_Item]) -> list[catalog.Change]:
-    changes = []
-    for item in items:
-        try:
-            change = _decode_item(item)
-        except documents.DocumentError as error:
-            # One document that can't be read must not hide the others.
-            logs.log("document_refused", key=item.key, detail=error)
-            continue
-        if change is not None:
-            changes.append(change)
-    return changes
+class _ItemDecoder:
+    """Decodes items one by one; what can't be used is told, not raised."""
+
+    def __init__(self, totals: counters.Counters) -> None:
+        self._totals = totals
+        self._decoder = msgspec.json.Decoder(_Item)
+        self._refused: dict[str, int] = {}
+
+    def read(self, raw_items: list[msgspec.Raw]) -> list[_Item]:
+        """Returns the items that can be decoded as items of the store."""
+        items = []
+        for raw in raw_items:
+            try:
+                items.append(self._decoder.decode(raw))
+            except (ValueError, RecursionError) as error:
+                self._refuse("", 0, "item", str(error))
+        return items
+
+    def changes(self, items: list[_Item]) -> list[catalog.Change]:
+        """Returns what items mean here.
+
+        A replica's entry that can't be used names no replica, also if an
+        earlier one did: whoever wrote it, the earlier one holds no longer.
+        """
+        changes: list[catalog.Change] = []
+        for item in items:
+            try:
+                change = _decode_item(item)
+            except documents.DocumentError as error:
+                self._refuse(
+                    item.key, item.revision, error.fault.value, str(error)
+                )
+                change = _without_replica(item)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def _refuse(self, key: str, revision: int, fault: str, detail: str) -> None:
+        if self._refused.get(key) == revision:
+            return
+        if len(self._refused) >= REFUSED_KEYS_MAX:
+            self._refused.clear()
+        self._refused[key] = revision
+        self._totals.add(counters.CounterName.DOCUMENTS_REFUSED, fault)
+        logs.log(
+            "document_refused",
+            key=key,
+            revision=revision,
+            fault=fault,
+            detail=detail,
+        )
+
+
+def _without_replica(item: _Item) -> catalog.Change | None:
+    """Returns the change that a refused item stands for, None if none."""
+    if not item.key.startswith(documents.REPLICAS_PREFIX):
+        return None
+    replica_id = item.key.removeprefix(documents.REPLICAS_PREFIX)
+    return catalog.ReplicaChange(
+        item.revision, replica_id, None, unreadable=True
+    )
 
 
 def _decode_item(item: _Item) -> catalog.Change | None:
--- a/src/marlramp/settings/node.py
+++ b/src/marlramp/settings/node.py
@@ -20,6 +20,9 @@
     AGENT = "agent"
 
 
+_PORTS = 65_536
+
+
 class NodeSettingsError(Exception):
     """A settings file that cannot be used.
 
@@ -39,6 +42,19 @@
     host: str
     port: int
 
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Returns the address in "IP:PORT".
+
+        Raises:
+          ValueError: if the text is something else.
+        """
+        host, _, port = text.rpartition(":")
+        is_port = port.isascii() and port.isdigit()
+        if not host or not is_port or not 0 < int(port) < _PORTS:
+            raise ValueError("must be IP:PORT")
+        return cls(host, int(port))
+
     def __str__(self) -> str:
         """Returns "host:port"."""
         return f"{self.host}:{self.port}"
--- a/standins/direct_platform.py
+++ b/standins/direct_platform.py
@@ -12,6 +12,7 @@
 import contextlib
 import hashlib
 import json
+import time
 import urllib.parse
 
 from standins import raw_http
@@ -42,6 +43,10 @@
     return hashlib.sha256(data).hexdigest()
 
 
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
 def _query(request: raw_http.SeenRequest) -> tuple[str, dict[str, str]]:
     parts = urllib.parse.urlsplit(request.target)
     return parts.path, dict(urllib.parse.parse_qsl(parts.query))
@@ -187,6 +192,7 @@
         self._store = store
         self._running = 0
         self._orders = 0
+        self._born_ms = _unix_ms()
         self._busy = False
         self._staged = {
             index: piece(weights, index) for index in range(PIECES) if weights
@@ -208,6 +214,8 @@
         self.weights = 0
         self._orders = 0
         self._busy = False
+        # Later than any start before, also within one millisecond.
+        self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
     def leave(self) -> None:
@@ -222,8 +230,12 @@
                 "service": SERVICE,
                 "address": self.address,
                 "zone": "dc-1",
+                "version": "v1",
                 "slots": 16,
                 "state": state,
+                "cold_left_ms": 0,
+                "call_seq": self._orders,
+                "born": self._born_ms,
                 "layers": self._layers(),
             },
         )
@@ -247,6 +259,7 @@
 
     def _report(self) -> dict[str, object]:
         return {
+            "born": self._born_ms,
             "busy": self._busy,
             "call_seq": self._orders,
             "queued": 0,
@@ -339,6 +352,7 @@
         self.host = host
         self.port = port
         self.runs: dict[str, int] = {}
+        self._born_ms = _unix_ms()
         self._store = store
 
     def register(self, state: str = "healthy") -> None:
@@ -349,8 +363,12 @@
                 "service": DESK_SERVICE,
                 "address": f"{self.host}:{self.port}",
                 "zone": "dc-1",
+                "version": "v1",
                 "slots": 6,
                 "state": state,
+                "cold_left_ms": 0,
+                "call_seq": 0,
+                "born": self._born_ms,
             },
         )
 
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from marlramp import clock
+from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import weights_gate
@@ -252,3 +253,15 @@
         assert expected == weights_gate.oldest_allowed(
             target, BOUND_MS, started_ms, time.now_ms(), wait_ms
         )
+
+
+def test_entry_of_a_service_that_nobody_configured_hides_no_replica(
+    known: catalog.Catalog, make_replica: MakeReplica, make_config: MakeConfig
+) -> None:
+    good = make_replica()
+    stranger = make_replica(
+        replica_id="i-2", service_id=ids.ServiceId("nobody")
+    )
+    configured = catalog.ConfigChange(3, make_config())
+    known.apply([listed(1, good), listed(2, stranger), configured], 0.0)
+    assert known.replicas() == [good]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -55,8 +55,11 @@
         "service": "s",
         "address": "10.0.0.9:80",
         "zone": "dc-1",
+        "version": "v1",
         "slots": 16,
         "state": "healthy",
+        "cold_left_ms": 0,
+        "call_seq": 0,
     }
     return json.dumps(entry | changes).encode()
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marlramp import clock
+from marlramp import counters
 from marlramp.core import catalog
 from marlramp.platform import clients
 from marlramp.platform import store
@@ -34,6 +35,7 @@
             client = store.StoreClient(
                 http1_call.HttpCaller(clock.SystemClock()),
                 node.Address("127.0.0.1", server.port),
+                counters.Counters(),
             )
             if watch:
                 return await client.watch(3, 50.0)
@@ -42,7 +44,16 @@
     return asyncio.run(run())
 
 
-REPLICA = {"service": "s", "address": "10.0.0.9:80", "state": "healthy"}
+REPLICA = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "dc-1",
+    "version": "v1",
+    "slots": 6,
+    "state": "healthy",
+    "cold_left_ms": 0,
+    "call_seq": 0,
+}
 
 
 def test_pages_are_put_together_at_the_lowest_revision() -> None:
