A replica that starts again under its id is known as new at the first sign

Cause: views, reports, staged pieces and orders were kept by the replica's id alone. Shown on the code before by the new whole-path test: engines that restarted in place without their staged pieces were ordered to load what was no longer there (a load of missing pieces, which the test counts); a table kept the earlier start's version, load and breaker. Now the store's entry and the engine's report carry the start (born_ms); a later one makes a new view, drops connections, makes the agent verify again; an earlier one told late changes nothing; an order carries the count of orders it was decided by and a refusal (409) is taken as one at once, not waited out as a lost answer. Without the field all is as before. Ruled out: telling starts apart by the count of orders alone, which is equal for two starts that have accepted as many.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -359,6 +359,8 @@
         known = self._replicas.get(change.replica_id)
         if known is not None and change.revision <= known.revision:
             return False
+        if _is_earlier_start(change.replica, known):
+            return False
         if change.replica is not None:
             self._replicas[change.replica_id] = KnownReplica(
                 change.replica, change.revision, change.replica
@@ -372,3 +374,14 @@
             item.removed_ms = now_ms
         self._replicas[change.replica_id] = item
         return True
+
+
+def _is_earlier_start(
+    replica: fleet.Replica | None, known: KnownReplica | None
+) -> bool:
+    """Returns whether an entry is of a start before the one that is known."""
+    if replica is None or known is None or known.last is None:
+        return False
+    if replica.born_ms is None or known.last.born_ms is None:
+        return False
+    return replica.born_ms < known.last.born_ms
--- a/src/marlramp/core/engine_state.py
+++ b/src/marlramp/core/engine_state.py
@@ -15,6 +15,7 @@
       pace: measured slowness, 1 for none.
       busy: whether an order is being carried out.
       order_number: orders that began something since the engine's start.
+      born_ms: Unix time of its start, None where the platform does not say.
     """
 
     weights: int
@@ -23,3 +24,4 @@
     pace: float
     busy: bool
     order_number: int
+    born_ms: int | None = None
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -71,6 +71,8 @@
         weights.
       closes_in_ms: time until it is to close for a change of weights, None if
         none is planned.
+      born_ms: Unix time of the engine's start, None where the platform does
+        not say.
     """
 
     address: str
@@ -80,6 +82,7 @@
     pace: float
     opens: bool
     closes_in_ms: float | None = None
+    born_ms: int | None = None
 
 
 class ReplicaView(msgspec.Struct):
@@ -115,6 +118,7 @@
       not_before_ms: it gets nothing before this.
       heard_ms: when any byte of it arrived last.
       breaker: its circuit breaker.
+      born_ms: Unix time of its newest start heard of, None if none was told.
     """
 
     replica: fleet.Replica
@@ -145,6 +149,7 @@
     failure_share: float = 0.0
     not_before_ms: float = float("-inf")
     heard_ms: float = float("-inf")
+    born_ms: int | None = None
 
     def weights(self, now_ms: clock.Millis) -> int:
         """Returns the version believed to be loaded, 0 if none is."""
@@ -153,9 +158,14 @@
             if self.seen_ms > self.reported_ms:
                 return max(self.report.weights, self.seen_weights or 0)
             return self.report.weights
-        listed = self.replica.weights or 0
+        listed = 0 if self._is_listed_older else self.replica.weights or 0
         return max(listed, self.seen_weights or 0)
 
+    @property
+    def _is_listed_older(self) -> bool:
+        """Whether the list still has an earlier start of this replica."""
+        return _is_newer(self.born_ms, self.replica.born_ms)
+
     def opens(self, now_ms: clock.Millis) -> bool:
         """Returns whether it takes new requests as far as is known."""
         if now_ms < self.not_before_ms:
@@ -299,6 +309,11 @@
         self.breaker.trip(now_ms)
 
 
+def _is_newer(born_ms: int | None, than_ms: int | None) -> bool:
+    """Returns whether a start is known to be later than another."""
+    return born_ms is not None and than_ms is not None and born_ms > than_ms
+
+
 class ReplicaTable:
     """Replicas by service, kept in step with the catalog."""
 
@@ -325,7 +340,8 @@
         """Takes over the catalog's replicas.
 
         Returns:
-          Ids of replicas that are no longer there.
+          Ids of replicas that are no longer there, or started again: nothing
+          that was known of them holds.
         """
         listed = {r.replica_id: r for r in known.replicas()}
         gone = [key for key in self._views if key not in listed]
@@ -333,38 +349,75 @@
             del self._views[replica_id]
         for replica_id, replica in listed.items():
             view = self._views.get(replica_id)
+            if view is not None and _is_newer(replica.born_ms, view.born_ms):
+                gone.append(replica_id)
+                view = None
             if view is None:
-                view = ReplicaView(
-                    replica,
-                    breaker.Breaker(FAILURES_MAX, BREAKER_OPEN_MS),
-                    behind_bias=self._behind_bias.setdefault(
-                        replica.service_id, wait_bias.WaitBias()
-                    ),
-                )
-                self._views[replica_id] = view
+                view = self._new_view(replica)
                 self._adopt_report(view, now_ms)
             view.replica = replica
-        self._by_service = {}
-        for view in self._views.values():
-            service_id = view.replica.service_id
-            self._by_service.setdefault(service_id, []).append(view)
+            view.born_ms = view.born_ms or replica.born_ms
+        self._group()
         return gone
 
-    def report(self, report: LoadReport, now_ms: clock.Millis) -> None:
-        """Takes an agent's report of the engine at an address."""
+    def report(self, report: LoadReport, now_ms: clock.Millis) -> list[str]:
+        """Takes an agent's report of the engine at an address.
+
+        Returns:
+          Ids of replicas that the report shows to have started again.
+        """
+        held = self._reports.get(report.address)
+        if held is not None and _is_newer(held[0].born_ms, report.born_ms):
+            return []
         self._reports[report.address] = (report, now_ms)
+        restarted = []
+        for replica_id, view in list(self._views.items()):
+            if view.replica.address != report.address:
+                continue
+            if _is_newer(view.born_ms, report.born_ms):
+                continue
+            if _is_newer(report.born_ms, view.born_ms):
+                restarted.append(replica_id)
+                view = self._new_view(view.replica)
+            self._take(view, report, now_ms)
+        if restarted:
+            self._group()
+        return restarted
+
+    def _new_view(self, replica: fleet.Replica) -> ReplicaView:
+        """Starts to know a replica, also in the place of an earlier start.
+
+        Requests under way at the earlier start keep the view they were sent
+        with, so that their ends change nothing here.
+        """
+        view = ReplicaView(
+            replica,
+            breaker.Breaker(FAILURES_MAX, BREAKER_OPEN_MS),
+            behind_bias=self._behind_bias.setdefault(
+                replica.service_id, wait_bias.WaitBias()
+            ),
+            born_ms=replica.born_ms,
+        )
+        self._views[replica.replica_id] = view
+        return view
+
+    def _group(self) -> None:
+        self._by_service = {}
         for view in self._views.values():
-            if view.replica.address == report.address:
-                self._take(view, report, now_ms)
+            service_id = view.replica.service_id
+            self._by_service.setdefault(service_id, []).append(view)
 
     def _adopt_report(self, view: ReplicaView, now_ms: clock.Millis) -> None:
         held = self._reports.get(view.replica.address)
-        if held is not None and now_ms - held[1] < REPORT_FRESH_MS:
+        if held is None or now_ms - held[1] >= REPORT_FRESH_MS:
+            return
+        if not _is_newer(view.born_ms, held[0].born_ms):
             self._take(view, held[0], now_ms)
 
     def _take(
         self, view: ReplicaView, report: LoadReport, now_ms: clock.Millis
     ) -> None:
+        view.born_ms = report.born_ms or view.born_ms
         view.report = report
         view.reported_ms = now_ms
         view.note_load(report.running, report.waiting, now_ms)
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -242,9 +242,11 @@
         if not self._reached:
             logs.log("engine_reached", weights=report.weights)
         self._reached = True
-        changed = self._report is None or (
-            self._report.weights != report.weights
-        )
+        before = self._report
+        changed = before is None or before.weights != report.weights
+        if before is not None and before.born_ms != report.born_ms:
+            logs.log("engine_restarted", born_ms=report.born_ms)
+            changed = True
         self._report = report
         if changed:
             self._tell_now()
@@ -374,6 +376,7 @@
             pace=report.pace,
             opens=not loading and not report.busy,
             closes_in_ms=self._closes_in_ms(report),
+            born_ms=report.born_ms,
         )
 
     def _closes_in_ms(self, report: engine_state.EngineReport) -> float | None:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -349,7 +349,18 @@
                 present = message.report is not None
                 self._guide.note_engine(name, present=present)
                 if message.report is not None:
-                    self._table.report(message.report, self._clock.now_ms())
+                    self._on_engine(message.report)
+
+    def _on_engine(self, report: replica_table.LoadReport) -> None:
+        restarted = self._table.report(report, self._clock.now_ms())
+        for replica_id in restarted:
+            logs.log(
+                "replica_restarted",
+                replica=replica_id,
+                born_ms=report.born_ms,
+                source="agent",
+            )
+        self._forget(restarted)
 
     def _on_member(self, member: members.Member) -> None:
         if member.kind is members.MemberKind.AGENT:
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -63,8 +63,14 @@
         """Stages a piece."""
         ...
 
-    async def load(self, model: str, version: int, *, cut: bool) -> None:
-        """Orders the engine to load what is staged; may cut what runs."""
+    async def load(
+        self, model: str, version: int, order_number: int, *, cut: bool
+    ) -> None:
+        """Orders the engine to load what is staged; may cut what runs.
+
+        The order is refused if the engine has not accepted exactly
+        `order_number` orders so far, as after a restart.
+        """
         ...
 
 
@@ -126,6 +132,7 @@
         self._clock = time
         self._staged: set[int] = set()
         self._staged_of: version_digests.Wanted | None = None
+        self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
         self.state = LoaderState.IDLE
 
@@ -155,8 +162,9 @@
             self._staged_of = None
             await asyncio.sleep(POLL_MS / _MS)
             return
-        if self._staged_of != wanted:
+        if self._staged_of != wanted or self._staged_born_ms != report.born_ms:
             await self._adopt_staged(wanted, whole)
+            self._staged_born_ms = report.born_ms
         self._exchange.want(wanted, is_new=self._surroundings.is_new(wanted))
         if whole.complete and report.weights == wanted.version:
             self._set_state(LoaderState.IDLE)
@@ -254,13 +262,25 @@
         self._set_state(LoaderState.LOADING)
         if serving:
             await self._drain()
+        report = await self._surroundings.read_report()
+        if report is None or report.born_ms != self._staged_born_ms:
+            self._set_state(LoaderState.IDLE)
+            return
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
         logs.log("load_ordered", name=wanted.name)
         started_ms = self._clock.now_ms()
         try:
             await self._engine.load(
-                wanted.model, wanted.version, cut=self._surroundings.may_cut()
+                wanted.model,
+                wanted.version,
+                report.order_number,
+                cut=self._surroundings.may_cut(),
             )
+        except clients.OrderRefusedError as error:
+            logs.log("load_refused", name=wanted.name, detail=error)
+            self._set_state(LoaderState.IDLE)
+            await asyncio.sleep(LOAD_POLL_MS / _MS)
+            return
         except clients.PlatformError as error:
             # Without an answer it may have been accepted: the reports tell.
             logs.log("load_unanswered", name=wanted.name, detail=error)
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -327,7 +327,10 @@
     def _hearing(
         self, entry: _Entry, report: replica_table.LoadReport
     ) -> Callable[[], None]:
-        return lambda: entry.table.report(report, self._time.now_ms())
+        def hear() -> None:
+            entry.table.report(report, self._time.now_ms())
+
+        return hear
 
     def _exchange(self, entry: _Entry) -> None:
         news = entry.news.changed()
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -31,6 +31,10 @@
         self.retry_after_ms = retry_after_ms
 
 
+class OrderRefusedError(PlatformError):
+    """A replica refused an order that does not fit its state."""
+
+
 class VmRole(enum.Enum):
     """What runs on a listed VM."""
 
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -23,10 +23,15 @@
 of all other VMs."""
 
 
+_CONFLICT = 409
+
+
 class _Report(msgspec.Struct):
     busy: bool = False
     # Orders accepted since the start of the replica.
     call_seq: int = 0
+    # Unix milliseconds of the replica's start; not every platform tells it.
+    born: int | msgspec.UnsetType = msgspec.UNSET
     queued: int = 0
     active: int = 0
     pace: float = 1.0
@@ -51,6 +56,8 @@
     version: int
     # "queue" lets running requests end before the load, "truncate" cuts them.
     swap_mode: str
+    # The order is refused unless the replica has accepted this many so far.
+    expect: int
 
 
 class ReplicaApi:
@@ -83,6 +90,7 @@
             pace=raw.pace,
             busy=raw.busy,
             order_number=raw.call_seq,
+            born_ms=None if raw.born is msgspec.UNSET else raw.born,
         )
 
     async def staged(self, model: str) -> list[int]:
@@ -104,25 +112,35 @@
         url = f"{self._url}/v1/stage-put/{model}?index={index}"
         await self._calls.make("PUT", url, STAGE_TIMEOUT_MS, data)
 
-    async def load(self, model: str, version: int, *, cut: bool) -> None:
+    async def load(
+        self, model: str, version: int, order_number: int, *, cut: bool
+    ) -> None:
         """Orders the replica to load what is staged.
 
         Args:
           model: the model.
           version: the version that is staged.
+          order_number: orders that it has accepted when this one was decided:
+            a replica that started again since then refuses it.
           cut: whether running requests are cut instead of waited for.
 
         Raises:
+          OrderRefusedError: if the order does not fit its state.
           PlatformError: if it did not accept; without an answer it may have.
         """
         mode = "truncate" if cut else "queue"
-        order = _Order("start", model, version, mode)
-        await self._calls.make(
-            "POST",
-            f"{self._url}/v1/order",
-            ORDER_TIMEOUT_MS,
-            msgspec.json.encode(order),
-        )
+        order = _Order("start", model, version, mode, order_number)
+        try:
+            await self._calls.make(
+                "POST",
+                f"{self._url}/v1/order",
+                ORDER_TIMEOUT_MS,
+                msgspec.json.encode(order),
+            )
+        except calls.StatusError as error:
+            if error.status == _CONFLICT:
+                raise clients.OrderRefusedError(str(error)) from error
+            raise
 
 
 class OriginApi:
--- a/standins/direct_platform.py
+++ b/standins/direct_platform.py
@@ -207,9 +207,17 @@
         """Spoils a staged piece."""
         self._staged[index] = b"rotten"
 
-    def restart(self, replica_id: str) -> None:
-        """Starts anew under another id, with what is staged and no weights."""
-        self.leave()
+    def restart(self, replica_id: str, *, staged: bool = True) -> None:
+        """Starts anew with no weights, under another id or the one it had.
+
+        Args:
+          replica_id: the id; under the one it had its entry never goes.
+          staged: whether the pieces that lay there survive.
+        """
+        if replica_id != self.replica_id:
+            self.leave()
+        if not staged:
+            self._staged = {}
         self.replica_id = replica_id
         self.weights = 0
         self._orders = 0
@@ -288,6 +296,9 @@
         self, peer: raw_http.Peer, request: raw_http.SeenRequest
     ) -> None:
         order = json.loads(request.body)
+        if order.get("expect", self._orders) != self._orders:
+            await peer.answer(request, 409)
+            return
         self._orders += 1
         self._busy = True
         await peer.answer(request, 202)
@@ -326,8 +337,12 @@
             f"\r\nx-weight-versions: {self.weights}\r\n\r\n".encode()
         )
         first = int(request.headers.get("last-event-id", "0")) + 1
+        born_ms = self._born_ms
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(EVENT_S)
+            if born_ms != self._born_ms:
+                peer.reset()
+                return
             event = f"id: {number}\ndata: e{number}\n\n".encode()
             await peer.write(b"%x\r\n%s\r\n" % (len(event), event))
         await peer.write(b"0\r\n\r\n")
--- /dev/null
+++ b/tests/core/test_replica_restarts.py
@@ -0,0 +1,118 @@
+"""A replica that starts again under the id that it had."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+import pytest
+
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import replica_table
+
+type MakeReplica = Callable[..., fleet.Replica]
+
+EARLIER_MS = 1_774_684_600_190
+LATER_MS = EARLIER_MS + 5_000
+
+
+@pytest.fixture
+def known(make_replica: MakeReplica) -> catalog.Catalog:
+    """A catalog with one engine that holds version 1."""
+    found = catalog.Catalog()
+    replica = make_replica(weights=1, born_ms=EARLIER_MS)
+    found.apply([catalog.ReplicaChange(1, "i-1", replica)], 0.0)
+    return found
+
+
+@pytest.fixture
+def table(known: catalog.Catalog) -> replica_table.ReplicaTable:
+    """A table in which that engine is well known."""
+    found = replica_table.ReplicaTable()
+    found.sync(known, 0.0)
+    view = found.get("i-1")
+    assert view is not None
+    view.seen_weights = 1
+    view.seen_ms = 10.0
+    view.note_sent(500, 10.0)
+    for _ in range(replica_table.FAILURES_MAX):
+        view.note_broken(10.0)
+    return found
+
+
+def report(born_ms: int | None, weights: int) -> replica_table.LoadReport:
+    return replica_table.LoadReport(
+        address="127.0.0.1:1",
+        weights=weights,
+        running=0,
+        waiting=0,
+        pace=1.0,
+        opens=True,
+        born_ms=born_ms,
+    )
+
+
+def assert_unknown(table: replica_table.ReplicaTable) -> None:
+    view = table.get("i-1")
+    assert view is not None
+    assert table.of(view.replica.service_id) == [view]
+    assert view.weights(20.0) == 0
+    assert (view.in_flight, view.unread, view.load(20.0)) == (0, 0, 0.0)
+    assert view.failure_share == 0.0
+
+
+def test_its_new_entry_ends_all_that_was_believed_of_it(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    make_replica: MakeReplica,
+) -> None:
+    before = table.get("i-1")
+    again = make_replica(weights=0, born_ms=LATER_MS)
+    known.apply([catalog.ReplicaChange(2, "i-1", again)], 20.0)
+    assert table.sync(known, 20.0) == ["i-1"]
+    assert_unknown(table)
+    assert before is not None
+    before.note_ended()
+    assert_unknown(table)
+
+
+def test_report_of_its_new_start_goes_before_the_list(
+    known: catalog.Catalog, table: replica_table.ReplicaTable
+) -> None:
+    assert table.report(report(LATER_MS, 0), 20.0) == ["i-1"]
+    assert_unknown(table)
+    assert table.sync(known, 21.0) == []
+    late_ms = 21.0 + 2 * replica_table.REPORT_FRESH_MS
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(late_ms) == 0
+
+
+def test_late_word_of_its_earlier_start_changes_nothing(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    make_replica: MakeReplica,
+) -> None:
+    assert table.report(report(LATER_MS, 0), 20.0) == ["i-1"]
+    assert table.report(report(EARLIER_MS, 1), 21.0) == []
+    assert_unknown(table)
+    again = make_replica(weights=0, born_ms=LATER_MS)
+    known.apply([catalog.ReplicaChange(2, "i-1", again)], 22.0)
+    late = make_replica(weights=1, born_ms=EARLIER_MS)
+    assert known.apply([catalog.ReplicaChange(3, "i-1", late)], 23.0) == []
+    assert table.sync(known, 23.0) == []
+    assert_unknown(table)
+
+
+def test_platform_that_tells_no_start_is_believed_as_before(
+    known: catalog.Catalog, table: replica_table.ReplicaTable
+) -> None:
+    assert table.report(report(None, 1), 20.0) == []
+    view = table.get("i-1")
+    assert view is not None
+    assert (view.in_flight, view.weights(20.0)) == (1, 1)
+    (held,) = known.replicas()
+    untold = msgspec.structs.replace(held, born_ms=None)
+    known.apply([catalog.ReplicaChange(2, "i-1", untold)], 21.0)
+    assert table.sync(known, 21.0) == []
--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -252,3 +252,28 @@
             assert is_whole(await fleet.stream(host, "after"))
 
     run_fleet(use)
+
+
+def test_engines_that_start_again_under_their_ids_serve_again(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        await until_served(fleet, host)
+        for staged in (True, False):
+            streams = [
+                asyncio.create_task(fleet.stream(host, f"{staged}-{n}"))
+                for n in range(6)
+            ]
+            await asyncio.sleep(2.5 * direct_platform.EVENT_S)
+            for engine in fleet.engines:
+                engine.restart(engine.replica_id, staged=staged)
+            await asyncio.gather(*streams)
+            await until_weights(fleet, 1)
+            async with asyncio.timeout(4):
+                while not is_whole(await fleet.stream(host, f"{staged}-after")):
+                    await asyncio.sleep(0.05)
+        assert all(engine.mixed == 0 for engine in fleet.engines)
+        assert "event=engine_restarted" in fleet.log("agent-0")
+
+    run_fleet(use)
