A settings file that is still written does not end the start

Cause: the file was read once; one that was empty or cut at that moment ended the process with code 3. Now it is read again each 50 ms for a second before its problems are told. Before: the new test times out, the entry has ended; after: it serves. A file that stays wrong ends the process as before, a second later.

--- a/src/marlramp/direct/launch.py
+++ b/src/marlramp/direct/launch.py
@@ -12,8 +12,10 @@
 import pathlib
 import signal
 import sys
+import time as blocking_time
 from typing import Protocol
 
+from marlramp import clock
 from marlramp import logs
 from marlramp.platform import settings as platform_settings
 from marlramp.settings import node
@@ -21,6 +23,12 @@
 EXIT_OK = 0
 EXIT_SETTINGS_REFUSED = 3
 
+SETTINGS_WAIT_MS = 1_000.0
+SETTINGS_RETRY_MS = 50.0
+"""How long, and how often, a settings file that can't be used is read again at
+the start: one that is being written is whole within milliseconds, and a process
+that ends instead serves nothing until it is restarted."""
+
 
 class Daemon(Protocol):
     """A process that runs until it is drained."""
@@ -82,7 +90,7 @@
         )
         return EXIT_SETTINGS_REFUSED
     try:
-        settings = platform_settings.read(path)
+        settings = _read_settled(path, clock.SystemClock())
     except node.NodeSettingsError as error:
         for problem in error.problems:
             print(f"marlrampd: {problem}", file=sys.stderr)
@@ -95,5 +103,21 @@
     return EXIT_OK
 
 
+def _read_settled(path: pathlib.Path, time: clock.Clock) -> node.NodeSettings:
+    """Returns the settings in a file that may still be written.
+
+    Raises:
+      NodeSettingsError: if the file still can't be used after some time.
+    """
+    end_ms = time.now_ms() + SETTINGS_WAIT_MS
+    while True:
+        try:
+            return platform_settings.read(path)
+        except node.NodeSettingsError:
+            if time.now_ms() >= end_ms:
+                raise
+        blocking_time.sleep(SETTINGS_RETRY_MS / clock.MILLIS_PER_SECOND)
+
+
 def _reader(path: pathlib.Path) -> Callable[[], node.NodeSettings]:
     return lambda: platform_settings.read(path)
--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -277,3 +277,22 @@
         assert "event=engine_restarted" in fleet.log("agent-0")
 
     run_fleet(use)
+
+
+def test_settings_file_that_is_still_written_starts_the_process(
+    run_fleet: RunFleet, tmp_path: pathlib.Path
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        host = fleet.entry_hosts[0]
+        entry = fleet.processes["entry-0"]
+        entry.kill()
+        await entry.wait()
+        file = tmp_path / "entry-0.conf"
+        whole = file.read_text()
+        await fleet.start_entry(0)
+        file.write_text(whole[: len(whole) // 2])
+        await asyncio.sleep(0.6)
+        file.write_text(whole)
+        await fleet.wait_ready(host)
+
+    run_fleet(use)
