--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -21,7 +21,7 @@
 from marlramp import clock
 from marlramp.core import fleet
 from marlramp.core import queue_place
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 
 USUAL_PROMPT_TOKENS = 1_000.0
@@ -83,7 +83,7 @@
 
 
 def decide(
-    views: Sequence[replica_table.ReplicaView],
+    views: Sequence[replica_view.ReplicaView],
     request: Request,
     near: Collection[str],
     now_ms: clock.Millis,
--- /dev/null
+++ b/src/marlramp/core/replica_view.py
@@ -0,0 +1,310 @@
+"""One replica as an entry believes it to be.
+
+Three sources meet here: the platform's list (who exists, who is leaving), the
+reports of the agents beside engines (load and weights, fresh), and what this
+entry saw itself on its own requests, which goes before both.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import breaker
+from marlramp.core import fleet
+from marlramp.core import queue_place
+from marlramp.core import wait_bias
+
+REPORT_FRESH_MS = 1_500.0
+"""An agent's report counts this long; agents report every 500 ms or sooner."""
+
+FAILURES_MAX = 3
+"""Failures in a row that open a replica's breaker."""
+
+BREAKER_OPEN_MS = 1_500.0
+"""How long a failing replica gets no requests, but for one trial."""
+
+BUSY_BACKOFF_MS = 150.0
+"""How long a replica that refused a request for lack of room is spared."""
+
+MISDIRECTED_BACKOFF_MS = 400.0
+"""How long a replica that did not hold the expected weights is spared: two
+of an engine's own reporting lags."""
+
+TIME_SMOOTHING = 0.1
+"""Weight of the newest answer in a replica's smoothed time."""
+
+RUN_DEFAULT_MS = 1_300.0
+"""Expected time of a stream before the first one ended: 18 passes of some
+70 ms."""
+
+EVENT_DEFAULT_MS = 75.0
+"""Expected time between two events before the first stream ended: a pass of
+51 ms, and the prompts read between two passes."""
+
+BIAS_MIN = 0.5
+BIAS_MAX = 3.0
+"""Bounds of one observation, so that one stall does not close an engine."""
+
+FAILURE_SMOOTHING = 0.15
+"""Weight of the newest answer in a replica's share of failures: a replica
+that fails two in five requests stands out after some six answers."""
+
+TIME_DEFAULT_MS = 40.0
+"""Expected time of a plain answer before the first one was seen."""
+
+
+def is_newer_start(born_ms: int | None, than_ms: int | None) -> bool:
+    """Returns whether a start is known to be later than another."""
+    return born_ms is not None and than_ms is not None and born_ms > than_ms
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an agent reports of the engine on its VM.
+
+    Attributes:
+      address: "host:port" of the engine.
+      weights: version that all layers hold, 0 if none or several.
+      running: requests that have a place.
+      waiting: requests that wait.
+      pace: measured slowness, 1 for none.
+      opens: whether the engine takes new requests; False around a change of
+        weights.
+      closes_in_ms: time until it is to close for a change of weights, None if
+        none is planned.
+      born_ms: Unix time of the engine's start, None where the platform does
+        not say.
+    """
+
+    address: str
+    weights: int
+    running: int
+    waiting: int
+    pace: float
+    opens: bool
+    closes_in_ms: float | None = None
+    born_ms: int | None = None
+
+
+class ReplicaView(msgspec.Struct):
+    """What this entry believes of one replica.
+
+    Attributes:
+      replica: its entry in the list.
+      report: the last report of the agent beside it.
+      reported_ms: when that arrived.
+      in_flight: own requests there.
+      unread: prompt tokens of own requests there that brought no event yet,
+        without those that wait behind the others.
+      behind: own requests that wait behind the others there.
+      behind_unread: their prompt tokens.
+      others_in_flight: requests of other entries there, as far as they tell.
+      others_unread: like `unread`, of other entries.
+      others_behind: like `behind`, of other entries.
+      others_behind_unread: their prompt tokens.
+      known_then: requests there that this entry knew of at the last word on
+        its load.
+      running: requests running there at the last word on its load.
+      waiting: requests waiting there at that time.
+      load_ms: time of the last word on its load.
+      seen_weights: version last seen on an answer, None before.
+      seen_ms: when that was.
+      answer_ms: smoothed time of a plain answer.
+      run_ms: smoothed time from a stream's first event to its end.
+      event_ms: smoothed time between two events of a stream.
+      bias: smoothed ratio of actual to predicted times to the first event.
+      behind_bias: the same of requests that wait behind the others, over all
+        replicas of the service, since there are few of them.
+      failure_share: smoothed share of answers that failed.
+      not_before_ms: it gets nothing before this.
+      heard_ms: when any byte of it arrived last.
+      breaker: its circuit breaker.
+      born_ms: Unix time of its newest start heard of, None if none was told.
+    """
+
+    replica: fleet.Replica
+    breaker: breaker.Breaker
+    report: LoadReport | None = None
+    reported_ms: float = float("-inf")
+    in_flight: int = 0
+    unread: int = 0
+    behind: int = 0
+    behind_unread: int = 0
+    others_in_flight: int = 0
+    others_unread: int = 0
+    others_behind: int = 0
+    others_behind_unread: int = 0
+    known_then: int = 0
+    running: int = 0
+    waiting: int = 0
+    load_ms: float = float("-inf")
+    seen_weights: int | None = None
+    seen_ms: float = float("-inf")
+    answer_ms: float = TIME_DEFAULT_MS
+    run_ms: float = RUN_DEFAULT_MS
+    event_ms: float = EVENT_DEFAULT_MS
+    bias: float = 1.0
+    behind_bias: wait_bias.WaitBias = msgspec.field(
+        default_factory=wait_bias.WaitBias
+    )
+    failure_share: float = 0.0
+    not_before_ms: float = float("-inf")
+    heard_ms: float = float("-inf")
+    born_ms: int | None = None
+
+    def weights(self, now_ms: clock.Millis) -> int:
+        """Returns the version believed to be loaded, 0 if none is."""
+        report_age_ms = now_ms - self.reported_ms
+        if self.report is not None and report_age_ms < REPORT_FRESH_MS:
+            if self.seen_ms > self.reported_ms:
+                return max(self.report.weights, self.seen_weights or 0)
+            return self.report.weights
+        listed = 0 if self._is_listed_older else self.replica.weights or 0
+        return max(listed, self.seen_weights or 0)
+
+    @property
+    def _is_listed_older(self) -> bool:
+        """Whether the list still has an earlier start of this replica."""
+        return is_newer_start(self.born_ms, self.replica.born_ms)
+
+    def opens(self, now_ms: clock.Millis) -> bool:
+        """Returns whether it takes new requests as far as is known."""
+        if now_ms < self.not_before_ms:
+            return False
+        fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
+        return self.report is None or not fresh or self.report.opens
+
+    def load(self, now_ms: clock.Millis) -> float:
+        """Returns the requests believed to be there now.
+
+        The last word on its load counts all requests; what came and went
+        since is known of the own requests and of those that others tell.
+        """
+        known = self.in_flight + self.others_in_flight
+        if now_ms - self.load_ms > REPORT_FRESH_MS:
+            return float(known)
+        told = self.running + self.waiting + known - self.known_then
+        return float(max(known, told))
+
+    def load_ahead(
+        self, place: queue_place.QueuePlace, now_ms: clock.Millis
+    ) -> float:
+        """Returns the requests there that a request of some place waits for.
+
+        Requests that wait behind the others yield to one that goes in front;
+        those of them that have a place in the batch already do not. Of the
+        requests that nobody told of, as many are taken to yield as of those
+        that are known: two thirds of all waiting ones where three regions
+        share the engines, without which four in ten requests that could begin
+        in time were taken to be late.
+        """
+        load = self.load(now_ms)
+        if place is queue_place.QueuePlace.BEHIND:
+            return load
+        waiting = max(0.0, load - self.replica.slots)
+        return load - waiting * self._yielding_share()
+
+    def _yielding_share(self) -> float:
+        """Returns the part of the unbegun requests that yield to others."""
+        behind = self.behind_unread + self.others_behind_unread
+        unread = behind + self.unread + self.others_unread
+        return behind / unread if unread else 0.0
+
+    def unread_ahead(self, place: queue_place.QueuePlace) -> int:
+        """Returns the prompt tokens that are read before a request's own."""
+        front = self.unread + self.others_unread
+        if place is queue_place.QueuePlace.FRONT:
+            return front
+        return front + self.behind_unread + self.others_behind_unread
+
+    def note_load(
+        self, running: int, waiting: int, now_ms: clock.Millis
+    ) -> None:
+        """Takes a word on its load that is true now."""
+        self.running = running
+        self.waiting = waiting
+        self.load_ms = now_ms
+        self.known_then = self.in_flight + self.others_in_flight
+
+    def note_sent(
+        self,
+        prompt_tokens: int,
+        now_ms: clock.Millis,
+        place: queue_place.QueuePlace = queue_place.QueuePlace.FRONT,
+    ) -> None:
+        """Counts a request sent there."""
+        self.in_flight += 1
+        if place is queue_place.QueuePlace.BEHIND:
+            self.behind += 1
+            self.behind_unread += prompt_tokens
+        else:
+            self.unread += prompt_tokens
+        self.breaker.record_start(now_ms)
+
+    def note_read(
+        self,
+        prompt_tokens: int,
+        place: queue_place.QueuePlace = queue_place.QueuePlace.FRONT,
+    ) -> None:
+        """Counts a request whose prompt was read, or that ended unread."""
+        if place is queue_place.QueuePlace.BEHIND:
+            self.behind = max(0, self.behind - 1)
+            self.behind_unread = max(0, self.behind_unread - prompt_tokens)
+        else:
+            self.unread = max(0, self.unread - prompt_tokens)
+
+    def note_ended(self) -> None:
+        """Counts a request that ended there."""
+        self.in_flight -= 1
+
+    def note_answered(self, taken_ms: float) -> None:
+        """Takes the time of a good plain answer."""
+        self.answer_ms += TIME_SMOOTHING * (taken_ms - self.answer_ms)
+
+    def note_run(self, taken_ms: float, events: int) -> None:
+        """Takes the time from a stream's first event to its end."""
+        self.run_ms += TIME_SMOOTHING * (taken_ms - self.run_ms)
+        if events > 1:
+            event_ms = taken_ms / (events - 1)
+            self.event_ms += TIME_SMOOTHING * (event_ms - self.event_ms)
+
+    def closes_in_ms(self, now_ms: clock.Millis) -> float:
+        """Returns the time until it closes for new weights, if it will."""
+        report = self.report
+        if report is None or report.closes_in_ms is None:
+            return float("inf")
+        return report.closes_in_ms - (now_ms - self.reported_ms)
+
+    def note_first(self, taken_ms: float, predicted_ms: float) -> None:
+        """Takes the time to a first event and what was predicted.
+
+        Args:
+          taken_ms: the time that it took.
+          predicted_ms: prediction without the bias.
+        """
+        ratio = taken_ms / max(1.0, predicted_ms)
+        ratio = min(BIAS_MAX, max(BIAS_MIN, ratio))
+        self.bias += TIME_SMOOTHING * (ratio - self.bias)
+
+    def note_good(self) -> None:
+        """Counts a good answer."""
+        self.failure_share -= FAILURE_SMOOTHING * self.failure_share
+        self.breaker.record_success()
+
+    def note_error(self) -> None:
+        """Counts an answer that reports a failure."""
+        self.failure_share += FAILURE_SMOOTHING * (1.0 - self.failure_share)
+
+    def note_broken(self, now_ms: clock.Millis) -> None:
+        """Counts a request that got no whole answer."""
+        self.note_error()
+        self.breaker.record_failure(now_ms)
+
+    def note_unreachable(self, now_ms: clock.Millis) -> None:
+        """Counts a connection that could not be opened.
+
+        The replica is down, cut off or has no room: another try by each of
+        several requests would cost each of them one of its few attempts.
+        """
+        self.note_error()
+        self.breaker.trip(now_ms)
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -11,7 +11,7 @@
 from marlramp.core import engine_load
 from marlramp.core import fleet
 from marlramp.core import queue_place
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import routing
 
 FAILURE_WEIGHT = 4.0
@@ -61,7 +61,7 @@
         there any more.
     """
 
-    view: replica_table.ReplicaView
+    view: replica_view.ReplicaView
     predicted_ms: float
     unbiased_ms: float
     load: float
@@ -72,7 +72,7 @@
 
 
 def usable(
-    view: replica_table.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
 ) -> bool:
     """Returns whether a replica may get the request at all."""
     if view.replica.state is not fleet.ReplicaState.HEALTHY:
@@ -85,7 +85,7 @@
 
 
 def predicted_ms(
-    view: replica_table.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
 ) -> float:
     """Returns the predicted time to the answer or its first event."""
     if wanted.engine is None:
@@ -106,7 +106,7 @@
 
 def overrun_ms(
     choice_ms: float,
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     wanted: Wanted,
     now_ms: clock.Millis,
 ) -> float:
@@ -126,7 +126,7 @@
 
 
 def _bias(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     place: queue_place.QueuePlace,
     now_ms: clock.Millis,
 ) -> float:
@@ -136,7 +136,7 @@
 
 
 def rank(
-    views: Sequence[replica_table.ReplicaView],
+    views: Sequence[replica_view.ReplicaView],
     wanted: Wanted,
     is_near: Collection[str],
     now_ms: clock.Millis,
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -9,22 +9,20 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
-import random
 
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import catalog
 from marlramp.core import engine_state
 from marlramp.core import lifecycle
 from marlramp.core import members
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import swap_times
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
-from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import named_weights
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.direct.weights import weights_loader
@@ -52,23 +50,10 @@
 """Longest time between two reports to any entry: a third of the time that one
 counts."""
 
-UNGUIDED_READ_MS = 3_000.0
-"""An agent that no entry guides reads the store itself this often."""
-
-FIRST_READ_RETRY_MIN_MS = 150.0
-FIRST_READ_RETRY_MAX_MS = 450.0
-"""The same until it first knew what to load, drawn between the two. After a
-loss of all power engines serve again some 0.4 s sooner than if their agents
-waited until entries have started and found them."""
-
 NEW_VERSION_MS = 2_000.0
 """A version named this lately is held by no agent as a whole: fetching one
 takes twice as long."""
 
-FIRST_VERSION = 1
-"""Version in force until another is named; engines that are added hold no
-weights at all."""
-
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -118,15 +103,14 @@
             {"metrics": side_server.metrics_address(settings)},
             self._clock,
         )
-        self._targets = catalog.Catalog()
-        self._guided_ms = float("-inf")
-        self._origin = ""
-        self._model = ""
+        self._weights = named_weights.NamedWeights(
+            self._take_origin, self._clock
+        )
         self._peers: dict[str, members.Member] = {}
         self._may_cut = False
         self._reached: bool | None = None
         self._report: engine_state.EngineReport | None = None
-        self._told: replica_table.LoadReport | None = None
+        self._told: replica_view.LoadReport | None = None
         self._told_ms = float("-inf")
         self._told_all_ms = float("-inf")
 
@@ -219,11 +203,7 @@
 
     def wanted(self) -> version_digests.Wanted | None:
         """Returns the weights to serve, None if they are not known."""
-        if not self._model:
-            return None
-        target = self._targets.targets.get(self._model)
-        version = FIRST_VERSION if target is None else target.target.version
-        return version_digests.Wanted(self._model, version)
+        return self._weights.wanted()
 
     def report(self) -> engine_state.EngineReport | None:
         """Returns the engine's last report, None while it is away."""
@@ -254,7 +234,7 @@
 
     def begins_ms(self, wanted: version_digests.Wanted) -> float:
         """Returns when the engine may load."""
-        target = self._targets.targets.get(wanted.model)
+        target = self._weights.target(wanted.model)
         held = 0 if self._report is None else self._report.weights
         return swap_times.begins_ms(
             self._own.vm_id,
@@ -270,7 +250,7 @@
 
     def is_new(self, wanted: version_digests.Wanted) -> bool:
         """Returns whether a version was named just now."""
-        target = self._targets.targets.get(wanted.model)
+        target = self._weights.target(wanted.model)
         if target is None or target.named_ms is None:
             return False
         return self._clock.now_ms() - target.named_ms < NEW_VERSION_MS
@@ -287,33 +267,13 @@
                 self._on_guide(message)
 
     def _on_guide(self, guide: fleet_messages.Guide) -> None:
-        now_ms = self._clock.now_ms()
-        self._guided_ms = now_ms
-        self._take_targets(list(guide.targets), "guide")
-        self._take_origin(guide.origin)
+        self._weights.take_guide(guide)
         self._place_peers(guide.agents)
         self._sync.told(guide.entries)
         self._may_cut = guide.streams_resume
-        if guide.engine is not None:
-            self._model = guide.engine.model
-
-    def _take_targets(self, changes: list[catalog.Change], source: str) -> None:
-        """Takes named weights, and what the store holds besides.
-
-        Args:
-          changes: what was told or read.
-          source: who told it, for the log.
-        """
-        for change in self._targets.apply(changes, self._clock.now_ms()):
-            if isinstance(change, catalog.TargetChange):
-                catalog_log.log_change(change, source)
 
     def _take_origin(self, origin: str) -> None:
-        if origin and origin != self._origin:
-            self._origin = origin
-            self._exchange.set_origin(
-                replica_api.OriginApi(self._caller, origin)
-            )
+        self._exchange.set_origin(replica_api.OriginApi(self._caller, origin))
 
     def _place_peers(self, agents: list[members.Member]) -> None:
         """Takes the other agents that entries hear."""
@@ -363,12 +323,12 @@
             within,
         )
 
-    def _load_report(self) -> replica_table.LoadReport | None:
+    def _load_report(self) -> replica_view.LoadReport | None:
         report = self._report
         if report is None:
             return None
         loading = self._loader.state is weights_loader.LoaderState.LOADING
-        return replica_table.LoadReport(
+        return replica_view.LoadReport(
             address=str(self._replica),
             weights=report.weights,
             running=report.running,
@@ -392,40 +352,14 @@
             await asyncio.sleep(TICK_MS / _MS)
 
     async def _learn_unguided(self) -> None:
-        """Learns from the store what no entry tells, at the start and later."""
-        while not self._model:
-            await self._read_store()
-            wait_ms = random.uniform(
-                FIRST_READ_RETRY_MIN_MS, FIRST_READ_RETRY_MAX_MS
-            )
-            await asyncio.sleep(wait_ms / _MS)
-        while True:
-            await asyncio.sleep(UNGUIDED_READ_MS / _MS)
-            now_ms = self._clock.now_ms()
-            if not self._sync.members.alive(members.MemberKind.ENTRY, now_ms):
-                await self._read_store()
-
-    async def _read_store(self) -> None:
-        try:
-            snapshot = await self._store.read_all(stale=True)
-        except clients.PlatformError as error:
-            logs.log("store_unavailable", detail=error)
-            return
-        self._take_targets(snapshot.changes, "store")
-        self._targets.advance(snapshot.revision)
-        self._learn_from_config()
+        await self._weights.learn_unguided(self._store, self._is_guided)
 
-    def _learn_from_config(self) -> None:
-        config = self._targets.config
-        if config is None:
-            return
-        for service in config.services:
-            self._take_origin(service.origin)
-            if service.engine is not None:
-                self._model = service.engine.model
+    def _is_guided(self) -> bool:
+        now_ms = self._clock.now_ms()
+        return bool(self._sync.members.alive(members.MemberKind.ENTRY, now_ms))
 
 
 def _load_of(
-    report: replica_table.LoadReport | None,
+    report: replica_view.LoadReport | None,
 ) -> tuple[int, int] | None:
     return None if report is None else (report.running, report.waiting)
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -5,7 +5,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp.core import queue_place
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import wire
@@ -122,8 +122,8 @@
         if outcome.answer is None:
             self._view.note_unreachable(now_ms)
             return
-        wait_ms = replica_table.BUSY_BACKOFF_MS
+        wait_ms = replica_view.BUSY_BACKOFF_MS
         if outcome.answer.status == errors.MISDIRECTED:
-            wait_ms = replica_table.MISDIRECTED_BACKOFF_MS
+            wait_ms = replica_view.MISDIRECTED_BACKOFF_MS
             self._view.seen_weights = None
         self._view.not_before_ms = now_ms + wait_ms
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -15,6 +15,7 @@
 from marlramp.core import members
 from marlramp.core import reader_duty
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import route_table
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
@@ -351,7 +352,7 @@
                 if message.report is not None:
                     self._on_engine(message.report)
 
-    def _on_engine(self, report: replica_table.LoadReport) -> None:
+    def _on_engine(self, report: replica_view.LoadReport) -> None:
         restarted = self._table.report(report, self._clock.now_ms())
         for replica_id in restarted:
             logs.log(
--- /dev/null
+++ b/src/marlramp/direct/fleet/named_weights.py
@@ -0,0 +1,122 @@
+"""What an agent knows of the weights to serve, from guides or the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Protocol
+
+from marlramp import clock
+from marlramp import logs
+from marlramp.core import catalog
+from marlramp.direct.fleet import catalog_log
+from marlramp.direct.weights import version_digests
+from marlramp.platform import clients
+from marlramp.protocol import fleet_messages
+
+UNGUIDED_READ_MS = 3_000.0
+"""An agent that no entry guides reads the store itself this often."""
+
+FIRST_READ_RETRY_MIN_MS = 150.0
+FIRST_READ_RETRY_MAX_MS = 450.0
+"""The same until it first knew what to load, drawn between the two. After a
+loss of all power engines serve again some 0.4 s sooner than if their agents
+waited until entries have started and found them."""
+
+FIRST_VERSION = 1
+"""Version in force until another is named; engines that are added hold no
+weights at all."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class StaleSource(Protocol):
+    """A store that can be read cheaply."""
+
+    async def read_all(self, *, stale: bool = False) -> catalog.Snapshot:
+        """Returns all that the store holds for the system."""
+        ...
+
+
+class NamedWeights:
+    """The model of the engine on this VM and the versions named of it."""
+
+    def __init__(
+        self, on_origin: Callable[[str], None], time: clock.Clock
+    ) -> None:
+        """Knows nothing yet; `on_origin` takes each new origin's address."""
+        self._on_origin = on_origin
+        self._clock = time
+        self._catalog = catalog.Catalog()
+        self._origin = ""
+        self.model = ""
+
+    def wanted(self) -> version_digests.Wanted | None:
+        """Returns the weights to serve, None if they are not known."""
+        if not self.model:
+            return None
+        target = self.target(self.model)
+        version = FIRST_VERSION if target is None else target.target.version
+        return version_digests.Wanted(self.model, version)
+
+    def target(self, model: str) -> catalog.KnownTarget | None:
+        """Returns what was named of a model, None if nothing was."""
+        return self._catalog.targets.get(model)
+
+    def take_guide(self, guide: fleet_messages.Guide) -> None:
+        """Takes what an entry tells."""
+        self._apply(list(guide.targets), "guide")
+        self._take_origin(guide.origin)
+        if guide.engine is not None:
+            self.model = guide.engine.model
+
+    async def learn_unguided(
+        self, store: StaleSource, is_guided: Callable[[], bool]
+    ) -> None:
+        """Reads the store at the start and while no entry guides, for ever."""
+        while not self.model:
+            await self._read(store)
+            wait_ms = random.uniform(
+                FIRST_READ_RETRY_MIN_MS, FIRST_READ_RETRY_MAX_MS
+            )
+            await asyncio.sleep(wait_ms / _MS)
+        while True:
+            await asyncio.sleep(UNGUIDED_READ_MS / _MS)
+            if not is_guided():
+                await self._read(store)
+
+    async def _read(self, store: StaleSource) -> None:
+        try:
+            snapshot = await store.read_all(stale=True)
+        except clients.PlatformError as error:
+            logs.log("store_unavailable", detail=error)
+            return
+        self._apply(snapshot.changes, "store")
+        self._catalog.advance(snapshot.revision)
+        self._learn_from_config()
+
+    def _learn_from_config(self) -> None:
+        config = self._catalog.config
+        if config is None:
+            return
+        for service in config.services:
+            self._take_origin(service.origin)
+            if service.engine is not None:
+                self.model = service.engine.model
+
+    def _apply(self, changes: list[catalog.Change], source: str) -> None:
+        """Takes named weights, and what the store holds besides.
+
+        Args:
+          changes: what was told or read.
+          source: who told it, for the log.
+        """
+        for change in self._catalog.apply(changes, self._clock.now_ms()):
+            if isinstance(change, catalog.TargetChange):
+                catalog_log.log_change(change, source)
+
+    def _take_origin(self, origin: str) -> None:
+        if origin and origin != self._origin:
+            self._origin = origin
+            self._on_origin(origin)
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -20,6 +20,7 @@
 from marlramp.core import fleet
 from marlramp.core import peer_loads
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import replica_observer
@@ -309,7 +310,7 @@
     def _report(self, name: str) -> None:
         number = int(name.partition("-")[2])
         engine = self._engines[name]
-        report = replica_table.LoadReport(
+        report = replica_view.LoadReport(
             address=f"127.0.0.1:{number + 1}",
             weights=1,
             running=engine.running,
@@ -325,7 +326,7 @@
         self._in(REPORT_NEAR_MS, lambda: self._report(name))
 
     def _hearing(
-        self, entry: _Entry, report: replica_table.LoadReport
+        self, entry: _Entry, report: replica_view.LoadReport
     ) -> Callable[[], None]:
         def hear() -> None:
             entry.table.report(report, self._time.now_ms())
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -14,7 +14,7 @@
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import peer_loads
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.protocol import messages
 
 FRAGMENT_BYTES_MAX = 65_536
@@ -75,7 +75,7 @@
 class EngineNews(_Message):
     """An agent's report of the engine beside it, None while it is away."""
 
-    report: replica_table.LoadReport | None
+    report: replica_view.LoadReport | None
 
 
 class OwnLoads(_Message):
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -11,7 +11,7 @@
 from marlramp.core import breaker
 from marlramp.core import fleet
 from marlramp.core import queue_place
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.core import wait_bias
 
@@ -22,11 +22,9 @@
 
 
 @pytest.fixture
-def view(make_replica: MakeReplica) -> replica_table.ReplicaView:
+def view(make_replica: MakeReplica) -> replica_view.ReplicaView:
     """An engine of 16 places that nothing is known of."""
-    return replica_table.ReplicaView(
-        make_replica(), breaker.Breaker(3, 1_500.0)
-    )
+    return replica_view.ReplicaView(make_replica(), breaker.Breaker(3, 1_500.0))
 
 
 @pytest.fixture
@@ -57,7 +55,7 @@
 
 
 def test_request_that_can_begin_in_time_goes_in_front(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -67,7 +65,7 @@
 
 
 def test_request_that_is_late_already_yields(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -78,7 +76,7 @@
 
 
 def test_herd_that_comes_back_does_not_delay_the_others(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -99,7 +97,7 @@
 
 
 def test_request_that_has_run_is_never_refused(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -116,7 +114,7 @@
 
 
 def test_long_prompts_are_refused_no_sooner_than_usual_ones(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -134,7 +132,7 @@
 
 
 def test_requests_that_nobody_told_of_yield_like_those_that_are_known(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
@@ -154,7 +152,7 @@
 
 
 def test_waits_beyond_the_prediction_close_the_place_behind(
-    view: replica_table.ReplicaView,
+    view: replica_view.ReplicaView,
     request_: admission.Request,
     time: clock.ManualClock,
     rng: random.Random,
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -11,7 +11,7 @@
 from marlramp.core import engine_load
 from marlramp.core import event_stream
 from marlramp.core import fleet
-from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import retry_share
 from marlramp.core import swap_times
 from marlramp.core import upstream_choice
@@ -21,13 +21,13 @@
 WANTED = upstream_choice.Wanted(
     engine=None, prompt_tokens=0, events=1.0, oldest_weights=0, failed=()
 )
-REPORT = replica_table.LoadReport(
+REPORT = replica_view.LoadReport(
     address="127.0.0.1:1", weights=1, running=0, waiting=0, pace=1.0, opens=True
 )
 
 
-def view_of(replica: fleet.Replica) -> replica_table.ReplicaView:
-    return replica_table.ReplicaView(replica, breaker.Breaker(3, 1_500.0))
+def view_of(replica: fleet.Replica) -> replica_view.ReplicaView:
+    return replica_view.ReplicaView(replica, breaker.Breaker(3, 1_500.0))
 
 
 def ids_of(choices: list[upstream_choice.Choice]) -> list[str]:
--- a/tests/core/test_replica_restarts.py
+++ b/tests/core/test_replica_restarts.py
@@ -10,6 +10,7 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 
 type MakeReplica = Callable[..., fleet.Replica]
 
@@ -36,13 +37,13 @@
     view.seen_weights = 1
     view.seen_ms = 10.0
     view.note_sent(500, 10.0)
-    for _ in range(replica_table.FAILURES_MAX):
+    for _ in range(replica_view.FAILURES_MAX):
         view.note_broken(10.0)
     return found
 
 
-def report(born_ms: int | None, weights: int) -> replica_table.LoadReport:
-    return replica_table.LoadReport(
+def report(born_ms: int | None, weights: int) -> replica_view.LoadReport:
+    return replica_view.LoadReport(
         address="127.0.0.1:1",
         weights=weights,
         running=0,
@@ -83,7 +84,7 @@
     assert table.report(report(LATER_MS, 0), 20.0) == ["i-1"]
     assert_unknown(table)
     assert table.sync(known, 21.0) == []
-    late_ms = 21.0 + 2 * replica_table.REPORT_FRESH_MS
+    late_ms = 21.0 + 2 * replica_view.REPORT_FRESH_MS
     view = table.get("i-1")
     assert view is not None
     assert view.weights(late_ms) == 0
