--- a/models/__main__.py
+++ b/models/__main__.py
@@ -5,6 +5,7 @@
 import sys
 
 from models import grants
+from models import replica_restart
 from models import report
 from models import settings
 from models import version_swap
@@ -14,6 +15,7 @@
     """Runs every specification and prints the results."""
     try:
         report.run(grants.SPECIFICATION)
+        report.run(replica_restart.SPECIFICATION)
         report.run(settings.SPECIFICATION)
         report.run(version_swap.SPECIFICATION)
     except (report.ModelFailedError, AssertionError) as error:
