Finding: after a loss of all power no engine of a grown fleet loads again

From its lines: 4,866 times manifest_unavailable after 33 s (4,554 by a reset), 250 to 500 in each two seconds, no manifest_known in any of 51 agents, so no piece, no load. Two causes are open to view: every agent asks the origin each 0.2 s for ever, and agents open links to one another only once they know the digests. That the herd alone is what keeps the origin shut is not shown yet.

--- /dev/null
+++ b/tests/direct/weights/test_manifest_herd.py
@@ -0,0 +1,140 @@
+"""All agents lack the digests of a version at the same moment.
+
+After a loss of all power no engine ever loaded its weights again. Each of 51
+agents asked the origin for the digests five times a second, on a connection of
+its own, and the origin reset what was beyond its bound; links between agents
+were opened only once the digests were known, so that nobody could hear them
+from another. "manifest_unavailable detail=reset" came 250 times in the first
+two seconds and 490 times in each two seconds from then on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+
+import msgspec
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp.core import manifest
+from marlramp.core import members
+from marlramp.direct.weights import piece_exchange
+from marlramp.direct.weights import version_digests
+from marlramp.platform import clients
+
+AGENTS = 51
+ASKS_PER_S_MAX = 40
+"""The origin takes no more; what comes beyond it costs it as much."""
+
+WANTED = version_digests.Wanted("m", 2)
+FOUND = manifest.Manifest(
+    model="m",
+    version="2",
+    chunk_bytes=1,
+    total_bytes=2,
+    chunks=["a" * 64, "b" * 64],
+    whole="",
+)
+
+
+class BoundedOrigin:
+    """Resets every call while more came in the last second than it bears."""
+
+    def __init__(self, down_s: float = 0.0) -> None:
+        """Is down for `down_s` seconds first."""
+        loop = asyncio.get_running_loop()
+        self._time = loop.time
+        self._up_s = loop.time() + down_s
+        self._asked: collections.deque[float] = collections.deque()
+        self.most_in_a_second = 0
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        now_s = self._time()
+        self._asked.append(now_s)
+        while now_s - self._asked[0] > 1.0:
+            self._asked.popleft()
+        if now_s > self._up_s - 1.0:
+            self.most_in_a_second = max(self.most_in_a_second, len(self._asked))
+        await asyncio.sleep(0.01)
+        if now_s < self._up_s or len(self._asked) > ASKS_PER_S_MAX:
+            raise clients.PlatformError("reset")
+        return FOUND
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        raise clients.PlatformError("not asked for here")
+
+
+class Links:
+    """Links in memory: only those that were opened carry messages."""
+
+    def __init__(self, name: str, all_links: dict[str, Links]) -> None:
+        self._name = name
+        self._all = all_links
+        self._open: set[str] = set()
+        self.deliver: Callable[[str, msgspec.Struct], None] | None = None
+        all_links[name] = self
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        is_new = name not in self._open
+        self._open.add(name)
+        self._all[name]._open.add(self._name)
+        return is_new
+
+    def close(self, name: str) -> None:
+        self._open.discard(name)
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        if name not in self._open:
+            return False
+        deliver = self._all[name].deliver
+        assert deliver is not None
+        asyncio.get_running_loop().call_later(
+            0.002, deliver, self._name, message
+        )
+        return True
+
+
+def make_agents() -> list[piece_exchange.PieceExchange]:
+    own = [
+        members.Member(
+            vm_id=ids.VmId(f"vm-{n}"),
+            kind=members.MemberKind.AGENT,
+            data_centre=ids.DataCentreId("dc-1"),
+            host="127.0.0.1",
+            port=n + 1,
+        )
+        for n in range(AGENTS)
+    ]
+    all_links: dict[str, Links] = {}
+    agents = []
+    for member in own:
+        agent = piece_exchange.PieceExchange(
+            member, 1e6, counters.Counters(), clock.SystemClock()
+        )
+        links = Links(member.vm_id, all_links)
+        links.deliver = agent.on_message  # type: ignore[assignment]
+        agent.attach(links)  # type: ignore[arg-type]
+        peers = {m.vm_id: m for m in own if m is not member}
+        agent.set_peers(peers, set(peers))
+        agents.append(agent)
+    return agents
+
+
+async def learn_all(origin: BoundedOrigin, agents_s: float) -> None:
+    agents = make_agents()
+    for agent in agents:
+        agent.set_origin(origin)
+    async with asyncio.timeout(agents_s):
+        await asyncio.gather(*[a.find_manifest(WANTED) for a in agents])
+
+
+def test_all_learn_the_digests_soon_after_the_origin_is_back() -> None:
+    async def main() -> None:
+        origin = BoundedOrigin(down_s=4.0)
+        await learn_all(origin, 6.0)
+        assert origin.most_in_a_second <= ASKS_PER_S_MAX
+
+    asyncio.run(main())
