Repair: few agents at a time ask the origin for digests, and all tell each other

Cause: each agent asked the origin each 0.2 s until it answered, 250 calls a second from 51 agents, and opened links to others only once it knew the digests. Class: a retry that all begin at one moment, without an order or a bound that knows the size of the fleet. Links to neighbours open before the digests are known, an agent asks eight others in a round, and one that is asked remembers it and answers once it knows. A reply of a neighbour ends a call to the origin that still waits. Tests: an origin that bears 40 calls a second, at once and after 4 s of outage; before, the second one never ends.

--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -77,10 +77,11 @@
             member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
         ) = None
         self._digests = version_digests.VersionDigests(
-            lambda: self._peers, self._send
+            own.vm_id, lambda: self._peers, self._send, time
         )
         self._wholes = self._digests.wholes
         self._wanted: version_digests.Wanted | None = None
+        self._linked_for: version_digests.Wanted | None = None
         self._swarm: swarm.Swarm | None = None
         self._peers: dict[str, members.Member] = {}
         self._near: set[str] = set()
@@ -143,6 +144,10 @@
         self, wanted: version_digests.Wanted
     ) -> manifest.Whole:
         """Learns the digests of a version from the origin or neighbours."""
+        # Links first: without them nobody hears the digests but from the
+        # origin, which all of a fleet may ask at once.
+        self._linked_for = wanted
+        self._link_peers()
         return await self._digests.find(wanted)
 
     def want(self, wanted: version_digests.Wanted, *, is_new: bool) -> None:
@@ -172,6 +177,7 @@
             0.0 if is_new else NEIGHBOURS_FIRST_MS,
         )
         self._place_in_swarm()
+        self._linked_for = wanted
         self._link_peers()
         for name in self._peers:
             self._send_hello(name, reply=True)
@@ -209,7 +215,8 @@
     # Neighbours.
 
     def _link_peers(self) -> None:
-        if self._links is None or self._wanted is None:
+        wanted = self._linked_for
+        if self._links is None or wanted is None:
             return
         data_centres = {
             ids.VmId(name): ids.DataCentreId(peer.data_centre)
@@ -218,7 +225,7 @@
         own = ids.VmId(self._own.vm_id)
         data_centres[own] = ids.DataCentreId(self._own.data_centre)
         chosen = swarm.choose_neighbours(
-            own, ids.Digest(self._wanted.name), data_centres, NEIGHBOURS
+            own, ids.Digest(wanted.name), data_centres, NEIGHBOURS
         )
         for name in chosen:
             peer = self._peers[name]
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import random
 from typing import Protocol
 
 import msgspec
@@ -13,10 +14,20 @@
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import manifest
+from marlramp.core import origin_asks
+from marlramp.core import rendezvous
 from marlramp.platform import clients
 from marlramp.protocol import messages
 
-MANIFEST_RETRY_MS = 200.0
+POLL_MS = 100.0
+"""Between two rounds of asking other agents for digests that are missing."""
+
+PEERS_ASKED = 8
+"""Agents asked in each round, drawn anew: one that knows is found within some
+rounds in a fleet of any size, and rounds cost the same in all of them."""
+
+ASKED_MAX = 4
+"""Versions for which it is remembered who asked: the ones named lately."""
 
 
 class Origin(Protocol):
@@ -48,12 +59,26 @@
 
     def __init__(
         self,
+        own: str,
         peers: Callable[[], Iterable[str]],
         send: Callable[[str, msgspec.Struct], bool],
+        time: clock.Clock,
     ) -> None:
-        """Asks the agents that `peers` names through `send`."""
+        """Knows none.
+
+        Args:
+          own: this agent.
+          peers: names the other agents.
+          send: sends to one of them.
+          time: the clock.
+        """
+        self._own = own
         self._peers = peers
         self._send = send
+        self._clock = time
+        self._rng = random.Random()
+        self._asked_by: dict[str, set[str]] = {}
+        self._news = asyncio.Event()
         self.origin: Origin | None = None
         self.wholes: collections.OrderedDict[str, manifest.Whole] = (
             collections.OrderedDict()
@@ -61,21 +86,30 @@
 
     async def find(self, wanted: Wanted) -> manifest.Whole:
         """Learns the digests of a version from the origin or neighbours."""
-        while wanted.name not in self.wholes:
-            await self._ask_manifest(wanted)
-            if wanted.name not in self.wholes:
-                await asyncio.sleep(MANIFEST_RETRY_MS / clock.MILLIS_PER_SECOND)
+        asks = origin_asks.OriginAsks(self._clock.now_ms(), self._rng)
+        asking: asyncio.Task[None] | None = None
+        try:
+            while wanted.name not in self.wholes:
+                self._ask_peers(wanted)
+                if asking is not None and asking.done():
+                    await asking
+                    asking = None
+                if asking is None and self._is_due(wanted, asks):
+                    asking = asyncio.create_task(self._ask(wanted, asks))
+                await self._wait_news()
+        finally:
+            if asking is not None:
+                asking.cancel()
         return self.wholes[wanted.name]
 
     def on_request(self, name: str, request: messages.ManifestRequest) -> None:
-        """Answers another agent that asks for digests."""
-        whole = self.wholes.get(request.manifest)
-        if whole is not None:
-            data = manifest.encode(whole.manifest)
-            self._send(
-                name,
-                messages.ManifestReply(manifest=request.manifest, data=data),
-            )
+        """Answers another agent that asks for digests, once they are known."""
+        if request.manifest in self.wholes:
+            self._tell(name, request.manifest)
+            return
+        if len(self._asked_by) >= ASKED_MAX:
+            self._asked_by.clear()
+        self._asked_by.setdefault(request.manifest, set()).add(name)
 
     def on_reply(self, reply: messages.ManifestReply) -> None:
         """Takes digests from another agent."""
@@ -85,23 +119,50 @@
         if Wanted(found.model, int(found.version)).name == reply.manifest:
             self._take_manifest(reply.manifest, found)
 
-    async def _ask_manifest(self, wanted: Wanted) -> None:
+    def _ask_peers(self, wanted: Wanted) -> None:
+        """Asks some agents; each answers as soon as it knows."""
+        peers = list(self._peers())
         request = messages.ManifestRequest(manifest=wanted.name)
-        for name in self._peers():
+        for name in self._rng.sample(peers, min(PEERS_ASKED, len(peers))):
             self._send(name, request)
+
+    def _is_due(self, wanted: Wanted, asks: origin_asks.OriginAsks) -> bool:
+        if self.origin is None:
+            return False
+        ordered = rendezvous.order(wanted.name, {self._own, *self._peers()})
+        return asks.due(ordered.index(self._own), self._clock.now_ms())
+
+    async def _ask(self, wanted: Wanted, asks: origin_asks.OriginAsks) -> None:
         if self.origin is None:
             return
         try:
             found = await self.origin.manifest(wanted.model, wanted.version)
         except clients.PlatformError as error:
             logs.log("manifest_unavailable", name=wanted.name, detail=error)
+            agents = 1 + len(list(self._peers()))
+            asks.failed(agents, self._clock.now_ms())
             return
         self._take_manifest(wanted.name, found)
 
+    async def _wait_news(self) -> None:
+        self._news.clear()
+        try:
+            async with asyncio.timeout(POLL_MS / clock.MILLIS_PER_SECOND):
+                await self._news.wait()
+        except TimeoutError:
+            pass
+
     def _take_manifest(self, name: str, found: manifest.Manifest) -> None:
         if name in self.wholes:
             return
         whole = manifest.Whole(found, manifest.sha256_of)
         kept = sum(whole.adopt(other) for other in self.wholes.values())
         self.wholes[name] = whole
+        self._news.set()
         logs.log("manifest_known", name=name, pieces_kept=kept)
+        for peer in self._asked_by.pop(name, ()):
+            self._tell(peer, name)
+
+    def _tell(self, peer: str, name: str) -> None:
+        data = manifest.encode(self.wholes[name].manifest)
+        self._send(peer, messages.ManifestReply(manifest=name, data=data))
--- a/tests/direct/weights/test_manifest_herd.py
+++ b/tests/direct/weights/test_manifest_herd.py
@@ -131,6 +131,15 @@
         await asyncio.gather(*[a.find_manifest(WANTED) for a in agents])
 
 
+def test_all_learn_the_digests_from_an_origin_that_bears_few_calls() -> None:
+    async def main() -> None:
+        origin = BoundedOrigin()
+        await learn_all(origin, 3.0)
+        assert origin.most_in_a_second <= ASKS_PER_S_MAX
+
+    asyncio.run(main())
+
+
 def test_all_learn_the_digests_soon_after_the_origin_is_back() -> None:
     async def main() -> None:
         origin = BoundedOrigin(down_s=4.0)
