Comments without figures nobody measured; a page that can't be read is not the end

A page of the store whose items all can't be decoded ended the list, and the replicas on later pages would have been taken as removed; it now counts as no answer (test).

--- a/src/marlramp/core/origin_asks.py
+++ b/src/marlramp/core/origin_asks.py
@@ -16,15 +16,17 @@
 """Agents that ask at once; the second in case the first is gone."""
 
 TAKEOVER_MS = 400.0
-"""Wait per further rank before an agent asks beside those before it: several
-times the 20 ms of an answer, a fifth of what a piece takes in a slow pass."""
+"""Wait per further rank before an agent asks beside those before it: long
+enough for an answer to reach the others, short beside the 8 s in which a named
+version is to be in force."""
 
 RETRY_MIN_MS = 200.0
 """Pause after the first failure, doubled with each further one."""
 
 PAUSE_PER_AGENT_MS = 100.0
-"""Longest pause per agent of the fleet: all of them together ask the origin at
-most some ten times a second, and one soon after the origin is back."""
+"""Longest pause per agent of the fleet, so that all of them together ask the
+origin some ten times a second, however many they are, and one of them soon
+after the origin is back."""
 
 JITTER = 0.5
 """Part of a pause by which it varies either way."""
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -91,8 +91,12 @@
             items = self._items.read(page.entries)
             changes.extend(self._items.changes(items))
             revision = page.at if revision is None else min(revision, page.at)
-            if not page.has_more or not items:
+            if not page.has_more:
                 return catalog.Snapshot(revision, changes)
+            if not items:
+                # What follows is unknown; taken as the end, it would remove
+                # the replicas on the pages that were not read.
+                raise clients.PlatformError("a page without a readable item")
             after = items[-1].key
 
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
--- a/src/marlramp/shell/port_opener.py
+++ b/src/marlramp/shell/port_opener.py
@@ -17,8 +17,8 @@
 from marlramp import logs
 
 RETRY_MS = 250.0
-"""Between two tries: short beside the second in which callers ask anew for
-addresses; a try costs 50 us of processor time."""
+"""Between two tries: short beside the seconds for which callers keep addresses,
+so that a port that comes free is used before they ask anew."""
 
 
 class Opening(msgspec.Struct, frozen=True):
--- a/src/marlramp/shell/safely.py
+++ b/src/marlramp/shell/safely.py
@@ -13,8 +13,8 @@
 
 RESTART_MIN_MS = 100.0
 RESTART_MAX_MS = 2_000.0
-"""Pause before a failed task starts again, doubled up to the longest: what
-fails at once each time costs less than a thousandth of a core."""
+"""Pause before a failed task starts again, doubled up to the longest, so that
+one that fails at once each time takes no processor time from the others."""
 
 STEADY_MS = 10_000.0
 """A task that ran this long before it failed starts from the least pause."""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -113,3 +113,8 @@
 def test_answer_of_another_kind_is_no_empty_list(body: object) -> None:
     with pytest.raises(clients.PlatformError):
         read([body])
+
+
+def test_page_without_a_readable_item_is_not_the_end_of_the_list() -> None:
+    with pytest.raises(clients.PlatformError):
+        read([{"entries": [7], "has_more": True, "at": 8}])
