--- a/src/marlramp/clock.py
+++ b/src/marlramp/clock.py
@@ -49,3 +49,11 @@
     def advance(self, step_ms: float) -> None:
         """Moves the clock forward by `step_ms`."""
         self._now_ms += step_ms
+
+
+def unix_ms() -> int:
+    """Returns milliseconds since 1970, for what must rise over restarts.
+
+    No duration is ever worked out from it: it may be set back.
+    """
+    return time.time_ns() // 1_000_000
--- a/src/marlramp/core/peer_loads.py
+++ b/src/marlramp/core/peer_loads.py
@@ -12,13 +12,8 @@
 
 import msgspec
 
-from marlramp.core import rendezvous
 from marlramp.core import replica_table
 
-GROUP_MAX = 16
-"""Entries that tell one another: each costs 2 kB/s while an entry takes a
-hundred requests a second."""
-
 
 class OwnLoad(msgspec.Struct, frozen=True, array_like=True):
     """What one entry has under way at one replica.
@@ -39,21 +34,6 @@
     behind_tokens: int = 0
 
 
-def group_of(own: str, near: Iterable[str]) -> set[str]:
-    """Returns the entries that `own` exchanges loads with.
-
-    Every entry of a region that hears the same others comes to the same
-    groups.
-
-    Args:
-      own: the entry.
-      near: the other entries of its region.
-    """
-    ordered = rendezvous.order("loads", {*near, own})
-    first = ordered.index(own) // GROUP_MAX * GROUP_MAX
-    return set(ordered[first : first + GROUP_MAX]) - {own}
-
-
 class PeerLoads:
     """Adds up what other entries tell, in the views of the replicas."""
 
--- a/src/marlramp/core/reader_duty.py
+++ b/src/marlramp/core/reader_duty.py
@@ -1,83 +1,143 @@
-"""Which entries watch the store."""
+"""Which entries watch the store.
+
+Load pattern: a store that counts and limits calls and may turn some of the
+entries away. If every entry read whenever nobody else could, all would read
+at once, stop together, and start again.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection
+
+import msgspec
 
 from marlramp import clock
-from marlramp.core import members
 from marlramp.core import rendezvous
 
 READERS = 2
 """Entries that watch the store: one more than is needed, so that the death of
 one delays nothing."""
 
+BEACON_MS = 400.0
+"""Between two signs of an entry that watches the store."""
+
 READER_HEARD_MS = 1_100.0
 READER_STORE_AGE_MS = 2_200.0
 """A reader counts as working if it was heard this lately and the store
 answered it this lately: two waits of a watch."""
 
-
-def is_reader(
-    own: members.Member,
-    alive: Sequence[members.KnownMember],
-    now_ms: clock.Millis,
-) -> bool:
-    """Returns whether an entry is to watch the store.
-
-    The first entries in rendezvous order do, and any that hears of no entry
-    that does and is answered.
-
-    Args:
-      own: the entry.
-      alive: the other entries that it hears.
-      now_ms: the time.
-    """
-    staying = [
-        known
-        for known in alive
-        if known.pulse is None
-        or known.pulse.state is not members.MemberState.LEAVING
-    ]
-    names = [known.member.vm_id for known in staying]
-    names.append(own.vm_id)
-    if own.vm_id in rendezvous.subset("store", names, READERS):
-        return True
-    return not any(_reads_well(known, now_ms) for known in staying)
-
-
-def store_serves_none(
-    alive: Sequence[members.KnownMember], *, own_fails: bool
-) -> bool:
-    """Returns whether the store seems to be down for every entry.
-
-    An entry that hears no other can't tell the store's failure from its own.
-
-    Args:
-      alive: the other entries that are heard.
-      own_fails: whether the own last call failed.
-    """
-    return (
-        own_fails
-        and bool(alive)
-        and not any(_was_answered(known) for known in alive)
-    )
-
-
-def _was_answered(known: members.KnownMember) -> bool:
-    pulse = known.pulse
-    return (
-        pulse is not None
-        and pulse.store_age_ms is not None
-        and pulse.store_age_ms < READER_STORE_AGE_MS
-    )
-
-
-def _reads_well(known: members.KnownMember, now_ms: clock.Millis) -> bool:
-    pulse = known.pulse
-    return (
-        pulse is not None
-        and pulse.reads_store
-        and _was_answered(known)
-        and now_ms - known.heard_ms < READER_HEARD_MS
-    )
+STANDBY_FIRST = 4
+STANDBY_STEP_MS = 100.0
+"""The first four entries read as soon as no reader works, and twice as many
+after each further step: 100 entries within half a second, which leaves a
+second of the shortest bound on changes in force."""
+
+FIRST_WAIT_MS = 600.0
+"""How long an entry that starts and knows no other waits for the seeds to
+answer before it reads for itself: all start within 300 ms of each other."""
+
+
+class _Beacon(msgspec.Struct, frozen=True):
+    heard_ms: float
+    answered_ms: float
+
+
+class ReaderDuty:
+    """Decides whether this entry watches the store."""
+
+    def __init__(
+        self, own: str, now_ms: clock.Millis, *, is_seed: bool
+    ) -> None:
+        """Has heard of no reader.
+
+        Args:
+          own: VM of this entry.
+          now_ms: the time.
+          is_seed: whether the others are told to greet this entry first.
+        """
+        self._own = own
+        self._is_seed = is_seed
+        self._started_ms = now_ms
+        self._beacons: dict[str, _Beacon] = {}
+        self._worked_ms: float = float("-inf")
+        self._stands_in = False
+        self._names: frozenset[str] = frozenset()
+        self._ordered: list[str] = []
+
+    def take(
+        self, vm_id: str, store_age_ms: float, now_ms: clock.Millis
+    ) -> None:
+        """Takes the sign of an entry that watches the store."""
+        self._beacons[vm_id] = _Beacon(now_ms, now_ms - store_age_ms)
+        if store_age_ms < READER_STORE_AGE_MS:
+            self._worked_ms = now_ms
+
+    def is_reader(self, others: Collection[str], now_ms: clock.Millis) -> bool:
+        """Returns whether this entry is to watch the store.
+
+        The first in rendezvous order do. While none of those before it works,
+        any entry does, sooner the earlier it is in the order; and it goes on
+        until one before it works.
+
+        Args:
+          others: the other entries that are there and stay.
+          now_ms: the time.
+        """
+        alone_ms = now_ms - self._started_ms
+        if not others and not self._is_seed and alone_ms < FIRST_WAIT_MS:
+            return False
+        ordered = self._order(others)
+        rank = ordered.index(self._own)
+        if rank < READERS:
+            return True
+        if any(self._works(vm_id, now_ms) for vm_id in ordered[:rank]):
+            self._stands_in = False
+        elif not self._stands_in:
+            silent_ms = now_ms - max(self._worked_ms, self._started_ms)
+            wait_ms = READER_HEARD_MS + _standby_ms(rank)
+            self._stands_in = silent_ms >= wait_ms
+        return self._stands_in
+
+    def store_serves_none(
+        self, others: Collection[str], now_ms: clock.Millis
+    ) -> bool:
+        """Returns whether a store that fails this entry seems to fail all.
+
+        An entry that hears no other can't tell the store's failure from its
+        own.
+
+        Args:
+          others: the other entries that are there.
+          now_ms: the time.
+        """
+        if not others:
+            return False
+        horizon_ms = now_ms - READER_STORE_AGE_MS
+        return not any(
+            vm_id in others and beacon.answered_ms >= horizon_ms
+            for vm_id, beacon in self._beacons.items()
+        )
+
+    def _order(self, others: Collection[str]) -> list[str]:
+        """Returns all entries in rendezvous order, kept until they change."""
+        names = frozenset({*others, self._own})
+        if names != self._names:
+            self._names = names
+            self._ordered = rendezvous.order("store", names)
+        return self._ordered
+
+    def _works(self, vm_id: str, now_ms: clock.Millis) -> bool:
+        beacon = self._beacons.get(vm_id)
+        return (
+            beacon is not None
+            and now_ms - beacon.heard_ms < READER_HEARD_MS
+            and now_ms - beacon.answered_ms < READER_STORE_AGE_MS
+        )
+
+
+def _standby_ms(rank: int) -> float:
+    """Returns how much longer an entry of some rank waits than the first."""
+    steps = 0
+    while rank >= STANDBY_FIRST << steps:
+        steps += 1
+    return steps * STANDBY_STEP_MS
--- /dev/null
+++ b/src/marlramp/core/rumours.py
@@ -0,0 +1,62 @@
+"""News on their way to all entries, by epidemic spread.
+
+Each entry passes news that are new to it on to a few others, a few times.
+That reaches all of 300 entries but one in four hundred within some 0.5 s;
+comparing rosters brings the rest.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import members
+
+ROUNDS = 2
+"""Times that an entry passes one piece of news on."""
+
+NEAR_TARGETS = 2
+FAR_TARGETS = 1
+"""Entries that it is passed on to each time, in and outside the own region:
+six in all leave out one in four hundred."""
+
+BATCH_MAX = 64
+"""News in one message: some 6 kB."""
+
+AGE_MAX_MS = 2_000.0
+"""News that waited this long, in an entry that was cut off, are dropped."""
+
+
+class _Rumour(msgspec.Struct):
+    news: members.MemberNews
+    queued_ms: float
+    rounds_left: int
+
+
+class Rumours:
+    """News that this entry still passes on."""
+
+    def __init__(self) -> None:
+        """Starts without any."""
+        self._waiting: dict[str, _Rumour] = {}
+
+    def add(self, news: members.MemberNews, now_ms: clock.Millis) -> None:
+        """Passes news on, in place of older ones of the same process."""
+        self._waiting[news.vm_id] = _Rumour(news, now_ms, ROUNDS)
+
+    def take(self, now_ms: clock.Millis) -> list[members.MemberNews]:
+        """Returns the news of one message, the freshest first."""
+        horizon_ms = now_ms - AGE_MAX_MS
+        for vm_id, rumour in list(self._waiting.items()):
+            if rumour.queued_ms < horizon_ms:
+                del self._waiting[vm_id]
+        fresh_first = sorted(
+            self._waiting.values(),
+            key=lambda rumour: (-rumour.rounds_left, rumour.queued_ms),
+        )
+        taken = fresh_first[:BATCH_MAX]
+        for rumour in taken:
+            rumour.rounds_left -= 1
+            if rumour.rounds_left == 0:
+                del self._waiting[rumour.news.vm_id]
+        return [rumour.news for rumour in taken]
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -21,6 +21,7 @@
     PLATFORM_READS = "marlramp_platform_reads"
     REQUESTS = "marlramp_requests"
     LINK_BYTES = "marlramp_link_bytes"
+    LINK_MESSAGES = "marlramp_link_messages"
     LOG_LINES_DROPPED = "marlramp_log_lines_dropped"
     INTERNAL_ERRORS = "marlramp_internal_errors"
     DOCUMENTS_REFUSED = "marlramp_documents_refused"
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Collection
 
 from marlramp import clock
 from marlramp import counters
@@ -21,7 +20,7 @@
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
-from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import entry_contacts
 from marlramp.direct.fleet import named_weights
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
@@ -92,8 +91,12 @@
             host=settings.host,
             port=settings.own_ports[0],
         )
-        self._sync = member_sync.MemberSync(
-            self._own, settings.seeds, self._clock, lambda _: None
+        self._contacts = entry_contacts.EntryContacts(
+            self._own,
+            clock.unix_ms(),
+            settings.seeds,
+            self._place_peers,
+            self._clock,
         )
         self._exchange = piece_exchange.PieceExchange(
             self._own, settings.link_bytes_per_s, self._totals, self._clock
@@ -191,13 +194,13 @@
             ],
             self._totals,
         )
-        self._sync.attach(self._entry_links)
+        self._contacts.attach(self._entry_links)
         self._exchange.attach(self._peer_links)
 
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Takes changed bounds and seeds; addresses need a restart."""
         self._settings = settings
-        self._sync.set_seeds(settings.seeds)
+        self._contacts.set_seeds(settings.seeds)
 
     # What the loader asks for.
 
@@ -260,28 +263,16 @@
     def _on_entry_message(
         self, name: str, message: fleet_messages.FromMember
     ) -> None:
-        if self._sync.on_message(name, message):
-            return
-        match message:
-            case fleet_messages.Guide():
-                self._on_guide(message)
-
-    def _on_guide(self, guide: fleet_messages.Guide) -> None:
-        self._weights.take_guide(guide)
-        self._place_peers(guide.agents)
-        self._sync.told(guide.entries)
-        self._may_cut = guide.streams_resume
+        self._contacts.on_message(name, message)
+        if isinstance(message, fleet_messages.Guide):
+            self._weights.take_guide(message)
+            self._may_cut = message.streams_resume
 
     def _take_origin(self, origin: str) -> None:
         self._exchange.set_origin(replica_api.OriginApi(self._caller, origin))
 
-    def _place_peers(self, agents: list[members.Member]) -> None:
-        """Takes the other agents that entries hear."""
-        peers = {
-            agent.vm_id: agent
-            for agent in agents
-            if agent.vm_id != self._own.vm_id
-        }
+    def _place_peers(self, peers: dict[str, members.Member]) -> None:
+        """Takes the other agents, by VM."""
         self._peers = peers
         regions = self._settings.regions
         near = {
@@ -296,6 +287,7 @@
     async def _watch_engine(self) -> None:
         while True:
             await self.read_report()
+            self._contacts.set_engine(present=self._report is not None)
             self._tell_if_due()
             await asyncio.sleep(REPORT_POLL_MS / _MS)
 
@@ -306,21 +298,22 @@
             return
         changed = _load_of(self._load_report()) != _load_of(self._told)
         if changed and now_ms - self._told_ms >= TELL_NEAR_MS:
-            self._tell(self._settings.near_data_centres)
+            self._tell(self._is_near)
 
     def _tell_now(self) -> None:
         """Tells all entries, also that there is no engine to report of."""
         self._told_all_ms = self._clock.now_ms()
-        self._tell(None)
+        self._tell(lambda _: True)
+
+    def _is_near(self, entry: members.Member) -> bool:
+        return entry.data_centre in self._settings.near_data_centres
 
-    def _tell(self, within: Collection[str] | None) -> None:
+    def _tell(self, within: Callable[[members.Member], bool]) -> None:
         report = self._load_report()
         self._told = report
         self._told_ms = self._clock.now_ms()
-        self._sync.broadcast(
-            members.MemberKind.ENTRY,
-            fleet_messages.EngineNews(report=report),
-            within,
+        self._contacts.broadcast(
+            fleet_messages.EngineNews(report=report), within
         )
 
     def _load_report(self) -> replica_view.LoadReport | None:
@@ -348,15 +341,17 @@
 
     async def _tick_all(self) -> None:
         while True:
-            safely.run_safely(self._sync.tick, "agent_tick", self._totals)
+            safely.run_safely(self._tick, "agent_tick", self._totals)
             await asyncio.sleep(TICK_MS / _MS)
 
-    async def _learn_unguided(self) -> None:
-        await self._weights.learn_unguided(self._store, self._is_guided)
+    def _tick(self) -> None:
+        self._contacts.tick()
+        self._entry_links.close_idle()
 
-    def _is_guided(self) -> bool:
-        now_ms = self._clock.now_ms()
-        return bool(self._sync.members.alive(members.MemberKind.ENTRY, now_ms))
+    async def _learn_unguided(self) -> None:
+        await self._weights.learn_unguided(
+            self._store, lambda: self._contacts.guided
+        )
 
 
 def _load_of(
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -13,24 +13,18 @@
 from marlramp.core import fleet
 from marlramp.core import lifecycle
 from marlramp.core import members
-from marlramp.core import reader_duty
 from marlramp.core import replica_table
-from marlramp.core import replica_view
 from marlramp.core import route_table
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
 from marlramp.direct.calls import forwarder
-from marlramp.direct.fleet import agent_guide
-from marlramp.direct.fleet import catalog_sync
-from marlramp.direct.fleet import load_exchange
-from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import entry_fleet
 from marlramp.direct.fleet import store_reader
 from marlramp.platform import headers
 from marlramp.platform import lookup_pages
 from marlramp.platform import store
 from marlramp.protocol import codec
-from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 from marlramp.shell import http1_call
 from marlramp.shell import http1_server
@@ -39,13 +33,6 @@
 from marlramp.shell import safely
 
 TICK_MS = 100.0
-HEARTBEATS_MS = {
-    members.MemberKind.ENTRY: 400.0,
-    members.MemberKind.AGENT: 1_000.0,
-}
-"""Between two heartbeats: a quarter of the time after which an entry takes a
-silent member as down, a third of it at an agent."""
-
 LOOKUP_TTL_MS = 2_000.0
 """How long callers keep addresses: short, so that they leave a VM that went
 down; each caller asks again that often."""
@@ -101,20 +88,14 @@
             port=self._addresses.control.port,
             callers=str(self._addresses.callers),
         )
-        self._sync = member_sync.MemberSync(
-            self._own, settings.seeds, self._clock, self._on_member
-        )
-        self._catalog_sync = catalog_sync.CatalogSync(
-            self._catalog, self._sync, self._changed, self._clock
-        )
-        self._guide = agent_guide.AgentGuide(
-            self._own, settings.regions, self._catalog, self._sync, self._clock
-        )
-        self._load_exchange = load_exchange.LoadExchange(
+        self._fleet = entry_fleet.EntryFleet(
             self._own,
-            settings.near_data_centres,
-            self._sync,
+            clock.unix_ms(),
+            settings,
+            self._catalog,
             self._table,
+            self._changed,
+            self._forget,
             self._totals,
             self._clock,
         )
@@ -133,7 +114,6 @@
             self._forwarder.handle, self, self._clock
         )
         self._side = self._build_side()
-        self._heartbeat_ms = dict.fromkeys(members.MemberKind, float("-inf"))
         self._left_ms: float | None = None
 
     def reload(self, reason: str) -> None:
@@ -159,7 +139,7 @@
                 "store_reader": self._reader.run,
                 "entry_ticks": self._tick_all,
                 "settings_watch": self._watch.run,
-                "load_exchange": self._load_exchange.run,
+                "load_exchange": self._fleet.exchange_loads,
                 "ports": self._ports.run,
             }
             tasks = safely.start_all(group, works, self._totals, self._clock)
@@ -175,20 +155,21 @@
         self._links = member_links.MemberLinks(
             self._settings.vm_id,
             codec.member_decoder(),
-            self._on_message,
+            self._fleet.on_message,
             self._totals,
             self._clock,
+            self._fleet.is_near_vm,
         )
-        self._sync.attach(self._links)
         self._caller = http1_call.HttpCaller(self._clock)
         self._reader = store_reader.StoreReader(
             store.StoreClient(self._caller, self._settings.store, self._totals),
             self._catalog,
-            self._is_reader,
-            self._catalog_sync.publish,
+            self._fleet.is_reader,
+            self._fleet.publish,
             self._totals,
             self._clock,
         )
+        self._fleet.attach(self._links, self._reader)
         control = self._addresses.control
         callers = self._addresses.callers
         self._ports = port_opener.PortOpener(
@@ -221,8 +202,6 @@
         """Lets callers go elsewhere and finishes their requests."""
         start_ms = self._clock.now_ms()
         end_ms = start_ms + self._settings.bounds.grace_ms - LEAVE_MARGIN_MS
-        for kind in members.MemberKind:
-            self._heartbeat(kind)
         while self._clock.now_ms() < end_ms:
             now_ms = self._clock.now_ms()
             if now_ms - start_ms > LEAVE_IDLE_CLOSE_MS:
@@ -237,7 +216,7 @@
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Takes changed bounds and seeds; addresses need a restart."""
         self._settings = settings
-        self._sync.set_seeds(settings.seeds)
+        self._fleet.set_settings(settings)
         self._forwarder.set_settings(settings)
 
     # What the forwarder and the caller server ask for.
@@ -250,7 +229,7 @@
     @property
     def entries(self) -> int:
         """The most entries known lately."""
-        return self._sync.members.count(members.MemberKind.ENTRY)
+        return self._fleet.entries
 
     def refuses(self) -> bool:
         """Whether this entry takes no new requests."""
@@ -289,27 +268,12 @@
 
     def _lookup(self) -> list[str]:
         """Returns the entries that take callers, else this one."""
-        now_ms = self._clock.now_ms()
-        found = [
-            known.member.callers
-            for known in self._sync.members.alive(
-                members.MemberKind.ENTRY, now_ms
-            )
-            if known.pulse is not None
-            and known.pulse.state is members.MemberState.READY
-        ]
+        found = [entry.callers for entry in self._fleet.ready_entries()]
         if self._is_ready() or not found:
             found.append(self._own.callers)
         return sorted(found)
 
-    # Who reads the store, and what follows from it.
-
-    def _is_reader(self) -> bool:
-        if self._lifecycle.phase is lifecycle.Phase.DRAINING:
-            return False
-        now_ms = self._clock.now_ms()
-        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
-        return reader_duty.is_reader(self._own, alive, now_ms)
+    # What changed.
 
     def _changed(self, changes: list[catalog.Change]) -> None:
         """Takes over what changed in the catalog."""
@@ -319,55 +283,11 @@
         if configured and self._catalog.config is not None:
             self._routes = route_table.RouteTable(self._catalog.config)
             self._lifecycle.serve()
-        named = any(isinstance(c, catalog.TargetChange) for c in changes)
-        if configured or named:
-            self._guide.tell_all()
 
     def _forget(self, replica_ids: list[str]) -> None:
         """Drops what is kept of replicas that are gone."""
         self._forwarder.forget(replica_ids)
-        self._load_exchange.forget(replica_ids)
-
-    # Messages.
-
-    def _on_message(
-        self, name: str, message: fleet_messages.FromMember
-    ) -> None:
-        if self._sync.on_message(name, message):
-            return
-        match message:
-            case fleet_messages.Heartbeat():
-                self._catalog_sync.on_heartbeat(
-                    name, message.pulse, reading=self._reader.reading
-                )
-            case fleet_messages.CatalogNews():
-                self._catalog_sync.on_news(name, message)
-            case fleet_messages.CatalogRequest():
-                self._catalog_sync.tell(name, message.after)
-            case fleet_messages.OwnLoads():
-                self._load_exchange.on_message(name, message)
-            case fleet_messages.EngineNews():
-                present = message.report is not None
-                self._guide.note_engine(name, present=present)
-                if message.report is not None:
-                    self._on_engine(message.report)
-
-    def _on_engine(self, report: replica_view.LoadReport) -> None:
-        restarted = self._table.report(report, self._clock.now_ms())
-        for replica_id in restarted:
-            logs.log(
-                "replica_restarted",
-                replica=replica_id,
-                born_ms=report.born_ms,
-                source="agent",
-            )
-        self._forget(restarted)
-
-    def _on_member(self, member: members.Member) -> None:
-        if member.kind is members.MemberKind.AGENT:
-            self._guide.tell(member.vm_id)
-        else:
-            self._send_heartbeat(member.vm_id)
+        self._fleet.forget(replica_ids)
 
     # Regular work.
 
@@ -378,34 +298,12 @@
 
     def _tick(self) -> None:
         now_ms = self._clock.now_ms()
-        self._sync.tick()
-        self._catalog_sync.note_store(
-            self._settings.bounds.version_ms, own_fails=self._reader.failing
-        )
+        self._fleet.sync.set_state(self._state())
+        self._fleet.tick()
+        self._links.close_idle()
         gone = self._catalog.tick(now_ms)
         for replica_id in gone:
             logs.log("replica_gone", replica=replica_id)
         if gone:
             self._forget(self._table.sync(self._catalog, now_ms))
-        self._guide.tick()
         self._forwarder.tick()
-        for kind in members.MemberKind:
-            if now_ms - self._heartbeat_ms[kind] >= HEARTBEATS_MS[kind]:
-                self._heartbeat(kind)
-
-    def _heartbeat(self, kind: members.MemberKind) -> None:
-        self._heartbeat_ms[kind] = self._clock.now_ms()
-        self._sync.broadcast(kind, self._pulse())
-
-    def _send_heartbeat(self, vm_id: str) -> None:
-        self._sync.send(vm_id, self._pulse())
-
-    def _pulse(self) -> fleet_messages.Heartbeat:
-        return fleet_messages.Heartbeat(
-            pulse=members.Pulse(
-                state=self._state(),
-                revision=self._catalog.revision,
-                store_age_ms=self._reader.age_ms,
-                reads_store=self._reader.reading,
-            )
-        )
--- a/src/marlramp/direct/fleet/agent_guide.py
+++ b/src/marlramp/direct/fleet/agent_guide.py
@@ -1,19 +1,36 @@
-"""Tells agents what they need to know: weights, engine, origin, members."""
+"""Tells agents what they need to know: weights, engine, origin, neighbours."""
 
 from __future__ import annotations
 
 from collections.abc import Mapping
 
+import msgspec
+
 from marlramp import clock
 from marlramp.core import catalog
 from marlramp.core import guidance
 from marlramp.core import members
 from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
 
-REFRESH_MS = 2_000.0
-"""Agents are told again this often: another entry may have taken itself for
-one that guides them, or a message was lost."""
+REFRESH_MS = 1_500.0
+"""Agents hear from their guides at least this often: half the time after which
+an agent takes a guide as gone."""
+
+
+class _Told(msgspec.Struct):
+    """What one agent was told of its neighbours.
+
+    Attributes:
+      number: number of that message.
+      entries: the entries named.
+      agents: the agents named, by VM.
+    """
+
+    number: int
+    entries: list[members.Member]
+    agents: dict[str, members.Member]
 
 
 class AgentGuide:
@@ -21,71 +38,86 @@
 
     def __init__(
         self,
-        own: members.Member,
-        regions: Mapping[str, str],
         known: catalog.Catalog,
+        placed: placement.Placement,
         sync: member_sync.MemberSync,
         time: clock.Clock,
     ) -> None:
-        """Tells what `known` holds through `sync`.
+        """Tells what `known` and `placed` hold through `sync`.
 
         Args:
-          own: this entry.
-          regions: region of each data centre.
           known: the catalog.
+          placed: the cells.
           sync: the other members.
           time: the clock.
         """
-        self._own = own
-        self._regions = regions
         self._catalog = known
+        self._placed = placed
         self._sync = sync
         self._clock = time
-        self._alive: list[members.Member] = []
-        self._guided: list[members.Member] = []
-        self._with_engine: set[str] = set()
-        self._engines_changed = False
+        self._guided: set[str] = set()
+        self._told: dict[str, _Told] = {}
         self._told_ms = float("-inf")
 
     def tell_all(self) -> None:
-        """Tells all agents that this entry guides."""
-        guide = self._guide()
-        if guide is None:
-            return
+        """Tells all agents that this entry guides of the weights."""
         self._told_ms = self._clock.now_ms()
-        for agent in self._guided:
-            self._sync.send(agent.vm_id, guide)
+        for vm_id in sorted(self._guided):
+            self._tell_weights(vm_id)
 
     def tell(self, vm_id: str) -> None:
-        """Tells one agent, which has just started."""
-        guide = self._guide()
-        if guide is not None:
-            self._sync.send(vm_id, guide)
+        """Tells one agent all, which has just started or found this entry."""
+        self._told.pop(vm_id, None)
+        self._tell_neighbours(vm_id, self._agents())
+        self._tell_weights(vm_id)
 
-    def note_engine(self, vm_id: str, *, present: bool) -> None:
-        """Records whether the engine beside an agent answers it.
+    def tick(self, *, divided: bool) -> None:
+        """Tells agents what changed, and all of them now and then.
 
-        An agent without an engine brings no weights, so that the others must
-        not leave pieces to it.
+        Args:
+          divided: whether the cells were computed anew.
         """
-        if present is not (vm_id in self._with_engine):
-            self._engines_changed = True
-        if present:
-            self._with_engine.add(vm_id)
-        else:
-            self._with_engine.discard(vm_id)
-
-    def tick(self) -> None:
-        """Tells the agents when members came or went, and now and then."""
-        now_ms = self._clock.now_ms()
-        alive = self._members_alive(now_ms)
-        if alive != self._alive or self._engines_changed:
-            self._engines_changed = False
-            self._alive = alive
-            self._guided = self._find_guided(alive)
-            self.tell_all()
-        elif now_ms - self._told_ms >= REFRESH_MS:
+        if divided:
+            self._find_guided()
+            agents = self._agents()
+            for vm_id in sorted(self._guided):
+                self._tell_neighbours(vm_id, agents)
+        if self._clock.now_ms() - self._told_ms >= REFRESH_MS:
             self.tell_all()
+        self._suspect_silent()
+
+    def _find_guided(self) -> None:
+        """Finds the agents that are guided from here, also silent ones."""
+        own = self._sync.roster.own.vm_id
+        known = self._placed.cells
+        guided = {
+            vm_id
+            for cell in known.all
+            for vm_id in cell.agents
+            if own in guidance.guides_of(vm_id, known)
+        }
+        for vm_id in self._guided - guided:
+            self._told.pop(vm_id, None)
+        self._guided = guided
+
+    def _suspect_silent(self) -> None:
+        """Suspects guided agents that were heard once and fell silent."""
+        now_ms = self._clock.now_ms()
+        for vm_id in sorted(self._guided):
+            record = self._sync.roster.get(vm_id)
+            if record is None or record.heard_ms == float("-inf"):
+                continue
+            if now_ms - record.heard_ms >= members.ALIVE_MS:
+                self._sync.suspect(vm_id)
+
+    def _tell_weights(self, vm_id: str) -> None:
+        guide = self._guide()
+        if guide is None:
+            return
+        told = self._told.get(vm_id)
+        number = 0 if told is None else told.number
+        numbered = msgspec.structs.replace(guide, neighbours=number)
+        self._sync.send(vm_id, numbered)
 
     def _guide(self) -> fleet_messages.Guide | None:
         """Returns what agents need to know, None before a configuration."""
@@ -107,37 +139,50 @@
             streams_resume=all(
                 route.resumable for route in config.routes if route.streaming
             ),
-            agents=[
-                agent
-                for agent in self._of_kind(members.MemberKind.AGENT)
-                if agent.vm_id in self._with_engine
-            ],
-            entries=[*self._of_kind(members.MemberKind.ENTRY), self._own],
             revision=self._catalog.config_revision,
         )
 
-    def _of_kind(self, kind: members.MemberKind) -> list[members.Member]:
-        return [member for member in self._alive if member.kind is kind]
-
-    def _find_guided(self, alive: list[members.Member]) -> list[members.Member]:
-        entries = [m for m in alive if m.kind is members.MemberKind.ENTRY]
-        entries.append(self._own)
-        return [
-            member
-            for member in alive
-            if member.kind is members.MemberKind.AGENT
-            and self._own.vm_id
-            in guidance.guides_of(member, entries, self._near(member))
-        ]
+    def _agents(self) -> dict[str, members.Member]:
+        return {
+            agent.vm_id: agent for agent in self._placed.agents_with_engine()
+        }
 
-    def _near(self, member: members.Member) -> set[str]:
-        region = self._regions.get(member.data_centre)
-        return {name for name, of in self._regions.items() if of == region}
+    def _tell_neighbours(
+        self, vm_id: str, agents: Mapping[str, members.Member]
+    ) -> None:
+        """Tells an agent how its neighbours changed."""
+        entries = self._entries_of(vm_id)
+        told = self._told.get(vm_id)
+        before = {} if told is None else told.agents
+        joined = [agent for name, agent in agents.items() if name not in before]
+        left = [name for name in before if name not in agents]
+        same_agents = not joined and not left
+        if told is not None and entries == told.entries and same_agents:
+            return
+        after = 0 if told is None else told.number
+        message = fleet_messages.Neighbours(
+            after=after,
+            number=after + 1,
+            entries=entries,
+            joined=joined,
+            left=left,
+        )
+        if self._sync.send(vm_id, message):
+            self._told[vm_id] = _Told(after + 1, entries, dict(agents))
 
-    def _members_alive(self, now_ms: clock.Millis) -> list[members.Member]:
-        alive = [
-            known.member
-            for kind in members.MemberKind
-            for known in self._sync.members.alive(kind, now_ms)
-        ]
-        return sorted(alive, key=lambda member: member.vm_id)
+    def _entries_of(self, vm_id: str) -> list[members.Member]:
+        """Returns the entries that an agent deals with: cell and guides.
+
+        An agent whose place is not known yet gets this entry's own cell.
+        """
+        known = self._placed.cells
+        own = self._sync.roster.own
+        cell = known.of_agent(vm_id) or known.of_entry(own.vm_id)
+        names = set() if cell is None else set(cell.entries)
+        names.update(guidance.guides_of(vm_id, known))
+        found = [own.member] if own.vm_id in names or not names else []
+        for name in sorted(names):
+            record = self._sync.roster.get(name)
+            if record is not None:
+                found.append(record.news.member)
+        return found
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import members
-from marlramp.core import reader_duty
+from marlramp.core import rendezvous
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import catalog_news
 from marlramp.direct.fleet import member_sync
@@ -17,6 +19,14 @@
 REQUEST_NEWS_MS = 500.0
 """Between two requests for changes that were missed."""
 
+FIRST_REQUEST_NEWS_MS = 150.0
+"""The same while nothing is known yet: all that start would otherwise have
+all of the catalog sent by each entry that they meet."""
+
+RELAYS = 1
+"""Entries of each data centre elsewhere that are told of a change and tell the
+others there. The two readers choose two different ones."""
+
 
 class CatalogSync:
     """This entry's part in passing on what was read from the store."""
@@ -51,15 +61,14 @@
           changes: the changes, already in the catalog.
         """
         self._take(changes, "store")
-        self._sync.broadcast(
-            members.MemberKind.ENTRY, self._news(after, changes)
-        )
-
-    def on_heartbeat(
-        self, name: str, pulse: members.Pulse, *, reading: bool
-    ) -> None:
-        """Asks a member that knows more, unless the own reader will see it."""
-        if pulse.revision > self._catalog.revision and not reading:
+        news = self._news(after, changes)
+        self._sync.send_all(self._near_entries(), news)
+        onward = msgspec.structs.replace(news, pass_on=True)
+        self._sync.send_all(self._relays(), onward)
+
+    def on_revision(self, name: str, revision: int, *, reading: bool) -> None:
+        """Asks an entry that knows more, unless the own reader will see it."""
+        if revision > self._catalog.revision and not reading:
             self._request_news(name)
 
     def on_news(self, name: str, news: fleet_messages.CatalogNews) -> None:
@@ -73,28 +82,48 @@
             self._request_news(name)
         if new:
             self._take(new, name)
+            if news.pass_on:
+                onward = msgspec.structs.replace(news, pass_on=False)
+                self._sync.send_all(self._near_entries(), onward)
 
     def tell(self, name: str, after: int) -> None:
         """Tells an entry what changed after a revision."""
         changes = self._catalog.changes_after(after, self._clock.now_ms())
         self._sync.send(name, self._news(after, changes))
 
-    def note_store(self, bound_ms: float, *, own_fails: bool) -> None:
+    def note_store(self, bound_ms: float, *, down: bool) -> None:
         """Notices a store that serves no entry.
 
         Args:
           bound_ms: time after its naming from which a version binds.
-          own_fails: whether this entry's last call failed.
+          down: whether the store seems to serve none.
         """
-        now_ms = self._clock.now_ms()
-        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
-        down = reader_duty.store_serves_none(alive, own_fails=own_fails)
         if down:
-            self._catalog.store_down(bound_ms, now_ms)
+            self._catalog.store_down(bound_ms, self._clock.now_ms())
         if down is not self._store_down:
             self._store_down = down
             logs.log("store_serves_none" if down else "store_serves")
 
+    def _near_entries(self) -> list[str]:
+        return [
+            entry.vm_id
+            for entry in self._sync.alive(members.MemberKind.ENTRY)
+            if self._sync.is_near(entry)
+        ]
+
+    def _relays(self) -> list[str]:
+        """Returns the entries that pass changes on elsewhere."""
+        by_place: dict[str, list[str]] = {}
+        for entry in self._sync.alive(members.MemberKind.ENTRY):
+            if not self._sync.is_near(entry):
+                by_place.setdefault(entry.data_centre, []).append(entry.vm_id)
+        key = f"relay\0{self._sync.roster.own.vm_id}"
+        return [
+            relay
+            for vm_ids in by_place.values()
+            for relay in rendezvous.subset(key, vm_ids, RELAYS)
+        ]
+
     def _take(self, changes: list[catalog.Change], source: str) -> None:
         for change in changes:
             catalog_log.log_change(change, source)
@@ -103,7 +132,8 @@
     def _request_news(self, name: str) -> None:
         now_ms = self._clock.now_ms()
         first = self._catalog.revision == 0
-        if not first and now_ms - self._requested_ms < REQUEST_NEWS_MS:
+        pause_ms = FIRST_REQUEST_NEWS_MS if first else REQUEST_NEWS_MS
+        if now_ms - self._requested_ms < pause_ms:
             return
         self._requested_ms = now_ms
         after = self._catalog.revision
--- /dev/null
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -0,0 +1,245 @@
+"""An entry's dealings with the other processes of the system."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import logs
+from marlramp.core import catalog
+from marlramp.core import members
+from marlramp.core import reader_duty
+from marlramp.core import replica_table
+from marlramp.core import replica_view
+from marlramp.direct.fleet import agent_guide
+from marlramp.direct.fleet import catalog_sync
+from marlramp.direct.fleet import engine_digests
+from marlramp.direct.fleet import load_exchange
+from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import placement
+from marlramp.direct.fleet import store_reader
+from marlramp.protocol import fleet_messages
+from marlramp.settings import node
+
+type OnChanges = Callable[[list[catalog.Change]], None]
+type OnGone = Callable[[list[str]], None]
+
+
+class EntryFleet:
+    """Wires what entries and agents tell one another."""
+
+    def __init__(
+        self,
+        own: members.Member,
+        incarnation: int,
+        settings: node.NodeSettings,
+        known: catalog.Catalog,
+        table: replica_table.ReplicaTable,
+        on_changes: OnChanges,
+        on_gone: OnGone,
+        totals: counters.Counters,
+        time: clock.Clock,
+    ) -> None:
+        """Knows no other process before links are attached.
+
+        Args:
+          own: this entry.
+          incarnation: its incarnation, see `core.roster`.
+          settings: the settings in force.
+          known: the catalog.
+          table: the replicas.
+          on_changes: takes changes of the catalog.
+          on_gone: takes ids of replicas that are gone or started again.
+          totals: counters.
+          time: the clock.
+        """
+        self._own = own
+        self._version_bound_ms = settings.bounds.version_ms
+        self._catalog = known
+        self._table = table
+        self._on_changes = on_changes
+        self._on_gone = on_gone
+        self._clock = time
+        self._reader: store_reader.StoreReader | None = None
+        self._beacon_ms = float("-inf")
+        self._duty = reader_duty.ReaderDuty(
+            own.vm_id,
+            time.now_ms(),
+            is_seed=node.Address(own.host, own.port) in settings.seeds,
+        )
+        self.sync = member_sync.MemberSync(
+            own,
+            incarnation,
+            settings.seeds,
+            settings.near_data_centres,
+            self,
+            time,
+            random.Random(),
+        )
+        self._catalog_sync = catalog_sync.CatalogSync(
+            known, self.sync, self._changed, time
+        )
+        self._placed = placement.Placement(settings.regions, self.sync, time)
+        self._guide = agent_guide.AgentGuide(
+            known, self._placed, self.sync, time
+        )
+        self._load_exchange = load_exchange.LoadExchange(
+            self._placed, self.sync, table, totals, time
+        )
+        self._digests = engine_digests.EngineDigests(
+            self._placed, self.sync, self._on_engine, time
+        )
+
+    def attach(
+        self, links: member_sync.Links, reader: store_reader.StoreReader
+    ) -> None:
+        """Takes the links to send on and what reads the store."""
+        self.sync.attach(links)
+        self._reader = reader
+
+    def set_settings(self, settings: node.NodeSettings) -> None:
+        """Takes changed bounds and seeds."""
+        self._version_bound_ms = settings.bounds.version_ms
+        self.sync.set_seeds(settings.seeds)
+
+    async def exchange_loads(self) -> None:
+        """Tells the entries of the cell of changed loads, for ever."""
+        await self._load_exchange.run()
+
+    @property
+    def entries(self) -> int:
+        """The most entries known lately, itself too."""
+        return self.sync.roster.count(members.MemberKind.ENTRY)
+
+    def is_near_vm(self, vm_id: str) -> bool:
+        """Returns whether a process is known to be in the own region."""
+        record = self.sync.roster.get(vm_id)
+        return record is not None and self.sync.is_near(record.news.member)
+
+    def ready_entries(self) -> list[members.Member]:
+        """Returns the other entries that take callers."""
+        return self.sync.entries_in_state(members.MemberState.READY)
+
+    def forget(self, replica_ids: list[str]) -> None:
+        """Drops what is kept of replicas that are gone."""
+        self._load_exchange.forget(replica_ids)
+
+    # Who reads the store, and what follows from it.
+
+    def is_reader(self) -> bool:
+        """Returns whether this entry is to watch the store."""
+        if self.sync.roster.own.state is members.MemberState.LEAVING:
+            return False
+        return self._duty.is_reader(self._staying(), self._clock.now_ms())
+
+    def publish(self, after: int, changes: list[catalog.Change]) -> None:
+        """Takes changes read from the store and tells the others."""
+        self._catalog_sync.publish(after, changes)
+
+    def _staying(self) -> list[str]:
+        leaving = {
+            member.vm_id
+            for member in self.sync.entries_in_state(
+                members.MemberState.LEAVING
+            )
+        }
+        alive = self.sync.alive(members.MemberKind.ENTRY)
+        return [m.vm_id for m in alive if m.vm_id not in leaving]
+
+    def _changed(self, changes: list[catalog.Change]) -> None:
+        self._on_changes(changes)
+        if any(not isinstance(c, catalog.ReplicaChange) for c in changes):
+            self._guide.tell_all()
+
+    # Messages.
+
+    def on_message(self, name: str, message: fleet_messages.FromMember) -> None:
+        """Takes a message of another process."""
+        if self.sync.on_message(name, message):
+            return
+        match message:
+            case fleet_messages.StoreBeacon():
+                now_ms = self._clock.now_ms()
+                self._duty.take(name, message.store_age_ms, now_ms)
+                self.on_revision(name, message.revision)
+            case fleet_messages.CatalogNews():
+                self._catalog_sync.on_news(name, message)
+            case fleet_messages.CatalogRequest():
+                self._catalog_sync.tell(name, message.after)
+            case fleet_messages.OwnLoads():
+                self._load_exchange.on_message(name, message)
+            case fleet_messages.EngineNews():
+                self._digests.on_report(name, message.report)
+                if message.report is not None:
+                    self._on_engine(message.report, self._clock.now_ms())
+            case fleet_messages.EngineDigest():
+                self._digests.on_digest(message)
+            case fleet_messages.NeighboursRequest():
+                self._guide.tell(name)
+
+    def _on_engine(
+        self, report: replica_view.LoadReport, told_ms: float
+    ) -> None:
+        restarted = self._table.report(report, clock.Millis(told_ms))
+        for replica_id in restarted:
+            logs.log(
+                "replica_restarted",
+                replica=replica_id,
+                born_ms=report.born_ms,
+                source="agent",
+            )
+        self._on_gone(restarted)
+
+    # What the members ask for.
+
+    @property
+    def revision(self) -> int:
+        """Revision up to which the catalog is known here."""
+        return self._catalog.revision
+
+    def on_member(self, member: members.Member) -> None:
+        """Tells an agent that introduced itself what it needs to know."""
+        if member.kind is members.MemberKind.AGENT:
+            self._guide.tell(member.vm_id)
+
+    def on_revision(self, name: str, revision: int) -> None:
+        """Takes the revision that another entry knows."""
+        reading = self._reader is not None and self._reader.reading
+        self._catalog_sync.on_revision(name, revision, reading=reading)
+
+    # Regular work.
+
+    def tick(self) -> None:
+        """Does what is due."""
+        self.sync.tick()
+        self._note_store()
+        self._guide.tick(divided=self._placed.refresh())
+        self._digests.tick()
+        self._send_beacon()
+
+    def _note_store(self) -> None:
+        down = False
+        if self._reader is not None and self._reader.failing:
+            alive = self.sync.alive(members.MemberKind.ENTRY)
+            others = {member.vm_id for member in alive}
+            down = self._duty.store_serves_none(others, self._clock.now_ms())
+        self._catalog_sync.note_store(self._version_bound_ms, down=down)
+
+    def _send_beacon(self) -> None:
+        """Tells all entries that this one watches the store, if it does."""
+        reader = self._reader
+        now_ms = self._clock.now_ms()
+        if reader is None or not reader.reading or reader.age_ms is None:
+            return
+        if reader.age_ms >= reader_duty.READER_STORE_AGE_MS:
+            return
+        if now_ms - self._beacon_ms < reader_duty.BEACON_MS:
+            return
+        self._beacon_ms = now_ms
+        beacon = fleet_messages.StoreBeacon(
+            revision=self._catalog.revision, store_age_ms=reader.age_ms
+        )
+        alive = self.sync.alive(members.MemberKind.ENTRY)
+        self.sync.send_all([member.vm_id for member in alive], beacon)
--- a/src/marlramp/direct/fleet/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -1,16 +1,15 @@
-"""Tells entries near each other what they have under way at the replicas."""
+"""Tells the entries of a cell what they have under way at the replicas."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import members
 from marlramp.core import peer_loads
 from marlramp.core import replica_table
 from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
 from marlramp.shell import safely
 
@@ -28,8 +27,7 @@
 
     def __init__(
         self,
-        own: members.Member,
-        near: Collection[str],
+        placed: placement.Placement,
         sync: member_sync.MemberSync,
         table: replica_table.ReplicaTable,
         totals: counters.Counters,
@@ -38,15 +36,13 @@
         """Tells nothing before `run`.
 
         Args:
-          own: this entry.
-          near: data centres of its region.
+          placed: the cells.
           sync: the other members.
           table: the replicas.
           totals: counters.
           time: the clock.
         """
-        self._own = own
-        self._near = near
+        self._placed = placed
         self._sync = sync
         self._totals = totals
         self._clock = time
@@ -75,20 +71,14 @@
         loads = self._news.changed()
         if now_ms - self._refreshed_ms >= REFRESH_MS:
             self._refreshed_ms = now_ms
-            self._find_peers(now_ms)
+            self._find_peers()
             loads = self._news.all()
         if loads:
             message = fleet_messages.OwnLoads(loads=loads)
             self._sync.send_all(self._peers, message)
 
-    def _find_peers(self, now_ms: clock.Millis) -> None:
-        """Takes the entries of the own region that are heard."""
-        alive = self._sync.members.alive(members.MemberKind.ENTRY, now_ms)
-        near = [
-            known.member.vm_id
-            for known in alive
-            if known.member.data_centre in self._near
-        ]
-        self._peers = peer_loads.group_of(self._own.vm_id, near)
+    def _find_peers(self) -> None:
+        """Takes the entries of the own cell."""
+        self._peers = set(self._placed.mates())
         for name in set(self._loads.peers) - self._peers:
             self._loads.drop(name)
--- /dev/null
+++ b/src/marlramp/direct/fleet/placement.py
@@ -0,0 +1,90 @@
+"""The cells that this entry computes from the members it knows."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from marlramp import clock
+from marlramp.core import cells
+from marlramp.core import members
+from marlramp.direct.fleet import member_sync
+
+SETTLE_MS = 500.0
+"""Least time between two divisions: members that come or go together change
+the cells once."""
+
+
+class Placement:
+    """Keeps the cells in step with the members."""
+
+    def __init__(
+        self,
+        regions: Mapping[str, str],
+        sync: member_sync.MemberSync,
+        time: clock.Clock,
+    ) -> None:
+        """Divides nothing before the first `refresh`.
+
+        Args:
+          regions: region of each data centre.
+          sync: the members.
+          time: the clock.
+        """
+        self._regions = regions
+        self._sync = sync
+        self._clock = time
+        self._seen_changes = -1
+        self._divided_ms = float("-inf")
+        self.cells = cells.Cells([], [], regions)
+        self.number = 0
+
+    def refresh(self) -> bool:
+        """Divides anew if members changed; returns whether it did."""
+        now_ms = self._clock.now_ms()
+        roster = self._sync.roster
+        if roster.changes == self._seen_changes:
+            return False
+        if now_ms - self._divided_ms < SETTLE_MS:
+            return False
+        self._seen_changes = roster.changes
+        self._divided_ms = now_ms
+        entries = [
+            member
+            for state in (
+                members.MemberState.STARTING,
+                members.MemberState.READY,
+            )
+            for member in self._sync.entries_in_state(state)
+        ]
+        if roster.own.state is not members.MemberState.LEAVING:
+            entries.append(roster.own.member)
+        agents = self._agents(
+            members.MemberState.STARTING, members.MemberState.READY
+        )
+        self.cells = cells.Cells(entries, agents, self._regions)
+        self.number += 1
+        return True
+
+    def agents_with_engine(self) -> list[members.Member]:
+        """Returns the agents whose engine answers.
+
+        An agent without one brings no weights, so that the others must not
+        leave pieces to it.
+        """
+        return self._agents(members.MemberState.READY)
+
+    def _agents(self, *states: members.MemberState) -> list[members.Member]:
+        return [
+            record.news.member
+            for record in self._sync.roster.records()
+            if record.news.member.kind is members.MemberKind.AGENT
+            and record.news.state in states
+        ]
+
+    def mates(self) -> list[str]:
+        """Returns the other entries of the own cell."""
+        own = self._sync.roster.own.vm_id
+        cell = self.cells.of_entry(own)
+        if cell is None:
+            return []
+        return [vm_id for vm_id in cell.entries if vm_id != own]
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -367,10 +367,10 @@
             return
         self._announced_ms = now_ms
         have = messages.PeerHave(manifest=wanted.name, indexes=held, seen=seen)
-        data = codec.encode(have)
+        encoded = codec.encode_once(have)
         for name in self._peers:
             if self._links is not None:
-                self._links.send_bytes(name, data)
+                self._links.send_encoded(name, encoded)
 
     def _drop_silent(self, current: swarm.Swarm) -> None:
         if current.settled:
--- a/src/marlramp/protocol/codec.py
+++ b/src/marlramp/protocol/codec.py
@@ -31,6 +31,23 @@
     return _VERSION_PREFIX + _encoder.encode(message)
 
 
+class Encoded(msgspec.Struct, frozen=True):
+    """An encoded message, to be sent to several.
+
+    Attributes:
+      kind: name of its class, for counters.
+      data: its bytes.
+    """
+
+    kind: str
+    data: bytes
+
+
+def encode_once(message: msgspec.Struct) -> Encoded:
+    """Returns a message encoded for several receivers."""
+    return Encoded(type(message).__name__, encode(message))
+
+
 class Decoder[MessageT]:
     """Decodes messages from one direction and rejects all others."""
 
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -27,29 +27,83 @@
 
 
 class Hello(_Message):
-    """Opens a link: who sends, and the others that it knows.
+    """Introduces the sender.
 
     Attributes:
-      member: the sender.
-      others: members that the sender heard lately, or was told of.
-      reply: whether the receiver is to say hello too.
+      news: the sender's own news.
+      sample: some other members that it knows, so that one that knew only a
+        seed finds more; never all of them.
+      reply: whether the receiver is to introduce itself too.
     """
 
-    member: members.Member
-    others: list[members.Member]
+    news: members.MemberNews
+    sample: list[members.MemberNews]
     reply: bool
 
 
-class MembersFound(_Message):
-    """Members that the sender has just learnt of."""
+class MembersNews(_Message):
+    """News of members that were new to the sender."""
 
-    found: list[members.Member]
+    news: list[members.MemberNews]
 
 
-class Heartbeat(_Message):
-    """Sent by an entry at a steady rate."""
+class Ping(_Message):
+    """Asks whether an entry is there, and tells what the sender has.
+
+    Attributes:
+      incarnation: the sender's.
+      state: the sender's.
+      digest: digest of the sender's roster.
+      revision: revision up to which the sender knows the catalog.
+    """
+
+    incarnation: int
+    state: members.MemberState
+    digest: int
+    revision: int
+
+
+class Ack(_Message):
+    """Answers a ping with the same about the answering entry."""
+
+    incarnation: int
+    state: members.MemberState
+    digest: int
+    revision: int
+
+
+class ProbeRequest(_Message):
+    """Asks an entry to find out whether another one is there."""
+
+    vm_id: str
 
-    pulse: members.Pulse
+
+class ProbeReply(_Message):
+    """Tells that an entry asked about is there."""
+
+    vm_id: str
+
+
+class RosterRequest(_Message):
+    """Asks for members that the sender may not know.
+
+    Attributes:
+      digests: digest of each bucket of its roster.
+    """
+
+    digests: list[int]
+
+
+class StoreBeacon(_Message):
+    """Sent at a steady rate by each entry that watches the store.
+
+    Attributes:
+      revision: revision up to which it knows the catalog.
+      store_age_ms: time since the store last answered it.
+    """
+
+    revision: int
+    store_age_ms: float
 
 
 class CatalogNews(_Message):
@@ -59,11 +113,14 @@
       after: revision after which the changes are complete.
       revision: revision up to which they are.
       changes: the changes, encoded and compressed.
+      pass_on: whether the receiver is to tell the entries of its region, so
+        that a change crosses to a region once or twice, not once an entry.
     """
 
     after: int
     revision: int
     changes: bytes
+    pass_on: bool = False
 
 
 class CatalogRequest(_Message):
@@ -78,6 +135,25 @@
     report: replica_view.LoadReport | None
 
 
+class AgedReport(msgspec.Struct, frozen=True, array_like=True):
+    """A report of an engine and how old it was when it was sent."""
+
+    report: replica_view.LoadReport
+    age_ms: float
+
+
+class EngineDigest(_Message):
+    """Reports of the engines of a cell, for the entries of other cells.
+
+    Attributes:
+      reports: the reports.
+      pass_on: whether the receiver is to tell the entries of its cell.
+    """
+
+    reports: list[AgedReport]
+    pass_on: bool
+
+
 class OwnLoads(_Message):
     """What an entry has under way, at the replicas where that changed."""
 
@@ -85,25 +161,46 @@
 
 
 class Guide(_Message):
-    """What an agent needs to know: the weights to load and where to get them.
+    """What an agent needs to know of the weights to load.
 
     Attributes:
       targets: weights named, with their revisions and ages.
       engine: the engines of the agent's service, None if it is not known.
       origin: "host:port" of the origin, "" if it is not known.
       streams_resume: whether every stream may go on at another engine.
-      agents: agents that the sender hears and whose engine answers.
-      entries: entries that the sender hears, itself too.
       revision: revision of the configuration that this comes from.
+      neighbours: number of the neighbours last told, see `Neighbours`.
     """
 
     targets: list[catalog.TargetChange]
     engine: fleet.EngineSpec | None
     origin: str
     streams_resume: bool
-    agents: list[members.Member]
-    entries: list[members.Member]
     revision: int
+    neighbours: int = 0
+
+
+class Neighbours(_Message):
+    """The processes that an agent deals with, as changes.
+
+    Attributes:
+      after: number of the neighbours that this changes, 0 for none: then all
+        are named.
+      number: number of the neighbours that come of it.
+      entries: entries to report to and to be guided by, all of them.
+      joined: other agents whose engine answers, that came since.
+      left: VMs of those that went since.
+    """
+
+    after: int
+    number: int
+    entries: list[members.Member]
+    joined: list[members.Member]
+    left: list[str]
+
+
+class NeighboursRequest(_Message):
+    """Asks for all neighbours, since changes were missed."""
 
 
 class FragmentRequest(_Message):
@@ -125,13 +222,21 @@
 
 type FromMember = (
     Hello
-    | MembersFound
-    | Heartbeat
+    | MembersNews
+    | Ping
+    | Ack
+    | ProbeRequest
+    | ProbeReply
+    | RosterRequest
+    | StoreBeacon
     | CatalogNews
     | CatalogRequest
     | EngineNews
+    | EngineDigest
     | OwnLoads
     | Guide
+    | Neighbours
+    | NeighboursRequest
 )
 
 type FromAgentPeer = (
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -38,6 +38,11 @@
 RECONNECT_MAX_MS = 500.0
 """Pause before a link is opened again, doubled up to the longest."""
 
+IDLE_MAX_MS = 4_000.0
+"""A link that was opened here and carried nothing this long is closed: entries
+ask each of the others now and then, and probes of idle connections to all of
+them would cost more bytes between regions than the questions."""
+
 PENDING_MAX = 64
 PENDING_AGE_MAX_MS = 1_500.0
 """Messages kept while a link is being opened; older ones are out of date."""
@@ -49,7 +54,7 @@
 class _Pending(msgspec.Struct, frozen=True):
     """A message that waits for a link to open."""
 
-    data: bytes
+    message: codec.Encoded
     queued_ms: float
 
 
@@ -112,9 +117,10 @@
 class _Outbound:
     """A link that this process opens, and opens again when it is lost."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, now_ms: clock.Millis) -> None:
         self.host = host
         self.port = port
+        self.used_ms: float = now_ms
         self.connection: _Connection | None = None
         self.pending: collections.deque[_Pending] = collections.deque(
             maxlen=PENDING_MAX
@@ -132,13 +138,24 @@
         on_message: Callable[[str, MessageT], None],
         totals: counters.Counters,
         time: clock.Clock,
+        is_near: Callable[[str], bool] = lambda _: True,
     ) -> None:
-        """Hands the messages of all links to `on_message`."""
+        """Hands the messages of all links to `on_message`.
+
+        Args:
+          own_name: name of this process.
+          decoder: decodes the messages.
+          on_message: takes the sender's name and the message.
+          totals: counters of bytes by kind of message.
+          time: the clock.
+          is_near: tells whether a member is in the own region, for counters.
+        """
         self._own_name = own_name
         self._decoder = decoder
         self._on_message = on_message
         self._totals = totals
         self._clock = time
+        self._is_near = is_near
         self._inbound: dict[str, _Connection] = {}
         self._outbound: dict[str, _Outbound] = {}
         self._server: asyncio.Server | None = None
@@ -164,7 +181,7 @@
         if known is not None and (known.host, known.port) == (host, port):
             return False
         self.close(name)
-        outbound = _Outbound(host, port)
+        outbound = _Outbound(host, port, self._clock.now_ms())
         outbound.task = asyncio.get_running_loop().create_task(
             self._keep_open(name, outbound)
         )
@@ -190,11 +207,22 @@
         for connection in list(self._inbound.values()):
             connection.abort()
 
+    def close_idle(self) -> None:
+        """Closes links opened here that carried nothing for long."""
+        horizon_ms = self._clock.now_ms() - IDLE_MAX_MS
+        for name, outbound in list(self._outbound.items()):
+            connection = outbound.connection
+            heard_ms = (
+                float("-inf") if connection is None else connection.heard_ms
+            )
+            if max(outbound.used_ms, heard_ms) < horizon_ms:
+                self.close(name)
+
     def send(self, name: str, message: msgspec.Struct) -> bool:
         """Sends to a member; returns False if no link takes the message."""
-        return self.send_bytes(name, codec.encode(message))
+        return self.send_encoded(name, codec.encode_once(message))
 
-    def send_bytes(self, name: str, data: bytes) -> bool:
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
         """Sends an encoded message; see `send`.
 
         A link that the member opened and spoke on lately goes first: it is
@@ -206,17 +234,18 @@
         inbound_works = inbound is not None and (
             outbound is None or now_ms - inbound.heard_ms < members.ALIVE_MS
         )
-        if inbound is not None and inbound_works and inbound.send(data):
-            self._count("sent", data)
+        if inbound is not None and inbound_works and inbound.send(message.data):
+            self._count("sent", name, message.kind, message.data)
             return True
         if outbound is None:
             return False
+        outbound.used_ms = now_ms
         if outbound.connection is None:
-            outbound.pending.append(_Pending(data, now_ms))
+            outbound.pending.append(_Pending(message, now_ms))
             return True
-        sent = outbound.connection.send(data)
+        sent = outbound.connection.send(message.data)
         if sent:
-            self._count("sent", data)
+            self._count("sent", name, message.kind, message.data)
         return sent
 
     async def _keep_open(self, name: str, outbound: _Outbound) -> None:
@@ -252,8 +281,11 @@
         horizon_ms = self._clock.now_ms() - PENDING_AGE_MAX_MS
         while outbound.pending:
             pending = outbound.pending.popleft()
-            if pending.queued_ms >= horizon_ms:
-                connection.send(pending.data)
+            if pending.queued_ms < horizon_ms:
+                continue
+            message = pending.message
+            if connection.send(message.data):
+                self._count("sent", name, message.kind, message.data)
         return connection
 
     def _take_inbound(self, connection: _Connection, frame: bytes) -> None:
@@ -274,19 +306,24 @@
         self._take(connection.name, frame)
 
     def _take(self, name: str, data: bytes) -> None:
-        self._count("received", data)
         try:
             message = self._decoder.decode(data)
         except codec.DecodeError as error:
             reason = error.reason
+            self._count("received", name, reason, data)
             self._totals.add(counters.CounterName.MESSAGES_DROPPED, reason)
             logs.log("message_dropped", sender=name, reason=reason)
             return
+        kind = type(message).__name__
+        self._count("received", name, kind, data)
         safely.run_safely(
-            lambda: self._on_message(name, message),
-            type(message).__name__,
-            self._totals,
+            lambda: self._on_message(name, message), kind, self._totals
         )
 
-    def _count(self, direction: str, data: bytes) -> None:
-        self._totals.add(counters.CounterName.LINK_BYTES, direction, len(data))
+    def _count(self, direction: str, name: str, kind: str, data: bytes) -> None:
+        """Counts a message and its bytes by kind and by way."""
+        way = "near" if self._is_near(name) else "far"
+        label = f"{direction}_{kind}_{way}"
+        size = _LENGTH.size + len(data)
+        self._totals.add(counters.CounterName.LINK_MESSAGES, label)
+        self._totals.add(counters.CounterName.LINK_BYTES, label, size)
--- /dev/null
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -0,0 +1,215 @@
+"""Entries that know one another over links in virtual time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import members
+from marlramp.direct.fleet import member_sync
+from marlramp.protocol import codec
+from marlramp.settings import node
+
+TICK_MS = 100.0
+DELAY_MS = (1.0, 5.0)
+PORT = 8_000
+
+
+class VirtualEntry:
+    """An entry's membership and its end of all links."""
+
+    def __init__(
+        self, fleet: VirtualFleet, number: int, incarnation: int
+    ) -> None:
+        self.fleet = fleet
+        self.member = members.Member(
+            f"entry-{number}",
+            members.MemberKind.ENTRY,
+            f"dc-{number % fleet.regions}",
+            f"10.0.{number // 250}.{number % 250}",
+            PORT,
+            f"10.0.{number // 250}.{number % 250}:8005",
+        )
+        self.running = True
+        self.state = members.MemberState.READY
+        self.revision = 0
+        self.revisions_heard: list[tuple[str, int]] = []
+        self.agents_met: list[str] = []
+        self.sent_bytes = 0
+        self.sent_far_bytes = 0
+        self.opened: dict[str, VirtualEntry | None] = {}
+        self.sync = member_sync.MemberSync(
+            self.member,
+            incarnation,
+            fleet.seeds,
+            {self.member.data_centre},
+            self,
+            fleet.time,
+            random.Random(f"{fleet.seed} {number}"),
+        )
+        self.sync.attach(self)
+
+    @property
+    def name(self) -> str:
+        return self.member.vm_id
+
+    # Surroundings of the membership.
+
+    def on_member(self, member: members.Member) -> None:
+        self.agents_met.append(member.vm_id)
+
+    def on_revision(self, name: str, revision: int) -> None:
+        self.revisions_heard.append((name, revision))
+
+    # Links.
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        if name in self.opened:
+            return False
+        target = self.fleet.at(host)
+        self.opened[name] = target
+        if target is not None:
+            self.fleet.names[target.name, self.name] = name
+        return True
+
+    def close(self, name: str) -> None:
+        target = self.opened.pop(name, None)
+        if target is None:
+            return
+        if self.fleet.names.get((target.name, self.name)) == name:
+            del self.fleet.names[target.name, self.name]
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return self.send_encoded(name, codec.encode_once(message))
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        heard_as = self.fleet.names.get((self.name, name))
+        target = self.fleet.entries.get(name)
+        if heard_as is None or target is None:
+            if name not in self.opened:
+                return False
+            target = self.opened[name]
+            heard_as = self.name
+        if target is not None:
+            size = len(message.data)
+            self.sent_bytes += size
+            if target.member.data_centre != self.member.data_centre:
+                self.sent_far_bytes += size
+            self.fleet.carry(self, target, heard_as, message.data)
+        return True
+
+
+class VirtualFleet:
+    """Entries in some regions, the first three of them seeds."""
+
+    def __init__(self, count: int, regions: int = 3, seed: int = 1) -> None:
+        self.regions = regions
+        self.seed = seed
+        self.time = clock.ManualClock()
+        self.rng = random.Random(seed)
+        self.loss = 0.0
+        self.cut: set[tuple[str, str]] = set()
+        self.names: dict[tuple[str, str], str] = {}
+        self.seeds = [node.Address(f"10.0.0.{n}", PORT) for n in range(3)]
+        self.entries: dict[str, VirtualEntry] = {}
+        self._decoder = codec.member_decoder()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        for number in range(count):
+            self.start(number)
+
+    def start(self, number: int, incarnation: int = 1_000) -> VirtualEntry:
+        """Starts an entry, also again after it was stopped."""
+        entry = VirtualEntry(self, number, incarnation)
+        self.entries[entry.name] = entry
+        self._at(self.rng.uniform(0.0, 300.0), lambda: self._tick(entry))
+        return entry
+
+    def stop(self, name: str) -> None:
+        """Ends an entry without a word."""
+        self.entries[name].running = False
+        for pair in list(self.names):
+            if name in pair:
+                del self.names[pair]
+
+    def at(self, host: str) -> VirtualEntry | None:
+        """Returns the entry at an address."""
+        for entry in self.entries.values():
+            if entry.member.host == host:
+                return entry
+        return None
+
+    def carry(
+        self, sender: VirtualEntry, to: VirtualEntry, name: str, data: bytes
+    ) -> None:
+        """Delivers a message later, unless something is in the way."""
+        if (sender.name, to.name) in self.cut or self.rng.random() < self.loss:
+            return
+
+        def deliver() -> None:
+            if to.running:
+                to.sync.on_message(name, self._decoder.decode(data))
+
+        self._at(self.rng.uniform(*DELAY_MS), deliver)
+
+    def run(self, ms: float) -> None:
+        """Lets time pass."""
+        end_ms = self.time.now_ms() + ms
+        while self._events and self._events[0][0] <= end_ms:
+            at_ms, _, event = heapq.heappop(self._events)
+            self.time.advance(at_ms - self.time.now_ms())
+            event()
+        self.time.advance(end_ms - self.time.now_ms())
+
+    def running(self) -> list[VirtualEntry]:
+        """Returns the entries that run."""
+        return [entry for entry in self.entries.values() if entry.running]
+
+    def alive_to(self, entry: VirtualEntry) -> set[str]:
+        """Returns the others that an entry takes as alive."""
+        alive = entry.sync.alive(members.MemberKind.ENTRY)
+        return {member.vm_id for member in alive}
+
+    def agreed(self) -> bool:
+        """Returns whether all know exactly those that run."""
+        running = {entry.name for entry in self.running()}
+        return all(
+            self.alive_to(entry) == running - {entry.name}
+            for entry in self.running()
+        )
+
+    def run_until_agreed(self, limit_ms: float) -> float:
+        """Lets time pass until all agree; returns how long that took."""
+        start_ms = self.time.now_ms()
+        while not self.agreed():
+            taken_ms = self.time.now_ms() - start_ms
+            assert taken_ms < limit_ms, self._differences()
+            self.run(TICK_MS)
+        return self.time.now_ms() - start_ms
+
+    def _differences(self) -> dict[str, set[str]]:
+        running = {entry.name for entry in self.running()}
+        return {
+            entry.name: self.alive_to(entry) ^ (running - {entry.name})
+            for entry in self.running()
+            if self.alive_to(entry) != running - {entry.name}
+        }
+
+    def _tick(self, entry: VirtualEntry) -> None:
+        if not entry.running:
+            return
+        entry.sync.set_state(entry.state)
+        entry.sync.tick()
+        self._at(TICK_MS, lambda: self._tick(entry))
+
+    def _at(self, in_ms: float, event: Callable[[], None]) -> None:
+        due_ms = self.time.now_ms() + in_ms
+        heapq.heappush(self._events, (due_ms, next(self._order), event))
+
+
+type StartFleet = Callable[..., VirtualFleet]
