Look-ups name at most 64 entries, each to as many data centres as any other

Cause: an answer counts for 64 entries at most, and all were named in the order of their addresses: beyond 64 the same ones got all callers. Callers leave connections to entries that the next answer misses, so a part drawn anew each time was ruled out. Not measured by itself: the fleets below 64 entries are not touched.

--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -12,6 +12,7 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import lifecycle
+from marlramp.core import lookup_share
 from marlramp.core import members
 from marlramp.core import replica_table
 from marlramp.core import route_table
@@ -266,12 +267,14 @@
             return members.MemberState.STARTING
         return members.MemberState.READY
 
-    def _lookup(self) -> list[str]:
-        """Returns the entries that take callers, else this one."""
-        found = [entry.callers for entry in self._fleet.ready_entries()]
+    def _lookup(self, data_centre: str) -> list[str]:
+        """Returns the entries for callers of a data centre, else this one."""
+        found = self._fleet.ready_entries()
         if self._is_ready() or not found:
-            found.append(self._own.callers)
-        return sorted(found)
+            found.append(self._own)
+        data_centres = list(self._settings.regions)
+        named = lookup_share.share_of(data_centre, data_centres, found)
+        return sorted(entry.callers for entry in named)
 
     # What changed.
 
--- a/src/marlramp/direct/side_server.py
+++ b/src/marlramp/direct/side_server.py
@@ -46,8 +46,8 @@
     body: bytes
 
 
-type Pages = Mapping[str, Callable[[], Awaitable[Page]]]
-"""What answers each path."""
+type Pages = Mapping[str, Callable[[str], Awaitable[Page]]]
+"""What answers each path; takes the query."""
 
 
 def metrics_address(settings: node.NodeSettings) -> node.Address:
@@ -58,7 +58,7 @@
 def metrics_pages(text: Callable[[], Awaitable[bytes]]) -> Pages:
     """Returns the page with the metrics, which `text` gives."""
 
-    async def show() -> Page:
+    async def show(_: str) -> Page:
         return Page(_OK, b"text/plain", await text())
 
     return {METRICS_PATH: show}
@@ -122,13 +122,13 @@
         request: http1_server.Request,
         responder: http1_server.Responder,
     ) -> None:
-        path, _, _ = request.target.partition(b"?")
+        path, _, query = request.target.partition(b"?")
         page = self._pages.get(path.decode("latin-1"))
         if page is None:
             responder.answer(_NOT_FOUND, [], b"")
             return
         try:
-            shown = await page()
+            shown = await page(query.decode("latin-1"))
         except Exception as error:
             logs.log_exception("internal_error", error, where="side_server")
             responder.answer(_FAILED, [], b"")
--- a/src/marlramp/platform/lookup_pages.py
+++ b/src/marlramp/platform/lookup_pages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import urllib.parse
 
 import msgspec
 
@@ -22,23 +23,24 @@
 
 
 def build(
-    addresses: Callable[[], list[str]],
+    addresses: Callable[[str], list[str]],
     ttl_s: float,
     ready: Callable[[], bool],
 ) -> side_server.Pages:
     """Returns the pages.
 
     Args:
-      addresses: gives the entries that callers may use.
+      addresses: gives the entries that callers of a data centre may use.
       ttl_s: how long callers keep them.
       ready: tells whether this entry takes callers.
     """
 
-    async def lookup() -> side_server.Page:
-        body = msgspec.json.encode(_Lookup(addresses(), ttl_s))
+    async def lookup(query: str) -> side_server.Page:
+        (place,) = urllib.parse.parse_qs(query).get("zone", [""])[:1]
+        body = msgspec.json.encode(_Lookup(addresses(place), ttl_s))
         return side_server.Page(_OK, b"application/json", body)
 
-    async def readyz() -> side_server.Page:
+    async def readyz(_: str) -> side_server.Page:
         status = _OK if ready() else _UNAVAILABLE
         return side_server.Page(status, b"text/plain", b"")
 
--- /dev/null
+++ b/tests/direct/fleet/test_entry_contacts.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp.core import members
+from marlramp.direct.fleet import entry_contacts
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from marlramp.settings import node
+
+SEED = node.Address("10.0.0.1", 8_000)
+SEED_LINK = f"seed:{SEED}"
+
+
+def entry(number: int) -> members.Member:
+    return members.Member(
+        f"entry-{number}",
+        members.MemberKind.ENTRY,
+        "dc-1",
+        f"10.0.0.{number}",
+        8_000,
+    )
+
+
+def agent(number: int) -> members.Member:
+    return members.Member(
+        f"agent-{number}",
+        members.MemberKind.AGENT,
+        "dc-1",
+        f"10.0.1.{number}",
+        7_700,
+    )
+
+
+class Agent:
+    """An agent's contacts and the links it has open."""
+
+    def __init__(self, time: clock.ManualClock) -> None:
+        self.time = time
+        self.opened: list[str] = []
+        self.sent: list[tuple[str, str]] = []
+        self.placed: list[set[str]] = []
+        self.contacts = entry_contacts.EntryContacts(
+            agent(0),
+            1,
+            [SEED],
+            lambda agents: self.placed.append(set(agents)),
+            time,
+        )
+        self.contacts.attach(self)
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        if name in self.opened:
+            return False
+        self.opened.append(name)
+        return True
+
+    def close(self, name: str) -> None:
+        self.opened.remove(name)
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return self.send_encoded(name, codec.encode_once(message))
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        self.sent.append((name, message.kind))
+        return name in self.opened
+
+    def told(
+        self,
+        by: int,
+        number: int,
+        joined: list[members.Member],
+        left: tuple[str, ...] = (),
+        entries: tuple[int, ...] = (1, 2),
+    ) -> None:
+        """Takes neighbours from an entry and lets them settle."""
+        message = fleet_messages.Neighbours(
+            after=number - 1,
+            number=number,
+            entries=[entry(n) for n in entries],
+            joined=joined,
+            left=list(left),
+        )
+        self.contacts.on_message(f"entry-{by}", message)
+        self.time.advance(entry_contacts.PLACE_MS)
+        self.contacts.tick()
+
+    def guide(self, by: int, number: int) -> None:
+        """Takes a guide's regular word."""
+        message = fleet_messages.Guide(
+            targets=[],
+            engine=None,
+            origin="",
+            streams_resume=True,
+            revision=1,
+            neighbours=number,
+        )
+        self.contacts.on_message(f"entry-{by}", message)
+
+    def take_sent(self) -> list[tuple[str, str]]:
+        """Returns what was sent and forgets it."""
+        sent, self.sent = self.sent, []
+        return sent
+
+
+@pytest.fixture
+def one(time: clock.ManualClock) -> Agent:
+    return Agent(time)
+
+
+def hello(by: int) -> fleet_messages.Hello:
+    news = members.MemberNews(entry(by), 1, members.MemberState.READY)
+    return fleet_messages.Hello(news=news, sample=[], reply=False)
+
+
+def test_seed_is_greeted_once_under_its_name(one: Agent) -> None:
+    one.contacts.tick()
+    assert one.take_sent() == [(SEED_LINK, "Hello")]
+    one.contacts.on_message(SEED_LINK, hello(1))
+    assert one.opened == ["entry-1"]
+    assert one.take_sent() == [("entry-1", "Hello")]
+    one.contacts.on_message("entry-1", hello(1))
+    assert one.take_sent() == []
+
+
+def test_agents_come_and_go_by_changes(one: Agent) -> None:
+    one.told(1, 1, [agent(1), agent(2)])
+    one.told(1, 2, [agent(3)], left=("agent-1",))
+    assert one.placed == [{"agent-1", "agent-2"}, {"agent-2", "agent-3"}]
+
+
+def test_changes_that_were_missed_are_asked_for(one: Agent) -> None:
+    one.told(1, 1, [agent(1)])
+    one.take_sent()
+    one.told(1, 3, [agent(3)])
+    assert ("entry-1", "NeighboursRequest") in one.take_sent()
+    one.guide(1, 4)
+    assert ("entry-1", "NeighboursRequest") in one.take_sent()
+    one.guide(1, 1)
+    assert one.take_sent() == []
+
+
+def test_what_a_silent_guide_named_is_dropped_while_others_speak(
+    one: Agent,
+) -> None:
+    one.told(1, 1, [agent(1)])
+    one.told(2, 1, [agent(2)])
+    assert one.placed[-1] == {"agent-1", "agent-2"}
+    for _ in range(8):
+        one.guide(2, 1)
+        one.time.advance(members.ALIVE_TO_AGENT_MS / 4)
+        one.contacts.tick()
+    assert one.placed[-1] == {"agent-2"}
+
+
+def test_agent_that_nobody_guides_keeps_what_it_knows_and_greets(
+    one: Agent,
+) -> None:
+    one.told(1, 1, [agent(1)])
+    one.take_sent()
+    assert one.contacts.guided
+    one.time.advance(members.ALIVE_TO_AGENT_MS + 1.0)
+    one.contacts.tick()
+    assert not one.contacts.guided
+    assert {name for name, _ in one.take_sent()} == {
+        SEED_LINK,
+        "entry-1",
+        "entry-2",
+    }
+    assert one.placed == [{"agent-1"}]
+
+
+def test_links_to_entries_that_are_not_named_any_more_are_closed(
+    one: Agent,
+) -> None:
+    one.told(1, 1, [], entries=(1, 2))
+    one.told(1, 2, [], entries=(1, 3))
+    assert sorted(one.opened) == ["entry-1", "entry-3"]
+
+
+def test_agent_taken_as_lost_objects(one: Agent) -> None:
+    one.told(1, 1, [])
+    one.take_sent()
+    own = members.MemberNews(agent(0), 1, members.MemberState.SUSPECT)
+    one.contacts.on_message("entry-1", fleet_messages.MembersNews(news=[own]))
+    assert one.take_sent() == [("entry-1", "Hello"), ("entry-2", "Hello")]
+
+
+def test_entries_hear_whether_the_engine_answers(one: Agent) -> None:
+    one.told(1, 1, [])
+    one.take_sent()
+    one.contacts.set_engine(present=True)
+    one.contacts.set_engine(present=True)
+    assert one.take_sent() == [("entry-1", "Hello"), ("entry-2", "Hello")]
--- a/tests/direct/test_side_server.py
+++ b/tests/direct/test_side_server.py
@@ -27,7 +27,7 @@
     [("/metrics?x=1", b"200"), ("/other", b"404"), ("/broken", b"500")],
 )
 def test_pages_are_found_by_their_path(path: str, status: bytes) -> None:
-    async def broken() -> side_server.Page:
+    async def broken(_: str) -> side_server.Page:
         raise ValueError("a page that fails")
 
     async def main() -> bytes:
