--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -9,6 +9,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import logs
+from marlramp.core import attempt_limits
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 from marlramp.core import queue_place
@@ -19,25 +20,6 @@
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 
-STALL_FLOOR_MS = 900.0
-"""A stream that brought nothing for this long is taken to another replica:
-more than twice the longest pause that counts as on time. Before its first
-event this counts from when the replica was last heard on any request: one that
-serves others has it in its queue, and to send it elsewhere would have its
-prompt read twice just when engines are full (130 of 520 requests in the two
-seconds after a loss of all power)."""
-
-UNBEGUN_SHARE = 0.7
-"""A request that brought nothing for this part of the time that its caller
-stays is taken elsewhere though its replica serves others: it may hang there."""
-
-UNBEGUN_FACTOR = 2.5
-"""The same as a multiple of the predicted time to the first event."""
-
-PLAIN_STALL_SHARE = 0.4
-"""Part of the caller's time after which a plain idempotent request is tried
-elsewhere."""
-
 FRESH_IDLE_SHARE = 0.5
 """Part of a connection's idle time within which it takes a request that may
 run only once: a close on the way would leave its outcome unknown."""
@@ -201,21 +183,22 @@
         attempt: attempts.Attempt,
     ) -> float:
         """Returns until when the attempt is waited for."""
-        if not call.route.repeatable or call.runs + 1 > (
-            call.route.attempts_max - 1
-        ):
-            return call.ends_ms
-        if not call.route.streaming:
-            wait_ms = call.ends_ms - call.request.received_ms
-            stall_ms = PLAIN_STALL_SHARE * wait_ms
-        elif attempt.begun:
-            stall_ms = STALL_FLOOR_MS
-        else:
-            stall_ms = _unbegun_ms(call, choice, attempt)
-            stall_ms = min(
-                stall_ms, choice.begins_until_ms - attempt.progress_ms
-            )
-        return min(call.ends_ms, attempt.progress_ms + stall_ms)
+        route = call.route
+        sends_left = call.runs + 1 <= route.attempts_max - 1
+        gap_max_ms = caller_patience.gap_max_ms(route)
+        waiting = attempt_limits.Waiting(
+            streaming=route.streaming,
+            begun=attempt.begun,
+            may_repeat=route.repeatable and sends_left,
+            received_ms=call.request.received_ms,
+            ends_ms=call.ends_ms,
+            progress_ms=attempt.progress_ms,
+            heard_ms=choice.view.heard_ms,
+            gap_max_ms=gap_max_ms if route.streaming else 0.0,
+            predicted_ms=choice.predicted_ms,
+            begins_until_ms=choice.begins_until_ms,
+        )
+        return attempt_limits.limit_ms(waiting)
 
     def _stalled(
         self, call: call_module.Call, attempt: attempts.Attempt
@@ -239,20 +222,6 @@
         return pool
 
 
-def _unbegun_ms(
-    call: call_module.Call,
-    choice: upstream_choice.Choice,
-    attempt: attempts.Attempt,
-) -> float:
-    """Returns how long a stream's first event is waited for."""
-    longest_ms = max(
-        UNBEGUN_SHARE * caller_patience.gap_max_ms(call.route),
-        UNBEGUN_FACTOR * choice.predicted_ms,
-    )
-    heard_after_ms = max(0.0, choice.view.heard_ms - attempt.progress_ms)
-    return min(longest_ms, heard_after_ms + STALL_FLOOR_MS)
-
-
 def _priority(
     call: call_module.Call, place: queue_place.QueuePlace
 ) -> int | None:
--- /dev/null
+++ b/tests/core/test_attempt_limits.py
@@ -0,0 +1,51 @@
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from marlramp.core import attempt_limits
+
+STREAM = attempt_limits.Waiting(
+    streaming=True,
+    begun=False,
+    may_repeat=True,
+    received_ms=1_000.0,
+    ends_ms=7_000.0,
+    progress_ms=1_010.0,
+    heard_ms=float("-inf"),
+    gap_max_ms=2_400.0,
+    predicted_ms=200.0,
+    begins_until_ms=float("inf"),
+)
+
+
+def limit(**changes: object) -> float:
+    waiting = msgspec.structs.replace(STREAM, **changes)
+    return attempt_limits.limit_ms(waiting)
+
+
+@pytest.mark.parametrize("may_repeat", [True, False])
+def test_request_that_waits_is_taken_away_before_the_next_version_binds(
+    may_repeat: bool,
+) -> None:
+    ends_ms = limit(may_repeat=may_repeat, begins_until_ms=1_350.0)
+    assert ends_ms == 1_350.0
+
+
+def test_stream_that_has_begun_goes_on_after_the_next_version_binds() -> None:
+    assert limit(begun=True, may_repeat=False, begins_until_ms=1_350.0) == 7_000
+    assert limit(begun=True, begins_until_ms=1_350.0) > 1_350.0
+
+
+def test_silent_replica_is_left_sooner_than_one_that_serves_others() -> None:
+    silent_ms = limit()
+    busy_ms = limit(heard_ms=1_600.0)
+    assert silent_ms == 1_010.0 + attempt_limits.STALL_FLOOR_MS
+    assert busy_ms == 1_600.0 + attempt_limits.STALL_FLOOR_MS
+    assert limit(heard_ms=6_000.0) < 3_000.0
+
+
+def test_request_that_may_run_once_is_waited_for_to_the_end() -> None:
+    assert limit(may_repeat=False) == 7_000.0
+    plain_ms = limit(streaming=False)
+    assert plain_ms == 1_010.0 + attempt_limits.PLAIN_STALL_SHARE * 6_000.0
