--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -18,6 +18,7 @@
 from marlramp.console.commands import request
 from marlramp.console.commands import rollouts
 from marlramp.console.commands import status
+from marlramp.console.commands import traffic
 from marlramp.console.commands import vms
 
 app = cyclopts.App(
@@ -35,6 +36,7 @@
 app.command(drain.drain)
 app.command(demo.demo)
 app.command(request.request)
+app.command(traffic.traffic)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- /dev/null
+++ b/src/marlramp/console/commands/traffic.py
@@ -0,0 +1,87 @@
+"""`marlramp traffic`: what one process tells the others, by kind."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated
+import urllib.request
+
+import cyclopts
+import msgspec
+
+from marlramp import counters
+from marlramp.console import exit_codes
+from marlramp.console import output
+
+TIMEOUT_S = 5.0
+
+_LINE = re.compile(
+    r'^(?P<name>\w+?)_total\{[^}]*reason="(?P<way>sent|received)_'
+    r'(?P<kind>\w+)_(?P<place>near|far)"[^}]*\}\s+(?P<total>[0-9.e+]+)$',
+    re.MULTILINE,
+)
+
+
+class Row(msgspec.Struct, kw_only=True):
+    """Messages of one kind since the process started.
+
+    Attributes:
+      kind: name of the message.
+      way: "sent" or "received".
+      place: "near" for the own region, else "far".
+      messages: how many.
+      size_bytes: their bytes, framing included.
+    """
+
+    kind: str
+    way: str
+    place: str
+    messages: int = 0
+    size_bytes: int = 0
+
+
+def rows_of(text: str) -> list[Row]:
+    """Returns the rows in a process's metrics, the most bytes first."""
+    rows: dict[tuple[str, str, str], Row] = {}
+    for found in _LINE.finditer(text):
+        key = (found["kind"], found["way"], found["place"])
+        kind, way, place = key
+        row = rows.setdefault(key, Row(kind=kind, way=way, place=place))
+        total = int(float(found["total"]))
+        if found["name"] == counters.CounterName.LINK_BYTES.value:
+            row.size_bytes = total
+        elif found["name"] == counters.CounterName.LINK_MESSAGES.value:
+            row.messages = total
+    return sorted(rows.values(), key=lambda row: -row.size_bytes)
+
+
+def traffic(
+    metrics: str,
+    *,
+    json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
+) -> int:
+    """Show messages and bytes between processes, as one process counts them.
+
+    Args:
+      metrics: URL of the metrics, such as http://10.1.0.40:9464/metrics.
+      json: print JSON, for scripts.
+    """
+    if not metrics.startswith("http://"):
+        output.print_error(f"{metrics}: must be a URL that begins with http://")
+        return int(exit_codes.ExitCode.USAGE)
+    try:
+        with urllib.request.urlopen(metrics, timeout=TIMEOUT_S) as answer:
+            rows = rows_of(answer.read().decode("utf-8", "replace"))
+    except (OSError, ValueError) as error:
+        output.print_error(f"{metrics}: {error}")
+        return int(exit_codes.ExitCode.UNREACHABLE)
+    if json:
+        output.print_json(rows)
+        return int(exit_codes.ExitCode.OK)
+    columns = ["kind", "way", "region", "messages", "bytes"]
+    cells = [
+        (row.kind, row.way, row.place, row.messages, row.size_bytes)
+        for row in rows
+    ]
+    output.print_table("Traffic between processes", columns, cells)
+    return int(exit_codes.ExitCode.OK)
