--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -97,7 +97,7 @@
             self._table,
             self._changed,
             self._forget,
-            lambda hosts: self._forwarder.set_cell(hosts),
+            self._set_cell,
             self._totals,
             self._clock,
         )
@@ -288,6 +288,10 @@
             self._routes = route_table.RouteTable(self._catalog.config)
             self._lifecycle.serve()
 
+    def _set_cell(self, hosts: list[str]) -> None:
+        """Takes the addresses of the VMs whose engines belong to the cell."""
+        self._forwarder.set_cell(hosts)
+
     def _forget(self, replica_ids: list[str]) -> None:
         """Drops what is kept of replicas that are gone."""
         self._forwarder.forget(replica_ids)
--- a/tests/direct/fleet/test_agent_guide.py
+++ b/tests/direct/fleet/test_agent_guide.py
@@ -13,6 +13,7 @@
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
+from tests.direct.fleet import virtual_fleet
 
 CONFIG = fleet.FleetConfig(
     version=1,
@@ -32,23 +33,13 @@
 AGENTS = [member(f"agent-{n}", members.MemberKind.AGENT) for n in range(60)]
 
 
-class Alone:
-    """The rest of an entry that has nothing to say."""
-
-    revision = 0
-
-    def on_member(self, member: members.Member) -> None:
-        pass
-
-    def on_revision(self, name: str, revision: int) -> None:
-        pass
-
-
 class Sent(member_sync.MemberSync):
     """Keeps what is sent instead of sending it."""
 
     def __init__(self, time: clock.Clock) -> None:
-        super().__init__(OWN, 1, [], {"dc-1"}, Alone(), time, random.Random(1))
+        super().__init__(
+            OWN, 1, [], {"dc-1"}, virtual_fleet.Alone(), time, random.Random(1)
+        )
         self.sent: list[tuple[str, msgspec.Struct]] = []
         self.suspected: list[str] = []
 
--- a/tests/direct/fleet/test_engine_digests.py
+++ b/tests/direct/fleet/test_engine_digests.py
@@ -13,6 +13,7 @@
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
+from tests.direct.fleet import virtual_fleet
 
 REGIONS = {"dc-1": "north", "dc-2": "south"}
 
@@ -30,24 +31,14 @@
 ]
 
 
-class Alone:
-    """The rest of an entry that has nothing to say."""
-
-    revision = 0
-
-    def on_member(self, member: members.Member) -> None:
-        pass
-
-    def on_revision(self, name: str, revision: int) -> None:
-        pass
-
-
 class Sent(member_sync.MemberSync):
     """Keeps what is sent instead of sending it."""
 
     def __init__(self, own: members.Member, time: clock.Clock) -> None:
         near = {own.data_centre}
-        super().__init__(own, 1, [], near, Alone(), time, random.Random(1))
+        super().__init__(
+            own, 1, [], near, virtual_fleet.Alone(), time, random.Random(1)
+        )
         self.sent: list[tuple[list[str], fleet_messages.EngineDigest]] = []
         for other in [*ENTRIES, *AGENTS]:
             if other != own:
--- a/tests/direct/fleet/test_load_exchange.py
+++ b/tests/direct/fleet/test_load_exchange.py
@@ -19,6 +19,7 @@
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
+from tests.direct.fleet import virtual_fleet
 
 REPLICA = fleet.Replica(
     replica_id="i-1",
@@ -37,24 +38,18 @@
     )
 
 
-class Alone:
-    """The rest of an entry that has nothing to say."""
-
-    revision = 0
-
-    def on_member(self, member: members.Member) -> None:
-        pass
-
-    def on_revision(self, name: str, revision: int) -> None:
-        pass
-
-
 class Sent(member_sync.MemberSync):
     """Keeps what is sent instead of sending it."""
 
     def __init__(self, time: clock.Clock) -> None:
         super().__init__(
-            entry("entry-1"), 1, [], {"dc-1"}, Alone(), time, random.Random(1)
+            entry("entry-1"),
+            1,
+            [],
+            {"dc-1"},
+            virtual_fleet.Alone(),
+            time,
+            random.Random(1),
         )
         self.sent: list[tuple[set[str], fleet_messages.OwnLoads]] = []
 
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -20,6 +20,18 @@
 PORT = 8_000
 
 
+class Alone:
+    """The rest of an entry that has nothing to say."""
+
+    revision = 0
+
+    def on_member(self, member: members.Member) -> None:
+        pass
+
+    def on_revision(self, name: str, revision: int) -> None:
+        pass
+
+
 class VirtualEntry:
     """An entry's membership and its end of all links."""
 
