Three guides for an agent also where no other region has entries; a dropped check is back

Cause: the redesign of guides left two where its region's entries are gone, and the test had been eased to that; the check that a store which answers another entry is not down had gone with the old interface. Both stand again, as strict.

--- a/src/marlramp/core/guidance.py
+++ b/src/marlramp/core/guidance.py
@@ -10,6 +10,10 @@
 that the death of one delays nothing. If all entries guided all agents, a
 change would cost their product in messages."""
 
+FAR_GUIDES = 1
+"""Entries elsewhere that guide an agent too, or of its cell if there is no
+elsewhere."""
+
 
 def guides_of(vm_id: str, known: cells.Cells) -> list[str]:
     """Returns the entries that guide an agent.
@@ -30,7 +34,7 @@
         other.name: other for other in known.all if other.region != cell.region
     }
     if not elsewhere:
-        return near
+        return rendezvous.subset(key, cell.entries, NEAR_GUIDES + FAR_GUIDES)
     (far_cell,) = rendezvous.subset(key, elsewhere, 1)
-    far_count = 1 + NEAR_GUIDES - len(near)
+    far_count = FAR_GUIDES + NEAR_GUIDES - len(near)
     return near + rendezvous.subset(key, elsewhere[far_cell].entries, far_count)
--- a/tests/core/test_guidance.py
+++ b/tests/core/test_guidance.py
@@ -34,6 +34,7 @@
 
 def test_a_region_without_entries_is_guided_from_elsewhere() -> None:
     far = [entry for entry in ENTRIES if entry.data_centre == "dc-2"]
-    assert len(guides(far)) == guidance.NEAR_GUIDES
+    expected = guidance.NEAR_GUIDES + guidance.FAR_GUIDES
+    assert len(guides(far)) == expected
     assert guides(ENTRIES[:1]) == ["entry-0"]
     assert guides([]) == []
--- a/tests/core/test_reader_duty.py
+++ b/tests/core/test_reader_duty.py
@@ -136,3 +136,12 @@
     fleet.tell(first, served=False)
     fleet.tell(second, served=True)
     assert fleet.readers() == {first, second}
+
+
+def test_store_that_answers_another_entry_is_not_down(fleet: Fleet) -> None:
+    first, second = fleet.readers()
+    fleet.served = {second}
+    fleet.run(2.0 * reader_duty.READER_STORE_AGE_MS)
+    now_ms = fleet.time.now_ms()
+    others = fleet.alive - {first}
+    assert not fleet.duties[first].store_serves_none(others, now_ms)
