Programs run on 3.11, the oldest interpreter that all libraries bear

Cause: 40 files were written in the language of 3.12 (generics in brackets, type statements), stated nowhere but in requires-python, which nothing reads where the daemons run; the pin of 3.13 hid it from every run here. Ruled out: libraries and the standard library, which ask for 3.11 at most.

--- a/deploy/install_dependencies.py
+++ b/deploy/install_dependencies.py
@@ -5,14 +5,14 @@
 was made from this lock file for this interpreter and no file of it is missing:
 half a folder would end every process at its first import, at every restart.
 
-Standard library only, since nothing else is installed yet.
+Standard library only, since nothing else is installed yet, in words that an
+interpreter which is too old can read as well: it then says so.
 """
 
-from __future__ import annotations
-
 import csv
 import fcntl
 import hashlib
+import importlib.util
 import os
 import pathlib
 import shutil
@@ -21,12 +21,13 @@
 import sysconfig
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path.insert(0, str(ROOT / "src"))
+
+from marlramp import interpreter  # noqa: E402
+
 LOCK_FILE = ROOT / "deploy" / "requirements.lock"
 TARGET = ROOT / "target"
 DEPENDENCIES = TARGET / "deps"
-MARKER = ".installed-from"
-"""File that says what a folder was installed from; written last."""
-
 TEMPORARY = ".deps-"
 """Begins the names of folders that nothing imports from."""
 
@@ -36,6 +37,10 @@
 EXIT_FAILED = 1
 
 
+SHARED_UMASK = 0o022
+"""What the build makes may be read by all: daemons may run as another user."""
+
+
 class InstallError(Exception):
     """The dependencies could not be installed."""
 
@@ -53,7 +58,7 @@
 def is_whole(folder: pathlib.Path, marker: str) -> bool:
     """Returns whether a folder holds all that `marker` stands for."""
     try:
-        if (folder / MARKER).read_text() != marker:
+        if (folder / interpreter.MARKER).read_text() != marker:
             return False
         records = list(folder.glob("*.dist-info/RECORD"))
         return bool(records) and all(map(_holds_all, records))
@@ -83,7 +88,8 @@
     """
     fresh = TARGET / f"{TEMPORARY}new"
     _run_installer(fresh)
-    (fresh / MARKER).write_text(marker)
+    # Written last: what has it is whole.
+    (fresh / interpreter.MARKER).write_text(marker)
     if not is_whole(fresh, marker):
         raise InstallError("files of the dependencies are missing")
     if DEPENDENCIES.exists():
@@ -95,6 +101,8 @@
     command = [sys.executable, "-m", "pip", "install", "--quiet"]
     command += ["--disable-pip-version-check", "--require-hashes"]
     command += ["--target", str(folder), "-r", str(LOCK_FILE)]
+    if importlib.util.find_spec("pip") is None:
+        raise InstallError(f"{interpreter.found()} has no pip")
     if subprocess.run(command, check=False).returncode:
         raise InstallError("the installer failed, see its lines above")
 
@@ -124,6 +132,11 @@
 
 def main() -> int:
     """Makes target/deps whole; returns the exit code."""
+    problem = interpreter.problem()
+    if problem:
+        print(f"install_dependencies: {problem}", file=sys.stderr)
+        return interpreter.EXIT_UNFIT
+    os.umask(SHARED_UMASK)
     marker = wanted_marker()
     if is_whole(DEPENDENCIES, marker):
         return os.EX_OK
--- a/models/grants.py
+++ b/models/grants.py
@@ -12,13 +12,12 @@
 import dataclasses
 import enum
 
-import musil
-
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
 from marlramp.core import grants
 from models import report
+from models import state_space
 
 _ENTRY = ids.VmId("entry")
 _TTL_MS = 1_000.0
@@ -135,25 +134,25 @@
     )
 
 
-def _sender(entry: str) -> musil.Action[State]:
-    return musil.Action(
+def _sender(entry: str) -> state_space.Action[State]:
+    return state_space.Action(
         f"send_{entry}",
         lambda s: entry not in s.sent,
         lambda s: dataclasses.replace(s, sent=s.sent | {entry}),
     )
 
 
-def build(rules: Rules) -> musil.Model[State]:
+def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
 
     def when(
         name: str,
         enabled: Callable[[State], bool],
         apply: Callable[[State], State],
-    ) -> musil.Action[State]:
-        return musil.Action(name, enabled, apply)
+    ) -> state_space.Action[State]:
+        return state_space.Action(name, enabled, apply)
 
-    return musil.Model(
+    return state_space.Model(
         init=State(),
         actions=[
             _sender("A"),
@@ -198,7 +197,6 @@
                 lambda s: s.runs_at_close in (None, s.runs)
             ),
         },
-        terminal=lambda s: True,
     )
 
 
--- a/models/replica_restart.py
+++ b/models/replica_restart.py
@@ -9,8 +9,6 @@
 
 import dataclasses
 
-import musil
-
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import catalog
@@ -18,6 +16,7 @@
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from models import report
+from models import state_space
 
 _STARTS = 3
 _ID = "replica-1"
@@ -98,42 +97,42 @@
     return dataclasses.replace(state, now=word, said=state.said | {word})
 
 
-def _hears(word: Word, rules: Rules) -> musil.Action[State]:
-    return musil.Action(
+def _hears(word: Word, rules: Rules) -> state_space.Action[State]:
+    return state_space.Action(
         f"hear_{word.born}_{word.weights}",
         lambda s: word in s.said,
         lambda s: _hear(s, word, rules),
     )
 
 
-def build(rules: Rules) -> musil.Model[State]:
+def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
     words = [Word(b, w) for b in range(1, _STARTS + 1) for w in (0, 1)]
-    return musil.Model(
+    return state_space.Model(
         init=State(),
         actions=[
             *[_hears(word, rules) for word in words],
-            musil.Action(
+            state_space.Action(
                 "report_ages",
                 lambda s: s.told is not None,
                 lambda s: _believe(dataclasses.replace(s, told=None), rules),
             ),
-            musil.Action(
+            state_space.Action(
                 "load",
                 lambda s: s.now.weights == 0,
                 lambda s: _say(s, Word(s.now.born, 1)),
             ),
-            musil.Action(
+            state_space.Action(
                 "start_again",
                 lambda s: s.now.born < _STARTS,
                 lambda s: _say(s, Word(s.now.born + 1, 0)),
             ),
-            musil.Action(
+            state_space.Action(
                 "write_entry",
                 lambda s: s.listed != s.now,
                 lambda s: dataclasses.replace(s, listed=s.now),
             ),
-            musil.Action(
+            state_space.Action(
                 "read_list",
                 lambda s: s.read != s.listed,
                 lambda s: _read(s, rules),
@@ -149,7 +148,6 @@
                 lambda before, action, after: after.known >= before.known
             ),
         },
-        terminal=lambda s: True,
     )
 
 
--- a/models/settings.py
+++ b/models/settings.py
@@ -11,11 +11,10 @@
 
 import dataclasses
 
-import musil
-
 from marlramp.protocol import messages
 from marlramp.settings import store
 from models import report
+from models import state_space
 
 _NEWEST = 3
 _KEY = "deployment/model"
@@ -66,7 +65,9 @@
     return state.heard <= state.entry or not rules.waits_when_behind
 
 
-def _reads(process: str, revision: int, rules: Rules) -> musil.Action[State]:
+def _reads(
+    process: str, revision: int, rules: Rules
+) -> state_space.Action[State]:
     def apply(state: State) -> State:
         current = state.entry if process == "entry" else state.agent
         adopted = _adopt(current, revision, rules)
@@ -74,66 +75,66 @@
             return dataclasses.replace(state, entry=adopted)
         return dataclasses.replace(state, agent=adopted)
 
-    return musil.Action(
+    return state_space.Action(
         f"{process}_reads_{revision}",
         lambda s: revision <= s.published,
         apply,
     )
 
 
-def build(rules: Rules) -> musil.Model[State]:
+def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
     reads = [
         _reads(process, revision, rules)
         for process in ("entry", "agent")
         for revision in range(1, _NEWEST + 1)
     ]
-    return musil.Model(
+    return state_space.Model(
         init=State(),
         actions=[
             *reads,
-            musil.Action(
+            state_space.Action(
                 "publish",
                 lambda s: s.published < _NEWEST,
                 lambda s: dataclasses.replace(s, published=s.published + 1),
             ),
-            musil.Action(
+            state_space.Action(
                 "heartbeat",
                 lambda s: s.linked and s.agent != _NONE,
                 lambda s: dataclasses.replace(s, heard=s.agent),
             ),
-            musil.Action(
+            state_space.Action(
                 "offer_to_entry",
                 lambda s: s.linked and s.agent > s.entry,
                 lambda s: dataclasses.replace(
                     s, entry=_adopt(s.entry, s.agent, rules)
                 ),
             ),
-            musil.Action(
+            state_space.Action(
                 "offer_to_agent",
                 lambda s: s.linked and s.entry > s.agent,
                 lambda s: dataclasses.replace(
                     s, agent=_adopt(s.agent, s.entry, rules)
                 ),
             ),
-            musil.Action(
+            state_space.Action(
                 "cut",
                 lambda s: s.linked,
                 lambda s: dataclasses.replace(s, linked=False, heard=None),
             ),
-            musil.Action(
+            state_space.Action(
                 "mend",
                 lambda s: not s.linked,
                 lambda s: dataclasses.replace(s, linked=True),
             ),
-            musil.Action(
+            state_space.Action(
                 "replace_entry",
                 lambda s: not s.restarted,
                 lambda s: dataclasses.replace(
                     s, entry=_NONE, heard=None, restarted=True
                 ),
             ),
-            musil.Action(
+            state_space.Action(
                 "start_work",
                 lambda s: _may_start(s, rules),
                 lambda s: dataclasses.replace(
@@ -156,7 +157,6 @@
                 lambda before, action, after: after.agent >= before.agent
             ),
         },
-        terminal=lambda s: True,
     )
 
 
--- a/models/version_swap.py
+++ b/models/version_swap.py
@@ -12,14 +12,13 @@
 import dataclasses
 import enum
 
-import musil
-
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
 from marlramp.core import assembly
 from marlramp.core import guard
 from models import report
+from models import state_space
 
 _PARTS = 3
 
@@ -95,8 +94,8 @@
     )
 
 
-def _stranger(engine: Engine) -> musil.Action[State]:
-    return musil.Action(
+def _stranger(engine: Engine) -> state_space.Action[State]:
+    return state_space.Action(
         f"stranger_loads_{engine.name}",
         lambda s: s.strangers < 1 and s.running is None,
         lambda s: dataclasses.replace(
@@ -105,9 +104,9 @@
     )
 
 
-def _stranger_switches() -> musil.Action[State]:
+def _stranger_switches() -> state_space.Action[State]:
     """A stranger switches versions under a run in progress."""
-    return musil.Action(
+    return state_space.Action(
         "stranger_switches",
         lambda s: s.strangers < 1 and s.running is not None,
         lambda s: dataclasses.replace(
@@ -124,30 +123,30 @@
     return state.open and fresh and not state.running and not state.delivered
 
 
-def build(rules: Rules) -> musil.Model[State]:
+def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
-    return musil.Model(
+    return state_space.Model(
         init=State(),
         actions=[
-            musil.Action(
+            state_space.Action(
                 "observe", lambda s: True, lambda s: _observe(s, rules)
             ),
-            musil.Action(
+            state_space.Action(
                 "start",
                 _may_start,
                 lambda s: dataclasses.replace(s, running=s.seen),
             ),
-            musil.Action(
+            state_space.Action(
                 "part",
                 lambda s: s.running is not None,
                 lambda s: _part(s, rules),
             ),
-            musil.Action(
+            state_space.Action(
                 "suspend",
                 lambda s: s.open and s.seen is Engine.OLD,
                 lambda s: dataclasses.replace(s, open=False, swapping=True),
             ),
-            musil.Action(
+            state_space.Action(
                 "order",
                 lambda s: (
                     s.swapping
@@ -178,7 +177,6 @@
                 )
             ),
         },
-        terminal=lambda s: True,
     )
 
 
--- a/src/marlramp/console/admin_client.py
+++ b/src/marlramp/console/admin_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 from typing import Annotated
+from typing import TypeVar
 
 import cyclopts
 import msgspec
@@ -13,6 +14,8 @@
 from marlramp.console import output
 from marlramp.shell import http
 
+ResultT = TypeVar("ResultT")
+
 KEY_VARIABLE = "MARLRAMP_ADMIN_KEY"
 TIMEOUT_MS = 5_000.0
 _OK = 200
@@ -35,7 +38,7 @@
         self.code = code
 
 
-def read[ResultT](entry: str, path: str, result: type[ResultT]) -> ResultT:
+def read(entry: str, path: str, result: type[ResultT]) -> ResultT:
     """Returns a document of the administration API.
 
     Raises:
--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import TypeAlias
 
 import msgspec
 
@@ -66,7 +67,7 @@
     unreadable: bool = False
 
 
-type Change = ConfigChange | TargetChange | ReplicaChange
+Change: TypeAlias = ConfigChange | TargetChange | ReplicaChange
 
 
 class Snapshot(msgspec.Struct, frozen=True):
--- a/src/marlramp/core/prober.py
+++ b/src/marlramp/core/prober.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Collection
 import random
+from typing import TypeAlias
 
 import msgspec
 
@@ -76,7 +77,7 @@
     vm_id: str
 
 
-type Action = Ask | AskThrough | Suspect
+Action: TypeAlias = Ask | AskThrough | Suspect
 
 
 class _Open(msgspec.Struct):
--- a/src/marlramp/core/rendezvous.py
+++ b/src/marlramp/core/rendezvous.py
@@ -4,9 +4,12 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+from typing import TypeVar
 
 import blake3
 
+Node = TypeVar("Node", bound=str)
+
 _SCORE_BYTES = 8
 
 
@@ -15,7 +18,7 @@
     return digest.digest(length=_SCORE_BYTES)
 
 
-def order[Node: str](key: str, nodes: Iterable[Node]) -> list[Node]:
+def order(key: str, nodes: Iterable[Node]) -> list[Node]:
     """Returns the nodes ordered by their score for `key`, highest first.
 
     Removing a node leaves the order of the others unchanged.
@@ -31,12 +34,12 @@
     return int.from_bytes(digest) / 256.0**_SCORE_BYTES
 
 
-def subset[Node: str](key: str, nodes: Iterable[Node], size: int) -> list[Node]:
+def subset(key: str, nodes: Iterable[Node], size: int) -> list[Node]:
     """Returns the first `size` nodes in the order for `key`."""
     return order(key, nodes)[:size]
 
 
-def balanced_orders[Node: str](
+def balanced_orders(
     keys: Sequence[str], nodes: Iterable[Node]
 ) -> list[list[Node]]:
     """Returns an order for each key in which no node is first too often.
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -13,6 +13,7 @@
 from collections.abc import Sequence
 import enum
 import random
+from typing import TypeAlias
 
 import msgspec
 
@@ -78,7 +79,7 @@
     index: int
 
 
-type Action = FetchFromPeer | FetchFromOrigin | CancelFetch
+Action: TypeAlias = FetchFromPeer | FetchFromOrigin | CancelFetch
 
 
 class Peer(msgspec.Struct):
--- a/src/marlramp/direct/fleet/engine_digests.py
+++ b/src/marlramp/direct/fleet/engine_digests.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeAlias
 
 import msgspec
 
@@ -30,7 +31,7 @@
 REPORTS_MAX = 32
 """Engines in one digest, those with the least load: 2 kB."""
 
-type Take = Callable[[replica_view.LoadReport, float], None]
+Take: TypeAlias = Callable[[replica_view.LoadReport, float], None]
 
 
 class _Heard(msgspec.Struct, frozen=True):
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import random
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import counters
@@ -23,9 +24,9 @@
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 
-type OnChanges = Callable[[list[catalog.Change]], None]
-type OnGone = Callable[[list[str]], None]
-type OnCell = Callable[[list[str]], None]
+OnChanges: TypeAlias = Callable[[list[catalog.Change]], None]
+OnGone: TypeAlias = Callable[[list[str]], None]
+OnCell: TypeAlias = Callable[[list[str]], None]
 
 
 class EntryFleet:
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 import random
 from typing import Protocol
+from typing import TypeAlias
 
 import msgspec
 
@@ -48,7 +49,7 @@
         ...
 
 
-type Publish = Callable[[int, list[catalog.Change]], None]
+Publish: TypeAlias = Callable[[int, list[catalog.Change]], None]
 
 
 class StoreReader:
--- a/src/marlramp/direct/side_server.py
+++ b/src/marlramp/direct/side_server.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
+from typing import TypeAlias
 
 import msgspec
 
@@ -46,7 +47,7 @@
     body: bytes
 
 
-type Pages = Mapping[str, Callable[[str], Awaitable[Page]]]
+Pages: TypeAlias = Mapping[str, Callable[[str], Awaitable[Page]]]
 """What answers each path; takes the query."""
 
 
--- a/src/marlramp/direct/weights/piece_draws.py
+++ b/src/marlramp/direct/weights/piece_draws.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import random
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import logs
@@ -16,8 +17,8 @@
 """Pause after a draw that found no origin, drawn between the two: a few agents
 at a time draw, and a version waits for the last piece alone."""
 
-type OnDrawn = Callable[[version_digests.Wanted, int, bytes], None]
-type OnFailed = Callable[[version_digests.Wanted, int, float], None]
+OnDrawn: TypeAlias = Callable[[version_digests.Wanted, int, bytes], None]
+OnFailed: TypeAlias = Callable[[version_digests.Wanted, int, float], None]
 """Takes the version, the index and when to try again, in ms."""
 
 
--- a/src/marlramp/entry/admin_app.py
+++ b/src/marlramp/entry/admin_app.py
@@ -11,6 +11,7 @@
 import hmac
 from typing import TYPE_CHECKING
 from typing import Protocol
+from typing import TypeAlias
 
 import msgspec
 from starlette import responses
@@ -38,7 +39,9 @@
 _BEARER = "Bearer "
 _BODY_BYTES_MAX = 64 * 1024
 
-type _Endpoint = Callable[["requests.Request"], Awaitable[responses.Response]]
+_Endpoint: TypeAlias = Callable[
+    ["requests.Request"], Awaitable[responses.Response]
+]
 
 
 class Fleet(Protocol):
--- a/src/marlramp/entry/questions.py
+++ b/src/marlramp/entry/questions.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from typing import Protocol
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import errors
@@ -17,7 +18,7 @@
 ANSWER_WAIT_MS = 500.0
 RESERVE_TRIES = 3
 
-type Reply = messages.Reserved | messages.RunStatus
+Reply: TypeAlias = messages.Reserved | messages.RunStatus
 
 
 class AgentSender(Protocol):
--- a/src/marlramp/experiments/documents.py
+++ b/src/marlramp/experiments/documents.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import TypeAlias
 
 import msgspec
 
@@ -11,7 +12,7 @@
 MEMBER_KEY = "member/standbouw"
 DEPLOYMENT_KEY = "deployment/fairs"
 
-type Value = str | int | float | bool
+Value: TypeAlias = str | int | float | bool
 
 
 class RolloutText(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -5,6 +5,7 @@
 import enum
 import ipaddress
 from typing import Annotated
+from typing import TypeAlias
 
 import msgspec
 
@@ -30,9 +31,9 @@
 """Greatest whole number that every reader of JSON holds exactly; a greater
 one could not be told to other processes."""
 
-type _Count = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
-type _Positive = Annotated[int, msgspec.Meta(ge=1, le=_COUNT_MAX)]
-type _Duration = Annotated[float, msgspec.Meta(ge=0)]
+_Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+_Positive: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_COUNT_MAX)]
+_Duration: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _Split(msgspec.Struct):
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
@@ -14,6 +15,8 @@
 from marlramp.settings import node
 from marlramp.shell import http1_call
 
+Value = TypeVar("Value")
+
 REPORT_TIMEOUT_MS = 500.0
 STAGE_TIMEOUT_MS = 1_000.0
 ORDER_TIMEOUT_MS = 1_000.0
@@ -182,7 +185,7 @@
         return await self._calls.make("GET", url, PIECE_TIMEOUT_MS)
 
 
-def _decode[Value](decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
+def _decode(decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
     try:
         return decoder.decode(body)
     except msgspec.DecodeError as error:
--- a/src/marlramp/platform/settings.py
+++ b/src/marlramp/platform/settings.py
@@ -5,11 +5,14 @@
 from collections.abc import Callable
 import os
 import pathlib
+from typing import TypeVar
 
 from marlramp import clock
 from marlramp import ids
 from marlramp.settings import node
 
+Value = TypeVar("Value")
+
 SETTINGS_VARIABLE = "MARLRAMP_SETTINGS"
 """Environment variable with the path of the settings file."""
 
@@ -72,7 +75,7 @@
             self.problems.append(f"{key}: is missing")
         return value
 
-    def parsed[Value](
+    def parsed(
         self, key: str, parse: Callable[[str], Value], fallback: Value
     ) -> Value:
         text = self.text(key)
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
@@ -17,6 +18,8 @@
 from marlramp.settings import node
 from marlramp.shell import http1_call
 
+Value = TypeVar("Value")
+
 READ_TIMEOUT_MS = 1_000.0
 """250 times the store's usual answer; a store that is slower counts as down."""
 
@@ -151,7 +154,7 @@
             raise
 
 
-def _decoded[Value](decode: Callable[[bytes], Value], body: bytes) -> Value:
+def _decoded(decode: Callable[[bytes], Value], body: bytes) -> Value:
     try:
         return decode(body)
     except msgspec.DecodeError as error:
--- a/src/marlramp/protocol/codec.py
+++ b/src/marlramp/protocol/codec.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Generic
+from typing import TypeVar
+
 import msgspec
 
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
 
+MessageT = TypeVar("MessageT")
+
 _VERSION_PREFIX = bytes([messages.PROTOCOL_VERSION])
 
 
@@ -48,7 +53,7 @@
     return Encoded(type(message).__name__, encode(message))
 
 
-class Decoder[MessageT]:
+class Decoder(Generic[MessageT]):
     """Decodes messages from one direction and rejects all others."""
 
     def __init__(self, message_type: type[MessageT]) -> None:
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from typing import Annotated
+from typing import TypeAlias
 
 import msgspec
 
@@ -222,7 +223,7 @@
     data: Annotated[bytes, msgspec.Meta(max_length=FRAGMENT_BYTES_MAX)] | None
 
 
-type FromMember = (
+FromMember: TypeAlias = (
     Hello
     | MembersNews
     | Ping
@@ -241,7 +242,7 @@
     | NeighboursRequest
 )
 
-type FromAgentPeer = (
+FromAgentPeer: TypeAlias = (
     messages.PeerHello
     | messages.PeerHave
     | messages.ManifestRequest
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -9,6 +9,7 @@
 
 import enum
 from typing import Annotated
+from typing import TypeAlias
 
 import msgspec
 
@@ -380,7 +381,7 @@
     index: _Count
 
 
-type FromAgent = (
+FromAgent: TypeAlias = (
     AgentReport
     | AgentHeartbeat
     | AgentCounters
@@ -395,7 +396,7 @@
     | RunStatus
     | SettingsOffer
 )
-type FromEntry = (
+FromEntry: TypeAlias = (
     EntryHeartbeat
     | SwapAnswer
     | Run
@@ -406,7 +407,7 @@
     | ReportRequest
     | DrainOrder
 )
-type FromPeer = (
+FromPeer: TypeAlias = (
     PeerHello
     | PeerHave
     | ManifestRequest
@@ -415,4 +416,4 @@
     | ChunkReply
     | ChunkCancel
 )
-type Message = FromAgent | FromEntry | FromPeer
+Message: TypeAlias = FromAgent | FromEntry | FromPeer
--- a/src/marlramp/settings/checking.py
+++ b/src/marlramp/settings/checking.py
@@ -7,9 +7,12 @@
 import tomllib
 import types
 import typing
+from typing import TypeVar
 
 import msgspec
 
+StructT = TypeVar("StructT", bound=msgspec.Struct)
+
 _UNIT_SUFFIXES = {
     "ms": "milliseconds",
     "s": "seconds",
@@ -48,7 +51,7 @@
         raise ExceptionGroup("settings refused", [problem]) from error
 
 
-def convert[StructT: msgspec.Struct](
+def convert(
     table: dict[str, object], struct: type[StructT], source: str
 ) -> StructT:
     """Returns `table` as `struct`.
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Protocol
+from typing import TypeAlias
 
 import httptools
 import msgspec
@@ -94,7 +95,7 @@
         ...
 
 
-type Handler = Callable[[Request, Responder], Awaitable[None]]
+Handler: TypeAlias = Callable[[Request, "Responder"], Awaitable[None]]
 
 
 class Responder:
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -13,6 +13,8 @@
 import collections
 from collections.abc import Callable
 import struct
+from typing import Generic
+from typing import TypeVar
 
 import msgspec
 
@@ -24,6 +26,8 @@
 from marlramp.shell import safely
 from marlramp.shell import silence
 
+MessageT = TypeVar("MessageT")
+
 FRAME_BYTES_MAX = 16_777_216
 NAME_BYTES_MAX = 256
 BUFFER_BYTES_MAX = 2_097_152
@@ -128,7 +132,7 @@
         self.task: asyncio.Task[None] | None = None
 
 
-class MemberLinks[MessageT]:
+class MemberLinks(Generic[MessageT]):
     """All links of one process that carry one set of messages."""
 
     def __init__(
--- a/src/marlrampd.py
+++ b/src/marlrampd.py
@@ -24,7 +24,18 @@
     sys.exit(daemon.app())
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """Runs the daemon if the interpreter can; says in one line why not."""
+    from marlramp import interpreter
+
+    problem = interpreter.problem()
+    if problem:
+        print(f'event=process_failed error="{problem}"', file=sys.stderr)
+        sys.exit(interpreter.EXIT_UNFIT)
     from marlramp import process_failure
 
     process_failure.run_reported(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -13,6 +13,7 @@
 import contextlib
 import socket
 import struct
+from typing import TypeAlias
 
 import msgspec
 
@@ -92,7 +93,7 @@
         self._writer.close()
 
 
-type Script = Callable[[Peer], Awaitable[None]]
+Script: TypeAlias = Callable[[Peer], Awaitable[None]]
 
 
 class ScriptedServer:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import random
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -15,7 +16,7 @@
 from marlramp.core import upstream_choice
 from marlramp.core import wait_bias
 
-type MakeReplica = Callable[..., fleet.Replica]
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
 FRONT = queue_place.QueuePlace.FRONT
 BEHIND = queue_place.QueuePlace.BEHIND
--- a/tests/core/test_caller_patience.py
+++ b/tests/core/test_caller_patience.py
@@ -1,13 +1,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeAlias
 
 import pytest
 
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 
-type MakeRoute = Callable[..., fleet.Route]
+MakeRoute: TypeAlias = Callable[..., fleet.Route]
 
 
 @pytest.mark.parametrize(
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import ids
@@ -8,8 +9,8 @@
 from marlramp.core import fleet
 from marlramp.core import weights_gate
 
-type MakeReplica = Callable[..., fleet.Replica]
-type MakeConfig = Callable[..., fleet.FleetConfig]
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
+MakeConfig: TypeAlias = Callable[..., fleet.FleetConfig]
 
 BOUND_MS = 8_000.0
 
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import itertools
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -16,7 +17,7 @@
 from marlramp.core import swap_times
 from marlramp.core import upstream_choice
 
-type MakeReplica = Callable[..., fleet.Replica]
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
 WANTED = upstream_choice.Wanted(
     engine=None, prompt_tokens=0, events=1.0, oldest_weights=0, failed=()
--- a/tests/core/test_peer_loads.py
+++ b/tests/core/test_peer_loads.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeAlias
 
 import pytest
 
@@ -11,7 +12,7 @@
 from marlramp.core import replica_table
 from marlramp.core import upstream_choice
 
-type MakeReplica = Callable[..., fleet.Replica]
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
 ANYWHERE = upstream_choice.Places(frozenset())
 
--- a/tests/core/test_replica_restarts.py
+++ b/tests/core/test_replica_restarts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -12,7 +13,7 @@
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 
-type MakeReplica = Callable[..., fleet.Replica]
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
 EARLIER_MS = 1_774_684_600_190
 LATER_MS = EARLIER_MS + 5_000
--- a/tests/core/test_route_table.py
+++ b/tests/core/test_route_table.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from typing import TypeAlias
 
 import pytest
 
@@ -10,8 +11,8 @@
 from marlramp.core import fleet
 from marlramp.core import route_table
 
-type MakeRoute = Callable[..., fleet.Route]
-type MakeConfig = Callable[..., fleet.FleetConfig]
+MakeRoute: TypeAlias = Callable[..., fleet.Route]
+MakeConfig: TypeAlias = Callable[..., fleet.FleetConfig]
 
 
 def test_longest_prefix_of_the_host_wins(
--- a/tests/deploy/conftest.py
+++ b/tests/deploy/conftest.py
@@ -15,6 +15,7 @@
 import pytest
 
 DEPLOY = pathlib.Path(__file__).parents[2] / "deploy"
+SOURCES = DEPLOY.parent / "src"
 PACKAGES = ("alpha", "beta")
 
 
@@ -25,6 +26,7 @@
         """Copies the deploy files; nothing is built yet."""
         self.root = root
         shutil.copytree(DEPLOY, root / "deploy")
+        shutil.copytree(SOURCES, root / "src")
         self._wheels = root / "wheels"
         self._wheels.mkdir()
         self.lock(PACKAGES)
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -16,6 +16,7 @@
 
 import os
 import pathlib
+import tomllib
 
 from tests.deploy import conftest
 
@@ -32,6 +33,12 @@
 """Loaded by every interpreter of a build: ends the one that puts packages in
 their place after the first of them."""
 
+WITHOUT_INSTALLER = """
+import sys
+sys.path[:] = [path for path in sys.path if "-packages" not in path]
+"""
+"""Loaded by every interpreter of a build: takes its installed packages away."""
+
 
 def test_build_after_one_that_was_killed_is_whole(
     checkout: conftest.Checkout, tmp_path: pathlib.Path
@@ -105,3 +112,23 @@
 ) -> None:
     assert checkout.build() == 0
     assert checkout.dependencies.stat().st_mode & 0o555 == 0o555
+
+
+def test_build_without_an_installer_says_so_in_one_line(
+    checkout: conftest.Checkout, tmp_path: pathlib.Path
+) -> None:
+    hook = tmp_path / "hook"
+    hook.mkdir()
+    (hook / "sitecustomize.py").write_text(WITHOUT_INSTALLER)
+    build = checkout.start_build({"PYTHONPATH": str(hook)})
+    output, _ = build.communicate(timeout=60)
+    assert build.returncode == 1
+    assert len(output.splitlines()) == 1
+    assert "has no pip" in output
+
+
+def test_packages_that_the_build_needs_are_listed(
+    checkout: conftest.Checkout,
+) -> None:
+    text = (checkout.root / "deploy" / "system.toml").read_text()
+    assert tomllib.loads(text)["packages"] == ["python3", "python3-pip"]
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -169,8 +170,8 @@
         return reader, writer
 
 
-type Use = Callable[[Entry], Awaitable[None]]
-type RunEntry = Callable[..., None]
+Use: TypeAlias = Callable[[Entry], Awaitable[None]]
+RunEntry: TypeAlias = Callable[..., None]
 
 
 @pytest.fixture
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 import random
+from typing import TypeAlias
 
 import msgspec
 
@@ -224,4 +225,4 @@
         heapq.heappush(self._events, (due_ms, next(self._order), event))
 
 
-type StartFleet = Callable[..., VirtualFleet]
+StartFleet: TypeAlias = Callable[..., VirtualFleet]
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -23,7 +24,7 @@
 TOTAL_BYTES = 1_000_000
 TEST_TIMEOUT_S = 60.0
 
-type Scenario = Callable[[Bench], Coroutine[Any, Any, None]]
+Scenario: TypeAlias = Callable[["Bench"], Coroutine[Any, Any, None]]
 
 
 class Bench:
--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -8,14 +8,15 @@
 import pathlib
 import signal
 import socket
+from typing import TypeAlias
 
 import pytest
 
 from standins import direct_fleet
 from standins import direct_platform
 
-type Use = Callable[[direct_fleet.Fleet], Awaitable[None]]
-type RunFleet = Callable[[Use], None]
+Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
+RunFleet: TypeAlias = Callable[[Use], None]
 
 
 @pytest.fixture
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -52,7 +53,7 @@
     return State(connection.reusable, connection.closed, connection.idle_max_ms)
 
 
-type Exchange = tuple[Recorder, State]
+Exchange: TypeAlias = tuple[Recorder, State]
 
 
 def exchange(script: raw_http.Script, settle_s: float = 0.05) -> Exchange:
--- a/tests/shell/test_http1_server.py
+++ b/tests/shell/test_http1_server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TypeAlias
 
 import pytest
 
@@ -40,7 +41,7 @@
     responder.answer(200, [], request.target + b" " + request.body)
 
 
-type Talk = Callable[
+Talk: TypeAlias = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bytes]
 ]
 
--- a/tests/shell/test_member_links.py
+++ b/tests/shell/test_member_links.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import struct
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import counters
@@ -12,8 +13,8 @@
 from marlramp.protocol import fleet_messages
 from marlramp.shell import member_links
 
-type Links = member_links.MemberLinks[fleet_messages.FromMember]
-type Heard = list[tuple[str, fleet_messages.FromMember]]
+Links: TypeAlias = member_links.MemberLinks[fleet_messages.FromMember]
+Heard: TypeAlias = list[tuple[str, fleet_messages.FromMember]]
 
 
 def make(name: str) -> tuple[Links, Heard]:
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TypeAlias
 
 import pytest
 
@@ -13,8 +14,8 @@
 HOST = "127.0.0.1"
 WAIT_S = 0.2
 
-type Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-type Use = Callable[[fault_proxy.FaultProxy, int], Awaitable[None]]
+Streams: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+Use: TypeAlias = Callable[[fault_proxy.FaultProxy, int], Awaitable[None]]
 
 
 async def echo(
