Loads among entries: falls wait for a rise, nothing is looked for while nothing changes

Cause: an entry of a full cell spent over half of its own code's time (sampled profile, 16 entries, 10 engines, 5.6 requests a second each) on telling and hearing loads: a message for each send, first event and end to 15 others, 50 looks a second at every replica, and once a second the loads of all replicas, idle ones too, each added up anew over 15 peers. Ruled out: the requests themselves (2% for their answers), the store. Change: views say when the own requests change, and only those replicas are looked at; a load that rose is told within 20 ms with all that fell, loads that only fell wait until peers together tell of them 80 times a second at most; the word of each second names used replicas only and takes the place of what was told.

--- a/src/marlramp/core/peer_loads.py
+++ b/src/marlramp/core/peer_loads.py
@@ -8,11 +8,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 import msgspec
 
+from marlramp import clock
 from marlramp.core import replica_table
+from marlramp.core import replica_view
+
+FALLS_HEARD_PER_S_MAX = 80.0
+"""Messages a second that an entry hears of loads that only fell, from all
+peers together. Who does not know of a fall spares an engine for a moment; who
+does not know of a rise joins those who choose the same one."""
 
 
 class OwnLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -49,6 +57,13 @@
             told[load.replica_id] = load
             self._add_up(load.replica_id)
 
+    def replace(self, peer: str, loads: Iterable[OwnLoad]) -> None:
+        """Takes all that a peer has under way, at no other replica."""
+        before = self._told.pop(peer, {})
+        self.take(peer, loads)
+        for replica_id in before.keys() - self._told[peer].keys():
+            self._add_up(replica_id)
+
     def drop(self, peer: str) -> None:
         """Forgets a peer that is not heard any more."""
         told = self._told.pop(peer, {})
@@ -84,38 +99,104 @@
 class LoadNews:
     """Finds what to tell the others of the own requests."""
 
-    def __init__(self, table: replica_table.ReplicaTable) -> None:
-        """Reads the views in `table`."""
+    def __init__(
+        self,
+        table: replica_table.ReplicaTable,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Listens to the views in `table`.
+
+        Args:
+          table: the replicas.
+          on_change: called when there may be something to tell.
+        """
         self._table = table
+        self._on_change = on_change
         self._told: dict[str, OwnLoad] = {}
+        self._told_ms = float("-inf")
+        self._changed: set[str] = set()
+        table.listen(self._note)
+
+    def changed(self, peers: int, now_ms: clock.Millis) -> list[OwnLoad]:
+        """Returns what is to be told now of what changed.
+
+        A load that rose is told at once, with all that fell; loads that only
+        fell wait until the peers have not been told for `falls_pause_ms`.
+
+        Args:
+          peers: how many are told.
+          now_ms: the time.
+        """
+        news = [load for load in map(self._load, self._changed) if load]
+        news = [load for load in news if self._is_new(load)]
+        rose = any(map(self._rose, news))
+        if not rose and now_ms < self._told_ms + falls_pause_ms(peers):
+            return []
+        self._note_told(news, now_ms)
+        return sorted(news, key=lambda load: load.replica_id)
 
-    def changed(self) -> list[OwnLoad]:
-        """Returns what changed since it was asked last."""
-        news = [load for load in self.all() if self._is_new(load)]
-        for load in news:
-            self._told[load.replica_id] = load
-        return news
-
-    def all(self) -> list[OwnLoad]:
-        """Returns the load at every replica."""
-        return [
-            OwnLoad(
-                view.replica.replica_id,
-                view.in_flight,
-                view.unread,
-                view.behind,
-                view.behind_unread,
-            )
-            for view in self._table
-        ]
+    @property
+    def waits(self) -> bool:
+        """Whether a change waits to be told."""
+        return bool(self._changed)
+
+    def all(self, now_ms: clock.Millis) -> list[OwnLoad]:
+        """Returns the loads at all replicas that have any, as told now."""
+        loads = [_own_load(view) for view in self._table if _is_used(view)]
+        self._told.clear()
+        self._note_told(loads, now_ms)
+        return loads
 
     def forget(self, replica_ids: Iterable[str]) -> None:
         """Drops replicas that are gone."""
         for replica_id in replica_ids:
             self._told.pop(replica_id, None)
 
+    def _note(self, replica_id: str) -> None:
+        self._changed.add(replica_id)
+        self._on_change()
+
+    def _note_told(self, loads: list[OwnLoad], now_ms: clock.Millis) -> None:
+        self._changed.clear()
+        if not loads:
+            return
+        self._told_ms = now_ms
+        for load in loads:
+            self._told[load.replica_id] = load
+
+    def _load(self, replica_id: str) -> OwnLoad | None:
+        view = self._table.get(replica_id)
+        return None if view is None else _own_load(view)
+
     def _is_new(self, load: OwnLoad) -> bool:
         told = self._told.get(load.replica_id)
         if told is None:
             return load.in_flight > 0
         return told != load
+
+    def _rose(self, load: OwnLoad) -> bool:
+        told = self._told.get(load.replica_id)
+        return told is None or (
+            load.in_flight > told.in_flight
+            or load.unread_tokens > told.unread_tokens
+            or load.behind > told.behind
+        )
+
+
+def falls_pause_ms(peers: int) -> float:
+    """Returns the least time between two words on loads that only fell."""
+    return peers / FALLS_HEARD_PER_S_MAX * clock.MILLIS_PER_SECOND
+
+
+def _own_load(view: replica_view.ReplicaView) -> OwnLoad:
+    return OwnLoad(
+        view.replica.replica_id,
+        view.in_flight,
+        view.unread,
+        view.behind,
+        view.behind_unread,
+    )
+
+
+def _is_used(view: replica_view.ReplicaView) -> bool:
+    return view.in_flight > 0 or view.unread > 0 or view.behind > 0
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
 from marlramp import clock
@@ -25,11 +26,16 @@
         self._reports: dict[str, tuple[replica_view.LoadReport, float]] = {}
         self._behind_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
         self._front_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
+        self._listeners: list[Callable[[str], None]] = []
 
     def __iter__(self) -> Iterator[replica_view.ReplicaView]:
         """Iterates over all replicas."""
         return iter(list(self._views.values()))
 
+    def listen(self, listener: Callable[[str], None]) -> None:
+        """Tells the id of a replica when the own requests there changed."""
+        self._listeners.append(listener)
+
     def get(self, replica_id: str) -> replica_view.ReplicaView | None:
         """Returns one replica."""
         return self._views.get(replica_id)
@@ -109,11 +115,16 @@
             front_bias=self._front_bias.setdefault(
                 replica.service_id, wait_bias.WaitBias()
             ),
+            on_load_change=self._note_load_change,
             born_ms=replica.born_ms,
         )
         self._views[replica.replica_id] = view
         return view
 
+    def _note_load_change(self, replica_id: str) -> None:
+        for listener in self._listeners:
+            listener(replica_id)
+
     def _group(self) -> None:
         self._by_service = {}
         for view in self._views.values():
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from marlramp import clock
@@ -86,6 +88,10 @@
     born_ms: int | None = None
 
 
+def _ignore(replica_id: str) -> None:
+    """Takes a change that nobody listens to."""
+
+
 class ReplicaView(msgspec.Struct):
     """What this entry believes of one replica.
 
@@ -121,11 +127,13 @@
       not_before_ms: it gets nothing before this.
       heard_ms: when any byte of it arrived last.
       breaker: its circuit breaker.
+      on_load_change: takes its id when the own requests there changed.
       born_ms: Unix time of its newest start heard of, None if none was told.
     """
 
     replica: fleet.Replica
     breaker: breaker.Breaker
+    on_load_change: Callable[[str], None] = _ignore
     report: LoadReport | None = None
     reported_ms: float = float("-inf")
     in_flight: int = 0
@@ -245,6 +253,7 @@
         else:
             self.unread += prompt_tokens
         self.breaker.record_start(now_ms)
+        self.on_load_change(self.replica.replica_id)
 
     def note_read(
         self,
@@ -257,10 +266,12 @@
             self.behind_unread = max(0, self.behind_unread - prompt_tokens)
         else:
             self.unread = max(0, self.unread - prompt_tokens)
+        self.on_load_change(self.replica.replica_id)
 
     def note_ended(self) -> None:
         """Counts a request that ended there."""
         self.in_flight -= 1
+        self.on_load_change(self.replica.replica_id)
 
     def note_answered(self, taken_ms: float) -> None:
         """Takes the time of a good plain answer."""
--- a/src/marlramp/direct/fleet/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from marlramp import clock
 from marlramp import counters
@@ -14,8 +15,9 @@
 from marlramp.shell import safely
 
 TELL_MS = 20.0
-"""Between two looks for changes: a fifth of the time that an engine takes to
-the first event, so that a choice rests on what others chose just before."""
+"""Least time between two words on changes: a fifth of the time that an engine
+takes to the first event, so that a choice rests on what others chose just
+before."""
 
 REFRESH_MS = 1_000.0
 """Between two times that all is told, in case a change was lost or a peer has
@@ -46,7 +48,8 @@
         self._sync = sync
         self._totals = totals
         self._clock = time
-        self._news = peer_loads.LoadNews(table)
+        self._changed = asyncio.Event()
+        self._news = peer_loads.LoadNews(table, self._changed.set)
         self._loads = peer_loads.PeerLoads(table)
         self._peers: set[str] = set()
         self._refreshed_ms = float("-inf")
@@ -54,12 +57,27 @@
     async def run(self) -> None:
         """Tells changes for ever."""
         while True:
+            await self._wait()
             safely.run_safely(self._tell, "load_exchange", self._totals)
             await asyncio.sleep(TELL_MS / clock.MILLIS_PER_SECOND)
 
+    async def _wait(self) -> None:
+        """Waits for a change, or until something is due without one."""
+        due_ms = REFRESH_MS - (self._clock.now_ms() - self._refreshed_ms)
+        if self._news.waits:
+            due_ms = peer_loads.falls_pause_ms(len(self._peers))
+        if due_ms <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(due_ms / clock.MILLIS_PER_SECOND):
+                await self._changed.wait()
+
     def on_message(self, name: str, message: fleet_messages.OwnLoads) -> None:
         """Takes what another entry has under way."""
-        self._loads.take(name, message.loads)
+        if message.whole:
+            self._loads.replace(name, message.loads)
+        else:
+            self._loads.take(name, message.loads)
 
     def forget(self, replica_ids: list[str]) -> None:
         """Drops replicas that are gone."""
@@ -67,15 +85,20 @@
         self._loads.forget(replica_ids)
 
     def _tell(self) -> None:
+        self._changed.clear()
         now_ms = self._clock.now_ms()
-        loads = self._news.changed()
         if now_ms - self._refreshed_ms >= REFRESH_MS:
             self._refreshed_ms = now_ms
             self._find_peers()
-            loads = self._news.all()
+            self._send(self._news.all(now_ms), whole=True)
+            return
+        loads = self._news.changed(len(self._peers), now_ms)
         if loads:
-            message = fleet_messages.OwnLoads(loads=loads)
-            self._sync.send_all(self._peers, message)
+            self._send(loads, whole=False)
+
+    def _send(self, loads: list[peer_loads.OwnLoad], *, whole: bool) -> None:
+        message = fleet_messages.OwnLoads(loads=loads, whole=whole)
+        self._sync.send_all(self._peers, message)
 
     def _find_peers(self) -> None:
         """Takes the entries of the own cell."""
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -101,7 +101,12 @@
 
 
 class Replay:
-    """One replay of a plan."""
+    """One replay of a plan.
+
+    Attributes:
+      seconds: what became of the callers of each second.
+      words: how often entries told the others of their cell of loads.
+    """
 
     def __init__(self, plan: overload_plan.Plan) -> None:
         """Builds engines and entries; nothing happens before `run`."""
@@ -133,6 +138,7 @@
             [],
             {},
         )
+        self.words = 0
         self.seconds = [
             overload_plan.Second() for _ in range(int(plan.seconds))
         ]
@@ -350,11 +356,13 @@
         return hear
 
     def _exchange(self, entry: _Entry) -> None:
-        news = entry.news.changed()
+        cell = self._cells.of_entry(entry.name)
+        mates = () if cell is None else cell.entries
+        news = entry.news.changed(len(mates) - 1, self._time.now_ms())
         if news:
-            cell = self._cells.of_entry(entry.name)
+            self.words += 1
             for other in self._entries:
-                if other is not entry and cell and other.name in cell.entries:
+                if other is not entry and other.name in mates:
                     other.loads.take(entry.name, news)
         self._in(EXCHANGE_MS, lambda: self._exchange(entry))
 
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -158,9 +158,15 @@
 
 
 class OwnLoads(_Message):
-    """What an entry has under way, at the replicas where that changed."""
+    """What an entry has under way.
+
+    Attributes:
+      loads: at the replicas where that changed.
+      whole: whether it has nothing under way at any other replica.
+    """
 
     loads: list[peer_loads.OwnLoad]
+    whole: bool = False
 
 
 class Guide(_Message):
