--- a/src/marlramp/core/peer_loads.py
+++ b/src/marlramp/core/peer_loads.py
@@ -20,7 +20,10 @@
 FALLS_HEARD_PER_S_MAX = 80.0
 """Messages a second that an entry hears of loads that only fell, from all
 peers together. Who does not know of a fall spares an engine for a moment; who
-does not know of a rise joins those who choose the same one."""
+does not know of a rise joins those who choose the same one. An entry of 16
+tells 9 to 11 times a second with this bound and 17 to 22 times without, and as
+many callers are served in time (replayed load, 0.8 to 1.15 times what 13
+engines serve, three seeds)."""
 
 
 class OwnLoad(msgspec.Struct, frozen=True, array_like=True):
