Stand-in of the direct path: store, weights, replicas and documents in files of their own

Change: four files of 53 to 275 lines; a request's path and query and an answer in JSON belong to raw_http.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 import httptools
 
 from soak import promises
-from standins import direct_platform
+from standins import direct_documents
 
 CALL_WAIT_MS = 6_000.0
 """How long a caller waits for a stream; plain calls wait a third of it."""
@@ -198,7 +198,7 @@
     method = "GET" if call.kind is promises.CallKind.STOCK else "POST"
     lines = [
         f"{method} /{call.kind.value}/x HTTP/1.1",
-        f"host: {direct_platform.HOST}",
+        f"host: {direct_documents.HOST}",
         f"x-attempt-id: {call.request_id}",
         f"x-deadline-ms: {wait_ms:.0f}",
         f"authorization: Bearer {call.key}",
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,8 +14,9 @@
 from soak import promises
 from soak import schedule
 from soak import strikes
+from standins import direct_documents
 from standins import direct_fleet
-from standins import direct_platform
+from standins import direct_replicas
 
 CALLERS = 8
 SETTLE_MS = 12_000.0
@@ -99,7 +100,7 @@
 
     def key(self, rng: random.Random) -> str:
         """Returns a key, now and then one that was revoked."""
-        return rng.choice([direct_platform.KEY, *strikes.REVOCABLE_KEYS])
+        return rng.choice([direct_documents.KEY, *strikes.REVOCABLE_KEYS])
 
     async def entries(self, rng: random.Random) -> list[str]:
         """Returns the entries that a look-up names, [] if it fails."""
@@ -185,7 +186,7 @@
             stops=self._striker.stops,
             revoked=self._striker.revoked,
             attempts_max=ATTEMPTS_MAX,
-            events=direct_platform.EVENTS,
+            events=direct_replicas.EVENTS,
             last_calls=last,
         )
 
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -9,12 +9,12 @@
 
 from soak import promises
 from soak import schedule
+from standins import direct_documents
 from standins import direct_fleet
-from standins import direct_platform
 from standins import fault_proxy
 
 REVOCABLE_KEYS = ["spare-key-0", "spare-key-1", "spare-key-2"]
-"""Keys that may be revoked in a run; `direct_platform.KEY` never is."""
+"""Keys that may be revoked in a run; `direct_documents.KEY` never is."""
 
 PROXY_DELAY_MS = 180.0
 STOP_WAIT_S = 10.0
@@ -47,7 +47,7 @@
         self._engine_starts = 0
         self._proxy_holds: dict[str, int] = {}
         self._store_holds = 0
-        self.keys = [direct_platform.KEY, *REVOCABLE_KEYS]
+        self.keys = [direct_documents.KEY, *REVOCABLE_KEYS]
         self.revoked: dict[str, float] = {}
         self.stops: list[promises.Stop] = []
         self.starts: dict[str, int] = {}
@@ -73,7 +73,7 @@
     def publish(self) -> None:
         """Writes a configuration with the keys in force."""
         self._config_version += 3
-        config = direct_platform.configuration(
+        config = direct_documents.configuration(
             self._fleet.origin_address, self._config_version, self.keys
         )
         self._fleet.store.put("op/config", config)
@@ -223,7 +223,7 @@
     async def _name_weights(self, fault: schedule.Fault) -> None:
         del fault
         self._weights += 1
-        model = direct_platform.MODEL
+        model = direct_documents.MODEL
         self._fleet.store.put(
             f"op/version/{model}",
             {"model_name": model, "version": self._weights},
--- a/standins/direct_demo.py
+++ b/standins/direct_demo.py
@@ -7,8 +7,8 @@
 import tempfile
 import time
 
+from standins import direct_documents
 from standins import direct_fleet
-from standins import direct_platform
 
 ENTRIES = 2
 ENGINES = 4
@@ -44,13 +44,13 @@
         first = asyncio.create_task(asyncio.sleep(1.0))
         await _serve_until(fleet, first)
         started_s = time.monotonic()
-        target = {"model_name": direct_platform.MODEL, "version": 2}
-        fleet.store.put(f"op/version/{direct_platform.MODEL}", target)
+        target = {"model_name": direct_documents.MODEL, "version": 2}
+        fleet.store.put(f"op/version/{direct_documents.MODEL}", target)
         loaded = asyncio.create_task(_until_loaded(fleet, 2))
         whole, sent = await _serve_until(fleet, loaded)
         await loaded
         taken_s = time.monotonic() - started_s
-    copies = fleet.origin.sent / direct_platform.PIECES
+    copies = fleet.origin.sent / direct_documents.PIECES
     print(f"version 2 on every engine after {taken_s:.1f} s")
     print(f"{whole} of {sent} streams whole meanwhile")
     print(f"{copies:.1f} copies left the origin")
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -10,7 +10,10 @@
 import sys
 from typing import Self
 
-from standins import direct_platform
+from standins import direct_documents
+from standins import direct_replicas
+from standins import direct_store
+from standins import direct_weights
 from standins import fault_proxy
 from standins import raw_http
 
@@ -67,12 +70,12 @@
         self._group = self._reserve(group)
         self._proxied = proxied
         self.proxies: dict[str, fault_proxy.FaultProxy] = {}
-        self.store = direct_platform.Store()
-        self.origin = direct_platform.Origin()
+        self.store = direct_store.Store()
+        self.origin = direct_weights.Origin()
         self.entry_hosts = [self._host(1 + n) for n in range(entries)]
-        replica_port = self._outer_port(direct_platform.REPLICA_PORT)
+        replica_port = self._outer_port(direct_documents.REPLICA_PORT)
         self.engines = [
-            direct_platform.Engine(
+            direct_replicas.Engine(
                 f"i-{n}",
                 self._host(100 + n),
                 self.store,
@@ -82,7 +85,7 @@
             for n in range(engines)
         ]
         self.desks = [
-            direct_platform.PlainReplica(
+            direct_replicas.PlainReplica(
                 f"d-{n}", self._host(150 + n), self.store, replica_port
             )
             for n in range(desks)
@@ -93,12 +96,12 @@
         """Starts everything and waits until all entries are ready."""
         store_host = self._host(250)
         await self._listen(
-            self.store.serve, store_host, direct_platform.STORE_PORT
+            self.store.serve, store_host, direct_documents.STORE_PORT
         )
         await self._listen(self.origin.serve, store_host, 8_006)
         await self._start_replicas()
         self.store.put(
-            "op/config", direct_platform.configuration(self.origin_address)
+            "op/config", direct_documents.configuration(self.origin_address)
         )
         for number in range(len(self.entry_hosts)):
             await self.start_entry(number)
@@ -122,7 +125,7 @@
         return f"{self._host(250)}:8006"
 
     async def _start_replicas(self) -> None:
-        port = direct_platform.REPLICA_PORT
+        port = direct_documents.REPLICA_PORT
         for number, engine in enumerate(self.engines):
             await self._listen(engine.serve, engine.host, port)
             await self._proxy(f"engine-{number}", engine.host, port)
@@ -151,7 +154,7 @@
 
     async def lookup(self, host: str) -> bytes:
         """Asks an entry where to connect; returns the whole answer."""
-        path = f"/v1/lookup?name={direct_platform.HOST}"
+        path = f"/v1/lookup?name={direct_documents.HOST}"
         return await self._get(host, LOOKUP_PORT, path)
 
     async def stream(self, host: str, request_id: str) -> bytes:
@@ -161,9 +164,9 @@
             CALLERS_PORT,
             "/chat/x",
             "POST",
-            f"host: {direct_platform.HOST}\r\nx-attempt-id: {request_id}\r\n"
+            f"host: {direct_documents.HOST}\r\nx-attempt-id: {request_id}\r\n"
             f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
-            f"authorization: Bearer {direct_platform.KEY}\r\n",
+            f"authorization: Bearer {direct_documents.KEY}\r\n",
         )
 
     async def metrics(self, host: str) -> bytes:
@@ -222,17 +225,17 @@
 
     async def _start(self, name: str, host: str, *, entry: bool) -> None:
         store = await self._proxy(
-            f"store:{name}", host, direct_platform.STORE_PORT, self._host(250)
+            f"store:{name}", host, direct_documents.STORE_PORT, self._host(250)
         )
         file = self._folder / f"{name}.conf"
         file.write_text(
-            direct_platform.settings_text(
+            direct_documents.settings_text(
                 name,
                 host,
                 seeds=self.entry_hosts[:3],
                 store=store,
                 entry=entry,
-                replica_port=self._outer_port(direct_platform.REPLICA_PORT),
+                replica_port=self._outer_port(direct_documents.REPLICA_PORT),
             )
         )
         with (self._folder / f"{name}.log").open("ab") as log:
--- /dev/null
+++ b/standins/direct_replicas.py
@@ -0,0 +1,275 @@
+"""Stand-ins of the replicas on the direct path: engines and plain services.
+
+Each VM has a loopback address of its own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from standins import direct_documents
+from standins import direct_store
+from standins import direct_weights
+from standins import raw_http
+
+EVENTS = 6
+EVENT_S = 0.02
+DESK_S = 0.01
+
+
+def _unix_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+class Engine:
+    """A model engine with staged pieces.
+
+    Attributes:
+      weights: version loaded, 0 for none.
+      mixed: loads of pieces that were missing or wrong.
+      runs: how often each request id ran.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        host: str,
+        store: direct_store.Store,
+        weights: int,
+        port: int = direct_documents.REPLICA_PORT,
+    ) -> None:
+        """Holds `weights`, which are staged too; 0 for an empty engine.
+
+        Args:
+          replica_id: its id.
+          host: its VM's address.
+          store: where it registers.
+          weights: version that it holds.
+          port: port under which it is listed, of a proxy if need be.
+        """
+        self.replica_id = replica_id
+        self.host = host
+        self.port = port
+        self.weights = weights
+        self.mixed = 0
+        self.runs: dict[str, int] = {}
+        self._store = store
+        self._running = 0
+        self._orders = 0
+        self._born_ms = _unix_ms()
+        self._busy = False
+        self._staged = {
+            index: direct_weights.piece(weights, index)
+            for index in range(direct_documents.PIECES)
+            if weights
+        }
+
+    @property
+    def address(self) -> str:
+        """Address under which it is listed, "host:port"."""
+        return f"{self.host}:{self.port}"
+
+    def rot(self, index: int) -> None:
+        """Spoils a staged piece."""
+        self._staged[index] = b"rotten"
+
+    def restart(self, replica_id: str, *, staged: bool = True) -> None:
+        """Starts anew with no weights, under another id or the one it had.
+
+        Args:
+          replica_id: the id; under the one it had its entry never goes.
+          staged: whether the pieces that lay there survive.
+        """
+        if replica_id != self.replica_id:
+            self.leave()
+        if not staged:
+            self._staged = {}
+        self.replica_id = replica_id
+        self.weights = 0
+        self._orders = 0
+        self._busy = False
+        # Later than any start before, also within one millisecond.
+        self._born_ms = max(_unix_ms(), self._born_ms + 1)
+        self.register()
+
+    def leave(self) -> None:
+        """Removes the engine's entry from the store."""
+        self._store.delete(f"servers/{self.replica_id}")
+
+    def register(self, state: str = "healthy") -> None:
+        """Writes the engine's entry into the store."""
+        self._store.put(
+            f"servers/{self.replica_id}",
+            {
+                "service": direct_documents.SERVICE,
+                "address": self.address,
+                "zone": "dc-1",
+                "version": "v1",
+                "slots": 16,
+                "state": state,
+                "cold_left_ms": 0,
+                "call_seq": self._orders,
+                "born": self._born_ms,
+                "layers": self._layers(),
+            },
+        )
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        """Answers reports, staging, orders and requests."""
+        while (request := await peer.read()) is not None:
+            path, query = request.path, request.query
+            if path == "/v1/report":
+                await peer.answer_json(request, self._report())
+            elif path.startswith("/v1/stage-"):
+                await self._stage(peer, request, query)
+            elif path == "/v1/order":
+                await self._order(peer, request)
+            else:
+                await self._run(peer, request)
+
+    def _layers(self) -> dict[str, int]:
+        held = 16 if self.weights else 0
+        return {"source": 0, "target": held, "version": self.weights}
+
+    def _report(self) -> dict[str, object]:
+        return {
+            "born": self._born_ms,
+            "busy": self._busy,
+            "call_seq": self._orders,
+            "queued": 0,
+            "active": self._running,
+            "layers": self._layers(),
+            "pace": 1.0,
+        }
+
+    async def _stage(
+        self,
+        peer: raw_http.Peer,
+        request: raw_http.SeenRequest,
+        query: dict[str, str],
+    ) -> None:
+        if request.method == "PUT":
+            self._staged[int(query["index"])] = request.body
+            await peer.answer(request, 200)
+        elif "index" not in query:
+            await peer.answer_json(request, {"held": sorted(self._staged)})
+        else:
+            data = self._staged.get(int(query["index"]))
+            status = 404 if data is None else 200
+            await peer.answer(request, status, data or b"")
+
+    async def _order(
+        self, peer: raw_http.Peer, request: raw_http.SeenRequest
+    ) -> None:
+        order = json.loads(request.body)
+        if order.get("expect", self._orders) != self._orders:
+            await peer.answer(request, 409)
+            return
+        self._orders += 1
+        self._busy = True
+        await peer.answer(request, 202)
+        version = int(order["version"])
+        whole = [self._staged.get(n) for n in range(direct_documents.PIECES)]
+        if whole != [
+            direct_weights.piece(version, n)
+            for n in range(direct_documents.PIECES)
+        ]:
+            self.mixed += 1
+        await asyncio.sleep(direct_documents.LOAD_S)
+        self.weights = version
+        self._busy = False
+        self.register()
+
+    async def _run(
+        self, peer: raw_http.Peer, request: raw_http.SeenRequest
+    ) -> None:
+        expected = request.headers.get("x-expect-version")
+        right = request.headers.get("x-expect-replica") == self.replica_id
+        if not right or expected != str(self.weights) or self._busy:
+            await peer.answer(request, 421)
+            return
+        name = request.headers["x-attempt-id"]
+        self.runs[name] = self.runs.get(name, 0) + 1
+        self._running += 1
+        try:
+            await self._stream(peer, request, name)
+        finally:
+            self._running -= 1
+
+    async def _stream(
+        self, peer: raw_http.Peer, request: raw_http.SeenRequest, name: str
+    ) -> None:
+        await peer.write(
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+            "content-type: text/event-stream\r\n"
+            f"x-attempt-id: {name}\r\nx-replica-signature: {self.replica_id}"
+            f"\r\nx-weight-versions: {self.weights}\r\n\r\n".encode()
+        )
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        born_ms = self._born_ms
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            if born_ms != self._born_ms:
+                peer.reset()
+                return
+            event = f"id: {number}\ndata: e{number}\n\n".encode()
+            await peer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await peer.write(b"0\r\n\r\n")
+
+
+class PlainReplica:
+    """A replica of the plain service.
+
+    Attributes:
+      runs: how often each request id ran.
+    """
+
+    def __init__(
+        self,
+        replica_id: str,
+        host: str,
+        store: direct_store.Store,
+        port: int = direct_documents.REPLICA_PORT,
+    ) -> None:
+        """Is listed under `port`, of a proxy if need be."""
+        self.replica_id = replica_id
+        self.host = host
+        self.port = port
+        self.runs: dict[str, int] = {}
+        self._born_ms = _unix_ms()
+        self._store = store
+
+    def register(self, state: str = "healthy") -> None:
+        """Writes the replica's entry into the store."""
+        self._store.put(
+            f"servers/{self.replica_id}",
+            {
+                "service": direct_documents.DESK_SERVICE,
+                "address": f"{self.host}:{self.port}",
+                "zone": "dc-1",
+                "version": "v1",
+                "slots": 6,
+                "state": state,
+                "cold_left_ms": 0,
+                "call_seq": 0,
+                "born": self._born_ms,
+            },
+        )
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        """Answers requests with their own id as the body."""
+        while (request := await peer.read()) is not None:
+            if request.headers.get("x-expect-replica") != self.replica_id:
+                await peer.answer(request, 421)
+                continue
+            name = request.headers["x-attempt-id"]
+            self.runs[name] = self.runs.get(name, 0) + 1
+            await asyncio.sleep(DESK_S)
+            await peer.answer(
+                request,
+                200,
+                name.encode(),
+                x_replica_signature=self.replica_id,
+            )
--- /dev/null
+++ b/standins/direct_store.py
@@ -0,0 +1,78 @@
+"""Stand-in of the platform's store on the direct path."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import contextlib
+import json
+
+from standins import raw_http
+
+
+class Store:
+    """The store: items with revisions, and watches.
+
+    Attributes:
+      down: whether every call is refused.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._items: dict[str, dict[str, object]] = {}
+        self._events: list[dict[str, object]] = []
+        self._changed = asyncio.Event()
+        self.revision = 1
+        self.down = False
+
+    def put(self, key: str, value: object) -> None:
+        """Writes an item, as operators and replicas do."""
+        self.revision += 1
+        data = base64.b64encode(json.dumps(value).encode()).decode()
+        event = {"key": key, "revision": self.revision, "data": data}
+        self._items[key] = event
+        self._note(event)
+
+    def delete(self, key: str) -> None:
+        """Removes an item."""
+        self.revision += 1
+        self._items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        """Answers reads and watches."""
+        while (request := await peer.read()) is not None:
+            path, query = request.path, request.query
+            if self.down:
+                await peer.answer(request, 503)
+            elif path == "/v1/kv-range":
+                await peer.answer_json(
+                    request,
+                    {
+                        "entries": list(self._items.values()),
+                        "has_more": False,
+                        "at": self.revision,
+                    },
+                )
+            else:
+                await self._watch(peer, request, query)
+
+    async def _watch(
+        self,
+        peer: raw_http.Peer,
+        request: raw_http.SeenRequest,
+        query: dict[str, str],
+    ) -> None:
+        after = int(query["after"])
+        wait_s = int(query["wait_ms"]) / 1_000
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while self.revision <= after:
+                    self._changed.clear()
+                    await self._changed.wait()
+        events = [e for e in self._events if int(str(e["revision"])) > after]
+        await peer.answer_json(request, {"events": events, "at": self.revision})
+
+    def _note(self, event: dict[str, object]) -> None:
+        self._events.append(event)
+        self._changed.set()
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -11,9 +11,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import json
 import socket
 import struct
 from typing import TypeAlias
+import urllib.parse
 
 import msgspec
 
@@ -26,6 +28,17 @@
     headers: dict[str, str]
     body: bytes
 
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return urllib.parse.urlsplit(self.target).path
+
+    @property
+    def query(self) -> dict[str, str]:
+        """The fields of the target's query."""
+        parts = urllib.parse.urlsplit(self.target)
+        return dict(urllib.parse.parse_qsl(parts.query))
+
 
 class Peer:
     """One connection, as a script sees it."""
@@ -80,6 +93,10 @@
         head = "\r\n".join(lines) + "\r\n\r\n"
         await self.write(head.encode("latin-1") + body)
 
+    async def answer_json(self, request: SeenRequest, value: object) -> None:
+        """Writes a whole answer with a value as JSON."""
+        await self.answer(request, 200, json.dumps(value).encode())
+
     def reset(self) -> None:
         """Ends the connection with a reset."""
         sock = self._writer.get_extra_info("socket")
--- a/tests/deploy/test_clean_machine.py
+++ b/tests/deploy/test_clean_machine.py
@@ -24,7 +24,7 @@
 
 import pytest
 
-from standins import direct_platform
+from standins import direct_documents
 
 ROOT = pathlib.Path(__file__).parents[2]
 SYSTEM_PATH = "/usr/bin:/bin"
@@ -90,13 +90,13 @@
         """Starts a role as the platform does."""
         settings = self.checkout.parent / f"{role}.conf"
         settings.write_text(
-            direct_platform.settings_text(
+            direct_documents.settings_text(
                 role,
                 HOST,
                 seeds=[HOST],
                 store=f"{HOST}:9",
                 entry=role == "entry",
-                replica_port=direct_platform.REPLICA_PORT,
+                replica_port=direct_documents.REPLICA_PORT,
             )
         )
         return subprocess.Popen(
--- a/tests/failures/test_direct_path.py
+++ b/tests/failures/test_direct_path.py
@@ -12,8 +12,9 @@
 
 import pytest
 
+from standins import direct_documents
 from standins import direct_fleet
-from standins import direct_platform
+from standins import direct_replicas
 
 Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
 RunFleet: TypeAlias = Callable[[Use], None]
@@ -39,7 +40,7 @@
     numbers = [
         int(line[4:]) for line in answer.split(b"\n") if line[:4] == b"id: "
     ]
-    expected = list(range(1, direct_platform.EVENTS + 1))
+    expected = list(range(1, direct_replicas.EVENTS + 1))
     return numbers == expected and answer.endswith(b"0\r\n\r\n")
 
 
@@ -62,8 +63,8 @@
         host = fleet.entry_hosts[0]
         await until_served(fleet, host)
         fleet.engines[1].rot(3)
-        target = {"model_name": direct_platform.MODEL, "version": 2}
-        fleet.store.put(f"op/version/{direct_platform.MODEL}", target)
+        target = {"model_name": direct_documents.MODEL, "version": 2}
+        fleet.store.put(f"op/version/{direct_documents.MODEL}", target)
         loaded = asyncio.create_task(until_weights(fleet, 2))
         number = 0
         while not loaded.done():
@@ -130,7 +131,7 @@
     async def use(fleet: direct_fleet.Fleet) -> None:
         host = fleet.entry_hosts[1]
         await until_served(fleet, host)
-        config = direct_platform.configuration("127.0.0.1:1", version=2)
+        config = direct_documents.configuration("127.0.0.1:1", version=2)
         config["tenants"] = []
         fleet.store.put("op/config", config)
         async with asyncio.timeout(2):
@@ -168,8 +169,8 @@
     async def use(fleet: direct_fleet.Fleet) -> None:
         host = fleet.entry_hosts[0]
         await until_served(fleet, host)
-        target = {"model_name": direct_platform.MODEL, "version": 2}
-        fleet.store.put(f"op/version/{direct_platform.MODEL}", target)
+        target = {"model_name": direct_documents.MODEL, "version": 2}
+        fleet.store.put(f"op/version/{direct_documents.MODEL}", target)
         await until_weights(fleet, 2)
         of_entry = await fleet.metrics(host)
         assert b"marlramp_requests_total{" in of_entry
@@ -239,7 +240,7 @@
         fleet.store.put(
             "servers/i-other",
             {
-                "service": direct_platform.SERVICE,
+                "service": direct_documents.SERVICE,
                 "address": "127.21.7.99:8001",
                 "zone": "z",
                 "slots": 10**30,
@@ -266,7 +267,7 @@
                 asyncio.create_task(fleet.stream(host, f"{staged}-{n}"))
                 for n in range(6)
             ]
-            await asyncio.sleep(2.5 * direct_platform.EVENT_S)
+            await asyncio.sleep(2.5 * direct_replicas.EVENT_S)
             for engine in fleet.engines:
                 engine.restart(engine.replica_id, staged=staged)
             await asyncio.gather(*streams)
