--- a/src/marlramp/experiments/calls.py
+++ b/src/marlramp/experiments/calls.py
@@ -12,6 +12,7 @@
 from marlramp.core import queueing
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import fleet_settings
 from marlramp.experiments import load
 
 SERVICE = "pool"
@@ -179,7 +180,7 @@
             "first_token_ms": FIRST_TOKEN_MS,
             "token_ms": TOKEN_MS,
         }
-        reporting = fleet.AgentSpec(
+        reporting = fleet_settings.AgentSpec(
             service=SERVICE, capacity=CAPACITY, engine=engine
         )
         silent = msgspec.structs.replace(reporting, reports_load=False)
--- a/src/marlramp/experiments/capacity.py
+++ b/src/marlramp/experiments/capacity.py
@@ -13,7 +13,9 @@
 from marlramp import clock
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import fleet_settings
 from marlramp.experiments import load
+from marlramp.experiments import processes
 
 SERVICE = "pool"
 CUSTOMER = "hall-crews"
@@ -101,7 +103,7 @@
     )
 
 
-def sample(process: fleet.Process) -> Sample:
+def sample(process: processes.Process) -> Sample:
     """Returns what a process has used so far."""
     folder = pathlib.Path("/proc") / str(process.process.pid)
     fields = (folder / "stat").read_text().rpartition(")")[2].split()
@@ -278,7 +280,7 @@
 class Window:
     """Use of some processes over a time, as means per process."""
 
-    def __init__(self, processes: list[fleet.Process]) -> None:
+    def __init__(self, processes: list[processes.Process]) -> None:
         """Starts the window."""
         self._processes = processes
         self._time = clock.SystemClock()
@@ -320,7 +322,7 @@
         documents.DEPLOYMENT_KEY, documents.deployment({SERVICE: rollout})
     )
     await cluster.start_entries(ENTRIES)
-    spec = fleet.AgentSpec(
+    spec = fleet_settings.AgentSpec(
         service=SERVICE,
         capacity=CAPACITY,
         engine={"first_token_ms": 1, "token_ms": TOKEN_MS},
--- a/src/marlramp/experiments/demo.py
+++ b/src/marlramp/experiments/demo.py
@@ -11,7 +11,9 @@
 from marlramp.entry import requests as caller_requests
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import fleet_settings
 from marlramp.experiments import load
+from marlramp.experiments import processes
 
 CUSTOMER = "hall-crews"
 MODEL = "stand-7b"
@@ -112,16 +114,19 @@
     )
 
 
-def _agents() -> list[fleet.AgentSpec]:
+def _agents() -> list[fleet_settings.AgentSpec]:
     pool = [
-        fleet.AgentSpec(
+        fleet_settings.AgentSpec(
             service="pool",
             data_centre=("randstad", "brabant")[number % 2],
             link_bytes_per_s=LINK_BYTES_PER_S,
         )
         for number in range(REPLICAS)
     ]
-    return [*pool, fleet.AgentSpec(service="stock", reports_load=False)]
+    return [
+        *pool,
+        fleet_settings.AgentSpec(service="stock", reports_load=False),
+    ]
 
 
 async def _publish(
@@ -155,7 +160,7 @@
         found = await _versions(cluster)
         if sum(1 for v in found.values() if v == version) == REPLICAS:
             return found
-        await asyncio.sleep(fleet.POLL_MS / clock.MILLIS_PER_SECOND)
+        await asyncio.sleep(processes.POLL_MS / clock.MILLIS_PER_SECOND)
     return found
 
 
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -10,10 +10,6 @@
 import contextlib
 import enum
 import pathlib
-import random
-import signal
-import socket
-import subprocess
 import sys
 import tempfile
 from typing import TYPE_CHECKING
@@ -22,19 +18,16 @@
 import zmq
 
 from marlramp import clock
+from marlramp.experiments import fleet_settings
+from marlramp.experiments import processes
 from marlramp.shell import http
 from marlramp.shell import links
 
 if TYPE_CHECKING:
     import types
 
-HOST = "127.0.0.1"
-ADMIN_KEY = "operators-only-0123456789"
-TOKEN_KEY = "run-token-key-0123456789"
 CALL_TIMEOUT_MS = 10_000.0
 START_TIMEOUT_MS = 30_000.0
-STOP_TIMEOUT_S = 10.0
-POLL_MS = 50.0
 _KEY_NAMES = (
     "server_public_key",
     "server_secret_key",
@@ -42,8 +35,6 @@
     "client_secret_key",
 )
 _OK = 200
-_FIRST_PORT = 20_000
-_LAST_PORT = 30_000
 
 
 class FleetError(Exception):
@@ -58,30 +49,6 @@
     ENGINES = "standins.engines"
 
 
-class AgentSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """What distinguishes one agent and the upstream behind it.
-
-    Attributes:
-      service: its service.
-      data_centre: where it is.
-      capacity: most requests at once.
-      engine: further options of the engine stand-in.
-      link_bytes_per_s: rate of its link.
-      reports_load: whether its upstream reports load.
-      two_versions: whether its engine holds two versions.
-      checks_fencing: whether its engine refuses old fencing numbers.
-    """
-
-    service: str
-    data_centre: str = "randstad"
-    capacity: int = 8
-    engine: dict[str, object] = {}
-    link_bytes_per_s: int = 1_000_000_000
-    reports_load: bool = True
-    two_versions: bool = False
-    checks_fencing: bool = True
-
-
 class PutWeights(msgspec.Struct, frozen=True, kw_only=True):
     """A version of weights to add to origin and store."""
 
@@ -101,92 +68,6 @@
     whole: str
 
 
-class Process:
-    """One process that the fleet started, and only that."""
-
-    def __init__(
-        self, name: str, arguments: list[str], log: pathlib.Path
-    ) -> None:
-        """Starts the process with its output in a file."""
-        self.name = name
-        self.log = log
-        self.ended_by_us = False
-        self._arguments = arguments
-        self._start()
-
-    def _start(self) -> None:
-        with self.log.open("ab") as output:
-            self.process = subprocess.Popen(
-                self._arguments,
-                stdin=subprocess.DEVNULL,
-                stdout=output,
-                stderr=output,
-            )
-
-    @property
-    def running(self) -> bool:
-        """Whether it has not ended."""
-        return self.process.poll() is None
-
-    @property
-    def crashed(self) -> bool:
-        """Whether it ended with an error although nobody asked it to."""
-        return self.process.poll() not in (None, 0) and not self.ended_by_us
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends it a signal."""
-        if number in (signal.SIGTERM, signal.SIGINT):
-            self.ended_by_us = True
-        self.process.send_signal(number)
-
-    def kill(self) -> None:
-        """Ends it at once."""
-        self.ended_by_us = True
-        self.process.kill()
-        self.process.wait(STOP_TIMEOUT_S)
-
-    def restart(self) -> None:
-        """Starts it anew after it ended, with empty memory."""
-        self.process.wait(STOP_TIMEOUT_S)
-        self.ended_by_us = False
-        self._start()
-
-    async def wait(self, timeout_ms: float) -> int:
-        """Waits for its end and returns its exit code."""
-        for _ in range(int(timeout_ms / POLL_MS)):
-            code = self.process.poll()
-            if code is not None:
-                return code
-            await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
-        raise FleetError(f"{self.name} still runs after {timeout_ms} ms")
-
-
-_handed_out: set[int] = set()
-"""Ports given out before: their process may not have bound them yet."""
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns ports that nothing listens on now.
-
-    They lie below the range from which the system takes the ports of
-    outgoing connections, so that none is taken before its process starts.
-    """
-    found: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(found) < count:
-            port = random.randrange(_FIRST_PORT, _LAST_PORT)
-            if port in _handed_out:
-                continue
-            probe = stack.enter_context(socket.socket())
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-            found.append(port)
-            _handed_out.add(port)
-    return found
-
-
 class Fleet:
     """Stand-ins, entries and agents of one deployment."""
 
@@ -194,9 +75,9 @@
         """Starts nothing yet."""
         self.data_centres = data_centres
         self.client = http.HttpClient()
-        self.entries: dict[str, Process] = {}
-        self.agents: dict[str, Process] = {}
-        self.standins: dict[str, Process] = {}
+        self.entries: dict[str, processes.Process] = {}
+        self.agents: dict[str, processes.Process] = {}
+        self.standins: dict[str, processes.Process] = {}
         self.http_ports: dict[str, int] = {}
         self.vms: dict[str, dict[str, object]] = {}
         self._stack = contextlib.ExitStack()
@@ -238,7 +119,7 @@
             if process.running:
                 process.process.kill()
         for process in everything:
-            process.process.wait(STOP_TIMEOUT_S)
+            process.process.wait(processes.STOP_TIMEOUT_S)
         self._stack.close()
         if crashed and error is None:
             found = [(p.name, p.process.returncode) for p in crashed]
@@ -261,7 +142,7 @@
         """Starts the platform, the origin, the store and engines."""
         names = ["platform", "origin", "store"]
         names += [f"engines{n}" for n in range(engine_processes)]
-        ports = dict(zip(names, free_ports(len(names)), strict=True))
+        ports = dict(zip(names, processes.free_ports(len(names)), strict=True))
         self._standin("platform", StandIn.PLATFORM, ports["platform"])
         self._standin(
             "origin",
@@ -291,20 +172,20 @@
     def _standin(
         self, name: str, module: StandIn, port: int, *arguments: str
     ) -> None:
-        self._urls[name] = f"http://{HOST}:{port}"
+        self._urls[name] = f"http://{processes.HOST}:{port}"
         command = [sys.executable, "-m", module.value, "--port", str(port)]
-        self.standins[name] = Process(
+        self.standins[name] = processes.Process(
             name, [*command, *arguments], self._folder / f"{name}.log"
         )
 
     async def _await_answer(self, name: str, path: str) -> None:
-        for _ in range(int(START_TIMEOUT_MS / POLL_MS)):
+        for _ in range(int(START_TIMEOUT_MS / processes.POLL_MS)):
             with contextlib.suppress(http.HttpError):
                 await self.client.request(
                     "GET", self._urls[name] + path, timeout_ms=1_000.0
                 )
                 return
-            await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
+            await asyncio.sleep(processes.POLL_MS / clock.MILLIS_PER_SECOND)
         raise FleetError(f"{name} did not start")
 
     async def standin_call(
@@ -364,24 +245,26 @@
 
     async def start_entries(self, count: int) -> list[str]:
         """Starts entries, spread over the data centres."""
-        ports = free_ports(2 * count)
+        ports = processes.free_ports(2 * count)
         started = []
         for number in range(count):
             vm_id = f"entry-{number}"
             data_centre = self.data_centres[number % len(self.data_centres)]
             link_port, http_port = ports[2 * number : 2 * number + 2]
             self._list_vm(vm_id, "entry", data_centre, "", link_port, http_port)
-            text = self._entry_settings(
-                vm_id, data_centre, link_port, http_port
+            text = fleet_settings.entry_text(
+                self._surroundings, vm_id, data_centre, link_port, http_port
             )
             self.entries[vm_id] = self._daemon(vm_id, text)
             started.append(vm_id)
         await self.publish_vms()
         return started
 
-    async def start_agents(self, specs: list[AgentSpec]) -> list[str]:
+    async def start_agents(
+        self, specs: list[fleet_settings.AgentSpec]
+    ) -> list[str]:
         """Creates engines and starts an agent beside each."""
-        ports = free_ports(len(specs))
+        ports = processes.free_ports(len(specs))
         first = len(self.agents)
         started = []
         for number, (spec, port) in enumerate(zip(specs, ports, strict=True)):
@@ -396,7 +279,10 @@
             self._list_vm(
                 vm_id, "upstream", spec.data_centre, spec.service, port, 0
             )
-            text = self._agent_settings(vm_id, spec, port)
+            engine_url = f"{self._urls[self.engine_name(vm_id)]}/e/{vm_id}"
+            text = fleet_settings.agent_text(
+                self._surroundings, vm_id, spec, port, engine_url
+            )
             self.agents[vm_id] = self._daemon(vm_id, text)
             started.append(vm_id)
         await self.publish_vms()
@@ -417,84 +303,41 @@
             "role": role,
             "data_centre": data_centre,
             "service": service,
-            "host": HOST,
+            "host": processes.HOST,
             "port": port,
             "http_port": http_port,
             "state": "live",
         }
 
-    def _daemon(self, vm_id: str, settings: str) -> Process:
+    def _daemon(self, vm_id: str, settings: str) -> processes.Process:
         path = self._folder / f"{vm_id}.toml"
         path.write_text(settings)
         command = [sys.executable, "-m", "marlramp.console.daemon"]
-        return Process(
+        return processes.Process(
             vm_id,
             [*command, "--settings", str(path)],
             self._folder / f"{vm_id}.log",
         )
 
-    def _common_settings(
-        self, role: str, vm_id: str, data_centre: str, port: int
-    ) -> str:
-        platform = {
-            "configuration_url": self._urls["platform"],
-            "vm_list_url": self._urls["platform"],
-            "origin_url": self._urls["origin"],
-            "weight_store_url": self._urls["store"],
-        }
-        identity = {
-            "vm_id": vm_id,
-            "data_centre": data_centre,
-            "member": "standbouw",
-            "deployment": "fairs",
-        }
-        return "\n".join(
-            [
-                f'role = "{role}"',
-                _table("identity", identity),
-                _table("links", {"host": HOST, **self._keys}),
-                f"port = {port}",
-                _table("platform", platform),
-                "vm_list_interval_ms = 1000",
-                "",
-            ]
-        )
-
-    def _entry_settings(
-        self, vm_id: str, data_centre: str, port: int, http_port: int
-    ) -> str:
-        entry = {
-            "http_host": HOST,
-            "admin_key": ADMIN_KEY,
-            "token_key": TOKEN_KEY,
-        }
-        common = self._common_settings("entry", vm_id, data_centre, port)
-        return common + _table("entry", entry) + f"\nhttp_port = {http_port}\n"
-
-    def _agent_settings(self, vm_id: str, spec: AgentSpec, port: int) -> str:
-        engine_url = f"{self._urls[self.engine_name(vm_id)]}/e/{vm_id}"
-        upstream = {"service": spec.service, "url": engine_url}
-        common = self._common_settings("agent", vm_id, spec.data_centre, port)
-        return (
-            common
-            + _table("upstream", upstream)
-            + f"\ncapacity = {spec.capacity}"
-            + f"\nlink_bytes_per_s = {spec.link_bytes_per_s}"
-            + f"\nreports_load = {str(spec.reports_load).lower()}"
-            + f"\nholds_two_versions = {str(spec.two_versions).lower()}"
-            + f"\nchecks_fencing = {str(spec.checks_fencing).lower()}\n"
+    @property
+    def _surroundings(self) -> fleet_settings.Surroundings:
+        return fleet_settings.Surroundings(
+            self._urls["platform"],
+            self._urls["origin"],
+            self._urls["store"],
+            self._keys,
         )
 
     def entry_url(self, entry_id: str) -> str:
         """Returns the address of an entry for callers."""
-        return f"http://{HOST}:{self.http_ports[entry_id]}"
+        return f"http://{processes.HOST}:{self.http_ports[entry_id]}"
 
     async def admin(self, entry_id: str, path: str) -> bytes:
         """Reads the administration API of an entry."""
         reply = await self.client.request(
             "GET",
             f"{self.entry_url(entry_id)}/admin/v1/{path}",
-            headers={"authorization": f"Bearer {ADMIN_KEY}"},
+            headers={"authorization": f"Bearer {fleet_settings.ADMIN_KEY}"},
             timeout_ms=CALL_TIMEOUT_MS,
         )
         if reply.status != _OK:
@@ -510,7 +353,7 @@
         while time.now_ms() < end_ms:
             if await self._all_ready(service_counts):
                 return
-            await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
+            await asyncio.sleep(processes.POLL_MS / clock.MILLIS_PER_SECOND)
         raise FleetError(f"not ready within {timeout_ms} ms: {service_counts}")
 
     async def _all_ready(self, service_counts: Mapping[str, int]) -> bool:
@@ -538,8 +381,3 @@
     service: str
     state: str
     version: str
-
-
-def _table(name: str, values: Mapping[str, str]) -> str:
-    lines = [f'{key} = "{value}"' for key, value in values.items()]
-    return "\n".join(["", f"[{name}]", *lines])
--- a/src/marlramp/experiments/parts.py
+++ b/src/marlramp/experiments/parts.py
@@ -20,6 +20,7 @@
 from marlramp.experiments import capacity
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import processes
 from marlramp.protocol import codec
 from marlramp.protocol import messages
 from marlramp.shell import links
@@ -78,7 +79,7 @@
     ) -> None:
         self._link_id = links.LinkId(f"vm-{number}", 1)
         self._connector = links.Connector(
-            context, self._link_id, fleet.HOST, port
+            context, self._link_id, processes.HOST, port
         )
         self._capacity = capacity_
         self._revisions = revisions
@@ -234,7 +235,7 @@
 async def _open_stream(
     port: int,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    reader, writer = await asyncio.open_connection(fleet.HOST, port)
+    reader, writer = await asyncio.open_connection(processes.HOST, port)
     body = msgspec.json.encode(
         {"model": SERVICE, "prompt": "x", "max_tokens": 9, "stream": True}
     )
--- a/src/marlramp/experiments/rollout.py
+++ b/src/marlramp/experiments/rollout.py
@@ -12,6 +12,7 @@
 from marlramp.experiments import demo
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import fleet_settings
 from marlramp.experiments import load
 
 SERVICE = "pool"
@@ -204,8 +205,8 @@
         sent = await self._sent_max() - sent
         return self._report(before, during, drawn, sent)
 
-    def _spec(self, number: int) -> fleet.AgentSpec:
-        return fleet.AgentSpec(
+    def _spec(self, number: int) -> fleet_settings.AgentSpec:
+        return fleet_settings.AgentSpec(
             service=SERVICE,
             data_centre=DATA_CENTRES[number % len(DATA_CENTRES)],
             link_bytes_per_s=self._plan.link_bytes_per_s,
--- a/tests/direct/test_side_server.py
+++ b/tests/direct/test_side_server.py
@@ -8,7 +8,7 @@
 from marlramp import counters
 from marlramp.direct import metrics
 from marlramp.direct import side_server
-from marlramp.experiments import fleet
+from marlramp.experiments import processes
 from marlramp.settings import node
 
 
@@ -37,7 +37,7 @@
             **side_server.metrics_pages(metrics.Metrics(totals).text),
             "/broken": broken,
         }
-        (port,) = fleet.free_ports(1)
+        (port,) = processes.free_ports(1)
         address = node.Address("127.0.0.1", port)
         server = side_server.SideServer(
             pages, {"pages": address}, clock.SystemClock()
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -17,6 +17,7 @@
 from marlramp.entry import requests as caller_requests
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
+from marlramp.experiments import fleet_settings
 from marlramp.experiments import load
 from marlramp.shell import http
 
@@ -50,8 +51,8 @@
         await self.publish_common()
         await self.roll_out("v1")
         await self.fleet.start_entries(entries)
-        pool = fleet.AgentSpec(service="pool", **spec)
-        stock = fleet.AgentSpec(service="stock", reports_load=False)
+        pool = fleet_settings.AgentSpec(service="pool", **spec)
+        stock = fleet_settings.AgentSpec(service="stock", reports_load=False)
         await self.fleet.start_agents([pool] * replicas + [stock] * plain)
         await self.fleet.await_ready({"pool": replicas, "stock": plain}, 20_000)
 
