Test, failing: calls that wait at an entry that drains

Agents leave leaving entries out when they divide their capacity. Ruled out: lost links, settings that differ (all four processes had revision 4), engines that don't serve. The new test forces the schedule: more calls than places, then SIGTERM; it fails.

--- a/tests/failures/test_entry_failures.py
+++ b/tests/failures/test_entry_failures.py
@@ -89,6 +89,29 @@
     bench(scenario)
 
 
+def test_calls_that_wait_at_an_entry_that_drains_are_served(
+    bench: Callable[[conftest.Scenario], None],
+) -> None:
+    """Agents gave a leaving entry nothing to start waiting calls with.
+
+    They waited until their deadline, though engines were free: "call_failed
+    kind=deadline_unreachable ran=no attempts=0" 9.5 s after SIGTERM.
+    """
+
+    async def scenario(b: conftest.Bench) -> None:
+        await b.start(replicas=1, plain=0, capacity=2, engine={"token_ms": 100})
+        running = [asyncio.create_task(b.complete(tokens=20)) for _ in range(2)]
+        await asyncio.sleep(0.5)
+        waiting = [asyncio.create_task(b.complete(tokens=5)) for _ in range(3)]
+        await asyncio.sleep(0.3)
+        b.fleet.entries["entry-0"].send_signal(signal.SIGTERM)
+        results = await asyncio.gather(*running, *waiting)
+        assert [result.kind for result in results if not result.whole] == []
+        assert await b.fleet.entries["entry-0"].wait(10_000.0) == 0
+
+    bench(scenario)
+
+
 def test_token_of_a_dead_vm_is_answered_unknown_and_not_run_again(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
