Agents: a leaving entry gets grants while calls wait there

Cause: see the test before. Change: an entry that leaves counts when capacity is divided as long as it has demand. Before: four of five calls end at their deadline, each run.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -456,7 +456,7 @@
         demand = {
             entry_id: self._entries.links[entry_id].demand
             for entry_id in self._entries.heard()
-            if not self._entries.links[entry_id].leaving
+            if self._entries.links[entry_id].has_use_for_grants
         }
         shares = grants.divide_capacity(self._ledger.capacity, demand)
         now_ms = self._clock.now_ms()
--- a/src/marlramp/agent/entry_links.py
+++ b/src/marlramp/agent/entry_links.py
@@ -34,6 +34,15 @@
         self.revisions: list[int] = []
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def has_use_for_grants(self) -> bool:
+        """Whether the entry has, or may get, calls to start.
+
+        A leaving entry gets no new calls, but those that wait there can start
+        nowhere else and would end at their deadline.
+        """
+        return self.demand > 0 or not self.leaving
+
 
 class EntryLinks:
     """Opens links to the chosen entries and passes on what they say."""
