Experiments beside each other never draw the same ports

Cause: an entry ended by uvicorn's exit at its start (its port was taken) in one of three test runs begun together; each run drew from the same 10,000 ports, and remembered only its own. Ruled out: ports of outgoing connections, which lie above. Change: a run reserves blocks of 100 ports by a datagram socket on their first.

--- a/src/marlramp/experiments/processes.py
+++ b/src/marlramp/experiments/processes.py
@@ -19,6 +19,9 @@
 LAST_PORT = 30_000
 """Ports that processes listen on: below those of outgoing connections."""
 
+BLOCK_PORTS = 100
+"""Ports that one process of an experiment reserves together."""
+
 
 class ProcessError(Exception):
     """A process did not do what the experiment needs."""
@@ -84,27 +87,48 @@
         raise ProcessError(f"{self.name} still runs after {timeout_ms} ms")
 
 
-_handed_out: set[int] = set()
-"""Ports given out before: their process may not have bound them yet."""
+_reservations: list[socket.socket] = []
+"""Sockets that hold the blocks of ports reserved for this process."""
+
+_reserved: list[int] = []
+"""Ports of those blocks that were not given out yet."""
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns ports that nothing listens on now.
+    """Returns ports that nothing listens on now, each at most once.
 
     They lie below the range from which the system takes the ports of
-    outgoing connections, so that none is taken before its process starts.
+    outgoing connections, and in blocks that no other experiment on this
+    machine has, so that none is taken before its process starts.
     """
     found: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
-            port = random.randrange(FIRST_PORT, LAST_PORT)
-            if port in _handed_out:
-                continue
+            if not _reserved:
+                _reserve_block()
+            port = _reserved.pop()
             probe = stack.enter_context(socket.socket())
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
             found.append(port)
-            _handed_out.add(port)
     return found
+
+
+def _reserve_block() -> None:
+    """Reserves a block by a datagram socket on its first port.
+
+    Processes listen on streams only, which it doesn't keep from that port.
+    """
+    while True:
+        first = random.randrange(FIRST_PORT, LAST_PORT, BLOCK_PORTS)
+        held = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            held.bind((HOST, first))
+        except OSError:
+            held.close()
+            continue
+        _reservations.append(held)
+        _reserved.extend(range(first, first + BLOCK_PORTS))
+        return
