Build: dependencies of another release on its own path are replaced, not refused

Cause, found by reading: the build asked the daemons' question, which refuses to run before foreign dependencies; with target/deps on its path it could never replace them. Before: the new test's build ends with 1. After: 0, and the packages are there. Names: messages on loads, as the field says.

--- a/deploy/install_dependencies.py
+++ b/deploy/install_dependencies.py
@@ -132,7 +132,8 @@
 
 def main() -> int:
     """Makes target/deps whole; returns the exit code."""
-    problem = interpreter.problem()
+    # Dependencies of another release on the path are what a build replaces.
+    problem = interpreter.age_problem()
     if problem:
         print(f"install_dependencies: {problem}", file=sys.stderr)
         return interpreter.EXIT_UNFIT
--- a/src/marlramp/core/peer_loads.py
+++ b/src/marlramp/core/peer_loads.py
@@ -187,7 +187,7 @@
 
 
 def falls_pause_ms(peers: int) -> float:
-    """Returns the least time between two words on loads that only fell."""
+    """Returns the least time between two messages on loads that only fell."""
     return peers / FALLS_HEARD_PER_S_MAX * clock.MILLIS_PER_SECOND
 
 
--- a/src/marlramp/direct/fleet/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -15,9 +15,9 @@
 from marlramp.shell import safely
 
 TELL_MS = 20.0
-"""Least time between two words on changes: a fifth of the time that an engine
-takes to the first event, so that a choice rests on what others chose just
-before."""
+"""Least time between two messages on changes: a fifth of the time that an
+engine takes to the first event, so that a choice rests on what others chose
+just before."""
 
 REFRESH_MS = 1_000.0
 """Between two times that all is told, in case a change was lost or a peer has
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -105,7 +105,7 @@
 
     Attributes:
       seconds: what became of the callers of each second.
-      words: how often entries told the others of their cell of loads.
+      load_messages: how often entries told their cell of loads.
     """
 
     def __init__(self, plan: overload_plan.Plan) -> None:
@@ -138,7 +138,7 @@
             [],
             {},
         )
-        self.words = 0
+        self.load_messages = 0
         self.seconds = [
             overload_plan.Second() for _ in range(int(plan.seconds))
         ]
@@ -360,7 +360,7 @@
         mates = () if cell is None else cell.entries
         news = entry.news.changed(len(mates) - 1, self._time.now_ms())
         if news:
-            self.words += 1
+            self.load_messages += 1
             for other in self._entries:
                 if other is not entry and other.name in mates:
                     other.loads.take(entry.name, news)
--- a/src/marlramp/interpreter.py
+++ b/src/marlramp/interpreter.py
@@ -25,10 +25,16 @@
 
 
 def problem() -> str:
-    """Returns why this interpreter can't run the programs, "" if it can."""
-    if sys.version_info[:2] < OLDEST:
-        return _too_old()
-    return _foreign_dependencies()
+    """Returns why this interpreter can't run a daemon, "" if it can."""
+    return age_problem() or _foreign_dependencies()
+
+
+def age_problem() -> str:
+    """Returns what release is needed if this one is too old, else ""."""
+    if sys.version_info[:2] >= OLDEST:
+        return ""
+    needed = ".".join(map(str, OLDEST))
+    return f"found {found()}, {needed} or newer is needed"
 
 
 def found() -> str:
@@ -37,11 +43,6 @@
     return f"python {version} ({sys.executable})"
 
 
-def _too_old() -> str:
-    needed = ".".join(map(str, OLDEST))
-    return f"found {found()}, {needed} or newer is needed"
-
-
 def _foreign_dependencies() -> str:
     """Returns which dependencies on the path another release can load only.
 
@@ -63,5 +64,5 @@
     try:
         with open(marker, encoding="utf-8") as lines:
             return lines.read().splitlines()[_TAG_LINE]
-    except (OSError, IndexError):
+    except (OSError, ValueError, IndexError):
         return ""
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -132,3 +132,14 @@
 ) -> None:
     text = (checkout.root / "deploy" / "system.toml").read_text()
     assert tomllib.loads(text)["packages"] == ["python3", "python3-pip"]
+
+
+def test_build_replaces_dependencies_of_another_release_on_its_path(
+    checkout: conftest.Checkout,
+) -> None:
+    checkout.dependencies.mkdir(parents=True)
+    marker = checkout.dependencies / ".installed-from"
+    marker.write_text("lock\ncpython-39\nplatform\n")
+    path = {"PYTHONPATH": str(checkout.dependencies)}
+    assert checkout.build(path) == 0
+    assert checkout.missing() == []
