--- a/src/marlramp/core/fleet.py
+++ b/src/marlramp/core/fleet.py
@@ -113,12 +113,14 @@
       connections_max: connections that a replica accepts in all.
       engine: how its engines work, None for a plain service.
       origin: "host:port" of the weights if this service is their origin.
+      origin_bytes_per_s: rate of the origin's link, 0 if it is not known.
     """
 
     service_id: ids.ServiceId
     connections_max: int
     engine: EngineSpec | None = None
     origin: str = ""
+    origin_bytes_per_s: float = 0.0
 
 
 class Customer(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/core/origin_asks.py
+++ b/src/marlramp/core/origin_asks.py
@@ -52,6 +52,10 @@
         turn_ms = max(0, rank + 1 - FIRST_ASKERS) * TAKEOVER_MS
         return now_ms >= max(self._since_ms + turn_ms, self._not_before_ms)
 
+    def overdue(self, now_ms: clock.Millis) -> bool:
+        """Returns whether those who ask first should have told by now."""
+        return now_ms - self._since_ms >= TAKEOVER_MS
+
     def failed(self, agents: int, now_ms: clock.Millis) -> None:
         """Records that the origin gave no answer.
 
--- /dev/null
+++ b/src/marlramp/core/relay_fetch.py
@@ -0,0 +1,240 @@
+"""When an entry asks for a piece that it holds for others, and whom.
+
+Load pattern: the origin's link carries one copy in seconds, and whoever draws
+at once shares it. So pieces leave it in their order, each at the time at which
+those before it have left; the first pieces are then with the agents while the
+last still leave. After a fault of the origin nothing is drawn twice that
+another entry already has.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from collections.abc import Mapping
+from typing import TypeAlias
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import relay_duty
+
+DRAWS_MAX = 2
+"""Pieces that one entry draws at once while they leave the origin in order."""
+
+LATE_DRAWS_MAX = 4
+"""The same once all of them should have left: the origin was away, and its link
+would stand idle while one entry draws several in turn."""
+
+ASKS_MAX = 4
+"""Pieces asked of other entries at once."""
+
+TAKEOVER_MS = 700.0
+"""Wait per rank before another entry draws a piece: the way of a piece through
+the origin's link when it is shared, and of the news of it."""
+
+AWAY_TAKEOVER_MS = 6_000.0
+"""The same while the origin answers nobody: those that go first look for it all
+the time, and what both draw when it is back comes later to all."""
+
+HELLO_MS = 150.0
+"""Wait of an entry that finds a version that others may hold already, before it
+draws: the way of its question to them and back."""
+
+LATE_MS = 700.0
+"""A piece that did not come from another entry in this time is asked for
+elsewhere."""
+
+SPARED_MS = 1_000.0
+"""How long who was late, refused or sent wrong bytes is asked for nothing."""
+
+
+class AskEntry(msgspec.Struct, frozen=True):
+    """Ask another process for a piece."""
+
+    peer: str
+    index: int
+
+
+class Draw(msgspec.Struct, frozen=True):
+    """Draw a piece from the origin."""
+
+    index: int
+
+
+class Cancel(msgspec.Struct, frozen=True):
+    """Give up a piece that was asked for."""
+
+    index: int
+
+
+Action: TypeAlias = AskEntry | Draw | Cancel
+
+
+class _Ask(msgspec.Struct, frozen=True):
+    peer: str
+    asked_ms: float
+
+
+class RelayFetch:
+    """The pieces of one version that one entry holds for others."""
+
+    def __init__(
+        self, piece_ms: float, now_ms: clock.Millis, *, is_new: bool
+    ) -> None:
+        """Has no duty before `set_duties`.
+
+        Args:
+          piece_ms: time in which a piece leaves the origin.
+          now_ms: the time.
+          is_new: whether the version was named just now.
+        """
+        self._piece_ms = piece_ms
+        self._started_ms = now_ms + (0.0 if is_new else HELLO_MS)
+        self._duties: Mapping[int, relay_duty.Duty] = {}
+        self._held: set[int] = set()
+        self._holders: dict[int, set[str]] = {}
+        self._asks: dict[int, _Ask] = {}
+        self._draws: set[int] = set()
+        self._spared_until_ms: dict[str, float] = {}
+        self._origin_not_before_ms = float("-inf")
+        self._origin_failed_ms = float("-inf")
+        self._news_ms = float("-inf")
+
+    @property
+    def complete(self) -> bool:
+        """Whether all pieces of the duties are held."""
+        return self._duties.keys() <= self._held
+
+    @property
+    def sources(self) -> set[str]:
+        """Entries that hold pieces of the duties too."""
+        return {s for duty in self._duties.values() for s in duty.sources}
+
+    def set_duties(self, found: Mapping[int, relay_duty.Duty]) -> None:
+        """Takes the duties, which change with the members."""
+        self._duties = found
+
+    def peer_holds(
+        self, peer: str, indexes: Collection[int], now_ms: clock.Millis
+    ) -> None:
+        """Takes pieces that another process holds."""
+        for index in indexes:
+            holders = self._holders.setdefault(index, set())
+            if not holders:
+                self._news_ms = now_ms
+            holders.add(peer)
+
+    def peer_lost(self, peer: str) -> None:
+        """Forgets another process."""
+        for holders in self._holders.values():
+            holders.discard(peer)
+        for index, ask in list(self._asks.items()):
+            if ask.peer == peer:
+                del self._asks[index]
+
+    def held(self, index: int, now_ms: clock.Millis) -> None:
+        """Takes a piece that is held now."""
+        self._held.add(index)
+        self._asks.pop(index, None)
+        if index in self._draws:
+            self._draws.discard(index)
+            self._news_ms = now_ms
+
+    def not_sent(
+        self, index: int, peer: str | None, now_ms: clock.Millis
+    ) -> None:
+        """Records that a piece did not come, or came wrong.
+
+        Args:
+          index: the piece.
+          peer: who was asked, None for the origin.
+          now_ms: the time.
+        """
+        if peer is None:
+            self._draws.discard(index)
+            return
+        ask = self._asks.get(index)
+        if ask is not None and ask.peer == peer:
+            del self._asks[index]
+        self._spared_until_ms[peer] = now_ms + SPARED_MS
+
+    def origin_failed(
+        self, index: int, retry_after_ms: float, now_ms: clock.Millis
+    ) -> None:
+        """Records that the origin did not answer a draw."""
+        self._draws.discard(index)
+        self._origin_failed_ms = now_ms
+        self._origin_not_before_ms = now_ms + retry_after_ms
+
+    def next_actions(self, now_ms: clock.Millis) -> list[Action]:
+        """Returns what to ask for and to give up now."""
+        actions = self._cancel_late(now_ms)
+        for index, duty in self._duties.items():
+            if index in self._held or index in self._asks:
+                continue
+            peer = self._source(index, duty, now_ms)
+            if peer is not None:
+                if len(self._asks) < ASKS_MAX and index not in self._draws:
+                    self._asks[index] = _Ask(peer, now_ms)
+                    actions.append(AskEntry(peer, index))
+            elif self._may_draw(index, duty, now_ms):
+                self._draws.add(index)
+                actions.append(Draw(index))
+        return actions
+
+    def _cancel_late(self, now_ms: clock.Millis) -> list[Action]:
+        late = [
+            index
+            for index, ask in self._asks.items()
+            if now_ms - ask.asked_ms > LATE_MS
+        ]
+        for index in late:
+            self.not_sent(index, self._asks[index].peer, now_ms)
+        return [Cancel(index) for index in late]
+
+    def _source(
+        self, index: int, duty: relay_duty.Duty, now_ms: clock.Millis
+    ) -> str | None:
+        """Returns whom to ask for a piece, None if nobody has it."""
+        holders = self._holders.get(index, set())
+        ordered = [name for name in duty.sources if name in holders]
+        ordered += sorted(holders.difference(duty.sources))
+        for name in ordered:
+            if self._spared_until_ms.get(name, 0.0) <= now_ms:
+                return name
+        return None
+
+    def _may_draw(
+        self, index: int, duty: relay_duty.Duty, now_ms: clock.Millis
+    ) -> bool:
+        if index in self._draws or now_ms < self._origin_not_before_ms:
+            return False
+        if len(self._draws) >= self._draws_max(now_ms):
+            return False
+        due_ms = self._started_ms + index * self._piece_ms
+        if duty.rank == 0:
+            return now_ms >= due_ms
+        if self._is_away:
+            wait_ms = duty.rank * AWAY_TAKEOVER_MS
+            return now_ms >= max(due_ms, self._origin_failed_ms) + wait_ms
+        since_ms = due_ms
+        if self._origin_failed_ms > float("-inf"):
+            # Pieces come late after an outage, and those that go first draw.
+            since_ms = max(due_ms, self._news_ms)
+        return now_ms >= since_ms + duty.rank * TAKEOVER_MS
+
+    @property
+    def _is_away(self) -> bool:
+        """Whether nothing came from the origin since it failed."""
+        return self._origin_failed_ms > self._news_ms
+
+    def _draws_max(self, now_ms: clock.Millis) -> int:
+        """Returns how many pieces may be drawn at once."""
+        if self._is_away:
+            return 1
+        all_due_ms = self._started_ms + self._pieces * self._piece_ms
+        return LATE_DRAWS_MAX if now_ms > all_due_ms else DRAWS_MAX
+
+    @property
+    def _pieces(self) -> int:
+        return 1 + max(self._duties, default=0)
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Sequence
 import enum
 import random
@@ -25,7 +26,8 @@
 """Chunks are assigned to fetchers in this many groups."""
 
 ORIGIN_WINDOW = 32
-"""Chunks of the common order that may be under way from the origin."""
+"""Chunks of the common order that may be under way from the origin, unless the
+policy says else."""
 
 ORIGIN_IN_FLIGHT_MAX = 2
 """Chunks one VM draws from the origin at once, unless the policy says else."""
@@ -58,6 +60,18 @@
 PACE_SMOOTHING = 0.3
 """Weight of the newest transfer in a neighbour's smoothed pace."""
 
+RELAY_IN_FLIGHT_MAX = 5
+"""Chunks asked of relays at once: enough that the own link never stands idle
+while they send, and few enough that what live calls send here waits little."""
+
+RELAY_CREDITS = 2
+"""Chunks asked of one relay at once."""
+
+RELAY_PATIENCE_MS = 8_000.0
+"""How long a VM that gets nothing leaves the origin and other regions to the
+relays: longer than an origin is usually away, since chunks that both draw once
+it is back come later to all."""
+
 
 class FetchFromPeer(msgspec.Struct, frozen=True):
     """Ask a neighbour for a chunk."""
@@ -118,6 +132,8 @@
       credits_per_peer: chunks asked of one neighbour at once.
       in_flight_max: chunks asked of all neighbours at once; few that arrive
         soon can be passed on sooner than many that share the link.
+      origin_window: chunks of the common order that may be under way from the
+        origin.
       origin_in_flight_max: chunks drawn from the origin at once; one comes
         sooner than several that share the origin's link.
       takeover_max_ms: most that the wait per rank grows to in a slow pass.
@@ -136,6 +152,7 @@
     rare_wait_ms: float | None = None
     takeover_max_ms: float = float("inf")
     origin_in_flight_max: int = ORIGIN_IN_FLIGHT_MAX
+    origin_window: int = ORIGIN_WINDOW
 
 
 class Swarm:
@@ -191,6 +208,7 @@
         self._import_ranks: list[int] = [0] * len(self._group_keys)
         self._seen_ms: dict[int, float] = {}
         self._seen_last_ms: float = now_ms
+        self._relays: frozenset[str] = frozenset()
 
     @property
     def complete(self) -> bool:
@@ -201,7 +219,9 @@
     def settled(self) -> bool:
         """Whether this VM and every neighbour hold every chunk."""
         return self.complete and all(
-            len(peer.held) == self._count for peer in self._peers.values()
+            len(peer.held) == self._count
+            for peer_id, peer in self._peers.items()
+            if peer_id not in self._relays
         )
 
     @property
@@ -240,6 +260,14 @@
         keys = [f"import\0{key}" for key in self._group_keys]
         self._import_ranks = self._ranks_among(keys, near)
 
+    def set_relays(self, vm_ids: Collection[str]) -> None:
+        """Takes the relays that work: VMs that hold chunks for those near.
+
+        While there are any, chunks come from them first, and they alone bring
+        them from the origin and from other regions.
+        """
+        self._relays = frozenset(vm_ids)
+
     def _ranks_among(
         self, keys: Sequence[str], members: set[ids.VmId]
     ) -> list[int]:
@@ -340,10 +368,18 @@
         if self.complete:
             return actions
         actions.extend(self._cancel_late(now_ms))
-        actions.extend(self._fetch_from_origin(now_ms))
+        actions.extend(self._fetch_from_relays(now_ms))
+        if not self._leans_on_relays(now_ms):
+            actions.extend(self._fetch_from_origin(now_ms))
         actions.extend(self._fetch_from_peers(now_ms))
         return actions
 
+    def _leans_on_relays(self, now_ms: clock.Millis) -> bool:
+        """Returns whether relays bring chunks here that nobody near holds."""
+        if not self._relays:
+            return False
+        return now_ms - self._progress_ms < RELAY_PATIENCE_MS
+
     def _mark_seen(self, index: int) -> None:
         if index not in self._seen:
             self._seen.add(index)
@@ -399,7 +435,9 @@
         if now_ms < self._origin_not_before_ms:
             return actions
         self._origin_not_before_ms = now_ms + ORIGIN_CHECK_MS
-        window_end = min(self._count, len(self._seen) + ORIGIN_WINDOW)
+        window_end = min(
+            self._count, len(self._seen) + self._policy.origin_window
+        )
         if self._policy.origin_use is not OriginUse.RANKED:
             window_end = self._count
         in_flight_max = self._origin_in_flight_max()
@@ -455,34 +493,72 @@
         # and waits that grow as it stands would never end.
         elapsed_ms = self._seen_last_ms - self._started_ms
         per_chunk_ms = elapsed_ms / max(1, len(self._seen))
-        if len(self._seen) < ORIGIN_WINDOW:
+        window = self._policy.origin_window
+        if len(self._seen) < window:
             per_chunk_ms = 0.0
-        slow_ms = 2.0 * ORIGIN_WINDOW * per_chunk_ms
+        slow_ms = 2.0 * window * per_chunk_ms
         return max(
             self._policy.takeover_ms,
             min(slow_ms, self._policy.takeover_max_ms),
         )
 
+    def _fetch_from_relays(self, now_ms: clock.Millis) -> list[Action]:
+        """Asks relays, those that were asked for least first."""
+        relays = [
+            (peer_id, peer)
+            for peer_id, peer in self._peers.items()
+            if peer_id in self._relays and peer.not_before_ms <= now_ms
+        ]
+        free = [
+            (len(peer.in_flight) + more, self._rng.random(), peer_id, peer)
+            for peer_id, peer in relays
+            for more in range(RELAY_CREDITS - len(peer.in_flight))
+        ]
+        free.sort(key=lambda item: item[:2])
+        room = RELAY_IN_FLIGHT_MAX - self._in_flight(self._relays)
+        return self._ask_each(
+            [(peer_id, peer) for _, _, peer_id, peer in free], room, now_ms
+        )
+
     def _fetch_from_peers(self, now_ms: clock.Millis) -> list[Action]:
-        actions: list[Action] = []
+        """Asks neighbours, unless relays keep the own link busy."""
+        if self._in_flight(self._relays) >= RELAY_IN_FLIGHT_MAX:
+            return []
         free = [
             (peer_id, peer)
             for peer_id, peer in self._peers.items()
-            if peer.not_before_ms <= now_ms
+            if peer.not_before_ms <= now_ms and peer_id not in self._relays
             for _ in range(self._policy.credits_per_peer - len(peer.in_flight))
         ]
         self._rng.shuffle(free)
         if self._near is not None:
             # What only this VM is to bring into its region goes first.
             free.sort(key=lambda item: item[0] in (self._near or ()))
-        in_flight = sum(len(peer.in_flight) for peer in self._peers.values())
+        room = self._policy.in_flight_max - self._in_flight(self._peers)
+        return self._ask_each(free, room, now_ms)
+
+    def _in_flight(self, peer_ids: Collection[str]) -> int:
+        """Returns the chunks asked of some neighbours."""
+        return sum(
+            len(peer.in_flight)
+            for peer_id, peer in self._peers.items()
+            if peer_id in peer_ids
+        )
+
+    def _ask_each(
+        self,
+        free: Sequence[tuple[ids.VmId, Peer]],
+        room: int,
+        now_ms: clock.Millis,
+    ) -> list[Action]:
+        """Asks each for the rarest chunk it holds, for `room` at most."""
+        actions: list[Action] = []
         for peer_id, peer in free:
-            if in_flight >= self._policy.in_flight_max:
+            if len(actions) >= room:
                 break
             index = self._rarest(peer_id, peer, now_ms)
             if index is None:
                 continue
-            in_flight += 1
             peer.in_flight[index] = now_ms
             self._fetching.add(index)
             actions.append(FetchFromPeer(peer_id, index))
@@ -492,7 +568,10 @@
         self, peer_id: ids.VmId, peer: Peer, now_ms: clock.Millis
     ) -> int | None:
         wanted = (peer.held & self._needed) - self._fetching
-        if self._near is not None and peer_id not in self._near:
+        is_far = self._near is not None and peer_id not in self._near
+        if is_far and peer_id not in self._relays:
+            if self._leans_on_relays(now_ms):
+                return None
             wanted = {i for i in wanted if self._may_import(i, now_ms)}
         if not wanted:
             return None
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -98,6 +98,7 @@
             clock.unix_ms(),
             settings.seeds,
             self._place_peers,
+            self._place_relays,
             self._clock,
         )
         self._exchange = piece_exchange.PieceExchange(
@@ -198,6 +199,7 @@
         )
         self._contacts.attach(self._entry_links)
         self._exchange.attach(self._peer_links)
+        self._exchange.attach_relays(self._entry_links)
 
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Takes changed bounds and seeds; addresses need a restart."""
@@ -266,6 +268,8 @@
         self, name: str, message: fleet_messages.FromMember
     ) -> None:
         self._contacts.on_message(name, message)
+        if isinstance(message, fleet_messages.FromAgentPeer):
+            self._exchange.on_message(name, message)
         if isinstance(message, fleet_messages.Guide):
             self._weights.take_guide(message)
             self._may_cut = message.streams_resume
@@ -273,6 +277,13 @@
     def _take_origin(self, origin: str) -> None:
         self._exchange.set_origin(replica_api.OriginApi(self._caller, origin))
 
+    def _place_relays(self, entries: dict[str, members.Member]) -> None:
+        """Takes the entries dealt with: those near relay pieces."""
+        near = self._settings.near_data_centres
+        self._exchange.set_relays(
+            [n for n, entry in entries.items() if entry.data_centre in near]
+        )
+
     def _place_peers(self, peers: dict[str, members.Member]) -> None:
         """Takes the other agents, by VM."""
         self._peers = peers
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -24,6 +24,7 @@
 from marlramp.direct.fleet import store_reader
 from marlramp.platform import headers
 from marlramp.platform import lookup_pages
+from marlramp.platform import replica_api
 from marlramp.platform import store
 from marlramp.protocol import codec
 from marlramp.settings import node
@@ -142,6 +143,7 @@
                 "entry_ticks": self._tick_all,
                 "settings_watch": self._watch.run,
                 "load_exchange": self._fleet.exchange_loads,
+                "piece_relay": self._fleet.relay_pieces,
                 "ports": self._ports.run,
             }
             tasks = safely.start_all(group, works, self._totals, self._clock)
@@ -171,7 +173,11 @@
             self._totals,
             self._clock,
         )
-        self._fleet.attach(self._links, self._reader)
+        self._fleet.attach(
+            self._links,
+            self._reader,
+            lambda address: replica_api.OriginApi(self._caller, address),
+        )
         control = self._addresses.control
         callers = self._addresses.callers
         self._ports = port_opener.PortOpener(
--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -53,6 +53,7 @@
         incarnation: int,
         seeds: list[node.Address],
         on_agents: Callable[[dict[str, members.Member]], None],
+        on_entries: Callable[[dict[str, members.Member]], None],
         time: clock.Clock,
     ) -> None:
         """Knows no entry until the seeds answer.
@@ -63,6 +64,7 @@
             process on the VM.
           seeds: entries to greet first, possibly down.
           on_agents: takes the other agents, by VM, when they changed.
+          on_entries: takes the entries dealt with, by VM, when they changed.
           time: the clock.
         """
         self._own = members.MemberNews(
@@ -70,6 +72,7 @@
         )
         self._seeds = seeds
         self._on_agents = on_agents
+        self._on_entries = on_entries
         self._clock = time
         self._links: member_sync.Links | None = None
         self._views: dict[str, _View] = {}
@@ -207,6 +210,8 @@
             if before.get(vm_id) != entry:
                 self._greet(entry)
                 logs.log("entry_joined", vm=vm_id)
+        if before != entries:
+            self._on_entries(entries)
 
     def _contradict(self, news: list[members.MemberNews]) -> None:
         """Raises the incarnation if this agent is taken as lost."""
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -20,7 +20,10 @@
 from marlramp.direct.fleet import load_exchange
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
+from marlramp.direct.fleet import relay_surroundings
 from marlramp.direct.fleet import store_reader
+from marlramp.direct.weights import piece_relay
+from marlramp.direct.weights import version_digests
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 
@@ -96,14 +99,35 @@
         self._load_exchange = load_exchange.LoadExchange(
             self._placed, self.sync, table, totals, time
         )
+        self._relay_surroundings = relay_surroundings.RelaySurroundings(
+            known, self._placed, self.sync, settings.bounds.version_ms, time
+        )
+        self._relay = piece_relay.PieceRelay(
+            own.vm_id,
+            self._relay_surroundings,
+            settings.link_bytes_per_s,
+            totals,
+            time,
+        )
+        self._origin = ""
         self._digests = engine_digests.EngineDigests(
             self._placed, self.sync, self._on_engine, time
         )
 
     def attach(
-        self, links: member_sync.Links, reader: store_reader.StoreReader
+        self,
+        links: member_sync.Links,
+        reader: store_reader.StoreReader,
+        make_origin: Callable[[str], version_digests.Origin],
     ) -> None:
-        """Takes the links to send on and what reads the store."""
+        """Takes the outside.
+
+        Args:
+          links: the links to send on.
+          reader: reads the store.
+          make_origin: makes the client of an origin at "host:port".
+        """
+        self._make_origin = make_origin
         self.sync.attach(links)
         self._reader = reader
 
@@ -116,6 +140,10 @@
         """Tells the entries of the cell of changed loads, for ever."""
         await self._load_exchange.run()
 
+    async def relay_pieces(self) -> None:
+        """Holds pieces of named weights for the agents near, for ever."""
+        await self._relay.run()
+
     @property
     def entries(self) -> int:
         """The most entries known lately, itself too."""
@@ -165,6 +193,15 @@
         self._on_changes(changes)
         if any(not isinstance(c, catalog.ReplicaChange) for c in changes):
             self._guide.tell_all()
+            self._take_origin()
+            self._relay.look()
+
+    def _take_origin(self) -> None:
+        """Takes the origin that the configuration names."""
+        address = self._relay_surroundings.origin()
+        if address and address != self._origin:
+            self._origin = address
+            self._relay.set_origin(self._make_origin(address))
 
     # Messages.
 
@@ -172,6 +209,9 @@
         """Takes a message of another process."""
         if self.sync.on_message(name, message):
             return
+        if isinstance(message, fleet_messages.FromAgentPeer):
+            self._relay.on_message(name, message)
+            return
         match message:
             case fleet_messages.StoreBeacon():
                 now_ms = self._clock.now_ms()
--- /dev/null
+++ b/src/marlramp/direct/fleet/relay_surroundings.py
@@ -0,0 +1,111 @@
+"""What an entry's relay of pieces learns from the rest of the entry."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import members
+from marlramp.core import relay_duty
+from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import placement
+from marlramp.direct.weights import version_digests
+
+NAMED_LATELY_SHARE = 1.5
+"""Part of the bound on versions within which a version is fetched unasked;
+one named longer ago is held by agents and fetched when one of them lacks it."""
+
+NEW_VERSION_MS = 2_000.0
+"""A version named this lately is held by no other entry."""
+
+PIECE_DEFAULT_MS = 40.0
+"""Time in which a piece leaves an origin whose rate is not known."""
+
+
+class RelaySurroundings:
+    """The versions named, the entries that relay, and the way to others."""
+
+    def __init__(
+        self,
+        known: catalog.Catalog,
+        placed: placement.Placement,
+        sync: member_sync.MemberSync,
+        version_bound_ms: float,
+        time: clock.Clock,
+    ) -> None:
+        """Reads what the others hold at each call.
+
+        Args:
+          known: the catalog.
+          placed: the cells.
+          sync: the other members.
+          version_bound_ms: time after its naming from which a version binds.
+          time: the clock.
+        """
+        self._catalog = known
+        self._placed = placed
+        self._sync = sync
+        self._named_lately_ms = NAMED_LATELY_SHARE * version_bound_ms
+        self._clock = time
+
+    def origin(self) -> str:
+        """Returns "host:port" of the origin, "" if it is not known."""
+        service = self._origin_service()
+        return "" if service is None else service.origin
+
+    def places(self) -> Mapping[str, relay_duty.Place]:
+        """Returns the entries that relay pieces, this one among them."""
+        if self._sync.roster.own.state is members.MemberState.LEAVING:
+            return {}
+        return self._placed.relay_places
+
+    def wanted(self) -> list[version_digests.Wanted]:
+        """Returns the versions named lately, the newest last."""
+        return [
+            version_digests.Wanted(model, named.version)
+            for model, target in self._catalog.targets.items()
+            for named in target.named
+            if self._age_ms(named) < self._named_lately_ms
+        ]
+
+    def piece_ms(self) -> float:
+        """Returns the time in which a piece leaves the origin."""
+        config = self._catalog.config
+        service = self._origin_service()
+        if config is None or service is None or not service.origin_bytes_per_s:
+            return PIECE_DEFAULT_MS
+        sizes = [s.engine.piece_bytes for s in config.services if s.engine]
+        if not sizes:
+            return PIECE_DEFAULT_MS
+        rate = service.origin_bytes_per_s
+        return max(sizes) / rate * clock.MILLIS_PER_SECOND
+
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
+        """Returns whether a version was named just now."""
+        target = self._catalog.targets.get(wanted.model)
+        if target is None:
+            return False
+        return any(
+            named.version == wanted.version
+            and self._age_ms(named) < NEW_VERSION_MS
+            for named in target.named
+        )
+
+    def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
+        """Sends to an entry or agent; opens a link to an entry."""
+        return self._sync.send(name, message)
+
+    def _origin_service(self) -> fleet.Service | None:
+        config = self._catalog.config
+        if config is None:
+            return None
+        return next((s for s in config.services if s.origin), None)
+
+    def _age_ms(self, named: catalog.NamedVersion) -> float:
+        if named.named_ms is None:
+            return float("inf")
+        return self._clock.now_ms() - named.named_ms
--- a/src/marlramp/direct/weights/piece_draws.py
+++ b/src/marlramp/direct/weights/piece_draws.py
@@ -12,10 +12,10 @@
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 
-UNREACHED_RETRY_MIN_MS = 150.0
-UNREACHED_RETRY_MAX_MS = 250.0
-"""Pause after a draw that found no origin, drawn between the two: a few agents
-at a time draw, and a version waits for the last piece alone."""
+UNREACHED_RETRY_MIN_MS = 60.0
+UNREACHED_RETRY_MAX_MS = 120.0
+"""Pause after a draw that found no origin, drawn between the two: those that
+go first look for it, one draw at a time each, and all engines wait for it."""
 
 OnDrawn: TypeAlias = Callable[[version_digests.Wanted, int, bytes], None]
 OnFailed: TypeAlias = Callable[[version_digests.Wanted, int, float], None]
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -8,7 +8,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 import random
+from typing import Protocol
 
 import msgspec
 
@@ -28,7 +30,6 @@
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
-from marlramp.shell import member_links
 from marlramp.shell import safely
 
 LINK_SHARE = 0.96
@@ -51,6 +52,13 @@
 ANNOUNCE_MS = 70.0
 """Pieces newly held are announced together at most this often."""
 
+RELAY_HELLO_MS = 700.0
+"""Between two greetings of the relays while pieces are missing: their answer
+shows that they are there, and mends what an announcement lost."""
+
+RELAY_ALIVE_MS = 1_600.0
+"""A relay that was heard this lately works: it may miss one greeting."""
+
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
 NEIGHBOURS_FIRST_MS = 800.0
@@ -64,6 +72,26 @@
 _MS = clock.MILLIS_PER_SECOND
 
 
+class Links(Protocol):
+    """What carries messages to entries."""
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        """Sends a message; returns whether a link took it."""
+        ...
+
+
+class PeerLinks(Links, Protocol):
+    """What carries messages to other agents."""
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        """Opens a link under a name; returns False if it is open already."""
+        ...
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        """Sends an encoded message; returns whether a link took it."""
+        ...
+
+
 class PieceExchange:
     """This VM's part in distributing weights."""
 
@@ -73,18 +101,33 @@
         link_bytes_per_s: float,
         totals: counters.Counters,
         time: clock.Clock,
+        rng: random.Random | None = None,
     ) -> None:
-        """Holds nothing; fetches once told what is wanted."""
+        """Holds nothing; fetches once told what is wanted.
+
+        Args:
+          own: this agent.
+          link_bytes_per_s: rate of the VM's link, each way.
+          totals: counters.
+          time: the clock.
+          rng: breaks ties; a seeded one makes runs repeat.
+        """
         self._own = own
         self._totals = totals
         self._clock = time
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         up_rate = link_bytes_per_s * UPLINK_SHARE
-        self._links: (
-            member_links.MemberLinks[fleet_messages.FromAgentPeer] | None
-        ) = None
+        self._links: PeerLinks | None = None
+        self._relay_links: Links | None = None
+        self._relays: frozenset[str] = frozenset()
+        self._relays_greeted_ms = float("-inf")
         self._digests = version_digests.VersionDigests(
-            own.vm_id, lambda: self._peers, self._send, time
+            own.vm_id,
+            lambda: self._peers,
+            self._send,
+            time,
+            self._rng,
+            lambda: self._relays,
         )
         self._wholes = self._digests.wholes
         self._wanted: version_digests.Wanted | None = None
@@ -107,12 +150,20 @@
         self._standstill = standstill.Standstill(time)
         self._announced_ms = 0.0
 
-    def attach(
-        self, links: member_links.MemberLinks[fleet_messages.FromAgentPeer]
-    ) -> None:
+    def attach(self, links: PeerLinks) -> None:
         """Takes the links to other agents."""
         self._links = links
 
+    def attach_relays(self, links: Links) -> None:
+        """Takes the links to entries, which relay pieces."""
+        self._relay_links = links
+
+    def set_relays(self, names: Iterable[str]) -> None:
+        """Takes the entries near that relay pieces."""
+        self._relays = frozenset(names)
+        self._relays_greeted_ms = float("-inf")
+        self._wake.set()
+
     def set_origin(self, origin: version_digests.Origin | None) -> None:
         """Takes the origin to draw from."""
         self._digests.origin = origin
@@ -188,6 +239,7 @@
         self._link_peers()
         for name in self._peers:
             self._send_hello(name, reply=True)
+        self._relays_greeted_ms = float("-inf")
         self._wake.set()
 
     async def run(self) -> None:
@@ -343,6 +395,7 @@
         if self._swarm is None or self._wanted is None:
             return
         self._announce(self._swarm, self._wanted)
+        self._greet_relays(self._swarm)
         self._drop_silent(self._swarm)
         self._standstill.check(self._swarm)
         for action in self._swarm.next_actions(self._clock.now_ms()):
@@ -385,6 +438,25 @@
             if self._links is not None:
                 self._links.send_encoded(name, encoded)
 
+    def _greet_relays(self, current: swarm.Swarm) -> None:
+        """Asks relays what they hold, and takes those that answer."""
+        if current.complete:
+            return
+        now_ms = self._clock.now_ms()
+        horizon_ms = now_ms - RELAY_ALIVE_MS
+        current.set_relays(
+            [
+                name
+                for name in self._relays
+                if self._heard_ms.get(name, float("-inf")) >= horizon_ms
+            ]
+        )
+        if now_ms - self._relays_greeted_ms < RELAY_HELLO_MS:
+            return
+        self._relays_greeted_ms = now_ms
+        for name in sorted(self._relays):
+            self._send_hello(name, reply=True)
+
     def _drop_silent(self, current: swarm.Swarm) -> None:
         if current.settled:
             return
@@ -399,4 +471,7 @@
         return self._swarm if wanted else None
 
     def _send(self, name: str, message: msgspec.Struct) -> bool:
+        if name in self._relays:
+            links = self._relay_links
+            return links is not None and links.send(name, message)
         return self._links is not None and self._links.send(name, message)
--- a/src/marlramp/direct/weights/piece_policy.py
+++ b/src/marlramp/direct/weights/piece_policy.py
@@ -16,6 +16,11 @@
 """Copies drawn from the origin without a fault: its link is idle after the
 first, and agents that load in later turns come by their pieces sooner."""
 
+ORIGIN_WINDOW = 8
+"""Pieces on their way from the origin at once: each comes soon and is passed on
+while the next ones leave. Of 32 that share its link the first is there after
+half of a copy's time."""
+
 DOWNLOADS_MAX = 12
 """Pieces on their way from neighbours at once."""
 
@@ -34,6 +39,7 @@
     TAKEOVER_MS,
     in_flight_max=DOWNLOADS_MAX,
     origin_in_flight_max=1,
+    origin_window=ORIGIN_WINDOW,
     credits_per_peer=2,
     takeover_max_ms=TAKEOVER_MAX_MS,
     import_takeover_ms=IMPORT_TAKEOVER_MS,
--- /dev/null
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -0,0 +1,389 @@
+"""An entry's part in distributing weights: it holds pieces for agents near it.
+
+`core.relay_duty` says which pieces, `core.relay_fetch` when and from whom. What
+comes is verified before anybody else gets it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from collections.abc import Sequence
+import random
+from typing import Protocol
+
+import msgspec
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import logs
+from marlramp.core import relay_duty
+from marlramp.core import relay_fetch
+from marlramp.core import swarm
+from marlramp.direct.weights import piece_downloads
+from marlramp.direct.weights import piece_draws
+from marlramp.direct.weights import piece_uploads
+from marlramp.direct.weights import version_digests
+from marlramp.protocol import fleet_messages
+from marlramp.protocol import messages
+from marlramp.shell import safely
+
+LINK_SHARE = 0.8
+"""Part of an entry's link on which pieces may leave; requests use a tenth. The
+first pieces are wanted by all agents of the cell at once."""
+
+TICK_MS = 20.0
+"""Between two looks at what to fetch and announce while pieces are missing."""
+
+IDLE_TICK_MS = 500.0
+"""The same while none is; a message ends the wait at once."""
+
+HELLO_MS = 1_000.0
+"""Between two greetings of the entries that hold the same pieces, while some
+are missing: the answers mend what an announcement lost."""
+
+VERSIONS_KEPT = 3
+"""Versions of which pieces are held: the one in force and two after it."""
+
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Surroundings(Protocol):
+    """What the relay asks the entry that it belongs to."""
+
+    def places(self) -> Mapping[str, relay_duty.Place]:
+        """Returns the entries that relay pieces, this one among them."""
+        ...
+
+    def wanted(self) -> Sequence[version_digests.Wanted]:
+        """Returns the versions named lately, the newest last."""
+        ...
+
+    def piece_ms(self) -> float:
+        """Returns the time in which a piece leaves the origin."""
+        ...
+
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
+        """Returns whether a version was named just now."""
+        ...
+
+    def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
+        """Sends to an entry or agent; opens a link to an entry."""
+        ...
+
+
+class _Version:
+    """One version that pieces are held of.
+
+    Attributes:
+      fetch: what is asked for, None before the digests are known.
+      listeners: processes that are told what comes.
+      news: pieces that came since they were told last.
+      finding: the search for the digests.
+    """
+
+    def __init__(
+        self,
+        wanted: version_digests.Wanted,
+        downloads: piece_downloads.PieceDownloads,
+    ) -> None:
+        self.wanted = wanted
+        self.downloads = downloads
+        self.fetch: relay_fetch.RelayFetch | None = None
+        self.listeners: set[str] = set()
+        self.news: list[int] = []
+        self.finding: asyncio.Task[None] | None = None
+        self.greeted_ms = float("-inf")
+
+
+class PieceRelay:
+    """Fetches the pieces that this entry is to hold, and serves them."""
+
+    def __init__(
+        self,
+        own: str,
+        surroundings: Surroundings,
+        link_bytes_per_s: float,
+        totals: counters.Counters,
+        time: clock.Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        """Holds nothing.
+
+        Args:
+          own: this entry.
+          surroundings: the entry.
+          link_bytes_per_s: rate of the VM's link.
+          totals: counters.
+          time: the clock.
+          rng: draws whom to ask for digests; a seeded one makes runs repeat.
+        """
+        self._own = own
+        self._surroundings = surroundings
+        self._rate = link_bytes_per_s * LINK_SHARE
+        self._totals = totals
+        self._clock = time
+        self._send = surroundings.send_piece_message
+        self._digests = version_digests.VersionDigests(
+            own, self._others, self._send, time, rng, asks_first=True
+        )
+        self._wholes = self._digests.wholes
+        self._uploads = piece_uploads.PieceUploads(
+            self._wholes, self._send, self._rate, time
+        )
+        self._draws = piece_draws.PieceDraws(
+            self._on_drawn, self._on_not_drawn, time
+        )
+        self._versions: dict[str, _Version] = {}
+        self._places: Mapping[str, relay_duty.Place] = {}
+        self._wake = asyncio.Event()
+
+    def set_origin(self, origin: version_digests.Origin | None) -> None:
+        """Takes the origin to draw from."""
+        self._digests.origin = origin
+        self._draws.origin = origin
+
+    def look(self) -> None:
+        """Looks at once at what is named and who is there."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Fetches and serves for ever."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._uploads.run())
+            group.create_task(self._tick_all())
+
+    def on_message(
+        self, name: str, message: fleet_messages.FromAgentPeer
+    ) -> None:
+        """Takes a message of an agent or another entry about weights."""
+        match message:
+            case messages.PeerHello():
+                self._on_hello(name, message)
+            case messages.PeerHave():
+                fetch = self._fetch_of(message.manifest)
+                if fetch is not None:
+                    now_ms = self._clock.now_ms()
+                    fetch.peer_holds(name, message.indexes, now_ms)
+            case fleet_messages.FragmentRequest():
+                self._uploads.request(name, message)
+            case fleet_messages.FragmentReply():
+                self._on_fragment(name, message)
+            case messages.ManifestRequest():
+                self._digests.on_request(name, message)
+            case messages.ManifestReply():
+                self._digests.on_reply(message)
+        self._wake.set()
+
+    # What is wanted.
+
+    def _others(self) -> list[str]:
+        return [name for name in self._places if name != self._own]
+
+    def _fetch_of(self, name: str) -> relay_fetch.RelayFetch | None:
+        version = self._versions.get(name)
+        return None if version is None else version.fetch
+
+    def _take_wanted(self) -> None:
+        for wanted in self._surroundings.wanted():
+            self._want(wanted)
+
+    def _want(self, wanted: version_digests.Wanted) -> _Version:
+        """Starts to hold pieces of a version."""
+        version = self._versions.get(wanted.name)
+        if version is not None:
+            return version
+        downloads = piece_downloads.PieceDownloads(
+            self._send, self._rate, self._clock
+        )
+        version = _Version(wanted, downloads)
+        self._versions[wanted.name] = version
+        version.finding = asyncio.create_task(self._find(version))
+        while len(self._versions) > VERSIONS_KEPT:
+            self._drop(next(iter(self._versions)))
+        return version
+
+    def _drop(self, name: str) -> None:
+        version = self._versions.pop(name)
+        if version.finding is not None:
+            version.finding.cancel()
+        self._wholes.pop(name, None)
+
+    async def _find(self, version: _Version) -> None:
+        """Learns the digests of a version, then begins to fetch."""
+        whole = await self._digests.find(version.wanted)
+        pieces = whole.manifest.chunks
+        version.downloads.fetch(
+            piece_downloads.Version(
+                version.wanted.name, whole.manifest.chunk_size
+            )
+        )
+        version.fetch = relay_fetch.RelayFetch(
+            self._surroundings.piece_ms(),
+            self._clock.now_ms(),
+            is_new=self._surroundings.is_new(version.wanted),
+        )
+        version.fetch.set_duties(
+            relay_duty.duties(self._own, self._places, pieces)
+        )
+        for index in whole.held:
+            version.fetch.held(index, self._clock.now_ms())
+        self._wake.set()
+
+    # Others.
+
+    def _take_places(self) -> None:
+        """Takes who is there; the duties follow."""
+        places = self._surroundings.places()
+        if places == self._places:
+            return
+        gone = self._places.keys() - places.keys()
+        self._places = places
+        for version in self._versions.values():
+            whole = self._wholes.get(version.wanted.name)
+            if version.fetch is None or whole is None:
+                continue
+            for name in gone:
+                version.fetch.peer_lost(name)
+            version.fetch.set_duties(
+                relay_duty.duties(self._own, places, whole.manifest.chunks)
+            )
+            version.greeted_ms = float("-inf")
+
+    def _greet(self, version: _Version) -> None:
+        """Asks the entries that hold the same pieces what they hold."""
+        now_ms = self._clock.now_ms()
+        if version.fetch is None or version.fetch.complete:
+            return
+        if now_ms - version.greeted_ms < HELLO_MS:
+            return
+        version.greeted_ms = now_ms
+        hello = self._hello(version.wanted.name, reply=True)
+        for name in sorted(version.fetch.sources):
+            self._send(name, hello)
+
+    def _on_hello(self, name: str, hello: messages.PeerHello) -> None:
+        version = self._versions.get(hello.manifest)
+        if version is None:
+            wanted = version_digests.parse_name(hello.manifest)
+            if wanted is None:
+                return
+            # A version that agents fetch though nobody named it lately: the
+            # one that engines had before any was named.
+            version = self._want(wanted)
+        version.listeners.add(name)
+        if version.fetch is not None:
+            held = swarm.from_bitmap(hello.held)
+            version.fetch.peer_holds(name, held, self._clock.now_ms())
+        if hello.reply:
+            self._send(name, self._hello(hello.manifest, reply=False))
+
+    def _hello(self, name: str, *, reply: bool) -> messages.PeerHello:
+        whole = self._wholes.get(name)
+        held = b"" if whole is None else swarm.to_bitmap(whole.held)
+        return messages.PeerHello(
+            vm_id=self._own, manifest=name, held=held, seen=held, reply=reply
+        )
+
+    # Pieces that arrive.
+
+    def _on_fragment(
+        self, name: str, reply: fleet_messages.FragmentReply
+    ) -> None:
+        version = self._versions.get(reply.manifest)
+        if version is None or version.fetch is None:
+            return
+        if not version.downloads.awaits(name, reply):
+            return
+        if reply.data is None:
+            version.downloads.cancel(reply.index)
+            version.fetch.not_sent(reply.index, name, self._clock.now_ms())
+            return
+        data = version.downloads.take(reply)
+        if data is not None:
+            self._take_piece(version, reply.index, data, name)
+
+    def _on_drawn(
+        self, wanted: version_digests.Wanted, index: int, data: bytes
+    ) -> None:
+        version = self._versions.get(wanted.name)
+        if version is not None:
+            self._take_piece(version, index, data, None)
+
+    def _on_not_drawn(
+        self, wanted: version_digests.Wanted, index: int, retry_after_ms: float
+    ) -> None:
+        fetch = self._fetch_of(wanted.name)
+        if fetch is not None:
+            fetch.origin_failed(index, retry_after_ms, self._clock.now_ms())
+
+    def _take_piece(
+        self, version: _Version, index: int, data: bytes, peer: str | None
+    ) -> None:
+        whole = self._wholes.get(version.wanted.name)
+        if whole is None or version.fetch is None:
+            return
+        source = "origin" if peer is None else "peer"
+        if not whole.add(index, data):
+            self._totals.add(counters.CounterName.CHUNKS_REJECTED, source)
+            logs.log("piece_corrupt", index=index, source=peer or source)
+            version.fetch.not_sent(index, peer, self._clock.now_ms())
+            return
+        self._totals.add(counters.CounterName.CHUNKS_RECEIVED, source)
+        version.fetch.held(index, self._clock.now_ms())
+        version.news.append(index)
+        self._wake.set()
+
+    # Regular work.
+
+    async def _tick_all(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(self._wait_ms / _MS):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            safely.run_safely(self._tick, "piece_relay", self._totals)
+
+    @property
+    def _wait_ms(self) -> float:
+        """Time to the next look, unless a message comes before."""
+        missing = any(
+            version.fetch is None or not version.fetch.complete
+            for version in self._versions.values()
+        )
+        return TICK_MS if missing else IDLE_TICK_MS
+
+    def _tick(self) -> None:
+        self._take_places()
+        if self._own not in self._places:
+            return
+        self._take_wanted()
+        for version in self._versions.values():
+            self._greet(version)
+            self._announce(version)
+            self._act(version)
+
+    def _announce(self, version: _Version) -> None:
+        if not version.news:
+            return
+        have = messages.PeerHave(
+            manifest=version.wanted.name, indexes=version.news, seen=[]
+        )
+        version.news = []
+        for name in sorted(version.listeners):
+            if not self._send(name, have):
+                version.listeners.discard(name)
+
+    def _act(self, version: _Version) -> None:
+        if version.fetch is None:
+            return
+        for action in version.fetch.next_actions(self._clock.now_ms()):
+            match action:
+                case relay_fetch.AskEntry():
+                    version.downloads.start(action.index, action.peer)
+                case relay_fetch.Cancel():
+                    version.downloads.cancel(action.index)
+                case relay_fetch.Draw():
+                    self._draws.start(version.wanted, action.index)
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -26,6 +26,13 @@
 """Agents asked in each round, drawn anew: one that knows is found within some
 rounds in a fleet of any size, and rounds cost the same in all of them."""
 
+RELAYS_ASKED = 2
+"""Relays asked in each round in place of agents, where there are any: they know
+soon after a version is named, and each answer has some kilobytes."""
+
+FIRST_ASKED = 2
+"""Of those that ask the origin first, so many are asked where all ask them."""
+
 ASKED_MAX = 4
 """Versions for which it is remembered who asked: the ones named lately."""
 
@@ -54,6 +61,14 @@
         return f"{self.model}@{self.version}"
 
 
+def parse_name(name: str) -> Wanted | None:
+    """Returns the version that a name among agents means, None if none."""
+    model, _, version = name.rpartition("@")
+    if not model or not version.isdecimal():
+        return None
+    return Wanted(model, int(version))
+
+
 class VersionDigests:
     """Versions whose digests are known, with the pieces held of each."""
 
@@ -63,6 +78,10 @@
         peers: Callable[[], Iterable[str]],
         send: Callable[[str, msgspec.Struct], bool],
         time: clock.Clock,
+        rng: random.Random | None = None,
+        relays: Callable[[], Iterable[str]] = tuple,
+        *,
+        asks_first: bool = False,
     ) -> None:
         """Knows none.
 
@@ -71,12 +90,18 @@
           peers: names the other agents.
           send: sends to one of them.
           time: the clock.
+          rng: draws whom to ask.
+          relays: names the relays that work.
+          asks_first: whether those that ask the origin first are asked first;
+            all ask them, so their links must bear it.
         """
         self._own = own
         self._peers = peers
+        self._relays = relays
+        self._asks_first = asks_first
         self._send = send
         self._clock = time
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         self._asked_by: dict[str, set[str]] = {}
         self._news = asyncio.Event()
         self.origin: Origin | None = None
@@ -89,8 +114,11 @@
         asks = origin_asks.OriginAsks(self._clock.now_ms(), self._rng)
         asking: asyncio.Task[None] | None = None
         try:
+            if self._asks_first:
+                self._ask_each(wanted, self._ordered(wanted)[:FIRST_ASKED])
             while wanted.name not in self.wholes:
-                self._ask_peers(wanted)
+                if not self._asks_first or asks.overdue(self._clock.now_ms()):
+                    self._ask_peers(wanted)
                 if asking is not None and asking.done():
                     await asking
                     asking = None
@@ -121,16 +149,26 @@
 
     def _ask_peers(self, wanted: Wanted) -> None:
         """Asks some agents; each answers as soon as it knows."""
-        peers = list(self._peers())
+        relays = list(self._relays())
+        count = RELAYS_ASKED if relays else PEERS_ASKED
+        known = relays or list(self._peers())
+        self._ask_each(wanted, self._rng.sample(known, min(count, len(known))))
+
+    def _ask_each(self, wanted: Wanted, names: Iterable[str]) -> None:
         request = messages.ManifestRequest(manifest=wanted.name)
-        for name in self._rng.sample(peers, min(PEERS_ASKED, len(peers))):
-            self._send(name, request)
+        for name in names:
+            if name != self._own:
+                self._send(name, request)
+
+    def _ordered(self, wanted: Wanted) -> list[str]:
+        """Returns who asks the origin, the first in front."""
+        return rendezvous.order(wanted.name, {self._own, *self._peers()})
 
     def _is_due(self, wanted: Wanted, asks: origin_asks.OriginAsks) -> bool:
         if self.origin is None:
             return False
-        ordered = rendezvous.order(wanted.name, {self._own, *self._peers()})
-        return asks.due(ordered.index(self._own), self._clock.now_ms())
+        rank = self._ordered(wanted).index(self._own)
+        return asks.due(rank, self._clock.now_ms())
 
     async def _ask(self, wanted: Wanted, asks: origin_asks.OriginAsks) -> None:
         if self.origin is None:
--- /dev/null
+++ b/src/marlramp/experiments/spread.py
@@ -0,0 +1,484 @@
+"""Spreads a version among agents in virtual time, with the shipped exchange.
+
+Links, origin and the load of live calls are models; who asks whom for which
+piece, fragments, announcements and pacing are the modules that agents use.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import statistics
+
+import msgspec
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp.core import cells
+from marlramp.core import manifest
+from marlramp.core import members
+from marlramp.core import relay_duty
+from marlramp.core import rollout_limit
+from marlramp.direct.weights import piece_exchange
+from marlramp.direct.weights import piece_relay
+from marlramp.direct.weights import version_digests
+from marlramp.experiments import virtual_links
+from marlramp.experiments import virtual_time
+from marlramp.platform import clients
+from marlramp.protocol import codec
+
+MODEL = "m"
+MANIFEST_BYTES = 5_000
+LIVE_STEP_MS = 10.0
+"""Live calls send something in each such step."""
+
+HEARD_WITHIN_MS = 150.0
+"""Agents hear the name of a version within this."""
+
+ASK_BYTES = 200
+LIMIT_MS = 60_000.0
+NEAR_DELAY_MS = 0.7
+FAR_DELAY_MS = 2.8
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to play.
+
+    Attributes:
+      agents: agents that lack the version.
+      holders: further agents that hold all of it.
+      relays: entries that relay pieces, 0 for agents alone.
+      relay_bytes_per_s: rate of an entry's link, each way.
+      regions: regions in which agents lie by turns.
+      pieces: pieces of the version.
+      piece_bytes: size of a piece.
+      link_bytes_per_s: rate of an agent's link, each way.
+      origin_bytes_per_s: rate of the origin's link.
+      region_bytes_per_s: rate between two regions, each way.
+      live_share: part of an agent's link on which live answers leave.
+      origin_away_ms: from when until when the origin is away, after the name.
+      slow_share: part of the agents whose link is squeezed.
+      slow_factor: by what their rate is divided.
+      heard_within_ms: time in which the agents hear the name.
+      seed: seed of all that is random.
+    """
+
+    agents: int = 41
+    holders: int = 0
+    relays: int = 44
+    relay_bytes_per_s: float = 2_500_000.0
+    regions: int = 3
+    pieces: int = 64
+    piece_bytes: int = 32_768
+    link_bytes_per_s: float = 475_000.0
+    origin_bytes_per_s: float = 742_500.0
+    region_bytes_per_s: float = 1_562_500.0
+    live_share: float = 0.06
+    origin_away_ms: tuple[float, float] = (0.0, 0.0)
+    slow_share: float = 0.0
+    slow_factor: float = 1.0
+    heard_within_ms: float = HEARD_WITHIN_MS
+    seed: int = 1
+
+    @property
+    def copy_bytes(self) -> int:
+        """Size of the version."""
+        return self.pieces * self.piece_bytes
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What was measured.
+
+    Attributes:
+      first_whole_ms: when the first agent held all pieces.
+      half_whole_ms: when half of them did.
+      last_whole_ms: when all did.
+      limit_ms: when all could have, by the links alone.
+      last_seen_ms: when the last piece was held anywhere.
+      last_first_piece_ms: when the last agent held its first piece.
+      origin_copies: copies that left the origin.
+      region_copies: copies that crossed between regions, for each region
+        beyond the first.
+      live_wait_ms: mean wait of live answers at the agents' links while pieces
+        travelled.
+      live_wait_p99_ms: 99 in 100 waited no longer.
+      up_busy: part of the time in which an agent's link was busy outwards.
+      down_busy: the same inwards.
+    """
+
+    first_whole_ms: float
+    half_whole_ms: float
+    last_whole_ms: float
+    limit_ms: float
+    last_seen_ms: float
+    last_first_piece_ms: float
+    origin_copies: float
+    region_copies: float
+    live_wait_ms: float
+    live_wait_p99_ms: float
+    up_busy: float
+    down_busy: float
+
+
+class _Origin:
+    """The origin as one agent calls it."""
+
+    def __init__(self, fleet: _Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        await self._call(MANIFEST_BYTES)
+        return self._fleet.manifest
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        data = self._fleet.pieces[index]
+        await self._call(len(data))
+        return data
+
+    async def _call(self, size_bytes: int) -> None:
+        fleet = self._fleet
+        await asyncio.sleep(2 * FAR_DELAY_MS / _MS)
+        self._check()
+        await fleet.origin_sender.send(size_bytes)
+        self._check()
+        arrived: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        fleet.network.down[self._name].carry(
+            size_bytes,
+            lambda: _finish(arrived),
+        )
+        await arrived
+
+    def _check(self) -> None:
+        from_ms, until_ms = self._fleet.plan.origin_away_ms
+        if from_ms <= self._fleet.time.now_ms() < until_ms:
+            raise clients.UnreachedError("the origin is away")
+
+
+def _finish(future: asyncio.Future[None]) -> None:
+    if not future.done():
+        future.set_result(None)
+
+
+class _Links:
+    """An agent's links to others, of which those that are open carry."""
+
+    def __init__(self, fleet: _Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+        self.opened: set[str] = set()
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        is_new = name not in self.opened
+        self.opened.add(name)
+        self._fleet.links[name].opened.add(self._name)
+        return is_new
+
+    def close(self, name: str) -> None:
+        self.opened.discard(name)
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return self.send_encoded(name, codec.encode_once(message))
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        if name not in self.opened:
+            return False
+        fleet = self._fleet
+
+        def arrive() -> None:
+            decoded = fleet.decoder.decode(message.data)
+            fleet.process(name).on_message(self._name, decoded)
+
+        fleet.network.deliver(self._name, name, len(message.data), arrive)
+        return True
+
+
+class _Entry:
+    """What a relay asks the entry that it belongs to."""
+
+    def __init__(self, fleet: _Fleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    def places(self) -> dict[str, relay_duty.Place]:
+        return self._fleet.places
+
+    def wanted(self) -> list[version_digests.Wanted]:
+        return [version_digests.Wanted(MODEL, 2)]
+
+    def piece_ms(self) -> float:
+        plan = self._fleet.plan
+        return plan.piece_bytes / plan.origin_bytes_per_s * _MS
+
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
+        return self._fleet.plan.holders == 0
+
+    def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
+        return self._fleet.links[self._name].send(name, message)
+
+
+class _Fleet:
+    """Agents, their links, and the origin."""
+
+    def __init__(self, plan: Plan, time: virtual_time.VirtualClock) -> None:
+        self.plan = plan
+        self.time = time
+        self.rng = random.Random(plan.seed)
+        self.pieces = [
+            index.to_bytes(4, "big") * (plan.piece_bytes // 4)
+            for index in range(plan.pieces)
+        ]
+        self.manifest = manifest.Manifest(
+            model=MODEL,
+            version="2",
+            chunk_bytes=plan.piece_bytes,
+            total_bytes=plan.copy_bytes,
+            chunks=[hashlib.sha256(p).hexdigest() for p in self.pieces],
+            whole="",
+        )
+        self.decoder = codec.agent_peer_decoder()
+        self.network = virtual_links.Network(
+            plan.link_bytes_per_s,
+            plan.region_bytes_per_s,
+            NEAR_DELAY_MS,
+            FAR_DELAY_MS,
+        )
+        self.origin_sender = virtual_links.FairSender(
+            virtual_links.Link(plan.origin_bytes_per_s)
+        )
+        self.links: dict[str, _Links] = {}
+        self.exchanges: dict[str, piece_exchange.PieceExchange] = {}
+        self.live_waits_ms: list[float] = []
+        self.whole_ms: dict[str, float] = {}
+        self.first_piece_ms: dict[str, float] = {}
+        self._seen: set[int] = set()
+        self.last_seen_ms = 0.0
+        self.relays: dict[str, piece_relay.PieceRelay] = {}
+        self._entries = [self._entry(n) for n in range(plan.relays)]
+        self._agents = [
+            self._member(n) for n in range(plan.agents + plan.holders)
+        ]
+        divided = cells.Cells(self._entries, self._agents, {})
+        self.places = {
+            vm_id: relay_duty.Place(cell.region, cell.name)
+            for cell in divided.all
+            for vm_id in cell.entries
+        }
+        self._cells = divided
+        self._add_relays()
+        self._add_agents()
+
+    def process(
+        self, name: str
+    ) -> piece_exchange.PieceExchange | piece_relay.PieceRelay:
+        """Returns what takes the messages of a VM."""
+        return self.relays.get(name) or self.exchanges[name]
+
+    def _add_relays(self) -> None:
+        for member in self._entries:
+            name = member.vm_id
+            rate = self.plan.relay_bytes_per_s
+            self.network.add(name, member.data_centre, rate)
+            self.links[name] = _Links(self, name)
+        for member in self._entries:
+            name = member.vm_id
+            for other in self._entries:
+                if other is not member:
+                    self.links[name].open(other.vm_id, other.host, 1)
+            relay = piece_relay.PieceRelay(
+                name,
+                _Entry(self, name),
+                self.plan.relay_bytes_per_s,
+                counters.Counters(),
+                self.time,
+                random.Random(f"{self.plan.seed} {name}"),
+            )
+            relay.set_origin(_Origin(self, name))
+            self.relays[name] = relay
+
+    def _entry(self, number: int) -> members.Member:
+        return members.Member(
+            vm_id=ids.VmId(f"entry-{number}"),
+            kind=members.MemberKind.ENTRY,
+            data_centre=ids.DataCentreId(f"dc-{number % self.plan.regions}"),
+            host=f"10.1.{number // 250}.{number % 250}",
+            port=1,
+        )
+
+    def _add_agents(self) -> None:
+        agents = self._agents
+        slow = int(self.plan.slow_share * len(agents))
+        for number, member in enumerate(agents):
+            rate = self.plan.link_bytes_per_s
+            if number < slow:
+                rate /= self.plan.slow_factor
+            self.network.add(member.vm_id, member.data_centre, rate)
+            self.links[member.vm_id] = _Links(self, member.vm_id)
+        for member in agents:
+            exchange = piece_exchange.PieceExchange(
+                member,
+                self.plan.link_bytes_per_s,
+                counters.Counters(),
+                self.time,
+                random.Random(f"{self.plan.seed} {member.vm_id}"),
+            )
+            exchange.attach(self.links[member.vm_id])
+            exchange.set_origin(_Origin(self, member.vm_id))
+            peers = {m.vm_id: m for m in agents if m is not member}
+            near = {
+                m.vm_id for m in agents if m.data_centre == member.data_centre
+            }
+            exchange.set_peers(peers, near)
+            cell = self._cells.of_agent(member.vm_id)
+            entries = [] if cell is None else cell.entries
+            for name in entries:
+                self.links[member.vm_id].open(name, "", 1)
+            exchange.attach_relays(self.links[member.vm_id])
+            exchange.set_relays(entries)
+            self.exchanges[member.vm_id] = exchange
+
+    def _member(self, number: int) -> members.Member:
+        return members.Member(
+            vm_id=ids.VmId(f"vm-{number}"),
+            kind=members.MemberKind.AGENT,
+            data_centre=ids.DataCentreId(f"dc-{number % self.plan.regions}"),
+            host=f"10.0.{number // 250}.{number % 250}",
+            port=1,
+        )
+
+    async def run(self) -> None:
+        """Plays until all agents hold the version."""
+        serving = [
+            asyncio.create_task(work)
+            for name, exchange in self.exchanges.items()
+            for work in (exchange.run(), self._live_calls(name))
+        ]
+        serving += [asyncio.create_task(r.run()) for r in self.relays.values()]
+        for relay in self.relays.values():
+            relay.look()
+        names = list(self.exchanges)
+        for name in names[: self.plan.holders]:
+            await self._hold(self.exchanges[name])
+        try:
+            async with asyncio.timeout(LIMIT_MS / _MS):
+                async with asyncio.TaskGroup() as group:
+                    for name in names[self.plan.holders :]:
+                        group.create_task(self._fetch(name))
+        finally:
+            for task in serving:
+                task.cancel()
+
+    async def _hold(self, exchange: piece_exchange.PieceExchange) -> None:
+        wanted = version_digests.Wanted(MODEL, 2)
+        await exchange.find_manifest(wanted)
+        for index, piece in enumerate(self.pieces):
+            exchange.add(wanted, index, piece)
+        exchange.want(wanted, is_new=False)
+
+    async def _fetch(self, name: str) -> None:
+        exchange = self.exchanges[name]
+        wanted = version_digests.Wanted(MODEL, 2)
+        heard_ms = self.rng.uniform(0.0, self.plan.heard_within_ms)
+        await asyncio.sleep(heard_ms / _MS)
+        whole = await exchange.find_manifest(wanted)
+        exchange.want(wanted, is_new=self.plan.holders == 0)
+        while not whole.complete:
+            exchange.changed.clear()
+            await exchange.changed.wait()
+            self._note(name, whole)
+        self.whole_ms[name] = self.time.now_ms()
+
+    def _note(self, name: str, whole: manifest.Whole) -> None:
+        now_ms = self.time.now_ms()
+        held = whole.held
+        if held:
+            self.first_piece_ms.setdefault(name, now_ms)
+        if held - self._seen:
+            self._seen |= held
+            self.last_seen_ms = now_ms
+
+    async def _live_calls(self, name: str) -> None:
+        """Sends the events of live answers."""
+        link = self.network.up[name]
+        each = self.plan.live_share * self.plan.link_bytes_per_s
+        size = int(each * LIVE_STEP_MS / _MS)
+        await asyncio.sleep(self.rng.uniform(0.0, LIVE_STEP_MS) / _MS)
+        while size > 0:
+            wait_ms = link.carry(size, lambda: None)
+            self.live_waits_ms.append(wait_ms)
+            await asyncio.sleep(LIVE_STEP_MS / _MS)
+
+
+def play(plan: Plan) -> Report:
+    """Plays a plan and returns what was measured."""
+    loop = virtual_time.VirtualLoop()
+    try:
+        fleet = _Fleet(plan, virtual_time.VirtualClock(loop))
+        loop.run_until_complete(fleet.run())
+        loop.run_until_complete(_end_tasks(loop))
+    finally:
+        loop.close()
+    return _report(plan, fleet)
+
+
+async def _end_tasks(loop: asyncio.AbstractEventLoop) -> None:
+    """Waits for the tasks that were cancelled."""
+    rest = asyncio.all_tasks(loop) - {asyncio.current_task()}
+    for task in rest:
+        task.cancel()
+    await asyncio.gather(*rest, return_exceptions=True)
+
+
+def limit_of(plan: Plan) -> rollout_limit.Limit:
+    """Returns when engines could have the version, by the links alone."""
+    left = 1.0 - plan.live_share
+    return rollout_limit.limit(
+        rollout_limit.Rollout(
+            missing_bytes=plan.copy_bytes,
+            origin_bytes=0 if plan.holders else plan.copy_bytes,
+            origin_bytes_per_s=plan.origin_bytes_per_s,
+            down_bytes_per_s=plan.link_bytes_per_s,
+            up_bytes_per_s=plan.link_bytes_per_s * left,
+            vms=plan.agents,
+            holders=plan.holders,
+            relay_bytes_per_s=plan.relays
+            * plan.relay_bytes_per_s
+            * piece_relay.LINK_SHARE,
+        )
+    )
+
+
+def _report(plan: Plan, fleet: _Fleet) -> Report:
+    whole_ms = sorted(fleet.whole_ms.values())
+    waits_ms = sorted(fleet.live_waits_ms) or [0.0]
+    network = fleet.network
+    elapsed_ms = whole_ms[-1]
+    fetching = list(fleet.whole_ms)
+    sent = fleet.origin_sender.sent_bytes
+    return Report(
+        first_whole_ms=round(whole_ms[0]),
+        half_whole_ms=round(whole_ms[len(whole_ms) // 2]),
+        last_whole_ms=round(whole_ms[-1]),
+        limit_ms=round(limit_of(plan).all_ms),
+        last_seen_ms=round(fleet.last_seen_ms),
+        last_first_piece_ms=round(max(fleet.first_piece_ms.values())),
+        origin_copies=round(sent / plan.copy_bytes, 2),
+        region_copies=round(
+            network.region_bytes() / plan.copy_bytes / max(1, plan.regions - 1),
+            2,
+        ),
+        live_wait_ms=round(statistics.fmean(waits_ms), 1),
+        live_wait_p99_ms=round(waits_ms[int(0.99 * (len(waits_ms) - 1))], 1),
+        up_busy=_busy([network.up[n] for n in fetching], elapsed_ms),
+        down_busy=_busy([network.down[n] for n in fetching], elapsed_ms),
+    )
+
+
+def _busy(links: list[virtual_links.Link], elapsed_ms: float) -> float:
+    shares = [link.busy_ms / elapsed_ms for link in links]
+    return round(statistics.fmean(shares), 3)
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -27,12 +27,15 @@
 """`context_per_k` counts thousands of tokens."""
 
 
+_BYTES_PER_S_PER_MEGABIT = 125_000.0
+
 _COUNT_MAX = 2**53
 """Greatest whole number that every reader of JSON holds exactly; a greater
 one could not be told to other processes."""
 
 _Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
 _Positive: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_COUNT_MAX)]
+_Rate: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 _Duration: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -86,6 +89,7 @@
     # Address of the origin of weights; a service that has it runs requests
     # for weights only.
     upstream: str = ""
+    link_mbps: _Rate = 0.0
     runtime: _Runtime | None = None
 
 
@@ -313,6 +317,7 @@
         connections_max=raw.max_conns,
         engine=engine,
         origin=raw.upstream,
+        origin_bytes_per_s=raw.link_mbps * _BYTES_PER_S_PER_MEGABIT,
     )
 
 
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -229,6 +229,16 @@
     data: Annotated[bytes, msgspec.Meta(max_length=FRAGMENT_BYTES_MAX)] | None
 
 
+FromAgentPeer: TypeAlias = (
+    messages.PeerHello
+    | messages.PeerHave
+    | messages.ManifestRequest
+    | messages.ManifestReply
+    | FragmentRequest
+    | FragmentReply
+)
+"""What processes tell one another of weights."""
+
 FromMember: TypeAlias = (
     Hello
     | MembersNews
@@ -246,13 +256,5 @@
     | Guide
     | Neighbours
     | NeighboursRequest
-)
-
-FromAgentPeer: TypeAlias = (
-    messages.PeerHello
-    | messages.PeerHave
-    | messages.ManifestRequest
-    | messages.ManifestReply
-    | FragmentRequest
-    | FragmentReply
+    | FromAgentPeer
 )
--- /dev/null
+++ b/tests/core/test_relay_fetch.py
@@ -0,0 +1,160 @@
+from __future__ import annotations
+
+from marlramp import clock
+from marlramp.core import relay_duty
+from marlramp.core import relay_fetch
+
+PIECE_MS = 40.0
+PIECES = 64
+OWN_ALL = {n: relay_duty.Duty(0, ("near", "far")) for n in range(PIECES)}
+BEHIND = {n: relay_duty.Duty(1, ("first",)) for n in range(PIECES)}
+
+
+def make(
+    time: clock.ManualClock,
+    duties: dict[int, relay_duty.Duty],
+    *,
+    is_new: bool = True,
+) -> relay_fetch.RelayFetch:
+    made = relay_fetch.RelayFetch(PIECE_MS, time.now_ms(), is_new=is_new)
+    made.set_duties(duties)
+    return made
+
+
+def drawn(made: relay_fetch.RelayFetch, time: clock.ManualClock) -> list[int]:
+    return [
+        action.index
+        for action in made.next_actions(time.now_ms())
+        if isinstance(action, relay_fetch.Draw)
+    ]
+
+
+def asked(
+    made: relay_fetch.RelayFetch, time: clock.ManualClock
+) -> dict[int, str]:
+    return {
+        action.index: action.peer
+        for action in made.next_actions(time.now_ms())
+        if isinstance(action, relay_fetch.AskEntry)
+    }
+
+
+def test_pieces_are_drawn_when_those_before_them_have_left(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, {5: OWN_ALL[5]})
+    assert drawn(made, time) == []
+    time.advance(5 * PIECE_MS)
+    assert drawn(made, time) == [5]
+    assert drawn(made, time) == []
+
+
+def test_piece_that_another_holds_is_asked_for_and_not_drawn(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    made.peer_holds("far", [0, 1], time.now_ms())
+    made.peer_holds("near", [0], time.now_ms())
+    time.advance(2 * PIECE_MS)
+    assert asked(made, time) == {0: "near", 1: "far"}
+
+
+def test_old_version_is_asked_of_others_before_it_is_drawn(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL, is_new=False)
+    assert drawn(made, time) == []
+    time.advance(relay_fetch.HELLO_MS)
+    assert drawn(made, time) == [0]
+
+
+def test_next_in_order_draws_what_the_first_does_not(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, BEHIND)
+    time.advance(relay_fetch.TAKEOVER_MS - 1.0)
+    assert drawn(made, time) == []
+    time.advance(1.0)
+    assert drawn(made, time) == [0]
+
+
+def test_origin_that_is_away_is_left_to_the_first_in_order(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, BEHIND)
+    time.advance(relay_fetch.TAKEOVER_MS)
+    for index in drawn(made, time):
+        made.origin_failed(index, 100.0, time.now_ms())
+    time.advance(relay_fetch.AWAY_TAKEOVER_MS - 1.0)
+    assert drawn(made, time) == []
+    time.advance(1.0)
+    assert len(drawn(made, time)) == 1
+
+
+def test_origin_that_is_back_is_left_to_the_first_for_a_while(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, BEHIND)
+    time.advance(relay_fetch.TAKEOVER_MS)
+    for index in drawn(made, time):
+        made.origin_failed(index, 100.0, time.now_ms())
+    time.advance(relay_fetch.AWAY_TAKEOVER_MS - 1.0)
+    made.peer_holds("first", [40], time.now_ms())
+    time.advance(relay_fetch.TAKEOVER_MS - 1.0)
+    assert drawn(made, time) == []
+    time.advance(1.0)
+    assert drawn(made, time) != []
+
+
+def test_first_in_order_looks_for_an_origin_with_one_draw_at_a_time(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    time.advance(3 * PIECES * PIECE_MS)
+    for index in drawn(made, time):
+        made.origin_failed(index, 100.0, time.now_ms())
+    time.advance(100.0)
+    (index,) = drawn(made, time)
+    made.held(index, time.now_ms())
+    assert len(drawn(made, time)) == relay_fetch.LATE_DRAWS_MAX
+
+
+def test_pieces_that_are_overdue_are_drawn_together(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    time.advance(3 * PIECES * PIECE_MS)
+    assert len(drawn(made, time)) == relay_fetch.LATE_DRAWS_MAX
+
+
+def test_piece_that_does_not_come_is_asked_for_elsewhere(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, {0: OWN_ALL[0]})
+    made.peer_holds("near", [0], time.now_ms())
+    made.peer_holds("far", [0], time.now_ms())
+    assert asked(made, time) == {0: "near"}
+    time.advance(relay_fetch.LATE_MS + 1.0)
+    actions = made.next_actions(time.now_ms())
+    assert actions == [relay_fetch.Cancel(0), relay_fetch.AskEntry("far", 0)]
+
+
+def test_wrong_bytes_spare_their_sender(time: clock.ManualClock) -> None:
+    made = make(time, {0: OWN_ALL[0]})
+    made.peer_holds("near", [0], time.now_ms())
+    assert asked(made, time) == {0: "near"}
+    made.not_sent(0, "near", time.now_ms())
+    assert asked(made, time) == {}
+    assert drawn(made, time) == []
+    made.held(0, time.now_ms())
+    assert made.complete
+
+
+def test_process_that_is_lost_is_asked_for_nothing(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, {0: OWN_ALL[0]})
+    made.peer_holds("near", [0], time.now_ms())
+    made.next_actions(time.now_ms())
+    made.peer_lost("near")
+    assert drawn(made, time) == [0]
--- a/tests/direct/fleet/test_entry_contacts.py
+++ b/tests/direct/fleet/test_entry_contacts.py
@@ -42,11 +42,13 @@
         self.opened: list[str] = []
         self.sent: list[tuple[str, str]] = []
         self.placed: list[set[str]] = []
+        self.dealt_with: list[set[str]] = []
         self.contacts = entry_contacts.EntryContacts(
             agent(0),
             1,
             [SEED],
             lambda agents: self.placed.append(set(agents)),
+            lambda entries: self.dealt_with.append(set(entries)),
             time,
         )
         self.contacts.attach(self)
--- /dev/null
+++ b/tests/experiments/test_spread.py
@@ -0,0 +1,36 @@
+"""Weights on their way in virtual time, against the limit of the links."""
+
+from __future__ import annotations
+
+import pytest
+
+from marlramp.experiments import spread
+
+LIMIT_FACTOR = 1.25
+"""Aim: a calm rollout takes at most so many times what the links allow."""
+
+COPIES_MAX = 1.3
+"""Aim: copies that leave the origin in a calm rollout."""
+
+LIVE_WAIT_P99_MS = 50.0
+"""A quarter of the 200 ms by which an event may come late."""
+
+
+@pytest.mark.parametrize("agents", [10, 41])
+def test_calm_rollout_takes_little_more_than_the_links_need(
+    agents: int,
+) -> None:
+    report = spread.play(spread.Plan(agents=agents))
+    assert report.last_whole_ms <= LIMIT_FACTOR * report.limit_ms
+    assert report.origin_copies <= COPIES_MAX
+    assert report.live_wait_p99_ms <= LIVE_WAIT_P99_MS
+
+
+def test_agents_that_are_added_take_little_more_than_their_links_need() -> None:
+    report = spread.play(spread.Plan(agents=17, holders=24))
+    assert report.last_whole_ms <= LIMIT_FACTOR * report.limit_ms
+
+
+def test_without_relays_agents_still_bring_the_version() -> None:
+    report = spread.play(spread.Plan(agents=10, relays=0))
+    assert report.last_whole_ms <= 3.0 * report.limit_ms
