Engines change weights over the time that is left, and close only for what they have

Cause: SPREAD_MS was 1,700, "what is left of a bound of 8 s"; with a bound of 10.3 s and pieces there after 5.5 s, 4 s are left. And an engine told entries that it would close at its turn also when its pieces could not come (origin away), so that they sent it less though the old version still served.

Change: the spread follows from the version's size, the link's rate and the bound (core.swap_times.spread_ms); an engine names a time to close only while pieces arrive, and no sooner than they can be there.

Also here: relays hold the version in force all the time, taken from agents that hold it, so that added engines need not wait for it; a version that is not the newest is drawn only if an agent asks for it; `marlramp experiment spread`; a line rollout_ended with the steps of a version and the limit of the own link.

--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -9,6 +9,7 @@
 import cyclopts
 import msgspec
 
+from marlramp import clock
 from marlramp.console import admin_client
 from marlramp.console import exit_codes
 from marlramp.console import output
@@ -18,6 +19,7 @@
 from marlramp.experiments import overload_plan
 from marlramp.experiments import parts as parts_run
 from marlramp.experiments import rollout as rollout_run
+from marlramp.experiments import spread as spread_run
 from marlramp.settings import schema
 
 app = cyclopts.App(
@@ -245,6 +247,55 @@
     return int(exit_codes.ExitCode.OK)
 
 
+@app.command
+def spread(
+    *,
+    agents: int = 41,
+    holders: int = 0,
+    relays: int = 44,
+    regions: int = 3,
+    away_from_s: float = 0.0,
+    away_until_s: float = 0.0,
+    seed: int = 1,
+    json: admin_client.Json = False,
+) -> int:
+    """Spread a version in virtual time, against the limit of the links.
+
+    Args:
+      agents: agents that lack the version.
+      holders: further agents that hold it.
+      relays: entries that relay pieces.
+      regions: regions in which agents and entries lie by turns.
+      away_from_s: when the origin goes away, after the name.
+      away_until_s: when it is back.
+      seed: seed of all that is random.
+      json: print JSON, for scripts.
+    """
+    plan = spread_run.Plan(
+        agents=agents,
+        holders=holders,
+        relays=relays,
+        regions=regions,
+        origin_away_ms=(
+            away_from_s * clock.MILLIS_PER_SECOND,
+            away_until_s * clock.MILLIS_PER_SECOND,
+        ),
+        seed=seed,
+    )
+    try:
+        spread_run.check(plan)
+    except ValueError as error:
+        output.print_error(str(error))
+        return int(exit_codes.ExitCode.USAGE)
+    report = spread_run.play(plan)
+    if json:
+        output.print_json(report)
+    else:
+        facts = list(msgspec.structs.asdict(report).items())
+        output.print_table("Spread of a version", ["figure", "value"], facts)
+    return int(exit_codes.ExitCode.OK)
+
+
 def _print_rollout(report: rollout_run.Report) -> None:
     rows = []
     for name, value in msgspec.structs.asdict(report).items():
--- a/src/marlramp/core/fleet.py
+++ b/src/marlramp/core/fleet.py
@@ -12,6 +12,10 @@
 
 from marlramp import ids
 
+FIRST_VERSION = 1
+"""Version of the weights in force until another is named; engines that are
+added hold none at all."""
+
 
 class RouteKind(enum.Enum):
     """What may be repeated of the requests of a route."""
--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -37,8 +37,12 @@
 the time, and what both draw when it is back comes later to all."""
 
 HELLO_MS = 150.0
-"""Wait of an entry that finds a version that others may hold already, before it
-draws: the way of its question to them and back."""
+"""Wait of an entry before it draws a version that others may hold already and
+an agent lacks: the way of its question to them and back."""
+
+UNASKED_MS = 3_000.0
+"""The same while no agent lacks it: those that hold it have told by then, and
+nothing leaves the origin."""
 
 LATE_MS = 700.0
 """A piece that did not come from another entry in this time is asked for
@@ -89,7 +93,7 @@
           is_new: whether the version was named just now.
         """
         self._piece_ms = piece_ms
-        self._started_ms = now_ms + (0.0 if is_new else HELLO_MS)
+        self._started_ms = now_ms + (0.0 if is_new else UNASKED_MS)
         self._duties: Mapping[int, relay_duty.Duty] = {}
         self._held: set[int] = set()
         self._holders: dict[int, set[str]] = {}
@@ -110,6 +114,10 @@
         """Entries that hold pieces of the duties too."""
         return {s for duty in self._duties.values() for s in duty.sources}
 
+    def hurry(self, now_ms: clock.Millis) -> None:
+        """Records that an agent lacks the version."""
+        self._started_ms = min(self._started_ms, now_ms + HELLO_MS)
+
     def set_duties(self, found: Mapping[int, relay_duty.Duty]) -> None:
         """Takes the duties, which change with the members."""
         self._duties = found
@@ -166,8 +174,15 @@
         self._origin_failed_ms = now_ms
         self._origin_not_before_ms = now_ms + retry_after_ms
 
-    def next_actions(self, now_ms: clock.Millis) -> list[Action]:
-        """Returns what to ask for and to give up now."""
+    def next_actions(
+        self, now_ms: clock.Millis, *, may_draw: bool = True
+    ) -> list[Action]:
+        """Returns what to ask for and to give up now.
+
+        Args:
+          now_ms: the time.
+          may_draw: whether the version is worth the origin's time.
+        """
         actions = self._cancel_late(now_ms)
         for index, duty in self._duties.items():
             if index in self._held or index in self._asks:
@@ -177,7 +192,7 @@
                 if len(self._asks) < ASKS_MAX and index not in self._draws:
                     self._asks[index] = _Ask(peer, now_ms)
                     actions.append(AskEntry(peer, index))
-            elif self._may_draw(index, duty, now_ms):
+            elif may_draw and self._may_draw(index, duty, now_ms):
                 self._draws.add(index)
                 actions.append(Draw(index))
         return actions
@@ -197,9 +212,13 @@
     ) -> str | None:
         """Returns whom to ask for a piece, None if nobody has it."""
         holders = self._holders.get(index, set())
-        ordered = [name for name in duty.sources if name in holders]
-        ordered += sorted(holders.difference(duty.sources))
-        for name in ordered:
+        entries = [name for name in duty.sources if name in holders]
+        agents = sorted(holders.difference(duty.sources))
+        if agents:
+            # By turns: each has a narrow link, and holds all pieces.
+            first = index % len(agents)
+            agents = agents[first:] + agents[:first]
+        for name in [*entries, *agents]:
             if self._spared_until_ms.get(name, 0.0) <= now_ms:
                 return name
         return None
--- a/src/marlramp/core/swap_times.py
+++ b/src/marlramp/core/swap_times.py
@@ -1,19 +1,30 @@
 """When an engine that serves an old version loads the new one.
 
-A load takes the engine out until what runs there has ended and the new layers
-are in. Engines therefore go one after the other, as far as the time left
-allows.
+Load pattern: each load takes an engine out until what runs there has ended and
+the new layers are in, while callers keep coming. Engines therefore go one
+after the other, over all the time that is left once the pieces are there.
 """
 
 from __future__ import annotations
 
 from collections.abc import Collection
 
+from marlramp import clock
 from marlramp.core import rendezvous
 
-SPREAD_MS = 1_700.0
-"""Time over which the engines of a service begin to load: what is left of a
-bound of 8 s once the weights are there."""
+SPREAD_MIN_MS = 1_700.0
+"""Least time over which the engines of a service begin to load."""
+
+SPREAD_MAX_MS = 60_000.0
+"""Most of it, so that a version that need not be in force for hours still is
+within minutes."""
+
+TRAVEL_FACTOR = 1.2
+"""Time in which pieces reach all VMs, as a multiple of what one copy takes on
+the link of one."""
+
+TRAVEL_EXTRA_MS = 300.0
+"""Time until the first piece is on its way."""
 
 DRAIN_MS = 300.0
 """How long an engine that closes finishes what runs before what is left is
@@ -25,12 +36,29 @@
 send it nothing on the old version from then on."""
 
 
+def spread_ms(
+    copy_bytes: int, link_bytes_per_s: float, bound_ms: float
+) -> float:
+    """Returns the time over which the engines of a service begin to load.
+
+    Args:
+      copy_bytes: size of a version.
+      link_bytes_per_s: rate of a VM's link.
+      bound_ms: time after its naming from which a version binds.
+    """
+    copy_ms = copy_bytes / link_bytes_per_s * clock.MILLIS_PER_SECOND
+    there_ms = TRAVEL_FACTOR * copy_ms + TRAVEL_EXTRA_MS
+    left_ms = bound_ms - LATEST_MARGIN_MS - there_ms
+    return min(SPREAD_MAX_MS, max(SPREAD_MIN_MS, left_ms))
+
+
 def begins_ms(
     vm_id: str,
     vm_ids: Collection[str],
     key: str,
     named_ms: float | None,
     bound_ms: float,
+    spread_ms: float,
 ) -> float:
     """Returns when the engine of a VM begins to load.
 
@@ -40,6 +68,7 @@
       key: name of the version, which gives each version another order.
       named_ms: when the version was named, None if that is not known.
       bound_ms: time after its naming from which it binds.
+      spread_ms: time over which engines begin.
 
     Returns:
       A reading of the clock; minus infinity if it may load at once.
@@ -49,4 +78,4 @@
     order = rendezvous.order(key, {*vm_ids, vm_id})
     share = order.index(vm_id) / max(1, len(order) - 1)
     latest_ms = named_ms + bound_ms - LATEST_MARGIN_MS
-    return latest_ms - (1.0 - share) * SPREAD_MS
+    return latest_ms - (1.0 - share) * spread_ms
--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -57,6 +57,10 @@
 CORRUPT_MAX = 2
 """Corrupt chunks after which a neighbour is asked for nothing more."""
 
+STANDSTILL_MS = 600.0
+"""A VM to which no chunk came for so long waits for the origin, or for others
+that do: a chunk takes a tenth of it on its own."""
+
 PACE_SMOOTHING = 0.3
 """Weight of the newest transfer in a neighbour's smoothed pace."""
 
@@ -229,6 +233,10 @@
         """Chunks held."""
         return self._held
 
+    def stands_still(self, now_ms: clock.Millis) -> bool:
+        """Returns whether no chunk has arrived for a while."""
+        return now_ms - self._progress_ms > STANDSTILL_MS
+
     def missing(self) -> list[tuple[int, int]]:
         """Returns chunks not held, each with its neighbours that hold it."""
         return [(index, self._holders[index]) for index in sorted(self._needed)]
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -249,6 +249,18 @@
             wanted.name,
             None if target is None else target.binds_first_ms(held),
             self._settings.bounds.version_ms,
+            self._spread_ms(),
+        )
+
+    def _spread_ms(self) -> float:
+        """Returns the time over which the engines begin to load."""
+        engine = self._weights.engine
+        if engine is None:
+            return swap_times.SPREAD_MIN_MS
+        return swap_times.spread_ms(
+            engine.pieces * engine.piece_bytes,
+            self._settings.link_bytes_per_s,
+            self._settings.bounds.version_ms,
         )
 
     def may_cut(self) -> bool:
@@ -257,10 +269,24 @@
 
     def is_new(self, wanted: version_digests.Wanted) -> bool:
         """Returns whether a version was named just now."""
+        age_ms = self.age_ms(wanted)
+        return age_ms is not None and age_ms < NEW_VERSION_MS
+
+    def age_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns the time since a version was named, None if not known."""
         target = self._weights.target(wanted.model)
         if target is None or target.named_ms is None:
-            return False
-        return self._clock.now_ms() - target.named_ms < NEW_VERSION_MS
+            return None
+        return self._clock.now_ms() - target.named_ms
+
+    def limit_ms(self) -> float | None:
+        """Returns the least time in which a version can be loaded here."""
+        engine = self._weights.engine
+        if engine is None:
+            return None
+        copy_bytes = engine.pieces * engine.piece_bytes
+        rate = self._settings.link_bytes_per_s
+        return copy_bytes / rate * _MS + engine.load_ms
 
     # Messages.
 
@@ -350,7 +376,12 @@
         wanted = self.wanted()
         if wanted is None or report.weights in (0, wanted.version):
             return None
-        return max(0.0, self.begins_ms(wanted) - self._clock.now_ms())
+        there_ms = self._exchange.arrives_in_ms(wanted)
+        if there_ms is None:
+            # What can't be loaded takes no request from this engine.
+            return None
+        turn_ms = self.begins_ms(wanted) - self._clock.now_ms()
+        return max(0.0, there_ms, turn_ms)
 
     async def _tick_all(self) -> None:
         while True:
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -100,7 +100,7 @@
             self._placed, self.sync, table, totals, time
         )
         self._relay_surroundings = relay_surroundings.RelaySurroundings(
-            known, self._placed, self.sync, settings.bounds.version_ms, time
+            known, self._placed, self.sync, time
         )
         self._relay = piece_relay.PieceRelay(
             own.vm_id,
--- a/src/marlramp/direct/fleet/named_weights.py
+++ b/src/marlramp/direct/fleet/named_weights.py
@@ -11,6 +11,7 @@
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import fleet
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
@@ -27,10 +28,6 @@
 Only the weights named are read: a configuration of 1,400 routes has 400 kB,
 and if all agents read it, no entry is answered by the store for seconds."""
 
-FIRST_VERSION = 1
-"""Version in force until another is named; engines that are added hold no
-weights at all."""
-
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -47,7 +44,12 @@
 
 
 class NamedWeights:
-    """The model of the engine on this VM and the versions named of it."""
+    """The model of the engine on this VM and the versions named of it.
+
+    Attributes:
+      model: the model, "" if it is not known.
+      engine: how the engine works, None if it is not known.
+    """
 
     def __init__(
         self, on_origin: Callable[[str], None], time: clock.Clock
@@ -58,13 +60,16 @@
         self._catalog = catalog.Catalog()
         self._origin = ""
         self.model = ""
+        self.engine: fleet.EngineSpec | None = None
 
     def wanted(self) -> version_digests.Wanted | None:
         """Returns the weights to serve, None if they are not known."""
         if not self.model:
             return None
         target = self.target(self.model)
-        version = FIRST_VERSION if target is None else target.target.version
+        version = fleet.FIRST_VERSION
+        if target is not None:
+            version = target.target.version
         return version_digests.Wanted(self.model, version)
 
     def target(self, model: str) -> catalog.KnownTarget | None:
@@ -75,8 +80,7 @@
         """Takes what an entry tells."""
         self._apply(list(guide.targets), "guide")
         self._take_origin(guide.origin)
-        if guide.engine is not None:
-            self.model = guide.engine.model
+        self._take_engine(guide.engine)
 
     async def learn_unguided(
         self, store: StaleSource, is_guided: Callable[[], bool]
@@ -118,8 +122,7 @@
             return
         for service in config.services:
             self._take_origin(service.origin)
-            if service.engine is not None:
-                self.model = service.engine.model
+            self._take_engine(service.engine)
 
     def _apply(self, changes: list[catalog.Change], source: str) -> None:
         """Takes named weights, and what the store holds besides.
@@ -132,6 +135,11 @@
             if isinstance(change, catalog.TargetChange):
                 catalog_log.log_change(change, source)
 
+    def _take_engine(self, engine: fleet.EngineSpec | None) -> None:
+        if engine is not None:
+            self.engine = engine
+            self.model = engine.model
+
     def _take_origin(self, origin: str) -> None:
         if origin and origin != self._origin:
             self._origin = origin
--- a/src/marlramp/direct/fleet/relay_surroundings.py
+++ b/src/marlramp/direct/fleet/relay_surroundings.py
@@ -15,10 +15,6 @@
 from marlramp.direct.fleet import placement
 from marlramp.direct.weights import version_digests
 
-NAMED_LATELY_SHARE = 1.5
-"""Part of the bound on versions within which a version is fetched unasked;
-one named longer ago is held by agents and fetched when one of them lacks it."""
-
 NEW_VERSION_MS = 2_000.0
 """A version named this lately is held by no other entry."""
 
@@ -34,7 +30,6 @@
         known: catalog.Catalog,
         placed: placement.Placement,
         sync: member_sync.MemberSync,
-        version_bound_ms: float,
         time: clock.Clock,
     ) -> None:
         """Reads what the others hold at each call.
@@ -43,13 +38,11 @@
           known: the catalog.
           placed: the cells.
           sync: the other members.
-          version_bound_ms: time after its naming from which a version binds.
           time: the clock.
         """
         self._catalog = known
         self._placed = placed
         self._sync = sync
-        self._named_lately_ms = NAMED_LATELY_SHARE * version_bound_ms
         self._clock = time
 
     def origin(self) -> str:
@@ -64,13 +57,19 @@
         return self._placed.relay_places
 
     def wanted(self) -> list[version_digests.Wanted]:
-        """Returns the versions named lately, the newest last."""
-        return [
-            version_digests.Wanted(model, named.version)
-            for model, target in self._catalog.targets.items()
-            for named in target.named
-            if self._age_ms(named) < self._named_lately_ms
-        ]
+        """Returns the newest version of each model that engines run."""
+        config = self._catalog.config
+        if config is None:
+            return []
+        models = {s.engine.model for s in config.services if s.engine}
+        return [self._newest(model) for model in sorted(models)]
+
+    def _newest(self, model: str) -> version_digests.Wanted:
+        target = self._catalog.targets.get(model)
+        version = fleet.FIRST_VERSION
+        if target is not None:
+            version = target.target.version
+        return version_digests.Wanted(model, version)
 
     def piece_ms(self) -> float:
         """Returns the time in which a piece leaves the origin."""
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -116,11 +116,13 @@
         self._totals = totals
         self._clock = time
         self._rng = rng or random.Random()
+        self._link_bytes_per_s = link_bytes_per_s
         up_rate = link_bytes_per_s * UPLINK_SHARE
         self._links: PeerLinks | None = None
         self._relay_links: Links | None = None
         self._relays: frozenset[str] = frozenset()
         self._relays_greeted_ms = float("-inf")
+        self._relays_told = False
         self._digests = version_digests.VersionDigests(
             own.vm_id,
             lambda: self._peers,
@@ -162,6 +164,7 @@
         """Takes the entries near that relay pieces."""
         self._relays = frozenset(names)
         self._relays_greeted_ms = float("-inf")
+        self._relays_told = False
         self._wake.set()
 
     def set_origin(self, origin: version_digests.Origin | None) -> None:
@@ -184,6 +187,23 @@
         """Returns the pieces held of a version, None if it is unknown."""
         return self._wholes.get(wanted.name)
 
+    def arrives_in_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns when a version will be whole here at the earliest.
+
+        Returns:
+          None while that is not known, since no piece arrives.
+        """
+        whole = self._wholes.get(wanted.name)
+        if whole is None:
+            return None
+        if whole.complete:
+            return 0.0
+        current = self._current(wanted.name)
+        if current is None or current.stands_still(self._clock.now_ms()):
+            return None
+        left_bytes = whole.manifest.chunk_bytes * len(current.missing())
+        return left_bytes / self._link_bytes_per_s * _MS
+
     def add(
         self, wanted: version_digests.Wanted, index: int, data: bytes
     ) -> bool:
@@ -240,6 +260,7 @@
         for name in self._peers:
             self._send_hello(name, reply=True)
         self._relays_greeted_ms = float("-inf")
+        self._relays_told = False
         self._wake.set()
 
     async def run(self) -> None:
@@ -439,8 +460,16 @@
                 self._links.send_encoded(name, encoded)
 
     def _greet_relays(self, current: swarm.Swarm) -> None:
-        """Asks relays what they hold, and takes those that answer."""
+        """Asks relays what they hold, and takes those that answer.
+
+        Once nothing is missing here they are told so, once: what an agent
+        holds need not leave the origin again.
+        """
         if current.complete:
+            if not self._relays_told:
+                self._relays_told = True
+                for name in sorted(self._relays):
+                    self._send_hello(name, reply=False)
             return
         now_ms = self._clock.now_ms()
         horizon_ms = now_ms - RELAY_ALIVE_MS
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -42,6 +42,10 @@
 """Between two greetings of the entries that hold the same pieces, while some
 are missing: the answers mend what an announcement lost."""
 
+ASKED_LATELY_MS = 2_000.0
+"""A version that is not the newest is drawn only if an agent that lacks it has
+asked this lately: three times as long as agents wait between two questions."""
+
 VERSIONS_KEPT = 3
 """Versions of which pieces are held: the one in force and two after it."""
 
@@ -56,7 +60,7 @@
         ...
 
     def wanted(self) -> Sequence[version_digests.Wanted]:
-        """Returns the versions named lately, the newest last."""
+        """Returns the newest version of each model."""
         ...
 
     def piece_ms(self) -> float:
@@ -80,6 +84,8 @@
       listeners: processes that are told what comes.
       news: pieces that came since they were told last.
       finding: the search for the digests.
+      greeted_ms: when the other entries were asked what they hold.
+      asked_ms: when an agent that lacks pieces asked last.
     """
 
     def __init__(
@@ -94,6 +100,7 @@
         self.news: list[int] = []
         self.finding: asyncio.Task[None] | None = None
         self.greeted_ms = float("-inf")
+        self.asked_ms = float("-inf")
 
 
 class PieceRelay:
@@ -136,6 +143,7 @@
         )
         self._versions: dict[str, _Version] = {}
         self._places: Mapping[str, relay_duty.Place] = {}
+        self._newest: frozenset[str] = frozenset()
         self._wake = asyncio.Event()
 
     def set_origin(self, origin: version_digests.Origin | None) -> None:
@@ -185,9 +193,17 @@
         return None if version is None else version.fetch
 
     def _take_wanted(self) -> None:
-        for wanted in self._surroundings.wanted():
+        newest = self._surroundings.wanted()
+        self._newest = frozenset(wanted.name for wanted in newest)
+        for wanted in newest:
             self._want(wanted)
 
+    def _may_draw(self, version: _Version) -> bool:
+        """Returns whether a version is worth the origin's time."""
+        if version.wanted.name in self._newest:
+            return True
+        return self._clock.now_ms() - version.asked_ms < ASKED_LATELY_MS
+
     def _want(self, wanted: version_digests.Wanted) -> _Version:
         """Starts to hold pieces of a version."""
         version = self._versions.get(wanted.name)
@@ -228,6 +244,8 @@
         )
         for index in whole.held:
             version.fetch.held(index, self._clock.now_ms())
+        if version.asked_ms > float("-inf"):
+            version.fetch.hurry(self._clock.now_ms())
         self._wake.set()
 
     # Others.
@@ -268,15 +286,20 @@
             wanted = version_digests.parse_name(hello.manifest)
             if wanted is None:
                 return
-            # A version that agents fetch though nobody named it lately: the
-            # one that engines had before any was named.
+            # An agent lacks it though it is not the newest that is known here.
             version = self._want(wanted)
-        version.listeners.add(name)
+        now_ms = self._clock.now_ms()
         if version.fetch is not None:
             held = swarm.from_bitmap(hello.held)
-            version.fetch.peer_holds(name, held, self._clock.now_ms())
-        if hello.reply:
-            self._send(name, self._hello(hello.manifest, reply=False))
+            version.fetch.peer_holds(name, held, now_ms)
+        if not hello.reply:
+            return
+        version.listeners.add(name)
+        if name not in self._places:
+            version.asked_ms = now_ms
+            if version.fetch is not None:
+                version.fetch.hurry(now_ms)
+        self._send(name, self._hello(hello.manifest, reply=False))
 
     def _hello(self, name: str, *, reply: bool) -> messages.PeerHello:
         whole = self._wholes.get(name)
@@ -379,7 +402,10 @@
     def _act(self, version: _Version) -> None:
         if version.fetch is None:
             return
-        for action in version.fetch.next_actions(self._clock.now_ms()):
+        actions = version.fetch.next_actions(
+            self._clock.now_ms(), may_draw=self._may_draw(version)
+        )
+        for action in actions:
             match action:
                 case relay_fetch.AskEntry():
                     version.downloads.start(action.index, action.peer)
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -21,6 +21,7 @@
 from marlramp.core import manifest
 from marlramp.core import swap_times
 from marlramp.direct.weights import piece_exchange
+from marlramp.direct.weights import rollout_times
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 
@@ -110,6 +111,14 @@
         """Returns whether a version was named just now."""
         ...
 
+    def age_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns the time since a version was named, None if not known."""
+        ...
+
+    def limit_ms(self) -> float | None:
+        """Returns the least time in which a version can be loaded here."""
+        ...
+
 
 class WeightsLoader:
     """Keeps the engine on this VM at the named weights."""
@@ -134,6 +143,7 @@
         self._staged_of: version_digests.Wanted | None = None
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
+        self._times = rollout_times.RolloutTimes(time)
         self.state = LoaderState.IDLE
 
     async def run(self) -> None:
@@ -156,7 +166,11 @@
                 await asyncio.sleep(RETRY_MS / _MS)
 
     async def _step(self, wanted: version_digests.Wanted) -> None:
+        self._times.reached(wanted, rollout_times.Phase.HEARD)
         whole = await self._exchange.find_manifest(wanted)
+        self._times.reached(wanted, rollout_times.Phase.DIGESTS)
+        if whole.held:
+            self._times.reached(wanted, rollout_times.Phase.FIRST_PIECE)
         report = self._surroundings.report()
         if report is None:
             self._staged_of = None
@@ -176,6 +190,7 @@
             await self._wait_changed()
             return
         await self._stage_new(wanted, whole)
+        self._times.reached(wanted, rollout_times.Phase.WHOLE)
         if self._may_load(wanted, report):
             await self._load(wanted, whole, serving=report.weights > 0)
             return
@@ -268,6 +283,7 @@
             return
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
         logs.log("load_ordered", name=wanted.name)
+        self._times.reached(wanted, rollout_times.Phase.ORDERED)
         started_ms = self._clock.now_ms()
         try:
             await self._engine.load(
@@ -291,6 +307,12 @@
             loaded=loaded,
             taken_ms=round(self._clock.now_ms() - started_ms),
         )
+        if loaded:
+            self._times.reached(wanted, rollout_times.Phase.LOADED)
+            self._times.tell(
+                self._surroundings.age_ms(wanted),
+                self._surroundings.limit_ms(),
+            )
         self._set_state(LoaderState.IDLE)
 
     async def _drain(self) -> None:
--- a/src/marlramp/experiments/spread.py
+++ b/src/marlramp/experiments/spread.py
@@ -414,6 +414,23 @@
             await asyncio.sleep(LIVE_STEP_MS / _MS)
 
 
+def check(plan: Plan) -> None:
+    """Checks a plan.
+
+    Raises:
+      ValueError: if it can't be played; says why.
+    """
+    if plan.agents < 1:
+        raise ValueError("agents must be at least 1")
+    if plan.holders < 0 or plan.relays < 0:
+        raise ValueError("holders and relays must not be negative")
+    if plan.regions < 1:
+        raise ValueError("regions must be at least 1")
+    from_ms, until_ms = plan.origin_away_ms
+    if not 0.0 <= from_ms <= until_ms:
+        raise ValueError("the origin can't be back before it goes away")
+
+
 def play(plan: Plan) -> Report:
     """Plays a plan and returns what was measured."""
     loop = virtual_time.VirtualLoop()
--- a/tests/core/test_relay_fetch.py
+++ b/tests/core/test_relay_fetch.py
@@ -63,11 +63,41 @@
     time: clock.ManualClock,
 ) -> None:
     made = make(time, OWN_ALL, is_new=False)
+    time.advance(relay_fetch.UNASKED_MS - 1.0)
+    assert drawn(made, time) == []
+    made.hurry(time.now_ms() - 2.0 * relay_fetch.HELLO_MS)
+    assert drawn(made, time) != []
+
+
+def test_version_that_an_agent_lacks_is_drawn_soon(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL, is_new=False)
+    made.hurry(time.now_ms())
     assert drawn(made, time) == []
     time.advance(relay_fetch.HELLO_MS)
     assert drawn(made, time) == [0]
 
 
+def test_version_that_is_not_worth_it_is_asked_for_and_not_drawn(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    made.peer_holds("near", [1], time.now_ms())
+    time.advance(PIECES * PIECE_MS)
+    actions = made.next_actions(time.now_ms(), may_draw=False)
+    assert actions == [relay_fetch.AskEntry("near", 1)]
+
+
+def test_agents_that_hold_all_are_asked_by_turns(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    for name in ("vm-1", "vm-2", "vm-3", "vm-4"):
+        made.peer_holds(name, range(PIECES), time.now_ms())
+    assert len(set(asked(made, time).values())) == 4
+
+
 def test_next_in_order_draws_what_the_first_does_not(
     time: clock.ManualClock,
 ) -> None:
--- /dev/null
+++ b/tests/direct/weights/test_piece_relay.py
@@ -0,0 +1,193 @@
+"""An entry that holds pieces for agents, before a scripted fleet."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import hashlib
+
+import msgspec
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp.core import manifest
+from marlramp.core import relay_duty
+from marlramp.core import swarm
+from marlramp.direct.weights import piece_relay
+from marlramp.direct.weights import version_digests
+from marlramp.protocol import fleet_messages
+from marlramp.protocol import messages
+
+PIECES = [bytes([n]) * 64 for n in range(8)]
+NEWEST = version_digests.Wanted("m", 2)
+FIRST = version_digests.Wanted("m", 1)
+FOUND = manifest.Manifest(
+    model="m",
+    version="2",
+    chunk_bytes=64,
+    total_bytes=512,
+    chunks=[hashlib.sha256(piece).hexdigest() for piece in PIECES],
+    whole="",
+)
+
+
+class Origin:
+    """Counts what is drawn; may send wrong bytes first."""
+
+    def __init__(self) -> None:
+        self.drawn: list[int] = []
+        self.wrong = 0
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        return msgspec.structs.replace(FOUND, version=str(version))
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        self.drawn.append(index)
+        if self.wrong > 0:
+            self.wrong -= 1
+            return b"wrong"
+        return PIECES[index]
+
+
+class Entry:
+    """The entry alone in its region; keeps what the relay sends."""
+
+    def __init__(self) -> None:
+        self.named = [NEWEST]
+        self.here = {"own": relay_duty.Place("north", "north/0")}
+        self.sent: list[tuple[str, msgspec.Struct]] = []
+
+    def places(self) -> dict[str, relay_duty.Place]:
+        return self.here
+
+    def wanted(self) -> list[version_digests.Wanted]:
+        return self.named
+
+    def piece_ms(self) -> float:
+        return 1.0
+
+    def is_new(self, wanted: version_digests.Wanted) -> bool:
+        return True
+
+    def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
+        self.sent.append((name, message))
+        return True
+
+    def told(self, name: str) -> set[int]:
+        """Returns the pieces that a process was told of."""
+        found: set[int] = set()
+        for to, message in self.sent:
+            if to != name:
+                continue
+            if isinstance(message, messages.PeerHave):
+                found.update(message.indexes)
+            if isinstance(message, messages.PeerHello):
+                found.update(swarm.from_bitmap(message.held))
+        return found
+
+
+def hello(wanted: version_digests.Wanted) -> messages.PeerHello:
+    return messages.PeerHello(
+        vm_id=ids.VmId("vm-1"),
+        manifest=wanted.name,
+        held=b"",
+        seen=b"",
+        reply=True,
+    )
+
+
+def play(
+    entry: Entry,
+    origin: Origin,
+    act: Callable[[piece_relay.PieceRelay], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        relay = piece_relay.PieceRelay(
+            "own", entry, 1e9, counters.Counters(), clock.SystemClock()
+        )
+        relay.set_origin(origin)
+        running = asyncio.create_task(relay.run())
+        relay.look()
+        await act(relay)
+        running.cancel()
+
+    asyncio.run(main())
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(3.0):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+def test_named_version_is_drawn_once_and_told_as_it_comes() -> None:
+    entry, origin = Entry(), Origin()
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        relay.on_message("vm-1", hello(NEWEST))
+        await until(lambda: entry.told("vm-1") == set(range(8)))
+
+    play(entry, origin, act)
+    assert sorted(origin.drawn) == list(range(8))
+
+
+def test_version_that_an_agent_lacks_is_fetched_unnamed() -> None:
+    entry, origin = Entry(), Origin()
+    entry.named = []
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        await asyncio.sleep(0.05)
+        assert origin.drawn == []
+        relay.on_message("vm-1", hello(FIRST))
+        await until(lambda: entry.told("vm-1") == set(range(8)))
+
+    play(entry, origin, act)
+
+
+def test_wrong_bytes_of_the_origin_are_drawn_again_and_told_to_nobody() -> None:
+    entry, origin = Entry(), Origin()
+    origin.wrong = 3
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        relay.on_message("vm-1", hello(NEWEST))
+        await until(lambda: entry.told("vm-1") == set(range(8)))
+
+    play(entry, origin, act)
+    assert len(origin.drawn) == 11
+
+
+def test_piece_is_served_whole_and_an_unknown_one_refused() -> None:
+    entry, origin = Entry(), Origin()
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        relay.on_message("vm-1", hello(NEWEST))
+        await until(lambda: entry.told("vm-1") == set(range(8)))
+        for index in (3, 60):
+            relay.on_message(
+                "vm-1",
+                fleet_messages.FragmentRequest(
+                    manifest=NEWEST.name, index=index, offset=0
+                ),
+            )
+        await asyncio.sleep(0.05)
+
+    play(entry, origin, act)
+    replies = {
+        message.index: message.data
+        for _, message in entry.sent
+        if isinstance(message, fleet_messages.FragmentReply)
+    }
+    assert replies == {3: PIECES[3], 60: None}
+
+
+def test_entry_that_leaves_fetches_nothing_more() -> None:
+    entry, origin = Entry(), Origin()
+    entry.here = {}
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        await asyncio.sleep(0.1)
+
+    play(entry, origin, act)
+    assert origin.drawn == []
