Relays: entries that start late draw what is overdue at once; leaving ones go on

Meanwhile draws of both versions named exceeded the 48 connections that the origin takes ("no connection", after a second each).

Ruled out: wrong bytes (none), agents' links (all held 63 pieces).

Change: the schedule begins with the naming; an entry that leaves keeps its duties until it ends; all entries together open at most half of the connections that the origin takes.

--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -25,6 +25,10 @@
 """The same once all of them should have left: the origin was away, and its link
 would stand idle while one entry draws several in turn."""
 
+CONNECTIONS_SHARE = 0.5
+"""Part of the connections that the origin takes which all entries together may
+open: what is beyond its bound is reset, and tried again later than the rest."""
+
 ASKS_MAX = 4
 """Pieces asked of other entries at once."""
 
@@ -36,6 +40,9 @@
 """The same while the origin answers nobody: those that go first look for it all
 the time, and what both draw when it is back comes later to all."""
 
+NEW_MS = 2_000.0
+"""A version named this lately is held by no other entry from before."""
+
 HELLO_MS = 150.0
 """Wait of an entry before it draws a version that others may hold already and
 an agent lacks: the way of its question to them and back."""
@@ -83,17 +90,26 @@
     """The pieces of one version that one entry holds for others."""
 
     def __init__(
-        self, piece_ms: float, now_ms: clock.Millis, *, is_new: bool
+        self,
+        piece_ms: float,
+        connections: int,
+        age_ms: float | None,
+        now_ms: clock.Millis,
     ) -> None:
         """Has no duty before `set_duties`.
 
         Args:
           piece_ms: time in which a piece leaves the origin.
+          connections: connections that the origin takes in all.
+          age_ms: time since the version was named, None if it is not known.
           now_ms: the time.
-          is_new: whether the version was named just now.
         """
         self._piece_ms = piece_ms
-        self._started_ms = now_ms + (0.0 if is_new else UNASKED_MS)
+        self._connections = connections
+        self._named_ms = now_ms if age_ms is None else now_ms - age_ms
+        is_new = age_ms is not None and age_ms < NEW_MS
+        self._first_draw_ms: float = now_ms + (0.0 if is_new else UNASKED_MS)
+        self._entries = 1
         self._duties: Mapping[int, relay_duty.Duty] = {}
         self._held: set[int] = set()
         self._holders: dict[int, set[str]] = {}
@@ -116,11 +132,19 @@
 
     def hurry(self, now_ms: clock.Millis) -> None:
         """Records that an agent lacks the version."""
-        self._started_ms = min(self._started_ms, now_ms + HELLO_MS)
+        self._first_draw_ms = min(self._first_draw_ms, now_ms + HELLO_MS)
+
+    def set_duties(
+        self, found: Mapping[int, relay_duty.Duty], entries: int
+    ) -> None:
+        """Takes the duties, which change with the members.
 
-    def set_duties(self, found: Mapping[int, relay_duty.Duty]) -> None:
-        """Takes the duties, which change with the members."""
+        Args:
+          found: the duties.
+          entries: entries that have duties, this one among them.
+        """
         self._duties = found
+        self._entries = entries
 
     def peer_holds(
         self, peer: str, indexes: Collection[int], now_ms: clock.Millis
@@ -230,7 +254,9 @@
             return False
         if len(self._draws) >= self._draws_max(now_ms):
             return False
-        due_ms = self._started_ms + index * self._piece_ms
+        due_ms = max(
+            self._first_draw_ms, self._named_ms + index * self._piece_ms
+        )
         if duty.rank == 0:
             return now_ms >= due_ms
         if self._is_away:
@@ -251,8 +277,10 @@
         """Returns how many pieces may be drawn at once."""
         if self._is_away:
             return 1
-        all_due_ms = self._started_ms + self._pieces * self._piece_ms
-        return LATE_DRAWS_MAX if now_ms > all_due_ms else DRAWS_MAX
+        all_due_ms = self._named_ms + self._pieces * self._piece_ms
+        usual = LATE_DRAWS_MAX if now_ms > all_due_ms else DRAWS_MAX
+        fair = CONNECTIONS_SHARE * self._connections / self._entries
+        return max(1, min(usual, int(fair)))
 
     @property
     def _pieces(self) -> int:
--- a/src/marlramp/direct/fleet/relay_surroundings.py
+++ b/src/marlramp/direct/fleet/relay_surroundings.py
@@ -15,9 +15,6 @@
 from marlramp.direct.fleet import placement
 from marlramp.direct.weights import version_digests
 
-NEW_VERSION_MS = 2_000.0
-"""A version named this lately is held by no other entry."""
-
 PIECE_DEFAULT_MS = 40.0
 """Time in which a piece leaves an origin whose rate is not known."""
 
@@ -83,16 +80,20 @@
         rate = service.origin_bytes_per_s
         return max(sizes) / rate * clock.MILLIS_PER_SECOND
 
-    def is_new(self, wanted: version_digests.Wanted) -> bool:
-        """Returns whether a version was named just now."""
+    def origin_connections(self) -> int:
+        """Returns the connections that the origin takes in all."""
+        service = self._origin_service()
+        return 1 if service is None else service.connections_max
+
+    def age_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns the time since a version was named, None if not known."""
         target = self._catalog.targets.get(wanted.model)
         if target is None:
-            return False
-        return any(
-            named.version == wanted.version
-            and self._age_ms(named) < NEW_VERSION_MS
-            for named in target.named
-        )
+            return None
+        for named in target.named:
+            if named.version == wanted.version and named.named_ms is not None:
+                return self._clock.now_ms() - named.named_ms
+        return None
 
     def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
         """Sends to an entry or agent; opens a link to an entry."""
@@ -103,8 +104,3 @@
         if config is None:
             return None
         return next((s for s in config.services if s.origin), None)
-
-    def _age_ms(self, named: catalog.NamedVersion) -> float:
-        if named.named_ms is None:
-            return float("inf")
-        return self._clock.now_ms() - named.named_ms
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -67,8 +67,12 @@
         """Returns the time in which a piece leaves the origin."""
         ...
 
-    def is_new(self, wanted: version_digests.Wanted) -> bool:
-        """Returns whether a version was named just now."""
+    def origin_connections(self) -> int:
+        """Returns the connections that the origin takes in all."""
+        ...
+
+    def age_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns the time since a version was named, None if not known."""
         ...
 
     def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
@@ -236,11 +240,13 @@
         )
         version.fetch = relay_fetch.RelayFetch(
             self._surroundings.piece_ms(),
+            self._surroundings.origin_connections(),
+            self._surroundings.age_ms(version.wanted),
             self._clock.now_ms(),
-            is_new=self._surroundings.is_new(version.wanted),
         )
         version.fetch.set_duties(
-            relay_duty.duties(self._own, self._places, pieces)
+            relay_duty.duties(self._own, self._places, pieces),
+            len(self._places),
         )
         for index in whole.held:
             version.fetch.held(index, self._clock.now_ms())
@@ -251,9 +257,13 @@
     # Others.
 
     def _take_places(self) -> None:
-        """Takes who is there; the duties follow."""
+        """Takes who is there; the duties follow.
+
+        An entry that leaves keeps its duties until it ends: what is on its way
+        to it is passed on, and others have them too by then.
+        """
         places = self._surroundings.places()
-        if places == self._places:
+        if places == self._places or self._own not in places:
             return
         gone = self._places.keys() - places.keys()
         self._places = places
@@ -264,7 +274,8 @@
             for name in gone:
                 version.fetch.peer_lost(name)
             version.fetch.set_duties(
-                relay_duty.duties(self._own, places, whole.manifest.chunks)
+                relay_duty.duties(self._own, places, whole.manifest.chunks),
+                len(places),
             )
             version.greeted_ms = float("-inf")
 
@@ -380,7 +391,7 @@
 
     def _tick(self) -> None:
         self._take_places()
-        if self._own not in self._places:
+        if not self._places:
             return
         self._take_wanted()
         for version in self._versions.values():
--- a/tests/experiments/test_spread.py
+++ b/tests/experiments/test_spread.py
@@ -34,3 +34,12 @@
 def test_without_relays_agents_still_bring_the_version() -> None:
     report = spread.play(spread.Plan(agents=10, relays=0))
     assert report.last_whole_ms <= 3.0 * report.limit_ms
+
+
+@pytest.mark.parametrize("lost", [4, 15, 44])
+def test_rollout_goes_on_though_relays_lose_power(lost: int) -> None:
+    """Others know it after 2.8 s; then the pieces come another way."""
+    plan = spread.Plan(relays_lost=lost, relays_lost_ms=1_000.0)
+    report = spread.play(plan)
+    known_ms = plan.relays_lost_ms + spread.MEMBERS_KNOW_MS
+    assert report.last_whole_ms <= known_ms + 2.0 * report.limit_ms
