--- a/src/marlramp/core/swarm.py
+++ b/src/marlramp/core/swarm.py
@@ -64,9 +64,10 @@
 PACE_SMOOTHING = 0.3
 """Weight of the newest transfer in a neighbour's smoothed pace."""
 
-RELAY_IN_FLIGHT_MAX = 5
+RELAY_IN_FLIGHT_MAX = 3
 """Chunks asked of relays at once: enough that the own link never stands idle
-while they send, and few enough that what live calls send here waits little."""
+while they send, and few enough that what live calls send here waits little
+behind them on it."""
 
 RELAY_CREDITS = 2
 """Chunks asked of one relay at once."""
--- a/src/marlramp/direct/weights/piece_downloads.py
+++ b/src/marlramp/direct/weights/piece_downloads.py
@@ -12,10 +12,6 @@
 from marlramp.direct.weights import piece_uploads
 from marlramp.protocol import fleet_messages
 
-FRAGMENTS_AHEAD = 2
-"""Fragments of one piece that are asked for at once, so that its sender's link
-does not stand idle for the way there and back."""
-
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -37,14 +33,10 @@
     Attributes:
       peer: who sends it.
       data: what has come.
-      due_bytes: bytes that were asked for, or will be when the link has room.
-      asked_bytes: bytes that were asked for.
     """
 
     peer: str
     data: bytearray
-    due_bytes: int = 0
-    asked_bytes: int = 0
 
 
 class PieceDownloads:
@@ -71,8 +63,7 @@
     def start(self, index: int, peer: str) -> None:
         """Starts to fetch a piece from an agent."""
         self._downloads[index] = _Download(peer, bytearray())
-        for _ in range(FRAGMENTS_AHEAD):
-            self._request_fragment(index)
+        self._request_fragment(index)
 
     def cancel(self, index: int) -> None:
         """Stops fetching a piece."""
@@ -110,11 +101,7 @@
         return 0 if self._version is None else self._version.piece_bytes(index)
 
     def _request_fragment(self, index: int) -> None:
-        """Asks for the next fragment, if any, when the link has room for it."""
-        download = self._downloads[index]
-        if download.due_bytes >= self._piece_bytes(index):
-            return
-        download.due_bytes += piece_uploads.FRAGMENT_BYTES
+        """Asks for the next fragment when the link has room for it."""
         wait_ms = self._pacer.reserve(
             piece_uploads.FRAGMENT_BYTES, self._clock.now_ms()
         )
@@ -126,13 +113,9 @@
         download = self._downloads.get(index)
         if download is None or self._version is None:
             return
-        if download.asked_bytes >= download.due_bytes:
-            # The piece was given up and begun anew meanwhile.
-            return
         request = fleet_messages.FragmentRequest(
             manifest=self._version.name,
             index=index,
-            offset=download.asked_bytes,
+            offset=len(download.data),
         )
-        download.asked_bytes += piece_uploads.FRAGMENT_BYTES
         self._send(download.peer, request)
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -32,10 +32,10 @@
 from marlramp.protocol import messages
 from marlramp.shell import safely
 
-LINK_SHARE = 0.96
+LINK_SHARE = 0.92
 """Part of the link that pieces may take beside live requests, which need about
-3 in 100: a fragment delays an event by 9 ms, and every second that the weights
-come sooner leaves more time to change engines in turns."""
+3 in 100, and headers, which need as much: a link that is asked for more than it
+carries holds each request up by all that waits there."""
 
 UPLINK_SHARE = 0.88
 """Part of the link on which events of live streams leave: the links of the
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -171,6 +171,8 @@
         self._times.reached(wanted, rollout_times.Phase.DIGESTS)
         if whole.held:
             self._times.reached(wanted, rollout_times.Phase.FIRST_PIECE)
+        # Also while the engine starts: its weights travel meanwhile.
+        self._exchange.want(wanted, is_new=self._surroundings.is_new(wanted))
         report = self._surroundings.report()
         if report is None:
             self._staged_of = None
@@ -179,7 +181,6 @@
         if self._staged_of != wanted or self._staged_born_ms != report.born_ms:
             await self._adopt_staged(wanted, whole)
             self._staged_born_ms = report.born_ms
-        self._exchange.want(wanted, is_new=self._surroundings.is_new(wanted))
         if whole.complete and report.weights == wanted.version:
             self._set_state(LoaderState.IDLE)
             await asyncio.sleep(POLL_MS / _MS)
