Relays take from agents near what those hold; old version serves until 0.35 s before it may not

Change: what agents or entries near hold is asked there first, other regions for two pieces at once and not before the first draw; a holder that did not send is forgotten until it tells again.

--- a/src/marlramp/core/relay_duty.py
+++ b/src/marlramp/core/relay_duty.py
@@ -39,11 +39,18 @@
 
     Attributes:
       rank: entries that are to draw it from the origin before this one.
-      sources: entries that hold it too, the one to ask first in front.
+      near: the entry of the own region to ask first, None if that is this one.
+      far: entries of other regions that hold it, the first to ask in front.
     """
 
     rank: int
-    sources: tuple[str, ...]
+    near: str | None
+    far: tuple[str, ...]
+
+    @property
+    def sources(self) -> tuple[str, ...]:
+        """All entries to ask."""
+        return self.far if self.near is None else (self.near, *self.far)
 
 
 def duties(
@@ -75,7 +82,9 @@
         first_of_cell.setdefault(place.cell, name)
     firsts = list(first_of_region.values())
     near = first_of_region[places[own].region]
-    drawers = [*firsts, *first_of_cell.values()]
-    sources = [near, *firsts]
-    others = tuple(name for name in dict.fromkeys(sources) if name != own)
-    return Duty(list(dict.fromkeys(drawers)).index(own), others)
+    drawers = dict.fromkeys([*firsts, *first_of_cell.values()])
+    return Duty(
+        rank=list(drawers).index(own),
+        near=None if near == own else near,
+        far=tuple(name for name in firsts if name != near),
+    )
--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -32,7 +32,11 @@
 ASKS_MAX = 4
 """Pieces asked of other entries at once."""
 
-TAKEOVER_MS = 700.0
+FAR_ASKS_MAX = 2
+"""The same of entries of other regions: what all entries of a region ask for at
+once waits on one link, and live answers wait behind it."""
+
+TAKEOVER_MS = 500.0
 """Wait per rank before another entry draws a piece: the way of a piece through
 the origin's link when it is shared, and of the news of it."""
 
@@ -189,6 +193,8 @@
         if ask is not None and ask.peer == peer:
             del self._asks[index]
         self._spared_until_ms[peer] = now_ms + SPARED_MS
+        # It may be gone; if it is there it tells again what it holds.
+        self._holders.get(index, set()).discard(peer)
 
     def origin_failed(
         self, index: int, retry_after_ms: float, now_ms: clock.Millis
@@ -216,6 +222,9 @@
                 if len(self._asks) < ASKS_MAX and index not in self._draws:
                     self._asks[index] = _Ask(peer, now_ms)
                     actions.append(AskEntry(peer, index))
+            elif self._holders.get(index):
+                # Others have it, and will send it in a moment.
+                continue
             elif may_draw and self._may_draw(index, duty, now_ms):
                 self._draws.add(index)
                 actions.append(Draw(index))
@@ -236,17 +245,28 @@
     ) -> str | None:
         """Returns whom to ask for a piece, None if nobody has it."""
         holders = self._holders.get(index, set())
-        entries = [name for name in duty.sources if name in holders]
+        near = [duty.near] if duty.near in holders else []
         agents = sorted(holders.difference(duty.sources))
         if agents:
             # By turns: each has a narrow link, and holds all pieces.
             first = index % len(agents)
             agents = agents[first:] + agents[:first]
-        for name in [*entries, *agents]:
+        far = [name for name in duty.far if name in holders]
+        if now_ms < self._first_draw_ms or self._far_asks() >= FAR_ASKS_MAX:
+            far = []
+        for name in [*near, *agents, *far]:
             if self._spared_until_ms.get(name, 0.0) <= now_ms:
                 return name
         return None
 
+    def _far_asks(self) -> int:
+        """Returns the pieces under way from other regions."""
+        return sum(
+            ask.peer in self._duties[index].far
+            for index, ask in self._asks.items()
+            if index in self._duties
+        )
+
     def _may_draw(
         self, index: int, duty: relay_duty.Duty, now_ms: clock.Millis
     ) -> bool:
--- a/src/marlramp/core/weights_gate.py
+++ b/src/marlramp/core/weights_gate.py
@@ -10,9 +10,10 @@
 from marlramp import clock
 from marlramp.core import catalog
 
-QUEUE_MARGIN_MS = 700.0
-"""Longest wait at a replica that is taken into account of a request that goes
-in front there."""
+QUEUE_MARGIN_MS = 350.0
+"""Wait at a replica that is taken into account of a request that goes in front
+there. The few that wait longer are taken away before the bound; with more, an
+old version that may still serve stands idle where the new one is late."""
 
 LEAVE_MARGIN_MS = 60.0
 """Between taking a waiting request away from a replica and the time from which
--- a/tests/core/test_relay_fetch.py
+++ b/tests/core/test_relay_fetch.py
@@ -8,8 +8,8 @@
 PIECES = 64
 CONNECTIONS = 48
 ENTRIES = 3
-OWN_ALL = {n: relay_duty.Duty(0, ("near", "far")) for n in range(PIECES)}
-BEHIND = {n: relay_duty.Duty(1, ("first",)) for n in range(PIECES)}
+OWN_ALL = {n: relay_duty.Duty(0, "near", ("far",)) for n in range(PIECES)}
+BEHIND = {n: relay_duty.Duty(1, None, ("first",)) for n in range(PIECES)}
 
 
 def make(
@@ -92,6 +92,25 @@
     assert actions == [relay_fetch.AskEntry("near", 1)]
 
 
+def test_what_agents_near_hold_does_not_cross_between_regions(
+    time: clock.ManualClock,
+) -> None:
+    """Entries that start again by turns fetch their pieces each time."""
+    made = make(time, {0: OWN_ALL[0]}, is_new=False)
+    made.peer_holds("far", [0], time.now_ms())
+    assert asked(made, time) == {}
+    made.peer_holds("vm-1", range(PIECES), time.now_ms())
+    assert asked(made, time) == {0: "vm-1"}
+
+
+def test_few_pieces_are_asked_of_other_regions_at_once(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, OWN_ALL)
+    made.peer_holds("far", range(PIECES), time.now_ms())
+    assert len(asked(made, time)) == relay_fetch.FAR_ASKS_MAX
+
+
 def test_agents_that_hold_all_are_asked_by_turns(
     time: clock.ManualClock,
 ) -> None:
@@ -177,6 +196,7 @@
     made.peer_holds("near", [0], time.now_ms())
     assert asked(made, time) == {0: "near"}
     made.not_sent(0, "near", time.now_ms())
+    made.peer_holds("near", [0], time.now_ms())
     assert asked(made, time) == {}
     assert drawn(made, time) == []
     made.held(0, time.now_ms())
@@ -212,3 +232,14 @@
     made.set_duties(OWN_ALL, 44)
     time.advance(3 * PIECES * PIECE_MS)
     assert len(drawn(made, time)) == 1
+
+
+def test_piece_whose_only_holder_is_gone_is_drawn(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, {0: OWN_ALL[0]})
+    made.peer_holds("vm-1", range(PIECES), time.now_ms())
+    assert asked(made, time) == {0: "vm-1"}
+    time.advance(relay_fetch.LATE_MS + 1.0)
+    actions = made.next_actions(time.now_ms())
+    assert actions == [relay_fetch.Cancel(0), relay_fetch.Draw(0)]
