Engines finish what runs for as long as few of them are away

Cause: with turns over 4 s an engine still cut what ran 300 ms after its turn began, so that streams went on elsewhere after a pause.

Change: the drain is what a quarter of the engines away at once allows (0.7 s with turns over 4 s, 0.3 s as before with 1.7 s), and the time that entries are told is that of the cut.

--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -72,8 +72,8 @@
       pace: measured slowness, 1 for none.
       opens: whether the engine takes new requests; False around a change of
         weights.
-      closes_in_ms: time until it is to close for a change of weights, None if
-        none is planned.
+      closes_in_ms: time until what runs there is cut for a change of weights,
+        None if none is planned.
       born_ms: Unix time of the engine's start, None where the platform does
         not say.
     """
--- a/src/marlramp/core/swap_times.py
+++ b/src/marlramp/core/swap_times.py
@@ -26,10 +26,14 @@
 TRAVEL_EXTRA_MS = 300.0
 """Time until the first piece is on its way."""
 
-DRAIN_MS = 300.0
+DRAIN_MIN_MS = 300.0
+DRAIN_MAX_MS = 1_500.0
 """How long an engine that closes finishes what runs before what is left is
-cut and goes on at another engine. Entries send it little that they expect to
-outlast its turn."""
+cut and goes on at another engine: no longer than streams usually run. Entries
+send it little that they expect to outlast its turn."""
+
+SPARE_SHARE = 0.25
+"""Part of the engines that may be away at once for their turns."""
 
 LATEST_MARGIN_MS = 700.0
 """Time before the bound at which every engine begins to load, since entries
@@ -52,6 +56,17 @@
     return min(SPREAD_MAX_MS, max(SPREAD_MIN_MS, left_ms))
 
 
+def drain_ms(spread_ms: float, load_ms: float) -> float:
+    """Returns how long an engine that closes finishes what runs.
+
+    Args:
+      spread_ms: time over which the engines of a service begin.
+      load_ms: time in which an engine loads a version.
+    """
+    away_ms = SPARE_SHARE * spread_ms
+    return min(DRAIN_MAX_MS, max(DRAIN_MIN_MS, away_ms - load_ms))
+
+
 def begins_ms(
     vm_id: str,
     vm_ids: Collection[str],
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -263,6 +263,12 @@
             self._settings.bounds.version_ms,
         )
 
+    def drain_ms(self) -> float:
+        """Returns how long what runs may go on before it is cut."""
+        engine = self._weights.engine
+        load_ms = 0.0 if engine is None else engine.load_ms
+        return swap_times.drain_ms(self._spread_ms(), load_ms)
+
     def may_cut(self) -> bool:
         """Returns whether streams that are cut go on at another engine."""
         return self._may_cut
@@ -381,7 +387,7 @@
             # What can't be loaded takes no request from this engine.
             return None
         turn_ms = self.begins_ms(wanted) - self._clock.now_ms()
-        return max(0.0, there_ms, turn_ms)
+        return max(0.0, there_ms, turn_ms) + self.drain_ms()
 
     async def _tick_all(self) -> None:
         while True:
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -19,7 +19,6 @@
 from marlramp import logs
 from marlramp.core import engine_state
 from marlramp.core import manifest
-from marlramp.core import swap_times
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import rollout_times
 from marlramp.direct.weights import version_digests
@@ -103,6 +102,10 @@
         """Returns when the engine may load."""
         ...
 
+    def drain_ms(self) -> float:
+        """Returns how long what runs may go on before it is cut."""
+        ...
+
     def may_cut(self) -> bool:
         """Returns whether streams that are cut go on at another engine."""
         ...
@@ -318,7 +321,7 @@
 
     async def _drain(self) -> None:
         """Gives what runs some time to end."""
-        end_ms = self._clock.now_ms() + swap_times.DRAIN_MS
+        end_ms = self._clock.now_ms() + self._surroundings.drain_ms()
         await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
         while self._clock.now_ms() < end_ms:
             report = await self._surroundings.read_report()
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -197,6 +197,21 @@
     assert latest_ms - spread_ms <= 1.3 * copy_ms
 
 
+@pytest.mark.parametrize(
+    ("spread_ms", "least_ms", "most_ms"),
+    [
+        (1_700.0, 300.0, 300.0),
+        (4_000.0, 600.0, 800.0),
+        (60_000.0, 1.5e3, 1.5e3),
+    ],
+)
+def test_engines_finish_what_runs_as_long_as_few_are_away(
+    spread_ms: float, least_ms: float, most_ms: float
+) -> None:
+    drain_ms = swap_times.drain_ms(spread_ms, 300.0)
+    assert least_ms <= drain_ms <= most_ms
+
+
 def test_bound_that_is_too_short_leaves_turns_all_the_same() -> None:
     spread_ms = swap_times.spread_ms(2_097_152, 475_000.0, 5_000.0)
     assert spread_ms == swap_times.SPREAD_MIN_MS
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -93,6 +93,9 @@
     def begins_ms(self, wanted: version_digests.Wanted) -> float:
         return float("-inf")
 
+    def drain_ms(self) -> float:
+        return 50.0
+
     def may_cut(self) -> bool:
         return True
 
