Pieces that come too late for turns: half of the engines load at once, half serve on

Change: where pieces come after the last turn, the first half of the order loads at once and without a drain; the others serve the old version until it may not or until the first half is back; after the bound all load at once. A turn whose pieces come later than it begins when they are there, as before.

Tests first: five replays of late pieces in test_direct_decisions; the one of a version of unknown age is as strict as before, on the function that decides now.

--- a/src/marlramp/core/swap_times.py
+++ b/src/marlramp/core/swap_times.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Collection
 
+import msgspec
+
 from marlramp import clock
 from marlramp.core import rendezvous
 
@@ -35,6 +37,12 @@
 SPARE_SHARE = 0.25
 """Part of the engines that may be away at once for their turns."""
 
+LATE_FIRST_SHARE = 0.5
+"""Part of the engines that load at once when pieces came too late for turns."""
+
+LATE_GAP_MS = 100.0
+"""Time from the end of the first engines' load until entries send to them."""
+
 LATEST_MARGIN_MS = 700.0
 """Time before the bound at which every engine begins to load, since entries
 send it nothing on the old version from then on."""
@@ -56,41 +64,81 @@
     return min(SPREAD_MAX_MS, max(SPREAD_MIN_MS, left_ms))
 
 
-def drain_ms(spread_ms: float, load_ms: float) -> float:
-    """Returns how long an engine that closes finishes what runs.
+class Turns(msgspec.Struct, frozen=True, kw_only=True):
+    """The turns of the engines that change to one version.
 
-    Args:
-      spread_ms: time over which the engines of a service begin.
+    Attributes:
+      binds_ms: when the version binds, a reading of the clock.
+      spread_ms: time over which engines begin.
       load_ms: time in which an engine loads a version.
     """
-    away_ms = SPARE_SHARE * spread_ms
-    return min(DRAIN_MAX_MS, max(DRAIN_MIN_MS, away_ms - load_ms))
 
-
-def begins_ms(
-    vm_id: str,
-    vm_ids: Collection[str],
-    key: str,
-    named_ms: float | None,
-    bound_ms: float,
-    spread_ms: float,
-) -> float:
-    """Returns when the engine of a VM begins to load.
+    binds_ms: float
+    spread_ms: float
+    load_ms: float
+
+    @property
+    def latest_ms(self) -> float:
+        """When the last engine begins."""
+        return self.binds_ms - LATEST_MARGIN_MS
+
+    def begins_ms(self, share: float, there_ms: float) -> float:
+        """Returns when an engine begins to load.
+
+        Pieces that came too late for turns reach all engines at about the
+        same time. If all loaded at once, none would serve meanwhile: half of
+        them go first, and the others serve the old version until it may not
+        any more, or until the first half is back.
+
+        Args:
+          share: its place in the order, from 0 for the first to 1.
+          there_ms: when its pieces are there.
+        """
+        if there_ms <= self.latest_ms:
+            turn_ms = self.latest_ms - (1.0 - share) * self.spread_ms
+            return max(turn_ms, there_ms)
+        if share < LATE_FIRST_SHARE:
+            return there_ms
+        back_ms = there_ms + self.load_ms + LATE_GAP_MS
+        return max(there_ms, min(back_ms, self.binds_ms))
+
+    def drain_ms(self, there_ms: float) -> float:
+        """Returns how long an engine that closes finishes what runs.
+
+        Args:
+          there_ms: when its pieces were there.
+        """
+        if there_ms > self.latest_ms:
+            # Each moment without an engine is worth more than what is cut.
+            return 0.0
+        away_ms = SPARE_SHARE * self.spread_ms
+        return min(DRAIN_MAX_MS, max(DRAIN_MIN_MS, away_ms - self.load_ms))
+
+
+def begins_ms(turns: Turns | None, share: float, there_ms: float) -> float:
+    """Returns when an engine begins to load.
 
     Args:
-      vm_id: the VM.
-      vm_ids: all VMs whose engines load the version.
-      key: name of the version, which gives each version another order.
-      named_ms: when the version was named, None if that is not known.
-      bound_ms: time after its naming from which it binds.
-      spread_ms: time over which engines begin.
+      turns: the turns of its version, None if it is not known when that was
+        named.
+      share: its place in the order, from 0 for the first to 1.
+      there_ms: when its pieces are there.
 
     Returns:
       A reading of the clock; minus infinity if it may load at once.
     """
-    if named_ms is None:
+    if turns is None:
         return float("-inf")
+    return turns.begins_ms(share, there_ms)
+
+
+def share_of(vm_id: str, vm_ids: Collection[str], key: str) -> float:
+    """Returns the place of a VM's engine in the order of turns, 0 to 1.
+
+    Args:
+      vm_id: the VM.
+      vm_ids: all VMs whose engines load the version.
+      key: name of the version, which gives each version another order.
+    """
     order = rendezvous.order(key, {*vm_ids, vm_id})
-    share = order.index(vm_id) / max(1, len(order) - 1)
-    latest_ms = named_ms + bound_ms - LATEST_MARGIN_MS
-    return latest_ms - (1.0 - share) * spread_ms
+    return order.index(vm_id) / max(1, len(order) - 1)
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -239,17 +239,34 @@
             self._tell_now()
         return report
 
-    def begins_ms(self, wanted: version_digests.Wanted) -> float:
-        """Returns when the engine may load."""
+    def begins_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
+        """Returns when the engine may load pieces that are there then."""
+        share = swap_times.share_of(
+            self._own.vm_id, list(self._peers), wanted.name
+        )
+        return swap_times.begins_ms(self._turns(wanted), share, there_ms)
+
+    def drain_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
+        """Returns how long what runs may go on before it is cut."""
+        turns = self._turns(wanted)
+        return 0.0 if turns is None else turns.drain_ms(there_ms)
+
+    def _turns(self, wanted: version_digests.Wanted) -> swap_times.Turns | None:
+        """Returns the turns of a version, None if its age is not known."""
         target = self._weights.target(wanted.model)
         held = 0 if self._report is None else self._report.weights
-        return swap_times.begins_ms(
-            self._own.vm_id,
-            list(self._peers),
-            wanted.name,
-            None if target is None else target.binds_first_ms(held),
-            self._settings.bounds.version_ms,
-            self._spread_ms(),
+        named_ms = None if target is None else target.binds_first_ms(held)
+        if named_ms is None:
+            return None
+        engine = self._weights.engine
+        return swap_times.Turns(
+            binds_ms=named_ms + self._settings.bounds.version_ms,
+            spread_ms=self._spread_ms(),
+            load_ms=0.0 if engine is None else engine.load_ms,
         )
 
     def _spread_ms(self) -> float:
@@ -263,12 +280,6 @@
             self._settings.bounds.version_ms,
         )
 
-    def drain_ms(self) -> float:
-        """Returns how long what runs may go on before it is cut."""
-        engine = self._weights.engine
-        load_ms = 0.0 if engine is None else engine.load_ms
-        return swap_times.drain_ms(self._spread_ms(), load_ms)
-
     def may_cut(self) -> bool:
         """Returns whether streams that are cut go on at another engine."""
         return self._may_cut
@@ -386,8 +397,13 @@
         if there_ms is None:
             # What can't be loaded takes no request from this engine.
             return None
-        turn_ms = self.begins_ms(wanted) - self._clock.now_ms()
-        return max(0.0, there_ms, turn_ms) + self.drain_ms()
+        now_ms = self._clock.now_ms()
+        there_at_ms = self._loader.there_ms(wanted)
+        if there_at_ms is None:
+            there_at_ms = now_ms + there_ms
+        cut_ms = self.begins_ms(wanted, there_at_ms)
+        cut_ms += self.drain_ms(wanted, there_at_ms)
+        return max(0.0, cut_ms - now_ms)
 
     async def _tick_all(self) -> None:
         while True:
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -98,11 +98,15 @@
         """Reads a fresh report from the engine."""
         ...
 
-    def begins_ms(self, wanted: version_digests.Wanted) -> float:
-        """Returns when the engine may load."""
+    def begins_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
+        """Returns when the engine may load pieces that are there then."""
         ...
 
-    def drain_ms(self) -> float:
+    def drain_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
         """Returns how long what runs may go on before it is cut."""
         ...
 
@@ -147,8 +151,13 @@
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
         self._times = rollout_times.RolloutTimes(time)
+        self._there_ms: dict[version_digests.Wanted, float] = {}
         self.state = LoaderState.IDLE
 
+    def there_ms(self, wanted: version_digests.Wanted) -> float | None:
+        """Returns when all pieces of a version were there, None before."""
+        return self._there_ms.get(wanted)
+
     async def run(self) -> None:
         """Follows the named weights for ever."""
         # Also after an error: the engine must not stay closed for a load that
@@ -195,6 +204,8 @@
             return
         await self._stage_new(wanted, whole)
         self._times.reached(wanted, rollout_times.Phase.WHOLE)
+        if wanted not in self._there_ms:
+            self._there_ms = {wanted: self._clock.now_ms()}
         if self._may_load(wanted, report):
             await self._load(wanted, whole, serving=report.weights > 0)
             return
@@ -259,7 +270,9 @@
             return False
         if report.weights == 0:
             return True
-        return self._clock.now_ms() >= self._surroundings.begins_ms(wanted)
+        there_ms = self._there_ms[wanted]
+        begins_ms = self._surroundings.begins_ms(wanted, there_ms)
+        return self._clock.now_ms() >= begins_ms
 
     async def _load(
         self,
@@ -280,7 +293,8 @@
             return
         self._set_state(LoaderState.LOADING)
         if serving:
-            await self._drain()
+            there_ms = self._there_ms[wanted]
+            await self._drain(self._surroundings.drain_ms(wanted, there_ms))
         report = await self._surroundings.read_report()
         if report is None or report.born_ms != self._staged_born_ms:
             self._set_state(LoaderState.IDLE)
@@ -319,9 +333,9 @@
             )
         self._set_state(LoaderState.IDLE)
 
-    async def _drain(self) -> None:
+    async def _drain(self, drain_ms: float) -> None:
         """Gives what runs some time to end."""
-        end_ms = self._clock.now_ms() + self._surroundings.drain_ms()
+        end_ms = self._clock.now_ms() + drain_ms
         await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
         while self._clock.now_ms() < end_ms:
             report = await self._surroundings.read_report()
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -174,18 +174,48 @@
     assert splitter.events == 2
 
 
-def test_engines_load_one_after_the_other_before_the_bound() -> None:
-    names = [f"vm-{n}" for n in range(12)]
-    begins = sorted(
-        swap_times.begins_ms(n, names, "m@2", 0.0, 8_000.0, 1_900.0)
-        for n in names
+def turns(spread_ms: float = 1_900.0) -> swap_times.Turns:
+    return swap_times.Turns(
+        binds_ms=8_000.0, spread_ms=spread_ms, load_ms=300.0
     )
+
+
+def shares(count: int) -> list[float]:
+    names = [f"vm-{n}" for n in range(count)]
+    return sorted(swap_times.share_of(n, names, "m@2") for n in names)
+
+
+def test_engines_load_one_after_the_other_before_the_bound() -> None:
+    begins = [turns().begins_ms(share, 5_000.0) for share in shares(12)]
     assert begins[-1] == 8_000.0 - swap_times.LATEST_MARGIN_MS
     assert begins[0] == begins[-1] - 1_900.0
     gaps = [later - sooner for sooner, later in itertools.pairwise(begins)]
     assert max(gaps) - min(gaps) < 1.0
 
 
+def test_engine_whose_pieces_come_after_its_turn_loads_at_once() -> None:
+    assert turns().begins_ms(0.0, 7_000.0) == 7_000.0
+
+
+def test_pieces_too_late_for_turns_leave_half_of_the_engines_serving() -> None:
+    """The origin was away and all pieces came 0.3 s before the bound."""
+    begins = [turns().begins_ms(share, 7_700.0) for share in shares(12)]
+    assert begins.count(7_700.0) == 6
+    # The old version serves until it may not any more.
+    assert begins.count(8_000.0) == 6
+    assert turns().drain_ms(7_700.0) == 0.0
+
+
+def test_second_half_follows_as_soon_as_the_first_is_back() -> None:
+    begins = [turns().begins_ms(share, 7_400.0) for share in shares(12)]
+    assert begins.count(7_400.0 + 300.0 + swap_times.LATE_GAP_MS) == 6
+
+
+def test_pieces_that_come_after_the_bound_are_loaded_without_turns() -> None:
+    begins = {turns().begins_ms(share, 8_100.0) for share in shares(12)}
+    assert begins == {8_100.0}
+
+
 @pytest.mark.parametrize("bound_ms", [8_000.0, 10_300.0, 60_000.0])
 def test_engines_use_the_time_that_is_left_once_the_pieces_are_there(
     bound_ms: float,
@@ -208,7 +238,7 @@
 def test_engines_finish_what_runs_as_long_as_few_are_away(
     spread_ms: float, least_ms: float, most_ms: float
 ) -> None:
-    drain_ms = swap_times.drain_ms(spread_ms, 300.0)
+    drain_ms = turns(spread_ms).drain_ms(5_000.0)
     assert least_ms <= drain_ms <= most_ms
 
 
@@ -218,13 +248,19 @@
 
 
 def test_version_of_unknown_age_is_loaded_at_once() -> None:
-    begins_ms = swap_times.begins_ms(
-        "vm-1", ["vm-2"], "m@2", None, 8_000.0, 1_900.0
-    )
+    begins_ms = swap_times.begins_ms(None, 1.0, 7_000.0)
     # Also when the clock was read before this was asked.
     assert begins_ms == float("-inf")
 
 
+def test_turns_are_in_another_order_for_each_version() -> None:
+    names = [f"vm-{n}" for n in range(12)]
+    first = [swap_times.share_of(n, names, "m@2") for n in names]
+    second = [swap_times.share_of(n, names, "m@3") for n in names]
+    assert sorted(first) == sorted(second)
+    assert first != second
+
+
 def test_replica_that_takes_no_connection_is_spared_at_once(
     make_replica: MakeReplica, time: clock.ManualClock
 ) -> None:
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -90,10 +90,14 @@
     async def read_report(self) -> engine_state.EngineReport | None:
         return self.report()
 
-    def begins_ms(self, wanted: version_digests.Wanted) -> float:
+    def begins_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
         return float("-inf")
 
-    def drain_ms(self) -> float:
+    def drain_ms(
+        self, wanted: version_digests.Wanted, there_ms: float
+    ) -> float:
         return 50.0
 
     def may_cut(self) -> bool:
