--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -18,7 +18,9 @@
 from marlramp import logs
 from marlramp.agent import uploads
 from marlramp.agent import weight_sources
+from marlramp.core import chunk_bitmap
 from marlramp.core import manifest
+from marlramp.core import neighbours
 from marlramp.core import pacing
 from marlramp.core import rendezvous
 from marlramp.core import swarm
@@ -302,11 +304,11 @@
             case schema.Distribution.STAR:
                 return []
             case schema.Distribution.CHAIN:
-                return swarm.choose_parent(self._vm_id, [*data_centres], 1)
+                return neighbours.choose_parent(self._vm_id, [*data_centres], 1)
             case schema.Distribution.TREE:
-                return swarm.choose_parent(self._vm_id, [*data_centres], 2)
+                return neighbours.choose_parent(self._vm_id, [*data_centres], 2)
             case schema.Distribution.SWARM:
-                return swarm.choose_neighbours(
+                return neighbours.choose_neighbours(
                     self._vm_id, digest, data_centres, self._neighbours_wanted
                 )
 
@@ -403,8 +405,8 @@
             current.peer_reset(peer_id)
             current.peer_holds(
                 peer_id,
-                swarm.from_bitmap(hello.held),
-                swarm.from_bitmap(hello.seen),
+                chunk_bitmap.from_bitmap(hello.held),
+                chunk_bitmap.from_bitmap(hello.seen),
             )
             self._wake.set()
         if hello.reply and current is not None:
@@ -554,8 +556,8 @@
         hello = messages.PeerHello(
             vm_id=self._vm_id,
             manifest=self._target,
-            held=swarm.to_bitmap(self._swarm.held),
-            seen=swarm.to_bitmap(self._swarm.seen),
+            held=chunk_bitmap.to_bitmap(self._swarm.held),
+            seen=chunk_bitmap.to_bitmap(self._swarm.seen),
             reply=reply,
         )
         self._send(peer_id, hello)
--- /dev/null
+++ b/src/marlramp/core/chunk_bitmap.py
@@ -0,0 +1,24 @@
+"""Sets of chunk indexes as bit maps, as messages carry them."""
+
+from __future__ import annotations
+
+
+def to_bitmap(indexes: set[int]) -> bytes:
+    """Returns chunk indexes as a bit map, least significant bit first."""
+    if not indexes:
+        return b""
+    bits = bytearray(max(indexes) // 8 + 1)
+    for index in indexes:
+        bits[index // 8] |= 1 << (index % 8)
+    return bytes(bits)
+
+
+def from_bitmap(bitmap: bytes) -> list[int]:
+    """Returns the chunk indexes in a bit map."""
+    return [
+        8 * position + bit
+        for position, byte in enumerate(bitmap)
+        if byte
+        for bit in range(8)
+        if byte >> bit & 1
+    ]
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -18,8 +18,10 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
+from marlramp.core import chunk_bitmap
 from marlramp.core import manifest
 from marlramp.core import members
+from marlramp.core import neighbours
 from marlramp.core import swarm
 from marlramp.direct.weights import piece_downloads
 from marlramp.direct.weights import piece_draws
@@ -304,7 +306,7 @@
         }
         own = ids.VmId(self._own.vm_id)
         data_centres[own] = ids.DataCentreId(self._own.data_centre)
-        chosen = swarm.choose_neighbours(
+        chosen = neighbours.choose_neighbours(
             own, ids.Digest(wanted.name), data_centres, NEIGHBOURS
         )
         for name in chosen:
@@ -326,8 +328,8 @@
             current.peer_reset(peer)
             current.peer_holds(
                 peer,
-                swarm.from_bitmap(hello.held),
-                swarm.from_bitmap(hello.seen),
+                chunk_bitmap.from_bitmap(hello.held),
+                chunk_bitmap.from_bitmap(hello.seen),
             )
             self._wake.set()
         if hello.reply:
@@ -346,8 +348,8 @@
         hello = messages.PeerHello(
             vm_id=self._own.vm_id,
             manifest=manifest_name,
-            held=swarm.to_bitmap(whole.held),
-            seen=swarm.to_bitmap(seen),
+            held=chunk_bitmap.to_bitmap(whole.held),
+            seen=chunk_bitmap.to_bitmap(seen),
             reply=reply,
         )
         self._send(name, hello)
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -17,9 +17,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
+from marlramp.core import chunk_bitmap
 from marlramp.core import relay_duty
 from marlramp.core import relay_fetch
-from marlramp.core import swarm
 from marlramp.direct.weights import piece_downloads
 from marlramp.direct.weights import piece_draws
 from marlramp.direct.weights import piece_uploads
@@ -301,7 +301,7 @@
             version = self._want(wanted)
         now_ms = self._clock.now_ms()
         if version.fetch is not None:
-            held = swarm.from_bitmap(hello.held)
+            held = chunk_bitmap.from_bitmap(hello.held)
             version.fetch.peer_holds(name, held, now_ms)
         if not hello.reply:
             return
@@ -314,7 +314,7 @@
 
     def _hello(self, name: str, *, reply: bool) -> messages.PeerHello:
         whole = self._wholes.get(name)
-        held = b"" if whole is None else swarm.to_bitmap(whole.held)
+        held = b"" if whole is None else chunk_bitmap.to_bitmap(whole.held)
         return messages.PeerHello(
             vm_id=self._own, manifest=name, held=held, seen=held, reply=reply
         )
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -12,9 +12,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
+from marlramp.core import chunk_bitmap
 from marlramp.core import manifest
 from marlramp.core import relay_duty
-from marlramp.core import swarm
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import fleet_messages
@@ -87,7 +87,7 @@
             if isinstance(message, messages.PeerHave):
                 found.update(message.indexes)
             if isinstance(message, messages.PeerHello):
-                found.update(swarm.from_bitmap(message.held))
+                found.update(chunk_bitmap.from_bitmap(message.held))
         return found
 
 
--- a/tests/direct/weights/test_piece_ticks.py
+++ b/tests/direct/weights/test_piece_ticks.py
@@ -8,9 +8,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
+from marlramp.core import chunk_bitmap
 from marlramp.core import manifest
 from marlramp.core import members
-from marlramp.core import swarm
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import messages
@@ -88,8 +88,8 @@
     hello = messages.PeerHello(
         vm_id=ids.VmId("vm-2"),
         manifest=WANTED.name,
-        held=swarm.to_bitmap({0}),
-        seen=swarm.to_bitmap({0}),
+        held=chunk_bitmap.to_bitmap({0}),
+        seen=chunk_bitmap.to_bitmap({0}),
         reply=False,
     )
     exchange.on_message("vm-2", hello)
