--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -27,6 +27,7 @@
 from marlramp.direct.weights import piece_draws
 from marlramp.direct.weights import piece_policy
 from marlramp.direct.weights import piece_uploads
+from marlramp.direct.weights import relay_contacts
 from marlramp.direct.weights import standstill
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import codec
@@ -54,13 +55,6 @@
 ANNOUNCE_MS = 70.0
 """Pieces newly held are announced together at most this often."""
 
-RELAY_HELLO_MS = 700.0
-"""Between two greetings of the relays while pieces are missing: their answer
-shows that they are there, and mends what an announcement lost."""
-
-RELAY_ALIVE_MS = 1_600.0
-"""A relay that was heard this lately works: it may miss one greeting."""
-
 KEEPALIVE_MS = 500.0
 PEER_TIMEOUT_MS = 2_000.0
 NEIGHBOURS_FIRST_MS = 800.0
@@ -74,15 +68,7 @@
 _MS = clock.MILLIS_PER_SECOND
 
 
-class Links(Protocol):
-    """What carries messages to entries."""
-
-    def send(self, name: str, message: msgspec.Struct) -> bool:
-        """Sends a message; returns whether a link took it."""
-        ...
-
-
-class PeerLinks(Links, Protocol):
+class PeerLinks(relay_contacts.Links, Protocol):
     """What carries messages to other agents."""
 
     def open(self, name: str, host: str, port: int) -> bool:
@@ -121,17 +107,16 @@
         self._link_bytes_per_s = link_bytes_per_s
         up_rate = link_bytes_per_s * UPLINK_SHARE
         self._links: PeerLinks | None = None
-        self._relay_links: Links | None = None
-        self._relays: frozenset[str] = frozenset()
-        self._relays_greeted_ms = float("-inf")
-        self._relays_told = False
+        self._relays = relay_contacts.RelayContacts(
+            lambda name, reply: self._send_hello(name, reply=reply), time
+        )
         self._digests = version_digests.VersionDigests(
             own.vm_id,
             lambda: self._peers,
             self._send,
             time,
             self._rng,
-            lambda: self._relays,
+            lambda: self._relays.names,
         )
         self._wholes = self._digests.wholes
         self._wanted: version_digests.Wanted | None = None
@@ -158,15 +143,13 @@
         """Takes the links to other agents."""
         self._links = links
 
-    def attach_relays(self, links: Links) -> None:
+    def attach_relays(self, links: relay_contacts.Links) -> None:
         """Takes the links to entries, which relay pieces."""
-        self._relay_links = links
+        self._relays.attach(links)
 
     def set_relays(self, names: Iterable[str]) -> None:
         """Takes the entries near that relay pieces."""
-        self._relays = frozenset(names)
-        self._relays_greeted_ms = float("-inf")
-        self._relays_told = False
+        self._relays.set_names(names)
         self._wake.set()
 
     def set_origin(self, origin: version_digests.Origin | None) -> None:
@@ -261,8 +244,7 @@
         self._link_peers()
         for name in self._peers:
             self._send_hello(name, reply=True)
-        self._relays_greeted_ms = float("-inf")
-        self._relays_told = False
+        self._relays.look()
         self._wake.set()
 
     async def run(self) -> None:
@@ -276,6 +258,7 @@
     ) -> None:
         """Takes a message of another agent."""
         self._heard_ms[name] = self._clock.now_ms()
+        self._relays.heard(name)
         match message:
             case messages.PeerHello():
                 self._on_hello(name, message)
@@ -418,7 +401,7 @@
         if self._swarm is None or self._wanted is None:
             return
         self._announce(self._swarm, self._wanted)
-        self._greet_relays(self._swarm)
+        self._relays.tick(self._swarm)
         self._drop_silent(self._swarm)
         self._standstill.check(self._swarm)
         for action in self._swarm.next_actions(self._clock.now_ms()):
@@ -461,33 +444,6 @@
             if self._links is not None:
                 self._links.send_encoded(name, encoded)
 
-    def _greet_relays(self, current: swarm.Swarm) -> None:
-        """Asks relays what they hold, and takes those that answer.
-
-        Once nothing is missing here they are told so, once: what an agent
-        holds need not leave the origin again.
-        """
-        if current.complete:
-            if not self._relays_told:
-                self._relays_told = True
-                for name in sorted(self._relays):
-                    self._send_hello(name, reply=False)
-            return
-        now_ms = self._clock.now_ms()
-        horizon_ms = now_ms - RELAY_ALIVE_MS
-        current.set_relays(
-            [
-                name
-                for name in self._relays
-                if self._heard_ms.get(name, float("-inf")) >= horizon_ms
-            ]
-        )
-        if now_ms - self._relays_greeted_ms < RELAY_HELLO_MS:
-            return
-        self._relays_greeted_ms = now_ms
-        for name in sorted(self._relays):
-            self._send_hello(name, reply=True)
-
     def _drop_silent(self, current: swarm.Swarm) -> None:
         if current.settled:
             return
@@ -502,7 +458,6 @@
         return self._swarm if wanted else None
 
     def _send(self, name: str, message: msgspec.Struct) -> bool:
-        if name in self._relays:
-            links = self._relay_links
-            return links is not None and links.send(name, message)
+        if name in self._relays.names:
+            return self._relays.send(name, message)
         return self._links is not None and self._links.send(name, message)
