Relays fetch only for models that engines run, and keep the newest version

Cause, found by reading and three tests that failed first: a greeting that names any version made a relay fetch it, and beyond three versions the one fetched first was dropped, the newest too; and pieces that a version has in common with another were not told to those who had asked before its digests were known.

--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -297,11 +297,8 @@
         """Returns how many pieces may be drawn at once."""
         if self._is_away:
             return 1
-        all_due_ms = self._named_ms + self._pieces * self._piece_ms
-        usual = LATE_DRAWS_MAX if now_ms > all_due_ms else DRAWS_MAX
+        last = max(self._duties, default=0)
+        last_due_ms = self._named_ms + (last + 1) * self._piece_ms
+        usual = LATE_DRAWS_MAX if now_ms > last_due_ms else DRAWS_MAX
         fair = CONNECTIONS_SHARE * self._connections / self._entries
         return max(1, min(usual, int(fair)))
-
-    @property
-    def _pieces(self) -> int:
-        return 1 + max(self._duties, default=0)
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -147,7 +147,7 @@
         )
         self._versions: dict[str, _Version] = {}
         self._places: Mapping[str, relay_duty.Place] = {}
-        self._newest: frozenset[str] = frozenset()
+        self._newest: dict[str, version_digests.Wanted] = {}
         self._wake = asyncio.Event()
 
     def set_origin(self, origin: version_digests.Origin | None) -> None:
@@ -198,13 +198,16 @@
 
     def _take_wanted(self) -> None:
         newest = self._surroundings.wanted()
-        self._newest = frozenset(wanted.name for wanted in newest)
+        self._newest = {wanted.model: wanted for wanted in newest}
         for wanted in newest:
             self._want(wanted)
 
+    def _is_newest(self, wanted: version_digests.Wanted) -> bool:
+        return self._newest.get(wanted.model) == wanted
+
     def _may_draw(self, version: _Version) -> bool:
         """Returns whether a version is worth the origin's time."""
-        if version.wanted.name in self._newest:
+        if self._is_newest(version.wanted):
             return True
         return self._clock.now_ms() - version.asked_ms < ASKED_LATELY_MS
 
@@ -220,9 +223,16 @@
         self._versions[wanted.name] = version
         version.finding = asyncio.create_task(self._find(version))
         while len(self._versions) > VERSIONS_KEPT:
-            self._drop(next(iter(self._versions)))
+            self._drop(self._least_wanted())
         return version
 
+    def _least_wanted(self) -> str:
+        """Returns the version longest here that is not the newest."""
+        for name, version in self._versions.items():
+            if not self._is_newest(version.wanted):
+                return name
+        return next(iter(self._versions))
+
     def _drop(self, name: str) -> None:
         version = self._versions.pop(name)
         if version.finding is not None:
@@ -250,6 +260,7 @@
         )
         for index in whole.held:
             version.fetch.held(index, self._clock.now_ms())
+        version.news.extend(sorted(whole.held))
         if version.asked_ms > float("-inf"):
             version.fetch.hurry(self._clock.now_ms())
         self._wake.set()
@@ -294,10 +305,12 @@
     def _on_hello(self, name: str, hello: messages.PeerHello) -> None:
         version = self._versions.get(hello.manifest)
         if version is None:
+            # An agent may lack one that is not the newest, or another entry
+            # may have heard of a newer one first.
+            self._take_wanted()
             wanted = version_digests.parse_name(hello.manifest)
-            if wanted is None:
+            if wanted is None or wanted.model not in self._newest:
                 return
-            # An agent lacks it though it is not the newest that is known here.
             version = self._want(wanted)
         now_ms = self._clock.now_ms()
         if version.fetch is not None:
