One loop of looks for relays and agents

piece_relay and piece_exchange had the same loop, which waits for something to come or for the next look. No change of behaviour; their tests pass.

--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -26,6 +26,7 @@
 from marlramp.direct.weights import piece_downloads
 from marlramp.direct.weights import piece_draws
 from marlramp.direct.weights import piece_policy
+from marlramp.direct.weights import piece_ticks
 from marlramp.direct.weights import piece_uploads
 from marlramp.direct.weights import relay_contacts
 from marlramp.direct.weights import standstill
@@ -33,7 +34,6 @@
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
-from marlramp.shell import safely
 
 LINK_SHARE = 0.92
 """Part of the link that pieces may take beside live requests, which need about
@@ -382,14 +382,13 @@
     # Regular work.
 
     async def _tick_all(self) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(self._wait_ms / _MS):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
-            safely.run_safely(self._tick, "swarm", self._totals)
+        await piece_ticks.run(
+            self._wake,
+            lambda: self._wait_ms,
+            self._tick,
+            "swarm",
+            self._totals,
+        )
 
     @property
     def _wait_ms(self) -> float:
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -22,11 +22,11 @@
 from marlramp.core import relay_fetch
 from marlramp.direct.weights import piece_downloads
 from marlramp.direct.weights import piece_draws
+from marlramp.direct.weights import piece_ticks
 from marlramp.direct.weights import piece_uploads
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
-from marlramp.shell import safely
 
 LINK_SHARE = 0.8
 """Part of an entry's link on which pieces may leave; requests use a tenth. The
@@ -49,8 +49,6 @@
 VERSIONS_KEPT = 3
 """Versions of which pieces are held: the one in force and two after it."""
 
-_MS = clock.MILLIS_PER_SECOND
-
 
 class Surroundings(Protocol):
     """What the relay asks the entry that it belongs to."""
@@ -384,14 +382,13 @@
     # Regular work.
 
     async def _tick_all(self) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(self._wait_ms / _MS):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
-            safely.run_safely(self._tick, "piece_relay", self._totals)
+        await piece_ticks.run(
+            self._wake,
+            lambda: self._wait_ms,
+            self._tick,
+            "piece_relay",
+            self._totals,
+        )
 
     @property
     def _wait_ms(self) -> float:
