--- a/tests/experiments/test_spread.py
+++ b/tests/experiments/test_spread.py
@@ -46,3 +46,13 @@
     report = spread.play(plan)
     known_ms = plan.relays_lost_ms + spread.MEMBERS_KNOW_MS
     assert report.last_whole_ms <= known_ms + 2.0 * report.limit_ms
+
+
+def test_origin_that_was_away_sends_the_rest_once() -> None:
+    """It goes 2.5 s after the name and is back after 6.5 s more."""
+    away = (2_500.0, 9_000.0)
+    report = spread.play(spread_plan.Plan(origin_away_ms=away))
+    rest_ms = 1_000.0
+    assert report.last_seen_ms <= away[1] + rest_ms
+    assert report.last_whole_ms <= away[1] + LIMIT_FACTOR * rest_ms
+    assert report.origin_copies <= COPIES_MAX
