Log a fingerprint with each attempt, so that a request is known when it comes again

What callers saw: one request ended 34 replicas. Logs named attempts only, so that no line told whether two attempts were the same request.

--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import functools
+
 from marlramp import clock
+from marlramp import ids
 from marlramp.core import caller_patience
 from marlramp.core import fleet
+from marlramp.core import request_fingerprint
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_server
@@ -64,6 +68,18 @@
         self.maybe_ran = False
         self.failed: set[str] = set()
 
+    @functools.cached_property
+    def fingerprint(self) -> ids.Fingerprint:
+        """What recognises the request when it comes again."""
+        customer = self.customer
+        return request_fingerprint.fingerprint(
+            self.request.method,
+            self.said.host,
+            self.request.target,
+            None if customer is None else customer.customer_id,
+            self.request.body,
+        )
+
     def expected_events(self) -> float:
         """Returns the events that the answer is expected to have."""
         engine = self.service.engine
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -232,6 +232,7 @@
         logs.log(
             "attempt_failed",
             request=call.said.request_id,
+            fingerprint=call.fingerprint,
             replica=choice.view.replica.replica_id,
             kind=failure.kind.value,
             detail=failure.detail,
@@ -261,6 +262,7 @@
         logs.log(
             "request_served",
             request=call.said.request_id,
+            fingerprint=call.fingerprint,
             replica=choice.view.replica.replica_id,
             status=0 if answer is None else answer.status,
             sends=call.sends,
--- a/src/marlramp/ids.py
+++ b/src/marlramp/ids.py
@@ -10,6 +10,9 @@
 CustomerId = NewType("CustomerId", str)
 RequestId = NewType("RequestId", str)
 VersionId = NewType("VersionId", str)
+Fingerprint = NewType("Fingerprint", str)
+"""Content of a request, the same for each attempt; 16 hexadecimal digits."""
+
 Incarnation = NewType("Incarnation", int)
 """Random number an agent draws at start; a restart gives a new one."""
 
