A failing test: a request that crashes replicas is sent to each one that comes back

Stand-ins of replicas now crash: all connections reset, new ones refused, back after 2 s under the same id with nothing held.

--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -127,11 +127,13 @@
     async def _start_replicas(self) -> None:
         port = direct_documents.REPLICA_PORT
         for number, engine in enumerate(self.engines):
-            await self._listen(engine.serve, engine.host, port)
+            server = await self._listen(engine.serve, engine.host, port)
+            engine.crashes.server = server
             await self._proxy(f"engine-{number}", engine.host, port)
             engine.register()
         for number, desk in enumerate(self.desks):
-            await self._listen(desk.serve, desk.host, port)
+            server = await self._listen(desk.serve, desk.host, port)
+            desk.crashes.server = server
             await self._proxy(f"desk-{number}", desk.host, port)
             desk.register()
 
@@ -157,16 +159,25 @@
         path = f"/v1/lookup?name={direct_documents.HOST}"
         return await self._get(host, LOOKUP_PORT, path)
 
-    async def stream(self, host: str, request_id: str) -> bytes:
+    async def stream(
+        self, host: str, request_id: str, body: bytes = b""
+    ) -> bytes:
         """Sends a streaming request; returns all bytes of the answer."""
+        return await self.call(host, "/chat/x", request_id, body)
+
+    async def call(
+        self, host: str, path: str, request_id: str, body: bytes = b""
+    ) -> bytes:
+        """Sends a request; returns all bytes of the answer."""
         return await self._get(
             host,
             CALLERS_PORT,
-            "/chat/x",
+            path,
             "POST",
             f"host: {direct_documents.HOST}\r\nx-attempt-id: {request_id}\r\n"
             f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
             f"authorization: Bearer {direct_documents.KEY}\r\n",
+            body,
         )
 
     async def metrics(self, host: str) -> bytes:
@@ -198,8 +209,8 @@
 
     async def _listen(
         self, script: raw_http.Script, host: str, port: int
-    ) -> None:
-        await self._stack.enter_async_context(
+    ) -> raw_http.ScriptedServer:
+        return await self._stack.enter_async_context(
             raw_http.ScriptedServer(script, host, port)
         )
 
@@ -254,6 +265,7 @@
         path: str,
         method: str = "GET",
         headers: str = "",
+        body: bytes = b"",
     ) -> bytes:
         """Makes a call on a connection of its own; b"" if it failed."""
         data = b""
@@ -262,7 +274,9 @@
             writer.write(
                 f"{method} {path} HTTP/1.1\r\n{headers or 'host: x'}"
                 f"{'' if headers else chr(13) + chr(10)}"
-                "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
+                f"connection: close\r\ncontent-length: {len(body)}"
+                "\r\n\r\n".encode()
+                + body
             )
             while part := await reader.read(65_536):
                 data += part
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -6,8 +6,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import json
 import time
+from typing import Protocol
 
 from standins import direct_documents
 from standins import direct_store
@@ -18,11 +20,54 @@
 EVENT_S = 0.02
 DESK_S = 0.01
 
+CRASHING_BODY = b"crashes the replica that runs it"
+CRASH_AFTER_S = 0.03
+DOWN_S = 2.0
+"""Time until a replica that crashed is back."""
+
 
 def _unix_ms() -> int:
     return time.time_ns() // 1_000_000
 
 
+class CrashingServer(Protocol):
+    """The server of a replica that may crash."""
+
+    def crash(self) -> None:
+        """Resets every connection and takes no more."""
+        ...
+
+    async def listen(self) -> None:
+        """Takes connections again."""
+        ...
+
+
+class _Crashes:
+    """Ends a replica, and has it back after a while.
+
+    Attributes:
+      count: how often it ended.
+      down: whether it is down now.
+    """
+
+    def __init__(self) -> None:
+        self.server: CrashingServer | None = None
+        self.count = 0
+        self.down = False
+
+    async def end(self, back: Callable[[], None]) -> None:
+        """Ends the replica once; `back` is called when it starts anew."""
+        if self.server is None or self.down:
+            return
+        self.down = True
+        self.count += 1
+        self.server.crash()
+        await asyncio.sleep(DOWN_S)
+        await self.server.listen()
+        self.down = False
+        back()
+
+
 class Engine:
     """A model engine with staged pieces.
 
@@ -30,6 +75,7 @@
       weights: version loaded, 0 for none.
       mixed: loads of pieces that were missing or wrong.
       runs: how often each request id ran.
+      crashes: its crashes; a request with `CRASHING_BODY` causes one.
     """
 
     def __init__(
@@ -55,6 +101,7 @@
         self.weights = weights
         self.mixed = 0
         self.runs: dict[str, int] = {}
+        self.crashes = _Crashes()
         self._store = store
         self._running = 0
         self._orders = 0
@@ -116,6 +163,10 @@
             },
         )
 
+    async def crash(self) -> None:
+        """Ends, and starts anew under the same id after `DOWN_S`."""
+        await self.crashes.end(lambda: self.restart(self.replica_id))
+
     async def serve(self, peer: raw_http.Peer) -> None:
         """Answers reports, staging, orders and requests."""
         while (request := await peer.read()) is not None:
@@ -192,6 +243,11 @@
             return
         name = request.headers["x-attempt-id"]
         self.runs[name] = self.runs.get(name, 0) + 1
+        if request.body == CRASHING_BODY:
+            await asyncio.sleep(CRASH_AFTER_S)
+            # Not awaited by the connection, which ends with the replica.
+            self._ending = asyncio.create_task(self.crash())
+            return
         self._running += 1
         try:
             await self._stream(peer, request, name)
@@ -224,6 +280,7 @@
 
     Attributes:
       runs: how often each request id ran.
+      crashes: its crashes; a request with `CRASHING_BODY` causes one.
     """
 
     def __init__(
@@ -238,6 +295,7 @@
         self.host = host
         self.port = port
         self.runs: dict[str, int] = {}
+        self.crashes = _Crashes()
         self._born_ms = _unix_ms()
         self._store = store
 
@@ -258,6 +316,14 @@
             },
         )
 
+    async def crash(self) -> None:
+        """Ends, and starts anew under the same id after `DOWN_S`."""
+        await self.crashes.end(self._start_anew)
+
+    def _start_anew(self) -> None:
+        self._born_ms = max(_unix_ms(), self._born_ms + 1)
+        self.register()
+
     async def serve(self, peer: raw_http.Peer) -> None:
         """Answers requests with their own id as the body."""
         while (request := await peer.read()) is not None:
@@ -267,6 +333,9 @@
             name = request.headers["x-attempt-id"]
             self.runs[name] = self.runs.get(name, 0) + 1
             await asyncio.sleep(DESK_S)
+            if request.body == CRASHING_BODY:
+                self._ending = asyncio.create_task(self.crash())
+                return
             await peer.answer(
                 request,
                 200,
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -98,8 +98,10 @@
         await self.answer(request, 200, json.dumps(value).encode())
 
     def reset(self) -> None:
-        """Ends the connection with a reset."""
+        """Ends the connection with a reset, if it is still open."""
         sock = self._writer.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return
         sock.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
         )
@@ -134,10 +136,7 @@
 
     async def __aenter__(self) -> ScriptedServer:
         """Starts to listen."""
-        self._server = await asyncio.start_server(
-            self._serve, self._host, self.port
-        )
-        self.port = self._server.sockets[0].getsockname()[1]
+        await self.listen()
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -147,6 +146,24 @@
         for peer in self._peers:
             peer.close()
 
+    async def listen(self) -> None:
+        """Listens, also again after `crash`."""
+        self._server = await asyncio.start_server(
+            self._serve, self._host, self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Resets every connection and takes no more, as if the process ended.
+
+        New connections are refused until `listen`.
+        """
+        if self._server is not None:
+            self._server.close()
+        peers, self._peers = self._peers, []
+        for peer in peers:
+            peer.reset()
+
     @property
     def address(self) -> str:
         """Address as "host:port"."""
--- /dev/null
+++ b/tests/failures/test_crashing_requests.py
@@ -0,0 +1,240 @@
+"""Requests that crash the replicas that run them, before real daemons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import itertools
+import pathlib
+import signal
+from typing import Protocol
+from typing import TypeAlias
+
+import pytest
+
+from standins import direct_fleet
+from standins import direct_replicas
+
+ENTRIES = 3
+ENGINES = 9
+DESKS = 6
+CRASHES_KNOWN = 3
+"""Crashes after which a request counts as their cause."""
+
+RETRIES_MAX = 3
+"""Times that such a request may still reach a replica, over all entries."""
+
+SPREAD_S = 3.0
+"""Time after the last of those crashes in which all entries know of them."""
+
+PAUSE_S = 0.35
+SERVED_SHARE_MIN = 0.9
+
+Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
+RunFleet: TypeAlias = Callable[[Use], None]
+
+
+class Replica(Protocol):
+    """What is read of a replica."""
+
+    runs: dict[str, int]
+
+
+@pytest.fixture
+def run_fleet(tmp_path: pathlib.Path) -> RunFleet:
+    """Runs a test with several entries, engines and plain replicas."""
+
+    def run(use: Use) -> None:
+        async def main() -> None:
+            fleet = direct_fleet.Fleet(
+                tmp_path, ENTRIES, ENGINES, group=31, desks=DESKS
+            )
+            async with asyncio.timeout(90), fleet:
+                await use(fleet)
+
+        asyncio.run(main())
+
+    return run
+
+
+class Culprit:
+    """Sends one request that crashes replicas to the entries in turn."""
+
+    def __init__(
+        self,
+        fleet: direct_fleet.Fleet,
+        replicas: Sequence[Replica],
+        path: str,
+        name: str = "culprit",
+    ) -> None:
+        self._fleet = fleet
+        self._replicas = replicas
+        self._path = path
+        self._name = name
+        self._number = 0
+        self.answers: list[bytes] = []
+
+    def arrivals(self) -> int:
+        """Returns how often it has reached a replica so far."""
+        return sum(
+            count
+            for replica in self._replicas
+            for request_id, count in replica.runs.items()
+            if request_id.startswith(self._name)
+        )
+
+    async def send(self, host: str) -> bytes:
+        """Sends it once, as a new attempt of the same caller."""
+        self._number += 1
+        answer = await self._fleet.call(
+            host,
+            self._path,
+            f"{self._name}-{self._number}",
+            direct_replicas.CRASHING_BODY,
+        )
+        self.answers.append(answer)
+        return answer
+
+    async def send_for(self, hosts: Sequence[str], seconds: float) -> None:
+        """Sends it at a steady rate for some time."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        for host in itertools.cycle(hosts):
+            if loop.time() >= end_s:
+                return
+            await self.send(host)
+            await asyncio.sleep(PAUSE_S)
+
+    async def send_until_known(self, hosts: Sequence[str]) -> None:
+        """Sends it until it has crashed replicas often enough."""
+        async with asyncio.timeout(20):
+            for host in itertools.cycle(hosts):
+                if self.arrivals() >= CRASHES_KNOWN:
+                    break
+                await self.send(host)
+                await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(SPREAD_S)
+
+
+def on_engines(fleet: direct_fleet.Fleet) -> Culprit:
+    return Culprit(fleet, fleet.engines, "/chat/x")
+
+
+def on_desks(fleet: direct_fleet.Fleet) -> Culprit:
+    return Culprit(fleet, fleet.desks, "/stock/x")
+
+
+@pytest.mark.parametrize("make", [on_engines, on_desks])
+def test_request_that_crashes_replicas_is_sent_no_more(
+    run_fleet: RunFleet, make: Callable[[direct_fleet.Fleet], Culprit]
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        culprit = make(fleet)
+        await culprit.send_until_known(fleet.entry_hosts)
+        before = culprit.arrivals()
+        await culprit.send_for(fleet.entry_hosts, 6.0)
+        assert culprit.arrivals() - before <= RETRIES_MAX
+        last = culprit.answers[-1]
+        assert b" 503 " in last
+        assert b'"ran":"no"' in last
+        assert b"retry-after" not in last
+
+    run_fleet(use)
+
+
+def test_entry_that_starts_anew_does_not_send_a_crashing_request(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        culprit = on_engines(fleet)
+        await culprit.send_until_known(fleet.entry_hosts)
+        before = culprit.arrivals()
+        fleet.processes["entry-0"].kill()
+        await fleet.processes["entry-0"].wait()
+        await fleet.start_entry(0)
+        await fleet.wait_ready(fleet.entry_hosts[0])
+        await asyncio.sleep(SPREAD_S)
+        await culprit.send_for(fleet.entry_hosts[:1], 4.0)
+        assert culprit.arrivals() - before <= RETRIES_MAX
+
+    run_fleet(use)
+
+
+def test_entry_that_was_suspended_learns_of_a_crashing_request(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        culprit = on_engines(fleet)
+        fleet.processes["entry-2"].send_signal(signal.SIGSTOP)
+        await culprit.send_until_known(fleet.entry_hosts[:2])
+        before = culprit.arrivals()
+        fleet.processes["entry-2"].send_signal(signal.SIGCONT)
+        await asyncio.sleep(SPREAD_S)
+        await culprit.send_for(fleet.entry_hosts[2:], 4.0)
+        assert culprit.arrivals() - before <= RETRIES_MAX
+
+    run_fleet(use)
+
+
+def test_innocent_requests_are_served_beside_a_crashing_one(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        served: list[bool] = []
+
+        async def serve(number: int) -> None:
+            host = fleet.entry_hosts[number % ENTRIES]
+            # Every other request has the same content.
+            body = b"popular" if number % 2 else b"%d" % number
+            answer = await fleet.stream(host, f"innocent-{number}", body)
+            served.append(answer.endswith(b"0\r\n\r\n"))
+
+        culprit = on_engines(fleet)
+        sending = asyncio.create_task(culprit.send_for(fleet.entry_hosts, 8.0))
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if sending.done():
+                    break
+                group.create_task(serve(number))
+                await asyncio.sleep(0.04)
+        await sending
+        assert sum(served) >= SERVED_SHARE_MIN * len(served)
+
+    run_fleet(use)
+
+
+def test_crashes_without_a_culprit_turn_no_request_away(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        served: list[bool] = []
+
+        async def serve(number: int) -> None:
+            host = fleet.entry_hosts[number % ENTRIES]
+            body = b"popular" if number % 2 else b"%d" % number
+            answer = await fleet.stream(host, f"innocent-{number}", body)
+            served.append(answer.endswith(b"0\r\n\r\n"))
+
+        async def crash_in_turn() -> None:
+            async with asyncio.TaskGroup() as group:
+                for engine in [*fleet.engines, *fleet.engines]:
+                    group.create_task(engine.crash())
+                    await asyncio.sleep(0.45)
+
+        crashing = asyncio.create_task(crash_in_turn())
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                if crashing.done():
+                    break
+                group.create_task(serve(number))
+                await asyncio.sleep(0.04)
+        await crashing
+        refusals = await asyncio.gather(
+            *[fleet.metrics(host) for host in fleet.entry_hosts]
+        )
+        assert not any(b"crashes_upstreams" in text for text in refusals)
+        assert sum(served) >= SERVED_SHARE_MIN * len(served)
+
+    run_fleet(use)
