Requests that crash replicas are condemned by all entries, and sent no more

Cause: entries know a request by the id of its attempt alone, which is new each time, so that it is sent to each replica that comes back, through any entry, without an end (23 sends after the third crash in 6 s on the stand-ins).

Now a connection that is lost is told from a crash by a probe of the replica's address; all requests that were under way there are suspects. A request is condemned once it has three strikes and is the likelier cause of its crashes than all else that was under way; runs that end well clear a request. Entries pass crashes on to a few others at once and compare digests with each question that they ask one another anyway, so that those that start, were cut off or suspended know within 3 s (virtual time, 3 to 150 entries, 20% loss). A suspect goes where the fewest others run, and with two strikes to one replica only.

Budget of control: 16 bytes more for each question and answer between entries; 60 crashes in 20 s with 11 suspects each at 44 entries stay below 10 KB/s each.

--- a/src/marlramp/core/roster.py
+++ b/src/marlramp/core/roster.py
@@ -14,10 +14,10 @@
 
 from collections.abc import Iterable
 
-import blake3
 import msgspec
 
 from marlramp import clock
+from marlramp.core import bucket_digests
 from marlramp.core import members
 
 BUCKETS = 16
@@ -32,9 +32,6 @@
 """How long a process that is down is remembered: its part of shared budgets
 stays unused that long, and it is looked for."""
 
-_DIGEST_BYTES = 8
-_DIGEST_MASK = (1 << 8 * _DIGEST_BYTES) - 1
-
 _LOST = frozenset({members.MemberState.SUSPECT, members.MemberState.DOWN})
 
 
@@ -75,7 +72,7 @@
         self.changes = 0
         self.doubted: set[str] = set()
         self._records: dict[str, Record] = {}
-        self._digests = [0] * BUCKETS
+        self._digests = bucket_digests.BucketDigests(BUCKETS)
         self._toggle(self.own)
 
     def get(self, vm_id: str) -> Record | None:
@@ -208,24 +205,15 @@
 
     def digests(self) -> list[int]:
         """Returns the digest of each bucket."""
-        return list(self._digests)
+        return self._digests.all()
 
     def digest(self) -> int:
         """Returns one digest of all that is known."""
-        joined = 0
-        for number, digest in enumerate(self._digests):
-            joined ^= digest * (2 * number + 1)
-        return joined & _DIGEST_MASK
+        return self._digests.joined()
 
     def differing(self, digests: list[int]) -> list[int]:
         """Returns the buckets that differ from those of another roster."""
-        return [
-            number
-            for number, (own, other) in enumerate(
-                zip(self._digests, digests, strict=False)
-            )
-            if own != other
-        ]
+        return self._digests.differing(digests)
 
     def in_buckets(self, buckets: Iterable[int]) -> list[members.MemberNews]:
         """Returns the members of some buckets that are taken as alive."""
@@ -234,7 +222,8 @@
         return [
             news
             for news in (*known, self.own)
-            if news.state not in _LOST and bucket_of(news.vm_id) in wanted
+            if news.state not in _LOST
+            and self._digests.bucket_of(news.vm_id) in wanted
         ]
 
     def _add(self, news: members.MemberNews, now_ms: clock.Millis) -> Record:
@@ -277,10 +266,4 @@
         if news.state is members.MemberState.DOWN:
             return
         text = f"{news.vm_id}\0{news.incarnation}\0{news.state.value}"
-        digest = blake3.blake3(text.encode()).digest(length=_DIGEST_BYTES)
-        self._digests[bucket_of(news.vm_id)] ^= int.from_bytes(digest)
-
-
-def bucket_of(vm_id: str) -> int:
-    """Returns the bucket of a process."""
-    return blake3.blake3(vm_id.encode()).digest(length=1)[0] % BUCKETS
+        self._digests.toggle(news.vm_id, text)
--- a/src/marlramp/core/rumours.py
+++ b/src/marlramp/core/rumours.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+from typing import Generic
+from typing import TypeVar
+
 import msgspec
 
 from marlramp import clock
-from marlramp.core import members
+
+NewsT = TypeVar("NewsT")
 
 ROUNDS = 2
 """Times that an entry passes one piece of news on."""
@@ -27,36 +31,36 @@
 """News that waited this long, in an entry that was cut off, are dropped."""
 
 
-class _Rumour(msgspec.Struct):
-    news: members.MemberNews
+class _Rumour(msgspec.Struct, Generic[NewsT]):
+    news: NewsT
     queued_ms: float
     rounds_left: int
 
 
-class Rumours:
+class Rumours(Generic[NewsT]):
     """News that this entry still passes on."""
 
     def __init__(self) -> None:
         """Starts without any."""
-        self._waiting: dict[str, _Rumour] = {}
+        self._waiting: dict[str, _Rumour[NewsT]] = {}
 
-    def add(self, news: members.MemberNews, now_ms: clock.Millis) -> None:
-        """Passes news on, in place of older ones of the same process."""
-        self._waiting[news.vm_id] = _Rumour(news, now_ms, ROUNDS)
+    def add(self, about: str, news: NewsT, now_ms: clock.Millis) -> None:
+        """Passes news on, in place of older ones about the same."""
+        self._waiting[about] = _Rumour(news, now_ms, ROUNDS)
 
-    def take(self, now_ms: clock.Millis) -> list[members.MemberNews]:
+    def take(self, now_ms: clock.Millis) -> list[NewsT]:
         """Returns the news of one message, the freshest first."""
         horizon_ms = now_ms - AGE_MAX_MS
-        for vm_id, rumour in list(self._waiting.items()):
+        for about, rumour in list(self._waiting.items()):
             if rumour.queued_ms < horizon_ms:
-                del self._waiting[vm_id]
+                del self._waiting[about]
         fresh_first = sorted(
-            self._waiting.values(),
-            key=lambda rumour: (-rumour.rounds_left, rumour.queued_ms),
+            self._waiting.items(),
+            key=lambda item: (-item[1].rounds_left, item[1].queued_ms),
         )
         taken = fresh_first[:BATCH_MAX]
-        for rumour in taken:
+        for about, rumour in taken:
             rumour.rounds_left -= 1
             if rumour.rounds_left == 0:
-                del self._waiting[rumour.news.vm_id]
-        return [rumour.news for rumour in taken]
+                del self._waiting[about]
+        return [rumour.news for _, rumour in taken]
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -30,6 +30,11 @@
 is known to 20 ms, theirs to a second."""
 
 
+ALONE_COST_MS = 1_000.0
+"""Cost of each other request at a replica for one that goes where few run: far
+more than any difference in time."""
+
+
 class Places(msgspec.Struct, frozen=True):
     """Where the replicas are that an entry prefers.
 
@@ -66,6 +71,8 @@
       oldest_weights: oldest version that the request may begin on.
       failed: ids of replicas that this request already failed at.
       place: where it would wait in an engine's queue.
+      alone: whether it goes where the fewest others run, since it may crash
+        the replica.
     """
 
     engine: fleet.EngineSpec | None
@@ -74,6 +81,7 @@
     oldest_weights: int
     failed: Collection[str]
     place: queue_place.QueuePlace = queue_place.QueuePlace.FRONT
+    alone: bool = False
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -185,6 +193,8 @@
         cost_ms += places.penalty_ms(view)
         over_ms = overrun_ms(time_ms, view, wanted, now_ms)
         cost_ms += OVERRUN_WEIGHT * over_ms
+        if wanted.alone:
+            cost_ms += ALONE_COST_MS * view.load(now_ms)
         key = (cost_ms, view.replica.replica_id)
         choice = Choice(
             view,
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -26,6 +26,7 @@
     INTERNAL_ERRORS = "marlramp_internal_errors"
     DOCUMENTS_REFUSED = "marlramp_documents_refused"
     PORTS_UNAVAILABLE = "marlramp_ports_unavailable"
+    CRASHES = "marlramp_crashes"
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -32,11 +32,13 @@
       failure: why it brought no answer to pass on, None if it did.
       answer: head of the answer, None if there was none.
       body: whole body of a plain answer.
+      loss: how its connection was lost, None if it was not.
     """
 
     failure: errors.CallError | None
     answer: wire.ReplicaAnswer | None = None
     body: bytes = b""
+    loss: http1_client.LossKind | None = None
 
 
 class Observer(Protocol):
@@ -143,7 +145,8 @@
             if self._answer is None
             else errors.ErrorKind.ANSWER_INCOMPLETE
         )
-        self._finish(_failure(error_kind, kind.value, ran))
+        failure = errors.CallError(error_kind, kind.value, ran=ran)
+        self._finish(Outcome(failure=failure, loss=kind))
 
     def _begin(self) -> None:
         if not self.begun:
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -37,6 +37,7 @@
       runs: replicas that may have run it.
       maybe_ran: whether any replica may have run it.
       failed: ids of replicas that it failed at.
+      suspected: whether it is suspected of a crash.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.runs = 0
         self.maybe_ran = False
         self.failed: set[str] = set()
+        self.suspected = False
 
     @functools.cached_property
     def fingerprint(self) -> ids.Fingerprint:
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -22,6 +22,7 @@
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import crash_watch
 from marlramp.direct.calls import own_answers
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
@@ -73,12 +74,14 @@
         table: replica_table.ReplicaTable,
         codec: wire.CallCodec,
         settings: node.NodeSettings,
+        crashes: crash_watch.CrashWatch,
         totals: counters.Counters,
         latencies: Latencies,
         time: clock.Clock,
     ) -> None:
         """Chooses replicas from `table` and reads headers through `codec`."""
         self._surroundings = surroundings
+        self._crashes = crashes
         self._codec = codec
         self._settings = settings
         self._totals = totals
@@ -132,6 +135,7 @@
     def forget(self, replica_ids: list[str]) -> None:
         """Drops connections to replicas that are gone."""
         self._sender.forget(replica_ids)
+        self._crashes.note_gone(replica_ids)
 
     # Admission.
 
@@ -186,6 +190,8 @@
 
     async def _run(self, call: call_module.Call) -> None:
         while True:
+            self._refuse_condemned(call)
+            call.suspected = self._crashes.runs_alone(call.fingerprint)
             choice = await self._selector.choose(call)
             tried = await self._sender.send(call, choice)
             failure = tried.outcome.failure
@@ -193,6 +199,7 @@
                 self._succeed(call, tried, choice)
                 return
             self._note_failure(call, choice, failure)
+            await self._note_end(call, tried, choice)
             # A caller that has left meanwhile cancels this before another send.
             await asyncio.sleep(0)
             step = self._may_retry(call, failure)
@@ -213,6 +220,9 @@
             return None
         if call.left_ms(now_ms) <= 0 or call.may_have_left(now_ms):
             return None
+        if call.maybe_ran and self._crashes.runs_once(call.fingerprint):
+            self._totals.add(counters.CounterName.REFUSALS, "suspected")
+            return None
         budget = self._budget(call.service.service_id)
         if not budget.try_spend(self._surroundings.entries, now_ms):
             self._totals.add(counters.CounterName.REFUSALS, "retry_budget")
@@ -243,6 +253,33 @@
             load_age_ms=_rounded(choice.load_age_ms),
         )
 
+    # Requests that crash replicas.
+
+    def _refuse_condemned(self, call: call_module.Call) -> None:
+        if self._crashes.is_condemned(call.fingerprint):
+            ran = errors.Ran.UNKNOWN if call.maybe_ran else errors.Ran.NO
+            raise errors.CallError(errors.ErrorKind.CRASHES_UPSTREAMS, ran=ran)
+
+    async def _note_end(
+        self,
+        call: call_module.Call,
+        tried: sender.Sent,
+        choice: upstream_choice.Choice,
+    ) -> None:
+        """Tells what a failed attempt says about its request and replica."""
+        if tried.may_have_crashed:
+            await self._crashes.note_lost(
+                call.fingerprint,
+                choice.view,
+                begun=tried.first_event_ms is not None,
+            )
+        elif (
+            tried.outcome.answer is not None
+            and not tried.outcome.answer.not_run
+        ):
+            # A failure that the replica answers itself is no crash.
+            self._crashes.note_good(call.fingerprint)
+
     # Ends.
 
     def _succeed(
@@ -251,6 +288,7 @@
         tried: sender.Sent,
         choice: upstream_choice.Choice,
     ) -> None:
+        self._crashes.note_good(call.fingerprint)
         answer = tried.outcome.answer
         if answer is not None and not call.responder.ended:
             body = tried.outcome.body
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -96,6 +96,7 @@
                 call.service, weights_gate.QUEUE_MARGIN_MS, now_ms
             ),
             failed=call.failed,
+            alone=call.suspected,
         )
         stays_ms = call.stays_ms(now_ms)
         request = admission.Request(
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -30,6 +30,9 @@
 BEHIND_PRIORITY = 8
 """Rank of a request that is late whatever happens; others have 5."""
 
+_CRASH_LOSSES = frozenset(
+    {http1_client.LossKind.CLOSED, http1_client.LossKind.RESET}
+)
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -46,6 +49,13 @@
     stalled: bool = False
     first_event_ms: float | None = None
 
+    @property
+    def may_have_crashed(self) -> bool:
+        """Whether the replica may have crashed while it ran the call."""
+        failure = self.outcome.failure
+        lost = self.outcome.loss in _CRASH_LOSSES
+        return lost and failure is not None and failure.ran is not errors.Ran.NO
+
 
 class Sender:
     """Owns the connections to replicas."""
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -10,6 +10,7 @@
 from marlramp import errors
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import crash_record
 from marlramp.core import fleet
 from marlramp.core import lifecycle
 from marlramp.core import lookup_share
@@ -19,6 +20,7 @@
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
+from marlramp.direct.calls import crash_watch
 from marlramp.direct.calls import forwarder
 from marlramp.direct.fleet import entry_fleet
 from marlramp.direct.fleet import store_reader
@@ -28,6 +30,7 @@
 from marlramp.platform import store
 from marlramp.protocol import codec
 from marlramp.settings import node
+from marlramp.shell import address_probe
 from marlramp.shell import http1_call
 from marlramp.shell import http1_server
 from marlramp.shell import member_links
@@ -81,6 +84,7 @@
         self._stopping = asyncio.Event()
         self._catalog = catalog.Catalog()
         self._table = replica_table.ReplicaTable()
+        self._crashes = crash_record.CrashRecord()
         self._routes: route_table.RouteTable | None = None
         self._own = members.Member(
             vm_id=settings.vm_id,
@@ -96,6 +100,7 @@
             settings,
             self._catalog,
             self._table,
+            self._crashes,
             self._changed,
             self._forget,
             self._set_cell,
@@ -109,6 +114,9 @@
             self._table,
             headers.PlatformCallCodec(),
             settings,
+            crash_watch.CrashWatch(
+                self._crashes, address_probe.probe, self._totals, self._clock
+            ),
             self._totals,
             self._metrics,
             self._clock,
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -10,12 +10,14 @@
 from marlramp import counters
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import crash_record
 from marlramp.core import members
 from marlramp.core import reader_duty
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.direct.fleet import agent_guide
 from marlramp.direct.fleet import catalog_sync
+from marlramp.direct.fleet import crash_sync
 from marlramp.direct.fleet import engine_digests
 from marlramp.direct.fleet import load_exchange
 from marlramp.direct.fleet import member_sync
@@ -42,6 +44,7 @@
         settings: node.NodeSettings,
         known: catalog.Catalog,
         table: replica_table.ReplicaTable,
+        crashes: crash_record.CrashRecord,
         on_changes: OnChanges,
         on_gone: OnGone,
         on_cell: OnCell,
@@ -56,6 +59,7 @@
           settings: the settings in force.
           known: the catalog.
           table: the replicas.
+          crashes: what is known of requests that crash replicas.
           on_changes: takes changes of the catalog.
           on_gone: takes ids of replicas that are gone or started again.
           on_cell: takes the addresses of the VMs whose engines belong to the
@@ -92,6 +96,9 @@
         self._catalog_sync = catalog_sync.CatalogSync(
             known, self.sync, self._changed, time
         )
+        self._crash_sync = crash_sync.CrashSync(
+            crashes, self.sync, totals, time
+        )
         self._placed = placement.Placement(settings.regions, self.sync, time)
         self._guide = agent_guide.AgentGuide(
             known, self._placed, self.sync, time
@@ -223,6 +230,10 @@
                 self._catalog_sync.on_news(name, message)
             case fleet_messages.CatalogRequest():
                 self._catalog_sync.tell(name, message.after)
+            case fleet_messages.CrashNews():
+                self._crash_sync.on_news(message)
+            case fleet_messages.CrashRequest():
+                self._crash_sync.on_request(name, message)
             case fleet_messages.OwnLoads():
                 self._load_exchange.on_message(name, message)
             case fleet_messages.EngineNews():
@@ -254,6 +265,15 @@
         """Revision up to which the catalog is known here."""
         return self._catalog.revision
 
+    @property
+    def crash_digest(self) -> int:
+        """Digest of the crashes known here."""
+        return self._crash_sync.digest
+
+    def on_crash_digest(self, name: str, digest: int) -> None:
+        """Takes the digest of the crashes that another entry knows."""
+        self._crash_sync.on_digest(name, digest)
+
     def on_member(self, member: members.Member) -> None:
         """Tells an agent that introduced itself what it needs to know."""
         if member.kind is members.MemberKind.AGENT:
@@ -275,6 +295,7 @@
             self._on_cell(self._placed.cell_hosts())
         self._guide.tick(divided=divided)
         self._digests.tick()
+        self._crash_sync.tick()
         self._send_beacon()
 
     def _note_store(self) -> None:
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -81,6 +81,15 @@
         """Revision up to which the catalog is known here."""
         ...
 
+    @property
+    def crash_digest(self) -> int:
+        """Digest of the crashes known here."""
+        ...
+
+    def on_crash_digest(self, name: str, digest: int) -> None:
+        """Takes the digest of the crashes that another entry knows."""
+        ...
+
     def on_member(self, member: members.Member) -> None:
         """Takes a member that introduced itself anew."""
         ...
@@ -122,7 +131,7 @@
         self._clock = time
         self._rng = rng
         self._prober = prober.Prober(self.roster, near, rng)
-        self._rumours = rumours.Rumours()
+        self._rumours: rumours.Rumours[members.MemberNews] = rumours.Rumours()
         self._links: Links | None = None
         self._started_ms = time.now_ms()
         self._compared_ms = float("-inf")
@@ -142,7 +151,7 @@
     def set_state(self, state: members.MemberState) -> None:
         """Takes this process's state and tells the others if it changed."""
         if self.roster.set_own_state(state):
-            self._rumours.add(self.roster.own, self._clock.now_ms())
+            self._pass_on(self.roster.own, self._clock.now_ms())
 
     # Who is there.
 
@@ -204,7 +213,7 @@
         now_ms = self._clock.now_ms()
         news = self.roster.suspect(vm_id, now_ms)
         if news is not None:
-            self._rumours.add(news, now_ms)
+            self._pass_on(news, now_ms)
             self.send(vm_id, fleet_messages.MembersNews(news=[news]))
 
     # Regular work.
@@ -227,17 +236,23 @@
         self._note_lost()
         self._spread(now_ms)
 
+    def _pass_on(self, news: members.MemberNews, now_ms: clock.Millis) -> None:
+        self._rumours.add(news.vm_id, news, now_ms)
+
     def _spread(self, now_ms: clock.Millis) -> None:
         news = self._rumours.take(now_ms)
-        if not news:
-            return
+        if news:
+            self.send_some(fleet_messages.MembersNews(news=news))
+
+    def send_some(self, message: msgspec.Struct) -> None:
+        """Sends news to a few entries drawn anew, which pass them on."""
         entries = self.alive(members.MemberKind.ENTRY)
         near = [entry.vm_id for entry in entries if self.is_near(entry)]
         far = [entry.vm_id for entry in entries if not self.is_near(entry)]
         targets = self._draw(near, rumours.NEAR_TARGETS)
         missing = rumours.NEAR_TARGETS - len(targets)
         targets += self._draw(far, rumours.FAR_TARGETS + missing)
-        self.send_all(targets, fleet_messages.MembersNews(news=news))
+        self.send_all(targets, message)
 
     def _draw(self, vm_ids: list[str], count: int) -> list[str]:
         return self._rng.sample(vm_ids, min(count, len(vm_ids)))
@@ -328,6 +343,7 @@
             state=self.roster.own.state,
             digest=self.roster.digest(),
             revision=self._surroundings.revision,
+            crash_digest=self._surroundings.crash_digest,
         )
         self.send(name, ack)
 
@@ -355,6 +371,7 @@
         )
         self._take_direct(news, now_ms)
         self._surroundings.on_revision(name, summary.revision)
+        self._surroundings.on_crash_digest(name, summary.crash_digest)
         return True
 
     def _on_probe_request(self, asker: str, vm_id: str) -> None:
@@ -376,7 +393,7 @@
         for each in news:
             passed_on = self.roster.apply(each, now_ms)
             if passed_on is not None:
-                self._rumours.add(passed_on, now_ms)
+                self._pass_on(passed_on, now_ms)
 
     def _take_direct(
         self, news: members.MemberNews, now_ms: clock.Millis
@@ -388,7 +405,7 @@
             self._contradict(known, now_ms)
         passed_on = self.roster.apply_direct(news, now_ms)
         if passed_on is not None:
-            self._rumours.add(passed_on, now_ms)
+            self._pass_on(passed_on, now_ms)
 
     def _note_heard(self, name: str, now_ms: clock.Millis) -> None:
         """Records a sign of life; asks one that is taken as lost to object."""
@@ -467,6 +484,7 @@
             state=self.roster.own.state,
             digest=self.roster.digest(),
             revision=self._surroundings.revision,
+            crash_digest=self._surroundings.crash_digest,
         )
 
     def _open_links(self) -> Links:
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -51,6 +51,7 @@
     CANCELLED = "cancelled"
     ENTRY_LEAVING = "entry_leaving"
     SETTINGS_MISSING = "settings_missing"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     INTERNAL = "internal"
 
 
@@ -163,6 +164,12 @@
     ErrorKind.SETTINGS_MISSING: Answer(
         503, Ran.NO, 1000, "No settings have been received yet."
     ),
+    ErrorKind.CRASHES_UPSTREAMS: Answer(
+        503,
+        Ran.NO,
+        None,
+        "Upstreams crashed when they ran this request; do not repeat it.",
+    ),
     ErrorKind.INTERNAL: Answer(
         500, Ran.UNKNOWN, 1000, "The system failed; the event is logged."
     ),
--- a/src/marlramp/ids.py
+++ b/src/marlramp/ids.py
@@ -13,6 +13,9 @@
 Fingerprint = NewType("Fingerprint", str)
 """Content of a request, the same for each attempt; 16 hexadecimal digits."""
 
+CrashId = NewType("CrashId", str)
+"""End of one start of a replica, "ID@BORN" with the start in Unix ms."""
+
 Incarnation = NewType("Incarnation", int)
 """Random number an agent draws at start; a restart gives a new one."""
 
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marlramp.core import catalog
+from marlramp.core import crash_ledger
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import peer_loads
@@ -56,12 +57,14 @@
       state: the sender's.
       digest: digest of the sender's roster.
       revision: revision up to which the sender knows the catalog.
+      crash_digest: digest of the crashes that the sender knows.
     """
 
     incarnation: int
     state: members.MemberState
     digest: int
     revision: int
+    crash_digest: int = 0
 
 
 class Ack(_Message):
@@ -71,6 +74,7 @@
     state: members.MemberState
     digest: int
     revision: int
+    crash_digest: int = 0
 
 
 class ProbeRequest(_Message):
@@ -95,6 +99,22 @@
     digests: list[int]
 
 
+class CrashNews(_Message):
+    """Crashes of replicas, and the requests that were under way there."""
+
+    crashes: list[crash_ledger.Crash]
+
+
+class CrashRequest(_Message):
+    """Asks for crashes that the sender may not know.
+
+    Attributes:
+      digests: digest of each bucket of its ledger.
+    """
+
+    digests: list[int]
+
+
 class StoreBeacon(_Message):
     """Sent at a steady rate by each entry that watches the store.
 
@@ -247,6 +267,8 @@
     | ProbeRequest
     | ProbeReply
     | RosterRequest
+    | CrashNews
+    | CrashRequest
     | StoreBeacon
     | CatalogNews
     | CatalogRequest
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -16,13 +16,16 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp.core import catalog
+from marlramp.core import crash_record
 from marlramp.core import fleet
 from marlramp.core import replica_table
 from marlramp.core import route_table
 from marlramp.direct import metrics
+from marlramp.direct.calls import crash_watch
 from marlramp.direct.calls import forwarder
 from marlramp.platform import headers
 from marlramp.settings import node
+from marlramp.shell import address_probe
 from marlramp.shell import http1_server
 from standins import raw_http
 
@@ -118,12 +121,16 @@
         self.catalog.apply(changes, time.now_ms())
         self.table.sync(self.catalog, time.now_ms())
         self.totals = counters.Counters()
+        self.crashes = crash_record.CrashRecord()
         self.forwarder = forwarder.Forwarder(
             self,
             self.catalog,
             self.table,
             headers.PlatformCallCodec(),
             SETTINGS,
+            crash_watch.CrashWatch(
+                self.crashes, address_probe.probe, self.totals, time
+            ),
             self.totals,
             metrics.Metrics(self.totals),
             time,
--- a/tests/direct/fleet/test_member_sync.py
+++ b/tests/direct/fleet/test_member_sync.py
@@ -169,7 +169,7 @@
     leaving.state = members.MemberState.LEAVING
     fleet.run(1_000.0)
     states = [
-        entry.sync.roster.in_buckets([roster.bucket_of("entry-42")])
+        entry.sync.roster.in_buckets(range(roster.BUCKETS))
         for entry in fleet.running()
     ]
     knows = [leaving.sync.roster.own in news for news in states]
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -11,9 +11,13 @@
 import msgspec
 
 from marlramp import clock
+from marlramp import counters
+from marlramp.core import crash_record
 from marlramp.core import members
+from marlramp.direct.fleet import crash_sync
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 
 TICK_MS = 100.0
@@ -25,6 +29,10 @@
     """The rest of an entry that has nothing to say."""
 
     revision = 0
+    crash_digest = 0
+
+    def on_crash_digest(self, name: str, digest: int) -> None:
+        pass
 
     def on_member(self, member: members.Member) -> None:
         pass
@@ -49,6 +57,7 @@
             f"10.0.{number // 250}.{number % 250}:8005",
         )
         self.running = True
+        self.suspended = False
         self.state = members.MemberState.READY
         self.revision = 0
         self.revisions_heard: list[tuple[str, int]] = []
@@ -66,6 +75,10 @@
             random.Random(f"{fleet.seed} {number}"),
         )
         self.sync.attach(self)
+        self.crashes = crash_record.CrashRecord()
+        self.crash_sync = crash_sync.CrashSync(
+            self.crashes, self.sync, counters.Counters(), fleet.time
+        )
 
     @property
     def name(self) -> str:
@@ -79,6 +92,22 @@
     def on_revision(self, name: str, revision: int) -> None:
         self.revisions_heard.append((name, revision))
 
+    @property
+    def crash_digest(self) -> int:
+        return self.crash_sync.digest
+
+    def on_crash_digest(self, name: str, digest: int) -> None:
+        self.crash_sync.on_digest(name, digest)
+
+    def on_message(self, name: str, message: fleet_messages.FromMember) -> None:
+        if self.sync.on_message(name, message):
+            return
+        match message:
+            case fleet_messages.CrashNews():
+                self.crash_sync.on_news(message)
+            case fleet_messages.CrashRequest():
+                self.crash_sync.on_request(name, message)
+
     # Links.
 
     def open(self, name: str, host: str, port: int) -> bool:
@@ -165,8 +194,8 @@
             return
 
         def deliver() -> None:
-            if to.running:
-                to.sync.on_message(name, self._decoder.decode(data))
+            if to.running and not to.suspended:
+                to.on_message(name, self._decoder.decode(data))
 
         self._at(self.rng.uniform(*DELAY_MS), deliver)
 
@@ -216,8 +245,10 @@
     def _tick(self, entry: VirtualEntry) -> None:
         if not entry.running:
             return
-        entry.sync.set_state(entry.state)
-        entry.sync.tick()
+        if not entry.suspended:
+            entry.sync.set_state(entry.state)
+            entry.sync.tick()
+            entry.crash_sync.tick()
         self._at(TICK_MS, lambda: self._tick(entry))
 
     def _at(self, in_ms: float, event: Callable[[], None]) -> None:
