Agents keep what entries know of crashing requests; own crashes are told at once

When all entries end at the same moment, or can't reach one another, what they knew of crashes was gone or split: a condemned request reached replicas again until it had been learnt anew.

An entry tells up to 16 others of a crash that it noticed 5 ms after it, not at its next tick of 100 ms through two or three: fewer sends cross the news.

Without the digests of agents the new test (all entries killed at once) fails: the request reaches replicas again. Ruled out as a place to keep it: the store (can only be read), staged pieces (weights only).

--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -20,6 +20,7 @@
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
+from marlramp.direct.fleet import crash_keeper
 from marlramp.direct.fleet import entry_contacts
 from marlramp.direct.fleet import named_weights
 from marlramp.direct.weights import piece_exchange
@@ -198,6 +199,9 @@
             self._totals,
         )
         self._contacts.attach(self._entry_links)
+        self._crashes = crash_keeper.CrashKeeper(
+            self._contacts, self._entry_links.send, self._clock
+        )
         self._exchange.attach(self._peer_links)
         self._exchange.attach_relays(self._entry_links)
 
@@ -311,6 +315,7 @@
         self, name: str, message: fleet_messages.FromMember
     ) -> None:
         self._contacts.on_message(name, message)
+        self._crashes.on_message(name, message)
         if isinstance(message, fleet_messages.FromAgentPeer):
             self._exchange.on_message(name, message)
         if isinstance(message, fleet_messages.Guide):
@@ -412,6 +417,7 @@
 
     def _tick(self) -> None:
         self._contacts.tick()
+        self._crashes.tick()
         self._entry_links.close_idle()
 
     async def _learn_unguided(self) -> None:
--- a/src/marlramp/direct/calls/crash_watch.py
+++ b/src/marlramp/direct/calls/crash_watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -65,12 +66,22 @@
         self,
         record: crash_record.CrashRecord,
         probe: Probe,
+        on_crash: Callable[[], None],
         totals: counters.Counters,
         time: clock.Clock,
     ) -> None:
-        """Writes crashes into `record`."""
+        """Watches connections to replicas.
+
+        Args:
+          record: takes crashes and their suspects.
+          probe: finds out whether a replica still listens.
+          on_crash: hears that `record` has changed.
+          totals: counters.
+          time: the clock.
+        """
         self._record = record
         self._probe = probe
+        self._on_crash = on_crash
         self._totals = totals
         self._clock = time
         self._probes: dict[
@@ -167,6 +178,7 @@
             begun=lost.begun,
             now_ms=self._clock.now_ms(),
         )
+        self._on_crash()
         logs.log(
             "crash_suspected",
             replica=lost.replica_id,
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -115,7 +115,11 @@
             headers.PlatformCallCodec(),
             settings,
             crash_watch.CrashWatch(
-                self._crashes, address_probe.probe, self._totals, self._clock
+                self._crashes,
+                address_probe.probe,
+                self._fleet.tell_crashes,
+                self._totals,
+                self._clock,
             ),
             self._totals,
             self._metrics,
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -1,23 +1,41 @@
 """Keeps what all entries know of crashing requests alike.
 
-News are passed on at once to a few entries, which pass them on in turn. What an
-entry misses (it started late, was cut off or suspended) shows in the digests
-that entries exchange anyway, and is asked for.
+News are told to entries and agents at once, and passed on by those that hear
+them. What an entry misses (it started late, was cut off or suspended) shows in
+the digests that entries exchange and agents tell, and is asked for.
 """
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+import random
+
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
 from marlramp.core import crash_record
+from marlramp.core import members
 from marlramp.core import rumours
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 COMPARE_MS = 500.0
-"""Between two requests for crashes that the own ledger lacks."""
+"""Between two requests to entries for crashes that the own ledger lacks."""
+
+COMPARE_AGENT_MS = 250.0
+"""The same to agents, each of which was told of a part of the crashes."""
+
+GATHER_MS = 5.0
+"""How long the requests that a crash broke off are gathered before they are
+told in one message."""
+
+FIRST_TARGETS = 16
+"""Entries told of an own crash at once; the others hear it from them."""
+
+AGENT_TARGETS = 2
+"""Agents that are told of a crash by each entry that hears of it."""
 
 FORGET_MS = 1_000.0
 """Between two looks for crashes that are old."""
@@ -30,16 +48,31 @@
         self,
         record: crash_record.CrashRecord,
         sync: member_sync.MemberSync,
+        agents: Callable[[], list[str]],
         totals: counters.Counters,
         time: clock.Clock,
+        rng: random.Random,
     ) -> None:
-        """Shares `record` with the entries that `sync` knows."""
+        """Knows only what this entry sees itself.
+
+        Args:
+          record: what it sees.
+          sync: the members.
+          agents: tells the VMs of the agents that report to this entry.
+          totals: counters.
+          time: the clock.
+          rng: draws whom to tell.
+        """
         self._record = record
         self._sync = sync
+        self._agents = agents
+        self._rng = rng
+        self._gathering = False
         self._totals = totals
         self._clock = time
         self._rumours: rumours.Rumours[ids.CrashId] = rumours.Rumours()
         self._compared_ms = float("-inf")
+        self._compared_agent_ms = float("-inf")
         self._forgot_ms = float("-inf")
 
     @property
@@ -53,6 +86,17 @@
         if digest == self.digest or now_ms - self._compared_ms < COMPARE_MS:
             return
         self._compared_ms = now_ms
+        self._ask(name)
+
+    def on_agent_digest(self, name: str, digest: int) -> None:
+        """Asks an agent whose ledger differs; it asks back what it lacks."""
+        since_ms = self._clock.now_ms() - self._compared_agent_ms
+        if digest == self.digest or since_ms < COMPARE_AGENT_MS:
+            return
+        self._compared_agent_ms = self._clock.now_ms()
+        self._ask(name)
+
+    def _ask(self, name: str) -> None:
         digests = self._record.ledger.digests()
         self._sync.send(name, fleet_messages.CrashRequest(digests=digests))
 
@@ -74,13 +118,43 @@
         if now_ms - self._forgot_ms >= FORGET_MS:
             self._forgot_ms = now_ms
             self._record.tick(now_ms)
-        for crash in self._record.take_untold():
-            self._rumours.add(crash, crash, now_ms)
+        self._queue_untold(now_ms)
         crashes = self._record.ledger.told(self._rumours.take(now_ms), now_ms)
         if crashes:
-            self._sync.send_some(fleet_messages.CrashNews(crashes=crashes))
+            news = fleet_messages.CrashNews(crashes=crashes)
+            self._sync.send_some(news)
+            self._sync.send_all(self._draw(self._agents(), AGENT_TARGETS), news)
         self._log_verdicts()
 
+    def tell_soon(self) -> None:
+        """Tells others of a crash that this entry has noticed."""
+        if not self._gathering:
+            self._gathering = True
+            delay_s = GATHER_MS / clock.MILLIS_PER_SECOND
+            asyncio.get_running_loop().call_later(delay_s, self._tell_first)
+
+    def _tell_first(self) -> None:
+        self._gathering = False
+        now_ms = self._clock.now_ms()
+        crashes = self._record.ledger.told(self._queue_untold(now_ms), now_ms)
+        if not crashes:
+            return
+        alive = self._sync.alive(members.MemberKind.ENTRY)
+        targets = self._draw([entry.vm_id for entry in alive], FIRST_TARGETS)
+        targets += self._draw(self._agents(), AGENT_TARGETS)
+        self._sync.send_all(targets, fleet_messages.CrashNews(crashes=crashes))
+        self._log_verdicts()
+
+    def _queue_untold(self, now_ms: clock.Millis) -> set[ids.CrashId]:
+        """Queues what changed to be passed on; returns it."""
+        untold = self._record.take_untold()
+        for crash in untold:
+            self._rumours.add(crash, crash, now_ms)
+        return untold
+
+    def _draw(self, vm_ids: list[str], count: int) -> list[str]:
+        return self._rng.sample(vm_ids, min(count, len(vm_ids)))
+
     def _tell(self, name: str, crashes: list[ids.CrashId]) -> None:
         told = self._record.ledger.told(crashes, self._clock.now_ms())
         if told:
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -96,10 +96,15 @@
         self._catalog_sync = catalog_sync.CatalogSync(
             known, self.sync, self._changed, time
         )
+        self._placed = placement.Placement(settings.regions, self.sync, time)
         self._crash_sync = crash_sync.CrashSync(
-            crashes, self.sync, totals, time
+            crashes,
+            self.sync,
+            self._placed.own_agents,
+            totals,
+            time,
+            random.Random(),
         )
-        self._placed = placement.Placement(settings.regions, self.sync, time)
         self._guide = agent_guide.AgentGuide(
             known, self._placed, self.sync, time
         )
@@ -234,6 +239,8 @@
                 self._crash_sync.on_news(message)
             case fleet_messages.CrashRequest():
                 self._crash_sync.on_request(name, message)
+            case fleet_messages.CrashDigest():
+                self._crash_sync.on_agent_digest(name, message.digest)
             case fleet_messages.OwnLoads():
                 self._load_exchange.on_message(name, message)
             case fleet_messages.EngineNews():
@@ -258,6 +265,10 @@
             )
         self._on_gone(restarted)
 
+    def tell_crashes(self) -> None:
+        """Tells the others of a crash that was noticed here."""
+        self._crash_sync.tell_soon()
+
     # What the members ask for.
 
     @property
--- a/src/marlramp/direct/fleet/placement.py
+++ b/src/marlramp/direct/fleet/placement.py
@@ -70,6 +70,11 @@
         }
         return True
 
+    def own_agents(self) -> list[str]:
+        """Returns the VMs of the agents of the own cell."""
+        cell = self.cells.of_entry(self._sync.roster.own.vm_id)
+        return [] if cell is None else list(cell.agents)
+
     def agents_with_engine(self) -> list[members.Member]:
         """Returns the agents whose engine answers.
 
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -115,6 +115,12 @@
     digests: list[int]
 
 
+class CrashDigest(_Message):
+    """Tells an entry what crashes an agent knows, by their digest."""
+
+    digest: int
+
+
 class StoreBeacon(_Message):
     """Sent at a steady rate by each entry that watches the store.
 
@@ -269,6 +275,7 @@
     | RosterRequest
     | CrashNews
     | CrashRequest
+    | CrashDigest
     | StoreBeacon
     | CatalogNews
     | CatalogRequest
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -129,7 +129,11 @@
             headers.PlatformCallCodec(),
             SETTINGS,
             crash_watch.CrashWatch(
-                self.crashes, address_probe.probe, self.totals, time
+                self.crashes,
+                address_probe.probe,
+                lambda: None,
+                self.totals,
+                time,
             ),
             self.totals,
             metrics.Metrics(self.totals),
--- /dev/null
+++ b/tests/direct/fleet/test_crash_keeper.py
@@ -0,0 +1,84 @@
+"""Agents keep what entries know of crashing requests."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import crash_ledger
+from marlramp.core import members
+from marlramp.direct.fleet import crash_keeper
+from marlramp.direct.fleet import entry_contacts
+from marlramp.protocol import fleet_messages
+
+CULPRIT = ids.Fingerprint("culprit")
+
+
+class Keeper:
+    """A keeper and what it sent to entries."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self.sent: list[tuple[str, msgspec.Struct]] = []
+        contacts = entry_contacts.EntryContacts(
+            members.Member("a", members.MemberKind.AGENT, "dc", "h", 1),
+            1,
+            [],
+            lambda _: None,
+            lambda _: None,
+            time,
+        )
+        self.keeper = crash_keeper.CrashKeeper(contacts, self._send, time)
+
+    def _send(self, name: str, message: msgspec.Struct) -> None:
+        self.sent.append((name, message))
+
+
+@pytest.fixture
+def keeper(time: clock.ManualClock) -> Keeper:
+    """A keeper that knows no crash."""
+    return Keeper(time)
+
+
+def crash(number: int) -> crash_ledger.Crash:
+    suspect = crash_ledger.Suspect(CULPRIT, begun=False)
+    return crash_ledger.Crash(ids.CrashId(f"i-{number}@1"), 0.0, [suspect])
+
+
+def test_entry_that_knows_nothing_is_told_all(keeper: Keeper) -> None:
+    news = fleet_messages.CrashNews(crashes=[crash(n) for n in range(3)])
+    keeper.keeper.on_message("entry-0", news)
+    empty = crash_ledger.CrashLedger().digests()
+    request = fleet_messages.CrashRequest(digests=empty)
+    keeper.keeper.on_message("entry-1", request)
+    name, told = keeper.sent[0]
+    assert name == "entry-1"
+    assert isinstance(told, fleet_messages.CrashNews)
+    assert {each.crash_id for each in told.crashes} == {
+        each.crash_id for each in news.crashes
+    }
+
+
+def test_keeper_asks_an_entry_that_knows_more(
+    keeper: Keeper, time: clock.ManualClock
+) -> None:
+    entry = crash_ledger.CrashLedger()
+    entry.merge(crash(0), time.now_ms())
+    request = fleet_messages.CrashRequest(digests=entry.digests())
+    keeper.keeper.on_message("entry-0", request)
+    assert [type(message) for _, message in keeper.sent] == [
+        fleet_messages.CrashRequest
+    ]
+
+
+def test_keeper_that_knows_the_same_is_silent(
+    keeper: Keeper, time: clock.ManualClock
+) -> None:
+    entry = crash_ledger.CrashLedger()
+    entry.merge(crash(0), time.now_ms())
+    news = fleet_messages.CrashNews(crashes=[crash(0)])
+    keeper.keeper.on_message("entry-0", news)
+    request = fleet_messages.CrashRequest(digests=entry.digests())
+    keeper.keeper.on_message("entry-0", request)
+    assert keeper.sent == []
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -77,7 +77,12 @@
         self.sync.attach(self)
         self.crashes = crash_record.CrashRecord()
         self.crash_sync = crash_sync.CrashSync(
-            self.crashes, self.sync, counters.Counters(), fleet.time
+            self.crashes,
+            self.sync,
+            list,
+            counters.Counters(),
+            fleet.time,
+            random.Random(f"{fleet.seed} {number}"),
         )
 
     @property
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -162,6 +162,26 @@
     run_fleet(use)
 
 
+def test_entries_that_all_ended_learn_of_a_crashing_request_from_agents(
+    run_fleet: RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        culprit = on_engines(fleet)
+        await culprit.send_until_known(fleet.entry_hosts)
+        before = culprit.arrivals()
+        for number in range(ENTRIES):
+            fleet.processes[f"entry-{number}"].kill()
+        for number, host in enumerate(fleet.entry_hosts):
+            await fleet.processes[f"entry-{number}"].wait()
+            await fleet.start_entry(number)
+            await fleet.wait_ready(host)
+        await asyncio.sleep(SPREAD_S)
+        await culprit.send_for(fleet.entry_hosts, 3.0)
+        assert culprit.arrivals() == before
+
+    run_fleet(use)
+
+
 def test_entry_that_was_suspended_learns_of_a_crashing_request(
     run_fleet: RunFleet,
 ) -> None:
