Operators see and release requests that crash replicas; those under way are withdrawn

The page and its log lines are what tells a request that was turned away for good from any other.

A suspect that waits at a replica when the others find that it is the culprit is taken back, and its replica goes on: it ended one more before. One that has brought events is left to end, since that clears it.

--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -8,6 +8,7 @@
 
 from marlramp import __version__
 from marlramp.console.commands import check
+from marlramp.console.commands import crashes
 from marlramp.console.commands import demo
 from marlramp.console.commands import drain
 from marlramp.console.commands import experiment
@@ -37,6 +38,7 @@
 app.command(demo.demo)
 app.command(request.request)
 app.command(traffic.traffic)
+app.command(crashes.crashes)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -208,6 +208,10 @@
         """Whether no crash is remembered."""
         return not self._crashes
 
+    def suspects(self) -> dict[ids.Fingerprint, list[ids.CrashId]]:
+        """Returns the crashes that each request is not cleared of."""
+        return {name: list(blamed) for name, blamed in self._blamed.items()}
+
     def strikes(self, fingerprint: ids.Fingerprint) -> float:
         """Returns the strikes of a request that it is not cleared of."""
         return sum(
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -88,7 +88,7 @@
         self._latencies = latencies
         self._clock = time
         self._selector = selection.Selector(known, table, settings, time)
-        self._sender = sender.Sender(codec, time)
+        self._sender = sender.Sender(codec, crashes.is_condemned, time)
         self._budgets: dict[ids.ServiceId, retry_share.RetryShare] = {}
         self._waits: dict[tuple[str, float], caller_waits.CallerWaits] = {}
         self.active = 0
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
 from marlramp import clock
 from marlramp import errors
+from marlramp import ids
 from marlramp import logs
 from marlramp.core import attempt_limits
 from marlramp.core import caller_patience
@@ -30,6 +32,10 @@
 BEHIND_PRIORITY = 8
 """Rank of a request that is late whatever happens; others have 5."""
 
+CONDEMNED_POLL_MS = 20.0
+"""Between two looks whether a request that is suspected of crashes has been
+condemned while it waits at a replica."""
+
 _CRASH_LOSSES = frozenset(
     {http1_client.LossKind.CLOSED, http1_client.LossKind.RESET}
 )
@@ -42,11 +48,13 @@
     Attributes:
       outcome: how the attempt ended.
       stalled: whether it was given up while the replica was at work.
+      withdrawn: whether it was taken back from a replica that goes on.
       first_event_ms: time to the first event, None if none came.
     """
 
     outcome: attempts.Outcome
     stalled: bool = False
+    withdrawn: bool = False
     first_event_ms: float | None = None
 
     @property
@@ -63,10 +71,18 @@
     def __init__(
         self,
         codec: wire.CallCodec,
+        is_condemned: Callable[[ids.Fingerprint], bool],
         time: clock.Clock,
     ) -> None:
-        """Writes and reads headers through `codec`."""
+        """Owns no connection yet.
+
+        Args:
+          codec: writes and reads headers.
+          is_condemned: tells whether a request is not to be run again.
+          time: the clock.
+        """
         self._codec = codec
+        self._is_condemned = is_condemned
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
 
@@ -112,6 +128,10 @@
                 connection.abort()
             logs.log("caller_left", request=call.said.request_id)
             raise
+        if tried.withdrawn:
+            observer.left()
+            connection.abort()
+            return tried
         events = call.relay.splitter.events if call.route.streaming else None
         observer.ended(tried.outcome, events)
         tried.first_event_ms = observer.first_event_ms
@@ -152,12 +172,17 @@
         while True:
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
+            if call.suspected:
+                wait_ms = min(wait_ms, CONDEMNED_POLL_MS)
             if wait_ms > 0:
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
                 return Sent(attempt.finished.result())
             if self._clock.now_ms() >= self._limit_ms(call, choice, attempt):
                 return Sent(self._stalled(call, attempt), stalled=True)
+            # One that has begun may yet end well and clear itself.
+            if not attempt.begun and self._is_condemned(call.fingerprint):
+                return Sent(_condemned(), withdrawn=True)
 
     def _attempt(
         self, call: call_module.Call, observer: replica_observer.ReplicaObserver
@@ -232,6 +257,12 @@
         return pool
 
 
+def _condemned() -> attempts.Outcome:
+    kind = errors.ErrorKind.CRASHES_UPSTREAMS
+    failure = errors.CallError(kind, ran=errors.Ran.UNKNOWN)
+    return attempts.Outcome(failure=failure)
+
+
 def _priority(
     call: call_module.Call, place: queue_place.QueuePlace
 ) -> int | None:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -17,6 +17,7 @@
 from marlramp.core import members
 from marlramp.core import replica_table
 from marlramp.core import route_table
+from marlramp.direct import crash_pages
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
@@ -210,6 +211,7 @@
         pages = {
             **lookup_pages.build(self._lookup, ttl_ms / _MS, self._is_ready),
             **side_server.metrics_pages(self._metrics.text),
+            **crash_pages.build(self._crashes, self._fleet.tell_crashes),
         }
         addresses = {
             "lookup": self._addresses.lookup,
--- a/src/marlramp/direct/side_server.py
+++ b/src/marlramp/direct/side_server.py
@@ -48,7 +48,7 @@
 
 
 Pages: TypeAlias = Mapping[str, Callable[[str], Awaitable[Page]]]
-"""What answers each path; takes the query."""
+"""What answers each path, or each "METHOD path"; takes the query."""
 
 
 def metrics_address(settings: node.NodeSettings) -> node.Address:
@@ -124,7 +124,9 @@
         responder: http1_server.Responder,
     ) -> None:
         path, _, query = request.target.partition(b"?")
-        page = self._pages.get(path.decode("latin-1"))
+        name = path.decode("latin-1")
+        page = self._pages.get(f"{request.method} {name}")
+        page = page or self._pages.get(name)
         if page is None:
             responder.answer(_NOT_FOUND, [], b"")
             return
--- /dev/null
+++ b/tests/direct/calls/test_crashing_requests.py
@@ -0,0 +1,126 @@
+"""An entry's dealings with requests that crash replicas."""
+
+from __future__ import annotations
+
+import asyncio
+
+from marlramp import clock
+from marlramp import counters
+from marlramp import ids
+from marlramp.core import crash_ledger
+from marlramp.core import request_fingerprint
+from standins import raw_http
+from tests.direct import conftest
+
+TIME = clock.SystemClock()
+
+
+def fingerprint(path: str) -> ids.Fingerprint:
+    return request_fingerprint.fingerprint(
+        "GET", "a.example", path.encode(), None, b""
+    )
+
+
+def note_crashes(entry: conftest.Entry, path: str, count: int) -> None:
+    for number in range(count):
+        entry.crashes.note_crash(
+            crash_ledger.crash_id(f"x-{number}", 1),
+            fingerprint(path),
+            begun=False,
+            now_ms=TIME.now_ms(),
+        )
+
+
+async def answer(peer: raw_http.Peer) -> None:
+    while (request := await peer.read()) is not None:
+        await peer.answer(request, 200, b"good", x_replica_signature="s")
+
+
+async def break_off(peer: raw_http.Peer) -> None:
+    await peer.read()
+    peer.reset()
+
+
+def test_condemned_request_is_refused_at_once_as_not_run(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        note_crashes(entry, "/safe/x", 3)
+        told = await entry.call("/safe/x")
+        assert told.startswith(b"HTTP/1.1 503")
+        assert b'"ran":"no"' in told
+        assert b"crashes_upstreams" in told
+        assert b"retry-after" not in told
+        # Another request of the same route is none of it.
+        assert (await entry.call("/safe/y")).startswith(b"HTTP/1.1 200")
+
+    run_entry(use, answer)
+
+
+def test_request_is_withdrawn_when_others_find_that_it_crashes_replicas(
+    run_entry: conftest.RunEntry,
+) -> None:
+    left = asyncio.Event()
+
+    async def hold(peer: raw_http.Peer) -> None:
+        await peer.read()
+        assert await peer.read() is None
+        left.set()
+
+    async def use(entry: conftest.Entry) -> None:
+        note_crashes(entry, "/safe/x", 1)
+        call = asyncio.create_task(entry.call("/safe/x", wait_ms=3_000))
+        await asyncio.sleep(0.1)
+        note_crashes(entry, "/safe/x", 3)
+        async with asyncio.timeout(0.5):
+            told = await call
+            await left.wait()
+        assert told.startswith(b"HTTP/1.1 502")
+        assert b'"ran":"unknown"' in told
+        # The replica is not blamed for it.
+        (view,) = list(entry.table)
+        assert view.breaker.allows(TIME.now_ms())
+
+    run_entry(use, hold)
+
+
+def test_reset_by_a_replica_that_lives_is_no_strike(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        for _ in range(3):
+            await entry.call("/once/x")
+        await asyncio.sleep(0.2)
+        assert entry.crashes.ledger.empty
+        name = counters.CounterName.CRASHES
+        assert entry.totals.total(name, "no_crash") == 3
+
+    run_entry(use, break_off)
+
+
+def test_suspect_is_not_sent_to_a_second_replica(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        note_crashes(entry, "/safe/x", 2)
+        told = await entry.call("/safe/x")
+        assert told.startswith(b"HTTP/1.1 502")
+        name = counters.CounterName.REFUSALS
+        assert entry.totals.total(name, "suspected") == 1
+
+    run_entry(use, break_off, break_off)
+
+
+def test_failure_that_a_replica_answers_itself_clears_a_request(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def fail(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            await peer.answer(request, 500, b"bad", x_replica_signature="s")
+
+    async def use(entry: conftest.Entry) -> None:
+        note_crashes(entry, "/once/x", 2)
+        await entry.call("/once/x")
+        assert entry.crashes.ledger.strikes(fingerprint("/once/x")) == 1.0
+
+    run_entry(use, fail)
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -12,8 +12,11 @@
 from typing import Protocol
 from typing import TypeAlias
 
+import msgspec
 import pytest
 
+from marlramp.console import exit_codes
+from marlramp.console.commands import crashes
 from standins import direct_fleet
 from standins import direct_replicas
 
@@ -198,6 +201,32 @@
     run_fleet(use)
 
 
+def test_operator_sees_a_crashing_request_and_releases_it(
+    run_fleet: RunFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        culprit = on_engines(fleet)
+        await culprit.send_until_known(fleet.entry_hosts)
+        before = culprit.arrivals()
+        urls = [f"http://{host}:9464" for host in fleet.entry_hosts]
+        await asyncio.to_thread(crashes.crashes, urls[0], json=True)
+        rows = msgspec.json.decode(capsys.readouterr().out)
+        (row,) = [row for row in rows if row["condemned"]]
+        name = row["fingerprint"]
+        assert len(row["crashes"]) >= CRASHES_KNOWN
+        assert f"request_condemned fingerprint={name}" in fleet.log("entry-0")
+        await asyncio.to_thread(crashes.crashes, urls[1], release=name)
+        await asyncio.sleep(SPREAD_S)
+        await culprit.send(fleet.entry_hosts[2])
+        assert culprit.arrivals() > before
+        code = await asyncio.to_thread(
+            crashes.crashes, urls[1], release="unknown"
+        )
+        assert code == exit_codes.ExitCode.USAGE
+
+    run_fleet(use)
+
+
 def test_innocent_requests_are_served_beside_a_crashing_one(
     run_fleet: RunFleet,
 ) -> None:
