--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,12 @@
 
 @application.command(name="run")
 def run_seeds(
-    seeds: int = 50, *, first: int = 1, at_once: int = 4, keep: str = ""
+    seeds: int = 50,
+    *,
+    first: int = 1,
+    at_once: int = 4,
+    keep: str = "",
+    culprit: bool = False,
 ) -> None:
     """Plays a row of seeds and prints the promises that each broke.
 
@@ -29,9 +34,12 @@
       first: the first of them.
       at_once: how many are played at once.
       keep: folder for the logs of seeds that broke a promise.
+      culprit: also send a request that crashes the replicas that run it.
     """
     numbers = list(range(first, first + seeds))
-    failed = asyncio.run(_play_all(numbers, at_once, pathlib.Path(keep or ".")))
+    folder = pathlib.Path(keep or ".")
+    playing = _play_all(numbers, at_once, folder, culprit=culprit)
+    failed = asyncio.run(playing)
     print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
     if failed:
         sys.exit(f"seeds that broke a promise: {failed}")
@@ -48,25 +56,25 @@
 
 
 async def _play_all(
-    numbers: list[int], at_once: int, keep: pathlib.Path
+    numbers: list[int], at_once: int, keep: pathlib.Path, *, culprit: bool
 ) -> list[int]:
     limit = asyncio.Semaphore(at_once)
     failed: list[int] = []
 
     async def one(seed: int) -> None:
         async with limit:
-            if not await _play(seed, keep):
+            if not await _play(seed, keep, culprit=culprit):
                 failed.append(seed)
 
     await asyncio.gather(*(one(seed) for seed in numbers))
     return sorted(failed)
 
 
-async def _play(seed: int, keep: pathlib.Path) -> bool:
+async def _play(seed: int, keep: pathlib.Path, *, culprit: bool) -> bool:
     """Plays a seed; returns whether it kept all promises."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        result = await run.play(folder, seed, schedule.Size())
+        result = await run.play(folder, seed, schedule.Size(), culprit=culprit)
         if not result.violations:
             print(
                 f"seed {seed}: kept, {len(result.plan.faults)} faults,"
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -85,6 +85,8 @@
       attempts_max: replicas that one request may run on.
       events: events of a whole stream.
       last_calls: calls after the last fault, when all should be well.
+      culprit_runs: runs of a request that crashes replicas, from a while after
+        the last fault on.
     """
 
     calls: list[Call]
@@ -96,6 +98,7 @@
     attempts_max: int
     events: int
     last_calls: list[Call]
+    culprit_runs: int = 0
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -117,6 +120,9 @@
 """A daemon whose interpreter still starts may end by the signal itself: it has
 taken nothing."""
 
+CULPRIT_RUNS_MAX = 3
+"""Times that a request that is known to crash replicas may still run."""
+
 LAST_SHARE_MIN = 0.95
 """Part of the last calls that must be served."""
 
@@ -131,6 +137,9 @@
     if seen.mixed_loads:
         detail = f"{seen.mixed_loads} loads of incomplete weights"
         found.append(Violation("whole_weights", detail))
+    if seen.culprit_runs > CULPRIT_RUNS_MAX:
+        detail = f"{seen.culprit_runs} runs of a request that crashes replicas"
+        found.append(Violation("crashing_requests", detail))
     allowed = [call for call in seen.last_calls if call.key not in seen.revoked]
     served = sum(_is_served(call) for call in allowed)
     if served < LAST_SHARE_MIN * len(allowed):
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import itertools
 import pathlib
 import random
 import time
@@ -26,6 +27,12 @@
 LAST_CALLS = 40
 RUN_TIMEOUT_S = 120.0
 ATTEMPTS_MAX = 2
+CULPRIT = "culprit"
+CULPRIT_PAUSE_MS = 400.0
+CULPRIT_KNOWN_MS = 3_000.0
+"""After the last fault all entries know a request that crashes replicas within
+this time."""
+
 _MS = 1_000.0
 
 
@@ -49,7 +56,12 @@
     """One run; also what its callers ask for."""
 
     def __init__(
-        self, folder: pathlib.Path, plan: schedule.Plan, size: schedule.Size
+        self,
+        folder: pathlib.Path,
+        plan: schedule.Plan,
+        size: schedule.Size,
+        *,
+        culprit: bool = False,
     ) -> None:
         """Starts nothing before `play`.
 
@@ -57,8 +69,11 @@
           folder: where settings files and logs go.
           plan: the faults.
           size: size of the fleet.
+          culprit: whether a request that crashes replicas comes all the time.
         """
         self._plan = plan
+        self._culprit = culprit
+        self._culprit_runs = 0
         self._size = size
         self._fleet = direct_fleet.Fleet(
             folder,
@@ -149,10 +164,15 @@
             for number in range(CALLERS)
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in crowd]
+        if self._culprit:
+            tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
             *(self._striker.strike(fault) for fault in self._plan.faults)
         )
-        await asyncio.sleep(SETTLE_MS / _MS)
+        await asyncio.sleep(CULPRIT_KNOWN_MS / _MS)
+        before = self._runs_of_culprit()
+        await asyncio.sleep((SETTLE_MS - CULPRIT_KNOWN_MS) / _MS)
+        self._culprit_runs = self._runs_of_culprit() - before
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -160,6 +180,25 @@
             caller.close()
         return [call for caller in crowd for call in caller.calls]
 
+    async def _send_culprit(self) -> None:
+        """Sends a request that crashes replicas to all entries in turn."""
+        for number in itertools.count():
+            hosts = self._fleet.entry_hosts
+            await self._fleet.stream(
+                hosts[number % len(hosts)],
+                f"{CULPRIT}-{number}",
+                direct_replicas.CRASHING_BODY,
+            )
+            await asyncio.sleep(CULPRIT_PAUSE_MS / _MS)
+
+    def _runs_of_culprit(self) -> int:
+        return sum(
+            count
+            for engine in self._fleet.engines
+            for request_id, count in engine.runs.items()
+            if request_id.startswith(CULPRIT)
+        )
+
     async def _last_calls(self) -> list[promises.Call]:
         caller = callers.Caller("last", self._plan.seed, self)
         for _ in range(LAST_CALLS):
@@ -188,10 +227,17 @@
             attempts_max=ATTEMPTS_MAX,
             events=direct_replicas.EVENTS,
             last_calls=last,
+            culprit_runs=self._culprit_runs,
         )
 
 
-async def play(folder: pathlib.Path, seed: int, size: schedule.Size) -> Result:
+async def play(
+    folder: pathlib.Path,
+    seed: int,
+    size: schedule.Size,
+    *,
+    culprit: bool = False,
+) -> Result:
     """Plays one seed; settings files and logs go to `folder`."""
     plan = schedule.draw(seed, size)
-    return await Run(folder, plan, size).play()
+    return await Run(folder, plan, size, culprit=culprit).play()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -16,6 +16,9 @@
 """Seeds that are always played: few faults, so that the run stays short."""
 
 
+CULPRIT_SEED = 3
+
+
 def seeds() -> list[int]:
     listed = tomllib.loads(REGRESSIONS.read_text())["seed"]
     return [entry["number"] for entry in listed] + SHORT_RUN
@@ -26,3 +29,12 @@
     result = asyncio.run(run.play(tmp_path, seed, schedule.Size()))
     assert result.violations == []
     assert result.served
+
+
+def test_seed_keeps_all_promises_beside_a_crashing_request(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(tmp_path, CULPRIT_SEED, schedule.Size(), culprit=True)
+    )
+    assert result.violations == []
