A deadline that passes while a VM is suspended ends its request within 0.5 s

Timers of the event loop stand still while the VM is suspended, the clock of deadlines does not: a request at a replica was waited for by the whole rest of its timer, up to its full time again. The wait is cut into looks at the clock. The test (a clock that jumps by 5 s) fails with one wait of the whole rest.

--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -32,6 +32,10 @@
 BEHIND_PRIORITY = 8
 """Rank of a request that is late whatever happens; others have 5."""
 
+LOOK_MS = 500.0
+"""Longest wait before the clock is read again: timers of the event loop stand
+still while the VM is suspended, deadlines do not."""
+
 CONDEMNED_POLL_MS = 20.0
 """Between two looks whether a request that is suspected of crashes has been
 condemned while it waits at a replica."""
@@ -172,8 +176,8 @@
         while True:
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
-            if call.suspected:
-                wait_ms = min(wait_ms, CONDEMNED_POLL_MS)
+            look_ms = CONDEMNED_POLL_MS if call.suspected else LOOK_MS
+            wait_ms = min(wait_ms, look_ms)
             if wait_ms > 0:
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -365,3 +365,20 @@
         assert not replica.seen
 
     run_entry(use, replica.serve)
+
+
+def test_request_that_outlived_its_time_while_suspended_ends_soon(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def hold(peer: raw_http.Peer) -> None:
+        await peer.read()
+        await peer.read()
+
+    async def use(entry: conftest.Entry) -> None:
+        call = asyncio.create_task(entry.call("/once/x", wait_ms=1_400))
+        await asyncio.sleep(0.1)
+        entry.time.suspended_ms = 5_000.0
+        async with asyncio.timeout(0.8):
+            assert (await call).startswith(b"HTTP/1.1 504")
+
+    run_entry(use, hold)
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -88,6 +88,19 @@
 )
 
 
+class SuspendedClock:
+    """The system's clock; time spent suspended is added by hand."""
+
+    def __init__(self) -> None:
+        """Starts without any."""
+        self._clock = clock.SystemClock()
+        self.suspended_ms = 0.0
+
+    def now_ms(self) -> clock.Millis:
+        """Returns the time, with what was spent suspended."""
+        return clock.Millis(self._clock.now_ms() + self.suspended_ms)
+
+
 class Entry:
     """A forwarder behind a caller server, before some replicas."""
 
@@ -101,7 +114,8 @@
         self.closing = False
         self.catalog = catalog.Catalog()
         self.table = replica_table.ReplicaTable()
-        time = clock.SystemClock()
+        self.time = SuspendedClock()
+        time = self.time
         changes: list[catalog.Change] = [
             catalog.ReplicaChange(
                 number + 1,
