Ledgers of crashes that are full differ for no good at a bounded cost

Found by a test of 12 entries that forget other crashes each, since news reach them at other times: what one forgot, others told it again as new, and it passed that on: 345 KB/s of control an entry, 10 are allowed. A full ledger takes no crash back that is as old as one it forgot, an answer holds 64 crashes (those that condemn a request first), and the pause between requests that bring nothing doubles to 2 s. Agents are asked once a second and told only of own crashes.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+import random
 
 import msgspec
 
@@ -45,6 +46,12 @@
 BUCKETS = 64
 """Parts of the ledger that are compared by themselves."""
 
+TOLD_MAX = 64
+"""Crashes told in one answer: some 16 kB."""
+
+TOLD_CONDEMNED_MAX = 48
+"""The same of crashes that condemn a request, which are told first."""
+
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """A request that was under way at a replica when it crashed.
@@ -115,6 +122,7 @@
         self._blamed: dict[ids.Fingerprint, set[ids.CrashId]] = {}
         self._digests = bucket_digests.BucketDigests(BUCKETS)
         self._condemned: dict[ids.Fingerprint, Evidence] | None = {}
+        self._forgotten_ms = float("-inf")
 
     # What was seen.
 
@@ -168,6 +176,8 @@
         """
         noticed_ms = now_ms - crash.age_ms
         noted = self._crashes.get(crash.crash_id)
+        if noted is None and self._is_too_late(noticed_ms):
+            return False
         if noted is None:
             noted = self._crashes[crash.crash_id] = _Noted(noticed_ms, {})
         noted.noticed_ms = min(noted.noticed_ms, noticed_ms)
@@ -180,14 +190,19 @@
                 changed = True
         return changed
 
+    def _is_too_late(self, noticed_ms: float) -> bool:
+        """Returns whether a crash is one that was forgotten for want of room.
+
+        Others may hold it still, and would tell it again and again.
+        """
+        return noticed_ms <= self._forgotten_ms
+
     def tick(self, now_ms: clock.Millis) -> None:
         """Forgets crashes that are old, or more than are remembered."""
         horizon_ms = now_ms - CRASH_AGE_MAX_MS
-        kept = {
-            crash
-            for evidence in self.condemned().values()
-            for crash in evidence.crash_ids
-        }
+        if self._forgotten_ms < horizon_ms:
+            self._forgotten_ms = float("-inf")
+        kept = self._condemning()
         for crash, noted in list(self._crashes.items()):
             if noted.noticed_ms < horizon_ms and crash not in kept:
                 self._forget(crash)
@@ -199,8 +214,18 @@
                 key=lambda c: (c in kept, self._crashes[c].noticed_ms),
             )
             for crash in order[:excess]:
+                noticed_ms = self._crashes[crash].noticed_ms
+                self._forgotten_ms = max(self._forgotten_ms, noticed_ms)
                 self._forget(crash)
 
+    def _condemning(self) -> set[ids.CrashId]:
+        """Returns the crashes that condemn a request."""
+        return {
+            crash
+            for evidence in self.condemned().values()
+            for crash in evidence.crash_ids
+        }
+
     # What follows from it.
 
     @property
@@ -281,14 +306,29 @@
         """Returns the digest of each bucket."""
         return self._digests.all()
 
-    def differing(self, digests: list[int]) -> list[ids.CrashId]:
-        """Returns the crashes in buckets that differ from another ledger's."""
+    def differing(
+        self, digests: list[int], rng: random.Random
+    ) -> list[ids.CrashId]:
+        """Returns crashes that another ledger may lack, as many as are told.
+
+        Args:
+          digests: the digests of the other ledger's buckets.
+          rng: draws those that are told if there are more.
+        """
         buckets = set(self._digests.differing(digests))
-        return [
+        found = [
             crash
             for crash in self._crashes
             if self._digests.bucket_of(crash) in buckets
         ]
+        if len(found) <= TOLD_MAX:
+            return found
+        kept = self._condemning()
+        rng.shuffle(found)
+        first = [crash for crash in found if crash in kept]
+        first = first[:TOLD_CONDEMNED_MAX]
+        rest = [crash for crash in found if crash not in first]
+        return [*first, *rest[: TOLD_MAX - len(first)]]
 
     # Keeping all of it in step.
 
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -79,16 +79,19 @@
 
     def merge(
         self, crashes: Iterable[crash_ledger.Crash], now_ms: clock.Millis
-    ) -> None:
-        """Takes what another entry knows."""
+    ) -> bool:
+        """Takes what another process knows; returns whether it is new."""
+        is_new = False
         for crash in crashes:
             if not self.ledger.merge(crash, now_ms):
                 continue
+            is_new = True
             self._untold.add(crash.crash_id)
             for suspect in crash.suspects:
                 blamed = self.ledger.blames(crash.crash_id, suspect.fingerprint)
                 if blamed and self._good.try_spend(suspect.fingerprint, now_ms):
                     self.ledger.clear(crash.crash_id, suspect.fingerprint)
+        return is_new
 
     def is_condemned(self, fingerprint: ids.Fingerprint) -> bool:
         """Returns whether a request is not to be run again."""
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from marlramp import clock
 from marlramp import counters
@@ -200,7 +201,10 @@
         )
         self._contacts.attach(self._entry_links)
         self._crashes = crash_keeper.CrashKeeper(
-            self._contacts, self._entry_links.send, self._clock
+            self._contacts,
+            self._entry_links.send,
+            self._clock,
+            random.Random(),
         )
         self._exchange.attach(self._peer_links)
         self._exchange.attach_relays(self._entry_links)
--- a/src/marlramp/direct/fleet/crash_keeper.py
+++ b/src/marlramp/direct/fleet/crash_keeper.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
 
 import msgspec
 
@@ -30,6 +31,7 @@
         contacts: entry_contacts.EntryContacts,
         send: Callable[[str, msgspec.Struct], object],
         time: clock.Clock,
+        rng: random.Random,
     ) -> None:
         """Knows no crash.
 
@@ -37,7 +39,9 @@
           contacts: the entries that the agent deals with.
           send: sends a message to one of them.
           time: the clock.
+          rng: draws what is told of much.
         """
+        self._rng = rng
         self._contacts = contacts
         self._send = send
         self._clock = time
@@ -68,10 +72,11 @@
 
     def _answer(self, name: str, request: fleet_messages.CrashRequest) -> None:
         """Tells an entry what it lacks, and asks it for the same."""
-        crashes = self._ledger.differing(request.digests)
+        crashes = self._ledger.differing(request.digests, self._rng)
         told = self._ledger.told(crashes, self._clock.now_ms())
         if told:
-            self._send(name, fleet_messages.CrashNews(crashes=told))
+            news = fleet_messages.CrashNews(crashes=told, answers=True)
+            self._send(name, news)
         digests = self._ledger.digests()
         if digests != request.digests:
             self._send(name, fleet_messages.CrashRequest(digests=digests))
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -24,8 +24,12 @@
 COMPARE_MS = 500.0
 """Between two requests to entries for crashes that the own ledger lacks."""
 
-COMPARE_AGENT_MS = 250.0
-"""The same to agents, each of which was told of a part of the crashes."""
+COMPARE_MAX_MS = 2_000.0
+"""The same while answers bring nothing new: ledgers that hold as many crashes
+as they may forget them at different times, and differ for no good."""
+
+COMPARE_AGENT_MS = 1_000.0
+"""Between two requests to agents."""
 
 GATHER_MS = 5.0
 """How long the requests that a crash broke off are gathered before they are
@@ -35,7 +39,7 @@
 """Entries told of an own crash at once; the others hear it from them."""
 
 AGENT_TARGETS = 2
-"""Agents that are told of a crash by each entry that hears of it."""
+"""Agents that each entry tells of an own crash; they ask entries for others."""
 
 FORGET_MS = 1_000.0
 """Between two looks for crashes that are old."""
@@ -71,6 +75,7 @@
         self._totals = totals
         self._clock = time
         self._rumours: rumours.Rumours[ids.CrashId] = rumours.Rumours()
+        self._compare_pause_ms = COMPARE_MS
         self._compared_ms = float("-inf")
         self._compared_agent_ms = float("-inf")
         self._forgot_ms = float("-inf")
@@ -82,10 +87,10 @@
 
     def on_digest(self, name: str, digest: int) -> None:
         """Asks an entry whose ledger differs for what it knows."""
-        now_ms = self._clock.now_ms()
-        if digest == self.digest or now_ms - self._compared_ms < COMPARE_MS:
+        since_ms = self._clock.now_ms() - self._compared_ms
+        if digest == self.digest or since_ms < self._compare_pause_ms:
             return
-        self._compared_ms = now_ms
+        self._compared_ms = self._clock.now_ms()
         self._ask(name)
 
     def on_agent_digest(self, name: str, digest: int) -> None:
@@ -101,16 +106,24 @@
         self._sync.send(name, fleet_messages.CrashRequest(digests=digests))
 
     def on_news(self, news: fleet_messages.CrashNews) -> None:
-        """Takes what another entry knows."""
-        self._record.merge(news.crashes, self._clock.now_ms())
+        """Takes what another process knows."""
+        is_new = self._record.merge(news.crashes, self._clock.now_ms())
+        if is_new:
+            self._compare_pause_ms = COMPARE_MS
+        elif news.answers:
+            doubled_ms = 2.0 * self._compare_pause_ms
+            self._compare_pause_ms = min(COMPARE_MAX_MS, doubled_ms)
 
     def on_request(
         self, name: str, request: fleet_messages.CrashRequest
     ) -> None:
         """Tells an entry what its ledger may lack."""
         ledger = self._record.ledger
-        crashes = ledger.differing(request.digests)
-        self._tell(name, crashes)
+        crashes = ledger.differing(request.digests, self._rng)
+        told = ledger.told(crashes, self._clock.now_ms())
+        if told:
+            news = fleet_messages.CrashNews(crashes=told, answers=True)
+            self._sync.send(name, news)
 
     def tick(self) -> None:
         """Passes on what is new, and says what follows from it."""
@@ -121,9 +134,7 @@
         self._queue_untold(now_ms)
         crashes = self._record.ledger.told(self._rumours.take(now_ms), now_ms)
         if crashes:
-            news = fleet_messages.CrashNews(crashes=crashes)
-            self._sync.send_some(news)
-            self._sync.send_all(self._draw(self._agents(), AGENT_TARGETS), news)
+            self._sync.send_some(fleet_messages.CrashNews(crashes=crashes))
         self._log_verdicts()
 
     def tell_soon(self) -> None:
@@ -155,11 +166,6 @@
     def _draw(self, vm_ids: list[str], count: int) -> list[str]:
         return self._rng.sample(vm_ids, min(count, len(vm_ids)))
 
-    def _tell(self, name: str, crashes: list[ids.CrashId]) -> None:
-        told = self._record.ledger.told(crashes, self._clock.now_ms())
-        if told:
-            self._sync.send(name, fleet_messages.CrashNews(crashes=told))
-
     def _log_verdicts(self) -> None:
         verdicts = self._record.take_verdicts()
         for fingerprint, evidence in verdicts.condemned.items():
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -100,9 +100,15 @@
 
 
 class CrashNews(_Message):
-    """Crashes of replicas, and the requests that were under way there."""
+    """Crashes of replicas, and the requests that were under way there.
+
+    Attributes:
+      crashes: the crashes.
+      answers: whether they answer a request.
+    """
 
     crashes: list[crash_ledger.Crash]
+    answers: bool = False
 
 
 class CrashRequest(_Message):
--- a/tests/core/test_crash_ledger.py
+++ b/tests/core/test_crash_ledger.py
@@ -153,7 +153,7 @@
         one.merge(rng.sample(told, len(told)), NOW_MS)
     # Runs that a ledger held clear more once news of a crash come.
     for one, other in itertools.permutations(records, 2):
-        crashes = other.ledger.differing(one.ledger.digests())
+        crashes = other.ledger.differing(one.ledger.digests(), rng)
         one.merge(other.ledger.told(crashes, NOW_MS), NOW_MS)
     assert len({one.ledger.digest() for one in records}) == 1
     verdicts = [set(one.ledger.condemned()) for one in records]
--- a/tests/direct/fleet/test_crash_keeper.py
+++ b/tests/direct/fleet/test_crash_keeper.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import msgspec
 import pytest
 
@@ -29,7 +31,9 @@
             lambda _: None,
             time,
         )
-        self.keeper = crash_keeper.CrashKeeper(contacts, self._send, time)
+        self.keeper = crash_keeper.CrashKeeper(
+            contacts, self._send, time, random.Random(1)
+        )
 
     def _send(self, name: str, message: msgspec.Struct) -> None:
         self.sent.append((name, message))
--- a/tests/direct/fleet/test_crash_sync.py
+++ b/tests/direct/fleet/test_crash_sync.py
@@ -150,6 +150,39 @@
     assert sum(sent) / len(sent) < CONTROL_BYTES_PER_S
 
 
+def test_entry_that_starts_beside_full_ledgers_knows_within_the_bound(
+    start_fleet: virtual_fleet.StartFleet,
+) -> None:
+    fleet = start_fleet(7)
+    for number in range(3):
+        crash(fleet, f"entry-{number}", number)
+    for number in range(3, 300):
+        crash_id = crash_ledger.crash_id(f"x-{number}", 1)
+        fleet.entries["entry-0"].crashes.note_crash(
+            crash_id,
+            ids.Fingerprint(f"x-{number}"),
+            begun=False,
+            now_ms=fleet.time.now_ms(),
+        )
+    fleet.run(8_000.0)
+    fleet.start(7)
+    fleet.run(BOUND_MS)
+    assert ignorant(fleet) == []
+
+
+def test_full_ledgers_that_differ_cost_little(
+    start_fleet: virtual_fleet.StartFleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Each entry forgets other crashes, since news reach it at other times.
+    monkeypatch.setattr(crash_ledger, "CRASHES_MAX", 80)
+    fleet = start_fleet(12)
+    for number in range(240):
+        crash(fleet, f"entry-{number % 12}", number)
+        fleet.run(100.0)
+    fleet.run(10_000.0)
+    assert _bytes_per_s(fleet, 20_000.0) < CONTROL_BYTES_PER_S
+
+
 def _bytes_per_s(fleet: virtual_fleet.VirtualFleet, ms: float) -> float:
     """Returns what an entry sends in the mean while time passes."""
     running = fleet.running()
