--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -228,11 +228,6 @@
 
     # What follows from it.
 
-    @property
-    def empty(self) -> bool:
-        """Whether no crash is remembered."""
-        return not self._crashes
-
     def suspects(self) -> dict[ids.Fingerprint, list[ids.CrashId]]:
         """Returns the crashes that each request is not cleared of."""
         return {name: list(blamed) for name, blamed in self._blamed.items()}
--- a/src/marlramp/direct/calls/crash_watch.py
+++ b/src/marlramp/direct/calls/crash_watch.py
@@ -41,8 +41,8 @@
         ...
 
 
-class Lost(msgspec.Struct, frozen=True):
-    """A request whose connection to a replica was lost.
+class LostAttempt(msgspec.Struct, frozen=True):
+    """An attempt whose connection to a replica was lost.
 
     Attributes:
       fingerprint: the request.
@@ -88,7 +88,7 @@
             ids.CrashId, asyncio.Task[address_probe.Presence]
         ] = {}
         self._judging: set[asyncio.Task[None]] = set()
-        self._pending: list[Lost] = []
+        self._pending: list[LostAttempt] = []
 
     # What is held against a request.
 
@@ -125,7 +125,7 @@
         if view.replica.state is not fleet.ReplicaState.HEALTHY:
             # A replica that leaves may end before its last requests do.
             return
-        lost = Lost(
+        lost = LostAttempt(
             fingerprint,
             view.replica.replica_id,
             crash_ledger.crash_id(view.replica.replica_id, view.born_ms),
@@ -152,7 +152,7 @@
             else:
                 self._pending.append(lost)
 
-    async def _judge(self, lost: Lost, address: str) -> None:
+    async def _judge(self, lost: LostAttempt, address: str) -> None:
         task = self._probes.get(lost.crash_id)
         if task is None:
             task = asyncio.create_task(self._probe(address))
@@ -170,7 +170,7 @@
     def _forget(self, crash: ids.CrashId) -> None:
         del self._probes[crash]
 
-    def _note_crash(self, lost: Lost) -> None:
+    def _note_crash(self, lost: LostAttempt) -> None:
         self._totals.add(counters.CounterName.CRASHES, "suspect")
         self._record.note_crash(
             lost.crash_id,
