--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -47,8 +47,8 @@
 """Parts of the ledger that are compared by themselves."""
 
 TRANSIT_MAX_MS = 1_000.0
-"""By how much a crash may seem younger than it is: its age is told as a duration
-and leaves out the time on the way, at each process that passes it on."""
+"""By how much a crash may seem younger than it is: its age, told as a duration,
+leaves out the time on the way at each process that passes it on."""
 
 TOLD_MAX = 32
 """Crashes told in one answer: some 8 kB."""
