--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -129,6 +129,8 @@
       breaker: its circuit breaker.
       on_load_change: takes its id when the own requests there changed.
       born_ms: Unix time of its newest start heard of, None if none was told.
+      limit_per_s: requests a second that it takes from all entries together,
+        None while it names no limit.
     """
 
     replica: fleet.Replica
@@ -164,6 +166,7 @@
     not_before_ms: float = float("-inf")
     heard_ms: float = float("-inf")
     born_ms: int | None = None
+    limit_per_s: float | None = None
 
     def weights(self, now_ms: clock.Millis) -> int:
         """Returns the version believed to be loaded, 0 if none is."""
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -97,6 +97,7 @@
       place: where it waits in an engine's queue.
       begins_until_ms: a reading of the clock, from which it may not begin
         there any more.
+      limit_per_s: limit that the replica is known to name, None for none.
     """
 
     view: replica_view.ReplicaView
@@ -107,6 +108,7 @@
     unread_tokens: int
     place: queue_place.QueuePlace
     begins_until_ms: float = float("inf")
+    limit_per_s: float | None = None
 
 
 def usable(
@@ -204,6 +206,7 @@
             load_age_ms=now_ms - view.load_ms,
             unread_tokens=view.unread_ahead(wanted.place),
             place=wanted.place,
+            limit_per_s=view.limit_per_s,
         )
         choices.append((key, choice))
     choices.sort(key=lambda choice: choice[0])
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -251,6 +251,7 @@
             predicted_ms=round(choice.predicted_ms),
             load=choice.load,
             load_age_ms=_rounded(choice.load_age_ms),
+            limit_per_s=choice.limit_per_s,
         )
 
     # Requests that crash replicas.
@@ -308,6 +309,7 @@
             load=choice.load,
             load_age_ms=_rounded(choice.load_age_ms),
             unread_tokens=choice.unread_tokens,
+            limit_per_s=choice.limit_per_s,
             place=choice.place.value,
             spent_ms=round(call.spent_ms),
             first_ms=round(tried.first_event_ms or 0.0),
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -4,6 +4,7 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp import logs
 from marlramp.core import queue_place
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
@@ -46,6 +47,26 @@
         if answer.weights is not None:
             view.seen_weights = answer.weights
             view.seen_ms = now_ms
+        self._note_limit(answer)
+
+    def _note_limit(self, answer: wire.ReplicaAnswer) -> None:
+        """Takes the limit that the answer names."""
+        view = self._view
+        if answer.limit_unreadable:
+            logs.log(
+                "replica_limit_unreadable",
+                replica=view.replica.replica_id,
+                value=answer.limit_unreadable,
+            )
+            return
+        if answer.limit_per_s != view.limit_per_s:
+            logs.log(
+                "replica_limit",
+                replica=view.replica.replica_id,
+                limit_per_s=answer.limit_per_s,
+                before_per_s=view.limit_per_s,
+            )
+            view.limit_per_s = answer.limit_per_s
 
     def on_first(self) -> None:
         """Takes the prompt as read."""
--- a/src/marlramp/direct/calls/wire.py
+++ b/src/marlramp/direct/calls/wire.py
@@ -74,6 +74,9 @@
       encoded: whether the body is not the replica's own bytes.
       weights: version of the weights, None if it does not say.
       load: the replica's load, None if it does not say.
+      limit_per_s: requests a second that the replica takes from all callers
+        together, None if it names no limit.
+      limit_unreadable: a limit that names no rate, "" if there is none.
       headers: what is passed on to the caller.
     """
 
@@ -85,6 +88,8 @@
     weights: int | None
     load: ReplicaLoad | None
     headers: list[tuple[bytes, bytes]]
+    limit_per_s: float | None = None
+    limit_unreadable: str = ""
 
 
 class CallCodec(Protocol):
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from marlramp import errors
 from marlramp import ids
 from marlramp.direct.calls import wire
@@ -22,6 +24,8 @@
 _SIGNATURE = b"x-replica-signature"
 _NOT_RUN = b"x-not-executed"
 _LOAD = b"x-replica-load"
+# Requests a second that a replica takes from all callers together.
+_LIMIT = b"server-limit"
 _WEIGHTS = b"x-weight-versions"
 _PIPELINE = b"path"
 
@@ -112,6 +116,7 @@
         not_run = head.header(_NOT_RUN) is not None
         weights = head.header(_WEIGHTS)
         mine = echo is None or echo.decode("latin-1") == call.request_id
+        limit_per_s, limit_unreadable = _limit(head)
         return wire.ReplicaAnswer(
             status=head.status,
             mine=mine,
@@ -120,6 +125,8 @@
             encoded=head.header(b"content-encoding") is not None,
             weights=int(weights) if weights and weights.isdigit() else None,
             load=_load(head.header(_LOAD)),
+            limit_per_s=limit_per_s,
+            limit_unreadable=limit_unreadable,
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -165,3 +172,28 @@
     if len(parts) < _LOAD_FIELDS or not all(p.strip().isdigit() for p in parts):
         return None
     return wire.ReplicaLoad(running=int(parts[0]), waiting=int(parts[1]))
+
+
+def _limit(head: http1_client.ResponseHead) -> tuple[float | None, str]:
+    """Returns the least rate that an answer names, and what is none."""
+    rates = []
+    unreadable = ""
+    for name, value in head.headers:
+        if name != _LIMIT:
+            continue
+        for part in value.decode("latin-1").split(","):
+            rate = _rate(part)
+            if rate is None:
+                unreadable = part.strip() or "empty"
+            else:
+                rates.append(rate)
+    return min(rates, default=None), unreadable
+
+
+def _rate(text: str) -> float | None:
+    """Returns a rate, None if a text names none."""
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -118,3 +118,40 @@
     ):
         assert CODEC.answer(head, call).not_run
     assert not CODEC.answer(http1_client.ResponseHead(503, []), call).not_run
+
+
+def limit_of(*values: bytes) -> tuple[float | None, str]:
+    head = http1_client.ResponseHead(
+        200, [(b"server-limit", value) for value in values]
+    )
+    answer = CODEC.answer(head, CODEC.read(request()))
+    return answer.limit_per_s, answer.limit_unreadable
+
+
+def test_limit_of_a_replica_is_read_and_passed_on() -> None:
+    assert limit_of() == (None, "")
+    assert limit_of(b"1.6") == (1.6, "")
+    assert limit_of(b"0") == (0.0, "")
+    assert limit_of(b"3", b"1.5") == (1.5, "")
+    assert limit_of(b"3, 2") == (2.0, "")
+    head = http1_client.ResponseHead(200, [(b"server-limit", b"2")])
+    answer = CODEC.answer(head, CODEC.read(request()))
+    assert (b"server-limit", b"2") in answer.headers
+
+
+@pytest.mark.parametrize(
+    ("value", "shown"),
+    [
+        (b"-1", "-1"),
+        (b"nan", "nan"),
+        (b"inf", "inf"),
+        (b"1e999", "1e999"),
+        (b"many", "many"),
+        (b"", "empty"),
+    ],
+)
+def test_limit_that_names_no_rate_is_told_apart(
+    value: bytes, shown: str
+) -> None:
+    assert limit_of(value) == (None, shown)
+    assert limit_of(value, b"2") == (2.0, shown)
