Failing test: replicas get more than the limit they name, over all entries

Three entries before eight plain replicas or four engines, 30 requests a second, some or all replicas name 1 to 2 requests a second; counted as the rule says.

--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import json
 import time
+from typing import NamedTuple
 from typing import Protocol
 
 from standins import direct_documents
@@ -42,6 +43,55 @@
         ...
 
 
+class Arrival(NamedTuple):
+    """A request that reached a replica.
+
+    Attributes:
+      at_s: time of the event loop.
+      entry: the entry that it came through.
+    """
+
+    at_s: float
+    entry: str
+
+
+class Need:
+    """A limit that a replica names in its answers, and what it gets.
+
+    Who sent a request shows in its id, "ENTRY/NUMBER", since all processes
+    share one machine.
+
+    Attributes:
+      limit: text that it names, "" while it names none.
+      since_s: when it first named one, infinite before.
+      arrivals: requests that reached it, run or not.
+      told_s: when each entry first got an answer that names a limit.
+    """
+
+    def __init__(self) -> None:
+        """Names no limit."""
+        self.limit = ""
+        self.since_s = float("inf")
+        self.arrivals: list[Arrival] = []
+        self.told_s: dict[str, float] = {}
+
+    def arrived(self, request_id: str) -> None:
+        """Notes a request."""
+        now_s = asyncio.get_running_loop().time()
+        entry, _, _ = request_id.partition("/")
+        self.arrivals.append(Arrival(now_s, entry))
+
+    def headers(self, request_id: str) -> dict[str, str]:
+        """Returns what an answer says of the limit."""
+        if not self.limit:
+            return {}
+        now_s = asyncio.get_running_loop().time()
+        entry, _, _ = request_id.partition("/")
+        self.since_s = min(self.since_s, now_s)
+        self.told_s.setdefault(entry, now_s)
+        return {"server_limit": self.limit}
+
+
 class _Crashes:
     """Ends a replica, and has it back after a while.
 
@@ -76,6 +126,7 @@
       mixed: loads of pieces that were missing or wrong.
       runs: how often each request id ran.
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
+      need: the limit that it names.
     """
 
     def __init__(
@@ -102,6 +153,7 @@
         self.mixed = 0
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
+        self.need = Need()
         self._store = store
         self._running = 0
         self._orders = 0
@@ -238,10 +290,11 @@
     ) -> None:
         expected = request.headers.get("x-expect-version")
         right = request.headers.get("x-expect-replica") == self.replica_id
+        name = request.headers["x-attempt-id"]
+        self.need.arrived(name)
         if not right or expected != str(self.weights) or self._busy:
             await peer.answer(request, 421)
             return
-        name = request.headers["x-attempt-id"]
         self.runs[name] = self.runs.get(name, 0) + 1
         if request.body == CRASHING_BODY:
             await asyncio.sleep(CRASH_AFTER_S)
@@ -257,9 +310,13 @@
     async def _stream(
         self, peer: raw_http.Peer, request: raw_http.SeenRequest, name: str
     ) -> None:
+        limit = "".join(
+            f"server-limit: {value}\r\n"
+            for value in self.need.headers(name).values()
+        )
         await peer.write(
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
-            "content-type: text/event-stream\r\n"
+            f"content-type: text/event-stream\r\n{limit}"
             f"x-attempt-id: {name}\r\nx-replica-signature: {self.replica_id}"
             f"\r\nx-weight-versions: {self.weights}\r\n\r\n".encode()
         )
@@ -281,6 +338,7 @@
     Attributes:
       runs: how often each request id ran.
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
+      need: the limit that it names.
     """
 
     def __init__(
@@ -296,6 +354,7 @@
         self.port = port
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
+        self.need = Need()
         self._born_ms = _unix_ms()
         self._store = store
 
@@ -327,10 +386,11 @@
     async def serve(self, peer: raw_http.Peer) -> None:
         """Answers requests with their own id as the body."""
         while (request := await peer.read()) is not None:
+            name = request.headers["x-attempt-id"]
+            self.need.arrived(name)
             if request.headers.get("x-expect-replica") != self.replica_id:
                 await peer.answer(request, 421)
                 continue
-            name = request.headers["x-attempt-id"]
             self.runs[name] = self.runs.get(name, 0) + 1
             await asyncio.sleep(DESK_S)
             if request.body == CRASHING_BODY:
@@ -341,4 +401,5 @@
                 200,
                 name.encode(),
                 x_replica_signature=self.replica_id,
+                **self.need.headers(name),
             )
