Entries keep the limits that replicas name together, by reserved times to send

Callers saw nothing; replicas in need got several times what they could take. Cause: nothing in the process read the limit, and every bound on what goes to a replica was kept by each entry for itself.

What an entry learns from answers (core.replica_limits) it tells the others at once; digests in pings show what one of them missed. One entry of the replica's region, by rendezvous, reserves the times at which any entry may send there (core.send_meter), and tells a second one of each, which stands in while the first is silent; both count what the other reserved, so that two that both believe to be first grant no more than one. A request asks before it is sent; the wait belongs to its predicted time, it waits only as long as it would be in time, less if it is less urgent, and if limits alone keep it from every replica it is refused at once (upstreams_limited) with a time to come back. No panic, repeat or resumed stream passes a limit: all sends are chosen in one place.

--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -49,6 +49,9 @@
 RETRY_AFTER_MAX_MS = 1_900.0
 """Callers honour a time of up to a third of what they have left."""
 
+RETRY_AFTER_LIMITED_MS = 500.0
+"""Least time to come back to plain replicas whose limits are used up."""
+
 SPREAD = 0.5
 """Part by which the times to come back differ, so that callers that were
 refused together do not come back together."""
@@ -84,10 +87,12 @@
     Attributes:
       late_ms: by how much it would begin too late.
       retry_after_ms: when its caller should come back.
+      limited: whether the limits that replicas name are the reason.
     """
 
     late_ms: float
     retry_after_ms: float
+    limited: bool = False
 
 
 def decide(
@@ -120,7 +125,7 @@
             return ranked[0]
     ranked = upstream_choice.rank(views, wanted, places, now_ms)
     if not ranked:
-        return None
+        return _limited(views, request, now_ms, rng)
     front = ranked[0]
     if wanted.engine is None or request.begun:
         return front
@@ -142,6 +147,27 @@
     return _refusal(late_ms, excess_ms, rng)
 
 
+def _limited(
+    views: Sequence[replica_view.ReplicaView],
+    request: Request,
+    now_ms: clock.Millis,
+    rng: random.Random,
+) -> Refusal | None:
+    """Returns the refusal of a request that only limits keep from replicas.
+
+    Its caller comes back when they leave room: they do so at a known rate, and
+    waiting here would only take the place of others.
+    """
+    room_ms = upstream_choice.limit_room_ms(views, request.wanted, now_ms)
+    if room_ms is None or request.begun or request.maybe_ran:
+        return None
+    least_ms = RETRY_AFTER_LIMITED_MS
+    if request.wanted.engine is not None:
+        least_ms = RETRY_AFTER_MIN_MS
+    retry_ms = spread_ms(max(least_ms, room_ms), rng)
+    return Refusal(room_ms, retry_ms, limited=True)
+
+
 def _refusal(late_ms: float, excess_ms: float, rng: random.Random) -> Refusal:
     return Refusal(late_ms, retry_after_ms(excess_ms, rng))
 
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -15,6 +15,7 @@
 from marlramp.core import breaker
 from marlramp.core import fleet
 from marlramp.core import queue_place
+from marlramp.core import send_limit
 from marlramp.core import wait_bias
 
 REPORT_FRESH_MS = 1_500.0
@@ -129,8 +130,8 @@
       breaker: its circuit breaker.
       on_load_change: takes its id when the own requests there changed.
       born_ms: Unix time of its newest start heard of, None if none was told.
-      limit_per_s: requests a second that it takes from all entries together,
-        None while it names no limit.
+      limit: the limit that it names over all entries together, None while it
+        names none.
     """
 
     replica: fleet.Replica
@@ -166,7 +167,7 @@
     not_before_ms: float = float("-inf")
     heard_ms: float = float("-inf")
     born_ms: int | None = None
-    limit_per_s: float | None = None
+    limit: send_limit.SendLimit | None = None
 
     def weights(self, now_ms: clock.Millis) -> int:
         """Returns the version believed to be loaded, 0 if none is."""
@@ -190,6 +191,10 @@
         fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
         return self.report is None or not fresh or self.report.opens
 
+    def limit_wait_ms(self, now_ms: clock.Millis) -> float:
+        """Returns how long its limit is expected to hold a request back."""
+        return 0.0 if self.limit is None else self.limit.wait_ms(now_ms)
+
     def load(self, now_ms: clock.Millis) -> float:
         """Returns the requests believed to be there now.
 
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -73,6 +73,8 @@
       place: where it would wait in an engine's queue.
       alone: whether it goes where the fewest others run, since it may crash
         the replica.
+      limit_wait_max_ms: how long its answer may come later for the limits that
+        replicas name.
     """
 
     engine: fleet.EngineSpec | None
@@ -82,6 +84,7 @@
     failed: Collection[str]
     place: queue_place.QueuePlace = queue_place.QueuePlace.FRONT
     alone: bool = False
+    limit_wait_max_ms: float = 0.0
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -98,6 +101,7 @@
       begins_until_ms: a reading of the clock, from which it may not begin
         there any more.
       limit_per_s: limit that the replica is known to name, None for none.
+      limit_wait_max_ms: how long it may wait for that limit.
     """
 
     view: replica_view.ReplicaView
@@ -109,12 +113,13 @@
     place: queue_place.QueuePlace
     begins_until_ms: float = float("inf")
     limit_per_s: float | None = None
+    limit_wait_max_ms: float = 0.0
 
 
 def usable(
     view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
 ) -> bool:
-    """Returns whether a replica may get the request at all."""
+    """Returns whether a replica may get the request, its limit apart."""
     if view.replica.state is not fleet.ReplicaState.HEALTHY:
         return False
     if wanted.engine is not None:
@@ -165,6 +170,47 @@
     return max(0.0, run_ms - view.closes_in_ms(now_ms))
 
 
+def limit_wait_max_ms(
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> float:
+    """Returns how long a request may wait for the limit of a replica."""
+    answer_ms = predicted_ms(view, wanted, now_ms)
+    return max(0.0, wanted.limit_wait_max_ms - answer_ms)
+
+
+def limit_opens(
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> bool:
+    """Returns whether the limit of a replica may let the request through."""
+    if view.limit is None:
+        return True
+    wait_max_ms = limit_wait_max_ms(view, wanted, now_ms)
+    return view.limit.opens(now_ms, wait_max_ms)
+
+
+def limit_room_ms(
+    views: Sequence[replica_view.ReplicaView],
+    wanted: Wanted,
+    now_ms: clock.Millis,
+) -> float | None:
+    """Returns when the limits of replicas leave room for one more request.
+
+    Returns:
+      None if no limit alone keeps the request from a replica.
+    """
+    return min(
+        (
+            view.limit_wait_ms(now_ms)
+            for view in views
+            if view.limit is not None
+            and usable(view, wanted, now_ms)
+            and view.breaker.allows(now_ms)
+            and view.replica.replica_id not in wanted.failed
+        ),
+        default=None,
+    )
+
+
 def rank(
     views: Sequence[replica_view.ReplicaView],
     wanted: Wanted,
@@ -183,6 +229,8 @@
       now_ms: the time.
     """
     able = [view for view in views if usable(view, wanted, now_ms)]
+    # Before breakers are ignored: no panic opens a limit.
+    able = [view for view in able if limit_opens(view, wanted, now_ms)]
     allowed = [view for view in able if view.breaker.allows(now_ms)]
     if routing.panics(len(allowed), len(able)):
         allowed = able
@@ -191,6 +239,7 @@
     for view in fresh:
         unbiased_ms = predicted_ms(view, wanted, now_ms)
         time_ms = unbiased_ms * view.bias_of(wanted.place, now_ms)
+        time_ms += view.limit_wait_ms(now_ms)
         cost_ms = time_ms * (1.0 + FAILURE_WEIGHT * view.failure_share)
         cost_ms += places.penalty_ms(view)
         over_ms = overrun_ms(time_ms, view, wanted, now_ms)
@@ -206,7 +255,8 @@
             load_age_ms=now_ms - view.load_ms,
             unread_tokens=view.unread_ahead(wanted.place),
             place=wanted.place,
-            limit_per_s=view.limit_per_s,
+            limit_per_s=None if view.limit is None else view.limit.per_s,
+            limit_wait_max_ms=limit_wait_max_ms(view, wanted, now_ms),
         )
         choices.append((key, choice))
     choices.sort(key=lambda choice: choice[0])
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -27,6 +27,7 @@
     DOCUMENTS_REFUSED = "marlramp_documents_refused"
     PORTS_UNAVAILABLE = "marlramp_ports_unavailable"
     CRASHES = "marlramp_crashes"
+    REPLICA_LIMITS = "marlramp_replica_limits"
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -9,6 +9,7 @@
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 from marlramp.core import request_fingerprint
+from marlramp.core import send_limit
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_server
@@ -16,6 +17,10 @@
 HINT_FACTOR = 1.6
 """Margin on a caller's estimate of its output: half of all are too low."""
 
+BEGUN_WAIT_SHARE = 0.5
+"""Part of its caller's time that a request that has begun may wait for the
+limit of another replica; it can't be refused any more."""
+
 EVENTS_LEFT_MIN = 3.0
 """Events still expected of a stream that has outrun its estimate."""
 
@@ -105,6 +110,16 @@
         gap_max_ms = caller_patience.gap_max_ms(self.route)
         return min(left_ms, gap_max_ms - self._gap_ms(now_ms))
 
+    def limit_wait_max_ms(self, now_ms: clock.Millis) -> float:
+        """Returns how long the answer may wait for the limits of replicas."""
+        if self.relay.started or self.maybe_ran:
+            return self.stays_ms(now_ms) * BEGUN_WAIT_SHARE
+        rank = self.route.priority
+        if self.customer is not None:
+            rank = self.customer.priority
+        left_ms = self.route.objective_ms - self.elapsed_ms(now_ms)
+        return send_limit.wait_max_ms(left_ms, rank)
+
     def may_have_left(self, now_ms: clock.Millis) -> bool:
         """Returns whether the caller may be gone though no word of it came."""
         return caller_patience.may_have_left(self.route, self._gap_ms(now_ms))
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -23,6 +23,7 @@
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import crash_watch
+from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import own_answers
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
@@ -75,6 +76,7 @@
         codec: wire.CallCodec,
         settings: node.NodeSettings,
         crashes: crash_watch.CrashWatch,
+        limits: named_limits.NamedLimits,
         totals: counters.Counters,
         latencies: Latencies,
         time: clock.Clock,
@@ -87,8 +89,10 @@
         self._totals = totals
         self._latencies = latencies
         self._clock = time
-        self._selector = selection.Selector(known, table, settings, time)
-        self._sender = sender.Sender(codec, crashes.is_condemned, time)
+        self._selector = selection.Selector(
+            known, table, settings, limits, time
+        )
+        self._sender = sender.Sender(codec, crashes.is_condemned, limits, time)
         self._budgets: dict[ids.ServiceId, retry_share.RetryShare] = {}
         self._waits: dict[tuple[str, float], caller_waits.CallerWaits] = {}
         self.active = 0
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -4,11 +4,11 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp import logs
 from marlramp.core import queue_place
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
+from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import wire
 
 
@@ -23,6 +23,7 @@
         self,
         choice: upstream_choice.Choice,
         prompt_tokens: int,
+        limits: named_limits.NamedLimits,
         time: clock.Clock,
     ) -> None:
         """Counts the request as sent to the chosen replica."""
@@ -31,6 +32,7 @@
         self._unbiased_ms = choice.unbiased_ms
         self._place = choice.place
         self._tokens: int | None = prompt_tokens
+        self._limits = limits
         self._clock = time
         self._sent_ms = time.now_ms()
         self._first_ms: float | None = None
@@ -47,26 +49,7 @@
         if answer.weights is not None:
             view.seen_weights = answer.weights
             view.seen_ms = now_ms
-        self._note_limit(answer)
-
-    def _note_limit(self, answer: wire.ReplicaAnswer) -> None:
-        """Takes the limit that the answer names."""
-        view = self._view
-        if answer.limit_unreadable:
-            logs.log(
-                "replica_limit_unreadable",
-                replica=view.replica.replica_id,
-                value=answer.limit_unreadable,
-            )
-            return
-        if answer.limit_per_s != view.limit_per_s:
-            logs.log(
-                "replica_limit",
-                replica=view.replica.replica_id,
-                limit_per_s=answer.limit_per_s,
-                before_per_s=view.limit_per_s,
-            )
-            view.limit_per_s = answer.limit_per_s
+        self._limits.note_answer(view, answer, self._sent_ms)
 
     def on_first(self) -> None:
         """Takes the prompt as read."""
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -17,6 +17,7 @@
 from marlramp.core import upstream_choice
 from marlramp.core import weights_gate
 from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import named_limits
 from marlramp.settings import node
 
 CHOICE_POLL_MS = 20.0
@@ -46,9 +47,11 @@
         known: catalog.Catalog,
         table: replica_table.ReplicaTable,
         settings: node.NodeSettings,
+        limits: named_limits.NamedLimits,
         time: clock.Clock,
     ) -> None:
         """Chooses from `table`, by the versions named in `known`."""
+        self._limits = limits
         self._catalog = known
         self._table = table
         self._clock = time
@@ -78,29 +81,40 @@
             now_ms = self._clock.now_ms()
             decision = self._decide(call, now_ms)
             if isinstance(decision, upstream_choice.Choice):
-                return self._with_end(call, decision, now_ms)
+                if await self._reserved(call, decision):
+                    return self._with_end(call, decision, self._clock.now_ms())
+                continue
             if decision is not None:
                 raise _refused(decision)
             if now_ms >= give_up_ms:
                 raise self._no_upstream(call)
             await asyncio.sleep(CHOICE_POLL_MS / _MS)
 
+    async def _reserved(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> bool:
+        """Waits until a chosen replica's limit lets the call through.
+
+        Returns:
+          False if it does not, or the replica takes the call no more.
+        """
+        view = choice.view
+        if view.limit is None:
+            return True
+        wait_ms = await self._limits.reserve(view, choice.limit_wait_max_ms)
+        if wait_ms is None:
+            return False
+        if wait_ms > 0:
+            await asyncio.sleep(wait_ms / _MS)
+        now_ms = self._clock.now_ms()
+        return upstream_choice.usable(view, self._wanted(call, now_ms), now_ms)
+
     def _decide(
         self, call: call_module.Call, now_ms: clock.Millis
     ) -> upstream_choice.Choice | admission.Refusal | None:
-        wanted = upstream_choice.Wanted(
-            engine=call.service.engine,
-            prompt_tokens=call.said.prompt_tokens,
-            events=call.expected_events(),
-            oldest_weights=self._oldest_weights(
-                call.service, weights_gate.QUEUE_MARGIN_MS, now_ms
-            ),
-            failed=call.failed,
-            alone=call.suspected,
-        )
         stays_ms = call.stays_ms(now_ms)
         request = admission.Request(
-            wanted=wanted,
+            wanted=self._wanted(call, now_ms),
             elapsed_ms=call.elapsed_ms(now_ms),
             stays_ms=stays_ms,
             oldest_behind=self._oldest_weights(call.service, stays_ms, now_ms),
@@ -111,6 +125,21 @@
         views = self._table.of(call.service.service_id)
         return admission.decide(views, request, self._places, now_ms, self._rng)
 
+    def _wanted(
+        self, call: call_module.Call, now_ms: clock.Millis
+    ) -> upstream_choice.Wanted:
+        return upstream_choice.Wanted(
+            engine=call.service.engine,
+            prompt_tokens=call.said.prompt_tokens,
+            events=call.expected_events(),
+            oldest_weights=self._oldest_weights(
+                call.service, weights_gate.QUEUE_MARGIN_MS, now_ms
+            ),
+            failed=call.failed,
+            alone=call.suspected,
+            limit_wait_max_ms=call.limit_wait_max_ms(now_ms),
+        )
+
     def _with_end(
         self,
         call: call_module.Call,
@@ -156,6 +185,12 @@
 
 
 def _refused(refusal: admission.Refusal) -> errors.CallError:
+    if refusal.limited:
+        return errors.CallError(
+            errors.ErrorKind.UPSTREAMS_LIMITED,
+            f"room in {round(refusal.late_ms)} ms",
+            retry_after_ms=int(refusal.retry_after_ms),
+        )
     return errors.CallError(
         errors.ErrorKind.DEADLINE_UNREACHABLE,
         f"would begin {round(refusal.late_ms)} ms too late",
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -18,6 +18,7 @@
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
@@ -76,6 +77,7 @@
         self,
         codec: wire.CallCodec,
         is_condemned: Callable[[ids.Fingerprint], bool],
+        limits: named_limits.NamedLimits,
         time: clock.Clock,
     ) -> None:
         """Owns no connection yet.
@@ -83,10 +85,12 @@
         Args:
           codec: writes and reads headers.
           is_condemned: tells whether a request is not to be run again.
+          limits: takes the limits that answers name.
           time: the clock.
         """
         self._codec = codec
         self._is_condemned = is_condemned
+        self._limits = limits
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
 
@@ -109,7 +113,7 @@
         view = choice.view
         call.sends += 1
         observer = replica_observer.ReplicaObserver(
-            choice, call.said.prompt_tokens, self._clock
+            choice, call.said.prompt_tokens, self._limits, self._clock
         )
         connection: http1_client.ReplicaConnection | None = None
         try:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -122,6 +122,7 @@
                 self._totals,
                 self._clock,
             ),
+            self._fleet.limits,
             self._totals,
             self._metrics,
             self._clock,
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -19,6 +19,7 @@
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import crash_sync
 from marlramp.direct.fleet import engine_digests
+from marlramp.direct.fleet import entry_limits
 from marlramp.direct.fleet import load_exchange
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
@@ -105,6 +106,9 @@
             time,
             random.Random(),
         )
+        self.limits = entry_limits.EntryLimits(
+            self.sync, table, settings.regions, totals, time
+        )
         self._guide = agent_guide.AgentGuide(
             known, self._placed, self.sync, time
         )
@@ -173,6 +177,7 @@
     def forget(self, replica_ids: list[str]) -> None:
         """Drops what is kept of replicas that are gone."""
         self._load_exchange.forget(replica_ids)
+        self.limits.forget(replica_ids)
 
     # Who reads the store, and what follows from it.
 
@@ -224,6 +229,9 @@
         if isinstance(message, fleet_messages.FromAgentPeer):
             self._relay.on_message(name, message)
             return
+        if isinstance(message, fleet_messages.AboutLimits):
+            self.limits.on_message(name, message)
+            return
         match message:
             case fleet_messages.StoreBeacon():
                 now_ms = self._clock.now_ms()
@@ -285,6 +293,15 @@
         """Takes the digest of the crashes that another entry knows."""
         self._crash_sync.on_digest(name, digest)
 
+    @property
+    def limit_digest(self) -> int:
+        """Digest of the replicas known to name a limit."""
+        return self.limits.digest
+
+    def on_limit_digest(self, name: str, digest: int) -> None:
+        """Takes the digest of the limits that another entry knows."""
+        self.limits.on_digest(name, digest)
+
     def on_member(self, member: members.Member) -> None:
         """Tells an agent that introduced itself what it needs to know."""
         if member.kind is members.MemberKind.AGENT:
@@ -307,6 +324,7 @@
         self._guide.tick(divided=divided)
         self._digests.tick()
         self._crash_sync.tick()
+        self.limits.tick()
         self._send_beacon()
 
     def _note_store(self) -> None:
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -90,6 +90,15 @@
         """Takes the digest of the crashes that another entry knows."""
         ...
 
+    @property
+    def limit_digest(self) -> int:
+        """Digest of the replicas known to name a limit."""
+        ...
+
+    def on_limit_digest(self, name: str, digest: int) -> None:
+        """Takes the digest of the limits that another entry knows."""
+        ...
+
     def on_member(self, member: members.Member) -> None:
         """Takes a member that introduced itself anew."""
         ...
@@ -344,6 +353,7 @@
             digest=self.roster.digest(),
             revision=self._surroundings.revision,
             crash_digest=self._surroundings.crash_digest,
+            limit_digest=self._surroundings.limit_digest,
         )
         self.send(name, ack)
 
@@ -372,6 +382,7 @@
         self._take_direct(news, now_ms)
         self._surroundings.on_revision(name, summary.revision)
         self._surroundings.on_crash_digest(name, summary.crash_digest)
+        self._surroundings.on_limit_digest(name, summary.limit_digest)
         return True
 
     def _on_probe_request(self, asker: str, vm_id: str) -> None:
@@ -485,6 +496,7 @@
             digest=self.roster.digest(),
             revision=self._surroundings.revision,
             crash_digest=self._surroundings.crash_digest,
+            limit_digest=self._surroundings.limit_digest,
         )
 
     def _open_links(self) -> Links:
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -52,6 +52,7 @@
     ENTRY_LEAVING = "entry_leaving"
     SETTINGS_MISSING = "settings_missing"
     CRASHES_UPSTREAMS = "crashes_upstreams"
+    UPSTREAMS_LIMITED = "upstreams_limited"
     INTERNAL = "internal"
 
 
@@ -170,6 +171,9 @@
         None,
         "Upstreams crashed when they ran this request; do not repeat it.",
     ),
+    ErrorKind.UPSTREAMS_LIMITED: Answer(
+        503, Ran.NO, 1000, "The upstreams take no more requests now."
+    ),
     ErrorKind.INTERNAL: Answer(
         500, Ran.UNKNOWN, 1000, "The system failed; the event is logged."
     ),
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -25,6 +25,7 @@
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
+from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import wire
 from marlramp.experiments import overload_engine
@@ -248,7 +249,10 @@
         name = choice.view.replica.replica_id
         engine = self._engines[name]
         observer = replica_observer.ReplicaObserver(
-            choice, caller.prompt_tokens, self._time
+            choice,
+            caller.prompt_tokens,
+            named_limits.Unlimited(),
+            self._time,
         )
 
         def on_first() -> None:
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -16,6 +16,7 @@
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import peer_loads
+from marlramp.core import replica_limits
 from marlramp.core import replica_view
 from marlramp.protocol import messages
 
@@ -58,6 +59,7 @@
       digest: digest of the sender's roster.
       revision: revision up to which the sender knows the catalog.
       crash_digest: digest of the crashes that the sender knows.
+      limit_digest: digest of the replicas that name a limit, as it knows them.
     """
 
     incarnation: int
@@ -65,6 +67,7 @@
     digest: int
     revision: int
     crash_digest: int = 0
+    limit_digest: int = 0
 
 
 class Ack(_Message):
@@ -75,6 +78,7 @@
     digest: int
     revision: int
     crash_digest: int = 0
+    limit_digest: int = 0
 
 
 class ProbeRequest(_Message):
@@ -127,6 +131,61 @@
     digest: int
 
 
+class LimitNews(_Message):
+    """Limits that replicas name, or name no more."""
+
+    limits: list[replica_limits.LimitNews]
+
+
+class LimitRequest(_Message):
+    """Asks for limits that the sender may not know.
+
+    Attributes:
+      digests: digest of each bucket of the limits that it knows.
+    """
+
+    digests: list[int]
+
+
+class SendRequest(_Message):
+    """Asks when a request may be sent to a replica that names a limit.
+
+    Attributes:
+      number: number of the question, rising.
+      limit: the limit as the sender knows it.
+      wait_max_ms: how long the request can wait.
+    """
+
+    number: int
+    limit: replica_limits.LimitNews
+    wait_max_ms: float
+
+
+class SendReply(_Message):
+    """Answers a `SendRequest`.
+
+    Attributes:
+      number: number of the question.
+      wait_ms: in how many milliseconds the request may be sent; None if it
+        can't wait so long.
+      next_ms: time until the next one may be sent.
+      pause_ms: time in which the sender is not to ask for this replica again.
+      limit: the limit as the answering entry knows it, None if it knows none.
+    """
+
+    number: int
+    wait_ms: float | None
+    next_ms: float
+    pause_ms: float
+    limit: replica_limits.LimitNews | None
+
+
+class SendReserved(_Message):
+    """Tells another entry that reserves for a replica of a request."""
+
+    limit: replica_limits.LimitNews
+
+
 class StoreBeacon(_Message):
     """Sent at a steady rate by each entry that watches the store.
 
@@ -271,6 +330,11 @@
 )
 """What processes tell one another of weights."""
 
+AboutLimits: TypeAlias = (
+    LimitNews | LimitRequest | SendRequest | SendReply | SendReserved
+)
+"""What entries tell one another of limits that replicas name."""
+
 FromMember: TypeAlias = (
     Hello
     | MembersNews
@@ -282,6 +346,7 @@
     | CrashNews
     | CrashRequest
     | CrashDigest
+    | AboutLimits
     | StoreBeacon
     | CatalogNews
     | CatalogRequest
--- /dev/null
+++ b/tests/core/test_send_meter.py
@@ -0,0 +1,117 @@
+"""Reservations under a limit."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from marlramp import clock
+from marlramp.core import members
+from marlramp.core import meter_duty
+from marlramp.core import send_limit
+from marlramp.core import send_meter
+
+WINDOW_MS = 4_000.0
+EXCESS_SHARE = 1.5
+EXCESS_REQUESTS = 5
+
+
+def at(ms: float) -> clock.Millis:
+    return clock.Millis(ms)
+
+
+@hypothesis.given(
+    per_s=strategies.floats(0.25, 60.0),
+    pauses_ms=strategies.lists(strategies.floats(0.0, 600.0), max_size=120),
+    wait_max_ms=strategies.floats(0.0, 1_500.0),
+)
+def test_no_window_holds_more_than_the_limit_and_a_short_burst(
+    per_s: float, pauses_ms: list[float], wait_max_ms: float
+) -> None:
+    meter = send_meter.SendMeter(at(0), per_s)
+    now_ms = 0.0
+    sent = []
+    for pause_ms in pauses_ms:
+        now_ms += pause_ms
+        wait_ms = meter.reserve(at(now_ms), per_s, wait_max_ms)
+        if wait_ms is not None:
+            sent.append(now_ms + wait_ms)
+    most = max(
+        (sum(a <= b < a + WINDOW_MS for b in sent) for a in sent), default=0
+    )
+    burst = max(1.0, per_s * send_meter.BURST_MS / 1_000.0)
+    assert most <= per_s * WINDOW_MS / 1_000.0 + burst + 1
+
+
+def test_request_that_can_not_wait_reserves_nothing() -> None:
+    meter = send_meter.SendMeter(at(0), 1.0)
+    assert meter.reserve(at(100), 1.0, 800.0) is None
+    assert meter.reserve(at(100), 1.0, 900.0) == pytest.approx(900.0)
+    assert meter.next_in_ms(at(100), 1.0) == pytest.approx(1_900.0)
+
+
+def test_request_reserved_elsewhere_counts() -> None:
+    meter = send_meter.SendMeter(at(0), 1.0)
+    meter.note(at(2_000), 1.0)
+    assert meter.next_in_ms(at(2_000), 1.0) == pytest.approx(1_000.0)
+
+
+@pytest.mark.parametrize("known", [2, 3, 8, 44])
+def test_parts_of_a_divided_fleet_stay_within_what_is_allowed(
+    known: int,
+) -> None:
+    for part in range(1, known):
+        rates = [
+            send_meter.rate_here(10.0, alive, known)
+            for alive in (part, known - part)
+        ]
+        assert sum(rates) <= 10.0 * EXCESS_SHARE
+    assert send_meter.rate_here(10.0, known, known) == 10.0
+
+
+def test_limit_of_nothing_leaves_a_trial() -> None:
+    assert send_meter.rate_here(0.0, 1, 1) == send_meter.TRIAL_PER_S
+    window_s = WINDOW_MS / 1_000.0
+    assert send_meter.TRIAL_PER_S * window_s + 1 <= EXCESS_REQUESTS
+
+
+def member(number: int, data_centre: str) -> members.Member:
+    return members.Member(
+        f"entry-{number}", members.MemberKind.ENTRY, data_centre, "h", 1
+    )
+
+
+def test_meters_are_in_the_replicas_region_if_any_entry_is() -> None:
+    regions = {"dc-0": "north", "dc-1": "north", "dc-2": "south"}
+    entries = [member(n, f"dc-{n % 3}") for n in range(9)]
+    names = meter_duty.meters_of("i-1", "dc-2", entries, regions)
+    assert len(names) == meter_duty.METERS
+    assert set(names) <= {"entry-2", "entry-5", "entry-8"}
+    north = [entry for entry in entries if entry.data_centre != "dc-2"]
+    assert meter_duty.meters_of("i-1", "dc-2", north, regions)
+    assert meter_duty.meters_of("i-1", "dc-2", [], regions) == []
+
+
+def test_second_meter_takes_over_for_the_first() -> None:
+    entries = [member(n, "dc-0") for n in range(9)]
+    first, second = meter_duty.meters_of("i-1", "dc-0", entries, {})
+    rest = [entry for entry in entries if entry.vm_id != first]
+    assert meter_duty.meters_of("i-1", "dc-0", rest, {})[0] == second
+
+
+def test_less_urgent_requests_leave_later_times_to_urgent_ones() -> None:
+    waits = [send_limit.wait_max_ms(200.0, rank) for rank in (0, 1, 2, 9)]
+    assert waits == sorted(waits, reverse=True)
+    assert waits[0] == 200.0
+    assert send_limit.wait_max_ms(-5.0, 0) == 0.0
+
+
+def test_own_requests_that_ask_already_are_waited_for() -> None:
+    limit = send_limit.SendLimit(per_s=2.0, next_ms=100.0)
+    assert limit.opens(at(0), 100.0)
+    limit.pending = 1
+    assert not limit.opens(at(0), 500.0)
+    assert limit.opens(at(0), 600.0)
+    limit.ask_ms = 50.0
+    assert not limit.opens(at(0), 1_000.0)
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -23,6 +23,7 @@
 from marlramp.direct import metrics
 from marlramp.direct.calls import crash_watch
 from marlramp.direct.calls import forwarder
+from marlramp.direct.calls import named_limits
 from marlramp.platform import headers
 from marlramp.settings import node
 from marlramp.shell import address_probe
@@ -149,6 +150,7 @@
                 self.totals,
                 time,
             ),
+            named_limits.Unlimited(),
             self.totals,
             metrics.Metrics(self.totals),
             time,
--- /dev/null
+++ b/tests/direct/fleet/limited_fleet.py
@@ -0,0 +1,340 @@
+"""Entries in virtual time that send to replicas which name limits.
+
+`python -m tests.direct.fleet.limited_fleet` compares ways to keep a limit.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+import sys
+
+import msgspec
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import admission
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import replica_view
+from marlramp.core import send_meter
+from marlramp.core import upstream_choice
+from marlramp.direct.calls import wire
+from marlramp.experiments import virtual_time
+from tests.direct.fleet import virtual_fleet
+
+SERVICE = ids.ServiceId("s")
+ANSWER_MS = 45.0
+WAY_MS = (1.0, 4.0)
+OBJECTIVE_MS = 200.0
+CONTACT_MS = 3_000.0
+TOLD_MS = 500.0
+WINDOW_MS = 4_000.0
+EXCESS_SHARE = 1.5
+EXCESS_REQUESTS = 5
+_MS = clock.MILLIS_PER_SECOND
+
+
+class Way(enum.Enum):
+    """How entries keep a limit together."""
+
+    RESERVED = "reserved"
+    OWNER = "owner sends alone"
+    SHARES = "equal shares"
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached a replica."""
+
+    at_ms: float
+    entry: str
+
+
+class Replica:
+    """A plain replica, its limit and what it got."""
+
+    def __init__(self, number: int, regions: int) -> None:
+        self.listed = fleet.Replica(
+            replica_id=f"i-{number}",
+            service_id=SERVICE,
+            address=f"10.9.0.{number}:80",
+            data_centre=ids.DataCentreId(f"dc-{number % regions}"),
+            slots=6,
+            state=fleet.ReplicaState.HEALTHY,
+            weights=None,
+            born_ms=1,
+        )
+        self.per_s: float | None = None
+        self.since_ms = float("inf")
+        self.until_ms = float("inf")
+        self.arrivals: list[Arrival] = []
+        self.told_ms: dict[str, float] = {}
+
+    def name(self, per_s: float | None, now_ms: float) -> None:
+        """Names a limit, or none any more."""
+        if per_s is None:
+            self.until_ms = now_ms
+        elif self.since_ms > now_ms:
+            self.since_ms = now_ms
+        self.per_s = per_s
+
+    def most(self, excused: set[str]) -> int:
+        """Returns the most requests that the rule counts in any window."""
+        times_ms = [
+            arrival.at_ms
+            for arrival in self.arrivals
+            if self.since_ms + CONTACT_MS <= arrival.at_ms < self.until_ms
+            and arrival.entry not in excused
+            and arrival.at_ms
+            >= self.told_ms.get(arrival.entry, float("inf")) + TOLD_MS
+        ]
+        return max(
+            (
+                sum(start <= at < start + WINDOW_MS for at in times_ms)
+                for start in times_ms
+            ),
+            default=0,
+        )
+
+    def between(self, start_ms: float, end_ms: float) -> int:
+        """Returns the requests that reached it in some time."""
+        return sum(start_ms <= a.at_ms < end_ms for a in self.arrivals)
+
+
+def allowed(per_s: float) -> int:
+    """Returns the requests that the rule allows in a window."""
+    return int(per_s * WINDOW_MS / _MS * EXCESS_SHARE) + EXCESS_REQUESTS
+
+
+class LimitedFleet(virtual_fleet.VirtualFleet):
+    """A fleet of entries on an event loop in virtual time."""
+
+    def __init__(
+        self,
+        count: int,
+        replicas: int,
+        regions: int = 3,
+        seed: int = 1,
+        way: Way = Way.RESERVED,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        assert isinstance(self._loop, virtual_time.VirtualLoop)
+        self.virtual = virtual_time.VirtualClock(self._loop)
+        self.way = way
+        self.replicas = {f"i-{n}": Replica(n, regions) for n in range(replicas)}
+        self.known = catalog.Catalog()
+        self.known.apply(
+            [
+                catalog.ReplicaChange(1 + n, r.listed.replica_id, r.listed)
+                for n, r in enumerate(self.replicas.values())
+            ],
+            self.virtual.now_ms(),
+        )
+        self.served = 0
+        self.refused = 0
+        self.excused: set[str] = set()
+        self._shares: dict[tuple[str, str], send_meter.SendMeter] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        super().__init__(count, regions, seed, self.virtual)
+
+    def start(
+        self, number: int, incarnation: int = 1_000
+    ) -> virtual_fleet.VirtualEntry:
+        entry = super().start(number, incarnation)
+        entry.table.sync(self.known, self.virtual.now_ms())
+        return entry
+
+    def _at(self, in_ms: float, event: Callable[[], None]) -> None:
+        self._loop.call_later(in_ms / _MS, event)
+
+    async def sleep(self, ms: float) -> None:
+        """Lets time pass."""
+        await asyncio.sleep(ms / _MS)
+
+    async def load(self, per_s: float, ms: float) -> None:
+        """Sends requests to entries drawn evenly, for some time."""
+        end_ms = self.virtual.now_ms() + ms
+        while True:
+            await self.sleep(self.rng.expovariate(per_s) * _MS)
+            if self.virtual.now_ms() >= end_ms:
+                return
+            able = [entry for entry in self.running() if not entry.suspended]
+            task = asyncio.create_task(self._call(self.rng.choice(able)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _call(self, entry: virtual_fleet.VirtualEntry) -> None:
+        started_ms = self.virtual.now_ms()
+        while True:
+            now_ms = self.virtual.now_ms()
+            left_ms = OBJECTIVE_MS - (now_ms - started_ms)
+            request = admission.Request(
+                wanted=upstream_choice.Wanted(
+                    engine=None,
+                    prompt_tokens=0,
+                    events=1.0,
+                    oldest_weights=0,
+                    failed=(),
+                    limit_wait_max_ms=max(0.0, left_ms),
+                ),
+                elapsed_ms=now_ms - started_ms,
+                stays_ms=2_000.0,
+                objective_ms=OBJECTIVE_MS,
+            )
+            places = upstream_choice.Places({entry.member.data_centre})
+            views = entry.table.of(SERVICE)
+            choice = admission.decide(views, request, places, now_ms, self.rng)
+            if not isinstance(choice, upstream_choice.Choice):
+                self.refused += 1
+                return
+            wait_ms = 0.0
+            if choice.view.limit is not None:
+                found = await self._reserve(entry, choice)
+                if found is None:
+                    continue
+                wait_ms = found
+            await self.sleep(wait_ms)
+            await self._send(entry, choice.view)
+            return
+
+    async def _reserve(
+        self, entry: virtual_fleet.VirtualEntry, choice: upstream_choice.Choice
+    ) -> float | None:
+        view = choice.view
+        wait_max_ms = choice.limit_wait_max_ms
+        if self.way is Way.RESERVED:
+            return await entry.limits.reserve(view, wait_max_ms)
+        limit = view.limit
+        assert limit is not None
+        now_ms = self.virtual.now_ms()
+        per_s = limit.per_s
+        if self.way is Way.SHARES:
+            per_s /= len(self.running())
+        elif entry.limits.meters_of(view)[0] != entry.name:
+            limit.ask_ms = now_ms + 100.0
+            return None
+        key = (entry.name, view.replica.replica_id)
+        if key not in self._shares:
+            self._shares[key] = send_meter.SendMeter(now_ms, per_s)
+        meter = self._shares[key]
+        wait_ms = meter.reserve(now_ms, per_s, wait_max_ms)
+        limit.next_ms = now_ms + meter.next_in_ms(now_ms, per_s)
+        if wait_ms is None:
+            limit.ask_ms = now_ms + 20.0
+        return wait_ms
+
+    async def _send(
+        self, entry: virtual_fleet.VirtualEntry, view: replica_view.ReplicaView
+    ) -> None:
+        replica = self.replicas[view.replica.replica_id]
+        sent_ms = self.virtual.now_ms()
+        view.note_sent(0, sent_ms)
+        await self.sleep(self.rng.uniform(*WAY_MS))
+        replica.arrivals.append(Arrival(self.virtual.now_ms(), entry.name))
+        await self.sleep(ANSWER_MS)
+        per_s = replica.per_s
+        await self.sleep(self.rng.uniform(*WAY_MS))
+        if not entry.running:
+            return
+        if per_s is not None:
+            now_ms = self.virtual.now_ms()
+            replica.told_ms.setdefault(entry.name, now_ms)
+        view.note_ended()
+        entry.limits.note_answer(view, answer(per_s), sent_ms)
+        self.served += 1
+
+
+def answer(per_s: float | None) -> wire.ReplicaAnswer:
+    """Returns a good answer that names a limit, or none."""
+    return wire.ReplicaAnswer(
+        status=200,
+        mine=True,
+        signed=True,
+        not_run=False,
+        encoded=False,
+        weights=None,
+        load=None,
+        headers=[],
+        limit_per_s=per_s,
+    )
+
+
+def play(use: Callable[[], Awaitable[None]]) -> None:
+    """Runs a coroutine in virtual time."""
+    loop = virtual_time.VirtualLoop()
+    try:
+        loop.run_until_complete(_whole(use))
+    finally:
+        loop.close()
+
+
+async def _whole(use: Callable[[], Awaitable[None]]) -> None:
+    await use()
+    rest = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in rest:
+        task.cancel()
+    await asyncio.gather(*rest, return_exceptions=True)
+
+
+async def _compare(way: Way, count: int, limited: int, per_s: float) -> None:
+    replicas = 12
+    played = LimitedFleet(count, replicas, way=way, seed=3)
+    await played.sleep(6_000.0)
+    rate = 40.0
+    await played.load(rate, 2_000.0)
+    start_ms = played.virtual.now_ms()
+    for replica in list(played.replicas.values())[:limited]:
+        replica.name(per_s, start_ms)
+    sent = {e.name: limit_bytes(e) for e in played.running()}
+    served, refused = played.served, played.refused
+    need_ms = 19_000.0
+    await played.load(rate, need_ms)
+    named = list(played.replicas.values())[:limited]
+    counted_s = (need_ms - CONTACT_MS) / _MS
+    end_ms = played.virtual.now_ms()
+    used = [
+        r.between(start_ms + CONTACT_MS, end_ms) / (per_s * counted_s)
+        for r in named
+    ]
+    rates = [
+        (limit_bytes(e) - sent.get(e.name, 0)) / (need_ms / _MS)
+        for e in played.running()
+    ]
+    made = played.served - served + played.refused - refused
+    print(
+        f"| {way.value} | {count} | {limited} of {replicas}, {per_s} | "
+        f"{max(r.most(set()) for r in named)} of {allowed(per_s)} | "
+        f"{min(used):.2f}, {sum(used) / len(used):.2f} | "
+        f"{(played.served - served) / made:.3f} | "
+        f"{sum(rates) / len(rates):.0f}, {max(rates):.0f} |",
+        flush=True,
+    )
+
+
+def limit_bytes(entry: virtual_fleet.VirtualEntry) -> int:
+    """Returns the bytes that an entry sent about limits."""
+    kinds = ("LimitNews", "LimitRequest", "SendRequest", "SendReply")
+    return sum(entry.kind_bytes[k] for k in (*kinds, "SendReserved"))
+
+
+def main() -> None:
+    """Prints the comparison."""
+    for count in [int(arg) for arg in sys.argv[1:]] or [3, 8, 44]:
+        for limited, per_s in ((5, 1.0), (12, 2.0)):
+            for way in Way:
+
+                async def use(
+                    way: Way = way,
+                    count: int = count,
+                    limited: int = limited,
+                    per_s: float = per_s,
+                ) -> None:
+                    await _compare(way, count, limited, per_s)
+
+                play(use)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/direct/fleet/test_send_meters.py
@@ -0,0 +1,180 @@
+"""Entries keep the limits that replicas name together, in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.direct.fleet import limited_fleet
+
+USED_SHARE_MIN = 0.8
+"""Least part of each limit that is used while there are more requests."""
+
+CONTROL_BYTES_PER_S = 10_000.0
+RATE_PER_S = 40.0
+
+
+def name_all(fleet: limited_fleet.LimitedFleet, per_s: float | None) -> None:
+    for replica in fleet.replicas.values():
+        replica.name(per_s, fleet.virtual.now_ms())
+
+
+async def in_need(
+    count: int, per_s: float, replicas: int = 12, seed: int = 1
+) -> limited_fleet.LimitedFleet:
+    """Returns a fleet all of whose replicas have named a limit for a while."""
+    fleet = limited_fleet.LimitedFleet(count, replicas, seed=seed)
+    await fleet.sleep(6_000.0)
+    await fleet.load(RATE_PER_S, 1_000.0)
+    name_all(fleet, per_s)
+    await fleet.load(RATE_PER_S, limited_fleet.CONTACT_MS)
+    return fleet
+
+
+def assert_kept(
+    fleet: limited_fleet.LimitedFleet, per_s: float, *excused: str
+) -> None:
+    for name, replica in fleet.replicas.items():
+        most = replica.most(set(excused))
+        assert most <= limited_fleet.allowed(per_s), name
+
+
+@pytest.mark.parametrize("per_s", [0.5, 1.0, 1.6, 2.5])
+@pytest.mark.parametrize("count", [3, 8, 44])
+def test_limit_is_kept_and_used_over_all_entries(
+    count: int, per_s: float
+) -> None:
+    async def use() -> None:
+        fleet = await in_need(count, per_s)
+        start_ms = fleet.virtual.now_ms()
+        await fleet.load(RATE_PER_S, 12_000.0)
+        assert_kept(fleet, per_s)
+        for replica in fleet.replicas.values():
+            used = replica.between(start_ms, start_ms + 12_000.0)
+            assert used >= USED_SHARE_MIN * 12.0 * per_s - 1
+
+    limited_fleet.play(use)
+
+
+def test_limit_is_kept_when_the_entry_that_reserves_ends() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.0)
+        await fleet.load(RATE_PER_S, 3_000.0)
+        fleet.stop("entry-2")
+        start_ms = fleet.virtual.now_ms()
+        await fleet.load(RATE_PER_S, 8_000.0)
+        assert_kept(fleet, 1.0)
+        for replica in fleet.replicas.values():
+            assert replica.between(start_ms, start_ms + 8_000.0) >= 5
+
+    limited_fleet.play(use)
+
+
+def test_limit_is_kept_while_entries_come_and_start_again() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.0)
+        for number in range(8, 16):
+            fleet.start(number)
+            await fleet.load(RATE_PER_S, 700.0)
+        fleet.stop("entry-3")
+        await fleet.load(RATE_PER_S, 800.0)
+        fleet.start(3, incarnation=2_000)
+        await fleet.load(RATE_PER_S, 6_000.0)
+        assert_kept(fleet, 1.0, "entry-3")
+
+    limited_fleet.play(use)
+
+
+def test_limit_is_kept_when_an_entry_that_was_suspended_goes_on() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.0)
+        fleet.entries["entry-5"].suspended = True
+        await fleet.load(RATE_PER_S, 5_000.0)
+        fleet.entries["entry-5"].suspended = False
+        await fleet.load(RATE_PER_S, 6_000.0)
+        assert_kept(fleet, 1.0, "entry-5")
+
+    limited_fleet.play(use)
+
+
+@pytest.mark.parametrize("per_s", [1.0, 4.0])
+def test_limit_is_kept_while_half_the_entries_are_cut_from_the_others(
+    per_s: float,
+) -> None:
+    async def use() -> None:
+        fleet = await in_need(8, per_s)
+        one = {f"entry-{n}" for n in range(4)}
+        other = set(fleet.entries) - one
+        fleet.cut = {(a, b) for a in one for b in other}
+        fleet.cut |= {(b, a) for a, b in fleet.cut}
+        await fleet.load(RATE_PER_S, 10_000.0)
+        fleet.cut.clear()
+        await fleet.load(RATE_PER_S, 6_000.0)
+        assert_kept(fleet, per_s)
+
+    limited_fleet.play(use)
+
+
+@pytest.mark.parametrize("loss", [0.05, 0.2])
+def test_limit_is_kept_though_messages_are_lost(loss: float) -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.6)
+        fleet.loss = loss
+        await fleet.load(RATE_PER_S, 12_000.0)
+        assert_kept(fleet, 1.6)
+
+    limited_fleet.play(use)
+
+
+def test_limit_that_falls_and_rises_is_followed() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 3.0)
+        await fleet.load(RATE_PER_S, 2_000.0)
+        name_all(fleet, 1.0)
+        await fleet.load(RATE_PER_S, 2_000.0)
+        for replica in fleet.replicas.values():
+            replica.arrivals.clear()
+        await fleet.load(RATE_PER_S, 6_000.0)
+        assert_kept(fleet, 1.0)
+        name_all(fleet, 3.0)
+        await fleet.load(RATE_PER_S, 2_000.0)
+        start_ms = fleet.virtual.now_ms()
+        await fleet.load(RATE_PER_S, 6_000.0)
+        for replica in fleet.replicas.values():
+            used = replica.between(start_ms, start_ms + 6_000.0)
+            assert used >= USED_SHARE_MIN * 6.0 * 3.0
+
+    limited_fleet.play(use)
+
+
+def test_replica_that_takes_nothing_is_tried_seldom() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 0.0)
+        await fleet.load(RATE_PER_S, 12_000.0)
+        assert_kept(fleet, 0.0)
+
+    limited_fleet.play(use)
+
+
+def test_what_is_told_of_limits_stays_within_the_control_budget() -> None:
+    async def use() -> None:
+        fleet = await in_need(44, 2.0)
+        before = {
+            entry.name: limited_fleet.limit_bytes(entry)
+            for entry in fleet.running()
+        }
+        await fleet.load(RATE_PER_S, 10_000.0)
+        for entry in fleet.running():
+            sent = limited_fleet.limit_bytes(entry) - before[entry.name]
+            assert sent / 10.0 < CONTROL_BYTES_PER_S
+
+    limited_fleet.play(use)
+
+
+def test_entry_that_starts_knows_limits_before_it_is_told() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.0)
+        entry = fleet.start(8)
+        await fleet.sleep(2_000.0)
+        assert len(entry.limits.known.in_force()) == len(fleet.replicas)
+
+    limited_fleet.play(use)
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -15,7 +15,9 @@
 from marlramp import counters
 from marlramp.core import crash_record
 from marlramp.core import members
+from marlramp.core import replica_table
 from marlramp.direct.fleet import crash_sync
+from marlramp.direct.fleet import entry_limits
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
@@ -32,9 +34,14 @@
     revision = 0
     crash_digest = 0
 
+    limit_digest = 0
+
     def on_crash_digest(self, name: str, digest: int) -> None:
         pass
 
+    def on_limit_digest(self, name: str, digest: int) -> None:
+        pass
+
     def on_member(self, member: members.Member) -> None:
         pass
 
@@ -66,6 +73,7 @@
         self.sent_bytes = 0
         self.sent_far_bytes = 0
         self.sent_kinds: collections.Counter[str] = collections.Counter()
+        self.kind_bytes: collections.Counter[str] = collections.Counter()
         self.opened: dict[str, VirtualEntry | None] = {}
         self.sync = member_sync.MemberSync(
             self.member,
@@ -87,6 +95,17 @@
             random.Random(f"{fleet.seed} {number}"),
         )
 
+        self.table = replica_table.ReplicaTable()
+        self.totals = counters.Counters()
+        self.limits = entry_limits.EntryLimits(
+            self.sync,
+            self.table,
+            {f"dc-{n}": f"region-{n}" for n in range(fleet.regions)},
+            self.totals,
+            fleet.time,
+            random.Random(f"{fleet.seed} {number}"),
+        )
+
     @property
     def name(self) -> str:
         return self.member.vm_id
@@ -106,9 +125,19 @@
     def on_crash_digest(self, name: str, digest: int) -> None:
         self.crash_sync.on_digest(name, digest)
 
+    @property
+    def limit_digest(self) -> int:
+        return self.limits.digest
+
+    def on_limit_digest(self, name: str, digest: int) -> None:
+        self.limits.on_digest(name, digest)
+
     def on_message(self, name: str, message: fleet_messages.FromMember) -> None:
         if self.sync.on_message(name, message):
             return
+        if isinstance(message, fleet_messages.AboutLimits):
+            self.limits.on_message(name, message)
+            return
         match message:
             case fleet_messages.CrashNews():
                 self.crash_sync.on_news(message)
@@ -148,6 +177,7 @@
             size = len(message.data)
             self.sent_bytes += size
             self.sent_kinds[message.kind] += 1
+            self.kind_bytes[message.kind] += size
             if target.member.data_centre != self.member.data_centre:
                 self.sent_far_bytes += size
             self.fleet.carry(self, target, heard_as, message.data)
@@ -157,10 +187,17 @@
 class VirtualFleet:
     """Entries in some regions, the first three of them seeds."""
 
-    def __init__(self, count: int, regions: int = 3, seed: int = 1) -> None:
+    def __init__(
+        self,
+        count: int,
+        regions: int = 3,
+        seed: int = 1,
+        time: clock.Clock | None = None,
+    ) -> None:
         self.regions = regions
         self.seed = seed
-        self.time = clock.ManualClock()
+        self.manual = clock.ManualClock()
+        self.time: clock.Clock = time or self.manual
         self.rng = random.Random(seed)
         self.loss = 0.0
         self.cut: set[tuple[str, str]] = set()
@@ -212,9 +249,9 @@
         end_ms = self.time.now_ms() + ms
         while self._events and self._events[0][0] <= end_ms:
             at_ms, _, event = heapq.heappop(self._events)
-            self.time.advance(at_ms - self.time.now_ms())
+            self.manual.advance(at_ms - self.time.now_ms())
             event()
-        self.time.advance(end_ms - self.time.now_ms())
+        self.manual.advance(end_ms - self.time.now_ms())
 
     def running(self) -> list[VirtualEntry]:
         """Returns the entries that run."""
@@ -257,6 +294,7 @@
             entry.sync.set_state(entry.state)
             entry.sync.tick()
             entry.crash_sync.tick()
+            entry.limits.tick()
         self._at(TICK_MS, lambda: self._tick(entry))
 
     def _at(self, in_ms: float, event: Callable[[], None]) -> None:
