Idle plain replicas share requests by chance; few or old answers count less

Callers' requests to a plain service all went to one replica of twelve while others were idle (155 of 160 in 4 s, own play): equal costs were ordered by the replica's id, alike at every entry; and a replica whose first answer was slow got no other one, since its time was smoothed from a default and never measured again. A replica whose limit had ended stayed unused for the same reason.

Costs of plain replicas now differ by chance by up to a quarter; the first answers count alike, and a time that rests on few or old answers counts nearly as the least one. Ruled out as the only change: places taken as a part of the cost (ties and old times stay).

The test of idle replicas failed before (1,200 of 1,200 to one); limits that end while others are idle are noticed, which also failed before. Tests of the forwarder made the replica that is chosen first the faster one, since its id no longer decides.

choice and cost of one replica are functions of their own in rank.

--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -123,7 +123,7 @@
         ranked = upstream_choice.rank(own, wanted, places, now_ms)
         if ranked and _begins_soon(request, ranked[0]):
             return ranked[0]
-    ranked = upstream_choice.rank(views, wanted, places, now_ms)
+    ranked = upstream_choice.rank(views, wanted, places, now_ms, rng)
     if not ranked:
         return _limited(views, request, now_ms, rng)
     front = ranked[0]
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -53,6 +53,15 @@
 """Weight of the newest answer in a replica's share of failures: a replica
 that fails two in five requests stands out after some six answers."""
 
+ANSWERS_MAX = 10
+"""Plain answers that tell most of what a replica's smoothed time can tell."""
+
+ANSWERS_DOUBT = 1.0
+"""Answers at which a smoothed time counts half."""
+
+ANSWERS_HALF_LIFE_MS = 10_000.0
+"""Time after which answers count as half as many."""
+
 TIME_DEFAULT_MS = 40.0
 """Expected time of a plain answer before the first one was seen."""
 
@@ -117,6 +126,8 @@
       seen_weights: version last seen on an answer, None before.
       seen_ms: when that was.
       answer_ms: smoothed time of a plain answer.
+      answers: plain answers so far.
+      answered_ms: when the last of them came.
       run_ms: smoothed time from a stream's first event to its end.
       event_ms: smoothed time between two events of a stream.
       bias: smoothed ratio of actual to predicted times to the first event.
@@ -154,6 +165,8 @@
     seen_weights: int | None = None
     seen_ms: float = float("-inf")
     answer_ms: float = TIME_DEFAULT_MS
+    answers: int = 0
+    answered_ms: float = float("-inf")
     run_ms: float = RUN_DEFAULT_MS
     event_ms: float = EVENT_DEFAULT_MS
     bias: float = 1.0
@@ -281,9 +294,33 @@
         self.in_flight -= 1
         self.on_load_change(self.replica.replica_id)
 
-    def note_answered(self, taken_ms: float) -> None:
-        """Takes the time of a good plain answer."""
-        self.answer_ms += TIME_SMOOTHING * (taken_ms - self.answer_ms)
+    def note_answered(self, taken_ms: float, now_ms: clock.Millis) -> None:
+        """Takes the time of a good plain answer.
+
+        The first ones count alike: a replica that gets few requests is known by
+        them, not by what was assumed before.
+        """
+        self.answers += 1
+        weight = max(TIME_SMOOTHING, 1.0 / self.answers)
+        self.answer_ms += weight * (taken_ms - self.answer_ms)
+        self.answered_ms = now_ms
+
+    def likely_answer_ms(self, least_ms: float, now_ms: clock.Millis) -> float:
+        """Returns the time of a plain answer, as far as it is known.
+
+        One that is known by few or old answers counts as nearly as fast as the
+        fastest, or it would get no request that shows how fast it is.
+
+        Args:
+          least_ms: the least smoothed time of the service's replicas.
+          now_ms: the time.
+        """
+        recent = min(self.answers, ANSWERS_MAX)
+        if recent:
+            age_ms = now_ms - self.answered_ms
+            recent *= 0.5 ** (age_ms / ANSWERS_HALF_LIFE_MS)
+        known_share = recent / (recent + ANSWERS_DOUBT)
+        return least_ms + known_share * max(0.0, self.answer_ms - least_ms)
 
     def note_run(self, taken_ms: float, events: int) -> None:
         """Takes the time from a stream's first event to its end."""
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection
 from collections.abc import Sequence
+import random
 
 import msgspec
 
@@ -30,6 +31,10 @@
 is known to 20 ms, theirs to a second."""
 
 
+NEAR_SHARE = 0.25
+"""Part by which the costs of plain replicas differ by chance. Entries that
+believe the same of idle replicas would otherwise all send to one of them."""
+
 ALONE_COST_MS = 1_000.0
 """Cost of each other request at a replica for one that goes where few run: far
 more than any difference in time."""
@@ -130,12 +135,24 @@
 
 
 def predicted_ms(
-    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+    view: replica_view.ReplicaView,
+    wanted: Wanted,
+    now_ms: clock.Millis,
+    least_ms: float = float("inf"),
 ) -> float:
-    """Returns the predicted time to the answer or its first event."""
+    """Returns the predicted time to the answer or its first event.
+
+    Args:
+      view: the replica.
+      wanted: what the request needs.
+      now_ms: the time.
+      least_ms: least smoothed time of the plain replicas that may get it.
+    """
     if wanted.engine is None:
+        least_ms = min(least_ms, view.answer_ms)
+        answer_ms = view.likely_answer_ms(least_ms, now_ms)
         ahead = max(0.0, view.load(now_ms) + 1 - view.replica.slots)
-        return view.answer_ms * (1.0 + ahead / max(1, view.replica.slots))
+        return answer_ms * (1.0 + ahead / max(1, view.replica.slots))
     load = view.load_ahead(wanted.place, now_ms)
     slots = wanted.engine.batch
     believed = engine_load.EngineLoad(
@@ -216,6 +233,7 @@
     wanted: Wanted,
     places: Places,
     now_ms: clock.Millis,
+    rng: random.Random | None = None,
 ) -> list[Choice]:
     """Returns the replicas that may get the request, the best first.
 
@@ -227,6 +245,7 @@
       wanted: what the request needs.
       places: where the replicas are that the entry prefers.
       now_ms: the time.
+      rng: spreads requests over plain replicas that are as good as each other.
     """
     able = [view for view in views if usable(view, wanted, now_ms)]
     # Before breakers are ignored: no panic opens a limit.
@@ -235,29 +254,55 @@
     if routing.panics(len(allowed), len(able)):
         allowed = able
     fresh = [v for v in allowed if v.replica.replica_id not in wanted.failed]
-    choices = []
-    for view in fresh:
-        unbiased_ms = predicted_ms(view, wanted, now_ms)
-        time_ms = unbiased_ms * view.bias_of(wanted.place, now_ms)
-        time_ms += view.limit_wait_ms(now_ms)
-        cost_ms = time_ms * (1.0 + FAILURE_WEIGHT * view.failure_share)
-        cost_ms += places.penalty_ms(view)
-        over_ms = overrun_ms(time_ms, view, wanted, now_ms)
-        cost_ms += OVERRUN_WEIGHT * over_ms
-        if wanted.alone:
-            cost_ms += ALONE_COST_MS * view.load(now_ms)
-        key = (cost_ms, view.replica.replica_id)
-        choice = Choice(
-            view,
-            time_ms,
-            unbiased_ms,
-            load=view.load(now_ms),
-            load_age_ms=now_ms - view.load_ms,
-            unread_tokens=view.unread_ahead(wanted.place),
-            place=wanted.place,
-            limit_per_s=None if view.limit is None else view.limit.per_s,
-            limit_wait_max_ms=limit_wait_max_ms(view, wanted, now_ms),
-        )
-        choices.append((key, choice))
-    choices.sort(key=lambda choice: choice[0])
-    return [choice for _, choice in choices]
+    least_ms = min((view.answer_ms for view in fresh), default=0.0)
+    choices = [_choice(view, wanted, now_ms, least_ms) for view in fresh]
+    return sorted(
+        choices,
+        key=lambda choice: (
+            _cost_ms(choice, wanted, places, now_ms, rng),
+            choice.view.replica.replica_id,
+        ),
+    )
+
+
+def _choice(
+    view: replica_view.ReplicaView,
+    wanted: Wanted,
+    now_ms: clock.Millis,
+    least_ms: float,
+) -> Choice:
+    """Returns what is predicted of a request at one replica."""
+    unbiased_ms = predicted_ms(view, wanted, now_ms, least_ms)
+    time_ms = unbiased_ms * view.bias_of(wanted.place, now_ms)
+    return Choice(
+        view,
+        time_ms + view.limit_wait_ms(now_ms),
+        unbiased_ms,
+        load=view.load(now_ms),
+        load_age_ms=now_ms - view.load_ms,
+        unread_tokens=view.unread_ahead(wanted.place),
+        place=wanted.place,
+        limit_per_s=None if view.limit is None else view.limit.per_s,
+        limit_wait_max_ms=limit_wait_max_ms(view, wanted, now_ms),
+    )
+
+
+def _cost_ms(
+    choice: Choice,
+    wanted: Wanted,
+    places: Places,
+    now_ms: clock.Millis,
+    rng: random.Random | None,
+) -> float:
+    """Returns by what replicas are compared; the least cost is the best."""
+    view = choice.view
+    cost_ms = choice.predicted_ms
+    cost_ms *= 1.0 + FAILURE_WEIGHT * view.failure_share
+    if rng is not None and wanted.engine is None:
+        cost_ms *= 1.0 + NEAR_SHARE * rng.random()
+    cost_ms += places.penalty_ms(view)
+    over_ms = overrun_ms(choice.predicted_ms, view, wanted, now_ms)
+    cost_ms += OVERRUN_WEIGHT * over_ms
+    if wanted.alone:
+        cost_ms += ALONE_COST_MS * choice.load
+    return cost_ms
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -82,7 +82,7 @@
             if events is not None and self._first_ms is not None:
                 self._view.note_run(now_ms - self._first_ms, events)
             elif events is None:
-                self._view.note_answered(now_ms - self._sent_ms)
+                self._view.note_answered(now_ms - self._sent_ms, now_ms)
         elif failure.ran is errors.Ran.NO:
             self._spare(outcome, now_ms)
         elif outcome.answer is not None:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -220,3 +220,91 @@
     )
     assert isinstance(choice, upstream_choice.Choice)
     assert choice.view is far
+
+
+def test_idle_plain_replicas_are_not_all_left_for_one(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """Entries that believe the same of idle replicas sent all to one."""
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+        )
+        for n in range(12)
+    ]
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    chosen: dict[str, int] = {}
+    for _ in range(1_200):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        name = choice.view.replica.replica_id
+        chosen[name] = chosen.get(name, 0) + 1
+    assert max(chosen.values()) <= 2 * 100
+    assert len(chosen) == 12
+
+
+def test_plain_replica_that_is_clearly_slower_is_not_chosen(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+            answer_ms=40.0 + 40.0 * n,
+            answers=replica_view.ANSWERS_MAX,
+            answered_ms=time.now_ms(),
+        )
+        for n in range(2)
+    ]
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    for _ in range(200):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        assert choice.view.replica.replica_id == "i-0"
+
+
+@pytest.mark.parametrize(("answers", "age_ms"), [(1, 0.0), (10, 60_000.0)])
+def test_plain_replica_known_by_few_or_old_answers_is_tried_again(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+    answers: int,
+    age_ms: float,
+) -> None:
+    """One slow answer kept a replica from work for good."""
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+        )
+        for n in range(2)
+    ]
+    for _ in range(answers):
+        views[1].note_answered(58.0, time.now_ms())
+    time.advance(age_ms)
+    for _ in range(10):
+        views[0].note_answered(40.0, time.now_ms())
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    chosen = set()
+    for _ in range(200):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        chosen.add(choice.view.replica.replica_id)
+    assert chosen == {"i-0", "i-1"}
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -19,6 +19,7 @@
 from marlramp.core import crash_record
 from marlramp.core import fleet
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import route_table
 from marlramp.direct import metrics
 from marlramp.direct.calls import crash_watch
@@ -135,6 +136,11 @@
         ]
         self.catalog.apply(changes, time.now_ms())
         self.table.sync(self.catalog, time.now_ms())
+        # The first script runs on the fastest replica, which is chosen first.
+        for number, view in enumerate(self.table):
+            view.answer_ms *= 2.0**number
+            view.answers = replica_view.ANSWERS_MAX
+            view.answered_ms = time.now_ms()
         self.totals = counters.Counters()
         self.crashes = crash_record.CrashRecord()
         self.forwarder = forwarder.Forwarder(
--- a/tests/direct/fleet/test_send_meters.py
+++ b/tests/direct/fleet/test_send_meters.py
@@ -9,6 +9,10 @@
 USED_SHARE_MIN = 0.8
 """Least part of each limit that is used while there are more requests."""
 
+FREE_AGAIN_MS = 4_500.0
+"""A replica that names no limit any more is used freely after this time: one
+that took a request in four seconds is asked as seldom."""
+
 CONTROL_BYTES_PER_S = 10_000.0
 RATE_PER_S = 40.0
 
@@ -146,6 +150,24 @@
     limited_fleet.play(use)
 
 
+@pytest.mark.parametrize("per_s", [0.0, 0.1, 1.0])
+def test_replica_that_names_no_limit_any_more_is_used_freely(
+    per_s: float,
+) -> None:
+    async def use() -> None:
+        fleet = await in_need(8, per_s)
+        await fleet.load(RATE_PER_S, 2_000.0)
+        name_all(fleet, None)
+        await fleet.load(RATE_PER_S, FREE_AGAIN_MS)
+        refused = fleet.refused
+        await fleet.load(RATE_PER_S, 3_000.0)
+        assert fleet.refused == refused
+        for entry in fleet.running():
+            assert entry.limits.known.in_force() == {}
+
+    limited_fleet.play(use)
+
+
 def test_replica_that_takes_nothing_is_tried_seldom() -> None:
     async def use() -> None:
         fleet = await in_need(8, 0.0)
