Operators see replicas that name a limit; limits that name no rate lose nothing

marlramp limited ENTRY lists them with age, who reserves requests to them and when there is room; the pages behind it and behind marlramp crashes share their client.

--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -13,6 +13,7 @@
 from marlramp.console.commands import drain
 from marlramp.console.commands import experiment
 from marlramp.console.commands import explain
+from marlramp.console.commands import limited
 from marlramp.console.commands import limits
 from marlramp.console.commands import reference
 from marlramp.console.commands import refusals
@@ -39,6 +40,7 @@
 app.command(request.request)
 app.command(traffic.traffic)
 app.command(crashes.crashes)
+app.command(limited.limited)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- a/src/marlramp/console/commands/crashes.py
+++ b/src/marlramp/console/commands/crashes.py
@@ -5,26 +5,18 @@
 from typing import Annotated
 import urllib.error
 import urllib.parse
-import urllib.request
 
 import cyclopts
 import msgspec
 
 from marlramp.console import exit_codes
 from marlramp.console import output
+from marlramp.console import page_client
 from marlramp.direct import crash_pages
 
-TIMEOUT_S = 5.0
 _NOT_FOUND = 404
 
 
-def _call(url: str, method: str) -> bytes:
-    request = urllib.request.Request(url, method=method)
-    with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
-        body: bytes = answer.read()
-    return body
-
-
 def crashes(
     entry: str,
     *,
@@ -38,14 +30,14 @@
       release: fingerprint of a request that all entries are to run again.
       json: print JSON, for scripts.
     """
-    if not entry.startswith("http://"):
-        output.print_error(f"{entry}: must be a URL that begins with http://")
-        return int(exit_codes.ExitCode.USAGE)
+    refused = page_client.refuse_other_urls(entry)
+    if refused is not None:
+        return refused
     base = entry.rstrip("/")
     try:
         if release:
             return _release(base, release)
-        body = _call(base + crash_pages.CRASHES_PATH, "GET")
+        body = page_client.call(base + crash_pages.CRASHES_PATH)
         rows = msgspec.json.decode(body, type=list[crash_pages.SuspectRow])
     except (OSError, msgspec.DecodeError) as error:
         output.print_error(f"{entry}: {error}")
@@ -70,7 +62,8 @@
 def _release(base: str, fingerprint: str) -> int:
     query = urllib.parse.urlencode({"fingerprint": fingerprint})
     try:
-        body = _call(f"{base}{crash_pages.RELEASE_PATH}?{query}", "POST")
+        url = f"{base}{crash_pages.RELEASE_PATH}?{query}"
+        body = page_client.call(url, "POST")
     except urllib.error.HTTPError as error:
         if error.code != _NOT_FOUND:
             raise
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -18,6 +18,7 @@
 from marlramp.core import replica_table
 from marlramp.core import route_table
 from marlramp.direct import crash_pages
+from marlramp.direct import limit_pages
 from marlramp.direct import metrics
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
@@ -213,6 +214,7 @@
             **lookup_pages.build(self._lookup, ttl_ms / _MS, self._is_ready),
             **side_server.metrics_pages(self._metrics.text),
             **crash_pages.build(self._crashes, self._fleet.tell_crashes),
+            **limit_pages.build(self._fleet.limits, self._table, self._clock),
         }
         addresses = {
             "lookup": self._addresses.lookup,
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import json
 import time
 from typing import NamedTuple
@@ -43,6 +44,22 @@
         ...
 
 
+CONTACT_S = 3.0
+"""After a replica first names a limit, the time from which it counts."""
+
+TOLD_S = 0.5
+"""After an entry was told of a limit, the time from which it is bound."""
+
+WINDOW_S = 4.0
+EXCESS_SHARE = 1.5
+EXCESS_REQUESTS = 5
+
+
+def allowed_in_window(limit_per_s: float) -> int:
+    """Returns the requests that a limit allows in `WINDOW_S`."""
+    return int(limit_per_s * WINDOW_S * EXCESS_SHARE) + EXCESS_REQUESTS
+
+
 class Arrival(NamedTuple):
     """A request that reached a replica.
 
@@ -91,6 +108,28 @@
         self.told_s.setdefault(entry, now_s)
         return {"server_limit": self.limit}
 
+    def most_in_window(self, excused: Collection[str] = ()) -> int:
+        """Returns the most requests that count in any window.
+
+        Args:
+          excused: entries whose requests don't count.
+        """
+        times_s = [
+            arrival.at_s
+            for arrival in self.arrivals
+            if arrival.at_s >= self.since_s + CONTACT_S
+            and arrival.entry not in excused
+            and arrival.at_s
+            >= self.told_s.get(arrival.entry, float("inf")) + TOLD_S
+        ]
+        return max(
+            (
+                sum(start <= at < start + WINDOW_S for at in times_s)
+                for start in times_s
+            ),
+            default=0,
+        )
+
 
 class _Crashes:
     """Ends a replica, and has it back after a while.
--- a/tests/failures/test_replica_limits.py
+++ b/tests/failures/test_replica_limits.py
@@ -11,23 +11,17 @@
 import signal
 from typing import TypeAlias
 
+import msgspec
 import pytest
 
+from marlramp.console import exit_codes
+from marlramp.console.commands import limited
 from standins import direct_fleet
 from standins import direct_replicas
 
 ENTRIES = 3
 ENGINES = 4
 DESKS = 8
-CONTACT_S = 3.0
-"""After a replica first names its limit, the time from which it counts."""
-
-TOLD_S = 0.5
-"""After an entry was told of a limit, the time from which it is bound."""
-
-WINDOW_S = 4.0
-EXCESS_SHARE = 1.5
-EXCESS_REQUESTS = 5
 USED_SHARE_MIN = 0.7
 """Least part of a limit that is used while there are more requests."""
 
@@ -97,35 +91,6 @@
         return good / len(self.answers)
 
 
-def counted(
-    need: direct_replicas.Need, excused: Sequence[str] = ()
-) -> list[float]:
-    """Returns the times of the requests that the rule counts."""
-    return [
-        arrival.at_s
-        for arrival in need.arrivals
-        if arrival.at_s >= need.since_s + CONTACT_S
-        and arrival.entry not in excused
-        and arrival.at_s >= need.told_s.get(arrival.entry, 1e9) + TOLD_S
-    ]
-
-
-def most_in_window(times_s: Sequence[float]) -> int:
-    """Returns the most requests in any window of the rule."""
-    return max(
-        (
-            sum(start <= at < start + WINDOW_S for at in times_s)
-            for start in times_s
-        ),
-        default=0,
-    )
-
-
-def allowed(limit_per_s: float) -> int:
-    """Returns the requests that the rule allows in a window."""
-    return int(limit_per_s * WINDOW_S * EXCESS_SHARE) + EXCESS_REQUESTS
-
-
 Replicas: TypeAlias = Sequence[
     direct_replicas.Engine | direct_replicas.PlainReplica
 ]
@@ -140,8 +105,9 @@
     replicas: Replicas, limit_per_s: float, excused: Sequence[str] = ()
 ) -> None:
     for replica in replicas:
-        most = most_in_window(counted(replica.need, excused))
-        assert most <= allowed(limit_per_s), replica.replica_id
+        most = replica.need.most_in_window(excused)
+        allowed = direct_replicas.allowed_in_window(limit_per_s)
+        assert most <= allowed, replica.replica_id
 
 
 def used_share(replica: object, limit_per_s: float, seconds: float) -> float:
@@ -149,7 +115,7 @@
     assert isinstance(
         replica, direct_replicas.Engine | direct_replicas.PlainReplica
     )
-    since_s = replica.need.since_s + CONTACT_S
+    since_s = replica.need.since_s + direct_replicas.CONTACT_S
     used = sum(
         since_s <= arrival.at_s < since_s + seconds
         for arrival in replica.need.arrivals
@@ -219,3 +185,43 @@
         assert_kept(fleet.desks, 1.0, excused=["entry-0", "entry-1"])
 
     run_fleet(use)
+
+
+def test_operator_sees_the_replicas_that_name_a_limit(
+    run_fleet: RunFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = Crowd(fleet, "/stock/x", per_s=30.0)
+        name_limit(fleet.desks[:1], "1.5")
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        url = f"http://{fleet.entry_hosts[0]}:9464"
+        await asyncio.to_thread(limited.limited, url, json=True)
+        (row,) = msgspec.json.decode(capsys.readouterr().out)
+        assert row["replica"] == "d-0"
+        assert row["limit_per_s"] == 1.5
+        assert set(row["reserved_by"]) < {"entry-0", "entry-1", "entry-2"}
+        await asyncio.to_thread(limited.limited, url)
+        assert "d-0" in capsys.readouterr().out
+        assert "replica_limit_named replica=d-0" in fleet.log("entry-0")
+        name_limit(fleet.desks[:1], "")
+        await crowd.send_for(range(ENTRIES), 2 * WARM_UP_S)
+        assert "replica_limit_ended replica=d-0" in fleet.log("entry-0")
+        code = await asyncio.to_thread(limited.limited, "10.0.0.1")
+        assert code == exit_codes.ExitCode.USAGE
+
+    run_fleet(use)
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "inf", "none", "1e999"])
+def test_limit_that_is_no_rate_loses_nothing(
+    run_fleet: RunFleet, value: str
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = Crowd(fleet, "/stock/x", per_s=30.0)
+        name_limit(fleet.desks, value)
+        await crowd.send_for(range(ENTRIES), 2 * WARM_UP_S)
+        assert crowd.served_share() == 1.0
+        lines = fleet.log("entry-0").count("replica_limit_unreadable")
+        assert 0 < lines <= len(fleet.desks)
+
+    run_fleet(use)
