--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,12 +7,26 @@
 import shutil
 import sys
 import tempfile
+from typing import NamedTuple
 
 import cyclopts
 
 from soak import run
 from soak import schedule
 
+
+class Beside(NamedTuple):
+    """What comes beside the drawn faults.
+
+    Attributes:
+      culprit: a request that crashes the replicas that run it.
+      limited: two replicas that name a limit.
+    """
+
+    culprit: bool
+    limited: bool
+
+
 application = cyclopts.App(
     name="soak", help="Plays seeded faults against real daemons on loopback."
 )
@@ -26,6 +40,7 @@
     at_once: int = 4,
     keep: str = "",
     culprit: bool = False,
+    limited: bool = False,
 ) -> None:
     """Plays a row of seeds and prints the promises that each broke.
 
@@ -35,10 +50,12 @@
       at_once: how many are played at once.
       keep: folder for the logs of seeds that broke a promise.
       culprit: also send a request that crashes the replicas that run it.
+      limited: two replicas also name a limit over all entries together.
     """
     numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
-    playing = _play_all(numbers, at_once, folder, culprit=culprit)
+    beside = Beside(culprit, limited)
+    playing = _play_all(numbers, at_once, folder, beside)
     failed = asyncio.run(playing)
     print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
     if failed:
@@ -56,25 +73,31 @@
 
 
 async def _play_all(
-    numbers: list[int], at_once: int, keep: pathlib.Path, *, culprit: bool
+    numbers: list[int], at_once: int, keep: pathlib.Path, beside: Beside
 ) -> list[int]:
     limit = asyncio.Semaphore(at_once)
     failed: list[int] = []
 
     async def one(seed: int) -> None:
         async with limit:
-            if not await _play(seed, keep, culprit=culprit):
+            if not await _play(seed, keep, beside):
                 failed.append(seed)
 
     await asyncio.gather(*(one(seed) for seed in numbers))
     return sorted(failed)
 
 
-async def _play(seed: int, keep: pathlib.Path, *, culprit: bool) -> bool:
+async def _play(seed: int, keep: pathlib.Path, beside: Beside) -> bool:
     """Plays a seed; returns whether it kept all promises."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        result = await run.play(folder, seed, schedule.Size(), culprit=culprit)
+        result = await run.play(
+            folder,
+            seed,
+            schedule.Size(),
+            culprit=beside.culprit,
+            limited=beside.limited,
+        )
         if not result.violations:
             print(
                 f"seed {seed}: kept, {len(result.plan.faults)} faults,"
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -125,7 +125,7 @@
         self._count += 1
         kind = self._rng.choice(list(promises.CallKind))
         call = promises.Call(
-            request_id=f"{self._name}-{self._count}",
+            request_id=f"{self._entry}/{self._name}-{self._count}",
             kind=kind,
             key=self._run.key(self._rng),
             entry=self._entry,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -85,6 +85,7 @@
       attempts_max: replicas that one request may run on.
       events: events of a whole stream.
       last_calls: calls after the last fault, when all should be well.
+      limits_broken: replicas that got more than the limit they named.
       culprit_runs: runs of a request that crashes replicas, from a while after
         the last fault on.
     """
@@ -99,6 +100,7 @@
     events: int
     last_calls: list[Call]
     culprit_runs: int = 0
+    limits_broken: list[str] = []
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -140,6 +142,8 @@
     if seen.culprit_runs > CULPRIT_RUNS_MAX:
         detail = f"{seen.culprit_runs} runs of a request that crashes replicas"
         found.append(Violation("crashing_requests", detail))
+    for detail in seen.limits_broken:
+        found.append(Violation("replica_limits", detail))
     allowed = [call for call in seen.last_calls if call.key not in seen.revoked]
     served = sum(_is_served(call) for call in allowed)
     if served < LAST_SHARE_MIN * len(allowed):
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,6 +27,10 @@
 LAST_CALLS = 40
 RUN_TIMEOUT_S = 120.0
 ATTEMPTS_MAX = 2
+LIMIT_PER_S = 2.0
+"""What the first engine and the first plain replica take while they are in
+need."""
+
 CULPRIT = "culprit"
 CULPRIT_PAUSE_MS = 400.0
 CULPRIT_KNOWN_MS = 3_000.0
@@ -62,6 +66,7 @@
         size: schedule.Size,
         *,
         culprit: bool = False,
+        limited: bool = False,
     ) -> None:
         """Starts nothing before `play`.
 
@@ -70,10 +75,13 @@
           plan: the faults.
           size: size of the fleet.
           culprit: whether a request that crashes replicas comes all the time.
+          limited: whether two replicas name a limit while faults come.
         """
         self._plan = plan
         self._culprit = culprit
+        self._limited = limited
         self._culprit_runs = 0
+        self._broken: list[str] = []
         self._size = size
         self._fleet = direct_fleet.Fleet(
             folder,
@@ -164,12 +172,15 @@
             for number in range(CALLERS)
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in crowd]
+        self._name_limits(f"{LIMIT_PER_S}" if self._limited else "")
         if self._culprit:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
             *(self._striker.strike(fault) for fault in self._plan.faults)
         )
         await asyncio.sleep(CULPRIT_KNOWN_MS / _MS)
+        self._broken = self._limits_broken()
+        self._name_limits("")
         before = self._runs_of_culprit()
         await asyncio.sleep((SETTLE_MS - CULPRIT_KNOWN_MS) / _MS)
         self._culprit_runs = self._runs_of_culprit() - before
@@ -180,6 +191,33 @@
             caller.close()
         return [call for caller in crowd for call in caller.calls]
 
+    def _name_limits(self, limit: str) -> None:
+        for replica in (self._fleet.engines[0], self._fleet.desks[0]):
+            replica.need.limit = limit
+
+    def _limits_broken(self) -> list[str]:
+        """Returns what was sent beyond the limits named.
+
+        Entries that were struck are excused, and replicas whose network failed
+        are left out: what was held back arrives at once.
+        """
+        struck = {fault.target for fault in self._plan.faults}
+        if any(
+            fault.kind is schedule.FaultKind.KILL_ALL
+            for fault in self._plan.faults
+        ):
+            return []
+        broken = []
+        for name, replica in (
+            ("engine-0", self._fleet.engines[0]),
+            ("desk-0", self._fleet.desks[0]),
+        ):
+            most = replica.need.most_in_window(struck)
+            allowed = direct_replicas.allowed_in_window(LIMIT_PER_S)
+            if name not in struck and most > allowed:
+                broken.append(f"{name}: {most} requests, allowed {allowed}")
+        return broken
+
     async def _send_culprit(self) -> None:
         """Sends a request that crashes replicas to all entries in turn."""
         for number in itertools.count():
@@ -228,6 +266,7 @@
             events=direct_replicas.EVENTS,
             last_calls=last,
             culprit_runs=self._culprit_runs,
+            limits_broken=self._broken,
         )
 
 
@@ -237,7 +276,9 @@
     size: schedule.Size,
     *,
     culprit: bool = False,
+    limited: bool = False,
 ) -> Result:
     """Plays one seed; settings files and logs go to `folder`."""
     plan = schedule.draw(seed, size)
-    return await Run(folder, plan, size, culprit=culprit).play()
+    played = Run(folder, plan, size, culprit=culprit, limited=limited)
+    return await played.play()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -17,6 +17,7 @@
 
 
 CULPRIT_SEED = 3
+LIMITED_SEED = 3
 
 
 def seeds() -> list[int]:
@@ -38,3 +39,12 @@
         run.play(tmp_path, CULPRIT_SEED, schedule.Size(), culprit=True)
     )
     assert result.violations == []
+
+
+def test_seed_keeps_all_promises_beside_replicas_that_name_a_limit(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(tmp_path, LIMITED_SEED, schedule.Size(), limited=True)
+    )
+    assert result.violations == []
