Tests of limits: many parts, ends and standstills, one entry with all requests; one stand-in of the rule

The users' rule on limits stood three times, in tests, soak and virtual fleets; standins.named_limit holds it now. tests.failures.direct_runs starts the fleets of both tests of replicas. New in virtual time, three seeds each: entries cut into 3 and 9 parts, twelve ends, starts and standstills of any entry; all kept. One entry that gets all requests uses 0.8 of each limit at least.

--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from standins import direct_documents
 from standins import direct_fleet
 from standins import direct_replicas
+from standins import named_limit
 
 CALLERS = 8
 SETTLE_MS = 12_000.0
@@ -193,7 +194,7 @@
 
     def _name_limits(self, limit: str) -> None:
         for replica in (self._fleet.engines[0], self._fleet.desks[0]):
-            replica.need.limit = limit
+            replica.need.name(limit)
 
     def _limits_broken(self) -> list[str]:
         """Returns what was sent beyond the limits named.
@@ -213,7 +214,7 @@
             ("desk-0", self._fleet.desks[0]),
         ):
             most = replica.need.most_in_window(struck)
-            allowed = direct_replicas.allowed_in_window(LIMIT_PER_S)
+            allowed = named_limit.allowed_in_window(LIMIT_PER_S)
             if name not in struck and most > allowed:
                 broken.append(f"{name}: {most} requests, allowed {allowed}")
         return broken
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -7,15 +7,14 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Collection
 import json
 import time
-from typing import NamedTuple
 from typing import Protocol
 
 from standins import direct_documents
 from standins import direct_store
 from standins import direct_weights
+from standins import named_limit
 from standins import raw_http
 
 EVENTS = 6
@@ -44,93 +43,6 @@
         ...
 
 
-CONTACT_S = 3.0
-"""After a replica first names a limit, the time from which it counts."""
-
-TOLD_S = 0.5
-"""After an entry was told of a limit, the time from which it is bound."""
-
-WINDOW_S = 4.0
-EXCESS_SHARE = 1.5
-EXCESS_REQUESTS = 5
-
-
-def allowed_in_window(limit_per_s: float) -> int:
-    """Returns the requests that a limit allows in `WINDOW_S`."""
-    return int(limit_per_s * WINDOW_S * EXCESS_SHARE) + EXCESS_REQUESTS
-
-
-class Arrival(NamedTuple):
-    """A request that reached a replica.
-
-    Attributes:
-      at_s: time of the event loop.
-      entry: the entry that it came through.
-    """
-
-    at_s: float
-    entry: str
-
-
-class Need:
-    """A limit that a replica names in its answers, and what it gets.
-
-    Who sent a request shows in its id, "ENTRY/NUMBER", since all processes
-    share one machine.
-
-    Attributes:
-      limit: text that it names, "" while it names none.
-      since_s: when it first named one, infinite before.
-      arrivals: requests that reached it, run or not.
-      told_s: when each entry first got an answer that names a limit.
-    """
-
-    def __init__(self) -> None:
-        """Names no limit."""
-        self.limit = ""
-        self.since_s = float("inf")
-        self.arrivals: list[Arrival] = []
-        self.told_s: dict[str, float] = {}
-
-    def arrived(self, request_id: str) -> None:
-        """Notes a request."""
-        now_s = asyncio.get_running_loop().time()
-        entry, _, _ = request_id.partition("/")
-        self.arrivals.append(Arrival(now_s, entry))
-
-    def headers(self, request_id: str) -> dict[str, str]:
-        """Returns what an answer says of the limit."""
-        if not self.limit:
-            return {}
-        now_s = asyncio.get_running_loop().time()
-        entry, _, _ = request_id.partition("/")
-        self.since_s = min(self.since_s, now_s)
-        self.told_s.setdefault(entry, now_s)
-        return {"server_limit": self.limit}
-
-    def most_in_window(self, excused: Collection[str] = ()) -> int:
-        """Returns the most requests that count in any window.
-
-        Args:
-          excused: entries whose requests don't count.
-        """
-        times_s = [
-            arrival.at_s
-            for arrival in self.arrivals
-            if arrival.at_s >= self.since_s + CONTACT_S
-            and arrival.entry not in excused
-            and arrival.at_s
-            >= self.told_s.get(arrival.entry, float("inf")) + TOLD_S
-        ]
-        return max(
-            (
-                sum(start <= at < start + WINDOW_S for at in times_s)
-                for start in times_s
-            ),
-            default=0,
-        )
-
-
 class _Crashes:
     """Ends a replica, and has it back after a while.
 
@@ -192,7 +104,7 @@
         self.mixed = 0
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
-        self.need = Need()
+        self.need = named_limit.NamedLimit()
         self._store = store
         self._running = 0
         self._orders = 0
@@ -393,7 +305,7 @@
         self.port = port
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
-        self.need = Need()
+        self.need = named_limit.NamedLimit()
         self._born_ms = _unix_ms()
         self._store = store
 
--- a/tests/direct/fleet/limited_fleet.py
+++ b/tests/direct/fleet/limited_fleet.py
@@ -8,11 +8,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 import enum
 import sys
 
-import msgspec
-
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import admission
@@ -23,17 +22,14 @@
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import wire
 from marlramp.experiments import virtual_time
+from standins import named_limit
 from tests.direct.fleet import virtual_fleet
 
 SERVICE = ids.ServiceId("s")
 ANSWER_MS = 45.0
 WAY_MS = (1.0, 4.0)
 OBJECTIVE_MS = 200.0
-CONTACT_MS = 3_000.0
-TOLD_MS = 500.0
-WINDOW_MS = 4_000.0
-EXCESS_SHARE = 1.5
-EXCESS_REQUESTS = 5
+CONTACT_MS = 1_000.0 * named_limit.CONTACT_S
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -45,15 +41,8 @@
     SHARES = "equal shares"
 
 
-class Arrival(msgspec.Struct, frozen=True):
-    """A request that reached a replica."""
-
-    at_ms: float
-    entry: str
-
-
 class Replica:
-    """A plain replica, its limit and what it got."""
+    """A plain replica and its limit."""
 
     def __init__(self, number: int, regions: int) -> None:
         self.listed = fleet.Replica(
@@ -66,46 +55,15 @@
             weights=None,
             born_ms=1,
         )
-        self.per_s: float | None = None
-        self.since_ms = float("inf")
-        self.until_ms = float("inf")
-        self.arrivals: list[Arrival] = []
-        self.told_ms: dict[str, float] = {}
+        self.need = named_limit.NamedLimit()
 
-    def name(self, per_s: float | None, now_ms: float) -> None:
+    def name(self, per_s: float | None) -> None:
         """Names a limit, or none any more."""
-        if per_s is None:
-            self.until_ms = now_ms
-        elif self.since_ms > now_ms:
-            self.since_ms = now_ms
-        self.per_s = per_s
-
-    def most(self, excused: set[str]) -> int:
-        """Returns the most requests that the rule counts in any window."""
-        times_ms = [
-            arrival.at_ms
-            for arrival in self.arrivals
-            if self.since_ms + CONTACT_MS <= arrival.at_ms < self.until_ms
-            and arrival.entry not in excused
-            and arrival.at_ms
-            >= self.told_ms.get(arrival.entry, float("inf")) + TOLD_MS
-        ]
-        return max(
-            (
-                sum(start <= at < start + WINDOW_MS for at in times_ms)
-                for start in times_ms
-            ),
-            default=0,
-        )
+        self.need.name("" if per_s is None else str(per_s))
 
     def between(self, start_ms: float, end_ms: float) -> int:
         """Returns the requests that reached it in some time."""
-        return sum(start_ms <= a.at_ms < end_ms for a in self.arrivals)
-
-
-def allowed(per_s: float) -> int:
-    """Returns the requests that the rule allows in a window."""
-    return int(per_s * WINDOW_MS / _MS * EXCESS_SHARE) + EXCESS_REQUESTS
+        return self.need.used(start_ms / _MS, (end_ms - start_ms) / _MS)
 
 
 class LimitedFleet(virtual_fleet.VirtualFleet):
@@ -134,7 +92,6 @@
         )
         self.served = 0
         self.refused = 0
-        self.excused: set[str] = set()
         self._shares: dict[tuple[str, str], send_meter.SendMeter] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         super().__init__(count, regions, seed, self.virtual)
@@ -153,14 +110,27 @@
         """Lets time pass."""
         await asyncio.sleep(ms / _MS)
 
-    async def load(self, per_s: float, ms: float) -> None:
-        """Sends requests to entries drawn evenly, for some time."""
+    async def load(
+        self, per_s: float, ms: float, entries: Collection[str] = ()
+    ) -> None:
+        """Sends requests for some time.
+
+        Args:
+          per_s: requests a second, in all.
+          ms: how long.
+          entries: names of those that get them, drawn evenly; all if empty.
+        """
         end_ms = self.virtual.now_ms() + ms
         while True:
             await self.sleep(self.rng.expovariate(per_s) * _MS)
             if self.virtual.now_ms() >= end_ms:
                 return
-            able = [entry for entry in self.running() if not entry.suspended]
+            able = [
+                entry
+                for entry in self.running()
+                if not entry.suspended
+                and (not entries or entry.name in entries)
+            ]
             task = asyncio.create_task(self._call(self.rng.choice(able)))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -232,15 +202,14 @@
         sent_ms = self.virtual.now_ms()
         view.note_sent(0, sent_ms)
         await self.sleep(self.rng.uniform(*WAY_MS))
-        replica.arrivals.append(Arrival(self.virtual.now_ms(), entry.name))
+        name = f"{entry.name}/{sent_ms}"
+        replica.need.arrived(name)
         await self.sleep(ANSWER_MS)
-        per_s = replica.per_s
+        named = replica.need.headers(name).get("server_limit")
+        per_s = None if named is None else float(named)
         await self.sleep(self.rng.uniform(*WAY_MS))
         if not entry.running:
             return
-        if per_s is not None:
-            now_ms = self.virtual.now_ms()
-            replica.told_ms.setdefault(entry.name, now_ms)
         view.note_ended()
         entry.limits.note_answer(view, answer(per_s), sent_ms)
         self.served += 1
@@ -286,7 +255,7 @@
     await played.load(rate, 2_000.0)
     start_ms = played.virtual.now_ms()
     for replica in list(played.replicas.values())[:limited]:
-        replica.name(per_s, start_ms)
+        replica.name(per_s)
     sent = {e.name: limit_bytes(e) for e in played.running()}
     served, refused = played.served, played.refused
     need_ms = 19_000.0
@@ -305,7 +274,8 @@
     made = played.served - served + played.refused - refused
     print(
         f"| {way.value} | {count} | {limited} of {replicas}, {per_s} | "
-        f"{max(r.most(set()) for r in named)} of {allowed(per_s)} | "
+        f"{max(r.need.most_in_window() for r in named)} of "
+        f"{named_limit.allowed_in_window(per_s)} | "
         f"{min(used):.2f}, {sum(used) / len(used):.2f} | "
         f"{(played.served - served) / made:.3f} | "
         f"{sum(rates) / len(rates):.0f}, {max(rates):.0f} |",
--- a/tests/direct/fleet/test_send_meters.py
+++ b/tests/direct/fleet/test_send_meters.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from standins import named_limit
 from tests.direct.fleet import limited_fleet
 
 USED_SHARE_MIN = 0.8
@@ -19,7 +20,7 @@
 
 def name_all(fleet: limited_fleet.LimitedFleet, per_s: float | None) -> None:
     for replica in fleet.replicas.values():
-        replica.name(per_s, fleet.virtual.now_ms())
+        replica.name(per_s)
 
 
 async def in_need(
@@ -38,8 +39,8 @@
     fleet: limited_fleet.LimitedFleet, per_s: float, *excused: str
 ) -> None:
     for name, replica in fleet.replicas.items():
-        most = replica.most(set(excused))
-        assert most <= limited_fleet.allowed(per_s), name
+        most = replica.need.most_in_window(excused)
+        assert most <= named_limit.allowed_in_window(per_s), name
 
 
 @pytest.mark.parametrize("per_s", [0.5, 1.0, 1.6, 2.5])
@@ -136,7 +137,7 @@
         name_all(fleet, 1.0)
         await fleet.load(RATE_PER_S, 2_000.0)
         for replica in fleet.replicas.values():
-            replica.arrivals.clear()
+            replica.need.arrivals.clear()
         await fleet.load(RATE_PER_S, 6_000.0)
         assert_kept(fleet, 1.0)
         name_all(fleet, 3.0)
@@ -200,3 +201,85 @@
         assert len(entry.limits.known.in_force()) == len(fleet.replicas)
 
     limited_fleet.play(use)
+
+
+def test_limits_are_used_though_one_entry_gets_all_requests() -> None:
+    async def use() -> None:
+        fleet = await in_need(8, 1.6)
+        await fleet.load(RATE_PER_S, 2_000.0, ["entry-6"])
+        start_ms = fleet.virtual.now_ms()
+        await fleet.load(RATE_PER_S, 8_000.0, ["entry-6"])
+        assert_kept(fleet, 1.6)
+        for replica in fleet.replicas.values():
+            used = replica.between(start_ms, start_ms + 8_000.0)
+            assert used >= USED_SHARE_MIN * 8.0 * 1.6
+
+    limited_fleet.play(use)
+
+
+def test_nothing_is_refused_while_a_replica_names_no_limit() -> None:
+    async def use() -> None:
+        fleet = limited_fleet.LimitedFleet(8, 12)
+        await fleet.sleep(6_000.0)
+        for replica in list(fleet.replicas.values())[:-1]:
+            replica.name(0.5)
+        await fleet.load(RATE_PER_S, 8_000.0)
+        assert fleet.refused == 0
+
+    limited_fleet.play(use)
+
+
+def cut_apart(fleet: limited_fleet.LimitedFleet, parts: int) -> None:
+    """Cuts the entries into parts that don't reach one another."""
+    names = sorted(fleet.entries)
+    fleet.cut = {
+        (one, other)
+        for i, one in enumerate(names)
+        for j, other in enumerate(names)
+        if i % parts != j % parts
+    }
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("parts", [3, 9])
+def test_limit_is_kept_while_entries_are_cut_into_many_parts(
+    parts: int, seed: int
+) -> None:
+    async def use() -> None:
+        fleet = await in_need(9, 4.0, seed=seed)
+        for _ in range(3):
+            cut_apart(fleet, parts)
+            await fleet.load(RATE_PER_S, 4_000.0)
+            fleet.cut.clear()
+            await fleet.load(RATE_PER_S, 3_000.0)
+        assert_kept(fleet, 4.0)
+
+    limited_fleet.play(use)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("per_s", [1.0, 6.0])
+def test_limit_is_kept_while_entries_end_start_and_stand_still(
+    per_s: float, seed: int
+) -> None:
+    async def use() -> None:
+        fleet = await in_need(8, per_s, seed=seed)
+        struck = set()
+        for step in range(12):
+            number = fleet.rng.randrange(8)
+            entry = fleet.entries[f"entry-{number}"]
+            struck.add(entry.name)
+            if step % 2:
+                entry.suspended = True
+                await fleet.load(RATE_PER_S, fleet.rng.uniform(300, 3_000))
+                entry.suspended = False
+            else:
+                fleet.stop(entry.name)
+                await fleet.load(RATE_PER_S, fleet.rng.uniform(300, 3_000))
+                fleet.start(number, incarnation=2_000 + step)
+        # Every entry was struck at some time; all but one are counted.
+        await fleet.load(RATE_PER_S, 5_000.0)
+        for name in struck:
+            assert_kept(fleet, per_s, name)
+
+    limited_fleet.play(use)
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import itertools
 import pathlib
 import signal
 from typing import Protocol
-from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -19,6 +17,7 @@
 from marlramp.console.commands import crashes
 from standins import direct_fleet
 from standins import direct_replicas
+from tests.failures import direct_runs
 
 ENTRIES = 3
 ENGINES = 9
@@ -36,9 +35,6 @@
 INNOCENT_PAUSE_S = 0.04
 SERVED_SHARE_MIN = 0.9
 
-Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
-RunFleet: TypeAlias = Callable[[Use], None]
-
 
 class Replica(Protocol):
     """What is read of a replica."""
@@ -47,20 +43,9 @@
 
 
 @pytest.fixture
-def run_fleet(tmp_path: pathlib.Path) -> RunFleet:
+def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
     """Runs a test with several entries, engines and plain replicas."""
-
-    def run(use: Use) -> None:
-        async def main() -> None:
-            fleet = direct_fleet.Fleet(
-                tmp_path, ENTRIES, ENGINES, group=31, desks=DESKS
-            )
-            async with asyncio.timeout(90), fleet:
-                await use(fleet)
-
-        asyncio.run(main())
-
-    return run
+    return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=31)
 
 
 class Culprit:
@@ -132,7 +117,8 @@
 
 @pytest.mark.parametrize("make", [on_engines, on_desks])
 def test_request_that_crashes_replicas_is_sent_no_more(
-    run_fleet: RunFleet, make: Callable[[direct_fleet.Fleet], Culprit]
+    run_fleet: direct_runs.RunFleet,
+    make: Callable[[direct_fleet.Fleet], Culprit],
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprit = make(fleet)
@@ -149,7 +135,7 @@
 
 
 def test_entry_that_starts_anew_does_not_send_a_crashing_request(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprit = on_engines(fleet)
@@ -167,7 +153,7 @@
 
 
 def test_entries_that_all_ended_learn_of_a_crashing_request_from_agents(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprit = on_engines(fleet)
@@ -187,7 +173,7 @@
 
 
 def test_entry_that_was_suspended_learns_of_a_crashing_request(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprit = on_engines(fleet)
@@ -203,7 +189,7 @@
 
 
 def test_operator_sees_a_crashing_request_and_releases_it(
-    run_fleet: RunFleet, capsys: pytest.CaptureFixture[str]
+    run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprit = on_engines(fleet)
@@ -257,7 +243,7 @@
 
 
 def test_innocent_requests_are_served_beside_a_crashing_one(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         innocents = Innocents(fleet)
@@ -270,7 +256,7 @@
 
 
 def test_crashes_without_a_culprit_turn_no_request_away(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         async def crash_in_turn() -> None:
--- a/tests/failures/test_replica_limits.py
+++ b/tests/failures/test_replica_limits.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Sequence
 import itertools
@@ -18,6 +17,8 @@
 from marlramp.console.commands import limited
 from standins import direct_fleet
 from standins import direct_replicas
+from standins import named_limit
+from tests.failures import direct_runs
 
 ENTRIES = 3
 ENGINES = 4
@@ -28,25 +29,11 @@
 WARM_UP_S = 1.5
 NEED_S = 12.0
 
-Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
-RunFleet: TypeAlias = Callable[[Use], None]
-
 
 @pytest.fixture
-def run_fleet(tmp_path: pathlib.Path) -> RunFleet:
+def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
     """Runs a test with several entries, engines and plain replicas."""
-
-    def run(use: Use) -> None:
-        async def main() -> None:
-            fleet = direct_fleet.Fleet(
-                tmp_path, ENTRIES, ENGINES, group=47, desks=DESKS
-            )
-            async with asyncio.timeout(90), fleet:
-                await use(fleet)
-
-        asyncio.run(main())
-
-    return run
+    return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=47)
 
 
 class Crowd:
@@ -98,7 +85,7 @@
 
 def name_limit(replicas: Replicas, limit: str) -> None:
     for replica in replicas:
-        replica.need.limit = limit
+        replica.need.name(limit)
 
 
 def assert_kept(
@@ -106,21 +93,18 @@
 ) -> None:
     for replica in replicas:
         most = replica.need.most_in_window(excused)
-        allowed = direct_replicas.allowed_in_window(limit_per_s)
+        allowed = named_limit.allowed_in_window(limit_per_s)
         assert most <= allowed, replica.replica_id
 
 
-def used_share(replica: object, limit_per_s: float, seconds: float) -> float:
+def used_share(
+    replica: direct_replicas.Engine | direct_replicas.PlainReplica,
+    limit_per_s: float,
+    seconds: float,
+) -> float:
     """Returns the part of a limit that was used while it counted."""
-    assert isinstance(
-        replica, direct_replicas.Engine | direct_replicas.PlainReplica
-    )
-    since_s = replica.need.since_s + direct_replicas.CONTACT_S
-    used = sum(
-        since_s <= arrival.at_s < since_s + seconds
-        for arrival in replica.need.arrivals
-    )
-    return used / (limit_per_s * seconds)
+    since_s = replica.need.since_s + named_limit.CONTACT_S
+    return replica.need.used(since_s, seconds) / (limit_per_s * seconds)
 
 
 def on_desks(fleet: direct_fleet.Fleet) -> tuple[str, Replicas]:
@@ -133,7 +117,7 @@
 
 @pytest.mark.parametrize("pick", [on_desks, on_engines])
 def test_limit_of_some_replicas_holds_over_all_entries(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
     pick: Callable[[direct_fleet.Fleet], tuple[str, Replicas]],
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
@@ -150,7 +134,7 @@
 
 @pytest.mark.parametrize("pick", [on_desks, on_engines])
 def test_limit_of_all_replicas_is_kept_and_used(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
     pick: Callable[[direct_fleet.Fleet], tuple[str, Replicas]],
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
@@ -167,7 +151,7 @@
 
 
 def test_limit_holds_while_entries_end_and_are_suspended(
-    run_fleet: RunFleet,
+    run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         crowd = Crowd(fleet, "/stock/x", per_s=30.0)
@@ -188,7 +172,7 @@
 
 
 def test_operator_sees_the_replicas_that_name_a_limit(
-    run_fleet: RunFleet, capsys: pytest.CaptureFixture[str]
+    run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         crowd = Crowd(fleet, "/stock/x", per_s=30.0)
@@ -214,7 +198,7 @@
 
 @pytest.mark.parametrize("value", ["-1", "nan", "inf", "none", "1e999"])
 def test_limit_that_is_no_rate_loses_nothing(
-    run_fleet: RunFleet, value: str
+    run_fleet: direct_runs.RunFleet, value: str
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         crowd = Crowd(fleet, "/stock/x", per_s=30.0)
