--- a/src/marlramp/entry/call.py
+++ b/src/marlramp/entry/call.py
@@ -26,6 +26,7 @@
       started_ms: when the current try was sent.
       sent: whether the current try was handed to a socket.
       progress_ms: when anything last arrived for it.
+      asked_ms: when its agent was last asked what became of it.
       admitted_ms: when the call was admitted.
       first_part_ms: when the first part arrived, None before.
       status: HTTP status of the answer, None before it is known.
@@ -48,6 +49,7 @@
         self.admitted_ms = admitted_ms
         self.started_ms = 0.0
         self.progress_ms = 0.0
+        self.asked_ms = 0.0
         self.first_part_ms: float | None = None
         self.sent = False
         self.status: int | None = None
