A customer without a priority waits for limits by that of the route

A customer's rank goes before a route's; one that names none counted as rank 5, and so put urgent routes behind. The test failed before (5 instead of none).

--- a/src/marlramp/core/fleet.py
+++ b/src/marlramp/core/fleet.py
@@ -128,11 +128,18 @@
 
 
 class Customer(msgspec.Struct, frozen=True, kw_only=True):
-    """A customer, its keys and its rank, 0 first."""
+    """A customer.
+
+    Attributes:
+      customer_id: its id.
+      keys: the keys that its requests bear.
+      priority: its rank, 0 first, which goes before that of a route; None if
+        it has none.
+    """
 
     customer_id: ids.CustomerId
     keys: list[str]
-    priority: int
+    priority: int | None
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -114,11 +114,14 @@
         """Returns how long the answer may wait for the limits of replicas."""
         if self.relay.started or self.maybe_ran:
             return self.stays_ms(now_ms) * BEGUN_WAIT_SHARE
-        rank = self.route.priority
-        if self.customer is not None:
-            rank = self.customer.priority
         left_ms = self.route.objective_ms - self.elapsed_ms(now_ms)
-        return send_limit.wait_max_ms(left_ms, rank)
+        return send_limit.wait_max_ms(left_ms, self._rank())
+
+    def _rank(self) -> int:
+        """Returns how urgent the call is, 0 first."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
 
     def may_have_left(self, now_ms: clock.Millis) -> bool:
         """Returns whether the caller may be gone though no word of it came."""
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -103,7 +103,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: _Count = 5
+    priority: _Count | None = None
 
 
 class _Config(msgspec.Struct):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -77,6 +77,20 @@
     assert config.services[1].origin == "172.20.0.3:8006"
 
 
+@pytest.mark.parametrize(
+    ("given", "expected"), [({"priority": 0}, 0), ({}, None)]
+)
+def test_customer_without_a_priority_takes_that_of_the_route(
+    given: dict[str, int], expected: int | None
+) -> None:
+    customers = [{"name": "c", "api_keys": ["k"], **given}]
+    config = documents.decode_config(
+        json.dumps(CONFIG | {"tenants": customers}).encode()
+    )
+    assert config.customers is not None
+    assert config.customers[0].priority == expected
+
+
 @pytest.mark.parametrize(
     "data",
     [b"", b"{", b'{"version": "x"}', b'{"version": 1, "route_table": [{}]}'],
