--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -18,7 +18,6 @@
 from marlramp import logs
 from marlramp.core import agent_table
 from marlramp.core import calls
-from marlramp.core import grants
 from marlramp.core import queueing
 from marlramp.core import retries
 from marlramp.core import routing
@@ -27,20 +26,15 @@
 from marlramp.entry import admission as admission_module
 from marlramp.entry import call as call_module
 from marlramp.entry import questions
+from marlramp.entry import run_watch
 from marlramp.entry import service_queue
 from marlramp.protocol import messages
 from marlramp.settings import schema
 from marlramp.settings import store
 
-SILENT_RUN_MS = 1_000.0
-"""Time without a sign of a run after which its agent is asked about it: a link
-that breaks, as when the VM was suspended, loses what was sent on it."""
-
 CANCEL_WAIT_MS = 60.0
 """Longest wait for the proof that a given-up request did not run."""
 
-_ENDED_STATES = frozenset({grants.RunState.SUCCEEDED, grants.RunState.FAILED})
-
 
 def _ignore(value: float) -> None:
     """Takes a measurement that nobody asked for."""
@@ -66,6 +60,9 @@
         self._admission = admission
         self._questions = asked
         self._sender = sender
+        self._watch = run_watch.RunWatch(
+            asked, sender, self._send_again, self._try_failed
+        )
         self._totals = totals
         self._clock = time
         self._rng = rng
@@ -477,9 +474,7 @@
         if now_ms >= call.spec.deadline_ms:
             self._give_up(call)
             return
-        begun = call.status is not None or call.first_part_ms is not None
-        if not begun and now_ms - call.asked_ms >= SILENT_RUN_MS:
-            self._ask_after(call, now_ms)
+        self._watch.look(call, now_ms)
         if call.first_part_ms is None or not call.spec.stream:
             return
         values = self._settings.tree.effective(call.spec.service_id)
@@ -493,43 +488,12 @@
                 ),
             )
 
-    def _ask_after(self, call: call_module.Call, now_ms: clock.Millis) -> None:
-        """Asks an agent about a run that has given no sign."""
-        if call.grant is None:
-            return
-        call.asked_ms = now_ms
-        question = messages.RunQuery(
-            request_id=self._questions.new_id(),
-            incarnation=call.grant.incarnation,
-            number=call.grant.number,
-        )
-        if self._sender.send(call.grant.vm_id, question):
-            judging = self._judge_silent(call, question)
-            task = asyncio.create_task(judging)
-            task.add_done_callback(lambda done: done.exception())
-
-    async def _judge_silent(
-        self, call: call_module.Call, question: messages.RunQuery
-    ) -> None:
-        """Sends a run again that its link has lost, or ends its try."""
-        try_id = call.try_id
-        reply = await self._questions.reply(
-            ids.RequestId(question.request_id), questions.ANSWER_WAIT_MS
-        )
-        grant = call.grant
-        if grant is None or call.try_id != try_id or call.status is not None:
-            return
-        if not isinstance(reply, messages.RunStatus):
-            return
-        answered = reply.state in _ENDED_STATES
-        not_started = reply.state is grants.RunState.NOT_STARTED
-        if not_started or (answered and call.token is not None):
-            # A grant starts one run only; a token's answer is kept.
-            logs.log("run_sent_again", call=call.spec.call_id, vm=grant.vm_id)
-            self._sender.send(grant.vm_id, self._run_message(call, grant))
-        elif reply.state is not grants.RunState.RUNNING:
-            kind = errors.ErrorKind.UPSTREAM_LOST
-            self._try_failed(call, errors.CallError(kind, ran=reply.ran))
+    def _send_again(self, call: call_module.Call) -> None:
+        """Sends the run of a call's current try once more."""
+        if call.grant is not None:
+            vm_id = call.grant.vm_id
+            logs.log("run_sent_again", call=call.spec.call_id, vm=vm_id)
+            self._sender.send(vm_id, self._run_message(call, call.grant))
 
     def _give_up(self, call: call_module.Call) -> None:
         """Cancels a late run and tells the caller whether it ran."""
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_run_watch.py
@@ -21,6 +21,7 @@
 from marlramp.entry import admission
 from marlramp.entry import dispatcher
 from marlramp.entry import questions
+from marlramp.entry import run_watch
 from marlramp.experiments import documents
 from marlramp.protocol import messages
 from marlramp.settings import store
@@ -103,7 +104,7 @@
 
     async def pass_silence(self) -> None:
         """Lets the time pass after which an agent is asked."""
-        self.time.advance(dispatcher.SILENT_RUN_MS)
+        self.time.advance(run_watch.SILENT_RUN_MS)
         self.dispatcher.tick()
         await asyncio.sleep(0)
 
