A request waits for a spared replica without a limit, though another's limit is used up

With one limit used up, a request that could have waited a moment for a replica that names none was refused at once. Refused for limits is now only what nothing else keeps from its replicas. The test failed before (a refusal); tests of what limits do to admission: refused at once when all are used up, not if it may have run, and not opened by breakers.

--- a/src/marlramp/core/replica_limits.py
+++ b/src/marlramp/core/replica_limits.py
@@ -1,10 +1,10 @@
 """Limits that replicas name over all entries together.
 
-Load pattern: a replica in need names the requests a second that it takes, with
-each answer and for as long as it is in need; entries hear of it at different
-times, and answers overtake one another. What entries tell each other merges to
-the same limits. The end of a limit needs the answer to a request that was sent
-after the limit was last heard, since an older one may have crossed it.
+Load pattern: a replica that can't take all its load names the requests a second
+that it takes, with each answer for as long as that is so; entries hear of it at
+different times, and answers overtake one another. What entries tell each other
+merges to the same limits. The end of a limit needs the answer to a request that
+was sent after the limit was last heard, since an older one may have crossed it.
 """
 
 from __future__ import annotations
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -213,16 +213,18 @@
     """Returns when the limits of replicas leave room for one more request.
 
     Returns:
-      None if no limit alone keeps the request from a replica.
+      None if something else than limits keeps the request from a replica,
+      which may change soon.
     """
+    fresh = [v for v in views if v.replica.replica_id not in wanted.failed]
+    healthy = fleet.ReplicaState.HEALTHY
+    if any(v.limit is None and v.replica.state is healthy for v in fresh):
+        return None
     return min(
         (
             view.limit_wait_ms(now_ms)
-            for view in views
-            if view.limit is not None
-            and usable(view, wanted, now_ms)
-            and view.breaker.allows(now_ms)
-            and view.replica.replica_id not in wanted.failed
+            for view in fresh
+            if usable(view, wanted, now_ms) and view.breaker.allows(now_ms)
         ),
         default=None,
     )
--- a/src/marlramp/direct/fleet/send_meters.py
+++ b/src/marlramp/direct/fleet/send_meters.py
@@ -115,7 +115,7 @@
         limit.next_ms = now_ms + reply.next_ms
         if reply.wait_ms is None:
             limit.ask_ms = now_ms + max(PAUSE_MIN_MS, reply.pause_ms)
-            self._count("turned_away")
+            self._count("denied")
         else:
             self._count("reserved")
         return reply.wait_ms
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -13,6 +13,7 @@
 from marlramp.core import fleet
 from marlramp.core import queue_place
 from marlramp.core import replica_view
+from marlramp.core import send_limit
 from marlramp.core import upstream_choice
 from marlramp.core import wait_bias
 
@@ -308,3 +309,80 @@
         assert isinstance(choice, upstream_choice.Choice)
         chosen.add(choice.view.replica.replica_id)
     assert chosen == {"i-0", "i-1"}
+
+
+@pytest.fixture
+def plain(request_: admission.Request) -> admission.Request:
+    """A request to a plain service that may wait for limits a little."""
+    wanted = msgspec.structs.replace(
+        request_.wanted, engine=None, limit_wait_max_ms=200.0
+    )
+    return msgspec.structs.replace(request_, wanted=wanted)
+
+
+def used_up(
+    make_replica: MakeReplica, replica_id: str, now_ms: clock.Millis
+) -> replica_view.ReplicaView:
+    """A replica whose limit leaves no room for 2 s."""
+    return replica_view.ReplicaView(
+        make_replica(replica_id=replica_id, weights=None),
+        breaker.Breaker(3, 1_500.0),
+        limit=send_limit.SendLimit(per_s=0.5, next_ms=now_ms + 2_000.0),
+    )
+
+
+def test_request_is_refused_at_once_when_all_limits_are_used_up(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [used_up(make_replica, f"i-{n}", now_ms) for n in range(3)]
+    decision = admission.decide(views, plain, ANYWHERE, now_ms, rng)
+    assert isinstance(decision, admission.Refusal)
+    assert decision.limited
+    assert decision.retry_after_ms >= admission.RETRY_AFTER_MAX_MS
+
+
+def test_request_that_may_have_run_is_not_refused_for_limits(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [used_up(make_replica, "i-0", now_ms)]
+    ran = msgspec.structs.replace(plain, maybe_ran=True)
+    assert admission.decide(views, ran, ANYWHERE, now_ms, rng) is None
+
+
+def test_request_waits_for_a_replica_without_limit_that_is_spared(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """One limit that was used up had it refused before the other opened."""
+    now_ms = time.now_ms()
+    spared = replica_view.ReplicaView(
+        make_replica(replica_id="i-1", weights=None),
+        breaker.Breaker(3, 1_500.0),
+        not_before_ms=now_ms + 10.0,
+    )
+    views = [used_up(make_replica, "i-0", now_ms), spared]
+    assert admission.decide(views, plain, ANYWHERE, now_ms, rng) is None
+
+
+def test_open_breakers_do_not_open_a_limit(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [used_up(make_replica, f"i-{n}", now_ms) for n in range(4)]
+    for view in views[1:]:
+        view.breaker.trip(now_ms)
+    decision = admission.decide(views, plain, ANYWHERE, now_ms, rng)
+    assert not isinstance(decision, upstream_choice.Choice)
