--- a/src/marlramp/direct/fleet/send_meters.py
+++ b/src/marlramp/direct/fleet/send_meters.py
@@ -123,8 +123,10 @@
     async def _first_reply(
         self, view: replica_view.ReplicaView, wait_max_ms: float
     ) -> fleet_messages.SendReply | None:
+        started_ms = self._clock.now_ms()
         for vm_id in self._asking_order(view):
-            request = self._request(view, wait_max_ms)
+            asked_ms = self._clock.now_ms() - started_ms
+            request = self._request(view, max(0.0, wait_max_ms - asked_ms))
             if request is None:
                 return None
             if vm_id == self._own.vm_id:
@@ -152,7 +154,7 @@
         horizon_ms = self._clock.now_ms() - SILENT_MS
         return sorted(
             self.meters_of(view),
-            key=lambda name: self._silent.get(name, 0.0) > horizon_ms,
+            key=lambda name: self._silent.get(name, float("-inf")) > horizon_ms,
         )
 
     async def _ask(
