--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -202,7 +202,7 @@
             if failure is None:
                 self._succeed(call, tried, choice)
                 return
-            self._note_failure(call, choice, failure)
+            self._note_failure(call, choice, failure, tried.outcome.answer)
             await self._note_end(call, tried, choice)
             # A caller that has left meanwhile cancels this before another send.
             await asyncio.sleep(0)
@@ -238,6 +238,7 @@
         call: call_module.Call,
         choice: upstream_choice.Choice,
         failure: errors.CallError,
+        answer: wire.ReplicaAnswer | None,
     ) -> None:
         call.failed.add(choice.view.replica.replica_id)
         if failure.ran is not errors.Ran.NO:
@@ -252,7 +253,10 @@
             detail=failure.detail,
             ran=failure.ran.value,
             sends=call.sends,
+            retry_after_ms=None if answer is None else answer.retry_after_ms,
+            leaving=answer is not None and answer.leaving,
             predicted_ms=round(choice.predicted_ms),
+            unbiased_ms=round(choice.unbiased_ms),
             load=choice.load,
             load_age_ms=_rounded(choice.load_age_ms),
             limit_per_s=choice.limit_per_s,
--- a/src/marlramp/direct/calls/wire.py
+++ b/src/marlramp/direct/calls/wire.py
@@ -77,6 +77,11 @@
       limit_per_s: requests a second that the replica takes from all callers
         together, None if it names no limit.
       limit_unreadable: a limit that names no rate, "" if there is none.
+      retry_after_ms: time after which the replica is to be asked again, None if
+        it names none.
+      retry_after_unreadable: a value of it that names no time, "" if there is
+        none.
+      leaving: whether the replica says that it leaves.
       headers: what is passed on to the caller.
     """
 
@@ -90,6 +95,9 @@
     headers: list[tuple[bytes, bytes]]
     limit_per_s: float | None = None
     limit_unreadable: str = ""
+    retry_after_ms: float | None = None
+    retry_after_unreadable: str = ""
+    leaving: bool = False
 
 
 class CallCodec(Protocol):
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -9,6 +9,7 @@
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
+from marlramp.shell import retry_after
 
 _REQUEST_ID = b"x-attempt-id"
 # How long the sender of a request still waits, not a point in time.
@@ -26,6 +27,9 @@
 _LOAD = b"x-replica-load"
 # Requests a second that a replica takes from all callers together.
 _LIMIT = b"server-limit"
+# "1" in all answers of a replica that leaves.
+_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _WEIGHTS = b"x-weight-versions"
 _PIPELINE = b"path"
 
@@ -117,6 +121,8 @@
         weights = head.header(_WEIGHTS)
         mine = echo is None or echo.decode("latin-1") == call.request_id
         limit_per_s, limit_unreadable = _limit(head)
+        leaving = head.header(_LEAVING)
+        asked = _retry_after(head)
         return wire.ReplicaAnswer(
             status=head.status,
             mine=mine,
@@ -127,6 +133,9 @@
             load=_load(head.header(_LOAD)),
             limit_per_s=limit_per_s,
             limit_unreadable=limit_unreadable,
+            retry_after_ms=asked.wait_ms,
+            retry_after_unreadable=asked.unreadable,
+            leaving=leaving is not None and leaving.strip() == b"1",
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -174,6 +183,16 @@
     return wire.ReplicaLoad(running=int(parts[0]), waiting=int(parts[1]))
 
 
+def _retry_after(head: http1_client.ResponseHead) -> retry_after.RetryAfter:
+    values = [
+        value.decode("latin-1")
+        for name, value in head.headers
+        if name == _RETRY_AFTER
+    ]
+    date = head.header(b"date") or b""
+    return retry_after.read(values, date.decode("latin-1"))
+
+
 def _limit(head: http1_client.ResponseHead) -> tuple[float | None, str]:
     """Returns the least rate that an answer names, and what is none."""
     rates = []
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -155,3 +155,25 @@
 ) -> None:
     assert limit_of(value) == (None, shown)
     assert limit_of(value, b"2") == (2.0, shown)
+
+
+def test_what_a_replica_says_of_when_to_come_back_is_read() -> None:
+    answer = CODEC.answer(
+        http1_client.ResponseHead(
+            503,
+            [
+                (b"x-not-executed", b"1"),
+                (b"retry-after", b"2.5"),
+                (b"server-leaving", b"1"),
+            ],
+        ),
+        CODEC.read(request()),
+    )
+    assert answer.retry_after_ms == 2_500.0
+    assert answer.leaving
+
+
+@pytest.mark.parametrize("value", [b"0", b"", b"yes"])
+def test_only_one_means_that_a_replica_leaves(value: bytes) -> None:
+    head = http1_client.ResponseHead(200, [(b"server-leaving", value)])
+    assert not CODEC.answer(head, CODEC.read(request())).leaving
