Failing test: replicas that ask for a pause or leave get requests all the same

Stand-ins of replicas turn requests away (with or without Retry-After, all or a share) and say that they leave; the users' rules are counted at each replica. The crowd of callers is shared with the tests of limits.

--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -16,6 +16,7 @@
 from standins import direct_weights
 from standins import named_limit
 from standins import raw_http
+from standins import turning_away
 
 EVENTS = 6
 EVENT_S = 0.02
@@ -81,6 +82,7 @@
       runs: how often each request id ran.
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
       need: the limit that it names.
+      turning_away: what it turns away, and whether it leaves.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
+        self.turning_away = turning_away.TurningAway(replica_id)
         self._store = store
         self._running = 0
         self._orders = 0
@@ -158,6 +161,7 @@
         self.weights = 0
         self._orders = 0
         self._busy = False
+        self.turning_away.started_anew()
         # Later than any start before, also within one millisecond.
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
@@ -261,6 +265,10 @@
         if not right or expected != str(self.weights) or self._busy:
             await peer.answer(request, 421)
             return
+        if status := self.turning_away.takes(name):
+            said = self.turning_away.headers(name, status)
+            await peer.answer(request, status, b"", **said)
+            return
         self.runs[name] = self.runs.get(name, 0) + 1
         if request.body == CRASHING_BODY:
             await asyncio.sleep(CRASH_AFTER_S)
@@ -276,13 +284,14 @@
     async def _stream(
         self, peer: raw_http.Peer, request: raw_http.SeenRequest, name: str
     ) -> None:
-        limit = "".join(
-            f"server-limit: {value}\r\n"
-            for value in self.need.headers(name).values()
+        said = self.need.headers(name) | self.turning_away.headers(name, 0)
+        more = "".join(
+            f"{key.replace('_', '-')}: {value}\r\n"
+            for key, value in said.items()
         )
         await peer.write(
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
-            f"content-type: text/event-stream\r\n{limit}"
+            f"content-type: text/event-stream\r\n{more}"
             f"x-attempt-id: {name}\r\nx-replica-signature: {self.replica_id}"
             f"\r\nx-weight-versions: {self.weights}\r\n\r\n".encode()
         )
@@ -305,6 +314,7 @@
       runs: how often each request id ran.
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
       need: the limit that it names.
+      turning_away: what it turns away, and whether it leaves.
     """
 
     def __init__(
@@ -321,6 +331,7 @@
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
+        self.turning_away = turning_away.TurningAway(replica_id)
         self._born_ms = _unix_ms()
         self._store = store
 
@@ -345,7 +356,12 @@
         """Ends, and starts anew under the same id after `DOWN_S`."""
         await self.crashes.end(self._start_anew)
 
+    def restart(self) -> None:
+        """Starts anew under its id; connections stay."""
+        self._start_anew()
+
     def _start_anew(self) -> None:
+        self.turning_away.started_anew()
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
@@ -357,6 +373,10 @@
             if request.headers.get("x-expect-replica") != self.replica_id:
                 await peer.answer(request, 421)
                 continue
+            if status := self.turning_away.takes(name):
+                said = self.turning_away.headers(name, status)
+                await peer.answer(request, status, b"", **said)
+                continue
             self.runs[name] = self.runs.get(name, 0) + 1
             await asyncio.sleep(DESK_S)
             if request.body == CRASHING_BODY:
@@ -368,4 +388,5 @@
                 name.encode(),
                 x_replica_signature=self.replica_id,
                 **self.need.headers(name),
+                **self.turning_away.headers(name, 0),
             )
--- a/tests/failures/test_replica_limits.py
+++ b/tests/failures/test_replica_limits.py
@@ -1,14 +1,11 @@
-"""Replicas that name a limit for all entries together, before real daemons."""
+"""Replicas that name a limit for all entries, before real daemons."""
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Sequence
-import itertools
 import pathlib
 import signal
-from typing import TypeAlias
 
 import msgspec
 import pytest
@@ -18,6 +15,7 @@
 from standins import direct_fleet
 from standins import direct_replicas
 from standins import named_limit
+from tests.failures import crowds
 from tests.failures import direct_runs
 
 ENTRIES = 3
@@ -36,60 +34,13 @@
     return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=47)
 
 
-class Crowd:
-    """Sends requests evenly through some entries."""
-
-    def __init__(
-        self, fleet: direct_fleet.Fleet, path: str, per_s: float
-    ) -> None:
-        self._fleet = fleet
-        self._path = path
-        self._pause_s = 1.0 / per_s
-        self._numbers = itertools.count()
-        self.answers: list[bytes] = []
-        self.taken_s: list[float] = []
-
-    async def send_for(self, entries: Sequence[int], seconds: float) -> None:
-        """Sends at a steady rate for some time; waits for the answers."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + seconds
-        async with asyncio.TaskGroup() as group:
-            for entry in itertools.cycle(entries):
-                if loop.time() >= end_s:
-                    break
-                group.create_task(self._send(entry))
-                await asyncio.sleep(self._pause_s)
-
-    async def _send(self, entry: int) -> None:
-        loop = asyncio.get_running_loop()
-        start_s = loop.time()
-        host = self._fleet.entry_hosts[entry]
-        name = f"entry-{entry}/{next(self._numbers)}"
-        try:
-            answer = await self._fleet.call(host, self._path, name)
-        except ConnectionError:
-            answer = b""
-        self.answers.append(answer)
-        self.taken_s.append(loop.time() - start_s)
-
-    def served_share(self) -> float:
-        """Returns the share of answers that are good."""
-        good = sum(b" 200 " in answer[:16] for answer in self.answers)
-        return good / len(self.answers)
-
-
-Replicas: TypeAlias = Sequence[
-    direct_replicas.Engine | direct_replicas.PlainReplica
-]
-
-
-def name_limit(replicas: Replicas, limit: str) -> None:
+def name_limit(replicas: crowds.Replicas, limit: str) -> None:
     for replica in replicas:
         replica.need.name(limit)
 
 
 def assert_kept(
-    replicas: Replicas, limit_per_s: float, excused: Sequence[str] = ()
+    replicas: crowds.Replicas, limit_per_s: float, excused: Sequence[str] = ()
 ) -> None:
     for replica in replicas:
         most = replica.need.most_in_window(excused)
@@ -107,22 +58,14 @@
     return replica.need.used(since_s, seconds) / (limit_per_s * seconds)
 
 
-def on_desks(fleet: direct_fleet.Fleet) -> tuple[str, Replicas]:
-    return "/stock/x", fleet.desks
-
-
-def on_engines(fleet: direct_fleet.Fleet) -> tuple[str, Replicas]:
-    return "/chat/x", fleet.engines
-
-
-@pytest.mark.parametrize("pick", [on_desks, on_engines])
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
 def test_limit_of_some_replicas_holds_over_all_entries(
     run_fleet: direct_runs.RunFleet,
-    pick: Callable[[direct_fleet.Fleet], tuple[str, Replicas]],
+    pick: crowds.Pick,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         path, replicas = pick(fleet)
-        crowd = Crowd(fleet, path, per_s=30.0)
+        crowd = crowds.Crowd(fleet, path, per_s=30.0)
         await crowd.send_for(range(ENTRIES), WARM_UP_S)
         name_limit(replicas[:2], "1.6")
         await crowd.send_for(range(ENTRIES), NEED_S)
@@ -132,14 +75,14 @@
     run_fleet(use)
 
 
-@pytest.mark.parametrize("pick", [on_desks, on_engines])
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
 def test_limit_of_all_replicas_is_kept_and_used(
     run_fleet: direct_runs.RunFleet,
-    pick: Callable[[direct_fleet.Fleet], tuple[str, Replicas]],
+    pick: crowds.Pick,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
         path, replicas = pick(fleet)
-        crowd = Crowd(fleet, path, per_s=30.0)
+        crowd = crowds.Crowd(fleet, path, per_s=30.0)
         await crowd.send_for(range(ENTRIES), WARM_UP_S)
         name_limit(replicas, "2")
         await crowd.send_for(range(ENTRIES), NEED_S)
@@ -154,7 +97,7 @@
     run_fleet: direct_runs.RunFleet,
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
-        crowd = Crowd(fleet, "/stock/x", per_s=30.0)
+        crowd = crowds.Crowd(fleet, "/stock/x", per_s=30.0)
         await crowd.send_for(range(ENTRIES), WARM_UP_S)
         name_limit(fleet.desks, "1")
         await crowd.send_for(range(ENTRIES), 4.0)
@@ -175,7 +118,7 @@
     run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
-        crowd = Crowd(fleet, "/stock/x", per_s=30.0)
+        crowd = crowds.Crowd(fleet, "/stock/x", per_s=30.0)
         name_limit(fleet.desks[:1], "1.5")
         await crowd.send_for(range(ENTRIES), WARM_UP_S)
         url = f"http://{fleet.entry_hosts[0]}:9464"
@@ -201,7 +144,7 @@
     run_fleet: direct_runs.RunFleet, value: str
 ) -> None:
     async def use(fleet: direct_fleet.Fleet) -> None:
-        crowd = Crowd(fleet, "/stock/x", per_s=30.0)
+        crowd = crowds.Crowd(fleet, "/stock/x", per_s=30.0)
         name_limit(fleet.desks, value)
         await crowd.send_for(range(ENTRIES), 2 * WARM_UP_S)
         assert crowd.served_share() == 1.0
--- /dev/null
+++ b/tests/failures/test_replica_pauses.py
@@ -0,0 +1,209 @@
+"""Replicas that ask for a pause, turn away or leave, before real daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import signal
+
+import pytest
+
+from standins import direct_fleet
+from standins import turning_away
+from tests.failures import crowds
+from tests.failures import direct_runs
+
+ENTRIES = 3
+ENGINES = 6
+DESKS = 12
+PER_S = 30.0
+WARM_UP_S = 1.5
+PAUSE_S = 3.0
+TROUBLE_S = 9.0
+
+REFUSED_WITHIN_S = 0.3
+"""Time in which a request that nobody can serve is refused."""
+
+BACK_S = 1.5
+"""Time in which a replica that started anew under its id is used again."""
+
+SERVED_SHARE_MIN = 0.95
+
+
+@pytest.fixture
+def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
+    """Runs a test with several entries, engines and plain replicas."""
+    return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=61)
+
+
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def assert_kept(replicas: crowds.Replicas, *excused: str) -> None:
+    for replica in replicas:
+        most = replica.turning_away.most_in_pause(excused)
+        assert most <= turning_away.ARRIVALS_MAX, replica.replica_id
+
+
+def assert_left(replicas: crowds.Replicas, *excused: str) -> None:
+    for replica in replicas:
+        assert replica.turning_away.late(excused) == 0, replica.replica_id
+
+
+@pytest.mark.parametrize("share", [1.0, 0.5])
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
+def test_callers_are_served_while_some_replicas_ask_for_a_pause(
+    run_fleet: direct_runs.RunFleet, pick: crowds.Pick, share: float
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        path, replicas = pick(fleet)
+        crowd = crowds.Crowd(fleet, path, PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        pausing = replicas[: len(replicas) // 3]
+        for replica in pausing:
+            replica.turning_away.start(f"{PAUSE_S}", share)
+        await crowd.send_for(range(ENTRIES), TROUBLE_S)
+        assert_kept(pausing)
+        assert crowd.served_share() == 1.0
+
+    run_fleet(use)
+
+
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
+def test_callers_are_refused_at_once_while_all_replicas_ask_for_a_pause(
+    run_fleet: direct_runs.RunFleet, pick: crowds.Pick
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        path, replicas = pick(fleet)
+        crowd = crowds.Crowd(fleet, path, PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        for replica in replicas:
+            replica.turning_away.start(f"{PAUSE_S}")
+        start_s = now_s()
+        await crowd.send_for(range(ENTRIES), TROUBLE_S)
+        assert_kept(replicas)
+        refused = crowd.since(start_s)
+        assert all(sent.taken_s < REFUSED_WITHIN_S for sent in refused)
+        assert all(b'"ran":"no"' in sent.answer for sent in refused)
+        waits_s = [sent.retry_after_s for sent in refused]
+        assert None not in waits_s
+        assert len(set(waits_s)) > len(waits_s) // 2
+        for replica in replicas:
+            replica.turning_away.stop()
+        await crowd.send_for(range(ENTRIES), PAUSE_S + 1.0)
+        since_s = now_s()
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        assert crowd.served_share(since_s) == 1.0
+
+    run_fleet(use)
+
+
+@pytest.mark.parametrize("status", [503, 429])
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
+def test_callers_are_served_while_some_replicas_turn_away(
+    run_fleet: direct_runs.RunFleet, pick: crowds.Pick, status: int
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        path, replicas = pick(fleet)
+        crowd = crowds.Crowd(fleet, path, PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        for replica in replicas[: len(replicas) // 3]:
+            replica.turning_away.start(status=status)
+        await crowd.send_for(range(ENTRIES), TROUBLE_S)
+        assert crowd.served_share() >= SERVED_SHARE_MIN
+
+    run_fleet(use)
+
+
+@pytest.mark.parametrize("pick", [crowds.on_desks, crowds.on_engines])
+def test_replicas_that_say_they_leave_get_nothing_after_the_drain_time(
+    run_fleet: direct_runs.RunFleet, pick: crowds.Pick
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        path, replicas = pick(fleet)
+        crowd = crowds.Crowd(fleet, path, PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        leaving = replicas[: len(replicas) // 3]
+        for replica in leaving:
+            replica.turning_away.leaving = True
+        await crowd.send_for(range(ENTRIES), TROUBLE_S)
+        assert_left(leaving)
+        assert crowd.served_share() == 1.0
+
+    run_fleet(use)
+
+
+def test_last_replicas_that_leave_serve_until_the_drain_time_is_over(
+    run_fleet: direct_runs.RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = crowds.Crowd(fleet, "/stock/x", PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        for desk in fleet.desks:
+            desk.turning_away.leaving = True
+        leaves_s = now_s()
+        await crowd.send_for(range(ENTRIES), TROUBLE_S)
+        assert_left(fleet.desks)
+        while_draining = [
+            sent
+            for sent in crowd.since(leaves_s)
+            if sent.at_s < leaves_s + turning_away.DRAIN_S / 2
+        ]
+        assert all(sent.served for sent in while_draining)
+        refused = [sent for sent in crowd.sent if not sent.served]
+        assert refused
+        assert all(sent.taken_s < REFUSED_WITHIN_S for sent in refused)
+        for desk in fleet.desks:
+            desk.restart()
+        await asyncio.sleep(BACK_S)
+        back_s = now_s()
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        assert crowd.served_share(back_s) == 1.0
+
+    run_fleet(use)
+
+
+def test_pauses_hold_while_entries_end_and_are_suspended(
+    run_fleet: direct_runs.RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = crowds.Crowd(fleet, "/stock/x", PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        pausing = fleet.desks[: DESKS // 2]
+        for desk in pausing:
+            desk.turning_away.start(f"{PAUSE_S}", 0.5)
+        await crowd.send_for(range(ENTRIES), 3.0)
+        fleet.processes["entry-0"].kill()
+        await fleet.processes["entry-0"].wait()
+        fleet.processes["entry-1"].send_signal(signal.SIGSTOP)
+        await crowd.send_for([2], 2.0)
+        fleet.processes["entry-1"].send_signal(signal.SIGCONT)
+        await fleet.start_entry(0)
+        await fleet.wait_ready(fleet.entry_hosts[0])
+        await crowd.send_for(range(ENTRIES), 4.0)
+        assert_kept(pausing, "entry-0", "entry-1")
+
+    run_fleet(use)
+
+
+@pytest.mark.parametrize("value", ["-1", "nan", "soon", "1e999", "0"])
+def test_pause_that_names_no_time_loses_nothing(
+    run_fleet: direct_runs.RunFleet, value: str
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = crowds.Crowd(fleet, "/stock/x", PER_S)
+        for desk in fleet.desks[:2]:
+            desk.turning_away.start(value, share=0.5)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        assert crowd.served_share() == 1.0
+        for desk in fleet.desks[:2]:
+            desk.turning_away.stop()
+        await asyncio.sleep(PAUSE_S)
+        start_s = now_s()
+        await crowd.send_for(range(ENTRIES), PAUSE_S)
+        assert crowd.served_share(start_s) == 1.0
+        for desk in fleet.desks[:2]:
+            assert desk.turning_away.arrivals_since(start_s) > 0
+
+    run_fleet(use)
