A refusal or a failure at once does not count as a quick answer

What callers saw: refused beside idle replicas. Cause: an attempt reported its first event before the answer was judged, so that a 503 or 500 within a millisecond lowered the replica's predicted times, and the entry preferred it. The unit test failed before for both.

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -49,7 +49,7 @@
         ...
 
     def on_first(self) -> None:
-        """The first event, or the whole plain answer, has arrived."""
+        """The first event, or a good plain answer, has arrived."""
         ...
 
     def on_event(self) -> None:
@@ -66,7 +66,7 @@
 
     Attributes:
       progress_ms: when anything arrived last.
-      begun: whether a first event or the answer has arrived.
+      begun: whether a first event or a good answer has arrived.
     """
 
     def __init__(
@@ -132,8 +132,11 @@
         if answer is None:
             self.on_lost(http1_client.LossKind.MALFORMED)
             return
-        self._begin()
-        self._finish(_judge(answer, b"".join(self._body)))
+        outcome = _judge(answer, b"".join(self._body))
+        if outcome.failure is None:
+            # A replica that refuses or fails at once is no quick replica.
+            self._begin()
+        self._finish(outcome)
 
     def on_lost(self, kind: http1_client.LossKind) -> None:
         """Reports that no whole answer came."""
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -382,3 +382,18 @@
             assert (await call).startswith(b"HTTP/1.1 504")
 
     run_entry(use, hold)
+
+
+@pytest.mark.parametrize("script", ["refuse", "fail"])
+def test_replica_that_refuses_or_fails_at_once_does_not_count_as_quick(
+    run_entry: RunEntry, script: str
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        await entry.call("/once/x", "POST")
+        assert replica.seen
+        assert view.bias == 1.0
+
+    run_entry(use, getattr(replica, script))
