Entries keep what replicas say of when to come back

What callers saw: 503 from an entry while most replicas stood idle; a replica that had named 3 s got 9 to 21 requests from one entry meanwhile, one that said it leaves 16 to 205 after its drain time. Cause: nothing read Retry-After or Server-Leaving, a refusal spared a replica for 150 ms whatever it asked, and a later answer could shorten a longer time.

core.availability keeps it for each start of a replica: the longest time named holds, good answers and shorter times don't end it, another start does; also when the replica left the list for a moment. Refusals without a time double a backoff up to 2.4 s, and one request at a time finds out whether a replica takes requests again; returns of entries differ. A request looks again right before it is written. Replicas that leave are chosen only if no others can serve, until their drain time. When all are closed by their own word, callers are refused at once (upstreams_paused) with a time of their own after the first is back.

--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -13,6 +13,8 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+import enum
+import math
 import random
 
 import msgspec
@@ -52,6 +54,9 @@
 RETRY_AFTER_LIMITED_MS = 500.0
 """Least time to come back to plain replicas whose limits are used up."""
 
+RETURN_SPREAD_MS = 750.0
+"""Time over which callers return to replicas that end a pause."""
+
 SPREAD = 0.5
 """Part by which the times to come back differ, so that callers that were
 refused together do not come back together."""
@@ -81,18 +86,27 @@
     maybe_ran: bool = False
 
 
+class RefusalReason(enum.Enum):
+    """Why a request is not sent."""
+
+    LATE = "late"
+    LIMITED = "limited"
+    PAUSED = "paused"
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """The request is not sent.
 
     Attributes:
-      late_ms: by how much it would begin too late.
+      late_ms: by how much it would begin too late, infinite if the replicas
+        that there are don't take it any more.
       retry_after_ms: when its caller should come back.
-      limited: whether the limits that replicas name are the reason.
+      reason: why it is not sent.
     """
 
     late_ms: float
     retry_after_ms: float
-    limited: bool = False
+    reason: RefusalReason = RefusalReason.LATE
 
 
 def decide(
@@ -125,7 +139,7 @@
             return ranked[0]
     ranked = upstream_choice.rank(views, wanted, places, now_ms, rng)
     if not ranked:
-        return _limited(views, request, now_ms, rng)
+        return _closed(views, request, now_ms, rng)
     front = ranked[0]
     if wanted.engine is None or request.begun:
         return front
@@ -147,25 +161,28 @@
     return _refusal(late_ms, excess_ms, rng)
 
 
-def _limited(
+def _closed(
     views: Sequence[replica_view.ReplicaView],
     request: Request,
     now_ms: clock.Millis,
     rng: random.Random,
 ) -> Refusal | None:
-    """Returns the refusal of a request that only limits keep from replicas.
+    """Returns the refusal of a request that the replicas' own words keep away.
 
-    Its caller comes back when they leave room: they do so at a known rate, and
+    Its caller comes back when they take requests again: they say when, and
     waiting here would only take the place of others.
     """
-    room_ms = upstream_choice.limit_room_ms(views, request.wanted, now_ms)
-    if room_ms is None or request.begun or request.maybe_ran:
+    open_ms = upstream_choice.opens_in_ms(views, request.wanted, now_ms)
+    if open_ms is None or request.begun or request.maybe_ran:
         return None
+    if any(view.availability.closed_ms(now_ms) > 0.0 for view in views):
+        retry_ms = return_ms(open_ms, rng)
+        return Refusal(open_ms, retry_ms, RefusalReason.PAUSED)
     least_ms = RETRY_AFTER_LIMITED_MS
     if request.wanted.engine is not None:
         least_ms = RETRY_AFTER_MIN_MS
-    retry_ms = spread_ms(max(least_ms, room_ms), rng)
-    return Refusal(room_ms, retry_ms, limited=True)
+    retry_ms = spread_ms(max(least_ms, open_ms), rng)
+    return Refusal(open_ms, retry_ms, RefusalReason.LIMITED)
 
 
 def _refusal(late_ms: float, excess_ms: float, rng: random.Random) -> Refusal:
@@ -211,3 +228,16 @@
     """Returns a time to come back that differs between callers."""
     longest_ms = base_ms * (1.0 + SPREAD * rng.random())
     return min(RETRY_AFTER_MAX_MS, longest_ms)
+
+
+def return_ms(open_ms: float, rng: random.Random) -> float:
+    """Returns when a caller should come back to replicas that open then.
+
+    Args:
+      open_ms: time until the first of them takes requests, infinite if they
+        leave: then others have to come first.
+      rng: spreads callers.
+    """
+    if math.isinf(open_ms):
+        return spread_ms(RETRY_AFTER_MIN_MS, rng)
+    return open_ms + RETURN_SPREAD_MS * rng.random()
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -5,14 +5,32 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+import msgspec
+
 from marlramp import clock
 from marlramp import ids
+from marlramp.core import availability
 from marlramp.core import breaker
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import replica_view
 from marlramp.core import wait_bias
 
+GONE_MAX = 4_096
+"""Replicas remembered after they left the list, the latest ones."""
+
+
+class _Gone(msgspec.Struct, frozen=True):
+    """A replica that left the list though it may come back to it.
+
+    Attributes:
+      born_ms: Unix time of its start, None where it is not known.
+      availability: what that start said of itself.
+    """
+
+    born_ms: int | None
+    availability: availability.Availability
+
 
 class ReplicaTable:
     """Replicas by service, kept in step with the catalog."""
@@ -26,6 +44,7 @@
         self._reports: dict[str, tuple[replica_view.LoadReport, float]] = {}
         self._behind_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
         self._front_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
+        self._gone: dict[str, _Gone] = {}
         self._listeners: list[Callable[[str], None]] = []
 
     def __iter__(self) -> Iterator[replica_view.ReplicaView]:
@@ -54,7 +73,7 @@
         listed = {r.replica_id: r for r in known.replicas()}
         gone = [key for key in self._views if key not in listed]
         for replica_id in gone:
-            del self._views[replica_id]
+            self._note_gone(replica_id)
         for replica_id, replica in listed.items():
             view = self._views.get(replica_id)
             if view is not None and replica_view.is_newer_start(
@@ -64,6 +83,7 @@
                 view = None
             if view is None:
                 view = self._new_view(replica)
+                self._adopt_availability(view)
                 self._adopt_report(view, now_ms)
             view.replica = replica
             view.born_ms = view.born_ms or replica.born_ms
@@ -121,6 +141,25 @@
         self._views[replica.replica_id] = view
         return view
 
+    def _note_gone(self, replica_id: str) -> None:
+        """Drops a replica, but for what its start said of itself.
+
+        A list that was short for a moment must not open one that leaves.
+        """
+        view = self._views.pop(replica_id)
+        self._gone.pop(replica_id, None)
+        self._gone[replica_id] = _Gone(view.born_ms, view.availability)
+        if len(self._gone) > GONE_MAX:
+            del self._gone[next(iter(self._gone))]
+
+    def _adopt_availability(self, view: replica_view.ReplicaView) -> None:
+        """Takes over what the same start said before it left the list."""
+        held = self._gone.pop(view.replica.replica_id, None)
+        if held is None or view.born_ms is None:
+            return
+        if not replica_view.is_newer_start(view.born_ms, held.born_ms):
+            view.availability = held.availability
+
     def _note_load_change(self, replica_id: str) -> None:
         for listener in self._listeners:
             listener(replica_id)
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp.core import availability
 from marlramp.core import breaker
 from marlramp.core import fleet
 from marlramp.core import queue_place
@@ -27,9 +28,6 @@
 BREAKER_OPEN_MS = 1_500.0
 """How long a failing replica gets no requests, but for one trial."""
 
-BUSY_BACKOFF_MS = 150.0
-"""How long a replica that refused a request for lack of room is spared."""
-
 MISDIRECTED_BACKOFF_MS = 400.0
 """How long a replica that did not hold the expected weights is spared: two
 of an engine's own reporting lags."""
@@ -136,7 +134,7 @@
         about all of them alike when they fill up.
       behind_bias: the same of requests that wait behind the others.
       failure_share: smoothed share of answers that failed.
-      not_before_ms: it gets nothing before this.
+      availability: when it takes requests, by its own answers.
       heard_ms: when any byte of it arrived last.
       breaker: its circuit breaker.
       on_load_change: takes its id when the own requests there changed.
@@ -177,7 +175,9 @@
         default_factory=wait_bias.WaitBias
     )
     failure_share: float = 0.0
-    not_before_ms: float = float("-inf")
+    availability: availability.Availability = msgspec.field(
+        default_factory=availability.Availability
+    )
     heard_ms: float = float("-inf")
     born_ms: int | None = None
     limit: send_limit.SendLimit | None = None
@@ -199,11 +199,16 @@
 
     def opens(self, now_ms: clock.Millis) -> bool:
         """Returns whether it takes new requests as far as is known."""
-        if now_ms < self.not_before_ms:
+        if not self.availability.opens(now_ms):
             return False
         fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
         return self.report is None or not fresh or self.report.opens
 
+    def takes(self, now_ms: clock.Millis) -> bool:
+        """Returns whether a request that was meant for it may be written."""
+        healthy = self.replica.state is fleet.ReplicaState.HEALTHY
+        return healthy and self.availability.takes(now_ms)
+
     def limit_wait_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long its limit is expected to hold a request back."""
         return 0.0 if self.limit is None else self.limit.wait_ms(now_ms)
@@ -274,6 +279,7 @@
         else:
             self.unread += prompt_tokens
         self.breaker.record_start(now_ms)
+        self.availability.note_sent(now_ms)
         self.on_load_change(self.replica.replica_id)
 
     def note_read(
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -205,29 +205,31 @@
     return view.limit.opens(now_ms, wait_max_ms)
 
 
-def limit_room_ms(
+def opens_in_ms(
     views: Sequence[replica_view.ReplicaView],
     wanted: Wanted,
     now_ms: clock.Millis,
 ) -> float | None:
-    """Returns when the limits of replicas leave room for one more request.
+    """Returns when the first replica takes the request, by their own words.
 
     Returns:
-      None if something else than limits keeps the request from a replica,
-      which may change soon.
+      Infinite if all of them leave; None if something else than limits, pauses
+      and leaving keeps the request from a replica, which may change soon.
     """
-    fresh = [v for v in views if v.replica.replica_id not in wanted.failed]
-    healthy = fleet.ReplicaState.HEALTHY
-    if any(v.limit is None and v.replica.state is healthy for v in fresh):
-        return None
-    return min(
-        (
-            view.limit_wait_ms(now_ms)
-            for view in fresh
-            if usable(view, wanted, now_ms) and view.breaker.allows(now_ms)
-        ),
-        default=None,
-    )
+    waits_ms = []
+    for view in views:
+        if view.replica.replica_id in wanted.failed:
+            continue
+        if view.replica.state is not fleet.ReplicaState.HEALTHY:
+            continue
+        closed_ms = view.availability.closed_ms(now_ms)
+        if closed_ms > 0.0:
+            waits_ms.append(closed_ms)
+        elif view.limit is None:
+            return None
+        elif usable(view, wanted, now_ms) and view.breaker.allows(now_ms):
+            waits_ms.append(view.limit_wait_ms(now_ms))
+    return min(waits_ms, default=None)
 
 
 def rank(
@@ -256,6 +258,8 @@
     if routing.panics(len(allowed), len(able)):
         allowed = able
     fresh = [v for v in allowed if v.replica.replica_id not in wanted.failed]
+    # The last ones of a service serve until their drain time is over.
+    fresh = [v for v in fresh if not v.availability.is_leaving] or fresh
     least_ms = min((view.answer_ms for view in fresh), default=0.0)
     choices = [_choice(view, wanted, now_ms, least_ms) for view in fresh]
     return sorted(
@@ -299,7 +303,8 @@
     """Returns by what replicas are compared; the least cost is the best."""
     view = choice.view
     cost_ms = choice.predicted_ms
-    cost_ms *= 1.0 + FAILURE_WEIGHT * view.failure_share
+    failed_share = view.failure_share + view.availability.refusal_share(now_ms)
+    cost_ms *= 1.0 + FAILURE_WEIGHT * failed_share
     if rng is not None and wanted.engine is None:
         cost_ms *= 1.0 + NEAR_SHARE * rng.random()
     cost_ms += places.penalty_ms(view)
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -28,6 +28,7 @@
     PORTS_UNAVAILABLE = "marlramp_ports_unavailable"
     CRASHES = "marlramp_crashes"
     REPLICA_LIMITS = "marlramp_replica_limits"
+    REPLICA_PAUSES = "marlramp_replica_pauses"
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Collection
 import math
+import random
 from typing import Protocol
 
 from marlramp import clock
@@ -25,6 +26,7 @@
 from marlramp.direct.calls import crash_watch
 from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import own_answers
+from marlramp.direct.calls import replica_signals
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
 from marlramp.direct.calls import wire
@@ -92,7 +94,12 @@
         self._selector = selection.Selector(
             known, table, settings, limits, time
         )
-        self._sender = sender.Sender(codec, crashes.is_condemned, limits, time)
+        self._signals = replica_signals.ReplicaSignals(
+            settings.bounds.drain_ms, totals, time, random.Random()
+        )
+        self._sender = sender.Sender(
+            codec, crashes.is_condemned, limits, self._signals, time
+        )
         self._budgets: dict[ids.ServiceId, retry_share.RetryShare] = {}
         self._waits: dict[tuple[str, float], caller_waits.CallerWaits] = {}
         self.active = 0
@@ -123,6 +130,7 @@
         """Takes changed bounds; repeats already spent stay counted."""
         self._settings = settings
         self._selector.set_settings(settings)
+        self._signals.set_drain(settings.bounds.drain_ms)
         for budget in self._budgets.values():
             budget.configure(
                 settings.bounds.retry_ratio, settings.bounds.retry_slack
@@ -133,12 +141,14 @@
         self._selector.set_cell(hosts)
 
     def tick(self) -> None:
-        """Closes connections that were idle for too long."""
+        """Closes connections that were idle for too long, logs what ended."""
         self._sender.tick()
+        self._signals.tick()
 
     def forget(self, replica_ids: list[str]) -> None:
         """Drops connections to replicas that are gone."""
         self._sender.forget(replica_ids)
+        self._signals.forget(replica_ids)
         self._crashes.note_gone(replica_ids)
 
     # Admission.
@@ -198,6 +208,9 @@
             call.suspected = self._crashes.runs_alone(call.fingerprint)
             choice = await self._selector.choose(call)
             tried = await self._sender.send(call, choice)
+            if tried.unsent:
+                self._totals.add(counters.CounterName.REPLICA_PAUSES, "unsent")
+                continue
             failure = tried.outcome.failure
             if failure is None:
                 self._succeed(call, tried, choice)
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -9,6 +9,7 @@
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import named_limits
+from marlramp.direct.calls import replica_signals
 from marlramp.direct.calls import wire
 
 
@@ -24,6 +25,7 @@
         choice: upstream_choice.Choice,
         prompt_tokens: int,
         limits: named_limits.NamedLimits,
+        signals: replica_signals.ReplicaSignals,
         time: clock.Clock,
     ) -> None:
         """Counts the request as sent to the chosen replica."""
@@ -33,6 +35,7 @@
         self._place = choice.place
         self._tokens: int | None = prompt_tokens
         self._limits = limits
+        self._signals = signals
         self._clock = time
         self._sent_ms = time.now_ms()
         self._first_ms: float | None = None
@@ -50,6 +53,7 @@
             view.seen_weights = answer.weights
             view.seen_ms = now_ms
         self._limits.note_answer(view, answer, self._sent_ms)
+        self._signals.note_answer(view, answer, self._sent_ms)
 
     def on_first(self) -> None:
         """Takes the prompt as read."""
@@ -122,12 +126,11 @@
             self._tokens = None
 
     def _spare(self, outcome: attempts.Outcome, now_ms: clock.Millis) -> None:
-        """Leaves a replica alone that refused or was not reached."""
+        """Leaves a replica alone that was not reached or is not the one."""
         if outcome.answer is None:
             self._view.note_unreachable(now_ms)
             return
-        wait_ms = replica_view.BUSY_BACKOFF_MS
         if outcome.answer.status == errors.MISDIRECTED:
             wait_ms = replica_view.MISDIRECTED_BACKOFF_MS
+            self._view.availability.spare(wait_ms, now_ms)
             self._view.seen_weights = None
-        self._view.not_before_ms = now_ms + wait_ms
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Collection
+import math
 import random
 
 import msgspec
@@ -36,6 +37,11 @@
 """The same for model engines: one that starts takes its weights from what is
 staged, within 1.3 s. A caller that comes back sooner is refused again."""
 
+_KINDS = {
+    admission.RefusalReason.LATE: errors.ErrorKind.DEADLINE_UNREACHABLE,
+    admission.RefusalReason.LIMITED: errors.ErrorKind.UPSTREAMS_LIMITED,
+    admission.RefusalReason.PAUSED: errors.ErrorKind.UPSTREAMS_PAUSED,
+}
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -84,7 +90,9 @@
                 if await self._reserved(call, decision):
                     return self._with_end(call, decision, self._clock.now_ms())
                 continue
-            if decision is not None:
+            if decision is not None and not _opens_by(
+                decision, now_ms, give_up_ms
+            ):
                 raise _refused(decision)
             if now_ms >= give_up_ms:
                 raise self._no_upstream(call)
@@ -184,16 +192,32 @@
         return int(admission.spread_ms(RETRY_AFTER_ENGINE_MS, self._rng))
 
 
+def _opens_by(
+    refusal: admission.Refusal, now_ms: clock.Millis, until_ms: float
+) -> bool:
+    """Returns whether a replica ends its pause while the request may wait."""
+    paused = refusal.reason is admission.RefusalReason.PAUSED
+    return paused and now_ms + refusal.late_ms < until_ms
+
+
 def _refused(refusal: admission.Refusal) -> errors.CallError:
-    if refusal.limited:
-        return errors.CallError(
-            errors.ErrorKind.UPSTREAMS_LIMITED,
-            f"room in {round(refusal.late_ms)} ms",
-            retry_after_ms=int(refusal.retry_after_ms),
-        )
+    kind = _KINDS[refusal.reason]
     return errors.CallError(
-        errors.ErrorKind.DEADLINE_UNREACHABLE,
-        f"would begin {round(refusal.late_ms)} ms too late",
+        kind,
+        _detail(refusal),
         ran=errors.Ran.NO,
         retry_after_ms=int(refusal.retry_after_ms),
     )
+
+
+def _detail(refusal: admission.Refusal) -> str:
+    if math.isinf(refusal.late_ms):
+        return "all leave"
+    late_ms = round(refusal.late_ms)
+    match refusal.reason:
+        case admission.RefusalReason.LATE:
+            return f"would begin {late_ms} ms too late"
+        case admission.RefusalReason.LIMITED:
+            return f"room in {late_ms} ms"
+        case admission.RefusalReason.PAUSED:
+            return f"the first one opens in {late_ms} ms"
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -20,6 +20,7 @@
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import replica_observer
+from marlramp.direct.calls import replica_signals
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 
@@ -54,12 +55,14 @@
       outcome: how the attempt ended.
       stalled: whether it was given up while the replica was at work.
       withdrawn: whether it was taken back from a replica that goes on.
+      unsent: whether the replica closed before the request was written.
       first_event_ms: time to the first event, None if none came.
     """
 
     outcome: attempts.Outcome
     stalled: bool = False
     withdrawn: bool = False
+    unsent: bool = False
     first_event_ms: float | None = None
 
     @property
@@ -78,6 +81,7 @@
         codec: wire.CallCodec,
         is_condemned: Callable[[ids.Fingerprint], bool],
         limits: named_limits.NamedLimits,
+        signals: replica_signals.ReplicaSignals,
         time: clock.Clock,
     ) -> None:
         """Owns no connection yet.
@@ -86,11 +90,13 @@
           codec: writes and reads headers.
           is_condemned: tells whether a request is not to be run again.
           limits: takes the limits that answers name.
+          signals: takes what else answers say of their replica.
           time: the clock.
         """
         self._codec = codec
         self._is_condemned = is_condemned
         self._limits = limits
+        self._signals = signals
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
 
@@ -113,7 +119,11 @@
         view = choice.view
         call.sends += 1
         observer = replica_observer.ReplicaObserver(
-            choice, call.said.prompt_tokens, self._limits, self._clock
+            choice,
+            call.said.prompt_tokens,
+            self._limits,
+            self._signals,
+            self._clock,
         )
         connection: http1_client.ReplicaConnection | None = None
         try:
@@ -129,6 +139,11 @@
                 )
                 observer.ended(outcome, None)
                 return Sent(outcome)
+            if not view.takes(self._clock.now_ms()):
+                call.sends -= 1
+                observer.left()
+                pool.give_back(connection)
+                return Sent(_unsent(), unsent=True)
             tried = await self._exchange(call, choice, connection, observer)
         except asyncio.CancelledError:
             observer.left()
@@ -265,6 +280,15 @@
         return pool
 
 
+def _unsent() -> attempts.Outcome:
+    failure = errors.CallError(
+        errors.ErrorKind.UPSTREAM_BUSY,
+        "closed before the request was written",
+        ran=errors.Ran.NO,
+    )
+    return attempts.Outcome(failure=failure)
+
+
 def _condemned() -> attempts.Outcome:
     kind = errors.ErrorKind.CRASHES_UPSTREAMS
     failure = errors.CallError(kind, ran=errors.Ran.UNKNOWN)
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -53,6 +53,7 @@
     SETTINGS_MISSING = "settings_missing"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     UPSTREAMS_LIMITED = "upstreams_limited"
+    UPSTREAMS_PAUSED = "upstreams_paused"
     INTERNAL = "internal"
 
 
@@ -174,6 +175,9 @@
     ErrorKind.UPSTREAMS_LIMITED: Answer(
         503, Ran.NO, 1000, "The upstreams take no more requests now."
     ),
+    ErrorKind.UPSTREAMS_PAUSED: Answer(
+        503, Ran.NO, 1000, "The upstreams want no requests for now."
+    ),
     ErrorKind.INTERNAL: Answer(
         500, Ran.UNKNOWN, 1000, "The system failed; the event is logged."
     ),
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -12,6 +12,7 @@
 import random
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import errors
 from marlramp import ids
 from marlramp.core import admission
@@ -27,6 +28,7 @@
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import replica_observer
+from marlramp.direct.calls import replica_signals
 from marlramp.direct.calls import wire
 from marlramp.experiments import overload_engine
 from marlramp.experiments import overload_plan
@@ -139,6 +141,9 @@
             [],
             {},
         )
+        self._signals = replica_signals.ReplicaSignals(
+            0.0, counters.Counters(), self._time, random.Random(0)
+        )
         self.load_messages = 0
         self.seconds = [
             overload_plan.Second() for _ in range(int(plan.seconds))
@@ -252,6 +257,7 @@
             choice,
             caller.prompt_tokens,
             named_limits.Unlimited(),
+            self._signals,
             self._time,
         )
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -341,7 +341,7 @@
     views = [used_up(make_replica, f"i-{n}", now_ms) for n in range(3)]
     decision = admission.decide(views, plain, ANYWHERE, now_ms, rng)
     assert isinstance(decision, admission.Refusal)
-    assert decision.limited
+    assert decision.reason is admission.RefusalReason.LIMITED
     assert decision.retry_after_ms >= admission.RETRY_AFTER_MAX_MS
 
 
@@ -368,8 +368,8 @@
     spared = replica_view.ReplicaView(
         make_replica(replica_id="i-1", weights=None),
         breaker.Breaker(3, 1_500.0),
-        not_before_ms=now_ms + 10.0,
     )
+    spared.availability.spare(10.0, now_ms)
     views = [used_up(make_replica, "i-0", now_ms), spared]
     assert admission.decide(views, plain, ANYWHERE, now_ms, rng) is None
 
@@ -386,3 +386,73 @@
         view.breaker.trip(now_ms)
     decision = admission.decide(views, plain, ANYWHERE, now_ms, rng)
     assert not isinstance(decision, upstream_choice.Choice)
+
+
+def paused(
+    make_replica: MakeReplica, name: str, wait_ms: float, now_ms: float
+) -> replica_view.ReplicaView:
+    view = replica_view.ReplicaView(
+        make_replica(replica_id=name, weights=None),
+        breaker.Breaker(3, 1_500.0),
+    )
+    view.availability.note_pause(wait_ms, 0.0, now_ms)
+    return view
+
+
+def test_request_is_refused_at_once_until_the_first_pause_ends(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [
+        paused(make_replica, "i-0", 4_000.0, now_ms),
+        paused(make_replica, "i-1", 3_000.0, now_ms),
+    ]
+    decisions = [
+        admission.decide(views, plain, ANYWHERE, now_ms, rng) for _ in range(9)
+    ]
+    waits_ms = set()
+    for decision in decisions:
+        assert isinstance(decision, admission.Refusal)
+        assert decision.reason is admission.RefusalReason.PAUSED
+        waits_ms.add(decision.retry_after_ms)
+    assert min(waits_ms) >= 3_000.0
+    assert len(waits_ms) == len(decisions)
+
+
+def test_open_breakers_and_a_last_replica_do_not_end_a_pause(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [paused(make_replica, f"i-{n}", 3_000.0, now_ms) for n in range(4)]
+    for view in views[1:]:
+        view.breaker.trip(now_ms)
+    decision = admission.decide(views, plain, ANYWHERE, now_ms, rng)
+    assert isinstance(decision, admission.Refusal)
+
+
+def test_replica_that_leaves_is_chosen_only_if_no_other_can_serve(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    leaving = paused(make_replica, "i-0", 0.0, now_ms)
+    leaving.availability.note_leaving(2_000.0, now_ms)
+    other = paused(make_replica, "i-1", 0.0, now_ms)
+    for _ in range(9):
+        decision = admission.decide(
+            [leaving, other], plain, ANYWHERE, now_ms, rng
+        )
+        assert isinstance(decision, upstream_choice.Choice)
+        assert decision.view is other
+    other.availability.note_pause(3_000.0, 0.0, now_ms)
+    decision = admission.decide([leaving, other], plain, ANYWHERE, now_ms, rng)
+    assert isinstance(decision, upstream_choice.Choice)
+    assert decision.view is leaving
--- a/tests/core/test_replica_restarts.py
+++ b/tests/core/test_replica_restarts.py
@@ -118,3 +118,62 @@
     untold = msgspec.structs.replace(held, born_ms=None)
     known.apply([catalog.ReplicaChange(2, "i-1", untold)], 21.0)
     assert table.sync(known, 21.0) == []
+
+
+def away_and_back(
+    table: replica_table.ReplicaTable,
+    known: catalog.Catalog,
+    replica: fleet.Replica,
+) -> replica_view.ReplicaView:
+    """Has a replica leave the list and come back to it."""
+    known.apply([catalog.ReplicaChange(5, "i-1", None)], 1_000.0)
+    table.sync(known, 1_000.0)
+    assert table.get("i-1") is None
+    known.apply([catalog.ReplicaChange(6, "i-1", replica)], 1_500.0)
+    table.sync(known, 1_500.0)
+    view = table.get("i-1")
+    assert view is not None
+    return view
+
+
+def test_list_that_was_short_for_a_moment_opens_no_replica_that_leaves(
+    table: replica_table.ReplicaTable,
+    known: catalog.Catalog,
+    make_replica: MakeReplica,
+) -> None:
+    view = table.get("i-1")
+    assert view is not None
+    view.availability.note_leaving(2_000.0, 500.0)
+    view.availability.note_pause(60_000.0, 0.0, 500.0)
+    replica = make_replica(weights=1, born_ms=EARLIER_MS)
+    back = away_and_back(table, known, replica)
+    assert back.availability.is_leaving
+    assert back.availability.is_paused(10_000.0)
+
+
+@pytest.mark.parametrize("born_ms", [LATER_MS, None])
+def test_replica_that_starts_anew_has_not_said_that_it_leaves(
+    table: replica_table.ReplicaTable,
+    known: catalog.Catalog,
+    make_replica: MakeReplica,
+    born_ms: int | None,
+) -> None:
+    view = table.get("i-1")
+    assert view is not None
+    view.availability.note_leaving(2_000.0, 500.0)
+    replica = make_replica(weights=1, born_ms=born_ms)
+    back = away_and_back(table, known, replica)
+    assert not back.availability.is_leaving
+
+
+def test_answer_of_an_earlier_start_closes_no_later_one(
+    table: replica_table.ReplicaTable,
+) -> None:
+    earlier = table.get("i-1")
+    assert earlier is not None
+    table.report(report(LATER_MS, 1), 1_000.0)
+    earlier.availability.note_leaving(2_000.0, 1_100.0)
+    earlier.availability.note_pause(3_000.0, 0.0, 1_100.0)
+    later = table.get("i-1")
+    assert later is not None
+    assert later.opens(1_200.0)
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from marlramp import clock
 from marlramp import errors
+from marlramp.shell import http1_client
 from standins import raw_http
 from tests.direct import conftest
 
@@ -397,3 +399,82 @@
         assert view.bias == 1.0
 
     run_entry(use, getattr(replica, script))
+
+
+class Pausing:
+    """Asks for a pause once, then serves."""
+
+    def __init__(self) -> None:
+        self.seen = 0
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            self.seen += 1
+            if self.seen > 1:
+                await peer.answer(request, 200, b"ok", x_replica_signature="s")
+                continue
+            await peer.answer(
+                request, 503, x_not_executed="1", retry_after="0.5"
+            )
+
+
+def test_answer_that_a_repeat_hides_asks_for_a_pause_all_the_same(
+    run_entry: RunEntry,
+) -> None:
+    pausing, sound = Pausing(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        for _ in range(5):
+            assert status_of(await entry.call("/safe/x")) == 200
+        assert pausing.seen == 1
+        await asyncio.sleep(0.6)
+        view = entry.table.get("i-0")
+        assert view is not None
+        assert view.availability.opens(entry.time.now_ms())
+
+    run_entry(use, pausing.serve, sound.serve)
+
+
+def test_request_that_waited_for_a_connection_heeds_a_pause(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Ten requests that were connecting reached a replica in its pause."""
+    pausing, sound = Pausing(), Replica()
+    connect = http1_client.connect
+
+    async def use(entry: conftest.Entry) -> None:
+        view = entry.table.get("i-0")
+        assert view is not None
+        port = int(view.replica.address.rpartition(":")[2])
+
+        async def connect_late(
+            host: str, to_port: int, time: clock.Clock
+        ) -> http1_client.ReplicaConnection:
+            if to_port == port:
+                await asyncio.sleep(0.1)
+                view.availability.note_pause(3_000.0, 0.0, time.now_ms())
+            return await connect(host, to_port, time)
+
+        monkeypatch.setattr(http1_client, "connect", connect_late)
+        assert status_of(await entry.call("/once/x", "POST")) == 200
+        assert pausing.seen == 0
+
+    run_entry(use, pausing.serve, sound.serve)
+
+
+def test_answer_of_another_replica_at_an_address_asks_for_no_pause(
+    run_entry: RunEntry,
+) -> None:
+    async def misdirected(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            await peer.answer(
+                request, 421, retry_after="60", server_leaving="1"
+            )
+
+    async def use(entry: conftest.Entry) -> None:
+        await entry.call("/safe/x")
+        (view,) = entry.table
+        assert not view.availability.is_leaving
+        assert not view.availability.is_paused(entry.time.now_ms())
+
+    run_entry(use, misdirected)
