Agents tell that their engine leaves; operators see replicas that pause or leave

What callers saw: entries that had no answer of a leaving replica yet went on to choose it, and pieces and loads went to engines that leave. Reports omit what is not so, which saves more bytes than the new field costs.

--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -15,6 +15,7 @@
 from marlramp.console.commands import explain
 from marlramp.console.commands import limited
 from marlramp.console.commands import limits
+from marlramp.console.commands import paused
 from marlramp.console.commands import reference
 from marlramp.console.commands import refusals
 from marlramp.console.commands import request
@@ -41,6 +42,7 @@
 app.command(traffic.traffic)
 app.command(crashes.crashes)
 app.command(limited.limited)
+app.command(paused.paused)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- a/src/marlramp/core/availability.py
+++ b/src/marlramp/core/availability.py
@@ -61,14 +61,15 @@
       paused_since_ms: when the pause in force was first asked for.
       leaving_since_ms: when it first said that it leaves, None before.
       leaves_by_ms: when nothing more may be sent there, as it leaves.
+      refusals: refusals in a row.
     """
 
     paused_until_ms: float = float("-inf")
     paused_since_ms: float = float("-inf")
     leaving_since_ms: float | None = None
     leaves_by_ms: float = float("inf")
+    refusals: int = 0
     _spared_until_ms: float = float("-inf")
-    _refusals: int = 0
     _refused_ms: float = float("-inf")
     _trial_ms: float = float("-inf")
     _refusal_share: float = 0.0
@@ -121,8 +122,8 @@
         if sent_ms < self._refused_ms:
             # Sent together with one that was refused before: no news.
             return
-        spared_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2.0**self._refusals)
-        self._refusals += 1
+        spared_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2.0**self.refusals)
+        self.refusals += 1
         self._refused_ms = now_ms
         self.spare(spared_ms, now_ms)
 
@@ -130,7 +131,7 @@
         """Takes that it served a request."""
         self._note_share(0.0, now_ms)
         if sent_ms >= self._refused_ms:
-            self._refusals = 0
+            self.refusals = 0
 
     def spare(self, wait_ms: float, now_ms: clock.Millis) -> None:
         """Leaves it alone for some time, without shortening another one."""
@@ -165,7 +166,7 @@
         """
         if not self.takes(now_ms):
             return False
-        return self._refusals == 0 or now_ms - self._trial_ms >= TRIAL_MS
+        return self.refusals == 0 or now_ms - self._trial_ms >= TRIAL_MS
 
     def closed_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long it has said to be closed: infinite if it leaves."""
@@ -173,6 +174,10 @@
             return float("inf")
         return max(0.0, self.paused_until_ms - now_ms)
 
+    def spared_ms(self, now_ms: clock.Millis) -> float:
+        """Returns how long it is left alone for its refusals."""
+        return max(0.0, self._spared_until_ms - now_ms)
+
     def refusal_share(self, now_ms: clock.Millis) -> float:
         """Returns the part of recent requests that it turned away."""
         age_ms = now_ms - self._answered_ms
--- a/src/marlramp/core/engine_state.py
+++ b/src/marlramp/core/engine_state.py
@@ -16,6 +16,7 @@
       busy: whether an order is being carried out.
       order_number: orders that began something since the engine's start.
       born_ms: Unix time of its start, None where the platform does not say.
+      leaving: whether it says that it leaves.
     """
 
     weights: int
@@ -25,3 +26,4 @@
     busy: bool
     order_number: int
     born_ms: int | None = None
+    leaving: bool = False
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -59,6 +59,10 @@
         """Returns one replica."""
         return self._views.get(replica_id)
 
+    def at(self, address: str) -> list[replica_view.ReplicaView]:
+        """Returns the replicas listed at an address."""
+        return [v for v in self._views.values() if v.replica.address == address]
+
     def of(self, service_id: ids.ServiceId) -> list[replica_view.ReplicaView]:
         """Returns the replicas of a service, leaving ones too."""
         return self._by_service.get(service_id, [])
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -69,7 +69,7 @@
     return born_ms is not None and than_ms is not None and born_ms > than_ms
 
 
-class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """What an agent reports of the engine on its VM.
 
     Attributes:
@@ -84,6 +84,7 @@
         None if none is planned.
       born_ms: Unix time of the engine's start, None where the platform does
         not say.
+      leaving: whether the engine says that it leaves.
     """
 
     address: str
@@ -94,6 +95,7 @@
     opens: bool
     closes_in_ms: float | None = None
     born_ms: int | None = None
+    leaving: bool = False
 
 
 def _ignore(replica_id: str) -> None:
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -242,6 +242,9 @@
         if before is not None and before.born_ms != report.born_ms:
             logs.log("engine_restarted", born_ms=report.born_ms)
             changed = True
+        if report.leaving and (before is None or not before.leaving):
+            logs.log("engine_leaving", born_ms=report.born_ms)
+            changed = True
         self._report = report
         if changed:
             self._tell_now()
@@ -393,6 +396,7 @@
             waiting=report.waiting,
             pace=report.pace,
             opens=not loading and not report.busy,
+            leaving=report.leaving,
             closes_in_ms=self._closes_in_ms(report),
             born_ms=report.born_ms,
         )
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -17,6 +17,7 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import retries
 from marlramp.core import retry_share
 from marlramp.core import route_table
@@ -151,6 +152,10 @@
         self._signals.forget(replica_ids)
         self._crashes.note_gone(replica_ids)
 
+    def note_leaving(self, view: replica_view.ReplicaView) -> None:
+        """Takes from the agent beside a replica that it leaves."""
+        self._signals.note_leaving(view, "agent")
+
     # Admission.
 
     def _admit(
--- a/src/marlramp/direct/calls/replica_signals.py
+++ b/src/marlramp/direct/calls/replica_signals.py
@@ -74,7 +74,7 @@
             return
         now_ms = self._clock.now_ms()
         if answer.leaving:
-            self._note_leaving(view, now_ms)
+            self.note_leaving(view, "answer")
         if answer.status in _PAUSING:
             self._note_pause(view, answer, now_ms)
         if answer.not_run:
@@ -82,9 +82,14 @@
         elif answer.status not in _REFUSING:
             view.availability.note_served(sent_ms, now_ms)
 
-    def _note_leaving(
-        self, view: replica_view.ReplicaView, now_ms: clock.Millis
-    ) -> None:
+    def note_leaving(self, view: replica_view.ReplicaView, source: str) -> None:
+        """Takes that a replica leaves.
+
+        Args:
+          view: the replica.
+          source: who says so: an answer to this entry, or the agent beside it.
+        """
+        now_ms = self._clock.now_ms()
         if not view.availability.note_leaving(self._drain_ms, now_ms):
             return
         replica_id = view.replica.replica_id
@@ -95,7 +100,7 @@
             replica=replica_id,
             born_ms=view.born_ms,
             drain_ms=round(self._drain_ms),
-            source="answer",
+            source=source,
         )
 
     def _note_pause(
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -16,10 +16,12 @@
 from marlramp.core import lookup_share
 from marlramp.core import members
 from marlramp.core import replica_table
+from marlramp.core import replica_view
 from marlramp.core import route_table
 from marlramp.direct import crash_pages
 from marlramp.direct import limit_pages
 from marlramp.direct import metrics
+from marlramp.direct import pause_pages
 from marlramp.direct import settings_watch
 from marlramp.direct import side_server
 from marlramp.direct.calls import crash_watch
@@ -106,6 +108,7 @@
             self._changed,
             self._forget,
             self._set_cell,
+            self._note_leaving,
             self._totals,
             self._clock,
         )
@@ -215,6 +218,7 @@
             **side_server.metrics_pages(self._metrics.text),
             **crash_pages.build(self._crashes, self._fleet.tell_crashes),
             **limit_pages.build(self._fleet.limits, self._table, self._clock),
+            **pause_pages.build(self._table, self._clock),
         }
         addresses = {
             "lookup": self._addresses.lookup,
@@ -315,6 +319,10 @@
         """Takes the addresses of the VMs whose engines belong to the cell."""
         self._forwarder.set_cell(hosts)
 
+    def _note_leaving(self, view: replica_view.ReplicaView) -> None:
+        """Takes a replica that its agent reports to leave."""
+        self._forwarder.note_leaving(view)
+
     def _forget(self, replica_ids: list[str]) -> None:
         """Drops what is kept of replicas that are gone."""
         self._forwarder.forget(replica_ids)
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -33,6 +33,7 @@
 OnChanges: TypeAlias = Callable[[list[catalog.Change]], None]
 OnGone: TypeAlias = Callable[[list[str]], None]
 OnCell: TypeAlias = Callable[[list[str]], None]
+OnLeaving: TypeAlias = Callable[[replica_view.ReplicaView], None]
 
 
 class EntryFleet:
@@ -49,6 +50,7 @@
         on_changes: OnChanges,
         on_gone: OnGone,
         on_cell: OnCell,
+        on_leaving: OnLeaving,
         totals: counters.Counters,
         time: clock.Clock,
     ) -> None:
@@ -65,6 +67,7 @@
           on_gone: takes ids of replicas that are gone or started again.
           on_cell: takes the addresses of the VMs whose engines belong to the
             cell, when they changed.
+          on_leaving: takes a replica that its agent reports to leave.
           totals: counters.
           time: the clock.
         """
@@ -75,6 +78,7 @@
         self._on_changes = on_changes
         self._on_gone = on_gone
         self._on_cell = on_cell
+        self._on_leaving = on_leaving
         self._clock = time
         self._reader: store_reader.StoreReader | None = None
         self._beacon_ms = float("-inf")
@@ -272,6 +276,10 @@
                 source="agent",
             )
         self._on_gone(restarted)
+        if report.leaving:
+            for view in self._table.at(report.address):
+                if view.born_ms == report.born_ms:
+                    self._on_leaving(view)
 
     def tell_crashes(self) -> None:
         """Tells the others of a crash that was noticed here."""
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -190,6 +190,11 @@
             self._staged_of = None
             await asyncio.sleep(POLL_MS / _MS)
             return
+        if report.leaving:
+            # What is staged or loaded there is lost with it.
+            self._set_state(LoaderState.IDLE)
+            await asyncio.sleep(POLL_MS / _MS)
+            return
         if self._staged_of != wanted or self._staged_born_ms != report.born_ms:
             await self._adopt_staged(wanted, whole)
             self._staged_born_ms = report.born_ms
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -121,7 +121,6 @@
         weights = head.header(_WEIGHTS)
         mine = echo is None or echo.decode("latin-1") == call.request_id
         limit_per_s, limit_unreadable = _limit(head)
-        leaving = head.header(_LEAVING)
         asked = _retry_after(head)
         return wire.ReplicaAnswer(
             status=head.status,
@@ -135,7 +134,7 @@
             limit_unreadable=limit_unreadable,
             retry_after_ms=asked.wait_ms,
             retry_after_unreadable=asked.unreadable,
-            leaving=leaving is not None and leaving.strip() == b"1",
+            leaving=says_leaving(head),
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -144,6 +143,12 @@
         )
 
 
+def says_leaving(head: http1_client.ResponseHead) -> bool:
+    """Returns whether the replica that answered says that it leaves."""
+    value = head.header(_LEAVING)
+    return value is not None and value.strip() == b"1"
+
+
 def _host(value: str) -> str:
     host, colon, port = value.lower().rpartition(":")
     return host if colon and port.isdigit() else value.lower()
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -12,6 +12,7 @@
 from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import documents
+from marlramp.platform import headers
 from marlramp.settings import node
 from marlramp.shell import http1_call
 
@@ -81,10 +82,10 @@
         Raises:
           PlatformError: if it does not answer usefully.
         """
-        body = await self._calls.make(
+        answer = await self._calls.make_whole(
             "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
         )
-        raw = _decode(self._reports, body)
+        raw = _decode(self._reports, answer.body)
         held = documents.held_weights(raw.layers, raw.model_list)
         return engine_state.EngineReport(
             weights=held or 0,
@@ -94,6 +95,7 @@
             busy=raw.busy,
             order_number=raw.call_seq,
             born_ms=None if raw.born is msgspec.UNSET else raw.born,
+            leaving=headers.says_leaving(answer.head),
         )
 
     async def staged(self, model: str) -> list[int]:
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -197,7 +197,10 @@
         while (request := await peer.read()) is not None:
             path, query = request.path, request.query
             if path == "/v1/report":
-                await peer.answer_json(request, self._report())
+                leaving = self.turning_away.leaving
+                said = {"server_leaving": "1"} if leaving else {}
+                report = json.dumps(self._report()).encode()
+                await peer.answer(request, 200, report, **said)
             elif path.startswith("/v1/stage-"):
                 await self._stage(peer, request, query)
             elif path == "/v1/order":
--- a/tests/failures/test_replica_pauses.py
+++ b/tests/failures/test_replica_pauses.py
@@ -6,8 +6,11 @@
 import pathlib
 import signal
 
+import msgspec
 import pytest
 
+from marlramp.console import exit_codes
+from marlramp.console.commands import paused
 from standins import direct_fleet
 from standins import turning_away
 from tests.failures import crowds
@@ -134,6 +137,55 @@
     run_fleet(use)
 
 
+def test_agent_tells_all_entries_that_its_engine_leaves(
+    run_fleet: direct_runs.RunFleet,
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = crowds.Crowd(fleet, "/chat/x", PER_S)
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        leaving = fleet.engines[0].turning_away
+        leaving.leaving = True
+        await asyncio.sleep(BACK_S)
+        start_s = now_s()
+        await crowd.send_for(range(ENTRIES), WARM_UP_S)
+        assert leaving.arrivals_since(start_s) == 0
+        assert crowd.served_share() == 1.0
+        for number in range(ENTRIES):
+            log = fleet.log(f"entry-{number}")
+            assert "replica_leaving replica=i-0" in log
+        assert "engine_leaving" in fleet.log("agent-0")
+
+    run_fleet(use)
+
+
+def test_operator_sees_the_replicas_that_pause_or_leave(
+    run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def use(fleet: direct_fleet.Fleet) -> None:
+        crowd = crowds.Crowd(fleet, "/stock/x", PER_S)
+        fleet.desks[0].turning_away.start("8")
+        fleet.desks[1].turning_away.leaving = True
+        await crowd.send_for([0], 2 * WARM_UP_S)
+        url = f"http://{fleet.entry_hosts[0]}:9464"
+        await asyncio.to_thread(paused.paused, url, json=True)
+        rows = msgspec.json.decode(capsys.readouterr().out)
+        found = {row["replica"]: row for row in rows}
+        assert found["d-0"]["state"] == "paused"
+        assert 0 < found["d-0"]["opens_in_ms"] < 9_000
+        assert found["d-1"]["state"] == "leaving"
+        await asyncio.to_thread(paused.paused, url)
+        assert "d-0" in capsys.readouterr().out
+        log = fleet.log("entry-0")
+        assert "replica_pause_asked replica=d-0 status=503 asked_ms=8000" in log
+        assert "replica_leaving replica=d-1" in log
+        metrics = (await fleet.metrics(fleet.entry_hosts[0])).decode()
+        assert "marlramp_replica_pauses" in metrics
+        code = await asyncio.to_thread(paused.paused, "10.0.0.1")
+        assert code == exit_codes.ExitCode.USAGE
+
+    run_fleet(use)
+
+
 def test_last_replicas_that_leave_serve_until_the_drain_time_is_over(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
