--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,10 +21,12 @@
     Attributes:
       culprit: a request that crashes the replicas that run it.
       limited: two replicas that name a limit.
+      turning_away: two replicas that turn requests away and ask for a pause.
     """
 
     culprit: bool
     limited: bool
+    turning_away: bool
 
 
 application = cyclopts.App(
@@ -41,6 +43,7 @@
     keep: str = "",
     culprit: bool = False,
     limited: bool = False,
+    turning_away: bool = False,
 ) -> None:
     """Plays a row of seeds and prints the promises that each broke.
 
@@ -51,10 +54,12 @@
       keep: folder for the logs of seeds that broke a promise.
       culprit: also send a request that crashes the replicas that run it.
       limited: two replicas also name a limit over all entries together.
+      turning_away: two replicas also turn half of their requests away and ask
+        for a pause.
     """
     numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
-    beside = Beside(culprit, limited)
+    beside = Beside(culprit, limited, turning_away)
     playing = _play_all(numbers, at_once, folder, beside)
     failed = asyncio.run(playing)
     print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
@@ -97,6 +102,7 @@
             schedule.Size(),
             culprit=beside.culprit,
             limited=beside.limited,
+            turning_away=beside.turning_away,
         )
         if not result.violations:
             print(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -86,6 +86,7 @@
       events: events of a whole stream.
       last_calls: calls after the last fault, when all should be well.
       limits_broken: replicas that got more than the limit they named.
+      pauses_broken: replicas that got requests in a pause they asked for.
       culprit_runs: runs of a request that crashes replicas, from a while after
         the last fault on.
     """
@@ -101,6 +102,7 @@
     last_calls: list[Call]
     culprit_runs: int = 0
     limits_broken: list[str] = []
+    pauses_broken: list[str] = []
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -144,6 +146,8 @@
         found.append(Violation("crashing_requests", detail))
     for detail in seen.limits_broken:
         found.append(Violation("replica_limits", detail))
+    for detail in seen.pauses_broken:
+        found.append(Violation("replica_pauses", detail))
     allowed = [call for call in seen.last_calls if call.key not in seen.revoked]
     served = sum(_is_served(call) for call in allowed)
     if served < LAST_SHARE_MIN * len(allowed):
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import time
+from typing import TypeAlias
 
 import msgspec
 
@@ -19,6 +20,9 @@
 from standins import direct_fleet
 from standins import direct_replicas
 from standins import named_limit
+from standins import turning_away
+
+Replica: TypeAlias = direct_replicas.Engine | direct_replicas.PlainReplica
 
 CALLERS = 8
 SETTLE_MS = 12_000.0
@@ -32,6 +36,9 @@
 """What the first engine and the first plain replica take while they are in
 need."""
 
+PAUSE_S = 2.0
+"""What the last engine and the last plain replica ask for as they turn away."""
+
 CULPRIT = "culprit"
 CULPRIT_PAUSE_MS = 400.0
 CULPRIT_KNOWN_MS = 3_000.0
@@ -68,6 +75,7 @@
         *,
         culprit: bool = False,
         limited: bool = False,
+        turning_away: bool = False,
     ) -> None:
         """Starts nothing before `play`.
 
@@ -77,12 +85,16 @@
           size: size of the fleet.
           culprit: whether a request that crashes replicas comes all the time.
           limited: whether two replicas name a limit while faults come.
+          turning_away: whether two replicas turn half of the requests away and
+            ask for a pause while faults come.
         """
         self._plan = plan
         self._culprit = culprit
         self._limited = limited
+        self._turning_away = turning_away
         self._culprit_runs = 0
         self._broken: list[str] = []
+        self._pauses_broken: list[str] = []
         self._size = size
         self._fleet = direct_fleet.Fleet(
             folder,
@@ -174,6 +186,9 @@
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in crowd]
         self._name_limits(f"{LIMIT_PER_S}" if self._limited else "")
+        if self._turning_away:
+            for replica in self._turning:
+                replica.turning_away.start(f"{PAUSE_S}", share=0.5)
         if self._culprit:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
@@ -181,7 +196,10 @@
         )
         await asyncio.sleep(CULPRIT_KNOWN_MS / _MS)
         self._broken = self._limits_broken()
+        self._pauses_broken = self._find_pauses_broken()
         self._name_limits("")
+        for replica in self._turning:
+            replica.turning_away.stop()
         before = self._runs_of_culprit()
         await asyncio.sleep((SETTLE_MS - CULPRIT_KNOWN_MS) / _MS)
         self._culprit_runs = self._runs_of_culprit() - before
@@ -219,6 +237,30 @@
                 broken.append(f"{name}: {most} requests, allowed {allowed}")
         return broken
 
+    @property
+    def _turning(self) -> list[Replica]:
+        """The replicas that may turn requests away."""
+        return [self._fleet.engines[-1], self._fleet.desks[-1]]
+
+    def _find_pauses_broken(self) -> list[str]:
+        """Returns what was sent in pauses; excused as for limits."""
+        struck = {fault.target for fault in self._plan.faults}
+        if any(
+            fault.kind is schedule.FaultKind.KILL_ALL
+            for fault in self._plan.faults
+        ):
+            return []
+        names = [
+            f"engine-{self._size.engines - 1}",
+            f"desk-{self._size.desks - 1}",
+        ]
+        broken = []
+        for name, replica in zip(names, self._turning, strict=True):
+            most = replica.turning_away.most_in_pause(struck)
+            if name not in struck and most > turning_away.ARRIVALS_MAX:
+                broken.append(f"{name}: {most} requests in a pause")
+        return broken
+
     async def _send_culprit(self) -> None:
         """Sends a request that crashes replicas to all entries in turn."""
         for number in itertools.count():
@@ -268,6 +310,7 @@
             last_calls=last,
             culprit_runs=self._culprit_runs,
             limits_broken=self._broken,
+            pauses_broken=self._pauses_broken,
         )
 
 
@@ -278,8 +321,16 @@
     *,
     culprit: bool = False,
     limited: bool = False,
+    turning_away: bool = False,
 ) -> Result:
     """Plays one seed; settings files and logs go to `folder`."""
     plan = schedule.draw(seed, size)
-    played = Run(folder, plan, size, culprit=culprit, limited=limited)
+    played = Run(
+        folder,
+        plan,
+        size,
+        culprit=culprit,
+        limited=limited,
+        turning_away=turning_away,
+    )
     return await played.play()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -18,6 +18,7 @@
 
 CULPRIT_SEED = 3
 LIMITED_SEED = 3
+TURNING_AWAY_SEED = 3
 
 
 def seeds() -> list[int]:
@@ -41,6 +42,17 @@
     assert result.violations == []
 
 
+def test_seed_keeps_all_promises_beside_replicas_that_turn_away(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(
+            tmp_path, TURNING_AWAY_SEED, schedule.Size(), turning_away=True
+        )
+    )
+    assert result.violations == []
+
+
 def test_seed_keeps_all_promises_beside_replicas_that_name_a_limit(
     tmp_path: pathlib.Path,
 ) -> None:
