A caller refused beside an idle replica is told to come back at once

What callers saw: a refusal with 0.5 s (plain) or 1.4 s (engines) to wait, when only the sends or repeats of their request were used up and other replicas were idle. Now the time follows from where the request would go: at once if a replica could take it, when the first pause ends, or by the load.

--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -30,6 +30,10 @@
 for one that is spared for a moment, short enough that its caller loses nothing
 if none does."""
 
+RETRY_AFTER_OPEN_MS = 60.0
+"""When to come back if a replica could take the request, and only the repeats
+that are allowed are used up."""
+
 RETRY_AFTER_PLAIN_MS = 500.0
 """When to come back to a plain service if nothing better is known."""
 
@@ -118,11 +122,25 @@
         return upstream_choice.usable(view, self._wanted(call, now_ms), now_ms)
 
     def _decide(
-        self, call: call_module.Call, now_ms: clock.Millis
+        self,
+        call: call_module.Call,
+        now_ms: clock.Millis,
+        failed: Collection[str] | None = None,
     ) -> upstream_choice.Choice | admission.Refusal | None:
+        """Returns where a call goes.
+
+        Args:
+          call: the call.
+          now_ms: the time.
+          failed: ids of replicas that it may not go to, else those that it
+            failed at.
+        """
         stays_ms = call.stays_ms(now_ms)
+        wanted = self._wanted(call, now_ms)
+        if failed is not None:
+            wanted = msgspec.structs.replace(wanted, failed=failed)
         request = admission.Request(
-            wanted=self._wanted(call, now_ms),
+            wanted=wanted,
             elapsed_ms=call.elapsed_ms(now_ms),
             stays_ms=stays_ms,
             oldest_behind=self._oldest_weights(call.service, stays_ms, now_ms),
@@ -186,7 +204,16 @@
         )
 
     def retry_after_ms(self, call: call_module.Call) -> int:
-        """Returns when a caller should come back if no replica took it."""
+        """Returns when a caller should come back if no replica took it.
+
+        Replicas that it failed at count too: it comes back as another request.
+        """
+        now_ms = self._clock.now_ms()
+        decision = self._decide(call, now_ms, failed=())
+        if isinstance(decision, upstream_choice.Choice):
+            return int(admission.spread_ms(RETRY_AFTER_OPEN_MS, self._rng))
+        if decision is not None:
+            return int(decision.retry_after_ms)
         if call.service.engine is None:
             return int(RETRY_AFTER_PLAIN_MS)
         return int(admission.spread_ms(RETRY_AFTER_ENGINE_MS, self._rng))
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -6,6 +6,7 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp.direct.calls import forwarder
 from marlramp.shell import http1_client
 from standins import raw_http
 from tests.direct import conftest
@@ -478,3 +479,24 @@
         assert not view.availability.is_paused(entry.time.now_ms())
 
     run_entry(use, misdirected)
+
+
+def test_caller_refused_beside_an_idle_replica_comes_back_at_once(
+    run_entry: RunEntry,
+) -> None:
+    """Callers that used up their sends were told to wait for 0.5 s."""
+    refusing, sound = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x", "POST")
+        assert status_of(answer) == 503
+        assert not sound.seen
+        (line,) = [
+            line
+            for line in answer.split(b"\r\n")
+            if line.startswith(b"retry-after: ")
+        ]
+        assert 0.0 < float(line.partition(b": ")[2]) <= 0.1
+
+    scripts = [refusing.refuse] * forwarder.SENDS_MAX
+    run_entry(use, *scripts, sound.serve)
