--- a/src/marlramp/console/commands/crashes.py
+++ b/src/marlramp/console/commands/crashes.py
@@ -17,6 +17,24 @@
 _NOT_FOUND = 404
 
 
+def _cells(row: crash_pages.SuspectRow) -> tuple[object, ...]:
+    return (
+        row.fingerprint,
+        "yes" if row.condemned else "no",
+        row.strikes,
+        " ".join(row.crashes),
+    )
+
+
+_PAGE = page_client.TablePage(
+    crash_pages.CRASHES_PATH,
+    list[crash_pages.SuspectRow],
+    "Requests suspected of crashes",
+    ["fingerprint", "condemned", "strikes", "crashes"],
+    _cells,
+)
+
+
 def crashes(
     entry: str,
     *,
@@ -30,45 +48,30 @@
       release: fingerprint of a request that all entries are to run again.
       json: print JSON, for scripts.
     """
+    if release:
+        return _release(entry, release)
+    return _PAGE.show(entry, json=json)
+
+
+def _release(entry: str, fingerprint: str) -> int:
     refused = page_client.refuse_other_urls(entry)
     if refused is not None:
         return refused
-    base = entry.rstrip("/")
+    query = urllib.parse.urlencode({"fingerprint": fingerprint})
+    url = f"{entry.rstrip('/')}{crash_pages.RELEASE_PATH}?{query}"
     try:
-        if release:
-            return _release(base, release)
-        body = page_client.call(base + crash_pages.CRASHES_PATH)
-        rows = msgspec.json.decode(body, type=list[crash_pages.SuspectRow])
+        body = page_client.call(url, "POST")
+        released = msgspec.json.decode(body, type=crash_pages.Released)
     except (OSError, msgspec.DecodeError) as error:
-        output.print_error(f"{entry}: {error}")
-        return int(exit_codes.ExitCode.UNREACHABLE)
-    if json:
-        output.print_json(rows)
-        return int(exit_codes.ExitCode.OK)
-    columns = ["fingerprint", "condemned", "strikes", "crashes"]
-    cells = [
-        (
-            row.fingerprint,
-            "yes" if row.condemned else "no",
-            row.strikes,
-            " ".join(row.crashes),
-        )
-        for row in rows
-    ]
-    output.print_table("Requests suspected of crashes", columns, cells)
+        return _explain(entry, fingerprint, error)
+    print(f"{fingerprint}: cleared of {released.crashes} crashes")
     return int(exit_codes.ExitCode.OK)
 
 
-def _release(base: str, fingerprint: str) -> int:
-    query = urllib.parse.urlencode({"fingerprint": fingerprint})
-    try:
-        url = f"{base}{crash_pages.RELEASE_PATH}?{query}"
-        body = page_client.call(url, "POST")
-    except urllib.error.HTTPError as error:
-        if error.code != _NOT_FOUND:
-            raise
+def _explain(entry: str, fingerprint: str, error: Exception) -> int:
+    """Prints why nothing was released; returns the exit code."""
+    if isinstance(error, urllib.error.HTTPError) and error.code == _NOT_FOUND:
         output.print_error(f"{fingerprint}: no crash is held against it")
         return int(exit_codes.ExitCode.USAGE)
-    released = msgspec.json.decode(body, type=crash_pages.Released)
-    print(f"{fingerprint}: cleared of {released.crashes} crashes")
-    return int(exit_codes.ExitCode.OK)
+    output.print_error(f"{entry}: {error}")
+    return int(exit_codes.ExitCode.UNREACHABLE)
--- a/src/marlramp/console/page_client.py
+++ b/src/marlramp/console/page_client.py
@@ -1,14 +1,74 @@
-"""Reads the pages that a daemon serves on its metrics port."""
+"""Reads and shows the pages that a daemon serves on its metrics port."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import Generic
+from typing import TypeVar
 import urllib.request
 
+import msgspec
+
 from marlramp.console import exit_codes
 from marlramp.console import output
 
 TIMEOUT_S = 5.0
 
+Row = TypeVar("Row")
+
+
+class TablePage(Generic[Row]):
+    """A page of rows, and how they are shown.
+
+    Attributes:
+      path: its path.
+      rows_type: what the page is decoded to.
+      title: title of the table.
+      columns: titles of the columns.
+      cells: returns the cells of a row.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        rows_type: type[list[Row]],
+        title: str,
+        columns: list[str],
+        cells: Callable[[Row], tuple[object, ...]],
+    ) -> None:
+        """Describes a page."""
+        self.path = path
+        self.rows_type = rows_type
+        self.title = title
+        self.columns = columns
+        self.cells = cells
+
+    def show(self, entry: str, *, json: bool) -> int:
+        """Prints the page of an entry.
+
+        Args:
+          entry: URL of the entry's metrics port.
+          json: print JSON instead of a table.
+
+        Returns:
+          The exit code.
+        """
+        refused = refuse_other_urls(entry)
+        if refused is not None:
+            return refused
+        try:
+            body = call(entry.rstrip("/") + self.path)
+            rows = msgspec.json.decode(body, type=self.rows_type)
+        except (OSError, msgspec.DecodeError) as error:
+            output.print_error(f"{entry}: {error}")
+            return int(exit_codes.ExitCode.UNREACHABLE)
+        if json:
+            output.print_json(rows)
+        else:
+            cells = [self.cells(row) for row in rows]
+            output.print_table(self.title, self.columns, cells)
+        return int(exit_codes.ExitCode.OK)
+
 
 def call(url: str, method: str = "GET") -> bytes:
     """Returns the body of a page.
--- a/src/marlramp/direct/calls/replica_signals.py
+++ b/src/marlramp/direct/calls/replica_signals.py
@@ -15,11 +15,9 @@
 from marlramp import logs
 from marlramp.core import availability
 from marlramp.core import replica_view
+from marlramp.core import seen_values
 from marlramp.direct.calls import wire
 
-UNREADABLE_MAX = 256
-"""Replicas remembered whose unreadable time was logged."""
-
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _PAUSING = frozenset({_TOO_MANY_REQUESTS, _UNAVAILABLE})
@@ -50,7 +48,7 @@
         self._rng = rng
         self._paused: dict[str, replica_view.ReplicaView] = {}
         self._leaving: dict[str, replica_view.ReplicaView] = {}
-        self._unreadable: dict[str, str] = {}
+        self._unreadable = seen_values.SeenValues()
 
     def set_drain(self, drain_ms: float) -> None:
         """Takes another time for replicas that say from now on they leave."""
@@ -133,12 +131,8 @@
 
     def _note_unreadable(self, replica_id: str, value: str) -> None:
         self._totals.add(counters.CounterName.REPLICA_PAUSES, "unreadable")
-        if self._unreadable.get(replica_id) == value:
-            return
-        if len(self._unreadable) >= UNREADABLE_MAX:
-            self._unreadable.clear()
-        self._unreadable[replica_id] = value
-        logs.log("retry_after_unreadable", replica=replica_id, value=value)
+        if self._unreadable.is_new(replica_id, value):
+            logs.log("retry_after_unreadable", replica=replica_id, value=value)
 
     # Ends.
 
--- a/src/marlramp/direct/fleet/limit_sync.py
+++ b/src/marlramp/direct/fleet/limit_sync.py
@@ -18,6 +18,7 @@
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import rumours
+from marlramp.core import seen_values
 from marlramp.core import send_limit
 from marlramp.direct.calls import wire
 from marlramp.direct.fleet import member_sync
@@ -29,9 +30,6 @@
 FIRST_TARGETS = 16
 """Entries told at once of a limit that an own answer names."""
 
-UNREADABLE_MAX = 256
-"""Replicas remembered whose unreadable limit was logged."""
-
 
 class LimitSync:
     """This entry's part in sharing the limits of replicas.
@@ -65,7 +63,7 @@
         self._rng = rng
         self._rumours: rumours.Rumours[str] = rumours.Rumours()
         self._compared_ms = float("-inf")
-        self._unreadable: dict[str, str] = {}
+        self._unreadable = seen_values.SeenValues()
 
     # What own answers say.
 
@@ -106,12 +104,10 @@
 
     def _note_unreadable(self, replica_id: str, value: str) -> None:
         self._totals.add(counters.CounterName.REPLICA_LIMITS, "unreadable")
-        if self._unreadable.get(replica_id) == value:
-            return
-        if len(self._unreadable) >= UNREADABLE_MAX:
-            self._unreadable.clear()
-        self._unreadable[replica_id] = value
-        logs.log("replica_limit_unreadable", replica=replica_id, value=value)
+        if self._unreadable.is_new(replica_id, value):
+            logs.log(
+                "replica_limit_unreadable", replica=replica_id, value=value
+            )
 
     # What other entries say.
 
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -91,13 +91,7 @@
 
     def _asked_ms(self, head: http1_client.ResponseHead) -> float | None:
         """Returns the time that an answer names, and keeps a pause."""
-        values = [
-            value.decode("latin-1")
-            for name, value in head.headers
-            if name == b"retry-after"
-        ]
-        date = head.header(b"date") or b""
-        asked = retry_after.read(values, date.decode("latin-1"))
+        asked = retry_after.of_answer(head)
         if asked.wait_ms is not None and head.status in _PAUSING:
             until_ms = self._clock.now_ms() + asked.wait_ms
             self._paused_until_ms = max(self._paused_until_ms, until_ms)
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -29,7 +29,6 @@
 _LIMIT = b"server-limit"
 # "1" in all answers of a replica that leaves.
 _LEAVING = b"server-leaving"
-_RETRY_AFTER = b"retry-after"
 _WEIGHTS = b"x-weight-versions"
 _PIPELINE = b"path"
 
@@ -121,7 +120,7 @@
         weights = head.header(_WEIGHTS)
         mine = echo is None or echo.decode("latin-1") == call.request_id
         limit_per_s, limit_unreadable = _limit(head)
-        asked = _retry_after(head)
+        asked = retry_after.of_answer(head)
         return wire.ReplicaAnswer(
             status=head.status,
             mine=mine,
@@ -188,24 +187,12 @@
     return wire.ReplicaLoad(running=int(parts[0]), waiting=int(parts[1]))
 
 
-def _retry_after(head: http1_client.ResponseHead) -> retry_after.RetryAfter:
-    values = [
-        value.decode("latin-1")
-        for name, value in head.headers
-        if name == _RETRY_AFTER
-    ]
-    date = head.header(b"date") or b""
-    return retry_after.read(values, date.decode("latin-1"))
-
-
 def _limit(head: http1_client.ResponseHead) -> tuple[float | None, str]:
     """Returns the least rate that an answer names, and what is none."""
     rates = []
     unreadable = ""
-    for name, value in head.headers:
-        if name != _LIMIT:
-            continue
-        for part in value.decode("latin-1").split(","):
+    for value in head.values(_LIMIT):
+        for part in value.split(","):
             rate = _rate(part)
             if rate is None:
                 unreadable = part.strip() or "empty"
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -51,6 +51,14 @@
                 return value
         return None
 
+    def values(self, name: bytes) -> list[str]:
+        """Returns the values of all headers of a name in lower case."""
+        return [
+            value.decode("latin-1")
+            for key, value in self.headers
+            if key == name
+        ]
+
 
 class LossKind(enum.Enum):
     """How an answer failed to arrive whole."""
--- a/src/marlramp/shell/retry_after.py
+++ b/src/marlramp/shell/retry_after.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import http1_client
 
 WAIT_MAX_MS = 300_000.0
 """Longest time that is kept."""
@@ -53,6 +54,12 @@
     return RetryAfter(max(waits_ms, default=None), unreadable)
 
 
+def of_answer(head: http1_client.ResponseHead) -> RetryAfter:
+    """Returns what the head of an answer says of when to come back."""
+    date = head.header(b"date") or b""
+    return read(head.values(b"retry-after"), date.decode("latin-1"))
+
+
 def _parts(value: str) -> list[str]:
     """Returns the values of fields that were joined on the way."""
     # A date has a comma of its own.
