A request that may have run waits for a replica to open

What callers saw: a stream that was cut, or 502 for a request that may be repeated, because at that very moment no replica was open, though one opened 0.3 s later. The time that a request is held was counted from its arrival and long over. It now waits up to half of the time that its caller stays; what has not run is refused as before. Test: cut after three events, and 502, before; whole and 200 now.

--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -30,6 +30,10 @@
 for one that is spared for a moment, short enough that its caller loses nothing
 if none does."""
 
+BEGUN_HOLD_SHARE = 0.5
+"""Part of the time that its caller stays which a request waits that may have
+run: it can't be refused as one that has not, and a stream would be cut."""
+
 RETRY_AFTER_OPEN_MS = 60.0
 """When to come back if a replica could take the request, and only the repeats
 that are allowed are used up."""
@@ -85,8 +89,7 @@
         Raises:
           CallError: if none can take the request in time.
         """
-        hold_ms = HOLD_SHARE_MAX * call.route.objective_ms
-        give_up_ms = min(call.request.received_ms + hold_ms, call.ends_ms)
+        give_up_ms = self._give_up_ms(call)
         while True:
             now_ms = self._clock.now_ms()
             decision = self._decide(call, now_ms)
@@ -102,6 +105,14 @@
                 raise self._no_upstream(call)
             await asyncio.sleep(CHOICE_POLL_MS / _MS)
 
+    def _give_up_ms(self, call: call_module.Call) -> float:
+        """Returns until when a call waits for a replica to open."""
+        if call.relay.started or call.maybe_ran:
+            now_ms = self._clock.now_ms()
+            return now_ms + BEGUN_HOLD_SHARE * call.stays_ms(now_ms)
+        hold_ms = HOLD_SHARE_MAX * call.route.objective_ms
+        return min(call.request.received_ms + hold_ms, call.ends_ms)
+
     async def _reserved(
         self, call: call_module.Call, choice: upstream_choice.Choice
     ) -> bool:
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -500,3 +500,34 @@
 
     scripts = [refusing.refuse] * forwarder.SENDS_MAX
     run_entry(use, *scripts, sound.serve)
+
+
+@pytest.mark.parametrize("path", ["/stream/x", "/safe/x"])
+def test_request_that_may_have_run_waits_for_a_replica_to_open(
+    run_entry: RunEntry, path: str
+) -> None:
+    """It was cut at once while the only other replica had a pause of 0.3 s."""
+    failing, paused = Replica(), Replica()
+
+    async def fail(peer: raw_http.Peer) -> None:
+        if path.startswith("/stream"):
+            await failing.cut_events(peer)
+        else:
+            await failing.reset(peer)
+
+    async def serve(peer: raw_http.Peer) -> None:
+        if path.startswith("/stream"):
+            await paused.whole_events(peer)
+        else:
+            await paused.serve(peer)
+
+    async def use(entry: conftest.Entry) -> None:
+        view = entry.table.get("i-1")
+        assert view is not None
+        view.availability.note_pause(300.0, 0.0, entry.time.now_ms())
+        answer = await entry.call(path, wait_ms=1_500)
+        assert status_of(answer) == 200
+        assert b"id: 6" in answer or b"ok" in answer
+        assert len(paused.seen) == 1
+
+    run_entry(use, fail, serve)
