Replicas that all turned away are asked again, one request at a time

What callers saw: refused beside a replica that served again, for up to 2.4 s, since the entry's own guess closed all of a service. What replicas themselves named still holds. The test got no choice before.

--- a/src/marlramp/core/availability.py
+++ b/src/marlramp/core/availability.py
@@ -166,7 +166,15 @@
         """
         if not self.takes(now_ms):
             return False
-        return self.refusals == 0 or now_ms - self._trial_ms >= TRIAL_MS
+        return self.refusals == 0 or not self.is_tried(now_ms)
+
+    def is_tried(self, now_ms: clock.Millis) -> bool:
+        """Returns whether a request there may still be turned away."""
+        return now_ms - self._trial_ms < TRIAL_MS
+
+    def is_guessed_closed(self, now_ms: clock.Millis) -> bool:
+        """Returns whether refusals without a time alone close it."""
+        return self.refusals > 0 and self.closed_ms(now_ms) <= 0.0
 
     def closed_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long it has said to be closed: infinite if it leaves."""
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -201,8 +201,10 @@
 
     def opens(self, now_ms: clock.Millis) -> bool:
         """Returns whether it takes new requests as far as is known."""
-        if not self.availability.opens(now_ms):
-            return False
+        return self.availability.opens(now_ms) and self.is_reported_open(now_ms)
+
+    def is_reported_open(self, now_ms: clock.Millis) -> bool:
+        """Returns whether the agent beside it does not say otherwise."""
         fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
         return self.report is None or not fresh or self.report.opens
 
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -125,13 +125,44 @@
     view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
 ) -> bool:
     """Returns whether a replica may get the request, its limit apart."""
+    return _fits(view, wanted, now_ms) and view.opens(now_ms)
+
+
+def _fits(
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> bool:
+    """Returns whether a replica can run the request, open or not."""
     if view.replica.state is not fleet.ReplicaState.HEALTHY:
         return False
     if wanted.engine is not None:
         weights = view.weights(now_ms)
         if weights == 0 or weights < wanted.oldest_weights:
             return False
-    return view.opens(now_ms)
+    return True
+
+
+def _last_resort(
+    views: Sequence[replica_view.ReplicaView],
+    wanted: Wanted,
+    now_ms: clock.Millis,
+) -> list[replica_view.ReplicaView]:
+    """Returns the replica to ask again when only own backoffs close all.
+
+    One request at a time finds out, over all of them, so that callers are not
+    refused for long beside a replica that serves again.
+    """
+    spared = [
+        view
+        for view in views
+        if view.replica.replica_id not in wanted.failed
+        and view.availability.is_guessed_closed(now_ms)
+        and _fits(view, wanted, now_ms)
+        and view.is_reported_open(now_ms)
+    ]
+    if any(view.availability.is_tried(now_ms) for view in spared):
+        return []
+    spared.sort(key=lambda view: view.availability.spared_ms(now_ms))
+    return spared[:1]
 
 
 def predicted_ms(
@@ -252,6 +283,7 @@
       rng: spreads requests over plain replicas that are as good as each other.
     """
     able = [view for view in views if usable(view, wanted, now_ms)]
+    able = able or _last_resort(views, wanted, now_ms)
     # Before breakers are ignored: no panic opens a limit.
     able = [view for view in able if limit_opens(view, wanted, now_ms)]
     allowed = [view for view in able if view.breaker.allows(now_ms)]
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -9,6 +9,7 @@
 
 from marlramp import clock
 from marlramp.core import admission
+from marlramp.core import availability
 from marlramp.core import breaker
 from marlramp.core import fleet
 from marlramp.core import queue_place
@@ -456,3 +457,26 @@
     decision = admission.decide([leaving, other], plain, ANYWHERE, now_ms, rng)
     assert isinstance(decision, upstream_choice.Choice)
     assert decision.view is leaving
+
+
+def test_replicas_that_all_turned_away_are_asked_again_one_at_a_time(
+    make_replica: MakeReplica,
+    plain: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """Callers were refused for 2.4 s beside replicas that served again."""
+    views = [paused(make_replica, f"i-{n}", 0.0, 0.0) for n in range(3)]
+    now_ms = time.now_ms()
+    for _ in range(6):
+        for view in views:
+            view.availability.note_refused(now_ms, now_ms)
+    now_ms = clock.Millis(now_ms + availability.TRIAL_MS)
+    first = admission.decide(views, plain, ANYWHERE, now_ms, rng)
+    assert isinstance(first, upstream_choice.Choice)
+    first.view.note_sent(0, now_ms)
+    assert admission.decide(views, plain, ANYWHERE, now_ms, rng) is None
+    first.view.availability.note_served(now_ms, now_ms)
+    later_ms = clock.Millis(now_ms + availability.TRIAL_MS)
+    again = admission.decide(views, plain, ANYWHERE, later_ms, rng)
+    assert isinstance(again, upstream_choice.Choice)
