--- a/src/marlramp/core/availability.py
+++ b/src/marlramp/core/availability.py
@@ -154,17 +154,15 @@
         return self.leaving_since_ms is not None
 
     def takes(self, now_ms: clock.Millis) -> bool:
-        """Returns whether a request that is about to be written may be."""
-        if self.is_paused(now_ms) or now_ms >= self.leaves_by_ms:
-            return False
-        return now_ms >= self._spared_until_ms
+        """Returns whether its own word lets a request be written now."""
+        return self.closed_ms(now_ms) <= 0.0
 
     def opens(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request may be sent there.
 
         After refusals in a row one request at a time finds out.
         """
-        if not self.takes(now_ms):
+        if not self.takes(now_ms) or self.spared_ms(now_ms) > 0.0:
             return False
         return self.refusals == 0 or not self.is_tried(now_ms)
 
@@ -174,7 +172,7 @@
 
     def is_guessed_closed(self, now_ms: clock.Millis) -> bool:
         """Returns whether refusals without a time alone close it."""
-        return self.refusals > 0 and self.closed_ms(now_ms) <= 0.0
+        return self.refusals > 0 and self.takes(now_ms)
 
     def closed_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long it has said to be closed: infinite if it leaves."""
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -128,6 +128,14 @@
     return _fits(view, wanted, now_ms) and view.opens(now_ms)
 
 
+def still_usable(
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> bool:
+    """Returns whether a replica that was chosen may still get the request."""
+    open_now = view.takes(now_ms) and view.is_reported_open(now_ms)
+    return open_now and _fits(view, wanted, now_ms)
+
+
 def _fits(
     view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
 ) -> bool:
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -130,7 +130,8 @@
         if wait_ms > 0:
             await asyncio.sleep(wait_ms / _MS)
         now_ms = self._clock.now_ms()
-        return upstream_choice.usable(view, self._wanted(call, now_ms), now_ms)
+        wanted = self._wanted(call, now_ms)
+        return upstream_choice.still_usable(view, wanted, now_ms)
 
     def _decide(
         self,
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -531,3 +531,20 @@
         assert len(paused.seen) == 1
 
     run_entry(use, fail, serve)
+
+
+def test_last_replica_that_turned_away_is_asked_again(
+    run_entry: RunEntry,
+) -> None:
+    """The request was taken back as it was to be written, for a mere guess."""
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        now_ms = entry.time.now_ms()
+        for _ in range(6):
+            view.availability.note_refused(now_ms, now_ms)
+        assert status_of(await entry.call("/safe/x")) == 200
+        assert len(replica.seen) == 1
+
+    run_entry(use, replica.serve)
