--- a/src/marlramp/core/availability.py
+++ b/src/marlramp/core/availability.py
@@ -69,7 +69,7 @@
     leaving_since_ms: float | None = None
     leaves_by_ms: float = float("inf")
     refusals: int = 0
-    _spared_until_ms: float = float("-inf")
+    _backoff_until_ms: float = float("-inf")
     _refused_ms: float = float("-inf")
     _trial_ms: float = float("-inf")
     _refusal_share: float = 0.0
@@ -109,23 +109,24 @@
     def note_refused(self, sent_ms: clock.Millis, now_ms: clock.Millis) -> None:
         """Takes that it turned a request away.
 
-        A refusal that came late tells of a queue, not of the door.
+        A refusal that comes late is of a request that waited in its queue; it
+        says nothing of whether the replica admits others.
 
         Args:
           sent_ms: when the request was sent.
           now_ms: when the answer came.
         """
         if now_ms - sent_ms > TRIAL_MS:
-            self.spare(BACKOFF_MIN_MS, now_ms)
+            self.back_off(BACKOFF_MIN_MS, now_ms)
             return
         self._note_share(1.0, now_ms)
         if sent_ms < self._refused_ms:
             # Sent together with one that was refused before: no news.
             return
-        spared_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2.0**self.refusals)
+        wait_ms = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2.0**self.refusals)
         self.refusals += 1
         self._refused_ms = now_ms
-        self.spare(spared_ms, now_ms)
+        self.back_off(wait_ms, now_ms)
 
     def note_served(self, sent_ms: clock.Millis, now_ms: clock.Millis) -> None:
         """Takes that it served a request."""
@@ -133,10 +134,10 @@
         if sent_ms >= self._refused_ms:
             self.refusals = 0
 
-    def spare(self, wait_ms: float, now_ms: clock.Millis) -> None:
+    def back_off(self, wait_ms: float, now_ms: clock.Millis) -> None:
         """Leaves it alone for some time, without shortening another one."""
         until_ms = now_ms + wait_ms
-        self._spared_until_ms = max(self._spared_until_ms, until_ms)
+        self._backoff_until_ms = max(self._backoff_until_ms, until_ms)
 
     def note_sent(self, now_ms: clock.Millis) -> None:
         """Counts a request sent there, the trial if one is due."""
@@ -162,16 +163,16 @@
 
         After refusals in a row one request at a time finds out.
         """
-        if not self.takes(now_ms) or self.spared_ms(now_ms) > 0.0:
+        if not self.takes(now_ms) or self.backoff_ms(now_ms) > 0.0:
             return False
-        return self.refusals == 0 or not self.is_tried(now_ms)
+        return self.refusals == 0 or not self.in_trial(now_ms)
 
-    def is_tried(self, now_ms: clock.Millis) -> bool:
-        """Returns whether a request there may still be turned away."""
+    def in_trial(self, now_ms: clock.Millis) -> bool:
+        """Returns whether the last request there may still be turned away."""
         return now_ms - self._trial_ms < TRIAL_MS
 
-    def is_guessed_closed(self, now_ms: clock.Millis) -> bool:
-        """Returns whether refusals without a time alone close it."""
+    def is_backing_off(self, now_ms: clock.Millis) -> bool:
+        """Returns whether this entry's own backoff alone closes it."""
         return self.refusals > 0 and self.takes(now_ms)
 
     def closed_ms(self, now_ms: clock.Millis) -> float:
@@ -180,9 +181,9 @@
             return float("inf")
         return max(0.0, self.paused_until_ms - now_ms)
 
-    def spared_ms(self, now_ms: clock.Millis) -> float:
+    def backoff_ms(self, now_ms: clock.Millis) -> float:
         """Returns how long it is left alone for its refusals."""
-        return max(0.0, self._spared_until_ms - now_ms)
+        return max(0.0, self._backoff_until_ms - now_ms)
 
     def refusal_share(self, now_ms: clock.Millis) -> float:
         """Returns the part of recent requests that it turned away."""
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -159,18 +159,18 @@
     One request at a time finds out, over all of them, so that callers are not
     refused for long beside a replica that serves again.
     """
-    spared = [
+    backing_off = [
         view
         for view in views
         if view.replica.replica_id not in wanted.failed
-        and view.availability.is_guessed_closed(now_ms)
+        and view.availability.is_backing_off(now_ms)
         and _fits(view, wanted, now_ms)
         and view.is_reported_open(now_ms)
     ]
-    if any(view.availability.is_tried(now_ms) for view in spared):
+    if any(view.availability.in_trial(now_ms) for view in backing_off):
         return []
-    spared.sort(key=lambda view: view.availability.spared_ms(now_ms))
-    return spared[:1]
+    backing_off.sort(key=lambda view: view.availability.backoff_ms(now_ms))
+    return backing_off[:1]
 
 
 def predicted_ms(
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -132,5 +132,5 @@
             return
         if outcome.answer.status == errors.MISDIRECTED:
             wait_ms = replica_view.MISDIRECTED_BACKOFF_MS
-            self._view.availability.spare(wait_ms, now_ms)
+            self._view.availability.back_off(wait_ms, now_ms)
             self._view.seen_weights = None
--- a/src/marlramp/direct/pause_pages.py
+++ b/src/marlramp/direct/pause_pages.py
@@ -70,7 +70,7 @@
         since_ms = known.paused_since_ms
     elif known.refusals:
         state = PauseState.REFUSING
-        opens_in_ms = known.spared_ms(now_ms)
+        opens_in_ms = known.backoff_ms(now_ms)
     else:
         return None
     return PauseRow(
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -279,7 +279,7 @@
 
 
 @pytest.mark.parametrize(("answers", "age_ms"), [(1, 0.0), (10, 60_000.0)])
-def test_plain_replica_known_by_few_or_old_answers_is_tried_again(
+def test_plain_replica_known_by_few_or_old_answers_in_trial_again(
     make_replica: MakeReplica,
     request_: admission.Request,
     time: clock.ManualClock,
@@ -370,7 +370,7 @@
         make_replica(replica_id="i-1", weights=None),
         breaker.Breaker(3, 1_500.0),
     )
-    spared.availability.spare(10.0, now_ms)
+    spared.availability.back_off(10.0, now_ms)
     views = [used_up(make_replica, "i-0", now_ms), spared]
     assert admission.decide(views, plain, ANYWHERE, now_ms, rng) is None
 
--- a/tests/core/test_availability.py
+++ b/tests/core/test_availability.py
@@ -78,7 +78,7 @@
     for _ in range(7):
         replica.note_refused(now_ms, now_ms)
         start_ms = now_ms
-        while replica.spared_ms(now_ms):
+        while replica.backoff_ms(now_ms):
             now_ms += 50.0
         spared_ms.append(now_ms - start_ms)
     assert spared_ms[:3] == [150.0, 300.0, 600.0]
@@ -93,7 +93,7 @@
     assert replica.opens(10.0 + availability.BACKOFF_MIN_MS)
 
 
-def test_refusal_that_comes_late_tells_of_a_queue_not_of_the_door(
+def test_refusal_of_a_request_that_waited_does_not_double_the_backoff(
     replica: availability.Availability,
 ) -> None:
     for number in range(5):
