--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -279,7 +279,7 @@
 
 
 @pytest.mark.parametrize(("answers", "age_ms"), [(1, 0.0), (10, 60_000.0)])
-def test_plain_replica_known_by_few_or_old_answers_in_trial_again(
+def test_plain_replica_known_by_few_or_old_answers_is_tried_again(
     make_replica: MakeReplica,
     request_: admission.Request,
     time: clock.ManualClock,
