Lines tell how old a change of the store may be, and the bound that an attempt went by

From the logs it could not be told whether a version was taken for too young by its reader (an answer that was long on its way) or by an entry that heard of it from another one, nor which bound a request went by.

store_changes: how long the answer took, and how long ago the question before was sent, whose answer lacked the changes. attempt_failed and request_served: begins_within_ms, the time left until the request would be taken back.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -278,6 +278,7 @@
             load=choice.load,
             load_age_ms=_rounded(choice.load_age_ms),
             limit_per_s=choice.limit_per_s,
+            begins_within_ms=_rounded(choice.begins_within_ms),
         )
 
     # Requests that crash replicas.
@@ -336,6 +337,7 @@
             load_age_ms=_rounded(choice.load_age_ms),
             unread_tokens=choice.unread_tokens,
             limit_per_s=choice.limit_per_s,
+            begins_within_ms=_rounded(choice.begins_within_ms),
             place=choice.place.value,
             spent_ms=round(call.spent_ms),
             first_ms=round(tried.first_event_ms or 0.0),
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -192,7 +192,11 @@
         ends_ms = weights_gate.begins_until_ms(
             target, self._version_bound_ms, choice.view.weights(now_ms)
         )
-        return msgspec.structs.replace(choice, begins_until_ms=ends_ms)
+        return msgspec.structs.replace(
+            choice,
+            begins_until_ms=ends_ms,
+            begins_within_ms=ends_ms - now_ms,
+        )
 
     def _oldest_weights(
         self, service: fleet.Service, wait_ms: float, now_ms: clock.Millis
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 from typing import Protocol
 from typing import TypeAlias
@@ -81,6 +82,7 @@
         self._totals = totals
         self._clock = time
         self._answered_ms: float | None = None
+        self._asked_ms: float = float("-inf")
         self._failing = False
         self.reading = False
 
@@ -117,10 +119,20 @@
             return
         after = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
+        asked_ms = self._clock.now_ms()
         snapshot = await self._source.watch(after, WATCH_WAIT_MS)
         now_ms = self._answered()
         new = self._catalog.apply(_with_age(snapshot.changes, 0.0), now_ms)
         self._catalog.advance(snapshot.revision)
+        if new:
+            logs.log(
+                "store_changes",
+                revision=snapshot.revision,
+                items=len(new),
+                answer_ms=round(now_ms - asked_ms),
+                unseen_ms=_rounded(now_ms - self._asked_ms),
+            )
+        self._asked_ms = asked_ms
         if new:
             self._publish(after, new)
             await asyncio.sleep(BATCH_MS / clock.MILLIS_PER_SECOND)
@@ -128,6 +140,7 @@
     async def _read_all(self) -> None:
         before = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
+        self._asked_ms = self._clock.now_ms()
         snapshot = await self._source.read_all()
         answered_ms = self._answered_ms
         now_ms = self._answered()
@@ -170,6 +183,11 @@
         await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
 
 
+def _rounded(value_ms: float) -> int | None:
+    """Returns whole milliseconds for a log line, None for never."""
+    return round(value_ms) if math.isfinite(value_ms) else None
+
+
 def _with_age(
     changes: list[catalog.Change], age_ms: float
 ) -> list[catalog.Change]:
