--- /dev/null
+++ b/tests/direct/fleet/test_version_ages.py
@@ -0,0 +1,221 @@
+"""How old processes believe a named version to be, over slow ways."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import counters
+from marlramp.core import catalog
+from marlramp.core import fleet
+from marlramp.core import members
+from marlramp.direct.fleet import agent_guide
+from marlramp.direct.fleet import catalog_sync
+from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import named_weights
+from marlramp.direct.fleet import placement
+from marlramp.direct.fleet import store_reader
+from marlramp.protocol import fleet_messages
+from tests.direct.fleet import virtual_fleet
+
+TARGET = fleet.WeightsTarget(model="m", version=2)
+CONFIG = fleet.FleetConfig(
+    version=1,
+    routes=[],
+    services=[],
+    customers=None,
+    limits=fleet.CallerLimits(),
+)
+WAY_MS = 400.0
+
+
+class SlowStore:
+    """Names a version while its answer about a configuration is on its way."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        self._clock = time
+        self._watches = 0
+        self.acknowledged_ms: float | None = None
+
+    async def read_all(self) -> catalog.Snapshot:
+        return catalog.Snapshot(1, [])
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        self._watches += 1
+        if self._watches == 1:
+            await asyncio.sleep(0.05)
+            self.acknowledged_ms = self._clock.now_ms()
+            await asyncio.sleep(0.25)
+            return catalog.Snapshot(2, [catalog.ConfigChange(2, CONFIG)])
+        if self._watches == 2:
+            return catalog.Snapshot(3, [catalog.TargetChange(3, TARGET)])
+        await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
+        return catalog.Snapshot(after, [])
+
+
+def test_version_named_while_an_answer_is_on_its_way_counts_from_then() -> None:
+    time = clock.SystemClock()
+    source = SlowStore(time)
+    known = catalog.Catalog()
+
+    async def main() -> None:
+        reader = store_reader.StoreReader(
+            source,
+            known,
+            lambda: True,
+            lambda _after, _changes: None,
+            counters.Counters(),
+            time,
+        )
+        task = asyncio.create_task(reader.run())
+        async with asyncio.timeout(4):
+            while not known.targets:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(main())
+    named_ms = known.targets["m"].named_ms
+    assert named_ms is not None
+    assert source.acknowledged_ms is not None
+    assert named_ms <= source.acknowledged_ms
+
+
+class Member(member_sync.MemberSync):
+    """A member that keeps what it sends."""
+
+    def __init__(
+        self, name: str, data_centre: str, time: clock.Clock, *others: str
+    ) -> None:
+        super().__init__(
+            member(name, data_centre),
+            1,
+            [],
+            {data_centre},
+            virtual_fleet.Alone(),
+            time,
+            random.Random(1),
+        )
+        self.sent: list[tuple[str, msgspec.Struct]] = []
+        for other in others:
+            news = members.MemberNews(
+                member(other, data_centre), 1, members.MemberState.READY
+            )
+            self.roster.apply_direct(news, time.now_ms())
+
+    def send(self, vm_id: str, message: msgspec.Struct) -> bool:
+        self.sent.append((vm_id, message))
+        return True
+
+    def send_all(self, vm_ids: object, message: msgspec.Struct) -> None:
+        assert isinstance(vm_ids, list)
+        self.sent.extend((vm_id, message) for vm_id in vm_ids)
+
+    def take_news(self) -> fleet_messages.CatalogNews:
+        """Returns the last news sent, and forgets all."""
+        news = [
+            message
+            for _, message in self.sent
+            if isinstance(message, fleet_messages.CatalogNews)
+        ]
+        self.sent.clear()
+        return news[-1]
+
+
+def member(name: str, data_centre: str = "dc-1") -> members.Member:
+    return members.Member(
+        name, members.MemberKind.ENTRY, data_centre, "127.0.0.1", 1
+    )
+
+
+class Entry:
+    """An entry's catalog and how it tells others of it."""
+
+    def __init__(
+        self, name: str, time: clock.ManualClock, *others: str
+    ) -> None:
+        self.known = catalog.Catalog()
+        self.member = Member(name, "dc-1", time, *others)
+        self.sync = catalog_sync.CatalogSync(
+            self.known, self.member, lambda _: None, time
+        )
+
+    def named_ms(self) -> float:
+        named_ms = self.known.targets["m"].named_ms
+        assert named_ms is not None
+        return named_ms
+
+
+MakeEntry = Callable[..., Entry]
+
+
+@pytest.fixture
+def make_entry(time: clock.ManualClock) -> MakeEntry:
+    """Makes entries that know some others."""
+    return lambda name, *others: Entry(name, time, *others)
+
+
+def read_version(entry: Entry, time: clock.ManualClock) -> float:
+    """Has an entry read a version as it is named; returns when that was."""
+    change = catalog.TargetChange(3, TARGET, 0.0)
+    entry.known.apply([change], time.now_ms())
+    entry.known.advance(3)
+    entry.sync.publish(2, [change])
+    return time.now_ms()
+
+
+def test_news_of_a_version_get_older_on_their_way(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-2")
+    other = make_entry("entry-2")
+    acknowledged_ms = read_version(reader, time)
+    news = reader.member.take_news()
+    time.advance(WAY_MS)
+    other.sync.on_news("entry-1", news)
+    assert other.named_ms() <= acknowledged_ms
+
+
+def test_news_of_a_version_get_older_on_each_of_two_ways(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-2")
+    relay = make_entry("entry-2", "entry-3")
+    other = make_entry("entry-3")
+    acknowledged_ms = read_version(reader, time)
+    news = msgspec.structs.replace(reader.member.take_news(), pass_on=True)
+    time.advance(WAY_MS)
+    relay.sync.on_news("entry-1", news)
+    news = relay.member.take_news()
+    time.advance(WAY_MS)
+    other.sync.on_news("entry-2", news)
+    assert other.named_ms() <= acknowledged_ms
+
+
+def test_version_gets_older_on_the_way_to_an_agent(
+    time: clock.ManualClock,
+) -> None:
+    known = catalog.Catalog()
+    known.apply([catalog.ConfigChange(1, CONFIG)], time.now_ms())
+    known.apply([catalog.TargetChange(3, TARGET, 0.0)], time.now_ms())
+    acknowledged_ms = time.now_ms()
+    sync = Member("entry-1", "dc-1", time)
+    placed = placement.Placement({"dc-1": "north"}, sync, time)
+    guide = agent_guide.AgentGuide(known, placed, sync, time)
+    guide.tell("agent-1")
+    (message,) = [
+        message
+        for _, message in sync.sent
+        if isinstance(message, fleet_messages.Guide)
+    ]
+    time.advance(WAY_MS)
+    weights = named_weights.NamedWeights(lambda _: None, time)
+    weights.take_guide(message)
+    target = weights.target("m")
+    assert target is not None
+    assert target.named_ms is not None
+    assert target.named_ms <= acknowledged_ms
