--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -14,16 +14,14 @@
 
 from marlramp import clock
 from marlramp import ids
+from marlramp.core import event_time
 from marlramp.core import fleet
+from marlramp.core import named_versions
 
 REPLICA_RETURN_MS = 2_300.0
 """An entry that lapsed while the store was away is back within about 2 s of
 its return if the replica lives; what is missing after that is gone."""
 
-VERSIONS_KEPT = 4
-"""Versions named before the newest that are remembered; each binds within
-seconds."""
-
 TOMBSTONE_MS = 60_000.0
 """How long a removal is remembered, to outlive changes under way."""
 
@@ -41,13 +39,15 @@
     Attributes:
       revision: revision of the change.
       target: the weights.
-      age_ms: how long ago it was learnt, None if it was there at a first
-        read, so that its age is not known.
+      ages: how long ago they were named, None if they were there at a first
+        read, so that their age is not known.
+      outage_age_ms: see `named_versions.AgedVersion`.
     """
 
     revision: int
     target: fleet.WeightsTarget
-    age_ms: float | None = None
+    ages: event_time.Ages | None = None
+    outage_age_ms: float | None = None
 
 
 class ReplicaChange(msgspec.Struct, frozen=True, tag="replica"):
@@ -77,18 +77,6 @@
     changes: list[Change]
 
 
-class NamedVersion(msgspec.Struct, frozen=True):
-    """A version and when it was learnt that it was named.
-
-    Attributes:
-      version: the version.
-      named_ms: when it was learnt, None if it was there at a first read.
-    """
-
-    version: int
-    named_ms: float | None
-
-
 class KnownTarget(msgspec.Struct):
     """Weights to be served.
 
@@ -100,22 +88,27 @@
 
     target: fleet.WeightsTarget
     revision: int
-    named: list[NamedVersion]
+    named: list[named_versions.NamedVersion]
 
     @property
     def named_ms(self) -> float | None:
-        """When the newest version was learnt, None if that is not known."""
-        return self.named[-1].named_ms
+        """From when the newest version's time may count, None if not known."""
+        return self.named[-1].counts_from_ms
+
+    @property
+    def named_by_ms(self) -> float | None:
+        """By when the newest version was named, None if not known."""
+        return self.named[-1].named_by_ms
 
     def binds_first_ms(self, version: int) -> float | None:
-        """Returns when a version newer than `version` was first named.
+        """Returns from when the time of the next newer version may count.
 
         Returns:
-          None if that is not known, or there is no newer one.
+          None if that is not known, or there is no newer one than `version`.
         """
         for named in self.named:
             if named.version > version:
-                return named.named_ms
+                return named.counts_from_ms
         return None
 
 
@@ -148,7 +141,7 @@
         self.targets: dict[str, KnownTarget] = {}
         self._replicas: dict[str, KnownReplica] = {}
         self._store_trouble_ms = float("-inf")
-        self._store_down_ms = float("-inf")
+        self._outage = named_versions.Outage()
 
     @property
     def config_version(self) -> int:
@@ -193,8 +186,8 @@
         """Records that the store is not to be relied on now."""
         self._store_trouble_ms = now_ms
 
-    def store_down(self, bound_ms: float, now_ms: clock.Millis) -> None:
-        """Records that the store serves no entry now.
+    def store_down(self, bound_ms: float, sign_ms: float) -> None:
+        """Records a sign that the store serves no entry.
 
         The time within which a version must be in force counts only while
         the store serves, so that versions that don't bind yet start anew:
@@ -202,23 +195,78 @@
 
         Args:
           bound_ms: time after its naming from which a version binds.
-          now_ms: the time.
+          sign_ms: reading at which it still served none.
         """
-        self._store_down_ms = now_ms
+        self._outage.note(bound_ms, sign_ms)
         for known in self.targets.values():
-            known.named = [
-                NamedVersion(named.version, now_ms)
-                if named.named_ms is not None
-                and now_ms - named.named_ms < bound_ms
-                else named
-                for named in known.named
-            ]
+            known.named = [self._outage.applied(each) for each in known.named]
 
     def apply(
-        self, changes: Iterable[Change], now_ms: clock.Millis
+        self,
+        changes: Iterable[Change],
+        now_ms: clock.Millis,
+        told_after_ms: float | None = None,
     ) -> list[Change]:
-        """Takes changes in any order; returns those that were new."""
-        return [c for c in changes if self._apply_one(c, now_ms)]
+        """Takes changes in any order; returns those that were new.
+
+        Args:
+          changes: the changes.
+          now_ms: the time.
+          told_after_ms: reading after which another process told their ages,
+            None if they are as of now.
+        """
+        after_ms = now_ms if told_after_ms is None else told_after_ms
+        return [c for c in changes if self._apply_one(c, now_ms, after_ms)]
+
+    def aged_change(
+        self, change: TargetChange, now_ms: clock.Millis
+    ) -> TargetChange:
+        """Returns a change that was taken, with its ages as of now."""
+        known = self.targets[change.target.model]
+        for named in known.named:
+            if named.version == change.target.version:
+                aged = named.aged(change.target.model, now_ms)
+                return msgspec.structs.replace(
+                    change, ages=aged.ages, outage_age_ms=aged.outage_age_ms
+                )
+        return msgspec.structs.replace(change, ages=None, outage_age_ms=None)
+
+    def aged_versions(
+        self, now_ms: clock.Millis
+    ) -> list[named_versions.AgedVersion]:
+        """Returns the versions named of all models, to be told now."""
+        return [
+            named.aged(model, now_ms)
+            for model, known in self.targets.items()
+            for named in known.named
+        ]
+
+    def learn_ages(
+        self,
+        versions: Iterable[named_versions.AgedVersion],
+        told_after_ms: float,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Takes what another process knows of when versions were named.
+
+        Args:
+          versions: the versions; those newer than what is known here are left
+            to the news of them.
+          told_after_ms: reading after which that was told.
+          now_ms: the time.
+        """
+        for aged in versions:
+            known = self.targets.get(aged.model)
+            if known is None or aged.version > known.target.version:
+                continue
+            heard = self._heard(
+                aged.version,
+                aged.ages,
+                aged.outage_age_ms,
+                told_after_ms,
+                now_ms,
+            )
+            known.named = self._learnt(known.named, heard)
 
     def advance(self, revision: int) -> None:
         """Records that all changes up to `revision` were applied."""
@@ -253,12 +301,8 @@
             changes.append(ConfigChange(self.config_revision, self.config))
         for known in self.targets.values():
             if known.revision > revision:
-                age_ms = (
-                    None if known.named_ms is None else now_ms - known.named_ms
-                )
-                changes.append(
-                    TargetChange(known.revision, known.target, age_ms)
-                )
+                change = TargetChange(known.revision, known.target)
+                changes.append(self.aged_change(change, now_ms))
         for replica_id, item in self._replicas.items():
             if item.revision > revision:
                 changes.append(
@@ -291,12 +335,14 @@
                 del self._replicas[replica_id]
         return gone
 
-    def _apply_one(self, change: Change, now_ms: clock.Millis) -> bool:
+    def _apply_one(
+        self, change: Change, now_ms: clock.Millis, told_after_ms: float
+    ) -> bool:
         match change:
             case ConfigChange():
                 return self._apply_config(change)
             case TargetChange():
-                return self._apply_target(change, now_ms)
+                return self._apply_target(change, now_ms, told_after_ms)
             case ReplicaChange():
                 return self._apply_replica(change, now_ms)
 
@@ -309,50 +355,59 @@
         self.config_revision = change.revision
         return True
 
-    def _apply_target(self, change: TargetChange, now_ms: clock.Millis) -> bool:
-        known = self.targets.get(change.target.model)
+    def _apply_target(
+        self, change: TargetChange, now_ms: clock.Millis, told_after_ms: float
+    ) -> bool:
+        target = change.target
+        heard = self._heard(
+            target.version,
+            change.ages,
+            change.outage_age_ms,
+            told_after_ms,
+            now_ms,
+        )
+        known = self.targets.get(target.model)
         if known is not None and change.revision <= known.revision:
-            self._learn_age(change, known, now_ms)
+            if change.revision == known.revision:
+                known.named = self._learnt(known.named, heard)
             return False
-        named_ms = self._learnt_ms(change, now_ms)
-        named = [] if known is None else known.named[-VERSIONS_KEPT:]
-        self.targets[change.target.model] = KnownTarget(
-            change.target,
-            change.revision,
-            [*named, NamedVersion(change.target.version, named_ms)],
+        named = [] if known is None else known.named
+        self.targets[target.model] = KnownTarget(
+            target, change.revision, self._learnt(named, heard)
         )
         return True
 
-    def _learnt_ms(
-        self, change: TargetChange, now_ms: clock.Millis
-    ) -> float | None:
-        """Returns from when a named version counts, None if unknown.
+    def _heard(
+        self,
+        version: int,
+        ages: event_time.Ages | None,
+        outage_age_ms: float | None,
+        told_after_ms: float,
+        now_ms: clock.Millis,
+    ) -> named_versions.NamedVersion:
+        """Returns a version that was heard of, as it counts here.
 
         A process that knew the store before it went down counts a version of
-        unknown age from the end of that outage, since the time to bring it
-        into force counts only while the store serves.
+        unknown age from the end of that outage.
         """
-        if change.age_ms is not None:
-            return max(now_ms - change.age_ms, self._store_down_ms)
+        named = None
+        if ages is not None:
+            named = event_time.told(ages, told_after_ms, now_ms)
+        outage_ms = None
+        if outage_age_ms is not None:
+            outage_ms = told_after_ms - outage_age_ms
         knew_before = self.config is not None or bool(self.targets)
-        if knew_before and self._store_down_ms > float("-inf"):
-            return self._store_down_ms
-        return None
-
-    def _learn_age(
-        self, change: TargetChange, known: KnownTarget, now_ms: clock.Millis
-    ) -> None:
-        """Takes the age of a version from a process that knows it.
-
-        A process that has just started finds versions in the store without an
-        age; without the word of the others it would let them bind at once and
-        leave every engine that still holds the version before.
-        """
-        newest = known.named[-1]
-        same = change.revision == known.revision
-        if same and newest.named_ms is None and change.age_ms is not None:
-            named_ms = max(now_ms - change.age_ms, self._store_down_ms)
-            known.named[-1] = NamedVersion(newest.version, named_ms)
+        if named is None and knew_before and self._outage.known:
+            outage_ms = self._outage.last_ms
+        return named_versions.NamedVersion(version, named, outage_ms)
+
+    def _learnt(
+        self,
+        versions: list[named_versions.NamedVersion],
+        heard: named_versions.NamedVersion,
+    ) -> list[named_versions.NamedVersion]:
+        merged = named_versions.learn(versions, heard)
+        return [self._outage.applied(each) for each in merged]
 
     def _apply_replica(
         self, change: ReplicaChange, now_ms: clock.Millis
--- /dev/null
+++ b/src/marlramp/core/named_versions.py
@@ -0,0 +1,164 @@
+"""The versions of one model's weights that were named, and since when.
+
+Each version binds by itself, some time after it was named. That time counts
+only while the platform's store serves, so it counts anew after an outage.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import clock
+from marlramp.core import event_time
+
+VERSIONS_KEPT = 5
+"""Versions that are remembered, the newest ones; each binds within seconds."""
+
+OUTAGE_GAP_MS = 3_000.0
+"""Signs of an outage that are further apart are of two outages."""
+
+
+class AgedVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A version and its age, as one process tells another.
+
+    Attributes:
+      model: the model.
+      version: the version.
+      ages: how long ago it was named, None if that is not known.
+      outage_age_ms: how long ago the outage was after which its time counted
+        anew, None if there was none.
+    """
+
+    model: str
+    version: int
+    ages: event_time.Ages | None
+    outage_age_ms: float | None = None
+
+
+class NamedVersion(msgspec.Struct, frozen=True):
+    """A version and when it was named.
+
+    Attributes:
+      version: the version.
+      named: when it was named, None if it was there at a first read.
+      outage_ms: when the store was last down before it bound, None if it was
+        not.
+    """
+
+    version: int
+    named: event_time.EventTime | None
+    outage_ms: float | None = None
+
+    @property
+    def counts_from_ms(self) -> float | None:
+        """The earliest reading from which its time may count.
+
+        None if nothing is known of it.
+        """
+        if self.named is None:
+            return self.outage_ms
+        if self.outage_ms is None:
+            return self.named.earliest_ms
+        return max(self.named.earliest_ms, self.outage_ms)
+
+    @property
+    def named_by_ms(self) -> float | None:
+        """The latest reading at which it was named, None if not known."""
+        return self.outage_ms if self.named is None else self.named.latest_ms
+
+    def aged(self, model: str, now_ms: clock.Millis) -> AgedVersion:
+        """Returns the same as ages, to be told now."""
+        outage_age_ms = None
+        if self.outage_ms is not None:
+            outage_age_ms = now_ms - self.outage_ms
+        ages = None if self.named is None else self.named.ages(now_ms)
+        return AgedVersion(model, self.version, ages, outage_age_ms)
+
+    def is_in_doubt(
+        self, bound_ms: float, doubt_ms: float, now_ms: clock.Millis
+    ) -> bool:
+        """Returns whether it matters to know better when it was named.
+
+        Args:
+          bound_ms: time after its naming from which it binds.
+          doubt_ms: doubt that does not matter.
+          now_ms: the time.
+        """
+        if self.named is None:
+            return True
+        if now_ms >= self.named.latest_ms + bound_ms:
+            return False
+        return self.named.doubt_ms > doubt_ms
+
+
+class Outage(msgspec.Struct):
+    """The last time that the store served no entry, as far as is known.
+
+    Attributes:
+      began_ms: the first sign of it, minus infinity if there was none.
+      last_ms: the last sign of it.
+      bound_ms: time after its naming from which a version binds.
+    """
+
+    began_ms: float = float("-inf")
+    last_ms: float = float("-inf")
+    bound_ms: float = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Whether there was one."""
+        return self.last_ms > float("-inf")
+
+    def note(self, bound_ms: float, sign_ms: float) -> None:
+        """Takes a reading at which the store still served none."""
+        if sign_ms - self.last_ms > OUTAGE_GAP_MS:
+            self.began_ms = sign_ms
+        self.last_ms = max(self.last_ms, sign_ms)
+        self.bound_ms = bound_ms
+
+    def applied(self, version: NamedVersion) -> NamedVersion:
+        """Returns a version whose time counts anew, if it did not bind yet."""
+        counts_from_ms = version.counts_from_ms
+        if counts_from_ms is None or not self.known:
+            return version
+        if counts_from_ms + self.bound_ms <= self.began_ms:
+            return version
+        outage_ms = self.last_ms
+        if version.outage_ms is not None:
+            outage_ms = max(outage_ms, version.outage_ms)
+        return NamedVersion(version.version, version.named, outage_ms)
+
+
+def learn(
+    versions: list[NamedVersion], heard: NamedVersion
+) -> list[NamedVersion]:
+    """Returns named versions, the oldest first, with one that was heard of.
+
+    An outage that another process noticed counts for a version only if
+    its age was not known here.
+
+    Args:
+      versions: those that are known.
+      heard: the one heard of.
+    """
+    merged = []
+    is_known = False
+    for known in versions:
+        if known.version == heard.version:
+            is_known = True
+            merged.append(_merged(known, heard))
+        else:
+            merged.append(known)
+    if not is_known:
+        merged.append(heard)
+    merged.sort(key=lambda each: each.version)
+    return merged[-VERSIONS_KEPT:]
+
+
+def _merged(known: NamedVersion, heard: NamedVersion) -> NamedVersion:
+    if heard.named is None:
+        return known
+    if known.named is None:
+        return heard
+    named = known.named.narrowed(heard.named)
+    return NamedVersion(known.version, named, known.outage_ms)
--- a/src/marlramp/core/reader_duty.py
+++ b/src/marlramp/core/reader_duty.py
@@ -22,6 +22,10 @@
 BEACON_MS = 400.0
 """Between two signs of an entry that watches the store."""
 
+STANDBYS = 2
+"""Entries next in order that ask the readers what the store holds, so that they
+know how old a change may be when they stand in."""
+
 READER_HEARD_MS = 1_100.0
 READER_STORE_AGE_MS = 2_200.0
 """A reader counts as working if it was heard this lately and the store
@@ -127,6 +131,22 @@
             self._stands_in = silent_ms >= wait_ms
         return self._stands_in
 
+    def watched_readers(self, others: Mapping[str, str]) -> list[str]:
+        """Returns the readers that this entry is to ask, as it may stand in.
+
+        Args:
+          others: data centre of each other entry that is there and stays.
+        """
+        ordered = self._order(others)
+        rank = ordered.index(self._own)
+        if READERS <= rank < READERS + STANDBYS:
+            return ordered[:READERS]
+        return []
+
+    def working(self, now_ms: clock.Millis) -> list[str]:
+        """Returns the other entries that watch the store and are served."""
+        return [each for each in self._beacons if self._works(each, now_ms)]
+
     def store_serves_none(
         self, others: Collection[str], now_ms: clock.Millis
     ) -> bool:
--- a/src/marlramp/core/weights_gate.py
+++ b/src/marlramp/core/weights_gate.py
@@ -42,10 +42,11 @@
     """
     oldest = 1
     for named in target.named:
-        if named.named_ms is None:
+        counts_from_ms = named.counts_from_ms
+        if counts_from_ms is None:
             leave_ms = started_ms + FIRST_READ_GRACE_MS
         else:
-            leave_ms = named.named_ms + bound_ms - wait_ms
+            leave_ms = counts_from_ms + bound_ms - wait_ms
         if now_ms >= leave_ms:
             oldest = max(oldest, named.version)
     return oldest
@@ -66,6 +67,7 @@
     """
     ends_ms = float("inf")
     for named in target.named:
-        if named.version > version and named.named_ms is not None:
-            ends_ms = min(ends_ms, named.named_ms + bound_ms)
+        counts_from_ms = named.counts_from_ms
+        if named.version > version and counts_from_ms is not None:
+            ends_ms = min(ends_ms, counts_from_ms + bound_ms)
     return ends_ms - LEAVE_MARGIN_MS
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -24,6 +24,7 @@
 from marlramp.direct.fleet import crash_keeper
 from marlramp.direct.fleet import entry_contacts
 from marlramp.direct.fleet import named_weights
+from marlramp.direct.fleet import version_ages
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.direct.weights import weights_loader
@@ -200,6 +201,12 @@
             self._totals,
         )
         self._contacts.attach(self._entry_links)
+        self._ages = version_ages.VersionAges(
+            self._weights.catalog,
+            self._entry_links.send,
+            self._guide_to_ask,
+            self._clock,
+        )
         self._crashes = crash_keeper.CrashKeeper(
             self._contacts,
             self._entry_links.send,
@@ -301,11 +308,11 @@
         return age_ms is not None and age_ms < NEW_VERSION_MS
 
     def age_ms(self, wanted: version_digests.Wanted) -> float | None:
-        """Returns the time since a version was named, None if not known."""
+        """Returns the least time since a version was named, None if unknown."""
         target = self._weights.target(wanted.model)
-        if target is None or target.named_ms is None:
+        if target is None or target.named_by_ms is None:
             return None
-        return self._clock.now_ms() - target.named_ms
+        return self._clock.now_ms() - target.named_by_ms
 
     def limit_ms(self) -> float | None:
         """Returns the least time in which a version can be loaded here."""
@@ -326,8 +333,15 @@
         if isinstance(message, fleet_messages.FromAgentPeer):
             self._exchange.on_message(name, message)
         if isinstance(message, fleet_messages.Guide):
-            self._weights.take_guide(message)
+            if self._weights.take_guide(message):
+                self._ages.note_news(name)
             self._may_cut = message.streams_resume
+        if isinstance(message, fleet_messages.VersionAges):
+            self._ages.on_answer(name, message)
+
+    def _guide_to_ask(self) -> list[str]:
+        guides = self._contacts.guides
+        return [random.choice(guides)] if guides else []
 
     def _take_origin(self, origin: str) -> None:
         self._exchange.set_origin(replica_api.OriginApi(self._caller, origin))
@@ -425,6 +439,7 @@
 
     def _tick(self) -> None:
         self._contacts.tick()
+        self._ages.tick(self._settings.bounds.version_ms)
         self._crashes.tick()
         self._entry_links.close_idle()
 
--- a/src/marlramp/direct/fleet/catalog_log.py
+++ b/src/marlramp/direct/fleet/catalog_log.py
@@ -2,12 +2,27 @@
 
 from __future__ import annotations
 
+import math
+
+from marlramp import clock
 from marlramp import logs
 from marlramp.core import catalog
 
 
-def log_change(change: catalog.Change, source: str) -> None:
-    """Logs one change and where it was heard."""
+def log_change(
+    change: catalog.Change,
+    source: str,
+    known: catalog.Catalog,
+    now_ms: clock.Millis,
+) -> None:
+    """Logs one change.
+
+    Args:
+      change: the change, taken into `known`.
+      source: where it was heard.
+      known: the catalog.
+      now_ms: the time.
+    """
     match change:
         case catalog.ConfigChange():
             logs.log(
@@ -17,12 +32,12 @@
                 source=source,
             )
         case catalog.TargetChange():
-            logs.log(
+            log_version(
                 "weights_named",
-                model=change.target.model,
-                version=change.target.version,
+                known.targets[change.target.model],
+                change.target.version,
+                now_ms,
                 revision=change.revision,
-                age_ms=change.age_ms,
                 source=source,
             )
         case catalog.ReplicaChange():
@@ -37,6 +52,44 @@
             )
 
 
+def log_version(
+    event: str,
+    known: catalog.KnownTarget,
+    version: int,
+    now_ms: clock.Millis,
+    **more: object,
+) -> None:
+    """Logs what is known now of when a version was named.
+
+    Args:
+      event: name of the line.
+      known: the versions of its model.
+      version: the version.
+      now_ms: the time.
+      more: further fields of the line.
+    """
+    named = next(each for each in known.named if each.version == version)
+    aged = named.aged(known.target.model, now_ms)
+    logs.log(
+        event,
+        model=aged.model,
+        version=version,
+        least_age_ms=None
+        if aged.ages is None
+        else _rounded(aged.ages.least_ms),
+        most_age_ms=None if aged.ages is None else _rounded(aged.ages.most_ms),
+        outage_age_ms=_rounded(aged.outage_age_ms),
+        **more,
+    )
+
+
+def _rounded(value_ms: float | None) -> int | None:
+    """Returns whole milliseconds for a log line, None if unknown."""
+    if value_ms is None or math.isinf(value_ms):
+        return None
+    return round(value_ms)
+
+
 def _state_of(change: catalog.ReplicaChange) -> str:
     if change.replica is not None:
         return change.replica.state.value
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -14,6 +14,7 @@
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import catalog_news
 from marlramp.direct.fleet import member_sync
+from marlramp.direct.fleet import version_ages
 from marlramp.protocol import fleet_messages
 
 REQUEST_NEWS_MS = 500.0
@@ -37,6 +38,7 @@
         sync: member_sync.MemberSync,
         on_changed: Callable[[list[catalog.Change]], None],
         time: clock.Clock,
+        on_named: Callable[[str], None] = lambda _: None,
     ) -> None:
         """Applies what others tell to `known`.
 
@@ -45,10 +47,12 @@
           sync: the other members.
           on_changed: called with changes that were new.
           time: the clock.
+          on_named: called with the entry that told of a version.
         """
         self._catalog = known
         self._sync = sync
         self._on_changed = on_changed
+        self._on_named = on_named
         self._clock = time
         self._requested_ms = float("-inf")
         self._store_down = False
@@ -61,7 +65,7 @@
           changes: the changes, already in the catalog.
         """
         self._take(changes, "store")
-        news = self._news(after, changes)
+        news = self._news(after, self._aged(changes))
         self._sync.send_all(self._near_entries(), news)
         onward = msgspec.structs.replace(news, pass_on=True)
         self._sync.send_all(self._relays(), onward)
@@ -75,7 +79,9 @@
         """Takes changes that another entry tells."""
         now_ms = self._clock.now_ms()
         before = self._catalog.revision
-        new = self._catalog.apply(catalog_news.unpack(news.changes), now_ms)
+        changes = catalog_news.unpack(news.changes)
+        told_after_ms = now_ms - version_ages.WAY_MAX_MS
+        new = self._catalog.apply(changes, now_ms, told_after_ms)
         if news.after <= before:
             self._catalog.advance(news.revision)
         else:
@@ -83,23 +89,30 @@
         if new:
             self._take(new, name)
             if news.pass_on:
-                onward = msgspec.structs.replace(news, pass_on=False)
+                packed = catalog_news.pack(self._aged(changes))
+                onward = msgspec.structs.replace(
+                    news, changes=packed, pass_on=False
+                )
                 self._sync.send_all(self._near_entries(), onward)
+            if any(isinstance(c, catalog.TargetChange) for c in new):
+                self._on_named(name)
 
     def tell(self, name: str, after: int) -> None:
         """Tells an entry what changed after a revision."""
         changes = self._catalog.changes_after(after, self._clock.now_ms())
         self._sync.send(name, self._news(after, changes))
 
-    def note_store(self, bound_ms: float, *, down: bool) -> None:
+    def note_store(self, bound_ms: float, silent_ms: float | None) -> None:
         """Notices a store that serves no entry.
 
         Args:
           bound_ms: time after its naming from which a version binds.
-          down: whether the store seems to serve none.
+          silent_ms: when the last call was sent that it gave no answer to,
+            None if it serves one.
         """
-        if down:
-            self._catalog.store_down(bound_ms, self._clock.now_ms())
+        down = silent_ms is not None
+        if silent_ms is not None:
+            self._catalog.store_down(bound_ms, silent_ms)
         if down is not self._store_down:
             self._store_down = down
             logs.log("store_serves_none" if down else "store_serves")
@@ -126,9 +139,21 @@
 
     def _take(self, changes: list[catalog.Change], source: str) -> None:
         for change in changes:
-            catalog_log.log_change(change, source)
+            catalog_log.log_change(
+                change, source, self._catalog, self._clock.now_ms()
+            )
         self._on_changed(changes)
 
+    def _aged(self, changes: list[catalog.Change]) -> list[catalog.Change]:
+        """Returns changes in which named weights have their ages as of now."""
+        now_ms = self._clock.now_ms()
+        return [
+            self._catalog.aged_change(change, now_ms)
+            if isinstance(change, catalog.TargetChange)
+            else change
+            for change in changes
+        ]
+
     def _request_news(self, name: str) -> None:
         now_ms = self._clock.now_ms()
         first = self._catalog.revision == 0
--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -104,6 +104,11 @@
         horizon_ms = self._clock.now_ms() - members.ALIVE_TO_AGENT_MS
         return any(view.heard_ms >= horizon_ms for view in self._views.values())
 
+    @property
+    def guides(self) -> list[str]:
+        """The entries that told this agent something lately."""
+        return list(self._views)
+
     def broadcast(
         self,
         message: msgspec.Struct,
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 import random
 from typing import TypeAlias
 
+import msgspec
+
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
@@ -25,11 +28,15 @@
 from marlramp.direct.fleet import placement
 from marlramp.direct.fleet import relay_surroundings
 from marlramp.direct.fleet import store_reader
+from marlramp.direct.fleet import version_ages
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
 
+STANDBY_ASK_MS = 500.0
+"""Between two questions of an entry that may stand in for a reader."""
+
 OnChanges: TypeAlias = Callable[[list[catalog.Change]], None]
 OnGone: TypeAlias = Callable[[list[str]], None]
 OnCell: TypeAlias = Callable[[list[str]], None]
@@ -98,8 +105,13 @@
             time,
             random.Random(),
         )
+        self._ages = version_ages.VersionAges(
+            known, self.sync.send, self._age_peers, time
+        )
+        self._standby_asked_ms = float("-inf")
+        self._rng = random.Random()
         self._catalog_sync = catalog_sync.CatalogSync(
-            known, self.sync, self._changed, time
+            known, self.sync, self._changed, time, self._ages.note_news
         )
         self._placed = placement.Placement(settings.regions, self.sync, time)
         self._crash_sync = crash_sync.CrashSync(
@@ -224,6 +236,55 @@
             self._origin = address
             self._relay.set_origin(self._make_origin(address))
 
+    # When versions were named.
+
+    def _age_peers(self) -> list[str]:
+        """Returns an entry to ask when versions were named.
+
+        The readers ask each other: what both know bounds it better than what
+        one of them does.
+        """
+        now_ms = self._clock.now_ms()
+        names = self._duty.working(now_ms)
+        reading = self._reader is not None and self._reader.reading
+        if not reading or not names:
+            alive = self.sync.alive(members.MemberKind.ENTRY)
+            near = [entry.vm_id for entry in alive if self.sync.is_near(entry)]
+            names = near or [entry.vm_id for entry in alive]
+        return [self._rng.choice(names)] if names else []
+
+    def _answer_ages(
+        self, name: str, request: fleet_messages.VersionAgesRequest
+    ) -> None:
+        answer = self._ages.answer_to(request)
+        reader = self._reader
+        if reader is not None and not math.isinf(reader.complete.at_ms):
+            answer = msgspec.structs.replace(
+                answer,
+                complete_revision=reader.complete.revision,
+                complete_age_ms=self._clock.now_ms() - reader.complete.at_ms,
+            )
+        self.sync.send(name, answer)
+
+    def _take_ages(self, name: str, answer: fleet_messages.VersionAges) -> None:
+        asked_ms = self._ages.on_answer(name, answer)
+        age_ms = answer.complete_age_ms
+        if asked_ms is None or age_ms is None or self._reader is None:
+            return
+        complete = store_reader.Complete(
+            answer.complete_revision, asked_ms - age_ms
+        )
+        self._reader.note_complete(complete)
+
+    def _ask_readers(self) -> None:
+        """Asks what the store holds, if this entry may have to stand in."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._standby_asked_ms < STANDBY_ASK_MS:
+            return
+        self._standby_asked_ms = now_ms
+        for name in self._duty.watched_readers(self._staying()):
+            self._ages.ask(name)
+
     # Messages.
 
     def on_message(self, name: str, message: fleet_messages.FromMember) -> None:
@@ -247,6 +308,10 @@
                 self._catalog_sync.on_news(name, message)
             case fleet_messages.CatalogRequest():
                 self._catalog_sync.tell(name, message.after)
+            case fleet_messages.VersionAgesRequest():
+                self._answer_ages(name, message)
+            case fleet_messages.VersionAges():
+                self._take_ages(name, message)
             case fleet_messages.CrashNews():
                 self._crash_sync.on_news(message)
             case fleet_messages.CrashRequest():
@@ -326,6 +391,8 @@
         """Does what is due."""
         self.sync.tick()
         self._note_store()
+        self._ages.tick(self._version_bound_ms)
+        self._ask_readers()
         divided = self._placed.refresh()
         if divided:
             self._on_cell(self._placed.cell_hosts())
@@ -336,12 +403,14 @@
         self._send_beacon()
 
     def _note_store(self) -> None:
-        down = False
-        if self._reader is not None and self._reader.failing:
+        silent_ms = None if self._reader is None else self._reader.silent_ms
+        if silent_ms is not None:
             alive = self.sync.alive(members.MemberKind.ENTRY)
             others = {member.vm_id for member in alive}
-            down = self._duty.store_serves_none(others, self._clock.now_ms())
-        self._catalog_sync.note_store(self._version_bound_ms, down=down)
+            now_ms = self._clock.now_ms()
+            if not self._duty.store_serves_none(others, now_ms):
+                silent_ms = None
+        self._catalog_sync.note_store(self._version_bound_ms, silent_ms)
 
     def _send_beacon(self) -> None:
         """Tells all entries that this one watches the store, if it does.
--- a/src/marlramp/direct/fleet/named_weights.py
+++ b/src/marlramp/direct/fleet/named_weights.py
@@ -13,6 +13,7 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.direct.fleet import catalog_log
+from marlramp.direct.fleet import version_ages
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 from marlramp.protocol import fleet_messages
@@ -49,6 +50,7 @@
     Attributes:
       model: the model, "" if it is not known.
       engine: how the engine works, None if it is not known.
+      catalog: what is known of the store.
     """
 
     def __init__(
@@ -57,7 +59,7 @@
         """Knows nothing yet; `on_origin` takes each new origin's address."""
         self._on_origin = on_origin
         self._clock = time
-        self._catalog = catalog.Catalog()
+        self.catalog = catalog.Catalog()
         self._origin = ""
         self.model = ""
         self.engine: fleet.EngineSpec | None = None
@@ -74,13 +76,15 @@
 
     def target(self, model: str) -> catalog.KnownTarget | None:
         """Returns what was named of a model, None if nothing was."""
-        return self._catalog.targets.get(model)
+        return self.catalog.targets.get(model)
 
-    def take_guide(self, guide: fleet_messages.Guide) -> None:
-        """Takes what an entry tells."""
-        self._apply(list(guide.targets), "guide")
+    def take_guide(self, guide: fleet_messages.Guide) -> bool:
+        """Takes what an entry tells; returns whether a version is new."""
+        told_after_ms = self._clock.now_ms() - version_ages.WAY_MAX_MS
+        is_new = self._apply(list(guide.targets), "guide", told_after_ms)
         self._take_origin(guide.origin)
         self._take_engine(guide.engine)
+        return is_new
 
     async def learn_unguided(
         self, store: StaleSource, is_guided: Callable[[], bool]
@@ -113,27 +117,39 @@
 
         Of several models the one of this VM's engine is known to guides alone.
         """
-        if not self.model and len(self._catalog.targets) == 1:
-            (self.model,) = self._catalog.targets
+        if not self.model and len(self.catalog.targets) == 1:
+            (self.model,) = self.catalog.targets
 
     def _learn_from_config(self) -> None:
-        config = self._catalog.config
+        config = self.catalog.config
         if config is None:
             return
         for service in config.services:
             self._take_origin(service.origin)
             self._take_engine(service.engine)
 
-    def _apply(self, changes: list[catalog.Change], source: str) -> None:
+    def _apply(
+        self,
+        changes: list[catalog.Change],
+        source: str,
+        told_after_ms: float | None = None,
+    ) -> bool:
         """Takes named weights, and what the store holds besides.
 
         Args:
           changes: what was told or read.
           source: who told it, for the log.
+          told_after_ms: reading after which it was told, None if it was read.
+
+        Returns:
+          Whether a version is new.
         """
-        for change in self._catalog.apply(changes, self._clock.now_ms()):
-            if isinstance(change, catalog.TargetChange):
-                catalog_log.log_change(change, source)
+        now_ms = self._clock.now_ms()
+        new = self.catalog.apply(changes, now_ms, told_after_ms)
+        named = [c for c in new if isinstance(c, catalog.TargetChange)]
+        for change in named:
+            catalog_log.log_change(change, source, self.catalog, now_ms)
+        return bool(named)
 
     def _take_engine(self, engine: fleet.EngineSpec | None) -> None:
         if engine is not None:
--- a/src/marlramp/direct/fleet/relay_surroundings.py
+++ b/src/marlramp/direct/fleet/relay_surroundings.py
@@ -86,13 +86,14 @@
         return 1 if service is None else service.connections_max
 
     def age_ms(self, wanted: version_digests.Wanted) -> float | None:
-        """Returns the time since a version was named, None if not known."""
+        """Returns the least time since a version was named, None if unknown."""
         target = self._catalog.targets.get(wanted.model)
         if target is None:
             return None
         for named in target.named:
-            if named.version == wanted.version and named.named_ms is not None:
-                return self._clock.now_ms() - named.named_ms
+            named_by_ms = named.named_by_ms
+            if named.version == wanted.version and named_by_ms is not None:
+                return self._clock.now_ms() - named_by_ms
         return None
 
     def send_piece_message(self, name: str, message: msgspec.Struct) -> bool:
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -9,6 +9,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import math
 import random
 from typing import Protocol
@@ -20,6 +22,7 @@
 from marlramp import counters
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.platform import clients
 from marlramp.platform import store
 
@@ -27,6 +30,12 @@
 """A watch is answered at least this often, which shows that the store and the
 way to it work."""
 
+FIRST_WAIT_MS = 1.0
+"""Wait of the first watch of a process that did not read for a while."""
+
+PAUSED_MS = 2.0 * WATCH_WAIT_MS
+"""A process that got no answer of the store for this long did not read."""
+
 BATCH_MS = 60.0
 """Pause between two watches, so that changes in a row cost one call."""
 
@@ -53,6 +62,27 @@
 Publish: TypeAlias = Callable[[int, list[catalog.Change]], None]
 
 
+class Complete(msgspec.Struct, frozen=True):
+    """What is known to have been all that the store held, and when.
+
+    Attributes:
+      revision: revision of the last change.
+      at_ms: reading at which the store had no later one, minus infinity if
+        that is not known. It is early by the way of the last answer: that was
+        made after its question had been sent.
+    """
+
+    revision: int
+    at_ms: float
+
+    def lacked_ms(self, revision: int) -> float:
+        """Returns when the store lacked a change, minus infinity if unknown."""
+        return self.at_ms if revision > self.revision else float("-inf")
+
+
+_NEVER = Complete(0, float("-inf"))
+
+
 class StoreReader:
     """Reads the store while it is this process's turn."""
 
@@ -82,8 +112,10 @@
         self._totals = totals
         self._clock = time
         self._answered_ms: float | None = None
-        self._asked_ms: float = float("-inf")
         self._failing = False
+        self._silent_ms: float | None = None
+        self._complete = _NEVER
+        self._heard_complete = _NEVER
         self.reading = False
 
     @property
@@ -98,6 +130,26 @@
         """Whether the last call failed."""
         return self._failing
 
+    @property
+    def complete(self) -> Complete:
+        """The latest that is known of what the store held in all."""
+        return max(
+            self._complete, self._heard_complete, key=lambda each: each.at_ms
+        )
+
+    def note_complete(self, complete: Complete) -> None:
+        """Takes what another reader knows to have been all."""
+        if complete.at_ms > self._heard_complete.at_ms:
+            self._heard_complete = complete
+
+    @property
+    def silent_ms(self) -> float | None:
+        """When the last call was sent that the store gave no answer to.
+
+        None if it has answered since.
+        """
+        return self._silent_ms
+
     async def run(self) -> None:
         """Reads for ever, as long as it is this process's turn."""
         while True:
@@ -120,19 +172,19 @@
         after = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
         asked_ms = self._clock.now_ms()
-        snapshot = await self._source.watch(after, WATCH_WAIT_MS)
+        # After a pause of reading an answer at once shows what the store holds.
+        paused = asked_ms - self._complete.at_ms > PAUSED_MS
+        wait_ms = FIRST_WAIT_MS if paused else WATCH_WAIT_MS
+        with self._asking(asked_ms):
+            snapshot = await self._source.watch(after, wait_ms)
         now_ms = self._answered()
-        new = self._catalog.apply(_with_age(snapshot.changes, 0.0), now_ms)
+        new = self._catalog.apply(self._aged(snapshot, now_ms), now_ms)
         self._catalog.advance(snapshot.revision)
         if new:
-            logs.log(
-                "store_changes",
-                revision=snapshot.revision,
-                items=len(new),
-                answer_ms=round(now_ms - asked_ms),
-                unseen_ms=_rounded(now_ms - self._asked_ms),
-            )
-        self._asked_ms = asked_ms
+            self._log_changes(snapshot, asked_ms, now_ms)
+        self._complete = _complete_after_watch(
+            snapshot, after, asked_ms, wait_ms, now_ms
+        )
         if new:
             self._publish(after, new)
             await asyncio.sleep(BATCH_MS / clock.MILLIS_PER_SECOND)
@@ -140,22 +192,19 @@
     async def _read_all(self) -> None:
         before = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
-        self._asked_ms = self._clock.now_ms()
-        snapshot = await self._source.read_all()
-        answered_ms = self._answered_ms
+        asked_ms = self._clock.now_ms()
+        with self._asking(asked_ms):
+            snapshot = await self._source.read_all()
         now_ms = self._answered()
-        if answered_ms is not None:
-            # What is new was named after the answer before, at the earliest.
-            age_ms = now_ms - answered_ms
-            changes = _with_age(snapshot.changes, age_ms)
-            snapshot = msgspec.structs.replace(snapshot, changes=changes)
         logs.log(
             "store_read",
             revision=snapshot.revision,
             items=len(snapshot.changes),
             known_revision=before,
         )
-        new = self._catalog.take_snapshot(snapshot, now_ms)
+        aged = catalog.Snapshot(snapshot.revision, self._aged(snapshot, now_ms))
+        new = self._catalog.take_snapshot(aged, now_ms)
+        self._complete = Complete(snapshot.revision, asked_ms)
         if new:
             self._publish(before, new)
 
@@ -169,10 +218,68 @@
         now_ms = self._clock.now_ms()
         if self._failing or self._answered_ms is None:
             logs.log("store_reached", revision=self._catalog.revision)
+        if self._failing:
+            # The store came back after the last call that failed.
+            self._catalog.store_failed(now_ms)
         self._failing = False
+        self._silent_ms = None
         self._answered_ms = now_ms
         return now_ms
 
+    def _aged(
+        self, snapshot: catalog.Snapshot, now_ms: clock.Millis
+    ) -> list[catalog.Change]:
+        """Returns the changes read, named weights with their ages."""
+        return [
+            msgspec.structs.replace(change, ages=self._ages(change, now_ms))
+            if isinstance(change, catalog.TargetChange)
+            else change
+            for change in snapshot.changes
+        ]
+
+    def _ages(
+        self, change: catalog.TargetChange, now_ms: clock.Millis
+    ) -> event_time.Ages | None:
+        """Returns the ages of a change read now, None if they are unknown."""
+        lacked_ms = max(
+            self._complete.lacked_ms(change.revision),
+            self._heard_complete.lacked_ms(change.revision),
+        )
+        if math.isinf(lacked_ms):
+            return None
+        return event_time.Ages(0.0, now_ms - lacked_ms)
+
+    def _log_changes(
+        self,
+        snapshot: catalog.Snapshot,
+        asked_ms: clock.Millis,
+        now_ms: clock.Millis,
+    ) -> None:
+        unseen_ms = None
+        if not math.isinf(self.complete.at_ms):
+            unseen_ms = round(now_ms - self.complete.at_ms)
+        logs.log(
+            "store_changes",
+            revision=snapshot.revision,
+            items=len(snapshot.changes),
+            answer_ms=round(now_ms - asked_ms),
+            unseen_ms=unseen_ms,
+        )
+
+    @contextlib.contextmanager
+    def _asking(self, asked_ms: clock.Millis) -> Iterator[None]:
+        """Notes a call that is not answered as a sign of an outage.
+
+        It shows how the store was when it was sent; one that is answered in
+        part shows a link that is full.
+        """
+        try:
+            yield
+        except clients.PlatformError as error:
+            if not error.answering:
+                self._silent_ms = asked_ms
+            raise
+
     async def _wait_after(self, error: clients.PlatformError) -> None:
         if not self._failing:
             logs.log("store_lost", detail=error)
@@ -183,18 +290,19 @@
         await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
 
 
-def _rounded(value_ms: float) -> int | None:
-    """Returns whole milliseconds for a log line, None for never."""
-    return round(value_ms) if math.isfinite(value_ms) else None
-
+def _complete_after_watch(
+    snapshot: catalog.Snapshot,
+    after: int,
+    asked_ms: float,
+    wait_ms: float,
+    now_ms: float,
+) -> Complete:
+    """Returns what an answer of a watch shows.
 
-def _with_age(
-    changes: list[catalog.Change], age_ms: float
-) -> list[catalog.Change]:
-    """Returns changes in which named weights have an age."""
-    return [
-        msgspec.structs.replace(change, age_ms=age_ms)
-        if isinstance(change, catalog.TargetChange)
-        else change
-        for change in changes
-    ]
+    One without a change shows that the store waited for one as long as it was
+    asked to.
+    """
+    waited = now_ms - asked_ms >= wait_ms
+    if waited and not snapshot.changes and snapshot.revision == after:
+        return Complete(after, asked_ms + wait_ms)
+    return Complete(snapshot.revision, asked_ms)
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -81,7 +81,9 @@
         except http1_call.CallError as error:
             if not error.sent:
                 raise clients.UnreachedError(str(error)) from error
-            raise clients.PlatformError(str(error)) from error
+            raise clients.PlatformError(
+                str(error), answering=error.answering
+            ) from error
         status = answer.head.status
         if status not in (_OK, _ACCEPTED):
             asked_ms = self._asked_ms(answer.head)
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -22,12 +22,20 @@
     Attributes:
       asked_ms: time after which it asked to be called again, None if it named
         none.
+      answering: whether a part of its answer had come.
     """
 
-    def __init__(self, detail: str, asked_ms: float | None = None) -> None:
-        """Records the detail and when the platform asked to be called again."""
+    def __init__(
+        self,
+        detail: str,
+        asked_ms: float | None = None,
+        *,
+        answering: bool = False,
+    ) -> None:
+        """Records what the platform gave instead of an answer."""
         super().__init__(detail)
         self.asked_ms = asked_ms
+        self.answering = answering
 
     @property
     def retry_after_ms(self) -> float:
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -15,6 +15,7 @@
 from marlramp.core import crash_ledger
 from marlramp.core import fleet
 from marlramp.core import members
+from marlramp.core import named_versions
 from marlramp.core import peer_loads
 from marlramp.core import replica_limits
 from marlramp.core import replica_view
@@ -223,6 +224,33 @@
     after: int
 
 
+class VersionAgesRequest(_Message):
+    """Asks when versions of weights were named.
+
+    Attributes:
+      number: number of the question, rising.
+    """
+
+    number: int
+
+
+class VersionAges(_Message):
+    """Answers a `VersionAgesRequest`.
+
+    Attributes:
+      number: number of the question.
+      versions: the versions known, with their ages as of the answer.
+      complete_revision: revision of the last change that the store held when
+        it was last known to hold no more.
+      complete_age_ms: how long ago that was, None if it is not known.
+    """
+
+    number: int
+    versions: list[named_versions.AgedVersion]
+    complete_revision: int = 0
+    complete_age_ms: float | None = None
+
+
 class EngineNews(_Message):
     """An agent's report of the engine beside it, None while it is away."""
 
@@ -350,6 +378,8 @@
     | StoreBeacon
     | CatalogNews
     | CatalogRequest
+    | VersionAgesRequest
+    | VersionAges
     | EngineNews
     | EngineDigest
     | OwnLoads
--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -24,12 +24,16 @@
 
     Attributes:
       sent: whether the request may have reached the server.
+      answering: whether the head of an answer had come.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
-        """Records the detail and whether the request may have been sent."""
+    def __init__(
+        self, detail: str, *, sent: bool, answering: bool = False
+    ) -> None:
+        """Records the detail and how far the call got."""
         super().__init__(detail)
         self.sent = sent
+        self.answering = answering
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -59,9 +63,14 @@
         if self._head is not None and not self.done.done():
             self.done.set_result(WholeAnswer(self._head, b"".join(self._parts)))
 
+    @property
+    def answering(self) -> bool:
+        return self._head is not None
+
     def on_lost(self, kind: http1_client.LossKind) -> None:
         if not self.done.done():
-            self.done.set_exception(CallError(kind.value, sent=True))
+            error = CallError(kind.value, sent=True, answering=self.answering)
+            self.done.set_exception(error)
 
 
 class HttpCaller:
@@ -97,15 +106,20 @@
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
+        collector = _Collector()
         try:
             async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
                 connection = pool.take_idle(1.0) or await self._open(pool)
                 head = _head(method, parts, body, headers)
-                answer = await self._exchange(connection, method, head, body)
+                answer = await self._exchange(
+                    connection, method, head, body, collector
+                )
         except TimeoutError as error:
             # Idle connections there may have gone silent with this one.
             pool.close()
-            raise CallError("no answer in time", sent=True) from error
+            raise CallError(
+                "no answer in time", sent=True, answering=collector.answering
+            ) from error
         if keeps:
             pool.give_back(connection)
         else:
@@ -126,8 +140,8 @@
         method: str,
         head: bytes,
         body: bytes,
+        collector: _Collector,
     ) -> WholeAnswer:
-        collector = _Collector()
         connection.send(method, head, body, collector)
         try:
             return await collector.done
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -6,6 +6,7 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.core import fleet
 from marlramp.core import weights_gate
 
@@ -27,7 +28,8 @@
     revision: int, version: int, age_ms: float | None = 0.0
 ) -> catalog.TargetChange:
     target = fleet.WeightsTarget(model="m", version=version)
-    return catalog.TargetChange(revision, target, age_ms)
+    ages = None if age_ms is None else event_time.Ages(age_ms, age_ms)
+    return catalog.TargetChange(revision, target, ages)
 
 
 def test_older_configuration_is_never_taken(
--- /dev/null
+++ b/tests/core/test_named_versions.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+from marlramp.core import event_time
+from marlramp.core import named_versions
+
+BOUND_MS = 8_000.0
+
+
+def version(
+    number: int, earliest_ms: float, latest_ms: float | None = None
+) -> named_versions.NamedVersion:
+    if latest_ms is None:
+        latest_ms = earliest_ms
+    return named_versions.NamedVersion(
+        number, event_time.EventTime(earliest_ms, latest_ms)
+    )
+
+
+def test_version_that_was_missed_is_learnt_beside_a_newer_one() -> None:
+    known = [version(1, 0.0), version(3, 5_000.0)]
+    learnt = named_versions.learn(known, version(2, 3_000.0))
+    assert [each.version for each in learnt] == [1, 2, 3]
+
+
+def test_word_of_another_process_narrows_what_is_known() -> None:
+    known = [version(2, 1_000.0, 5_000.0)]
+    (learnt,) = named_versions.learn(known, version(2, 4_200.0, 6_000.0))
+    assert learnt.named == event_time.EventTime(4_200.0, 5_000.0)
+
+
+def test_outage_delays_a_version_that_did_not_bind_yet() -> None:
+    outage = named_versions.Outage()
+    for sign_ms in (20_000.0, 21_500.0, 23_000.0):
+        outage.note(BOUND_MS, sign_ms)
+    delayed = outage.applied(version(2, 15_000.0))
+    assert delayed.counts_from_ms == 23_000.0
+
+
+def test_outage_does_not_delay_a_version_that_was_in_force_before() -> None:
+    outage = named_versions.Outage()
+    outage.note(BOUND_MS, 20_000.0)
+    in_force = outage.applied(version(2, 11_000.0))
+    assert in_force.counts_from_ms == 11_000.0
+
+
+def test_outage_longer_than_the_bound_delays_what_was_named_right_before() -> (
+    None
+):
+    outage = named_versions.Outage()
+    for sign_ms in range(20_000, 32_000, 1_500):
+        outage.note(BOUND_MS, float(sign_ms))
+    delayed = outage.applied(version(2, 19_500.0))
+    assert delayed.counts_from_ms == 30_500.0
+
+
+def test_age_that_is_learnt_later_ends_the_guess_by_an_outage() -> None:
+    guessed = named_versions.NamedVersion(2, None, outage_ms=30_000.0)
+    (learnt,) = named_versions.learn([guessed], version(2, 12_000.0))
+    assert learnt.counts_from_ms == 12_000.0
+
+
+def test_doubt_matters_until_a_version_is_in_force_for_certain() -> None:
+    known = version(2, 1_000.0, 1_400.0)
+    assert known.is_in_doubt(BOUND_MS, 30.0, 9_200.0)
+    assert not known.is_in_doubt(BOUND_MS, 30.0, 9_500.0)
+    assert not version(2, 1_000.0, 1_010.0).is_in_doubt(BOUND_MS, 30.0, 2_000.0)
+    assert named_versions.NamedVersion(2, None).is_in_doubt(
+        BOUND_MS, 30.0, 2_000.0
+    )
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TypeAlias
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.direct.fleet import store_reader
@@ -12,6 +15,19 @@
 from marlramp.platform import store
 
 TARGET = fleet.WeightsTarget(model="m", version=2)
+REPLICA = catalog.ReplicaChange(
+    1,
+    "i-1",
+    fleet.Replica(
+        replica_id="i-1",
+        service_id=ids.ServiceId("s"),
+        address="127.0.0.1:1",
+        data_centre=ids.DataCentreId("dc-1"),
+        slots=16,
+        state=fleet.ReplicaState.HEALTHY,
+        weights=1,
+    ),
+)
 
 
 class FakeStore:
@@ -78,8 +94,8 @@
         FakeStore([first], [second]), lambda c: c.revision == 5
     )
     named = known.targets["m"].named
-    assert named[0].named_ms is None
-    assert named[1].named_ms is not None
+    assert named[0].counts_from_ms is None
+    assert named[1].counts_from_ms is not None
     assert published == [0, 3]
 
 
@@ -117,3 +133,119 @@
     known, _ = run_until(source, lambda c: "m" in c.targets)
     named_ms = known.targets["m"].named_ms
     assert named_ms is not None
+
+
+class ScriptedStore:
+    """Answers watches by functions of the wait that they ask for."""
+
+    def __init__(self, *answers: Callable[[float], Answer]) -> None:
+        self._answers = list(answers)
+
+    async def read_all(self) -> catalog.Snapshot:
+        return catalog.Snapshot(1, [])
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        if not self._answers:
+            await asyncio.sleep(10)
+        return await self._answers.pop(0)(wait_ms)
+
+
+Answer: TypeAlias = Awaitable[catalog.Snapshot]
+
+
+def nothing(revision: int) -> Callable[[float], Answer]:
+    async def answer(wait_ms: float) -> catalog.Snapshot:
+        await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
+        return catalog.Snapshot(revision, [])
+
+    return answer
+
+
+def version(revision: int, after_s: float = 0.0) -> Callable[[float], Answer]:
+    async def answer(_wait_ms: float) -> catalog.Snapshot:
+        await asyncio.sleep(after_s)
+        change = catalog.TargetChange(revision, TARGET)
+        return catalog.Snapshot(revision, [change])
+
+    return answer
+
+
+def failure(*, answering: bool) -> Callable[[float], Answer]:
+    async def answer(_wait_ms: float) -> catalog.Snapshot:
+        raise clients.PlatformError("late", answering=answering)
+
+    return answer
+
+
+def read(
+    source: ScriptedStore, known: catalog.Catalog, run_s: float
+) -> store_reader.StoreReader:
+    """Reads for some time."""
+    reader = store_reader.StoreReader(
+        source,
+        known,
+        lambda: True,
+        lambda _after, _changes: None,
+        counters.Counters(),
+        clock.SystemClock(),
+    )
+
+    async def main() -> None:
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(run_s)
+        task.cancel()
+
+    asyncio.run(main())
+    return reader
+
+
+def test_wait_that_brought_nothing_is_no_doubt_of_what_comes_next() -> None:
+    known = catalog.Catalog()
+    read(ScriptedStore(nothing(1), version(2)), known, 1.3)
+    named = known.targets["m"].named[-1].named
+    assert named is not None
+    assert named.doubt_ms < 500.0
+
+
+def test_version_comes_between_two_answers_of_the_store() -> None:
+    known = catalog.Catalog()
+    read(ScriptedStore(nothing(1), version(2, 0.3)), known, 1.5)
+    named = known.targets["m"].named[-1].named
+    assert named is not None
+    assert 300.0 <= named.doubt_ms < 800.0
+
+
+def test_version_that_was_there_before_gets_no_age_by_a_second_reading() -> (
+    None
+):
+    change = catalog.TargetChange(2, TARGET)
+    source = FakeStore(
+        reads=[catalog.Snapshot(2, [change]), catalog.Snapshot(2, [change])],
+        watches=[clients.PlatformError("reset")],
+    )
+    known, _ = run_until(source, lambda _: len(source._reads) == 0)
+    assert known.targets["m"].named_ms is None
+
+
+def test_answer_that_has_begun_is_no_sign_of_an_outage() -> None:
+    known = catalog.Catalog()
+    source = ScriptedStore(failure(answering=True))
+    assert read(source, known, 0.1).silent_ms is None
+    source = ScriptedStore(failure(answering=False))
+    assert read(source, known, 0.1).silent_ms is not None
+
+
+def test_store_that_is_back_was_away_until_its_first_answer() -> None:
+    source = FakeStore(
+        reads=[
+            catalog.Snapshot(1, [REPLICA]),
+            catalog.Snapshot(2, []),
+        ],
+        watches=[clients.PlatformError("reset")],
+    )
+    known, _ = run_until(source, lambda c: c.revision == 2)
+    # Its entry may yet come back, however long the last failure is ago.
+    time = clock.SystemClock()
+    returned_ms = time.now_ms()
+    almost_ms = returned_ms + catalog.REPLICA_RETURN_MS - 100.0
+    assert known.tick(clock.Millis(almost_ms)) == []
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -12,6 +12,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.direct.fleet import agent_guide
@@ -20,6 +21,7 @@
 from marlramp.direct.fleet import named_weights
 from marlramp.direct.fleet import placement
 from marlramp.direct.fleet import store_reader
+from marlramp.direct.fleet import version_ages
 from marlramp.protocol import fleet_messages
 from tests.direct.fleet import virtual_fleet
 
@@ -32,6 +34,8 @@
     limits=fleet.CallerLimits(),
 )
 WAY_MS = 400.0
+BOUND_MS = 8_000.0
+NOW = event_time.Ages(0.0, 0.0)
 
 
 class SlowStore:
@@ -161,7 +165,7 @@
 
 def read_version(entry: Entry, time: clock.ManualClock) -> float:
     """Has an entry read a version as it is named; returns when that was."""
-    change = catalog.TargetChange(3, TARGET, 0.0)
+    change = catalog.TargetChange(3, TARGET, NOW)
     entry.known.apply([change], time.now_ms())
     entry.known.advance(3)
     entry.sync.publish(2, [change])
@@ -201,7 +205,7 @@
 ) -> None:
     known = catalog.Catalog()
     known.apply([catalog.ConfigChange(1, CONFIG)], time.now_ms())
-    known.apply([catalog.TargetChange(3, TARGET, 0.0)], time.now_ms())
+    known.apply([catalog.TargetChange(3, TARGET, NOW)], time.now_ms())
     acknowledged_ms = time.now_ms()
     sync = Member("entry-1", "dc-1", time)
     placed = placement.Placement({"dc-1": "north"}, sync, time)
@@ -219,3 +223,125 @@
     assert target is not None
     assert target.named_ms is not None
     assert target.named_ms <= acknowledged_ms
+
+
+class Process:
+    """A catalog, and its questions to another one over given ways."""
+
+    def __init__(self, time: clock.ManualClock) -> None:
+        self.time = time
+        self.known = catalog.Catalog()
+        self.asked: list[tuple[str, msgspec.Struct]] = []
+        self.ages = version_ages.VersionAges(
+            self.known, self._send, lambda: [], time
+        )
+
+    def _send(self, name: str, message: msgspec.Struct) -> bool:
+        self.asked.append((name, message))
+        return True
+
+    def hear(self, other: catalog.Catalog, way_ms: float) -> None:
+        """Hears the news of another process, which come late."""
+        news = other.changes_after(0, self.time.now_ms())
+        self.time.advance(way_ms)
+        now_ms = self.time.now_ms()
+        self.known.apply(news, now_ms, now_ms - version_ages.WAY_MAX_MS)
+        self.ages.note_news("entry-1")
+
+    def exchange(self, other: Process, there_ms: float, back_ms: float) -> None:
+        """Carries the questions to another process and the answers back."""
+        asked, self.asked = self.asked, []
+        self.time.advance(there_ms)
+        answers = []
+        for name, request in asked:
+            assert isinstance(request, fleet_messages.VersionAgesRequest)
+            answers.append((name, other.ages.answer_to(request)))
+        self.time.advance(back_ms)
+        for name, answer in answers:
+            self.ages.on_answer(name, answer)
+
+    def named(self, version: int = 2) -> event_time.EventTime:
+        (found,) = [
+            each
+            for each in self.known.targets["m"].named
+            if each.version == version
+        ]
+        assert found.named is not None
+        return found.named
+
+
+def named_at(process: Process, version: int = 2) -> float:
+    """Has a process read a version as it is named."""
+    target = fleet.WeightsTarget(model="m", version=version)
+    change = catalog.TargetChange(version, target, NOW)
+    process.known.apply([change], process.time.now_ms())
+    return process.time.now_ms()
+
+
+@pytest.mark.parametrize(
+    ("there_ms", "back_ms"), [(1.0, 1.0), (400.0, 2.0), (2.0, 400.0)]
+)
+def test_answer_bounds_the_age_of_a_version_by_its_own_way(
+    time: clock.ManualClock, there_ms: float, back_ms: float
+) -> None:
+    reader, other = Process(time), Process(time)
+    acknowledged_ms = named_at(reader)
+    other.hear(reader.known, way_ms=700.0)
+    other.exchange(reader, there_ms, back_ms)
+    named = other.named()
+    assert named.earliest_ms <= acknowledged_ms <= named.latest_ms
+    assert named.doubt_ms <= there_ms + back_ms
+
+
+def test_one_quick_answer_makes_up_for_slow_ones(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    acknowledged_ms = named_at(reader)
+    other.hear(reader.known, way_ms=700.0)
+    for way_ms in (500.0, 3.0, 500.0):
+        other.exchange(reader, way_ms, way_ms)
+        time.advance(version_ages.ASK_MS)
+        other.ages.tick(BOUND_MS)
+    named = other.named()
+    assert named.earliest_ms <= acknowledged_ms <= named.latest_ms
+    assert named.doubt_ms <= 6.0
+
+
+def test_nobody_is_asked_when_it_no_longer_matters(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    named_at(reader)
+    other.hear(reader.known, way_ms=50.0)
+    for _ in range(3 * version_ages.ASKS_MAX):
+        time.advance(version_ages.ASK_MS)
+        other.ages.tick(BOUND_MS)
+    assert len(other.asked) <= 1 + version_ages.ASKS_MAX
+    other.asked.clear()
+    time.advance(2 * BOUND_MS)
+    other.ages.tick(BOUND_MS)
+    assert other.asked == []
+
+
+def test_process_that_missed_a_version_learns_when_it_was_named(
+    time: clock.ManualClock,
+) -> None:
+    reader, late = Process(time), Process(time)
+    first_ms = named_at(reader, 2)
+    time.advance(2_000.0)
+    named_at(reader, 3)
+    late.hear(reader.known, way_ms=20.0)
+    late.exchange(reader, 5.0, 5.0)
+    named = late.named(2)
+    assert named.earliest_ms <= first_ms <= named.latest_ms
+
+
+def test_answer_to_no_question_tells_nothing(time: clock.ManualClock) -> None:
+    reader, other = Process(time), Process(time)
+    named_at(reader)
+    other.hear(reader.known, way_ms=700.0)
+    before = other.named()
+    request = fleet_messages.VersionAgesRequest(number=99)
+    assert other.ages.on_answer("x", reader.ages.answer_to(request)) is None
+    assert other.named() == before
