Answers about ages are known by their number, over whichever link they come

Found by reading: an agent that greets a seed has two links to one entry, which answers over the one opened last; the question was remembered under the name of the link that it went out on, and its answer dropped. A test for it, which failed before; the numbers of one process are unique. Callers: none saw it.

--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -63,7 +63,7 @@
         self._peers = peers
         self._clock = time
         self._number = 0
-        self._open: dict[tuple[str, int], float] = {}
+        self._open: dict[int, float] = {}
         self._asks: dict[tuple[str, int], int] = {}
         self._source = ""
         self._asked_ms = float("-inf")
@@ -97,7 +97,7 @@
     def ask(self, name: str) -> None:
         """Asks one process."""
         self._number += 1
-        self._open[name, self._number] = self._clock.now_ms()
+        self._open[self._number] = self._clock.now_ms()
         while len(self._open) > OPEN_MAX:
             del self._open[next(iter(self._open))]
         request = fleet_messages.VersionAgesRequest(number=self._number)
@@ -120,7 +120,7 @@
         Returns:
           When its question was sent, None if there is no such question.
         """
-        asked_ms = self._open.pop((name, answer.number), None)
+        asked_ms = self._open.pop(answer.number, None)
         if asked_ms is None:
             return None
         now_ms = self._clock.now_ms()
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -345,3 +345,15 @@
     request = fleet_messages.VersionAgesRequest(number=99)
     assert other.ages.on_answer("x", reader.ages.answer_to(request)) is None
     assert other.named() == before
+
+
+def test_answer_counts_over_whichever_link_it_comes(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    named_at(reader)
+    other.hear(reader.known, way_ms=700.0)
+    ((_, request),) = other.asked
+    assert isinstance(request, fleet_messages.VersionAgesRequest)
+    other.ages.on_answer("seed:10.0.0.1:8000", reader.ages.answer_to(request))
+    assert other.named().doubt_ms == 0.0
