A caller's time runs from the first byte of its request, not from the last

Callers with a long or slow body: their replicas were handed more time than the callers had left, and the route's timeout and objective ran later by as much (a body that took 0.4 s: 998 ms of 1,000 passed on).

The server notes when the first byte was read; the deadline and the time already spent run from there. What follows the whole request (its caller's gap, the share of its time after which a plain one is tried elsewhere, latencies) stays with the last byte. The test failed before (998 <= 600) and passes.

--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -68,7 +68,7 @@
         wait_ms = route.timeout_ms
         if said.wait_ms is not None:
             wait_ms = min(wait_ms, said.wait_ms)
-        self.ends_ms = request.received_ms + wait_ms
+        self.ends_ms = request.first_byte_ms + wait_ms
         self.sends = 0
         self.runs = 0
         self.maybe_ran = False
@@ -133,4 +133,4 @@
 
     def elapsed_ms(self, now_ms: clock.Millis) -> float:
         """Returns the time since the caller first tried, as far as it says."""
-        return self.spent_ms + now_ms - self.request.received_ms
+        return self.spent_ms + now_ms - self.request.first_byte_ms
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -59,6 +59,7 @@
       target: path and query as sent.
       headers: names in lower case, and values, in order.
       body: the whole body.
+      first_byte_ms: when its first byte was read: its caller waits since then.
       received_ms: when its last byte was read.
       keep_alive: whether the caller keeps the connection.
     """
@@ -67,6 +68,7 @@
     target: bytes
     headers: list[tuple[bytes, bytes]]
     body: bytes
+    first_byte_ms: clock.Millis
     received_ms: clock.Millis
     keep_alive: bool
 
@@ -319,6 +321,7 @@
             target=self._target,
             headers=self._headers,
             body=b"".join(self._body),
+            first_byte_ms=self._first_byte_ms,
             received_ms=self._clock.now_ms(),
             keep_alive=self._parser.should_keep_alive(),
         )
@@ -328,6 +331,7 @@
         self._serve_next()
 
     def _reset_message(self) -> None:
+        self._first_byte_ms = self._clock.now_ms()
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -548,3 +548,27 @@
         assert len(replica.seen) == 1
 
     run_entry(use, replica.serve)
+
+
+def test_replica_gets_no_more_time_than_its_callers_slow_body_left(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        assert entry.server._server is not None
+        port = entry.server._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            b"POST /safe/ HTTP/1.1\r\nhost: a.example\r\n"
+            b"x-attempt-id: id-1\r\nx-deadline-ms: 1000\r\n"
+            b"connection: close\r\ncontent-length: 4\r\n\r\nhe"
+        )
+        await asyncio.sleep(0.4)
+        writer.write(b"re")
+        await reader.read()
+        writer.close()
+
+    run_entry(use, replica.serve)
+    (seen,) = replica.seen
+    assert int(seen.headers["x-deadline-ms"]) <= 600
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -27,6 +27,7 @@
         target=b"/a/b?q=1",
         headers=[(b"host", b"A.example:80"), (b"x-attempt-id", b"id"), *extra],
         body=b"body",
+        first_byte_ms=clock.Millis(0.0),
         received_ms=clock.Millis(0.0),
         keep_alive=True,
     )
