A request that waited for a connection is not written to a version that ends

The request was then written later than 350 ms before the bound, and taken back in the same moment if that was over, with the engine free to begin it.

The choice bears the reading until which it may be written, and the sender looks at it beside pauses; a request that is too late is chosen anew. Test without the bench: a connection that takes 200 ms, 100 ms before the margin; before, the replica served it (200), now its caller is refused and the replica gets nothing.

--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -105,6 +105,8 @@
       place: where it waits in an engine's queue.
       begins_until_ms: a reading of the clock, from which it may not begin
         there any more.
+      sent_until_ms: a reading of the clock, from which it may not be written to
+        it any more.
       begins_within_ms: time from the choice until then, infinite while no newer
         version is named.
       limit_per_s: limit that the replica is known to name, None for none.
@@ -119,6 +121,7 @@
     unread_tokens: int
     place: queue_place.QueuePlace
     begins_until_ms: float = float("inf")
+    sent_until_ms: float = float("inf")
     begins_within_ms: float = float("inf")
     limit_per_s: float | None = None
     limit_wait_max_ms: float = 0.0
--- a/src/marlramp/core/weights_gate.py
+++ b/src/marlramp/core/weights_gate.py
@@ -60,6 +60,32 @@
     A request that still waits at a replica then is taken elsewhere, however
     long it was expected to wait.
 
+    Args:
+      target: the versions named.
+      bound_ms: time after its naming from which a version binds.
+      version: the version.
+    """
+    return binds_over_ms(target, bound_ms, version) - LEAVE_MARGIN_MS
+
+
+def sent_until_ms(
+    target: catalog.KnownTarget, bound_ms: float, version: int
+) -> float:
+    """Returns until when a request may be written to a replica on a version.
+
+    Args:
+      target: the versions named.
+      bound_ms: time after its naming from which a version binds.
+      version: the version.
+    """
+    return binds_over_ms(target, bound_ms, version) - QUEUE_MARGIN_MS
+
+
+def binds_over_ms(
+    target: catalog.KnownTarget, bound_ms: float, version: int
+) -> float:
+    """Returns when a newer version binds, infinite if none was named.
+
     Args:
       target: the versions named.
       bound_ms: time after its naming from which a version binds.
@@ -70,4 +96,4 @@
         counts_from_ms = named.counts_from_ms
         if named.version > version and counts_from_ms is not None:
             ends_ms = min(ends_ms, counts_from_ms + bound_ms)
-    return ends_ms - LEAVE_MARGIN_MS
+    return ends_ms
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -189,12 +189,13 @@
         target = engine and self._catalog.targets.get(engine.model)
         if not target:
             return choice
-        ends_ms = weights_gate.begins_until_ms(
-            target, self._version_bound_ms, choice.view.weights(now_ms)
-        )
+        bound_ms = self._version_bound_ms
+        version = choice.view.weights(now_ms)
+        ends_ms = weights_gate.begins_until_ms(target, bound_ms, version)
         return msgspec.structs.replace(
             choice,
             begins_until_ms=ends_ms,
+            sent_until_ms=weights_gate.sent_until_ms(target, bound_ms, version),
             begins_within_ms=ends_ms - now_ms,
         )
 
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -55,7 +55,8 @@
       outcome: how the attempt ended.
       stalled: whether it was given up while the replica was at work.
       withdrawn: whether it was taken back from a replica that goes on.
-      unsent: whether the replica closed before the request was written.
+      unsent: whether the replica closed, or its version could no longer begin
+        the request, before that was written.
       first_event_ms: time to the first event, None if none came.
     """
 
@@ -139,7 +140,8 @@
                 )
                 observer.ended(outcome, None)
                 return Sent(outcome)
-            if not view.takes(self._clock.now_ms()):
+            now_ms = self._clock.now_ms()
+            if not view.takes(now_ms) or now_ms >= choice.sent_until_ms:
                 call.sends -= 1
                 observer.left()
                 pool.give_back(connection)
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -6,6 +6,7 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp.core import weights_gate
 from marlramp.direct.calls import forwarder
 from marlramp.shell import http1_client
 from standins import raw_http
@@ -572,3 +573,29 @@
     run_entry(use, replica.serve)
     (seen,) = replica.seen
     assert int(seen.headers["x-deadline-ms"]) <= 600
+
+
+def test_request_that_waited_for_a_connection_leaves_the_old_version(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    replica = Replica()
+    connect = http1_client.connect
+
+    async def connect_late(
+        host: str, port: int, time: clock.Clock
+    ) -> http1_client.ReplicaConnection:
+        await asyncio.sleep(0.2)
+        return await connect(host, port, time)
+
+    async def use(entry: conftest.Entry) -> None:
+        monkeypatch.setattr(http1_client, "connect", connect_late)
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        left_ms = weights_gate.QUEUE_MARGIN_MS + 100.0
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        assert status_of(await entry.call("/stream/x", "POST")) == 503
+        assert replica.seen == []
+
+    run_entry(use, replica.serve)
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -17,6 +17,7 @@
 from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import crash_record
+from marlramp.core import event_time
 from marlramp.core import fleet
 from marlramp.core import replica_table
 from marlramp.core import replica_view
@@ -90,6 +91,22 @@
 )
 
 
+ENGINE = fleet.EngineSpec(
+    model="m",
+    batch=16,
+    step_ms=1.0,
+    per_request_ms=0.01,
+    per_context_token_ms=0.0,
+    steps_per_pass=5,
+    read_tokens_per_ms=100.0,
+    memory_tokens=317_000,
+    layers=16,
+    load_ms=300.0,
+    pieces=64,
+    piece_bytes=32_768,
+)
+
+
 class SuspendedClock:
     """The system's clock; time spent suspended is added by hand."""
 
@@ -176,6 +193,20 @@
     def refused(self, error: errors.CallError) -> None:
         """Ignores requests that could not be read."""
 
+    def serve_engines(self) -> None:
+        """Makes the replicas model engines."""
+        (service,) = CONFIG.services
+        services = [msgspec.structs.replace(service, engine=ENGINE)]
+        config = msgspec.structs.replace(CONFIG, services=services)
+        self.routes = route_table.RouteTable(config)
+
+    def name_version(self, version: int, age_ms: float) -> None:
+        """Has a version of the engines' weights named some time ago."""
+        target = fleet.WeightsTarget(model=ENGINE.model, version=version)
+        ages = event_time.Ages(age_ms, age_ms)
+        change = catalog.TargetChange(100 + version, target, ages)
+        self.catalog.apply([change], self.time.now_ms())
+
     async def call(
         self, path: str, method: str = "GET", wait_ms: int = 1_000
     ) -> bytes:
