An early end that was assumed gives way to one that an answer shows

Intervals and ages say whether they rest on the assumption; the first answer that does not replaces it. A call that was not made, since the store had asked for a pause, is no sign of an outage. Tests beside the change; those of tests/direct/fleet, tests/core and tests/platform pass.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -205,18 +205,17 @@
         self,
         changes: Iterable[Change],
         now_ms: clock.Millis,
-        told_after_ms: float | None = None,
+        hearing: event_time.Hearing | None = None,
     ) -> list[Change]:
         """Takes changes in any order; returns those that were new.
 
         Args:
           changes: the changes.
           now_ms: the time.
-          told_after_ms: reading after which another process told their ages,
-            None if they are as of now.
+          hearing: how they were heard of, None if their ages are as of now.
         """
-        after_ms = now_ms if told_after_ms is None else told_after_ms
-        return [c for c in changes if self._apply_one(c, now_ms, after_ms)]
+        hearing = hearing or event_time.Hearing(now_ms, now_ms)
+        return [c for c in changes if self._apply_one(c, hearing)]
 
     def aged_change(
         self, change: TargetChange, now_ms: clock.Millis
@@ -244,27 +243,21 @@
     def learn_ages(
         self,
         versions: Iterable[named_versions.AgedVersion],
-        told_after_ms: float,
-        now_ms: clock.Millis,
+        hearing: event_time.Hearing,
     ) -> None:
         """Takes what another process knows of when versions were named.
 
         Args:
           versions: the versions; those newer than what is known here are left
             to the news of them.
-          told_after_ms: reading after which that was told.
-          now_ms: the time.
+          hearing: how that was heard of.
         """
         for aged in versions:
             known = self.targets.get(aged.model)
             if known is None or aged.version > known.target.version:
                 continue
             heard = self._heard(
-                aged.version,
-                aged.ages,
-                aged.outage_age_ms,
-                told_after_ms,
-                now_ms,
+                aged.version, aged.ages, aged.outage_age_ms, hearing
             )
             known.named = self._learnt(known.named, heard)
 
@@ -335,16 +328,14 @@
                 del self._replicas[replica_id]
         return gone
 
-    def _apply_one(
-        self, change: Change, now_ms: clock.Millis, told_after_ms: float
-    ) -> bool:
+    def _apply_one(self, change: Change, hearing: event_time.Hearing) -> bool:
         match change:
             case ConfigChange():
                 return self._apply_config(change)
             case TargetChange():
-                return self._apply_target(change, now_ms, told_after_ms)
+                return self._apply_target(change, hearing)
             case ReplicaChange():
-                return self._apply_replica(change, now_ms)
+                return self._apply_replica(change, hearing.now_ms)
 
     def _apply_config(self, change: ConfigChange) -> bool:
         if change.revision <= self.config_revision:
@@ -356,15 +347,11 @@
         return True
 
     def _apply_target(
-        self, change: TargetChange, now_ms: clock.Millis, told_after_ms: float
+        self, change: TargetChange, hearing: event_time.Hearing
     ) -> bool:
         target = change.target
         heard = self._heard(
-            target.version,
-            change.ages,
-            change.outage_age_ms,
-            told_after_ms,
-            now_ms,
+            target.version, change.ages, change.outage_age_ms, hearing
         )
         known = self.targets.get(target.model)
         if known is not None and change.revision <= known.revision:
@@ -382,8 +369,7 @@
         version: int,
         ages: event_time.Ages | None,
         outage_age_ms: float | None,
-        told_after_ms: float,
-        now_ms: clock.Millis,
+        hearing: event_time.Hearing,
     ) -> named_versions.NamedVersion:
         """Returns a version that was heard of, as it counts here.
 
@@ -392,10 +378,10 @@
         """
         named = None
         if ages is not None:
-            named = event_time.told(ages, told_after_ms, now_ms)
+            named = hearing.dated(ages)
         outage_ms = None
         if outage_age_ms is not None:
-            outage_ms = told_after_ms - outage_age_ms
+            outage_ms = hearing.after_ms - outage_age_ms
         knew_before = self.config is not None or bool(self.targets)
         if named is None and knew_before and self._outage.known:
             outage_ms = self._outage.last_ms
@@ -409,9 +395,7 @@
         merged = named_versions.learn(versions, heard)
         return [self._outage.applied(each) for each in merged]
 
-    def _apply_replica(
-        self, change: ReplicaChange, now_ms: clock.Millis
-    ) -> bool:
+    def _apply_replica(self, change: ReplicaChange, now_ms: float) -> bool:
         known = self._replicas.get(change.replica_id)
         if known is not None and change.revision <= known.revision:
             return False
--- a/src/marlramp/core/event_time.py
+++ b/src/marlramp/core/event_time.py
@@ -22,10 +22,12 @@
     Attributes:
       least_ms: it was at least so long ago.
       most_ms: it was at most so long ago, infinite if that is not known.
+      assumed: whether that rests on a longest way that was assumed.
     """
 
     least_ms: float
     most_ms: float
+    assumed: bool = False
 
 
 class EventTime(msgspec.Struct, frozen=True):
@@ -34,10 +36,12 @@
     Attributes:
       earliest_ms: it did not happen before.
       latest_ms: it did not happen later.
+      assumed: whether the early end rests on a longest way that was assumed.
     """
 
     earliest_ms: float
     latest_ms: float
+    assumed: bool = False
 
     @property
     def doubt_ms(self) -> float:
@@ -46,28 +50,56 @@
 
     def ages(self, now_ms: clock.Millis) -> Ages:
         """Returns the same as ages, to be told now."""
-        return Ages(now_ms - self.latest_ms, now_ms - self.earliest_ms)
+        return Ages(
+            now_ms - self.latest_ms, now_ms - self.earliest_ms, self.assumed
+        )
 
     def narrowed(self, other: EventTime) -> EventTime:
         """Returns what this and another word on the same event allow.
 
         Two that exclude each other can't both be right; then the one that has
-        the event earlier holds.
+        the event earlier holds. An early end that was assumed gives way to
+        one that was not.
         """
-        earliest_ms = max(self.earliest_ms, other.earliest_ms)
         latest_ms = min(self.latest_ms, other.latest_ms)
+        if self.assumed is not other.assumed:
+            shown = other if self.assumed else self
+            return EventTime(
+                shown.earliest_ms, max(shown.earliest_ms, latest_ms)
+            )
+        earliest_ms = max(self.earliest_ms, other.earliest_ms)
         if earliest_ms > latest_ms:
             return min(self, other, key=lambda each: each.earliest_ms)
-        return EventTime(earliest_ms, latest_ms)
+        return EventTime(earliest_ms, latest_ms, self.assumed)
 
 
-def told(ages: Ages, after_ms: float, now_ms: clock.Millis) -> EventTime:
-    """Returns the time of an event whose age another process told.
+class Hearing(msgspec.Struct, frozen=True):
+    """How this process heard of something that has an age.
 
-    Args:
-      ages: its age when that was told.
-      after_ms: reading after which it was told: when the own question was
-        sent, or the longest way before now.
+    Attributes:
+      after_ms: reading after which the age was told.
       now_ms: reading at which it was heard.
+      assumed: whether the first rests on a longest way that was assumed.
+    """
+
+    after_ms: float
+    now_ms: float
+    assumed: bool = False
+
+    def dated(self, ages: Ages) -> EventTime:
+        """Returns when that happened."""
+        return EventTime(
+            self.after_ms - ages.most_ms,
+            self.now_ms - ages.least_ms,
+            self.assumed or ages.assumed,
+        )
+
+
+def news(way_max_ms: float, now_ms: clock.Millis) -> Hearing:
+    """Returns how something was heard of without a question.
+
+    Args:
+      way_max_ms: longest time that it is assumed to have been on its way.
+      now_ms: the time.
     """
-    return EventTime(after_ms - ages.most_ms, now_ms - ages.least_ms)
+    return Hearing(now_ms - way_max_ms, now_ms, assumed=True)
--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -88,7 +88,7 @@
             return True
         if now_ms >= self.named.latest_ms + bound_ms:
             return False
-        return self.named.doubt_ms > doubt_ms
+        return self.named.assumed or self.named.doubt_ms > doubt_ms
 
 
 class Outage(msgspec.Struct):
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -9,6 +9,7 @@
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.core import members
 from marlramp.core import rendezvous
 from marlramp.direct.fleet import catalog_log
@@ -80,8 +81,8 @@
         now_ms = self._clock.now_ms()
         before = self._catalog.revision
         changes = catalog_news.unpack(news.changes)
-        told_after_ms = now_ms - version_ages.WAY_MAX_MS
-        new = self._catalog.apply(changes, now_ms, told_after_ms)
+        hearing = event_time.news(version_ages.WAY_MAX_MS, now_ms)
+        new = self._catalog.apply(changes, now_ms, hearing)
         if news.after <= before:
             self._catalog.advance(news.revision)
         else:
--- a/src/marlramp/direct/fleet/named_weights.py
+++ b/src/marlramp/direct/fleet/named_weights.py
@@ -11,6 +11,7 @@
 from marlramp import clock
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.core import fleet
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import version_ages
@@ -80,8 +81,8 @@
 
     def take_guide(self, guide: fleet_messages.Guide) -> bool:
         """Takes what an entry tells; returns whether a version is new."""
-        told_after_ms = self._clock.now_ms() - version_ages.WAY_MAX_MS
-        is_new = self._apply(list(guide.targets), "guide", told_after_ms)
+        hearing = event_time.news(version_ages.WAY_MAX_MS, self._clock.now_ms())
+        is_new = self._apply(list(guide.targets), "guide", hearing)
         self._take_origin(guide.origin)
         self._take_engine(guide.engine)
         return is_new
@@ -132,20 +133,20 @@
         self,
         changes: list[catalog.Change],
         source: str,
-        told_after_ms: float | None = None,
+        hearing: event_time.Hearing | None = None,
     ) -> bool:
         """Takes named weights, and what the store holds besides.
 
         Args:
           changes: what was told or read.
           source: who told it, for the log.
-          told_after_ms: reading after which it was told, None if it was read.
+          hearing: how it was heard of, None if it was read here.
 
         Returns:
           Whether a version is new.
         """
         now_ms = self._clock.now_ms()
-        new = self.catalog.apply(changes, now_ms, told_after_ms)
+        new = self.catalog.apply(changes, now_ms, hearing)
         named = [c for c in new if isinstance(c, catalog.TargetChange)]
         for change in named:
             catalog_log.log_change(change, source, self.catalog, now_ms)
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -275,6 +275,8 @@
         """
         try:
             yield
+        except clients.PausedError:
+            raise
         except clients.PlatformError as error:
             if not error.answering:
                 self._silent_ms = asked_ms
--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -16,11 +16,13 @@
 
 from marlramp import clock
 from marlramp.core import catalog
+from marlramp.core import event_time
 from marlramp.direct.fleet import catalog_log
 from marlramp.protocol import fleet_messages
 
 WAY_MAX_MS = 4_000.0
-"""Longest time that news may be on their way: a link on which nothing is
+"""Longest time that news are assumed to be on their way, until an answer shows
+it: a link on which nothing is
 acknowledged for 2.5 s ends, and a message waits 1.5 s for a link to open."""
 
 ASK_MS = 400.0
@@ -125,7 +127,8 @@
             return None
         now_ms = self._clock.now_ms()
         before = self._doubts()
-        self._catalog.learn_ages(answer.versions, asked_ms, now_ms)
+        hearing = event_time.Hearing(asked_ms, now_ms)
+        self._catalog.learn_ages(answer.versions, hearing)
         for (model, version), doubt_ms in self._doubts().items():
             if doubt_ms >= before.get((model, version), float("inf")):
                 continue
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -72,7 +72,7 @@
         """Makes a call and returns its answer, headers too; as `make`."""
         paused_ms = self._paused_until_ms - self._clock.now_ms()
         if paused_ms > 0.0:
-            raise clients.PlatformError("it asked for a pause", paused_ms)
+            raise clients.PausedError("it asked for a pause", paused_ms)
         headers = {"content-type": "application/json"} if body else {}
         try:
             answer = await self._caller.call(
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -47,6 +47,10 @@
     """No connection could be opened, so that the platform has done nothing."""
 
 
+class PausedError(PlatformError):
+    """No call was made, since the platform had asked for a pause."""
+
+
 class OrderRefusedError(PlatformError):
     """A replica refused an order that does not fit its state."""
 
--- a/tests/core/test_event_time.py
+++ b/tests/core/test_event_time.py
@@ -7,8 +7,8 @@
     None
 ):
     ages = event_time.Ages(40.0, 60.0)
-    told = event_time.told(ages, after_ms=1_000.0, now_ms=1_700.0)
-    assert told == event_time.EventTime(940.0, 1_660.0)
+    hearing = event_time.Hearing(after_ms=1_000.0, now_ms=1_700.0)
+    assert hearing.dated(ages) == event_time.EventTime(940.0, 1_660.0)
 
 
 def test_two_words_on_an_event_hold_together() -> None:
@@ -27,4 +27,23 @@
 
 def test_ages_that_are_told_at_once_give_the_event_back() -> None:
     known = event_time.EventTime(100.0, 200.0)
-    assert event_time.told(known.ages(950.0), 950.0, 950.0) == known
+    hearing = event_time.Hearing(950.0, 950.0)
+    assert hearing.dated(known.ages(950.0)) == known
+
+
+def test_early_end_that_was_assumed_gives_way_to_one_that_was_shown() -> None:
+    # The process stood still for longer than the longest way.
+    assumed = event_time.news(4_000.0, 10_000.0).dated(
+        event_time.Ages(0.0, 0.0)
+    )
+    shown = event_time.EventTime(3_000.0, 7_500.0)
+    assert assumed.narrowed(shown) == event_time.EventTime(3_000.0, 7_500.0)
+    assert shown.narrowed(assumed) == event_time.EventTime(3_000.0, 7_500.0)
+
+
+def test_what_rests_on_an_assumption_is_told_so() -> None:
+    assumed = event_time.news(4_000.0, 10_000.0).dated(
+        event_time.Ages(0.0, 0.0)
+    )
+    answer = event_time.Hearing(10_100.0, 10_200.0)
+    assert answer.dated(assumed.ages(10_150.0)).assumed
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -235,6 +235,14 @@
     assert read(source, known, 0.1).silent_ms is not None
 
 
+def test_call_that_was_not_made_is_no_sign_of_an_outage() -> None:
+    async def paused(_wait_ms: float) -> catalog.Snapshot:
+        raise clients.PausedError("it asked for a pause", 3_000.0)
+
+    known = catalog.Catalog()
+    assert read(ScriptedStore(paused), known, 0.1).silent_ms is None
+
+
 def test_store_that_is_back_was_away_until_its_first_answer() -> None:
     source = FakeStore(
         reads=[
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -245,7 +245,8 @@
         news = other.changes_after(0, self.time.now_ms())
         self.time.advance(way_ms)
         now_ms = self.time.now_ms()
-        self.known.apply(news, now_ms, now_ms - version_ages.WAY_MAX_MS)
+        hearing = event_time.news(version_ages.WAY_MAX_MS, now_ms)
+        self.known.apply(news, now_ms, hearing)
         self.ages.note_news("entry-1")
 
     def exchange(self, other: Process, there_ms: float, back_ms: float) -> None:
