Failing test: a version in force is freed by a call sent before

What: an outage counts as begun when the call was sent that stayed without an answer. A version that came into force while that call was held starts anew. Cause: the beginning of the outage is kept as its early end, while "was the version in force before" must take the late one (Outage.note, applied). Failed: named_ms 8500.0 instead of 1000.0.

--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -358,3 +358,16 @@
     assert isinstance(request, fleet_messages.VersionAgesRequest)
     other.ages.on_answer("seed:10.0.0.1:8000", reader.ages.answer_to(request))
     assert other.named().doubt_ms == 0.0
+
+
+def test_version_that_binds_is_not_freed_by_a_call_sent_before(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    entry = make_entry("entry-1", "entry-2")
+    acknowledged_ms = read_version(entry, time)
+    # The store held a watch, and fell silent after the version was in force.
+    time.advance(BOUND_MS - 500.0)
+    asked_ms = time.now_ms()
+    time.advance(1_600.0)
+    entry.sync.note_store(BOUND_MS, asked_ms)
+    assert entry.named_ms() == acknowledged_ms
