Failing test: a connection to the store that fell silent is an outage

What: open channels may go silent for good while new ones work. The reader's watch then gets no byte and counts as a sign that the store serves nobody. Cause: a call over a kept connection shows the state of that connection, not of the store; links to the other entries fall silent with it, so that no beacon contradicts the sign either (StoreReader._asking, _note_store).

--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -13,6 +13,9 @@
 from marlramp.direct.fleet import store_reader
 from marlramp.platform import clients
 from marlramp.platform import store
+from marlramp.settings import node
+from marlramp.shell import http1_call
+from standins import raw_http
 
 TARGET = fleet.WeightsTarget(model="m", version=2)
 REPLICA = catalog.ReplicaChange(
@@ -257,3 +260,52 @@
     returned_ms = time.now_ms()
     almost_ms = returned_ms + catalog.REPLICA_RETURN_MS - 100.0
     assert known.tick(clock.Millis(almost_ms)) == []
+
+
+class SilencedStore:
+    """Falls silent on its first connection and answers on others."""
+
+    def __init__(self) -> None:
+        self._connections = 0
+
+    async def serve(self, peer: raw_http.Peer) -> None:
+        self._connections += 1
+        first = self._connections == 1
+        while (request := await peer.read()) is not None:
+            if "wait_ms" not in request.query:
+                answer = {"entries": [], "at": 1, "has_more": False}
+                await peer.answer_json(request, answer)
+            elif not first:
+                await asyncio.sleep(1.0)
+                await peer.answer_json(request, {"events": [], "at": 1})
+
+
+def test_connection_that_went_silent_is_no_sign_of_an_outage() -> None:
+    signs: list[float | None] = []
+
+    async def main() -> None:
+        time = clock.SystemClock()
+        totals = counters.Counters()
+        async with raw_http.ScriptedServer(SilencedStore().serve) as server:
+            reader = store_reader.StoreReader(
+                store.StoreClient(
+                    http1_call.HttpCaller(time),
+                    node.Address("127.0.0.1", server.port),
+                    totals,
+                ),
+                catalog.Catalog(),
+                lambda: True,
+                lambda _after, _changes: None,
+                totals,
+                time,
+            )
+            task = asyncio.create_task(reader.run())
+            for _ in range(260):
+                await asyncio.sleep(0.01)
+                signs.append(reader.silent_ms)
+            task.cancel()
+            assert reader.age_ms is not None
+            assert reader.age_ms < 1_000.0
+
+    asyncio.run(main())
+    assert set(signs) == {None}
