Failing tests: answers of the store count as its silence

What: a 429, a malformed answer, the 410 for history that is gone, and a call that is not even made as the store asked for a pause, count as calls without a byte. Cause: PlatformError.answering is set only where an answer broke off; whole answers that mean failure, and PlatformCalls' own pause, leave it False. Failed: silent_ms was a reading instead of None in all four cases.

--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -5,12 +5,15 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+import pytest
+
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.direct.fleet import store_reader
+from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import store
 from marlramp.settings import node
@@ -246,6 +249,46 @@
     assert read(ScriptedStore(paused), known, 0.1).silent_ms is None
 
 
+@pytest.mark.parametrize(
+    "error",
+    [
+        calls.StatusError(429, "status 429", None),
+        clients.PlatformError("it asked for a pause", 300.0),
+        clients.PlatformError("malformed answer"),
+    ],
+    ids=["too many calls", "call that is not made", "malformed"],
+)
+def test_whole_answer_or_call_not_made_is_no_sign_of_an_outage(
+    error: clients.PlatformError,
+) -> None:
+    async def answer(_wait_ms: float) -> catalog.Snapshot:
+        raise error
+
+    known = catalog.Catalog()
+    assert read(ScriptedStore(answer), known, 0.1).silent_ms is None
+
+
+class GoneStore(ScriptedStore):
+    """Has dropped its history, and takes long to tell all that it holds."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._reads = 0
+
+    async def read_all(self) -> catalog.Snapshot:
+        self._reads += 1
+        if self._reads > 1:
+            await asyncio.sleep(10)
+        return catalog.Snapshot(1, [])
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        raise store.HistoryGoneError("gone")
+
+
+def test_history_that_is_gone_is_no_sign_of_an_outage() -> None:
+    assert read(GoneStore(), catalog.Catalog(), 0.1).silent_ms is None
+
+
 def test_store_that_is_back_was_away_until_its_first_answer() -> None:
     source = FakeStore(
         reads=[
