Failing test: a waiting request is not taken back for a later version

What: a request that waits at an engine when a version is heard of stays there past that version's bound. Cause: begins_until_ms is taken when the replica is chosen and never again (Selector._with_end, Sender._limit_ms); then no newer version was known. Failed: answered 892 ms after the bound.

--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -599,3 +599,24 @@
         assert replica.seen == []
 
     run_entry(use, replica.serve)
+
+
+def test_request_that_waits_leaves_for_a_version_heard_of_meanwhile(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        waiting = asyncio.create_task(entry.call("/whole/x", "POST", 1_400))
+        while not replica.seen:
+            await asyncio.sleep(0.01)
+        entry.name_version(2, age_ms=bound_ms - 500.0)
+        binds_ms = entry.time.now_ms() + 500.0
+        await waiting
+        assert entry.time.now_ms() < binds_ms
+
+    run_entry(use, replica.hang)
