Failing test: a true answer does not correct news that came too late

What: news that were on their way for over 4 s have an early end that is too late. An answer that allows the truth leaves that end as it is. Cause: the assumption on the way is intersected with answers as if it were as certain as they are (EventTime.narrowed); only an answer that excludes it wholly replaces it. Failed: earliest_ms 2000.0 instead of at most 1000.0.

--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -371,3 +371,13 @@
     time.advance(1_600.0)
     entry.sync.note_store(BOUND_MS, asked_ms)
     assert entry.named_ms() == acknowledged_ms
+
+
+def test_answer_corrects_news_that_were_on_their_way_for_too_long(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    acknowledged_ms = named_at(reader)
+    other.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
+    other.exchange(reader, there_ms=500.0, back_ms=1_500.0)
+    assert other.named().earliest_ms <= acknowledged_ms
