Failing test: an answer to a question before a restart is taken

What: a process asks, ends and starts; the answer waits for a link to it and meets a question of the same number. Cause: numbers begin at 1 at each start, and an answer counts over whichever link it comes, while messages wait up to 1.5 s for a link to open. Failed: earliest_ms 205.0 instead of at most -500.0.

--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -381,3 +381,23 @@
     other.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
     other.exchange(reader, there_ms=500.0, back_ms=1_500.0)
     assert other.named().earliest_ms <= acknowledged_ms
+
+
+def test_answer_to_a_question_before_a_restart_tells_nothing(
+    time: clock.ManualClock,
+) -> None:
+    reader, before = Process(time), Process(time)
+    # It was read up to two seconds after it was named.
+    acknowledged_ms = time.now_ms() - 1_500.0
+    change = catalog.TargetChange(2, TARGET, event_time.Ages(0.0, 2_000.0))
+    reader.known.apply([change], time.now_ms())
+    before.hear(reader.known, way_ms=5.0)
+    ((_, request),) = before.asked
+    assert isinstance(request, fleet_messages.VersionAgesRequest)
+    answer = reader.ages.answer_to(request)
+    # The answer waits for a link, which the restarted process opens.
+    time.advance(1_200.0)
+    restarted = Process(time)
+    restarted.hear(reader.known, way_ms=5.0)
+    restarted.ages.on_answer("entry-1", answer)
+    assert restarted.named().earliest_ms <= acknowledged_ms
