Failing test: a process that started in an outage counts from its end

What: a process that started while the store was away takes a version of its first reading as one that was named in the outage. Cause: whether the store was known before is asked for each change, and the configuration of the same reading has been applied before (Catalog._heard). Failed: the oldest version allowed is 1 instead of 2.

--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -222,6 +222,19 @@
     assert oldest(known, time.now_ms()) == 2
 
 
+def test_version_found_by_a_process_that_started_in_an_outage_binds(
+    known: catalog.Catalog, make_config: MakeConfig, time: clock.ManualClock
+) -> None:
+    time.advance(100_000.0)
+    known.store_down(BOUND_MS, time.now_ms())
+    time.advance(200.0)
+    # Its first reading finds both; the version may be in force for long.
+    config = catalog.ConfigChange(1, make_config())
+    snapshot = catalog.Snapshot(2, [config, named(2, 2, age_ms=None)])
+    known.take_snapshot(snapshot, time.now_ms())
+    assert oldest(known, time.now_ms()) == 2
+
+
 def test_restarted_process_learns_a_versions_age_from_another(
     known: catalog.Catalog, time: clock.ManualClock
 ) -> None:
