Failing test: a version of unknown age takes no waiting request back

What: a process that started finds a version of unknown age and serves the one before it for 2 s; a request that waits at an engine by then stays there. Cause: oldest_allowed takes versions of unknown age from the start, while binds_over_ms, and with it begins_until_ms, leaves them out. Failed: the call ended over 0.5 s after it was sent, at its caller's time.

--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -6,6 +6,8 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp.core import catalog
+from marlramp.core import fleet
 from marlramp.core import weights_gate
 from marlramp.direct.calls import forwarder
 from marlramp.shell import http1_client
@@ -620,3 +622,26 @@
         assert entry.time.now_ms() < binds_ms
 
     run_entry(use, replica.hang)
+
+
+def test_request_that_waits_leaves_for_a_version_of_unknown_age(
+    run_entry: RunEntry,
+) -> None:
+    replica = Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        target = fleet.WeightsTarget(model=conftest.ENGINE.model, version=2)
+        change = catalog.TargetChange(102, target, ages=None)
+        entry.catalog.apply([change], entry.time.now_ms())
+        left_ms = 500.0
+        grace_ms = weights_gate.FIRST_READ_GRACE_MS
+        entry.time.suspended_ms = grace_ms - left_ms
+        leaves_ms = entry.time.now_ms() + left_ms
+        await entry.call("/whole/x", "POST", 1_400)
+        assert len(replica.seen) == 1
+        assert entry.time.now_ms() < leaves_ms
+
+    run_entry(use, replica.hang)
