Failing test: an outage delays a version that was in force before it

What: a version is first taken as younger than it is, and an outage delays it; then an answer tells that it was in force before. Cause: _merged keeps outage_ms of what was known, though it followed from a time of naming that no longer holds. Failed: counts_from_ms 20000.0 instead of 9000.0.

--- a/tests/core/test_named_versions.py
+++ b/tests/core/test_named_versions.py
@@ -67,3 +67,14 @@
     assert named_versions.NamedVersion(2, None).is_in_doubt(
         BOUND_MS, 30.0, 2_000.0
     )
+
+
+def test_version_that_was_in_force_after_all_is_not_delayed_by_an_outage() -> (
+    None
+):
+    outage = named_versions.Outage()
+    outage.note(BOUND_MS, 20_000.0)
+    delayed = outage.applied(version(2, 13_000.0))
+    # Another process knows that it was named earlier than the news allowed.
+    (learnt,) = named_versions.learn([delayed], version(2, 9_000.0, 9_100.0))
+    assert outage.applied(learnt).counts_from_ms == 9_000.0
