A request that waits at an engine leaves for a version that is heard of meanwhile

The end follows from what is known of the versions now, at each look (50 ms while a request has not begun at an engine), and so does the time until which it may be written.

--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -103,12 +103,9 @@
       load_age_ms: age of the last word on its load, infinite without one.
       unread_tokens: prompt tokens there that are read before its own.
       place: where it waits in an engine's queue.
-      begins_until_ms: a reading of the clock, from which it may not begin
-        there any more.
-      sent_until_ms: a reading of the clock, from which it may not be written to
-        it any more.
-      begins_within_ms: time from the choice until then, infinite while no newer
-        version is named.
+      weights: version that the replica was believed to hold.
+      begins_within_ms: time from the choice until the request may not begin
+        there any more, infinite while no newer version is named.
       limit_per_s: limit that the replica is known to name, None for none.
       limit_wait_max_ms: how long it may wait for that limit.
     """
@@ -120,8 +117,7 @@
     load_age_ms: float
     unread_tokens: int
     place: queue_place.QueuePlace
-    begins_until_ms: float = float("inf")
-    sent_until_ms: float = float("inf")
+    weights: int = 0
     begins_within_ms: float = float("inf")
     limit_per_s: float | None = None
     limit_wait_max_ms: float = 0.0
--- a/src/marlramp/core/weights_gate.py
+++ b/src/marlramp/core/weights_gate.py
@@ -53,7 +53,10 @@
 
 
 def begins_until_ms(
-    target: catalog.KnownTarget, bound_ms: float, version: int
+    target: catalog.KnownTarget,
+    bound_ms: float,
+    version: int,
+    started_ms: float = float("-inf"),
 ) -> float:
     """Returns until when a request may begin on a version.
 
@@ -64,12 +67,17 @@
       target: the versions named.
       bound_ms: time after its naming from which a version binds.
       version: the version.
+      started_ms: when this process started.
     """
-    return binds_over_ms(target, bound_ms, version) - LEAVE_MARGIN_MS
+    binds_ms = binds_over_ms(target, bound_ms, version, started_ms)
+    return binds_ms - LEAVE_MARGIN_MS
 
 
 def sent_until_ms(
-    target: catalog.KnownTarget, bound_ms: float, version: int
+    target: catalog.KnownTarget,
+    bound_ms: float,
+    version: int,
+    started_ms: float = float("-inf"),
 ) -> float:
     """Returns until when a request may be written to a replica on a version.
 
@@ -77,12 +85,17 @@
       target: the versions named.
       bound_ms: time after its naming from which a version binds.
       version: the version.
+      started_ms: when this process started.
     """
-    return binds_over_ms(target, bound_ms, version) - QUEUE_MARGIN_MS
+    binds_ms = binds_over_ms(target, bound_ms, version, started_ms)
+    return binds_ms - QUEUE_MARGIN_MS
 
 
 def binds_over_ms(
-    target: catalog.KnownTarget, bound_ms: float, version: int
+    target: catalog.KnownTarget,
+    bound_ms: float,
+    version: int,
+    started_ms: float = float("-inf"),
 ) -> float:
     """Returns when a newer version binds, infinite if none was named.
 
@@ -90,10 +103,15 @@
       target: the versions named.
       bound_ms: time after its naming from which a version binds.
       version: the version.
+      started_ms: when this process started.
     """
     ends_ms = float("inf")
     for named in target.named:
+        if named.version <= version:
+            continue
         counts_from_ms = named.counts_from_ms
-        if named.version > version and counts_from_ms is not None:
+        if counts_from_ms is None:
+            ends_ms = min(ends_ms, started_ms + FIRST_READ_GRACE_MS)
+        else:
             ends_ms = min(ends_ms, counts_from_ms + bound_ms)
     return ends_ms
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -99,7 +99,12 @@
             settings.bounds.drain_ms, totals, time, random.Random()
         )
         self._sender = sender.Sender(
-            codec, crashes.is_condemned, limits, self._signals, time
+            codec,
+            crashes.is_condemned,
+            limits,
+            self._signals,
+            self._selector,
+            time,
         )
         self._budgets: dict[ids.ServiceId, retry_share.RetryShare] = {}
         self._waits: dict[tuple[str, float], caller_waits.CallerWaits] = {}
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -185,26 +185,47 @@
         now_ms: clock.Millis,
     ) -> upstream_choice.Choice:
         """Returns a choice that says until when the request may begin."""
-        engine = call.service.engine
-        target = engine and self._catalog.targets.get(engine.model)
-        if not target:
-            return choice
-        bound_ms = self._version_bound_ms
-        version = choice.view.weights(now_ms)
-        ends_ms = weights_gate.begins_until_ms(target, bound_ms, version)
-        return msgspec.structs.replace(
-            choice,
-            begins_until_ms=ends_ms,
-            sent_until_ms=weights_gate.sent_until_ms(target, bound_ms, version),
-            begins_within_ms=ends_ms - now_ms,
+        weights = choice.view.weights(now_ms)
+        chosen = msgspec.structs.replace(choice, weights=weights)
+        within_ms = self.begins_until_ms(call, chosen) - now_ms
+        return msgspec.structs.replace(chosen, begins_within_ms=within_ms)
+
+    def begins_until_ms(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> float:
+        """Returns until when a call may begin at the replica chosen for it.
+
+        What is known of named versions changes while it waits there.
+        """
+        target = self._target(call.service)
+        if target is None:
+            return float("inf")
+        return weights_gate.begins_until_ms(
+            target, self._version_bound_ms, choice.weights, self._started_ms
         )
 
+    def sent_until_ms(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> float:
+        """Returns until when a call may be written to that replica."""
+        target = self._target(call.service)
+        if target is None:
+            return float("inf")
+        return weights_gate.sent_until_ms(
+            target, self._version_bound_ms, choice.weights, self._started_ms
+        )
+
+    def _target(self, service: fleet.Service) -> catalog.KnownTarget | None:
+        if service.engine is None:
+            return None
+        return self._catalog.targets.get(service.engine.model)
+
     def _oldest_weights(
         self, service: fleet.Service, wait_ms: float, now_ms: clock.Millis
     ) -> int:
         if service.engine is None:
             return 0
-        target = self._catalog.targets.get(service.engine.model)
+        target = self._target(service)
         if target is None:
             return 1
         bound_ms = self._version_bound_ms
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -38,6 +39,9 @@
 """Longest wait before the clock is read again: timers of the event loop stand
 still while the VM is suspended, deadlines do not."""
 
+UNBEGUN_LOOK_MS = 50.0
+"""The same of a request that waits at an engine, whose version may end."""
+
 CONDEMNED_POLL_MS = 20.0
 """Between two looks whether a request that is suspected of crashes has been
 condemned while it waits at a replica."""
@@ -74,6 +78,22 @@
         return lost and failure is not None and failure.ran is not errors.Ran.NO
 
 
+class VersionEnds(Protocol):
+    """Until when a call may begin on the version of a chosen replica."""
+
+    def begins_until_ms(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> float:
+        """Returns until when it may begin there."""
+        ...
+
+    def sent_until_ms(
+        self, call: call_module.Call, choice: upstream_choice.Choice
+    ) -> float:
+        """Returns until when it may be written to it."""
+        ...
+
+
 class Sender:
     """Owns the connections to replicas."""
 
@@ -83,6 +103,7 @@
         is_condemned: Callable[[ids.Fingerprint], bool],
         limits: named_limits.NamedLimits,
         signals: replica_signals.ReplicaSignals,
+        ends: VersionEnds,
         time: clock.Clock,
     ) -> None:
         """Owns no connection yet.
@@ -92,12 +113,14 @@
           is_condemned: tells whether a request is not to be run again.
           limits: takes the limits that answers name.
           signals: takes what else answers say of their replica.
+          ends: tells until when a call may begin where it was sent.
           time: the clock.
         """
         self._codec = codec
         self._is_condemned = is_condemned
         self._limits = limits
         self._signals = signals
+        self._ends = ends
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
 
@@ -141,7 +164,8 @@
                 observer.ended(outcome, None)
                 return Sent(outcome)
             now_ms = self._clock.now_ms()
-            if not view.takes(now_ms) or now_ms >= choice.sent_until_ms:
+            too_late = now_ms >= self._ends.sent_until_ms(call, choice)
+            if too_late or not view.takes(now_ms):
                 call.sends -= 1
                 observer.left()
                 pool.give_back(connection)
@@ -197,8 +221,7 @@
         while True:
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
-            look_ms = CONDEMNED_POLL_MS if call.suspected else LOOK_MS
-            wait_ms = min(wait_ms, look_ms)
+            wait_ms = min(wait_ms, _look_ms(call, attempt))
             if wait_ms > 0:
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
@@ -256,7 +279,7 @@
             heard_ms=choice.view.heard_ms,
             gap_max_ms=gap_max_ms if route.streaming else 0.0,
             predicted_ms=choice.predicted_ms,
-            begins_until_ms=choice.begins_until_ms,
+            begins_until_ms=self._ends.begins_until_ms(call, choice),
         )
         return attempt_limits.limit_ms(waiting)
 
@@ -282,6 +305,15 @@
         return pool
 
 
+def _look_ms(call: call_module.Call, attempt: attempts.Attempt) -> float:
+    """Returns the longest wait before an attempt is looked at again."""
+    if call.suspected:
+        return CONDEMNED_POLL_MS
+    if call.service.engine is not None and not attempt.begun:
+        return UNBEGUN_LOOK_MS
+    return LOOK_MS
+
+
 def _unsent() -> attempts.Outcome:
     failure = errors.CallError(
         errors.ErrorKind.UPSTREAM_BUSY,
