Questions for the age of a version go on until they are answered

Now answers are counted, not questions, and numbers begin at a random one; ages that are none (negative, not a number) are left out.

--- a/src/marlramp/core/event_time.py
+++ b/src/marlramp/core/event_time.py
@@ -29,6 +29,11 @@
     most_ms: float
     assumed: bool = False
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether they are ages at all."""
+        return 0.0 <= self.least_ms <= self.most_ms
+
 
 class EventTime(msgspec.Struct, frozen=True):
     """Between which readings of the own clock an event happened.
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -271,6 +271,8 @@
         age_ms = answer.complete_age_ms
         if asked_ms is None or age_ms is None or self._reader is None:
             return
+        if not age_ms >= 0.0:
+            return
         complete = store_reader.Complete(
             answer.complete_revision, asked_ms - age_ms
         )
@@ -382,7 +384,8 @@
 
     def on_revision(self, name: str, revision: int) -> None:
         """Takes the revision that another entry knows."""
-        reading = self._reader is not None and self._reader.reading
+        reader = self._reader
+        reading = reader is not None and reader.reading and not reader.failing
         self._catalog_sync.on_revision(name, revision, reading=reading)
 
     # Regular work.
--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
 from typing import TypeAlias
 
 import msgspec
@@ -28,12 +29,14 @@
 ASK_MS = 400.0
 """Between two questions while the age of a version is in doubt."""
 
-ASKS_MAX = 6
-"""Questions for each version."""
+ANSWERS_MAX = 6
+"""Answers after which a version is not asked for any more."""
 
 DOUBT_MS = 30.0
 """Doubt that no further question is worth."""
 
+NUMBER_BITS = 48
+
 OPEN_MAX = 64
 """Questions remembered that got no answer yet, the newest ones."""
 
@@ -64,9 +67,10 @@
         self._send = send
         self._peers = peers
         self._clock = time
-        self._number = 0
+        # Numbers of a process that ran here before must not come again.
+        self._number = random.getrandbits(NUMBER_BITS)
         self._open: dict[int, float] = {}
-        self._asks: dict[tuple[str, int], int] = {}
+        self._answers: dict[tuple[str, int], int] = {}
         self._source = ""
         self._asked_ms = float("-inf")
 
@@ -89,8 +93,6 @@
         if not in_doubt:
             return
         self._asked_ms = now_ms
-        for version in in_doubt:
-            self._asks[version] = self._asks.get(version, 0) + 1
         names = [self._source] if self._source else []
         names.extend(name for name in self._peers() if name not in names)
         for name in names:
@@ -127,6 +129,9 @@
             return None
         now_ms = self._clock.now_ms()
         before = self._doubts()
+        for aged in answer.versions:
+            named = (aged.model, aged.version)
+            self._answers[named] = self._answers.get(named, 0) + 1
         hearing = event_time.Hearing(asked_ms, now_ms)
         self._catalog.learn_ages(answer.versions, hearing)
         for (model, version), doubt_ms in self._doubts().items():
@@ -152,7 +157,9 @@
             for named in known.named
             if named.is_in_doubt(bound_ms, DOUBT_MS, now_ms)
         ]
-        return [each for each in found if self._asks.get(each, 0) < ASKS_MAX]
+        return [
+            each for each in found if self._answers.get(each, 0) < ANSWERS_MAX
+        ]
 
     def _doubts(self) -> dict[tuple[str, int], float]:
         return {
