An outage of the store needs two silent calls, and frees no version in force

The begin of an outage is the reading at which it was known, its last sign the one at which the failing call was sent. The first call that fails may have gone out on a connection that had fallen silent, so that two in a row are needed; 503 still counts, other answers do not. A process that starts does not take its own first reading for what it knew before. Whether an outage delayed a version is judged anew when that turns out to be older. A standby keeps several words of the readers, so that the newest does not hide what an older one showed.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -142,6 +142,7 @@
         self._replicas: dict[str, KnownReplica] = {}
         self._store_trouble_ms = float("-inf")
         self._outage = named_versions.Outage()
+        self._knew_before = False
 
     @property
     def config_version(self) -> int:
@@ -186,7 +187,9 @@
         """Records that the store is not to be relied on now."""
         self._store_trouble_ms = now_ms
 
-    def store_down(self, bound_ms: float, sign_ms: float) -> None:
+    def store_down(
+        self, bound_ms: float, sign_ms: float, known_ms: float | None = None
+    ) -> None:
         """Records a sign that the store serves no entry.
 
         The time within which a version must be in force counts only while
@@ -196,8 +199,9 @@
         Args:
           bound_ms: time after its naming from which a version binds.
           sign_ms: reading at which it still served none.
+          known_ms: when that was known, None for at once.
         """
-        self._outage.note(bound_ms, sign_ms)
+        self._outage.note(bound_ms, sign_ms, known_ms)
         for known in self.targets.values():
             known.named = [self._outage.applied(each) for each in known.named]
 
@@ -215,6 +219,7 @@
           hearing: how they were heard of, None if their ages are as of now.
         """
         hearing = hearing or event_time.Hearing(now_ms, now_ms)
+        self._knew_before = self.config is not None or bool(self.targets)
         return [c for c in changes if self._apply_one(c, hearing)]
 
     def aged_change(
@@ -377,13 +382,12 @@
         unknown age from the end of that outage.
         """
         named = None
-        if ages is not None:
+        if ages is not None and ages.is_sound:
             named = hearing.dated(ages)
         outage_ms = None
         if outage_age_ms is not None:
             outage_ms = hearing.after_ms - outage_age_ms
-        knew_before = self.config is not None or bool(self.targets)
-        if named is None and knew_before and self._outage.known:
+        if named is None and self._knew_before and self._outage.known:
             outage_ms = self._outage.last_ms
         return named_versions.NamedVersion(version, named, outage_ms)
 
--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -95,8 +95,9 @@
     """The last time that the store served no entry, as far as is known.
 
     Attributes:
-      began_ms: the first sign of it, minus infinity if there was none.
-      last_ms: the last sign of it.
+      began_ms: by when it had begun, minus infinity if there was none: the
+        first sign of it was known then.
+      last_ms: the last reading at which it lasted.
       bound_ms: time after its naming from which a version binds.
     """
 
@@ -109,10 +110,18 @@
         """Whether there was one."""
         return self.last_ms > float("-inf")
 
-    def note(self, bound_ms: float, sign_ms: float) -> None:
-        """Takes a reading at which the store still served none."""
+    def note(
+        self, bound_ms: float, sign_ms: float, known_ms: float | None = None
+    ) -> None:
+        """Takes a reading at which the store still served none.
+
+        Args:
+          bound_ms: time after its naming from which a version binds.
+          sign_ms: the reading.
+          known_ms: when that was known, None for at once.
+        """
         if sign_ms - self.last_ms > OUTAGE_GAP_MS:
-            self.began_ms = sign_ms
+            self.began_ms = sign_ms if known_ms is None else known_ms
         self.last_ms = max(self.last_ms, sign_ms)
         self.bound_ms = bound_ms
 
@@ -161,4 +170,7 @@
     if known.named is None:
         return heard
     named = known.named.narrowed(heard.named)
-    return NamedVersion(known.version, named, known.outage_ms)
+    # Whether an outage delayed it is judged anew if it was named earlier.
+    earlier = named.earliest_ms < known.named.earliest_ms
+    outage_ms = None if earlier else known.outage_ms
+    return NamedVersion(known.version, named, outage_ms)
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
@@ -36,6 +37,9 @@
 PAUSED_MS = 2.0 * WATCH_WAIT_MS
 """A process that got no answer of the store for this long did not read."""
 
+HEARD_KEPT = 16
+"""Words of other readers that are kept, the newest ones."""
+
 BATCH_MS = 60.0
 """Pause between two watches, so that changes in a row cost one call."""
 
@@ -115,7 +119,9 @@
         self._failing = False
         self._silent_ms: float | None = None
         self._complete = _NEVER
-        self._heard_complete = _NEVER
+        self._heard_complete: collections.deque[Complete] = collections.deque(
+            maxlen=HEARD_KEPT
+        )
         self.reading = False
 
     @property
@@ -133,14 +139,12 @@
     @property
     def complete(self) -> Complete:
         """The latest that is known of what the store held in all."""
-        return max(
-            self._complete, self._heard_complete, key=lambda each: each.at_ms
-        )
+        known = [self._complete, *self._heard_complete]
+        return max(known, key=lambda each: each.at_ms)
 
     def note_complete(self, complete: Complete) -> None:
         """Takes what another reader knows to have been all."""
-        if complete.at_ms > self._heard_complete.at_ms:
-            self._heard_complete = complete
+        self._heard_complete.append(complete)
 
     @property
     def silent_ms(self) -> float | None:
@@ -155,6 +159,7 @@
         while True:
             self.reading = self._is_reader()
             if not self.reading:
+                self._silent_ms = None
                 await asyncio.sleep(IDLE_MS / clock.MILLIS_PER_SECOND)
                 continue
             try:
@@ -241,10 +246,8 @@
         self, change: catalog.TargetChange, now_ms: clock.Millis
     ) -> event_time.Ages | None:
         """Returns the ages of a change read now, None if they are unknown."""
-        lacked_ms = max(
-            self._complete.lacked_ms(change.revision),
-            self._heard_complete.lacked_ms(change.revision),
-        )
+        known = [self._complete, *self._heard_complete]
+        lacked_ms = max(each.lacked_ms(change.revision) for each in known)
         if math.isinf(lacked_ms):
             return None
         return event_time.Ages(0.0, now_ms - lacked_ms)
@@ -271,14 +274,15 @@
         """Notes a call that is not answered as a sign of an outage.
 
         It shows how the store was when it was sent; one that is answered in
-        part shows a link that is full.
+        part shows a link that is full. The first one of several may have gone
+        out on a connection that had fallen silent, the next one has not.
         """
         try:
             yield
         except clients.PausedError:
             raise
         except clients.PlatformError as error:
-            if not error.answering:
+            if self._failing and not error.answering:
                 self._silent_ms = asked_ms
             raise
 
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -10,7 +10,8 @@
 
 _OK = 200
 _ACCEPTED = 202
-_PAUSING = frozenset({429, 503})
+_UNAVAILABLE = 503
+_PAUSING = frozenset({429, _UNAVAILABLE})
 
 
 class StatusError(clients.PlatformError):
@@ -24,7 +25,8 @@
         self, status: int, detail: str, asked_ms: float | None
     ) -> None:
         """Records the status and when the service asked to be called again."""
-        super().__init__(detail, asked_ms)
+        answering = status != _UNAVAILABLE
+        super().__init__(detail, asked_ms, answering=answering)
         self.status = status
 
 
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -22,7 +22,8 @@
     Attributes:
       asked_ms: time after which it asked to be called again, None if it named
         none.
-      answering: whether a part of its answer had come.
+      answering: whether it was there: a part of an answer had come that does
+        not say that it serves nobody now.
     """
 
     def __init__(
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -109,7 +109,9 @@
             if not items:
                 # What follows is unknown; taken as the end, it would remove
                 # the replicas on the pages that were not read.
-                raise clients.PlatformError("a page without a readable item")
+                raise clients.PlatformError(
+                    "a page without a readable item", answering=True
+                )
             after = items[-1].key
 
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
@@ -150,7 +152,9 @@
             return await self._calls.make("GET", self._url + path, timeout_ms)
         except calls.StatusError as error:
             if error.status == _GONE:
-                raise HistoryGoneError("history is gone") from error
+                raise HistoryGoneError(
+                    "history is gone", answering=True
+                ) from error
             raise
 
 
@@ -158,7 +162,9 @@
     try:
         return decode(body)
     except msgspec.DecodeError as error:
-        raise clients.PlatformError(f"malformed answer: {error}") from error
+        raise clients.PlatformError(
+            f"malformed answer: {error}", answering=True
+        ) from error
 
 
 class _ItemDecoder:
