--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import json
 import time
+from typing import NamedTuple
 from typing import Protocol
 
 from standins import direct_documents
@@ -35,6 +36,18 @@
     return time.time_ns() // 1_000_000
 
 
+class Begin(NamedTuple):
+    """The first token of a request.
+
+    Attributes:
+      at_s: time of the event loop.
+      weights: version on which it began.
+    """
+
+    at_s: float
+    weights: int
+
+
 class CrashingServer(Protocol):
     """The server of a replica that may crash."""
 
@@ -80,6 +93,7 @@
       weights: version loaded, 0 for none.
       mixed: loads of pieces that were missing or wrong.
       runs: how often each request id ran.
+      begins: first tokens of requests, in order.
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
       need: the limit that it names.
       turning_away: what it turns away, and whether it leaves.
@@ -108,6 +122,7 @@
         self.weights = weights
         self.mixed = 0
         self.runs: dict[str, int] = {}
+        self.begins: list[Begin] = []
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
@@ -305,6 +320,9 @@
             if born_ms != self._born_ms:
                 peer.reset()
                 return
+            if number == first:
+                now_s = asyncio.get_running_loop().time()
+                self.begins.append(Begin(now_s, self.weights))
             event = f"id: {number}\ndata: e{number}\n\n".encode()
             await peer.write(b"%x\r\n%s\r\n" % (len(event), event))
         await peer.write(b"0\r\n\r\n")
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -21,6 +21,7 @@
 
     NONE = "none"
     DELAY = "delay"
+    NARROW = "narrow"
     RESET = "reset"
     CUT_TO_SERVER = "cut_to_server"
     CUT_TO_CLIENT = "cut_to_client"
@@ -59,6 +60,7 @@
     Attributes:
       fault: what it does now.
       delay_ms: how long each part waits while the fault is `DELAY`.
+      bytes_per_s: rate each way of a connection while it is `NARROW`.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self._changed = asyncio.Event()
         self.fault = Fault.NONE
         self.delay_ms = 0.0
+        self.bytes_per_s = float("inf")
 
     @property
     def address(self) -> str:
@@ -90,6 +93,11 @@
         for connection in list(self._connections):
             connection.reset()
 
+    def narrow(self, bytes_per_s: float) -> None:
+        """Bounds the rate of each connection, each way, from now on."""
+        self.bytes_per_s = bytes_per_s
+        self.set_fault(Fault.NARROW)
+
     def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
         """Starts a fault, or ends the one in force with `NONE`."""
         self.fault = fault
@@ -136,6 +144,8 @@
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(_PART_BYTES):
                 await self._hold(stopped_by)
+                if self.fault is Fault.NARROW:
+                    await asyncio.sleep(len(data) / self.bytes_per_s)
                 if connection.silenced:
                     continue
                 writer.write(data)
--- a/tests/failures/direct_runs.py
+++ b/tests/failures/direct_runs.py
@@ -17,7 +17,13 @@
 
 
 def runner(
-    folder: pathlib.Path, entries: int, engines: int, desks: int, *, group: int
+    folder: pathlib.Path,
+    entries: int,
+    engines: int,
+    desks: int,
+    *,
+    group: int,
+    proxied: bool = False,
 ) -> RunFleet:
     """Returns a function that runs a test with a fleet of its own.
 
@@ -27,12 +33,18 @@
       engines: engines, each with an agent.
       desks: replicas of the plain service.
       group: number of the fleet's addresses.
+      proxied: whether connections go through proxies that can fail them.
     """
 
     def run(use: Use) -> None:
         async def main() -> None:
             fleet = direct_fleet.Fleet(
-                folder, entries, engines, group=group, desks=desks
+                folder,
+                entries,
+                engines,
+                group=group,
+                desks=desks,
+                proxied=proxied,
             )
             async with asyncio.timeout(TIMEOUT_S), fleet:
                 await use(fleet)
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -97,3 +97,19 @@
             await streams[0].read(100)
 
     play(use)
+
+
+def test_narrow_way_carries_no_more_than_its_rate() -> None:
+    async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        proxy.narrow(bytes_per_s=1_000.0)
+        start_s = asyncio.get_running_loop().time()
+        writer.write(bytes(100))
+        assert await reader.readexactly(100) == bytes(100)
+        # 0.1 s each way.
+        assert asyncio.get_running_loop().time() - start_s >= 0.2
+        proxy.set_fault(fault_proxy.Fault.NONE)
+        assert await sent((reader, writer)) == b"x"
+        writer.close()
+
+    play(use)
