A request is taken back from an old version by the way to its engine

Cause: the close of a connection was given 60 ms, for the way to the engine and one pass of it. Nothing measured that way; a link that carries pieces of new weights at that time has a queue longer than what the pass leaves (9 ms).

Ruled out: a larger fixed margin (service lost behind all idle links); the request's own connection alone (an idle one was opened before the link filled); bytes in the own buffers as a sign that it has not run (the head leaves first, and a replica may begin before it has the body).

Now what opening connections took is kept, the longest of some seconds, for each replica and each data centre. By what that is over 9 ms the time to send and the time to take back both come sooner, so that they keep their distance and a request that is written has as long to begin as before. Choosing a replica, looking again before writing and taking back read one figure. In the last second the way is looked at each 20 ms. Ways up to 9 ms change nothing. way_ms is logged beside begins_within_ms.

Why it works: a connection opens over a way there and back behind the same queue as the close, so that it took no less than the close will, if the link is not fuller since.

--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -15,6 +15,7 @@
 from marlramp.core import fleet
 from marlramp.core import replica_view
 from marlramp.core import wait_bias
+from marlramp.core import way_times
 
 GONE_MAX = 4_096
 """Replicas remembered after they left the list, the latest ones."""
@@ -44,6 +45,7 @@
         self._reports: dict[str, tuple[replica_view.LoadReport, float]] = {}
         self._behind_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
         self._front_bias: dict[ids.ServiceId, wait_bias.WaitBias] = {}
+        self._centre_ways: dict[ids.DataCentreId, way_times.WayTimes] = {}
         self._gone: dict[str, _Gone] = {}
         self._listeners: list[Callable[[str], None]] = []
 
@@ -141,6 +143,9 @@
             ),
             on_load_change=self._note_load_change,
             born_ms=replica.born_ms,
+            centre_ways=self._centre_ways.setdefault(
+                replica.data_centre, way_times.WayTimes()
+            ),
         )
         self._views[replica.replica_id] = view
         return view
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -18,6 +18,7 @@
 from marlramp.core import queue_place
 from marlramp.core import send_limit
 from marlramp.core import wait_bias
+from marlramp.core import way_times
 
 REPORT_FRESH_MS = 1_500.0
 """An agent's report counts this long; agents report every 500 ms or sooner."""
@@ -143,6 +144,8 @@
       born_ms: Unix time of its newest start heard of, None if none was told.
       limit: the limit that it names over all entries together, None while it
         names none.
+      ways: what opening connections to it took.
+      centre_ways: the same over all replicas of its data centre.
     """
 
     replica: fleet.Replica
@@ -183,6 +186,10 @@
     heard_ms: float = float("-inf")
     born_ms: int | None = None
     limit: send_limit.SendLimit | None = None
+    ways: way_times.WayTimes = msgspec.field(default_factory=way_times.WayTimes)
+    centre_ways: way_times.WayTimes = msgspec.field(
+        default_factory=way_times.WayTimes
+    )
 
     def weights(self, now_ms: clock.Millis) -> int:
         """Returns the version believed to be loaded, 0 if none is."""
@@ -332,6 +339,22 @@
         known_share = recent / (recent + ANSWERS_DOUBT)
         return least_ms + known_share * max(0.0, self.answer_ms - least_ms)
 
+    def note_way(self, way_ms: float, now_ms: clock.Millis) -> None:
+        """Takes what opening a connection to it took."""
+        self.ways.note(way_ms, now_ms)
+        self.centre_ways.note(way_ms, now_ms)
+
+    def way_ms(self, now_ms: clock.Millis) -> float:
+        """Returns the way to it that is to be reckoned with now.
+
+        What is sent to it is there by then, 0 if nothing is known.
+        """
+        return way_times.way_ms(self.ways, self.centre_ways, now_ms)
+
+    def way_beyond_short_ms(self, now_ms: clock.Millis) -> float:
+        """Returns by how much that way is longer than margins have room for."""
+        return way_times.beyond_short_ms(self.way_ms(now_ms))
+
     def note_run(self, taken_ms: float, events: int) -> None:
         """Takes the time from a stream's first event to its end."""
         self.run_ms += TIME_SMOOTHING * (taken_ms - self.run_ms)
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -14,6 +14,7 @@
 from marlramp.core import queue_place
 from marlramp.core import replica_view
 from marlramp.core import routing
+from marlramp.core import weights_gate
 
 FAILURE_WEIGHT = 4.0
 """How much a share of failures lengthens the predicted time."""
@@ -74,6 +75,7 @@
       prompt_tokens: tokens of the prompt.
       events: events that the answer is expected to have.
       oldest_weights: oldest version that the request may begin on.
+      leaves: until when it may be sent to older ones, sooner behind long ways.
       failed: ids of replicas that this request already failed at.
       place: where it would wait in an engine's queue.
       alone: whether it goes where the fewest others run, since it may crash
@@ -90,6 +92,7 @@
     place: queue_place.QueuePlace = queue_place.QueuePlace.FRONT
     alone: bool = False
     limit_wait_max_ms: float = 0.0
+    leaves: Sequence[weights_gate.Leave] = ()
 
 
 class Choice(msgspec.Struct, frozen=True):
@@ -103,10 +106,10 @@
       load_age_ms: age of the last word on its load, infinite without one.
       unread_tokens: prompt tokens there that are read before its own.
       place: where it waits in an engine's queue.
-      begins_until_ms: a reading of the clock, from which it may not begin
-        there any more.
+      begins_until_ms: a reading of the clock, at which it is taken back from a
+        replica behind a short way if it has not begun there.
       sent_until_ms: a reading of the clock, from which it may not be written to
-        it any more.
+        such a replica any more.
       begins_within_ms: time from the choice until then, infinite while no newer
         version is named.
       limit_per_s: limit that the replica is known to name, None for none.
@@ -126,6 +129,15 @@
     limit_per_s: float | None = None
     limit_wait_max_ms: float = 0.0
 
+    def taken_back_ms(self, now_ms: clock.Millis) -> float:
+        """Returns when it is taken back if it has not begun, as of now."""
+        return self.begins_until_ms - self.view.way_beyond_short_ms(now_ms)
+
+    def may_be_written(self, now_ms: clock.Millis) -> bool:
+        """Returns whether its version may still be sent the request."""
+        beyond_ms = self.view.way_beyond_short_ms(now_ms)
+        return now_ms < self.sent_until_ms - beyond_ms
+
 
 def usable(
     view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
@@ -152,6 +164,9 @@
         weights = view.weights(now_ms)
         if weights == 0 or weights < wanted.oldest_weights:
             return False
+        if wanted.leaves:
+            leaves_ms = weights_gate.leaves_ms(wanted.leaves, weights)
+            return now_ms < leaves_ms - view.way_beyond_short_ms(now_ms)
     return True
 
 
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -220,7 +220,7 @@
             if failure is None:
                 self._succeed(call, tried, choice)
                 return
-            self._note_failure(call, choice, failure, tried.outcome.answer)
+            self._note_failure(call, choice, failure, tried)
             await self._note_end(call, tried, choice)
             # A caller that has left meanwhile cancels this before another send.
             await asyncio.sleep(0)
@@ -256,8 +256,9 @@
         call: call_module.Call,
         choice: upstream_choice.Choice,
         failure: errors.CallError,
-        answer: wire.ReplicaAnswer | None,
+        tried: sender.Sent,
     ) -> None:
+        answer = tried.outcome.answer
         call.failed.add(choice.view.replica.replica_id)
         if failure.ran is not errors.Ran.NO:
             call.runs += 1
@@ -279,6 +280,7 @@
             load_age_ms=_rounded(choice.load_age_ms),
             limit_per_s=choice.limit_per_s,
             begins_within_ms=_rounded(choice.begins_within_ms),
+            way_ms=round(tried.way_ms),
         )
 
     # Requests that crash replicas.
@@ -338,6 +340,7 @@
             unread_tokens=choice.unread_tokens,
             limit_per_s=choice.limit_per_s,
             begins_within_ms=_rounded(choice.begins_within_ms),
+            way_ms=round(tried.way_ms),
             place=choice.place.value,
             spent_ms=round(call.spent_ms),
             first_ms=round(tried.first_event_ms or 0.0),
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -173,6 +173,7 @@
             oldest_weights=self._oldest_weights(
                 call.service, weights_gate.QUEUE_MARGIN_MS, now_ms
             ),
+            leaves=self._leaves(call.service, now_ms),
             failed=call.failed,
             alone=call.suspected,
             limit_wait_max_ms=call.limit_wait_max_ms(now_ms),
@@ -192,12 +193,22 @@
         bound_ms = self._version_bound_ms
         version = choice.view.weights(now_ms)
         ends_ms = weights_gate.begins_until_ms(target, bound_ms, version)
-        return msgspec.structs.replace(
+        choice = msgspec.structs.replace(
             choice,
             begins_until_ms=ends_ms,
             sent_until_ms=weights_gate.sent_until_ms(target, bound_ms, version),
-            begins_within_ms=ends_ms - now_ms,
         )
+        left_ms = choice.taken_back_ms(now_ms) - now_ms
+        return msgspec.structs.replace(choice, begins_within_ms=left_ms)
+
+    def _leaves(
+        self, service: fleet.Service, now_ms: clock.Millis
+    ) -> list[weights_gate.Leave]:
+        engine = service.engine
+        target = engine and self._catalog.targets.get(engine.model)
+        if not target:
+            return []
+        return weights_gate.leaves(target, self._version_bound_ms, now_ms)
 
     def _oldest_weights(
         self, service: fleet.Service, wait_ms: float, now_ms: clock.Millis
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -15,6 +15,7 @@
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 from marlramp.core import queue_place
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
@@ -38,6 +39,13 @@
 """Longest wait before the clock is read again: timers of the event loop stand
 still while the VM is suspended, deadlines do not."""
 
+LEAVING_MS = 1_000.0
+"""Time before a request is taken back from an old version in which the way to
+the replica is looked at more often: more than a way can grow by."""
+
+WAY_POLL_MS = 20.0
+"""Between two such looks."""
+
 CONDEMNED_POLL_MS = 20.0
 """Between two looks whether a request that is suspected of crashes has been
 condemned while it waits at a replica."""
@@ -58,6 +66,8 @@
       unsent: whether the replica closed, or its version could no longer begin
         the request, before that was written.
       first_event_ms: time to the first event, None if none came.
+      way_ms: way to the replica that was reckoned with, the longer one of
+        when the request was written and when it was given up.
     """
 
     outcome: attempts.Outcome
@@ -65,6 +75,7 @@
     withdrawn: bool = False
     unsent: bool = False
     first_event_ms: float | None = None
+    way_ms: float = 0.0
 
     @property
     def may_have_crashed(self) -> bool:
@@ -129,7 +140,7 @@
         connection: http1_client.ReplicaConnection | None = None
         try:
             pool = self._pool(view.replica)
-            connection = await self._connect(call, pool)
+            connection = await self._connect(call, view, pool)
             if connection is None:
                 outcome = attempts.Outcome(
                     failure=errors.CallError(
@@ -141,12 +152,14 @@
                 observer.ended(outcome, None)
                 return Sent(outcome)
             now_ms = self._clock.now_ms()
-            if not view.takes(now_ms) or now_ms >= choice.sent_until_ms:
+            if not view.takes(now_ms) or not choice.may_be_written(now_ms):
                 call.sends -= 1
                 observer.left()
                 pool.give_back(connection)
                 return Sent(_unsent(), unsent=True)
+            way_ms = view.way_ms(now_ms)
             tried = await self._exchange(call, choice, connection, observer)
+            tried.way_ms = max(tried.way_ms, way_ms)
         except asyncio.CancelledError:
             observer.left()
             if connection is not None:
@@ -168,19 +181,26 @@
         return tried
 
     async def _connect(
-        self, call: call_module.Call, pool: http1_client.ConnectionPool
+        self,
+        call: call_module.Call,
+        view: replica_view.ReplicaView,
+        pool: http1_client.ConnectionPool,
     ) -> http1_client.ReplicaConnection | None:
         share = 1.0 if call.route.repeatable else FRESH_IDLE_SHARE
         connection = pool.take_idle(share)
         if connection is not None:
             return connection
+        asked_ms = self._clock.now_ms()
         try:
-            return await pool.open()
+            connection = await pool.open()
         except OSError as error:
             logs.log(
                 "connect_failed", request=call.said.request_id, error=error
             )
             return None
+        now_ms = self._clock.now_ms()
+        view.note_way(now_ms - asked_ms, now_ms)
+        return connection
 
     async def _exchange(
         self,
@@ -197,18 +217,35 @@
         while True:
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
-            look_ms = CONDEMNED_POLL_MS if call.suspected else LOOK_MS
-            wait_ms = min(wait_ms, look_ms)
+            wait_ms = min(wait_ms, self._look_ms(call, choice, attempt))
             if wait_ms > 0:
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
                 return Sent(attempt.finished.result())
             if self._clock.now_ms() >= self._limit_ms(call, choice, attempt):
-                return Sent(self._stalled(call, attempt), stalled=True)
+                return Sent(
+                    self._stalled(call, attempt),
+                    stalled=True,
+                    way_ms=choice.view.way_ms(self._clock.now_ms()),
+                )
             # One that has begun may yet end well and clear itself.
             if not attempt.begun and self._is_condemned(call.fingerprint):
                 return Sent(_condemned(), withdrawn=True)
 
+    def _look_ms(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
+    ) -> float:
+        """Returns after how long the attempt is looked at again."""
+        if call.suspected:
+            return CONDEMNED_POLL_MS
+        left_ms = choice.begins_until_ms - self._clock.now_ms()
+        if not attempt.begun and left_ms < LEAVING_MS:
+            return WAY_POLL_MS
+        return LOOK_MS
+
     def _attempt(
         self, call: call_module.Call, observer: replica_observer.ReplicaObserver
     ) -> attempts.Attempt:
@@ -256,7 +293,7 @@
             heard_ms=choice.view.heard_ms,
             gap_max_ms=gap_max_ms if route.streaming else 0.0,
             predicted_ms=choice.predicted_ms,
-            begins_until_ms=choice.begins_until_ms,
+            begins_until_ms=choice.taken_back_ms(self._clock.now_ms()),
         )
         return attempt_limits.limit_ms(waiting)
 
--- /dev/null
+++ b/tests/core/test_leaving_versions.py
@@ -0,0 +1,191 @@
+"""Until when requests go to an old version, and stay there, by the way."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TypeAlias
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import catalog
+from marlramp.core import event_time
+from marlramp.core import fleet
+from marlramp.core import replica_table
+from marlramp.core import replica_view
+from marlramp.core import upstream_choice
+from marlramp.core import way_times
+from marlramp.core import weights_gate
+
+MakeReplica: TypeAlias = Callable[..., fleet.Replica]
+
+BOUND_MS = 8_000.0
+ANYWHERE = upstream_choice.Places(frozenset())
+
+
+@pytest.fixture
+def known(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> catalog.Catalog:
+    """Two engines of one data centre and one of another, on version 1.
+
+    Version 2 is named now.
+    """
+    found = catalog.Catalog()
+    centres = {"i-1": "dc-1", "i-2": "dc-1", "i-3": "dc-2"}
+    changes: list[catalog.Change] = [
+        catalog.ReplicaChange(
+            number + 1,
+            replica_id,
+            make_replica(
+                replica_id=replica_id,
+                address=f"127.0.0.1:{number + 1}",
+                data_centre=ids.DataCentreId(centre),
+            ),
+        )
+        for number, (replica_id, centre) in enumerate(centres.items())
+    ]
+    target = fleet.WeightsTarget(model="m", version=2)
+    changes.append(catalog.TargetChange(9, target, event_time.Ages(0.0, 0.0)))
+    found.apply(changes, time.now_ms())
+    return found
+
+
+@pytest.fixture
+def table(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> replica_table.ReplicaTable:
+    """The same engines."""
+    found = replica_table.ReplicaTable()
+    found.sync(known, time.now_ms())
+    return found
+
+
+def view_of(
+    table: replica_table.ReplicaTable, replica_id: str
+) -> replica_view.ReplicaView:
+    view = table.get(replica_id)
+    assert view is not None
+    return view
+
+
+def wanted(
+    known: catalog.Catalog, engine: fleet.EngineSpec, now_ms: clock.Millis
+) -> upstream_choice.Wanted:
+    target = known.targets["m"]
+    return upstream_choice.Wanted(
+        engine=engine,
+        prompt_tokens=900,
+        events=18.0,
+        oldest_weights=weights_gate.oldest_allowed(
+            target, BOUND_MS, now_ms - 60_000.0, now_ms
+        ),
+        leaves=weights_gate.leaves(target, BOUND_MS, now_ms),
+        failed=(),
+    )
+
+
+def chosen(
+    known: catalog.Catalog,
+    view: replica_view.ReplicaView,
+    engine: fleet.EngineSpec,
+    now_ms: clock.Millis,
+) -> upstream_choice.Choice:
+    target = known.targets["m"]
+    (choice,) = upstream_choice.rank(
+        [view], wanted(known, engine, now_ms), ANYWHERE, now_ms
+    )
+    return msgspec.structs.replace(
+        choice,
+        begins_until_ms=weights_gate.begins_until_ms(target, BOUND_MS, 1),
+        sent_until_ms=weights_gate.sent_until_ms(target, BOUND_MS, 1),
+    )
+
+
+@pytest.mark.parametrize("way_ms", [0.0, 3.0, 9.0, 9.5, 63.0, 150.0, 400.0])
+def test_replica_is_chosen_as_long_as_requests_are_written_there(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    engine: fleet.EngineSpec,
+    time: clock.ManualClock,
+    way_ms: float,
+) -> None:
+    view = view_of(table, "i-1")
+    choice = chosen(known, view, engine, time.now_ms())
+    named_ms = time.now_ms()
+    until_ms = named_ms
+    time.advance(BOUND_MS - 1_000.0)
+    while time.now_ms() < named_ms + BOUND_MS:
+        now_ms = time.now_ms()
+        view.note_way(way_ms, now_ms)
+        written = choice.may_be_written(now_ms)
+        request = wanted(known, engine, now_ms)
+        assert upstream_choice.usable(view, request, now_ms) == written
+        assert upstream_choice.still_usable(view, request, now_ms) == written
+        if written:
+            until_ms = now_ms
+            # It has as long to begin there as behind a short way.
+            stays_ms = choice.taken_back_ms(now_ms) - now_ms
+            assert stays_ms > (
+                weights_gate.QUEUE_MARGIN_MS - weights_gate.LEAVE_MARGIN_MS
+            )
+        time.advance(1.0)
+    margin_ms = weights_gate.QUEUE_MARGIN_MS + max(
+        0.0, way_ms - way_times.SHORT_WAY_MS
+    )
+    left_ms = named_ms + BOUND_MS - until_ms
+    assert margin_ms < left_ms <= margin_ms + 1.0
+
+
+@pytest.mark.parametrize("way_ms", [0.0, 3.0, way_times.SHORT_WAY_MS])
+def test_behind_short_ways_the_margins_are_the_least_ones(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    engine: fleet.EngineSpec,
+    time: clock.ManualClock,
+    way_ms: float,
+) -> None:
+    view = view_of(table, "i-1")
+    view.note_way(way_ms, time.now_ms())
+    choice = chosen(known, view, engine, time.now_ms())
+    taken_back_ms = choice.taken_back_ms(time.now_ms())
+    assert taken_back_ms == (
+        time.now_ms() + BOUND_MS - weights_gate.LEAVE_MARGIN_MS
+    )
+
+
+def test_request_is_taken_back_by_the_longest_way_of_the_data_centre(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    engine: fleet.EngineSpec,
+    time: clock.ManualClock,
+) -> None:
+    view_of(table, "i-1").note_way(150.0, time.now_ms())
+    binds_ms = time.now_ms() + BOUND_MS
+    for replica_id, least_ms in (("i-1", 150.0), ("i-2", 150.0), ("i-3", 0.0)):
+        view = view_of(table, replica_id)
+        choice = chosen(known, view, engine, time.now_ms())
+        margin_ms = binds_ms - choice.taken_back_ms(time.now_ms())
+        assert margin_ms > least_ms + 50.0
+        assert (margin_ms == weights_gate.LEAVE_MARGIN_MS) == (
+            replica_id == "i-3"
+        )
+
+
+def test_old_version_behind_a_long_way_is_left_while_others_still_serve(
+    known: catalog.Catalog,
+    table: replica_table.ReplicaTable,
+    engine: fleet.EngineSpec,
+    time: clock.ManualClock,
+) -> None:
+    time.advance(BOUND_MS - weights_gate.QUEUE_MARGIN_MS - 100.0)
+    now_ms = time.now_ms()
+    view_of(table, "i-1").note_way(150.0, now_ms)
+    request = wanted(known, engine, now_ms)
+    ranked = upstream_choice.rank(list(table), request, ANYWHERE, now_ms)
+    assert [c.view.replica.replica_id for c in ranked] == ["i-3"]
+    newer = view_of(table, "i-1")
+    newer.seen_weights = 2
+    assert upstream_choice.usable(newer, request, now_ms)
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -599,3 +599,109 @@
         assert replica.seen == []
 
     run_entry(use, replica.serve)
+
+
+def test_request_behind_a_long_way_is_taken_back_sooner(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The close took longer than its margin, and the request had begun."""
+    way_ms = 150.0
+    left_ms = 800.0
+    closed_ms: list[float] = []
+    seen_ms: list[float] = []
+    time = clock.SystemClock()
+    connect = http1_client.connect
+
+    async def hang(peer: raw_http.Peer) -> None:
+        assert await peer.read() is not None
+        seen_ms.append(time.now_ms())
+        assert await peer.read() is None
+        closed_ms.append(time.now_ms())
+
+    async def connect_late(
+        host: str, port: int, own: clock.Clock
+    ) -> http1_client.ReplicaConnection:
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        return await connect(host, port, own)
+
+    async def use(entry: conftest.Entry) -> None:
+        monkeypatch.setattr(http1_client, "connect", connect_late)
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        binds_ms = entry.time.now_ms() + left_ms
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        assert status_of(await entry.call("/whole/x", "POST")) == 502
+        await asyncio.sleep(0.05)
+        assert len(seen_ms) == len(closed_ms) == 1
+        assert closed_ms[0] <= binds_ms - way_ms
+        # Not at once: there was time to begin in.
+        assert closed_ms[0] >= seen_ms[0] + way_ms
+
+    run_entry(use, hang)
+
+
+def test_request_is_taken_back_sooner_when_the_way_grows(
+    run_entry: RunEntry,
+) -> None:
+    left_ms = 800.0
+    grows_at_ms = 290.0
+    way_ms = 200.0
+    closed_ms: list[float] = []
+    time = clock.SystemClock()
+
+    async def hang(peer: raw_http.Peer) -> None:
+        assert await peer.read() is not None
+        assert await peer.read() is None
+        closed_ms.append(time.now_ms())
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        binds_ms = entry.time.now_ms() + left_ms
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        answer = asyncio.create_task(entry.call("/whole/x", "POST"))
+        wait_ms = binds_ms - grows_at_ms - entry.time.now_ms()
+        await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
+        assert closed_ms == []
+        view.note_way(way_ms, entry.time.now_ms())
+        assert status_of(await answer) == 502
+        await asyncio.sleep(0.05)
+        (closed,) = closed_ms
+        assert closed <= binds_ms - way_ms
+
+    run_entry(use, hang)
+
+
+def test_request_whose_connecting_shows_a_long_way_leaves_the_old_version(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    replica = Replica()
+    connect = http1_client.connect
+    connected = 0
+
+    async def connect_late(
+        host: str, port: int, time: clock.Clock
+    ) -> http1_client.ReplicaConnection:
+        nonlocal connected
+        connected += 1
+        await asyncio.sleep(0.15)
+        return await connect(host, port, time)
+
+    async def use(entry: conftest.Entry) -> None:
+        monkeypatch.setattr(http1_client, "connect", connect_late)
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        # Room for a short way is left, for this one it is not.
+        left_ms = weights_gate.QUEUE_MARGIN_MS + 220.0
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        assert status_of(await entry.call("/stream/x", "POST")) == 503
+        assert replica.seen == []
+        assert connected == 1
+
+    run_entry(use, replica.serve)
