A connection given up is reset while bytes written to it have not left

A replica hears of a close only after all bytes written before it, so that a request with a long body that is taken back, or whose caller has left, arrives whole first.

Cause: asyncio's abort() drops its own buffer, but closes the socket, and the kernel sends what it holds and then the close. abort() does not reset unless unread bytes have arrived, other than its name and our comments suggest.

Ruled out: a reset always. It is not sent again if it is lost, where a close is; with nothing unsent the close leaves at once all the same. To call such a request not run: a replica may begin before it has read the body.

Now bytes in asyncio's buffer or unsent in the kernel (SIOCOUTQNSD, Linux) make it a reset (SO_LINGER 0).

Why it works: the kernel drops what it holds on a reset, and a reset needs no window of the other end.

--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import closing
 from marlramp.shell import silence
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -132,9 +133,9 @@
     def abort(self) -> None:
         """Ends the connection at once; the reader hears nothing more."""
         self._reader = None
+        if self._transport is not None and not self.closed:
+            closing.abort(self._transport)
         self.closed = True
-        if self._transport is not None:
-            self._transport.abort()
 
     def pause(self) -> None:
         """Stops reading while the caller does not take what arrived."""
