--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -173,6 +173,7 @@
             oldest_weights=self._oldest_weights(
                 call.service, weights_gate.QUEUE_MARGIN_MS, now_ms
             ),
+            leaves=self._leaves(call.service, now_ms),
             failed=call.failed,
             alone=call.suspected,
             limit_wait_max_ms=call.limit_wait_max_ms(now_ms),
@@ -187,33 +188,38 @@
         """Returns a choice that says until when the request may begin."""
         weights = choice.view.weights(now_ms)
         chosen = msgspec.structs.replace(choice, weights=weights)
-        within_ms = self.begins_until_ms(call, chosen) - now_ms
-        return msgspec.structs.replace(chosen, begins_within_ms=within_ms)
+        dated = self.dated(call, chosen)
+        left_ms = dated.taken_back_ms(now_ms) - now_ms
+        return msgspec.structs.replace(dated, begins_within_ms=left_ms)
 
-    def begins_until_ms(
+    def dated(
         self, call: call_module.Call, choice: upstream_choice.Choice
-    ) -> float:
-        """Returns until when a call may begin at the replica chosen for it.
+    ) -> upstream_choice.Choice:
+        """Returns a choice with its ends as they are known now.
 
-        What is known of named versions changes while it waits there.
+        What is known of named versions changes while a request waits.
         """
         target = self._target(call.service)
         if target is None:
-            return float("inf")
-        return weights_gate.begins_until_ms(
-            target, self._version_bound_ms, choice.weights, self._started_ms
+            return choice
+        bound_ms = self._version_bound_ms
+        return msgspec.structs.replace(
+            choice,
+            begins_until_ms=weights_gate.begins_until_ms(
+                target, bound_ms, choice.weights, self._started_ms
+            ),
+            sent_until_ms=weights_gate.sent_until_ms(
+                target, bound_ms, choice.weights, self._started_ms
+            ),
         )
 
-    def sent_until_ms(
-        self, call: call_module.Call, choice: upstream_choice.Choice
-    ) -> float:
-        """Returns until when a call may be written to that replica."""
-        target = self._target(call.service)
+    def _leaves(
+        self, service: fleet.Service, now_ms: clock.Millis
+    ) -> list[weights_gate.Leave]:
+        target = self._target(service)
         if target is None:
-            return float("inf")
-        return weights_gate.sent_until_ms(
-            target, self._version_bound_ms, choice.weights, self._started_ms
-        )
+            return []
+        return weights_gate.leaves(target, self._version_bound_ms, now_ms)
 
     def _target(self, service: fleet.Service) -> catalog.KnownTarget | None:
         if service.engine is None:
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -16,6 +16,7 @@
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 from marlramp.core import queue_place
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
@@ -41,6 +42,12 @@
 
 UNBEGUN_LOOK_MS = 50.0
 """The same of a request that waits at an engine, whose version may end."""
+LEAVING_MS = 1_000.0
+"""Time before a request is taken back from an old version in which the way to
+the replica is looked at more often: more than a way can grow by."""
+
+WAY_POLL_MS = 20.0
+"""Between two such looks."""
 
 CONDEMNED_POLL_MS = 20.0
 """Between two looks whether a request that is suspected of crashes has been
@@ -62,6 +69,8 @@
       unsent: whether the replica closed, or its version could no longer begin
         the request, before that was written.
       first_event_ms: time to the first event, None if none came.
+      way_ms: way to the replica that was reckoned with, the longer one of
+        when the request was written and when it was given up.
     """
 
     outcome: attempts.Outcome
@@ -69,6 +78,7 @@
     withdrawn: bool = False
     unsent: bool = False
     first_event_ms: float | None = None
+    way_ms: float = 0.0
 
     @property
     def may_have_crashed(self) -> bool:
@@ -79,18 +89,12 @@
 
 
 class VersionEnds(Protocol):
-    """Until when a call may begin on the version of a chosen replica."""
+    """Until when requests may begin on a version."""
 
-    def begins_until_ms(
+    def dated(
         self, call: call_module.Call, choice: upstream_choice.Choice
-    ) -> float:
-        """Returns until when it may begin there."""
-        ...
-
-    def sent_until_ms(
-        self, call: call_module.Call, choice: upstream_choice.Choice
-    ) -> float:
-        """Returns until when it may be written to it."""
+    ) -> upstream_choice.Choice:
+        """Returns a choice with its ends as they are known now."""
         ...
 
 
@@ -152,7 +156,7 @@
         connection: http1_client.ReplicaConnection | None = None
         try:
             pool = self._pool(view.replica)
-            connection = await self._connect(call, pool)
+            connection = await self._connect(call, view, pool)
             if connection is None:
                 outcome = attempts.Outcome(
                     failure=errors.CallError(
@@ -164,13 +168,15 @@
                 observer.ended(outcome, None)
                 return Sent(outcome)
             now_ms = self._clock.now_ms()
-            too_late = now_ms >= self._ends.sent_until_ms(call, choice)
-            if too_late or not view.takes(now_ms):
+            choice = self._ends.dated(call, choice)
+            if not view.takes(now_ms) or not choice.may_be_written(now_ms):
                 call.sends -= 1
                 observer.left()
                 pool.give_back(connection)
                 return Sent(_unsent(), unsent=True)
+            way_ms = view.way_ms(now_ms)
             tried = await self._exchange(call, choice, connection, observer)
+            tried.way_ms = max(tried.way_ms, way_ms)
         except asyncio.CancelledError:
             observer.left()
             if connection is not None:
@@ -192,19 +198,26 @@
         return tried
 
     async def _connect(
-        self, call: call_module.Call, pool: http1_client.ConnectionPool
+        self,
+        call: call_module.Call,
+        view: replica_view.ReplicaView,
+        pool: http1_client.ConnectionPool,
     ) -> http1_client.ReplicaConnection | None:
         share = 1.0 if call.route.repeatable else FRESH_IDLE_SHARE
         connection = pool.take_idle(share)
         if connection is not None:
             return connection
+        asked_ms = self._clock.now_ms()
         try:
-            return await pool.open()
+            connection = await pool.open()
         except OSError as error:
             logs.log(
                 "connect_failed", request=call.said.request_id, error=error
             )
             return None
+        now_ms = self._clock.now_ms()
+        view.note_way(now_ms - asked_ms, now_ms)
+        return connection
 
     async def _exchange(
         self,
@@ -219,19 +232,38 @@
         call.responder.on_pressure(connection.pause, connection.resume)
         connection.send(call.request.method, head, call.request.body, attempt)
         while True:
+            choice = self._ends.dated(call, choice)
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
-            wait_ms = min(wait_ms, _look_ms(call, attempt))
+            wait_ms = min(wait_ms, self._look_ms(call, choice, attempt))
             if wait_ms > 0:
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
                 return Sent(attempt.finished.result())
             if self._clock.now_ms() >= self._limit_ms(call, choice, attempt):
-                return Sent(self._stalled(call, attempt), stalled=True)
+                return Sent(
+                    self._stalled(call, attempt),
+                    stalled=True,
+                    way_ms=choice.view.way_ms(self._clock.now_ms()),
+                )
             # One that has begun may yet end well and clear itself.
             if not attempt.begun and self._is_condemned(call.fingerprint):
                 return Sent(_condemned(), withdrawn=True)
 
+    def _look_ms(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
+    ) -> float:
+        """Returns after how long the attempt is looked at again."""
+        if call.suspected:
+            return CONDEMNED_POLL_MS
+        if call.service.engine is None or attempt.begun:
+            return LOOK_MS
+        left_ms = choice.begins_until_ms - self._clock.now_ms()
+        return WAY_POLL_MS if left_ms < LEAVING_MS else UNBEGUN_LOOK_MS
+
     def _attempt(
         self, call: call_module.Call, observer: replica_observer.ReplicaObserver
     ) -> attempts.Attempt:
@@ -279,7 +311,7 @@
             heard_ms=choice.view.heard_ms,
             gap_max_ms=gap_max_ms if route.streaming else 0.0,
             predicted_ms=choice.predicted_ms,
-            begins_until_ms=self._ends.begins_until_ms(call, choice),
+            begins_until_ms=choice.taken_back_ms(self._clock.now_ms()),
         )
         return attempt_limits.limit_ms(waiting)
 
@@ -305,15 +337,6 @@
         return pool
 
 
-def _look_ms(call: call_module.Call, attempt: attempts.Attempt) -> float:
-    """Returns the longest wait before an attempt is looked at again."""
-    if call.suspected:
-        return CONDEMNED_POLL_MS
-    if call.service.engine is not None and not attempt.begun:
-        return UNBEGUN_LOOK_MS
-    return LOOK_MS
-
-
 def _unsent() -> attempts.Outcome:
     failure = errors.CallError(
         errors.ErrorKind.UPSTREAM_BUSY,
