Pieces that an origin which was away owes leave it by turns, in their order

Change: missing pieces take turns, each as long as a piece needs on the link, counted from the naming (core.origin_turns). One is looked for at a time; the first that finds the origin back is followed by the next when it has left. Entries learn from agents' greetings what is missing. Two draws of a piece that fail in a row are tried again as before, so that a reset connection costs no turn.

The gain shrinks where clocks differ.

The test of pieces seen elsewhere fails where what agents have seen is left out.

--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -9,13 +9,16 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import TypeAlias
 
 import msgspec
 
 from marlramp import clock
+from marlramp.core import origin_turns
 from marlramp.core import relay_duty
 
 DRAWS_MAX = 2
@@ -44,6 +47,10 @@
 """The same while the origin answers nobody: those that go first look for it all
 the time, and what both draw when it is back comes later to all."""
 
+TURNS_AFTER = 2
+"""Draws of a piece in a row without an answer after which the missing pieces
+take turns: a connection that the origin reset is tried again sooner."""
+
 NEW_MS = 2_000.0
 """A version named this lately is held by no other entry from before."""
 
@@ -122,6 +129,8 @@
         self._spared_until_ms: dict[str, float] = {}
         self._origin_not_before_ms = float("-inf")
         self._origin_failed_ms = float("-inf")
+        self._failures: collections.Counter[int] = collections.Counter()
+        self._turns_ms: dict[int, float] = {}
         self._news_ms = float("-inf")
 
     @property
@@ -172,6 +181,7 @@
         """Takes a piece that is held now."""
         self._held.add(index)
         self._asks.pop(index, None)
+        self._turns_ms.pop(index, None)
         if index in self._draws:
             self._draws.discard(index)
             self._news_ms = now_ms
@@ -197,12 +207,51 @@
         self._holders.get(index, set()).discard(peer)
 
     def origin_failed(
-        self, index: int, retry_after_ms: float, now_ms: clock.Millis
+        self,
+        index: int,
+        retry_after_ms: float,
+        now_ms: clock.Millis,
+        missing: Sequence[int] = (),
     ) -> None:
-        """Records that the origin did not answer a draw."""
+        """Records that the origin did not answer a draw.
+
+        Args:
+          index: the piece.
+          retry_after_ms: pause before it is asked again.
+          now_ms: the time.
+          missing: pieces that nobody is known to hold, in their order; they
+            take turns unless none is given.
+        """
         self._draws.discard(index)
+        if not self._is_away:
+            self._failures.clear()
+        self._failures[index] += 1
         self._origin_failed_ms = now_ms
         self._origin_not_before_ms = now_ms + retry_after_ms
+        self._turns_ms.pop(index, None)
+        if missing:
+            self._take_turns(missing)
+
+    def _take_turns(self, missing: Sequence[int]) -> None:
+        """Gives pieces that are to be looked for their next turn.
+
+        Those that others draw first get one anew with each failure, since the
+        wait of this entry begins with it.
+        """
+        takes_turns = max(self._failures.values()) > TURNS_AFTER
+        for index, duty in self._duties.items():
+            if index in self._held:
+                continue
+            if duty.rank == 0 and (index in self._turns_ms or not takes_turns):
+                continue
+            self._turns_ms[index] = origin_turns.next_turn_ms(
+                index,
+                missing,
+                self._piece_ms,
+                self._named_ms,
+                self._origin_not_before_ms + duty.rank * AWAY_TAKEOVER_MS,
+                duty.rank,
+            )
 
     def next_actions(
         self, now_ms: clock.Millis, *, may_draw: bool = True
@@ -277,11 +326,13 @@
         due_ms = max(
             self._first_draw_ms, self._named_ms + index * self._piece_ms
         )
+        turn_ms = self._turns_ms.get(index, due_ms)
         if duty.rank == 0:
-            return now_ms >= due_ms
+            return now_ms >= max(due_ms, turn_ms)
         if self._is_away:
             wait_ms = duty.rank * AWAY_TAKEOVER_MS
-            return now_ms >= max(due_ms, self._origin_failed_ms) + wait_ms
+            since_ms = max(due_ms, self._origin_failed_ms)
+            return now_ms >= max(since_ms + wait_ms, turn_ms)
         since_ms = due_ms
         if self._origin_failed_ms > float("-inf"):
             # Pieces come late after an outage, and those that go first draw.
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -88,6 +88,7 @@
       finding: the search for the digests.
       greeted_ms: when the other entries were asked what they hold.
       asked_ms: when an agent that lacks pieces asked last.
+      seen: pieces that somebody is known to hold.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         self.finding: asyncio.Task[None] | None = None
         self.greeted_ms = float("-inf")
         self.asked_ms = float("-inf")
+        self.seen: set[int] = set()
 
 
 class PieceRelay:
@@ -171,10 +173,7 @@
             case messages.PeerHello():
                 self._on_hello(name, message)
             case messages.PeerHave():
-                fetch = self._fetch_of(message.manifest)
-                if fetch is not None:
-                    now_ms = self._clock.now_ms()
-                    fetch.peer_holds(name, message.indexes, now_ms)
+                self._on_have(name, message)
             case fleet_messages.FragmentRequest():
                 self._uploads.request(name, message)
             case fleet_messages.FragmentReply():
@@ -190,10 +189,6 @@
     def _others(self) -> list[str]:
         return [name for name in self._places if name != self._own]
 
-    def _fetch_of(self, name: str) -> relay_fetch.RelayFetch | None:
-        version = self._versions.get(name)
-        return None if version is None else version.fetch
-
     def _take_wanted(self) -> None:
         newest = self._surroundings.wanted()
         self._newest = {wanted.model: wanted for wanted in newest}
@@ -311,8 +306,9 @@
                 return
             version = self._want(wanted)
         now_ms = self._clock.now_ms()
+        held = chunk_bitmap.from_bitmap(hello.held)
+        version.seen.update(held, chunk_bitmap.from_bitmap(hello.seen))
         if version.fetch is not None:
-            held = chunk_bitmap.from_bitmap(hello.held)
             version.fetch.peer_holds(name, held, now_ms)
         if not hello.reply:
             return
@@ -323,6 +319,13 @@
                 version.fetch.hurry(now_ms)
         self._send(name, self._hello(hello.manifest, reply=False))
 
+    def _on_have(self, name: str, have: messages.PeerHave) -> None:
+        version = self._versions.get(have.manifest)
+        if version is None or version.fetch is None:
+            return
+        version.seen.update(have.indexes, have.seen)
+        version.fetch.peer_holds(name, have.indexes, self._clock.now_ms())
+
     def _hello(self, name: str, *, reply: bool) -> messages.PeerHello:
         whole = self._wholes.get(name)
         held = b"" if whole is None else chunk_bitmap.to_bitmap(whole.held)
@@ -358,9 +361,22 @@
     def _on_not_drawn(
         self, wanted: version_digests.Wanted, index: int, retry_after_ms: float
     ) -> None:
-        fetch = self._fetch_of(wanted.name)
-        if fetch is not None:
-            fetch.origin_failed(index, retry_after_ms, self._clock.now_ms())
+        version = self._versions.get(wanted.name)
+        if version is not None and version.fetch is not None:
+            version.fetch.origin_failed(
+                index,
+                retry_after_ms,
+                self._clock.now_ms(),
+                self._missing(version),
+            )
+
+    def _missing(self, version: _Version) -> list[int]:
+        """Returns the pieces that nobody is known to hold."""
+        whole = self._wholes.get(version.wanted.name)
+        if whole is None:
+            return []
+        count = len(whole.manifest.chunks)
+        return sorted(set(range(count)) - version.seen - whole.held)
 
     def _take_piece(
         self, version: _Version, index: int, data: bytes, peer: str | None
--- a/tests/core/test_relay_fetch.py
+++ b/tests/core/test_relay_fetch.py
@@ -1,6 +1,9 @@
 from __future__ import annotations
 
+import itertools
+
 from marlramp import clock
+from marlramp.core import origin_turns
 from marlramp.core import relay_duty
 from marlramp.core import relay_fetch
 
@@ -8,6 +11,7 @@
 PIECES = 64
 CONNECTIONS = 48
 ENTRIES = 3
+RETRY_MS = 100.0
 OWN_ALL = {n: relay_duty.Duty(0, "near", ("far",)) for n in range(PIECES)}
 BEHIND = {n: relay_duty.Duty(1, None, ("first",)) for n in range(PIECES)}
 
@@ -171,6 +175,73 @@
     assert len(drawn(made, time)) == relay_fetch.LATE_DRAWS_MAX
 
 
+def fail(
+    made: relay_fetch.RelayFetch,
+    time: clock.ManualClock,
+    missing: list[int],
+    until_ms: float,
+) -> list[tuple[float, int]]:
+    """Fails each draw of an origin that is away; returns when they were."""
+    looks = []
+    while time.now_ms() < until_ms:
+        for index in drawn(made, time):
+            looks.append((time.now_ms(), index))
+            made.origin_failed(index, RETRY_MS, time.now_ms(), missing)
+        time.advance(1.0)
+    return looks
+
+
+def test_pieces_that_an_origin_which_is_away_owes_take_turns() -> None:
+    """Once it is back each has the link for itself, in their order."""
+    missing = list(range(55, 64))
+    round_ms = len(missing) * PIECE_MS
+    settled_ms = (PIECES + 0.5) * PIECE_MS + 2.0 * round_ms
+    looks = []
+    for index in missing:
+        time = clock.ManualClock()
+        made = make(time, {index: OWN_ALL[index]})
+        found = fail(made, time, missing, settled_ms + round_ms)
+        looks += [look for look in found if look[0] > settled_ms]
+    looks.sort()
+    assert len(looks) == len(missing)
+    waits_ms = [later[0] - look[0] for look, later in itertools.pairwise(looks)]
+    assert waits_ms == [PIECE_MS] * len(waits_ms)
+    order = [index for _, index in looks]
+    first = order.index(missing[0])
+    assert order[first:] + order[:first] == missing
+
+
+def test_connection_that_is_reset_is_tried_again_without_a_turn(
+    time: clock.ManualClock,
+) -> None:
+    made = make(time, {0: OWN_ALL[0]})
+    start_ms = time.now_ms()
+    until_ms = start_ms + (relay_fetch.TURNS_AFTER + 0.5) * RETRY_MS
+    looks = fail(made, time, list(range(PIECES)), until_ms)
+    wanted = [n * RETRY_MS for n in range(relay_fetch.TURNS_AFTER + 1)]
+    assert [at_ms - start_ms for at_ms, _ in looks] == wanted
+
+
+def test_next_in_order_does_not_draw_beside_the_first(
+    time: clock.ManualClock,
+) -> None:
+    """The first has found the origin at its turn, and tells of the piece."""
+    first = make(time, {9: OWN_ALL[9]})
+    second = make(time, {9: BEHIND[9]})
+    missing = list(range(5, 20))
+    until_ms = time.now_ms() + 2.0 * relay_fetch.AWAY_TAKEOVER_MS
+    away = time.now_ms()
+    looks: dict[str, list[float]] = {"first": [], "second": []}
+    while time.now_ms() < until_ms:
+        for name, made in (("first", first), ("second", second)):
+            for index in drawn(made, time):
+                looks[name].append(time.now_ms() - away)
+                made.origin_failed(index, RETRY_MS, time.now_ms(), missing)
+        time.advance(1.0)
+    turn_ms = looks["second"][-1] - origin_turns.RANK_PIECES * PIECE_MS
+    assert turn_ms in looks["first"]
+
+
 def test_pieces_that_are_overdue_are_drawn_together(
     time: clock.ManualClock,
 ) -> None:
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -17,10 +17,12 @@
 from marlramp.core import relay_duty
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import version_digests
+from marlramp.platform import clients
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
 
 PIECES = [bytes([n]) * 64 for n in range(8)]
+MATES = [f"mate-{number}" for number in range(1, 5)]
 NEWEST = version_digests.Wanted("m", 2)
 FIRST = version_digests.Wanted("m", 1)
 FOUND = manifest.Manifest(
@@ -51,11 +53,20 @@
         return PIECES[index]
 
 
+class AwayOrigin(Origin):
+    """Counts what is asked for, and can't be reached."""
+
+    async def piece(self, model: str, version: int, index: int) -> bytes:
+        self.drawn.append(index)
+        raise clients.UnreachedError("the origin is away")
+
+
 class Entry:
     """The entry alone in its region; keeps what the relay sends."""
 
-    def __init__(self) -> None:
+    def __init__(self, piece_ms: float = 1.0) -> None:
         self.named = [NEWEST]
+        self.origin_piece_ms = piece_ms
         self.here = {"own": relay_duty.Place("north", "north/0")}
         self.sent: list[tuple[str, msgspec.Struct]] = []
 
@@ -66,7 +77,7 @@
         return self.named
 
     def piece_ms(self) -> float:
-        return 1.0
+        return self.origin_piece_ms
 
     def origin_connections(self) -> int:
         return 48
@@ -204,6 +215,23 @@
     assert len(origin.drawn) == 11
 
 
+def test_only_pieces_that_nobody_holds_take_turns() -> None:
+    """All eight in turn would be looked for each 0.8 s, four times in 2 s."""
+    entry, origin = Entry(piece_ms=100.0), AwayOrigin()
+    entry.here = {name: entry.here["own"] for name in ("own", *MATES)}
+    duties = relay_duty.duties("own", entry.here, FOUND.chunks)
+    seen = chunk_bitmap.to_bitmap(set(range(8)) - duties.keys())
+    told = msgspec.structs.replace(hello(NEWEST), seen=seen)
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        relay.on_message("vm-1", told)
+        async with asyncio.timeout(2.0):
+            while origin.drawn.count(min(duties)) < 6:
+                await asyncio.sleep(0.02)
+
+    play(entry, origin, act)
+
+
 def test_piece_is_served_whole_and_an_unknown_one_refused() -> None:
     entry, origin = Entry(), Origin()
 
