Answers about crashes hold whole parts of the ledger

What callers saw: nothing by itself; a process that starts beside a full ledger (512 crashes) lacked most of it for longer than needed, and was told each crash nearly three times.

Cause: an answer holds 32 crashes of the buckets that differ. They were drawn from all of these buckets, so that each bucket differed until its last crash had come, and what was known was told again.

Change: the buckets are put in a random order and told one after the other. A bucket that was told whole differs no longer. Crashes that condemn a request go first, as before.

Ruled out: a longer answer (the same waste, 8 kB are enough at once).

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -310,9 +310,12 @@
     ) -> list[ids.CrashId]:
         """Returns crashes that another ledger may lack, as many as are told.
 
+        If there are more, they are those of a few whole buckets, which then
+        differ no longer: drawn from all, most would be told many times.
+
         Args:
           digests: the digests of the other ledger's buckets.
-          rng: draws those that are told if there are more.
+          rng: draws the buckets that are told if there are more.
         """
         buckets = set(self._digests.differing(digests))
         found = [
@@ -324,6 +327,8 @@
             return found
         kept = self._condemning()
         rng.shuffle(found)
+        ranks = {bucket: rng.random() for bucket in buckets}
+        found.sort(key=lambda crash: ranks[self._digests.bucket_of(crash)])
         first = [crash for crash in found if crash in kept]
         first = first[:TOLD_CONDEMNED_MAX]
         rest = [crash for crash in found if crash not in first]
--- a/tests/core/test_crash_ledger.py
+++ b/tests/core/test_crash_ledger.py
@@ -15,6 +15,9 @@
 CULPRIT = ids.Fingerprint("culprit")
 NOW_MS = clock.Millis(1_000.0)
 
+TOLD_AT_MOST = 1.3
+"""Times that each crash is told in the mean while ledgers become alike."""
+
 
 def crash(number: int) -> ids.CrashId:
     return crash_ledger.crash_id(f"i-{number}", 1)
@@ -208,3 +211,21 @@
     assert not record.take_verdicts().condemned
     record.clear(CULPRIT)
     assert record.take_verdicts().released == [CULPRIT]
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_ledger_that_starts_beside_a_full_one_is_told_each_crash_about_once(
+    seed: int,
+) -> None:
+    full = crash_ledger.CrashLedger()
+    for number in range(crash_ledger.CRASHES_MAX):
+        full.note(crash(number), innocent(number), begun=False, now_ms=NOW_MS)
+    started = crash_ledger.CrashLedger()
+    rng = random.Random(seed)
+    told = 0
+    while started.digest() != full.digest():
+        crashes = full.differing(started.digests(), rng)
+        told += len(crashes)
+        for each in full.told(crashes, NOW_MS):
+            started.merge(each, NOW_MS)
+    assert told <= TOLD_AT_MOST * crash_ledger.CRASHES_MAX
