Agents tell their digest of crashes to one entry in turn, which asks at once

Entries knew one crash of three after 4 s.

Cause: an agent told its digest to all its entries at the same moment, and each entry asked one agent a second whose digest differed. All heard the same digest first and asked the same agent, then none for a second, and so on in step. Of nine agents, three to six mostly learnt in 3 s of crashes from before they joined; the others kept what they were told by themselves (one crash) or nothing. Entries that start anew ask in step too: the first agent knows the one crash, the next ones know nothing, and an ask of one that knows less brings nothing and costs a second.

Change: an agent tells its digest to one entry each 0.5 s, to each in turn, the first as soon as it knows one. The entry asks at once if its own differs, and both tell the other what it lacks. The agent waits 35 ms longer for each crash told in answer. An entry leaves agents to others while it told more than 20 crashes a second, 8 ahead.

Why it works: who asks whom is drawn by each agent by itself, so that no two are in step, and each digest that differs is followed by an exchange. What an entry is asked grows with agents per entry, not with their product, and the crashes told bound what is sent.

Left open: an entry that reaches only one agent, of 16 entries, learns within 16 s (worked out).

--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -28,8 +28,12 @@
 """The same while answers bring nothing new: ledgers that hold as many crashes
 as they may forget them at different times, and differ for no good."""
 
-COMPARE_AGENT_MS = 1_000.0
-"""Between two requests to agents."""
+TELL_MS = 50.0
+"""Time taken up by each crash told in answer: 20 a second, some 5 kB/s."""
+
+TELL_AHEAD_MS = 400.0
+"""Time taken up ahead with which agents are still asked: many that join at once
+are told of a few crashes at once, and of many in turn."""
 
 GATHER_MS = 5.0
 """How long the requests that a crash broke off are gathered before they are
@@ -77,7 +81,7 @@
         self._rumours: rumours.Rumours[ids.CrashId] = rumours.Rumours()
         self._compare_pause_ms = COMPARE_MS
         self._compared_ms = float("-inf")
-        self._compared_agent_ms = float("-inf")
+        self._telling_until_ms = float("-inf")
         self._forgot_ms = float("-inf")
 
     @property
@@ -94,12 +98,15 @@
         self._ask(name)
 
     def on_agent_digest(self, name: str, digest: int) -> None:
-        """Asks an agent whose ledger differs; it asks back what it lacks."""
-        since_ms = self._clock.now_ms() - self._compared_agent_ms
-        if digest == self.digest or since_ms < COMPARE_AGENT_MS:
-            return
-        self._compared_agent_ms = self._clock.now_ms()
-        self._ask(name)
+        """Asks an agent whose ledger differs; it asks back what it lacks.
+
+        Agents set the pace, see `crash_keeper`. Only an entry that has told
+        more than it should lately leaves one to the next entry: choosing among
+        those that differ would leave out the same ones again and again.
+        """
+        ahead_ms = self._telling_until_ms - self._clock.now_ms()
+        if digest != self.digest and ahead_ms <= TELL_AHEAD_MS:
+            self._ask(name)
 
     def _ask(self, name: str) -> None:
         digests = self._record.ledger.digests()
@@ -120,10 +127,13 @@
         """Tells an entry what its ledger may lack."""
         ledger = self._record.ledger
         crashes = ledger.differing(request.digests, self._rng)
-        told = ledger.told(crashes, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        told = ledger.told(crashes, now_ms)
         if told:
             news = fleet_messages.CrashNews(crashes=told, answers=True)
             self._sync.send(name, news)
+            begun_ms = max(now_ms, self._telling_until_ms)
+            self._telling_until_ms = begun_ms + len(told) * TELL_MS
 
     def tick(self) -> None:
         """Passes on what is new, and says what follows from it."""
--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -109,6 +109,11 @@
         """The entries that told this agent something lately."""
         return list(self._views)
 
+    @property
+    def entries(self) -> list[str]:
+        """The entries that this agent deals with."""
+        return list(self._entries)
+
     def broadcast(
         self,
         message: msgspec.Struct,
--- a/tests/direct/fleet/test_crash_keeper.py
+++ b/tests/direct/fleet/test_crash_keeper.py
@@ -13,17 +13,34 @@
 from marlramp.core import members
 from marlramp.direct.fleet import crash_keeper
 from marlramp.direct.fleet import entry_contacts
+from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 
 CULPRIT = ids.Fingerprint("culprit")
 
 
+class NoLinks:
+    """Links that carry nothing."""
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        return True
+
+    def close(self, name: str) -> None:
+        pass
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return False
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        return False
+
+
 class Keeper:
     """A keeper and what it sent to entries."""
 
     def __init__(self, time: clock.Clock) -> None:
         self.sent: list[tuple[str, msgspec.Struct]] = []
-        contacts = entry_contacts.EntryContacts(
+        self.contacts = entry_contacts.EntryContacts(
             members.Member("a", members.MemberKind.AGENT, "dc", "h", 1),
             1,
             [],
@@ -32,9 +49,24 @@
             time,
         )
         self.keeper = crash_keeper.CrashKeeper(
-            contacts, self._send, time, random.Random(1)
+            self.contacts, self._send, time, random.Random(1)
         )
 
+    def meet(self, names: list[str]) -> None:
+        """Has the agent deal with some entries."""
+        entries = [
+            members.Member(name, members.MemberKind.ENTRY, "dc", name, 1)
+            for name in names
+        ]
+        self.contacts.attach(NoLinks())
+        self.contacts.on_message(
+            names[0],
+            fleet_messages.Neighbours(
+                after=0, number=1, entries=entries, joined=[], left=[]
+            ),
+        )
+        self.contacts.tick()
+
     def _send(self, name: str, message: msgspec.Struct) -> None:
         self.sent.append((name, message))
 
@@ -86,3 +118,44 @@
     request = fleet_messages.CrashRequest(digests=entry.digests())
     keeper.keeper.on_message("entry-0", request)
     assert keeper.sent == []
+
+
+def test_each_digest_goes_to_another_entry(
+    keeper: Keeper, time: clock.ManualClock
+) -> None:
+    keeper.meet(["entry-0", "entry-1", "entry-2"])
+    for _ in range(6):
+        keeper.keeper.tick()
+        time.advance(crash_keeper.DIGEST_MS)
+    names = [name for name, _ in keeper.sent]
+    assert sorted(names[:3]) == sorted(names[3:])
+    assert sorted(names[:3]) == ["entry-0", "entry-1", "entry-2"]
+
+
+def test_first_digest_is_told_as_soon_as_an_entry_is_known(
+    keeper: Keeper, time: clock.ManualClock
+) -> None:
+    keeper.keeper.tick()
+    assert keeper.sent == []
+    keeper.meet(["entry-0"])
+    time.advance(1.0)
+    keeper.keeper.tick()
+    assert [name for name, _ in keeper.sent] == ["entry-0"]
+
+
+def test_next_digest_waits_longer_the_more_was_told(
+    keeper: Keeper, time: clock.ManualClock
+) -> None:
+    keeper.meet(["entry-0"])
+    keeper.keeper.tick()
+    news = fleet_messages.CrashNews(
+        crashes=[crash(n) for n in range(10)], answers=True
+    )
+    keeper.keeper.on_message("entry-0", news)
+    wait_ms = crash_keeper.DIGEST_MS + 10 * crash_keeper.PAUSE_PER_CRASH_MS
+    time.advance(wait_ms - 1.0)
+    keeper.keeper.tick()
+    assert len(keeper.sent) == 1
+    time.advance(1.0)
+    keeper.keeper.tick()
+    assert len(keeper.sent) == 2
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -1,4 +1,4 @@
-"""Entries that know one another over links in virtual time."""
+"""Entries that know one another, and agents, over links in virtual time."""
 
 from __future__ import annotations
 
@@ -16,7 +16,9 @@
 from marlramp.core import crash_record
 from marlramp.core import members
 from marlramp.core import replica_table
+from marlramp.direct.fleet import crash_keeper
 from marlramp.direct.fleet import crash_sync
+from marlramp.direct.fleet import entry_contacts
 from marlramp.direct.fleet import entry_limits
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import codec
@@ -89,7 +91,7 @@
         self.crash_sync = crash_sync.CrashSync(
             self.crashes,
             self.sync,
-            list,
+            lambda: list(fleet.agents),
             counters.Counters(),
             fleet.time,
             random.Random(f"{fleet.seed} {number}"),
@@ -143,6 +145,8 @@
                 self.crash_sync.on_news(message)
             case fleet_messages.CrashRequest():
                 self.crash_sync.on_request(name, message)
+            case fleet_messages.CrashDigest():
+                self.crash_sync.on_agent_digest(name, message.digest)
 
     # Links.
 
@@ -167,8 +171,11 @@
 
     def send_encoded(self, name: str, message: codec.Encoded) -> bool:
         heard_as = self.fleet.names.get((self.name, name))
-        target = self.fleet.entries.get(name)
-        if heard_as is None or target is None:
+        target: Process | None = self.fleet.entries.get(name)
+        if name in self.fleet.agents:
+            target = self.fleet.agents[name]
+            heard_as = self.name
+        elif heard_as is None or target is None:
             if name not in self.opened:
                 return False
             target = self.opened[name]
@@ -184,6 +191,70 @@
         return True
 
 
+class VirtualAgent:
+    """An agent's part in keeping crashes; it deals with all entries."""
+
+    def __init__(self, fleet: VirtualFleet, number: int) -> None:
+        self.fleet = fleet
+        self.member = members.Member(
+            f"agent-{number}",
+            members.MemberKind.AGENT,
+            f"dc-{number % fleet.regions}",
+            f"10.1.{number // 250}.{number % 250}",
+            PORT,
+        )
+        self.running = True
+        self.suspended = False
+        self.sent_bytes = 0
+        self.contacts = entry_contacts.EntryContacts(
+            self.member, 1, [], lambda _: None, lambda _: None, fleet.time
+        )
+        self.contacts.attach(self)
+        self.keeper = crash_keeper.CrashKeeper(
+            self.contacts,
+            self.send,
+            fleet.time,
+            random.Random(f"{fleet.seed} {self.name}"),
+        )
+
+    @property
+    def name(self) -> str:
+        return self.member.vm_id
+
+    def meet(self) -> None:
+        """Hears from one entry which ones it deals with."""
+        entries = [entry.member for entry in self.fleet.running()]
+        message = fleet_messages.Neighbours(
+            after=0, number=1, entries=entries, joined=[], left=[]
+        )
+        self.contacts.on_message(entries[0].vm_id, message)
+        self.contacts.tick()
+
+    def on_message(self, name: str, message: fleet_messages.FromMember) -> None:
+        self.keeper.on_message(name, message)
+
+    # Links.
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        return True
+
+    def close(self, name: str) -> None:
+        pass
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return self.send_encoded(name, codec.encode_once(message))
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        target = self.fleet.entries[name]
+        if message.kind != fleet_messages.Hello.__name__:
+            self.sent_bytes += len(message.data)
+            self.fleet.carry(self, target, self.name, message.data)
+        return True
+
+
+Process: TypeAlias = VirtualEntry | VirtualAgent
+
+
 class VirtualFleet:
     """Entries in some regions, the first three of them seeds."""
 
@@ -204,6 +275,7 @@
         self.names: dict[tuple[str, str], str] = {}
         self.seeds = [node.Address(f"10.0.0.{n}", PORT) for n in range(3)]
         self.entries: dict[str, VirtualEntry] = {}
+        self.agents: dict[str, VirtualAgent] = {}
         self._decoder = codec.member_decoder()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -217,6 +289,16 @@
         self._at(self.rng.uniform(0.0, 300.0), lambda: self._tick(entry))
         return entry
 
+    def start_agent(self, number: int) -> VirtualAgent:
+        """Starts an agent, which meets all entries that run."""
+        agent = VirtualAgent(self, number)
+        self.agents[agent.name] = agent
+        agent.meet()
+        self._at(
+            self.rng.uniform(0.0, TICK_MS), lambda: self._tick_agent(agent)
+        )
+        return agent
+
     def stop(self, name: str) -> None:
         """Ends an entry without a word."""
         self.entries[name].running = False
@@ -232,7 +314,7 @@
         return None
 
     def carry(
-        self, sender: VirtualEntry, to: VirtualEntry, name: str, data: bytes
+        self, sender: Process, to: Process, name: str, data: bytes
     ) -> None:
         """Delivers a message later, unless something is in the way."""
         if (sender.name, to.name) in self.cut or self.rng.random() < self.loss:
@@ -297,6 +379,10 @@
             entry.limits.tick()
         self._at(TICK_MS, lambda: self._tick(entry))
 
+    def _tick_agent(self, agent: VirtualAgent) -> None:
+        agent.keeper.tick()
+        self._at(TICK_MS, lambda: self._tick_agent(agent))
+
     def _at(self, in_ms: float, event: Callable[[], None]) -> None:
         due_ms = self.time.now_ms() + in_ms
         heapq.heappush(self._events, (due_ms, next(self._order), event))
