What the store is known to have held in all has a module of its own

Moves code only: the reader asks core/store_completeness.py for the ages of what it read, and entries tell each other's readers through it; two functions of the gate share one list of arguments. Its own tests beside those of reader, questions, gate and catalog pass.

--- a/src/marlramp/core/weights_gate.py
+++ b/src/marlramp/core/weights_gate.py
@@ -119,11 +119,7 @@
     long it was expected to wait. Behind a long way it is taken sooner, see
     `upstream_choice.Choice.taken_back_ms`.
 
-    Args:
-      target: the versions named.
-      bound_ms: time after its naming from which a version binds.
-      version: the version.
-      started_ms: when this process started.
+    See `binds_over_ms` for the arguments.
     """
     binds_ms = binds_over_ms(target, bound_ms, version, started_ms)
     return binds_ms - LEAVE_MARGIN_MS
@@ -137,11 +133,7 @@
 ) -> float:
     """Returns until when a request may be written to a replica on a version.
 
-    Args:
-      target: the versions named.
-      bound_ms: time after its naming from which a version binds.
-      version: the version.
-      started_ms: when this process started.
+    See `binds_over_ms` for the arguments.
     """
     binds_ms = binds_over_ms(target, bound_ms, version, started_ms)
     return binds_ms - QUEUE_MARGIN_MS
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import math
 import random
 from typing import TypeAlias
 
@@ -18,6 +17,7 @@
 from marlramp.core import reader_duty
 from marlramp.core import replica_table
 from marlramp.core import replica_view
+from marlramp.core import store_completeness
 from marlramp.direct.fleet import agent_guide
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import crash_sync
@@ -257,12 +257,14 @@
         self, name: str, request: fleet_messages.VersionAgesRequest
     ) -> None:
         answer = self._ages.answer_to(request)
-        reader = self._reader
-        if reader is not None and not math.isinf(reader.complete.at_ms):
+        complete = store_completeness.Complete()
+        if self._reader is not None:
+            complete = self._reader.completeness.latest
+        if complete.is_known:
             answer = msgspec.structs.replace(
                 answer,
-                complete_revision=reader.complete.revision,
-                complete_age_ms=self._clock.now_ms() - reader.complete.at_ms,
+                complete_revision=complete.revision,
+                complete_age_ms=self._clock.now_ms() - complete.at_ms,
             )
         self.sync.send(name, answer)
 
@@ -273,10 +275,10 @@
             return
         if not age_ms >= 0.0:
             return
-        complete = store_reader.Complete(
+        complete = store_completeness.Complete(
             answer.complete_revision, asked_ms - age_ms
         )
-        self._reader.note_complete(complete)
+        self._reader.completeness.note_heard(complete)
 
     def _ask_readers(self) -> None:
         """Asks what the store holds, if this entry may have to stand in."""
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -8,11 +8,9 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
-import math
 import random
 from typing import Protocol
 from typing import TypeAlias
@@ -23,7 +21,7 @@
 from marlramp import counters
 from marlramp import logs
 from marlramp.core import catalog
-from marlramp.core import event_time
+from marlramp.core import store_completeness
 from marlramp.platform import clients
 from marlramp.platform import store
 
@@ -37,9 +35,6 @@
 PAUSED_MS = 2.0 * WATCH_WAIT_MS
 """A process that got no answer of the store for this long did not read."""
 
-HEARD_KEPT = 16
-"""Words of other readers that are kept, the newest ones."""
-
 BATCH_MS = 60.0
 """Pause between two watches, so that changes in a row cost one call."""
 
@@ -66,30 +61,14 @@
 Publish: TypeAlias = Callable[[int, list[catalog.Change]], None]
 
 
-class Complete(msgspec.Struct, frozen=True):
-    """What is known to have been all that the store held, and when.
+class StoreReader:
+    """Reads the store while it is this process's turn.
 
     Attributes:
-      revision: revision of the last change.
-      at_ms: reading at which the store had no later one, minus infinity if
-        that is not known. It is early by the way of the last answer: that was
-        made after its question had been sent.
+      reading: whether it is.
+      completeness: what the store is known to have held in all.
     """
 
-    revision: int
-    at_ms: float
-
-    def lacked_ms(self, revision: int) -> float:
-        """Returns when the store lacked a change, minus infinity if unknown."""
-        return self.at_ms if revision > self.revision else float("-inf")
-
-
-_NEVER = Complete(0, float("-inf"))
-
-
-class StoreReader:
-    """Reads the store while it is this process's turn."""
-
     def __init__(
         self,
         source: StoreSource,
@@ -118,10 +97,7 @@
         self._answered_ms: float | None = None
         self._failing = False
         self._silent_ms: float | None = None
-        self._complete = _NEVER
-        self._heard_complete: collections.deque[Complete] = collections.deque(
-            maxlen=HEARD_KEPT
-        )
+        self.completeness = store_completeness.StoreCompleteness()
         self.reading = False
 
     @property
@@ -136,16 +112,6 @@
         """Whether the last call failed."""
         return self._failing
 
-    @property
-    def complete(self) -> Complete:
-        """The latest that is known of what the store held in all."""
-        known = [self._complete, *self._heard_complete]
-        return max(known, key=lambda each: each.at_ms)
-
-    def note_complete(self, complete: Complete) -> None:
-        """Takes what another reader knows to have been all."""
-        self._heard_complete.append(complete)
-
     @property
     def silent_ms(self) -> float | None:
         """When the last call was sent that the store gave no answer to.
@@ -178,7 +144,7 @@
         self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
         asked_ms = self._clock.now_ms()
         # After a pause of reading an answer at once shows what the store holds.
-        paused = asked_ms - self._complete.at_ms > PAUSED_MS
+        paused = asked_ms - self.completeness.own.at_ms > PAUSED_MS
         wait_ms = FIRST_WAIT_MS if paused else WATCH_WAIT_MS
         with self._asking(asked_ms):
             snapshot = await self._source.watch(after, wait_ms)
@@ -187,9 +153,11 @@
         self._catalog.advance(snapshot.revision)
         if new:
             self._log_changes(snapshot, asked_ms, now_ms)
-        self._complete = _complete_after_watch(
-            snapshot, after, asked_ms, wait_ms, now_ms
-        )
+        waited = now_ms - asked_ms >= wait_ms
+        if waited and not snapshot.changes and snapshot.revision == after:
+            self.completeness.note_waited(after, asked_ms, wait_ms)
+        else:
+            self.completeness.note_read(snapshot.revision, asked_ms)
         if new:
             self._publish(after, new)
             await asyncio.sleep(BATCH_MS / clock.MILLIS_PER_SECOND)
@@ -209,7 +177,7 @@
         )
         aged = catalog.Snapshot(snapshot.revision, self._aged(snapshot, now_ms))
         new = self._catalog.take_snapshot(aged, now_ms)
-        self._complete = Complete(snapshot.revision, asked_ms)
+        self.completeness.note_read(snapshot.revision, asked_ms)
         if new:
             self._publish(before, new)
 
@@ -236,22 +204,14 @@
     ) -> list[catalog.Change]:
         """Returns the changes read, named weights with their ages."""
         return [
-            msgspec.structs.replace(change, ages=self._ages(change, now_ms))
+            msgspec.structs.replace(
+                change, ages=self.completeness.ages(change.revision, now_ms)
+            )
             if isinstance(change, catalog.TargetChange)
             else change
             for change in snapshot.changes
         ]
 
-    def _ages(
-        self, change: catalog.TargetChange, now_ms: clock.Millis
-    ) -> event_time.Ages | None:
-        """Returns the ages of a change read now, None if they are unknown."""
-        known = [self._complete, *self._heard_complete]
-        lacked_ms = max(each.lacked_ms(change.revision) for each in known)
-        if math.isinf(lacked_ms):
-            return None
-        return event_time.Ages(0.0, now_ms - lacked_ms)
-
     def _log_changes(
         self,
         snapshot: catalog.Snapshot,
@@ -259,8 +219,9 @@
         now_ms: clock.Millis,
     ) -> None:
         unseen_ms = None
-        if not math.isinf(self.complete.at_ms):
-            unseen_ms = round(now_ms - self.complete.at_ms)
+        latest = self.completeness.latest
+        if latest.is_known:
+            unseen_ms = round(now_ms - latest.at_ms)
         logs.log(
             "store_changes",
             revision=snapshot.revision,
@@ -294,21 +255,3 @@
         self._catalog.store_failed(self._clock.now_ms())
         wait_ms = random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
         await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
-
-
-def _complete_after_watch(
-    snapshot: catalog.Snapshot,
-    after: int,
-    asked_ms: float,
-    wait_ms: float,
-    now_ms: float,
-) -> Complete:
-    """Returns what an answer of a watch shows.
-
-    One without a change shows that the store waited for one as long as it was
-    asked to.
-    """
-    waited = now_ms - asked_ms >= wait_ms
-    if waited and not snapshot.changes and snapshot.revision == after:
-        return Complete(after, asked_ms + wait_ms)
-    return Complete(snapshot.revision, asked_ms)
--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -23,8 +23,8 @@
 
 WAY_MAX_MS = 4_000.0
 """Longest time that news are assumed to be on their way, until an answer shows
-it: a link on which nothing is
-acknowledged for 2.5 s ends, and a message waits 1.5 s for a link to open."""
+it: a link on which nothing is acknowledged for 2.5 s ends, and a message waits
+1.5 s for a link to open."""
 
 ASK_MS = 400.0
 """Between two questions while the age of a version is in doubt."""
@@ -36,6 +36,7 @@
 """Doubt that no further question is worth."""
 
 NUMBER_BITS = 48
+"""Size of the number of a process's first question, which is drawn."""
 
 OPEN_MAX = 64
 """Questions remembered that got no answer yet, the newest ones."""
