Tests of a reader that does not keep up with the store

Whether a reader keeps up is a property of the reader now; an entry whose reader does not asks others that know more.

--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -386,8 +386,7 @@
 
     def on_revision(self, name: str, revision: int) -> None:
         """Takes the revision that another entry knows."""
-        reader = self._reader
-        reading = reader is not None and reader.reading and not reader.failing
+        reading = self._reader is not None and self._reader.keeps_up
         self._catalog_sync.on_revision(name, revision, reading=reading)
 
     # Regular work.
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -112,6 +112,11 @@
         """Whether the last call failed."""
         return self._failing
 
+    @property
+    def keeps_up(self) -> bool:
+        """Whether it reads, and its last call was answered."""
+        return self.reading and not self._failing
+
     @property
     def silent_ms(self) -> float | None:
         """When the last call was sent that the store gave no answer to.
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -258,6 +258,13 @@
     assert read(source, known, 1.0).silent_ms is None
 
 
+def test_reader_that_gets_no_whole_answer_does_not_keep_up() -> None:
+    # One that took itself for a reader all the same knew nothing for 19.6 s.
+    source = FailingStore(failure(answering=True), answering=True)
+    assert not read(source, catalog.Catalog(), 0.3).keeps_up
+    assert read(ScriptedStore(), catalog.Catalog(), 0.1).keeps_up
+
+
 def test_two_calls_without_an_answer_are_a_sign_of_an_outage() -> None:
     source = FailingStore(failure(answering=False), answering=False)
     reader = read(source, catalog.Catalog(), 1.0)
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -436,3 +436,14 @@
         time.advance(version_ages.ASK_MS)
         other.ages.tick(BOUND_MS)
     assert other.asked != []
+
+
+def test_entry_that_does_not_keep_up_with_the_store_asks_the_others(
+    make_entry: MakeEntry,
+) -> None:
+    entry = make_entry("entry-1", "entry-2")
+    entry.sync.on_revision("entry-2", 5, reading=True)
+    assert entry.member.sent == []
+    entry.sync.on_revision("entry-2", 5, reading=False)
+    ((_, request),) = entry.member.sent
+    assert isinstance(request, fleet_messages.CatalogRequest)
