A process that saw no outage counts a version from it as the others do

Agents, and entries that started meanwhile, know of the outage by the word of others alone; that came with news and was dated 4 s too early, as news are, and answers did not date it better, so that engines began to load 4 s before the entries left the old version.

Of two early ends of the same outage that others told the later one holds. The test failed before (5,050 where 9,000 is right) and passes. What a process knows of an outage by itself is not changed by others.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -385,11 +385,15 @@
         if ages is not None and ages.is_sound:
             named = hearing.dated(ages)
         outage_ms = None
+        outage_told = outage_age_ms is not None
         if outage_age_ms is not None:
             outage_ms = hearing.after_ms - outage_age_ms
         if named is None and self._knew_before and self._outage.known:
             outage_ms = self._outage.last_ms
-        return named_versions.NamedVersion(version, named, outage_ms)
+            outage_told = False
+        return named_versions.NamedVersion(
+            version, named, outage_ms, outage_told
+        )
 
     def _learnt(
         self,
--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -43,11 +43,13 @@
       named: when it was named, None if it was there at a first read.
       outage_ms: when the store was last down before it bound, None if it was
         not.
+      outage_told: whether only others know of that outage.
     """
 
     version: int
     named: event_time.EventTime | None
     outage_ms: float | None = None
+    outage_told: bool = False
 
     @property
     def counts_from_ms(self) -> float | None:
@@ -170,7 +172,17 @@
     if known.named is None:
         return heard
     named = known.named.narrowed(heard.named)
+    if known.outage_told:
+        return NamedVersion(
+            known.version, named, _later(known.outage_ms, heard.outage_ms), True
+        )
     # Whether an outage delayed it is judged anew if it was named earlier.
     earlier = named.earliest_ms < known.named.earliest_ms
     outage_ms = None if earlier else known.outage_ms
     return NamedVersion(known.version, named, outage_ms)
+
+
+def _later(one_ms: float | None, other_ms: float | None) -> float | None:
+    """Returns the later of two early ends of the same outage."""
+    known = [each for each in (one_ms, other_ms) if each is not None]
+    return max(known, default=None)
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -447,3 +447,23 @@
     entry.sync.on_revision("entry-2", 5, reading=False)
     ((_, request),) = entry.member.sent
     assert isinstance(request, fleet_messages.CatalogRequest)
+
+
+def test_process_that_saw_no_outage_counts_from_it_as_the_others_do(
+    time: clock.ManualClock,
+) -> None:
+    entry, agent = Process(time), Process(time)
+    entry.known.apply([catalog.ConfigChange(1, CONFIG)], time.now_ms())
+    read_ms = time.now_ms()
+    for _ in range(16):
+        time.advance(500.0)
+        entry.known.store_down(BOUND_MS, time.now_ms())
+    outage_ms = time.now_ms()
+    ages = event_time.Ages(0.0, outage_ms - read_ms)
+    change = catalog.TargetChange(2, TARGET, ages)
+    entry.known.apply([change], time.now_ms())
+    agent.hear(entry.known, way_ms=50.0)
+    agent.exchange(entry, there_ms=5.0, back_ms=5.0)
+    counts_from_ms = agent.known.targets["m"].named_ms
+    assert counts_from_ms is not None
+    assert outage_ms - 10.0 <= counts_from_ms <= outage_ms
