Plain replicas that are nearly as fast as the best one get their part

Cause: costs of plain replicas were drawn apart by up to a quarter, and the least of them was taken. The least of twelve draws lies near the start of that range, so that a replica which had answered in 12 ms where others took 11 hardly ever won. A refusal of seconds ago did the same at the entry that had seen it. The more replicas, the smaller the difference that decides.

Ruled out: the pause, the value of Retry-After, load (idle machine).

Now costs within a quarter of the best one count as equal where a replica has a free place and is as near; two are drawn and the one that was left alone for longer goes first. The own factor of a measured time is left out, it counted the time twice.

Both unit tests fail without the change.

--- a/src/marlramp/core/availability.py
+++ b/src/marlramp/core/availability.py
@@ -62,6 +62,7 @@
       leaving_since_ms: when it first said that it leaves, None before.
       leaves_by_ms: when nothing more may be sent there, as it leaves.
       refusals: refusals in a row.
+      sent_ms: when the last request was sent there.
     """
 
     paused_until_ms: float = float("-inf")
@@ -69,9 +70,9 @@
     leaving_since_ms: float | None = None
     leaves_by_ms: float = float("inf")
     refusals: int = 0
+    sent_ms: float = float("-inf")
     _backoff_until_ms: float = float("-inf")
     _refused_ms: float = float("-inf")
-    _trial_ms: float = float("-inf")
     _refusal_share: float = 0.0
     _answered_ms: float = float("-inf")
 
@@ -141,7 +142,7 @@
 
     def note_sent(self, now_ms: clock.Millis) -> None:
         """Counts a request sent there, the trial if one is due."""
-        self._trial_ms = now_ms
+        self.sent_ms = now_ms
 
     # What follows from it.
 
@@ -169,7 +170,7 @@
 
     def in_trial(self, now_ms: clock.Millis) -> bool:
         """Returns whether the last request there may still be turned away."""
-        return now_ms - self._trial_ms < TRIAL_MS
+        return now_ms - self.sent_ms < TRIAL_MS
 
     def is_backing_off(self, now_ms: clock.Millis) -> bool:
         """Returns whether this entry's own backoff alone closes it."""
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -373,9 +373,18 @@
         self, place: queue_place.QueuePlace, now_ms: clock.Millis
     ) -> float:
         """Returns by what a predicted time to a first event is multiplied."""
+        shared = self.shared_bias_of(place, now_ms)
+        if place is queue_place.QueuePlace.BEHIND:
+            return shared
+        return self.bias * shared
+
+    def shared_bias_of(
+        self, place: queue_place.QueuePlace, now_ms: clock.Millis
+    ) -> float:
+        """Returns the part of that factor that all replicas have in common."""
         if place is queue_place.QueuePlace.BEHIND:
             return self.behind_bias.factor(now_ms)
-        return self.bias * max(1.0, self.front_bias.factor(now_ms))
+        return max(1.0, self.front_bias.factor(now_ms))
 
     def note_first(
         self, taken_ms: float, predicted_ms: float, now_ms: clock.Millis
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from collections.abc import Sequence
 import random
+from typing import NamedTuple
 
 import msgspec
 
@@ -31,10 +32,9 @@
 """Advantage of an engine of the own cell over others in the region: its load
 is known to 20 ms, theirs to a second."""
 
-
 NEAR_SHARE = 0.25
-"""Part by which the costs of plain replicas differ by chance. Entries that
-believe the same of idle replicas would otherwise all send to one of them."""
+"""Part of the least cost by which those of idle plain replicas may differ and
+still count as equal: smoothed times of equal replicas differ by as much."""
 
 ALONE_COST_MS = 1_000.0
 """Cost of each other request at a replica for one that goes where few run: far
@@ -325,13 +325,58 @@
     fresh = [v for v in fresh if not v.availability.is_leaving] or fresh
     least_ms = min((view.answer_ms for view in fresh), default=0.0)
     choices = [_choice(view, wanted, now_ms, least_ms) for view in fresh]
-    return sorted(
-        choices,
-        key=lambda choice: (
-            _cost_ms(choice, wanted, places, now_ms, rng),
+    costs = [
+        _Cost(
+            _cost_ms(choice, wanted, places, now_ms),
             choice.view.replica.replica_id,
-        ),
-    )
+            choice,
+        )
+        for choice in choices
+    ]
+    costs.sort(key=lambda cost: (cost.cost_ms, cost.replica_id))
+    if rng is None or wanted.engine is not None:
+        return [cost.choice for cost in costs]
+    near = []
+    others = []
+    for cost in costs:
+        part = near if _is_near(cost, costs[0], places) else others
+        part.append(cost.choice)
+    return _spread(near, rng) + others
+
+
+class _Cost(NamedTuple):
+    """A choice and its cost, the least of which is the best."""
+
+    cost_ms: float
+    replica_id: str
+    choice: Choice
+
+
+def _is_near(cost: _Cost, best: _Cost, places: Places) -> bool:
+    """Returns whether a plain replica is as good as the best one.
+
+    Among many idle replicas the least difference between smoothed times would
+    otherwise decide which of them gets all requests.
+    """
+    if cost is best:
+        return True
+    view = cost.choice.view
+    if view.replica.slots < cost.choice.load + 1:
+        return False
+    if places.penalty_ms(view) > places.penalty_ms(best.choice.view):
+        return False
+    return cost.cost_ms <= best.cost_ms * (1.0 + NEAR_SHARE)
+
+
+def _spread(near: list[Choice], rng: random.Random) -> list[Choice]:
+    """Returns replicas that are as good as each other in a drawn order.
+
+    Of the first two the one that was left alone for longer goes first, so that
+    none is missed for long by chance.
+    """
+    drawn = rng.sample(near, len(near))
+    first = sorted(drawn[:2], key=lambda c: c.view.availability.sent_ms)
+    return first + drawn[2:]
 
 
 def _choice(
@@ -342,7 +387,7 @@
 ) -> Choice:
     """Returns what is predicted of a request at one replica."""
     unbiased_ms = predicted_ms(view, wanted, now_ms, least_ms)
-    time_ms = unbiased_ms * view.bias_of(wanted.place, now_ms)
+    time_ms = unbiased_ms * _bias_of(view, wanted, now_ms)
     return Choice(
         view,
         time_ms + view.limit_wait_ms(now_ms),
@@ -356,20 +401,30 @@
     )
 
 
+def _bias_of(
+    view: replica_view.ReplicaView, wanted: Wanted, now_ms: clock.Millis
+) -> float:
+    """Returns by what the predicted time is wrong, as far as is known.
+
+    The time of a plain replica is its own measured one, which a factor of its
+    own would count twice.
+    """
+    if wanted.engine is None:
+        return view.shared_bias_of(wanted.place, now_ms)
+    return view.bias_of(wanted.place, now_ms)
+
+
 def _cost_ms(
     choice: Choice,
     wanted: Wanted,
     places: Places,
     now_ms: clock.Millis,
-    rng: random.Random | None,
 ) -> float:
     """Returns by what replicas are compared; the least cost is the best."""
     view = choice.view
     cost_ms = choice.predicted_ms
     failed_share = view.failure_share + view.availability.refusal_share(now_ms)
     cost_ms *= 1.0 + FAILURE_WEIGHT * failed_share
-    if rng is not None and wanted.engine is None:
-        cost_ms *= 1.0 + NEAR_SHARE * rng.random()
     cost_ms += places.penalty_ms(view)
     over_ms = overrun_ms(choice.predicted_ms, view, wanted, now_ms)
     cost_ms += OVERRUN_WEIGHT * over_ms
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -312,6 +312,74 @@
     assert chosen == {"i-0", "i-1"}
 
 
+def test_plain_replica_a_tenth_slower_than_eleven_others_gets_its_part(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """An idle replica got none of 90 requests for a millisecond."""
+    front_bias = wait_bias.WaitBias()
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+            front_bias=front_bias,
+        )
+        for n in range(12)
+    ]
+    for view in views:
+        taken_ms = 12.5 if view is views[0] else 11.25
+        for _ in range(3):
+            view.note_first(taken_ms, 11.25, time.now_ms())
+            view.note_answered(taken_ms, time.now_ms())
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    sent = 0
+    for _ in range(90 * 12):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        sent += choice.view is views[0]
+        choice.view.note_sent(0, time.now_ms())
+        choice.view.note_ended()
+        time.advance(100.0)
+    assert sent > 90 / 2
+
+
+def test_plain_replica_that_refused_once_gets_its_part_after_a_while(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """A refusal of seconds ago left a replica without work among idle ones."""
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+        )
+        for n in range(12)
+    ]
+    for view in views:
+        view.note_answered(11.0, time.now_ms())
+    views[0].availability.note_refused(time.now_ms(), time.now_ms())
+    time.advance(3_000.0)
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    sent = 0
+    for _ in range(30):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        sent += choice.view is views[0]
+        choice.view.note_sent(0, time.now_ms())
+        choice.view.note_ended()
+    assert sent > 0
+
+
 @pytest.fixture
 def plain(request_: admission.Request) -> admission.Request:
     """A request to a plain service that may wait for limits a little."""
