Equal plain replicas are compared by time alone, apart from their place

The commit before compared whole costs, place included: where all replicas are in another region (40 ms each), one that costs half as much again in time counted as equal. Two list types were missing as well, which the type checker reports.

--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -325,34 +325,51 @@
     fresh = [v for v in fresh if not v.availability.is_leaving] or fresh
     least_ms = min((view.answer_ms for view in fresh), default=0.0)
     choices = [_choice(view, wanted, now_ms, least_ms) for view in fresh]
-    costs = [
-        _Cost(
-            _cost_ms(choice, wanted, places, now_ms),
-            choice.view.replica.replica_id,
-            choice,
-        )
-        for choice in choices
-    ]
-    costs.sort(key=lambda cost: (cost.cost_ms, cost.replica_id))
+    costs = [_cost_of(choice, wanted, places, now_ms) for choice in choices]
+    costs.sort(key=lambda cost: (cost.total_ms, cost.replica_id))
     if rng is None or wanted.engine is not None:
         return [cost.choice for cost in costs]
-    near = []
-    others = []
+    near: list[Choice] = []
+    others: list[Choice] = []
     for cost in costs:
-        part = near if _is_near(cost, costs[0], places) else others
+        part = near if _is_near(cost, costs[0]) else others
         part.append(cost.choice)
     return _spread(near, rng) + others
 
 
 class _Cost(NamedTuple):
-    """A choice and its cost, the least of which is the best."""
+    """What a choice costs; the least total is the best.
+
+    Attributes:
+      replica_id: the replica.
+      time_ms: the cost of what is predicted there.
+      place_ms: the cost of where it is.
+      choice: the choice.
+    """
 
-    cost_ms: float
     replica_id: str
+    time_ms: float
+    place_ms: float
     choice: Choice
 
+    @property
+    def total_ms(self) -> float:
+        """Both costs together."""
+        return self.time_ms + self.place_ms
+
+
+def _cost_of(
+    choice: Choice, wanted: Wanted, places: Places, now_ms: clock.Millis
+) -> _Cost:
+    return _Cost(
+        choice.view.replica.replica_id,
+        _time_cost_ms(choice, wanted, now_ms),
+        places.penalty_ms(choice.view),
+        choice,
+    )
 
-def _is_near(cost: _Cost, best: _Cost, places: Places) -> bool:
+
+def _is_near(cost: _Cost, best: _Cost) -> bool:
     """Returns whether a plain replica is as good as the best one.
 
     Among many idle replicas the least difference between smoothed times would
@@ -360,12 +377,10 @@
     """
     if cost is best:
         return True
-    view = cost.choice.view
-    if view.replica.slots < cost.choice.load + 1:
-        return False
-    if places.penalty_ms(view) > places.penalty_ms(best.choice.view):
+    is_full = cost.choice.view.replica.slots < cost.choice.load + 1
+    if is_full or cost.place_ms > best.place_ms:
         return False
-    return cost.cost_ms <= best.cost_ms * (1.0 + NEAR_SHARE)
+    return cost.time_ms <= best.time_ms * (1.0 + NEAR_SHARE)
 
 
 def _spread(near: list[Choice], rng: random.Random) -> list[Choice]:
@@ -414,18 +429,16 @@
     return view.bias_of(wanted.place, now_ms)
 
 
-def _cost_ms(
-    choice: Choice,
-    wanted: Wanted,
-    places: Places,
-    now_ms: clock.Millis,
+def _time_cost_ms(
+    choice: Choice, wanted: Wanted, now_ms: clock.Millis
 ) -> float:
-    """Returns by what replicas are compared; the least cost is the best."""
+    """Returns the cost of what is predicted of a request at a replica."""
     view = choice.view
     cost_ms = choice.predicted_ms
-    failed_share = view.failure_share + view.availability.refusal_share(now_ms)
+    failed_share = view.failure_share + view.availability.refusal_share(
+        now_ms
+    )
     cost_ms *= 1.0 + FAILURE_WEIGHT * failed_share
-    cost_ms += places.penalty_ms(view)
     over_ms = overrun_ms(choice.predicted_ms, view, wanted, now_ms)
     cost_ms += OVERRUN_WEIGHT * over_ms
     if wanted.alone:
