A plain replica that failed once is tried again after some seconds

What callers saw: nothing yet; a replica that had lost one connection was no longer used by that entry while others were idle, so that a reset of some connections leaves the rest of a service with all of the work.

Cause: the share of failures (0.15 after one, which lengthens its time by 60 in 100) was lowered by good answers only, and one that gets no request gives none. Refusals and slow answers already fade with time, failures did not.

They count half after 10 s now. Test: one of twelve idle replicas that failed 20 s ago gets some of 30 requests; none before. Engines share the same field: one that failed is found again sooner, and seldom by more than one request.

--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import math
 
 import msgspec
 
@@ -52,6 +53,10 @@
 """Weight of the newest answer in a replica's share of failures: a replica
 that fails two in five requests stands out after some six answers."""
 
+FAILURE_HALF_LIFE_MS = 10_000.0
+"""Time after which failures count half: a replica that gets nothing for them
+shows no other way that it serves again."""
+
 ANSWERS_MAX = 10
 """Plain answers that tell most of what a replica's smoothed time can tell."""
 
@@ -136,7 +141,6 @@
         many sees a first event of each replica once in seconds, and is wrong
         about all of them alike when they fill up.
       behind_bias: the same of requests that wait behind the others.
-      failure_share: smoothed share of answers that failed.
       availability: when it takes requests, by its own answers.
       heard_ms: when any byte of it arrived last.
       breaker: its circuit breaker.
@@ -179,7 +183,8 @@
     behind_bias: wait_bias.WaitBias = msgspec.field(
         default_factory=wait_bias.WaitBias
     )
-    failure_share: float = 0.0
+    _failure_share: float = 0.0
+    _outcome_ms: float = float("-inf")
     availability: availability.Availability = msgspec.field(
         default_factory=availability.Availability
     )
@@ -402,18 +407,25 @@
         self.front_bias.note(taken_ms, predicted_ms * self.bias, now_ms)
         self.bias += TIME_SMOOTHING * (ratio - self.bias)
 
-    def note_good(self) -> None:
+    def failure_share(self, now_ms: clock.Millis) -> float:
+        """Returns the smoothed share of recent answers that failed."""
+        age_ms = now_ms - self._outcome_ms
+        return self._failure_share * math.pow(
+            0.5, age_ms / FAILURE_HALF_LIFE_MS
+        )
+
+    def note_good(self, now_ms: clock.Millis) -> None:
         """Counts a good answer."""
-        self.failure_share -= FAILURE_SMOOTHING * self.failure_share
+        self._note_outcome(0.0, now_ms)
         self.breaker.record_success()
 
-    def note_error(self) -> None:
+    def note_error(self, now_ms: clock.Millis) -> None:
         """Counts an answer that reports a failure."""
-        self.failure_share += FAILURE_SMOOTHING * (1.0 - self.failure_share)
+        self._note_outcome(1.0, now_ms)
 
     def note_broken(self, now_ms: clock.Millis) -> None:
         """Counts a request that got no whole answer."""
-        self.note_error()
+        self.note_error(now_ms)
         self.breaker.record_failure(now_ms)
 
     def note_unreachable(self, now_ms: clock.Millis) -> None:
@@ -422,5 +434,10 @@
         The replica is down, cut off or has no room: another try by each of
         several requests would cost each of them one of its few attempts.
         """
-        self.note_error()
+        self.note_error(now_ms)
         self.breaker.trip(now_ms)
+
+    def _note_outcome(self, failed: float, now_ms: clock.Millis) -> None:
+        share = self.failure_share(now_ms)
+        self._failure_share = share + FAILURE_SMOOTHING * (failed - share)
+        self._outcome_ms = now_ms
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -435,7 +435,7 @@
     """Returns the cost of what is predicted of a request at a replica."""
     view = choice.view
     cost_ms = choice.predicted_ms
-    failed_share = view.failure_share + view.availability.refusal_share(
+    failed_share = view.failure_share(now_ms) + view.availability.refusal_share(
         now_ms
     )
     cost_ms *= 1.0 + FAILURE_WEIGHT * failed_share
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -82,7 +82,7 @@
         self._read()
         self._view.note_ended()
         if failure is None:
-            self._view.note_good()
+            self._view.note_good(now_ms)
             if events is not None and self._first_ms is not None:
                 self._view.note_run(now_ms - self._first_ms, events)
             elif events is None:
@@ -90,7 +90,7 @@
         elif failure.ran is errors.Ran.NO:
             self._spare(outcome, now_ms)
         elif outcome.answer is not None:
-            self._view.note_error()
+            self._view.note_error(now_ms)
         else:
             self._view.note_broken(now_ms)
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -380,6 +380,38 @@
     assert sent > 0
 
 
+def test_plain_replica_that_failed_once_gets_its_part_after_a_while(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    """One connection reset kept an idle replica from work for good."""
+    views = [
+        replica_view.ReplicaView(
+            make_replica(replica_id=f"i-{n}", weights=None),
+            breaker.Breaker(3, 1_500.0),
+        )
+        for n in range(12)
+    ]
+    for view in views:
+        view.note_answered(11.0, time.now_ms())
+    views[0].note_broken(time.now_ms())
+    time.advance(20_000.0)
+    plain = msgspec.structs.replace(
+        request_,
+        wanted=msgspec.structs.replace(request_.wanted, engine=None),
+    )
+    sent = 0
+    for _ in range(30):
+        choice = admission.decide(views, plain, ANYWHERE, time.now_ms(), rng)
+        assert isinstance(choice, upstream_choice.Choice)
+        sent += choice.view is views[0]
+        choice.view.note_sent(0, time.now_ms())
+        choice.view.note_ended()
+    assert sent > 0
+
+
 @pytest.fixture
 def plain(request_: admission.Request) -> admission.Request:
     """A request to a plain service that may wait for limits a little."""
--- a/tests/core/test_replica_restarts.py
+++ b/tests/core/test_replica_restarts.py
@@ -61,7 +61,7 @@
     assert table.of(view.replica.service_id) == [view]
     assert view.weights(20.0) == 0
     assert (view.in_flight, view.unread, view.load(20.0)) == (0, 0, 0.0)
-    assert view.failure_share == 0.0
+    assert view.failure_share(20.0) == 0.0
 
 
 def test_its_new_entry_ends_all_that_was_believed_of_it(
