--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 BIN := $(VENV)/bin
 INSTALLED := $(VENV)/.installed
 
-.PHONY: demo test lint types unit model soak lock setup interpreter interpreters
+.PHONY: demo test lint types unit model soak regression lock setup interpreter interpreters
 
 setup: $(INSTALLED)
 
@@ -43,6 +43,10 @@
 soak: $(INSTALLED)
 	$(BIN)/python -m soak run --seeds 50
 
+# Needs the users' bench and deployments: make regression BENCH=... SITES=... WHY=... LOGS=...
+regression: $(INSTALLED)
+	$(BIN)/python -m regression run "$(BENCH)" "$(SITES)" "$(WHY)" "$(LOGS)" $(PLAYS)
+
 unit: $(INSTALLED)
 	$(BIN)/pytest
 
