Before an old version is left, requests go there over ways measured lately

The entry wrote it 350 ms before its bound over an idle connection and took it back 198 ms before the true bound; it was 460 ms on its way and its close 316. The way that it reckoned with, 5 ms, was measured when a connection was opened before the links filled.

Ruled out: the age of the version (139 ms early), the entry's own link.

In the last second before a version is left, a request takes an idle connection only if the way to that replica was measured within 500 ms; else it opens one, which measures the way behind the same queues, and is looked at again before it is written. The test failed 600 ms on the way before. Requests that were written earlier and still wait are taken back by what the others measure meanwhile; one that waits alone has no newer measure (open).

--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -15,6 +15,7 @@
 from marlramp.core import queue_place
 from marlramp.core import replica_view
 from marlramp.core import routing
+from marlramp.core import way_times
 from marlramp.core import weights_gate
 
 FAILURE_WEIGHT = 4.0
@@ -135,6 +136,16 @@
         """Returns when it is taken back if it has not begun, as of now."""
         return self.begins_until_ms - self.view.way_beyond_short_ms(now_ms)
 
+    def needs_way(self, now_ms: clock.Millis) -> bool:
+        """Returns whether the way is to be measured before it is written.
+
+        A link may have filled since a way was measured, and a request that is
+        under way for longer than margins have room for begins too late.
+        """
+        if now_ms < self.sent_until_ms - way_times.MEASURED_BEFORE_MS:
+            return False
+        return self.view.ways.age_ms(now_ms) > way_times.OWN_FRESH_MS
+
     def may_be_written(self, now_ms: clock.Millis) -> bool:
         """Returns whether its version may still be sent the request."""
         beyond_ms = self.view.way_beyond_short_ms(now_ms)
--- a/src/marlramp/core/way_times.py
+++ b/src/marlramp/core/way_times.py
@@ -20,6 +20,10 @@
 """Age within which ways measured to a replica itself are enough to know its
 way; with older ones or none those to its data centre count too."""
 
+MEASURED_BEFORE_MS = 1_000.0
+"""Time before a version is left in which requests go there only over a way
+that was measured lately."""
+
 SHORT_WAY_MS = 9.0
 """The longest way that fixed margins have room for beside the pass of an
 engine."""
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -16,7 +16,6 @@
 from marlramp.core import caller_patience
 from marlramp.core import fleet
 from marlramp.core import queue_place
-from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
@@ -156,7 +155,7 @@
         connection: http1_client.ReplicaConnection | None = None
         try:
             pool = self._pool(view.replica)
-            connection = await self._connect(call, view, pool)
+            connection = await self._connect(call, choice, pool)
             if connection is None:
                 outcome = attempts.Outcome(
                     failure=errors.CallError(
@@ -200,14 +199,17 @@
     async def _connect(
         self,
         call: call_module.Call,
-        view: replica_view.ReplicaView,
+        choice: upstream_choice.Choice,
         pool: http1_client.ConnectionPool,
     ) -> http1_client.ReplicaConnection | None:
+        view = choice.view
         share = 1.0 if call.route.repeatable else FRESH_IDLE_SHARE
-        connection = pool.take_idle(share)
-        if connection is not None:
-            return connection
         asked_ms = self._clock.now_ms()
+        # Opening one measures the way, before an old version gets the request.
+        if not choice.needs_way(asked_ms):
+            connection = pool.take_idle(share)
+            if connection is not None:
+                return connection
         try:
             connection = await pool.open()
         except OSError as error:
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -8,6 +8,7 @@
 from marlramp import errors
 from marlramp.core import catalog
 from marlramp.core import fleet
+from marlramp.core import way_times
 from marlramp.core import weights_gate
 from marlramp.direct.calls import forwarder
 from marlramp.shell import http1_client
@@ -709,6 +710,50 @@
     run_entry(use, replica.serve)
 
 
+def test_request_on_an_open_connection_begins_in_time_when_its_way_filled(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The way was short when the idle connection was opened, and is 600 ms."""
+    way_ms = 600.0
+    left_ms = weights_gate.QUEUE_MARGIN_MS + 150.0
+    connect = http1_client.connect
+    begun_ms: list[float] = []
+    time = clock.SystemClock()
+
+    async def connect_late(
+        host: str, port: int, time: clock.Clock
+    ) -> http1_client.ReplicaConnection:
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        return await connect(host, port, time)
+
+    async def fill(peer: raw_http.Peer) -> None:
+        first = await peer.read()
+        if first is None:
+            return
+        await peer.answer(first, 200, b"ok", x_replica_signature="s")
+        if await peer.read() is None:
+            return
+        # What follows, a close too, comes behind it on the same link.
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        begun_ms.append(time.now_ms())
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        assert status_of(await entry.call("/whole/x", "POST")) == 200
+        await asyncio.sleep(0.1 + way_times.OWN_FRESH_MS / 1000)
+        monkeypatch.setattr(http1_client, "connect", connect_late)
+        binds_ms = entry.time.now_ms() + left_ms
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        await entry.call("/whole/x", "POST")
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        assert all(begun <= binds_ms for begun in begun_ms)
+
+    run_entry(use, fill)
+
+
 def test_request_that_waits_leaves_for_a_version_heard_of_meanwhile(
     run_entry: RunEntry,
 ) -> None:
