Test: a rollout that comes back while its weights are loaded has no target

What callers saw: nothing yet; found by reading. The replica goes on with the version that it loaded, but its controller has no target for good: it shows "fetching weights", checks all of its weights again and again, and orders nothing more. Evidence: the new test holds a load back, replaces the rollout and brings it back. It fails on this code: all replicas serve v2, and 0.5 s later the target is None. Ruled out: as the cause of the two known red tests; they publish one rollout after the first and never bring one back. The controllers run without processes: stand-ins of engine, swarm and entries, with the permit desks of the entries as they are.

--- /dev/null
+++ b/tests/agent/test_rollout.py
@@ -0,0 +1,49 @@
+"""Rollouts that stood still though all weights were there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from tests.agent import replicas
+
+
+def run(
+    scenario: Callable[[replicas.Fleet], Coroutine[Any, Any, None]],
+    members: int = 3,
+    entries: int = 2,
+) -> None:
+    """Runs a scenario on a fleet that serves the first version."""
+
+    async def whole() -> None:
+        fleet = replicas.Fleet(members, entries)
+        fleet.roll_out("v1", "v1")
+        assert await fleet.until_served("v1", 5.0)
+        fleet.out_most = 0
+        await scenario(fleet)
+        await fleet.close()
+
+    asyncio.run(whole())
+
+
+def test_rollout_that_comes_back_while_its_weights_are_loaded_ends() -> None:
+    # The target was dropped and never set again: "fetching weights" for good.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        engine = fleet.members[0].engine
+        engine.may_load.clear()
+        fleet.roll_out("v2", "v1")
+        while engine.loads != ["v2"]:
+            await asyncio.sleep(0.005)
+        fleet.roll_out("v3", "v1")
+        await asyncio.sleep(0.05)
+        fleet.roll_out("v2", "v1")
+        engine.may_load.set()
+        assert await fleet.until_served("v2", 10.0)
+        member = fleet.members[0]
+        await asyncio.sleep(0.5)
+        assert member.controller.target is not None
+        assert member.controller.note == "serving target"
+
+    run(scenario)
