A rollout that is replaced and comes back while it is loaded keeps a target

Cause: set_rollout drops the target of the rollout before, and _follow sets it at its start alone. It went on for as long as the rollout equalled its own, which it does again after a change there and back within one load. It ends with any change now, and the next one starts with a manifest and a target. Evidence: test_rollout_that_comes_back_while_its_weights_are_loaded_ends fails without this (target None), passes with it. Ruled out: nothing else reads the rollout in that loop; a load under way is still finished first, as before, since the step is not cancelled while it swaps.

--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -209,7 +209,9 @@
         self._guard.trust(version, ids.Digest(found.whole))
         await self._observe()
         failures = 0
-        while rollout == self._rollout:
+        # Not by comparing rollouts: one that was replaced and came back while
+        # its weights were loaded has lost its target.
+        while not self._rollout_changed.is_set():
             if self._verdict is guard.Verdict.SERVE_TARGET:
                 self._set_note("serving target")
                 await asyncio.sleep(OBSERVE_INTERVAL_MS / 1000)
