Test: permits that come 300 ms after their question never count

What callers saw: a replica shows "waiting for permits" for as long as one entry answers later than 150 ms each time, and serves the old version. Cause: the agent looks once, 150 ms after it asked; then it gives all permits back and asks anew, in a round to which the answers on their way do not belong. Evidence: three controllers, two entries; answers of one or both after 300 ms: no v2 within 15 s (both cases fail on this code). The test beside it forces each replica to be first at another entry; it passes here, and is there so that the mend of the late answers keeps that.

--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -7,6 +7,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+import pytest
+
 from tests.agent import replicas
 
 
@@ -47,3 +49,28 @@
         assert member.controller.note == "serving target"
 
     run(scenario)
+
+
+@pytest.mark.parametrize("late_entries", [1, 2])
+def test_permits_that_come_late_each_time_count(late_entries: int) -> None:
+    # Answers after 150 ms never counted: "waiting for permits" for good.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        for entry in fleet.entries[:late_entries]:
+            entry.answer_ms = 300.0
+        fleet.roll_out("v2", "v1")
+        assert await fleet.until_served("v2", 15.0)
+        assert fleet.out_most == 1
+
+    run(scenario)
+
+
+def test_replicas_that_are_first_at_different_entries_all_swap() -> None:
+    # Each kept the permit of another entry, and renewed it, for good.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        for number, member in enumerate(fleet.members):
+            fleet.entries[number % 2].ask_ms[member.vm_id] = 100.0
+        fleet.roll_out("v2", "v1")
+        assert await fleet.until_served("v2", 20.0)
+        assert fleet.out_most == 1
+
+    run(scenario)
