Permits count for their question however late they come while it is wanted

Cause: the agent looked once, a fixed time after it asked, and dropped the rest: a bound on another process's answer that its own clock kept. Now: a round stays open while its permits could be used. Every answer belongs to the round of its question. A permit that comes for a round that is over is given back, and says how long answers take; the next round asks for permits that live longer (3 s to 48 s). An entry without an answer is asked again in the same round, one heard for the first time too, and one no longer heard is not waited for. An entry that does not know the agent asks for its report instead of keeping silent. Permits are given back when the step is cancelled or its order fails, which kept them until they ended. Never more out than allowed: the agent counts a permit from before the round's first question and begins its swap in the first half of its life; the entry counts from the last question. The agent's end is the earlier in every order of events. The other half is for the news that it stopped. After closing it looks again, so that a process paused in between asks anew. An entry that started permits nothing for 3 s: the process before may have. A lost link no longer releases a permit (the agent may live and use it); a restart of the agent does, and questions of its earlier start count no more. A withdrawal names its round and start, so that a late one does not take back the permit of a newer round. Not covered: permits of more than 3 s, given out by an entry that restarts (it is silent for 3 s only), and answers later than 24 s. Tests changed: tests/core/test_swap.py follows the interface. The lifetime that an agent may use is half of what it was, so test_permit_counts_from_the_question looks at 1.4 s and 1.6 s instead of 2.9 and 3.1 s; an answer of an earlier round must now be given back as well as permit nothing.

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -16,11 +16,11 @@
 from marlramp.agent import entry_links
 from marlramp.agent import rollout
 from marlramp.agent import runs
+from marlramp.agent import swap_permits
 from marlramp.agent import swarm_node
 from marlramp.agent import weight_sources
 from marlramp.core import grants
 from marlramp.core import lifecycle
-from marlramp.core import swap
 from marlramp.platform import clients
 from marlramp.platform import http_clients
 from marlramp.protocol import messages
@@ -93,7 +93,6 @@
             self._clock,
             self._issue_grants,
         )
-        self._permit_round = swap.PermitRound()
         self._load: engine_client.LoadReport | None = None
         self._load_ms = self._clock.now_ms()
         self._sent_counters: dict[tuple[str, str], int] = {}
@@ -147,10 +146,11 @@
         self._engine = engine_client.HttpEngine(
             self._client, self._upstream.url
         )
+        self._permits = swap_permits.SwapPermits(self._entries, self._clock)
         self._rollout = rollout.RolloutController(
             self._engine,
             self._node,
-            self,
+            self._permits,
             self,
             self._totals,
             self._clock,
@@ -232,31 +232,6 @@
         """Returns when no run is in progress."""
         await self._runs.idle()
 
-    def ask(self, version: ids.VersionId) -> None:
-        """Sends a swap request to every entry heard from."""
-        request = messages.SwapRequest(
-            version=version,
-            round_number=self._permit_round.begin(self._clock.now_ms()),
-        )
-        for entry_id in self._entries.heard():
-            self._entries.send(entry_id, request)
-
-    def permitted(self) -> bool:
-        """Returns whether every entry heard from permits the swap."""
-        return self._permit_round.permitted(
-            self._entries.heard(), self._clock.now_ms()
-        )
-
-    def withdraw(self) -> None:
-        """Gives the permits back."""
-        self._permit_round.reset()
-        for entry_id in self._entries.heard():
-            self._entries.send(entry_id, messages.SwapWithdrawal())
-
-    def reset(self) -> None:
-        """Forgets the permits, which the entries release by themselves."""
-        self._permit_round.reset()
-
     # Messages from entries.
 
     def _on_entry_message(
@@ -283,12 +258,7 @@
             case messages.SettingsOffer():
                 self._sync.offer(message.documents, entry_id)
             case messages.SwapAnswer():
-                self._permit_round.answered(
-                    entry_id,
-                    message.round_number,
-                    message.granted,
-                    message.ttl_ms,
-                )
+                self._permits.answered(entry_id, message)
             case messages.ReportRequest():
                 self._on_link_open(entry_id)
             case messages.DrainOrder():
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -21,7 +21,9 @@
 OBSERVE_INTERVAL_MS = 400.0
 STEP_RETRY_MS = 300.0
 STEP_RETRY_MAX_MS = 10_000.0
-PERMIT_WAIT_MS = 150.0
+PERMIT_LOOK_MS = 20.0
+"""Interval of looks at the permits that have come."""
+
 PREVIOUS_WAIT_MS = 5_000.0
 """Longest wait for the manifest of the version served before."""
 
@@ -33,18 +35,14 @@
         """Sends a request to every entry heard from."""
         ...
 
-    def permitted(self) -> bool:
-        """Returns whether every entry heard from permits the swap."""
+    def standing(self) -> swap.Standing:
+        """Returns whether every entry heard from permits the swap now."""
         ...
 
     def withdraw(self) -> None:
         """Gives the permits back."""
         ...
 
-    def reset(self) -> None:
-        """Forgets the permits, which the entries release by themselves."""
-        ...
-
 
 class Serving(Protocol):
     """Opens and closes the agent for new work."""
@@ -301,22 +299,33 @@
         """Stops serving once every entry permits it, then swaps."""
         self._set_note("waiting for permits")
         self._permits.ask(target.version)
-        await asyncio.sleep(PERMIT_WAIT_MS / 1000)
-        if not self._permits.permitted():
+        try:
+            if await self._permitted():
+                await self._swap_closed(target, needs_permits=True)
+                return
+        finally:
             # Two agents that each keep the permit of another entry would
             # refuse each other for ever.
             self._permits.withdraw()
-            wait_ms = random.uniform(swap.RETRY_MIN_MS, swap.RETRY_MAX_MS)
-            await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
-            return
-        await self._swap_closed(target)
-        self._permits.reset()
+        wait_ms = random.uniform(swap.RETRY_MIN_MS, swap.RETRY_MAX_MS)
+        await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
+
+    async def _permitted(self) -> bool:
+        """Waits for all permits, for as long as they could be used."""
+        while self._permits.standing() is swap.Standing.WAITING:
+            await asyncio.sleep(PERMIT_LOOK_MS / clock.MILLIS_PER_SECOND)
+        return self._permits.standing() is swap.Standing.PERMITTED
 
-    async def _swap_closed(self, target: guard.Target) -> None:
+    async def _swap_closed(
+        self, target: guard.Target, *, needs_permits: bool = False
+    ) -> None:
         self._set_note("swapping")
         self._swapping = True
         self._serving.suspend()
         try:
+            # A process that was paused meanwhile has told the entries too late.
+            if needs_permits and not self._still_permitted():
+                return
             await self._serving.idle()
             await self._observe()
             self._staged = None
@@ -326,6 +335,9 @@
             await self._observe()
             self._on_change()
 
+    def _still_permitted(self) -> bool:
+        return self._permits.standing() is swap.Standing.PERMITTED
+
     async def _order(
         self,
         target: guard.Target,
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -93,7 +93,7 @@
             process.document_keys(settings.identity)
         )
         self._table = agent_table.AgentTable(self._settings_of)
-        self._desk = swap.PermitDesk()
+        self._desk = swap.PermitDesk(self._clock.now_ms())
         self._revisions: dict[ids.VmId, list[int]] = {}
         self._heartbeats: dict[ids.VmId, _SentHeartbeat] = {}
         self._build_shell()
@@ -309,9 +309,13 @@
             case messages.CachedPrefixes():
                 self._on_prefixes(vm_id, message)
             case messages.SwapRequest():
-                self._on_swap_request(vm_id, message)
+                self._on_swap_request(link_id, message)
             case messages.SwapWithdrawal():
-                self._desk.release(vm_id)
+                self._desk.release(
+                    vm_id,
+                    ids.Incarnation(link_id.incarnation),
+                    message.round_number,
+                )
             case messages.SettingsOffer():
                 self._sync.offer(message.documents, vm_id)
 
@@ -322,11 +326,12 @@
         restarted = self._table.report(message, self._clock.now_ms())
         if restarted:
             logs.log("agent_restarted", vm=vm_id)
+            self._desk.drop(vm_id)
             self._dispatcher.agent_lost(vm_id)
         if message.state is messages.AgentState.READY and (
             message.version == message.target_version
         ):
-            self._desk.release(vm_id)
+            self._desk.drop(vm_id)
         self._mark_listed(vm_id)
         if restarted or not known:
             self._send_heartbeat(vm_id)
@@ -358,16 +363,25 @@
             info.prefixes = set(message.digests[: agent_table.PREFIXES_MAX])
 
     def _on_swap_request(
-        self, vm_id: ids.VmId, message: messages.SwapRequest
+        self, link_id: links.LinkId, message: messages.SwapRequest
     ) -> None:
+        vm_id = ids.VmId(link_id.vm_id)
         info = self._table.get(vm_id)
-        if info is None:
+        if info is None or info.report.incarnation != link_id.incarnation:
+            self._links.send(vm_id, messages.ReportRequest())
             return
         service_id = ids.ServiceId(info.report.service_id)
         values = self._store.tree.effective(service_id)
         now_ms = self._clock.now_ms()
-        granted = self._desk.ask(
+        question = swap.Question(
             vm_id,
+            service_id,
+            ids.Incarnation(link_id.incarnation),
+            message.round_number,
+            message.hold_ms,
+        )
+        granted = self._desk.ask(
+            question,
             self._table.replicas(service_id, now_ms),
             values.swap_out_fraction,
             allow_sole=values.swap_sole_replica,
@@ -377,7 +391,7 @@
             version=message.version,
             round_number=message.round_number,
             granted=granted,
-            ttl_ms=swap.PERMIT_TTL_MS,
+            ttl_ms=min(message.hold_ms, swap.HOLD_MAX_MS),
         )
         self._links.send(vm_id, answer)
 
@@ -385,8 +399,8 @@
         if self._table.get(vm_id) is None:
             return
         logs.log("agent_lost", vm=vm_id)
+        # Its permit ends by time: it may live, and use it.
         self._table.remove(vm_id)
-        self._desk.release(vm_id)
         self._revisions.pop(vm_id, None)
         self._heartbeats.pop(vm_id, None)
         self._dispatcher.agent_lost(vm_id)
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -135,14 +135,21 @@
 
 
 class SwapRequest(_Message):
-    """Asks an entry whether this agent may stop serving to swap versions."""
+    """Asks an entry whether this agent may stop serving to swap versions.
+
+    The same round may be asked again; the permit then lasts `hold_ms` from
+    the last question.
+    """
 
     version: str
     round_number: _Count
+    hold_ms: _Duration
 
 
 class SwapWithdrawal(_Message):
-    """Gives a permit back that is not used."""
+    """Gives back the permit of a round, and of those before it."""
+
+    round_number: _Count
 
 
 class SwapAnswer(_Message):
--- a/tests/agent/replicas.py
+++ b/tests/agent/replicas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 
 from marlramp import clock
@@ -10,13 +11,17 @@
 from marlramp import ids
 from marlramp.agent import engine_client
 from marlramp.agent import rollout
+from marlramp.agent import swap_permits
 from marlramp.core import guard
 from marlramp.core import manifest
 from marlramp.core import swap
+from marlramp.protocol import messages
 from marlramp.settings import schema
 
 LOAD_MS = 20.0
 OUT_FRACTION = 0.25
+INCARNATION = ids.Incarnation(1)
+SERVICE = ids.ServiceId("pool")
 
 
 def whole_of(version: str) -> manifest.Whole:
@@ -102,67 +107,79 @@
     Attributes:
       ask_ms: way of a message from each replica, 0 unless named.
       answer_ms: way of each answer.
+      lost: questions that are still to be lost.
+      questions: questions that have come.
     """
 
     def __init__(self, name: str, fleet: Fleet) -> None:
         self.name = ids.VmId(name)
-        self.desk = swap.PermitDesk()
+        self.desk = swap.PermitDesk(clock.Millis(float("-inf")))
         self.ask_ms: dict[ids.VmId, float] = {}
         self.answer_ms = 0.0
+        self.lost = 0
         self.questions = 0
         self._fleet = fleet
 
-    def ask(self, vm_id: ids.VmId, number: int, permits: Permits) -> None:
-        """Takes a question once it has come."""
-        self._after(self.ask_ms.get(vm_id, 0.0), self._asked, vm_id, number,
-                    permits)  # fmt: skip
-
-    def withdraw(self, vm_id: ids.VmId) -> None:
-        """Takes a permit back once the message has come."""
-        self._after(self.ask_ms.get(vm_id, 0.0), self.desk.release, vm_id)
-
-    def _asked(self, vm_id: ids.VmId, number: int, permits: Permits) -> None:
+    def take(self, replica: Replica, message: messages.FromAgent) -> None:
+        """Takes a replica's message once it has come."""
+        delay_ms = self.ask_ms.get(replica.vm_id, 0.0)
+        if isinstance(message, messages.SwapRequest):
+            _later(delay_ms, lambda: self._asked(replica, message))
+        elif isinstance(message, messages.SwapWithdrawal):
+            number = message.round_number
+            _later(
+                delay_ms,
+                lambda: self.desk.release(replica.vm_id, INCARNATION, number),
+            )
+
+    def _asked(self, replica: Replica, message: messages.SwapRequest) -> None:
         self.questions += 1
+        if self.lost:
+            self.lost -= 1
+            return
         granted = self.desk.ask(
-            vm_id,
+            swap.Question(
+                replica.vm_id,
+                SERVICE,
+                INCARNATION,
+                message.round_number,
+                message.hold_ms,
+            ),
             self._fleet.replicas(),
             OUT_FRACTION,
             allow_sole=False,
             now_ms=self._fleet.time.now_ms(),
         )
-        self._after(self.answer_ms, permits.round.answered, self.name, number,
-                    granted, swap.PERMIT_TTL_MS)  # fmt: skip
+        answer = messages.SwapAnswer(
+            version=message.version,
+            round_number=message.round_number,
+            granted=granted,
+            ttl_ms=message.hold_ms,
+        )
+        _later(
+            self.answer_ms, lambda: replica.permits.answered(self.name, answer)
+        )
 
-    def _after(self, delay_ms: float, call: object, *args: object) -> None:
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_ms / clock.MILLIS_PER_SECOND, call, *args)  # type: ignore[arg-type]
 
+def _later(delay_ms: float, call: Callable[[], None]) -> None:
+    delay_s = delay_ms / clock.MILLIS_PER_SECOND
+    asyncio.get_running_loop().call_later(delay_s, call)
 
-class Permits:
-    """A replica's questions to all entries."""
 
-    def __init__(self, vm_id: ids.VmId, fleet: Fleet) -> None:
-        self.round = swap.PermitRound()
-        self._vm_id = vm_id
-        self._fleet = fleet
+class Links:
+    """A replica's links to all entries, all of which it hears."""
 
-    def ask(self, version: ids.VersionId) -> None:
-        del version
-        number = self.round.begin(self._fleet.time.now_ms())
-        for entry in self._fleet.entries:
-            entry.ask(self._vm_id, number, self)
+    def __init__(self, replica: Replica, fleet: Fleet) -> None:
+        self._replica = replica
+        self._fleet = fleet
 
-    def permitted(self) -> bool:
-        names = [entry.name for entry in self._fleet.entries]
-        return self.round.permitted(names, self._fleet.time.now_ms())
+    def heard(self) -> list[ids.VmId]:
+        return [entry.name for entry in self._fleet.entries]
 
-    def withdraw(self) -> None:
-        self.round.reset()
+    def send(self, entry_id: ids.VmId, message: messages.FromAgent) -> None:
         for entry in self._fleet.entries:
-            entry.withdraw(self._vm_id)
-
-    def reset(self) -> None:
-        self.round.reset()
+            if entry.name == entry_id:
+                entry.take(self._replica, message)
 
 
 class Replica:
@@ -172,11 +189,14 @@
         self.vm_id = ids.VmId(name)
         self.engine = Engine("v1")
         self.is_open = False
+        self.suspended = 0
+        self.pauses_ms = 0.0
         self._fleet = fleet
+        self.permits = swap_permits.SwapPermits(Links(self, fleet), fleet.time)
         self.controller = rollout.RolloutController(
             self.engine,
             fleet.node,  # type: ignore[arg-type]
-            Permits(self.vm_id, fleet),
+            self.permits,
             self,
             counters.Counters(),
             fleet.time,
@@ -190,10 +210,14 @@
         wanted = self.controller.rollout
         if wanted is not None and version == schema.version_id(wanted):
             for entry in self._fleet.entries:
-                entry.withdraw(self.vm_id)
+                entry.desk.drop(self.vm_id)
 
     def suspend(self) -> None:
+        if self.is_open:
+            self.suspended += 1
         self.is_open = False
+        self._fleet.time.advance(self.pauses_ms)
+        self.pauses_ms = 0.0
 
     def resume(self) -> None:
         self.is_open = True
@@ -202,11 +226,24 @@
         pass
 
 
+class _Clock(clock.SystemClock):
+    """The system's clock, which a test may move forward."""
+
+    def __init__(self) -> None:
+        self._added_ms = 0.0
+
+    def now_ms(self) -> clock.Millis:
+        return clock.Millis(super().now_ms() + self._added_ms)
+
+    def advance(self, step_ms: float) -> None:
+        self._added_ms += step_ms
+
+
 class Fleet:
     """Replicas and entries."""
 
     def __init__(self, replicas: int, entries: int) -> None:
-        self.time = clock.SystemClock()
+        self.time = _Clock()
         self.node = Node(["v1", "v2", "v3"])
         self.entries = [Entry(f"entry-{n}", self) for n in range(entries)]
         self.members = [Replica(f"vm-{n}", self) for n in range(replicas)]
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -74,3 +74,41 @@
         assert fleet.out_most == 1
 
     run(scenario)
+
+
+def test_lost_question_holds_no_rollout_up() -> None:
+    # An entry that never heard the question was never asked in that round.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        fleet.entries[0].lost = 3
+        fleet.roll_out("v2", "v1")
+        assert await fleet.until_served("v2", 20.0)
+        assert fleet.out_most == 1
+
+    run(scenario)
+
+
+def test_entry_that_never_answers_and_leaves_holds_no_rollout_up() -> None:
+    # Its place in the round ends when it is no longer heard.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        fleet.entries[1].lost = 1_000
+        fleet.roll_out("v2", "v1")
+        assert not await fleet.until_served("v2", 2.0)
+        assert fleet.served("v2") == 0
+        fleet.entries.pop()
+        assert await fleet.until_served("v2", 20.0)
+        assert fleet.out_most == 1
+
+    run(scenario)
+
+
+def test_agent_paused_after_its_permits_came_asks_anew() -> None:
+    # It stopped serving on permits that its entries had ended meanwhile.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        member = fleet.members[0]
+        member.pauses_ms = 5_000.0
+        fleet.roll_out("v2", "v1")
+        assert await fleet.until_served("v2", 20.0)
+        assert member.engine.loads == ["v2"]
+        assert member.suspended == 2
+
+    run(scenario)
--- a/tests/core/test_swap.py
+++ b/tests/core/test_swap.py
@@ -8,25 +8,46 @@
 B = ids.VmId("vm-b")
 ENTRIES = [ids.VmId("entry-0"), ids.VmId("entry-1")]
 REPLICAS = [swap.Replica(vm, True) for vm in (A, B, ids.VmId("vm-c"))]
+START = ids.Incarnation(1)
+LONG_AGO = clock.Millis(float("-inf"))
 
 
-def ask(desk: swap.PermitDesk, vm_id: ids.VmId, now_ms: clock.Millis) -> bool:
-    return desk.ask(vm_id, REPLICAS, 0.34, allow_sole=False, now_ms=now_ms)
+def ask(
+    desk: swap.PermitDesk,
+    vm_id: ids.VmId,
+    now_ms: clock.Millis,
+    number: int = 1,
+    replicas: list[swap.Replica] = REPLICAS,
+) -> bool:
+    question = swap.Question(
+        vm_id, ids.ServiceId("pool"), START, number, swap.HOLD_MIN_MS
+    )
+    return desk.ask(question, replicas, 0.34, allow_sole=False, now_ms=now_ms)
+
+
+def answer_all(
+    permits: swap.PermitRound, number: int, now_ms: clock.Millis
+) -> list[bool]:
+    hold_ms = permits.hold_ms
+    return [
+        permits.answered(entry_id, number, True, hold_ms, now_ms)
+        for entry_id in ENTRIES
+    ]
 
 
 def test_agents_that_hold_each_others_permits_come_through(
     time: clock.ManualClock,
 ) -> None:
-    desks = [swap.PermitDesk(), swap.PermitDesk()]
-    for _ in range(20):
+    desks = [swap.PermitDesk(LONG_AGO), swap.PermitDesk(LONG_AGO)]
+    for number in range(20):
         # Each is the first at another entry, again and again.
-        assert ask(desks[0], A, time.now_ms())
-        assert ask(desks[1], B, time.now_ms())
-        assert not ask(desks[1], A, time.now_ms())
-        assert not ask(desks[0], B, time.now_ms())
+        assert ask(desks[0], A, time.now_ms(), number)
+        assert ask(desks[1], B, time.now_ms(), number)
+        assert not ask(desks[1], A, time.now_ms(), number)
+        assert not ask(desks[0], B, time.now_ms(), number)
         for desk in desks:
-            desk.release(A)
-            desk.release(B)
+            desk.release(A, START, number)
+            desk.release(B, START, number)
         time.advance(swap.RETRY_MIN_MS)
     assert all(ask(desk, A, time.now_ms()) for desk in desks)
 
@@ -35,24 +56,125 @@
     time: clock.ManualClock,
 ) -> None:
     permits = swap.PermitRound()
-    first = permits.begin(time.now_ms())
-    permits.answered(ENTRIES[0], first, True, 3_000.0)
-    permits.reset()
-    second = permits.begin(time.now_ms())
-    for entry_id in ENTRIES:
-        permits.answered(entry_id, first, True, 3_000.0)
-    assert not permits.permitted(ENTRIES, time.now_ms())
-    for entry_id in ENTRIES:
-        permits.answered(entry_id, second, True, 3_000.0)
-    assert permits.permitted(ENTRIES, time.now_ms())
+    permits.begin(time.now_ms())
+    first = permits.number
+    permits.answered(ENTRIES[0], first, True, 3_000.0, time.now_ms())
+    permits.end()
+    permits.begin(time.now_ms())
+    # Each is to be given back: the withdrawal may have been lost.
+    assert answer_all(permits, first, time.now_ms()) == [True, True]
+    waits = permits.standing(ENTRIES, time.now_ms())
+    assert waits is swap.Standing.WAITING
+    assert answer_all(permits, permits.number, time.now_ms()) == [False] * 2
+    found = permits.standing(ENTRIES, time.now_ms())
+    assert found is swap.Standing.PERMITTED
 
 
 def test_permit_counts_from_the_question(time: clock.ManualClock) -> None:
     permits = swap.PermitRound()
-    number = permits.begin(time.now_ms())
-    time.advance(2_900.0)
-    for entry_id in ENTRIES:
-        permits.answered(entry_id, number, True, 3_000.0)
-    assert permits.permitted(ENTRIES, time.now_ms())
+    permits.begin(time.now_ms())
+    usable_ms = swap.USABLE_FRACTION * swap.HOLD_MIN_MS
+    time.advance(usable_ms - 100.0)
+    answer_all(permits, permits.number, time.now_ms())
+    found = permits.standing(ENTRIES, time.now_ms())
+    assert found is swap.Standing.PERMITTED
     time.advance(200.0)
-    assert not permits.permitted(ENTRIES, time.now_ms())
+    assert permits.standing(ENTRIES, time.now_ms()) is swap.Standing.OVER
+
+
+def test_agent_never_uses_a_permit_that_its_entry_has_ended(
+    time: clock.ManualClock,
+) -> None:
+    # Its life is the shorter one, though the question came at once.
+    desk = swap.PermitDesk(LONG_AGO)
+    permits = swap.PermitRound()
+    permits.begin(time.now_ms())
+    assert ask(desk, A, time.now_ms())
+    answer_all(permits, permits.number, time.now_ms())
+    while permits.standing(ENTRIES, time.now_ms()) is swap.Standing.PERMITTED:
+        assert not ask(desk, B, time.now_ms())
+        time.advance(10.0)
+    assert not ask(desk, B, time.now_ms())
+
+
+def test_answers_of_ten_seconds_permit_a_swap(time: clock.ManualClock) -> None:
+    # Each round was over before its answers came, in every round.
+    permits = swap.PermitRound()
+    on_their_way: list[tuple[float, int, float]] = []
+    permits.begin(time.now_ms())
+    for _ in range(600):
+        now_ms = time.now_ms()
+        while on_their_way and on_their_way[0][0] <= now_ms:
+            _, number, hold_ms = on_their_way.pop(0)
+            for entry_id in ENTRIES:
+                permits.answered(entry_id, number, True, hold_ms, now_ms)
+        found = permits.standing(ENTRIES, now_ms)
+        if found is swap.Standing.PERMITTED:
+            return
+        if found is swap.Standing.OVER:
+            permits.end()
+            permits.begin(now_ms)
+        if permits.to_ask(ENTRIES, now_ms):
+            due_ms = now_ms + 10_000.0
+            on_their_way.append((due_ms, permits.number, permits.hold_ms))
+        time.advance(100.0)
+    raise AssertionError("no swap within 60 s")
+
+
+def test_permit_of_the_new_round_outlives_a_late_withdrawal(
+    time: clock.ManualClock,
+) -> None:
+    desk = swap.PermitDesk(LONG_AGO)
+    assert ask(desk, A, time.now_ms(), number=2)
+    desk.release(A, START, 1)
+    desk.release(A, ids.Incarnation(7), 9)
+    assert not ask(desk, B, time.now_ms())
+    desk.release(A, START, 2)
+    assert ask(desk, B, time.now_ms())
+
+
+def test_entry_that_started_again_permits_nothing_that_it_may_have_forgotten(
+    time: clock.ManualClock,
+) -> None:
+    # The process before may have permitted another replica a moment ago.
+    desk = swap.PermitDesk(time.now_ms())
+    time.advance(swap.HOLD_MIN_MS - 1.0)
+    assert not ask(desk, A, time.now_ms())
+    time.advance(1.0)
+    assert ask(desk, A, time.now_ms())
+
+
+def test_permit_of_a_replica_whose_link_is_lost_counts_until_it_ends(
+    time: clock.ManualClock,
+) -> None:
+    # It may be paused, and swap when it goes on.
+    desk = swap.PermitDesk(LONG_AGO)
+    assert ask(desk, A, time.now_ms())
+    assert not ask(desk, B, time.now_ms(), replicas=REPLICAS[1:])
+    time.advance(swap.HOLD_MIN_MS)
+    assert ask(desk, B, time.now_ms(), replicas=REPLICAS[1:])
+
+
+def test_entry_without_an_answer_is_asked_again(
+    time: clock.ManualClock,
+) -> None:
+    permits = swap.PermitRound()
+    permits.begin(time.now_ms())
+    assert permits.to_ask(ENTRIES[:1], time.now_ms()) == ENTRIES[:1]
+    # One heard for the first time is asked in the same round.
+    assert permits.to_ask(ENTRIES, time.now_ms()) == ENTRIES[1:]
+    number = permits.number
+    permits.answered(ENTRIES[1], number, True, 3_000.0, time.now_ms())
+    time.advance(swap.ASK_AGAIN_FRACTION * swap.HOLD_MIN_MS)
+    assert permits.to_ask(ENTRIES, time.now_ms()) == ENTRIES[:1]
+
+
+def test_entry_that_left_holds_no_round_up(time: clock.ManualClock) -> None:
+    permits = swap.PermitRound()
+    permits.begin(time.now_ms())
+    number = permits.number
+    permits.answered(ENTRIES[0], number, True, 3_000.0, time.now_ms())
+    waits = permits.standing(ENTRIES, time.now_ms())
+    assert waits is swap.Standing.WAITING
+    found = permits.standing(ENTRIES[:1], time.now_ms())
+    assert found is swap.Standing.PERMITTED
