Model of the permits of a version swap, replayed against desk and round

One entry, an agent that asks in rounds, a rival that the entry may permit instead. Questions, withdrawals and answers are late or lost; the agent is paused between any two steps; the entry starts again once. Time goes in halves of a permit's life. Assumed, not shown: the news that the agent stopped takes less than half of a permit's life; the rival is heard at once. Lives that grow are left out (hold_max_ms).

--- a/models/__main__.py
+++ b/models/__main__.py
@@ -8,6 +8,7 @@
 from models import replica_restart
 from models import report
 from models import settings
+from models import swap_permits
 from models import version_swap
 
 
@@ -17,6 +18,7 @@
         report.run(grants.SPECIFICATION)
         report.run(replica_restart.SPECIFICATION)
         report.run(settings.SPECIFICATION)
+        report.run(swap_permits.SPECIFICATION)
         report.run(version_swap.SPECIFICATION)
     except (report.ModelFailedError, AssertionError) as error:
         print(f"FAILED: {error}", file=sys.stderr)
--- a/src/marlramp/core/swap.py
+++ b/src/marlramp/core/swap.py
@@ -170,8 +170,9 @@
 class PermitRound:
     """One agent's attempts to collect a permit from each entry."""
 
-    def __init__(self) -> None:
-        """Starts without a round."""
+    def __init__(self, hold_max_ms: float = HOLD_MAX_MS) -> None:
+        """Starts without a round; permits live for `hold_max_ms` at most."""
+        self._hold_max_ms = hold_max_ms
         self._number = 0
         self._open = False
         self._refused = False
@@ -243,7 +244,7 @@
             return granted
         taken_ms = now_ms - begun_ms
         if number != self._number or not self._open:
-            self._hold_ms = max(self._hold_ms, _hold_for(taken_ms))
+            self._hold_ms = max(self._hold_ms, self._hold_for(taken_ms))
             return granted
         self._slowest_ms = max(self._slowest_ms, taken_ms)
         if granted:
@@ -268,7 +269,8 @@
     def end(self) -> None:
         """Ends the round; its permits are used or given back."""
         if self._open and self._usable_until_ms and not self._refused:
-            self._hold_ms = max(_hold_for(self._slowest_ms), self._hold_ms / 2)
+            hold_ms = self._hold_for(self._slowest_ms)
+            self._hold_ms = max(hold_ms, self._hold_ms / 2)
         self._open = False
 
     def _over(self, now_ms: clock.Millis) -> bool:
@@ -279,8 +281,7 @@
         ]
         return now_ms >= min(ends_ms)
 
-
-def _hold_for(taken_ms: float) -> float:
-    """Returns the life of permits whose answers take so long."""
-    hold_ms = HOLD_MARGIN * taken_ms / USABLE_FRACTION
-    return min(max(hold_ms, HOLD_MIN_MS), HOLD_MAX_MS)
+    def _hold_for(self, taken_ms: float) -> float:
+        """Returns the life of permits whose answers take so long."""
+        hold_ms = HOLD_MARGIN * taken_ms / USABLE_FRACTION
+        return min(max(hold_ms, HOLD_MIN_MS), self._hold_max_ms)
