Failing test: news of a version that a newer one overtook are dropped

Two readers tell what each was the first to read, over links of their own, so that the news of a version may come after those of the next one.

--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -281,3 +281,15 @@
     configured = catalog.ConfigChange(3, make_config())
     known.apply([listed(1, good), listed(2, stranger), configured], 0.0)
     assert known.replicas() == [good]
+
+
+def test_version_that_is_heard_of_after_a_newer_one_binds_by_itself(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    # The news of version 2 waited behind a configuration on another link.
+    time.advance(100_000.0)
+    known.apply([named(9, 3)], time.now_ms())
+    known.apply([named(4, 2, age_ms=3_000.0)], time.now_ms())
+    assert known.targets["m"].target.version == 3
+    time.advance(BOUND_MS - 3_000.0)
+    assert oldest(known, time.now_ms()) == 2
