A version that is heard of after a newer one binds by itself

Callers: an entry that heard of version 3 before version 2 let requests begin on version 1 until version 3 bound, by the time between the two names too late, until the first answer about ages told of version 2.

Cause: of a model the catalog took changes with the last revision or a later one alone, though what follows from a name, its bound, is each version's own. Ruled out: that the newer version's early end covers it; it is later than the other's by the time between the two. Versions are kept by number, the target stays the newest one, and an older version of unknown age can only have requests leave sooner.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -360,8 +360,8 @@
         )
         known = self.targets.get(target.model)
         if known is not None and change.revision <= known.revision:
-            if change.revision == known.revision:
-                known.named = self._learnt(known.named, heard)
+            # News may overtake each other, and each version binds by itself.
+            known.named = self._learnt(known.named, heard)
             return False
         named = [] if known is None else known.named
         self.targets[target.model] = KnownTarget(
