Failing test: an assumed early end is replaced by a later one that was assumed

The same news that come again after 4.5 s move the early end behind the event, as does an answer of a process whose own news came that late.

--- a/tests/core/test_event_time.py
+++ b/tests/core/test_event_time.py
@@ -47,3 +47,12 @@
     )
     answer = event_time.Hearing(10_100.0, 10_200.0)
     assert answer.dated(assumed.ages(10_150.0)).assumed
+
+
+def test_later_of_two_early_ends_that_were_assumed_is_not_taken() -> None:
+    # The same news came again, after longer than the longest way.
+    ages = event_time.Ages(0.0, 0.0)
+    first = event_time.news(4_000.0, 11_000.0).dated(ages)
+    again = event_time.news(4_000.0, 14_500.0).dated(ages)
+    assert first.narrowed(again).earliest_ms <= 10_000.0
+    assert again.narrowed(first).earliest_ms <= 10_000.0
