Of two early ends that were assumed the earlier one holds

Callers: an entry that had a true early end by assumption took a later, wrong one, so that a request could begin on the old version up to a second late, until an answer that was not assumed came.

Cause: two assumed intervals were intersected, which takes the later early end; that is right only if the longest way (4 s) was right for both, and the second is there to be told exactly when links are slow. Ruled out: intervals that exclude each other, where the earlier one held already.

An assumption that fails for one word no longer spoils the other. Cost (reckoned): a process two ways from the reader counts a version up to 8 s older, instead of 4, until the first answer that shows its age; usually that is the first answer.

--- a/src/marlramp/core/event_time.py
+++ b/src/marlramp/core/event_time.py
@@ -64,7 +64,8 @@
 
         Two that exclude each other can't both be right; then the one that has
         the event earlier holds. An early end that was assumed gives way to
-        one that was not.
+        one that was not. Of two that were assumed the earlier one holds: the
+        other may rest on a way that was longer than assumed.
         """
         latest_ms = min(self.latest_ms, other.latest_ms)
         if self.assumed is not other.assumed:
@@ -72,10 +73,15 @@
             return EventTime(
                 shown.earliest_ms, max(shown.earliest_ms, latest_ms)
             )
+        if self.assumed:
+            earliest_ms = min(self.earliest_ms, other.earliest_ms)
+            return EventTime(
+                earliest_ms, max(earliest_ms, latest_ms), assumed=True
+            )
         earliest_ms = max(self.earliest_ms, other.earliest_ms)
         if earliest_ms > latest_ms:
             return min(self, other, key=lambda each: each.earliest_ms)
-        return EventTime(earliest_ms, latest_ms, self.assumed)
+        return EventTime(earliest_ms, latest_ms)
 
 
 class Hearing(msgspec.Struct, frozen=True):
