--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -467,3 +467,25 @@
     counts_from_ms = agent.known.targets["m"].named_ms
     assert counts_from_ms is not None
     assert outage_ms - 10.0 <= counts_from_ms <= outage_ms
+
+
+def test_answers_that_rest_on_an_assumption_end_no_questions(
+    time: clock.ManualClock,
+) -> None:
+    reader, relay, other = Process(time), Process(time), Process(time)
+    acknowledged_ms = named_at(reader)
+    # The news waited for longer than assumed, and only then went on.
+    relay.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
+    other.hear(relay.known, way_ms=5.0)
+    for _ in range(version_ages.ANSWERS_MAX):
+        other.exchange(relay, there_ms=5.0, back_ms=5.0)
+        time.advance(version_ages.ASK_MS)
+        other.ages.tick(BOUND_MS)
+    relay.exchange(reader, there_ms=5.0, back_ms=5.0)
+    other.asked.clear()
+    time.advance(version_ages.ASK_MS)
+    other.ages.tick(BOUND_MS)
+    other.exchange(relay, there_ms=5.0, back_ms=5.0)
+    named = other.named()
+    assert not named.assumed
+    assert named.earliest_ms <= acknowledged_ms
