Answers that rest on an assumption do not count as answers about an age

Callers: an entry whose source was itself in doubt asked no more after six answers within 1.2 to 2.4 s, all of them assumed, and kept an assumed end until the version bound: up to 4 s too early for each way, which costs service, or too late if the news had taken longer than assumed.

Cause: all answers counted towards the end of the questions. Ruled out: unending questions; those for a version whose age is assumed end when it has bound for certain, and answers without an age count as before.

--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -30,7 +30,8 @@
 """Between two questions while the age of a version is in doubt."""
 
 ANSWERS_MAX = 6
-"""Answers after which a version is not asked for any more."""
+"""Answers after which a version is not asked for any more. Those that rest on
+an assumption do not count: they correct no other."""
 
 DOUBT_MS = 30.0
 """Doubt that no further question is worth."""
@@ -131,6 +132,8 @@
         now_ms = self._clock.now_ms()
         before = self._doubts()
         for aged in answer.versions:
+            if aged.ages is not None and aged.ages.assumed:
+                continue
             named = (aged.model, aged.version)
             self._answers[named] = self._answers.get(named, 0) + 1
         hearing = event_time.Hearing(asked_ms, now_ms)
