--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -489,3 +489,19 @@
     named = other.named()
     assert not named.assumed
     assert named.earliest_ms <= acknowledged_ms
+
+
+def test_answer_corrects_an_outage_that_was_told_too_late(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    named_at(reader)
+    for _ in range(4):
+        time.advance(500.0)
+        reader.known.store_down(BOUND_MS, time.now_ms())
+    outage_ms = time.now_ms()
+    other.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
+    other.exchange(reader, there_ms=5.0, back_ms=5.0)
+    counts_from_ms = other.known.targets["m"].named_ms
+    assert counts_from_ms is not None
+    assert counts_from_ms <= outage_ms
