An assumed end of an outage gives way to one that an answer shows

Callers: a process that heard of a version and an outage by news that took longer than 4 s counted the version from after the outage's end, so that requests began on the old version late; answers corrected when the version was named, and not when the outage had ended.

Cause: of two ends that were told the later one held, whatever they rested on. Ruled out: an outage seen by the process itself, whose reading is its own. Now the end goes with the interval of the naming: one that was assumed gives way, and of two that were assumed the earlier one holds.

--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -174,7 +174,7 @@
     named = known.named.narrowed(heard.named)
     if known.outage_told:
         return NamedVersion(
-            known.version, named, _later(known.outage_ms, heard.outage_ms), True
+            known.version, named, _told_outage_ms(known, heard), True
         )
     # Whether an outage delayed it is judged anew if it was named earlier.
     earlier = named.earliest_ms < known.named.earliest_ms
@@ -182,7 +182,20 @@
     return NamedVersion(known.version, named, outage_ms)
 
 
-def _later(one_ms: float | None, other_ms: float | None) -> float | None:
-    """Returns the later of two early ends of the same outage."""
-    known = [each for each in (one_ms, other_ms) if each is not None]
-    return max(known, default=None)
+def _told_outage_ms(known: NamedVersion, heard: NamedVersion) -> float | None:
+    """Returns the early end of an outage that two words tell of.
+
+    One that was assumed gives way, as that of the naming does; of two others
+    the later one holds.
+    """
+    if _is_assumed(known) is not _is_assumed(heard):
+        return heard.outage_ms if _is_assumed(known) else known.outage_ms
+    told_ms = [
+        each.outage_ms for each in (known, heard) if each.outage_ms is not None
+    ]
+    pick = min if _is_assumed(known) else max
+    return pick(told_ms, default=None)
+
+
+def _is_assumed(version: NamedVersion) -> bool:
+    return version.named is not None and version.named.assumed
