--- a/tests/core/test_named_versions.py
+++ b/tests/core/test_named_versions.py
@@ -78,3 +78,12 @@
     # Another process knows that it was named earlier than the news allowed.
     (learnt,) = named_versions.learn([delayed], version(2, 9_000.0, 9_100.0))
     assert outage.applied(learnt).counts_from_ms == 9_000.0
+
+
+def test_version_that_does_not_bind_yet_is_kept_beside_many_newer_ones() -> (
+    None
+):
+    known: list[named_versions.NamedVersion] = []
+    for number in range(2, 10):
+        known = named_versions.learn(known, version(number, 500.0 * number))
+    assert known[0].version == 2
