Versions are remembered until many newer ones were named

Callers: where more than five versions are named within `version_ms`, the oldest was forgotten before it bound, and requests began on the version before it until the next remembered one bound.

Cause: five versions were kept since "each binds within seconds", while `version_ms` is the deployment's and turns of engines reckon with minutes.

--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -11,8 +11,9 @@
 from marlramp import clock
 from marlramp.core import event_time
 
-VERSIONS_KEPT = 5
-"""Versions that are remembered, the newest ones; each binds within seconds."""
+VERSIONS_KEPT = 32
+"""Versions that are remembered, the newest ones. A version that is forgotten
+before it binds lets requests begin on older ones until the next one binds."""
 
 OUTAGE_GAP_MS = 3_000.0
 """Signs of an outage that are further apart are of two outages."""
