Failing test: a request asks for a version whose end does not limit it

The version in the header is read when a request is written, the one by whose end it is taken back when its replica was chosen.

--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -751,3 +751,34 @@
         assert entry.time.now_ms() < leaves_ms
 
     run_entry(use, replica.hang)
+
+
+def test_request_is_limited_by_the_version_that_it_asks_for(
+    run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # It was chosen as on the new version, and asked for the old one.
+    replica = Replica()
+    connect = http1_client.connect
+    left_ms = 800.0
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+
+        async def connect_after_correction(
+            host: str, port: int, time: clock.Clock
+        ) -> http1_client.ReplicaConnection:
+            view.seen_weights = 1
+            return await connect(host, port, time)
+
+        monkeypatch.setattr(http1_client, "connect", connect_after_correction)
+        view.seen_weights = 2
+        entry.serve_engines()
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        binds_ms = entry.time.now_ms() + left_ms
+        await entry.call("/whole/x", "POST", 2_400)
+        assert len(replica.seen) == 1
+        assert replica.seen[0].headers["x-expect-version"] == "1"
+        assert entry.time.now_ms() < binds_ms
+
+    run_entry(use, replica.hang)
