A request is limited by the version that it asks for

Callers: a request to an engine that was believed to hold the new version, and of which the contrary was learnt while a connection was opened (up to 400 ms) or a limit waited for, was written with the old version in `X-Expect-Version` and never taken back, so that it could begin there however late.

Cause: the header took the version as known at the writing, the end of the wait the one of the choice. Another request's 421 clears what was seen of a replica and so brings such a change about. Ruled out: a change upwards; the engine answers 421 and has not run it. Now the version is taken once, right before the request is written, for the header, for whether it may still be written and for when it is taken back.

--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -168,6 +168,9 @@
                 observer.ended(outcome, None)
                 return Sent(outcome)
             now_ms = self._clock.now_ms()
+            # What it asks for is what limits it, whatever it was chosen as.
+            weights = view.weights(now_ms)
+            choice = msgspec.structs.replace(choice, weights=weights)
             choice = self._ends.dated(call, choice)
             if not view.takes(now_ms) or not choice.may_be_written(now_ms):
                 call.sends -= 1
@@ -286,7 +289,7 @@
             customer_id=None
             if call.customer is None
             else call.customer.customer_id,
-            weights=None if engine is None else view.weights(now_ms),
+            weights=None if engine is None else choice.weights,
             priority=_priority(call, choice.place),
             resume_after=call.relay.splitter.last_id,
         )
