Failing tests: news of a reader claim to hold what only others told it

Two of the tests ask whether an entry believes itself complete without the version, the third where a reader counts from.

--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+import msgspec
 import pytest
 
 from marlramp import clock
@@ -383,3 +384,46 @@
 
     asyncio.run(main())
     assert set(signs) == {None}
+
+
+class OvertakenStore(ScriptedStore):
+    """Answers a watch after the other reader has told a part of it."""
+
+    def __init__(self, known: catalog.Catalog) -> None:
+        super().__init__()
+        self._known = known
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        if after > 1:
+            await asyncio.sleep(10)
+        change = catalog.TargetChange(2, TARGET)
+        self._known.apply([change], clock.SystemClock().now_ms())
+        self._known.advance(2)
+        replica = msgspec.structs.replace(REPLICA, revision=3)
+        return catalog.Snapshot(3, [change, replica])
+
+
+def test_changes_are_told_from_what_was_known_when_they_were_read() -> None:
+    # Told as complete since the question, they lacked what came meanwhile.
+    known = catalog.Catalog()
+    published: list[tuple[int, list[int]]] = []
+
+    async def main() -> None:
+        reader = store_reader.StoreReader(
+            OvertakenStore(known),
+            known,
+            lambda: True,
+            lambda after, changes: published.append(
+                (after, [change.revision for change in changes])
+            ),
+            counters.Counters(),
+            clock.SystemClock(),
+        )
+        task = asyncio.create_task(reader.run())
+        async with asyncio.timeout(4):
+            while not published:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(main())
+    assert published == [(2, [3])]
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -505,3 +505,38 @@
     counts_from_ms = other.known.targets["m"].named_ms
     assert counts_from_ms is not None
     assert counts_from_ms <= outage_ms
+
+
+def test_news_of_a_reader_lack_nothing_that_it_heard_meanwhile(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # The other reader's news of the version never reach the third entry.
+    reader = make_entry("entry-1", "entry-3")
+    other = make_entry("entry-3")
+    for entry in (reader, other):
+        entry.known.advance(2)
+    reader.known.apply([catalog.TargetChange(3, TARGET, NOW)], time.now_ms())
+    reader.known.advance(3)
+    config = catalog.ConfigChange(4, CONFIG)
+    reader.known.apply([config], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(2, [config])
+    other.sync.on_news("entry-1", reader.member.take_news())
+    assert "m" in other.known.targets or other.known.revision < 3
+
+
+def test_news_that_are_complete_after_a_gap_hold_what_was_heard_beyond_it(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-3")
+    other = make_entry("entry-3")
+    for entry in (reader, other):
+        entry.known.advance(2)
+    # Heard of beyond a gap, so that what is known does not reach that far.
+    reader.known.apply([catalog.TargetChange(4, TARGET, NOW)], time.now_ms())
+    config = catalog.ConfigChange(3, CONFIG)
+    reader.known.apply([config], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(2, [config])
+    other.sync.on_news("entry-1", reader.member.take_news())
+    assert "m" in other.known.targets or other.known.revision < 4
