News of a reader hold all that changed since the revision that they name

Callers: an entry that had not heard the other reader's news of a version (a full link, a message dropped) took itself for complete when the next news came, never asked for the version, and went on sending requests to the old one until the next version was named; the same for a configuration or a replica that was missed.

Cause: a reader told "complete after R" with R as of its question, and of the answer only what was new to it. What the other reader had told it while its watch waited (up to a second) was not new and left out, and so was what it had heard of beyond a gap. Ruled out: what relays pass on and what is told on request; these are whole. Now R is the revision known when the answer is applied, so that an entry that lacks more sees a gap and asks, and news have all else that is known after it.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -70,6 +70,17 @@
 Change: TypeAlias = ConfigChange | TargetChange | ReplicaChange
 
 
+def item_of(change: Change) -> tuple[str, str]:
+    """Returns the kind and the name of the item that changed."""
+    match change:
+        case ConfigChange():
+            return "config", ""
+        case TargetChange():
+            return "target", change.target.model
+        case ReplicaChange():
+            return "replica", change.replica_id
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """Changes and the revision up to which they are complete."""
 
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -66,7 +66,7 @@
           changes: the changes, already in the catalog.
         """
         self._take(changes, "store")
-        news = self._news(after, self._aged(changes))
+        news = self._news(after, self._completed(after, changes))
         self._sync.send_all(self._near_entries(), news)
         onward = msgspec.structs.replace(news, pass_on=True)
         self._sync.send_all(self._relays(), onward)
@@ -146,6 +146,19 @@
             )
         self._on_changed(changes)
 
+    def _completed(
+        self, after: int, changes: list[catalog.Change]
+    ) -> list[catalog.Change]:
+        """Returns changes as of now, and what else changed after a revision.
+
+        What others told of beyond a gap is known here and not new.
+        """
+        told = {catalog.item_of(change) for change in changes}
+        others = self._catalog.changes_after(after, self._clock.now_ms())
+        return self._aged(changes) + [
+            change for change in others if catalog.item_of(change) not in told
+        ]
+
     def _aged(self, changes: list[catalog.Change]) -> list[catalog.Change]:
         """Returns changes in which named weights have their ages as of now."""
         now_ms = self._clock.now_ms()
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -154,6 +154,8 @@
         with self._asking(asked_ms):
             snapshot = await self._source.watch(after, wait_ms)
         now_ms = self._answered()
+        # Others may have told of changes while the watch waited.
+        before = self._catalog.revision
         new = self._catalog.apply(self._aged(snapshot, now_ms), now_ms)
         self._catalog.advance(snapshot.revision)
         if new:
@@ -164,16 +166,16 @@
         else:
             self.completeness.note_read(snapshot.revision, asked_ms)
         if new:
-            self._publish(after, new)
+            self._publish(before, new)
             await asyncio.sleep(BATCH_MS / clock.MILLIS_PER_SECOND)
 
     async def _read_all(self) -> None:
-        before = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
         asked_ms = self._clock.now_ms()
         with self._asking(asked_ms):
             snapshot = await self._source.read_all()
         now_ms = self._answered()
+        before = self._catalog.revision
         logs.log(
             "store_read",
             revision=snapshot.revision,
