--- a/tests/core/test_named_versions.py
+++ b/tests/core/test_named_versions.py
@@ -87,3 +87,12 @@
     for number in range(2, 10):
         known = named_versions.learn(known, version(number, 500.0 * number))
     assert known[0].version == 2
+
+
+def test_version_that_binds_after_an_outage_is_in_doubt_until_then() -> None:
+    # It was told long after its naming, with the end of an outage.
+    hearing = event_time.news(4_000.0, 40_000.0)
+    named = hearing.dated(event_time.Ages(20_000.0, 21_000.0))
+    told = named_versions.NamedVersion(2, named, 35_000.0, outage_told=True)
+    assert told.is_in_doubt(BOUND_MS, 30.0, 40_100.0)
+    assert not told.is_in_doubt(BOUND_MS, 30.0, 44_000.0)
