A version is in doubt until it binds, also after an outage

Callers: a process that heard of a version more than `version_ms` after its naming, with the outage of the store after which its time counts anew, asked once and never again: if that question was lost it kept the assumed end of the outage, up to 4 s too early for each way (service lost) or, after longer ways, too late.

Cause: whether a question still matters was worked out from the naming alone. Ruled out: more questions than six; their number is bounded as before.

--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/named_versions.py
@@ -89,7 +89,10 @@
         """
         if self.named is None:
             return True
-        if now_ms >= self.named.latest_ms + bound_ms:
+        counts_by_ms = self.named.latest_ms
+        if self.outage_ms is not None:
+            counts_by_ms = max(counts_by_ms, self.outage_ms)
+        if now_ms >= counts_by_ms + bound_ms:
             return False
         return self.named.assumed or self.named.doubt_ms > doubt_ms
 
