--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -70,6 +70,17 @@
 Change: TypeAlias = ConfigChange | TargetChange | ReplicaChange
 
 
+def item_of(change: Change) -> tuple[str, str]:
+    """Returns the kind and the name of the item that changed."""
+    match change:
+        case ConfigChange():
+            return "config", ""
+        case TargetChange():
+            return "target", change.target.model
+        case ReplicaChange():
+            return "replica", change.replica_id
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """Changes and the revision up to which they are complete."""
 
@@ -360,8 +371,8 @@
         )
         known = self.targets.get(target.model)
         if known is not None and change.revision <= known.revision:
-            if change.revision == known.revision:
-                known.named = self._learnt(known.named, heard)
+            # News may overtake each other, and each version binds by itself.
+            known.named = self._learnt(known.named, heard)
             return False
         named = [] if known is None else known.named
         self.targets[target.model] = KnownTarget(
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -467,3 +467,76 @@
     counts_from_ms = agent.known.targets["m"].named_ms
     assert counts_from_ms is not None
     assert outage_ms - 10.0 <= counts_from_ms <= outage_ms
+
+
+def test_answers_that_rest_on_an_assumption_end_no_questions(
+    time: clock.ManualClock,
+) -> None:
+    reader, relay, other = Process(time), Process(time), Process(time)
+    acknowledged_ms = named_at(reader)
+    # The news waited for longer than assumed, and only then went on.
+    relay.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
+    other.hear(relay.known, way_ms=5.0)
+    for _ in range(version_ages.ANSWERS_MAX):
+        other.exchange(relay, there_ms=5.0, back_ms=5.0)
+        time.advance(version_ages.ASK_MS)
+        other.ages.tick(BOUND_MS)
+    relay.exchange(reader, there_ms=5.0, back_ms=5.0)
+    other.asked.clear()
+    time.advance(version_ages.ASK_MS)
+    other.ages.tick(BOUND_MS)
+    other.exchange(relay, there_ms=5.0, back_ms=5.0)
+    named = other.named()
+    assert not named.assumed
+    assert named.earliest_ms <= acknowledged_ms
+
+
+def test_answer_corrects_an_outage_that_was_told_too_late(
+    time: clock.ManualClock,
+) -> None:
+    reader, other = Process(time), Process(time)
+    named_at(reader)
+    for _ in range(4):
+        time.advance(500.0)
+        reader.known.store_down(BOUND_MS, time.now_ms())
+    outage_ms = time.now_ms()
+    other.hear(reader.known, way_ms=version_ages.WAY_MAX_MS + 1_000.0)
+    other.exchange(reader, there_ms=5.0, back_ms=5.0)
+    counts_from_ms = other.known.targets["m"].named_ms
+    assert counts_from_ms is not None
+    assert counts_from_ms <= outage_ms
+
+
+def test_news_of_a_reader_lack_nothing_that_it_heard_meanwhile(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # The other reader's news of the version never reach the third entry.
+    reader = make_entry("entry-1", "entry-3")
+    other = make_entry("entry-3")
+    for entry in (reader, other):
+        entry.known.advance(2)
+    reader.known.apply([catalog.TargetChange(3, TARGET, NOW)], time.now_ms())
+    reader.known.advance(3)
+    config = catalog.ConfigChange(4, CONFIG)
+    reader.known.apply([config], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(2, [config])
+    other.sync.on_news("entry-1", reader.member.take_news())
+    assert "m" in other.known.targets or other.known.revision < 3
+
+
+def test_news_that_are_complete_after_a_gap_hold_what_was_heard_beyond_it(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-3")
+    other = make_entry("entry-3")
+    for entry in (reader, other):
+        entry.known.advance(2)
+    # Heard of beyond a gap, so that what is known does not reach that far.
+    reader.known.apply([catalog.TargetChange(4, TARGET, NOW)], time.now_ms())
+    config = catalog.ConfigChange(3, CONFIG)
+    reader.known.apply([config], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(2, [config])
+    other.sync.on_news("entry-1", reader.member.take_news())
+    assert "m" in other.known.targets or other.known.revision < 4
