Tests: news of a version that come after those of the next one (both fail)

A process that knows version 3 drops what is told of version 2 afterwards, with its age, and so counts version 1 until 3 binds.

--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -143,6 +143,19 @@
     assert oldest() == 3
 
 
+def test_version_told_after_a_newer_one_binds_by_itself(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    known.apply([named(2, 3)], time.now_ms())
+    # The news of the older one took a longer way.
+    assert known.apply([named(1, 2, age_ms=500.0)], time.now_ms()) == []
+    assert known.targets["m"].target.version == 3
+    time.advance(BOUND_MS - 500.0 - weights_gate.QUEUE_MARGIN_MS)
+    assert oldest(known, time.now_ms()) == 2
+    time.advance(500.0)
+    assert oldest(known, time.now_ms()) == 3
+
+
 def test_version_of_unknown_age_binds_soon(
     known: catalog.Catalog, time: clock.ManualClock
 ) -> None:
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -340,6 +340,25 @@
     assert named.earliest_ms <= first_ms <= named.latest_ms
 
 
+def test_news_that_come_after_those_of_the_next_version_count(
+    time: clock.ManualClock,
+) -> None:
+    reader, restarted, other = Process(time), Process(time), Process(time)
+    first_ms = named_at(reader, 2)
+    late = reader.known.changes_after(0, time.now_ms())
+    time.advance(400.0)
+    # It read all that the store holds, which tells of the newest version alone.
+    named_at(restarted, 3)
+    other.hear(restarted.known, way_ms=1.0)
+    other.exchange(restarted, 1.0, 1.0)
+    now_ms = time.now_ms()
+    hearing = event_time.news(version_ages.WAY_MAX_MS, now_ms)
+    assert other.known.apply(late, now_ms, hearing) == []
+    named = other.named(2)
+    assert named.earliest_ms <= first_ms <= named.latest_ms
+    assert other.known.targets["m"].binds_first_ms(1) == named.earliest_ms
+
+
 def test_answer_to_no_question_tells_nothing(time: clock.ManualClock) -> None:
     reader, other = Process(time), Process(time)
     named_at(reader)
