Known red: a request on a way that fills after its connection was opened

Cause: not the age. The ack was at 18.023 s; the entry took 17.885 s as the early end, wrote the request by 27.835 s and took it back at 28.125 s, 198 ms before the bound. It reached the engine at 28.295 s, so it was 460 ms on its way at least, and its close 316 ms. The way that was reckoned with was 5 ms, so that no longer one had been measured there since links filled, as the origin of weights was back from 27.0 s and 640 routes were sent at 26.9 s. An unbegun request of 27.38 s to another engine was not late yet by its prediction, so that nothing the entry had looked at told of the way.

Ruled out: the age (139 ms early); an entry whose own link was full (a replica near answered it within 2 ms at 27.931 s); the margin after the ack (taken back in time by its measure). Not told apart: pieces and the configuration, which shared the link between regions.

--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -678,6 +678,40 @@
     run_entry(use, hang)
 
 
+def test_request_on_an_open_connection_begins_in_time_when_its_way_fills(
+    run_entry: RunEntry,
+) -> None:
+    """The way was short when the connection was opened, and nothing told."""
+    way_ms = 600.0
+    left_ms = 500.0
+    begun_ms: list[float] = []
+    time = clock.SystemClock()
+
+    async def fill(peer: raw_http.Peer) -> None:
+        first = await peer.read()
+        assert first is not None
+        await peer.answer(first, 200, b"ok", x_replica_signature="s")
+        if await peer.read() is None:
+            return
+        # What follows, a close too, comes behind it on the same link.
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        begun_ms.append(time.now_ms())
+
+    async def use(entry: conftest.Entry) -> None:
+        (view,) = entry.table
+        view.seen_weights = 1
+        entry.serve_engines()
+        assert status_of(await entry.call("/whole/x", "POST")) == 200
+        bound_ms = conftest.SETTINGS.bounds.version_ms
+        binds_ms = entry.time.now_ms() + left_ms
+        entry.name_version(2, age_ms=bound_ms - left_ms)
+        await entry.call("/whole/x", "POST")
+        await asyncio.sleep(way_ms / clock.MILLIS_PER_SECOND)
+        assert all(begun <= binds_ms for begun in begun_ms)
+
+    run_entry(use, fill)
+
+
 def test_request_whose_connecting_shows_a_long_way_leaves_the_old_version(
     run_entry: RunEntry, monkeypatch: pytest.MonkeyPatch
 ) -> None:
