News of a version that come after those of the next one count

What callers would see: requests that begin on a version two names old, by as much late as the second name came after the first.

Cause: the catalog dropped a change older than the newest one of the model, with its age. The store keeps the newest name alone, so that a process that read all of it after a failed call, and those that it tells, first hear of version 3; news of 2 that come over a slower way were then lost, unless an answer to a question brought them, and none is asked once the age of 3 is known to 30 ms.

Now such a change adds its version and age to those that may yet bind; it is still no news to pass on. One without an age (a stale read) adds nothing, since it would bind at once.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -360,7 +360,9 @@
         )
         known = self.targets.get(target.model)
         if known is not None and change.revision <= known.revision:
-            if change.revision == known.revision:
+            # News of an older version may come after those of a newer one,
+            # and it binds sooner; a stale read tells of it without its age.
+            if change.revision == known.revision or heard.named is not None:
                 known.named = self._learnt(known.named, heard)
             return False
         named = [] if known is None else known.named
