An answer of the store that keeps arriving is waited for

A reader whose link can't take a whole answer within a second would hear of nothing: it gave the answer up, read everything again, which is longer, and gave that up too (seen once: 19.9 s without news).

Cause: the time limit of a call ran from its begin, whatever arrived, and after any failed call the reader read all that the store holds.

Now a call to the store may take a second until its answer begins (a watch 600 ms beyond its wait), and goes on while parts of the body arrive: no longer than a second without one, and no longer than what has arrived takes at 64 kB/s, so that an answer that trickles ends. The call after one that failed is a watch from the own revision that waits 1 ms, so that it asks for what is missing only; everything is read again where history is gone or a whole answer was of no use. While an answer takes longer than 1.6 s the reader says that it is not served, so that others stand in, and hears from them.

Ruled out: a larger fixed limit (the same fault at a larger answer, and a silent store is noticed later), and a silence limit alone (one byte a second would hold the reader for ever).

--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -42,6 +42,10 @@
 RETRY_MAX_MS = 600.0
 """Pause after a failed call, drawn between the two."""
 
+BEHIND_MS = WATCH_WAIT_MS + store.WATCH_MARGIN_MS
+"""A call that takes longer than this has a long answer arriving; the reader
+hears from others meanwhile."""
+
 IDLE_MS = 100.0
 """Between two looks at whether this process is to read."""
 
@@ -96,6 +100,8 @@
         self._clock = time
         self._answered_ms: float | None = None
         self._failing = False
+        self._reads_all = False
+        self._asked_ms: float | None = None
         self._silent_ms: float | None = None
         self.completeness = store_completeness.StoreCompleteness()
         self.reading = False
@@ -109,13 +115,15 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the last call failed."""
-        return self._failing
+        """Whether the last call failed, or its answer is long in arriving."""
+        if self._failing or self._asked_ms is None:
+            return self._failing
+        return self._clock.now_ms() - self._asked_ms > BEHIND_MS
 
     @property
     def keeps_up(self) -> bool:
-        """Whether it reads, and its last call was answered."""
-        return self.reading and not self._failing
+        """Whether it reads, and its last call was answered in time."""
+        return self.reading and not self.failing
 
     @property
     def silent_ms(self) -> float | None:
@@ -142,7 +150,7 @@
                 await self._wait_after(error)
 
     async def _step(self) -> None:
-        if self._catalog.revision == 0 or self._failing:
+        if self._catalog.revision == 0 or self._reads_all:
             await self._read_all()
             return
         after = self._catalog.revision
@@ -150,7 +158,8 @@
         asked_ms = self._clock.now_ms()
         # After a pause of reading an answer at once shows what the store holds.
         paused = asked_ms - self.completeness.own.at_ms > PAUSED_MS
-        wait_ms = FIRST_WAIT_MS if paused else WATCH_WAIT_MS
+        hurries = paused or self._failing
+        wait_ms = FIRST_WAIT_MS if hurries else WATCH_WAIT_MS
         with self._asking(asked_ms):
             snapshot = await self._source.watch(after, wait_ms)
         now_ms = self._answered()
@@ -174,6 +183,7 @@
         with self._asking(asked_ms):
             snapshot = await self._source.read_all()
         now_ms = self._answered()
+        self._reads_all = False
         logs.log(
             "store_read",
             revision=snapshot.revision,
@@ -243,6 +253,7 @@
         part shows a link that is full. The first one of several may have gone
         out on a connection that had fallen silent, the next one has not.
         """
+        self._asked_ms = asked_ms
         try:
             yield
         except clients.PausedError:
@@ -251,11 +262,16 @@
             if self._failing and not error.answering:
                 self._silent_ms = asked_ms
             raise
+        finally:
+            self._asked_ms = None
 
     async def _wait_after(self, error: clients.PlatformError) -> None:
         if not self._failing:
             logs.log("store_lost", detail=error)
         self._failing = True
+        # What is missing is less than all, unless that can't be had.
+        if isinstance(error, clients.UselessAnswerError):
+            self._reads_all = True
         self._totals.add(counters.CounterName.PLATFORM_READS, "failed")
         self._catalog.store_failed(self._clock.now_ms())
         wait_ms = random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -14,7 +14,7 @@
 _PAUSING = frozenset({429, _UNAVAILABLE})
 
 
-class StatusError(clients.PlatformError):
+class StatusError(clients.UselessAnswerError):
     """A service answered with a status that means failure.
 
     Attributes:
@@ -57,19 +57,36 @@
         self._paused_until_ms = float("-inf")
 
     async def make(
-        self, method: str, url: str, timeout_ms: float, body: bytes = b""
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float,
+        body: bytes = b"",
+        arrival: http1_call.Arrival | None = None,
     ) -> bytes:
         """Makes a call and returns the body of its answer.
 
+        Args:
+          method: HTTP method.
+          url: what is called.
+          timeout_ms: how long the call may take.
+          body: the body, empty for none.
+          arrival: see `http1_call.HttpCaller.call`.
+
         Raises:
           StatusError: if the status means failure.
           PlatformError: if there is no whole answer in time.
         """
-        answer = await self.make_whole(method, url, timeout_ms, body)
+        answer = await self.make_whole(method, url, timeout_ms, body, arrival)
         return answer.body
 
     async def make_whole(
-        self, method: str, url: str, timeout_ms: float, body: bytes = b""
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float,
+        body: bytes = b"",
+        arrival: http1_call.Arrival | None = None,
     ) -> http1_call.WholeAnswer:
         """Makes a call and returns its answer, headers too; as `make`."""
         paused_ms = self._paused_until_ms - self._clock.now_ms()
@@ -78,7 +95,13 @@
         headers = {"content-type": "application/json"} if body else {}
         try:
             answer = await self._caller.call(
-                method, url, body, headers, timeout_ms, keeps=self._keeps
+                method,
+                url,
+                body,
+                headers,
+                timeout_ms,
+                keeps=self._keeps,
+                arrival=arrival,
             )
         except http1_call.CallError as error:
             if not error.sent:
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -48,6 +48,10 @@
     """No connection could be opened, so that the platform has done nothing."""
 
 
+class UselessAnswerError(PlatformError):
+    """A whole answer came that is of no use."""
+
+
 class PausedError(PlatformError):
     """No call was made, since the platform had asked for a pause."""
 
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -21,10 +21,15 @@
 Value = TypeVar("Value")
 
 READ_TIMEOUT_MS = 1_000.0
-"""250 times the store's usual answer; a store that is slower counts as down."""
+"""250 times the store's usual answer; a store that has not begun to answer by
+then counts as down."""
 
 WATCH_MARGIN_MS = 600.0
-"""A watch that is answered this long after its wait counts as lost."""
+"""A watch whose answer has not begun by then after its wait counts as lost."""
+
+ARRIVAL = http1_call.Arrival(silence_ms=READ_TIMEOUT_MS, least_per_s=65_536.0)
+"""An answer that has begun is waited for while it arrives: 1 MB, the most that
+the store sends at once, may take 17 s."""
 
 REFUSED_KEYS_MAX = 1_000
 """Refused items that are remembered, so that each is logged and counted once
@@ -149,7 +154,9 @@
 
     async def _get(self, path: str, timeout_ms: float) -> bytes:
         try:
-            return await self._calls.make("GET", self._url + path, timeout_ms)
+            return await self._calls.make(
+                "GET", self._url + path, timeout_ms, arrival=ARRIVAL
+            )
         except calls.StatusError as error:
             if error.status == _GONE:
                 raise HistoryGoneError(
@@ -162,7 +169,7 @@
     try:
         return decode(body)
     except msgspec.DecodeError as error:
-        raise clients.PlatformError(
+        raise clients.UselessAnswerError(
             f"malformed answer: {error}", answering=True
         ) from error
 
--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Mapping
 import urllib.parse
 
@@ -36,6 +37,34 @@
         self.answering = answering
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """How long a call goes on while its answer arrives.
+
+    A long answer behind a narrow link is no silence. One that trickles ends
+    all the same: what has arrived must have come at the least rate.
+
+    Attributes:
+      silence_ms: longest time between two parts of the body.
+      least_per_s: bytes a second, on the mean, beyond the time of the call.
+    """
+
+    silence_ms: float
+    least_per_s: float
+
+    def ends_s(
+        self, now_s: float, limit_s: float, received_bytes: int
+    ) -> float:
+        """Returns when the call is to end unless more arrives.
+
+        Args:
+          now_s: the reading at which something arrived.
+          limit_s: when it would end had nothing arrived.
+          received_bytes: what has arrived of the body.
+        """
+        silent_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
+        return min(silent_s, limit_s + received_bytes / self.least_per_s)
+
+
 class WholeAnswer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -46,7 +75,10 @@
 class _Collector:
     """Collects one answer."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_part: Callable[[int], None] | None) -> None:
+        """Tells `on_part` how much of the body has arrived, with each part."""
+        self._on_part = on_part
+        self._received_bytes = 0
         self._head: http1_client.ResponseHead | None = None
         self._parts: list[bytes] = []
         self.done: asyncio.Future[WholeAnswer] = (
@@ -58,6 +90,9 @@
 
     def on_body(self, data: bytes) -> None:
         self._parts.append(data)
+        self._received_bytes += len(data)
+        if self._on_part is not None:
+            self._on_part(self._received_bytes)
 
     def on_complete(self) -> None:
         if self._head is not None and not self.done.done():
@@ -90,6 +125,7 @@
         timeout_ms: float,
         *,
         keeps: bool = True,
+        arrival: Arrival | None = None,
     ) -> WholeAnswer:
         """Makes a call and returns the whole answer.
 
@@ -100,15 +136,18 @@
           headers: beside those that every call has.
           timeout_ms: how long the whole call may take.
           keeps: whether the connection is kept for further calls.
+          arrival: how long it may go on beyond that while its answer arrives,
+            None for no longer.
 
         Raises:
-          CallError: if there is no whole answer within `timeout_ms`.
+          CallError: if there is no whole answer in time.
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
-        collector = _Collector()
+        limit = asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND)
+        collector = _Collector(_extension(limit, timeout_ms, arrival))
         try:
-            async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
+            async with limit:
                 connection = pool.take_idle(1.0) or await self._open(pool)
                 head = _head(method, parts, body, headers)
                 answer = await self._exchange(
@@ -157,6 +196,23 @@
         return pool
 
 
+def _extension(
+    limit: asyncio.Timeout, timeout_ms: float, arrival: Arrival | None
+) -> Callable[[int], None] | None:
+    """Returns what moves a limit when a part of the answer has arrived."""
+    if arrival is None:
+        return None
+    time = asyncio.get_running_loop().time
+    limit_s = time() + timeout_ms / clock.MILLIS_PER_SECOND
+
+    def extend(received_bytes: int) -> None:
+        # A limit that has been reached can't be moved.
+        if not limit.expired():
+            limit.reschedule(arrival.ends_s(time(), limit_s, received_bytes))
+
+    return extend
+
+
 def _head(
     method: str,
     parts: urllib.parse.SplitResult,
--- a/tests/shell/test_silence.py
+++ b/tests/shell/test_silence.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 
 from marlramp import clock
 from marlramp.shell import http1_call
@@ -68,3 +69,67 @@
             assert await call() == b"ok"
 
     asyncio.run(main())
+
+
+PARTS = 40
+PART_S = 0.05
+
+
+def slow_answer(part: bytes, parts: int = PARTS) -> raw_http.Script:
+    """Returns a script that sends parts of an answer of `PARTS`, then none."""
+
+    async def script(peer: raw_http.Peer) -> None:
+        while await peer.read() is not None:
+            length = PARTS * len(part)
+            head = f"HTTP/1.1 200 X\r\ncontent-length: {length}\r\n\r\n"
+            await peer.write(head.encode())
+            for _ in range(parts):
+                await asyncio.sleep(PART_S)
+                await peer.write(part)
+            await asyncio.sleep(60)
+
+    return script
+
+
+def call_slowly(script: raw_http.Script) -> tuple[int, float]:
+    """Makes a call that may go on while its answer arrives.
+
+    Returns:
+      Bytes of the answer, 0 if it had begun only, and seconds that it took.
+    """
+
+    async def main() -> int:
+        async with raw_http.ScriptedServer(script) as server:
+            caller = http1_call.HttpCaller(clock.SystemClock())
+            url = f"http://{server.address}/x"
+            arrival = http1_call.Arrival(silence_ms=200.0, least_per_s=10_000.0)
+            try:
+                answer = await caller.call(
+                    "GET", url, b"", {}, 300.0, arrival=arrival
+                )
+            except http1_call.CallError as error:
+                assert error.answering
+                return 0
+            return len(answer.body)
+
+    began_s = time.monotonic()
+    return asyncio.run(main()), time.monotonic() - began_s
+
+
+def test_answer_that_goes_on_arriving_is_waited_for() -> None:
+    # 2 s for an answer that had to be whole within 0.3 s.
+    received, _ = call_slowly(slow_answer(b"x" * 2_000))
+    assert received == 2_000 * PARTS
+
+
+def test_answer_that_stops_midway_ends_the_call() -> None:
+    # Within 2.3 s it would have come at the least rate.
+    received, took_s = call_slowly(slow_answer(b"x" * 2_000, parts=10))
+    assert received == 0
+    assert 0.5 <= took_s < 2.0
+
+
+def test_answer_that_trickles_ends_the_call() -> None:
+    received, took_s = call_slowly(slow_answer(b"x"))
+    assert received == 0
+    assert took_s < 1.5
