A silent store is an outage only where another way shows the own link open

Callers would have had requests begin on an old version for too long: an entry whose own link was full took two calls without a head of an answer as an outage of the store, and the time of versions counted anew from then. 0.4 s of queue were enough when connections had to be opened, as that is given up after 0.4 s.

Cause: that nothing came says nothing of where it was held up.

Now an entry whose call failed asks another entry, elsewhere if there is one (the link of a region may be full as well), when the next call has been sent and each 400 ms during it. A link carries what was sent in turn. So an answer to a question sent after the call, 200 ms and more before the call was given up, shows that the call had left and that an answer of the store would have come. Only then is the silent call a sign of an outage; one that is refused or reset within 200 ms is one by itself. A reader whose answer is long in arriving tells the others that the store served it within the last second, which keeps them from seeing an outage.

Ruled out: times in which connections to replicas opened (none may be opened then, and longer ones than 0.4 s are not measured); an answer that is merely quick, before or after the call (the link may have filled or emptied since).

Tests that failed before: an entry whose link takes 0.9 or 2.6 s counted a version's time anew after two silent calls, and asked nobody; the rest are of the new decision alone.

What is left: where no entry elsewhere is there, one near is asked, so that a full link of a region that has lost sight of all others looks like an outage.

--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -18,6 +18,7 @@
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import store_completeness
+from marlramp.core import store_silence
 from marlramp.direct.fleet import agent_guide
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import crash_sync
@@ -109,6 +110,7 @@
             known, self.sync.send, self._age_peers, time
         )
         self._standby_asked_ms = float("-inf")
+        self._silence = store_silence.StoreSilence()
         self._rng = random.Random()
         self._catalog_sync = catalog_sync.CatalogSync(
             known, self.sync, self._changed, time, self._ages.note_news
@@ -270,6 +272,8 @@
 
     def _take_ages(self, name: str, answer: fleet_messages.VersionAges) -> None:
         asked_ms = self._ages.on_answer(name, answer)
+        if asked_ms is not None:
+            self._silence.note_answer(asked_ms, self._clock.now_ms())
         age_ms = answer.complete_age_ms
         if asked_ms is None or age_ms is None or self._reader is None:
             return
@@ -395,6 +399,7 @@
         """Does what is due."""
         self.sync.tick()
         self._note_store()
+        self._ask_beside_store()
         self._ages.tick(self._version_bound_ms)
         self._ask_readers()
         divided = self._placed.refresh()
@@ -407,7 +412,8 @@
         self._send_beacon()
 
     def _note_store(self) -> None:
-        silent_ms = None if self._reader is None else self._reader.silent_ms
+        call = None if self._reader is None else self._reader.silent_call
+        silent_ms = self._silence.sign_ms(call)
         if silent_ms is not None:
             alive = self.sync.alive(members.MemberKind.ENTRY)
             others = {member.vm_id for member in alive}
@@ -416,6 +422,22 @@
                 silent_ms = None
         self._catalog_sync.note_store(self._version_bound_ms, silent_ms)
 
+    def _ask_beside_store(self) -> None:
+        """Asks another entry while the store does not answer.
+
+        One elsewhere if there is any, as the link of a whole region may be
+        full.
+        """
+        asked_ms = None if self._reader is None else self._reader.retried_ms
+        now_ms = self._clock.now_ms()
+        if not self._silence.is_question_due(asked_ms, now_ms):
+            return
+        alive = self.sync.alive(members.MemberKind.ENTRY)
+        far = [each for each in alive if not self.sync.is_near(each)]
+        asked = far or alive
+        if asked:
+            self._ages.ask(self._rng.choice(asked).vm_id)
+
     def _send_beacon(self) -> None:
         """Tells all entries that this one watches the store, if it does.
 
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -22,6 +22,7 @@
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import store_completeness
+from marlramp.core import store_silence
 from marlramp.platform import clients
 from marlramp.platform import store
 
@@ -102,23 +103,24 @@
         self._failing = False
         self._reads_all = False
         self._asked_ms: float | None = None
-        self._silent_ms: float | None = None
+        self._silent_call: store_silence.SilentCall | None = None
         self.completeness = store_completeness.StoreCompleteness()
         self.reading = False
 
     @property
     def age_ms(self) -> float | None:
-        """Time since the store last answered, None if it never did."""
+        """Time since the store last answered at most, None if it never did."""
         if self._answered_ms is None:
             return None
-        return self._clock.now_ms() - self._answered_ms
+        age_ms = self._clock.now_ms() - self._answered_ms
+        if self._has_more_arriving:
+            return min(age_ms, store.ARRIVAL.silence_ms)
+        return age_ms
 
     @property
     def failing(self) -> bool:
         """Whether the last call failed, or its answer is long in arriving."""
-        if self._failing or self._asked_ms is None:
-            return self._failing
-        return self._clock.now_ms() - self._asked_ms > BEHIND_MS
+        return self._failing or self._has_more_arriving
 
     @property
     def keeps_up(self) -> bool:
@@ -126,19 +128,31 @@
         return self.reading and not self.failing
 
     @property
-    def silent_ms(self) -> float | None:
-        """When the last call was sent that the store gave no answer to.
+    def silent_call(self) -> store_silence.SilentCall | None:
+        """The last call that the store gave no answer to.
 
         None if it has answered since.
         """
-        return self._silent_ms
+        return self._silent_call
+
+    @property
+    def retried_ms(self) -> float | None:
+        """When the call was sent that is under way after one that failed."""
+        return self._asked_ms if self._failing else None
+
+    @property
+    def _has_more_arriving(self) -> bool:
+        """Whether a call goes on for so long because its answer arrives."""
+        if self._asked_ms is None:
+            return False
+        return self._clock.now_ms() - self._asked_ms > BEHIND_MS
 
     async def run(self) -> None:
         """Reads for ever, as long as it is this process's turn."""
         while True:
             self.reading = self._is_reader()
             if not self.reading:
-                self._silent_ms = None
+                self._silent_call = None
                 await asyncio.sleep(IDLE_MS / clock.MILLIS_PER_SECOND)
                 continue
             try:
@@ -210,7 +224,7 @@
             # The store came back after the last call that failed.
             self._catalog.store_failed(now_ms)
         self._failing = False
-        self._silent_ms = None
+        self._silent_call = None
         self._answered_ms = now_ms
         return now_ms
 
@@ -260,7 +274,9 @@
             raise
         except clients.PlatformError as error:
             if self._failing and not error.answering:
-                self._silent_ms = asked_ms
+                self._silent_call = store_silence.SilentCall(
+                    asked_ms, self._clock.now_ms()
+                )
             raise
         finally:
             self._asked_ms = None
--- /dev/null
+++ b/tests/core/test_store_silence.py
@@ -0,0 +1,76 @@
+"""What tells a store that is away from an own link that is full."""
+
+from __future__ import annotations
+
+import pytest
+
+from marlramp import clock
+from marlramp.core import store_silence
+
+CALL = store_silence.SilentCall(asked_ms=5_000.0, ended_ms=6_000.0)
+
+
+def sign_ms(*exchanges: tuple[float, float]) -> float | None:
+    silence = store_silence.StoreSilence()
+    for asked_ms, answered_ms in exchanges:
+        silence.note_answer(asked_ms, clock.Millis(answered_ms))
+    return silence.sign_ms(CALL)
+
+
+@pytest.mark.parametrize(
+    "exchanges",
+    [
+        [],
+        [(5_050.0, 7_600.0)],
+        [(4_990.0, 4_995.0)],
+        [(6_010.0, 6_015.0)],
+        [(5_050.0, 5_900.0)],
+    ],
+    ids=["none", "behind the queue", "before", "after", "too late to tell"],
+)
+def test_silence_behind_a_full_link_is_no_outage(
+    exchanges: list[tuple[float, float]],
+) -> None:
+    # Two such calls had the time of versions count anew.
+    assert sign_ms(*exchanges) is None
+
+
+def test_store_that_is_silent_while_others_answer_is_away() -> None:
+    assert sign_ms((5_050.0, 5_055.0)) == CALL.asked_ms
+
+
+def test_call_that_is_refused_at_once_needs_no_other_way() -> None:
+    silence = store_silence.StoreSilence()
+    refused = store_silence.SilentCall(5_000.0, 5_002.0)
+    assert silence.sign_ms(refused) == 5_000.0
+
+
+def test_connection_that_can_not_be_opened_needs_another_way() -> None:
+    # 0.4 s of queue are enough for that.
+    silence = store_silence.StoreSilence()
+    unopened = store_silence.SilentCall(5_000.0, 5_400.0)
+    assert silence.sign_ms(unopened) is None
+    silence.note_answer(5_100.0, clock.Millis(5_105.0))
+    assert silence.sign_ms(unopened) == 5_000.0
+
+
+def test_outage_lasts_until_the_store_answers() -> None:
+    silence = store_silence.StoreSilence()
+    silence.note_answer(5_050.0, clock.Millis(5_055.0))
+    silence.sign_ms(CALL)
+    later = store_silence.SilentCall(6_500.0, 7_500.0)
+    assert silence.sign_ms(later) == CALL.asked_ms
+    assert silence.sign_ms(None) is None
+    assert silence.sign_ms(later) is None
+
+
+def test_another_process_is_asked_during_each_call() -> None:
+    silence = store_silence.StoreSilence()
+    asked = [
+        now_ms
+        for now_ms in range(5_000, 6_000, 100)
+        if silence.is_question_due(4_950.0, clock.Millis(now_ms))
+    ]
+    assert asked == [5_000, 5_400, 5_800]
+    assert silence.is_question_due(5_850.0, clock.Millis(5_900.0))
+    assert not silence.is_question_due(None, clock.Millis(9_000.0))
--- /dev/null
+++ b/tests/direct/fleet/test_store_outage.py
@@ -0,0 +1,190 @@
+"""When an entry takes the store as serving nobody."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import counters
+from marlramp.core import catalog
+from marlramp.core import crash_record
+from marlramp.core import event_time
+from marlramp.core import fleet
+from marlramp.core import members
+from marlramp.core import replica_table
+from marlramp.core import store_silence
+from marlramp.direct.fleet import entry_fleet
+from marlramp.direct.fleet import store_reader
+from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
+from tests.direct import conftest
+
+CALL_MS = 1_000.0
+TICK_MS = 100.0
+NAMED = catalog.TargetChange(
+    3, fleet.WeightsTarget(model="m", version=2), event_time.Ages(0.0, 0.0)
+)
+
+
+class NoStore:
+    """A store that is never called."""
+
+    async def read_all(self) -> catalog.Snapshot:
+        raise NotImplementedError
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        raise NotImplementedError
+
+
+class SilencedReader(store_reader.StoreReader):
+    """A reader whose calls bring nothing, one after the other."""
+
+    def __init__(self, known: catalog.Catalog, time: clock.Clock) -> None:
+        super().__init__(
+            NoStore(),
+            known,
+            lambda: True,
+            lambda _after, _changes: None,
+            counters.Counters(),
+            time,
+        )
+        self.asked_ms: float | None = None
+        self.last: store_silence.SilentCall | None = None
+
+    @property
+    def silent_ms(self) -> float | None:
+        return None if self.last is None else self.last.asked_ms
+
+    @property
+    def silent_call(self) -> store_silence.SilentCall | None:
+        return self.last
+
+    @property
+    def retried_ms(self) -> float | None:
+        return self.asked_ms
+
+
+class Links:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[str, int]] = []
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        return True
+
+    def close(self, name: str) -> None:
+        pass
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        if isinstance(message, fleet_messages.VersionAgesRequest):
+            self.asked.append((name, message.number))
+        return True
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        return True
+
+
+def member(name: str, data_centre: str) -> members.Member:
+    return members.Member(
+        name, members.MemberKind.ENTRY, data_centre, "127.0.0.1", 1
+    )
+
+
+class Entry:
+    """An entry whose own link carries answers after some time."""
+
+    def __init__(self, time: clock.ManualClock, way_ms: float) -> None:
+        self.time = time
+        self.way_ms = way_ms
+        self.known = catalog.Catalog()
+        self.links = Links()
+        self.due: list[tuple[float, str, int]] = []
+        self.asked: set[str] = set()
+        self.reader = SilencedReader(self.known, time)
+        self.fleet = entry_fleet.EntryFleet(
+            member("vm-1", "dc-1"),
+            1,
+            conftest.SETTINGS,
+            self.known,
+            replica_table.ReplicaTable(),
+            crash_record.CrashRecord(),
+            lambda _: None,
+            lambda _: None,
+            lambda _: None,
+            lambda _: None,
+            counters.Counters(),
+            time,
+        )
+        self.fleet.attach(self.links, self.reader, lambda _: NoOrigin())
+        self.known.apply([NAMED], time.now_ms())
+
+    def pass_time(self) -> None:
+        """Lets time pass until the next tick; the others are alive."""
+        self.time.advance(TICK_MS)
+        now_ms = self.time.now_ms()
+        for name, place in (("vm-2", "dc-1"), ("vm-3", "dc-2")):
+            news = members.MemberNews(
+                member(name, place), 1, members.MemberState.READY
+            )
+            self.fleet.sync.roster.apply_direct(news, now_ms)
+        for due_ms, name, number in list(self.due):
+            if due_ms <= now_ms:
+                self.due.remove((due_ms, name, number))
+                answer = fleet_messages.VersionAges(number=number, versions=[])
+                self.fleet.on_message(name, answer)
+        self.fleet.tick()
+        for name, number in self.links.asked:
+            self.asked.add(name)
+            self.due.append((now_ms + self.way_ms, name, number))
+        self.links.asked.clear()
+
+    def call_in_vain(self) -> None:
+        """Has a call of the reader bring nothing until it is given up."""
+        asked_ms = self.time.now_ms()
+        self.reader.asked_ms = asked_ms
+        for _ in range(round(CALL_MS / TICK_MS)):
+            self.pass_time()
+        self.reader.asked_ms = None
+        self.reader.last = store_silence.SilentCall(
+            asked_ms, self.time.now_ms()
+        )
+        self.pass_time()
+
+
+class NoOrigin:
+    """An origin that is never called."""
+
+    async def manifest(self, model: str, version: int) -> bytes:
+        raise NotImplementedError
+
+    async def piece(self, model: str, index: int, version: int) -> bytes:
+        raise NotImplementedError
+
+
+def counts_anew(way_ms: float) -> tuple[bool, set[str]]:
+    """Returns whether a version's time counts anew, and who was asked."""
+    time = clock.ManualClock()
+    entry = Entry(time, way_ms)
+    named_ms = entry.known.targets["m"].named_ms
+    for _ in range(2):
+        entry.call_in_vain()
+    return entry.known.targets["m"].named_ms != named_ms, entry.asked
+
+
+@pytest.mark.parametrize("way_ms", [900.0, 2_600.0])
+def test_full_link_without_an_answer_for_two_calls_is_no_outage(
+    way_ms: float,
+) -> None:
+    # Time of versions counted anew, so that the old one was used for too long.
+    anew, _ = counts_anew(way_ms)
+    assert not anew
+
+
+def test_store_that_is_silent_while_an_entry_elsewhere_answers_is_away() -> (
+    None
+):
+    anew, asked = counts_anew(5.0)
+    assert anew
+    assert asked == {"vm-3"}
