News of a version tell those that were named before it

A process that heard of the newest version alone (one that started between two, or that was behind) would have had requests begin on the oldest after the middle one bound, until its first answer: some ms, seconds behind a full link.

Cause: a change of named weights carried its own version, while each version binds by itself.

Now it carries the versions that the sender knows to be named before it too, four at most, each with its ages as of when it was sent: some 25 bytes each before compression, and nothing while only one is known. They are dated by the hearing of the news, as the newest is. What is read from the store itself has none, as it holds the newest alone.

Ruled out: leaving out those that bind already (the catalog does not know the bound, and one that binds is what the receiver must know of all the more).

Tests that failed before: the middle version, named 5 s before the newest, was unknown after the news of the newest, heard directly and over a relay.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -42,12 +42,15 @@
       ages: how long ago they were named, None if they were there at a first
         read, so that their age is not known.
       outage_age_ms: see `named_versions.AgedVersion`.
+      earlier: versions named before it, which bind by themselves; none if it
+        was read from the store, which holds the newest alone.
     """
 
     revision: int
     target: fleet.WeightsTarget
     ages: event_time.Ages | None = None
     outage_age_ms: float | None = None
+    earlier: tuple[named_versions.AgedVersion, ...] = ()
 
 
 class ReplicaChange(msgspec.Struct, frozen=True, tag="replica"):
@@ -225,15 +228,21 @@
     def aged_change(
         self, change: TargetChange, now_ms: clock.Millis
     ) -> TargetChange:
-        """Returns a change that was taken, with its ages as of now."""
-        known = self.targets[change.target.model]
-        for named in known.named:
-            if named.version == change.target.version:
-                aged = named.aged(change.target.model, now_ms)
-                return msgspec.structs.replace(
-                    change, ages=aged.ages, outage_age_ms=aged.outage_age_ms
-                )
-        return msgspec.structs.replace(change, ages=None, outage_age_ms=None)
+        """Returns a change that was taken, with all ages as of now."""
+        model, version = change.target.model, change.target.version
+        aged = [
+            named.aged(model, now_ms) for named in self.targets[model].named
+        ]
+        own = next(
+            (each for each in aged if each.version == version),
+            named_versions.AgedVersion(model, version, None),
+        )
+        return msgspec.structs.replace(
+            change,
+            ages=own.ages,
+            outage_age_ms=own.outage_age_ms,
+            earlier=tuple(each for each in aged if each.version < version),
+        )
 
     def aged_versions(
         self, now_ms: clock.Millis
@@ -355,20 +364,33 @@
         self, change: TargetChange, hearing: event_time.Hearing
     ) -> bool:
         target = change.target
-        heard = self._heard(
-            target.version, change.ages, change.outage_age_ms, hearing
-        )
         known = self.targets.get(target.model)
-        if known is not None and change.revision <= known.revision:
-            if change.revision == known.revision:
-                known.named = self._learnt(known.named, heard)
+        if known is not None and change.revision < known.revision:
             return False
         named = [] if known is None else known.named
-        self.targets[target.model] = KnownTarget(
-            target, change.revision, self._learnt(named, heard)
-        )
+        for heard in self._heard_all(change, hearing):
+            named = self._learnt(named, heard)
+        if known is not None and change.revision == known.revision:
+            known.named = named
+            return False
+        self.targets[target.model] = KnownTarget(target, change.revision, named)
         return True
 
+    def _heard_all(
+        self, change: TargetChange, hearing: event_time.Hearing
+    ) -> list[named_versions.NamedVersion]:
+        """Returns the versions that a change tells of."""
+        version = change.target.version
+        heard = [
+            self._heard(each.version, each.ages, each.outage_age_ms, hearing)
+            for each in change.earlier
+            if each.version < version
+        ]
+        heard.append(
+            self._heard(version, change.ages, change.outage_age_ms, hearing)
+        )
+        return heard
+
     def _heard(
         self,
         version: int,
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -340,6 +340,49 @@
     assert named.earliest_ms <= first_ms <= named.latest_ms
 
 
+def test_version_between_two_others_binds_where_only_the_newest_was_news(
+    time: clock.ManualClock,
+) -> None:
+    # It was unknown until the first answer, some seconds behind a full link.
+    reader, late = Process(time), Process(time)
+    first_ms = named_at(reader, 2)
+    time.advance(version_ages.WAY_MAX_MS + 1_000.0)
+    named_at(reader, 3)
+    late.hear(reader.known, way_ms=20.0)
+    bound_ms = late.known.targets["m"].binds_first_ms(1)
+    assert bound_ms is not None
+    assert bound_ms <= first_ms
+    named = late.named(2)
+    assert named.earliest_ms <= first_ms <= named.latest_ms
+
+
+def test_version_between_two_others_is_told_over_two_ways(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # An entry that read only the newest, and one that it tells.
+    reader = make_entry("entry-1", "entry-2")
+    relay = make_entry("entry-2", "entry-3")
+    other = make_entry("entry-3")
+    first_ms = read_version(reader, time)
+    time.advance(version_ages.WAY_MAX_MS + 1_000.0)
+    newest = fleet.WeightsTarget(model="m", version=3)
+    change = catalog.TargetChange(4, newest, NOW)
+    reader.known.apply([change], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(3, [change])
+    news = msgspec.structs.replace(reader.member.take_news(), pass_on=True)
+    time.advance(WAY_MS)
+    relay.sync.on_news("entry-1", news)
+    news = relay.member.take_news()
+    time.advance(WAY_MS)
+    other.sync.on_news("entry-2", news)
+    named = other.known.targets["m"].named
+    assert [each.version for each in named] == [2, 3]
+    bound_ms = other.known.targets["m"].binds_first_ms(1)
+    assert bound_ms is not None
+    assert bound_ms <= first_ms
+
+
 def test_answer_to_no_question_tells_nothing(time: clock.ManualClock) -> None:
     reader, other = Process(time), Process(time)
     named_at(reader)
