A relay passes a change on though it had heard of it elsewhere

Entries near a relay would have heard of a change some hundred ms late, by comparing revisions, where the relay had learnt it before the news that ask it to pass it on (from an answer to a question for news, or by comparing revisions itself): it dropped that duty together with the change.

Cause: that a change is new to the relay stood for that the others near it lack it.

Now news say whether their sender tells all entries of its region. A relay keeps up to which revision that was done, by itself or by another one, and passes on what goes beyond. So what a reader near, or the relay of the other reader, told all of them is not told again, as before.

Ruled out: passing on always (each change twice to each entry, where the first relay's word comes before the second reader's news).

--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -57,6 +57,7 @@
         self._clock = time
         self._requested_ms = float("-inf")
         self._store_down = False
+        self._near_told = 0
 
     def publish(self, after: int, changes: list[catalog.Change]) -> None:
         """Takes changes read from the store and tells the others.
@@ -67,7 +68,7 @@
         """
         self._take(changes, "store")
         news = self._news(after, self._aged(changes))
-        self._sync.send_all(self._near_entries(), news)
+        self._tell_near(news)
         onward = msgspec.structs.replace(news, pass_on=True)
         self._sync.send_all(self._relays(), onward)
 
@@ -89,14 +90,31 @@
             self._request_news(name)
         if new:
             self._take(new, name)
-            if news.pass_on:
-                packed = catalog_news.pack(self._aged(changes))
-                onward = msgspec.structs.replace(
-                    news, changes=packed, pass_on=False
-                )
-                self._sync.send_all(self._near_entries(), onward)
-            if any(isinstance(c, catalog.TargetChange) for c in new):
-                self._on_named(name)
+        if news.pass_on:
+            self._pass_on(news, changes)
+        if news.told_near:
+            self._near_told = max(self._near_told, news.revision)
+        if any(isinstance(c, catalog.TargetChange) for c in new):
+            self._on_named(name)
+
+    def _pass_on(
+        self, news: fleet_messages.CatalogNews, changes: list[catalog.Change]
+    ) -> None:
+        """Tells the entries near, also of what was heard elsewhere before.
+
+        Not of what another one told all of them.
+        """
+        if all(change.revision <= self._near_told for change in changes):
+            return
+        packed = catalog_news.pack(self._aged(changes))
+        self._tell_near(
+            msgspec.structs.replace(news, changes=packed, pass_on=False)
+        )
+
+    def _tell_near(self, news: fleet_messages.CatalogNews) -> None:
+        self._near_told = max(self._near_told, news.revision)
+        told = msgspec.structs.replace(news, told_near=True)
+        self._sync.send_all(self._near_entries(), told)
 
     def tell(self, name: str, after: int) -> None:
         """Tells an entry what changed after a revision."""
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -210,12 +210,14 @@
       changes: the changes, encoded and compressed.
       pass_on: whether the receiver is to tell the entries of its region, so
         that a change crosses to a region once or twice, not once an entry.
+      told_near: whether the sender tells all entries of its region.
     """
 
     after: int
     revision: int
     changes: bytes
     pass_on: bool = False
+    told_near: bool = False
 
 
 class CatalogRequest(_Message):
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -200,6 +200,53 @@
     assert other.named_ms() <= acknowledged_ms
 
 
+def told_by(entry: Entry) -> list[str]:
+    """Returns whom an entry told news, and forgets all that it sent."""
+    told = [
+        name
+        for name, message in entry.member.sent
+        if isinstance(message, fleet_messages.CatalogNews)
+    ]
+    entry.member.sent.clear()
+    return told
+
+
+def test_relay_that_heard_of_a_change_elsewhere_passes_it_on(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # Entries near it heard by comparing revisions, some hundred ms later.
+    reader = make_entry("entry-1", "entry-2")
+    relay = make_entry("entry-2", "entry-3")
+    read_version(reader, time)
+    news = msgspec.structs.replace(
+        reader.member.take_news(), pass_on=True, told_near=False
+    )
+    reader.sync.tell("entry-2", 0)
+    relay.sync.on_news("entry-1", reader.member.take_news())
+    assert told_by(relay) == []
+    relay.sync.on_news("entry-1", news)
+    assert told_by(relay) == ["entry-3"]
+    # Once: the other reader has a relay of its own.
+    relay.sync.on_news("entry-4", news)
+    assert told_by(relay) == []
+
+
+def test_relay_passes_on_nothing_that_another_told_all_near(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-2")
+    first = make_entry("entry-2", "entry-3")
+    second = make_entry("entry-3", "entry-2")
+    read_version(reader, time)
+    news = msgspec.structs.replace(
+        reader.member.take_news(), pass_on=True, told_near=False
+    )
+    first.sync.on_news("entry-1", news)
+    second.sync.on_news("entry-2", first.member.take_news())
+    second.sync.on_news("entry-1", news)
+    assert told_by(second) == []
+
+
 def test_version_gets_older_on_the_way_to_an_agent(
     time: clock.ManualClock,
 ) -> None:
