--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -22,6 +22,7 @@
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import store_completeness
+from marlramp.core import store_silence
 from marlramp.platform import clients
 from marlramp.platform import store
 
@@ -42,6 +43,10 @@
 RETRY_MAX_MS = 600.0
 """Pause after a failed call, drawn between the two."""
 
+BEHIND_MS = WATCH_WAIT_MS + store.WATCH_MARGIN_MS
+"""A call that takes longer than this has a long answer arriving; the reader
+hears from others meanwhile."""
+
 IDLE_MS = 100.0
 """Between two looks at whether this process is to read."""
 
@@ -96,41 +101,58 @@
         self._clock = time
         self._answered_ms: float | None = None
         self._failing = False
-        self._silent_ms: float | None = None
+        self._reads_all = False
+        self._asked_ms: float | None = None
+        self._silent_call: store_silence.SilentCall | None = None
         self.completeness = store_completeness.StoreCompleteness()
         self.reading = False
 
     @property
     def age_ms(self) -> float | None:
-        """Time since the store last answered, None if it never did."""
+        """Time since the store last answered at most, None if it never did."""
         if self._answered_ms is None:
             return None
-        return self._clock.now_ms() - self._answered_ms
+        age_ms = self._clock.now_ms() - self._answered_ms
+        if self._has_more_arriving:
+            return min(age_ms, store.ARRIVAL.silence_ms)
+        return age_ms
 
     @property
     def failing(self) -> bool:
-        """Whether the last call failed."""
-        return self._failing
+        """Whether the last call failed, or its answer is long in arriving."""
+        return self._failing or self._has_more_arriving
 
     @property
     def keeps_up(self) -> bool:
-        """Whether it reads, and its last call was answered."""
-        return self.reading and not self._failing
+        """Whether it reads, and its last call was answered in time."""
+        return self.reading and not self.failing
 
     @property
-    def silent_ms(self) -> float | None:
-        """When the last call was sent that the store gave no answer to.
+    def silent_call(self) -> store_silence.SilentCall | None:
+        """The last call that the store gave no answer to.
 
         None if it has answered since.
         """
-        return self._silent_ms
+        return self._silent_call
+
+    @property
+    def retried_ms(self) -> float | None:
+        """When the call was sent that is under way after one that failed."""
+        return self._asked_ms if self._failing else None
+
+    @property
+    def _has_more_arriving(self) -> bool:
+        """Whether a call goes on for so long because its answer arrives."""
+        if self._asked_ms is None:
+            return False
+        return self._clock.now_ms() - self._asked_ms > BEHIND_MS
 
     async def run(self) -> None:
         """Reads for ever, as long as it is this process's turn."""
         while True:
             self.reading = self._is_reader()
             if not self.reading:
-                self._silent_ms = None
+                self._silent_call = None
                 await asyncio.sleep(IDLE_MS / clock.MILLIS_PER_SECOND)
                 continue
             try:
@@ -142,7 +164,7 @@
                 await self._wait_after(error)
 
     async def _step(self) -> None:
-        if self._catalog.revision == 0 or self._failing:
+        if self._catalog.revision == 0 or self._reads_all:
             await self._read_all()
             return
         after = self._catalog.revision
@@ -150,7 +172,8 @@
         asked_ms = self._clock.now_ms()
         # After a pause of reading an answer at once shows what the store holds.
         paused = asked_ms - self.completeness.own.at_ms > PAUSED_MS
-        wait_ms = FIRST_WAIT_MS if paused else WATCH_WAIT_MS
+        hurries = paused or self._failing
+        wait_ms = FIRST_WAIT_MS if hurries else WATCH_WAIT_MS
         with self._asking(asked_ms):
             snapshot = await self._source.watch(after, wait_ms)
         now_ms = self._answered()
@@ -176,6 +199,7 @@
             snapshot = await self._source.read_all()
         now_ms = self._answered()
         before = self._catalog.revision
+        self._reads_all = False
         logs.log(
             "store_read",
             revision=snapshot.revision,
@@ -202,7 +226,7 @@
             # The store came back after the last call that failed.
             self._catalog.store_failed(now_ms)
         self._failing = False
-        self._silent_ms = None
+        self._silent_call = None
         self._answered_ms = now_ms
         return now_ms
 
@@ -245,19 +269,27 @@
         part shows a link that is full. The first one of several may have gone
         out on a connection that had fallen silent, the next one has not.
         """
+        self._asked_ms = asked_ms
         try:
             yield
         except clients.PausedError:
             raise
         except clients.PlatformError as error:
             if self._failing and not error.answering:
-                self._silent_ms = asked_ms
+                self._silent_call = store_silence.SilentCall(
+                    asked_ms, self._clock.now_ms()
+                )
             raise
+        finally:
+            self._asked_ms = None
 
     async def _wait_after(self, error: clients.PlatformError) -> None:
         if not self._failing:
             logs.log("store_lost", detail=error)
         self._failing = True
+        # What is missing is less than all, unless that can't be had.
+        if isinstance(error, clients.UselessAnswerError):
+            self._reads_all = True
         self._totals.add(counters.CounterName.PLATFORM_READS, "failed")
         self._catalog.store_failed(self._clock.now_ms())
         wait_ms = random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -200,6 +200,53 @@
     assert other.named_ms() <= acknowledged_ms
 
 
+def told_by(entry: Entry) -> list[str]:
+    """Returns whom an entry told news, and forgets all that it sent."""
+    told = [
+        name
+        for name, message in entry.member.sent
+        if isinstance(message, fleet_messages.CatalogNews)
+    ]
+    entry.member.sent.clear()
+    return told
+
+
+def test_relay_that_heard_of_a_change_elsewhere_passes_it_on(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # Entries near it heard by comparing revisions, some hundred ms later.
+    reader = make_entry("entry-1", "entry-2")
+    relay = make_entry("entry-2", "entry-3")
+    read_version(reader, time)
+    news = msgspec.structs.replace(
+        reader.member.take_news(), pass_on=True, told_near=False
+    )
+    reader.sync.tell("entry-2", 0)
+    relay.sync.on_news("entry-1", reader.member.take_news())
+    assert told_by(relay) == []
+    relay.sync.on_news("entry-1", news)
+    assert told_by(relay) == ["entry-3"]
+    # Once: the other reader has a relay of its own.
+    relay.sync.on_news("entry-4", news)
+    assert told_by(relay) == []
+
+
+def test_relay_passes_on_nothing_that_another_told_all_near(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    reader = make_entry("entry-1", "entry-2")
+    first = make_entry("entry-2", "entry-3")
+    second = make_entry("entry-3", "entry-2")
+    read_version(reader, time)
+    news = msgspec.structs.replace(
+        reader.member.take_news(), pass_on=True, told_near=False
+    )
+    first.sync.on_news("entry-1", news)
+    second.sync.on_news("entry-2", first.member.take_news())
+    second.sync.on_news("entry-1", news)
+    assert told_by(second) == []
+
+
 def test_version_gets_older_on_the_way_to_an_agent(
     time: clock.ManualClock,
 ) -> None:
@@ -359,6 +406,49 @@
     assert other.known.targets["m"].binds_first_ms(1) == named.earliest_ms
 
 
+def test_version_between_two_others_binds_where_only_the_newest_was_news(
+    time: clock.ManualClock,
+) -> None:
+    # It was unknown until the first answer, some seconds behind a full link.
+    reader, late = Process(time), Process(time)
+    first_ms = named_at(reader, 2)
+    time.advance(version_ages.WAY_MAX_MS + 1_000.0)
+    named_at(reader, 3)
+    late.hear(reader.known, way_ms=20.0)
+    bound_ms = late.known.targets["m"].binds_first_ms(1)
+    assert bound_ms is not None
+    assert bound_ms <= first_ms
+    named = late.named(2)
+    assert named.earliest_ms <= first_ms <= named.latest_ms
+
+
+def test_version_between_two_others_is_told_over_two_ways(
+    make_entry: MakeEntry, time: clock.ManualClock
+) -> None:
+    # An entry that read only the newest, and one that it tells.
+    reader = make_entry("entry-1", "entry-2")
+    relay = make_entry("entry-2", "entry-3")
+    other = make_entry("entry-3")
+    first_ms = read_version(reader, time)
+    time.advance(version_ages.WAY_MAX_MS + 1_000.0)
+    newest = fleet.WeightsTarget(model="m", version=3)
+    change = catalog.TargetChange(4, newest, NOW)
+    reader.known.apply([change], time.now_ms())
+    reader.known.advance(4)
+    reader.sync.publish(3, [change])
+    news = msgspec.structs.replace(reader.member.take_news(), pass_on=True)
+    time.advance(WAY_MS)
+    relay.sync.on_news("entry-1", news)
+    news = relay.member.take_news()
+    time.advance(WAY_MS)
+    other.sync.on_news("entry-2", news)
+    named = other.known.targets["m"].named
+    assert [each.version for each in named] == [2, 3]
+    bound_ms = other.known.targets["m"].binds_first_ms(1)
+    assert bound_ms is not None
+    assert bound_ms <= first_ms
+
+
 def test_answer_to_no_question_tells_nothing(time: clock.ManualClock) -> None:
     reader, other = Process(time), Process(time)
     named_at(reader)
