Entries spend no slack of repeats before they have run for a window

What callers would see: nothing; replicas would get more repeats than the users allow over all entries (BUDGET) after a start or restart of many.

A process that starts knows neither the others (8 were assumed) nor what the one before it spent.

With the time set to 0 all five new cases fail.

Open: entries that hear nobody.

--- /dev/null
+++ b/tests/direct/fleet/test_retry_shares.py
@@ -0,0 +1,96 @@
+"""What entries spend of one retry budget, in virtual time."""
+
+from __future__ import annotations
+
+import pytest
+
+from marlramp.core import members
+from marlramp.core import retry_share
+from tests.direct.fleet import virtual_fleet
+
+RATIO = 0.2
+SLACK = 104.0
+WINDOW_MS = 10_000.0
+STEP_MS = 50.0
+REQUEST_MS = 2_000.0
+"""Between two requests that one entry takes."""
+INCARNATION = 1_000
+
+
+class Spenders:
+    """Entries that repeat requests whenever their budget lets them."""
+
+    def __init__(self, fleet: virtual_fleet.VirtualFleet) -> None:
+        self.fleet = fleet
+        self.spent_ms: list[float] = []
+        self.taken_ms: list[float] = []
+        self._request_ms = 0.0
+        self._shares = {name: self._share() for name in fleet.entries}
+
+    def _share(self) -> retry_share.RetryShare:
+        now_ms = self.fleet.time.now_ms()
+        return retry_share.RetryShare(RATIO, SLACK, WINDOW_MS, now_ms)
+
+    def run(self, ms: float) -> None:
+        """Lets all of them spend for some time."""
+        end_ms = self.fleet.time.now_ms() + ms
+        while self.fleet.time.now_ms() < end_ms:
+            self._spend()
+            self.fleet.run(STEP_MS)
+
+    def _spend(self) -> None:
+        now_ms = self.fleet.time.now_ms()
+        taken = now_ms - self._request_ms >= REQUEST_MS
+        if taken:
+            self._request_ms = now_ms
+        for name, share in self._shares.items():
+            roster = self.fleet.entries[name].sync.roster
+            known = roster.count(members.MemberKind.ENTRY)
+            if taken:
+                share.record_request(now_ms)
+                self.taken_ms.append(now_ms)
+            while share.try_spend(known, now_ms):
+                self.spent_ms.append(now_ms)
+
+    def restart(self) -> None:
+        """Ends all entries and starts them again."""
+        for number, name in enumerate(list(self.fleet.entries)):
+            self.fleet.stop(name)
+            now_ms = self.fleet.time.now_ms()
+            self.fleet.start(number, INCARNATION + round(now_ms))
+            self._shares[name] = self._share()
+
+    def most_slack(self) -> float:
+        """Returns the most repeats in any window beyond the ratio."""
+        return max(
+            _between(self.spent_ms, start_ms)
+            - RATIO * _between(self.taken_ms, start_ms)
+            for start_ms in sorted(set(self.spent_ms))
+        )
+
+
+def _between(times_ms: list[float], start_ms: float) -> int:
+    return sum(start_ms <= ms < start_ms + WINDOW_MS for ms in times_ms)
+
+
+@pytest.mark.parametrize("count", [43, 98])
+def test_entries_that_start_at_once_spend_no_more_than_the_slack(
+    count: int,
+) -> None:
+    # Entries that had heard of nobody took each other for 8 in all.
+    spenders = Spenders(virtual_fleet.VirtualFleet(count))
+    spenders.run(25_000.0)
+    assert 0.0 < spenders.most_slack() <= SLACK
+
+
+@pytest.mark.parametrize("count", [8, 43, 98])
+def test_entries_that_restart_do_not_spend_their_parts_again(
+    count: int,
+) -> None:
+    # What an entry had spent before its restart was forgotten.
+    spenders = Spenders(virtual_fleet.VirtualFleet(count))
+    for pause_ms in (14_000.0, 4_000.0, 4_500.0, 15_000.0):
+        spenders.run(pause_ms)
+        spenders.restart()
+    spenders.run(15_000.0)
+    assert 0.0 < spenders.most_slack() <= SLACK
