--- a/regression/__main__.py
+++ b/regression/__main__.py
@@ -75,8 +75,10 @@
                 play.verb.value,
                 str(sites / play.site),
                 *play.options,
-                f"--jobs={jobs}",
-                f"--why={why}",
+                "--jobs",
+                str(jobs),
+                "--why",
+                why,
             ],
             logs / f"{play.name}.log",
         )
