Ways to replicas are measured while requests wait on a version that ends

Cause, by its log: another request, written 650 ms before the bound over a way of 12 ms. It waited at the engine while the way filled; its entry took it back 198 ms before the bound by a way of 4 ms, and the close took 208 ms. Nothing else went to that engine meanwhile, so that nothing measured the way.

Ruled out: the age (138 ms on the safe side), the way at the writing.

While a request waits, in the last second before it is taken back, a connection is opened each 250 ms to its replica, if nothing else measured the way; what that has taken so far counts as the least that the way can be. It is kept for the next request.

--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -349,6 +349,11 @@
         self.ways.note(way_ms, now_ms)
         self.centre_ways.note(way_ms, now_ms)
 
+    def note_way_at_least(self, way_ms: float, now_ms: clock.Millis) -> None:
+        """Takes what opening a connection to it has taken so far."""
+        self.ways.note_at_least(way_ms, now_ms)
+        self.centre_ways.note_at_least(way_ms, now_ms)
+
     def way_ms(self, now_ms: clock.Millis) -> float:
         """Returns the way to it that is to be reckoned with now.
 
--- a/src/marlramp/core/way_times.py
+++ b/src/marlramp/core/way_times.py
@@ -53,6 +53,11 @@
         self.latest_ms = max(self.latest_ms, way_ms)
         self.noted_ms = now_ms
 
+    def note_at_least(self, way_ms: float, now_ms: clock.Millis) -> None:
+        """Takes that the way is at least so long; how long is not known yet."""
+        self._move(now_ms)
+        self.latest_ms = max(self.latest_ms, way_ms)
+
     def longest_ms(self, now_ms: clock.Millis) -> float:
         """Returns the longest way measured lately, 0 if none was."""
         self._move(now_ms)
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -22,6 +22,7 @@
 from marlramp.direct.calls import named_limits
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import replica_signals
+from marlramp.direct.calls import way_probes
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 
@@ -126,6 +127,7 @@
         self._ends = ends
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
+        self._probes = way_probes.WayProbes(time)
 
     def tick(self) -> None:
         """Closes connections that were idle for too long."""
@@ -238,6 +240,9 @@
         connection.send(call.request.method, head, call.request.body, attempt)
         while True:
             choice = self._ends.dated(call, choice)
+            if self._is_leaving(call, choice, attempt):
+                pool = self._pool(choice.view.replica)
+                self._probes.look(choice.view, pool)
             limit_ms = self._limit_ms(call, choice, attempt)
             wait_ms = limit_ms - self._clock.now_ms()
             wait_ms = min(wait_ms, self._look_ms(call, choice, attempt))
@@ -266,8 +271,20 @@
             return CONDEMNED_POLL_MS
         if call.service.engine is None or attempt.begun:
             return LOOK_MS
+        leaving = self._is_leaving(call, choice, attempt)
+        return WAY_POLL_MS if leaving else UNBEGUN_LOOK_MS
+
+    def _is_leaving(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
+    ) -> bool:
+        """Returns whether it waits for a version that is left soon."""
+        if call.service.engine is None or attempt.begun:
+            return False
         left_ms = choice.begins_until_ms - self._clock.now_ms()
-        return WAY_POLL_MS if left_ms < LEAVING_MS else UNBEGUN_LOOK_MS
+        return left_ms < LEAVING_MS
 
     def _attempt(
         self, call: call_module.Call, observer: replica_observer.ReplicaObserver
