--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -83,23 +83,8 @@
         totals: counters.Counters,
         latencies: Latencies,
         time: clock.Clock,
-        started_ms: clock.Millis,
     ) -> None:
-        """Chooses replicas from `table` and reads headers through `codec`.
-
-        Args:
-          surroundings: the process that it belongs to.
-          known: the catalog.
-          table: the replicas.
-          codec: reads headers.
-          settings: the settings in force.
-          crashes: judges requests that crash replicas.
-          limits: what replicas named.
-          totals: counters.
-          latencies: histograms.
-          time: the clock.
-          started_ms: since when this process may have heard of others.
-        """
+        """Chooses replicas from `table` and reads headers through `codec`."""
         self._surroundings = surroundings
         self._crashes = crashes
         self._codec = codec
@@ -121,7 +106,6 @@
             self._selector,
             time,
         )
-        self._started_ms = started_ms
         self._budgets: dict[ids.ServiceId, retry_share.RetryShare] = {}
         self._waits: dict[tuple[str, float], caller_waits.CallerWaits] = {}
         self.active = 0
@@ -221,10 +205,7 @@
         if budget is None:
             bounds = self._settings.bounds
             budget = retry_share.RetryShare(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window_ms,
-                self._started_ms,
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
             )
             self._budgets[service_id] = budget
         return budget
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -130,7 +130,6 @@
             self._totals,
             self._metrics,
             self._clock,
-            self._clock.now_ms(),
         )
         self._callers = http1_server.CallerServer(
             self._forwarder.handle, self, self._clock
