--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -160,15 +160,36 @@
         return await self._get(host, LOOKUP_PORT, path)
 
     async def stream(
-        self, host: str, request_id: str, body: bytes = b""
+        self,
+        host: str,
+        request_id: str,
+        body: bytes = b"",
+        *,
+        path: str = "/chat/x",
+        parts: str = "",
     ) -> bytes:
         """Sends a streaming request; returns all bytes of the answer."""
-        return await self.call(host, "/chat/x", request_id, body)
+        return await self.call(host, path, request_id, body, parts=parts)
 
     async def call(
-        self, host: str, path: str, request_id: str, body: bytes = b""
+        self,
+        host: str,
+        path: str,
+        request_id: str,
+        body: bytes = b"",
+        *,
+        parts: str = "",
     ) -> bytes:
-        """Sends a request; returns all bytes of the answer."""
+        """Sends a request; returns all bytes of the answer.
+
+        Args:
+          host: the entry.
+          path: path of the request.
+          request_id: id of the attempt.
+          body: the body.
+          parts: parts of the prompt, "ID:TOKENS" joined by commas.
+        """
+        named = f"x-prefix-hash: {parts}\r\n" if parts else ""
         return await self._get(
             host,
             CALLERS_PORT,
@@ -176,7 +197,7 @@
             "POST",
             f"host: {direct_documents.HOST}\r\nx-attempt-id: {request_id}\r\n"
             f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
-            f"authorization: Bearer {direct_documents.KEY}\r\n",
+            f"authorization: Bearer {direct_documents.KEY}\r\n{named}",
             body,
         )
 
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from standins import crashing_part
 from standins import direct_documents
 from standins import direct_store
 from standins import direct_weights
@@ -51,8 +52,8 @@
 class CrashingServer(Protocol):
     """The server of a replica that may crash."""
 
-    def crash(self) -> None:
-        """Resets every connection and takes no more."""
+    def crash(self, *, resets: bool = True) -> None:
+        """Ends every connection and takes no more."""
         ...
 
     async def listen(self) -> None:
@@ -73,13 +74,15 @@
         self.count = 0
         self.down = False
 
-    async def end(self, back: Callable[[], None]) -> None:
+    async def end(
+        self, back: Callable[[], None], *, resets: bool = True
+    ) -> None:
         """Ends the replica once; `back` is called when it starts anew."""
         if self.server is None or self.down:
             return
         self.down = True
         self.count += 1
-        self.server.crash()
+        self.server.crash(resets=resets)
         await asyncio.sleep(DOWN_S)
         await self.server.listen()
         self.down = False
@@ -94,7 +97,9 @@
       mixed: loads of pieces that were missing or wrong.
       runs: how often each request id ran.
       begins: first tokens of requests, in order.
-      crashes: its crashes; a request with `CRASHING_BODY` causes one.
+      crashes: its crashes; a request with `CRASHING_BODY` causes one, and one
+        with `crashing_part.PART`.
+      crash_style: how the answer looks that such a part ends.
       need: the limit that it names.
       turning_away: what it turns away, and whether it leaves.
     """
@@ -124,6 +129,7 @@
         self.runs: dict[str, int] = {}
         self.begins: list[Begin] = []
         self.crashes = _Crashes()
+        self.crash_style = crashing_part.CrashStyle.CHUNKED
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
         self._store = store
@@ -203,9 +209,11 @@
             },
         )
 
-    async def crash(self) -> None:
+    async def crash(self, *, resets: bool = True) -> None:
         """Ends, and starts anew under the same id after `DOWN_S`."""
-        await self.crashes.end(lambda: self.restart(self.replica_id))
+        await self.crashes.end(
+            lambda: self.restart(self.replica_id), resets=resets
+        )
 
     async def serve(self, peer: raw_http.Peer) -> None:
         """Answers reports, staging, orders and requests."""
@@ -295,10 +303,24 @@
             return
         self._running += 1
         try:
+            if crashing_part.crashes(request):
+                await self._crash_while_writing(peer, name)
+                return
             await self._stream(peer, request, name)
         finally:
             self._running -= 1
 
+    async def _crash_while_writing(
+        self, peer: raw_http.Peer, name: str
+    ) -> None:
+        headers = (
+            f"x-replica-signature: {self.replica_id}\r\n"
+            f"x-weight-versions: {self.weights}\r\n"
+        )
+        style = self.crash_style
+        await crashing_part.begin_answer(peer, name, style, headers)
+        self._ending = asyncio.create_task(self.crash(resets=style.resets))
+
     async def _stream(
         self, peer: raw_http.Peer, request: raw_http.SeenRequest, name: str
     ) -> None:
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -153,16 +153,22 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def crash(self) -> None:
-        """Resets every connection and takes no more, as if the process ended.
+    def crash(self, *, resets: bool = True) -> None:
+        """Ends every connection and takes no more, as if the process ended.
 
         New connections are refused until `listen`.
+
+        Args:
+          resets: whether connections are reset, else closed properly.
         """
         if self._server is not None:
             self._server.close()
         peers, self._peers = self._peers, []
         for peer in peers:
-            peer.reset()
+            if resets:
+                peer.reset()
+            else:
+                peer.close()
 
     @property
     def address(self) -> str:
