Log the parts of a prompt and how an answer was framed

Lines of attempts name requests by content only, so that a part which all crashing requests share can't be seen, nor whether an answer that ended with its connection had brought an event. attempt_failed and request_served bear parts (all but the last), first_ms, events and delimited now. Decisions read none of it. A header that can't be parsed counts as absent: it is the caller's word and no reason to refuse; ids are hexadecimal, at most 32 digits, at most 16 of a request are read.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -293,7 +293,9 @@
             kind=failure.kind.value,
             detail=failure.detail,
             ran=failure.ran.value,
+            parts=",".join(call.info.shared_parts),
             sends=call.sends,
+            first_ms=_rounded_or_none(result.first_event_ms),
             retry_after_ms=None if answer is None else answer.retry_after_ms,
             leaving=answer is not None and answer.leaving,
             predicted_ms=round(choice.predicted_ms),
@@ -354,6 +356,9 @@
             request=call.info.request_id,
             fingerprint=call.fingerprint,
             replica=choice.view.replica.replica_id,
+            parts=",".join(call.info.shared_parts),
+            events=call.relay.splitter.events,
+            delimited=answer is None or answer.delimited,
             status=0 if answer is None else answer.status,
             sends=call.sends,
             predicted_ms=round(choice.predicted_ms),
@@ -421,6 +426,10 @@
         own_answers.send(responder, failure, request_id)
 
 
+def _rounded_or_none(value_ms: float | None) -> int | None:
+    return None if value_ms is None else round(value_ms)
+
+
 def _rounded(value_ms: float) -> int | None:
     """Returns rounded milliseconds for a log line, None if infinite."""
     return round(value_ms) if math.isfinite(value_ms) else None
--- a/src/marlramp/direct/calls/wire.py
+++ b/src/marlramp/direct/calls/wire.py
@@ -14,6 +14,9 @@
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
 
+SHARED_PARTS_MAX = 16
+"""Most parts of a prompt that are read of one request."""
+
 
 class RequestInfo(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller's headers say of its request.
@@ -28,6 +31,10 @@
       output_tokens_max: largest number of tokens to generate.
       output_tokens_hint: the caller's estimate of the number of generated
         tokens, 0 if there is none.
+      shared_parts: ids of the parts of the prompt that the caller names, in
+        order, without the last one, which is the request's own; at most
+        `SHARED_PARTS_MAX`. Empty if the caller names none or the header can't
+        be parsed.
     """
 
     request_id: ids.RequestId
@@ -38,6 +45,7 @@
     prompt_tokens: int
     output_tokens_max: int
     output_tokens_hint: int
+    shared_parts: tuple[str, ...] = ()
 
 
 class Dispatch(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,6 +104,8 @@
       retry_after_unreadable: value of a retry time that can't be parsed, "" if
         there is none.
       leaving: whether the replica announces that it leaves.
+      delimited: whether the end of the body is marked, so that it is told from
+        a crash of the replica.
     """
 
     status: int
@@ -111,6 +121,7 @@
     retry_after_ms: float | None = None
     retry_after_unreadable: str = ""
     leaving: bool = False
+    delimited: bool = True
 
 
 class CallCodec(Protocol):
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import string
 
 from marlramp import errors
 from marlramp import ids
@@ -22,6 +23,8 @@
 # Prompt tokens and the most output tokens, not what was used.
 _TOKENS = b"x-token-usage"
 _HINT = b"x-length-hint"
+# Parts of the prompt in order, as ID:TOKENS with the id in hexadecimal.
+_PARTS = b"x-prefix-hash"
 _SIGNATURE = b"x-replica-signature"
 _NOT_RUN = b"x-not-executed"
 _LOAD = b"x-replica-load"
@@ -34,6 +37,9 @@
 
 _MISDIRECTED = 421
 _LOAD_FIELDS = 3
+_PART_ID_LENGTH_MAX = 32
+
+_HEX_DIGITS = frozenset(string.hexdigits)
 
 _HOP_BY_HOP = frozenset(
     {
@@ -81,6 +87,7 @@
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens_max=tokens[1] if len(tokens) > 1 else 0,
             output_tokens_hint=hint[0] if hint else 0,
+            shared_parts=_shared_parts(request.header(_PARTS)),
         )
 
     def head(
@@ -134,6 +141,7 @@
             retry_after_ms=asked.wait_ms,
             retry_after_unreadable=asked.unreadable,
             leaving=says_leaving(head),
+            delimited=head.delimited,
             headers=[
                 (name, value)
                 for name, value in head.headers
@@ -174,6 +182,18 @@
         ) from error
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the ids of all parts but the last, none if one is malformed."""
+    parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
+    if not all(_is_part_id(part) for part in parts):
+        return ()
+    return tuple(dict.fromkeys(parts[:-1]))[: wire.SHARED_PARTS_MAX]
+
+
+def _is_part_id(text: str) -> bool:
+    return 0 < len(text) <= _PART_ID_LENGTH_MAX and _HEX_DIGITS.issuperset(text)
+
+
 def _named_in_connection(request: http1_server.Request) -> frozenset[bytes]:
     """Returns headers that the caller marked as its connection's own."""
     names = request.header(b"connection").encode().lower().split(b",")
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -40,10 +40,19 @@
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """Status and headers of an answer, header names in lower case."""
+    """Status and headers of an answer, header names in lower case.
+
+    Attributes:
+      status: HTTP status code.
+      headers: names and values.
+      delimited: whether a length, chunks or the status mark the end of the
+        body. Otherwise it ends with the connection, as it also does if the
+        server crashes.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
+    delimited: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first header of a name in lower case."""
@@ -205,7 +214,6 @@
         self._headers = []
         if status < _INFORMATIONAL_END:
             return
-        self._head = head
         self._reusable = self._parser.should_keep_alive()
         bodyless = status in (_NO_CONTENT, _NOT_MODIFIED)
         sized = (
@@ -213,6 +221,8 @@
             or head.header(b"transfer-encoding") is not None
         )
         self._until_close = not sized and not bodyless
+        head = msgspec.structs.replace(head, delimited=not self._until_close)
+        self._head = head
         self._note_keep_alive(head)
         self._reader.on_head(head)
         if self._method == "HEAD" and self._reader is not None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -54,6 +54,29 @@
     assert (said.prompt_tokens, said.output_tokens_max) == (1460, 80)
     assert said.output_tokens_hint == 55
     assert said.wait_ms == 600.0
+    assert said.shared_parts == ()
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"5c1e07a2:800,91BD3F06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b"5c1e07a2, 5c1e07a2:3 ,91bd3f06", ("5c1e07a2",)),
+        (b"e4402b7d:250", ()),
+        (b"5c1e07a2:800,not hexadecimal:410,e4402b7d:250", ()),
+        (b",,", ()),
+        (b"a" * 33 + b":1,b:2", ()),
+        (
+            b",".join(b"%x:1" % n for n in range(40)),
+            tuple(f"{n:x}" for n in range(wire.SHARED_PARTS_MAX)),
+        ),
+    ],
+)
+def test_parts_of_a_prompt_but_the_last_are_read(
+    value: bytes, parts: tuple[str, ...]
+) -> None:
+    said = CODEC.read(request((b"x-prefix-hash", value)))
+    assert said.shared_parts == parts
 
 
 @pytest.mark.parametrize(
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -97,6 +97,14 @@
     assert connection.reusable
 
 
+def test_head_says_whether_the_end_of_the_body_is_marked() -> None:
+    recorder, _ = exchange(writes(WHOLE))
+    assert recorder.heads[0].delimited
+    unmarked = b"HTTP/1.1 200 OK\r\n\r\nok"
+    recorder, _ = exchange(writes(unmarked, raw_http.Peer.close))
+    assert not recorder.heads[0].delimited
+
+
 def test_bytes_beyond_an_answer_end_the_connection() -> None:
     recorder, connection = exchange(writes(WHOLE + b"junk"))
     assert recorder.complete
