Keep parts of prompts as suspects of crashes

Callers saw engines crash one after the other under requests of which no two are alike; strikes were kept by whole content, so no request came to three.

The ledger of crashes holds parts of prompts beside requests now. A run that is whole, or goes on being written, clears its parts of all crashes noticed up to a second after it, at this entry and through the ledger at all others: so the first part that all requests of a route share keeps no strike. A part is condemned if a sound one would lose as many runs in a row with a probability of at most 0.005 (share of lost runs of the other parts at this entry, last 30 s), it was in at least two different requests, and no other part explains most of its crashes better. The mark travels with the crashes, so entries and agents that know no runs block it too.

Ruled out: a plain count of crashes (condemns the first part after all entries and engines start anew), the likelihood share that requests use (two parts in the same requests halve it and neither is blocked), letting one kept run excuse one crash (8 x entries crashes of a part that turns bad).

tests/core/test_part_suspicion.py; nothing reads it yet.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -1,4 +1,4 @@
-"""Requests that crash replicas, as entries and agents report them by gossip.
+"""Suspects of crashes of replicas, as entries and agents report them by gossip.
 
 Load pattern: a request that crashes each replica that runs it is sent again
 through any entry, while other requests are in flight at these replicas by
@@ -9,6 +9,10 @@
 order, any number of times, to the same suspects of a crash, so that entries
 that hold the same crashes block the same requests. The time at which a crash
 was noticed and the crashes that were dropped can differ between processes.
+
+Parts of prompts are suspects as well, see `part_suspicion`. An entry that finds
+a part to be the cause marks it as condemned, and all processes that receive the
+mark block it.
 """
 
 from __future__ import annotations
@@ -21,6 +25,8 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import bucket_digests
+from marlramp.core import crash_reports
+from marlramp.core import part_suspicion
 
 STRIKES_MIN = 3.0
 """Strikes that a request needs before it may be blocked."""
@@ -63,48 +69,6 @@
 """Most crashes in one answer that block a request; they are sent first."""
 
 
-class Suspect(msgspec.Struct, frozen=True, array_like=True):
-    """A request that was in flight at a replica when the replica crashed.
-
-    Attributes:
-      fingerprint: the request's fingerprint.
-      begun: whether the request had returned part of its answer, which gives it
-        only `PARTIAL_ANSWER_STRIKE`.
-      cleared: whether a successful run or an operator cleared the request of
-        this crash.
-    """
-
-    fingerprint: ids.Fingerprint
-    begun: bool
-    cleared: bool = False
-
-    def merged(self, other: Suspect) -> Suspect:
-        """Returns the suspect with the knowledge of two processes combined.
-
-        The request counts as begun only if both processes report so, so that
-        it gets the full strike if they differ.
-        """
-        return Suspect(
-            self.fingerprint,
-            self.begun and other.begun,
-            self.cleared or other.cleared,
-        )
-
-
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a replica, as processes send it to each other.
-
-    Attributes:
-      crash_id: the replica and the start of the run that the crash ended.
-      age_ms: time since the crash was first noticed.
-      suspects: the requests that were in flight at the replica.
-    """
-
-    crash_id: ids.CrashId
-    age_ms: float
-    suspects: list[Suspect]
-
-
 class Evidence(msgspec.Struct, frozen=True):
     """Why a request is blocked.
 
@@ -121,24 +85,19 @@
 
 class _KnownCrash(msgspec.Struct):
     noticed_ms: float
-    suspects: dict[ids.Fingerprint, Suspect]
+    suspects: dict[ids.Fingerprint, crash_reports.Suspect]
 
 
-def crash_id(replica_id: str, born_ms: int | None) -> ids.CrashId:
-    """Returns the id of the crash that ends one run of a replica.
+class CrashLedger:
+    """Crashes and their suspects that this process knows of.
 
-    Args:
-      replica_id: the replica.
-      born_ms: Unix time in ms at which the run started, None if unknown.
+    Attributes:
+      parts: the parts of prompts among the suspects.
     """
-    return ids.CrashId(f"{replica_id}@{born_ms or 0}")
-
-
-class CrashLedger:
-    """Crashes and their suspects that this process knows of."""
 
     def __init__(self) -> None:
         """Creates an empty ledger."""
+        self.parts = part_suspicion.PartSuspects()
         self._crashes: dict[ids.CrashId, _KnownCrash] = {}
         self._crashes_of: dict[ids.Fingerprint, set[ids.CrashId]] = {}
         self._digests = bucket_digests.BucketDigests(BUCKETS)
@@ -165,8 +124,40 @@
           begun: whether the request had returned part of its answer.
           now_ms: the current time, taken as the time of the crash.
         """
-        suspect = Suspect(fingerprint, begun)
-        self._merge(Crash(crash, 0.0, [suspect]), now_ms)
+        suspect = crash_reports.Suspect(fingerprint, begun)
+        self._merge(crash_reports.Crash(crash, 0.0, [suspect]), now_ms)
+
+    def add_part(
+        self,
+        crash: ids.CrashId,
+        part: ids.PartFingerprint,
+        carrier: ids.Fingerprint,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Adds a part of the prompt of a request that was in flight at a crash.
+
+        Args:
+          crash: the crash.
+          part: the part.
+          carrier: the request.
+          now_ms: the current time, taken as the time of the crash.
+        """
+        suspect = crash_reports.Suspect(part, begun=False, carrier=carrier)
+        self._merge(crash_reports.Crash(crash, 0.0, [suspect]), now_ms)
+
+    def condemn(self, part: ids.PartFingerprint) -> list[ids.CrashId]:
+        """Marks a part as the cause of its crashes and returns these."""
+        crashes = list(self._crashes_of.get(part, ()))
+        for crash in crashes:
+            known_crash = self._crashes[crash]
+            known = known_crash.suspects[part]
+            condemned = msgspec.structs.replace(known, condemned=True)
+            self._put_suspect(crash, known_crash, condemned)
+        return crashes
+
+    def noticed_ms(self, crash: ids.CrashId) -> float:
+        """Returns when a crash was first noticed, a clock reading."""
+        return self._crashes[crash].noticed_ms
 
     def is_suspect(
         self, crash: ids.CrashId, fingerprint: ids.Fingerprint
@@ -208,7 +199,7 @@
             self.clear(crash, fingerprint)
         return crashes
 
-    def merge(self, crash: Crash, now_ms: clock.Millis) -> bool:
+    def merge(self, crash: crash_reports.Crash, now_ms: clock.Millis) -> bool:
         """Merges a crash that another process sent.
 
         The earliest time at which any process noticed a crash becomes its
@@ -226,7 +217,7 @@
             return False
         return self._merge(crash, now_ms)
 
-    def _merge(self, crash: Crash, now_ms: clock.Millis) -> bool:
+    def _merge(self, crash: crash_reports.Crash, now_ms: clock.Millis) -> bool:
         noticed_ms = now_ms - crash.age_ms
         known_crash = self._crashes.get(crash.crash_id)
         if known_crash is None:
@@ -265,12 +256,12 @@
                 self._drop(crash)
 
     def _blocking_crashes(self) -> set[ids.CrashId]:
-        """Returns the crashes that block a request."""
-        return {
-            crash
-            for evidence in self.blocked().values()
-            for crash in evidence.crash_ids
-        }
+        """Returns the crashes that block a request or a part."""
+        found: list[Evidence | part_suspicion.PartEvidence] = [
+            *self.blocked().values(),
+            *self.parts.condemned().values(),
+        ]
+        return {crash for evidence in found for crash in evidence.crash_ids}
 
     # Strikes and blocked requests.
 
@@ -297,7 +288,11 @@
         return self._blocked
 
     def _find_blocked(self) -> dict[ids.Fingerprint, Evidence]:
-        strikes = {each: self.strikes(each) for each in self._crashes_of}
+        strikes = {
+            each: self.strikes(each)
+            for each in self._crashes_of
+            if not self.parts.is_suspect(each)
+        }
         blocked = {}
         for fingerprint, own in strikes.items():
             if own < STRIKES_MIN:
@@ -327,7 +322,7 @@
         likelihoods = [
             strikes[suspect.fingerprint] ** LIKELIHOOD_EXPONENT
             for suspect in suspects
-            if not suspect.cleared
+            if not suspect.cleared and not suspect.is_part
         ]
         other = OTHER_CAUSE_STRIKES**LIKELIHOOD_EXPONENT
         return float(own**LIKELIHOOD_EXPONENT / (sum(likelihoods) + other))
@@ -336,7 +331,7 @@
 
     def export(
         self, crashes: Iterable[ids.CrashId], now_ms: clock.Millis
-    ) -> list[Crash]:
+    ) -> list[crash_reports.Crash]:
         """Returns crashes in the form that is sent to other processes.
 
         Args:
@@ -345,7 +340,7 @@
           now_ms: the current time.
         """
         return [
-            Crash(
+            crash_reports.Crash(
                 crash,
                 now_ms - known_crash.noticed_ms,
                 list(known_crash.suspects.values()),
@@ -397,7 +392,10 @@
     # Updates of the suspects, the indexes and the digests.
 
     def _put_suspect(
-        self, crash: ids.CrashId, known_crash: _KnownCrash, suspect: Suspect
+        self,
+        crash: ids.CrashId,
+        known_crash: _KnownCrash,
+        suspect: crash_reports.Suspect,
     ) -> None:
         fingerprint = suspect.fingerprint
         known = known_crash.suspects.get(fingerprint)
@@ -412,7 +410,10 @@
             crashes.add(crash)
         if not crashes:
             del self._crashes_of[fingerprint]
-        self._blocked = None
+        if suspect.is_part:
+            self.parts.put(crash, suspect)
+        else:
+            self._blocked = None
 
     def _drop(self, crash: ids.CrashId) -> None:
         known_crash = self._crashes.pop(crash)
@@ -422,8 +423,14 @@
             crashes.discard(crash)
             if not crashes:
                 self._crashes_of.pop(fingerprint, None)
+            if suspect.is_part:
+                self.parts.discard(crash, ids.PartFingerprint(fingerprint))
         self._blocked = None
 
-    def _toggle_digest(self, crash: ids.CrashId, suspect: Suspect) -> None:
+    def _toggle_digest(
+        self, crash: ids.CrashId, suspect: crash_reports.Suspect
+    ) -> None:
         flags = f"{suspect.begun:d}{suspect.cleared:d}"
+        if suspect.is_part:
+            flags += f"{suspect.condemned:d}\0{suspect.carrier}"
         self._digests.toggle(crash, f"{crash}\0{suspect.fingerprint}\0{flags}")
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -1,21 +1,28 @@
 """Crashes, suspects and successful runs that one entry knows of.
 
-Load pattern: see `crash_ledger`. A successful run clears its request of one
-crash, whether the run ends before or after the request becomes a suspect, at
-this entry or at another one. Requests for popular content, which are in flight
-at every crash, therefore are not blocked, while a request that crashes replicas
-only sometimes is.
+Load pattern: see `crash_ledger` and `part_suspicion`. A successful run clears
+its request of one crash, whether the run ends before or after the request
+becomes a suspect, at this entry or at another one. Requests for popular
+content, which are in flight at every crash, therefore are not blocked, while a
+request that crashes replicas only sometimes is. A run that survives clears the
+parts of its prompt of all crashes until then.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import msgspec
 
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
+from marlramp.core import part_survivals
+from marlramp.core import part_suspicion
+from marlramp.core import possible_causes
+from marlramp.core import run_outcomes
 from marlramp.core import successful_runs
 
 ISOLATION_STRIKES = 1.0
@@ -26,16 +33,25 @@
 SINGLE_ATTEMPT_STRIKES = 2.0
 """Strikes from which a request is not sent to a second replica."""
 
+PARTS_PER_CRASH_MAX = 32
+"""Most parts that this entry adds to one crash."""
+
+CHANCE_MAX = 0.005
+"""Probability that a sound part loses as many runs in a row, up to which a part
+is condemned."""
+
 
 class BlockChanges(msgspec.Struct, frozen=True):
-    """Changes to the set of blocked requests.
+    """Changes to the set of blocked requests and parts of prompts.
 
     Attributes:
       blocked: newly blocked requests and the evidence against each.
-      released: requests that are no longer blocked.
+      parts: newly blocked parts and the evidence against each.
+      released: requests and parts that are no longer blocked.
     """
 
     blocked: dict[ids.Fingerprint, crash_ledger.Evidence]
+    parts: dict[ids.PartFingerprint, part_suspicion.PartEvidence]
     released: list[ids.Fingerprint]
 
 
@@ -46,6 +62,8 @@
         """Creates an empty record."""
         self.ledger = crash_ledger.CrashLedger()
         self._successes = successful_runs.SuccessfulRuns()
+        self._survivals = part_survivals.PartSurvivals()
+        self._outcomes = run_outcomes.RunOutcomes()
         self._changed: set[ids.CrashId] = set()
         self._reported_blocked: set[ids.Fingerprint] = set()
 
@@ -73,6 +91,45 @@
         self.ledger.add_suspect(crash, fingerprint, begun=begun, now_ms=now_ms)
         self._changed.add(crash)
 
+    def add_part_suspects(
+        self,
+        crash: ids.CrashId,
+        causes: possible_causes.PossibleCauses,
+        now_ms: clock.Millis,
+    ) -> None:
+        """Adds the parts of a request whose run a crash ended as it began.
+
+        Parts that survived a run here a short time ago are not added.
+
+        Args:
+          crash: the crash.
+          causes: the request and the parts of its prompt.
+          now_ms: the current time.
+        """
+        self._outcomes.record_lost(causes.parts, now_ms)
+        for part in causes.parts:
+            if self._survivals.clears(part, now_ms):
+                continue
+            if self.ledger.parts.count_at(crash) >= PARTS_PER_CRASH_MAX:
+                break
+            self.ledger.add_part(crash, part, causes.content, now_ms)
+            self._changed.add(crash)
+        self._condemn_parts(now_ms)
+
+    def record_survival(
+        self, parts: Sequence[ids.PartFingerprint], now_ms: clock.Millis
+    ) -> None:
+        """Records a run that was not ended by a crash as it began.
+
+        Args:
+          parts: the parts of its prompt.
+          now_ms: the current time.
+        """
+        self._outcomes.record_survived(now_ms)
+        self._survivals.record(parts, now_ms)
+        for part in parts:
+            self._changed.update(self.ledger.clear_all(part))
+
     def record_success(
         self, fingerprint: ids.Fingerprint, now_ms: clock.Millis
     ) -> None:
@@ -90,7 +147,7 @@
         return len(crashes)
 
     def merge(
-        self, crashes: Iterable[crash_ledger.Crash], now_ms: clock.Millis
+        self, crashes: Iterable[crash_reports.Crash], now_ms: clock.Millis
     ) -> bool:
         """Merges crashes that another process sent.
 
@@ -107,15 +164,38 @@
                 is_suspect = self.ledger.is_suspect(
                     crash.crash_id, suspect.fingerprint
                 )
-                if is_suspect and self._successes.try_spend(
-                    suspect.fingerprint, now_ms
-                ):
+                if is_suspect and self._is_cleared(crash, suspect, now_ms):
                     self.ledger.clear(crash.crash_id, suspect.fingerprint)
+        if is_new:
+            self._condemn_parts(now_ms)
         return is_new
 
+    def _is_cleared(
+        self,
+        crash: crash_reports.Crash,
+        suspect: crash_reports.Suspect,
+        now_ms: clock.Millis,
+    ) -> bool:
+        """Returns whether a run at this entry clears a received suspect."""
+        if not suspect.is_part:
+            return self._successes.try_spend(suspect.fingerprint, now_ms)
+        part = ids.PartFingerprint(suspect.fingerprint)
+        noticed_ms = self.ledger.noticed_ms(crash.crash_id)
+        return self._survivals.clears(part, noticed_ms)
+
+    def _condemn_parts(self, now_ms: clock.Millis) -> None:
+        """Condemns the parts that lost too many runs to be sound."""
+        for part, evidence in self.ledger.parts.candidates().items():
+            lost = self._outcomes.loss_probability(part, now_ms)
+            if lost**evidence.strikes <= CHANCE_MAX:
+                self._changed.update(self.ledger.condemn(part))
+
     def is_blocked(self, fingerprint: ids.Fingerprint) -> bool:
-        """Returns whether a request is blocked."""
-        return fingerprint in self.ledger.blocked()
+        """Returns whether a request or a part of prompts is blocked."""
+        return (
+            fingerprint in self.ledger.blocked()
+            or self.ledger.parts.is_condemned(fingerprint)
+        )
 
     def runs_alone(self, fingerprint: ids.Fingerprint) -> bool:
         """Returns whether a request is sent where the fewest others run."""
@@ -126,8 +206,9 @@
         return self.ledger.strikes(fingerprint) >= SINGLE_ATTEMPT_STRIKES
 
     def tick(self, now_ms: clock.Millis) -> None:
-        """Drops old crashes."""
+        """Drops old crashes, and judges parts by the latest runs."""
         self.ledger.tick(now_ms)
+        self._condemn_parts(now_ms)
 
     def pop_changed(self) -> set[ids.CrashId]:
         """Returns the crashes that changed since the previous call."""
@@ -135,13 +216,21 @@
         return changed
 
     def pop_block_changes(self) -> BlockChanges:
-        """Returns how the blocked requests changed since the previous call."""
-        now = self.ledger.blocked()
-        fresh = {
-            name: now[name]
-            for name in now
-            if name not in self._reported_blocked
-        }
-        released = sorted(self._reported_blocked - now.keys())
-        self._reported_blocked = set(now)
-        return BlockChanges(fresh, released)
+        """Returns what changed since the previous call."""
+        requests = self.ledger.blocked()
+        parts = self.ledger.parts.condemned()
+        reported = self._reported_blocked
+        self._reported_blocked = {*requests, *parts}
+        return BlockChanges(
+            {
+                name: evidence
+                for name, evidence in requests.items()
+                if name not in reported
+            },
+            {
+                name: evidence
+                for name, evidence in parts.items()
+                if name not in reported
+            },
+            sorted(reported - self._reported_blocked),
+        )
--- /dev/null
+++ b/src/marlramp/core/crash_reports.py
@@ -0,0 +1,72 @@
+"""Crashes and their suspects in the form that processes send to each other."""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import ids
+
+
+class Suspect(msgspec.Struct, frozen=True, array_like=True):
+    """A possible cause of a crash: a request, or a part of its prompt.
+
+    Attributes:
+      fingerprint: the request's content, or the part.
+      begun: whether the request had returned part of its answer, which gives it
+        only `crash_ledger.PARTIAL_ANSWER_STRIKE`. False for a part.
+      cleared: whether a successful run or an operator cleared the suspect of
+        this crash.
+      carrier: for a part, a request in flight at the crash that had it in its
+        prompt; the least fingerprint if there were several. "" for a request.
+      condemned: for a part, whether an entry found it to be the cause.
+    """
+
+    fingerprint: ids.Fingerprint
+    begun: bool
+    cleared: bool = False
+    carrier: str = ""
+    condemned: bool = False
+
+    @property
+    def is_part(self) -> bool:
+        """Whether the suspect is a part of a prompt."""
+        return bool(self.carrier)
+
+    def merged(self, other: Suspect) -> Suspect:
+        """Returns the suspect with the knowledge of two processes combined.
+
+        A request counts as begun only if both processes report so, so that
+        it gets the full strike if they differ.
+        """
+        return Suspect(
+            self.fingerprint,
+            self.begun and other.begun,
+            self.cleared or other.cleared,
+            min(self.carrier, other.carrier),
+            self.condemned or other.condemned,
+        )
+
+
+class Crash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a replica.
+
+    Attributes:
+      crash_id: the replica and the start of the run that the crash ended.
+      age_ms: time since the crash was first noticed.
+      suspects: the requests that were in flight at the replica, and parts of
+        their prompts.
+    """
+
+    crash_id: ids.CrashId
+    age_ms: float
+    suspects: list[Suspect]
+
+
+def crash_id(replica_id: str, born_ms: int | None) -> ids.CrashId:
+    """Returns the id of the crash that ends one run of a replica.
+
+    Args:
+      replica_id: the replica.
+      born_ms: Unix time in ms at which the run started, None if unknown.
+    """
+    return ids.CrashId(f"{replica_id}@{born_ms or 0}")
--- /dev/null
+++ b/src/marlramp/core/part_suspicion.py
@@ -0,0 +1,123 @@
+"""Evidence that a part of prompts is the cause of crashes.
+
+Load pattern: requests of which no two are alike share a part of their prompts,
+and each replica that begins to write an answer on this part crashes. Parts that
+stand beside it, such as the first part that all requests of a route share, are
+in flight at the same crashes. Sound parts are told from the culprit by runs
+that survive, see `part_survivals`, which clear a part of all its crashes.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from marlramp import ids
+from marlramp.core import crash_reports
+
+STRIKES_MIN = 3
+"""Least number of crashes for which a part may be condemned."""
+
+CARRIERS_MIN = 2
+"""Least number of different requests that had the part at its crashes. A single
+request that is sent again is condemned by its own content."""
+
+LEADING_SHARE_MIN = 0.5
+"""Least share of a part's crashes at which no other suspected part has more
+strikes. Parts that were in flight beside the culprit have fewer."""
+
+
+class PartEvidence(msgspec.Struct, frozen=True):
+    """The evidence against a part.
+
+    Attributes:
+      strikes: number of crashes that the part is a suspect of.
+      carriers: number of different requests that had the part there.
+      crash_ids: these crashes.
+    """
+
+    strikes: int
+    carriers: int
+    crash_ids: list[ids.CrashId]
+
+
+class PartSuspects:
+    """The parts that are suspects of crashes that they are not cleared of."""
+
+    def __init__(self) -> None:
+        """Starts without suspects."""
+        # The carrier of each part at each of its crashes.
+        self._carriers: dict[ids.PartFingerprint, dict[ids.CrashId, str]] = {}
+        self._parts_at: dict[ids.CrashId, set[ids.PartFingerprint]] = {}
+        self._frequent: set[ids.PartFingerprint] = set()
+        self._condemned: set[ids.PartFingerprint] = set()
+
+    def put(self, crash: ids.CrashId, suspect: crash_reports.Suspect) -> None:
+        """Adds or updates a suspect; one that was cleared is removed."""
+        part = ids.PartFingerprint(suspect.fingerprint)
+        if suspect.cleared:
+            self.discard(crash, part)
+            return
+        crashes = self._carriers.setdefault(part, {})
+        crashes[crash] = suspect.carrier
+        self._parts_at.setdefault(crash, set()).add(part)
+        if len(crashes) >= STRIKES_MIN:
+            self._frequent.add(part)
+        if suspect.condemned:
+            self._condemned.add(part)
+
+    def discard(self, crash: ids.CrashId, part: ids.PartFingerprint) -> None:
+        """Removes a part from the suspects of a crash."""
+        crashes = self._carriers.get(part, {})
+        if crashes.pop(crash, None) is None:
+            return
+        self._parts_at[crash].discard(part)
+        if not self._parts_at[crash]:
+            del self._parts_at[crash]
+        if len(crashes) < STRIKES_MIN:
+            self._frequent.discard(part)
+        if not crashes:
+            del self._carriers[part]
+            self._condemned.discard(part)
+
+    def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
+        """Returns whether this is a part that is a suspect of a crash."""
+        return fingerprint in self._carriers
+
+    def count_at(self, crash: ids.CrashId) -> int:
+        """Returns how many parts are suspects of a crash."""
+        return len(self._parts_at.get(crash, ()))
+
+    def is_condemned(self, fingerprint: ids.Fingerprint) -> bool:
+        """Returns whether an entry found a part to be the cause."""
+        return fingerprint in self._condemned
+
+    def condemned(self) -> dict[ids.PartFingerprint, PartEvidence]:
+        """Returns the condemned parts and the evidence against each."""
+        return {part: self._evidence(part) for part in sorted(self._condemned)}
+
+    def candidates(self) -> dict[ids.PartFingerprint, PartEvidence]:
+        """Returns the parts that may be condemned and are not yet."""
+        found = {}
+        for part in sorted(self._frequent - self._condemned):
+            evidence = self._evidence(part)
+            if evidence.carriers >= CARRIERS_MIN and self._leads(part):
+                found[part] = evidence
+        return found
+
+    def _leads(self, part: ids.PartFingerprint) -> bool:
+        """Returns whether no other part explains most crashes better."""
+        crashes = self._carriers[part]
+        led = sum(
+            all(
+                len(self._carriers[other]) <= len(crashes)
+                for other in self._parts_at[crash]
+            )
+            for crash in crashes
+        )
+        return led >= LEADING_SHARE_MIN * len(crashes)
+
+    def _evidence(self, part: ids.PartFingerprint) -> PartEvidence:
+        crashes = self._carriers[part]
+        return PartEvidence(
+            len(crashes), len(set(crashes.values())), sorted(crashes)
+        )
--- a/src/marlramp/ids.py
+++ b/src/marlramp/ids.py
@@ -11,7 +11,11 @@
 RequestId = NewType("RequestId", str)
 VersionId = NewType("VersionId", str)
 Fingerprint = NewType("Fingerprint", str)
-"""Content of a request, the same for each attempt; 16 hexadecimal digits."""
+"""Possible cause of a crash, the same for each request that has it: the content
+of a request as 16 hexadecimal digits, or a `PartFingerprint`."""
+
+PartFingerprint = NewType("PartFingerprint", Fingerprint)
+"""Part of the prompts for one model, "MODEL/ID"."""
 
 CrashId = NewType("CrashId", str)
 """End of one start of a replica, "ID@BORN" with the start in Unix ms."""
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from marlramp.core import catalog
-from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import named_versions
@@ -112,7 +112,7 @@
       answers: whether they answer a request.
     """
 
-    crashes: list[crash_ledger.Crash]
+    crashes: list[crash_reports.Crash]
     answers: bool = False
 
 
--- a/tests/core/test_crash_ledger.py
+++ b/tests/core/test_crash_ledger.py
@@ -11,6 +11,7 @@
 from marlramp import ids
 from marlramp.core import crash_ledger
 from marlramp.core import crash_record
+from marlramp.core import crash_reports
 
 CULPRIT = ids.Fingerprint("culprit")
 NOW_MS = clock.Millis(1_000.0)
@@ -20,7 +21,7 @@
 
 
 def crash(number: int) -> ids.CrashId:
-    return crash_ledger.crash_id(f"i-{number}", 1)
+    return crash_reports.crash_id(f"i-{number}", 1)
 
 
 def innocent(number: int) -> ids.Fingerprint:
@@ -119,8 +120,8 @@
 def test_one_crash_reported_by_several_entries_is_one_strike(
     record: crash_record.CrashRecord,
 ) -> None:
-    sent = crash_ledger.Crash(
-        crash(0), 50.0, [crash_ledger.Suspect(CULPRIT, begun=True)]
+    sent = crash_reports.Crash(
+        crash(0), 50.0, [crash_reports.Suspect(CULPRIT, begun=True)]
     )
     for _ in range(4):
         record.merge([sent], NOW_MS)
@@ -133,7 +134,7 @@
 ) -> None:
     for born_ms in (1, 2):
         record.add_suspect(
-            crash_ledger.crash_id("i-0", born_ms),
+            crash_reports.crash_id("i-0", born_ms),
             CULPRIT,
             begun=False,
             now_ms=NOW_MS,
@@ -145,7 +146,7 @@
 def test_ledgers_agree_for_any_order_of_updates(seed: int) -> None:
     rng = random.Random(seed)
     records = [crash_record.CrashRecord() for _ in range(3)]
-    sent: list[crash_ledger.Crash] = []
+    sent: list[crash_reports.Crash] = []
     for number, one in itertools.product(range(6), records):
         add_suspects(one, number, CULPRIT, innocent(rng.randrange(4)))
         if rng.random() < 0.3:
--- /dev/null
+++ b/tests/core/test_part_suspicion.py
@@ -0,0 +1,250 @@
+"""Parts of prompts as the cause of crashes."""
+
+from __future__ import annotations
+
+import itertools
+import random
+
+import pytest
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import crash_record
+from marlramp.core import crash_reports
+from marlramp.core import possible_causes
+from marlramp.core import run_outcomes
+
+NOW_MS = clock.Millis(100_000.0)
+FIRST = possible_causes.part_fingerprint("m", "f0")
+CULPRIT = possible_causes.part_fingerprint("m", "c0")
+BESIDE = possible_causes.part_fingerprint("m", "b0")
+OTHER = possible_causes.part_fingerprint("m", "a0")
+
+CRASHES_MAX = 5
+"""Crashes up to which a part that causes all of them is condemned."""
+
+
+def at(milliseconds: float) -> clock.Millis:
+    """Returns a time after `NOW_MS`."""
+    return clock.Millis(NOW_MS + milliseconds)
+
+
+def crash(number: int) -> ids.CrashId:
+    return crash_reports.crash_id(f"i-{number}", 1)
+
+
+def causes(
+    number: int, *parts: ids.PartFingerprint
+) -> possible_causes.PossibleCauses:
+    """Returns a request of its own content with some parts."""
+    return possible_causes.PossibleCauses(
+        ids.Fingerprint(f"request-{number}"), parts
+    )
+
+
+def condemned(
+    record: crash_record.CrashRecord,
+) -> set[ids.PartFingerprint]:
+    return set(record.ledger.parts.condemned())
+
+
+@pytest.fixture
+def record() -> crash_record.CrashRecord:
+    """A record of an entry that has just started."""
+    return crash_record.CrashRecord()
+
+
+@pytest.fixture
+def used_record() -> crash_record.CrashRecord:
+    """A record of an entry at which 20 runs with another part survived."""
+    record = crash_record.CrashRecord()
+    for _ in range(20):
+        record.record_survival((OTHER,), NOW_MS)
+    return record
+
+
+def test_part_of_all_lost_runs_is_condemned_without_other_runs(
+    record: crash_record.CrashRecord,
+) -> None:
+    for number in range(CRASHES_MAX):
+        assert not record.is_blocked(CULPRIT)
+        now_ms = at(10_000.0 * number)
+        record.add_part_suspects(crash(number), causes(number, CULPRIT), now_ms)
+    assert condemned(record) == {CULPRIT}
+    assert record.is_blocked(CULPRIT)
+    evidence = record.ledger.parts.condemned()[CULPRIT]
+    assert evidence.strikes == evidence.carriers == CRASHES_MAX
+
+
+def test_part_is_condemned_sooner_where_most_runs_survive(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for number in range(3):
+        assert not used_record.is_blocked(CULPRIT)
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), NOW_MS
+        )
+    assert used_record.is_blocked(CULPRIT)
+
+
+def test_first_part_that_sound_requests_share_is_not_condemned(
+    record: crash_record.CrashRecord,
+) -> None:
+    for number in range(20):
+        now_ms = at(300.0 * number)
+        record.record_survival((FIRST,), now_ms)
+        record.add_part_suspects(
+            crash(number), causes(number, FIRST, CULPRIT), now_ms
+        )
+    assert condemned(record) == {CULPRIT}
+
+
+def test_survival_clears_a_part_of_crashes_at_other_entries() -> None:
+    records = [crash_record.CrashRecord() for _ in range(2)]
+    for number in range(2 * CRASHES_MAX):
+        for record in records:
+            record.add_part_suspects(
+                crash(number), causes(number, FIRST, CULPRIT), NOW_MS
+            )
+    assert condemned(records[0]) == {FIRST, CULPRIT}
+    records[1].record_survival((FIRST,), at(50.0))
+    exported = records[1].ledger.export(
+        [crash(number) for number in range(2 * CRASHES_MAX)], at(50.0)
+    )
+    records[0].merge(exported, at(60.0))
+    assert condemned(records[0]) == {CULPRIT}
+
+
+def test_survival_clears_a_part_of_an_older_crash_that_is_learnt_late(
+    record: crash_record.CrashRecord,
+) -> None:
+    record.record_survival((FIRST,), NOW_MS)
+    suspect = crash_reports.Suspect(FIRST, begun=False, carrier="request-1")
+    old = crash_reports.Crash(crash(1), 5_000.0, [suspect])
+    new = crash_reports.Crash(crash(2), 0.0, [suspect])
+    record.merge([old, new], at(3_000.0))
+    assert record.ledger.suspects() == {FIRST: [crash(2)]}
+
+
+def test_survivals_before_a_part_turned_bad_do_not_save_it(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for _ in range(100):
+        used_record.record_survival((CULPRIT,), NOW_MS)
+    for number in range(CRASHES_MAX):
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), at(1_500.0 + number)
+        )
+    assert used_record.is_blocked(CULPRIT)
+
+
+def test_parts_of_one_request_that_is_sent_again_are_not_condemned(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for number in range(10):
+        used_record.add_part_suspects(crash(number), causes(1, BESIDE), NOW_MS)
+    assert not used_record.is_blocked(BESIDE)
+
+
+def test_part_that_was_beside_the_culprit_is_not_condemned(
+    record: crash_record.CrashRecord,
+) -> None:
+    for number in range(4):
+        record.add_part_suspects(crash(number), causes(number, CULPRIT), NOW_MS)
+    for number in range(4, 8):
+        record.add_part_suspects(
+            crash(number), causes(number, CULPRIT, BESIDE), NOW_MS
+        )
+        record.add_part_suspects(
+            crash(number), causes(100 + number, BESIDE), NOW_MS
+        )
+    assert condemned(record) == {CULPRIT}
+
+
+def test_crashes_of_all_replicas_after_a_start_condemn_no_part(
+    record: crash_record.CrashRecord,
+) -> None:
+    for number in range(14):
+        for other in range(6):
+            name = 100 * number + other
+            rare = possible_causes.part_fingerprint("m", f"{name:x}")
+            record.add_part_suspects(crash(number), causes(name, rare), NOW_MS)
+        record.add_part_suspects(crash(number), causes(number, FIRST), NOW_MS)
+    assert not record.is_blocked(FIRST)
+
+
+def test_condemned_part_is_blocked_by_entries_that_know_no_runs(
+    used_record: crash_record.CrashRecord, record: crash_record.CrashRecord
+) -> None:
+    for number in range(3):
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), NOW_MS
+        )
+    exported = used_record.ledger.export(
+        [crash(number) for number in range(3)], NOW_MS
+    )
+    record.merge(exported, NOW_MS)
+    assert record.is_blocked(CULPRIT)
+    assert record.ledger.digest() == used_record.ledger.digest()
+
+
+def test_operator_releases_a_part(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for number in range(3):
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), NOW_MS
+        )
+    changes = used_record.pop_block_changes()
+    assert set(changes.parts) == {CULPRIT}
+    assert used_record.clear(CULPRIT) == 3
+    assert used_record.pop_block_changes().released == [CULPRIT]
+
+
+def test_condemned_part_outlives_the_age_of_crashes(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for number in range(3):
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), NOW_MS
+        )
+    used_record.add_part_suspects(crash(9), causes(9, BESIDE), NOW_MS)
+    used_record.tick(at(3_600_000.0))
+    assert used_record.is_blocked(CULPRIT)
+    assert set(used_record.ledger.suspects()) == {CULPRIT}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_ledgers_agree_on_parts_for_any_order_of_updates(seed: int) -> None:
+    rng = random.Random(seed)
+    records = [crash_record.CrashRecord() for _ in range(3)]
+    crashes = [crash(number) for number in range(8)]
+    for number, record in itertools.product(range(8), records):
+        found = causes(rng.randrange(20), CULPRIT, BESIDE)
+        record.add_part_suspects(crashes[number], found, NOW_MS)
+        if rng.random() < 0.2:
+            record.record_survival((BESIDE,), at(number))
+    # The second round spreads what the first one made an entry condemn.
+    for _ in range(2):
+        sent = [
+            each
+            for record in records
+            for each in record.ledger.export(crashes, NOW_MS)
+        ]
+        for record in records:
+            rng.shuffle(sent)
+            record.merge(sent, NOW_MS)
+    assert len({record.ledger.digest() for record in records}) == 1
+    assert all(CULPRIT in condemned(record) for record in records)
+
+
+def test_runs_count_for_a_limited_time() -> None:
+    outcomes = run_outcomes.RunOutcomes()
+    fresh = outcomes.loss_probability(CULPRIT, NOW_MS)
+    for _ in range(30):
+        outcomes.record_survived(NOW_MS)
+        outcomes.record_lost((CULPRIT,), NOW_MS)
+    assert outcomes.loss_probability(CULPRIT, NOW_MS) < 0.05
+    assert outcomes.loss_probability(BESIDE, NOW_MS) > 0.4
+    later_ms = at(run_outcomes.WINDOW_MS + run_outcomes.BUCKET_MS)
+    assert outcomes.loss_probability(CULPRIT, later_ms) == fresh
--- a/tests/direct/fleet/test_crash_backup.py
+++ b/tests/direct/fleet/test_crash_backup.py
@@ -10,6 +10,7 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.core import members
 from marlramp.direct.fleet import crash_backup
 from marlramp.direct.fleet import entry_contacts
@@ -77,9 +78,9 @@
     return BackupAgent(time)
 
 
-def crash(number: int) -> crash_ledger.Crash:
-    suspect = crash_ledger.Suspect(CULPRIT, begun=False)
-    return crash_ledger.Crash(ids.CrashId(f"i-{number}@1"), 0.0, [suspect])
+def crash(number: int) -> crash_reports.Crash:
+    suspect = crash_reports.Suspect(CULPRIT, begun=False)
+    return crash_reports.Crash(ids.CrashId(f"i-{number}@1"), 0.0, [suspect])
 
 
 def test_entry_that_knows_no_crash_is_sent_all(agent: BackupAgent) -> None:
--- a/tests/direct/fleet/test_crash_sharing.py
+++ b/tests/direct/fleet/test_crash_sharing.py
@@ -6,6 +6,7 @@
 
 from marlramp import ids
 from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.direct.fleet import crash_sync
 from marlramp.protocol import fleet_messages
 from tests.direct.fleet import virtual_fleet
@@ -50,19 +51,21 @@
 
 def crash(
     fleet: virtual_fleet.VirtualFleet, name: str, number: int
-) -> crash_ledger.Crash:
+) -> crash_reports.Crash:
     """Records at one entry a crash with the culprit in flight."""
-    crash_id = crash_ledger.crash_id(f"i-{number}", 1)
+    crash_id = crash_reports.crash_id(f"i-{number}", 1)
     fleet.entries[name].crashes.add_suspect(
         crash_id, CULPRIT, begun=False, now_ms=fleet.time.now_ms()
     )
-    return crash_ledger.Crash(
-        crash_id, 0.0, [crash_ledger.Suspect(CULPRIT, begun=False)]
+    return crash_reports.Crash(
+        crash_id, 0.0, [crash_reports.Suspect(CULPRIT, begun=False)]
     )
 
 
 def notify_agent(
-    fleet: virtual_fleet.VirtualFleet, number: int, reported: crash_ledger.Crash
+    fleet: virtual_fleet.VirtualFleet,
+    number: int,
+    reported: crash_reports.Crash,
 ) -> None:
     """Sends an agent a crash, as it is sent to some agents at once."""
     message = fleet_messages.CrashNews(crashes=[reported])
@@ -141,10 +144,10 @@
     for number in range(AGENTS):
         fleet.start_agent(number)
     reported = [
-        crash_ledger.Crash(
-            crash_ledger.crash_id(f"i-{number}", 1),
+        crash_reports.Crash(
+            crash_reports.crash_id(f"i-{number}", 1),
             0.0,
-            [crash_ledger.Suspect(CULPRIT, begun=False)],
+            [crash_reports.Suspect(CULPRIT, begun=False)],
         )
         for number in range(3)
     ]
@@ -157,14 +160,14 @@
     assert entries_without_block(fleet) == []
 
 
-def _full_ledger(prefix: str) -> list[crash_ledger.Crash]:
+def _full_ledger(prefix: str) -> list[crash_reports.Crash]:
     """Returns as many crashes as a ledger may hold."""
     return [
-        crash_ledger.Crash(
-            crash_ledger.crash_id(f"{prefix}-{number}", 1),
+        crash_reports.Crash(
+            crash_reports.crash_id(f"{prefix}-{number}", 1),
             0.0,
             [
-                crash_ledger.Suspect(
+                crash_reports.Suspect(
                     ids.Fingerprint(f"{number:08x}{n:08x}"), begun=False
                 )
                 for n in range(SUSPECTS)
--- a/tests/direct/fleet/test_crash_sync.py
+++ b/tests/direct/fleet/test_crash_sync.py
@@ -6,6 +6,7 @@
 
 from marlramp import ids
 from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.protocol import fleet_messages
 from tests.direct.fleet import virtual_fleet
 
@@ -22,7 +23,7 @@
 
 def crash(fleet: virtual_fleet.VirtualFleet, name: str, number: int) -> None:
     """Records at one entry a crash with the culprit and others in flight."""
-    crash_id = crash_ledger.crash_id(f"i-{number}", 1)
+    crash_id = crash_reports.crash_id(f"i-{number}", 1)
     others = [ids.Fingerprint(f"{number}-{n}") for n in range(OTHERS)]
     for request in (CULPRIT, *others):
         fleet.entries[name].crashes.add_suspect(
@@ -157,7 +158,7 @@
     for number in range(3):
         crash(fleet, f"entry-{number}", number)
     for number in range(3, 300):
-        crash_id = crash_ledger.crash_id(f"x-{number}", 1)
+        crash_id = crash_reports.crash_id(f"x-{number}", 1)
         fleet.entries["entry-0"].crashes.add_suspect(
             crash_id,
             ids.Fingerprint(f"x-{number}"),
