Refuse requests with a part of prompts that crashes replicas

Cause: a failure was laid to the whole content of a request, while its cause was one part of the prompt; and an answer without a marked end that a crash ended counted as whole, so that the crash was no strike and the caller got a cut stream as complete.

Entries lay a crash to the parts of the requests that were beginning at the replica (no event yet, or the first less than 500 ms before). Requests with a condemned part are refused at once (503, not run, no Retry-After), taken back where they wait, and not written after the verdict. An answer whose end only the end of its connection marks is whole if its replica still listens, and broken off otherwise; a stream of that kind without an event never is. Attempts that wait for a replica's list are bounded.

--- a/src/marlramp/console/commands/crashes.py
+++ b/src/marlramp/console/commands/crashes.py
@@ -1,4 +1,4 @@
-"""`marlramp crashes`: requests that crash the replicas that run them."""
+"""`marlramp crashes`: requests and parts of prompts that crash replicas."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 def _cells(row: crash_pages.SuspectRow) -> tuple[object, ...]:
     return (
         row.fingerprint,
+        "part" if row.part else "request",
         "yes" if row.condemned else "no",
         row.strikes,
         " ".join(row.crashes),
@@ -29,8 +30,8 @@
 _PAGE = page_client.TablePage(
     crash_pages.CRASHES_PATH,
     list[crash_pages.SuspectRow],
-    "Requests suspected of crashes",
-    ["fingerprint", "condemned", "strikes", "crashes"],
+    "Suspects of crashes",
+    ["fingerprint", "kind", "condemned", "strikes", "crashes"],
     _cells,
 )
 
@@ -41,11 +42,12 @@
     release: str = "",
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show requests suspected of crashes, or have one run again.
+    """Show what is suspected of crashes, or have it run again.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
-      release: fingerprint of a request that all entries are to run again.
+      release: fingerprint of a request, or a part of prompts as MODEL/ID, that
+        all entries are to run again.
       json: print JSON, for scripts.
     """
     if release:
--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -34,12 +34,14 @@
       answer: head of the answer, None if none arrived.
       body: complete body of a plain answer, empty for a stream.
       loss: how the connection was lost, None if it was not lost.
+      streamed: whether the answer is a stream, whose events were forwarded.
     """
 
     failure: errors.CallError | None
     answer: wire.ReplicaAnswer | None = None
     body: bytes = b""
     loss: http1_client.LossKind | None = None
+    streamed: bool = False
 
 
 class Observer(Protocol):
@@ -58,6 +60,15 @@
         ...
 
 
+def broken_off() -> Outcome:
+    """Returns the outcome of an answer that ended early as if it were whole."""
+    kind = http1_client.LossKind.CLOSED
+    failure = errors.CallError(
+        errors.ErrorKind.ANSWER_INCOMPLETE, kind.value, ran=errors.Ran.UNKNOWN
+    )
+    return Outcome(failure=failure, loss=kind)
+
+
 def _failure(kind: errors.ErrorKind, detail: str, ran: errors.Ran) -> Outcome:
     return Outcome(failure=errors.CallError(kind, detail, ran=ran))
 
@@ -312,14 +323,15 @@
             self._observer.on_event()
 
     def on_complete(self) -> None:
-        """Ends the stream, or reports a loss if its last event is partial."""
+        """Finishes the attempt, as lost if the last event is partial.
+
+        So is a stream that has no event, and no marked end either.
+        """
         if not self._streams or self._answer is None:
             super().on_complete()
             return
-        if self._relay.splitter.partial:
+        empty = not self._answer.delimited and not self._relay.started
+        if self._relay.splitter.partial or empty:
             self.on_lost(http1_client.LossKind.CLOSED)
             return
-        if self.finished.done():
-            return
-        self._relay.end(self._answer)
-        self._finish(Outcome(failure=None, answer=self._answer))
+        self._finish(Outcome(failure=None, answer=self._answer, streamed=True))
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -5,9 +5,9 @@
 import functools
 
 from marlramp import clock
-from marlramp import ids
 from marlramp.core import caller_timeout
 from marlramp.core import fleet
+from marlramp.core import possible_causes
 from marlramp.core import request_fingerprint
 from marlramp.core import send_limit
 from marlramp.direct.calls import attempts
@@ -81,16 +81,25 @@
         self.suspected = False
 
     @functools.cached_property
-    def fingerprint(self) -> ids.Fingerprint:
-        """Identifies the request when it is sent again."""
+    def causes(self) -> possible_causes.PossibleCauses:
+        """What of the request may be the cause of a crash."""
         customer = self.customer
-        return request_fingerprint.fingerprint(
+        content = request_fingerprint.fingerprint(
             self.request.method,
             self.info.host,
             self.request.target,
             None if customer is None else customer.customer_id,
             self.request.body,
         )
+        engine = self.service.engine
+        scope = self.service.service_id if engine is None else engine.model
+        return possible_causes.PossibleCauses(
+            content,
+            tuple(
+                possible_causes.part_fingerprint(scope, part)
+                for part in self.info.shared_parts
+            ),
+        )
 
     def expected_events(self) -> float:
         """Returns how many more events the answer is expected to have."""
--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Protocol
@@ -19,9 +20,10 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import crash_ledger
 from marlramp.core import crash_record
+from marlramp.core import crash_reports
 from marlramp.core import fleet
+from marlramp.core import possible_causes
 from marlramp.core import replica_view
 from marlramp.shell import address_probe
 
@@ -33,6 +35,13 @@
 """Longest time that a lost attempt at an unreachable replica waits for the
 replica list to show that the replica is gone."""
 
+PENDING_MAX = 4_096
+"""Most such attempts; the earliest ones are dropped first."""
+
+BEGINNING_MS = 500.0
+"""Time after the first event for which a run counts as beginning. A run that a
+crash ends later was not ended by a part of its own prompt."""
+
 
 class Probe(Protocol):
     """Checks whether a process listens at an address."""
@@ -46,20 +55,31 @@
     """An attempt whose connection to a replica was lost.
 
     Attributes:
-      fingerprint: the request's fingerprint.
+      causes: the request as a suspect.
       replica_id: the replica's id.
       crash_id: the crash that the request is a suspect of if the replica
         crashed.
-      begun: whether a part of the answer had arrived.
+      writing_ms: time from the first event to the loss, None if no event had
+        arrived.
       lost_ms: clock reading when the connection was lost.
     """
 
-    fingerprint: ids.Fingerprint
+    causes: possible_causes.PossibleCauses
     replica_id: str
     crash_id: ids.CrashId
-    begun: bool
+    writing_ms: float | None
     lost_ms: float
 
+    @property
+    def begun(self) -> bool:
+        """Whether a part of the answer had arrived."""
+        return self.writing_ms is not None
+
+    @property
+    def beginning(self) -> bool:
+        """Whether the run had not begun or was beginning."""
+        return self.writing_ms is None or self.writing_ms < BEGINNING_MS
+
 
 class CrashDetector:
     """Detects crashes, and restricts the requests that are suspects of them."""
@@ -90,37 +110,59 @@
             ids.CrashId, asyncio.Task[address_probe.Presence]
         ] = {}
         self._lost_tasks: set[asyncio.Task[None]] = set()
-        self._pending: list[LostAttempt] = []
+        self._pending: collections.deque[LostAttempt] = collections.deque(
+            maxlen=PENDING_MAX
+        )
 
     # Restrictions of suspects.
 
-    def is_blocked(self, fingerprint: ids.Fingerprint) -> bool:
+    def is_blocked(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request must not run again."""
-        return self._record.is_blocked(fingerprint)
+        return any(map(self._record.is_blocked, causes))
 
-    def runs_alone(self, fingerprint: ids.Fingerprint) -> bool:
+    def runs_alone(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request must run isolated.
 
         It then goes to the replica with the fewest other requests.
         """
-        return self._record.runs_alone(fingerprint)
+        return any(map(self._record.runs_alone, causes))
 
-    def runs_once(self, fingerprint: ids.Fingerprint) -> bool:
+    def runs_once(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request may run at one replica at most."""
-        return self._record.runs_once(fingerprint)
+        return any(map(self._record.runs_once, causes))
 
     # Ends of attempts and replicas.
 
-    def record_success(self, fingerprint: ids.Fingerprint) -> None:
+    def record_success(self, causes: possible_causes.PossibleCauses) -> None:
         """Records that a request ran without a crash."""
-        self._record.record_success(fingerprint, self._clock.now_ms())
+        self._record.record_success(causes.content, self._clock.now_ms())
+
+    def record_survival(self, causes: possible_causes.PossibleCauses) -> None:
+        """Records that a run was not ended by a crash as it began."""
+        if causes.parts:
+            now_ms = self._clock.now_ms()
+            self._record.record_survival(causes.parts, now_ms)
+
+    async def answer_is_whole(self, view: replica_view.ReplicaView) -> bool:
+        """Returns whether an answer whose end was not marked is whole.
+
+        It ended with its connection, as it also does if the replica crashes. A
+        replica that leaves may exit after its last answer.
+
+        Args:
+          view: the replica.
+        """
+        if view.replica.state is not fleet.ReplicaState.HEALTHY:
+            return True
+        presence = await self._presence(_crash_id(view), view.replica.address)
+        return presence is address_probe.Presence.THERE
 
     async def handle_loss(
         self,
-        fingerprint: ids.Fingerprint,
+        causes: possible_causes.PossibleCauses,
         view: replica_view.ReplicaView,
         *,
-        begun: bool,
+        writing_ms: float | None,
     ) -> None:
         """Handles the loss of a request's connection to a replica.
 
@@ -129,18 +171,19 @@
         that the few suspects do not delay them.
 
         Args:
-          fingerprint: the request's fingerprint.
+          causes: the request as a suspect.
           view: the replica.
-          begun: whether a part of the answer had arrived.
+          writing_ms: time from the first event to the loss, None if no event
+            had arrived.
         """
         if view.replica.state is not fleet.ReplicaState.HEALTHY:
             # A replica that leaves may exit before its last requests end.
             return
         lost = LostAttempt(
-            fingerprint,
+            causes,
             view.replica.replica_id,
-            crash_ledger.crash_id(view.replica.replica_id, view.born_ms),
-            begun,
+            _crash_id(view),
+            writing_ms,
             self._clock.now_ms(),
         )
         lost_task = asyncio.create_task(
@@ -148,7 +191,7 @@
         )
         self._lost_tasks.add(lost_task)
         lost_task.add_done_callback(self._lost_tasks.discard)
-        if self._record.runs_alone(fingerprint):
+        if self.runs_alone(causes):
             timeout_s = PROBE_WAIT_MAX_MS / clock.MILLIS_PER_SECOND
             await asyncio.wait([lost_task], timeout=timeout_s)
 
@@ -156,7 +199,8 @@
         """Records crashes at replicas that are gone or were restarted."""
         gone = set(replica_ids)
         horizon_ms = self._clock.now_ms() - PENDING_MAX_MS
-        pending, self._pending = self._pending, []
+        pending = list(self._pending)
+        self._pending.clear()
         for lost in pending:
             if lost.lost_ms < horizon_ms:
                 continue
@@ -166,12 +210,7 @@
                 self._pending.append(lost)
 
     async def _probe_replica(self, lost: LostAttempt, address: str) -> None:
-        task = self._probes.get(lost.crash_id)
-        if task is None:
-            task = asyncio.create_task(self._probe(address))
-            self._probes[lost.crash_id] = task
-            task.add_done_callback(lambda _: self._forget_probe(lost.crash_id))
-        match await task:
+        match await self._presence(lost.crash_id, address):
             case address_probe.Presence.GONE:
                 self._record_suspect(lost)
             case address_probe.Presence.UNKNOWN:
@@ -180,22 +219,44 @@
             case address_probe.Presence.THERE:
                 self._totals.add(counters.CounterName.CRASHES, "no_crash")
 
+    async def _presence(
+        self, crash: ids.CrashId, address: str
+    ) -> address_probe.Presence:
+        """Probes a replica once for all answers that end at the same time."""
+        task = self._probes.get(crash)
+        if task is None:
+            task = asyncio.create_task(self._probe(address))
+            self._probes[crash] = task
+            task.add_done_callback(lambda _: self._forget_probe(crash))
+        # Other answers wait for the probe too, also if this caller leaves.
+        return await asyncio.shield(task)
+
     def _forget_probe(self, crash: ids.CrashId) -> None:
         del self._probes[crash]
 
     def _record_suspect(self, lost: LostAttempt) -> None:
         self._totals.add(counters.CounterName.CRASHES, "suspect")
+        content = lost.causes.content
+        now_ms = self._clock.now_ms()
         self._record.add_suspect(
-            lost.crash_id,
-            lost.fingerprint,
-            begun=lost.begun,
-            now_ms=self._clock.now_ms(),
+            lost.crash_id, content, begun=lost.begun, now_ms=now_ms
         )
+        if lost.beginning and lost.causes.parts:
+            self._record.add_part_suspects(lost.crash_id, lost.causes, now_ms)
         self._on_crash()
+        strikes = self._record.ledger.strikes
         logs.log(
             "crash_suspected",
             replica=lost.replica_id,
-            fingerprint=lost.fingerprint,
+            fingerprint=content,
             begun=lost.begun,
-            strikes=self._record.ledger.strikes(lost.fingerprint),
+            strikes=strikes(content),
+            parts=",".join(
+                f"{part}:{strikes(part):.0f}" for part in lost.causes.parts
+            ),
+            beginning=lost.beginning,
         )
+
+
+def _crash_id(view: replica_view.ReplicaView) -> ids.CrashId:
+    return crash_reports.crash_id(view.replica.replica_id, view.born_ms)
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -113,7 +113,7 @@
         )
         self._sender = sender.Sender(
             codec,
-            crashes.is_blocked,
+            crashes,
             limits,
             self._signals,
             self._selector,
@@ -232,7 +232,7 @@
     async def _run(self, call: call_module.Call) -> None:
         while True:
             self._refuse_blocked(call)
-            call.suspected = self._crashes.runs_alone(call.fingerprint)
+            call.suspected = self._crashes.runs_alone(call.causes)
             choice = await self._selector.choose(call)
             result = await self._sender.send(call, choice)
             if result.unsent:
@@ -264,7 +264,7 @@
             return None
         if call.left_ms(now_ms) <= 0 or call.may_have_left(now_ms):
             return None
-        if call.maybe_ran and self._crashes.runs_once(call.fingerprint):
+        if call.maybe_ran and self._crashes.runs_once(call.causes):
             self._totals.add(counters.CounterName.REFUSALS, "suspected")
             return None
         share = self._retry_share(call.service.service_id)
@@ -288,7 +288,7 @@
         logs.log(
             "attempt_failed",
             request=call.info.request_id,
-            fingerprint=call.fingerprint,
+            fingerprint=call.causes.content,
             replica=choice.view.replica.replica_id,
             kind=failure.kind.value,
             detail=failure.detail,
@@ -310,7 +310,7 @@
     # Requests that crash replicas.
 
     def _refuse_blocked(self, call: call_module.Call) -> None:
-        if self._crashes.is_blocked(call.fingerprint):
+        if self._crashes.is_blocked(call.causes):
             ran = errors.Ran.UNKNOWN if call.maybe_ran else errors.Ran.NO
             raise errors.CallError(errors.ErrorKind.CRASHES_UPSTREAMS, ran=ran)
 
@@ -323,16 +323,16 @@
         """Records whether a failed attempt may have crashed its replica."""
         if result.may_have_crashed:
             await self._crashes.handle_loss(
-                call.fingerprint,
+                call.causes,
                 choice.view,
-                begun=result.first_event_ms is not None,
+                writing_ms=result.writing_ms,
             )
         elif (
             result.outcome.answer is not None
             and not result.outcome.answer.not_run
         ):
             # A failure that the replica itself reports is not a crash.
-            self._crashes.record_success(call.fingerprint)
+            self._crashes.record_success(call.causes)
 
     # Final answers.
 
@@ -342,7 +342,7 @@
         result: sender.SendResult,
         choice: upstream_choice.Choice,
     ) -> None:
-        self._crashes.record_success(call.fingerprint)
+        self._crashes.record_success(call.causes)
         answer = result.outcome.answer
         if answer is not None and not call.responder.ended:
             body = result.outcome.body
@@ -354,7 +354,7 @@
         logs.log(
             "request_served",
             request=call.info.request_id,
-            fingerprint=call.fingerprint,
+            fingerprint=call.causes.content,
             replica=choice.view.replica.replica_id,
             parts=",".join(call.info.shared_parts),
             events=call.relay.splitter.events,
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -48,6 +48,7 @@
         self._clock = time
         self._sent_ms = time.now_ms()
         self._first_ms: float | None = None
+        self._latest_ms = float("-inf")
         self.first_event_ms: float | None = None
         view.record_sent(prompt_tokens, time.now_ms(), choice.position)
 
@@ -75,7 +76,15 @@
 
     def on_event(self) -> None:
         """Records that the replica has sent data."""
-        self._view.heard_ms = self._clock.now_ms()
+        self._latest_ms = self._clock.now_ms()
+        self._view.heard_ms = self._latest_ms
+
+    @property
+    def writing_ms(self) -> float | None:
+        """Time from the first event to the latest one, None without any."""
+        if self._first_ms is None:
+            return None
+        return max(0.0, self._latest_ms - self._first_ms)
 
     def record_end(self, outcome: attempts.Outcome, events: int | None) -> None:
         """Records the end of the attempt.
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -8,19 +8,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
 from marlramp import clock
 from marlramp import errors
-from marlramp import ids
 from marlramp import logs
 from marlramp.core import attempt_timeouts
 from marlramp.core import caller_timeout
 from marlramp.core import fleet
+from marlramp.core import possible_causes
 from marlramp.core import queue_position
+from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
@@ -62,6 +62,10 @@
 """Time between two checks whether a request that is suspected of crashes was
 blocked while it waits at a replica."""
 
+SURVIVAL_MS = 1_000.0
+"""Time from the first event to the latest one after which a run that goes on
+counts as one that a part of its prompt did not end."""
+
 _CRASH_LOSSES = frozenset(
     {http1_client.LossKind.CLOSED, http1_client.LossKind.RESET}
 )
@@ -79,6 +83,8 @@
       unsent: whether the request was not written because the replica had
         closed, or its version could no longer begin the request.
       first_event_ms: time from the send to the first event, None without one.
+      writing_ms: time from the first event to the end of the attempt, None
+        without one.
       path_latency_ms: assumed path latency to the replica; the larger of the
         values when the request was written and when it timed out.
     """
@@ -88,6 +94,7 @@
     withdrawn: bool = False
     unsent: bool = False
     first_event_ms: float | None = None
+    writing_ms: float | None = None
     path_latency_ms: float = 0.0
 
     @property
@@ -108,13 +115,29 @@
         ...
 
 
+class CrashSuspicions(Protocol):
+    """What is known of requests that crash replicas."""
+
+    def is_blocked(self, causes: possible_causes.PossibleCauses) -> bool:
+        """Returns whether a request must not run again."""
+        ...
+
+    def record_survival(self, causes: possible_causes.PossibleCauses) -> None:
+        """Records that a run was not ended by a crash as it began."""
+        ...
+
+    async def answer_is_whole(self, view: replica_view.ReplicaView) -> bool:
+        """Returns whether an answer whose end was not marked is whole."""
+        ...
+
+
 class Sender:
     """Sends calls to replicas and owns the connections to them."""
 
     def __init__(
         self,
         codec: wire.CallCodec,
-        is_blocked: Callable[[ids.Fingerprint], bool],
+        crashes: CrashSuspicions,
         limits: rate_limits.RateLimits,
         signals: replica_signals.ReplicaSignals,
         cutoffs: VersionCutoffs,
@@ -124,14 +147,14 @@
 
         Args:
           codec: writes and reads headers.
-          is_blocked: returns whether a request must not run again.
+          crashes: knows the blocked requests, and learns which runs survive.
           limits: records the rate limits that answers announce.
           signals: records pauses, refusals and leaving replicas.
           cutoffs: the cutoffs of versions.
           time: the clock.
         """
         self._codec = codec
-        self._is_blocked = is_blocked
+        self._crashes = crashes
         self._limits = limits
         self._signals = signals
         self._cutoffs = cutoffs
@@ -184,8 +207,10 @@
             weights = view.weights(now_ms)
             choice = msgspec.structs.replace(choice, weights=weights)
             choice = self._cutoffs.with_cutoffs(call, choice)
-            if not view.accepts_assigned(now_ms) or not choice.may_be_written(
-                now_ms
+            if (
+                not view.accepts_assigned(now_ms)
+                or not choice.may_be_written(now_ms)
+                or self._crashes.is_blocked(call.causes)
             ):
                 call.sends -= 1
                 observer.record_abandoned()
@@ -193,6 +218,7 @@
                 return SendResult(_unsent(), unsent=True)
             path_latency_ms = view.path_latency_ms(now_ms)
             result = await self._exchange(call, choice, connection, observer)
+            await self._check_end(call, choice, result)
             result.path_latency_ms = max(
                 result.path_latency_ms, path_latency_ms
             )
@@ -209,6 +235,7 @@
         events = call.relay.splitter.events if call.route.streaming else None
         observer.record_end(result.outcome, events)
         result.first_event_ms = observer.first_event_ms
+        result.writing_ms = observer.writing_ms
         if result.stalled:
             connection.abort()
             # Idle connections to the replica may be dead as well.
@@ -254,6 +281,7 @@
         head = self._codec.head(call.request, dispatch)
         call.responder.on_pressure(connection.pause, connection.resume)
         connection.send(call.request.method, head, call.request.body, attempt)
+        survived = False
         while True:
             choice = self._cutoffs.with_cutoffs(call, choice)
             if self._nears_withdrawal(call, choice, attempt):
@@ -277,8 +305,40 @@
                     ),
                 )
             # A request that has begun may still succeed and be cleared.
-            if not attempt.begun and self._is_blocked(call.fingerprint):
+            if not attempt.begun and self._crashes.is_blocked(call.causes):
                 return SendResult(_blocked(), withdrawn=True)
+            writing_ms = observer.writing_ms
+            if (
+                not survived
+                and writing_ms is not None
+                and writing_ms >= SURVIVAL_MS
+            ):
+                survived = True
+                self._crashes.record_survival(call.causes)
+
+    async def _check_end(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        result: SendResult,
+    ) -> None:
+        """Ends a stream whose answer is whole.
+
+        An answer whose end only the end of its connection marked is taken as
+        whole if the replica still listens, as broken off otherwise.
+        """
+        outcome = result.outcome
+        answer = outcome.answer
+        if outcome.failure is not None or answer is None:
+            return
+        if not answer.delimited and not await self._crashes.answer_is_whole(
+            choice.view
+        ):
+            result.outcome = attempts.broken_off()
+            return
+        if outcome.streamed:
+            call.relay.end(answer)
+        self._crashes.record_survival(call.causes)
 
     def _check_interval_ms(
         self,
--- a/src/marlramp/direct/crash_pages.py
+++ b/src/marlramp/direct/crash_pages.py
@@ -1,4 +1,4 @@
-"""Operators' pages that list requests that crash replicas and release them."""
+"""Operators' pages that list what crashes replicas and release it."""
 
 from __future__ import annotations
 
@@ -21,20 +21,24 @@
 
 
 class SuspectRow(msgspec.Struct, frozen=True, kw_only=True):
-    """A request that was in flight when replicas crashed.
+    """A request that was in flight when replicas crashed, or a part of prompts.
 
     Attributes:
-      fingerprint: fingerprint of the request, as in its attempts' log lines.
-      condemned: whether the request is blocked, so that it is no longer run.
-      strikes: number of crashes that the request is a suspect of. A crash
-        before which it had returned a part of its answer counts half.
+      fingerprint: fingerprint of the request, as in its attempts' log lines, or
+        the part as "MODEL/ID".
+      condemned: whether the request is blocked, or all requests with the part
+        are, so that they are no longer run.
+      strikes: number of crashes that it is a suspect of. A crash before which
+        a request had returned a part of its answer counts half.
       crashes: the crashed replicas and their start times, as "ID@BORN".
+      part: whether this is a part of prompts.
     """
 
     fingerprint: str
     condemned: bool
     strikes: float
     crashes: list[str]
+    part: bool = False
 
 
 class Released(msgspec.Struct, frozen=True):
@@ -49,13 +53,14 @@
 
 def rows_of(record: crash_record.CrashRecord) -> list[SuspectRow]:
     """Returns the suspects in descending order of strikes."""
-    blocked = record.ledger.blocked()
+    parts = record.ledger.parts
     rows = [
         SuspectRow(
             fingerprint=fingerprint,
-            condemned=fingerprint in blocked,
+            condemned=record.is_blocked(fingerprint),
             strikes=record.ledger.strikes(fingerprint),
             crashes=sorted(crashes),
+            part=parts.is_suspect(fingerprint),
         )
         for fingerprint, crashes in record.ledger.suspects().items()
     ]
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -207,6 +207,15 @@
                 share=round(evidence.share, 2),
                 crashes=evidence.crash_ids,
             )
+        for part, against in changes.parts.items():
+            self._totals.add(counters.CounterName.CRASHES, "part_condemned")
+            logs.log(
+                "part_condemned",
+                fingerprint=part,
+                strikes=against.strikes,
+                requests=against.carriers,
+                crashes=against.crash_ids,
+            )
         for fingerprint in changes.released:
             self._totals.add(counters.CounterName.CRASHES, "released")
             logs.log("request_released", fingerprint=fingerprint)
--- a/tests/direct/calls/test_crashing_requests.py
+++ b/tests/direct/calls/test_crashing_requests.py
@@ -7,7 +7,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.core import request_fingerprint
 from standins import raw_http
 from tests.direct import conftest
@@ -24,7 +24,7 @@
 def add_crashes(entry: conftest.Entry, path: str, count: int) -> None:
     for number in range(count):
         entry.crashes.add_suspect(
-            crash_ledger.crash_id(f"x-{number}", 1),
+            crash_reports.crash_id(f"x-{number}", 1),
             fingerprint(path),
             begun=False,
             now_ms=TIME.now_ms(),
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -160,6 +160,7 @@
             view.answered_ms = time.now_ms()
         self.totals = counters.Counters()
         self.crashes = crash_record.CrashRecord()
+        self.presence: address_probe.Presence | None = None
         self.forwarder = forwarder.Forwarder(
             self,
             self.catalog,
@@ -168,7 +169,7 @@
             SETTINGS,
             crash_detector.CrashDetector(
                 self.crashes,
-                address_probe.probe,
+                self._probe,
                 lambda: None,
                 self.totals,
                 time,
@@ -193,6 +194,12 @@
     def refused(self, error: errors.CallError) -> None:
         """Ignores requests that could not be parsed."""
 
+    async def _probe(self, address: str) -> address_probe.Presence:
+        """Probes a replica, or returns what the test has set."""
+        if self.presence is not None:
+            return self.presence
+        return await address_probe.probe(address)
+
     def serve_engines(self) -> None:
         """Configures the replicas as model engines."""
         (service,) = CONFIG.services
@@ -208,10 +215,14 @@
         self.catalog.apply([change], self.time.now_ms())
 
     async def call(
-        self, path: str, method: str = "GET", wait_ms: int = 1_000
+        self,
+        path: str,
+        method: str = "GET",
+        wait_ms: int = 1_000,
+        parts: str = "",
     ) -> bytes:
         """Sends one request and returns all bytes of the answer."""
-        reader, writer = await self.connect(path, method, wait_ms)
+        reader, writer = await self.connect(path, method, wait_ms, parts)
         data = b""
         with contextlib.suppress(ConnectionError):
             while part := await reader.read(65_536):
@@ -220,7 +231,11 @@
         return data
 
     async def connect(
-        self, path: str, method: str = "GET", wait_ms: int = 1_000
+        self,
+        path: str,
+        method: str = "GET",
+        wait_ms: int = 1_000,
+        parts: str = "",
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Sends one request and returns its connection."""
         assert self.server._server is not None
@@ -229,6 +244,7 @@
         writer.write(
             f"{method} {path} HTTP/1.1\r\nhost: a.example\r\n"
             f"x-attempt-id: id-1\r\nx-deadline-ms: {wait_ms}\r\n"
+            f"x-prefix-hash: {parts}\r\n"
             "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
         )
         return reader, writer
