Of parts at the same crashes condemn the one that stands last

Callers would see: while requests with the culprit are the only ones of their route, the first part of the prompt is at as many crashes and survives as few runs; both were condemned, and every sound request of the route that came later was refused.

Of parts that explain as many crashes the one that stands later in its prompt goes first; if the first part is the cause after all, it leads as soon as other parts follow it. An operator who releases a part clears all parts of its crashes, since the others would explain them best then.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -131,6 +131,7 @@
         self,
         crash: ids.CrashId,
         part: ids.PartFingerprint,
+        position: int,
         carrier: ids.Fingerprint,
         now_ms: clock.Millis,
     ) -> None:
@@ -139,12 +140,21 @@
         Args:
           crash: the crash.
           part: the part.
+          position: position of the part in the prompt, from 0.
           carrier: the request.
           now_ms: the current time, taken as the time of the crash.
         """
-        suspect = crash_reports.Suspect(part, begun=False, carrier=carrier)
+        suspect = crash_reports.Suspect(
+            part, begun=False, carrier=carrier, position=position
+        )
         self._merge(crash_reports.Crash(crash, 0.0, [suspect]), now_ms)
 
+    def clear_parts(self, crash: ids.CrashId) -> None:
+        """Clears all parts of prompts of a crash."""
+        for suspect in list(self._crashes[crash].suspects.values()):
+            if suspect.is_part and not suspect.cleared:
+                self.clear(crash, suspect.fingerprint)
+
     def condemn(self, part: ids.PartFingerprint) -> list[ids.CrashId]:
         """Marks a part as the cause of its crashes and returns these."""
         crashes = list(self._crashes_of.get(part, ()))
@@ -432,5 +442,6 @@
     ) -> None:
         flags = f"{suspect.begun:d}{suspect.cleared:d}"
         if suspect.is_part:
-            flags += f"{suspect.condemned:d}\0{suspect.carrier}"
+            flags += f"{suspect.condemned:d}{suspect.position}"
+            flags += f"\0{suspect.carrier}"
         self._digests.toggle(crash, f"{crash}\0{suspect.fingerprint}\0{flags}")
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -107,12 +107,12 @@
           now_ms: the current time.
         """
         self._outcomes.record_lost(causes.parts, now_ms)
-        for part in causes.parts:
+        for position, part in enumerate(causes.parts):
             if self._survivals.clears(part, now_ms):
                 continue
             if self.ledger.parts.count_at(crash) >= PARTS_PER_CRASH_MAX:
                 break
-            self.ledger.add_part(crash, part, causes.content, now_ms)
+            self.ledger.add_part(crash, part, position, causes.content, now_ms)
             self._changed.add(crash)
         self._condemn_parts(now_ms)
 
@@ -141,8 +141,19 @@
             self._changed.add(crash)
 
     def clear(self, fingerprint: ids.Fingerprint) -> int:
-        """Clears a request of all its crashes and returns their number."""
+        """Clears a request, or a part of prompts, of all its crashes.
+
+        Parts that were in flight at the crashes of a released part are cleared
+        of these as well: otherwise they would explain the crashes best.
+
+        Returns:
+          The number of crashes.
+        """
+        is_part = self.ledger.parts.is_suspect(fingerprint)
         crashes = self.ledger.clear_all(fingerprint)
+        if is_part:
+            for crash in crashes:
+                self.ledger.clear_parts(crash)
         self._changed.update(crashes)
         return len(crashes)
 
--- a/src/marlramp/core/crash_reports.py
+++ b/src/marlramp/core/crash_reports.py
@@ -19,6 +19,7 @@
       carrier: for a part, a request in flight at the crash that had it in its
         prompt; the least fingerprint if there were several. "" for a request.
       condemned: for a part, whether an entry found it to be the cause.
+      position: for a part, its greatest position in a prompt, from 0.
     """
 
     fingerprint: ids.Fingerprint
@@ -26,6 +27,7 @@
     cleared: bool = False
     carrier: str = ""
     condemned: bool = False
+    position: int = 0
 
     @property
     def is_part(self) -> bool:
@@ -44,6 +46,7 @@
             self.cleared or other.cleared,
             min(self.carrier, other.carrier),
             self.condemned or other.condemned,
+            max(self.position, other.position),
         )
 
 
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/part_suspicion.py
@@ -22,8 +22,10 @@
 request that is sent again is condemned by its own content."""
 
 LEADING_SHARE_MIN = 0.5
-"""Least share of a part's crashes at which no other suspected part has more
-strikes. Parts that were in flight beside the culprit have fewer."""
+"""Least share of a part's crashes at which no other suspected part explains
+more crashes. Parts that were in flight beside the culprit explain fewer. Of
+parts that explain as many, one that stands later in its prompt goes first:
+fewer sound requests have it."""
 
 
 class PartEvidence(msgspec.Struct, frozen=True):
@@ -47,6 +49,7 @@
         """Starts without suspects."""
         # The carrier of each part at each of its crashes.
         self._carriers: dict[ids.PartFingerprint, dict[ids.CrashId, str]] = {}
+        self._positions: dict[ids.PartFingerprint, int] = {}
         self._parts_at: dict[ids.CrashId, set[ids.PartFingerprint]] = {}
         self._frequent: set[ids.PartFingerprint] = set()
         self._condemned: set[ids.PartFingerprint] = set()
@@ -59,6 +62,8 @@
             return
         crashes = self._carriers.setdefault(part, {})
         crashes[crash] = suspect.carrier
+        position = max(suspect.position, self._positions.get(part, 0))
+        self._positions[part] = position
         self._parts_at.setdefault(crash, set()).add(part)
         if len(crashes) >= STRIKES_MIN:
             self._frequent.add(part)
@@ -77,6 +82,7 @@
             self._frequent.discard(part)
         if not crashes:
             del self._carriers[part]
+            del self._positions[part]
             self._condemned.discard(part)
 
     def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
@@ -107,15 +113,17 @@
     def _leads(self, part: ids.PartFingerprint) -> bool:
         """Returns whether no other part explains most crashes better."""
         crashes = self._carriers[part]
+        rank = self._rank(part)
         led = sum(
-            all(
-                len(self._carriers[other]) <= len(crashes)
-                for other in self._parts_at[crash]
-            )
+            all(self._rank(other) <= rank for other in self._parts_at[crash])
             for crash in crashes
         )
         return led >= LEADING_SHARE_MIN * len(crashes)
 
+    def _rank(self, part: ids.PartFingerprint) -> tuple[int, int]:
+        """Returns how well a part explains crashes, for comparison."""
+        return len(self._carriers[part]), self._positions[part]
+
     def _evidence(self, part: ids.PartFingerprint) -> PartEvidence:
         crashes = self._carriers[part]
         return PartEvidence(
