Lay no crash to requests beside a condemned part of prompts

A crash at which a condemned part was in flight is no strike of the requests there, so that they are released with the verdict on the part; an operator's release of the part counts them again.

test_requests_beside_a_condemned_part_keep_no_strikes failed before.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -62,11 +62,12 @@
 """Maximum error of the age of a received crash: the age is sent as a duration
 that omits the transit time of each hop, so that it is too low."""
 
-CRASHES_PER_ANSWER_MAX = 32
-"""Most crashes in one answer, about 8 kB."""
+ANSWER_SIZE_MAX = 32.0
+"""Largest size of the crashes in one answer, about 8 kB."""
 
-BLOCKING_PER_ANSWER_MAX = 24
-"""Most crashes in one answer that block a request; they are sent first."""
+BLOCKING_SIZE_MAX = 24.0
+"""Largest size of the crashes in one answer that block a request or a part;
+they are sent first."""
 
 
 class Evidence(msgspec.Struct, frozen=True):
@@ -145,7 +146,10 @@
           now_ms: the current time, taken as the time of the crash.
         """
         suspect = crash_reports.Suspect(
-            part, begun=False, carrier=carrier, position=position
+            part,
+            begun=False,
+            carrier=carrier[-crash_reports.CARRIER_DIGITS :],
+            position=position,
         )
         self._merge(crash_reports.Crash(crash, 0.0, [suspect]), now_ms)
 
@@ -283,14 +287,24 @@
         }
 
     def strikes(self, fingerprint: ids.Fingerprint) -> float:
-        """Returns the strikes of a request for crashes it is not cleared of."""
+        """Returns the strikes of a suspect for crashes it is not cleared of.
+
+        A crash that a condemned part of prompts explains is no strike of the
+        requests that were in flight there.
+        """
         return sum(
-            PARTIAL_ANSWER_STRIKE
-            if self._crashes[crash].suspects[fingerprint].begun
-            else 1.0
+            self._strike(crash, fingerprint)
             for crash in self._crashes_of.get(fingerprint, ())
         )
 
+    def _strike(
+        self, crash: ids.CrashId, fingerprint: ids.Fingerprint
+    ) -> float:
+        suspect = self._crashes[crash].suspects[fingerprint]
+        if not suspect.is_part and self.parts.explains(crash):
+            return 0.0
+        return PARTIAL_ANSWER_STRIKE if suspect.begun else 1.0
+
     def blocked(self) -> dict[ids.Fingerprint, Evidence]:
         """Returns the blocked requests and the evidence against each."""
         if self._blocked is None:
@@ -372,11 +386,11 @@
     ) -> list[ids.CrashId]:
         """Returns crashes that another ledger may lack, for one answer.
 
-        If there are more than `CRASHES_PER_ANSWER_MAX`, up to
-        `BLOCKING_PER_ANSWER_MAX` crashes that block a request come first. The
-        others are added bucket by bucket, in random order of the buckets, so
-        that a few complete buckets are sent, which then no longer differ. A
-        random choice from all buckets would send most crashes many times.
+        If their size exceeds `ANSWER_SIZE_MAX`, crashes that block a request or
+        a part come first, up to `BLOCKING_SIZE_MAX`. The others are added
+        bucket by bucket, in random order of the buckets, so that a few complete
+        buckets are sent, which then no longer differ. A random choice from all
+        buckets would send most crashes many times.
 
         Args:
           digests: the digests of the other ledger's buckets.
@@ -388,16 +402,36 @@
             for crash in self._crashes
             if self._digests.bucket_of(crash) in buckets
         ]
-        if len(found) <= CRASHES_PER_ANSWER_MAX:
+        if self._size(found) <= ANSWER_SIZE_MAX:
             return found
         blocking = self._blocking_crashes()
         rng.shuffle(found)
         ranks = {bucket: rng.random() for bucket in buckets}
         found.sort(key=lambda crash: ranks[self._digests.bucket_of(crash)])
-        first = [crash for crash in found if crash in blocking]
-        first = first[:BLOCKING_PER_ANSWER_MAX]
+        first = self._fitting(
+            [crash for crash in found if crash in blocking], BLOCKING_SIZE_MAX
+        )
         rest = [crash for crash in found if crash not in first]
-        return [*first, *rest[: CRASHES_PER_ANSWER_MAX - len(first)]]
+        return first + self._fitting(rest, ANSWER_SIZE_MAX - self._size(first))
+
+    def _size(self, crashes: Iterable[ids.CrashId]) -> float:
+        """Returns the size of crashes in a message."""
+        return sum(
+            each.size for each in self.export(crashes, clock.Millis(0.0))
+        )
+
+    def _fitting(
+        self, crashes: list[ids.CrashId], size_max: float
+    ) -> list[ids.CrashId]:
+        """Returns the first crashes up to a size, at least one of several."""
+        fitting: list[ids.CrashId] = []
+        size = 0.0
+        for crash in crashes:
+            size += self._size([crash])
+            if fitting and size > size_max:
+                break
+            fitting.append(crash)
+        return fitting
 
     # Updates of the suspects, the indexes and the digests.
 
@@ -422,7 +456,7 @@
             del self._crashes_of[fingerprint]
         if suspect.is_part:
             self.parts.put(crash, suspect)
-        else:
+        if suspect.condemned or not suspect.is_part:
             self._blocked = None
 
     def _drop(self, crash: ids.CrashId) -> None:
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/part_suspicion.py
@@ -97,6 +97,10 @@
         """Returns whether an entry found a part to be the cause."""
         return fingerprint in self._condemned
 
+    def explains(self, crash: ids.CrashId) -> bool:
+        """Returns whether a condemned part was in flight at a crash."""
+        return not self._condemned.isdisjoint(self._parts_at.get(crash, ()))
+
     def condemned(self) -> dict[ids.PartFingerprint, PartEvidence]:
         """Returns the condemned parts and the evidence against each."""
         return {part: self._evidence(part) for part in sorted(self._condemned)}
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/test_part_suspicion.py
@@ -210,6 +210,26 @@
     assert record.ledger.digest() == used_record.ledger.digest()
 
 
+def test_requests_beside_a_condemned_part_keep_no_strikes(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    victim = ids.Fingerprint("victim")
+    for number in range(3):
+        used_record.add_suspect(
+            crash(number), victim, begun=False, now_ms=NOW_MS
+        )
+    assert used_record.is_blocked(victim)
+    for number in range(3):
+        used_record.add_part_suspects(
+            crash(number), causes(number, CULPRIT), NOW_MS
+        )
+    assert not used_record.is_blocked(victim)
+    assert not used_record.runs_alone(victim)
+    assert used_record.pop_block_changes().blocked == {}
+    used_record.clear(CULPRIT)
+    assert used_record.is_blocked(victim)
+
+
 def test_operator_releases_a_part(
     used_record: crash_record.CrashRecord,
 ) -> None:
