Bound the traffic of crashes by their size, parts included

A changed crash is forwarded in one gossip cycle instead of two (each entry that notices one also sends it to 16), a part names its request by four digits instead of 16, and answers and their pauses count the size of crashes instead of their number.

Ruled out: only parts seen twice at an entry (an entry of a large fleet sees the culprit once), leaving parts out of forwarded crashes.

--- a/src/marlramp/core/crash_reports.py
+++ b/src/marlramp/core/crash_reports.py
@@ -6,6 +6,15 @@
 
 from marlramp import ids
 
+SUSPECTS_PER_UNIT = 8.0
+"""Requests among the suspects of a crash of one unit of size, some 250 B."""
+
+CARRIER_DIGITS = 4
+"""Digits that tell the requests with a part from each other."""
+
+PART_SIZE = 1.5
+"""Size of a part of a prompt among the suspects, in requests."""
+
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """A possible cause of a crash: a request, or a part of its prompt.
@@ -16,8 +25,9 @@
         only `crash_ledger.PARTIAL_ANSWER_STRIKE`. False for a part.
       cleared: whether a successful run or an operator cleared the suspect of
         this crash.
-      carrier: for a part, a request in flight at the crash that had it in its
-        prompt; the least fingerprint if there were several. "" for a request.
+      carrier: for a part, the last `CARRIER_DIGITS` digits of a request in
+        flight at the crash that had it in its prompt; the least ones if there
+        were several. "" for a request.
       condemned: for a part, whether an entry found it to be the cause.
       position: for a part, its greatest position in a prompt, from 0.
     """
@@ -64,6 +74,14 @@
     age_ms: float
     suspects: list[Suspect]
 
+    @property
+    def size(self) -> float:
+        """Size of the crash in a message, in units of some 250 B."""
+        suspects = sum(
+            PART_SIZE if suspect.is_part else 1.0 for suspect in self.suspects
+        )
+        return max(1.0, suspects / SUSPECTS_PER_UNIT)
+
 
 def crash_id(replica_id: str, born_ms: int | None) -> ids.CrashId:
     """Returns the id of the crash that ends one run of a replica.
--- a/src/marlramp/core/gossip.py
+++ b/src/marlramp/core/gossip.py
@@ -42,13 +42,18 @@
 class GossipQueue(Generic[UpdateT]):
     """Updates that this entry still forwards, by subject."""
 
-    def __init__(self) -> None:
-        """Starts with an empty queue."""
+    def __init__(self, cycles: int = GOSSIP_CYCLES) -> None:
+        """Starts with an empty queue.
+
+        Args:
+          cycles: number of cycles in which each update is forwarded.
+        """
+        self._cycles = cycles
         self._queued: dict[str, _Queued[UpdateT]] = {}
 
     def add(self, subject: str, update: UpdateT, now_ms: clock.Millis) -> None:
         """Queues an update in place of an older one on its subject."""
-        self._queued[subject] = _Queued(update, now_ms, GOSSIP_CYCLES)
+        self._queued[subject] = _Queued(update, now_ms, self._cycles)
 
     def next_batch(self, now_ms: clock.Millis) -> list[UpdateT]:
         """Returns the updates for one message and counts them as forwarded.
--- a/src/marlramp/direct/fleet/crash_backup.py
+++ b/src/marlramp/direct/fleet/crash_backup.py
@@ -17,6 +17,7 @@
 
 from marlramp import clock
 from marlramp.core import crash_ledger
+from marlramp.core import crash_reports
 from marlramp.direct.fleet import entry_contacts
 from marlramp.protocol import fleet_messages
 
@@ -24,9 +25,9 @@
 """Time between two digests. Each goes to another entry that the agent is in
 contact with."""
 
-PAUSE_PER_CRASH_MS = 35.0
-"""Delay of the next digest for each crash that was sent in answer to the last
-one: 1.1 s for 32 crashes, some 8 kB."""
+PAUSE_PER_UNIT_MS = 35.0
+"""Delay of the next digest for each unit of the size of the crashes that were
+sent in answer to the last one: 1.1 s for 32 units, some 8 kB."""
 
 REMOVE_INTERVAL_MS = 1_000.0
 """Time between two removals of old crashes."""
@@ -73,7 +74,7 @@
                 for crash in message.crashes:
                     self._ledger.merge(crash, now_ms)
                 if message.answers:
-                    self._delay_digest(len(message.crashes))
+                    self._delay_digest(message.crashes)
             case fleet_messages.CrashRequest():
                 self._answer(name, message)
 
@@ -101,9 +102,10 @@
             self._cycle = self._rng.sample(entries, len(entries))
         return self._cycle.pop() if self._cycle else None
 
-    def _delay_digest(self, crashes: int) -> None:
+    def _delay_digest(self, crashes: list[crash_reports.Crash]) -> None:
         """Delays the next digest for crashes exchanged after the last one."""
-        self._digest_due_ms += crashes * PAUSE_PER_CRASH_MS
+        size = sum(crash.size for crash in crashes)
+        self._digest_due_ms += size * PAUSE_PER_UNIT_MS
 
     def _answer(self, name: str, request: fleet_messages.CrashRequest) -> None:
         """Sends an entry what it lacks, and requests what this agent lacks."""
@@ -112,7 +114,7 @@
         if answer:
             message = fleet_messages.CrashNews(crashes=answer, answers=True)
             self._send(name, message)
-            self._delay_digest(len(answer))
+            self._delay_digest(answer)
         digests = self._ledger.digests()
         if digests != request.digests:
             self._send(name, fleet_messages.CrashRequest(digests=digests))
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -33,10 +33,10 @@
 with each answer that brings nothing new: full ledgers drop crashes at different
 times, so their digests keep differing although no crash is missing."""
 
-ANSWER_MS_PER_CRASH = 50.0
-"""Time that is charged for each crash in an answer: 20 crashes per second,
-some 5 kB/s. No answer is delayed by the charge; `ANSWER_AHEAD_MS` limits the
-requests to agents."""
+ANSWER_MS_PER_UNIT = 50.0
+"""Time that is charged for each unit of the size of the crashes in an answer:
+20 units per second, some 5 kB/s. No answer is delayed by the charge;
+`ANSWER_AHEAD_MS` limits the requests to agents."""
 
 ANSWER_AHEAD_MS = 400.0
 """Maximum time charged in advance at which agents with a different digest are
@@ -51,6 +51,10 @@
 FIRST_TARGETS = 16
 """Entries that a crash noticed here is sent to at once; they forward it."""
 
+FORWARD_CYCLES = 1
+"""Number of gossip cycles in which a crash is forwarded. A changed crash is
+sent with all its suspects, and each entry that notices one sends it to many."""
+
 AGENT_TARGETS = 2
 """Agents that a crash noticed here is sent to; agents request other crashes
 from entries."""
@@ -89,7 +93,7 @@
         self._totals = totals
         self._clock = time
         self._gossip_queue: gossip.GossipQueue[ids.CrashId] = (
-            gossip.GossipQueue()
+            gossip.GossipQueue(FORWARD_CYCLES)
         )
         self._compare_pause_ms = COMPARE_MS
         self._compared_ms = float("-inf")
@@ -147,9 +151,8 @@
             message = fleet_messages.CrashNews(crashes=answer, answers=True)
             self._sync.send(name, message)
             start_ms = max(now_ms, self._answering_until_ms)
-            self._answering_until_ms = (
-                start_ms + len(answer) * ANSWER_MS_PER_CRASH
-            )
+            size = sum(crash.size for crash in answer)
+            self._answering_until_ms = start_ms + size * ANSWER_MS_PER_UNIT
 
     def tick(self) -> None:
         """Forwards new crashes, removes old ones and logs blocked requests."""
--- a/tests/direct/fleet/test_crash_backup.py
+++ b/tests/direct/fleet/test_crash_backup.py
@@ -153,7 +153,7 @@
         crashes=[crash(n) for n in range(10)], answers=True
     )
     agent.backup.on_message("entry-0", message)
-    wait_ms = crash_backup.DIGEST_MS + 10 * crash_backup.PAUSE_PER_CRASH_MS
+    wait_ms = crash_backup.DIGEST_MS + 10 * crash_backup.PAUSE_PER_UNIT_MS
     time.advance(wait_ms - 1.0)
     agent.backup.tick()
     assert len(agent.sent) == 1
--- a/tests/direct/fleet/test_crash_sharing.py
+++ b/tests/direct/fleet/test_crash_sharing.py
@@ -160,26 +160,38 @@
     assert entries_without_block(fleet) == []
 
 
-def _full_ledger(prefix: str) -> list[crash_reports.Crash]:
+def _suspects(number: int, parts: int) -> list[crash_reports.Suspect]:
+    """Returns the suspects of a crash, and parts of their prompts."""
+    requests = [f"{number:08x}{n:08x}" for n in range(SUSPECTS)]
+    found = [
+        crash_reports.Suspect(ids.Fingerprint(request), begun=False)
+        for request in requests
+    ]
+    for n in range(parts):
+        carrier = requests[n % SUSPECTS][-crash_reports.CARRIER_DIGITS :]
+        part = ids.Fingerprint(f"model/{number:06x}{n:02x}")
+        suspect = crash_reports.Suspect(
+            part, begun=False, carrier=carrier, position=1
+        )
+        found.append(suspect)
+    return found
+
+
+def _full_ledger(prefix: str, parts: int = 0) -> list[crash_reports.Crash]:
     """Returns as many crashes as a ledger may hold."""
     return [
         crash_reports.Crash(
             crash_reports.crash_id(f"{prefix}-{number}", 1),
             0.0,
-            [
-                crash_reports.Suspect(
-                    ids.Fingerprint(f"{number:08x}{n:08x}"), begun=False
-                )
-                for n in range(SUSPECTS)
-            ],
+            _suspects(number, parts),
         )
         for number in range(crash_ledger.CRASHES_MAX)
     ]
 
 
-def fill_entries(fleet: virtual_fleet.VirtualFleet) -> None:
+def fill_entries(fleet: virtual_fleet.VirtualFleet, parts: int = 0) -> None:
     """Fills the ledgers of all entries with identical crashes."""
-    for reported in _full_ledger("x"):
+    for reported in _full_ledger("x", parts):
         for entry in fleet.running():
             entry.crashes.ledger.merge(reported, fleet.time.now_ms())
 
@@ -197,12 +209,16 @@
     return most / ms * 1_000.0
 
 
+@pytest.mark.parametrize("parts", [0, SUSPECTS])
 @pytest.mark.parametrize(("entries", "agents"), CELLS)
 def test_start_of_all_agents_with_full_ledgers_limits_traffic(
-    start_fleet: virtual_fleet.StartFleet, entries: int, agents: int
+    start_fleet: virtual_fleet.StartFleet,
+    entries: int,
+    agents: int,
+    parts: int,
 ) -> None:
     fleet = start_fleet(entries, regions=1)
-    fill_entries(fleet)
+    fill_entries(fleet, parts)
     for number in range(agents):
         fleet.start_agent(number)
     processes = [*fleet.running(), *fleet.agents.values()]
@@ -210,16 +226,21 @@
     assert sent < CONTROL_BYTES_PER_S
 
 
+@pytest.mark.parametrize("parts", [0, SUSPECTS])
 @pytest.mark.parametrize(("entries", "agents"), CELLS)
 def test_different_full_ledgers_of_agents_limit_traffic(
-    start_fleet: virtual_fleet.StartFleet, entries: int, agents: int
+    start_fleet: virtual_fleet.StartFleet,
+    entries: int,
+    agents: int,
+    parts: int,
 ) -> None:
     fleet = start_fleet(entries, regions=1)
     for number in range(agents):
         fleet.start_agent(number)
-    fill_entries(fleet)
+    fill_entries(fleet, parts)
     for agent in fleet.agents.values():
-        message = fleet_messages.CrashNews(crashes=_full_ledger(agent.name))
+        crashes = _full_ledger(agent.name, parts)
+        message = fleet_messages.CrashNews(crashes=crashes)
         agent.on_message("entry-0", message)
     processes = [*fleet.running(), *fleet.agents.values()]
     fleet.run(10_000.0)
