Lay no crash to other parts beside a condemned one

Sound requests share the first part with those that crash replicas. Until a run of theirs survives, its strikes sent them where the fewest others run and once only, also after the verdict on the culprit. A crash that a condemned part explains is no strike of other parts either. The assertions in test_requests_beside_a_condemned_part_keep_no_strikes failed before.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -290,7 +290,7 @@
         """Returns the strikes of a suspect for crashes it is not cleared of.
 
         A crash that a condemned part of prompts explains is no strike of the
-        requests that were in flight there.
+        requests, and of other parts, that were in flight there.
         """
         return sum(
             self._strike(crash, fingerprint)
@@ -301,7 +301,8 @@
         self, crash: ids.CrashId, fingerprint: ids.Fingerprint
     ) -> float:
         suspect = self._crashes[crash].suspects[fingerprint]
-        if not suspect.is_part and self.parts.explains(crash):
+        condemned = self.parts.is_condemned(fingerprint)
+        if not condemned and self.parts.explains(crash):
             return 0.0
         return PARTIAL_ANSWER_STRIKE if suspect.begun else 1.0
 
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/test_part_suspicion.py
@@ -221,10 +221,12 @@
     assert used_record.is_blocked(victim)
     for number in range(3):
         used_record.add_part_suspects(
-            crash(number), causes(number, CULPRIT), NOW_MS
+            crash(number), causes(number, FIRST, CULPRIT), NOW_MS
         )
     assert not used_record.is_blocked(victim)
     assert not used_record.runs_alone(victim)
+    assert not used_record.runs_alone(FIRST)
+    assert used_record.runs_alone(CULPRIT)
     assert used_record.pop_block_changes().blocked == {}
     used_record.clear(CULPRIT)
     assert used_record.is_blocked(victim)
