--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,12 +19,12 @@
     """What comes beside the drawn faults.
 
     Attributes:
-      culprit: a request that crashes the replicas that run it.
+      culprit: what crashes the replicas that run it.
       limited: two replicas that name a limit.
       turning_away: two replicas that turn requests away and ask for a pause.
     """
 
-    culprit: bool
+    culprit: run.Culprit
     limited: bool
     turning_away: bool
 
@@ -41,7 +41,7 @@
     first: int = 1,
     at_once: int = 4,
     keep: str = "",
-    culprit: bool = False,
+    culprit: run.Culprit = run.Culprit.NONE,
     limited: bool = False,
     turning_away: bool = False,
 ) -> None:
@@ -52,7 +52,8 @@
       first: the first of them.
       at_once: how many are played at once.
       keep: folder for the logs of seeds that broke a promise.
-      culprit: also send a request that crashes the replicas that run it.
+      culprit: also send a request that crashes the replicas that run it, or
+        requests of which no two are alike, with a part of prompts that does.
       limited: two replicas also name a limit over all entries together.
       turning_away: two replicas also turn half of their requests away and ask
         for a pause.
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,12 @@
 PAUSE_MS = (5.0, 120.0)
 """Pause of a caller between two calls."""
 
+FIRST_PART = "5c1e07a2:800"
+"""Part that the prompts of all streams begin with, also of those that crash
+replicas."""
+
+OWN_PART = "e4402b7d:30"
+
 _MS = 1_000.0
 _PART_BYTES = 65_536
 
@@ -205,6 +211,7 @@
     ]
     if call.kind is promises.CallKind.STREAM:
         lines.append("x-token-usage: 100,30")
+        lines.append(f"x-prefix-hash: {FIRST_PART},{OWN_PART}")
     if method == "POST":
         lines.append("content-length: 0")
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import enum
 import itertools
 import pathlib
 import random
@@ -16,6 +17,7 @@
 from soak import promises
 from soak import schedule
 from soak import strikes
+from standins import crashing_part
 from standins import direct_documents
 from standins import direct_fleet
 from standins import direct_replicas
@@ -64,6 +66,17 @@
     served: int
 
 
+class Culprit(enum.Enum):
+    """What crashes the replicas that run it."""
+
+    NONE = "none"
+    REQUEST = "request"
+    """One request that is sent again and again."""
+
+    PART = "part"
+    """A part of the prompts of requests of which no two are alike."""
+
+
 class Run:
     """One run; also what its callers ask for."""
 
@@ -73,7 +86,7 @@
         plan: schedule.Plan,
         size: schedule.Size,
         *,
-        culprit: bool = False,
+        culprit: Culprit = Culprit.NONE,
         limited: bool = False,
         turning_away: bool = False,
     ) -> None:
@@ -83,7 +96,7 @@
           folder: where settings files and logs go.
           plan: the faults.
           size: size of the fleet.
-          culprit: whether a request that crashes replicas comes all the time.
+          culprit: what crashes replicas all the time.
           limited: whether two replicas name a limit while faults come.
           turning_away: whether two replicas turn half of the requests away and
             ask for a pause while faults come.
@@ -189,7 +202,7 @@
         if self._turning_away:
             for replica in self._turning:
                 replica.turning_away.start(f"{PAUSE_S}", share=0.5)
-        if self._culprit:
+        if self._culprit is not Culprit.NONE:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
             *(self._striker.strike(fault) for fault in self._plan.faults)
@@ -262,13 +275,17 @@
         return broken
 
     async def _send_culprit(self) -> None:
-        """Sends a request that crashes replicas to all entries in turn."""
+        """Sends requests that crash replicas to all entries in turn."""
+        is_part = self._culprit is Culprit.PART
         for number in itertools.count():
             hosts = self._fleet.entry_hosts
+            body = b"%d" % number if is_part else direct_replicas.CRASHING_BODY
+            part = f"{crashing_part.PART}:90," if is_part else ""
             await self._fleet.stream(
                 hosts[number % len(hosts)],
                 f"{CULPRIT}-{number}",
-                direct_replicas.CRASHING_BODY,
+                body,
+                parts=f"{callers.FIRST_PART},{part}{number:08x}:30",
             )
             await asyncio.sleep(CULPRIT_PAUSE_MS / _MS)
 
@@ -319,7 +336,7 @@
     seed: int,
     size: schedule.Size,
     *,
-    culprit: bool = False,
+    culprit: Culprit = Culprit.NONE,
     limited: bool = False,
     turning_away: bool = False,
 ) -> Result:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -33,11 +33,12 @@
     assert result.served
 
 
-def test_seed_keeps_all_promises_beside_a_crashing_request(
-    tmp_path: pathlib.Path,
+@pytest.mark.parametrize("culprit", [run.Culprit.REQUEST, run.Culprit.PART])
+def test_seed_keeps_all_promises_beside_what_crashes_replicas(
+    tmp_path: pathlib.Path, culprit: run.Culprit
 ) -> None:
     result = asyncio.run(
-        run.play(tmp_path, CULPRIT_SEED, schedule.Size(), culprit=True)
+        run.play(tmp_path, CULPRIT_SEED, schedule.Size(), culprit=culprit)
     )
     assert result.violations == []
 
