Refuse requests that crash engines on the grants path

Same cause as on the direct path: what a crash says of the request was laid to the upstream alone.

An agent whose runs end early probes its upstream; one that no longer accepts connections has crashed, and the agent reports the requests in flight to all linked entries, also to those whose link opens later. Entries judge by these reports and their own successes with the record of the direct path: at three crashes a request is refused as not run, at two it is not sent again after a run, also with a run token.

Not covered: clearing by successes at other entries, release by an operator (docs/design/findings.md).

--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable
 import functools
 import random
+import urllib.parse
 
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
 from marlramp.agent import engine_client
+from marlramp.agent import engine_crashes
 from marlramp.agent import entry_links
 from marlramp.agent import rollout
 from marlramp.agent import runs
@@ -31,6 +33,7 @@
 from marlramp.settings import process
 from marlramp.settings import schema
 from marlramp.settings import store
+from marlramp.shell import address_probe
 from marlramp.shell import http
 from marlramp.shell import links
 from marlramp.shell import membership
@@ -49,6 +52,7 @@
 LOAD_INTERVAL_MS = 1_000.0
 PACE_INTERVAL_MS = 1_000.0
 PROGRESS_INTERVAL_MS = 500.0
+HTTP_PORT = 80
 DRAIN_LINGER_MS = 300.0
 """Wait after the last run, so that the last messages are sent before the
 process exits."""
@@ -96,6 +100,15 @@
         )
         self._build_shell()
         self._build_rollout()
+        upstream = urllib.parse.urlsplit(self._upstream.url)
+        self._crashes = engine_crashes.EngineCrashes(
+            f"{self._vm_id}-{self._incarnation}",
+            f"{upstream.hostname}:{upstream.port or HTTP_PORT}",
+            address_probe.probe,
+            self._entries.send_all,
+            self._totals,
+            self._clock,
+        )
         self._runs = runs.RunService(
             self._ledger,
             self._client,
@@ -105,6 +118,7 @@
             self._totals,
             self._clock,
             self._issue_grants,
+            lambda run, begun: self._crashes.record_lost(run, begun=begun),
         )
         self._load: engine_client.LoadReport | None = None
         self._load_ms = self._clock.now_ms()
@@ -311,6 +325,8 @@
     def _on_link_open(self, entry_id: ids.VmId) -> None:
         self._entries.send(entry_id, self._report())
         self._entries.send(entry_id, self._heartbeat())
+        for crash in self._crashes.known():
+            self._entries.send(entry_id, crash)
 
     # Changes of the VM list and the settings.
 
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -96,6 +96,7 @@
         totals: counters.Counters,
         time: clock.Clock,
         on_finished: Callable[[], None],
+        on_lost: Callable[[messages.Run, bool], None],
     ) -> None:
         """Creates a service without runs.
 
@@ -108,7 +109,10 @@
           totals: counters.
           time: the clock.
           on_finished: called when a run ends and frees its capacity.
+          on_lost: called when the connection of a run ends early, with whether
+            a part of its answer had arrived.
         """
+        self._on_lost = on_lost
         self._on_finished = on_finished
         self._ledger = ledger
         self._client = client
@@ -268,6 +272,8 @@
             )
         except http.HttpError as error:
             ran = errors.Ran.UNKNOWN if error.sent else errors.Ran.NO
+            if error.sent:
+                self._on_lost(run, False)
             raise errors.CallError(
                 errors.ErrorKind.UPSTREAM_FAILED, str(error), ran=ran
             ) from error
@@ -278,6 +284,7 @@
             else:
                 await self._relay_body(output, stream)
         except http.HttpError as error:
+            self._on_lost(run, not output.first)
             raise errors.CallError(
                 errors.ErrorKind.ANSWER_INCOMPLETE, str(error)
             ) from error
@@ -335,6 +342,7 @@
             seq += 1
             if last:
                 return
+        self._on_lost(run, not output.first)
         raise errors.CallError(errors.ErrorKind.ANSWER_INCOMPLETE)
 
     def _check_version(self, event: bytes, version: ids.VersionId) -> None:
--- a/src/marlramp/core/request_fingerprint.py
+++ b/src/marlramp/core/request_fingerprint.py
@@ -48,3 +48,16 @@
         digest.update(part)
     digest.update(body)
     return ids.Fingerprint(digest.digest(length=FINGERPRINT_BYTES).hex())
+
+
+def upstream_fingerprint(
+    method: str, path: str, body: bytes
+) -> ids.Fingerprint:
+    """Returns the fingerprint of a request as its upstream receives it.
+
+    Args:
+      method: HTTP method.
+      path: path at the upstream.
+      body: the complete body.
+    """
+    return fingerprint(method, "", path.encode(), None, body)
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -29,6 +29,7 @@
 from marlramp.entry import agent_queries
 from marlramp.entry import application
 from marlramp.entry import caller_app
+from marlramp.entry import crash_guard
 from marlramp.entry import dispatcher
 from marlramp.entry import metrics
 from marlramp.platform import clients
@@ -116,6 +117,7 @@
             self._admission,
             self._queries,
             self._links,
+            crash_guard.CrashGuard(self._totals, self._clock),
             self._totals,
             self._clock,
             rng,
@@ -306,6 +308,8 @@
                 self._dispatcher.handle_headers(message)
             case messages.RunEnded():
                 self._dispatcher.handle_run_ended(message)
+            case messages.EngineCrashed():
+                self._dispatcher.handle_crash(message)
             case messages.GrantsIssued():
                 self._dispatcher.handle_grants(vm_id, message)
             case messages.Reserved() | messages.RunStatus():
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -26,6 +26,7 @@
 from marlramp.entry import admission as admission_module
 from marlramp.entry import agent_queries
 from marlramp.entry import call as call_module
+from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
 from marlramp.entry import service_state
 from marlramp.protocol import messages
@@ -55,11 +56,13 @@
         admission: admission_module.Admission,
         queries: agent_queries.AgentQueries,
         sender: agent_queries.AgentSender,
+        crashes: crash_guard.CrashGuard,
         totals: counters.Counters,
         time: clock.Clock,
         rng: random.Random,
     ) -> None:
         """Starts without calls."""
+        self._crashes = crashes
         self._settings = settings
         self._table = table
         self._admission = admission
@@ -152,7 +155,10 @@
         )
         call = call_module.Call(state, waiting, token, now_ms)
         service.retry_budget.record_request()
-        if token is not None:
+        refusal = self._crashes.refusal(state)
+        if refusal is not None:
+            self._fail(call, refusal)
+        elif token is not None:
             self._start_token_attempt(call, token)
         else:
             self._enqueue(call, service)
@@ -228,6 +234,10 @@
             )
         self._attempt_failed(call, failure)
 
+    def handle_crash(self, message: messages.EngineCrashed) -> None:
+        """Records the crash of an agent's upstream."""
+        self._crashes.handle_crash(message)
+
     def handle_agent_lost(self, vm_id: ids.VmId) -> None:
         """Fails the attempts at an agent that is lost or has restarted."""
         for call in list(self._attempts.values()):
@@ -246,6 +256,7 @@
 
     def tick(self) -> None:
         """Ends calls past their deadline and starts waiting calls."""
+        self._crashes.tick()
         now_ms = self._clock.now_ms()
         for service_id, service in self._services.items():
             for waiting in service.queue.pop_expired(now_ms):
@@ -273,6 +284,11 @@
             if waiting is None:
                 return
             call = self._queued[waiting.request_id]
+            refusal = self._crashes.refusal(call.state)
+            if refusal is not None:
+                del self._queued[waiting.request_id]
+                self._fail(call, refusal)
+                continue
             # `submit` has just checked a call that is admitted at this time.
             if call.admitted_ms != now_ms and self._admission.misses_deadline(
                 call.spec, call.state.resume_from, service, now_ms
@@ -455,6 +471,10 @@
         self._backing_off.discard(call)
         if call.ended:
             return
+        refusal = self._crashes.refusal(call.state)
+        if refusal is not None:
+            self._fail(call, refusal)
+            return
         if call.token is not None:
             self._start_token_attempt(call, call.token)
             return
@@ -566,6 +586,7 @@
     def _succeed(self, call: call_module.Call) -> None:
         now_ms = self._clock.now_ms()
         service = self._service(call.spec.service_id)
+        self._crashes.record_success(call.spec)
         used = call.state.assembly.next_seq
         first_ms = (call.first_part_ms or now_ms) - call.started_ms
         service.run_duration.record(first_ms, now_ms - call.started_ms, used)
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -16,6 +16,7 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp.core import assembly
+from marlramp.core import crash_reports
 from marlramp.core import grants
 from marlramp.core import queueing
 
@@ -209,6 +210,12 @@
     tokens: _Count
 
 
+class EngineCrashed(_Message):
+    """A crash of the agent's upstream, with the requests in flight there."""
+
+    crash: crash_reports.Crash
+
+
 class Reserved(_Message):
     """Answer to `Reserve`; `number` is None when none can be given."""
 
@@ -399,6 +406,7 @@
     | PartsBatch
     | RunHeaders
     | RunEnded
+    | EngineCrashed
     | Reserved
     | RunStatus
     | SettingsOffer
--- a/tests/entry/test_lost_run_detector.py
+++ b/tests/entry/test_lost_run_detector.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-import random
 
 import pytest
 
@@ -13,24 +12,18 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import agent_table
 from marlramp.core import calls
 from marlramp.core import grants
 from marlramp.core import queueing
 from marlramp.core import run_tokens
-from marlramp.entry import admission
-from marlramp.entry import agent_queries
-from marlramp.entry import dispatcher
+from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
-from marlramp.experiments import documents
 from marlramp.protocol import messages
-from marlramp.settings import store
+from tests.entry import conftest
 
-CUSTOMER = ids.CustomerId("crews")
-STOCK = ids.ServiceId("stock")
 VM = ids.VmId("vm-1")
 DEADLINE_MS = 15_000.0
-TOKEN = run_tokens.RunToken(VM, 1, 7, STOCK, CUSTOMER)
+TOKEN = run_tokens.RunToken(VM, 1, 7, conftest.STOCK, conftest.CUSTOMER)
 
 
 class Agent:
@@ -57,38 +50,17 @@
     def __init__(self) -> None:
         self.time = clock.ManualClock()
         self.agent = Agent()
-        keys = [
-            documents.TRADE_BODY_KEY,
-            documents.MEMBER_KEY,
-            documents.DEPLOYMENT_KEY,
-        ]
-        texts = [
-            documents.base([CUSTOMER]),
-            documents.base([]),
-            documents.deployment({}, [STOCK]),
-        ]
-        settings = store.SettingsStore(keys)
-        for key, text in zip(keys, texts, strict=True):
-            settings.offer(messages.Document(key, 1, text))
-        table = agent_table.AgentTable(settings.tree.effective)
-        rng = random.Random(1)
-        self.agent_queries = agent_queries.AgentQueries(
-            ids.VmId("entry-0"), table, self.agent, rng
-        )
-        self.dispatcher = dispatcher.Dispatcher(
-            settings,
-            table,
-            admission.Admission(settings, table),
-            self.agent_queries,
+        built = conftest.build(
             self.agent,
-            counters.Counters(),
+            crash_guard.CrashGuard(counters.Counters(), self.time),
             self.time,
-            rng,
         )
+        self.agent_queries = built.queries
+        self.dispatcher = built.dispatcher
         spec = calls.CallSpec(
             call_id=ids.RequestId("slot-4"),
-            customer_id=CUSTOMER,
-            service_id=STOCK,
+            customer_id=conftest.CUSTOMER,
+            service_id=conftest.STOCK,
             priority=queueing.Priority.NORMAL,
             deadline_ms=DEADLINE_MS,
             idempotent=False,
