Take no answer without a marked end as empty on the grants path

Found while looking for crashes that count as good answers: the client library takes a body that ends with its connection as empty, so that an agent delivered a 200 without a body for it, also if a crash of the engine had ended it, and reports and orders would have read an empty answer. Such an answer fails now as not whole (502 for a run that may have run).

test_answer_without_a_length_is_not_taken_as_empty failed before (no error raised). Streams were safe: they end with an event of their own.

--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -27,6 +27,9 @@
 _EVENT_END = b"\n\n"
 
 
+_BODYLESS = frozenset({204, 304})
+
+
 class HttpError(Exception):
     """A call that brought no usable answer.
 
@@ -95,9 +98,13 @@
             raise HttpError("answer ended within an event", sent=True)
 
     async def body(self) -> bytes:
-        """Returns the whole body."""
+        """Returns the whole body.
+
+        Raises:
+          HttpError: if there is no whole body.
+        """
         with _translated(sent=True):
-            return bytes(await self._response.content())
+            return await _content(self._response)
 
     async def close(self) -> None:
         """Drops the connection if the body was not read to its end."""
@@ -137,7 +144,7 @@
                 response = await self._send(
                     method, url, body, headers, timeout_ms, self._client
                 )
-                content = await response.content()
+                content = await _content(response)
         return Reply(
             response.status_code,
             response.headers.get("content-type", ""),
@@ -206,6 +213,20 @@
         )
 
 
+async def _content(response: aiosonic.HttpResponse) -> bytes:
+    """Returns the body of a response.
+
+    Raises:
+      HttpError: if only the end of the connection marks the end of the body.
+        The client library takes such a body as empty.
+    """
+    headers = response.headers
+    delimited = "content-length" in headers or "transfer-encoding" in headers
+    if not delimited and response.status_code not in _BODYLESS:
+        raise HttpError("the end of the answer is not marked", sent=True)
+    return bytes(await response.content())
+
+
 def _retry_after_ms(headers: Mapping[str, str]) -> float | None:
     value = headers.get("retry-after")
     if value is None:
--- a/tests/shell/test_http.py
+++ b/tests/shell/test_http.py
@@ -73,3 +73,38 @@
             return reply.body
 
     assert asyncio.run(main()) == b"/next"
+
+
+def test_answer_without_a_length_is_not_taken_as_empty() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        await peer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of the")
+        peer.close()
+
+    async def main() -> None:
+        async with raw_http.ScriptedServer(script) as server:
+            client = http.HttpClient()
+            url = f"http://{server.address}/"
+            with pytest.raises(http.HttpError, match="not marked"):
+                await client.request("GET", url, timeout_ms=1_000.0)
+            stream = await client.stream("GET", url, timeout_ms=1_000.0)
+            with pytest.raises(http.HttpError, match="not marked"):
+                await stream.body()
+
+    asyncio.run(main())
+
+
+def test_answer_without_a_body_is_whole() -> None:
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        await peer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        await asyncio.sleep(0.5)
+
+    async def main() -> http.Reply:
+        async with raw_http.ScriptedServer(script) as server:
+            client = http.HttpClient()
+            url = f"http://{server.address}/"
+            return await client.request("GET", url, timeout_ms=1_000.0)
+
+    reply = asyncio.run(main())
+    assert (reply.status, reply.body) == (204, b"")
