Count crashes of a part at the same time as one

Callers would see sound requests refused for good. A popular part has a request at each of them, and the runs before the event say nothing of how likely that is.

Crashes of a part within 300 ms are one strike, for the verdict and for the restrictions before it, which begin at two strikes now. A condemned part explains a crash only for parts that were at fewer crashes.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -287,25 +287,19 @@
         }
 
     def strikes(self, fingerprint: ids.Fingerprint) -> float:
-        """Returns the strikes of a suspect for crashes it is not cleared of.
+        """Returns the strikes of a request for crashes it is not cleared of.
 
         A crash that a condemned part of prompts explains is no strike of the
-        requests, and of other parts, that were in flight there.
+        requests that were in flight there.
         """
         return sum(
-            self._strike(crash, fingerprint)
+            PARTIAL_ANSWER_STRIKE
+            if self._crashes[crash].suspects[fingerprint].begun
+            else 1.0
             for crash in self._crashes_of.get(fingerprint, ())
+            if not self.parts.explains(crash)
         )
 
-    def _strike(
-        self, crash: ids.CrashId, fingerprint: ids.Fingerprint
-    ) -> float:
-        suspect = self._crashes[crash].suspects[fingerprint]
-        condemned = self.parts.is_condemned(fingerprint)
-        if not condemned and self.parts.explains(crash):
-            return 0.0
-        return PARTIAL_ANSWER_STRIKE if suspect.begun else 1.0
-
     def blocked(self) -> dict[ids.Fingerprint, Evidence]:
         """Returns the blocked requests and the evidence against each."""
         if self._blocked is None:
@@ -456,7 +450,7 @@
         if not crashes:
             del self._crashes_of[fingerprint]
         if suspect.is_part:
-            self.parts.put(crash, suspect)
+            self.parts.put(crash, suspect, known_crash.noticed_ms)
         if suspect.condemned or not suspect.is_part:
             self._blocked = None
 
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -33,6 +33,11 @@
 SINGLE_ATTEMPT_STRIKES = 2.0
 """Strikes from which a request is not sent to a second replica."""
 
+PART_STRIKES = 2
+"""Strikes of a part of prompts from which requests with it are sent where the
+fewest others run, and to one replica only. After one event that ends several
+replicas many sound parts have one."""
+
 PARTS_PER_CRASH_MAX = 32
 """Most parts that this entry adds to one crash."""
 
@@ -208,13 +213,25 @@
             or self.ledger.parts.is_condemned(fingerprint)
         )
 
-    def runs_alone(self, fingerprint: ids.Fingerprint) -> bool:
+    def runs_alone(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request is sent where the fewest others run."""
-        return self.ledger.strikes(fingerprint) >= ISOLATION_STRIKES
+        strikes = self.ledger.strikes(causes.content)
+        return strikes >= ISOLATION_STRIKES or self._has_suspected_part(causes)
 
-    def runs_once(self, fingerprint: ids.Fingerprint) -> bool:
+    def runs_once(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request is sent to one replica at most."""
-        return self.ledger.strikes(fingerprint) >= SINGLE_ATTEMPT_STRIKES
+        strikes = self.ledger.strikes(causes.content)
+        return strikes >= SINGLE_ATTEMPT_STRIKES or self._has_suspected_part(
+            causes
+        )
+
+    def _has_suspected_part(
+        self, causes: possible_causes.PossibleCauses
+    ) -> bool:
+        return any(
+            self.ledger.parts.strikes(part) >= PART_STRIKES
+            for part in causes.parts
+        )
 
     def tick(self, now_ms: clock.Millis) -> None:
         """Drops old crashes, and judges parts by the latest runs."""
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/part_suspicion.py
@@ -15,7 +15,12 @@
 from marlramp.core import crash_reports
 
 STRIKES_MIN = 3
-"""Least number of crashes for which a part may be condemned."""
+"""Least number of strikes for which a part may be condemned."""
+
+STRIKE_MS = 300.0
+"""Period in which all crashes of a part are one strike: replicas that a machine
+or an operator ends together are one event, at which a popular part has requests
+in flight at several of them."""
 
 CARRIERS_MIN = 2
 """Least number of different requests that had the part at its crashes. A single
@@ -32,7 +37,8 @@
     """The evidence against a part.
 
     Attributes:
-      strikes: number of crashes that the part is a suspect of.
+      strikes: number of crashes that the part is a suspect of, where those
+        within `STRIKE_MS` count as one.
       carriers: number of different requests that had the part there.
       crash_ids: these crashes.
     """
@@ -50,12 +56,24 @@
         # The carrier of each part at each of its crashes.
         self._carriers: dict[ids.PartFingerprint, dict[ids.CrashId, str]] = {}
         self._positions: dict[ids.PartFingerprint, int] = {}
+        self._noticed_ms: dict[ids.CrashId, float] = {}
         self._parts_at: dict[ids.CrashId, set[ids.PartFingerprint]] = {}
         self._frequent: set[ids.PartFingerprint] = set()
         self._condemned: set[ids.PartFingerprint] = set()
 
-    def put(self, crash: ids.CrashId, suspect: crash_reports.Suspect) -> None:
-        """Adds or updates a suspect; one that was cleared is removed."""
+    def put(
+        self,
+        crash: ids.CrashId,
+        suspect: crash_reports.Suspect,
+        noticed_ms: float,
+    ) -> None:
+        """Adds or updates a suspect; one that was cleared is removed.
+
+        Args:
+          crash: the crash.
+          suspect: the part.
+          noticed_ms: clock reading when the crash was noticed.
+        """
         part = ids.PartFingerprint(suspect.fingerprint)
         if suspect.cleared:
             self.discard(crash, part)
@@ -65,6 +83,7 @@
         position = max(suspect.position, self._positions.get(part, 0))
         self._positions[part] = position
         self._parts_at.setdefault(crash, set()).add(part)
+        self._noticed_ms[crash] = noticed_ms
         if len(crashes) >= STRIKES_MIN:
             self._frequent.add(part)
         if suspect.condemned:
@@ -78,6 +97,7 @@
         self._parts_at[crash].discard(part)
         if not self._parts_at[crash]:
             del self._parts_at[crash]
+            del self._noticed_ms[crash]
         if len(crashes) < STRIKES_MIN:
             self._frequent.discard(part)
         if not crashes:
@@ -97,6 +117,24 @@
         """Returns whether an entry found a part to be the cause."""
         return fingerprint in self._condemned
 
+    def strikes(self, part: ids.PartFingerprint) -> int:
+        """Returns the strikes of a part.
+
+        Crashes that a condemned part explains as well are no strikes.
+        """
+        times_ms = [
+            self._noticed_ms[crash]
+            for crash in self._carriers.get(part, ())
+            if not self._is_explained(crash, part)
+        ]
+        strikes = 0
+        until_ms = float("-inf")
+        for noticed_ms in sorted(times_ms):
+            if noticed_ms >= until_ms:
+                strikes += 1
+                until_ms = noticed_ms + STRIKE_MS
+        return strikes
+
     def explains(self, crash: ids.CrashId) -> bool:
         """Returns whether a condemned part was in flight at a crash."""
         return not self._condemned.isdisjoint(self._parts_at.get(crash, ()))
@@ -110,10 +148,26 @@
         found = {}
         for part in sorted(self._frequent - self._condemned):
             evidence = self._evidence(part)
-            if evidence.carriers >= CARRIERS_MIN and self._leads(part):
+            if (
+                evidence.strikes >= STRIKES_MIN
+                and evidence.carriers >= CARRIERS_MIN
+                and self._leads(part)
+            ):
                 found[part] = evidence
         return found
 
+    def _is_explained(
+        self, crash: ids.CrashId, part: ids.PartFingerprint
+    ) -> bool:
+        """Returns whether a condemned part explains a part's crash as well."""
+        if part in self._condemned:
+            return False
+        rank = self._rank(part)
+        return any(
+            other in self._condemned and self._rank(other) >= rank
+            for other in self._parts_at[crash]
+        )
+
     def _leads(self, part: ids.PartFingerprint) -> bool:
         """Returns whether no other part explains most crashes better."""
         crashes = self._carriers[part]
@@ -131,5 +185,5 @@
     def _evidence(self, part: ids.PartFingerprint) -> PartEvidence:
         crashes = self._carriers[part]
         return PartEvidence(
-            len(crashes), len(set(crashes.values())), sorted(crashes)
+            self.strikes(part), len(set(crashes.values())), sorted(crashes)
         )
--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -125,11 +125,11 @@
 
         It then goes to the replica with the fewest other requests.
         """
-        return any(map(self._record.runs_alone, causes))
+        return self._record.runs_alone(causes)
 
     def runs_once(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request may run at one replica at most."""
-        return any(map(self._record.runs_once, causes))
+        return self._record.runs_once(causes)
 
     # Ends of attempts and replicas.
 
@@ -244,15 +244,16 @@
         if lost.beginning and lost.causes.parts:
             self._record.add_part_suspects(lost.crash_id, lost.causes, now_ms)
         self._on_crash()
-        strikes = self._record.ledger.strikes
+        ledger = self._record.ledger
         logs.log(
             "crash_suspected",
             replica=lost.replica_id,
             fingerprint=content,
             begun=lost.begun,
-            strikes=strikes(content),
+            strikes=ledger.strikes(content),
             parts=",".join(
-                f"{part}:{strikes(part):.0f}" for part in lost.causes.parts
+                f"{part}:{ledger.parts.strikes(part)}"
+                for part in lost.causes.parts
             ),
             beginning=lost.beginning,
         )
--- a/src/marlramp/direct/crash_pages.py
+++ b/src/marlramp/direct/crash_pages.py
@@ -58,7 +58,7 @@
         SuspectRow(
             fingerprint=fingerprint,
             condemned=record.is_blocked(fingerprint),
-            strikes=record.ledger.strikes(fingerprint),
+            strikes=_strikes(record, fingerprint),
             crashes=sorted(crashes),
             part=parts.is_suspect(fingerprint),
         )
@@ -67,6 +67,15 @@
     return sorted(rows, key=lambda row: (-row.strikes, row.fingerprint))
 
 
+def _strikes(
+    record: crash_record.CrashRecord, fingerprint: ids.Fingerprint
+) -> float:
+    ledger = record.ledger
+    if ledger.parts.is_suspect(fingerprint):
+        return ledger.parts.strikes(ids.PartFingerprint(fingerprint))
+    return ledger.strikes(fingerprint)
+
+
 def build(
     record: crash_record.CrashRecord, on_change: Callable[[], None]
 ) -> page_server.Pages:
--- a/src/marlramp/entry/crash_guard.py
+++ b/src/marlramp/entry/crash_guard.py
@@ -14,6 +14,7 @@
 from marlramp import logs
 from marlramp.core import calls
 from marlramp.core import crash_record
+from marlramp.core import possible_causes
 from marlramp.core import request_fingerprint
 from marlramp.protocol import messages
 
@@ -48,7 +49,8 @@
         """
         fingerprint = _fingerprint(state.spec)
         blocked = self._record.is_blocked(fingerprint)
-        again = state.maybe_ran and self._record.runs_once(fingerprint)
+        causes = possible_causes.PossibleCauses(fingerprint)
+        again = state.maybe_ran and self._record.runs_once(causes)
         if not blocked and not again:
             return None
         ran = errors.Ran.UNKNOWN if state.maybe_ran else errors.Ran.NO
