Judge a part without the runs that its own crashes ended

Four engines crashed as soon as they were back, sound streams beside ended with them, and these losses made the loss of the culprit's runs look usual.

Runs that were lost at crashes of the part don't count in its verdict. What they guarded against, replicas that crash whatever they run, is told by another sign: a part has to be a suspect of at least 0.3 of all strikes since its first crash. Verdicts count crashes from 100 ms on, since the requests in flight are reported one after the other: a first part was condemned while the culprit of the last crash was not yet reported (test). The mark of a verdict lies on one crash, so that it sends one, not all.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -159,15 +159,21 @@
             if suspect.is_part and not suspect.cleared:
                 self.clear(crash, suspect.fingerprint)
 
-    def condemn(self, part: ids.PartFingerprint) -> list[ids.CrashId]:
-        """Marks a part as the cause of its crashes and returns these."""
-        crashes = list(self._crashes_of.get(part, ()))
-        for crash in crashes:
-            known_crash = self._crashes[crash]
-            known = known_crash.suspects[part]
-            condemned = msgspec.structs.replace(known, condemned=True)
-            self._put_suspect(crash, known_crash, condemned)
-        return crashes
+    def condemn(self, part: ids.PartFingerprint) -> ids.CrashId:
+        """Marks a part as the cause of its crashes.
+
+        Returns:
+          The latest of these crashes, which bears the mark.
+
+        Raises:
+          KeyError: if the part is no suspect.
+        """
+        latest = max(self._crashes_of[part], key=self.noticed_ms)
+        known_crash = self._crashes[latest]
+        known = known_crash.suspects[part]
+        condemned = msgspec.structs.replace(known, condemned=True)
+        self._put_suspect(latest, known_crash, condemned)
+        return latest
 
     def noticed_ms(self, crash: ids.CrashId) -> float:
         """Returns when a crash was first noticed, a clock reading."""
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -111,7 +111,7 @@
           causes: the request and the parts of its prompt.
           now_ms: the current time.
         """
-        self._outcomes.record_lost(causes.parts, now_ms)
+        self._outcomes.record_lost(crash, now_ms)
         for position, part in enumerate(causes.parts):
             if self._survivals.clears(part, now_ms):
                 continue
@@ -119,7 +119,6 @@
                 break
             self.ledger.add_part(crash, part, position, causes.content, now_ms)
             self._changed.add(crash)
-        self._condemn_parts(now_ms)
 
     def record_survival(
         self, parts: Sequence[ids.PartFingerprint], now_ms: clock.Millis
@@ -182,8 +181,6 @@
                 )
                 if is_suspect and self._is_cleared(crash, suspect, now_ms):
                     self.ledger.clear(crash.crash_id, suspect.fingerprint)
-        if is_new:
-            self._condemn_parts(now_ms)
         return is_new
 
     def _is_cleared(
@@ -199,12 +196,19 @@
         noticed_ms = self.ledger.noticed_ms(crash.crash_id)
         return self._survivals.clears(part, noticed_ms)
 
-    def _condemn_parts(self, now_ms: clock.Millis) -> None:
-        """Condemns the parts that lost too many runs to be sound."""
-        for part, evidence in self.ledger.parts.candidates().items():
-            lost = self._outcomes.loss_probability(part, now_ms)
+    def judge_parts(self, now_ms: clock.Millis) -> bool:
+        """Condemns the parts that lost too many runs to be sound.
+
+        Returns:
+          Whether there were any.
+        """
+        found = False
+        for part, evidence in self.ledger.parts.candidates(now_ms).items():
+            lost = self._outcomes.loss_probability(evidence.crash_ids, now_ms)
             if lost**evidence.strikes <= CHANCE_MAX:
-                self._changed.update(self.ledger.condemn(part))
+                self._changed.add(self.ledger.condemn(part))
+                found = True
+        return found
 
     def is_blocked(self, fingerprint: ids.Fingerprint) -> bool:
         """Returns whether a request or a part of prompts is blocked."""
@@ -234,9 +238,8 @@
         )
 
     def tick(self, now_ms: clock.Millis) -> None:
-        """Drops old crashes, and judges parts by the latest runs."""
+        """Drops old crashes."""
         self.ledger.tick(now_ms)
-        self._condemn_parts(now_ms)
 
     def pop_changed(self) -> set[ids.CrashId]:
         """Returns the crashes that changed since the previous call."""
--- a/src/marlramp/core/crash_reports.py
+++ b/src/marlramp/core/crash_reports.py
@@ -28,7 +28,8 @@
       carrier: for a part, the last `CARRIER_DIGITS` digits of a request in
         flight at the crash that had it in its prompt; the least ones if there
         were several. "" for a request.
-      condemned: for a part, whether an entry found it to be the cause.
+      condemned: for a part, whether an entry found it to be the cause of its
+        crashes; one of them bears the mark.
       position: for a part, its greatest position in a prompt, from 0.
     """
 
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/part_suspicion.py
@@ -9,8 +9,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+from collections.abc import Iterable
+
 import msgspec
 
+from marlramp import clock
 from marlramp import ids
 from marlramp.core import crash_reports
 
@@ -26,6 +30,14 @@
 """Least number of different requests that had the part at its crashes. A single
 request that is sent again is condemned by its own content."""
 
+SETTLE_MS = 100.0
+"""Age of a crash from which it counts for a verdict: entries report the
+requests that were in flight there one after the other."""
+
+COVERED_SHARE_MIN = 0.3
+"""Least share of all strikes since its first crash that are a part's own. If
+replicas crash whatever they run, each of many parts has a few."""
+
 LEADING_SHARE_MIN = 0.5
 """Least share of a part's crashes at which no other suspected part explains
 more crashes. Parts that were in flight beside the culprit explain fewer. Of
@@ -117,45 +129,52 @@
         """Returns whether an entry found a part to be the cause."""
         return fingerprint in self._condemned
 
-    def strikes(self, part: ids.PartFingerprint) -> int:
-        """Returns the strikes of a part.
-
-        Crashes that a condemned part explains as well are no strikes.
-        """
-        times_ms = [
-            self._noticed_ms[crash]
-            for crash in self._carriers.get(part, ())
-            if not self._is_explained(crash, part)
-        ]
-        strikes = 0
-        until_ms = float("-inf")
-        for noticed_ms in sorted(times_ms):
-            if noticed_ms >= until_ms:
-                strikes += 1
-                until_ms = noticed_ms + STRIKE_MS
-        return strikes
-
-    def explains(self, crash: ids.CrashId) -> bool:
-        """Returns whether a condemned part was in flight at a crash."""
-        return not self._condemned.isdisjoint(self._parts_at.get(crash, ()))
-
     def condemned(self) -> dict[ids.PartFingerprint, PartEvidence]:
         """Returns the condemned parts and the evidence against each."""
-        return {part: self._evidence(part) for part in sorted(self._condemned)}
+        return {
+            part: self._evidence(part, self._carriers[part])
+            for part in sorted(self._condemned)
+        }
+
+    def candidates(
+        self, now_ms: clock.Millis
+    ) -> dict[ids.PartFingerprint, PartEvidence]:
+        """Returns the parts that may be condemned and are not yet.
 
-    def candidates(self) -> dict[ids.PartFingerprint, PartEvidence]:
-        """Returns the parts that may be condemned and are not yet."""
+        Args:
+          now_ms: the current time; crashes that are younger than `SETTLE_MS`
+            don't count.
+        """
+        settled_ms = now_ms - SETTLE_MS
         found = {}
         for part in sorted(self._frequent - self._condemned):
-            evidence = self._evidence(part)
+            crashes = self._settled(part, settled_ms)
+            evidence = self._evidence(part, crashes)
             if (
                 evidence.strikes >= STRIKES_MIN
                 and evidence.carriers >= CARRIERS_MIN
-                and self._leads(part)
+                and self._covers(crashes, evidence.strikes, settled_ms)
+                and self._leads(part, crashes, settled_ms)
             ):
                 found[part] = evidence
         return found
 
+    def strikes(self, part: ids.PartFingerprint) -> int:
+        """Returns the strikes of a part.
+
+        Crashes that a condemned part explains as well are no strikes.
+        """
+        return self._strikes_of(part, self._carriers.get(part, ()))
+
+    def _strikes_of(
+        self, part: ids.PartFingerprint, crashes: Iterable[ids.CrashId]
+    ) -> int:
+        return _strikes(
+            self._noticed_ms[crash]
+            for crash in crashes
+            if not self._is_explained(crash, part)
+        )
+
     def _is_explained(
         self, crash: ids.CrashId, part: ids.PartFingerprint
     ) -> bool:
@@ -168,22 +187,73 @@
             for other in self._parts_at[crash]
         )
 
-    def _leads(self, part: ids.PartFingerprint) -> bool:
+    def explains(self, crash: ids.CrashId) -> bool:
+        """Returns whether a condemned part was in flight at a crash."""
+        return not self._condemned.isdisjoint(self._parts_at.get(crash, ()))
+
+    def _settled(
+        self, part: ids.PartFingerprint, settled_ms: float
+    ) -> list[ids.CrashId]:
+        """Returns the crashes of a part that count for a verdict."""
+        return [
+            crash
+            for crash in self._carriers[part]
+            if self._noticed_ms[crash] <= settled_ms
+        ]
+
+    def _covers(
+        self, crashes: list[ids.CrashId], strikes: int, settled_ms: float
+    ) -> bool:
+        """Returns whether a part is a suspect of enough of all crashes."""
+        first_ms = min(self._noticed_ms[crash] for crash in crashes)
+        since = [
+            each
+            for each in self._noticed_ms.values()
+            if first_ms <= each <= settled_ms
+        ]
+        return strikes >= COVERED_SHARE_MIN * _strikes(since)
+
+    def _leads(
+        self,
+        part: ids.PartFingerprint,
+        crashes: list[ids.CrashId],
+        settled_ms: float,
+    ) -> bool:
         """Returns whether no other part explains most crashes better."""
-        crashes = self._carriers[part]
-        rank = self._rank(part)
+        rank = self._rank(part, settled_ms)
         led = sum(
-            all(self._rank(other) <= rank for other in self._parts_at[crash])
+            all(
+                self._rank(other, settled_ms) <= rank
+                for other in self._parts_at[crash]
+            )
             for crash in crashes
         )
         return led >= LEADING_SHARE_MIN * len(crashes)
 
-    def _rank(self, part: ids.PartFingerprint) -> tuple[int, int]:
+    def _rank(
+        self, part: ids.PartFingerprint, settled_ms: float = float("inf")
+    ) -> tuple[int, int]:
         """Returns how well a part explains crashes, for comparison."""
-        return len(self._carriers[part]), self._positions[part]
+        crashes = len(self._settled(part, settled_ms))
+        return crashes, self._positions[part]
 
-    def _evidence(self, part: ids.PartFingerprint) -> PartEvidence:
-        crashes = self._carriers[part]
+    def _evidence(
+        self, part: ids.PartFingerprint, crashes: Collection[ids.CrashId]
+    ) -> PartEvidence:
+        carriers = self._carriers[part]
         return PartEvidence(
-            self.strikes(part), len(set(crashes.values())), sorted(crashes)
+            self._strikes_of(part, crashes),
+            len({carriers[crash] for crash in crashes}),
+            sorted(crashes),
         )
+
+
+def _strikes(times_ms: Iterable[float]) -> int:
+    """Returns the strikes of crashes that were noticed at these times."""
+    strikes = 0
+    until_ms = float("-inf")
+    for noticed_ms in sorted(times_ms):
+        if noticed_ms >= until_ms:
+            strikes += 1
+            until_ms = noticed_ms + STRIKE_MS
+    return strikes
--- a/src/marlramp/core/run_outcomes.py
+++ b/src/marlramp/core/run_outcomes.py
@@ -2,13 +2,14 @@
 
 While replicas crash for whatever reason, sound requests are lost as well. The
 share of lost runs tells how likely it is that a sound part of prompts loses
-several runs in a row.
+several runs in a row. Runs that were lost at crashes of the part itself don't
+count: if it is the cause, it ended them too.
 """
 
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Collection
 import math
 
 import msgspec
@@ -31,8 +32,7 @@
 class _Bucket(msgspec.Struct):
     number: int
     survived: int = 0
-    lost: int = 0
-    lost_of: collections.Counter[ids.PartFingerprint] = msgspec.field(
+    lost_at: collections.Counter[ids.CrashId] = msgspec.field(
         default_factory=collections.Counter
     )
 
@@ -48,29 +48,29 @@
         """Counts a run that survived."""
         self._bucket(now_ms).survived += 1
 
-    def record_lost(
-        self, parts: Iterable[ids.PartFingerprint], now_ms: clock.Millis
-    ) -> None:
-        """Counts a run that was lost in a crash as it began.
+    def record_lost(self, crash: ids.CrashId, now_ms: clock.Millis) -> None:
+        """Counts a run that was lost in a crash as it began."""
+        self._bucket(now_ms).lost_at[crash] += 1
+
+    def loss_probability(
+        self, without: Collection[ids.CrashId], now_ms: clock.Millis
+    ) -> float:
+        """Returns how likely a run is lost as it begins.
 
         Args:
-          parts: the parts of its prompt.
+          without: crashes whose runs don't count.
           now_ms: the current time.
         """
-        bucket = self._bucket(now_ms)
-        bucket.lost += 1
-        bucket.lost_of.update(parts)
-
-    def loss_probability(
-        self, part: ids.PartFingerprint, now_ms: clock.Millis
-    ) -> float:
-        """Returns how likely a run without a part is lost as it begins."""
         self._drop_old(now_ms)
         lost = PRIOR_LOST
         survived = PRIOR_SURVIVED
         for bucket in self._buckets:
-            lost += bucket.lost - bucket.lost_of[part]
             survived += bucket.survived
+            lost += sum(
+                runs
+                for crash, runs in bucket.lost_at.items()
+                if crash not in without
+            )
         return lost / (lost + survived)
 
     def _bucket(self, now_ms: clock.Millis) -> _Bucket:
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -160,6 +160,8 @@
         if now_ms - self._removed_ms >= REMOVE_INTERVAL_MS:
             self._removed_ms = now_ms
             self._record.tick(now_ms)
+        if self._record.judge_parts(now_ms):
+            self._send_first()
         self._queue_changed(now_ms)
         crashes = self._record.ledger.export(
             self._gossip_queue.next_batch(now_ms), now_ms
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/test_part_suspicion.py
@@ -11,6 +11,7 @@
 from marlramp import ids
 from marlramp.core import crash_record
 from marlramp.core import crash_reports
+from marlramp.core import part_suspicion
 from marlramp.core import possible_causes
 from marlramp.core import run_outcomes
 
@@ -51,6 +52,17 @@
     )
 
 
+def lose(
+    record: crash_record.CrashRecord,
+    number: int,
+    *requests: possible_causes.PossibleCauses,
+) -> None:
+    """Loses the runs of requests that begin in one crash, and judges."""
+    for request in requests:
+        record.add_part_suspects(crash(number), request, crash_ms(number))
+    record.judge_parts(at(GAP_MS * number + part_suspicion.SETTLE_MS))
+
+
 def condemned(
     record: crash_record.CrashRecord,
 ) -> set[ids.PartFingerprint]:
@@ -77,8 +89,7 @@
 ) -> None:
     for number in range(CRASHES_MAX):
         assert not record.is_blocked(CULPRIT)
-        now_ms = at(10_000.0 * number)
-        record.add_part_suspects(crash(number), causes(number, CULPRIT), now_ms)
+        lose(record, number, causes(number, CULPRIT))
     assert condemned(record) == {CULPRIT}
     assert record.is_blocked(CULPRIT)
     evidence = record.ledger.parts.condemned()[CULPRIT]
@@ -94,6 +105,7 @@
         used_record.add_part_suspects(
             crash(number), causes(number, FIRST), now_ms
         )
+    used_record.judge_parts(at(1_000.0))
     assert not used_record.is_blocked(FIRST)
     assert not used_record.runs_alone(causes(9, FIRST))
     assert used_record.ledger.parts.strikes(FIRST) == 1
@@ -104,9 +116,7 @@
 ) -> None:
     for number in range(3):
         assert not used_record.is_blocked(CULPRIT)
-        used_record.add_part_suspects(
-            crash(number), causes(number, CULPRIT), crash_ms(number)
-        )
+        lose(used_record, number, causes(number, CULPRIT))
     assert used_record.is_blocked(CULPRIT)
 
 
@@ -114,11 +124,8 @@
     record: crash_record.CrashRecord,
 ) -> None:
     for number in range(20):
-        now_ms = at(300.0 * number)
-        record.record_survival((FIRST,), now_ms)
-        record.add_part_suspects(
-            crash(number), causes(number, FIRST, CULPRIT), now_ms
-        )
+        record.record_survival((FIRST,), crash_ms(number))
+        lose(record, number, causes(number, FIRST, CULPRIT))
     assert condemned(record) == {CULPRIT}
 
 
@@ -127,9 +134,7 @@
 ) -> None:
     # While no sound request comes, nothing tells the first part from it.
     for number in range(2 * CRASHES_MAX):
-        record.add_part_suspects(
-            crash(number), causes(number, FIRST, CULPRIT), crash_ms(number)
-        )
+        lose(record, number, causes(number, FIRST, CULPRIT))
     assert condemned(record) == {CULPRIT}
 
 
@@ -137,14 +142,10 @@
     record: crash_record.CrashRecord,
 ) -> None:
     for number in range(CRASHES_MAX):
-        record.add_part_suspects(
-            crash(number), causes(number, FIRST, BESIDE), crash_ms(number)
-        )
+        lose(record, number, causes(number, FIRST, BESIDE))
     assert condemned(record) == {BESIDE}
     for number in range(CRASHES_MAX, CRASHES_MAX + 2):
-        record.add_part_suspects(
-            crash(number), causes(number, FIRST, OTHER), crash_ms(number)
-        )
+        lose(record, number, causes(number, FIRST, OTHER))
     assert FIRST in condemned(record)
 
 
@@ -152,13 +153,12 @@
     records = [crash_record.CrashRecord() for _ in range(2)]
     crashes = [crash(number) for number in range(CRASHES_MAX)]
     for number, record in itertools.product(range(CRASHES_MAX), records):
-        record.add_part_suspects(
-            crashes[number], causes(number, FIRST), crash_ms(number)
-        )
+        lose(record, number, causes(number, FIRST))
     assert condemned(records[0]) == {FIRST}
-    records[1].record_survival((FIRST,), at(50.0))
-    exported = records[1].ledger.export(crashes, at(50.0))
-    records[0].merge(exported, at(60.0))
+    now_ms = crash_ms(CRASHES_MAX)
+    records[1].record_survival((FIRST,), now_ms)
+    exported = records[1].ledger.export(crashes, now_ms)
+    records[0].merge(exported, now_ms)
     assert condemned(records[0]) == set()
 
 
@@ -179,11 +179,7 @@
     for _ in range(100):
         used_record.record_survival((CULPRIT,), NOW_MS)
     for number in range(CRASHES_MAX):
-        used_record.add_part_suspects(
-            crash(number),
-            causes(number, CULPRIT),
-            at(1_500.0 + GAP_MS * number),
-        )
+        lose(used_record, 4 + number, causes(number, CULPRIT))
     assert used_record.is_blocked(CULPRIT)
 
 
@@ -191,9 +187,7 @@
     used_record: crash_record.CrashRecord,
 ) -> None:
     for number in range(10):
-        used_record.add_part_suspects(
-            crash(number), causes(1, BESIDE), crash_ms(number)
-        )
+        lose(used_record, number, causes(1, BESIDE))
     assert not used_record.is_blocked(BESIDE)
 
 
@@ -201,42 +195,45 @@
     record: crash_record.CrashRecord,
 ) -> None:
     for number in range(4):
-        record.add_part_suspects(
-            crash(number), causes(number, CULPRIT), crash_ms(number)
-        )
+        lose(record, number, causes(number, CULPRIT))
     for number in range(4, 8):
-        record.add_part_suspects(
-            crash(number), causes(number, CULPRIT, BESIDE), crash_ms(number)
-        )
-        record.add_part_suspects(
-            crash(number), causes(100 + number, BESIDE), crash_ms(number)
+        lose(
+            record,
+            number,
+            causes(number, CULPRIT, BESIDE),
+            causes(100 + number, BESIDE),
         )
     assert condemned(record) == {CULPRIT}
 
 
-def test_crashes_of_all_replicas_after_a_start_condemn_no_part(
+def test_replicas_that_crash_whatever_they_run_condemn_no_part(
     record: crash_record.CrashRecord,
 ) -> None:
-    for number in range(14):
-        for other in range(6):
-            name = 100 * number + other
-            rare = possible_causes.part_fingerprint("m", f"{name:x}")
-            record.add_part_suspects(
-                crash(number), causes(name, rare), crash_ms(number)
-            )
-        record.add_part_suspects(
-            crash(number), causes(number, FIRST), crash_ms(number)
-        )
-    assert not record.is_blocked(FIRST)
+    parts = [possible_causes.part_fingerprint("m", f"{n:x}") for n in range(40)]
+    rng = random.Random(1)
+    for number in range(60):
+        requests = [
+            causes(rng.randrange(1_000), part) for part in rng.sample(parts, 4)
+        ]
+        lose(record, number, *requests)
+    assert condemned(record) == set()
+
+
+def test_culprit_is_condemned_while_no_run_survives(
+    record: crash_record.CrashRecord,
+) -> None:
+    # Each replica crashes soon after its start, with sound runs beside.
+    for number in range(2 * CRASHES_MAX):
+        sound = [causes(100 * number + n, FIRST) for n in range(1, 7)]
+        lose(record, number, *sound, causes(number, FIRST, CULPRIT))
+    assert condemned(record) == {CULPRIT}
 
 
 def test_condemned_part_is_blocked_by_entries_that_know_no_runs(
     used_record: crash_record.CrashRecord, record: crash_record.CrashRecord
 ) -> None:
     for number in range(3):
-        used_record.add_part_suspects(
-            crash(number), causes(number, CULPRIT), crash_ms(number)
-        )
+        lose(used_record, number, causes(number, CULPRIT))
     exported = used_record.ledger.export(
         [crash(number) for number in range(3)], NOW_MS
     )
@@ -255,9 +252,7 @@
         )
     assert used_record.is_blocked(victim)
     for number in range(3):
-        used_record.add_part_suspects(
-            crash(number), causes(number, FIRST, CULPRIT), crash_ms(number)
-        )
+        lose(used_record, number, causes(number, FIRST, CULPRIT))
     assert not used_record.is_blocked(victim)
     assert not used_record.runs_alone(possible_causes.PossibleCauses(victim))
     assert not used_record.runs_alone(causes(0, FIRST))
@@ -271,9 +266,7 @@
     used_record: crash_record.CrashRecord,
 ) -> None:
     for number in range(6):
-        used_record.add_part_suspects(
-            crash(number), causes(number, FIRST, CULPRIT), crash_ms(number)
-        )
+        lose(used_record, number, causes(number, FIRST, CULPRIT))
     changes = used_record.pop_block_changes()
     assert set(changes.parts) == {CULPRIT}
     assert used_record.clear(CULPRIT) == 6
@@ -286,10 +279,8 @@
     used_record: crash_record.CrashRecord,
 ) -> None:
     for number in range(3):
-        used_record.add_part_suspects(
-            crash(number), causes(number, CULPRIT), crash_ms(number)
-        )
-    used_record.add_part_suspects(crash(9), causes(9, BESIDE), crash_ms(number))
+        lose(used_record, number, causes(number, CULPRIT))
+    lose(used_record, 9, causes(9, BESIDE))
     used_record.tick(at(3_600_000.0))
     assert used_record.is_blocked(CULPRIT)
     assert set(used_record.ledger.suspects()) == {CULPRIT}
@@ -302,30 +293,31 @@
     crashes = [crash(number) for number in range(8)]
     for number, record in itertools.product(range(8), records):
         found = causes(rng.randrange(20), CULPRIT, BESIDE)
-        record.add_part_suspects(crashes[number], found, crash_ms(number))
+        lose(record, number, found)
         if rng.random() < 0.2:
             record.record_survival((BESIDE,), at(number))
     # The second round spreads what the first one made an entry condemn.
-    for _ in range(2):
+    for _ in range(3):
         sent = [
             each
             for record in records
-            for each in record.ledger.export(crashes, NOW_MS)
+            for each in record.ledger.export(crashes, crash_ms(8))
         ]
         for record in records:
             rng.shuffle(sent)
-            record.merge(sent, NOW_MS)
+            record.merge(sent, crash_ms(8))
+            record.judge_parts(crash_ms(9))
     assert len({record.ledger.digest() for record in records}) == 1
     assert all(CULPRIT in condemned(record) for record in records)
 
 
 def test_runs_count_for_a_limited_time() -> None:
     outcomes = run_outcomes.RunOutcomes()
-    fresh = outcomes.loss_probability(CULPRIT, NOW_MS)
+    fresh = outcomes.loss_probability((), NOW_MS)
     for _ in range(30):
         outcomes.record_survived(NOW_MS)
-        outcomes.record_lost((CULPRIT,), NOW_MS)
-    assert outcomes.loss_probability(CULPRIT, NOW_MS) < 0.05
-    assert outcomes.loss_probability(BESIDE, NOW_MS) > 0.4
+        outcomes.record_lost(crash(1), NOW_MS)
+    assert outcomes.loss_probability([crash(1)], NOW_MS) < 0.05
+    assert outcomes.loss_probability([crash(2)], NOW_MS) > 0.4
     later_ms = at(run_outcomes.WINDOW_MS + run_outcomes.BUCKET_MS)
-    assert outcomes.loss_probability(CULPRIT, later_ms) == fresh
+    assert outcomes.loss_probability((), later_ms) == fresh
--- a/tests/direct/calls/test_crashing_parts.py
+++ b/tests/direct/calls/test_crashing_parts.py
@@ -131,6 +131,7 @@
             )
             crash = crash_reports.crash_id(f"x-{number}", 1)
             entry.crashes.add_part_suspects(crash, causes, now_ms)
+        entry.crashes.judge_parts(entry.time.now_ms())
         answer = await entry.call("/whole/x", "POST", parts=PARTS.format(1))
         assert answer.startswith(b"HTTP/1.1 503")
         assert b"crashes_upstreams" in answer
--- a/tests/failures/test_crashing_parts.py
+++ b/tests/failures/test_crashing_parts.py
@@ -247,6 +247,7 @@
     async def use(fleet: direct_fleet.Fleet) -> None:
         culprits = Culprits(fleet)
         await culprits.send_until_known(fleet.entry_hosts)
+        await culprits.send_for(fleet.entry_hosts, 3.0)
         before = culprits.arrivals()
         urls = [f"http://{host}:9464" for host in fleet.entry_hosts]
         await asyncio.to_thread(crashes.crashes, urls[0], json=True)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -21,14 +21,24 @@
 TURNING_AWAY_SEED = 3
 
 
-def seeds() -> list[int]:
+def seeds() -> list[tuple[int, run.Culprit]]:
     listed = tomllib.loads(REGRESSIONS.read_text())["seed"]
-    return [entry["number"] for entry in listed] + SHORT_RUN
-
-
-@pytest.mark.parametrize("seed", seeds())
-def test_seed_keeps_all_promises(seed: int, tmp_path: pathlib.Path) -> None:
-    result = asyncio.run(run.play(tmp_path, seed, schedule.Size()))
+    return [
+        *[
+            (entry["number"], run.Culprit(entry.get("culprit", "none")))
+            for entry in listed
+        ],
+        *[(seed, run.Culprit.NONE) for seed in SHORT_RUN],
+    ]
+
+
+@pytest.mark.parametrize(("seed", "culprit"), seeds())
+def test_seed_keeps_all_promises(
+    seed: int, culprit: run.Culprit, tmp_path: pathlib.Path
+) -> None:
+    result = asyncio.run(
+        run.play(tmp_path, seed, schedule.Size(), culprit=culprit)
+    )
     assert result.violations == []
     assert result.served
 
