Let a run that survives speak for the time at which it began

By reading, with a test that failed before (released by the old run): a stream of a minute that began before a part turned bad cleared the part when it ended, so that a verdict was lifted by each long answer under way. A run shows that its parts were sound when it began to write; crashes up to 1 s after that are cleared, later ones are not.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -214,11 +214,15 @@
 
     def clear_all(self, fingerprint: ids.Fingerprint) -> list[ids.CrashId]:
         """Clears a request of all its crashes and returns these."""
-        crashes = list(self._crashes_of.get(fingerprint, ()))
+        crashes = self.crashes_of(fingerprint)
         for crash in crashes:
             self.clear(crash, fingerprint)
         return crashes
 
+    def crashes_of(self, fingerprint: ids.Fingerprint) -> list[ids.CrashId]:
+        """Returns the crashes that a suspect is not cleared of."""
+        return list(self._crashes_of.get(fingerprint, ()))
+
     def merge(self, crash: crash_reports.Crash, now_ms: clock.Millis) -> bool:
         """Merges a crash that another process sent.
 
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -38,8 +38,8 @@
 fewest others run, and to one replica only. After one event that ends several
 replicas many sound parts have one."""
 
-PARTS_PER_CRASH_MAX = 32
-"""Most parts that this entry adds to one crash."""
+PARTS_PER_CRASH_MAX = 64
+"""Parts among the suspects of a crash from which this entry adds no others."""
 
 CHANCE_MAX = 0.005
 """Probability that a sound part loses as many runs in a row, up to which a part
@@ -121,18 +121,21 @@
             self._changed.add(crash)
 
     def record_survival(
-        self, parts: Sequence[ids.PartFingerprint], now_ms: clock.Millis
+        self, parts: Sequence[ids.PartFingerprint], begun_ms: clock.Millis
     ) -> None:
         """Records a run that was not ended by a crash as it began.
 
         Args:
           parts: the parts of its prompt.
-          now_ms: the current time.
+          begun_ms: clock reading when the run began.
         """
-        self._outcomes.record_survived(now_ms)
-        self._survivals.record(parts, now_ms)
+        self._outcomes.record_survived(begun_ms)
+        self._survivals.record(parts, begun_ms)
         for part in parts:
-            self._changed.update(self.ledger.clear_all(part))
+            for crash in self.ledger.crashes_of(part):
+                if self._survivals.clears(part, self.ledger.noticed_ms(crash)):
+                    self.ledger.clear(crash, part)
+                    self._changed.add(crash)
 
     def record_success(
         self, fingerprint: ids.Fingerprint, now_ms: clock.Millis
--- a/src/marlramp/core/part_survivals.py
+++ b/src/marlramp/core/part_survivals.py
@@ -2,7 +2,7 @@
 
 A run survives if its answer is whole, or if the replica goes on writing it. The
 parts of its prompt are then cleared of crashes that were noticed until shortly
-after, at this entry or, through the ledger, at all.
+after the run began. A long answer says nothing of later crashes.
 """
 
 from __future__ import annotations
@@ -17,11 +17,12 @@
 """Most parts whose latest survival is kept; the latest ones remain."""
 
 VALID_MS = 1_000.0
-"""Time after a survival in which a crash is not laid to the part."""
+"""Time after the begin of a run that survived in which a crash is not laid to
+the parts of its prompt."""
 
 
 class PartSurvivals:
-    """Time of the latest run that each part survived."""
+    """Begin of the latest run that each part survived."""
 
     def __init__(self) -> None:
         """Creates an empty collection."""
@@ -30,11 +31,17 @@
         )
 
     def record(
-        self, parts: Iterable[ids.PartFingerprint], now_ms: clock.Millis
+        self, parts: Iterable[ids.PartFingerprint], begun_ms: clock.Millis
     ) -> None:
-        """Records that a run with these parts survived."""
+        """Records that a run with these parts survived.
+
+        Args:
+          parts: the parts.
+          begun_ms: clock reading when the run began.
+        """
         for part in parts:
-            self._latest_ms[part] = now_ms
+            latest_ms = max(begun_ms, self._latest_ms.get(part, begun_ms))
+            self._latest_ms[part] = latest_ms
             self._latest_ms.move_to_end(part)
         while len(self._latest_ms) > PARTS_MAX:
             self._latest_ms.popitem(last=False)
--- a/src/marlramp/core/run_outcomes.py
+++ b/src/marlramp/core/run_outcomes.py
@@ -44,9 +44,9 @@
         """Starts without runs."""
         self._buckets: collections.deque[_Bucket] = collections.deque()
 
-    def record_survived(self, now_ms: clock.Millis) -> None:
+    def record_survived(self, begun_ms: clock.Millis) -> None:
         """Counts a run that survived."""
-        self._bucket(now_ms).survived += 1
+        self._bucket(begun_ms).survived += 1
 
     def record_lost(self, crash: ids.CrashId, now_ms: clock.Millis) -> None:
         """Counts a run that was lost in a crash as it began."""
@@ -75,7 +75,8 @@
 
     def _bucket(self, now_ms: clock.Millis) -> _Bucket:
         number = math.floor(now_ms / BUCKET_MS)
-        if not self._buckets or self._buckets[-1].number != number:
+        # Runs that survived are recorded later than they began.
+        if not self._buckets or self._buckets[-1].number < number:
             self._drop_old(now_ms)
             self._buckets.append(_Bucket(number))
         return self._buckets[-1]
--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -137,11 +137,17 @@
         """Records that a request ran without a crash."""
         self._record.record_success(causes.content, self._clock.now_ms())
 
-    def record_survival(self, causes: possible_causes.PossibleCauses) -> None:
-        """Records that a run was not ended by a crash as it began."""
+    def record_survival(
+        self, causes: possible_causes.PossibleCauses, begun_ms: clock.Millis
+    ) -> None:
+        """Records that a run was not ended by a crash as it began.
+
+        Args:
+          causes: the request as a suspect.
+          begun_ms: clock reading when the run began.
+        """
         if causes.parts:
-            now_ms = self._clock.now_ms()
-            self._record.record_survival(causes.parts, now_ms)
+            self._record.record_survival(causes.parts, begun_ms)
 
     async def answer_is_whole(self, view: replica_view.ReplicaView) -> bool:
         """Returns whether an answer whose end was not marked is whole.
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -19,6 +19,8 @@
     Attributes:
       first_event_ms: time from the send to the first event, None before the
         first event.
+      survived: whether the run was recorded as one that no crash ended as it
+        began.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self._first_ms: float | None = None
         self._latest_ms = float("-inf")
         self.first_event_ms: float | None = None
+        self.survived = False
         view.record_sent(prompt_tokens, time.now_ms(), choice.position)
 
     def on_answer(self, answer: wire.ReplicaAnswer) -> None:
@@ -79,6 +82,11 @@
         self._latest_ms = self._clock.now_ms()
         self._view.heard_ms = self._latest_ms
 
+    @property
+    def begun_ms(self) -> clock.Millis | None:
+        """Clock reading at the first event, None without any."""
+        return None if self._first_ms is None else clock.Millis(self._first_ms)
+
     @property
     def writing_ms(self) -> float | None:
         """Time from the first event to the latest one, None without any."""
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -122,7 +122,9 @@
         """Returns whether a request must not run again."""
         ...
 
-    def record_survival(self, causes: possible_causes.PossibleCauses) -> None:
+    def record_survival(
+        self, causes: possible_causes.PossibleCauses, begun_ms: clock.Millis
+    ) -> None:
         """Records that a run was not ended by a crash as it began."""
         ...
 
@@ -218,7 +220,7 @@
                 return SendResult(_unsent(), unsent=True)
             path_latency_ms = view.path_latency_ms(now_ms)
             result = await self._exchange(call, choice, connection, observer)
-            await self._check_end(call, choice, result)
+            await self._check_end(call, choice, result, observer)
             result.path_latency_ms = max(
                 result.path_latency_ms, path_latency_ms
             )
@@ -281,7 +283,6 @@
         head = self._codec.head(call.request, dispatch)
         call.responder.on_pressure(connection.pause, connection.resume)
         connection.send(call.request.method, head, call.request.body, attempt)
-        survived = False
         while True:
             choice = self._cutoffs.with_cutoffs(call, choice)
             if self._nears_withdrawal(call, choice, attempt):
@@ -307,20 +308,15 @@
             # A request that has begun may still succeed and be cleared.
             if not attempt.begun and self._crashes.is_blocked(call.causes):
                 return SendResult(_blocked(), withdrawn=True)
-            writing_ms = observer.writing_ms
-            if (
-                not survived
-                and writing_ms is not None
-                and writing_ms >= SURVIVAL_MS
-            ):
-                survived = True
-                self._crashes.record_survival(call.causes)
+            if (observer.writing_ms or 0.0) >= SURVIVAL_MS:
+                self._record_survival(call, observer)
 
     async def _check_end(
         self,
         call: call_module.Call,
         choice: upstream_choice.Choice,
         result: SendResult,
+        observer: replica_observer.ReplicaObserver,
     ) -> None:
         """Ends a stream whose answer is whole.
 
@@ -338,7 +334,17 @@
             return
         if outcome.streamed:
             call.relay.end(answer)
-        self._crashes.record_survival(call.causes)
+        self._record_survival(call, observer)
+
+    def _record_survival(
+        self,
+        call: call_module.Call,
+        observer: replica_observer.ReplicaObserver,
+    ) -> None:
+        """Records once that the run of an attempt survived its begin."""
+        if observer.begun_ms is not None and not observer.survived:
+            observer.survived = True
+            self._crashes.record_survival(call.causes, observer.begun_ms)
 
     def _check_interval_ms(
         self,
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -17,12 +17,12 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp import logs
 from marlramp.core import crash_record
 from marlramp.core import gossip
 from marlramp.core import members
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
+from marlramp.shell import block_logs
 
 COMPARE_MS = 500.0
 """Least time between two requests to entries for crashes that this entry
@@ -202,25 +202,4 @@
         return self._rng.sample(vm_ids, min(count, len(vm_ids)))
 
     def _log_block_changes(self) -> None:
-        changes = self._record.pop_block_changes()
-        for fingerprint, evidence in changes.blocked.items():
-            self._totals.add(counters.CounterName.CRASHES, "condemned")
-            logs.log(
-                "request_condemned",
-                fingerprint=fingerprint,
-                strikes=evidence.strikes,
-                share=round(evidence.share, 2),
-                crashes=evidence.crash_ids,
-            )
-        for part, against in changes.parts.items():
-            self._totals.add(counters.CounterName.CRASHES, "part_condemned")
-            logs.log(
-                "part_condemned",
-                fingerprint=part,
-                strikes=against.strikes,
-                requests=against.carriers,
-                crashes=against.crash_ids,
-            )
-        for fingerprint in changes.released:
-            self._totals.add(counters.CounterName.CRASHES, "released")
-            logs.log("request_released", fingerprint=fingerprint)
+        block_logs.log_changes(self._record.pop_block_changes(), self._totals)
--- a/src/marlramp/entry/crash_guard.py
+++ b/src/marlramp/entry/crash_guard.py
@@ -11,12 +11,12 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
-from marlramp import logs
 from marlramp.core import calls
 from marlramp.core import crash_record
 from marlramp.core import possible_causes
 from marlramp.core import request_fingerprint
 from marlramp.protocol import messages
+from marlramp.shell import block_logs
 
 TICK_MS = 1_000.0
 """Time between two removals of old crashes."""
@@ -35,7 +35,7 @@
     def handle_crash(self, message: messages.EngineCrashed) -> None:
         """Records a crash that an agent reports."""
         self._record.merge([message.crash], self._clock.now_ms())
-        self._log_changes()
+        block_logs.log_changes(self._record.pop_block_changes(), self._totals)
 
     def record_success(self, spec: calls.CallSpec) -> None:
         """Records that a request ran without a crash."""
@@ -64,22 +64,8 @@
         if now_ms - self._ticked_ms >= TICK_MS:
             self._ticked_ms = now_ms
             self._record.tick(now_ms)
-            self._log_changes()
-
-    def _log_changes(self) -> None:
-        changes = self._record.pop_block_changes()
-        for fingerprint, evidence in changes.blocked.items():
-            self._totals.add(counters.CounterName.CRASHES, "condemned")
-            logs.log(
-                "request_condemned",
-                fingerprint=fingerprint,
-                strikes=evidence.strikes,
-                share=round(evidence.share, 2),
-                crashes=evidence.crash_ids,
-            )
-        for fingerprint in changes.released:
-            self._totals.add(counters.CounterName.CRASHES, "released")
-            logs.log("request_released", fingerprint=fingerprint)
+            changes = self._record.pop_block_changes()
+            block_logs.log_changes(changes, self._totals)
 
 
 def _fingerprint(spec: calls.CallSpec) -> ids.Fingerprint:
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/test_part_suspicion.py
@@ -156,6 +156,9 @@
         lose(record, number, causes(number, FIRST))
     assert condemned(records[0]) == {FIRST}
     now_ms = crash_ms(CRASHES_MAX)
+    # A run that began long before the crashes clears none of them.
+    records[1].record_survival((FIRST,), at(-5_000.0))
+    assert condemned(records[1]) == {FIRST}
     records[1].record_survival((FIRST,), now_ms)
     exported = records[1].ledger.export(crashes, now_ms)
     records[0].merge(exported, now_ms)
@@ -183,6 +186,15 @@
     assert used_record.is_blocked(CULPRIT)
 
 
+def test_long_answer_that_began_before_a_part_turned_bad_does_not_save_it(
+    used_record: crash_record.CrashRecord,
+) -> None:
+    for number in range(CRASHES_MAX):
+        lose(used_record, 4 + number, causes(number, CULPRIT))
+    used_record.record_survival((CULPRIT,), NOW_MS)
+    assert used_record.is_blocked(CULPRIT)
+
+
 def test_parts_of_one_request_that_is_sent_again_are_not_condemned(
     used_record: crash_record.CrashRecord,
 ) -> None:
