Try a condemned part of prompts before refusing it for good

One entry, the first in rendezvous order, now sends a request with the part as a trial 1 s and 7 s after the verdict; a run that survives clears the part at all entries. The count of trials travels with the crashes. Two trials keep the three sends that the rule allows after the fifth crash, also if a trial is made on both sides of a partition at the second time. A request with a part at more than one other crash is no trial.

--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crash_ledger.py
@@ -175,6 +175,23 @@
         self._put_suspect(latest, known_crash, condemned)
         return latest
 
+    def record_trial(self, part: ids.PartFingerprint) -> ids.CrashId:
+        """Counts a trial of a condemned part.
+
+        Returns:
+          The latest crash of the part, which bears the count.
+
+        Raises:
+          KeyError: if the part is no suspect.
+        """
+        latest = max(self._crashes_of[part], key=self.noticed_ms)
+        known_crash = self._crashes[latest]
+        counted = msgspec.structs.replace(
+            known_crash.suspects[part], trials=self.parts.trials(part) + 1
+        )
+        self._put_suspect(latest, known_crash, counted)
+        return latest
+
     def noticed_ms(self, crash: ids.CrashId) -> float:
         """Returns when a crash was first noticed, a clock reading."""
         return self._crashes[crash].noticed_ms
@@ -482,5 +499,7 @@
         flags = f"{suspect.begun:d}{suspect.cleared:d}"
         if suspect.is_part:
             flags += f"{suspect.condemned:d}{suspect.position}"
+            if suspect.trials:
+                flags += f"\0{suspect.trials}"
             flags += f"\0{suspect.carrier}"
         self._digests.toggle(crash, f"{crash}\0{suspect.fingerprint}\0{flags}")
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crash_record.py
@@ -21,6 +21,7 @@
 from marlramp.core import crash_reports
 from marlramp.core import part_survivals
 from marlramp.core import part_suspicion
+from marlramp.core import part_trials
 from marlramp.core import possible_causes
 from marlramp.core import run_outcomes
 from marlramp.core import successful_runs
@@ -69,6 +70,7 @@
         self._successes = successful_runs.SuccessfulRuns()
         self._survivals = part_survivals.PartSurvivals()
         self._outcomes = run_outcomes.RunOutcomes()
+        self._trials = part_trials.PartTrials()
         self._changed: set[ids.CrashId] = set()
         self._reported_blocked: set[ids.Fingerprint] = set()
 
@@ -220,6 +222,32 @@
             or self.ledger.parts.is_condemned(fingerprint)
         )
 
+    def part_to_try(
+        self, causes: possible_causes.PossibleCauses, now_ms: clock.Millis
+    ) -> ids.PartFingerprint | None:
+        """Returns the condemned part of which a request may be a trial.
+
+        Returns:
+          None if the request is not blocked, or may not run as a trial.
+        """
+        parts = self.ledger.parts
+        condemned = [part for part in causes.parts if parts.is_condemned(part)]
+        if len(condemned) != 1 or causes.content in self.ledger.blocked():
+            return None
+        (tried,) = condemned
+        if any(
+            parts.crash_count(part) > part_trials.OTHER_CRASHES_MAX
+            for part in causes.parts
+            if part != tried
+        ):
+            return None
+        due = self._trials.is_due(tried, parts.trials(tried), now_ms)
+        return tried if due else None
+
+    def begin_trial(self, part: ids.PartFingerprint) -> None:
+        """Counts a trial of a condemned part that begins."""
+        self._changed.add(self.ledger.record_trial(part))
+
     def runs_alone(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request is sent where the fewest others run."""
         strikes = self.ledger.strikes(causes.content)
@@ -241,8 +269,9 @@
         )
 
     def tick(self, now_ms: clock.Millis) -> None:
-        """Drops old crashes."""
+        """Drops old crashes, and schedules trials of condemned parts."""
         self.ledger.tick(now_ms)
+        self._trials.update(self.ledger.parts.condemned(), now_ms)
 
     def pop_changed(self) -> set[ids.CrashId]:
         """Returns the crashes that changed since the previous call."""
--- a/src/marlramp/core/crash_reports.py
+++ b/src/marlramp/core/crash_reports.py
@@ -31,6 +31,8 @@
       condemned: for a part, whether an entry found it to be the cause of its
         crashes; one of them bears the mark.
       position: for a part, its greatest position in a prompt, from 0.
+      trials: for a condemned part, how many requests with it were sent after
+        the verdict to find out whether it is sound.
     """
 
     fingerprint: ids.Fingerprint
@@ -39,6 +41,7 @@
     carrier: str = ""
     condemned: bool = False
     position: int = 0
+    trials: int = 0
 
     @property
     def is_part(self) -> bool:
@@ -58,6 +61,7 @@
             min(self.carrier, other.carrier),
             self.condemned or other.condemned,
             max(self.position, other.position),
+            max(self.trials, other.trials),
         )
 
 
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/part_suspicion.py
@@ -72,6 +72,7 @@
         self._parts_at: dict[ids.CrashId, set[ids.PartFingerprint]] = {}
         self._frequent: set[ids.PartFingerprint] = set()
         self._condemned: set[ids.PartFingerprint] = set()
+        self._trials: dict[ids.PartFingerprint, int] = {}
 
     def put(
         self,
@@ -100,6 +101,8 @@
             self._frequent.add(part)
         if suspect.condemned:
             self._condemned.add(part)
+        if suspect.trials:
+            self._trials[part] = max(suspect.trials, self.trials(part))
 
     def discard(self, crash: ids.CrashId, part: ids.PartFingerprint) -> None:
         """Removes a part from the suspects of a crash."""
@@ -116,6 +119,15 @@
             del self._carriers[part]
             del self._positions[part]
             self._condemned.discard(part)
+            self._trials.pop(part, None)
+
+    def trials(self, part: ids.PartFingerprint) -> int:
+        """Returns how many trials of a condemned part were begun."""
+        return self._trials.get(part, 0)
+
+    def crash_count(self, part: ids.PartFingerprint) -> int:
+        """Returns how many crashes a part is a suspect of."""
+        return len(self._carriers.get(part, ()))
 
     def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
         """Returns whether this is a part that is a suspect of a crash."""
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -48,6 +48,8 @@
       maybe_ran: whether any replica may have run the request.
       failed: ids of the replicas at which the request failed.
       suspected: whether the request is suspected of a crash.
+      on_trial: whether the current attempt is a trial of a condemned part of
+        prompts.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.maybe_ran = False
         self.failed: set[str] = set()
         self.suspected = False
+        self.on_trial = False
 
     @functools.cached_property
     def causes(self) -> possible_causes.PossibleCauses:
--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -89,6 +89,7 @@
         record: crash_record.CrashRecord,
         probe: Probe,
         on_crash: Callable[[], None],
+        makes_trial: Callable[[ids.PartFingerprint], bool],
         totals: counters.Counters,
         time: clock.Clock,
     ) -> None:
@@ -98,12 +99,15 @@
           record: stores crashes and their suspects.
           probe: checks whether a replica still listens.
           on_crash: called when `record` has changed.
+          makes_trial: returns whether this entry is the one that sends
+            requests with a condemned part as trials.
           totals: counters.
           time: the clock.
         """
         self._record = record
         self._probe = probe
         self._on_crash = on_crash
+        self._makes_trial = makes_trial
         self._totals = totals
         self._clock = time
         self._probes: dict[
@@ -120,6 +124,34 @@
         """Returns whether a request must not run again."""
         return any(map(self._record.is_blocked, causes))
 
+    def may_try(self, causes: possible_causes.PossibleCauses) -> bool:
+        """Returns whether a blocked request may run as a trial.
+
+        The trial begins with `begin_trial`.
+        """
+        return self._part_to_try(causes) is not None
+
+    def begin_trial(self, causes: possible_causes.PossibleCauses) -> bool:
+        """Begins a trial with a blocked request.
+
+        Returns:
+          False if the request may not run as a trial, or no longer.
+        """
+        part = self._part_to_try(causes)
+        if part is None:
+            return False
+        self._record.begin_trial(part)
+        self._totals.add(counters.CounterName.CRASHES, "trial")
+        logs.log("part_trial", part=part, fingerprint=causes.content)
+        self._on_crash()
+        return True
+
+    def _part_to_try(
+        self, causes: possible_causes.PossibleCauses
+    ) -> ids.PartFingerprint | None:
+        part = self._record.part_to_try(causes, self._clock.now_ms())
+        return part if part and self._makes_trial(part) else None
+
     def runs_alone(self, causes: possible_causes.PossibleCauses) -> bool:
         """Returns whether a request must run isolated.
 
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -310,7 +310,9 @@
     # Requests that crash replicas.
 
     def _refuse_blocked(self, call: call_module.Call) -> None:
-        if self._crashes.is_blocked(call.causes):
+        if self._crashes.is_blocked(call.causes) and not self._crashes.may_try(
+            call.causes
+        ):
             ran = errors.Ran.UNKNOWN if call.maybe_ran else errors.Ran.NO
             raise errors.CallError(errors.ErrorKind.CRASHES_UPSTREAMS, ran=ran)
 
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -122,6 +122,10 @@
         """Returns whether a request must not run again."""
         ...
 
+    def begin_trial(self, causes: possible_causes.PossibleCauses) -> bool:
+        """Begins a trial with a blocked request, unless it may not run."""
+        ...
+
     def record_survival(
         self, causes: possible_causes.PossibleCauses, begun_ms: clock.Millis
     ) -> None:
@@ -212,7 +216,7 @@
             if (
                 not view.accepts_assigned(now_ms)
                 or not choice.may_be_written(now_ms)
-                or self._crashes.is_blocked(call.causes)
+                or self._withholds(call)
             ):
                 call.sends -= 1
                 observer.record_abandoned()
@@ -245,6 +249,17 @@
         pool.give_back(connection)
         return result
 
+    def _withholds(self, call: call_module.Call) -> bool:
+        """Returns whether a request is blocked and can't be a trial either."""
+        call.on_trial = False
+        if not self._is_blocked(call):
+            return False
+        call.on_trial = self._crashes.begin_trial(call.causes)
+        return not call.on_trial
+
+    def _is_blocked(self, call: call_module.Call) -> bool:
+        return not call.on_trial and self._crashes.is_blocked(call.causes)
+
     async def _connect(
         self,
         call: call_module.Call,
@@ -306,7 +321,7 @@
                     ),
                 )
             # A request that has begun may still succeed and be cleared.
-            if not attempt.begun and self._crashes.is_blocked(call.causes):
+            if not attempt.begun and self._is_blocked(call):
                 return SendResult(_blocked(), withdrawn=True)
             if (observer.writing_ms or 0.0) >= SURVIVAL_MS:
                 self._record_survival(call, observer)
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -130,6 +130,7 @@
                 self._crashes,
                 address_probe.probe,
                 self._fleet.announce_crashes,
+                self._fleet.makes_trial,
                 self._totals,
                 self._clock,
             ),
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -10,12 +10,14 @@
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import ids
 from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import crash_record
 from marlramp.core import members
 from marlramp.core import outage_detector
 from marlramp.core import reader_election
+from marlramp.core import rendezvous
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import store_completeness
@@ -368,6 +370,11 @@
                 if view.born_ms == report.born_ms:
                     self._on_leaving(view)
 
+    def makes_trial(self, part: ids.PartFingerprint) -> bool:
+        """Returns whether this entry makes the trials of a condemned part."""
+        entries = [self._own.vm_id, *self._staying()]
+        return rendezvous.subset(part, entries, 1) == [self._own.vm_id]
+
     def announce_crashes(self) -> None:
         """Announces a crash that this entry noticed."""
         self._crash_sync.schedule_send()
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/test_part_suspicion.py
@@ -333,3 +333,64 @@
     assert outcomes.loss_probability([crash(2)], NOW_MS) > 0.4
     later_ms = at(run_outcomes.WINDOW_MS + run_outcomes.BUCKET_MS)
     assert outcomes.loss_probability((), later_ms) == fresh
+
+
+def condemn_first(record: crash_record.CrashRecord) -> None:
+    """Condemns the first part, since nothing else explains the crashes."""
+    for number in range(CRASHES_MAX):
+        lose(record, number, causes(number, FIRST))
+    record.tick(crash_ms(CRASHES_MAX))
+    assert condemned(record) == {FIRST}
+
+
+def test_condemned_part_is_tried_twice_at_most(
+    record: crash_record.CrashRecord,
+) -> None:
+    condemn_first(record)
+    known_ms = crash_ms(CRASHES_MAX)
+    trials = []
+    for wait_ms in range(0, 60_000, 100):
+        now_ms = clock.Millis(known_ms + wait_ms)
+        if record.part_to_try(causes(9, FIRST), now_ms) == FIRST:
+            record.begin_trial(FIRST)
+            trials.append(wait_ms)
+    assert trials == [1_000, 7_000]
+
+
+def test_trials_that_another_entry_made_count(
+    record: crash_record.CrashRecord,
+) -> None:
+    condemn_first(record)
+    record.begin_trial(FIRST)
+    record.begin_trial(FIRST)
+    other = crash_record.CrashRecord()
+    now_ms = crash_ms(CRASHES_MAX)
+    other.merge(record.ledger.export(record.pop_changed(), now_ms), now_ms)
+    other.tick(now_ms)
+    assert other.is_blocked(FIRST)
+    assert other.part_to_try(causes(9, FIRST), at(60_000.0)) is None
+
+
+def test_request_with_a_more_suspicious_part_is_no_trial(
+    record: crash_record.CrashRecord,
+) -> None:
+    condemn_first(record)
+    for number in range(CRASHES_MAX, CRASHES_MAX + 2):
+        lose(record, number, causes(number, OTHER))
+    now_ms = at(60_000.0)
+    assert record.part_to_try(causes(9, FIRST, OTHER), now_ms) is None
+    assert record.part_to_try(causes(9, FIRST, BESIDE), now_ms) == FIRST
+
+
+def test_trial_that_survives_releases_a_part_at_all_entries(
+    record: crash_record.CrashRecord,
+) -> None:
+    condemn_first(record)
+    other = crash_record.CrashRecord()
+    now_ms = crash_ms(CRASHES_MAX)
+    other.merge(record.ledger.export(record.pop_changed(), now_ms), now_ms)
+    record.begin_trial(FIRST)
+    record.record_survival((FIRST,), now_ms)
+    other.merge(record.ledger.export(record.pop_changed(), now_ms), now_ms)
+    assert not record.is_blocked(FIRST)
+    assert not other.is_blocked(FIRST)
--- a/tests/direct/calls/test_crashing_parts.py
+++ b/tests/direct/calls/test_crashing_parts.py
@@ -119,19 +119,25 @@
     run_entry(use, writes(OPEN_HEAD))
 
 
+def condemn(entry: conftest.Entry, known_for_ms: float = 0.0) -> None:
+    """Lays five crashes to the culprit, which is then condemned."""
+    for number in range(5):
+        age_ms = 400.0 * (5 - number)
+        now_ms = clock.Millis(entry.time.now_ms() - age_ms)
+        causes = possible_causes.PossibleCauses(
+            ids.Fingerprint(f"{number}"), (CULPRIT,)
+        )
+        crash = crash_reports.crash_id(f"x-{number}", 1)
+        entry.crashes.add_part_suspects(crash, causes, now_ms)
+    entry.crashes.judge_parts(entry.time.now_ms())
+    entry.crashes.tick(clock.Millis(entry.time.now_ms() - known_for_ms))
+
+
 def test_request_with_a_condemned_part_is_refused_as_not_run(
     run_entry: conftest.RunEntry,
 ) -> None:
     async def use(entry: conftest.Entry) -> None:
-        for number in range(5):
-            age_ms = 400.0 * (5 - number)
-            now_ms = clock.Millis(entry.time.now_ms() - age_ms)
-            causes = possible_causes.PossibleCauses(
-                ids.Fingerprint(f"{number}"), (CULPRIT,)
-            )
-            crash = crash_reports.crash_id(f"x-{number}", 1)
-            entry.crashes.add_part_suspects(crash, causes, now_ms)
-        entry.crashes.judge_parts(entry.time.now_ms())
+        condemn(entry)
         answer = await entry.call("/whole/x", "POST", parts=PARTS.format(1))
         assert answer.startswith(b"HTTP/1.1 503")
         assert b"crashes_upstreams" in answer
@@ -144,3 +150,40 @@
         assert entry.totals.total(refusals, "crashes_upstreams") == 1
 
     run_entry(use, whole)
+
+
+def test_sound_part_that_was_condemned_is_released_by_a_trial(
+    run_entry: conftest.RunEntry,
+) -> None:
+    # Without a trial its requests were refused until an operator released it.
+    async def use(entry: conftest.Entry) -> None:
+        condemn(entry, known_for_ms=1_500.0)
+        for number in range(2):
+            answer = await entry.call(
+                "/whole/x", "POST", parts=PARTS.format(number)
+            )
+            assert answer.startswith(b"HTTP/1.1 200")
+        assert not entry.crashes.is_blocked(CULPRIT)
+        crashes = counters.CounterName.CRASHES
+        assert entry.totals.total(crashes, "trial") == 1
+
+    run_entry(use, whole)
+
+
+def test_only_one_request_is_the_trial_of_a_condemned_part(
+    run_entry: conftest.RunEntry,
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        entry.presence = address_probe.Presence.GONE
+        condemn(entry, known_for_ms=1_500.0)
+        answers = await asyncio.gather(
+            *(
+                entry.call("/whole/x", "POST", parts=PARTS.format(number))
+                for number in range(5)
+            )
+        )
+        statuses = sorted(answer[9:12] for answer in answers)
+        assert statuses == [b"502", b"503", b"503", b"503", b"503"]
+        assert entry.crashes.is_blocked(CULPRIT)
+
+    run_entry(use, writes(OPEN_HEAD))
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -171,6 +171,7 @@
                 self.crashes,
                 self._probe,
                 lambda: None,
+                lambda _: True,
                 self.totals,
                 time,
             ),
