--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -24,6 +24,7 @@
 from marlramp import clock
 from marlramp.core import fleet
 from marlramp.core import queue_position
+from marlramp.core import replica_filters
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
 
@@ -84,7 +85,7 @@
         must not be refused as one that has not run.
     """
 
-    wanted: upstream_choice.RequestNeeds
+    wanted: replica_filters.RequestNeeds
     elapsed_ms: float
     wait_max_ms: float
     objective_ms: float
@@ -100,11 +101,26 @@
       LATE: it would begin too late.
       LIMITED: the rate limits of all replicas are used up.
       PAUSED: all replicas are closed, and at least one is paused or leaves.
+      REGIONS: no replica is in an allowed region.
+      EVACUATED: all replicas in allowed regions are in evacuated data centres.
+      COLD: the replicas that are left are cold and take no more requests from
+        this entry now.
     """
 
     LATE = "late"
     LIMITED = "limited"
     PAUSED = "paused"
+    REGIONS = "regions"
+    EVACUATED = "evacuated"
+    COLD = "cold"
+
+
+_REASONS = {
+    replica_filters.Filter.REGIONS: RefusalReason.REGIONS,
+    replica_filters.Filter.EVACUATED: RefusalReason.EVACUATED,
+    replica_filters.Filter.COLD: RefusalReason.COLD,
+}
+"""Refusals that follow from the filter that leaves no replica alone."""
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -112,7 +128,7 @@
 
     Attributes:
       late_ms: by how much it would begin too late; for replicas that are
-        closed, the time until the first opens, infinite if all of them leave.
+        closed, the time until the first opens, infinite if that is not known.
       retry_after_ms: time after which the caller should retry.
       reason: why the request is refused.
     """
@@ -154,7 +170,9 @@
             return ranked[0]
     ranked = upstream_choice.rank(views, wanted, places, now_ms, rng)
     if not ranked:
-        return _closed_refusal(views, request, now_ms, rng)
+        return _filter_refusal(views, request, now_ms, rng) or _closed_refusal(
+            views, request, now_ms, rng
+        )
     front = ranked[0]
     if wanted.engine is None or request.begun:
         return front
@@ -176,6 +194,33 @@
     return _late_refusal(late_ms, excess_ms, rng)
 
 
+def _filter_refusal(
+    views: Sequence[replica_view.ReplicaView],
+    request: Request,
+    now_ms: clock.Millis,
+    rng: random.Random,
+) -> Refusal | None:
+    """Returns the refusal of a request that no replica passes the filters for.
+
+    Returns:
+      None if another filter leaves no replica, or if the request has begun or
+      may have run.
+    """
+    wanted = request.wanted
+    emptying = replica_filters.emptying_filter(views, wanted, now_ms)
+    if emptying not in _REASONS or request.begun or request.maybe_ran:
+        return None
+    open_ms = float("inf")
+    if emptying is replica_filters.Filter.COLD:
+        open_ms = min(
+            view.cold_wait_ms(now_ms)
+            for view in views
+            if replica_filters.exclusion(view, wanted, now_ms) is emptying
+        )
+    retry_ms = retry_after_pause_ms(open_ms, rng)
+    return Refusal(open_ms, retry_ms, _REASONS[emptying])
+
+
 def _closed_refusal(
     views: Sequence[replica_view.ReplicaView],
     request: Request,
@@ -261,8 +306,8 @@
     """Returns the time after which a caller should retry at closed replicas.
 
     Args:
-      open_ms: time until the first replica accepts requests, infinite if all
-        of them leave and new replicas must start first.
+      open_ms: time until the first replica accepts requests, infinite if that
+        is not known: new replicas must start first, or an evacuation must end.
       rng: source of the jitter.
     """
     if math.isinf(open_ms):
--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -74,7 +74,23 @@
     unreadable: bool = False
 
 
-Change: TypeAlias = ConfigChange | TargetChange | ReplicaChange
+class EvacuationChange(msgspec.Struct, frozen=True, tag="evacuation"):
+    """An evacuation of a data centre that started or ended.
+
+    Attributes:
+      revision: revision of the change.
+      data_centre: the data centre.
+      active: whether the evacuation started; False if it ended.
+    """
+
+    revision: int
+    data_centre: ids.DataCentreId
+    active: bool
+
+
+Change: TypeAlias = (
+    ConfigChange | TargetChange | ReplicaChange | EvacuationChange
+)
 
 
 def item_of(change: Change) -> tuple[str, str]:
@@ -86,6 +102,8 @@
             return "target", change.target.model
         case ReplicaChange():
             return "replica", change.replica_id
+        case EvacuationChange():
+            return "evacuation", change.data_centre
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -152,7 +170,15 @@
 
 
 class Catalog:
-    """Configuration, weights targets and replicas known to this process."""
+    """Configuration, weights targets and replicas known to this process.
+
+    Attributes:
+      revision: revision of the store up to which all changes are known.
+      config: the configuration in force, None before the first.
+      config_revision: revision of that configuration.
+      targets: the weights that are to be served, by model.
+      evacuated: data centres whose replicas must not be sent requests.
+    """
 
     def __init__(self) -> None:
         """Starts empty, at revision 0."""
@@ -161,6 +187,9 @@
         self.config_revision = 0
         self.targets: dict[str, KnownTarget] = {}
         self._replicas: dict[str, KnownReplica] = {}
+        # Ended evacuations stay, so that older changes don't restart them.
+        self._evacuations: dict[ids.DataCentreId, EvacuationChange] = {}
+        self.evacuated: frozenset[ids.DataCentreId] = frozenset()
         self._store_failed_ms = float("-inf")
         self._outage = named_versions.Outage()
         self._knew_before = False
@@ -303,7 +332,8 @@
     ) -> list[Change]:
         """Applies a complete read of the store.
 
-        A replica that is missing in the snapshot was removed from the store.
+        A replica or evacuation that is missing in the snapshot was removed from
+        the store.
 
         Returns:
           The changes that were new, including removals.
@@ -316,10 +346,24 @@
                 changes.append(
                     ReplicaChange(snapshot.revision, replica_id, None)
                 )
+        changes.extend(self._ended_evacuations(snapshot))
         new = self.apply(changes, now_ms)
         self.advance(snapshot.revision)
         return new
 
+    def _ended_evacuations(self, snapshot: Snapshot) -> list[EvacuationChange]:
+        """Returns the ends of evacuations that a complete read lacks."""
+        listed = {
+            change.data_centre
+            for change in snapshot.changes
+            if isinstance(change, EvacuationChange)
+        }
+        return [
+            EvacuationChange(snapshot.revision, data_centre, active=False)
+            for data_centre in self.evacuated - listed
+            if self._evacuations[data_centre].revision <= snapshot.revision
+        ]
+
     def changes_after(
         self, revision: int, now_ms: clock.Millis
     ) -> list[Change]:
@@ -346,6 +390,11 @@
                         unreadable=item.last is None,
                     )
                 )
+        changes.extend(
+            change
+            for change in self._evacuations.values()
+            if change.revision > revision
+        )
         return changes
 
     def tick(self, now_ms: clock.Millis) -> list[str]:
@@ -378,6 +427,25 @@
                 return self._apply_target(change, receipt)
             case ReplicaChange():
                 return self._apply_replica(change, receipt.received_ms)
+            case EvacuationChange():
+                return self._apply_evacuation(change)
+
+    def _apply_evacuation(self, change: EvacuationChange) -> bool:
+        known = self._evacuations.get(change.data_centre)
+        if known is not None and change.revision <= known.revision:
+            return False
+        self._evacuations[change.data_centre] = change
+        self.evacuated = frozenset(
+            each.data_centre
+            for each in self._evacuations.values()
+            if each.active
+        )
+        return True
+
+    def evacuation_revision(self, data_centre: ids.DataCentreId) -> int:
+        """Returns the revision of the last start or end, 0 without any."""
+        known = self._evacuations.get(data_centre)
+        return 0 if known is None else known.revision
 
     def _apply_config(self, change: ConfigChange) -> bool:
         if change.revision <= self.config_revision:
--- a/src/marlramp/core/fleet.py
+++ b/src/marlramp/core/fleet.py
@@ -49,6 +49,8 @@
       attempts_max: maximum number of replicas that one request may be sent to.
       public: whether requests need no key.
       resumable: whether a stream may be continued at another replica.
+      allowed_regions: regions in which requests may be served; empty if all
+        are allowed.
     """
 
     name: str
@@ -63,6 +65,7 @@
     attempts_max: int
     public: bool
     resumable: bool
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -120,6 +123,9 @@
         without model engines.
       origin: "host:port" of the weights if this service is their origin.
       origin_bytes_per_s: rate of the origin's link, 0 if it is not known.
+      cold_start_ms: time for which a replica is cold after its start.
+      cold_per_s: requests per second that a cold replica tolerates from all
+        entries together, 0 if replicas of the service are never cold.
     """
 
     service_id: ids.ServiceId
@@ -127,6 +133,13 @@
     engine: EngineSpec | None = None
     origin: str = ""
     origin_bytes_per_s: float = 0.0
+    cold_start_ms: float = 0.0
+    cold_per_s: float = 0.0
+
+    @property
+    def has_cold_starts(self) -> bool:
+        """Whether replicas of the service are cold after a start."""
+        return self.cold_start_ms > 0.0 and self.cold_per_s > 0.0
 
 
 class Customer(msgspec.Struct, frozen=True, kw_only=True):
@@ -137,11 +150,14 @@
       keys: keys that the customer's requests carry.
       priority: rank of the customer, where 0 is the highest; it overrides the
         priority of a route. None if the customer has no rank.
+      allowed_regions: regions in which requests may be served; empty if all
+        are allowed.
     """
 
     customer_id: ids.CustomerId
     keys: list[str]
     priority: int | None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -162,6 +178,11 @@
     customers: list[Customer] | None
     limits: CallerLimits
 
+    @property
+    def by_id(self) -> dict[ids.ServiceId, Service]:
+        """The services by their ids."""
+        return {service.service_id: service for service in self.services}
+
 
 class ReplicaState(enum.Enum):
     """State that a replica reports in the replica list."""
@@ -185,6 +206,7 @@
         service without model engines.
       born_ms: Unix time of the replica's start, which distinguishes two starts
         under one id; None if the platform does not publish it.
+      cold_left_ms: how much longer the replica is cold, as of this record.
     """
 
     replica_id: str
@@ -195,6 +217,7 @@
     state: ReplicaState
     weights: int | None
     born_ms: int | None = None
+    cold_left_ms: float = 0.0
 
 
 class WeightsTarget(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/core/lookup_share.py
+++ b/src/marlramp/core/lookup_share.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from marlramp.core import members
@@ -18,6 +20,29 @@
 """Most entries in one answer; callers ignore further ones."""
 
 
+def in_permitted_regions(
+    entries: Sequence[members.Member],
+    permitted: Collection[str],
+    regions: Mapping[str, str],
+) -> list[members.Member]:
+    """Returns the entries in permitted regions, or all if there are none.
+
+    A caller that reaches no entry is not served at all; its request still runs
+    only where its route allows.
+
+    Args:
+      entries: entries that accept callers.
+      permitted: the regions.
+      regions: region of each data centre.
+    """
+    found = [
+        entry
+        for entry in entries
+        if regions.get(entry.data_centre) in permitted
+    ]
+    return found or list(entries)
+
+
 def entries_for(
     data_centre: str,
     data_centres: Sequence[str],
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -16,6 +16,7 @@
 from marlramp.core import availability
 from marlramp.core import breaker
 from marlramp.core import catalog
+from marlramp.core import cold_replica
 from marlramp.core import fleet
 from marlramp.core import path_latency
 from marlramp.core import replica_view
@@ -41,8 +42,20 @@
 class ReplicaTable:
     """Replicas by id and by service."""
 
-    def __init__(self) -> None:
-        """Creates an empty table."""
+    def __init__(
+        self,
+        cold_shares: cold_replica.Shares | None = None,
+        heartbeat_ms: float = 0.0,
+    ) -> None:
+        """Creates an empty table.
+
+        Args:
+          cold_shares: the share of this entry in the requests to cold replicas,
+            None if cold replicas are not limited.
+          heartbeat_ms: interval at which replicas update their records.
+        """
+        self._cold_shares = cold_shares
+        self._heartbeat_ms = heartbeat_ms
         self._views: dict[str, replica_view.ReplicaView] = {}
         self._by_service: dict[
             ids.ServiceId, list[replica_view.ReplicaView]
@@ -88,6 +101,7 @@
           for them is no longer valid.
         """
         listed = {r.replica_id: r for r in known.replicas()}
+        services = {} if known.config is None else known.config.by_id
         removed = [key for key in self._views if key not in listed]
         for replica_id in removed:
             self._remove(replica_id)
@@ -102,8 +116,12 @@
                 view = self._new_view(replica)
                 self._restore_availability(view)
                 self._apply_held_report(view, now_ms)
+            is_new_record = view.cold is None or replica is not view.replica
             view.replica = replica
             view.born_ms = view.born_ms or replica.born_ms
+            self._apply_cold_start(view, services.get(replica.service_id))
+            if view.cold is not None and is_new_record:
+                view.cold.record_listed(replica.cold_left_ms, now_ms)
         self._group_by_service()
         return removed
 
@@ -131,12 +149,46 @@
                 continue
             if replica_view.is_newer_start(report.born_ms, view.born_ms):
                 restarted.append(replica_id)
+                cold = view.cold
                 view = self._new_view(view.replica)
+                # The share of the entry counts over both starts.
+                view.cold = cold
+                view.suspect_cold(now_ms)
             self._apply_report(view, report, now_ms)
         if restarted:
             self._group_by_service()
         return restarted
 
+    def _apply_cold_start(
+        self, view: replica_view.ReplicaView, service: fleet.Service | None
+    ) -> None:
+        """Applies what the configuration says of cold replicas."""
+        if (
+            self._cold_shares is None
+            or service is None
+            or not service.has_cold_starts
+        ):
+            view.cold = None
+        elif view.cold is None:
+            view.cold = cold_replica.ColdReplica(
+                view.replica.replica_id,
+                service.cold_per_s,
+                service.cold_start_ms,
+                self._heartbeat_ms,
+                self._cold_shares,
+            )
+        else:
+            view.cold.tolerated_per_s = service.cold_per_s
+            view.cold.start_ms = service.cold_start_ms
+
+    def suspect_cold(
+        self, data_centre: ids.DataCentreId, now_ms: clock.Millis
+    ) -> None:
+        """Records that the replicas of a data centre may be cold."""
+        for view in self._views.values():
+            if view.replica.data_centre == data_centre:
+                view.suspect_cold(now_ms)
+
     def _new_view(self, replica: fleet.Replica) -> replica_view.ReplicaView:
         """Adds a fresh view of a replica, replacing that of an earlier start.
 
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -16,6 +16,7 @@
 from marlramp import clock
 from marlramp.core import availability
 from marlramp.core import breaker
+from marlramp.core import cold_replica
 from marlramp.core import fleet
 from marlramp.core import path_latency
 from marlramp.core import queue_position
@@ -166,6 +167,7 @@
         was.
       limit: the rate limit that the replica announced for all entries
         together, None if it announced none.
+      cold: the replica's cold state, None if its service has no cold starts.
       latency: latency of the path to the replica.
       centre_latency: path latency over all replicas of the data centre.
     """
@@ -209,6 +211,7 @@
     heard_ms: float = float("-inf")
     born_ms: int | None = None
     limit: send_limit.SendLimit | None = None
+    cold: cold_replica.ColdReplica | None = None
     latency: path_latency.PathLatency = msgspec.field(
         default_factory=path_latency.PathLatency
     )
@@ -247,6 +250,20 @@
         healthy = self.replica.state is fleet.ReplicaState.HEALTHY
         return healthy and self.availability.is_open(now_ms)
 
+    def cold_wait_ms(self, now_ms: clock.Millis) -> float:
+        """Returns the time until a cold replica may be sent a request."""
+        return 0.0 if self.cold is None else self.cold.wait_ms(now_ms)
+
+    def record_written(self, now_ms: clock.Millis) -> None:
+        """Counts a request that is written to the replica now."""
+        if self.cold is not None:
+            self.cold.record_sent(now_ms)
+
+    def suspect_cold(self, now_ms: clock.Millis) -> None:
+        """Records that the replica may have restarted and be cold."""
+        if self.cold is not None:
+            self.cold.suspect(now_ms)
+
     def limit_wait_ms(self, now_ms: clock.Millis) -> float:
         """Returns the expected wait for the replica's rate limit."""
         return 0.0 if self.limit is None else self.limit.wait_ms(now_ms)
@@ -482,6 +499,7 @@
         """
         self.record_error(now_ms)
         self.breaker.trip(now_ms)
+        self.suspect_cold(now_ms)
 
     def _record_outcome(self, failed: float, now_ms: clock.Millis) -> None:
         share = self.failure_share(now_ms)
--- a/src/marlramp/core/route_table.py
+++ b/src/marlramp/core/route_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from marlramp import errors
 from marlramp import ids
 from marlramp.core import fleet
@@ -27,6 +29,10 @@
             for customer in config.customers or []
             for key in customer.keys
         }
+        self._customers = {
+            customer.customer_id: customer
+            for customer in config.customers or []
+        }
 
     def find(self, host: str, path: str) -> fleet.Route:
         """Returns the route with the longest prefix of `path` at `host`.
@@ -64,6 +70,37 @@
             raise errors.CallError(errors.ErrorKind.UNAUTHORIZED)
         return found
 
+    def allowed_regions(
+        self, host: str, path: str, customer_id: ids.CustomerId | None
+    ) -> frozenset[str] | None:
+        """Returns the regions that the route and the customer both allow.
+
+        Args:
+          host: host of the request.
+          path: path of the request.
+          customer_id: the customer, None if there is none.
+
+        Returns:
+          None if all regions are allowed; no region if the two lists have none
+          in common.
+
+        Raises:
+          CallError: if no route matches.
+        """
+        lists = [self.find(host, path).allowed_regions]
+        if customer_id in self._customers:
+            lists.append(self._customers[customer_id].allowed_regions)
+        return _common_regions(lists)
+
+    def allowed_regions_of_host(self, host: str) -> frozenset[str] | None:
+        """Returns the regions that all routes of a host allow.
+
+        Returns:
+          None if all regions are allowed.
+        """
+        routes = self._by_host.get(host, [])
+        return _common_regions([route.allowed_regions for route in routes])
+
     def service_of(self, route: fleet.Route, request_key: str) -> ids.ServiceId:
         """Returns the service for a request, chosen by the route's weights.
 
@@ -80,3 +117,11 @@
             if point < 0:
                 return target.service_id
         return route.targets[-1].service_id
+
+
+def _common_regions(
+    lists: Iterable[tuple[str, ...]],
+) -> frozenset[str] | None:
+    """Returns the regions that all lists contain; an empty list allows all."""
+    binding = [frozenset(regions) for regions in lists if regions]
+    return frozenset.intersection(*binding) if binding else None
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -18,9 +18,9 @@
 from marlramp.core import fleet
 from marlramp.core import path_latency
 from marlramp.core import queue_position
+from marlramp.core import replica_filters
 from marlramp.core import replica_view
 from marlramp.core import routing
-from marlramp.core import version_cutoff
 
 FAILURE_WEIGHT = 4.0
 """Factor by which the share of failures lengthens the predicted time."""
@@ -74,36 +74,6 @@
         return OTHER_CELL_PENALTY_MS
 
 
-class RequestNeeds(msgspec.Struct, frozen=True, kw_only=True):
-    """What a request requires of a replica.
-
-    Attributes:
-      engine: the service's engine, None for a plain service.
-      prompt_tokens: number of tokens in the prompt.
-      events: expected number of events in the answer.
-      oldest_weights: oldest version that the request may begin on.
-      cutoffs: the times until which replicas that hold older versions may be
-        sent the request; for a replica with a high path latency the time is
-        earlier.
-      failed: ids of the replicas at which this request has failed already.
-      position: position in the engine's queue.
-      isolated: whether the request goes to the replica with the fewest
-        requests, because it may crash the replica.
-      limit_wait_max_ms: longest delay of the answer that the rate limits of
-        replicas may cause.
-    """
-
-    engine: fleet.EngineSpec | None
-    prompt_tokens: int
-    events: float
-    oldest_weights: int
-    failed: Collection[str]
-    position: queue_position.QueuePosition = queue_position.QueuePosition.FRONT
-    isolated: bool = False
-    limit_wait_max_ms: float = 0.0
-    cutoffs: Sequence[version_cutoff.VersionCutoff] = ()
-
-
 class Choice(msgspec.Struct, frozen=True):
     """A replica and its predicted time to answer a request.
 
@@ -168,50 +138,9 @@
         return now_ms < self.sent_until_ms - beyond_ms
 
 
-def usable(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
-) -> bool:
-    """Returns whether a replica may receive the request.
-
-    The replica's rate limit isn't considered.
-    """
-    return _is_compatible(view, needs, now_ms) and view.accepts_new(now_ms)
-
-
-def still_usable(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
-) -> bool:
-    """Returns whether a replica that was selected may still get the request.
-
-    Backoffs and trials after the selection are ignored.
-    """
-    open_now = view.accepts_assigned(now_ms) and view.is_reported_open(now_ms)
-    return open_now and _is_compatible(view, needs, now_ms)
-
-
-def _is_compatible(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
-) -> bool:
-    """Returns whether a replica is healthy and holds an allowed version.
-
-    Pauses and backoffs aren't considered, nor whether the agent reports the
-    replica as open.
-    """
-    if view.replica.state is not fleet.ReplicaState.HEALTHY:
-        return False
-    if needs.engine is not None:
-        weights = view.weights(now_ms)
-        if weights == 0 or weights < needs.oldest_weights:
-            return False
-        if needs.cutoffs:
-            cutoff_ms = version_cutoff.cutoff_ms(needs.cutoffs, weights)
-            return now_ms < cutoff_ms - view.latency_beyond_margin_ms(now_ms)
-    return True
-
-
 def _last_resort(
     views: Sequence[replica_view.ReplicaView],
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     now_ms: clock.Millis,
 ) -> list[replica_view.ReplicaView]:
     """Returns the replica to retry when this entry backs off from all of them.
@@ -224,7 +153,7 @@
         for view in views
         if view.replica.replica_id not in needs.failed
         and view.availability.is_backing_off(now_ms)
-        and _is_compatible(view, needs, now_ms)
+        and replica_filters.is_compatible(view, needs, now_ms)
         and view.is_reported_open(now_ms)
     ]
     if any(view.availability.in_trial(now_ms) for view in backing_off):
@@ -235,7 +164,7 @@
 
 def predicted_ms(
     view: replica_view.ReplicaView,
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     now_ms: clock.Millis,
     least_ms: float = float("inf"),
 ) -> float:
@@ -269,7 +198,7 @@
 def _overrun_ms(
     choice_ms: float,
     view: replica_view.ReplicaView,
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     now_ms: clock.Millis,
 ) -> float:
     """Returns for how long the request would run after the replica closes.
@@ -288,7 +217,9 @@
 
 
 def limit_wait_max_ms(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
+    view: replica_view.ReplicaView,
+    needs: replica_filters.RequestNeeds,
+    now_ms: clock.Millis,
 ) -> float:
     """Returns how long a request may wait for a replica's rate limit."""
     answer_ms = predicted_ms(view, needs, now_ms)
@@ -296,7 +227,9 @@
 
 
 def _limit_admits(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
+    view: replica_view.ReplicaView,
+    needs: replica_filters.RequestNeeds,
+    now_ms: clock.Millis,
 ) -> bool:
     """Returns whether a replica's rate limit may admit the request in time."""
     if view.limit is None:
@@ -307,7 +240,7 @@
 
 def opens_in_ms(
     views: Sequence[replica_view.ReplicaView],
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     now_ms: clock.Millis,
 ) -> float | None:
     """Returns the time until the first replica accepts the request.
@@ -330,14 +263,16 @@
             waits_ms.append(closed_ms)
         elif view.limit is None:
             return None
-        elif usable(view, needs, now_ms) and view.breaker.allows(now_ms):
+        elif replica_filters.admits(
+            view, needs, now_ms
+        ) and view.breaker.allows(now_ms):
             waits_ms.append(view.limit_wait_ms(now_ms))
     return min(waits_ms, default=None)
 
 
 def rank(
     views: Sequence[replica_view.ReplicaView],
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     locations: PreferredLocations,
     now_ms: clock.Millis,
     rng: random.Random | None = None,
@@ -355,7 +290,9 @@
       rng: spreads requests over plain replicas of nearly equal cost; None to
         rank by cost alone.
     """
-    able = [view for view in views if usable(view, needs, now_ms)]
+    able = [
+        view for view in views if replica_filters.admits(view, needs, now_ms)
+    ]
     able = able or _last_resort(views, needs, now_ms)
     # Rate limits apply even when breakers are ignored below.
     able = [view for view in able if _limit_admits(view, needs, now_ms)]
@@ -402,7 +339,7 @@
 
 def _cost_of(
     choice: Choice,
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     locations: PreferredLocations,
     now_ms: clock.Millis,
 ) -> _Cost:
@@ -441,7 +378,7 @@
 
 def _predict(
     view: replica_view.ReplicaView,
-    needs: RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     now_ms: clock.Millis,
     least_ms: float,
 ) -> Choice:
@@ -462,7 +399,9 @@
 
 
 def _bias_of(
-    view: replica_view.ReplicaView, needs: RequestNeeds, now_ms: clock.Millis
+    view: replica_view.ReplicaView,
+    needs: replica_filters.RequestNeeds,
+    now_ms: clock.Millis,
 ) -> float:
     """Returns the factor that corrects a predicted time.
 
@@ -476,7 +415,7 @@
 
 
 def _time_cost_ms(
-    choice: Choice, needs: RequestNeeds, now_ms: clock.Millis
+    choice: Choice, needs: replica_filters.RequestNeeds, now_ms: clock.Millis
 ) -> float:
     """Returns the cost of the predicted time of a request at a replica."""
     view = choice.view
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -145,7 +145,10 @@
         self._caller = http1_call.HttpCaller(self._clock)
         self._engine = replica_api.ReplicaApi(self._caller, self._replica)
         self._store = store.StoreClient(
-            self._caller, self._settings.store, self._totals
+            self._caller,
+            self._settings.store,
+            self._settings.regions,
+            self._totals,
         )
         self._build_links()
         self._loader = weights_loader.WeightsLoader(
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -48,6 +48,8 @@
       maybe_ran: whether any replica may have run the request.
       failed: ids of the replicas at which the request failed.
       suspected: whether the request is suspected of a crash.
+      allowed_regions: regions in which the request may run, None if all are
+        allowed; as of the last choice of a replica.
       on_trial: whether the current attempt is a trial of a condemned part of
         prompts.
     """
@@ -82,6 +84,7 @@
         self.failed: set[str] = set()
         self.suspected = False
         self.on_trial = False
+        self.allowed_regions: frozenset[str] | None = None
 
     @functools.cached_property
     def causes(self) -> possible_causes.PossibleCauses:
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -106,7 +106,7 @@
         self._latencies = latencies
         self._clock = time
         self._selector = selection.Selector(
-            known, table, settings, limits, time
+            known, table, settings, limits, lambda: state.routes, time
         )
         self._signals = replica_signals.ReplicaSignals(
             settings.bounds.drain_ms, totals, time, random.Random()
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Collection
+import contextlib
 import math
 import random
 
@@ -18,7 +20,10 @@
 from marlramp.core import admission
 from marlramp.core import catalog
 from marlramp.core import fleet
+from marlramp.core import replica_filters
 from marlramp.core import replica_table
+from marlramp.core import replica_view
+from marlramp.core import route_table
 from marlramp.core import upstream_choice
 from marlramp.core import version_cutoff
 from marlramp.direct.calls import call as call_module
@@ -56,6 +61,9 @@
     admission.RefusalReason.LATE: errors.ErrorKind.DEADLINE_UNREACHABLE,
     admission.RefusalReason.LIMITED: errors.ErrorKind.UPSTREAMS_LIMITED,
     admission.RefusalReason.PAUSED: errors.ErrorKind.UPSTREAMS_PAUSED,
+    admission.RefusalReason.REGIONS: errors.ErrorKind.REGIONS_UNAVAILABLE,
+    admission.RefusalReason.EVACUATED: errors.ErrorKind.UPSTREAMS_EVACUATED,
+    admission.RefusalReason.COLD: errors.ErrorKind.UPSTREAMS_COLD,
 }
 _MS = clock.MILLIS_PER_SECOND
 
@@ -69,20 +77,24 @@
         table: replica_table.ReplicaTable,
         settings: node.NodeSettings,
         limits: rate_limits.RateLimits,
+        routes: Callable[[], route_table.RouteTable | None],
         time: clock.Clock,
     ) -> None:
         """Creates a selector.
 
         Args:
-          known: the announced versions of the weights.
+          known: the announced versions of the weights, and the evacuations.
           table: the replicas.
           settings: settings of the entry.
           limits: rate limits of replicas.
+          routes: returns the routes in force.
           time: the clock.
         """
         self._limits = limits
         self._catalog = known
         self._table = table
+        self._routes = routes
+        self._regions = settings.regions
         self._clock = time
         self._started_ms = time.now_ms()
         self._rng = random.Random()
@@ -153,7 +165,7 @@
             await asyncio.sleep(wait_ms / _MS)
         now_ms = self._clock.now_ms()
         needs = self._needs(call, now_ms)
-        return upstream_choice.still_usable(view, needs, now_ms)
+        return replica_filters.still_admits(view, needs, now_ms)
 
     def _decide(
         self,
@@ -195,8 +207,8 @@
 
     def _needs(
         self, call: call_module.Call, now_ms: clock.Millis
-    ) -> upstream_choice.RequestNeeds:
-        return upstream_choice.RequestNeeds(
+    ) -> replica_filters.RequestNeeds:
+        return replica_filters.RequestNeeds(
             engine=call.service.engine,
             prompt_tokens=call.info.prompt_tokens,
             events=call.expected_events(),
@@ -207,8 +219,44 @@
             failed=call.failed,
             isolated=call.suspected,
             limit_wait_max_ms=call.limit_wait_max_ms(now_ms),
+            placement=self._placement(call),
         )
 
+    def _placement(self, call: call_module.Call) -> replica_filters.Placement:
+        """Returns the data centres in which a call may run now.
+
+        The configuration may have changed since the call arrived. If its route
+        was removed, the regions that the route last allowed still apply.
+        """
+        routes = self._routes()
+        if routes is not None:
+            customer = call.customer
+            with contextlib.suppress(errors.CallError):
+                call.allowed_regions = routes.allowed_regions(
+                    call.info.host,
+                    call.info.path,
+                    None if customer is None else customer.customer_id,
+                )
+        evacuated = self._catalog.evacuated
+        if call.allowed_regions is None and not evacuated:
+            return replica_filters.ANYWHERE
+        return replica_filters.Placement(
+            self._regions, call.allowed_regions, evacuated
+        )
+
+    def may_write(
+        self, call: call_module.Call, view: replica_view.ReplicaView
+    ) -> bool:
+        """Returns whether a call may be written to the selected replica now.
+
+        Checks what may have changed since the choice: allowed regions,
+        evacuations, and the share of this entry in a cold replica.
+        """
+        data_centre = view.replica.data_centre
+        if self._placement(call).exclusion(data_centre) is not None:
+            return False
+        return view.cold_wait_ms(self._clock.now_ms()) <= 0.0
+
     def _with_withdrawal(
         self,
         call: call_module.Call,
@@ -300,9 +348,12 @@
 def _opens_by(
     refusal: admission.Refusal, now_ms: clock.Millis, until_ms: float
 ) -> bool:
-    """Returns whether a pause ends by the clock reading `until_ms`."""
-    paused = refusal.reason is admission.RefusalReason.PAUSED
-    return paused and now_ms + refusal.late_ms < until_ms
+    """Returns whether a replica opens by the clock reading `until_ms`."""
+    opens = refusal.reason in (
+        admission.RefusalReason.PAUSED,
+        admission.RefusalReason.COLD,
+    )
+    return opens and now_ms + refusal.late_ms < until_ms
 
 
 def _refused(refusal: admission.Refusal) -> errors.CallError:
@@ -316,6 +367,11 @@
 
 
 def _detail(refusal: admission.Refusal) -> str:
+    if refusal.reason in (
+        admission.RefusalReason.REGIONS,
+        admission.RefusalReason.EVACUATED,
+    ):
+        return f"filter {refusal.reason.value} leaves no replica"
     if math.isinf(refusal.late_ms):
         return "all leave"
     late_ms = round(refusal.late_ms)
@@ -326,3 +382,5 @@
             return f"room in {late_ms} ms"
         case admission.RefusalReason.PAUSED:
             return f"the first one opens in {late_ms} ms"
+        case _:
+            return f"the next send is possible in {late_ms} ms"
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -105,8 +105,14 @@
         return lost and failure is not None and failure.ran is not errors.Ran.NO
 
 
-class VersionCutoffs(Protocol):
-    """Cutoffs of the versions that replicas hold."""
+class SendRules(Protocol):
+    """Rules that are checked again before a request is written."""
+
+    def may_write(
+        self, call: call_module.Call, view: replica_view.ReplicaView
+    ) -> bool:
+        """Returns whether a call may be written to the selected replica."""
+        ...
 
     def with_cutoffs(
         self, call: call_module.Call, choice: upstream_choice.Choice
@@ -146,7 +152,7 @@
         crashes: CrashSuspicions,
         limits: rate_limits.RateLimits,
         signals: replica_signals.ReplicaSignals,
-        cutoffs: VersionCutoffs,
+        rules: SendRules,
         time: clock.Clock,
     ) -> None:
         """Creates a sender without connections.
@@ -156,14 +162,14 @@
           crashes: knows the blocked requests, and learns which runs survive.
           limits: records the rate limits that answers announce.
           signals: records pauses, refusals and leaving replicas.
-          cutoffs: the cutoffs of versions.
+          rules: cutoffs of versions, and where requests may run.
           time: the clock.
         """
         self._codec = codec
         self._crashes = crashes
         self._limits = limits
         self._signals = signals
-        self._cutoffs = cutoffs
+        self._rules = rules
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
         self._probes = latency_probes.LatencyProbes(time)
@@ -212,16 +218,18 @@
             # if the replica was selected for another version.
             weights = view.weights(now_ms)
             choice = msgspec.structs.replace(choice, weights=weights)
-            choice = self._cutoffs.with_cutoffs(call, choice)
+            choice = self._rules.with_cutoffs(call, choice)
             if (
                 not view.accepts_assigned(now_ms)
                 or not choice.may_be_written(now_ms)
+                or not self._rules.may_write(call, view)
                 or self._withholds(call)
             ):
                 call.sends -= 1
                 observer.record_abandoned()
                 pool.give_back(connection)
                 return SendResult(_unsent(), unsent=True)
+            view.record_written(now_ms)
             path_latency_ms = view.path_latency_ms(now_ms)
             result = await self._exchange(call, choice, connection, observer)
             await self._check_end(call, choice, result, observer)
@@ -299,7 +307,7 @@
         call.responder.on_pressure(connection.pause, connection.resume)
         connection.send(call.request.method, head, call.request.body, attempt)
         while True:
-            choice = self._cutoffs.with_cutoffs(call, choice)
+            choice = self._rules.with_cutoffs(call, choice)
             if self._nears_withdrawal(call, choice, attempt):
                 pool = self._pool(choice.view.replica)
                 self._probes.check(choice.view, pool)
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -14,6 +14,7 @@
 from marlramp import errors
 from marlramp import logs
 from marlramp.core import catalog
+from marlramp.core import cold_shares
 from marlramp.core import crash_record
 from marlramp.core import fleet
 from marlramp.core import lifecycle
@@ -94,7 +95,6 @@
         self._lifecycle = lifecycle.Lifecycle()
         self._stopping = asyncio.Event()
         self._catalog = catalog.Catalog()
-        self._table = replica_table.ReplicaTable()
         self._crashes = crash_record.CrashRecord()
         self._routes: route_table.RouteTable | None = None
         self._own = members.Member(
@@ -105,6 +105,15 @@
             port=self._addresses.control.port,
             callers=str(self._addresses.callers),
         )
+        self._table = replica_table.ReplicaTable(
+            cold_shares.ColdShares(
+                settings.vm_id,
+                lambda: self._fleet.known_entries(),
+                lambda: self._fleet.sync.roster.changes,
+                self._clock,
+            ),
+            settings.heartbeat_ms,
+        )
         self._fleet = entry_fleet.EntryFleet(
             self._own,
             clock.unix_ms(),
@@ -196,7 +205,12 @@
         )
         self._caller = http1_call.HttpCaller(self._clock)
         self._reader = store_reader.StoreReader(
-            store.StoreClient(self._caller, self._settings.store, self._totals),
+            store.StoreClient(
+                self._caller,
+                self._settings.store,
+                self._settings.regions,
+                self._totals,
+            ),
             self._catalog,
             self._fleet.is_reader,
             self._fleet.publish,
@@ -307,17 +321,28 @@
             return members.MemberState.STARTING
         return members.MemberState.READY
 
-    def _lookup(self, data_centre: str) -> list[str]:
-        """Returns the addresses of the entries for callers of a data centre.
+    def _lookup(self, lookup: lookup_pages.Lookup) -> list[str]:
+        """Returns the addresses of the entries for a caller.
 
-        Without another ready entry this entry is included even if it is not
-        ready itself.
+        For a host whose routes allow only some regions, the entries are in
+        these regions or in the caller's region. Without another ready entry
+        this entry is included even if it is not ready itself.
         """
         found = self._fleet.ready_entries()
         if self._is_ready() or not found:
             found.append(self._own)
-        data_centres = list(self._settings.regions)
-        selected = lookup_share.entries_for(data_centre, data_centres, found)
+        regions = self._settings.regions
+        allowed = None
+        if self._routes is not None:
+            allowed = self._routes.allowed_regions_of_host(lookup.host)
+        if allowed is not None:
+            own = regions.get(lookup.data_centre, lookup.region)
+            found = lookup_share.in_permitted_regions(
+                found, allowed | {own}, regions
+            )
+        selected = lookup_share.entries_for(
+            lookup.data_centre, list(regions), found
+        )
         return sorted(entry.callers for entry in selected)
 
     # Changes of the fleet.
@@ -326,6 +351,9 @@
         """Updates the replica table and the routes from the catalog."""
         now_ms = self._clock.now_ms()
         self._forget(self._table.sync(self._catalog, now_ms))
+        for change in changes:
+            if isinstance(change, catalog.EvacuationChange):
+                self._table.suspect_cold(change.data_centre, now_ms)
         has_new_config = any(
             isinstance(c, catalog.ConfigChange) for c in changes
         )
--- a/src/marlramp/direct/fleet/catalog_codec.py
+++ b/src/marlramp/direct/fleet/catalog_codec.py
@@ -9,7 +9,10 @@
 from marlramp.core import catalog
 
 _Changes = list[
-    catalog.ConfigChange | catalog.TargetChange | catalog.ReplicaChange
+    catalog.ConfigChange
+    | catalog.TargetChange
+    | catalog.ReplicaChange
+    | catalog.EvacuationChange
 ]
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Changes)
--- a/src/marlramp/direct/fleet/catalog_log.py
+++ b/src/marlramp/direct/fleet/catalog_log.py
@@ -50,6 +50,16 @@
                 weights=None if replica is None else replica.weights,
                 source=source,
             )
+        case catalog.EvacuationChange():
+            event = (
+                "evacuation_started" if change.active else "evacuation_ended"
+            )
+            logs.log(
+                event,
+                data_centre=change.data_centre,
+                revision=change.revision,
+                source=source,
+            )
 
 
 def log_version(
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -190,6 +190,17 @@
         """Number of entries in the roster, with this and recently lost ones."""
         return self.sync.roster.count(members.MemberKind.ENTRY)
 
+    def known_entries(self) -> list[str]:
+        """Returns the VMs of all entries known recently, with this one."""
+        return [
+            self._own.vm_id,
+            *(
+                record.update.vm_id
+                for record in self.sync.roster.records()
+                if record.update.member.kind is members.MemberKind.ENTRY
+            ),
+        ]
+
     def is_near_vm(self, vm_id: str) -> bool:
         """Returns whether a process is known to be in the own region."""
         record = self.sync.roster.get(vm_id)
@@ -238,7 +249,8 @@
 
     def _changed(self, changes: list[catalog.Change]) -> None:
         self._on_changes(changes)
-        if any(not isinstance(c, catalog.ReplicaChange) for c in changes):
+        concern_weights = catalog.ConfigChange | catalog.TargetChange
+        if any(isinstance(c, concern_weights) for c in changes):
             self._coordinator.send_weights_to_all()
             self._apply_origin()
             self._relay.wake()
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -54,6 +54,9 @@
     CRASHES_UPSTREAMS = "crashes_upstreams"
     UPSTREAMS_LIMITED = "upstreams_limited"
     UPSTREAMS_PAUSED = "upstreams_paused"
+    REGIONS_UNAVAILABLE = "regions_unavailable"
+    UPSTREAMS_EVACUATED = "upstreams_evacuated"
+    UPSTREAMS_COLD = "upstreams_cold"
     INTERNAL = "internal"
 
 
@@ -178,6 +181,15 @@
     ErrorKind.UPSTREAMS_PAUSED: Answer(
         503, Ran.NO, 1000, "The upstreams want no requests for now."
     ),
+    ErrorKind.REGIONS_UNAVAILABLE: Answer(
+        503, Ran.NO, 1000, "No upstream is in a region that is allowed."
+    ),
+    ErrorKind.UPSTREAMS_EVACUATED: Answer(
+        503, Ran.NO, 1000, "The data centres of all upstreams are evacuated."
+    ),
+    ErrorKind.UPSTREAMS_COLD: Answer(
+        503, Ran.NO, 500, "The upstreams have just started."
+    ),
     ErrorKind.INTERNAL: Answer(
         500, Ran.UNKNOWN, 1000, "The system failed; the event is logged."
     ),
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -22,6 +22,7 @@
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import peer_loads
+from marlramp.core import replica_filters
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
@@ -212,7 +213,7 @@
         entry = self._rng.choice(self._entries)
         now_ms = self._time.now_ms()
         left_ms = caller.first_ms + caller.patience_ms - now_ms
-        wanted = upstream_choice.RequestNeeds(
+        wanted = replica_filters.RequestNeeds(
             engine=SPEC,
             prompt_tokens=caller.prompt_tokens,
             events=float(caller.events),
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import enum
 import ipaddress
 from typing import Annotated
@@ -17,6 +18,7 @@
 CONFIG_KEY = "op/config"
 WEIGHTS_PREFIX = "op/version/"
 REPLICAS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 _SHOWN_MAX = 40
 _DETAIL_MAX = 200
@@ -59,6 +61,7 @@
     resumable: bool = False
     # ITL: inter-token latency; it bounds the pause between two events.
     target_itl_ms: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct):
@@ -91,6 +94,8 @@
     upstream: str = ""
     link_mbps: _Rate = 0.0
     runtime: _Runtime | None = None
+    cold_start_s: _Duration = 0.0
+    cold_per_s: _Rate = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -104,6 +109,7 @@
     name: str
     api_keys: list[str] = []
     priority: _Count | None = None
+    allowed_regions: list[str] = []
 
 
 class _Config(msgspec.Struct):
@@ -183,6 +189,8 @@
     FIELD = "field"
     ADDRESS = "address"
     STATE = "state"
+    REGION = "region"
+    DATA_CENTRE = "data_centre"
 
 
 class DocumentError(Exception):
@@ -198,14 +206,19 @@
         self.fault = fault
 
 
-def decode_config(data: bytes) -> fleet.FleetConfig:
+def decode_config(data: bytes, regions: Collection[str]) -> fleet.FleetConfig:
     """Returns the configuration in a document.
 
+    Args:
+      data: the document.
+      regions: the regions of the deployment.
+
     Raises:
-      DocumentError: if it is malformed.
+      DocumentError: if it is malformed, or allows an unknown region.
     """
     try:
         raw = _config_decoder.decode(data)
+        _check_regions(raw, regions)
         return fleet.FleetConfig(
             version=raw.version,
             routes=[_route(route) for route in raw.route_table],
@@ -222,6 +235,38 @@
         raise _refused("configuration", error) from error
 
 
+def _check_regions(raw: _Config, regions: Collection[str]) -> None:
+    bound: list[_Route | _Tenant] = [*raw.route_table, *(raw.tenants or [])]
+    for item in bound:
+        for region in item.allowed_regions:
+            if region not in regions:
+                name = item.name[:_SHOWN_MAX]
+                raise DocumentError(
+                    DocumentFault.REGION,
+                    f"configuration: {name!r} allows the unknown region"
+                    f" {region[:_SHOWN_MAX]!r}",
+                )
+
+
+def decode_evacuated(
+    key: str, data_centres: Collection[str]
+) -> ids.DataCentreId:
+    """Returns the data centre that the key of an evacuation names.
+
+    The data of the item is not used: the evacuation lasts while the key exists.
+
+    Raises:
+      DocumentError: if the key names no data centre of the deployment.
+    """
+    name = key.removeprefix(EVACUATIONS_PREFIX)
+    if name not in data_centres:
+        raise DocumentError(
+            DocumentFault.DATA_CENTRE,
+            f"evacuation: unknown data centre {name[:_SHOWN_MAX]!r}",
+        )
+    return ids.DataCentreId(name)
+
+
 def decode_replica(replica_id: str, data: bytes) -> fleet.Replica:
     """Returns the replica in an entry of the replica list.
 
@@ -244,6 +289,7 @@
         state=_replica_state(raw.state),
         weights=held_weights(raw.layers, raw.model_list),
         born_ms=None if raw.born is msgspec.UNSET else raw.born,
+        cold_left_ms=raw.cold_left_ms,
     )
 
 
@@ -305,6 +351,7 @@
         attempts_max=raw.max_attempts,
         public=raw.public,
         resumable=raw.resumable,
+        allowed_regions=tuple(raw.allowed_regions),
     )
 
 
@@ -318,6 +365,8 @@
         engine=engine,
         origin=raw.upstream,
         origin_bytes_per_s=raw.link_mbps * _BYTES_PER_S_PER_MEGABIT,
+        cold_start_ms=raw.cold_start_s * clock.MILLIS_PER_SECOND,
+        cold_per_s=raw.cold_per_s,
     )
 
 
@@ -347,6 +396,7 @@
             customer_id=ids.CustomerId(tenant.name),
             keys=tenant.api_keys,
             priority=tenant.priority,
+            allowed_regions=tuple(tenant.allowed_regions),
         )
         for tenant in raw
     ]
--- a/src/marlramp/platform/settings.py
+++ b/src/marlramp/platform/settings.py
@@ -90,6 +90,16 @@
     def number(self, key: str) -> float:
         return self.parsed(key, _positive, 1.0)
 
+    def number_or(self, key: str, fallback: float) -> float:
+        if key not in self.fields:
+            return fallback
+        return self.parsed(key, _positive, fallback)
+
+    def count_or(self, key: str, fallback: int) -> int:
+        if key not in self.fields:
+            return fallback
+        return self.parsed(key, _count, fallback)
+
     def address(self, key: str) -> node.Address:
         return self.parsed(key, node.Address.parse, node.Address("", 0))
 
@@ -101,6 +111,12 @@
     return value
 
 
+def _count(text: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError("must be a whole number of 0 or more")
+    return int(text)
+
+
 def _addresses(text: str) -> list[node.Address]:
     return [node.Address.parse(part) for part in text.split(",") if part]
 
@@ -139,6 +155,11 @@
         entry=None if agent else _decode_entry(reader),
         replica=reader.address("app") if agent else None,
         replica_service=ids.ServiceId(reader.fields.get("service", "")),
+        fault_tolerance=node.FaultTolerance(
+            vms=reader.count_or("fault_tolerance.max_node_loss", 0),
+            data_centres=reader.count_or("fault_tolerance.zones", 0),
+            regions=reader.count_or("fault_tolerance.max_region_loss", 0),
+        ),
     )
 
 
@@ -162,4 +183,7 @@
         retry_window_ms=reader.number("bounds.retry_window_s") * second_ms,
         retry_slack=reader.number("bounds.budget_slack"),
         lookup_ttl_max_ms=reader.number("bounds.ttl_max_s") * second_ms,
+        evacuate_ms=reader.number_or("bounds.evacuate_ms", 0.0),
+        cold_overshoot=reader.number_or("bounds.cold_overshoot", 1.0),
+        cold_burst=reader.number_or("bounds.cold_burst", 0.0),
     )
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import TypeVar
 import urllib.parse
 
@@ -70,11 +71,19 @@
         self,
         caller: http1_call.HttpCaller,
         address: node.Address,
+        regions: Mapping[str, str],
         totals: counters.Counters,
     ) -> None:
-        """Uses the store at `address`; nothing is sent before a call."""
+        """Creates a client; nothing is sent before a call.
+
+        Args:
+          caller: sends the calls.
+          address: address of the store.
+          regions: region of each data centre of the deployment.
+          totals: counters.
+        """
         self._calls = calls.PlatformCalls(caller)
-        self._items = _ItemDecoder(totals)
+        self._items = _ItemDecoder(regions, totals)
         self._url = f"http://{address}"
         self._ranges = msgspec.json.Decoder(_Range)
         self._events = msgspec.json.Decoder(_Events)
@@ -177,7 +186,10 @@
 class _ItemDecoder:
     """Decodes items one by one; what can't be used is told, not raised."""
 
-    def __init__(self, totals: counters.Counters) -> None:
+    def __init__(
+        self, regions: Mapping[str, str], totals: counters.Counters
+    ) -> None:
+        self._regions = regions
         self._totals = totals
         self._decoder = msgspec.json.Decoder(_Item)
         self._refused: dict[str, int] = {}
@@ -201,7 +213,7 @@
         changes: list[catalog.Change] = []
         for item in items:
             try:
-                change = _decode_item(item)
+                change = self._decode(item)
             except documents.DocumentError as error:
                 self._refuse(
                     item.key, item.revision, error.fault.value, str(error)
@@ -211,6 +223,31 @@
                 changes.append(change)
         return changes
 
+    def _decode(self, item: _Item) -> catalog.Change | None:
+        """Returns the change that an item means, None if it means none."""
+        if item.key == documents.CONFIG_KEY:
+            if item.deleted:
+                return None
+            config = documents.decode_config(
+                item.data, set(self._regions.values())
+            )
+            return catalog.ConfigChange(item.revision, config)
+        if item.key.startswith(documents.WEIGHTS_PREFIX):
+            if item.deleted:
+                return None
+            return catalog.TargetChange(
+                item.revision, documents.decode_target(item.data)
+            )
+        if item.key.startswith(documents.REPLICAS_PREFIX):
+            return _decode_replica(item)
+        if item.key.startswith(documents.EVACUATIONS_PREFIX):
+            return catalog.EvacuationChange(
+                item.revision,
+                documents.decode_evacuated(item.key, self._regions),
+                active=not item.deleted,
+            )
+        return None
+
     def _refuse(self, key: str, revision: int, fault: str, detail: str) -> None:
         if self._refused.get(key) == revision:
             return
@@ -237,25 +274,6 @@
     )
 
 
-def _decode_item(item: _Item) -> catalog.Change | None:
-    """Returns the change that an item means, None if it means nothing here."""
-    if item.key == documents.CONFIG_KEY:
-        if item.deleted:
-            return None
-        return catalog.ConfigChange(
-            item.revision, documents.decode_config(item.data)
-        )
-    if item.key.startswith(documents.WEIGHTS_PREFIX):
-        if item.deleted:
-            return None
-        return catalog.TargetChange(
-            item.revision, documents.decode_target(item.data)
-        )
-    if item.key.startswith(documents.REPLICAS_PREFIX):
-        return _decode_replica(item)
-    return None
-
-
 def _decode_replica(item: _Item) -> catalog.Change:
     replica_id = item.key.removeprefix(documents.REPLICAS_PREFIX)
     replica: fleet.Replica | None = None
--- a/src/marlramp/settings/node.py
+++ b/src/marlramp/settings/node.py
@@ -72,6 +72,10 @@
       retry_window_ms: window in which repeats are counted.
       retry_slack: repeats allowed in a window beyond the ratio.
       lookup_ttl_max_ms: longest time that callers may keep addresses.
+      evacuate_ms: until no request reaches an evacuated data centre.
+      cold_overshoot: multiple of the rate that a cold replica tolerates, up to
+        which requests may reach it in a second.
+      cold_burst: requests that may reach it beyond that.
     """
 
     drain_ms: float
@@ -82,6 +86,23 @@
     retry_window_ms: float
     retry_slack: float
     lookup_ttl_max_ms: float
+    evacuate_ms: float = 0.0
+    cold_overshoot: float = 1.0
+    cold_burst: float = 0.0
+
+
+class FaultTolerance(msgspec.Struct, frozen=True, kw_only=True):
+    """What may be lost at once while all promises hold.
+
+    Attributes:
+      vms: number of VMs.
+      data_centres: number of data centres.
+      regions: number of regions.
+    """
+
+    vms: int = 0
+    data_centres: int = 0
+    regions: int = 0
 
 
 class EntryAddresses(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,6 +140,7 @@
       entry: where an entry listens, None for an agent.
       replica: address of the replica on this VM, None for an entry.
       replica_service: service of that replica.
+      fault_tolerance: what may be lost at once.
     """
 
     vm_id: ids.VmId
@@ -136,6 +158,7 @@
     entry: EntryAddresses | None = None
     replica: Address | None = None
     replica_service: ids.ServiceId = ids.ServiceId("")
+    fault_tolerance: FaultTolerance = FaultTolerance()
 
     @property
     def near_data_centres(self) -> frozenset[str]:
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -13,6 +13,7 @@
 from marlramp.core import breaker
 from marlramp.core import fleet
 from marlramp.core import queue_position
+from marlramp.core import replica_filters
 from marlramp.core import replica_view
 from marlramp.core import send_limit
 from marlramp.core import upstream_choice
@@ -35,7 +36,7 @@
 @pytest.fixture
 def request_(engine: fleet.EngineSpec) -> admission.Request:
     """The first attempt of a request of typical size."""
-    wanted = upstream_choice.RequestNeeds(
+    wanted = replica_filters.RequestNeeds(
         engine=engine,
         prompt_tokens=900,
         events=18.0,
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/test_direct_decisions.py
@@ -12,6 +12,7 @@
 from marlramp.core import engine_load
 from marlramp.core import event_stream
 from marlramp.core import fleet
+from marlramp.core import replica_filters
 from marlramp.core import replica_view
 from marlramp.core import retry_share
 from marlramp.core import swap_schedule
@@ -19,7 +20,7 @@
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
-WANTED = upstream_choice.RequestNeeds(
+WANTED = replica_filters.RequestNeeds(
     engine=None, prompt_tokens=0, events=1.0, oldest_weights=0, failed=()
 )
 REPORT = replica_view.LoadReport(
@@ -38,7 +39,7 @@
 
 
 @pytest.fixture
-def needs(engine: fleet.EngineSpec) -> upstream_choice.RequestNeeds:
+def needs(engine: fleet.EngineSpec) -> replica_filters.RequestNeeds:
     return msgspec.structs.replace(
         WANTED, engine=engine, prompt_tokens=900, events=18.0, oldest_weights=1
     )
@@ -46,7 +47,7 @@
 
 def test_engine_without_weights_receives_no_requests(
     make_replica: MakeReplica,
-    needs: upstream_choice.RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     time: clock.ManualClock,
 ) -> None:
     empty = view_of(make_replica(replica_id="i-0", weights=0))
@@ -60,7 +61,7 @@
 
 def test_engine_on_an_outdated_version_receives_no_requests(
     make_replica: MakeReplica,
-    needs: upstream_choice.RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     time: clock.ManualClock,
 ) -> None:
     newer = msgspec.structs.replace(needs, oldest_weights=2)
@@ -79,7 +80,7 @@
 
 def test_request_that_outlasts_a_closing_engine_goes_elsewhere(
     make_replica: MakeReplica,
-    needs: upstream_choice.RequestNeeds,
+    needs: replica_filters.RequestNeeds,
     time: clock.ManualClock,
 ) -> None:
     closing = view_of(make_replica(replica_id="i-0"))
--- a/tests/core/test_peer_loads.py
+++ b/tests/core/test_peer_loads.py
@@ -9,6 +9,7 @@
 from marlramp.core import catalog
 from marlramp.core import fleet
 from marlramp.core import peer_loads
+from marlramp.core import replica_filters
 from marlramp.core import replica_table
 from marlramp.core import upstream_choice
 
@@ -45,7 +46,7 @@
     engine: fleet.EngineSpec,
     now_ms: clock.Millis,
 ) -> str:
-    needs = upstream_choice.RequestNeeds(
+    needs = replica_filters.RequestNeeds(
         engine=engine,
         prompt_tokens=900,
         events=18.0,
@@ -177,7 +178,7 @@
 ) -> None:
     view = table.get("i-1")
     assert view is not None
-    needs = upstream_choice.RequestNeeds(
+    needs = replica_filters.RequestNeeds(
         engine=engine,
         prompt_tokens=900,
         events=18.0,
--- a/tests/core/test_version_cutoff.py
+++ b/tests/core/test_version_cutoff.py
@@ -18,6 +18,7 @@
 from marlramp.core import event_time
 from marlramp.core import fleet
 from marlramp.core import path_latency
+from marlramp.core import replica_filters
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import upstream_choice
@@ -77,9 +78,9 @@
 
 def needs_of(
     known: catalog.Catalog, engine: fleet.EngineSpec, now_ms: clock.Millis
-) -> upstream_choice.RequestNeeds:
+) -> replica_filters.RequestNeeds:
     target = known.targets["m"]
-    return upstream_choice.RequestNeeds(
+    return replica_filters.RequestNeeds(
         engine=engine,
         prompt_tokens=900,
         events=18.0,
@@ -126,8 +127,8 @@
         view.record_latency(latency_ms, now_ms)
         written = choice.may_be_written(now_ms)
         request = needs_of(known, engine, now_ms)
-        assert upstream_choice.usable(view, request, now_ms) == written
-        assert upstream_choice.still_usable(view, request, now_ms) == written
+        assert replica_filters.admits(view, request, now_ms) == written
+        assert replica_filters.still_admits(view, request, now_ms) == written
         if written:
             until_ms = now_ms
             # The request has as much time to begin as with a low latency.
@@ -195,4 +196,4 @@
     assert [c.view.replica.replica_id for c in ranked] == ["i-3"]
     newer = view_of(table, "i-1")
     newer.seen_weights = 2
-    assert upstream_choice.usable(newer, request, now_ms)
+    assert replica_filters.admits(newer, request, now_ms)
--- a/tests/direct/fleet/limited_fleet.py
+++ b/tests/direct/fleet/limited_fleet.py
@@ -18,6 +18,7 @@
 from marlramp.core import admission
 from marlramp.core import catalog
 from marlramp.core import fleet
+from marlramp.core import replica_filters
 from marlramp.core import replica_view
 from marlramp.core import send_limiter
 from marlramp.core import upstream_choice
@@ -143,7 +144,7 @@
             now_ms = self.virtual.now_ms()
             left_ms = OBJECTIVE_MS - (now_ms - started_ms)
             request = admission.Request(
-                wanted=upstream_choice.RequestNeeds(
+                wanted=replica_filters.RequestNeeds(
                     engine=None,
                     prompt_tokens=0,
                     events=1.0,
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -24,6 +24,7 @@
 from marlramp.shell import http1_call
 from standins import raw_http
 
+REGIONS = {"dc-1": "west", "dc-2": "east"}
 TARGET = fleet.WeightsTarget(model="m", version=2)
 REPLICA = catalog.ReplicaChange(
     1,
@@ -372,6 +373,7 @@
                 store.StoreClient(
                     http1_call.HttpCaller(time),
                     node.Address("127.0.0.1", server.port),
+                    REGIONS,
                     totals,
                 ),
                 catalog.Catalog(),
@@ -500,6 +502,7 @@
                 store.StoreClient(
                     http1_call.HttpCaller(time),
                     node.Address("127.0.0.1", server.port),
+                    REGIONS,
                     totals,
                 ),
                 known,
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,6 +7,7 @@
 from marlramp.core import fleet
 from marlramp.platform import documents
 
+REGIONS = {"west", "east"}
 CONFIG = {
     "version": 7,
     "route_table": [
@@ -65,7 +66,7 @@
 
 
 def test_configuration_is_decoded() -> None:
-    config = documents.decode_config(json.dumps(CONFIG).encode())
+    config = documents.decode_config(json.dumps(CONFIG).encode(), REGIONS)
     (route,) = config.routes
     assert route.host == "a.example"
     assert route.repeatable
@@ -85,7 +86,7 @@
 ) -> None:
     customers = [{"name": "c", "api_keys": ["k"], **given}]
     config = documents.decode_config(
-        json.dumps(CONFIG | {"tenants": customers}).encode()
+        json.dumps(CONFIG | {"tenants": customers}).encode(), REGIONS
     )
     assert config.customers is not None
     assert config.customers[0].priority == expected
@@ -97,7 +98,7 @@
 )
 def test_malformed_configuration_is_refused(data: bytes) -> None:
     with pytest.raises(documents.DocumentError):
-        documents.decode_config(data)
+        documents.decode_config(data, REGIONS)
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,8 @@
 from marlramp.shell import http1_call
 from standins import raw_http
 
+REGIONS = {"dc-1": "west", "dc-2": "east"}
+
 
 def item(key: str, revision: int, value: object) -> dict[str, object]:
     data = base64.b64encode(json.dumps(value).encode()).decode()
@@ -35,6 +37,7 @@
             client = store.StoreClient(
                 http1_call.HttpCaller(clock.SystemClock()),
                 node.Address("127.0.0.1", server.port),
+                REGIONS,
                 counters.Counters(),
             )
             if watch:
