Import weights into a region only when an agent there lacks them

1.9 MB crossed before any version was announced: entries imported pieces of the version in force 3 s after their start, before the agents beside them had verified and announced theirs. They now wait until an agent lacks a piece. Each entry queried two entries of the whole fleet for digests; now the first two of each region do, and the others query these.

--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/relay_fetch.py
@@ -133,6 +133,7 @@
         self._connections = connections
         self._named_ms = now_ms if age_ms is None else now_ms - age_ms
         is_new = age_ms is not None and age_ms < NEW_VERSION_MS
+        self._uses_far_sources = is_new
         self._first_fetch_ms: float = now_ms + (
             0.0 if is_new else NO_DEMAND_WAIT_MS
         )
@@ -164,7 +165,13 @@
         }
 
     def record_demand(self, now_ms: clock.Millis) -> None:
-        """Records that an agent lacks the version, which shortens the wait."""
+        """Records that an agent lacks the version.
+
+        The wait is shortened, and pieces may come from other regions: without
+        demand, the agents near this entry hold the pieces, and announce them
+        once they have verified them.
+        """
+        self._uses_far_sources = True
         self._first_fetch_ms = min(
             self._first_fetch_ms, now_ms + HOLDER_QUERY_MS
         )
@@ -346,7 +353,8 @@
             agents = agents[first:] + agents[:first]
         far = [name for name in assignment.far if name in holders]
         if (
-            now_ms < self._first_fetch_ms
+            not self._uses_far_sources
+            or now_ms < self._first_fetch_ms
             or self._far_requests() >= FAR_REQUESTS_MAX
         ):
             far = []
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -159,7 +159,7 @@
         self._clock = time
         self._send = entry.send_piece_message
         self._digests = version_digests.VersionDigests(
-            own, self._others, self._send, time, rng, queries_fetchers=True
+            own, self._others, self._send, time, rng, near=self._is_near
         )
         self._chunk_sets = self._digests.chunk_sets
         self._uploads = piece_uploads.PieceUploads(
@@ -212,6 +212,13 @@
     def _others(self) -> list[str]:
         return [name for name in self._locations if name != self._own]
 
+    def _is_near(self, name: str) -> bool:
+        own = self._locations.get(self._own)
+        other = self._locations.get(name)
+        return name == self._own or (
+            own is not None and other is not None and own.region == other.region
+        )
+
     def _add_newest(self) -> None:
         newest = self._entry.wanted()
         self._newest = {wanted.model: wanted for wanted in newest}
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -34,7 +34,7 @@
 
 FETCHERS_QUERIED = 2
 """Processes at the front of the order of requests to the origin that are
-queried if `queries_fetchers` is set: all processes query them."""
+queried first, in the own region or in all regions: all processes query them."""
 
 PENDING_VERSIONS_MAX = 4
 """Maximum number of versions with pending requests of other processes: the
@@ -99,7 +99,7 @@
         rng: random.Random | None = None,
         relays: Callable[[], Iterable[str]] = tuple,
         *,
-        queries_fetchers: bool = False,
+        near: Callable[[str], bool] | None = None,
     ) -> None:
         """Starts without digests.
 
@@ -110,14 +110,14 @@
           time: the clock.
           rng: random numbers that pick the processes to query.
           relays: function that returns the names of the relays.
-          queries_fetchers: whether to query first the processes that request
-            the digests from the origin first. All processes query these, so
-            their links must carry the replies to all.
+          near: returns whether a process is in the own region. If it is given,
+            the processes that request the digests from the origin first are
+            queried first, see `_fetchers`; None to query random processes.
         """
         self._own = own
         self._peers = peers
         self._relays = relays
-        self._queries_fetchers = queries_fetchers
+        self._near = near
         self._send = send
         self._clock = time
         self._rng = rng or random.Random()
@@ -138,12 +138,9 @@
         )
         fetch: asyncio.Task[None] | None = None
         try:
-            if self._queries_fetchers:
-                self._send_requests(
-                    wanted, self._fetch_order(wanted)[:FETCHERS_QUERIED]
-                )
+            self._send_requests(wanted, self._fetchers(wanted))
             while wanted.name not in self.chunk_sets:
-                if not self._queries_fetchers or origin_schedule.overdue(
+                if self._near is None or origin_schedule.overdue(
                     self._clock.now_ms()
                 ):
                     self._query_peers(wanted)
@@ -198,6 +195,20 @@
         """Returns the order in which processes query the origin."""
         return rendezvous.order(wanted.name, {self._own, *self._peers()})
 
+    def _fetchers(self, wanted: ModelVersion) -> list[str]:
+        """Returns the processes that are queried first.
+
+        The first processes of each region query the first ones of all, and all
+        others query the first ones of their region, so that digests cross into
+        a region a few times and not once for each process.
+        """
+        if self._near is None:
+            return []
+        order = self._fetch_order(wanted)
+        near = [name for name in order if self._near(name)]
+        first = near[:FETCHERS_QUERIED]
+        return order[:FETCHERS_QUERIED] if self._own in first else first
+
     def _is_due(
         self,
         wanted: ModelVersion,
--- a/tests/core/test_relay_fetch.py
+++ b/tests/core/test_relay_fetch.py
@@ -347,3 +347,18 @@
         relay_fetch.CancelFetch(0),
         relay_fetch.FetchFromOrigin(0),
     ]
+
+
+def test_old_version_crosses_no_region_until_an_agent_lacks_it(
+    time: clock.ManualClock,
+) -> None:
+    # At a start, each region imported two thirds of the version that its own
+    # engines held, since its agents had not announced their pieces yet.
+    fetch = make(time, FIRST_IN_ORDER, is_new=False)
+    fetch.record_holdings("far", range(PIECES), time.now_ms())
+    time.advance(10_000.0)
+    assert peer_requests(fetch, time) == {}
+    assert origin_fetches(fetch, time) == []
+    fetch.record_demand(time.now_ms())
+    time.advance(relay_fetch.HOLDER_QUERY_MS)
+    assert set(peer_requests(fetch, time).values()) == {"far"}
