Ignore replicas of other places when all permitted ones are closed

A request whose permitted replicas all pause was held and then refused as no_upstream, because an open replica in a region that is not allowed, or in an evacuated data centre, counted as one that may open soon. A paused replica there could set the reason and the time of the refusal.

The times are now those of replicas in permitted data centres.

--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -231,12 +231,18 @@
 
     The replicas name a time after which they accept requests, so the caller
     retries then. Waiting at the entry would only occupy room that other
-    requests need.
+    requests need. Replicas in data centres that are not permitted don't count.
 
     Returns:
       None if a replica is not closed by a pause, its leaving or a limit, or if
       the request has begun or may have run.
     """
+    placement = request.wanted.placement
+    views = [
+        view
+        for view in views
+        if placement.exclusion(view.replica.data_centre) is None
+    ]
     open_ms = upstream_choice.opens_in_ms(views, request.wanted, now_ms)
     if open_ms is None or request.begun or request.maybe_ran:
         return None
--- a/tests/core/test_replica_filters.py
+++ b/tests/core/test_replica_filters.py
@@ -198,3 +198,14 @@
     """Guards against a false "not run" after an attempt that may have run."""
     views = [make_view("dc-2"), make_view("dc-3")]
     assert decide(views, time.now_ms(), **{state: True}) is None
+
+
+def test_paused_replicas_elsewhere_do_not_count(
+    make_view: MakeView, time: clock.ManualClock
+) -> None:
+    """Guards against the retry time of a replica that can't be used."""
+    views = [make_view("dc-1", Filter.CLOSED), make_view("dc-3")]
+    refusal = decide(views, time.now_ms())
+    assert isinstance(refusal, admission.Refusal)
+    assert refusal.reason is admission.RefusalReason.PAUSED
+    assert refusal.retry_after_ms >= 5_000.0
