Choose no cold replica as a last resort without a share in it

When an entry backed off from all replicas, it could choose a cold one that it may not send to. The sender did not write the request, but the attempt counted as the replica's trial and delayed the next one.

The last resort now respects the wait for a cold replica. The new test failed before and passes, with 82 tests of filters, admission and decisions.

--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/upstream_choice.py
@@ -155,6 +155,8 @@
         and view.availability.is_backing_off(now_ms)
         and replica_filters.is_compatible(view, needs, now_ms)
         and view.is_reported_open(now_ms)
+        # The sender would not write the trial, which would still count as one.
+        and view.cold_wait_ms(now_ms) <= 0.0
     ]
     if any(view.availability.in_trial(now_ms) for view in backing_off):
         return []
--- a/tests/core/test_replica_filters.py
+++ b/tests/core/test_replica_filters.py
@@ -209,3 +209,12 @@
     assert isinstance(refusal, admission.Refusal)
     assert refusal.reason is admission.RefusalReason.PAUSED
     assert refusal.retry_after_ms >= 5_000.0
+
+
+def test_cold_replica_without_a_share_is_no_last_resort(
+    make_view: MakeView, time: clock.ManualClock
+) -> None:
+    """Guards against a trial at a cold replica that can't be written."""
+    view = make_view("dc-1", Filter.COLD)
+    view.availability.record_refusal(time.now_ms(), time.now_ms())
+    assert decide([view], time.now_ms()) is None
