Keep a waiting request bound when its customer is removed

A request that waited while a configuration removed its customer lost the customer's list of regions and could be sent anywhere its route allows. If its route was removed, a narrower list of its customer was not applied.

--- a/src/marlramp/core/route_table.py
+++ b/src/marlramp/core/route_table.py
@@ -40,10 +40,16 @@
         Raises:
           CallError: if no route matches.
         """
+        route = self._match(host, path)
+        if route is None:
+            raise errors.CallError(errors.ErrorKind.UNKNOWN_ROUTE)
+        return route
+
+    def _match(self, host: str, path: str) -> fleet.Route | None:
         for route in self._by_host.get(host, []):
             if path.startswith(route.path_prefix):
                 return route
-        raise errors.CallError(errors.ErrorKind.UNKNOWN_ROUTE)
+        return None
 
     def customer(
         self, route: fleet.Route, authorization: str
@@ -71,26 +77,43 @@
         return found
 
     def allowed_regions(
-        self, host: str, path: str, customer_id: ids.CustomerId | None
+        self,
+        host: str,
+        path: str,
+        customer_id: ids.CustomerId | None,
+        last: frozenset[str] | None = None,
     ) -> frozenset[str] | None:
         """Returns the regions that the route and the customer both allow.
 
+        A removed route or customer has no list here. A request that still
+        waits stays within the regions that it was last allowed.
+
         Args:
           host: host of the request.
           path: path of the request.
           customer_id: the customer, None if there is none.
+          last: regions that were last allowed, None for all.
 
         Returns:
           None if all regions are allowed; no region if the two lists have none
           in common.
-
-        Raises:
-          CallError: if no route matches.
         """
-        lists = [self.find(host, path).allowed_regions]
-        if customer_id in self._customers:
-            lists.append(self._customers[customer_id].allowed_regions)
-        return _common_regions(lists)
+        route = self._match(host, path)
+        customer = None
+        if customer_id is not None:
+            customer = self._customers.get(customer_id)
+        lists = [
+            source.allowed_regions
+            for source in (route, customer)
+            if source is not None
+        ]
+        found = _common_regions(lists)
+        is_removed = route is None or (
+            customer is None and customer_id is not None
+        )
+        if not is_removed or last is None:
+            return found
+        return last if found is None else found & last
 
     def allowed_regions_of_host(self, host: str) -> frozenset[str] | None:
         """Returns the regions that all routes of a host allow.
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -9,7 +9,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
-import contextlib
 import math
 import random
 
@@ -225,18 +224,17 @@
     def _placement(self, call: call_module.Call) -> replica_filters.Placement:
         """Returns the data centres in which a call may run now.
 
-        The configuration may have changed since the call arrived. If its route
-        was removed, the regions that the route last allowed still apply.
+        The configuration may have changed since the call arrived.
         """
         routes = self._routes()
         if routes is not None:
             customer = call.customer
-            with contextlib.suppress(errors.CallError):
-                call.allowed_regions = routes.allowed_regions(
-                    call.info.host,
-                    call.info.path,
-                    None if customer is None else customer.customer_id,
-                )
+            call.allowed_regions = routes.allowed_regions(
+                call.info.host,
+                call.info.path,
+                None if customer is None else customer.customer_id,
+                call.allowed_regions,
+            )
         evacuated = self._catalog.evacuated
         if call.allowed_regions is None and not evacuated:
             return replica_filters.ANYWHERE
