--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -38,7 +38,7 @@
     host="127.0.0.1",
     data_centre=ids.DataCentreId("dc-1"),
     region="north",
-    regions={"dc-1": "north"},
+    regions={"dc-1": "north", "dc-2": "north", "dc-3": "south"},
     seeds=[],
     own_ports=(0, 0),
     store=node.Address("127.0.0.1", 1),
@@ -221,9 +221,12 @@
         method: str = "GET",
         wait_ms: int = 1_000,
         parts: str = "",
+        authorization: str = "",
     ) -> bytes:
         """Sends one request and returns all bytes of the answer."""
-        reader, writer = await self.connect(path, method, wait_ms, parts)
+        reader, writer = await self.connect(
+            path, method, wait_ms, parts, authorization
+        )
         data = b""
         with contextlib.suppress(ConnectionError):
             while part := await reader.read(65_536):
@@ -237,6 +240,7 @@
         method: str = "GET",
         wait_ms: int = 1_000,
         parts: str = "",
+        authorization: str = "",
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Sends one request and returns its connection."""
         assert self.server._server is not None
@@ -245,7 +249,7 @@
         writer.write(
             f"{method} {path} HTTP/1.1\r\nhost: a.example\r\n"
             f"x-attempt-id: id-1\r\nx-deadline-ms: {wait_ms}\r\n"
-            f"x-prefix-hash: {parts}\r\n"
+            f"x-prefix-hash: {parts}\r\nauthorization: {authorization}\r\n"
             "connection: close\r\ncontent-length: 0\r\n\r\n".encode()
         )
         return reader, writer
