Keep an evacuation ended that a full read of the store lacked

An entry that started after an evacuation had ended, at a time when nobody read the store, did not know of it. A peer that had missed the end started it again there, or kept it in force itself although its catalog became as new.

A full read now gives each data centre of the settings a state with the revision of the read. A revision that changes no state is no new change, so that an entry that starts does not count replicas as cold for evacuations of the past.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -180,8 +180,14 @@
       evacuated: data centres whose replicas must not be sent requests.
     """
 
-    def __init__(self) -> None:
-        """Starts empty, at revision 0."""
+    def __init__(self, data_centres: Iterable[str] = ()) -> None:
+        """Starts empty, at revision 0.
+
+        Args:
+          data_centres: data centres of the deployment. A complete read of the
+            store tells of each whether it is evacuated.
+        """
+        self._data_centres = [ids.DataCentreId(name) for name in data_centres]
         self.revision = 0
         self.config: fleet.FleetConfig | None = None
         self.config_revision = 0
@@ -352,7 +358,12 @@
         return new
 
     def _ended_evacuations(self, snapshot: Snapshot) -> list[EvacuationChange]:
-        """Returns the ends of evacuations that a complete read lacks."""
+        """Returns the ends of evacuations that a complete read lacks.
+
+        Data centres whose evacuation this process never knew are included, so
+        that a process that missed the end of one can't start it again here and
+        learns of the end.
+        """
         listed = {
             change.data_centre
             for change in snapshot.changes
@@ -360,8 +371,8 @@
         }
         return [
             EvacuationChange(snapshot.revision, data_centre, active=False)
-            for data_centre in self.evacuated - listed
-            if self._evacuations[data_centre].revision <= snapshot.revision
+            for data_centre in self.evacuated.union(self._data_centres) - listed
+            if self.evacuation_revision(data_centre) <= snapshot.revision
         ]
 
     def changes_after(
@@ -435,11 +446,9 @@
         if known is not None and change.revision <= known.revision:
             return False
         self._evacuations[change.data_centre] = change
-        self.evacuated = frozenset(
-            each.data_centre
-            for each in self._evacuations.values()
-            if each.active
-        )
+        if change.active is (change.data_centre in self.evacuated):
+            return False
+        self.evacuated ^= {change.data_centre}
         return True
 
     def evacuation_revision(self, data_centre: ids.DataCentreId) -> int:
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -1,8 +1,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import itertools
 from typing import TypeAlias
 
+import pytest
+
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import catalog
@@ -14,6 +17,7 @@
 MakeConfig: TypeAlias = Callable[..., fleet.FleetConfig]
 
 BOUND_MS = 8_000.0
+DC = ids.DataCentreId("dc-1")
 
 
 def listed(revision: int, replica: fleet.Replica) -> catalog.ReplicaChange:
@@ -311,3 +315,77 @@
     assert known.targets["m"].target.version == 3
     time.advance(BOUND_MS - 3_000.0)
     assert oldest(known, time.now_ms()) == 2
+
+
+def evacuation(revision: int, *, active: bool) -> catalog.EvacuationChange:
+    return catalog.EvacuationChange(revision, DC, active)
+
+
+@pytest.mark.parametrize("order", itertools.permutations(range(3)))
+def test_highest_revision_of_an_evacuation_counts_in_any_order(
+    order: tuple[int, ...], known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    """Guards against an end that arrives first and is undone by its start."""
+    changes = [
+        evacuation(5, active=True),
+        evacuation(7, active=False),
+        evacuation(9, active=True),
+    ]
+    for number in order:
+        known.apply([changes[number]], time.now_ms())
+    assert known.evacuated == {DC}
+    known.apply([evacuation(11, active=False)], time.now_ms())
+    known.apply(changes, time.now_ms())
+    assert known.evacuated == set()
+    assert known.changes_after(0, time.now_ms()) == [
+        evacuation(11, active=False)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("revision", "listed", "evacuated"),
+    [(8, False, {DC}), (10, False, set()), (10, True, {DC})],
+)
+def test_full_read_without_the_key_ends_an_evacuation(
+    revision: int,
+    listed: bool,
+    evacuated: set[str],
+    known: catalog.Catalog,
+    time: clock.ManualClock,
+) -> None:
+    """Guards against an end in lost history, and against an older read."""
+    start = evacuation(9, active=True)
+    known.apply([start], time.now_ms())
+    changes: list[catalog.Change] = [start] if listed else []
+    new = known.apply_snapshot(
+        catalog.Snapshot(revision, changes), time.now_ms()
+    )
+    assert known.evacuated == evacuated
+    ended = [] if evacuated else [evacuation(10, active=False)]
+    assert new == ended
+
+
+def test_evacuation_that_a_full_read_lacked_does_not_start_later(
+    time: clock.ManualClock,
+) -> None:
+    """Guards against a peer that missed the end of an evacuation.
+
+    The reader has started after the end and never knew of the evacuation.
+    """
+    reader = catalog.Catalog([DC])
+    assert reader.apply_snapshot(catalog.Snapshot(20, []), time.now_ms()) == []
+    start = evacuation(9, active=True)
+    assert reader.apply([start], time.now_ms()) == []
+    assert reader.evacuated == set()
+    peer = catalog.Catalog([DC])
+    peer.apply([start], time.now_ms())
+    new = peer.apply(reader.changes_after(9, time.now_ms()), time.now_ms())
+    assert new == [evacuation(20, active=False)]
+    assert peer.evacuated == set()
+
+
+def test_end_of_an_unknown_evacuation_is_no_new_change(
+    known: catalog.Catalog, time: clock.ManualClock
+) -> None:
+    """Guards against replicas that count as cold whenever an entry starts."""
+    assert known.apply([evacuation(7, active=False)], time.now_ms()) == []
