Test documents, the store and lookups with regions and evacuations

Wrong lists of regions, keys of evacuations that name no data centre and lookups by host had no tests. A wrong item is logged and leaves the last valid configuration and evacuations in force.

--- a/tests/core/test_lookup_share.py
+++ b/tests/core/test_lookup_share.py
@@ -51,3 +51,22 @@
 def test_caller_of_an_unknown_data_centre_gets_entries_too() -> None:
     part = lookup_share.entries_for("", DATA_CENTRES, entries(98))
     assert len(part) == lookup_share.ADDRESSES_MAX
+
+
+@pytest.mark.parametrize(
+    ("permitted", "expected"),
+    [
+        ({"west"}, {"dc-0", "dc-1"}),
+        ({"west", "east"}, {"dc-0", "dc-1", "dc-2"}),
+        ({"south"}, set(DATA_CENTRES)),
+        (set(), set(DATA_CENTRES)),
+        ({""}, set(DATA_CENTRES)),
+    ],
+)
+def test_entries_are_in_permitted_regions_if_any_is(
+    permitted: set[str], expected: set[str]
+) -> None:
+    """Guards against callers that find no entry, or one of another region."""
+    regions = {"dc-0": "west", "dc-1": "west", "dc-2": "east"}
+    found = lookup_share.in_permitted_regions(entries(10), permitted, regions)
+    assert {entry.data_centre for entry in found} == expected
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from marlramp import clock
+from marlramp.core import members
+from marlramp.core import route_table
 from marlramp.direct import entry_daemon
+from marlramp.platform import lookup_pages
 from marlramp.settings import node
 from tests.direct import conftest
 
@@ -12,15 +16,19 @@
 users accept cuts only of requests that were sent earlier."""
 
 
-def test_draining_entry_refuses_requests_that_it_may_not_finish(
-    time: clock.ManualClock,
-) -> None:
+def make_daemon() -> entry_daemon.EntryDaemon:
     address = node.Address("127.0.0.1", 1)
     addresses = node.EntryAddresses(
         callers=address, ready=address, lookup=address, control=address
     )
     settings = msgspec.structs.replace(conftest.SETTINGS, entry=addresses)
-    daemon = entry_daemon.EntryDaemon(settings, lambda: settings)
+    return entry_daemon.EntryDaemon(settings, lambda: settings)
+
+
+def test_draining_entry_refuses_requests_that_it_may_not_finish(
+    time: clock.ManualClock,
+) -> None:
+    daemon = make_daemon()
     daemon._clock = time  # type: ignore[assignment]
     assert not daemon.refuses()
     daemon.drain("SIGTERM")
@@ -29,3 +37,43 @@
     assert daemon.closing
     time.advance(LATE_MS / 2)
     assert daemon.refuses()
+
+
+@pytest.mark.parametrize(
+    ("host", "region", "data_centre", "expected"),
+    [
+        ("a.example", "south", "dc-3", {"dc-2", "dc-3"}),
+        ("a.example", "south", "", {"dc-2", "dc-3"}),
+        ("a.example", "north", "dc-1", {"dc-2"}),
+        ("a.example", "", "", {"dc-2"}),
+        ("b.example", "", "", {"dc-2", "dc-3"}),
+        ("", "", "", {"dc-2", "dc-3"}),
+    ],
+)
+def test_lookup_of_a_bound_host_names_entries_of_its_regions(
+    host: str,
+    region: str,
+    data_centre: str,
+    expected: set[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against callers that connect to an entry of another region."""
+    daemon = make_daemon()
+    ready = [
+        members.Member(
+            name, members.MemberKind.ENTRY, name, "127.0.0.1", 1, name
+        )
+        for name in ("dc-2", "dc-3")
+    ]
+    monkeypatch.setattr(daemon._fleet, "ready_entries", lambda: list(ready))
+    routes = [
+        msgspec.structs.replace(route, allowed_regions=("north",))
+        for route in conftest.CONFIG.routes
+    ]
+    config = msgspec.structs.replace(conftest.CONFIG, routes=routes)
+    daemon._routes = route_table.RouteTable(config)
+    lookup = lookup_pages.Lookup(host, region, data_centre)
+    assert set(daemon._lookup(lookup)) == expected
+    if host == "a.example":
+        del ready[0]
+        assert set(daemon._lookup(lookup)) == {"dc-3"}
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -121,3 +121,44 @@
 def test_draining_replica() -> None:
     decoded = documents.decode_replica("i-1", replica(state="draining"))
     assert decoded.state is fleet.ReplicaState.DRAINING
+
+
+def bound(of_route: object, of_customer: object) -> bytes:
+    (route,) = CONFIG["route_table"]  # type: ignore[misc, str-unpack]
+    (customer,) = CONFIG["tenants"]  # type: ignore[misc, str-unpack]
+    config = CONFIG | {
+        "route_table": [route | {"allowed_regions": of_route}],
+        "tenants": [customer | {"allowed_regions": of_customer}],
+    }
+    return json.dumps(config).encode()
+
+
+def test_allowed_regions_of_routes_and_customers_are_decoded() -> None:
+    """Guards against a list that is dropped, which would allow all regions."""
+    data = bound(["west"], ["east", "west"])
+    config = documents.decode_config(data, REGIONS)
+    assert config.routes[0].allowed_regions == ("west",)
+    assert config.customers is not None
+    assert config.customers[0].allowed_regions == ("east", "west")
+
+
+@pytest.mark.parametrize(
+    ("regions", "fault"),
+    [
+        (["west", "south"], documents.DocumentFault.REGION),
+        ([""], documents.DocumentFault.REGION),
+        (["West"], documents.DocumentFault.REGION),
+        ("west", documents.DocumentFault.FIELD),
+        ([1], documents.DocumentFault.FIELD),
+        ({"west": True}, documents.DocumentFault.FIELD),
+        (None, documents.DocumentFault.FIELD),
+    ],
+)
+def test_configuration_with_wrong_regions_is_refused(
+    regions: object, fault: documents.DocumentFault
+) -> None:
+    """Guards against a list that can't be applied and is taken as none."""
+    for data in (bound(regions, []), bound([], regions)):
+        with pytest.raises(documents.DocumentError) as caught:
+            documents.decode_config(data, REGIONS)
+        assert caught.value.fault is fault
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,8 @@
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import ids
+from marlramp import logs
 from marlramp.core import catalog
 from marlramp.platform import clients
 from marlramp.platform import store
@@ -23,6 +25,19 @@
     return {"key": key, "revision": revision, "data": data}
 
 
+def bound_to(region: object, version: int = 7) -> dict[str, object]:
+    """Returns a configuration whose only route allows one region."""
+    route = {
+        "name": "r",
+        "host": "a.example",
+        "path_prefix": "/",
+        "route_kind": "idempotent",
+        "service": "s",
+        "allowed_regions": [region],
+    }
+    return {"version": version, "route_table": [route]}
+
+
 def read(bodies: list[object], *, watch: bool = False) -> catalog.Snapshot:
     async def script(peer: raw_http.Peer) -> None:
         while (request := await peer.read()) is not None:
@@ -121,3 +136,60 @@
 def test_page_without_a_readable_item_is_not_the_end_of_the_list() -> None:
     with pytest.raises(clients.PlatformError):
         read([{"entries": [7], "has_more": True, "at": 8}])
+
+
+@pytest.mark.parametrize("data", ["", "bm90IEpTT04=", "e30="])
+def test_evacuation_lasts_while_its_key_exists(data: str) -> None:
+    """Guards against an evacuation that depends on the data of its key."""
+    start = {"key": "op/evacuate/dc-2", "revision": 5, "data": data}
+    end = {"key": "op/evacuate/dc-2", "revision": 7, "deleted": True}
+    data_centre = ids.DataCentreId("dc-2")
+    assert read([{"entries": [start], "at": 9}]).changes == [
+        catalog.EvacuationChange(5, data_centre, active=True)
+    ]
+    assert read([{"events": [end], "at": 9}], watch=True).changes == [
+        catalog.EvacuationChange(7, data_centre, active=False)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("entry", "fault"),
+    [
+        (item("op/evacuate/", 8, {}), "data_centre"),
+        (item("op/evacuate/dc-9", 8, {}), "data_centre"),
+        (item("op/evacuate/dc-1/x", 8, {}), "data_centre"),
+        (
+            {"key": "op/evacuate/dc-9", "revision": 8, "deleted": True},
+            "data_centre",
+        ),
+        (item("op/config", 8, bound_to("south", 8)), "region"),
+        (item("op/config", 8, bound_to(7, 8)), "field"),
+    ],
+)
+def test_refused_item_changes_nothing(
+    entry: dict[str, object],
+    fault: str,
+    time: clock.ManualClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a wrong item that replaces the last valid state."""
+    valid = [item("op/config", 3, bound_to("west"))]
+    valid.append(item("op/evacuate/dc-1", 4, {}))
+    known = catalog.Catalog(REGIONS)
+    known.apply_snapshot(read([{"entries": valid, "at": 5}]), time.now_ms())
+    before = known.changes_after(0, time.now_ms())
+    logged: list[tuple[str, object, object]] = []
+    monkeypatch.setattr(
+        logs,
+        "log",
+        lambda event, **fields: logged.append(
+            (event, fields["key"], fields["fault"])
+        ),
+    )
+    snapshot = read([{"events": [entry], "at": 8}], watch=True)
+    assert known.apply(snapshot.changes, time.now_ms()) == []
+    assert known.changes_after(0, time.now_ms()) == before
+    assert known.config is not None
+    assert known.config.routes[0].allowed_regions == ("west",)
+    assert known.evacuated == {"dc-1"}
+    assert logged == [("document_refused", entry["key"], fault)]
