Say why the grants path refuses placement constraints

A settings document with allowed_regions or evacuated data centres was refused at each level of the tree, as an unknown key among a list of all others. The log line of the refusal named neither the key nor the reason, and agents have no page that does.

--- a/src/marlramp/settings/checking.py
+++ b/src/marlramp/settings/checking.py
@@ -20,6 +20,16 @@
     "per_s": "per second",
 }
 
+PLACEMENT_PROBLEM = (
+    "allowed regions and evacuations are supported on the direct path only, "
+    "in op/config and op/evacuate/; the grants path would not enforce them"
+)
+"""A document that is accepted without its constraint would let requests run
+where they must not."""
+
+_PLACEMENT_KEYS = ("allowed_region", "evacuat")
+"""How the keys of placement constraints begin."""
+
 
 class SettingsError(Exception):
     """One thing wrong in a settings file.
@@ -156,6 +166,8 @@
 
 
 def _unknown_key(key: str, known: list[str]) -> str:
+    if key.startswith(_PLACEMENT_KEYS):
+        return PLACEMENT_PROBLEM
     stem = _without_unit(key)
     for name in known:
         if name != key and _without_unit(name) == stem:
--- a/src/marlramp/shell/settings_sync.py
+++ b/src/marlramp/shell/settings_sync.py
@@ -28,6 +28,10 @@
 DIRECT_READ_MS = 30_000.0
 """Interval at which an entry that does not watch reads all the same."""
 
+DETAIL_MAX = 400
+"""Characters of a refused document's problems that are logged; the operators'
+page of an entry shows all of them."""
+
 
 class SettingsSync:
     """Feeds one settings store from the service and from peers."""
@@ -76,10 +80,23 @@
                     revision=document.revision,
                     verdict=verdict.value,
                     source=source,
+                    detail=self._detail(document.key, verdict),
                 )
         if accepted:
             safely.run_safely(self._on_accept, "settings", self._totals)
 
+    def _detail(self, key: str, verdict: store.Verdict) -> str | None:
+        """Returns what is wrong with a refused document."""
+        if verdict is not store.Verdict.REFUSED:
+            return None
+        problems = [
+            problem
+            for refusal in self._settings.refusals
+            if refusal.key == key
+            for problem in refusal.problems
+        ]
+        return "; ".join(problems)[:DETAIL_MAX]
+
     async def run(self, *, reads_without_need: bool) -> None:
         """Reads and watches for ever.
 
--- a/tests/settings/test_tree.py
+++ b/tests/settings/test_tree.py
@@ -4,6 +4,7 @@
 
 from marlramp import ids
 from marlramp.protocol import messages
+from marlramp.settings import checking
 from marlramp.settings import process
 from marlramp.settings import schema
 from marlramp.settings import store
@@ -108,6 +109,44 @@
     ), found
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "",
+        "settings",
+        "services.pool",
+        "services.pool.rollout",
+        "services.pool.settings",
+        "services.pool.customers.acme",
+        "customers.acme",
+    ],
+)
+@pytest.mark.parametrize(
+    "key", ["allowed_regions", "evacuate", "evacuated_data_centres"]
+)
+@pytest.mark.parametrize("level", list(schema.Level))
+def test_placement_constraint_is_refused_at_each_level(
+    level: schema.Level, key: str, path: str
+) -> None:
+    """Guards against a constraint that the grants path silently ignores."""
+    head = f"[{path}]\n" if path else ""
+    source = schema.document_key(level, "fairs")
+    with pytest.raises(ExceptionGroup) as caught:
+        tree.parse_document(f'schema = 1\n{head}{key} = ["west"]', source)
+    found = [str(error) for error in caught.value.exceptions]
+    where = f"{source}: {path}.{key}" if path else f"{source}: {key}"
+    assert f"{where}: {checking.PLACEMENT_PROBLEM}" in found
+
+
+def test_placement_constraint_in_a_process_file_is_refused() -> None:
+    """Guards against a constraint in a file that only one process reads."""
+    with pytest.raises(ExceptionGroup) as caught:
+        process.parse('[entry]\nallowed_regions = ["west"]', "entry.toml")
+    found = "\n".join(str(error) for error in caught.value.exceptions)
+    problem = f"entry.allowed_regions: {checking.PLACEMENT_PROBLEM}"
+    assert problem in found
+
+
 def test_all_errors_are_shown_together() -> None:
     with pytest.raises(ExceptionGroup) as caught:
         tree.parse_document("schema = 1\na = 1\nb = 2\n[settings]\nc = 3", "x")
