--- /dev/null
+++ b/tests/direct/fleet/test_catalog_sync.py
@@ -0,0 +1,126 @@
+"""Tests of evacuations between a reader of the store and another entry."""
+
+from __future__ import annotations
+
+import types
+from typing import cast
+
+import msgspec
+import pytest
+
+from marlramp import clock
+from marlramp import ids
+from marlramp.core import catalog
+from marlramp.core import members
+from marlramp.direct.fleet import catalog_sync
+from marlramp.direct.fleet import member_sync
+from marlramp.protocol import fleet_messages
+
+DC = ids.DataCentreId("dc-1")
+
+
+class Entry:
+    """An entry of one region whose messages reach the other one, or none."""
+
+    def __init__(self, name: str, time: clock.Clock) -> None:
+        self.name = name
+        self.other: Entry | None = None
+        self.known = catalog.Catalog([DC])
+        self.seen: list[catalog.Change] = []
+        self.roster = types.SimpleNamespace(
+            own=types.SimpleNamespace(vm_id=name)
+        )
+        self.catalog_sync = catalog_sync.CatalogSync(
+            self.known,
+            cast("member_sync.MemberSync", self),
+            self.seen.extend,
+            time,
+        )
+
+    def alive(self, kind: members.MemberKind) -> list[members.Member]:
+        if self.other is None:
+            return []
+        return [members.Member(self.other.name, kind, "dc-2", "10.0.0.1", 1)]
+
+    def is_near(self, member: members.Member) -> bool:
+        return True
+
+    def send_all(self, names: list[str], message: msgspec.Struct) -> None:
+        for name in names:
+            self.send(name, message)
+
+    def send(self, name: str, message: msgspec.Struct) -> None:
+        if self.other is None:
+            return
+        match message:
+            case fleet_messages.CatalogNews():
+                self.other.catalog_sync.on_updates(self.name, message)
+            case fleet_messages.CatalogRequest():
+                self.other.catalog_sync.send_changes(self.name, message.after)
+
+    def read(self, snapshot: catalog.Snapshot, time: clock.Clock) -> None:
+        """Reads the whole store and publishes what is new."""
+        before = self.known.revision
+        new = self.known.apply_snapshot(snapshot, time.now_ms())
+        if new:
+            self.catalog_sync.publish(before, new)
+
+    def hear(self, other: Entry) -> None:
+        """Hears the revision of another entry's catalog."""
+        self.catalog_sync.on_revision(
+            other.name, other.known.revision, reading=False
+        )
+
+
+@pytest.fixture
+def reader(time: clock.ManualClock) -> Entry:
+    return Entry("reader", time)
+
+
+@pytest.fixture
+def peer(time: clock.ManualClock) -> Entry:
+    return Entry("peer", time)
+
+
+def connect(reader: Entry, peer: Entry) -> None:
+    reader.other, peer.other = peer, reader
+
+
+START = catalog.EvacuationChange(9, DC, active=True)
+END = catalog.EvacuationChange(20, DC, active=False)
+
+
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_evacuation_reaches_an_entry_that_does_not_read(
+    is_lost: bool, reader: Entry, peer: Entry, time: clock.ManualClock
+) -> None:
+    """Guards against a lost message that leaves an entry without a change."""
+    for snapshot, change, state in (
+        (catalog.Snapshot(9, [START]), START, {DC}),
+        (catalog.Snapshot(20, []), END, set()),
+    ):
+        if is_lost:
+            reader.other = peer.other = None
+        else:
+            connect(reader, peer)
+        reader.read(snapshot, time)
+        connect(reader, peer)
+        peer.hear(reader)
+        assert peer.known.evacuated == state
+        assert peer.seen[-1] == change
+        time.advance(catalog_sync.REQUEST_MS)
+
+
+def test_reader_that_never_knew_an_evacuation_ends_it_at_a_peer(
+    reader: Entry, peer: Entry, time: clock.ManualClock
+) -> None:
+    """Guards against an evacuation that no process ends any more."""
+    peer.known.apply([START], time.now_ms())
+    peer.known.advance(9)
+    reader.read(catalog.Snapshot(20, []), time)
+    connect(reader, peer)
+    peer.hear(reader)
+    assert peer.known.evacuated == set()
+    assert peer.seen == [END]
+    peer.catalog_sync.publish(0, [START])
+    assert reader.known.evacuated == set()
