Keep dc-2 outside of the regions in the entry's test settings

The settings for the tests of placement put dc-2 into the entry's region, so that test_silent_store_is_unavailable_if_an_entry_elsewhere_answers failed: it takes dc-2 as elsewhere. The additional data centre is dc-4 now.

The tests of direct/calls, the entry daemon, store outages and load exchange passed.

--- a/tests/direct/calls/test_placement.py
+++ b/tests/direct/calls/test_placement.py
@@ -115,7 +115,7 @@
     elsewhere, one, other = Replica(), Replica(), Replica()
 
     async def use(entry: conftest.Entry) -> None:
-        place(entry, "dc-3", "dc-1", "dc-2")
+        place(entry, "dc-3", "dc-1", "dc-4")
         bind(entry)
         answer = await entry.call(path)
         assert elsewhere.seen == []
@@ -251,7 +251,7 @@
     [
         (("north",), (), "regions_unavailable"),
         ((), ("dc-3",), "upstreams_evacuated"),
-        (("south",), ("dc-1", "dc-2", "dc-3"), "upstreams_evacuated"),
+        (("south",), ("dc-1", "dc-4", "dc-3"), "upstreams_evacuated"),
     ],
 )
 @pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x"])
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -42,12 +42,12 @@
 @pytest.mark.parametrize(
     ("host", "region", "data_centre", "expected"),
     [
-        ("a.example", "south", "dc-3", {"dc-2", "dc-3"}),
-        ("a.example", "south", "", {"dc-2", "dc-3"}),
-        ("a.example", "north", "dc-1", {"dc-2"}),
-        ("a.example", "", "", {"dc-2"}),
-        ("b.example", "", "", {"dc-2", "dc-3"}),
-        ("", "", "", {"dc-2", "dc-3"}),
+        ("a.example", "south", "dc-3", {"dc-4", "dc-3"}),
+        ("a.example", "south", "", {"dc-4", "dc-3"}),
+        ("a.example", "north", "dc-1", {"dc-4"}),
+        ("a.example", "", "", {"dc-4"}),
+        ("b.example", "", "", {"dc-4", "dc-3"}),
+        ("", "", "", {"dc-4", "dc-3"}),
     ],
 )
 def test_lookup_of_a_bound_host_names_entries_of_its_regions(
@@ -63,7 +63,7 @@
         members.Member(
             name, members.MemberKind.ENTRY, name, "127.0.0.1", 1, name
         )
-        for name in ("dc-2", "dc-3")
+        for name in ("dc-4", "dc-3")
     ]
     monkeypatch.setattr(daemon._fleet, "ready_entries", lambda: list(ready))
     routes = [
