Refuse a request at once whose permitted replicas all drain

A request whose only allowed region drained was held for its hold time (966 ms with an objective of 8 s) and then refused without the name of a filter.

The kind stays no_upstream. Without a constraint draining replicas are waited for as before, since their successors may be listed meanwhile. The new test failed before; it passes, with the tests of direct/calls, filters, admission and decisions.

--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/admission.py
@@ -103,6 +103,8 @@
       PAUSED: all replicas are closed, and at least one is paused or leaves.
       REGIONS: no replica is in an allowed region.
       EVACUATED: all replicas in allowed regions are in evacuated data centres.
+      DRAINING: all replicas in permitted data centres are listed as draining,
+        and other data centres are not permitted.
       COLD: the replicas that are left are cold and take no more requests from
         this entry now.
     """
@@ -112,12 +114,14 @@
     PAUSED = "paused"
     REGIONS = "regions"
     EVACUATED = "evacuated"
+    DRAINING = "draining"
     COLD = "cold"
 
 
 _REASONS = {
     replica_filters.Filter.REGIONS: RefusalReason.REGIONS,
     replica_filters.Filter.EVACUATED: RefusalReason.EVACUATED,
+    replica_filters.Filter.DRAINING: RefusalReason.DRAINING,
     replica_filters.Filter.COLD: RefusalReason.COLD,
 }
 """Refusals that follow from the filter that leaves no replica alone."""
@@ -210,6 +214,12 @@
     emptying = replica_filters.emptying_filter(views, wanted, now_ms)
     if emptying not in _REASONS or request.begun or request.maybe_ran:
         return None
+    if (
+        emptying is replica_filters.Filter.DRAINING
+        and wanted.placement.excludes_none
+    ):
+        # Successors of a draining service may be listed within the hold time.
+        return None
     open_ms = float("inf")
     if emptying is replica_filters.Filter.COLD:
         open_ms = min(
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -62,6 +62,7 @@
     admission.RefusalReason.PAUSED: errors.ErrorKind.UPSTREAMS_PAUSED,
     admission.RefusalReason.REGIONS: errors.ErrorKind.REGIONS_UNAVAILABLE,
     admission.RefusalReason.EVACUATED: errors.ErrorKind.UPSTREAMS_EVACUATED,
+    admission.RefusalReason.DRAINING: errors.ErrorKind.NO_UPSTREAM,
     admission.RefusalReason.COLD: errors.ErrorKind.UPSTREAMS_COLD,
 }
 _MS = clock.MILLIS_PER_SECOND
@@ -368,6 +369,7 @@
     if refusal.reason in (
         admission.RefusalReason.REGIONS,
         admission.RefusalReason.EVACUATED,
+        admission.RefusalReason.DRAINING,
     ):
         return f"filter {refusal.reason.value} leaves no replica"
     if math.isinf(refusal.late_ms):
--- a/tests/direct/calls/test_placement.py
+++ b/tests/direct/calls/test_placement.py
@@ -283,6 +283,31 @@
     run_entry(use, replica.serve)
 
 
+def test_request_whose_region_drains_is_refused_at_once(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a held request: replicas elsewhere never become usable."""
+    draining, elsewhere = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        place(entry, "dc-1", "dc-3")
+        narrow(entry)
+        view = entry.table.get("i-0")
+        assert view is not None
+        view.replica = msgspec.structs.replace(
+            view.replica, state=fleet.ReplicaState.DRAINING
+        )
+        started_ms = entry.time.now_ms()
+        answer = await entry.call("/safe/x")
+        assert entry.time.now_ms() - started_ms < 500.0
+        assert test_forwarder.status_of(answer) == 503
+        assert b"no_upstream" in answer
+        assert b"filter draining leaves no replica" in answer
+        assert elsewhere.seen == []
+
+    run_entry(use, draining.serve, elsewhere.serve)
+
+
 def test_customer_without_a_common_region_is_served_nowhere(
     run_entry: RunEntry,
 ) -> None:
