Read X-Cold-Ms of answers

A replica's answers say for how much longer it is cold, but entries knew this only from its record, which is later by the delay of the replica list.

The header is parsed into ReplicaAnswer.cold_left_ms; a value that is no time up to 5 minutes is counted, and logged once for each replica and value. The observer of an answer records the time, except from status 421. An answer to a request that was sent before the replica may have restarted is ignored: the view of a restarted replica keeps its cold state, so that a late answer of the earlier start would have ended the cold state of the new one. ColdReplica tells the reason of its state.

--- a/src/marlramp/core/cold_replica.py
+++ b/src/marlramp/core/cold_replica.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 from typing import Protocol
 
 import msgspec
@@ -25,6 +26,20 @@
 """Number of the last sends that are kept for each replica."""
 
 
+class Reason(enum.Enum):
+    """Source of what is known about a replica's cold state.
+
+    Attributes:
+      LISTED: the replica's record.
+      ANSWER: an answer of the replica.
+      SUSPECTED: the replica may have restarted since its last record or answer.
+    """
+
+    LISTED = "listed"
+    ANSWER = "answer"
+    SUSPECTED = "suspected"
+
+
 class Shares(Protocol):
     """The share of this entry in the requests to cold replicas."""
 
@@ -50,6 +65,7 @@
     start_ms: float
     heartbeat_ms: float
     shares: Shares
+    _reported_by: Reason = Reason.LISTED
     _until_ms: float = float("-inf")
     _suspected_ms: float = float("-inf")
     _sent_ms: collections.deque[float] = msgspec.field(
@@ -67,12 +83,14 @@
           now_ms: when the record arrived.
         """
         self._until_ms = now_ms + left_ms
+        self._reported_by = Reason.LISTED
         if now_ms >= self._suspected_ms + self.heartbeat_ms:
             self._suspected_ms = float("-inf")
 
     def record_answer(self, left_ms: float, now_ms: clock.Millis) -> None:
         """Records what an answer of the replica says, as `record_listed`."""
         self._until_ms = now_ms + left_ms
+        self._reported_by = Reason.ANSWER
         self._suspected_ms = float("-inf")
 
     def suspect(self, now_ms: clock.Millis) -> None:
@@ -85,10 +103,24 @@
 
     def left_ms(self, now_ms: clock.Millis) -> float:
         """Returns how much longer the replica counts as cold, 0 if not."""
-        suspected_until_ms = (
-            self._suspected_ms + self.start_ms + self.heartbeat_ms
-        )
-        return max(0.0, self._until_ms - now_ms, suspected_until_ms - now_ms)
+        until_ms = max(self._until_ms, self._suspected_until_ms)
+        return max(0.0, until_ms - now_ms)
+
+    @property
+    def reason(self) -> Reason:
+        """What determines the end of the cold state, also after that end."""
+        if self._suspected_until_ms > self._until_ms:
+            return Reason.SUSPECTED
+        return self._reported_by
+
+    @property
+    def suspected_ms(self) -> float:
+        """When the replica may have restarted, -inf if it hasn't since."""
+        return self._suspected_ms
+
+    @property
+    def _suspected_until_ms(self) -> float:
+        return self._suspected_ms + self.start_ms + self.heartbeat_ms
 
     def record_sent(self, now_ms: clock.Millis) -> None:
         """Counts a request that is written now."""
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replica_view.py
@@ -259,6 +259,22 @@
         if self.cold is not None:
             self.cold.record_sent(now_ms)
 
+    def record_cold_answer(
+        self, left_ms: float, sent_ms: float, now_ms: clock.Millis
+    ) -> None:
+        """Records for how much longer an answer says the replica is cold.
+
+        An answer to a request that was sent before the replica may have
+        restarted may come from the earlier start, and is ignored.
+
+        Args:
+          left_ms: how much longer the replica is cold, 0 if it is not.
+          sent_ms: when the request was sent.
+          now_ms: when the answer arrived.
+        """
+        if self.cold is not None and self.cold.suspected_ms < sent_ms:
+            self.cold.record_answer(left_ms, now_ms)
+
     def suspect_cold(self, now_ms: clock.Millis) -> None:
         """Records that the replica may have restarted and be cold."""
         if self.cold is not None:
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -29,6 +29,7 @@
     CRASHES = "marlramp_crashes"
     REPLICA_LIMITS = "marlramp_replica_limits"
     REPLICA_PAUSES = "marlramp_replica_pauses"
+    COLD_STATES = "marlramp_cold_states"
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -67,6 +67,11 @@
             view.seen_ms = now_ms
         self._limits.handle_answer(view, answer, self._sent_ms)
         self._signals.handle_answer(view, answer, self._sent_ms)
+        if (
+            answer.cold_left_ms is not None
+            and answer.status != errors.MISDIRECTED
+        ):
+            view.record_cold_answer(answer.cold_left_ms, self._sent_ms, now_ms)
 
     def on_first_event(self) -> None:
         """Records the wait for the first event; the prompt was read."""
--- a/src/marlramp/direct/calls/replica_signals.py
+++ b/src/marlramp/direct/calls/replica_signals.py
@@ -51,6 +51,7 @@
         self._paused: dict[str, replica_view.ReplicaView] = {}
         self._leaving: dict[str, replica_view.ReplicaView] = {}
         self._unreadable = seen_values.SeenValues()
+        self._unreadable_cold = seen_values.SeenValues()
 
     def set_drain(self, drain_ms: float) -> None:
         """Sets the drain time of replicas that leave from now on."""
@@ -75,6 +76,10 @@
         now_ms = self._clock.now_ms()
         if answer.leaving:
             self.record_leaving(view, "answer")
+        if answer.cold_unreadable:
+            self._record_unreadable_cold(
+                view.replica.replica_id, answer.cold_unreadable
+            )
         if answer.status in _PAUSE_STATUSES:
             self._record_pause(view, answer, now_ms)
         if answer.not_run:
@@ -139,6 +144,11 @@
         if self._unreadable.is_new(replica_id, value):
             logs.log("retry_after_unreadable", replica=replica_id, value=value)
 
+    def _record_unreadable_cold(self, replica_id: str, value: str) -> None:
+        self._totals.add(counters.CounterName.COLD_STATES, "unreadable")
+        if self._unreadable_cold.is_new(replica_id, value):
+            logs.log("cold_time_unreadable", replica=replica_id, value=value)
+
     # Ends of pauses and replicas.
 
     def tick(self) -> None:
--- a/src/marlramp/direct/calls/wire.py
+++ b/src/marlramp/direct/calls/wire.py
@@ -104,6 +104,10 @@
       retry_after_unreadable: value of a retry time that can't be parsed, "" if
         there is none.
       leaving: whether the replica announces that it leaves.
+      cold_left_ms: how much longer the replica is cold, None if the answer does
+        not say.
+      cold_unreadable: value of that time that can't be parsed, "" if there is
+        none.
       delimited: whether the end of the body is marked, so that it is told from
         a crash of the replica.
     """
@@ -121,6 +125,8 @@
     retry_after_ms: float | None = None
     retry_after_unreadable: str = ""
     leaving: bool = False
+    cold_left_ms: float | None = None
+    cold_unreadable: str = ""
     delimited: bool = True
 
 
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -32,12 +32,16 @@
 _LIMIT = b"server-limit"
 # "1" in all answers of a replica that leaves.
 _LEAVING = b"server-leaving"
+# Milliseconds for which the replica remains cold.
+_COLD = b"x-cold-ms"
 _WEIGHTS = b"x-weight-versions"
 _PIPELINE = b"path"
 
 _MISDIRECTED = 421
 _LOAD_FIELDS = 3
 _PART_ID_LENGTH_MAX = 32
+# A cold start takes seconds; a longer time is a fault of the replica.
+_COLD_MS_MAX = 300_000.0
 
 _HEX_DIGITS = frozenset(string.hexdigits)
 
@@ -128,6 +132,7 @@
         mine = echo is None or echo.decode("latin-1") == call.request_id
         limit_per_s, limit_unreadable = _limit(head)
         asked = retry_after.of_answer(head)
+        cold_left_ms, cold_unreadable = _cold_left_ms(head)
         return wire.ReplicaAnswer(
             status=head.status,
             matches_request=mine,
@@ -141,6 +146,8 @@
             retry_after_ms=asked.wait_ms,
             retry_after_unreadable=asked.unreadable,
             leaving=says_leaving(head),
+            cold_left_ms=cold_left_ms,
+            cold_unreadable=cold_unreadable,
             delimited=head.delimited,
             headers=[
                 (name, value)
@@ -209,22 +216,42 @@
 
 def _limit(head: http1_client.ResponseHead) -> tuple[float | None, str]:
     """Returns the least rate that an answer names, and what is none."""
-    rates = []
+    rates, unreadable = _numbers(head, _LIMIT)
+    return min(rates, default=None), unreadable
+
+
+def _cold_left_ms(
+    head: http1_client.ResponseHead,
+) -> tuple[float | None, str]:
+    """Returns the longest time for which an answer says it is cold.
+
+    Returns:
+      The time, None if there is none, and a value that isn't one or "".
+    """
+    times_ms, unreadable = _numbers(head, _COLD, _COLD_MS_MAX)
+    return max(times_ms, default=None), unreadable
+
+
+def _numbers(
+    head: http1_client.ResponseHead, name: bytes, number_max: float = math.inf
+) -> tuple[list[float], str]:
+    """Returns the numbers of a header, and a value that is none or ""."""
+    numbers = []
     unreadable = ""
-    for value in head.values(_LIMIT):
+    for value in head.values(name):
         for part in value.split(","):
-            rate = _rate(part)
-            if rate is None:
+            number = _number(part)
+            if number is None or number > number_max:
                 unreadable = part.strip() or "empty"
             else:
-                rates.append(rate)
-    return min(rates, default=None), unreadable
+                numbers.append(number)
+    return numbers, unreadable
 
 
-def _rate(text: str) -> float | None:
-    """Returns a rate, None if a text names none."""
+def _number(text: str) -> float | None:
+    """Returns a finite number of at least 0, None if a text is none."""
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
+    return number if math.isfinite(number) and number >= 0.0 else None
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -15,6 +15,7 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
+from marlramp import logs
 from marlramp.core import catalog
 from marlramp.core import crash_record
 from marlramp.core import event_time
@@ -107,6 +108,83 @@
 )
 
 
+class FixedShares:
+    """Shares of an entry that may send 4 requests per second everywhere."""
+
+    def per_s(self, replica_id: str, tolerated_per_s: float) -> int:
+        """Returns the share."""
+        return 4
+
+
+class ColdFleet:
+    """A table of one cold replica in dc-1 and one warm replica in dc-2."""
+
+    def __init__(self, time: clock.Clock) -> None:
+        """Creates the catalog and the table.
+
+        Args:
+          time: the clock.
+        """
+        self.time = time
+        self.known = catalog.Catalog()
+        (service,) = CONFIG.services
+        service = msgspec.structs.replace(
+            service, cold_start_ms=6_000.0, cold_per_s=17.0
+        )
+        config = msgspec.structs.replace(CONFIG, services=[service])
+        self.known.apply([catalog.ConfigChange(1, config)], time.now_ms())
+        self.table = replica_table.ReplicaTable(
+            FixedShares(), SETTINGS.heartbeat_ms
+        )
+        self.list_replica("i-1", "dc-1", 5_000.0)
+        self.list_replica("i-2", "dc-2", 0.0)
+
+    def list_replica(
+        self, replica_id: str, data_centre: str, cold_left_ms: float
+    ) -> replica_view.ReplicaView:
+        """Applies a new record of a replica and returns the replica's view."""
+        replica = fleet.Replica(
+            replica_id=replica_id,
+            service_id=ids.ServiceId("s"),
+            address=replica_id,
+            data_centre=ids.DataCentreId(data_centre),
+            slots=8,
+            state=fleet.ReplicaState.HEALTHY,
+            weights=None,
+            cold_left_ms=cold_left_ms,
+        )
+        self.apply(
+            catalog.ReplicaChange(self.known.revision + 1, replica_id, replica)
+        )
+        view = self.table.get(replica_id)
+        assert view is not None
+        return view
+
+    def apply(self, change: catalog.Change) -> None:
+        """Applies a change of the catalog."""
+        self.known.apply([change], self.time.now_ms())
+        self.known.advance(change.revision)
+        self.table.sync(self.known, self.time.now_ms())
+
+
+@pytest.fixture
+def cold_fleet(time: clock.ManualClock) -> ColdFleet:
+    """A table of one cold and one warm replica."""
+    return ColdFleet(time)
+
+
+@pytest.fixture
+def logged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> list[tuple[str, dict[str, object]]]:
+    """Events and fields that are logged during the test."""
+    lines: list[tuple[str, dict[str, object]]] = []
+    monkeypatch.setattr(
+        logs, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
 class SuspendedClock:
     """The system's clock plus a suspended time that tests set."""
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -201,3 +201,29 @@
 def test_only_one_means_that_a_replica_leaves(value: bytes) -> None:
     head = http1_client.ResponseHead(200, [(b"server-leaving", value)])
     assert not CODEC.answer(head, CODEC.read(request())).leaving
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ([], (None, "")),
+        ([b"0"], (0.0, "")),
+        ([b"1500.5"], (1_500.5, "")),
+        ([b"300000"], (300_000.0, "")),
+        ([b"300001"], (None, "300001")),
+        ([b"-1"], (None, "-1")),
+        ([b"nan"], (None, "nan")),
+        ([b"inf"], (None, "inf")),
+        ([b"soon"], (None, "soon")),
+        ([b""], (None, "empty")),
+        ([b"10", b"20"], (20.0, "")),
+    ],
+)
+def test_time_for_which_a_replica_is_cold_is_read(
+    values: list[bytes], expected: tuple[float | None, str]
+) -> None:
+    head = http1_client.ResponseHead(
+        200, [(b"x-cold-ms", value) for value in values]
+    )
+    answer = CODEC.answer(head, CODEC.read(request()))
+    assert (answer.cold_left_ms, answer.cold_unreadable) == expected
