Show evacuations, cold replicas and allowed regions to operators

Of the constraints on where requests run, an operator saw only the log lines of evacuations; a refusal with kind regions_unavailable or upstreams_cold could not be traced to its cause.

Three pages on port 9464, each with a command: evacuations, cold and regions. An unknown host or customer is refused with its name, exit code 1. Gauges of evacuated data centres and cold replicas. The lines replica_cold and replica_warm come from a check of all replicas once a second, at most 20 within any second; the counter marlramp_cold_states counts the changes beyond that too.

tests/console, tests/direct/test_*.py, tests/platform and test_route_table pass, test_commands_exist[placement-constraints.md] among them. Of tests/direct/calls, test_stream_that_ends_with_its_replica_goes_on_at_another[Presence.GONE] failed in one run at a load of 23 on 7 cores, and passed in the next 13; not traced.

--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -8,9 +8,11 @@
 
 from marlramp import __version__
 from marlramp.console.commands import check
+from marlramp.console.commands import cold
 from marlramp.console.commands import crashes
 from marlramp.console.commands import demo
 from marlramp.console.commands import drain
+from marlramp.console.commands import evacuations
 from marlramp.console.commands import experiment
 from marlramp.console.commands import explain
 from marlramp.console.commands import limited
@@ -18,6 +20,7 @@
 from marlramp.console.commands import paused
 from marlramp.console.commands import reference
 from marlramp.console.commands import refusals
+from marlramp.console.commands import regions
 from marlramp.console.commands import request
 from marlramp.console.commands import rollouts
 from marlramp.console.commands import status
@@ -43,6 +46,9 @@
 app.command(crashes.crashes)
 app.command(limited.limited)
 app.command(paused.paused)
+app.command(evacuations.evacuations)
+app.command(cold.cold)
+app.command(regions.regions)
 app.command(reference.reference)
 app.command(experiment.app)
 
--- a/src/marlramp/console/page_client.py
+++ b/src/marlramp/console/page_client.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Generic
 from typing import TypeVar
+import urllib.error
+import urllib.parse
 import urllib.request
 
 import msgspec
@@ -14,6 +17,8 @@
 
 TIMEOUT_S = 5.0
 
+_USAGE_STATUSES = frozenset({400, 404})
+
 Row = TypeVar("Row")
 
 
@@ -43,12 +48,15 @@
         self.columns = columns
         self.cells = cells
 
-    def show(self, entry: str, *, json: bool) -> int:
+    def show(
+        self, entry: str, *, json: bool, query: Mapping[str, str] | None = None
+    ) -> int:
         """Prints the page of an entry.
 
         Args:
           entry: URL of the entry's metrics port.
           json: print JSON instead of a table.
+          query: what the page is asked for, None for all of it.
 
         Returns:
           The exit code.
@@ -56,9 +64,13 @@
         refused = refuse_other_urls(entry)
         if refused is not None:
             return refused
+        url = entry.rstrip("/") + self.path
+        if query is not None:
+            url += f"?{urllib.parse.urlencode(query)}"
         try:
-            body = call(entry.rstrip("/") + self.path)
-            rows = msgspec.json.decode(body, type=self.rows_type)
+            rows = msgspec.json.decode(call(url), type=self.rows_type)
+        except urllib.error.HTTPError as error:
+            return _explain_refusal(entry, error)
         except (OSError, msgspec.DecodeError) as error:
             output.print_error(f"{entry}: {error}")
             return int(exit_codes.ExitCode.UNREACHABLE)
@@ -70,6 +82,19 @@
         return int(exit_codes.ExitCode.OK)
 
 
+def _explain_refusal(entry: str, error: urllib.error.HTTPError) -> int:
+    """Prints why a page was refused; returns the exit code.
+
+    Only a refusal of what was asked for is a fault of the usage. A daemon
+    without the page refuses with an empty body.
+    """
+    reason = error.read().decode(errors="replace")
+    output.print_error(f"{entry}: {reason or error}")
+    if reason and error.code in _USAGE_STATUSES:
+        return int(exit_codes.ExitCode.USAGE)
+    return int(exit_codes.ExitCode.UNREACHABLE)
+
+
 def call(url: str, method: str = "GET") -> bytes:
     """Returns the body of a page.
 
--- a/src/marlramp/core/cold_replica.py
+++ b/src/marlramp/core/cold_replica.py
@@ -106,6 +106,13 @@
         until_ms = max(self._until_ms, self._suspected_until_ms)
         return max(0.0, until_ms - now_ms)
 
+    def is_cold(self, now_ms: clock.Millis) -> bool:
+        """Returns whether the replica counts as cold."""
+        return (
+            self._until_ms > now_ms
+            or self._suspected_ms > now_ms - self.start_ms - self.heartbeat_ms
+        )
+
     @property
     def reason(self) -> Reason:
         """What determines the end of the cold state, also after that end."""
--- a/src/marlramp/core/route_table.py
+++ b/src/marlramp/core/route_table.py
@@ -70,6 +70,14 @@
             raise errors.CallError(errors.ErrorKind.UNAUTHORIZED)
         return found
 
+    def routes_of(self, host: str) -> list[fleet.Route]:
+        """Returns the routes of a host, those with the longest prefix first."""
+        return self._by_host.get(host, [])
+
+    def has_customer(self, customer_id: ids.CustomerId) -> bool:
+        """Returns whether a customer is configured."""
+        return customer_id in self._customers
+
     def allowed_regions(
         self, host: str, path: str, customer_id: ids.CustomerId | None
     ) -> frozenset[str] | None:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -23,11 +23,14 @@
 from marlramp.core import replica_table
 from marlramp.core import replica_view
 from marlramp.core import route_table
+from marlramp.direct import cold_log
+from marlramp.direct import cold_pages
 from marlramp.direct import crash_pages
 from marlramp.direct import limit_pages
 from marlramp.direct import metrics
 from marlramp.direct import page_server
 from marlramp.direct import pause_pages
+from marlramp.direct import placement_pages
 from marlramp.direct import settings_watch
 from marlramp.direct.calls import crash_detector
 from marlramp.direct.calls import forwarder
@@ -128,7 +131,20 @@
             self._totals,
             self._clock,
         )
-        self._metrics = metrics.Metrics(self._totals)
+        self._cold_log = cold_log.ColdLog(
+            self._table, self._totals, self._clock
+        )
+        self._metrics = metrics.Metrics(
+            self._totals,
+            {
+                metrics.Gauge.EVACUATED_DATA_CENTRES: lambda: len(
+                    self._catalog.evacuated
+                ),
+                metrics.Gauge.COLD_REPLICAS: lambda: len(
+                    cold_log.cold_views(self._table, self._clock.now_ms())
+                ),
+            },
+        )
         self._forwarder = forwarder.Forwarder(
             self,
             self._catalog,
@@ -245,6 +261,13 @@
             **crash_pages.build(self._crashes, self._fleet.announce_crashes),
             **limit_pages.build(self._fleet.limits, self._table, self._clock),
             **pause_pages.build(self._table, self._clock),
+            **cold_pages.build(self._table, self._clock),
+            **placement_pages.build(
+                lambda: self._routes,
+                self._catalog,
+                self._table,
+                self._settings.regions,
+            ),
         }
         addresses = {
             "lookup": self._addresses.lookup,
@@ -392,3 +415,4 @@
         if removed:
             self._forget(self._table.sync(self._catalog, now_ms))
         self._forwarder.tick()
+        self._cold_log.tick()
--- a/src/marlramp/direct/metrics.py
+++ b/src/marlramp/direct/metrics.py
@@ -7,8 +7,11 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 from typing import Protocol
+from typing import TypeAlias
 
 from marlramp import counters
 
@@ -29,6 +32,22 @@
     ANSWER = "marlramp_answer"
 
 
+class Gauge(enum.Enum):
+    """Name of a value that is read when the metrics are requested.
+
+    Attributes:
+      EVACUATED_DATA_CENTRES: number of data centres that are evacuated.
+      COLD_REPLICAS: number of replicas that are cold.
+    """
+
+    EVACUATED_DATA_CENTRES = "marlramp_evacuated_data_centres"
+    COLD_REPLICAS = "marlramp_cold_replicas"
+
+
+Gauges: TypeAlias = Mapping[Gauge, Callable[[], int]]
+"""The gauges of a process, with the functions that return their values."""
+
+
 class Exporter(Protocol):
     """Exports metrics as text."""
 
@@ -50,12 +69,16 @@
     read does without them.
     """
 
-    def __init__(self, totals: counters.Counters) -> None:
+    def __init__(
+        self, totals: counters.Counters, gauges: Gauges | None = None
+    ) -> None:
         """Creates metrics without loading the exporter.
 
         Args:
           totals: the counters to export.
+          gauges: the gauges to export, None if there are none.
         """
+        self._gauges = gauges or {}
         self._totals = totals
         self._exporter: Exporter | None = None
         self._load_lock = asyncio.Lock()
@@ -91,4 +114,4 @@
     def _load_exporter(self) -> Exporter:
         from marlramp.direct import metrics_exporter
 
-        return metrics_exporter.MetricsExporter(self._totals)
+        return metrics_exporter.MetricsExporter(self._totals, self._gauges)
--- a/src/marlramp/direct/metrics_exporter.py
+++ b/src/marlramp/direct/metrics_exporter.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from opentelemetry import metrics as otel
@@ -20,11 +21,14 @@
 class MetricsExporter:
     """OpenTelemetry instruments of one process on the direct path."""
 
-    def __init__(self, totals: counters.Counters) -> None:
+    def __init__(
+        self, totals: counters.Counters, gauges: metrics.Gauges
+    ) -> None:
         """Creates the instruments and the reader that collects them.
 
         Args:
           totals: the counters to export.
+          gauges: the gauges to export.
         """
         self._totals = totals
         reader = otel_prometheus.PrometheusMetricReader()
@@ -34,6 +38,10 @@
             meter.create_observable_counter(
                 name.value, callbacks=[self._observer(name)]
             )
+        for gauge, value in gauges.items():
+            meter.create_observable_gauge(
+                gauge.value, callbacks=[_gauge_observer(value)]
+            )
         self._histograms = {
             latency: meter.create_histogram(latency.value, unit="ms")
             for latency in metrics.Latency
@@ -61,3 +69,10 @@
                     )
 
         return observe
+
+
+def _gauge_observer(value: Callable[[], int]) -> otel.CallbackT:
+    def observe(_: otel.CallbackOptions) -> Iterable[otel.Observation]:
+        yield otel.Observation(value())
+
+    return observe
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -1,8 +1,13 @@
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
+import pytest
 
 from marlramp import clock
+from marlramp import ids
+from marlramp.core import catalog
 from marlramp.direct import entry_daemon
 from marlramp.settings import node
 from tests.direct import conftest
@@ -12,15 +17,20 @@
 users accept cuts only of requests that were sent earlier."""
 
 
-def test_draining_entry_refuses_requests_that_it_may_not_finish(
-    time: clock.ManualClock,
-) -> None:
+@pytest.fixture
+def daemon() -> entry_daemon.EntryDaemon:
+    """An entry that is not running."""
     address = node.Address("127.0.0.1", 1)
     addresses = node.EntryAddresses(
         callers=address, ready=address, lookup=address, control=address
     )
     settings = msgspec.structs.replace(conftest.SETTINGS, entry=addresses)
-    daemon = entry_daemon.EntryDaemon(settings, lambda: settings)
+    return entry_daemon.EntryDaemon(settings, lambda: settings)
+
+
+def test_draining_entry_refuses_requests_that_it_may_not_finish(
+    daemon: entry_daemon.EntryDaemon, time: clock.ManualClock
+) -> None:
     daemon._clock = time  # type: ignore[assignment]
     assert not daemon.refuses()
     daemon.drain("SIGTERM")
@@ -29,3 +39,33 @@
     assert daemon.closing
     time.advance(LATE_MS / 2)
     assert daemon.refuses()
+
+
+def test_entry_shows_evacuations_and_cold_replicas(
+    daemon: entry_daemon.EntryDaemon,
+    cold_fleet: conftest.ColdFleet,
+    logged: list[tuple[str, dict[str, object]]],
+) -> None:
+    """Metrics, pages and the periodic log read the state of the entry."""
+    change = catalog.EvacuationChange(9, ids.DataCentreId("dc-2"), active=True)
+    cold_fleet.apply(change)
+
+    async def metrics_after_a_tick() -> str:
+        daemon._build_shell()
+        changes = cold_fleet.known.changes_after(0, clock.Millis(0.0))
+        daemon._catalog.apply(changes, daemon._clock.now_ms())
+        daemon._apply_changes(changes)
+        daemon._tick()
+        return (await daemon._metrics.text()).decode()
+
+    text = asyncio.run(metrics_after_a_tick())
+    values = {
+        line.partition("{")[0]: line.split()[-1] for line in text.splitlines()
+    }
+    assert values["marlramp_evacuated_data_centres"] == "1.0"
+    # The replica in dc-2 may have restarted during the evacuation.
+    assert values["marlramp_cold_replicas"] == "2.0"
+    events = [event for event, _ in logged]
+    assert events.count("replica_cold") == 2
+    paths = {"/evacuations", "/cold-replicas", "/regions"}
+    assert paths <= set(daemon._page_server._pages)
