Lead from a refused request to the constraint that refused it

The line of a refused request had its kind, but neither host nor customer, so that the allowed regions behind kind=regions_unavailable could not be looked up.

request_failed bears host, route and customer once the request was admitted; all three come from the configuration.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -133,13 +133,14 @@
         """Answers one request, also if it fails."""
         self.active += 1
         request_id = ""
+        call: call_module.Call | None = None
         try:
             info = self._codec.read(request)
             request_id = info.request_id
             call = self._admit(request, info, responder)
             await self._run(call)
         except errors.CallError as failure:
-            self._fail(request_id, failure, responder)
+            self._fail(request_id, call, failure, responder)
         except Exception as error:
             self._totals.add(counters.CounterName.INTERNAL_ERRORS, "forwarder")
             logs.log_exception("internal_error", error, request=request_id)
@@ -409,10 +410,13 @@
     def _fail(
         self,
         request_id: str,
+        call: call_module.Call | None,
         failure: errors.CallError,
         responder: http1_server.Responder,
     ) -> None:
+        """Logs and answers a failed request; `call` is None if not admitted."""
         self._totals.add(counters.CounterName.REFUSALS, failure.kind.value)
+        customer = None if call is None else call.customer
         logs.log(
             "request_failed",
             request=request_id,
@@ -421,6 +425,9 @@
             ran=failure.ran.value,
             status=own_answers.status_of(failure),
             retry_after_ms=failure.retry_after_ms,
+            host=None if call is None else call.route.host,
+            route=None if call is None else call.route.name,
+            customer=None if customer is None else customer.customer_id,
         )
         if responder.started:
             responder.abort()
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -353,6 +353,25 @@
     run_entry(use, cut.cut_events, complete.complete_events)
 
 
+def test_line_of_a_refused_request_leads_to_its_route(
+    run_entry: RunEntry, logged: list[tuple[str, dict[str, object]]]
+) -> None:
+    """Without the host an operator can't look up the allowed regions."""
+
+    async def use(entry: conftest.Entry) -> None:
+        await entry.call("/safe/x")
+        entry.routes = None
+        await entry.call("/safe/x")
+
+    run_entry(use)
+    shown = [
+        [fields[name] for name in ("host", "route", "customer")]
+        for event, fields in logged
+        if event == "request_failed"
+    ]
+    assert shown == [["a.example", "safe", None], [None, None, None]]
+
+
 def test_entry_without_configuration_refuses_requests(
     run_entry: RunEntry,
 ) -> None:
