--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 import pytest
 
 from marlramp import clock
+from marlramp import ids
+from marlramp.core import catalog
 from marlramp.core import members
 from marlramp.core import route_table
 from marlramp.direct import entry_daemon
@@ -16,7 +20,9 @@
 users accept cuts only of requests that were sent earlier."""
 
 
-def make_daemon() -> entry_daemon.EntryDaemon:
+@pytest.fixture
+def daemon() -> entry_daemon.EntryDaemon:
+    """An entry that is not running."""
     address = node.Address("127.0.0.1", 1)
     addresses = node.EntryAddresses(
         callers=address, ready=address, lookup=address, control=address
@@ -26,9 +32,8 @@
 
 
 def test_draining_entry_refuses_requests_that_it_may_not_finish(
-    time: clock.ManualClock,
+    daemon: entry_daemon.EntryDaemon, time: clock.ManualClock
 ) -> None:
-    daemon = make_daemon()
     daemon._clock = time  # type: ignore[assignment]
     assert not daemon.refuses()
     daemon.drain("SIGTERM")
@@ -55,10 +60,10 @@
     region: str,
     data_centre: str,
     expected: set[str],
+    daemon: entry_daemon.EntryDaemon,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against callers that connect to an entry of another region."""
-    daemon = make_daemon()
     ready = [
         members.Member(
             name, members.MemberKind.ENTRY, name, "127.0.0.1", 1, name
@@ -77,3 +82,33 @@
     if host == "a.example":
         del ready[0]
         assert set(daemon._lookup(lookup)) == {"dc-3"}
+
+
+def test_entry_shows_evacuations_and_cold_replicas(
+    daemon: entry_daemon.EntryDaemon,
+    cold_fleet: conftest.ColdFleet,
+    logged: list[tuple[str, dict[str, object]]],
+) -> None:
+    """Metrics, pages and the periodic log read the state of the entry."""
+    change = catalog.EvacuationChange(9, ids.DataCentreId("dc-2"), active=True)
+    cold_fleet.apply(change)
+
+    async def metrics_after_a_tick() -> str:
+        daemon._build_shell()
+        changes = cold_fleet.known.changes_after(0, clock.Millis(0.0))
+        daemon._catalog.apply(changes, daemon._clock.now_ms())
+        daemon._apply_changes(changes)
+        daemon._tick()
+        return (await daemon._metrics.text()).decode()
+
+    text = asyncio.run(metrics_after_a_tick())
+    values = {
+        line.partition("{")[0]: line.split()[-1] for line in text.splitlines()
+    }
+    assert values["marlramp_evacuated_data_centres"] == "1.0"
+    # The replica in dc-2 may have restarted during the evacuation.
+    assert values["marlramp_cold_replicas"] == "2.0"
+    events = [event for event, _ in logged]
+    assert events.count("replica_cold") == 2
+    paths = {"/evacuations", "/cold-replicas", "/regions"}
+    assert paths <= set(daemon._page_server._pages)
