Count all sends to a cold replica within the last second

Cause: an entry kept the times of the last 64 sends to a replica. With a share above 64 (for example cold_per_s of 200 and up to 3 entries) the count never reached the share, and the sends were not limited at all. Change: all sends within the counted period are kept, older ones are dropped. Result: with a share of 70 and 200 requests at once, 200 were permitted before and 70 are now (test_no_sliding_second_holds_more_than_the_share).

--- a/src/marlramp/core/cold_replica.py
+++ b/src/marlramp/core/cold_replica.py
@@ -21,9 +21,6 @@
 """Time by which the period is extended, since the times at which a request is
 written and leaves the VM differ."""
 
-SENDS_KEPT = 64
-"""Number of the last sends that are kept for each replica."""
-
 
 class Shares(Protocol):
     """The share of this entry in the requests to cold replicas."""
@@ -53,7 +50,7 @@
     _until_ms: float = float("-inf")
     _suspected_ms: float = float("-inf")
     _sent_ms: collections.deque[float] = msgspec.field(
-        default_factory=lambda: collections.deque(maxlen=SENDS_KEPT)
+        default_factory=collections.deque
     )
 
     def record_listed(self, left_ms: float, now_ms: clock.Millis) -> None:
@@ -92,12 +89,15 @@
 
     def record_sent(self, now_ms: clock.Millis) -> None:
         """Counts a request that is written now."""
+        self.sent_count(now_ms)
         self._sent_ms.append(now_ms)
 
     def sent_count(self, now_ms: clock.Millis) -> int:
         """Returns the number of requests sent within the last period."""
         first_ms = now_ms - WINDOW_MS - WINDOW_MARGIN_MS
-        return sum(sent_ms > first_ms for sent_ms in self._sent_ms)
+        while self._sent_ms and self._sent_ms[0] <= first_ms:
+            self._sent_ms.popleft()
+        return len(self._sent_ms)
 
     def share_per_s(self) -> int:
         """Returns how many requests this entry may send within any second."""
