Keep a reported cold state over records written before the report

Cause: an answer's X-Cold-Ms was replaced by the next record of the replica list, although that record may have been written before the answer. Change: a record that arrives within heartbeat_ms of such an answer can only prolong the cold state, as specified for suspicions. Result: after an answer with 30,000 ms, a record with 0 that arrived 1,999 ms later ended the cold state before and does not now; at 2,000 ms it still does (test_old_record_does_not_end_a_cold_state).

--- a/src/marlramp/core/cold_replica.py
+++ b/src/marlramp/core/cold_replica.py
@@ -49,6 +49,7 @@
     shares: Shares
     _until_ms: float = float("-inf")
     _suspected_ms: float = float("-inf")
+    _answered_ms: float = float("-inf")
     _sent_ms: collections.deque[float] = msgspec.field(
         default_factory=collections.deque
     )
@@ -57,19 +58,24 @@
         """Records what the replica's record says.
 
         A record that was written before the replica may have restarted does not
-        end the suspicion. The replica updates its record at each heartbeat.
+        end the suspicion, nor a cold state that a later answer reported. The
+        replica updates its record at each heartbeat.
 
         Args:
           left_ms: how much longer the replica is cold, 0 if it is not.
           now_ms: when the record arrived.
         """
-        self._until_ms = now_ms + left_ms
+        until_ms = now_ms + left_ms
+        if now_ms < self._answered_ms + self.heartbeat_ms:
+            until_ms = max(until_ms, self._until_ms)
+        self._until_ms = until_ms
         if now_ms >= self._suspected_ms + self.heartbeat_ms:
             self._suspected_ms = float("-inf")
 
     def record_answer(self, left_ms: float, now_ms: clock.Millis) -> None:
         """Records what an answer of the replica says, as `record_listed`."""
         self._until_ms = now_ms + left_ms
+        self._answered_ms = now_ms if left_ms > 0.0 else float("-inf")
         self._suspected_ms = float("-inf")
 
     def suspect(self, now_ms: clock.Millis) -> None:
--- a/tests/core/test_cold_replica.py
+++ b/tests/core/test_cold_replica.py
@@ -63,12 +63,16 @@
 @pytest.mark.parametrize(
     ("age_ms", "ends"), [(1_999.0, False), (2_000.0, True)]
 )
+@pytest.mark.parametrize("by_answer", [False, True])
 def test_old_record_does_not_end_a_cold_state(
-    age_ms: float, ends: bool
+    age_ms: float, ends: bool, by_answer: bool
 ) -> None:
     """Guards against a record written before the restart that says 0."""
     cold = replica()
-    cold.suspect(at(100))
+    if by_answer:
+        cold.record_answer(30_000.0, at(100))
+    else:
+        cold.suspect(at(100))
     cold.record_listed(0.0, at(100 + age_ms))
     assert (cold.left_ms(at(100 + age_ms)) == 0.0) is ends
 
