Keep one cold state over the starts of a replica

Cause: a later start in the replica list, or a removal and a return, replaced the view of a replica and its cold state. A request that had been selected before and was held by a suspended entry was written according to the old view, which never became cold, and was not counted. The sends before a removal were forgotten. A later start whose first record said 0 was not cold, although such a record arrives less than heartbeat_ms after the event. Change: the cold state is kept for the replica's id and shared by all views; a later start in the list raises a suspicion.

--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -33,10 +33,12 @@
     Attributes:
       born_ms: Unix time of the replica's start, None if unknown.
       availability: pauses, backoff and drain of that start.
+      cold: its cold state, with the requests sent to it.
     """
 
     born_ms: int | None
     availability: availability.Availability
+    cold: cold_replica.ColdReplica | None
 
 
 class ReplicaTable:
@@ -107,16 +109,19 @@
             self._remove(replica_id)
         for replica_id, replica in listed.items():
             view = self._views.get(replica_id)
+            is_new_record = (
+                view is None or view.cold is None or replica is not view.replica
+            )
             if view is not None and replica_view.is_newer_start(
                 replica.born_ms, view.born_ms
             ):
                 removed.append(replica_id)
+                self._remove(replica_id)
                 view = None
             if view is None:
                 view = self._new_view(replica)
-                self._restore_availability(view)
+                self._restore(view, now_ms)
                 self._apply_held_report(view, now_ms)
-            is_new_record = view.cold is None or replica is not view.replica
             view.replica = replica
             view.born_ms = view.born_ms or replica.born_ms
             self._apply_cold_start(view, services.get(replica.service_id))
@@ -151,7 +156,8 @@
                 restarted.append(replica_id)
                 cold = view.cold
                 view = self._new_view(view.replica)
-                # The share of the entry counts over both starts.
+                # The share of the entry counts over both starts, and requests
+                # that were assigned to the earlier view observe it too.
                 view.cold = cold
                 view.suspect_cold(now_ms)
             self._apply_report(view, report, now_ms)
@@ -216,7 +222,7 @@
         return view
 
     def _remove(self, replica_id: str) -> None:
-        """Removes a replica and remembers its availability.
+        """Removes a replica and remembers its availability and cold state.
 
         A replica that is leaving must stay closed if it is missing from the
         list for a moment and then returns.
@@ -224,17 +230,27 @@
         view = self._views.pop(replica_id)
         self._removed.pop(replica_id, None)
         self._removed[replica_id] = _RemovedReplica(
-            view.born_ms, view.availability
+            view.born_ms, view.availability, view.cold
         )
         if len(self._removed) > REMOVED_MAX:
             del self._removed[next(iter(self._removed))]
 
-    def _restore_availability(self, view: replica_view.ReplicaView) -> None:
-        """Restores the availability that this start had before its removal."""
+    def _restore(
+        self, view: replica_view.ReplicaView, now_ms: clock.Millis
+    ) -> None:
+        """Restores the availability of this start, and the cold state.
+
+        The share of the entry counts over all starts of a replica. Requests
+        that were assigned to an earlier view are written according to the same
+        cold state.
+        """
         held = self._removed.pop(view.replica.replica_id, None)
-        if held is None or view.born_ms is None:
+        if held is None:
             return
-        if not replica_view.is_newer_start(view.born_ms, held.born_ms):
+        view.cold = held.cold
+        if replica_view.is_newer_start(view.born_ms, held.born_ms):
+            view.suspect_cold(now_ms)
+        elif view.born_ms is not None:
             view.availability = held.availability
 
     def _notify_load_change(self, replica_id: str) -> None:
