Assume 256 entries while an entry starts

Cause: with 64 assumed entries, N entries that start together are permitted N * 17 / 64 requests a second to each cold replica on average: 40 for 150 entries, above the bound of 30.5. Change: 256 entries are assumed. The entries that may send are those with the highest rendezvous scores, so that they are mostly those that hold a share once all entries are known: sends under both rules fall into the same second. A starting entry may send to 1 in 15 cold replicas for 1.5 s instead of 1 in 4.

--- a/src/marlramp/core/cold_shares.py
+++ b/src/marlramp/core/cold_shares.py
@@ -18,8 +18,10 @@
 from marlramp import clock
 from marlramp.core import rendezvous
 
-ENTRIES_ASSUMED = 64
-"""Number of entries that an entry assumes while it starts and knows few."""
+ENTRIES_ASSUMED = 256
+"""Number of entries that an entry assumes while it starts and knows few. It is
+at least the number of entries of a fleet: with 64, up to 53 requests a second
+were permitted to one replica when 150 entries started together."""
 
 START_MS = 1_500.0
 """Time after its start for which an entry assumes `ENTRIES_ASSUMED`. The
@@ -80,10 +82,13 @@
         """Returns the share while the other entries are not known yet.
 
         Each entry is permitted one request per second with the probability that
-        makes the sum the tolerated rate for `ENTRIES_ASSUMED` entries.
+        makes the sum the tolerated rate for `ENTRIES_ASSUMED` entries. These
+        are the entries with the highest scores, as in `share_of`, so that the
+        entries that start and those that know all others send to a replica
+        within the same second are mostly the same ones.
         """
         point = rendezvous.fraction(f"{replica_id}\0{self._own}")
-        return 1 if point < tolerated_per_s / ENTRIES_ASSUMED else 0
+        return 1 if 1.0 - point <= tolerated_per_s / ENTRIES_ASSUMED else 0
 
 
 def share_of(
