--- a/tests/direct/fleet/limited_fleet.py
+++ b/tests/direct/fleet/limited_fleet.py
@@ -134,9 +134,13 @@
                 if not entry.suspended
                 and (not entries or entry.name in entries)
             ]
-            task = asyncio.create_task(self._call(self.rng.choice(candidates)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self.spawn(self.rng.choice(candidates))
+
+    def spawn(self, entry: virtual_fleet.VirtualEntry) -> None:
+        """Gives a request to an entry."""
+        task = asyncio.create_task(self._call(entry))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _call(self, entry: virtual_fleet.VirtualEntry) -> None:
         started_ms = self.virtual.now_ms()
