Remember entries for an hour in the shares of cold replicas

Cause: an entry that is down is forgotten after 60 s, and the shares are then divided among fewer entries. In a partition of some minutes both sides that reach the replicas use the whole rate: 7 entries, cut 3 and 4, sent 31 requests in a second to one replica, where the bound is 30.5. Change: the roster keeps the names of forgotten processes for an hour, for the shares only. The share of an entry that was replaced stays unused as long. The restart of an entry within a cut half is not covered: it learns only the entries of its half.

--- a/src/marlramp/core/roster.py
+++ b/src/marlramp/core/roster.py
@@ -34,6 +34,11 @@
 """Time for which a process that is down is kept. Its share of shared budgets
 stays unused meanwhile, and other processes keep probing it."""
 
+REMEMBER_MS = 3_600_000.0
+"""Time for which the name of a process is remembered after it was forgotten.
+Regions lose each other for minutes, and neither side may then take over the
+other's share of a bound that holds for both together."""
+
 _LOST = frozenset({members.MemberState.SUSPECT, members.MemberState.DOWN})
 
 
@@ -76,6 +81,7 @@
         self.changes = 0
         self.disputed: set[str] = set()
         self._records: dict[str, Record] = {}
+        self._forgotten: dict[str, tuple[members.MemberKind, float]] = {}
         self._digests = bucket_digests.BucketDigests(BUCKETS)
         self._toggle(self.own)
 
@@ -194,7 +200,13 @@
                 self._replace(record, update, now_ms)
             elif state is members.MemberState.DOWN and age_ms >= FORGET_MS:
                 del self._records[vm_id]
+                self._forgotten[vm_id] = (record.update.member.kind, now_ms)
                 forgotten.append(vm_id)
+        for vm_id, (_, forgotten_ms) in list(self._forgotten.items()):
+            if now_ms - forgotten_ms < REMEMBER_MS:
+                break
+            del self._forgotten[vm_id]
+            self.changes += 1
         return forgotten
 
     def is_alive(self, record: Record, now_ms: clock.Millis) -> bool:
@@ -223,6 +235,15 @@
         )
         return known + (self.own.member.kind is kind)
 
+    def remembered(self, kind: members.MemberKind) -> list[str]:
+        """Returns the VMs of a kind of process, with those long down.
+
+        The list changes only when `changes` does.
+        """
+        listed = [self.own, *(r.update for r in self._records.values())]
+        gone = [vm for vm, (of, _) in self._forgotten.items() if of is kind]
+        return [u.vm_id for u in listed if u.member.kind is kind] + gone
+
     def digests(self) -> list[int]:
         """Returns the digest of each bucket."""
         return self._digests.all()
@@ -249,6 +270,7 @@
     def _add(
         self, update: members.MemberUpdate, now_ms: clock.Millis
     ) -> Record:
+        self._forgotten.pop(update.vm_id, None)
         record = Record(update, now_ms)
         self._records[update.vm_id] = record
         self._toggle(update)
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -192,14 +192,7 @@
 
     def known_entries(self) -> list[str]:
         """Returns the VMs of all entries known recently, with this one."""
-        return [
-            self._own.vm_id,
-            *(
-                record.update.vm_id
-                for record in self.sync.roster.records()
-                if record.update.member.kind is members.MemberKind.ENTRY
-            ),
-        ]
+        return self.sync.roster.remembered(members.MemberKind.ENTRY)
 
     def is_near_vm(self, vm_id: str) -> bool:
         """Returns whether a process is known to be in the own region."""
--- a/tests/core/test_roster.py
+++ b/tests/core/test_roster.py
@@ -100,3 +100,34 @@
     assert answer.incarnation == 8
     assert answer.state is members.MemberState.STARTING
     assert known.apply(suspicion, time.now_ms()) is None
+
+
+def test_forgotten_process_is_remembered_by_name(
+    time: clock.ManualClock,
+) -> None:
+    """Guards against a half of a partition that takes over the other's share.
+
+    Also guards against a name that is listed twice after its return, or kept
+    for ever.
+    """
+    known = make()
+    ready = make_update(1, 1, members.MemberState.READY)
+
+    def forget() -> None:
+        known.apply(ready, time.now_ms())
+        known.suspect("vm-1", time.now_ms())
+        for pause_ms in (roster.SUSPECT_MS, roster.FORGET_MS):
+            time.advance(pause_ms)
+            known.tick(time.now_ms())
+
+    forget()
+    assert known.get("vm-1") is None
+    assert known.remembered(members.MemberKind.ENTRY) == ["own", "vm-1"]
+    assert known.remembered(members.MemberKind.AGENT) == []
+    forget()
+    assert known.remembered(members.MemberKind.ENTRY) == ["own", "vm-1"]
+    changes = known.changes
+    time.advance(roster.REMEMBER_MS)
+    known.tick(time.now_ms())
+    assert known.remembered(members.MemberKind.ENTRY) == ["own"]
+    assert known.changes > changes
--- a/tests/direct/fleet/cold_fleet.py
+++ b/tests/direct/fleet/cold_fleet.py
@@ -70,16 +70,12 @@
         entry = super().start(number, incarnation)
         roster = entry.sync.roster
 
-        def known_entries() -> list[str]:
-            return [entry.name] + [
-                record.update.vm_id
-                for record in roster.records()
-                if record.update.member.kind is members.MemberKind.ENTRY
-            ]
-
         entry.table = replica_table.ReplicaTable(
             cold_shares.ColdShares(
-                entry.name, known_entries, lambda: roster.changes, self.virtual
+                entry.name,
+                lambda: roster.remembered(members.MemberKind.ENTRY),
+                lambda: roster.changes,
+                self.virtual,
             ),
             HEARTBEAT_MS,
         )
--- a/tests/direct/fleet/test_cold_replicas.py
+++ b/tests/direct/fleet/test_cold_replicas.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from marlramp.core import members
+from marlramp.core import roster
 from tests.direct.fleet import cold_fleet
 from tests.direct.fleet import limited_fleet
 
@@ -46,6 +48,9 @@
 
     async def suspend(fleet: cold_fleet.ColdFleet) -> None:
         entries = fleet.running()[: max(1, count // 10)]
+        others = set(fleet.entries) - {entry.name for entry in entries}
+        # The share of the entries is unused when they select replicas.
+        await fleet.load(cold_fleet.LOAD_PER_S, 1_100.0, others)
         for entry in entries:
             for _ in range(100):
                 fleet.spawn(entry)
@@ -119,3 +124,20 @@
 
     limited_fleet.play(run)
     assert most[0] < cold_fleet.BOUND
+
+
+def test_bound_holds_after_a_partition_of_more_than_a_minute() -> None:
+    """Guards against shares of the other half that are taken over later."""
+
+    async def cut(fleet: cold_fleet.ColdFleet) -> None:
+        one = {f"entry-{n}" for n in range(3)}
+        other = set(fleet.entries) - one
+        fleet.cut = {(a, b) for a in one for b in other}
+        fleet.cut |= {(b, a) for a, b in fleet.cut}
+        await fleet.sleep(3.0 * roster.FORGET_MS)
+        # A change of the membership has shares computed again.
+        for entry in fleet.running():
+            entry.state = members.MemberState.LEAVING
+        await fleet.sleep(1_000.0)
+
+    play(7, cut)
