Do not take an entry that reaches no other one for the only one

Cause: an entry that had been up for 1.5 s and knew no other entry used the whole rate of each cold replica. An entry that restarted while it reached the replicas but no other entry added 17 requests a second to the shares of the others. Change: while an entry knows no other one and its settings name other seeds, it assumes 256 entries, as it does while it starts. An entry that is left alone for over an hour may send only to 1 in 15 cold replicas.

--- a/src/marlramp/core/cold_shares.py
+++ b/src/marlramp/core/cold_shares.py
@@ -37,6 +37,7 @@
         own: str,
         entries: Callable[[], Sequence[str]],
         changes: Callable[[], int],
+        expects_others: Callable[[], bool],
         time: clock.Clock,
     ) -> None:
         """Creates the shares of the entry `own`.
@@ -47,11 +48,14 @@
             own one and those that are down: a partition must not increase the
             shares on its sides.
           changes: returns a number that changes whenever `entries` does.
+          expects_others: returns whether there should be other entries. An
+            entry that knows none of them does not take itself for the only one.
           time: the clock.
         """
         self._own = own
         self._entries = entries
         self._changes = changes
+        self._expects_others = expects_others
         self._clock = time
         self._started_ms = time.now_ms()
         self._seen_changes = -1
@@ -76,6 +80,8 @@
             if entries != self._seen_entries:
                 self._seen_entries = entries
                 self._shares.clear()
+        if len(self._seen_entries) <= 1 and self._expects_others():
+            return self._assumed_share(replica_id, tolerated_per_s)
         key = (replica_id, tolerated_per_s)
         share = self._shares.get(key)
         if share is None:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -110,6 +110,7 @@
                 settings.vm_id,
                 lambda: self._fleet.known_entries(),
                 lambda: self._fleet.sync.roster.changes,
+                lambda: bool(self._fleet.sync.other_seeds),
                 self._clock,
             ),
             settings.heartbeat_ms,
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -163,6 +163,12 @@
         """Replaces the seeds."""
         self._seeds = seeds
 
+    @property
+    def other_seeds(self) -> list[node.Address]:
+        """The seeds without this entry."""
+        own = node.Address(self._own.host, self._own.port)
+        return [seed for seed in self._seeds if seed != own]
+
     def set_state(self, state: members.MemberState) -> None:
         """Sets this process's state and announces it if it changed."""
         if self.roster.set_own_state(state):
@@ -487,8 +493,7 @@
         if not alone and since_ms < SEED_CHECK_MS:
             return
         self._seeds_ms = now_ms
-        own = node.Address(self._own.host, self._own.port)
-        seeds = [seed for seed in self._seeds if seed != own]
+        seeds = self.other_seeds
         if not alone:
             seeds = self._rng.sample(seeds, min(1, len(seeds)))
         for seed in seeds:
--- a/tests/core/test_cold_shares.py
+++ b/tests/core/test_cold_shares.py
@@ -20,11 +20,16 @@
     def __init__(self, count: int) -> None:
         self.names = [f"entry-{n}" for n in range(count)]
         self.changes = 0
+        self.expects_others = False
         self.time = clock.ManualClock()
 
     def shares(self, own: str) -> cold_shares.ColdShares:
         return cold_shares.ColdShares(
-            own, lambda: self.names, lambda: self.changes, self.time
+            own,
+            lambda: self.names,
+            lambda: self.changes,
+            lambda: self.expects_others,
+            self.time,
         )
 
 
@@ -104,6 +109,8 @@
     assert max(first.per_s(f"i-{n}", RATE_PER_S) for n in range(200)) == 1
     fleet.time.advance(1.0)
     assert first.per_s("i-1", RATE_PER_S) == 17
+    fleet.expects_others = True
+    assert max(first.per_s(f"i-{n}", RATE_PER_S) for n in range(200)) == 1
 
 
 @pytest.mark.parametrize("count", [3, 42, 64, 150, 200])
--- a/tests/direct/fleet/cold_fleet.py
+++ b/tests/direct/fleet/cold_fleet.py
@@ -75,6 +75,7 @@
                 entry.name,
                 lambda: roster.remembered(members.MemberKind.ENTRY),
                 lambda: roster.changes,
+                lambda: bool(entry.sync.other_seeds),
                 self.virtual,
             ),
             HEARTBEAT_MS,
--- a/tests/direct/fleet/test_cold_replicas.py
+++ b/tests/direct/fleet/test_cold_replicas.py
@@ -141,3 +141,21 @@
         await fleet.sleep(1_000.0)
 
     play(7, cut)
+
+
+def test_entry_that_starts_without_reaching_others_is_not_alone() -> None:
+    """Guards against the whole rate for an entry that reaches no seed."""
+
+    async def restart(fleet: cold_fleet.ColdFleet) -> None:
+        fleet.stop("entry-5")
+        others = {name for name in fleet.entries if name != "entry-5"}
+        fleet.cut = {(name, "entry-5") for name in others}
+        fleet.cut |= {("entry-5", name) for name in others}
+        await fleet.load(cold_fleet.LOAD_PER_S, 300.0)
+        entry = fleet.start(5, incarnation=2_000)
+        await fleet.load(cold_fleet.LOAD_PER_S, 1_500.0)
+        for _ in range(500):
+            fleet.spawn(entry)
+        await fleet.load(cold_fleet.LOAD_PER_S, 1_000.0)
+
+    play(42, restart)
