Place the standby limiter of a replica in another data centre

Cause: both limiters of a replica could be in one data centre, so that its loss left the limit to entries that know none of the earlier reservations. A property test covers the merge of evacuations.

--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -132,7 +132,12 @@
             random.Random(),
         )
         self.limits = entry_limits.EntryLimits(
-            self.sync, table, settings.regions, totals, time
+            self.sync,
+            table,
+            settings.regions,
+            totals,
+            time,
+            data_centres_lost=settings.fault_tolerance.data_centres,
         )
         self._coordinator = agent_coordinator.AgentCoordinator(
             known, self._placed, self.sync, time
--- a/src/marlramp/direct/fleet/entry_limits.py
+++ b/src/marlramp/direct/fleet/entry_limits.py
@@ -32,6 +32,7 @@
         totals: counters.Counters,
         time: clock.Clock,
         rng: random.Random | None = None,
+        data_centres_lost: int = 0,
     ) -> None:
         """Starts without limits.
 
@@ -42,12 +43,13 @@
           totals: counters.
           time: the clock.
           rng: picks the receivers of limits at random.
+          data_centres_lost: number of data centres that may be lost at once.
         """
         self._sync = limit_sync.LimitSync(
             sync, table, totals, time, rng or random.Random()
         )
         self._reservations = send_reservations.SendReservations(
-            self._sync, table, sync, regions, totals, time
+            self._sync, table, sync, regions, totals, time, data_centres_lost
         )
 
     @property
--- a/src/marlramp/direct/fleet/send_reservations.py
+++ b/src/marlramp/direct/fleet/send_reservations.py
@@ -58,6 +58,7 @@
         regions: Mapping[str, str],
         totals: counters.Counters,
         time: clock.Clock,
+        data_centres_lost: int = 0,
     ) -> None:
         """Starts without reservations.
 
@@ -68,11 +69,13 @@
           regions: region of each data centre.
           totals: counters.
           time: the clock.
+          data_centres_lost: number of data centres that may be lost at once.
         """
         self._known = known
         self._table = table
         self._sync = sync
         self._regions = regions
+        self._data_centres_lost = data_centres_lost
         self._totals = totals
         self._clock = time
         self._limiters: dict[str, send_limiter.SendLimiter] = {}
@@ -302,6 +305,7 @@
             view.replica.data_centre,
             entries,
             self._regions,
+            self._data_centres_lost,
         )
 
     def _rate(self, replica_id: str) -> float | None:
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+import hypothesis
+from hypothesis import strategies
+
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import catalog
@@ -311,3 +314,43 @@
     assert known.targets["m"].target.version == 3
     time.advance(BOUND_MS - 3_000.0)
     assert oldest(known, time.now_ms()) == 2
+
+
+DATA_CENTRES = [ids.DataCentreId(f"dc-{n}") for n in range(3)]
+
+
+@hypothesis.settings(max_examples=200, deadline=None)
+@hypothesis.given(data=strategies.data())
+def test_evacuations_are_merged_alike_in_any_order_and_number(
+    data: strategies.DataObject,
+) -> None:
+    # An entry that hears of a start after its end, or twice, must not differ
+    # from the others for ever.
+    states = data.draw(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(DATA_CENTRES), strategies.booleans()
+            ),
+            max_size=8,
+        )
+    )
+    changes = [
+        catalog.EvacuationChange(revision, data_centre, active)
+        for revision, (data_centre, active) in enumerate(states, start=1)
+    ]
+    expected = {
+        data_centre for data_centre, active in dict(states).items() if active
+    }
+    repeated = changes + data.draw(
+        strategies.lists(strategies.sampled_from(changes), max_size=8)
+        if changes
+        else strategies.just([])
+    )
+    received = data.draw(strategies.permutations(repeated))
+    known = catalog.Catalog()
+    for change in received:
+        known.apply([change], clock.Millis(0))
+    assert known.evacuated == expected
+    other = catalog.Catalog()
+    other.apply(known.changes_after(0, clock.Millis(0)), clock.Millis(0))
+    assert other.evacuated == expected
--- a/tests/core/test_send_limiter.py
+++ b/tests/core/test_send_limiter.py
@@ -100,6 +100,62 @@
     assert limiter_assignment.limiters_of("i-1", "dc-0", rest, {})[0] == second
 
 
+SIX = {f"dc-{n}": f"region-{n // 2}" for n in range(6)}
+"""Two data centres in each of three regions."""
+
+
+def data_centre_of(vm_id: str) -> str:
+    return f"dc-{int(vm_id.removeprefix('entry-')) % 6}"
+
+
+def test_standby_limiter_survives_the_loss_of_the_first_ones_data_centre() -> (
+    None
+):
+    entries = [member(n, f"dc-{n % 6}") for n in range(18)]
+    for number in range(60):
+        limiters = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 1
+        )
+        assert {data_centre_of(vm_id) for vm_id in limiters} == {"dc-2", "dc-3"}
+        plain = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 0
+        )
+        assert plain[0] == limiters[0]
+
+
+def test_standby_limiter_is_elsewhere_if_the_region_has_one_data_centre() -> (
+    None
+):
+    entries = [member(n, f"dc-{n % 6}") for n in range(18) if n % 6 != 3]
+    for number in range(60):
+        first, second = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 1
+        )
+        assert data_centre_of(first) == "dc-2"
+        assert SIX[data_centre_of(second)] != "region-1"
+
+
+def test_limiters_share_a_data_centre_if_there_is_no_other() -> None:
+    entries = [member(n, "dc-0") for n in range(4)]
+    names = limiter_assignment.limiters_of("i-1", "dc-0", entries, {}, 1)
+    assert names == limiter_assignment.limiters_of("i-1", "dc-0", entries, {})
+    assert len(names) == limiter_assignment.LIMITERS
+
+
+def test_entries_agree_on_the_limiters_whatever_their_order_of_entries() -> (
+    None
+):
+    # Each entry lists itself last.
+    entries = [member(n, f"dc-{n % 6}") for n in range(12)]
+    for number in range(20):
+        expected = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-4", entries, SIX, 1
+        )
+        assert expected == limiter_assignment.limiters_of(
+            f"i-{number}", "dc-4", entries[::-1], SIX, 1
+        )
+
+
 def test_less_urgent_requests_wait_for_less_of_their_time() -> None:
     waits = [send_limit.wait_max_ms(200.0, rank) for rank in (0, 1, 2, 9)]
     assert waits == sorted(waits, reverse=True)
