End evacuations that the reader of the store did not know

Cause: an entry that reads the whole store for the first time, or after its history is lost, emitted ends only for evacuations in its own catalog. The other entries took over the revision of the read, so that an end between their revision and this one was never known and the evacuation lasted for ever. Change: a full read ends the evacuation of each configured data centre whose key it lacks. Ends without a known start are recorded and sent, but not reported as new, so that no replica counts as cold because of them.

--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/catalog.py
@@ -180,8 +180,13 @@
       evacuated: data centres whose replicas must not be sent requests.
     """
 
-    def __init__(self) -> None:
-        """Starts empty, at revision 0."""
+    def __init__(self, data_centres: Iterable[str] = ()) -> None:
+        """Starts empty, at revision 0.
+
+        Args:
+          data_centres: the data centres that may be evacuated.
+        """
+        self._data_centres = frozenset(map(ids.DataCentreId, data_centres))
         self.revision = 0
         self.config: fleet.FleetConfig | None = None
         self.config_revision = 0
@@ -352,7 +357,12 @@
         return new
 
     def _ended_evacuations(self, snapshot: Snapshot) -> list[EvacuationChange]:
-        """Returns the ends of evacuations that a complete read lacks."""
+        """Returns the ends of evacuations that a complete read lacks.
+
+        Also for data centres without a known evacuation: another process may
+        know one that started and ended since this process last read the store,
+        and would take over the revision of the read without its end.
+        """
         listed = {
             change.data_centre
             for change in snapshot.changes
@@ -360,8 +370,8 @@
         }
         return [
             EvacuationChange(snapshot.revision, data_centre, active=False)
-            for data_centre in self.evacuated - listed
-            if self._evacuations[data_centre].revision <= snapshot.revision
+            for data_centre in (self._data_centres | self.evacuated) - listed
+            if self.evacuation_revision(data_centre) <= snapshot.revision
         ]
 
     def changes_after(
@@ -440,7 +450,8 @@
             for each in self._evacuations.values()
             if each.active
         )
-        return True
+        was_active = known is not None and known.active
+        return change.active or was_active
 
     def evacuation_revision(self, data_centre: ids.DataCentreId) -> int:
         """Returns the revision of the last start or end, 0 without any."""
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -94,7 +94,7 @@
         self._totals = counters.Counters()
         self._lifecycle = lifecycle.Lifecycle()
         self._stopping = asyncio.Event()
-        self._catalog = catalog.Catalog()
+        self._catalog = catalog.Catalog(settings.regions)
         self._crashes = crash_record.CrashRecord()
         self._routes: route_table.RouteTable | None = None
         self._own = members.Member(
--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -354,3 +354,18 @@
     other = catalog.Catalog()
     other.apply(known.changes_after(0, clock.Millis(0)), clock.Millis(0))
     assert other.evacuated == expected
+
+
+def test_full_read_ends_evacuations_that_only_other_processes_know(
+    known: catalog.Catalog,
+) -> None:
+    # A process that had not known the evacuation passed its revision on to the
+    # others without the end.
+    now_ms = clock.Millis(0)
+    start = catalog.EvacuationChange(5, DATA_CENTRES[1], active=True)
+    known.apply([start], now_ms)
+    reader = catalog.Catalog(DATA_CENTRES)
+    assert reader.apply_snapshot(catalog.Snapshot(9, []), now_ms) == []
+    new = known.apply(reader.changes_after(5, now_ms), now_ms)
+    assert known.evacuated == set()
+    assert new == [catalog.EvacuationChange(9, DATA_CENTRES[1], active=False)]
