--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -63,6 +63,7 @@
         on_leaving: OnLeaving,
         totals: counters.Counters,
         time: clock.Clock,
+        rng: random.Random | None = None,
     ) -> None:
         """Starts without links; `attach` sets them.
 
@@ -81,7 +82,9 @@
             leaving.
           totals: counters.
           time: the clock.
+          rng: picks the receivers of messages at random.
         """
+        self._rng = rng or random.Random()
         self._own = own
         self._version_bound_ms = settings.bounds.version_ms
         self._catalog = known
@@ -107,14 +110,13 @@
             settings.near_data_centres,
             self,
             time,
-            random.Random(),
+            self._rng,
         )
         self._ages = version_ages.VersionAges(
             known, self.sync.send, self._age_peers, time
         )
         self._standby_query_ms = float("-inf")
         self._outage_detector = outage_detector.OutageDetector()
-        self._rng = random.Random()
         self._catalog_sync = catalog_sync.CatalogSync(
             known,
             self.sync,
@@ -129,7 +131,7 @@
             self._placed.own_agents,
             totals,
             time,
-            random.Random(),
+            self._rng,
         )
         self.limits = entry_limits.EntryLimits(
             self.sync,
@@ -137,6 +139,7 @@
             settings.regions,
             totals,
             time,
+            self._rng,
             data_centres_lost=settings.fault_tolerance.data_centres,
         )
         self._coordinator = agent_coordinator.AgentCoordinator(
--- a/tests/direct/fleet/limited_fleet.py
+++ b/tests/direct/fleet/limited_fleet.py
@@ -46,12 +46,12 @@
 class Replica:
     """A replica without an engine, and its rate limit."""
 
-    def __init__(self, number: int, regions: int) -> None:
+    def __init__(self, number: int, data_centres: int) -> None:
         self.listed = fleet.Replica(
             replica_id=f"i-{number}",
             service_id=SERVICE,
             address=f"10.9.0.{number}:80",
-            data_centre=ids.DataCentreId(f"dc-{number % regions}"),
+            data_centre=ids.DataCentreId(f"dc-{number % data_centres}"),
             slots=6,
             state=fleet.ReplicaState.HEALTHY,
             weights=None,
@@ -78,12 +78,16 @@
         regions: int = 3,
         seed: int = 1,
         strategy: Strategy = Strategy.RESERVED,
+        data_centres: int | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         assert isinstance(self._loop, virtual_time.VirtualLoop)
         self.virtual = virtual_time.VirtualClock(self._loop)
         self.strategy = strategy
-        self.replicas = {f"i-{n}": Replica(n, regions) for n in range(replicas)}
+        self.replicas = {
+            f"i-{n}": Replica(n, data_centres or regions)
+            for n in range(replicas)
+        }
         self.known = catalog.Catalog()
         self.known.apply(
             [
@@ -96,7 +100,7 @@
         self.refused = 0
         self._shares: dict[tuple[str, str], send_limiter.SendLimiter] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        super().__init__(count, regions, seed, self.virtual)
+        super().__init__(count, regions, seed, self.virtual, data_centres)
 
     def start(
         self, number: int, incarnation: int = 1_000
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -4,6 +4,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import heapq
 import itertools
 import random
@@ -61,7 +62,7 @@
         self.member = members.Member(
             f"entry-{number}",
             members.MemberKind.ENTRY,
-            f"dc-{number % fleet.regions}",
+            f"dc-{number % len(fleet.region_of)}",
             f"10.0.{number // 250}.{number % 250}",
             PORT,
             f"10.0.{number // 250}.{number % 250}:8005",
@@ -81,7 +82,7 @@
             self.member,
             incarnation,
             fleet.seeds,
-            {self.member.data_centre},
+            fleet.near(self.member.data_centre),
             self,
             fleet.time,
             random.Random(f"{fleet.seed} {number}"),
@@ -102,7 +103,7 @@
         self.limits = entry_limits.EntryLimits(
             self.sync,
             self.table,
-            {f"dc-{n}": f"region-{n}" for n in range(fleet.regions)},
+            fleet.region_of,
             self.totals,
             fleet.time,
             random.Random(f"{fleet.seed} {number}"),
@@ -112,6 +113,13 @@
     def name(self) -> str:
         return self.member.vm_id
 
+    def tick(self) -> None:
+        """Does the periodic work."""
+        self.sync.set_state(self.state)
+        self.sync.tick()
+        self.crash_sync.tick()
+        self.limits.tick()
+
     # State of the entry that the membership queries.
 
     def on_member(self, member: members.Member) -> None:
@@ -199,7 +207,7 @@
         self.member = members.Member(
             f"agent-{number}",
             members.MemberKind.AGENT,
-            f"dc-{number % fleet.regions}",
+            f"dc-{number % len(fleet.region_of)}",
             f"10.1.{number // 250}.{number % 250}",
             PORT,
         )
@@ -256,7 +264,10 @@
 
 
 class VirtualFleet:
-    """Entries in several regions, of which the first three are seeds."""
+    """Entries in several regions, of which the first three are seeds.
+
+    The data centres are divided equally among the regions.
+    """
 
     def __init__(
         self,
@@ -264,8 +275,13 @@
         regions: int = 3,
         seed: int = 1,
         time: clock.Clock | None = None,
+        data_centres: int | None = None,
     ) -> None:
-        self.regions = regions
+        per_region = (data_centres or regions) // regions
+        self.region_of = {
+            f"dc-{n}": f"region-{n // per_region}"
+            for n in range(regions * per_region)
+        }
         self.seed = seed
         self.manual = clock.ManualClock()
         self.time: clock.Clock = time or self.manual
@@ -284,11 +300,20 @@
 
     def start(self, number: int, incarnation: int = 1_000) -> VirtualEntry:
         """Starts an entry, or restarts one that was stopped."""
-        entry = VirtualEntry(self, number, incarnation)
+        entry = self.make_entry(number, incarnation)
         self.entries[entry.name] = entry
         self._at(self.rng.uniform(0.0, 300.0), lambda: self._tick(entry))
         return entry
 
+    def make_entry(self, number: int, incarnation: int) -> VirtualEntry:
+        """Returns an entry that does not run yet."""
+        return VirtualEntry(self, number, incarnation)
+
+    def near(self, data_centre: str) -> set[str]:
+        """Returns the data centres of the region of a data centre."""
+        region = self.region_of[data_centre]
+        return {name for name, its in self.region_of.items() if its == region}
+
     def start_agent(self, number: int) -> VirtualAgent:
         """Starts an agent that is in contact with all running entries."""
         agent = VirtualAgent(self, number)
@@ -306,6 +331,19 @@
             if name in pair:
                 del self.names[pair]
 
+    def in_data_centre(self, data_centre: str) -> list[str]:
+        """Returns the names of the entries in a data centre."""
+        return [
+            entry.name
+            for entry in self.entries.values()
+            if entry.member.data_centre == data_centre
+        ]
+
+    def cut_between(self, ones: Iterable[str], others: Iterable[str]) -> None:
+        """Cuts the paths between two groups of processes, both ways."""
+        pairs = set(itertools.product(ones, others))
+        self.cut |= pairs | {(b, a) for a, b in pairs}
+
     def at(self, host: str) -> VirtualEntry | None:
         """Returns the entry at an address, None if there is none."""
         for entry in self.entries.values():
@@ -373,10 +411,7 @@
         if not entry.running:
             return
         if not entry.suspended:
-            entry.sync.set_state(entry.state)
-            entry.sync.tick()
-            entry.crash_sync.tick()
-            entry.limits.tick()
+            entry.tick()
         self._at(TICK_MS, lambda: self._tick(entry))
 
     def _tick_agent(self, agent: VirtualAgent) -> None:
