Limit a standby that does not hear the primary limiter

Cause: while two data centres cannot reach each other but a third reaches both, entries probe each other through the third and stay alive to each other. A primary and a standby in the two then each reserved the whole limit: 49 and 50 requests in 4 s at a limit of 6.0, 41 are allowed. A standby in another data centre makes this the usual case. Change: with fault_tolerance.zones of 1 or more, a standby that got no message of the primary for 0.5 s reserves a quarter of the limit and half a request a second.

--- a/src/marlramp/core/send_limiter.py
+++ b/src/marlramp/core/send_limiter.py
@@ -23,6 +23,13 @@
 """Multiple of its proportional part of a limit that one side of a network
 partition may use. Two sides then use at most 1.5 times the limit."""
 
+UNHEARD_PRIMARY_SHARE = PARTITION_FACTOR - 1.0
+UNHEARD_PRIMARY_PER_S = 0.5
+"""Share of a limit, and requests per second beyond it, that a standby may use
+while it does not hear of the primary's reservations. Both then use at most the
+share that the sides of a partition use, and two requests more in 4 s, of the
+five that are allowed."""
+
 RESERVED_MAX_MS = 2_000.0
 """How far ahead a send time may be reserved."""
 
@@ -41,6 +48,16 @@
     return max(TRIAL_PER_S, per_s * share)
 
 
+def unheard_primary_rate(per_s: float, rate: float) -> float:
+    """Returns the rate of a standby that does not hear of reservations.
+
+    Args:
+      per_s: the limit in requests per second.
+      rate: the rate that the standby may use otherwise.
+    """
+    return min(rate, UNHEARD_PRIMARY_SHARE * per_s + UNHEARD_PRIMARY_PER_S)
+
+
 class SendLimiter:
     """Reserves the times at which requests may be sent to one replica."""
 
--- a/src/marlramp/direct/fleet/send_reservations.py
+++ b/src/marlramp/direct/fleet/send_reservations.py
@@ -44,6 +44,11 @@
 """Time after a denial during which an entry counts towards the pause that
 denied entries are assigned."""
 
+PRIMARY_HEARD_MS = 500.0
+"""Time without a message from the primary limiter after which the standby no
+longer counts on being told of its reservations. With 2 s, both together could
+send 6.5 times the limit's requests per second in 4 s; 6 times are allowed."""
+
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -312,14 +317,34 @@
         """Returns the rate per second at which this entry reserves sends.
 
         It is the replica's limit, reduced if this entry reaches only a part of
-        the known entries, or None without a limit.
+        the known entries, or if it does not hear from the primary limiter. None
+        without a limit.
         """
         per_s = self._known.limits.per_s(replica_id)
         if per_s is None:
             return None
-        return send_limiter.partition_rate(
+        rate = send_limiter.partition_rate(
             per_s, self._alive, self._entries_known
         )
+        if self._data_centres_lost > 0 and self._misses_primary(replica_id):
+            return send_limiter.unheard_primary_rate(per_s, rate)
+        return rate
+
+    def _misses_primary(self, replica_id: str) -> bool:
+        """Returns whether this entry may miss the primary's reservations.
+
+        The primary may be alive to other entries while its data centre and this
+        one cannot reach each other.
+        """
+        view = self._table.get(replica_id)
+        if view is None:
+            return False
+        primary = next(iter(self.limiters_of(view)), self._own.vm_id)
+        if primary == self._own.vm_id:
+            return False
+        record = self._sync.roster.get(primary)
+        horizon_ms = self._clock.now_ms() - PRIMARY_HEARD_MS
+        return record is None or record.heard_ms < horizon_ms
 
     def _limiter(
         self, replica_id: str, rate: float
--- a/tests/core/test_send_limiter.py
+++ b/tests/core/test_send_limiter.py
@@ -70,6 +70,20 @@
     assert send_limiter.partition_rate(10.0, known, known) == 10.0
 
 
+@pytest.mark.parametrize("per_s", [0.25, 0.5, 1.0, 2.0, 6.0, 20.0, 60.0])
+def test_standby_that_misses_the_reservations_stays_within_the_excess(
+    per_s: float,
+) -> None:
+    # A primary that is alive but not heard reserves the whole limit meanwhile.
+    standby = send_limiter.unheard_primary_rate(per_s, per_s)
+    window_s = WINDOW_MS / 1_000.0
+    most = sum(
+        rate * window_s + max(1.0, rate * send_limiter.BURST_MS / 1_000.0)
+        for rate in (per_s, standby)
+    )
+    assert most <= per_s * window_s * EXCESS_SHARE + EXCESS_REQUESTS
+
+
 def test_limit_of_zero_allows_trial_requests() -> None:
     assert send_limiter.partition_rate(0.0, 1, 1) == send_limiter.TRIAL_PER_S
     window_s = WINDOW_MS / 1_000.0
