--- a/tests/direct/fleet/test_evacuations.py
+++ b/tests/direct/fleet/test_evacuations.py
@@ -35,6 +35,11 @@
     limited_fleet.play(start)
 
 
+def evacuated(active: bool) -> list[str]:
+    """Returns the evacuated data centres of tests with only one of them."""
+    return ["dc-1"] if active else []
+
+
 def evacuation(
     revision: int, data_centre: str, *, active: bool
 ) -> fleet_messages.CatalogNews:
@@ -73,11 +78,11 @@
     # The change is lost if only the killed reader had read it.
     async def run(fleet: store_fleet.StoreFleet) -> None:
         fleet.store.evacuate("dc-1", active=not active)
-        await fleet.until_known(EVACUATE_MS, *["dc-1"][active:])
+        await fleet.until_known(EVACUATE_MS, *evacuated(not active))
         killed = fleet.readers()[0]
         killed.kill_before_publishing = True
         fleet.store.evacuate("dc-1", active=active)
-        await fleet.until_known(EVACUATE_MS, *["dc-1"][not active :])
+        await fleet.until_known(EVACUATE_MS, *evacuated(active))
         assert not killed.running
 
     play(run)
@@ -144,7 +149,7 @@
             fleet.store.evacuate("dc-1", active=active)
             revision = fleet.store.revision
             late.append(evacuation(revision, "dc-1", active=active))
-            await fleet.until_known(EVACUATE_MS, *["dc-1"][not active :])
+            await fleet.until_known(EVACUATE_MS, *evacuated(active))
         start, end = late
         for entry in fleet.store_entries():
             entry.on_message("entry-1", start)
@@ -179,7 +184,7 @@
 ) -> None:
     # It keeps its last state meanwhile, and must not keep it on its return.
     async def run(fleet: store_fleet.StoreFleet) -> None:
-        before, after = ["dc-1"][active:], ["dc-1"][not active :]
+        before, after = evacuated(not active), evacuated(active)
         fleet.store.evacuate("dc-1", active=not active)
         await fleet.until_known(EVACUATE_MS, *before)
         fleet.cut_between(["entry-4"], fleet.entries)
