--- a/src/marlramp/direct/fleet/send_reservations.py
+++ b/src/marlramp/direct/fleet/send_reservations.py
@@ -47,8 +47,8 @@
 PRIMARY_HEARD_MS = 500.0
 """Time without a message from the primary limiter after which the standby no
 longer counts on being told of its reservations. By calculation, both together
-reserve up to 5.9 times the limit of a second within 4 s, with 2 s up to 7 times;
-6 times and 5 requests are allowed."""
+reserve up to 5.9 times the limit of a second within 4 s, and up to 7 times with
+2 s; 6 times and 5 requests are allowed."""
 
 _MS = clock.MILLIS_PER_SECOND
 
