--- a/tests/core/test_catalog.py
+++ b/tests/core/test_catalog.py
@@ -4,6 +4,8 @@
 import itertools
 from typing import TypeAlias
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from marlramp import clock
@@ -321,7 +323,7 @@
     return catalog.EvacuationChange(revision, DC, active)
 
 
-@pytest.mark.parametrize("order", itertools.permutations(range(3)))
+@pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
 def test_highest_revision_of_an_evacuation_counts_in_any_order(
     order: tuple[int, ...], known: catalog.Catalog, time: clock.ManualClock
 ) -> None:
@@ -389,3 +391,58 @@
 ) -> None:
     """Guards against replicas that count as cold whenever an entry starts."""
     assert known.apply([evacuation(7, active=False)], time.now_ms()) == []
+
+
+DATA_CENTRES = [ids.DataCentreId(f"dc-{n}") for n in range(3)]
+
+
+@hypothesis.settings(max_examples=200, deadline=None)
+@hypothesis.given(data=strategies.data())
+def test_evacuations_are_merged_alike_in_any_order_and_number(
+    data: strategies.DataObject,
+) -> None:
+    # An entry that hears of a start after its end, or twice, must not differ
+    # from the others for ever.
+    states = data.draw(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(DATA_CENTRES), strategies.booleans()
+            ),
+            max_size=8,
+        )
+    )
+    changes = [
+        catalog.EvacuationChange(revision, data_centre, active)
+        for revision, (data_centre, active) in enumerate(states, start=1)
+    ]
+    expected = {
+        data_centre for data_centre, active in dict(states).items() if active
+    }
+    repeated = changes + data.draw(
+        strategies.lists(strategies.sampled_from(changes), max_size=8)
+        if changes
+        else strategies.just([])
+    )
+    received = data.draw(strategies.permutations(repeated))
+    known = catalog.Catalog()
+    for change in received:
+        known.apply([change], clock.Millis(0))
+    assert known.evacuated == expected
+    other = catalog.Catalog()
+    other.apply(known.changes_after(0, clock.Millis(0)), clock.Millis(0))
+    assert other.evacuated == expected
+
+
+def test_full_read_ends_evacuations_that_only_other_processes_know(
+    known: catalog.Catalog,
+) -> None:
+    # A process that had not known the evacuation passed its revision on to the
+    # others without the end.
+    now_ms = clock.Millis(0)
+    start = catalog.EvacuationChange(5, DATA_CENTRES[1], active=True)
+    known.apply([start], now_ms)
+    reader = catalog.Catalog(DATA_CENTRES)
+    assert reader.apply_snapshot(catalog.Snapshot(9, []), now_ms) == []
+    new = known.apply(reader.changes_after(5, now_ms), now_ms)
+    assert known.evacuated == set()
+    assert new == [catalog.EvacuationChange(9, DATA_CENTRES[1], active=False)]
--- a/tests/core/test_send_limiter.py
+++ b/tests/core/test_send_limiter.py
@@ -70,6 +70,20 @@
     assert send_limiter.partition_rate(10.0, known, known) == 10.0
 
 
+@pytest.mark.parametrize("per_s", [0.25, 0.5, 1.0, 2.0, 6.0, 20.0, 60.0])
+def test_standby_that_misses_the_reservations_stays_within_the_excess(
+    per_s: float,
+) -> None:
+    # A primary that is alive but not heard reserves the whole limit meanwhile.
+    standby = send_limiter.unheard_primary_rate(per_s, per_s)
+    window_s = WINDOW_MS / 1_000.0
+    most = sum(
+        rate * window_s + max(1.0, rate * send_limiter.BURST_MS / 1_000.0)
+        for rate in (per_s, standby)
+    )
+    assert most <= per_s * window_s * EXCESS_SHARE + EXCESS_REQUESTS
+
+
 def test_limit_of_zero_allows_trial_requests() -> None:
     assert send_limiter.partition_rate(0.0, 1, 1) == send_limiter.TRIAL_PER_S
     window_s = WINDOW_MS / 1_000.0
@@ -100,6 +114,62 @@
     assert limiter_assignment.limiters_of("i-1", "dc-0", rest, {})[0] == second
 
 
+SIX = {f"dc-{n}": f"region-{n // 2}" for n in range(6)}
+"""Two data centres in each of three regions."""
+
+
+def data_centre_of(vm_id: str) -> str:
+    return f"dc-{int(vm_id.removeprefix('entry-')) % 6}"
+
+
+def test_standby_limiter_survives_the_loss_of_the_first_ones_data_centre() -> (
+    None
+):
+    entries = [member(n, f"dc-{n % 6}") for n in range(18)]
+    for number in range(60):
+        limiters = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 1
+        )
+        assert {data_centre_of(vm_id) for vm_id in limiters} == {"dc-2", "dc-3"}
+        plain = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 0
+        )
+        assert plain[0] == limiters[0]
+
+
+def test_standby_limiter_is_elsewhere_if_the_region_has_one_data_centre() -> (
+    None
+):
+    entries = [member(n, f"dc-{n % 6}") for n in range(18) if n % 6 != 3]
+    for number in range(60):
+        first, second = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-2", entries, SIX, 1
+        )
+        assert data_centre_of(first) == "dc-2"
+        assert SIX[data_centre_of(second)] != "region-1"
+
+
+def test_limiters_share_a_data_centre_if_there_is_no_other() -> None:
+    entries = [member(n, "dc-0") for n in range(4)]
+    names = limiter_assignment.limiters_of("i-1", "dc-0", entries, {}, 1)
+    assert names == limiter_assignment.limiters_of("i-1", "dc-0", entries, {})
+    assert len(names) == limiter_assignment.LIMITERS
+
+
+def test_entries_agree_on_the_limiters_whatever_their_order_of_entries() -> (
+    None
+):
+    # Each entry lists itself last.
+    entries = [member(n, f"dc-{n % 6}") for n in range(12)]
+    for number in range(20):
+        expected = limiter_assignment.limiters_of(
+            f"i-{number}", "dc-4", entries, SIX, 1
+        )
+        assert expected == limiter_assignment.limiters_of(
+            f"i-{number}", "dc-4", entries[::-1], SIX, 1
+        )
+
+
 def test_less_urgent_requests_wait_for_less_of_their_time() -> None:
     waits = [send_limit.wait_max_ms(200.0, rank) for rank in (0, 1, 2, 9)]
     assert waits == sorted(waits, reverse=True)
