Publish placement constraints from the stand-ins

The stand-ins of the direct path had one data centre and replicas that are never cold, so that nothing with real processes could evacuate a data centre, bind a route to regions or see a cold start.

A fleet takes the region of each data centre and the constraints to configure: allowed regions of routes and of a second customer, cold_start_s and cold_per_s. The store starts and ends evacuations. Replicas renew their records at each heartbeat where services have cold starts, report cold_left_ms, and record each arrival and whether it was answered with 421. The defaults write the same documents as before.

--- a/standins/direct_documents.py
+++ b/standins/direct_documents.py
@@ -5,6 +5,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
+import msgspec
+
 STORE_PORT = 8007
 REPLICA_PORT = 8001
 MODEL = "m"
@@ -12,11 +16,65 @@
 DESK_SERVICE = "desk"
 HOST = "fleet.example"
 KEY = "secret-key"
+BOUND_KEY = "bound-key"
+"""Key of the customer that `Constraints.customer_regions` describes."""
+
 PIECES = 8
 PIECE_BYTES = 32_768
 LOAD_S = 0.1
 """Time that an engine takes to load staged pieces."""
 
+DATA_CENTRE = "dc-1"
+REGIONS: Mapping[str, str] = {DATA_CENTRE: "north"}
+"""Region of each data centre of a deployment with one data centre."""
+
+HEARTBEAT_MS = 1_200.0
+EVACUATE_MS = 5_000.0
+COLD_OVERSHOOT = 1.5
+COLD_BURST = 5.0
+
+
+class Constraints(msgspec.Struct, frozen=True, kw_only=True):
+    """Constraints on where requests may run, as a deployment configures them.
+
+    Attributes:
+      route_regions: allowed regions of routes, by name.
+      customer_regions: allowed regions of the customer with `BOUND_KEY`, None
+        if there is no such customer.
+      cold_start_s: how long a replica is cold after a start, 0 if never.
+      cold_per_s: requests per second that a cold replica tolerates.
+    """
+
+    route_regions: Mapping[str, list[str]] = {}
+    customer_regions: list[str] | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+
+    def apply(self, config: dict[str, object]) -> None:
+        """Adds the constraints to a configuration."""
+        for route in _items(config, "route_table"):
+            if regions := self.route_regions.get(str(route["name"])):
+                route["allowed_regions"] = regions
+        for service in _items(config, "services"):
+            if self.cold_start_s and "upstream" not in service:
+                service["cold_start_s"] = self.cold_start_s
+                service["cold_per_s"] = self.cold_per_s
+        if self.customer_regions is not None:
+            _items(config, "tenants").append(
+                {
+                    "name": "bound",
+                    "api_keys": [BOUND_KEY],
+                    "priority": 1,
+                    "allowed_regions": self.customer_regions,
+                }
+            )
+
+
+def _items(config: dict[str, object], name: str) -> list[dict[str, object]]:
+    found = config[name]
+    assert isinstance(found, list)
+    return found
+
 
 def _plain_route(name: str, kind: str) -> dict[str, object]:
     return {
@@ -32,7 +90,10 @@
 
 
 def configuration(
-    origin: str, version: int = 1, keys: list[str] | None = None
+    origin: str,
+    version: int = 1,
+    keys: list[str] | None = None,
+    constraints: Constraints | None = None,
 ) -> dict[str, object]:
     """Returns a configuration with a streaming and two plain routes.
 
@@ -40,8 +101,9 @@
       origin: address of the origin of weights.
       version: its version.
       keys: keys of its customer, else `KEY` alone.
+      constraints: where requests may run, None for everywhere.
     """
-    return {
+    config: dict[str, object] = {
         "version": version,
         "route_table": [
             _plain_route("order", "non_idempotent"),
@@ -81,6 +143,14 @@
         "limits": {},
         "tenants": [{"name": "c", "api_keys": keys or [KEY], "priority": 1}],
     }
+    if constraints is not None:
+        constraints.apply(config)
+    return config
+
+
+def evacuation_key(data_centre: str) -> str:
+    """Returns the store's key that exists while a data centre is evacuated."""
+    return f"op/evacuate/{data_centre}"
 
 
 def settings_text(
@@ -91,6 +161,9 @@
     store: str,
     entry: bool,
     replica_port: int = REPLICA_PORT,
+    data_centre: str = DATA_CENTRE,
+    regions: Mapping[str, str] = REGIONS,
+    constrained: bool = False,
 ) -> str:
     """Returns the platform's settings file of one process.
 
@@ -101,17 +174,20 @@
       store: address of the store.
       entry: whether it is an entry, else an agent.
       replica_port: port of the engine beside an agent.
+      data_centre: data centre of its VM.
+      regions: region of each data centre of the deployment.
+      constrained: whether the bounds of placement constraints are named.
     """
     lines = [
         f"node_name={name}",
         f"ip={host}",
-        "zone=dc-1",
-        "region=north",
-        "zones.dc-1=north",
+        f"zone={data_centre}",
+        f"region={regions[data_centre]}",
+        *(f"zones.{name}={region}" for name, region in regions.items()),
         "port_range=7700,7715",
         "seed_nodes=" + ",".join(f"{seed}:8000" for seed in seeds),
         "limits.link_mbps=1000",
-        "heartbeat_ms=1200",
+        f"heartbeat_ms={HEARTBEAT_MS:.0f}",
         f"platform.address={store}",
         "bounds.drain_ms=2000",
         "bounds.grace_s=8",
@@ -122,6 +198,15 @@
         "bounds.budget_slack=104",
         "bounds.ttl_max_s=5",
     ]
+    if constrained:
+        lines += [
+            f"bounds.evacuate_ms={EVACUATE_MS:.0f}",
+            f"bounds.cold_overshoot={COLD_OVERSHOOT}",
+            f"bounds.cold_burst={COLD_BURST}",
+            "fault_tolerance.max_node_loss=2",
+            "fault_tolerance.zones=1",
+            "fault_tolerance.max_region_loss=0",
+        ]
     if entry:
         lines += [
             "serves=edge,control,registry",
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import contextlib
 import os
 import pathlib
@@ -24,6 +25,7 @@
 LOOKUP_PORT = 8_009
 CALLERS_PORT = 8_005
 GROUPS = 256
+_MS = 1_000.0
 RESERVED_PORT = 8_999
 """Bound as long as a fleet uses its addresses."""
 
@@ -53,6 +55,8 @@
         desks: int = 0,
         *,
         proxied: bool = False,
+        regions: Mapping[str, str] = direct_documents.REGIONS,
+        constraints: direct_documents.Constraints | None = None,
     ) -> None:
         """Describes a fleet; nothing runs before it is entered.
 
@@ -64,7 +68,13 @@
             if another fleet on this machine has it.
           desks: replicas of the plain service.
           proxied: whether connections go through proxies that can fail them.
+          regions: region of each data centre. Entries, engines and desks are
+            each distributed over the data centres in turn.
+          constraints: where requests may run, None for everywhere.
         """
+        self._regions = regions
+        self.constraints = constraints
+        cold_start_s = constraints.cold_start_s if constraints else 0.0
         self._folder = folder
         self._stack = contextlib.AsyncExitStack()
         self._group = self._reserve(group)
@@ -81,12 +91,19 @@
                 self.store,
                 weights=1,
                 port=replica_port,
+                data_centre=self.data_centre(n),
+                cold_start_s=cold_start_s,
             )
             for n in range(engines)
         ]
         self.desks = [
             direct_replicas.PlainReplica(
-                f"d-{n}", self._host(150 + n), self.store, replica_port
+                f"d-{n}",
+                self._host(150 + n),
+                self.store,
+                replica_port,
+                self.data_centre(n),
+                cold_start_s,
             )
             for n in range(desks)
         ]
@@ -101,8 +118,14 @@
         await self._listen(self.origin.serve, store_host, 8_006)
         await self._start_replicas()
         self.store.put(
-            "op/config", direct_documents.configuration(self.origin_address)
+            "op/config",
+            direct_documents.configuration(
+                self.origin_address, constraints=self.constraints
+            ),
         )
+        if self.constraints and self.constraints.cold_start_s:
+            self._heartbeats = asyncio.create_task(self._renew_records())
+            self._stack.callback(self._heartbeats.cancel)
         for number in range(len(self.entry_hosts)):
             await self.start_entry(number)
         for number in range(len(self.engines)):
@@ -119,6 +142,24 @@
             await process.wait()
         await self._stack.aclose()
 
+    def data_centre(self, number: int) -> str:
+        """Returns the data centre of an entry, an engine or a desk."""
+        names = list(self._regions)
+        return names[number % len(names)]
+
+    @property
+    def replicas(
+        self,
+    ) -> list[direct_replicas.Engine | direct_replicas.PlainReplica]:
+        """All engines and desks."""
+        return [*self.engines, *self.desks]
+
+    async def _renew_records(self) -> None:
+        while True:
+            await asyncio.sleep(direct_documents.HEARTBEAT_MS / _MS)
+            for replica in self.replicas:
+                replica.renew()
+
     @property
     def origin_address(self) -> str:
         """Address of the origin of weights."""
@@ -141,12 +182,14 @@
         """Starts an entry, also again after it ended."""
         host = self.entry_hosts[number]
         await self._proxy(f"callers:entry-{number}", host, CALLERS_PORT)
-        await self._start(f"entry-{number}", host, entry=True)
+        name = f"entry-{number}"
+        await self._start(name, host, self.data_centre(number), entry=True)
 
     async def start_agent(self, number: int) -> None:
         """Starts the agent beside an engine."""
         host = self.engines[number].host
-        await self._start(f"agent-{number}", host, entry=False)
+        name = f"agent-{number}"
+        await self._start(name, host, self.data_centre(number), entry=False)
 
     async def wait_ready(self, host: str) -> None:
         """Waits until an entry takes callers."""
@@ -154,9 +197,11 @@
             while b" 200 " not in await self._get(host, 8_002, "/v1/readyz"):
                 await asyncio.sleep(POLL_S)
 
-    async def lookup(self, host: str) -> bytes:
+    async def lookup(self, host: str, region: str = "") -> bytes:
         """Asks an entry where to connect; returns the whole answer."""
         path = f"/v1/lookup?name={direct_documents.HOST}"
+        if region:
+            path += f"&region={region}"
         return await self._get(host, LOOKUP_PORT, path)
 
     async def stream(
@@ -179,6 +224,7 @@
         body: bytes = b"",
         *,
         parts: str = "",
+        key: str = direct_documents.KEY,
     ) -> bytes:
         """Sends a request; returns all bytes of the answer.
 
@@ -188,6 +234,7 @@
           request_id: id of the attempt.
           body: the body.
           parts: parts of the prompt, "ID:TOKENS" joined by commas.
+          key: key of the customer.
         """
         named = f"x-prefix-hash: {parts}\r\n" if parts else ""
         return await self._get(
@@ -197,7 +244,7 @@
             "POST",
             f"host: {direct_documents.HOST}\r\nx-attempt-id: {request_id}\r\n"
             f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
-            f"authorization: Bearer {direct_documents.KEY}\r\n{named}",
+            f"authorization: Bearer {key}\r\n{named}",
             body,
         )
 
@@ -255,7 +302,9 @@
     def _outer_port(self, port: int) -> int:
         return port + PROXY_PORTS_UP if self._proxied else port
 
-    async def _start(self, name: str, host: str, *, entry: bool) -> None:
+    async def _start(
+        self, name: str, host: str, data_centre: str, *, entry: bool
+    ) -> None:
         store = await self._proxy(
             f"store:{name}", host, direct_documents.STORE_PORT, self._host(250)
         )
@@ -268,6 +317,9 @@
                 store=store,
                 entry=entry,
                 replica_port=self._outer_port(direct_documents.REPLICA_PORT),
+                data_centre=data_centre,
+                regions=self._regions,
+                constrained=self.constraints is not None,
             )
         )
         with (self._folder / f"{name}.log").open("ab") as log:
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from standins import cold_start
 from standins import crashing_part
 from standins import direct_documents
 from standins import direct_store
@@ -37,6 +38,10 @@
     return time.time_ns() // 1_000_000
 
 
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class Begin(NamedTuple):
     """The first token of a request.
 
@@ -49,6 +54,22 @@
     weights: int
 
 
+class Arrival(NamedTuple):
+    """A request that reached a replica.
+
+    Attributes:
+      at_s: time of the event loop.
+      request_id: id of the request.
+      replica_id: id of the replica at that time.
+      misdirected: whether it was answered with 421.
+    """
+
+    at_s: float
+    request_id: str
+    replica_id: str
+    misdirected: bool
+
+
 class CrashingServer(Protocol):
     """The server of a replica that may crash."""
 
@@ -102,6 +123,8 @@
       crash_style: how the answer looks that such a part ends.
       need: the limit that it names.
       turning_away: what it turns away, and whether it leaves.
+      arrivals: requests that reached it, run or not.
+      cold: its cold starts.
     """
 
     def __init__(
@@ -111,6 +134,8 @@
         store: direct_store.Store,
         weights: int,
         port: int = direct_documents.REPLICA_PORT,
+        data_centre: str = direct_documents.DATA_CENTRE,
+        cold_start_s: float = 0.0,
     ) -> None:
         """Holds `weights`, which are staged too; 0 for an empty engine.
 
@@ -120,6 +145,8 @@
           store: where it registers.
           weights: version that it holds.
           port: port under which it is listed, of a proxy if need be.
+          data_centre: data centre of its VM.
+          cold_start_s: how long it is cold after a restart.
         """
         self.replica_id = replica_id
         self.host = host
@@ -132,6 +159,10 @@
         self.crash_style = crashing_part.CrashStyle.CHUNKED
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
+        self.arrivals: list[Arrival] = []
+        self.data_centre = data_centre
+        self.cold = cold_start.ColdStart(cold_start_s)
+        self._state = "healthy"
         self._store = store
         self._running = 0
         self._orders = 0
@@ -183,6 +214,7 @@
         self._orders = 0
         self._busy = False
         self.turning_away.started_anew()
+        self.cold.begin()
         # Later than any start before, also within one millisecond.
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
@@ -193,22 +225,28 @@
 
     def register(self, state: str = "healthy") -> None:
         """Writes the engine's entry into the store."""
+        self._state = state
         self._store.put(
             f"servers/{self.replica_id}",
             {
                 "service": direct_documents.SERVICE,
                 "address": self.address,
-                "zone": "dc-1",
+                "zone": self.data_centre,
                 "version": "v1",
                 "slots": 16,
                 "state": state,
-                "cold_left_ms": 0,
+                "cold_left_ms": self.cold.left_ms(),
                 "call_seq": self._orders,
                 "born": self._born_ms,
                 "layers": self._layers(),
             },
         )
 
+    def renew(self) -> None:
+        """Writes the entry again, as a replica does at each heartbeat."""
+        if not self.crashes.down:
+            self.register(self._state)
+
     async def crash(self, *, resets: bool = True) -> None:
         """Ends, and starts anew under the same id after `DOWN_S`."""
         await self.crashes.end(
@@ -288,7 +326,11 @@
         right = request.headers.get("x-expect-replica") == self.replica_id
         name = request.headers["x-attempt-id"]
         self.need.arrived(name)
-        if not right or expected != str(self.weights) or self._busy:
+        misdirected = not right or expected != str(self.weights) or self._busy
+        self.arrivals.append(
+            Arrival(_now_s(), name, self.replica_id, misdirected)
+        )
+        if misdirected:
             await peer.answer(request, 421)
             return
         if status := self.turning_away.takes(name):
@@ -358,6 +400,8 @@
       crashes: its crashes; a request with `CRASHING_BODY` causes one.
       need: the limit that it names.
       turning_away: what it turns away, and whether it leaves.
+      arrivals: requests that reached it, run or not.
+      cold: its cold starts.
     """
 
     def __init__(
@@ -366,8 +410,19 @@
         host: str,
         store: direct_store.Store,
         port: int = direct_documents.REPLICA_PORT,
+        data_centre: str = direct_documents.DATA_CENTRE,
+        cold_start_s: float = 0.0,
     ) -> None:
-        """Is listed under `port`, of a proxy if need be."""
+        """Is listed under `port`, of a proxy if need be.
+
+        Args:
+          replica_id: its id.
+          host: its VM's address.
+          store: where it registers.
+          port: port under which it is listed.
+          data_centre: data centre of its VM.
+          cold_start_s: how long it is cold after a restart.
+        """
         self.replica_id = replica_id
         self.host = host
         self.port = port
@@ -375,26 +430,36 @@
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
+        self.arrivals: list[Arrival] = []
+        self.data_centre = data_centre
+        self.cold = cold_start.ColdStart(cold_start_s)
+        self._state = "healthy"
         self._born_ms = _unix_ms()
         self._store = store
 
     def register(self, state: str = "healthy") -> None:
         """Writes the replica's entry into the store."""
+        self._state = state
         self._store.put(
             f"servers/{self.replica_id}",
             {
                 "service": direct_documents.DESK_SERVICE,
                 "address": f"{self.host}:{self.port}",
-                "zone": "dc-1",
+                "zone": self.data_centre,
                 "version": "v1",
                 "slots": 6,
                 "state": state,
-                "cold_left_ms": 0,
+                "cold_left_ms": self.cold.left_ms(),
                 "call_seq": 0,
                 "born": self._born_ms,
             },
         )
 
+    def renew(self) -> None:
+        """Writes the entry again, as a replica does at each heartbeat."""
+        if not self.crashes.down:
+            self.register(self._state)
+
     async def crash(self) -> None:
         """Ends, and starts anew under the same id after `DOWN_S`."""
         await self.crashes.end(self._start_anew)
@@ -405,6 +470,7 @@
 
     def _start_anew(self) -> None:
         self.turning_away.started_anew()
+        self.cold.begin()
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
@@ -413,7 +479,12 @@
         while (request := await peer.read()) is not None:
             name = request.headers["x-attempt-id"]
             self.need.arrived(name)
-            if request.headers.get("x-expect-replica") != self.replica_id:
+            expected = request.headers.get("x-expect-replica")
+            misdirected = expected != self.replica_id
+            self.arrivals.append(
+                Arrival(_now_s(), name, self.replica_id, misdirected)
+            )
+            if misdirected:
                 await peer.answer(request, 421)
                 continue
             if status := self.turning_away.takes(name):
--- a/standins/direct_store.py
+++ b/standins/direct_store.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 
+from standins import direct_documents
 from standins import raw_http
 
 
@@ -39,6 +40,22 @@
         self._items.pop(key, None)
         self._note({"key": key, "revision": self.revision, "deleted": True})
 
+    def data(self, key: str) -> bytes:
+        """Returns the data of an item.
+
+        Raises:
+          KeyError: if there is no such item.
+        """
+        return base64.b64decode(str(self._items[key]["data"]))
+
+    def evacuate(self, data_centre: str) -> None:
+        """Starts the evacuation of a data centre."""
+        self.put(direct_documents.evacuation_key(data_centre), {})
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Ends the evacuation of a data centre."""
+        self.delete(direct_documents.evacuation_key(data_centre))
+
     async def serve(self, peer: raw_http.Peer) -> None:
         """Answers reads and watches."""
         while (request := await peer.read()) is not None:
--- a/tests/standins/test_direct_replicas.py
+++ b/tests/standins/test_direct_replicas.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
+from typing import Any
 
+import msgspec
 import pytest
 
 from standins import direct_replicas
@@ -25,3 +28,30 @@
         assert engine.missing(1) == missing
 
     asyncio.run(main())
+
+
+def test_replica_reports_how_much_longer_it_is_cold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against checks of cold replicas that never see one."""
+    store = direct_store.Store()
+    desk = direct_replicas.PlainReplica(
+        "d-0", "127.0.0.1", store, cold_start_s=4.0
+    )
+    desk.register()
+    now_s = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now_s)
+    assert record(store, "servers/d-0")["cold_left_ms"] == 0
+    desk.restart()
+    now_s += 1.0
+    desk.renew()
+    assert record(store, "servers/d-0")["cold_left_ms"] == 3_000
+    now_s += 4.0
+    desk.renew()
+    assert record(store, "servers/d-0")["cold_left_ms"] == 0
+
+
+def record(store: direct_store.Store, key: str) -> dict[str, Any]:
+    found = msgspec.json.decode(store.data(key))
+    assert isinstance(found, dict)
+    return found
