Soak: evacuations, bound regions and cold restarts

The soak had one data centre and no constraint on where requests run. The seed also draws evacuations: long and short ones, of several data centres at once, and put, deleted and put again within a second.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,11 +22,13 @@
       culprit: what crashes the replicas that run it.
       limited: two replicas that name a limit.
       turning_away: two replicas that turn requests away and ask for a pause.
+      placement: allowed regions, evacuations and cold starts.
     """
 
     culprit: run.Culprit
     limited: bool
     turning_away: bool
+    placement: bool
 
 
 application = cyclopts.App(
@@ -44,6 +46,7 @@
     culprit: run.Culprit = run.Culprit.NONE,
     limited: bool = False,
     turning_away: bool = False,
+    placement: bool = False,
 ) -> None:
     """Plays a row of seeds and prints the promises that each broke.
 
@@ -57,10 +60,12 @@
       limited: two replicas also name a limit over all entries together.
       turning_away: two replicas also turn half of their requests away and ask
         for a pause.
+      placement: also evacuate data centres and restart engines, which are cold
+        after it, with a route and a customer that are bound to regions.
     """
     numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
-    beside = Beside(culprit, limited, turning_away)
+    beside = Beside(culprit, limited, turning_away, placement)
     playing = _play_all(numbers, at_once, folder, beside)
     failed = asyncio.run(playing)
     print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
@@ -69,9 +74,10 @@
 
 
 @application.command
-def show(seed: int) -> None:
+def show(seed: int, *, placement: bool = False) -> None:
     """Prints the faults of a seed."""
-    for fault in schedule.draw(seed, schedule.Size()).faults:
+    plan = schedule.draw(seed, schedule.Size(), placement=placement)
+    for fault in plan.faults:
         print(
             f"{fault.at_ms:7.0f} ms  {fault.kind.value} {fault.target}"
             f" {fault.network.value} for {fault.for_ms:.0f} ms"
@@ -104,6 +110,7 @@
             culprit=beside.culprit,
             limited=beside.limited,
             turning_away=beside.turning_away,
+            placement=beside.placement,
         )
         if not result.violations:
             print(
--- a/soak/run.py
+++ b/soak/run.py
@@ -41,6 +41,14 @@
 PAUSE_S = 2.0
 """What the last engine and the last plain replica ask for as they turn away."""
 
+CONSTRAINTS = direct_documents.Constraints(
+    route_regions={"order": ["north", "south"]},
+    customer_regions=["south", "west"],
+    cold_start_s=4.0,
+    cold_per_s=3.0,
+)
+"""One region is left where both the route and the customer are bound."""
+
 CULPRIT = "culprit"
 CULPRIT_PAUSE_MS = 400.0
 CULPRIT_KNOWN_MS = 3_000.0
@@ -89,6 +97,7 @@
         culprit: Culprit = Culprit.NONE,
         limited: bool = False,
         turning_away: bool = False,
+        placement: bool = False,
     ) -> None:
         """Starts nothing before `play`.
 
@@ -100,7 +109,10 @@
           limited: whether two replicas name a limit while faults come.
           turning_away: whether two replicas turn half of the requests away and
             ask for a pause while faults come.
+          placement: whether there are several regions, a route and a customer
+            that are bound to some of them, and cold starts.
         """
+        self._placement = placement
         self._plan = plan
         self._culprit = culprit
         self._limited = limited
@@ -116,6 +128,8 @@
             group=plan.seed % 200,
             desks=size.desks,
             proxied=True,
+            regions=schedule.REGIONS if placement else direct_documents.REGIONS,
+            constraints=CONSTRAINTS if placement else None,
         )
         self._started_s = time.monotonic()
         self._striker = strikes.Striker(self._fleet, self.now_ms)
@@ -149,16 +163,22 @@
 
     def key(self, rng: random.Random) -> str:
         """Returns a key, now and then one that was revoked."""
-        return rng.choice([direct_documents.KEY, *strikes.REVOCABLE_KEYS])
+        keys = [direct_documents.KEY, *strikes.REVOCABLE_KEYS]
+        if self._placement:
+            keys.append(direct_documents.BOUND_KEY)
+        return rng.choice(keys)
 
     async def entries(self, rng: random.Random) -> list[str]:
         """Returns the entries that a look-up names, [] if it fails."""
         hosts = list(self._fleet.entry_hosts)
         asked = rng.sample(hosts, len(hosts))
+        region = ""
+        if self._placement:
+            region = rng.choice(list(schedule.REGIONS.values()))
         for host in asked:
             try:
                 async with asyncio.timeout(1.0):
-                    answer = await self._fleet.lookup(host)
+                    answer = await self._fleet.lookup(host, region)
             except (OSError, TimeoutError):
                 # A look-up that fails is made at the next entry.
                 continue
@@ -328,6 +348,52 @@
             culprit_runs=self._culprit_runs,
             limits_broken=self._broken,
             pauses_broken=self._pauses_broken,
+            placement=self._placement_evidence() if self._placement else None,
+        )
+
+    def _placement_evidence(self) -> promises.Placement:
+        arrivals = []
+        cold_starts = []
+        names = [
+            *(f"engine-{n}" for n in range(self._size.engines)),
+            *(f"desk-{n}" for n in range(self._size.desks)),
+        ]
+        for name, replica in zip(names, self._fleet.replicas, strict=True):
+            arrivals += [
+                promises.Arrival(
+                    at_ms=(arrival.at_s - self._started_s) * _MS,
+                    request_id=arrival.request_id,
+                    replica_id=arrival.replica_id,
+                    data_centre=replica.data_centre,
+                    proxy=name,
+                    misdirected=arrival.misdirected,
+                )
+                for arrival in replica.arrivals
+            ]
+            cold_starts += [
+                promises.ColdStart(
+                    replica_id=start.replica_id,
+                    from_ms=(start.at_s - self._started_s) * _MS,
+                    until_ms=(start.at_s - self._started_s) * _MS
+                    + CONSTRAINTS.cold_start_s * _MS,
+                )
+                for start in replica.cold.starts
+            ]
+        customer_regions = CONSTRAINTS.customer_regions or []
+        return promises.Placement(
+            regions=schedule.REGIONS,
+            route_regions={
+                promises.CallKind(name): frozenset(regions)
+                for name, regions in CONSTRAINTS.route_regions.items()
+            },
+            key_regions={
+                direct_documents.BOUND_KEY: frozenset(customer_regions)
+            },
+            cold_per_s=CONSTRAINTS.cold_per_s,
+            arrivals=arrivals,
+            evacuations=self._striker.evacuations,
+            cold_starts=cold_starts,
+            network_faults=self._striker.network_faults,
         )
 
 
@@ -339,9 +405,10 @@
     culprit: Culprit = Culprit.NONE,
     limited: bool = False,
     turning_away: bool = False,
+    placement: bool = False,
 ) -> Result:
     """Plays one seed; settings files and logs go to `folder`."""
-    plan = schedule.draw(seed, size)
+    plan = schedule.draw(seed, size, placement=placement)
     played = Run(
         folder,
         plan,
@@ -349,5 +416,6 @@
         culprit=culprit,
         limited=limited,
         turning_away=turning_away,
+        placement=placement,
     )
     return await played.play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -26,6 +26,8 @@
     CONFIG = "config"
     REVOKE = "revoke"
     WEIGHTS = "weights"
+    EVACUATE = "evacuate"
+    EVACUATE_AGAIN = "evacuate_again"
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
@@ -35,7 +37,8 @@
       at_ms: when it begins, from the start of the calls.
       for_ms: how long it lasts, 0 for what happens at once.
       kind: what it is.
-      target: what it strikes: a proxy, a process or the number of an engine.
+      target: what it strikes: a proxy, a process, a data centre or the number
+        of an engine.
       network: what a proxy does, for `PROXY`.
     """
 
@@ -78,6 +81,15 @@
     faults_mean: float = 9.0
 
 
+REGIONS = {"dc-1": "north", "dc-2": "south", "dc-3": "west"}
+"""Region of each data centre of a run with placement constraints."""
+
+EVACUATION_MS = (6_500.0, 9_000.0)
+"""Duration of most evacuations: longer than the time until one is in force."""
+
+SHORT_EVACUATION_MS = (50.0, 2_000.0)
+SHORT_EVACUATION_SHARE = 0.3
+
 FAULT_MS = (300.0, 3_500.0)
 """Shortest and longest duration of a fault."""
 
@@ -115,11 +127,24 @@
 )
 
 
-def draw(seed: int, size: Size) -> Plan:
-    """Returns the faults of a seed; the same seed gives the same faults."""
+PLACEMENT_KINDS = frozenset({FaultKind.EVACUATE, FaultKind.EVACUATE_AGAIN})
+"""Kinds that are drawn only for runs with placement constraints."""
+
+
+def draw(seed: int, size: Size, *, placement: bool = False) -> Plan:
+    """Returns the faults of a seed; the same seed gives the same faults.
+
+    Args:
+      seed: the seed.
+      size: size of the run.
+      placement: whether evacuations and more restarts of engines are added to
+        the faults that the seed gives without them.
+    """
     rng = random.Random(seed)
     count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
     faults = [_draw_one(rng, size) for _ in range(min(count, 30))]
+    if placement:
+        faults += _draw_placement(random.Random(f"{seed}:placement"), size)
     faults.sort(key=lambda fault: fault.at_ms)
     calm_ms = max(fault.at_ms + fault.for_ms for fault in faults)
     return Plan(seed, faults, calm_ms)
@@ -148,6 +173,36 @@
     )
 
 
+def _draw_placement(rng: random.Random, size: Size) -> list[Fault]:
+    """Returns evacuations, some of several data centres, and cold restarts."""
+    faults = []
+    for _ in range(rng.randint(1, 3)):
+        at_ms = rng.uniform(0.0, size.trouble_ms)
+        kind = rng.choice(sorted(PLACEMENT_KINDS, key=lambda k: k.value))
+        count = rng.choice([1, 1, 2, len(REGIONS)])
+        for data_centre in rng.sample(sorted(REGIONS), count):
+            short = rng.random() < SHORT_EVACUATION_SHARE
+            duration_ms = SHORT_EVACUATION_MS if short else EVACUATION_MS
+            faults.append(
+                Fault(
+                    at_ms=at_ms,
+                    for_ms=rng.uniform(*duration_ms),
+                    kind=kind,
+                    target=data_centre,
+                )
+            )
+    faults += [
+        Fault(
+            at_ms=rng.uniform(0.0, size.trouble_ms),
+            for_ms=rng.uniform(*FAULT_MS),
+            kind=FaultKind.ENGINE_RESTART,
+            target=str(rng.randrange(size.engines)),
+        )
+        for _ in range(rng.randint(1, 2))
+    ]
+    return faults
+
+
 def process_names(size: Size) -> list[str]:
     """Returns the names of all daemons."""
     entries = [f"entry-{n}" for n in range(size.entries)]
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -18,6 +18,7 @@
 
 PROXY_DELAY_MS = 180.0
 STOP_WAIT_S = 10.0
+AGAIN_PAUSE_S = 0.4
 INTERPRETER_MS = 500.0
 """Before its first line runs, no program can keep SIGHUP from ending it; the
 interpreter takes 50 ms to get there on an idle machine."""
@@ -33,6 +34,8 @@
       revoked: when each key was revoked, in ms.
       stops: daemons that were asked to end.
       starts: how often each daemon was started, beyond the first time.
+      evacuations: when data centres were evacuated.
+      network_faults: when proxies failed.
     """
 
     def __init__(
@@ -45,6 +48,10 @@
         self._config_version = 1
         self._weights = 1
         self._engine_starts = 0
+        self._evacuation_holds: dict[str, int] = {}
+        self._evacuated_ms: dict[str, float] = {}
+        self.evacuations: list[promises.Evacuation] = []
+        self.network_faults: list[promises.NetworkFault] = []
         self._proxy_holds: dict[str, int] = {}
         self._store_holds = 0
         self.keys = [direct_documents.KEY, *REVOCABLE_KEYS]
@@ -68,13 +75,18 @@
             schedule.FaultKind.CONFIG: self._change_config,
             schedule.FaultKind.REVOKE: self._revoke,
             schedule.FaultKind.WEIGHTS: self._name_weights,
+            schedule.FaultKind.EVACUATE: self._evacuate,
+            schedule.FaultKind.EVACUATE_AGAIN: self._evacuate_again,
         }
 
     def publish(self) -> None:
         """Writes a configuration with the keys in force."""
         self._config_version += 3
         config = direct_documents.configuration(
-            self._fleet.origin_address, self._config_version, self.keys
+            self._fleet.origin_address,
+            self._config_version,
+            self.keys,
+            self._fleet.constraints,
         )
         self._fleet.store.put("op/config", config)
 
@@ -91,7 +103,13 @@
         holds = self._proxy_holds
         holds[fault.target] = holds.get(fault.target, 0) + 1
         proxy.set_fault(fault.network, PROXY_DELAY_MS)
+        from_ms = self._now_ms()
         await asyncio.sleep(fault.for_ms / _MS)
+        self.network_faults.append(
+            promises.NetworkFault(
+                target=fault.target, from_ms=from_ms, until_ms=self._now_ms()
+            )
+        )
         holds[fault.target] -= 1
         if not holds[fault.target]:
             proxy.set_fault(fault_proxy.Fault.NONE)
@@ -220,6 +238,39 @@
             self.publish()
             self.revoked[key] = self._now_ms()
 
+    async def _evacuate(self, fault: schedule.Fault) -> None:
+        self._start_evacuation(fault.target)
+        await asyncio.sleep(fault.for_ms / _MS)
+        self._end_evacuation(fault.target)
+
+    async def _evacuate_again(self, fault: schedule.Fault) -> None:
+        """Evacuates, ends it and evacuates again within a second."""
+        self._start_evacuation(fault.target)
+        await asyncio.sleep(AGAIN_PAUSE_S)
+        self._end_evacuation(fault.target)
+        await asyncio.sleep(AGAIN_PAUSE_S)
+        await self._evacuate(fault)
+
+    def _start_evacuation(self, data_centre: str) -> None:
+        holds = self._evacuation_holds
+        if not holds.get(data_centre):
+            self._evacuated_ms[data_centre] = self._now_ms()
+        holds[data_centre] = holds.get(data_centre, 0) + 1
+        self._fleet.store.evacuate(data_centre)
+
+    def _end_evacuation(self, data_centre: str) -> None:
+        self._evacuation_holds[data_centre] -= 1
+        if self._evacuation_holds[data_centre]:
+            return
+        self.evacuations.append(
+            promises.Evacuation(
+                data_centre=data_centre,
+                from_ms=self._evacuated_ms[data_centre],
+                until_ms=self._now_ms(),
+            )
+        )
+        self._fleet.store.end_evacuation(data_centre)
+
     async def _name_weights(self, fault: schedule.Fault) -> None:
         del fault
         self._weights += 1
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -161,7 +161,7 @@
         self.turning_away = turning_away.TurningAway(replica_id)
         self.arrivals: list[Arrival] = []
         self.data_centre = data_centre
-        self.cold = cold_start.ColdStart(cold_start_s)
+        self.cold = cold_start.ColdStarts(cold_start_s)
         self._state = "healthy"
         self._store = store
         self._running = 0
@@ -214,7 +214,7 @@
         self._orders = 0
         self._busy = False
         self.turning_away.started_anew()
-        self.cold.begin()
+        self.cold.begin(self.replica_id)
         # Later than any start before, also within one millisecond.
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
@@ -432,7 +432,7 @@
         self.turning_away = turning_away.TurningAway(replica_id)
         self.arrivals: list[Arrival] = []
         self.data_centre = data_centre
-        self.cold = cold_start.ColdStart(cold_start_s)
+        self.cold = cold_start.ColdStarts(cold_start_s)
         self._state = "healthy"
         self._born_ms = _unix_ms()
         self._store = store
@@ -470,7 +470,7 @@
 
     def _start_anew(self) -> None:
         self.turning_away.started_anew()
-        self.cold.begin()
+        self.cold.begin(self.replica_id)
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -47,6 +47,105 @@
 )
 
 
+def arrival(**fields: Any) -> promises.Arrival:
+    """Returns the arrival of the first call in an allowed region."""
+    given: dict[str, Any] = {
+        "at_ms": 150.0,
+        "request_id": "a-1",
+        "replica_id": "d-0",
+        "data_centre": "dc-1",
+        "proxy": "desk-0",
+        "misdirected": False,
+    }
+    return promises.Arrival(**{**given, **fields})
+
+
+EVACUATION = promises.Evacuation(
+    data_centre="dc-1", from_ms=1_000.0, until_ms=9_000.0
+)
+COLD_START = promises.ColdStart(
+    replica_id="d-0", from_ms=100.0, until_ms=4_100.0
+)
+PLACEMENT = promises.Placement(
+    regions={"dc-1": "north", "dc-2": "south"},
+    route_regions={ORDER: frozenset({"north"})},
+    key_regions={"bound": frozenset({"south"})},
+    cold_per_s=3.0,
+    arrivals=[arrival()],
+    evacuations=[EVACUATION],
+    cold_starts=[COLD_START],
+    network_faults=[],
+)
+CALLS = [
+    call(ORDER),
+    call(STREAM, request_id="a-2", key="bound"),
+    call(ORDER, request_id="a-3", key="bound", body=b"a-3"),
+]
+
+
+def broken(**changes: Any) -> set[str]:
+    """Returns the placement promises that a run with changes breaks."""
+    placement = msgspec.structs.replace(PLACEMENT, **changes)
+    seen = msgspec.structs.replace(GOOD, calls=CALLS, placement=placement)
+    return {violation.promise for violation in promises.check(seen)}
+
+
+def spread(count: int, from_ms: float) -> list[promises.Arrival]:
+    """Returns arrivals within a second."""
+    return [arrival(at_ms=from_ms + 990.0 * n / count) for n in range(count)]
+
+
+@pytest.mark.parametrize(
+    "arrivals",
+    [
+        [arrival(at_ms=EVACUATION.from_ms + 4_999.0)],
+        [arrival(at_ms=EVACUATION.until_ms)],
+        [arrival(at_ms=EVACUATION.from_ms + 5_001.0, misdirected=True)],
+        [arrival(request_id="a-2", data_centre="dc-2")],
+        spread(9, COLD_START.from_ms),
+        spread(10, COLD_START.until_ms),
+        spread(10, EVACUATION.until_ms + 1_200.0),
+        [arrival(misdirected=True), *spread(9, COLD_START.from_ms)],
+    ],
+)
+def test_kept_placement_is_not_reported(
+    arrivals: list[promises.Arrival],
+) -> None:
+    """Guards against reports of what the bounds allow."""
+    assert broken(arrivals=arrivals) == set()
+
+
+@pytest.mark.parametrize(
+    ("promise", "arrivals"),
+    [
+        ("evacuations", [arrival(at_ms=EVACUATION.from_ms + 5_001.0)]),
+        ("evacuations", [arrival(at_ms=EVACUATION.until_ms - 1.0)]),
+        ("regions", [arrival(data_centre="dc-2")]),
+        ("regions", [arrival(data_centre="dc-2", misdirected=True)]),
+        ("regions", [arrival(request_id="a-2")]),
+        ("regions", [arrival(request_id="a-3")]),
+        ("regions", [arrival(request_id="a-3", data_centre="dc-2")]),
+        ("cold_replicas", spread(10, COLD_START.from_ms)),
+        ("cold_replicas", spread(10, EVACUATION.until_ms)),
+    ],
+)
+def test_broken_placement_is_reported(
+    promise: str, arrivals: list[promises.Arrival]
+) -> None:
+    """Guards against a check that overlooks what it is there for."""
+    assert broken(arrivals=arrivals) == {promise}
+
+
+def test_requests_that_the_network_held_back_break_no_bound() -> None:
+    """Guards against faults of the network that are taken for late sends."""
+    late = arrival(at_ms=EVACUATION.from_ms + 5_001.0)
+    for target, found in (("desk-0", set()), ("desk-1", {"evacuations"})):
+        fault = promises.NetworkFault(
+            target=target, from_ms=500.0, until_ms=4_000.0
+        )
+        assert broken(arrivals=[late], network_faults=[fault]) == found
+
+
 def stopped(exit_code: int | None, ran_ms: float) -> list[promises.Stop]:
     return [
         promises.Stop(
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -19,6 +19,7 @@
 CULPRIT_SEED = 3
 LIMITED_SEED = 3
 TURNING_AWAY_SEED = 3
+PLACEMENT_SEED = 1
 
 
 def seeds() -> list[tuple[int, run.Culprit]]:
@@ -71,3 +72,12 @@
         run.play(tmp_path, LIMITED_SEED, schedule.Size(), limited=True)
     )
     assert result.violations == []
+
+
+def test_seed_keeps_all_promises_with_placement_constraints(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(tmp_path, PLACEMENT_SEED, schedule.Size(), placement=True)
+    )
+    assert result.violations == []
