Test evacuations and narrowed regions with real processes

Nothing brought a failure about while a data centre is evacuated or regions are narrowed.

Entries prefer replicas nearby, so that an entry that has not heard of an evacuation seldom sends there.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -61,6 +61,7 @@
       fault: what it does now.
       delay_ms: how long each part waits while the fault is `DELAY`.
       bytes_per_s: rate each way of a connection while it is `NARROW`.
+      called_s: when a client last sent bytes, a time of the event loop.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         self.fault = Fault.NONE
         self.delay_ms = 0.0
         self.bytes_per_s = float("inf")
+        self.called_s = float("-inf")
 
     @property
     def address(self) -> str:
@@ -143,6 +145,8 @@
     ) -> None:
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(_PART_BYTES):
+                if stopped_by is _STOPS_TO_SERVER:
+                    self.called_s = asyncio.get_running_loop().time()
                 await self._hold(stopped_by)
                 if self.fault is Fault.NARROW:
                     await asyncio.sleep(len(data) / self.bytes_per_s)
--- a/tests/failures/direct_runs.py
+++ b/tests/failures/direct_runs.py
@@ -5,9 +5,11 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import pathlib
 from typing import TypeAlias
 
+from standins import direct_documents
 from standins import direct_fleet
 
 TIMEOUT_S = 90.0
@@ -24,6 +26,8 @@
     *,
     group: int,
     proxied: bool = False,
+    regions: Mapping[str, str] = direct_documents.REGIONS,
+    constraints: direct_documents.Constraints | None = None,
 ) -> RunFleet:
     """Returns a function that runs a test with a fleet of its own.
 
@@ -34,6 +38,8 @@
       desks: replicas of the plain service.
       group: number of the fleet's addresses.
       proxied: whether connections go through proxies that can fail them.
+      regions: region of each data centre.
+      constraints: where requests may run, None for everywhere.
     """
 
     def run(use: Use) -> None:
@@ -45,6 +51,8 @@
                 group=group,
                 desks=desks,
                 proxied=proxied,
+                regions=regions,
+                constraints=constraints,
             )
             async with asyncio.timeout(TIMEOUT_S), fleet:
                 await use(fleet)
