Count a replica as cold when its record names a later start

docs/design/placement-constraints.md: a replica counts as cold for cold_start_s and one heartbeat after a later `born`, until a record that is a heartbeat younger reports 0. ReplicaTable.sync replaced the view of such a replica and its cold state with it, as if it was seen for the first time: a first record that still reports 0 left it without any limit, and what the entry had sent just before no longer counted against its share. Restarts seen in an agent's report kept both.

sync keeps the cold state over the restart and suspects the replica.

tests/core/test_cold_restarts.py: 3 of 3 failed before (cold for 0 ms where 5,200 are wanted), pass now; with test_replica_restarts.py and test_replica_limits.py 20 passed.

--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replica_table.py
@@ -107,16 +107,22 @@
             self._remove(replica_id)
         for replica_id, replica in listed.items():
             view = self._views.get(replica_id)
+            cold: cold_replica.ColdReplica | None = None
             if view is not None and replica_view.is_newer_start(
                 replica.born_ms, view.born_ms
             ):
                 removed.append(replica_id)
+                # The share of the entry counts over both starts.
+                cold = view.cold
                 view = None
+            is_new_record = view is None or replica is not view.replica
             if view is None:
                 view = self._new_view(replica)
+                view.cold = cold
+                view.suspect_cold(now_ms)
                 self._restore_availability(view)
                 self._apply_held_report(view, now_ms)
-            is_new_record = view.cold is None or replica is not view.replica
+            is_new_record = is_new_record or view.cold is None
             view.replica = replica
             view.born_ms = view.born_ms or replica.born_ms
             self._apply_cold_start(view, services.get(replica.service_id))
