Soak: restart engines cold under the id that they had, too

Restarts of the soak gave an engine a new id each time, so that no run had a later `born` under a known id. With placement constraints every other restart keeps the id. Without them restarts are as before.

--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -213,7 +213,11 @@
         proxy.set_fault(fault_proxy.Fault.RESET)
         await asyncio.sleep(fault.for_ms / _MS)
         self._engine_starts += 1
-        engine.restart(f"i-again-{self._engine_starts}")
+        replica_id = f"i-again-{self._engine_starts}"
+        if self._fleet.constraints is not None and self._engine_starts % 2:
+            # A later start under the same id makes a replica cold, too.
+            replica_id = engine.replica_id
+        engine.restart(replica_id)
         proxy.set_fault(fault_proxy.Fault.NONE)
 
     async def _drain_engine(self, fault: schedule.Fault) -> None:
