Send evacuations beside the other changes of the catalog

A process of an earlier release can't decode a change of an unknown kind and dropped the whole message, so that configurations would have reached it late during a rolling upgrade: each full read of the store yields states of evacuations. They are a field of their own now, which it ignores. The new test decodes such a message as the earlier release does.

--- a/src/marlramp/direct/fleet/catalog_codec.py
+++ b/src/marlramp/direct/fleet/catalog_codec.py
@@ -9,10 +9,7 @@
 from marlramp.core import catalog
 
 _Changes = list[
-    catalog.ConfigChange
-    | catalog.TargetChange
-    | catalog.ReplicaChange
-    | catalog.EvacuationChange
+    catalog.ConfigChange | catalog.TargetChange | catalog.ReplicaChange
 ]
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Changes)
@@ -22,11 +19,27 @@
 
 
 def pack(changes: list[catalog.Change]) -> bytes:
-    """Returns changes encoded and compressed.
+    """Returns changes encoded and compressed, without those of evacuations.
 
     Compression reduces a configuration to a sixth of its size.
     """
-    return zlib.compress(_encoder.encode(changes))
+    packed = [
+        change
+        for change in changes
+        if not isinstance(change, catalog.EvacuationChange)
+    ]
+    return zlib.compress(_encoder.encode(packed))
+
+
+def evacuations_of(
+    changes: list[catalog.Change],
+) -> list[catalog.EvacuationChange]:
+    """Returns the changes of evacuations, which `pack` omits."""
+    return [
+        change
+        for change in changes
+        if isinstance(change, catalog.EvacuationChange)
+    ]
 
 
 def unpack(data: bytes) -> list[catalog.Change]:
@@ -42,5 +55,5 @@
         raise ValueError(f"changes: {error}") from error
     if unpacker.unconsumed_tail:
         raise ValueError("changes are too large")
-    changes: list[catalog.Change] = _decoder.decode(raw)
+    changes: list[catalog.Change] = [*_decoder.decode(raw)]
     return changes
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -98,7 +98,10 @@
         """
         now_ms = self._clock.now_ms()
         before = self._catalog.revision
-        changes = catalog_codec.unpack(update.changes)
+        changes = [
+            *catalog_codec.unpack(update.changes),
+            *update.evacuations,
+        ]
         receipt = event_time.unsolicited(
             version_ages.PATH_LATENCY_MAX_MS, now_ms
         )
@@ -238,4 +241,5 @@
             after=after,
             revision=self._catalog.revision,
             changes=catalog_codec.pack(changes),
+            evacuations=catalog_codec.evacuations_of(changes),
         )
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -211,6 +211,9 @@
       pass_on: whether the receiver is to tell the entries of its region, so
         that a change crosses to a region once or twice, not once an entry.
       told_near: whether the sender tells all entries of its region.
+      evacuations: the changes of evacuations. They are not among `changes`, so
+        that a process of an earlier release, which ignores this field, can
+        decode the other changes during a rolling upgrade.
     """
 
     after: int
@@ -218,6 +221,7 @@
     changes: bytes
     pass_on: bool = False
     told_near: bool = False
+    evacuations: list[catalog.EvacuationChange] = []
 
 
 class CatalogRequest(_Message):
--- a/tests/direct/fleet/test_catalog_sync.py
+++ b/tests/direct/fleet/test_catalog_sync.py
@@ -12,6 +12,7 @@
 from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import members
+from marlramp.direct.fleet import catalog_codec
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
@@ -124,3 +125,27 @@
     assert peer.seen == [END]
     peer.catalog_sync.publish(0, [START])
     assert reader.known.evacuated == set()
+
+
+def test_release_without_evacuations_decodes_the_other_changes() -> None:
+    """Guards against a rolling upgrade in which configurations are dropped."""
+
+    class EarlierNews(msgspec.Struct, array_like=True, tag="CatalogNews"):
+        after: int
+        revision: int
+        changes: bytes
+        pass_on: bool = False
+        told_near: bool = False
+
+    replica = catalog.ReplicaChange(4, "i-1", None)
+    changes = [replica, catalog.EvacuationChange(5, DC, active=True)]
+    news = fleet_messages.CatalogNews(
+        after=3,
+        revision=5,
+        changes=catalog_codec.pack(changes),
+        evacuations=catalog_codec.evacuations_of(changes),
+    )
+    earlier = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(news), type=EarlierNews
+    )
+    assert catalog_codec.unpack(earlier.changes) == [replica]
--- a/tests/direct/fleet/test_evacuations.py
+++ b/tests/direct/fleet/test_evacuations.py
@@ -50,7 +50,8 @@
     return fleet_messages.CatalogNews(
         after=revision - 1,
         revision=revision,
-        changes=catalog_codec.pack([change]),
+        changes=catalog_codec.pack([]),
+        evacuations=[change],
     )
 
 
