--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -19,6 +19,7 @@
 from marlramp.core import caller_wait_estimate
 from marlramp.core import catalog
 from marlramp.core import cells
+from marlramp.core import cold_shares
 from marlramp.core import fleet
 from marlramp.core import members
 from marlramp.core import peer_loads
@@ -69,6 +70,9 @@
 REPORT_NEAR_MS = 200.0
 REPORT_FAR_MS = 500.0
 REPORT_LAG_MS = 200.0
+COLD_MS = 3_000.0
+"""Time for which an engine is cold after an evacuation."""
+
 EXCHANGE_MS = 20.0
 _MS = clock.MILLIS_PER_SECOND
 
@@ -88,11 +92,16 @@
     """An entry's knowledge of the engines."""
 
     def __init__(
-        self, name: str, region: int, known: catalog.Catalog, now_ms: float
+        self,
+        name: str,
+        region: int,
+        known: catalog.Catalog,
+        shares: cold_shares.ColdShares | None,
+        now_ms: float,
     ) -> None:
         self.name = name
         self.region = region
-        self.table = replica_table.ReplicaTable()
+        self.table = replica_table.ReplicaTable(shares)
         self.table.sync(known, clock.Millis(now_ms))
         self.loads = peer_loads.PeerLoads(self.table)
         self.news = peer_loads.LoadUpdates(self.table)
@@ -110,6 +119,7 @@
     Attributes:
       seconds: what became of the callers of each second.
       load_messages: how often entries told their cell of loads.
+      cold_arrivals: when requests arrived at each engine while it was cold.
     """
 
     def __init__(self, plan: overload_plan.Plan) -> None:
@@ -125,9 +135,18 @@
         self._passing: set[str] = set()
         known = self._catalog()
         self._entries = [
-            _Entry(f"entry-{n}", n % plan.regions, known, 0.0)
+            _Entry(
+                f"entry-{n}",
+                n % plan.regions,
+                known,
+                self._shares(f"entry-{n}"),
+                0.0,
+            )
             for n in range(plan.entries)
         ]
+        self._placement = replica_filters.ANYWHERE
+        self._cold_until_ms = float("-inf")
+        self.cold_arrivals: dict[str, list[float]] = {}
         self._cells = cells.Cells(
             [
                 members.Member(
@@ -167,6 +186,11 @@
             start_ms = 0.25 * self._plan.seconds * _MS
             self._at(start_ms, self._lose_engines)
             self._at(start_ms + self._plan.outage_s * _MS, self._open_engines)
+        if self._plan.evacuation_s:
+            start_ms = 0.25 * self._plan.seconds * _MS
+            end_ms = start_ms + self._plan.evacuation_s * _MS
+            self._at(start_ms, self._start_evacuation)
+            self._at(end_ms, self._end_evacuation)
         end_ms = len(self.seconds) * _MS + TIMEOUT_MS
         while self._events and self._events[0][0] < end_ms:
             at_ms, _, action = heapq.heappop(self._events)
@@ -176,7 +200,9 @@
 
     def _catalog(self) -> catalog.Catalog:
         known = catalog.Catalog()
-        changes: list[catalog.Change] = []
+        changes: list[catalog.Change] = [
+            catalog.ConfigChange(1, _config(self._plan))
+        ]
         for number, name in enumerate(self._engines):
             replica = fleet.Replica(
                 replica_id=name,
@@ -189,7 +215,7 @@
                 state=fleet.ReplicaState.HEALTHY,
                 weights=1,
             )
-            changes.append(catalog.ReplicaChange(number + 1, name, replica))
+            changes.append(catalog.ReplicaChange(number + 2, name, replica))
         known.apply(changes, clock.Millis(0.0))
         return known
 
@@ -219,6 +245,7 @@
             events=float(caller.events),
             oldest_weights=1,
             failed=(),
+            placement=self._placement,
         )
         request = admission.Request(
             wanted=wanted,
@@ -254,6 +281,7 @@
     ) -> None:
         name = choice.view.replica.replica_id
         engine = self._engines[name]
+        choice.view.record_written(self._time.now_ms())
         observer = replica_observer.ReplicaObserver(
             choice,
             caller.prompt_tokens,
@@ -310,6 +338,10 @@
             )
             self._come_back(caller, admission.RETRY_AFTER_MIN_MS)
             return
+        number = int(name.partition("-")[2])
+        is_cold = self._time.now_ms() < self._cold_until_ms
+        if is_cold and number % self._plan.regions == 0:
+            self.cold_arrivals.setdefault(name, []).append(self._time.now_ms())
         engine.add(job)
         self._start_pass(name)
 
@@ -338,6 +370,30 @@
         for engine in self._engines.values():
             engine.open = True
 
+    # Evacuation of the first data centre.
+
+    def _shares(self, own: str) -> cold_shares.ColdShares | None:
+        if not self._plan.limits_cold:
+            return None
+        names = [f"entry-{n}" for n in range(self._plan.entries)]
+        return cold_shares.ColdShares(
+            own, lambda: names, lambda: 0, lambda: len(names) > 1, self._time
+        )
+
+    def _start_evacuation(self) -> None:
+        regions = {
+            _data_centre(n): f"region-{n}" for n in range(self._plan.regions)
+        }
+        evacuated = frozenset({ids.DataCentreId(_data_centre(0))})
+        self._placement = replica_filters.Placement(regions, None, evacuated)
+
+    def _end_evacuation(self) -> None:
+        now_ms = self._time.now_ms()
+        self._placement = replica_filters.ANYWHERE
+        self._cold_until_ms = now_ms + COLD_MS
+        for entry in self._entries:
+            entry.table.suspect_cold(ids.DataCentreId(_data_centre(0)), now_ms)
+
     # What entries hear.
 
     def _report(self, name: str) -> None:
@@ -378,6 +434,34 @@
         self._in(EXCHANGE_MS, lambda: self._exchange(entry))
 
 
+def _config(plan: overload_plan.Plan) -> fleet.FleetConfig:
+    service = fleet.Service(
+        service_id=ids.ServiceId("s"),
+        connections_max=64,
+        engine=SPEC,
+        cold_start_ms=COLD_MS,
+        cold_per_s=plan.cold_per_s,
+    )
+    return fleet.FleetConfig(
+        version=1,
+        routes=[],
+        services=[service],
+        customers=None,
+        limits=fleet.CallerLimits(),
+    )
+
+
+def most_in_a_second(arrivals_ms: list[float]) -> int:
+    """Returns the most arrivals within any one second."""
+    return max(
+        (
+            sum(start_ms <= each < start_ms + _MS for each in arrivals_ms)
+            for start_ms in arrivals_ms
+        ),
+        default=0,
+    )
+
+
 def _answer(engine: overload_engine.Engine) -> wire.ReplicaAnswer:
     return wire.ReplicaAnswer(
         status=200 if engine.open else errors.MISDIRECTED,
--- a/src/marlramp/experiments/overload_plan.py
+++ b/src/marlramp/experiments/overload_plan.py
@@ -25,6 +25,10 @@
       load: arrivals as a multiple of what the engines serve.
       seconds: how long callers arrive.
       outage_s: how long no engine serves, from a quarter of the time on.
+      evacuation_s: how long the engines of the first region are evacuated, from
+        a quarter of the time on; they are cold when it ends.
+      cold_per_s: requests per second that a cold engine tolerates.
+      limits_cold: whether entries limit what they send to cold engines.
       seed: seed of all that is random.
     """
 
@@ -35,6 +39,9 @@
     load: float = 1.15
     seconds: float = 20.0
     outage_s: float = 0.0
+    evacuation_s: float = 0.0
+    cold_per_s: float = 17.0
+    limits_cold: bool = True
     seed: int = 1
 
 
@@ -49,8 +56,11 @@
             raise ValueError(f"{name} must be more than 0")
     if plan.seconds < 1.0:
         raise ValueError("seconds must be 1 or more")
-    if not 0.0 <= plan.outage_s < plan.seconds:
-        raise ValueError("outage_s must be 0 or more and less than seconds")
+    for name in ("outage_s", "evacuation_s"):
+        if not 0.0 <= getattr(plan, name) < plan.seconds:
+            raise ValueError(f"{name} must be 0 or more and less than seconds")
+    if plan.cold_per_s <= 0.0:
+        raise ValueError("cold_per_s must be more than 0")
 
 
 class Second(msgspec.Struct):
--- a/tests/experiments/test_overload.py
+++ b/tests/experiments/test_overload.py
@@ -74,3 +74,54 @@
 ) -> None:
     with pytest.raises(ValueError, match=name):
         overload_plan.check(overload_plan.Plan(**changes))  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_evacuation_during_a_burst_keeps_the_other_engines_in_time(
+    seed: int,
+) -> None:
+    # The third of the engines that is evacuated from 4 s on is missing at once.
+    seconds = played(
+        engines=21,
+        entries=42,
+        load=1.2,
+        seconds=16.0,
+        evacuation_s=8.0,
+        seed=seed,
+    )
+    assert served_in_time(seconds[6:12], engines=14) > 0.4
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_cold_data_centre_that_returns_under_load_gets_no_herd(
+    seed: int,
+) -> None:
+    # Every entry takes the idle engines that return at 8 s for the best ones.
+    plan = overload_plan.Plan(
+        engines=21,
+        entries=42,
+        load=0.9,
+        seconds=16.0,
+        evacuation_s=4.0,
+        seed=seed,
+    )
+    replay = overload.Replay(plan)
+    seconds = replay.run()
+    most = max(map(overload.most_in_a_second, replay.cold_arrivals.values()))
+    assert most < 1.5 * plan.cold_per_s + 5
+    after = overload_plan.total(seconds[10:14])
+    assert after.in_time > 0.8 * after.arrived
+
+
+def test_limited_sends_to_cold_engines_leave_more_callers_in_time() -> None:
+    # Without the limits the idle engines get more than they begin in time.
+    size = {
+        "engines": 21,
+        "entries": 42,
+        "load": 0.9,
+        "seconds": 12.0,
+        "evacuation_s": 3.0,
+    }
+    shipped = overload_plan.total(played(**size)[6:8])
+    unlimited = overload_plan.total(played(**size, limits_cold=False)[6:8])
+    assert shipped.in_time > 1.1 * unlimited.in_time
