Hold requests after a suspension until the entry knows recent changes

Cause: after SIGCONT the event loop reads the callers' sockets, where requests waited for seconds, before the links on which the other entries sent the evacuation; each of these requests was placed on the old catalog.

An entry that has not run for 1 s or more now queries three random entries with each tick and neither chooses a replica nor writes a request until one of them has answered, 500 ms at most. Answers carry the number of the query, since a change that was sent before the suspension proves nothing; an entry that holds requests itself does not confirm. An entry that is cut off serves on what it knows after 500 ms, as before. Only deployments with evacuate_ms hold anything. Earlier releases ignore the new fields and answer without a number, so the hold ends after 500 ms beside them.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -62,6 +62,10 @@
         """Returns whether this entry refuses new requests."""
         ...
 
+    def holds_requests(self) -> bool:
+        """Returns whether requests wait until missed changes have arrived."""
+        ...
+
 
 class Latencies(Protocol):
     """Histograms of the latencies that callers see."""
@@ -113,7 +117,13 @@
         self._latencies = latencies
         self._clock = time
         self._selector = selection.Selector(
-            known, table, settings, limits, lambda: state.routes, time
+            known,
+            table,
+            settings,
+            limits,
+            lambda: state.routes,
+            state.holds_requests,
+            time,
         )
         self._signals = replica_signals.ReplicaSignals(
             settings.bounds.drain_ms, totals, time, random.Random()
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -78,6 +78,7 @@
         settings: node.NodeSettings,
         limits: rate_limits.RateLimits,
         routes: Callable[[], route_table.RouteTable | None],
+        holds_requests: Callable[[], bool],
         time: clock.Clock,
     ) -> None:
         """Creates a selector.
@@ -88,12 +89,15 @@
           settings: settings of the entry.
           limits: rate limits of replicas.
           routes: returns the routes in force.
+          holds_requests: returns whether requests wait because this entry may
+            lack changes that were made while it was suspended.
           time: the clock.
         """
         self._limits = limits
         self._catalog = known
         self._table = table
         self._routes = routes
+        self._holds_requests = holds_requests
         self._regions = settings.regions
         self._clock = time
         self._started_ms = time.now_ms()
@@ -120,6 +124,8 @@
         Raises:
           CallError: if no replica can accept the request in time.
         """
+        while self._holds_requests():
+            await asyncio.sleep(CHOICE_POLL_MS / _MS)
         give_up_ms = self._give_up_ms(call)
         while True:
             now_ms = self._clock.now_ms()
@@ -249,8 +255,11 @@
         """Returns whether a call may be written to the selected replica now.
 
         Checks what may have changed since the choice: allowed regions,
-        evacuations, and the share of this entry in a cold replica.
+        evacuations, the share of this entry in a cold replica, and whether this
+        entry was suspended.
         """
+        if self._holds_requests():
+            return False
         data_centre = view.replica.data_centre
         if self._placement(call).exclusion(data_centre) is not None:
             return False
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -317,6 +317,10 @@
             and self._clock.now_ms() - self._leaving_since_ms > LEAVE_ACCEPT_MS
         )
 
+    def holds_requests(self) -> bool:
+        """Returns whether requests wait until missed changes have arrived."""
+        return self._fleet.holds_requests()
+
     @property
     def closing(self) -> bool:
         """Whether each connection is closed after its current answer."""
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import random
 
 import msgspec
 
@@ -16,6 +17,7 @@
 from marlramp.core import event_time
 from marlramp.core import members
 from marlramp.core import rendezvous
+from marlramp.core import resume_guard
 from marlramp.direct.fleet import catalog_codec
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import member_sync
@@ -35,6 +37,10 @@
 change to, and that forward it to the other entries there. The two readers
 choose different ones."""
 
+QUERIED_ENTRIES = 3
+"""Number of random entries that this entry queries after it was suspended, so
+that one that is gone or was suspended as well delays the answer little."""
+
 
 class CatalogSync:
     """Distributes catalog changes between this entry and the others."""
@@ -46,6 +52,8 @@
         on_changed: Callable[[list[catalog.Change]], None],
         time: clock.Clock,
         on_version_announced: Callable[[str], None] = lambda _: None,
+        evacuate_ms: float = 0.0,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates a synchroniser that applies received changes to `known`.
 
@@ -56,12 +64,17 @@
           time: the clock.
           on_version_announced: called with the name of an entry that sent a
             change of target weights.
+          evacuate_ms: time within which an evacuation is in force, 0 if the
+            deployment has no evacuations.
+          rng: picks the entries to query.
         """
         self._catalog = known
         self._sync = sync
         self._on_changed = on_changed
         self._on_version_announced = on_version_announced
         self._clock = time
+        self._guard = resume_guard.ResumeGuard(evacuate_ms, time)
+        self._rng = rng or random.Random()
         self._requested_ms = float("-inf")
         self._store_down = False
         self._near_sent_revision = 0
@@ -108,6 +121,7 @@
         new = self._catalog.apply(changes, now_ms, receipt)
         if update.after <= before:
             self._catalog.advance(update.revision)
+            self._record_answer(name, update.query)
         else:
             self._request_changes(name)
         if new:
@@ -145,10 +159,57 @@
         sent = msgspec.structs.replace(update, told_near=True)
         self._sync.send_all(self._near_entries(), sent)
 
-    def send_changes(self, name: str, after: int) -> None:
-        """Sends an entry the changes after a revision."""
+    def send_changes(self, name: str, after: int, query: int = 0) -> None:
+        """Sends an entry the changes after a revision.
+
+        Args:
+          name: the entry.
+          after: the revision.
+          query: number of the entry's query. It is not repeated while this
+            entry may itself lack changes that were made while it was
+            suspended.
+        """
         changes = self._catalog.changes_after(after, self._clock.now_ms())
-        self._sync.send(name, self._make_update(after, changes))
+        update = self._make_update(after, changes)
+        if not self._guard.holds:
+            update.query = query
+        self._sync.send(name, update)
+
+    def configure(self, evacuate_ms: float) -> None:
+        """Applies a changed time within which an evacuation is in force."""
+        self._guard.configure(evacuate_ms)
+
+    def holds_requests(self) -> bool:
+        """Returns whether requests wait until changes have arrived.
+
+        They do after this process was suspended; see `core.resume_guard`.
+        """
+        if self._guard.observe():
+            logs.log("entry_resumed", revision=self._catalog.revision)
+        return self._guard.holds
+
+    def tick(self) -> None:
+        """Queries other entries for changes after a suspension."""
+        if not self.holds_requests():
+            return
+        query = self._guard.next_query()
+        if query is None:
+            return
+        request = fleet_messages.CatalogRequest(
+            after=self._catalog.revision, query=query
+        )
+        alive = self._sync.alive(members.MemberKind.ENTRY)
+        count = min(QUERIED_ENTRIES, len(alive))
+        queried = self._rng.sample(alive, count)
+        self._sync.send_all([entry.vm_id for entry in queried], request)
+
+    def _record_answer(self, name: str, query: int) -> None:
+        if query and self._guard.record_answer(query):
+            logs.log(
+                "resumed_entry_is_current",
+                revision=self._catalog.revision,
+                source=name,
+            )
 
     def record_store_state(
         self, bound_ms: float, silent_ms: float | None
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -123,6 +123,8 @@
             self._changed,
             time,
             self._ages.on_version_announced,
+            settings.bounds.evacuate_ms,
+            self._rng,
         )
         self._placed = placement.Placement(settings.regions, self.sync, time)
         self._crash_sync = crash_sync.CrashSync(
@@ -183,6 +185,7 @@
     def set_settings(self, settings: node.NodeSettings) -> None:
         """Applies changed bounds and seeds."""
         self._version_bound_ms = settings.bounds.version_ms
+        self._catalog_sync.configure(settings.bounds.evacuate_ms)
         self.sync.set_seeds(settings.seeds)
 
     async def exchange_loads(self) -> None:
@@ -207,6 +210,10 @@
         record = self.sync.roster.get(vm_id)
         return record is not None and self.sync.is_near(record.update.member)
 
+    def holds_requests(self) -> bool:
+        """Returns whether requests wait until missed changes have arrived."""
+        return self._catalog_sync.holds_requests()
+
     def ready_entries(self) -> list[members.Member]:
         """Returns the other entries that accept callers."""
         return self.sync.entries_in_state(members.MemberState.READY)
@@ -344,7 +351,9 @@
             case fleet_messages.CatalogNews():
                 self._catalog_sync.on_updates(name, message)
             case fleet_messages.CatalogRequest():
-                self._catalog_sync.send_changes(name, message.after)
+                self._catalog_sync.send_changes(
+                    name, message.after, message.query
+                )
             case fleet_messages.VersionAgesRequest():
                 self._answer_ages(name, message)
             case fleet_messages.VersionAges():
@@ -431,6 +440,7 @@
 
     def tick(self) -> None:
         """Does all periodic work that is due."""
+        self._catalog_sync.tick()
         self.sync.tick()
         self._record_store_state()
         self._query_while_store_silent()
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -214,6 +214,7 @@
       evacuations: the changes of evacuations. They are not among `changes`, so
         that a process of an earlier release, which ignores this field, can
         decode the other changes during a rolling upgrade.
+      query: number of the query that this answers, 0 if it answers none.
     """
 
     after: int
@@ -222,12 +223,20 @@
     pass_on: bool = False
     told_near: bool = False
     evacuations: list[catalog.EvacuationChange] = []
+    query: int = 0
 
 
 class CatalogRequest(_Message):
-    """Asks for the changes after a revision."""
+    """Asks for the changes after a revision.
+
+    Attributes:
+      after: the revision.
+      query: number that the answer repeats, 0 if it need not. A process of an
+        earlier release answers without it.
+    """
 
     after: int
+    query: int = 0
 
 
 class VersionAgesRequest(_Message):
--- a/tests/direct/calls/test_placement.py
+++ b/tests/direct/calls/test_placement.py
@@ -339,3 +339,33 @@
         assert replica.seen == []
 
     run_entry(use, replica.serve)
+
+
+@pytest.mark.parametrize("is_chosen", [False, True])
+def test_request_waits_while_a_resumed_entry_learns_of_an_evacuation(
+    is_chosen: bool, run_entry: RunEntry
+) -> None:
+    """Guards against a send on what was known before a suspension."""
+    elsewhere, here = Replica(), Replica()
+
+    async def use(entry: conftest.Entry) -> None:
+        place(entry, "dc-3", "dc-1")
+        pool = entry.forwarder._sender._pool(entry.table.get("i-0").replica)
+        if is_chosen:
+            opening = pool.open
+
+            async def resume_while_opening() -> http1_client.ReplicaConnection:
+                entry.holding = True
+                return await opening()
+
+            pool.open = resume_while_opening
+        entry.holding = not is_chosen
+        call = asyncio.create_task(entry.call("/safe/x"))
+        await asyncio.sleep(0.1)
+        assert not call.done()
+        evacuate_south(entry)
+        entry.holding = False
+        assert test_forwarder.status_of(await call) == 200
+        assert (len(elsewhere.seen), len(here.seen)) == (0, 1)
+
+    run_entry(use, elsewhere.serve, here.serve)
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -204,6 +204,7 @@
     def __init__(self, addresses: list[str]) -> None:
         """Creates an entry that knows one replica at each address."""
         self.leaving = False
+        self.holding = False
         self.routes: route_table.RouteTable | None = route_table.RouteTable(
             CONFIG
         )
@@ -266,6 +267,10 @@
         """Returns whether new requests are refused."""
         return self.leaving
 
+    def holds_requests(self) -> bool:
+        """Returns whether requests wait for missed changes."""
+        return self.holding
+
     def limits(self) -> fleet.CallerLimits:
         """Returns the limits on callers in force."""
         return CONFIG.limits
--- a/tests/direct/fleet/test_catalog_sync.py
+++ b/tests/direct/fleet/test_catalog_sync.py
@@ -12,19 +12,22 @@
 from marlramp import ids
 from marlramp.core import catalog
 from marlramp.core import members
+from marlramp.core import resume_guard
 from marlramp.direct.fleet import catalog_codec
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 
 DC = ids.DataCentreId("dc-1")
+EVACUATE_MS = 5_000.0
 
 
 class Entry:
     """An entry of one region whose messages reach the other one, or none."""
 
-    def __init__(self, name: str, time: clock.Clock) -> None:
+    def __init__(self, name: str, time: clock.ManualClock) -> None:
         self.name = name
+        self.time = time
         self.other: Entry | None = None
         self.known = catalog.Catalog([DC])
         self.seen: list[catalog.Change] = []
@@ -36,6 +39,7 @@
             cast("member_sync.MemberSync", self),
             self.seen.extend,
             time,
+            evacuate_ms=EVACUATE_MS,
         )
 
     def alive(self, kind: members.MemberKind) -> list[members.Member]:
@@ -57,7 +61,9 @@
             case fleet_messages.CatalogNews():
                 self.other.catalog_sync.on_updates(self.name, message)
             case fleet_messages.CatalogRequest():
-                self.other.catalog_sync.send_changes(self.name, message.after)
+                self.other.catalog_sync.send_changes(
+                    self.name, message.after, message.query
+                )
 
     def read(self, snapshot: catalog.Snapshot, time: clock.Clock) -> None:
         """Reads the whole store and publishes what is new."""
@@ -127,6 +133,55 @@
     assert reader.known.evacuated == set()
 
 
+def suspend_across(change: catalog.Change, reader: Entry, peer: Entry) -> None:
+    """Suspends an entry while the other one reads a change."""
+    reader.other = None
+    reader.read(catalog.Snapshot(change.revision, [change]), reader.time)
+    reader.time.advance(resume_guard.SUSPENSION_MIN_MS)
+    reader.catalog_sync.tick()
+    connect(reader, peer)
+
+
+def test_resumed_entry_holds_requests_until_it_knows_the_evacuation(
+    reader: Entry, peer: Entry
+) -> None:
+    """Guards against requests that waited in sockets and are read first."""
+    connect(reader, peer)
+    reader.catalog_sync.holds_requests()
+    suspend_across(START, reader, peer)
+    reader.time.advance(resume_guard.HOLD_MAX_MS)
+    assert peer.catalog_sync.holds_requests()
+    assert peer.known.evacuated == set()
+    peer.catalog_sync.tick()
+    assert peer.known.evacuated == {DC}
+    assert not peer.catalog_sync.holds_requests()
+
+
+def test_changes_sent_before_the_suspension_do_not_end_the_hold(
+    reader: Entry, peer: Entry
+) -> None:
+    """Guards against news that a socket kept during the suspension."""
+    connect(reader, peer)
+    suspend_across(START, reader, peer)
+    reader.time.advance(resume_guard.HOLD_MAX_MS)
+    assert peer.catalog_sync.holds_requests()
+    reader.catalog_sync.publish(0, [START])
+    assert peer.catalog_sync.holds_requests()
+
+
+def test_entry_that_holds_requests_confirms_nothing(
+    reader: Entry, peer: Entry, time: clock.ManualClock
+) -> None:
+    """Guards against two resumed entries that confirm their old catalogs."""
+    connect(reader, peer)
+    time.advance(resume_guard.SUSPENSION_MIN_MS)
+    assert reader.catalog_sync.holds_requests()
+    peer.catalog_sync.tick()
+    assert peer.catalog_sync.holds_requests()
+    time.advance(resume_guard.HOLD_MAX_MS)
+    assert not peer.catalog_sync.holds_requests()
+
+
 def test_release_without_evacuations_decodes_the_other_changes() -> None:
     """Guards against a rolling upgrade in which configurations are dropped."""
 
