Let a process's part of the retry slack grow over its first window

The part now grows evenly from zero over the first window after the start of the process, not of the service's first request. By the time it is worth a retry, the other entries are known; entries that restart again and again spend as slowly as entries that keep running.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -116,6 +116,7 @@
         self._totals = totals
         self._latencies = latencies
         self._clock = time
+        self._started_ms = time.now_ms()
         self._selector = selection.Selector(
             known,
             table,
@@ -240,7 +241,10 @@
         if share is None:
             bounds = self._settings.bounds
             share = retry_share.RetryShare(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_ms,
+                self._started_ms,
             )
             self._retry_shares[service_id] = share
         return share
--- a/tests/direct/fleet/test_retry_shares.py
+++ b/tests/direct/fleet/test_retry_shares.py
@@ -27,7 +27,9 @@
         self._shares = {name: self._share() for name in fleet.entries}
 
     def _share(self) -> retry_share.RetryShare:
-        return retry_share.RetryShare(RATIO, SLACK, WINDOW_MS)
+        return retry_share.RetryShare(
+            RATIO, SLACK, WINDOW_MS, self.fleet.time.now_ms()
+        )
 
     def run(self, ms: float) -> None:
         """Lets all entries retry for a period."""
