Give a starting process one retry of its slack at once

A process now starts with one retry. Both tests of retry shares still pass: 43 started at once may spend 43 at the start of 104 allowed.

--- a/src/marlramp/core/retry_share.py
+++ b/src/marlramp/core/retry_share.py
@@ -26,6 +26,9 @@
 """Part of the slack that is spent. The rest is left to entries that this entry
 does not know yet."""
 
+START_RETRIES = 1.0
+"""Part of the slack that a process has when it starts."""
+
 ENTRIES_MIN = 8
 """Least number of entries by which the slack is divided, for the time before
 this entry knows the others."""
@@ -75,7 +78,8 @@
         self._drop_expired(now_ms)
         slack = self._slack * SLACK_SAFETY / max(ENTRIES_MIN, entries)
         earned = min(1.0, (now_ms - self._started_ms) / self._window_ms)
-        return len(self._requests) * self._ratio * RATIO_SAFETY + slack * earned
+        slack = max(min(slack, START_RETRIES), slack * earned)
+        return len(self._requests) * self._ratio * RATIO_SAFETY + slack
 
     def try_spend(self, entries: int, now_ms: clock.Millis) -> bool:
         """Spends one retry if there is one; returns whether there was.
