--- a/tests/direct/fleet/test_evacuations.py
+++ b/tests/direct/fleet/test_evacuations.py
@@ -17,6 +17,11 @@
 EVACUATE_MS = 5_000.0
 """The bound `bounds.evacuate_ms` of both deployments."""
 
+CONTROL_BYTES_PER_S = 10_000.0
+"""Bytes of control messages that a daemon may send per second."""
+
+CHANGES = 20
+
 START_MS = 6_000.0
 """Time after which the entries that started together know each other."""
 
@@ -72,6 +77,21 @@
     play(run, count)
 
 
+def test_control_bytes_stay_in_their_budget_while_evacuations_change() -> None:
+    # One change a second for 20 s must not displace other messages.
+    async def run(fleet: store_fleet.StoreFleet) -> None:
+        before = {each.name: each.sent_bytes for each in fleet.running()}
+        for number in range(CHANGES):
+            fleet.store.evacuate("dc-1", active=number % 2 == 0)
+            await fleet.sleep(1_000.0)
+        most = max(
+            each.sent_bytes - before[each.name] for each in fleet.running()
+        )
+        assert most / CHANGES <= CONTROL_BYTES_PER_S
+
+    play(run, 42)
+
+
 @pytest.mark.parametrize("active", [True, False])
 def test_reader_that_is_killed_before_publishing_delays_no_entry(
     active: bool,
