--- a/models/grants.py
+++ b/models/grants.py
@@ -15,7 +15,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import grants
+from marlramp.core.grant_calls import grants
 from models import report
 from models import state_space
 
--- a/models/replica_restart.py
+++ b/models/replica_restart.py
@@ -11,10 +11,10 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 from models import report
 from models import state_space
 
--- a/models/swap_permits.py
+++ b/models/swap_permits.py
@@ -14,7 +14,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import swap
+from marlramp.core.weights import swap
 from models import report
 from models import state_space
 
--- a/models/version_swap.py
+++ b/models/version_swap.py
@@ -15,8 +15,8 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import assembly
-from marlramp.core import guard
+from marlramp.core.grant_calls import assembly
+from marlramp.core.grant_calls import guard
 from models import report
 from models import state_space
 
--- a/src/marlramp/agent/daemon.py
+++ b/src/marlramp/agent/daemon.py
@@ -25,8 +25,8 @@
 from marlramp.agent import swap_permits
 from marlramp.agent import swarm_node
 from marlramp.agent import weight_sources
-from marlramp.core import grants
-from marlramp.core import lifecycle
+from marlramp.core.grant_calls import grants
+from marlramp.core.membership import lifecycle
 from marlramp.platform import clients
 from marlramp.platform import http_clients
 from marlramp.protocol import messages
--- a/src/marlramp/agent/engine_client.py
+++ b/src/marlramp/agent/engine_client.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from marlramp import ids
-from marlramp.core import guard
-from marlramp.core import manifest
+from marlramp.core.grant_calls import guard
+from marlramp.core.weights import manifest
 from marlramp.shell import http
 
 READ_TIMEOUT_MS = 1_000.0
--- a/src/marlramp/agent/engine_crashes.py
+++ b/src/marlramp/agent/engine_crashes.py
@@ -15,9 +15,9 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import crash_ledger
-from marlramp.core import crash_reports
-from marlramp.core import request_fingerprint
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_reports
+from marlramp.core.requests import request_fingerprint
 from marlramp.protocol import messages
 from marlramp.shell import address_probe
 
--- a/src/marlramp/agent/entry_links.py
+++ b/src/marlramp/agent/entry_links.py
@@ -9,7 +9,7 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import entry_choice
+from marlramp.core.membership import entry_choice
 from marlramp.platform import clients
 from marlramp.protocol import codec
 from marlramp.protocol import messages
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -19,9 +19,9 @@
 from marlramp import logs
 from marlramp.agent import engine_client
 from marlramp.agent import swarm_node
-from marlramp.core import guard
-from marlramp.core import manifest
-from marlramp.core import swap
+from marlramp.core.grant_calls import guard
+from marlramp.core.weights import manifest
+from marlramp.core.weights import swap
 from marlramp.settings import schema
 
 OBSERVE_INTERVAL_MS = 400.0
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -14,8 +14,8 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import assembly
-from marlramp.core import grants
+from marlramp.core.grant_calls import assembly
+from marlramp.core.grant_calls import grants
 from marlramp.protocol import messages
 from marlramp.shell import http
 
--- a/src/marlramp/agent/swap_permits.py
+++ b/src/marlramp/agent/swap_permits.py
@@ -11,7 +11,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import swap
+from marlramp.core.weights import swap
 from marlramp.protocol import messages
 
 
--- a/src/marlramp/agent/swarm_node.py
+++ b/src/marlramp/agent/swarm_node.py
@@ -18,12 +18,12 @@
 from marlramp import logs
 from marlramp.agent import uploads
 from marlramp.agent import weight_sources
-from marlramp.core import chunk_bitmap
-from marlramp.core import manifest
-from marlramp.core import neighbours
-from marlramp.core import pacing
 from marlramp.core import rendezvous
-from marlramp.core import swarm
+from marlramp.core.membership import neighbours
+from marlramp.core.weights import chunk_bitmap
+from marlramp.core.weights import manifest
+from marlramp.core.weights import pacing
+from marlramp.core.weights import swarm
 from marlramp.platform import clients
 from marlramp.protocol import codec
 from marlramp.protocol import messages
--- a/src/marlramp/agent/uploads.py
+++ b/src/marlramp/agent/uploads.py
@@ -10,8 +10,8 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import manifest
-from marlramp.core import pacing
+from marlramp.core.weights import manifest
+from marlramp.core.weights import pacing
 from marlramp.protocol import messages
 
 QUEUED_MAX = 16
--- a/src/marlramp/agent/weight_sources.py
+++ b/src/marlramp/agent/weight_sources.py
@@ -6,7 +6,7 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import limits
+from marlramp.core.grant_calls import limits
 from marlramp.platform import clients
 from marlramp.platform import http_clients
 from marlramp.settings import process
--- /dev/null
+++ b/src/marlramp/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform's store holds, and how recent that knowledge is."""
--- a/src/marlramp/core/catalog.py
+++ b/src/marlramp/core/configuration/catalog.py
@@ -14,9 +14,9 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import event_time
-from marlramp.core import fleet
-from marlramp.core import named_versions
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import named_versions
 
 REPLICA_RETURN_MS = 2_300.0
 """Time after the store's last failure during which a missing replica is kept. A
--- a/src/marlramp/core/named_versions.py
+++ b/src/marlramp/core/configuration/named_versions.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import event_time
+from marlramp.core.configuration import event_time
 
 VERSIONS_KEPT = 32
 """Maximum number of versions kept, the newest ones. If a version is dropped
--- a/src/marlramp/core/route_table.py
+++ b/src/marlramp/core/configuration/route_table.py
@@ -6,8 +6,8 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import fleet
 from marlramp.core import rendezvous
+from marlramp.core.configuration import fleet
 
 _BEARER = "bearer "
 
--- a/src/marlramp/core/store_completeness.py
+++ b/src/marlramp/core/configuration/store_completeness.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import event_time
+from marlramp.core.configuration import event_time
 
 REPORTS_KEPT = 16
 """Maximum number of reports from other readers kept, the newest ones."""
--- a/src/marlramp/core/version_cutoff.py
+++ b/src/marlramp/core/configuration/version_cutoff.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 
 QUEUE_MARGIN_MS = 350.0
 """Time from the cutoff of an old version until the new one becomes mandatory.
--- /dev/null
+++ b/src/marlramp/core/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and parts of prompts that crash replicas."""
--- a/src/marlramp/core/crash_ledger.py
+++ b/src/marlramp/core/crashes/crash_ledger.py
@@ -25,8 +25,8 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import bucket_digests
-from marlramp.core import crash_reports
-from marlramp.core import part_suspicion
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import part_suspicion
 
 STRIKES_MIN = 3.0
 """Strikes that a request needs before it may be blocked."""
--- a/src/marlramp/core/crash_record.py
+++ b/src/marlramp/core/crashes/crash_record.py
@@ -17,14 +17,14 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import crash_ledger
-from marlramp.core import crash_reports
-from marlramp.core import part_survivals
-from marlramp.core import part_suspicion
-from marlramp.core import part_trials
-from marlramp.core import possible_causes
-from marlramp.core import run_outcomes
-from marlramp.core import successful_runs
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import part_survivals
+from marlramp.core.crashes import part_suspicion
+from marlramp.core.crashes import part_trials
+from marlramp.core.crashes import possible_causes
+from marlramp.core.crashes import run_outcomes
+from marlramp.core.crashes import successful_runs
 
 ISOLATION_STRIKES = 1.0
 """Strikes from which a request is sent where the fewest others run: if the
--- a/src/marlramp/core/part_suspicion.py
+++ b/src/marlramp/core/crashes/part_suspicion.py
@@ -16,7 +16,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import crash_reports
+from marlramp.core.crashes import crash_reports
 
 STRIKES_MIN = 3
 """Least number of strikes for which a part may be condemned."""
--- /dev/null
+++ b/src/marlramp/core/grant_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls of the grants path, on which agents permit single requests."""
--- a/src/marlramp/core/calls.py
+++ b/src/marlramp/core/grant_calls/calls.py
@@ -9,9 +9,9 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import assembly
-from marlramp.core import queueing
-from marlramp.core import retries
+from marlramp.core.grant_calls import assembly
+from marlramp.core.grant_calls import queueing
+from marlramp.core.requests import retries
 
 
 class CallSpec(msgspec.Struct, frozen=True):
--- a/src/marlramp/core/agent_coordinators.py
+++ b/src/marlramp/core/membership/agent_coordinators.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from marlramp.core import cells
 from marlramp.core import rendezvous
+from marlramp.core.membership import cells
 
 NEAR_COORDINATORS = 2
 """Coordinators of an agent in its own cell. One would be enough; the second one
--- a/src/marlramp/core/cells.py
+++ b/src/marlramp/core/membership/cells.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from marlramp.core import members
 from marlramp.core import rendezvous
+from marlramp.core.membership import members
 
 CELL_MAX = 16
 """Maximum number of entries of a cell: each costs every other entry of the cell
--- a/src/marlramp/core/lookup_share.py
+++ b/src/marlramp/core/membership/lookup_share.py
@@ -13,8 +13,8 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from marlramp.core import members
 from marlramp.core import rendezvous
+from marlramp.core.membership import members
 
 ADDRESSES_MAX = 64
 """Most entries in one answer; callers ignore further ones."""
--- a/src/marlramp/core/prober.py
+++ b/src/marlramp/core/membership/prober.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import members
-from marlramp.core import roster
+from marlramp.core.membership import members
+from marlramp.core.membership import roster
 
 PROBE_INTERVAL_MS = 400.0
 """Time between two cycles of probes."""
--- a/src/marlramp/core/roster.py
+++ b/src/marlramp/core/membership/roster.py
@@ -19,7 +19,7 @@
 
 from marlramp import clock
 from marlramp.core import bucket_digests
-from marlramp.core import members
+from marlramp.core.membership import members
 
 BUCKETS = 16
 """Number of parts of the roster that are compared separately: 16 digests have
--- /dev/null
+++ b/src/marlramp/core/replicas/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of replicas: state, load and limits of replicas, and admission."""
--- a/src/marlramp/core/admission.py
+++ b/src/marlramp/core/replicas/admission.py
@@ -22,11 +22,11 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import fleet
-from marlramp.core import queue_position
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
 
 TYPICAL_PROMPT_TOKENS = 1_000.0
 """Prompt length, in tokens, up to which a request's predicted time counts in
--- a/src/marlramp/core/engine_load.py
+++ b/src/marlramp/core/replicas/engine_load.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 
 
 class EngineLoad(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/core/limiter_assignment.py
+++ b/src/marlramp/core/replicas/limiter_assignment.py
@@ -5,8 +5,8 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
-from marlramp.core import members
 from marlramp.core import rendezvous
+from marlramp.core.membership import members
 
 LIMITERS = 2
 """Entries that are limiters of one replica. The first reserves send times. The
--- a/src/marlramp/core/peer_loads.py
+++ b/src/marlramp/core/replicas/peer_loads.py
@@ -14,8 +14,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 
 DECREASES_PER_S_MAX = 80.0
 """Largest number of messages per second that report only decreased loads, as
--- a/src/marlramp/core/replica_filters.py
+++ b/src/marlramp/core/replicas/replica_filters.py
@@ -17,10 +17,10 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import fleet
-from marlramp.core import queue_position
-from marlramp.core import replica_view
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import version_cutoff
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_view
 
 
 class Filter(enum.Enum):
--- a/src/marlramp/core/replica_limits.py
+++ b/src/marlramp/core/replicas/replica_limits.py
@@ -17,7 +17,7 @@
 
 from marlramp import clock
 from marlramp.core import bucket_digests
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_view
 
 ENDED_KEPT_MS = 10_000.0
 """How long the end of a limit is remembered, so that older updates do not
--- a/src/marlramp/core/replica_table.py
+++ b/src/marlramp/core/replicas/replica_table.py
@@ -13,14 +13,14 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import availability
-from marlramp.core import breaker
-from marlramp.core import catalog
-from marlramp.core import cold_replica
-from marlramp.core import fleet
-from marlramp.core import path_latency
-from marlramp.core import replica_view
-from marlramp.core import wait_bias
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import availability
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import path_latency
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import wait_bias
 
 REMOVED_MAX = 4_096
 """Number of replicas that are remembered after they left the list; the oldest
--- a/src/marlramp/core/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -14,14 +14,14 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import availability
-from marlramp.core import breaker
-from marlramp.core import cold_replica
-from marlramp.core import fleet
-from marlramp.core import path_latency
-from marlramp.core import queue_position
-from marlramp.core import send_limit
-from marlramp.core import wait_bias
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import availability
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import path_latency
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import send_limit
+from marlramp.core.replicas import wait_bias
 
 REPORT_FRESH_MS = 1_500.0
 """Age up to which an agent's report is valid. Agents report at least every
--- a/src/marlramp/core/send_limit.py
+++ b/src/marlramp/core/replicas/send_limit.py
@@ -1,7 +1,7 @@
 """An entry's view of one replica's rate limit when it chooses a replica.
 
-One entry, the limiter of the replica (`core.send_limiter`), reserves the times
-at which entries may send requests to it.
+One entry, the limiter of the replica (`core.replicas.send_limiter`), reserves
+the times at which entries may send requests to it.
 """
 
 from __future__ import annotations
@@ -9,7 +9,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import send_limiter
+from marlramp.core.replicas import send_limiter
 
 _MS = clock.MILLIS_PER_SECOND
 
--- a/src/marlramp/core/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -14,13 +14,13 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import engine_load
-from marlramp.core import fleet
-from marlramp.core import path_latency
-from marlramp.core import queue_position
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import routing
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import engine_load
+from marlramp.core.replicas import path_latency
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import routing
 
 FAILURE_WEIGHT = 4.0
 """Factor by which the share of failures lengthens the predicted time."""
--- /dev/null
+++ b/src/marlramp/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Timeouts, retries and fingerprints of requests, and the events of streams."""
--- a/src/marlramp/core/caller_timeout.py
+++ b/src/marlramp/core/requests/caller_timeout.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 
 GAP_MIN_MS = 2_000.0
 OBJECTIVE_FACTOR = 4.0
--- a/src/marlramp/core/relay_fetch.py
+++ b/src/marlramp/core/weights/relay_fetch.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import origin_retry_slots
-from marlramp.core import relay_assignment
+from marlramp.core.weights import origin_retry_slots
+from marlramp.core.weights import relay_assignment
 
 ORIGIN_FETCHES_MAX = 2
 """Pieces that one entry fetches from the origin at once while the pieces leave
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -13,11 +13,11 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import engine_state
-from marlramp.core import lifecycle
-from marlramp.core import members
-from marlramp.core import replica_view
-from marlramp.core import swap_schedule
+from marlramp.core.membership import lifecycle
+from marlramp.core.membership import members
+from marlramp.core.replicas import engine_state
+from marlramp.core.replicas import replica_view
+from marlramp.core.weights import swap_schedule
 from marlramp.direct import metrics
 from marlramp.direct import page_server
 from marlramp.direct import settings_watch
--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -9,7 +9,7 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import event_stream
+from marlramp.core.requests import event_stream
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -5,11 +5,11 @@
 import functools
 
 from marlramp import clock
-from marlramp.core import caller_timeout
-from marlramp.core import fleet
-from marlramp.core import possible_causes
-from marlramp.core import request_fingerprint
-from marlramp.core import send_limit
+from marlramp.core.configuration import fleet
+from marlramp.core.crashes import possible_causes
+from marlramp.core.replicas import send_limit
+from marlramp.core.requests import caller_timeout
+from marlramp.core.requests import request_fingerprint
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_server
--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -20,11 +20,11 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import crash_record
-from marlramp.core import crash_reports
-from marlramp.core import fleet
-from marlramp.core import possible_causes
-from marlramp.core import replica_view
+from marlramp.core.configuration import fleet
+from marlramp.core.crashes import crash_record
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import possible_causes
+from marlramp.core.replicas import replica_view
 from marlramp.shell import address_probe
 
 PROBE_WAIT_MAX_MS = 50.0
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -13,15 +13,15 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import caller_wait_estimate
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from marlramp.core import retries
-from marlramp.core import retry_share
-from marlramp.core import route_table
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
+from marlramp.core.requests import caller_wait_estimate
+from marlramp.core.requests import retries
+from marlramp.core.requests import retry_share
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import crash_detector
--- a/src/marlramp/direct/calls/latency_probes.py
+++ b/src/marlramp/direct/calls/latency_probes.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from marlramp import clock
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_view
 from marlramp.shell import http1_client
 
 LATENCY_AGE_MAX_MS = 250.0
--- a/src/marlramp/direct/calls/rate_limits.py
+++ b/src/marlramp/direct/calls/rate_limits.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from marlramp import clock
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_view
 from marlramp.direct.calls import wire
 
 
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -4,9 +4,9 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import queue_position
-from marlramp.core import replica_view
-from marlramp.core import upstream_choice
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import rate_limits
 from marlramp.direct.calls import replica_signals
--- a/src/marlramp/direct/calls/replica_signals.py
+++ b/src/marlramp/direct/calls/replica_signals.py
@@ -14,9 +14,9 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import logs
-from marlramp.core import availability
-from marlramp.core import replica_view
 from marlramp.core import seen_values
+from marlramp.core.replicas import availability
+from marlramp.core.replicas import replica_view
 from marlramp.direct.calls import wire
 
 _TOO_MANY_REQUESTS = 429
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -16,15 +16,15 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import admission
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_filters
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from marlramp.core import route_table
-from marlramp.core import upstream_choice
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
+from marlramp.core.configuration import version_cutoff
+from marlramp.core.replicas import admission
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import rate_limits
 from marlramp.settings import node
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -15,13 +15,13 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import logs
-from marlramp.core import attempt_timeouts
-from marlramp.core import caller_timeout
-from marlramp.core import fleet
-from marlramp.core import possible_causes
-from marlramp.core import queue_position
-from marlramp.core import replica_view
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import fleet
+from marlramp.core.crashes import possible_causes
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
+from marlramp.core.requests import attempt_timeouts
+from marlramp.core.requests import caller_timeout
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import latency_probes
--- a/src/marlramp/direct/cold_log.py
+++ b/src/marlramp/direct/cold_log.py
@@ -7,9 +7,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import cold_replica
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 
 CHECK_INTERVAL_MS = 1_000.0
 """Time between two checks of all replicas. A check of 11,000 replicas takes
--- a/src/marlramp/direct/cold_pages.py
+++ b/src/marlramp/direct/cold_pages.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import cold_replica
-from marlramp.core import replica_table
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import replica_table
 from marlramp.direct import cold_log
 from marlramp.direct import page_server
 
--- a/src/marlramp/direct/crash_pages.py
+++ b/src/marlramp/direct/crash_pages.py
@@ -9,7 +9,7 @@
 
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import crash_record
+from marlramp.core.crashes import crash_record
 from marlramp.direct import page_server
 
 CRASHES_PATH = "/crashes"
--- a/src/marlramp/direct/fleet/agent_coordinator.py
+++ b/src/marlramp/direct/fleet/agent_coordinator.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import agent_coordinators
-from marlramp.core import catalog
-from marlramp.core import members
+from marlramp.core.configuration import catalog
+from marlramp.core.membership import agent_coordinators
+from marlramp.core.membership import members
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
--- a/src/marlramp/direct/fleet/catalog_codec.py
+++ b/src/marlramp/direct/fleet/catalog_codec.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 
 _Changes = list[
     catalog.ConfigChange | catalog.TargetChange | catalog.ReplicaChange
--- a/src/marlramp/direct/fleet/catalog_log.py
+++ b/src/marlramp/direct/fleet/catalog_log.py
@@ -6,7 +6,7 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 
 
 def log_change(
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -13,11 +13,11 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import catalog
-from marlramp.core import event_time
-from marlramp.core import members
 from marlramp.core import rendezvous
-from marlramp.core import resume_guard
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import resume_guard
+from marlramp.core.membership import members
 from marlramp.direct.fleet import catalog_codec
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import member_sync
@@ -182,7 +182,8 @@
     def holds_requests(self) -> bool:
         """Returns whether requests wait until changes have arrived.
 
-        They do after this process was suspended; see `core.resume_guard`.
+        They do after this process was suspended; see
+        `core.configuration.resume_guard`.
         """
         if self._guard.observe():
             logs.log("entry_resumed", revision=self._catalog.revision)
--- a/src/marlramp/direct/fleet/crash_backup.py
+++ b/src/marlramp/direct/fleet/crash_backup.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import crash_ledger
-from marlramp.core import crash_reports
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_reports
 from marlramp.direct.fleet import entry_contacts
 from marlramp.protocol import fleet_messages
 
--- a/src/marlramp/direct/fleet/crash_sync.py
+++ b/src/marlramp/direct/fleet/crash_sync.py
@@ -17,9 +17,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import crash_record
-from marlramp.core import gossip
-from marlramp.core import members
+from marlramp.core.crashes import crash_record
+from marlramp.core.membership import gossip
+from marlramp.core.membership import members
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
 from marlramp.shell import block_logs
--- a/src/marlramp/direct/fleet/engine_digests.py
+++ b/src/marlramp/direct/fleet/engine_digests.py
@@ -14,9 +14,9 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import cells
 from marlramp.core import rendezvous
-from marlramp.core import replica_view
+from marlramp.core.membership import cells
+from marlramp.core.replicas import replica_view
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -13,7 +13,7 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import members
+from marlramp.core.membership import members
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -12,15 +12,15 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import catalog
-from marlramp.core import crash_record
-from marlramp.core import members
-from marlramp.core import outage_detector
-from marlramp.core import reader_election
 from marlramp.core import rendezvous
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from marlramp.core import store_completeness
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import outage_detector
+from marlramp.core.configuration import store_completeness
+from marlramp.core.crashes import crash_record
+from marlramp.core.membership import members
+from marlramp.core.membership import reader_election
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 from marlramp.direct.fleet import agent_coordinator
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import crash_sync
@@ -69,7 +69,7 @@
 
         Args:
           own: this entry.
-          incarnation: its incarnation, see `core.roster`.
+          incarnation: its incarnation, see `core.membership.roster`.
           settings: the settings in force.
           known: the catalog.
           table: the replicas.
--- a/src/marlramp/direct/fleet/entry_limits.py
+++ b/src/marlramp/direct/fleet/entry_limits.py
@@ -11,9 +11,9 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import replica_limits
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_limits
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 from marlramp.direct.calls import wire
 from marlramp.direct.fleet import limit_sync
 from marlramp.direct.fleet import member_sync
--- a/src/marlramp/direct/fleet/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -7,8 +7,8 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import peer_loads
-from marlramp.core import replica_table
+from marlramp.core.replicas import peer_loads
+from marlramp.core.replicas import replica_table
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.protocol import fleet_messages
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -17,10 +17,10 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import gossip
-from marlramp.core import members
-from marlramp.core import prober
-from marlramp.core import roster
+from marlramp.core.membership import gossip
+from marlramp.core.membership import members
+from marlramp.core.membership import prober
+from marlramp.core.membership import roster
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
--- a/src/marlramp/direct/fleet/named_weights.py
+++ b/src/marlramp/direct/fleet/named_weights.py
@@ -14,9 +14,9 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import catalog
-from marlramp.core import event_time
-from marlramp.core import fleet
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
 from marlramp.direct.fleet import catalog_log
 from marlramp.direct.fleet import version_ages
 from marlramp.direct.weights import version_digests
--- a/src/marlramp/direct/fleet/placement.py
+++ b/src/marlramp/direct/fleet/placement.py
@@ -5,9 +5,9 @@
 from collections.abc import Mapping
 
 from marlramp import clock
-from marlramp.core import cells
-from marlramp.core import members
-from marlramp.core import relay_assignment
+from marlramp.core.membership import cells
+from marlramp.core.membership import members
+from marlramp.core.weights import relay_assignment
 from marlramp.direct.fleet import member_sync
 
 SETTLE_MS = 500.0
--- a/src/marlramp/direct/fleet/relay_context.py
+++ b/src/marlramp/direct/fleet/relay_context.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import members
-from marlramp.core import relay_assignment
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.membership import members
+from marlramp.core.weights import relay_assignment
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
 from marlramp.direct.weights import version_digests
--- a/src/marlramp/direct/fleet/send_reservations.py
+++ b/src/marlramp/direct/fleet/send_reservations.py
@@ -13,12 +13,12 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import limiter_assignment
-from marlramp.core import members
-from marlramp.core import replica_limits
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from marlramp.core import send_limiter
+from marlramp.core.membership import members
+from marlramp.core.replicas import limiter_assignment
+from marlramp.core.replicas import replica_limits
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import send_limiter
 from marlramp.direct.fleet import limit_sync
 from marlramp.direct.fleet import member_sync
 from marlramp.protocol import fleet_messages
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -21,9 +21,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import catalog
-from marlramp.core import outage_detector
-from marlramp.core import store_completeness
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import outage_detector
+from marlramp.core.configuration import store_completeness
 from marlramp.platform import clients
 from marlramp.platform import store
 
--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -16,8 +16,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import event_time
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
 from marlramp.direct.fleet import catalog_log
 from marlramp.protocol import fleet_messages
 
--- a/src/marlramp/direct/limit_pages.py
+++ b/src/marlramp/direct/limit_pages.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import replica_table
+from marlramp.core.replicas import replica_table
 from marlramp.direct import page_server
 from marlramp.direct.fleet import entry_limits
 
--- a/src/marlramp/direct/page_server.py
+++ b/src/marlramp/direct/page_server.py
@@ -17,7 +17,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import logs
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 from marlramp.settings import node
 from marlramp.shell import http1_server
 from marlramp.shell import port_opener
--- a/src/marlramp/direct/pause_pages.py
+++ b/src/marlramp/direct/pause_pages.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 from marlramp.direct import page_server
 
 PAUSES_PATH = "/replica-pauses"
--- a/src/marlramp/direct/placement_pages.py
+++ b/src/marlramp/direct/placement_pages.py
@@ -14,10 +14,10 @@
 import msgspec
 
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_table
-from marlramp.core import route_table
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
+from marlramp.core.replicas import replica_table
 from marlramp.direct import page_server
 
 EVACUATIONS_PATH = "/evacuations"
--- a/src/marlramp/direct/weights/piece_downloads.py
+++ b/src/marlramp/direct/weights/piece_downloads.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import pacing
+from marlramp.core.weights import pacing
 from marlramp.direct.weights import piece_uploads
 from marlramp.protocol import fleet_messages
 
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -1,8 +1,9 @@
 """Fetches the pieces of weights and shares them between agents.
 
-`core.swarm` decides from where each piece is fetched. Pieces are transferred in
-fragments, each of which the receiver requests: a complete piece at once would
-occupy the link of a VM for 70 ms and delay the events of live requests.
+`core.weights.swarm` decides from where each piece is fetched. Pieces are
+transferred in fragments, each of which the receiver requests: a complete piece
+at once would occupy the link of a VM for 70 ms and delay the events of live
+requests.
 """
 
 from __future__ import annotations
@@ -18,11 +19,11 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import chunk_bitmap
-from marlramp.core import manifest
-from marlramp.core import members
-from marlramp.core import neighbours
-from marlramp.core import swarm
+from marlramp.core.membership import members
+from marlramp.core.membership import neighbours
+from marlramp.core.weights import chunk_bitmap
+from marlramp.core.weights import manifest
+from marlramp.core.weights import swarm
 from marlramp.direct.weights import check_loop
 from marlramp.direct.weights import origin_fetches
 from marlramp.direct.weights import piece_downloads
--- a/src/marlramp/direct/weights/piece_policy.py
+++ b/src/marlramp/direct/weights/piece_policy.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from marlramp.core import swarm
+from marlramp.core.weights import swarm
 
 TAKEOVER_MS = 2_200.0
 """Delay per rank before another agent fetches a piece from the origin: the time
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -1,9 +1,10 @@
 """Relays pieces of weights: an entry holds pieces for the agents near it.
 
-`core.relay_assignment` decides which pieces an entry holds, `core.relay_fetch`
-when and from which source they are fetched. Every piece is verified before it
-is passed on. The classes of `core.manifest` and the counters call a piece a
-chunk; the field `manifest` of messages holds the name of a version.
+`core.weights.relay_assignment` decides which pieces an entry holds,
+`core.weights.relay_fetch` when and from which source they are fetched. Every
+piece is verified before it is passed on. The classes of `core.weights.manifest`
+and the counters call a piece a chunk; the field `manifest` of messages holds
+the name of a version.
 """
 
 from __future__ import annotations
@@ -19,9 +20,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import chunk_bitmap
-from marlramp.core import relay_assignment
-from marlramp.core import relay_fetch
+from marlramp.core.weights import chunk_bitmap
+from marlramp.core.weights import relay_assignment
+from marlramp.core.weights import relay_fetch
 from marlramp.direct.weights import check_loop
 from marlramp.direct.weights import origin_fetches
 from marlramp.direct.weights import piece_downloads
--- a/src/marlramp/direct/weights/piece_uploads.py
+++ b/src/marlramp/direct/weights/piece_uploads.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import manifest
-from marlramp.core import pacing
+from marlramp.core.weights import manifest
+from marlramp.core.weights import pacing
 from marlramp.protocol import fleet_messages
 
 FRAGMENT_BYTES = 4_096
--- a/src/marlramp/direct/weights/relay_contacts.py
+++ b/src/marlramp/direct/weights/relay_contacts.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import swarm
+from marlramp.core.weights import swarm
 
 HELLO_MS = 700.0
 """Interval between hello messages to the relays while pieces are missing. The
--- a/src/marlramp/direct/weights/stall_monitor.py
+++ b/src/marlramp/direct/weights/stall_monitor.py
@@ -4,7 +4,7 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import swarm
+from marlramp.core.weights import swarm
 
 STALL_MS = 1_000.0
 """Time without a new piece after which the missing pieces are logged."""
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -13,9 +13,9 @@
 
 from marlramp import clock
 from marlramp import logs
-from marlramp.core import manifest
-from marlramp.core import origin_requests
 from marlramp.core import rendezvous
+from marlramp.core.weights import manifest
+from marlramp.core.weights import origin_requests
 from marlramp.platform import clients
 from marlramp.protocol import messages
 
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -17,8 +17,8 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import engine_state
-from marlramp.core import manifest
+from marlramp.core.replicas import engine_state
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import rollout_times
 from marlramp.direct.weights import version_digests
--- a/src/marlramp/entry/admin_app.py
+++ b/src/marlramp/entry/admin_app.py
@@ -31,8 +31,8 @@
 if TYPE_CHECKING:
     from starlette import requests
 
-    from marlramp.core import agent_table
     from marlramp.entry import admission
+    from marlramp.entry import agent_table
     from marlramp.entry import dispatcher
     from marlramp.platform import clients
 
--- a/src/marlramp/entry/admission.py
+++ b/src/marlramp/entry/admission.py
@@ -5,10 +5,10 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import agent_table
-from marlramp.core import calls
-from marlramp.core import limits
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import limits
+from marlramp.core.grant_calls import run_tokens
+from marlramp.entry import agent_table
 from marlramp.entry import service_state
 from marlramp.settings import store
 
--- a/src/marlramp/entry/agent_queries.py
+++ b/src/marlramp/entry/agent_queries.py
@@ -11,8 +11,8 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import agent_table
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import run_tokens
+from marlramp.entry import agent_table
 from marlramp.protocol import messages
 
 REPLY_TIMEOUT_MS = 500.0
--- a/src/marlramp/core/agent_table.py
+++ b/src/marlramp/entry/agent_table.py
@@ -8,10 +8,10 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import breaker
-from marlramp.core import grant_pool
-from marlramp.core import routing
-from marlramp.core import swap
+from marlramp.core.grant_calls import grant_pool
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import routing
+from marlramp.core.weights import swap
 from marlramp.protocol import messages
 from marlramp.settings import schema
 
--- a/src/marlramp/entry/call.py
+++ b/src/marlramp/entry/call.py
@@ -7,11 +7,11 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import assembly
-from marlramp.core import calls
-from marlramp.core import grant_pool
-from marlramp.core import queueing
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import assembly
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import grant_pool
+from marlramp.core.grant_calls import queueing
+from marlramp.core.grant_calls import run_tokens
 
 
 class Call:
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -15,8 +15,8 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import calls
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import answers
 from marlramp.entry import requests as caller_requests
 
--- a/src/marlramp/entry/crash_guard.py
+++ b/src/marlramp/entry/crash_guard.py
@@ -11,10 +11,10 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import calls
-from marlramp.core import crash_record
-from marlramp.core import possible_causes
-from marlramp.core import request_fingerprint
+from marlramp.core.crashes import crash_record
+from marlramp.core.crashes import possible_causes
+from marlramp.core.grant_calls import calls
+from marlramp.core.requests import request_fingerprint
 from marlramp.protocol import messages
 from marlramp.shell import block_logs
 
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -16,15 +16,15 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import agent_table
-from marlramp.core import calls
-from marlramp.core import grant_pool
-from marlramp.core import queueing
-from marlramp.core import retries
-from marlramp.core import routing
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import grant_pool
+from marlramp.core.grant_calls import queueing
+from marlramp.core.grant_calls import run_tokens
+from marlramp.core.replicas import routing
+from marlramp.core.requests import retries
 from marlramp.entry import admission as admission_module
 from marlramp.entry import agent_queries
+from marlramp.entry import agent_table
 from marlramp.entry import call as call_module
 from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
--- a/src/marlramp/entry/lost_run_detector.py
+++ b/src/marlramp/entry/lost_run_detector.py
@@ -13,7 +13,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import grants
+from marlramp.core.grant_calls import grants
 from marlramp.entry import agent_queries
 from marlramp.entry import call as call_module
 from marlramp.protocol import messages
--- a/src/marlramp/entry/metrics.py
+++ b/src/marlramp/entry/metrics.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from starlette import requests
 
-    from marlramp.core import agent_table
+    from marlramp.entry import agent_table
     from marlramp.entry import dispatcher
 
 
--- a/src/marlramp/entry/requests.py
+++ b/src/marlramp/entry/requests.py
@@ -11,9 +11,9 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import calls
-from marlramp.core import manifest
-from marlramp.core import queueing
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import queueing
+from marlramp.core.weights import manifest
 from marlramp.entry import answers
 from marlramp.protocol import messages
 
--- a/src/marlramp/entry/service_state.py
+++ b/src/marlramp/entry/service_state.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from marlramp.core import queueing
-from marlramp.core import retries
-from marlramp.core import run_duration
+from marlramp.core.grant_calls import queueing
+from marlramp.core.requests import retries
+from marlramp.core.requests import run_duration
 from marlramp.settings import schema
 
 RETRY_BUDGET_BURST = 20.0
--- a/src/marlramp/experiments/calls.py
+++ b/src/marlramp/experiments/calls.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import queueing
+from marlramp.core.grant_calls import queueing
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
 from marlramp.experiments import fleet_settings
--- a/src/marlramp/experiments/load.py
+++ b/src/marlramp/experiments/load.py
@@ -12,7 +12,7 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import queueing
+from marlramp.core.grant_calls import queueing
 from marlramp.entry import answers
 from marlramp.entry import requests as caller_requests
 from marlramp.shell import http
--- a/src/marlramp/experiments/overload_engine.py
+++ b/src/marlramp/experiments/overload_engine.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from marlramp.core import engine_load
-from marlramp.core import fleet
-from marlramp.core import queue_position
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import engine_load
+from marlramp.core.replicas import queue_position
 
 CHUNK_TOKENS = 2_048
 """Prompt tokens read in one pass at most; the platform's figure."""
--- a/src/marlramp/experiments/parts.py
+++ b/src/marlramp/experiments/parts.py
@@ -16,7 +16,7 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp.agent import runs
-from marlramp.core import assembly
+from marlramp.core.grant_calls import assembly
 from marlramp.experiments import capacity
 from marlramp.experiments import documents
 from marlramp.experiments import fleet
--- a/src/marlramp/experiments/spread.py
+++ b/src/marlramp/experiments/spread.py
@@ -16,10 +16,10 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import cells
-from marlramp.core import manifest
-from marlramp.core import members
-from marlramp.core import relay_assignment
+from marlramp.core.membership import cells
+from marlramp.core.membership import members
+from marlramp.core.weights import manifest
+from marlramp.core.weights import relay_assignment
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import version_digests
--- a/src/marlramp/experiments/spread_plan.py
+++ b/src/marlramp/experiments/spread_plan.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from marlramp.core import rollout_limit
+from marlramp.core.weights import rollout_limit
 from marlramp.direct.weights import piece_relay
 
 HEARD_WITHIN_MS = 150.0
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -12,7 +12,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 from marlramp.settings import node
 
 CONFIG_KEY = "op/config"
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from marlramp.core import engine_state
-from marlramp.core import manifest
+from marlramp.core.replicas import engine_state
+from marlramp.core.weights import manifest
 from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import documents
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -11,8 +11,8 @@
 
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import catalog
-from marlramp.core import fleet
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
 from marlramp.platform import calls
 from marlramp.platform import clients
 from marlramp.platform import documents
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -11,14 +11,14 @@
 
 import msgspec
 
-from marlramp.core import catalog
-from marlramp.core import crash_reports
-from marlramp.core import fleet
-from marlramp.core import members
-from marlramp.core import named_versions
-from marlramp.core import peer_loads
-from marlramp.core import replica_limits
-from marlramp.core import replica_view
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import named_versions
+from marlramp.core.crashes import crash_reports
+from marlramp.core.membership import members
+from marlramp.core.replicas import peer_loads
+from marlramp.core.replicas import replica_limits
+from marlramp.core.replicas import replica_view
 from marlramp.protocol import messages
 
 FRAGMENT_BYTES_MAX = 65_536
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -15,10 +15,10 @@
 
 from marlramp import counters
 from marlramp import errors
-from marlramp.core import assembly
-from marlramp.core import crash_reports
-from marlramp.core import grants
-from marlramp.core import queueing
+from marlramp.core.crashes import crash_reports
+from marlramp.core.grant_calls import assembly
+from marlramp.core.grant_calls import grants
+from marlramp.core.grant_calls import queueing
 
 PROTOCOL_VERSION = 1
 
--- a/src/marlramp/shell/block_logs.py
+++ b/src/marlramp/shell/block_logs.py
@@ -4,7 +4,7 @@
 
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import crash_record
+from marlramp.core.crashes import crash_record
 
 
 def log_changes(
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -21,7 +21,7 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 
 WRITE_BUFFER_MAX_BYTES = 262_144
 """Bytes that wait for a slow caller before its replica is read no further."""
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -21,7 +21,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import members
+from marlramp.core.membership import members
 from marlramp.protocol import codec
 from marlramp.shell import safely
 from marlramp.shell import silence
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -16,9 +16,9 @@
 from starlette import routing
 
 from marlramp import clock
-from marlramp.core import limits
-from marlramp.core import manifest
-from marlramp.core import pacing
+from marlramp.core.grant_calls import limits
+from marlramp.core.weights import manifest
+from marlramp.core.weights import pacing
 from standins import serving
 
 PIECE_BYTES = 16 * 1024
--- a/tests/agent/replicas.py
+++ b/tests/agent/replicas.py
@@ -12,9 +12,9 @@
 from marlramp.agent import engine_client
 from marlramp.agent import rollout
 from marlramp.agent import swap_permits
-from marlramp.core import guard
-from marlramp.core import manifest
-from marlramp.core import swap
+from marlramp.core.grant_calls import guard
+from marlramp.core.weights import manifest
+from marlramp.core.weights import swap
 from marlramp.protocol import messages
 from marlramp.settings import schema
 
--- a/tests/agent/test_engine_crashes.py
+++ b/tests/agent/test_engine_crashes.py
@@ -12,8 +12,8 @@
 from marlramp import ids
 from marlramp.agent import engine_crashes
 from marlramp.agent import runs
-from marlramp.core import grants
-from marlramp.core import queueing
+from marlramp.core.grant_calls import grants
+from marlramp.core.grant_calls import queueing
 from marlramp.protocol import messages
 from marlramp.shell import address_probe
 from marlramp.shell import http
--- a/tests/core/test_catalog.py
+++ b/tests/core/configuration/test_catalog.py
@@ -10,10 +10,10 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import event_time
-from marlramp.core import fleet
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import version_cutoff
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 MakeConfig: TypeAlias = Callable[..., fleet.FleetConfig]
--- a/tests/core/test_event_time.py
+++ b/tests/core/configuration/test_event_time.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from marlramp.core import event_time
+from marlramp.core.configuration import event_time
 
 
 def test_slow_response_dates_an_event_from_its_request() -> None:
--- a/tests/core/test_named_versions.py
+++ b/tests/core/configuration/test_named_versions.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-from marlramp.core import event_time
-from marlramp.core import named_versions
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import named_versions
 
 BOUND_MS = 8_000.0
 
--- a/tests/core/test_outage_detector.py
+++ b/tests/core/configuration/test_outage_detector.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import outage_detector
+from marlramp.core.configuration import outage_detector
 
 CALL = outage_detector.SilentCall(requested_ms=5_000.0, ended_ms=6_000.0)
 
--- a/tests/core/test_resume_guard.py
+++ b/tests/core/configuration/test_resume_guard.py
@@ -3,7 +3,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import resume_guard
+from marlramp.core.configuration import resume_guard
 
 EVACUATE_MS = 5_000.0
 
--- a/tests/core/test_route_table.py
+++ b/tests/core/configuration/test_route_table.py
@@ -9,8 +9,8 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import fleet
-from marlramp.core import route_table
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
 
 MakeRoute: TypeAlias = Callable[..., fleet.Route]
 MakeConfig: TypeAlias = Callable[..., fleet.FleetConfig]
--- a/tests/core/test_store_completeness.py
+++ b/tests/core/configuration/test_store_completeness.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
 from marlramp import clock
-from marlramp.core import event_time
-from marlramp.core import store_completeness
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import store_completeness
 
 NOW_MS = clock.Millis(10_000.0)
 
--- a/tests/core/test_version_cutoff.py
+++ b/tests/core/configuration/test_version_cutoff.py
@@ -14,15 +14,15 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import event_time
-from marlramp.core import fleet
-from marlramp.core import path_latency
-from marlramp.core import replica_filters
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from marlramp.core import upstream_choice
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import version_cutoff
+from marlramp.core.replicas import path_latency
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -8,8 +8,8 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import fleet
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
 
 ENGINE = fleet.EngineSpec(
     model="m",
--- a/tests/core/test_crash_ledger.py
+++ b/tests/core/crashes/test_crash_ledger.py
@@ -9,9 +9,9 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import crash_ledger
-from marlramp.core import crash_record
-from marlramp.core import crash_reports
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_record
+from marlramp.core.crashes import crash_reports
 
 CULPRIT = ids.Fingerprint("culprit")
 NOW_MS = clock.Millis(1_000.0)
--- a/tests/core/test_part_suspicion.py
+++ b/tests/core/crashes/test_part_suspicion.py
@@ -9,11 +9,11 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import crash_record
-from marlramp.core import crash_reports
-from marlramp.core import part_suspicion
-from marlramp.core import possible_causes
-from marlramp.core import run_outcomes
+from marlramp.core.crashes import crash_record
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import part_suspicion
+from marlramp.core.crashes import possible_causes
+from marlramp.core.crashes import run_outcomes
 
 NOW_MS = clock.Millis(100_000.0)
 FIRST = possible_causes.part_fingerprint("m", "f0")
--- a/tests/core/test_assembly.py
+++ b/tests/core/grant_calls/test_assembly.py
@@ -6,7 +6,7 @@
 
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import assembly
+from marlramp.core.grant_calls import assembly
 
 V1 = ids.VersionId("v1")
 
--- a/tests/core/test_grants.py
+++ b/tests/core/grant_calls/test_grants.py
@@ -7,7 +7,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import grants
+from marlramp.core.grant_calls import grants
 
 INCARNATION = ids.Incarnation(7)
 ENTRY = ids.VmId("entry-0")
--- a/tests/core/test_limits.py
+++ b/tests/core/grant_calls/test_limits.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from marlramp import clock
-from marlramp.core import limits
+from marlramp.core.grant_calls import limits
 
 
 def test_refusal_returns_the_time_to_retry(time: clock.ManualClock) -> None:
--- a/tests/core/test_queueing.py
+++ b/tests/core/grant_calls/test_queueing.py
@@ -6,7 +6,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import queueing
+from marlramp.core.grant_calls import queueing
 
 _numbers = itertools.count()
 
--- a/tests/core/test_agent_coordinators.py
+++ b/tests/core/membership/test_agent_coordinators.py
@@ -1,8 +1,8 @@
 from __future__ import annotations
 
-from marlramp.core import agent_coordinators
-from marlramp.core import cells
-from marlramp.core import members
+from marlramp.core.membership import agent_coordinators
+from marlramp.core.membership import cells
+from marlramp.core.membership import members
 
 
 def member(
--- a/tests/core/test_cells.py
+++ b/tests/core/membership/test_cells.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from marlramp.core import cells
-from marlramp.core import members
+from marlramp.core.membership import cells
+from marlramp.core.membership import members
 
 REGIONS = {f"dc-{n}": f"region-{n}" for n in range(5)}
 
--- a/tests/core/test_lookup_share.py
+++ b/tests/core/membership/test_lookup_share.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from marlramp.core import lookup_share
-from marlramp.core import members
+from marlramp.core.membership import lookup_share
+from marlramp.core.membership import members
 
 DATA_CENTRES = [f"dc-{n}" for n in range(5)]
 
--- a/tests/core/test_reader_election.py
+++ b/tests/core/membership/test_reader_election.py
@@ -3,7 +3,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import reader_election
+from marlramp.core.membership import reader_election
 
 NAMES = [f"entry-{n}" for n in range(98)]
 DATA_CENTRES = {name: f"dc-{n % 5}" for n, name in enumerate(NAMES)}
--- a/tests/core/test_roster.py
+++ b/tests/core/membership/test_roster.py
@@ -5,8 +5,8 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import members
-from marlramp.core import roster
+from marlramp.core.membership import members
+from marlramp.core.membership import roster
 
 OWN = members.Member("own", members.MemberKind.ENTRY, "dc-1", "10.0.0.1", 1)
 STATES = (
--- a/tests/core/test_admission.py
+++ b/tests/core/replicas/test_admission.py
@@ -8,16 +8,16 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import admission
-from marlramp.core import availability
-from marlramp.core import breaker
-from marlramp.core import fleet
-from marlramp.core import queue_position
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import send_limit
-from marlramp.core import upstream_choice
-from marlramp.core import wait_bias
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import admission
+from marlramp.core.replicas import availability
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import send_limit
+from marlramp.core.replicas import upstream_choice
+from marlramp.core.replicas import wait_bias
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
--- a/tests/core/test_availability.py
+++ b/tests/core/replicas/test_availability.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from marlramp.core import availability
+from marlramp.core.replicas import availability
 
 
 @pytest.fixture
--- a/tests/core/test_cold_replica.py
+++ b/tests/core/replicas/test_cold_replica.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import cold_replica
+from marlramp.core.replicas import cold_replica
 
 START_MS = 20_000.0
 HEARTBEAT_MS = 2_000.0
--- a/tests/core/test_cold_restarts.py
+++ b/tests/core/replicas/test_cold_restarts.py
@@ -8,11 +8,11 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_table
-from marlramp.core import replica_view
-from tests.core import test_replica_restarts as restarts
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+from tests.core.replicas import test_replica_restarts as restarts
 
 HEARTBEAT_MS = 2_000.0
 START_MS = 20_000.0
--- a/tests/core/test_cold_shares.py
+++ b/tests/core/replicas/test_cold_shares.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import cold_shares
+from marlramp.core.replicas import cold_shares
 
 RATE_PER_S = 17.0
 BOUND = RATE_PER_S * 1.5 + 5
--- a/tests/core/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -8,15 +8,15 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import breaker
-from marlramp.core import engine_load
-from marlramp.core import event_stream
-from marlramp.core import fleet
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import retry_share
-from marlramp.core import swap_schedule
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import engine_load
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
+from marlramp.core.requests import event_stream
+from marlramp.core.requests import retry_share
+from marlramp.core.weights import swap_schedule
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
--- a/tests/core/test_path_latency.py
+++ b/tests/core/replicas/test_path_latency.py
@@ -3,7 +3,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import path_latency
+from marlramp.core.replicas import path_latency
 
 
 def test_latency_is_0_without_measurements(time: clock.ManualClock) -> None:
--- a/tests/core/test_peer_loads.py
+++ b/tests/core/replicas/test_peer_loads.py
@@ -6,12 +6,12 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import peer_loads
-from marlramp.core import replica_filters
-from marlramp.core import replica_table
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import peer_loads
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import upstream_choice
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
--- a/tests/core/test_replica_filters.py
+++ b/tests/core/replicas/test_replica_filters.py
@@ -11,14 +11,14 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import admission
-from marlramp.core import breaker
-from marlramp.core import cold_replica
-from marlramp.core import fleet
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import upstream_choice
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import version_cutoff
+from marlramp.core.replicas import admission
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import upstream_choice
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 MakeView: TypeAlias = Callable[..., replica_view.ReplicaView]
--- a/tests/core/test_replica_limits.py
+++ b/tests/core/replicas/test_replica_limits.py
@@ -7,7 +7,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import replica_limits
+from marlramp.core.replicas import replica_limits
 
 REPLICA = "i-1"
 
--- a/tests/core/test_replica_restarts.py
+++ b/tests/core/replicas/test_replica_restarts.py
@@ -8,10 +8,10 @@
 import msgspec
 import pytest
 
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 
 MakeReplica: TypeAlias = Callable[..., fleet.Replica]
 
--- a/tests/core/test_routing.py
+++ b/tests/core/replicas/test_routing.py
@@ -8,9 +8,9 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import breaker
-from marlramp.core import retries
-from marlramp.core import routing
+from marlramp.core.replicas import breaker
+from marlramp.core.replicas import routing
+from marlramp.core.requests import retries
 
 
 def candidate(number: int, **changes: object) -> routing.Candidate:
--- a/tests/core/test_send_limiter.py
+++ b/tests/core/replicas/test_send_limiter.py
@@ -7,10 +7,10 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import limiter_assignment
-from marlramp.core import members
-from marlramp.core import send_limit
-from marlramp.core import send_limiter
+from marlramp.core.membership import members
+from marlramp.core.replicas import limiter_assignment
+from marlramp.core.replicas import send_limit
+from marlramp.core.replicas import send_limiter
 
 WINDOW_MS = 4_000.0
 EXCESS_SHARE = 1.5
--- a/tests/core/test_wait_bias.py
+++ b/tests/core/replicas/test_wait_bias.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from marlramp import clock
-from marlramp.core import wait_bias
+from marlramp.core.replicas import wait_bias
 
 
 def test_waits_beyond_the_prediction_raise_the_factor_quickly(
--- a/tests/core/test_attempt_timeouts.py
+++ b/tests/core/requests/test_attempt_timeouts.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from marlramp.core import attempt_timeouts
+from marlramp.core.requests import attempt_timeouts
 
 STREAM = attempt_timeouts.PendingAttempt(
     streaming=True,
--- a/tests/core/test_caller_timeout.py
+++ b/tests/core/requests/test_caller_timeout.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from marlramp.core import caller_timeout
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
+from marlramp.core.requests import caller_timeout
 
 MakeRoute: TypeAlias = Callable[..., fleet.Route]
 
--- a/tests/core/test_caller_wait_estimate.py
+++ b/tests/core/requests/test_caller_wait_estimate.py
@@ -2,7 +2,7 @@
 
 import random
 
-from marlramp.core import caller_wait_estimate
+from marlramp.core.requests import caller_wait_estimate
 
 TIMEOUT_MS = 6_000.0
 
--- a/tests/core/test_request_fingerprint.py
+++ b/tests/core/requests/test_request_fingerprint.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import request_fingerprint
+from marlramp.core.requests import request_fingerprint
 
 REQUEST = ("POST", "a.example", b"/chat/x?n=1", ids.CustomerId("c"), b"text")
 
--- a/tests/core/test_origin_retry_slots.py
+++ b/tests/core/weights/test_origin_retry_slots.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marlramp.core import origin_retry_slots
+from marlramp.core.weights import origin_retry_slots
 
 PIECE_MS = 40.0
 NAMED_MS = 1_000.0
--- a/tests/core/test_relay_assignment.py
+++ b/tests/core/weights/test_relay_assignment.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marlramp.core import relay_assignment
+from marlramp.core.weights import relay_assignment
 
 KEYS = [f"{n:064x}" for n in range(64)]
 
--- a/tests/core/test_relay_fetch.py
+++ b/tests/core/weights/test_relay_fetch.py
@@ -3,9 +3,9 @@
 import itertools
 
 from marlramp import clock
-from marlramp.core import origin_retry_slots
-from marlramp.core import relay_assignment
-from marlramp.core import relay_fetch
+from marlramp.core.weights import origin_retry_slots
+from marlramp.core.weights import relay_assignment
+from marlramp.core.weights import relay_fetch
 
 PIECE_MS = 40.0
 PIECES = 64
--- a/tests/core/test_rollout_limit.py
+++ b/tests/core/weights/test_rollout_limit.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from marlramp.core import rollout_limit
+from marlramp.core.weights import rollout_limit
 
 ROLLOUT = rollout_limit.Rollout(
     missing_bytes=2_000_000,
--- a/tests/core/test_swap.py
+++ b/tests/core/weights/test_swap.py
@@ -2,7 +2,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import swap
+from marlramp.core.weights import swap
 
 A = ids.VmId("vm-a")
 B = ids.VmId("vm-b")
--- a/tests/core/test_swarm_relays.py
+++ b/tests/core/weights/test_swarm_relays.py
@@ -6,7 +6,7 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import swarm
+from marlramp.core.weights import swarm
 
 CHUNKS = [f"{n:064x}" for n in range(64)]
 POLICY = swarm.SwarmPolicy(2.0, 700.0, in_flight_max=12, credits_per_peer=2)
--- a/tests/direct/calls/test_crashing_parts.py
+++ b/tests/direct/calls/test_crashing_parts.py
@@ -9,8 +9,8 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import crash_reports
-from marlramp.core import possible_causes
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import possible_causes
 from marlramp.shell import address_probe
 from standins import raw_http
 from tests.direct import conftest
--- a/tests/direct/calls/test_crashing_requests.py
+++ b/tests/direct/calls/test_crashing_requests.py
@@ -7,8 +7,8 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import crash_reports
-from marlramp.core import request_fingerprint
+from marlramp.core.crashes import crash_reports
+from marlramp.core.requests import request_fingerprint
 from standins import raw_http
 from tests.direct import conftest
 
--- a/tests/direct/calls/test_forwarder.py
+++ b/tests/direct/calls/test_forwarder.py
@@ -6,10 +6,10 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import path_latency
-from marlramp.core import version_cutoff
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import version_cutoff
+from marlramp.core.replicas import path_latency
 from marlramp.direct.calls import forwarder
 from marlramp.shell import http1_client
 from standins import raw_http
--- a/tests/direct/calls/test_placement.py
+++ b/tests/direct/calls/test_placement.py
@@ -14,10 +14,10 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import route_table
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
+from marlramp.core.replicas import upstream_choice
 from marlramp.shell import http1_client
 from standins import raw_http
 from tests.direct import conftest
--- a/tests/direct/calls/test_replica_observer.py
+++ b/tests/direct/calls/test_replica_observer.py
@@ -9,9 +9,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import errors
-from marlramp.core import cold_replica
-from marlramp.core import queue_position
-from marlramp.core import upstream_choice
+from marlramp.core.replicas import cold_replica
+from marlramp.core.replicas import queue_position
+from marlramp.core.replicas import upstream_choice
 from marlramp.direct.calls import rate_limits
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import replica_signals
--- a/tests/direct/fleet/cold_fleet.py
+++ b/tests/direct/fleet/cold_fleet.py
@@ -12,12 +12,12 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import cold_shares
-from marlramp.core import fleet
-from marlramp.core import members
-from marlramp.core import replica_table
-from marlramp.core import replica_view
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.membership import members
+from marlramp.core.replicas import cold_shares
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
 from tests.direct.fleet import limited_fleet
 from tests.direct.fleet import virtual_fleet
 
--- a/tests/direct/fleet/limited_fleet.py
+++ b/tests/direct/fleet/limited_fleet.py
@@ -15,13 +15,13 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import admission
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import replica_filters
-from marlramp.core import replica_view
-from marlramp.core import send_limiter
-from marlramp.core import upstream_choice
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import admission
+from marlramp.core.replicas import replica_filters
+from marlramp.core.replicas import replica_view
+from marlramp.core.replicas import send_limiter
+from marlramp.core.replicas import upstream_choice
 from marlramp.direct.calls import wire
 from marlramp.experiments import virtual_time
 from standins import named_limit
--- a/tests/direct/fleet/store_fleet.py
+++ b/tests/direct/fleet/store_fleet.py
@@ -10,7 +10,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 from marlramp.direct.fleet import entry_fleet
 from marlramp.direct.fleet import store_reader
 from marlramp.platform import clients
--- a/tests/direct/fleet/test_agent_coordinator.py
+++ b/tests/direct/fleet/test_agent_coordinator.py
@@ -6,9 +6,9 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import members
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.membership import members
 from marlramp.direct.fleet import agent_coordinator
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
--- a/tests/direct/fleet/test_catalog_sync.py
+++ b/tests/direct/fleet/test_catalog_sync.py
@@ -10,9 +10,9 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import members
-from marlramp.core import resume_guard
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import resume_guard
+from marlramp.core.membership import members
 from marlramp.direct.fleet import catalog_codec
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import member_sync
--- a/tests/direct/fleet/test_cold_replicas.py
+++ b/tests/direct/fleet/test_cold_replicas.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from marlramp.core import members
-from marlramp.core import roster
+from marlramp.core.membership import members
+from marlramp.core.membership import roster
 from tests.direct.fleet import cold_fleet
 from tests.direct.fleet import limited_fleet
 
--- a/tests/direct/fleet/test_crash_backup.py
+++ b/tests/direct/fleet/test_crash_backup.py
@@ -9,9 +9,9 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import crash_ledger
-from marlramp.core import crash_reports
-from marlramp.core import members
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_reports
+from marlramp.core.membership import members
 from marlramp.direct.fleet import crash_backup
 from marlramp.direct.fleet import entry_contacts
 from marlramp.protocol import codec
--- a/tests/direct/fleet/test_crash_sync.py
+++ b/tests/direct/fleet/test_crash_sync.py
@@ -5,8 +5,8 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import crash_ledger
-from marlramp.core import crash_reports
+from marlramp.core.crashes import crash_ledger
+from marlramp.core.crashes import crash_reports
 from marlramp.protocol import fleet_messages
 from tests.direct.fleet import virtual_fleet
 
--- a/tests/direct/fleet/test_crashing_parts.py
+++ b/tests/direct/fleet/test_crashing_parts.py
@@ -7,8 +7,8 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import crash_reports
-from marlramp.core import possible_causes
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import possible_causes
 from tests.direct.fleet import virtual_fleet
 
 FIRST = possible_causes.part_fingerprint("model", "f0")
--- a/tests/direct/fleet/test_data_centre_loss.py
+++ b/tests/direct/fleet/test_data_centre_loss.py
@@ -8,8 +8,8 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import crash_reports
-from marlramp.core import possible_causes
+from marlramp.core.crashes import crash_reports
+from marlramp.core.crashes import possible_causes
 from standins import named_limit
 from tests.direct.fleet import limited_fleet
 from tests.direct.fleet import store_fleet
--- a/tests/direct/fleet/test_engine_digests.py
+++ b/tests/direct/fleet/test_engine_digests.py
@@ -7,8 +7,8 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import members
-from marlramp.core import replica_view
+from marlramp.core.membership import members
+from marlramp.core.replicas import replica_view
 from marlramp.direct.fleet import engine_digests
 from marlramp.direct.fleet import member_sync
 from marlramp.direct.fleet import placement
--- a/tests/direct/fleet/test_entry_contacts.py
+++ b/tests/direct/fleet/test_entry_contacts.py
@@ -4,7 +4,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import members
+from marlramp.core.membership import members
 from marlramp.direct.fleet import entry_contacts
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
--- a/tests/direct/fleet/test_evacuations.py
+++ b/tests/direct/fleet/test_evacuations.py
@@ -8,7 +8,7 @@
 import pytest
 
 from marlramp import ids
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 from marlramp.direct.fleet import catalog_codec
 from marlramp.protocol import fleet_messages
 from tests.direct.fleet import limited_fleet
--- a/tests/direct/fleet/test_member_sync.py
+++ b/tests/direct/fleet/test_member_sync.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from marlramp.core import members
-from marlramp.core import roster
+from marlramp.core.membership import members
+from marlramp.core.membership import roster
 from tests.direct.fleet import virtual_fleet
 
 KNOWN_DOWN_MS = 3_500.0
--- a/tests/direct/fleet/test_named_weights.py
+++ b/tests/direct/fleet/test_named_weights.py
@@ -4,8 +4,8 @@
 import contextlib
 
 from marlramp import clock
-from marlramp.core import catalog
-from marlramp.core import fleet
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
 from marlramp.direct.fleet import named_weights
 
 
--- a/tests/direct/fleet/test_retry_shares.py
+++ b/tests/direct/fleet/test_retry_shares.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from marlramp.core import members
-from marlramp.core import retry_share
+from marlramp.core.membership import members
+from marlramp.core.requests import retry_share
 from tests.direct.fleet import virtual_fleet
 
 RATIO = 0.2
--- a/tests/direct/fleet/test_store_outage.py
+++ b/tests/direct/fleet/test_store_outage.py
@@ -7,13 +7,13 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import catalog
-from marlramp.core import crash_record
-from marlramp.core import event_time
-from marlramp.core import fleet
-from marlramp.core import members
-from marlramp.core import outage_detector
-from marlramp.core import replica_table
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import outage_detector
+from marlramp.core.crashes import crash_record
+from marlramp.core.membership import members
+from marlramp.core.replicas import replica_table
 from marlramp.direct.fleet import entry_fleet
 from marlramp.direct.fleet import store_reader
 from marlramp.protocol import codec
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -13,9 +13,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import reader_election
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.membership import reader_election
 from marlramp.direct.fleet import store_reader
 from marlramp.platform import calls
 from marlramp.platform import clients
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -11,10 +11,10 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import catalog
-from marlramp.core import event_time
-from marlramp.core import fleet
-from marlramp.core import members
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import event_time
+from marlramp.core.configuration import fleet
+from marlramp.core.membership import members
 from marlramp.direct.fleet import agent_coordinator
 from marlramp.direct.fleet import catalog_sync
 from marlramp.direct.fleet import member_sync
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -14,9 +14,9 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import crash_record
-from marlramp.core import members
-from marlramp.core import replica_table
+from marlramp.core.crashes import crash_record
+from marlramp.core.membership import members
+from marlramp.core.replicas import replica_table
 from marlramp.direct.fleet import crash_backup
 from marlramp.direct.fleet import crash_sync
 from marlramp.direct.fleet import entry_contacts
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -7,9 +7,9 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import catalog
-from marlramp.core import members
-from marlramp.core import route_table
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import route_table
+from marlramp.core.membership import members
 from marlramp.direct import entry_daemon
 from marlramp.platform import lookup_pages
 from marlramp.settings import node
--- a/tests/direct/test_placement_pages.py
+++ b/tests/direct/test_placement_pages.py
@@ -13,9 +13,9 @@
 from marlramp import ids
 from marlramp.console import application
 from marlramp.console import exit_codes
-from marlramp.core import catalog
-from marlramp.core import fleet
-from marlramp.core import route_table
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.configuration import route_table
 from marlramp.direct import cold_pages
 from marlramp.direct import page_server
 from marlramp.direct import placement_pages
--- a/tests/direct/weights/test_check_loop.py
+++ b/tests/direct/weights/test_check_loop.py
@@ -8,9 +8,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import chunk_bitmap
-from marlramp.core import manifest
-from marlramp.core import members
+from marlramp.core.membership import members
+from marlramp.core.weights import chunk_bitmap
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import messages
--- a/tests/direct/weights/test_digest_queries.py
+++ b/tests/direct/weights/test_digest_queries.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from marlramp import clock
-from marlramp.core import manifest
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
 from marlramp.protocol import messages
--- a/tests/direct/weights/test_manifest_herd.py
+++ b/tests/direct/weights/test_manifest_herd.py
@@ -20,8 +20,8 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import manifest
-from marlramp.core import members
+from marlramp.core.membership import members
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -12,9 +12,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import chunk_bitmap
-from marlramp.core import manifest
-from marlramp.core import relay_assignment
+from marlramp.core.weights import chunk_bitmap
+from marlramp.core.weights import manifest
+from marlramp.core.weights import relay_assignment
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import version_digests
 from marlramp.platform import clients
--- a/tests/direct/weights/test_piece_uploads.py
+++ b/tests/direct/weights/test_piece_uploads.py
@@ -8,7 +8,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import manifest
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_uploads
 from marlramp.protocol import fleet_messages
 
--- a/tests/direct/weights/test_stall_monitor.py
+++ b/tests/direct/weights/test_stall_monitor.py
@@ -8,7 +8,7 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import swarm
+from marlramp.core.weights import swarm
 from marlramp.direct.weights import stall_monitor
 
 
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -9,8 +9,8 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import engine_state
-from marlramp.core import manifest
+from marlramp.core.replicas import engine_state
+from marlramp.core.weights import manifest
 from marlramp.direct.weights import version_digests
 from marlramp.direct.weights import weights_loader
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -9,9 +9,9 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import ids
-from marlramp.core import agent_table
 from marlramp.entry import admission
 from marlramp.entry import agent_queries
+from marlramp.entry import agent_table
 from marlramp.entry import crash_guard
 from marlramp.entry import dispatcher
 from marlramp.experiments import documents
--- a/tests/core/test_agent_table.py
+++ b/tests/entry/test_agent_table.py
@@ -6,8 +6,8 @@
 
 from marlramp import clock
 from marlramp import ids
-from marlramp.core import agent_table
-from marlramp.core import routing
+from marlramp.core.replicas import routing
+from marlramp.entry import agent_table
 from marlramp.protocol import messages
 from marlramp.settings import schema
 
--- a/tests/entry/test_crash_guard.py
+++ b/tests/entry/test_crash_guard.py
@@ -12,9 +12,9 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp.agent import engine_crashes
-from marlramp.core import calls
-from marlramp.core import queueing
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import queueing
+from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import call as call_module
 from marlramp.entry import crash_guard
 from marlramp.protocol import messages
--- a/tests/entry/test_lost_run_detector.py
+++ b/tests/entry/test_lost_run_detector.py
@@ -12,10 +12,10 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
-from marlramp.core import calls
-from marlramp.core import grants
-from marlramp.core import queueing
-from marlramp.core import run_tokens
+from marlramp.core.grant_calls import calls
+from marlramp.core.grant_calls import grants
+from marlramp.core.grant_calls import queueing
+from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
 from marlramp.protocol import messages
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -12,7 +12,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import queueing
+from marlramp.core.grant_calls import queueing
 from marlramp.entry import answers
 from marlramp.entry import requests as caller_requests
 from marlramp.experiments import documents
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 from marlramp.platform import documents
 
 REGIONS = {"west", "east"}
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 from marlramp.platform import documents
 from tests.platform import test_store
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from marlramp import counters
 from marlramp import ids
 from marlramp import logs
-from marlramp.core import catalog
+from marlramp.core.configuration import catalog
 from marlramp.platform import clients
 from marlramp.platform import store
 from marlramp.settings import node
--- a/tests/shell/test_http1_server.py
+++ b/tests/shell/test_http1_server.py
@@ -9,7 +9,7 @@
 
 from marlramp import clock
 from marlramp import errors
-from marlramp.core import fleet
+from marlramp.core.configuration import fleet
 from marlramp.shell import http1_server
 
 LIMITS = fleet.CallerLimits(
--- a/tests/shell/test_member_links.py
+++ b/tests/shell/test_member_links.py
@@ -8,7 +8,7 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp.core import members
+from marlramp.core.membership import members
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.shell import member_links
