Tell entries which replicas a complete read of the store lacked

Open finding: a replica was removed while no entry read the store; an entry that started read it first and never knew the replica, so it could not tell the others, which took its revision as theirs. Virtual time, 7 entries: 6 still listed the replica after 70 s. Asking for all changes does not help, since a removal that the answering entry never knew is not among them.

An update whose first revision is older than the last complete read known to its sender now lists the ids of the replicas that exist; the receiver removes what it knows from before that read and the list lacks, and passes the list on in the same way. It is sent after complete reads and to entries that start, about 12 bytes a replica. The new test failed before.

An entry that started and heard one update beyond a gap counted as ready by its configuration alone, without versions of the weights and evacuations. It now serves once it knows all changes up to some revision; the answer to its first request, 150 ms apart at most, brings that. Found by reading, one test.

--- a/src/marlramp/core/configuration/catalog.py
+++ b/src/marlramp/core/configuration/catalog.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import TypeAlias
 
@@ -178,6 +179,8 @@
       config_revision: revision of that configuration.
       targets: the weights that are to be served, by model.
       evacuated: data centres whose replicas must not be sent requests.
+      listed_revision: revision of the last complete read of the store that is
+        known here, 0 if none is.
     """
 
     def __init__(self, data_centres: Iterable[str] = ()) -> None:
@@ -189,6 +192,7 @@
         """
         self._data_centres = [ids.DataCentreId(name) for name in data_centres]
         self.revision = 0
+        self.listed_revision = 0
         self.config: fleet.FleetConfig | None = None
         self.config_revision = 0
         self.targets: dict[str, KnownTarget] = {}
@@ -346,17 +350,55 @@
         """
         changes = list(snapshot.changes)
         listed = {c.replica_id for c in changes if isinstance(c, ReplicaChange)}
-        for replica_id, known in self._replicas.items():
-            gone = replica_id not in listed and known.replica is not None
-            if gone and known.revision <= snapshot.revision:
-                changes.append(
-                    ReplicaChange(snapshot.revision, replica_id, None)
-                )
+        changes.extend(self._removals(listed, snapshot.revision))
         changes.extend(self._ended_evacuations(snapshot))
         new = self.apply(changes, now_ms)
         self.advance(snapshot.revision)
+        self.listed_revision = max(self.listed_revision, snapshot.revision)
         return new
 
+    def listed(self) -> list[str]:
+        """Returns the ids of the replicas whose records exist."""
+        return [
+            replica_id
+            for replica_id, known in self._replicas.items()
+            if known.replica is not None
+        ]
+
+    def apply_listing(
+        self, listed: Collection[str], revision: int, now_ms: clock.Millis
+    ) -> list[Change]:
+        """Removes the replicas that a complete read of the store lacked.
+
+        A process that reads the store first after a removal can't tell the
+        others of it, since it never knew the replica.
+
+        Args:
+          listed: ids of the replicas that existed at the revision, or that were
+            added since.
+          revision: revision of the read.
+          now_ms: the time.
+
+        Returns:
+          The removals that were new.
+        """
+        if revision <= self.listed_revision:
+            return []
+        self.listed_revision = revision
+        return self.apply(self._removals(listed, revision), now_ms)
+
+    def _removals(
+        self, listed: Collection[str], revision: int
+    ) -> list[ReplicaChange]:
+        """Returns the removals of replicas that are missing at a revision."""
+        return [
+            ReplicaChange(revision, replica_id, None)
+            for replica_id, known in self._replicas.items()
+            if replica_id not in listed
+            and known.replica is not None
+            and known.revision <= revision
+        ]
+
     def _ended_evacuations(self, snapshot: Snapshot) -> list[EvacuationChange]:
         """Returns the ends of evacuations that a complete read lacks.
 
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -264,7 +264,7 @@
             **pause_pages.build(self._table, self._clock),
             **cold_pages.build(self._table, self._clock),
             **placement_pages.build(
-                lambda: self._routes,
+                lambda: self.routes,
                 self._catalog,
                 self._table,
                 self._settings.regions,
@@ -302,8 +302,12 @@
 
     @property
     def routes(self) -> route_table.RouteTable | None:
-        """The routes in force, None before the first configuration."""
-        return self._routes
+        """The routes in force, None before the first configuration.
+
+        An update beyond a gap may bring a configuration before this entry knows
+        the versions of the weights and the evacuations.
+        """
+        return self._routes if self._catalog.revision > 0 else None
 
     @property
     def entries(self) -> int:
@@ -345,7 +349,7 @@
     def _state(self) -> members.MemberState:
         if self._leaving_since_ms is not None:
             return members.MemberState.LEAVING
-        if self._routes is None or not self._callers.listening:
+        if self.routes is None or not self._callers.listening:
             return members.MemberState.STARTING
         return members.MemberState.READY
 
@@ -361,8 +365,9 @@
             found.append(self._own)
         regions = self._settings.regions
         allowed = None
-        if self._routes is not None:
-            allowed = self._routes.allowed_regions_of_host(lookup.host)
+        routes = self.routes
+        if routes is not None:
+            allowed = routes.allowed_regions_of_host(lookup.host)
         if allowed is not None:
             own = regions.get(lookup.data_centre, lookup.region)
             found = lookup_share.in_permitted_regions(
--- a/src/marlramp/direct/fleet/catalog_sync.py
+++ b/src/marlramp/direct/fleet/catalog_sync.py
@@ -119,6 +119,9 @@
             version_ages.PATH_LATENCY_MAX_MS, now_ms
         )
         new = self._catalog.apply(changes, now_ms, receipt)
+        new += self._catalog.apply_listing(
+            frozenset(update.listed), update.listed_revision, now_ms
+        )
         if update.after <= before:
             self._catalog.advance(update.revision)
             self._record_answer(name, update.query)
@@ -299,9 +302,13 @@
     def _make_update(
         self, after: int, changes: list[catalog.Change]
     ) -> fleet_messages.CatalogNews:
-        return fleet_messages.CatalogNews(
+        update = fleet_messages.CatalogNews(
             after=after,
             revision=self._catalog.revision,
             changes=catalog_codec.pack(changes),
             evacuations=catalog_codec.evacuations_of(changes),
         )
+        if after < self._catalog.listed_revision:
+            update.listed_revision = self._catalog.listed_revision
+            update.listed = self._catalog.listed()
+        return update
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -215,6 +215,9 @@
         that a process of an earlier release, which ignores this field, can
         decode the other changes during a rolling upgrade.
       query: number of the query that this answers, 0 if it answers none.
+      listed_revision: revision of the last complete read of the store, 0 if the
+        receiver need not know it.
+      listed: ids of the replicas that exist, if that revision is given.
     """
 
     after: int
@@ -224,6 +227,8 @@
     told_near: bool = False
     evacuations: list[catalog.EvacuationChange] = []
     query: int = 0
+    listed_revision: int = 0
+    listed: list[str] = []
 
 
 class CatalogRequest(_Message):
--- a/tests/core/configuration/test_catalog.py
+++ b/tests/core/configuration/test_catalog.py
@@ -95,6 +95,23 @@
     assert known.replicas() == []
 
 
+def test_listing_removes_only_replicas_that_are_older(
+    known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    """Guards against replicas that only other processes know as removed."""
+    replicas = [
+        make_replica(replica_id=f"i-{number}", address=f"10.0.0.{number}:1")
+        for number in range(3)
+    ]
+    changes = map(listed, (3, 5, 12), replicas)
+    known.apply(changes, time.now_ms())
+    new = known.apply_listing({"i-1"}, 10, time.now_ms())
+    assert new == [removed(10, replicas[0])]
+    assert known.listed() == ["i-1", "i-2"]
+    assert known.apply_listing(set(), 9, time.now_ms()) == []
+    assert known.apply(map(listed, (9,), replicas), time.now_ms()) == []
+
+
 def test_of_two_replicas_at_one_address_only_the_newer_is_listed(
     known: catalog.Catalog, make_replica: MakeReplica, time: clock.ManualClock
 ) -> None:
--- a/tests/direct/fleet/test_evacuations.py
+++ b/tests/direct/fleet/test_evacuations.py
@@ -161,6 +161,31 @@
     play(run)
 
 
+def test_removal_that_a_starting_entry_reads_first_is_known_to_all() -> None:
+    # The new entry never knew the replica. The others took its revision as
+    # theirs, and still listed the replica 70 s later.
+    async def run(fleet: store_fleet.StoreFleet) -> None:
+        removed, *_ = fleet.replicas
+        fleet.store.cut = set(fleet.entries)
+        await fleet.sleep(3_000.0)
+        fleet.store.put_replica(catalog.ReplicaChange(0, removed, None))
+        fleet.stop("entry-0")
+        fleet.cut_between(["entry-0"], fleet.entries)
+        fleet.start(0, incarnation=2_000)
+        fleet.store.cut.discard("entry-0")
+        while fleet.entry("entry-0").known.revision == 0:
+            await fleet.sleep(10.0)
+        fleet.cut.clear()
+        await fleet.sleep(3_000.0)
+        fleet.store.cut.clear()
+        await fleet.sleep(catalog.REPLICA_RETURN_MS + 5_000.0)
+        for entry in fleet.store_entries():
+            known = {each.replica_id for each in entry.known.replicas()}
+            assert known == set(fleet.replicas) - {removed}
+
+    play(run)
+
+
 def test_news_of_an_earlier_evacuation_change_nothing() -> None:
     # A start that arrives after its end must not empty a data centre, and an
     # end that arrives after a second start must not fill it.
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -44,6 +44,18 @@
     assert daemon.refuses()
 
 
+def test_configuration_beyond_a_gap_is_not_served_alone(
+    daemon: entry_daemon.EntryDaemon,
+) -> None:
+    """Guards against a start that knows no evacuation and no version."""
+    config = catalog.ConfigChange(7, conftest.CONFIG)
+    daemon._apply_changes(daemon._catalog.apply([config], clock.Millis(0.0)))
+    assert daemon.routes is None
+    assert daemon._state() is members.MemberState.STARTING
+    daemon._catalog.advance(7)
+    assert daemon.routes is not None
+
+
 @pytest.mark.parametrize(
     ("host", "region", "data_centre", "expected"),
     [
@@ -77,6 +89,7 @@
     ]
     config = msgspec.structs.replace(conftest.CONFIG, routes=routes)
     daemon._routes = route_table.RouteTable(config)
+    daemon._catalog.advance(1)
     lookup = lookup_pages.Lookup(host, region, data_centre)
     assert set(daemon._lookup(lookup)) == expected
     if host == "a.example":
