Reword the docstrings of the protocol messages

Message docstrings say what a message requests, replies to or reports, and attributes name their values in full. The head of messages.py named an Envelope class that does not exist; it now names the version prefix that codec.py writes. Class and field names are unchanged.

--- a/src/marlramp/protocol/__init__.py
+++ b/src/marlramp/protocol/__init__.py
@@ -1,1 +1,1 @@
-"""Messages between the system's own processes."""
+"""Messages that entries and agents exchange, and their encoding."""
--- a/src/marlramp/protocol/codec.py
+++ b/src/marlramp/protocol/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of messages: a version byte, then MessagePack by msgspec."""
+"""Encodes messages as a protocol version byte followed by MessagePack."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 class DecodeError(Exception):
-    """A received message that cannot be used.
+    """Raised for a received message that cannot be decoded.
 
     Attributes:
-      reason: short name for the counter of dropped messages.
+      reason: label that counts dropped messages by cause.
     """
 
     def __init__(self, reason: str, detail: str) -> None:
-        """Records the reason and its detail."""
+        """Creates an error with a reason and a description of the cause."""
         super().__init__(f"{reason}: {detail}")
         self.reason = reason
 
@@ -32,16 +32,16 @@
 
 
 def encode(message: msgspec.Struct) -> bytes:
-    """Returns the bytes of a message."""
+    """Returns the encoding of a message."""
     return _VERSION_PREFIX + _encoder.encode(message)
 
 
 class Encoded(msgspec.Struct, frozen=True):
-    """An encoded message, to be sent to several.
+    """A message encoded once to be sent to several receivers.
 
     Attributes:
-      kind: name of its class, for counters.
-      data: its bytes.
+      kind: class name of the message, used as a counter label.
+      data: encoding of the message.
     """
 
     kind: str
@@ -49,23 +49,24 @@
 
 
 def encode_once(message: msgspec.Struct) -> Encoded:
-    """Returns a message encoded for several receivers."""
+    """Encodes a message once to be sent to several receivers."""
     return Encoded(type(message).__name__, encode(message))
 
 
 class Decoder(Generic[MessageT]):
-    """Decodes messages from one direction and rejects all others."""
+    """Decodes the message types of one direction and rejects all others."""
 
     def __init__(self, message_type: type[MessageT]) -> None:
-        """Accepts only the members of `message_type`."""
+        """Creates a decoder for the members of the union `message_type`."""
         self._decoder = msgspec.msgpack.Decoder(message_type)
 
     def decode(self, data: bytes) -> MessageT:
         """Returns the message in `data`.
 
         Raises:
-          DecodeError: if it is too large, of another protocol version,
-            malformed or of a kind not expected here.
+          DecodeError: if the message is too large, has another protocol
+            version, is malformed or is of a type that this decoder does not
+            accept.
         """
         if len(data) > messages.MESSAGE_BYTES_MAX:
             raise DecodeError("oversized", f"{len(data)} bytes")
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -1,6 +1,6 @@
 """Messages between processes on the direct path.
 
-Fields ending in `_ms` are durations, never clock readings, since clocks of
+Fields ending in `_ms` are durations, never clock readings, since the clocks of
 different VMs are not comparable.
 """
 
@@ -27,17 +27,17 @@
 
 
 class _Message(msgspec.Struct, array_like=True, tag=True, kw_only=True):
-    """Base of all messages; the tag is the class name."""
+    """Base class of all messages; the tag on the wire is the class name."""
 
 
 class Hello(_Message):
-    """Introduces the sender.
+    """Announces the sender to another member.
 
     Attributes:
-      news: the sender's own news.
-      sample: some other members that it knows, so that one that knew only a
-        seed finds more; never all of them.
-      reply: whether the receiver is to introduce itself too.
+      news: update on the sender itself.
+      sample: some of the other members that the sender knows, but never all of
+        them. A member that has only a seed's address discovers others from it.
+      reply: whether the receiver must send its own `Hello` in return.
     """
 
     news: members.MemberUpdate
@@ -46,21 +46,21 @@
 
 
 class MembersNews(_Message):
-    """News of members that were new to the sender."""
+    """Forwards member updates that were new to the sender."""
 
     news: list[members.MemberUpdate]
 
 
 class Ping(_Message):
-    """Asks whether an entry is there, and tells what the sender has.
+    """Checks that an entry is alive, and reports the sender's state.
 
     Attributes:
-      incarnation: the sender's.
-      state: the sender's.
+      incarnation: incarnation of the sender.
+      state: state of the sender.
       digest: digest of the sender's roster.
-      revision: revision up to which the sender knows the catalog.
+      revision: revision up to which the sender's catalog is complete.
       crash_digest: digest of the crashes that the sender knows.
-      limit_digest: digest of the replicas that name a limit, as it knows them.
+      limit_digest: digest of the replica limits that the sender knows.
     """
 
     incarnation: int
@@ -72,7 +72,7 @@
 
 
 class Ack(_Message):
-    """Answers a ping with the same about the answering entry."""
+    """Replies to a `Ping` with the same fields for the replying entry."""
 
     incarnation: int
     state: members.MemberState
@@ -83,33 +83,33 @@
 
 
 class ProbeRequest(_Message):
-    """Asks an entry to find out whether another one is there."""
+    """Requests that an entry probe another entry on the sender's behalf."""
 
     vm_id: str
 
 
 class ProbeReply(_Message):
-    """Tells that an entry asked about is there."""
+    """Reports that the entry of a `ProbeRequest` is alive."""
 
     vm_id: str
 
 
 class RosterRequest(_Message):
-    """Asks for members that the sender may not know.
+    """Requests the members that the sender may lack.
 
     Attributes:
-      digests: digest of each bucket of its roster.
+      digests: digest of each bucket of the sender's roster.
     """
 
     digests: list[int]
 
 
 class CrashNews(_Message):
-    """Crashes of replicas, and the requests that were under way there.
+    """Reports crashes of replicas and the requests in flight there.
 
     Attributes:
       crashes: the crashes.
-      answers: whether they answer a request.
+      answers: whether this message replies to a request.
     """
 
     crashes: list[crash_reports.Crash]
@@ -117,44 +117,44 @@
 
 
 class CrashRequest(_Message):
-    """Asks for crashes that the sender may not know.
+    """Requests the crashes that the sender may lack.
 
     Attributes:
-      digests: digest of each bucket of its ledger.
+      digests: digest of each bucket of the sender's crash ledger.
     """
 
     digests: list[int]
 
 
 class CrashDigest(_Message):
-    """Tells an entry what crashes an agent knows, by their digest."""
+    """Reports the digest of the crashes that an agent knows to an entry."""
 
     digest: int
 
 
 class LimitNews(_Message):
-    """Limits that replicas name, or name no more."""
+    """Reports request rate limits of replicas, and limits that have ended."""
 
     limits: list[replica_limits.LimitUpdate]
 
 
 class LimitRequest(_Message):
-    """Asks for limits that the sender may not know.
+    """Requests the replica limits that the sender may lack.
 
     Attributes:
-      digests: digest of each bucket of the limits that it knows.
+      digests: digest of each bucket of the limits that the sender knows.
     """
 
     digests: list[int]
 
 
 class SendRequest(_Message):
-    """Asks when a request may be sent to a replica that names a limit.
+    """Requests a reservation to send to a replica that has a rate limit.
 
     Attributes:
-      number: number of the question, rising.
+      number: increasing number of this message, repeated in the reply.
       limit: the limit as the sender knows it.
-      wait_max_ms: how long the request can wait.
+      wait_max_ms: longest time that the request can wait.
     """
 
     number: int
@@ -163,15 +163,16 @@
 
 
 class SendReply(_Message):
-    """Answers a `SendRequest`.
+    """Replies to a `SendRequest`.
 
     Attributes:
-      number: number of the question.
-      wait_ms: in how many milliseconds the request may be sent; None if it
-        can't wait so long.
-      next_ms: time until the next one may be sent.
-      pause_ms: time in which the sender is not to ask for this replica again.
-      limit: the limit as the answering entry knows it, None if it knows none.
+      number: number of the `SendRequest`.
+      wait_ms: time after which the request may be sent, None if that exceeds
+        the longest time that it can wait.
+      next_ms: time until another request may be sent.
+      pause_ms: time during which the receiver must not request another
+        reservation for this replica.
+      limit: the limit as the replying entry knows it, None if it knows none.
     """
 
     number: int
@@ -182,18 +183,18 @@
 
 
 class SendReserved(_Message):
-    """Tells another entry that reserves for a replica of a request."""
+    """Reports a reservation to another entry that limits the same replica."""
 
     limit: replica_limits.LimitUpdate
 
 
 class StoreBeacon(_Message):
-    """Sent at a steady rate by each entry that watches the store.
+    """Reports an entry's access to the store, periodically while it reads it.
 
     Attributes:
-      revision: revision up to which it knows the catalog.
-      store_age_ms: time since the store last answered it.
-      served: whether the store answered its last call.
+      revision: revision up to which the sender's catalog is complete.
+      store_age_ms: time since the store last answered the sender.
+      served: whether the store answered the sender's last call.
     """
 
     revision: int
@@ -202,22 +203,24 @@
 
 
 class CatalogNews(_Message):
-    """Changes of the catalog, complete from one revision to another.
+    """Carries all changes of the catalog between two revisions.
 
     Attributes:
       after: revision after which the changes are complete.
-      revision: revision up to which they are.
+      revision: revision up to which the changes are complete.
       changes: the changes, encoded and compressed.
-      pass_on: whether the receiver is to tell the entries of its region, so
-        that a change crosses to a region once or twice, not once an entry.
-      told_near: whether the sender tells all entries of its region.
+      pass_on: whether the receiver must forward the changes to the entries of
+        its region. A change is thus sent to another region once or twice
+        instead of once per entry.
+      told_near: whether the sender sends this to all entries of its region.
       evacuations: the changes of evacuations. They are not among `changes`, so
         that a process of an earlier release, which ignores this field, can
         decode the other changes during a rolling upgrade.
-      query: number of the query that this answers, 0 if it answers none.
+      query: number of the `CatalogRequest` that this replies to, 0 if none.
       listed_revision: revision of the last complete read of the store, 0 if the
-        receiver need not know it.
-      listed: ids of the replicas that exist, if that revision is given.
+        receiver does not need it.
+      listed: ids of the replicas that existed at `listed_revision`, if that is
+        set.
     """
 
     after: int
@@ -232,12 +235,12 @@
 
 
 class CatalogRequest(_Message):
-    """Asks for the changes after a revision.
+    """Requests the changes of the catalog after a revision.
 
     Attributes:
       after: the revision.
-      query: number that the answer repeats, 0 if it need not. A process of an
-        earlier release answers without it.
+      query: number that the reply must repeat, 0 if none. A process of an
+        earlier release replies without it.
     """
 
     after: int
@@ -245,24 +248,25 @@
 
 
 class VersionAgesRequest(_Message):
-    """Asks when versions of weights were named.
+    """Requests the times at which versions of weights were announced.
 
     Attributes:
-      number: number of the question, rising.
+      number: increasing number of this message, repeated in the reply.
     """
 
     number: int
 
 
 class VersionAges(_Message):
-    """Answers a `VersionAgesRequest`.
+    """Replies to a `VersionAgesRequest`.
 
     Attributes:
-      number: number of the question.
-      versions: the versions known, with their ages as of the answer.
-      complete_revision: revision of the last change that the store held when
-        it was last known to hold no more.
-      complete_age_ms: how long ago that was, None if it is not known.
+      number: number of the `VersionAgesRequest`.
+      versions: the versions that the sender knows, with their ages at the time
+        of the reply.
+      complete_revision: revision of the store's last change at the latest time
+        when the store is known to have had no later change.
+      complete_age_ms: time since then, None if it is not known.
     """
 
     number: int
@@ -272,24 +276,25 @@
 
 
 class EngineNews(_Message):
-    """An agent's report of the engine beside it, None while it is away."""
+    """An agent's load report of its engine, None while that is unavailable."""
 
     report: replica_view.LoadReport | None
 
 
 class AgedReport(msgspec.Struct, frozen=True, array_like=True):
-    """A report of an engine and how old it was when it was sent."""
+    """Load report of an engine and its age at the time of sending."""
 
     report: replica_view.LoadReport
     age_ms: float
 
 
 class EngineDigest(_Message):
-    """Reports of the engines of a cell, for the entries of other cells.
+    """Load reports of the engines of a cell, for the entries of other cells.
 
     Attributes:
       reports: the reports.
-      pass_on: whether the receiver is to tell the entries of its cell.
+      pass_on: whether the receiver must forward them to the entries of its
+        cell.
     """
 
     reports: list[AgedReport]
@@ -297,11 +302,12 @@
 
 
 class OwnLoads(_Message):
-    """What an entry has under way.
+    """Reports the load that the sending entry causes at replicas.
 
     Attributes:
-      loads: at the replicas where that changed.
-      whole: whether it has nothing under way at any other replica.
+      loads: the loads; unless `whole` is set, only those that changed.
+      whole: whether `loads` is complete, so that the sender causes no load at
+        any other replica.
     """
 
     loads: list[peer_loads.OwnLoad]
@@ -309,15 +315,17 @@
 
 
 class Guide(_Message):
-    """What an agent needs to know of the weights to load.
+    """Provides an agent with the weights to load and their origin.
 
     Attributes:
-      targets: weights named, with their revisions and ages.
-      engine: the engines of the agent's service, None if it is not known.
+      targets: target versions, with their revisions and ages.
+      engine: specification of the engines of the agent's service, None if it is
+        not known.
       origin: "host:port" of the origin, "" if it is not known.
-      streams_resume: whether every stream may go on at another engine.
-      revision: revision of the configuration that this comes from.
-      neighbours: number of the neighbours last told, see `Neighbours`.
+      streams_resume: whether all streaming routes allow a stream to be resumed
+        at another engine.
+      revision: revision of the configuration that this is derived from.
+      neighbours: number of the last `Neighbours` message that was sent.
     """
 
     targets: list[catalog.TargetChange]
@@ -329,15 +337,16 @@
 
 
 class Neighbours(_Message):
-    """The processes that an agent deals with, as changes.
+    """Updates the set of processes that an agent communicates with.
 
     Attributes:
-      after: number of the neighbours that this changes, 0 for none: then all
-        are named.
-      number: number of the neighbours that come of it.
-      entries: entries to report to and to be guided by, all of them.
-      joined: other agents whose engine answers, that came since.
-      left: VMs of those that went since.
+      after: number of the set that this update is based on, 0 if the update
+        contains the complete set.
+      number: number of the resulting set.
+      entries: all entries that the agent reports to and receives `Guide`
+        messages from.
+      joined: other agents with a responding engine, added since `after`.
+      left: VMs of the agents removed since `after`.
     """
 
     after: int
@@ -348,11 +357,11 @@
 
 
 class NeighboursRequest(_Message):
-    """Asks for all neighbours, since changes were missed."""
+    """Requests the complete set of neighbours after missed updates."""
 
 
 class FragmentRequest(_Message):
-    """Asks for a part of a piece."""
+    """Requests a fragment of a piece."""
 
     manifest: str
     index: _Count
@@ -360,7 +369,7 @@
 
 
 class FragmentReply(_Message):
-    """A part of a piece, or None if the sender can't give it now."""
+    """Replies to a `FragmentRequest`, without data if it can't be sent now."""
 
     manifest: str
     index: _Count
@@ -376,12 +385,12 @@
     | FragmentRequest
     | FragmentReply
 )
-"""What processes tell one another of weights."""
+"""Messages that distribute weights between processes."""
 
 AboutLimits: TypeAlias = (
     LimitNews | LimitRequest | SendRequest | SendReply | SendReserved
 )
-"""What entries tell one another of limits that replicas name."""
+"""Messages between entries about the rate limits of replicas."""
 
 FromMember: TypeAlias = (
     Hello
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -1,7 +1,7 @@
 """Messages between entries and agents, and between agents.
 
-Every message travels in an `Envelope` that carries the protocol version.
-Fields ending in `_ms` are durations, never clock readings, since clocks of
+`codec` prefixes every encoded message with the protocol version.
+Fields ending in `_ms` are durations, never clock readings, since the clocks of
 different VMs are not comparable.
 """
 
@@ -30,7 +30,7 @@
     grants.RunState.VOID: errors.Ran.NO,
     grants.RunState.UNKNOWN: errors.Ran.UNKNOWN,
 }
-"""What a run's state says to a caller; only VOID proves that it never ran."""
+"""Whether a request ran, by run state. Only VOID proves that it never ran."""
 
 CHUNK_BYTES_MAX = 64 * 1024 * 1024
 MESSAGE_BYTES_MAX = CHUNK_BYTES_MAX + 64 * 1024
@@ -45,16 +45,16 @@
 
 
 class _Message(msgspec.Struct, array_like=True, tag=True, kw_only=True):
-    """Base of all messages; the tag is the class name."""
+    """Base class of all messages; the tag on the wire is the class name."""
 
 
 class Document(msgspec.Struct, frozen=True, array_like=True):
     """One settings document as published.
 
     Attributes:
-      key: its key in the configuration service.
-      revision: rising number given by that service.
-      text: the TOML text.
+      key: key of the document in the configuration service.
+      revision: increasing number that the configuration service assigns.
+      text: content of the document, in TOML.
     """
 
     key: str
@@ -63,7 +63,7 @@
 
 
 class AgentState(enum.Enum):
-    """What an agent tells entries about itself."""
+    """State that an agent reports to entries."""
 
     STARTING = "starting"
     READY = "ready"
@@ -76,19 +76,20 @@
 
     Attributes:
       vm_id: the agent's VM.
-      data_centre_id: where it is.
+      data_centre_id: data centre of that VM.
       incarnation: the agent's incarnation.
-      service_id: the service its upstream belongs to.
-      state: whether it takes work.
-      model: model the upstream serves, empty for a plain service.
-      version: version the upstream serves, empty for a plain service.
-      target_version: version it should serve by the settings.
-      chunks_held: verified chunks of the target version.
-      chunks_total: chunks of the target version.
-      capacity: most requests at once.
+      service_id: service that the upstream belongs to.
+      state: whether the agent accepts requests.
+      model: model that the upstream serves, empty for a plain service.
+      version: version that the upstream serves, empty for a plain service.
+      target_version: version that the settings require.
+      chunks_held: number of verified chunks of the target version.
+      chunks_total: number of chunks of the target version.
+      capacity: maximum number of concurrent requests.
       sent_bytes: weight bytes sent to other agents.
-      origin_bytes: weight bytes drawn from origin and store.
-      note: what the agent waits for, in words.
+      origin_bytes: weight bytes downloaded from the origin and the weight
+        store.
+      note: text that describes what the agent is waiting for.
     """
 
     vm_id: _Id
@@ -108,10 +109,10 @@
 
 
 class AgentHeartbeat(_Message):
-    """Small regular message of an agent; the link tells who it is from.
+    """Load of an agent, sent periodically; the link identifies the sender.
 
     Attributes:
-      running: requests running.
+      running: number of running requests.
       reported_load: load reported by the upstream, None if it reports none.
       report_age_ms: age of that report.
       revisions: settings revisions in force, by level, -1 for none.
@@ -124,22 +125,22 @@
 
 
 class AgentCounters(_Message):
-    """Counters of an agent that changed since it last sent them."""
+    """Counters of an agent that have changed since its last message."""
 
     values: list[counters.CounterValue]
 
 
 class CachedPrefixes(_Message):
-    """Digests of the prompt prefixes the engine is believed to cache."""
+    """Digests of the prompt prefixes that the engine is assumed to cache."""
 
     digests: list[str]
 
 
 class SwapRequest(_Message):
-    """Asks an entry whether this agent may stop serving to swap versions.
+    """Requests permission from an entry to stop serving and swap versions.
 
-    The same round may be asked again; the permit then lasts `hold_ms` from
-    the last question.
+    An agent may repeat the request of a round; the permit is then valid for
+    `hold_ms` from the last request.
     """
 
     version: str
@@ -148,13 +149,13 @@
 
 
 class SwapWithdrawal(_Message):
-    """Gives back the permit of a round, and of those before it."""
+    """Releases the permits of a round and of all earlier rounds."""
 
     round_number: _Count
 
 
 class SwapAnswer(_Message):
-    """An entry's answer to `SwapRequest`; a permit lapses after `ttl_ms`."""
+    """Replies to a `SwapRequest`; a permit expires after `ttl_ms`."""
 
     version: str
     round_number: _Count
@@ -163,7 +164,7 @@
 
 
 class GrantsIssued(_Message):
-    """New grants for one entry, numbered in a row from `first`."""
+    """New grants for one entry, numbered consecutively from `first`."""
 
     incarnation: int
     first: int
@@ -172,20 +173,20 @@
 
 
 class AnswerParts(msgspec.Struct, frozen=True, array_like=True):
-    """Parts of one answer."""
+    """Parts of the response to one request."""
 
     request_id: _Id
     parts: list[assembly.Part]
 
 
 class PartsBatch(_Message):
-    """Parts of many answers, sent together at a short interval."""
+    """Parts of several responses, batched and sent at short intervals."""
 
     answers: list[AnswerParts]
 
 
 class RunHeaders(_Message):
-    """Status and content type of an answer, sent before its parts."""
+    """Status and content type of a response, sent before its parts."""
 
     request_id: _Id
     status: int
@@ -193,14 +194,14 @@
 
 
 class RunEnded(_Message):
-    """A run ended after its last part, or failed.
+    """Reports that a run succeeded, after its last part, or failed.
 
     Attributes:
       request_id: the request.
-      kind: why it failed, None when it succeeded.
-      ran: whether it ran.
-      detail: explanation of a failure.
-      tokens: tokens generated.
+      kind: cause of the failure, None if the run succeeded.
+      ran: whether the request ran.
+      detail: description of the failure.
+      tokens: number of generated tokens.
     """
 
     request_id: _Id
@@ -211,13 +212,13 @@
 
 
 class EngineCrashed(_Message):
-    """A crash of the agent's upstream, with the requests in flight there."""
+    """Reports a crash of the agent's upstream and the requests in flight."""
 
     crash: crash_reports.Crash
 
 
 class Reserved(_Message):
-    """Answer to `Reserve`; `number` is None when none can be given."""
+    """Replies to a `Reserve`; `number` is None if no grant is available."""
 
     request_id: _Id
     incarnation: int
@@ -226,22 +227,23 @@
 
 
 class RunStatus(_Message):
-    """Answer to `RunQuery` and to `Cancel`."""
+    """Replies to a `RunQuery` or a `Cancel`."""
 
     request_id: _Id
     state: grants.RunState
 
     @property
     def ran(self) -> errors.Ran:
-        """What the state says to a caller."""
+        """Whether the request ran, as reported to its caller."""
         return RAN_OF_STATE[self.state]
 
 
 class EntryHeartbeat(_Message):
-    """State of an entry, sent to each of its agents at a fixed pace.
+    """State of an entry, sent to each of its agents at a fixed interval.
 
     Attributes:
-      demand: requests that this entry runs at the agent or would send to it.
+      demand: number of requests that this entry runs at the agent or would send
+        to it.
       leaving: whether the entry is shutting down.
       revisions: settings revisions in force, by level, -1 for none.
     """
@@ -252,23 +254,23 @@
 
 
 class Run(_Message):
-    """Asks an agent to run one request against one grant.
+    """Requests that an agent run one request, which consumes one grant.
 
     Attributes:
-      request_id: the request, unique per try.
+      request_id: id of the request, unique per attempt.
       incarnation: incarnation that the grant belongs to.
-      number: the grant.
+      number: number of the grant.
       method: HTTP method.
       path: HTTP path at the upstream.
       content_type: type of the body.
       body: the request body.
-      stream: whether the answer is a stream of events.
+      stream: whether the response is a stream of events.
       priority: the request's priority.
       remaining_ms: time left until the deadline.
-      resume_from: parts already delivered by another replica.
-      version: version needed to resume, empty if any will do.
-      caller_id: the caller's request id, the same on every try.
-      from_token: whether the grant is behind a run token.
+      resume_from: number of parts already delivered by another replica.
+      version: version required to resume, empty if any version is acceptable.
+      caller_id: the caller's request id, the same for every attempt.
+      from_token: whether the grant backs a run token.
       idempotent: whether the request may reach the upstream twice.
     """
 
@@ -290,7 +292,7 @@
 
 
 class Cancel(_Message):
-    """Voids a grant, or stops its run when `stop` is set."""
+    """Voids a grant, or stops its run if `stop` is set."""
 
     request_id: _Id
     incarnation: int
@@ -299,13 +301,13 @@
 
 
 class Reserve(_Message):
-    """Asks for a grant behind a run token."""
+    """Requests a grant that backs a run token."""
 
     request_id: _Id
 
 
 class RunQuery(_Message):
-    """Asks what became of a grant."""
+    """Requests the state of the run of a grant."""
 
     request_id: _Id
     incarnation: int
@@ -313,30 +315,31 @@
 
 
 class SettingsOffer(_Message):
-    """Documents that the receiver has older revisions of."""
+    """Sends documents of which the receiver has older revisions or none."""
 
     documents: list[Document]
 
 
 class ReportRequest(_Message):
-    """Asks an agent that is heard but not known for its full state."""
+    """Requests an `AgentReport` from an agent without a current one."""
 
 
 class DrainOrder(_Message):
-    """An operator's order to an agent to drain."""
+    """Drains an agent on behalf of an operator."""
 
     reason: str
 
 
 class PeerHello(_Message):
-    """Introduces an agent to a neighbour and tells the chunks it holds.
+    """Announces an agent to a neighbour and reports the chunks it holds.
 
     Attributes:
       vm_id: the sender's VM.
-      manifest: digest of the manifest this is about.
-      held: chunk indexes held, as a bit map, least significant bit first.
-      seen: chunks known to be held by any VM, as a bit map.
-      reply: whether the receiver should answer with its own.
+      manifest: digest of the manifest that lists the chunks.
+      held: bitmap of the chunks that the sender holds, least significant bit
+        first.
+      seen: bitmap of the chunks known to be held by any VM.
+      reply: whether the receiver must send its own `PeerHello` in return.
     """
 
     vm_id: _Id
@@ -347,10 +350,10 @@
 
 
 class PeerHave(_Message):
-    """Chunks that the sender has verified, or heard of, since last time.
+    """Reports chunks verified or seen since the sender's last message.
 
     Attributes:
-      manifest: digest of the manifest this is about.
+      manifest: digest of the manifest that lists the chunks.
       indexes: chunks newly held by the sender.
       seen: chunks newly known to be held by any VM.
     """
@@ -361,27 +364,27 @@
 
 
 class ManifestRequest(_Message):
-    """Asks a neighbour for a manifest."""
+    """Requests a manifest from a neighbour."""
 
     manifest: _Id
 
 
 class ManifestReply(_Message):
-    """A manifest, or empty bytes if the sender has none."""
+    """Replies to a `ManifestRequest`; `data` is empty if there is none."""
 
     manifest: _Id
     data: bytes
 
 
 class ChunkRequest(_Message):
-    """Asks a neighbour for one chunk."""
+    """Requests one chunk from a neighbour."""
 
     manifest: _Id
     index: _Count
 
 
 class ChunkReply(_Message):
-    """A chunk, or None when it cannot be sent now."""
+    """Replies to a `ChunkRequest`, without data if it can't be sent now."""
 
     manifest: _Id
     index: _Count
@@ -389,7 +392,7 @@
 
 
 class ChunkCancel(_Message):
-    """Withdraws a chunk request that has not been answered."""
+    """Cancels a chunk request that has not been answered."""
 
     manifest: _Id
     index: _Count
