Reword comments and private names of the settings

Docstrings use the terms of the field. Descriptions that the settings page prints and all literal message texts are unchanged. The docstrings of Identity and Links are quoted in the error for a missing table, so that this error is reworded too; no test matches it. Tests of the settings say which failure they guard against.

--- a/src/marlramp/settings/__init__.py
+++ b/src/marlramp/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Settings of the fleet and of one process."""
+"""Settings of the fleet and of individual processes."""
--- a/src/marlramp/settings/checking.py
+++ b/src/marlramp/settings/checking.py
@@ -1,4 +1,4 @@
-"""Checks TOML against a msgspec type and reports every error found."""
+"""Validates TOML against msgspec types and reports all errors at once."""
 
 from __future__ import annotations
 
@@ -24,24 +24,27 @@
     "allowed regions and evacuations are supported on the direct path only, "
     "in op/config and op/evacuate/; the grants path would not enforce them"
 )
-"""A document that is accepted without its constraint would let requests run
-where they must not."""
+"""Problem reported for a placement constraint.
 
-_PLACEMENT_KEYS = ("allowed_region", "evacuat")
-"""How the keys of placement constraints begin."""
+If a document were accepted without its constraint, requests could run where
+they are not allowed to.
+"""
+
+_PLACEMENT_KEY_PREFIXES = ("allowed_region", "evacuat")
+"""Prefixes that identify keys of placement constraints."""
 
 
 class SettingsError(Exception):
-    """One thing wrong in a settings file.
+    """One problem in a settings file or document.
 
     Attributes:
-      source: file name or document key.
-      path: dotted path of the key.
-      problem: what is wrong and what is expected.
+      source: name of the file or key of the document.
+      path: dotted path of the key, empty for the whole file.
+      problem: description of the problem and of the expected value.
     """
 
     def __init__(self, source: str, path: str, problem: str) -> None:
-        """Records where and what."""
+        """Creates an error for the key at `path` in `source`."""
         super().__init__(f"{source}: {path or '(file)'}: {problem}")
         self.source = source
         self.path = path
@@ -49,10 +52,10 @@
 
 
 def parse_toml(text: str, source: str) -> dict[str, object]:
-    """Returns the tables of a TOML text.
+    """Parses a TOML text.
 
     Raises:
-      ExceptionGroup: with one `SettingsError` if it is not TOML.
+      ExceptionGroup: with one `SettingsError` if the text is not valid TOML.
     """
     try:
         return tomllib.loads(text)
@@ -64,14 +67,14 @@
 def convert(
     table: dict[str, object], struct: type[StructT], source: str
 ) -> StructT:
-    """Returns `table` as `struct`.
+    """Converts `table` to an instance of `struct`.
 
     Raises:
-      ExceptionGroup: of `SettingsError`, one for each thing wrong.
+      ExceptionGroup: of `SettingsError`, one for each problem.
     """
-    found = list(check_table(table, struct, source, ""))
-    if found:
-        raise ExceptionGroup("settings refused", found)
+    errors = list(check_table(table, struct, source, ""))
+    if errors:
+        raise ExceptionGroup("settings refused", errors)
     return msgspec.convert(table, struct)
 
 
@@ -81,13 +84,13 @@
     source: str,
     path: str,
 ) -> Iterator[SettingsError]:
-    """Yields what is wrong with a table that should hold `struct`."""
+    """Yields an error for each problem in a table that represents `struct`."""
     fields = {f.encode_name: f for f in msgspec.structs.fields(struct)}
     for key, value in table.items():
-        key_path = _join(path, key)
+        key_path = _join_path(path, key)
         field = fields.get(key)
         if field is None:
-            problem = _unknown_key(key, list(fields))
+            problem = _unknown_key_problem(key, list(fields))
             yield SettingsError(source, key_path, problem)
             continue
         yield from _check_value(value, field.type, source, key_path)
@@ -95,8 +98,8 @@
         if field.required and name not in table:
             yield SettingsError(
                 source,
-                _join(path, name),
-                f"missing; expected {_expected(field.type)}",
+                _join_path(path, name),
+                f"missing; expected {_describe_expected(field.type)}",
             )
 
 
@@ -106,34 +109,34 @@
     source: str,
     path: str,
 ) -> Iterator[SettingsError]:
-    """Like `check_table`, for a table that may leave out any field."""
+    """Like `check_table`, for a table in which every field is optional."""
     for error in check_table(table, struct, source, path):
         if not error.problem.startswith("missing"):
             yield error
 
 
 def describe_type(annotation: object) -> str:
-    """Returns a type's expected values in words, such as "a number >= 1"."""
-    return _expected(annotation)
+    """Describes the accepted values of a type, such as "a number >= 1"."""
+    return _describe_expected(annotation)
 
 
 def _check_value(
     value: object, annotation: object, source: str, path: str
 ) -> Iterator[SettingsError]:
-    struct = _struct_of(annotation)
+    struct = _struct_type(annotation)
     if struct is not None:
         if isinstance(value, dict):
             yield from check_table(value, struct, source, path)
         else:
             yield SettingsError(source, path, "expected a table")
         return
-    item = _dict_value_of(annotation)
-    if item is not None and isinstance(value, dict):
+    value_type = _dict_value_type(annotation)
+    if value_type is not None and isinstance(value, dict):
         key_type = typing.get_args(annotation)[0]
-        for key, inner in value.items():
-            inner_path = _join(path, key)
-            yield from _check_scalar(key, key_type, source, inner_path)
-            yield from _check_value(inner, item, source, inner_path)
+        for key, item in value.items():
+            item_path = _join_path(path, key)
+            yield from _check_scalar(key, key_type, source, item_path)
+            yield from _check_value(item, value_type, source, item_path)
         return
     yield from _check_scalar(value, annotation, source, path)
 
@@ -145,11 +148,13 @@
         msgspec.convert(value, typing.cast("type[object]", annotation))
     except msgspec.ValidationError:
         yield SettingsError(
-            source, path, f"got {value!r}; expected {_expected(annotation)}"
+            source,
+            path,
+            f"got {value!r}; expected {_describe_expected(annotation)}",
         )
 
 
-def _struct_of(annotation: object) -> type[msgspec.Struct] | None:
+def _struct_type(annotation: object) -> type[msgspec.Struct] | None:
     options = [annotation]
     if isinstance(annotation, types.UnionType):
         options = list(typing.get_args(annotation))
@@ -159,22 +164,22 @@
     return None
 
 
-def _dict_value_of(annotation: object) -> object | None:
+def _dict_value_type(annotation: object) -> object | None:
     if typing.get_origin(annotation) is dict:
         return typing.get_args(annotation)[1]  # type: ignore[no-any-return]
     return None
 
 
-def _unknown_key(key: str, known: list[str]) -> str:
-    if key.startswith(_PLACEMENT_KEYS):
+def _unknown_key_problem(key: str, known: list[str]) -> str:
+    if key.startswith(_PLACEMENT_KEY_PREFIXES):
         return PLACEMENT_PROBLEM
     stem = _without_unit(key)
     for name in known:
         if name != key and _without_unit(name) == stem:
             return f"unknown key; the unit is part of the name: use {name!r}"
-    close = difflib.get_close_matches(key, known, n=1)
-    if close:
-        return f"unknown key; did you mean {close[0]!r}?"
+    similar = difflib.get_close_matches(key, known, n=1)
+    if similar:
+        return f"unknown key; did you mean {similar[0]!r}?"
     return f"unknown key; expected one of: {', '.join(sorted(known))}"
 
 
@@ -182,34 +187,34 @@
     for suffix in sorted(_UNIT_SUFFIXES, key=len, reverse=True):
         if name.endswith("_" + suffix):
             return name.removesuffix("_" + suffix)
-    for wrong in ("_seconds", "_sec", "_milliseconds", "_us", "_min"):
-        if name.endswith(wrong):
-            return name.removesuffix(wrong)
+    for unsupported in ("_seconds", "_sec", "_milliseconds", "_us", "_min"):
+        if name.endswith(unsupported):
+            return name.removesuffix(unsupported)
     return name
 
 
-def _expected(annotation: object) -> str:
+def _describe_expected(annotation: object) -> str:
     schema = msgspec.json.schema(typing.cast("type[object]", annotation))
     definitions = schema.get("$defs", {})
     options = [
-        _resolve(option, definitions)
+        _resolve_reference(option, definitions)
         for option in schema.get("anyOf", [schema])
     ]
-    return " or ".join(_expected_schema(option) for option in options)
+    return " or ".join(_describe_schema(option) for option in options)
 
 
-def _resolve(
+def _resolve_reference(
     schema: dict[str, object], definitions: dict[str, dict[str, object]]
 ) -> dict[str, object]:
     reference = str(schema.get("$ref", ""))
     return definitions.get(reference.rpartition("/")[2], schema)
 
 
-def _expected_schema(schema: dict[str, object]) -> str:
+def _describe_schema(schema: dict[str, object]) -> str:
     if "enum" in schema:
         values = typing.cast("list[object]", schema["enum"])
         return "one of " + ", ".join(repr(value) for value in values)
-    names = {
+    type_names = {
         "integer": "a whole number",
         "number": "a number",
         "string": "a string",
@@ -218,7 +223,7 @@
         "array": "a list",
         "null": "nothing",
     }
-    text = names.get(str(schema.get("type")), "another value")
+    text = type_names.get(str(schema.get("type")), "another value")
     bounds = {
         "minimum": ">=",
         "exclusiveMinimum": ">",
@@ -226,7 +231,9 @@
         "exclusiveMaximum": "<",
     }
     limits = [
-        f"{sign} {schema[key]}" for key, sign in bounds.items() if key in schema
+        f"{operator} {schema[key]}"
+        for key, operator in bounds.items()
+        if key in schema
     ]
     if limits:
         text += " " + " and ".join(limits)
@@ -235,5 +242,5 @@
     return text
 
 
-def _join(path: str, key: str) -> str:
+def _join_path(path: str, key: str) -> str:
     return f"{path}.{key}" if path else key
--- a/src/marlramp/settings/node.py
+++ b/src/marlramp/settings/node.py
@@ -1,7 +1,8 @@
-"""Settings of one process whose platform gives them with its own names.
+"""Settings of one process on a platform with its own settings format.
 
-An adapter decodes the platform's settings file into these. What the platform
-says (addresses, bounds) is required; what marlramp decides has defaults.
+An adapter decodes the platform's settings file into these types. Fields that
+the platform defines (addresses, bounds) are required; fields that marlramp
+defines have defaults.
 """
 
 from __future__ import annotations
@@ -14,24 +15,24 @@
 
 
 class NodeRole(enum.Enum):
-    """Roles of the daemon on a platform without grants."""
+    """Roles of a daemon on a platform without grants."""
 
     ENTRY = "entry"
     AGENT = "agent"
 
 
-_PORTS = 65_536
+_PORT_COUNT = 65_536
 
 
 class NodeSettingsError(Exception):
-    """A settings file that cannot be used.
+    """Raised for an invalid settings file.
 
     Attributes:
-      problems: one line for each field that is missing or wrong.
+      problems: one line for each field that is missing or invalid.
     """
 
     def __init__(self, problems: list[str]) -> None:
-        """Records the problems."""
+        """Creates an error that lists the problems."""
         super().__init__("; ".join(problems))
         self.problems = problems
 
@@ -44,14 +45,14 @@
 
     @classmethod
     def parse(cls, text: str) -> Address:
-        """Returns the address in "IP:PORT".
+        """Parses an address of the form "IP:PORT".
 
         Raises:
-          ValueError: if the text is something else.
+          ValueError: if the text has another form.
         """
         host, _, port = text.rpartition(":")
         is_port = port.isascii() and port.isdigit()
-        if not host or not is_port or not 0 < int(port) < _PORTS:
+        if not host or not is_port or not 0 < int(port) < _PORT_COUNT:
             raise ValueError("must be IP:PORT")
         return cls(host, int(port))
 
@@ -61,21 +62,24 @@
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
-    """Times and shares that the platform's users hold the system to.
+    """Limits that the platform requires the system to keep.
 
     Attributes:
-      drain_ms: until no request reaches a leaving replica.
-      grace_ms: from SIGTERM to SIGKILL.
-      config_apply_ms: until an accepted configuration is in force.
-      version_ms: until every request begins on a newly named version.
-      retry_ratio: repeats per request of a service, over all processes.
-      retry_window_ms: window in which repeats are counted.
-      retry_slack: repeats allowed in a window beyond the ratio.
-      lookup_ttl_max_ms: longest time that callers may keep addresses.
-      evacuate_ms: until no request reaches an evacuated data centre.
-      cold_overshoot: multiple of the rate that a cold replica tolerates, up to
-        which requests may reach it in a second.
-      cold_burst: requests that may reach it beyond that.
+      drain_ms: longest time until no request reaches a leaving replica.
+      grace_ms: time from SIGTERM to SIGKILL.
+      config_apply_ms: longest time until an accepted configuration is in force.
+      version_ms: longest time until every request starts on a newly announced
+        version.
+      retry_ratio: retries per request of a service, over all processes.
+      retry_window_ms: window in which retries are counted.
+      retry_slack: retries allowed in a window in addition to the ratio.
+      lookup_ttl_max_ms: longest time for which callers may cache addresses.
+      evacuate_ms: longest time until no request reaches an evacuated data
+        centre.
+      cold_overshoot: number of requests that may reach a cold replica in one
+        second, as a multiple of the rate that it tolerates.
+      cold_burst: number of requests that may reach a cold replica in addition
+        to that.
     """
 
     drain_ms: float
@@ -92,7 +96,7 @@
 
 
 class FaultTolerance(msgspec.Struct, frozen=True, kw_only=True):
-    """What may be lost at once while all promises hold.
+    """Simultaneous failures under which all guarantees must hold.
 
     Attributes:
       vms: number of VMs.
@@ -106,13 +110,13 @@
 
 
 class EntryAddresses(msgspec.Struct, frozen=True, kw_only=True):
-    """Where an entry listens.
+    """Addresses on which an entry listens.
 
     Attributes:
-      callers: requests of callers.
-      ready: readiness checks.
-      lookup: callers that ask where to connect.
-      control: links of the system's other processes.
+      callers: address for requests of callers.
+      ready: address for readiness checks.
+      lookup: address for callers' lookups of entries to connect to.
+      control: address for links from other entries and agents.
     """
 
     callers: Address
@@ -126,21 +130,22 @@
 
     Attributes:
       vm_id: name of this VM.
-      role: what this process does.
+      role: role of this process.
       host: IP address of this VM.
-      data_centre: where this VM is.
-      region: the region of the data centre.
-      regions: region of each data centre.
+      data_centre: data centre of this VM.
+      region: region of this data centre.
+      regions: region of each data centre, by data centre.
       seeds: control addresses of some entries, possibly stale.
-      own_ports: first and last port free for links between processes.
+      own_ports: first and last port available for links between processes.
       store: address of the platform's store.
-      heartbeat_ms: between two writes of a replica into the replica list.
-      link_bytes_per_s: rate of this VM's link.
-      bounds: what the system is held to.
-      entry: where an entry listens, None for an agent.
+      heartbeat_ms: interval at which a replica updates its record in the
+        replica list.
+      link_bytes_per_s: bandwidth of this VM's network link.
+      bounds: limits that the system must keep.
+      entry: addresses on which an entry listens, None for an agent.
       replica: address of the replica on this VM, None for an entry.
       replica_service: service of that replica.
-      fault_tolerance: what may be lost at once.
+      fault_tolerance: simultaneous failures that must be tolerated.
     """
 
     vm_id: ids.VmId
@@ -162,7 +167,7 @@
 
     @property
     def near_data_centres(self) -> frozenset[str]:
-        """Data centres of the own region."""
+        """Data centres in the region of this VM."""
         return frozenset(
             name
             for name, region in self.regions.items()
--- a/src/marlramp/settings/process.py
+++ b/src/marlramp/settings/process.py
@@ -1,4 +1,4 @@
-"""Settings of one process: its role, addresses, keys and platform."""
+"""Settings file of one process: role, addresses, keys and platform."""
 
 from __future__ import annotations
 
@@ -25,18 +25,22 @@
 
 
 class Role(enum.Enum):
-    """Roles of the daemon."""
+    """Roles of a daemon."""
 
     ENTRY = "entry"
     AGENT = "agent"
 
 
 VM_LIST_INTERVALS_MS = {Role.ENTRY: 5_000, Role.AGENT: 30_000}
-"""Between reads of the VM list unless set: agents are many and need it less."""
+"""Default interval between reads of the VM list, by role.
+
+Agents read it less often, since there are many of them and they depend on it
+less.
+"""
 
 
 class Identity(msgspec.Struct, frozen=True, kw_only=True):
-    """Who and where this process is."""
+    """Identity and location of this process."""
 
     vm_id: _Text
     data_centre: _Text
@@ -46,10 +50,10 @@
 
 
 class Links(msgspec.Struct, frozen=True, kw_only=True):
-    """Own links: where to listen and the fleet's CURVE keys.
+    """Listening address and CURVE keys of the links between processes.
 
     All processes of a fleet share one server key pair and one client key
-    pair; whoever lacks the client's public key is refused in the handshake.
+    pair. The handshake rejects peers that lack the client's public key.
     """
 
     host: _Text
@@ -83,7 +87,7 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What only an entry needs."""
+    """Settings that only entries have."""
 
     http_host: _Text
     http_port: _Port
@@ -95,16 +99,19 @@
 
 
 class UpstreamSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What only an agent needs: the upstream it stands beside.
+    """Settings that only agents have: the upstream on the same VM.
 
     Attributes:
-      service: the service the upstream belongs to.
-      url: the upstream's address.
-      capacity: most requests it runs at once.
-      reports_load: whether it reports its load.
-      holds_two_versions: whether it can load a version beside the served one.
-      checks_fencing: whether it refuses orders with an old fencing number.
-      link_bytes_per_s: rate of this VM's link, if not the fleet's setting.
+      service: service that the upstream belongs to.
+      url: URL of the upstream.
+      capacity: maximum number of requests that the upstream runs concurrently.
+      reports_load: whether the upstream reports its load.
+      holds_two_versions: whether the upstream can load a second version while
+        it serves the first.
+      checks_fencing: whether the upstream rejects commands with an outdated
+        fencing number.
+      link_bytes_per_s: bandwidth of this VM's network link, None to use the
+        fleet's setting.
     """
 
     service: _Text
@@ -117,7 +124,7 @@
 
 
 class ProcessSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """One process's settings file."""
+    """Contents of the settings file of one process."""
 
     role: Role
     identity: Identity
@@ -128,30 +135,30 @@
 
 
 def vm_list_interval_ms(settings: ProcessSettings) -> int:
-    """Returns the time between reads of the VM list."""
+    """Returns the interval between reads of the VM list."""
     configured = settings.platform.vm_list_interval_ms
     return configured or VM_LIST_INTERVALS_MS[settings.role]
 
 
 def parse(text: str, source: str) -> ProcessSettings:
-    """Returns the settings in a TOML text.
+    """Parses and validates process settings in TOML.
 
     Raises:
-      ExceptionGroup: of `checking.SettingsError`, one for each thing wrong.
+      ExceptionGroup: of `checking.SettingsError`, one for each problem.
     """
     table = checking.parse_toml(text, source)
-    found = list(checking.check_table(table, ProcessSettings, source, ""))
+    errors = list(checking.check_table(table, ProcessSettings, source, ""))
     for role, section in (("entry", "entry"), ("agent", "upstream")):
         if table.get("role") == role and section not in table:
             problem = f"missing; a process of role {role!r} needs this table"
-            found.append(checking.SettingsError(source, section, problem))
-    if found:
-        raise ExceptionGroup("settings refused", found)
+            errors.append(checking.SettingsError(source, section, problem))
+    if errors:
+        raise ExceptionGroup("settings refused", errors)
     return msgspec.convert(table, ProcessSettings)
 
 
 def read(path: pathlib.Path) -> ProcessSettings:
-    """Returns the settings in a file.
+    """Reads and validates a settings file.
 
     Raises:
       ExceptionGroup: of `checking.SettingsError`, also if the file cannot be
@@ -168,7 +175,7 @@
 
 
 def document_keys(identity: Identity) -> list[str]:
-    """Returns the keys of the documents that concern this process."""
+    """Returns the keys of the settings documents that apply to this process."""
     return [
         schema.document_key(schema.Level.TRADE_BODY, identity.trade_body),
         schema.document_key(schema.Level.MEMBER, identity.member),
--- a/src/marlramp/settings/schema.py
+++ b/src/marlramp/settings/schema.py
@@ -1,10 +1,10 @@
-"""What a settings document may say.
+"""Schema of the settings documents.
 
 One document per level (trade body, member, deployment) is published under its
-own key. Values are looked up from the most general to the most specific: the
-levels' own settings, then those of a service, then those of a customer. Within
-each scope the deployment goes before the member and the member before the
-trade body.
+own key. More specific scopes override more general ones: the settings of a
+service override those of the levels, and the settings of a customer override
+those of a service. Within each scope, the deployment overrides the member and
+the member overrides the trade body.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 
 
 class Level(enum.Enum):
-    """Levels that publish a document, from general to specific."""
+    """Levels that publish a settings document, from general to specific."""
 
     TRADE_BODY = "trade_body"
     MEMBER = "member"
@@ -28,14 +28,14 @@
 
 
 class ServiceKind(enum.Enum):
-    """What stands behind a service."""
+    """Kinds of upstream that a service can have."""
 
     MODEL = "model"
     PLAIN = "plain"
 
 
 class Distribution(enum.Enum):
-    """Ways to distribute weights; all but the swarm are baselines."""
+    """Methods of weight distribution; all except `SWARM` are baselines."""
 
     SWARM = "swarm"
     STAR = "star"
@@ -44,7 +44,7 @@
 
 
 class Routing(enum.Enum):
-    """Ways to choose an upstream; all but predicted are baselines."""
+    """Methods of upstream selection; all except `PREDICTED` are baselines."""
 
     PREDICTED = "predicted"
     RANDOM = "random"
@@ -69,7 +69,7 @@
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
-    """Values with their defaults; every level may override any of them."""
+    """Settings and their defaults; every level can override any of them."""
 
     origin_copies_max: Annotated[
         float,
@@ -204,15 +204,15 @@
 
 
 class Rollout(msgspec.Struct, frozen=True, kw_only=True):
-    """Which model, adapter and version a service should serve.
+    """Model, adapter and version that a service must serve.
 
     Attributes:
-      model: the model.
-      version: its version.
+      model: name of the model.
+      version: version of the model.
       manifest: digest of the manifest that lists its chunks.
-      previous_manifest: manifest of the version served before, so that an
-        agent that restarts during the rollout can tell it is whole.
-      adapter: adapter on top of the model, None for the base model.
+      previous_manifest: digest of the manifest of the version served before. An
+        agent that restarts during the rollout uses it to verify that version.
+      adapter: adapter applied to the model, None for the base model.
     """
 
     model: _Name
@@ -223,7 +223,7 @@
 
 
 class Service(msgspec.Struct, frozen=True, kw_only=True):
-    """A service as one level declares it."""
+    """Declaration of a service at one level."""
 
     kind: ServiceKind | None = None
     rollout: Rollout | None = None
@@ -232,10 +232,10 @@
 
 
 class Tree(msgspec.Struct, frozen=True, kw_only=True):
-    """One level's document after parsing.
+    """Parsed document of one level.
 
-    `settings` tables hold overrides by field name of `Settings`; they stay
-    tables because a level sets only some fields.
+    The `settings` tables map field names of `Settings` to overrides. They are
+    not converted to `Settings`, since a level sets only some of the fields.
     """
 
     schema: int
@@ -253,7 +253,7 @@
 
 
 def level_of_key(key: str) -> Level | None:
-    """Returns the level that a key belongs to, None for a foreign key."""
+    """Returns the level that a key belongs to, None for an unknown key."""
     prefix, _, name = key.partition("/")
     if not name:
         return None
@@ -264,7 +264,7 @@
 
 
 def version_id(rollout: Rollout) -> ids.VersionId:
-    """Returns the version stamped on answers: version, or version+adapter."""
+    """Returns the version reported in responses: VERSION or VERSION+ADAPTER."""
     if rollout.adapter is None:
         return ids.VersionId(rollout.version)
     return ids.VersionId(f"{rollout.version}+{rollout.adapter}")
--- a/src/marlramp/settings/store.py
+++ b/src/marlramp/settings/store.py
@@ -1,4 +1,7 @@
-"""Accepted settings of one process: they only go forward."""
+"""Stores the accepted settings documents of one process.
+
+The revision of a stored document never decreases.
+"""
 
 from __future__ import annotations
 
@@ -14,7 +17,7 @@
 
 
 class Verdict(enum.Enum):
-    """What became of an offered document."""
+    """Outcome of offering a document to the store."""
 
     ACCEPTED = "accepted"
     KNOWN = "known"
@@ -24,7 +27,7 @@
 
 
 class Refusal(msgspec.Struct, frozen=True):
-    """A document that was refused and why."""
+    """A refused document and the problems found in it."""
 
     key: str
     revision: int
@@ -34,12 +37,12 @@
 class SettingsStore:
     """Keeps the newest accepted document of each level.
 
-    A document is adopted only if its revision is higher than the one in
-    force, whoever offers it, so a stale source never takes settings back.
+    A document is adopted only if its revision is higher than the one in force,
+    whatever its source, so that a stale source cannot revert settings.
     """
 
     def __init__(self, keys: Iterable[str]) -> None:
-        """Takes the keys of the documents that concern this process.
+        """Creates an empty store for the documents that apply to this process.
 
         Args:
           keys: one key per level, in the same order in every process.
@@ -52,7 +55,7 @@
 
     @property
     def keys(self) -> tuple[str, ...]:
-        """The keys this store keeps."""
+        """Keys of the documents that this store accepts."""
         return self._keys
 
     @property
@@ -67,23 +70,23 @@
 
     @property
     def refusals(self) -> list[Refusal]:
-        """The newest refused document of each key that is still the newest."""
+        """Newest refused document of each key, if none newer was accepted."""
         return [self._refusals[key] for key in sorted(self._refusals)]
 
     def revisions(self) -> list[int]:
-        """Returns the revisions in force in the keys' order, -1 for none."""
+        """Returns the revisions in force by order of the keys, -1 for none."""
         return [self._revision(key) for key in self._keys]
 
     def offer(self, document: messages.Document) -> Verdict:
-        """Adopts a document if it is newer and acceptable."""
+        """Adopts a document if it is newer than the current one and valid."""
         if document.key not in self._keys:
             return Verdict.FOREIGN
-        known = self._documents.get(document.key)
-        if known is not None and document.revision <= known.revision:
-            same = document.revision == known.revision
-            return Verdict.KNOWN if same else Verdict.OLDER
-        refused = self._refusals.get(document.key)
-        if refused is not None and document.revision <= refused.revision:
+        current = self._documents.get(document.key)
+        if current is not None and document.revision <= current.revision:
+            is_current = document.revision == current.revision
+            return Verdict.KNOWN if is_current else Verdict.OLDER
+        refusal = self._refusals.get(document.key)
+        if refusal is not None and document.revision <= refusal.revision:
             return Verdict.REFUSED
         try:
             parsed = tree.parse_document(document.text, document.key)
@@ -94,26 +97,27 @@
         return Verdict.ACCEPTED
 
     def behind(self, revisions: list[int]) -> bool:
-        """Returns whether a peer with `revisions` has newer settings.
+        """Returns whether a peer at `revisions` has newer settings.
 
         A document that this process refused does not count as missing.
         """
         return any(
-            theirs > max(self._revision(key), self._refused_revision(key))
-            for key, theirs in zip(self._keys, revisions, strict=False)
+            peer_revision
+            > max(self._revision(key), self._refused_revision(key))
+            for key, peer_revision in zip(self._keys, revisions, strict=False)
         )
 
     def newer_than(self, revisions: list[int]) -> list[messages.Document]:
-        """Returns documents that a process with `revisions` lacks."""
+        """Returns the documents that a peer at `revisions` lacks."""
         return [
             self._documents[key]
-            for key, theirs in zip(self._keys, revisions, strict=False)
-            if self._revision(key) > theirs
+            for key, peer_revision in zip(self._keys, revisions, strict=False)
+            if self._revision(key) > peer_revision
         ]
 
     def _refused_revision(self, key: str) -> int:
-        refused = self._refusals.get(key)
-        return -1 if refused is None else refused.revision
+        refusal = self._refusals.get(key)
+        return -1 if refusal is None else refusal.revision
 
     def _revision(self, key: str) -> int:
         document = self._documents.get(key)
@@ -132,15 +136,15 @@
         self._trees[document.key] = parsed
         self._refusals.pop(document.key, None)
         levels = {}
-        for key, tree_of_key in self._trees.items():
+        for key, level_tree in self._trees.items():
             level = schema.level_of_key(key)
             if level is not None:
-                levels[level] = tree_of_key
+                levels[level] = level_tree
         self._tree = tree.SettingsTree(levels)
 
 
 def problems_of(group: ExceptionGroup[Exception]) -> list[str]:
-    """Returns the text of each settings error in a group."""
+    """Returns the message of each `SettingsError` in a group."""
     return [
         str(error)
         for error in group.exceptions
--- a/src/marlramp/settings/tree.py
+++ b/src/marlramp/settings/tree.py
@@ -1,4 +1,4 @@
-"""Parses settings documents and resolves the effective values."""
+"""Parses settings documents and resolves effective values."""
 
 from __future__ import annotations
 
@@ -15,12 +15,12 @@
 
 
 class Effective(msgspec.Struct, frozen=True):
-    """One effective value and where it comes from.
+    """An effective value and its origin.
 
     Attributes:
       name: field of `schema.Settings`.
       value: the value in force.
-      origin: the level and table that set it, or "default".
+      origin: level and table that set the value, or "default".
     """
 
     name: str
@@ -29,27 +29,28 @@
 
 
 def parse_document(text: str, source: str) -> schema.Tree:
-    """Returns a document if it is acceptable.
+    """Parses and validates a settings document.
 
-    A pure function of the text, so every process comes to the same verdict.
+    The result depends on the text alone, so all processes accept or refuse the
+    same documents.
 
     Raises:
-      ExceptionGroup: of `checking.SettingsError`, one for each thing wrong.
+      ExceptionGroup: of `checking.SettingsError`, one for each problem.
     """
     table = checking.parse_toml(text, source)
-    found = list(checking.check_table(table, schema.Tree, source, ""))
+    errors = list(checking.check_table(table, schema.Tree, source, ""))
     if table.get("schema") not in (None, schema.SCHEMA_VERSION):
-        found.append(
+        errors.append(
             checking.SettingsError(
                 source, "schema", f"expected {schema.SCHEMA_VERSION}"
             )
         )
     for path, overrides in _override_tables(table):
-        found.extend(
+        errors.extend(
             checking.check_overrides(overrides, schema.Settings, source, path)
         )
-    if found:
-        raise ExceptionGroup("settings refused", found)
+    if errors:
+        raise ExceptionGroup("settings refused", errors)
     return msgspec.convert(table, schema.Tree)
 
 
@@ -57,8 +58,8 @@
     table: dict[str, object],
 ) -> Iterator[tuple[str, dict[str, object]]]:
     """Yields each table of overrides with its path, skipping malformed ones."""
-    if isinstance(own := table.get("settings"), dict):
-        yield "settings", own
+    if isinstance(overrides := table.get("settings"), dict):
+        yield "settings", overrides
     yield from _customer_tables("customers", table.get("customers"))
     services = table.get("services")
     if not isinstance(services, dict):
@@ -66,8 +67,8 @@
     for name, service in services.items():
         if not isinstance(service, dict):
             continue
-        if isinstance(own := service.get("settings"), dict):
-            yield f"services.{name}.settings", own
+        if isinstance(overrides := service.get("settings"), dict):
+            yield f"services.{name}.settings", overrides
         yield from _customer_tables(
             f"services.{name}.customers", service.get("customers")
         )
@@ -84,10 +85,10 @@
 
 
 class SettingsTree:
-    """The accepted documents of all levels, resolved together."""
+    """Effective settings from the accepted documents of all levels."""
 
     def __init__(self, levels: Mapping[schema.Level, schema.Tree]) -> None:
-        """Takes one document per level; levels may be missing."""
+        """Creates a tree from one document per level; levels may be missing."""
         self._levels = [
             (level, levels[level])
             for level in schema.LEVEL_ORDER
@@ -101,12 +102,12 @@
         ] = {}
 
     def service_ids(self) -> list[ids.ServiceId]:
-        """Returns all declared services, sorted."""
+        """Returns the ids of all declared services, sorted."""
         names = {name for _, tree in self._levels for name in tree.services}
         return sorted(ids.ServiceId(name) for name in names)
 
     def customer_ids(self) -> list[ids.CustomerId]:
-        """Returns all declared customers, sorted."""
+        """Returns the ids of all declared customers, sorted."""
         names: set[str] = set()
         for _, tree in self._levels:
             names.update(tree.customers)
@@ -131,12 +132,12 @@
 
     def rollout(self, service_id: ids.ServiceId) -> schema.Rollout | None:
         """Returns the rollout in force for a service, or None."""
-        found = None
+        rollout = None
         for _, tree in self._levels:
             service = tree.services.get(service_id)
             if service is not None and service.rollout is not None:
-                found = service.rollout
-        return found
+                rollout = service.rollout
+        return rollout
 
     def effective(
         self,
@@ -145,18 +146,19 @@
     ) -> schema.Settings:
         """Returns the settings in force for a service and customer.
 
-        Results are kept, since the tree never changes; unknown names share
-        the result for none, so that callers cannot make it grow.
+        Results are cached, since the tree is immutable. Unknown ids share the
+        cached result for None, so that callers cannot make the cache grow
+        without bound.
         """
         known_service = service_id if service_id in self._services else None
-        known = customer_id if customer_id in self._customers else None
-        values = self._effective.get((known_service, known))
+        known_customer = customer_id if customer_id in self._customers else None
+        values = self._effective.get((known_service, known_customer))
         if values is None:
             merged: dict[str, object] = {}
-            for _, table in self._layers(known_service, known):
+            for _, table in self._layers(known_service, known_customer):
                 merged.update(table)
             values = msgspec.convert(merged, schema.Settings)
-            self._effective[known_service, known] = values
+            self._effective[known_service, known_customer] = values
         return values
 
     def explain(
@@ -164,7 +166,7 @@
         service_id: ids.ServiceId | None = None,
         customer_id: ids.CustomerId | None = None,
     ) -> list[Effective]:
-        """Returns every value in force with its origin, by name."""
+        """Returns all effective values with their origins, sorted by name."""
         origins: dict[str, str] = {}
         for origin, table in self._layers(service_id, customer_id):
             origins.update(dict.fromkeys(table, origin))
--- a/tests/settings/test_tree.py
+++ b/tests/settings/test_tree.py
@@ -46,6 +46,7 @@
 
 
 def test_inheritance(levels: tree.SettingsTree) -> None:
+    """Guards against a general value that overrides a more specific one."""
     pool = levels.effective(ids.ServiceId("pool"), ids.CustomerId("acme"))
     assert pool.retries_max == 1
     assert pool.queue_length_max == 50
@@ -55,6 +56,7 @@
 
 
 def test_explain_names_the_level(levels: tree.SettingsTree) -> None:
+    """Guards against an origin that is not the table that set the value."""
     origins = {
         value.name: value.origin
         for value in levels.explain(ids.ServiceId("pool"))
@@ -101,12 +103,13 @@
 def test_refusals_name_the_key_and_what_is_expected(
     text: str, path: str, expected: str
 ) -> None:
+    """Guards against an error that does not show how to fix the document."""
     with pytest.raises(ExceptionGroup) as caught:
         tree.parse_document(text, "deployment/fairs")
-    found = [str(error) for error in caught.value.exceptions]
+    problems = [str(error) for error in caught.value.exceptions]
     assert any(
-        (path or "(file)") in line and expected in line for line in found
-    ), found
+        (path or "(file)") in line and expected in line for line in problems
+    ), problems
 
 
 @pytest.mark.parametrize(
@@ -129,35 +132,37 @@
     level: schema.Level, key: str, path: str
 ) -> None:
     """Guards against a constraint that the grants path silently ignores."""
-    head = f"[{path}]\n" if path else ""
+    header = f"[{path}]\n" if path else ""
     source = schema.document_key(level, "fairs")
     with pytest.raises(ExceptionGroup) as caught:
-        tree.parse_document(f'schema = 1\n{head}{key} = ["west"]', source)
-    found = [str(error) for error in caught.value.exceptions]
-    where = f"{source}: {path}.{key}" if path else f"{source}: {key}"
-    assert f"{where}: {checking.PLACEMENT_PROBLEM}" in found
+        tree.parse_document(f'schema = 1\n{header}{key} = ["west"]', source)
+    problems = [str(error) for error in caught.value.exceptions]
+    location = f"{source}: {path}.{key}" if path else f"{source}: {key}"
+    assert f"{location}: {checking.PLACEMENT_PROBLEM}" in problems
 
 
 def test_placement_constraint_in_a_process_file_is_refused() -> None:
     """Guards against a constraint in a file that only one process reads."""
     with pytest.raises(ExceptionGroup) as caught:
         process.parse('[entry]\nallowed_regions = ["west"]', "entry.toml")
-    found = "\n".join(str(error) for error in caught.value.exceptions)
+    problems = "\n".join(str(error) for error in caught.value.exceptions)
     problem = f"entry.allowed_regions: {checking.PLACEMENT_PROBLEM}"
-    assert problem in found
+    assert problem in problems
 
 
 def test_all_errors_are_shown_together() -> None:
+    """Guards against validation that stops at the first error."""
     with pytest.raises(ExceptionGroup) as caught:
         tree.parse_document("schema = 1\na = 1\nb = 2\n[settings]\nc = 3", "x")
     assert len(caught.value.exceptions) == 3
 
 
 def test_process_settings_need_the_roles_table() -> None:
+    """Guards against a process that starts without its role's settings."""
     with pytest.raises(ExceptionGroup) as caught:
         process.parse('role = "entry"', "entry.toml")
-    found = "\n".join(str(error) for error in caught.value.exceptions)
-    assert "entry.toml: entry: missing; a process of role 'entry'" in found
+    problems = "\n".join(str(error) for error in caught.value.exceptions)
+    assert "entry.toml: entry: missing; a process of role 'entry'" in problems
 
 
 def document(revision: int, text: str = "schema = 1") -> messages.Document:
@@ -170,6 +175,7 @@
 
 
 def test_settings_only_go_forward(settings: store.SettingsStore) -> None:
+    """Guards against a stale source that reverts settings."""
     assert settings.offer(document(5)) is store.Verdict.ACCEPTED
     assert settings.offer(document(4)) is store.Verdict.OLDER
     assert settings.offer(document(5)) is store.Verdict.KNOWN
@@ -179,6 +185,11 @@
 def test_refused_document_keeps_the_last_in_force(
     settings: store.SettingsStore,
 ) -> None:
+    """Guards against an invalid document that disables the valid settings.
+
+    A refused revision must not count as missing either, since an agent issues
+    no grants while an entry has newer settings.
+    """
     settings.offer(document(5))
     assert settings.offer(document(6, "x = 1")) is store.Verdict.REFUSED
     assert settings.revisions() == [5]
@@ -191,5 +202,6 @@
 def test_document_of_another_deployment_is_foreign(
     settings: store.SettingsStore,
 ) -> None:
+    """Guards against adopting the settings of another deployment."""
     foreign = messages.Document("deployment/other", 1, "schema = 1")
     assert settings.offer(foreign) is store.Verdict.FOREIGN
