--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -219,8 +219,8 @@
       query: number of the `CatalogRequest` that this replies to, 0 if none.
       listed_revision: revision of the last complete read of the store, 0 if the
         receiver does not need it.
-      listed: ids of the replicas that existed at `listed_revision`, if that is
-        set.
+      listed: ids of the replicas that existed at `listed_revision` or were
+        added since, if that is set.
     """
 
     after: int
