Reword the shared modules and the daemon's start script

Docstrings and comments of clock, counters, errors, ids, interpreter, log_line, logs, process_failure and marlrampd now state what the code does in the usual terms; every reason and number is kept. Private names that were vague (_untold, _foreign_dependencies, own, tag) are renamed. The texts of errors.ANSWERS are unchanged: a generated page prints them.

--- a/src/marlramp/clock.py
+++ b/src/marlramp/clock.py
@@ -1,7 +1,7 @@
-"""The system's one notion of time: milliseconds from a local clock.
+"""Local clocks in milliseconds, from which all durations are computed.
 
 Readings are only comparable within one process. The system clock keeps
-counting while the VM is suspended, so a process that wakes late sees that
+counting while the VM is suspended, so that a process that is resumed sees that
 its leases have expired.
 """
 
@@ -26,24 +26,24 @@
 
 
 class SystemClock:
-    """Clock that includes the time spent suspended."""
+    """Clock that keeps counting while the VM is suspended."""
 
     def now_ms(self) -> Millis:
-        """Returns milliseconds since the VM was booted."""
+        """Returns milliseconds since the VM booted."""
         return Millis(
             time.clock_gettime_ns(time.CLOCK_BOOTTIME) / _NANOS_PER_MILLI
         )
 
 
 class ManualClock:
-    """Clock that tests move by hand."""
+    """Clock that only advances when a test advances it."""
 
     def __init__(self, start_ms: float = 0.0) -> None:
         """Starts the clock at `start_ms`."""
         self._now_ms = start_ms
 
     def now_ms(self) -> Millis:
-        """Returns the time last set."""
+        """Returns the time that was set by the test."""
         return Millis(self._now_ms)
 
     def advance(self, step_ms: float) -> None:
@@ -52,8 +52,9 @@
 
 
 def unix_ms() -> int:
-    """Returns milliseconds since 1970, for what must rise over restarts.
+    """Returns Unix time in milliseconds.
 
-    No duration is ever worked out from it: it may be set back.
+    It is for values that must increase across restarts of a process. No
+    duration may be computed from it, since the wall clock can be set back.
     """
     return time.time_ns() // 1_000_000
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -1,4 +1,4 @@
-"""Counters by name and reason, exported as OpenTelemetry metrics by entries."""
+"""Counters by name and reason; entries export them as OpenTelemetry metrics."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
-    """One counter's total since the process started."""
+    """Total of one counter since the process started."""
 
     name: CounterName
     reason: str
@@ -41,10 +41,10 @@
 
 
 class Counters:
-    """Totals since the process started."""
+    """Keeps the totals of all counters since the process started."""
 
     def __init__(self) -> None:
-        """Starts with no counter."""
+        """Creates an empty set of counters."""
         self._totals: collections.Counter[tuple[CounterName, str]] = (
             collections.Counter()
         )
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -1,4 +1,4 @@
-"""The closed list of error kinds and the answer that belongs to each."""
+"""All kinds of errors and the response that is sent for each of them."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 import msgspec
 
 MISDIRECTED = 421
-"""Status of a replica that is not the one a request was meant for."""
+"""HTTP status of a replica that is not the addressee of the request."""
 
 
 class Ran(enum.Enum):
-    """Whether the request was run by an upstream."""
+    """Whether an upstream ran the request."""
 
     NO = "no"
     YES = "yes"
@@ -19,7 +19,7 @@
 
 
 class ErrorKind(enum.Enum):
-    """Every reason for which a request or an order can fail."""
+    """Reasons for which a request or an order to a replica fails."""
 
     INVALID_REQUEST = "invalid_request"
     UNAUTHORIZED = "unauthorized"
@@ -65,8 +65,8 @@
 
     Attributes:
       status: HTTP status code.
-      ran: whether the request ran, unless the failure itself knows better.
-      retry_after_ms: when to come back, or None when a retry cannot help.
+      ran: whether the request ran, unless the `CallError` states otherwise.
+      retry_after_ms: time until a retry is useful, None if no retry can help.
       text: short explanation.
     """
 
@@ -202,8 +202,8 @@
     Attributes:
       kind: the reason.
       ran: whether the request ran.
-      retry_after_ms: when to come back, or None.
-      detail: what was wrong, in words.
+      retry_after_ms: time until a retry is useful, None if no retry can help.
+      detail: explanation for the caller.
     """
 
     def __init__(
@@ -214,7 +214,7 @@
         ran: Ran | None = None,
         retry_after_ms: int | None = None,
     ) -> None:
-        """Takes defaults for `ran` and `retry_after_ms` from the table."""
+        """Creates an error; values that are not given come from `ANSWERS`."""
         answer = ANSWERS[kind]
         super().__init__(f"{kind.value}: {detail or answer.text}")
         self.kind = kind
@@ -226,5 +226,5 @@
 
     @property
     def status(self) -> int:
-        """HTTP status code of this failure."""
+        """HTTP status code of the response for this error."""
         return ANSWERS[self.kind].status
--- a/src/marlramp/ids.py
+++ b/src/marlramp/ids.py
@@ -11,20 +11,21 @@
 RequestId = NewType("RequestId", str)
 VersionId = NewType("VersionId", str)
 Fingerprint = NewType("Fingerprint", str)
-"""Possible cause of a crash, the same for each request that has it: the content
-of a request as 16 hexadecimal digits, or a `PartFingerprint`."""
+"""Identifies a possible cause of a crash, equal for all requests that share it:
+the content of a request as 16 hexadecimal digits, or a `PartFingerprint`."""
 
 PartFingerprint = NewType("PartFingerprint", Fingerprint)
-"""Part of the prompts for one model, "MODEL/ID"."""
+"""Part of prompts for one model, written as "MODEL/ID"."""
 
 CrashId = NewType("CrashId", str)
-"""End of one start of a replica, "ID@BORN" with the start in Unix ms."""
+"""One crash of a replica, written as "ID@BORN"; BORN is the time at which the
+replica had started, in Unix milliseconds."""
 
 Incarnation = NewType("Incarnation", int)
-"""Random number an agent draws at start; a restart gives a new one."""
+"""Random number that an agent generates each time it starts."""
 
 GrantNumber = NewType("GrantNumber", int)
-"""Number of a grant, rising within one incarnation of one agent."""
+"""Number of a grant, increasing within one incarnation of one agent."""
 
 ChunkIndex = NewType("ChunkIndex", int)
 Digest = NewType("Digest", str)
--- a/src/marlramp/interpreter.py
+++ b/src/marlramp/interpreter.py
@@ -1,36 +1,38 @@
-"""Which interpreters run the programs, and what the build installed for which.
+"""Checks whether this interpreter can run the programs and their dependencies.
 
-Build and daemons ask this before they load anything else. An interpreter from
-3.7 on can read it, so that it says what it is too old for; in place of that,
-every process on every VM would end by a traceback that names neither.
+The build and the daemons run this check before they import anything else. The
+module is valid syntax for Python 3.7 and newer, so that an interpreter that is
+too old reports both its own release and the required one. Otherwise every
+process would end with a traceback that names neither.
 """
 
 import os
 import sys
 
 OLDEST = (3, 11)
-"""First release that runs the programs: the oldest that all locked libraries
-bear. `requires-python`, lock files, checkers and README state the same one."""
+"""Oldest supported release, which is the oldest that all locked libraries
+support. `requires-python`, the lock files, the settings of the checkers and the
+README state the same one."""
 
 MARKER = ".installed-from"
-"""File in a folder of dependencies that says what it was installed from: the
-digest of the lock file, the interpreter's cache tag and the machine's kind, a
-line each."""
+"""File in a directory of dependencies that records what they were installed
+for. Its lines are the digest of the lock file, the cache tag of the interpreter
+and the machine type."""
 
-_TAG_LINE = 1
-"""Line of the marker that holds the cache tag."""
+_CACHE_TAG_LINE = 1
+"""Index of the line of the marker that holds the cache tag."""
 
 EXIT_UNFIT = 1
-"""Exit code of a program whose interpreter can't run it."""
+"""Exit code of a program that its interpreter can't run."""
 
 
 def problem() -> str:
-    """Returns why this interpreter can't run a daemon, "" if it can."""
-    return age_problem() or _foreign_dependencies()
+    """Returns why this interpreter can't run the daemons, "" if it can."""
+    return age_problem() or _dependency_problem()
 
 
 def age_problem() -> str:
-    """Returns what release is needed if this one is too old, else ""."""
+    """Returns which release is needed if this one is too old, else ""."""
     if sys.version_info[:2] >= OLDEST:
         return ""
     needed = ".".join(map(str, OLDEST))
@@ -38,31 +40,33 @@
 
 
 def found() -> str:
-    """Returns version and path of this interpreter."""
+    """Returns the version and path of this interpreter."""
     version = ".".join(map(str, sys.version_info[:3]))
     return f"python {version} ({sys.executable})"
 
 
-def _foreign_dependencies() -> str:
-    """Returns which dependencies on the path another release can load only.
+def _dependency_problem() -> str:
+    """Returns which directory on the path is for another release, else "".
 
-    Libraries with compiled parts load in the release that installed them.
+    Libraries with compiled extension modules can only be imported by the
+    release that they were installed for.
     """
-    own = sys.implementation.cache_tag
+    interpreter_tag = sys.implementation.cache_tag
     for folder in sys.path:
-        tag = _installed_for(os.path.join(folder, MARKER))
-        if tag not in ("", own):
+        marker_tag = _cache_tag_of(os.path.join(folder, MARKER))
+        if marker_tag not in ("", interpreter_tag):
             return (
-                f"{folder} was installed for {tag}, found {own} ({found()}): "
+                f"{folder} was installed for {marker_tag}, "
+                f"found {interpreter_tag} ({found()}): "
                 "run the build with the interpreter that runs the daemons"
             )
     return ""
 
 
-def _installed_for(marker: str) -> str:
-    """Returns the cache tag in a marker, "" where there is none."""
+def _cache_tag_of(marker_path: str) -> str:
+    """Returns the cache tag in a marker file, "" if there is none."""
     try:
-        with open(marker, encoding="utf-8") as lines:
-            return lines.read().splitlines()[_TAG_LINE]
+        with open(marker_path, encoding="utf-8") as lines:
+            return lines.read().splitlines()[_CACHE_TAG_LINE]
     except (OSError, ValueError, IndexError):
         return ""
--- a/src/marlramp/log_line.py
+++ b/src/marlramp/log_line.py
@@ -1,4 +1,4 @@
-"""One log line of key=value pairs; needs nothing but the standard library."""
+"""Formats log lines of key=value pairs, with the standard library only."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 def format_value(value: object) -> str:
-    """Returns a value as text, quoted if it would not stay one word."""
+    """Returns a value as text, quoted unless it is a single word."""
     text = str(value)
     if text and not any(c.isspace() or c in '"=' for c in text):
         return text
@@ -15,7 +15,7 @@
 
 
 def format_pairs(pairs: Mapping[str, object]) -> str:
-    """Returns key=value pairs in their order, without newline."""
+    """Returns key=value pairs in their order, without a newline."""
     return " ".join(
         f"{key}={format_value(value)}" for key, value in pairs.items()
     )
--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -14,17 +14,17 @@
 from marlramp import process_failure
 
 ROUTINE_EVENTS = frozenset({"request_served", "caller_left"})
-"""Events of requests that went well; they are dropped before all others."""
+"""Events of requests without a failure; they are dropped before all others."""
 
 ROUTINE_LINES_PER_S_MAX = 300
-"""Routine lines a process writes in a second; at 30 us a line this bounds
-their cost at a hundredth of a core."""
+"""Routine lines that a process writes per second. A line costs 30 us, so that
+they use at most 1% of a core."""
 
 QUEUED_LINES_MAX = 4_000
-"""Lines that wait to be written, about a megabyte."""
+"""Capacity of the queue of lines; a full queue holds about 1 MB."""
 
 ROUTINE_SHARE = 0.5
-"""Part of the queue that routine lines may fill."""
+"""Fraction of the queue that routine lines may fill."""
 
 BATCH_S = 0.05
 FLUSH_POLL_S = 0.01
@@ -33,46 +33,47 @@
 
 
 def format_line(message: dict[str, object]) -> str:
-    """Returns an eliot message as one key=value line without newline."""
+    """Returns an eliot message as one key=value line, without a newline."""
     event = message.get("message_type", message.get("action_type", "event"))
     shown = {k: v for k, v in message.items() if k not in _HIDDEN_FIELDS}
     return log_line.format_pairs({"event": event, **shown})
 
 
 class LineWriter:
-    """Writes lines in a thread of its own, so that no caller ever waits.
+    """Writes lines in a separate thread, so that no caller blocks.
 
-    A reader of the stream that stops reading costs lines, never requests:
-    lines wait in a bounded queue, routine ones are dropped first, and what
-    was dropped is counted and told once there is room again.
+    Lines wait in a bounded queue. If the reader of the stream stops reading,
+    the queue fills and lines are dropped, routine ones first, while requests
+    go on. The number of dropped lines is written once there is space again.
     """
 
     def __init__(
         self, stream: TextIO, lines_max: int = QUEUED_LINES_MAX
     ) -> None:
-        """Starts the thread."""
+        """Starts the thread that writes to `stream`."""
         self._stream = stream
         self._lines_max = lines_max
         self._lines: collections.deque[str] = collections.deque()
         self._ready = threading.Event()
-        self._untold = 0
+        self._unreported = 0
         self.dropped = 0
         threading.Thread(target=self._run, daemon=True).start()
 
     def put(self, line: str, *, routine: bool) -> None:
-        """Queues a line, or drops it if too many wait."""
-        waiting = len(self._lines)
+        """Queues a line, or drops it if the queue is full."""
+        queued = len(self._lines)
         limit = self._lines_max * ROUTINE_SHARE if routine else self._lines_max
-        if waiting >= limit:
+        if queued >= limit:
             self.dropped += 1
-            self._untold += 1
+            self._unreported += 1
             return
         self._lines.append(line)
-        # Also while others wait: the thread may have taken those already.
+        # Also needed if the queue was not empty: the thread may already have
+        # copied its lines, and would not write this one.
         self._ready.set()
 
     def flush(self, timeout_s: float) -> None:
-        """Waits until all lines are written, but no longer than told."""
+        """Waits until all lines are written, for at most `timeout_s`."""
         end_s = time.monotonic() + timeout_s
         while self._lines and time.monotonic() < end_s:
             time.sleep(FLUSH_POLL_S)
@@ -80,29 +81,29 @@
     def _run(self) -> None:
         while True:
             self._ready.wait()
-            # Lines of one moment are written together: a thread that wakes
-            # for each costs more than the lines.
+            # Collects the lines of a short period into one write: waking the
+            # thread for each line costs more than writing the line.
             time.sleep(BATCH_S)
             self._ready.clear()
-            self._write_waiting()
+            self._write_queued()
 
-    def _write_waiting(self) -> None:
+    def _write_queued(self) -> None:
         lines = [self._lines[n] for n in range(len(self._lines))]
-        if self._untold:
-            untold, self._untold = self._untold, 0
-            lines.append(f"event=lines_dropped count={untold}\n")
+        if self._unreported:
+            unreported, self._unreported = self._unreported, 0
+            lines.append(f"event=lines_dropped count={unreported}\n")
         try:
             self._stream.write("".join(lines))
             self._stream.flush()
         except (OSError, ValueError):
-            # Nobody can read a line about a stream that is closed.
+            # The stream is closed, so that the failure can't be logged.
             self.dropped += len(lines)
         for _ in range(min(len(lines), len(self._lines))):
             self._lines.popleft()
 
 
-class _LineLimit:
-    """Bounds the routine lines of each second."""
+class _LineRateLimit:
+    """Limits the number of routine lines per second."""
 
     def __init__(self, per_second_max: int) -> None:
         self._per_second_max = per_second_max
@@ -118,12 +119,12 @@
         return self._count <= self._per_second_max
 
 
-_routine_limit = _LineLimit(ROUTINE_LINES_PER_S_MAX)
+_routine_limit = _LineRateLimit(ROUTINE_LINES_PER_S_MAX)
 _writers: list[LineWriter] = []
 
 
 def start_logging(process: str, stream: TextIO = sys.stderr) -> None:
-    """Sends all events to `stream`, each stamped with the process name."""
+    """Writes all events to `stream`, each with the name of the process."""
     eliot.add_global_fields(process=process)
     writer = LineWriter(stream)
     _writers.append(writer)
@@ -137,7 +138,7 @@
 
 
 def stop_logging(timeout_s: float = 1.0) -> None:
-    """Writes what waits, for at most some time."""
+    """Writes the queued lines, each writer for at most `timeout_s`."""
     for writer in _writers:
         writer.flush(timeout_s)
 
@@ -155,7 +156,7 @@
 
 
 def log_exception(event: str, error: Exception, **fields: object) -> None:
-    """Logs one event with an exception and where it was raised."""
+    """Logs one event with an exception and the place that raised it."""
     cause = process_failure.first_cause(error)
     place = process_failure.place_of(cause)
     log(event, error=repr(cause), place=place, **fields)
--- a/src/marlramp/process_failure.py
+++ b/src/marlramp/process_failure.py
@@ -1,7 +1,7 @@
-"""Says in one line why a process ends by an error.
+"""Reports in one line the error that ends a process.
 
-A process that can't load its libraries has no log yet, so that this module
-needs nothing but the standard library.
+It only needs the standard library, since a process that can't import its
+libraries has no log yet.
 """
 
 from __future__ import annotations
@@ -15,10 +15,10 @@
 
 
 def describe(error: Exception, uptime_s: float) -> str:
-    """Returns the line for an error that ends a process.
+    """Returns the log line for an error that ends a process.
 
     Args:
-      error: what was raised; of a group the first one inside is named.
+      error: the exception; of a group, the first exception is reported.
       uptime_s: time since the process began to load, in seconds.
     """
     cause = first_cause(error)
@@ -34,12 +34,12 @@
 
 
 def run_reported(main: Callable[[], None]) -> None:
-    """Runs a program; an error is told in one line before its traceback.
+    """Runs a program and reports an error in one line before its traceback.
 
-    Who restarts processes often keeps the first line of what they wrote only.
+    Process supervisors often keep only the first line of the error output.
 
     Raises:
-      Exception: what `main` raised.
+      Exception: the exception that `main` raised.
     """
     start_s = time.monotonic()
     try:
@@ -51,13 +51,13 @@
 
 
 def first_cause(error: Exception) -> Exception:
-    """Returns the first error inside of groups, else the error itself."""
+    """Returns the first exception in nested groups, or the error itself."""
     while isinstance(error, ExceptionGroup):
         error = error.exceptions[0]
     return error
 
 
 def place_of(error: BaseException) -> str:
-    """Returns "file:line" where an error was raised, "" if nowhere."""
+    """Returns "file:line" where an error was raised, "" if it wasn't."""
     frames = traceback.extract_tb(error.__traceback__)
     return f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
--- a/src/marlrampd.py
+++ b/src/marlrampd.py
@@ -3,17 +3,17 @@
 import signal
 import sys
 
-# A process that still starts would end on SIGHUP. Its settings are read after
-# this, so that it misses no change.
+# SIGHUP would end a process that is still starting. The process reads its
+# settings after this line, so that it misses no change to them.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-# One that is stopped before it serves has nothing to finish: it ends well
-# instead of by the signal.
+# A process that is stopped while it starts has no requests to finish. It exits
+# with status 0 instead of being ended by the signal.
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
 
 def main() -> None:
-    """Runs the daemon; the command line is loaded only if it is used."""
+    """Runs the daemon; imports the command line only if it is used."""
     if len(sys.argv) == 1:
         from marlramp.direct import launch
 
@@ -25,7 +25,7 @@
 
 
 def run() -> None:
-    """Runs the daemon if the interpreter can; says in one line why not."""
+    """Runs the daemon, or reports in one line why this interpreter can't."""
     from marlramp import interpreter
 
     problem = interpreter.problem()
