Reword the adapter to the platform

Docstrings, comments and some error details of the platform folder are in plain terms. Details that said "it asked for a pause", "history is gone", "got version" or "named version" now name the service or the document; the settings file's "must be a number of 0 or more" says that the number must be finite. Private names are renamed; headers, keys and fields are unchanged.

--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -1,4 +1,4 @@
-"""Calls to the platform's services, with one kind of failure."""
+"""HTTP calls to the platform's services; failures raise `PlatformError`."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 _OK = 200
 _ACCEPTED = 202
 _UNAVAILABLE = 503
-_PAUSING = frozenset({429, _UNAVAILABLE})
+_PAUSE_STATUSES = frozenset({429, _UNAVAILABLE})
 
 
 class StatusError(clients.UselessAnswerError):
-    """A service answered with a status that means failure.
+    """A service answered with a status that denotes a failure.
 
     Attributes:
       status: the HTTP status code.
@@ -24,17 +24,17 @@
     def __init__(
         self, status: int, detail: str, asked_ms: float | None
     ) -> None:
-        """Records the status and when the service asked to be called again."""
+        """Records the status and the retry time that the service asked for."""
         answering = status != _UNAVAILABLE
         super().__init__(detail, asked_ms, answering=answering)
         self.status = status
 
 
 class PlatformCalls:
-    """Makes calls to one service whose body is the whole answer.
+    """Makes calls to one service and waits for its complete answers.
 
-    While a service wants no calls, by the `Retry-After` of a 429 or 503, none
-    is made: each fails at once.
+    After a 429 or 503 with a `Retry-After` header, calls fail immediately until
+    that time has passed, without being sent.
     """
 
     def __init__(
@@ -44,15 +44,15 @@
         keeps: bool = True,
         time: clock.Clock | None = None,
     ) -> None:
-        """Calls through `caller`.
+        """Creates a client; nothing is sent before a call.
 
         Args:
           caller: makes the calls.
-          keeps: whether connections are kept for further calls.
-          time: the clock, else the system's.
+          keeps: whether connections are kept open for further calls.
+          time: the clock, by default the system clock.
         """
         self._caller = caller
-        self._keeps = keeps
+        self._keep_alive = keeps
         self._clock = time or clock.SystemClock()
         self._paused_until_ms = float("-inf")
 
@@ -68,14 +68,14 @@
 
         Args:
           method: HTTP method.
-          url: what is called.
+          url: URL of the request.
           timeout_ms: how long the call may take.
-          body: the body, empty for none.
+          body: body of the request, empty for none.
           arrival: see `http1_call.HttpCaller.call`.
 
         Raises:
-          StatusError: if the status means failure.
-          PlatformError: if there is no whole answer in time.
+          StatusError: if the status denotes a failure.
+          PlatformError: if no complete answer arrives in time.
         """
         answer = await self.make_whole(method, url, timeout_ms, body, arrival)
         return answer.body
@@ -88,10 +88,12 @@
         body: bytes = b"",
         arrival: http1_call.Arrival | None = None,
     ) -> http1_call.WholeAnswer:
-        """Makes a call and returns its answer, headers too; as `make`."""
+        """Makes a call like `make`, and returns the headers too."""
         paused_ms = self._paused_until_ms - self._clock.now_ms()
         if paused_ms > 0.0:
-            raise clients.PausedError("it asked for a pause", paused_ms)
+            raise clients.PausedError(
+                "the service asked for a pause", paused_ms
+            )
         headers = {"content-type": "application/json"} if body else {}
         try:
             answer = await self._caller.call(
@@ -100,7 +102,7 @@
                 body,
                 headers,
                 timeout_ms,
-                keeps=self._keeps,
+                keeps=self._keep_alive,
                 arrival=arrival,
             )
         except http1_call.CallError as error:
@@ -111,15 +113,17 @@
             ) from error
         status = answer.head.status
         if status not in (_OK, _ACCEPTED):
-            asked_ms = self._asked_ms(answer.head)
+            asked_ms = self._record_retry_after(answer.head)
             detail = f"status {status} for {method} {url}"
             raise StatusError(status, detail, asked_ms)
         return answer
 
-    def _asked_ms(self, head: http1_client.ResponseHead) -> float | None:
-        """Returns the time that an answer names, and keeps a pause."""
+    def _record_retry_after(
+        self, head: http1_client.ResponseHead
+    ) -> float | None:
+        """Returns an answer's retry time, and starts a pause if requested."""
         asked = retry_after.of_answer(head)
-        if asked.wait_ms is not None and head.status in _PAUSING:
+        if asked.wait_ms is not None and head.status in _PAUSE_STATUSES:
             until_ms = self._clock.now_ms() + asked.wait_ms
             self._paused_until_ms = max(self._paused_until_ms, until_ms)
         return asked.wait_ms
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -1,6 +1,6 @@
-"""What the system needs of the platform.
+"""Interfaces of the platform's services that the system uses.
 
-Another platform is supported by other implementations of these protocols.
+Support for another platform implements the same protocols.
 """
 
 from __future__ import annotations
@@ -17,13 +17,13 @@
 
 
 class PlatformError(Exception):
-    """The platform did not answer a call usefully.
+    """A call to the platform got no usable answer.
 
     Attributes:
-      asked_ms: time after which it asked to be called again, None if it named
-        none.
-      answering: whether it was there: a part of an answer had come that does
-        not say that it serves nobody now.
+      asked_ms: time after which the platform asked to be called again, None if
+        it did not ask.
+      answering: whether the platform was in service: at least a part of an
+        answer arrived, other than one that states that it is unavailable.
     """
 
     def __init__(
@@ -33,31 +33,31 @@
         *,
         answering: bool = False,
     ) -> None:
-        """Records what the platform gave instead of an answer."""
+        """Records what is known about the failed call."""
         super().__init__(detail)
         self.asked_ms = asked_ms
         self.answering = answering
 
     @property
     def retry_after_ms(self) -> float:
-        """When to come back."""
+        """Time in milliseconds after which the call may be retried."""
         return UNAVAILABLE_RETRY_MS if self.asked_ms is None else self.asked_ms
 
 
 class UnreachedError(PlatformError):
-    """No connection could be opened, so that the platform has done nothing."""
+    """No connection could be opened, so that the platform did nothing."""
 
 
 class UselessAnswerError(PlatformError):
-    """A whole answer came that is of no use."""
+    """A complete answer arrived that can't be used."""
 
 
 class PausedError(PlatformError):
-    """No call was made, since the platform had asked for a pause."""
+    """The call was not sent, since the platform had asked for a pause."""
 
 
 class OrderRefusedError(PlatformError):
-    """A replica refused an order that does not fit its state."""
+    """A replica refused an order that conflicts with its state."""
 
 
 class VmRole(enum.Enum):
@@ -68,23 +68,23 @@
 
 
 class VmState(enum.Enum):
-    """What the platform says of a VM."""
+    """State of a VM that the platform reports."""
 
     LIVE = "live"
     LEAVING = "leaving"
 
 
 class ListedVm(msgspec.Struct, frozen=True):
-    """One VM in the platform's lagging list.
+    """One VM in the platform's VM list, which is updated with a delay.
 
     Attributes:
-      vm_id: its id.
-      role: what runs there.
-      data_centre: where it is.
+      vm_id: id of the VM.
+      role: what runs on the VM.
+      data_centre: data centre of the VM.
       service: service of an upstream, empty for an entry.
       host: IP address.
-      port: port of the system's own links there.
-      http_port: port for callers at an entry, 0 at an upstream.
+      port: port of the links between processes of the system.
+      http_port: port for callers of an entry, 0 for an upstream.
       state: live or leaving.
     """
 
@@ -99,7 +99,7 @@
 
 
 class ConfigurationClient(Protocol):
-    """The configuration service, which can only be read and watched."""
+    """Read-only client of the configuration service."""
 
     async def read(self, keys: list[str]) -> list[messages.Document]:
         """Returns the current documents of `keys` that exist.
@@ -124,7 +124,7 @@
 
 
 class VmListClient(Protocol):
-    """The platform's lagging list of VMs."""
+    """Client of the platform's VM list, which is updated with a delay."""
 
     async def read(self) -> list[ListedVm]:
         """Returns the list.
@@ -136,13 +136,13 @@
 
 
 class WeightSource(Protocol):
-    """A place that weights can be drawn from."""
+    """Source from which weights can be downloaded."""
 
     async def manifest(self, digest: ids.Digest) -> bytes:
         """Returns a manifest, not yet verified.
 
         Raises:
-          PlatformError: if it is not to be had now.
+          PlatformError: if the manifest is not available now.
         """
         ...
 
@@ -150,6 +150,6 @@
         """Returns a chunk, not yet verified.
 
         Raises:
-          PlatformError: if it is not to be had now.
+          PlatformError: if the chunk is not available now.
         """
         ...
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -1,4 +1,4 @@
-"""Decodes what the platform's store holds into the product's types."""
+"""Decodes the documents of the platform's store into the project's types."""
 
 from __future__ import annotations
 
@@ -20,20 +20,20 @@
 REPLICAS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 
-_SHOWN_MAX = 40
-_DETAIL_MAX = 200
-"""Characters of a refused document, and of what is wrong with it, that are
-logged: what others write must not fill the log."""
+_EXCERPT_LENGTH_MAX = 40
+_DETAIL_LENGTH_MAX = 200
+"""Limits, in characters, of what is logged of a refused document and of its
+error. Other programs write to the store and must not fill the log."""
 
 _TOKENS_PER_CONTEXT_UNIT = 1000.0
-"""`context_per_k` counts thousands of tokens."""
+"""`context_per_k` is a time per thousand tokens."""
 
 
 _BYTES_PER_S_PER_MEGABIT = 125_000.0
 
 _COUNT_MAX = 2**53
-"""Greatest whole number that every reader of JSON holds exactly; a greater
-one could not be told to other processes."""
+"""Largest integer that every JSON parser represents exactly. A larger one could
+not be sent to other processes."""
 
 _Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
 _Positive: TypeAlias = Annotated[int, msgspec.Meta(ge=1, le=_COUNT_MAX)]
@@ -59,15 +59,15 @@
     max_attempts: _Count = 1
     public: bool = False
     resumable: bool = False
-    # ITL: inter-token latency; it bounds the pause between two events.
+    # Inter-token latency: the objective for the pause between two events.
     target_itl_ms: float = 0.0
     allowed_regions: list[str] = []
 
 
 class _Model(msgspec.Struct):
     name: str
-    # Time to load all layers, in seconds; `load_time_s` is not used by
-    # engines that take their weights from staged pieces.
+    # Time to load all layers, in seconds. `load_time_s` does not apply to
+    # engines that load their weights from staged pieces.
     warmup_s: float = 0.0
 
 
@@ -79,7 +79,7 @@
     step_ms: float = 1.0
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
-    # Prompt tokens read in a second.
+    # Prompt tokens processed per second.
     read_per_s: float = 1_000.0
     layers: _Positive = 1
     blocks: _Count = 0
@@ -89,8 +89,8 @@
 class _Service(msgspec.Struct):
     name: str
     max_conns: _Count = 64
-    # Address of the origin of weights; a service that has it runs requests
-    # for weights only.
+    # Address of the origin of weights. A service with an origin only serves
+    # requests for weights.
     upstream: str = ""
     link_mbps: _Rate = 0.0
     runtime: _Runtime | None = None
@@ -121,7 +121,7 @@
 
 
 class HeldLayers(msgspec.Struct):
-    """Layers that a replica holds, from `source` up to, not with, `target`."""
+    """Layers that a replica holds, from `source` up to, excluding, `target`."""
 
     source: _Count = 0
     target: _Count = 0
@@ -129,7 +129,7 @@
 
 
 class HeldModel(msgspec.Struct):
-    """A model that a replica holds, wholly or in part."""
+    """Model that a replica holds completely or in part."""
 
     name: str
     version: _Count = 0
@@ -138,10 +138,10 @@
 def held_weights(
     layers: HeldLayers | None, models: list[HeldModel] | None
 ) -> int | None:
-    """Returns the version that a replica holds.
+    """Returns the version of the weights that a replica holds.
 
     Returns:
-      0 if it holds no weights, None if it is no model engine.
+      The version, 0 if it holds no weights, None if it is not a model engine.
     """
     if layers is not None:
         return layers.version if layers.target > layers.source else 0
@@ -154,36 +154,36 @@
     service: str
     address: str
     zone: str
-    # Of the replica's software, not of its weights.
+    # Version of the replica's software, not of its weights.
     version: str
     slots: _Positive
     state: str
     cold_left_ms: _Duration
     # Orders accepted since the replica's start.
     call_seq: _Count
-    # Unix milliseconds of the replica's start; not every platform tells it.
+    # Start of the replica in Unix milliseconds, which some platforms omit.
     born: _Count | msgspec.UnsetType = msgspec.UNSET
     model_list: list[HeldModel] | None = None
     layers: HeldLayers | None = None
 
 
-class _NamedVersion(msgspec.Struct):
+class _WeightsVersion(msgspec.Struct):
     model_name: str
     version: _Count
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
 _replica_decoder = msgspec.json.Decoder(_ListedReplica)
-_version_decoder = msgspec.json.Decoder(_NamedVersion)
+_version_decoder = msgspec.json.Decoder(_WeightsVersion)
 
 
 _MALFORMED = (ValueError, RecursionError)
-"""What decoding raises, errors of msgspec among them; the second one for
-values nested too deeply."""
+"""Exceptions of decoding. Errors of msgspec are subclasses of `ValueError`;
+values that are nested too deeply raise `RecursionError`."""
 
 
 class DocumentFault(enum.Enum):
-    """Why a document is refused."""
+    """Reason for which a document is refused."""
 
     BYTES = "bytes"
     FIELD = "field"
@@ -194,14 +194,14 @@
 
 
 class DocumentError(Exception):
-    """A document that can't be used.
+    """A document of the store can't be used.
 
     Attributes:
-      fault: what is wrong with it.
+      fault: reason for which it can't be used.
     """
 
     def __init__(self, fault: DocumentFault, detail: str) -> None:
-        """Records the fault and, for the log, where it is."""
+        """Records the fault and, for the log, its details."""
         super().__init__(detail)
         self.fault = fault
 
@@ -214,7 +214,7 @@
       regions: the regions of the deployment.
 
     Raises:
-      DocumentError: if it is malformed, or allows an unknown region.
+      DocumentError: if the document is malformed or allows an unknown region.
     """
     try:
         raw = _config_decoder.decode(data)
@@ -232,54 +232,58 @@
             ),
         )
     except _MALFORMED as error:
-        raise _refused("configuration", error) from error
+        raise _decode_error("configuration", error) from error
 
 
 def _check_regions(raw: _Config, regions: Collection[str]) -> None:
-    bound: list[_Route | _Tenant] = [*raw.route_table, *(raw.tenants or [])]
-    for item in bound:
+    restricted: list[_Route | _Tenant] = [
+        *raw.route_table,
+        *(raw.tenants or []),
+    ]
+    for item in restricted:
         for region in item.allowed_regions:
             if region not in regions:
-                name = item.name[:_SHOWN_MAX]
+                name = item.name[:_EXCERPT_LENGTH_MAX]
                 raise DocumentError(
                     DocumentFault.REGION,
                     f"configuration: {name!r} allows the unknown region"
-                    f" {region[:_SHOWN_MAX]!r}",
+                    f" {region[:_EXCERPT_LENGTH_MAX]!r}",
                 )
 
 
 def decode_evacuated(
     key: str, data_centres: Collection[str]
 ) -> ids.DataCentreId:
-    """Returns the data centre that the key of an evacuation names.
+    """Returns the data centre in the key of an evacuation.
 
-    The data of the item is not used: the evacuation lasts while the key exists.
+    The value of the key is ignored: the evacuation lasts while the key exists.
 
     Raises:
-      DocumentError: if the key names no data centre of the deployment.
+      DocumentError: if the deployment has no data centre of that name.
     """
     name = key.removeprefix(EVACUATIONS_PREFIX)
     if name not in data_centres:
         raise DocumentError(
             DocumentFault.DATA_CENTRE,
-            f"evacuation: unknown data centre {name[:_SHOWN_MAX]!r}",
+            f"evacuation: unknown data centre {name[:_EXCERPT_LENGTH_MAX]!r}",
         )
     return ids.DataCentreId(name)
 
 
 def decode_replica(replica_id: str, data: bytes) -> fleet.Replica:
-    """Returns the replica in an entry of the replica list.
+    """Returns the replica in a record of the replica list.
 
-    Every field that replicas write must be there in its type: an entry by
-    another writer names no replica that requests could go to.
+    Every field that replicas write must be present with the right type. A
+    record that lacks one was written by another program and does not describe a
+    replica that can be sent requests.
 
     Raises:
-      DocumentError: if it is malformed, or says what is not known here.
+      DocumentError: if the record is malformed or has an unknown state.
     """
     try:
         raw = _replica_decoder.decode(data)
     except _MALFORMED as error:
-        raise _refused("replica", error) from error
+        raise _decode_error("replica", error) from error
     return fleet.Replica(
         replica_id=replica_id,
         service_id=ids.ServiceId(raw.service),
@@ -298,7 +302,7 @@
         address = node.Address.parse(text)
         ipaddress.IPv4Address(address.host)
     except ValueError as error:
-        detail = f"replica: address {text[:_SHOWN_MAX]!r}: {error}"
+        detail = f"replica: address {text[:_EXCERPT_LENGTH_MAX]!r}: {error}"
         raise DocumentError(DocumentFault.ADDRESS, detail) from error
     return text
 
@@ -307,29 +311,31 @@
     try:
         return fleet.ReplicaState(text)
     except ValueError as error:
-        detail = f"replica: state {text[:_SHOWN_MAX]!r}"
+        detail = f"replica: state {text[:_EXCERPT_LENGTH_MAX]!r}"
         raise DocumentError(DocumentFault.STATE, detail) from error
 
 
-def _refused(what: str, error: Exception) -> DocumentError:
-    """Returns the error for a document that does not decode."""
-    unreadable = isinstance(error, (msgspec.DecodeError, RecursionError))
+def _decode_error(document_kind: str, error: Exception) -> DocumentError:
+    """Returns the error for a document that can't be decoded."""
+    undecodable = isinstance(error, (msgspec.DecodeError, RecursionError))
     if isinstance(error, msgspec.ValidationError):
-        unreadable = False
-    fault = DocumentFault.BYTES if unreadable else DocumentFault.FIELD
-    return DocumentError(fault, f"{what}: {error}"[:_DETAIL_MAX])
+        undecodable = False
+    fault = DocumentFault.BYTES if undecodable else DocumentFault.FIELD
+    return DocumentError(
+        fault, f"{document_kind}: {error}"[:_DETAIL_LENGTH_MAX]
+    )
 
 
 def decode_target(data: bytes) -> fleet.WeightsTarget:
-    """Returns the weights that a document names.
+    """Returns the weights version that a document requires.
 
     Raises:
-      DocumentError: if it is malformed.
+      DocumentError: if the document is malformed.
     """
     try:
         raw = _version_decoder.decode(data)
     except _MALFORMED as error:
-        raise _refused("named version", error) from error
+        raise _decode_error("weights version", error) from error
     return fleet.WeightsTarget(model=raw.model_name, version=raw.version)
 
 
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -1,4 +1,4 @@
-"""Reads and writes the platform's request headers."""
+"""Reads and writes the platform's request and response headers."""
 
 from __future__ import annotations
 
@@ -13,35 +13,35 @@
 from marlramp.shell import retry_after
 
 _REQUEST_ID = b"x-attempt-id"
-# How long the sender of a request still waits, not a point in time.
-_WAIT = b"x-deadline-ms"
+# Time for which the sender of a request still waits, not a point in time.
+_WAIT_MS = b"x-deadline-ms"
 _CUSTOMER = b"x-tenant"
 _EXPECT_REPLICA = b"x-expect-replica"
 _EXPECT_WEIGHTS = b"x-expect-version"
 _PRIORITY = b"x-request-priority"
 _RESUME = b"last-event-id"
-# Prompt tokens and the most output tokens, not what was used.
-_TOKENS = b"x-token-usage"
-_HINT = b"x-length-hint"
-# Parts of the prompt in order, as ID:TOKENS with the id in hexadecimal.
-_PARTS = b"x-prefix-hash"
+# Number of prompt tokens and limit of output tokens, not the tokens used.
+_TOKEN_COUNTS = b"x-token-usage"
+_LENGTH_HINT = b"x-length-hint"
+# Parts of the prompt in their order, as ID:TOKENS with a hexadecimal id.
+_PROMPT_PARTS = b"x-prefix-hash"
 _SIGNATURE = b"x-replica-signature"
 _NOT_RUN = b"x-not-executed"
 _LOAD = b"x-replica-load"
-# Requests a second that a replica takes from all callers together.
-_LIMIT = b"server-limit"
-# "1" in all answers of a replica that leaves.
+# Requests per second that a replica accepts from all callers together.
+_RATE_LIMIT = b"server-limit"
+# "1" in all answers of a replica that is leaving.
 _LEAVING = b"server-leaving"
-# Milliseconds for which the replica remains cold.
-_COLD = b"x-cold-ms"
+# Milliseconds until the replica is no longer cold.
+_COLD_LEFT_MS = b"x-cold-ms"
 _WEIGHTS = b"x-weight-versions"
 _PIPELINE = b"path"
 
 _MISDIRECTED = 421
 _LOAD_FIELDS = 3
 _PART_ID_LENGTH_MAX = 32
-# A cold start takes seconds; a longer time is a fault of the replica.
-_COLD_MS_MAX = 300_000.0
+# A cold start takes seconds, so that a longer time is an error of the replica.
+_COLD_LEFT_MS_MAX = 300_000.0
 
 _HEX_DIGITS = frozenset(string.hexdigits)
 
@@ -63,7 +63,7 @@
     {
         b"authorization",
         b"expect",
-        _WAIT,
+        _WAIT_MS,
         _CUSTOMER,
         _EXPECT_REPLICA,
         _EXPECT_WEIGHTS,
@@ -74,13 +74,13 @@
 
 
 class PlatformCallCodec:
-    """The platform's `CallCodec`."""
+    """Implements `CallCodec` for the platform's headers."""
 
     def read(self, request: http1_server.Request) -> wire.RequestInfo:
-        """Returns what a caller says."""
-        tokens = _integers(request.header(_TOKENS), "token counts")
-        hint = _integers(request.header(_HINT), "length hint")
-        wait = request.header(_WAIT)
+        """Returns the contents of the headers of a caller's request."""
+        tokens = _integers(request.header(_TOKEN_COUNTS), "token counts")
+        hint = _integers(request.header(_LENGTH_HINT), "length hint")
+        wait = request.header(_WAIT_MS)
         path, _, _ = request.target.partition(b"?")
         return wire.RequestInfo(
             request_id=ids.RequestId(request.header(_REQUEST_ID)),
@@ -91,13 +91,13 @@
             prompt_tokens=tokens[0] if tokens else 0,
             output_tokens_max=tokens[1] if len(tokens) > 1 else 0,
             output_tokens_hint=hint[0] if hint else 0,
-            shared_parts=_shared_parts(request.header(_PARTS)),
+            shared_parts=_shared_parts(request.header(_PROMPT_PARTS)),
         )
 
     def head(
         self, request: http1_server.Request, dispatch: wire.Dispatch
     ) -> bytes:
-        """Returns the head of the request to a replica."""
+        """Returns the request line and headers of the request to a replica."""
         dropped = _HOP_BY_HOP | _SET_BY_SYSTEM | _named_in_connection(request)
         if dispatch.resume_after:
             dropped |= {_RESUME}
@@ -106,7 +106,7 @@
             for name, value in request.headers
             if name not in dropped
         ]
-        headers.append((_WAIT, b"%d" % max(1, int(dispatch.wait_ms))))
+        headers.append((_WAIT_MS, b"%d" % max(1, int(dispatch.wait_ms))))
         headers.append((_EXPECT_REPLICA, dispatch.replica_id.encode()))
         if dispatch.customer_id is not None:
             headers.append((_CUSTOMER, dispatch.customer_id.encode()))
@@ -125,17 +125,19 @@
     def answer(
         self, head: http1_client.ResponseHead, call: wire.RequestInfo
     ) -> wire.ReplicaAnswer:
-        """Returns what the head of an answer says."""
+        """Returns the contents of the headers of a replica's answer."""
         echo = head.header(_REQUEST_ID)
         not_run = head.header(_NOT_RUN) is not None
         weights = head.header(_WEIGHTS)
-        mine = echo is None or echo.decode("latin-1") == call.request_id
+        matches_request = (
+            echo is None or echo.decode("latin-1") == call.request_id
+        )
         limit_per_s, limit_unreadable = _limit(head)
         asked = retry_after.of_answer(head)
         cold_left_ms, cold_unreadable = _cold_left_ms(head)
         return wire.ReplicaAnswer(
             status=head.status,
-            matches_request=mine,
+            matches_request=matches_request,
             signed=head.header(_SIGNATURE) is not None,
             not_run=not_run or head.status == _MISDIRECTED,
             encoded=head.header(b"content-encoding") is not None,
@@ -158,7 +160,7 @@
 
 
 def says_leaving(head: http1_client.ResponseHead) -> bool:
-    """Returns whether the replica that answered says that it leaves."""
+    """Returns whether an answer announces that its replica is leaving."""
     value = head.header(_LEAVING)
     return value is not None and value.strip() == b"1"
 
@@ -173,24 +175,24 @@
         value = float(text)
     except ValueError as error:
         raise errors.CallError(
-            errors.ErrorKind.INVALID_REQUEST, "the time to wait is no number"
+            errors.ErrorKind.INVALID_REQUEST, "the time to wait is not a number"
         ) from error
     return max(0.0, value)
 
 
-def _integers(text: str, what: str) -> list[int]:
+def _integers(text: str, description: str) -> list[int]:
     if not text:
         return []
     try:
         return [int(part) for part in text.split(",")]
     except ValueError as error:
         raise errors.CallError(
-            errors.ErrorKind.INVALID_REQUEST, f"malformed {what}"
+            errors.ErrorKind.INVALID_REQUEST, f"malformed {description}"
         ) from error
 
 
 def _shared_parts(text: str) -> tuple[str, ...]:
-    """Returns the ids of all parts but the last, none if one is malformed."""
+    """Returns the ids of all parts but the last, () if one is malformed."""
     parts = [part.partition(":")[0].strip().lower() for part in text.split(",")]
     if not all(_is_part_id(part) for part in parts):
         return ()
@@ -202,7 +204,7 @@
 
 
 def _named_in_connection(request: http1_server.Request) -> frozenset[bytes]:
-    """Returns headers that the caller marked as its connection's own."""
+    """Returns the headers that the caller's `Connection` header lists."""
     names = request.header(b"connection").encode().lower().split(b",")
     return frozenset(name.strip() for name in names) - {_REQUEST_ID}
 
@@ -215,27 +217,27 @@
 
 
 def _limit(head: http1_client.ResponseHead) -> tuple[float | None, str]:
-    """Returns the least rate that an answer names, and what is none."""
-    rates, unreadable = _numbers(head, _LIMIT)
+    """Returns the lowest rate limit of an answer, and an unreadable value."""
+    rates, unreadable = _numbers(head, _RATE_LIMIT)
     return min(rates, default=None), unreadable
 
 
 def _cold_left_ms(
     head: http1_client.ResponseHead,
 ) -> tuple[float | None, str]:
-    """Returns the longest time for which an answer says it is cold.
+    """Returns the longest remaining cold time that an answer reports.
 
     Returns:
-      The time, None if there is none, and a value that isn't one or "".
+      The time, None if there is none, and a value that can't be read or "".
     """
-    times_ms, unreadable = _numbers(head, _COLD, _COLD_MS_MAX)
+    times_ms, unreadable = _numbers(head, _COLD_LEFT_MS, _COLD_LEFT_MS_MAX)
     return max(times_ms, default=None), unreadable
 
 
 def _numbers(
     head: http1_client.ResponseHead, name: bytes, number_max: float = math.inf
 ) -> tuple[list[float], str]:
-    """Returns the numbers of a header, and a value that is none or ""."""
+    """Returns the numbers in a header, and a value that can't be read or ""."""
     numbers = []
     unreadable = ""
     for value in head.values(name):
@@ -249,7 +251,7 @@
 
 
 def _number(text: str) -> float | None:
-    """Returns a finite number of at least 0, None if a text is none."""
+    """Returns a finite number of at least 0, None if the text isn't one."""
     try:
         number = float(text)
     except ValueError:
--- a/src/marlramp/platform/http_clients.py
+++ b/src/marlramp/platform/http_clients.py
@@ -63,13 +63,13 @@
     """VM list over HTTP."""
 
     def __init__(self, client: http.HttpClient, url: str) -> None:
-        """Uses the list at `url`."""
+        """Uses the VM list at `url`."""
         self._client = client
         self._url = url.rstrip("/")
         self._decoder = msgspec.json.Decoder(list[clients.ListedVm])
 
     async def read(self) -> list[clients.ListedVm]:
-        """Returns the list."""
+        """Returns the VMs in the list."""
         body = await _get(self._client, f"{self._url}/v1/vms", READ_TIMEOUT_MS)
         try:
             return self._decoder.decode(body)
@@ -78,7 +78,7 @@
 
 
 class HttpWeightSource:
-    """Origin or weight store over HTTP."""
+    """Origin of weights or weight store over HTTP."""
 
     def __init__(self, client: http.HttpClient, url: str) -> None:
         """Uses the source at `url`."""
--- a/src/marlramp/platform/lookup_pages.py
+++ b/src/marlramp/platform/lookup_pages.py
@@ -1,4 +1,4 @@
-"""Pages beside the requests, by the platform's names: addresses, readiness."""
+"""HTTP pages for address lookup and readiness, in the platform's format."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 
 
 class Lookup(msgspec.Struct, frozen=True):
-    """A caller's question where to connect.
+    """A caller's query for the addresses of entries.
 
     Attributes:
-      host: host of the caller's requests, in lower case, "" if not named.
-      region: region of the caller, "" if not named.
-      data_centre: data centre of the caller, "" if not named.
+      host: host of the caller's requests, in lower case, "" if not given.
+      region: region of the caller, "" if not given.
+      data_centre: data centre of the caller, "" if not given.
     """
 
     host: str
@@ -32,7 +32,7 @@
 
 class _Answer(msgspec.Struct):
     addresses: list[str]
-    # How long callers keep the addresses, in seconds.
+    # Time for which callers may cache the addresses, in seconds.
     ttl_s: float
 
 
@@ -41,12 +41,12 @@
     ttl_s: float,
     ready: Callable[[], bool],
 ) -> page_server.Pages:
-    """Returns the pages.
+    """Returns the lookup and readiness pages by path.
 
     Args:
       addresses: returns the addresses of the entries for a lookup.
-      ttl_s: how long callers keep them.
-      ready: tells whether this entry takes callers.
+      ttl_s: time for which callers may cache the addresses, in seconds.
+      ready: returns whether this entry accepts requests.
     """
 
     async def lookup(query: str) -> page_server.Page:
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -1,4 +1,4 @@
-"""Calls to the replica on the own VM and to the origin of weights."""
+"""Calls to the replica on this VM and to the origin of weights."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
 ORDER_TIMEOUT_MS = 1_000.0
 MANIFEST_TIMEOUT_MS = 1_500.0
 PIECE_TIMEOUT_MS = 2_500.0
-"""A piece takes 70 ms of a side VM's link; at the origin it may wait for those
-of all other VMs."""
+"""A piece takes 70 ms on the link of an agent's VM. At the origin it may queue
+behind the pieces for all other VMs."""
 
 
 _CONFLICT = 409
@@ -34,7 +34,7 @@
     busy: bool = False
     # Orders accepted since the start of the replica.
     call_seq: int = 0
-    # Unix milliseconds of the replica's start; not every platform tells it.
+    # Start of the replica in Unix milliseconds, which some platforms omit.
     born: int | msgspec.UnsetType = msgspec.UNSET
     queued: int = 0
     active: int = 0
@@ -43,7 +43,7 @@
     layers: documents.HeldLayers | None = None
 
 
-class _Held(msgspec.Struct):
+class _StagedPieces(msgspec.Struct):
     # Indexes of staged pieces.
     held: list[int] = []
 
@@ -58,14 +58,14 @@
     operation: str
     model_name: str
     version: int
-    # "queue" lets running requests end before the load, "truncate" cuts them.
+    # "queue" finishes running requests before the load, "truncate" aborts them.
     swap_mode: str
-    # The order is refused unless the replica has accepted this many so far.
+    # Number of orders accepted so far; the replica refuses any other number.
     expect: int
 
 
 class ReplicaApi:
-    """The replica on the own VM."""
+    """Client of the replica on this VM."""
 
     def __init__(
         self, caller: http1_call.HttpCaller, address: node.Address
@@ -73,19 +73,19 @@
         """Uses the replica at `address`."""
         self._calls = calls.PlatformCalls(caller)
         self._url = f"http://{address}"
-        self._reports = msgspec.json.Decoder(_Report)
-        self._held = msgspec.json.Decoder(_Held)
+        self._report_decoder = msgspec.json.Decoder(_Report)
+        self._staged_decoder = msgspec.json.Decoder(_StagedPieces)
 
     async def report(self) -> engine_state.EngineReport:
         """Returns the replica's state.
 
         Raises:
-          PlatformError: if it does not answer usefully.
+          PlatformError: if there is no usable answer.
         """
         answer = await self._calls.make_whole(
             "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
         )
-        raw = _decode(self._reports, answer.body)
+        raw = _decode(self._report_decoder, answer.body)
         held = documents.held_weights(raw.layers, raw.model_list)
         return engine_state.EngineReport(
             weights=held or 0,
@@ -105,7 +105,7 @@
             f"{self._url}/v1/stage-get/{model}",
             STAGE_TIMEOUT_MS,
         )
-        return _decode(self._held, body).held
+        return _decode(self._staged_decoder, body).held
 
     async def read_staged(self, model: str, index: int) -> bytes:
         """Returns a staged piece, not verified."""
@@ -113,25 +113,26 @@
         return await self._calls.make("GET", url, STAGE_TIMEOUT_MS)
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
-        """Stages a piece in the place of any other of its index."""
+        """Stages a piece; replaces a staged piece of the same index."""
         url = f"{self._url}/v1/stage-put/{model}?index={index}"
         await self._calls.make("PUT", url, STAGE_TIMEOUT_MS, data)
 
     async def load(
         self, model: str, version: int, order_number: int, *, cut: bool
     ) -> None:
-        """Orders the replica to load what is staged.
+        """Orders the replica to load the staged weights.
 
         Args:
           model: the model.
           version: the version that is staged.
-          order_number: orders that it has accepted when this one was decided:
-            a replica that started again since then refuses it.
-          cut: whether running requests are cut instead of waited for.
+          order_number: number of orders that the replica had accepted when this
+            one was decided; a replica that has restarted since refuses it.
+          cut: whether running requests are aborted instead of finished.
 
         Raises:
-          OrderRefusedError: if the order does not fit its state.
-          PlatformError: if it did not accept; without an answer it may have.
+          OrderRefusedError: if the order conflicts with the replica's state.
+          PlatformError: if the replica did not accept the order. If there was
+            no answer, it may have accepted it.
         """
         mode = "truncate" if cut else "queue"
         order = _Order("start", model, version, mode, order_number)
@@ -149,28 +150,30 @@
 
 
 class OriginApi:
-    """The origin of weights."""
+    """Client of the origin of weights."""
 
     def __init__(self, caller: http1_call.HttpCaller, address: str) -> None:
         """Uses the origin at "host:port"."""
-        # It takes few connections: those that agents kept, also of VMs that
-        # have lost power, would shut out all others.
+        # The origin accepts few connections. Idle ones, including those of VMs
+        # that have lost power, would block the calls of all other agents.
         self._calls = calls.PlatformCalls(caller, keeps=False)
         self._url = f"http://{address}"
-        self._manifests = msgspec.json.Decoder(_Manifest)
+        self._manifest_decoder = msgspec.json.Decoder(_Manifest)
 
     async def manifest(self, model: str, version: int) -> manifest.Manifest:
         """Returns the digests of a version's pieces.
 
         Raises:
-          PlatformError: if the origin does not answer usefully.
+          PlatformError: if the origin gives no usable answer.
         """
         query = urllib.parse.urlencode({"version": version})
         url = f"{self._url}/v1/manifest/{model}?{query}"
         body = await self._calls.make("GET", url, MANIFEST_TIMEOUT_MS)
-        raw = _decode(self._manifests, body)
+        raw = _decode(self._manifest_decoder, body)
         if raw.version != version:
-            raise clients.PlatformError(f"got version {raw.version}")
+            raise clients.PlatformError(
+                f"the origin returned version {raw.version}"
+            )
         return manifest.Manifest(
             model=model,
             version=str(version),
@@ -181,7 +184,7 @@
         )
 
     async def piece(self, model: str, version: int, index: int) -> bytes:
-        """Returns a piece, not verified."""
+        """Returns a piece of a version, not verified."""
         query = urllib.parse.urlencode({"index": index, "version": version})
         url = f"{self._url}/v1/piece/{model}?{query}"
         return await self._calls.make("GET", url, PIECE_TIMEOUT_MS)
--- a/src/marlramp/platform/settings.py
+++ b/src/marlramp/platform/settings.py
@@ -1,4 +1,4 @@
-"""Decodes the platform's settings file, lines of the form a.b=value."""
+"""Decodes the platform's settings file, which has lines of `key=value`."""
 
 from __future__ import annotations
 
@@ -14,15 +14,15 @@
 Value = TypeVar("Value")
 
 SETTINGS_VARIABLE = "MARLRAMP_SETTINGS"
-"""Environment variable with the path of the settings file."""
+"""Environment variable that holds the path of the settings file."""
 
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1_000_000
-_ZONES = "zones."
+_ZONE_PREFIX = "zones."
 
 
 def settings_path() -> pathlib.Path | None:
-    """Returns the path that the platform gives, None outside of it."""
+    """Returns the path that the platform set, None if it set none."""
     value = os.environ.get(SETTINGS_VARIABLE)
     return pathlib.Path(value) if value else None
 
@@ -31,8 +31,8 @@
     """Returns the settings in a file.
 
     Raises:
-      NodeSettingsError: if the file can't be read or fields are missing or
-        wrong; it names all of them.
+      NodeSettingsError: if the file can't be read, or fields are missing or
+        invalid; it lists all such fields.
     """
     try:
         text = path.read_text()
@@ -45,17 +45,17 @@
     """Returns the settings in the text of a file; unknown fields are ignored.
 
     Raises:
-      NodeSettingsError: if fields are missing or wrong; it names all of them.
+      NodeSettingsError: if fields are missing or invalid; it lists all of them.
     """
-    reader = _Reader(text)
+    reader = _FieldReader(text)
     settings = _decode_node(reader)
     if reader.problems:
         raise node.NodeSettingsError(reader.problems)
     return settings
 
 
-class _Reader:
-    """Fields of a file; collects what is missing or wrong."""
+class _FieldReader:
+    """Reads the fields of a file and collects the problems found in them."""
 
     def __init__(self, text: str) -> None:
         self.problems: list[str] = []
@@ -76,44 +76,44 @@
         return value
 
     def parsed(
-        self, key: str, parse: Callable[[str], Value], fallback: Value
+        self, key: str, parse: Callable[[str], Value], default: Value
     ) -> Value:
         text = self.text(key)
         if not text:
-            return fallback
+            return default
         try:
             return parse(text)
         except ValueError as error:
             self.problems.append(f"{key}: {error}, got {text!r}")
-            return fallback
+            return default
 
     def number(self, key: str) -> float:
-        return self.parsed(key, _positive, 1.0)
+        return self.parsed(key, _non_negative, 1.0)
 
-    def number_or(self, key: str, fallback: float) -> float:
+    def number_or(self, key: str, default: float) -> float:
         if key not in self.fields:
-            return fallback
-        return self.parsed(key, _positive, fallback)
+            return default
+        return self.parsed(key, _non_negative, default)
 
-    def count_or(self, key: str, fallback: int) -> int:
+    def count_or(self, key: str, default: int) -> int:
         if key not in self.fields:
-            return fallback
-        return self.parsed(key, _count, fallback)
+            return default
+        return self.parsed(key, _count, default)
 
     def address(self, key: str) -> node.Address:
         return self.parsed(key, node.Address.parse, node.Address("", 0))
 
 
-def _positive(text: str) -> float:
+def _non_negative(text: str) -> float:
     value = float(text)
     if not 0 <= value < float("inf"):
-        raise ValueError("must be a number of 0 or more")
+        raise ValueError("must be a finite number of at least 0")
     return value
 
 
 def _count(text: str) -> int:
     if not (text.isascii() and text.isdigit()):
-        raise ValueError("must be a whole number of 0 or more")
+        raise ValueError("must be an integer of at least 0")
     return int(text)
 
 
@@ -126,12 +126,12 @@
     return int(first), int(last)
 
 
-def _role(reader: _Reader) -> node.NodeRole:
-    served = reader.text("serves").split(",")
-    return node.NodeRole.AGENT if served == ["side"] else node.NodeRole.ENTRY
+def _role(reader: _FieldReader) -> node.NodeRole:
+    roles = reader.text("serves").split(",")
+    return node.NodeRole.AGENT if roles == ["side"] else node.NodeRole.ENTRY
 
 
-def _decode_node(reader: _Reader) -> node.NodeSettings:
+def _decode_node(reader: _FieldReader) -> node.NodeSettings:
     role = _role(reader)
     agent = role is node.NodeRole.AGENT
     megabits = reader.number("limits.link_mbps")
@@ -142,9 +142,9 @@
         data_centre=ids.DataCentreId(reader.text("zone")),
         region=reader.text("region"),
         regions={
-            key.removeprefix(_ZONES): value
+            key.removeprefix(_ZONE_PREFIX): value
             for key, value in reader.fields.items()
-            if key.startswith(_ZONES)
+            if key.startswith(_ZONE_PREFIX)
         },
         seeds=reader.parsed("seed_nodes", _addresses, []),
         own_ports=reader.parsed("port_range", _ports, (0, 0)),
@@ -163,7 +163,7 @@
     )
 
 
-def _decode_entry(reader: _Reader) -> node.EntryAddresses:
+def _decode_entry(reader: _FieldReader) -> node.EntryAddresses:
     return node.EntryAddresses(
         callers=reader.address("listen.frontend"),
         ready=reader.address("listen.ready"),
@@ -172,7 +172,7 @@
     )
 
 
-def _decode_bounds(reader: _Reader) -> node.Bounds:
+def _decode_bounds(reader: _FieldReader) -> node.Bounds:
     second_ms = clock.MILLIS_PER_SECOND
     return node.Bounds(
         drain_ms=reader.number("bounds.drain_ms"),
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store, which can only be read and watched."""
+"""Read-only client of the platform's key-value store."""
 
 from __future__ import annotations
 
@@ -22,21 +22,22 @@
 Value = TypeVar("Value")
 
 READ_TIMEOUT_MS = 1_000.0
-"""250 times the store's usual answer; a store that has not begun to answer by
+"""250 times the usual response time. A store that has not begun to answer by
 then counts as down."""
 
 WATCH_MARGIN_MS = 600.0
-"""A watch whose answer has not begun by then after its wait counts as lost."""
+"""A watch that has not begun to answer this long after its wait counts as
+lost."""
 
 ARRIVAL = http1_call.Arrival(silence_ms=READ_TIMEOUT_MS, least_per_s=65_536.0)
-"""An answer that has begun is waited for while it arrives: 1 MB, the most that
-the store sends at once, may take 17 s."""
+"""An answer that has begun may take longer than the time-out while data keeps
+arriving: 1 MB, the largest answer of the store, may take 17 s."""
 
 REFUSED_KEYS_MAX = 1_000
-"""Refused items that are remembered, so that each is logged and counted once
-and not with each reading of the store."""
+"""Number of refused items that are remembered, so that each is logged and
+counted once and not at each read of the store."""
 
-_GONE = 410
+_STATUS_GONE = 410
 
 
 class HistoryGoneError(clients.PlatformError):
@@ -51,21 +52,21 @@
     deleted: bool = False
 
 
-class _Range(msgspec.Struct):
-    # Decoded one by one: an item that can't be must not hide the others.
+class _RangeAnswer(msgspec.Struct):
+    # Decoded separately, so that a malformed item does not affect the others.
     entries: list[msgspec.Raw]
-    # The store's revision when it answered.
+    # Revision of the store at the time of the answer.
     at: int
     has_more: bool = False
 
 
-class _Events(msgspec.Struct):
+class _WatchAnswer(msgspec.Struct):
     events: list[msgspec.Raw]
     at: int
 
 
 class StoreClient:
-    """Reads configuration, weights targets and replicas from the store."""
+    """Reads configuration, target versions of weights and replicas."""
 
     def __init__(
         self,
@@ -85,32 +86,33 @@
         self._calls = calls.PlatformCalls(caller)
         self._items = _ItemDecoder(regions, totals)
         self._url = f"http://{address}"
-        self._ranges = msgspec.json.Decoder(_Range)
-        self._events = msgspec.json.Decoder(_Events)
+        self._range_decoder = msgspec.json.Decoder(_RangeAnswer)
+        self._events = msgspec.json.Decoder(_WatchAnswer)
 
     async def read_all(self, *, stale: bool = False) -> catalog.Snapshot:
-        """Returns all that the store holds for the system.
+        """Returns everything that the store holds for the system.
 
         Args:
-          stale: whether it may be seconds old, which costs a tenth and is not
-            counted against the rate that all processes share.
+          stale: whether the answer may be seconds old. Such a read costs a
+            tenth of a current one, and does not count towards the rate limit
+            that all processes share.
 
         Raises:
-          PlatformError: if the store does not answer usefully.
+          PlatformError: if the store gives no usable answer.
         """
         return await self._read("", stale=stale)
 
     async def read_targets(self) -> catalog.Snapshot:
-        """Returns the weights named, possibly seconds old.
+        """Returns the target versions of weights, possibly seconds old.
 
-        They are a hundredth of what the store holds; see `read_all`.
+        They are a hundredth of the data that `read_all` returns.
         """
         return await self._read(documents.WEIGHTS_PREFIX, stale=True)
 
     async def _read(self, prefix: str, *, stale: bool) -> catalog.Snapshot:
         changes: list[catalog.Change] = []
-        # A page's revision is at most the first page's, so that nothing that
-        # changed between two pages is taken as read.
+        # The result has the lowest revision of all pages, so that a watch from
+        # there also returns what changed between the reads of two pages.
         revision: int | None = None
         after = ""
         while True:
@@ -121,10 +123,11 @@
             if not page.has_more:
                 return catalog.Snapshot(revision, changes)
             if not items:
-                # What follows is unknown; taken as the end, it would remove
-                # the replicas on the pages that were not read.
+                # The position of the next page is unknown. Ending here would
+                # remove the replicas on the pages that were not read.
                 raise clients.PlatformError(
-                    "a page without a readable item", answering=True
+                    "the store sent a page without a readable item",
+                    answering=True,
                 )
             after = items[-1].key
 
@@ -132,12 +135,12 @@
         """Waits for changes after revision `after`.
 
         Returns:
-          The changes and the revision to go on from; no changes after
-          `wait_ms`.
+          The changes and the revision after which the next watch starts; no
+          changes if there was none within `wait_ms`.
 
         Raises:
-          HistoryGoneError: if the store has dropped that history.
-          PlatformError: if the store does not answer usefully.
+          HistoryGoneError: if the store no longer has these changes.
+          PlatformError: if the store gives no usable answer.
         """
         query = urllib.parse.urlencode(
             {"path_prefix": "", "after": after, "wait_ms": int(wait_ms)}
@@ -145,7 +148,7 @@
         body = await self._get(
             f"/v1/kv-watch?{query}", wait_ms + WATCH_MARGIN_MS
         )
-        answer = _decoded(self._events.decode, body)
+        answer = _decode_answer(self._events.decode, body)
         items = self._items.read(answer.events)
         return catalog.Snapshot(
             max(after, answer.at), self._items.changes(items)
@@ -153,13 +156,13 @@
 
     async def _read_page(
         self, prefix: str, after: str, *, stale: bool
-    ) -> _Range:
+    ) -> _RangeAnswer:
         fields = {"path_prefix": prefix, "after": after}
         if stale:
             fields["allow_stale"] = "1"
         query = urllib.parse.urlencode(fields)
         body = await self._get(f"/v1/kv-range?{query}", READ_TIMEOUT_MS)
-        return _decoded(self._ranges.decode, body)
+        return _decode_answer(self._range_decoder.decode, body)
 
     async def _get(self, path: str, timeout_ms: float) -> bytes:
         try:
@@ -167,14 +170,14 @@
                 "GET", self._url + path, timeout_ms, arrival=ARRIVAL
             )
         except calls.StatusError as error:
-            if error.status == _GONE:
+            if error.status == _STATUS_GONE:
                 raise HistoryGoneError(
-                    "history is gone", answering=True
+                    "the store no longer has these changes", answering=True
                 ) from error
             raise
 
 
-def _decoded(decode: Callable[[bytes], Value], body: bytes) -> Value:
+def _decode_answer(decode: Callable[[bytes], Value], body: bytes) -> Value:
     try:
         return decode(body)
     except msgspec.DecodeError as error:
@@ -184,7 +187,7 @@
 
 
 class _ItemDecoder:
-    """Decodes items one by one; what can't be used is told, not raised."""
+    """Decodes items separately; logs and counts those that can't be used."""
 
     def __init__(
         self, regions: Mapping[str, str], totals: counters.Counters
@@ -195,36 +198,36 @@
         self._refused: dict[str, int] = {}
 
     def read(self, raw_items: list[msgspec.Raw]) -> list[_Item]:
-        """Returns the items that can be decoded as items of the store."""
+        """Returns the items that are well-formed."""
         items = []
         for raw in raw_items:
             try:
                 items.append(self._decoder.decode(raw))
             except (ValueError, RecursionError) as error:
-                self._refuse("", 0, "item", str(error))
+                self._report_refusal("", 0, "item", str(error))
         return items
 
     def changes(self, items: list[_Item]) -> list[catalog.Change]:
-        """Returns what items mean here.
+        """Returns the catalog changes that items describe.
 
-        A replica's entry that can't be used names no replica, also if an
-        earlier one did: whoever wrote it, the earlier one holds no longer.
+        A replica's record that can't be used removes the replica: whoever wrote
+        the record, the earlier one is no longer valid.
         """
         changes: list[catalog.Change] = []
         for item in items:
             try:
                 change = self._decode(item)
             except documents.DocumentError as error:
-                self._refuse(
+                self._report_refusal(
                     item.key, item.revision, error.fault.value, str(error)
                 )
-                change = _without_replica(item)
+                change = _change_of_refused(item)
             if change is not None:
                 changes.append(change)
         return changes
 
     def _decode(self, item: _Item) -> catalog.Change | None:
-        """Returns the change that an item means, None if it means none."""
+        """Returns the change that an item describes, None if there is none."""
         if item.key == documents.CONFIG_KEY:
             if item.deleted:
                 return None
@@ -248,7 +251,9 @@
             )
         return None
 
-    def _refuse(self, key: str, revision: int, fault: str, detail: str) -> None:
+    def _report_refusal(
+        self, key: str, revision: int, fault: str, detail: str
+    ) -> None:
         if self._refused.get(key) == revision:
             return
         if len(self._refused) >= REFUSED_KEYS_MAX:
@@ -264,8 +269,8 @@
         )
 
 
-def _without_replica(item: _Item) -> catalog.Change | None:
-    """Returns the change that a refused item stands for, None if none."""
+def _change_of_refused(item: _Item) -> catalog.Change | None:
+    """Returns the change for a refused item, None if it is not a replica's."""
     if not item.key.startswith(documents.REPLICAS_PREFIX):
         return None
     replica_id = item.key.removeprefix(documents.REPLICAS_PREFIX)
