Reword the tests of the platform and the shared modules

Test names and docstrings state the failure that each test guards against; the stories at the head of test_origin and test_interpreters are shortened, with their figures. Assertions and parameters are as before, apart from the names of locals.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures shared by all tests."""
+"""Fixtures and the handling of known failures, for all tests."""
 
 from __future__ import annotations
 
@@ -12,18 +12,19 @@
 
 @pytest.fixture
 def time() -> clock.ManualClock:
-    """A clock that the test moves."""
+    """Returns a clock that only the test advances."""
     return clock.ManualClock(1_000.0)
 
 
 @pytest.fixture
 def rng() -> random.Random:
-    """A reproducible source of random numbers."""
+    """Returns a random number generator with a fixed seed."""
     return random.Random(7)
 
 
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
-"""Tests that fail for a fault that is known: test | cause | issue."""
+"""Tests that fail because of a known fault, one per line, written as
+`test | cause | issue`."""
 
 
 def _known_red() -> dict[str, str]:
@@ -33,7 +34,7 @@
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Lets the run pass over the failures that are listed, and just these."""
+    """Marks exactly the listed tests as expected failures."""
     known = _known_red()
     for item in items:
         if item.nodeid in known:
@@ -43,6 +44,6 @@
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
-    """Prints what is known to fail."""
+    """Prints the tests that are known to fail, with the cause of each."""
     for test, cause in _known_red().items():
         terminalreporter.write_line(f"known red: {test}: {cause}")
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -12,7 +12,7 @@
 
 
 class Service:
-    """Answers calls with a status and a time to come back."""
+    """Answers each call with a status and a `Retry-After` value."""
 
     def __init__(self, status: int, retry_after: str) -> None:
         self.status = status
@@ -28,26 +28,29 @@
 
 
 def failures(service: Service, pauses_ms: list[float]) -> list[float]:
-    """Makes a call after each pause; returns when to come back each time."""
+    """Makes a call after each pause and returns the retry times."""
     time = clock.ManualClock(1_000.0)
 
     async def main() -> list[float]:
         async with raw_http.ScriptedServer(service.serve) as server:
             caller = http1_call.HttpCaller(clock.SystemClock())
-            made = calls.PlatformCalls(caller, time=time)
-            found = []
+            platform_calls = calls.PlatformCalls(caller, time=time)
+            retry_times_ms = []
             for pause_ms in pauses_ms:
                 time.advance(pause_ms)
-                with pytest.raises(clients.PlatformError) as caught:
-                    await made.make("GET", f"http://{server.address}/x", 500.0)
-                found.append(caught.value.retry_after_ms)
-            return found
+                with pytest.raises(clients.PlatformError) as raised:
+                    await platform_calls.make(
+                        "GET", f"http://{server.address}/x", 500.0
+                    )
+                retry_times_ms.append(raised.value.retry_after_ms)
+            return retry_times_ms
 
     return asyncio.run(main())
 
 
 @pytest.mark.parametrize("status", [429, 503])
-def test_service_that_wants_no_calls_gets_none(status: int) -> None:
+def test_no_calls_are_sent_before_the_retry_time(status: int) -> None:
+    """Guards against calls to an overloaded service that asked for a pause."""
     service = Service(status, "2")
     assert failures(service, [0.0, 500.0, 1_499.0, 2.0])[:3] == [
         2_000.0,
@@ -58,7 +61,8 @@
 
 
 @pytest.mark.parametrize(("status", "value"), [(503, "nan"), (404, "60")])
-def test_other_answers_hold_no_call_back(status: int, value: str) -> None:
+def test_other_answers_start_no_pause(status: int, value: str) -> None:
+    """Guards against a pause after a bad time or another status."""
     service = Service(status, value)
     failures(service, [0.0, 0.0, 0.0])
     assert service.calls == 3
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -81,9 +81,13 @@
 @pytest.mark.parametrize(
     ("given", "expected"), [({"priority": 0}, 0), ({}, None)]
 )
-def test_customer_without_a_priority_takes_that_of_the_route(
+def test_customer_without_a_priority_has_none(
     given: dict[str, int], expected: int | None
 ) -> None:
+    """Guards against a missing priority that is decoded as 0, the highest.
+
+    None makes the priority of the route apply.
+    """
     customers = [{"name": "c", "api_keys": ["k"], **given}]
     config = documents.decode_config(
         json.dumps(CONFIG | {"tenants": customers}).encode(), REGIONS
@@ -111,19 +115,19 @@
         ({"layers": {"source": 0, "target": 0, "version": 2}}, 0),
     ],
 )
-def test_weights_of_a_replica(
+def test_version_that_a_replica_holds(
     held: dict[str, object], expected: int | None
 ) -> None:
     decoded = documents.decode_replica("i-1", replica(**held))
     assert decoded.weights == expected
 
 
-def test_draining_replica() -> None:
+def test_draining_replica_is_decoded() -> None:
     decoded = documents.decode_replica("i-1", replica(state="draining"))
     assert decoded.state is fleet.ReplicaState.DRAINING
 
 
-def bound(of_route: object, of_customer: object) -> bytes:
+def restricted_config(of_route: object, of_customer: object) -> bytes:
     (route,) = CONFIG["route_table"]  # type: ignore[misc, str-unpack]
     (customer,) = CONFIG["tenants"]  # type: ignore[misc, str-unpack]
     config = CONFIG | {
@@ -134,8 +138,8 @@
 
 
 def test_allowed_regions_of_routes_and_customers_are_decoded() -> None:
-    """Guards against a list that is dropped, which would allow all regions."""
-    data = bound(["west"], ["east", "west"])
+    """Guards against a list that gets lost, which would allow all regions."""
+    data = restricted_config(["west"], ["east", "west"])
     config = documents.decode_config(data, REGIONS)
     assert config.routes[0].allowed_regions == ("west",)
     assert config.customers is not None
@@ -157,8 +161,11 @@
 def test_configuration_with_wrong_regions_is_refused(
     regions: object, fault: documents.DocumentFault
 ) -> None:
-    """Guards against a list that can't be applied and is taken as none."""
-    for data in (bound(regions, []), bound([], regions)):
-        with pytest.raises(documents.DocumentError) as caught:
+    """Guards against an invalid list that is decoded as no restriction."""
+    for data in (
+        restricted_config(regions, []),
+        restricted_config([], regions),
+    ):
+        with pytest.raises(documents.DocumentError) as raised:
             documents.decode_config(data, REGIONS)
-        assert caught.value.fault is fault
+        assert raised.value.fault is fault
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -41,20 +41,20 @@
     }
 
 
-def test_request_is_read() -> None:
-    said = CODEC.read(
+def test_request_headers_are_decoded() -> None:
+    info = CODEC.read(
         request(
             (b"x-token-usage", b"1460,80"),
             (b"x-length-hint", b"55"),
             (b"x-deadline-ms", b"600"),
         )
     )
-    assert said.host == "a.example"
-    assert said.path == "/a/b"
-    assert (said.prompt_tokens, said.output_tokens_max) == (1460, 80)
-    assert said.output_tokens_hint == 55
-    assert said.wait_ms == 600.0
-    assert said.shared_parts == ()
+    assert info.host == "a.example"
+    assert info.path == "/a/b"
+    assert (info.prompt_tokens, info.output_tokens_max) == (1460, 80)
+    assert info.output_tokens_hint == 55
+    assert info.wait_ms == 600.0
+    assert info.shared_parts == ()
 
 
 @pytest.mark.parametrize(
@@ -72,11 +72,12 @@
         ),
     ],
 )
-def test_parts_of_a_prompt_but_the_last_are_read(
+def test_all_prompt_parts_but_the_last_are_decoded(
     value: bytes, parts: tuple[str, ...]
 ) -> None:
-    said = CODEC.read(request((b"x-prefix-hash", value)))
-    assert said.shared_parts == parts
+    """Guards against ids from malformed lists and lists without bounds."""
+    info = CODEC.read(request((b"x-prefix-hash", value)))
+    assert info.shared_parts == parts
 
 
 @pytest.mark.parametrize(
@@ -86,12 +87,13 @@
 def test_malformed_header_is_an_invalid_request(
     name: bytes, value: bytes
 ) -> None:
-    with pytest.raises(errors.CallError) as caught:
+    with pytest.raises(errors.CallError) as raised:
         CODEC.read(request((name, value)))
-    assert caught.value.status == 400
+    assert raised.value.status == 400
 
 
 def test_headers_of_the_system_replace_those_of_the_caller() -> None:
+    """Guards against callers that set the customer, the replica or a path."""
     sent = request(
         (b"authorization", b"Bearer secret"),
         (b"x-tenant", b"somebody-else"),
@@ -128,13 +130,13 @@
     assert head_lines(CODEC.head(sent, resumed))[b"last-event-id"] == b"9"
 
 
-def test_answer_of_another_request_is_noticed() -> None:
+def test_answer_of_another_request_is_detected() -> None:
     call = CODEC.read(request())
     head = http1_client.ResponseHead(200, [(b"x-attempt-id", b"other")])
     assert not CODEC.answer(head, call).matches_request
 
 
-def test_refusal_is_known_by_status_or_header() -> None:
+def test_refusal_is_detected_by_status_or_header() -> None:
     call = CODEC.read(request())
     for head in (
         http1_client.ResponseHead(421, []),
@@ -144,7 +146,7 @@
     assert not CODEC.answer(http1_client.ResponseHead(503, []), call).not_run
 
 
-def limit_of(*values: bytes) -> tuple[float | None, str]:
+def decoded_limit(*values: bytes) -> tuple[float | None, str]:
     head = http1_client.ResponseHead(
         200, [(b"server-limit", value) for value in values]
     )
@@ -152,12 +154,12 @@
     return answer.limit_per_s, answer.limit_unreadable
 
 
-def test_limit_of_a_replica_is_read_and_passed_on() -> None:
-    assert limit_of() == (None, "")
-    assert limit_of(b"1.6") == (1.6, "")
-    assert limit_of(b"0") == (0.0, "")
-    assert limit_of(b"3", b"1.5") == (1.5, "")
-    assert limit_of(b"3, 2") == (2.0, "")
+def test_rate_limit_is_decoded_and_forwarded() -> None:
+    assert decoded_limit() == (None, "")
+    assert decoded_limit(b"1.6") == (1.6, "")
+    assert decoded_limit(b"0") == (0.0, "")
+    assert decoded_limit(b"3", b"1.5") == (1.5, "")
+    assert decoded_limit(b"3, 2") == (2.0, "")
     head = http1_client.ResponseHead(200, [(b"server-limit", b"2")])
     answer = CODEC.answer(head, CODEC.read(request()))
     assert (b"server-limit", b"2") in answer.headers
@@ -174,14 +176,15 @@
         (b"", "empty"),
     ],
 )
-def test_limit_that_names_no_rate_is_told_apart(
+def test_invalid_rate_limit_is_reported_separately(
     value: bytes, shown: str
 ) -> None:
-    assert limit_of(value) == (None, shown)
-    assert limit_of(value, b"2") == (2.0, shown)
+    """Guards against a bad value that hides a valid one or counts as a rate."""
+    assert decoded_limit(value) == (None, shown)
+    assert decoded_limit(value, b"2") == (2.0, shown)
 
 
-def test_what_a_replica_says_of_when_to_come_back_is_read() -> None:
+def test_retry_time_and_leaving_are_decoded() -> None:
     answer = CODEC.answer(
         http1_client.ResponseHead(
             503,
@@ -198,7 +201,7 @@
 
 
 @pytest.mark.parametrize("value", [b"0", b"", b"yes"])
-def test_only_one_means_that_a_replica_leaves(value: bytes) -> None:
+def test_values_other_than_1_do_not_announce_leaving(value: bytes) -> None:
     head = http1_client.ResponseHead(200, [(b"server-leaving", value)])
     assert not CODEC.answer(head, CODEC.read(request())).leaving
 
@@ -219,7 +222,7 @@
         ([b"10", b"20"], (20.0, "")),
     ],
 )
-def test_time_for_which_a_replica_is_cold_is_read(
+def test_remaining_cold_time_is_decoded(
     values: list[bytes], expected: tuple[float | None, str]
 ) -> None:
     head = http1_client.ResponseHead(
--- a/tests/platform/test_lookup_pages.py
+++ b/tests/platform/test_lookup_pages.py
@@ -17,10 +17,13 @@
         ("", lookup_pages.Lookup("", "", "")),
     ],
 )
-def test_lookup_passes_on_what_the_caller_names(
+def test_lookup_parses_the_fields_of_the_query(
     query: str, expected: lookup_pages.Lookup
 ) -> None:
-    """Guards against a host that is not recognised, whose routes bind."""
+    """Guards against an unrecognised host.
+
+    The entries for a host are limited to the regions that its routes allow.
+    """
     seen: list[lookup_pages.Lookup] = []
 
     def addresses(lookup: lookup_pages.Lookup) -> list[str]:
--- a/tests/platform/test_origin.py
+++ b/tests/platform/test_origin.py
@@ -1,10 +1,9 @@
-"""The origin of weights takes few connections, and many agents may ask it.
+"""Agents must not keep idle connections to the origin of weights open.
 
-After a loss of all power no engine of a grown fleet loaded its weights again:
-the origin reset each new connection, also the first one. Agents had kept theirs
-for calls that might come. 48 were its bound: before the loss exactly three of
-51 agents were reset again and again while the others drew nothing, and after it
-the origin still held those of the machines that had gone.
+The origin accepts at most 48 connections and resets all others. When agents
+kept theirs open, three of 51 agents were reset on each attempt while the others
+downloaded nothing. After a loss of all power, the origin still held the
+connections of the lost machines, so that no engine could load its weights.
 """
 
 from __future__ import annotations
@@ -29,14 +28,14 @@
         await peer.answer(request, 200, DATA)
 
 
-def test_no_connection_to_the_origin_outlives_its_call() -> None:
-    held: set[raw_http.Peer] = set()
+def test_connections_to_the_origin_are_closed_after_each_call() -> None:
+    open_peers: set[raw_http.Peer] = set()
 
     async def script(peer: raw_http.Peer) -> None:
-        held.add(peer)
+        open_peers.add(peer)
         while (request := await peer.read()) is not None:
             await answer(peer, request)
-        held.discard(peer)
+        open_peers.discard(peer)
 
     async def main() -> None:
         async with raw_http.ScriptedServer(script) as server:
@@ -45,7 +44,7 @@
             await origin.manifest("m", 2)
             assert await origin.piece("m", 2, 0) == DATA
             async with asyncio.timeout(2):
-                while held:
+                while open_peers:
                     await asyncio.sleep(0.01)
 
     asyncio.run(main())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -59,20 +59,21 @@
     assert decoded.entry is None
 
 
-def test_all_problems_are_named_at_once() -> None:
+def test_all_problems_are_reported_at_once() -> None:
+    """Guards against an error that only lists the first wrong field."""
     broken = (
         ENTRY.replace("ip=10.1.0.40\n", "")
         .replace("grace_s=8", "grace_s=soon")
         .replace("listen.ready=10.1.0.40:8002", "listen.ready=nowhere")
     )
-    with pytest.raises(node.NodeSettingsError) as caught:
+    with pytest.raises(node.NodeSettingsError) as raised:
         settings.decode(broken)
-    text = "\n".join(caught.value.problems)
+    text = "\n".join(raised.value.problems)
     assert "ip: is missing" in text
     assert "bounds.grace_s" in text
     assert "listen.ready: must be IP:PORT" in text
 
 
-def test_missing_file_is_a_clear_error(tmp_path: pathlib.Path) -> None:
+def test_error_names_the_missing_file(tmp_path: pathlib.Path) -> None:
     with pytest.raises(node.NodeSettingsError, match="absent"):
         settings.read(tmp_path / "absent")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -25,7 +25,7 @@
     return {"key": key, "revision": revision, "data": data}
 
 
-def bound_to(region: object, version: int = 7) -> dict[str, object]:
+def config_restricted_to(region: object, version: int = 7) -> dict[str, object]:
     """Returns a configuration whose only route allows one region."""
     route = {
         "name": "r",
@@ -74,7 +74,8 @@
 }
 
 
-def test_pages_are_put_together_at_the_lowest_revision() -> None:
+def test_pages_are_combined_at_the_lowest_revision() -> None:
+    """Guards against a change between two pages that no watch returns."""
     target = {"model_name": "m", "version": 2}
     snapshot = read(
         [
@@ -90,7 +91,7 @@
     assert len(snapshot.changes) == 2
 
 
-def test_one_bad_document_does_not_hide_the_others() -> None:
+def test_malformed_document_does_not_affect_the_others() -> None:
     snapshot = read(
         [
             {
@@ -107,7 +108,7 @@
     assert isinstance(change, catalog.ReplicaChange)
 
 
-def test_removal_is_watched() -> None:
+def test_watch_returns_the_removal_of_a_replica() -> None:
     snapshot = read(
         [
             {
@@ -122,25 +123,27 @@
     assert snapshot.changes == [catalog.ReplicaChange(7, "i-1", None)]
 
 
-def test_lost_history_is_an_error_of_its_own() -> None:
+def test_missing_history_raises_a_separate_error() -> None:
     with pytest.raises(store.HistoryGoneError):
         read([410], watch=True)
 
 
 @pytest.mark.parametrize("body", [503, {"events": [], "at": 14}, []])
-def test_answer_of_another_kind_is_no_empty_list(body: object) -> None:
+def test_unexpected_answer_is_not_an_empty_list(body: object) -> None:
+    """Guards against a failed read that removes all replicas."""
     with pytest.raises(clients.PlatformError):
         read([body])
 
 
-def test_page_without_a_readable_item_is_not_the_end_of_the_list() -> None:
+def test_page_without_a_readable_item_does_not_end_the_list() -> None:
+    """Guards against a removal of the replicas on pages that were not read."""
     with pytest.raises(clients.PlatformError):
         read([{"entries": [7], "has_more": True, "at": 8}])
 
 
 @pytest.mark.parametrize("data", ["", "bm90IEpTT04=", "e30="])
 def test_evacuation_lasts_while_its_key_exists(data: str) -> None:
-    """Guards against an evacuation that depends on the data of its key."""
+    """Guards against an evacuation that depends on the value of its key."""
     start = {"key": "op/evacuate/dc-2", "revision": 5, "data": data}
     end = {"key": "op/evacuate/dc-2", "revision": 7, "deleted": True}
     data_centre = ids.DataCentreId("dc-2")
@@ -162,8 +165,8 @@
             {"key": "op/evacuate/dc-9", "revision": 8, "deleted": True},
             "data_centre",
         ),
-        (item("op/config", 8, bound_to("south", 8)), "region"),
-        (item("op/config", 8, bound_to(7, 8)), "field"),
+        (item("op/config", 8, config_restricted_to("south", 8)), "region"),
+        (item("op/config", 8, config_restricted_to(7, 8)), "field"),
     ],
 )
 def test_refused_item_changes_nothing(
@@ -172,8 +175,8 @@
     time: clock.ManualClock,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a wrong item that replaces the last valid state."""
-    valid = [item("op/config", 3, bound_to("west"))]
+    """Guards against an invalid item that replaces the last valid state."""
+    valid = [item("op/config", 3, config_restricted_to("west"))]
     valid.append(item("op/evacuate/dc-1", 4, {}))
     known = catalog.Catalog(REGIONS)
     known.apply_snapshot(read([{"entries": valid, "at": 5}]), time.now_ms())
--- a/tests/test_interpreters.py
+++ b/tests/test_interpreters.py
@@ -1,14 +1,13 @@
-r"""Any interpreter that a stable distribution brings can run all programs.
+r"""All programs run with the oldest Python release that is supported, 3.11.
 
-On VMs whose python3 was 3.11 no process ever listened, at every start and on
-every VM, though the build had passed there. The sources used a way to write
-generic functions and type names that 3.12 brought; each start ended with
+The sources once used the syntax for type parameters that 3.12 introduced. On
+VMs with Python 3.11 the build passed, but no process started:
 
     event=process_failed error="SyntaxError(\"expected '('\\",
     ('.../src/marlramp/platform/settings.py', 75, 15, '    def parsed[Value]('
 
-All libraries bear 3.11; nothing but 23 of our own files asked for more.
-Nobody saw it here, since a version manager chose 3.13 for every run.
+All libraries support 3.11; only 23 files of this project needed more. The tests
+did not detect it, since a version manager selected 3.13 for every run.
 """
 
 from __future__ import annotations
@@ -25,21 +24,21 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 OLDEST = (3, 11)
-"""Oldest release that all libraries bear; a stable distribution brings it."""
+"""Oldest release that all libraries support; stable distributions have it."""
 
-OLDEST_THAT_IS_TOLD = (3, 7)
-"""Interpreters from here on can read what tells them that they are too old."""
+OLDEST_REPORTED = (3, 7)
+"""Oldest release that can parse the check for releases that are too old."""
 
 FOLDERS = ("src", "deploy", "standins", "models", "soak", "tests")
-FIRST_READ = (
+PARSED_FIRST = (
     "src/marlrampd.py",
     "src/marlramp/__init__.py",
     "src/marlramp/interpreter.py",
     "deploy/install_dependencies.py",
 )
-"""What an interpreter has read before it knows whether it is too old."""
+"""Files that an interpreter parses before it has checked its release."""
 
-PRETEND = """
+FAKE_OLD_RELEASE = """
 import runpy, sys
 class Version(tuple):
     major, minor, micro = 3, 10, 13
@@ -47,7 +46,7 @@
 sys.argv = sys.argv[1:]
 runpy.run_path(sys.argv[0], run_name="__main__")
 """
-"""Runs a program under an interpreter that calls itself 3.10.13."""
+"""Runs a program with an interpreter that reports release 3.10.13."""
 
 
 def sources() -> list[pathlib.Path]:
@@ -56,7 +55,7 @@
     ]
 
 
-def is_readable(path: pathlib.Path, version: tuple[int, int]) -> bool:
+def can_be_parsed(path: pathlib.Path, version: tuple[int, int]) -> bool:
     try:
         ast.parse(path.read_text(), feature_version=version)
     except SyntaxError:
@@ -64,39 +63,41 @@
     return True
 
 
-def test_oldest_interpreter_can_read_every_source() -> None:
-    unreadable = [path for path in sources() if not is_readable(path, OLDEST)]
-    assert unreadable == []
+def test_oldest_interpreter_can_parse_every_source() -> None:
+    unparseable = [
+        path for path in sources() if not can_be_parsed(path, OLDEST)
+    ]
+    assert unparseable == []
 
 
-@pytest.mark.parametrize("name", FIRST_READ)
-def test_old_interpreters_can_read_what_tells_them(name: str) -> None:
-    assert is_readable(ROOT / name, OLDEST_THAT_IS_TOLD)
+@pytest.mark.parametrize("name", PARSED_FIRST)
+def test_unsupported_interpreters_can_parse_the_check(name: str) -> None:
+    assert can_be_parsed(ROOT / name, OLDEST_REPORTED)
 
 
 @pytest.mark.parametrize(
     "program", ["src/marlrampd.py", "deploy/install_dependencies.py"]
 )
-def test_interpreter_that_is_too_old_is_named_in_one_line(program: str) -> None:
-    ended = subprocess.run(
-        [sys.executable, "-c", PRETEND, str(ROOT / program)],
+def test_too_old_interpreter_is_reported_in_one_line(program: str) -> None:
+    completed = subprocess.run(
+        [sys.executable, "-c", FAKE_OLD_RELEASE, str(ROOT / program)],
         capture_output=True,
         text=True,
         check=False,
         timeout=20,
     )
-    assert ended.returncode == 1
-    assert len(ended.stderr.splitlines()) == 1
-    assert "3.10.13" in ended.stderr
-    assert sys.executable in ended.stderr
-    assert "3.11 or newer is needed" in ended.stderr
+    assert completed.returncode == 1
+    assert len(completed.stderr.splitlines()) == 1
+    assert "3.10.13" in completed.stderr
+    assert sys.executable in completed.stderr
+    assert "3.11 or newer is needed" in completed.stderr
 
 
-def test_one_oldest_release_is_stated_everywhere() -> None:
+def test_oldest_release_is_the_same_everywhere() -> None:
     project = tomllib.loads((ROOT / "pyproject.toml").read_text())
     oldest = ".".join(map(str, OLDEST))
     assert project["project"]["requires-python"] == f">={oldest}"
-    # The linter takes what the project requires; the type checker can't.
+    # The linter uses `requires-python`; the type checker needs its own setting.
     assert "target-version" not in project["tool"]["ruff"]
     assert project["tool"]["mypy"]["python_version"] == oldest
     readme = (ROOT / "README.md").read_text()
@@ -106,24 +107,24 @@
     assert not (ROOT / ".python-version").exists()
 
 
-def test_lock_files_are_those_of_the_oldest_release() -> None:
+def test_lock_files_are_made_for_the_oldest_release() -> None:
     for name in ("requirements.lock", "deploy/requirements.lock"):
         head = (ROOT / name).read_text()[:400]
         assert f"Python {'.'.join(map(str, OLDEST))}" in head
 
 
-def test_tests_run_on_the_oldest_release_where_it_is() -> None:
+def test_tests_use_the_oldest_release_if_installed() -> None:
     found = shutil.which(f"python{'.'.join(map(str, OLDEST))}")
     if found is None:
-        pytest.skip("the oldest release is not on this machine")
+        pytest.skip("the oldest release is not installed")
     usable = subprocess.run([found, "-c", ""], check=False, capture_output=True)
     if usable.returncode:
-        pytest.skip("the oldest release on this machine can't be started")
-    chosen = subprocess.run(
+        pytest.skip("the installed oldest release can't be started")
+    selected = subprocess.run(
         ["make", "--silent", "interpreter"],
         cwd=ROOT,
         capture_output=True,
         text=True,
         check=True,
     )
-    assert ".".join(map(str, OLDEST)) in chosen.stdout
+    assert ".".join(map(str, OLDEST)) in selected.stdout
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,7 +7,8 @@
 from marlramp import logs
 
 
-def test_reader_that_stops_reading_delays_nobody() -> None:
+def test_stalled_reader_does_not_block_callers() -> None:
+    """Guards against requests that wait for a log stream that is not read."""
     read_end, write_end = os.pipe()
     stream = os.fdopen(write_end, "w")
     writer = logs.LineWriter(stream, lines_max=100)
@@ -32,7 +33,7 @@
     assert writer.dropped == 5
 
 
-def test_dropped_lines_are_told() -> None:
+def test_number_of_dropped_lines_is_written() -> None:
     stream = io.StringIO()
     writer = logs.LineWriter(stream, lines_max=4)
     for number in range(9):
@@ -45,14 +46,15 @@
 
 
 class SlowStream(io.StringIO):
-    """Takes a while for each write, as a busy reader does."""
+    """Delays each write, like a pipe with a slow reader."""
 
     def write(self, text: str) -> int:
         time.sleep(0.02)
         return super().write(text)
 
 
-def test_line_that_comes_during_a_write_is_written_too() -> None:
+def test_line_queued_during_a_write_is_written() -> None:
+    """Guards against a lost wake-up that leaves the last line in the queue."""
     stream = SlowStream()
     writer = logs.LineWriter(stream)
     for number in range(20):
--- a/tests/test_process_failure.py
+++ b/tests/test_process_failure.py
@@ -12,7 +12,7 @@
 SOURCES = pathlib.Path(__file__).parents[1] / "src"
 
 
-def test_error_inside_groups_is_named_with_its_place() -> None:
+def test_error_in_nested_groups_is_reported_with_its_place() -> None:
     def fail() -> None:
         raise ValueError("no slots here")
 
@@ -23,19 +23,19 @@
             group = ExceptionGroup("tasks", [error, KeyError("later")])
             raise ExceptionGroup("outer", [group]) from error
 
-    with pytest.raises(ExceptionGroup) as caught:
+    with pytest.raises(ExceptionGroup) as raised:
         fail_in_groups()
-    line = process_failure.describe(caught.value, 1.5)
+    line = process_failure.describe(raised.value, 1.5)
     assert line.startswith("event=process_failed error=\"ValueError('no ")
     assert f"place={__file__}:" in line
     assert "uptime_s=1.5" in line
 
 
-def test_first_line_of_a_failed_start_names_its_cause(
+def test_first_line_of_a_failed_start_has_the_cause(
     tmp_path: pathlib.Path,
 ) -> None:
     (tmp_path / "eliot.py").write_text("import a_library_that_is_missing\n")
-    ended = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, str(SOURCES / "marlrampd.py")],
         env={**os.environ, "PYTHONPATH": str(tmp_path)},
         capture_output=True,
@@ -43,8 +43,8 @@
         check=False,
         timeout=20,
     )
-    first_line = ended.stderr.splitlines()[0]
-    assert ended.returncode == 1
+    first_line = completed.stderr.splitlines()[0]
+    assert completed.returncode == 1
     assert first_line.startswith("event=process_failed error=")
     assert "a_library_that_is_missing" in first_line
-    assert "Traceback (most recent call last):" in ended.stderr
+    assert "Traceback (most recent call last):" in completed.stderr
