--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform, for demos and tests only."""
+"""Lightweight stand-ins for the platform, for demos and tests only."""
--- a/standins/cold_start.py
+++ b/standins/cold_start.py
@@ -1,4 +1,4 @@
-"""For how long a stand-in of a replica is cold after a restart."""
+"""Cold-start tracking for stand-in replicas."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 
 
 class Start(NamedTuple):
-    """A start after which a replica is cold.
+    """A replica start that is followed by a cold period.
 
     Attributes:
-      at_s: reading of the monotonic clock.
-      replica_id: id under which it started.
+      at_s: time of the start on the monotonic clock.
+      replica_id: id that the replica started under.
     """
 
     at_s: float
@@ -22,25 +22,25 @@
     """The cold starts of one replica.
 
     Attributes:
-      starts: the starts after which it was cold.
+      starts: starts that were followed by a cold period, in order.
     """
 
     def __init__(self, duration_s: float) -> None:
-        """Creates a replica that is not cold.
+        """Initializes a replica that is not cold.
 
         Args:
-          duration_s: how long it is cold after a restart, 0 for never.
+          duration_s: length of the cold period after a restart, 0 for none.
         """
         self._duration_s = duration_s
         self.starts: list[Start] = []
 
     def begin(self, replica_id: str) -> None:
-        """Records a start."""
+        """Records a start of the replica if starts are cold."""
         if self._duration_s:
             self.starts.append(Start(time.monotonic(), replica_id))
 
     def left_ms(self) -> int:
-        """Returns how much longer the replica is cold, 0 if it is not."""
+        """Returns the remaining cold time in milliseconds, 0 if warm."""
         if not self.starts:
             return 0
         left_s = self.starts[-1].at_s + self._duration_s - time.monotonic()
--- a/standins/crashing_part.py
+++ b/standins/crashing_part.py
@@ -1,4 +1,4 @@
-"""A part of prompts that crashes each engine that begins to write on it."""
+"""A prompt part that crashes every engine generating from it."""
 
 from __future__ import annotations
 
@@ -8,16 +8,16 @@
 from standins import raw_http
 
 PART = "dead0bad"
-"""Id of the part. As the last part of a prompt it crashes nothing."""
+"""Id of the part. It causes no crash as the last part of a prompt."""
 
-WRITES_S = 0.02
-"""Time from the head of the answer to the crash."""
+CRASH_DELAY_S = 0.02
+"""Delay between the response head and the crash."""
 
-_HALF_EVENT = b"id: 1\ndat"
+_PARTIAL_EVENT = b"id: 1\ndat"
 
 
 class CrashStyle(enum.Enum):
-    """How an answer looks that the crash ends."""
+    """Framing and completeness of a response that a crash cuts off."""
 
     CHUNKED = "chunked"
     CHUNKED_WITHIN_EVENT = "chunked_within_event"
@@ -26,12 +26,12 @@
 
     @property
     def resets(self) -> bool:
-        """Whether the connections are reset, not closed properly."""
+        """Whether connections are reset rather than closed cleanly."""
         return self in (CrashStyle.CHUNKED, CrashStyle.CHUNKED_WITHIN_EVENT)
 
     @property
     def within_event(self) -> bool:
-        """Whether the crash comes in the middle of the first event."""
+        """Whether the crash happens in the middle of the first event."""
         return self in (
             CrashStyle.CHUNKED_WITHIN_EVENT,
             CrashStyle.CLOSED_WITHIN_EVENT,
@@ -39,7 +39,7 @@
 
 
 def crashes(request: raw_http.SeenRequest) -> bool:
-    """Returns whether the answer to a request crashes its engine."""
+    """Returns whether generating the response crashes the engine."""
     parts = request.headers.get("x-prefix-hash", "").split(",")
     return any(part.strip().startswith(f"{PART}:") for part in parts[:-1])
 
@@ -47,13 +47,13 @@
 async def begin_answer(
     peer: raw_http.Peer, name: str, style: CrashStyle, headers: str
 ) -> None:
-    """Writes what a request gets before its engine crashes.
+    """Writes the part of a response that precedes the engine's crash.
 
     Args:
       peer: the connection.
       name: id of the request.
-      style: how the answer looks.
-      headers: further header lines, each with its end.
+      style: framing and completeness of the response.
+      headers: additional header lines, each ending in CRLF.
     """
     framing = "transfer-encoding: chunked\r\n" if style.resets else ""
     await peer.write(
@@ -61,8 +61,8 @@
         f"x-attempt-id: {name}\r\n{headers}\r\n".encode()
     )
     if style.within_event:
-        data = _HALF_EVENT
+        data = _PARTIAL_EVENT
         if style.resets:
             data = b"%x\r\n%s\r\n" % (len(data), data)
         await peer.write(data)
-    await asyncio.sleep(WRITES_S)
+    await asyncio.sleep(CRASH_DELAY_S)
--- a/standins/direct_demo.py
+++ b/standins/direct_demo.py
@@ -1,4 +1,4 @@
-"""Shows the direct path: new weights reach engines under live requests."""
+"""Demonstrates the direct path: a weight update under live requests."""
 
 from __future__ import annotations
 
@@ -20,16 +20,20 @@
 async def _serve_until(
     fleet: direct_fleet.Fleet, loaded: asyncio.Task[None]
 ) -> tuple[int, int]:
-    """Sends streams until the weights are loaded; returns whole and all."""
-    whole = 0
+    """Sends streams until `loaded` is done.
+
+    Returns:
+      The number of complete streams and of all streams sent.
+    """
+    succeeded = 0
     sent = 0
     while not loaded.done():
         host = fleet.entry_hosts[sent % ENTRIES]
         answer = await fleet.stream(host, f"demo-{sent}")
         sent += 1
-        whole += answer.endswith(b"0\r\n\r\n")
+        succeeded += answer.endswith(b"0\r\n\r\n")
         await asyncio.sleep(PAUSE_S)
-    return whole, sent
+    return succeeded, sent
 
 
 async def _until_loaded(fleet: direct_fleet.Fleet, version: int) -> None:
@@ -47,18 +51,18 @@
         target = {"model_name": direct_documents.MODEL, "version": 2}
         fleet.store.put(f"op/version/{direct_documents.MODEL}", target)
         loaded = asyncio.create_task(_until_loaded(fleet, 2))
-        whole, sent = await _serve_until(fleet, loaded)
+        succeeded, sent = await _serve_until(fleet, loaded)
         await loaded
         taken_s = time.monotonic() - started_s
     copies = fleet.origin.sent / direct_documents.PIECES
-    print(f"version 2 on every engine after {taken_s:.1f} s")
-    print(f"{whole} of {sent} streams whole meanwhile")
-    print(f"{copies:.1f} copies left the origin")
-    return 0 if whole == sent else 1
+    print(f"version 2 loaded on every engine after {taken_s:.1f} s")
+    print(f"{succeeded} of {sent} streams complete during the update")
+    print(f"{copies:.1f} copies of the weights sent by the origin")
+    return 0 if succeeded == sent else 1
 
 
 def main() -> int:
-    """Runs the demonstration; returns the exit code."""
+    """Runs the demo; returns the exit code."""
     with tempfile.TemporaryDirectory() as folder:
         return asyncio.run(_show(pathlib.Path(folder)))
 
--- a/standins/direct_documents.py
+++ b/standins/direct_documents.py
@@ -1,6 +1,7 @@
-"""What the stand-in of the direct path's platform tells its processes.
+"""Configuration documents and settings files of the stand-in platform.
 
-The configuration that lies in its store, and the settings files that it writes.
+The direct path reads the configuration from the platform's store and the
+settings from a file per process.
 """
 
 from __future__ import annotations
@@ -17,12 +18,12 @@
 HOST = "fleet.example"
 KEY = "secret-key"
 BOUND_KEY = "bound-key"
-"""Key of the customer that `Constraints.customer_regions` describes."""
+"""API key of the customer restricted by `Constraints.customer_regions`."""
 
 PIECES = 8
 PIECE_BYTES = 32_768
 LOAD_S = 0.1
-"""Time that an engine takes to load staged pieces."""
+"""Time an engine takes to load staged pieces."""
 
 DATA_CENTRE = "dc-1"
 REGIONS: Mapping[str, str] = {DATA_CENTRE: "north"}
@@ -35,14 +36,14 @@
 
 
 class Constraints(msgspec.Struct, frozen=True, kw_only=True):
-    """Constraints on where requests may run, as a deployment configures them.
+    """Placement constraints of a deployment.
 
     Attributes:
-      route_regions: allowed regions of routes, by name.
+      route_regions: allowed regions by route name.
       customer_regions: allowed regions of the customer with `BOUND_KEY`, None
-        if there is no such customer.
-      cold_start_s: how long a replica is cold after a start, 0 if never.
-      cold_per_s: requests per second that a cold replica tolerates.
+        to configure no such customer.
+      cold_start_s: cold period of a replica after a start, 0 for none.
+      cold_per_s: requests per second that a cold replica can handle.
     """
 
     route_regions: Mapping[str, list[str]] = {}
@@ -51,7 +52,7 @@
     cold_per_s: float = 0.0
 
     def apply(self, config: dict[str, object]) -> None:
-        """Adds the constraints to a configuration."""
+        """Adds the constraints to a configuration in place."""
         for route in _items(config, "route_table"):
             if regions := self.route_regions.get(str(route["name"])):
                 route["allowed_regions"] = regions
@@ -95,13 +96,13 @@
     keys: list[str] | None = None,
     constraints: Constraints | None = None,
 ) -> dict[str, object]:
-    """Returns a configuration with a streaming and two plain routes.
+    """Returns a configuration with one streaming and two plain routes.
 
     Args:
       origin: address of the origin of weights.
-      version: its version.
-      keys: keys of its customer, else `KEY` alone.
-      constraints: where requests may run, None for everywhere.
+      version: version of the configuration.
+      keys: API keys of its customer, None for `KEY` alone.
+      constraints: placement constraints, None for no constraints.
     """
     config: dict[str, object] = {
         "version": version,
@@ -149,7 +150,7 @@
 
 
 def evacuation_key(data_centre: str) -> str:
-    """Returns the store's key that exists while a data centre is evacuated."""
+    """Returns the store key that marks a data centre as evacuated."""
     return f"op/evacuate/{data_centre}"
 
 
@@ -165,18 +166,18 @@
     regions: Mapping[str, str] = REGIONS,
     constrained: bool = False,
 ) -> str:
-    """Returns the platform's settings file of one process.
+    """Returns the content of the settings file of one process.
 
     Args:
       name: name of its VM.
       host: address of its VM.
       seeds: hosts of entries.
       store: address of the store.
-      entry: whether it is an entry, else an agent.
+      entry: whether the process is an entry; otherwise it is an agent.
       replica_port: port of the engine beside an agent.
       data_centre: data centre of its VM.
-      regions: region of each data centre of the deployment.
-      constrained: whether the bounds of placement constraints are named.
+      regions: region by data centre.
+      constrained: whether to include the bounds of placement constraints.
     """
     lines = [
         f"node_name={name}",
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -1,4 +1,4 @@
-"""Starts real daemons before the stand-in of a platform, on loopback."""
+"""Runs real daemons against the stand-in platform on loopback."""
 
 from __future__ import annotations
 
@@ -27,23 +27,24 @@
 GROUPS = 256
 _MS = 1_000.0
 RESERVED_PORT = 8_999
-"""Bound as long as a fleet uses its addresses."""
+"""Port bound as a lock on the fleet's group of addresses."""
 
-PROXY_PORTS_UP = 1_000
-"""Added to a port to get that of the proxy before it."""
+PROXY_PORT_OFFSET = 1_000
+"""Offset from a server's port to the port of its proxy."""
 
 
 class Fleet:
-    """Entries, engines with agents, a store and an origin.
+    """A fleet of entries, engines with agents, a store and an origin.
 
     Attributes:
       store: the platform's store.
       origin: the origin of weights.
-      engines: model engines, one on each agent's VM.
+      engines: model engines, one per agent's VM.
       desks: replicas of the plain service.
-      processes: the daemons, by the name of their VM.
-      proxies: before the store ("store:VM"), replicas ("engine-N", "desk-N")
-        and entries ("callers:VM"); empty unless the fleet is proxied.
+      processes: daemon processes by VM name.
+      proxies: proxies of the store ("store:VM"), replicas ("engine-N",
+        "desk-N") and entries ("callers:VM"); empty unless the fleet is
+        proxied.
     """
 
     def __init__(
@@ -58,19 +59,19 @@
         regions: Mapping[str, str] = direct_documents.REGIONS,
         constraints: direct_documents.Constraints | None = None,
     ) -> None:
-        """Describes a fleet; nothing runs before it is entered.
+        """Initializes the fleet; nothing runs until the context is entered.
 
         Args:
-          folder: where settings files and logs go.
-          entries: entries to start.
-          engines: engines, each with an agent.
-          group: number of its addresses, 0 to 255; the next free one is taken
-            if another fleet on this machine has it.
-          desks: replicas of the plain service.
-          proxied: whether connections go through proxies that can fail them.
-          regions: region of each data centre. Entries, engines and desks are
-            each distributed over the data centres in turn.
-          constraints: where requests may run, None for everywhere.
+          folder: directory for settings files and logs.
+          entries: number of entries.
+          engines: number of engines, each with an agent.
+          group: address group, 0 to 255; the next free group is used if
+            another fleet on this machine has taken it.
+          desks: number of replicas of the plain service.
+          proxied: whether connections pass through fault-injecting proxies.
+          regions: region by data centre. Entries, engines and desks are
+            each distributed round-robin over the data centres.
+          constraints: placement constraints, None for no constraints.
         """
         self._regions = regions
         self.constraints = constraints
@@ -83,7 +84,7 @@
         self.store = direct_store.Store()
         self.origin = direct_weights.Origin()
         self.entry_hosts = [self._host(1 + n) for n in range(entries)]
-        replica_port = self._outer_port(direct_documents.REPLICA_PORT)
+        replica_port = self._client_port(direct_documents.REPLICA_PORT)
         self.engines = [
             direct_replicas.Engine(
                 f"i-{n}",
@@ -110,7 +111,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     async def __aenter__(self) -> Self:
-        """Starts everything and waits until all entries are ready."""
+        """Starts all processes and waits until every entry is ready."""
         store_host = self._host(250)
         await self._listen(
             self.store.serve, store_host, direct_documents.STORE_PORT
@@ -135,7 +136,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Ends the daemons that were started here."""
+        """Kills the daemons and releases all servers and sockets."""
         for process in self.processes.values():
             if process.returncode is None:
                 process.kill()
@@ -143,7 +144,7 @@
         await self._stack.aclose()
 
     def data_centre(self, number: int) -> str:
-        """Returns the data centre of an entry, an engine or a desk."""
+        """Returns the data centre of the entry, engine or desk `number`."""
         names = list(self._regions)
         return names[number % len(names)]
 
@@ -179,7 +180,7 @@
             desk.register()
 
     async def start_entry(self, number: int) -> None:
-        """Starts an entry, also again after it ended."""
+        """Starts an entry; may be called again after it exited."""
         host = self.entry_hosts[number]
         await self._proxy(f"callers:entry-{number}", host, CALLERS_PORT)
         name = f"entry-{number}"
@@ -192,13 +193,13 @@
         await self._start(name, host, self.data_centre(number), entry=False)
 
     async def wait_ready(self, host: str) -> None:
-        """Waits until an entry takes callers."""
+        """Waits until an entry reports that it is ready."""
         async with asyncio.timeout(READY_TIMEOUT_S):
             while b" 200 " not in await self._get(host, 8_002, "/v1/readyz"):
                 await asyncio.sleep(POLL_S)
 
     async def lookup(self, host: str, region: str = "") -> bytes:
-        """Asks an entry where to connect; returns the whole answer."""
+        """Looks up the service at an entry; returns the raw response."""
         path = f"/v1/lookup?name={direct_documents.HOST}"
         if region:
             path += f"&region={region}"
@@ -213,7 +214,7 @@
         path: str = "/chat/x",
         parts: str = "",
     ) -> bytes:
-        """Sends a streaming request; returns all bytes of the answer."""
+        """Sends a streaming request; returns the raw response."""
         return await self.call(host, path, request_id, body, parts=parts)
 
     async def call(
@@ -226,17 +227,17 @@
         parts: str = "",
         key: str = direct_documents.KEY,
     ) -> bytes:
-        """Sends a request; returns all bytes of the answer.
+        """Sends a request; returns the raw response.
 
         Args:
-          host: the entry.
-          path: path of the request.
+          host: address of the entry.
+          path: request path.
           request_id: id of the attempt.
-          body: the body.
-          parts: parts of the prompt, "ID:TOKENS" joined by commas.
-          key: key of the customer.
+          body: request body.
+          parts: prompt parts, comma-separated "ID:TOKENS".
+          key: API key of the customer.
         """
-        named = f"x-prefix-hash: {parts}\r\n" if parts else ""
+        prefix_header = f"x-prefix-hash: {parts}\r\n" if parts else ""
         return await self._get(
             host,
             CALLERS_PORT,
@@ -244,33 +245,36 @@
             "POST",
             f"host: {direct_documents.HOST}\r\nx-attempt-id: {request_id}\r\n"
             f"x-deadline-ms: 6050\r\nx-token-usage: 100,30\r\n"
-            f"authorization: Bearer {key}\r\n{named}",
+            f"authorization: Bearer {key}\r\n{prefix_header}",
             body,
         )
 
     async def metrics(self, host: str) -> bytes:
-        """Returns the metrics of a VM's daemon."""
+        """Returns the raw response of a daemon's metrics endpoint."""
         return await self._get(host, 9_464, "/metrics")
 
     def log(self, name: str) -> str:
-        """Returns what a daemon has written."""
+        """Returns the log output of a daemon."""
         return (self._folder / f"{name}.log").read_text()
 
     def _reserve(self, group: int) -> int:
-        """Returns the first free group from `group` on, kept until the end.
+        """Reserves and returns the first free group, starting at `group`.
 
-        Two fleets with the same addresses would answer for each other.
+        Two fleets sharing addresses would answer each other's requests. The
+        reservation lasts until the fleet is closed.
         """
         for number in range(group, group + GROUPS):
-            held = socket.socket()
+            reservation = socket.socket()
             try:
-                held.bind((f"{NETWORK}.{number % GROUPS}.254", RESERVED_PORT))
+                reservation.bind(
+                    (f"{NETWORK}.{number % GROUPS}.254", RESERVED_PORT)
+                )
             except OSError:
-                held.close()
+                reservation.close()
                 continue
-            self._stack.callback(held.close)
+            self._stack.callback(reservation.close)
             return number % GROUPS
-        raise RuntimeError("no addresses are free for a fleet")
+        raise RuntimeError("all address groups are in use by other fleets")
 
     def _host(self, number: int) -> str:
         return f"{NETWORK}.{self._group}.{number}"
@@ -289,18 +293,18 @@
         port: int,
         target_host: str = "",
     ) -> str:
-        """Starts a proxy before a port once; returns the address to use."""
+        """Starts a port's proxy if needed; returns the address to use."""
         if not self._proxied:
             return f"{target_host or host}:{port}"
         if name not in self.proxies:
             proxy = fault_proxy.FaultProxy(
-                host, self._outer_port(port), target_host or host, port
+                host, self._client_port(port), target_host or host, port
             )
             self.proxies[name] = await self._stack.enter_async_context(proxy)
         return self.proxies[name].address
 
-    def _outer_port(self, port: int) -> int:
-        return port + PROXY_PORTS_UP if self._proxied else port
+    def _client_port(self, port: int) -> int:
+        return port + PROXY_PORT_OFFSET if self._proxied else port
 
     async def _start(
         self, name: str, host: str, data_centre: str, *, entry: bool
@@ -316,7 +320,7 @@
                 seeds=self.entry_hosts[:3],
                 store=store,
                 entry=entry,
-                replica_port=self._outer_port(direct_documents.REPLICA_PORT),
+                replica_port=self._client_port(direct_documents.REPLICA_PORT),
                 data_centre=data_centre,
                 regions=self._regions,
                 constrained=self.constraints is not None,
@@ -340,7 +344,11 @@
         headers: str = "",
         body: bytes = b"",
     ) -> bytes:
-        """Makes a call on a connection of its own; b"" if it failed."""
+        """Sends a request on a new connection.
+
+        Returns:
+          The bytes received, up to the failure if the connection fails.
+        """
         data = b""
         try:
             reader, writer = await asyncio.open_connection(host, port)
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -1,6 +1,6 @@
-"""Stand-ins of the replicas on the direct path: engines and plain services.
+"""Stand-in replicas of the direct path: engines and plain services.
 
-Each VM has a loopback address of its own.
+Each VM has its own loopback address.
 """
 
 from __future__ import annotations
@@ -26,12 +26,15 @@
 DESK_S = 0.01
 
 CRASHING_BODY = b"crashes the replica that runs it"
-CRASH_AFTER_S = 0.03
+CRASH_DELAY_S = 0.03
 ROT_EXCUSED_S = 3.0
-"""A piece that turned bad this lately may be loaded, by the users' rules."""
+"""Grace period within which loading a corrupted piece is not a violation.
+
+The users' rules allow it for a piece that was corrupted this recently.
+"""
 
 DOWN_S = 2.0
-"""Time until a replica that crashed is back."""
+"""Time until a crashed replica is back."""
 
 
 def _unix_ms() -> int:
@@ -43,11 +46,11 @@
 
 
 class Begin(NamedTuple):
-    """The first token of a request.
+    """The start of a response: its first token.
 
     Attributes:
-      at_s: time of the event loop.
-      weights: version on which it began.
+      at_s: event loop time.
+      weights: weight version that produced it.
     """
 
     at_s: float
@@ -58,10 +61,10 @@
     """A request that reached a replica.
 
     Attributes:
-      at_s: time of the event loop.
+      at_s: event loop time.
       request_id: id of the request.
       replica_id: id of the replica at that time.
-      misdirected: whether it was answered with 421.
+      misdirected: whether the replica responded with 421.
     """
 
     at_s: float
@@ -71,23 +74,23 @@
 
 
 class CrashingServer(Protocol):
-    """The server of a replica that may crash."""
+    """Server of a replica that can crash."""
 
     def crash(self, *, resets: bool = True) -> None:
-        """Ends every connection and takes no more."""
+        """Ends all connections and stops accepting new ones."""
         ...
 
     async def listen(self) -> None:
-        """Takes connections again."""
+        """Accepts connections again."""
         ...
 
 
 class _Crashes:
-    """Ends a replica, and has it back after a while.
+    """Crashes a replica and brings it back after `DOWN_S`.
 
     Attributes:
-      count: how often it ended.
-      down: whether it is down now.
+      count: number of crashes.
+      down: whether the replica is down.
     """
 
     def __init__(self) -> None:
@@ -98,7 +101,12 @@
     async def end(
         self, back: Callable[[], None], *, resets: bool = True
     ) -> None:
-        """Ends the replica once; `back` is called when it starts anew."""
+        """Crashes the replica unless it is down.
+
+        Args:
+          back: called after the replica listens again.
+          resets: whether connections are reset rather than closed cleanly.
+        """
         if self.server is None or self.down:
             return
         self.down = True
@@ -111,19 +119,19 @@
 
 
 class Engine:
-    """A model engine with staged pieces.
+    """Stand-in of a model engine with staged pieces of weights.
 
     Attributes:
-      weights: version loaded, 0 for none.
-      mixed: loads of pieces that were missing or wrong.
-      runs: how often each request id ran.
-      begins: first tokens of requests, in order.
-      crashes: its crashes; a request with `CRASHING_BODY` causes one, and one
-        with `crashing_part.PART`.
-      crash_style: how the answer looks that such a part ends.
-      need: the limit that it names.
-      turning_away: what it turns away, and whether it leaves.
-      arrivals: requests that reached it, run or not.
+      weights: loaded version, 0 for none.
+      mixed: number of loads with missing or wrong pieces.
+      runs: number of executions by request id.
+      begins: first tokens of responses, in order.
+      crashes: crash state; requests with `CRASHING_BODY` or
+        `crashing_part.PART` cause a crash.
+      crash_style: how a crash caused by such a part cuts off the response.
+      need: the rate limit that it announces.
+      turning_away: which requests it rejects, and whether it is leaving.
+      arrivals: requests that reached it, executed or not.
       cold: its cold starts.
     """
 
@@ -137,16 +145,16 @@
         data_centre: str = direct_documents.DATA_CENTRE,
         cold_start_s: float = 0.0,
     ) -> None:
-        """Holds `weights`, which are staged too; 0 for an empty engine.
+        """Initializes an engine with loaded and staged weights.
 
         Args:
-          replica_id: its id.
-          host: its VM's address.
-          store: where it registers.
-          weights: version that it holds.
-          port: port under which it is listed, of a proxy if need be.
+          replica_id: id of the replica.
+          host: address of its VM.
+          store: store that it registers in.
+          weights: version loaded and staged, 0 for none.
+          port: registered port; the proxy's port if it has one.
           data_centre: data centre of its VM.
-          cold_start_s: how long it is cold after a restart.
+          cold_start_s: length of the cold period after a restart.
         """
         self.replica_id = replica_id
         self.host = host
@@ -167,8 +175,8 @@
         self._running = 0
         self._orders = 0
         self._born_ms = _unix_ms()
-        self._busy = False
-        self._rotted_s: dict[int, float] = {}
+        self._loading = False
+        self._corrupted_s: dict[int, float] = {}
         self._staged = {
             index: direct_weights.piece(weights, index)
             for index in range(direct_documents.PIECES)
@@ -177,33 +185,34 @@
 
     @property
     def address(self) -> str:
-        """Address under which it is listed, "host:port"."""
+        """Registered address as "host:port"."""
         return f"{self.host}:{self.port}"
 
     def rot(self, index: int) -> None:
-        """Spoils a staged piece."""
+        """Corrupts a staged piece."""
         self._staged[index] = b"rotten"
-        self._rotted_s[index] = asyncio.get_running_loop().time()
+        self._corrupted_s[index] = asyncio.get_running_loop().time()
 
     def missing(self, version: int) -> list[int]:
-        """Returns the pieces of a version that lie here wrong, or not at all.
+        """Returns the indices of pieces that are missing or wrong.
 
-        Those that turned bad just now are left out.
+        Pieces corrupted within the last `ROT_EXCUSED_S` are left out.
         """
         horizon_s = asyncio.get_running_loop().time() - ROT_EXCUSED_S
         return [
             index
             for index in range(direct_documents.PIECES)
             if self._staged.get(index) != direct_weights.piece(version, index)
-            and self._rotted_s.get(index, float("-inf")) < horizon_s
+            and self._corrupted_s.get(index, float("-inf")) < horizon_s
         ]
 
     def restart(self, replica_id: str, *, staged: bool = True) -> None:
-        """Starts anew with no weights, under another id or the one it had.
+        """Restarts without loaded weights, under the same or another id.
 
         Args:
-          replica_id: the id; under the one it had its entry never goes.
-          staged: whether the pieces that lay there survive.
+          replica_id: id after the restart. If it is unchanged, the store
+            item is never removed.
+          staged: whether staged pieces survive the restart.
         """
         if replica_id != self.replica_id:
             self.leave()
@@ -212,19 +221,19 @@
         self.replica_id = replica_id
         self.weights = 0
         self._orders = 0
-        self._busy = False
+        self._loading = False
         self.turning_away.started_anew()
         self.cold.begin(self.replica_id)
-        # Later than any start before, also within one millisecond.
+        # Strictly increasing, even for two starts within one millisecond.
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
     def leave(self) -> None:
-        """Removes the engine's entry from the store."""
+        """Removes the engine's item from the store."""
         self._store.delete(f"servers/{self.replica_id}")
 
     def register(self, state: str = "healthy") -> None:
-        """Writes the engine's entry into the store."""
+        """Writes the engine's item to the store."""
         self._state = state
         self._store.put(
             f"servers/{self.replica_id}",
@@ -243,25 +252,25 @@
         )
 
     def renew(self) -> None:
-        """Writes the entry again, as a replica does at each heartbeat."""
+        """Rewrites the store item, as a replica does on each heartbeat."""
         if not self.crashes.down:
             self.register(self._state)
 
     async def crash(self, *, resets: bool = True) -> None:
-        """Ends, and starts anew under the same id after `DOWN_S`."""
+        """Crashes, and restarts under the same id after `DOWN_S`."""
         await self.crashes.end(
             lambda: self.restart(self.replica_id), resets=resets
         )
 
     async def serve(self, peer: raw_http.Peer) -> None:
-        """Answers reports, staging, orders and requests."""
+        """Serves load reports, staging, load orders and requests."""
         while (request := await peer.read()) is not None:
             path, query = request.path, request.query
             if path == "/v1/report":
                 leaving = self.turning_away.leaving
-                said = {"server_leaving": "1"} if leaving else {}
+                headers = {"server_leaving": "1"} if leaving else {}
                 report = json.dumps(self._report()).encode()
-                await peer.answer(request, 200, report, **said)
+                await peer.answer(request, 200, report, **headers)
             elif path.startswith("/v1/stage-"):
                 await self._stage(peer, request, query)
             elif path == "/v1/order":
@@ -270,13 +279,13 @@
                 await self._run(peer, request)
 
     def _layers(self) -> dict[str, int]:
-        held = 16 if self.weights else 0
-        return {"source": 0, "target": held, "version": self.weights}
+        layers = 16 if self.weights else 0
+        return {"source": 0, "target": layers, "version": self.weights}
 
     def _report(self) -> dict[str, object]:
         return {
             "born": self._born_ms,
-            "busy": self._busy,
+            "busy": self._loading,
             "call_seq": self._orders,
             "queued": 0,
             "active": self._running,
@@ -292,7 +301,7 @@
     ) -> None:
         if request.method == "PUT":
             self._staged[int(query["index"])] = request.body
-            self._rotted_s.pop(int(query["index"]), None)
+            self._corrupted_s.pop(int(query["index"]), None)
             await peer.answer(request, 200)
         elif "index" not in query:
             await peer.answer_json(request, {"held": sorted(self._staged)})
@@ -309,24 +318,30 @@
             await peer.answer(request, 409)
             return
         self._orders += 1
-        self._busy = True
+        self._loading = True
         await peer.answer(request, 202)
         version = int(order["version"])
         if self.missing(version):
             self.mixed += 1
         await asyncio.sleep(direct_documents.LOAD_S)
         self.weights = version
-        self._busy = False
+        self._loading = False
         self.register()
 
     async def _run(
         self, peer: raw_http.Peer, request: raw_http.SeenRequest
     ) -> None:
         expected = request.headers.get("x-expect-version")
-        right = request.headers.get("x-expect-replica") == self.replica_id
+        matches_replica = (
+            request.headers.get("x-expect-replica") == self.replica_id
+        )
         name = request.headers["x-attempt-id"]
         self.need.arrived(name)
-        misdirected = not right or expected != str(self.weights) or self._busy
+        misdirected = (
+            not matches_replica
+            or expected != str(self.weights)
+            or self._loading
+        )
         self.arrivals.append(
             Arrival(_now_s(), name, self.replica_id, misdirected)
         )
@@ -334,14 +349,14 @@
             await peer.answer(request, 421)
             return
         if status := self.turning_away.takes(name):
-            said = self.turning_away.headers(name, status)
-            await peer.answer(request, status, b"", **said)
+            headers = self.turning_away.headers(name, status)
+            await peer.answer(request, status, b"", **headers)
             return
         self.runs[name] = self.runs.get(name, 0) + 1
         if request.body == CRASHING_BODY:
-            await asyncio.sleep(CRASH_AFTER_S)
-            # Not awaited by the connection, which ends with the replica.
-            self._ending = asyncio.create_task(self.crash())
+            await asyncio.sleep(CRASH_DELAY_S)
+            # The connection ends with the replica, so it can't await this.
+            self._crash_task = asyncio.create_task(self.crash())
             return
         self._running += 1
         try:
@@ -361,15 +376,15 @@
         )
         style = self.crash_style
         await crashing_part.begin_answer(peer, name, style, headers)
-        self._ending = asyncio.create_task(self.crash(resets=style.resets))
+        self._crash_task = asyncio.create_task(self.crash(resets=style.resets))
 
     async def _stream(
         self, peer: raw_http.Peer, request: raw_http.SeenRequest, name: str
     ) -> None:
-        said = self.need.headers(name) | self.turning_away.headers(name, 0)
+        headers = self.need.headers(name) | self.turning_away.headers(name, 0)
         more = "".join(
             f"{key.replace('_', '-')}: {value}\r\n"
-            for key, value in said.items()
+            for key, value in headers.items()
         )
         await peer.write(
             "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
@@ -393,14 +408,14 @@
 
 
 class PlainReplica:
-    """A replica of the plain service.
+    """Stand-in of a replica of the plain service.
 
     Attributes:
-      runs: how often each request id ran.
-      crashes: its crashes; a request with `CRASHING_BODY` causes one.
-      need: the limit that it names.
-      turning_away: what it turns away, and whether it leaves.
-      arrivals: requests that reached it, run or not.
+      runs: number of executions by request id.
+      crashes: crash state; a request with `CRASHING_BODY` causes a crash.
+      need: the rate limit that it announces.
+      turning_away: which requests it rejects, and whether it is leaving.
+      arrivals: requests that reached it, executed or not.
       cold: its cold starts.
     """
 
@@ -413,15 +428,15 @@
         data_centre: str = direct_documents.DATA_CENTRE,
         cold_start_s: float = 0.0,
     ) -> None:
-        """Is listed under `port`, of a proxy if need be.
+        """Initializes a replica that is not yet registered.
 
         Args:
-          replica_id: its id.
-          host: its VM's address.
-          store: where it registers.
-          port: port under which it is listed.
+          replica_id: id of the replica.
+          host: address of its VM.
+          store: store that it registers in.
+          port: registered port; the proxy's port if it has one.
           data_centre: data centre of its VM.
-          cold_start_s: how long it is cold after a restart.
+          cold_start_s: length of the cold period after a restart.
         """
         self.replica_id = replica_id
         self.host = host
@@ -438,7 +453,7 @@
         self._store = store
 
     def register(self, state: str = "healthy") -> None:
-        """Writes the replica's entry into the store."""
+        """Writes the replica's item to the store."""
         self._state = state
         self._store.put(
             f"servers/{self.replica_id}",
@@ -456,26 +471,26 @@
         )
 
     def renew(self) -> None:
-        """Writes the entry again, as a replica does at each heartbeat."""
+        """Rewrites the store item, as a replica does on each heartbeat."""
         if not self.crashes.down:
             self.register(self._state)
 
     async def crash(self) -> None:
-        """Ends, and starts anew under the same id after `DOWN_S`."""
-        await self.crashes.end(self._start_anew)
+        """Crashes, and restarts under the same id after `DOWN_S`."""
+        await self.crashes.end(self._restart)
 
     def restart(self) -> None:
-        """Starts anew under its id; connections stay."""
-        self._start_anew()
+        """Restarts under the same id; connections stay open."""
+        self._restart()
 
-    def _start_anew(self) -> None:
+    def _restart(self) -> None:
         self.turning_away.started_anew()
         self.cold.begin(self.replica_id)
         self._born_ms = max(_unix_ms(), self._born_ms + 1)
         self.register()
 
     async def serve(self, peer: raw_http.Peer) -> None:
-        """Answers requests with their own id as the body."""
+        """Responds to requests with their own id as the body."""
         while (request := await peer.read()) is not None:
             name = request.headers["x-attempt-id"]
             self.need.arrived(name)
@@ -488,13 +503,13 @@
                 await peer.answer(request, 421)
                 continue
             if status := self.turning_away.takes(name):
-                said = self.turning_away.headers(name, status)
-                await peer.answer(request, status, b"", **said)
+                headers = self.turning_away.headers(name, status)
+                await peer.answer(request, status, b"", **headers)
                 continue
             self.runs[name] = self.runs.get(name, 0) + 1
             await asyncio.sleep(DESK_S)
             if request.body == CRASHING_BODY:
-                self._ending = asyncio.create_task(self.crash())
+                self._crash_task = asyncio.create_task(self.crash())
                 return
             await peer.answer(
                 request,
--- a/standins/direct_store.py
+++ b/standins/direct_store.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store on the direct path."""
+"""Stand-in of the platform's key-value store on the direct path."""
 
 from __future__ import annotations
 
@@ -12,14 +12,15 @@
 
 
 class Store:
-    """The store: items with revisions, and watches.
+    """A store of items with revisions that can be watched.
 
     Attributes:
-      down: whether every call is refused.
+      revision: revision of the latest change.
+      down: whether every request fails with 503.
     """
 
     def __init__(self) -> None:
-        """Starts empty."""
+        """Initializes an empty store."""
         self._items: dict[str, dict[str, object]] = {}
         self._events: list[dict[str, object]] = []
         self._changed = asyncio.Event()
@@ -27,24 +28,24 @@
         self.down = False
 
     def put(self, key: str, value: object) -> None:
-        """Writes an item, as operators and replicas do."""
+        """Writes an item as a new revision."""
         self.revision += 1
         data = base64.b64encode(json.dumps(value).encode()).decode()
         event = {"key": key, "revision": self.revision, "data": data}
         self._items[key] = event
-        self._note(event)
+        self._record(event)
 
     def delete(self, key: str) -> None:
-        """Removes an item."""
+        """Removes an item as a new revision."""
         self.revision += 1
         self._items.pop(key, None)
-        self._note({"key": key, "revision": self.revision, "deleted": True})
+        self._record({"key": key, "revision": self.revision, "deleted": True})
 
     def data(self, key: str) -> bytes:
         """Returns the data of an item.
 
         Raises:
-          KeyError: if there is no such item.
+          KeyError: if the item does not exist.
         """
         return base64.b64decode(str(self._items[key]["data"]))
 
@@ -57,7 +58,7 @@
         self.delete(direct_documents.evacuation_key(data_centre))
 
     async def serve(self, peer: raw_http.Peer) -> None:
-        """Answers reads and watches."""
+        """Serves range reads and watches."""
         while (request := await peer.read()) is not None:
             path, query = request.path, request.query
             if self.down:
@@ -90,6 +91,6 @@
         events = [e for e in self._events if int(str(e["revision"])) > after]
         await peer.answer_json(request, {"events": events, "at": self.revision})
 
-    def _note(self, event: dict[str, object]) -> None:
+    def _record(self, event: dict[str, object]) -> None:
         self._events.append(event)
         self._changed.set()
--- a/standins/direct_weights.py
+++ b/standins/direct_weights.py
@@ -1,4 +1,4 @@
-"""Stand-in of the origin of weights on the direct path."""
+"""Stand-in of the weight origin on the direct path."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 def piece(version: int, index: int) -> bytes:
-    """Returns the bytes of a piece."""
+    """Returns the deterministic content of a piece."""
     seed = f"{version}:{index}".encode()
     return (hashlib.sha256(seed).digest() * direct_documents.PIECE_BYTES)[
         : direct_documents.PIECE_BYTES
@@ -17,19 +17,23 @@
 
 
 def digest(data: bytes) -> str:
-    """Returns the digest that the origin's manifest has for `data`."""
+    """Returns the digest of `data` as used in the origin's manifest."""
     return hashlib.sha256(data).hexdigest()
 
 
 class Origin:
-    """The origin of weights; counts the pieces that it sent."""
+    """Weight origin that counts the pieces it sent.
+
+    Attributes:
+      sent: number of pieces sent.
+    """
 
     def __init__(self) -> None:
-        """Starts with nothing sent."""
+        """Initializes the counter."""
         self.sent = 0
 
     async def serve(self, peer: raw_http.Peer) -> None:
-        """Answers calls for manifests and pieces."""
+        """Serves manifests and pieces."""
         while (request := await peer.read()) is not None:
             path, query = request.path, request.query
             version = int(query["version"])
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -1,10 +1,10 @@
 """Stand-in for model engines and plain services, many in one process.
 
-Each engine lives under /e/NAME. It batches continuously up to its capacity,
-streams OpenAI-shaped completions, takes orders with a fencing number, and
-tells afterwards what it ran. Faults per engine: `fail_fast`, `slow_factor`,
-`stall_after` (tokens), `cut_after` (tokens), `retry_after` (seconds that a
-refusal of each completion names).
+Each engine is served under /e/NAME. It runs up to `capacity` requests at once,
+streams OpenAI-style completions, accepts orders with a fencing number, and
+reports its execution history. Faults per engine: `fail_fast`, `slow_factor`,
+`stall_after` (tokens), `cut_after` (tokens), `retry_after` (rejects each
+completion with this Retry-After, in seconds).
 """
 
 from __future__ import annotations
@@ -27,10 +27,10 @@
 
 
 class Engine:
-    """One engine or plain service."""
+    """State of one engine or plain service."""
 
     def __init__(self, options: dict[str, Any]) -> None:
-        """Takes capacity, token_ms, first_token_ms, load_ms, and modes."""
+        """Initializes an engine from the JSON options of its creation."""
         self.capacity = int(options.get("capacity", 8))
         self.token_ms = float(options.get("token_ms", 10))
         self.first_token_ms = float(options.get("first_token_ms", 20))
@@ -52,7 +52,7 @@
         self.faults: dict[str, Any] = {}
 
     def state(self) -> dict[str, Any]:
-        """Returns what the engine reports of itself."""
+        """Returns the state that the engine reports."""
         return {
             "serving": self.serving,
             "loaded": self.loaded,
@@ -69,7 +69,11 @@
         return True
 
     async def load(self, version: str) -> None:
-        """Loads staged chunks, replacing the served version if need be."""
+        """Loads staged chunks.
+
+        An engine that holds a single version unloads the current one first and
+        serves the new one once loaded.
+        """
         self.loading = True
         if not self.two_versions:
             self.loaded.clear()
@@ -87,7 +91,7 @@
     async def generate(
         self, body: dict[str, Any], request_id: str, resume_from: int
     ) -> AsyncIterator[bytes]:
-        """Yields the events of a streamed completion."""
+        """Yields the server-sent events of a completion."""
         self.ran[request_id] = self.ran.get(request_id, 0) + 1
         count = int(body.get("max_tokens", DEFAULT_TOKENS))
         prompt = str(body.get("prompt", ""))
@@ -128,7 +132,7 @@
     """All engines of this process."""
 
     def __init__(self) -> None:
-        """Starts with none."""
+        """Initializes an empty set of engines."""
         self.engines: dict[str, Engine] = {}
 
     def engine(self, request: requests.Request) -> Engine:
@@ -142,16 +146,16 @@
         return responses.JSONResponse({})
 
     async def put_faults(self, request: requests.Request) -> responses.Response:
-        """Sets an engine's faults."""
+        """Replaces the injected faults of an engine."""
         self.engine(request).faults = await request.json()
         return responses.JSONResponse({})
 
     async def state(self, request: requests.Request) -> responses.Response:
-        """Reports an engine's versions."""
+        """Reports an engine's loaded and served versions."""
         return responses.JSONResponse(self.engine(request).state())
 
     async def history(self, request: requests.Request) -> responses.Response:
-        """Tells what an engine ran and which orders it got."""
+        """Reports executed requests, orders and rejected completions."""
         engine = self.engine(request)
         return responses.JSONResponse(
             {
@@ -164,7 +168,7 @@
     async def load_report(
         self, request: requests.Request
     ) -> responses.Response:
-        """Reports an engine's load."""
+        """Reports an engine's load and its recent prompt prefixes."""
         engine = self.engine(request)
         return responses.JSONResponse(
             {
@@ -175,14 +179,14 @@
         )
 
     async def stage(self, request: requests.Request) -> responses.Response:
-        """Takes one chunk of weights."""
+        """Stages one chunk of weights."""
         version = request.path_params["version"]
         staged = self.engine(request).staged.setdefault(version, {})
         staged[int(request.path_params["index"])] = await request.body()
         return responses.JSONResponse({})
 
     async def order_load(self, request: requests.Request) -> responses.Response:
-        """Takes an order to load a version."""
+        """Handles an order to load a version."""
         engine = self.engine(request)
         order = await request.json()
         if not engine.takes_order(order):
@@ -193,7 +197,7 @@
     async def order_serve(
         self, request: requests.Request
     ) -> responses.Response:
-        """Takes an order to serve a loaded version."""
+        """Handles an order to serve a loaded version."""
         engine = self.engine(request)
         order = await request.json()
         if not engine.takes_order(order):
@@ -208,10 +212,10 @@
         engine = self.engine(request)
         if engine.faults.get("fail_fast"):
             return responses.JSONResponse({"error": "fault"}, 500)
-        if asked := engine.faults.get("retry_after"):
+        if retry_after_s := engine.faults.get("retry_after"):
             engine.refused += 1
             return responses.JSONResponse(
-                {"error": "busy"}, 503, {"retry-after": str(asked)}
+                {"error": "busy"}, 503, {"retry-after": str(retry_after_s)}
             )
         events = engine.generate(
             await request.json(),
@@ -223,7 +227,7 @@
         )
 
     async def plain(self, request: requests.Request) -> responses.Response:
-        """Runs a plain call and tells how often this id was run."""
+        """Executes a plain call; responds with the executions of its id."""
         engine = self.engine(request)
         if engine.faults.get("fail_fast"):
             return responses.JSONResponse({"error": "fault"}, 500)
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -1,7 +1,7 @@
-"""A TCP proxy on loopback that does to connections what a bad network does.
+"""TCP proxy on loopback that injects network faults.
 
-Bytes that a cut holds back arrive when it heals, as a sender's repeats would;
-a silenced connection never carries a byte again, while new ones work.
+Bytes held back by a cut are delivered once it ends, like TCP retransmissions. A
+silenced connection never carries a byte again, while new connections work.
 """
 
 from __future__ import annotations
@@ -12,12 +12,12 @@
 import socket
 import struct
 
-_PART_BYTES = 65_536
+_READ_BYTES = 65_536
 _MS = 1_000.0
 
 
 class Fault(enum.Enum):
-    """What the proxy does to connections."""
+    """Fault that the proxy injects into connections."""
 
     NONE = "none"
     DELAY = "delay"
@@ -34,7 +34,7 @@
 
 
 class _Connection:
-    """Both halves of one proxied connection."""
+    """The client and server side of one proxied connection."""
 
     def __init__(
         self, to_client: asyncio.StreamWriter, to_server: asyncio.StreamWriter
@@ -44,7 +44,7 @@
         self.silenced = False
 
     def reset(self) -> None:
-        """Ends both halves with a reset."""
+        """Resets both sides."""
         for writer in (self.to_client, self.to_server):
             sock = writer.get_extra_info("socket")
             if sock is not None and not writer.is_closing():
@@ -55,19 +55,20 @@
 
 
 class FaultProxy:
-    """Passes connections on to one address; use as a context manager.
+    """Forwards connections to one address; use as a context manager.
 
     Attributes:
-      fault: what it does now.
-      delay_ms: how long each part waits while the fault is `DELAY`.
-      bytes_per_s: rate each way of a connection while it is `NARROW`.
-      called_s: when a client last sent bytes, a time of the event loop.
+      fault: the active fault.
+      delay_ms: delay of each block of bytes while the fault is `DELAY`.
+      bytes_per_s: rate limit per connection and direction while the fault is
+        `NARROW`.
+      called_s: event loop time at which a client last sent bytes.
     """
 
     def __init__(
         self, host: str, port: int, target_host: str, target_port: int
     ) -> None:
-        """Listens once entered."""
+        """Initializes the proxy; it listens once the context is entered."""
         self._listen = (host, port)
         self._target = (target_host, target_port)
         self._server: asyncio.Server | None = None
@@ -80,28 +81,28 @@
 
     @property
     def address(self) -> str:
-        """Address as "host:port"."""
+        """Listening address as "host:port"."""
         return f"{self._listen[0]}:{self._listen[1]}"
 
     async def __aenter__(self) -> FaultProxy:
-        """Starts to listen."""
+        """Starts listening."""
         self._server = await asyncio.start_server(self._serve, *self._listen)
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Stops and ends all connections."""
+        """Stops listening and resets all connections."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
             connection.reset()
 
     def narrow(self, bytes_per_s: float) -> None:
-        """Bounds the rate of each connection, each way, from now on."""
+        """Limits the rate of each connection in each direction."""
         self.bytes_per_s = bytes_per_s
         self.set_fault(Fault.NARROW)
 
     def set_fault(self, fault: Fault, delay_ms: float = 0.0) -> None:
-        """Starts a fault, or ends the one in force with `NONE`."""
+        """Replaces the active fault; `NONE` ends it."""
         self.fault = fault
         self.delay_ms = delay_ms
         if fault is Fault.RESET:
@@ -121,7 +122,7 @@
                 *self._target
             )
         except OSError:
-            # Nothing listens behind the proxy: the caller sees a close.
+            # Nothing listens at the target: the client sees a clean close.
             writer.close()
             return
         connection = _Connection(writer, to_server)
@@ -129,10 +130,10 @@
             connection.reset()
             return
         self._connections.add(connection)
-        up = self._pump(connection, reader, to_server, _STOPS_TO_SERVER)
-        down = self._pump(connection, from_server, writer, _STOPS_TO_CLIENT)
+        outbound = self._pump(connection, reader, to_server, _STOPS_TO_SERVER)
+        inbound = self._pump(connection, from_server, writer, _STOPS_TO_CLIENT)
         try:
-            await asyncio.gather(up, down)
+            await asyncio.gather(outbound, inbound)
         finally:
             self._connections.discard(connection)
 
@@ -144,22 +145,22 @@
         stopped_by: frozenset[Fault],
     ) -> None:
         with contextlib.suppress(ConnectionError):
-            while data := await reader.read(_PART_BYTES):
+            while data := await reader.read(_READ_BYTES):
                 if stopped_by is _STOPS_TO_SERVER:
                     self.called_s = asyncio.get_running_loop().time()
-                await self._hold(stopped_by)
+                await self._wait_while_stopped(stopped_by)
                 if self.fault is Fault.NARROW:
                     await asyncio.sleep(len(data) / self.bytes_per_s)
                 if connection.silenced:
                     continue
                 writer.write(data)
                 await writer.drain()
-            await self._hold(stopped_by)
+            await self._wait_while_stopped(stopped_by)
         if not connection.silenced:
             writer.close()
 
-    async def _hold(self, stopped_by: frozenset[Fault]) -> None:
-        """Waits as long as the fault in force holds bytes back."""
+    async def _wait_while_stopped(self, stopped_by: frozenset[Fault]) -> None:
+        """Waits until the active fault lets bytes through."""
         while self.fault in stopped_by:
             await self._changed.wait()
         if self.fault is Fault.DELAY:
--- a/standins/named_limit.py
+++ b/standins/named_limit.py
@@ -1,4 +1,4 @@
-"""The limit that a stand-in of a replica names, and the users' rule on it."""
+"""Rate limit announced by a stand-in replica, and the users' rule on it."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 from typing import NamedTuple
 
 CONTACT_S = 3.0
-"""After a replica first names a limit, the time from which it counts."""
+"""Grace period after a replica first announces a limit."""
 
 TOLD_S = 0.5
-"""After an entry was told of a limit, the time from which it is bound."""
+"""Grace period after an entry first receives a limit."""
 
 WINDOW_S = 4.0
 EXCESS_SHARE = 1.5
@@ -18,7 +18,7 @@
 
 
 def allowed_in_window(limit_per_s: float) -> int:
-    """Returns the requests that a limit allows in `WINDOW_S`."""
+    """Returns the number of requests allowed within `WINDOW_S`."""
     return int(limit_per_s * WINDOW_S * EXCESS_SHARE) + EXCESS_REQUESTS
 
 
@@ -26,8 +26,8 @@
     """A request that reached a replica.
 
     Attributes:
-      at_s: time of the event loop.
-      entry: the entry that it came through.
+      at_s: event loop time.
+      entry: entry that forwarded the request.
     """
 
     at_s: float
@@ -35,21 +35,21 @@
 
 
 class NamedLimit:
-    """The limit of one replica, and the requests that it got.
+    """Limit of one replica and the requests that reached it.
 
-    Who sent a request shows in its id, "ENTRY/NUMBER", since all processes
-    share one machine.
+    The entry is taken from the request id, "ENTRY/NUMBER": all processes share
+    one machine, so the source address does not identify it.
 
     Attributes:
-      text: what it names, "" while it names no limit.
-      since_s: when it first named one, infinite before.
-      until_s: when it named none any more, infinite before.
-      arrivals: requests that reached it, run or not.
-      told_s: when each entry first got an answer that names a limit.
+      text: announced limit, "" for none.
+      since_s: time of the first announcement, infinite before.
+      until_s: time at which the limit was withdrawn, infinite before.
+      arrivals: requests that reached it, executed or not.
+      told_s: time of the first response with a limit, by entry.
     """
 
     def __init__(self) -> None:
-        """Names no limit."""
+        """Initializes a replica without a limit."""
         self.text = ""
         self.since_s = float("inf")
         self.until_s = float("inf")
@@ -57,16 +57,19 @@
         self.told_s: dict[str, float] = {}
 
     def name(self, text: str) -> None:
-        """Names another limit from now on, or none."""
+        """Announces another limit, or none if `text` is empty."""
         self.text = text
         self.until_s = float("inf") if text else _now_s()
 
     def arrived(self, request_id: str) -> None:
-        """Notes a request."""
+        """Records the arrival of a request."""
         self.arrivals.append(Arrival(_now_s(), _entry_of(request_id)))
 
     def headers(self, request_id: str) -> dict[str, str]:
-        """Returns what an answer says of the limit."""
+        """Returns the response headers that announce the limit.
+
+        Records that the entry of the request has received it.
+        """
         if not self.text:
             return {}
         self.since_s = min(self.since_s, _now_s())
@@ -74,17 +77,20 @@
         return {"server_limit": self.text}
 
     def used(self, start_s: float, seconds: float) -> int:
-        """Returns the requests that came in some time."""
+        """Returns the number of requests in a period."""
         return sum(
             start_s <= arrival.at_s < start_s + seconds
             for arrival in self.arrivals
         )
 
     def most_in_window(self, excused: Collection[str] = ()) -> int:
-        """Returns the most requests that count in any window.
+        """Returns the maximum number of counted requests in any window.
+
+        Requests within a grace period or after the limit was withdrawn are not
+        counted.
 
         Args:
-          excused: entries whose requests don't count.
+          excused: entries whose requests are not counted.
         """
         times_s = [
             arrival.at_s
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,7 +1,7 @@
 """Stand-in for the configuration service and the VM list.
 
 Tests publish with PUT /documents and PUT /vms, and inject faults with PUT
-/faults: `down`, `frozen` (answers stay stale) and `delay_ms`.
+/faults: `down`, `frozen` (reads return a stale snapshot) and `delay_ms`.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
     """State of the stand-in."""
 
     def __init__(self) -> None:
-        """Starts empty."""
+        """Initializes the state with no documents and no VMs."""
         self.revision = 0
         self.documents: dict[str, dict[str, Any]] = {}
         self.frozen_documents: dict[str, dict[str, Any]] | None = None
@@ -30,14 +30,17 @@
         self.changed = asyncio.Event()
 
     def visible(self, keys: str) -> list[dict[str, Any]]:
-        """Returns the documents that readers see now."""
-        shown = self.frozen_documents
-        if shown is None:
-            shown = self.documents
-        return [shown[key] for key in keys.split(",") if key in shown]
+        """Returns the documents among the comma-separated `keys`.
+
+        While the `frozen` fault is active, they come from its snapshot.
+        """
+        documents = self.frozen_documents
+        if documents is None:
+            documents = self.documents
+        return [documents[key] for key in keys.split(",") if key in documents]
 
     async def publish(self, request: requests.Request) -> responses.Response:
-        """Publishes one document under the next revision."""
+        """Publishes a document under the given or the next revision."""
         body = await request.json()
         self.revision += 1
         revision = body.get("revision", self.revision)
@@ -56,7 +59,7 @@
         return responses.JSONResponse({})
 
     async def put_faults(self, request: requests.Request) -> responses.Response:
-        """Sets the faults in force."""
+        """Replaces the injected faults."""
         self.faults = await request.json()
         if not self.faults.get("frozen"):
             self.frozen_documents = None
@@ -65,7 +68,7 @@
         return responses.JSONResponse({})
 
     async def read(self, request: requests.Request) -> responses.Response:
-        """Answers a read."""
+        """Handles a read of documents."""
         self.calls["read"] += 1
         if await self._fails():
             return responses.Response(status_code=503)
@@ -74,34 +77,34 @@
         )
 
     async def watch(self, request: requests.Request) -> responses.Response:
-        """Answers a watch when something newer is there, or in time."""
+        """Handles a long poll for documents newer than `after`."""
         self.calls["watch"] += 1
         after = int(request.query_params["after"])
         keys = request.query_params["keys"]
         loop = asyncio.get_running_loop()
-        end = loop.time() + int(request.query_params["wait_ms"]) / 1000
+        deadline_s = loop.time() + int(request.query_params["wait_ms"]) / 1000
         while True:
             if await self._fails():
                 return responses.Response(status_code=503)
             newer = [d for d in self.visible(keys) if d["revision"] > after]
-            left = end - loop.time()
-            if newer or left <= 0:
+            remaining_s = deadline_s - loop.time()
+            if newer or remaining_s <= 0:
                 return responses.JSONResponse(newer)
             try:
-                async with asyncio.timeout(left):
+                async with asyncio.timeout(remaining_s):
                     await self.changed.wait()
             except TimeoutError:
                 continue
 
     async def read_vms(self, request: requests.Request) -> responses.Response:
-        """Answers with the VM list."""
+        """Handles a read of the VM list."""
         self.calls["vms"] += 1
         if await self._fails():
             return responses.Response(status_code=503)
         return responses.JSONResponse(self.vms)
 
     async def read_calls(self, request: requests.Request) -> responses.Response:
-        """Tells how many calls were counted."""
+        """Reports the number of calls by kind."""
         return responses.JSONResponse(self.calls)
 
     async def _fails(self) -> bool:
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -1,8 +1,8 @@
-"""HTTP server whose answers are written byte by byte, for misbehaviour.
+"""HTTP server that writes raw bytes, to simulate misbehaving replicas.
 
-A replica may send bytes that no HTTP library would write: a second answer, a
-body that ends in a reset, an answer before the request was read. A script is
-a coroutine that reads requests and writes what it likes.
+A replica may send bytes that no HTTP library would produce: a second response,
+a body cut off by a reset, a response before the request was read. A script is a
+coroutine that reads requests and writes arbitrary bytes.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 
 class SeenRequest(msgspec.Struct, frozen=True):
-    """A request as it arrived, header names in lower case."""
+    """A received request, with header names in lower case."""
 
     method: str
     target: str
@@ -30,18 +30,18 @@
 
     @property
     def path(self) -> str:
-        """The target without its query."""
+        """Path of the target, without the query."""
         return urllib.parse.urlsplit(self.target).path
 
     @property
     def query(self) -> dict[str, str]:
-        """The fields of the target's query."""
+        """Query parameters of the target."""
         parts = urllib.parse.urlsplit(self.target)
         return dict(urllib.parse.parse_qsl(parts.query))
 
 
 class Peer:
-    """One connection, as a script sees it."""
+    """A client connection with the operations that a script uses."""
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -51,7 +51,7 @@
         self._writer = writer
 
     async def read(self) -> SeenRequest | None:
-        """Returns the next request, None at the end of the connection."""
+        """Returns the next request, None if the connection ended."""
         try:
             head = await self._reader.readuntil(b"\r\n\r\n")
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -69,7 +69,7 @@
         return SeenRequest(method, target, headers, body)
 
     async def write(self, data: bytes) -> None:
-        """Writes bytes as they are."""
+        """Writes raw bytes; a lost connection is ignored."""
         self._writer.write(data)
         with contextlib.suppress(ConnectionError):
             await self._writer.drain()
@@ -81,11 +81,11 @@
         body: bytes = b"",
         **headers: str,
     ) -> None:
-        """Writes a whole answer that echoes the request's id."""
+        """Writes a complete response that echoes the request's id."""
         lines = [f"HTTP/1.1 {status} X", f"content-length: {len(body)}"]
-        echo = request.headers.get("x-attempt-id")
-        if echo:
-            lines.append(f"x-attempt-id: {echo}")
+        attempt_id = request.headers.get("x-attempt-id")
+        if attempt_id:
+            lines.append(f"x-attempt-id: {attempt_id}")
         lines.extend(
             f"{name.replace('_', '-')}: {value}"
             for name, value in headers.items()
@@ -94,11 +94,11 @@
         await self.write(head.encode("latin-1") + body)
 
     async def answer_json(self, request: SeenRequest, value: object) -> None:
-        """Writes a whole answer with a value as JSON."""
+        """Writes a complete response with a JSON body."""
         await self.answer(request, 200, json.dumps(value).encode())
 
     def reset(self) -> None:
-        """Ends the connection with a reset, if it is still open."""
+        """Resets the connection if it is open."""
         sock = self._writer.get_extra_info("socket")
         if sock is None or sock.fileno() < 0:
             return
@@ -108,7 +108,7 @@
         self._writer.transport.abort()
 
     def close(self) -> None:
-        """Ends the connection properly."""
+        """Closes the connection cleanly."""
         self._writer.close()
 
 
@@ -119,14 +119,14 @@
     """Runs a script on each connection; use as a context manager.
 
     Attributes:
-      port: where it listens on loopback.
-      connections: connections taken so far.
+      port: listening port.
+      connections: number of accepted connections.
     """
 
     def __init__(
         self, script: Script, host: str = "127.0.0.1", port: int = 0
     ) -> None:
-        """Listens once entered; port 0 takes a free one."""
+        """Initializes the server; port 0 selects a free port."""
         self._script = script
         self._host = host
         self.port = port
@@ -135,31 +135,31 @@
         self.connections = 0
 
     async def __aenter__(self) -> ScriptedServer:
-        """Starts to listen."""
+        """Starts listening."""
         await self.listen()
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        """Stops."""
+        """Stops listening and closes all connections."""
         if self._server is not None:
             self._server.close()
         for peer in self._peers:
             peer.close()
 
     async def listen(self) -> None:
-        """Listens, also again after `crash`."""
+        """Starts listening; may be called again after `crash`."""
         self._server = await asyncio.start_server(
             self._serve, self._host, self.port
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def crash(self, *, resets: bool = True) -> None:
-        """Ends every connection and takes no more, as if the process ended.
+        """Ends all connections and refuses new ones, like a process crash.
 
-        New connections are refused until `listen`.
+        `listen` makes the server available again.
 
         Args:
-          resets: whether connections are reset, else closed properly.
+          resets: whether connections are reset rather than closed cleanly.
         """
         if self._server is not None:
             self._server.close()
@@ -172,7 +172,7 @@
 
     @property
     def address(self) -> str:
-        """Address as "host:port"."""
+        """Listening address as "host:port"."""
         return f"{self._host}:{self.port}"
 
     async def _serve(
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -12,7 +12,7 @@
 
 
 def serve(routes: Sequence[routing.BaseRoute], port: int) -> None:
-    """Serves `routes` on a loopback port."""
+    """Serves `routes` on a loopback port until terminated."""
     app = applications.Starlette(routes=list(routes))
     config = uvicorn.Config(
         app,
@@ -28,7 +28,7 @@
 
 
 def parser(description: str | None) -> argparse.ArgumentParser:
-    """Returns an argument parser with the port that all stand-ins take."""
+    """Returns an argument parser with the required --port option."""
     result = argparse.ArgumentParser(description=description)
     result.add_argument("--port", type=int, required=True)
     return result
--- a/standins/turning_away.py
+++ b/standins/turning_away.py
@@ -1,4 +1,4 @@
-"""Replicas that turn requests away or leave, and the users' rules on both."""
+"""Stand-in replicas that reject requests or leave, with the users' rules."""
 
 from __future__ import annotations
 
@@ -8,14 +8,16 @@
 from typing import NamedTuple
 
 TOLD_S = 0.5
-"""After a replica asked an entry for a pause, the time from which it counts."""
+"""Grace period after a replica asks an entry to pause."""
 
 ARRIVALS_MAX = 2
-"""Requests that may reach a replica in a pause that it asked an entry for."""
+"""Maximum requests from an entry during a pause asked of that entry."""
 
 DRAIN_S = 2.0
-"""After an entry heard that a replica leaves, the time until nothing reaches
-it from there; `drain_ms` of the settings."""
+"""Time within which an entry stops sending to a leaving replica.
+
+Matches `drain_ms` of the settings.
+"""
 
 
 class _Arrival(NamedTuple):
@@ -30,21 +32,21 @@
 
 
 class TurningAway:
-    """What one replica turns away, asks for and gets all the same.
+    """Rejections of one replica and the requests that arrive regardless.
 
-    Who sent a request shows in its id, "ENTRY/NUMBER", since all processes
-    share one machine.
+    The entry is taken from the request id, "ENTRY/NUMBER": all processes share
+    one machine, so the source address does not identify it.
 
     Attributes:
-      leaving: whether all its answers say that it leaves.
-      turned_away: requests that it refused.
+      leaving: whether all responses announce that it is leaving.
+      turned_away: number of rejected requests.
     """
 
     def __init__(self, name: str) -> None:
-        """Serves all that it gets.
+        """Initializes a replica that rejects nothing.
 
         Args:
-          name: the replica's id, which seeds what it turns away.
+          name: the replica's id; seeds the random choice of rejections.
         """
         self.leaving = False
         self.turned_away = 0
@@ -59,33 +61,36 @@
     def start(
         self, retry_after: str = "", share: float = 1.0, status: int = 503
     ) -> None:
-        """Turns requests away from now on.
+        """Starts rejecting requests.
 
         Args:
           retry_after: value of `Retry-After`, "" for none.
-          share: part of the requests that it turns away.
-          status: the status that says so.
+          share: fraction of requests to reject.
+          status: status code of a rejection.
         """
         self._retry_after = retry_after
         self._share = share
         self._status = status
 
     def stop(self) -> None:
-        """Serves all again; what it asked for still holds."""
+        """Stops rejecting requests; pauses asked for stay in force."""
         self._share = 0.0
 
     def started_anew(self) -> None:
-        """Knows nothing of what an earlier start asked for or said."""
+        """Resets the state after a restart.
+
+        Pauses and leave notices of an earlier start no longer apply.
+        """
         self.leaving = False
         self._share = 0.0
         self._pauses.clear()
         self._leaving_told_s.clear()
 
     def takes(self, request_id: str) -> int:
-        """Notes a request.
+        """Records the arrival of a request.
 
         Returns:
-          The status to turn it away with, 0 if it is served.
+          The status code of the rejection, 0 if the request is served.
         """
         self._arrivals.append(_Arrival(_now_s(), _entry_of(request_id)))
         if self._rng.random() >= self._share:
@@ -94,24 +99,29 @@
         return self._status
 
     def headers(self, request_id: str, status: int) -> dict[str, str]:
-        """Returns what an answer says, and notes that it said so."""
+        """Returns the headers of a response, and records what they announce."""
         entry = _entry_of(request_id)
-        said = {}
+        headers = {}
         if self.leaving:
-            said["server_leaving"] = "1"
+            headers["server_leaving"] = "1"
             self._leaving_told_s.setdefault(entry, _now_s())
         if status:
-            said["x_not_executed"] = "1"
+            headers["x_not_executed"] = "1"
         if status and self._retry_after:
-            said["retry_after"] = self._retry_after
-            self._note_pause(entry)
-        return said
+            headers["retry_after"] = self._retry_after
+            self._record_pause(entry)
+        return headers
 
     def most_in_pause(self, excused: Collection[str] = ()) -> int:
-        """Returns the most requests that came in any pause from one entry."""
+        """Returns the maximum number of requests during any pause.
+
+        Only requests from the entry that was asked to pause are counted.
+        """
         return max(
             (
-                self._came(pause.entry, pause.asked_s + TOLD_S, pause.until_s)
+                self._count_arrivals(
+                    pause.entry, pause.asked_s + TOLD_S, pause.until_s
+                )
                 for pause in self._pauses
                 if pause.entry not in excused
             ),
@@ -119,18 +129,21 @@
         )
 
     def late(self, excused: Collection[str] = ()) -> int:
-        """Returns the requests that came too late after it said it leaves."""
+        """Returns the number of requests after the drain period.
+
+        The period starts when an entry is first told that the replica leaves.
+        """
         return sum(
-            self._came(entry, told_s + DRAIN_S, float("inf"))
+            self._count_arrivals(entry, told_s + DRAIN_S, float("inf"))
             for entry, told_s in self._leaving_told_s.items()
             if entry not in excused
         )
 
     def arrivals_since(self, start_s: float) -> int:
-        """Returns the requests that came since a time of the event loop."""
+        """Returns the number of requests since an event loop time."""
         return sum(arrival.at_s >= start_s for arrival in self._arrivals)
 
-    def _note_pause(self, entry: str) -> None:
+    def _record_pause(self, entry: str) -> None:
         try:
             wait_s = float(self._retry_after)
         except ValueError:
@@ -138,7 +151,7 @@
         pause = _Pause(_now_s(), _now_s() + wait_s, entry)
         self._pauses.append(pause)
 
-    def _came(self, entry: str, start_s: float, end_s: float) -> int:
+    def _count_arrivals(self, entry: str, start_s: float, end_s: float) -> int:
         return sum(
             arrival.entry == entry and start_s <= arrival.at_s < end_s
             for arrival in self._arrivals
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -1,8 +1,8 @@
 """Stand-in for the weight origin and the rate-limited weight store.
 
-Weights are made from a seed, so that any process can compute them. PUT
-/weights adds a version and answers with its manifest's digest. Faults: `down`,
-`corrupt` (fraction of chunks), `stall` (never answers).
+Weights are generated from a seed, so any process can compute them. PUT /weights
+adds a version and returns the digest of its manifest. Faults: `down`, `corrupt`
+(fraction of responses), `stall` (responds only after an hour).
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 
 
 def make_weights(seed: int, total_bytes: int) -> bytes:
-    """Returns reproducible weights."""
+    """Returns pseudo-random weights that depend only on the arguments."""
     return random.Random(seed).randbytes(total_bytes)
 
 
@@ -33,7 +33,7 @@
     """State of the stand-in."""
 
     def __init__(self, bytes_per_s: float, requests_per_s: float) -> None:
-        """Starts with no version."""
+        """Initializes a store without versions."""
         self.clock = clock.SystemClock()
         self.pacer = pacing.Pacer(bytes_per_s)
         self.bucket = limits.TokenBucket(
@@ -50,7 +50,11 @@
     async def put_weights(
         self, request: requests.Request
     ) -> responses.Response:
-        """Adds a version, sharing `base_seed` content up to `common`."""
+        """Adds a version.
+
+        With `base_seed`, the leading fraction `common` of the content equals
+        that of the weights generated from it.
+        """
         body = await request.json()
         data = make_weights(body["seed"], body["total_bytes"])
         if "base_seed" in body:
@@ -69,12 +73,12 @@
         )
 
     async def put_faults(self, request: requests.Request) -> responses.Response:
-        """Sets the faults in force."""
+        """Replaces the injected faults."""
         self.faults = await request.json()
         return responses.JSONResponse({})
 
     async def read_stats(self, request: requests.Request) -> responses.Response:
-        """Tells what was sent."""
+        """Reports transfer counters."""
         return responses.JSONResponse(
             {
                 "sent_bytes": self.sent_bytes,
@@ -87,13 +91,13 @@
     async def read_manifest(
         self, request: requests.Request
     ) -> responses.Response:
-        """Answers with a manifest."""
+        """Returns a manifest by digest."""
         return await self._send(
             self.manifests.get(request.path_params["digest"])
         )
 
     async def read_chunk(self, request: requests.Request) -> responses.Response:
-        """Answers with a chunk at the paced rate."""
+        """Returns a chunk by digest, at the paced rate."""
         digest = request.path_params["digest"]
         self.by_chunk[digest] = self.by_chunk.get(digest, 0) + 1
         return await self._send(self.chunks.get(digest))
--- a/tests/standins/test_direct_documents.py
+++ b/tests/standins/test_direct_documents.py
@@ -10,7 +10,7 @@
 
 
 def test_constraints_are_decoded_as_they_were_published() -> None:
-    """Guards against field names that the decoder ignores as unknown."""
+    """Guards against misspelled fields, which the decoder ignores."""
     constraints = direct_documents.Constraints(
         route_regions={"order": ["north"]},
         customer_regions=["south"],
@@ -32,7 +32,7 @@
 
 
 def test_settings_name_the_data_centres_and_the_bounds() -> None:
-    """Guards against entries that run without the bounds of the checks."""
+    """Guards against entries that run without the bounds being checked."""
     text = direct_documents.settings_text(
         "entry-0",
         "127.0.0.1",
--- a/tests/standins/test_direct_fleet.py
+++ b/tests/standins/test_direct_fleet.py
@@ -6,9 +6,10 @@
 from standins import direct_fleet
 
 
-def test_fleets_of_one_group_get_addresses_of_their_own(
+def test_fleets_of_one_group_get_distinct_addresses(
     tmp_path: pathlib.Path,
 ) -> None:
+    """Guards against fleets that share addresses and each other's requests."""
     first = direct_fleet.Fleet(tmp_path, 1, 1, group=255)
     second = direct_fleet.Fleet(tmp_path, 1, 1, group=255)
     assert first.entry_hosts != second.entry_hosts
--- a/tests/standins/test_direct_replicas.py
+++ b/tests/standins/test_direct_replicas.py
@@ -14,9 +14,11 @@
 @pytest.mark.parametrize(
     ("age_s", "missing"), [(0.0, []), (direct_replicas.ROT_EXCUSED_S, [3])]
 )
-def test_piece_that_turned_bad_just_now_may_be_loaded(
+def test_recently_corrupted_piece_is_not_missing(
     monkeypatch: pytest.MonkeyPatch, age_s: float, missing: list[int]
 ) -> None:
+    """Guards against reporting a load that the grace period excuses."""
+
     async def main() -> None:
         engine = direct_replicas.Engine(
             "i-0", "127.0.0.1", direct_store.Store(), weights=1
@@ -33,7 +35,7 @@
 def test_replica_reports_how_much_longer_it_is_cold(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against checks of cold replicas that never see one."""
+    """Guards against cold-start checks that never see a cold replica."""
     store = direct_store.Store()
     desk = direct_replicas.PlainReplica(
         "d-0", "127.0.0.1", store, cold_start_s=4.0
@@ -41,17 +43,17 @@
     desk.register()
     now_s = time.monotonic()
     monkeypatch.setattr(time, "monotonic", lambda: now_s)
-    assert record(store, "servers/d-0")["cold_left_ms"] == 0
+    assert decode_item(store, "servers/d-0")["cold_left_ms"] == 0
     desk.restart()
     now_s += 1.0
     desk.renew()
-    assert record(store, "servers/d-0")["cold_left_ms"] == 3_000
+    assert decode_item(store, "servers/d-0")["cold_left_ms"] == 3_000
     now_s += 4.0
     desk.renew()
-    assert record(store, "servers/d-0")["cold_left_ms"] == 0
+    assert decode_item(store, "servers/d-0")["cold_left_ms"] == 0
 
 
-def record(store: direct_store.Store, key: str) -> dict[str, Any]:
+def decode_item(store: direct_store.Store, key: str) -> dict[str, Any]:
     found = msgspec.json.decode(store.data(key))
     assert isinstance(found, dict)
     return found
--- a/tests/standins/test_fault_proxy.py
+++ b/tests/standins/test_fault_proxy.py
@@ -1,4 +1,4 @@
-"""The proxy does to connections what its faults say."""
+"""Tests that the proxy injects each fault into its connections."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 WAIT_S = 0.2
 
 Streams: TypeAlias = tuple[asyncio.StreamReader, asyncio.StreamWriter]
-Use: TypeAlias = Callable[[fault_proxy.FaultProxy, int], Awaitable[None]]
+ProxyTest: TypeAlias = Callable[[fault_proxy.FaultProxy, int], Awaitable[None]]
 
 
 async def echo(
@@ -26,8 +26,8 @@
     writer.close()
 
 
-async def sent(streams: Streams) -> bytes:
-    """Sends one byte; returns what comes back within the wait."""
+async def send_byte(streams: Streams) -> bytes:
+    """Sends one byte; returns the reply within `WAIT_S`, else b"nothing"."""
     reader, writer = streams
     writer.write(b"x")
     try:
@@ -37,14 +37,14 @@
         return b"nothing"
 
 
-def play(use: Use) -> None:
+def run_with_proxy(use: ProxyTest) -> None:
     async def main() -> None:
         server = await asyncio.start_server(echo, HOST, 0)
         target = server.sockets[0].getsockname()[1]
-        free = await asyncio.start_server(echo, HOST, 0)
-        port = free.sockets[0].getsockname()[1]
-        free.close()
-        await free.wait_closed()
+        placeholder = await asyncio.start_server(echo, HOST, 0)
+        port = placeholder.sockets[0].getsockname()[1]
+        placeholder.close()
+        await placeholder.wait_closed()
         async with fault_proxy.FaultProxy(HOST, port, HOST, target) as proxy:
             await use(proxy, port)
         server.close()
@@ -63,53 +63,53 @@
 def test_cut_holds_bytes_back_until_it_heals(fault: fault_proxy.Fault) -> None:
     async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
         streams = await asyncio.open_connection(HOST, port)
-        assert await sent(streams) == b"x"
+        assert await send_byte(streams) == b"x"
         proxy.set_fault(fault)
-        assert await sent(streams) == b"nothing"
+        assert await send_byte(streams) == b"nothing"
         proxy.set_fault(fault_proxy.Fault.NONE)
         assert await streams[0].read(100) == b"x"
         streams[1].close()
 
-    play(use)
+    run_with_proxy(use)
 
 
 def test_silenced_connection_stays_silent_while_new_ones_work() -> None:
     async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
         old = await asyncio.open_connection(HOST, port)
-        assert await sent(old) == b"x"
+        assert await send_byte(old) == b"x"
         proxy.set_fault(fault_proxy.Fault.SILENCE)
         proxy.set_fault(fault_proxy.Fault.NONE)
-        assert await sent(old) == b"nothing"
+        assert await send_byte(old) == b"nothing"
         new = await asyncio.open_connection(HOST, port)
-        assert await sent(new) == b"x"
+        assert await send_byte(new) == b"x"
         old[1].close()
         new[1].close()
 
-    play(use)
+    run_with_proxy(use)
 
 
 def test_reset_ends_open_connections() -> None:
     async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
         streams = await asyncio.open_connection(HOST, port)
-        assert await sent(streams) == b"x"
+        assert await send_byte(streams) == b"x"
         proxy.set_fault(fault_proxy.Fault.RESET)
         with pytest.raises(ConnectionResetError):
             await streams[0].read(100)
 
-    play(use)
+    run_with_proxy(use)
 
 
-def test_narrow_way_carries_no_more_than_its_rate() -> None:
+def test_narrow_fault_limits_the_rate() -> None:
     async def use(proxy: fault_proxy.FaultProxy, port: int) -> None:
         reader, writer = await asyncio.open_connection(HOST, port)
         proxy.narrow(bytes_per_s=1_000.0)
         start_s = asyncio.get_running_loop().time()
         writer.write(bytes(100))
         assert await reader.readexactly(100) == bytes(100)
-        # 0.1 s each way.
+        # 100 bytes at 1,000 bytes/s take 0.1 s in each direction.
         assert asyncio.get_running_loop().time() - start_s >= 0.2
         proxy.set_fault(fault_proxy.Fault.NONE)
-        assert await sent((reader, writer)) == b"x"
+        assert await send_byte((reader, writer)) == b"x"
         writer.close()
 
-    play(use)
+    run_with_proxy(use)
