Reword comments and names of the protocol models

Docstrings and descriptions of seeded bugs now use terms of model checking, such as transition, trace and violation. Names of actions and properties, which are strings, stay.

The models themselves (make model) were not run.

--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Models of the core protocols and the checker that runs them."""
+"""Formal models of the core protocols and a model checker."""
--- a/models/__main__.py
+++ b/models/__main__.py
@@ -1,4 +1,7 @@
-"""Checks all models; exits 1 if any property or seeded bug disappoints."""
+"""Checks all models.
+
+Exits with 1 if a property is violated or a seeded bug goes undetected.
+"""
 
 from __future__ import annotations
 
@@ -13,7 +16,7 @@
 
 
 def main() -> int:
-    """Runs every specification and prints the results."""
+    """Checks all specifications; returns the exit code."""
     try:
         report.run(grants.SPECIFICATION)
         report.run(replica_restart.SPECIFICATION)
--- a/models/grants.py
+++ b/models/grants.py
@@ -1,9 +1,9 @@
-"""Model of grants: one reserved grant, carried by two entries.
+"""Model of grants: one reserved grant, used through two entries.
 
 A caller sends the same non-idempotent request through entry A and again
-through entry B, both naming one grant. Messages may be lost, duplicated and
-delayed without bound; the agent may restart, leave, or see the grant expire;
-an entry may cancel. Delayed delivery also covers an entry that was paused.
+through entry B, both with the same grant. Messages may be lost, duplicated and
+delayed without bound; the agent may restart or leave, the grant may expire,
+and an entry may cancel it. Delayed delivery also covers a paused entry.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class Status(enum.Enum):
-    """What the agent knows of the grant."""
+    """Status of the grant at the agent."""
 
     OUT = "out"
     VOID = "void"
@@ -33,8 +33,8 @@
     LOST = "lost"
 
 
-class Told(enum.Enum):
-    """What the caller was told."""
+class Answer(enum.Enum):
+    """Final answer that the caller received."""
 
     NOTHING = "nothing"
     NOT_RUN = "not_run"
@@ -44,17 +44,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class State:
-    """State of agent, network and caller.
+    """Combined state of agent, network and caller.
 
     Attributes:
-      status: the grant at the agent.
-      open: whether the agent takes work.
-      restarted: whether the agent lost its memory once.
-      sent: entries whose run message is in the network.
-      cancel_sent: whether a cancel is in the network.
-      runs: how often the request was started.
-      runs_at_close: runs when the agent closed, None while it is open.
-      told: the last final answer.
+      status: status of the grant at the agent.
+      open: whether the agent accepts work.
+      restarted: whether the agent restarted and lost its state.
+      sent: entries whose run message is in transit.
+      cancel_sent: whether a cancel message is in transit.
+      runs: number of times the request was started.
+      runs_at_close: `runs` when the agent closed, None while it is open.
+      answer: last final answer to the caller.
     """
 
     status: Status = Status.OUT
@@ -64,14 +64,14 @@
     cancel_sent: bool = False
     runs: int = 0
     runs_at_close: int | None = None
-    told: Told = Told.NOTHING
+    answer: Answer = Answer.NOTHING
 
 
 @dataclasses.dataclass(frozen=True)
 class Rules:
     """Switches that seed one bug each when turned off."""
 
-    spends: bool = True
+    consumes_once: bool = True
     restart_is_unknown: bool = True
     cancel_voids: bool = True
     expiry_voids: bool = True
@@ -80,33 +80,33 @@
 
 
 def _deliver(state: State, rules: Rules) -> State:
-    """Delivers a run message; it stays in the network as a duplicate."""
+    """Delivers a run message, which stays in transit as a duplicate."""
     runs = state.runs
     if state.status is Status.LOST:
-        told = Told.UNKNOWN if rules.restart_is_unknown else Told.NOT_RUN
-        return dataclasses.replace(state, told=told)
+        answer = Answer.UNKNOWN if rules.restart_is_unknown else Answer.NOT_RUN
+        return dataclasses.replace(state, answer=answer)
     if state.status is Status.VOID:
-        return dataclasses.replace(state, told=Told.NOT_RUN)
+        return dataclasses.replace(state, answer=Answer.NOT_RUN)
     if state.status is Status.OUT:
-        status = Status.RUNNING if rules.spends else Status.OUT
+        status = Status.RUNNING if rules.consumes_once else Status.OUT
         return dataclasses.replace(state, status=status, runs=runs + 1)
-    return dataclasses.replace(state, told=Told.RAN)
+    return dataclasses.replace(state, answer=Answer.RAN)
 
 
 def _cancel(state: State, rules: Rules) -> State:
-    """Delivers a cancel and its answer."""
+    """Delivers a cancel message and its response."""
     if state.status is Status.OUT:
         status = Status.VOID if rules.cancel_voids else Status.OUT
-        return dataclasses.replace(state, status=status, told=Told.NOT_RUN)
+        return dataclasses.replace(state, status=status, answer=Answer.NOT_RUN)
     if state.status is Status.VOID:
-        return dataclasses.replace(state, told=Told.NOT_RUN)
-    told = Told.UNKNOWN if state.status is Status.LOST else Told.RAN
-    return dataclasses.replace(state, told=told)
+        return dataclasses.replace(state, answer=Answer.NOT_RUN)
+    answer = Answer.UNKNOWN if state.status is Status.LOST else Answer.RAN
+    return dataclasses.replace(state, answer=answer)
 
 
 def _expire(state: State, rules: Rules) -> State:
     status = Status.VOID if rules.expiry_voids else state.status
-    return dataclasses.replace(state, status=status, told=Told.NOT_RUN)
+    return dataclasses.replace(state, status=status, answer=Answer.NOT_RUN)
 
 
 def _close(state: State, rules: Rules) -> State:
@@ -119,9 +119,11 @@
 
 
 def _refuse_at_entry(state: State, rules: Rules) -> State:
-    """An entry refuses a resend, for a limit or a lost link."""
-    told = Told.UNKNOWN if rules.entry_refusal_is_unknown else Told.NOT_RUN
-    return dataclasses.replace(state, told=told)
+    """Rejects a resend at the entry, due to a limit or a lost link."""
+    answer = (
+        Answer.UNKNOWN if rules.entry_refusal_is_unknown else Answer.NOT_RUN
+    )
+    return dataclasses.replace(state, answer=answer)
 
 
 def _restart(state: State) -> State:
@@ -172,7 +174,7 @@
             ),
             when(
                 "expire",
-                lambda s: s.status is Status.OUT and s.told is Told.NOTHING,
+                lambda s: s.status is Status.OUT and s.answer is Answer.NOTHING,
                 lambda s: _expire(s, rules),
             ),
             when(
@@ -191,7 +193,7 @@
         invariants={
             "at_most_once": lambda s: s.runs <= 1,
             "not_run_is_true": (
-                lambda s: s.told is not Told.NOT_RUN or s.runs == 0
+                lambda s: s.answer is not Answer.NOT_RUN or s.runs == 0
             ),
             "closed_starts_nothing": (
                 lambda s: s.runs_at_close in (None, s.runs)
@@ -200,8 +202,8 @@
     )
 
 
-class _Real:
-    """The shipped ledger, driven along a trace."""
+class _LedgerReplay:
+    """Replays a trace on a real grant ledger."""
 
     def __init__(self) -> None:
         self.time = clock.ManualClock()
@@ -220,25 +222,25 @@
         return ledger
 
     def step(self, action: str) -> None:
-        """Does one action of the model with the real ledger."""
+        """Executes one action of the model on the real ledger."""
         state = self.model_state
         if action.startswith("send_"):
             sent = state.sent | {action[-1]}
             self.model_state = dataclasses.replace(state, sent=sent)
         elif action == "refuse_at_entry":
-            self._tell(Told.UNKNOWN)
+            self._set_answer(Answer.UNKNOWN)
         elif action == "cancel_sent":
             self.model_state = dataclasses.replace(state, cancel_sent=True)
         elif action == "deliver":
             self._deliver()
         elif action == "cancel":
-            told = self.ledger.cancel(
+            answer = self.ledger.cancel(
                 self.first, self.number, self.time.now_ms()
             )
-            self._tell(_TOLD[told])
+            self._set_answer(_ANSWER_BY_STATE[answer])
         elif action == "expire":
             self.time.advance(_TTL_MS + 1)
-            self._tell(Told.NOT_RUN)
+            self._set_answer(Answer.NOT_RUN)
         elif action == "finish":
             self.ledger.finish(
                 self.number, grants.RunState.SUCCEEDED, self.time.now_ms()
@@ -264,28 +266,28 @@
             runs = self.model_state.runs + 1
             self.model_state = dataclasses.replace(self.model_state, runs=runs)
         else:
-            self._tell(_TOLD_BY_RAN[refusal.ran])
+            self._set_answer(_ANSWER_BY_RAN[refusal.ran])
 
-    def _tell(self, told: Told) -> None:
-        self.model_state = dataclasses.replace(self.model_state, told=told)
+    def _set_answer(self, answer: Answer) -> None:
+        self.model_state = dataclasses.replace(self.model_state, answer=answer)
 
     def project(self) -> State:
-        """Returns the model state that the real ledger is in."""
+        """Returns the model state that corresponds to the real ledger."""
         state = self.ledger.state(self.first, self.number, self.time.now_ms())
         return dataclasses.replace(self.model_state, status=_STATUS[state])
 
 
-_TOLD = {
-    grants.RunState.VOID: Told.NOT_RUN,
-    grants.RunState.RUNNING: Told.RAN,
-    grants.RunState.SUCCEEDED: Told.RAN,
-    grants.RunState.FAILED: Told.RAN,
-    grants.RunState.UNKNOWN: Told.UNKNOWN,
+_ANSWER_BY_STATE = {
+    grants.RunState.VOID: Answer.NOT_RUN,
+    grants.RunState.RUNNING: Answer.RAN,
+    grants.RunState.SUCCEEDED: Answer.RAN,
+    grants.RunState.FAILED: Answer.RAN,
+    grants.RunState.UNKNOWN: Answer.UNKNOWN,
 }
-_TOLD_BY_RAN = {
-    errors.Ran.NO: Told.NOT_RUN,
-    errors.Ran.YES: Told.RAN,
-    errors.Ran.UNKNOWN: Told.UNKNOWN,
+_ANSWER_BY_RAN = {
+    errors.Ran.NO: Answer.NOT_RUN,
+    errors.Ran.YES: Answer.RAN,
+    errors.Ran.UNKNOWN: Answer.UNKNOWN,
 }
 _STATUS = {
     grants.RunState.NOT_STARTED: Status.OUT,
@@ -298,7 +300,7 @@
 
 
 def _replay() -> int:
-    return report.replay(build(Rules()), State(), _Real)
+    return report.replay(build(Rules()), State(), _LedgerReplay)
 
 
 SPECIFICATION = report.Specification(
@@ -306,32 +308,32 @@
     build(Rules()),
     [
         report.SeededBug(
-            "a taken grant stays out",
-            build(Rules(spends=False)),
+            "a consumed grant can be consumed again",
+            build(Rules(consumes_once=False)),
             "at_most_once",
         ),
         report.SeededBug(
-            "a restart is answered with not run",
+            "a restarted agent reports not run",
             build(Rules(restart_is_unknown=False)),
             "not_run_is_true",
         ),
         report.SeededBug(
-            "an entry that refuses a resend says not run",
+            "an entry that rejects a resend reports not run",
             build(Rules(entry_refusal_is_unknown=False)),
             "not_run_is_true",
         ),
         report.SeededBug(
-            "a cancel does not void",
+            "a cancel does not void the grant",
             build(Rules(cancel_voids=False)),
             "not_run_is_true",
         ),
         report.SeededBug(
-            "an expired grant can be taken",
+            "an expired grant can be consumed",
             build(Rules(expiry_voids=False)),
             "not_run_is_true",
         ),
         report.SeededBug(
-            "a leaving agent takes grants that are out",
+            "a leaving agent accepts outstanding grants",
             build(Rules(close_voids=False)),
             "closed_starts_nothing",
         ),
--- a/models/replica_restart.py
+++ b/models/replica_restart.py
@@ -1,8 +1,8 @@
-"""Model of a replica that starts again under its id, and of one entry.
+"""Model of a replica that restarts under the same id, and of one entry.
 
-The replica loads weights, starts again and holds none, and writes what it holds
-into the list. What it ever reported may reach the entry at any later time, in
-any order. The entry believes weights of the newest start that it heard of.
+The replica loads weights, loses them on a restart, and writes its state to the
+replica list. Its reports may reach the entry at any later time and in any
+order. The entry only relies on weights of the newest start that it knows of.
 """
 
 from __future__ import annotations
@@ -24,12 +24,12 @@
 
 
 @dataclasses.dataclass(frozen=True, order=True)
-class Word:
-    """What a replica said at some time.
+class ReplicaReport:
+    """State that a replica reported at some time.
 
     Attributes:
-      born: number of its start.
-      weights: version that it held, 0 for none.
+      born: number of the start.
+      weights: loaded version, 0 for none.
     """
 
     born: int = 1
@@ -38,25 +38,26 @@
 
 @dataclasses.dataclass(frozen=True)
 class State:
-    """State of replica, list and entry.
+    """Combined state of replica, replica list and entry.
 
     Attributes:
-      now: what the replica would say now.
-      said: all that it ever said.
-      listed: its entry in the list.
-      read: the entry as the system read it last.
-      told: the report that counts, None if there is none or it is too old.
-      known: newest start that the entry heard of.
-      believed: weights that the entry believes to be loaded.
+      current: current state of the replica.
+      all_reports: all states that it ever reported.
+      listed: its record in the list.
+      read: the record as last read by the entry.
+      latest_report: report in use at the entry, None if there is none or it is
+        too old.
+      known: newest start known to the entry.
+      assumed_weights: weights that the entry assumes to be loaded.
     """
 
-    now: Word = Word()
-    said: frozenset[Word] = frozenset([Word()])
-    listed: Word = Word()
-    read: Word = Word()
-    told: Word | None = None
+    current: ReplicaReport = ReplicaReport()
+    all_reports: frozenset[ReplicaReport] = frozenset([ReplicaReport()])
+    listed: ReplicaReport = ReplicaReport()
+    read: ReplicaReport = ReplicaReport()
+    latest_report: ReplicaReport | None = None
     known: int = 1
-    believed: int = 0
+    assumed_weights: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,80 +68,100 @@
     forgets_earlier_start: bool = True
 
 
-def _believe(state: State, rules: Rules) -> State:
-    """Returns the state with what follows from what was read and told."""
-    told = state.told
-    if told is not None and told.born < state.known:
-        told = None
-    believed = state.read.weights
+def _derive_weights(state: State, rules: Rules) -> State:
+    """Returns the state with an updated report and assumed weights."""
+    latest_report = state.latest_report
+    if latest_report is not None and latest_report.born < state.known:
+        latest_report = None
+    assumed_weights = state.read.weights
     if rules.forgets_earlier_start and state.read.born < state.known:
-        believed = 0
-    if told is not None:
-        believed = told.weights
-    return dataclasses.replace(state, told=told, believed=believed)
+        assumed_weights = 0
+    if latest_report is not None:
+        assumed_weights = latest_report.weights
+    return dataclasses.replace(
+        state, latest_report=latest_report, assumed_weights=assumed_weights
+    )
 
 
-def _hear(state: State, word: Word, rules: Rules) -> State:
-    if rules.compares_starts and word.born < state.known:
+def _receive_report(
+    state: State, reported: ReplicaReport, rules: Rules
+) -> State:
+    if rules.compares_starts and reported.born < state.known:
         return state
-    heard = dataclasses.replace(state, told=word, known=word.born)
-    return _believe(heard, rules)
+    updated = dataclasses.replace(
+        state, latest_report=reported, known=reported.born
+    )
+    return _derive_weights(updated, rules)
 
 
-def _read(state: State, rules: Rules) -> State:
+def _read_list(state: State, rules: Rules) -> State:
     known = max(state.known, state.listed.born)
     read = dataclasses.replace(state, read=state.listed, known=known)
-    return _believe(read, rules)
+    return _derive_weights(read, rules)
 
 
-def _say(state: State, word: Word) -> State:
-    return dataclasses.replace(state, now=word, said=state.said | {word})
+def _report_state(state: State, reported: ReplicaReport) -> State:
+    return dataclasses.replace(
+        state, current=reported, all_reports=state.all_reports | {reported}
+    )
 
 
-def _hears(word: Word, rules: Rules) -> state_space.Action[State]:
+def _receive_action(
+    reported: ReplicaReport, rules: Rules
+) -> state_space.Action[State]:
     return state_space.Action(
-        f"hear_{word.born}_{word.weights}",
-        lambda s: word in s.said,
-        lambda s: _hear(s, word, rules),
+        f"hear_{reported.born}_{reported.weights}",
+        lambda s: reported in s.all_reports,
+        lambda s: _receive_report(s, reported, rules),
     )
 
 
 def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
-    words = [Word(b, w) for b in range(1, _STARTS + 1) for w in (0, 1)]
+    reports = [
+        ReplicaReport(b, w) for b in range(1, _STARTS + 1) for w in (0, 1)
+    ]
     return state_space.Model(
         init=State(),
         actions=[
-            *[_hears(word, rules) for word in words],
+            *[_receive_action(reported, rules) for reported in reports],
             state_space.Action(
                 "report_ages",
-                lambda s: s.told is not None,
-                lambda s: _believe(dataclasses.replace(s, told=None), rules),
+                lambda s: s.latest_report is not None,
+                lambda s: _derive_weights(
+                    dataclasses.replace(s, latest_report=None), rules
+                ),
             ),
             state_space.Action(
                 "load",
-                lambda s: s.now.weights == 0,
-                lambda s: _say(s, Word(s.now.born, 1)),
+                lambda s: s.current.weights == 0,
+                lambda s: _report_state(s, ReplicaReport(s.current.born, 1)),
             ),
             state_space.Action(
                 "start_again",
-                lambda s: s.now.born < _STARTS,
-                lambda s: _say(s, Word(s.now.born + 1, 0)),
+                lambda s: s.current.born < _STARTS,
+                lambda s: _report_state(
+                    s, ReplicaReport(s.current.born + 1, 0)
+                ),
             ),
             state_space.Action(
                 "write_entry",
-                lambda s: s.listed != s.now,
-                lambda s: dataclasses.replace(s, listed=s.now),
+                lambda s: s.listed != s.current,
+                lambda s: dataclasses.replace(s, listed=s.current),
             ),
             state_space.Action(
                 "read_list",
                 lambda s: s.read != s.listed,
-                lambda s: _read(s, rules),
+                lambda s: _read_list(s, rules),
             ),
         ],
         invariants={
             "believed_weights_were_held_by_the_known_start": (
-                lambda s: s.believed == 0 or Word(s.known, s.believed) in s.said
+                lambda s: (
+                    s.assumed_weights == 0
+                    or ReplicaReport(s.known, s.assumed_weights)
+                    in s.all_reports
+                )
             ),
         },
         edge_invariants={
@@ -151,8 +172,8 @@
     )
 
 
-class _Real:
-    """The shipped catalog and table, driven along a trace."""
+class _TableReplay:
+    """Replays a trace on a real catalog and replica table."""
 
     def __init__(self) -> None:
         self.state = State()
@@ -160,14 +181,14 @@
         self._table = replica_table.ReplicaTable()
         self._revision = 0
         self._time = clock.ManualClock(0.0)
-        self._list(Word())
+        self._list(ReplicaReport())
 
     def step(self, action: str) -> None:
-        """Does one action of the model with the real objects."""
+        """Executes one action of the model on the real objects."""
         if action.startswith("hear_"):
             _, born, weights = action.split("_")
-            word = Word(int(born), int(weights))
-            self._table.handle_report(_report(word), self._time.now_ms())
+            reported = ReplicaReport(int(born), int(weights))
+            self._table.handle_report(_report(reported), self._time.now_ms())
         elif action == "report_ages":
             self._time.advance(replica_view.REPORT_FRESH_MS)
         elif action == "read_list":
@@ -177,19 +198,23 @@
             self.state = environment[action].apply(self.state)
 
     def project(self) -> State:
-        """Returns the model state that the real objects are in."""
+        """Returns the model state that corresponds to the real objects."""
         view = self._view
         now_ms = self._time.now_ms()
         fresh = now_ms - view.reported_ms < replica_view.REPORT_FRESH_MS
-        told = view.report if fresh else None
+        latest_report = view.report if fresh else None
         return dataclasses.replace(
             self.state,
-            read=Word(view.replica.born_ms or 0, view.replica.weights or 0),
-            told=None
-            if told is None
-            else Word(told.born_ms or 0, told.weights),
+            read=ReplicaReport(
+                view.replica.born_ms or 0, view.replica.weights or 0
+            ),
+            latest_report=None
+            if latest_report is None
+            else ReplicaReport(
+                latest_report.born_ms or 0, latest_report.weights
+            ),
             known=view.born_ms or 0,
-            believed=view.weights(now_ms),
+            assumed_weights=view.weights(now_ms),
         )
 
     @property
@@ -198,14 +223,14 @@
         assert view is not None
         return view
 
-    def _list(self, word: Word) -> None:
+    def _list(self, reported: ReplicaReport) -> None:
         self._revision += 1
-        change = catalog.ReplicaChange(self._revision, _ID, _replica(word))
+        change = catalog.ReplicaChange(self._revision, _ID, _replica(reported))
         self._catalog.apply([change], self._time.now_ms())
         self._table.sync(self._catalog, self._time.now_ms())
 
 
-def _replica(word: Word) -> fleet.Replica:
+def _replica(reported: ReplicaReport) -> fleet.Replica:
     return fleet.Replica(
         replica_id=_ID,
         service_id=ids.ServiceId("s"),
@@ -213,25 +238,25 @@
         data_centre=ids.DataCentreId("dc-1"),
         slots=1,
         state=fleet.ReplicaState.HEALTHY,
-        weights=word.weights,
-        born_ms=word.born,
+        weights=reported.weights,
+        born_ms=reported.born,
     )
 
 
-def _report(word: Word) -> replica_view.LoadReport:
+def _report(reported: ReplicaReport) -> replica_view.LoadReport:
     return replica_view.LoadReport(
         address=_ADDRESS,
-        weights=word.weights,
+        weights=reported.weights,
         running=0,
         waiting=0,
         pace=1.0,
         opens=True,
-        born_ms=word.born,
+        born_ms=reported.born,
     )
 
 
 def _replay() -> int:
-    return report.replay(build(Rules()), State(), _Real)
+    return report.replay(build(Rules()), State(), _TableReplay)
 
 
 SPECIFICATION = report.Specification(
@@ -239,12 +264,12 @@
     build(Rules()),
     [
         report.SeededBug(
-            "a late word of an earlier start is taken",
+            "a delayed report of an earlier start is accepted",
             build(Rules(compares_starts=False)),
             "an_earlier_start_never_comes_back",
         ),
         report.SeededBug(
-            "weights of an earlier start are still believed",
+            "weights of an earlier start are still assumed loaded",
             build(Rules(forgets_earlier_start=False)),
             "believed_weights_were_held_by_the_known_start",
         ),
--- a/models/report.py
+++ b/models/report.py
@@ -1,4 +1,4 @@
-"""Runs a model, its seeded bugs and the replay, and prints the outcome."""
+"""Checks a model, its seeded bugs and its replay, and prints the results."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class SeededBug(msgspec.Struct, Generic[S], frozen=True):
-    """A model with one fault, and the property that must catch it."""
+    """A model with one bug, and the property that must detect it."""
 
     name: str
     model: state_space.Model[S]
@@ -33,9 +33,9 @@
     Attributes:
       name: the protocol.
       model: the correct model.
-      bugs: the same model with one fault each.
-      replay: drives the core objects along the model's traces and returns how
-        many traces agreed; raises AssertionError where one does not.
+      bugs: variants of the model with one bug each.
+      replay: replays the model's traces on the core objects and returns the
+        number of traces; raises AssertionError on a difference.
     """
 
     name: str
@@ -45,26 +45,26 @@
 
 
 class Real(Protocol[StateT]):
-    """Core objects that a trace of a model is replayed against."""
+    """Adapter that replays a model's trace on the core objects."""
 
     def step(self, action: str) -> None:
-        """Does one action of the model."""
+        """Executes one action of the model."""
         ...
 
     def project(self) -> StateT:
-        """Returns the model state that the objects are in."""
+        """Returns the model state that corresponds to the objects."""
         ...
 
 
 class ModelFailedError(Exception):
-    """A property is broken, or a seeded bug was not caught."""
+    """A property is violated, or a seeded bug was not detected."""
 
 
 def run(specification: Specification[S]) -> None:
-    """Checks one specification and prints a line per result.
+    """Checks one specification and prints one line per result.
 
     Raises:
-      ModelFailedError: if anything is not as it must be.
+      ModelFailedError: if a property is violated or a bug not detected.
     """
     started = time.perf_counter()
     result = state_space.check(specification.model, STATES_MAX)
@@ -100,13 +100,13 @@
 def replay(
     model: state_space.Model[S], initial: S, make: Callable[[], Real[S]]
 ) -> int:
-    """Replays traces that cover every edge of a model on fresh core objects.
+    """Replays traces covering every edge of a model on new core objects.
 
     Returns:
       The number of traces.
 
     Raises:
-      AssertionError: if the objects reach another state than the model.
+      AssertionError: if the objects and the model reach different states.
     """
     count = 0
     for trace in state_space.traces(model, STATES_MAX):
@@ -126,5 +126,5 @@
             actions = [taken.action for taken in trace[: number + 1]]
             raise AssertionError(
                 f"the code differs from the model after {actions}: "
-                f"{reached}, not {step.state}"
+                f"got {reached}, expected {step.state}"
             )
--- a/models/settings.py
+++ b/models/settings.py
@@ -1,10 +1,10 @@
-"""Model of settings: one entry, one agent, a service that may be stale.
+"""Model of settings: one entry, one agent and a service with stale reads.
 
-Revisions rise at the service. Readers may be shown any revision up to the
+Revisions increase at the service. Readers may see any revision up to the
 newest, as from a stale replica. Entry and agent exchange heartbeats with
-their revisions, and documents with values. The entry may be replaced by one
-with an empty memory; the link between them may be cut and mended. Work is
-started by the entry at the agent.
+their revisions, and documents with values. The entry may be replaced by a
+new process without state; the link between them may be cut and restored. The
+entry starts work at the agent.
 """
 
 from __future__ import annotations
@@ -29,16 +29,17 @@
       published: newest revision at the service.
       entry: revision in force at the entry, -1 for none.
       agent: revision in force at the agent, -1 for none.
-      heard: the agent's revision as the entry last heard, None before.
-      linked: whether messages pass between them.
+      agent_heartbeat: agent's revision in the last heartbeat received on
+        this link, None if there was none.
+      linked: whether the link between them is up.
       restarted: whether the entry was replaced.
-      started: entry and agent revision when work was last started.
+      started: revisions of entry and agent when work was last started.
     """
 
     published: int = 1
     entry: int = _NONE
     agent: int = _NONE
-    heard: int | None = None
+    agent_heartbeat: int | None = None
     linked: bool = True
     restarted: bool = False
     started: tuple[int, int] | None = None
@@ -48,24 +49,24 @@
 class Rules:
     """Switches that seed one bug each when turned off."""
 
-    compares: bool = True
-    hears_first: bool = True
+    compares_revisions: bool = True
+    waits_for_heartbeat: bool = True
     waits_when_behind: bool = True
 
 
 def _adopt(current: int, offered: int, rules: Rules) -> int:
-    return max(current, offered) if rules.compares else offered
+    return max(current, offered) if rules.compares_revisions else offered
 
 
 def _may_start(state: State, rules: Rules) -> bool:
     if not state.linked or state.entry == _NONE or state.agent == _NONE:
         return False
-    if state.heard is None:
-        return not rules.hears_first
-    return state.heard <= state.entry or not rules.waits_when_behind
+    if state.agent_heartbeat is None:
+        return not rules.waits_for_heartbeat
+    return state.agent_heartbeat <= state.entry or not rules.waits_when_behind
 
 
-def _reads(
+def _read_action(
     process: str, revision: int, rules: Rules
 ) -> state_space.Action[State]:
     def apply(state: State) -> State:
@@ -85,7 +86,7 @@
 def build(rules: Rules) -> state_space.Model[State]:
     """Returns the model under `rules`."""
     reads = [
-        _reads(process, revision, rules)
+        _read_action(process, revision, rules)
         for process in ("entry", "agent")
         for revision in range(1, _NEWEST + 1)
     ]
@@ -101,7 +102,7 @@
             state_space.Action(
                 "heartbeat",
                 lambda s: s.linked and s.agent != _NONE,
-                lambda s: dataclasses.replace(s, heard=s.agent),
+                lambda s: dataclasses.replace(s, agent_heartbeat=s.agent),
             ),
             state_space.Action(
                 "offer_to_entry",
@@ -120,7 +121,9 @@
             state_space.Action(
                 "cut",
                 lambda s: s.linked,
-                lambda s: dataclasses.replace(s, linked=False, heard=None),
+                lambda s: dataclasses.replace(
+                    s, linked=False, agent_heartbeat=None
+                ),
             ),
             state_space.Action(
                 "mend",
@@ -131,14 +134,14 @@
                 "replace_entry",
                 lambda s: not s.restarted,
                 lambda s: dataclasses.replace(
-                    s, entry=_NONE, heard=None, restarted=True
+                    s, entry=_NONE, agent_heartbeat=None, restarted=True
                 ),
             ),
             state_space.Action(
                 "start_work",
                 lambda s: _may_start(s, rules),
                 lambda s: dataclasses.replace(
-                    s, started=(s.entry, s.heard or s.agent)
+                    s, started=(s.entry, s.agent_heartbeat or s.agent)
                 ),
             ),
         ],
@@ -160,8 +163,8 @@
     )
 
 
-class _Real:
-    """Two shipped stores, driven along a trace."""
+class _StoreReplay:
+    """Replays a trace on two real settings stores."""
 
     def __init__(self) -> None:
         self.entry = store.SettingsStore([_KEY])
@@ -169,7 +172,7 @@
         self.state = State()
 
     def step(self, action: str) -> None:
-        """Does one action of the model with the real stores."""
+        """Executes one action of the model on the real stores."""
         name, _, number = action.rpartition("_")
         if name == "entry_reads":
             self.entry.offer(_document(int(number)))
@@ -182,35 +185,37 @@
             for found in self.entry.newer_than(self.agent.revisions()):
                 self.agent.offer(found)
         elif action == "start_work":
-            heard = self.state.heard
-            assert heard is not None
-            assert not self.entry.behind([heard])
-            started = (self.entry.revisions()[0], heard)
+            agent_heartbeat = self.state.agent_heartbeat
+            assert agent_heartbeat is not None
+            assert not self.entry.behind([agent_heartbeat])
+            started = (self.entry.revisions()[0], agent_heartbeat)
             self.state = dataclasses.replace(self.state, started=started)
         else:
-            self._environment(action)
+            self._step_environment(action)
 
-    def _environment(self, action: str) -> None:
+    def _step_environment(self, action: str) -> None:
         if action == "publish":
             published = self.state.published + 1
             self.state = dataclasses.replace(self.state, published=published)
         elif action == "heartbeat":
-            heard = self.agent.revisions()[0]
-            self.state = dataclasses.replace(self.state, heard=heard)
+            agent_heartbeat = self.agent.revisions()[0]
+            self.state = dataclasses.replace(
+                self.state, agent_heartbeat=agent_heartbeat
+            )
         elif action == "cut":
             self.state = dataclasses.replace(
-                self.state, linked=False, heard=None
+                self.state, linked=False, agent_heartbeat=None
             )
         elif action == "mend":
             self.state = dataclasses.replace(self.state, linked=True)
         elif action == "replace_entry":
             self.entry = store.SettingsStore([_KEY])
             self.state = dataclasses.replace(
-                self.state, heard=None, restarted=True
+                self.state, agent_heartbeat=None, restarted=True
             )
 
     def project(self) -> State:
-        """Returns the model state that the real stores are in."""
+        """Returns the model state that corresponds to the real stores."""
         return dataclasses.replace(
             self.state,
             entry=self.entry.revisions()[0],
@@ -223,7 +228,7 @@
 
 
 def _replay() -> int:
-    return report.replay(build(Rules()), State(), _Real)
+    return report.replay(build(Rules()), State(), _StoreReplay)
 
 
 SPECIFICATION = report.Specification(
@@ -232,12 +237,12 @@
     [
         report.SeededBug(
             "a lower revision is adopted",
-            build(Rules(compares=False)),
+            build(Rules(compares_revisions=False)),
             "entry_never_reverts",
         ),
         report.SeededBug(
-            "a replaced entry serves before it hears an agent",
-            build(Rules(hears_first=False)),
+            "a replaced entry serves before it receives a heartbeat",
+            build(Rules(waits_for_heartbeat=False)),
             "work_never_on_older_settings",
         ),
         report.SeededBug(
--- a/models/state_space.py
+++ b/models/state_space.py
@@ -1,8 +1,8 @@
-"""Searches all states that a model can reach, breadth first.
+"""Explicit-state model checker that uses breadth-first search.
 
 A model is a set of guarded actions on hashable states. The search visits each
-reachable state once, checks what must hold in it and over each step to it, and
-so finds a shortest way to a fault.
+reachable state once and checks the invariants of states and of transitions, so
+it finds a shortest counterexample.
 """
 
 from __future__ import annotations
@@ -22,12 +22,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Action(Generic[S]):
-    """A step that a model may take.
+    """A guarded transition of a model.
 
     Attributes:
       name: unique in its model.
-      enabled: whether it may be taken in a state.
-      apply: the state after it; called only where it is enabled.
+      enabled: guard; returns whether the action may be taken in a state.
+      apply: returns the successor state; called only if enabled.
     """
 
     name: str
@@ -37,14 +37,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Model(Generic[S]):
-    """States, steps, and what must hold.
+    """A state machine and its invariants.
 
     Attributes:
-      init: the first state.
-      actions: the steps.
-      invariants: what must hold in each reachable state, by name.
-      edge_invariants: what must hold over each step, by name; called with the
-        state before it, its action's name and the state after it.
+      init: initial state.
+      actions: possible transitions.
+      invariants: predicates that hold in each reachable state, by name.
+      edge_invariants: predicates that hold for each transition, by name;
+        called with the state before it, the action's name and the state
+        after it.
     """
 
     init: S
@@ -57,7 +58,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Step(Generic[S]):
-    """An action taken, and the state that it leads to."""
+    """An action of a trace and the state that it leads to."""
 
     action: str
     state: S
@@ -65,12 +66,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Result(Generic[S]):
-    """Outcome of a search.
+    """Result of a check.
 
     Attributes:
-      states: how many states were visited.
-      broken: name of the first property that does not hold, "" if all do.
-      trace: a shortest way from the first state to where it does not hold.
+      states: number of states visited.
+      broken: name of the first violated property, "" if all hold.
+      trace: shortest path from the initial state to the violation.
     """
 
     states: int
@@ -79,11 +80,11 @@
 
 
 class TooManyStatesError(Exception):
-    """A model has more states than may be searched."""
+    """A model has more reachable states than the limit."""
 
 
 class _Search(Generic[S]):
-    """The states found so far, and how each was first reached."""
+    """Breadth-first search that records how each state was first reached."""
 
     def __init__(self, model: Model[S], states_max: int) -> None:
         self._model = model
@@ -95,7 +96,7 @@
         return len(self._reached_by)
 
     def edges(self) -> Iterator[tuple[S, str, S]]:
-        """Yields each step of each reachable state, nearest states first."""
+        """Yields each transition, in breadth-first order of its source."""
         waiting = collections.deque([self._model.init])
         while waiting:
             before = waiting.popleft()
@@ -109,8 +110,8 @@
                     self._check_size()
                 yield before, action.name, after
 
-    def way_to(self, state: S) -> tuple[Step[S], ...]:
-        """Returns a shortest way from the first state."""
+    def path_to(self, state: S) -> tuple[Step[S], ...]:
+        """Returns a shortest path from the initial state."""
         steps: list[Step[S]] = []
         reached = self._reached_by[state]
         while reached is not None:
@@ -122,46 +123,48 @@
 
     def _check_size(self) -> None:
         if self.states > self._states_max:
-            raise TooManyStatesError(f"over {self._states_max} states")
+            raise TooManyStatesError(
+                f"the model has more than {self._states_max} states"
+            )
 
 
 def check(model: Model[S], states_max: int) -> Result[S]:
-    """Searches all states; stops at the first property that does not hold.
+    """Checks all reachable states, up to the first violation.
 
     Raises:
-      TooManyStatesError: if there are more than `states_max` states.
+      TooManyStatesError: if more than `states_max` states are reachable.
     """
     search = _Search(model, states_max)
-    broken = _broken_in(model, model.init)
+    broken = _violated_in_state(model, model.init)
     if broken:
         return Result(1, broken)
     for before, action, after in search.edges():
-        broken = _broken_over(model, before, action, after)
-        if broken or (broken := _broken_in(model, after)):
-            trace = (*search.way_to(before), Step(action, after))
+        broken = _violated_by_step(model, before, action, after)
+        if broken or (broken := _violated_in_state(model, after)):
+            trace = (*search.path_to(before), Step(action, after))
             return Result(search.states, broken, trace)
     return Result(search.states)
 
 
 def traces(model: Model[S], states_max: int) -> Iterator[tuple[Step[S], ...]]:
-    """Yields, for each step of each reachable state, a shortest way through it.
+    """Yields a shortest trace through each transition.
 
     Raises:
-      TooManyStatesError: if there are more than `states_max` states.
+      TooManyStatesError: if more than `states_max` states are reachable.
     """
     search = _Search(model, states_max)
     for before, action, after in search.edges():
-        yield (*search.way_to(before), Step(action, after))
+        yield (*search.path_to(before), Step(action, after))
 
 
-def _broken_in(model: Model[S], state: S) -> str:
+def _violated_in_state(model: Model[S], state: S) -> str:
     for name, holds in model.invariants.items():
         if not holds(state):
             return name
     return ""
 
 
-def _broken_over(model: Model[S], before: S, action: str, after: S) -> str:
+def _violated_by_step(model: Model[S], before: S, action: str, after: S) -> str:
     for name, holds in model.edge_invariants.items():
         if not holds(before, action, after):
             return name
--- a/models/version_swap.py
+++ b/models/version_swap.py
@@ -1,10 +1,10 @@
 """Model of a version swap at an engine that ignores fencing numbers.
 
-The agent serves version 1 and swaps the engine to version 2. Orders of a
-stranger, or a delayed order of an earlier agent, may change the engine at any
-moment; the engine may hold weights that differ from the manifest. The agent
-may be paused between any two steps. One answer of three parts is in progress;
-each part is stamped with the version that made it.
+The agent serves version 1 and swaps the engine to version 2. Orders of another
+client, or a delayed order of an earlier agent, may change the engine at any
+time; the engine may hold weights that differ from the manifest. The agent may
+be paused between any two steps. One response of three parts is in progress;
+each part is stamped with the version that produced it.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 
 
 class Engine(enum.Enum):
-    """What the engine answers from."""
+    """Weights that the engine serves."""
 
     OLD = "v1"
     NEW = "v2"
@@ -34,17 +34,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class State:
-    """State of engine, agent and one answer.
+    """Combined state of engine, agent and one response.
 
     Attributes:
-      engine: what the engine answers from.
-      seen: what the agent last read, None when it must read again.
-      open: whether the agent takes new runs.
-      swapping: whether the agent is between closing and the order.
+      engine: weights that the engine serves.
+      seen: weights that the agent last observed, None if it must observe
+        the engine again.
+      open: whether the agent accepts new runs.
+      swapping: whether the agent has closed but not yet sent the order.
       running: version that the run was started on, None without a run.
-      delivered: stamps of the parts passed on to the caller.
-      done: whether the answer was declared whole.
-      strangers: orders of others so far.
+      delivered: weights behind the parts delivered to the caller.
+      done: whether the response was declared complete.
+      foreign_orders: number of orders from other clients.
     """
 
     engine: Engine = Engine.OLD
@@ -54,7 +55,7 @@
     running: Engine | None = None
     delivered: tuple[Engine, ...] = ()
     done: bool = False
-    strangers: int = 0
+    foreign_orders: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,11 +79,11 @@
 
 
 def _version(engine: Engine) -> str:
-    """Returns the stamp: damaged weights carry the same one."""
+    """Returns the version stamp; damaged weights carry the intact one's."""
     return Engine.NEW.value if engine is Engine.DAMAGED else engine.value
 
 
-def _part(state: State, rules: Rules) -> State:
+def _deliver_part(state: State, rules: Rules) -> State:
     assert state.running is not None
     if rules.checks_stamp and _version(state.engine) != _version(state.running):
         return dataclasses.replace(state, running=None, seen=None, open=False)
@@ -94,31 +95,31 @@
     )
 
 
-def _stranger(engine: Engine) -> state_space.Action[State]:
+def _foreign_load(engine: Engine) -> state_space.Action[State]:
     return state_space.Action(
         f"stranger_loads_{engine.name}",
-        lambda s: s.strangers < 1 and s.running is None,
+        lambda s: s.foreign_orders < 1 and s.running is None,
         lambda s: dataclasses.replace(
-            s, engine=engine, strangers=s.strangers + 1
+            s, engine=engine, foreign_orders=s.foreign_orders + 1
         ),
     )
 
 
-def _stranger_switches() -> state_space.Action[State]:
-    """A stranger switches versions under a run in progress."""
+def _foreign_switch() -> state_space.Action[State]:
+    """Returns an action of another client: a switch during a run."""
     return state_space.Action(
         "stranger_switches",
-        lambda s: s.strangers < 1 and s.running is not None,
+        lambda s: s.foreign_orders < 1 and s.running is not None,
         lambda s: dataclasses.replace(
             s,
             engine=Engine.NEW if s.engine is Engine.OLD else Engine.OLD,
-            strangers=s.strangers + 1,
+            foreign_orders=s.foreign_orders + 1,
         ),
     )
 
 
 def _may_start(state: State) -> bool:
-    """A run starts on what was just read; a stale reading is not used."""
+    """Returns whether a run may start; a stale observation is not used."""
     fresh = state.seen is state.engine
     return state.open and fresh and not state.running and not state.delivered
 
@@ -139,7 +140,7 @@
             state_space.Action(
                 "part",
                 lambda s: s.running is not None,
-                lambda s: _part(s, rules),
+                lambda s: _deliver_part(s, rules),
             ),
             state_space.Action(
                 "suspend",
@@ -156,10 +157,10 @@
                     s, engine=Engine.NEW, swapping=False, seen=None
                 ),
             ),
-            _stranger(Engine.NEW),
-            _stranger(Engine.DAMAGED),
-            _stranger(Engine.NOTHING),
-            _stranger_switches(),
+            _foreign_load(Engine.NEW),
+            _foreign_load(Engine.DAMAGED),
+            _foreign_load(Engine.NOTHING),
+            _foreign_switch(),
         ],
         invariants={
             "one_version_per_answer": lambda s: len(set(s.delivered)) <= 1,
@@ -187,8 +188,8 @@
 }
 
 
-class _Real:
-    """The shipped guard and assembly, driven along a trace."""
+class _GuardReplay:
+    """Replays a trace on a real engine guard and response assembly."""
 
     def __init__(self) -> None:
         self.time = clock.ManualClock()
@@ -201,12 +202,12 @@
         self.state = State()
 
     def step(self, action: str) -> None:
-        """Does one action of the model with the real objects."""
+        """Executes one action of the model on the real objects."""
         state = self.state
         if action == "observe":
             self._observe()
         elif action == "part":
-            self._part()
+            self._deliver_part()
         else:
             found = next(a for a in build(Rules()).actions if a.name == action)
             self.state = found.apply(state)
@@ -231,14 +232,14 @@
             open=may_open and not self.state.swapping,
         )
 
-    def _part(self) -> None:
+    def _deliver_part(self) -> None:
         state = self.state
         assert state.running is not None
         seq = len(state.delivered)
         stamp = ids.VersionId(_version(state.engine))
         expected = ids.VersionId(_version(state.running))
         if stamp != expected:
-            self._rejects_mixed(seq, stamp, expected)
+            self._assert_entry_rejects(seq, stamp, expected)
             self.guard.invalidate()
             self.state = dataclasses.replace(
                 state, running=None, seen=None, open=False
@@ -248,12 +249,12 @@
         part = assembly.Part(seq, b"x", stamp, last)
         assert self.assembly.add(part) == [part]
         assert self.assembly.complete == last
-        self.state = _part(state, Rules())
+        self.state = _deliver_part(state, Rules())
 
-    def _rejects_mixed(
+    def _assert_entry_rejects(
         self, seq: int, stamp: ids.VersionId, expected: ids.VersionId
     ) -> None:
-        """An entry too refuses the part, should the agent pass it on."""
+        """Asserts that an entry also rejects a part that the agent forwards."""
         if seq == 0:
             return
         assert self.assembly.version == expected
@@ -262,15 +263,15 @@
         except errors.CallError as error:
             assert error.kind is errors.ErrorKind.VERSION_CHANGED
             return
-        raise AssertionError("a mixed part was accepted")
+        raise AssertionError("a part of another version was accepted")
 
     def project(self) -> State:
-        """Returns the model state that the real objects are in."""
+        """Returns the model state that corresponds to the real objects."""
         return self.state
 
 
 def _replay() -> int:
-    return report.replay(build(Rules()), State(), _Real)
+    return report.replay(build(Rules()), State(), _GuardReplay)
 
 
 SPECIFICATION = report.Specification(
@@ -278,7 +279,7 @@
     build(Rules()),
     [
         report.SeededBug(
-            "stamps of parts are not checked",
+            "version stamps of parts are not checked",
             build(Rules(checks_stamp=False)),
             "one_version_per_answer",
         ),
--- a/tests/models/test_state_space.py
+++ b/tests/models/test_state_space.py
@@ -9,7 +9,7 @@
 
 @pytest.fixture
 def counter() -> state_space.Model[int]:
-    """Counts to four by one or two, and falls back from four to zero."""
+    """Returns a counter up to four in steps of one or two, with a reset."""
     return state_space.Model(
         init=0,
         actions=[
@@ -25,7 +25,7 @@
     assert state_space.check(counter, _MAX) == state_space.Result(5)
 
 
-def test_shortest_way_to_a_broken_invariant_is_found() -> None:
+def test_shortest_path_to_a_violation_is_found() -> None:
     model = state_space.Model(
         init=0,
         actions=[
@@ -40,14 +40,14 @@
     assert result.trace[-1].state == 4
 
 
-def test_first_state_is_checked_too() -> None:
+def test_initial_state_is_checked() -> None:
     model = state_space.Model(
         init=0, actions=[], invariants={"positive": lambda s: s > 0}
     )
     assert state_space.check(model, _MAX).broken == "positive"
 
 
-def test_step_that_must_not_be_is_found_between_known_states(
+def test_forbidden_step_between_known_states_is_found(
     counter: state_space.Model[int],
 ) -> None:
     model = state_space.Model(
@@ -80,7 +80,7 @@
     assert len(traces) == len(expected)
 
 
-def test_model_that_is_too_large_is_refused() -> None:
+def test_model_with_too_many_states_is_rejected() -> None:
     model = state_space.Model(
         init=0,
         actions=[state_space.Action("up", lambda s: True, lambda s: s + 1)],
