--- a/soak/__init__.py
+++ b/soak/__init__.py
@@ -1,5 +1,5 @@
-"""Randomized fault soak: real daemons, faults from outside, promises checked.
+"""Randomized soak test: injects faults into real daemons and checks guarantees.
 
-`python -m soak run --seeds 50` plays fifty seeds; a seed gives the same
-faults at the same times on every machine.
+`python -m soak run --seeds 50` runs fifty seeds; a seed determines the faults
+and their times, independent of the machine.
 """
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the soak."""
+"""Command-line interface of the soak test."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from soak import schedule
 
 
-class Beside(NamedTuple):
-    """What comes beside the drawn faults.
+class RunOptions(NamedTuple):
+    """Options of a run in addition to its random faults.
 
     Attributes:
-      culprit: what crashes the replicas that run it.
-      limited: two replicas that name a limit.
-      turning_away: two replicas that turn requests away and ask for a pause.
-      placement: allowed regions, evacuations and cold starts.
+      culprit: requests that crash the replicas executing them.
+      limited: whether two replicas announce a rate limit.
+      turning_away: whether two replicas reject requests and ask for a pause.
+      placement: whether to add allowed regions, evacuations and cold starts.
     """
 
     culprit: run.Culprit
@@ -32,7 +32,7 @@
 
 
 application = cyclopts.App(
-    name="soak", help="Plays seeded faults against real daemons on loopback."
+    name="soak", help="Injects seeded faults into real daemons on loopback."
 )
 
 
@@ -48,29 +48,33 @@
     turning_away: bool = False,
     placement: bool = False,
 ) -> None:
-    """Plays a row of seeds and prints the promises that each broke.
+    """Runs consecutive seeds and prints the guarantees that each violated.
 
     Args:
-      seeds: how many seeds are played.
-      first: the first of them.
-      at_once: how many are played at once.
-      keep: folder for the logs of seeds that broke a promise.
-      culprit: also send a request that crashes the replicas that run it, or
-        requests of which no two are alike, with a part of prompts that does.
-      limited: two replicas also name a limit over all entries together.
-      turning_away: two replicas also turn half of their requests away and ask
-        for a pause.
-      placement: also evacuate data centres and restart engines, which are cold
-        after it, with a route and a customer that are bound to regions.
+      seeds: number of seeds to run.
+      first: first seed.
+      at_once: number of seeds to run in parallel.
+      keep: directory for the logs of seeds that violated a guarantee.
+      culprit: also send a request that crashes the replicas executing it, or
+        distinct requests sharing a prompt part that does.
+      limited: also have two replicas announce a rate limit that applies to
+        all entries together.
+      turning_away: also have two replicas reject half of their requests and
+        ask for a pause.
+      placement: also evacuate data centres and restart engines, which are then
+        cold, with a route and a customer restricted to regions.
     """
-    numbers = list(range(first, first + seeds))
+    seed_numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
-    beside = Beside(culprit, limited, turning_away, placement)
-    playing = _play_all(numbers, at_once, folder, beside)
-    failed = asyncio.run(playing)
-    print(f"{len(numbers) - len(failed)} of {len(numbers)} seeds kept all")
+    options = RunOptions(culprit, limited, turning_away, placement)
+    runs = _run_all(seed_numbers, at_once, folder, options)
+    failed = asyncio.run(runs)
+    print(
+        f"{len(seed_numbers) - len(failed)} of {len(seed_numbers)} seeds"
+        " violated no guarantee"
+    )
     if failed:
-        sys.exit(f"seeds that broke a promise: {failed}")
+        sys.exit(f"seeds that violated a guarantee: {failed}")
 
 
 @application.command
@@ -84,37 +88,40 @@
         )
 
 
-async def _play_all(
-    numbers: list[int], at_once: int, keep: pathlib.Path, beside: Beside
+async def _run_all(
+    seed_numbers: list[int],
+    at_once: int,
+    keep: pathlib.Path,
+    options: RunOptions,
 ) -> list[int]:
     limit = asyncio.Semaphore(at_once)
     failed: list[int] = []
 
     async def one(seed: int) -> None:
         async with limit:
-            if not await _play(seed, keep, beside):
+            if not await _run_seed(seed, keep, options):
                 failed.append(seed)
 
-    await asyncio.gather(*(one(seed) for seed in numbers))
+    await asyncio.gather(*(one(seed) for seed in seed_numbers))
     return sorted(failed)
 
 
-async def _play(seed: int, keep: pathlib.Path, beside: Beside) -> bool:
-    """Plays a seed; returns whether it kept all promises."""
+async def _run_seed(seed: int, keep: pathlib.Path, options: RunOptions) -> bool:
+    """Runs a seed; returns whether no guarantee was violated."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         result = await run.play(
             folder,
             seed,
             schedule.Size(),
-            culprit=beside.culprit,
-            limited=beside.limited,
-            turning_away=beside.turning_away,
-            placement=beside.placement,
+            culprit=options.culprit,
+            limited=options.limited,
+            turning_away=options.turning_away,
+            placement=options.placement,
         )
         if not result.violations:
             print(
-                f"seed {seed}: kept, {len(result.plan.faults)} faults,"
+                f"seed {seed}: passed, {len(result.plan.faults)} faults,"
                 f" {result.served} of {result.calls} calls served"
             )
             return True
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that ask where to connect and keep their connections open."""
+"""Simulated callers that look up entries and keep connections open."""
 
 from __future__ import annotations
 
@@ -13,69 +13,68 @@
 from standins import direct_documents
 
 CALL_WAIT_MS = 6_000.0
-"""How long a caller waits for a stream; plain calls wait a third of it."""
+"""Timeout of a caller for a stream; plain calls use a third of it."""
 
 LOOKUP_TTL_MS = 2_000.0
 CONNECT_TIMEOUT_S = 1.0
 PAUSE_MS = (5.0, 120.0)
-"""Pause of a caller between two calls."""
+"""Range of a caller's pause between two calls."""
 
 FIRST_PART = "5c1e07a2:800"
-"""Part that the prompts of all streams begin with, also of those that crash
-replicas."""
+"""First prompt part of all streams, including those that crash replicas."""
 
 OWN_PART = "e4402b7d:30"
 
 _MS = 1_000.0
-_PART_BYTES = 65_536
+_READ_BYTES = 65_536
 
 
 class Surroundings(Protocol):
-    """What callers ask the run that they belong to."""
+    """Interface of a run that its callers use."""
 
     def now_ms(self) -> float:
-        """Returns the time since the calls began."""
+        """Returns the time since the start of the calls."""
         ...
 
     def key(self, rng: random.Random) -> str:
-        """Returns a key to send a call with."""
+        """Returns an API key for a call."""
         ...
 
     async def entries(self, rng: random.Random) -> list[str]:
-        """Returns the entries that a look-up names, [] if it fails."""
+        """Returns the entries found by a lookup, [] if it fails."""
         ...
 
     def lifetime(self, entry: str) -> int:
-        """Returns the start of an entry's process, counted from 0."""
+        """Returns the number of restarts of an entry's process."""
         ...
 
     def address(self, entry: str) -> tuple[str, int]:
-        """Returns where callers reach an entry."""
+        """Returns the host and port at which callers reach an entry."""
         ...
 
 
-class _Answer:
-    """Takes the parts of one answer from the parser."""
+class _ResponseParser:
+    """Parses the response to one call."""
 
     def __init__(self, call: promises.Call) -> None:
         self._call = call
         self._parser = httptools.HttpResponseParser(self)
         self._body = b""
-        self.keeps = False
+        self.keep_alive = False
         self.ended = False
 
     def feed(self, data: bytes) -> None:
-        """Takes bytes.
+        """Parses received bytes.
 
         Raises:
-          HttpParserError: if they are no answer.
+          HttpParserError: if they are not a valid response.
         """
         self._parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"x-attempt-id":
-            mine = value == self._call.request_id.encode()
-            self._call.foreign = self._call.foreign or not mine
+            is_own = value == self._call.request_id.encode()
+            self._call.foreign = self._call.foreign or not is_own
 
     def on_headers_complete(self) -> None:
         self._call.status = self._parser.get_status_code()
@@ -86,10 +85,10 @@
     def on_message_complete(self) -> None:
         self._call.foreign = self._call.foreign or self.ended
         self.ended = True
-        self.keeps = self._parser.should_keep_alive()
+        self.keep_alive = self._parser.should_keep_alive()
 
     def finish(self) -> None:
-        """Writes what arrived into the call."""
+        """Stores the received response in the call."""
         self._call.whole = self.ended
         self._call.body = self._body
         self._call.events = [
@@ -100,15 +99,15 @@
 
 
 class Caller:
-    """One caller; its calls follow each other on one connection."""
+    """A caller that makes sequential calls on one connection at a time."""
 
     def __init__(self, name: str, seed: int, run: Surroundings) -> None:
-        """Calls nothing before `run`."""
+        """Initializes a caller without a connection."""
         self._name = name
         self._rng = random.Random(f"{seed}:{name}")
         self._run = run
         self._entries: list[str] = []
-        self._asked_ms = float("-inf")
+        self._looked_up_ms = float("-inf")
         self._entry = ""
         self._lifetime = 0
         self._streams: (
@@ -118,13 +117,13 @@
         self.calls: list[promises.Call] = []
 
     async def run(self) -> None:
-        """Calls for ever."""
+        """Makes calls until cancelled."""
         while True:
             await self.call()
             await asyncio.sleep(self._rng.uniform(*PAUSE_MS) / _MS)
 
     async def call(self) -> promises.Call | None:
-        """Makes one call; returns None if no entry takes a connection."""
+        """Makes one call; returns None if no entry accepts a connection."""
         if self._streams is None and not await self._connect():
             await asyncio.sleep(0.1)
             return None
@@ -140,15 +139,15 @@
         )
         self.calls.append(call)
         try:
-            keeps = await self._exchange(call)
+            keep_alive = await self._exchange(call)
         except (OSError, TimeoutError):
-            # The connection was cut: the call shows it by not being whole.
-            keeps = False
+            # The connection was lost, so the call stays incomplete.
+            keep_alive = False
         except httptools.HttpParserError:
             call.foreign = True
-            keeps = False
+            keep_alive = False
         call.ended_ms = self._run.now_ms()
-        if not keeps:
+        if not keep_alive:
             self.close()
         return call
 
@@ -160,9 +159,9 @@
 
     async def _connect(self) -> bool:
         now_ms = self._run.now_ms()
-        if now_ms - self._asked_ms > LOOKUP_TTL_MS or not self._entries:
+        if now_ms - self._looked_up_ms > LOOKUP_TTL_MS or not self._entries:
             self._entries = await self._run.entries(self._rng) or self._entries
-            self._asked_ms = now_ms
+            self._looked_up_ms = now_ms
         if not self._entries:
             return False
         self._entry = self._rng.choice(self._entries)
@@ -174,11 +173,14 @@
         return self._streams is not None
 
     async def _exchange(self, call: promises.Call) -> bool:
-        """Sends a call and reads its answer; returns if the connection stays.
+        """Sends a call and reads the response.
+
+        Returns:
+          Whether the connection can be reused.
 
         Raises:
-          OSError: if the connection is cut.
-          HttpParserError: if bytes arrive that are no answer.
+          OSError: if the connection is lost.
+          HttpParserError: if the received bytes are not a valid response.
         """
         if self._streams is None:
             raise OSError("no connection is open")
@@ -187,17 +189,17 @@
         if call.kind is not promises.CallKind.STREAM:
             wait_ms /= 3.0
         writer.write(_head(call, wait_ms))
-        answer = _Answer(call)
+        answer = _ResponseParser(call)
         try:
             async with asyncio.timeout(wait_ms / _MS + 1.0):
                 while not answer.ended:
-                    data = await reader.read(_PART_BYTES)
+                    data = await reader.read(_READ_BYTES)
                     if not data:
                         return False
                     answer.feed(data)
         finally:
             answer.finish()
-        return answer.keeps
+        return answer.keep_alive
 
 
 def _head(call: promises.Call, wait_ms: float) -> bytes:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -1,4 +1,4 @@
-"""The promises that a run checks, from what callers and replicas saw."""
+"""Checks the system's guarantees against observations of a run."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from standins import direct_documents
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request did not run and never will."""
+"""Statuses that guarantee that the request was not and will not be executed."""
 
 _SUCCESS = 200
 _SECOND_MS = 1_000.0
@@ -20,7 +20,7 @@
 
 
 class CallKind(enum.Enum):
-    """Routes that the callers use."""
+    """Route of a call."""
 
     STREAM = "chat"
     ORDER = "order"
@@ -28,21 +28,21 @@
 
 
 class Call(msgspec.Struct, kw_only=True):
-    """What one caller saw of one request.
+    """A request and its response as observed by the caller.
 
     Attributes:
-      request_id: its id.
-      kind: its route.
-      key: the key that it was sent with.
-      entry: the entry that took it.
-      lifetime: start of that entry's process, counted from 0.
-      sent_ms: when it was sent.
-      ended_ms: when its answer ended, or its caller gave up.
-      status: status of the answer, 0 if no head arrived.
-      whole: whether the answer was complete as HTTP.
-      foreign: whether bytes in it belong to another request.
-      events: numbers of its events, in order.
-      body: its body, for plain requests.
+      request_id: id of the request.
+      kind: route of the request.
+      key: API key of the request.
+      entry: entry that accepted it.
+      lifetime: number of restarts of that entry's process.
+      sent_ms: time at which it was sent.
+      ended_ms: time at which the response ended or the caller gave up.
+      status: status code of the response, 0 if no head arrived.
+      whole: whether the HTTP response was complete.
+      foreign: whether it contains bytes of another response.
+      events: numbers of the received events, in order.
+      body: body of the response.
     """
 
     request_id: str
@@ -60,13 +60,13 @@
 
 
 class Stop(msgspec.Struct, frozen=True, kw_only=True):
-    """How a daemon ended after it was asked to.
+    """Shutdown of a daemon after SIGTERM.
 
     Attributes:
-      process: its name.
-      exit_code: how it ended, None if it had to be killed.
+      process: name of the daemon.
+      exit_code: exit code, None if it had to be killed.
       ran_ms: time from its start to the signal.
-      taken_ms: time from the signal to its end.
+      taken_ms: time from the signal to its exit.
     """
 
     process: str
@@ -76,12 +76,12 @@
 
 
 class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
-    """A time for which a data centre was evacuated.
+    """A period in which a data centre was evacuated.
 
     Attributes:
-      data_centre: the data centre.
-      from_ms: when the store acknowledged the start.
-      until_ms: when the end was written.
+      data_centre: id of the data centre.
+      from_ms: time at which the store acknowledged the start.
+      until_ms: time at which the end was written.
     """
 
     data_centre: str
@@ -90,12 +90,12 @@
 
 
 class ColdStart(msgspec.Struct, frozen=True, kw_only=True):
-    """A start of a replica that is cold.
+    """A period in which a replica was cold after a start.
 
     Attributes:
-      replica_id: the id under which it started.
-      from_ms: when it started.
-      until_ms: when it is no longer cold.
+      replica_id: id that it started under.
+      from_ms: time of the start.
+      until_ms: end of the cold period.
     """
 
     replica_id: str
@@ -104,12 +104,12 @@
 
 
 class NetworkFault(msgspec.Struct, frozen=True, kw_only=True):
-    """A time for which a proxy failed.
+    """A period in which a proxy injected a fault.
 
     Attributes:
-      target: the proxy.
-      from_ms: when it began to fail.
-      until_ms: when it no longer failed.
+      target: name of the proxy.
+      from_ms: start of the fault.
+      until_ms: end of the fault.
     """
 
     target: str
@@ -121,12 +121,12 @@
     """A request that reached a replica.
 
     Attributes:
-      at_ms: when it arrived.
-      request_id: its id.
+      at_ms: time of arrival.
+      request_id: id of the request.
       replica_id: id of the replica.
       data_centre: data centre of the replica.
-      proxy: name of the proxy before the replica.
-      misdirected: whether it was answered with 421.
+      proxy: name of the replica's proxy.
+      misdirected: whether the replica responded with 421.
     """
 
     at_ms: float
@@ -138,17 +138,17 @@
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
-    """What a run with placement constraints left.
+    """Observations of a run with placement constraints.
 
     Attributes:
-      regions: region of each data centre.
-      route_regions: allowed regions of routes.
-      key_regions: allowed regions of the customer of a key.
-      cold_per_s: rate that a cold replica tolerates.
+      regions: region by data centre.
+      route_regions: allowed regions by route.
+      key_regions: allowed regions by API key of the customer.
+      cold_per_s: requests per second that a cold replica can handle.
       arrivals: requests that reached replicas.
-      evacuations: evacuations that ended.
+      evacuations: completed evacuations.
       cold_starts: cold starts of replicas.
-      network_faults: faults of the network.
+      network_faults: injected network faults.
     """
 
     regions: Mapping[str, str]
@@ -162,23 +162,24 @@
 
 
 class Evidence(msgspec.Struct, kw_only=True):
-    """All that a run left.
+    """All observations of a run.
 
     Attributes:
-      calls: what callers saw.
-      runs: how often each request ran, over all replicas.
-      mixed_loads: loads of weights that were not whole.
-      unexpected_exits: daemons that ended by themselves.
-      stops: daemons that were asked to end.
-      revoked: when each key was revoked, in ms.
-      attempts_max: replicas that one request may run on.
-      events: events of a whole stream.
-      last_calls: calls after the last fault, when all should be well.
-      limits_broken: replicas that got more than the limit they named.
-      pauses_broken: replicas that got requests in a pause they asked for.
-      culprit_runs: runs of a request that crashes replicas, from a while after
-        the last fault on.
-      placement: what the check of placement constraints needs, None without.
+      calls: calls made during the faults.
+      runs: number of executions by request id, over all replicas.
+      mixed_loads: number of loads of incomplete weights.
+      unexpected_exits: daemons that exited by themselves.
+      stops: shutdowns of daemons.
+      revoked: time of revocation by API key, in ms.
+      attempts_max: maximum number of replicas that may execute a request.
+      events: number of events of a complete stream.
+      last_calls: calls after recovery from the last fault.
+      limits_broken: replicas that received more than their announced limit.
+      pauses_broken: replicas that received too many requests in a pause.
+      culprit_runs: executions of requests that crash replicas, from some time
+        after the last fault.
+      placement: observations for the check of placement constraints, None if
+        there are none.
     """
 
     calls: list[Call]
@@ -197,11 +198,11 @@
 
 
 class Violation(msgspec.Struct, frozen=True):
-    """A promise that was broken.
+    """A violation of a guarantee.
 
     Attributes:
-      promise: its name.
-      detail: what was seen.
+      promise: name of the guarantee.
+      detail: what was observed.
     """
 
     promise: str
@@ -209,75 +210,87 @@
 
 
 GRACE_MS = 8_000.0
-"""A daemon that was asked to end is killed after this."""
+"""Time after SIGTERM at which a daemon is killed."""
 
 START_MS = 1_000.0
-"""A daemon whose interpreter still starts may end by the signal itself: it has
-taken nothing."""
+"""Startup time of the interpreter.
+
+Until then SIGTERM may terminate a daemon directly: it has accepted no work yet.
+"""
 
 CULPRIT_RUNS_MAX = 3
-"""Times that a request that is known to crash replicas may still run."""
+"""Maximum executions of a request that is known to crash replicas."""
 
 EVACUATE_MS = direct_documents.EVACUATE_MS
 HEARTBEAT_MS = direct_documents.HEARTBEAT_MS
 COLD_OVERSHOOT = direct_documents.COLD_OVERSHOOT
 COLD_BURST = direct_documents.COLD_BURST
-"""Bounds of docs/design/placement-constraints.md, as the settings name them."""
+"""Bounds of docs/design/placement-constraints.md, named as in the settings."""
 
 LAST_SHARE_MIN = 0.95
-"""Part of the last calls that must be served."""
-
-
-def check(seen: Evidence) -> list[Violation]:
-    """Returns the promises that were broken."""
-    found: list[Violation] = []
-    for call in [*seen.calls, *seen.last_calls]:
-        found.extend(_check_call(call, seen))
-    found.extend(_check_keys(seen))
-    found.extend(_check_processes(seen))
-    if seen.mixed_loads:
-        detail = f"{seen.mixed_loads} loads of incomplete weights"
-        found.append(Violation("whole_weights", detail))
-    if seen.culprit_runs > CULPRIT_RUNS_MAX:
-        detail = f"{seen.culprit_runs} runs of a request that crashes replicas"
-        found.append(Violation("crashing_requests", detail))
-    for detail in seen.limits_broken:
-        found.append(Violation("replica_limits", detail))
-    for detail in seen.pauses_broken:
-        found.append(Violation("replica_pauses", detail))
-    if seen.placement is not None:
-        calls = {c.request_id: c for c in [*seen.calls, *seen.last_calls]}
-        found.extend(_check_evacuations(seen.placement, calls))
-        found.extend(_check_regions(seen.placement, calls))
-        found.extend(_check_cold(seen.placement, calls))
-    allowed = [call for call in seen.last_calls if call.key not in seen.revoked]
+"""Minimum fraction of the last calls that must be served."""
+
+
+def check(evidence: Evidence) -> list[Violation]:
+    """Returns the violated guarantees."""
+    violations: list[Violation] = []
+    for call in [*evidence.calls, *evidence.last_calls]:
+        violations.extend(_check_call(call, evidence))
+    violations.extend(_check_keys(evidence))
+    violations.extend(_check_processes(evidence))
+    if evidence.mixed_loads:
+        detail = f"{evidence.mixed_loads} loads of incomplete weights"
+        violations.append(Violation("whole_weights", detail))
+    if evidence.culprit_runs > CULPRIT_RUNS_MAX:
+        detail = (
+            f"{evidence.culprit_runs} runs of a request that crashes replicas"
+        )
+        violations.append(Violation("crashing_requests", detail))
+    for detail in evidence.limits_broken:
+        violations.append(Violation("replica_limits", detail))
+    for detail in evidence.pauses_broken:
+        violations.append(Violation("replica_pauses", detail))
+    if evidence.placement is not None:
+        calls = {
+            c.request_id: c for c in [*evidence.calls, *evidence.last_calls]
+        }
+        violations.extend(_check_evacuations(evidence.placement, calls))
+        violations.extend(_check_regions(evidence.placement, calls))
+        violations.extend(_check_cold(evidence.placement, calls))
+    allowed = [
+        call for call in evidence.last_calls if call.key not in evidence.revoked
+    ]
     served = sum(_is_served(call) for call in allowed)
     if served < LAST_SHARE_MIN * len(allowed):
         detail = f"{served} of {len(allowed)} last calls served"
-        found.append(Violation("recovery", detail))
-    return found
+        violations.append(Violation("recovery", detail))
+    return violations
 
 
 def _is_served(call: Call) -> bool:
     return call.status == _SUCCESS and call.whole
 
 
-def _check_call(call: Call, seen: Evidence) -> Iterable[Violation]:
-    runs = seen.runs.get(call.request_id, 0)
+def _check_call(call: Call, evidence: Evidence) -> Iterable[Violation]:
+    runs = evidence.runs.get(call.request_id, 0)
     name = f"{call.kind.value} {call.request_id} at {call.entry}"
     if call.foreign:
         yield Violation("own_answer", f"{name}: bytes of another request")
     if call.kind is CallKind.ORDER and runs > 1:
-        yield Violation("at_most_once", f"{name}: ran {runs} times")
-    if runs > seen.attempts_max:
-        yield Violation("attempts", f"{name}: ran {runs} times")
-    promised = call.status in NOT_RUN_STATUSES and call.whole
-    if promised and runs and call.kind is CallKind.ORDER:
-        yield Violation("not_run", f"{name}: {call.status}, but it ran")
+        yield Violation("at_most_once", f"{name}: executed {runs} times")
+    if runs > evidence.attempts_max:
+        yield Violation("attempts", f"{name}: executed {runs} times")
+    claims_not_run = call.status in NOT_RUN_STATUSES and call.whole
+    if claims_not_run and runs and call.kind is CallKind.ORDER:
+        yield Violation(
+            "not_run", f"{name}: {call.status}, but it was executed"
+        )
     if call.status == _NOT_FOUND:
-        yield Violation("denied", f"{name}: its route was always there")
+        yield Violation(
+            "denied", f"{name}: 404 for a route that always existed"
+        )
     if _is_served(call):
-        yield from _check_answer(call, name, seen.events)
+        yield from _check_answer(call, name, evidence.events)
 
 
 def _check_answer(call: Call, name: str, events: int) -> Iterable[Violation]:
@@ -288,38 +301,40 @@
         yield Violation("own_answer", f"{name}: body {call.body!r}")
 
 
-def _check_keys(seen: Evidence) -> Iterable[Violation]:
-    """Within one process a revoked key stays revoked, others stay valid."""
+def _check_keys(evidence: Evidence) -> Iterable[Violation]:
+    """Checks that a process rejects only revoked keys, and does so for good."""
     refused_ms: dict[tuple[str, int, str], float] = {}
-    for call in sorted(seen.calls, key=lambda c: c.sent_ms):
-        place = (call.entry, call.lifetime, call.key)
+    for call in sorted(evidence.calls, key=lambda c: c.sent_ms):
+        scope = (call.entry, call.lifetime, call.key)
         name = f"{call.request_id} at {call.entry}"
         if call.status == _UNAUTHORIZED:
-            if call.key not in seen.revoked:
-                yield Violation("denied", f"{name}: its key is valid")
-            refused_ms.setdefault(place, call.ended_ms)
+            if call.key not in evidence.revoked:
+                yield Violation("denied", f"{name}: a valid key was rejected")
+            refused_ms.setdefault(scope, call.ended_ms)
         elif call.status == _SUCCESS and call.sent_ms > refused_ms.get(
-            place, float("inf")
+            scope, float("inf")
         ):
-            yield Violation("forward_only", f"{name}: key valid again")
-    for call in seen.last_calls:
-        if call.key in seen.revoked and call.status == _SUCCESS:
-            detail = f"{call.request_id}: a revoked key is still valid"
+            yield Violation(
+                "forward_only", f"{name}: a rejected key was accepted later"
+            )
+    for call in evidence.last_calls:
+        if call.key in evidence.revoked and call.status == _SUCCESS:
+            detail = f"{call.request_id}: a revoked key is still accepted"
             yield Violation("config_applies", detail)
 
 
 def _check_evacuations(
-    seen: Placement, calls: Mapping[str, Call]
+    evidence: Placement, calls: Mapping[str, Call]
 ) -> Iterable[Violation]:
-    """Nothing reaches a data centre once its evacuation is in force."""
-    for evacuation in seen.evacuations:
+    """Checks that no request reaches a data centre after `EVACUATE_MS`."""
+    for evacuation in evidence.evacuations:
         start_ms = evacuation.from_ms + EVACUATE_MS
-        for arrival in seen.arrivals:
+        for arrival in evidence.arrivals:
             if (
                 arrival.data_centre == evacuation.data_centre
                 and start_ms < arrival.at_ms < evacuation.until_ms
                 and not arrival.misdirected
-                and not _was_held_back(arrival, seen, calls)
+                and not _was_held_back(arrival, evidence, calls)
             ):
                 late_ms = arrival.at_ms - evacuation.from_ms
                 yield Violation(
@@ -331,18 +346,21 @@
 
 
 def _check_regions(
-    seen: Placement, calls: Mapping[str, Call]
+    evidence: Placement, calls: Mapping[str, Call]
 ) -> Iterable[Violation]:
-    """A request reaches only replicas in its regions, run or not."""
-    everywhere = frozenset(seen.regions.values())
-    for arrival in seen.arrivals:
+    """Checks that requests reach replicas in allowed regions only.
+
+    This includes requests that the replica did not execute.
+    """
+    everywhere = frozenset(evidence.regions.values())
+    for arrival in evidence.arrivals:
         call = calls.get(arrival.request_id)
         if call is None:
             continue
-        allowed = seen.route_regions.get(
+        allowed = evidence.route_regions.get(
             call.kind, everywhere
-        ) & seen.key_regions.get(call.key, everywhere)
-        region = seen.regions[arrival.data_centre]
+        ) & evidence.key_regions.get(call.key, everywhere)
+        region = evidence.regions[arrival.data_centre]
         if region not in allowed:
             yield Violation(
                 "regions",
@@ -353,50 +371,51 @@
 
 
 def _check_cold(
-    seen: Placement, calls: Mapping[str, Call]
+    evidence: Placement, calls: Mapping[str, Call]
 ) -> Iterable[Violation]:
-    """A cold replica gets fewer requests than allowed in any second."""
-    limit = seen.cold_per_s * COLD_OVERSHOOT + COLD_BURST
+    """Checks that the rate at cold replicas stays below the limit."""
+    limit = evidence.cold_per_s * COLD_OVERSHOOT + COLD_BURST
     arrivals = [
         arrival
-        for arrival in seen.arrivals
-        if not arrival.misdirected and not _was_held_back(arrival, seen, calls)
+        for arrival in evidence.arrivals
+        if not arrival.misdirected
+        and not _was_held_back(arrival, evidence, calls)
     ]
-    for cold in _cold_periods(seen):
+    for cold in _cold_periods(evidence):
         times_ms = sorted(
             arrival.at_ms
             for arrival in arrivals
             if arrival.replica_id == cold.replica_id
             and cold.from_ms <= arrival.at_ms < cold.until_ms
         )
-        most = max(
+        peak = max(
             (
                 sum(start <= at < start + _SECOND_MS for at in times_ms)
                 for start in times_ms
             ),
             default=0,
         )
-        if most >= limit:
+        if peak >= limit:
             yield Violation(
                 "cold_replicas",
-                f"{cold.replica_id}, cold from {cold.from_ms:.0f} ms: {most}"
+                f"{cold.replica_id}, cold from {cold.from_ms:.0f} ms: {peak}"
                 f" requests in a second, fewer than {limit:g} allowed",
             )
 
 
-def _cold_periods(seen: Placement) -> Iterable[ColdStart]:
-    """Returns when replicas must count as cold.
+def _cold_periods(evidence: Placement) -> Iterable[ColdStart]:
+    """Yields the periods in which replicas are treated as cold.
 
     After an evacuation that was in force everywhere, all replicas of the data
-    centre count as cold at least until a record that is a heartbeat younger.
+    centre are treated as cold for at least one heartbeat, until a newer record.
     """
-    yield from seen.cold_starts
-    for evacuation in seen.evacuations:
+    yield from evidence.cold_starts
+    for evacuation in evidence.evacuations:
         if evacuation.until_ms - evacuation.from_ms < EVACUATE_MS:
             continue
         for replica_id in {
             arrival.replica_id
-            for arrival in seen.arrivals
+            for arrival in evidence.arrivals
             if arrival.data_centre == evacuation.data_centre
         }:
             yield ColdStart(
@@ -407,11 +426,11 @@
 
 
 def _was_held_back(
-    arrival: Arrival, seen: Placement, calls: Mapping[str, Call]
+    arrival: Arrival, evidence: Placement, calls: Mapping[str, Call]
 ) -> bool:
     """Returns whether the network may have delayed a request to a replica.
 
-    The time of such a request's arrival tells nothing about when it was sent.
+    The arrival time of such a request does not show when it was sent.
     """
     call = calls.get(arrival.request_id)
     if call is None:
@@ -420,17 +439,17 @@
         fault.target == arrival.proxy
         and call.sent_ms <= fault.until_ms
         and fault.from_ms <= arrival.at_ms
-        for fault in seen.network_faults
+        for fault in evidence.network_faults
     )
 
 
-def _check_processes(seen: Evidence) -> Iterable[Violation]:
-    for name in seen.unexpected_exits:
+def _check_processes(evidence: Evidence) -> Iterable[Violation]:
+    for name in evidence.unexpected_exits:
         yield Violation("stays_up", name)
-    for stop in seen.stops:
+    for stop in evidence.stops:
         if stop.exit_code is None or stop.taken_ms > GRACE_MS:
             detail = f"{stop.process} took {stop.taken_ms:.0f} ms"
             yield Violation("stops_in_grace", detail)
         elif stop.exit_code != 0 and stop.ran_ms > START_MS:
-            detail = f"{stop.process} ended with {stop.exit_code}"
+            detail = f"{stop.process} exited with {stop.exit_code}"
             yield Violation("stops_in_grace", detail)
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,4 +1,4 @@
-"""Runs one seed: a fleet of real processes, callers, faults, verdict."""
+"""Runs one seed: starts a fleet, injects faults under load, and checks it."""
 
 from __future__ import annotations
 
@@ -28,18 +28,16 @@
 
 CALLERS = 8
 SETTLE_MS = 12_000.0
-"""After the last fault the system serves as before within this time, which
-the users' deployments give it too."""
+"""Recovery time after the last fault, the same as in the users' deployments."""
 
 LAST_CALLS = 40
 RUN_TIMEOUT_S = 120.0
 ATTEMPTS_MAX = 2
 LIMIT_PER_S = 2.0
-"""What the first engine and the first plain replica take while they are in
-need."""
+"""Rate limit announced by the first engine and the first plain replica."""
 
 PAUSE_S = 2.0
-"""What the last engine and the last plain replica ask for as they turn away."""
+"""Pause that the last engine and plain replica ask for when rejecting."""
 
 CONSTRAINTS = direct_documents.Constraints(
     route_regions={"order": ["north", "south"]},
@@ -47,25 +45,25 @@
     cold_start_s=4.0,
     cold_per_s=3.0,
 )
-"""One region is left where both the route and the customer are bound."""
+"""One region is allowed by both the route and the customer."""
 
 CULPRIT = "culprit"
 CULPRIT_PAUSE_MS = 400.0
 CULPRIT_KNOWN_MS = 3_000.0
-"""After the last fault all entries know a request that crashes replicas within
-this time."""
+"""Time after the last fault within which all entries know the requests that
+crash replicas."""
 
 _MS = 1_000.0
 
 
 class Result(msgspec.Struct, frozen=True):
-    """What came of a seed.
+    """Result of a run.
 
     Attributes:
-      plan: its faults.
-      violations: promises that were broken.
-      calls: calls made.
-      served: calls served.
+      plan: the injected faults.
+      violations: violated guarantees.
+      calls: number of calls during the faults.
+      served: number of those calls that were served.
     """
 
     plan: schedule.Plan
@@ -75,18 +73,18 @@
 
 
 class Culprit(enum.Enum):
-    """What crashes the replicas that run it."""
+    """Requests that crash the replicas executing them."""
 
     NONE = "none"
     REQUEST = "request"
-    """One request that is sent again and again."""
+    """One request that is sent repeatedly."""
 
     PART = "part"
-    """A part of the prompts of requests of which no two are alike."""
+    """Distinct requests that share a prompt part."""
 
 
 class Run:
-    """One run; also what its callers ask for."""
+    """A run of one seed; implements `callers.Surroundings`."""
 
     def __init__(
         self,
@@ -99,18 +97,19 @@
         turning_away: bool = False,
         placement: bool = False,
     ) -> None:
-        """Starts nothing before `play`.
+        """Initializes the run; nothing is started until `play`.
 
         Args:
-          folder: where settings files and logs go.
-          plan: the faults.
+          folder: directory for settings files and logs.
+          plan: faults to inject.
           size: size of the fleet.
-          culprit: what crashes replicas all the time.
-          limited: whether two replicas name a limit while faults come.
-          turning_away: whether two replicas turn half of the requests away and
-            ask for a pause while faults come.
-          placement: whether there are several regions, a route and a customer
-            that are bound to some of them, and cold starts.
+          culprit: requests to send throughout that crash replicas.
+          limited: whether two replicas announce a rate limit during the
+            faults.
+          turning_away: whether two replicas reject half of their requests and
+            ask for a pause during the faults.
+          placement: whether to use several regions, a route and a customer
+            restricted to some of them, and cold starts.
         """
         self._placement = placement
         self._plan = plan
@@ -118,8 +117,8 @@
         self._limited = limited
         self._turning_away = turning_away
         self._culprit_runs = 0
-        self._broken: list[str] = []
-        self._pauses_broken: list[str] = []
+        self._limits_exceeded: list[str] = []
+        self._pauses_violated: list[str] = []
         self._size = size
         self._fleet = direct_fleet.Fleet(
             folder,
@@ -132,55 +131,55 @@
             constraints=CONSTRAINTS if placement else None,
         )
         self._started_s = time.monotonic()
-        self._striker = strikes.Striker(self._fleet, self.now_ms)
+        self._injector = strikes.FaultInjector(self._fleet, self.now_ms)
 
     async def play(self) -> Result:
-        """Plays the faults under calls and judges what was seen."""
+        """Injects the faults under load and checks the guarantees."""
         async with asyncio.timeout(RUN_TIMEOUT_S), self._fleet:
-            self._striker.publish()
-            await self._until_served()
+            self._injector.publish()
+            await self._wait_served()
             self._started_s = time.monotonic()
-            made = await self._under_faults()
+            calls = await self._inject_faults()
             last = await self._last_calls()
             exits = [
                 name
                 for name, process in self._fleet.processes.items()
                 if process.returncode is not None
             ]
-        seen = self._evidence(made, last, exits)
+        evidence = self._evidence(calls, last, exits)
         return Result(
             self._plan,
-            promises.check(seen),
-            len(made),
-            sum(c.whole and c.status == 200 for c in made),
+            promises.check(evidence),
+            len(calls),
+            sum(c.whole and c.status == 200 for c in calls),
         )
 
-    # What callers ask for.
+    # Interface for callers.
 
     def now_ms(self) -> float:
-        """Returns the time since the calls began."""
+        """Returns the time since the start of the calls."""
         return (time.monotonic() - self._started_s) * _MS
 
     def key(self, rng: random.Random) -> str:
-        """Returns a key, now and then one that was revoked."""
+        """Returns a random API key, which may have been revoked."""
         keys = [direct_documents.KEY, *strikes.REVOCABLE_KEYS]
         if self._placement:
             keys.append(direct_documents.BOUND_KEY)
         return rng.choice(keys)
 
     async def entries(self, rng: random.Random) -> list[str]:
-        """Returns the entries that a look-up names, [] if it fails."""
+        """Returns the entries found by a lookup, [] if it fails."""
         hosts = list(self._fleet.entry_hosts)
-        asked = rng.sample(hosts, len(hosts))
+        shuffled = rng.sample(hosts, len(hosts))
         region = ""
         if self._placement:
             region = rng.choice(list(schedule.REGIONS.values()))
-        for host in asked:
+        for host in shuffled:
             try:
                 async with asyncio.timeout(1.0):
                     answer = await self._fleet.lookup(host, region)
             except (OSError, TimeoutError):
-                # A look-up that fails is made at the next entry.
+                # Retry the lookup at the next entry.
                 continue
             found = [
                 f"entry-{number}"
@@ -192,18 +191,18 @@
         return []
 
     def lifetime(self, entry: str) -> int:
-        """Returns the start of an entry's process, counted from 0."""
-        return self._striker.starts.get(entry, 0)
+        """Returns the number of restarts of an entry's process."""
+        return self._injector.starts.get(entry, 0)
 
     def address(self, entry: str) -> tuple[str, int]:
-        """Returns where callers reach an entry."""
+        """Returns the host and port at which callers reach an entry."""
         proxy = self._fleet.proxies[f"callers:{entry}"]
         host, _, port = proxy.address.rpartition(":")
         return host, int(port)
 
     # Phases.
 
-    async def _until_served(self) -> None:
+    async def _wait_served(self) -> None:
         caller = callers.Caller("warm-up", self._plan.seed, self)
         async with asyncio.timeout(20.0):
             while True:
@@ -212,26 +211,26 @@
                     break
         caller.close()
 
-    async def _under_faults(self) -> list[promises.Call]:
-        crowd = [
+    async def _inject_faults(self) -> list[promises.Call]:
+        all_callers = [
             callers.Caller(f"c{number}", self._plan.seed, self)
             for number in range(CALLERS)
         ]
-        tasks = [asyncio.create_task(caller.run()) for caller in crowd]
-        self._name_limits(f"{LIMIT_PER_S}" if self._limited else "")
+        tasks = [asyncio.create_task(caller.run()) for caller in all_callers]
+        self._announce_limits(f"{LIMIT_PER_S}" if self._limited else "")
         if self._turning_away:
-            for replica in self._turning:
+            for replica in self._rejecting_replicas:
                 replica.turning_away.start(f"{PAUSE_S}", share=0.5)
         if self._culprit is not Culprit.NONE:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
-            *(self._striker.strike(fault) for fault in self._plan.faults)
+            *(self._injector.inject(fault) for fault in self._plan.faults)
         )
         await asyncio.sleep(CULPRIT_KNOWN_MS / _MS)
-        self._broken = self._limits_broken()
-        self._pauses_broken = self._find_pauses_broken()
-        self._name_limits("")
-        for replica in self._turning:
+        self._limits_exceeded = self._find_limits_exceeded()
+        self._pauses_violated = self._find_pauses_violated()
+        self._announce_limits("")
+        for replica in self._rejecting_replicas:
             replica.turning_away.stop()
         before = self._runs_of_culprit()
         await asyncio.sleep((SETTLE_MS - CULPRIT_KNOWN_MS) / _MS)
@@ -239,45 +238,50 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for caller in crowd:
+        for caller in all_callers:
             caller.close()
-        return [call for caller in crowd for call in caller.calls]
+        return [call for caller in all_callers for call in caller.calls]
 
-    def _name_limits(self, limit: str) -> None:
+    def _announce_limits(self, limit: str) -> None:
         for replica in (self._fleet.engines[0], self._fleet.desks[0]):
             replica.need.name(limit)
 
-    def _limits_broken(self) -> list[str]:
-        """Returns what was sent beyond the limits named.
+    def _find_limits_exceeded(self) -> list[str]:
+        """Returns the replicas that received more than their limit.
 
-        Entries that were struck are excused, and replicas whose network failed
-        are left out: what was held back arrives at once.
+        Entries hit by a fault are excused. Replicas with a network fault are
+        left out, since requests that were held back arrive all at once.
         """
-        struck = {fault.target for fault in self._plan.faults}
+        faulted = {fault.target for fault in self._plan.faults}
         if any(
             fault.kind is schedule.FaultKind.KILL_ALL
             for fault in self._plan.faults
         ):
             return []
-        broken = []
+        violations = []
         for name, replica in (
             ("engine-0", self._fleet.engines[0]),
             ("desk-0", self._fleet.desks[0]),
         ):
-            most = replica.need.most_in_window(struck)
+            max_requests = replica.need.most_in_window(faulted)
             allowed = named_limit.allowed_in_window(LIMIT_PER_S)
-            if name not in struck and most > allowed:
-                broken.append(f"{name}: {most} requests, allowed {allowed}")
-        return broken
+            if name not in faulted and max_requests > allowed:
+                violations.append(
+                    f"{name}: {max_requests} requests, allowed {allowed}"
+                )
+        return violations
 
     @property
-    def _turning(self) -> list[Replica]:
-        """The replicas that may turn requests away."""
+    def _rejecting_replicas(self) -> list[Replica]:
+        """The replicas that may reject requests."""
         return [self._fleet.engines[-1], self._fleet.desks[-1]]
 
-    def _find_pauses_broken(self) -> list[str]:
-        """Returns what was sent in pauses; excused as for limits."""
-        struck = {fault.target for fault in self._plan.faults}
+    def _find_pauses_violated(self) -> list[str]:
+        """Returns the replicas that received too many requests in a pause.
+
+        The same exceptions apply as for limits.
+        """
+        faulted = {fault.target for fault in self._plan.faults}
         if any(
             fault.kind is schedule.FaultKind.KILL_ALL
             for fault in self._plan.faults
@@ -287,15 +291,15 @@
             f"engine-{self._size.engines - 1}",
             f"desk-{self._size.desks - 1}",
         ]
-        broken = []
-        for name, replica in zip(names, self._turning, strict=True):
-            most = replica.turning_away.most_in_pause(struck)
-            if name not in struck and most > turning_away.ARRIVALS_MAX:
-                broken.append(f"{name}: {most} requests in a pause")
-        return broken
+        violations = []
+        for name, replica in zip(names, self._rejecting_replicas, strict=True):
+            max_requests = replica.turning_away.most_in_pause(faulted)
+            if name not in faulted and max_requests > turning_away.ARRIVALS_MAX:
+                violations.append(f"{name}: {max_requests} requests in a pause")
+        return violations
 
     async def _send_culprit(self) -> None:
-        """Sends requests that crash replicas to all entries in turn."""
+        """Sends requests that crash replicas, to the entries in turn."""
         is_part = self._culprit is Culprit.PART
         for number in itertools.count():
             hosts = self._fleet.entry_hosts
@@ -326,7 +330,7 @@
 
     def _evidence(
         self,
-        made: list[promises.Call],
+        calls: list[promises.Call],
         last: list[promises.Call],
         exits: list[str],
     ) -> promises.Evidence:
@@ -336,18 +340,18 @@
         for desk in self._fleet.desks:
             runs.update(desk.runs)
         return promises.Evidence(
-            calls=made,
+            calls=calls,
             runs=runs,
             mixed_loads=sum(e.mixed for e in self._fleet.engines),
             unexpected_exits=exits,
-            stops=self._striker.stops,
-            revoked=self._striker.revoked,
+            stops=self._injector.stops,
+            revoked=self._injector.revoked,
             attempts_max=ATTEMPTS_MAX,
             events=direct_replicas.EVENTS,
             last_calls=last,
             culprit_runs=self._culprit_runs,
-            limits_broken=self._broken,
-            pauses_broken=self._pauses_broken,
+            limits_broken=self._limits_exceeded,
+            pauses_broken=self._pauses_violated,
             placement=self._placement_evidence() if self._placement else None,
         )
 
@@ -391,9 +395,9 @@
             },
             cold_per_s=CONSTRAINTS.cold_per_s,
             arrivals=arrivals,
-            evacuations=self._striker.evacuations,
+            evacuations=self._injector.evacuations,
             cold_starts=cold_starts,
-            network_faults=self._striker.network_faults,
+            network_faults=self._injector.network_faults,
         )
 
 
@@ -407,9 +411,19 @@
     turning_away: bool = False,
     placement: bool = False,
 ) -> Result:
-    """Plays one seed; settings files and logs go to `folder`."""
+    """Runs one seed and returns the result.
+
+    Args:
+      folder: directory for settings files and logs.
+      seed: seed of the faults.
+      size: size of the fleet and duration of the faults.
+      culprit: see `Run`.
+      limited: see `Run`.
+      turning_away: see `Run`.
+      placement: see `Run`.
+    """
     plan = schedule.draw(seed, size, placement=placement)
-    played = Run(
+    run = Run(
         folder,
         plan,
         size,
@@ -418,4 +432,4 @@
         turning_away=turning_away,
         placement=placement,
     )
-    return await played.play()
+    return await run.play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,4 +1,4 @@
-"""Draws the faults of one run from its seed."""
+"""Generates the faults of a run from its seed."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class FaultKind(enum.Enum):
-    """What is done to the system from outside."""
+    """Kind of a fault injected from outside the system."""
 
     PROXY = "proxy"
     STOP = "stop"
@@ -31,15 +31,14 @@
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
-    """One fault.
+    """A scheduled fault.
 
     Attributes:
-      at_ms: when it begins, from the start of the calls.
-      for_ms: how long it lasts, 0 for what happens at once.
-      kind: what it is.
-      target: what it strikes: a proxy, a process, a data centre or the number
-        of an engine.
-      network: what a proxy does, for `PROXY`.
+      at_ms: start time, relative to the start of the calls.
+      for_ms: duration, 0 for an instantaneous fault.
+      kind: kind of the fault.
+      target: affected proxy, process, data centre or engine number.
+      network: fault of the proxy, for `PROXY`.
     """
 
     at_ms: float
@@ -50,12 +49,12 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """The faults of one run, in order of time.
+    """The faults of a run, ordered by start time.
 
     Attributes:
-      seed: what they were drawn from.
+      seed: seed that they were generated from.
       faults: the faults.
-      calm_ms: when the last of them has ended.
+      calm_ms: time at which the last fault ends.
     """
 
     seed: int
@@ -64,13 +63,13 @@
 
 
 class Size(msgspec.Struct, frozen=True):
-    """Size and length of a run.
+    """Size of the fleet and duration of the faults.
 
     Attributes:
-      entries: entries.
-      engines: model engines, each with an agent.
-      desks: replicas of the plain service.
-      trouble_ms: time over which faults begin.
+      entries: number of entries.
+      engines: number of model engines, each with an agent.
+      desks: number of replicas of the plain service.
+      trouble_ms: period in which faults start.
       faults_mean: mean number of faults.
     """
 
@@ -82,16 +81,19 @@
 
 
 REGIONS = {"dc-1": "north", "dc-2": "south", "dc-3": "west"}
-"""Region of each data centre of a run with placement constraints."""
+"""Region by data centre in runs with placement constraints."""
 
 EVACUATION_MS = (6_500.0, 9_000.0)
-"""Duration of most evacuations: longer than the time until one is in force."""
+"""Range of most evacuations' durations.
+
+All exceed the time within which an evacuation must be in force.
+"""
 
 SHORT_EVACUATION_MS = (50.0, 2_000.0)
 SHORT_EVACUATION_SHARE = 0.3
 
 FAULT_MS = (300.0, 3_500.0)
-"""Shortest and longest duration of a fault."""
+"""Range of a fault's duration."""
 
 _WEIGHTS: dict[FaultKind, float] = {
     FaultKind.PROXY: 6.0,
@@ -108,7 +110,8 @@
     FaultKind.REVOKE: 0.7,
     FaultKind.WEIGHTS: 1.5,
 }
-"""How often a kind is drawn: networks fail most, and all at once seldom."""
+"""Relative frequencies: network faults are the most common, and a kill of all
+processes is rare."""
 
 _ON_PROCESS = frozenset(
     {FaultKind.STOP, FaultKind.KILL, FaultKind.PAUSE, FaultKind.RELOAD}
@@ -128,17 +131,17 @@
 
 
 PLACEMENT_KINDS = frozenset({FaultKind.EVACUATE, FaultKind.EVACUATE_AGAIN})
-"""Kinds that are drawn only for runs with placement constraints."""
+"""Kinds that occur only in runs with placement constraints."""
 
 
 def draw(seed: int, size: Size, *, placement: bool = False) -> Plan:
-    """Returns the faults of a seed; the same seed gives the same faults.
+    """Returns the faults of a seed, which determines them completely.
 
     Args:
       seed: the seed.
       size: size of the run.
-      placement: whether evacuations and more restarts of engines are added to
-        the faults that the seed gives without them.
+      placement: whether to add evacuations and restarts of engines; the seed's
+        other faults stay the same.
     """
     rng = random.Random(seed)
     count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
@@ -174,14 +177,14 @@
 
 
 def _draw_placement(rng: random.Random, size: Size) -> list[Fault]:
-    """Returns evacuations, some of several data centres, and cold restarts."""
+    """Returns evacuations of one or more data centres, and cold restarts."""
     faults: list[Fault] = []
     for _ in range(rng.randint(1, 3)):
         at_ms = rng.uniform(0.0, size.trouble_ms)
         kind = rng.choice(sorted(PLACEMENT_KINDS, key=lambda k: k.value))
         count = rng.choice([1, 1, 2, len(REGIONS)])
         for data_centre in rng.sample(sorted(REGIONS), count):
-            # Each run has an evacuation that outlasts the bound.
+            # Every run has at least one evacuation that outlasts the bound.
             short = bool(faults) and rng.random() < SHORT_EVACUATION_SHARE
             duration_ms = SHORT_EVACUATION_MS if short else EVACUATION_MS
             faults.append(
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -1,4 +1,4 @@
-"""Does the faults of a plan to a running fleet."""
+"""Injects the faults of a plan into a running fleet."""
 
 from __future__ import annotations
 
@@ -14,52 +14,55 @@
 from standins import fault_proxy
 
 REVOCABLE_KEYS = ["spare-key-0", "spare-key-1", "spare-key-2"]
-"""Keys that may be revoked in a run; `direct_documents.KEY` never is."""
+"""API keys that a run may revoke; `direct_documents.KEY` is never revoked."""
 
 PROXY_DELAY_MS = 180.0
 STOP_WAIT_S = 10.0
 AGAIN_PAUSE_S = 0.4
 INTERPRETER_MS = 500.0
-"""Before its first line runs, no program can keep SIGHUP from ending it; the
-interpreter takes 50 ms to get there on an idle machine."""
+"""Minimum age of a process before it is sent SIGHUP.
+
+SIGHUP terminates a process until its handler is installed. The interpreter
+takes 50 ms to run the first line on an idle machine.
+"""
 
 _MS = 1_000.0
 
 
-class Striker:
-    """Does faults to one fleet, from outside its processes.
+class FaultInjector:
+    """Injects faults into one fleet from outside its processes.
 
     Attributes:
-      keys: keys in force.
-      revoked: when each key was revoked, in ms.
-      stops: daemons that were asked to end.
-      starts: how often each daemon was started, beyond the first time.
-      evacuations: when data centres were evacuated.
-      network_faults: when proxies failed.
+      keys: valid API keys.
+      revoked: time of revocation by API key, in ms.
+      stops: shutdowns of daemons.
+      starts: number of restarts by daemon.
+      evacuations: completed evacuations of data centres.
+      network_faults: completed faults of proxies.
     """
 
     def __init__(
         self, fleet: direct_fleet.Fleet, now_ms: Callable[[], float]
     ) -> None:
-        """Does nothing before `strike`."""
+        """Initializes the injector without injecting anything."""
         self._fleet = fleet
         self._now_ms = now_ms
         self._locks: dict[str, asyncio.Lock] = {}
         self._config_version = 1
         self._weights = 1
         self._engine_starts = 0
-        self._evacuation_holds: dict[str, int] = {}
+        self._active_evacuations: dict[str, int] = {}
         self._evacuated_ms: dict[str, float] = {}
         self.evacuations: list[promises.Evacuation] = []
         self.network_faults: list[promises.NetworkFault] = []
-        self._proxy_holds: dict[str, int] = {}
-        self._store_holds = 0
+        self._active_proxy_faults: dict[str, int] = {}
+        self._active_store_faults = 0
         self.keys = [direct_documents.KEY, *REVOCABLE_KEYS]
         self.revoked: dict[str, float] = {}
         self.stops: list[promises.Stop] = []
         self.starts: dict[str, int] = {}
         self._started_ms: dict[str, float] = {}
-        self._strikes: dict[
+        self._injectors: dict[
             schedule.FaultKind, Callable[[schedule.Fault], Awaitable[None]]
         ] = {
             schedule.FaultKind.PROXY: self._fail_network,
@@ -70,17 +73,17 @@
             schedule.FaultKind.KILL_ALL: self._kill_all,
             schedule.FaultKind.ENGINE_RESTART: self._restart_engine,
             schedule.FaultKind.ENGINE_DRAIN: self._drain_engine,
-            schedule.FaultKind.ROT: self._rot,
+            schedule.FaultKind.ROT: self._corrupt_piece,
             schedule.FaultKind.STORE_DOWN: self._fail_store,
             schedule.FaultKind.CONFIG: self._change_config,
             schedule.FaultKind.REVOKE: self._revoke,
-            schedule.FaultKind.WEIGHTS: self._name_weights,
+            schedule.FaultKind.WEIGHTS: self._publish_version,
             schedule.FaultKind.EVACUATE: self._evacuate,
             schedule.FaultKind.EVACUATE_AGAIN: self._evacuate_again,
         }
 
     def publish(self) -> None:
-        """Writes a configuration with the keys in force."""
+        """Publishes a configuration with the valid keys."""
         self._config_version += 3
         config = direct_documents.configuration(
             self._fleet.origin_address,
@@ -90,18 +93,18 @@
         )
         self._fleet.store.put("op/config", config)
 
-    async def strike(self, fault: schedule.Fault) -> None:
-        """Does one fault at its time and ends it."""
+    async def inject(self, fault: schedule.Fault) -> None:
+        """Injects a fault at its time and ends it after its duration."""
         wait_ms = fault.at_ms - self._now_ms()
         await asyncio.sleep(max(0.0, wait_ms) / _MS)
-        await self._strikes[fault.kind](fault)
+        await self._injectors[fault.kind](fault)
 
     # The network.
 
     async def _fail_network(self, fault: schedule.Fault) -> None:
         proxy = self._fleet.proxies[fault.target]
-        holds = self._proxy_holds
-        holds[fault.target] = holds.get(fault.target, 0) + 1
+        active = self._active_proxy_faults
+        active[fault.target] = active.get(fault.target, 0) + 1
         proxy.set_fault(fault.network, PROXY_DELAY_MS)
         from_ms = self._now_ms()
         await asyncio.sleep(fault.for_ms / _MS)
@@ -110,21 +113,21 @@
                 target=fault.target, from_ms=from_ms, until_ms=self._now_ms()
             )
         )
-        holds[fault.target] -= 1
-        if not holds[fault.target]:
+        active[fault.target] -= 1
+        if not active[fault.target]:
             proxy.set_fault(fault_proxy.Fault.NONE)
 
     async def _fail_store(self, fault: schedule.Fault) -> None:
-        self._store_holds += 1
+        self._active_store_faults += 1
         self._fleet.store.down = True
         await asyncio.sleep(fault.for_ms / _MS)
-        self._store_holds -= 1
-        self._fleet.store.down = self._store_holds > 0
+        self._active_store_faults -= 1
+        self._fleet.store.down = self._active_store_faults > 0
 
     # Processes.
 
     def _lock(self, name: str) -> asyncio.Lock:
-        """Signals to one process come one after the other."""
+        """Returns the lock that serializes signals to a process."""
         return self._locks.setdefault(name, asyncio.Lock())
 
     async def _stop(self, fault: schedule.Fault) -> None:
@@ -150,7 +153,7 @@
                     taken_ms=self._now_ms() - asked_ms,
                 )
             )
-            await self._start_again(fault)
+            await self._restart_process(fault)
 
     async def _kill(self, fault: schedule.Fault) -> None:
         async with self._lock(fault.target):
@@ -158,9 +161,9 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-                await self._start_again(fault)
+                await self._restart_process(fault)
 
-    async def _start_again(self, fault: schedule.Fault) -> None:
+    async def _restart_process(self, fault: schedule.Fault) -> None:
         await asyncio.sleep(fault.for_ms / _MS)
         self.starts[fault.target] = self.starts.get(fault.target, 0) + 1
         self._started_ms[fault.target] = self._now_ms()
@@ -178,7 +181,7 @@
             process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(fault.for_ms / _MS)
             process.send_signal(signal.SIGCONT)
-            # A process that stands still does not get on with its start.
+            # A stopped process makes no progress with its startup.
             if fault.target in self._started_ms:
                 self._started_ms[fault.target] += fault.for_ms
 
@@ -215,7 +218,7 @@
         self._engine_starts += 1
         replica_id = f"i-again-{self._engine_starts}"
         if self._fleet.constraints is not None and self._engine_starts % 2:
-            # A later start under the same id makes a replica cold, too.
+            # A restart under the same id makes a replica cold as well.
             replica_id = engine.replica_id
         engine.restart(replica_id)
         proxy.set_fault(fault_proxy.Fault.NONE)
@@ -226,7 +229,7 @@
         await asyncio.sleep(fault.for_ms / _MS)
         engine.register()
 
-    async def _rot(self, fault: schedule.Fault) -> None:
+    async def _corrupt_piece(self, fault: schedule.Fault) -> None:
         self._fleet.engines[int(fault.target)].rot(0)
 
     # The operator.
@@ -248,7 +251,7 @@
         self._end_evacuation(fault.target)
 
     async def _evacuate_again(self, fault: schedule.Fault) -> None:
-        """Evacuates, ends it and evacuates again within a second."""
+        """Starts an evacuation, ends it and starts it again within a second."""
         self._start_evacuation(fault.target)
         await asyncio.sleep(AGAIN_PAUSE_S)
         self._end_evacuation(fault.target)
@@ -256,15 +259,15 @@
         await self._evacuate(fault)
 
     def _start_evacuation(self, data_centre: str) -> None:
-        holds = self._evacuation_holds
-        if not holds.get(data_centre):
+        active = self._active_evacuations
+        if not active.get(data_centre):
             self._evacuated_ms[data_centre] = self._now_ms()
-        holds[data_centre] = holds.get(data_centre, 0) + 1
+        active[data_centre] = active.get(data_centre, 0) + 1
         self._fleet.store.evacuate(data_centre)
 
     def _end_evacuation(self, data_centre: str) -> None:
-        self._evacuation_holds[data_centre] -= 1
-        if self._evacuation_holds[data_centre]:
+        self._active_evacuations[data_centre] -= 1
+        if self._active_evacuations[data_centre]:
             return
         self.evacuations.append(
             promises.Evacuation(
@@ -275,7 +278,7 @@
         )
         self._fleet.store.end_evacuation(data_centre)
 
-    async def _name_weights(self, fault: schedule.Fault) -> None:
+    async def _publish_version(self, fault: schedule.Fault) -> None:
         del fault
         self._weights += 1
         model = direct_documents.MODEL
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -1,4 +1,4 @@
-"""Each promise is found broken where it is broken, and only there."""
+"""Tests that each violated guarantee is reported, and no other."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def call(kind: promises.CallKind, **fields: Any) -> promises.Call:
-    """Returns a call that was served."""
+    """Returns a served call with some fields replaced."""
     given: dict[str, Any] = {
         "request_id": "a-1",
         "kind": kind,
@@ -48,7 +48,7 @@
 
 
 def arrival(**fields: Any) -> promises.Arrival:
-    """Returns the arrival of the first call in an allowed region."""
+    """Returns an arrival of the first call, by default in an allowed region."""
     given: dict[str, Any] = {
         "at_ms": 150.0,
         "request_id": "a-1",
@@ -83,15 +83,17 @@
 ]
 
 
-def broken(**changes: Any) -> set[str]:
-    """Returns the placement promises that a run with changes breaks."""
+def placement_violations(**changes: Any) -> set[str]:
+    """Returns the violated guarantees of a run with changed placement data."""
     placement = msgspec.structs.replace(PLACEMENT, **changes)
-    seen = msgspec.structs.replace(GOOD, calls=CALLS, placement=placement)
-    return {violation.promise for violation in promises.check(seen)}
+    evidence = msgspec.structs.replace(GOOD, calls=CALLS, placement=placement)
+    return {violation.promise for violation in promises.check(evidence)}
 
 
-def spread(count: int, from_ms: float) -> list[promises.Arrival]:
-    """Returns arrivals within a second."""
+def arrivals_within_second(
+    count: int, from_ms: float
+) -> list[promises.Arrival]:
+    """Returns `count` arrivals evenly spread over almost a second."""
     return [arrival(at_ms=from_ms + 990.0 * n / count) for n in range(count)]
 
 
@@ -102,17 +104,20 @@
         [arrival(at_ms=EVACUATION.until_ms)],
         [arrival(at_ms=EVACUATION.from_ms + 5_001.0, misdirected=True)],
         [arrival(request_id="a-2", data_centre="dc-2")],
-        spread(9, COLD_START.from_ms),
-        spread(10, COLD_START.until_ms),
-        spread(10, EVACUATION.until_ms + 1_200.0),
-        [arrival(misdirected=True), *spread(9, COLD_START.from_ms)],
+        arrivals_within_second(9, COLD_START.from_ms),
+        arrivals_within_second(10, COLD_START.until_ms),
+        arrivals_within_second(10, EVACUATION.until_ms + 1_200.0),
+        [
+            arrival(misdirected=True),
+            *arrivals_within_second(9, COLD_START.from_ms),
+        ],
     ],
 )
-def test_kept_placement_is_not_reported(
+def test_allowed_placement_is_not_reported(
     arrivals: list[promises.Arrival],
 ) -> None:
-    """Guards against reports of what the bounds allow."""
-    assert broken(arrivals=arrivals) == set()
+    """Guards against reporting requests that the bounds allow."""
+    assert placement_violations(arrivals=arrivals) == set()
 
 
 @pytest.mark.parametrize(
@@ -125,28 +130,31 @@
         ("regions", [arrival(request_id="a-2")]),
         ("regions", [arrival(request_id="a-3")]),
         ("regions", [arrival(request_id="a-3", data_centre="dc-2")]),
-        ("cold_replicas", spread(10, COLD_START.from_ms)),
-        ("cold_replicas", spread(10, EVACUATION.until_ms)),
+        ("cold_replicas", arrivals_within_second(10, COLD_START.from_ms)),
+        ("cold_replicas", arrivals_within_second(10, EVACUATION.until_ms)),
     ],
 )
-def test_broken_placement_is_reported(
+def test_placement_violation_is_reported(
     promise: str, arrivals: list[promises.Arrival]
 ) -> None:
-    """Guards against a check that overlooks what it is there for."""
-    assert broken(arrivals=arrivals) == {promise}
+    """Guards against checks that miss the violation they are meant to find."""
+    assert placement_violations(arrivals=arrivals) == {promise}
 
 
-def test_requests_that_the_network_held_back_break_no_bound() -> None:
-    """Guards against faults of the network that are taken for late sends."""
+def test_requests_delayed_by_the_network_are_excused() -> None:
+    """Guards against blaming entries for requests delayed by the network."""
     late = arrival(at_ms=EVACUATION.from_ms + 5_001.0)
     for target, found in (("desk-0", set()), ("desk-1", {"evacuations"})):
         fault = promises.NetworkFault(
             target=target, from_ms=500.0, until_ms=4_000.0
         )
-        assert broken(arrivals=[late], network_faults=[fault]) == found
+        assert (
+            placement_violations(arrivals=[late], network_faults=[fault])
+            == found
+        )
 
 
-def stopped(exit_code: int | None, ran_ms: float) -> list[promises.Stop]:
+def shutdowns(exit_code: int | None, ran_ms: float) -> list[promises.Stop]:
     return [
         promises.Stop(
             process="entry-0",
@@ -157,9 +165,9 @@
     ]
 
 
-def test_kept_promises_are_not_reported() -> None:
+def test_run_without_violations_passes() -> None:
     assert promises.check(GOOD) == []
-    early = msgspec.structs.replace(GOOD, stops=stopped(-15, 500.0))
+    early = msgspec.structs.replace(GOOD, stops=shutdowns(-15, 500.0))
     assert promises.check(early) == []
 
 
@@ -187,14 +195,12 @@
         ("config_applies", {"last_calls": [call(ORDER, key="old")]}),
         ("whole_weights", {"mixed_loads": 1}),
         ("stays_up", {"unexpected_exits": ["agent-0"]}),
-        ("stops_in_grace", {"stops": stopped(None, 9_000.0)}),
-        ("stops_in_grace", {"stops": stopped(-15, 9_000.0)}),
+        ("stops_in_grace", {"stops": shutdowns(None, 9_000.0)}),
+        ("stops_in_grace", {"stops": shutdowns(-15, 9_000.0)}),
         ("recovery", {"last_calls": [call(ORDER, status=503)] * 3}),
     ],
 )
-def test_broken_promise_is_reported(
-    promise: str, changes: dict[str, Any]
-) -> None:
-    seen = msgspec.structs.replace(GOOD, **changes)
-    found = {violation.promise for violation in promises.check(seen)}
+def test_violation_is_reported(promise: str, changes: dict[str, Any]) -> None:
+    evidence = msgspec.structs.replace(GOOD, **changes)
+    found = {violation.promise for violation in promises.check(evidence)}
     assert promise in found
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,4 +1,4 @@
-"""A short run of the soak, and every seed that ever broke a promise."""
+"""Runs a short soak and every seed that has violated a guarantee."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 REGRESSIONS = pathlib.Path(run.__file__).with_name("regressions.toml")
 SHORT_RUN = [3]
-"""Seeds that are always played: few faults, so that the run stays short."""
+"""Seeds that always run; they have few faults, which keeps the run short."""
 
 
 CULPRIT_SEED = 3
@@ -34,7 +34,7 @@
 
 
 @pytest.mark.parametrize(("seed", "culprit"), seeds())
-def test_seed_keeps_all_promises(
+def test_seed_violates_no_guarantee(
     seed: int, culprit: run.Culprit, tmp_path: pathlib.Path
 ) -> None:
     result = asyncio.run(
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("culprit", [run.Culprit.REQUEST, run.Culprit.PART])
-def test_seed_keeps_all_promises_beside_what_crashes_replicas(
+def test_no_violation_with_requests_that_crash_replicas(
     tmp_path: pathlib.Path, culprit: run.Culprit
 ) -> None:
     result = asyncio.run(
@@ -54,7 +54,7 @@
     assert result.violations == []
 
 
-def test_seed_keeps_all_promises_beside_replicas_that_turn_away(
+def test_no_violation_with_replicas_that_reject_requests(
     tmp_path: pathlib.Path,
 ) -> None:
     result = asyncio.run(
@@ -65,7 +65,7 @@
     assert result.violations == []
 
 
-def test_seed_keeps_all_promises_beside_replicas_that_name_a_limit(
+def test_no_violation_with_replicas_that_announce_a_limit(
     tmp_path: pathlib.Path,
 ) -> None:
     result = asyncio.run(
@@ -74,7 +74,7 @@
     assert result.violations == []
 
 
-def test_seed_keeps_all_promises_with_placement_constraints(
+def test_no_violation_with_placement_constraints(
     tmp_path: pathlib.Path,
 ) -> None:
     result = asyncio.run(
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -5,13 +5,13 @@
 from soak import schedule
 
 
-def test_a_seed_gives_the_same_faults_again() -> None:
+def test_seed_determines_the_faults() -> None:
     size = schedule.Size()
     assert schedule.draw(5, size) == schedule.draw(5, size)
     assert schedule.draw(5, size) != schedule.draw(6, size)
-    placed = schedule.draw(5, size, placement=True)
-    assert placed == schedule.draw(5, size, placement=True)
-    assert set(placed.faults) > set(schedule.draw(5, size).faults)
+    with_placement = schedule.draw(5, size, placement=True)
+    assert with_placement == schedule.draw(5, size, placement=True)
+    assert set(with_placement.faults) > set(schedule.draw(5, size).faults)
 
 
 def test_every_kind_is_drawn_within_the_bounds_of_the_run() -> None:
@@ -24,7 +24,7 @@
         assert plan.calm_ms >= max(f.at_ms for f in plan.faults)
 
 
-def test_evacuations_are_long_short_and_of_several_data_centres() -> None:
+def test_evacuations_vary_in_duration_and_number_of_data_centres() -> None:
     """Guards against plans in which no evacuation outlasts its bound."""
     plans = [
         schedule.draw(seed, schedule.Size(), placement=True)
