--- a/src/marlramp/shell/address_probe.py
+++ b/src/marlramp/shell/address_probe.py
@@ -1,4 +1,4 @@
-"""Finds out whether a process still listens at an address."""
+"""Checks whether a process still accepts connections at an address."""
 
 from __future__ import annotations
 
@@ -7,18 +7,18 @@
 
 from marlramp import clock
 
-TIMEOUT_MS = 400.0
-"""How long a connection may take to open."""
+CONNECT_TIMEOUT_MS = 400.0
+"""Longest time that a connection may take to open."""
 
-STAYS_MS = 30.0
-"""A connection that stays open this long was taken by a process that lives; one
-that a process which is ending had in its queue is reset sooner."""
+STAYS_OPEN_MS = 30.0
+"""A connection that stays open this long was accepted by a running process. A
+process that exits resets the connections in its accept queue sooner."""
 
 _MS = clock.MILLIS_PER_SECOND
 
 
 class Presence(enum.Enum):
-    """What is found at an address."""
+    """Result of a probe."""
 
     THERE = "there"
     GONE = "gone"
@@ -29,19 +29,20 @@
     """Opens a connection to "host:port" and closes it again.
 
     Returns:
-      Whether a process takes connections there, refuses them, or can't be told
-      to do either: the way there may be cut, or its queue full.
+      THERE if a process accepts connections, GONE if they are refused, UNKNOWN
+      if neither can be established: the network may be down, or the accept
+      queue full.
     """
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(TIMEOUT_MS / _MS):
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS):
             reader, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return Presence.GONE
     except OSError:
         return Presence.UNKNOWN
     try:
-        async with asyncio.timeout(STAYS_MS / _MS):
+        async with asyncio.timeout(STAYS_OPEN_MS / _MS):
             await reader.read(1)
     except TimeoutError:
         return Presence.THERE
--- a/src/marlramp/shell/closing.py
+++ b/src/marlramp/shell/closing.py
@@ -1,8 +1,7 @@
-"""Ends connections so that the other end hears of it as soon as can be.
+"""Aborts connections so that the peer notices as soon as possible.
 
-A close waits behind the bytes that were written before it; behind a full link
-or a replica that reads slowly these take as long as they would have taken
-anyway. A reset drops them.
+A close is delivered after all bytes written before it, which takes long on a
+congested link or to a replica that reads slowly. A reset discards them.
 """
 
 from __future__ import annotations
@@ -13,18 +12,19 @@
 import struct
 import sys
 
-_UNSENT_REQUEST = 0x894B
-"""Linux' SIOCOUTQNSD: asks for the bytes that the kernel has not sent yet."""
+_SIOCOUTQNSD = 0x894B
+"""SIOCOUTQNSD of Linux: returns the bytes that the kernel has not sent yet."""
 
 _INT = struct.Struct("i")
-_RESET_AT_ONCE = struct.pack("ii", 1, 0)
+_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 def abort(transport: asyncio.Transport) -> None:
-    """Ends a connection, with a reset if bytes written to it have not left.
+    """Aborts a connection, with a reset if written bytes are still unsent.
 
-    Otherwise with a close, which is sent again if it is lost; a reset is not,
-    but whoever gets it late got no whole request either.
+    Without unsent bytes it is closed, since a lost close is retransmitted and a
+    lost reset is not. With unsent bytes a lost reset does no harm: the peer has
+    not received the whole request.
 
     Args:
       transport: an open TCP connection.
@@ -32,16 +32,16 @@
     sock = transport.get_extra_info("socket")
     unsent = transport.get_write_buffer_size() > 0
     if sock is not None and (unsent or _unsent_bytes(sock) > 0):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_AT_ONCE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
     transport.abort()
 
 
 def _unsent_bytes(sock: socket.socket) -> int:
-    """Returns the bytes that the kernel has not sent, 0 if it does not tell."""
+    """Returns the bytes that the kernel has not sent, 0 if unknown."""
     if sys.platform != "linux":
         return 0
     try:
-        answer = fcntl.ioctl(sock.fileno(), _UNSENT_REQUEST, _INT.pack(0))
+        answer = fcntl.ioctl(sock.fileno(), _SIOCOUTQNSD, _INT.pack(0))
     except (OSError, ValueError):
         return 0
     return int(_INT.unpack(answer)[0])
--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -1,4 +1,4 @@
-"""HTTP client calls with one kind of failure, on top of aiosonic."""
+"""HTTP client on top of aiosonic that raises a single exception type."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 
 CONNECTIONS_MAX = 512
 IDLE_CONNECTION_MS = 2_000
-"""Shorter than servers keep idle connections, so that none is reused as its
-server closes it: that would make a run's outcome unknown."""
+"""Shorter than the idle timeout of servers, so that no connection is reused
+while its server closes it: whether the request ran would be unknown."""
 
 EVENT_BYTES_MAX = 1024 * 1024
 _EVENT_END = b"\n\n"
@@ -31,20 +31,20 @@
 
 
 class HttpError(Exception):
-    """A call that brought no usable answer.
+    """A call that returned no usable response.
 
     Attributes:
       sent: whether the request may have reached the server.
     """
 
     def __init__(self, detail: str, *, sent: bool) -> None:
-        """Records the detail and whether the request may have been sent."""
+        """Stores the detail and whether the request may have been sent."""
         super().__init__(detail)
         self.sent = sent
 
 
 class Reply(msgspec.Struct, frozen=True):
-    """A whole answer."""
+    """A complete response."""
 
     status: int
     content_type: str
@@ -53,12 +53,12 @@
 
 
 class EventStream:
-    """An answer read as server-sent events.
+    """A response read as server-sent events.
 
     Attributes:
       status: HTTP status code.
-      content_type: type of the body.
-      retry_after_ms: time after which to ask again, None if it names none.
+      content_type: content type of the body.
+      retry_after_ms: time of its `Retry-After` header, None without one.
     """
 
     def __init__(
@@ -70,7 +70,7 @@
 
         Args:
           response: the response.
-          single_use: client to close with the answer, or None.
+          single_use: client to close with the response, or None.
         """
         self._response = response
         self._single_use = single_use
@@ -79,13 +79,13 @@
         self.retry_after_ms = _retry_after_ms(response.headers)
 
     async def events(self) -> AsyncIterator[bytes]:
-        """Yields each event with the blank line that ends it.
+        """Yields each event, including the blank line that ends it.
 
         Raises:
-          HttpError: if the connection ends within the answer.
+          HttpError: if the connection ends before the response does.
         """
         buffer = b""
-        with _translated(sent=True):
+        with _translate_errors(sent=True):
             async for chunk in self._response.read_chunks():
                 buffer += chunk
                 while (end := buffer.find(_EVENT_END)) >= 0:
@@ -93,21 +93,21 @@
                     yield buffer[:end]
                     buffer = buffer[end:]
                 if len(buffer) > EVENT_BYTES_MAX:
-                    raise HttpError("event too large", sent=True)
+                    raise HttpError("event exceeds the size limit", sent=True)
         if buffer:
-            raise HttpError("answer ended within an event", sent=True)
+            raise HttpError("response ended within an event", sent=True)
 
     async def body(self) -> bytes:
         """Returns the whole body.
 
         Raises:
-          HttpError: if there is no whole body.
+          HttpError: if the body is incomplete.
         """
-        with _translated(sent=True):
-            return await _content(self._response)
+        with _translate_errors(sent=True):
+            return await _read_body(self._response)
 
     async def close(self) -> None:
-        """Drops the connection if the body was not read to its end."""
+        """Closes the connection if the body was not read to its end."""
         with contextlib.suppress(Exception):
             await self._response.aclose()
             if self._single_use is not None:
@@ -115,10 +115,10 @@
 
 
 class HttpClient:
-    """Client with a pool of connections."""
+    """HTTP client with a connection pool."""
 
     def __init__(self) -> None:
-        """Creates the pool; connections are opened on use."""
+        """Creates the pool; connections are opened on demand."""
         pool = pools.PoolConfig(
             size=CONNECTIONS_MAX, max_conn_idle_ms=IDLE_CONNECTION_MS
         )
@@ -134,17 +134,17 @@
         headers: Mapping[str, str] | None = None,
         timeout_ms: float,
     ) -> Reply:
-        """Makes a call and returns the whole answer.
+        """Makes a call and returns the complete response.
 
         Raises:
-          HttpError: if there is no whole answer within `timeout_ms`.
+          HttpError: if the response is not complete within `timeout_ms`.
         """
-        with _translated(sent=True):
+        with _translate_errors(sent=True):
             async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
                 response = await self._send(
                     method, url, body, headers, timeout_ms, self._client
                 )
-                content = await _content(response)
+                content = await _read_body(response)
         return Reply(
             response.status_code,
             response.headers.get("content-type", ""),
@@ -162,22 +162,22 @@
         timeout_ms: float,
         at_most_once: bool = False,
     ) -> EventStream:
-        """Makes a call and returns its answer before the body is read.
+        """Makes a call and returns the response before its body is read.
 
         Args:
           method: HTTP method.
-          url: where to.
-          body: the body.
-          headers: further headers.
-          timeout_ms: longest wait for the answer to start.
-          at_most_once: uses a connection of its own, since the client repeats
-            some methods by itself when a reused connection was closed.
+          url: URL to call.
+          body: request body.
+          headers: additional request headers.
+          timeout_ms: longest wait for the response to start.
+          at_most_once: opens a new connection, since the library retries some
+            methods by itself when a reused connection was closed.
 
         Raises:
-          HttpError: if the answer does not start within `timeout_ms`.
+          HttpError: if the response does not start within `timeout_ms`.
         """
         client = aiosonic.HTTPClient() if at_most_once else self._client
-        with _translated(sent=True):
+        with _translate_errors(sent=True):
             async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
                 response = await self._send(
                     method,
@@ -213,17 +213,19 @@
         )
 
 
-async def _content(response: aiosonic.HttpResponse) -> bytes:
+async def _read_body(response: aiosonic.HttpResponse) -> bytes:
     """Returns the body of a response.
 
     Raises:
-      HttpError: if only the end of the connection marks the end of the body.
-        The client library takes such a body as empty.
+      HttpError: if the body is delimited only by the end of the connection.
+        The client library treats such a body as empty.
     """
     headers = response.headers
     delimited = "content-length" in headers or "transfer-encoding" in headers
     if not delimited and response.status_code not in _BODYLESS:
-        raise HttpError("the end of the answer is not marked", sent=True)
+        raise HttpError(
+            "response has no content-length or transfer-encoding", sent=True
+        )
     return bytes(await response.content())
 
 
@@ -235,16 +237,16 @@
 
 
 @contextlib.contextmanager
-def _translated(*, sent: bool) -> Iterator[None]:
-    """Turns the client's many exceptions into `HttpError`."""
+def _translate_errors(*, sent: bool) -> Iterator[None]:
+    """Converts all exceptions of the client library to `HttpError`."""
     try:
         yield
     except (ConnectionRefusedError, exceptions.ConnectTimeout) as error:
-        raise HttpError(f"no connection: {error}", sent=False) from error
+        raise HttpError(f"cannot connect: {error}", sent=False) from error
     except HttpError:
         raise
     except Exception as error:
-        # The client raises many kinds, some by accident on a dropped
-        # connection; a caller can do nothing else about any of them.
+        # The library raises many exception types, some of them by mistake when
+        # a connection is dropped. Callers can't handle any of them differently.
         name = type(error).__name__
         raise HttpError(f"{name}: {error}", sent=sent) from error
--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -1,8 +1,8 @@
-"""Whole HTTP calls on kept connections, each answer for its own request.
+"""HTTP calls with complete responses on pooled connections.
 
-A connection whose call timed out is never used again: an answer that a cut
-link held back for seconds would be taken for the answer to the next call, and
-a watch's empty answer read as an empty list of replicas.
+A connection whose call timed out is never reused: a response that a network
+outage delayed for seconds would be taken for the response to the next request,
+and the empty response of a watch for an empty list of replicas.
 """
 
 from __future__ import annotations
@@ -17,35 +17,36 @@
 from marlramp import clock
 from marlramp.shell import http1_client
 
-_BODYLESS = ("GET", "HEAD", "DELETE")
+_BODYLESS_METHODS = ("GET", "HEAD", "DELETE")
 
 
 class CallError(Exception):
-    """A call that brought no whole answer.
+    """A call that returned no complete response.
 
     Attributes:
       sent: whether the request may have reached the server.
-      answering: whether the head of an answer had come.
+      answering: whether the head of a response was received.
     """
 
     def __init__(
         self, detail: str, *, sent: bool, answering: bool = False
     ) -> None:
-        """Records the detail and how far the call got."""
+        """Stores the detail and how far the call got."""
         super().__init__(detail)
         self.sent = sent
         self.answering = answering
 
 
 class Arrival(msgspec.Struct, frozen=True):
-    """How long a call goes on while its answer arrives.
+    """Extends the deadline of a call while its response is being received.
 
-    A long answer behind a narrow link is no silence. One that trickles ends
-    all the same: what has arrived must have come at the least rate.
+    A large response on a slow link must not time out as long as it makes
+    progress. The minimum rate still ends a response that arrives too slowly.
 
     Attributes:
       silence_ms: longest time between two parts of the body.
-      least_per_s: bytes a second, on the mean, beyond the time of the call.
+      least_per_s: minimum mean rate in bytes per second; the deadline moves by
+        the time that the received bytes take at this rate.
     """
 
     silence_ms: float
@@ -54,29 +55,29 @@
     def ends_s(
         self, now_s: float, limit_s: float, received_bytes: int
     ) -> float:
-        """Returns when the call is to end unless more arrives.
+        """Returns the deadline of the call unless more data is received.
 
         Args:
-          now_s: the reading at which something arrived.
-          limit_s: when it would end had nothing arrived.
-          received_bytes: what has arrived of the body.
+          now_s: time of the event loop at which data was received.
+          limit_s: the deadline without any extension.
+          received_bytes: size of the body received so far.
         """
-        silent_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
-        return min(silent_s, limit_s + received_bytes / self.least_per_s)
+        silence_limit_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
+        return min(silence_limit_s, limit_s + received_bytes / self.least_per_s)
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
-    """A whole answer."""
+    """A complete response."""
 
     head: http1_client.ResponseHead
     body: bytes
 
 
-class _Collector:
-    """Collects one answer."""
+class _ResponseCollector:
+    """Collects one response."""
 
     def __init__(self, on_part: Callable[[int], None] | None) -> None:
-        """Tells `on_part` how much of the body has arrived, with each part."""
+        """Calls `on_part` with the body size so far, after each part."""
         self._on_part = on_part
         self._received_bytes = 0
         self._head: http1_client.ResponseHead | None = None
@@ -109,10 +110,10 @@
 
 
 class HttpCaller:
-    """Makes calls, with a pool of connections for each server."""
+    """Makes calls, with one connection pool per server."""
 
     def __init__(self, time: clock.Clock) -> None:
-        """Opens connections on use."""
+        """Starts without connections; they are opened on demand."""
         self._clock = time
         self._pools: dict[tuple[str, int], http1_client.ConnectionPool] = {}
 
@@ -127,37 +128,39 @@
         keeps: bool = True,
         arrival: Arrival | None = None,
     ) -> WholeAnswer:
-        """Makes a call and returns the whole answer.
+        """Makes a call and returns the complete response.
 
         Args:
           method: HTTP method.
-          url: what is called.
-          body: the body, empty for none.
-          headers: beside those that every call has.
-          timeout_ms: how long the whole call may take.
+          url: URL to call.
+          body: request body, empty for none.
+          headers: request headers in addition to those of every call.
+          timeout_ms: time limit of the whole call.
           keeps: whether the connection is kept for further calls.
-          arrival: how long it may go on beyond that while its answer arrives,
-            None for no longer.
+          arrival: how the time limit is extended while the response is
+            received, None for no extension.
 
         Raises:
-          CallError: if there is no whole answer in time.
+          CallError: if the response is not complete in time.
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
         limit = asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND)
-        collector = _Collector(_extension(limit, timeout_ms, arrival))
+        collector = _ResponseCollector(
+            _timeout_extender(limit, timeout_ms, arrival)
+        )
         try:
             async with limit:
-                connection = pool.take_idle(1.0) or await self._open(pool)
-                head = _head(method, parts, body, headers)
+                connection = pool.take_idle(1.0) or await self._connect(pool)
+                head = _encode_head(method, parts, body, headers)
                 answer = await self._exchange(
                     connection, method, head, body, collector
                 )
         except TimeoutError as error:
-            # Idle connections there may have gone silent with this one.
+            # Idle connections to this server may be dead as well.
             pool.close()
             raise CallError(
-                "no answer in time", sent=True, answering=collector.answering
+                "timed out", sent=True, answering=collector.answering
             ) from error
         if keeps:
             pool.give_back(connection)
@@ -165,13 +168,13 @@
             connection.abort()
         return answer
 
-    async def _open(
+    async def _connect(
         self, pool: http1_client.ConnectionPool
     ) -> http1_client.ReplicaConnection:
         try:
             return await pool.open()
         except OSError as error:
-            raise CallError(f"no connection: {error}", sent=False) from error
+            raise CallError(f"cannot connect: {error}", sent=False) from error
 
     async def _exchange(
         self,
@@ -179,7 +182,7 @@
         method: str,
         head: bytes,
         body: bytes,
-        collector: _Collector,
+        collector: _ResponseCollector,
     ) -> WholeAnswer:
         connection.send(method, head, body, collector)
         try:
@@ -196,24 +199,24 @@
         return pool
 
 
-def _extension(
+def _timeout_extender(
     limit: asyncio.Timeout, timeout_ms: float, arrival: Arrival | None
 ) -> Callable[[int], None] | None:
-    """Returns what moves a limit when a part of the answer has arrived."""
+    """Returns a callback that extends a timeout as body parts arrive."""
     if arrival is None:
         return None
     time = asyncio.get_running_loop().time
     limit_s = time() + timeout_ms / clock.MILLIS_PER_SECOND
 
     def extend(received_bytes: int) -> None:
-        # A limit that has been reached can't be moved.
+        # An expired timeout can't be rescheduled.
         if not limit.expired():
             limit.reschedule(arrival.ends_s(time(), limit_s, received_bytes))
 
     return extend
 
 
-def _head(
+def _encode_head(
     method: str,
     parts: urllib.parse.SplitResult,
     body: bytes,
@@ -224,6 +227,6 @@
         target += "?" + parts.query
     lines = [f"{method} {target} HTTP/1.1", f"host: {parts.netloc}"]
     lines.extend(f"{name}: {value}" for name, value in headers.items())
-    if body or method not in _BODYLESS:
+    if body or method not in _BODYLESS_METHODS:
         lines.append(f"content-length: {len(body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -1,9 +1,9 @@
 """One connection to a replica, on which one request runs at a time.
 
-HTTP client libraries hide what decides here: bytes beyond an answer, an
-answer that begins before its request was written, an answer that has no
-length and ends in a reset. So this connection is an asyncio protocol on
-llhttp's parser and reports exactly what arrived.
+HTTP client libraries hide cases that matter here: bytes after a response, a
+response that starts before its request was sent, and a response that has no
+length and ends with a reset. This connection is therefore an asyncio protocol
+on llhttp's parser that reports exactly what was received.
 """
 
 from __future__ import annotations
@@ -20,34 +20,34 @@
 from marlramp.shell import silence
 
 CONNECT_TIMEOUT_MS = 400.0
-"""Some 60 round trips between regions; a replica that has not taken a
-connection by then is down or cut off."""
+"""About 60 round trips between regions; a replica that has not accepted a
+connection by then is down or unreachable."""
 
 UNACKNOWLEDGED_MAX_MS = 3_000
 """Bytes that stay unacknowledged this long end the connection."""
 
 KEEP_ALIVE_MARGIN_MS = 700.0
-"""An idle connection is given up this long before the replica closes it, so
-that no request meets the close."""
+"""Idle connections are dropped this long before the replica closes them, so
+that no request is sent on a connection that is being closed."""
 
 IDLE_DEFAULT_MS = 4_000.0
-"""Idle time of a connection whose replica does not tell its own."""
+"""Idle limit if the replica sends no `Keep-Alive` timeout."""
 
 HEAD_BYTES_MAX = 65_536
-_INFORMATIONAL_END = 200
+_FINAL_STATUS_MIN = 200
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 
 
 class ResponseHead(msgspec.Struct, frozen=True):
-    """Status and headers of an answer, header names in lower case.
+    """Status and headers of a response, header names in lower case.
 
     Attributes:
       status: HTTP status code.
       headers: names and values.
-      delimited: whether a length, chunks or the status mark the end of the
-        body. Otherwise it ends with the connection, as it also does if the
-        server crashes.
+      delimited: whether a length, chunked encoding or the status marks the
+        end of the body. Otherwise the body ends with the connection and can't
+        be told from one that was truncated by a crash of the server.
     """
 
     status: int
@@ -55,14 +55,14 @@
     delimited: bool = True
 
     def header(self, name: bytes) -> bytes | None:
-        """Returns the first header of a name in lower case."""
+        """Returns the first header with a lower-case name, None without one."""
         for key, value in self.headers:
             if key == name:
                 return value
         return None
 
     def values(self, name: bytes) -> list[str]:
-        """Returns the values of all headers of a name in lower case."""
+        """Returns the values of all headers with a lower-case name."""
         return [
             value.decode("latin-1")
             for key, value in self.headers
@@ -71,7 +71,7 @@
 
 
 class LossKind(enum.Enum):
-    """How an answer failed to arrive whole."""
+    """Why a response is incomplete."""
 
     CLOSED = "closed"
     RESET = "reset"
@@ -79,30 +79,30 @@
 
 
 class ResponseReader(Protocol):
-    """Takes what arrives for one request."""
+    """Receives the response to one request."""
 
     def on_head(self, head: ResponseHead) -> None:
-        """Takes status and headers."""
+        """Handles the status and headers."""
         ...
 
     def on_body(self, data: bytes) -> None:
-        """Takes a part of the body."""
+        """Handles a part of the body."""
         ...
 
     def on_complete(self) -> None:
-        """The answer is complete."""
+        """Called when the response is complete."""
         ...
 
     def on_lost(self, kind: LossKind) -> None:
-        """The answer ended early, or none came."""
+        """Called when the response ended early or none was received."""
         ...
 
 
 class ReplicaConnection(asyncio.Protocol):
-    """A connection that is idle, runs one request, or is closed."""
+    """A connection that is idle, handles one request, or is closed."""
 
     def __init__(self, time: clock.Clock) -> None:
-        """Starts unconnected."""
+        """Creates a connection that has no transport yet."""
         self._clock = time
         self._transport: asyncio.Transport | None = None
         self._reader: ResponseReader | None = None
@@ -111,7 +111,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
         self._head: ResponseHead | None = None
-        self._until_close = False
+        self._body_until_close = False
         self._reusable = False
         self._ended_early = False
         self.closed = False
@@ -126,7 +126,7 @@
     def send(
         self, method: str, head: bytes, body: bytes, reader: ResponseReader
     ) -> None:
-        """Sends one request; its answer goes to `reader`."""
+        """Sends one request; its response is passed to `reader`."""
         if self._transport is None or not self.reusable:
             raise RuntimeError("the connection is not idle")
         self._reader = reader
@@ -135,128 +135,130 @@
         self._headers = []
         self._head_bytes = 0
         self._head = None
-        self._until_close = False
+        self._body_until_close = False
         self._reusable = False
         self._transport.write(head + body if body else head)
 
     def abort(self) -> None:
-        """Ends the connection at once; the reader hears nothing more."""
+        """Aborts the connection; the reader gets no further callbacks."""
         self._reader = None
         if self._transport is not None and not self.closed:
             closing.abort(self._transport)
         self.closed = True
 
     def pause(self) -> None:
-        """Stops reading while the caller does not take what arrived."""
+        """Stops reading while the caller can't keep up."""
         if self._transport is not None and not self.closed:
             self._transport.pause_reading()
 
     def resume(self) -> None:
-        """Reads on."""
+        """Resumes reading."""
         if self._transport is not None and not self.closed:
             self._transport.resume_reading()
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keeps the transport and bounds how long a dead peer is trusted."""
+        """Stores the transport and sets up the detection of dead peers."""
         if not isinstance(transport, asyncio.Transport):
-            raise TypeError("a stream transport is needed")
+            raise TypeError("expected a stream transport")
         self._transport = transport
         silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Parses what arrived; bytes without a request end the connection."""
+        """Parses received data; aborts if no request is pending."""
         if self._reader is None or self._parser is None:
             self.abort()
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._lost(LossKind.MALFORMED)
+            self._report_loss(LossKind.MALFORMED)
 
     def eof_received(self) -> bool:
-        """Completes an answer that has no length."""
-        if self._until_close and self._head is not None:
+        """Completes a response that has no length."""
+        if self._body_until_close and self._head is not None:
             self._complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Reports an answer that has not ended."""
+        """Reports a response that is incomplete."""
         self.closed = True
         if self._reader is None:
             return
-        if self._until_close and exc is None and self._head is not None:
+        if self._body_until_close and exc is None and self._head is not None:
             self._complete()
             return
-        self._lost(LossKind.CLOSED if exc is None else LossKind.RESET)
+        self._report_loss(LossKind.CLOSED if exc is None else LossKind.RESET)
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Notices an answer beyond the one that was asked for."""
+        """Rejects a response that no request is pending for."""
         if self._reader is None:
-            raise httptools.HttpParserError("an answer without a request")
+            raise httptools.HttpParserError("response without a request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > HEAD_BYTES_MAX:
-            raise httptools.HttpParserError("header too large")
+            raise httptools.HttpParserError("headers exceed the size limit")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Passes the head on, unless it is informational."""
+        """Passes on the head, except those of informational responses."""
         if self._parser is None or self._reader is None:
             return
         status = self._parser.get_status_code()
         head = ResponseHead(status, self._headers)
         self._headers = []
-        if status < _INFORMATIONAL_END:
+        if status < _FINAL_STATUS_MIN:
             return
         self._reusable = self._parser.should_keep_alive()
         bodyless = status in (_NO_CONTENT, _NOT_MODIFIED)
-        sized = (
+        has_length = (
             head.header(b"content-length") is not None
             or head.header(b"transfer-encoding") is not None
         )
-        self._until_close = not sized and not bodyless
-        head = msgspec.structs.replace(head, delimited=not self._until_close)
+        self._body_until_close = not has_length and not bodyless
+        head = msgspec.structs.replace(
+            head, delimited=not self._body_until_close
+        )
         self._head = head
-        self._note_keep_alive(head)
+        self._update_idle_max(head)
         self._reader.on_head(head)
         if self._method == "HEAD" and self._reader is not None:
-            # The parser waits for a body that does not come.
+            # The parser would wait for a body that is never sent.
             self._reusable = False
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Passes a part of the body on."""
+        """Passes on a part of the body."""
         if self._reader is not None:
             self._reader.on_body(body)
 
     def on_message_complete(self) -> None:
-        """Ends the answer; the connection is idle again if it may be."""
+        """Completes the response; a reusable connection becomes idle."""
         if self._head is not None:
             self._complete()
 
-    def _note_keep_alive(self, head: ResponseHead) -> None:
+    def _update_idle_max(self, head: ResponseHead) -> None:
         value = head.header(b"keep-alive")
         if value is None:
             return
         for part in value.split(b","):
             name, _, number = part.strip().partition(b"=")
             if name.lower() == b"timeout" and number.isdigit():
-                told_ms = int(number) * clock.MILLIS_PER_SECOND
-                self.idle_max_ms = max(0.0, told_ms - KEEP_ALIVE_MARGIN_MS)
+                announced_ms = int(number) * clock.MILLIS_PER_SECOND
+                self.idle_max_ms = max(0.0, announced_ms - KEEP_ALIVE_MARGIN_MS)
 
     def _complete(self) -> None:
         reader, self._reader = self._reader, None
         transport = self._transport
         unsent = transport is not None and transport.get_write_buffer_size() > 0
-        if not self._reusable or unsent or self._until_close:
-            # A replica that answered before it has read the whole body reads
-            # on: nothing else may be sent on this connection.
+        if not self._reusable or unsent or self._body_until_close:
+            # A replica that responded before it read the whole request body
+            # still expects the rest, so no other request may follow.
             self.closed = True
             if transport is not None:
                 transport.abort()
@@ -264,7 +266,7 @@
         if reader is not None:
             reader.on_complete()
 
-    def _lost(self, kind: LossKind) -> None:
+    def _report_loss(self, kind: LossKind) -> None:
         reader = self._reader
         self.abort()
         if reader is not None:
@@ -272,10 +274,10 @@
 
 
 async def connect(host: str, port: int, time: clock.Clock) -> ReplicaConnection:
-    """Opens a connection.
+    """Connects to a replica.
 
     Raises:
-      OSError: if it can't be opened in time.
+      OSError: if no connection is established in time.
     """
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND):
@@ -286,7 +288,7 @@
 
 
 class ConnectionPool:
-    """Idle connections to one address, the last used first."""
+    """Idle connections to one address, most recently used first."""
 
     def __init__(self, host: str, port: int, time: clock.Clock) -> None:
         """Starts without connections."""
@@ -297,11 +299,12 @@
         self.opened = 0
 
     def take_idle(self, idle_share_max: float) -> ReplicaConnection | None:
-        """Returns an idle connection, None if there is none to use.
+        """Returns an idle connection, None if none is usable.
 
         Args:
-          idle_share_max: part of its allowed idle time that it may have
-            spent; less for a request that must not meet a close.
+          idle_share_max: largest fraction of its idle limit that the
+            connection may have used; lower for a request that must not be sent
+            on a connection that the replica is closing.
         """
         now_ms = self._clock.now_ms()
         while self._idle:
@@ -317,21 +320,21 @@
         return None
 
     async def open(self) -> ReplicaConnection:
-        """Opens a further connection.
+        """Opens a new connection.
 
         Raises:
-          OSError: if it can't be opened in time.
+          OSError: if no connection is established in time.
         """
         self.opened += 1
         return await connect(self._host, self._port, self._clock)
 
     def give_back(self, connection: ReplicaConnection) -> None:
-        """Keeps a connection for the next request, if it can be used."""
+        """Returns a connection to the pool if it can be reused."""
         if connection.reusable:
             self._idle.append(connection)
 
     def drop_stale(self) -> None:
-        """Closes connections that were idle for too long."""
+        """Closes connections that exceeded their idle limit."""
         now_ms = self._clock.now_ms()
         kept = []
         for connection in self._idle:
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -1,10 +1,10 @@
-"""HTTP connections of callers, parsed by llhttp.
+"""HTTP server for callers, on llhttp's parser.
 
-One request of a connection is handled at a time; each is read whole before
-its handler starts, since it may have to be sent a second time. The handler
-answers through a `Responder`. What the library's server would decide by
-itself is decided here: bounds on size and time, when an idle connection may
-close, and that an answer cut short never looks complete.
+Each connection handles one request at a time. A request is read completely
+before its handler starts, since it may have to be sent to a second replica.
+The handler responds through a `Responder`. Size limits, timeouts and the
+closing of idle connections, which a server library would decide by itself, are
+controlled here, and a truncated response never looks complete.
 """
 
 from __future__ import annotations
@@ -24,10 +24,10 @@
 from marlramp.core.configuration import fleet
 
 WRITE_BUFFER_MAX_BYTES = 262_144
-"""Bytes that wait for a slow caller before its replica is read no further."""
+"""Bytes buffered for a slow caller before reading its replica is paused."""
 
 PIPELINED_MAX = 16
-"""Requests read ahead on one connection."""
+"""Pipelined requests that may be queued on one connection."""
 
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -52,16 +52,16 @@
 
 
 class Request(msgspec.Struct, frozen=True):
-    """One whole request.
+    """A complete request.
 
     Attributes:
       method: HTTP method.
       target: path and query as sent.
-      headers: names in lower case, and values, in order.
-      body: the whole body.
-      first_byte_ms: when its first byte was read: its caller waits since then.
+      headers: names in lower case and values, in order.
+      body: the complete body.
+      first_byte_ms: when its first byte was read and the caller's wait began.
       received_ms: when its last byte was read.
-      keep_alive: whether the caller keeps the connection.
+      keep_alive: whether the caller keeps the connection open.
     """
 
     method: str
@@ -73,7 +73,7 @@
     keep_alive: bool
 
     def header(self, name: bytes) -> str:
-        """Returns the first header of a name in lower case, else ""."""
+        """Returns the first header with a lower-case name, else ""."""
         for key, value in self.headers:
             if key == name:
                 return value.decode("latin-1")
@@ -81,19 +81,19 @@
 
 
 class Gate(Protocol):
-    """What the server asks the process that it belongs to."""
+    """Interface of the server to the process that runs it."""
 
     @property
     def closing(self) -> bool:
-        """Whether connections are to be closed after their answer."""
+        """Whether connections are closed after their current response."""
         ...
 
     def limits(self) -> fleet.CallerLimits:
-        """Returns the bounds in force."""
+        """Returns the limits in force."""
         ...
 
     def refused(self, error: errors.CallError) -> None:
-        """Counts and logs a request that could not be read."""
+        """Counts and logs a request that was rejected while being read."""
         ...
 
 
@@ -101,10 +101,10 @@
 
 
 class Responder:
-    """Writes the answer to one request."""
+    """Writes the response to one request."""
 
     def __init__(self, connection: ServerConnection, request: Request) -> None:
-        """Answers `request` on `connection`."""
+        """Responds to `request` on `connection`."""
         self._connection = connection
         self._request = request
         self._chunked = False
@@ -117,7 +117,7 @@
         headers: list[tuple[bytes, bytes]],
         length: int | None,
     ) -> None:
-        """Writes the head; `length` is None for a body in chunks."""
+        """Writes the head; `length` is None for a chunked body."""
         self.started = True
         lines = [b"HTTP/1.1 %d %s" % (status, REASONS.get(status, b"Status"))]
         lines.extend(name + b": " + value for name, value in headers)
@@ -139,7 +139,7 @@
         self._connection.write(data)
 
     def end(self) -> None:
-        """Completes the answer."""
+        """Completes the response."""
         if self._chunked:
             self._connection.write(_LAST_CHUNK)
         self.ended = True
@@ -147,24 +147,24 @@
     def answer(
         self, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
-        """Writes a whole answer."""
+        """Writes a complete response."""
         self.start(status, headers, len(body))
         self.write(body)
         self.end()
 
     def abort(self) -> None:
-        """Ends the connection so that the answer does not look complete."""
+        """Aborts the connection so that the response does not look complete."""
         self._connection.abort()
 
     def on_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
     ) -> None:
-        """Registers what to call when the caller reads too slowly."""
+        """Registers callbacks for a caller that reads too slowly."""
         self._connection.set_pressure(pause, resume)
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """A connection from a caller."""
 
     def __init__(
         self,
@@ -173,7 +173,7 @@
         time: clock.Clock,
         connections: set[ServerConnection],
     ) -> None:
-        """Registers itself in `connections` while it is open."""
+        """Creates a connection, listed in `connections` while it is open."""
         self._handler = handler
         self._gate = gate
         self._clock = time
@@ -181,123 +181,127 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._reset_message()
-        self._waiting: collections.deque[Request] = collections.deque()
+        self._queued: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
-        self._failed = False
+        self._rejected = False
         self._reading_message = False
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or answered."""
+        """Whether no request is being read or handled."""
         return (
             self._task is None
-            and not self._waiting
+            and not self._queued
             and not self._reading_message
         )
 
     def ends_after(self, request: Request) -> bool:
-        """Returns whether the connection closes after this answer."""
+        """Returns whether the connection closes after this response."""
         return (
-            not request.keep_alive or self._gate.closing or self._failed
-        ) and not self._waiting
+            not request.keep_alive or self._gate.closing or self._rejected
+        ) and not self._queued
 
     def write(self, data: bytes) -> None:
-        """Writes to the caller, if it is still there."""
+        """Writes to the caller unless the connection is closing."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
     def abort(self) -> None:
-        """Ends the connection at once."""
+        """Aborts the connection, discarding unsent data."""
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
-        """Closes the connection once what was written has left."""
+        """Closes the connection after flushing written data."""
         if self._transport is not None:
             self._transport.close()
 
     def set_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
     ) -> None:
-        """Registers what to call when the caller reads too slowly."""
+        """Registers callbacks for a caller that reads too slowly."""
         self._pause = pause
         self._resume = resume
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts to wait for a request."""
+        """Starts waiting for a request."""
         if not isinstance(transport, asyncio.Transport):
-            raise TypeError("a stream transport is needed")
+            raise TypeError("expected a stream transport")
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_MAX_BYTES)
         self._connections.add(self)
-        self._arm(self._gate.limits().idle_timeout_ms, self._idle_over)
+        self._start_timer(
+            self._gate.limits().idle_timeout_ms, self._on_idle_timeout
+        )
 
     def data_received(self, data: bytes) -> None:
-        """Parses what arrived."""
-        if self._failed:
+        """Parses received data."""
+        if self._rejected:
             return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail(errors.CallError(errors.ErrorKind.INVALID_REQUEST))
+            self._reject(errors.CallError(errors.ErrorKind.INVALID_REQUEST))
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.CallError):
-                self._fail(cause)
+                self._reject(cause)
             else:
-                self._fail(errors.CallError(errors.ErrorKind.INTERNAL))
+                self._reject(errors.CallError(errors.ErrorKind.INTERNAL))
         except httptools.HttpParserError as error:
-            self._fail(
+            self._reject(
                 errors.CallError(errors.ErrorKind.INVALID_REQUEST, str(error))
             )
 
     def eof_received(self) -> bool:
-        """Closes: a caller that ends its half has left."""
+        """Closes the connection: a half-close means that the caller left."""
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancels what runs for the caller that left."""
+        """Cancels the handler of a caller that disconnected."""
         self._connections.discard(self)
-        self._disarm()
-        self._waiting.clear()
+        self._cancel_timer()
+        self._queued.clear()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self) -> None:
-        """Has the source of the answer wait."""
+        """Pauses the source of the response."""
         if self._pause is not None:
             self._pause()
 
     def resume_writing(self) -> None:
-        """Lets the source of the answer go on."""
+        """Resumes the source of the response."""
         if self._resume is not None:
             self._resume()
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Bounds the time that the head may take."""
+        """Starts the timeout for reading the head."""
         self._reset_message()
         self._reading_message = True
-        self._arm(self._gate.limits().header_timeout_ms, self._head_late)
+        self._start_timer(
+            self._gate.limits().header_timeout_ms, self._on_header_timeout
+        )
 
     def on_url(self, url: bytes) -> None:
-        """Collects the target."""
+        """Appends a part of the request target."""
         self._target += url
-        self._count_head(len(url))
+        self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
         self._headers.append((name.lower(), value))
-        self._count_head(len(name) + len(value) + 4)
+        self._add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
-        """Checks the announced size before any of the body is read."""
+        """Checks the announced body size before the body is read."""
         limit = self._gate.limits().body_bytes_max
         for name, value in self._headers:
             if name == b"content-length" and int(value) > limit:
@@ -313,8 +317,8 @@
         self._body.append(body)
 
     def on_message_complete(self) -> None:
-        """Hands the request over, behind those that came before."""
-        self._disarm()
+        """Queues the request behind earlier ones on the connection."""
+        self._cancel_timer()
         self._reading_message = False
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
@@ -325,10 +329,10 @@
             received_ms=self._clock.now_ms(),
             keep_alive=self._parser.should_keep_alive(),
         )
-        if len(self._waiting) >= PIPELINED_MAX:
+        if len(self._queued) >= PIPELINED_MAX:
             raise errors.CallError(errors.ErrorKind.QUEUE_FULL)
-        self._waiting.append(request)
-        self._serve_next()
+        self._queued.append(request)
+        self._start_next()
 
     def _reset_message(self) -> None:
         self._first_byte_ms = self._clock.now_ms()
@@ -338,20 +342,22 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
 
-    def _count_head(self, size: int) -> None:
+    def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._gate.limits().header_bytes_max:
             raise errors.CallError(errors.ErrorKind.HEADER_TOO_LARGE)
 
-    def _serve_next(self) -> None:
+    def _start_next(self) -> None:
         if self._task is not None:
             return
-        if not self._waiting:
-            if self._failed:
+        if not self._queued:
+            if self._rejected:
                 return
-            self._arm(self._gate.limits().idle_timeout_ms, self._idle_over)
+            self._start_timer(
+                self._gate.limits().idle_timeout_ms, self._on_idle_timeout
+            )
             return
-        request = self._waiting.popleft()
+        request = self._queued.popleft()
         self._task = asyncio.get_running_loop().create_task(
             self._serve(request)
         )
@@ -370,17 +376,17 @@
         elif self.ends_after(request):
             self.close()
         else:
-            self._serve_next()
+            self._start_next()
 
-    def _fail(self, error: errors.CallError) -> None:
-        """Answers bytes that are no acceptable request, then closes."""
-        self._failed = True
-        self._disarm()
+    def _reject(self, error: errors.CallError) -> None:
+        """Responds to an unacceptable request with an error, then closes."""
+        self._rejected = True
+        self._cancel_timer()
         if self._transport is not None:
             self._transport.pause_reading()
         self._gate.refused(error)
         if self._task is not None:
-            # The answer before this one closes the connection at its end.
+            # The response in progress closes the connection when it ends.
             return
         self.write(
             b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
@@ -388,31 +394,33 @@
         )
         self.close()
 
-    def _arm(self, wait_ms: float, callback: Callable[[], None]) -> None:
-        self._disarm()
+    def _start_timer(
+        self, wait_ms: float, callback: Callable[[], None]
+    ) -> None:
+        self._cancel_timer()
         self._timer = asyncio.get_running_loop().call_later(
             wait_ms / clock.MILLIS_PER_SECOND, callback
         )
 
-    def _disarm(self) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _idle_over(self) -> None:
+    def _on_idle_timeout(self) -> None:
         if self.idle:
             self.close()
 
-    def _head_late(self) -> None:
+    def _on_header_timeout(self) -> None:
         if self._reading_message:
-            self._fail(errors.CallError(errors.ErrorKind.HEADER_TIMEOUT))
+            self._reject(errors.CallError(errors.ErrorKind.HEADER_TIMEOUT))
 
 
 class CallerServer:
-    """Listens for callers."""
+    """HTTP server that accepts connections from callers."""
 
     def __init__(self, handler: Handler, gate: Gate, time: clock.Clock) -> None:
-        """Hands each request to `handler`; nothing is bound before `start`."""
+        """Passes each request to `handler`; binds no address until `start`."""
         self._handler = handler
         self._gate = gate
         self._clock = time
@@ -420,7 +428,7 @@
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
-        """Binds and listens.
+        """Binds the address and starts listening.
 
         Raises:
           OSError: if the address can't be bound.
@@ -438,22 +446,22 @@
 
     @property
     def listening(self) -> bool:
-        """Whether connections are taken."""
+        """Whether new connections are accepted."""
         return self._server is not None
 
     @property
     def busy(self) -> int:
-        """Connections on which a request is read or answered."""
+        """Number of connections that are reading or handling a request."""
         return sum(not connection.idle for connection in self._connections)
 
     def close_idle(self) -> None:
-        """Closes connections on which nothing is asked."""
+        """Closes connections without a request."""
         for connection in list(self._connections):
             if connection.idle:
                 connection.close()
 
     def stop_listening(self) -> None:
-        """Takes no further connections; open ones go on."""
+        """Stops accepting connections; open ones continue."""
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/src/marlramp/shell/retry_after.py
+++ b/src/marlramp/shell/retry_after.py
@@ -1,7 +1,7 @@
-"""Reads `Retry-After` fields of answers (RFC 9110, section 10.2.3).
+"""Parses `Retry-After` headers of responses (RFC 9110, section 10.2.3).
 
-Seconds may have fractions. Whatever a field names, nobody is kept away for
-longer than `WAIT_MAX_MS`: one spoilt byte must not cost a sound peer a day.
+Fractional seconds are accepted. The result is limited to `WAIT_MAX_MS`, so that
+one corrupted byte can't exclude a healthy peer for a day.
 """
 
 from __future__ import annotations
@@ -16,18 +16,18 @@
 from marlramp.shell import http1_client
 
 WAIT_MAX_MS = 300_000.0
-"""Longest time that is kept."""
+"""Upper limit of the wait."""
 
 _ABSENT = ""
 
 
 class RetryAfter(msgspec.Struct, frozen=True):
-    """What the fields of one answer say.
+    """The parsed `Retry-After` headers of one response.
 
     Attributes:
-      wait_ms: the longest time that they name, at most `WAIT_MAX_MS`; None if
-        they name none.
-      unreadable: a value that names no time, "" if there is none.
+      wait_ms: the longest wait among the values, at most `WAIT_MAX_MS`; None
+        without a valid value.
+      unreadable: an invalid value, "" if there is none.
     """
 
     wait_ms: float | None = None
@@ -35,18 +35,18 @@
 
 
 def read(values: Iterable[str], date: str = _ABSENT) -> RetryAfter:
-    """Returns what an answer says of when to come back.
+    """Parses the `Retry-After` headers of a response.
 
     Args:
-      values: the values of its `Retry-After` fields.
-      date: the value of its `Date` field, by which a point in time is read,
-        since clocks differ; "" if it has none.
+      values: the values of its `Retry-After` headers.
+      date: the value of its `Date` header, "" without one. Dates are taken
+        relative to it, since the clocks of the two machines differ.
     """
     waits_ms = []
     unreadable = _ABSENT
     for value in values:
-        for part in _parts(value):
-            wait_ms = _wait_ms(part, date)
+        for part in _split_values(value):
+            wait_ms = _parse_wait_ms(part, date)
             if wait_ms is None:
                 unreadable = part.strip() or "empty"
             else:
@@ -55,30 +55,30 @@
 
 
 def of_answer(head: http1_client.ResponseHead) -> RetryAfter:
-    """Returns what the head of an answer says of when to come back."""
+    """Parses the `Retry-After` headers in the head of a response."""
     date = head.header(b"date") or b""
     return read(head.values(b"retry-after"), date.decode("latin-1"))
 
 
-def _parts(value: str) -> list[str]:
-    """Returns the values of fields that were joined on the way."""
-    # A date has a comma of its own.
+def _split_values(value: str) -> list[str]:
+    """Splits a header value that a proxy may have joined from several."""
+    # A date contains a comma itself.
     return [value] if "GMT" in value else value.split(",")
 
 
-def _wait_ms(text: str, date: str) -> float | None:
-    """Returns the time that one value names, None if it names none."""
+def _parse_wait_ms(text: str, date: str) -> float | None:
+    """Returns the wait of one value, None if it is invalid."""
     try:
         seconds = float(text)
     except ValueError:
-        return _until_ms(text, date)
+        return _parse_date_ms(text, date)
     if not math.isfinite(seconds) or seconds < 0.0:
         return None
     return seconds * clock.MILLIS_PER_SECOND
 
 
-def _until_ms(text: str, date: str) -> float | None:
-    """Returns the time from `date` to a point in time."""
+def _parse_date_ms(text: str, date: str) -> float | None:
+    """Returns the time from `date` to a date, None if one is invalid."""
     try:
         until = email.utils.parsedate_to_datetime(text)
         since = email.utils.parsedate_to_datetime(date)
--- a/src/marlramp/shell/silence.py
+++ b/src/marlramp/shell/silence.py
@@ -1,8 +1,8 @@
-"""Ends connections that have gone silent.
+"""Sets up the detection of dead TCP connections.
 
-A connection may go silent for good without a reset, while new ones between the
-same machines work. TCP notices by itself only when bytes stay unacknowledged,
-after minutes; an idle connection never does.
+A connection may stop delivering packets without a reset, while new connections
+between the same machines work. By default TCP detects this only after minutes
+of unacknowledged bytes, and never on an idle connection.
 """
 
 from __future__ import annotations
@@ -10,28 +10,29 @@
 import asyncio
 import socket
 
-PROBE_AFTER_S = 1
-PROBE_EVERY_S = 1
-PROBES_MAX = 2
-"""An idle connection is probed each second and ended after two probes without
-an answer, so that few requests meet a dead one. A probe is 54 bytes."""
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES_MAX = 2
+"""Idle connections are probed each second and closed after two unanswered
+probes, so that few requests are sent on a dead one. A probe is 54 bytes."""
 
 
 def bound(transport: asyncio.Transport, unacknowledged_max_ms: int) -> None:
-    """Bounds how long a peer that acknowledges nothing is trusted.
+    """Limits how long a peer that acknowledges nothing is considered alive.
 
     Args:
       transport: an open TCP connection.
-      unacknowledged_max_ms: bytes that stay unacknowledged for so long end it.
+      unacknowledged_max_ms: the connection is closed when bytes stay
+        unacknowledged for this long.
     """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     options = {
         socket.TCP_USER_TIMEOUT: unacknowledged_max_ms,
-        socket.TCP_KEEPIDLE: PROBE_AFTER_S,
-        socket.TCP_KEEPINTVL: PROBE_EVERY_S,
-        socket.TCP_KEEPCNT: PROBES_MAX,
+        socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
+        socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
+        socket.TCP_KEEPCNT: KEEPALIVE_PROBES_MAX,
     }
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in options.items():
--- a/tests/shell/test_closing.py
+++ b/tests/shell/test_closing.py
@@ -11,7 +11,7 @@
 
 
 class SlowReplica:
-    """Takes a connection, reads little at a time, sees how it ends."""
+    """Accepts a connection, reads slowly and records how it ends."""
 
     def __init__(self) -> None:
         self.bytes_read = 0
@@ -31,8 +31,12 @@
         writer.close()
 
 
-def aborted(body: bytes) -> tuple[SlowReplica, float]:
-    """Sends a request, aborts it; returns the replica and when it saw that."""
+def abort_request(body: bytes) -> tuple[SlowReplica, float]:
+    """Sends a request and aborts it.
+
+    Returns:
+      The replica, and the milliseconds until the connection ended there.
+    """
     time = clock.SystemClock()
 
     async def run() -> tuple[SlowReplica, float]:
@@ -45,7 +49,7 @@
                 replica.serve, sock=listener, limit=4_096
             )
             connection = await http1_client.connect("127.0.0.1", port, time)
-            connection.send("POST", HEAD % len(body), body, _Ignoring())
+            connection.send("POST", HEAD % len(body), body, _IgnoringReader())
             await asyncio.sleep(0.05)
             aborted_ms = time.now_ms()
             connection.abort()
@@ -57,8 +61,8 @@
     return asyncio.run(run())
 
 
-class _Ignoring:
-    """Takes no answer."""
+class _IgnoringReader:
+    """Ignores the response."""
 
     def on_head(self, head: http1_client.ResponseHead) -> None:
         pass
@@ -73,14 +77,16 @@
         pass
 
 
-def test_close_does_not_wait_behind_bytes_that_have_not_left() -> None:
-    replica, after_ms = aborted(LONG_BODY)
+def test_abort_does_not_wait_behind_unsent_bytes() -> None:
+    """Guards against a replica that goes on reading an aborted request."""
+    replica, delay_ms = abort_request(LONG_BODY)
     assert replica.was_reset
     assert replica.bytes_read < len(LONG_BODY)
-    assert after_ms < 300.0
+    assert delay_ms < 300.0
 
 
-def test_close_of_a_request_that_has_left_is_no_reset() -> None:
-    replica, _ = aborted(b"x" * 100)
+def test_abort_of_a_fully_sent_request_is_no_reset() -> None:
+    """Guards against resets without unsent bytes: they aren't retransmitted."""
+    replica, _ = abort_request(b"x" * 100)
     assert not replica.was_reset
     assert replica.bytes_read > 100
--- a/tests/shell/test_http.py
+++ b/tests/shell/test_http.py
@@ -9,7 +9,7 @@
 
 
 class DroppingServer:
-    """Answers the first request of a connection and drops the second."""
+    """Responds to the first request of a connection, closes at the second."""
 
     def __init__(self) -> None:
         self.requests = 0
@@ -30,6 +30,8 @@
 
 @pytest.mark.parametrize("method", ["PUT", "POST", "DELETE"])
 def test_at_most_once_call_is_not_repeated_by_the_client(method: str) -> None:
+    """Guards against the library's retries on a reused closed connection."""
+
     async def check() -> int:
         server = DroppingServer()
         listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
@@ -51,7 +53,9 @@
     assert asyncio.run(check()) == 2
 
 
-def test_late_answer_is_not_taken_for_the_next_one() -> None:
+def test_late_response_is_not_matched_to_the_next_request() -> None:
+    """Guards against reuse of a connection whose call timed out."""
+
     async def script(peer: raw_http.Peer) -> None:
         request = await peer.read()
         while request is not None:
@@ -75,7 +79,9 @@
     assert asyncio.run(main()) == b"/next"
 
 
-def test_answer_without_a_length_is_not_taken_as_empty() -> None:
+def test_response_without_a_length_is_not_taken_as_empty() -> None:
+    """Guards against the library's empty body for an undelimited response."""
+
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
         await peer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf of the")
@@ -85,16 +91,16 @@
         async with raw_http.ScriptedServer(script) as server:
             client = http.HttpClient()
             url = f"http://{server.address}/"
-            with pytest.raises(http.HttpError, match="not marked"):
+            with pytest.raises(http.HttpError, match="no content-length"):
                 await client.request("GET", url, timeout_ms=1_000.0)
             stream = await client.stream("GET", url, timeout_ms=1_000.0)
-            with pytest.raises(http.HttpError, match="not marked"):
+            with pytest.raises(http.HttpError, match="no content-length"):
                 await stream.body()
 
     asyncio.run(main())
 
 
-def test_answer_without_a_body_is_whole() -> None:
+def test_response_without_a_body_is_complete() -> None:
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
         await peer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -17,7 +17,7 @@
 
 
 class Recorder:
-    """A response reader that records what it hears."""
+    """A response reader that records its callbacks."""
 
     def __init__(self) -> None:
         self.heads: list[http1_client.ResponseHead] = []
@@ -42,7 +42,7 @@
 
 
 class State(msgspec.Struct):
-    """A connection as it was right after the exchange."""
+    """State of a connection right after an exchange."""
 
     reusable: bool
     closed: bool
@@ -87,44 +87,44 @@
     return script
 
 
-WHOLE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+COMPLETE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-def test_whole_answer_leaves_the_connection_reusable() -> None:
-    recorder, connection = exchange(writes(WHOLE))
+def test_complete_response_leaves_the_connection_reusable() -> None:
+    recorder, connection = exchange(writes(COMPLETE))
     assert recorder.complete
     assert recorder.body == b"ok"
     assert connection.reusable
 
 
-def test_head_says_whether_the_end_of_the_body_is_marked() -> None:
-    recorder, _ = exchange(writes(WHOLE))
+def test_head_tells_whether_the_body_is_delimited() -> None:
+    recorder, _ = exchange(writes(COMPLETE))
     assert recorder.heads[0].delimited
-    unmarked = b"HTTP/1.1 200 OK\r\n\r\nok"
-    recorder, _ = exchange(writes(unmarked, raw_http.Peer.close))
+    undelimited = b"HTTP/1.1 200 OK\r\n\r\nok"
+    recorder, _ = exchange(writes(undelimited, raw_http.Peer.close))
     assert not recorder.heads[0].delimited
 
 
-def test_bytes_beyond_an_answer_end_the_connection() -> None:
-    recorder, connection = exchange(writes(WHOLE + b"junk"))
+def test_bytes_after_a_response_end_the_connection() -> None:
+    recorder, connection = exchange(writes(COMPLETE + b"junk"))
     assert recorder.complete
     assert not connection.reusable
 
 
-def test_second_answer_ends_the_connection() -> None:
-    recorder, connection = exchange(writes(WHOLE + WHOLE))
+def test_second_response_ends_the_connection() -> None:
+    recorder, connection = exchange(writes(COMPLETE + COMPLETE))
     assert recorder.complete
     assert recorder.body == b"ok"
     assert len(recorder.heads) == 1
     assert not connection.reusable
 
 
-def test_late_second_answer_ends_an_idle_connection() -> None:
+def test_late_second_response_ends_an_idle_connection() -> None:
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
-        await peer.write(WHOLE)
+        await peer.write(COMPLETE)
         await asyncio.sleep(0.05)
-        await peer.write(WHOLE)
+        await peer.write(COMPLETE)
         await asyncio.sleep(1)
 
     recorder, connection = exchange(script, settle_s=0.2)
@@ -147,27 +147,29 @@
     assert recorder.lost is http1_client.LossKind.RESET
 
 
-def test_short_body_is_lost() -> None:
+def test_truncated_body_is_reported_as_lost() -> None:
     data = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort"
     recorder, _ = exchange(writes(data, raw_http.Peer.close))
     assert recorder.lost is http1_client.LossKind.CLOSED
 
 
-def test_bytes_that_are_no_answer_are_malformed() -> None:
+def test_bytes_that_are_no_response_are_malformed() -> None:
     recorder, _ = exchange(writes(b"not http at all\r\n\r\n"))
     assert recorder.lost is http1_client.LossKind.MALFORMED
 
 
-def test_connection_close_is_kept() -> None:
+def test_connection_close_header_is_respected() -> None:
     data = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     recorder, connection = exchange(writes(data))
     assert recorder.complete
     assert not connection.reusable
 
 
-def test_early_answer_to_a_long_body_ends_the_connection() -> None:
+def test_early_response_to_a_long_body_ends_the_connection() -> None:
+    """Guards against reuse while the replica still reads the last body."""
+
     async def script(peer: raw_http.Peer) -> None:
-        await peer.write(WHOLE)
+        await peer.write(COMPLETE)
         await asyncio.sleep(1)
 
     async def run() -> Exchange:
@@ -186,19 +188,19 @@
     assert not connection.reusable
 
 
-def test_idle_time_follows_the_replica() -> None:
+def test_idle_limit_follows_the_keep_alive_header() -> None:
     data = (
         b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=2\r\ncontent-length: 0\r\n\r\n"
     )
     _, connection = exchange(writes(data))
-    told_ms = 2_000.0 - http1_client.KEEP_ALIVE_MARGIN_MS
-    assert connection.idle_max_ms == told_ms
+    announced_ms = 2_000.0 - http1_client.KEEP_ALIVE_MARGIN_MS
+    assert connection.idle_max_ms == announced_ms
 
 
 def test_pool_does_not_hand_out_stale_connections() -> None:
     async def run() -> list[bool]:
         time = clock.ManualClock(0.0)
-        async with raw_http.ScriptedServer(writes(WHOLE)) as server:
+        async with raw_http.ScriptedServer(writes(COMPLETE)) as server:
             pool = http1_client.ConnectionPool("127.0.0.1", server.port, time)
             connection = await pool.open()
             pool.give_back(connection)
@@ -216,7 +218,7 @@
     assert asyncio.run(run()) == [True] * 5
 
 
-def test_connection_that_is_not_taken_fails() -> None:
+def test_refused_connection_raises() -> None:
     async def run() -> Awaitable[object] | None:
         try:
             await http1_client.connect("127.0.0.1", 1, clock.SystemClock())
@@ -227,7 +229,9 @@
     assert asyncio.run(run()) is None
 
 
-def test_answer_held_back_is_not_taken_for_the_next_one() -> None:
+def test_late_response_is_not_matched_to_the_next_request() -> None:
+    """Guards against reuse of a connection whose call timed out."""
+
     async def script(peer: raw_http.Peer) -> None:
         while (request := await peer.read()) is not None:
             if request.target == "/slow":
--- a/tests/shell/test_http1_server.py
+++ b/tests/shell/test_http1_server.py
@@ -22,7 +22,7 @@
 
 
 class FakeGate:
-    """Bounds for tests; counts what could not be read."""
+    """Provides test limits and records rejected requests."""
 
     def __init__(self) -> None:
         self.closing = False
@@ -41,13 +41,13 @@
     responder.answer(200, [], request.target + b" " + request.body)
 
 
-Talk: TypeAlias = Callable[
+Conversation: TypeAlias = Callable[
     [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bytes]
 ]
 
 
-def talk(
-    conversation: Talk,
+def run_conversation(
+    conversation: Conversation,
     handler: http1_server.Handler = echo,
     gate: FakeGate | None = None,
 ) -> bytes:
@@ -68,7 +68,7 @@
     return asyncio.run(run())
 
 
-def sends(*parts: bytes) -> Talk:
+def sends(*parts: bytes) -> Conversation:
     async def conversation(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
@@ -81,15 +81,15 @@
     return conversation
 
 
-def test_requests_in_a_row_are_answered_in_order() -> None:
-    answer = talk(sends(GET + GET.replace(b"/a", b"/b")))
+def test_pipelined_requests_are_answered_in_order() -> None:
+    answer = run_conversation(sends(GET + GET.replace(b"/a", b"/b")))
     first, second = answer.index(b"/a "), answer.index(b"/b ")
     assert first < second
     assert answer.count(b"200 OK") == 2
 
 
-def test_chunked_body_is_read_whole() -> None:
-    answer = talk(
+def test_chunked_body_is_reassembled() -> None:
+    answer = run_conversation(
         sends(
             b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
             b"3\r\nabc\r\n",
@@ -127,13 +127,13 @@
     data: bytes, status: bytes
 ) -> None:
     gate = FakeGate()
-    answer = talk(sends(data), gate=gate)
+    answer = run_conversation(sends(data), gate=gate)
     assert answer.split(b" ")[1] == status
     assert b"connection: close" in answer
     assert len(gate.refusals) == 1
 
 
-def test_idle_connection_is_closed_after_its_time() -> None:
+def test_idle_connection_is_closed_after_the_idle_timeout() -> None:
     async def conversation(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
@@ -148,18 +148,20 @@
         assert waited_ms > 0.8 * LIMITS.idle_timeout_ms
         return b""
 
-    talk(conversation)
+    run_conversation(conversation)
 
 
-def test_leaving_entry_closes_after_the_answer() -> None:
+def test_closing_entry_closes_after_the_response() -> None:
     gate = FakeGate()
     gate.closing = True
-    answer = talk(sends(GET), gate=gate)
+    answer = run_conversation(sends(GET), gate=gate)
     assert b"connection: close" in answer
     assert answer.endswith(b"/a ")
 
 
-def test_unended_answer_does_not_look_complete() -> None:
+def test_unfinished_response_does_not_look_complete() -> None:
+    """Guards against a last chunk after a handler that returned early."""
+
     async def half(
         _: http1_server.Request, responder: http1_server.Responder
     ) -> None:
@@ -175,11 +177,11 @@
         except ConnectionError:
             return b"reset"
 
-    answer = talk(conversation, half)
+    answer = run_conversation(conversation, half)
     assert not answer.endswith(b"0\r\n\r\n")
 
 
-def test_handler_is_cancelled_when_the_caller_leaves() -> None:
+def test_handler_is_cancelled_when_the_caller_disconnects() -> None:
     cancelled = asyncio.Event()
 
     async def slow(_: http1_server.Request, __: http1_server.Responder) -> None:
@@ -198,4 +200,4 @@
         await asyncio.wait_for(cancelled.wait(), 0.5)
         return b""
 
-    talk(conversation, slow)
+    run_conversation(conversation, slow)
--- a/tests/shell/test_silence.py
+++ b/tests/shell/test_silence.py
@@ -12,7 +12,7 @@
 from standins import raw_http
 
 
-def test_idle_connections_are_probed_and_ended_soon() -> None:
+def test_dead_idle_connections_are_closed_by_keepalive() -> None:
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
 
@@ -27,27 +27,30 @@
             ended_after_s = (
                 sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
                 + sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL)
-                * silence.PROBES_MAX
+                * silence.KEEPALIVE_PROBES_MAX
             )
-            # Calm machines are judged 3 s after a disruption.
+            # Undisturbed machines are evaluated from 3 s after a disruption.
             assert ended_after_s <= 3
             connection.abort()
 
     asyncio.run(main())
 
 
-def test_connections_beside_a_silent_one_are_not_used_again() -> None:
-    # Two connections were open; both go silent, new ones work.
-    silent_from = 2
+def test_timeout_drops_other_idle_connections_to_the_server() -> None:
+    """Guards against reuse of a dead connection after another timed out.
+
+    Two open connections stop responding, while new ones work.
+    """
+    dead_count = 2
 
     async def main() -> None:
         answered = 0
 
         async def script(peer: raw_http.Peer) -> None:
             nonlocal answered
-            own = server.connections
+            connection_number = server.connections
             while (request := await peer.read()) is not None:
-                if own <= silent_from and answered >= silent_from:
+                if connection_number <= dead_count and answered >= dead_count:
                     await asyncio.sleep(60)
                 await asyncio.sleep(0.05)
                 answered += 1
@@ -65,7 +68,7 @@
             assert await asyncio.gather(call(), call()) == [b"ok", b"ok"]
             with contextlib.suppress(http1_call.CallError):
                 await call()
-            # The other idle connection is as old as the one that was silent.
+            # The other idle connection is dead too and must not be reused.
             assert await call() == b"ok"
 
     asyncio.run(main())
@@ -75,8 +78,8 @@
 PART_S = 0.05
 
 
-def slow_answer(part: bytes, parts: int = PARTS) -> raw_http.Script:
-    """Returns a script that sends parts of an answer of `PARTS`, then none."""
+def slow_response(part: bytes, parts: int = PARTS) -> raw_http.Script:
+    """Returns a script that sends `parts` of `PARTS` parts, then stalls."""
 
     async def script(peer: raw_http.Peer) -> None:
         while await peer.read() is not None:
@@ -92,10 +95,10 @@
 
 
 def call_slowly(script: raw_http.Script) -> tuple[int, float]:
-    """Makes a call that may go on while its answer arrives.
+    """Makes a call whose deadline moves while its response arrives.
 
     Returns:
-      Bytes of the answer, 0 if it had begun only, and seconds that it took.
+      Size of the body, 0 if only a part arrived, and duration in seconds.
     """
 
     async def main() -> int:
@@ -112,24 +115,24 @@
                 return 0
             return len(answer.body)
 
-    began_s = time.monotonic()
-    return asyncio.run(main()), time.monotonic() - began_s
+    started_s = time.monotonic()
+    return asyncio.run(main()), time.monotonic() - started_s
 
 
-def test_answer_that_goes_on_arriving_is_waited_for() -> None:
-    # 2 s for an answer that had to be whole within 0.3 s.
-    received, _ = call_slowly(slow_answer(b"x" * 2_000))
+def test_response_that_makes_progress_extends_the_deadline() -> None:
+    # The response takes 2 s, the time limit of the call is 0.3 s.
+    received, _ = call_slowly(slow_response(b"x" * 2_000))
     assert received == 2_000 * PARTS
 
 
-def test_answer_that_stops_midway_ends_the_call() -> None:
-    # Within 2.3 s it would have come at the least rate.
-    received, took_s = call_slowly(slow_answer(b"x" * 2_000, parts=10))
+def test_stalled_response_ends_the_call() -> None:
+    # At the minimum rate the call would end only after 2.3 s.
+    received, duration_s = call_slowly(slow_response(b"x" * 2_000, parts=10))
     assert received == 0
-    assert 0.5 <= took_s < 2.0
+    assert 0.5 <= duration_s < 2.0
 
 
-def test_answer_that_trickles_ends_the_call() -> None:
-    received, took_s = call_slowly(slow_answer(b"x"))
+def test_response_below_the_minimum_rate_ends_the_call() -> None:
+    received, duration_s = call_slowly(slow_response(b"x"))
     assert received == 0
-    assert took_s < 1.5
+    assert duration_s < 1.5
