Reword links, membership and settings sync in plain terms

Comments and docstrings of the links between processes, VM list polling, settings sync, port opener and task restarts describe what the code does and why in common terms. Private names, module constants that no other folder uses, and tests are renamed to match.

--- a/src/marlramp/shell/__init__.py
+++ b/src/marlramp/shell/__init__.py
@@ -1,1 +1,1 @@
-"""Sockets, files and timers shared by all roles."""
+"""Network connections and background tasks shared by all processes."""
--- a/src/marlramp/shell/block_logs.py
+++ b/src/marlramp/shell/block_logs.py
@@ -1,4 +1,4 @@
-"""Logs and counts which requests and parts of prompts are blocked."""
+"""Logs and counts requests and prompt parts that are blocked or released."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 def log_changes(
     changes: crash_record.BlockChanges, totals: counters.Counters
 ) -> None:
-    """Logs what is newly blocked, with the evidence, and what is released."""
+    """Logs new blocks, with their evidence, and released requests."""
     for fingerprint, evidence in changes.blocked.items():
         totals.add(counters.CounterName.CRASHES, "condemned")
         logs.log(
@@ -20,14 +20,14 @@
             share=round(evidence.share, 2),
             crashes=evidence.crash_ids,
         )
-    for part, against in changes.parts.items():
+    for part, part_evidence in changes.parts.items():
         totals.add(counters.CounterName.CRASHES, "part_condemned")
         logs.log(
             "part_condemned",
             fingerprint=part,
-            strikes=against.strikes,
-            requests=against.carriers,
-            crashes=against.crash_ids,
+            strikes=part_evidence.strikes,
+            requests=part_evidence.carriers,
+            crashes=part_evidence.crash_ids,
         )
     for fingerprint in changes.released:
         totals.add(counters.CounterName.CRASHES, "released")
--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -1,11 +1,11 @@
-"""ZeroMQ links between the system's own processes, with CURVE keys.
+"""CURVE-authenticated ZeroMQ links between the system's processes.
 
 A listener (ROUTER) serves many connectors (DEALER). Sending never blocks: a
-message that a link cannot take is dropped and counted, since every protocol
-on top repeats or times out.
+message that does not fit into the send queue is dropped and counted, since
+every protocol on top retries or times out.
 
-Plain sockets are watched through their file descriptor and read in batches:
-the futures of `zmq.asyncio` cost more than the messages themselves, see
+Sockets are polled through their file descriptors and read in batches, because
+the futures of `zmq.asyncio` cost more than handling the messages, see
 docs/design/links.md.
 """
 
@@ -26,7 +26,7 @@
     from marlramp.settings import process
 
 QUEUE_MESSAGES_MAX = 10_000
-"""Messages queued per link before more are dropped."""
+"""Limit of each queue of a link; messages beyond it are dropped."""
 
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
@@ -34,10 +34,10 @@
 RECONNECT_MAX_MS = 2_000
 HANDSHAKE_TIMEOUT_MS = 5_000
 BATCH_MESSAGES_MAX = 256
-"""Messages read before other tasks get their turn."""
+"""Messages read in a row before other tasks may run."""
 
 _SEPARATOR = "|"
-_FRAMES = 2
+_FRAME_COUNT = 2
 _POLLIN = int(zmq.POLLIN)
 
 
@@ -46,19 +46,19 @@
 
     Attributes:
       vm_id: the VM of the process.
-      incarnation: number drawn at its start.
+      incarnation: number chosen at each start of the process.
     """
 
     vm_id: str
     incarnation: int
 
     def encode(self) -> bytes:
-        """Returns the routing id sent to the listener."""
+        """Returns the ZeroMQ routing id of this identity."""
         return f"{self.vm_id}{_SEPARATOR}{self.incarnation}".encode()
 
     @staticmethod
     def decode(data: bytes) -> LinkId | None:
-        """Returns the identity in a routing id, None if it is malformed."""
+        """Returns the identity of a routing id, None if it is malformed."""
         try:
             vm_id, _, number = data.decode().rpartition(_SEPARATOR)
             return LinkId(vm_id, int(number)) if vm_id else None
@@ -76,7 +76,7 @@
 
     @staticmethod
     def of(settings: process.Links) -> Keys:
-        """Returns the keys in a process's settings."""
+        """Returns the keys in the link settings of a process."""
         return Keys(
             settings.server_public_key.encode(),
             settings.server_secret_key.encode(),
@@ -85,14 +85,14 @@
         )
 
 
-class _OneKey:
-    """Accepts the fleet's client key and no other."""
+class _FleetKeyProvider:
+    """Accepts only the fleet's client key."""
 
     def __init__(self, public_key: bytes) -> None:
         self._public_key = public_key
 
     def callback(self, domain: str, key: bytes) -> bool:
-        """Returns whether a connecting client's key is the fleet's."""
+        """Returns whether a connecting client uses the fleet's key."""
         return key == self._public_key
 
 
@@ -100,21 +100,21 @@
     """Owns the ZeroMQ context and the authenticator of one process."""
 
     def __init__(self, keys: Keys, totals: counters.Counters) -> None:
-        """Starts accepting links that hold the fleet's client key."""
+        """Starts accepting clients that use the fleet's client key."""
         self.keys = keys
         self._totals = totals
         self._channels: set[_Channel] = set()
-        asynchronous = zmq.asyncio.Context()
+        async_context = zmq.asyncio.Context()
         self.context: zmq.Context[zmq.Socket[bytes]] = zmq.Context.shadow(
-            asynchronous.underlying
+            async_context.underlying
         )
-        self._asynchronous = asynchronous
+        self._async_context = async_context
         self._authenticator = zmq.auth.asyncio.AsyncioAuthenticator(
-            asynchronous
+            async_context
         )
         self._authenticator.start()
         self._authenticator.configure_curve_callback(
-            credentials_provider=_OneKey(keys.client_public)
+            credentials_provider=_FleetKeyProvider(keys.client_public)
         )
 
     def watch(self, socket: zmq.Socket[bytes]) -> _Channel:
@@ -124,11 +124,11 @@
         return channel
 
     def close(self) -> None:
-        """Closes all sockets without waiting for queued messages."""
+        """Closes all sockets, discarding queued messages."""
         self._authenticator.stop()
         for channel in list(self._channels):
             channel.close()
-        self._asynchronous.destroy(linger=0)
+        self._async_context.destroy(linger=0)
 
 
 def _configure(socket: zmq.Socket[bytes]) -> None:
@@ -141,7 +141,7 @@
 
 
 class _Channel:
-    """A socket that is sent to without blocking and read in batches."""
+    """A socket with non-blocking sends and batched reads."""
 
     def __init__(
         self,
@@ -149,7 +149,7 @@
         totals: counters.Counters,
         on_close: Callable[[_Channel], None],
     ) -> None:
-        """Watches a bound or connected socket."""
+        """Registers a bound or connected socket with the event loop."""
         self._socket = socket
         self._totals = totals
         self._on_close = on_close
@@ -159,9 +159,9 @@
         self._loop.add_reader(self._fd, self._readable.set)
 
     async def receive(self) -> list[list[bytes]]:
-        """Returns the frames of at least one message."""
+        """Waits for messages and returns the frames of each."""
         while True:
-            batch = self._drain()
+            batch = self._read_batch()
             if batch:
                 size = sum(len(frames[-1]) for frames in batch)
                 self._totals.add(
@@ -169,11 +169,11 @@
                 )
                 return batch
             self._readable.clear()
-            if not self._has_input():
+            if not self._has_pending_input():
                 await self._readable.wait()
 
     def send(self, frames: list[bytes]) -> bool:
-        """Queues a message; returns False if the socket cannot take it."""
+        """Queues a message; returns False if it was dropped."""
         try:
             self._socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
@@ -181,9 +181,9 @@
         self._totals.add(
             counters.CounterName.LINK_BYTES, "sent", len(frames[-1])
         )
-        # Sending may take in the signal of an arrival, so that the file
-        # descriptor does not become readable for it.
-        if self._has_input():
+        # Sending may consume the socket's read notification, after which the
+        # file descriptor does not become readable for a waiting message.
+        if self._has_pending_input():
             self._readable.set()
         return True
 
@@ -193,7 +193,7 @@
         self._socket.close(linger=0)
         self._on_close(self)
 
-    def _drain(self) -> list[list[bytes]]:
+    def _read_batch(self) -> list[list[bytes]]:
         batch: list[list[bytes]] = []
         try:
             while len(batch) < BATCH_MESSAGES_MAX:
@@ -202,13 +202,13 @@
             pass
         return batch
 
-    def _has_input(self) -> bool:
+    def _has_pending_input(self) -> bool:
         events = int(self._socket.get(zmq.EVENTS))
         return bool(events & _POLLIN)
 
 
 class Received(msgspec.Struct, frozen=True):
-    """A message at a listener and the routing id of its sender."""
+    """A message received by a listener and its sender's routing id."""
 
     routing_id: bytes
     data: bytes
@@ -220,7 +220,7 @@
     def __init__(
         self, links: LinkContext, host: str, port: int, bytes_max: int
     ) -> None:
-        """Binds to an address; senders of more than `bytes_max` are cut off."""
+        """Binds an address; peers that exceed `bytes_max` are disconnected."""
         socket = links.context.socket(zmq.ROUTER)
         _configure(socket)
         socket.set(zmq.ROUTER_MANDATORY, 1)
@@ -233,14 +233,16 @@
         self._channel = links.watch(socket)
 
     async def receive(self) -> list[Received]:
-        """Returns the messages that have arrived, at least one."""
+        """Waits for messages and returns those that are available."""
         return [
-            Received(frames[0], frames[1] if len(frames) == _FRAMES else b"")
+            Received(
+                frames[0], frames[1] if len(frames) == _FRAME_COUNT else b""
+            )
             for frames in await self._channel.receive()
         ]
 
     def send(self, routing_id: bytes, data: bytes) -> bool:
-        """Queues a message; returns False if the link cannot take it."""
+        """Queues a message; returns False if it was dropped."""
         return self._channel.send([routing_id, data])
 
     def close(self) -> None:
@@ -254,7 +256,7 @@
     def __init__(
         self, links: LinkContext, link_id: LinkId, host: str, port: int
     ) -> None:
-        """Connects in the background and reconnects by itself."""
+        """Connects in the background and reconnects automatically."""
         socket = links.context.socket(zmq.DEALER)
         _configure(socket)
         socket.set(zmq.ROUTING_ID, link_id.encode())
@@ -267,11 +269,11 @@
         self._channel = links.watch(socket)
 
     async def receive(self) -> list[bytes]:
-        """Returns the messages that have arrived, at least one."""
+        """Waits for messages and returns those that are available."""
         return [frames[-1] for frames in await self._channel.receive()]
 
     def send(self, data: bytes) -> bool:
-        """Queues a message; returns False if the link cannot take it."""
+        """Queues a message; returns False if it was dropped."""
         return self._channel.send([data])
 
     def close(self) -> None:
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -1,10 +1,11 @@
-"""Links between the members of the direct path: length-prefixed frames on TCP.
-
-Each process listens and opens links to the members it needs; a link carries
-frames both ways. Sending never blocks: what a link can't take is dropped,
-since every protocol on top repeats or times out. libzmq ended processes by an
-assertion when links were reset on them, see docs/design/platform.md; a plain
-protocol of asyncio also tells at once that a peer is gone.
+"""Links between members of the direct path: length-prefixed frames over TCP.
+
+Each process listens and opens links to the members that it needs; a link
+carries frames in both directions. Sending never blocks: messages that don't
+fit into the buffers are dropped, since every protocol on top retries or times
+out. ZeroMQ is not used here because libzmq aborted processes with an assertion
+failure when links were reset, see docs/design/platform.md. An asyncio protocol
+also reports a closed connection at once.
 """
 
 from __future__ import annotations
@@ -31,39 +32,39 @@
 FRAME_BYTES_MAX = 16_777_216
 NAME_BYTES_MAX = 256
 BUFFER_BYTES_MAX = 2_097_152
-"""Bytes that wait on a link before more messages are dropped."""
+"""Limit of unsent bytes on a link; messages beyond it are dropped."""
 
 UNACKNOWLEDGED_MAX_MS = 2_500
-"""Bytes that stay unacknowledged this long end a link, which is then opened
-anew: a link that hung through a cut would come back seconds later."""
+"""A link is closed and reopened when bytes stay unacknowledged this long: one
+kept open during a network outage recovers seconds after the outage ends."""
 
 CONNECT_TIMEOUT_MS = 700.0
 RECONNECT_MIN_MS = 100.0
 RECONNECT_MAX_MS = 500.0
-"""Pause before a link is opened again, doubled up to the longest."""
+"""Bounds of the delay before a link is reopened, doubled on each failure."""
 
 IDLE_MAX_MS = 4_000.0
-"""A link that was opened here and carried nothing this long is closed: entries
-ask each of the others now and then, and probes of idle connections to all of
-them would cost more bytes between regions than the questions."""
+"""Links opened by this process are closed after this time without traffic.
+Entries query each other rarely, and keepalive probes on idle connections to all
+of them would cost more bytes between regions than the queries."""
 
 PENDING_MAX = 64
 PENDING_AGE_MAX_MS = 1_500.0
-"""Messages kept while a link is being opened; older ones are out of date."""
+"""Bounds of the messages queued while a link opens; older ones are outdated."""
 
-_LENGTH = struct.Struct(">I")
+_LENGTH_PREFIX = struct.Struct(">I")
 _MS = clock.MILLIS_PER_SECOND
 
 
-class _Pending(msgspec.Struct, frozen=True):
-    """A message that waits for a link to open."""
+class _QueuedMessage(msgspec.Struct, frozen=True):
+    """A message queued until its link is open."""
 
     message: codec.Encoded
     queued_ms: float
 
 
 class _Connection(asyncio.Protocol):
-    """One end of a link; the first frame of the opening end is its name."""
+    """One end of a link; the opening end sends its name first."""
 
     def __init__(
         self,
@@ -75,7 +76,7 @@
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self.name = ""
-        self.heard_ms = float("-inf")
+        self.last_received_ms = float("-inf")
         self.lost = asyncio.Event()
 
     def send(self, data: bytes) -> bool:
@@ -84,7 +85,7 @@
             return False
         if transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
             return False
-        transport.write(_LENGTH.pack(len(data)) + data)
+        transport.write(_LENGTH_PREFIX.pack(len(data)) + data)
         return True
 
     def abort(self) -> None:
@@ -93,22 +94,22 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         if not isinstance(transport, asyncio.Transport):
-            raise TypeError("a stream transport is needed")
+            raise TypeError("expected a stream transport")
         self._transport = transport
         silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
         self._buffer += data
-        while len(self._buffer) >= _LENGTH.size:
-            (size,) = _LENGTH.unpack_from(self._buffer)
+        while len(self._buffer) >= _LENGTH_PREFIX.size:
+            (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
             if size > FRAME_BYTES_MAX:
                 logs.log("link_frame_too_large", size=size, name=self.name)
                 self.abort()
                 return
-            end = _LENGTH.size + size
+            end = _LENGTH_PREFIX.size + size
             if len(self._buffer) < end:
                 return
-            frame = bytes(self._buffer[_LENGTH.size : end])
+            frame = bytes(self._buffer[_LENGTH_PREFIX.size : end])
             del self._buffer[:end]
             self._on_frame(self, frame)
 
@@ -118,22 +119,22 @@
         self._on_lost(self)
 
 
-class _Outbound:
-    """A link that this process opens, and opens again when it is lost."""
+class _OutboundLink:
+    """A link that this process opens, and reopens after a failure."""
 
     def __init__(self, host: str, port: int, now_ms: clock.Millis) -> None:
         self.host = host
         self.port = port
-        self.used_ms: float = now_ms
+        self.last_used_ms: float = now_ms
         self.connection: _Connection | None = None
-        self.pending: collections.deque[_Pending] = collections.deque(
+        self.pending: collections.deque[_QueuedMessage] = collections.deque(
             maxlen=PENDING_MAX
         )
         self.task: asyncio.Task[None] | None = None
 
 
 class MemberLinks(Generic[MessageT]):
-    """All links of one process that carry one set of messages."""
+    """All links of one process for one set of message types."""
 
     def __init__(
         self,
@@ -144,15 +145,16 @@
         time: clock.Clock,
         is_near: Callable[[str], bool] = lambda _: True,
     ) -> None:
-        """Hands the messages of all links to `on_message`.
+        """Passes the messages of all links to `on_message`.
 
         Args:
           own_name: name of this process.
-          decoder: decodes the messages.
-          on_message: takes the sender's name and the message.
-          totals: counters of bytes by kind of message.
+          decoder: decodes received messages.
+          on_message: called with the sender's name and the message.
+          totals: counters, which include the bytes per message type.
           time: the clock.
-          is_near: tells whether a member is in the own region, for counters.
+          is_near: returns whether a member is in the same region; used as a
+            label of the counters.
         """
         self._own_name = own_name
         self._decoder = decoder
@@ -161,18 +163,18 @@
         self._clock = time
         self._is_near = is_near
         self._inbound: dict[str, _Connection] = {}
-        self._outbound: dict[str, _Outbound] = {}
+        self._outbound: dict[str, _OutboundLink] = {}
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        """Takes links that others open.
+        """Starts accepting links from other members.
 
         Raises:
           OSError: if the address can't be bound.
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self._take_inbound, self._lost_inbound),
+            lambda: _Connection(self._on_inbound_frame, self._on_inbound_lost),
             host,
             port,
             reuse_address=True,
@@ -180,12 +182,12 @@
         )
 
     def open(self, name: str, host: str, port: int) -> bool:
-        """Opens a link under a name; returns False if it is open already."""
-        known = self._outbound.get(name)
-        if known is not None and (known.host, known.port) == (host, port):
+        """Opens a link to a member; returns False if it already exists."""
+        link = self._outbound.get(name)
+        if link is not None and (link.host, link.port) == (host, port):
             return False
         self.close(name)
-        outbound = _Outbound(host, port, self._clock.now_ms())
+        outbound = _OutboundLink(host, port, self._clock.now_ms())
         outbound.task = asyncio.get_running_loop().create_task(
             self._keep_open(name, outbound)
         )
@@ -212,104 +214,109 @@
             connection.abort()
 
     def close_idle(self) -> None:
-        """Closes links opened here that carried nothing for long."""
-        horizon_ms = self._clock.now_ms() - IDLE_MAX_MS
+        """Closes links opened by this process that have been idle too long."""
+        cutoff_ms = self._clock.now_ms() - IDLE_MAX_MS
         for name, outbound in list(self._outbound.items()):
             connection = outbound.connection
-            heard_ms = (
-                float("-inf") if connection is None else connection.heard_ms
+            last_received_ms = (
+                float("-inf")
+                if connection is None
+                else connection.last_received_ms
             )
-            if max(outbound.used_ms, heard_ms) < horizon_ms:
+            if max(outbound.last_used_ms, last_received_ms) < cutoff_ms:
                 self.close(name)
 
     def send(self, name: str, message: msgspec.Struct) -> bool:
-        """Sends to a member; returns False if no link takes the message."""
+        """Sends to a member; returns False if no link accepts the message."""
         return self.send_encoded(name, codec.encode_once(message))
 
     def send_encoded(self, name: str, message: codec.Encoded) -> bool:
         """Sends an encoded message; see `send`.
 
-        A link that the member opened and spoke on lately goes first: it is
-        known to work.
+        A link that the member opened and has used recently is preferred, since
+        it is known to work.
         """
         now_ms = self._clock.now_ms()
         inbound = self._inbound.get(name)
         outbound = self._outbound.get(name)
-        inbound_works = inbound is not None and (
-            outbound is None or now_ms - inbound.heard_ms < members.ALIVE_MS
+        use_inbound = inbound is not None and (
+            outbound is None
+            or now_ms - inbound.last_received_ms < members.ALIVE_MS
         )
-        if inbound is not None and inbound_works and inbound.send(message.data):
+        if inbound is not None and use_inbound and inbound.send(message.data):
             self._count("sent", name, message.kind, message.data)
             return True
         if outbound is None:
             return False
-        outbound.used_ms = now_ms
+        outbound.last_used_ms = now_ms
         if outbound.connection is None:
-            outbound.pending.append(_Pending(message, now_ms))
+            outbound.pending.append(_QueuedMessage(message, now_ms))
             return True
         sent = outbound.connection.send(message.data)
         if sent:
             self._count("sent", name, message.kind, message.data)
         return sent
 
-    async def _keep_open(self, name: str, outbound: _Outbound) -> None:
-        wait_ms = RECONNECT_MIN_MS
+    async def _keep_open(self, name: str, outbound: _OutboundLink) -> None:
+        delay_ms = RECONNECT_MIN_MS
         while True:
             connection = await self._connect(name, outbound)
             if connection is not None:
-                wait_ms = RECONNECT_MIN_MS
+                delay_ms = RECONNECT_MIN_MS
                 await connection.lost.wait()
                 outbound.connection = None
-            await asyncio.sleep(wait_ms / _MS)
-            wait_ms = min(RECONNECT_MAX_MS, 2 * wait_ms)
+            await asyncio.sleep(delay_ms / _MS)
+            delay_ms = min(RECONNECT_MAX_MS, 2 * delay_ms)
 
     async def _connect(
-        self, name: str, outbound: _Outbound
+        self, name: str, outbound: _OutboundLink
     ) -> _Connection | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self._take_outbound, lambda _: None),
+                    lambda: _Connection(
+                        self._on_outbound_frame, lambda _: None
+                    ),
                     outbound.host,
                     outbound.port,
                 )
         except OSError:
-            # The peer is down or cut off, which the members' silence tells;
-            # a line for each try would say nothing more.
+            # The peer is down or unreachable, which member tracking detects
+            # by missing messages; a log line per attempt would add nothing.
             self._totals.add(counters.CounterName.MESSAGES_DROPPED, "connect")
             return None
         connection.name = name
         connection.send(self._own_name.encode())
         outbound.connection = connection
-        horizon_ms = self._clock.now_ms() - PENDING_AGE_MAX_MS
+        cutoff_ms = self._clock.now_ms() - PENDING_AGE_MAX_MS
         while outbound.pending:
             pending = outbound.pending.popleft()
-            if pending.queued_ms < horizon_ms:
+            if pending.queued_ms < cutoff_ms:
                 continue
             message = pending.message
             if connection.send(message.data):
                 self._count("sent", name, message.kind, message.data)
         return connection
 
-    def _take_inbound(self, connection: _Connection, frame: bytes) -> None:
-        connection.heard_ms = self._clock.now_ms()
+    def _on_inbound_frame(self, connection: _Connection, frame: bytes) -> None:
+        connection.last_received_ms = self._clock.now_ms()
         if connection.name:
-            self._take(connection.name, frame)
+            self._handle_message(connection.name, frame)
             return
         name = frame[:NAME_BYTES_MAX].decode("utf-8", "replace")
         connection.name = name
         self._inbound[name] = connection
 
-    def _lost_inbound(self, connection: _Connection) -> None:
+    def _on_inbound_lost(self, connection: _Connection) -> None:
         if self._inbound.get(connection.name) is connection:
             del self._inbound[connection.name]
 
-    def _take_outbound(self, connection: _Connection, frame: bytes) -> None:
-        connection.heard_ms = self._clock.now_ms()
-        self._take(connection.name, frame)
+    def _on_outbound_frame(self, connection: _Connection, frame: bytes) -> None:
+        connection.last_received_ms = self._clock.now_ms()
+        self._handle_message(connection.name, frame)
 
-    def _take(self, name: str, data: bytes) -> None:
+    def _handle_message(self, name: str, data: bytes) -> None:
         try:
             message = self._decoder.decode(data)
         except codec.DecodeError as error:
@@ -325,9 +332,9 @@
         )
 
     def _count(self, direction: str, name: str, kind: str, data: bytes) -> None:
-        """Counts a message and its bytes by kind and by way."""
-        way = "near" if self._is_near(name) else "far"
-        label = f"{direction}_{kind}_{way}"
-        size = _LENGTH.size + len(data)
+        """Counts a message and its bytes by direction, type and distance."""
+        distance = "near" if self._is_near(name) else "far"
+        label = f"{direction}_{kind}_{distance}"
+        size = _LENGTH_PREFIX.size + len(data)
         self._totals.add(counters.CounterName.LINK_MESSAGES, label)
         self._totals.add(counters.CounterName.LINK_BYTES, label, size)
--- a/src/marlramp/shell/membership.py
+++ b/src/marlramp/shell/membership.py
@@ -1,4 +1,4 @@
-"""Follows the platform's lagging list of VMs."""
+"""Polls the platform's list of VMs, which may be out of date."""
 
 from __future__ import annotations
 
@@ -12,16 +12,16 @@
 from marlramp.platform import clients
 from marlramp.shell import safely
 
-JITTER = 0.2
-HURRY_READS_PER_S = 1_000.0
-"""Reads a second that all processes together may cause by hurrying."""
+INTERVAL_JITTER = 0.2
+EARLY_READS_PER_S_MAX = 1_000.0
+"""Limit on the early reads per second of all processes together."""
 
-HURRY_SPREAD_MIN_S = 0.2
+EARLY_READ_SPREAD_MIN_S = 0.2
 _COUNTER_REASON = "vm_list"
 
 
 class Membership:
-    """Keeps the last list that could be read."""
+    """Keeps the last list that was read successfully."""
 
     def __init__(
         self,
@@ -30,17 +30,17 @@
         totals: counters.Counters,
         on_change: Callable[[], None],
     ) -> None:
-        """Calls `on_change` after each change of the list."""
+        """Calls `on_change` whenever the list has changed."""
         self._client = client
         self._interval_ms = interval_ms
         self._totals = totals
         self._on_change = on_change
-        self._hurry = asyncio.Event()
+        self._early_read = asyncio.Event()
         self._vms: dict[str, clients.ListedVm] = {}
 
     @property
     def vms(self) -> dict[str, clients.ListedVm]:
-        """The last list, by VM."""
+        """The last list, by VM id."""
         return self._vms
 
     def find(self, role: clients.VmRole) -> list[clients.ListedVm]:
@@ -49,26 +49,32 @@
         return sorted(found, key=lambda vm: vm.vm_id)
 
     def hurry(self) -> None:
-        """Has the list read again soon instead of at the usual interval."""
-        self._hurry.set()
+        """Requests a read soon, ahead of the regular interval."""
+        self._early_read.set()
 
     async def run(self) -> None:
-        """Reads the list for ever, keeping the last one on failure."""
+        """Reads the list periodically, keeping the last one on failure."""
         while True:
             await self._read()
-            spread = random.uniform(1.0 - JITTER, 1.0 + JITTER)
-            delay_s = self._interval_ms * spread / clock.MILLIS_PER_SECOND
+            jitter = random.uniform(
+                1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER
+            )
+            delay_s = self._interval_ms * jitter / clock.MILLIS_PER_SECOND
             try:
                 async with asyncio.timeout(delay_s):
-                    await self._hurry.wait()
-                await asyncio.sleep(random.uniform(0.0, self._spread_s()))
+                    await self._early_read.wait()
+                await asyncio.sleep(
+                    random.uniform(0.0, self._early_read_spread_s())
+                )
             except TimeoutError:
                 pass
-            self._hurry.clear()
+            self._early_read.clear()
 
-    def _spread_s(self) -> float:
-        """Returns over what time all listed processes may hurry at once."""
-        return max(HURRY_SPREAD_MIN_S, len(self._vms) / HURRY_READS_PER_S)
+    def _early_read_spread_s(self) -> float:
+        """Returns the time over which early reads of all VMs are spread."""
+        return max(
+            EARLY_READ_SPREAD_MIN_S, len(self._vms) / EARLY_READS_PER_S_MAX
+        )
 
     async def _read(self) -> None:
         self._totals.add(counters.CounterName.PLATFORM_READS, _COUNTER_REASON)
--- a/src/marlramp/shell/port_opener.py
+++ b/src/marlramp/shell/port_opener.py
@@ -1,7 +1,7 @@
-"""Opens the ports of a process; one that is taken is tried again.
+"""Opens the ports of a process and retries those that are in use.
 
-A process that ended because of one port would serve nothing on its others, and
-fail again at each restart for as long as the port is taken.
+A process that exited because of one port would not serve its other ports
+either, and would fail at each restart while the port is in use.
 """
 
 from __future__ import annotations
@@ -17,18 +17,18 @@
 from marlramp import logs
 
 RETRY_MS = 250.0
-"""Between two tries: short beside the seconds for which callers keep addresses,
-so that a port that comes free is used before they ask anew."""
+"""Interval between attempts. Callers cache addresses for seconds, so a port
+that becomes free is open before they resolve the address again."""
 
 
 class Opening(msgspec.Struct, frozen=True):
     """A port to open.
 
     Attributes:
-      name: what it is for; also the reason under which failures are counted.
+      name: purpose of the port; also the label of its failure counter.
       host: IP address.
-      port: the port.
-      start: binds host and port and listens; raises OSError if it can't.
+      port: port number.
+      start: binds host and port and listens; raises OSError on failure.
     """
 
     name: str
@@ -38,25 +38,27 @@
 
 
 class PortOpener:
-    """The ports of one process."""
+    """Opens the ports of one process."""
 
     def __init__(
         self, openings: list[Opening], totals: counters.Counters
     ) -> None:
-        """Opens nothing before `open_free`."""
-        self._closed = openings
+        """Opens no ports until `open_free` is called."""
+        self._remaining = openings
         self._totals = totals
-        self._told: set[str] = set()
+        self._reported: set[str] = set()
 
     async def open_free(self) -> None:
-        """Opens the ports that are free, in their order."""
-        self._closed = [
-            opening for opening in self._closed if not await self._open(opening)
+        """Tries to open the remaining ports, in the order given."""
+        self._remaining = [
+            opening
+            for opening in self._remaining
+            if not await self._open(opening)
         ]
 
     async def run(self) -> None:
-        """Tries the others until all are open."""
-        while self._closed:
+        """Retries the remaining ports until all are open."""
+        while self._remaining:
             await asyncio.sleep(RETRY_MS / clock.MILLIS_PER_SECOND)
             await self.open_free()
 
@@ -68,8 +70,8 @@
             self._totals.add(
                 counters.CounterName.PORTS_UNAVAILABLE, opening.name
             )
-            if opening.name not in self._told:
-                self._told.add(opening.name)
+            if opening.name not in self._reported:
+                self._reported.add(opening.name)
                 logs.log(
                     "port_unavailable",
                     name=opening.name,
@@ -77,6 +79,6 @@
                     error=error,
                 )
             return False
-        if opening.name in self._told:
+        if opening.name in self._reported:
             logs.log("port_opened", name=opening.name, address=address)
         return True
--- a/src/marlramp/shell/safely.py
+++ b/src/marlramp/shell/safely.py
@@ -1,4 +1,4 @@
-"""Keeps one bad message or moment from ending a process."""
+"""Keeps a process running after unexpected exceptions."""
 
 from __future__ import annotations
 
@@ -13,11 +13,12 @@
 
 RESTART_MIN_MS = 100.0
 RESTART_MAX_MS = 2_000.0
-"""Pause before a failed task starts again, doubled up to the longest, so that
-one that fails at once each time takes no processor time from the others."""
+"""Bounds of the delay before a failed task is restarted, doubled on each
+failure, so that a task that always fails at once leaves the processor to the
+others."""
 
-STEADY_MS = 10_000.0
-"""A task that ran this long before it failed starts from the least pause."""
+STABLE_RUN_MS = 10_000.0
+"""A task that ran this long before it failed restarts at the minimum delay."""
 
 _MS = clock.MILLIS_PER_SECOND
 
@@ -25,15 +26,15 @@
 def run_safely(
     handler: Callable[[], None], name: str, totals: counters.Counters
 ) -> None:
-    """Calls a handler; an unexpected exception is logged and counted.
+    """Calls a handler; logs and counts an unexpected exception.
 
-    The process goes on: its other work must not end because one message
-    showed a fault.
+    The process keeps running: a fault triggered by one message must not stop
+    its other work.
     """
     try:
         handler()
     except Exception as error:
-        _tell(error, name, totals)
+        _report(error, name, totals)
 
 
 async def keep_running(
@@ -42,31 +43,31 @@
     totals: counters.Counters,
     time: clock.Clock,
 ) -> None:
-    """Runs a task until it ends by itself; one that fails starts again.
+    """Runs a task until it returns, restarting it after each failure.
 
-    Tasks of a process share a group, in which one that fails ends all of
-    them: what fails by something that all processes read would end the whole
-    system, and again at each restart.
+    The tasks of a process share a task group, in which one failure cancels all
+    others. A fault triggered by data that every process reads would otherwise
+    stop the whole system, and stop it again after each restart.
 
     Args:
-      work: starts the task anew each time; it must expect that.
-      name: counted and logged with each failure.
+      work: called for each start; it must support being called repeatedly.
+      name: name of the task in counters and logs.
       totals: counters.
       time: the clock.
     """
-    pause_ms = RESTART_MIN_MS
+    delay_ms = RESTART_MIN_MS
     while True:
         started_ms = time.now_ms()
         try:
             await work()
         except Exception as error:
-            _tell(error, name, totals)
+            _report(error, name, totals)
         else:
             return
-        if time.now_ms() - started_ms >= STEADY_MS:
-            pause_ms = RESTART_MIN_MS
-        await asyncio.sleep(pause_ms / _MS)
-        pause_ms = min(RESTART_MAX_MS, 2 * pause_ms)
+        if time.now_ms() - started_ms >= STABLE_RUN_MS:
+            delay_ms = RESTART_MIN_MS
+        await asyncio.sleep(delay_ms / _MS)
+        delay_ms = min(RESTART_MAX_MS, 2 * delay_ms)
 
 
 def start_all(
@@ -75,13 +76,13 @@
     totals: counters.Counters,
     time: clock.Clock,
 ) -> list[asyncio.Task[None]]:
-    """Starts the tasks of a process, each kept running under its name."""
+    """Starts the tasks of a process, each with `keep_running`."""
     return [
         group.create_task(keep_running(work, name, totals, time))
         for name, work in works.items()
     ]
 
 
-def _tell(error: Exception, name: str, totals: counters.Counters) -> None:
+def _report(error: Exception, name: str, totals: counters.Counters) -> None:
     totals.add(counters.CounterName.INTERNAL_ERRORS, name)
     logs.log_exception("internal_error", error, where=name)
--- a/src/marlramp/shell/settings_sync.py
+++ b/src/marlramp/shell/settings_sync.py
@@ -1,8 +1,8 @@
-"""Brings published settings into one process and reports what is accepted.
+"""Fetches published settings for one process and reports accepted changes.
 
-A few entries per data centre watch the configuration service; every other
-process hears of changes over its links and reads directly only when it lacks
-settings and has heard of none for a while.
+A few entries per data centre watch the configuration service. All other
+processes receive changes over their links, and read the service directly only
+if they lack settings and their peers have sent none for a while.
 """
 
 from __future__ import annotations
@@ -22,19 +22,19 @@
 WATCH_MS = 20_000.0
 RETRY_MIN_MS = 200.0
 RETRY_MAX_MS = 5_000.0
-HEARD_WAIT_MS = 1_500.0
-"""A process without settings waits this long for its peers to send them."""
+PEER_WAIT_MS = 1_500.0
+"""Time that a process without settings waits for its peers to send them."""
 
 DIRECT_READ_MS = 30_000.0
-"""Interval at which an entry that does not watch reads all the same."""
+"""Interval at which an entry that does not watch reads the service."""
 
 DETAIL_MAX = 400
-"""Characters of a refused document's problems that are logged; the operators'
-page of an entry shows all of them."""
+"""Limit on the characters of a refused document's problems in the log; the
+operator page of an entry shows all of them."""
 
 
 class SettingsSync:
-    """Feeds one settings store from the service and from peers."""
+    """Updates one settings store from the service and from peers."""
 
     def __init__(
         self,
@@ -43,7 +43,7 @@
         totals: counters.Counters,
         on_accept: Callable[[], None],
     ) -> None:
-        """Calls `on_accept` each time newer settings are in force."""
+        """Calls `on_accept` each time newer settings take effect."""
         self._settings = settings
         self._client = client
         self._totals = totals
@@ -52,13 +52,13 @@
         self._changed = asyncio.Event()
 
     def set_watching(self, watching: bool) -> None:
-        """Makes this process a reader that watches, or no longer one."""
+        """Sets whether this process watches the configuration service."""
         if watching != self._watching:
             self._watching = watching
             self._changed.set()
 
     def offer(self, documents: list[messages.Document], source: str) -> None:
-        """Takes documents from the service or a peer."""
+        """Offers documents from the service or a peer to the store."""
         accepted = False
         for document in documents:
             verdict = self._settings.offer(document)
@@ -80,13 +80,13 @@
                     revision=document.revision,
                     verdict=verdict.value,
                     source=source,
-                    detail=self._detail(document.key, verdict),
+                    detail=self._refusal_detail(document.key, verdict),
                 )
         if accepted:
             safely.run_safely(self._on_accept, "settings", self._totals)
 
-    def _detail(self, key: str, verdict: store.Verdict) -> str | None:
-        """Returns what is wrong with a refused document."""
+    def _refusal_detail(self, key: str, verdict: store.Verdict) -> str | None:
+        """Returns the problems of a refused document, else None."""
         if verdict is not store.Verdict.REFUSED:
             return None
         problems = [
@@ -98,56 +98,61 @@
         return "; ".join(problems)[:DETAIL_MAX]
 
     async def run(self, *, reads_without_need: bool) -> None:
-        """Reads and watches for ever.
+        """Reads and watches the service until cancelled.
 
         Args:
-          reads_without_need: whether to read now and then even though
-            settings are complete, as entries do.
+          reads_without_need: whether to read periodically even if the settings
+            are complete, as entries do.
         """
         if not reads_without_need:
-            await asyncio.sleep(_seconds(HEARD_WAIT_MS))
+            await asyncio.sleep(_seconds(PEER_WAIT_MS))
         failures = 0
         while True:
             try:
-                await self._step(reads_without_need)
+                await self._poll_once(reads_without_need)
                 failures = 0
             except clients.PlatformError as error:
                 failures += 1
                 logs.log("configuration_unavailable", detail=error)
-                bound_ms = min(RETRY_MAX_MS, RETRY_MIN_MS * 2.0**failures)
-                await asyncio.sleep(_seconds(random.uniform(0.5, 1) * bound_ms))
+                backoff_ms = min(RETRY_MAX_MS, RETRY_MIN_MS * 2.0**failures)
+                await asyncio.sleep(
+                    _seconds(random.uniform(0.5, 1) * backoff_ms)
+                )
 
-    async def _step(self, reads_without_need: bool) -> None:
+    async def _poll_once(self, reads_without_need: bool) -> None:
         keys = list(self._settings.keys)
         if self._watching and self._settings.complete:
             self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
             newest = max(self._settings.revisions())
             documents = await self._client.watch(keys, newest, WATCH_MS)
             self.offer(documents, "watch")
-            if documents and not self._took_any(documents, newest):
+            if documents and not self._has_advanced(documents, newest):
                 await asyncio.sleep(_seconds(RETRY_MAX_MS))
             return
         if reads_without_need or not self._settings.complete:
             self._totals.add(counters.CounterName.PLATFORM_READS, "read")
             self.offer(await self._client.read(keys), "read")
-        await self._pause()
+        await self._wait_for_next_read()
 
-    def _took_any(
+    def _has_advanced(
         self, documents: list[messages.Document], newest: int
     ) -> bool:
-        """Returns whether a watch moved on; a refused document does not."""
+        """Returns whether a newer revision than `newest` is in the store.
+
+        A watch that returned only refused documents does not advance it.
+        """
         return max(self._settings.revisions()) > newest
 
-    async def _pause(self) -> None:
+    async def _wait_for_next_read(self) -> None:
         if self._watching and self._settings.complete:
             return
-        pause_ms = DIRECT_READ_MS
+        interval_ms = DIRECT_READ_MS
         if not self._settings.complete:
-            pause_ms = HEARD_WAIT_MS
+            interval_ms = PEER_WAIT_MS
         self._changed.clear()
         try:
             async with asyncio.timeout(
-                _seconds(pause_ms) * random.uniform(0.7, 1.3)
+                _seconds(interval_ms) * random.uniform(0.7, 1.3)
             ):
                 await self._changed.wait()
         except TimeoutError:
--- a/tests/shell/test_member_links.py
+++ b/tests/shell/test_member_links.py
@@ -14,22 +14,22 @@
 from marlramp.shell import member_links
 
 Links: TypeAlias = member_links.MemberLinks[fleet_messages.FromMember]
-Heard: TypeAlias = list[tuple[str, fleet_messages.FromMember]]
+Received: TypeAlias = list[tuple[str, fleet_messages.FromMember]]
 
 
-def make(name: str) -> tuple[Links, Heard]:
-    heard: Heard = []
+def make_links(name: str) -> tuple[Links, Received]:
+    received: Received = []
     links: Links = member_links.MemberLinks(
         name,
         codec.member_decoder(),
-        lambda sender, message: heard.append((sender, message)),
+        lambda sender, message: received.append((sender, message)),
         counters.Counters(),
         clock.SystemClock(),
     )
-    return links, heard
+    return links, received
 
 
-def pulse(revision: int) -> fleet_messages.Ping:
+def ping(revision: int) -> fleet_messages.Ping:
     return fleet_messages.Ping(
         incarnation=1,
         state=members.MemberState.READY,
@@ -44,7 +44,7 @@
     return port
 
 
-async def until(condition: Callable[[], bool]) -> None:
+async def wait_until(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(3):
         while not condition():
             await asyncio.sleep(0.01)
@@ -59,42 +59,42 @@
 
 def test_link_carries_messages_both_ways() -> None:
     async def test() -> None:
-        one, heard_one = make("one")
-        two, heard_two = make("two")
+        one, received_one = make_links("one")
+        two, received_two = make_links("two")
         await two.listen("127.0.0.1", 0)
         one.open("two", "127.0.0.1", port_of(two))
-        assert one.send("two", pulse(1))
-        await until(lambda: bool(heard_two))
-        assert heard_two[0][0] == "one"
-        assert two.send("one", pulse(2))
-        await until(lambda: bool(heard_one))
+        assert one.send("two", ping(1))
+        await wait_until(lambda: bool(received_two))
+        assert received_two[0][0] == "one"
+        assert two.send("one", ping(2))
+        await wait_until(lambda: bool(received_one))
         one.close_all()
         two.close_all()
 
     run(test)
 
 
-def test_link_opens_again_after_its_peer_restarted() -> None:
+def test_link_reopens_after_its_peer_restarted() -> None:
     async def test() -> None:
-        one, _ = make("one")
-        two, _ = make("two")
+        one, _ = make_links("one")
+        two, _ = make_links("two")
         await two.listen("127.0.0.1", 0)
         port = port_of(two)
         one.open("two", "127.0.0.1", port)
-        await until(lambda: bool(two._inbound))
+        await wait_until(lambda: bool(two._inbound))
         two.close_all()
-        again, heard = make("two")
+        again, received = make_links("two")
         await again.listen("127.0.0.1", port)
-        await until(lambda: one.send("two", pulse(1)) and bool(heard))
+        await wait_until(lambda: one.send("two", ping(1)) and bool(received))
         one.close_all()
         again.close_all()
 
     run(test)
 
 
-def test_oversized_and_malformed_frames_do_no_harm() -> None:
+def test_oversized_and_malformed_frames_do_not_affect_other_links() -> None:
     async def test() -> None:
-        two, heard = make("two")
+        two, received = make_links("two")
         await two.listen("127.0.0.1", 0)
         for data in (b"\xff" * 8, struct.pack(">I", 3) + b"abc" * 9):
             _, writer = await asyncio.open_connection("127.0.0.1", port_of(two))
@@ -102,19 +102,19 @@
             await writer.drain()
             await asyncio.sleep(0.05)
             writer.close()
-        one, _ = make("one")
+        one, _ = make_links("one")
         one.open("two", "127.0.0.1", port_of(two))
-        one.send("two", pulse(1))
-        await until(lambda: bool(heard))
+        one.send("two", ping(1))
+        await wait_until(lambda: bool(received))
         one.close_all()
         two.close_all()
 
     run(test)
 
 
-def test_nothing_is_sent_to_a_stranger() -> None:
+def test_send_to_an_unknown_member_fails() -> None:
     async def test() -> None:
-        one, _ = make("one")
-        assert not one.send("nobody", pulse(1))
+        one, _ = make_links("one")
+        assert not one.send("nobody", ping(1))
 
     run(test)
--- a/tests/shell/test_port_opener.py
+++ b/tests/shell/test_port_opener.py
@@ -6,13 +6,14 @@
 from marlramp.shell import port_opener
 
 
-def test_a_taken_port_keeps_no_other_one_closed() -> None:
+def test_port_in_use_does_not_block_the_others() -> None:
+    """Guards against a process that exits because one port is in use."""
     totals = counters.Counters()
-    taken = {1}
+    in_use = {1}
     opened: list[int] = []
 
     async def start(_: str, port: int) -> None:
-        if port in taken:
+        if port in in_use:
             raise OSError(98, "address already in use")
         opened.append(port)
 
@@ -26,10 +27,10 @@
         )
         await opener.open_free()
         assert opened == [2]
-        trying = asyncio.create_task(opener.run())
+        retries = asyncio.create_task(opener.run())
         await asyncio.sleep(0)
-        taken.clear()
-        await trying
+        in_use.clear()
+        await retries
 
     asyncio.run(main())
     assert opened == [2, 1]
--- a/tests/shell/test_safely.py
+++ b/tests/shell/test_safely.py
@@ -7,10 +7,11 @@
 from marlramp.shell import safely
 
 
-def test_a_task_that_fails_starts_again_and_ends_no_other_one() -> None:
+def test_failed_task_is_restarted_and_the_others_keep_running() -> None:
+    """Guards against one failure that cancels the whole task group."""
     totals = counters.Counters()
     starts: list[str] = []
-    served = asyncio.Event()
+    stop_serving = asyncio.Event()
 
     async def fail_twice() -> None:
         starts.append("failing")
@@ -18,7 +19,7 @@
             raise ValueError("a fault")
 
     async def serve() -> None:
-        await served.wait()
+        await stop_serving.wait()
 
     async def main() -> None:
         async with asyncio.timeout(10), asyncio.TaskGroup() as group:
@@ -27,7 +28,7 @@
             failing, serving = safely.start_all(group, works, totals, time)
             await failing
             assert not serving.done()
-            served.set()
+            stop_serving.set()
 
     asyncio.run(main())
     assert len(starts) == 3
@@ -35,14 +36,14 @@
     assert totals.total(name, "failing") == 2
 
 
-def test_a_task_that_is_cancelled_ends() -> None:
-    async def wait_for_ever() -> None:
+def test_cancelled_task_is_not_restarted() -> None:
+    async def wait_forever() -> None:
         await asyncio.Event().wait()
 
     async def main() -> None:
         totals = counters.Counters()
         async with asyncio.timeout(10), asyncio.TaskGroup() as group:
-            works = {"waiting": wait_for_ever}
+            works = {"waiting": wait_forever}
             time = clock.SystemClock()
             (task,) = safely.start_all(group, works, totals, time)
             await asyncio.sleep(0)
--- a/tests/shell/test_settings_sync.py
+++ b/tests/shell/test_settings_sync.py
@@ -10,8 +10,8 @@
 from marlramp.shell import settings_sync
 
 
-class NoService(clients.ConfigurationClient):
-    """A configuration service that is not called."""
+class UnusedClient(clients.ConfigurationClient):
+    """A client of the configuration service that must not be called."""
 
     def __init__(self) -> None:
         pass
@@ -20,13 +20,13 @@
 def test_refused_document_is_logged_with_its_key(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """Guards against a refusal whose reason only an entry's page shows."""
+    """Guards against refusal reasons that are missing from the log."""
     logged: list[dict[str, object]] = []
     monkeypatch.setattr(logs, "log", lambda event, **more: logged.append(more))
     key = "deployment/fairs"
     settings = store.SettingsStore([key])
     sync = settings_sync.SettingsSync(
-        settings, NoService(), counters.Counters(), lambda: None
+        settings, UnusedClient(), counters.Counters(), lambda: None
     )
     valid = messages.Document(key, 4, "schema = 1")
     text = 'schema = 1\n[customers.acme]\nallowed_regions = ["west"]'
