Reword the command line's comments, help texts and messages

Help texts, docstrings and messages that were figurative or unclear now use the usual terms: for example "progress of each rollout" for "how far each rollout is", and "rejected the key" for "refused the key". Local names such as `answer` and `found` became `response` and `match`. Test names state what they check. Commands, parameters, flags and JSON output are unchanged.

--- a/src/marlramp/console/admin_client.py
+++ b/src/marlramp/console/admin_client.py
@@ -1,4 +1,4 @@
-"""Calls the administration API of an entry for the commands."""
+"""Client of an entry's administration API, shared by the commands."""
 
 from __future__ import annotations
 
@@ -30,31 +30,31 @@
 
 
 class CommandError(Exception):
-    """A command that ends with an exit code other than 0."""
+    """Ends a command with an exit code other than 0."""
 
     def __init__(self, code: exit_codes.ExitCode, detail: str) -> None:
-        """Records the exit code and what to print."""
+        """Stores the exit code and the message to print."""
         super().__init__(detail)
         self.code = code
 
 
 def read(entry: str, path: str, result: type[ResultT]) -> ResultT:
-    """Returns a document of the administration API.
+    """Returns a decoded document from the administration API.
 
     Raises:
-      CommandError: if the entry does not answer or refuses.
+      CommandError: if the entry does not respond, or rejects the request.
     """
     body = _call("GET", entry, path, b"")
     try:
         return msgspec.json.decode(body, type=result)
     except msgspec.DecodeError as error:
         raise CommandError(
-            exit_codes.ExitCode.UNREACHABLE, f"malformed answer: {error}"
+            exit_codes.ExitCode.UNREACHABLE, f"malformed response: {error}"
         ) from error
 
 
 def order(entry: str, path: str, body: object) -> bytes:
-    """Gives an order and returns the answer."""
+    """Sends a POST request and returns the response body."""
     return _call("POST", entry, path, msgspec.json.encode(body))
 
 
@@ -74,7 +74,7 @@
     reply = asyncio.run(_request(method, entry, path, body, key))
     if reply.status == _UNAUTHORIZED:
         raise CommandError(
-            exit_codes.ExitCode.UNAUTHORIZED, "the entry refused the key"
+            exit_codes.ExitCode.UNAUTHORIZED, "the entry rejected the key"
         )
     if reply.status != _OK:
         raise CommandError(
--- a/src/marlramp/console/application.py
+++ b/src/marlramp/console/application.py
@@ -29,7 +29,7 @@
 
 app = cyclopts.App(
     name="marlramp",
-    help="Check settings, see and steer a marlramp fleet, run experiments.",
+    help="Check settings, inspect and control a fleet, run experiments.",
     version=__version__,
 )
 app.command(check.check)
--- a/src/marlramp/console/commands/check.py
+++ b/src/marlramp/console/commands/check.py
@@ -18,7 +18,7 @@
 
 
 class Kind(enum.Enum):
-    """What a file is."""
+    """Kind of a settings file."""
 
     TREE = "tree"
     PROCESS = "process"
@@ -26,7 +26,7 @@
 
 
 class Problem(msgspec.Struct, frozen=True):
-    """One thing wrong, for JSON output."""
+    """A problem found in a settings file, for JSON output."""
 
     problem: str
 
@@ -40,7 +40,7 @@
     """Check settings files and report everything that is wrong.
 
     Args:
-      files: one per level of the tree or one per process.
+      files: settings files, one per level of the tree or one per process.
       kind: whether the files are documents of the settings tree, the
         settings of a process, or a platform's settings of a process.
       json: print JSON, for scripts.
--- a/src/marlramp/console/commands/cold.py
+++ b/src/marlramp/console/commands/cold.py
@@ -1,4 +1,4 @@
-"""`marlramp cold`: replicas that are cold after a start."""
+"""`marlramp cold`: replicas that are still cold after a start."""
 
 from __future__ import annotations
 
--- a/src/marlramp/console/commands/crashes.py
+++ b/src/marlramp/console/commands/crashes.py
@@ -1,4 +1,4 @@
-"""`marlramp crashes`: requests and parts of prompts that crash replicas."""
+"""`marlramp crashes`: requests and prompt parts that crash replicas."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 _PAGE = page_client.TablePage(
     crash_pages.CRASHES_PATH,
     list[crash_pages.SuspectRow],
-    "Suspects of crashes",
+    "Crash suspects",
     ["fingerprint", "kind", "condemned", "strikes", "crashes"],
     _cells,
 )
@@ -42,12 +42,12 @@
     release: str = "",
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show what is suspected of crashes, or have it run again.
+    """Show requests and prompt parts suspected of crashes, or release one.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
-      release: fingerprint of a request, or a part of prompts as MODEL/ID, that
-        all entries are to run again.
+      release: fingerprint of a request, or a prompt part as MODEL/ID, that all
+        entries may run again.
       json: print JSON, for scripts.
     """
     if release:
@@ -56,9 +56,9 @@
 
 
 def _release(entry: str, fingerprint: str) -> int:
-    refused = page_client.refuse_other_urls(entry)
-    if refused is not None:
-        return refused
+    exit_code = page_client.refuse_other_urls(entry)
+    if exit_code is not None:
+        return exit_code
     query = urllib.parse.urlencode({"fingerprint": fingerprint})
     url = f"{entry.rstrip('/')}{crash_pages.RELEASE_PATH}?{query}"
     try:
@@ -66,14 +66,14 @@
         released = msgspec.json.decode(body, type=crash_pages.Released)
     except (OSError, msgspec.DecodeError) as error:
         return _explain(entry, fingerprint, error)
-    print(f"{fingerprint}: cleared of {released.crashes} crashes")
+    print(f"{fingerprint}: released, {released.crashes} crashes cleared")
     return int(exit_codes.ExitCode.OK)
 
 
 def _explain(entry: str, fingerprint: str, error: Exception) -> int:
     """Prints why nothing was released; returns the exit code."""
     if isinstance(error, urllib.error.HTTPError) and error.code == _NOT_FOUND:
-        output.print_error(f"{fingerprint}: no crash is held against it")
+        output.print_error(f"{fingerprint}: no crash is recorded for it")
         return int(exit_codes.ExitCode.USAGE)
     output.print_error(f"{entry}: {error}")
     return int(exit_codes.ExitCode.UNREACHABLE)
--- a/src/marlramp/console/commands/demo.py
+++ b/src/marlramp/console/commands/demo.py
@@ -1,4 +1,4 @@
-"""`marlramp demo`: the whole path in one short run."""
+"""`marlramp demo`: a short end-to-end run."""
 
 from __future__ import annotations
 
@@ -31,13 +31,13 @@
     output.print_table("Versions served", ["VM", "before", "after"], rows)
     calls = result.calls
     facts = [
-        ("live calls answered whole", f"{calls.whole} of {calls.sent}"),
+        ("live calls answered completely", f"{calls.whole} of {calls.sent}"),
         ("answers from mixed versions", str(calls.mixed)),
         ("versions that answered", ", ".join(result.versions)),
         ("first token, p95", f"{calls.ttft_p95_ms:.0f} ms"),
         ("time to all replicas", f"{result.time_to_replicas_s:.1f} s"),
         ("origin copies", f"{result.origin_copies:.2f}"),
-        ("runs of the confirmation sent twice", str(result.plain_runs)),
+        ("executions of the confirmation sent twice", str(result.plain_runs)),
     ]
     output.print_table("Rollout", ["what", "value"], facts)
     for problem in result.problems:
--- a/src/marlramp/console/commands/drain.py
+++ b/src/marlramp/console/commands/drain.py
@@ -1,4 +1,4 @@
-"""`marlramp drain`: has a process finish its work and exit."""
+"""`marlramp drain`: makes a process finish its work and exit."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
     reason: str = "operator",
     json: admin_client.Json = False,
 ) -> int:
-    """Have an entry or agent take no new work, finish, and exit.
+    """Make an entry or agent accept no new work, finish, and exit.
 
     Args:
-      vm: VM whose process is to drain.
+      vm: VM whose process is drained.
       entry: the entry itself, or one that the agent is linked to.
-      reason: reason for the log.
+      reason: reason to log.
       json: print JSON, for scripts.
     """
     body = admin_documents.DrainRequest(vm, reason)
@@ -34,5 +34,5 @@
     if json:
         output.print_json(result)
     else:
-        print(f"{result.vm} is draining; kept in {result.kept_in}")
+        print(f"{result.vm} is draining; order stored in {result.kept_in}")
     return int(exit_codes.ExitCode.OK)
--- a/src/marlramp/console/commands/evacuations.py
+++ b/src/marlramp/console/commands/evacuations.py
@@ -34,7 +34,7 @@
     *,
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show the data centres that an entry knows as evacuated.
+    """Show the data centres that an entry treats as evacuated.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
--- a/src/marlramp/console/commands/experiment.py
+++ b/src/marlramp/console/commands/experiment.py
@@ -45,8 +45,8 @@
 
     Args:
       vms: agents that take part.
-      policy: how weights are distributed; all but swarm are baselines.
-      fault: what goes wrong midway.
+      policy: distribution policy; all but swarm are baselines.
+      fault: fault to inject midway.
       copy_time_s: time that one copy takes on a VM's link.
       origin_copies_max: the setting of the same name.
       two_versions: whether engines can hold two versions.
@@ -73,8 +73,10 @@
     else:
         _print_rollout(report)
     complete = report.serving == report.survivors
-    held = complete and not report.live_calls.mixed
-    return int(exit_codes.ExitCode.OK if held else exit_codes.ExitCode.NOT_HELD)
+    passed = complete and not report.live_calls.mixed
+    return int(
+        exit_codes.ExitCode.OK if passed else exit_codes.ExitCode.NOT_HELD
+    )
 
 
 @app.command
@@ -90,7 +92,8 @@
     Args:
       seconds: length of each measurement.
       routing: how upstreams are chosen; all but predicted are baselines.
-      limits: whether queues are bounded and hopeless calls refused at once.
+      limits: whether queues are bounded and calls that would miss their
+        deadline are refused at once.
       json: print JSON, for scripts.
     """
     plan = calls_run.Plan(seconds=seconds, routing=routing.value, limits=limits)
@@ -205,18 +208,21 @@
     seed: int = 1,
     json: admin_client.Json = False,
 ) -> int:
-    """Replay load on the shipped decisions in virtual time; takes seconds.
+    """Replay load against the shipped admission code; takes seconds.
+
+    The replay runs in virtual time.
 
     Args:
-      policy: decisions to replay; send-all, which refuses nothing and lets
-        nobody yield, is the baseline.
+      policy: admission policy; the baseline is send-all, which neither refuses
+        requests nor queues late ones at the back.
       engines: model engines.
-      entries: entries, each in one of the regions by turns.
-      regions: regions; engines lie in them by turns too.
-      load: arrivals as a multiple of what the engines serve.
-      seconds: how long callers arrive.
-      outage_s: how long no engine serves, from a quarter of the time on.
-      seed: seed of all that is random.
+      entries: entries, assigned to the regions in turn.
+      regions: regions; engines are assigned to them in turn too.
+      load: arrival rate as a multiple of the engines' capacity.
+      seconds: duration of the arrivals.
+      outage_s: duration of an outage of all engines, which starts after a
+        quarter of the run.
+      seed: seed of the random number generators.
       json: print JSON, for scripts.
     """
     plan = overload_plan.Plan(
@@ -234,17 +240,19 @@
     except ValueError as error:
         output.print_error(str(error))
         return int(exit_codes.ExitCode.USAGE)
-    played = overload_run.Replay(plan).run()
+    timeline = overload_run.Replay(plan).run()
     if json:
-        output.print_json(played)
+        output.print_json(timeline)
         return int(exit_codes.ExitCode.OK)
     rows: list[tuple[object, ...]] = [
         (number, *msgspec.structs.astuple(second))
-        for number, second in enumerate(played)
+        for number, second in enumerate(timeline)
     ]
-    rows.append(("all", *msgspec.structs.astuple(overload_plan.total(played))))
+    rows.append(
+        ("all", *msgspec.structs.astuple(overload_plan.total(timeline)))
+    )
     columns = ["from second", *overload_plan.Second.__struct_fields__]
-    output.print_table(f"Load replayed, {policy.value}", columns, rows)
+    output.print_table(f"Load replay, {policy.value}", columns, rows)
     return int(exit_codes.ExitCode.OK)
 
 
@@ -260,16 +268,19 @@
     seed: int = 1,
     json: admin_client.Json = False,
 ) -> int:
-    """Spread a version in virtual time, against the limit of the links.
+    """Simulate the distribution of a version in virtual time.
+
+    The report compares it with the shortest time that the links allow.
 
     Args:
       agents: agents that lack the version.
       holders: further agents that hold it.
       relays: entries that relay pieces.
-      regions: regions in which agents and entries lie by turns.
-      away_from_s: when the origin goes away, after the name.
-      away_until_s: when it is back.
-      seed: seed of all that is random.
+      regions: regions, to which agents and entries are assigned in turn.
+      away_from_s: when the origin becomes unreachable, after the version is
+        announced.
+      away_until_s: when the origin is reachable again.
+      seed: seed of the random number generators.
       json: print JSON, for scripts.
     """
     plan = spread_plan.Plan(
@@ -293,7 +304,9 @@
         output.print_json(report)
     else:
         facts = list(msgspec.structs.asdict(report).items())
-        output.print_table("Spread of a version", ["figure", "value"], facts)
+        output.print_table(
+            "Distribution of a version", ["figure", "value"], facts
+        )
     return int(exit_codes.ExitCode.OK)
 
 
--- a/src/marlramp/console/commands/explain.py
+++ b/src/marlramp/console/commands/explain.py
@@ -1,4 +1,4 @@
-"""`marlramp explain`: effective settings and the level each comes from."""
+"""`marlramp explain`: effective settings and the level that sets each."""
 
 from __future__ import annotations
 
--- a/src/marlramp/console/commands/limited.py
+++ b/src/marlramp/console/commands/limited.py
@@ -1,4 +1,4 @@
-"""`marlramp limited`: replicas that name a limit over all entries."""
+"""`marlramp limited`: replicas that announce a limit for all entries."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 _PAGE = page_client.TablePage(
     limit_pages.LIMITS_PATH,
     list[limit_pages.LimitRow],
-    "Replicas that name a limit",
+    "Replicas that announce a limit",
     ["replica", "service", "per s", "age ms", "reserved by", "room ms"],
     _cells,
 )
@@ -35,7 +35,7 @@
     *,
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show the replicas that name a limit over all entries together.
+    """Show the replicas that announce a request limit for all entries.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
--- a/src/marlramp/console/commands/paused.py
+++ b/src/marlramp/console/commands/paused.py
@@ -1,4 +1,4 @@
-"""`marlramp paused`: replicas that want no requests for now."""
+"""`marlramp paused`: replicas that leave, pause or refuse requests."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 _PAGE = page_client.TablePage(
     pause_pages.PAUSES_PATH,
     list[pause_pages.PauseRow],
-    "Replicas that want no requests",
+    "Replicas that leave, pause or refuse requests",
     ["replica", "service", "state", "age ms", "opens ms", "refusals"],
     _cells,
 )
@@ -35,7 +35,7 @@
     *,
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show the replicas that an entry leaves alone, by their own word.
+    """Show the replicas that leave, pause or refuse requests.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
--- a/src/marlramp/console/commands/reference.py
+++ b/src/marlramp/console/commands/reference.py
@@ -1,4 +1,4 @@
-"""`marlramp reference`: reference pages made from the code."""
+"""`marlramp reference`: reference pages generated from the code."""
 
 from __future__ import annotations
 
--- a/src/marlramp/console/commands/refusals.py
+++ b/src/marlramp/console/commands/refusals.py
@@ -14,7 +14,7 @@
     vm: str | None = None,
     json: admin_client.Json = False,
 ) -> int:
-    """Show counters of refusals, retries and all else that is counted.
+    """Show all counters, such as those of refusals and retries.
 
     Args:
       entry: entry to ask.
--- a/src/marlramp/console/commands/request.py
+++ b/src/marlramp/console/commands/request.py
@@ -1,4 +1,4 @@
-"""`marlramp request`: one request's story, from the logs of all processes."""
+"""`marlramp request`: timeline of a request, from the logs of all processes."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 
 
 class Step(msgspec.Struct, frozen=True):
-    """One line that names the request.
+    """A log line about the request.
 
     Attributes:
       at_s: time of day in seconds, by the clock of the process.
-      process: the process that wrote it.
+      process: the process that logged it.
       event: what happened.
       details: the other fields.
     """
@@ -39,11 +39,11 @@
     *files: pathlib.Path,
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Print what all processes logged of one request, in order of time.
+    """Print what all processes logged about a request, in time order.
 
     Args:
       request_id: the id that the caller gave the request.
-      files: logs; standard input without any.
+      files: log files; standard input if there are none.
       json: print JSON, for scripts.
     """
     try:
@@ -52,7 +52,7 @@
         output.print_error(f"not readable: {error}")
         return int(exit_codes.ExitCode.USAGE)
     if not steps:
-        output.print_error(f"no line names request {request_id}")
+        output.print_error(f"no log line mentions request {request_id}")
         return int(exit_codes.ExitCode.NOT_HELD)
     if json:
         output.print_json(steps)
@@ -74,7 +74,7 @@
 
 
 def find_steps(request_id: str, lines: Iterable[str]) -> list[Step]:
-    """Returns the steps of a request in order of time."""
+    """Returns the steps of a request, sorted by time."""
     wanted = f"{_REQUEST}={request_id}"
     steps = [
         step
--- a/src/marlramp/console/commands/rollouts.py
+++ b/src/marlramp/console/commands/rollouts.py
@@ -1,4 +1,4 @@
-"""`marlramp rollouts`: how far each rollout is."""
+"""`marlramp rollouts`: progress of each rollout."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     watch: bool = False,
     json: admin_client.Json = False,
 ) -> int:
-    """Show how far each service's rollout is.
+    """Show the progress of each service's rollout.
 
     Args:
       entry: entry to ask.
--- a/src/marlramp/console/commands/status.py
+++ b/src/marlramp/console/commands/status.py
@@ -1,4 +1,4 @@
-"""`marlramp status`: how an entry is."""
+"""`marlramp status`: state of an entry."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 def status(
     *, entry: admin_client.EntryUrl, json: admin_client.Json = False
 ) -> int:
-    """Show how an entry is: settings, calls, agents.
+    """Show the state of an entry: settings, calls, agents.
 
     Args:
       entry: entry to ask.
--- a/src/marlramp/console/commands/traffic.py
+++ b/src/marlramp/console/commands/traffic.py
@@ -1,4 +1,4 @@
-"""`marlramp traffic`: what one process tells the others, by kind."""
+"""`marlramp traffic`: messages between processes, by kind."""
 
 from __future__ import annotations
 
@@ -27,10 +27,10 @@
 
     Attributes:
       kind: name of the message.
-      way: "sent" or "received".
-      place: "near" for the own region, else "far".
-      messages: how many.
-      size_bytes: their bytes, framing included.
+      way: direction, "sent" or "received".
+      place: "near" for a peer in the same region, else "far".
+      messages: number of messages.
+      size_bytes: size of the messages, framing included.
     """
 
     kind: str
@@ -41,16 +41,16 @@
 
 
 def rows_of(text: str) -> list[Row]:
-    """Returns the rows in a process's metrics, the most bytes first."""
+    """Returns the rows in a process's metrics, sorted by bytes, descending."""
     rows: dict[tuple[str, str, str], Row] = {}
-    for found in _LINE.finditer(text):
-        key = (found["kind"], found["way"], found["place"])
+    for match in _LINE.finditer(text):
+        key = (match["kind"], match["way"], match["place"])
         kind, way, place = key
         row = rows.setdefault(key, Row(kind=kind, way=way, place=place))
-        total = int(float(found["total"]))
-        if found["name"] == counters.CounterName.LINK_BYTES.value:
+        total = int(float(match["total"]))
+        if match["name"] == counters.CounterName.LINK_BYTES.value:
             row.size_bytes = total
-        elif found["name"] == counters.CounterName.LINK_MESSAGES.value:
+        elif match["name"] == counters.CounterName.LINK_MESSAGES.value:
             row.messages = total
     return sorted(rows.values(), key=lambda row: -row.size_bytes)
 
@@ -70,8 +70,8 @@
         output.print_error(f"{metrics}: must be a URL that begins with http://")
         return int(exit_codes.ExitCode.USAGE)
     try:
-        with urllib.request.urlopen(metrics, timeout=TIMEOUT_S) as answer:
-            rows = rows_of(answer.read().decode("utf-8", "replace"))
+        with urllib.request.urlopen(metrics, timeout=TIMEOUT_S) as response:
+            rows = rows_of(response.read().decode("utf-8", "replace"))
     except (OSError, ValueError) as error:
         output.print_error(f"{metrics}: {error}")
         return int(exit_codes.ExitCode.UNREACHABLE)
--- a/src/marlramp/console/commands/vms.py
+++ b/src/marlramp/console/commands/vms.py
@@ -1,4 +1,4 @@
-"""`marlramp vms`: VMs as an entry sees them."""
+"""`marlramp vms`: VMs that an entry knows."""
 
 from __future__ import annotations
 
--- a/src/marlramp/console/daemon.py
+++ b/src/marlramp/console/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon `marlrampd`: entry or agent by its settings."""
+"""The daemon `marlrampd`: entry or agent, depending on its settings."""
 
 from __future__ import annotations
 
@@ -22,8 +22,8 @@
 def create(settings: process.ProcessSettings) -> launch.Daemon:
     """Returns the daemon for the role in the settings.
 
-    Modules are imported here, so that an agent does not pay the memory of
-    what only an entry needs.
+    The role's modules are imported here, so that an agent uses no memory for
+    modules that only an entry needs.
     """
     if settings.role is process.Role.ENTRY:
         from marlramp.entry import daemon as entry_daemon
--- a/src/marlramp/console/exit_codes.py
+++ b/src/marlramp/console/exit_codes.py
@@ -6,7 +6,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What the exit code of a command means."""
+    """Exit code of a command."""
 
     OK = 0
     USAGE = 1
--- a/src/marlramp/console/output.py
+++ b/src/marlramp/console/output.py
@@ -1,4 +1,4 @@
-"""Output of commands: tables for people, JSON for scripts."""
+"""Output of commands: tables for operators, JSON for scripts."""
 
 from __future__ import annotations
 
@@ -29,5 +29,5 @@
 
 
 def print_error(text: str) -> None:
-    """Prints a line to standard error."""
+    """Prints an error message to standard error."""
     print(f"marlramp: {text}", file=sys.stderr)
--- a/src/marlramp/console/page_client.py
+++ b/src/marlramp/console/page_client.py
@@ -1,4 +1,4 @@
-"""Reads and shows the pages that a daemon serves on its metrics port."""
+"""Fetches and prints the pages that a daemon serves on its metrics port."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 
 
 class TablePage(Generic[Row]):
-    """A page of rows, and how they are shown.
+    """A page of rows and the table that displays them.
 
     Attributes:
-      path: its path.
-      rows_type: what the page is decoded to.
+      path: URL path of the page.
+      rows_type: type that the page is decoded to.
       title: title of the table.
       columns: titles of the columns.
-      cells: returns the cells of a row.
+      cells: function that returns the table cells of a row.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         columns: list[str],
         cells: Callable[[Row], tuple[object, ...]],
     ) -> None:
-        """Describes a page."""
+        """Stores the description of a page."""
         self.path = path
         self.rows_type = rows_type
         self.title = title
@@ -56,14 +56,14 @@
         Args:
           entry: URL of the entry's metrics port.
           json: print JSON instead of a table.
-          query: what the page is asked for, None for all of it.
+          query: query parameters, None to request the whole page.
 
         Returns:
           The exit code.
         """
-        refused = refuse_other_urls(entry)
-        if refused is not None:
-            return refused
+        exit_code = refuse_other_urls(entry)
+        if exit_code is not None:
+            return exit_code
         url = entry.rstrip("/") + self.path
         if query is not None:
             url += f"?{urllib.parse.urlencode(query)}"
@@ -83,10 +83,10 @@
 
 
 def _explain_refusal(entry: str, error: urllib.error.HTTPError) -> int:
-    """Prints why a page was refused; returns the exit code.
+    """Prints why the daemon rejected a request; returns the exit code.
 
-    Only a refusal of what was asked for is a fault of the usage. A daemon
-    without the page refuses with an empty body.
+    Only a rejected query is a usage error. A daemon that does not serve the
+    page responds with the same status codes, but with an empty body.
     """
     reason = error.read().decode(errors="replace")
     output.print_error(f"{entry}: {reason or error}")
@@ -96,19 +96,19 @@
 
 
 def call(url: str, method: str = "GET") -> bytes:
-    """Returns the body of a page.
+    """Returns the response body of a page.
 
     Raises:
-      OSError: if the daemon can't be reached or refuses.
+      OSError: if the daemon can't be reached or rejects the request.
     """
     request = urllib.request.Request(url, method=method)
-    with urllib.request.urlopen(request, timeout=TIMEOUT_S) as answer:
-        body: bytes = answer.read()
+    with urllib.request.urlopen(request, timeout=TIMEOUT_S) as response:
+        body: bytes = response.read()
     return body
 
 
 def refuse_other_urls(url: str) -> int | None:
-    """Explains a URL that is none of a daemon; returns the exit code."""
+    """Prints an error and returns the exit code if a URL is not HTTP."""
     if url.startswith("http://"):
         return None
     output.print_error(f"{url}: must be a URL that begins with http://")
--- a/tests/console/test_daemon.py
+++ b/tests/console/test_daemon.py
@@ -1,4 +1,4 @@
-"""How the daemon starts."""
+"""Start of the daemon."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 SOURCES = pathlib.Path(__file__).parents[2] / "src"
 
 
-NEVER_LOADED = (
+SIGNAL_WHILE_LOADING = (
     "import signal, sys\n"
     "sys.modules['marlramp.console'] = None\n"
     "sys.modules['marlramp.direct'] = None\n"
@@ -22,7 +22,10 @@
     "    signal.raise_signal(signal.{signal})\n"
     "    print('still there')\n"
 )
-"""Stands for the time that loading the daemon takes: it never ends here."""
+"""Script that receives a signal at the point where the daemon's modules load.
+
+The modules are blocked, so that loading never finishes.
+"""
 
 
 def run_script(
@@ -42,16 +45,16 @@
 def test_reload_while_the_process_starts_does_not_end_it(
     arguments: list[str],
 ) -> None:
-    ended = run_script(NEVER_LOADED.format(signal="SIGHUP"), *arguments)
+    ended = run_script(SIGNAL_WHILE_LOADING.format(signal="SIGHUP"), *arguments)
     assert ended.stdout == "still there\n", ended
 
 
-def test_process_that_is_stopped_while_it_starts_ends_well() -> None:
-    ended = run_script(NEVER_LOADED.format(signal="SIGTERM"))
+def test_process_that_is_stopped_while_it_starts_exits_with_0() -> None:
+    ended = run_script(SIGNAL_WHILE_LOADING.format(signal="SIGTERM"))
     assert (ended.returncode, ended.stdout) == (0, ""), ended
 
 
-HEAVY = (
+UNNEEDED_LIBRARIES = (
     "aiosonic",
     "cyclopts",
     "opentelemetry",
@@ -60,8 +63,10 @@
     "uvicorn",
     "zmq",
 )
-"""Libraries that serving on the direct path does not need: together they take
-half of a process's start."""
+"""Libraries that serving on the direct path does not need.
+
+Importing them would take half of a process's start time.
+"""
 
 
 @pytest.mark.parametrize("role", ["entry_daemon", "agent_daemon"])
@@ -70,6 +75,6 @@
         "import sys\n"
         "from marlramp.direct import launch\n"
         f"from marlramp.direct import {role}\n"
-        f"print([m for m in {HEAVY} if m in sys.modules])\n"
+        f"print([m for m in {UNNEEDED_LIBRARIES} if m in sys.modules])\n"
     )
     assert ended.stdout == "[]\n", ended
--- a/tests/console/test_docs.py
+++ b/tests/console/test_docs.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
-def test_links_lead_somewhere(page: pathlib.Path) -> None:
+def test_link_targets_exist(page: pathlib.Path) -> None:
     for target in re.findall(r"\]\(([^)#]+)[^)]*\)", page.read_text()):
         assert (page.parent / target).exists(), target
 
@@ -28,12 +28,12 @@
             assert command[line[1]]
 
 
-def test_settings_page_is_made_from_the_code() -> None:
+def test_settings_page_matches_the_code() -> None:
     page = ROOT / "docs" / "settings.md"
     assert page.read_text() == reference.settings_page() + "\n"
 
 
-def test_error_table_is_made_from_the_code() -> None:
+def test_error_table_matches_the_code() -> None:
     page = (ROOT / "docs" / "callers.md").read_text()
     assert reference.errors_table() in page
 
--- a/tests/console/test_request.py
+++ b/tests/console/test_request.py
@@ -20,7 +20,7 @@
 ]
 
 
-def test_steps_of_a_request_are_in_order_of_time() -> None:
+def test_steps_of_a_request_are_sorted_by_time() -> None:
     steps = request.find_steps("a1", LINES)
     assert [step.event for step in steps] == [
         "attempt_failed",
@@ -29,7 +29,7 @@
     assert "detail=No upstream serves this service now." in steps[1].details
 
 
-def test_request_that_no_line_names_is_said(
+def test_request_without_log_lines_is_reported(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
     log = tmp_path / "entry.log"
--- a/tests/console/test_traffic.py
+++ b/tests/console/test_traffic.py
@@ -10,7 +10,7 @@
 from marlramp.direct import metrics
 
 
-def counted() -> str:
+def metrics_text() -> str:
     totals = counters.Counters()
     for kind, size in (("Ping", 30), ("Neighbours", 900)):
         label = f"sent_{kind}_far"
@@ -21,7 +21,7 @@
 
 
 def test_rows_are_read_from_the_metrics() -> None:
-    rows = traffic.rows_of(counted())
+    rows = traffic.rows_of(metrics_text())
     assert [row.kind for row in rows] == ["Neighbours", "Ping"]
     assert rows[0] == traffic.Row(
         kind="Neighbours", way="sent", place="far", messages=1, size_bytes=900
@@ -35,7 +35,7 @@
         ("http://127.0.0.1:1/metrics", exit_codes.ExitCode.UNREACHABLE),
     ],
 )
-def test_address_that_does_not_answer_is_told(
+def test_unusable_address_is_reported(
     url: str, code: exit_codes.ExitCode, capsys: pytest.CaptureFixture[str]
 ) -> None:
     assert traffic.traffic(url) == code
