--- a/src/marlramp/console/commands/explain.py
+++ b/src/marlramp/console/commands/explain.py
@@ -26,7 +26,7 @@
     """Show effective settings, from files or from a running entry.
 
     Args:
-      entry: entry to ask, instead of reading files.
+      entry: entry to query instead of reading files.
       trade_body: file with the trade body's document.
       member: file with the member's document.
       deployment: file with the deployment's document.
--- a/src/marlramp/console/commands/limits.py
+++ b/src/marlramp/console/commands/limits.py
@@ -14,7 +14,7 @@
     """Show each customer's limit and this entry's share of it.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       json: print JSON, for scripts.
     """
     try:
--- a/src/marlramp/console/commands/refusals.py
+++ b/src/marlramp/console/commands/refusals.py
@@ -17,7 +17,7 @@
     """Show all counters, such as those of refusals and retries.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       vm: show only this VM.
       json: print JSON, for scripts.
     """
--- a/src/marlramp/console/commands/rollouts.py
+++ b/src/marlramp/console/commands/rollouts.py
@@ -23,7 +23,7 @@
     """Show the progress of each service's rollout.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       watch: show progress until every replica serves its target.
       json: print JSON, for scripts.
     """
--- a/src/marlramp/console/commands/status.py
+++ b/src/marlramp/console/commands/status.py
@@ -14,7 +14,7 @@
     """Show the state of an entry: settings, calls, agents.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       json: print JSON, for scripts.
     """
     try:
--- a/src/marlramp/console/commands/vms.py
+++ b/src/marlramp/console/commands/vms.py
@@ -14,7 +14,7 @@
     """Show the VMs that an entry knows, listed or linked.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       json: print JSON, for scripts.
     """
     try:
