--- a/src/marlramp/experiments/__init__.py
+++ b/src/marlramp/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on real processes started for the purpose."""
+"""Measurements on real processes, and replays in virtual time."""
--- a/src/marlramp/experiments/calls.py
+++ b/src/marlramp/experiments/calls.py
@@ -37,7 +37,7 @@
 
 
 class Upstream(enum.Enum):
-    """What is wrong with one upstream."""
+    """Fault of one upstream."""
 
     HEALTHY = "healthy"
     SLOW = "slow"
@@ -47,13 +47,14 @@
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to measure.
+    """Parameters of a measurement.
 
     Attributes:
       loads: offered loads as multiples of capacity.
       seconds: length of each measurement.
       routing: routing policy; all but predicted are baselines.
-      limits: whether queues are bounded and deadlines refuse early.
+      limits: whether queues are bounded and calls that would miss their
+        deadline are refused early.
     """
 
     loads: tuple[float, ...] = (0.5, 1.0, 2.0, 4.0)
@@ -102,7 +103,7 @@
 
 
 class _Offer(msgspec.Struct, frozen=True):
-    """A stream of calls at a rate."""
+    """Calls offered at one rate."""
 
     plan: load.CallPlan
     rate_per_s: float
@@ -148,7 +149,7 @@
         self._fleet = cluster
 
     async def prepare(self) -> None:
-        """Brings all replicas to serving."""
+        """Starts the fleet and waits until all replicas are ready."""
         weights = await self._fleet.put_weights(
             fleet.PutWeights(
                 model=MODEL,
@@ -190,17 +191,17 @@
     async def point(self, name: str, factor: float) -> Point:
         """Measures one load shared by normal and high priority."""
         rate = factor * capacity_per_s()
-        urgent = min(rate, capacity_per_s()) * URGENT_FRACTION
+        urgent_rate = min(rate, capacity_per_s()) * URGENT_FRACTION
         offers = [
-            _Offer(_plan(STEADY, queueing.Priority.NORMAL), rate - urgent),
-            _Offer(_plan(URGENT, queueing.Priority.HIGH), urgent),
+            _Offer(_plan(STEADY, queueing.Priority.NORMAL), rate - urgent_rate),
+            _Offer(_plan(URGENT, queueing.Priority.HIGH), urgent_rate),
         ]
         return await self._measure(name, factor, Upstream.HEALTHY, offers)
 
     async def flood(self, *, flooded: bool) -> Point:
-        """Measures a steady customer beside one that floods, or without."""
-        base = FLOOD_BASE * capacity_per_s()
-        offers = [_Offer(_plan(STEADY, queueing.Priority.NORMAL), base)]
+        """Measures a steady customer, with or without one that floods."""
+        base_rate = FLOOD_BASE * capacity_per_s()
+        offers = [_Offer(_plan(STEADY, queueing.Priority.NORMAL), base_rate)]
         factor = FLOOD_BASE
         if flooded:
             rate = FLOOD_FACTOR * capacity_per_s()
@@ -223,9 +224,9 @@
             self._fleet.agents["vm-0"].kill()
         rate = 0.5 * capacity_per_s()
         offers = [_Offer(_plan(STEADY, queueing.Priority.NORMAL), rate)]
-        found = await self._measure(upstream.value, 0.5, upstream, offers)
+        point = await self._measure(upstream.value, 0.5, upstream, offers)
         await self._fleet.engine_call("vm-0", "PUT", "/faults", {})
-        return found
+        return point
 
     async def _measure(
         self,
@@ -257,8 +258,8 @@
             upstream=upstream,
             offered_per_s=round(sum(o.rate_per_s for o in offers), 1),
             goodput_per_s=round(sum(g.goodput_per_s for g in groups), 1),
-            refusals=_difference(before, after, "marlramp_refusals"),
-            retries=_difference(before, after, "marlramp_retries"),
+            refusals=_increases(before, after, "marlramp_refusals"),
+            retries=_increases(before, after, "marlramp_retries"),
             groups=groups,
         )
 
@@ -297,7 +298,7 @@
     )
 
 
-def _difference(
+def _increases(
     before: dict[tuple[str, str], int],
     after: dict[tuple[str, str], int],
     counter: str,
--- a/src/marlramp/experiments/capacity.py
+++ b/src/marlramp/experiments/capacity.py
@@ -1,4 +1,7 @@
-"""Measures the slopes behind docs/CAPACITY.md on real processes."""
+"""Measures the figures behind docs/CAPACITY.md on real processes.
+
+Most figures are slopes of straight lines that are fitted to measured points.
+"""
 
 from __future__ import annotations
 
@@ -35,7 +38,7 @@
 
 
 class Sample(msgspec.Struct, frozen=True):
-    """Processor time, memory and link bytes of one process."""
+    """Processor time and memory of one process."""
 
     cpu_s: float
     rss_mb: float
@@ -46,10 +49,10 @@
 
     Attributes:
       name: what was measured.
-      x: what varies.
-      y: what is fitted, with its unit.
-      points: measured pairs.
-      slope: y per x.
+      x: the independent variable.
+      y: unit of the dependent variable.
+      points: measured pairs of x and y.
+      slope: change of y per unit of x.
       intercept: y at x = 0.
       residual_max: largest distance of a point from the line.
     """
@@ -64,7 +67,7 @@
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """All fits and single figures of a run."""
+    """Fits and single figures of a run."""
 
     fits: list[Fit]
     settings_ms: list[float]
@@ -104,11 +107,11 @@
 
 
 def sample(process: processes.Process) -> Sample:
-    """Returns what a process has used so far."""
-    folder = pathlib.Path("/proc") / str(process.process.pid)
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
+    """Returns the processor time and memory that a process has used."""
+    directory = pathlib.Path("/proc") / str(process.process.pid)
+    fields = (directory / "stat").read_text().rpartition(")")[2].split()
     ticks = int(fields[11]) + int(fields[12])
-    pages = int((folder / "statm").read_text().split()[1])
+    pages = int((directory / "statm").read_text().split()[1])
     return Sample(
         ticks / os.sysconf("SC_CLK_TCK"),
         pages * os.sysconf("SC_PAGE_SIZE") / 1e6,
@@ -116,7 +119,7 @@
 
 
 async def run() -> Report:
-    """Measures everything, one fleet after the other."""
+    """Runs all measurements, one fleet after the other."""
     idle = [await _measure_idle(size) for size in FLEET_SIZES]
     serving = await _measure_serving()
     agents = [float(found.agents) for found in idle]
@@ -186,10 +189,10 @@
         await asyncio.sleep(SETTLE_S)
         calls_at_start = await _platform_calls(cluster)
         bytes_before = await _link_bytes(cluster)
-        entries = Window(list(cluster.entries.values()))
-        others = Window(list(cluster.agents.values()))
+        entry_window = Window(list(cluster.entries.values()))
+        agent_window = Window(list(cluster.agents.values()))
         await asyncio.sleep(MEASURE_S)
-        entry, agent = entries.close(), others.close()
+        entry, agent = entry_window.close(), agent_window.close()
         bytes_after = await _link_bytes(cluster)
         calls = await _platform_calls(cluster)
         vms = bytes_after.keys() & bytes_before.keys()
@@ -262,11 +265,11 @@
     live.start()
     warm_up_s = tokens * TOKEN_MS / clock.MILLIS_PER_SECOND + 1.0
     await asyncio.sleep(warm_up_s)
-    entries = Window(list(cluster.entries.values()))
-    agents = Window(list(cluster.agents.values()))
+    entry_window = Window(list(cluster.entries.values()))
+    agent_window = Window(list(cluster.agents.values()))
     tokens_before = live.tokens
     await asyncio.sleep(MEASURE_S)
-    entry, agent = entries.close(), agents.close()
+    entry, agent = entry_window.close(), agent_window.close()
     tokens_seen = live.tokens - tokens_before
     await live.stop()
     per_s = tokens_seen / MEASURE_S
@@ -278,7 +281,7 @@
 
 
 class Window:
-    """Use of some processes over a time, as means per process."""
+    """Mean resource use of some processes during a time window."""
 
     def __init__(self, processes: list[processes.Process]) -> None:
         """Starts the window."""
@@ -332,7 +335,7 @@
 
 
 async def _change_settings(cluster: fleet.Fleet, number: int) -> float:
-    """Publishes a change; returns ms until both ends have it in force."""
+    """Publishes a change; returns the ms until all entries apply it."""
     time = clock.SystemClock()
     wanted = await _newest_revision(cluster) + 1
     started_ms = time.now_ms()
@@ -340,8 +343,8 @@
         documents.MEMBER_KEY, documents.base([], {"retries_max": number % 5})
     )
     while True:
-        found = [await _revision(cluster, entry) for entry in cluster.entries]
-        if min(found) >= wanted:
+        values = [await _revision(cluster, entry) for entry in cluster.entries]
+        if min(values) >= wanted:
             return round(time.now_ms() - started_ms, 1)
         await asyncio.sleep(0.005)
 
@@ -361,7 +364,7 @@
 
 
 async def _link_bytes(cluster: fleet.Fleet) -> dict[str, int]:
-    """Returns the bytes sent and received on own links, by VM."""
+    """Returns the bytes sent and received on marlramp's links, by VM."""
     totals: dict[str, int] = {}
     for entry in cluster.entries:
         seen: dict[str, int] = {}
@@ -374,8 +377,8 @@
 
 
 def _mean(rates: dict[str, float], prefix: str) -> float:
-    found = [rate for vm, rate in rates.items() if vm.startswith(prefix)]
-    return statistics.mean(found) if found else math.nan
+    values = [rate for vm, rate in rates.items() if vm.startswith(prefix)]
+    return statistics.mean(values) if values else math.nan
 
 
 def _pairs(xs: list[float], ys: list[float]) -> list[tuple[float, float]]:
--- a/src/marlramp/experiments/demo.py
+++ b/src/marlramp/experiments/demo.py
@@ -1,4 +1,4 @@
-"""The whole path in one short run: rollout, live calls, a plain call."""
+"""Short end-to-end run: a rollout, live calls and a plain call."""
 
 from __future__ import annotations
 
@@ -28,16 +28,16 @@
 
 
 class DemoResult(msgspec.Struct, kw_only=True):
-    """What the demo saw.
+    """Result of the demo.
 
     Attributes:
-      vms: version served by each VM before and after.
+      vms: version served by each VM before and after the rollout.
       calls: the live calls during the rollout.
       versions: versions that answered live calls.
       time_to_replicas_s: time until all replicas served the new version.
-      origin_copies: copies of the new weights drawn from the origin.
-      plain_runs: how often the plain call was run, sent twice.
-      problems: what did not hold, empty for a good run.
+      origin_copies: copies of the new weights sent by the origin.
+      plain_runs: how often the plain call ran, which was sent twice.
+      problems: failed checks, empty for a successful run.
     """
 
     vms: dict[str, tuple[str, str]]
@@ -60,7 +60,7 @@
 
 
 async def run() -> DemoResult:
-    """Runs the demo and returns what it saw."""
+    """Runs the demo and returns its result."""
     async with fleet.Fleet(("randstad", "brabant")) as cluster:
         await cluster.start_standins(origin_bytes_per_s=2 * LINK_BYTES_PER_S)
         old = await cluster.put_weights(_weights("v1", 1))
@@ -80,7 +80,7 @@
     time = clock.SystemClock()
     urls = [cluster.entry_url(entry) for entry in cluster.entries]
     before = await _versions(cluster)
-    drawn_before = await origin_bytes(cluster)
+    sent_bytes_before = await origin_bytes(cluster)
     plan = load.CallPlan(service="pool", customer=CUSTOMER)
     live = load.LiveLoad(cluster.client, urls, plan, CALLS_PER_S)
     live.start()
@@ -88,16 +88,16 @@
     started_ms = time.now_ms()
     await _publish(cluster, new.manifest, old.manifest, "v2")
     after = await _await_version(cluster, "v2")
-    taken_s = (time.now_ms() - started_ms) / clock.MILLIS_PER_SECOND
+    duration_s = (time.now_ms() - started_ms) / clock.MILLIS_PER_SECOND
     await asyncio.sleep(SETTLE_S)
     results = await live.stop()
-    drawn = await origin_bytes(cluster) - drawn_before
+    sent_bytes = await origin_bytes(cluster) - sent_bytes_before
     result = DemoResult(
         vms={vm: (before.get(vm, ""), after[vm]) for vm in sorted(after)},
         calls=load.summarize(results),
         versions=sorted({r.version for r in results if r.version}),
-        time_to_replicas_s=round(taken_s, 2),
-        origin_copies=round(drawn / TOTAL_BYTES, 3),
+        time_to_replicas_s=round(duration_s, 2),
+        origin_copies=round(sent_bytes / TOTAL_BYTES, 3),
         plain_runs=await _plain_call_twice(cluster, urls),
     )
     result.problems = _problems(result)
@@ -175,7 +175,11 @@
 
 
 async def _plain_call_twice(cluster: fleet.Fleet, urls: list[str]) -> int:
-    """Sends one non-idempotent call to both entries; returns its runs."""
+    """Sends one non-idempotent call to both entries.
+
+    Returns:
+      How often the call ran.
+    """
     headers = {
         caller_requests.CUSTOMER_HEADER: CUSTOMER,
         answers.REQUEST_ID_HEADER: "slot-7",
@@ -209,7 +213,9 @@
     if served != REPLICAS:
         found.append(f"{served} of {REPLICAS} replicas serve v2")
     if result.calls.failed or not result.calls.sent:
-        found.append(f"{result.calls.failed} live calls were not whole")
+        found.append(
+            f"{result.calls.failed} live calls were not answered completely"
+        )
     if result.calls.mixed:
         found.append(f"{result.calls.mixed} answers mixed versions")
     if result.plain_runs != 1:
--- a/src/marlramp/experiments/documents.py
+++ b/src/marlramp/experiments/documents.py
@@ -16,7 +16,7 @@
 
 
 class RolloutText(msgspec.Struct, frozen=True, kw_only=True):
-    """A rollout as it is written in a document."""
+    """The rollout table of a service in a settings document."""
 
     model: str
     version: str
@@ -28,7 +28,7 @@
 def base(
     customers: Sequence[str], settings: Mapping[str, Value] | None = None
 ) -> str:
-    """Returns a document with customers and settings of its level."""
+    """Returns a document with the customers and settings of one level."""
     lines = ["schema = 1"]
     if settings:
         lines.append("[settings]")
@@ -38,7 +38,7 @@
 
 
 def customer_limits(limits: Mapping[str, Mapping[str, Value]]) -> str:
-    """Returns a document that sets limits of customers."""
+    """Returns a document that sets the limits of customers."""
     lines = ["schema = 1"]
     for customer, values in limits.items():
         lines.append(f"[customers.{customer}]")
@@ -59,12 +59,12 @@
     for service, rollout in models.items():
         lines.append(f'[services.{service}]\nkind = "model"')
         lines.append(f"[services.{service}.rollout]")
-        given = {
+        non_empty = {
             name: value
             for name, value in msgspec.structs.asdict(rollout).items()
             if value
         }
-        lines.extend(_pairs(given))
+        lines.extend(_pairs(non_empty))
     lines.extend(f'[services.{name}]\nkind = "plain"' for name in plain)
     return "\n".join(lines) + "\n"
 
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -38,7 +38,7 @@
 
 
 class FleetError(Exception):
-    """The fleet did not do what the experiment needs."""
+    """The fleet did not behave as the experiment requires."""
 
 
 class StandIn(enum.Enum):
@@ -50,7 +50,7 @@
 
 
 class PutWeights(msgspec.Struct, frozen=True, kw_only=True):
-    """A version of weights to add to origin and store."""
+    """A version of weights to add to the origin or the store."""
 
     model: str
     version: str
@@ -62,7 +62,7 @@
 
 
 class Weights(msgspec.Struct, frozen=True):
-    """Digests of weights that were added."""
+    """Digests of an added version of weights."""
 
     manifest: str
     whole: str
@@ -72,7 +72,7 @@
     """Stand-ins, entries and agents of one deployment."""
 
     def __init__(self, data_centres: tuple[str, ...] = ("randstad",)) -> None:
-        """Starts nothing yet."""
+        """Creates a fleet without starting a process."""
         self.data_centres = data_centres
         self.client = http.HttpClient()
         self.entries: dict[str, processes.Process] = {}
@@ -81,7 +81,7 @@
         self.http_ports: dict[str, int] = {}
         self.vms: dict[str, dict[str, object]] = {}
         self._stack = contextlib.ExitStack()
-        self._folder = pathlib.Path()
+        self._directory = pathlib.Path()
         self._urls: dict[str, str] = {}
         server = zmq.curve_keypair()
         client = zmq.curve_keypair()
@@ -93,11 +93,11 @@
         }
 
     async def __aenter__(self) -> Fleet:
-        """Makes the folder for settings and logs."""
-        folder = self._stack.enter_context(
+        """Creates the directory for settings and logs."""
+        directory = self._stack.enter_context(
             tempfile.TemporaryDirectory(prefix="marlramp-")
         )
-        self._folder = pathlib.Path(folder)
+        self._directory = pathlib.Path(directory)
         return self
 
     async def __aexit__(
@@ -107,27 +107,27 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Ends every process of the fleet."""
-        everything = [
+        all_processes = [
             *self.entries.values(),
             *self.agents.values(),
             *self.standins.values(),
         ]
-        crashed = [process for process in everything if process.crashed]
+        crashed = [process for process in all_processes if process.crashed]
         if error is not None or crashed:
             self._print_logs()
-        for process in everything:
+        for process in all_processes:
             if process.running:
                 process.process.kill()
-        for process in everything:
+        for process in all_processes:
             process.process.wait(processes.STOP_TIMEOUT_S)
         self._stack.close()
         if crashed and error is None:
-            found = [(p.name, p.process.returncode) for p in crashed]
-            raise FleetError(f"ended by themselves: {found}")
+            exit_codes = [(p.name, p.process.returncode) for p in crashed]
+            raise FleetError(f"processes crashed: {exit_codes}")
 
     def _print_logs(self) -> None:
-        """Shows the end of each log, for a run that failed."""
-        for log in sorted(self._folder.glob("*.log")):
+        """Prints the last lines of each log after a failed run."""
+        for log in sorted(self._directory.glob("*.log")):
             lines = log.read_text(errors="replace").splitlines()[-8:]
             for line in lines:
                 print(f"{log.stem}: {line}", file=sys.stderr)
@@ -143,15 +143,15 @@
         names = ["platform", "origin", "store"]
         names += [f"engines{n}" for n in range(engine_processes)]
         ports = dict(zip(names, processes.free_ports(len(names)), strict=True))
-        self._standin("platform", StandIn.PLATFORM, ports["platform"])
-        self._standin(
+        self._start_standin("platform", StandIn.PLATFORM, ports["platform"])
+        self._start_standin(
             "origin",
             StandIn.WEIGHTS,
             ports["origin"],
             "--bytes-per-s",
             str(origin_bytes_per_s),
         )
-        self._standin(
+        self._start_standin(
             "store",
             StandIn.WEIGHTS,
             ports["store"],
@@ -160,25 +160,25 @@
         )
         for number in range(engine_processes):
             name = f"engines{number}"
-            self._standin(name, StandIn.ENGINES, ports[name])
+            self._start_standin(name, StandIn.ENGINES, ports[name])
         paths = {
             "platform": "/calls",
             "origin": "/stats",
             "store": "/stats",
         }
         for name in names:
-            await self._await_answer(name, paths.get(name, "/"))
+            await self._await_start(name, paths.get(name, "/"))
 
-    def _standin(
+    def _start_standin(
         self, name: str, module: StandIn, port: int, *arguments: str
     ) -> None:
         self._urls[name] = f"http://{processes.HOST}:{port}"
         command = [sys.executable, "-m", module.value, "--port", str(port)]
         self.standins[name] = processes.Process(
-            name, [*command, *arguments], self._folder / f"{name}.log"
+            name, [*command, *arguments], self._directory / f"{name}.log"
         )
 
-    async def _await_answer(self, name: str, path: str) -> None:
+    async def _await_start(self, name: str, path: str) -> None:
         for _ in range(int(START_TIMEOUT_MS / processes.POLL_MS)):
             with contextlib.suppress(http.HttpError):
                 await self.client.request(
@@ -191,7 +191,7 @@
     async def standin_call(
         self, name: str, method: str, path: str, body: object = None
     ) -> bytes:
-        """Calls a stand-in and returns the body of its answer."""
+        """Calls a stand-in and returns the response body."""
         reply = await self.client.request(
             method,
             self._urls[name] + path,
@@ -213,7 +213,7 @@
         await self.standin_call("platform", "PUT", "/documents", document)
 
     async def publish_vms(self) -> None:
-        """Publishes the VM list as it stands."""
+        """Publishes the current VM list."""
         listed = list(self.vms.values())
         await self.standin_call("platform", "PUT", "/vms", listed)
 
@@ -223,11 +223,11 @@
         if not weights.common:
             del body["base_seed"], body["common"]
         await self.standin_call("store", "PUT", "/weights", body)
-        answer = await self.standin_call("origin", "PUT", "/weights", body)
-        return msgspec.json.decode(answer, type=Weights)
+        response = await self.standin_call("origin", "PUT", "/weights", body)
+        return msgspec.json.decode(response, type=Weights)
 
     def link_keys(self) -> links.Keys:
-        """Returns the keys of the fleet's own links."""
+        """Returns the keys of the links between the fleet's processes."""
         return links.Keys(*(self._keys[name].encode() for name in _KEY_NAMES))
 
     def engine_name(self, vm_id: str) -> str:
@@ -251,11 +251,11 @@
             vm_id = f"entry-{number}"
             data_centre = self.data_centres[number % len(self.data_centres)]
             link_port, http_port = ports[2 * number : 2 * number + 2]
-            self._list_vm(vm_id, "entry", data_centre, "", link_port, http_port)
+            self._add_vm(vm_id, "entry", data_centre, "", link_port, http_port)
             text = fleet_settings.entry_text(
-                self._surroundings, vm_id, data_centre, link_port, http_port
+                self._shared_settings, vm_id, data_centre, link_port, http_port
             )
-            self.entries[vm_id] = self._daemon(vm_id, text)
+            self.entries[vm_id] = self._start_daemon(vm_id, text)
             started.append(vm_id)
         await self.publish_vms()
         return started
@@ -276,19 +276,19 @@
                 **spec.engine,
             }
             await self.engine_call(vm_id, "PUT", "", options)
-            self._list_vm(
+            self._add_vm(
                 vm_id, "upstream", spec.data_centre, spec.service, port, 0
             )
             engine_url = f"{self._urls[self.engine_name(vm_id)]}/e/{vm_id}"
             text = fleet_settings.agent_text(
-                self._surroundings, vm_id, spec, port, engine_url
+                self._shared_settings, vm_id, spec, port, engine_url
             )
-            self.agents[vm_id] = self._daemon(vm_id, text)
+            self.agents[vm_id] = self._start_daemon(vm_id, text)
             started.append(vm_id)
         await self.publish_vms()
         return started
 
-    def _list_vm(
+    def _add_vm(
         self,
         vm_id: str,
         role: str,
@@ -309,18 +309,18 @@
             "state": "live",
         }
 
-    def _daemon(self, vm_id: str, settings: str) -> processes.Process:
-        path = self._folder / f"{vm_id}.toml"
+    def _start_daemon(self, vm_id: str, settings: str) -> processes.Process:
+        path = self._directory / f"{vm_id}.toml"
         path.write_text(settings)
         command = [sys.executable, "-m", "marlramp.console.daemon"]
         return processes.Process(
             vm_id,
             [*command, "--settings", str(path)],
-            self._folder / f"{vm_id}.log",
+            self._directory / f"{vm_id}.log",
         )
 
     @property
-    def _surroundings(self) -> fleet_settings.Surroundings:
+    def _shared_settings(self) -> fleet_settings.Surroundings:
         return fleet_settings.Surroundings(
             self._urls["platform"],
             self._urls["origin"],
@@ -329,7 +329,7 @@
         )
 
     def entry_url(self, entry_id: str) -> str:
-        """Returns the address of an entry for callers."""
+        """Returns the URL at which callers reach an entry."""
         return f"http://{processes.HOST}:{self.http_ports[entry_id]}"
 
     async def admin(self, entry_id: str, path: str) -> bytes:
--- a/src/marlramp/experiments/fleet_settings.py
+++ b/src/marlramp/experiments/fleet_settings.py
@@ -13,17 +13,17 @@
 
 
 class AgentSpec(msgspec.Struct, frozen=True, kw_only=True):
-    """What distinguishes one agent and the upstream behind it.
+    """Settings of one agent and its upstream.
 
     Attributes:
-      service: its service.
-      data_centre: where it is.
-      capacity: most requests at once.
+      service: service of the upstream.
+      data_centre: data centre of the agent.
+      capacity: most concurrent requests.
       engine: further options of the engine stand-in.
-      link_bytes_per_s: rate of its link.
-      reports_load: whether its upstream reports load.
-      two_versions: whether its engine holds two versions.
-      checks_fencing: whether its engine refuses old fencing numbers.
+      link_bytes_per_s: rate of the agent's link.
+      reports_load: whether the upstream reports its load.
+      two_versions: whether the engine holds two versions.
+      checks_fencing: whether the engine rejects old fencing numbers.
     """
 
     service: str
@@ -37,13 +37,13 @@
 
 
 class Surroundings(msgspec.Struct, frozen=True):
-    """What all daemons of a fleet are told alike.
+    """Settings that all daemons of a fleet share.
 
     Attributes:
-      platform_url: address of configuration and list of VMs.
-      origin_url: address of the origin of weights.
-      store_url: address of the store of weights.
-      keys: keys of the links, by the name of their setting.
+      platform_url: URL of the configuration and the VM list.
+      origin_url: URL of the origin of weights.
+      store_url: URL of the store of weights.
+      keys: keys of the links, by setting name.
     """
 
     platform_url: str
@@ -53,7 +53,7 @@
 
 
 def entry_text(
-    around: Surroundings,
+    shared: Surroundings,
     vm_id: str,
     data_centre: str,
     port: int,
@@ -62,10 +62,10 @@
     """Returns the settings of an entry.
 
     Args:
-      around: what all daemons are told alike.
-      vm_id: its VM.
-      data_centre: where that is.
-      port: port of its links.
+      shared: settings that all daemons share.
+      vm_id: VM of the daemon.
+      data_centre: data centre of the VM.
+      port: port for links.
       http_port: port for callers.
     """
     entry = {
@@ -73,12 +73,12 @@
         "admin_key": ADMIN_KEY,
         "token_key": TOKEN_KEY,
     }
-    common = _common_text(around, "entry", vm_id, data_centre, port)
+    common = _common_text(shared, "entry", vm_id, data_centre, port)
     return common + _table("entry", entry) + f"\nhttp_port = {http_port}\n"
 
 
 def agent_text(
-    around: Surroundings,
+    shared: Surroundings,
     vm_id: str,
     spec: AgentSpec,
     port: int,
@@ -87,14 +87,14 @@
     """Returns the settings of an agent.
 
     Args:
-      around: what all daemons are told alike.
-      vm_id: its VM.
-      spec: what distinguishes it.
-      port: port of its links.
-      engine_url: address of its upstream.
+      shared: settings that all daemons share.
+      vm_id: VM of the daemon.
+      spec: settings of this agent.
+      port: port for links.
+      engine_url: URL of the upstream.
     """
     upstream = {"service": spec.service, "url": engine_url}
-    common = _common_text(around, "agent", vm_id, spec.data_centre, port)
+    common = _common_text(shared, "agent", vm_id, spec.data_centre, port)
     return (
         common
         + _table("upstream", upstream)
@@ -107,13 +107,13 @@
 
 
 def _common_text(
-    around: Surroundings, role: str, vm_id: str, data_centre: str, port: int
+    shared: Surroundings, role: str, vm_id: str, data_centre: str, port: int
 ) -> str:
     platform = {
-        "configuration_url": around.platform_url,
-        "vm_list_url": around.platform_url,
-        "origin_url": around.origin_url,
-        "weight_store_url": around.store_url,
+        "configuration_url": shared.platform_url,
+        "vm_list_url": shared.platform_url,
+        "origin_url": shared.origin_url,
+        "weight_store_url": shared.store_url,
     }
     identity = {
         "vm_id": vm_id,
@@ -125,7 +125,7 @@
         [
             f'role = "{role}"',
             _table("identity", identity),
-            _table("links", {"host": processes.HOST, **around.keys}),
+            _table("links", {"host": processes.HOST, **shared.keys}),
             f"port = {port}",
             _table("platform", platform),
             "vm_list_interval_ms = 1000",
--- a/src/marlramp/experiments/load.py
+++ b/src/marlramp/experiments/load.py
@@ -1,4 +1,7 @@
-"""Live calls against entries, each checked for a whole, unmixed answer."""
+"""Live calls to entries, whose answers are checked.
+
+An answer must be complete and come from a single version.
+"""
 
 from __future__ import annotations
 
@@ -24,20 +27,20 @@
 
 
 class CallResult(msgspec.Struct, kw_only=True):
-    """What one call brought.
+    """Result of one call.
 
     Attributes:
-      customer: whom it was for.
-      priority: its priority.
-      whole: whether the answer was complete and right.
-      mixed: whether it came from more than one version.
-      version: the version of its first part.
-      kind: the error kind, empty for none.
-      ran: what the error said about having run, empty for none.
-      ttft_ms: time to the first token, None without one.
+      customer: customer of the call.
+      priority: priority of the call.
+      whole: whether the answer was complete and correct.
+      mixed: whether the answer came from more than one version.
+      version: version of the first part of the answer.
+      kind: the error kind, empty if there was no error.
+      ran: whether the call ran according to the error, empty without one.
+      ttft_ms: time to the first token, None if there was none.
       gaps_ms: times between tokens.
       total_ms: time to the last byte.
-      tokens: tokens received.
+      tokens: number of tokens received.
     """
 
     customer: str
@@ -54,7 +57,7 @@
 
 
 class CallPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """One kind of call."""
+    """Parameters of a call."""
 
     service: str
     customer: str
@@ -131,7 +134,7 @@
     on_token: Callable[[], None],
 ) -> None:
     if stream.status != _OK:
-        _note_error(result, await stream.body())
+        _record_error(result, await stream.body())
         return
     time = clock.SystemClock()
     seed = hashlib.sha256(prompt.encode()).hexdigest()[:8]
@@ -142,7 +145,7 @@
     async for event in stream.events():
         now_ms = time.now_ms()
         if event.startswith(_ERROR):
-            _note_error(result, event[len(_ERROR) + len(_DATA) :])
+            _record_error(result, event[len(_ERROR) + len(_DATA) :])
             return
         if event == _DONE:
             result.whole = "".join(texts) == "".join(expected)
@@ -160,7 +163,7 @@
         on_token()
 
 
-def _note_error(result: CallResult, body: bytes) -> None:
+def _record_error(result: CallResult, body: bytes) -> None:
     try:
         error = _error_decoder.decode(body).error
     except msgspec.DecodeError:
@@ -171,7 +174,7 @@
 
 
 class LiveLoad:
-    """Calls at a steady rate in the background."""
+    """Makes calls in the background, with Poisson arrivals."""
 
     def __init__(
         self,
@@ -180,40 +183,40 @@
         plan: CallPlan,
         rate_per_s: float,
     ) -> None:
-        """Calls the entries at `urls` in turn."""
+        """Creates a load that calls the entries at `urls` in turn."""
         self._client = client
         self._urls = list(urls)
         self._plan = plan
         self._rate_per_s = rate_per_s
         self._tasks: set[asyncio.Task[None]] = set()
-        self._driver: asyncio.Task[None] | None = None
+        self._calling: asyncio.Task[None] | None = None
         self.results: list[CallResult] = []
         self.sent = 0
         self.tokens = 0
 
     def start(self) -> None:
-        """Starts calling."""
-        self._driver = asyncio.create_task(self._drive())
+        """Starts making calls."""
+        self._calling = asyncio.create_task(self._call_repeatedly())
 
     async def stop(self) -> list[CallResult]:
-        """Stops calling, waits for the calls made and returns all results."""
-        if self._driver is not None:
-            self._driver.cancel()
+        """Makes no more calls, awaits open ones and returns all results."""
+        if self._calling is not None:
+            self._calling.cancel()
         while self._tasks:
             await asyncio.wait(list(self._tasks))
         return self.results
 
-    async def _drive(self) -> None:
+    async def _call_repeatedly(self) -> None:
         loop = asyncio.get_running_loop()
         next_s = loop.time()
         while True:
-            task = asyncio.create_task(self._one())
+            task = asyncio.create_task(self._call_once())
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             next_s += random.expovariate(self._rate_per_s)
             await asyncio.sleep(max(0.0, next_s - loop.time()))
 
-    async def _one(self) -> None:
+    async def _call_once(self) -> None:
         self.sent += 1
         url = self._urls[self.sent % len(self._urls)]
         prompt = f"quote {self.sent}"
@@ -248,14 +251,14 @@
     for result in results:
         if result.kind:
             kinds[result.kind] = kinds.get(result.kind, 0) + 1
-    whole = [r for r in results if r.whole]
-    first = [r.ttft_ms for r in whole if r.ttft_ms is not None]
-    gaps = [gap for r in whole for gap in r.gaps_ms]
+    complete = [r for r in results if r.whole]
+    first = [r.ttft_ms for r in complete if r.ttft_ms is not None]
+    gaps = [gap for r in complete for gap in r.gaps_ms]
     return LoadSummary(
         sent=len(results),
-        whole=len(whole),
+        whole=len(complete),
         mixed=sum(1 for r in results if r.mixed),
-        failed=len(results) - len(whole),
+        failed=len(results) - len(complete),
         errors=kinds,
         ttft_p50_ms=percentile(first, 0.50),
         ttft_p95_ms=percentile(first, 0.95),
@@ -276,5 +279,5 @@
 
 
 def unknown_runs(results: Sequence[CallResult]) -> int:
-    """Returns how many calls ended without knowing whether they ran."""
+    """Returns the number of calls of which it is unknown if they ran."""
     return sum(1 for r in results if r.ran == errors.Ran.UNKNOWN.value)
--- a/src/marlramp/experiments/overload.py
+++ b/src/marlramp/experiments/overload.py
@@ -1,7 +1,8 @@
-"""Replays load on the shipped decisions in virtual time, without sockets.
+"""Replays load against the shipped admission code in virtual time.
 
-Arrivals, engines and callers are models; admission, choice, exchange of loads
-and what is learnt from answers are the modules that the daemon uses.
+Arrivals, engines and callers are models, and there are no sockets. Admission,
+the choice of replicas, the exchange of loads and the observation of answers
+are the modules that the daemon uses.
 """
 
 from __future__ import annotations
@@ -49,24 +50,24 @@
     pieces=64,
     piece_bytes=32_768,
 )
-"""Engines as the users' platform describes them."""
+"""Engine specification as the users' platform publishes it."""
 
 OBJECTIVE_MS = 400.0
 TIMEOUT_MS = 6_000.0
 GAP_MAX_MS = 2_400.0
-PATIENCE_MIN_SHARE = 0.85
-"""Objective, and how long callers wait in all and for a first event; they
-differ by 15%."""
+TIMEOUT_MIN_SHARE = 0.85
+"""Objective, and how long callers wait in total and for a first event. The
+total wait varies between callers by 15%."""
 
 PROMPT_TOKENS = (200, 1_800)
 EVENTS = (5, 35)
-"""Least and most tokens of a prompt and events of an answer."""
+"""Range of the tokens of a prompt, and of the events of an answer."""
 
 CAPACITY_PER_ENGINE = 10.5
-"""Requests a second that one engine of the model serves: 16 places,
-each held for some 1.5 s."""
+"""Requests per second that one simulated engine serves: it has 16 slots, each
+occupied for about 1.5 s."""
 
-WAY_MS = 2.0
+NETWORK_DELAY_MS = 2.0
 REPORT_NEAR_MS = 200.0
 REPORT_FAR_MS = 500.0
 REPORT_LAG_MS = 200.0
@@ -78,18 +79,18 @@
 
 
 class _Caller:
-    """A caller and its time."""
+    """A caller, its request and its timeout."""
 
     def __init__(self, now_ms: float, rng: random.Random) -> None:
         self.first_ms = now_ms
-        self.patience_ms = TIMEOUT_MS * rng.uniform(PATIENCE_MIN_SHARE, 1.0)
+        self.timeout_ms = TIMEOUT_MS * rng.uniform(TIMEOUT_MIN_SHARE, 1.0)
         self.prompt_tokens = rng.randint(*PROMPT_TOKENS)
         self.events = rng.randint(*EVENTS)
         self.refusals = 0
 
 
 class _Entry:
-    """An entry's knowledge of the engines."""
+    """An entry and what it knows about the engines."""
 
     def __init__(
         self,
@@ -104,9 +105,11 @@
         self.table = replica_table.ReplicaTable(shares)
         self.table.sync(known, clock.Millis(now_ms))
         self.loads = peer_loads.PeerLoads(self.table)
-        self.news = peer_loads.LoadUpdates(self.table)
+        self.load_updates = peer_loads.LoadUpdates(self.table)
         self.waits = caller_wait_estimate.CallerWaitEstimate(TIMEOUT_MS)
-        self.places = upstream_choice.PreferredLocations({_data_centre(region)})
+        self.locations = upstream_choice.PreferredLocations(
+            {_data_centre(region)}
+        )
 
 
 def _data_centre(region: int) -> str:
@@ -117,13 +120,13 @@
     """One replay of a plan.
 
     Attributes:
-      seconds: what became of the callers of each second.
-      load_messages: how often entries told their cell of loads.
-      cold_arrivals: when requests arrived at each engine while it was cold.
+      seconds: outcomes of the callers, by the second of their arrival.
+      load_messages: number of load updates that entries sent to their cell.
+      cold_arrivals: arrival times of requests at each engine while it was cold.
     """
 
     def __init__(self, plan: overload_plan.Plan) -> None:
-        """Builds engines and entries; nothing happens before `run`."""
+        """Creates the engines and entries of a plan."""
         self._plan = plan
         self._rng = random.Random(plan.seed)
         self._time = clock.ManualClock()
@@ -132,7 +135,7 @@
         self._engines = {
             f"i-{n}": overload_engine.Engine(SPEC) for n in range(plan.engines)
         }
-        self._passing: set[str] = set()
+        self._busy_engines: set[str] = set()
         known = self._catalog()
         self._entries = [
             _Entry(
@@ -170,27 +173,29 @@
         ]
 
     def run(self) -> list[overload_plan.Second]:
-        """Plays the load to its end; returns what became of each second."""
+        """Runs the replay; returns the outcomes for each second."""
         rate = self._plan.load * CAPACITY_PER_ENGINE * self._plan.engines
         at_ms = 0.0
         while True:
             at_ms += self._rng.expovariate(rate) * _MS
             if at_ms >= len(self.seconds) * _MS:
                 break
-            self._at(at_ms, self._arrive)
+            self._schedule_at(at_ms, self._arrive)
         for name in self._engines:
             self._report(name)
         for entry in self._entries:
             self._exchange(entry)
         if self._plan.outage_s:
             start_ms = 0.25 * self._plan.seconds * _MS
-            self._at(start_ms, self._lose_engines)
-            self._at(start_ms + self._plan.outage_s * _MS, self._open_engines)
+            self._schedule_at(start_ms, self._stop_engines)
+            self._schedule_at(
+                start_ms + self._plan.outage_s * _MS, self._restart_engines
+            )
         if self._plan.evacuation_s:
             start_ms = 0.25 * self._plan.seconds * _MS
             end_ms = start_ms + self._plan.evacuation_s * _MS
-            self._at(start_ms, self._start_evacuation)
-            self._at(end_ms, self._end_evacuation)
+            self._schedule_at(start_ms, self._start_evacuation)
+            self._schedule_at(end_ms, self._end_evacuation)
         end_ms = len(self.seconds) * _MS + TIMEOUT_MS
         while self._events and self._events[0][0] < end_ms:
             at_ms, _, action = heapq.heappop(self._events)
@@ -219,26 +224,26 @@
         known.apply(changes, clock.Millis(0.0))
         return known
 
-    def _at(self, at_ms: float, action: Callable[[], None]) -> None:
+    def _schedule_at(self, at_ms: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_ms, next(self._order), action))
 
-    def _in(self, wait_ms: float, action: Callable[[], None]) -> None:
-        self._at(self._time.now_ms() + wait_ms, action)
+    def _schedule_in(self, wait_ms: float, action: Callable[[], None]) -> None:
+        self._schedule_at(self._time.now_ms() + wait_ms, action)
 
     # Callers.
 
     def _arrive(self) -> None:
         caller = _Caller(self._time.now_ms(), self._rng)
         self._second(caller).arrived += 1
-        self._try(caller)
+        self._attempt(caller)
 
     def _second(self, caller: _Caller) -> overload_plan.Second:
         return self.seconds[int(caller.first_ms / _MS)]
 
-    def _try(self, caller: _Caller) -> None:
+    def _attempt(self, caller: _Caller) -> None:
         entry = self._rng.choice(self._entries)
         now_ms = self._time.now_ms()
-        left_ms = caller.first_ms + caller.patience_ms - now_ms
+        left_ms = caller.first_ms + caller.timeout_ms - now_ms
         wanted = replica_filters.RequestNeeds(
             engine=SPEC,
             prompt_tokens=caller.prompt_tokens,
@@ -256,7 +261,7 @@
         )
         views = entry.table.of(ids.ServiceId("s"))
         decision = admission.decide(
-            views, request, entry.places, now_ms, self._rng
+            views, request, entry.locations, now_ms, self._rng
         )
         if isinstance(decision, upstream_choice.Choice):
             self._send(caller, decision, left_ms)
@@ -264,14 +269,14 @@
         wait_ms = admission.RETRY_AFTER_MIN_MS
         if decision is not None:
             wait_ms = decision.retry_after_ms
-        self._come_back(caller, wait_ms)
+        self._retry_or_give_up(caller, wait_ms)
 
-    def _come_back(self, caller: _Caller, wait_ms: float) -> None:
+    def _retry_or_give_up(self, caller: _Caller, wait_ms: float) -> None:
         caller.refusals += 1
         if caller.refusals > 1:
             self._second(caller).refused += 1
         else:
-            self._in(wait_ms, lambda: self._try(caller))
+            self._schedule_in(wait_ms, lambda: self._attempt(caller))
 
     def _send(
         self,
@@ -311,16 +316,19 @@
             on_end=on_end,
         )
 
-        def on_gap() -> None:
+        def on_wait_end() -> None:
             if not job.begun and not job.left:
                 job.left = True
                 observer.record_abandoned()
                 self._second(caller).left += 1
 
-        self._in(WAY_MS, lambda: self._take(name, job, caller, observer))
-        self._in(min(left_ms, GAP_MAX_MS), on_gap)
+        self._schedule_in(
+            NETWORK_DELAY_MS,
+            lambda: self._handle_request(name, job, caller, observer),
+        )
+        self._schedule_in(min(left_ms, GAP_MAX_MS), on_wait_end)
 
-    def _take(
+    def _handle_request(
         self,
         name: str,
         job: overload_engine.Job,
@@ -336,7 +344,7 @@
             observer.record_end(
                 attempts.Outcome(failure=failure, answer=_answer(engine)), None
             )
-            self._come_back(caller, admission.RETRY_AFTER_MIN_MS)
+            self._retry_or_give_up(caller, admission.RETRY_AFTER_MIN_MS)
             return
         number = int(name.partition("-")[2])
         is_cold = self._time.now_ms() < self._cold_until_ms
@@ -349,24 +357,24 @@
 
     def _start_pass(self, name: str) -> None:
         engine = self._engines[name]
-        if name in self._passing or engine.idle:
+        if name in self._busy_engines or engine.idle:
             return
-        self._passing.add(name)
-        self._in(engine.next_pass(), lambda: self._end_pass(name))
+        self._busy_engines.add(name)
+        self._schedule_in(engine.next_pass(), lambda: self._end_pass(name))
 
     def _end_pass(self, name: str) -> None:
-        self._passing.discard(name)
+        self._busy_engines.discard(name)
         self._engines[name].end_pass()
         self._start_pass(name)
 
-    def _lose_engines(self) -> None:
+    def _stop_engines(self) -> None:
         for engine in self._engines.values():
             engine.open = False
             for job in engine.lose_all():
                 job.on_end()
                 job.left = True
 
-    def _open_engines(self) -> None:
+    def _restart_engines(self) -> None:
         for engine in self._engines.values():
             engine.open = True
 
@@ -394,7 +402,7 @@
         for entry in self._entries:
             entry.table.suspect_cold(ids.DataCentreId(_data_centre(0)), now_ms)
 
-    # What entries hear.
+    # Load reports and their exchange between entries.
 
     def _report(self, name: str) -> None:
         number = int(name.partition("-")[2])
@@ -411,27 +419,31 @@
         far = self._time.now_ms() % REPORT_FAR_MS < REPORT_NEAR_MS
         for entry in self._entries:
             if entry.region == region or far:
-                self._in(REPORT_LAG_MS, self._hearing(entry, report))
-        self._in(REPORT_NEAR_MS, lambda: self._report(name))
+                self._schedule_in(
+                    REPORT_LAG_MS, self._report_handler(entry, report)
+                )
+        self._schedule_in(REPORT_NEAR_MS, lambda: self._report(name))
 
-    def _hearing(
+    def _report_handler(
         self, entry: _Entry, report: replica_view.LoadReport
     ) -> Callable[[], None]:
-        def hear() -> None:
+        def handle() -> None:
             entry.table.handle_report(report, self._time.now_ms())
 
-        return hear
+        return handle
 
     def _exchange(self, entry: _Entry) -> None:
         cell = self._cells.of_entry(entry.name)
-        mates = () if cell is None else cell.entries
-        news = entry.news.changed(len(mates) - 1, self._time.now_ms())
-        if news:
+        cell_entries = () if cell is None else cell.entries
+        load_updates = entry.load_updates.changed(
+            len(cell_entries) - 1, self._time.now_ms()
+        )
+        if load_updates:
             self.load_messages += 1
             for other in self._entries:
-                if other is not entry and other.name in mates:
-                    other.loads.update(entry.name, news)
-        self._in(EXCHANGE_MS, lambda: self._exchange(entry))
+                if other is not entry and other.name in cell_entries:
+                    other.loads.update(entry.name, load_updates)
+        self._schedule_in(EXCHANGE_MS, lambda: self._exchange(entry))
 
 
 def _config(plan: overload_plan.Plan) -> fleet.FleetConfig:
@@ -455,7 +467,10 @@
     """Returns the most arrivals within any one second."""
     return max(
         (
-            sum(start_ms <= each < start_ms + _MS for each in arrivals_ms)
+            sum(
+                start_ms <= arrival_ms < start_ms + _MS
+                for arrival_ms in arrivals_ms
+            )
             for start_ms in arrivals_ms
         ),
         default=0,
--- a/src/marlramp/experiments/overload_engine.py
+++ b/src/marlramp/experiments/overload_engine.py
@@ -1,4 +1,4 @@
-"""A model engine in virtual time: passes, places, a queue with ranks."""
+"""Model of an engine in virtual time, with passes, slots and a queue."""
 
 from __future__ import annotations
 
@@ -11,24 +11,24 @@
 from marlramp.core.replicas import queue_position
 
 CHUNK_TOKENS = 2_048
-"""Prompt tokens read in one pass at most; the platform's figure."""
+"""Most prompt tokens read in one pass, as the platform specifies."""
 
 CONTEXT_TOKENS = 1_000.0
-"""Context of a running request."""
+"""Context of a running request, in tokens."""
 
 
 class Job(msgspec.Struct):
     """A request at an engine.
 
     Attributes:
-      place: where it waits.
-      sent_ms: when it arrived.
-      unread_tokens: tokens of its prompt still to be read.
-      events_left: events still to be made.
-      on_first: called when its first event is made.
-      on_end: called when its last event is made.
-      begun: whether it has made an event.
-      left: whether its caller has gone.
+      place: position in the queue.
+      sent_ms: when the caller's entry sent the request.
+      unread_tokens: prompt tokens that are not read yet.
+      events_left: events that are not generated yet.
+      on_first: called when the first event is generated.
+      on_end: called when the last event is generated.
+      begun: whether an event was generated.
+      left: whether the caller has left.
     """
 
     place: queue_position.QueuePosition
@@ -42,10 +42,10 @@
 
 
 class Engine:
-    """One engine; the caller of `next_pass` keeps the time."""
+    """A simulated engine; the caller of `next_pass` advances the time."""
 
     def __init__(self, spec: fleet.EngineSpec) -> None:
-        """Starts idle."""
+        """Creates an idle engine."""
         self._spec = spec
         self._waiting: list[Job] = []
         self._running: list[Job] = []
@@ -53,21 +53,21 @@
 
     @property
     def running(self) -> int:
-        """Requests that have a place."""
+        """Number of requests that have a slot."""
         return len(self._running)
 
     @property
     def waiting(self) -> int:
-        """Requests that wait for one."""
+        """Number of requests that wait for a slot."""
         return len(self._waiting)
 
     @property
     def idle(self) -> bool:
-        """Whether there is nothing to do."""
+        """Whether the engine has no requests."""
         return not self._running and not self._waiting
 
     def add(self, job: Job) -> None:
-        """Takes a request into the queue."""
+        """Adds a request to the queue."""
         self._waiting.append(job)
 
     def lose_all(self) -> list[Job]:
@@ -77,20 +77,20 @@
         return lost
 
     def next_pass(self) -> float:
-        """Gives places to waiting requests; returns how long the pass takes."""
+        """Fills free slots from the queue; returns the duration of the pass."""
         self._waiting = [job for job in self._waiting if not job.left]
         self._running = [job for job in self._running if not job.left]
-        self._waiting.sort(key=_rank)
+        self._waiting.sort(key=_sort_key)
         free = self._spec.batch - len(self._running)
         self._running.extend(self._waiting[:free])
         del self._waiting[:free]
-        writing = sum(job.unread_tokens == 0 for job in self._running)
+        generating = sum(job.unread_tokens == 0 for job in self._running)
         return self._read_ms() + engine_load.generation_ms(
-            self._spec, writing, CONTEXT_TOKENS
+            self._spec, generating, CONTEXT_TOKENS
         )
 
     def end_pass(self) -> None:
-        """Makes an event for each request whose prompt is read."""
+        """Generates an event for each request whose prompt is read."""
         for job in list(self._running):
             if job.unread_tokens or job.left:
                 continue
@@ -103,7 +103,7 @@
                 job.on_end()
 
     def _read_ms(self) -> float:
-        """Reads prompts up to the chunk; returns how long that takes."""
+        """Reads up to one chunk of the prompts; returns the time needed."""
         budget = CHUNK_TOKENS
         for job in self._running:
             taken = min(budget, job.unread_tokens)
@@ -112,5 +112,5 @@
         return (CHUNK_TOKENS - budget) / self._spec.read_tokens_per_ms
 
 
-def _rank(job: Job) -> tuple[bool, float]:
+def _sort_key(job: Job) -> tuple[bool, float]:
     return job.place is queue_position.QueuePosition.BEHIND, job.sent_ms
--- a/src/marlramp/experiments/overload_plan.py
+++ b/src/marlramp/experiments/overload_plan.py
@@ -1,4 +1,4 @@
-"""What a replay of load plays, and what comes of it."""
+"""Plan and results of a load replay."""
 
 from __future__ import annotations
 
@@ -8,7 +8,12 @@
 
 
 class Policy(enum.Enum):
-    """Which decisions are replayed."""
+    """Admission policies that can be replayed.
+
+    Attributes:
+      SHIPPED: the admission code of the daemon.
+      SEND_ALL: neither refuses requests nor queues late ones at the back.
+    """
 
     SHIPPED = "shipped"
     SEND_ALL = "send_all"
@@ -18,18 +23,19 @@
     """A load to replay.
 
     Attributes:
-      policy: the decisions.
-      engines: model engines.
-      entries: entries, each in one of the regions by turns.
-      regions: regions; engines lie in them by turns too.
-      load: arrivals as a multiple of what the engines serve.
-      seconds: how long callers arrive.
-      outage_s: how long no engine serves, from a quarter of the time on.
-      evacuation_s: how long the engines of the first region are evacuated, from
-        a quarter of the time on; they are cold when it ends.
+      policy: admission policy.
+      engines: number of simulated engines.
+      entries: number of entries, assigned to the regions in turn.
+      regions: number of regions; engines are assigned to them in turn too.
+      load: arrival rate as a multiple of the engines' capacity.
+      seconds: duration of the arrivals.
+      outage_s: duration of an outage of all engines, which starts after a
+        quarter of the run.
+      evacuation_s: duration of an evacuation of the first region, which starts
+        after a quarter of the run; its engines are cold when it ends.
       cold_per_s: requests per second that a cold engine tolerates.
       limits_cold: whether entries limit what they send to cold engines.
-      seed: seed of all that is random.
+      seed: seed of the random number generators.
     """
 
     policy: Policy = Policy.SHIPPED
@@ -46,10 +52,10 @@
 
 
 def check(plan: Plan) -> None:
-    """Refuses a plan that can't be replayed.
+    """Checks a plan.
 
     Raises:
-      ValueError: naming the first field that is wrong.
+      ValueError: if a field is invalid; the message names the first one.
     """
     for name in ("engines", "entries", "regions", "load"):
         if getattr(plan, name) <= 0:
@@ -64,14 +70,14 @@
 
 
 class Second(msgspec.Struct):
-    """What became of the callers that first tried in one second.
+    """Outcomes of the callers whose first attempt was in one second.
 
     Attributes:
-      arrived: callers.
-      in_time: begun within the objective.
-      late: begun later.
-      refused: refused for good.
-      left: left without a first event.
+      arrived: number of callers.
+      in_time: answers that began within the objective.
+      late: answers that began later.
+      refused: callers that were refused twice.
+      left: callers that left before a first event.
     """
 
     arrived: int = 0
@@ -82,7 +88,7 @@
 
 
 def total(seconds: list[Second]) -> Second:
-    """Returns the sum of some seconds."""
+    """Returns the sums over `seconds`."""
     return Second(
         **{
             name: sum(getattr(second, name) for second in seconds)
--- a/src/marlramp/experiments/parts.py
+++ b/src/marlramp/experiments/parts.py
@@ -1,8 +1,8 @@
 """Measures the entry's processor time per relayed part.
 
-One real entry relays streams between stand-in agents, which speak the real
-links and send parts in batches as agents do, and callers that read bytes
-without parsing them. Both run in the measuring process.
+One real entry relays streams between stand-in agents, which use the real link
+protocol and send parts in batches as agents do, and callers that read bytes
+without parsing them. Agents and callers run in the measuring process.
 """
 
 from __future__ import annotations
@@ -41,11 +41,11 @@
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to measure.
+    """Parameters of a measurement.
 
     Attributes:
-      agents: stand-in agents.
-      streams: open streams at each agent.
+      agents: number of stand-in agents.
+      streams: number of open streams at each agent.
       seconds: length of the measurement.
     """
 
@@ -55,7 +55,7 @@
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """Figures of a run; `received_per_s` counts the bytes callers read."""
+    """Results; `received_per_s` is calculated from the bytes callers read."""
 
     agents: int
     streams: int
@@ -67,7 +67,7 @@
 
 
 class _StandInAgent:
-    """Speaks an agent's side of one link and makes up answers."""
+    """Simulates the agent of one link and generates its answers."""
 
     def __init__(
         self,
@@ -89,7 +89,7 @@
         self.parts = 0
 
     async def run(self) -> None:
-        """Answers until cancelled."""
+        """Runs until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._receive())
             group.create_task(self._heartbeat())
@@ -117,7 +117,7 @@
 
     async def _heartbeat(self) -> None:
         self._send(self._report())
-        granted = False
+        grants_sent = False
         while True:
             self._send(
                 messages.AgentHeartbeat(
@@ -127,8 +127,8 @@
                     revisions=self._revisions,
                 )
             )
-            if not granted:
-                granted = True
+            if not grants_sent:
+                grants_sent = True
                 self._send(
                     messages.GrantsIssued(
                         incarnation=1,
@@ -158,7 +158,7 @@
         )
 
     async def _send_parts(self) -> None:
-        """Sends each stream's part when due, all due ones together."""
+        """Sends the parts that are due, those of all streams in one batch."""
         loop = asyncio.get_running_loop()
         interval_s = PART_INTERVAL_MS / clock.MILLIS_PER_SECOND
         flush_s = runs.FLUSH_INTERVAL_MS / clock.MILLIS_PER_SECOND
@@ -181,7 +181,7 @@
 
 
 async def run(plan: Plan) -> Report:
-    """Starts one entry and measures it under open streams."""
+    """Starts one entry and measures it while it relays streams."""
     async with fleet.Fleet(("randstad",)) as cluster:
         await cluster.start_standins()
         await _publish(cluster)
@@ -251,7 +251,7 @@
 
 
 class _Received:
-    """Bytes that all callers have read."""
+    """Counts the bytes that all callers have read."""
 
     def __init__(self) -> None:
         self.bytes = 0
@@ -276,7 +276,7 @@
     before = sum(agent.parts for agent in agents)
     bytes_before = received.bytes
     await asyncio.sleep(plan.seconds)
-    core = window.close().cpu_s
+    cpu_s = window.close().cpu_s
     parts_per_s = (sum(a.parts for a in agents) - before) / plan.seconds
     received_per_s = (received.bytes - bytes_before) / (
         len(EVENT) * plan.seconds
@@ -288,7 +288,7 @@
         streams=plan.agents * plan.streams,
         parts_per_s=round(parts_per_s, 1),
         received_per_s=round(received_per_s, 1),
-        entry_core=round(core, 3),
-        us_per_part=round(1e6 * core / parts_per_s, 1),
+        entry_core=round(cpu_s, 3),
+        us_per_part=round(1e6 * cpu_s / parts_per_s, 1),
         flush_interval_ms=runs.FLUSH_INTERVAL_MS,
     )
--- a/src/marlramp/experiments/plotting.py
+++ b/src/marlramp/experiments/plotting.py
@@ -16,7 +16,7 @@
 
 
 def plot_serving(report: rollout.Report, path: pathlib.Path) -> None:
-    """Plots replicas that serve the new version over time."""
+    """Plots the number of replicas that serve the new version over time."""
     figure, axes = pyplot.subplots(figsize=(7, 4))
     times = [at for at, _ in report.serving_over_time]
     serving = [count for _, count in report.serving_over_time]
--- a/src/marlramp/experiments/processes.py
+++ b/src/marlramp/experiments/processes.py
@@ -1,4 +1,4 @@
-"""Processes that an experiment starts on loopback, and free ports for them."""
+"""Processes that an experiment starts on loopback, and their ports."""
 
 from __future__ import annotations
 
@@ -17,23 +17,26 @@
 POLL_MS = 50.0
 FIRST_PORT = 20_000
 LAST_PORT = 30_000
-"""Ports that processes listen on: below those of outgoing connections."""
+"""Range of the ports that processes listen on.
+
+It lies below the range from which outgoing connections take their ports.
+"""
 
 BLOCK_PORTS = 100
-"""Ports that one process of an experiment reserves together."""
+"""Number of ports that an experiment's process reserves at once."""
 
 
 class ProcessError(Exception):
-    """A process did not do what the experiment needs."""
+    """A process did not behave as the experiment requires."""
 
 
 class Process:
-    """One process that the experiment started, and only that."""
+    """A process started by the experiment; signals go to it alone."""
 
     def __init__(
         self, name: str, arguments: list[str], log: pathlib.Path
     ) -> None:
-        """Starts the process with its output in a file."""
+        """Starts the process and appends its output to a log file."""
         self.name = name
         self.log = log
         self.ended_by_us = False
@@ -51,55 +54,57 @@
 
     @property
     def running(self) -> bool:
-        """Whether it has not ended."""
+        """Whether the process has not exited."""
         return self.process.poll() is None
 
     @property
     def crashed(self) -> bool:
-        """Whether it ended with an error although nobody asked it to."""
+        """Whether it exited with an error without being stopped."""
         return self.process.poll() not in (None, 0) and not self.ended_by_us
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Sends it a signal."""
+        """Sends the process a signal."""
         if number in (signal.SIGTERM, signal.SIGINT):
             self.ended_by_us = True
         self.process.send_signal(number)
 
     def kill(self) -> None:
-        """Ends it at once."""
+        """Kills the process and waits until it has exited."""
         self.ended_by_us = True
         self.process.kill()
         self.process.wait(STOP_TIMEOUT_S)
 
     def restart(self) -> None:
-        """Starts it anew after it ended, with empty memory."""
+        """Starts the process again after it exited, without its state."""
         self.process.wait(STOP_TIMEOUT_S)
         self.ended_by_us = False
         self._start()
 
     async def wait(self, timeout_ms: float) -> int:
-        """Waits for its end and returns its exit code."""
+        """Waits until the process exits and returns its exit code."""
         for _ in range(int(timeout_ms / POLL_MS)):
             code = self.process.poll()
             if code is not None:
                 return code
             await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
-        raise ProcessError(f"{self.name} still runs after {timeout_ms} ms")
+        raise ProcessError(
+            f"{self.name} is still running after {timeout_ms} ms"
+        )
 
 
 _reservations: list[socket.socket] = []
-"""Sockets that hold the blocks of ports reserved for this process."""
+"""Sockets that reserve blocks of ports for this process."""
 
 _reserved: list[int] = []
-"""Ports of those blocks that were not given out yet."""
+"""Ports of the reserved blocks that are not handed out yet."""
 
 
 def free_ports(count: int) -> list[int]:
     """Returns ports that nothing listens on now, each at most once.
 
-    They lie below the range from which the system takes the ports of
+    The ports lie below the range from which the system takes the ports of
     outgoing connections, and in blocks that no other experiment on this
-    machine has, so that none is taken before its process starts.
+    machine has reserved. So none is taken before its process starts.
     """
     found: list[int] = []
     with contextlib.ExitStack() as stack:
@@ -117,18 +122,18 @@
 
 
 def _reserve_block() -> None:
-    """Reserves a block by a datagram socket on its first port.
+    """Reserves a block by binding a UDP socket to its first port.
 
-    Processes listen on streams only, which it doesn't keep from that port.
+    The processes listen on TCP only, so they can still use that port.
     """
     while True:
         first = random.randrange(FIRST_PORT, LAST_PORT, BLOCK_PORTS)
-        held = socket.socket(type=socket.SOCK_DGRAM)
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
         try:
-            held.bind((HOST, first))
+            reservation.bind((HOST, first))
         except OSError:
-            held.close()
+            reservation.close()
             continue
-        _reservations.append(held)
+        _reservations.append(reservation)
         _reserved.extend(range(first, first + BLOCK_PORTS))
         return
--- a/src/marlramp/experiments/rollout.py
+++ b/src/marlramp/experiments/rollout.py
@@ -21,7 +21,7 @@
 DATA_CENTRES = ("randstad", "brabant", "gelderland")
 CHUNKS = 256
 ORIGIN_LINK_RATIO = 2.0
-"""The origin's link carries twice what one VM's link does."""
+"""Rate of the origin's link as a multiple of that of a VM's link."""
 
 ENTRIES = 2
 READY_TIMEOUT_MS = 120_000.0
@@ -36,7 +36,7 @@
 
 
 class Fault(enum.Enum):
-    """Faults that can be caused during the rollout."""
+    """Faults that can be injected during the rollout."""
 
     NONE = "none"
     DEATHS = "deaths"
@@ -48,7 +48,7 @@
 
 
 class Policy(enum.Enum):
-    """Ways to distribute weights; all but the swarm are baselines."""
+    """Distribution policies; all but the swarm are baselines."""
 
     SWARM = "swarm"
     STAR = "star"
@@ -57,17 +57,17 @@
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to measure.
+    """Parameters of a measurement.
 
     Attributes:
-      vms: agents that take part.
-      policy: how weights are distributed.
-      fault: what goes wrong midway.
+      vms: number of agents.
+      policy: distribution policy.
+      fault: fault to inject midway.
       copy_time_s: time that one copy takes on a VM's link.
       chunk_bytes: size of a chunk.
       origin_copies_max: setting of the same name.
       two_versions: whether engines hold two versions.
-      calls_per_s: live calls during the rollout.
+      calls_per_s: rate of live calls during the rollout.
     """
 
     vms: int = 12
@@ -91,7 +91,7 @@
 
 
 class CopyTimes(msgspec.Struct, frozen=True):
-    """Time to replicas, in copy times."""
+    """Time until replicas serve the new version, in copy times."""
 
     median: float
     p99: float
@@ -167,11 +167,11 @@
         self._dead: set[str] = set()
         self._started_ms = 0.0
         self._serving_at: dict[str, float] = {}
-        self._curve: list[tuple[float, int]] = []
+        self._serving_over_time: list[tuple[float, int]] = []
         self._target = "v2"
 
     async def prepare(self) -> None:
-        """Brings every agent to serving the first version, small in size."""
+        """Starts the fleet; every agent then serves a small first version."""
         await self._put("v1", 1, self._plan.chunk_bytes)
         await self._put("v2", 2, self._plan.total_bytes)
         await self._put("v3", 3, self._plan.total_bytes, common=0.5)
@@ -191,19 +191,19 @@
     async def measure(self) -> Report:
         """Rolls out the second version under live calls."""
         before = await self._baseline_load()
-        live = self._live()
-        drawn = await demo.origin_bytes(self._fleet)
-        sent = await self._sent_max()
+        live = self._create_live_load()
+        origin_bytes = await demo.origin_bytes(self._fleet)
+        sent_bytes = await self._sent_max()
         live.start()
         self._started_ms = self._time.now_ms()
         await self._publish("v2", "v1")
-        fault = asyncio.create_task(self._cause_fault())
-        await self._follow()
+        fault = asyncio.create_task(self._inject_fault())
+        await self._poll_serving()
         await fault
         during = load.summarize(await live.stop())
-        drawn = await demo.origin_bytes(self._fleet) - drawn
-        sent = await self._sent_max() - sent
-        return self._report(before, during, drawn, sent)
+        origin_bytes = await demo.origin_bytes(self._fleet) - origin_bytes
+        sent_bytes = await self._sent_max() - sent_bytes
+        return self._report(before, during, origin_bytes, sent_bytes)
 
     def _spec(self, number: int) -> fleet_settings.AgentSpec:
         return fleet_settings.AgentSpec(
@@ -247,7 +247,7 @@
             documents.deployment({SERVICE: rollout}, (), settings),
         )
 
-    def _live(self) -> load.LiveLoad:
+    def _create_live_load(self) -> load.LiveLoad:
         urls = [self._fleet.entry_url(entry) for entry in self._fleet.entries]
         plan = load.CallPlan(service=SERVICE, customer=CUSTOMER, tokens=8)
         return load.LiveLoad(
@@ -255,13 +255,13 @@
         )
 
     async def _baseline_load(self) -> load.LoadSummary:
-        live = self._live()
+        live = self._create_live_load()
         live.start()
         await asyncio.sleep(BASELINE_LOAD_S)
         return load.summarize(await live.stop())
 
-    async def _follow(self) -> None:
-        """Polls until every survivor serves the target, or time is up."""
+    async def _poll_serving(self) -> None:
+        """Polls until every survivor serves the target, or a time limit."""
         limit = LIMIT_COPY_TIMES
         if self._plan.policy is Policy.STAR:
             limit = max(limit, STAR_LIMIT_FACTOR * self._plan.vms)
@@ -273,7 +273,7 @@
                 if vm.version == self._target:
                     self._serving_at.setdefault(vm.vm, self._elapsed())
             serving = len(self._serving_at.keys() - self._dead)
-            self._curve.append((round(self._elapsed(), 3), serving))
+            self._serving_over_time.append((round(self._elapsed(), 3), serving))
             if serving >= self._plan.vms - len(self._dead):
                 return
             await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
@@ -283,15 +283,15 @@
         elapsed_ms = self._time.now_ms() - self._started_ms
         return elapsed_ms / clock.MILLIS_PER_SECOND / self._plan.copy_time_s
 
-    async def _cause_fault(self) -> None:
+    async def _inject_fault(self) -> None:
         await asyncio.sleep(FAULT_AT_COPY_TIMES * self._plan.copy_time_s)
         match self._plan.fault:
             case Fault.NONE:
                 return
             case Fault.DEATHS:
-                await self._kill_some()
+                await self._kill_agents()
             case Fault.STALLS:
-                await self._freeze_some()
+                await self._suspend_agents()
             case Fault.CORRUPTION:
                 await self._set_origin_faults({"corrupt": 0.1})
             case Fault.REPLACED:
@@ -312,29 +312,29 @@
     async def _set_origin_faults(self, faults: dict[str, object]) -> None:
         await self._fleet.standin_call("origin", "PUT", "/faults", faults)
 
-    def _some(self) -> list[str]:
+    def _faulty_vms(self) -> list[str]:
         count = max(1, round(DEATHS_FRACTION * self._plan.vms))
         return list(self._fleet.agents)[:: max(1, self._plan.vms // count)][
             :count
         ]
 
-    async def _kill_some(self) -> None:
-        for vm_id in self._some():
+    async def _kill_agents(self) -> None:
+        for vm_id in self._faulty_vms():
             self._dead.add(vm_id)
             self._fleet.agents[vm_id].kill()
             self._fleet.vms.pop(vm_id)
         await asyncio.sleep(2.0)
         await self._fleet.publish_vms()
 
-    async def _freeze_some(self) -> None:
-        """Stalls links without an error: processes stop and wake later."""
-        stalled = [self._fleet.agents[vm_id] for vm_id in self._some()]
-        self._dead.update(self._some())
-        for process in stalled:
+    async def _suspend_agents(self) -> None:
+        """Stalls links without an error by suspending agents for some time."""
+        suspended = [self._fleet.agents[vm_id] for vm_id in self._faulty_vms()]
+        self._dead.update(self._faulty_vms())
+        for process in suspended:
             process.send_signal(signal.SIGSTOP)
         while not self._survivors_done() and self._elapsed() < 4.0:
             await asyncio.sleep(POLL_MS / clock.MILLIS_PER_SECOND)
-        for process in stalled:
+        for process in suspended:
             process.send_signal(signal.SIGCONT)
 
     def _survivors_done(self) -> bool:
@@ -352,8 +352,8 @@
         self,
         before: load.LoadSummary,
         during: load.LoadSummary,
-        drawn: int,
-        sent: int,
+        origin_bytes: int,
+        sent_bytes: int,
     ) -> Report:
         times = sorted(
             at for vm, at in self._serving_at.items() if vm not in self._dead
@@ -373,8 +373,8 @@
                 load.percentile(times, 0.99),
                 round(times[-1], 3),
             ),
-            origin_copies=round(drawn / self._plan.total_bytes, 3),
-            vm_sent_copies_max=round(sent / self._plan.total_bytes, 3),
+            origin_copies=round(origin_bytes / self._plan.total_bytes, 3),
+            vm_sent_copies_max=round(sent_bytes / self._plan.total_bytes, 3),
             live_calls=Calls(
                 during.sent,
                 during.whole,
@@ -388,5 +388,5 @@
                 during.ttft_p50_ms,
                 during.ttft_p95_ms,
             ),
-            serving_over_time=self._curve,
+            serving_over_time=self._serving_over_time,
         )
--- a/src/marlramp/experiments/spread.py
+++ b/src/marlramp/experiments/spread.py
@@ -1,7 +1,7 @@
-"""Spreads a version among agents in virtual time, with the shipped exchange.
+"""Simulates the distribution of a version among agents in virtual time.
 
-Links, origin and the load of live calls are models; who asks whom for which
-piece, fragments, announcements and pacing are the modules that agents use.
+Links, the origin and the load of live calls are models. The choice of pieces
+and peers, fragments, announcements and pacing are the agents' own modules.
 """
 
 from __future__ import annotations
@@ -33,16 +33,16 @@
 MANIFEST_BYTES = 5_000
 REQUESTS_PER_S = 8.0
 PROMPT_BYTES = 900
-"""Live requests that reach an engine, and their size."""
+"""Rate of live requests at each engine, and their size."""
 
 LIVE_STEP_MS = 10.0
-"""Live calls send something in each such step."""
+"""Interval at which live calls send data."""
 
 ORIGIN_CONNECTIONS = 48
-"""Connections that the origin takes; further ones are reset."""
+"""Connections that the origin accepts; further ones are reset."""
 
 MEMBERS_KNOW_MS = 2_800.0
-"""Time until all entries know that one is gone."""
+"""Time until all entries know that an entry has failed."""
 
 LIMIT_MS = 60_000.0
 NEAR_DELAY_MS = 0.7
@@ -51,7 +51,7 @@
 
 
 class _Origin:
-    """The origin as one agent calls it."""
+    """Client of the origin for one VM."""
 
     def __init__(self, fleet: _Fleet, name: str) -> None:
         self._fleet = fleet
@@ -70,38 +70,40 @@
         fleet = self._fleet
         await asyncio.sleep(2 * FAR_DELAY_MS / _MS)
         self._check()
-        if fleet.drawing >= ORIGIN_CONNECTIONS:
-            raise clients.UnreachedError("the origin takes no more")
-        fleet.drawing += 1
+        if fleet.open_origin_connections >= ORIGIN_CONNECTIONS:
+            raise clients.UnreachedError(
+                "the origin accepts no more connections"
+            )
+        fleet.open_origin_connections += 1
         try:
             await fleet.origin_sender.send(size_bytes)
         finally:
-            fleet.drawing -= 1
+            fleet.open_origin_connections -= 1
         self._check()
         arrived: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
         fleet.network.down[self._name].carry(
             size_bytes,
-            lambda: _finish(arrived),
+            lambda: _complete(arrived),
         )
         await arrived
 
     def _check(self) -> None:
         if self._fleet.is_lost(self._name):
-            raise clients.UnreachedError("this VM has no power")
+            raise clients.UnreachedError("this VM has lost power")
         from_ms, until_ms = self._fleet.plan.origin_away_ms
         if from_ms <= self._fleet.time.now_ms() < until_ms:
-            raise clients.UnreachedError("the origin is away")
+            raise clients.UnreachedError("the origin is unreachable")
 
 
-def _finish(future: asyncio.Future[None]) -> None:
+def _complete(future: asyncio.Future[None]) -> None:
     if not future.done():
         future.set_result(None)
 
 
 class _Links:
-    """An agent's links to others, of which those that are open carry."""
+    """Links of a VM; messages are sent on open links only."""
 
     def __init__(self, fleet: _Fleet, name: str) -> None:
         self._fleet = fleet
@@ -125,18 +127,18 @@
             return False
         fleet = self._fleet
 
-        def arrive() -> None:
+        def on_arrival() -> None:
             if fleet.is_lost(name) or fleet.is_lost(self._name):
                 return
             decoded = fleet.decoder.decode(message.data)
             fleet.process(name).on_message(self._name, decoded)
 
-        fleet.network.deliver(self._name, name, len(message.data), arrive)
+        fleet.network.deliver(self._name, name, len(message.data), on_arrival)
         return True
 
 
 class _Entry:
-    """What a relay asks the entry that it belongs to."""
+    """The entry that a relay belongs to."""
 
     def __init__(self, fleet: _Fleet, name: str) -> None:
         self._fleet = fleet
@@ -146,8 +148,8 @@
         fleet = self._fleet
         lost_ms = fleet.plan.relays_lost_ms + MEMBERS_KNOW_MS
         if fleet.plan.relays_lost and fleet.time.now_ms() >= lost_ms:
-            return fleet.places_left
-        return fleet.places
+            return fleet.remaining_locations
+        return fleet.locations
 
     def wanted(self) -> list[version_digests.ModelVersion]:
         return [version_digests.ModelVersion(MODEL, 2)]
@@ -169,7 +171,7 @@
 
 
 class _Fleet:
-    """Agents, their links, and the origin."""
+    """Agents, relays, their links, and the origin."""
 
     def __init__(
         self, plan: spread_plan.Plan, time: virtual_time.VirtualClock
@@ -203,29 +205,29 @@
         self.exchanges: dict[str, piece_exchange.PieceExchange] = {}
         self.live_waits_ms: list[float] = []
         self.prompt_waits_ms: list[float] = []
-        self.whole_ms: dict[str, float] = {}
+        self.complete_ms: dict[str, float] = {}
         self.first_piece_ms: dict[str, float] = {}
-        self._seen: set[int] = set()
+        self._held_anywhere: set[int] = set()
         self.last_seen_ms = 0.0
         self.relays: dict[str, piece_relay.PieceRelay] = {}
         self._entries = [self._entry(n) for n in range(plan.relays)]
         self._agents = [
             self._member(n) for n in range(plan.agents + plan.holders)
         ]
-        divided = cells.Cells(self._entries, self._agents, {})
-        self.places = {
+        all_cells = cells.Cells(self._entries, self._agents, {})
+        self.locations = {
             vm_id: relay_assignment.Location(cell.region, cell.name)
-            for cell in divided.all
+            for cell in all_cells.all
             for vm_id in cell.entries
         }
-        self._cells = divided
+        self._cells = all_cells
         self.lost = {e.vm_id for e in self._entries[: plan.relays_lost]}
-        self.places_left = {
-            vm_id: place
-            for vm_id, place in self.places.items()
+        self.remaining_locations = {
+            vm_id: location
+            for vm_id, location in self.locations.items()
             if vm_id not in self.lost
         }
-        self.drawing = 0
+        self.open_origin_connections = 0
         self._add_relays()
         self._add_agents()
 
@@ -237,7 +239,7 @@
     def process(
         self, name: str
     ) -> piece_exchange.PieceExchange | piece_relay.PieceRelay:
-        """Returns what takes the messages of a VM."""
+        """Returns the receiver of a VM's messages."""
         return self.relays.get(name) or self.exchanges[name]
 
     def _add_relays(self) -> None:
@@ -313,8 +315,8 @@
         )
 
     async def run(self) -> None:
-        """Plays until all agents hold the version."""
-        serving = [
+        """Runs until all agents hold the version."""
+        tasks = [
             asyncio.create_task(work)
             for name, exchange in self.exchanges.items()
             for work in (
@@ -323,22 +325,24 @@
                 self._live_requests(name),
             )
         ]
-        serving += [asyncio.create_task(r.run()) for r in self.relays.values()]
+        tasks += [asyncio.create_task(r.run()) for r in self.relays.values()]
         for relay in self.relays.values():
             relay.wake()
         names = list(self.exchanges)
         for name in names[: self.plan.holders]:
-            await self._hold(self.exchanges[name])
+            await self._add_all_pieces(self.exchanges[name])
         try:
             async with asyncio.timeout(LIMIT_MS / _MS):
                 async with asyncio.TaskGroup() as group:
                     for name in names[self.plan.holders :]:
                         group.create_task(self._fetch(name))
         finally:
-            for task in serving:
+            for task in tasks:
                 task.cancel()
 
-    async def _hold(self, exchange: piece_exchange.PieceExchange) -> None:
+    async def _add_all_pieces(
+        self, exchange: piece_exchange.PieceExchange
+    ) -> None:
         wanted = version_digests.ModelVersion(MODEL, 2)
         await exchange.find_manifest(wanted)
         for index, piece in enumerate(self.pieces):
@@ -348,23 +352,23 @@
     async def _fetch(self, name: str) -> None:
         exchange = self.exchanges[name]
         wanted = version_digests.ModelVersion(MODEL, 2)
-        heard_ms = self.rng.uniform(0.0, self.plan.heard_within_ms)
-        await asyncio.sleep(heard_ms / _MS)
-        whole = await exchange.find_manifest(wanted)
+        delay_ms = self.rng.uniform(0.0, self.plan.heard_within_ms)
+        await asyncio.sleep(delay_ms / _MS)
+        chunk_set = await exchange.find_manifest(wanted)
         exchange.start_fetch(wanted, is_new=self.plan.holders == 0)
-        while not whole.complete:
+        while not chunk_set.complete:
             exchange.changed.clear()
             await exchange.changed.wait()
-            self._note(name, whole)
-        self.whole_ms[name] = self.time.now_ms()
+            self._record_progress(name, chunk_set)
+        self.complete_ms[name] = self.time.now_ms()
 
-    def _note(self, name: str, whole: manifest.ChunkSet) -> None:
+    def _record_progress(self, name: str, chunk_set: manifest.ChunkSet) -> None:
         now_ms = self.time.now_ms()
-        held = whole.held
+        held = chunk_set.held
         if held:
             self.first_piece_ms.setdefault(name, now_ms)
-        if held - self._seen:
-            self._seen |= held
+        if held - self._held_anywhere:
+            self._held_anywhere |= held
             self.last_seen_ms = now_ms
 
     async def _live_requests(self, name: str) -> None:
@@ -377,8 +381,8 @@
     async def _live_answers(self, name: str) -> None:
         """Sends the events of live answers."""
         link = self.network.up[name]
-        each = self.plan.live_share * self.plan.link_bytes_per_s
-        size = int(each * LIVE_STEP_MS / _MS)
+        bytes_per_s = self.plan.live_share * self.plan.link_bytes_per_s
+        size = int(bytes_per_s * LIVE_STEP_MS / _MS)
         await asyncio.sleep(self.rng.uniform(0.0, LIVE_STEP_MS) / _MS)
         while size > 0:
             wait_ms = link.carry(size, lambda: None)
@@ -387,7 +391,7 @@
 
 
 def play(plan: spread_plan.Plan) -> spread_plan.Report:
-    """Plays a plan and returns what was measured."""
+    """Simulates a plan and returns the results."""
     loop = virtual_time.VirtualLoop()
     try:
         fleet = _Fleet(plan, virtual_time.VirtualClock(loop))
@@ -399,25 +403,25 @@
 
 
 async def _end_tasks(loop: asyncio.AbstractEventLoop) -> None:
-    """Waits for the tasks that were cancelled."""
-    rest = asyncio.all_tasks(loop) - {asyncio.current_task()}
-    for task in rest:
+    """Cancels the remaining tasks and waits until they have ended."""
+    remaining = asyncio.all_tasks(loop) - {asyncio.current_task()}
+    for task in remaining:
         task.cancel()
-    await asyncio.gather(*rest, return_exceptions=True)
+    await asyncio.gather(*remaining, return_exceptions=True)
 
 
 def _report(plan: spread_plan.Plan, fleet: _Fleet) -> spread_plan.Report:
-    whole_ms = sorted(fleet.whole_ms.values())
+    complete_ms = sorted(fleet.complete_ms.values())
     waits_ms = sorted(fleet.live_waits_ms) or [0.0]
     prompts_ms = sorted(fleet.prompt_waits_ms) or [0.0]
     network = fleet.network
-    elapsed_ms = whole_ms[-1]
-    fetching = list(fleet.whole_ms)
+    elapsed_ms = complete_ms[-1]
+    fetching = list(fleet.complete_ms)
     sent = fleet.origin_sender.sent_bytes
     return spread_plan.Report(
-        first_whole_ms=round(whole_ms[0]),
-        half_whole_ms=round(whole_ms[len(whole_ms) // 2]),
-        last_whole_ms=round(whole_ms[-1]),
+        first_whole_ms=round(complete_ms[0]),
+        half_whole_ms=round(complete_ms[len(complete_ms) // 2]),
+        last_whole_ms=round(complete_ms[-1]),
         limit_ms=round(spread_plan.limit_of(plan).all_ms),
         last_seen_ms=round(fleet.last_seen_ms),
         last_first_piece_ms=round(max(fleet.first_piece_ms.values())),
--- a/src/marlramp/experiments/spread_plan.py
+++ b/src/marlramp/experiments/spread_plan.py
@@ -1,4 +1,4 @@
-"""What a spread of a version in virtual time plays, measures and aims at."""
+"""Plan, report and time limit of a version's simulated distribution."""
 
 from __future__ import annotations
 
@@ -8,31 +8,32 @@
 from marlramp.direct.weights import piece_relay
 
 HEARD_WITHIN_MS = 150.0
-"""Agents hear the name of a version within this."""
+"""Time within which all agents learn of a new version."""
 
 
 class Plan(msgspec.Struct, frozen=True, kw_only=True):
-    """What to play.
+    """Parameters of a simulation.
 
     Attributes:
       agents: agents that lack the version.
       holders: further agents that hold all of it.
-      relays: entries that relay pieces, 0 for agents alone.
+      relays: entries that relay pieces, 0 to use only agents.
       relay_bytes_per_s: rate of an entry's link, each way.
-      regions: regions in which agents lie by turns.
-      pieces: pieces of the version.
+      regions: regions, to which agents and entries are assigned in turn.
+      pieces: number of pieces of the version.
       piece_bytes: size of a piece.
       link_bytes_per_s: rate of an agent's link, each way.
       origin_bytes_per_s: rate of the origin's link.
       region_bytes_per_s: rate between two regions, each way.
-      live_share: part of an agent's link on which live answers leave.
-      relays_lost: entries that lose power.
-      relays_lost_ms: when they do, after the name.
-      origin_away_ms: from when until when the origin is away, after the name.
-      slow_share: part of the agents whose link is squeezed.
-      slow_factor: by what their rate is divided.
-      heard_within_ms: time in which the agents hear the name.
-      seed: seed of all that is random.
+      live_share: part of an agent's link that outgoing live answers use.
+      relays_lost: number of entries that lose power.
+      relays_lost_ms: when they do, after the version is announced.
+      origin_away_ms: when the origin becomes unreachable and when it returns,
+        after the version is announced.
+      slow_share: part of the agents whose links are slower.
+      slow_factor: divisor of the rate of the slower links.
+      heard_within_ms: time within which all agents learn of the version.
+      seed: seed of the random number generators.
     """
 
     agents: int = 41
@@ -61,25 +62,25 @@
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True):
-    """What was measured.
+    """Results of a simulation.
 
     Attributes:
       first_whole_ms: when the first agent held all pieces.
-      half_whole_ms: when half of them did.
-      last_whole_ms: when all did.
-      limit_ms: when all could have, by the links alone.
-      last_seen_ms: when the last piece was held anywhere.
-      last_first_piece_ms: when the last agent held its first piece.
-      origin_copies: copies that left the origin.
+      half_whole_ms: when half of the agents did.
+      last_whole_ms: when all agents did.
+      limit_ms: earliest time at which the links allow all agents to do so.
+      last_seen_ms: when each piece was held by at least one agent.
+      last_first_piece_ms: when every agent held at least one piece.
+      origin_copies: copies sent by the origin.
       region_copies: copies that crossed between regions, for each region
         beyond the first.
-      live_wait_ms: mean wait of live answers at the agents' links while pieces
-        travelled.
-      live_wait_p99_ms: 99 in 100 waited no longer.
-      prompt_wait_ms: mean wait of live requests on their way in.
-      prompt_wait_p99_ms: 99 in 100 waited no longer.
-      up_busy: part of the time in which an agent's link was busy outwards.
-      down_busy: the same inwards.
+      live_wait_ms: mean time that live answers were queued at the agents' links
+        during the distribution.
+      live_wait_p99_ms: 99th percentile of that time.
+      prompt_wait_ms: mean time that incoming live requests were queued.
+      prompt_wait_p99_ms: 99th percentile of that time.
+      up_busy: part of the time in which an agent's outgoing link was busy.
+      down_busy: part of the time in which its incoming link was busy.
     """
 
     first_whole_ms: float
@@ -102,7 +103,7 @@
     """Checks a plan.
 
     Raises:
-      ValueError: if it can't be played; says why.
+      ValueError: if the plan is invalid; the message says why.
     """
     if plan.agents < 1:
         raise ValueError("agents must be at least 1")
@@ -114,19 +115,21 @@
         raise ValueError("regions must be at least 1")
     from_ms, until_ms = plan.origin_away_ms
     if not 0.0 <= from_ms <= until_ms:
-        raise ValueError("the origin can't be back before it goes away")
+        raise ValueError(
+            "origin_away_ms must not be negative or end before it starts"
+        )
 
 
 def limit_of(plan: Plan) -> rollout_limit.Limit:
-    """Returns when engines could have the version, by the links alone."""
-    left = 1.0 - plan.live_share
+    """Returns the earliest times at which the links allow full copies."""
+    free_share = 1.0 - plan.live_share
     return rollout_limit.limit(
         rollout_limit.Rollout(
             missing_bytes=plan.copy_bytes,
             origin_bytes=0 if plan.holders else plan.copy_bytes,
             origin_bytes_per_s=plan.origin_bytes_per_s,
             down_bytes_per_s=plan.link_bytes_per_s,
-            up_bytes_per_s=plan.link_bytes_per_s * left,
+            up_bytes_per_s=plan.link_bytes_per_s * free_share,
             vms=plan.agents,
             holders=plan.holders,
             relay_bytes_per_s=plan.relays
--- a/src/marlramp/experiments/virtual_links.py
+++ b/src/marlramp/experiments/virtual_links.py
@@ -1,4 +1,4 @@
-"""Links of VMs and regions in virtual time, each with a rate and a queue."""
+"""Simulated links of VMs and regions, each with a rate and a queue."""
 
 from __future__ import annotations
 
@@ -9,41 +9,45 @@
 from marlramp import clock
 
 FRAME_BYTES = 66
-"""Headers of a message on its way: frame, TCP, IP."""
+"""Size of the headers of a message: Ethernet frame, TCP and IP."""
 
 _MS = clock.MILLIS_PER_SECOND
 
 
 class Link:
-    """One direction of a link: bytes leave in order at a rate.
+    """One direction of a link; bytes leave in order at a fixed rate.
 
     Attributes:
-      busy_ms: time for which it has carried bytes.
-      carried_bytes: bytes that it has carried.
+      busy_ms: time during which the link was in use.
+      carried_bytes: bytes that passed through the link.
     """
 
     def __init__(self, bytes_per_s: float) -> None:
-        """Starts idle."""
+        """Creates an idle link."""
         self.bytes_per_s = bytes_per_s
         self.busy_ms = 0.0
         self.carried_bytes = 0
         self._free_s = 0.0
 
-    def carry(self, size_bytes: int, then: Callable[[], object]) -> float:
-        """Calls `then` when the bytes have left; returns the wait in ms."""
+    def carry(self, size_bytes: int, on_done: Callable[[], object]) -> float:
+        """Calls `on_done` once the bytes have left; returns the wait in ms."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
         start_s = max(now_s, self._free_s)
-        taken_s = size_bytes / self.bytes_per_s
-        self._free_s = start_s + taken_s
-        self.busy_ms += taken_s * _MS
+        duration_s = size_bytes / self.bytes_per_s
+        self._free_s = start_s + duration_s
+        self.busy_ms += duration_s * _MS
         self.carried_bytes += size_bytes
-        loop.call_at(self._free_s, then)
+        loop.call_at(self._free_s, on_done)
         return (start_s - now_s) * _MS
 
 
 class Network:
-    """VMs in regions; what leaves one passes up to three links."""
+    """Network of VMs in regions.
+
+    A message passes the link of its sender, the link between the two regions
+    if they differ, and the link of its receiver.
+    """
 
     def __init__(
         self,
@@ -52,20 +56,20 @@
         near_delay_ms: float,
         far_delay_ms: float,
     ) -> None:
-        """Has no VM yet."""
+        """Creates a network without VMs."""
         self._link_bytes_per_s = link_bytes_per_s
         self._region_bytes_per_s = region_bytes_per_s
         self._near_delay_ms = near_delay_ms
         self._far_delay_ms = far_delay_ms
         self._regions: dict[str, str] = {}
-        self._between: dict[tuple[str, str], Link] = {}
+        self._region_links: dict[tuple[str, str], Link] = {}
         self.up: dict[str, Link] = {}
         self.down: dict[str, Link] = {}
 
     def add(
         self, name: str, region: str, bytes_per_s: float | None = None
     ) -> None:
-        """Adds a VM; its rate is the usual one unless told."""
+        """Adds a VM, with the network's default link rate if none is given."""
         rate = bytes_per_s or self._link_bytes_per_s
         self._regions[name] = region
         self.up[name] = Link(rate)
@@ -73,56 +77,62 @@
 
     def region_bytes(self) -> int:
         """Returns the bytes that crossed between regions."""
-        return sum(link.carried_bytes for link in self._between.values())
+        return sum(link.carried_bytes for link in self._region_links.values())
 
     def deliver(
-        self, sender: str, to: str, size_bytes: int, then: Callable[[], object]
+        self,
+        sender: str,
+        to: str,
+        size_bytes: int,
+        on_done: Callable[[], object],
     ) -> None:
-        """Calls `then` when a message has arrived."""
+        """Calls `on_done` when a message has arrived."""
         size = size_bytes + FRAME_BYTES
-        own, other = self._regions[sender], self._regions[to]
-        delay_ms = self._near_delay_ms if own == other else self._far_delay_ms
+        source, target = self._regions[sender], self._regions[to]
+        delay_ms = (
+            self._near_delay_ms if source == target else self._far_delay_ms
+        )
         hops = [self.up[sender], self.down[to]]
-        if own != other:
-            between = self._between.setdefault(
-                (own, other), Link(self._region_bytes_per_s)
+        if source != target:
+            region_link = self._region_links.setdefault(
+                (source, target), Link(self._region_bytes_per_s)
             )
-            hops.insert(1, between)
-        self._pass(hops, size, delay_ms, then)
+            hops.insert(1, region_link)
+        self._forward(hops, size, delay_ms, on_done)
 
-    def _pass(
+    def _forward(
         self,
         hops: list[Link],
         size: int,
         delay_ms: float,
-        then: Callable[[], object],
+        on_done: Callable[[], object],
     ) -> None:
         if not hops:
-            then()
+            on_done()
             return
-        rest = hops[1:]
+        remaining = hops[1:]
         loop = asyncio.get_running_loop()
-        # The delay lies behind the first link.
+        # The propagation delay is added once, after the first link.
         wait_s = delay_ms / _MS
         hops[0].carry(
             size,
             lambda: loop.call_later(
-                wait_s, lambda: self._pass(rest, size, 0.0, then)
+                wait_s, lambda: self._forward(remaining, size, 0.0, on_done)
             ),
         )
 
 
 class FairSender:
-    """A sender that divides its link evenly among what it sends.
+    """Divides a link evenly among concurrent transfers.
 
     Attributes:
-      sent_bytes: bytes that it has sent.
+      sent_bytes: total bytes sent.
     """
 
     QUANTUM_BYTES = 4_096
 
     def __init__(self, link: Link) -> None:
-        """Sends on `link`."""
+        """Creates a sender that sends on `link`."""
         self._link = link
         self._waiting: dict[int, tuple[int, asyncio.Future[None]]] = {}
         self._numbers = itertools.count()
@@ -130,7 +140,7 @@
         self.sent_bytes = 0
 
     async def send(self, size_bytes: int) -> None:
-        """Returns when all bytes have left."""
+        """Sends bytes; returns when all of them have left."""
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting[next(self._numbers)] = (size_bytes, done)
         if not self._sending:
@@ -149,7 +159,7 @@
 
     def _sent(self, number: int, left: int, done: asyncio.Future[None]) -> None:
         if left > 0:
-            # Back at the end of the round.
+            # Round robin: the rest goes to the end of the queue.
             self._waiting[number] = (left, done)
         elif not done.done():
             done.set_result(None)
--- a/src/marlramp/experiments/virtual_time.py
+++ b/src/marlramp/experiments/virtual_time.py
@@ -8,8 +8,8 @@
 from marlramp import clock
 
 
-class _NoWaiting(selectors.SelectSelector):
-    """Counts the time that a loop would wait, and waits for nothing."""
+class _InstantSelector(selectors.SelectSelector):
+    """Adds up the time that the loop would wait, without waiting."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -19,7 +19,9 @@
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
-            raise RuntimeError("nothing is left that could ever happen")
+            raise RuntimeError(
+                "no timer is left, so virtual time cannot advance"
+            )
         self.now_s += max(0.0, timeout)
         return []
 
@@ -29,19 +31,19 @@
 
     def __init__(self) -> None:
         """Starts at time 0."""
-        self._no_waiting = _NoWaiting()
-        super().__init__(self._no_waiting)
+        self._instant_selector = _InstantSelector()
+        super().__init__(self._instant_selector)
 
     def time(self) -> float:
         """Returns the virtual time in seconds."""
-        return self._no_waiting.now_s
+        return self._instant_selector.now_s
 
 
 class VirtualClock:
-    """The clock of a virtual loop."""
+    """Clock that reads the time of a virtual loop."""
 
     def __init__(self, loop: VirtualLoop) -> None:
-        """Reads the time of `loop`."""
+        """Creates a clock of `loop`."""
         self._loop = loop
 
     def now_ms(self) -> clock.Millis:
--- a/tests/experiments/test_fleet.py
+++ b/tests/experiments/test_fleet.py
@@ -18,7 +18,7 @@
 
 
 def test_runs_beside_each_other_get_different_ports() -> None:
-    """An entry ended at its start: another run had just taken its port."""
+    """Guards against an entry that exits because another run took its port."""
     runs = [
         subprocess.Popen(
             [sys.executable, "-c", PRINT_PORTS],
--- a/tests/experiments/test_spread.py
+++ b/tests/experiments/test_spread.py
@@ -1,4 +1,4 @@
-"""Weights on their way in virtual time, against the limit of the links."""
+"""Simulated distribution of weights, compared with the limit of the links."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 from marlramp.experiments import spread_plan
 
 LIMIT_FACTOR = 1.25
-"""Aim: a calm rollout takes at most so many times what the links allow."""
+"""Target: most time of an undisturbed rollout, as a multiple of the limit."""
 
 COPIES_MAX = 1.3
-"""Aim: copies that leave the origin in a calm rollout."""
+"""Target: most copies that the origin sends in an undisturbed rollout."""
 
 LIVE_WAIT_P99_MS = 50.0
-"""A quarter of the 200 ms by which an event may come late."""
+"""A quarter of the 200 ms by which an event may be late."""
 
 
 @pytest.mark.parametrize("agents", [10, 41])
@@ -39,7 +39,11 @@
 
 @pytest.mark.parametrize("lost", [2, 7, 20])
 def test_rollout_goes_on_though_relays_lose_power(lost: int) -> None:
-    """Others know it after 2.8 s; then the pieces come another way."""
+    """Guards against pieces that never arrive because their relay has failed.
+
+    The others know of the failure after 2.8 s and then fetch the pieces
+    elsewhere.
+    """
     plan = spread_plan.Plan(
         agents=20, relays=20, relays_lost=lost, relays_lost_ms=1_000.0
     )
@@ -49,7 +53,10 @@
 
 
 def test_origin_that_was_away_sends_the_rest_once() -> None:
-    """It goes 2.5 s after the name and is back after 6.5 s more."""
+    """Guards against an origin that sends pieces twice after an outage.
+
+    The outage begins 2.5 s after the version is announced and lasts 6.5 s.
+    """
     away = (2_500.0, 9_000.0)
     report = spread.play(spread_plan.Plan(origin_away_ms=away))
     rest_ms = 1_000.0
