--- a/src/marlramp/console/commands/explain.py
+++ b/src/marlramp/console/commands/explain.py
@@ -1,4 +1,4 @@
-"""`marlramp explain`: effective settings and the level each comes from."""
+"""`marlramp explain`: effective settings and the level that sets each."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
     """Show effective settings, from files or from a running entry.
 
     Args:
-      entry: entry to ask, instead of reading files.
+      entry: entry to query instead of reading files.
       trade_body: file with the trade body's document.
       member: file with the member's document.
       deployment: file with the deployment's document.
--- a/src/marlramp/console/commands/rollouts.py
+++ b/src/marlramp/console/commands/rollouts.py
@@ -1,4 +1,4 @@
-"""`marlramp rollouts`: how far each rollout is."""
+"""`marlramp rollouts`: progress of each rollout."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
     watch: bool = False,
     json: admin_client.Json = False,
 ) -> int:
-    """Show how far each service's rollout is.
+    """Show the progress of each service's rollout.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       watch: show progress until every replica serves its target.
       json: print JSON, for scripts.
     """
--- a/src/marlramp/console/commands/vms.py
+++ b/src/marlramp/console/commands/vms.py
@@ -1,4 +1,4 @@
-"""`marlramp vms`: VMs as an entry sees them."""
+"""`marlramp vms`: VMs that an entry knows."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     """Show the VMs that an entry knows, listed or linked.
 
     Args:
-      entry: entry to ask.
+      entry: entry to query.
       json: print JSON, for scripts.
     """
     try:
