Reword comments and test names in tests/deploy

The head of test_build.py and test_clean_machine.py names the fault that the tests guard against in a few lines. Names of tests and one constant use the terms of the field. Names that a page in docs/ cites are unchanged.

None of these tests was run, since they start many processes on a busy machine.

--- a/tests/deploy/conftest.py
+++ b/tests/deploy/conftest.py
@@ -1,4 +1,4 @@
-"""A checkout with two small dependencies, built by the real build line."""
+"""Checkout with two small dependencies, built by the real build command."""
 
 from __future__ import annotations
 
@@ -20,10 +20,14 @@
 
 
 class Checkout:
-    """A folder that holds the deploy files and a lock of its own."""
+    """A directory with the sources, the deploy files and its own lock file.
+
+    Attributes:
+      root: the directory.
+    """
 
     def __init__(self, root: pathlib.Path) -> None:
-        """Copies the deploy files; nothing is built yet."""
+        """Copies sources and deploy files without building."""
         self.root = root
         shutil.copytree(DEPLOY, root / "deploy")
         shutil.copytree(SOURCES, root / "src")
@@ -33,18 +37,18 @@
 
     @property
     def dependencies(self) -> pathlib.Path:
-        """Folder that processes import from."""
+        """Directory that processes import dependencies from."""
         return self.root / "target" / "deps"
 
     def lock(self, names: tuple[str, ...]) -> None:
-        """Writes the lock file for packages that the test makes."""
+        """Builds wheels of these packages and writes a lock file for them."""
         lines = [self._locked(name) for name in names]
         (self.root / "deploy" / "requirements.lock").write_text("".join(lines))
 
     def start_build(
         self, environment: dict[str, str] | None = None
     ) -> subprocess.Popen[str]:
-        """Starts the build line as the platform does."""
+        """Starts the build command as the platform does."""
         text = (self.root / "deploy" / "system.toml").read_text()
         programs = pathlib.Path(sys.executable).parent
         return subprocess.Popen(
@@ -64,14 +68,14 @@
         )
 
     def build(self, environment: dict[str, str] | None = None) -> int:
-        """Builds; returns the exit code."""
+        """Runs the build command and returns its exit code."""
         process = self.start_build(environment)
         output, _ = process.communicate(timeout=60)
         print(output)
         return process.returncode
 
     def missing(self) -> list[str]:
-        """Returns the packages that a process could not import."""
+        """Returns the packages that are not installed."""
         return [
             name
             for name in PACKAGES
@@ -111,5 +115,5 @@
 
 @pytest.fixture
 def checkout(tmp_path: pathlib.Path) -> Checkout:
-    """A checkout in which nothing was built yet."""
+    """Returns a checkout without a build."""
     return Checkout(tmp_path)
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -1,15 +1,13 @@
-"""After a build every process can be started, whatever happened before it.
+"""Builds install all dependencies, whatever the state of an earlier build.
 
-Operators saw systems of which no process ever listened: each one ended at its
-first import, on every VM and at every restart. An install of the dependencies
-had been killed while the packages were put in their place, one after the other.
-It left target/deps with 63 of 76 entries, and that folder was newer than the
-lock file, which was all that later builds asked before they called it ready:
-the next build ended with code 0 after 1 ms, and each start after it with
+Guards against partial installs that pass as complete. An install that was
+killed while it moved packages into target/deps left 63 of 76 entries. Later
+builds only checked that the directory was newer than the lock file, so that
+they exited with code 0 after 1 ms, and each process then failed at its first
+import, on every VM and at every restart, until the directory was removed by
+hand:
 
     ModuleNotFoundError: No module named 'pyrsistent'
-
-Nothing installed the rest until somebody removed the folder by hand.
 """
 
 from __future__ import annotations
@@ -30,17 +28,18 @@
     moved.append(move(*arguments, **options))
 shutil.move = killed
 """
-"""Loaded by every interpreter of a build: ends the one that puts packages in
-their place after the first of them."""
+"""Module `sitecustomize`, loaded by each interpreter of a build. Kills the one
+that moves packages into target/deps after the first package."""
 
-WITHOUT_INSTALLER = """
+HIDE_INSTALLED_PACKAGES = """
 import sys
 sys.path[:] = [path for path in sys.path if "-packages" not in path]
 """
-"""Loaded by every interpreter of a build: takes its installed packages away."""
+"""Module `sitecustomize`, loaded by each interpreter of a build. Hides the
+installed packages, also pip."""
 
 
-def test_build_after_one_that_was_killed_is_whole(
+def test_build_after_a_killed_one_is_complete(
     checkout: conftest.Checkout, tmp_path: pathlib.Path
 ) -> None:
     hook = tmp_path / "hook"
@@ -51,7 +50,7 @@
     assert checkout.missing() == []
 
 
-def test_build_replaces_what_was_installed_from_something_else(
+def test_build_replaces_packages_of_another_lock_file(
     checkout: conftest.Checkout,
 ) -> None:
     checkout.lock(("alpha",))
@@ -64,7 +63,7 @@
     assert checkout.missing() == []
 
 
-def test_build_restores_a_file_that_was_lost(
+def test_build_restores_a_deleted_file(
     checkout: conftest.Checkout,
 ) -> None:
     assert checkout.build() == 0
@@ -73,7 +72,7 @@
     assert checkout.missing() == []
 
 
-def test_builds_at_the_same_time_take_nothing_from_a_running_system(
+def test_concurrent_builds_remove_no_installed_package(
     checkout: conftest.Checkout,
 ) -> None:
     builds = [checkout.start_build() for _ in range(3)]
@@ -88,7 +87,7 @@
     assert checkout.missing() == lost == []
 
 
-def test_failed_build_says_so_and_leaves_what_there_was(
+def test_failed_build_exits_nonzero_and_keeps_installed_packages(
     checkout: conftest.Checkout,
 ) -> None:
     assert checkout.build() == 0
@@ -98,7 +97,7 @@
     assert checkout.missing() == []
 
 
-def test_build_with_nothing_to_do_leaves_the_folder_alone(
+def test_build_without_changes_keeps_the_folder(
     checkout: conftest.Checkout,
 ) -> None:
     assert checkout.build() == 0
@@ -107,19 +106,19 @@
     assert checkout.dependencies.stat().st_ino == before
 
 
-def test_other_users_may_read_what_was_built(
+def test_installed_packages_are_readable_by_other_users(
     checkout: conftest.Checkout,
 ) -> None:
     assert checkout.build() == 0
     assert checkout.dependencies.stat().st_mode & 0o555 == 0o555
 
 
-def test_build_without_an_installer_says_so_in_one_line(
+def test_build_without_pip_fails_with_a_one_line_message(
     checkout: conftest.Checkout, tmp_path: pathlib.Path
 ) -> None:
     hook = tmp_path / "hook"
     hook.mkdir()
-    (hook / "sitecustomize.py").write_text(WITHOUT_INSTALLER)
+    (hook / "sitecustomize.py").write_text(HIDE_INSTALLED_PACKAGES)
     build = checkout.start_build({"PYTHONPATH": str(hook)})
     output, _ = build.communicate(timeout=60)
     assert build.returncode == 1
--- a/tests/deploy/test_clean_machine.py
+++ b/tests/deploy/test_clean_machine.py
@@ -1,9 +1,9 @@
-r"""Build and both roles run where nothing is set but PATH, HOME and LANG.
+r"""The build and both roles run with only PATH, HOME and LANG set.
 
-Processes that served on every machine of ours ended at once on others: ours
-had a version manager first on the path, which chose a newer python3 than the
-distribution's 3.11 for the build and for each start. Each start there ended
-with
+Guards against a dependency on the developers' environment. There, a version
+manager came first on the path and chose a python3 newer than the
+distribution's 3.11 for the build and for each start. On other machines each
+process ended at its start with
 
     event=process_failed error="SyntaxError(\"expected '('\\",
 """
@@ -31,30 +31,35 @@
 BUILD_TIMEOUT_S = 300.0
 START_TIMEOUT_S = 20.0
 HOST = f"127.23.{os.getpid() % 250}.{os.getpid() // 250 % 250 + 1}"
-"""Loopback address of this run, so that two runs don't share ports."""
+"""Loopback address of this run, so that concurrent runs don't share ports."""
 
 PORTS = {"entry": 8_005, "agent": 9_464}
-"""A port that each role opens once it works: callers, metrics."""
+"""Port that a role opens once it is running: callers, metrics."""
 
 
 def own_interpreter() -> str:
-    """Returns this interpreter without its virtual environment."""
+    """Returns the base interpreter of the current virtual environment."""
     return os.path.realpath(sys.executable)
 
 
 def system_interpreter() -> str:
-    """Returns the distribution's interpreter; skips where none can build."""
+    """Returns the distribution's interpreter; skips if it can't build."""
     found = shutil.which("python3", path=SYSTEM_PATH)
     if found is None:
-        pytest.skip("the distribution brings no interpreter")
+        pytest.skip("the distribution has no python3")
     command = [found, "-m", "pip", "--version"]
     if subprocess.run(command, check=False).returncode:
-        pytest.skip("the distribution's interpreter has no installer")
+        pytest.skip("the python3 of the distribution has no pip")
     return os.path.realpath(found)
 
 
 class CleanMachine:
-    """A checkout beside an environment that holds three variables."""
+    """A checkout and an environment of only three variables.
+
+    Attributes:
+      checkout: directory of the checkout.
+      environment: the environment of the build.
+    """
 
     def __init__(self, root: pathlib.Path, interpreter: str) -> None:
         programs = root / "bin"
@@ -73,7 +78,7 @@
         )
 
     def build(self) -> subprocess.CompletedProcess[str]:
-        """Runs the build line; its umask lets nobody else read."""
+        """Runs the build command with a umask that denies access to others."""
         return subprocess.run(
             self._deploy["build"],
             shell=True,
@@ -124,7 +129,7 @@
 
 
 @pytest.mark.parametrize("find", [own_interpreter, system_interpreter])
-def test_build_and_both_roles_run_in_a_bare_environment(
+def test_build_and_both_roles_run_in_a_minimal_environment(
     find: Callable[[], str], tmp_path: pathlib.Path
 ) -> None:
     machine = CleanMachine(tmp_path, find())
