Reword comments and names in failure tests of the direct path

Figurative names (Crowd, Culprit, Innocents, Sound, Sent) become RequestLoad, CrashingRequest(s), HealthyRequests and Exchange; docstrings say which fault a test guards against. Test names that a page in docs/ cites are unchanged, since tests/console/test_docs.py checks them.

None of these tests was run, since they start many processes on a busy machine.

--- a/tests/failures/crowds.py
+++ b/tests/failures/crowds.py
@@ -1,4 +1,4 @@
-"""Callers that send at a steady rate through several entries."""
+"""Load of requests at a constant rate through several entries."""
 
 from __future__ import annotations
 
@@ -26,35 +26,39 @@
     return "/chat/x", fleet.engines
 
 
-class Sent(NamedTuple):
-    """A request and its answer.
+class Exchange(NamedTuple):
+    """A request and its response.
 
     Attributes:
-      at_s: time of the event loop at which it was sent.
-      taken_s: time until its answer was whole.
-      answer: the answer, b"" if there was none.
+      at_s: event loop time at which the request was sent.
+      duration_s: time until the response was complete.
+      answer: the raw response, b"" if the connection failed.
     """
 
     at_s: float
-    taken_s: float
+    duration_s: float
     answer: bytes
 
     @property
     def served(self) -> bool:
-        """Whether the answer is good."""
+        """Whether the response has status 200."""
         return b" 200 " in self.answer[:16]
 
     @property
     def retry_after_s(self) -> float | None:
-        """When the answer says to come back, None if it does not."""
+        """Value of the `Retry-After` header, None if it is missing."""
         for line in self.answer.split(b"\r\n"):
             if line.startswith(b"retry-after: "):
                 return float(line.partition(b": ")[2])
         return None
 
 
-class Crowd:
-    """Sends requests evenly through some entries."""
+class RequestLoad:
+    """Sends requests at a constant rate, to the entries in turn.
+
+    Attributes:
+      sent: completed exchanges, in the order of completion.
+    """
 
     def __init__(
         self, fleet: direct_fleet.Fleet, path: str, per_s: float
@@ -63,10 +67,10 @@
         self._path = path
         self._pause_s = 1.0 / per_s
         self._numbers = itertools.count()
-        self.sent: list[Sent] = []
+        self.sent: list[Exchange] = []
 
     async def send_for(self, entries: Sequence[int], seconds: float) -> None:
-        """Sends at a steady rate for some time; waits for the answers."""
+        """Sends for some time, then waits for the outstanding responses."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
@@ -85,17 +89,17 @@
             answer = await self._fleet.call(host, self._path, name)
         except ConnectionError:
             answer = b""
-        self.sent.append(Sent(start_s, loop.time() - start_s, answer))
+        self.sent.append(Exchange(start_s, loop.time() - start_s, answer))
 
-    def since(self, start_s: float) -> list[Sent]:
-        """Returns what was sent since a time of the event loop."""
+    def since(self, start_s: float) -> list[Exchange]:
+        """Returns the exchanges begun since an event loop time."""
         return [sent for sent in self.sent if sent.at_s >= start_s]
 
     def served_share(self, since_s: float = float("-inf")) -> float:
-        """Returns the share of answers that are good."""
+        """Returns the share of exchanges with a status of 200."""
         found = self.since(since_s)
         return sum(sent.served for sent in found) / len(found)
 
-    def not_served(self, since_s: float = float("-inf")) -> list[Sent]:
-        """Returns what was sent since a time and did not get a good answer."""
+    def not_served(self, since_s: float = float("-inf")) -> list[Exchange]:
+        """Returns the exchanges begun since a time without a status of 200."""
         return [sent for sent in self.since(since_s) if not sent.served]
--- a/tests/failures/direct_runs.py
+++ b/tests/failures/direct_runs.py
@@ -1,4 +1,4 @@
-"""Runs a test before a fleet of real daemons on the direct path."""
+"""Runs test scenarios against a fleet of real daemons (direct path)."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 TIMEOUT_S = 90.0
 
-Use: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
-RunFleet: TypeAlias = Callable[[Use], None]
+Scenario: TypeAlias = Callable[[direct_fleet.Fleet], Awaitable[None]]
+RunFleet: TypeAlias = Callable[[Scenario], None]
 
 
 def runner(
@@ -29,20 +29,20 @@
     regions: Mapping[str, str] = direct_documents.REGIONS,
     constraints: direct_documents.Constraints | None = None,
 ) -> RunFleet:
-    """Returns a function that runs a test with a fleet of its own.
+    """Returns a function that runs a scenario against a new fleet.
 
     Args:
-      folder: where settings files and logs go.
-      entries: entries.
-      engines: engines, each with an agent.
-      desks: replicas of the plain service.
-      group: number of the fleet's addresses.
-      proxied: whether connections go through proxies that can fail them.
+      folder: directory for settings files and logs.
+      entries: number of entries.
+      engines: number of engines, each with an agent.
+      desks: number of replicas of the plain service.
+      group: the fleet's address group, 0 to 255.
+      proxied: whether connections pass through fault-injecting proxies.
       regions: region of each data centre.
-      constraints: where requests may run, None for everywhere.
+      constraints: placement constraints of requests, None for none.
     """
 
-    def run(use: Use) -> None:
+    def run(scenario: Scenario) -> None:
         async def main() -> None:
             fleet = direct_fleet.Fleet(
                 folder,
@@ -55,7 +55,7 @@
                 constraints=constraints,
             )
             async with asyncio.timeout(TIMEOUT_S), fleet:
-                await use(fleet)
+                await scenario(fleet)
 
         asyncio.run(main())
 
--- a/tests/failures/test_crashing_parts.py
+++ b/tests/failures/test_crashing_parts.py
@@ -1,4 +1,4 @@
-"""Parts of prompts that crash the engines that begin to write on them."""
+"""Prompt parts that crash each engine that begins to generate from them."""
 
 from __future__ import annotations
 
@@ -18,33 +18,34 @@
 
 ENTRIES = 3
 ENGINES = 12
-CRASHES_KNOWN = 5
-"""Crashes after which a part counts as their cause."""
+CRASH_THRESHOLD = 5
+"""Crashes after which a part is identified as their cause."""
 
 SENDS_MAX = 3
-"""Requests with such a part that may still reach engines, over all entries."""
+"""Maximum requests with an identified part that still reach engines, over all
+entries."""
 
-SPREAD_S = 3.0
-"""Time after the last of those crashes in which all entries know of them."""
+PROPAGATION_S = 3.0
+"""Time after the last of these crashes until all entries know of them."""
 
 PAUSE_S = 0.35
-SOUND_PAUSE_S = 0.04
-BEGUN_SHARE_MIN = 0.5
-"""Least share of the sound requests begun at the first attempt, against that
-before the first crash."""
+HEALTHY_PAUSE_S = 0.04
+SERVED_RATIO_MIN = 0.5
+"""Minimum share of healthy requests served during the crashes, relative to the
+share before the first crash."""
 
 FIRST_PART = "5c1e07a2:800"
-SOUND_PARTS = [f"91bd3f0{n}:410" for n in range(5)]
+HEALTHY_PARTS = [f"91bd3f0{n}:410" for n in range(5)]
 
 
 @pytest.fixture
 def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
-    """Runs a test with several entries and engines."""
+    """Runs a scenario with several entries and engines."""
     return direct_runs.runner(tmp_path, ENTRIES, ENGINES, 0, group=51)
 
 
-class Culprits:
-    """Sends requests, no two alike, that share a part which crashes engines."""
+class CrashingRequests:
+    """Sends distinct requests that share a part which crashes engines."""
 
     def __init__(
         self,
@@ -59,7 +60,7 @@
             engine.crash_style = style
 
     def arrivals(self) -> int:
-        """Returns how often such requests have reached engines so far."""
+        """Returns how often these requests have reached engines so far."""
         return sum(
             count
             for engine in self._fleet.engines
@@ -72,7 +73,7 @@
         return sum(engine.crashes.count for engine in self._fleet.engines)
 
     async def send(self, host: str) -> bytes:
-        """Sends one; its path, body and last part are its own."""
+        """Sends one request with a path, body and last part of its own."""
         self._number += 1
         number = self._number
         answer = await self._fleet.stream(
@@ -86,7 +87,7 @@
         return answer
 
     async def send_for(self, hosts: Sequence[str], seconds: float) -> None:
-        """Sends them at a steady rate, whatever is under way."""
+        """Sends at a constant rate, regardless of requests in flight."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
@@ -96,20 +97,23 @@
                 group.create_task(self.send(host))
                 await asyncio.sleep(PAUSE_S)
 
-    async def send_until_known(self, hosts: Sequence[str]) -> None:
-        """Sends them until engines crashed `CRASHES_KNOWN` times or none."""
+    async def send_until_identified(self, hosts: Sequence[str]) -> None:
+        """Sends until engines crashed `CRASH_THRESHOLD` times or 10 s passed.
+
+        Then waits until all entries know of the crashes.
+        """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + 10.0
         for host in itertools.cycle(hosts):
-            if self.crashes() >= CRASHES_KNOWN or loop.time() >= end_s:
+            if self.crashes() >= CRASH_THRESHOLD or loop.time() >= end_s:
                 break
             await self.send(host)
             await asyncio.sleep(PAUSE_S)
-        await asyncio.sleep(SPREAD_S)
+        await asyncio.sleep(PROPAGATION_S)
 
 
-class Sound:
-    """Sends sound requests of the same key and with the same first part."""
+class HealthyRequests:
+    """Sends harmless requests with the same key and the same first part."""
 
     def __init__(self, fleet: direct_fleet.Fleet) -> None:
         self._fleet = fleet
@@ -118,9 +122,9 @@
         self._served: list[bool] = []
 
     async def send_for(self, seconds: float) -> float:
-        """Sends at a steady rate; returns the share that was whole.
+        """Sends at a constant rate; returns the share of complete streams.
 
-        A stream is whole if it brought all events.
+        A stream is complete if it delivered all events.
         """
         self._served = []
         loop = asyncio.get_running_loop()
@@ -128,12 +132,12 @@
         async with asyncio.TaskGroup() as group:
             while loop.time() < end_s:
                 group.create_task(self._send(next(self._numbers)))
-                await asyncio.sleep(SOUND_PAUSE_S)
+                await asyncio.sleep(HEALTHY_PAUSE_S)
         return sum(self._served) / len(self._served)
 
     async def _send(self, number: int) -> None:
         host = self._fleet.entry_hosts[number % ENTRIES]
-        part = SOUND_PARTS[number % len(SOUND_PARTS)]
+        part = HEALTHY_PARTS[number % len(HEALTHY_PARTS)]
         answer = await self._fleet.stream(
             host,
             f"sound-{number}",
@@ -147,90 +151,95 @@
 def test_requests_with_a_part_that_crashes_engines_are_sent_no_more(
     run_fleet: direct_runs.RunFleet, style: crashing_part.CrashStyle
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        sound = Sound(fleet)
-        usual = await sound.send_for(2.0)
-        culprits = Culprits(fleet, style)
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        healthy = HealthyRequests(fleet)
+        baseline = await healthy.send_for(2.0)
+        crashing_requests = CrashingRequests(fleet, style)
         async with asyncio.TaskGroup() as group:
             sending = group.create_task(
-                culprits.send_for(fleet.entry_hosts, 14.0)
+                crashing_requests.send_for(fleet.entry_hosts, 14.0)
             )
-            while culprits.crashes() < CRASHES_KNOWN and not sending.done():
-                await sound.send_for(0.1)
-            await sound.send_for(SPREAD_S)
-            before = culprits.arrivals()
+            while (
+                crashing_requests.crashes() < CRASH_THRESHOLD
+                and not sending.done()
+            ):
+                await healthy.send_for(0.1)
+            await healthy.send_for(PROPAGATION_S)
+            before = crashing_requests.arrivals()
             while not sending.done():
-                served = await sound.send_for(1.0)
-                assert served >= BEGUN_SHARE_MIN * usual
-        assert culprits.arrivals() - before <= SENDS_MAX
-        last = culprits.answers[-1]
+                served = await healthy.send_for(1.0)
+                assert served >= SERVED_RATIO_MIN * baseline
+        assert crashing_requests.arrivals() - before <= SENDS_MAX
+        last = crashing_requests.answers[-1]
         assert b" 503 " in last
         assert b'"ran":"no"' in last
         assert b"retry-after" not in last
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entry_that_starts_anew_does_not_send_a_crashing_part(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprits = Culprits(fleet)
-        await culprits.send_until_known(fleet.entry_hosts)
-        before = culprits.arrivals()
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_requests = CrashingRequests(fleet)
+        await crashing_requests.send_until_identified(fleet.entry_hosts)
+        before = crashing_requests.arrivals()
         fleet.processes["entry-0"].kill()
         await fleet.processes["entry-0"].wait()
         await fleet.start_entry(0)
         await fleet.wait_ready(fleet.entry_hosts[0])
-        await asyncio.sleep(SPREAD_S)
-        await culprits.send_for(fleet.entry_hosts[:1], 4.0)
-        assert culprits.arrivals() - before <= SENDS_MAX
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_requests.send_for(fleet.entry_hosts[:1], 4.0)
+        assert crashing_requests.arrivals() - before <= SENDS_MAX
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entries_that_all_ended_learn_of_a_crashing_part_from_agents(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprits = Culprits(fleet)
-        await culprits.send_until_known(fleet.entry_hosts)
-        before = culprits.arrivals()
+    """Guards against forgetting a crashing part when all entries restart."""
+
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_requests = CrashingRequests(fleet)
+        await crashing_requests.send_until_identified(fleet.entry_hosts)
+        before = crashing_requests.arrivals()
         for number in range(ENTRIES):
             fleet.processes[f"entry-{number}"].kill()
         for number, host in enumerate(fleet.entry_hosts):
             await fleet.processes[f"entry-{number}"].wait()
             await fleet.start_entry(number)
             await fleet.wait_ready(host)
-        await asyncio.sleep(SPREAD_S)
-        await culprits.send_for(fleet.entry_hosts, 3.0)
-        assert culprits.arrivals() - before <= SENDS_MAX
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_requests.send_for(fleet.entry_hosts, 3.0)
+        assert crashing_requests.arrivals() - before <= SENDS_MAX
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entry_that_was_suspended_learns_of_a_crashing_part(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprits = Culprits(fleet)
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_requests = CrashingRequests(fleet)
         fleet.processes["entry-2"].send_signal(signal.SIGSTOP)
-        await culprits.send_until_known(fleet.entry_hosts[:2])
-        before = culprits.arrivals()
+        await crashing_requests.send_until_identified(fleet.entry_hosts[:2])
+        before = crashing_requests.arrivals()
         fleet.processes["entry-2"].send_signal(signal.SIGCONT)
-        await asyncio.sleep(SPREAD_S)
-        await culprits.send_for(fleet.entry_hosts[2:], 4.0)
-        assert culprits.arrivals() - before <= SENDS_MAX
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_requests.send_for(fleet.entry_hosts[2:], 4.0)
+        assert crashing_requests.arrivals() - before <= SENDS_MAX
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
-def test_request_whose_last_part_crashes_as_another_part_is_served(
+def test_request_with_a_crashing_part_in_last_place_is_served(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprits = Culprits(fleet)
-        await culprits.send_until_known(fleet.entry_hosts)
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_requests = CrashingRequests(fleet)
+        await crashing_requests.send_until_identified(fleet.entry_hosts)
         answer = await fleet.stream(
             fleet.entry_hosts[1],
             "sound-last",
@@ -238,17 +247,17 @@
         )
         assert answer.endswith(b"0\r\n\r\n")
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_operator_sees_a_crashing_part_and_releases_it(
     run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprits = Culprits(fleet)
-        await culprits.send_until_known(fleet.entry_hosts)
-        await culprits.send_for(fleet.entry_hosts, 3.0)
-        before = culprits.arrivals()
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_requests = CrashingRequests(fleet)
+        await crashing_requests.send_until_identified(fleet.entry_hosts)
+        await crashing_requests.send_for(fleet.entry_hosts, 3.0)
+        before = crashing_requests.arrivals()
         urls = [f"http://{host}:9464" for host in fleet.entry_hosts]
         await asyncio.to_thread(crashes.crashes, urls[0], json=True)
         rows = msgspec.json.decode(capsys.readouterr().out)
@@ -257,31 +266,33 @@
         assert row["part"]
         assert f"part_condemned fingerprint={name}" in fleet.log("entry-0")
         await asyncio.to_thread(crashes.crashes, urls[1], release=name)
-        await asyncio.sleep(SPREAD_S)
-        await culprits.send(fleet.entry_hosts[2])
-        assert culprits.arrivals() > before
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_requests.send(fleet.entry_hosts[2])
+        assert crashing_requests.arrivals() > before
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_crashes_without_a_culprit_block_no_part(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
+    """Guards against blocking parts when crashes have no common part."""
+
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
         async def crash_in_turn() -> None:
             async with asyncio.TaskGroup() as group:
                 for engine in [*fleet.engines, *fleet.engines]:
                     group.create_task(engine.crash())
                     await asyncio.sleep(0.45)
 
-        sound = Sound(fleet)
-        usual = await sound.send_for(2.0)
+        healthy = HealthyRequests(fleet)
+        baseline = await healthy.send_for(2.0)
         crashing = asyncio.create_task(crash_in_turn())
         while not crashing.done():
-            assert await sound.send_for(2.0) >= BEGUN_SHARE_MIN * usual
+            assert await healthy.send_for(2.0) >= SERVED_RATIO_MIN * baseline
         texts = await asyncio.gather(
             *[fleet.metrics(host) for host in fleet.entry_hosts]
         )
         assert not any(b"crashes_upstreams" in text for text in texts)
 
-    run_fleet(use)
+    run_fleet(scenario)
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -1,4 +1,4 @@
-"""Requests that crash the replicas that run them, before real daemons."""
+"""Requests that crash each replica that runs them, with real daemons."""
 
 from __future__ import annotations
 
@@ -22,34 +22,35 @@
 ENTRIES = 3
 ENGINES = 9
 DESKS = 6
-CRASHES_KNOWN = 3
-"""Crashes after which a request counts as their cause."""
+CRASH_THRESHOLD = 3
+"""Crashes after which a request is identified as their cause."""
 
 RETRIES_MAX = 3
-"""Times that such a request may still reach a replica, over all entries."""
+"""Maximum times that an identified request still reaches a replica, over all
+entries."""
 
-SPREAD_S = 3.0
-"""Time after the last of those crashes in which all entries know of them."""
+PROPAGATION_S = 3.0
+"""Time after the last of these crashes until all entries know of them."""
 
 PAUSE_S = 0.35
-INNOCENT_PAUSE_S = 0.04
+HEALTHY_PAUSE_S = 0.04
 SERVED_SHARE_MIN = 0.9
 
 
 class Replica(Protocol):
-    """What is read of a replica."""
+    """Attributes of a replica that the tests read."""
 
     runs: dict[str, int]
 
 
 @pytest.fixture
 def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
-    """Runs a test with several entries, engines and plain replicas."""
+    """Runs a scenario with several entries, engines and plain replicas."""
     return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=31)
 
 
-class Culprit:
-    """Sends one request that crashes replicas to the entries in turn."""
+class CrashingRequest:
+    """Sends one request that crashes replicas, to the entries in turn."""
 
     def __init__(
         self,
@@ -66,7 +67,7 @@
         self.answers: list[bytes] = []
 
     def arrivals(self) -> int:
-        """Returns how often it has reached a replica so far."""
+        """Returns how often the request has reached a replica so far."""
         return sum(
             count
             for replica in self._replicas
@@ -75,7 +76,7 @@
         )
 
     async def send(self, host: str) -> bytes:
-        """Sends it once, as a new attempt of the same caller."""
+        """Sends the request once, as a new attempt by the same caller."""
         self._number += 1
         answer = await self._fleet.call(
             host,
@@ -87,7 +88,7 @@
         return answer
 
     async def send_for(self, hosts: Sequence[str], seconds: float) -> None:
-        """Sends it at a steady rate for some time."""
+        """Sends the request at a constant rate for some time."""
         loop = asyncio.get_running_loop()
         end_s = loop.time() + seconds
         for host in itertools.cycle(hosts):
@@ -96,143 +97,148 @@
             await self.send(host)
             await asyncio.sleep(PAUSE_S)
 
-    async def send_until_known(self, hosts: Sequence[str]) -> None:
-        """Sends it until it has crashed replicas often enough."""
+    async def send_until_identified(self, hosts: Sequence[str]) -> None:
+        """Sends until the request has run `CRASH_THRESHOLD` times.
+
+        Then waits until all entries know of the crashes.
+        """
         async with asyncio.timeout(20):
             for host in itertools.cycle(hosts):
-                if self.arrivals() >= CRASHES_KNOWN:
+                if self.arrivals() >= CRASH_THRESHOLD:
                     break
                 await self.send(host)
                 await asyncio.sleep(PAUSE_S)
-        await asyncio.sleep(SPREAD_S)
+        await asyncio.sleep(PROPAGATION_S)
 
 
-def on_engines(fleet: direct_fleet.Fleet) -> Culprit:
-    return Culprit(fleet, fleet.engines, "/chat/x")
+def on_engines(fleet: direct_fleet.Fleet) -> CrashingRequest:
+    return CrashingRequest(fleet, fleet.engines, "/chat/x")
 
 
-def on_desks(fleet: direct_fleet.Fleet) -> Culprit:
-    return Culprit(fleet, fleet.desks, "/stock/x")
+def on_desks(fleet: direct_fleet.Fleet) -> CrashingRequest:
+    return CrashingRequest(fleet, fleet.desks, "/stock/x")
 
 
 @pytest.mark.parametrize("make", [on_engines, on_desks])
 def test_request_that_crashes_replicas_is_sent_no_more(
     run_fleet: direct_runs.RunFleet,
-    make: Callable[[direct_fleet.Fleet], Culprit],
+    make: Callable[[direct_fleet.Fleet], CrashingRequest],
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprit = make(fleet)
-        await culprit.send_until_known(fleet.entry_hosts)
-        before = culprit.arrivals()
-        await culprit.send_for(fleet.entry_hosts, 6.0)
-        assert culprit.arrivals() - before <= RETRIES_MAX
-        last = culprit.answers[-1]
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_request = make(fleet)
+        await crashing_request.send_until_identified(fleet.entry_hosts)
+        before = crashing_request.arrivals()
+        await crashing_request.send_for(fleet.entry_hosts, 6.0)
+        assert crashing_request.arrivals() - before <= RETRIES_MAX
+        last = crashing_request.answers[-1]
         assert b" 503 " in last
         assert b'"ran":"no"' in last
         assert b"retry-after" not in last
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entry_that_starts_anew_does_not_send_a_crashing_request(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprit = on_engines(fleet)
-        await culprit.send_until_known(fleet.entry_hosts)
-        before = culprit.arrivals()
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_request = on_engines(fleet)
+        await crashing_request.send_until_identified(fleet.entry_hosts)
+        before = crashing_request.arrivals()
         fleet.processes["entry-0"].kill()
         await fleet.processes["entry-0"].wait()
         await fleet.start_entry(0)
         await fleet.wait_ready(fleet.entry_hosts[0])
-        await asyncio.sleep(SPREAD_S)
-        await culprit.send_for(fleet.entry_hosts[:1], 4.0)
-        assert culprit.arrivals() - before <= RETRIES_MAX
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_request.send_for(fleet.entry_hosts[:1], 4.0)
+        assert crashing_request.arrivals() - before <= RETRIES_MAX
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entries_that_all_ended_learn_of_a_crashing_request_from_agents(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprit = on_engines(fleet)
-        await culprit.send_until_known(fleet.entry_hosts)
-        before = culprit.arrivals()
+    """Guards against forgetting a crashing request when all entries restart."""
+
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_request = on_engines(fleet)
+        await crashing_request.send_until_identified(fleet.entry_hosts)
+        before = crashing_request.arrivals()
         for number in range(ENTRIES):
             fleet.processes[f"entry-{number}"].kill()
         for number, host in enumerate(fleet.entry_hosts):
             await fleet.processes[f"entry-{number}"].wait()
             await fleet.start_entry(number)
             await fleet.wait_ready(host)
-        await asyncio.sleep(SPREAD_S)
-        await culprit.send_for(fleet.entry_hosts, 3.0)
-        assert culprit.arrivals() == before
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_request.send_for(fleet.entry_hosts, 3.0)
+        assert crashing_request.arrivals() == before
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_entry_that_was_suspended_learns_of_a_crashing_request(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprit = on_engines(fleet)
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_request = on_engines(fleet)
         fleet.processes["entry-2"].send_signal(signal.SIGSTOP)
-        await culprit.send_until_known(fleet.entry_hosts[:2])
-        before = culprit.arrivals()
+        await crashing_request.send_until_identified(fleet.entry_hosts[:2])
+        before = crashing_request.arrivals()
         fleet.processes["entry-2"].send_signal(signal.SIGCONT)
-        await asyncio.sleep(SPREAD_S)
-        await culprit.send_for(fleet.entry_hosts[2:], 4.0)
-        assert culprit.arrivals() - before <= RETRIES_MAX
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_request.send_for(fleet.entry_hosts[2:], 4.0)
+        assert crashing_request.arrivals() - before <= RETRIES_MAX
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_operator_sees_a_crashing_request_and_releases_it(
     run_fleet: direct_runs.RunFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        culprit = on_engines(fleet)
-        await culprit.send_until_known(fleet.entry_hosts)
-        before = culprit.arrivals()
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        crashing_request = on_engines(fleet)
+        await crashing_request.send_until_identified(fleet.entry_hosts)
+        before = crashing_request.arrivals()
         urls = [f"http://{host}:9464" for host in fleet.entry_hosts]
         await asyncio.to_thread(crashes.crashes, urls[0], json=True)
         rows = msgspec.json.decode(capsys.readouterr().out)
         (row,) = [row for row in rows if row["condemned"]]
         name = row["fingerprint"]
-        assert len(row["crashes"]) >= CRASHES_KNOWN
+        assert len(row["crashes"]) >= CRASH_THRESHOLD
         assert f"request_condemned fingerprint={name}" in fleet.log("entry-0")
         await asyncio.to_thread(crashes.crashes, urls[1], release=name)
-        await asyncio.sleep(SPREAD_S)
-        await culprit.send(fleet.entry_hosts[2])
-        assert culprit.arrivals() > before
+        await asyncio.sleep(PROPAGATION_S)
+        await crashing_request.send(fleet.entry_hosts[2])
+        assert crashing_request.arrivals() > before
         code = await asyncio.to_thread(
             crashes.crashes, urls[1], release="unknown"
         )
         assert code == exit_codes.ExitCode.USAGE
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
-class Innocents:
-    """Sends streams at a steady rate, every other one of the same content."""
+class HealthyRequests:
+    """Sends harmless streams at a constant rate; half have the same content."""
 
     def __init__(self, fleet: direct_fleet.Fleet) -> None:
         self._fleet = fleet
         self._served: list[bool] = []
 
     async def send_while(self, task: asyncio.Task[None]) -> None:
-        """Sends until a task has ended."""
+        """Sends until a task is done."""
         async with asyncio.TaskGroup() as group:
             for number in itertools.count():
                 if task.done():
                     break
                 group.create_task(self._send(number))
-                await asyncio.sleep(INNOCENT_PAUSE_S)
+                await asyncio.sleep(HEALTHY_PAUSE_S)
         await task
 
     def served_share(self) -> float:
-        """Returns the share of streams that were whole."""
+        """Returns the share of complete streams."""
         return sum(self._served) / len(self._served)
 
     async def _send(self, number: int) -> None:
@@ -242,35 +248,39 @@
         self._served.append(answer.endswith(b"0\r\n\r\n"))
 
 
-def test_innocent_requests_are_served_beside_a_crashing_one(
+def test_healthy_requests_are_served_despite_a_crashing_one(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
-        innocents = Innocents(fleet)
-        culprit = on_engines(fleet)
-        sending = asyncio.create_task(culprit.send_for(fleet.entry_hosts, 8.0))
-        await innocents.send_while(sending)
-        assert innocents.served_share() >= SERVED_SHARE_MIN
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
+        healthy = HealthyRequests(fleet)
+        crashing_request = on_engines(fleet)
+        sending = asyncio.create_task(
+            crashing_request.send_for(fleet.entry_hosts, 8.0)
+        )
+        await healthy.send_while(sending)
+        assert healthy.served_share() >= SERVED_SHARE_MIN
 
-    run_fleet(use)
+    run_fleet(scenario)
 
 
 def test_crashes_without_a_culprit_turn_no_request_away(
     run_fleet: direct_runs.RunFleet,
 ) -> None:
-    async def use(fleet: direct_fleet.Fleet) -> None:
+    """Guards against blocking requests when crashes have no common request."""
+
+    async def scenario(fleet: direct_fleet.Fleet) -> None:
         async def crash_in_turn() -> None:
             async with asyncio.TaskGroup() as group:
                 for engine in [*fleet.engines, *fleet.engines]:
                     group.create_task(engine.crash())
                     await asyncio.sleep(0.45)
 
-        innocents = Innocents(fleet)
-        await innocents.send_while(asyncio.create_task(crash_in_turn()))
-        refusals = await asyncio.gather(
+        healthy = HealthyRequests(fleet)
+        await healthy.send_while(asyncio.create_task(crash_in_turn()))
+        metrics_texts = await asyncio.gather(
             *[fleet.metrics(host) for host in fleet.entry_hosts]
         )
-        assert not any(b"crashes_upstreams" in text for text in refusals)
-        assert innocents.served_share() >= SERVED_SHARE_MIN
+        assert not any(b"crashes_upstreams" in text for text in metrics_texts)
+        assert healthy.served_share() >= SERVED_SHARE_MIN
 
-    run_fleet(use)
+    run_fleet(scenario)
