Reword comments and names in failure tests of the entries

Each file states its subject, unclear tests the failure they guard against. The message of Bench.until() names what was not met.

None of these tests was run, since they start many processes on a busy machine.

--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -1,4 +1,4 @@
-"""A small fleet of real processes for the failure tests."""
+"""Fixture that runs a small fleet of real processes."""
 
 from __future__ import annotations
 
@@ -29,10 +29,10 @@
 
 
 class Bench:
-    """A fleet with one pool of models and one plain service."""
+    """A fleet with one model service and one plain service."""
 
     def __init__(self, cluster: fleet.Fleet) -> None:
-        """Wraps a fleet whose stand-ins run."""
+        """Wraps a fleet whose stand-ins are running."""
         self.fleet = cluster
         self.manifests: dict[str, str] = {}
         self.time = clock.SystemClock()
@@ -69,7 +69,7 @@
         self.manifests[version] = weights.manifest
 
     async def publish_common(self) -> None:
-        """Publishes the two upper levels."""
+        """Publishes the two upper levels of settings documents."""
         await self.fleet.publish(
             documents.TRADE_BODY_KEY, documents.base([CUSTOMER, "other"])
         )
@@ -81,7 +81,7 @@
         previous: str = "",
         settings: dict[str, documents.Value] | None = None,
     ) -> None:
-        """Publishes a rollout of the pool."""
+        """Publishes a rollout of the `pool` service."""
         rollout = documents.RolloutText(
             model="stand",
             version=version,
@@ -96,7 +96,11 @@
         condition: Callable[[], Coroutine[Any, Any, bool]],
         within_ms: float,
     ) -> float:
-        """Waits for a condition and returns how long it took, in ms."""
+        """Polls until a condition holds; returns the elapsed time in ms.
+
+        Raises:
+          AssertionError: the condition did not hold in time.
+        """
         started_ms = self.time.now_ms()
         while self.time.now_ms() - started_ms < within_ms:
             if await condition():
@@ -106,15 +110,20 @@
             state = await self.fleet.admin("entry-0", "vms")
         except fleet.FleetError as error:
             state = str(error).encode()
-        raise AssertionError(f"not within {within_ms} ms: {state.decode()}")
+        raise AssertionError(
+            f"condition not met within {within_ms} ms: {state.decode()}"
+        )
 
     async def vms(self, entry: str = "entry-0") -> dict[str, Any]:
-        """Returns the VMs as an entry sees them."""
+        """Returns the VMs known to an entry, by name."""
         body = await self.fleet.admin(entry, "vms")
         return {vm["vm"]: vm for vm in msgspec.json.decode(body)}
 
     async def serves(self, version: str, count: int) -> bool:
-        """Whether that many replicas serve a version, at every entry."""
+        """Returns whether each running entry sees `count` VMs on a version.
+
+        More VMs on the version count as well.
+        """
         for entry, process in self.fleet.entries.items():
             if not process.running:
                 continue
@@ -131,7 +140,7 @@
         return found
 
     async def counter(self, entry: str, name: str, reason: str) -> int:
-        """Returns a counter of an entry and its agents."""
+        """Returns the total of a counter over an entry and its agents."""
         body = await self.fleet.admin(entry, "counters")
         return sum(
             c["total"]
@@ -146,7 +155,7 @@
     def live(
         self, rate_per_s: float = 20.0, tokens: int = 16, entry: str = ""
     ) -> load.LiveLoad:
-        """Returns a background load of streamed calls."""
+        """Returns a background load of streamed calls, not started yet."""
         urls = [self.url(e) for e in self.fleet.entries if entry in ("", e)]
         plan = load.CallPlan(service="pool", customer=CUSTOMER, tokens=tokens)
         return load.LiveLoad(self.fleet.client, urls, plan, rate_per_s)
@@ -174,7 +183,7 @@
     async def confirm(
         self, entry: str, request_id: str, **headers: str
     ) -> http.Reply:
-        """Makes one plain call that is not idempotent."""
+        """Makes one non-idempotent call to the plain service."""
         named = {name.replace("_", "-"): text for name, text in headers.items()}
         return await self.fleet.client.request(
             "POST",
@@ -201,7 +210,7 @@
         return token
 
     async def runs(self, vm: str, request_id: str) -> int:
-        """Returns how often an upstream really ran a request."""
+        """Returns how often an upstream executed a request."""
         body = await self.fleet.engine_call(vm, "GET", "/history")
         runs: int = msgspec.json.decode(body)["ran"].get(request_id, 0)
         return runs
@@ -209,15 +218,15 @@
 
 @pytest.fixture
 def bench() -> Callable[[Scenario], None]:
-    """Runs a scenario against a fresh fleet, within a bounded time."""
+    """Runs a scenario against a new fleet, within `TEST_TIMEOUT_S`."""
 
     def run(scenario: Scenario) -> None:
-        async def whole() -> None:
+        async def run_scenario() -> None:
             async with asyncio.timeout(TEST_TIMEOUT_S):
                 async with fleet.Fleet(("randstad", "brabant")) as cluster:
                     await cluster.start_standins()
                     await scenario(Bench(cluster))
 
-        asyncio.run(whole())
+        asyncio.run(run_scenario())
 
     return run
--- a/tests/failures/test_entry_failures.py
+++ b/tests/failures/test_entry_failures.py
@@ -1,3 +1,5 @@
+"""Entries and agents that drain, are killed or are suspended."""
+
 from __future__ import annotations
 
 import asyncio
@@ -59,6 +61,8 @@
 def test_listed_as_leaving_drains(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against an agent that keeps running on a VM listed as leaving."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(replicas=2, plain=0)
         b.fleet.vms["vm-0"]["state"] = "leaving"
@@ -69,7 +73,7 @@
     bench(scenario)
 
 
-def test_call_resent_at_another_entry_gets_the_first_runs_answer(
+def test_call_retried_at_another_entry_gets_the_first_runs_response(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -92,10 +96,11 @@
 def test_calls_that_wait_at_an_entry_that_drains_are_served(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
-    """Agents gave a leaving entry nothing to start waiting calls with.
+    """Guards against agents that give no grants to a draining entry.
 
-    They waited until their deadline, though engines were free: "call_failed
-    kind=deadline_unreachable ran=no attempts=0" 9.5 s after SIGTERM.
+    Its queued calls waited until their deadline although engines were free:
+    "call_failed kind=deadline_unreachable ran=no attempts=0" 9.5 s after
+    SIGTERM.
     """
 
     async def scenario(b: conftest.Bench) -> None:
@@ -115,6 +120,8 @@
 def test_token_of_a_dead_vm_is_answered_unknown_and_not_run_again(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against a second run after the agent of the first was killed."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(replicas=1, plain=2)
         token = await b.run_token("entry-0")
@@ -137,6 +144,8 @@
 def test_entry_that_was_frozen_starts_nothing_on_old_grants(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against a resumed entry that starts calls on expired grants."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(entries=2, replicas=1)
         token = await b.run_token("entry-0")
--- a/tests/failures/test_ports.py
+++ b/tests/failures/test_ports.py
@@ -1,3 +1,5 @@
+"""Malformed and unauthorized input on the ports of an entry."""
+
 from __future__ import annotations
 
 import asyncio
@@ -21,7 +23,7 @@
     return context, links.Connector(context, identity, "127.0.0.1", port)
 
 
-def test_stranger_without_the_fleets_key_is_not_heard(
+def test_messages_of_a_peer_without_the_fleet_key_are_ignored(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -42,7 +44,7 @@
     bench(scenario)
 
 
-def test_malformed_messages_are_counted_and_harmless(
+def test_malformed_messages_are_counted_and_cause_no_failure(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -64,7 +66,7 @@
     bench(scenario)
 
 
-def test_callers_mistakes_get_clear_answers(
+def test_invalid_requests_get_specific_errors(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -126,7 +128,7 @@
     bench(scenario)
 
 
-def test_refused_call_is_answered_at_once_with_when_to_come_back(
+def test_call_without_an_upstream_is_refused_at_once(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
--- a/tests/failures/test_settings_failures.py
+++ b/tests/failures/test_settings_failures.py
@@ -1,3 +1,5 @@
+"""Settings changes while entries or the platform fail."""
+
 from __future__ import annotations
 
 import asyncio
@@ -13,7 +15,7 @@
     return revisions
 
 
-def test_change_is_in_force_everywhere_within_three_seconds(
+def test_change_takes_effect_everywhere_within_three_seconds(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -31,9 +33,11 @@
     bench(scenario)
 
 
-def test_change_is_in_force_although_its_reader_dies(
+def test_change_takes_effect_although_entries_are_killed(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against losing a change with the entries that read it."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(entries=4, replicas=2, plain=0)
         before = await _revisions(b, "entry-3")
@@ -52,9 +56,11 @@
     bench(scenario)
 
 
-def test_stale_service_does_not_take_settings_back(
+def test_stale_platform_does_not_revert_settings(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against an older revision that the platform serves later."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(entries=2, replicas=2, plain=0)
         await b.fleet.standin_call(
@@ -77,7 +83,7 @@
     bench(scenario)
 
 
-def test_new_entry_gets_settings_while_the_service_is_down(
+def test_restarted_entry_gets_settings_while_the_platform_is_down(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -91,7 +97,7 @@
     bench(scenario)
 
 
-def test_refused_document_keeps_the_last_one_in_force(
+def test_invalid_document_leaves_the_previous_one_in_effect(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -117,7 +123,7 @@
     bench(scenario)
 
 
-def test_two_operators_at_once_end_with_the_platforms_order(
+def test_concurrent_changes_are_applied_in_the_platforms_order(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
--- a/tests/failures/test_version_failures.py
+++ b/tests/failures/test_version_failures.py
@@ -1,3 +1,5 @@
+"""Rollouts while agents, engines or the origin fail."""
+
 from __future__ import annotations
 
 import asyncio
@@ -9,7 +11,7 @@
 from tests.failures import conftest
 
 
-def test_replica_killed_mid_rollout_restarts_from_its_neighbours(
+def test_replica_killed_mid_rollout_fetches_from_its_peers(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -22,8 +24,8 @@
         stats = msgspec.json.decode(
             await b.fleet.standin_call("origin", "GET", "/stats")
         )
-        drawn = stats["sent_bytes"] / conftest.TOTAL_BYTES
-        assert drawn <= 2 + 1.5
+        downloads = stats["sent_bytes"] / conftest.TOTAL_BYTES
+        assert downloads <= 2 + 1.5
 
     bench(scenario)
 
@@ -51,6 +53,8 @@
 def test_strangers_order_never_reaches_a_caller_mixed(
     bench: Callable[[conftest.Scenario], None], checks_fencing: bool
 ) -> None:
+    """Guards against mixed versions after a load order from another system."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(
             replicas=2,
@@ -72,7 +76,7 @@
     bench(scenario)
 
 
-def test_last_ready_replica_is_never_taken_out(
+def test_last_ready_replica_is_never_taken_out_of_service(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -97,7 +101,7 @@
     bench(scenario)
 
 
-def test_sole_replica_waits_unless_it_may_stop(
+def test_sole_replica_keeps_its_version_unless_a_swap_is_allowed(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
@@ -114,6 +118,8 @@
 def test_corrupt_origin_never_becomes_a_served_version(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against serving weights that the origin corrupted."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(replicas=2, plain=0)
         faults = {"corrupt": 1.0}
@@ -135,7 +141,7 @@
         await b.start(replicas=2, plain=0, link_bytes_per_s=300_000)
         b.fleet.agents["vm-0"].kill()
         b.fleet.agents["vm-0"].restart()
-        # Until the entries notice the restart, they still show it as ready.
+        # Entries report the agent as ready until they notice the restart.
         await asyncio.sleep(4.0)
         await b.fleet.await_ready({"pool": 2}, 15_000)
         await b.roll_out("v2")
--- a/tests/failures/test_vm_failures.py
+++ b/tests/failures/test_vm_failures.py
@@ -1,3 +1,5 @@
+"""Calls while a VM is killed or suspended."""
+
 from __future__ import annotations
 
 import asyncio
@@ -10,6 +12,8 @@
 def test_killed_vm_costs_no_idempotent_call(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against idempotent calls that fail with the VM they run on."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(replicas=4, plain=0)
         live = b.live(rate_per_s=30.0)
@@ -43,7 +47,7 @@
     bench(scenario)
 
 
-def test_frozen_vm_gets_no_new_work_and_wakes_harmless(
+def test_suspended_vm_gets_no_calls_and_resumes_without_failures(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
     async def scenario(b: conftest.Bench) -> None:
--- a/tests/failures/test_whole_path.py
+++ b/tests/failures/test_whole_path.py
@@ -1,3 +1,5 @@
+"""Calls and rollouts through the complete fleet, without failures."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -26,6 +28,8 @@
 def test_resent_confirmation_runs_once(
     bench: Callable[[conftest.Scenario], None],
 ) -> None:
+    """Guards against running a repeated non-idempotent call twice."""
+
     async def scenario(b: conftest.Bench) -> None:
         await b.start(replicas=1)
         refused = await b.confirm("entry-0", "slot-1")
