Clarify docstrings of settings, platform clients and links

They left units, ranges and failure cases undefined, or contradicted the code: `LAST_PORT` is exclusive, free ports can be taken by other programs, nothing in links.py counts dropped messages, `unix_ms` can decrease, and an enum's members had no description. The help of `marlramp cold` explains the table's columns. `_cells` is renamed to `_row_values` in two commands, since a cell has another meaning here.

--- a/src/marlramp/clock.py
+++ b/src/marlramp/clock.py
@@ -1,6 +1,7 @@
 """Local clocks in milliseconds, from which all durations are computed.
 
-Readings are only comparable within one process. The system clock keeps
+Readings of `SystemClock` count from the start of the VM: readings of different
+VMs, or from before and after a reboot, are not comparable. The clock keeps
 counting while the VM is suspended, so that a process that is resumed sees that
 its leases have expired.
 """
@@ -54,7 +55,8 @@
 def unix_ms() -> int:
     """Returns Unix time in milliseconds.
 
-    It is for values that must increase across restarts of a process. No
-    duration may be computed from it, since the wall clock can be set back.
+    It is for starting values that normally increase across restarts of a
+    process. They can repeat or decrease, since the wall clock can be set back;
+    for the same reason no duration may be computed from them.
     """
     return time.time_ns() // 1_000_000
--- a/src/marlramp/console/commands/cold.py
+++ b/src/marlramp/console/commands/cold.py
@@ -1,4 +1,8 @@
-"""`marlramp cold`: replicas that are still cold after a start."""
+"""`marlramp cold`: replicas that are still cold after a start.
+
+A cold replica has started recently and accepts only a limited request rate
+until it has warmed up.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,7 @@
 from marlramp.direct import cold_pages
 
 
-def _cells(row: cold_pages.ColdRow) -> tuple[object, ...]:
+def _row_values(row: cold_pages.ColdRow) -> tuple[object, ...]:
     return (
         row.replica,
         row.service,
@@ -37,7 +41,7 @@
         "room ms",
         "reason",
     ],
-    _cells,
+    _row_values,
 )
 
 
@@ -46,7 +50,16 @@
     *,
     json: Annotated[bool, cyclopts.Parameter(negative="")] = False,
 ) -> int:
-    """Show the cold replicas and the requests that an entry may send them.
+    """Show the cold replicas and the request rates that an entry may use.
+
+    A cold replica has started recently and accepts only a limited request rate
+    until it has warmed up. Columns of the table:
+
+    "per s": requests per second that the replica accepts from all entries
+    together; "share": requests that this entry may send within any second;
+    "left ms": time for which the replica remains cold; "room ms": time until
+    this entry may send the next request; "reason": source of what this entry
+    knows.
 
     Args:
       entry: URL of an entry's metrics port, such as http://10.1.0.40:9464.
--- a/src/marlramp/console/commands/evacuations.py
+++ b/src/marlramp/console/commands/evacuations.py
@@ -10,7 +10,7 @@
 from marlramp.direct import placement_pages
 
 
-def _cells(row: placement_pages.EvacuationRow) -> tuple[object, ...]:
+def _row_values(row: placement_pages.EvacuationRow) -> tuple[object, ...]:
     return (
         row.data_centre,
         row.region,
@@ -25,7 +25,7 @@
     list[placement_pages.EvacuationRow],
     "Evacuated data centres",
     ["data centre", "region", "revision", "replicas", "in flight"],
-    _cells,
+    _row_values,
 )
 
 
--- a/src/marlramp/console/daemon.py
+++ b/src/marlramp/console/daemon.py
@@ -39,8 +39,13 @@
     """Runs until SIGTERM, then drains and exits.
 
     Args:
-      settings: TOML file with this process's settings; without it, the file
-        that the platform names in the environment.
+      settings: TOML file with this process's settings. If omitted, the
+        platform's settings file is read, whose path is in the environment
+        variable MARLRAMP_SETTINGS.
+
+    Returns:
+      The process's exit code, `launch.EXIT_SETTINGS_REFUSED` at once if the
+      settings are invalid.
     """
     if settings is None:
         return launch.run_on_platform()
--- a/src/marlramp/experiments/documents.py
+++ b/src/marlramp/experiments/documents.py
@@ -11,12 +11,17 @@
 TRADE_BODY_KEY = "trade_body/trade-body"
 MEMBER_KEY = "member/standbouw"
 DEPLOYMENT_KEY = "deployment/fairs"
+"""Keys of the settings documents of one example hierarchy, from the most
+general level to the most specific one."""
 
 Value: TypeAlias = str | int | float | bool
 
 
 class RolloutText(msgspec.Struct, frozen=True, kw_only=True):
-    """The rollout table of a service in a settings document."""
+    """The rollout table of a service in a settings document.
+
+    Fields that are empty are left out of the document.
+    """
 
     model: str
     version: str
@@ -28,7 +33,12 @@
 def base(
     customers: Sequence[str], settings: Mapping[str, Value] | None = None
 ) -> str:
-    """Returns a document with the customers and settings of one level."""
+    """Returns the document of one level of the settings hierarchy.
+
+    Args:
+      customers: names of customers, each of which gets an empty table.
+      settings: settings of the level, None for none.
+    """
     lines = ["schema = 1"]
     if settings:
         lines.append("[settings]")
--- a/src/marlramp/experiments/plotting.py
+++ b/src/marlramp/experiments/plotting.py
@@ -16,7 +16,11 @@
 
 
 def plot_serving(report: rollout.Report, path: pathlib.Path) -> None:
-    """Plots the number of replicas that serve the new version over time."""
+    """Plots the number of replicas that serve the new version over time.
+
+    The unit of time is the copy time, which one copy of the weights takes on a
+    VM's link. The dotted line marks one copy time.
+    """
     figure, axes = pyplot.subplots(figsize=(7, 4))
     times = [at for at, _ in report.serving_over_time]
     serving = [count for _, count in report.serving_over_time]
--- a/src/marlramp/experiments/processes.py
+++ b/src/marlramp/experiments/processes.py
@@ -17,9 +17,10 @@
 POLL_MS = 50.0
 FIRST_PORT = 20_000
 LAST_PORT = 30_000
-"""Range of the ports that processes listen on.
+"""Range of the ports that processes listen on, without `LAST_PORT` itself.
 
-It lies below the range from which outgoing connections take their ports.
+It lies below the range from which Linux by default takes the ports of outgoing
+connections (net.ipv4.ip_local_port_range, from 32768).
 """
 
 BLOCK_PORTS = 100
@@ -31,7 +32,10 @@
 
 
 class Process:
-    """A process started by the experiment; signals go to it alone."""
+    """A process started by the experiment.
+
+    Signals sent through this class don't reach the process's children.
+    """
 
     def __init__(
         self, name: str, arguments: list[str], log: pathlib.Path
@@ -59,11 +63,15 @@
 
     @property
     def crashed(self) -> bool:
-        """Whether it exited with an error without being stopped."""
+        """Whether it exited with an error without being stopped.
+
+        SIGTERM, SIGINT and `kill` stop it. SIGKILL through `send_signal` counts
+        as a crash.
+        """
         return self.process.poll() not in (None, 0) and not self.ended_by_us
 
     def send_signal(self, number: signal.Signals) -> None:
-        """Sends the process a signal."""
+        """Sends the process a signal; SIGTERM and SIGINT count as a stop."""
         if number in (signal.SIGTERM, signal.SIGINT):
             self.ended_by_us = True
         self.process.send_signal(number)
@@ -75,7 +83,10 @@
         self.process.wait(STOP_TIMEOUT_S)
 
     def restart(self) -> None:
-        """Starts the process again after it exited, without its state."""
+        """Waits until the process has exited and starts it again.
+
+        It runs with the same arguments. State that it kept in memory is lost.
+        """
         self.process.wait(STOP_TIMEOUT_S)
         self.ended_by_us = False
         self._start()
@@ -102,9 +113,10 @@
 def free_ports(count: int) -> list[int]:
     """Returns ports that nothing listens on now, each at most once.
 
-    The ports lie below the range from which the system takes the ports of
+    The ports lie below the range from which Linux by default takes the ports of
     outgoing connections, and in blocks that no other experiment on this
-    machine has reserved. So none is taken before its process starts.
+    machine has reserved. An unrelated program can still listen on one of them
+    before its process starts.
     """
     found: list[int] = []
     with contextlib.ExitStack() as stack:
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -20,10 +20,10 @@
     """A call to the platform got no usable answer.
 
     Attributes:
-      asked_ms: time after which the platform asked to be called again, None if
-        it did not ask.
+      asked_ms: delay before the next call that the platform asked for, None if
+        it asked for none.
       answering: whether the platform was in service: at least a part of an
-        answer arrived, other than one that states that it is unavailable.
+        answer arrived, and it did not state that the platform is unavailable.
     """
 
     def __init__(
@@ -40,7 +40,7 @@
 
     @property
     def retry_after_ms(self) -> float:
-        """Time in milliseconds after which the call may be retried."""
+        """Delay in milliseconds after which the call may be retried."""
         return UNAVAILABLE_RETRY_MS if self.asked_ms is None else self.asked_ms
 
 
@@ -57,7 +57,10 @@
 
 
 class OrderRefusedError(PlatformError):
-    """A replica refused an order that conflicts with its state."""
+    """A replica refused an order to load weights, due to its state.
+
+    The order has no effect.
+    """
 
 
 class VmRole(enum.Enum):
@@ -105,7 +108,7 @@
         """Returns the current documents of `keys` that exist.
 
         Raises:
-          PlatformError: if the service does not answer.
+          PlatformError: if the call fails or its answer can't be used.
         """
         ...
 
@@ -114,11 +117,13 @@
     ) -> list[messages.Document]:
         """Waits for documents with a revision above `after`.
 
+        Revisions are counted over all keys.
+
         Returns:
           The changed documents, empty after `wait_ms` without a change.
 
         Raises:
-          PlatformError: if the service does not answer.
+          PlatformError: if the call fails or its answer can't be used.
         """
         ...
 
@@ -130,7 +135,7 @@
         """Returns the list.
 
         Raises:
-          PlatformError: if the list is not available.
+          PlatformError: if the call fails or its answer can't be used.
         """
         ...
 
@@ -142,7 +147,7 @@
         """Returns a manifest, not yet verified.
 
         Raises:
-          PlatformError: if the manifest is not available now.
+          PlatformError: if the call fails or its answer can't be used.
         """
         ...
 
@@ -150,6 +155,6 @@
         """Returns a chunk, not yet verified.
 
         Raises:
-          PlatformError: if the chunk is not available now.
+          PlatformError: if the call fails or its answer can't be used.
         """
         ...
--- a/src/marlramp/settings/node.py
+++ b/src/marlramp/settings/node.py
@@ -1,8 +1,7 @@
 """Settings of one process on a platform with its own settings format.
 
 An adapter decodes the platform's settings file into these types. Fields that
-the platform defines (addresses, bounds) are required; fields that marlramp
-defines have defaults.
+the file may leave out, or that apply to one role only, have defaults.
 """
 
 from __future__ import annotations
@@ -15,7 +14,7 @@
 
 
 class NodeRole(enum.Enum):
-    """Roles of a daemon on a platform without grants."""
+    """Roles of a daemon whose settings are in the platform's format."""
 
     ENTRY = "entry"
     AGENT = "agent"
@@ -38,7 +37,7 @@
 
 
 class Address(msgspec.Struct, frozen=True, order=True):
-    """An IP address and a port."""
+    """An IP address and a port; the address is not checked."""
 
     host: str
     port: int
@@ -47,6 +46,8 @@
     def parse(cls, text: str) -> Address:
         """Parses an address of the form "IP:PORT".
 
+        Any non-empty text before the last colon is accepted as the IP address.
+
         Raises:
           ValueError: if the text has another form.
         """
@@ -76,10 +77,10 @@
       lookup_ttl_max_ms: longest time for which callers may cache addresses.
       evacuate_ms: longest time until no request reaches an evacuated data
         centre.
-      cold_overshoot: number of requests that may reach a cold replica in one
-        second, as a multiple of the rate that it tolerates.
+      cold_overshoot: factor between the request rate that a cold replica
+        accepts and the number of requests that may reach it in one second.
       cold_burst: number of requests that may reach a cold replica in addition
-        to that.
+        to that number.
     """
 
     drain_ms: float
@@ -137,7 +138,8 @@
       regions: region of each data centre, by data centre.
       seeds: control addresses of some entries, possibly stale.
       own_ports: first and last port available for links between processes.
-      store: address of the platform's store.
+      store: address of the platform's store, which holds the configuration,
+        the replica list and the announced versions of weights.
       heartbeat_ms: interval at which a replica updates its record in the
         replica list.
       link_bytes_per_s: bandwidth of this VM's network link.
--- a/src/marlramp/settings/store.py
+++ b/src/marlramp/settings/store.py
@@ -17,7 +17,16 @@
 
 
 class Verdict(enum.Enum):
-    """Outcome of offering a document to the store."""
+    """Outcome of offering a document to the store.
+
+    Attributes:
+      ACCEPTED: it is newer than the one in force, valid, and now in force.
+      KNOWN: it has the revision of the one in force.
+      OLDER: it is older than the one in force.
+      FOREIGN: its key does not apply to this process.
+      REFUSED: it is newer than the one in force, but invalid, or not newer than
+        a refused document.
+    """
 
     ACCEPTED = "accepted"
     KNOWN = "known"
@@ -35,7 +44,9 @@
 
 
 class SettingsStore:
-    """Keeps the newest accepted document of each level.
+    """Keeps the newest accepted document of each level of the hierarchy.
+
+    The levels of the settings hierarchy are those of `schema.Level`.
 
     A document is adopted only if its revision is higher than the one in force,
     whatever its source, so that a stale source cannot revert settings.
@@ -78,7 +89,11 @@
         return [self._revision(key) for key in self._keys]
 
     def offer(self, document: messages.Document) -> Verdict:
-        """Adopts a document if it is newer than the current one and valid."""
+        """Adopts a document if it is newer than the current one and valid.
+
+        A document that is not newer than the refused one of its key is refused
+        without being parsed.
+        """
         if document.key not in self._keys:
             return Verdict.FOREIGN
         current = self._documents.get(document.key)
@@ -137,6 +152,7 @@
         self._refusals.pop(document.key, None)
         levels = {}
         for key, level_tree in self._trees.items():
+            # None for a key without a name or with an unknown prefix.
             level = schema.level_of_key(key)
             if level is not None:
                 levels[level] = level_tree
--- a/src/marlramp/shell/closing.py
+++ b/src/marlramp/shell/closing.py
@@ -1,7 +1,7 @@
 """Aborts connections so that the peer notices as soon as possible.
 
-A close is delivered after all bytes written before it, which takes long on a
-congested link or to a replica that reads slowly. A reset discards them.
+A FIN is delivered after all bytes written before it, which takes long on a
+congested link or to a replica that reads slowly. A reset (RST) discards them.
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 import sys
 
 _SIOCOUTQNSD = 0x894B
-"""SIOCOUTQNSD of Linux: returns the bytes that the kernel has not sent yet."""
+"""SIOCOUTQNSD of Linux: gets the number of unsent bytes in the kernel."""
 
 _INT = struct.Struct("i")
 _LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -22,9 +22,10 @@
 def abort(transport: asyncio.Transport) -> None:
     """Aborts a connection, with a reset if written bytes are still unsent.
 
-    Without unsent bytes it is closed, since a lost close is retransmitted and a
-    lost reset is not. With unsent bytes a lost reset does no harm: the peer has
-    not received the whole request.
+    `transport.abort()` sends a FIN, or an RST if SO_LINGER is set to 0 seconds.
+    Without unsent bytes it sends a FIN, since a lost FIN is retransmitted and a
+    lost RST is not. With unsent bytes a lost RST does no harm: the peer has not
+    received the whole request.
 
     Args:
       transport: an open TCP connection.
@@ -37,7 +38,7 @@
 
 
 def _unsent_bytes(sock: socket.socket) -> int:
-    """Returns the bytes that the kernel has not sent, 0 if unknown."""
+    """Returns the number of bytes not sent by the kernel, 0 if unknown."""
     if sys.platform != "linux":
         return 0
     try:
--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -1,8 +1,8 @@
 """CURVE-authenticated ZeroMQ links between the system's processes.
 
 A listener (ROUTER) serves many connectors (DEALER). Sending never blocks: a
-message that does not fit into the send queue is dropped and counted, since
-every protocol on top retries or times out.
+message that does not fit into the send queue is dropped and `send` returns
+False, since every protocol on top retries or times out.
 
 Sockets are polled through their file descriptors and read in batches, because
 the futures of `zmq.asyncio` cost more than handling the messages, see
@@ -26,7 +26,11 @@
     from marlramp.settings import process
 
 QUEUE_MESSAGES_MAX = 10_000
-"""Limit of each queue of a link; messages beyond it are dropped."""
+"""Limit of each queue of a link.
+
+A message that exceeds the limit of the send queue is dropped. While the
+receive queue is full, the sender's messages wait in its send queue.
+"""
 
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
@@ -34,7 +38,7 @@
 RECONNECT_MAX_MS = 2_000
 HANDSHAKE_TIMEOUT_MS = 5_000
 BATCH_MESSAGES_MAX = 256
-"""Messages read in a row before other tasks may run."""
+"""Maximum number of messages that one call of `receive` returns."""
 
 _SEPARATOR = "|"
 _FRAME_COUNT = 2
@@ -159,7 +163,10 @@
         self._loop.add_reader(self._fd, self._readable.set)
 
     async def receive(self) -> list[list[bytes]]:
-        """Waits for messages and returns the frames of each."""
+        """Waits for messages and returns the frames of each.
+
+        It does not suspend the task if messages are available.
+        """
         while True:
             batch = self._read_batch()
             if batch:
@@ -173,7 +180,11 @@
                 await self._readable.wait()
 
     def send(self, frames: list[bytes]) -> bool:
-        """Queues a message; returns False if it was dropped."""
+        """Queues a message; returns False if it was dropped.
+
+        It is dropped if the send queue is full, the routing id is unknown or
+        the socket is closed.
+        """
         try:
             self._socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.ZMQError:
@@ -223,7 +234,10 @@
         """Binds an address; peers that exceed `bytes_max` are disconnected."""
         socket = links.context.socket(zmq.ROUTER)
         _configure(socket)
+        # Reports messages to unknown peers instead of dropping them silently.
         socket.set(zmq.ROUTER_MANDATORY, 1)
+        # A peer that reconnects replaces its previous connection, which may
+        # not be known to be broken yet.
         socket.set(zmq.ROUTER_HANDOVER, 1)
         socket.set(zmq.MAXMSGSIZE, bytes_max)
         socket.set(zmq.CURVE_SERVER, 1)
@@ -233,7 +247,11 @@
         self._channel = links.watch(socket)
 
     async def receive(self) -> list[Received]:
-        """Waits for messages and returns those that are available."""
+        """Waits for messages and returns those that are available.
+
+        A message with another number of frames than a connector sends is
+        returned without data.
+        """
         return [
             Received(
                 frames[0], frames[1] if len(frames) == _FRAME_COUNT else b""
