--- a/standins/engines.py
+++ b/standins/engines.py
@@ -1,8 +1,10 @@
 """Stand-in for model engines and plain services, many in one process.
 
-Each engine is served under /e/NAME. It runs up to `capacity` requests at once,
-streams OpenAI-style completions, accepts orders with a fencing number, and
-reports its execution history. Faults per engine: `fail_fast`, `slow_factor`,
+Each engine is served under /e/NAME. It streams OpenAI-style completions, up to
+`capacity` at once, executes any number of plain calls at once, accepts orders
+with a fencing number, and reports its request history. Faults per engine:
+`fail_fast` (responds to each completion and plain call with status 500),
+`slow_factor` (factor on all times of completions and plain calls),
 `stall_after` (tokens), `cut_after` (tokens), `retry_after` (rejects each
 completion with this Retry-After, in seconds).
 """
@@ -27,7 +29,16 @@
 
 
 class Engine:
-    """State of one engine or plain service."""
+    """State of one engine or plain service.
+
+    Attributes:
+      capacity: maximum number of completions that run at once.
+      loaded: BLAKE3 digest of the weights of each loaded version.
+      ran: number of accepted requests by request id, counted
+        before they wait for a slot.
+      prefixes: digests of prompt prefixes, in the order of their first
+        completion.
+    """
 
     def __init__(self, options: dict[str, Any]) -> None:
         """Initializes an engine from the JSON options of its creation."""
@@ -155,7 +166,7 @@
         return responses.JSONResponse(self.engine(request).state())
 
     async def history(self, request: requests.Request) -> responses.Response:
-        """Reports executed requests, orders and rejected completions."""
+        """Reports accepted requests, orders and rejected completions."""
         engine = self.engine(request)
         return responses.JSONResponse(
             {
@@ -168,7 +179,10 @@
     async def load_report(
         self, request: requests.Request
     ) -> responses.Response:
-        """Reports an engine's load and its recent prompt prefixes."""
+        """Reports an engine's load and the prompt prefixes first seen last.
+
+        It reports up to 16 digests of prefixes.
+        """
         engine = self.engine(request)
         return responses.JSONResponse(
             {
@@ -227,7 +241,10 @@
         )
 
     async def plain(self, request: requests.Request) -> responses.Response:
-        """Executes a plain call; responds with the executions of its id."""
+        """Executes a plain call.
+
+        The response has the number of executions of its request id.
+        """
         engine = self.engine(request)
         if engine.faults.get("fail_fast"):
             return responses.JSONResponse({"error": "fault"}, 500)
--- a/tests/failures/test_crashing_requests.py
+++ b/tests/failures/test_crashing_requests.py
@@ -25,12 +25,13 @@
 CRASH_THRESHOLD = 3
 """Crashes after which a request is identified as their cause."""
 
-RETRIES_MAX = 3
-"""Maximum times that an identified request still reaches a replica, over all
-entries."""
+ARRIVALS_AFTER_MAX = 3
+"""Maximum number of times that an identified request still reaches a replica,
+over all entries."""
 
 PROPAGATION_S = 3.0
-"""Time after the last of these crashes until all entries know of them."""
+"""Time after the crash that identifies a request until all entries know of
+it."""
 
 PAUSE_S = 0.35
 HEALTHY_PAUSE_S = 0.04
@@ -45,7 +46,11 @@
 
 @pytest.fixture
 def run_fleet(tmp_path: pathlib.Path) -> direct_runs.RunFleet:
-    """Runs a scenario with several entries, engines and plain replicas."""
+    """Runs a scenario with several entries, engines and plain replicas.
+
+    `group` is the fleet's range of loopback addresses. If another fleet uses
+    it, the next free one is taken.
+    """
     return direct_runs.runner(tmp_path, ENTRIES, ENGINES, DESKS, group=31)
 
 
@@ -76,7 +81,10 @@
         )
 
     async def send(self, host: str) -> bytes:
-        """Sends the request once, as a new attempt by the same caller."""
+        """Sends the request once under a new request id.
+
+        Entries recognize the request by its content, which is always the same.
+        """
         self._number += 1
         answer = await self._fleet.call(
             host,
@@ -129,7 +137,7 @@
         await crashing_request.send_until_identified(fleet.entry_hosts)
         before = crashing_request.arrivals()
         await crashing_request.send_for(fleet.entry_hosts, 6.0)
-        assert crashing_request.arrivals() - before <= RETRIES_MAX
+        assert crashing_request.arrivals() - before <= ARRIVALS_AFTER_MAX
         last = crashing_request.answers[-1]
         assert b" 503 " in last
         assert b'"ran":"no"' in last
@@ -151,7 +159,7 @@
         await fleet.wait_ready(fleet.entry_hosts[0])
         await asyncio.sleep(PROPAGATION_S)
         await crashing_request.send_for(fleet.entry_hosts[:1], 4.0)
-        assert crashing_request.arrivals() - before <= RETRIES_MAX
+        assert crashing_request.arrivals() - before <= ARRIVALS_AFTER_MAX
 
     run_fleet(scenario)
 
@@ -189,7 +197,7 @@
         fleet.processes["entry-2"].send_signal(signal.SIGCONT)
         await asyncio.sleep(PROPAGATION_S)
         await crashing_request.send_for(fleet.entry_hosts[2:], 4.0)
-        assert crashing_request.arrivals() - before <= RETRIES_MAX
+        assert crashing_request.arrivals() - before <= ARRIVALS_AFTER_MAX
 
     run_fleet(scenario)
 
@@ -201,6 +209,7 @@
         crashing_request = on_engines(fleet)
         await crashing_request.send_until_identified(fleet.entry_hosts)
         before = crashing_request.arrivals()
+        # 9464 is the port of an entry's metrics and operators' pages.
         urls = [f"http://{host}:9464" for host in fleet.entry_hosts]
         await asyncio.to_thread(crashes.crashes, urls[0], json=True)
         rows = msgspec.json.decode(capsys.readouterr().out)
--- a/tests/failures/test_replica_limits.py
+++ b/tests/failures/test_replica_limits.py
@@ -40,10 +40,12 @@
 
 
 def assert_limit_kept(
-    replicas: crowds.Replicas, limit_per_s: float, excused: Sequence[str] = ()
+    replicas: crowds.Replicas,
+    limit_per_s: float,
+    uncounted_entries: Sequence[str] = (),
 ) -> None:
     for replica in replicas:
-        most = replica.need.most_in_window(excused)
+        most = replica.need.most_in_window(uncounted_entries)
         allowed = named_limit.allowed_in_window(limit_per_s)
         assert most <= allowed, replica.replica_id
 
@@ -53,7 +55,10 @@
     limit_per_s: float,
     seconds: float,
 ) -> float:
-    """Returns the share of a limit that was used after the grace period."""
+    """Returns the share of a limit that was used after `CONTACT_S`.
+
+    This is the grace period after a replica first announces a limit.
+    """
     since_s = replica.need.since_s + named_limit.CONTACT_S
     return replica.need.used(since_s, seconds) / (limit_per_s * seconds)
 
@@ -109,7 +114,10 @@
         await load.send_for([2], 3.0)
         fleet.processes["entry-1"].send_signal(signal.SIGCONT)
         await load.send_for([2], 4.0)
-        assert_limit_kept(fleet.desks, 1.0, excused=["entry-0", "entry-1"])
+        # Only requests of the entry that ran all the time are counted.
+        assert_limit_kept(
+            fleet.desks, 1.0, uncounted_entries=["entry-0", "entry-1"]
+        )
 
     run_fleet(scenario)
 
@@ -126,6 +134,7 @@
         (row,) = msgspec.json.decode(capsys.readouterr().out)
         assert row["replica"] == "d-0"
         assert row["limit_per_s"] == 1.5
+        # Two entries reserve sends at a replica, never all three.
         assert set(row["reserved_by"]) < {"entry-0", "entry-1", "entry-2"}
         await asyncio.to_thread(limited.limited, url)
         assert "d-0" in capsys.readouterr().out
--- a/tests/platform/test_origin.py
+++ b/tests/platform/test_origin.py
@@ -1,9 +1,9 @@
-"""Agents must not keep idle connections to the origin of weights open.
+"""Agents must close each connection to the weight origin after the call.
 
-The origin accepts at most 48 connections and resets all others. When agents
-kept theirs open, three of 51 agents were reset on each attempt while the others
-downloaded nothing. After a loss of all power, the origin still held the
-connections of the lost machines, so that no engine could load its weights.
+An origin that accepts 48 connections resets all others. When 51 agents kept
+theirs open, three were reset on each attempt while the others downloaded
+nothing. After a loss of all power, the origin still held the connections of the
+lost machines, so that no engine could load its weights.
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 async def answer(peer: raw_http.Peer, request: raw_http.SeenRequest) -> None:
     if request.target.startswith("/v1/manifest/"):
         digest = hashlib.sha256(DATA).hexdigest()
+        # The platform calls a piece a block.
         body = f'{{"version":2,"block_bytes":5,"hashes":["{digest}"]}}'
         await peer.answer(request, 200, body.encode())
     else:
--- a/tests/shell/test_http.py
+++ b/tests/shell/test_http.py
@@ -30,7 +30,7 @@
 
 @pytest.mark.parametrize("method", ["PUT", "POST", "DELETE"])
 def test_at_most_once_call_is_not_repeated_by_the_client(method: str) -> None:
-    """Guards against the library's retries on a reused closed connection."""
+    """Guards against aiosonic's retries on a reused closed connection."""
 
     async def check() -> int:
         server = DroppingServer()
@@ -50,6 +50,7 @@
         listener.close()
         return server.requests
 
+    # One request per call; a repeated call would send a third.
     assert asyncio.run(check()) == 2
 
 
@@ -80,7 +81,7 @@
 
 
 def test_response_without_a_length_is_not_taken_as_empty() -> None:
-    """Guards against the library's empty body for an undelimited response."""
+    """Guards against aiosonic's empty body for an undelimited response."""
 
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
@@ -104,6 +105,8 @@
     async def script(peer: raw_http.Peer) -> None:
         await peer.read()
         await peer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        # The connection stays open: only the status shows that the body is
+        # empty.
         await asyncio.sleep(0.5)
 
     async def main() -> http.Reply:
--- a/tests/standins/test_direct_documents.py
+++ b/tests/standins/test_direct_documents.py
@@ -21,6 +21,8 @@
     config = documents.decode_config(
         msgspec.json.encode(published), set(REGIONS.values())
     )
+    # The document has the routes "order", "stock" and "r", the services
+    # "pool", "desk" and "origin", and the restricted customer "bound".
     allowed = {route.name: route.allowed_regions for route in config.routes}
     assert allowed == {"order": ("north",), "stock": (), "r": ()}
     assert config.customers is not None
@@ -32,7 +34,10 @@
 
 
 def test_settings_name_the_data_centres_and_the_bounds() -> None:
-    """Guards against entries that run without the bounds being checked."""
+    """Guards against a bound that is missing or misspelled in the file.
+
+    The decoder would use its default.
+    """
     text = direct_documents.settings_text(
         "entry-0",
         "127.0.0.1",
