Take back the retry slack that grows over the first window

Its log shows the cause: an entry that had run for about 2 s got one refusal for a caller's request and had no retry left (slack for one retry, ratio for one), so the caller got 503 after 9 ms though ten replicas served. The part that grows is what left it without: before, it had ten retries more.

--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -5,11 +5,6 @@
 itself, and an equal part of the slack. The slack is divided by the largest
 number of entries known recently, so that the parts sum to no more than the
 slack when entries fail or are partitioned from each other.
-
-An entry that starts knows neither the other entries nor what the process before
-it spent. Its part of the slack therefore grows evenly over the first window: by
-the time it is worth a retry, the other entries are known, and entries that
-restart again and again spend no more than entries that keep running.
 """
 
 from __future__ import annotations
@@ -26,9 +21,6 @@
 """Part of the slack that is spent. The rest is left to entries that this entry
 does not know yet."""
 
-START_RETRIES = 1.0
-"""Part of the slack that a process has when it starts."""
-
 ENTRIES_MIN = 8
 """Least number of entries by which the slack is divided, for the time before
 this entry knows the others."""
@@ -37,25 +29,17 @@
 class RetryShare:
     """This entry's part of one service's retry budget."""
 
-    def __init__(
-        self,
-        ratio: float,
-        slack: float,
-        window_ms: float,
-        started_ms: clock.Millis,
-    ) -> None:
+    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
         """Starts with no request and no retry counted.
 
         Args:
           ratio: retries allowed per request.
           slack: further retries allowed in a window, for all entries together.
           window_ms: length of the window.
-          started_ms: when this process started.
         """
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._started_ms = started_ms
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -77,8 +61,6 @@
         """
         self._drop_expired(now_ms)
         slack = self._slack * SLACK_SAFETY / max(ENTRIES_MIN, entries)
-        earned = min(1.0, (now_ms - self._started_ms) / self._window_ms)
-        slack = max(min(slack, START_RETRIES), slack * earned)
         return len(self._requests) * self._ratio * RATIO_SAFETY + slack
 
     def try_spend(self, entries: int, now_ms: clock.Millis) -> bool:
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -116,7 +116,6 @@
         self._totals = totals
         self._latencies = latencies
         self._clock = time
-        self._started_ms = time.now_ms()
         self._selector = selection.Selector(
             known,
             table,
@@ -241,10 +240,7 @@
         if share is None:
             bounds = self._settings.bounds
             share = retry_share.RetryShare(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window_ms,
-                self._started_ms,
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
             )
             self._retry_shares[service_id] = share
         return share
