--- a/regression/__init__.py
+++ b/regression/__init__.py
@@ -1,1 +1,1 @@
-"""The plays that any landing repeats, and the figures that they hold."""
+"""Regression benchmarks run before each landing, with their thresholds."""
--- a/regression/__main__.py
+++ b/regression/__main__.py
@@ -1,4 +1,4 @@
-"""Command line of the regression set."""
+"""Command-line interface of the regression benchmarks."""
 
 from __future__ import annotations
 
@@ -14,30 +14,35 @@
 
 
 class Call(NamedTuple):
-    """One call of the bench.
+    """One invocation of the bench.
 
     Attributes:
-      play: what is played.
-      words: the command.
-      log: file for what it prints.
+      play: the play to run.
+      command: command line.
+      log: file that receives its output.
     """
 
     play: plan.Play
-    words: list[str]
+    command: list[str]
     log: pathlib.Path
 
 
 application = cyclopts.App(
-    name="regression", help="Plays what any landing repeats, and judges it."
+    name="regression",
+    help="Runs the regression plays of a landing and checks results.",
 )
 
 
 @application.command(name="list")
 def list_plays() -> None:
-    """Prints the plays, the time that each takes and what it must hold."""
+    """Prints the plays with their durations and thresholds."""
     for play in plan.read().plays:
-        held = ", ".join(f"{day} {worth}" for day, worth in play.worth.items())
-        print(f"{play.name}: {play.minutes:g} min; {held or 'no rule broken'}")
+        minimum = ", ".join(
+            f"{day} {worth}" for day, worth in play.worth.items()
+        )
+        print(
+            f"{play.name}: {play.minutes:g} min; {minimum or 'no rule broken'}"
+        )
 
 
 @application.command
@@ -50,22 +55,24 @@
     jobs: int = 2,
     at_once: int = 2,
 ) -> None:
-    """Plays all, or those that are named.
+    """Runs all plays, or only the named ones.
 
     Args:
-      bench: program of the users' bench.
-      sites: folder of the users' deployments.
-      why: reason, for the journal.
-      logs: folder for what each play prints.
-      names: plays, all without one.
-      jobs: cores for each play.
-      at_once: plays at the same time.
+      bench: executable of the users' bench.
+      sites: directory of the users' deployments.
+      why: reason for the run, recorded in the journal.
+      logs: directory for the output of each play.
+      names: names of the plays to run, all by default.
+      jobs: number of cores per play.
+      at_once: number of plays to run in parallel.
     """
-    wanted = plan.read()
-    known = {play.name: play for play in wanted.plays}
-    if unknown := sorted(set(names) - known.keys()):
-        sys.exit(f"no such play: {', '.join(unknown)}")
-    plays = [known[name] for name in names] or list(wanted.plays)
+    regression_plan = plan.read()
+    plays_by_name = {play.name: play for play in regression_plan.plays}
+    if unknown := sorted(set(names) - plays_by_name.keys()):
+        sys.exit(f"unknown plays: {', '.join(unknown)}")
+    plays = [plays_by_name[name] for name in names] or list(
+        regression_plan.plays
+    )
     logs.mkdir(parents=True, exist_ok=True)
     calls = [
         Call(
@@ -84,8 +91,8 @@
         )
         for play in plays
     ]
-    if not asyncio.run(_run_all(calls, at_once, wanted.noise)):
-        sys.exit("some plays did not hold")
+    if not asyncio.run(_run_all(calls, at_once, regression_plan.noise)):
+        sys.exit("some plays missed their thresholds")
 
 
 async def _run_all(calls: list[Call], at_once: int, noise: float) -> bool:
@@ -99,10 +106,10 @@
 
 
 async def _run_one(call: Call, noise: float) -> bool:
-    """Plays one; returns whether it held."""
+    """Runs one play; returns whether it met its thresholds."""
     with call.log.open("wb") as log:
         process = await asyncio.create_subprocess_exec(
-            *call.words, stdout=log, stderr=asyncio.subprocess.STDOUT
+            *call.command, stdout=log, stderr=asyncio.subprocess.STDOUT
         )
         code = await process.wait()
     printed = call.log.read_text(errors="replace")
--- a/regression/plan.py
+++ b/regression/plan.py
@@ -1,4 +1,4 @@
-"""Which deployments are played before a landing, and what they must hold."""
+"""The plan of regression plays: deployments and their thresholds."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Verb(enum.Enum):
-    """What the users' bench does with a deployment."""
+    """Subcommand of the users' bench."""
 
     SCORE = "score"
     HUNT = "hunt"
@@ -22,15 +22,15 @@
 class Play(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """One call of the users' bench.
+    """One invocation of the users' bench.
 
     Attributes:
       name: name of the play.
-      site: the site file, from the folder of the users' deployments.
-      verb: what is done with it.
-      options: options of the call, without jobs and reason.
-      minutes: how long it took beside others on eight cores.
-      worth: least worth of each day, before what counts as noise.
+      site: path of the site file within the users' deployments.
+      verb: subcommand.
+      options: command-line options, except jobs and reason.
+      minutes: measured duration on eight cores shared with other plays.
+      worth: minimum worth by day, before the noise margin.
     """
 
     name: str
@@ -44,11 +44,11 @@
 class Plan(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """All plays.
+    """All regression plays.
 
     Attributes:
-      noise: difference in worth that says nothing.
-      plays: the plays, the longest first.
+      noise: difference in worth that is not significant.
+      plays: the plays, longest first.
     """
 
     noise: float
@@ -56,13 +56,13 @@
 
 
 def read(path: pathlib.Path = PLAN_FILE) -> Plan:
-    """Returns the plan in a file.
+    """Reads a plan file.
 
     Args:
-      path: the file.
+      path: path of the TOML file.
 
     Raises:
-      ValueError: the file holds no plan.
+      ValueError: if the file is not a valid plan.
     """
     try:
         document: dict[str, Any] = tomllib.loads(path.read_text())
--- a/regression/results.py
+++ b/regression/results.py
@@ -1,4 +1,4 @@
-"""Reads what the users' bench prints of a play."""
+"""Parses the output of the users' bench and checks the thresholds."""
 
 from __future__ import annotations
 
@@ -11,8 +11,11 @@
 _DAY = re.compile(
     r"^(?P<day>\S+)\s+\d+/\d+\s+[\d.]+\s+(?P<worth>-?[\d.]+)\s", re.MULTILINE
 )
-_SEALED_DAYS = "fresh-"
-"""Days drawn for one play only, which no other play repeats."""
+_GENERATED_DAY_PREFIX = "fresh-"
+"""Prefix of days generated for a single play.
+
+No other play repeats them, so they have no threshold.
+"""
 
 _GATE_FAILED = "GATE failed"
 _HUNT_CLEAN = re.compile(
@@ -21,11 +24,11 @@
 
 
 class Result(msgspec.Struct, frozen=True):
-    """What one play showed.
+    """Result of one play.
 
     Attributes:
-      worth: worth of each standard day.
-      problems: what was not as it must be, a sentence each.
+      worth: worth by standard day.
+      problems: descriptions of failures, empty if the play passed.
     """
 
     worth: dict[str, float]
@@ -33,29 +36,31 @@
 
 
 def read(play: plan.Play, noise: float, printed: str, code: int) -> Result:
-    """Returns what a play showed.
+    """Returns the result of a play.
 
     Args:
-      play: the play.
-      noise: difference in worth that says nothing.
-      printed: all that the bench printed.
-      code: its exit code.
+      play: play that was run.
+      noise: difference in worth that is not significant.
+      printed: complete output of the bench.
+      code: exit code of the bench.
     """
     worth = {
         found["day"]: float(found["worth"])
         for found in _DAY.finditer(printed)
-        if not found["day"].startswith(_SEALED_DAYS)
+        if not found["day"].startswith(_GENERATED_DAY_PREFIX)
     }
     problems = [] if code == 0 else [f"ended with {code}"]
     if _GATE_FAILED in printed:
         problems.append("gate failed")
     if play.verb is plan.Verb.HUNT and not _HUNT_CLEAN.search(printed):
-        problems.append("the hunt does not say that no rule was broken")
-    problems += _lost(play, noise, worth)
+        problems.append("the hunt does not report that no rule was broken")
+    problems += _find_regressions(play, noise, worth)
     return Result(worth, problems)
 
 
-def _lost(play: plan.Play, noise: float, worth: dict[str, float]) -> list[str]:
+def _find_regressions(
+    play: plan.Play, noise: float, worth: dict[str, float]
+) -> list[str]:
     problems = []
     for day, held in play.worth.items():
         if day not in worth:
