Log and count each whole request that ends without an answer

Callers saw requests that got neither an answer nor a refusal, and the logs could not tell why: a connection that closed with a whole request unanswered wrote no line, a request in its queue had no id, and a stream that was broken off did not say why no other replica took it.

The caller server reports each such request with its reason to its process: the caller left, the handler ended early, the queue of the connection was full, or the connection closed for another request. An entry writes a line with the request's id and adds to marlramp_requests_unanswered. A timed-out attempt logs for how long its replica sent nothing, a broken stream why it was not retried. No decision is changed.

--- a/src/marlramp/core/requests/retries.py
+++ b/src/marlramp/core/requests/retries.py
@@ -23,6 +23,25 @@
     VERSION_CHANGED = "version_changed"
 
 
+class RetryDenial(enum.Enum):
+    """Why a failed request is not retried.
+
+    Attributes:
+      UNSAFE: the request is not idempotent and may have run, or the failure
+        is one that a retry can't mend.
+      SENDS: the request was sent to as many replicas as are allowed.
+      TIME: its time is over, or its caller may have left.
+      SUSPECTED: it is suspected of crashes and runs at one replica only.
+      BUDGET: the shared retry budget is used up.
+    """
+
+    UNSAFE = "unsafe"
+    SENDS = "sends"
+    TIME = "time"
+    SUSPECTED = "suspected"
+    BUDGET = "retry_budget"
+
+
 _REASONS = {
     errors.ErrorKind.GRANT_VOID: RetryReason.GRANT_VOID,
     errors.ErrorKind.UPSTREAM_BUSY: RetryReason.UPSTREAM_BUSY,
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -264,33 +264,38 @@
             await self._check_for_crash(call, result, choice)
             # Lets the cancellation by a caller that has left take effect first.
             await asyncio.sleep(0)
-            reason = self._may_retry(call, failure)
-            if reason is None:
-                self._end_failed(call, result.outcome)
+            reason = self._try_retry(call, failure)
+            if isinstance(reason, retries.RetryDenial):
+                self._end_failed(call, result.outcome, reason)
                 return
             self._totals.add(counters.CounterName.RETRIES, reason.value)
 
-    def _may_retry(
+    def _try_retry(
         self, call: call_module.Call, failure: errors.CallError
-    ) -> retries.RetryReason | None:
+    ) -> retries.RetryReason | retries.RetryDenial:
+        """Spends a retry, or returns why the request is not retried."""
         repeatable = call.route.repeatable
         reason = retries.retry_reason(failure, idempotent=repeatable)
         now_ms = self._clock.now_ms()
-        if reason is None or call.sends >= SENDS_WITH_PAUSES_MAX:
-            return None
+        if reason is None:
+            return retries.RetryDenial.UNSAFE
+        if call.sends >= SENDS_WITH_PAUSES_MAX:
+            return retries.RetryDenial.SENDS
         if call.sends - call.pauses >= SENDS_MAX:
-            return None
+            return retries.RetryDenial.SENDS
         if call.runs >= call.route.attempts_max and call.maybe_ran:
-            return None
+            return retries.RetryDenial.SENDS
         if call.left_ms(now_ms) <= 0 or call.may_have_left(now_ms):
-            return None
+            return retries.RetryDenial.TIME
         if call.maybe_ran and self._crashes.runs_once(call.causes):
-            self._totals.add(counters.CounterName.REFUSALS, "suspected")
-            return None
+            denial = retries.RetryDenial.SUSPECTED
+            self._totals.add(counters.CounterName.REFUSALS, denial.value)
+            return denial
         share = self._retry_share(call.service.service_id)
         if not share.try_spend(self._state.entries, now_ms):
-            self._totals.add(counters.CounterName.REFUSALS, "retry_budget")
-            return None
+            denial = retries.RetryDenial.BUDGET
+            self._totals.add(counters.CounterName.REFUSALS, denial.value)
+            return denial
         return reason
 
     def _record_failure(
@@ -318,6 +323,7 @@
             parts=",".join(call.info.shared_parts),
             sends=call.sends,
             first_ms=_rounded_or_none(result.first_event_ms),
+            silent_ms=_rounded_or_none(result.silent_ms),
             retry_after_ms=None if answer is None else answer.retry_after_ms,
             leaving=answer is not None and answer.leaving,
             predicted_ms=round(choice.predicted_ms),
@@ -400,7 +406,10 @@
         )
 
     def _end_failed(
-        self, call: call_module.Call, outcome: attempts.Outcome
+        self,
+        call: call_module.Call,
+        outcome: attempts.Outcome,
+        denial: retries.RetryDenial,
     ) -> None:
         """Ends a failed call.
 
@@ -409,7 +418,13 @@
         """
         answer = outcome.answer
         if call.relay.started:
-            logs.log("stream_broken", request=call.info.request_id)
+            logs.log(
+                "stream_broken",
+                request=call.info.request_id,
+                events=call.relay.splitter.events,
+                left_ms=round(call.left_ms(self._clock.now_ms())),
+                not_retried=denial.value,
+            )
             self._totals.add(counters.CounterName.REFUSALS, "stream_broken")
             call.responder.abort()
             return
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -85,6 +85,8 @@
       first_event_ms: time from the send to the first event, None without one.
       writing_ms: time from the first event to the end of the attempt, None
         without one.
+      silent_ms: time without data from the replica up to a timeout, None if
+        the attempt did not time out.
       path_latency_ms: assumed path latency to the replica; the larger of the
         values when the request was written and when it timed out.
     """
@@ -95,6 +97,7 @@
     unsent: bool = False
     first_event_ms: float | None = None
     writing_ms: float | None = None
+    silent_ms: float | None = None
     path_latency_ms: float = 0.0
 
     @property
@@ -240,7 +243,6 @@
             observer.record_abandoned()
             if connection is not None:
                 connection.abort()
-            logs.log("caller_left", request=call.info.request_id)
             raise
         if result.withdrawn:
             observer.record_abandoned()
@@ -320,13 +322,13 @@
                 await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
                 return SendResult(attempt.finished.result())
-            if self._clock.now_ms() >= self._deadline_ms(call, choice, attempt):
+            now_ms = self._clock.now_ms()
+            if now_ms >= self._deadline_ms(call, choice, attempt):
                 return SendResult(
                     self._timeout_outcome(call, attempt),
                     stalled=True,
-                    path_latency_ms=choice.view.path_latency_ms(
-                        self._clock.now_ms()
-                    ),
+                    silent_ms=now_ms - attempt.progress_ms,
+                    path_latency_ms=choice.view.path_latency_ms(now_ms),
                 )
             # A request that has begun may still succeed and be cleared.
             if not attempt.begun and self._is_blocked(call):
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -341,6 +341,25 @@
         self._totals.add(counters.CounterName.REFUSALS, error.kind.value)
         logs.log("request_unreadable", kind=error.kind.value)
 
+    def unanswered(
+        self,
+        request: http1_server.Request,
+        reason: http1_server.UnansweredReason,
+    ) -> None:
+        """Counts and logs a request that gets no complete answer."""
+        self._totals.add(counters.CounterName.UNANSWERED, reason.value)
+        event = "request_unanswered"
+        if reason is http1_server.UnansweredReason.CALLER_LEFT:
+            # A routine event, whose lines are limited.
+            event = "caller_left"
+        waited_ms = self._clock.now_ms() - request.first_byte_ms
+        logs.log(
+            event,
+            request=headers.request_id(request),
+            reason=reason.value,
+            waited_ms=round(waited_ms),
+        )
+
     # Addresses.
 
     def _is_ready(self) -> bool:
--- a/src/marlramp/direct/page_server.py
+++ b/src/marlramp/direct/page_server.py
@@ -122,6 +122,18 @@
         """Logs a request that could not be parsed."""
         logs.log("side_call_unreadable", kind=error.kind.value)
 
+    def unanswered(
+        self,
+        request: http1_server.Request,
+        reason: http1_server.UnansweredReason,
+    ) -> None:
+        """Logs a request that gets no complete answer."""
+        logs.log(
+            "side_call_unanswered",
+            reason=reason.value,
+            path=request.target.partition(b"?")[0].decode("latin-1"),
+        )
+
     async def _answer(
         self,
         request: http1_server.Request,
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -73,6 +73,11 @@
 )
 
 
+def request_id(request: http1_server.Request) -> ids.RequestId:
+    """Returns the id of a caller's request, "" if it has none."""
+    return ids.RequestId(request.header(_REQUEST_ID))
+
+
 class PlatformCallCodec:
     """Implements `CallCodec` for the platform's headers."""
 
@@ -83,7 +88,7 @@
         wait = request.header(_WAIT_MS)
         path, _, _ = request.target.partition(b"?")
         return wire.RequestInfo(
-            request_id=ids.RequestId(request.header(_REQUEST_ID)),
+            request_id=request_id(request),
             host=_host(request.header(b"host")),
             path=path.decode("latin-1"),
             authorization=request.header(b"authorization"),
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -13,6 +13,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import enum
 from typing import Protocol
 from typing import TypeAlias
 
@@ -80,6 +81,22 @@
         return ""
 
 
+class UnansweredReason(enum.Enum):
+    """Why a connection ended before a complete request was answered.
+
+    Attributes:
+      CALLER_LEFT: the caller closed the connection.
+      HANDLER_FAILED: the handler ended without a complete response.
+      QUEUE_FULL: too many pipelined requests were queued on the connection.
+      CLOSED: the server closed the connection for another request.
+    """
+
+    CALLER_LEFT = "caller_left"
+    HANDLER_FAILED = "handler_failed"
+    QUEUE_FULL = "queue_full"
+    CLOSED = "closed"
+
+
 class Gate(Protocol):
     """Interface of the server to the process that runs it."""
 
@@ -96,6 +113,10 @@
         """Counts and logs a request that was rejected while being read."""
         ...
 
+    def unanswered(self, request: Request, reason: UnansweredReason) -> None:
+        """Counts and logs a complete request that gets no complete answer."""
+        ...
+
 
 Handler: TypeAlias = Callable[[Request, "Responder"], Awaitable[None]]
 
@@ -183,6 +204,8 @@
         self._reset_message()
         self._queued: collections.deque[Request] = collections.deque()
         self._task: asyncio.Task[None] | None = None
+        self._serving: Request | None = None
+        self._closed = False
         self._timer: asyncio.TimerHandle | None = None
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
@@ -211,11 +234,13 @@
 
     def abort(self) -> None:
         """Aborts the connection, discarding unsent data."""
+        self._closed = True
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Closes the connection after flushing written data."""
+        self._closed = True
         if self._transport is not None:
             self._transport.close()
 
@@ -266,6 +291,13 @@
         """Cancels the handler of a caller that disconnected."""
         self._connections.discard(self)
         self._cancel_timer()
+        reason = UnansweredReason.CALLER_LEFT
+        if self._closed:
+            reason = UnansweredReason.CLOSED
+        if self._serving is not None:
+            self._gate.unanswered(self._serving, reason)
+        for request in self._queued:
+            self._gate.unanswered(request, reason)
         self._queued.clear()
         if self._task is not None:
             self._task.cancel()
@@ -330,6 +362,7 @@
             keep_alive=self._parser.should_keep_alive(),
         )
         if len(self._queued) >= PIPELINED_MAX:
+            self._gate.unanswered(request, UnansweredReason.QUEUE_FULL)
             raise errors.CallError(errors.ErrorKind.QUEUE_FULL)
         self._queued.append(request)
         self._start_next()
@@ -358,6 +391,7 @@
             )
             return
         request = self._queued.popleft()
+        self._serving = request
         self._task = asyncio.get_running_loop().create_task(
             self._serve(request)
         )
@@ -370,8 +404,10 @@
             return
         finally:
             self._task = None
+            self._serving = None
             self._pause = self._resume = None
         if not responder.ended:
+            self._gate.unanswered(request, UnansweredReason.HANDLER_FAILED)
             self.abort()
         elif self.ends_after(request):
             self.close()
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -210,6 +210,7 @@
         )
         self.entries = 1
         self.closing = False
+        self.unanswered_reasons: list[http1_server.UnansweredReason] = []
         self.catalog = catalog.Catalog()
         self.table = replica_table.ReplicaTable()
         self.time = SuspendedClock()
@@ -278,6 +279,14 @@
     def refused(self, error: errors.CallError) -> None:
         """Ignores requests that could not be parsed."""
 
+    def unanswered(
+        self,
+        request: http1_server.Request,
+        reason: http1_server.UnansweredReason,
+    ) -> None:
+        """Collects why requests got no complete answer."""
+        self.unanswered_reasons.append(reason)
+
     async def _probe(self, address: str) -> address_probe.Presence:
         """Probes a replica, or returns what the test has set."""
         if self.presence is not None:
--- a/tests/shell/test_http1_server.py
+++ b/tests/shell/test_http1_server.py
@@ -27,6 +27,7 @@
     def __init__(self) -> None:
         self.closing = False
         self.refusals: list[errors.ErrorKind] = []
+        self.unanswered_reasons: list[http1_server.UnansweredReason] = []
 
     def limits(self) -> fleet.CallerLimits:
         return LIMITS
@@ -34,6 +35,13 @@
     def refused(self, error: errors.CallError) -> None:
         self.refusals.append(error.kind)
 
+    def unanswered(
+        self,
+        request: http1_server.Request,
+        reason: http1_server.UnansweredReason,
+    ) -> None:
+        self.unanswered_reasons.append(reason)
+
 
 async def echo(
     request: http1_server.Request, responder: http1_server.Responder
@@ -201,3 +209,51 @@
         return b""
 
     run_conversation(conversation, slow)
+
+
+async def answer_half(
+    _: http1_server.Request, responder: http1_server.Responder
+) -> None:
+    """Ends before its response is complete."""
+    responder.start(200, [], None)
+
+
+async def answer_late(
+    _: http1_server.Request, responder: http1_server.Responder
+) -> None:
+    """Answers after the caller has left."""
+    await asyncio.sleep(0.3)
+    responder.answer(200, [], b"")
+
+
+@pytest.mark.parametrize(
+    ("handler", "reasons"),
+    [
+        (echo, []),
+        (
+            answer_half,
+            [
+                http1_server.UnansweredReason.HANDLER_FAILED,
+                http1_server.UnansweredReason.CLOSED,
+            ],
+        ),
+        (answer_late, [http1_server.UnansweredReason.CALLER_LEFT] * 2),
+    ],
+)
+def test_request_without_an_answer_is_reported_with_its_reason(
+    handler: http1_server.Handler,
+    reasons: list[http1_server.UnansweredReason],
+) -> None:
+    gate = FakeGate()
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(GET + GET)
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.sleep(0.05)
+        return b""
+
+    run_conversation(conversation, handler, gate)
+    assert gate.unanswered_reasons == reasons
