A silent replica keeps its request until another one has taken it

Callers of a sound replica that stopped sending for 1.2 s were cut off in the middle of a stream, or got 502, though the replica would have finished: with no other replica, with the retry budget spent, with another one that refused.

Cause: silence counted as a loss. An attempt was ended after 900 ms without an event (a plain one after 0.4 of its time), and only then did the forwarder ask whether a retry was allowed and whether any replica took it.

Silence now ends nothing. It is the time to send the request to another replica as well, if the route, the number of replicas and the retry budget allow it and another replica can take it; the budget is spent only with that send. The first attempt that has the next events forwards them, and the others end at once: attempts forward through one relay, each splits its own events, and one that is overtaken can neither forward nor complete the stream. An attempt still ends with the request's time, or when its version may no longer begin it.

--- a/src/marlramp/core/requests/attempt_timeouts.py
+++ b/src/marlramp/core/requests/attempt_timeouts.py
@@ -1,5 +1,9 @@
 """Timeouts of a single attempt at a replica.
 
+A silent replica keeps its request: silence is the time to try another replica
+as well, and ends nothing. An attempt ends with its request's time, or when its
+replica may no longer begin it.
+
 Load pattern: replicas that hang or stop sending, engines with long queues, and
 versions that become mandatory while requests wait in such a queue.
 """
@@ -9,25 +13,25 @@
 import msgspec
 
 STALL_FLOOR_MS = 900.0
-"""Time without an event after which a stream is retried at another replica:
-more than twice the longest pause that counts as on time. Before the first
-event, the time counts from when the replica last answered any request. A
-replica that serves others has the request in its queue, and a retry elsewhere
-would have its prompt read twice just when engines are full (130 of 520
-requests in the two seconds after a loss of all power)."""
+"""Time without an event after which a stream's replica counts as silent: more
+than twice the longest pause that counts as on time. Before the first event, the
+time counts from when the replica last answered any request. A replica that
+serves others has the request in its queue, and a second attempt elsewhere would
+have its prompt read twice just when engines are full (130 of 520 requests in
+the two seconds after a loss of all power)."""
 
 FIRST_EVENT_SHARE = 0.7
-"""Part of the caller's stream gap timeout after which a request without a
-first event is retried elsewhere, even if its replica serves other requests:
-the request may hang there."""
+"""Part of the caller's stream gap timeout after which a replica without a
+first event counts as silent, even if it serves other requests: the request may
+hang there."""
 
 FIRST_EVENT_FACTOR = 2.5
 """Multiple of the predicted time to the first event before which a request is
 not considered to hang at a replica that serves other requests."""
 
 PLAIN_STALL_SHARE = 0.4
-"""Part of the caller's time after which a plain idempotent request is retried
-elsewhere."""
+"""Part of the caller's time after which the replica of a plain idempotent
+request counts as silent."""
 
 
 class PendingAttempt(msgspec.Struct, frozen=True, kw_only=True):
@@ -36,7 +40,7 @@
     Attributes:
       streaming: whether the answer is a stream.
       begun: whether a first event has arrived.
-      may_repeat: whether the request may be sent to another replica.
+      may_repeat: whether the request may run at another replica as well.
       received_ms: when the caller's request arrived.
       ends_ms: when the timeout of the caller or of the route expires.
       progress_ms: when data last arrived, or else when the request was sent.
@@ -66,12 +70,20 @@
     not it can be retried: if it began later on a replica with the old version,
     the guarantee that the new version is in force would be broken.
     """
-    ends_ms = attempt.ends_ms
-    if not attempt.begun:
-        ends_ms = min(ends_ms, attempt.begins_until_ms)
+    if attempt.begun:
+        return attempt.ends_ms
+    return min(attempt.ends_ms, attempt.begins_until_ms)
+
+
+def silent_from_ms(attempt: PendingAttempt) -> float:
+    """Returns from when the replica counts as silent if it sends nothing.
+
+    Returns:
+      A clock reading, infinite if the request may not be repeated.
+    """
     if not attempt.may_repeat:
-        return ends_ms
-    return min(ends_ms, attempt.progress_ms + _stall_ms(attempt))
+        return float("inf")
+    return attempt.progress_ms + _stall_ms(attempt)
 
 
 def _stall_ms(attempt: PendingAttempt) -> float:
--- a/src/marlramp/core/requests/event_stream.py
+++ b/src/marlramp/core/requests/event_stream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 EVENT_BYTES_MAX = 1_048_576
 """Largest part of an event that is held back."""
 
@@ -13,30 +15,38 @@
     """An event exceeds `EVENT_BYTES_MAX`."""
 
 
+class Events(msgspec.Struct, frozen=True):
+    """Complete events of a stream.
+
+    Attributes:
+      data: the events, byte for byte; empty without any.
+      count: number of those with an id.
+      last_id: id of the last of these, "" without one.
+    """
+
+    data: bytes = b""
+    count: int = 0
+    last_id: str = ""
+
+
 class EventSplitter:
     """Holds back the part of an event whose end has not arrived.
 
     A replica may stop in the middle of an event. Since only complete events
     are forwarded, another replica can continue the stream.
-
-    Attributes:
-      last_id: id of the last complete event, "" before the first.
-      events: number of complete events with an id.
     """
 
     def __init__(self) -> None:
         """Starts before the first event."""
         self._buffer = b""
-        self.last_id = ""
-        self.events = 0
 
     @property
     def partial(self) -> bool:
         """Whether an event has begun and not ended."""
         return bool(self._buffer)
 
-    def feed(self, data: bytes) -> bytes:
-        """Returns the events that `data` completes, byte for byte.
+    def feed(self, data: bytes) -> Events:
+        """Returns the events that `data` completes.
 
         Raises:
           EventTooLargeError: if an incomplete event exceeds `EVENT_BYTES_MAX`.
@@ -46,20 +56,19 @@
         if end == 0:
             if len(self._buffer) > EVENT_BYTES_MAX:
                 raise EventTooLargeError
-            return b""
+            return Events()
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        self._record_ids(complete)
-        return complete
+        return _events_of(complete)
 
-    def reset(self) -> None:
-        """Drops a partial event before another replica continues the stream."""
-        self._buffer = b""
 
-    def _record_ids(self, complete: bytes) -> None:
-        for line in complete.splitlines():
-            if line.startswith(_ID_FIELD):
-                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
-                self.events += 1
+def _events_of(complete: bytes) -> Events:
+    ids = [
+        line[len(_ID_FIELD) :].strip()
+        for line in complete.splitlines()
+        if line.startswith(_ID_FIELD)
+    ]
+    last_id = ids[-1].decode("latin-1") if ids else ""
+    return Events(complete, len(ids), last_id)
 
 
 def _end_of_last(buffer: bytes, mark: bytes) -> int:
--- a/src/marlramp/core/requests/retries.py
+++ b/src/marlramp/core/requests/retries.py
@@ -18,6 +18,7 @@
     VERSION_NOT_READY = "version_not_ready"
     UPSTREAM_FAILED = "upstream_failed"
     UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_SILENT = "upstream_silent"
     ANSWER_INCOMPLETE = "answer_incomplete"
     ANSWER_INVALID = "answer_invalid"
     VERSION_CHANGED = "version_changed"
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -20,6 +20,7 @@
     ENGINE_ORDERS = "marlramp_engine_orders"
     PLATFORM_READS = "marlramp_platform_reads"
     REQUESTS = "marlramp_requests"
+    SILENCES = "marlramp_replica_silences"
     UNANSWERED = "marlramp_requests_unanswered"
     LINK_BYTES = "marlramp_link_bytes"
     LINK_MESSAGES = "marlramp_link_messages"
--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -35,6 +35,8 @@
       body: complete body of a plain answer, empty for a stream.
       loss: how the connection was lost, None if it was not lost.
       streamed: whether the answer is a stream, whose events were forwarded.
+      overtaken: whether another attempt at the request has forwarded events
+        since, so that this one has no more use.
     """
 
     failure: errors.CallError | None
@@ -42,6 +44,7 @@
     body: bytes = b""
     loss: http1_client.LossKind | None = None
     streamed: bool = False
+    overtaken: bool = False
 
 
 class Observer(Protocol):
@@ -69,6 +72,16 @@
     return Outcome(failure=failure, loss=kind)
 
 
+def overtaken() -> Outcome:
+    """Returns the outcome of an attempt that another one has overtaken."""
+    failure = errors.CallError(
+        errors.ErrorKind.CANCELLED,
+        "another attempt has taken the request",
+        ran=errors.Ran.UNKNOWN,
+    )
+    return Outcome(failure=failure, overtaken=True)
+
+
 def _failure(kind: errors.ErrorKind, detail: str, ran: errors.Ran) -> Outcome:
     return Outcome(failure=errors.CallError(kind, detail, ran=ran))
 
@@ -82,6 +95,8 @@
         first, when the attempt was created.
       begun: whether a first event or a plain answer that is no failure has
         arrived.
+      overtaken: whether another attempt has forwarded events since; False for
+        a plain request.
     """
 
     def __init__(
@@ -104,6 +119,7 @@
         )
         self.progress_ms = time.now_ms()
         self.begun = False
+        self.overtaken = False
 
     @property
     def answer(self) -> wire.ReplicaAnswer | None:
@@ -216,9 +232,12 @@
 class StreamRelay:
     """Forwards the events of a stream to its caller, over all attempts.
 
+    Several attempts may run at the same time. The first one that has the next
+    events forwards them; the others are overtaken and end.
+
     Attributes:
-      splitter: splits the data into complete events, and counts the events
-        that were forwarded.
+      events: number of events with an id that were forwarded.
+      last_id: id of the last event that was forwarded, "" before the first.
       forwarded_ms: clock reading when events were last forwarded, minus
         infinity before the first.
       longest_gap_ms: longest time between two times at which events were
@@ -231,38 +250,44 @@
         """Creates a relay that writes events to `responder`."""
         self._responder = responder
         self._clock = time
+        self._attempts: list[StreamAttempt] = []
+        self.events = 0
+        self.last_id = ""
         self.forwarded_ms = float("-inf")
         self.longest_gap_ms = 0.0
-        self.splitter = event_stream.EventSplitter()
 
     @property
     def started(self) -> bool:
         """Whether the head of the answer was sent to the caller."""
         return self._responder.started
 
-    def forward(self, answer: wire.ReplicaAnswer, data: bytes) -> bool:
-        """Forwards complete events; returns whether there were any.
+    def join(self, attempt: StreamAttempt) -> None:
+        """Adds an attempt that continues after the last forwarded event."""
+        self._attempts.append(attempt)
+
+    def leave(self, attempt: StreamAttempt) -> None:
+        """Removes an attempt that has ended."""
+        if attempt in self._attempts:
+            self._attempts.remove(attempt)
+
+    def forward(
+        self,
+        source: StreamAttempt,
+        answer: wire.ReplicaAnswer,
+        events: event_stream.Events,
+    ) -> None:
+        """Forwards complete events of an attempt that was not overtaken.
 
         The head is sent with the first event, so that a stream that fails
         before its first event can start again at another replica.
-
-        Raises:
-          EventTooLargeError: if an event is too large.
         """
-        events = self.splitter.feed(data)
-        if not events:
-            return False
         if not self._responder.started:
             self._responder.start(answer.status, answer.headers, None)
-        self._responder.write(events)
+        self._responder.write(events.data)
+        self.events += events.count
+        self.last_id = events.last_id or self.last_id
         self._record_forwarded(self._clock.now_ms())
-        return True
-
-    def _record_forwarded(self, now_ms: clock.Millis) -> None:
-        if self.forwarded_ms > float("-inf"):
-            gap_ms = now_ms - self.forwarded_ms
-            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
-        self.forwarded_ms = now_ms
+        self._overtake_others(source)
 
     def end(self, answer: wire.ReplicaAnswer) -> None:
         """Ends the stream; sends the head if there were no events."""
@@ -270,6 +295,18 @@
             self._responder.start(answer.status, answer.headers, None)
         self._responder.end()
 
+    def _overtake_others(self, source: StreamAttempt) -> None:
+        others = [other for other in self._attempts if other is not source]
+        self._attempts = [source]
+        for other in others:
+            other.overtake()
+
+    def _record_forwarded(self, now_ms: clock.Millis) -> None:
+        if self.forwarded_ms > float("-inf"):
+            gap_ms = now_ms - self.forwarded_ms
+            self.longest_gap_ms = max(self.longest_gap_ms, gap_ms)
+        self.forwarded_ms = now_ms
+
 
 class StreamAttempt(Attempt):
     """An attempt that forwards events to the caller as they arrive."""
@@ -285,7 +322,14 @@
         """Creates an attempt that continues the stream of `relay`."""
         super().__init__(codec, call, observer, time)
         self._relay = relay
+        self._splitter = event_stream.EventSplitter()
         self._streams = False
+        relay.join(self)
+
+    def overtake(self) -> None:
+        """Ends the attempt, since another one has forwarded events."""
+        self.overtaken = True
+        self._finish(overtaken())
 
     def on_head(self, head: http1_client.ResponseHead) -> None:
         """Detects whether the answer is a stream or plain, as a refusal is."""
@@ -308,7 +352,7 @@
             return
         self.progress_ms = self._clock.now_ms()
         try:
-            forwarded = self._relay.forward(self._answer, data)
+            events = self._splitter.feed(data)
         except event_stream.EventTooLargeError:
             self._finish(
                 _failure(
@@ -318,7 +362,8 @@
                 )
             )
             return
-        if forwarded:
+        if events.data:
+            self._relay.forward(self, self._answer, events)
             self._record_first()
             self._observer.on_event()
 
@@ -331,7 +376,14 @@
             super().on_complete()
             return
         empty = not self._answer.delimited and not self._relay.started
-        if self._relay.splitter.partial or empty:
+        if self._splitter.partial or empty:
             self.on_lost(http1_client.LossKind.CLOSED)
             return
         self._finish(Outcome(failure=None, answer=self._answer, streamed=True))
+
+    def _finish(self, outcome: Outcome) -> None:
+        # An attempt that has ended as complete may still be overtaken while
+        # its end is verified.
+        if outcome.failure is not None:
+            self._relay.leave(self)
+        super()._finish(outcome)
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -11,6 +11,7 @@
 from marlramp.core.requests import caller_timeout
 from marlramp.core.requests import request_fingerprint
 from marlramp.direct.calls import attempts
+from marlramp.direct.calls import backpressure
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_server
 
@@ -41,6 +42,7 @@
       spent_ms: least time that the caller has spent on earlier attempts at
         the request.
       relay: forwards the events of a stream to the caller.
+      backpressure: stops reading from replicas while the caller can't keep up.
       ends_ms: clock reading at which the request times out, for its caller or
         its route.
       sends: number of replicas that the request was sent to.
@@ -75,6 +77,7 @@
         self.responder = responder
         self.spent_ms = spent_ms
         self.relay = attempts.StreamRelay(responder, time)
+        self.backpressure = backpressure.Backpressure(responder)
         wait_ms = route.timeout_ms
         if info.wait_ms is not None:
             wait_ms = min(wait_ms, info.wait_ms)
@@ -117,7 +120,7 @@
         tokens = float(self.info.output_tokens_max)
         if self.info.output_tokens_hint:
             tokens = min(tokens, HINT_FACTOR * self.info.output_tokens_hint)
-        expected = tokens / engine.steps_per_pass - self.relay.splitter.events
+        expected = tokens / engine.steps_per_pass - self.relay.events
         return max(EVENTS_LEFT_MIN, expected)
 
     def left_ms(self, now_ms: clock.Millis) -> float:
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -28,6 +28,7 @@
 from marlramp.direct.calls import own_answers
 from marlramp.direct.calls import rate_limits
 from marlramp.direct.calls import replica_signals
+from marlramp.direct.calls import running_attempts
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
 from marlramp.direct.calls import wire
@@ -248,40 +249,167 @@
     # Attempts and retries.
 
     async def _run(self, call: call_module.Call) -> None:
-        while True:
-            self._refuse_blocked(call)
-            call.suspected = self._crashes.runs_alone(call.causes)
-            choice = await self._selector.choose(call)
-            result = await self._sender.send(call, choice)
-            if result.unsent:
-                self._totals.add(counters.CounterName.REPLICA_PAUSES, "unsent")
-                continue
-            failure = result.outcome.failure
-            if failure is None:
-                self._succeed(call, result, choice)
-                return
-            self._record_failure(call, choice, failure, result)
-            await self._check_for_crash(call, result, choice)
-            # Lets the cancellation by a caller that has left take effect first.
-            await asyncio.sleep(0)
-            reason = self._try_retry(call, failure)
-            if isinstance(reason, retries.RetryDenial):
-                self._end_failed(call, result.outcome, reason)
-                return
+        async with running_attempts.RunningAttempts() as running:
+            await self._start_attempt(call, running)
+            while True:
+                ended = await running.wait()
+                if ended is None:
+                    await self._relieve_silent(call, running)
+                    continue
+                result = ended.task.result()
+                if result.overtaken:
+                    self._count_silence(ended, "taken_over")
+                    continue
+                if result.outcome.failure is None:
+                    self._count_silence(ended, "resumed")
+                    self._succeed(call, result, ended.choice)
+                    return
+                if not await self._continue_after(call, running, ended, result):
+                    return
+
+    async def _start_attempt(
+        self,
+        call: call_module.Call,
+        running: running_attempts.RunningAttempts,
+    ) -> None:
+        """Sends the request to a replica.
+
+        Raises:
+          CallError: if no replica can accept it in time.
+        """
+        self._refuse_blocked(call)
+        call.suspected = self._crashes.runs_alone(call.causes)
+        choice = await self._selector.choose(call)
+        self._start_at(call, running, choice)
+
+    def _start_at(
+        self,
+        call: call_module.Call,
+        running: running_attempts.RunningAttempts,
+        choice: upstream_choice.Choice,
+    ) -> None:
+        running.start(
+            choice, lambda monitor: self._sender.send(call, choice, monitor)
+        )
+
+    async def _continue_after(
+        self,
+        call: call_module.Call,
+        running: running_attempts.RunningAttempts,
+        ended: running_attempts.RunningAttempt,
+        result: sender.SendResult,
+    ) -> bool:
+        """Goes on after an attempt without an answer for the caller.
+
+        Returns:
+          Whether any attempt runs; otherwise, the call has ended.
+
+        Raises:
+          CallError: if the call ends without an answer by a replica.
+        """
+        failure = result.outcome.failure
+        if result.unsent:
+            self._totals.add(counters.CounterName.REPLICA_PAUSES, "unsent")
+        elif failure is not None:
+            self._record_failure(call, ended, failure, result)
+            await self._check_for_crash(call, result, ended.choice)
+        # Lets the cancellation by a caller that has left take effect first.
+        await asyncio.sleep(0)
+        if running:
+            await self._relieve_silent(call, running)
+            return True
+        if result.unsent or failure is None:
+            await self._start_attempt(call, running)
+            return True
+        reason = self._try_retry(call, failure)
+        if isinstance(reason, retries.RetryDenial):
+            self._end_failed(call, result.outcome, reason)
+            return False
+        self._totals.add(counters.CounterName.RETRIES, reason.value)
+        await self._start_attempt(call, running)
+        return True
+
+    async def _relieve_silent(
+        self,
+        call: call_module.Call,
+        running: running_attempts.RunningAttempts,
+    ) -> None:
+        """Sends a request to another replica while all that have it are silent.
+
+        The silent replicas keep the request. Nothing changes if no other
+        replica may or can take it.
+        """
+        if not running.all_silent:
+            return
+        for attempt in running.silent:
+            self._count_silent(call, attempt)
+        reason = retries.RetryReason.UPSTREAM_SILENT
+        if self._retry_denial(call) or self._crashes.is_blocked(call.causes):
+            return
+        try:
+            choice = await running.first(self._selector.choose(call))
+        except errors.CallError as refusal:
+            logs.log(
+                "silent_request_refused",
+                request=call.info.request_id,
+                kind=refusal.kind.value,
+                detail=refusal.detail,
+            )
+            return
+        # The replica may have gone on meanwhile.
+        if choice is None or not running.all_silent:
+            return
+        if self._spend_retry(call) is None:
             self._totals.add(counters.CounterName.RETRIES, reason.value)
+            self._start_at(call, running, choice)
+
+    def _count_silent(
+        self,
+        call: call_module.Call,
+        attempt: running_attempts.RunningAttempt,
+    ) -> None:
+        """Counts a silent replica, once, as one that may run the request."""
+        if attempt.counted:
+            return
+        attempt.counted = True
+        replica_id = attempt.choice.view.replica.replica_id
+        call.failed.add(replica_id)
+        call.runs += 1
+        call.maybe_ran = True
+        self._totals.add(counters.CounterName.SILENCES, "began")
+        logs.log(
+            "replica_silent",
+            request=call.info.request_id,
+            replica=replica_id,
+            events=call.relay.events,
+            left_ms=round(call.left_ms(self._clock.now_ms())),
+        )
+
+    def _count_silence(
+        self, attempt: running_attempts.RunningAttempt, end: str
+    ) -> None:
+        """Counts how the attempt at a replica that was silent has ended."""
+        if attempt.counted:
+            self._totals.add(counters.CounterName.SILENCES, end)
 
     def _try_retry(
         self, call: call_module.Call, failure: errors.CallError
     ) -> retries.RetryReason | retries.RetryDenial:
         """Spends a retry, or returns why the request is not retried."""
-        repeatable = call.route.repeatable
-        reason = retries.retry_reason(failure, idempotent=repeatable)
-        now_ms = self._clock.now_ms()
+        reason = retries.retry_reason(failure, idempotent=call.route.repeatable)
         if reason is None:
             return retries.RetryDenial.UNSAFE
-        if call.sends >= SENDS_WITH_PAUSES_MAX:
-            return retries.RetryDenial.SENDS
-        if call.sends - call.pauses >= SENDS_MAX:
+        return self._retry_denial(call) or self._spend_retry(call) or reason
+
+    def _retry_denial(
+        self, call: call_module.Call
+    ) -> retries.RetryDenial | None:
+        """Returns why a request is not retried whatever the retry budget."""
+        now_ms = self._clock.now_ms()
+        if (
+            call.sends >= SENDS_WITH_PAUSES_MAX
+            or call.sends - call.pauses >= SENDS_MAX
+        ):
             return retries.RetryDenial.SENDS
         if call.runs >= call.route.attempts_max and call.maybe_ran:
             return retries.RetryDenial.SENDS
@@ -291,24 +419,33 @@
             denial = retries.RetryDenial.SUSPECTED
             self._totals.add(counters.CounterName.REFUSALS, denial.value)
             return denial
+        return None
+
+    def _spend_retry(
+        self, call: call_module.Call
+    ) -> retries.RetryDenial | None:
+        """Spends a retry of the shared budget; returns why it can't."""
         share = self._retry_share(call.service.service_id)
-        if not share.try_spend(self._state.entries, now_ms):
-            denial = retries.RetryDenial.BUDGET
-            self._totals.add(counters.CounterName.REFUSALS, denial.value)
-            return denial
-        return reason
+        if share.try_spend(self._state.entries, self._clock.now_ms()):
+            return None
+        denial = retries.RetryDenial.BUDGET
+        self._totals.add(counters.CounterName.REFUSALS, denial.value)
+        return denial
 
     def _record_failure(
         self,
         call: call_module.Call,
-        choice: upstream_choice.Choice,
+        attempt: running_attempts.RunningAttempt,
         failure: errors.CallError,
         result: sender.SendResult,
     ) -> None:
+        choice = attempt.choice
         answer = result.outcome.answer
         call.failed.add(choice.view.replica.replica_id)
+        self._count_silence(attempt, "lost")
         if failure.ran is not errors.Ran.NO:
-            call.runs += 1
+            if not attempt.counted:
+                call.runs += 1
             call.maybe_ran = True
         elif choice.view.availability.is_paused(self._clock.now_ms()):
             call.pauses += 1
@@ -387,7 +524,7 @@
             fingerprint=call.causes.content,
             replica=choice.view.replica.replica_id,
             parts=",".join(call.info.shared_parts),
-            events=call.relay.splitter.events,
+            events=call.relay.events,
             delimited=answer is None or answer.delimited,
             status=0 if answer is None else answer.status,
             sends=call.sends,
@@ -421,7 +558,7 @@
             logs.log(
                 "stream_broken",
                 request=call.info.request_id,
-                events=call.relay.splitter.events,
+                events=call.relay.events,
                 left_ms=round(call.left_ms(self._clock.now_ms())),
                 not_retried=denial.value,
             )
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -53,6 +53,7 @@
         self._latest_ms = float("-inf")
         self.first_event_ms: float | None = None
         self.survived = False
+        self._was_silent = False
         view.record_sent(prompt_tokens, time.now_ms(), choice.position)
 
     def on_answer(self, answer: wire.ReplicaAnswer) -> None:
@@ -87,6 +88,11 @@
         self._latest_ms = self._clock.now_ms()
         self._view.heard_ms = self._latest_ms
 
+    def record_silence(self) -> None:
+        """Records that the replica has sent nothing for too long."""
+        self._was_silent = True
+        self._view.record_incomplete(self._clock.now_ms())
+
     @property
     def begun_ms(self) -> clock.Millis | None:
         """Clock reading at the first event, None without any."""
@@ -122,7 +128,7 @@
             self._back_off(outcome, now_ms)
         elif outcome.answer is not None:
             self._view.record_error(now_ms)
-        else:
+        elif not self._was_silent:
             self._view.record_incomplete(now_ms)
 
     def record_abandoned(self) -> None:
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -78,6 +78,8 @@
     Attributes:
       outcome: how the attempt ended.
       stalled: whether the attempt timed out.
+      overtaken: whether another attempt has forwarded events of the stream
+        since; the replica is not at fault.
       withdrawn: whether the request was withdrawn because it was blocked; the
         replica is not at fault.
       unsent: whether the request was not written because the replica had
@@ -94,6 +96,7 @@
     outcome: attempts.Outcome
     stalled: bool = False
     withdrawn: bool = False
+    overtaken: bool = False
     unsent: bool = False
     first_event_ms: float | None = None
     writing_ms: float | None = None
@@ -146,6 +149,26 @@
         ...
 
 
+class AttemptMonitor(Protocol):
+    """Is notified of the progress of one attempt."""
+
+    @property
+    def silent(self) -> bool:
+        """Whether the replica was silent for too long and still is."""
+        ...
+
+    def begin(self, attempt: attempts.Attempt) -> None:
+        """Records that the request is being written."""
+        ...
+
+    def record_silence(self, now_ms: clock.Millis) -> None:
+        """Records that the replica has sent nothing for too long.
+
+        It is called again while the silence lasts.
+        """
+        ...
+
+
 class Sender:
     """Sends calls to replicas and owns the connections to them."""
 
@@ -190,9 +213,18 @@
                 pool.close()
 
     async def send(
-        self, call: call_module.Call, choice: upstream_choice.Choice
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        monitor: AttemptMonitor,
     ) -> SendResult:
-        """Sends a call to the selected replica and returns the result."""
+        """Sends a call to the selected replica and returns the result.
+
+        Args:
+          call: the call; other attempts at it may run at the same time.
+          choice: the replica.
+          monitor: is notified when the replica falls silent.
+        """
         view = choice.view
         call.sends += 1
         observer = replica_observer.ReplicaObserver(
@@ -234,8 +266,9 @@
                 return SendResult(_unsent(), unsent=True)
             view.record_written(now_ms)
             path_latency_ms = view.path_latency_ms(now_ms)
-            result = await self._exchange(call, choice, connection, observer)
-            await self._check_end(call, choice, result, observer)
+            result = await self._exchange(
+                call, choice, connection, observer, monitor
+            )
             result.path_latency_ms = max(
                 result.path_latency_ms, path_latency_ms
             )
@@ -243,12 +276,16 @@
             observer.record_abandoned()
             if connection is not None:
                 connection.abort()
+            if monitor.silent:
+                pool.close()
             raise
-        if result.withdrawn:
+        if result.withdrawn or result.overtaken:
             observer.record_abandoned()
             connection.abort()
+            if monitor.silent:
+                pool.close()
             return result
-        events = call.relay.splitter.events if call.route.streaming else None
+        events = call.relay.events if call.route.streaming else None
         observer.record_end(result.outcome, events)
         result.first_event_ms = observer.first_event_ms
         result.writing_ms = observer.writing_ms
@@ -302,34 +339,63 @@
         choice: upstream_choice.Choice,
         connection: http1_client.ReplicaConnection,
         observer: replica_observer.ReplicaObserver,
+        monitor: AttemptMonitor,
     ) -> SendResult:
         attempt = self._new_attempt(call, observer)
         dispatch = self._dispatch(call, choice)
         head = self._codec.head(call.request, dispatch)
-        call.responder.on_pressure(connection.pause, connection.resume)
-        connection.send(call.request.method, head, call.request.body, attempt)
+        call.backpressure.add(connection)
+        try:
+            monitor.begin(attempt)
+            connection.send(
+                call.request.method, head, call.request.body, attempt
+            )
+            result = await self._wait(call, choice, attempt, observer, monitor)
+            await self._check_end(call, choice, attempt, result, observer)
+        finally:
+            call.backpressure.remove(connection)
+        return result
+
+    async def _wait(
+        self,
+        call: call_module.Call,
+        choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
+        observer: replica_observer.ReplicaObserver,
+        monitor: AttemptMonitor,
+    ) -> SendResult:
+        """Returns the result of an attempt whose request was written."""
         while True:
             choice = self._rules.with_cutoffs(call, choice)
             if self._nears_withdrawal(call, choice, attempt):
                 pool = self._pool(choice.view.replica)
                 self._probes.check(choice.view, pool)
-            deadline_ms = self._deadline_ms(call, choice, attempt)
-            wait_ms = deadline_ms - self._clock.now_ms()
-            wait_ms = min(
-                wait_ms, self._check_interval_ms(call, choice, attempt)
-            )
-            if wait_ms > 0:
-                await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
+            wait_ms = self._check_interval_ms(call, choice, attempt)
+            pending = self._pending(call, choice, attempt)
+            now_ms = self._clock.now_ms()
+            for until_ms in (
+                attempt_timeouts.deadline_ms(pending),
+                attempt_timeouts.silent_from_ms(pending),
+            ):
+                if until_ms > now_ms:
+                    wait_ms = min(wait_ms, until_ms - now_ms)
+            await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
-                return SendResult(attempt.finished.result())
+                outcome = attempt.finished.result()
+                return SendResult(outcome, overtaken=outcome.overtaken)
             now_ms = self._clock.now_ms()
-            if now_ms >= self._deadline_ms(call, choice, attempt):
+            pending = self._pending(call, choice, attempt)
+            if now_ms >= attempt_timeouts.deadline_ms(pending):
                 return SendResult(
                     self._timeout_outcome(call, attempt),
                     stalled=True,
                     silent_ms=now_ms - attempt.progress_ms,
                     path_latency_ms=choice.view.path_latency_ms(now_ms),
                 )
+            if now_ms >= attempt_timeouts.silent_from_ms(pending):
+                if not monitor.silent:
+                    observer.record_silence()
+                monitor.record_silence(now_ms)
             # A request that has begun may still succeed and be cleared.
             if not attempt.begun and self._is_blocked(call):
                 return SendResult(_blocked(), withdrawn=True)
@@ -340,13 +406,15 @@
         self,
         call: call_module.Call,
         choice: upstream_choice.Choice,
+        attempt: attempts.Attempt,
         result: SendResult,
         observer: replica_observer.ReplicaObserver,
     ) -> None:
         """Ends a stream whose answer is whole.
 
         An answer whose end only the end of its connection marked is taken as
-        whole if the replica still listens, as broken off otherwise.
+        whole if the replica still listens, as broken off otherwise. Another
+        attempt may have continued the stream meanwhile.
         """
         outcome = result.outcome
         answer = outcome.answer
@@ -357,6 +425,10 @@
         ):
             result.outcome = attempts.broken_off()
             return
+        if attempt.overtaken:
+            result.outcome = attempts.overtaken()
+            result.overtaken = True
+            return
         if outcome.streamed:
             call.relay.end(answer)
         self._record_survival(call, observer)
@@ -403,7 +475,6 @@
         self, call: call_module.Call, observer: replica_observer.ReplicaObserver
     ) -> attempts.Attempt:
         if call.route.streaming:
-            call.relay.splitter.reset()
             return attempts.StreamAttempt(
                 self._codec, call.info, observer, self._clock, call.relay
             )
@@ -423,23 +494,22 @@
             else call.customer.customer_id,
             weights=None if engine is None else choice.weights,
             priority=_priority(call, choice.position),
-            resume_after=call.relay.splitter.last_id,
+            resume_after=call.relay.last_id,
         )
 
-    def _deadline_ms(
+    def _pending(
         self,
         call: call_module.Call,
         choice: upstream_choice.Choice,
         attempt: attempts.Attempt,
-    ) -> float:
-        """Returns when the attempt times out, a clock reading."""
+    ) -> attempt_timeouts.PendingAttempt:
+        """Returns the state of an attempt that determines its timeouts."""
         route = call.route
-        sends_left = call.runs + 1 <= route.attempts_max - 1
         gap_timeout_ms = caller_timeout.gap_timeout_ms(route)
-        waiting = attempt_timeouts.PendingAttempt(
+        return attempt_timeouts.PendingAttempt(
             streaming=route.streaming,
             begun=attempt.begun,
-            may_repeat=route.repeatable and sends_left,
+            may_repeat=route.repeatable,
             received_ms=call.request.received_ms,
             ends_ms=call.ends_ms,
             progress_ms=attempt.progress_ms,
@@ -448,7 +518,6 @@
             predicted_ms=choice.predicted_ms,
             begins_until_ms=choice.withdrawal_ms(self._clock.now_ms()),
         )
-        return attempt_timeouts.deadline_ms(waiting)
 
     def _timeout_outcome(
         self, call: call_module.Call, attempt: attempts.Attempt
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -164,17 +164,15 @@
 
 def test_partial_event_is_held_back() -> None:
     splitter = event_stream.EventSplitter()
-    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == (
-        b"id: 1\ndata: a\n\n"
-    )
+    first = event_stream.Events(b"id: 1\ndata: a\n\n", 1, "1")
+    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == first
     assert splitter.partial
-    assert splitter.last_id == "1"
-    splitter.reset()
-    assert splitter.feed(b"id: 2\r\ndata: b\r\n\r\n") == (
-        b"id: 2\r\ndata: b\r\n\r\n"
-    )
-    assert splitter.last_id == "2"
-    assert splitter.events == 2
+    assert splitter.feed(b"ta: b\n") == event_stream.Events()
+    second = event_stream.Events(b"id: 2\ndata: b\n\n", 1, "2")
+    assert splitter.feed(b"\n") == second
+    assert not splitter.partial
+    third = event_stream.Events(b"id: 3\r\ndata: c\r\n\r\n", 1, "3")
+    assert splitter.feed(b"id: 3\r\ndata: c\r\n\r\n") == third
 
 
 def load_schedule(spread_ms: float = 1_900.0) -> swap_schedule.SwapSchedule:
