A caller that stops reading does not make its replica silent

A caller that read nothing for 1.4 s had its stream sent to a second replica. Cause: the entry stops reading from the replica meanwhile, and took its own pause for the replica's silence. The time without data now counts from when reading goes on.

--- a/src/marlramp/direct/calls/backpressure.py
+++ b/src/marlramp/direct/calls/backpressure.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from marlramp import clock
 from marlramp.shell import http1_server
 
 
@@ -22,14 +23,19 @@
 class Backpressure:
     """The connections that the answer to one request is read from."""
 
-    def __init__(self, responder: http1_server.Responder) -> None:
+    def __init__(
+        self, responder: http1_server.Responder, time: clock.Clock
+    ) -> None:
         """Starts without connections.
 
         Args:
           responder: writes to the caller, and notices that it reads slowly.
+          time: the clock.
         """
+        self._clock = time
         self._sources: list[Source] = []
         self._paused = False
+        self._resumed_ms = float("-inf")
         responder.on_pressure(self._pause, self._resume)
 
     def add(self, source: Source) -> None:
@@ -44,6 +50,18 @@
         if self._paused:
             source.resume()
 
+    def progress_ms(self, received_ms: float) -> float:
+        """Returns from when a replica that sends nothing counts as silent.
+
+        A replica is not silent while nothing is read from it.
+
+        Args:
+          received_ms: clock reading when data was last received from it.
+        """
+        if self._paused:
+            return self._clock.now_ms()
+        return max(received_ms, self._resumed_ms)
+
     def _pause(self) -> None:
         self._paused = True
         for source in self._sources:
@@ -51,5 +69,6 @@
 
     def _resume(self) -> None:
         self._paused = False
+        self._resumed_ms = self._clock.now_ms()
         for source in self._sources:
             source.resume()
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -77,7 +77,7 @@
         self.responder = responder
         self.spent_ms = spent_ms
         self.relay = attempts.StreamRelay(responder, time)
-        self.backpressure = backpressure.Backpressure(responder)
+        self.backpressure = backpressure.Backpressure(responder, time)
         wait_ms = route.timeout_ms
         if info.wait_ms is not None:
             wait_ms = min(wait_ms, info.wait_ms)
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -512,7 +512,7 @@
             may_repeat=route.repeatable,
             received_ms=call.request.received_ms,
             ends_ms=call.ends_ms,
-            progress_ms=attempt.progress_ms,
+            progress_ms=call.backpressure.progress_ms(attempt.progress_ms),
             heard_ms=choice.view.heard_ms,
             gap_timeout_ms=gap_timeout_ms if route.streaming else 0.0,
             predicted_ms=choice.predicted_ms,
