Tests: connections under backpressure

A connection whose answer ended while its caller was slow went back to the pool without being read again, so that the next answer on it seemed silent (found by reading; the caller server drops its callbacks with the response).

--- /dev/null
+++ b/tests/direct/calls/test_backpressure.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import cast
+
+from marlramp import clock
+from marlramp.direct.calls import backpressure
+from marlramp.shell import http1_server
+
+
+class FakeResponder:
+    """Keeps the callbacks for a caller that reads too slowly."""
+
+    def on_pressure(
+        self, pause: Callable[[], None], resume: Callable[[], None]
+    ) -> None:
+        self.pause = pause
+        self.resume = resume
+
+
+class FakeSource:
+    """A connection that is read or not."""
+
+    def __init__(self) -> None:
+        self.reading = True
+
+    def pause(self) -> None:
+        self.reading = False
+
+    def resume(self) -> None:
+        self.reading = True
+
+
+def test_connection_is_read_again_when_its_answer_ends_under_pressure(
+    time: clock.ManualClock,
+) -> None:
+    """Guards against pooled connections on which each answer seems silent."""
+    responder, source = FakeResponder(), FakeSource()
+    sources = backpressure.Backpressure(
+        cast(http1_server.Responder, responder), time
+    )
+    sources.add(source)
+    responder.pause()
+    assert not source.reading
+    sources.remove(source)
+    assert source.reading
+
+
+def test_second_attempt_is_paused_like_the_first(
+    time: clock.ManualClock,
+) -> None:
+    responder, first, second = FakeResponder(), FakeSource(), FakeSource()
+    sources = backpressure.Backpressure(
+        cast(http1_server.Responder, responder), time
+    )
+    sources.add(first)
+    responder.pause()
+    sources.add(second)
+    assert not first.reading
+    assert not second.reading
+    time.advance(5_000.0)
+    assert sources.progress_ms(0.0) == time.now_ms()
+    responder.resume()
+    assert first.reading
+    assert second.reading
+    resumed_ms = time.now_ms()
+    time.advance(100.0)
+    assert sources.progress_ms(0.0) == resumed_ms
