--- a/src/marlramp/direct/calls/backpressure.py
+++ b/src/marlramp/direct/calls/backpressure.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 from marlramp import clock
-from marlramp.shell import http1_server
+
+
+class Caller(Protocol):
+    """The connection that the answer is written to."""
+
+    def on_pressure(
+        self, pause: Callable[[], None], resume: Callable[[], None]
+    ) -> None:
+        """Registers callbacks for a caller that reads too slowly."""
+        ...
 
 
 class Source(Protocol):
@@ -23,20 +33,18 @@
 class Backpressure:
     """The connections that the answer to one request is read from."""
 
-    def __init__(
-        self, responder: http1_server.Responder, time: clock.Clock
-    ) -> None:
+    def __init__(self, caller: Caller, time: clock.Clock) -> None:
         """Starts without connections.
 
         Args:
-          responder: writes to the caller, and notices that it reads slowly.
+          caller: notices that the caller reads too slowly.
           time: the clock.
         """
         self._clock = time
         self._sources: list[Source] = []
         self._paused = False
         self._resumed_ms = float("-inf")
-        responder.on_pressure(self._pause, self._resume)
+        caller.on_pressure(self._pause, self._resume)
 
     def add(self, source: Source) -> None:
         """Adds a connection that an answer is read from."""
--- a/tests/direct/calls/test_backpressure.py
+++ b/tests/direct/calls/test_backpressure.py
@@ -1,14 +1,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import cast
 
 from marlramp import clock
 from marlramp.direct.calls import backpressure
-from marlramp.shell import http1_server
 
 
-class FakeResponder:
+class FakeCaller:
     """Keeps the callbacks for a caller that reads too slowly."""
 
     def on_pressure(
@@ -35,12 +33,10 @@
     time: clock.ManualClock,
 ) -> None:
     """Guards against pooled connections on which each answer seems silent."""
-    responder, source = FakeResponder(), FakeSource()
-    sources = backpressure.Backpressure(
-        cast(http1_server.Responder, responder), time
-    )
+    caller, source = FakeCaller(), FakeSource()
+    sources = backpressure.Backpressure(caller, time)
     sources.add(source)
-    responder.pause()
+    caller.pause()
     assert not source.reading
     sources.remove(source)
     assert source.reading
@@ -49,18 +45,16 @@
 def test_second_attempt_is_paused_like_the_first(
     time: clock.ManualClock,
 ) -> None:
-    responder, first, second = FakeResponder(), FakeSource(), FakeSource()
-    sources = backpressure.Backpressure(
-        cast(http1_server.Responder, responder), time
-    )
+    caller, first, second = FakeCaller(), FakeSource(), FakeSource()
+    sources = backpressure.Backpressure(caller, time)
     sources.add(first)
-    responder.pause()
+    caller.pause()
     sources.add(second)
     assert not first.reading
     assert not second.reading
     time.advance(5_000.0)
     assert sources.progress_ms(0.0) == time.now_ms()
-    responder.resume()
+    caller.resume()
     assert first.reading
     assert second.reading
     resumed_ms = time.now_ms()
