Deliver the failure that a replica answered if no other answer is left

A caller got 504 at the end of its time although a second replica had answered 500 long before, while the first one stayed silent. The last failure that a replica itself answered is kept and delivered when the last attempt ends without an answer. The new test failed before (504) and passes, with the rest of test_silent_replicas and test_forwarder (one run).

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -46,6 +46,11 @@
     streamed: bool = False
     overtaken: bool = False
 
+    @property
+    def has_answer(self) -> bool:
+        """Whether the replica answered a request that it ran."""
+        return self.answer is not None and not self.answer.not_run
+
 
 class Observer(Protocol):
     """Is notified of what a running attempt receives from its replica."""
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -49,6 +49,8 @@
       pauses: number of these that refused it and are paused since.
       runs: number of replicas that may have run the request.
       maybe_ran: whether any replica may have run the request.
+      failed_outcome: the last failure that a replica itself answered, None
+        without one.
       failed: ids of the replicas at which the request failed.
       suspected: whether the request is suspected of a crash.
       allowed_regions: regions in which the request may run, None if all are
@@ -86,6 +88,7 @@
         self.pauses = 0
         self.runs = 0
         self.maybe_ran = False
+        self.failed_outcome: attempts.Outcome | None = None
         self.failed: set[str] = set()
         self.suspected = False
         self.on_trial = False
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -312,6 +312,8 @@
             self._totals.add(counters.CounterName.REPLICA_PAUSES, "unsent")
         elif failure is not None:
             self._record_failure(call, ended, failure, result)
+            if result.outcome.has_answer:
+                call.failed_outcome = result.outcome
             await self._check_for_crash(call, result, ended.choice)
         # Lets the cancellation by a caller that has left take effect first.
         await asyncio.sleep(0)
@@ -550,10 +552,9 @@
     ) -> None:
         """Ends a failed call.
 
-        The caller receives the replica's own answer if the request ran. A
+        The caller receives a replica's own answer if the request ran there. A
         stream that has begun is broken off.
         """
-        answer = outcome.answer
         if call.relay.started:
             logs.log(
                 "stream_broken",
@@ -565,8 +566,10 @@
             self._totals.add(counters.CounterName.REFUSALS, "stream_broken")
             call.responder.abort()
             return
-        if answer is not None and not answer.not_run:
-            call.responder.answer(answer.status, answer.headers, outcome.body)
+        last = call.failed_outcome
+        if last is not None and last.answer is not None:
+            answer = last.answer
+            call.responder.answer(answer.status, answer.headers, last.body)
             return
         failure = outcome.failure
         if failure is None:
--- a/tests/direct/calls/test_silent_replicas.py
+++ b/tests/direct/calls/test_silent_replicas.py
@@ -306,3 +306,19 @@
         assert not other.seen
 
     run_entry(use, silent.serve, other.serve)
+
+
+def test_failure_that_a_replica_answered_is_delivered_if_the_other_is_lost(
+    run_entry: RunEntry,
+) -> None:
+    async def fail(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            await peer.answer(request, 500, b"broken", x_replica_signature="s")
+
+    async def use(entry: conftest.Entry) -> None:
+        allow_time(entry)
+        answer = await entry.call("/safe/x", wait_ms=1_500)
+        assert answer.startswith(b"HTTP/1.1 500 ")
+        assert answer.endswith(b"broken")
+
+    run_entry(use, SilentReplica(0, silence_s=3.0).serve, fail)
