--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -400,7 +400,10 @@
         """Spends a retry, or returns why the request is not retried."""
         reason = retries.retry_reason(failure, idempotent=call.route.repeatable)
         if reason is None:
-            return retries.RetryDenial.UNSAFE
+            late = call.left_ms(self._clock.now_ms()) <= 0
+            return (
+                retries.RetryDenial.TIME if late else retries.RetryDenial.UNSAFE
+            )
         return self._retry_denial(call) or self._spend_retry(call) or reason
 
     def _retry_denial(
