A pause of the own event loop is no failed connection

Cause, shown by a test: a connection that opens while the event loop is paused for longer than the connect timeout counts as failed, since the loop handles the expired timer before it resumes the task that connects. The replica then counts as unreachable, its breaker opens, and the request goes on without one attempt or is cut.

The timeout now gives the loop another 50 ms once it fires.

--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -23,6 +23,10 @@
 """About 60 round trips between regions; a replica that has not accepted a
 connection by then is down or unreachable."""
 
+PAUSE_GRACE_MS = 50.0
+"""Wait after a timeout for what happened while the event loop was paused: it
+handles timers that expired meanwhile first."""
+
 UNACKNOWLEDGED_MAX_MS = 3_000
 """Bytes that stay unacknowledged this long end the connection."""
 
@@ -280,10 +284,19 @@
       OSError: if no connection is established in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND):
-        _, connection = await loop.create_connection(
-            lambda: ReplicaConnection(time), host, port
+    async with asyncio.timeout(None) as limit:
+        timer = loop.call_later(
+            CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND,
+            lambda: limit.reschedule(
+                loop.time() + PAUSE_GRACE_MS / clock.MILLIS_PER_SECOND
+            ),
         )
+        try:
+            _, connection = await loop.create_connection(
+                lambda: ReplicaConnection(time), host, port
+            )
+        finally:
+            timer.cancel()
     return connection
 
 
