Tests: a silent replica that goes on after another has taken its stream

A partial event, its rest and whole events that come after the takeover add nothing; a stream whose end only the end of its connection marks is verified while a second attempt waits.

--- a/tests/direct/calls/test_silent_replicas.py
+++ b/tests/direct/calls/test_silent_replicas.py
@@ -9,6 +9,7 @@
 
 from marlramp.core.configuration import route_table
 from marlramp.core.requests import attempt_timeouts
+from marlramp.shell import address_probe
 from standins import raw_http
 from tests.direct import conftest
 
@@ -322,3 +323,67 @@
         assert answer.endswith(b"broken")
 
     run_entry(use, SilentReplica(0, silence_s=3.0).serve, fail)
+
+
+OPEN_HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+    b"x-replica-signature: s\r\nx-attempt-id: id-1\r\n\r\n"
+)
+
+
+def writes(*parts: tuple[bytes, float]) -> raw_http.Script:
+    """Returns a replica that pauses after each part, then ends its answer."""
+
+    async def script(peer: raw_http.Peer) -> None:
+        if await peer.read() is None:
+            return
+        for data, pause_s in parts:
+            await peer.write(data)
+            await asyncio.sleep(pause_s)
+        peer.close()
+
+    return script
+
+
+def events(first: int, last: int) -> bytes:
+    """Returns events with consecutive ids."""
+    return b"".join(
+        b"id: %d\ndata: e\n\n" % number for number in range(first, last + 1)
+    )
+
+
+@pytest.mark.parametrize(
+    "rest", [b"ata: cut", b"ata: e3\n\n" + events(4, 6), events(3, 6)]
+)
+def test_replica_that_goes_on_too_late_adds_nothing_to_the_stream(
+    rest: bytes, run_entry: RunEntry
+) -> None:
+    """The first replica stops within an event that the second one repeats."""
+    partial = events(1, 2) + b"id: 3\nd"
+    late = writes((OPEN_HEAD + partial, 1.05), (rest, 0.01))
+    taker = SilentReplica(5, silence_s=0.4)
+
+    async def use(entry: conftest.Entry) -> None:
+        allow_time(entry)
+        assert_whole(await stream(entry))
+        assert taker.seen[0].headers["last-event-id"] == "2"
+
+    run_entry(use, late, taker.serve)
+
+
+@pytest.mark.parametrize("presence", list(address_probe.Presence))
+def test_stream_that_ends_with_its_connection_after_a_silence_is_whole(
+    presence: address_probe.Presence, run_entry: RunEntry
+) -> None:
+    """Its end is verified while a second attempt waits for its first event."""
+    late = writes((OPEN_HEAD + events(1, 3), SILENCE_S), (events(4, 6), 0.01))
+    second = SilentReplica(0, silence_s=0.3)
+
+    async def use(entry: conftest.Entry) -> None:
+        allow_time(entry)
+        entry.presence = presence
+        answer = await stream(entry)
+        assert numbers_of(answer) == WHOLE
+        assert answer.endswith(b"0\r\n\r\n")
+
+    run_entry(use, late, second.serve)
