Callers' connections: a full queue stops reading, not the connection

Callers that sent 24 requests in one write got 17 answers and a closed connection: the queue takes 16, and the next whole request ended the connection. The connection is now not read while its queue is full, by count or by the bytes of its bodies; what was received by then is parsed as the queue drains. The timer of a half-read request stops meanwhile. The reason queue_full is gone.

The tests of the caller server share their fixtures in a conftest; none of them is changed otherwise.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -28,7 +28,15 @@
 """Bytes buffered for a slow caller before reading its replica is paused."""
 
 PIPELINED_MAX = 16
-"""Pipelined requests that may be queued on one connection."""
+"""Requests queued on one connection from which it is not read. The requests of
+the piece that was parsed last are queued as well."""
+
+QUEUED_BYTES_MAX = 1_048_576
+"""Bytes of queued bodies from which a connection is not read."""
+
+PIECE_BYTES = 2_048
+"""Received bytes are parsed in pieces of this size, since the parser can't be
+stopped within one."""
 
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -87,13 +95,11 @@
     Attributes:
       CALLER_LEFT: the caller closed the connection.
       HANDLER_FAILED: the handler ended without a complete response.
-      QUEUE_FULL: too many pipelined requests were queued on the connection.
       CLOSED: the server closed the connection for another request.
     """
 
     CALLER_LEFT = "caller_left"
     HANDLER_FAILED = "handler_failed"
-    QUEUE_FULL = "queue_full"
     CLOSED = "closed"
 
 
@@ -201,11 +207,17 @@
         self._connections = connections
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._reset_message()
         self._queued: collections.deque[Request] = collections.deque()
+        self._queued_bytes = 0
+        # Received bytes that are not parsed yet.
+        self._unparsed = memoryview(b"")
+        self._read_ms = time.now_ms()
+        self._parsing = False
+        self._reset_message()
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
         self._closed = False
+        self._lost = False
         self._timer: asyncio.TimerHandle | None = None
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
@@ -265,11 +277,49 @@
         )
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data."""
-        if self._rejected:
+        """Parses received data while the queue has space."""
+        if self._rejected or self._closed:
+            return
+        self._read_ms = self._clock.now_ms()
+        self._unparsed = memoryview(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, piece by piece, until the queue is full."""
+        self._parsing = True
+        while self._unparsed and not self._is_full:
+            self._feed_piece()
+        self._parsing = False
+        if self._is_full and self._transport is not None:
+            # The caller can't be late while it is not read.
+            self._transport.pause_reading()
+            self._cancel_timer()
+
+    @property
+    def _is_full(self) -> bool:
+        return (
+            len(self._queued) >= PIPELINED_MAX
+            or self._queued_bytes >= QUEUED_BYTES_MAX
+        )
+
+    def _read_on(self) -> None:
+        """Goes on reading after the queue was full."""
+        if self._transport is None or self._rejected or self._closed:
+            return
+        if self._transport.is_reading() or self._parsing or self._is_full:
             return
+        self._parse()
+        if self._is_full or self._rejected:
+            return
+        self._transport.resume_reading()
+        if self._reading_message:
+            self._start_header_timer()
+
+    def _feed_piece(self) -> None:
+        piece = self._unparsed[:PIECE_BYTES]
+        self._unparsed = self._unparsed[PIECE_BYTES:]
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             self._reject(errors.CallError(errors.ErrorKind.INVALID_REQUEST))
         except httptools.HttpParserCallbackError as error:
@@ -290,6 +340,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the handler of a caller that disconnected."""
         self._connections.discard(self)
+        self._lost = True
+        # Requests that were received whole are reported, too.
+        while self._unparsed:
+            self._feed_piece()
         self._cancel_timer()
         reason = UnansweredReason.CALLER_LEFT
         if self._closed:
@@ -318,9 +372,7 @@
         """Starts the timeout for reading the head."""
         self._reset_message()
         self._reading_message = True
-        self._start_timer(
-            self._gate.limits().header_timeout_ms, self._on_header_timeout
-        )
+        self._start_header_timer()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -358,17 +410,15 @@
             headers=self._headers,
             body=b"".join(self._body),
             first_byte_ms=self._first_byte_ms,
-            received_ms=self._clock.now_ms(),
+            received_ms=self._read_ms,
             keep_alive=self._parser.should_keep_alive(),
         )
-        if len(self._queued) >= PIPELINED_MAX:
-            self._gate.unanswered(request, UnansweredReason.QUEUE_FULL)
-            raise errors.CallError(errors.ErrorKind.QUEUE_FULL)
         self._queued.append(request)
+        self._queued_bytes += len(request.body)
         self._start_next()
 
     def _reset_message(self) -> None:
-        self._first_byte_ms = self._clock.now_ms()
+        self._first_byte_ms = self._read_ms
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -381,7 +431,7 @@
             raise errors.CallError(errors.ErrorKind.HEADER_TOO_LARGE)
 
     def _start_next(self) -> None:
-        if self._task is not None:
+        if self._task is not None or self._lost:
             return
         if not self._queued:
             if self._rejected:
@@ -391,6 +441,7 @@
             )
             return
         request = self._queued.popleft()
+        self._queued_bytes -= len(request.body)
         self._serving = request
         self._task = asyncio.get_running_loop().create_task(
             self._serve(request)
@@ -413,10 +464,12 @@
             self.close()
         else:
             self._start_next()
+            self._read_on()
 
     def _reject(self, error: errors.CallError) -> None:
         """Responds to an unacceptable request with an error, then closes."""
         self._rejected = True
+        self._unparsed = memoryview(b"")
         self._cancel_timer()
         if self._transport is not None:
             self._transport.pause_reading()
@@ -430,6 +483,11 @@
         )
         self.close()
 
+    def _start_header_timer(self) -> None:
+        self._start_timer(
+            self._gate.limits().header_timeout_ms, self._on_header_timeout
+        )
+
     def _start_timer(
         self, wait_ms: float, callback: Callable[[], None]
     ) -> None:
--- a/tests/shell/test_http1_server.py
+++ b/tests/shell/test_http1_server.py
@@ -1,104 +1,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
-from collections.abc import Callable
-from typing import TypeAlias
 
 import pytest
 
-from marlramp import clock
-from marlramp import errors
-from marlramp.core.configuration import fleet
 from marlramp.shell import http1_server
-
-LIMITS = fleet.CallerLimits(
-    header_bytes_max=400,
-    body_bytes_max=1_000,
-    header_timeout_ms=150.0,
-    idle_timeout_ms=300.0,
-)
-GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
-
-
-class FakeGate:
-    """Provides test limits and records rejected requests."""
-
-    def __init__(self) -> None:
-        self.closing = False
-        self.refusals: list[errors.ErrorKind] = []
-        self.unanswered_reasons: list[http1_server.UnansweredReason] = []
-
-    def limits(self) -> fleet.CallerLimits:
-        return LIMITS
-
-    def refused(self, error: errors.CallError) -> None:
-        self.refusals.append(error.kind)
-
-    def unanswered(
-        self,
-        request: http1_server.Request,
-        reason: http1_server.UnansweredReason,
-    ) -> None:
-        self.unanswered_reasons.append(reason)
-
-
-async def echo(
-    request: http1_server.Request, responder: http1_server.Responder
-) -> None:
-    responder.answer(200, [], request.target + b" " + request.body)
-
-
-Conversation: TypeAlias = Callable[
-    [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bytes]
-]
-
-
-def run_conversation(
-    conversation: Conversation,
-    handler: http1_server.Handler = echo,
-    gate: FakeGate | None = None,
-) -> bytes:
-    async def run() -> bytes:
-        server = http1_server.CallerServer(
-            handler, gate or FakeGate(), clock.SystemClock()
-        )
-        await server.start("127.0.0.1", 0)
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        async with asyncio.timeout(3):
-            result = await conversation(reader, writer)
-        writer.close()
-        server.stop_listening()
-        return result
-
-    return asyncio.run(run())
-
-
-def sends(*parts: bytes) -> Conversation:
-    async def conversation(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bytes:
-        for part in parts:
-            writer.write(part)
-            await writer.drain()
-            await asyncio.sleep(0.02)
-        return await reader.read()
-
-    return conversation
+from tests.shell import conftest
 
 
 def test_pipelined_requests_are_answered_in_order() -> None:
-    answer = run_conversation(sends(GET + GET.replace(b"/a", b"/b")))
+    answer = conftest.run_conversation(
+        conftest.sends(conftest.GET + conftest.GET.replace(b"/a", b"/b"))
+    )
     first, second = answer.index(b"/a "), answer.index(b"/b ")
     assert first < second
     assert answer.count(b"200 OK") == 2
 
 
 def test_chunked_body_is_reassembled() -> None:
-    answer = run_conversation(
-        sends(
+    answer = conftest.run_conversation(
+        conftest.sends(
             b"POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
             b"3\r\nabc\r\n",
             b"2\r\nde\r\n0\r\n\r\n",
@@ -134,8 +55,8 @@
 def test_unacceptable_requests_are_answered_and_closed(
     data: bytes, status: bytes
 ) -> None:
-    gate = FakeGate()
-    answer = run_conversation(sends(data), gate=gate)
+    gate = conftest.FakeGate()
+    answer = conftest.run_conversation(conftest.sends(data), gate=gate)
     assert answer.split(b" ")[1] == status
     assert b"connection: close" in answer
     assert len(gate.refusals) == 1
@@ -145,24 +66,24 @@
     async def conversation(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
-        writer.write(GET)
+        writer.write(conftest.GET)
         await reader.readuntil(b"/a ")
         await asyncio.sleep(0.2)
-        writer.write(GET)
+        writer.write(conftest.GET)
         await reader.readuntil(b"/a ")
         started = asyncio.get_running_loop().time()
         assert await reader.read() == b""
         waited_ms = 1_000 * (asyncio.get_running_loop().time() - started)
-        assert waited_ms > 0.8 * LIMITS.idle_timeout_ms
+        assert waited_ms > 0.8 * conftest.LIMITS.idle_timeout_ms
         return b""
 
-    run_conversation(conversation)
+    conftest.run_conversation(conversation)
 
 
 def test_closing_entry_closes_after_the_response() -> None:
-    gate = FakeGate()
+    gate = conftest.FakeGate()
     gate.closing = True
-    answer = run_conversation(sends(GET), gate=gate)
+    answer = conftest.run_conversation(conftest.sends(conftest.GET), gate=gate)
     assert b"connection: close" in answer
     assert answer.endswith(b"/a ")
 
@@ -179,13 +100,13 @@
     async def conversation(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
-        writer.write(GET)
+        writer.write(conftest.GET)
         try:
             return await reader.read()
         except ConnectionError:
             return b"reset"
 
-    answer = run_conversation(conversation, half)
+    answer = conftest.run_conversation(conversation, half)
     assert not answer.endswith(b"0\r\n\r\n")
 
 
@@ -202,13 +123,13 @@
     async def conversation(
         _: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
-        writer.write(GET)
+        writer.write(conftest.GET)
         await asyncio.sleep(0.05)
         writer.close()
         await asyncio.wait_for(cancelled.wait(), 0.5)
         return b""
 
-    run_conversation(conversation, slow)
+    conftest.run_conversation(conversation, slow)
 
 
 async def answer_half(
@@ -229,7 +150,7 @@
 @pytest.mark.parametrize(
     ("handler", "reasons"),
     [
-        (echo, []),
+        (conftest.echo, []),
         (
             answer_half,
             [
@@ -244,16 +165,16 @@
     handler: http1_server.Handler,
     reasons: list[http1_server.UnansweredReason],
 ) -> None:
-    gate = FakeGate()
+    gate = conftest.FakeGate()
 
     async def conversation(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bytes:
-        writer.write(GET + GET)
+        writer.write(conftest.GET + conftest.GET)
         await asyncio.sleep(0.05)
         writer.close()
         await asyncio.sleep(0.05)
         return b""
 
-    run_conversation(conversation, handler, gate)
+    conftest.run_conversation(conversation, handler, gate)
     assert gate.unanswered_reasons == reasons
--- /dev/null
+++ b/tests/shell/test_http1_server_bounds.py
@@ -0,0 +1,48 @@
+"""Bounds in bytes and time on callers, and requests that none may lose."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from marlramp.shell import http1_server
+from tests.shell import conftest
+
+CHUNKED = b"POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+LAST = conftest.GET.replace(b"host: a", b"connection: close")
+
+
+def answer_after(wait_s: float) -> http1_server.Handler:
+    async def answer(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        await asyncio.sleep(wait_s)
+        await conftest.echo(request, responder)
+
+    return answer
+
+
+def statuses(answers: bytes) -> list[int]:
+    return [int(part[:3]) for part in answers.split(b"HTTP/1.1 ")[1:]]
+
+
+@pytest.mark.parametrize(("count", "wait_s"), [(24, 0.03), (2_000, 0.0)])
+def test_long_pipeline_is_answered_whole_and_in_order(
+    count: int, wait_s: float
+) -> None:
+    """Guards against a connection that closes when its queue is full."""
+    gate = conftest.FakeGate()
+    pipeline = b"".join(
+        conftest.GET.replace(b"/a", b"/%d" % n) for n in range(count)
+    )
+    # The last request is half read while the queue is full.
+    answers = conftest.run_conversation(
+        conftest.sends(pipeline + LAST[:9], LAST[9:]),
+        answer_after(wait_s),
+        gate,
+    )
+    targets = [part.split(b" ")[0] for part in answers.split(b"\r\n\r\n/")[1:]]
+    assert targets == [*(b"%d" % n for n in range(count)), b"a"]
+    assert not gate.refusals
+    assert not gate.unanswered_reasons
