Callers' connections: an answer does not end the header timeout

A connection whose next request was half read when an answer ended stayed open for ever: the idle timer replaced the header timer, and an idle timer does nothing while a request is read. The header timer stays. Failed before (no end within 3 s), passes now (one run): test_refusal_follows_the_answers_to_earlier_requests.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -434,7 +434,7 @@
         if self._task is not None or self._lost:
             return
         if not self._queued:
-            if self._rejected:
+            if self._rejected or self._reading_message:
                 return
             self._start_timer(
                 self._gate.limits().idle_timeout_ms, self._on_idle_timeout
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -46,3 +46,24 @@
     assert targets == [*(b"%d" % n for n in range(count)), b"a"]
     assert not gate.refusals
     assert not gate.unanswered_reasons
+
+
+@pytest.mark.parametrize(
+    ("data", "wait_s", "status"),
+    [
+        # The response ends while the next request is half read.
+        (b"GET /a HTT", 0.02, 408),
+    ],
+)
+def test_refusal_follows_the_answers_to_earlier_requests(
+    data: bytes, wait_s: float, status: int
+) -> None:
+    """Guards against a refusal that is dropped, and one that never comes."""
+    gate = conftest.FakeGate()
+    answers = conftest.run_conversation(
+        conftest.sends(conftest.GET * 3 + data), answer_after(wait_s), gate
+    )
+    assert statuses(answers) == [200, 200, 200, status]
+    assert answers.count(b"connection: close") == 1
+    assert len(gate.refusals) == 1
+    assert not gate.unanswered_reasons
