Callers' connections: a refusal waits for the answers before it

A request that was refused while being read (400, 408, 413, 431) got no refusal if an earlier one on its connection was still served or queued: the answer in progress closed the connection instead. Its refusal is now written once the queue is empty, then the connection is closed.

Bytes after a request with `connection: close` or an upgrade are no request and are neither read nor refused; such a refusal would now follow its answer.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -221,7 +221,10 @@
         self._timer: asyncio.TimerHandle | None = None
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
-        self._rejected = False
+        # The error that is sent once earlier requests are answered.
+        self._refusal: errors.CallError | None = None
+        # Whether a request was read after which the caller sends no other.
+        self._complete = False
         self._reading_message = False
 
     @property
@@ -236,8 +239,10 @@
     def ends_after(self, request: Request) -> bool:
         """Returns whether the connection closes after this response."""
         return (
-            not request.keep_alive or self._gate.closing or self._rejected
-        ) and not self._queued
+            (not request.keep_alive or self._gate.closing)
+            and not self._queued
+            and self._refusal is None
+        )
 
     def write(self, data: bytes) -> None:
         """Writes to the caller unless the connection is closing."""
@@ -278,7 +283,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data while the queue has space."""
-        if self._rejected or self._closed:
+        if self._refusal is not None or self._closed:
+            return
+        if self._complete:
+            self._stop_reading()
             return
         self._read_ms = self._clock.now_ms()
         self._unparsed = memoryview(data)
@@ -304,12 +312,14 @@
 
     def _read_on(self) -> None:
         """Goes on reading after the queue was full."""
-        if self._transport is None or self._rejected or self._closed:
+        if self._transport is None or self._closed or self._complete:
+            return
+        if self._refusal is not None:
             return
         if self._transport.is_reading() or self._parsing or self._is_full:
             return
         self._parse()
-        if self._is_full or self._rejected:
+        if self._is_full or self._refusal is not None or self._complete:
             return
         self._transport.resume_reading()
         if self._reading_message:
@@ -321,7 +331,8 @@
         try:
             self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
-            self._reject(errors.CallError(errors.ErrorKind.INVALID_REQUEST))
+            # The request is answered as one without an upgrade.
+            self._unparsed = memoryview(b"")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.CallError):
@@ -329,6 +340,9 @@
             else:
                 self._reject(errors.CallError(errors.ErrorKind.INTERNAL))
         except httptools.HttpParserError as error:
+            if self._complete:
+                self._stop_reading()
+                return
             self._reject(
                 errors.CallError(errors.ErrorKind.INVALID_REQUEST, str(error))
             )
@@ -404,6 +418,11 @@
         """Queues the request behind earlier ones on the connection."""
         self._cancel_timer()
         self._reading_message = False
+        keep_alive = (
+            self._parser.should_keep_alive()
+            and not self._parser.should_upgrade()
+        )
+        self._complete = not keep_alive
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target,
@@ -411,7 +430,7 @@
             body=b"".join(self._body),
             first_byte_ms=self._first_byte_ms,
             received_ms=self._read_ms,
-            keep_alive=self._parser.should_keep_alive(),
+            keep_alive=keep_alive,
         )
         self._queued.append(request)
         self._queued_bytes += len(request.body)
@@ -434,7 +453,10 @@
         if self._task is not None or self._lost:
             return
         if not self._queued:
-            if self._rejected or self._reading_message:
+            if self._refusal is not None:
+                self._refuse(self._refusal)
+                return
+            if self._reading_message:
                 return
             self._start_timer(
                 self._gate.limits().idle_timeout_ms, self._on_idle_timeout
@@ -467,22 +489,28 @@
             self._read_on()
 
     def _reject(self, error: errors.CallError) -> None:
-        """Responds to an unacceptable request with an error, then closes."""
-        self._rejected = True
-        self._unparsed = memoryview(b"")
+        """Stops reading; refuses the request once earlier ones are answered."""
+        if self._lost or self._refusal is not None:
+            return
+        self._refusal = error
+        self._reading_message = False
         self._cancel_timer()
-        if self._transport is not None:
-            self._transport.pause_reading()
+        self._stop_reading()
         self._gate.refused(error)
-        if self._task is not None:
-            # The response in progress closes the connection when it ends.
-            return
+        self._start_next()
+
+    def _refuse(self, error: errors.CallError) -> None:
         self.write(
             b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
             % (error.status, REASONS.get(error.status, b"Error"))
         )
         self.close()
 
+    def _stop_reading(self) -> None:
+        self._unparsed = memoryview(b"")
+        if self._transport is not None:
+            self._transport.pause_reading()
+
     def _start_header_timer(self) -> None:
         self._start_timer(
             self._gate.limits().header_timeout_ms, self._on_header_timeout
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -51,6 +51,10 @@
 @pytest.mark.parametrize(
     ("data", "wait_s", "status"),
     [
+        (b"nonsense\r\n\r\n", 0.05, 400),
+        (b"POST /a HTTP/1.1\r\ncontent-length: 1001\r\n\r\n", 0.05, 413),
+        (b"GET /a HTTP/1.1\r\nx: " + b"y" * 500 + b"\r\n\r\n", 0.05, 431),
+        (b"GET /a HTT", 0.3, 408),
         # The response ends while the next request is half read.
         (b"GET /a HTT", 0.02, 408),
     ],
@@ -67,3 +71,20 @@
     assert answers.count(b"connection: close") == 1
     assert len(gate.refusals) == 1
     assert not gate.unanswered_reasons
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        LAST + conftest.GET,
+        b"GET /a HTTP/1.1\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\nx",
+    ],
+)
+def test_bytes_after_the_last_request_are_no_request(data: bytes) -> None:
+    """Guards against a refusal that replaces an answer."""
+    gate = conftest.FakeGate()
+    answers = conftest.run_conversation(
+        conftest.sends(data), answer_after(0.05), gate
+    )
+    assert statuses(answers) == [200]
+    assert not gate.refusals
