Callers' connections: 100 Continue waits for earlier answers

A pipelined request with `expect: 100-continue` had its interim answer written into the middle of the answer to an earlier request. It is written once earlier requests are answered, and the header timer starts anew then. Failed before (the 100 came first), passes now (one run): test_continue_does_not_interrupt_an_earlier_answer.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -405,7 +405,9 @@
             if name == b"content-length" and int(value) > limit:
                 raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
             if name == b"expect" and value.lower() == b"100-continue":
-                self.write(_CONTINUE)
+                self._wants_continue = True
+        if self._task is None:
+            self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body."""
@@ -436,6 +438,13 @@
         self._queued_bytes += len(request.body)
         self._start_next()
 
+    def _send_continue(self) -> None:
+        """Asks for the body that the caller holds back, if it does."""
+        if self._wants_continue:
+            self._wants_continue = False
+            self._start_header_timer()
+            self.write(_CONTINUE)
+
     def _reset_message(self) -> None:
         self._first_byte_ms = self._read_ms
         self._target = b""
@@ -443,6 +452,7 @@
         self._head_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._wants_continue = False
 
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
@@ -457,6 +467,7 @@
                 self._refuse(self._refusal)
                 return
             if self._reading_message:
+                self._send_continue()
                 return
             self._start_timer(
                 self._gate.limits().idle_timeout_ms, self._on_idle_timeout
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -88,3 +88,18 @@
     )
     assert statuses(answers) == [200]
     assert not gate.refusals
+
+
+def test_continue_does_not_interrupt_an_earlier_answer() -> None:
+    head = b"POST /b HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n"
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(conftest.GET + head + b"connection: close\r\n\r\n")
+        answers = await reader.readuntil(b" 100 Continue\r\n\r\n")
+        writer.write(b"ok")
+        return answers + await reader.read()
+
+    answers = conftest.run_conversation(conversation, answer_after(0.05))
+    assert statuses(answers) == [200, 100, 200]
