Callers' connections: the newest idle limit applies to idle connections

A connection was closed by the limit in force when it fell idle, while callers reuse connections by the newest one: after a configuration that raises the limit, requests met connections that were being closed. The limit is read anew when the timer fires, at least once a second, so that a lowered one applies soon, too.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -38,6 +38,9 @@
 """Received bytes are parsed in pieces of this size, since the parser can't be
 stopped within one."""
 
+IDLE_CHECK_MS = 1_000.0
+"""Interval at which the limit in force is applied to an idle connection."""
+
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -219,6 +222,7 @@
         self._closed = False
         self._lost = False
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since_ms = time.now_ms()
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
         # The error that is sent once earlier requests are answered.
@@ -277,9 +281,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_MAX_BYTES)
         self._connections.add(self)
-        self._start_timer(
-            self._gate.limits().idle_timeout_ms, self._on_idle_timeout
-        )
+        self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data while the queue has space."""
@@ -469,9 +471,7 @@
             if self._reading_message:
                 self._send_continue()
                 return
-            self._start_timer(
-                self._gate.limits().idle_timeout_ms, self._on_idle_timeout
-            )
+            self._wait_idle()
             return
         request = self._queued.popleft()
         self._queued_bytes -= len(request.body)
@@ -540,9 +540,20 @@
             self._timer.cancel()
             self._timer = None
 
-    def _on_idle_timeout(self) -> None:
-        if self.idle:
+    def _wait_idle(self) -> None:
+        self._idle_since_ms = self._clock.now_ms()
+        self._check_idle()
+
+    def _check_idle(self) -> None:
+        """Closes a connection that is idle for longer than the limit."""
+        if not self.idle:
+            return
+        idle_ms = self._clock.now_ms() - self._idle_since_ms
+        left_ms = self._gate.limits().idle_timeout_ms - idle_ms
+        if left_ms <= 0:
             self.close()
+            return
+        self._start_timer(min(left_ms, IDLE_CHECK_MS), self._check_idle)
 
     def _on_header_timeout(self) -> None:
         if self._reading_message:
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from marlramp.shell import http1_server
@@ -103,3 +104,34 @@
 
     answers = conftest.run_conversation(conversation, answer_after(0.05))
     assert statuses(answers) == [200, 100, 200]
+
+
+@pytest.mark.parametrize(
+    ("before_ms", "after_ms", "shortest_ms", "longest_ms"),
+    [(300.0, 900.0, 800.0, 1_900.0), (20_000.0, 300.0, 200.0, 1_900.0)],
+)
+def test_idle_connection_lives_by_the_newest_limit(
+    before_ms: float, after_ms: float, shortest_ms: float, longest_ms: float
+) -> None:
+    """Guards against a close while callers may still reuse a connection."""
+    gate = conftest.FakeGate()
+
+    def set_limit(idle_timeout_ms: float) -> None:
+        gate.limits_in_force = msgspec.structs.replace(
+            gate.limits_in_force, idle_timeout_ms=idle_timeout_ms
+        )
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(conftest.GET)
+        await reader.readuntil(b"/a ")
+        started_s = asyncio.get_running_loop().time()
+        set_limit(after_ms)
+        assert await reader.read() == b""
+        lived_ms = 1_000 * (asyncio.get_running_loop().time() - started_s)
+        assert shortest_ms < lived_ms < longest_ms
+        return b""
+
+    set_limit(before_ms)
+    conftest.run_conversation(conversation, gate=gate)
