Callers' connections: what is read beyond a body is bounded as it comes

A header name or value, a chunk extension, trailers or blank lines without an end were kept or read until the header timeout, or for ever: the parser passes a header on only when it is complete, and the others not at all. Received bytes are now parsed in pieces of 2 KiB and counted less the body and the shortest framing of its chunks; beyond the limit on headers and a piece the message is refused (431), and the connection is not read any more. A body is kept in one buffer, not in one object for each chunk. Trailers, which were appended to the headers, are dropped.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -41,6 +41,7 @@
 IDLE_CHECK_MS = 1_000.0
 """Interval at which the limit in force is applied to an idle connection."""
 
+_CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -165,7 +166,7 @@
         if not data:
             return
         if self._chunked:
-            data = b"%x\r\n" % len(data) + data + _CHUNK_END
+            data = _CHUNK_HEAD % len(data) + data + _CHUNK_END
         self._connection.write(data)
 
     def end(self) -> None:
@@ -216,6 +217,8 @@
         self._unparsed = memoryview(b"")
         self._read_ms = time.now_ms()
         self._parsing = False
+        # Bytes beyond the body since the last message, by whole pieces.
+        self._framing_bytes = 0
         self._reset_message()
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
@@ -330,8 +333,10 @@
     def _feed_piece(self) -> None:
         piece = self._unparsed[:PIECE_BYTES]
         self._unparsed = self._unparsed[PIECE_BYTES:]
+        self._framing_bytes += len(piece)
         try:
             self._parser.feed_data(piece)
+            self._check_framing()
         except httptools.HttpParserUpgrade:
             # The request is answered as one without an upgrade.
             self._unparsed = memoryview(b"")
@@ -348,6 +353,8 @@
             self._reject(
                 errors.CallError(errors.ErrorKind.INVALID_REQUEST, str(error))
             )
+        except errors.CallError as error:
+            self._reject(error)
 
     def eof_received(self) -> bool:
         """Closes the connection: a half-close means that the caller left."""
@@ -396,12 +403,14 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
-        self._headers.append((name.lower(), value))
+        """Collects a header; trailers are dropped."""
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
         self._add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Checks the announced body size before the body is read."""
+        self._in_body = True
         limit = self._gate.limits().body_bytes_max
         for name, value in self._headers:
             if name == b"content-length" and int(value) > limit:
@@ -414,12 +423,23 @@
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body."""
         self._body_bytes += len(body)
+        self._framing_bytes -= len(body)
         if self._body_bytes > self._gate.limits().body_bytes_max:
             raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
-        self._body.append(body)
+        self._body += body
+
+    def on_chunk_header(self) -> None:
+        """Starts to measure a chunk."""
+        self._chunk_start_bytes = self._body_bytes
+
+    def on_chunk_complete(self) -> None:
+        """Leaves out the shortest framing that the chunk could have."""
+        size = self._body_bytes - self._chunk_start_bytes
+        self._framing_bytes -= len(_CHUNK_HEAD % size) + len(_CHUNK_END)
 
     def on_message_complete(self) -> None:
         """Queues the request behind earlier ones on the connection."""
+        self._framing_bytes = 0
         self._cancel_timer()
         self._reading_message = False
         keep_alive = (
@@ -431,7 +451,7 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             first_byte_ms=self._first_byte_ms,
             received_ms=self._read_ms,
             keep_alive=keep_alive,
@@ -452,10 +472,22 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._chunk_start_bytes = 0
+        self._in_body = False
         self._wants_continue = False
 
+    def _check_framing(self) -> None:
+        """Refuses a message whose bytes beyond its body exceed the limit.
+
+        The parser passes on a header only when it is complete, and chunk
+        extensions and blank lines not at all.
+        """
+        limit = self._gate.limits().header_bytes_max + PIECE_BYTES
+        if self._framing_bytes > limit:
+            raise errors.CallError(errors.ErrorKind.HEADER_TOO_LARGE)
+
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._gate.limits().header_bytes_max:
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -135,3 +135,70 @@
 
     set_limit(before_ms)
     conftest.run_conversation(conversation, gate=gate)
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        b"GET /a HTTP/1.1\r\nx: ",
+        b"GET /a HTTP/1.1\r\n",
+        b"GET /",
+        CHUNKED + b"1;",
+        CHUNKED + b"0\r\nx: ",
+        CHUNKED + b"1\r\na\r\n0\r\n" + b"x: y\r\n" * 100,
+    ],
+)
+def test_bytes_without_an_end_are_refused_at_once(
+    start: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory and time spent on what never becomes a request."""
+    gate = conftest.FakeGate()
+    received = []
+    receive = http1_server.ServerConnection.data_received
+
+    def count(connection: http1_server.ServerConnection, data: bytes) -> None:
+        received.append(len(data))
+        receive(connection, data)
+
+    monkeypatch.setattr(http1_server.ServerConnection, "data_received", count)
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        answer = asyncio.create_task(reader.read(1_000))
+        writer.write(start)
+        while not answer.done():
+            writer.write((b"x" if start else b"\r\n") * 1_000)
+            await asyncio.sleep(0.001)
+        return await answer
+
+    answers = conftest.run_conversation(conversation, gate=gate)
+    assert statuses(answers) == [431]
+    assert len(gate.refusals) == 1
+    assert sum(received) < 20_000
+
+
+def test_blank_lines_do_not_keep_a_connection_open() -> None:
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        for _ in range(40):
+            writer.write(b"\r\n")
+            await asyncio.sleep(0.05)
+            if reader.at_eof():
+                return b"closed"
+        return b"open"
+
+    assert conftest.run_conversation(conversation) == b"closed"
+
+
+def test_trailers_are_no_headers() -> None:
+    async def answer(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        responder.answer(200, [], repr(request.headers).encode())
+
+    data = CHUNKED + b"0\r\nauthorization: x\r\n\r\n" + LAST
+    answers = conftest.run_conversation(conftest.sends(data), answer)
+    assert b"authorization" not in answers
