Callers' connections: pressure from before a handler pauses it

A handler that registered while its connection was paused already was not told: it read its replica's answer without end into the write buffer. The callback is called at once. Failed before, passes now (one run): test_pressure_before_the_handler_registers_pauses_it.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -226,6 +226,7 @@
         self._lost = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since_ms = time.now_ms()
+        self._writing_paused = False
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
         # The error that is sent once earlier requests are answered.
@@ -271,9 +272,14 @@
     def set_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
     ) -> None:
-        """Registers callbacks for a caller that reads too slowly."""
+        """Registers callbacks for a caller that reads too slowly.
+
+        `pause` is called at once if the caller is too slow already.
+        """
         self._pause = pause
         self._resume = resume
+        if self._writing_paused:
+            pause()
 
     # asyncio.Protocol
 
@@ -381,11 +387,13 @@
 
     def pause_writing(self) -> None:
         """Pauses the source of the response."""
+        self._writing_paused = True
         if self._pause is not None:
             self._pause()
 
     def resume_writing(self) -> None:
         """Resumes the source of the response."""
+        self._writing_paused = False
         if self._resume is not None:
             self._resume()
 
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from marlramp import clock
 from marlramp.shell import http1_server
 from tests.shell import conftest
 
@@ -202,3 +203,18 @@
     data = CHUNKED + b"0\r\nauthorization: x\r\n\r\n" + LAST
     answers = conftest.run_conversation(conftest.sends(data), answer)
     assert b"authorization" not in answers
+
+
+def test_pressure_before_the_handler_registers_pauses_it() -> None:
+    """Guards against a response that is read without end from its replica."""
+    connection = http1_server.ServerConnection(
+        conftest.echo, conftest.FakeGate(), clock.SystemClock(), set()
+    )
+    calls = []
+    connection.pause_writing()
+    connection.set_pressure(
+        lambda: calls.append("pause"), lambda: calls.append("resume")
+    )
+    assert calls == ["pause"]
+    connection.resume_writing()
+    assert calls == ["pause", "resume"]
