Callers' connections: a caller that does not read is given up

The response of a caller that never reads stayed in the write buffer for ever: nothing bounded the time, and close() waited for the flush. A connection on which the caller takes no byte for 10 s is aborted, and one that is closed has 10 s for the rest; both are reported as caller_stalled. TCP_USER_TIMEOUT ends connections to callers that acknowledge nothing for 10 s. Keepalive is not set: a probe each second on each idle connection would cost more than the bound on control traffic allows, and the idle limit ends these.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -23,6 +23,8 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp.core.configuration import fleet
+from marlramp.shell import closing
+from marlramp.shell import silence
 
 WRITE_BUFFER_MAX_BYTES = 262_144
 """Bytes buffered for a slow caller before reading its replica is paused."""
@@ -41,6 +43,17 @@
 IDLE_CHECK_MS = 1_000.0
 """Interval at which the limit in force is applied to an idle connection."""
 
+WRITE_STALL_MAX_MS = 10_000.0
+"""A caller that takes no byte of its response for this long, which is longer
+than a stream may run, is not waited for."""
+
+CLOSE_FLUSH_MAX_MS = 10_000.0
+"""Time in which a caller has to take the rest before a connection closes."""
+
+UNACKNOWLEDGED_MAX_MS = 10_000
+"""Bytes that stay unacknowledged this long end the connection. Idle ones are
+not probed, which would cost more than it saves: the idle limit ends them."""
+
 _CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -98,11 +111,13 @@
 
     Attributes:
       CALLER_LEFT: the caller closed the connection.
+      CALLER_STALLED: the caller did not read its response.
       HANDLER_FAILED: the handler ended without a complete response.
       CLOSED: the server closed the connection for another request.
     """
 
     CALLER_LEFT = "caller_left"
+    CALLER_STALLED = "caller_stalled"
     HANDLER_FAILED = "handler_failed"
     CLOSED = "closed"
 
@@ -222,10 +237,16 @@
         self._reset_message()
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
-        self._closed = False
+        # The last request whose response is complete.
+        self._answered: Request | None = None
+        # Why the server closed the connection, None while it has not.
+        self._closed_for: UnansweredReason | None = None
         self._lost = False
         self._timer: asyncio.TimerHandle | None = None
         self._idle_since_ms = time.now_ms()
+        self._write_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        self._taken_bytes = 0
         self._writing_paused = False
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
@@ -254,20 +275,28 @@
 
     def write(self, data: bytes) -> None:
         """Writes to the caller unless the connection is closing."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        self._written_bytes += len(data)
+        if self._write_timer is None and self._unsent_bytes:
+            self._watch_writing()
 
     def abort(self) -> None:
         """Aborts the connection, discarding unsent data."""
-        self._closed = True
+        self._closed_for = self._closed_for or UnansweredReason.CLOSED
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Closes the connection after flushing written data."""
-        self._closed = True
-        if self._transport is not None:
-            self._transport.close()
+        if self._closed_for is not None or self._transport is None:
+            return
+        self._closed_for = UnansweredReason.CLOSED
+        self._cancel_timer()
+        self._transport.close()
+        if self._unsent_bytes:
+            self._start_timer(CLOSE_FLUSH_MAX_MS, self._give_up)
 
     def set_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
@@ -289,12 +318,13 @@
             raise TypeError("expected a stream transport")
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_MAX_BYTES)
+        silence.bound_unacknowledged(transport, UNACKNOWLEDGED_MAX_MS)
         self._connections.add(self)
         self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
         """Parses received data while the queue has space."""
-        if self._refusal is not None or self._closed:
+        if self._refusal is not None or self._closed_for is not None:
             return
         if self._complete:
             self._stop_reading()
@@ -323,7 +353,7 @@
 
     def _read_on(self) -> None:
         """Goes on reading after the queue was full."""
-        if self._transport is None or self._closed or self._complete:
+        if self._transport is None or self._complete:
             return
         if self._refusal is not None:
             return
@@ -374,9 +404,9 @@
         while self._unparsed:
             self._feed_piece()
         self._cancel_timer()
-        reason = UnansweredReason.CALLER_LEFT
-        if self._closed:
-            reason = UnansweredReason.CLOSED
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+        reason = self._closed_for or UnansweredReason.CALLER_LEFT
         if self._serving is not None:
             self._gate.unanswered(self._serving, reason)
         for request in self._queued:
@@ -533,7 +563,9 @@
         if not responder.ended:
             self._gate.unanswered(request, UnansweredReason.HANDLER_FAILED)
             self.abort()
-        elif self.ends_after(request):
+            return
+        self._answered = request
+        if self.ends_after(request):
             self.close()
         else:
             self._start_next()
@@ -562,6 +594,36 @@
         if self._transport is not None:
             self._transport.pause_reading()
 
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _watch_writing(self) -> None:
+        self._taken_bytes = self._written_bytes - self._unsent_bytes
+        self._write_timer = asyncio.get_running_loop().call_later(
+            WRITE_STALL_MAX_MS / clock.MILLIS_PER_SECOND, self._check_writing
+        )
+
+    def _check_writing(self) -> None:
+        """Gives up a caller that has taken nothing since the last check."""
+        self._write_timer = None
+        if not self._unsent_bytes:
+            return
+        if self._written_bytes - self._unsent_bytes == self._taken_bytes:
+            self._give_up()
+        else:
+            self._watch_writing()
+
+    def _give_up(self) -> None:
+        """Aborts the connection of a caller that does not read."""
+        self._closed_for = UnansweredReason.CALLER_STALLED
+        if self._serving is None and self._answered is not None:
+            self._gate.unanswered(self._answered, self._closed_for)
+        if self._transport is not None:
+            closing.abort(self._transport)
+
     def _start_header_timer(self) -> None:
         self._start_timer(
             self._gate.limits().header_timeout_ms, self._on_header_timeout
--- a/src/marlramp/shell/silence.py
+++ b/src/marlramp/shell/silence.py
@@ -28,8 +28,8 @@
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
+    bound_unacknowledged(transport, unacknowledged_max_ms)
     options = {
-        socket.TCP_USER_TIMEOUT: unacknowledged_max_ms,
         socket.TCP_KEEPIDLE: KEEPALIVE_IDLE_S,
         socket.TCP_KEEPINTVL: KEEPALIVE_INTERVAL_S,
         socket.TCP_KEEPCNT: KEEPALIVE_PROBES_MAX,
@@ -37,3 +37,18 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in options.items():
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def bound_unacknowledged(transport: asyncio.Transport, max_ms: int) -> None:
+    """Closes a connection when bytes stay unacknowledged for this long.
+
+    This includes bytes that the peer does not accept. Idle connections are not
+    probed.
+
+    Args:
+      transport: an open TCP connection.
+      max_ms: the limit.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, max_ms)
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import msgspec
 import pytest
@@ -205,6 +206,40 @@
     assert b"authorization" not in answers
 
 
+@pytest.mark.parametrize("ends", [True, False])
+def test_caller_that_never_reads_is_closed(
+    *, ends: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a response that is kept until the process ends."""
+    gate = conftest.FakeGate()
+    monkeypatch.setattr(http1_server, "WRITE_STALL_MAX_MS", 200.0)
+    monkeypatch.setattr(http1_server, "CLOSE_FLUSH_MAX_MS", 200.0)
+
+    async def answer(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        responder.start(200, [], None)
+        responder.write(b"x" * 32_000_000)
+        if not ends:
+            await asyncio.sleep(60)
+        responder.end()
+
+    async def conversation(
+        _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        port = writer.get_extra_info("peername")[1]
+        with socket.create_connection(("127.0.0.1", port)) as caller:
+            caller.send(LAST)
+            while not gate.unanswered_reasons:
+                await asyncio.sleep(0.01)
+        return b""
+
+    conftest.run_conversation(conversation, answer, gate)
+    assert [reason.value for reason in gate.unanswered_reasons] == [
+        "caller_stalled"
+    ]
+
+
 def test_pressure_before_the_handler_registers_pauses_it() -> None:
     """Guards against a response that is read without end from its replica."""
     connection = http1_server.ServerConnection(
