Callers' connections: a handler that fails leaves no connection open

A handler that raised, that was cancelled by other code than the server, or that returned without an answer left its caller waiting on an open connection, without a line. If nothing was written the caller gets 500, else the request is reported as handler_failed and the connection aborted.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -22,6 +22,7 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp import logs
 from marlramp.core.configuration import fleet
 from marlramp.shell import closing
 from marlramp.shell import silence
@@ -555,11 +556,19 @@
         try:
             await self._handler(request, responder)
         except asyncio.CancelledError:
-            return
+            if not self._lost:
+                logs.log("handler_cancelled", where="caller_server")
+        except Exception as error:
+            logs.log_exception("internal_error", error, where="caller_server")
         finally:
             self._task = None
             self._serving = None
             self._pause = self._resume = None
+        if self._lost:
+            return
+        if not responder.started and self._closed_for is None:
+            answer = errors.ANSWERS[errors.ErrorKind.INTERNAL]
+            responder.answer(answer.status, [], b"")
         if not responder.ended:
             self._gate.unanswered(request, UnansweredReason.HANDLER_FAILED)
             self.abort()
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -253,3 +253,25 @@
     assert calls == ["pause"]
     connection.resume_writing()
     assert calls == ["pause", "resume"]
+
+
+@pytest.mark.parametrize("started", [False, True])
+@pytest.mark.parametrize("error", [ValueError, asyncio.CancelledError, None])
+def test_handler_that_fails_leaves_no_connection_open(
+    *, started: bool, error: type[BaseException] | None
+) -> None:
+    """Guards against a caller that waits until its own timeout."""
+    gate = conftest.FakeGate()
+
+    async def fail(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        if started:
+            responder.start(200, [], None)
+        if error is not None:
+            raise error
+
+    answers = conftest.run_conversation(conftest.sends(LAST), fail, gate)
+    assert statuses(answers) == [200 if started else 500]
+    failed = http1_server.UnansweredReason.HANDLER_FAILED
+    assert gate.unanswered_reasons == ([failed] if started else [])
