An internal error of the forwarder is answered

A request during which the forwarder raised got a closed connection although nothing of an answer had been written. It now gets the entry's own answer for internal errors (500, ran unknown) and its request_failed line; an answer that has begun is broken off as before.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -162,7 +162,8 @@
         except Exception as error:
             self._totals.add(counters.CounterName.INTERNAL_ERRORS, "forwarder")
             logs.log_exception("internal_error", error, request=request_id)
-            responder.abort()
+            internal = errors.CallError(errors.ErrorKind.INTERNAL)
+            self._fail(request_id, call, internal, responder)
         finally:
             self.active -= 1
 
