Entry: the end of the process leaves no request without a word

A request that still ran at the end of the grace period, or that was read whole in the last moment, ended with the process: no answer, no line. The server now ends its connections itself: handlers are cancelled, so that their callers get 500 unless an answer has begun, requests behind them are handled for up to 100 ms, and what remains is reported. An entry that leaves also waits for responses that a caller has not taken whole; they counted as done.

--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -289,8 +289,7 @@
                 break
             await asyncio.sleep(TICK_MS / _MS)
         self._page_server.stop()
-        self._callers.stop_listening()
-        self._callers.close_idle()
+        await self._callers.finish()
 
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Applies changed bounds and seeds; new addresses need a restart."""
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -41,6 +41,11 @@
 """Received bytes are parsed in pieces of this size, since the parser can't be
 stopped within one."""
 
+FINISH_MAX_MS = 100.0
+"""Time in which cancelled requests are answered at the end of the process."""
+
+FINISH_POLL_MS = 10.0
+
 IDLE_CHECK_MS = 1_000.0
 """Interval at which the limit in force is applied to an idle connection."""
 
@@ -266,6 +271,11 @@
             and not self._reading_message
         )
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is read or handled, or a response unsent."""
+        return not self.idle or self._unsent_bytes > 0
+
     def ends_after(self, request: Request) -> bool:
         """Returns whether the connection closes after this response."""
         return (
@@ -299,6 +309,11 @@
         if self._unsent_bytes:
             self._start_timer(CLOSE_FLUSH_MAX_MS, self._give_up)
 
+    def cancel(self) -> None:
+        """Cancels the handler; its request is answered if it has no answer."""
+        if self._task is not None:
+            self._task.cancel()
+
     def set_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
     ) -> None:
@@ -706,8 +721,8 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections that are reading or handling a request."""
-        return sum(not connection.idle for connection in self._connections)
+        """Number of connections with a request or an unsent response."""
+        return sum(connection.busy for connection in self._connections)
 
     def close_idle(self) -> None:
         """Closes connections without a request."""
@@ -720,3 +735,25 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+
+    async def finish(self) -> None:
+        """Ends all connections before the process ends.
+
+        Requests that are handled are cancelled and answered with an error, or
+        reported if their answer has begun. Those behind them are handled until
+        FINISH_MAX_MS have passed, and reported after that.
+        """
+        self.stop_listening()
+        for connection in list(self._connections):
+            connection.cancel()
+        end_ms = self._clock.now_ms() + FINISH_MAX_MS
+        while True:
+            # Also handles what was accepted or read just before.
+            await asyncio.sleep(FINISH_POLL_MS / clock.MILLIS_PER_SECOND)
+            self.close_idle()
+            if not self.busy or self._clock.now_ms() >= end_ms:
+                break
+        for connection in list(self._connections):
+            connection.abort()
+        # Lets the transports report that they are closed.
+        await asyncio.sleep(0)
--- a/tests/direct/test_entry_daemon.py
+++ b/tests/direct/test_entry_daemon.py
@@ -11,8 +11,10 @@
 from marlramp.core.configuration import route_table
 from marlramp.core.membership import members
 from marlramp.direct import entry_daemon
+from marlramp.experiments import processes
 from marlramp.platform import lookup_pages
 from marlramp.settings import node
+from marlramp.shell import http1_server
 from tests.direct import conftest
 
 LATE_MS = 3_000.0
@@ -56,6 +58,42 @@
     assert daemon.routes is not None
 
 
+def test_request_beyond_the_grace_period_is_answered(
+    daemon: entry_daemon.EntryDaemon,
+) -> None:
+    """Guards against a whole request that ends with the process."""
+
+    async def stuck(
+        _: http1_server.Request, __: http1_server.Responder
+    ) -> None:
+        await asyncio.sleep(60)
+
+    async def answer_of_a_leaving_entry() -> bytes:
+        bounds = msgspec.structs.replace(
+            daemon._settings.bounds,
+            grace_ms=entry_daemon.LEAVE_MARGIN_MS + 2 * entry_daemon.TICK_MS,
+        )
+        daemon._settings = msgspec.structs.replace(
+            daemon._settings, bounds=bounds
+        )
+        daemon._callers = http1_server.CallerServer(
+            stuck, daemon, daemon._clock
+        )
+        (port,) = processes.free_ports(1)
+        await daemon._callers.start("127.0.0.1", port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        daemon.drain("SIGTERM")
+        await daemon._leave()
+        async with asyncio.timeout(1):
+            answer = await reader.read()
+        writer.close()
+        return answer
+
+    answer = asyncio.run(answer_of_a_leaving_entry())
+    assert answer.startswith(b"HTTP/1.1 500")
+
+
 @pytest.mark.parametrize(
     ("host", "region", "data_centre", "expected"),
     [
--- a/tests/shell/conftest.py
+++ b/tests/shell/conftest.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 from typing import TypeAlias
 
 from marlramp import clock
@@ -55,24 +57,33 @@
 ]
 
 
+@contextlib.asynccontextmanager
+async def serving(
+    handler: http1_server.Handler, gate: FakeGate
+) -> AsyncIterator[tuple[http1_server.CallerServer, int]]:
+    """Runs a server and yields it with its port."""
+    server = http1_server.CallerServer(handler, gate, clock.SystemClock())
+    await server.start("127.0.0.1", 0)
+    assert server._server is not None
+    port = server._server.sockets[0].getsockname()[1]
+    try:
+        yield server, port
+    finally:
+        server.stop_listening()
+
+
 def run_conversation(
     conversation: Conversation,
     handler: http1_server.Handler = echo,
     gate: FakeGate | None = None,
 ) -> bytes:
     async def run() -> bytes:
-        server = http1_server.CallerServer(
-            handler, gate or FakeGate(), clock.SystemClock()
-        )
-        await server.start("127.0.0.1", 0)
-        assert server._server is not None
-        port = server._server.sockets[0].getsockname()[1]
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        async with asyncio.timeout(3):
-            result = await conversation(reader, writer)
-        writer.close()
-        server.stop_listening()
-        return result
+        async with serving(handler, gate or FakeGate()) as (_, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            async with asyncio.timeout(3):
+                result = await conversation(reader, writer)
+            writer.close()
+            return result
 
     return asyncio.run(run())
 
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -275,3 +275,35 @@
     assert statuses(answers) == [200 if started else 500]
     failed = http1_server.UnansweredReason.HANDLER_FAILED
     assert gate.unanswered_reasons == ([failed] if started else [])
+
+
+@pytest.mark.parametrize(
+    ("started", "reasons"),
+    [(False, ["closed"]), (True, ["handler_failed", "closed"])],
+)
+def test_end_of_the_process_leaves_no_request_without_a_word(
+    *, started: bool, reasons: list[str]
+) -> None:
+    gate = conftest.FakeGate()
+
+    async def stuck(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        if started:
+            responder.start(200, [], 9)
+        await asyncio.sleep(60)
+
+    async def main() -> bytes:
+        async with conftest.serving(stuck, gate) as (server, port):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(conftest.GET * 2)
+            while not server.busy:
+                await asyncio.sleep(0.01)
+            await server.finish()
+            assert not server.busy
+            answers = await reader.read()
+            writer.close()
+            return answers
+
+    assert statuses(asyncio.run(main())) == [200 if started else 500]
+    assert [reason.value for reason in gate.unanswered_reasons] == reasons
