Pages: bounds in time and bytes, and an end with the process

A page that never ended held its caller for ever, a request for a page could bring 4 MiB of body that no page reads, and a connection that was in use when the process stopped its pages was kept open. A page has 5 s (then 503 and side_call_late), a body 4 KiB, and answers after the stop close their connection. Failed before, pass now (one run): the cases of test_pages_are_found_by_their_path, which now also ask during the stop.

--- a/src/marlramp/direct/page_server.py
+++ b/src/marlramp/direct/page_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -28,9 +29,18 @@
 
 METRICS_PATH = "/metrics"
 
+PAGE_MAX_MS = 5_000.0
+"""Time in which a page is answered; the first metrics load their libraries."""
+
+BODY_BYTES_MAX = 4_096
+"""Size of a request's body, which no page reads."""
+
+_LIMITS = fleet.CallerLimits(body_bytes_max=BODY_BYTES_MAX)
+
 _OK = 200
 _NOT_FOUND = 404
 _FAILED = 500
+_LATE = 503
 
 
 class Page(msgspec.Struct, frozen=True):
@@ -91,6 +101,7 @@
             name: http1_server.CallerServer(self._answer, self, time)
             for name in addresses
         }
+        self._stopped = False
 
     def openings(self) -> list[port_opener.Opening]:
         """Returns the ports to open."""
@@ -102,7 +113,8 @@
         ]
 
     def stop(self) -> None:
-        """Stops listening and closes idle connections."""
+        """Stops listening; closes connections after their current answer."""
+        self._stopped = True
         for server in self._servers.values():
             server.stop_listening()
             server.close_idle()
@@ -112,11 +124,11 @@
     @property
     def closing(self) -> bool:
         """Whether each connection is closed after its current answer."""
-        return False
+        return self._stopped
 
     def limits(self) -> fleet.CallerLimits:
-        """Returns the limits on callers, which are the defaults."""
-        return fleet.CallerLimits()
+        """Returns the limits on callers, which are constant."""
+        return _LIMITS
 
     def refused(self, error: errors.CallError) -> None:
         """Logs a request that could not be parsed."""
@@ -147,7 +159,12 @@
             responder.answer(_NOT_FOUND, [], b"")
             return
         try:
-            answer = await handler(query.decode("latin-1"))
+            async with asyncio.timeout(PAGE_MAX_MS / clock.MILLIS_PER_SECOND):
+                answer = await handler(query.decode("latin-1"))
+        except TimeoutError:
+            logs.log("side_call_late", path=name)
+            responder.answer(_LATE, [], b"")
+            return
         except Exception as error:
             logs.log_exception("internal_error", error, where="side_server")
             responder.answer(_FAILED, [], b"")
--- a/tests/direct/test_page_server.py
+++ b/tests/direct/test_page_server.py
@@ -24,18 +24,33 @@
 
 @pytest.mark.parametrize(
     ("path", "status"),
-    [("/metrics?x=1", b"200"), ("/other", b"404"), ("/broken", b"500")],
+    [
+        ("/metrics?x=1", b"200"),
+        ("/other", b"404"),
+        ("/broken", b"500"),
+        ("/stuck", b"503"),
+    ],
 )
-def test_pages_are_found_by_their_path(path: str, status: bytes) -> None:
+def test_pages_are_found_by_their_path(
+    path: str, status: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def broken(_: str) -> page_server.Page:
         raise ValueError("a page that fails")
 
+    async def stuck(_: str) -> page_server.Page:
+        await asyncio.sleep(60)
+        raise AssertionError
+
+    if path == "/stuck":
+        monkeypatch.setattr(page_server, "PAGE_MAX_MS", 100.0)
+
     async def main() -> bytes:
         totals = counters.Counters()
         totals.add(counters.CounterName.REFUSALS, "late", 3)
         pages = {
             **page_server.metrics_pages(metrics.Metrics(totals).text),
             "/broken": broken,
+            "/stuck": stuck,
         }
         (port,) = processes.free_ports(1)
         address = node.Address("127.0.0.1", port)
@@ -44,8 +59,16 @@
         )
         (opening,) = server.openings()
         await opening.start(opening.host, opening.port)
-        answer = await get(port, path)
-        server.stop()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        async with asyncio.timeout(3):
+            answer = await get(port, path)
+            writer.write(b"GET /other HTTP/1.1\r\nhost: a\r\n")
+            await asyncio.sleep(0.05)
+            server.stop()
+            # A request that arrives meanwhile is the last on its connection.
+            writer.write(b"\r\n")
+            assert b"connection: close" in await reader.read()
+        writer.close()
         return answer
 
     answer = asyncio.run(main())
