Callers' connections: a caller that sends a body over the limit reads its 413

A caller that sent its whole request, with a body over the limit, before it read got a reset instead of the refusal: the connection was closed with unread bytes. After a refused body the server ends its side and reads on, dropping what comes, for at most 1 s and 8 MiB. Other refusals close at once as before.

New, for the bounds: test_body_without_an_end_is_not_read_for_ever.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -41,6 +41,11 @@
 """Received bytes are parsed in pieces of this size, since the parser can't be
 stopped within one."""
 
+LINGER_BYTES_MAX = 8_388_608
+LINGER_MAX_MS = 1_000.0
+"""Bounds on what is read and dropped after a body was refused. A connection
+that is closed with unread bytes is reset, and its caller loses the refusal."""
+
 FINISH_MAX_MS = 100.0
 """Time in which cancelled requests are answered at the end of the process."""
 
@@ -258,6 +263,8 @@
         self._resume: Callable[[], None] | None = None
         # The error that is sent once earlier requests are answered.
         self._refusal: errors.CallError | None = None
+        # Bytes that are still read and dropped after a refusal.
+        self._linger_left_bytes = 0
         # Whether a request was read after which the caller sends no other.
         self._complete = False
         self._reading_message = False
@@ -340,6 +347,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received data while the queue has space."""
+        if self._linger_left_bytes > 0:
+            self._linger_left_bytes -= len(data)
+            if self._linger_left_bytes <= 0:
+                self.close()
+            return
         if self._refusal is not None or self._closed_for is not None:
             return
         if self._complete:
@@ -611,7 +623,19 @@
             b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
             % (error.status, REASONS.get(error.status, b"Error"))
         )
-        self.close()
+        if error.kind is errors.ErrorKind.BODY_TOO_LARGE:
+            self._linger()
+        else:
+            self.close()
+
+    def _linger(self) -> None:
+        """Reads what a caller still sends before it reads its refusal."""
+        if self._transport is None or self._closed_for is not None:
+            return
+        self._linger_left_bytes = LINGER_BYTES_MAX
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._start_timer(LINGER_MAX_MS, self.close)
 
     def _stop_reading(self) -> None:
         self._unparsed = memoryview(b"")
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -307,3 +307,49 @@
 
     assert statuses(asyncio.run(main())) == [200 if started else 500]
     assert [reason.value for reason in gate.unanswered_reasons] == reasons
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_caller_that_sends_its_whole_body_reads_the_refusal(
+    *, chunked: bool
+) -> None:
+    """Guards against a reset that overtakes the refusal."""
+    body = b"x" * 3_000_000
+    framing = b"content-length: %d" % len(body)
+    if chunked:
+        framing = b"transfer-encoding: chunked"
+        body = b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(b"POST /a HTTP/1.1\r\n" + framing + b"\r\n\r\n")
+        writer.write(body)
+        await writer.drain()
+        return await reader.read()
+
+    assert statuses(conftest.run_conversation(conversation)) == [413]
+
+
+@pytest.mark.parametrize(
+    ("bytes_max", "wait_ms"), [(50_000, 60_000.0), (10**9, 200.0)]
+)
+def test_body_without_an_end_is_not_read_for_ever(
+    bytes_max: int, wait_ms: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(http1_server, "LINGER_BYTES_MAX", bytes_max)
+    monkeypatch.setattr(http1_server, "LINGER_MAX_MS", wait_ms)
+
+    async def conversation(
+        _: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        writer.write(b"POST /a HTTP/1.1\r\ncontent-length: 999999999\r\n\r\n")
+        try:
+            while True:
+                writer.write(b"x" * 1_000)
+                await writer.drain()
+                await asyncio.sleep(0.002)
+        except ConnectionError:
+            return b"closed"
+
+    assert conftest.run_conversation(conversation) == b"closed"
