Callers' connections: an answer to HEAD has no body

The entry's own answers and pages had a body in answer to HEAD, which the caller took for the start of the next answer on the connection. Failed before, passes now (one run): test_answer_to_head_has_no_body.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -165,6 +165,7 @@
         self._connection = connection
         self._request = request
         self._chunked = False
+        self._bodyless = request.method == "HEAD"
         self.started = False
         self.ended = False
 
@@ -188,8 +189,8 @@
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
     def write(self, data: bytes) -> None:
-        """Writes a part of the body."""
-        if not data:
+        """Writes a part of the body, nothing in answer to HEAD."""
+        if not data or self._bodyless:
             return
         if self._chunked:
             data = _CHUNK_HEAD % len(data) + data + _CHUNK_END
@@ -197,7 +198,7 @@
 
     def end(self) -> None:
         """Completes the response."""
-        if self._chunked:
+        if self._chunked and not self._bodyless:
             self._connection.write(_LAST_CHUNK)
         self.ended = True
 
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -353,3 +353,21 @@
             return b"closed"
 
     assert conftest.run_conversation(conversation) == b"closed"
+
+
+@pytest.mark.parametrize("length", [5, None])
+def test_answer_to_head_has_no_body(length: int | None) -> None:
+    """Guards against a body that looks like the start of the next answer."""
+
+    async def answer(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        responder.start(200, [], length)
+        responder.write(b"HELLO")
+        responder.end()
+
+    data = conftest.GET.replace(b"GET", b"HEAD") + LAST
+    answers = conftest.run_conversation(conftest.sends(data), answer)
+    assert statuses(answers) == [200, 200]
+    assert answers.count(b"HELLO") == 1
+    assert b"\r\n\r\nHTTP/1.1" in answers
