Close connections to replicas that are of no more use

What callers saw: nothing at first, another replica served them; but the entry went on to read the answer that it had refused until the replica ended it, and an entry that dies of memory or stands still loses every request that it holds.

Cause: a connection whose attempt had ended was offered to its pool, which dropped it unless it was reusable; its reader stayed in place.

Change: the pool closes what it can't reuse. The pool of a replica that is forgotten is retired: connections given back later (attempts, latency probes) are closed. A connection whose end was received can't carry another request any more; before, a request could be written in the same turn of the event loop and was lost as sent.

--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -210,7 +210,7 @@
         for replica_id in replica_ids:
             pool = self._pools.pop(replica_id, None)
             if pool is not None:
-                pool.close()
+                pool.retire()
 
     async def send(
         self,
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -176,8 +176,10 @@
             self._report_loss(LossKind.MALFORMED)
 
     def eof_received(self) -> bool:
-        """Completes a response that has no length."""
-        if self._body_until_close and self._head is not None:
+        """Completes a response that has no length; ends an idle connection."""
+        if self._reader is None:
+            self.abort()
+        elif self._body_until_close and self._head is not None:
             self._complete()
         return False
 
@@ -296,6 +298,7 @@
         self._port = port
         self._clock = time
         self._idle: list[ReplicaConnection] = []
+        self._retired = False
         self.opened = 0
 
     def take_idle(self, idle_share_max: float) -> ReplicaConnection | None:
@@ -329,9 +332,14 @@
         return await connect(self._host, self._port, self._clock)
 
     def give_back(self, connection: ReplicaConnection) -> None:
-        """Returns a connection to the pool if it can be reused."""
-        if connection.reusable:
+        """Returns a connection to the pool; closes it if it can't be reused.
+
+        A response that is still arriving has no more use.
+        """
+        if connection.reusable and not self._retired:
             self._idle.append(connection)
+        else:
+            connection.abort()
 
     def drop_stale(self) -> None:
         """Closes connections that exceeded their idle limit."""
@@ -350,3 +358,8 @@
         for connection in self._idle:
             connection.abort()
         self._idle.clear()
+
+    def retire(self) -> None:
+        """Closes all idle connections, and those that are given back later."""
+        self._retired = True
+        self.close()
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -19,6 +19,12 @@
 
 import msgspec
 
+FLOOD_S_MAX = 3.0
+"""Longest time of a flood that is not ended by its reader."""
+
+FLOOD_BYTES_MAX = 2_147_483_648
+"""Largest number of bytes of a flood."""
+
 
 class SeenRequest(msgspec.Struct, frozen=True):
     """A received request, with header names in lower case."""
@@ -41,7 +47,12 @@
 
 
 class Peer:
-    """A client connection with the operations that a script uses."""
+    """A client connection with the operations that a script uses.
+
+    Attributes:
+      flooded_bytes: number of bytes that `flood` has written.
+      flood_ended: set when the flood has ended.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -49,6 +60,8 @@
         """Wraps an open connection."""
         self._reader = reader
         self._writer = writer
+        self.flooded_bytes = 0
+        self.flood_ended = asyncio.Event()
 
     async def read(self) -> SeenRequest | None:
         """Returns the next request, None if the connection ended."""
@@ -97,6 +110,19 @@
         """Writes a complete response with a JSON body."""
         await self.answer(request, 200, json.dumps(value).encode())
 
+    async def flood(self, data: bytes) -> None:
+        """Writes the same bytes until the reader closes, or up to a limit."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FLOOD_S_MAX):
+                while (
+                    self.flooded_bytes < FLOOD_BYTES_MAX
+                    and not self._writer.transport.is_closing()
+                ):
+                    await self.write(data)
+                    self.flooded_bytes += len(data)
+                    await asyncio.sleep(0)
+        self.flood_ended.set()
+
     def reset(self) -> None:
         """Resets the connection if it is open."""
         sock = self._writer.get_extra_info("socket")
