Bound what is read of a response beside its body

What callers saw: nothing, unless the entry that read it ran out of memory or time: heads, chunk extensions and trailers without an end were read until the attempt timed out, or the replica ended them.

Cause: the limit of the head counted whole headers, and the parser reports a header only when it is complete. It reports no reason phrase, blank line, informational response without headers or chunk extension at all.

Change: bytes are counted as they are fed to the parser. The head with all informational responses before it may have 65,536, and so may chunk extensions and trailers at any place of the body; each byte of the body allows 16 more, so that a stream of one-byte chunks has no limit. The parser gets no more at once than is allowed. A switch of protocols is a malformed response; before, it was an unhandled error of the event loop.

--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -34,6 +34,12 @@
 """Idle limit if the replica sends no `Keep-Alive` timeout."""
 
 HEAD_BYTES_MAX = 65_536
+"""Largest head of a response, with all informational responses before it."""
+
+FRAMING_PER_BODY_BYTE = 16
+"""Bytes that divide the body into chunks, for each byte of it: a chunk may be
+as small as one byte. At most `HEAD_BYTES_MAX` come at once, as in trailers."""
+
 _FINAL_STATUS_MIN = 200
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -109,7 +115,7 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._method = ""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._framing_bytes_left = 0
         self._head: ResponseHead | None = None
         self._body_until_close = False
         self._reusable = False
@@ -133,7 +139,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._method = method
         self._headers = []
-        self._head_bytes = 0
+        self._framing_bytes_left = HEAD_BYTES_MAX
         self._head = None
         self._body_until_close = False
         self._reusable = False
@@ -166,14 +172,28 @@
         silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data; aborts if no request is pending."""
-        if self._reader is None or self._parser is None:
-            self.abort()
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._report_loss(LossKind.MALFORMED)
+        """Parses received data; aborts if no request is pending.
+
+        What is no body has a limit: head, chunk sizes, extensions, trailers.
+        The parser gets no more than this at once, since it collects a header
+        until it is complete.
+        """
+        rest = memoryview(data)
+        while rest:
+            if self._reader is None or self._parser is None:
+                self.abort()
+                return
+            part = rest[: self._framing_bytes_left]
+            rest = rest[len(part) :]
+            self._framing_bytes_left -= len(part)
+            try:
+                self._parser.feed_data(part)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._report_loss(LossKind.MALFORMED)
+                return
+            if self._framing_bytes_left <= 0 and self._reader is not None:
+                self._report_loss(LossKind.MALFORMED)
+                return
 
     def eof_received(self) -> bool:
         """Completes a response that has no length; ends an idle connection."""
@@ -202,9 +222,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > HEAD_BYTES_MAX:
-            raise httptools.HttpParserError("headers exceed the size limit")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -236,6 +253,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Passes on a part of the body."""
+        allowed = len(body) * (1 + FRAMING_PER_BODY_BYTE)
+        self._framing_bytes_left = min(
+            HEAD_BYTES_MAX, self._framing_bytes_left + allowed
+        )
         if self._reader is not None:
             self._reader.on_body(body)
 
