Own calls state the largest answer that they take

What callers saw: nothing until the process ended; an entry or agent that dies of memory loses every request that it holds.

Cause: a call kept whatever its server wrote, until its timeout; with an extension by arrival there was no longest time. Parts of a body were kept as they came, so that one-byte chunks took many times their size.

Change: each call has a largest body (1 MiB, the store's answers and manifests 8 MiB, a piece of weights the size that its manifest states), and a content-length above it is refused at once. An extension by arrival names a longest time in all, 30 s for the store. A staged piece that is too large counts as empty, so that it is replaced as any other that does not match: before, it was read whole. A body is kept in one buffer, and parts that were received together are passed on together.

With four pieces at a time an agent holds four times a piece, and one answer of the store.

--- a/src/marlramp/direct/weights/origin_fetches.py
+++ b/src/marlramp/direct/weights/origin_fetches.py
@@ -49,20 +49,30 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.origin: version_digests.Origin | None = None
 
-    def start(self, wanted: version_digests.ModelVersion, index: int) -> None:
-        """Starts to fetch a piece."""
-        task = asyncio.create_task(self._fetch(wanted, index))
+    def start(
+        self,
+        wanted: version_digests.ModelVersion,
+        index: int,
+        bytes_max: int,
+    ) -> None:
+        """Starts to fetch a piece of at most `bytes_max`."""
+        task = asyncio.create_task(self._fetch(wanted, index, bytes_max))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _fetch(
-        self, wanted: version_digests.ModelVersion, index: int
+        self,
+        wanted: version_digests.ModelVersion,
+        index: int,
+        bytes_max: int,
     ) -> None:
         started_ms = self._clock.now_ms()
         try:
             if self.origin is None:
                 raise clients.PlatformError("the origin is not known")
-            data = await self.origin.piece(wanted.model, wanted.version, index)
+            data = await self.origin.piece(
+                wanted.model, wanted.version, index, bytes_max
+            )
         except clients.PlatformError as error:
             logs.log("piece_unavailable", index=index, detail=error)
             self._on_failed(wanted, index, _pause_ms(error))
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -451,7 +451,10 @@
                 case swarm.CancelFetch():
                     self._downloads.cancel(action.index)
                 case swarm.FetchFromOrigin():
-                    self._origin_fetches.start(self._wanted, action.index)
+                    digests = self._chunk_sets[self._wanted.name].manifest
+                    self._origin_fetches.start(
+                        self._wanted, action.index, digests.chunk_bytes
+                    )
 
     def _on_fetched(
         self, wanted: version_digests.ModelVersion, index: int, data: bytes
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -503,4 +503,7 @@
                 case relay_fetch.CancelFetch():
                     version.downloads.cancel(action.index)
                 case relay_fetch.FetchFromOrigin():
-                    self._origin_fetches.start(version.wanted, action.index)
+                    digests = self._chunk_sets[version.wanted.name].manifest
+                    self._origin_fetches.start(
+                        version.wanted, action.index, digests.chunk_bytes
+                    )
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -53,8 +53,10 @@
         """
         ...
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
-        """Returns a piece, not verified.
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
+        """Returns a piece of at most `bytes_max`, not verified.
 
         Raises:
           clients.PlatformError: the origin did not answer or refused.
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -60,8 +60,10 @@
         """Returns the indexes of the staged pieces."""
         ...
 
-    async def read_staged(self, model: str, index: int) -> bytes:
-        """Returns a staged piece, not verified."""
+    async def read_staged(
+        self, model: str, index: int, bytes_max: int
+    ) -> bytes:
+        """Returns a staged piece, not verified; empty if it is too large."""
         ...
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
@@ -274,7 +276,9 @@
         self._staged = set()
         self._verified_ms = float("-inf")
         for index in await self._engine.staged(wanted.model):
-            data = await self._engine.read_staged(wanted.model, index)
+            data = await self._engine.read_staged(
+                wanted.model, index, chunk_set.manifest.chunk_bytes
+            )
             if 0 <= index < len(
                 chunk_set.manifest.chunks
             ) and chunk_set.matches(index, data):
@@ -410,7 +414,9 @@
 
         async def repair(index: int) -> None:
             async with limit:
-                data = await self._engine.read_staged(wanted.model, index)
+                data = await self._engine.read_staged(
+                    wanted.model, index, chunk_set.manifest.chunk_bytes
+                )
                 held = chunk_set.get(index)
                 if held is None or chunk_set.matches(index, data):
                     return
--- a/src/marlramp/experiments/spread.py
+++ b/src/marlramp/experiments/spread.py
@@ -61,7 +61,9 @@
         await self._call(MANIFEST_BYTES)
         return self._fleet.manifest
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         data = self._fleet.pieces[index]
         await self._call(len(data))
         return data
--- a/src/marlramp/platform/calls.py
+++ b/src/marlramp/platform/calls.py
@@ -63,6 +63,7 @@
         timeout_ms: float,
         body: bytes = b"",
         arrival: http1_call.Arrival | None = None,
+        answer_bytes_max: int = http1_call.BODY_BYTES_MAX,
     ) -> bytes:
         """Makes a call and returns the body of its answer.
 
@@ -72,12 +73,15 @@
           timeout_ms: how long the call may take.
           body: body of the request, empty for none.
           arrival: see `http1_call.HttpCaller.call`.
+          answer_bytes_max: largest body of the answer.
 
         Raises:
           StatusError: if the status denotes a failure.
           PlatformError: if no complete answer arrives in time.
         """
-        answer = await self.make_whole(method, url, timeout_ms, body, arrival)
+        answer = await self.make_whole(
+            method, url, timeout_ms, body, arrival, answer_bytes_max
+        )
         return answer.body
 
     async def make_whole(
@@ -87,6 +91,7 @@
         timeout_ms: float,
         body: bytes = b"",
         arrival: http1_call.Arrival | None = None,
+        answer_bytes_max: int = http1_call.BODY_BYTES_MAX,
     ) -> http1_call.WholeAnswer:
         """Makes a call like `make`, and returns the headers too."""
         paused_ms = self._paused_until_ms - self._clock.now_ms()
@@ -104,7 +109,12 @@
                 timeout_ms,
                 keeps=self._keep_alive,
                 arrival=arrival,
+                body_bytes_max=answer_bytes_max,
             )
+        except http1_call.TooLargeError as error:
+            raise clients.AnswerTooLargeError(
+                str(error), answering=True
+            ) from error
         except http1_call.CallError as error:
             if not error.sent:
                 raise clients.UnreachedError(str(error)) from error
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -49,7 +49,11 @@
 
 
 class UselessAnswerError(PlatformError):
-    """A complete answer arrived that can't be used."""
+    """An answer arrived that can't be used."""
+
+
+class AnswerTooLargeError(UselessAnswerError):
+    """An answer was larger than its call takes."""
 
 
 class PausedError(PlatformError):
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -27,6 +27,9 @@
 behind the pieces for all other VMs."""
 
 
+MANIFEST_BYTES_MAX = 8_388_608
+"""Largest manifest: `manifest.CHUNKS_MAX` digests of 64 digits take 4.4 MB."""
+
 _CONFLICT = 409
 
 
@@ -107,10 +110,21 @@
         )
         return _decode(self._staged_decoder, body).held
 
-    async def read_staged(self, model: str, index: int) -> bytes:
-        """Returns a staged piece, not verified."""
+    async def read_staged(
+        self, model: str, index: int, bytes_max: int
+    ) -> bytes:
+        """Returns a staged piece, not verified.
+
+        Returns:
+          The piece, empty if it is larger than `bytes_max`.
+        """
         url = f"{self._url}/v1/stage-get/{model}?index={index}"
-        return await self._calls.make("GET", url, STAGE_TIMEOUT_MS)
+        try:
+            return await self._calls.make(
+                "GET", url, STAGE_TIMEOUT_MS, answer_bytes_max=bytes_max
+            )
+        except clients.AnswerTooLargeError:
+            return b""
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
         """Stages a piece; replaces a staged piece of the same index."""
@@ -168,7 +182,12 @@
         """
         query = urllib.parse.urlencode({"version": version})
         url = f"{self._url}/v1/manifest/{model}?{query}"
-        body = await self._calls.make("GET", url, MANIFEST_TIMEOUT_MS)
+        body = await self._calls.make(
+            "GET",
+            url,
+            MANIFEST_TIMEOUT_MS,
+            answer_bytes_max=MANIFEST_BYTES_MAX,
+        )
         raw = _decode(self._manifest_decoder, body)
         if raw.version != version:
             raise clients.PlatformError(
@@ -183,11 +202,15 @@
             whole="",
         )
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
-        """Returns a piece of a version, not verified."""
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
+        """Returns a piece of at most `bytes_max`, not verified."""
         query = urllib.parse.urlencode({"index": index, "version": version})
         url = f"{self._url}/v1/piece/{model}?{query}"
-        return await self._calls.make("GET", url, PIECE_TIMEOUT_MS)
+        return await self._calls.make(
+            "GET", url, PIECE_TIMEOUT_MS, answer_bytes_max=bytes_max
+        )
 
 
 def _decode(decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -29,9 +29,15 @@
 """A watch that has not begun to answer this long after its wait counts as
 lost."""
 
-ARRIVAL = http1_call.Arrival(silence_ms=READ_TIMEOUT_MS, least_per_s=65_536.0)
+ARRIVAL = http1_call.Arrival(
+    silence_ms=READ_TIMEOUT_MS, least_per_s=65_536.0, longest_ms=30_000.0
+)
 """An answer that has begun may take longer than the time-out while data keeps
-arriving: 1 MB, the largest answer of the store, may take 17 s."""
+arriving: 1 MB of items, a page of the store, may take 22 s as base64 text."""
+
+ANSWER_BYTES_MAX = 8_388_608
+"""Largest answer: a page of 1 MB of items, whose last item may be as large, as
+base64 text with their keys takes less than half of it."""
 
 REFUSED_KEYS_MAX = 1_000
 """Number of refused items that are remembered, so that each is logged and
@@ -167,7 +173,11 @@
     async def _get(self, path: str, timeout_ms: float) -> bytes:
         try:
             return await self._calls.make(
-                "GET", self._url + path, timeout_ms, arrival=ARRIVAL
+                "GET",
+                self._url + path,
+                timeout_ms,
+                arrival=ARRIVAL,
+                answer_bytes_max=ANSWER_BYTES_MAX,
             )
         except calls.StatusError as error:
             if error.status == _STATUS_GONE:
--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -17,6 +17,10 @@
 from marlramp import clock
 from marlramp.shell import http1_client
 
+BODY_BYTES_MAX = 1_048_576
+"""Largest body of a response, unless the call states another one. Reports,
+orders and lists of pieces are smaller."""
+
 _BODYLESS_METHODS = ("GET", "HEAD", "DELETE")
 
 
@@ -37,6 +41,14 @@
         self.answering = answering
 
 
+class TooLargeError(CallError):
+    """The body of a response exceeds the limit of its call."""
+
+    def __init__(self) -> None:
+        """Records that a response was being received."""
+        super().__init__("the response is too large", sent=True, answering=True)
+
+
 class Arrival(msgspec.Struct, frozen=True):
     """Extends the deadline of a call while its response is being received.
 
@@ -47,23 +59,34 @@
       silence_ms: longest time between two parts of the body.
       least_per_s: minimum mean rate in bytes per second; the deadline moves by
         the time that the received bytes take at this rate.
+      longest_ms: longest time of the call in all.
     """
 
     silence_ms: float
     least_per_s: float
+    longest_ms: float
 
     def ends_s(
-        self, now_s: float, limit_s: float, received_bytes: int
+        self,
+        now_s: float,
+        started_s: float,
+        limit_s: float,
+        received_bytes: int,
     ) -> float:
         """Returns the deadline of the call unless more data is received.
 
         Args:
           now_s: time of the event loop at which data was received.
+          started_s: time of the event loop at which the call started.
           limit_s: the deadline without any extension.
           received_bytes: size of the body received so far.
         """
         silence_limit_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
-        return min(silence_limit_s, limit_s + received_bytes / self.least_per_s)
+        return min(
+            silence_limit_s,
+            limit_s + received_bytes / self.least_per_s,
+            started_s + self.longest_ms / clock.MILLIS_PER_SECOND,
+        )
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -74,30 +97,44 @@
 
 
 class _ResponseCollector:
-    """Collects one response."""
+    """Collects one response, up to the largest body that the call takes."""
 
-    def __init__(self, on_part: Callable[[int], None] | None) -> None:
+    def __init__(
+        self, body_bytes_max: int, on_part: Callable[[int], None] | None
+    ) -> None:
         """Calls `on_part` with the body size so far, after each part."""
+        self._body_bytes_max = body_bytes_max
         self._on_part = on_part
-        self._received_bytes = 0
         self._head: http1_client.ResponseHead | None = None
-        self._parts: list[bytes] = []
+        # Parts may be as small as one byte, so that a list of them takes many
+        # times their size.
+        self._body = bytearray()
         self.done: asyncio.Future[WholeAnswer] = (
             asyncio.get_running_loop().create_future()
         )
 
     def on_head(self, head: http1_client.ResponseHead) -> None:
         self._head = head
+        length = head.header(b"content-length") or b""
+        if length.isdigit() and int(length) > self._body_bytes_max:
+            self._refuse()
 
     def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
-        self._received_bytes += len(data)
+        if self.done.done():
+            return
+        if len(self._body) + len(data) > self._body_bytes_max:
+            self._refuse()
+            return
+        self._body += data
         if self._on_part is not None:
-            self._on_part(self._received_bytes)
+            self._on_part(len(self._body))
 
     def on_complete(self) -> None:
         if self._head is not None and not self.done.done():
-            self.done.set_result(WholeAnswer(self._head, b"".join(self._parts)))
+            self.done.set_result(WholeAnswer(self._head, bytes(self._body)))
+
+    def _refuse(self) -> None:
+        self.done.set_exception(TooLargeError())
 
     @property
     def answering(self) -> bool:
@@ -127,6 +164,7 @@
         *,
         keeps: bool = True,
         arrival: Arrival | None = None,
+        body_bytes_max: int = BODY_BYTES_MAX,
     ) -> WholeAnswer:
         """Makes a call and returns the complete response.
 
@@ -139,15 +177,17 @@
           keeps: whether the connection is kept for further calls.
           arrival: how the time limit is extended while the response is
             received, None for no extension.
+          body_bytes_max: largest body of the response.
 
         Raises:
+          TooLargeError: if the body of the response is too large.
           CallError: if the response is not complete in time.
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
         limit = asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND)
         collector = _ResponseCollector(
-            _timeout_extender(limit, timeout_ms, arrival)
+            body_bytes_max, _timeout_extender(limit, timeout_ms, arrival)
         )
         try:
             async with limit:
@@ -206,12 +246,15 @@
     if arrival is None:
         return None
     time = asyncio.get_running_loop().time
-    limit_s = time() + timeout_ms / clock.MILLIS_PER_SECOND
+    started_s = time()
+    limit_s = started_s + timeout_ms / clock.MILLIS_PER_SECOND
 
     def extend(received_bytes: int) -> None:
         # An expired timeout can't be rescheduled.
         if not limit.expired():
-            limit.reschedule(arrival.ends_s(time(), limit_s, received_bytes))
+            limit.reschedule(
+                arrival.ends_s(time(), started_s, limit_s, received_bytes)
+            )
 
     return extend
 
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -116,6 +116,7 @@
         self._method = ""
         self._headers: list[tuple[bytes, bytes]] = []
         self._framing_bytes_left = 0
+        self._body_parts: list[bytes] = []
         self._head: ResponseHead | None = None
         self._body_until_close = False
         self._reusable = False
@@ -141,6 +142,7 @@
         self._headers = []
         self._framing_bytes_left = HEAD_BYTES_MAX
         self._head = None
+        self._body_parts = []
         self._body_until_close = False
         self._reusable = False
         self._transport.write(head + body if body else head)
@@ -189,8 +191,10 @@
             try:
                 self._parser.feed_data(part)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._pass_body_on()
                 self._report_loss(LossKind.MALFORMED)
                 return
+            self._pass_body_on()
             if self._framing_bytes_left <= 0 and self._reader is not None:
                 self._report_loss(LossKind.MALFORMED)
                 return
@@ -252,19 +256,25 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Passes on a part of the body."""
+        """Collects a part of the body; parts may be as small as one byte."""
         allowed = len(body) * (1 + FRAMING_PER_BODY_BYTE)
         self._framing_bytes_left = min(
             HEAD_BYTES_MAX, self._framing_bytes_left + allowed
         )
-        if self._reader is not None:
-            self._reader.on_body(body)
+        self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Completes the response; a reusable connection becomes idle."""
+        self._pass_body_on()
         if self._head is not None:
             self._complete()
 
+    def _pass_body_on(self) -> None:
+        """Passes on the parts of the body that were received together."""
+        parts, self._body_parts = self._body_parts, []
+        if parts and self._reader is not None:
+            self._reader.on_body(b"".join(parts))
+
     def _update_idle_max(self, head: ResponseHead) -> None:
         value = head.header(b"keep-alive")
         if value is None:
--- a/tests/direct/fleet/store_fleet.py
+++ b/tests/direct/fleet/store_fleet.py
@@ -173,7 +173,9 @@
     async def manifest(self, model: str, version: int) -> bytes:
         raise NotImplementedError
 
-    async def piece(self, model: str, index: int, version: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         raise NotImplementedError
 
 
--- a/tests/direct/weights/test_check_loop.py
+++ b/tests/direct/weights/test_check_loop.py
@@ -33,7 +33,9 @@
     async def manifest(self, model: str, version: int) -> manifest.Manifest:
         return FOUND
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         return PIECES[index]
 
 
--- a/tests/direct/weights/test_digest_queries.py
+++ b/tests/direct/weights/test_digest_queries.py
@@ -33,7 +33,9 @@
         await asyncio.sleep(0.02)
         return FOUND
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         raise clients.PlatformError("the test requests no pieces")
 
 
--- a/tests/direct/weights/test_manifest_herd.py
+++ b/tests/direct/weights/test_manifest_herd.py
@@ -67,7 +67,9 @@
             raise clients.PlatformError("reset")
         return FOUND
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         raise clients.PlatformError("the test requests no pieces")
 
 
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -45,7 +45,9 @@
     async def manifest(self, model: str, version: int) -> manifest.Manifest:
         return msgspec.structs.replace(FOUND, version=str(version))
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         self.fetched.append(index)
         if self.corrupt_count > 0:
             self.corrupt_count -= 1
@@ -56,7 +58,9 @@
 class UnreachableOrigin(Origin):
     """Records the requested pieces and is unreachable."""
 
-    async def piece(self, model: str, version: int, index: int) -> bytes:
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
         self.fetched.append(index)
         raise clients.UnreachedError("the origin is unreachable")
 
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -61,7 +61,9 @@
     async def staged(self, model: str) -> list[int]:
         return sorted(self.pieces)
 
-    async def read_staged(self, model: str, index: int) -> bytes:
+    async def read_staged(
+        self, model: str, index: int, bytes_max: int
+    ) -> bytes:
         return self.pieces[index]
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
--- a/tests/platform/test_origin.py
+++ b/tests/platform/test_origin.py
@@ -13,6 +13,7 @@
 
 from marlramp import clock
 from marlramp.platform import replica_api
+from marlramp.settings import node
 from marlramp.shell import http1_call
 from standins import raw_http
 
@@ -29,6 +30,27 @@
         await peer.answer(request, 200, DATA)
 
 
+def test_staged_piece_that_is_too_large_counts_as_empty() -> None:
+    """Guards against a load that a piece of an older version prevents."""
+
+    async def script(peer: raw_http.Peer) -> None:
+        while (request := await peer.read()) is not None:
+            await peer.answer(request, 200, DATA)
+
+    async def main() -> list[bytes]:
+        async with raw_http.ScriptedServer(script) as server:
+            engine = replica_api.ReplicaApi(
+                http1_call.HttpCaller(clock.SystemClock()),
+                node.Address("127.0.0.1", server.port),
+            )
+            return [
+                await engine.read_staged("m", 0, len(DATA) - less)
+                for less in (0, 1)
+            ]
+
+    assert asyncio.run(main()) == [DATA, b""]
+
+
 def test_connections_to_the_origin_are_closed_after_each_call() -> None:
     open_peers: set[raw_http.Peer] = set()
 
@@ -43,7 +65,7 @@
             caller = http1_call.HttpCaller(clock.SystemClock())
             origin = replica_api.OriginApi(caller, server.address)
             await origin.manifest("m", 2)
-            assert await origin.piece("m", 2, 0) == DATA
+            assert await origin.piece("m", 2, 0, len(DATA)) == DATA
             async with asyncio.timeout(2):
                 while open_peers:
                     await asyncio.sleep(0.01)
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.heads: list[http1_client.ResponseHead] = []
         self.body = b""
+        self.parts = 0
         self.complete = False
         self.lost: http1_client.LossKind | None = None
         self.ended = asyncio.Event()
@@ -31,6 +32,7 @@
 
     def on_body(self, data: bytes) -> None:
         self.body += data
+        self.parts += 1
 
     def on_complete(self) -> None:
         self.complete = True
--- a/tests/shell/test_http1_client_bounds.py
+++ b/tests/shell/test_http1_client_bounds.py
@@ -159,6 +159,7 @@
         test_http1_client.writes(data)
     )
     assert len(recorder.body) == 50_000
+    assert recorder.parts <= 500
     assert connection.reusable
 
 
--- a/tests/shell/test_silence.py
+++ b/tests/shell/test_silence.py
@@ -105,7 +105,9 @@
         async with raw_http.ScriptedServer(script) as server:
             caller = http1_call.HttpCaller(clock.SystemClock())
             url = f"http://{server.address}/x"
-            arrival = http1_call.Arrival(silence_ms=200.0, least_per_s=10_000.0)
+            arrival = http1_call.Arrival(
+                silence_ms=200.0, least_per_s=10_000.0, longest_ms=9_000.0
+            )
             try:
                 answer = await caller.call(
                     "GET", url, b"", {}, 300.0, arrival=arrival
