A pause of the own event loop is no silence of a server

What callers saw: as with any silence that counts as a loss: store lost, engine lost, a connection that failed, though the other end had answered.

Cause: when the event loop had been held up past the deadline of a call, its timer ran in the same turn in which the answer was read; it cancelled the task of a call whose answer was whole. The same for a connection that was being opened. test_response_that_makes_progress_extends_the_deadline was red by it: it runs its server on the same event loop, so that a hold-up of 200 ms let the deadline pass before the next part was written.

Change: shell.deadline. A deadline that is noticed late is extended by as much, at most by the timeout of the call, and by 20 ms at least, in which bytes that have arrived are handled. A call ends by its own result first.

Ruled out: Sender reads the outcome of an attempt before its timeouts.

--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Mapping
 import urllib.parse
 
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import deadline
 from marlramp.shell import http1_client
 
 BODY_BYTES_MAX = 1_048_576
@@ -97,21 +97,32 @@
 
 
 class _ResponseCollector:
-    """Collects one response, up to the largest body that the call takes."""
+    """Collects one response, up to the largest body that the call takes.
+
+    Attributes:
+      done: receives the response, or why there is none.
+    """
 
     def __init__(
-        self, body_bytes_max: int, on_part: Callable[[int], None] | None
+        self, body_bytes_max: int, timeout_ms: float, arrival: Arrival | None
     ) -> None:
-        """Calls `on_part` with the body size so far, after each part."""
+        """Starts the time of the call; see `HttpCaller.call`."""
+        loop = asyncio.get_running_loop()
+        self._time = loop.time
         self._body_bytes_max = body_bytes_max
-        self._on_part = on_part
+        self._arrival = arrival
+        self._started_s = loop.time()
+        self._limit_s = self._started_s + timeout_ms / clock.MILLIS_PER_SECOND
+        self._ends_s = self._limit_s
         self._head: http1_client.ResponseHead | None = None
         # Parts may be as small as one byte, so that a list of them takes many
         # times their size.
         self._body = bytearray()
-        self.done: asyncio.Future[WholeAnswer] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.done: asyncio.Future[WholeAnswer] = loop.create_future()
+
+    def ends_s(self) -> float:
+        """Returns the deadline as time of the event loop."""
+        return self._ends_s
 
     def on_head(self, head: http1_client.ResponseHead) -> None:
         self._head = head
@@ -126,8 +137,10 @@
             self._refuse()
             return
         self._body += data
-        if self._on_part is not None:
-            self._on_part(len(self._body))
+        if self._arrival is not None:
+            self._ends_s = self._arrival.ends_s(
+                self._time(), self._started_s, self._limit_s, len(self._body)
+            )
 
     def on_complete(self) -> None:
         if self._head is not None and not self.done.done():
@@ -185,23 +198,24 @@
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
-        limit = asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND)
-        collector = _ResponseCollector(
-            body_bytes_max, _timeout_extender(limit, timeout_ms, arrival)
-        )
+        collector = _ResponseCollector(body_bytes_max, timeout_ms, arrival)
+        connection = pool.take_idle(1.0) or await self._connect(pool)
+        head = _encode_head(method, parts, body, headers)
+        connection.send(method, head, body, collector)
         try:
-            async with limit:
-                connection = pool.take_idle(1.0) or await self._connect(pool)
-                head = _encode_head(method, parts, body, headers)
-                answer = await self._exchange(
-                    connection, method, head, body, collector
+            late_s_max = timeout_ms / clock.MILLIS_PER_SECOND
+            if not await deadline.wait_until(
+                collector.done, collector.ends_s, late_s_max
+            ):
+                # Idle connections to this server may be dead as well.
+                pool.close()
+                raise CallError(
+                    "timed out", sent=True, answering=collector.answering
                 )
-        except TimeoutError as error:
-            # Idle connections to this server may be dead as well.
-            pool.close()
-            raise CallError(
-                "timed out", sent=True, answering=collector.answering
-            ) from error
+            answer = collector.done.result()
+        except BaseException:
+            connection.abort()
+            raise
         if keeps:
             pool.give_back(connection)
         else:
@@ -216,21 +230,6 @@
         except OSError as error:
             raise CallError(f"cannot connect: {error}", sent=False) from error
 
-    async def _exchange(
-        self,
-        connection: http1_client.ReplicaConnection,
-        method: str,
-        head: bytes,
-        body: bytes,
-        collector: _ResponseCollector,
-    ) -> WholeAnswer:
-        connection.send(method, head, body, collector)
-        try:
-            return await collector.done
-        except BaseException:
-            connection.abort()
-            raise
-
     def _pool(self, host: str, port: int) -> http1_client.ConnectionPool:
         pool = self._pools.get((host, port))
         if pool is None:
@@ -239,26 +238,6 @@
         return pool
 
 
-def _timeout_extender(
-    limit: asyncio.Timeout, timeout_ms: float, arrival: Arrival | None
-) -> Callable[[int], None] | None:
-    """Returns a callback that extends a timeout as body parts arrive."""
-    if arrival is None:
-        return None
-    time = asyncio.get_running_loop().time
-    started_s = time()
-    limit_s = started_s + timeout_ms / clock.MILLIS_PER_SECOND
-
-    def extend(received_bytes: int) -> None:
-        # An expired timeout can't be rescheduled.
-        if not limit.expired():
-            limit.reschedule(
-                arrival.ends_s(time(), started_s, limit_s, received_bytes)
-            )
-
-    return extend
-
-
 def _encode_head(
     method: str,
     parts: urllib.parse.SplitResult,
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -17,6 +17,7 @@
 
 from marlramp import clock
 from marlramp.shell import closing
+from marlramp.shell import deadline
 from marlramp.shell import silence
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -313,7 +314,7 @@
       OSError: if no connection is established in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND):
+    async with deadline.timeout(CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND):
         _, connection = await loop.create_connection(
             lambda: ReplicaConnection(time), host, port
         )
--- a/tests/shell/test_silence.py
+++ b/tests/shell/test_silence.py
@@ -5,6 +5,8 @@
 import socket
 import time
 
+import pytest
+
 from marlramp import clock
 from marlramp.shell import http1_call
 from marlramp.shell import http1_client
@@ -94,8 +96,17 @@
     return script
 
 
-def call_slowly(script: raw_http.Script) -> tuple[int, float]:
-    """Makes a call whose deadline moves while its response arrives.
+ARRIVAL = http1_call.Arrival(
+    silence_ms=200.0, least_per_s=10_000.0, longest_ms=9_000.0
+)
+
+
+def call_slowly(
+    script: raw_http.Script,
+    arrival: http1_call.Arrival | None = ARRIVAL,
+    timeout_ms: float = 300.0,
+) -> tuple[int, float]:
+    """Makes a call whose deadline may move while its response arrives.
 
     Returns:
       Size of the body, 0 if only a part arrived, and duration in seconds.
@@ -105,12 +116,9 @@
         async with raw_http.ScriptedServer(script) as server:
             caller = http1_call.HttpCaller(clock.SystemClock())
             url = f"http://{server.address}/x"
-            arrival = http1_call.Arrival(
-                silence_ms=200.0, least_per_s=10_000.0, longest_ms=9_000.0
-            )
             try:
                 answer = await caller.call(
-                    "GET", url, b"", {}, 300.0, arrival=arrival
+                    "GET", url, b"", {}, timeout_ms, arrival=arrival
                 )
             except http1_call.CallError as error:
                 assert error.answering
@@ -138,3 +146,52 @@
     received, duration_s = call_slowly(slow_response(b"x"))
     assert received == 0
     assert duration_s < 1.5
+
+
+HOLD_S = 0.4
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize("written_before", [False, True])
+@pytest.mark.parametrize("arrival", [None, ARRIVAL])
+def test_pause_of_the_own_event_loop_is_no_silence_of_the_server(
+    begun: bool, written_before: bool, arrival: http1_call.Arrival | None
+) -> None:
+    """Guards against a call that ends although its response has arrived.
+
+    The event loop is held up for longer than the response may take.
+    """
+    body = b"x" * 100_000
+
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        data = b"HTTP/1.1 200 X\r\ncontent-length: 100000\r\n\r\n" + body
+        if begun:
+            await peer.write(data[:1_000])
+            data = data[1_000:]
+            await asyncio.sleep(PART_S)
+        if written_before:
+            await peer.write(data)
+        time.sleep(HOLD_S)
+        if not written_before:
+            await asyncio.sleep(PART_S)
+            await peer.write(data)
+        await asyncio.sleep(60)
+
+    received, _ = call_slowly(script, arrival, timeout_ms=200.0)
+    assert received == len(body)
+
+
+def test_pause_of_the_own_event_loop_does_not_fail_a_connection() -> None:
+    async def main() -> None:
+        async with raw_http.ScriptedServer(slow_response(b"x")) as server:
+            opening = asyncio.create_task(
+                http1_client.connect(
+                    "127.0.0.1", server.port, clock.SystemClock()
+                )
+            )
+            await asyncio.sleep(0)
+            time.sleep(0.1 + http1_client.CONNECT_TIMEOUT_MS / 1_000)
+            (await opening).abort()
+
+    asyncio.run(main())
