A probe of an address is not decided by a pause of the own event loop

What callers saw: an answer whose end only its connection marked could be taken as broken off, or one cut short by a crash as whole, if the event loop of the entry was held up while it asked whether the replica listens.

Cause: the time limits of a probe were due in the turn in which the connection or its reset was handled, as in calls.

Change: the probe waits with shell.deadline, as connections to replicas do.

Result: both cases of test_pause_of_the_own_event_loop_does_not_change_what_a_probe_finds failed before (unknown for a replica that listens; there for one that had reset the connection) and pass.

--- a/src/marlramp/shell/address_probe.py
+++ b/src/marlramp/shell/address_probe.py
@@ -6,6 +6,7 @@
 import enum
 
 from marlramp import clock
+from marlramp.shell import deadline
 
 CONNECT_TIMEOUT_MS = 400.0
 """Longest time that a connection may take to open."""
@@ -35,14 +36,14 @@
     """
     host, _, port = address.rpartition(":")
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS):
+        async with deadline.timeout(CONNECT_TIMEOUT_MS / _MS):
             reader, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         return Presence.GONE
     except OSError:
         return Presence.UNKNOWN
     try:
-        async with asyncio.timeout(STAYS_OPEN_MS / _MS):
+        async with deadline.timeout(STAYS_OPEN_MS / _MS):
             await reader.read(1)
     except TimeoutError:
         return Presence.THERE
--- a/tests/shell/test_silence.py
+++ b/tests/shell/test_silence.py
@@ -8,6 +8,7 @@
 import pytest
 
 from marlramp import clock
+from marlramp.shell import address_probe
 from marlramp.shell import http1_call
 from marlramp.shell import http1_client
 from marlramp.shell import silence
@@ -195,3 +196,31 @@
             (await opening).abort()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_pause_of_the_own_event_loop_does_not_change_what_a_probe_finds(
+    resets: bool,
+) -> None:
+    """Guards against an answer cut short by a crash that is taken as whole."""
+
+    async def script(peer: raw_http.Peer) -> None:
+        if resets:
+            await asyncio.sleep(address_probe.STAYS_OPEN_MS / 2_000)
+            peer.reset()
+            await asyncio.sleep(0)
+            time.sleep(HOLD_S)
+        await peer.read()
+
+    async def main() -> address_probe.Presence:
+        async with raw_http.ScriptedServer(script) as server:
+            probing = asyncio.create_task(address_probe.probe(server.address))
+            if not resets:
+                await asyncio.sleep(0)
+                time.sleep(HOLD_S + address_probe.CONNECT_TIMEOUT_MS / 1_000)
+            return await probing
+
+    expected = address_probe.Presence.THERE
+    if resets:
+        expected = address_probe.Presence.UNKNOWN
+    assert asyncio.run(main()) is expected
