An engine that is silent for a while is not taken as drained

What callers saw: requests at an engine that changed its weights were cut, among them ones that may not run twice.

Cause: while the agent waited for running requests to end, a report that did not come within 0.5 s ended the wait. If the engine answered the next one, the load was ordered at once, and cut what ran.

Change: only a report without requests ends the wait before its limit.

Result: test_engine_that_is_silent_for_a_while_is_not_drained failed before (one running request cut) and passes.

--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -395,12 +395,15 @@
         self._set_state(LoaderState.IDLE)
 
     async def _drain(self, drain_ms: float) -> None:
-        """Waits until no request runs or waits, for at most `drain_ms`."""
+        """Waits until no request runs or waits, for at most `drain_ms`.
+
+        An engine that does not answer may be silent and run requests.
+        """
         end_ms = self._clock.now_ms() + drain_ms
         await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
         while self._clock.now_ms() < end_ms:
             report = await self._agent.read_report()
-            if report is None or report.running + report.waiting == 0:
+            if report is not None and report.running + report.waiting == 0:
                 return
             await asyncio.sleep(LOAD_POLL_MS / _MS)
 
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -57,6 +57,9 @@
         self.pieces: dict[int, bytes] = {}
         self.weights = 0
         self.available = False
+        self.running = 0
+        self.reports: list[bool] = []
+        self.cut = 0
 
     async def staged(self, model: str) -> list[int]:
         return sorted(self.pieces)
@@ -73,6 +76,7 @@
         self, model: str, version: int, order_number: int, *, cut: bool
     ) -> None:
         self.weights = version
+        self.cut += self.running
 
     # Methods of the agent.
 
@@ -84,7 +88,7 @@
             return None
         return engine_state.EngineReport(
             weights=self.weights,
-            running=0,
+            running=self.running,
             waiting=0,
             pace=1.0,
             busy=False,
@@ -92,6 +96,10 @@
         )
 
     async def read_report(self) -> engine_state.EngineReport | None:
+        if self.reports and not self.reports.pop(0):
+            return None
+        if not self.reports:
+            self.running = 0
         return self.report()
 
     def load_start_ms(
@@ -102,7 +110,7 @@
     def drain_ms(
         self, wanted: version_digests.ModelVersion, pieces_ready_ms: float
     ) -> float:
-        return 50.0
+        return 1_000.0
 
     def may_cut(self) -> bool:
         return True
@@ -168,3 +176,24 @@
         running.cancel()
 
     asyncio.run(main())
+
+
+def test_engine_that_is_silent_for_a_while_is_not_drained(
+    engine: Engine,
+) -> None:
+    """Guards against running requests that are cut by the load order."""
+
+    async def main() -> None:
+        exchange = Exchange()
+        for index, piece in enumerate(PIECES):
+            exchange.chunk_set.add(index, piece)
+        engine.weights, engine.running, engine.available = 1, 1, True
+        engine.reports = [True, False, True, True]
+        running = await started(engine, exchange)
+        async with asyncio.timeout(2.0):
+            while engine.weights != WANTED.version:
+                await asyncio.sleep(0.01)
+        assert engine.cut == 0
+        running.cancel()
+
+    asyncio.run(main())
