A second of silence within an answer of the store does not end its call

What callers saw: store_lost, and the state read again from the start, though the store went on within 1.3 s.

Cause: an answer that had begun might be silent for 1.0 s only, and while little of it had arrived, the time limit of an answer that has not begun was in force.

Change: 1.5 s of silence are allowed from the head on, once beyond the least rate. An answer that has not begun has the time that it had.

Result: both cases of test_store_that_is_silent_within_an_answer_is_waited_for (read and watch, 1.3 s) failed before and pass.

--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -29,8 +29,12 @@
 """A watch that has not begun to answer this long after its wait counts as
 lost."""
 
+SILENCE_MAX_MS = 1_500.0
+"""Longest silence within an answer. A sound store may send nothing for a second
+or so and go on."""
+
 ARRIVAL = http1_call.Arrival(
-    silence_ms=READ_TIMEOUT_MS, least_per_s=65_536.0, longest_ms=30_000.0
+    silence_ms=SILENCE_MAX_MS, least_per_s=65_536.0, longest_ms=30_000.0
 )
 """An answer that has begun may take longer than the time-out while data keeps
 arriving: 1 MB of items, a page of the store, may take 22 s as base64 text."""
--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -58,7 +58,7 @@
     Attributes:
       silence_ms: longest time between two parts of the body.
       least_per_s: minimum mean rate in bytes per second; the deadline moves by
-        the time that the received bytes take at this rate.
+        one silence and the time that the received bytes take at this rate.
       longest_ms: longest time of the call in all.
     """
 
@@ -81,10 +81,10 @@
           limit_s: the deadline without any extension.
           received_bytes: size of the body received so far.
         """
-        silence_limit_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
+        silence_s = self.silence_ms / clock.MILLIS_PER_SECOND
         return min(
-            silence_limit_s,
-            limit_s + received_bytes / self.least_per_s,
+            now_s + silence_s,
+            limit_s + silence_s + received_bytes / self.least_per_s,
             started_s + self.longest_ms / clock.MILLIS_PER_SECOND,
         )
 
@@ -129,6 +129,8 @@
         length = head.header(b"content-length") or b""
         if length.isdigit() and int(length) > self._body_bytes_max:
             self._refuse()
+        else:
+            self._extend()
 
     def on_body(self, data: bytes) -> None:
         if self.done.done():
@@ -137,15 +139,19 @@
             self._refuse()
             return
         self._body += data
-        if self._arrival is not None:
-            self._ends_s = self._arrival.ends_s(
-                self._time(), self._started_s, self._limit_s, len(self._body)
-            )
+        self._extend()
 
     def on_complete(self) -> None:
         if self._head is not None and not self.done.done():
             self.done.set_result(WholeAnswer(self._head, bytes(self._body)))
 
+    def _extend(self) -> None:
+        if self._arrival is not None:
+            ends_s = self._arrival.ends_s(
+                self._time(), self._started_s, self._limit_s, len(self._body)
+            )
+            self._ends_s = max(self._limit_s, ends_s)
+
     def _refuse(self) -> None:
         self.done.set_exception(TooLargeError())
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -38,7 +38,7 @@
     return {"version": version, "route_table": [route]}
 
 
-def read(bodies: list[object], *, watch: bool = False) -> catalog.Snapshot:
+def answers(bodies: list[object]) -> raw_http.Script:
     async def script(peer: raw_http.Peer) -> None:
         while (request := await peer.read()) is not None:
             body = bodies.pop(0)
@@ -47,6 +47,14 @@
             else:
                 await peer.answer(request, 200, json.dumps(body).encode())
 
+    return script
+
+
+def read(
+    store_of: raw_http.Script | list[object], *, watch: bool = False
+) -> catalog.Snapshot:
+    script = answers(store_of) if isinstance(store_of, list) else store_of
+
     async def run() -> catalog.Snapshot:
         async with raw_http.ScriptedServer(script) as server:
             client = store.StoreClient(
@@ -196,3 +204,22 @@
     assert known.config.routes[0].allowed_regions == ("west",)
     assert known.evacuated == {"dc-1"}
     assert logged == [("document_refused", entry["key"], fault)]
+
+
+@pytest.mark.parametrize("watch", [False, True])
+def test_store_that_is_silent_within_an_answer_is_waited_for(
+    watch: bool,
+) -> None:
+    """Guards against an answer that is given up for a second of silence."""
+    field = "events" if watch else "entries"
+    body = json.dumps({field: [item("servers/i-1", 6, REPLICA)], "at": 9})
+
+    async def script(peer: raw_http.Peer) -> None:
+        await peer.read()
+        head = f"HTTP/1.1 200 X\r\ncontent-length: {len(body)}\r\n\r\n"
+        await peer.write((head + body[:50]).encode())
+        await asyncio.sleep(1.3)
+        await peer.write(body[50:].encode())
+
+    (change,) = read(script, watch=watch).changes
+    assert isinstance(change, catalog.ReplicaChange)
