--- a/src/marlramp/shell/http1_call.py
+++ b/src/marlramp/shell/http1_call.py
@@ -8,15 +8,19 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Mapping
 import urllib.parse
 
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import deadline
 from marlramp.shell import http1_client
 
+BODY_BYTES_MAX = 1_048_576
+"""Largest body of a response, unless the call states another one. Reports,
+orders and lists of pieces are smaller."""
+
 _BODYLESS_METHODS = ("GET", "HEAD", "DELETE")
 
 
@@ -37,6 +41,14 @@
         self.answering = answering
 
 
+class TooLargeError(CallError):
+    """The body of a response exceeds the limit of its call."""
+
+    def __init__(self) -> None:
+        """Records that a response was being received."""
+        super().__init__("the response is too large", sent=True, answering=True)
+
+
 class Arrival(msgspec.Struct, frozen=True):
     """Extends the deadline of a call while its response is being received.
 
@@ -46,24 +58,35 @@
     Attributes:
       silence_ms: longest time between two parts of the body.
       least_per_s: minimum mean rate in bytes per second; the deadline moves by
-        the time that the received bytes take at this rate.
+        one silence and the time that the received bytes take at this rate.
+      longest_ms: longest time of the call in all.
     """
 
     silence_ms: float
     least_per_s: float
+    longest_ms: float
 
     def ends_s(
-        self, now_s: float, limit_s: float, received_bytes: int
+        self,
+        now_s: float,
+        started_s: float,
+        limit_s: float,
+        received_bytes: int,
     ) -> float:
         """Returns the deadline of the call unless more data is received.
 
         Args:
           now_s: time of the event loop at which data was received.
+          started_s: time of the event loop at which the call started.
           limit_s: the deadline without any extension.
           received_bytes: size of the body received so far.
         """
-        silence_limit_s = now_s + self.silence_ms / clock.MILLIS_PER_SECOND
-        return min(silence_limit_s, limit_s + received_bytes / self.least_per_s)
+        silence_s = self.silence_ms / clock.MILLIS_PER_SECOND
+        return min(
+            now_s + silence_s,
+            limit_s + silence_s + received_bytes / self.least_per_s,
+            started_s + self.longest_ms / clock.MILLIS_PER_SECOND,
+        )
 
 
 class WholeAnswer(msgspec.Struct, frozen=True):
@@ -74,30 +97,63 @@
 
 
 class _ResponseCollector:
-    """Collects one response."""
+    """Collects one response, up to the largest body that the call takes.
+
+    Attributes:
+      done: receives the response, or why there is none.
+    """
 
-    def __init__(self, on_part: Callable[[int], None] | None) -> None:
-        """Calls `on_part` with the body size so far, after each part."""
-        self._on_part = on_part
-        self._received_bytes = 0
+    def __init__(
+        self, body_bytes_max: int, timeout_ms: float, arrival: Arrival | None
+    ) -> None:
+        """Starts the time of the call; see `HttpCaller.call`."""
+        loop = asyncio.get_running_loop()
+        self._time = loop.time
+        self._body_bytes_max = body_bytes_max
+        self._arrival = arrival
+        self._started_s = loop.time()
+        self._limit_s = self._started_s + timeout_ms / clock.MILLIS_PER_SECOND
+        self._ends_s = self._limit_s
         self._head: http1_client.ResponseHead | None = None
-        self._parts: list[bytes] = []
-        self.done: asyncio.Future[WholeAnswer] = (
-            asyncio.get_running_loop().create_future()
-        )
+        # Parts may be as small as one byte, so that a list of them takes many
+        # times their size.
+        self._body = bytearray()
+        self.done: asyncio.Future[WholeAnswer] = loop.create_future()
+
+    def ends_s(self) -> float:
+        """Returns the deadline as time of the event loop."""
+        return self._ends_s
 
     def on_head(self, head: http1_client.ResponseHead) -> None:
         self._head = head
+        length = head.header(b"content-length") or b""
+        if length.isdigit() and int(length) > self._body_bytes_max:
+            self._refuse()
+        else:
+            self._extend()
 
     def on_body(self, data: bytes) -> None:
-        self._parts.append(data)
-        self._received_bytes += len(data)
-        if self._on_part is not None:
-            self._on_part(self._received_bytes)
+        if self.done.done():
+            return
+        if len(self._body) + len(data) > self._body_bytes_max:
+            self._refuse()
+            return
+        self._body += data
+        self._extend()
 
     def on_complete(self) -> None:
         if self._head is not None and not self.done.done():
-            self.done.set_result(WholeAnswer(self._head, b"".join(self._parts)))
+            self.done.set_result(WholeAnswer(self._head, bytes(self._body)))
+
+    def _extend(self) -> None:
+        if self._arrival is not None:
+            ends_s = self._arrival.ends_s(
+                self._time(), self._started_s, self._limit_s, len(self._body)
+            )
+            self._ends_s = max(self._limit_s, ends_s)
+
+    def _refuse(self) -> None:
+        self.done.set_exception(TooLargeError())
 
     @property
     def answering(self) -> bool:
@@ -127,6 +183,7 @@
         *,
         keeps: bool = True,
         arrival: Arrival | None = None,
+        body_bytes_max: int = BODY_BYTES_MAX,
     ) -> WholeAnswer:
         """Makes a call and returns the complete response.
 
@@ -139,29 +196,32 @@
           keeps: whether the connection is kept for further calls.
           arrival: how the time limit is extended while the response is
             received, None for no extension.
+          body_bytes_max: largest body of the response.
 
         Raises:
+          TooLargeError: if the body of the response is too large.
           CallError: if the response is not complete in time.
         """
         parts = urllib.parse.urlsplit(url)
         pool = self._pool(parts.hostname or "", parts.port or 80)
-        limit = asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND)
-        collector = _ResponseCollector(
-            _timeout_extender(limit, timeout_ms, arrival)
-        )
+        collector = _ResponseCollector(body_bytes_max, timeout_ms, arrival)
+        connection = pool.take_idle(1.0) or await self._connect(pool)
+        head = _encode_head(method, parts, body, headers)
+        connection.send(method, head, body, collector)
         try:
-            async with limit:
-                connection = pool.take_idle(1.0) or await self._connect(pool)
-                head = _encode_head(method, parts, body, headers)
-                answer = await self._exchange(
-                    connection, method, head, body, collector
+            late_s_max = timeout_ms / clock.MILLIS_PER_SECOND
+            if not await deadline.wait_until(
+                collector.done, collector.ends_s, late_s_max
+            ):
+                # Idle connections to this server may be dead as well.
+                pool.close()
+                raise CallError(
+                    "timed out", sent=True, answering=collector.answering
                 )
-        except TimeoutError as error:
-            # Idle connections to this server may be dead as well.
-            pool.close()
-            raise CallError(
-                "timed out", sent=True, answering=collector.answering
-            ) from error
+            answer = collector.done.result()
+        except BaseException:
+            connection.abort()
+            raise
         if keeps:
             pool.give_back(connection)
         else:
@@ -176,21 +236,6 @@
         except OSError as error:
             raise CallError(f"cannot connect: {error}", sent=False) from error
 
-    async def _exchange(
-        self,
-        connection: http1_client.ReplicaConnection,
-        method: str,
-        head: bytes,
-        body: bytes,
-        collector: _ResponseCollector,
-    ) -> WholeAnswer:
-        connection.send(method, head, body, collector)
-        try:
-            return await collector.done
-        except BaseException:
-            connection.abort()
-            raise
-
     def _pool(self, host: str, port: int) -> http1_client.ConnectionPool:
         pool = self._pools.get((host, port))
         if pool is None:
@@ -199,23 +244,6 @@
         return pool
 
 
-def _timeout_extender(
-    limit: asyncio.Timeout, timeout_ms: float, arrival: Arrival | None
-) -> Callable[[int], None] | None:
-    """Returns a callback that extends a timeout as body parts arrive."""
-    if arrival is None:
-        return None
-    time = asyncio.get_running_loop().time
-    limit_s = time() + timeout_ms / clock.MILLIS_PER_SECOND
-
-    def extend(received_bytes: int) -> None:
-        # An expired timeout can't be rescheduled.
-        if not limit.expired():
-            limit.reschedule(arrival.ends_s(time(), limit_s, received_bytes))
-
-    return extend
-
-
 def _encode_head(
     method: str,
     parts: urllib.parse.SplitResult,
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -17,16 +17,13 @@
 
 from marlramp import clock
 from marlramp.shell import closing
+from marlramp.shell import deadline
 from marlramp.shell import silence
 
 CONNECT_TIMEOUT_MS = 400.0
 """About 60 round trips between regions; a replica that has not accepted a
 connection by then is down or unreachable."""
 
-PAUSE_GRACE_MS = 50.0
-"""Wait after a timeout for what happened while the event loop was paused: it
-handles timers that expired meanwhile first."""
-
 UNACKNOWLEDGED_MAX_MS = 3_000
 """Bytes that stay unacknowledged this long end the connection."""
 
@@ -38,6 +35,12 @@
 """Idle limit if the replica sends no `Keep-Alive` timeout."""
 
 HEAD_BYTES_MAX = 65_536
+"""Largest head of a response, with all informational responses before it."""
+
+FRAMING_PER_BODY_BYTE = 16
+"""Bytes that divide the body into chunks, for each byte of it: a chunk may be
+as small as one byte. At most `HEAD_BYTES_MAX` come at once, as in trailers."""
+
 _FINAL_STATUS_MIN = 200
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -113,7 +116,8 @@
         self._parser: httptools.HttpResponseParser | None = None
         self._method = ""
         self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
+        self._framing_bytes_left = 0
+        self._body_parts: list[bytes] = []
         self._head: ResponseHead | None = None
         self._body_until_close = False
         self._reusable = False
@@ -137,8 +141,9 @@
         self._parser = httptools.HttpResponseParser(self)
         self._method = method
         self._headers = []
-        self._head_bytes = 0
+        self._framing_bytes_left = HEAD_BYTES_MAX
         self._head = None
+        self._body_parts = []
         self._body_until_close = False
         self._reusable = False
         self._transport.write(head + body if body else head)
@@ -170,18 +175,36 @@
         silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data; aborts if no request is pending."""
-        if self._reader is None or self._parser is None:
-            self.abort()
-            return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._report_loss(LossKind.MALFORMED)
+        """Parses received data; aborts if no request is pending.
+
+        What is no body has a limit: head, chunk sizes, extensions, trailers.
+        The parser gets no more than this at once, since it collects a header
+        until it is complete.
+        """
+        rest = memoryview(data)
+        while rest:
+            if self._reader is None or self._parser is None:
+                self.abort()
+                return
+            part = rest[: self._framing_bytes_left]
+            rest = rest[len(part) :]
+            self._framing_bytes_left -= len(part)
+            try:
+                self._parser.feed_data(part)
+            except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+                self._pass_body_on()
+                self._report_loss(LossKind.MALFORMED)
+                return
+            self._pass_body_on()
+            if self._framing_bytes_left <= 0 and self._reader is not None:
+                self._report_loss(LossKind.MALFORMED)
+                return
 
     def eof_received(self) -> bool:
-        """Completes a response that has no length."""
-        if self._body_until_close and self._head is not None:
+        """Completes a response that has no length; ends an idle connection."""
+        if self._reader is None:
+            self.abort()
+        elif self._body_until_close and self._head is not None:
             self._complete()
         return False
 
@@ -204,9 +227,6 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header."""
-        self._head_bytes += len(name) + len(value)
-        if self._head_bytes > HEAD_BYTES_MAX:
-            raise httptools.HttpParserError("headers exceed the size limit")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -237,15 +257,25 @@
             self._complete()
 
     def on_body(self, body: bytes) -> None:
-        """Passes on a part of the body."""
-        if self._reader is not None:
-            self._reader.on_body(body)
+        """Collects a part of the body; parts may be as small as one byte."""
+        allowed = len(body) * (1 + FRAMING_PER_BODY_BYTE)
+        self._framing_bytes_left = min(
+            HEAD_BYTES_MAX, self._framing_bytes_left + allowed
+        )
+        self._body_parts.append(body)
 
     def on_message_complete(self) -> None:
         """Completes the response; a reusable connection becomes idle."""
+        self._pass_body_on()
         if self._head is not None:
             self._complete()
 
+    def _pass_body_on(self) -> None:
+        """Passes on the parts of the body that were received together."""
+        parts, self._body_parts = self._body_parts, []
+        if parts and self._reader is not None:
+            self._reader.on_body(b"".join(parts))
+
     def _update_idle_max(self, head: ResponseHead) -> None:
         value = head.header(b"keep-alive")
         if value is None:
@@ -284,19 +314,10 @@
       OSError: if no connection is established in time.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(None) as limit:
-        timer = loop.call_later(
-            CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND,
-            lambda: limit.reschedule(
-                loop.time() + PAUSE_GRACE_MS / clock.MILLIS_PER_SECOND
-            ),
+    async with deadline.timeout(CONNECT_TIMEOUT_MS / clock.MILLIS_PER_SECOND):
+        _, connection = await loop.create_connection(
+            lambda: ReplicaConnection(time), host, port
         )
-        try:
-            _, connection = await loop.create_connection(
-                lambda: ReplicaConnection(time), host, port
-            )
-        finally:
-            timer.cancel()
     return connection
 
 
@@ -309,6 +330,7 @@
         self._port = port
         self._clock = time
         self._idle: list[ReplicaConnection] = []
+        self._retired = False
         self.opened = 0
 
     def take_idle(self, idle_share_max: float) -> ReplicaConnection | None:
@@ -342,9 +364,14 @@
         return await connect(self._host, self._port, self._clock)
 
     def give_back(self, connection: ReplicaConnection) -> None:
-        """Returns a connection to the pool if it can be reused."""
-        if connection.reusable:
+        """Returns a connection to the pool; closes it if it can't be reused.
+
+        A response that is still arriving has no more use.
+        """
+        if connection.reusable and not self._retired:
             self._idle.append(connection)
+        else:
+            connection.abort()
 
     def drop_stale(self) -> None:
         """Closes connections that exceeded their idle limit."""
@@ -363,3 +390,8 @@
         for connection in self._idle:
             connection.abort()
         self._idle.clear()
+
+    def retire(self) -> None:
+        """Closes all idle connections, and those that are given back later."""
+        self._retired = True
+        self.close()
