Links: a frame that begins has a bound in bytes and time

Operators would see a process that grows until it dies, with all its requests: an inbound connection that never sent its name, or sent a frame's length and then nothing or a byte now and then, stayed open for ever, each with up to 16 MiB, before any name, in any number. The name must come within 3 s and 256 bytes; a frame within 5 s and the time it takes at 64 KiB/s; unfinished frames together hold 24 MiB at most, then the largest goes; 256 unnamed and 2,048 inbound connections at most. A silence of 1.3 s between or within frames loses no message. The frame limit is 8 MiB, twice the longest message.

--- /dev/null
+++ b/src/marlramp/shell/member_connection.py
@@ -0,0 +1,192 @@
+"""One end of a link between members: frames with bounds in bytes and time.
+
+Nothing that a peer sends, or fails to send, is waited for or kept without a
+bound: the name that an opening peer sends first, a frame that has begun, and
+the sum of the frames that have begun on all links of a process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import struct
+
+from marlramp import clock
+from marlramp import logs
+from marlramp.shell import silence
+
+FRAME_BYTES_MAX = 8_388_608
+"""Limit of a frame; the digests of 65,536 pieces, the longest message, take
+4.4 MB."""
+
+NAME_BYTES_MAX = 256
+BUFFER_BYTES_MAX = 2_097_152
+"""Limit of unsent bytes on a link; messages beyond it are dropped."""
+
+PARTIAL_BYTES_MAX = 25_165_824
+"""Limit of the bytes of unfinished frames on all links of a process; beyond it
+the connection that holds most of them is closed. An agent has 168 MB."""
+
+NAME_TIMEOUT_MS = 3_000.0
+"""Time within which an opening peer must have sent its name."""
+
+FRAME_TIMEOUT_MS = 5_000.0
+FRAME_BYTES_PER_S_MIN = 65_536
+"""A frame that has begun must be complete within `FRAME_TIMEOUT_MS` and the
+time that it takes at this rate, an eighth of the narrowest link."""
+
+UNACKNOWLEDGED_MAX_MS = 2_500
+"""A link is closed and reopened when bytes stay unacknowledged this long: one
+kept open during a network outage recovers seconds after the outage ends."""
+
+LENGTH_PREFIX = struct.Struct(">I")
+
+
+class PartialFrames:
+    """Bounds the bytes of unfinished frames on all links of a process."""
+
+    def __init__(self) -> None:
+        """Starts without unfinished frames."""
+        self._sizes: dict[Connection, int] = {}
+        self._total = 0
+
+    def record(self, connection: Connection, size: int) -> None:
+        """Records how many bytes of an unfinished frame a connection holds.
+
+        If all connections hold too much, the one that holds most is closed.
+
+        Args:
+          connection: the connection.
+          size: the number of bytes, 0 if no frame is unfinished.
+        """
+        self._total += size - self._sizes.pop(connection, 0)
+        if size:
+            self._sizes[connection] = size
+        while self._total > PARTIAL_BYTES_MAX:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            largest.close("partial_frames_too_large")
+
+
+class Connection(asyncio.Protocol):
+    """One end of a link; the opening end sends its name first.
+
+    Attributes:
+      name: name of the peer, "" until an opening peer has sent it.
+      last_received_ms: time of the last complete frame.
+      lost: set once the connection is closed.
+    """
+
+    def __init__(
+        self,
+        on_frame: Callable[[Connection, bytes], None],
+        on_lost: Callable[[Connection], None],
+        partial_frames: PartialFrames,
+        on_made: Callable[[Connection], None] = lambda _: None,
+        name: str = "",
+    ) -> None:
+        """Creates a protocol for a connection that is about to be made.
+
+        Args:
+          on_frame: called with each complete frame.
+          on_lost: called when the connection is closed.
+          partial_frames: the unfinished frames of all links.
+          on_made: called when the connection is made.
+          name: name of the peer if this end opens the link.
+        """
+        self._on_frame = on_frame
+        self._on_lost = on_lost
+        self._on_made = on_made
+        self._partial_frames = partial_frames
+        self._buffer = bytearray()
+        self._transport: asyncio.Transport | None = None
+        self._deadline: asyncio.TimerHandle | None = None
+        self.name = name
+        self.last_received_ms = float("-inf")
+        self.lost = asyncio.Event()
+
+    def send(self, data: bytes) -> bool:
+        """Sends a frame; returns False if it is not accepted."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        if transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
+            return False
+        transport.write(LENGTH_PREFIX.pack(len(data)) + data)
+        return True
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._release()
+
+    def close(self, reason: str) -> None:
+        """Closes the connection for a fault of the peer, and logs it."""
+        logs.log("link_closed", name=self.name, reason=reason)
+        self.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bounds the silence of a new connection and the wait for its name."""
+        if not isinstance(transport, asyncio.Transport):
+            raise TypeError("expected a stream transport")
+        self._transport = transport
+        silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
+        if not self.name:
+            self._set_deadline(NAME_TIMEOUT_MS, "name_timeout")
+        self._on_made(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handles the complete frames in the received data."""
+        self._buffer += data
+        completed = False
+        while len(self._buffer) >= LENGTH_PREFIX.size:
+            (size,) = LENGTH_PREFIX.unpack_from(self._buffer)
+            if size > (FRAME_BYTES_MAX if self.name else NAME_BYTES_MAX):
+                self.close("frame_too_large")
+                return
+            end = LENGTH_PREFIX.size + size
+            if len(self._buffer) < end:
+                break
+            frame = bytes(memoryview(self._buffer)[LENGTH_PREFIX.size : end])
+            del self._buffer[:end]
+            completed = True
+            self._on_frame(self, frame)
+        self._bound_partial(completed=completed)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Reports that the connection is closed."""
+        self._transport = None
+        self._release()
+        self.lost.set()
+        self._on_lost(self)
+
+    def _bound_partial(self, *, completed: bool) -> None:
+        """Bounds the unfinished frame in the buffer in bytes and time."""
+        self._partial_frames.record(self, len(self._buffer))
+        if not self.name:
+            return
+        if completed:
+            self._clear_deadline()
+        if self._deadline is not None or not self._buffer:
+            return
+        size = len(self._buffer)
+        if size >= LENGTH_PREFIX.size:
+            (size,) = LENGTH_PREFIX.unpack_from(self._buffer)
+        transfer_ms = size / FRAME_BYTES_PER_S_MIN * clock.MILLIS_PER_SECOND
+        self._set_deadline(FRAME_TIMEOUT_MS + transfer_ms, "frame_timeout")
+
+    def _set_deadline(self, after_ms: float, reason: str) -> None:
+        self._deadline = asyncio.get_running_loop().call_later(
+            after_ms / clock.MILLIS_PER_SECOND, self.close, reason
+        )
+
+    def _clear_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+    def _release(self) -> None:
+        """Drops what is kept for a connection that is closed."""
+        self._clear_deadline()
+        self._buffer.clear()
+        self._partial_frames.record(self, 0)
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -13,7 +13,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import struct
 from typing import Generic
 from typing import TypeVar
 
@@ -24,19 +23,18 @@
 from marlramp import logs
 from marlramp.core.membership import members
 from marlramp.protocol import codec
+from marlramp.shell import member_connection
 from marlramp.shell import safely
-from marlramp.shell import silence
 
 MessageT = TypeVar("MessageT")
 
-FRAME_BYTES_MAX = 16_777_216
-NAME_BYTES_MAX = 256
-BUFFER_BYTES_MAX = 2_097_152
-"""Limit of unsent bytes on a link; messages beyond it are dropped."""
+UNNAMED_MAX = 256
+"""Limit of the inbound connections that have not sent their names; beyond it
+the oldest one is closed. Sound peers send their names at once."""
 
-UNACKNOWLEDGED_MAX_MS = 2_500
-"""A link is closed and reopened when bytes stay unacknowledged this long: one
-kept open during a network outage recovers seconds after the outage ends."""
+INBOUND_MAX = 2_048
+"""Limit of the inbound connections; beyond it the one that was silent for the
+longest time is closed. It is twice the number of VMs."""
 
 CONNECT_TIMEOUT_MS = 700.0
 RECONNECT_MIN_MS = 100.0
@@ -52,7 +50,6 @@
 PENDING_AGE_MAX_MS = 1_500.0
 """Bounds of the messages queued while a link opens; older ones are outdated."""
 
-_LENGTH_PREFIX = struct.Struct(">I")
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -63,62 +60,6 @@
     queued_ms: float
 
 
-class _Connection(asyncio.Protocol):
-    """One end of a link; the opening end sends its name first."""
-
-    def __init__(
-        self,
-        on_frame: Callable[[_Connection, bytes], None],
-        on_lost: Callable[[_Connection], None],
-    ) -> None:
-        self._on_frame = on_frame
-        self._on_lost = on_lost
-        self._buffer = bytearray()
-        self._transport: asyncio.Transport | None = None
-        self.name = ""
-        self.last_received_ms = float("-inf")
-        self.lost = asyncio.Event()
-
-    def send(self, data: bytes) -> bool:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return False
-        if transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
-            return False
-        transport.write(_LENGTH_PREFIX.pack(len(data)) + data)
-        return True
-
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if not isinstance(transport, asyncio.Transport):
-            raise TypeError("expected a stream transport")
-        self._transport = transport
-        silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
-
-    def data_received(self, data: bytes) -> None:
-        self._buffer += data
-        while len(self._buffer) >= _LENGTH_PREFIX.size:
-            (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
-            if size > FRAME_BYTES_MAX:
-                logs.log("link_frame_too_large", size=size, name=self.name)
-                self.abort()
-                return
-            end = _LENGTH_PREFIX.size + size
-            if len(self._buffer) < end:
-                return
-            frame = bytes(self._buffer[_LENGTH_PREFIX.size : end])
-            del self._buffer[:end]
-            self._on_frame(self, frame)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
-        self.lost.set()
-        self._on_lost(self)
-
-
 class _OutboundLink:
     """A link that this process opens, and reopens after a failure."""
 
@@ -126,7 +67,7 @@
         self.host = host
         self.port = port
         self.last_used_ms: float = now_ms
-        self.connection: _Connection | None = None
+        self.connection: member_connection.Connection | None = None
         self.pending: collections.deque[_QueuedMessage] = collections.deque(
             maxlen=PENDING_MAX
         )
@@ -162,8 +103,11 @@
         self._totals = totals
         self._clock = time
         self._is_near = is_near
-        self._inbound: dict[str, _Connection] = {}
+        self._inbound: dict[str, member_connection.Connection] = {}
         self._outbound: dict[str, _OutboundLink] = {}
+        self._unnamed: dict[member_connection.Connection, None] = {}
+        self._accepted: dict[member_connection.Connection, None] = {}
+        self._partial_frames = member_connection.PartialFrames()
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -174,7 +118,12 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self._on_inbound_frame, self._on_inbound_lost),
+            lambda: member_connection.Connection(
+                self._on_inbound_frame,
+                self._on_inbound_lost,
+                self._partial_frames,
+                self._on_inbound_made,
+            ),
             host,
             port,
             reuse_address=True,
@@ -210,7 +159,7 @@
             self._server.close()
         for name in list(self._outbound):
             self.close(name)
-        for connection in list(self._inbound.values()):
+        for connection in list(self._accepted):
             connection.abort()
 
     def close_idle(self) -> None:
@@ -270,13 +219,16 @@
 
     async def _connect(
         self, name: str, outbound: _OutboundLink
-    ) -> _Connection | None:
+    ) -> member_connection.Connection | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(
-                        self._on_outbound_frame, lambda _: None
+                    lambda: member_connection.Connection(
+                        self._on_outbound_frame,
+                        lambda _: None,
+                        self._partial_frames,
+                        name=name,
                     ),
                     outbound.host,
                     outbound.port,
@@ -286,7 +238,6 @@
             # by missing messages; a log line per attempt would add nothing.
             self._totals.add(counters.CounterName.MESSAGES_DROPPED, "connect")
             return None
-        connection.name = name
         connection.send(self._own_name.encode())
         outbound.connection = connection
         cutoff_ms = self._clock.now_ms() - PENDING_AGE_MAX_MS
@@ -299,20 +250,52 @@
                 self._count("sent", name, message.kind, message.data)
         return connection
 
-    def _on_inbound_frame(self, connection: _Connection, frame: bytes) -> None:
+    def _on_inbound_made(
+        self, connection: member_connection.Connection
+    ) -> None:
+        self._accepted[connection] = None
+        self._unnamed[connection] = None
+        if len(self._unnamed) > UNNAMED_MAX:
+            self._close_inbound(next(iter(self._unnamed)), "too_many_unnamed")
+        if len(self._accepted) > INBOUND_MAX:
+            named = self._accepted.keys() - self._unnamed.keys()
+            silent = min(named, key=lambda each: each.last_received_ms)
+            self._close_inbound(silent, "too_many_links")
+
+    def _close_inbound(
+        self, connection: member_connection.Connection, reason: str
+    ) -> None:
+        """Closes an inbound connection, which counts no longer from now on."""
+        self._accepted.pop(connection, None)
+        self._unnamed.pop(connection, None)
+        connection.close(reason)
+
+    def _on_inbound_frame(
+        self, connection: member_connection.Connection, frame: bytes
+    ) -> None:
         connection.last_received_ms = self._clock.now_ms()
         if connection.name:
             self._handle_message(connection.name, frame)
             return
-        name = frame[:NAME_BYTES_MAX].decode("utf-8", "replace")
+        name = frame.decode("utf-8", "replace")
+        if not name:
+            connection.close("no_name")
+            return
         connection.name = name
+        self._unnamed.pop(connection, None)
         self._inbound[name] = connection
 
-    def _on_inbound_lost(self, connection: _Connection) -> None:
+    def _on_inbound_lost(
+        self, connection: member_connection.Connection
+    ) -> None:
+        self._accepted.pop(connection, None)
+        self._unnamed.pop(connection, None)
         if self._inbound.get(connection.name) is connection:
             del self._inbound[connection.name]
 
-    def _on_outbound_frame(self, connection: _Connection, frame: bytes) -> None:
+    def _on_outbound_frame(
+        self, connection: member_connection.Connection, frame: bytes
+    ) -> None:
         connection.last_received_ms = self._clock.now_ms()
         self._handle_message(connection.name, frame)
 
@@ -335,6 +318,6 @@
         """Counts a message and its bytes by direction, type and distance."""
         distance = "near" if self._is_near(name) else "far"
         label = f"{direction}_{kind}_{distance}"
-        size = _LENGTH_PREFIX.size + len(data)
+        size = member_connection.LENGTH_PREFIX.size + len(data)
         self._totals.add(counters.CounterName.LINK_MESSAGES, label)
         self._totals.add(counters.CounterName.LINK_BYTES, label, size)
--- /dev/null
+++ b/tests/shell/test_member_links_bounds.py
@@ -0,0 +1,166 @@
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import struct
+
+import pytest
+
+from marlramp.protocol import codec
+from marlramp.shell import member_connection
+from marlramp.shell import member_links
+from tests.shell import test_member_links
+
+wait_until = test_member_links.wait_until
+Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+PING = codec.encode(test_member_links.ping(1))
+
+
+def framed(*frames: bytes) -> bytes:
+    return b"".join(struct.pack(">I", len(f)) + f for f in frames)
+
+
+@contextlib.asynccontextmanager
+async def listening() -> AsyncIterator[
+    tuple[
+        test_member_links.Links,
+        test_member_links.Received,
+        Callable[[bytes], Awaitable[Peer]],
+    ]
+]:
+    """Yields links that listen, what they receive, and how to connect."""
+    links, received = test_member_links.make_links("one")
+    await links.listen("127.0.0.1", 0)
+    port = test_member_links.port_of(links)
+    writers = []
+
+    async def connect(data: bytes) -> Peer:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writers.append(writer)
+        writer.write(data)
+        return reader, writer
+
+    try:
+        yield links, received, connect
+    finally:
+        links.close_all()
+        for writer in writers:
+            writer.close()
+
+
+async def is_closed(reader: asyncio.StreamReader, within_s: float) -> bool:
+    try:
+        async with asyncio.timeout(within_s):
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+    except TimeoutError:
+        return False
+    return True
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(member_connection, "NAME_TIMEOUT_MS", 200.0, False)
+    monkeypatch.setattr(member_connection, "FRAME_TIMEOUT_MS", 300.0, False)
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"",
+        struct.pack(">I", 3),
+        framed(b"")[:2],
+        framed(b""),
+        struct.pack(">I", member_connection.NAME_BYTES_MAX + 1),
+        framed(b"two") + b"\0",
+        framed(b"two") + struct.pack(">I", 9),
+        framed(b"two", PING) + framed(PING)[:-1],
+    ],
+)
+def test_unfinished_frame_is_not_waited_for_without_end(start: bytes) -> None:
+    async def test() -> None:
+        async with listening() as (_, _, connect):
+            reader, _ = await connect(start)
+            assert await is_closed(reader, 1.0)
+
+    asyncio.run(test())
+
+
+def test_byte_now_and_then_does_not_keep_a_link_open() -> None:
+    async def test() -> None:
+        async with listening() as (_, _, connect):
+            reader, writer = await connect(
+                framed(b"two") + struct.pack(">I", 99)
+            )
+            closed = asyncio.create_task(is_closed(reader, 1.0))
+            while not closed.done():
+                writer.write(b"\0")
+                await asyncio.sleep(0.05)
+            assert closed.result()
+
+    asyncio.run(test())
+
+
+def test_silence_between_and_within_frames_loses_no_message(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(member_connection, "FRAME_TIMEOUT_MS", 5_000.0)
+
+    async def test() -> None:
+        async with listening() as (_, received, connect):
+            _, writer = await connect(framed(b"two", PING) + framed(PING)[:9])
+            await asyncio.sleep(1.3)
+            writer.write(framed(PING)[9:])
+            await asyncio.sleep(1.3)
+            writer.write(framed(PING))
+            await wait_until(lambda: len(received) == 3)
+
+    asyncio.run(test())
+
+
+def test_sum_of_unfinished_frames_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(member_connection, "PARTIAL_BYTES_MAX", 300_000, False)
+    monkeypatch.setattr(member_connection, "FRAME_TIMEOUT_MS", 9_000.0, False)
+
+    async def test() -> None:
+        async with listening() as (_, received, connect):
+            start = struct.pack(">I", 200_000)
+            small, _ = await connect(framed(b"small") + start + bytes(90_000))
+            large, _ = await connect(framed(b"large") + start + bytes(190_000))
+            await asyncio.sleep(0.1)
+            await connect(framed(b"next") + start + bytes(90_000))
+            assert await is_closed(large, 1.0)
+            assert not await is_closed(small, 0.1)
+            await connect(framed(b"sound", PING))
+            await wait_until(lambda: bool(received))
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    ("limit", "named"), [("UNNAMED_MAX", False), ("INBOUND_MAX", True)]
+)
+def test_connections_are_bounded_in_number(
+    monkeypatch: pytest.MonkeyPatch, limit: str, named: bool
+) -> None:
+    monkeypatch.setattr(member_links, limit, 4, False)
+    monkeypatch.setattr(member_connection, "NAME_TIMEOUT_MS", 9_000.0, False)
+
+    async def test() -> None:
+        async with listening() as (_, received, connect):
+            peers = []
+            for n in range(8):
+                name = framed(str(n).encode()) if named else b""
+                peers.append(await connect(name))
+                await asyncio.sleep(0.02)
+            closed = [await is_closed(reader, 0.1) for reader, _ in peers]
+            assert closed == [True] * 4 + [False] * 4
+            await connect(framed(b"sound", PING))
+            await wait_until(lambda: bool(received))
+
+    asyncio.run(test())
