Links: an inbound connection that was replaced is closed

A connection whose member had opened a newer one of the same name stayed open for ever, and was never used again even if the newer one ended: a seed's check every 5 s took the link of a member out of use. A member has two inbound connections at most, the older is closed after 5 s without a frame and used again when the newer one ends.

--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -46,6 +46,15 @@
 Entries query each other rarely, and keepalive probes on idle connections to all
 of them would cost more bytes between regions than the queries."""
 
+REPLACED_IDLE_MAX_MS = 5_000.0
+REPLACED_CHECK_MS = 1_000.0
+"""An inbound connection of a member that has opened a newer one is closed after
+this time without a frame, and checked at this interval."""
+
+INBOUND_PER_NAME_MAX = 2
+"""Limit of the inbound connections of one member. A member opens a second one
+for a moment while it contacts a seed that it already has a link to."""
+
 PENDING_MAX = 64
 PENDING_AGE_MAX_MS = 1_500.0
 """Bounds of the messages queued while a link opens; older ones are outdated."""
@@ -103,7 +112,7 @@
         self._totals = totals
         self._clock = time
         self._is_near = is_near
-        self._inbound: dict[str, member_connection.Connection] = {}
+        self._inbound: dict[str, list[member_connection.Connection]] = {}
         self._outbound: dict[str, _OutboundLink] = {}
         self._unnamed: dict[member_connection.Connection, None] = {}
         self._accepted: dict[member_connection.Connection, None] = {}
@@ -120,7 +129,7 @@
         self._server = await loop.create_server(
             lambda: member_connection.Connection(
                 self._on_inbound_frame,
-                self._on_inbound_lost,
+                self._forget_inbound,
                 self._partial_frames,
                 self._on_inbound_made,
             ),
@@ -186,7 +195,7 @@
         it is known to work.
         """
         now_ms = self._clock.now_ms()
-        inbound = self._inbound.get(name)
+        inbound = self._newest_inbound(name)
         outbound = self._outbound.get(name)
         use_inbound = inbound is not None and (
             outbound is None
@@ -266,8 +275,7 @@
         self, connection: member_connection.Connection, reason: str
     ) -> None:
         """Closes an inbound connection, which counts no longer from now on."""
-        self._accepted.pop(connection, None)
-        self._unnamed.pop(connection, None)
+        self._forget_inbound(connection)
         connection.close(reason)
 
     def _on_inbound_frame(
@@ -283,15 +291,44 @@
             return
         connection.name = name
         self._unnamed.pop(connection, None)
-        self._inbound[name] = connection
-
-    def _on_inbound_lost(
+        connections = self._inbound.setdefault(name, [])
+        if connections:
+            self._close_if_replaced(connections[-1])
+        connections.append(connection)
+        if len(connections) > INBOUND_PER_NAME_MAX:
+            self._close_inbound(connections[0], "replaced")
+
+    def _newest_inbound(self, name: str) -> member_connection.Connection | None:
+        connections = self._inbound.get(name)
+        return connections[-1] if connections else None
+
+    def _close_if_replaced(
         self, connection: member_connection.Connection
     ) -> None:
+        """Closes a connection that has a newer one, once it is silent.
+
+        A peer that still uses it would have closed it when it became idle.
+        """
+        if connection not in self._accepted:
+            return
+        silent_ms = self._clock.now_ms() - connection.last_received_ms
+        newest = self._newest_inbound(connection.name)
+        if newest is not connection and silent_ms >= REPLACED_IDLE_MAX_MS:
+            self._close_inbound(connection, "replaced")
+            return
+        wait_ms = max(REPLACED_CHECK_MS, REPLACED_IDLE_MAX_MS - silent_ms)
+        asyncio.get_running_loop().call_later(
+            wait_ms / _MS, self._close_if_replaced, connection
+        )
+
+    def _forget_inbound(self, connection: member_connection.Connection) -> None:
         self._accepted.pop(connection, None)
         self._unnamed.pop(connection, None)
-        if self._inbound.get(connection.name) is connection:
-            del self._inbound[connection.name]
+        connections = self._inbound.get(connection.name, [])
+        if connection in connections:
+            connections.remove(connection)
+            if not connections:
+                del self._inbound[connection.name]
 
     def _on_outbound_frame(
         self, connection: member_connection.Connection, frame: bytes
--- a/tests/shell/test_member_links_bounds.py
+++ b/tests/shell/test_member_links_bounds.py
@@ -164,3 +164,60 @@
             await wait_until(lambda: bool(received))
 
     asyncio.run(test())
+
+
+def test_older_connections_of_a_member_are_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(member_links, "REPLACED_IDLE_MAX_MS", 400.0, False)
+    monkeypatch.setattr(member_links, "REPLACED_CHECK_MS", 50.0, False)
+
+    async def test() -> None:
+        async with listening() as (_, received, connect):
+            peers = []
+            for n in range(1, 4):
+                peers.append(await connect(framed(b"two", PING)))
+                await wait_until(lambda n=n: len(received) == n)
+            closed = [await is_closed(reader, 0.1) for reader, _ in peers]
+            assert closed == [True, False, False]
+            assert await is_closed(peers[1][0], 1.0)
+            assert not await is_closed(peers[2][0], 0.5)
+
+    asyncio.run(test())
+
+
+def test_older_connection_serves_when_the_newer_one_ends() -> None:
+    async def test() -> None:
+        async with listening() as (links, received, connect):
+            reader, _ = await connect(framed(b"two", PING))
+            await wait_until(lambda: len(received) == 1)
+            _, writer = await connect(framed(b"two", PING))
+            await wait_until(lambda: len(received) == 2)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert links.send("two", test_member_links.ping(1))
+            async with asyncio.timeout(1):
+                assert await reader.readexactly(4 + len(PING)) == framed(PING)
+
+    asyncio.run(test())
+
+
+def test_nothing_is_handled_after_a_link_is_aborted() -> None:
+    async def test() -> None:
+        handled = []
+
+        def handle(sender: str, message: object) -> None:
+            handled.append(message)
+            two.close("one")
+
+        two, _ = test_member_links.make_links("two")
+        two._on_message = handle
+        async with listening() as (one, _, _):
+            two.open("one", "127.0.0.1", test_member_links.port_of(one))
+            await wait_until(lambda: "two" in one._inbound)
+            for n in range(3):
+                one.send("two", test_member_links.ping(n))
+            await wait_until(lambda: "two" not in one._inbound)
+        assert len(handled) == 1
+
+    asyncio.run(test())
