Links: a link that brings nothing usable is closed

Operators would see a line for each message that can't be decoded, for ever, at whatever rate a faulty peer sends them. After 32 in a row that can't be decoded or handled the link is closed; links to such a peer are opened again twice a second at most. At most 10 lines a second are written on the faults of all peers, the counter holds them all. A peer of another release, whose unknown messages come between known ones, keeps its link.

--- a/src/marlramp/shell/member_connection.py
+++ b/src/marlramp/shell/member_connection.py
@@ -12,6 +12,7 @@
 import struct
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import logs
 from marlramp.shell import silence
 
@@ -35,6 +36,13 @@
 """A frame that has begun must be complete within `FRAME_TIMEOUT_MS` and the
 time that it takes at this rate, an eighth of the narrowest link."""
 
+UNDECODABLE_MAX = 32
+"""Messages in a row that can't be used before a link is closed. A peer of
+another release sends some, between others that can be used."""
+
+FAULT_LINES_PER_S_MAX = 10
+"""Lines per second on faults of all peers; the counters hold them all."""
+
 UNACKNOWLEDGED_MAX_MS = 2_500
 """A link is closed and reopened when bytes stay unacknowledged this long: one
 kept open during a network outage recovers seconds after the outage ends."""
@@ -42,6 +50,28 @@
 LENGTH_PREFIX = struct.Struct(">I")
 
 
+class FaultLog:
+    """Logs and counts what faulty peers do, with a bound on the lines."""
+
+    def __init__(self, totals: counters.Counters, time: clock.Clock) -> None:
+        """Starts without faults."""
+        self._totals = totals
+        self._clock = time
+        self._second = -1
+        self._lines = 0
+
+    def record(self, event: str, reason: str, **fields: object) -> None:
+        """Counts a fault by its reason, and logs it if lines are left."""
+        self._totals.add(counters.CounterName.MESSAGES_DROPPED, reason)
+        second = int(self._clock.now_ms() // clock.MILLIS_PER_SECOND)
+        if second != self._second:
+            self._second = second
+            self._lines = 0
+        self._lines += 1
+        if self._lines <= FAULT_LINES_PER_S_MAX:
+            logs.log(event, reason=reason, **fields)
+
+
 class PartialFrames:
     """Bounds the bytes of unfinished frames on all links of a process."""
 
@@ -73,6 +103,7 @@
     Attributes:
       name: name of the peer, "" until an opening peer has sent it.
       last_received_ms: time of the last complete frame.
+      unusable: number of messages in a row that could not be used.
       lost: set once the connection is closed.
     """
 
@@ -81,6 +112,7 @@
         on_frame: Callable[[Connection, bytes], None],
         on_lost: Callable[[Connection], None],
         partial_frames: PartialFrames,
+        fault_log: FaultLog,
         on_made: Callable[[Connection], None] = lambda _: None,
         name: str = "",
     ) -> None:
@@ -90,6 +122,7 @@
           on_frame: called with each complete frame.
           on_lost: called when the connection is closed.
           partial_frames: the unfinished frames of all links.
+          fault_log: logs the faults of all peers.
           on_made: called when the connection is made.
           name: name of the peer if this end opens the link.
         """
@@ -97,11 +130,13 @@
         self._on_lost = on_lost
         self._on_made = on_made
         self._partial_frames = partial_frames
+        self._fault_log = fault_log
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._deadline: asyncio.TimerHandle | None = None
         self.name = name
         self.last_received_ms = float("-inf")
+        self.unusable = 0
         self.lost = asyncio.Event()
 
     def send(self, data: bytes) -> bool:
@@ -122,9 +157,15 @@
 
     def close(self, reason: str) -> None:
         """Closes the connection for a fault of the peer, and logs it."""
-        logs.log("link_closed", name=self.name, reason=reason)
+        self._fault_log.record("link_closed", reason, name=self.name)
         self.abort()
 
+    def record_usable(self, *, usable: bool) -> None:
+        """Records whether a message could be used; closes a useless link."""
+        self.unusable = 0 if usable else self.unusable + 1
+        if self.unusable >= UNDECODABLE_MAX:
+            self.close("no_usable_messages")
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bounds the silence of a new connection and the wait for its name."""
         if not isinstance(transport, asyncio.Transport):
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -20,7 +20,6 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp import logs
 from marlramp.core.membership import members
 from marlramp.protocol import codec
 from marlramp.shell import member_connection
@@ -117,6 +116,7 @@
         self._unnamed: dict[member_connection.Connection, None] = {}
         self._accepted: dict[member_connection.Connection, None] = {}
         self._partial_frames = member_connection.PartialFrames()
+        self._fault_log = member_connection.FaultLog(totals, time)
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -131,6 +131,7 @@
                 self._on_inbound_frame,
                 self._forget_inbound,
                 self._partial_frames,
+                self._fault_log,
                 self._on_inbound_made,
             ),
             host,
@@ -220,9 +221,10 @@
         while True:
             connection = await self._connect(name, outbound)
             if connection is not None:
-                delay_ms = RECONNECT_MIN_MS
                 await connection.lost.wait()
                 outbound.connection = None
+                if connection.unusable == 0:
+                    delay_ms = RECONNECT_MIN_MS
             await asyncio.sleep(delay_ms / _MS)
             delay_ms = min(RECONNECT_MAX_MS, 2 * delay_ms)
 
@@ -237,6 +239,7 @@
                         self._on_outbound_frame,
                         lambda _: None,
                         self._partial_frames,
+                        self._fault_log,
                         name=name,
                     ),
                     outbound.host,
@@ -283,7 +286,7 @@
     ) -> None:
         connection.last_received_ms = self._clock.now_ms()
         if connection.name:
-            self._handle_message(connection.name, frame)
+            self._handle_message(connection, frame)
             return
         name = frame.decode("utf-8", "replace")
         if not name:
@@ -334,22 +337,26 @@
         self, connection: member_connection.Connection, frame: bytes
     ) -> None:
         connection.last_received_ms = self._clock.now_ms()
-        self._handle_message(connection.name, frame)
+        self._handle_message(connection, frame)
 
-    def _handle_message(self, name: str, data: bytes) -> None:
+    def _handle_message(
+        self, connection: member_connection.Connection, data: bytes
+    ) -> None:
+        name = connection.name
         try:
             message = self._decoder.decode(data)
         except codec.DecodeError as error:
             reason = error.reason
             self._count("received", name, reason, data)
-            self._totals.add(counters.CounterName.MESSAGES_DROPPED, reason)
-            logs.log("message_dropped", sender=name, reason=reason)
+            self._fault_log.record("message_dropped", reason, sender=name)
+            connection.record_usable(usable=False)
             return
         kind = type(message).__name__
         self._count("received", name, kind, data)
-        safely.run_safely(
+        handled = safely.run_safely(
             lambda: self._on_message(name, message), kind, self._totals
         )
+        connection.record_usable(usable=handled)
 
     def _count(self, direction: str, name: str, kind: str, data: bytes) -> None:
         """Counts a message and its bytes by direction, type and distance."""
--- a/tests/shell/test_member_links_bounds.py
+++ b/tests/shell/test_member_links_bounds.py
@@ -10,6 +10,7 @@
 import pytest
 
 from marlramp.protocol import codec
+from marlramp.protocol import fleet_messages
 from marlramp.shell import member_connection
 from marlramp.shell import member_links
 from tests.shell import test_member_links
@@ -17,6 +18,7 @@
 wait_until = test_member_links.wait_until
 Peer = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 PING = codec.encode(test_member_links.ping(1))
+FAULTY = test_member_links.ping(-1)
 
 
 def framed(*frames: bytes) -> bytes:
@@ -221,3 +223,55 @@
         assert len(handled) == 1
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize("fault", [b"\xff", codec.encode(FAULTY)])
+def test_link_that_brings_nothing_usable_is_closed(
+    fault: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(
+        "marlramp.logs.log", lambda event, **_: lines.append(event)
+    )
+
+    async def test() -> None:
+        async with listening() as (links, received, connect):
+            handle = links._on_message
+
+            def refuse(sender: str, message: fleet_messages.FromMember) -> None:
+                if message == FAULTY:
+                    raise ValueError
+                handle(sender, message)
+
+            links._on_message = refuse
+            unusable = [fault] * 31
+            mixed = framed(*[*unusable, PING] * 4)
+            reader, writer = await connect(framed(b"two") + mixed)
+            await wait_until(lambda: len(received) == 4)
+            assert not await is_closed(reader, 0.1)
+            writer.write(framed(*[fault] * 99))
+            assert await is_closed(reader, 1.0)
+            dropped = lines.count("message_dropped")
+            assert dropped <= 20
+
+    asyncio.run(test())
+
+
+def test_peer_that_sends_nothing_usable_is_not_called_without_pause() -> None:
+    async def test() -> None:
+        calls = 0
+
+        async def answer(_: object, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            writer.write(framed(*[b"\xff"] * 99))
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        links, _ = test_member_links.make_links("one")
+        links.open("two", "127.0.0.1", server.sockets[0].getsockname()[1])
+        await asyncio.sleep(2.0)
+        links.close_all()
+        server.close()
+        assert 2 <= calls <= 6
+
+    asyncio.run(test())
