Messages: lists, bitmaps and names have a bound

A process would die of memory, with the requests that it holds: a frame of 8 MiB may decode to a hundred times as much. A bitmap of pieces of that size is a list and a set of 64 million numbers, a list of empty names or of numbers takes eight bytes for each byte sent, and names are kept as keys. Bounds of lists, bitmaps and names of members are checked while a message is decoded, several times as large as the largest fleet needs; that one's messages are accepted.

--- a/src/marlramp/core/membership/members.py
+++ b/src/marlramp/core/membership/members.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
@@ -17,6 +18,12 @@
 sending its reports to an entry that is down."""
 
 
+NAME_LENGTH_MAX = 256
+"""Longest name or address of a process, in characters."""
+
+_Name = Annotated[str, msgspec.Meta(max_length=NAME_LENGTH_MAX)]
+
+
 class MemberKind(enum.Enum):
     """Role of a process; the values are numbers to keep messages short."""
 
@@ -53,12 +60,12 @@
         callers, "" for an agent.
     """
 
-    vm_id: str
+    vm_id: _Name
     kind: MemberKind
-    data_centre: str
-    host: str
+    data_centre: _Name
+    host: _Name
     port: int
-    callers: str = ""
+    callers: _Name = ""
 
 
 class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/fleet/catalog_codec.py
+++ b/src/marlramp/direct/fleet/catalog_codec.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 import zlib
 
 import msgspec
 
 from marlramp.core.configuration import catalog
 
-_Changes = list[
-    catalog.ConfigChange | catalog.TargetChange | catalog.ReplicaChange
+CHANGES_MAX = 65_536
+"""Most changes in one message, a multiple of the replicas of a fleet."""
+
+_Changes = Annotated[
+    list[catalog.ConfigChange | catalog.TargetChange | catalog.ReplicaChange],
+    msgspec.Meta(max_length=CHANGES_MAX),
 ]
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(_Changes)
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -8,6 +8,7 @@
 
 from typing import Annotated
 from typing import TypeAlias
+from typing import TypeVar
 
 import msgspec
 
@@ -23,7 +24,31 @@
 
 FRAGMENT_BYTES_MAX = 65_536
 
+DIGESTS_MAX = 256
+"""Most buckets that a set is compared by."""
+
+NEWS_MAX = 1_024
+"""Most updates in one message; senders send at most 64 at once."""
+
+ENTRIES_MAX = 256
+"""Most entries that one agent exchanges messages with, some twenty usually."""
+
+MEMBERS_MAX = 16_384
+"""Most processes in one message, and in one roster."""
+
+VERSIONS_MAX = 4_096
+"""Most versions of weights in one message."""
+
+REPLICAS_MAX = 65_536
+"""Most replicas in one message."""
+
+_T = TypeVar("_T")
 _Count = Annotated[int, msgspec.Meta(ge=0)]
+_Digests = Annotated[list[int], msgspec.Meta(max_length=DIGESTS_MAX)]
+_News = Annotated[list[_T], msgspec.Meta(max_length=NEWS_MAX)]
+_Versions = Annotated[list[_T], msgspec.Meta(max_length=VERSIONS_MAX)]
+_OfReplicas = Annotated[list[_T], msgspec.Meta(max_length=REPLICAS_MAX)]
+_OfMembers = Annotated[list[_T], msgspec.Meta(max_length=MEMBERS_MAX)]
 
 
 class _Message(msgspec.Struct, array_like=True, tag=True, kw_only=True):
@@ -41,14 +66,14 @@
     """
 
     news: members.MemberUpdate
-    sample: list[members.MemberUpdate]
+    sample: _News[members.MemberUpdate]
     reply: bool
 
 
 class MembersNews(_Message):
     """Forwards member updates that were new to the sender."""
 
-    news: list[members.MemberUpdate]
+    news: _News[members.MemberUpdate]
 
 
 class Ping(_Message):
@@ -101,7 +126,7 @@
       digests: digest of each bucket of the sender's roster.
     """
 
-    digests: list[int]
+    digests: _Digests
 
 
 class CrashNews(_Message):
@@ -112,7 +137,7 @@
       answers: whether this message replies to a request.
     """
 
-    crashes: list[crash_reports.Crash]
+    crashes: _News[crash_reports.Crash]
     answers: bool = False
 
 
@@ -123,7 +148,7 @@
       digests: digest of each bucket of the sender's crash ledger.
     """
 
-    digests: list[int]
+    digests: _Digests
 
 
 class CrashDigest(_Message):
@@ -135,7 +160,7 @@
 class LimitNews(_Message):
     """Reports request rate limits of replicas, and limits that have ended."""
 
-    limits: list[replica_limits.LimitUpdate]
+    limits: _News[replica_limits.LimitUpdate]
 
 
 class LimitRequest(_Message):
@@ -145,7 +170,7 @@
       digests: digest of each bucket of the limits that the sender knows.
     """
 
-    digests: list[int]
+    digests: _Digests
 
 
 class SendRequest(_Message):
@@ -228,10 +253,10 @@
     changes: bytes
     pass_on: bool = False
     told_near: bool = False
-    evacuations: list[catalog.EvacuationChange] = []
+    evacuations: _News[catalog.EvacuationChange] = []
     query: int = 0
     listed_revision: int = 0
-    listed: list[str] = []
+    listed: _OfReplicas[str] = []
 
 
 class CatalogRequest(_Message):
@@ -270,7 +295,7 @@
     """
 
     number: int
-    versions: list[named_versions.AgedVersion]
+    versions: _Versions[named_versions.AgedVersion]
     complete_revision: int = 0
     complete_age_ms: float | None = None
 
@@ -297,7 +322,7 @@
         cell.
     """
 
-    reports: list[AgedReport]
+    reports: _News[AgedReport]
     pass_on: bool
 
 
@@ -310,7 +335,7 @@
         any other replica.
     """
 
-    loads: list[peer_loads.OwnLoad]
+    loads: _OfReplicas[peer_loads.OwnLoad]
     whole: bool = False
 
 
@@ -328,7 +353,7 @@
       neighbours: number of the last `Neighbours` message that was sent.
     """
 
-    targets: list[catalog.TargetChange]
+    targets: _Versions[catalog.TargetChange]
     engine: fleet.EngineSpec | None
     origin: str
     streams_resume: bool
@@ -351,9 +376,11 @@
 
     after: int
     number: int
-    entries: list[members.Member]
-    joined: list[members.Member]
-    left: list[str]
+    entries: Annotated[
+        list[members.Member], msgspec.Meta(max_length=ENTRIES_MAX)
+    ]
+    joined: _OfMembers[members.Member]
+    left: _OfMembers[str]
 
 
 class NeighboursRequest(_Message):
--- a/src/marlramp/protocol/messages.py
+++ b/src/marlramp/protocol/messages.py
@@ -19,6 +19,7 @@
 from marlramp.core.grant_calls import assembly
 from marlramp.core.grant_calls import grants
 from marlramp.core.grant_calls import queueing
+from marlramp.core.weights import manifest
 
 PROTOCOL_VERSION = 1
 
@@ -41,6 +42,9 @@
 _Id = Annotated[str, msgspec.Meta(min_length=1, max_length=ID_LENGTH_MAX)]
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 _Duration = Annotated[float, msgspec.Meta(ge=0)]
+_Chunk = Annotated[int, msgspec.Meta(ge=0, lt=manifest.CHUNKS_MAX)]
+_Chunks = Annotated[list[_Chunk], msgspec.Meta(max_length=manifest.CHUNKS_MAX)]
+_Bitmap = Annotated[bytes, msgspec.Meta(max_length=manifest.CHUNKS_MAX // 8)]
 _Body = Annotated[bytes, msgspec.Meta(max_length=BODY_BYTES_MAX)]
 
 
@@ -344,8 +348,8 @@
 
     vm_id: _Id
     manifest: _Id
-    held: bytes
-    seen: bytes
+    held: _Bitmap
+    seen: _Bitmap
     reply: bool
 
 
@@ -359,8 +363,8 @@
     """
 
     manifest: _Id
-    indexes: list[int]
-    seen: list[int]
+    indexes: _Chunks
+    seen: _Chunks
 
 
 class ManifestRequest(_Message):
