Pieces: the fragments requested of one piece have a bound

A peer that requests one piece again and again filled the queue of the process that holds it without end: only new transfers were refused at 64 queued fragments. A transfer queues 64 at most; receivers request one at a time.

test_requests_for_one_piece_are_bounded failed before (500 replies), passes now (one run).

--- a/src/marlramp/direct/weights/piece_uploads.py
+++ b/src/marlramp/direct/weights/piece_uploads.py
@@ -22,6 +22,10 @@
 """Maximum number of queued fragments. Requests for further pieces are refused,
 and the receiver requests them from another process."""
 
+TRANSFER_REQUESTS_MAX = 64
+"""Maximum number of queued fragments of one transfer; further requests are
+dropped. Receivers request one fragment after the other."""
+
 TRANSFER_IDLE_MS = 400.0
 """Time without a request after which the receiver is assumed to have given up
 the piece."""
@@ -85,6 +89,8 @@
         if transfer is None:
             self._send(name, _reply(request, None))
             return
+        if len(transfer.requests) >= TRANSFER_REQUESTS_MAX:
+            return
         transfer.requests.append(request)
         transfer.last_request_ms = self._clock.now_ms()
         self._ready.set()
