Digests of versions that nobody seeks are not kept

A peer that sends digests unasked, each for another version, filled an agent or an entry with them (each up to a frame of 8 MiB); they were dropped only when the next version began. Names with a pending request were kept without a bound. Digests count only while they are sought, 2,048 names are kept a version.

--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -41,6 +41,10 @@
 versions that were announced recently. Once it is reached, the next request
 discards all pending ones."""
 
+PENDING_NAMES_MAX = 2_048
+"""Maximum number of processes with a pending request for one version; further
+ones request it again after `POLL_MS`."""
+
 
 class Origin(Protocol):
     """The origin of weights."""
@@ -122,6 +126,7 @@
         self._clock = time
         self._rng = rng or random.Random()
         self._pending_requests: dict[str, set[str]] = {}
+        self._sought: list[str] = []
         self._learned = asyncio.Event()
         self.origin: Origin | None = None
         self.chunk_sets: collections.OrderedDict[str, manifest.ChunkSet] = (
@@ -137,6 +142,7 @@
             self._clock.now_ms(), self._rng
         )
         fetch: asyncio.Task[None] | None = None
+        self._sought.append(wanted.name)
         try:
             self._send_requests(wanted, self._fetchers(wanted))
             while wanted.name not in self.chunk_sets:
@@ -153,6 +159,7 @@
                     )
                 await self._wait_learned()
         finally:
+            self._sought.remove(wanted.name)
             if fetch is not None:
                 fetch.cancel()
         return self.chunk_sets[wanted.name]
@@ -164,12 +171,19 @@
             return
         if len(self._pending_requests) >= PENDING_VERSIONS_MAX:
             self._pending_requests.clear()
-        self._pending_requests.setdefault(request.manifest, set()).add(name)
+        pending = self._pending_requests.setdefault(request.manifest, set())
+        if len(pending) < PENDING_NAMES_MAX:
+            pending.add(name)
 
     def on_reply(self, reply: messages.ManifestReply) -> None:
-        """Adds the digests that another process sent."""
+        """Adds the digests that another process sent, if they are sought.
+
+        Digests that nobody waits for would be kept without a bound.
+        """
         if not reply.data or reply.manifest in self.chunk_sets:
             return
+        if reply.manifest not in self._sought:
+            return
         found = msgspec.json.decode(reply.data, type=manifest.Manifest)
         if ModelVersion(found.model, int(found.version)).name == reply.manifest:
             self._add_manifest(reply.manifest, found)
--- a/tests/direct/weights/test_weights_bounds.py
+++ b/tests/direct/weights/test_weights_bounds.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
+import msgspec
+
+from marlramp import clock
 from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_uploads
+from marlramp.direct.weights import version_digests
+from marlramp.protocol import messages
+from tests.direct.weights import test_piece_relay
 from tests.direct.weights import test_piece_uploads
 
 chunk_set = test_piece_uploads.chunk_set
@@ -19,3 +26,27 @@
         test_piece_uploads.serve(chunk_set, [("vm-1", request)] * 500)
     )
     assert len(sent.replies) <= piece_uploads.UPLOADS_MAX
+
+
+def test_digests_that_nobody_seeks_are_not_kept() -> None:
+    digests = version_digests.VersionDigests(
+        "own", list, lambda _, __: True, clock.SystemClock()
+    )
+    for version in range(100):
+        found = {**msgspec.to_builtins(test_piece_relay.FOUND)}
+        found["version"] = str(version)
+        reply = messages.ManifestReply(
+            manifest=f"m@{version}", data=json.dumps(found).encode()
+        )
+        digests.on_reply(reply)
+    assert not digests.chunk_sets
+
+
+def test_pending_requests_for_digests_are_bounded() -> None:
+    digests = version_digests.VersionDigests(
+        "own", list, lambda _, __: True, clock.SystemClock()
+    )
+    for number in range(9_000):
+        request = messages.ManifestRequest(manifest="m@1")
+        digests.on_request(f"vm-{number}", request)
+    assert len(digests._pending_requests["m@1"]) <= 2_048
