Relays: the processes whose pieces are known have a bound

Every name that ever sent what it holds of a version stayed in the relay, with piece numbers that no version has. Agents that are replaced filled it slowly, a faulty peer at once. Only numbers of the version's pieces count, and 2,048 processes a version; the one heard least recently is dropped.

--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 import random
@@ -58,6 +59,10 @@
 """Maximum number of versions of all models whose pieces are held, enough for
 the version in force and the next two of one model."""
 
+PROCESSES_MAX = 2_048
+"""Maximum number of processes of which a version's holdings are kept; beyond it
+the one that was heard least recently is dropped."""
+
 
 class EntryState(Protocol):
     """What the relay queries from the entry that it belongs to."""
@@ -106,7 +111,9 @@
       wanted: the version.
       downloads: downloads from other processes.
       fetch: state of the fetches, None before the digests are known.
-      subscribers: processes that receive announcements of new pieces.
+      pieces: number of pieces, 0 before the digests are known.
+      processes: processes that sent what they hold, the last heard last.
+      subscribers: those that receive announcements of new pieces.
       unannounced: pieces that were added since the last announcement.
       start_task: task that finds the digests and then starts the fetches.
       hello_sent_ms: time of the last hello messages to the other entries.
@@ -122,6 +129,8 @@
         self.wanted = wanted
         self.downloads = downloads
         self.fetch: relay_fetch.RelayFetch | None = None
+        self.pieces = 0
+        self.processes: dict[str, None] = {}
         self.subscribers: set[str] = set()
         self.unannounced: list[int] = []
         self.start_task: asyncio.Task[None] | None = None
@@ -129,6 +138,27 @@
         self.demand_ms = float("-inf")
         self.seen: set[int] = set()
 
+    def record_holdings(
+        self,
+        name: str,
+        held: Collection[int],
+        seen: Collection[int],
+        now_ms: clock.Millis,
+    ) -> None:
+        """Records pieces that a process holds or has seen elsewhere."""
+        self.seen.update(held, seen)
+        self.processes.pop(name, None)
+        self.processes[name] = None
+        if self.fetch is not None:
+            listed = [index for index in held if index < self.pieces]
+            self.fetch.record_holdings(name, listed, now_ms)
+        if len(self.processes) > PROCESSES_MAX:
+            dropped = next(iter(self.processes))
+            del self.processes[dropped]
+            self.subscribers.discard(dropped)
+            if self.fetch is not None:
+                self.fetch.remove_peer(dropped)
+
 
 class PieceRelay:
     """Fetches the pieces that are assigned to this entry, and serves them."""
@@ -278,6 +308,7 @@
         """Finds the digests of a version, then starts to fetch its pieces."""
         chunk_set = await self._digests.find(version.wanted)
         pieces = chunk_set.manifest.chunks
+        version.pieces = len(pieces)
         version.downloads.set_version(
             piece_downloads.Version(
                 version.wanted.name, chunk_set.manifest.chunk_size
@@ -352,9 +383,8 @@
             version = self._add_version(wanted)
         now_ms = self._clock.now_ms()
         held = chunk_bitmap.from_bitmap(hello.held)
-        version.seen.update(held, chunk_bitmap.from_bitmap(hello.seen))
-        if version.fetch is not None:
-            version.fetch.record_holdings(name, held, now_ms)
+        seen = chunk_bitmap.from_bitmap(hello.seen)
+        version.record_holdings(name, held, seen, now_ms)
         if not hello.reply:
             return
         version.subscribers.add(name)
@@ -368,8 +398,9 @@
         version = self._versions.get(have.manifest)
         if version is None or version.fetch is None:
             return
-        version.seen.update(have.indexes, have.seen)
-        version.fetch.record_holdings(name, have.indexes, self._clock.now_ms())
+        version.record_holdings(
+            name, have.indexes, have.seen, self._clock.now_ms()
+        )
 
     def _hello(self, name: str, *, reply: bool) -> messages.PeerHello:
         chunk_set = self._chunk_sets.get(name)
--- a/tests/direct/weights/test_weights_bounds.py
+++ b/tests/direct/weights/test_weights_bounds.py
@@ -6,9 +6,11 @@
 import json
 
 import msgspec
+import pytest
 
 from marlramp import clock
 from marlramp.core.weights import manifest
+from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import piece_uploads
 from marlramp.direct.weights import version_digests
 from marlramp.protocol import messages
@@ -50,3 +52,26 @@
         request = messages.ManifestRequest(manifest="m@1")
         digests.on_request(f"vm-{number}", request)
     assert len(digests._pending_requests["m@1"]) <= 2_048
+
+
+def test_relay_forgets_processes_that_came_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(piece_relay, "PROCESSES_MAX", 16, raising=False)
+    wanted = test_piece_relay.NEWEST
+    entry = test_piece_relay.Entry()
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        version = relay._add_version(wanted)
+        await test_piece_relay.until(lambda: version.fetch is not None)
+        assert version.fetch is not None
+        hello = test_piece_relay.hello(wanted)
+        hello.held = b"\xff" * 8_192
+        for number in range(100):
+            relay.on_message(f"vm-{number}", hello)
+        assert len(version.subscribers) <= 16
+        assert len(version.fetch._holders[0]) <= 16
+        assert len(version.fetch._holders) == len(test_piece_relay.PIECES)
+        assert "vm-99" in version.subscribers
+
+    test_piece_relay.run_relay(entry, test_piece_relay.Origin(), act)
