Agents: links to agents that are gone are closed

Both end after 2 s without a message. A neighbour whose engine is silent for a second is taken off the list for a moment, but goes on to send its pieces, so its link stays.

--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -86,6 +86,10 @@
         """Opens a link under a name; returns False if it is open already."""
         ...
 
+    def close(self, name: str) -> None:
+        """Closes a link that this process opened."""
+        ...
+
     def send_encoded(self, name: str, message: codec.Encoded) -> bool:
         """Sends an encoded message; returns whether a link took it."""
         ...
@@ -438,6 +442,7 @@
         return TICK_MS if missing else IDLE_TICK_MS
 
     def _tick(self) -> None:
+        self._forget_strangers()
         if self._swarm is None or self._wanted is None:
             return
         self._announce(self._swarm, self._wanted)
@@ -496,6 +501,23 @@
                 current.remove_peer(name)
                 self._downloads.drop_peer(name)
 
+    def _forget_strangers(self) -> None:
+        """Removes silent processes that are neither peers nor relays.
+
+        A peer whose engine is silent is none for a while, but sends its pieces.
+        """
+        horizon_ms = self._clock.now_ms() - PEER_TIMEOUT_MS
+        known = self._peers.keys() | self._relays.names
+        for name, heard_ms in list(self._last_message_ms.items()):
+            if name in known or heard_ms >= horizon_ms:
+                continue
+            del self._last_message_ms[name]
+            if self._links is not None:
+                self._links.close(name)
+            if self._swarm is not None:
+                self._swarm.remove_peer(ids.VmId(name))
+                self._downloads.drop_peer(name)
+
     def _swarm_of(self, name: str) -> swarm.Swarm | None:
         wanted = self._wanted is not None and name == self._wanted.name
         return self._swarm if wanted else None
--- a/tests/direct/weights/test_weights_bounds.py
+++ b/tests/direct/weights/test_weights_bounds.py
@@ -10,16 +10,40 @@
 
 from marlramp import clock
 from marlramp.core.weights import manifest
+from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import piece_relay
 from marlramp.direct.weights import piece_uploads
 from marlramp.direct.weights import version_digests
+from marlramp.protocol import codec
 from marlramp.protocol import messages
+from tests.direct.weights import test_check_loop
 from tests.direct.weights import test_piece_relay
 from tests.direct.weights import test_piece_uploads
 
+exchange = test_check_loop.exchange
 chunk_set = test_piece_uploads.chunk_set
 
 
+class Links:
+    """Links that accept every message and deliver none."""
+
+    def __init__(self) -> None:
+        self.opened: set[str] = set()
+
+    def open(self, name: str, host: str, port: int) -> bool:
+        self.opened.add(name)
+        return True
+
+    def close(self, name: str) -> None:
+        self.opened.discard(name)
+
+    def send(self, name: str, message: msgspec.Struct) -> bool:
+        return True
+
+    def send_encoded(self, name: str, message: codec.Encoded) -> bool:
+        return True
+
+
 def test_requests_for_one_piece_are_bounded(
     chunk_set: manifest.ChunkSet,
 ) -> None:
@@ -75,3 +99,27 @@
         assert "vm-99" in version.subscribers
 
     test_piece_relay.run_relay(entry, test_piece_relay.Origin(), act)
+
+
+def test_agent_forgets_silent_processes_that_are_no_peers(
+    time: clock.ManualClock, exchange: piece_exchange.PieceExchange
+) -> None:
+    links = Links()
+    for index, piece in enumerate(test_check_loop.PIECES):
+        exchange.add(test_check_loop.WANTED, index, piece)
+    exchange.attach(links)
+    exchange.set_peers({"vm-2": test_check_loop.agent("vm-2")}, {"vm-2"})
+    exchange._tick()
+    hello = test_piece_relay.hello(test_check_loop.WANTED)
+    for number in range(100):
+        exchange.on_message(f"stranger-{number}", hello)
+    exchange.set_peers({}, set())
+    time.advance(1_300.0)
+    exchange._tick()
+    assert "vm-2" in links.opened
+    time.advance(1_000.0)
+    exchange._tick()
+    assert not exchange._last_message_ms
+    assert exchange._swarm is not None
+    assert not exchange._swarm.peer_ids
+    assert "vm-2" not in links.opened
