Loads at replicas that are not known are not kept

A peer that reports loads at replicas of ever new names filled the table of loads; it is emptied only when the peer leaves the cell. Loads at unknown replicas are dropped; the complete report each second brings them again.

test_loads_at_unknown_replicas_are_not_kept failed before, passes now (one run).

--- a/src/marlramp/direct/fleet/load_exchange.py
+++ b/src/marlramp/direct/fleet/load_exchange.py
@@ -46,6 +46,7 @@
         """
         self._placed = placed
         self._sync = sync
+        self._table = table
         self._totals = totals
         self._clock = time
         self._changed = asyncio.Event()
@@ -73,11 +74,19 @@
                 await self._changed.wait()
 
     def on_message(self, name: str, message: fleet_messages.OwnLoads) -> None:
-        """Applies the loads that another entry reports."""
+        """Applies the loads that another entry reports at known replicas.
+
+        A replica that is not known yet is part of the next complete report.
+        """
+        loads = [
+            load
+            for load in message.loads
+            if self._table.get(load.replica_id) is not None
+        ]
         if message.whole:
-            self._loads.replace(name, message.loads)
+            self._loads.replace(name, loads)
         else:
-            self._loads.update(name, message.loads)
+            self._loads.update(name, loads)
 
     def forget(self, replica_ids: list[str]) -> None:
         """Removes the loads at replicas that are gone."""
--- a/tests/direct/fleet/test_load_exchange.py
+++ b/tests/direct/fleet/test_load_exchange.py
@@ -136,3 +136,14 @@
     placed.refresh()
     exchange._report()
     assert (view.others_in_flight, view.others_unread) == (0, 0)
+
+
+def test_loads_at_unknown_replicas_are_not_kept(
+    exchange: load_exchange.LoadExchange,
+) -> None:
+    for whole in (True, False):
+        loads = [peer_loads.OwnLoad(f"x-{n}", 1, 1) for n in range(100)]
+        loads.append(peer_loads.OwnLoad("i-1", 1, 1))
+        report = fleet_messages.OwnLoads(loads=loads, whole=whole)
+        exchange.on_message("entry-2", report)
+    assert list(exchange._loads._reported["entry-2"]) == ["i-1"]
