Reports of agents that are gone are dropped

Reports that are too old for a digest are dropped.

test_reports_of_agents_that_are_gone_are_dropped failed before, passes now (one run).

--- a/src/marlramp/direct/fleet/engine_digests.py
+++ b/src/marlramp/direct/fleet/engine_digests.py
@@ -92,6 +92,7 @@
     def tick(self) -> None:
         """Sends the own cell's digest when due, if this is its first entry."""
         now_ms = self._clock.now_ms()
+        self._drop_old(now_ms)
         known = self._placed.cells
         pause_ms = max(DIGEST_MS, CELL_SHARE_MS * len(known.all))
         if now_ms - self._sent_ms < pause_ms:
@@ -108,6 +109,13 @@
         message = fleet_messages.EngineDigest(reports=reports, pass_on=True)
         self._sync.send_all(self._receivers(known, cell), message)
 
+    def _drop_old(self, now_ms: clock.Millis) -> None:
+        """Drops reports that no digest contains any more."""
+        horizon_ms = now_ms - replica_view.REPORT_FRESH_MS
+        for agent, received in list(self._received.items()):
+            if received.received_ms <= horizon_ms:
+                del self._received[agent]
+
     def _reports(
         self, cell: cells.Cell, now_ms: clock.Millis
     ) -> list[fleet_messages.AgedReport]:
--- a/tests/direct/fleet/test_engine_digests.py
+++ b/tests/direct/fleet/test_engine_digests.py
@@ -152,3 +152,14 @@
     assert not forwarded.pass_on
     entry.digests.on_digest(forwarded)
     assert len(entry.sync.sent) == 1
+
+
+def test_reports_of_agents_that_are_gone_are_dropped(
+    north: list[Entry], time: clock.ManualClock
+) -> None:
+    for number in range(100):
+        north[0].report(number)
+    time.advance(replica_view.REPORT_FRESH_MS)
+    north[0].report(1)
+    north[0].digests.tick()
+    assert list(north[0].digests._received) == ["agent-1"]
