Beacons of readers that are gone are dropped

Each name that ever sent a beacon stayed in the election. A beacon with a negative age counted as news of a serving store for ever, so that an outage was not seen. Beacons end with the age up to which they count, and an age is at least zero.

--- a/src/marlramp/core/membership/reader_election.py
+++ b/src/marlramp/core/membership/reader_election.py
@@ -103,7 +103,11 @@
           now_ms: the time.
           served: whether the store responded to the entry's last call.
         """
-        answered_ms = now_ms - store_age_ms
+        horizon_ms = now_ms - READER_STORE_AGE_MS
+        for name, beacon in list(self._beacons.items()):
+            if beacon.received_ms < horizon_ms:
+                del self._beacons[name]
+        answered_ms = now_ms - max(0.0, store_age_ms)
         self._beacons[vm_id] = _Beacon(now_ms, answered_ms, served)
         if self._works(vm_id, now_ms):
             self._last_working_ms = now_ms
--- a/tests/core/membership/test_reader_election.py
+++ b/tests/core/membership/test_reader_election.py
@@ -152,3 +152,17 @@
     now_ms = fleet.time.now_ms()
     others = fleet.alive - {first}
     assert not fleet.elections[first].store_serves_none(others, now_ms)
+
+
+def test_beacons_of_entries_that_are_gone_are_dropped(
+    time: clock.ManualClock,
+) -> None:
+    election = election_of("entry-0", time)
+    for number in range(100):
+        election.record_beacon(
+            f"gone-{number}", -1e9, time.now_ms(), served=True
+        )
+    time.advance(reader_election.READER_STORE_AGE_MS + 1.0)
+    assert election.store_serves_none({"gone-0"}, time.now_ms())
+    election.record_beacon("entry-1", 0.0, time.now_ms(), served=True)
+    assert list(election._beacons) == ["entry-1"]
