Agents: lists of entries and neighbours have a bound

An agent opens a link to each entry that a coordinator lists, and took any process that sends a list for a coordinator: 1,200 links in the test, and neighbours added message by message without end. At most 16 coordinators, 256 entries and 16,384 neighbours count; a list beyond that is refused with a line.

--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -27,6 +27,9 @@
 report the same neighbours, and each change reassigns the pieces to fetch from
 the origin."""
 
+COORDINATORS_MAX = 16
+"""Most coordinators whose lists are kept; usually there are three."""
+
 _SEED = "seed:"
 
 
@@ -174,10 +177,18 @@
             case fleet_messages.Guide():
                 self._handle_guide(name, message, now_ms)
 
+    def _view(self, name: str, now_ms: clock.Millis) -> _View | None:
+        """Returns the lists of a coordinator, None if there are too many."""
+        if name not in self._views and len(self._views) >= COORDINATORS_MAX:
+            return None
+        return self._views.setdefault(name, _View(now_ms, agents={}))
+
     def _handle_guide(
         self, name: str, guide: fleet_messages.Guide, now_ms: clock.Millis
     ) -> None:
-        view = self._views.setdefault(name, _View(now_ms, agents={}))
+        view = self._view(name, now_ms)
+        if view is None:
+            return
         view.heard_ms = now_ms
         if guide.neighbours != view.number:
             self._request_all(name)
@@ -188,7 +199,9 @@
         update: fleet_messages.Neighbours,
         now_ms: clock.Millis,
     ) -> None:
-        view = self._views.setdefault(name, _View(now_ms, agents={}))
+        view = self._view(name, now_ms)
+        if view is None:
+            return
         view.heard_ms = now_ms
         if update.after not in (0, view.number):
             self._request_all(name)
@@ -198,6 +211,10 @@
             agents[agent.vm_id] = agent
         for vm_id in update.left:
             agents.pop(vm_id, None)
+        if len(agents) > fleet_messages.MEMBERS_MAX:
+            logs.log("neighbours_refused", entry=name, agents=len(agents))
+            del self._views[name]
+            return
         view.number = update.number
         view.agents = agents
         view.entries = update.entries
@@ -212,6 +229,9 @@
         agents: dict[str, members.Member] = {}
         for view in self._views.values():
             entries.update((entry.vm_id, entry) for entry in view.entries)
+            if len(entries) > fleet_messages.ENTRIES_MAX:
+                logs.log("entries_refused", entries=len(entries))
+                return
             agents.update(view.agents)
         agents.pop(self._own.vm_id, None)
         if entries:
--- a/tests/direct/fleet/test_entry_contacts.py
+++ b/tests/direct/fleet/test_entry_contacts.py
@@ -199,3 +199,20 @@
     one.contacts.set_engine(present=True)
     one.contacts.set_engine(present=True)
     assert one.take_sent() == [("entry-1", "Hello"), ("entry-2", "Hello")]
+
+
+def test_links_that_lists_ask_for_are_bounded(one: Agent) -> None:
+    one.list_neighbours(by=1, number=1, joined=[])
+    for number in range(10, 60):
+        first = 1_000 * number
+        entries = tuple(range(first, first + 200))
+        one.list_neighbours(by=number, number=1, joined=[], entries=entries)
+    assert len(one.opened) <= 256 + 2
+
+
+def test_neighbours_are_bounded(one: Agent) -> None:
+    for number in range(1, 5):
+        first = 6_000 * number
+        joined = [agent(n) for n in range(first, first + 6_000)]
+        one.list_neighbours(by=1, number=number, joined=joined)
+    assert max(map(len, one.reported_neighbours)) <= 16_384
