Rosters: processes that are gone are forgotten, and the others bounded

Operators would see a member that is gone come back as lost every minute: an entry that forgot it later than the others still probed it, and its suspicion added the member to all other rosters again, they to its own. A suspicion does not bring back a process that was forgotten; its own news does, and a READY heard from others. A roster keeps 16,384 members and as many forgotten names, so that a faulty peer can't fill it; requests to probe count from known members only and end when their subject is forgotten.

--- a/src/marlramp/core/membership/roster.py
+++ b/src/marlramp/core/membership/roster.py
@@ -39,6 +39,10 @@
 Regions lose each other for minutes, and neither side may then take over the
 other's share of a bound that holds for both together."""
 
+MEMBERS_MAX = 16_384
+"""Most processes that are known, and names that are remembered. The largest
+fleet has about 2,000 processes."""
+
 _LOST = frozenset({members.MemberState.SUSPECT, members.MemberState.DOWN})
 
 
@@ -114,9 +118,10 @@
         if update.state is members.MemberState.DOWN:
             return None
         known = self._records.get(update.vm_id)
+        if known is None and self._is_forgotten(update):
+            return None
         if known is None:
-            self._add(update, now_ms)
-            return update
+            return None if self._add(update, now_ms) is None else update
         if update.replaces(known.update):
             self._replace(known, update, now_ms)
             return update
@@ -139,6 +144,8 @@
         known = self._records.get(update.vm_id)
         if known is None:
             record = self._add(update, now_ms)
+            if record is None:
+                return None
             record.heard_ms = now_ms
             return update
         known.heard_ms = now_ms
@@ -200,10 +207,12 @@
                 self._replace(record, update, now_ms)
             elif state is members.MemberState.DOWN and age_ms >= FORGET_MS:
                 del self._records[vm_id]
+                self.disputed.discard(vm_id)
                 self._forgotten[vm_id] = (record.update.member.kind, now_ms)
                 forgotten.append(vm_id)
         for vm_id, (_, forgotten_ms) in list(self._forgotten.items()):
-            if now_ms - forgotten_ms < REMEMBER_MS:
+            excess = len(self._forgotten) > MEMBERS_MAX
+            if now_ms - forgotten_ms < REMEMBER_MS and not excess:
                 break
             del self._forgotten[vm_id]
             self.changes += 1
@@ -269,7 +278,10 @@
 
     def _add(
         self, update: members.MemberUpdate, now_ms: clock.Millis
-    ) -> Record:
+    ) -> Record | None:
+        """Adds a process; returns None if too many are known."""
+        if len(self._records) >= MEMBERS_MAX:
+            return None
         self._forgotten.pop(update.vm_id, None)
         record = Record(update, now_ms)
         self._records[update.vm_id] = record
@@ -286,6 +298,15 @@
         self._toggle(update)
         self.changes += 1
 
+    def _is_forgotten(self, update: members.MemberUpdate) -> bool:
+        """Returns whether an update suspects a process that was forgotten.
+
+        Entries forget a process at different times; one that still probes it
+        would bring it back to all others, and they to it.
+        """
+        suspect = update.state is members.MemberState.SUSPECT
+        return suspect and update.vm_id in self._forgotten
+
     def _contradict(
         self, update: members.MemberUpdate
     ) -> members.MemberUpdate | None:
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -258,6 +258,7 @@
                     self.suspect(action.vm_id)
         for vm_id in self.roster.tick(now_ms):
             self._reported_ms.pop(vm_id, None)
+            self._probe_requesters.pop(vm_id, None)
         self._update_lost()
         self._send_updates(now_ms)
 
@@ -412,7 +413,8 @@
         return True
 
     def _on_probe_request(self, sender: str, vm_id: str) -> None:
-        if self.roster.get(vm_id) is not None:
+        known = self.roster.get(sender) is not None
+        if known and self.roster.get(vm_id) is not None:
             self._probe_requesters.setdefault(vm_id, set()).add(sender)
             self.send(vm_id, self._ping())
 
--- a/tests/core/membership/test_roster.py
+++ b/tests/core/membership/test_roster.py
@@ -131,3 +131,22 @@
     known.tick(time.now_ms())
     assert known.remembered(members.MemberKind.ENTRY) == ["own"]
     assert known.changes > changes
+
+
+def test_roster_does_not_grow_without_end(
+    time: clock.ManualClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(roster, "MEMBERS_MAX", 16, raising=False)
+    known = make()
+    ready = members.MemberState.READY
+    for start in range(0, 200, 50):
+        for number in range(start, start + 50):
+            update = make_update(number, 1, ready)
+            known.apply(update, time.now_ms())
+            known.apply_direct(update, time.now_ms())
+            known.suspect(update.vm_id, time.now_ms())
+        assert len(known.records()) <= 16
+        for _ in range(2):
+            time.advance(roster.FORGET_MS)
+            known.tick(time.now_ms())
+    assert len(known.remembered(members.MemberKind.ENTRY)) <= 17
--- a/tests/direct/fleet/test_member_sync.py
+++ b/tests/direct/fleet/test_member_sync.py
@@ -4,6 +4,7 @@
 
 from marlramp.core.membership import members
 from marlramp.core.membership import roster
+from marlramp.protocol import fleet_messages
 from tests.direct.fleet import virtual_fleet
 
 KNOWN_DOWN_MS = 3_500.0
@@ -188,3 +189,30 @@
     record = entry.sync.roster.get("entry-1")
     assert record is not None
     assert record.update.state is members.MemberState.DOWN
+
+
+def test_requests_to_probe_are_kept_only_for_known_entries(
+    start_fleet: virtual_fleet.StartFleet,
+) -> None:
+    fleet = start_fleet(4)
+    sync = fleet.entries["entry-1"].sync
+    fleet.stop("entry-2")
+    for number in range(100):
+        request = fleet_messages.ProbeRequest(vm_id="entry-2")
+        sync.on_message(f"stranger-{number}", request)
+        sync.on_message("entry-3", request)
+    assert sync._probe_requesters == {"entry-2": {"entry-3"}}
+    fleet.run(roster.FORGET_MS + 10_000.0)
+    assert not sync._probe_requesters
+
+
+def test_process_that_is_gone_is_forgotten_by_all(
+    start_fleet: virtual_fleet.StartFleet,
+) -> None:
+    fleet = start_fleet(4)
+    fleet.stop("entry-2")
+    fleet.run(roster.FORGET_MS + 10_000.0)
+    for entry in fleet.running():
+        assert entry.sync.roster.get("entry-2") is None
+    fleet.start(2, incarnation=90_000)
+    fleet.run_until_agreed(10_000.0)
