--- /dev/null
+++ b/tests/core/replicas/test_silent_agents.py
@@ -0,0 +1,52 @@
+"""An agent that falls silent for about a second keeps its engine in use."""
+
+from __future__ import annotations
+
+import pytest
+
+from marlramp import ids
+from marlramp.core.configuration import catalog
+from marlramp.core.configuration import fleet
+from marlramp.core.replicas import replica_table
+from marlramp.core.replicas import replica_view
+
+LISTED = fleet.Replica(
+    replica_id="i-1",
+    service_id=ids.ServiceId("s"),
+    address="127.0.0.1:1",
+    data_centre=ids.DataCentreId("dc-1"),
+    slots=16,
+    state=fleet.ReplicaState.HEALTHY,
+    weights=1,
+)
+
+
+def report(address: str, weights: int) -> replica_view.LoadReport:
+    return replica_view.LoadReport(
+        address=address,
+        weights=weights,
+        running=0,
+        waiting=0,
+        pace=1.0,
+        opens=True,
+    )
+
+
+@pytest.fixture
+def table() -> replica_table.ReplicaTable:
+    known = catalog.Catalog()
+    known.apply([catalog.ReplicaChange(1, "i-1", LISTED)], 0.0)
+    found = replica_table.ReplicaTable()
+    found.sync(known, 0.0)
+    return found
+
+
+@pytest.mark.parametrize("age_ms", [1_000.0, 1_600.0, 1_900.0, 2_500.0])
+def test_version_stays_known_while_reports_are_late(
+    table: replica_table.ReplicaTable, age_ms: float
+) -> None:
+    table.handle_report(report(LISTED.address, 2), 0.0)
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(age_ms) == 2
+    assert view.accepts_new(age_ms)
