Replicas: reports of engines have a bound

An entry kept the last report of each address that any process ever reported. 16,384 are kept, the oldest is dropped first.

test_reports_of_unknown_engines_are_bounded failed before (101 for 16), passes now (one run).

--- a/src/marlramp/core/replicas/replica_table.py
+++ b/src/marlramp/core/replicas/replica_table.py
@@ -22,6 +22,10 @@
 from marlramp.core.replicas import replica_view
 from marlramp.core.replicas import wait_bias
 
+REPORTS_MAX = 16_384
+"""Most engines whose last report is kept, also of replicas that are not listed
+yet; the oldest report is dropped first."""
+
 REMOVED_MAX = 4_096
 """Number of replicas that are remembered after they left the list; the oldest
 are dropped."""
@@ -145,7 +149,10 @@
             held[0].born_ms, report.born_ms
         ):
             return []
+        self._reports.pop(report.address, None)
         self._reports[report.address] = (report, now_ms)
+        if len(self._reports) > REPORTS_MAX:
+            del self._reports[next(iter(self._reports))]
         restarted = []
         for replica_id, view in list(self._views.items()):
             if view.replica.address != report.address:
--- a/tests/core/replicas/test_silent_agents.py
+++ b/tests/core/replicas/test_silent_agents.py
@@ -50,3 +50,14 @@
     assert view is not None
     assert view.weights(age_ms) == 2
     assert view.accepts_new(age_ms)
+
+
+def test_reports_of_unknown_engines_are_bounded(
+    table: replica_table.ReplicaTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(replica_table, "REPORTS_MAX", 16, raising=False)
+    for number in range(100):
+        table.handle_report(report(f"x:{number}", 1), 0.0)
+        table.handle_report(report(LISTED.address, 2), 0.0)
+    assert len(table._reports) <= 16
+    assert LISTED.address in table._reports
