Coordinators forget what agents of others were sent

A seed kept the neighbours that it once sent to each agent that said hello, also of agents that others coordinate and that are long gone: a dictionary of all agents each, some 37 KB at 1,100 agents (reckoned), so 40 MB after a start of the whole fleet, more with each VM that is replaced. They are forgotten with the next refresh, and the dictionary of one update is shared.

test_what_other_agents_were_sent_is_forgotten failed before (100 names left), passes now, with the 34 other tests of the two files (one run).

--- a/src/marlramp/direct/fleet/agent_coordinator.py
+++ b/src/marlramp/direct/fleet/agent_coordinator.py
@@ -25,12 +25,13 @@
     Attributes:
       number: number of the message that contained them.
       entries: the entries that the agent is in contact with.
-      agents: the agents whose engine answers, by VM.
+      agents: the agents whose engine answers, by VM; shared by all agents
+        that were sent the same.
     """
 
     number: int
     entries: list[members.Member]
-    agents: dict[str, members.Member]
+    agents: Mapping[str, members.Member]
 
 
 class AgentCoordinator:
@@ -60,8 +61,14 @@
         self._refreshed_ms = float("-inf")
 
     def send_weights_to_all(self) -> None:
-        """Sends the weights to all agents that this entry coordinates."""
+        """Sends the weights to all agents that this entry coordinates.
+
+        What was sent to other agents, which asked for it, is forgotten: they
+        get no further update.
+        """
         self._refreshed_ms = self._clock.now_ms()
+        for vm_id in self._sent.keys() - self._coordinated:
+            del self._sent[vm_id]
         for vm_id in sorted(self._coordinated):
             self._send_weights(vm_id)
 
@@ -100,8 +107,6 @@
             for vm_id in cell.agents
             if own in agent_coordinators.coordinators_of(vm_id, known)
         }
-        for vm_id in self._coordinated - coordinated:
-            self._sent.pop(vm_id, None)
         self._coordinated = coordinated
 
     def _suspect_silent(self) -> None:
@@ -160,7 +165,9 @@
         """Sends an agent the changes of its neighbours, if there are any."""
         entries = self._entries_of(vm_id)
         sent = self._sent.get(vm_id)
-        before = {} if sent is None else sent.agents
+        before: Mapping[str, members.Member] = (
+            {} if sent is None else sent.agents
+        )
         joined = [agent for name, agent in agents.items() if name not in before]
         left = [name for name in before if name not in agents]
         agents_unchanged = not joined and not left
@@ -175,9 +182,7 @@
             left=left,
         )
         if self._sync.send(vm_id, message):
-            self._sent[vm_id] = _SentNeighbours(
-                after + 1, entries, dict(agents)
-            )
+            self._sent[vm_id] = _SentNeighbours(after + 1, entries, agents)
 
     def _entries_of(self, vm_id: str) -> list[members.Member]:
         """Returns the entries of an agent's cell and its coordinators.
--- a/tests/direct/fleet/test_agent_coordinator.py
+++ b/tests/direct/fleet/test_agent_coordinator.py
@@ -154,3 +154,18 @@
     coordinated.time.advance(members.ALIVE_MS)
     coordinated.tick()
     assert coordinated.sync.suspected == ["agent-0"]
+
+
+def test_what_other_agents_were_sent_is_forgotten(
+    coordinated: Coordinated,
+) -> None:
+    for agent in AGENTS:
+        coordinated.sync.record_state(agent, members.MemberState.READY)
+    coordinated.tick()
+    for number in range(100):
+        coordinated.coordinator.send_full_update(f"stranger-{number}")
+    coordinated.time.advance(agent_coordinator.REFRESH_MS)
+    coordinated.coordinator.tick(divided=False)
+    held = coordinated.coordinator._sent
+    assert held.keys() == {agent.vm_id for agent in AGENTS}
+    assert len({id(sent.agents) for sent in held.values()}) == 1
