Answers about versions that are not known are not counted

The number of answers on each version that any process named was kept for ever. Only versions of the catalog are counted.

--- a/src/marlramp/direct/fleet/version_ages.py
+++ b/src/marlramp/direct/fleet/version_ages.py
@@ -138,6 +138,16 @@
                 continue
             named = (aged.model, aged.version)
             self._answers[named] = self._answers.get(named, 0) + 1
+        known = {
+            (model, version.version)
+            for model, target in self._catalog.targets.items()
+            for version in target.named
+        }
+        self._answers = {
+            named: count
+            for named, count in self._answers.items()
+            if named in known
+        }
         receipt = event_time.Receipt(requested_ms, now_ms)
         self._catalog.merge_ages(answer.versions, receipt)
         for (model, version), uncertainty_ms in self._uncertainties().items():
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -14,6 +14,7 @@
 from marlramp.core.configuration import catalog
 from marlramp.core.configuration import event_time
 from marlramp.core.configuration import fleet
+from marlramp.core.configuration import named_versions
 from marlramp.core.membership import members
 from marlramp.direct.fleet import agent_coordinator
 from marlramp.direct.fleet import catalog_sync
@@ -662,3 +663,24 @@
     reader.sync.publish(2, [config])
     other.sync.on_updates("entry-1", reader.member.take_update())
     assert "m" in other.known.targets or other.known.revision < 4
+
+
+def test_answers_about_unknown_versions_are_not_kept(
+    time: clock.ManualClock,
+) -> None:
+    sent: list[msgspec.Struct] = []
+    ages = version_ages.VersionAges(
+        catalog.Catalog(), lambda _, m: not sent.append(m), list, time
+    )
+    for number in range(100):
+        ages.query("entry-1")
+        request = sent[-1]
+        assert isinstance(request, fleet_messages.VersionAgesRequest)
+        versions = [named_versions.AgedVersion("m", number, None)]
+        ages.on_answer(
+            "entry-1",
+            fleet_messages.VersionAges(
+                number=request.number, versions=versions
+            ),
+        )
+    assert not ages._answers
