Messages: ids that are kept as keys have a bound

Ids of crashes and their suspects, of replicas with a limit and addresses of engines are kept as keys, and a peer could send each of them with the length of a frame: 512 crashes or 16,384 limits of 8 MiB. They have 1,024 characters at most, checked while a message is decoded.

--- a/src/marlramp/core/crashes/crash_reports.py
+++ b/src/marlramp/core/crashes/crash_reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from marlramp import ids
@@ -15,6 +17,8 @@
 PART_SIZE = 1.5
 """Size of a part of a prompt among the suspects, in requests."""
 
+_KEY = msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)
+
 
 class Suspect(msgspec.Struct, frozen=True, array_like=True):
     """A possible cause of a crash: a request, or a part of its prompt.
@@ -35,10 +39,10 @@
         the verdict to find out whether it is sound.
     """
 
-    fingerprint: ids.Fingerprint
+    fingerprint: Annotated[ids.Fingerprint, _KEY]
     begun: bool
     cleared: bool = False
-    carrier: str = ""
+    carrier: Annotated[str, _KEY] = ""
     condemned: bool = False
     position: int = 0
     trials: int = 0
@@ -75,7 +79,7 @@
         their prompts.
     """
 
-    crash_id: ids.CrashId
+    crash_id: Annotated[ids.CrashId, _KEY]
     age_ms: float
     suspects: list[Suspect]
 
--- a/src/marlramp/core/replicas/replica_limits.py
+++ b/src/marlramp/core/replicas/replica_limits.py
@@ -12,10 +12,12 @@
 
 from collections.abc import Iterable
 import enum
+from typing import Annotated
 
 import msgspec
 
 from marlramp import clock
+from marlramp import ids
 from marlramp.core import bucket_digests
 from marlramp.core.replicas import replica_view
 
@@ -57,6 +59,9 @@
     ENDED = "ended"
 
 
+_Key = Annotated[str, msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)]
+
+
 class LimitUpdate(msgspec.Struct, frozen=True, array_like=True):
     """A replica's limit, as entries send it to one another.
 
@@ -67,7 +72,7 @@
       age_ms: age of this information when the update is sent.
     """
 
-    replica_id: str
+    replica_id: _Key
     born_ms: int | None
     per_s: float | None
     age_ms: float
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -10,10 +10,12 @@
 
 from collections.abc import Callable
 import math
+from typing import Annotated
 
 import msgspec
 
 from marlramp import clock
+from marlramp import ids
 from marlramp.core.configuration import fleet
 from marlramp.core.replicas import availability
 from marlramp.core.replicas import breaker
@@ -110,7 +112,7 @@
       leaving: whether the engine reports that it is leaving.
     """
 
-    address: str
+    address: Annotated[str, msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)]
     weights: int
     running: int
     waiting: int
--- a/src/marlramp/ids.py
+++ b/src/marlramp/ids.py
@@ -4,6 +4,10 @@
 
 from typing import NewType
 
+KEY_LENGTH_MAX = 1_024
+"""Longest id or address, in characters, that is accepted from other processes
+and kept as a key."""
+
 VmId = NewType("VmId", str)
 DataCentreId = NewType("DataCentreId", str)
 ServiceId = NewType("ServiceId", str)
--- a/tests/protocol/test_message_bounds.py
+++ b/tests/protocol/test_message_bounds.py
@@ -3,13 +3,18 @@
 import msgspec
 import pytest
 
+from marlramp import ids
 from marlramp.core.configuration import catalog
+from marlramp.core.crashes import crash_reports
 from marlramp.core.membership import members
+from marlramp.core.replicas import replica_limits
+from marlramp.core.replicas import replica_view
 from marlramp.direct.fleet import catalog_codec
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
 
+LONG = "x" * 1_025
 MEMBER = members.Member("m", members.MemberKind.AGENT, "a", "h", 1)
 
 
@@ -29,9 +34,31 @@
     return messages.PeerHave(manifest="m@1", indexes=[index] * count, seen=[])
 
 
+def crash(crash_id: str, fingerprint: str = "") -> fleet_messages.CrashNews:
+    suspect = crash_reports.Suspect(ids.Fingerprint(fingerprint), False)
+    found = crash_reports.Crash(ids.CrashId(crash_id), 0.0, [suspect])
+    return fleet_messages.CrashNews(crashes=[found])
+
+
+def limits(replica_id: str) -> fleet_messages.LimitNews:
+    update = replica_limits.LimitUpdate(replica_id, None, 1.0, 0.0)
+    return fleet_messages.LimitNews(limits=[update])
+
+
+def engine(address: str) -> fleet_messages.EngineNews:
+    report = replica_view.LoadReport(
+        address=address, weights=1, running=0, waiting=0, pace=1.0, opens=True
+    )
+    return fleet_messages.EngineNews(report=report)
+
+
 @pytest.mark.parametrize(
     "message",
     [
+        crash(LONG),
+        crash("", LONG),
+        limits(LONG),
+        engine(LONG),
         hello(8_193),
         have(65_536),
         have(0, 65_537),
@@ -60,6 +87,9 @@
 @pytest.mark.parametrize(
     "message",
     [
+        crash("x" * 256, "x" * 256),
+        limits("x" * 256),
+        engine("x" * 256),
         hello(8_192),
         have(65_535, 65_536),
         news(MEMBER),
