--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -10,10 +10,12 @@
 
 from collections.abc import Callable
 import math
+from typing import Annotated
 
 import msgspec
 
 from marlramp import clock
+from marlramp import ids
 from marlramp.core.configuration import fleet
 from marlramp.core.replicas import availability
 from marlramp.core.replicas import breaker
@@ -27,6 +29,12 @@
 """Age up to which an agent's report is valid. Agents report at least every
 500 ms."""
 
+WEIGHTS_KNOWN_MS = 4_000.0
+"""Age up to which the weights in an agent's report are still believed. An
+engine does not go back to an older version while it runs, but the list of
+replicas may lag behind, and an agent or an engine may be silent for a second.
+"""
+
 FAILURES_MAX = 3
 """Number of consecutive failures that open a replica's circuit breaker."""
 
@@ -104,7 +112,7 @@
       leaving: whether the engine reports that it is leaving.
     """
 
-    address: str
+    address: Annotated[str, msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)]
     weights: int
     running: int
     waiting: int
@@ -227,7 +235,10 @@
                 return max(self.report.weights, self.seen_weights or 0)
             return self.report.weights
         listed = 0 if self._is_listed_older else self.replica.weights or 0
-        return max(listed, self.seen_weights or 0)
+        reported = 0
+        if self.report is not None and report_age_ms < WEIGHTS_KNOWN_MS:
+            reported = self.report.weights
+        return max(listed, reported, self.seen_weights or 0)
 
     @property
     def _is_listed_older(self) -> bool:
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -13,7 +13,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import struct
 from typing import Generic
 from typing import TypeVar
 
@@ -21,22 +20,20 @@
 
 from marlramp import clock
 from marlramp import counters
-from marlramp import logs
 from marlramp.core.membership import members
 from marlramp.protocol import codec
+from marlramp.shell import member_connection
 from marlramp.shell import safely
-from marlramp.shell import silence
 
 MessageT = TypeVar("MessageT")
 
-FRAME_BYTES_MAX = 16_777_216
-NAME_BYTES_MAX = 256
-BUFFER_BYTES_MAX = 2_097_152
-"""Limit of unsent bytes on a link; messages beyond it are dropped."""
+UNNAMED_MAX = 256
+"""Limit of the inbound connections that have not sent their names; beyond it
+the oldest one is closed. Sound peers send their names at once."""
 
-UNACKNOWLEDGED_MAX_MS = 2_500
-"""A link is closed and reopened when bytes stay unacknowledged this long: one
-kept open during a network outage recovers seconds after the outage ends."""
+INBOUND_MAX = 2_048
+"""Limit of the inbound connections; beyond it the one that was silent for the
+longest time is closed. It is twice the number of VMs."""
 
 CONNECT_TIMEOUT_MS = 700.0
 RECONNECT_MIN_MS = 100.0
@@ -48,11 +45,19 @@
 Entries query each other rarely, and keepalive probes on idle connections to all
 of them would cost more bytes between regions than the queries."""
 
+REPLACED_IDLE_MAX_MS = 5_000.0
+REPLACED_CHECK_MS = 1_000.0
+"""An inbound connection of a member that has opened a newer one is closed after
+this time without a frame, and checked at this interval."""
+
+INBOUND_PER_NAME_MAX = 2
+"""Limit of the inbound connections of one member. A member opens a second one
+for a moment while it contacts a seed that it already has a link to."""
+
 PENDING_MAX = 64
 PENDING_AGE_MAX_MS = 1_500.0
 """Bounds of the messages queued while a link opens; older ones are outdated."""
 
-_LENGTH_PREFIX = struct.Struct(">I")
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -63,62 +68,6 @@
     queued_ms: float
 
 
-class _Connection(asyncio.Protocol):
-    """One end of a link; the opening end sends its name first."""
-
-    def __init__(
-        self,
-        on_frame: Callable[[_Connection, bytes], None],
-        on_lost: Callable[[_Connection], None],
-    ) -> None:
-        self._on_frame = on_frame
-        self._on_lost = on_lost
-        self._buffer = bytearray()
-        self._transport: asyncio.Transport | None = None
-        self.name = ""
-        self.last_received_ms = float("-inf")
-        self.lost = asyncio.Event()
-
-    def send(self, data: bytes) -> bool:
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return False
-        if transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
-            return False
-        transport.write(_LENGTH_PREFIX.pack(len(data)) + data)
-        return True
-
-    def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        if not isinstance(transport, asyncio.Transport):
-            raise TypeError("expected a stream transport")
-        self._transport = transport
-        silence.bound(transport, UNACKNOWLEDGED_MAX_MS)
-
-    def data_received(self, data: bytes) -> None:
-        self._buffer += data
-        while len(self._buffer) >= _LENGTH_PREFIX.size:
-            (size,) = _LENGTH_PREFIX.unpack_from(self._buffer)
-            if size > FRAME_BYTES_MAX:
-                logs.log("link_frame_too_large", size=size, name=self.name)
-                self.abort()
-                return
-            end = _LENGTH_PREFIX.size + size
-            if len(self._buffer) < end:
-                return
-            frame = bytes(self._buffer[_LENGTH_PREFIX.size : end])
-            del self._buffer[:end]
-            self._on_frame(self, frame)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
-        self.lost.set()
-        self._on_lost(self)
-
-
 class _OutboundLink:
     """A link that this process opens, and reopens after a failure."""
 
@@ -126,7 +75,7 @@
         self.host = host
         self.port = port
         self.last_used_ms: float = now_ms
-        self.connection: _Connection | None = None
+        self.connection: member_connection.Connection | None = None
         self.pending: collections.deque[_QueuedMessage] = collections.deque(
             maxlen=PENDING_MAX
         )
@@ -162,8 +111,12 @@
         self._totals = totals
         self._clock = time
         self._is_near = is_near
-        self._inbound: dict[str, _Connection] = {}
+        self._inbound: dict[str, list[member_connection.Connection]] = {}
         self._outbound: dict[str, _OutboundLink] = {}
+        self._unnamed: dict[member_connection.Connection, None] = {}
+        self._accepted: dict[member_connection.Connection, None] = {}
+        self._partial_frames = member_connection.PartialFrames()
+        self._fault_log = member_connection.FaultLog(totals, time)
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -174,7 +127,13 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self._on_inbound_frame, self._on_inbound_lost),
+            lambda: member_connection.Connection(
+                self._on_inbound_frame,
+                self._forget_inbound,
+                self._partial_frames,
+                self._fault_log,
+                self._on_inbound_made,
+            ),
             host,
             port,
             reuse_address=True,
@@ -210,7 +169,7 @@
             self._server.close()
         for name in list(self._outbound):
             self.close(name)
-        for connection in list(self._inbound.values()):
+        for connection in list(self._accepted):
             connection.abort()
 
     def close_idle(self) -> None:
@@ -237,7 +196,7 @@
         it is known to work.
         """
         now_ms = self._clock.now_ms()
-        inbound = self._inbound.get(name)
+        inbound = self._newest_inbound(name)
         outbound = self._outbound.get(name)
         use_inbound = inbound is not None and (
             outbound is None
@@ -262,21 +221,26 @@
         while True:
             connection = await self._connect(name, outbound)
             if connection is not None:
-                delay_ms = RECONNECT_MIN_MS
                 await connection.lost.wait()
                 outbound.connection = None
+                if connection.unusable == 0:
+                    delay_ms = RECONNECT_MIN_MS
             await asyncio.sleep(delay_ms / _MS)
             delay_ms = min(RECONNECT_MAX_MS, 2 * delay_ms)
 
     async def _connect(
         self, name: str, outbound: _OutboundLink
-    ) -> _Connection | None:
+    ) -> member_connection.Connection | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(
-                        self._on_outbound_frame, lambda _: None
+                    lambda: member_connection.Connection(
+                        self._on_outbound_frame,
+                        lambda _: None,
+                        self._partial_frames,
+                        self._fault_log,
+                        name=name,
                     ),
                     outbound.host,
                     outbound.port,
@@ -286,7 +250,6 @@
             # by missing messages; a log line per attempt would add nothing.
             self._totals.add(counters.CounterName.MESSAGES_DROPPED, "connect")
             return None
-        connection.name = name
         connection.send(self._own_name.encode())
         outbound.connection = connection
         cutoff_ms = self._clock.now_ms() - PENDING_AGE_MAX_MS
@@ -299,42 +262,106 @@
                 self._count("sent", name, message.kind, message.data)
         return connection
 
-    def _on_inbound_frame(self, connection: _Connection, frame: bytes) -> None:
+    def _on_inbound_made(
+        self, connection: member_connection.Connection
+    ) -> None:
+        self._accepted[connection] = None
+        self._unnamed[connection] = None
+        if len(self._unnamed) > UNNAMED_MAX:
+            self._close_inbound(next(iter(self._unnamed)), "too_many_unnamed")
+        if len(self._accepted) > INBOUND_MAX:
+            named = self._accepted.keys() - self._unnamed.keys()
+            silent = min(named, key=lambda each: each.last_received_ms)
+            self._close_inbound(silent, "too_many_links")
+
+    def _close_inbound(
+        self, connection: member_connection.Connection, reason: str
+    ) -> None:
+        """Closes an inbound connection, which counts no longer from now on."""
+        self._forget_inbound(connection)
+        connection.close(reason)
+
+    def _on_inbound_frame(
+        self, connection: member_connection.Connection, frame: bytes
+    ) -> None:
         connection.last_received_ms = self._clock.now_ms()
         if connection.name:
-            self._handle_message(connection.name, frame)
+            self._handle_message(connection, frame)
+            return
+        name = frame.decode("utf-8", "replace")
+        if not name:
+            connection.close("no_name")
             return
-        name = frame[:NAME_BYTES_MAX].decode("utf-8", "replace")
         connection.name = name
-        self._inbound[name] = connection
+        self._unnamed.pop(connection, None)
+        connections = self._inbound.setdefault(name, [])
+        if connections:
+            self._close_if_replaced(connections[-1])
+        connections.append(connection)
+        if len(connections) > INBOUND_PER_NAME_MAX:
+            self._close_inbound(connections[0], "replaced")
+
+    def _newest_inbound(self, name: str) -> member_connection.Connection | None:
+        connections = self._inbound.get(name)
+        return connections[-1] if connections else None
+
+    def _close_if_replaced(
+        self, connection: member_connection.Connection
+    ) -> None:
+        """Closes a connection that has a newer one, once it is silent.
 
-    def _on_inbound_lost(self, connection: _Connection) -> None:
-        if self._inbound.get(connection.name) is connection:
-            del self._inbound[connection.name]
+        A peer that still uses it would have closed it when it became idle.
+        """
+        if connection not in self._accepted:
+            return
+        silent_ms = self._clock.now_ms() - connection.last_received_ms
+        newest = self._newest_inbound(connection.name)
+        if newest is not connection and silent_ms >= REPLACED_IDLE_MAX_MS:
+            self._close_inbound(connection, "replaced")
+            return
+        wait_ms = max(REPLACED_CHECK_MS, REPLACED_IDLE_MAX_MS - silent_ms)
+        asyncio.get_running_loop().call_later(
+            wait_ms / _MS, self._close_if_replaced, connection
+        )
 
-    def _on_outbound_frame(self, connection: _Connection, frame: bytes) -> None:
+    def _forget_inbound(self, connection: member_connection.Connection) -> None:
+        self._accepted.pop(connection, None)
+        self._unnamed.pop(connection, None)
+        connections = self._inbound.get(connection.name, [])
+        if connection in connections:
+            connections.remove(connection)
+            if not connections:
+                del self._inbound[connection.name]
+
+    def _on_outbound_frame(
+        self, connection: member_connection.Connection, frame: bytes
+    ) -> None:
         connection.last_received_ms = self._clock.now_ms()
-        self._handle_message(connection.name, frame)
+        self._handle_message(connection, frame)
 
-    def _handle_message(self, name: str, data: bytes) -> None:
+    def _handle_message(
+        self, connection: member_connection.Connection, data: bytes
+    ) -> None:
+        name = connection.name
         try:
             message = self._decoder.decode(data)
         except codec.DecodeError as error:
             reason = error.reason
             self._count("received", name, reason, data)
-            self._totals.add(counters.CounterName.MESSAGES_DROPPED, reason)
-            logs.log("message_dropped", sender=name, reason=reason)
+            self._fault_log.record("message_dropped", reason, sender=name)
+            connection.record_usable(usable=False)
             return
         kind = type(message).__name__
         self._count("received", name, kind, data)
-        safely.run_safely(
+        handled = safely.run_safely(
             lambda: self._on_message(name, message), kind, self._totals
         )
+        connection.record_usable(usable=handled)
 
     def _count(self, direction: str, name: str, kind: str, data: bytes) -> None:
         """Counts a message and its bytes by direction, type and distance."""
         distance = "near" if self._is_near(name) else "far"
         label = f"{direction}_{kind}_{distance}"
-        size = _LENGTH_PREFIX.size + len(data)
+        size = member_connection.LENGTH_PREFIX.size + len(data)
         self._totals.add(counters.CounterName.LINK_MESSAGES, label)
         self._totals.add(counters.CounterName.LINK_BYTES, label, size)
