An engine that is silent for a second keeps its grants and weights

What callers saw: an engine that answered nothing for 1.2 s was suspended by its agent. All grants were void, entries sent calls again at the cost of their retry budget, and refused new ones with 503 no_upstream if it was the only replica. If the weights were verified while it went on, the agent ordered it to load the version that it served.

Cause: the state of the engine was read with a timeout of 1 s, and a report was out of date after 1.5 s. A rollout step that began while the engine was unreachable did not look again before it gave its orders.

Change: the state is read with a timeout of 1.5 s and a report counts for 2 s. A rollout step ends if the engine serves the target once the weights are verified.

--- a/src/marlramp/agent/engine_client.py
+++ b/src/marlramp/agent/engine_client.py
@@ -13,6 +13,9 @@
 from marlramp.shell import http
 
 READ_TIMEOUT_MS = 1_000.0
+STATE_TIMEOUT_MS = 1_500.0
+"""Longer than an engine may be silent before its grants are voided."""
+
 STAGE_TIMEOUT_MS = 30_000.0
 STAGE_PIECE_BYTES = 16 * 1024 * 1024
 """Least size of a staged piece, except for the last one."""
@@ -110,7 +113,7 @@
 
     async def state(self) -> guard.EngineState:
         """Returns the versions that the engine holds and the one it serves."""
-        reply = await self._call("GET", "/admin/state", b"", READ_TIMEOUT_MS)
+        reply = await self._call("GET", "/admin/state", b"", STATE_TIMEOUT_MS)
         try:
             return msgspec.json.decode(reply.body, type=guard.EngineState)
         except msgspec.DecodeError as error:
--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -279,7 +279,8 @@
         if not await asyncio.to_thread(chunk_set.verify_digest):
             raise engine_client.EngineError("weights differ from the manifest")
         target = self._target
-        if target is None:
+        if target is None or self._verdict is guard.Verdict.SERVE_TARGET:
+            # The engine was only unreachable, and has not lost the version.
             return
         state = self._guard.state
         if state is None:
--- a/src/marlramp/core/grant_calls/guard.py
+++ b/src/marlramp/core/grant_calls/guard.py
@@ -20,8 +20,11 @@
 FENCING_COUNT_BITS = 16
 """Low bits of a fencing number that hold the count."""
 
-PAUSE_MS = 1_500.0
-"""Age of a report above which this process is assumed to have been paused."""
+PAUSE_MS = 2_000.0
+"""Age of a report above which this process is assumed to have been paused.
+
+A report reaches this age neither while the engine is silent for a second nor
+while this process is."""
 
 
 class EngineState(msgspec.Struct, frozen=True):
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -116,3 +116,33 @@
         assert member.suspended == 2
 
     run(scenario)
+
+
+def test_engine_that_is_silent_for_a_second_keeps_its_grants() -> None:
+    # One late reading of the state voided all grants, and with one replica the
+    # entries refused every call meanwhile.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        member = fleet.members[0]
+        suspended = member.suspended
+        for _ in range(2):
+            member.engine.fall_silent(1_200.0)
+            for _ in range(150):
+                await asyncio.sleep(0.01)
+                assert member.controller.serving_version() == "v1"
+        assert member.suspended == suspended
+
+    run(scenario, members=1)
+
+
+def test_engine_that_goes_on_after_a_silence_is_not_loaded_again() -> None:
+    # While the weights were read the engine was back on its version; it got
+    # them again and was ordered to load them.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        member = fleet.members[0]
+        fleet.node.fetch_ms = 1_200.0
+        member.engine.fall_silent(2_000.0)
+        await asyncio.sleep(4.0)
+        assert member.controller.serving_version() == "v1"
+        assert member.engine.loads == []
+
+    run(scenario)
