A later attempt is watched for a lost run as the first one is

What callers saw: a call whose first attempt had sent its headers waited until its deadline if the run of a later attempt, or its answer, was lost on the link. A body of the later attempt got the status of the first one.

Cause: status and content type stayed from attempt to attempt, and a known status ended the watch.

Change: Call.answering says whether the current attempt has sent anything; status and content type begin anew unless the caller already has a part.

Measured: test_lost_run_of_a_second_attempt_is_resent failed before (no second run was sent), passes now.

--- a/src/marlramp/entry/call.py
+++ b/src/marlramp/entry/call.py
@@ -27,6 +27,7 @@
       attempt_id: request id of the current attempt.
       started_ms: when the current attempt started.
       sent: whether the current attempt was passed to a socket.
+      answering: whether headers or parts of the current attempt have arrived.
       progress_ms: when the last headers or parts of the current attempt
         arrived, or when it started.
       queried_ms: when the agent was last queried about the current attempt,
@@ -58,6 +59,7 @@
         self.queried_ms = 0.0
         self.first_part_ms: float | None = None
         self.sent = False
+        self.answering = False
         self.status: int | None = None
         self.content_type = ""
         self.failure: errors.CallError | None = None
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -198,10 +198,13 @@
     def handle_headers(self, message: messages.RunHeaders) -> None:
         """Records the HTTP status and the media type of an answer."""
         call = self._attempts.get(ids.RequestId(message.request_id))
-        if call is not None and call.status is None:
+        if call is None:
+            return
+        call.answering = True
+        call.progress_ms = self._clock.now_ms()
+        if call.status is None:
             call.status = message.status
             call.content_type = message.content_type
-            call.progress_ms = self._clock.now_ms()
 
     def handle_parts(self, batch: messages.PartsBatch) -> None:
         """Delivers a batch of parts, which may belong to several answers."""
@@ -210,6 +213,7 @@
             call = self._attempts.get(ids.RequestId(answer.request_id))
             if call is None:
                 continue
+            call.answering = True
             call.progress_ms = now_ms
             if call.first_part_ms is None:
                 self._record_first_part(call, now_ms)
@@ -372,6 +376,10 @@
         call.progress_ms = now_ms
         call.queried_ms = now_ms
         call.first_part_ms = None
+        call.answering = False
+        if call.state.resume_from == 0:
+            call.status = None
+            call.content_type = ""
         call.state.attempts += 1
         self._attempts[call.attempt_id] = call
         info = self._table.get(grant.vm_id)
--- a/src/marlramp/entry/lost_run_detector.py
+++ b/src/marlramp/entry/lost_run_detector.py
@@ -49,9 +49,12 @@
 
     def check(self, call: call_module.Call, now_ms: clock.Millis) -> None:
         """Queries the agent if the current attempt is silent for too long."""
-        answering = call.status is not None or call.first_part_ms is not None
         silent_ms = now_ms - call.queried_ms
-        if answering or call.grant is None or silent_ms < RUN_SILENCE_MAX_MS:
+        if (
+            call.answering
+            or call.grant is None
+            or silent_ms < RUN_SILENCE_MAX_MS
+        ):
             return
         call.queried_ms = now_ms
         query = messages.RunQuery(
@@ -71,7 +74,7 @@
             ids.RequestId(query.request_id), agent_queries.REPLY_TIMEOUT_MS
         )
         superseded = call.grant is None or call.attempt_id != attempt_id
-        if superseded or call.status is not None:
+        if superseded or call.answering:
             return
         if not isinstance(reply, messages.RunStatus):
             return
--- a/tests/entry/test_lost_run_detector.py
+++ b/tests/entry/test_lost_run_detector.py
@@ -12,6 +12,7 @@
 from marlramp import counters
 from marlramp import errors
 from marlramp import ids
+from marlramp.core.grant_calls import assembly
 from marlramp.core.grant_calls import calls
 from marlramp.core.grant_calls import grants
 from marlramp.core.grant_calls import queueing
@@ -158,3 +159,44 @@
         assert not entry.call.ended
 
     run_scenario(scenario)
+
+
+def test_lost_run_of_a_second_attempt_is_resent() -> None:
+    """The headers of the first attempt ended the watch over all later ones."""
+
+    async def scenario(entry: Entry) -> None:
+        (first,) = entry.agent.runs()
+        call = entry.call
+        entry.dispatcher.handle_headers(
+            messages.RunHeaders(
+                request_id=first.request_id, status=404, content_type="a/b"
+            )
+        )
+        failure = errors.ErrorKind.UPSTREAM_BUSY
+        entry.dispatcher.handle_run_ended(
+            messages.RunEnded(
+                request_id=first.request_id,
+                kind=failure,
+                ran=errors.Ran.NO,
+                detail="",
+                tokens=0,
+            )
+        )
+        await asyncio.sleep(0.1)
+        assert len(entry.agent.runs()) == 2
+        await entry.advance_past_silence()
+        await entry.reply_with(grants.RunState.NOT_STARTED)
+        assert len(entry.agent.runs()) == 3
+        second = entry.agent.runs()[-1].request_id
+        # The status belongs to the body that the caller gets.
+        entry.dispatcher.handle_headers(
+            messages.RunHeaders(
+                request_id=second, status=201, content_type="a/b"
+            )
+        )
+        part = assembly.Part(0, b"x", ids.VersionId(""), last=True)
+        answer = messages.AnswerParts(ids.RequestId(second), [part])
+        entry.dispatcher.handle_parts(messages.PartsBatch(answers=[answer]))
+        assert (call.status, call.failure) == (201, None)
+
+    run_scenario(scenario)
