A handler that fails, or an upstream's odd header, gets an answer

What callers saw: an unforeseen exception of a handler (an event of an engine with "choices": null) was answered by uvicorn with a bare text, without kind, `ran` and request id. A status of an upstream outside 200 to 599, or a content type with characters that HTTP does not allow, closed the connection without an answer.

Cause: no handler stood between the router and uvicorn, which counts a response as begun before it has checked its status and headers.

Change: application.AnsweredApp answers with the INTERNAL kind if nothing was written, logs and counts the error, and otherwise records the request as unanswered. A status that is no final answer fails the attempt; a text that a header may not hold is left out. The uvicorn server moved to entry/http_server.py, where tests can build it.

--- a/src/marlramp/entry/answers.py
+++ b/src/marlramp/entry/answers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import Generator
 import math
+import re
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -33,6 +34,14 @@
 abandoned."""
 
 
+_HEADER_VALUE = re.compile(r"[\x20-\x7e\t]*")
+
+
+def header_value(text: str) -> str:
+    """Returns a text of an upstream if a header may hold it, else ""."""
+    return text if _HEADER_VALUE.fullmatch(text) else ""
+
+
 class ErrorBody(msgspec.Struct, frozen=True):
     """JSON form of an error.
 
@@ -160,7 +169,7 @@
 
     def _start(self) -> dict[str, object]:
         call = self._call
-        version = call.state.assembly.version or ""
+        version = header_value(call.state.assembly.version or "")
         headers = {
             "content-type": call.content_type or "text/event-stream",
             "cache-control": "no-store",
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -26,6 +26,7 @@
     from marlramp.entry import agent_queries
     from marlramp.entry import call as call_module
     from marlramp.entry import dispatcher
+    from marlramp.entry import unanswered
     from marlramp.platform import clients
     from marlramp.settings import store
 
@@ -122,6 +123,7 @@
         settings: store.SettingsStore,
         signer: run_tokens.TokenSigner,
         directory: EntryDirectory,
+        unanswered_calls: unanswered.UnansweredCalls,
         time: clock.Clock,
     ) -> None:
         """Creates endpoints that submit calls to the dispatcher."""
@@ -130,6 +132,7 @@
         self._settings = settings
         self._signer = signer
         self._directory = directory
+        self._unanswered = unanswered_calls
         self._clock = time
 
     def routes(self) -> list[routing.Route]:
@@ -336,7 +339,7 @@
         }
         response = _json(body)
         response.headers[answers.REQUEST_ID_HEADER] = call.spec.call_id
-        version = call.state.assembly.version or ""
+        version = answers.header_value(call.state.assembly.version or "")
         response.headers[answers.VERSION_HEADER] = version
         return response
 
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -5,13 +5,10 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 import functools
 import random
 
 import msgspec
-import uvicorn
 
 from marlramp import clock
 from marlramp import counters
@@ -31,7 +28,9 @@
 from marlramp.entry import caller_app
 from marlramp.entry import crash_guard
 from marlramp.entry import dispatcher
+from marlramp.entry import http_server
 from marlramp.entry import metrics
+from marlramp.entry import unanswered
 from marlramp.platform import clients
 from marlramp.platform import http_clients
 from marlramp.protocol import messages
@@ -64,15 +63,6 @@
 """Time that the HTTP server gives open connections when it shuts down."""
 
 
-class _Server(uvicorn.Server):
-    """uvicorn server that installs no signal handlers."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Captures no signals; the daemon handles them."""
-        yield
-
-
 class _SentHeartbeat(msgspec.Struct, frozen=True):
     """Demand and time of the last heartbeat to an agent."""
 
@@ -148,7 +138,7 @@
             self._settings_accepted,
         )
 
-    def _build_server(self) -> _Server:
+    def _build_server(self) -> http_server.Server:
         signer = run_tokens.TokenSigner(self._entry.token_key)
         exporter = metrics.MetricsExporter(
             self._totals, self._table, self._dispatcher
@@ -160,6 +150,7 @@
             self._store,
             signer,
             self,
+            unanswered.UnansweredCalls(self._totals),
             self._clock,
         )
         admin = admin_app.AdminApp(
@@ -173,18 +164,14 @@
             self,
             self._clock,
         )
-        config = uvicorn.Config(
-            application.build(callers, admin, exporter),
-            host=self._entry.http_host,
-            port=self._entry.http_port,
-            loop="asyncio",
-            http="httptools",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            timeout_graceful_shutdown=CLOSE_GRACE_S,
+        routes = [*callers.routes(), *admin.routes(), *exporter.routes()]
+        return http_server.build(
+            application.build(routes, self._totals),
+            self._entry.http_host,
+            self._entry.http_port,
+            http_server.Limits(),
+            CLOSE_GRACE_S,
         )
-        return _Server(config)
 
     def reload(self, reason: str) -> None:
         """Logs that changed process settings apply only after a restart."""
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -25,6 +25,7 @@
 from marlramp.entry import admission as admission_module
 from marlramp.entry import agent_queries
 from marlramp.entry import agent_table
+from marlramp.entry import answers
 from marlramp.entry import call as call_module
 from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
@@ -36,6 +37,9 @@
 CANCEL_WAIT_MS = 60.0
 """Longest wait for an agent's report whether a cancelled request ran."""
 
+STATUSES = range(200, 600)
+"""Status codes that an answer may have; others are no final answer."""
+
 
 def _discard(value: float) -> None:
     """Discards a measurement; the default of `on_first_part`."""
@@ -202,9 +206,18 @@
             return
         call.answering = True
         call.progress_ms = self._clock.now_ms()
-        if call.status is None:
+        if message.status not in STATUSES:
+            self._send_cancel(call, self._queries.new_id(), stop=True)
+            self._attempt_failed(
+                call,
+                errors.CallError(
+                    errors.ErrorKind.UPSTREAM_FAILED,
+                    f"status {message.status}",
+                ),
+            )
+        elif call.status is None:
             call.status = message.status
-            call.content_type = message.content_type
+            call.content_type = answers.header_value(message.content_type)
 
     def handle_parts(self, batch: messages.PartsBatch) -> None:
         """Delivers a batch of parts, which may belong to several answers."""
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -23,10 +23,13 @@
 
 
 class Built(msgspec.Struct):
-    """A dispatcher without calls, and its queries."""
+    """A dispatcher without calls, and what it works with."""
 
     dispatcher: dispatcher.Dispatcher
     queries: agent_queries.AgentQueries
+    settings: store.SettingsStore
+    table: agent_table.AgentTable
+    totals: counters.Counters
 
 
 def build(
@@ -50,6 +53,7 @@
         settings.offer(messages.Document(key, 1, text))
     table = agent_table.AgentTable(settings.tree.effective)
     rng = random.Random(1)
+    totals = counters.Counters()
     queries = agent_queries.AgentQueries(
         ids.VmId("entry-0"), table, sender, rng
     )
@@ -60,8 +64,8 @@
         queries,
         sender,
         crashes,
-        counters.Counters(),
+        totals,
         time,
         rng,
     )
-    return Built(built, queries)
+    return Built(built, queries, settings, table, totals)
