A caller that leaves ends its call, and each unanswered call is recorded

What callers saw: a caller of a plain service, or of a completion without a stream, that left kept its engine busy until the answer was complete. No line told of a stream that was broken off or of a caller that left.

Cause: only streamed answers watched the connection, and none wrote a line.

Change: answers.CallerWatch watches every call; unanswered.UnansweredCalls logs request_unanswered and adds to marlramp_requests_unanswered, with the reasons caller_left, caller_slow and broken_off beside handler_failed and closed.

Measured: of the four cases of test_call_whose_caller_left_is_cancelled_and_recorded two failed before with no cancel sent and two with nothing counted; test_stream_that_is_broken_off_is_recorded failed too.

--- a/src/marlramp/entry/answers.py
+++ b/src/marlramp/entry/answers.py
@@ -17,6 +17,7 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp.entry import call as call_module
+from marlramp.entry import unanswered
 
 if TYPE_CHECKING:
     from starlette import types
@@ -115,6 +116,44 @@
     return b"event: error\ndata: " + data + b"\n\n"
 
 
+class CallerWatch:
+    """Abandons a call when its caller disconnects; an async context manager.
+
+    Attributes:
+      left: whether the caller has disconnected.
+    """
+
+    def __init__(
+        self,
+        call: call_module.Call,
+        call_dispatcher: dispatcher.Dispatcher,
+        receive: types.Receive,
+    ) -> None:
+        """Watches the caller of `call` within the context."""
+        self._call = call
+        self._dispatcher = call_dispatcher
+        self._receive = receive
+        self._task: asyncio.Task[None] | None = None
+        self.left = False
+
+    async def __aenter__(self) -> CallerWatch:
+        """Starts to watch."""
+        self._task = asyncio.create_task(self._watch())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Ends the watch, and the call if it goes on."""
+        if self._task is not None:
+            self._task.cancel()
+        self._dispatcher.abandon(self._call)
+
+    async def _watch(self) -> None:
+        while not self.left:
+            message = await self._receive()
+            self.left = message["type"] == "http.disconnect"
+        self._dispatcher.abandon(self._call)
+
+
 class StreamedAnswer:
     """ASGI response that streams the answer of a call as it arrives.
 
@@ -127,27 +166,31 @@
         self,
         call: call_module.Call,
         call_dispatcher: dispatcher.Dispatcher,
+        unanswered_calls: unanswered.UnansweredCalls,
         headers: dict[str, str],
     ) -> None:
         """Streams the answer of `call`."""
         self._call = call
         self._dispatcher = call_dispatcher
+        self._unanswered = unanswered_calls
         self._headers = headers
 
     async def __call__(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
     ) -> None:
         """Sends the answer; abandons the call if the caller disconnects."""
-        watcher = asyncio.create_task(self._watch(receive))
-        try:
-            await self._relay(scope, receive, send)
-        finally:
-            watcher.cancel()
-            self._dispatcher.abandon(self._call)
+        watch = CallerWatch(self._call, self._dispatcher, receive)
+        async with watch:
+            reason = await self._relay(scope, receive, send)
+        if watch.left:
+            reason = unanswered.UnansweredReason.CALLER_LEFT
+        if reason is not None:
+            self._unanswered.record(self._call.spec.call_id, reason)
 
     async def _relay(
         self, scope: types.Scope, receive: types.Receive, send: types.Send
-    ) -> None:
+    ) -> unanswered.UnansweredReason | None:
+        """Sends the answer; returns why it is not complete, else None."""
         call = self._call
         request_id = call.spec.call_id
         try:
@@ -155,17 +198,22 @@
         except errors.CallError as failure:
             response = error_response(error_body(failure, request_id))
             await response(scope, receive, send)
-            return
+            return None
         await send(self._start())
         await send(_body(data, more=True))
+        reason = None
         writer = _DirectWriter(send, lambda: self._dispatcher.abandon(call))
         call.attach(writer.write)
         try:
             await call.wait_complete()
         except errors.CallError as failure:
+            reason = unanswered.UnansweredReason.BROKEN_OFF
+            if writer.overflowed:
+                reason = unanswered.UnansweredReason.CALLER_SLOW
             writer.write(error_event(error_body(failure, request_id)))
         await writer.flush()
         await send(_body(b"", more=False))
+        return reason
 
     def _start(self) -> dict[str, object]:
         call = self._call
@@ -185,13 +233,6 @@
             ],
         }
 
-    async def _watch(self, receive: types.Receive) -> None:
-        while True:
-            message = await receive()
-            if message["type"] == "http.disconnect":
-                self._dispatcher.abandon(self._call)
-                return
-
 
 class _DirectWriter:
     """Writes to a caller in the event loop step in which the data arrived.
@@ -199,6 +240,9 @@
     The ASGI server's `send` waits only if the caller reads too slowly, so it is
     called without a task. If it does wait, a task completes the write, and
     later data is buffered until then.
+
+    Attributes:
+      overflowed: whether too much data was buffered.
     """
 
     def __init__(
@@ -210,6 +254,7 @@
         self._task: asyncio.Task[None] | None = None
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
+        self.overflowed = False
 
     def write(self, data: bytes) -> None:
         """Writes data at once, or buffers it while an earlier write waits."""
@@ -231,7 +276,8 @@
     def _buffer(self, data: bytes) -> None:
         self._buffered.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > BUFFERED_BYTES_MAX:
+        if self._buffered_bytes > BUFFERED_BYTES_MAX and not self.overflowed:
+            self.overflowed = True
             self._on_overflow()
 
     async def _drain(
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -19,6 +19,7 @@
 from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import answers
 from marlramp.entry import requests as caller_requests
+from marlramp.entry import unanswered
 
 if TYPE_CHECKING:
     from starlette import types
@@ -26,7 +27,6 @@
     from marlramp.entry import agent_queries
     from marlramp.entry import call as call_module
     from marlramp.entry import dispatcher
-    from marlramp.entry import unanswered
     from marlramp.platform import clients
     from marlramp.settings import store
 
@@ -223,8 +223,10 @@
             return self._error(failure, request_id)
         if streamed:
             headers = {answers.REQUEST_ID_HEADER: str(request_id)}
-            return answers.StreamedAnswer(call, self._dispatcher, headers)
-        return await self._completion_response(call)
+            return answers.StreamedAnswer(
+                call, self._dispatcher, self._unanswered, headers
+            )
+        return await self._completion_response(call, request.receive)
 
     async def plain(self, request: requests.Request) -> responses.Response:
         """Forwards a request to a plain service."""
@@ -248,7 +250,7 @@
             return self._error(needed.failure, request_id, needed.text)
         except errors.CallError as failure:
             return self._error(failure, request_id)
-        return await self._plain_response(call)
+        return await self._plain_response(call, request.receive)
 
     async def _submit(
         self, spec: calls.CallSpec, caller: caller_requests.CallerRequest
@@ -309,10 +311,10 @@
         return self._signer.encode(token)
 
     async def _completion_response(
-        self, call: call_module.Call
+        self, call: call_module.Call, receive: types.Receive
     ) -> responses.Response:
         try:
-            data = await self._collect(call)
+            data = await self._collect(call, receive)
         except errors.CallError as failure:
             return self._error(failure, call.spec.call_id)
         events = [
@@ -344,10 +346,10 @@
         return response
 
     async def _plain_response(
-        self, call: call_module.Call
+        self, call: call_module.Call, receive: types.Receive
     ) -> responses.Response:
         try:
-            data = await self._collect(call)
+            data = await self._collect(call, receive)
         except errors.CallError as failure:
             return self._error(failure, call.spec.call_id)
         return responses.Response(
@@ -357,13 +359,20 @@
             media_type=call.content_type or None,
         )
 
-    async def _collect(self, call: call_module.Call) -> bytes:
+    async def _collect(
+        self, call: call_module.Call, receive: types.Receive
+    ) -> bytes:
         pieces = []
+        watch = answers.CallerWatch(call, self._dispatcher, receive)
         try:
-            while data := await call.next_data():
-                pieces.append(data)
+            async with watch:
+                while data := await call.next_data():
+                    pieces.append(data)
         finally:
-            self._dispatcher.abandon(call)
+            if watch.left:
+                self._unanswered.record(
+                    call.spec.call_id, unanswered.UnansweredReason.CALLER_LEFT
+                )
         return b"".join(pieces)
 
     def _addresses(self) -> list[str]:
--- a/tests/entry/test_unanswered_calls.py
+++ b/tests/entry/test_unanswered_calls.py
@@ -12,6 +12,7 @@
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import errors
 from marlramp import ids
 from marlramp.core.grant_calls import assembly
 from marlramp.core.grant_calls import run_tokens
@@ -187,9 +188,13 @@
     answer: Callable[[Entry, messages.Run], None],
     scenario: Callable[[Entry, Caller], Awaitable[None]],
     limits: http_server.Limits | None = None,
-    close_grace_s: int = 1,
+    *,
+    closes: bool = True,
 ) -> Entry:
-    """Plays a scenario with one caller; shuts the server down at its end."""
+    """Plays a scenario with one caller; shuts the server down at its end.
+
+    The caller closes its connection before that, unless `closes` is False.
+    """
 
     @contextlib.asynccontextmanager
     async def serve(entry: Entry) -> AsyncIterator[int]:
@@ -198,7 +203,7 @@
             "127.0.0.1",
             0,
             limits or http_server.Limits(),
-            close_grace_s,
+            1,
         )
         task = asyncio.create_task(server.serve())
         while not server.started:
@@ -212,7 +217,9 @@
         async with asyncio.timeout(20.0), serve(entry) as port:
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             await scenario(entry, Caller(reader, writer))
-            writer.close()
+            if closes:
+                writer.close()
+        await asyncio.sleep(0.1)
         return entry
 
     return asyncio.run(main())
@@ -264,3 +271,66 @@
         assert answer.startswith(f"HTTP/1.1 {answered} ".encode())
 
     run_scenario(give, scenario)
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "answer"),
+    [
+        (PLAIN, silence),
+        (completion(stream=False), begin),
+        (completion(stream=True), silence),
+        (completion(stream=True), begin),
+    ],
+)
+def test_call_whose_caller_left_is_cancelled_and_recorded(
+    request_bytes: bytes, answer: Callable[[Entry, messages.Run], None]
+) -> None:
+    """Its run went on to its end, and no line told of the request."""
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(request_bytes)
+        await asyncio.sleep(0.2)
+        caller.writer.close()
+        await asyncio.sleep(0.2)
+        assert entry.cancels() == 1
+        assert entry.dispatcher.active == 0
+
+    entry = run_scenario(answer, scenario)
+    assert entry.unanswered(unanswered.UnansweredReason.CALLER_LEFT) == 1
+
+
+def test_stream_that_is_broken_off_is_recorded() -> None:
+    def break_off(entry: Entry, run: messages.Run) -> None:
+        entry.give(run, EVENT, last=False)
+        ended = messages.RunEnded(
+            request_id=run.request_id,
+            kind=errors.ErrorKind.CANCELLED,
+            ran=errors.Ran.YES,
+            detail="",
+            tokens=1,
+        )
+        entry.dispatcher.handle_run_ended(ended)
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(completion(stream=True))
+        assert b"event: error" in await caller.read(b"\r\n0\r\n\r\n")
+
+    entry = run_scenario(break_off, scenario)
+    assert entry.unanswered(unanswered.UnansweredReason.BROKEN_OFF) == 1
+
+
+@pytest.mark.parametrize("answer", [silence, begin])
+def test_call_that_outlasts_a_shutdown_is_answered_or_recorded(
+    answer: Callable[[Entry, messages.Run], None],
+) -> None:
+    callers = []
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(completion(stream=True))
+        await asyncio.sleep(0.2)
+        callers.append(asyncio.create_task(caller.read(b"none", 5.0)))
+
+    entry = run_scenario(answer, scenario, closes=False)
+    closed = entry.unanswered(unanswered.UnansweredReason.CLOSED)
+    answered = b"marlramp-error: entry_leaving" in callers[0].result()
+    assert (closed, answered) == ((1, False) if answer is begin else (0, True))
