What callers send and read at an entry is bounded in bytes and in time

What callers saw: nothing; entries did. A header, blank lines, trailers or chunk extensions without an end were read, and header bytes kept, for as long as they came. A connection without a whole request, and one whose caller reads nothing, stayed open for ever. After a refused body the rest was read without an end. If a second request was queued on a connection, the entry did not notice that the caller of the first had left.

Cause: uvicorn bounds neither header nor trailers with httptools, has no timer but that of an idle connection, which any byte stops, and passes the loss of a connection only to the latest request.

A whole request before the bad one is answered first.

--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -26,6 +26,7 @@
 from marlramp.entry import agent_table
 from marlramp.entry import application
 from marlramp.entry import caller_app
+from marlramp.entry import caller_protocol
 from marlramp.entry import crash_guard
 from marlramp.entry import dispatcher
 from marlramp.entry import http_server
@@ -144,13 +145,14 @@
             self._totals, self._table, self._dispatcher
         )
         self._dispatcher.on_first_part = exporter.first_part.record
+        unanswered_calls = unanswered.UnansweredCalls(self._totals)
         callers = caller_app.CallerApp(
             self._dispatcher,
             self._queries,
             self._store,
             signer,
             self,
-            unanswered.UnansweredCalls(self._totals),
+            unanswered_calls,
             self._clock,
         )
         admin = admin_app.AdminApp(
@@ -169,7 +171,8 @@
             application.build(routes, self._totals),
             self._entry.http_host,
             self._entry.http_port,
-            http_server.Limits(),
+            caller_protocol.Limits(),
+            unanswered_calls,
             CLOSE_GRACE_S,
         )
 
--- a/src/marlramp/entry/http_server.py
+++ b/src/marlramp/entry/http_server.py
@@ -6,17 +6,15 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-import msgspec
 import uvicorn
 
+from marlramp.entry import caller_protocol
+from marlramp.entry import unanswered
+
 if TYPE_CHECKING:
     from starlette import types
 
 
-class Limits(msgspec.Struct, frozen=True):
-    """Limits on what callers send."""
-
-
 class Server(uvicorn.Server):
     """uvicorn server that installs no signal handlers."""
 
@@ -30,7 +28,8 @@
     app: types.ASGIApp,
     host: str,
     port: int,
-    limits: Limits,
+    limits: caller_protocol.Limits,
+    unanswered_calls: unanswered.UnansweredCalls,
     close_grace_s: int,
 ) -> Server:
     """Returns a server that does not listen yet.
@@ -39,7 +38,8 @@
       app: the ASGI application.
       host: address to listen on.
       port: port to listen on, 0 for any.
-      limits: limits on what callers send.
+      limits: limits on what callers send, and on how slowly.
+      unanswered_calls: records requests that get no answer.
       close_grace_s: time that open connections have when it shuts down.
     """
     config = uvicorn.Config(
@@ -47,7 +47,8 @@
         host=host,
         port=port,
         loop="asyncio",
-        http="httptools",
+        http=caller_protocol.bound(limits, unanswered_calls),
+        ws="none",
         lifespan="off",
         log_config=None,
         access_log=False,
--- a/tests/entry/test_unanswered_calls.py
+++ b/tests/entry/test_unanswered_calls.py
@@ -18,6 +18,7 @@
 from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import application
 from marlramp.entry import caller_app
+from marlramp.entry import caller_protocol
 from marlramp.entry import crash_guard
 from marlramp.entry import http_server
 from marlramp.entry import unanswered
@@ -26,6 +27,7 @@
 from tests.entry import conftest
 
 VM = ids.VmId("vm-1")
+CALLER_LIMITS = caller_protocol.Limits()
 UNANSWERED = counters.CounterName.UNANSWERED
 
 
@@ -187,7 +189,7 @@
 def run_scenario(
     answer: Callable[[Entry, messages.Run], None],
     scenario: Callable[[Entry, Caller], Awaitable[None]],
-    limits: http_server.Limits | None = None,
+    limits: caller_protocol.Limits = CALLER_LIMITS,
     *,
     closes: bool = True,
 ) -> Entry:
@@ -202,7 +204,8 @@
             entry.app,
             "127.0.0.1",
             0,
-            limits or http_server.Limits(),
+            limits,
+            unanswered.UnansweredCalls(entry.totals),
             1,
         )
         task = asyncio.create_task(server.serve())
@@ -280,6 +283,8 @@
         (completion(stream=False), begin),
         (completion(stream=True), silence),
         (completion(stream=True), begin),
+        # The caller's next request must not hide that it has left.
+        (completion(stream=True) + PLAIN, begin),
     ],
 )
 def test_call_whose_caller_left_is_cancelled_and_recorded(
@@ -296,7 +301,9 @@
         assert entry.dispatcher.active == 0
 
     entry = run_scenario(answer, scenario)
-    assert entry.unanswered(unanswered.UnansweredReason.CALLER_LEFT) == 1
+    whole = 2 if request_bytes.endswith(PLAIN) and answer is begin else 1
+    left = unanswered.UnansweredReason.CALLER_LEFT
+    assert entry.unanswered(left) == whole
 
 
 def test_stream_that_is_broken_off_is_recorded() -> None:
@@ -334,3 +341,93 @@
     closed = entry.unanswered(unanswered.UnansweredReason.CLOSED)
     answered = b"marlramp-error: entry_leaving" in callers[0].result()
     assert (closed, answered) == ((1, False) if answer is begin else (0, True))
+
+
+CHUNKED = b"POST /v1/run-tokens HTTP/1.1\r\ntransfer-encoding: chunked\r\n"
+NAMED = CHUNKED + f"marlramp-customer: {conftest.CUSTOMER}\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize(
+    ("first", "endless"),
+    [
+        (b"", b"\r\n"),
+        (b"GET / HTTP/1.1\r\nx: ", b"a"),
+        (b"GET / HTTP/1.1\r\n", b"x: a\r\n"),
+        (b"GET /", b"a"),
+        (NAMED + b"1;", b"a"),
+        (NAMED + b"0\r\n", b"x: a\r\n"),
+        (NAMED + b"ffffffffff\r\n", b"a"),
+        # Refused for its header, the rest of the request follows.
+        (CHUNKED + b"\r\nffffffffff\r\n", b"a"),
+    ],
+)
+def test_bytes_without_end_close_the_connection(
+    first: bytes, endless: bytes
+) -> None:
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        block = endless * (65_536 // len(endless))
+        with contextlib.suppress(ConnectionError):
+            caller.writer.write(first)
+            async with asyncio.timeout(5.0):
+                while True:
+                    caller.writer.write(block)
+                    await caller.writer.drain()
+                    await asyncio.sleep(0.001)
+
+    run_scenario(silence, scenario)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "answer"),
+    [
+        (b"", b"", b""),
+        (b"\r\n", b"", b""),
+        (b"GET /healthz HT", b"", b"408 "),
+        (PLAIN[:-1], b"", b"408 "),
+        (b"GET /healthz HTTP/1.1\r\n\r\n", b"\r\n", b"200 "),
+    ],
+)
+def test_request_that_does_not_arrive_closes_the_connection(
+    first: bytes, second: bytes, answer: bytes
+) -> None:
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(first)
+        await asyncio.sleep(0.1)
+        caller.writer.write(second)
+        given = await caller.read(b"never")
+        assert given[9:13] == answer
+        assert given.count(b"HTTP/1.1 ") == bool(answer)
+        assert not entry.sent
+
+    limits = caller_protocol.Limits(header_timeout_ms=300, body_timeout_ms=300)
+    run_scenario(silence, scenario, limits)
+
+
+def test_whole_request_before_one_without_end_is_answered() -> None:
+    def later(entry: Entry, run: messages.Run) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.6, entry.give, run, EVENT, DONE)
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(completion(stream=True) + b"GET /" + b"a" * 300_000)
+        answer = await caller.read(b"never")
+        assert answer.endswith(DONE + b"\r\n0\r\n\r\n")
+
+    limits = caller_protocol.Limits(header_timeout_ms=300)
+    run_scenario(later, scenario, limits)
+
+
+def test_stream_that_its_caller_does_not_read_is_ended() -> None:
+    def flood(entry: Entry, run: messages.Run) -> None:
+        entry.give(run, *[b"x" * 500_000] * 30, last=False)
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(completion(stream=True))
+        await asyncio.sleep(1.0)
+        assert entry.dispatcher.active == 0
+        reasons = unanswered.UnansweredReason
+        slow = entry.unanswered(reasons.CALLER_SLOW)
+        assert slow + entry.unanswered(reasons.CALLER_LEFT) == 1
+
+    limits = caller_protocol.Limits(write_stall_ms=300)
+    run_scenario(flood, scenario, limits)
