Responses at the HTTP client are bounded, and spent connections closed

What callers saw: a call could get the answer to another one. If a call on a connection that had served one before timed out, the connection stayed in use, and the next call got the late response; bytes after a response, a response without a length and trailers led to the same. A header, a body or a chunk without an end was read and kept until the timeout of the call, up to an hour at the engine. Many small events in one chunk held the event loop.

Cause: aiosonic limits neither the number of header lines nor a chunk, keeps a connection whose earlier call succeeded, does not look whether it is drained before it uses it again, and closes idle ones only when it needs them. Clients of one call were not closed if the call failed.

Change: shell/bounded_connection.py, a subclass of aiosonic's connection, counts lines and chunks, closes a connection with unread bytes, without a length or after a failure, and each one that is idle for 2 s. HttpClient limits bodies (16 MiB, 64 MiB for chunks of weights).

Measured: of the 21 cases of test_response_without_end_ends_the_call 11 failed before; test_late_response_is_not_matched_on_a_reused_connection, the 4 cases of test_connection_with_surplus_bytes_is_not_used_again and test_idle_connection_is_closed failed too; all pass. The other tests of the file passed before and guard what they name.

--- a/src/marlramp/platform/http_clients.py
+++ b/src/marlramp/platform/http_clients.py
@@ -93,12 +93,21 @@
     async def chunk(self, digest: str) -> bytes:
         """Returns a chunk, not yet verified."""
         url = f"{self._url}/v1/chunks/{digest}"
-        return await _get(self._client, url, CHUNK_TIMEOUT_MS)
+        return await _get(
+            self._client, url, CHUNK_TIMEOUT_MS, messages.CHUNK_BYTES_MAX
+        )
 
 
-async def _get(client: http.HttpClient, url: str, timeout_ms: float) -> bytes:
+async def _get(
+    client: http.HttpClient,
+    url: str,
+    timeout_ms: float,
+    body_bytes_max: int = http.BODY_BYTES_MAX,
+) -> bytes:
     try:
-        reply = await client.request("GET", url, timeout_ms=timeout_ms)
+        reply = await client.request(
+            "GET", url, timeout_ms=timeout_ms, body_bytes_max=body_bytes_max
+        )
     except http.HttpError as error:
         raise clients.PlatformError(str(error)) from error
     if reply.status != _OK:
--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp.shell import bounded_connection
 from marlramp.shell import retry_after
 
 CONNECTIONS_MAX = 512
@@ -23,8 +24,12 @@
 """Shorter than the idle timeout of servers, so that no connection is reused
 while its server closes it: whether the request ran would be unknown."""
 
+BODY_BYTES_MAX = 16 * 1024 * 1024
+"""Most bytes of a body unless a call sets another limit."""
+
 EVENT_BYTES_MAX = 1024 * 1024
 _EVENT_END = b"\n\n"
+_CHUNK_END_BYTES = 2
 
 
 _BODYLESS = frozenset({204, 304})
@@ -65,14 +70,17 @@
         self,
         response: aiosonic.HttpResponse,
         single_use: aiosonic.HTTPClient | None,
+        body_bytes_max: int,
     ) -> None:
         """Wraps a response whose body has not been read.
 
         Args:
           response: the response.
           single_use: client to close with the response, or None.
+          body_bytes_max: limit of a body that is read as a whole.
         """
         self._response = response
+        self._body_bytes_max = body_bytes_max
         self._single_use = single_use
         self.status: int = response.status_code
         self.content_type: str = response.headers.get("content-type", "")
@@ -82,16 +90,20 @@
         """Yields each event, including the blank line that ends it.
 
         Raises:
-          HttpError: if the connection ends before the response does.
+          HttpError: if the connection ends before the response does, or if an
+            event exceeds `EVENT_BYTES_MAX`.
         """
-        buffer = b""
+        buffer = bytearray()
         with _translate_errors(sent=True):
             async for chunk in self._response.read_chunks():
+                searched = max(0, len(buffer) - len(_EVENT_END) + 1)
                 buffer += chunk
-                while (end := buffer.find(_EVENT_END)) >= 0:
-                    end += len(_EVENT_END)
-                    yield buffer[:end]
-                    buffer = buffer[end:]
+                begin = 0
+                while (end := buffer.find(_EVENT_END, searched)) >= 0:
+                    searched = end + len(_EVENT_END)
+                    yield bytes(buffer[begin:searched])
+                    begin = searched
+                del buffer[:begin]
                 if len(buffer) > EVENT_BYTES_MAX:
                     raise HttpError("event exceeds the size limit", sent=True)
         if buffer:
@@ -101,17 +113,17 @@
         """Returns the whole body.
 
         Raises:
-          HttpError: if the body is incomplete.
+          HttpError: if the body is incomplete or too large.
         """
         with _translate_errors(sent=True):
-            return await _read_body(self._response)
+            return await _read_body(self._response, self._body_bytes_max)
 
     async def close(self) -> None:
         """Closes the connection if the body was not read to its end."""
         with contextlib.suppress(Exception):
             await self._response.aclose()
-            if self._single_use is not None:
-                await self._single_use.aclose()
+        if self._single_use is not None:
+            await _close_client(self._single_use)
 
 
 class HttpClient:
@@ -119,11 +131,7 @@
 
     def __init__(self) -> None:
         """Creates the pool; connections are opened on demand."""
-        pool = pools.PoolConfig(
-            size=CONNECTIONS_MAX, max_conn_idle_ms=IDLE_CONNECTION_MS
-        )
-        connector = connectors.TCPConnector(pool_configs={":default": pool})
-        self._client = aiosonic.HTTPClient(connector)
+        self._client = _client(CONNECTIONS_MAX)
 
     async def request(
         self,
@@ -133,18 +141,26 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_ms: float,
+        body_bytes_max: int = BODY_BYTES_MAX,
     ) -> Reply:
         """Makes a call and returns the complete response.
 
         Raises:
-          HttpError: if the response is not complete within `timeout_ms`.
+          HttpError: if the response is not complete within `timeout_ms`, or
+            its body exceeds `body_bytes_max`.
         """
         with _translate_errors(sent=True):
             async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
+                bounded_connection.chunk_bytes_max.set(
+                    body_bytes_max + _CHUNK_END_BYTES
+                )
                 response = await self._send(
                     method, url, body, headers, timeout_ms, self._client
                 )
-                content = await _read_body(response)
+                try:
+                    content = await _read_body(response, body_bytes_max)
+                finally:
+                    await response.aclose()
         return Reply(
             response.status_code,
             response.headers.get("content-type", ""),
@@ -161,6 +177,7 @@
         headers: Mapping[str, str] | None = None,
         timeout_ms: float,
         at_most_once: bool = False,
+        body_bytes_max: int = BODY_BYTES_MAX,
     ) -> EventStream:
         """Makes a call and returns the response before its body is read.
 
@@ -172,22 +189,30 @@
           timeout_ms: longest wait for the response to start.
           at_most_once: opens a new connection, since the library retries some
             methods by itself when a reused connection was closed.
+          body_bytes_max: limit of a body that is read as a whole.
 
         Raises:
           HttpError: if the response does not start within `timeout_ms`.
         """
-        client = aiosonic.HTTPClient() if at_most_once else self._client
-        with _translate_errors(sent=True):
-            async with asyncio.timeout(timeout_ms / clock.MILLIS_PER_SECOND):
-                response = await self._send(
-                    method,
-                    url,
-                    body,
-                    headers,
-                    timeout_ms,
-                    client,
-                )
-        return EventStream(response, client if at_most_once else None)
+        client = _client(1) if at_most_once else self._client
+        bounded_connection.chunk_bytes_max.set(
+            max(body_bytes_max, EVENT_BYTES_MAX) + _CHUNK_END_BYTES
+        )
+        try:
+            with _translate_errors(sent=True):
+                async with asyncio.timeout(
+                    timeout_ms / clock.MILLIS_PER_SECOND
+                ):
+                    response = await self._send(
+                        method, url, body, headers, timeout_ms, client
+                    )
+        except BaseException:
+            if at_most_once:
+                await _close_client(client)
+            raise
+        return EventStream(
+            response, client if at_most_once else None, body_bytes_max
+        )
 
     async def _send(
         self,
@@ -213,20 +238,47 @@
         )
 
 
-async def _read_body(response: aiosonic.HttpResponse) -> bytes:
+def _client(size: int) -> aiosonic.HTTPClient:
+    """Returns a client with up to `size` connections."""
+    pool = pools.PoolConfig(size=size, max_conn_idle_ms=IDLE_CONNECTION_MS)
+    connector = connectors.TCPConnector(
+        pool_configs={":default": pool},
+        connection_cls=bounded_connection.BoundedConnection,
+    )
+    return aiosonic.HTTPClient(connector)
+
+
+async def _close_client(client: aiosonic.HTTPClient) -> None:
+    with contextlib.suppress(Exception):
+        await client.aclose()
+
+
+async def _read_body(response: aiosonic.HttpResponse, bytes_max: int) -> bytes:
     """Returns the body of a response.
 
     Raises:
-      HttpError: if the body is delimited only by the end of the connection.
-        The client library treats such a body as empty.
+      HttpError: if the body exceeds `bytes_max`, or if it is delimited only by
+        the end of the connection. The client library treats such a body as
+        empty.
     """
     headers = response.headers
+    declared = headers.get("content-length", "")
     delimited = "content-length" in headers or "transfer-encoding" in headers
     if not delimited and response.status_code not in _BODYLESS:
         raise HttpError(
             "response has no content-length or transfer-encoding", sent=True
         )
-    return bytes(await response.content())
+    has_body = response.method.upper() != "HEAD"
+    if has_body and declared.isdecimal() and int(declared) > bytes_max:
+        raise HttpError("body exceeds the size limit", sent=True)
+    response.max_decompressed_size = bytes_max
+    body = bytearray()
+    async with contextlib.aclosing(response.iter_bytes()) as pieces:
+        async for piece in pieces:
+            body += piece
+            if len(body) > bytes_max:
+                raise HttpError("body exceeds the size limit", sent=True)
+    return bytes(body)
 
 
 def _retry_after_ms(headers: Mapping[str, str]) -> float | None:
