No answer of an engine closes the link of its agent or fills its memory

What callers saw: an engine's plain answer over 8 MiB, or large events of many runs within 10 ms, made one message that the entry does not accept. It closed the link, and all other runs of the agent on it were lost. A stream without an end under a run token was kept as a whole until the deadline of the call, and a repeat of a run token got every part once more for each repeat before it.

Cause: neither bodies nor batches were limited to what a link carries, kept answers were only dropped once they had ended, and subscribers were not compared.

Change: runs.MESSAGE_BYTES_MAX bounds a body and the parts of a batch, an answer over KEPT_BYTES_MAX is no longer kept while it goes on, SUBSCRIBERS_MAX bounds the receivers, and details that quote the engine are cut after 400 characters.

--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -26,6 +26,16 @@
 """Most bytes of answers that are kept in case their request is sent again. Only
 answers to requests that carry a run token are kept."""
 
+SUBSCRIBERS_MAX = 8
+"""Most receivers of one answer; repeats beyond them are refused."""
+
+MESSAGE_BYTES_MAX = 2 * messages.BODY_BYTES_MAX - 64 * 1024
+"""Most bytes of parts in one message. An entry closes the link, with all runs
+on it, if a message exceeds twice the limit of a body."""
+
+DETAIL_CHARACTERS_MAX = 400
+"""Limit of the description of a failure, which may quote the upstream."""
+
 _DONE_EVENT = b"data: [DONE]\n\n"
 _DATA_PREFIX = b"data: "
 _TOO_MANY_REQUESTS = 429
@@ -131,9 +141,15 @@
         self._pending: dict[
             ids.VmId, dict[ids.RequestId, list[assembly.Part]]
         ] = {}
+        self._pending_bytes = 0
         self._flush_handle: asyncio.TimerHandle | None = None
         self._version_decoder = msgspec.json.Decoder(_VersionEvent)
 
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of answers that are kept for repeats of their requests."""
+        return self._kept_bytes
+
     @property
     def paused(self) -> bool:
         """Whether the upstream asked for a pause that has not ended."""
@@ -197,12 +213,21 @@
         return (
             run.from_token
             and refusal.kind is errors.ErrorKind.RUN_ALREADY_STARTED
-            and ids.GrantNumber(run.number) in self._outputs
+            and self._is_kept(ids.GrantNumber(run.number))
         )
 
+    def _is_kept(self, number: ids.GrantNumber) -> bool:
+        output = self._outputs.get(number)
+        return output is not None and output.kept
+
     def _attach(self, number: ids.GrantNumber, subscriber: _Subscriber) -> None:
         """Sends the answer of the first run to a repeat of its request."""
         output = self._outputs[number]
+        known = subscriber in output.subscribers
+        if not known and len(output.subscribers) >= SUBSCRIBERS_MAX:
+            kind = errors.ErrorKind.RUN_ALREADY_STARTED
+            self._refuse(subscriber, kind, errors.Ran.YES)
+            return
         if output.headers is not None:
             self._send_headers(subscriber, *output.headers)
         for part in output.parts:
@@ -210,7 +235,7 @@
         if output.ended is not None:
             self._flush()
             self._send_ended(subscriber, output.ended)
-        else:
+        elif not known:
             output.subscribers.append(subscriber)
 
     def _begin(
@@ -269,6 +294,7 @@
                 headers=headers,
                 timeout_ms=max(1.0, run.remaining_ms),
                 at_most_once=not run.idempotent,
+                body_bytes_max=0 if run.stream else MESSAGE_BYTES_MAX,
             )
         except http.HttpError as error:
             ran = errors.Ran.UNKNOWN if error.sent else errors.Ran.NO
@@ -353,7 +379,7 @@
                 errors.ErrorKind.UPSTREAM_FAILED, f"malformed event: {error}"
             ) from error
         if stamped.system_fingerprint != version:
-            actual = ids.VersionId(stamped.system_fingerprint)
+            actual = ids.VersionId(_cut(stamped.system_fingerprint))
             self._admission.handle_unexpected_version(actual)
             raise errors.CallError(
                 errors.ErrorKind.VERSION_CHANGED,
@@ -370,9 +396,7 @@
     def _add_part(self, output: _Output, part: assembly.Part) -> None:
         self.relayed_bytes += len(part.data)
         if output.kept:
-            output.parts.append(part)
-            output.kept_bytes += len(part.data)
-            self._kept_bytes += len(part.data)
+            self._keep(output, part)
         for subscriber in output.subscribers:
             self._queue_part(subscriber, part)
         if output.first:
@@ -380,7 +404,21 @@
             output.first = False
             self._flush()
 
+    def _keep(self, output: _Output, part: assembly.Part) -> None:
+        """Keeps a part, or none any more if the answer is too large."""
+        output.parts.append(part)
+        output.kept_bytes += len(part.data)
+        self._kept_bytes += len(part.data)
+        if output.kept_bytes > KEPT_BYTES_MAX:
+            self._kept_bytes -= output.kept_bytes
+            output.kept_bytes = 0
+            output.kept = False
+            output.parts.clear()
+
     def _queue_part(self, subscriber: _Subscriber, part: assembly.Part) -> None:
+        if self._pending_bytes + len(part.data) > MESSAGE_BYTES_MAX:
+            self._flush()
+        self._pending_bytes += len(part.data)
         answers = self._pending.setdefault(subscriber.entry_id, {})
         answers.setdefault(subscriber.request_id, []).append(part)
         if self._flush_handle is None:
@@ -394,6 +432,7 @@
             self._flush_handle.cancel()
             self._flush_handle = None
         pending, self._pending = self._pending, {}
+        self._pending_bytes = 0
         for entry_id, answers in pending.items():
             batch = messages.PartsBatch(
                 answers=[
@@ -417,7 +456,7 @@
             request_id="-",
             kind=kind,
             ran=errors.Ran.YES if failure is None else failure.ran,
-            detail="" if failure is None else failure.detail,
+            detail="" if failure is None else _cut(failure.detail),
             tokens=len(output.parts),
         )
         for subscriber in output.subscribers:
@@ -479,3 +518,7 @@
     ) -> None:
         message = messages.RunStatus(request_id=request_id, state=state)
         self._outbox.send(entry_id, message)
+
+
+def _cut(text: str) -> str:
+    return text[:DETAIL_CHARACTERS_MAX]
--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -28,6 +28,9 @@
 """Most bytes of a body unless a call sets another limit."""
 
 EVENT_BYTES_MAX = 1024 * 1024
+CHUNK_OF_EVENTS_BYTES_MAX = 2 * EVENT_BYTES_MAX
+"""Most bytes of a chunk of a response that is read as events."""
+
 _EVENT_END = b"\n\n"
 _CHUNK_END_BYTES = 2
 
@@ -196,7 +199,7 @@
         """
         client = _client(1) if at_most_once else self._client
         bounded_connection.chunk_bytes_max.set(
-            max(body_bytes_max, EVENT_BYTES_MAX) + _CHUNK_END_BYTES
+            max(body_bytes_max, CHUNK_OF_EVENTS_BYTES_MAX) + _CHUNK_END_BYTES
         )
         try:
             with _translate_errors(sent=True):
