An answer without an end is not collected for a caller without a stream

What callers saw: an entry kept all parts of an engine's stream for a caller that wants one document, until the deadline of the call, up to an hour.

Change: the call ends with answer_incomplete, and its run is cancelled, once the answer exceeds 16 MiB.

Measured: test_answer_without_end_is_not_collected failed before (no answer within 3 s, 20 MB kept), passes now.

--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -30,6 +30,9 @@
     from marlramp.platform import clients
     from marlramp.settings import store
 
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
+"""Most bytes of an answer that is passed on as one document."""
+
 _PLAIN_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 _DATA_PREFIX = b"data: "
 _DONE = b"[DONE]"
@@ -362,18 +365,24 @@
     async def _collect(
         self, call: call_module.Call, receive: types.Receive
     ) -> bytes:
-        pieces = []
+        collected = bytearray()
         watch = answers.CallerWatch(call, self._dispatcher, receive)
         try:
             async with watch:
                 while data := await call.next_data():
-                    pieces.append(data)
+                    collected += data
+                    if len(collected) > ANSWER_BYTES_MAX:
+                        raise errors.CallError(
+                            errors.ErrorKind.ANSWER_INCOMPLETE,
+                            "the answer exceeds the size limit",
+                            ran=errors.Ran.YES,
+                        )
         finally:
             if watch.left:
                 self._unanswered.record(
                     call.spec.call_id, unanswered.UnansweredReason.CALLER_LEFT
                 )
-        return b"".join(pieces)
+        return bytes(collected)
 
     def _addresses(self) -> list[str]:
         listed = self._directory.entries()
--- a/tests/entry/test_unanswered_calls.py
+++ b/tests/entry/test_unanswered_calls.py
@@ -431,3 +431,19 @@
 
     limits = caller_protocol.Limits(write_stall_ms=300)
     run_scenario(flood, scenario, limits)
+
+
+def test_answer_without_end_is_not_collected() -> None:
+    """All parts of a stream were kept for a caller that wants one document."""
+
+    def flood(entry: Entry, run: messages.Run) -> None:
+        entry.give(run, *[b"x" * 1_000_000] * 20, last=False)
+
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(completion(stream=False))
+        answer = await caller.read(b"}}")
+        assert b"marlramp-error: answer_incomplete" in answer
+        assert b"marlramp-ran: yes" in answer
+        assert entry.cancels() == 1
+
+    run_scenario(flood, scenario)
