What a faulty agent, entry or operator sends is kept within bounds

What callers saw: nothing; an entry kept each grant that an agent sent it, up to 65,536 a message without an end of their time, also of agents that it did not know, each counter name, and a route for each VM that was ever linked. An agent recorded each grant that an entry reserved and cancelled for 2 minutes, and the id of each crash of its engine for ever. The body of an operator's order was read without a limit.

Change: 4,096 grants and 1,024 counters of an agent, 65,536 routes, ended runs and voided grants, and 32 crashes are kept; grants of unknown agents are ignored; a route is forgotten with its agent; the body of an order is limited to 64 KiB while it is read. A record that is dropped is reported as unknown, never as not run.

--- a/src/marlramp/agent/engine_crashes.py
+++ b/src/marlramp/agent/engine_crashes.py
@@ -28,7 +28,8 @@
 """Time after a crash in which further lost runs belong to it."""
 
 REPORTED_MAX = 32
-"""Most crashes that an entry receives when its link opens, the latest ones."""
+"""Most crashes that are remembered for entries whose links open later, the
+latest ones."""
 
 
 class Probe(Protocol):
@@ -92,7 +93,7 @@
     def known(self) -> list[messages.EngineCrashed]:
         """Returns the latest crashes, for an entry whose link has opened."""
         now_ms = self._clock.now_ms()
-        crashes = self._ledger.export(self._reported[-REPORTED_MAX:], now_ms)
+        crashes = self._ledger.export(self._reported, now_ms)
         return [messages.EngineCrashed(crash=crash) for crash in crashes]
 
     async def _judge(self) -> None:
@@ -130,6 +131,7 @@
             )
         if crash not in self._reported:
             self._reported.append(crash)
+            del self._reported[:-REPORTED_MAX]
         self._ledger.tick(now_ms)
         (exported,) = self._ledger.export([crash], now_ms)
         self._send_all(messages.EngineCrashed(crash=exported))
--- a/src/marlramp/core/grant_calls/grant_pool.py
+++ b/src/marlramp/core/grant_calls/grant_pool.py
@@ -9,6 +9,9 @@
 from marlramp import clock
 from marlramp import ids
 
+HELD_MAX = 4_096
+"""Most grants of one agent that are held; the oldest are dropped."""
+
 
 class HeldGrant(msgspec.Struct, frozen=True):
     """A grant as the entry that holds it sees it.
@@ -50,6 +53,8 @@
             held.clear()
         for number in numbers:
             held.append(HeldGrant(vm_id, incarnation, number, expires_ms))
+        while len(held) > HELD_MAX:
+            held.popleft()
 
     def count(self, vm_id: ids.VmId, now_ms: clock.Millis) -> int:
         """Returns how many usable grants of an agent the pool holds."""
--- a/src/marlramp/core/grant_calls/grants.py
+++ b/src/marlramp/core/grant_calls/grants.py
@@ -20,6 +20,10 @@
 RUN_RETENTION_MS = 120_000.0
 """Time for which the outcome of an ended run can be queried."""
 
+RECORDS_MAX = 65_536
+"""Most ended runs, and most voided grants, that are recorded; the oldest are
+reported as unknown."""
+
 RESERVED_MAX = 4096
 """Most reserved grants that one agent has outstanding."""
 
@@ -238,6 +242,8 @@
         run.state = state
         run.ended_ms = now_ms
         self._ended[number] = run
+        if len(self._ended) > RECORDS_MAX:
+            del self._ended[next(iter(self._ended))]
 
     def cancel(
         self,
@@ -307,6 +313,8 @@
     def _void(self, number: ids.GrantNumber, now_ms: clock.Millis) -> None:
         del self._outstanding[number]
         self._voided_ms[number] = now_ms
+        if len(self._voided_ms) > RECORDS_MAX:
+            del self._voided_ms[next(iter(self._voided_ms))]
 
 
 def divide_capacity(
--- a/src/marlramp/entry/admin_app.py
+++ b/src/marlramp/entry/admin_app.py
@@ -24,6 +24,7 @@
 from marlramp import ids
 from marlramp.entry import admin_documents
 from marlramp.entry import answers
+from marlramp.entry import requests as caller_requests
 from marlramp.settings import schema
 from marlramp.settings import store
 from marlramp.settings import tree
@@ -188,11 +189,11 @@
 
     async def drain(self, request: requests.Request) -> responses.Response:
         """Makes this entry or one of its agents drain."""
-        body = await request.body()
         try:
-            order = msgspec.json.decode(
-                body[:_BODY_BYTES_MAX], type=admin_documents.DrainRequest
-            )
+            body = await caller_requests.read_body(request, _BODY_BYTES_MAX)
+            order = msgspec.json.decode(body, type=admin_documents.DrainRequest)
+        except errors.CallError as failure:
+            return _refused(failure.kind, failure.detail)
         except msgspec.DecodeError as error:
             return _refused(errors.ErrorKind.INVALID_REQUEST, str(error))
         if not self._fleet.drain_vm(ids.VmId(order.vm), order.reason):
--- a/src/marlramp/entry/agent_links.py
+++ b/src/marlramp/entry/agent_links.py
@@ -10,6 +10,9 @@
 from marlramp.protocol import messages
 from marlramp.shell import links
 
+ROUTES_MAX = 65_536
+"""Most agents whose routes are kept; the oldest are forgotten."""
+
 
 class AgentLinks:
     """Receives messages from all agents, and sends to each, on one socket."""
@@ -48,6 +51,10 @@
         self._on_unreachable(vm_id)
         return False
 
+    def forget(self, vm_id: ids.VmId) -> None:
+        """Sends nothing more to an agent until a message from it arrives."""
+        self._routes.pop(vm_id, None)
+
     async def run(self) -> None:
         """Receives messages until cancelled."""
         while True:
@@ -68,6 +75,8 @@
             self._drop("identity")
             return
         self._routes[ids.VmId(link_id.vm_id)] = received.routing_id
+        if len(self._routes) > ROUTES_MAX:
+            del self._routes[next(iter(self._routes))]
         self._on_message(link_id, message)
 
     def _identity_differs(
--- a/src/marlramp/entry/agent_table.py
+++ b/src/marlramp/entry/agent_table.py
@@ -28,6 +28,21 @@
 """Most prompt prefixes kept for one agent."""
 
 
+COUNTERS_MAX = 1_024
+"""Most counters kept for one agent."""
+
+
+def merge_counters(
+    kept: dict[tuple[counters.CounterName, str], int],
+    changed: list[counters.CounterValue],
+) -> None:
+    """Records changed counters; ignores new ones beyond `COUNTERS_MAX`."""
+    for value in changed:
+        key = (value.name, value.reason)
+        if key in kept or len(kept) < COUNTERS_MAX:
+            kept[key] = value.total
+
+
 class AgentInfo:
     """State of one agent as this entry sees it.
 
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -356,8 +356,7 @@
     ) -> None:
         info = self._table.get(vm_id)
         if info is not None:
-            for value in message.values:
-                info.counters[value.name, value.reason] = value.total
+            agent_table.merge_counters(info.counters, message.values)
 
     def _on_prefixes(
         self, vm_id: ids.VmId, message: messages.CachedPrefixes
@@ -400,6 +399,7 @@
         self._links.send(vm_id, answer)
 
     def _agent_lost(self, vm_id: ids.VmId) -> None:
+        self._links.forget(vm_id)
         if self._table.get(vm_id) is None:
             return
         logs.log("agent_lost", vm=vm_id)
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -184,7 +184,10 @@
     def handle_grants(
         self, vm_id: ids.VmId, message: messages.GrantsIssued
     ) -> None:
-        """Adds an agent's grants to the pool and starts waiting calls."""
+        """Adds a known agent's grants to the pool and starts waiting calls."""
+        info = self._table.get(vm_id)
+        if info is None:
+            return
         now_ms = self._clock.now_ms()
         self._table.grant_pool.add(
             vm_id,
@@ -195,9 +198,7 @@
             ],
             now_ms + message.ttl_ms,
         )
-        info = self._table.get(vm_id)
-        if info is not None:
-            self.dispatch(ids.ServiceId(info.report.service_id))
+        self.dispatch(ids.ServiceId(info.report.service_id))
 
     def handle_headers(self, message: messages.RunHeaders) -> None:
         """Records the HTTP status and the media type of an answer."""
--- a/src/marlramp/entry/requests.py
+++ b/src/marlramp/entry/requests.py
@@ -109,19 +109,21 @@
     )
 
 
-async def read_body(request: requests.Request) -> bytes:
+async def read_body(
+    request: requests.Request, bytes_max: int = messages.BODY_BYTES_MAX
+) -> bytes:
     """Returns the body of a request.
 
     Raises:
-      errors.CallError: if the body exceeds `messages.BODY_BYTES_MAX`.
+      errors.CallError: if the body exceeds `bytes_max`.
     """
     declared = request.headers.get("content-length", "0")
-    if declared.isdigit() and int(declared) > messages.BODY_BYTES_MAX:
+    if declared.isdigit() and int(declared) > bytes_max:
         raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
     body = bytearray()
     async for chunk in request.stream():
         body += chunk
-        if len(body) > messages.BODY_BYTES_MAX:
+        if len(body) > bytes_max:
             raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
     return bytes(body)
 
--- a/tests/core/grant_calls/test_grants.py
+++ b/tests/core/grant_calls/test_grants.py
@@ -122,3 +122,20 @@
     assert shares.keys() == demand.keys()
     if capacity >= len(demand):
         assert all(share >= 1 for share in shares.values())
+
+
+def test_records_of_an_entry_that_reserves_without_end_are_bounded(
+    ledger: grants.GrantLedger,
+    time: clock.ManualClock,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(grants, "RECORDS_MAX", 100, raising=False)
+    numbers = []
+    for _ in range(300):
+        number = ledger.reserve(ENTRY, time.now_ms())
+        assert number is not None
+        ledger.cancel(INCARNATION, number, time.now_ms())
+        numbers.append(number)
+    states = [ledger.state(INCARNATION, n, time.now_ms()) for n in numbers]
+    assert states.count(grants.RunState.VOID) == 100
+    assert states[-1] is grants.RunState.VOID
