--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -19,6 +19,7 @@
 from marlramp.core.grant_calls import run_tokens
 from marlramp.entry import answers
 from marlramp.entry import requests as caller_requests
+from marlramp.entry import unanswered
 
 if TYPE_CHECKING:
     from starlette import types
@@ -29,6 +30,9 @@
     from marlramp.platform import clients
     from marlramp.settings import store
 
+ANSWER_BYTES_MAX = 16 * 1024 * 1024
+"""Most bytes of an answer that is passed on as one document."""
+
 _PLAIN_METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 _DATA_PREFIX = b"data: "
 _DONE = b"[DONE]"
@@ -122,6 +126,7 @@
         settings: store.SettingsStore,
         signer: run_tokens.TokenSigner,
         directory: EntryDirectory,
+        unanswered_calls: unanswered.UnansweredCalls,
         time: clock.Clock,
     ) -> None:
         """Creates endpoints that submit calls to the dispatcher."""
@@ -130,6 +135,7 @@
         self._settings = settings
         self._signer = signer
         self._directory = directory
+        self._unanswered = unanswered_calls
         self._clock = time
 
     def routes(self) -> list[routing.Route]:
@@ -220,8 +226,10 @@
             return self._error(failure, request_id)
         if streamed:
             headers = {answers.REQUEST_ID_HEADER: str(request_id)}
-            return answers.StreamedAnswer(call, self._dispatcher, headers)
-        return await self._completion_response(call)
+            return answers.StreamedAnswer(
+                call, self._dispatcher, self._unanswered, headers
+            )
+        return await self._completion_response(call, request.receive)
 
     async def plain(self, request: requests.Request) -> responses.Response:
         """Forwards a request to a plain service."""
@@ -245,7 +253,7 @@
             return self._error(needed.failure, request_id, needed.text)
         except errors.CallError as failure:
             return self._error(failure, request_id)
-        return await self._plain_response(call)
+        return await self._plain_response(call, request.receive)
 
     async def _submit(
         self, spec: calls.CallSpec, caller: caller_requests.CallerRequest
@@ -306,10 +314,10 @@
         return self._signer.encode(token)
 
     async def _completion_response(
-        self, call: call_module.Call
+        self, call: call_module.Call, receive: types.Receive
     ) -> responses.Response:
         try:
-            data = await self._collect(call)
+            data = await self._collect(call, receive)
         except errors.CallError as failure:
             return self._error(failure, call.spec.call_id)
         events = [
@@ -336,15 +344,15 @@
         }
         response = _json(body)
         response.headers[answers.REQUEST_ID_HEADER] = call.spec.call_id
-        version = call.state.assembly.version or ""
+        version = answers.header_value(call.state.assembly.version or "")
         response.headers[answers.VERSION_HEADER] = version
         return response
 
     async def _plain_response(
-        self, call: call_module.Call
+        self, call: call_module.Call, receive: types.Receive
     ) -> responses.Response:
         try:
-            data = await self._collect(call)
+            data = await self._collect(call, receive)
         except errors.CallError as failure:
             return self._error(failure, call.spec.call_id)
         return responses.Response(
@@ -354,14 +362,27 @@
             media_type=call.content_type or None,
         )
 
-    async def _collect(self, call: call_module.Call) -> bytes:
-        pieces = []
+    async def _collect(
+        self, call: call_module.Call, receive: types.Receive
+    ) -> bytes:
+        collected = bytearray()
+        watch = answers.CallerWatch(call, self._dispatcher, receive)
         try:
-            while data := await call.next_data():
-                pieces.append(data)
+            async with watch:
+                while data := await call.next_data():
+                    collected += data
+                    if len(collected) > ANSWER_BYTES_MAX:
+                        raise errors.CallError(
+                            errors.ErrorKind.ANSWER_INCOMPLETE,
+                            "the answer exceeds the size limit",
+                            ran=errors.Ran.YES,
+                        )
         finally:
-            self._dispatcher.abandon(call)
-        return b"".join(pieces)
+            if watch.left:
+                self._unanswered.record(
+                    call.spec.call_id, unanswered.UnansweredReason.CALLER_LEFT
+                )
+        return bytes(collected)
 
     def _addresses(self) -> list[str]:
         listed = self._directory.entries()
