Tests: real processes before replicas that fall silent and go on

Callers saw streams cut and 502 while all replicas were silent for 1.2 s beside changes of the configuration. The test runs three entries before three engines and four plain replicas, with 24 callers on kept connections, while replicas are silent for 1.2 s in turn or all at once, the configuration changes each 1.1 s and a new version of the weights is named.

A caller's call now records how it ended and whether the answer names a time for a retry; a caller does not send on a connection that it knows to be closed.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -72,6 +72,8 @@
         self._parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"retry-after":
+            self._call.retry_after = True
         if name.lower() == b"x-attempt-id":
             is_own = value == self._call.request_id.encode()
             self._call.foreign = self._call.foreign or not is_own
@@ -124,6 +126,8 @@
 
     async def call(self) -> promises.Call | None:
         """Makes one call; returns None if no entry accepts a connection."""
+        if self._streams is not None and self._streams[0].at_eof():
+            self.close()
         if self._streams is None and not await self._connect():
             await asyncio.sleep(0.1)
             return None
@@ -138,14 +142,18 @@
             sent_ms=self._run.now_ms(),
         )
         self.calls.append(call)
+        keep_alive = False
+        ending = promises.CallEnding.CUT
         try:
             keep_alive = await self._exchange(call)
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            ending = promises.CallEnding.TIMED_OUT
+        except OSError:
             # The connection was lost, so the call stays incomplete.
-            keep_alive = False
+            pass
         except httptools.HttpParserError:
             call.foreign = True
-            keep_alive = False
+        call.ending = promises.CallEnding.ANSWERED if call.whole else ending
         call.ended_ms = self._run.now_ms()
         if not keep_alive:
             self.close()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -27,6 +27,22 @@
     STOCK = "stock"
 
 
+class CallEnding(enum.Enum):
+    """How a call ended for its caller."""
+
+    UNENDED = "unended"
+    """The run ended first."""
+
+    ANSWERED = "answered"
+    """A complete response arrived, by a replica or by the entry."""
+
+    TIMED_OUT = "timed_out"
+    """The caller's own timeout expired."""
+
+    CUT = "cut"
+    """The connection ended before the complete response."""
+
+
 class Call(msgspec.Struct, kw_only=True):
     """A request and its response as observed by the caller.
 
@@ -38,7 +54,9 @@
       lifetime: number of restarts of that entry's process.
       sent_ms: time at which it was sent.
       ended_ms: time at which the response ended or the caller gave up.
+      ending: how it ended.
       status: status code of the response, 0 if no head arrived.
+      retry_after: whether the response names a time for a retry.
       whole: whether the HTTP response was complete.
       foreign: whether it contains bytes of another response.
       events: numbers of the received events, in order.
@@ -52,7 +70,9 @@
     lifetime: int
     sent_ms: float
     ended_ms: float = 0.0
+    ending: CallEnding = CallEnding.UNENDED
     status: int = 0
+    retry_after: bool = False
     whole: bool = False
     foreign: bool = False
     events: list[int] = []
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -411,6 +411,7 @@
     """Stand-in of a replica of the plain service.
 
     Attributes:
+      service: name of its service; takes effect when it registers.
       runs: number of executions by request id.
       crashes: crash state; a request with `CRASHING_BODY` causes a crash.
       need: the rate limit that it announces.
@@ -441,6 +442,7 @@
         self.replica_id = replica_id
         self.host = host
         self.port = port
+        self.service = direct_documents.DESK_SERVICE
         self.runs: dict[str, int] = {}
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
@@ -458,7 +460,7 @@
         self._store.put(
             f"servers/{self.replica_id}",
             {
-                "service": direct_documents.DESK_SERVICE,
+                "service": self.service,
                 "address": f"{self.host}:{self.port}",
                 "zone": self.data_centre,
                 "version": "v1",
