Soak: silent replicas, bytes without end, and the endings of calls

The soak took a call whose connection ended as an incomplete call and judged nothing by it, and none of its faults let a sound replica fall silent for a second or so. `--silent` and `--endless` add these faults, each from a generator of its own, so that the other faults of a seed stay the same. A new check takes each call that was cut and reports it unless a recorded fault explains it; another one reads the peaks of the daemons' resident memory.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,30 +7,12 @@
 import shutil
 import sys
 import tempfile
-from typing import NamedTuple
 
 import cyclopts
 
 from soak import run
 from soak import schedule
 
-
-class RunOptions(NamedTuple):
-    """Options of a run in addition to its random faults.
-
-    Attributes:
-      culprit: requests that crash the replicas executing them.
-      limited: whether two replicas announce a rate limit.
-      turning_away: whether two replicas reject requests and ask for a pause.
-      placement: whether to add allowed regions, evacuations and cold starts.
-    """
-
-    culprit: run.Culprit
-    limited: bool
-    turning_away: bool
-    placement: bool
-
-
 application = cyclopts.App(
     name="soak", help="Injects seeded faults into real daemons on loopback."
 )
@@ -47,6 +29,8 @@
     limited: bool = False,
     turning_away: bool = False,
     placement: bool = False,
+    silent: bool = False,
+    endless: bool = False,
 ) -> None:
     """Runs consecutive seeds and prints the guarantees that each violated.
 
@@ -63,10 +47,19 @@
         ask for a pause.
       placement: also evacuate data centres and restart engines, which are then
         cold, with a route and a customer restricted to regions.
+      silent: also let sound replicas fall silent for a second or so.
+      endless: also let replicas send bytes without end.
     """
     seed_numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
-    options = RunOptions(culprit, limited, turning_away, placement)
+    options = run.Options(
+        culprit=culprit,
+        limited=limited,
+        turning_away=turning_away,
+        placement=placement,
+        silent=silent,
+        endless=endless,
+    )
     runs = _run_all(seed_numbers, at_once, folder, options)
     failed = asyncio.run(runs)
     print(
@@ -78,9 +71,21 @@
 
 
 @application.command
-def show(seed: int, *, placement: bool = False) -> None:
+def show(
+    seed: int,
+    *,
+    placement: bool = False,
+    silent: bool = False,
+    endless: bool = False,
+) -> None:
     """Prints the faults of a seed."""
-    plan = schedule.draw(seed, schedule.Size(), placement=placement)
+    plan = schedule.draw(
+        seed,
+        schedule.Size(),
+        placement=placement,
+        silent=silent,
+        endless=endless,
+    )
     for fault in plan.faults:
         print(
             f"{fault.at_ms:7.0f} ms  {fault.kind.value} {fault.target}"
@@ -92,7 +97,7 @@
     seed_numbers: list[int],
     at_once: int,
     keep: pathlib.Path,
-    options: RunOptions,
+    options: run.Options,
 ) -> list[int]:
     limit = asyncio.Semaphore(at_once)
     failed: list[int] = []
@@ -106,23 +111,18 @@
     return sorted(failed)
 
 
-async def _run_seed(seed: int, keep: pathlib.Path, options: RunOptions) -> bool:
+async def _run_seed(
+    seed: int, keep: pathlib.Path, options: run.Options
+) -> bool:
     """Runs a seed; returns whether no guarantee was violated."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        result = await run.play(
-            folder,
-            seed,
-            schedule.Size(),
-            culprit=options.culprit,
-            limited=options.limited,
-            turning_away=options.turning_away,
-            placement=options.placement,
-        )
+        result = await run.play(folder, seed, schedule.Size(), options)
         if not result.violations:
             print(
                 f"seed {seed}: passed, {len(result.plan.faults)} faults,"
-                f" {result.served} of {result.calls} calls served"
+                f" {result.served} of {result.calls} calls served,"
+                f" {result.cut} cut"
             )
             return True
         for violation in result.violations[:10]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,10 @@
 from standins import direct_documents
 
 CALL_WAIT_MS = 6_000.0
-"""Timeout of a caller for a stream; plain calls use a third of it."""
+"""Timeout of a caller for a stream."""
+
+PLAIN_SHARE = 3.0
+"""Ratio of that timeout to the one for a plain call."""
 
 LOOKUP_TTL_MS = 2_000.0
 CONNECT_TIMEOUT_S = 1.0
@@ -112,6 +115,7 @@
         self._looked_up_ms = float("-inf")
         self._entry = ""
         self._lifetime = 0
+        self._port = 0
         self._streams: (
             tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
         ) = None
@@ -126,7 +130,7 @@
 
     async def call(self) -> promises.Call | None:
         """Makes one call; returns None if no entry accepts a connection."""
-        if self._streams is not None and self._streams[0].at_eof():
+        if self._streams is not None and _is_closed(self._streams[0]):
             self.close()
         if self._streams is None and not await self._connect():
             await asyncio.sleep(0.1)
@@ -139,6 +143,10 @@
             key=self._run.key(self._rng),
             entry=self._entry,
             lifetime=self._lifetime,
+            port=self._port,
+            wait_ms=CALL_WAIT_MS
+            if kind is promises.CallKind.STREAM
+            else CALL_WAIT_MS / PLAIN_SHARE,
             sent_ms=self._run.now_ms(),
         )
         self.calls.append(call)
@@ -178,6 +186,8 @@
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 self._streams = await asyncio.open_connection(host, port)
+                own = self._streams[1].get_extra_info("sockname")
+                self._port = own[1] if own else 0
         return self._streams is not None
 
     async def _exchange(self, call: promises.Call) -> bool:
@@ -193,13 +203,10 @@
         if self._streams is None:
             raise OSError("no connection is open")
         reader, writer = self._streams
-        wait_ms = CALL_WAIT_MS
-        if call.kind is not promises.CallKind.STREAM:
-            wait_ms /= 3.0
-        writer.write(_head(call, wait_ms))
+        writer.write(_head(call))
         answer = _ResponseParser(call)
         try:
-            async with asyncio.timeout(wait_ms / _MS + 1.0):
+            async with asyncio.timeout(call.wait_ms / _MS + 1.0):
                 while not answer.ended:
                     data = await reader.read(_READ_BYTES)
                     if not data:
@@ -210,13 +217,18 @@
         return answer.keep_alive
 
 
-def _head(call: promises.Call, wait_ms: float) -> bytes:
+def _is_closed(reader: asyncio.StreamReader) -> bool:
+    """Returns whether a connection is known to have ended."""
+    return reader.at_eof() or reader.exception() is not None
+
+
+def _head(call: promises.Call) -> bytes:
     method = "GET" if call.kind is promises.CallKind.STOCK else "POST"
     lines = [
         f"{method} /{call.kind.value}/x HTTP/1.1",
         f"host: {direct_documents.HOST}",
         f"x-attempt-id: {call.request_id}",
-        f"x-deadline-ms: {wait_ms:.0f}",
+        f"x-deadline-ms: {call.wait_ms:.0f}",
         f"authorization: Bearer {call.key}",
     ]
     if call.kind is promises.CallKind.STREAM:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -52,6 +52,8 @@
       key: API key of the request.
       entry: entry that accepted it.
       lifetime: number of restarts of that entry's process.
+      port: the caller's port, 0 if it is not known.
+      wait_ms: how long the caller waits, as it tells the entry.
       sent_ms: time at which it was sent.
       ended_ms: time at which the response ended or the caller gave up.
       ending: how it ended.
@@ -69,6 +71,8 @@
     entry: str
     lifetime: int
     sent_ms: float
+    port: int = 0
+    wait_ms: float = float("inf")
     ended_ms: float = 0.0
     ending: CallEnding = CallEnding.UNENDED
     status: int = 0
@@ -84,6 +88,8 @@
 
     Attributes:
       process: name of the daemon.
+      lifetime: number of its restarts before.
+      asked_ms: time of the signal.
       exit_code: exit code, None if it had to be killed.
       ran_ms: time from its start to the signal.
       taken_ms: time from the signal to its exit.
@@ -93,6 +99,22 @@
     ran_ms: float
     exit_code: int | None
     taken_ms: float
+    lifetime: int = 0
+    asked_ms: float = 0.0
+
+
+class Kill(msgspec.Struct, frozen=True, kw_only=True):
+    """A daemon that was killed.
+
+    Attributes:
+      process: name of the daemon.
+      lifetime: number of its restarts before.
+      at_ms: time at which it was killed.
+    """
+
+    process: str
+    lifetime: int
+    at_ms: float
 
 
 class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
@@ -157,6 +179,37 @@
     misdirected: bool
 
 
+class Network(msgspec.Struct, frozen=True, kw_only=True):
+    """Observations that explain the end of connections.
+
+    Attributes:
+      kills: daemons that were killed.
+      outages: faults that ended connections through a proxy, or replicas
+        behind it. Silences of sound replicas are not among them.
+      refused: callers' ports whose connections no entry accepted, by proxy.
+      read: ids of requests that an entry read, of those that were cut.
+      arrivals: requests that reached replicas.
+      engines: names of the engines' proxies.
+    """
+
+    kills: list[Kill]
+    outages: list[NetworkFault]
+    refused: Mapping[str, set[int]]
+    read: frozenset[str]
+    arrivals: list[Arrival]
+    engines: list[str]
+
+
+NO_FAULTS = Network(
+    kills=[],
+    outages=[],
+    refused={},
+    read=frozenset(),
+    arrivals=[],
+    engines=[],
+)
+
+
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
     """Observations of a run with placement constraints.
 
@@ -198,6 +251,8 @@
       pauses_broken: replicas that received too many requests in a pause.
       culprit_runs: executions of requests that crash replicas, from some time
         after the last fault.
+      memory_bytes: peak of the resident memory by daemon.
+      network: observations that explain why calls were cut.
       placement: observations for the check of placement constraints, None if
         there are none.
     """
@@ -214,6 +269,8 @@
     culprit_runs: int = 0
     limits_broken: list[str] = []
     pauses_broken: list[str] = []
+    memory_bytes: Mapping[str, int] = {}
+    network: Network = NO_FAULTS
     placement: Placement | None = None
 
 
@@ -238,6 +295,19 @@
 Until then SIGTERM may terminate a daemon directly: it has accepted no work yet.
 """
 
+MEMORY_MAX_BYTES = {"entry": 300_000_000, "agent": 168_000_000}
+"""Limit of the resident memory by role of a daemon."""
+
+GRACE_MARGIN_MS = 1_000.0
+"""Time before the end of the grace period from which an entry that still has
+requests ends them."""
+
+RACE_MS = 100.0
+"""Time by which a call and a fault that cut it may differ in the records."""
+
+DEADLINE_MARGIN_MS = 100.0
+"""Time before the end of a caller's wait from which the entry may cut it."""
+
 CULPRIT_RUNS_MAX = 3
 """Maximum executions of a request that is known to crash replicas."""
 
@@ -256,7 +326,9 @@
     violations: list[Violation] = []
     for call in [*evidence.calls, *evidence.last_calls]:
         violations.extend(_check_call(call, evidence))
+        violations.extend(_check_ending(call, evidence))
     violations.extend(_check_keys(evidence))
+    violations.extend(_check_memory(evidence))
     violations.extend(_check_processes(evidence))
     if evidence.mixed_loads:
         detail = f"{evidence.mixed_loads} loads of incomplete weights"
@@ -313,6 +385,97 @@
         yield from _check_answer(call, name, evidence.events)
 
 
+def _check_ending(call: Call, evidence: Evidence) -> Iterable[Violation]:
+    """Checks that a call is cut only by a recorded fault.
+
+    A caller's timeout and the end of the run leave nothing to check.
+    """
+    if call.ending is CallEnding.CUT and not (
+        _entry_has_ended(call, evidence)
+        or _is_over(call, evidence, f"callers:{call.entry}")
+        or call.ended_ms - call.sent_ms > call.wait_ms - DEADLINE_MARGIN_MS
+        or _replicas_have_failed(call, evidence)
+    ):
+        yield Violation(
+            "answered",
+            f"{call.kind.value} {call.request_id} at {call.entry}"
+            f" ({call.lifetime}): cut with status {call.status} after"
+            f" {call.ended_ms - call.sent_ms:.0f} ms and events {call.events},"
+            f" sent at {call.sent_ms:.0f} ms",
+        )
+
+
+def _entry_has_ended(call: Call, evidence: Evidence) -> bool:
+    """Returns whether the entry was killed, ended its grace or never read it.
+
+    An entry that leaves closes its idle connections while requests may be on
+    their way. It has read none of these.
+    """
+    process = (call.entry, call.lifetime)
+    network = evidence.network
+    if call.port in network.refused.get(f"callers:{call.entry}", ()):
+        return True
+    if any(
+        (kill.process, kill.lifetime) == process
+        and kill.at_ms < call.ended_ms + RACE_MS
+        for kill in network.kills
+    ):
+        return True
+    return any(
+        (stop.process, stop.lifetime) == process
+        and (
+            call.ended_ms > stop.asked_ms + GRACE_MS - GRACE_MARGIN_MS
+            or (
+                call.ended_ms > stop.asked_ms
+                and not call.status
+                and call.request_id not in network.read
+            )
+        )
+        for stop in evidence.stops
+    )
+
+
+def _replicas_have_failed(call: Call, evidence: Evidence) -> bool:
+    """Returns whether outages explain that a begun stream ended.
+
+    Either each engine had an outage meanwhile, or the request ran as often as
+    allowed and each engine that it reached had one.
+    """
+    if call.kind is not CallKind.STREAM or call.status != _SUCCESS:
+        return False
+    network = evidence.network
+    reached = {
+        arrival.proxy
+        for arrival in network.arrivals
+        if arrival.request_id == call.request_id and not arrival.misdirected
+    }
+    runs = evidence.runs.get(call.request_id, 0)
+    names = network.engines
+    if runs >= evidence.attempts_max:
+        names = sorted(reached)
+    return bool(names) and all(_is_over(call, evidence, n) for n in names)
+
+
+def _is_over(call: Call, evidence: Evidence, proxy: str) -> bool:
+    """Returns whether an outage of a proxy overlaps a call."""
+    return any(
+        outage.target == proxy
+        and outage.from_ms < call.ended_ms + RACE_MS
+        and call.sent_ms - RACE_MS < outage.until_ms
+        for outage in evidence.network.outages
+    )
+
+
+def _check_memory(evidence: Evidence) -> Iterable[Violation]:
+    for name, peak_bytes in evidence.memory_bytes.items():
+        limit_bytes = MEMORY_MAX_BYTES[name.partition("-")[0]]
+        if peak_bytes > limit_bytes:
+            yield Violation(
+                "memory",
+                f"{name}: {peak_bytes} bytes, {limit_bytes} allowed",
+            )
+
+
 def _check_answer(call: Call, name: str, events: int) -> Iterable[Violation]:
     if call.kind is CallKind.STREAM:
         if call.events != list(range(1, events + 1)):
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import itertools
 import pathlib
 import random
+import re
 import time
 from typing import TypeAlias
 
@@ -47,6 +48,7 @@
 )
 """One region is allowed by both the route and the customer."""
 
+MEMORY_POLL_S = 0.25
 CULPRIT = "culprit"
 CULPRIT_PAUSE_MS = 400.0
 CULPRIT_KNOWN_MS = 3_000.0
@@ -64,12 +66,15 @@
       violations: violated guarantees.
       calls: number of calls during the faults.
       served: number of those calls that were served.
+      cut: number of those calls whose connection ended before the response,
+        explained or not.
     """
 
     plan: schedule.Plan
     violations: list[promises.Violation]
     calls: int
     served: int
+    cut: int
 
 
 class Culprit(enum.Enum):
@@ -83,6 +88,28 @@
     """Distinct requests that share a prompt part."""
 
 
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """What a run adds to the random faults of its seed.
+
+    Attributes:
+      culprit: requests to send throughout that crash replicas.
+      limited: whether two replicas announce a rate limit during the faults.
+      turning_away: whether two replicas reject half of their requests and ask
+        for a pause during the faults.
+      placement: whether to use several regions, a route and a customer
+        restricted to some of them, and cold starts.
+      silent: whether sound replicas fall silent and go on.
+      endless: whether replicas send bytes without end.
+    """
+
+    culprit: Culprit = Culprit.NONE
+    limited: bool = False
+    turning_away: bool = False
+    placement: bool = False
+    silent: bool = False
+    endless: bool = False
+
+
 class Run:
     """A run of one seed; implements `callers.Surroundings`."""
 
@@ -91,11 +118,7 @@
         folder: pathlib.Path,
         plan: schedule.Plan,
         size: schedule.Size,
-        *,
-        culprit: Culprit = Culprit.NONE,
-        limited: bool = False,
-        turning_away: bool = False,
-        placement: bool = False,
+        options: Options,
     ) -> None:
         """Initializes the run; nothing is started until `play`.
 
@@ -103,19 +126,11 @@
           folder: directory for settings files and logs.
           plan: faults to inject.
           size: size of the fleet.
-          culprit: requests to send throughout that crash replicas.
-          limited: whether two replicas announce a rate limit during the
-            faults.
-          turning_away: whether two replicas reject half of their requests and
-            ask for a pause during the faults.
-          placement: whether to use several regions, a route and a customer
-            restricted to some of them, and cold starts.
+          options: what the run adds to the faults.
         """
-        self._placement = placement
+        placement = options.placement
+        self._options = options
         self._plan = plan
-        self._culprit = culprit
-        self._limited = limited
-        self._turning_away = turning_away
         self._culprit_runs = 0
         self._limits_exceeded: list[str] = []
         self._pauses_violated: list[str] = []
@@ -131,6 +146,7 @@
             constraints=CONSTRAINTS if placement else None,
         )
         self._started_s = time.monotonic()
+        self._memory_bytes: dict[str, int] = {}
         self._injector = strikes.FaultInjector(self._fleet, self.now_ms)
 
     async def play(self) -> Result:
@@ -139,8 +155,10 @@
             self._injector.publish()
             await self._wait_served()
             self._started_s = time.monotonic()
+            watch = asyncio.create_task(self._watch_memory())
             calls = await self._inject_faults()
             last = await self._last_calls()
+            watch.cancel()
             exits = [
                 name
                 for name, process in self._fleet.processes.items()
@@ -152,6 +170,7 @@
             promises.check(evidence),
             len(calls),
             sum(c.whole and c.status == 200 for c in calls),
+            sum(c.ending is promises.CallEnding.CUT for c in calls),
         )
 
     # Interface for callers.
@@ -163,7 +182,7 @@
     def key(self, rng: random.Random) -> str:
         """Returns a random API key, which may have been revoked."""
         keys = [direct_documents.KEY, *strikes.REVOCABLE_KEYS]
-        if self._placement:
+        if self._options.placement:
             keys.append(direct_documents.BOUND_KEY)
         return rng.choice(keys)
 
@@ -172,7 +191,7 @@
         hosts = list(self._fleet.entry_hosts)
         shuffled = rng.sample(hosts, len(hosts))
         region = ""
-        if self._placement:
+        if self._options.placement:
             region = rng.choice(list(schedule.REGIONS.values()))
         for host in shuffled:
             try:
@@ -217,11 +236,11 @@
             for number in range(CALLERS)
         ]
         tasks = [asyncio.create_task(caller.run()) for caller in all_callers]
-        self._announce_limits(f"{LIMIT_PER_S}" if self._limited else "")
-        if self._turning_away:
+        self._announce_limits(f"{LIMIT_PER_S}" if self._options.limited else "")
+        if self._options.turning_away:
             for replica in self._rejecting_replicas:
                 replica.turning_away.start(f"{PAUSE_S}", share=0.5)
-        if self._culprit is not Culprit.NONE:
+        if self._options.culprit is not Culprit.NONE:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
             *(self._injector.inject(fault) for fault in self._plan.faults)
@@ -300,7 +319,7 @@
 
     async def _send_culprit(self) -> None:
         """Sends requests that crash replicas, to the entries in turn."""
-        is_part = self._culprit is Culprit.PART
+        is_part = self._options.culprit is Culprit.PART
         for number in itertools.count():
             hosts = self._fleet.entry_hosts
             body = b"%d" % number if is_part else direct_replicas.CRASHING_BODY
@@ -328,6 +347,16 @@
         caller.close()
         return caller.calls
 
+    async def _watch_memory(self) -> None:
+        """Records the peaks of the daemons' resident memory."""
+        while True:
+            for name, process in self._fleet.processes.items():
+                if process.returncode is None:
+                    peak_bytes = _peak_memory_bytes(process.pid)
+                    known_bytes = self._memory_bytes.get(name, 0)
+                    self._memory_bytes[name] = max(known_bytes, peak_bytes)
+            await asyncio.sleep(MEMORY_POLL_S)
+
     def _evidence(
         self,
         calls: list[promises.Call],
@@ -352,28 +381,75 @@
             culprit_runs=self._culprit_runs,
             limits_broken=self._limits_exceeded,
             pauses_broken=self._pauses_violated,
-            placement=self._placement_evidence() if self._placement else None,
+            memory_bytes=self._memory_bytes,
+            network=self._network_evidence([*calls, *last]),
+            placement=self._placement_evidence()
+            if self._options.placement
+            else None,
         )
 
+    def _network_evidence(self, calls: list[promises.Call]) -> promises.Network:
+        logs = {
+            host: self._fleet.log(host)
+            for host in self._fleet.processes
+            if host.startswith("entry-")
+        }
+        return promises.Network(
+            kills=self._injector.kills,
+            outages=self._injector.outages + self._crashes(),
+            refused={
+                name: proxy.refused
+                for name, proxy in self._fleet.proxies.items()
+            },
+            read=frozenset(
+                call.request_id
+                for call in calls
+                if call.ending is promises.CallEnding.CUT
+                and f"request={call.request_id} " in logs[call.entry]
+            ),
+            arrivals=self._arrivals(),
+            engines=self._names[: self._size.engines],
+        )
+
+    @property
+    def _names(self) -> list[str]:
+        """Names of the replicas' proxies, in the order of the replicas."""
+        return schedule.replica_names(self._size)
+
+    def _crashes(self) -> list[promises.NetworkFault]:
+        """Returns the periods in which crashed replicas were down."""
+        return [
+            promises.NetworkFault(
+                target=name,
+                from_ms=(at_s - self._started_s) * _MS,
+                until_ms=(at_s + direct_replicas.DOWN_S - self._started_s)
+                * _MS,
+            )
+            for name, replica in zip(
+                self._names, self._fleet.replicas, strict=True
+            )
+            for at_s in replica.crashes.times_s
+        ]
+
+    def _arrivals(self) -> list[promises.Arrival]:
+        return [
+            promises.Arrival(
+                at_ms=(arrival.at_s - self._started_s) * _MS,
+                request_id=arrival.request_id,
+                replica_id=arrival.replica_id,
+                data_centre=replica.data_centre,
+                proxy=name,
+                misdirected=arrival.misdirected,
+            )
+            for name, replica in zip(
+                self._names, self._fleet.replicas, strict=True
+            )
+            for arrival in replica.arrivals
+        ]
+
     def _placement_evidence(self) -> promises.Placement:
-        arrivals = []
         cold_starts = []
-        names = [
-            *(f"engine-{n}" for n in range(self._size.engines)),
-            *(f"desk-{n}" for n in range(self._size.desks)),
-        ]
-        for name, replica in zip(names, self._fleet.replicas, strict=True):
-            arrivals += [
-                promises.Arrival(
-                    at_ms=(arrival.at_s - self._started_s) * _MS,
-                    request_id=arrival.request_id,
-                    replica_id=arrival.replica_id,
-                    data_centre=replica.data_centre,
-                    proxy=name,
-                    misdirected=arrival.misdirected,
-                )
-                for arrival in replica.arrivals
-            ]
+        for replica in self._fleet.replicas:
             cold_starts += [
                 promises.ColdStart(
                     replica_id=start.replica_id,
@@ -394,22 +470,28 @@
                 direct_documents.BOUND_KEY: frozenset(customer_regions)
             },
             cold_per_s=CONSTRAINTS.cold_per_s,
-            arrivals=arrivals,
+            arrivals=self._arrivals(),
             evacuations=self._injector.evacuations,
             cold_starts=cold_starts,
             network_faults=self._injector.network_faults,
         )
 
 
+def _peak_memory_bytes(process_id: int) -> int:
+    """Returns the peak of a process's resident memory, 0 if it has ended."""
+    try:
+        status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    except OSError:
+        return 0
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    return int(found[1]) * 1_024 if found else 0
+
+
 async def play(
     folder: pathlib.Path,
     seed: int,
     size: schedule.Size,
-    *,
-    culprit: Culprit = Culprit.NONE,
-    limited: bool = False,
-    turning_away: bool = False,
-    placement: bool = False,
+    options: Options | None = None,
 ) -> Result:
     """Runs one seed and returns the result.
 
@@ -417,19 +499,14 @@
       folder: directory for settings files and logs.
       seed: seed of the faults.
       size: size of the fleet and duration of the faults.
-      culprit: see `Run`.
-      limited: see `Run`.
-      turning_away: see `Run`.
-      placement: see `Run`.
+      options: what the run adds to the faults, None for nothing.
     """
-    plan = schedule.draw(seed, size, placement=placement)
-    run = Run(
-        folder,
-        plan,
+    options = options or Options()
+    plan = schedule.draw(
+        seed,
         size,
-        culprit=culprit,
-        limited=limited,
-        turning_away=turning_away,
-        placement=placement,
+        placement=options.placement,
+        silent=options.silent,
+        endless=options.endless,
     )
-    return await run.play()
+    return await Run(folder, plan, size, options).play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -28,6 +28,8 @@
     WEIGHTS = "weights"
     EVACUATE = "evacuate"
     EVACUATE_AGAIN = "evacuate_again"
+    SILENT = "silent"
+    ENDLESS = "endless"
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,7 +39,8 @@
       at_ms: start time, relative to the start of the calls.
       for_ms: duration, 0 for an instantaneous fault.
       kind: kind of the fault.
-      target: affected proxy, process, data centre or engine number.
+      target: affected proxy, process, data centre or engine number; for a
+        silence and for bytes without end the name of the replica's proxy.
       network: fault of the proxy, for `PROXY`.
     """
 
@@ -133,8 +136,24 @@
 PLACEMENT_KINDS = frozenset({FaultKind.EVACUATE, FaultKind.EVACUATE_AGAIN})
 """Kinds that occur only in runs with placement constraints."""
 
+ADDED_KINDS = PLACEMENT_KINDS | {FaultKind.SILENT, FaultKind.ENDLESS}
+"""Kinds that occur only in runs that ask for them."""
 
-def draw(seed: int, size: Size, *, placement: bool = False) -> Plan:
+SILENCE_MS = (800.0, 1_500.0)
+"""Range of the silences of sound replicas."""
+
+SILENCE_PAUSE_MS = (100.0, 1_000.0)
+"""Range of the time between two silences of a series."""
+
+
+def draw(
+    seed: int,
+    size: Size,
+    *,
+    placement: bool = False,
+    silent: bool = False,
+    endless: bool = False,
+) -> Plan:
     """Returns the faults of a seed, which determines them completely.
 
     Args:
@@ -142,12 +161,18 @@
       size: size of the run.
       placement: whether to add evacuations and restarts of engines; the seed's
         other faults stay the same.
+      silent: whether to add silences of replicas, likewise.
+      endless: whether to add replicas that send bytes without end, likewise.
     """
     rng = random.Random(seed)
     count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
     faults = [_draw_one(rng, size) for _ in range(min(count, 30))]
     if placement:
         faults += _draw_placement(random.Random(f"{seed}:placement"), size)
+    if silent:
+        faults += _draw_silences(random.Random(f"{seed}:silent"), size)
+    if endless:
+        faults += _draw_endless(random.Random(f"{seed}:endless"), size)
     faults.sort(key=lambda fault: fault.at_ms)
     calm_ms = max(fault.at_ms + fault.for_ms for fault in faults)
     return Plan(seed, faults, calm_ms)
@@ -207,6 +232,40 @@
     return faults
 
 
+def _draw_silences(rng: random.Random, size: Size) -> list[Fault]:
+    """Returns silences of one or more replicas, single ones and series."""
+    faults: list[Fault] = []
+    names = replica_names(size)
+    for _ in range(rng.randint(3, 5)):
+        at_ms = rng.uniform(0.0, size.trouble_ms)
+        silent = rng.sample(names, rng.choice([1, 1, 2, 4, len(names)]))
+        for _ in range(rng.choice([1, 1, 3])):
+            for name in silent:
+                faults.append(
+                    Fault(
+                        at_ms=at_ms,
+                        for_ms=rng.uniform(*SILENCE_MS),
+                        kind=FaultKind.SILENT,
+                        target=name,
+                    )
+                )
+            at_ms += SILENCE_MS[1] + rng.uniform(*SILENCE_PAUSE_MS)
+    return faults
+
+
+def _draw_endless(rng: random.Random, size: Size) -> list[Fault]:
+    """Returns periods in which replicas send bytes without end."""
+    return [
+        Fault(
+            at_ms=rng.uniform(0.0, size.trouble_ms),
+            for_ms=rng.uniform(*FAULT_MS),
+            kind=FaultKind.ENDLESS,
+            target=rng.choice(replica_names(size)),
+        )
+        for _ in range(rng.randint(2, 5))
+    ]
+
+
 def process_names(size: Size) -> list[str]:
     """Returns the names of all daemons."""
     entries = [f"entry-{n}" for n in range(size.entries)]
@@ -217,5 +276,10 @@
     """Returns the names of all proxies."""
     names = [f"store:{name}" for name in process_names(size)]
     names += [f"callers:entry-{n}" for n in range(size.entries)]
-    names += [f"engine-{n}" for n in range(size.engines)]
-    return names + [f"desk-{n}" for n in range(size.desks)]
+    return names + replica_names(size)
+
+
+def replica_names(size: Size) -> list[str]:
+    """Returns the names of the proxies of all replicas, engines first."""
+    engines = [f"engine-{n}" for n in range(size.engines)]
+    return engines + [f"desk-{n}" for n in range(size.desks)]
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -11,6 +11,7 @@
 from soak import schedule
 from standins import direct_documents
 from standins import direct_fleet
+from standins import endless_bytes
 from standins import fault_proxy
 
 REVOCABLE_KEYS = ["spare-key-0", "spare-key-1", "spare-key-2"]
@@ -26,6 +27,9 @@
 takes 50 ms to run the first line on an idle machine.
 """
 
+ENDING_FAULTS = frozenset({fault_proxy.Fault.RESET, fault_proxy.Fault.SILENCE})
+"""Faults of a proxy that open connections do not outlast."""
+
 _MS = 1_000.0
 
 
@@ -38,7 +42,10 @@
       stops: shutdowns of daemons.
       starts: number of restarts by daemon.
       evacuations: completed evacuations of data centres.
-      network_faults: completed faults of proxies.
+      network_faults: completed faults of proxies, silences among them.
+      outages: completed faults that end the connections of replicas or
+        callers, or that never let them carry a byte again.
+      kills: daemons that were killed.
     """
 
     def __init__(
@@ -55,6 +62,8 @@
         self._evacuated_ms: dict[str, float] = {}
         self.evacuations: list[promises.Evacuation] = []
         self.network_faults: list[promises.NetworkFault] = []
+        self.outages: list[promises.NetworkFault] = []
+        self.kills: list[promises.Kill] = []
         self._active_proxy_faults: dict[str, int] = {}
         self._active_store_faults = 0
         self.keys = [direct_documents.KEY, *REVOCABLE_KEYS]
@@ -80,6 +89,8 @@
             schedule.FaultKind.WEIGHTS: self._publish_version,
             schedule.FaultKind.EVACUATE: self._evacuate,
             schedule.FaultKind.EVACUATE_AGAIN: self._evacuate_again,
+            schedule.FaultKind.SILENT: self._silence,
+            schedule.FaultKind.ENDLESS: self._send_without_end,
         }
 
     def publish(self) -> None:
@@ -108,15 +119,28 @@
         proxy.set_fault(fault.network, PROXY_DELAY_MS)
         from_ms = self._now_ms()
         await asyncio.sleep(fault.for_ms / _MS)
-        self.network_faults.append(
-            promises.NetworkFault(
-                target=fault.target, from_ms=from_ms, until_ms=self._now_ms()
-            )
-        )
+        period = self._period(fault.target, from_ms)
+        self.network_faults.append(period)
+        if fault.network in ENDING_FAULTS:
+            self.outages.append(period)
         active[fault.target] -= 1
         if not active[fault.target]:
             proxy.set_fault(fault_proxy.Fault.NONE)
 
+    async def _silence(self, fault: schedule.Fault) -> None:
+        proxy = self._fleet.proxies[fault.target]
+        proxy.begin_silence()
+        from_ms = self._now_ms()
+        await asyncio.sleep(fault.for_ms / _MS)
+        proxy.end_silence()
+        self.network_faults.append(self._period(fault.target, from_ms))
+
+    def _period(self, target: str, from_ms: float) -> promises.NetworkFault:
+        """Returns a fault that ends now."""
+        return promises.NetworkFault(
+            target=target, from_ms=from_ms, until_ms=self._now_ms()
+        )
+
     async def _fail_store(self, fault: schedule.Fault) -> None:
         self._active_store_faults += 1
         self._fleet.store.down = True
@@ -143,11 +167,12 @@
                 async with asyncio.timeout(STOP_WAIT_S):
                     exit_code = await process.wait()
             except TimeoutError:
-                process.kill()
-                await process.wait()
+                await self._kill_process(fault.target)
             self.stops.append(
                 promises.Stop(
                     process=fault.target,
+                    lifetime=self.starts.get(fault.target, 0),
+                    asked_ms=asked_ms,
                     exit_code=exit_code,
                     ran_ms=asked_ms - started_ms,
                     taken_ms=self._now_ms() - asked_ms,
@@ -159,10 +184,20 @@
         async with self._lock(fault.target):
             process = self._fleet.processes[fault.target]
             if process.returncode is None:
-                process.kill()
-                await process.wait()
+                await self._kill_process(fault.target)
                 await self._restart_process(fault)
 
+    async def _kill_process(self, name: str) -> None:
+        self.kills.append(
+            promises.Kill(
+                process=name,
+                lifetime=self.starts.get(name, 0),
+                at_ms=self._now_ms(),
+            )
+        )
+        self._fleet.processes[name].kill()
+        await self._fleet.processes[name].wait()
+
     async def _restart_process(self, fault: schedule.Fault) -> None:
         await asyncio.sleep(fault.for_ms / _MS)
         self.starts[fault.target] = self.starts.get(fault.target, 0) + 1
@@ -214,6 +249,7 @@
         engine = self._fleet.engines[int(fault.target)]
         proxy = self._fleet.proxies[f"engine-{fault.target}"]
         proxy.set_fault(fault_proxy.Fault.RESET)
+        from_ms = self._now_ms()
         await asyncio.sleep(fault.for_ms / _MS)
         self._engine_starts += 1
         replica_id = f"i-again-{self._engine_starts}"
@@ -222,6 +258,16 @@
             replica_id = engine.replica_id
         engine.restart(replica_id)
         proxy.set_fault(fault_proxy.Fault.NONE)
+        self.outages.append(self._period(f"engine-{fault.target}", from_ms))
+
+    async def _send_without_end(self, fault: schedule.Fault) -> None:
+        endless = self._fleet.replica(fault.target).endless
+        endless.periods += 1
+        from_ms = self._now_ms()
+        await asyncio.sleep(fault.for_ms / _MS)
+        endless.periods -= 1
+        await asyncio.sleep(endless_bytes.ENDLESS_S)
+        self.outages.append(self._period(fault.target, from_ms))
 
     async def _drain_engine(self, fault: schedule.Fault) -> None:
         engine = self._fleet.engines[int(fault.target)]
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -155,6 +155,14 @@
         """All engines and desks."""
         return [*self.engines, *self.desks]
 
+    def replica(
+        self, name: str
+    ) -> direct_replicas.Engine | direct_replicas.PlainReplica:
+        """Returns the replica behind a proxy, "engine-N" or "desk-N"."""
+        role, _, number = name.partition("-")
+        replicas = self.engines if role == "engine" else self.desks
+        return replicas[int(number)]
+
     async def _renew_records(self) -> None:
         while True:
             await asyncio.sleep(direct_documents.HEARTBEAT_MS / _MS)
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -17,6 +17,7 @@
 from standins import direct_documents
 from standins import direct_store
 from standins import direct_weights
+from standins import endless_bytes
 from standins import named_limit
 from standins import raw_http
 from standins import turning_away
@@ -90,12 +91,14 @@
 
     Attributes:
       count: number of crashes.
+      times_s: event loop times of the crashes.
       down: whether the replica is down.
     """
 
     def __init__(self) -> None:
         self.server: CrashingServer | None = None
         self.count = 0
+        self.times_s: list[float] = []
         self.down = False
 
     async def end(
@@ -111,6 +114,7 @@
             return
         self.down = True
         self.count += 1
+        self.times_s.append(_now_s())
         self.server.crash(resets=resets)
         await asyncio.sleep(DOWN_S)
         await self.server.listen()
@@ -131,6 +135,7 @@
       crash_style: how a crash caused by such a part cuts off the response.
       need: the rate limit that it announces.
       turning_away: which requests it rejects, and whether it is leaving.
+      endless: which requests it answers with bytes without end.
       arrivals: requests that reached it, executed or not.
       cold: its cold starts.
     """
@@ -167,6 +172,7 @@
         self.crash_style = crashing_part.CrashStyle.CHUNKED
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
+        self.endless = endless_bytes.Endless()
         self.arrivals: list[Arrival] = []
         self.data_centre = data_centre
         self.cold = cold_start.ColdStarts(cold_start_s)
@@ -267,6 +273,10 @@
         while (request := await peer.read()) is not None:
             path, query = request.path, request.query
             if path == "/v1/report":
+                poll = f"{_now_s()}"
+                if self.endless.takes(poll):
+                    await self.endless.write(peer, poll)
+                    return
                 leaving = self.turning_away.leaving
                 headers = {"server_leaving": "1"} if leaving else {}
                 report = json.dumps(self._report()).encode()
@@ -358,6 +368,9 @@
             # The connection ends with the replica, so it can't await this.
             self._crash_task = asyncio.create_task(self.crash())
             return
+        if self.endless.takes(name):
+            await self.endless.write(peer, name, self._signature())
+            return
         self._running += 1
         try:
             if crashing_part.crashes(request):
@@ -367,13 +380,16 @@
         finally:
             self._running -= 1
 
-    async def _crash_while_writing(
-        self, peer: raw_http.Peer, name: str
-    ) -> None:
-        headers = (
+    def _signature(self) -> str:
+        return (
             f"x-replica-signature: {self.replica_id}\r\n"
             f"x-weight-versions: {self.weights}\r\n"
         )
+
+    async def _crash_while_writing(
+        self, peer: raw_http.Peer, name: str
+    ) -> None:
+        headers = self._signature()
         style = self.crash_style
         await crashing_part.begin_answer(peer, name, style, headers)
         self._crash_task = asyncio.create_task(self.crash(resets=style.resets))
@@ -416,6 +432,7 @@
       crashes: crash state; a request with `CRASHING_BODY` causes a crash.
       need: the rate limit that it announces.
       turning_away: which requests it rejects, and whether it is leaving.
+      endless: which requests it answers with bytes without end.
       arrivals: requests that reached it, executed or not.
       cold: its cold starts.
     """
@@ -447,6 +464,7 @@
         self.crashes = _Crashes()
         self.need = named_limit.NamedLimit()
         self.turning_away = turning_away.TurningAway(replica_id)
+        self.endless = endless_bytes.Endless()
         self.arrivals: list[Arrival] = []
         self.data_centre = data_centre
         self.cold = cold_start.ColdStarts(cold_start_s)
@@ -509,6 +527,10 @@
                 await peer.answer(request, status, b"", **headers)
                 continue
             self.runs[name] = self.runs.get(name, 0) + 1
+            if self.endless.takes(name):
+                signature = f"x-replica-signature: {self.replica_id}\r\n"
+                await self.endless.write(peer, name, signature)
+                return
             await asyncio.sleep(DESK_S)
             if request.body == CRASHING_BODY:
                 self._crash_task = asyncio.create_task(self.crash())
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -62,6 +62,9 @@
       delay_ms: delay of each block of bytes while the fault is `DELAY`.
       bytes_per_s: rate limit per connection and direction while the fault is
         `NARROW`.
+      silences: number of silences in progress; while there are any, bytes are
+        held back in both directions, whatever the active fault is.
+      refused: ports of clients whose connection the server did not accept.
       called_s: event loop time at which a client last sent bytes.
     """
 
@@ -77,6 +80,8 @@
         self.fault = Fault.NONE
         self.delay_ms = 0.0
         self.bytes_per_s = float("inf")
+        self.silences = 0
+        self.refused: set[int] = set()
         self.called_s = float("-inf")
 
     @property
@@ -111,6 +116,18 @@
         if fault is Fault.SILENCE:
             for connection in self._connections:
                 connection.silenced = True
+        self._notify()
+
+    def begin_silence(self) -> None:
+        """Begins a silence; it may overlap faults and other silences."""
+        self.silences += 1
+
+    def end_silence(self) -> None:
+        """Ends a silence that was begun."""
+        self.silences -= 1
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -123,6 +140,7 @@
             )
         except OSError:
             # Nothing listens at the target: the client sees a clean close.
+            self.refused.add(writer.get_extra_info("peername")[1])
             writer.close()
             return
         connection = _Connection(writer, to_server)
@@ -161,7 +179,7 @@
 
     async def _wait_while_stopped(self, stopped_by: frozenset[Fault]) -> None:
         """Waits until the active fault lets bytes through."""
-        while self.fault in stopped_by:
+        while self.silences or self.fault in stopped_by:
             await self._changed.wait()
         if self.fault is Fault.DELAY:
             await asyncio.sleep(self.delay_ms / _MS)
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -97,6 +97,11 @@
         """Writes a complete response with a JSON body."""
         await self.answer(request, 200, json.dumps(value).encode())
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed or closing."""
+        return self._writer.is_closing()
+
     def reset(self) -> None:
         """Resets the connection if it is open."""
         sock = self._writer.get_extra_info("socket")
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -198,9 +198,127 @@
         ("stops_in_grace", {"stops": shutdowns(None, 9_000.0)}),
         ("stops_in_grace", {"stops": shutdowns(-15, 9_000.0)}),
         ("recovery", {"last_calls": [call(ORDER, status=503)] * 3}),
+        ("memory", {"memory_bytes": {"entry-0": 300_000_001}}),
+        ("memory", {"memory_bytes": {"agent-2": 168_000_001}}),
     ],
 )
 def test_violation_is_reported(promise: str, changes: dict[str, Any]) -> None:
     evidence = msgspec.structs.replace(GOOD, **changes)
     found = {violation.promise for violation in promises.check(evidence)}
     assert promise in found
+
+
+CUT = call(
+    STREAM,
+    sent_ms=1_000.0,
+    ended_ms=2_000.0,
+    events=[1],
+    ending=promises.CallEnding.CUT,
+    whole=False,
+    port=5_000,
+    wait_ms=6_000.0,
+)
+UNREAD = msgspec.structs.replace(CUT, status=0, events=[])
+NETWORK = msgspec.structs.replace(promises.NO_FAULTS, engines=["e-0", "e-1"])
+
+
+def outages(
+    *targets: str, from_ms: float = 1_500.0
+) -> dict[str, list[promises.NetworkFault]]:
+    return {
+        "outages": [
+            promises.NetworkFault(target=target, from_ms=from_ms, until_ms=9e3)
+            for target in targets
+        ]
+    }
+
+
+def kill(**fields: Any) -> dict[str, list[promises.Kill]]:
+    given = {"process": "entry-0", "lifetime": 0, "at_ms": 1_990.0}
+    return {"kills": [promises.Kill(**{**given, **fields})]}
+
+
+def stop(asked_ms: float) -> list[promises.Stop]:
+    given = shutdowns(0, 9_000.0)[0]
+    return [msgspec.structs.replace(given, asked_ms=asked_ms)]
+
+
+def is_reported(
+    cut: promises.Call,
+    network: dict[str, Any],
+    runs: int = 1,
+    stops: list[promises.Stop] | None = None,
+) -> bool:
+    """Returns whether a call that was cut is reported."""
+    evidence = msgspec.structs.replace(
+        GOOD,
+        calls=[cut],
+        last_calls=[],
+        runs={"a-1": runs},
+        stops=stops or [],
+        network=msgspec.structs.replace(NETWORK, **network),
+    )
+    found = {violation.promise for violation in promises.check(evidence)}
+    assert found <= {"answered"}
+    return bool(found)
+
+
+TWO_RUNS = {"arrivals": [arrival(proxy="e-0"), arrival(proxy="e-1")]}
+ONE_ENGINE = {"arrivals": [arrival(proxy="e-0")] * 2}
+LATE = msgspec.structs.replace(CUT, ended_ms=6_950.0)
+
+
+@pytest.mark.parametrize(
+    ("cut", "network", "runs", "stops"),
+    [
+        (CUT, kill(), 1, []),
+        (UNREAD, {"refused": {"callers:entry-0": {5_000}}}, 0, []),
+        (CUT, {}, 1, stop(asked_ms=-5_500.0)),
+        (UNREAD, {}, 0, stop(asked_ms=500.0)),
+        (CUT, outages("callers:entry-0"), 1, []),
+        (LATE, {}, 1, []),
+        (CUT, outages("e-0", "e-1"), 1, []),
+        (CUT, {**outages("e-0"), **ONE_ENGINE}, 2, []),
+    ],
+)
+def test_cut_that_a_fault_explains_is_not_reported(
+    cut: promises.Call,
+    network: dict[str, Any],
+    runs: int,
+    stops: list[promises.Stop],
+) -> None:
+    assert not is_reported(cut, network, runs, stops)
+
+
+@pytest.mark.parametrize(
+    ("cut", "network", "runs", "stops"),
+    [
+        (CUT, {}, 1, []),
+        (CUT, kill(at_ms=2_500.0), 1, []),
+        (CUT, kill(lifetime=1), 1, []),
+        (CUT, kill(process="entry-1"), 1, []),
+        (UNREAD, {"refused": {"callers:entry-1": {5_000}}}, 0, []),
+        (CUT, {}, 1, stop(asked_ms=500.0)),
+        (UNREAD, {}, 0, stop(asked_ms=2_500.0)),
+        (UNREAD, {"read": frozenset({"a-1"})}, 0, stop(asked_ms=500.0)),
+        (CUT, outages("callers:entry-1"), 1, []),
+        (CUT, outages("callers:entry-0", from_ms=2_500.0), 1, []),
+        (UNREAD, outages("e-0", "e-1"), 1, []),
+        (CUT, outages("e-0"), 1, []),
+        (CUT, {**outages("e-0"), **ONE_ENGINE}, 1, []),
+        (CUT, {**outages("e-0"), **TWO_RUNS}, 2, []),
+    ],
+)
+def test_cut_that_no_fault_explains_is_reported(
+    cut: promises.Call,
+    network: dict[str, Any],
+    runs: int,
+    stops: list[promises.Stop],
+) -> None:
+    """Guards against excuses that do not follow from a recorded fault."""
+    assert is_reported(cut, network, runs, stops)
+
+
+def test_caller_that_leaves_is_not_reported() -> None:
+    ending = promises.CallEnding.TIMED_OUT
+    assert not is_reported(msgspec.structs.replace(CUT, ending=ending), {})
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -20,6 +20,8 @@
 LIMITED_SEED = 3
 TURNING_AWAY_SEED = 3
 PLACEMENT_SEED = 1
+SILENT_SEED = 3
+ENDLESS_SEED = 3
 
 
 def seeds() -> list[tuple[int, run.Culprit]]:
@@ -38,7 +40,7 @@
     seed: int, culprit: run.Culprit, tmp_path: pathlib.Path
 ) -> None:
     result = asyncio.run(
-        run.play(tmp_path, seed, schedule.Size(), culprit=culprit)
+        run.play(tmp_path, seed, schedule.Size(), run.Options(culprit=culprit))
     )
     assert result.violations == []
     assert result.served
@@ -49,7 +51,12 @@
     tmp_path: pathlib.Path, culprit: run.Culprit
 ) -> None:
     result = asyncio.run(
-        run.play(tmp_path, CULPRIT_SEED, schedule.Size(), culprit=culprit)
+        run.play(
+            tmp_path,
+            CULPRIT_SEED,
+            schedule.Size(),
+            run.Options(culprit=culprit),
+        )
     )
     assert result.violations == []
 
@@ -59,7 +66,10 @@
 ) -> None:
     result = asyncio.run(
         run.play(
-            tmp_path, TURNING_AWAY_SEED, schedule.Size(), turning_away=True
+            tmp_path,
+            TURNING_AWAY_SEED,
+            schedule.Size(),
+            run.Options(turning_away=True),
         )
     )
     assert result.violations == []
@@ -69,7 +79,9 @@
     tmp_path: pathlib.Path,
 ) -> None:
     result = asyncio.run(
-        run.play(tmp_path, LIMITED_SEED, schedule.Size(), limited=True)
+        run.play(
+            tmp_path, LIMITED_SEED, schedule.Size(), run.Options(limited=True)
+        )
     )
     assert result.violations == []
 
@@ -78,6 +90,33 @@
     tmp_path: pathlib.Path,
 ) -> None:
     result = asyncio.run(
-        run.play(tmp_path, PLACEMENT_SEED, schedule.Size(), placement=True)
+        run.play(
+            tmp_path,
+            PLACEMENT_SEED,
+            schedule.Size(),
+            run.Options(placement=True),
+        )
+    )
+    assert result.violations == []
+
+
+def test_no_violation_with_replicas_that_fall_silent(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(
+            tmp_path, SILENT_SEED, schedule.Size(), run.Options(silent=True)
+        )
+    )
+    assert result.violations == []
+
+
+def test_no_violation_with_replicas_that_send_without_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(
+            tmp_path, ENDLESS_SEED, schedule.Size(), run.Options(endless=True)
+        )
     )
     assert result.violations == []
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -18,7 +18,7 @@
     size = schedule.Size()
     plans = [schedule.draw(seed, size) for seed in range(60)]
     kinds = {fault.kind for plan in plans for fault in plan.faults}
-    assert kinds == set(schedule.FaultKind) - schedule.PLACEMENT_KINDS
+    assert kinds == set(schedule.FaultKind) - schedule.ADDED_KINDS
     for plan in plans:
         assert all(0 <= f.at_ms <= size.trouble_ms for f in plan.faults)
         assert plan.calm_ms >= max(f.at_ms for f in plan.faults)
@@ -41,3 +41,29 @@
     assert set(at_once.values()) == {1, 2, 3}
     assert min(fault.for_ms for fault in drawn) < 2_000.0
     assert max(fault.for_ms for fault in drawn) > 5_000.0
+
+
+def test_silences_are_single_joint_and_in_series() -> None:
+    """Guards against silences that change the other faults of a seed."""
+    at_once: collections.Counter[float] = collections.Counter()
+    in_series = 0
+    for seed in range(60):
+        plain = schedule.draw(seed, schedule.Size())
+        plan = schedule.draw(seed, schedule.Size(), silent=True)
+        assert set(plan.faults) > set(plain.faults)
+        drawn = set(plan.faults) - set(plain.faults)
+        assert {fault.kind for fault in drawn} == {schedule.FaultKind.SILENT}
+        assert all(800.0 <= fault.for_ms <= 1_500.0 for fault in drawn)
+        at_once.update(fault.at_ms for fault in drawn)
+        in_series += len(drawn) > len({fault.target for fault in drawn})
+    assert {1, 2, 4, 7} == set(at_once.values())
+    assert in_series > 30
+
+
+def test_bytes_without_end_leave_the_other_faults_unchanged() -> None:
+    for seed in range(60):
+        plain = schedule.draw(seed, schedule.Size())
+        plan = schedule.draw(seed, schedule.Size(), endless=True)
+        drawn = set(plan.faults) - set(plain.faults)
+        assert set(plan.faults) > set(plain.faults)
+        assert {fault.kind for fault in drawn} == {schedule.FaultKind.ENDLESS}
