Soak: a cut is excused by outages of the replicas that it was sent to

The entry's log now names the engines that it tried, and each must have had a recorded outage that the entry could not know of when the request came.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -188,6 +188,8 @@
         behind it. Silences of sound replicas are not among them.
       refused: callers' ports whose connections no entry accepted, by proxy.
       read: ids of requests that an entry read, of those that were cut.
+      attempts: proxies of the replicas at which attempts failed according to
+        the entry, in order, by request id, of those that were cut.
       arrivals: requests that reached replicas.
       engines: names of the engines' proxies.
     """
@@ -196,6 +198,7 @@
     outages: list[NetworkFault]
     refused: Mapping[str, set[int]]
     read: frozenset[str]
+    attempts: Mapping[str, list[str]]
     arrivals: list[Arrival]
     engines: list[str]
 
@@ -205,6 +208,7 @@
     outages=[],
     refused={},
     read=frozenset(),
+    attempts={},
     arrivals=[],
     engines=[],
 )
@@ -308,6 +312,10 @@
 DEADLINE_MARGIN_MS = 100.0
 """Time before the end of a caller's wait from which the entry may cut it."""
 
+OUTAGE_KNOWN_MS = 1_750.0
+"""Time after which an entry can know of an outage: the age up to which it
+relies on a load report, and the time between two of them."""
+
 CULPRIT_RUNS_MAX = 3
 """Maximum executions of a request that is known to crash replicas."""
 
@@ -438,30 +446,49 @@
 def _replicas_have_failed(call: Call, evidence: Evidence) -> bool:
     """Returns whether outages explain that a begun stream ended.
 
-    Either each engine had an outage meanwhile, or the request ran as often as
-    allowed and each engine that it reached had one.
+    Either each engine had an outage meanwhile, or as many attempts failed as
+    are allowed, each at an engine with an outage that the entry could not know
+    before, and the request reached no other engine.
     """
     if call.kind is not CallKind.STREAM or call.status != _SUCCESS:
         return False
     network = evidence.network
+    if network.engines and all(
+        _is_over(call, evidence, name) for name in network.engines
+    ):
+        return True
+    attempts = network.attempts.get(call.request_id, [])
     reached = {
         arrival.proxy
         for arrival in network.arrivals
         if arrival.request_id == call.request_id and not arrival.misdirected
     }
-    runs = evidence.runs.get(call.request_id, 0)
-    names = network.engines
-    if runs >= evidence.attempts_max:
-        names = sorted(reached)
-    return bool(names) and all(_is_over(call, evidence, n) for n in names)
+    return len(attempts) >= evidence.attempts_max and all(
+        _is_over(call, evidence, name, OUTAGE_KNOWN_MS)
+        for name in reached.union(attempts)
+    )
 
 
-def _is_over(call: Call, evidence: Evidence, proxy: str) -> bool:
-    """Returns whether an outage of a proxy overlaps a call."""
+def _is_over(
+    call: Call,
+    evidence: Evidence,
+    proxy: str,
+    known_ms: float = float("inf"),
+) -> bool:
+    """Returns whether an outage of a proxy overlaps a call.
+
+    Args:
+      call: the call.
+      evidence: the observations.
+      proxy: name of the proxy.
+      known_ms: age of an outage, when the call is sent, from which it does not
+        count.
+    """
     return any(
         outage.target == proxy
         and outage.from_ms < call.ended_ms + RACE_MS
         and call.sent_ms - RACE_MS < outage.until_ms
+        and call.sent_ms - outage.from_ms < known_ms
         for outage in evidence.network.outages
     )
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -66,8 +66,8 @@
       violations: violated guarantees.
       calls: number of calls during the faults.
       served: number of those calls that were served.
-      cut: number of those calls whose connection ended before the response,
-        explained or not.
+      cut: number of those calls that an entry accepted and whose connection
+        ended before the response, explained or not.
     """
 
     plan: schedule.Plan
@@ -170,7 +170,11 @@
             promises.check(evidence),
             len(calls),
             sum(c.whole and c.status == 200 for c in calls),
-            sum(c.ending is promises.CallEnding.CUT for c in calls),
+            sum(
+                call.ending is promises.CallEnding.CUT
+                and call.port not in self._refused[f"callers:{call.entry}"]
+                for call in calls
+            ),
         )
 
     # Interface for callers.
@@ -390,27 +394,43 @@
 
     def _network_evidence(self, calls: list[promises.Call]) -> promises.Network:
         logs = {
-            host: self._fleet.log(host)
-            for host in self._fleet.processes
-            if host.startswith("entry-")
+            name: self._fleet.log(name)
+            for name in self._fleet.processes
+            if name.startswith("entry-")
         }
+        arrivals = self._arrivals()
+        proxies = {f"i-{n}": f"engine-{n}" for n in range(self._size.engines)}
+        proxies |= {arrival.replica_id: arrival.proxy for arrival in arrivals}
+        cut = [c for c in calls if c.ending is promises.CallEnding.CUT]
         return promises.Network(
             kills=self._injector.kills,
             outages=self._injector.outages + self._crashes(),
-            refused={
-                name: proxy.refused
-                for name, proxy in self._fleet.proxies.items()
-            },
+            refused=self._refused,
             read=frozenset(
                 call.request_id
-                for call in calls
-                if call.ending is promises.CallEnding.CUT
-                and f"request={call.request_id} " in logs[call.entry]
+                for call in cut
+                if f"request={call.request_id} " in logs[call.entry]
             ),
-            arrivals=self._arrivals(),
+            attempts={
+                call.request_id: [
+                    proxies.get(replica_id, replica_id)
+                    for replica_id in re.findall(
+                        rf"event=attempt_failed request={call.request_id} "
+                        r".*?replica=(\S+)",
+                        logs[call.entry],
+                    )
+                ]
+                for call in cut
+            },
+            arrivals=arrivals,
             engines=self._names[: self._size.engines],
         )
 
+    @property
+    def _refused(self) -> dict[str, set[int]]:
+        """Ports of callers that no entry accepted, by proxy."""
+        return {name: p.refused for name, p in self._fleet.proxies.items()}
+
     @property
     def _names(self) -> list[str]:
         """Names of the replicas' proxies, in the order of the replicas."""
