--- a/soak/promises.py
+++ b/soak/promises.py
@@ -27,6 +27,22 @@
     STOCK = "stock"
 
 
+class CallEnding(enum.Enum):
+    """How a call ended for its caller."""
+
+    UNENDED = "unended"
+    """The run ended first."""
+
+    ANSWERED = "answered"
+    """A complete response arrived, by a replica or by the entry."""
+
+    TIMED_OUT = "timed_out"
+    """The caller's own timeout expired."""
+
+    CUT = "cut"
+    """The connection ended before the complete response."""
+
+
 class Call(msgspec.Struct, kw_only=True):
     """A request and its response as observed by the caller.
 
@@ -36,9 +52,13 @@
       key: API key of the request.
       entry: entry that accepted it.
       lifetime: number of restarts of that entry's process.
+      port: the caller's port, 0 if it is not known.
+      wait_ms: how long the caller waits, as it tells the entry.
       sent_ms: time at which it was sent.
       ended_ms: time at which the response ended or the caller gave up.
+      ending: how it ended.
       status: status code of the response, 0 if no head arrived.
+      retry_after: whether the response names a time for a retry.
       whole: whether the HTTP response was complete.
       foreign: whether it contains bytes of another response.
       events: numbers of the received events, in order.
@@ -51,8 +71,12 @@
     entry: str
     lifetime: int
     sent_ms: float
+    port: int = 0
+    wait_ms: float = float("inf")
     ended_ms: float = 0.0
+    ending: CallEnding = CallEnding.UNENDED
     status: int = 0
+    retry_after: bool = False
     whole: bool = False
     foreign: bool = False
     events: list[int] = []
@@ -64,6 +88,8 @@
 
     Attributes:
       process: name of the daemon.
+      lifetime: number of its restarts before.
+      asked_ms: time of the signal.
       exit_code: exit code, None if it had to be killed.
       ran_ms: time from its start to the signal.
       taken_ms: time from the signal to its exit.
@@ -73,6 +99,22 @@
     ran_ms: float
     exit_code: int | None
     taken_ms: float
+    lifetime: int = 0
+    asked_ms: float = 0.0
+
+
+class Kill(msgspec.Struct, frozen=True, kw_only=True):
+    """A daemon that was killed.
+
+    Attributes:
+      process: name of the daemon.
+      lifetime: number of its restarts before.
+      at_ms: time at which it was killed.
+    """
+
+    process: str
+    lifetime: int
+    at_ms: float
 
 
 class Evacuation(msgspec.Struct, frozen=True, kw_only=True):
@@ -137,6 +179,41 @@
     misdirected: bool
 
 
+class Network(msgspec.Struct, frozen=True, kw_only=True):
+    """Observations that explain the end of connections.
+
+    Attributes:
+      kills: daemons that were killed.
+      outages: faults that ended connections through a proxy, or replicas
+        behind it. Silences of sound replicas are not among them.
+      refused: callers' ports whose connections no entry accepted, by proxy.
+      read: ids of requests that an entry read, of those that were cut.
+      attempts: proxies of the replicas at which attempts failed according to
+        the entry, in order, by request id, of those that were cut.
+      arrivals: requests that reached replicas.
+      engines: names of the engines' proxies.
+    """
+
+    kills: list[Kill]
+    outages: list[NetworkFault]
+    refused: Mapping[str, set[int]]
+    read: frozenset[str]
+    attempts: Mapping[str, list[str]]
+    arrivals: list[Arrival]
+    engines: list[str]
+
+
+NO_FAULTS = Network(
+    kills=[],
+    outages=[],
+    refused={},
+    read=frozenset(),
+    attempts={},
+    arrivals=[],
+    engines=[],
+)
+
+
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
     """Observations of a run with placement constraints.
 
@@ -178,6 +255,8 @@
       pauses_broken: replicas that received too many requests in a pause.
       culprit_runs: executions of requests that crash replicas, from some time
         after the last fault.
+      memory_bytes: peak of the resident memory by daemon.
+      network: observations that explain why calls were cut.
       placement: observations for the check of placement constraints, None if
         there are none.
     """
@@ -194,6 +273,8 @@
     culprit_runs: int = 0
     limits_broken: list[str] = []
     pauses_broken: list[str] = []
+    memory_bytes: Mapping[str, int] = {}
+    network: Network = NO_FAULTS
     placement: Placement | None = None
 
 
@@ -218,6 +299,23 @@
 Until then SIGTERM may terminate a daemon directly: it has accepted no work yet.
 """
 
+MEMORY_MAX_BYTES = {"entry": 300_000_000, "agent": 168_000_000}
+"""Limit of the resident memory by role of a daemon."""
+
+GRACE_MARGIN_MS = 1_000.0
+"""Time before the end of the grace period from which an entry that still has
+requests ends them."""
+
+RACE_MS = 100.0
+"""Time by which a call and a fault that cut it may differ in the records."""
+
+DEADLINE_MARGIN_MS = 100.0
+"""Time before the end of a caller's wait from which the entry may cut it."""
+
+OUTAGE_KNOWN_MS = 1_750.0
+"""Time after which an entry can know of an outage: the age up to which it
+relies on a load report, and the time between two of them."""
+
 CULPRIT_RUNS_MAX = 3
 """Maximum executions of a request that is known to crash replicas."""
 
@@ -236,7 +334,9 @@
     violations: list[Violation] = []
     for call in [*evidence.calls, *evidence.last_calls]:
         violations.extend(_check_call(call, evidence))
+        violations.extend(_check_ending(call, evidence))
     violations.extend(_check_keys(evidence))
+    violations.extend(_check_memory(evidence))
     violations.extend(_check_processes(evidence))
     if evidence.mixed_loads:
         detail = f"{evidence.mixed_loads} loads of incomplete weights"
@@ -293,6 +393,116 @@
         yield from _check_answer(call, name, evidence.events)
 
 
+def _check_ending(call: Call, evidence: Evidence) -> Iterable[Violation]:
+    """Checks that a call is cut only by a recorded fault.
+
+    A caller's timeout and the end of the run leave nothing to check.
+    """
+    if call.ending is CallEnding.CUT and not (
+        _entry_has_ended(call, evidence)
+        or _is_over(call, evidence, f"callers:{call.entry}")
+        or call.ended_ms - call.sent_ms > call.wait_ms - DEADLINE_MARGIN_MS
+        or _replicas_have_failed(call, evidence)
+    ):
+        yield Violation(
+            "answered",
+            f"{call.kind.value} {call.request_id} at {call.entry}"
+            f" ({call.lifetime}): cut with status {call.status} after"
+            f" {call.ended_ms - call.sent_ms:.0f} ms and events {call.events},"
+            f" sent at {call.sent_ms:.0f} ms",
+        )
+
+
+def _entry_has_ended(call: Call, evidence: Evidence) -> bool:
+    """Returns whether the entry was killed, ended its grace or never read it.
+
+    An entry that leaves closes its idle connections while requests may be on
+    their way. It has read none of these.
+    """
+    process = (call.entry, call.lifetime)
+    network = evidence.network
+    if call.port in network.refused.get(f"callers:{call.entry}", ()):
+        return True
+    if any(
+        (kill.process, kill.lifetime) == process
+        and kill.at_ms < call.ended_ms + RACE_MS
+        for kill in network.kills
+    ):
+        return True
+    return any(
+        (stop.process, stop.lifetime) == process
+        and (
+            call.ended_ms > stop.asked_ms + GRACE_MS - GRACE_MARGIN_MS
+            or (
+                call.ended_ms > stop.asked_ms
+                and not call.status
+                and call.request_id not in network.read
+            )
+        )
+        for stop in evidence.stops
+    )
+
+
+def _replicas_have_failed(call: Call, evidence: Evidence) -> bool:
+    """Returns whether outages explain that a begun stream ended.
+
+    Either each engine had an outage meanwhile, or as many attempts failed as
+    are allowed, each at an engine with an outage that the entry could not know
+    before, and the request reached no other engine.
+    """
+    if call.kind is not CallKind.STREAM or call.status != _SUCCESS:
+        return False
+    network = evidence.network
+    if network.engines and all(
+        _is_over(call, evidence, name) for name in network.engines
+    ):
+        return True
+    attempts = network.attempts.get(call.request_id, [])
+    reached = {
+        arrival.proxy
+        for arrival in network.arrivals
+        if arrival.request_id == call.request_id and not arrival.misdirected
+    }
+    return len(attempts) >= evidence.attempts_max and all(
+        _is_over(call, evidence, name, OUTAGE_KNOWN_MS)
+        for name in reached.union(attempts)
+    )
+
+
+def _is_over(
+    call: Call,
+    evidence: Evidence,
+    proxy: str,
+    known_ms: float = float("inf"),
+) -> bool:
+    """Returns whether an outage of a proxy overlaps a call.
+
+    Args:
+      call: the call.
+      evidence: the observations.
+      proxy: name of the proxy.
+      known_ms: age of an outage, when the call is sent, from which it does not
+        count.
+    """
+    return any(
+        outage.target == proxy
+        and outage.from_ms < call.ended_ms + RACE_MS
+        and call.sent_ms - RACE_MS < outage.until_ms
+        and call.sent_ms - outage.from_ms < known_ms
+        for outage in evidence.network.outages
+    )
+
+
+def _check_memory(evidence: Evidence) -> Iterable[Violation]:
+    for name, peak_bytes in evidence.memory_bytes.items():
+        limit_bytes = MEMORY_MAX_BYTES[name.partition("-")[0]]
+        if peak_bytes > limit_bytes:
+            yield Violation(
+                "memory",
+                f"{name}: {peak_bytes} bytes, {limit_bytes} allowed",
+            )
+
+
 def _check_answer(call: Call, name: str, events: int) -> Iterable[Violation]:
     if call.kind is CallKind.STREAM:
         if call.events != list(range(1, events + 1)):
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -123,6 +123,11 @@
                     await asyncio.sleep(0)
         self.flood_ended.set()
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed or closing."""
+        return self._writer.is_closing()
+
     def reset(self) -> None:
         """Resets the connection if it is open."""
         sock = self._writer.get_extra_info("socket")
