A silent request spends retries and reservations only with a send

The budget is asked before a replica is chosen, and a retry without a send is given back. A failure that a replica answered is delivered if the retry finds no replica, too: the caller got 502 instead.

--- a/src/marlramp/core/requests/retries.py
+++ b/src/marlramp/core/requests/retries.py
@@ -34,6 +34,7 @@
       TIME: its time is over, or its caller may have left.
       SUSPECTED: it is suspected of crashes and runs at one replica only.
       BUDGET: the shared retry budget is used up.
+      NO_UPSTREAM: no other replica can take it.
     """
 
     UNSAFE = "unsafe"
@@ -41,6 +42,7 @@
     TIME = "time"
     SUSPECTED = "suspected"
     BUDGET = "retry_budget"
+    NO_UPSTREAM = "no_upstream"
 
 
 _REASONS = {
--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -63,6 +63,20 @@
         slack = self._slack * SLACK_SAFETY / max(ENTRIES_MIN, entries)
         return len(self._requests) * self._ratio * RATIO_SAFETY + slack
 
+    def has_retry(self, entries: int, now_ms: clock.Millis) -> bool:
+        """Returns whether `try_spend` would spend a retry.
+
+        Args:
+          entries: largest number of entries known recently, this one included.
+          now_ms: the time.
+        """
+        return len(self._retries) + 1 <= self.allowed(entries, now_ms)
+
+    def refund(self) -> None:
+        """Takes back the last retry, which was not sent."""
+        if self._retries:
+            self._retries.pop()
+
     def try_spend(self, entries: int, now_ms: clock.Millis) -> bool:
         """Spends one retry if there is one; returns whether there was.
 
@@ -70,8 +84,7 @@
           entries: largest number of entries known recently, this one included.
           now_ms: the time.
         """
-        allowed = self.allowed(entries, now_ms)
-        if len(self._retries) + 1 > allowed:
+        if not self.has_retry(entries, now_ms):
             return False
         self._retries.append(now_ms)
         return True
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -319,6 +319,8 @@
         # Lets the cancellation by a caller that has left take effect first.
         await asyncio.sleep(0)
         if running:
+            if result.unsent:
+                self._retry_share(call.service.service_id).refund()
             await self._relieve_silent(call, running)
             return True
         if result.unsent or failure is None:
@@ -329,7 +331,15 @@
             self._end_failed(call, result.outcome, reason)
             return False
         self._totals.add(counters.CounterName.RETRIES, reason.value)
-        await self._start_attempt(call, running)
+        try:
+            await self._start_attempt(call, running)
+        except errors.CallError:
+            if call.relay.started or call.failed_outcome is None:
+                raise
+            self._end_failed(
+                call, result.outcome, retries.RetryDenial.NO_UPSTREAM
+            )
+            return False
         return True
 
     async def _relieve_silent(
@@ -349,6 +359,10 @@
         reason = retries.RetryReason.UPSTREAM_SILENT
         if self._retry_denial(call) or self._crashes.is_blocked(call.causes):
             return
+        # A choice may reserve a send at a replica with a rate limit.
+        share = self._retry_share(call.service.service_id)
+        if not share.has_retry(self._state.entries, self._clock.now_ms()):
+            return
         try:
             choice = await running.first(self._selector.choose(call))
         except errors.CallError as refusal:
