--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -29,12 +29,6 @@
 """Age up to which an agent's report is valid. Agents report at least every
 500 ms."""
 
-WEIGHTS_KNOWN_MS = 4_000.0
-"""Age up to which the weights in an agent's report are still believed. An
-engine does not go back to an older version while it runs, but the list of
-replicas may lag behind, and an agent or an engine may be silent for a second.
-"""
-
 FAILURES_MAX = 3
 """Number of consecutive failures that open a replica's circuit breaker."""
 
@@ -235,10 +229,7 @@
                 return max(self.report.weights, self.seen_weights or 0)
             return self.report.weights
         listed = 0 if self._is_listed_older else self.replica.weights or 0
-        reported = 0
-        if self.report is not None and report_age_ms < WEIGHTS_KNOWN_MS:
-            reported = self.report.weights
-        return max(listed, reported, self.seen_weights or 0)
+        return max(listed, self.seen_weights or 0)
 
     @property
     def _is_listed_older(self) -> bool:
