--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -65,6 +65,7 @@
 """Bytes that stay unacknowledged this long end the connection. Idle ones are
 not probed, which would cost more than it saves: the idle limit ends them."""
 
+_NOTHING = memoryview(b"")
 _CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -241,7 +242,7 @@
         self._queued: collections.deque[Request] = collections.deque()
         self._queued_bytes = 0
         # Received bytes that are not parsed yet.
-        self._unparsed = memoryview(b"")
+        self._unparsed = _NOTHING
         self._read_ms = time.now_ms()
         self._parsing = False
         # Bytes beyond the body since the last message, by whole pieces.
@@ -249,7 +250,7 @@
         self._reset_message()
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
-        # The last request whose response is complete.
+        # The last request whose response is complete, while that is unsent.
         self._answered: Request | None = None
         # Why the server closed the connection, None while it has not.
         self._closed_for: UnansweredReason | None = None
@@ -368,6 +369,9 @@
         while self._unparsed and not self._is_full:
             self._feed_piece()
         self._parsing = False
+        if not self._unparsed:
+            # An empty view of what was received would keep it in memory.
+            self._unparsed = _NOTHING
         if self._is_full and self._transport is not None:
             # The caller can't be late while it is not read.
             self._transport.pause_reading()
@@ -404,7 +408,7 @@
             self._check_framing()
         except httptools.HttpParserUpgrade:
             # The request is answered as one without an upgrade.
-            self._unparsed = memoryview(b"")
+            self._unparsed = _NOTHING
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.CallError):
@@ -523,6 +527,7 @@
             received_ms=self._read_ms,
             keep_alive=keep_alive,
         )
+        self._reset_message()
         self._queued.append(request)
         self._queued_bytes += len(request.body)
         self._start_next()
@@ -601,7 +606,7 @@
             self._gate.unanswered(request, UnansweredReason.HANDLER_FAILED)
             self.abort()
             return
-        self._answered = request
+        self._answered = request if self._unsent_bytes else None
         if self.ends_after(request):
             self.close()
         else:
@@ -639,7 +644,7 @@
         self._start_timer(LINGER_MAX_MS, self.close)
 
     def _stop_reading(self) -> None:
-        self._unparsed = memoryview(b"")
+        self._unparsed = _NOTHING
         if self._transport is not None:
             self._transport.pause_reading()
 
@@ -659,6 +664,7 @@
         """Gives up a caller that has taken nothing since the last check."""
         self._write_timer = None
         if not self._unsent_bytes:
+            self._answered = None
             return
         if self._written_bytes - self._unsent_bytes == self._taken_bytes:
             self._give_up()
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import tracemalloc
 
 import msgspec
 import pytest
@@ -371,3 +372,30 @@
     assert statuses(answers) == [200, 200]
     assert answers.count(b"HELLO") == 1
     assert b"\r\n\r\nHTTP/1.1" in answers
+
+
+def test_idle_connection_keeps_nothing_of_its_last_request() -> None:
+    gate = conftest.FakeGate()
+    size = 200_000
+    gate.limits_in_force = msgspec.structs.replace(
+        gate.limits_in_force, body_bytes_max=size
+    )
+    head = b"POST /a HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+
+    async def answer(
+        _: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        responder.answer(200, [], b"done")
+
+    async def conversation(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bytes:
+        tracemalloc.start()
+        writer.write(head + b"x" * size)
+        await reader.readuntil(b"done")
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert kept_bytes < size / 4
+        return b""
+
+    conftest.run_conversation(conversation, answer, gate)
