Callers' connections: a stalled caller is reported once

The timers of a stalled response and of its close, when due at the same time, both reported the request: test_caller_that_never_reads_is_closed[True] failed once in a run of all tests of the server, and in 0 of 15 runs now.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -673,6 +673,8 @@
 
     def _give_up(self) -> None:
         """Aborts the connection of a caller that does not read."""
+        if self._closed_for is UnansweredReason.CALLER_STALLED:
+            return
         self._closed_for = UnansweredReason.CALLER_STALLED
         if self._serving is None and self._answered is not None:
             self._gate.unanswered(self._answered, self._closed_for)
