Bound the plain answers that an entry buffers at the same time

What callers saw: nothing before the entry died; then every request that it held was lost.

Cause: an answer may take 8 MiB before it is refused, and nothing bounded how many do: 40 requests at a replica whose bodies have no end took more than the 300 MB of an entry.

Change: plain answers of an entry may take 64 MiB together; beyond that, the largest is refused as too large. A body is kept in one buffer, which is dropped when its attempt ends.

Ruled out: refusing by content-length, which the answer to a HEAD request or a stream may have without such a body.

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -17,6 +17,9 @@
 PLAIN_BODY_BYTES_MAX = 8_388_608
 """Largest plain answer; it is buffered until it is complete."""
 
+BUFFERED_BYTES_MAX = 67_108_864
+"""Largest size of all plain answers that an entry buffers at the same time."""
+
 _SUCCESS = range(200, 300)
 _SERVER_ERROR_MIN = 500
 _IMPLY_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -91,6 +94,30 @@
     return Outcome(failure=errors.CallError(kind, detail, ran=ran))
 
 
+class AnswerBuffers:
+    """Buffers of the plain answers that are being received."""
+
+    def __init__(self) -> None:
+        """Starts without buffers."""
+        self._sizes: dict[Attempt, int] = {}
+        self._total_bytes = 0
+
+    def record(self, attempt: Attempt, size_bytes: int) -> None:
+        """Records the size of a buffer.
+
+        The attempt with the largest answer is refused if all of them together
+        are too large.
+        """
+        self._total_bytes += size_bytes - self._sizes.get(attempt, 0)
+        self._sizes[attempt] = size_bytes
+        if self._total_bytes > BUFFERED_BYTES_MAX:
+            max(self._sizes, key=self._sizes.__getitem__).refuse()
+
+    def release(self, attempt: Attempt) -> None:
+        """Forgets the buffer of an attempt that has ended."""
+        self._total_bytes -= self._sizes.pop(attempt, 0)
+
+
 class Attempt:
     """An attempt that buffers a plain answer, and the base of streams.
 
@@ -110,6 +137,7 @@
         call: wire.RequestInfo,
         observer: Observer,
         time: clock.Clock,
+        buffers: AnswerBuffers,
     ) -> None:
         """Creates an attempt whose request is about to be sent."""
         self._codec = codec
@@ -117,8 +145,8 @@
         self._observer = observer
         self._clock = time
         self._answer: wire.ReplicaAnswer | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._buffers = buffers
+        self._body = bytearray()
         self.finished: asyncio.Future[Outcome] = (
             asyncio.get_running_loop().create_future()
         )
@@ -150,17 +178,28 @@
     def on_body(self, data: bytes) -> None:
         """Buffers a part of the body, up to `PLAIN_BODY_BYTES_MAX`."""
         self.progress_ms = self._clock.now_ms()
-        self._body_bytes += len(data)
-        if self._body_bytes > PLAIN_BODY_BYTES_MAX:
-            self._finish(
-                _failure(
-                    errors.ErrorKind.ANSWER_INVALID,
-                    "the answer is too large",
-                    errors.Ran.YES,
-                )
-            )
+        if self.finished.done():
             return
-        self._body.append(data)
+        if len(self._body) + len(data) > PLAIN_BODY_BYTES_MAX:
+            self.refuse()
+            return
+        self._body += data
+        self._buffers.record(self, len(self._body))
+
+    def refuse(self) -> None:
+        """Finishes the attempt because its answer is too large."""
+        self._finish(
+            _failure(
+                errors.ErrorKind.ANSWER_INVALID,
+                "the answer is too large",
+                errors.Ran.YES,
+            )
+        )
+
+    def release(self) -> None:
+        """Drops what is buffered; nothing more is received."""
+        self._buffers.release(self)
+        self._body = bytearray()
 
     def on_complete(self) -> None:
         """Finishes the attempt with the outcome of a complete answer."""
@@ -168,7 +207,7 @@
         if answer is None:
             self.on_lost(http1_client.LossKind.MALFORMED)
             return
-        outcome = _outcome_of(answer, b"".join(self._body))
+        outcome = _outcome_of(answer, bytes(self._body))
         if outcome.failure is None:
             # A refusal or failure must not count as a fast first event.
             self._record_first()
@@ -195,6 +234,7 @@
     def _finish(self, outcome: Outcome) -> None:
         if not self.finished.done():
             self.finished.set_result(outcome)
+            self.release()
 
 
 def _outcome_of(answer: wire.ReplicaAnswer, body: bytes) -> Outcome:
@@ -322,10 +362,11 @@
         call: wire.RequestInfo,
         observer: Observer,
         time: clock.Clock,
+        buffers: AnswerBuffers,
         relay: StreamRelay,
     ) -> None:
         """Creates an attempt that continues the stream of `relay`."""
-        super().__init__(codec, call, observer, time)
+        super().__init__(codec, call, observer, time, buffers)
         self._relay = relay
         self._splitter = event_stream.EventSplitter()
         self._streams = False
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -198,6 +198,7 @@
         self._rules = rules
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
+        self._buffers = attempts.AnswerBuffers()
         self._probes = latency_probes.LatencyProbes(time)
 
     def tick(self) -> None:
@@ -353,6 +354,7 @@
             result = await self._wait(call, choice, attempt, observer, monitor)
             await self._check_end(call, choice, attempt, result, observer)
         finally:
+            attempt.release()
             call.backpressure.remove(connection)
         return result
 
@@ -476,9 +478,16 @@
     ) -> attempts.Attempt:
         if call.route.streaming:
             return attempts.StreamAttempt(
-                self._codec, call.info, observer, self._clock, call.relay
+                self._codec,
+                call.info,
+                observer,
+                self._clock,
+                self._buffers,
+                call.relay,
             )
-        return attempts.Attempt(self._codec, call.info, observer, self._clock)
+        return attempts.Attempt(
+            self._codec, call.info, observer, self._clock, self._buffers
+        )
 
     def _dispatch(
         self, call: call_module.Call, choice: upstream_choice.Choice
--- a/tests/direct/calls/test_endless_answers.py
+++ b/tests/direct/calls/test_endless_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import tracemalloc
+
 import pytest
 
 from marlramp.direct.calls import attempts
@@ -52,3 +55,25 @@
         assert peer.flooded_bytes <= allowed
 
     run_entry(use, flood, serve)
+
+
+def test_answers_that_are_buffered_at_once_are_bounded(
+    run_entry: conftest.RunEntry,
+) -> None:
+    """Guards against an entry that dies of the answers of one replica."""
+    # Together they are larger than the memory of an entry.
+    calls = 40
+
+    async def flood(peer: raw_http.Peer) -> None:
+        if await peer.read() is not None:
+            await peer.write(HEAD + b"id-1\r\n\r\n")
+            await peer.flood(PART)
+
+    async def use(entry: conftest.Entry) -> None:
+        tracemalloc.start()
+        await asyncio.gather(*(entry.call("/safe/x") for _ in range(calls)))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak_bytes <= attempts.BUFFERED_BYTES_MAX + UNREAD_BYTES_MAX
+
+    run_entry(use, flood)
