A deadline goes on for 5 ms at least, not 20

A probe of an address takes 30 ms, and each answer whose end only its connection marks waits for one. Sockets are read in each turn of the event loop, so that 5 ms are enough after a deadline that was noticed in time.

--- a/src/marlramp/shell/deadline.py
+++ b/src/marlramp/shell/deadline.py
@@ -12,7 +12,7 @@
 import contextlib
 from typing import Any
 
-SETTLE_S = 0.02
+SETTLE_S = 0.005
 """Least time after a deadline in which bytes that have arrived are handled."""
 
 
