--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -26,7 +26,6 @@
 """A piece takes 70 ms on the link of an agent's VM. At the origin it may queue
 behind the pieces for all other VMs."""
 
-
 MANIFEST_BYTES_MAX = 8_388_608
 """Largest manifest: `manifest.CHUNKS_MAX` digests of 64 digits take 4.4 MB."""
 
