Links: what is written to peers that do not read has a bound in all

Each link holds 2 MiB that are not sent yet, and nothing bounded their sum: 100 peers that ask and don't read fill 200 MB of an entry's 300. Beyond 32 MiB on all links the one that holds most is closed, so that sound ones are sent on.

--- a/src/marlramp/shell/member_connection.py
+++ b/src/marlramp/shell/member_connection.py
@@ -24,6 +24,10 @@
 BUFFER_BYTES_MAX = 2_097_152
 """Limit of unsent bytes on a link; messages beyond it are dropped."""
 
+UNSENT_BYTES_MAX = 33_554_432
+"""Limit of unsent bytes on all links of a process; beyond it the connection
+that holds most of them is closed."""
+
 PARTIAL_BYTES_MAX = 25_165_824
 """Limit of the bytes of unfinished frames on all links of a process; beyond it
 the connection that holds most of them is closed. An agent has 168 MB."""
@@ -72,29 +76,71 @@
             logs.log(event, reason=reason, **fields)
 
 
-class PartialFrames:
-    """Bounds the bytes of unfinished frames on all links of a process."""
+class BufferedBytes:
+    """Bounds the bytes that all links of a process hold for one purpose."""
+
+    def __init__(
+        self,
+        bytes_max: int,
+        reason: str,
+        measure: Callable[[Connection], int],
+    ) -> None:
+        """Starts without bytes.
 
-    def __init__(self) -> None:
-        """Starts without unfinished frames."""
+        Args:
+          bytes_max: the limit of all connections together.
+          reason: why a connection is closed beyond it.
+          measure: returns how many bytes a connection holds now.
+        """
+        self._measure = measure
+        self._bytes_max = bytes_max
+        self._reason = reason
         self._sizes: dict[Connection, int] = {}
         self._total = 0
 
-    def record(self, connection: Connection, size: int) -> None:
-        """Records how many bytes of an unfinished frame a connection holds.
+    def record(self, connection: Connection) -> None:
+        """Records how many bytes a connection holds now.
 
         If all connections hold too much, the one that holds most is closed.
-
-        Args:
-          connection: the connection.
-          size: the number of bytes, 0 if no frame is unfinished.
         """
+        self._update(connection)
+        if self._total <= self._bytes_max:
+            return
+        for each in list(self._sizes):
+            self._update(each)
+        while self._total > self._bytes_max:
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            largest.close(self._reason)
+
+    def _update(self, connection: Connection) -> None:
+        size = self._measure(connection)
         self._total += size - self._sizes.pop(connection, 0)
         if size:
             self._sizes[connection] = size
-        while self._total > PARTIAL_BYTES_MAX:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            largest.close("partial_frames_too_large")
+
+
+class LinkBounds:
+    """What the links of a process share.
+
+    Attributes:
+      partial: the bytes of unfinished frames.
+      unsent: the bytes that were written and not sent yet.
+      fault_log: logs the faults of all peers.
+    """
+
+    def __init__(self, totals: counters.Counters, time: clock.Clock) -> None:
+        """Starts without links."""
+        self.partial = BufferedBytes(
+            PARTIAL_BYTES_MAX,
+            "partial_frames_too_large",
+            lambda connection: connection.partial_bytes,
+        )
+        self.unsent = BufferedBytes(
+            UNSENT_BYTES_MAX,
+            "too_much_unsent",
+            lambda connection: connection.unsent_bytes,
+        )
+        self.fault_log = FaultLog(totals, time)
 
 
 class Connection(asyncio.Protocol):
@@ -111,8 +157,7 @@
         self,
         on_frame: Callable[[Connection, bytes], None],
         on_lost: Callable[[Connection], None],
-        partial_frames: PartialFrames,
-        fault_log: FaultLog,
+        bounds: LinkBounds,
         on_made: Callable[[Connection], None] = lambda _: None,
         name: str = "",
     ) -> None:
@@ -121,16 +166,14 @@
         Args:
           on_frame: called with each complete frame.
           on_lost: called when the connection is closed.
-          partial_frames: the unfinished frames of all links.
-          fault_log: logs the faults of all peers.
+          bounds: what all links of the process share.
           on_made: called when the connection is made.
           name: name of the peer if this end opens the link.
         """
         self._on_frame = on_frame
         self._on_lost = on_lost
         self._on_made = on_made
-        self._partial_frames = partial_frames
-        self._fault_log = fault_log
+        self._bounds = bounds
         self._buffer = bytearray()
         self._transport: asyncio.Transport | None = None
         self._deadline: asyncio.TimerHandle | None = None
@@ -144,10 +187,23 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
-        if transport.get_write_buffer_size() > BUFFER_BYTES_MAX:
+        if self.unsent_bytes > BUFFER_BYTES_MAX:
             return False
         transport.write(LENGTH_PREFIX.pack(len(data)) + data)
-        return True
+        self._bounds.unsent.record(self)
+        return not transport.is_closing()
+
+    @property
+    def partial_bytes(self) -> int:
+        """Number of received bytes of a frame that has begun."""
+        return len(self._buffer)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that are not sent yet."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -157,7 +213,7 @@
 
     def close(self, reason: str) -> None:
         """Closes the connection for a fault of the peer, and logs it."""
-        self._fault_log.record("link_closed", reason, name=self.name)
+        self._bounds.fault_log.record("link_closed", reason, name=self.name)
         self.abort()
 
     def record_usable(self, *, usable: bool) -> None:
@@ -203,7 +259,7 @@
 
     def _bound_partial(self, *, completed: bool) -> None:
         """Bounds the unfinished frame in the buffer in bytes and time."""
-        self._partial_frames.record(self, len(self._buffer))
+        self._bounds.partial.record(self)
         if not self.name:
             return
         if completed:
@@ -230,4 +286,5 @@
         """Drops what is kept for a connection that is closed."""
         self._clear_deadline()
         self._buffer.clear()
-        self._partial_frames.record(self, 0)
+        self._bounds.partial.record(self)
+        self._bounds.unsent.record(self)
--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -115,8 +115,7 @@
         self._outbound: dict[str, _OutboundLink] = {}
         self._unnamed: dict[member_connection.Connection, None] = {}
         self._accepted: dict[member_connection.Connection, None] = {}
-        self._partial_frames = member_connection.PartialFrames()
-        self._fault_log = member_connection.FaultLog(totals, time)
+        self._bounds = member_connection.LinkBounds(totals, time)
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -130,8 +129,7 @@
             lambda: member_connection.Connection(
                 self._on_inbound_frame,
                 self._forget_inbound,
-                self._partial_frames,
-                self._fault_log,
+                self._bounds,
                 self._on_inbound_made,
             ),
             host,
@@ -238,8 +236,7 @@
                     lambda: member_connection.Connection(
                         self._on_outbound_frame,
                         lambda _: None,
-                        self._partial_frames,
-                        self._fault_log,
+                        self._bounds,
                         name=name,
                     ),
                     outbound.host,
@@ -348,7 +345,9 @@
         except codec.DecodeError as error:
             reason = error.reason
             self._count("received", name, reason, data)
-            self._fault_log.record("message_dropped", reason, sender=name)
+            self._bounds.fault_log.record(
+                "message_dropped", reason, sender=name
+            )
             connection.record_usable(usable=False)
             return
         kind = type(message).__name__
--- a/tests/shell/test_member_links_bounds.py
+++ b/tests/shell/test_member_links_bounds.py
@@ -168,6 +168,36 @@
     asyncio.run(test())
 
 
+def test_sum_of_unsent_bytes_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(member_connection, "UNSENT_BYTES_MAX", 900_000, False)
+    message = fleet_messages.CatalogNews(
+        after=0, revision=1, changes=bytes(50_000)
+    )
+
+    async def test() -> None:
+        async with listening() as (links, received, connect):
+            for n in range(8):
+                await connect(framed(str(n).encode(), PING))
+            await wait_until(lambda: len(received) == 8)
+            for _ in range(400):
+                for n in range(8):
+                    links.send(str(n), message)
+                await asyncio.sleep(0)
+            unsent = [
+                each._transport.get_write_buffer_size()
+                for each in links._accepted
+                if each._transport is not None
+            ]
+            assert sum(unsent) <= 900_000
+            await connect(framed(b"sound", PING))
+            await wait_until(lambda: len(received) == 9)
+            assert links.send("sound", test_member_links.ping(1))
+
+    asyncio.run(test())
+
+
 def test_older_connections_of_a_member_are_closed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
