--- a/src/marlramp/shell/member_links.py
+++ b/src/marlramp/shell/member_links.py
@@ -23,7 +23,6 @@
 from marlramp.core.membership import members
 from marlramp.protocol import codec
 from marlramp.shell import member_connection
-from marlramp.shell import safely
 
 MessageT = TypeVar("MessageT")
 
@@ -115,8 +114,7 @@
         self._outbound: dict[str, _OutboundLink] = {}
         self._unnamed: dict[member_connection.Connection, None] = {}
         self._accepted: dict[member_connection.Connection, None] = {}
-        self._partial_frames = member_connection.PartialFrames()
-        self._fault_log = member_connection.FaultLog(totals, time)
+        self._bounds = member_connection.LinkBounds(totals, time)
         self._server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -130,8 +128,7 @@
             lambda: member_connection.Connection(
                 self._on_inbound_frame,
                 self._forget_inbound,
-                self._partial_frames,
-                self._fault_log,
+                self._bounds,
                 self._on_inbound_made,
             ),
             host,
@@ -238,8 +235,7 @@
                     lambda: member_connection.Connection(
                         self._on_outbound_frame,
                         lambda _: None,
-                        self._partial_frames,
-                        self._fault_log,
+                        self._bounds,
                         name=name,
                     ),
                     outbound.host,
@@ -348,15 +344,21 @@
         except codec.DecodeError as error:
             reason = error.reason
             self._count("received", name, reason, data)
-            self._fault_log.record("message_dropped", reason, sender=name)
+            self._bounds.fault_log.record(
+                "message_dropped", reason, sender=name
+            )
             connection.record_usable(usable=False)
             return
         kind = type(message).__name__
         self._count("received", name, kind, data)
-        handled = safely.run_safely(
-            lambda: self._on_message(name, message), kind, self._totals
-        )
-        connection.record_usable(usable=handled)
+        try:
+            self._on_message(name, message)
+        except Exception as error:
+            # A fault triggered by one message must not stop other work.
+            self._bounds.fault_log.record_exception(error, kind, name)
+            connection.record_usable(usable=False)
+            return
+        connection.record_usable(usable=True)
 
     def _count(self, direction: str, name: str, kind: str, data: bytes) -> None:
         """Counts a message and its bytes by direction, type and distance."""
