Connectors refuse messages over the protocol's limit

What callers saw: nothing; only listeners had a limit, so that an agent kept a message of any size from an entry or a neighbour.

Change: a connector closes the link on a message over 64 MiB and 64 KiB, the largest that the protocol knows.

The tests of an engine and an agent that are silent for 1.2 s (test_engine_that_is_silent_for_a_second_keeps_its_run, test_agent_that_is_silent_for_a_second_keeps_its_calls) come with it and pass.

--- a/src/marlramp/shell/links.py
+++ b/src/marlramp/shell/links.py
@@ -21,6 +21,7 @@
 import zmq.auth.asyncio
 
 from marlramp import counters
+from marlramp.protocol import messages
 
 if TYPE_CHECKING:
     from marlramp.settings import process
@@ -32,6 +33,10 @@
 receive queue is full, the sender's messages wait in its send queue.
 """
 
+CONNECTOR_BYTES_MAX = messages.MESSAGE_BYTES_MAX
+"""Largest message that a connector accepts; the link to a listener that sends a
+larger one is closed and opened again."""
+
 HEARTBEAT_INTERVAL_MS = 1_000
 HEARTBEAT_TIMEOUT_MS = 3_000
 RECONNECT_MIN_MS = 100
@@ -277,6 +282,7 @@
         """Connects in the background and reconnects automatically."""
         socket = links.context.socket(zmq.DEALER)
         _configure(socket)
+        socket.set(zmq.MAXMSGSIZE, CONNECTOR_BYTES_MAX)
         socket.set(zmq.ROUTING_ID, link_id.encode())
         socket.set(zmq.RECONNECT_IVL, RECONNECT_MIN_MS)
         socket.set(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
--- a/tests/agent/test_runs.py
+++ b/tests/agent/test_runs.py
@@ -28,18 +28,23 @@
 
 
 def play(
-    answer: list[bytes], *, stream: bool, tokens: int = 0, starts: int = 1
+    answer: list[bytes],
+    *,
+    stream: bool,
+    tokens: int = 0,
+    starts: int = 1,
+    silence_s: float = 0.2,
 ) -> run_services.Agent:
     """Runs some requests, whose engine writes the same bytes to each.
 
-    It waits before the last ones.
+    It is silent before the last ones.
     """
 
     async def engine(peer: raw_http.Peer) -> None:
         await peer.read()
         for data in answer[:-1]:
             await peer.write(data)
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(silence_s)
         await peer.write(answer[-1])
 
     async def main() -> run_services.Agent:
@@ -117,3 +122,22 @@
     assert ended.count("run-0") == 1
     kinds = [message.kind for message in agent.ended()]
     assert kinds.count(None) <= runs.SUBSCRIBERS_MAX
+
+
+SLOW_EVENTS = [HEAD, event(20), b"e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n"]
+
+
+@pytest.mark.parametrize(
+    ("answer", "stream"),
+    [
+        (SLOW_EVENTS, True),
+        ([b"".join(SLOW_EVENTS)], True),
+        ([b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n", b"ok"], False),
+        ([b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"], False),
+    ],
+)
+def test_engine_that_is_silent_for_a_second_keeps_its_run(
+    answer: list[bytes], stream: bool
+) -> None:
+    agent = play(answer, stream=stream, silence_s=1.2)
+    assert [ended.kind for ended in agent.ended()] == [None]
--- a/tests/failures/test_vm_failures.py
+++ b/tests/failures/test_vm_failures.py
@@ -66,3 +66,26 @@
         assert not any(r.mixed for r in results)
 
     bench(scenario)
+
+
+def test_agent_that_is_silent_for_a_second_keeps_its_calls(
+    bench: Callable[[conftest.Scenario], None],
+) -> None:
+    """No other replica could take them."""
+
+    async def scenario(b: conftest.Bench) -> None:
+        await b.start(replicas=1, plain=0, engine={"token_ms": 50})
+        calls = [asyncio.create_task(b.complete(tokens=60)) for _ in range(4)]
+        for _ in range(2):
+            await asyncio.sleep(0.4)
+            b.fleet.agents["vm-0"].send_signal(signal.SIGSTOP)
+            later = [b.complete(tokens=5) for _ in range(2)]
+            calls += [asyncio.create_task(call) for call in later]
+            await asyncio.sleep(1.2)
+            b.fleet.agents["vm-0"].send_signal(signal.SIGCONT)
+        results = await asyncio.gather(*calls)
+        assert [r.kind for r in results if not r.whole] == []
+        for reason in ("upstream_lost", "version_not_ready", "grant_void"):
+            assert not await b.counter("entry-0", "marlramp_retries", reason)
+
+    bench(scenario)
