A run that is cancelled before it begins frees its capacity

What callers saw: after an agent was silent, it had less capacity than before, down to none: 503 and calls that waited until their deadline. The agent handles the run and the cancel of a caller that left meanwhile in one step.

Cause: a task that is cancelled before its first step never runs, so the run stayed in progress in the ledger and its entry got no RunEnded.

Change: the end of the task is handled where it was cancelled that early; the run is reported as void, since its request was not sent.

Measured: test_run_that_is_cancelled_with_its_request_frees_its_capacity failed before (running_count 1 with no task), passes now.

--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -249,7 +249,25 @@
         self._outputs[number] = output
         task = asyncio.create_task(self._run(run, version, output))
         self._tasks[number] = task
-        task.add_done_callback(lambda _: self._tasks.pop(number, None))
+        task.add_done_callback(
+            lambda done: self._on_task_done(number, output, done)
+        )
+
+    def _on_task_done(
+        self,
+        number: ids.GrantNumber,
+        output: _Output,
+        task: asyncio.Task[None],
+    ) -> None:
+        self._tasks.pop(number, None)
+        if task.cancelled():
+            # `_run` handles a cancellation, unless it had not begun.
+            state = grants.RunState.VOID
+            self._ledger.finish(number, state, self._clock.now_ms())
+            kind = errors.ErrorKind.CANCELLED
+            failure = errors.CallError(kind, ran=errors.Ran.NO)
+            self._end(number, output, failure)
+            self._on_finished()
 
     async def _run(
         self, run: messages.Run, version: ids.VersionId, output: _Output
--- a/tests/agent/run_services.py
+++ b/tests/agent/run_services.py
@@ -54,6 +54,10 @@
     def send(self, entry_id: ids.VmId, message: messages.FromAgent) -> None:
         self.sent.append(message)
 
+    @property
+    def running_count(self) -> int:
+        return self._ledger.running_count
+
     def ended(self) -> list[messages.RunEnded]:
         return [m for m in self.sent if isinstance(m, messages.RunEnded)]
 
--- a/tests/agent/test_runs.py
+++ b/tests/agent/test_runs.py
@@ -141,3 +141,28 @@
 ) -> None:
     agent = play(answer, stream=stream, silence_s=1.2)
     assert [ended.kind for ended in agent.ended()] == [None]
+
+
+def test_run_that_is_cancelled_with_its_request_frees_its_capacity() -> None:
+    """Guards against a run that stays in progress for ever.
+
+    After a silence of the agent both messages are handled in one step.
+    """
+
+    async def main() -> run_services.Agent:
+        agent = run_services.Agent("127.0.0.1:9")
+        run = agent.start("run-0")
+        cancel = messages.Cancel(
+            request_id="cancel-0",
+            incarnation=run.incarnation,
+            number=run.number,
+            stop=True,
+        )
+        agent.runs.cancel(run_services.ENTRY, cancel)
+        await agent.settle()
+        assert agent.running_count == 0
+        return agent
+
+    agent = asyncio.run(main())
+    assert [e.kind for e in agent.ended()] == [errors.ErrorKind.CANCELLED]
+    assert agent.ended()[0].ran is errors.Ran.NO
