An unexpected error of one call costs no other call its parts

What callers saw: if the write to one caller failed unexpectedly, the calls whose parts came in the same batch lost them and waited for a timeout, and the call itself had no end. An error in the periodic check of one call kept the calls after it from their deadline.

Cause: one exception ended the handling of the whole batch, or tick.

Change: the dispatcher ends the one call with kind=internal, cancels its run and logs internal_error where=call.

Measured: test_caller_whose_write_fails_costs_no_other_call_its_parts failed before (RuntimeError out of handle_parts), passes now.

--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -16,6 +16,7 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
+from marlramp.core.grant_calls import assembly
 from marlramp.core.grant_calls import calls
 from marlramp.core.grant_calls import grant_pool
 from marlramp.core.grant_calls import queueing
@@ -227,18 +228,41 @@
             call = self._attempts.get(ids.RequestId(answer.request_id))
             if call is None:
                 continue
-            call.answering = True
-            call.progress_ms = now_ms
-            if call.first_part_ms is None:
-                self._record_first_part(call, now_ms)
             try:
-                for part in answer.parts:
-                    call.deliver(call.state.assembly.add(part))
+                self._handle_answer(call, answer.parts, now_ms)
             except errors.CallError as error:
                 self._attempt_failed(call, error)
-                continue
-            if call.state.assembly.complete:
-                self._succeed(call)
+            except Exception as error:
+                # The other calls of the batch must get their parts.
+                self._handle_internal_error(call, error)
+
+    def _handle_answer(
+        self,
+        call: call_module.Call,
+        parts: list[assembly.Part],
+        now_ms: clock.Millis,
+    ) -> None:
+        call.answering = True
+        call.progress_ms = now_ms
+        if call.first_part_ms is None:
+            self._record_first_part(call, now_ms)
+        for part in parts:
+            call.deliver(call.state.assembly.add(part))
+        if call.state.assembly.complete:
+            self._succeed(call)
+
+    def _handle_internal_error(
+        self, call: call_module.Call, error: Exception
+    ) -> None:
+        """Logs an unexpected exception, and ends its call and the run."""
+        reason = "call"
+        self._totals.add(counters.CounterName.INTERNAL_ERRORS, reason)
+        logs.log_exception("internal_error", error, where=reason)
+        if call.token is None:
+            self._send_cancel(call, self._queries.new_id(), stop=True)
+        self._release(call)
+        ran = errors.Ran.YES
+        self._fail(call, errors.CallError(errors.ErrorKind.INTERNAL, ran=ran))
 
     def handle_run_ended(self, message: messages.RunEnded) -> None:
         """Fails an attempt whose run ended before its answer was complete."""
@@ -289,7 +313,10 @@
                 )
             self.dispatch(service_id)
         for call in list(self._attempts.values()):
-            self._check_progress(call, now_ms)
+            try:
+                self._check_progress(call, now_ms)
+            except Exception as error:
+                self._handle_internal_error(call, error)
 
     def dispatch(self, service_id: ids.ServiceId) -> None:
         """Starts waiting calls of a service while grants are available."""
--- a/tests/entry/test_lost_run_detector.py
+++ b/tests/entry/test_lost_run_detector.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import msgspec
 import pytest
 
 from marlramp import clock
@@ -200,3 +201,29 @@
         assert (call.status, call.failure) == (201, None)
 
     run_scenario(scenario)
+
+
+def test_caller_whose_write_fails_costs_no_other_call_its_parts() -> None:
+    """The rest of a batch was dropped, and those calls waited for a timeout."""
+
+    async def scenario(entry: Entry) -> None:
+        spec = msgspec.structs.replace(
+            entry.call.spec, call_id=ids.RequestId("slot-5")
+        )
+        other = entry.dispatcher.submit(spec, TOKEN)
+
+        def fail(data: bytes) -> None:
+            raise RuntimeError(data)
+
+        entry.call.attach(fail)
+        part = assembly.Part(0, b"x", ids.VersionId(""), last=True)
+        answers = [
+            messages.AnswerParts(ids.RequestId(run.request_id), [part])
+            for run in entry.agent.runs()
+        ]
+        entry.dispatcher.handle_parts(messages.PartsBatch(answers=answers))
+        assert entry.call.failure is not None
+        assert entry.call.failure.kind is errors.ErrorKind.INTERNAL
+        assert await other.next_data() == b"x"
+
+    run_scenario(scenario)
