A whole request is answered before a malformed one closes its connection

What callers saw: bytes that are no request, behind a whole one on the same connection, got a 400 at once; the whole request was not answered. The 400 was a bare text without kind and `ran`.

Cause: uvicorn writes its own response and closes, whatever is under way.

Change: CallerProtocol refuses such bytes as it does a header that is too large: an earlier request is answered first, and the answer names invalid_request.

Measured: the second case of test_whole_request_before_a_bad_one_is_answered and test_malformed_request_gets_an_error_document failed before; both pass.

--- a/src/marlramp/entry/caller_protocol.py
+++ b/src/marlramp/entry/caller_protocol.py
@@ -160,6 +160,12 @@
         elif self._in_body and self._answered is self.cycle:
             self._set_read_timer(LINGER_MS)
 
+    def send_400_response(self, msg: str) -> None:
+        """Refuses what cannot be parsed."""
+        del msg
+        self._begun = True
+        self._refuse(errors.ErrorKind.INVALID_REQUEST)
+
     def _start_asgi_task(
         self,
         cycle: httptools_impl.RequestResponseCycle,
--- a/tests/entry/test_unanswered_calls.py
+++ b/tests/entry/test_unanswered_calls.py
@@ -403,13 +403,14 @@
     run_scenario(silence, scenario, limits)
 
 
-def test_whole_request_before_one_without_end_is_answered() -> None:
+@pytest.mark.parametrize("bad", [b"GET /" + b"a" * 300_000, b"?\r\n\r\n"])
+def test_whole_request_before_a_bad_one_is_answered(bad: bytes) -> None:
     def later(entry: Entry, run: messages.Run) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(0.6, entry.give, run, EVENT, DONE)
 
     async def scenario(entry: Entry, caller: Caller) -> None:
-        caller.writer.write(completion(stream=True) + b"GET /" + b"a" * 300_000)
+        caller.writer.write(completion(stream=True) + bad)
         answer = await caller.read(b"never")
         assert answer.endswith(DONE + b"\r\n0\r\n\r\n")
 
@@ -447,3 +448,13 @@
         assert entry.cancels() == 1
 
     run_scenario(flood, scenario)
+
+
+def test_malformed_request_gets_an_error_document() -> None:
+    async def scenario(entry: Entry, caller: Caller) -> None:
+        caller.writer.write(b"?\r\n\r\n")
+        answer = await caller.read(b"never")
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b"marlramp-error: invalid_request" in answer
+
+    run_scenario(silence, scenario)
