--- a/soak/promises.py
+++ b/soak/promises.py
@@ -190,6 +190,9 @@
       read: ids of requests that an entry read, of those that were cut.
       attempts: proxies of the replicas at which attempts failed according to
         the entry, in order, by request id, of those that were cut.
+      attempts_max: failed attempts after which a stream may end. It is 1 if
+        streams share a prompt part with requests that crash engines, since
+        they may then be suspected and run once.
       arrivals: requests that reached replicas.
       engines: names of the engines' proxies.
     """
@@ -199,6 +202,7 @@
     refused: Mapping[str, set[int]]
     read: frozenset[str]
     attempts: Mapping[str, list[str]]
+    attempts_max: int
     arrivals: list[Arrival]
     engines: list[str]
 
@@ -209,6 +213,7 @@
     refused={},
     read=frozenset(),
     attempts={},
+    attempts_max=2,
     arrivals=[],
     engines=[],
 )
@@ -463,7 +468,7 @@
         for arrival in network.arrivals
         if arrival.request_id == call.request_id and not arrival.misdirected
     }
-    return len(attempts) >= evidence.attempts_max and all(
+    return len(attempts) >= network.attempts_max and all(
         _is_over(call, evidence, name, OUTAGE_KNOWN_MS)
         for name in reached.union(attempts)
     )
--- a/soak/run.py
+++ b/soak/run.py
@@ -422,6 +422,9 @@
                 ]
                 for call in cut
             },
+            attempts_max=ATTEMPTS_MAX
+            if self._options.culprit is Culprit.NONE
+            else 1,
             arrivals=arrivals,
             engines=self._names[: self._size.engines],
         )
