--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -162,7 +162,8 @@
         except Exception as error:
             self._totals.add(counters.CounterName.INTERNAL_ERRORS, "forwarder")
             logs.log_exception("internal_error", error, request=request_id)
-            responder.abort()
+            internal = errors.CallError(errors.ErrorKind.INTERNAL)
+            self._fail(request_id, call, internal, responder)
         finally:
             self.active -= 1
 
@@ -400,7 +401,10 @@
         """Spends a retry, or returns why the request is not retried."""
         reason = retries.retry_reason(failure, idempotent=call.route.repeatable)
         if reason is None:
-            return retries.RetryDenial.UNSAFE
+            late = call.left_ms(self._clock.now_ms()) <= 0
+            return (
+                retries.RetryDenial.TIME if late else retries.RetryDenial.UNSAFE
+            )
         return self._retry_denial(call) or self._spend_retry(call) or reason
 
     def _retry_denial(
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -60,8 +60,10 @@
         """Returns the indexes of the staged pieces."""
         ...
 
-    async def read_staged(self, model: str, index: int) -> bytes:
-        """Returns a staged piece, not verified."""
+    async def read_staged(
+        self, model: str, index: int, bytes_max: int
+    ) -> bytes:
+        """Returns a staged piece, not verified; empty if it is too large."""
         ...
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
@@ -274,7 +276,9 @@
         self._staged = set()
         self._verified_ms = float("-inf")
         for index in await self._engine.staged(wanted.model):
-            data = await self._engine.read_staged(wanted.model, index)
+            data = await self._engine.read_staged(
+                wanted.model, index, chunk_set.manifest.chunk_bytes
+            )
             if 0 <= index < len(
                 chunk_set.manifest.chunks
             ) and chunk_set.matches(index, data):
@@ -391,12 +395,15 @@
         self._set_state(LoaderState.IDLE)
 
     async def _drain(self, drain_ms: float) -> None:
-        """Waits until no request runs or waits, for at most `drain_ms`."""
+        """Waits until no request runs or waits, for at most `drain_ms`.
+
+        An engine that does not answer may be silent and run requests.
+        """
         end_ms = self._clock.now_ms() + drain_ms
         await asyncio.sleep(CLOSE_NOTICE_MS / _MS)
         while self._clock.now_ms() < end_ms:
             report = await self._agent.read_report()
-            if report is None or report.running + report.waiting == 0:
+            if report is not None and report.running + report.waiting == 0:
                 return
             await asyncio.sleep(LOAD_POLL_MS / _MS)
 
@@ -410,7 +417,9 @@
 
         async def repair(index: int) -> None:
             async with limit:
-                data = await self._engine.read_staged(wanted.model, index)
+                data = await self._engine.read_staged(
+                    wanted.model, index, chunk_set.manifest.chunk_bytes
+                )
                 held = chunk_set.get(index)
                 if held is None or chunk_set.matches(index, data):
                     return
--- a/src/marlramp/entry/dispatcher.py
+++ b/src/marlramp/entry/dispatcher.py
@@ -25,6 +25,7 @@
 from marlramp.entry import admission as admission_module
 from marlramp.entry import agent_queries
 from marlramp.entry import agent_table
+from marlramp.entry import answers
 from marlramp.entry import call as call_module
 from marlramp.entry import crash_guard
 from marlramp.entry import lost_run_detector
@@ -36,6 +37,9 @@
 CANCEL_WAIT_MS = 60.0
 """Longest wait for an agent's report whether a cancelled request ran."""
 
+STATUSES = range(200, 600)
+"""Status codes that an answer may have; others are no final answer."""
+
 
 def _discard(value: float) -> None:
     """Discards a measurement; the default of `on_first_part`."""
@@ -180,7 +184,10 @@
     def handle_grants(
         self, vm_id: ids.VmId, message: messages.GrantsIssued
     ) -> None:
-        """Adds an agent's grants to the pool and starts waiting calls."""
+        """Adds a known agent's grants to the pool and starts waiting calls."""
+        info = self._table.get(vm_id)
+        if info is None:
+            return
         now_ms = self._clock.now_ms()
         self._table.grant_pool.add(
             vm_id,
@@ -191,17 +198,27 @@
             ],
             now_ms + message.ttl_ms,
         )
-        info = self._table.get(vm_id)
-        if info is not None:
-            self.dispatch(ids.ServiceId(info.report.service_id))
+        self.dispatch(ids.ServiceId(info.report.service_id))
 
     def handle_headers(self, message: messages.RunHeaders) -> None:
         """Records the HTTP status and the media type of an answer."""
         call = self._attempts.get(ids.RequestId(message.request_id))
-        if call is not None and call.status is None:
+        if call is None:
+            return
+        call.answering = True
+        call.progress_ms = self._clock.now_ms()
+        if message.status not in STATUSES:
+            self._send_cancel(call, self._queries.new_id(), stop=True)
+            self._attempt_failed(
+                call,
+                errors.CallError(
+                    errors.ErrorKind.UPSTREAM_FAILED,
+                    f"status {message.status}",
+                ),
+            )
+        elif call.status is None:
             call.status = message.status
-            call.content_type = message.content_type
-            call.progress_ms = self._clock.now_ms()
+            call.content_type = answers.header_value(message.content_type)
 
     def handle_parts(self, batch: messages.PartsBatch) -> None:
         """Delivers a batch of parts, which may belong to several answers."""
@@ -210,6 +227,7 @@
             call = self._attempts.get(ids.RequestId(answer.request_id))
             if call is None:
                 continue
+            call.answering = True
             call.progress_ms = now_ms
             if call.first_part_ms is None:
                 self._record_first_part(call, now_ms)
@@ -372,6 +390,10 @@
         call.progress_ms = now_ms
         call.queried_ms = now_ms
         call.first_part_ms = None
+        call.answering = False
+        if call.state.resume_from == 0:
+            call.status = None
+            call.content_type = ""
         call.state.attempts += 1
         self._attempts[call.attempt_id] = call
         info = self._table.get(grant.vm_id)
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -22,14 +22,50 @@
 
 from marlramp import clock
 from marlramp import errors
+from marlramp import logs
 from marlramp.core.configuration import fleet
+from marlramp.shell import closing
+from marlramp.shell import silence
 
 WRITE_BUFFER_MAX_BYTES = 262_144
 """Bytes buffered for a slow caller before reading its replica is paused."""
 
 PIPELINED_MAX = 16
-"""Pipelined requests that may be queued on one connection."""
+"""Requests queued on one connection from which it is not read. The requests of
+the piece that was parsed last are queued as well."""
 
+QUEUED_BYTES_MAX = 1_048_576
+"""Bytes of queued bodies from which a connection is not read."""
+
+PIECE_BYTES = 2_048
+"""Received bytes are parsed in pieces of this size, since the parser can't be
+stopped within one."""
+
+LINGER_BYTES_MAX = 8_388_608
+LINGER_MAX_MS = 1_000.0
+"""Bounds on what is read and dropped after a body was refused. A connection
+that is closed with unread bytes is reset, and its caller loses the refusal."""
+
+FINISH_MAX_MS = 100.0
+"""Time in which cancelled requests are answered at the end of the process."""
+
+FINISH_POLL_MS = 10.0
+
+IDLE_CHECK_MS = 1_000.0
+"""Interval at which the limit in force is applied to an idle connection."""
+
+WRITE_STALL_MAX_MS = 10_000.0
+"""A caller that takes no byte of its response for this long, which is longer
+than a stream may run, is not waited for."""
+
+CLOSE_FLUSH_MAX_MS = 10_000.0
+"""Time in which a caller has to take the rest before a connection closes."""
+
+UNACKNOWLEDGED_MAX_MS = 10_000
+"""Bytes that stay unacknowledged this long end the connection. Idle ones are
+not probed, which would cost more than it saves: the idle limit ends them."""
+
+_CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -86,14 +122,14 @@
 
     Attributes:
       CALLER_LEFT: the caller closed the connection.
+      CALLER_STALLED: the caller did not read its response.
       HANDLER_FAILED: the handler ended without a complete response.
-      QUEUE_FULL: too many pipelined requests were queued on the connection.
       CLOSED: the server closed the connection for another request.
     """
 
     CALLER_LEFT = "caller_left"
+    CALLER_STALLED = "caller_stalled"
     HANDLER_FAILED = "handler_failed"
-    QUEUE_FULL = "queue_full"
     CLOSED = "closed"
 
 
@@ -129,6 +165,7 @@
         self._connection = connection
         self._request = request
         self._chunked = False
+        self._bodyless = request.method == "HEAD"
         self.started = False
         self.ended = False
 
@@ -152,16 +189,16 @@
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
     def write(self, data: bytes) -> None:
-        """Writes a part of the body."""
-        if not data:
+        """Writes a part of the body, nothing in answer to HEAD."""
+        if not data or self._bodyless:
             return
         if self._chunked:
-            data = b"%x\r\n" % len(data) + data + _CHUNK_END
+            data = _CHUNK_HEAD % len(data) + data + _CHUNK_END
         self._connection.write(data)
 
     def end(self) -> None:
         """Completes the response."""
-        if self._chunked:
+        if self._chunked and not self._bodyless:
             self._connection.write(_LAST_CHUNK)
         self.ended = True
 
@@ -201,15 +238,36 @@
         self._connections = connections
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._reset_message()
         self._queued: collections.deque[Request] = collections.deque()
+        self._queued_bytes = 0
+        # Received bytes that are not parsed yet.
+        self._unparsed = memoryview(b"")
+        self._read_ms = time.now_ms()
+        self._parsing = False
+        # Bytes beyond the body since the last message, by whole pieces.
+        self._framing_bytes = 0
+        self._reset_message()
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
-        self._closed = False
+        # The last request whose response is complete.
+        self._answered: Request | None = None
+        # Why the server closed the connection, None while it has not.
+        self._closed_for: UnansweredReason | None = None
+        self._lost = False
         self._timer: asyncio.TimerHandle | None = None
+        self._idle_since_ms = time.now_ms()
+        self._write_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._writing_paused = False
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
-        self._rejected = False
+        # The error that is sent once earlier requests are answered.
+        self._refusal: errors.CallError | None = None
+        # Bytes that are still read and dropped after a refusal.
+        self._linger_left_bytes = 0
+        # Whether a request was read after which the caller sends no other.
+        self._complete = False
         self._reading_message = False
 
     @property
@@ -221,35 +279,60 @@
             and not self._reading_message
         )
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is read or handled, or a response unsent."""
+        return not self.idle or self._unsent_bytes > 0
+
     def ends_after(self, request: Request) -> bool:
         """Returns whether the connection closes after this response."""
         return (
-            not request.keep_alive or self._gate.closing or self._rejected
-        ) and not self._queued
+            (not request.keep_alive or self._gate.closing)
+            and not self._queued
+            and self._refusal is None
+        )
 
     def write(self, data: bytes) -> None:
         """Writes to the caller unless the connection is closing."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(data)
+        self._written_bytes += len(data)
+        if self._write_timer is None and self._unsent_bytes:
+            self._watch_writing()
 
     def abort(self) -> None:
         """Aborts the connection, discarding unsent data."""
-        self._closed = True
+        self._closed_for = self._closed_for or UnansweredReason.CLOSED
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
         """Closes the connection after flushing written data."""
-        self._closed = True
-        if self._transport is not None:
-            self._transport.close()
+        if self._closed_for is not None or self._transport is None:
+            return
+        self._closed_for = UnansweredReason.CLOSED
+        self._cancel_timer()
+        self._transport.close()
+        if self._unsent_bytes:
+            self._start_timer(CLOSE_FLUSH_MAX_MS, self._give_up)
+
+    def cancel(self) -> None:
+        """Cancels the handler; its request is answered if it has no answer."""
+        if self._task is not None:
+            self._task.cancel()
 
     def set_pressure(
         self, pause: Callable[[], None], resume: Callable[[], None]
     ) -> None:
-        """Registers callbacks for a caller that reads too slowly."""
+        """Registers callbacks for a caller that reads too slowly.
+
+        `pause` is called at once if the caller is too slow already.
+        """
         self._pause = pause
         self._resume = resume
+        if self._writing_paused:
+            pause()
 
     # asyncio.Protocol
 
@@ -259,19 +342,69 @@
             raise TypeError("expected a stream transport")
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_MAX_BYTES)
+        silence.bound_unacknowledged(transport, UNACKNOWLEDGED_MAX_MS)
         self._connections.add(self)
-        self._start_timer(
-            self._gate.limits().idle_timeout_ms, self._on_idle_timeout
-        )
+        self._wait_idle()
 
     def data_received(self, data: bytes) -> None:
-        """Parses received data."""
-        if self._rejected:
+        """Parses received data while the queue has space."""
+        if self._linger_left_bytes > 0:
+            self._linger_left_bytes -= len(data)
+            if self._linger_left_bytes <= 0:
+                self.close()
+            return
+        if self._refusal is not None or self._closed_for is not None:
+            return
+        if self._complete:
+            self._stop_reading()
+            return
+        self._read_ms = self._clock.now_ms()
+        self._unparsed = memoryview(data)
+        self._parse()
+
+    def _parse(self) -> None:
+        """Parses what was received, piece by piece, until the queue is full."""
+        self._parsing = True
+        while self._unparsed and not self._is_full:
+            self._feed_piece()
+        self._parsing = False
+        if self._is_full and self._transport is not None:
+            # The caller can't be late while it is not read.
+            self._transport.pause_reading()
+            self._cancel_timer()
+
+    @property
+    def _is_full(self) -> bool:
+        return (
+            len(self._queued) >= PIPELINED_MAX
+            or self._queued_bytes >= QUEUED_BYTES_MAX
+        )
+
+    def _read_on(self) -> None:
+        """Goes on reading after the queue was full."""
+        if self._transport is None or self._complete:
+            return
+        if self._refusal is not None:
+            return
+        if self._transport.is_reading() or self._parsing or self._is_full:
             return
+        self._parse()
+        if self._is_full or self._refusal is not None or self._complete:
+            return
+        self._transport.resume_reading()
+        if self._reading_message:
+            self._start_header_timer()
+
+    def _feed_piece(self) -> None:
+        piece = self._unparsed[:PIECE_BYTES]
+        self._unparsed = self._unparsed[PIECE_BYTES:]
+        self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
+            self._check_framing()
         except httptools.HttpParserUpgrade:
-            self._reject(errors.CallError(errors.ErrorKind.INVALID_REQUEST))
+            # The request is answered as one without an upgrade.
+            self._unparsed = memoryview(b"")
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
             if isinstance(cause, errors.CallError):
@@ -279,9 +412,14 @@
             else:
                 self._reject(errors.CallError(errors.ErrorKind.INTERNAL))
         except httptools.HttpParserError as error:
+            if self._complete:
+                self._stop_reading()
+                return
             self._reject(
                 errors.CallError(errors.ErrorKind.INVALID_REQUEST, str(error))
             )
+        except errors.CallError as error:
+            self._reject(error)
 
     def eof_received(self) -> bool:
         """Closes the connection: a half-close means that the caller left."""
@@ -290,10 +428,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the handler of a caller that disconnected."""
         self._connections.discard(self)
+        self._lost = True
+        # Requests that were received whole are reported, too.
+        while self._unparsed:
+            self._feed_piece()
         self._cancel_timer()
-        reason = UnansweredReason.CALLER_LEFT
-        if self._closed:
-            reason = UnansweredReason.CLOSED
+        if self._write_timer is not None:
+            self._write_timer.cancel()
+        reason = self._closed_for or UnansweredReason.CALLER_LEFT
         if self._serving is not None:
             self._gate.unanswered(self._serving, reason)
         for request in self._queued:
@@ -304,11 +446,13 @@
 
     def pause_writing(self) -> None:
         """Pauses the source of the response."""
+        self._writing_paused = True
         if self._pause is not None:
             self._pause()
 
     def resume_writing(self) -> None:
         """Resumes the source of the response."""
+        self._writing_paused = False
         if self._resume is not None:
             self._resume()
 
@@ -318,9 +462,7 @@
         """Starts the timeout for reading the head."""
         self._reset_message()
         self._reading_message = True
-        self._start_timer(
-            self._gate.limits().header_timeout_ms, self._on_header_timeout
-        )
+        self._start_header_timer()
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -328,52 +470,90 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collects a header."""
-        self._headers.append((name.lower(), value))
+        """Collects a header; trailers are dropped."""
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
         self._add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Checks the announced body size before the body is read."""
+        self._in_body = True
         limit = self._gate.limits().body_bytes_max
         for name, value in self._headers:
             if name == b"content-length" and int(value) > limit:
                 raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
             if name == b"expect" and value.lower() == b"100-continue":
-                self.write(_CONTINUE)
+                self._wants_continue = True
+        if self._task is None:
+            self._send_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body."""
         self._body_bytes += len(body)
+        self._framing_bytes -= len(body)
         if self._body_bytes > self._gate.limits().body_bytes_max:
             raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
-        self._body.append(body)
+        self._body += body
+
+    def on_chunk_header(self) -> None:
+        """Starts to measure a chunk."""
+        self._chunk_start_bytes = self._body_bytes
+
+    def on_chunk_complete(self) -> None:
+        """Leaves out the shortest framing that the chunk could have."""
+        size = self._body_bytes - self._chunk_start_bytes
+        self._framing_bytes -= len(_CHUNK_HEAD % size) + len(_CHUNK_END)
 
     def on_message_complete(self) -> None:
         """Queues the request behind earlier ones on the connection."""
+        self._framing_bytes = 0
         self._cancel_timer()
         self._reading_message = False
+        keep_alive = (
+            self._parser.should_keep_alive()
+            and not self._parser.should_upgrade()
+        )
+        self._complete = not keep_alive
         request = Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             first_byte_ms=self._first_byte_ms,
-            received_ms=self._clock.now_ms(),
-            keep_alive=self._parser.should_keep_alive(),
+            received_ms=self._read_ms,
+            keep_alive=keep_alive,
         )
-        if len(self._queued) >= PIPELINED_MAX:
-            self._gate.unanswered(request, UnansweredReason.QUEUE_FULL)
-            raise errors.CallError(errors.ErrorKind.QUEUE_FULL)
         self._queued.append(request)
+        self._queued_bytes += len(request.body)
         self._start_next()
 
+    def _send_continue(self) -> None:
+        """Asks for the body that the caller holds back, if it does."""
+        if self._wants_continue:
+            self._wants_continue = False
+            self._start_header_timer()
+            self.write(_CONTINUE)
+
     def _reset_message(self) -> None:
-        self._first_byte_ms = self._clock.now_ms()
+        self._first_byte_ms = self._read_ms
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
+        self._chunk_start_bytes = 0
+        self._in_body = False
+        self._wants_continue = False
+
+    def _check_framing(self) -> None:
+        """Refuses a message whose bytes beyond its body exceed the limit.
+
+        The parser passes on a header only when it is complete, and chunk
+        extensions and blank lines not at all.
+        """
+        limit = self._gate.limits().header_bytes_max + PIECE_BYTES
+        if self._framing_bytes > limit:
+            raise errors.CallError(errors.ErrorKind.HEADER_TOO_LARGE)
 
     def _add_head_bytes(self, size: int) -> None:
         self._head_bytes += size
@@ -381,16 +561,19 @@
             raise errors.CallError(errors.ErrorKind.HEADER_TOO_LARGE)
 
     def _start_next(self) -> None:
-        if self._task is not None:
+        if self._task is not None or self._lost:
             return
         if not self._queued:
-            if self._rejected:
+            if self._refusal is not None:
+                self._refuse(self._refusal)
                 return
-            self._start_timer(
-                self._gate.limits().idle_timeout_ms, self._on_idle_timeout
-            )
+            if self._reading_message:
+                self._send_continue()
+                return
+            self._wait_idle()
             return
         request = self._queued.popleft()
+        self._queued_bytes -= len(request.body)
         self._serving = request
         self._task = asyncio.get_running_loop().create_task(
             self._serve(request)
@@ -401,34 +584,99 @@
         try:
             await self._handler(request, responder)
         except asyncio.CancelledError:
-            return
+            if not self._lost:
+                logs.log("handler_cancelled", where="caller_server")
+        except Exception as error:
+            logs.log_exception("internal_error", error, where="caller_server")
         finally:
             self._task = None
             self._serving = None
             self._pause = self._resume = None
+        if self._lost:
+            return
+        if not responder.started and self._closed_for is None:
+            answer = errors.ANSWERS[errors.ErrorKind.INTERNAL]
+            responder.answer(answer.status, [], b"")
         if not responder.ended:
             self._gate.unanswered(request, UnansweredReason.HANDLER_FAILED)
             self.abort()
-        elif self.ends_after(request):
+            return
+        self._answered = request
+        if self.ends_after(request):
             self.close()
         else:
             self._start_next()
+            self._read_on()
 
     def _reject(self, error: errors.CallError) -> None:
-        """Responds to an unacceptable request with an error, then closes."""
-        self._rejected = True
+        """Stops reading; refuses the request once earlier ones are answered."""
+        if self._lost or self._refusal is not None:
+            return
+        self._refusal = error
+        self._reading_message = False
         self._cancel_timer()
-        if self._transport is not None:
-            self._transport.pause_reading()
+        self._stop_reading()
         self._gate.refused(error)
-        if self._task is not None:
-            # The response in progress closes the connection when it ends.
-            return
+        self._start_next()
+
+    def _refuse(self, error: errors.CallError) -> None:
         self.write(
             b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
             % (error.status, REASONS.get(error.status, b"Error"))
         )
-        self.close()
+        if error.kind is errors.ErrorKind.BODY_TOO_LARGE:
+            self._linger()
+        else:
+            self.close()
+
+    def _linger(self) -> None:
+        """Reads what a caller still sends before it reads its refusal."""
+        if self._transport is None or self._closed_for is not None:
+            return
+        self._linger_left_bytes = LINGER_BYTES_MAX
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._start_timer(LINGER_MAX_MS, self.close)
+
+    def _stop_reading(self) -> None:
+        self._unparsed = memoryview(b"")
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    @property
+    def _unsent_bytes(self) -> int:
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def _watch_writing(self) -> None:
+        self._taken_bytes = self._written_bytes - self._unsent_bytes
+        self._write_timer = asyncio.get_running_loop().call_later(
+            WRITE_STALL_MAX_MS / clock.MILLIS_PER_SECOND, self._check_writing
+        )
+
+    def _check_writing(self) -> None:
+        """Gives up a caller that has taken nothing since the last check."""
+        self._write_timer = None
+        if not self._unsent_bytes:
+            return
+        if self._written_bytes - self._unsent_bytes == self._taken_bytes:
+            self._give_up()
+        else:
+            self._watch_writing()
+
+    def _give_up(self) -> None:
+        """Aborts the connection of a caller that does not read."""
+        self._closed_for = UnansweredReason.CALLER_STALLED
+        if self._serving is None and self._answered is not None:
+            self._gate.unanswered(self._answered, self._closed_for)
+        if self._transport is not None:
+            closing.abort(self._transport)
+
+    def _start_header_timer(self) -> None:
+        self._start_timer(
+            self._gate.limits().header_timeout_ms, self._on_header_timeout
+        )
 
     def _start_timer(
         self, wait_ms: float, callback: Callable[[], None]
@@ -443,9 +691,20 @@
             self._timer.cancel()
             self._timer = None
 
-    def _on_idle_timeout(self) -> None:
-        if self.idle:
+    def _wait_idle(self) -> None:
+        self._idle_since_ms = self._clock.now_ms()
+        self._check_idle()
+
+    def _check_idle(self) -> None:
+        """Closes a connection that is idle for longer than the limit."""
+        if not self.idle:
+            return
+        idle_ms = self._clock.now_ms() - self._idle_since_ms
+        left_ms = self._gate.limits().idle_timeout_ms - idle_ms
+        if left_ms <= 0:
             self.close()
+            return
+        self._start_timer(min(left_ms, IDLE_CHECK_MS), self._check_idle)
 
     def _on_header_timeout(self) -> None:
         if self._reading_message:
@@ -487,8 +746,8 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections that are reading or handling a request."""
-        return sum(not connection.idle for connection in self._connections)
+        """Number of connections with a request or an unsent response."""
+        return sum(connection.busy for connection in self._connections)
 
     def close_idle(self) -> None:
         """Closes connections without a request."""
@@ -501,3 +760,25 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+
+    async def finish(self) -> None:
+        """Ends all connections before the process ends.
+
+        Requests that are handled are cancelled and answered with an error, or
+        reported if their answer has begun. Those behind them are handled until
+        FINISH_MAX_MS have passed, and reported after that.
+        """
+        self.stop_listening()
+        for connection in list(self._connections):
+            connection.cancel()
+        end_ms = self._clock.now_ms() + FINISH_MAX_MS
+        while True:
+            # Also handles what was accepted or read just before.
+            await asyncio.sleep(FINISH_POLL_MS / clock.MILLIS_PER_SECOND)
+            self.close_idle()
+            if not self.busy or self._clock.now_ms() >= end_ms:
+                break
+        for connection in list(self._connections):
+            connection.abort()
+        # Lets the transports report that they are closed.
+        await asyncio.sleep(0)
