Callers that leave are noticed while their bytes are not read

A half-close with a request left aborts, and up to 64 KiB behind the last request are read and dropped.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -41,6 +41,9 @@
 """Received bytes are parsed in pieces of this size, since the parser can't be
 stopped within one."""
 
+IGNORED_BYTES_MAX = 65_536
+"""Bytes after the last request of a connection that are read and dropped."""
+
 LINGER_BYTES_MAX = 8_388_608
 LINGER_MAX_MS = 1_000.0
 """Bounds on what is read and dropped after a body was refused. A connection
@@ -267,6 +270,7 @@
         self._refusal: errors.CallError | None = None
         # Bytes that are still read and dropped after a refusal.
         self._linger_left_bytes = 0
+        self._ignored_bytes = 0
         # Whether a request was read after which the caller sends no other.
         self._complete = False
         self._reading_message = False
@@ -354,10 +358,10 @@
             if self._linger_left_bytes <= 0:
                 self.close()
             return
-        if self._refusal is not None or self._closed_for is not None:
+        if self._closed_for is not None:
             return
-        if self._complete:
-            self._stop_reading()
+        if self._refusal is not None or self._complete:
+            self._ignore(len(data))
             return
         self._read_ms = self._clock.now_ms()
         self._unparsed = memoryview(data)
@@ -426,7 +430,15 @@
             self._reject(error)
 
     def eof_received(self) -> bool:
-        """Closes the connection: a half-close means that the caller left."""
+        """Closes the connection: a half-close means that the caller left.
+
+        It is aborted if a request is left, whose handler would otherwise run
+        until the caller has read what was written before.
+        """
+        left = self._serving is not None or bool(self._queued)
+        if left and self._transport is not None:
+            self._closed_for = self._closed_for or UnansweredReason.CALLER_LEFT
+            self._transport.abort()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -644,8 +656,14 @@
         self._start_timer(LINGER_MAX_MS, self.close)
 
     def _stop_reading(self) -> None:
+        """Ignores what was received, and what is received from now on."""
+        self._ignore(len(self._unparsed))
         self._unparsed = _NOTHING
-        if self._transport is not None:
+
+    def _ignore(self, size: int) -> None:
+        """Drops bytes: only by reading is it noticed that a caller leaves."""
+        self._ignored_bytes += size
+        if self._ignored_bytes > IGNORED_BYTES_MAX and self._transport:
             self._transport.pause_reading()
 
     @property
