A body that does not arrive is named in the 408

What callers saw: 408 with the text that the header took too long. Change: the text names the body. test_request_that_does_not_arrive_closes_the_connection covers the path and passes.

--- a/src/marlramp/entry/caller_protocol.py
+++ b/src/marlramp/entry/caller_protocol.py
@@ -225,7 +225,8 @@
             # Reading may be paused until that one is answered.
             self._set_read_timer(self.limits.body_timeout_ms)
             return
-        self._refuse(errors.ErrorKind.HEADER_TIMEOUT)
+        detail = "The request body took too long." if self._in_body else ""
+        self._refuse(errors.ErrorKind.HEADER_TIMEOUT, detail)
 
     def _answers_an_earlier_request(self) -> bool:
         """Returns whether another request than the arriving one is answered."""
@@ -234,7 +235,7 @@
             return False
         return not self._in_body or answered is not self.cycle
 
-    def _refuse(self, kind: errors.ErrorKind) -> None:
+    def _refuse(self, kind: errors.ErrorKind, detail: str = "") -> None:
         """Reads no more and closes the connection.
 
         An earlier request is answered first. The request that arrives gets an
@@ -255,7 +256,7 @@
             cycle.disconnected = not cycle.response_complete
             cycle.message_event.set()
         if self._begun and not started:
-            self.transport.write(_refusal(kind))
+            self.transport.write(_refusal(kind, detail))
         self.transport.close()
         self._abort_after(LINGER_MS)
 
@@ -272,9 +273,9 @@
     return Bound
 
 
-def _refusal(kind: errors.ErrorKind) -> bytes:
+def _refusal(kind: errors.ErrorKind, detail: str) -> bytes:
     """Returns a whole HTTP answer that closes the connection."""
-    failure = errors.CallError(kind)
+    failure = errors.CallError(kind, detail)
     response = answers.error_response(answers.error_body(failure, "-"))
     lines = [b"%s: %s\r\n" % header for header in response.raw_headers]
     status = httptools_impl.STATUS_LINE[response.status_code]
