A replica that was overtaken counts as one that ran

It is counted as it ends.

test_replica_that_was_overtaken_counts_as_one_that_ran failed before and passes.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -260,6 +260,7 @@
                 result = ended.task.result()
                 if result.overtaken:
                     self._count_silence(ended, "taken_over")
+                    self._count_run(call, ended)
                     continue
                 if result.outcome.failure is None:
                     self._count_silence(ended, "resumed")
@@ -385,14 +386,12 @@
         call: call_module.Call,
         attempt: running_attempts.RunningAttempt,
     ) -> None:
-        """Counts a silent replica, once, as one that may run the request."""
-        if attempt.counted:
+        """Counts and logs a silent replica once."""
+        if attempt.silence_reported:
             return
-        attempt.counted = True
+        attempt.silence_reported = True
         replica_id = attempt.choice.view.replica.replica_id
-        call.failed.add(replica_id)
-        call.runs += 1
-        call.maybe_ran = True
+        self._count_run(call, attempt)
         self._totals.add(counters.CounterName.SILENCES, "began")
         logs.log(
             "replica_silent",
@@ -402,11 +401,23 @@
             left_ms=round(call.left_ms(self._clock.now_ms())),
         )
 
+    def _count_run(
+        self,
+        call: call_module.Call,
+        attempt: running_attempts.RunningAttempt,
+    ) -> None:
+        """Counts a replica, once, as one that may have run the request."""
+        call.failed.add(attempt.choice.view.replica.replica_id)
+        call.maybe_ran = True
+        if not attempt.counted:
+            attempt.counted = True
+            call.runs += 1
+
     def _count_silence(
         self, attempt: running_attempts.RunningAttempt, end: str
     ) -> None:
         """Counts how the attempt at a replica that was silent has ended."""
-        if attempt.counted:
+        if attempt.silence_reported:
             self._totals.add(counters.CounterName.SILENCES, end)
 
     def _try_retry(
@@ -464,9 +475,7 @@
         call.failed.add(choice.view.replica.replica_id)
         self._count_silence(attempt, "lost")
         if failure.ran is not errors.Ran.NO:
-            if not attempt.counted:
-                call.runs += 1
-            call.maybe_ran = True
+            self._count_run(call, attempt)
         elif choice.view.availability.is_paused(self._clock.now_ms()):
             call.pauses += 1
         logs.log(
--- a/src/marlramp/direct/calls/running_attempts.py
+++ b/src/marlramp/direct/calls/running_attempts.py
@@ -28,6 +28,7 @@
     Attributes:
       choice: the replica.
       counted: whether the call counts the replica as one that may have run it.
+      silence_reported: whether its silence was logged and counted.
       task: sends the request and returns the result.
     """
 
@@ -42,6 +43,7 @@
         """
         self.choice = choice
         self.counted = False
+        self.silence_reported = False
         self.task: asyncio.Task[sender.SendResult]
         self._on_silence = on_silence
         self._attempt: attempts.Attempt | None = None
--- a/tests/direct/calls/test_attempt_races.py
+++ b/tests/direct/calls/test_attempt_races.py
@@ -256,3 +256,22 @@
             assert await probing is address_probe.Presence.THERE
 
     asyncio.run(main())
+
+
+def test_replica_that_was_overtaken_counts_as_one_that_ran(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a third replica after a silence that comes twice."""
+    late, third = SilentReplica(0, 3.0), SilentReplica()
+
+    async def use(entry: conftest.Entry) -> None:
+        await assert_whole(entry)
+        assert len(late.seen) == 1
+        assert not third.seen
+
+    first = silent_replicas.writes(
+        (silent_replicas.OPEN_HEAD + events(1, 2), 1.1),
+        (events(3, 4), 1.1),
+        (events(5, 6), 0.01),
+    )
+    run_entry(use, first, late.serve, third.serve)
