--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -70,7 +70,9 @@
           entries: largest number of entries known recently, this one included.
           now_ms: the time.
         """
-        return len(self._retries) + 1 <= self.allowed(entries, now_ms)
+        # Also drops expired retries, which must not be counted.
+        allowed = self.allowed(entries, now_ms)
+        return len(self._retries) + 1 <= allowed
 
     def refund(self) -> None:
         """Takes back the last retry, which was not sent."""
