Replicas: a late report still tells the version that an engine holds

Callers were refused for want of a replica with the version that they need while one served: beyond 1.5 s the report of a silent agent no longer counted, and the version in the list, which may lag, was taken instead.

A report is now late for 2.5 s after it was fresh for 1.5 s: its version counts unless a newer one is listed or seen, or the engine has denied it since (421). Model and code change together: the model's step report_ages is two, report_ages and report_expires; a late report of an earlier start counts for nothing, as before.

--- a/models/replica_restart.py
+++ b/models/replica_restart.py
@@ -47,6 +47,8 @@
       read: the record as last read by the entry.
       latest_report: report in use at the entry, None if there is none or it is
         too old.
+      is_late: whether that report is too old to override a newer version in
+        the list.
       known: newest start known to the entry.
       assumed_weights: weights that the entry assumes to be loaded.
     """
@@ -56,6 +58,7 @@
     listed: ReplicaReport = ReplicaReport()
     read: ReplicaReport = ReplicaReport()
     latest_report: ReplicaReport | None = None
+    is_late: bool = False
     known: int = 1
     assumed_weights: int = 0
 
@@ -73,13 +76,22 @@
     latest_report = state.latest_report
     if latest_report is not None and latest_report.born < state.known:
         latest_report = None
+    is_late = state.is_late and latest_report is not None
     assumed_weights = state.read.weights
     if rules.forgets_earlier_start and state.read.born < state.known:
         assumed_weights = 0
     if latest_report is not None:
-        assumed_weights = latest_report.weights
+        reported_weights = latest_report.weights
+        assumed_weights = (
+            max(assumed_weights, reported_weights)
+            if is_late
+            else reported_weights
+        )
     return dataclasses.replace(
-        state, latest_report=latest_report, assumed_weights=assumed_weights
+        state,
+        latest_report=latest_report,
+        is_late=is_late,
+        assumed_weights=assumed_weights,
     )
 
 
@@ -89,7 +101,7 @@
     if rules.compares_starts and reported.born < state.known:
         return state
     updated = dataclasses.replace(
-        state, latest_report=reported, known=reported.born
+        state, latest_report=reported, is_late=False, known=reported.born
     )
     return _derive_weights(updated, rules)
 
@@ -127,7 +139,14 @@
             *[_receive_action(reported, rules) for reported in reports],
             state_space.Action(
                 "report_ages",
-                lambda s: s.latest_report is not None,
+                lambda s: s.latest_report is not None and not s.is_late,
+                lambda s: _derive_weights(
+                    dataclasses.replace(s, is_late=True), rules
+                ),
+            ),
+            state_space.Action(
+                "report_expires",
+                lambda s: s.is_late,
                 lambda s: _derive_weights(
                     dataclasses.replace(s, latest_report=None), rules
                 ),
@@ -191,6 +210,10 @@
             self._table.handle_report(_report(reported), self._time.now_ms())
         elif action == "report_ages":
             self._time.advance(replica_view.REPORT_FRESH_MS)
+        elif action == "report_expires":
+            self._time.advance(
+                replica_view.WEIGHTS_KNOWN_MS - replica_view.REPORT_FRESH_MS
+            )
         elif action == "read_list":
             self._list(self.state.listed)
         else:
@@ -201,8 +224,9 @@
         """Returns the model state that corresponds to the real objects."""
         view = self._view
         now_ms = self._time.now_ms()
-        fresh = now_ms - view.reported_ms < replica_view.REPORT_FRESH_MS
-        latest_report = view.report if fresh else None
+        age_ms = now_ms - view.reported_ms
+        valid = age_ms < replica_view.WEIGHTS_KNOWN_MS
+        latest_report = view.report if valid else None
         return dataclasses.replace(
             self.state,
             read=ReplicaReport(
@@ -213,6 +237,8 @@
             else ReplicaReport(
                 latest_report.born_ms or 0, latest_report.weights
             ),
+            is_late=latest_report is not None
+            and age_ms >= replica_view.REPORT_FRESH_MS,
             known=view.born_ms or 0,
             assumed_weights=view.weights(now_ms),
         )
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -29,6 +29,11 @@
 """Age up to which an agent's report is valid. Agents report at least every
 500 ms."""
 
+WEIGHTS_KNOWN_MS = 4_000.0
+"""Age up to which the version in an agent's report is valid. An engine doesn't
+return to an older version while it runs, but the list of replicas may lag, and
+an agent may be silent for more than a second."""
+
 FAILURES_MAX = 3
 """Number of consecutive failures that open a replica's circuit breaker."""
 
@@ -124,13 +129,15 @@
 class ReplicaView(msgspec.Struct):
     """What this entry knows about one replica.
 
-    The attributes `reported_ms`, `load_ms`, `seen_ms`, `answered_ms` and
-    `heard_ms` are clock readings.
+    The attributes `reported_ms`, `misdirected_ms`, `load_ms`, `seen_ms`,
+    `answered_ms` and `heard_ms` are clock readings.
 
     Attributes:
       replica: the replica's record in the platform's list.
       report: the last report of the agent beside the replica.
       reported_ms: when the last report arrived.
+      misdirected_ms: when the replica last answered that it did not hold the
+        expected weights.
       in_flight: number of this entry's requests at the replica.
       unread: prompt tokens of this entry's requests at the replica that have
         produced no event yet, without those queued at the back.
@@ -179,6 +186,7 @@
     on_load_change: Callable[[str], None] = _ignore_change
     report: LoadReport | None = None
     reported_ms: float = float("-inf")
+    misdirected_ms: float = float("-inf")
     in_flight: int = 0
     unread: int = 0
     behind: int = 0
@@ -229,7 +237,16 @@
                 return max(self.report.weights, self.seen_weights or 0)
             return self.report.weights
         listed = 0 if self._is_listed_older else self.replica.weights or 0
-        return max(listed, self.seen_weights or 0)
+        late = self._late_weights(report_age_ms)
+        return max(listed, late, self.seen_weights or 0)
+
+    def _late_weights(self, report_age_ms: float) -> int:
+        """Returns the version in a late report, 0 if it is no longer valid."""
+        if self.report is None or report_age_ms >= WEIGHTS_KNOWN_MS:
+            return 0
+        if self.misdirected_ms > self.reported_ms:
+            return 0
+        return self.report.weights
 
     @property
     def _is_listed_older(self) -> bool:
@@ -519,6 +536,12 @@
         self.breaker.trip(now_ms)
         self.suspect_cold(now_ms)
 
+    def record_misdirected(self, now_ms: clock.Millis) -> None:
+        """Counts an answer that the replica lacks the expected weights."""
+        self.availability.back_off(MISDIRECTED_BACKOFF_MS, now_ms)
+        self.seen_weights = None
+        self.misdirected_ms = now_ms
+
     def _record_outcome(self, failed: float, now_ms: clock.Millis) -> None:
         share = self.failure_share(now_ms)
         self._failure_share = share + FAILURE_SMOOTHING * (failed - share)
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -5,7 +5,6 @@
 from marlramp import clock
 from marlramp import errors
 from marlramp.core.replicas import queue_position
-from marlramp.core.replicas import replica_view
 from marlramp.core.replicas import upstream_choice
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import rate_limits
@@ -174,6 +173,4 @@
             self._view.record_unreachable(now_ms)
             return
         if outcome.answer.status == errors.MISDIRECTED:
-            wait_ms = replica_view.MISDIRECTED_BACKOFF_MS
-            self._view.availability.back_off(wait_ms, now_ms)
-            self._view.seen_weights = None
+            self._view.record_misdirected(now_ms)
--- a/tests/core/replicas/test_silent_agents.py
+++ b/tests/core/replicas/test_silent_agents.py
@@ -52,6 +52,39 @@
     assert view.accepts_new(age_ms)
 
 
+@pytest.mark.parametrize("age_ms", [1_600.0, 2_500.0])
+def test_late_report_does_not_hide_a_newer_version_in_the_list(
+    table: replica_table.ReplicaTable, age_ms: float
+) -> None:
+    table.handle_report(report(LISTED.address, 0), 0.0)
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(1_000.0) == 0
+    assert view.weights(age_ms) == LISTED.weights
+
+
+def test_version_of_a_late_report_expires(
+    table: replica_table.ReplicaTable,
+) -> None:
+    table.handle_report(report(LISTED.address, 2), 0.0)
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(5_000.0) == LISTED.weights
+
+
+def test_version_that_the_engine_denies_is_not_taken_from_a_late_report(
+    table: replica_table.ReplicaTable,
+) -> None:
+    table.handle_report(report(LISTED.address, 2), 0.0)
+    view = table.get("i-1")
+    assert view is not None
+    view.record_misdirected(1_700.0)
+    assert view.weights(2_500.0) == LISTED.weights
+    table.handle_report(report(LISTED.address, 2), 3_000.0)
+    assert view.weights(3_100.0) == 2
+    assert view.weights(5_000.0) == 2
+
+
 def test_reports_of_unknown_engines_are_bounded(
     table: replica_table.ReplicaTable, monkeypatch: pytest.MonkeyPatch
 ) -> None:
