Replicas: an engine whose reports stopped ranks behind sound ones

A stream whose replica fell silent or was lost was sent to an engine that had been out of reach for 2 s: with its last load report too old, the engine counted as idle and was preferred to a sound one that had a request.

--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -264,6 +264,17 @@
         fresh = now_ms - self.reported_ms < REPORT_FRESH_MS
         return self.report is None or not fresh or self.report.opens
 
+    def is_out_of_contact(self, now_ms: clock.Millis) -> bool:
+        """Returns whether reports on the replica stopped and it is not heard.
+
+        Its load is unknown, and it may be unreachable. A replica that no agent
+        ever reported on is not out of contact.
+        """
+        if self.report is None:
+            return False
+        heard_ms = max(self.reported_ms, self.heard_ms)
+        return now_ms - heard_ms >= REPORT_FRESH_MS
+
     def accepts_assigned(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request assigned to the replica may be written."""
         healthy = self.replica.state is fleet.ReplicaState.HEALTHY
--- a/src/marlramp/core/replicas/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -1,7 +1,8 @@
 """Selects a replica for one request on the direct path.
 
 The replicas that may receive the request are ranked by their predicted time to
-the first event, plus penalties for failures, distance and planned closing.
+the first event, plus penalties for failures, distance, planned closing and
+missing reports.
 """
 
 from __future__ import annotations
@@ -39,6 +40,10 @@
 with a delay of up to a second, that of an engine in the entry's cell with a
 delay of 20 ms."""
 
+OUT_OF_CONTACT_PENALTY_MS = 400.0
+"""Cost of a replica whose agent's reports stopped and which has answered
+nothing since. It outweighs the queue of a replica that is not full."""
+
 NEAR_BEST_SHARE = 0.25
 """Relative difference in cost within which idle plain replicas count as equal:
 the smoothed answer times of identical replicas differ by as much."""
@@ -428,6 +433,8 @@
     cost_ms *= 1.0 + FAILURE_WEIGHT * failed_share
     over_ms = _overrun_ms(choice.predicted_ms, view, needs, now_ms)
     cost_ms += OVERRUN_WEIGHT * over_ms
+    if view.is_out_of_contact(now_ms):
+        cost_ms += OUT_OF_CONTACT_PENALTY_MS
     if needs.isolated:
         cost_ms += ISOLATION_COST_MS * choice.load
     return cost_ms
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -113,6 +113,49 @@
     assert ids_of(ranked) == ["i-1", "i-0"]
 
 
+def late_view(
+    replica: fleet.Replica, time: clock.ManualClock
+) -> replica_view.ReplicaView:
+    """Returns a view whose only report is too old."""
+    view = view_of(replica)
+    view.report = REPORT
+    view.reported_ms = time.now_ms() - 2_000.0
+    return view
+
+
+def test_engine_out_of_contact_ranks_behind_a_sound_one_with_requests(
+    make_replica: MakeReplica,
+    needs: replica_filters.RequestNeeds,
+    time: clock.ManualClock,
+) -> None:
+    # Without a recent report it would count as idle.
+    late = late_view(make_replica(replica_id="i-0"), time)
+    busy = view_of(make_replica())
+    busy.report = REPORT
+    busy.reported_ms = time.now_ms()
+    busy.record_load(4, 0, time.now_ms())
+    ranked = upstream_choice.rank([late, busy], needs, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-1", "i-0"]
+    busy.record_load(16, 30, time.now_ms())
+    ranked = upstream_choice.rank([late, busy], needs, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-0", "i-1"]
+
+
+def test_engine_that_answers_is_in_contact_without_reports(
+    make_replica: MakeReplica,
+    needs: replica_filters.RequestNeeds,
+    time: clock.ManualClock,
+) -> None:
+    late = late_view(make_replica(replica_id="i-0"), time)
+    late.heard_ms = time.now_ms() - 200.0
+    busy = view_of(make_replica())
+    busy.record_load(4, 0, time.now_ms())
+    ranked = upstream_choice.rank([late, busy], needs, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-0", "i-1"]
+    never_reported = view_of(make_replica())
+    assert not never_reported.is_out_of_contact(time.now_ms())
+
+
 def test_breakers_are_ignored_when_most_are_open(
     make_replica: MakeReplica, time: clock.ManualClock
 ) -> None:
