Withdrawal for a new version: its own error kind, and why it was not retried

The outcome stands: an engine must not begin a request on a version that no longer counts, and repeats beyond the budget are not allowed; the caller learns at once that its request may have run. What was missing is that callers and logs can tell it from a replica that was lost: kind version_changed, and not_retried in request_failed.

--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -10,6 +10,7 @@
 from marlramp.core.replicas import send_limit
 from marlramp.core.requests import caller_timeout
 from marlramp.core.requests import request_fingerprint
+from marlramp.core.requests import retries
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import backpressure
 from marlramp.direct.calls import wire
@@ -51,6 +52,8 @@
       maybe_ran: whether any replica may have run the request.
       failed_outcome: the last failure that a replica itself answered, None
         without one.
+      retry_denial: why the request was not retried after its last failure,
+        None if it was, or if it has not failed.
       failed: ids of the replicas at which the request failed.
       suspected: whether the request is suspected of a crash.
       allowed_regions: regions in which the request may run, None if all are
@@ -89,6 +92,7 @@
         self.runs = 0
         self.maybe_ran = False
         self.failed_outcome: attempts.Outcome | None = None
+        self.retry_denial: retries.RetryDenial | None = None
         self.failed: set[str] = set()
         self.suspected = False
         self.on_trial = False
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -582,6 +582,7 @@
         The caller receives a replica's own answer if the request ran there. A
         stream that has begun is broken off.
         """
+        call.retry_denial = denial
         if call.relay.started:
             logs.log(
                 "stream_broken",
@@ -620,6 +621,7 @@
         """Logs and answers a failed request; `call` is None if not admitted."""
         self._totals.add(counters.CounterName.REFUSALS, failure.kind.value)
         customer = None if call is None else call.customer
+        denial = None if call is None else call.retry_denial
         logs.log(
             "request_failed",
             request=request_id,
@@ -628,6 +630,7 @@
             ran=failure.ran.value,
             status=own_answers.status_of(failure),
             retry_after_ms=failure.retry_after_ms,
+            not_retried=None if denial is None else denial.value,
             host=None if call is None else call.route.host,
             route=None if call is None else call.route.name,
             customer=None if customer is None else customer.customer_id,
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -389,7 +389,7 @@
             pending = self._pending(call, choice, attempt)
             if now_ms >= attempt_timeouts.deadline_ms(pending):
                 return SendResult(
-                    self._timeout_outcome(call, attempt),
+                    self._timeout_outcome(call),
                     stalled=True,
                     silent_ms=now_ms - attempt.progress_ms,
                     path_latency_ms=choice.view.path_latency_ms(now_ms),
@@ -528,17 +528,15 @@
             begins_until_ms=choice.withdrawal_ms(self._clock.now_ms()),
         )
 
-    def _timeout_outcome(
-        self, call: call_module.Call, attempt: attempts.Attempt
-    ) -> attempts.Outcome:
-        is_late = self._clock.now_ms() >= call.ends_ms
-        kind = errors.ErrorKind.UPSTREAM_LOST
-        if is_late:
-            kind = errors.ErrorKind.DEADLINE_EXCEEDED
+    def _timeout_outcome(self, call: call_module.Call) -> attempts.Outcome:
+        """Returns the outcome of an attempt whose deadline has passed."""
+        kind = errors.ErrorKind.DEADLINE_EXCEEDED
+        detail = "no answer in time"
+        if self._clock.now_ms() < call.ends_ms:
+            kind = errors.ErrorKind.VERSION_CHANGED
+            detail = "not begun before a newer version became mandatory"
         return attempts.Outcome(
-            failure=errors.CallError(
-                kind, "no answer in time", ran=errors.Ran.UNKNOWN
-            )
+            failure=errors.CallError(kind, detail, ran=errors.Ran.UNKNOWN)
         )
 
     def _pool(self, replica: fleet.Replica) -> http1_client.ConnectionPool:
