--- a/src/marlramp/core/requests/event_stream.py
+++ b/src/marlramp/core/requests/event_stream.py
@@ -8,6 +8,7 @@
 """Largest part of an event that is held back."""
 
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_END_BYTES = max(map(len, _EVENT_ENDS))
 _ID_FIELD = b"id:"
 
 
@@ -38,7 +39,7 @@
 
     def __init__(self) -> None:
         """Starts before the first event."""
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def partial(self) -> bool:
@@ -51,13 +52,18 @@
         Raises:
           EventTooLargeError: if an incomplete event exceeds `EVENT_BYTES_MAX`.
         """
+        # What was held back contains no end of an event.
+        start = max(0, len(self._buffer) - _LONGEST_END_BYTES + 1)
         self._buffer += data
-        end = max(_end_of_last(self._buffer, mark) for mark in _EVENT_ENDS)
+        end = max(
+            _end_of_last(self._buffer, mark, start) for mark in _EVENT_ENDS
+        )
         if end == 0:
             if len(self._buffer) > EVENT_BYTES_MAX:
                 raise EventTooLargeError
             return Events()
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
         return _events_of(complete)
 
 
@@ -71,6 +77,6 @@
     return Events(complete, len(ids), last_id)
 
 
-def _end_of_last(buffer: bytes, mark: bytes) -> int:
-    position = buffer.rfind(mark)
+def _end_of_last(buffer: bytearray, mark: bytes, start: int) -> int:
+    position = buffer.rfind(mark, start)
     return 0 if position < 0 else position + len(mark)
