Pages: count requests that get no complete answer

Lookups, readiness and metrics wrote a line for such a request, but counted none: marlramp_pages_unanswered{reason}, as marlramp_requests_unanswered for callers. test_page_whose_caller_left_is_counted is new.

--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -22,6 +22,7 @@
     REQUESTS = "marlramp_requests"
     SILENCES = "marlramp_replica_silences"
     UNANSWERED = "marlramp_requests_unanswered"
+    PAGES_UNANSWERED = "marlramp_pages_unanswered"
     LINK_BYTES = "marlramp_link_bytes"
     LINK_MESSAGES = "marlramp_link_messages"
     LOG_LINES_DROPPED = "marlramp_log_lines_dropped"
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -115,6 +115,7 @@
         self._page_server = page_server.PageServer(
             page_server.metrics_pages(metrics.Metrics(self._totals).text),
             {"metrics": page_server.metrics_address(settings)},
+            self._totals,
             self._clock,
         )
         self._weights = named_weights.NamedWeights(
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -275,7 +275,9 @@
             "ready": self._addresses.ready,
             "metrics": page_server.metrics_address(self._settings),
         }
-        return page_server.PageServer(pages, addresses, self._clock)
+        return page_server.PageServer(
+            pages, addresses, self._totals, self._clock
+        )
 
     async def _leave(self) -> None:
         """Finishes the running requests while callers go to other entries."""
--- a/src/marlramp/direct/page_server.py
+++ b/src/marlramp/direct/page_server.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import errors
 from marlramp import logs
 from marlramp.core.configuration import fleet
@@ -86,6 +87,7 @@
         self,
         pages: Pages,
         addresses: Mapping[str, node.Address],
+        totals: counters.Counters,
         time: clock.Clock,
     ) -> None:
         """Creates the servers; no port is bound before its opening is started.
@@ -93,10 +95,12 @@
         Args:
           pages: the handlers.
           addresses: the addresses by name; the name appears in log lines.
+          totals: counters.
           time: the clock.
         """
         self._pages = pages
         self._addresses = addresses
+        self._totals = totals
         self._servers = {
             name: http1_server.CallerServer(self._answer, self, time)
             for name in addresses
@@ -139,7 +143,8 @@
         request: http1_server.Request,
         reason: http1_server.UnansweredReason,
     ) -> None:
-        """Logs a request that gets no complete answer."""
+        """Counts and logs a request that gets no complete answer."""
+        self._totals.add(counters.CounterName.PAGES_UNANSWERED, reason.value)
         logs.log(
             "side_call_unanswered",
             reason=reason.value,
--- a/tests/direct/test_page_server.py
+++ b/tests/direct/test_page_server.py
@@ -55,7 +55,7 @@
         (port,) = processes.free_ports(1)
         address = node.Address("127.0.0.1", port)
         server = page_server.PageServer(
-            pages, {"pages": address}, clock.SystemClock()
+            pages, {"pages": address}, totals, clock.SystemClock()
         )
         (opening,) = server.openings()
         await opening.start(opening.host, opening.port)
@@ -77,6 +77,39 @@
         assert b"marlramp_refusals_total{" in answer
 
 
+def test_page_whose_caller_left_is_counted() -> None:
+    totals = counters.Counters()
+    started = asyncio.Event()
+
+    async def wait(_: str) -> page_server.Page:
+        started.set()
+        await asyncio.sleep(60)
+        raise AssertionError
+
+    async def main() -> None:
+        (port,) = processes.free_ports(1)
+        server = page_server.PageServer(
+            {"/wait": wait},
+            {"pages": node.Address("127.0.0.1", port)},
+            totals,
+            clock.SystemClock(),
+        )
+        (opening,) = server.openings()
+        await opening.start(opening.host, opening.port)
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        async with asyncio.timeout(3):
+            await started.wait()
+            writer.transport.abort()
+            while not totals.total(
+                counters.CounterName.PAGES_UNANSWERED, "caller_left"
+            ):
+                await asyncio.sleep(0.01)
+        server.stop()
+
+    asyncio.run(main())
+
+
 def test_latencies_before_the_first_scrape_are_exported() -> None:
     async def main() -> bytes:
         recorded = metrics.Metrics(counters.Counters())
--- a/tests/direct/test_placement_pages.py
+++ b/tests/direct/test_placement_pages.py
@@ -10,6 +10,7 @@
 import pytest
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import ids
 from marlramp.console import application
 from marlramp.console import exit_codes
@@ -77,6 +78,7 @@
         server = page_server.PageServer(
             pages,
             {"pages": node.Address("127.0.0.1", port)},
+            counters.Counters(),
             clock.SystemClock(),
         )
 
