Attempts: a call without a running attempt fails instead of waiting for one

RunningAttempts.wait() would not end if no attempt ran, and the request would be held until its caller left. No path leads there by reading; if one does, the caller now gets 500 and the log an internal_error. The test failed before (timeout).

--- a/src/marlramp/direct/calls/running_attempts.py
+++ b/src/marlramp/direct/calls/running_attempts.py
@@ -128,7 +128,12 @@
 
         Returns:
           The attempt that has a result, None if one has fallen silent.
+
+        Raises:
+          RuntimeError: if no attempt runs; the wait would not end.
         """
+        if not self._running:
+            raise RuntimeError("no attempt is running")
         await self._changed.wait()
         for attempt in self._running:
             if attempt.task.done():
--- a/tests/direct/calls/test_internal_errors.py
+++ b/tests/direct/calls/test_internal_errors.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from marlramp import counters
 from marlramp.direct.calls import call as call_module
+from marlramp.direct.calls import running_attempts
 from tests.direct import conftest
 
 
@@ -34,3 +37,14 @@
         assert entry.totals.total(name, "forwarder") == 1
 
     run_entry(test)
+
+
+def test_request_without_a_running_attempt_does_not_wait() -> None:
+    """Guards against a request that is held until its caller leaves."""
+
+    async def main() -> None:
+        async with asyncio.timeout(1), running_attempts.RunningAttempts() as r:
+            with pytest.raises(RuntimeError, match="no attempt"):
+                await r.wait()
+
+    asyncio.run(main())
