HTTP client of the grants path: chunks have a least size over a response

A server that sends a body in chunks of one byte cost 4.7 to 5.2 s of processor time up to the limit of 1 MiB, and 16 times that for the largest body: only bytes within chunks were counted.

The lines between chunks may have 64 KiB more than the chunks have bytes.

--- a/src/marlramp/shell/bounded_connection.py
+++ b/src/marlramp/shell/bounded_connection.py
@@ -23,6 +23,13 @@
 CHUNK_LINE_BYTES_MAX = 1024
 """Most bytes of a line between two chunks."""
 
+FRAMING_BYTES_MAX = 64 * 1024
+"""Most bytes of lines between chunks beyond the number of bytes in the chunks.
+A body in chunks of one byte would cost seconds of processor time for each
+megabyte."""
+
+_CHUNK_END_BYTES = 2
+
 chunk_bytes_max: contextvars.ContextVar[int] = contextvars.ContextVar(
     "chunk_bytes_max"
 )
@@ -38,6 +45,7 @@
         """Creates a connection of a pool, not open yet."""
         super().__init__(pool)
         self._line_bytes_left = HEADER_BYTES_MAX
+        self._framing_bytes_left = FRAMING_BYTES_MAX
         self._in_header = True
         self._has_length = False
         self._chunk_bytes_max = 0
@@ -48,6 +56,7 @@
         self._in_header = True
         self._has_length = False
         self._line_bytes_left = HEADER_BYTES_MAX
+        self._framing_bytes_left = FRAMING_BYTES_MAX
         self._chunk_bytes_max = chunk_bytes_max.get()
         super().write(data)
 
@@ -63,7 +72,8 @@
         """Reads a line of the header, or one between two chunks.
 
         Raises:
-          exceptions.HttpParsingError: if the header or the line is too large.
+          exceptions.HttpParsingError: if the header or the line is too large,
+            or if the lines between chunks are too large for what they frame.
         """
         if not self._in_header:
             self._line_bytes_left = CHUNK_LINE_BYTES_MAX
@@ -71,6 +81,10 @@
         if self._in_header:
             name = line.partition(b":")[0].lower()
             self._has_length = self._has_length or name in _LENGTH_HEADERS
+            return line
+        self._framing_bytes_left -= len(line)
+        if self._framing_bytes_left < 0:
+            raise exceptions.HttpParsingError("chunks are too small")
         return line
 
     async def readexactly(self, size: int) -> bytes:
@@ -82,6 +96,7 @@
         if size > self._chunk_bytes_max:
             raise exceptions.HttpParsingError("chunk exceeds the size limit")
         data: bytes = await super().readexactly(size)
+        self._framing_bytes_left += max(0, size - _CHUNK_END_BYTES)
         return data
 
     def block_until_read_chunks(self) -> None:
--- a/tests/shell/test_http_bounds.py
+++ b/tests/shell/test_http_bounds.py
@@ -134,6 +134,19 @@
     play(server, scenario)
 
 
+def test_chunks_of_two_bytes_are_a_usual_response() -> None:
+    size = 20_000
+    server = Server(CHUNKED + b"2\r\nab\r\n" * (size // 2) + b"0\r\n\r\n")
+
+    async def scenario(client: http.HttpClient) -> None:
+        reply = await client.request(
+            "GET", server.url, timeout_ms=5_000.0, body_bytes_max=size
+        )
+        assert reply.body == b"ab" * (size // 2)
+
+    play(server, scenario)
+
+
 def test_late_response_is_not_matched_on_a_reused_connection() -> None:
     """Guards against a timeout after which the connection stayed in use."""
     targets = []
