Replicas out of contact: second choice only, also for the own cell

Found by a reviewer who had not seen the work, each shown by a test that failed: - A request that an engine out of contact could have begun in time was refused, or put behind, since the only sound engine was full: it is sent there now. - With over 64 engines the own cell was preferred though all of it was out of contact. - An engine that left the list for a moment lost its late report, and counted as idle and in contact: a kept report now keeps its age, and its version for 4 s. - A 421 to a request that was sent before a report came made that report invalid.

--- a/src/marlramp/core/replicas/admission.py
+++ b/src/marlramp/core/replicas/admission.py
@@ -170,7 +170,7 @@
     if len(views) > RANK_ALL_MAX and wanted.engine is not None:
         own = [view for view in views if places.in_cell(view)]
         ranked = upstream_choice.rank(own, wanted, places, now_ms)
-        if ranked and _begins_soon(request, ranked[0]):
+        if ranked and _begins_soon(request, ranked[0], now_ms):
             return ranked[0]
     ranked = upstream_choice.rank(views, wanted, places, now_ms, rng)
     if not ranked:
@@ -183,6 +183,13 @@
     late_ms = _lateness_ms(request, wanted.engine, front.predicted_ms)
     if late_ms <= 0.0:
         return front
+    for choice in ranked:
+        # Being out of contact only makes a replica the second choice.
+        if (
+            choice.view.is_out_of_contact(now_ms)
+            and _lateness_ms(request, wanted.engine, choice.predicted_ms) <= 0.0
+        ):
+            return choice
     yielding = msgspec.structs.replace(
         wanted,
         position=queue_position.QueuePosition.BEHIND,
@@ -272,8 +279,12 @@
     return Refusal(late_ms, retry_after_ms(excess_ms, rng))
 
 
-def _begins_soon(request: Request, choice: upstream_choice.Choice) -> bool:
+def _begins_soon(
+    request: Request, choice: upstream_choice.Choice, now_ms: clock.Millis
+) -> bool:
     """Returns whether a choice is good enough to skip other cells' engines."""
+    if choice.view.is_out_of_contact(now_ms):
+        return False
     soon_ms = OWN_CELL_SHARE * request.objective_ms
     return choice.predicted_ms + request.elapsed_ms <= soon_ms
 
--- a/src/marlramp/core/replicas/replica_table.py
+++ b/src/marlramp/core/replicas/replica_table.py
@@ -274,10 +274,10 @@
         self, view: replica_view.ReplicaView, now_ms: clock.Millis
     ) -> None:
         held = self._reports.get(view.replica.address)
-        if held is None or now_ms - held[1] >= replica_view.REPORT_FRESH_MS:
+        if held is None or now_ms - held[1] >= replica_view.WEIGHTS_KNOWN_MS:
             return
         if not replica_view.is_newer_start(view.born_ms, held[0].born_ms):
-            self._apply_report(view, held[0], now_ms)
+            self._apply_report(view, held[0], clock.Millis(held[1]))
 
     def _apply_report(
         self,
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -26,13 +26,13 @@
 from marlramp.core.replicas import wait_bias
 
 REPORT_FRESH_MS = 1_500.0
-"""Age up to which an agent's report is valid. Agents report at least every
-500 ms."""
+"""Age up to which an agent's report is valid as a whole. Agents report at least
+every 500 ms."""
 
 WEIGHTS_KNOWN_MS = 4_000.0
-"""Age up to which the version in an agent's report is valid. An engine doesn't
-return to an older version while it runs, but the list of replicas may lag, and
-an agent may be silent for more than a second."""
+"""Age up to which at least the version in an agent's report is valid. An engine
+doesn't return to an older version while it runs, but the list of replicas may
+lag, and an agent may be silent for more than a second."""
 
 FAILURES_MAX = 3
 """Number of consecutive failures that open a replica's circuit breaker."""
@@ -136,8 +136,8 @@
       replica: the replica's record in the platform's list.
       report: the last report of the agent beside the replica.
       reported_ms: when the last report arrived.
-      misdirected_ms: when the replica last answered that it did not hold the
-        expected weights.
+      misdirected_ms: when the last request was sent to which the replica
+        answered that it did not hold the expected weights.
       in_flight: number of this entry's requests at the replica.
       unread: prompt tokens of this entry's requests at the replica that have
         produced no event yet, without those queued at the back.
@@ -241,7 +241,11 @@
         return max(listed, late, self.seen_weights or 0)
 
     def _late_weights(self, report_age_ms: float) -> int:
-        """Returns the version in a late report, 0 if it is no longer valid."""
+        """Returns the version in a late report.
+
+        Returns:
+          0 if it is no longer valid, or the replica has denied it since.
+        """
         if self.report is None or report_age_ms >= WEIGHTS_KNOWN_MS:
             return 0
         if self.misdirected_ms > self.reported_ms:
@@ -268,7 +272,7 @@
         """Returns whether reports on the replica stopped and it is not heard.
 
         Its load is unknown, and it may be unreachable. A replica that no agent
-        ever reported on is not out of contact.
+        has reported on since it was listed is not out of contact.
         """
         if self.report is None:
             return False
@@ -547,11 +551,16 @@
         self.breaker.trip(now_ms)
         self.suspect_cold(now_ms)
 
-    def record_misdirected(self, now_ms: clock.Millis) -> None:
-        """Counts an answer that the replica lacks the expected weights."""
+    def record_misdirected(self, sent_ms: float, now_ms: clock.Millis) -> None:
+        """Counts an answer that the replica lacks the expected weights.
+
+        Args:
+          sent_ms: when the request was sent; an older report is not valid.
+          now_ms: the time.
+        """
         self.availability.back_off(MISDIRECTED_BACKOFF_MS, now_ms)
         self.seen_weights = None
-        self.misdirected_ms = now_ms
+        self.misdirected_ms = sent_ms
 
     def _record_outcome(self, failed: float, now_ms: clock.Millis) -> None:
         share = self.failure_share(now_ms)
--- a/src/marlramp/core/replicas/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -42,7 +42,7 @@
 
 OUT_OF_CONTACT_PENALTY_MS = 400.0
 """Cost of a replica whose agent's reports stopped and which has answered
-nothing since. It outweighs the queue of a replica that is not full."""
+nothing since: about eight engine steps."""
 
 NEAR_BEST_SHARE = 0.25
 """Relative difference in cost within which idle plain replicas count as equal:
--- a/src/marlramp/direct/calls/replica_observer.py
+++ b/src/marlramp/direct/calls/replica_observer.py
@@ -173,4 +173,4 @@
             self._view.record_unreachable(now_ms)
             return
         if outcome.answer.status == errors.MISDIRECTED:
-            self._view.record_misdirected(now_ms)
+            self._view.record_misdirected(self._sent_ms, now_ms)
--- a/src/marlramp/shell/bounded_connection.py
+++ b/src/marlramp/shell/bounded_connection.py
@@ -26,7 +26,7 @@
 FRAMING_BYTES_MAX = 64 * 1024
 """Most bytes of lines between chunks beyond the number of bytes in the chunks.
 A body in chunks of one byte would cost seconds of processor time for each
-megabyte."""
+megabyte; chunks of three bytes and more stay below it."""
 
 _CHUNK_END_BYTES = 2
 
--- a/tests/core/replicas/test_admission.py
+++ b/tests/core/replicas/test_admission.py
@@ -212,6 +212,63 @@
     assert chosen() == "i-1"
 
 
+REPORT = replica_view.LoadReport(
+    address="127.0.0.1:1", weights=1, running=0, waiting=0, pace=1.0, opens=True
+)
+
+
+def reported(
+    replica: fleet.Replica, reported_ms: float, running: int, waiting: int
+) -> replica_view.ReplicaView:
+    view = replica_view.ReplicaView(replica, breaker.Breaker(3, 1_500.0))
+    view.report = REPORT
+    view.reported_ms = reported_ms
+    view.record_load(running, waiting, clock.Millis(reported_ms))
+    return view
+
+
+@pytest.mark.parametrize("wait_max_ms", [1_000.0, 6_000.0])
+def test_engine_out_of_contact_is_tried_before_a_request_is_late(
+    wait_max_ms: float,
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    request = msgspec.structs.replace(request_, wait_max_ms=wait_max_ms)
+    silent = reported(make_replica(replica_id="i-0"), now_ms - 2_000.0, 0, 0)
+    busy = reported(make_replica(replica_id="i-1"), now_ms, 16, 3)
+    decision = admission.decide([silent, busy], request, ANYWHERE, now_ms, rng)
+    assert isinstance(decision, upstream_choice.Choice)
+    assert decision.view is silent
+    assert decision.position is FRONT
+
+
+def test_cell_out_of_contact_is_not_preferred_to_other_cells(
+    make_replica: MakeReplica,
+    request_: admission.Request,
+    time: clock.ManualClock,
+    rng: random.Random,
+) -> None:
+    now_ms = time.now_ms()
+    views = [
+        reported(
+            make_replica(replica_id=f"i-{n}", address=f"10.0.0.{n}:1"),
+            now_ms - (2_000.0 if n < 4 else 100.0),
+            0,
+            0,
+        )
+        for n in range(admission.RANK_ALL_MAX + 6)
+    ]
+    near = frozenset(view.replica.data_centre for view in views)
+    cell = frozenset(f"10.0.0.{n}" for n in range(4))
+    places = upstream_choice.PreferredLocations(near, cell)
+    decision = admission.decide(views, request_, places, now_ms, rng)
+    assert isinstance(decision, upstream_choice.Choice)
+    assert decision.view not in views[:4]
+
+
 def test_request_goes_to_another_cell_when_its_own_is_lost(
     make_replica: MakeReplica,
     request_: admission.Request,
--- a/tests/core/replicas/test_silent_agents.py
+++ b/tests/core/replicas/test_silent_agents.py
@@ -78,13 +78,38 @@
     table.handle_report(report(LISTED.address, 2), 0.0)
     view = table.get("i-1")
     assert view is not None
-    view.record_misdirected(1_700.0)
+    view.record_misdirected(1_700.0, 1_710.0)
     assert view.weights(2_500.0) == LISTED.weights
     table.handle_report(report(LISTED.address, 2), 3_000.0)
     assert view.weights(3_100.0) == 2
     assert view.weights(5_000.0) == 2
 
 
+def test_denial_of_a_request_sent_before_a_report_leaves_it_valid(
+    table: replica_table.ReplicaTable,
+) -> None:
+    table.handle_report(report(LISTED.address, 2), 1_000.0)
+    view = table.get("i-1")
+    assert view is not None
+    view.record_misdirected(990.0, 1_010.0)
+    assert view.weights(2_600.0) == 2
+
+
+def test_report_keeps_its_age_while_its_replica_is_not_listed() -> None:
+    known = catalog.Catalog()
+    found = replica_table.ReplicaTable()
+    for revision, listed in enumerate([LISTED, None, LISTED], 1):
+        known.apply([catalog.ReplicaChange(revision, "i-1", listed)], 0.0)
+        found.sync(known, 1_600.0 if revision == 3 else 0.0)
+        if revision == 1:
+            found.handle_report(report(LISTED.address, 2), 0.0)
+    view = found.get("i-1")
+    assert view is not None
+    assert view.weights(1_600.0) == 2
+    assert view.is_out_of_contact(1_600.0)
+    assert view.weights(4_000.0) == LISTED.weights
+
+
 def test_reports_of_unknown_engines_are_bounded(
     table: replica_table.ReplicaTable, monkeypatch: pytest.MonkeyPatch
 ) -> None:
