Retried requests: wait for a replica that is not likely lost

Cause: all four engines had crashed within a second. Their breakers were open at the entry, so most were excluded and breakers were ignored. A stream whose engine crashed after two events was sent at once to one that had failed seven times in two seconds and whose agent was silent; that spent its last attempt, though 5.9 s were left and the engine was back 5 ms later.

Change: a request that may have run is not sent to a replica whose breaker is open, nor to one that failed and has not been heard since, for as long as it waits for a replica to open (half of its caller's wait). Then any is tried, as before. First attempts still probe failing replicas at once.

--- a/src/marlramp/core/replicas/breaker.py
+++ b/src/marlramp/core/replicas/breaker.py
@@ -44,6 +44,11 @@
             return BreakerState.OPEN
         return BreakerState.HALF_OPEN
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last recorded request failed."""
+        return self._failures > 0 or self._opened_ms is not None
+
     def allows(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request may be sent now."""
         state = self.state(now_ms)
--- a/src/marlramp/core/replicas/replica_filters.py
+++ b/src/marlramp/core/replicas/replica_filters.py
@@ -100,6 +100,8 @@
       limit_wait_max_ms: longest delay of the answer that the rate limits of
         replicas may cause.
       placement: the data centres in which the request may run.
+      avoids_lost: whether replicas that are likely lost may not receive the
+        request, because it has few attempts left.
     """
 
     engine: fleet.EngineSpec | None
@@ -112,6 +114,7 @@
     limit_wait_max_ms: float = 0.0
     cutoffs: Sequence[version_cutoff.VersionCutoff] = ()
     placement: Placement = ANYWHERE
+    avoids_lost: bool = False
 
 
 def admits(
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -279,6 +279,16 @@
         heard_ms = max(self.reported_ms, self.heard_ms)
         return now_ms - heard_ms >= REPORT_FRESH_MS
 
+    def is_likely_lost(self, now_ms: clock.Millis) -> bool:
+        """Returns whether the replica will likely fail the next request.
+
+        Its breaker is open, or its last request failed and neither the replica
+        nor its agent has been heard since.
+        """
+        if not self.breaker.allows(now_ms):
+            return True
+        return self.breaker.is_failing and self.is_out_of_contact(now_ms)
+
     def accepts_assigned(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request assigned to the replica may be written."""
         healthy = self.replica.state is fleet.ReplicaState.HEALTHY
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -121,6 +121,9 @@
     async def choose(self, call: call_module.Call) -> upstream_choice.Choice:
         """Returns the best replica; waits for a short time if none is open.
 
+        A request that may have run waits as long for a replica that is not
+        likely lost, and is then sent to any.
+
         Raises:
           CallError: if no replica can accept the request in time.
         """
@@ -129,7 +132,8 @@
         give_up_ms = self._give_up_ms(call)
         while True:
             now_ms = self._clock.now_ms()
-            decision = self._decide(call, now_ms)
+            avoids_lost = _has_begun(call) and now_ms < give_up_ms
+            decision = self._decide(call, now_ms, avoids_lost=avoids_lost)
             if isinstance(decision, upstream_choice.Choice):
                 if await self._wait_for_limit(call, decision):
                     return self._with_withdrawal(
@@ -146,7 +150,7 @@
 
     def _give_up_ms(self, call: call_module.Call) -> float:
         """Returns until when a call waits for a replica, a clock reading."""
-        if call.relay.started or call.maybe_ran:
+        if _has_begun(call):
             now_ms = self._clock.now_ms()
             return now_ms + BEGUN_HOLD_SHARE * call.caller_wait_ms(now_ms)
         wait_ms = HOLD_SHARE_MAX * call.route.objective_ms
@@ -178,6 +182,8 @@
         call: call_module.Call,
         now_ms: clock.Millis,
         failed: Collection[str] | None = None,
+        *,
+        avoids_lost: bool = False,
     ) -> upstream_choice.Choice | admission.Refusal | None:
         """Returns the replica for a call, or why there is none.
 
@@ -186,13 +192,16 @@
           now_ms: the time.
           failed: ids of the replicas to exclude; by default, those at which
             the call has failed.
+          avoids_lost: whether to exclude replicas that are likely lost.
 
         Returns:
           The choice, or the refusal; None if no replica may receive the call
           now.
         """
         caller_wait_ms = call.caller_wait_ms(now_ms)
-        needs = self._needs(call, now_ms)
+        needs = msgspec.structs.replace(
+            self._needs(call, now_ms), avoids_lost=avoids_lost
+        )
         if failed is not None:
             needs = msgspec.structs.replace(needs, failed=failed)
         request = admission.Request(
@@ -353,6 +362,11 @@
         return int(admission.jittered_ms(RETRY_AFTER_ENGINE_MS, self._rng))
 
 
+def _has_begun(call: call_module.Call) -> bool:
+    """Returns whether a replica may have run a call."""
+    return call.relay.started or call.maybe_ran
+
+
 def _opens_by(
     refusal: admission.Refusal, now_ms: clock.Millis, until_ms: float
 ) -> bool:
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -69,6 +69,43 @@
     assert upstream_choice.rank([old], newer, ANYWHERE, time.now_ms()) == []
 
 
+def test_retried_request_avoids_replicas_that_most_breakers_exclude(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    views = [view_of(make_replica(replica_id=f"i-{n}")) for n in range(3)]
+    for view in views[1:]:
+        for _ in range(3):
+            view.record_incomplete(time.now_ms())
+    first = upstream_choice.rank(views, WANTED, ANYWHERE, time.now_ms())
+    assert len(first) == len(views)
+    retried = msgspec.structs.replace(WANTED, avoids_lost=True)
+    ranked = upstream_choice.rank(views, retried, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-0"]
+
+
+@pytest.mark.parametrize(
+    ("failed", "heard_ms", "expected"),
+    [(True, 0.0, []), (False, 0.0, ["i-1"]), (True, 1_900.0, ["i-1"])],
+)
+def test_retried_request_avoids_a_replica_that_failed_and_is_out_of_contact(
+    make_replica: MakeReplica,
+    time: clock.ManualClock,
+    failed: bool,
+    heard_ms: float,
+    expected: list[str],
+) -> None:
+    view = view_of(make_replica())
+    started_ms = time.now_ms()
+    view.report, view.reported_ms = REPORT, started_ms
+    if failed:
+        view.record_incomplete(started_ms)
+    view.heard_ms = started_ms + heard_ms
+    time.advance(2_000.0)
+    retried = msgspec.structs.replace(WANTED, avoids_lost=True)
+    ranked = upstream_choice.rank([view], retried, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == expected
+
+
 def test_draining_replica_receives_no_requests(
     make_replica: MakeReplica, time: clock.ManualClock
 ) -> None:
