Replica table: a report made earlier does not replace a newer one

Cause: handle_report compared starts, not the times at which reports of the same start were made.

Change: a report of the same start that was made before the held one is ignored; one of a newer start counts whatever its time.

--- a/src/marlramp/core/replicas/replica_table.py
+++ b/src/marlramp/core/replicas/replica_table.py
@@ -139,15 +139,18 @@
     ) -> list[str]:
         """Applies an agent's report on the engine at an address.
 
-        A report of an earlier start than the last known one is ignored.
+        A report of an earlier start than the last known one is ignored, and one
+        of the same start that was made before the last known one.
+
+        Args:
+          report: the report.
+          now_ms: when the report was made, as far as is known.
 
         Returns:
           Ids of replicas that have restarted according to the report.
         """
         held = self._reports.get(report.address)
-        if held is not None and replica_view.is_newer_start(
-            held[0].born_ms, report.born_ms
-        ):
+        if held is not None and _is_outdated(report, now_ms, *held):
             return []
         self._reports.pop(report.address, None)
         self._reports[report.address] = (report, now_ms)
@@ -289,3 +292,18 @@
         view.report = report
         view.reported_ms = now_ms
         view.record_load(report.running, report.waiting, now_ms)
+
+
+def _is_outdated(
+    report: replica_view.LoadReport,
+    reported_ms: float,
+    held: replica_view.LoadReport,
+    held_ms: float,
+) -> bool:
+    """Returns whether a report is older than the one that is held."""
+    if replica_view.is_newer_start(held.born_ms, report.born_ms):
+        return True
+    if replica_view.is_newer_start(report.born_ms, held.born_ms):
+        return False
+    # Digests of other entries may arrive after a newer report of the agent.
+    return reported_ms < held_ms
--- a/tests/core/replicas/test_silent_agents.py
+++ b/tests/core/replicas/test_silent_agents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from marlramp import ids
@@ -95,6 +96,30 @@
     assert view.weights(2_600.0) == 2
 
 
+def test_report_that_was_made_earlier_does_not_replace_a_newer_one(
+    table: replica_table.ReplicaTable,
+) -> None:
+    table.handle_report(report(LISTED.address, 2), 1_000.0)
+    table.handle_report(report(LISTED.address, 1), 400.0)
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(1_100.0) == 2
+    assert view.weights(2_400.0) == 2
+    assert not view.is_out_of_contact(2_400.0)
+
+
+def test_report_of_a_newer_start_counts_though_it_was_made_earlier(
+    table: replica_table.ReplicaTable,
+) -> None:
+    old = msgspec.structs.replace(report(LISTED.address, 2), born_ms=1)
+    new = msgspec.structs.replace(report(LISTED.address, 1), born_ms=2)
+    table.handle_report(old, 1_000.0)
+    assert table.handle_report(new, 900.0) == ["i-1"]
+    view = table.get("i-1")
+    assert view is not None
+    assert view.weights(1_100.0) == 1
+
+
 def test_report_keeps_its_age_while_its_replica_is_not_listed() -> None:
     known = catalog.Catalog()
     found = replica_table.ReplicaTable()
