--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -377,7 +377,7 @@
         self._relay = relay
         self._splitter = event_stream.EventSplitter()
         # Comments, and events without an id, received beside other attempts.
-        self._held = b""
+        self._held = bytearray()
         self._streams = False
         relay.join(self)
 
@@ -444,9 +444,10 @@
     def _forward(
         self, answer: wire.ReplicaAnswer, events: event_stream.Events
     ) -> None:
-        held, self._held = self._held, b""
-        if held:
-            events = msgspec.structs.replace(events, data=held + events.data)
+        if self._held:
+            data = bytes(self._held) + events.data
+            events = msgspec.structs.replace(events, data=data)
+            self._held.clear()
         self._relay.forward(self, answer, events)
         self._record_first()
         self._observer.on_event()
