Replica view: a change of weights that an old report announced costs nothing

Cause: the time by which a request would outlast the change was counted from the announced time, without an end.

Change: once the report is too old to be valid, a change that was due counts no more; it has been made or given up.

--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -489,12 +489,17 @@
         """Returns the time until the engine closes to change its weights.
 
         The time is infinite if no change is planned, and negative if it has
-        passed.
+        passed. A change that was to come before an old report expired has been
+        made or given up since.
         """
         report = self.report
         if report is None or report.closes_in_ms is None:
             return float("inf")
-        return report.closes_in_ms - (now_ms - self.reported_ms)
+        age_ms = now_ms - self.reported_ms
+        left_ms = report.closes_in_ms - age_ms
+        if left_ms < 0.0 and age_ms >= REPORT_FRESH_MS:
+            return float("inf")
+        return left_ms
 
     def bias_of(
         self, position: queue_position.QueuePosition, now_ms: clock.Millis
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -115,6 +115,25 @@
     )
 
 
+def test_change_of_weights_in_an_old_report_costs_nothing_once_it_was_due(
+    make_replica: MakeReplica,
+    needs: replica_filters.RequestNeeds,
+    time: clock.ManualClock,
+) -> None:
+    """Guards against an engine without an agent that is avoided for long."""
+    closing = view_of(make_replica(replica_id="i-0"))
+    closing.report = msgspec.structs.replace(REPORT, closes_in_ms=600.0)
+    closing.reported_ms = time.now_ms()
+    time.advance(60_000.0)
+    closing.heard_ms = time.now_ms()
+    busy = view_of(make_replica())
+    busy.record_load(8, 0, time.now_ms())
+    ranked = upstream_choice.rank(
+        [closing, busy], needs, ANYWHERE, time.now_ms()
+    )
+    assert ids_of(ranked) == ["i-0", "i-1"]
+
+
 def test_request_that_outlasts_a_closing_engine_goes_elsewhere(
     make_replica: MakeReplica,
     needs: replica_filters.RequestNeeds,
