Replica choice: no first attempt at engines that are likely lost

Cause: when breakers exclude most replicas they are ignored, so that each request spends an attempt, and often both, where nobody listens, and its caller gets 502 (may have run) where 503 (not run) could be said at once.

Change: an engine that has failed for 1.5 s, while neither it nor its agent was heard, stays excluded when breakers are ignored. A report of its agent or a trial that its breaker lets through brings it back. Engines in contact and plain replicas are treated as before. Retried requests use the same test besides open breakers, so that a single failure no longer counts there.

--- a/src/marlramp/core/replicas/breaker.py
+++ b/src/marlramp/core/replicas/breaker.py
@@ -30,6 +30,7 @@
         self._failures = 0
         self._opened_ms: float | None = None
         self._trial_ms: float | None = None
+        self._failing_since_ms: float | None = None
 
     def configure(self, failures_max: int, open_ms: float) -> None:
         """Applies changed settings."""
@@ -45,9 +46,12 @@
         return BreakerState.HALF_OPEN
 
     @property
-    def is_failing(self) -> bool:
-        """Whether the last recorded request failed."""
-        return self._failures > 0 or self._opened_ms is not None
+    def failing_since_ms(self) -> float | None:
+        """Clock reading of the first failure since the last success.
+
+        None if no request failed since.
+        """
+        return self._failing_since_ms
 
     def allows(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request may be sent now."""
@@ -69,11 +73,13 @@
         self._failures = 0
         self._opened_ms = None
         self._trial_ms = None
+        self._failing_since_ms = None
 
     def trip(self, now_ms: clock.Millis) -> None:
         """Opens the breaker at once, for a failure that is certain."""
         self._opened_ms = now_ms
         self._trial_ms = None
+        self._record_failing(now_ms)
 
     def record_failure(self, now_ms: clock.Millis) -> None:
         """Counts a failure and opens the breaker at the limit.
@@ -81,5 +87,10 @@
         A failure of a trial opens the breaker again.
         """
         self._failures += 1
+        self._record_failing(now_ms)
         if self._failures >= self._failures_max or self._opened_ms is not None:
             self.trip(now_ms)
+
+    def _record_failing(self, now_ms: clock.Millis) -> None:
+        if self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -282,12 +282,16 @@
     def is_likely_lost(self, now_ms: clock.Millis) -> bool:
         """Returns whether the replica will likely fail the next request.
 
-        Its breaker is open, or its last request failed and neither the replica
-        nor its agent has been heard since.
+        Requests have failed for as long as a report is valid, and neither the
+        replica nor its agent has been heard meanwhile. A plain replica is not
+        taken as lost, since no agent would report its return.
         """
-        if not self.breaker.allows(now_ms):
-            return True
-        return self.breaker.is_failing and self.is_out_of_contact(now_ms)
+        has_agent = self.report is not None or self.replica.weights is not None
+        failing_since_ms = self.breaker.failing_since_ms
+        if not has_agent or failing_since_ms is None:
+            return False
+        sound_ms = max(self.reported_ms, self.heard_ms, failing_since_ms)
+        return now_ms - sound_ms >= REPORT_FRESH_MS
 
     def accepts_assigned(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request assigned to the replica may be written."""
--- a/src/marlramp/core/replicas/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -287,8 +287,8 @@
     """Returns the replicas that may receive the request, the best first.
 
     Circuit breakers are ignored when they exclude most replicas, because the
-    fault is then unlikely to lie with the replicas. A request that avoids
-    replicas that are likely lost is no test of that.
+    fault is then unlikely to lie with the replicas. Replicas that are likely
+    lost stay excluded, and so do all of them for a request that avoids these.
 
     Args:
       views: replicas of the service.
@@ -304,12 +304,15 @@
     able = able or _last_resort(views, needs, now_ms)
     # Rate limits apply even when breakers are ignored below.
     able = [view for view in able if _limit_admits(view, needs, now_ms)]
+    allowed = [view for view in able if view.breaker.allows(now_ms)]
     if needs.avoids_lost:
-        allowed = [view for view in able if not view.is_likely_lost(now_ms)]
-    else:
-        allowed = [view for view in able if view.breaker.allows(now_ms)]
-        if routing.panics(len(allowed), len(able)):
-            allowed = able
+        allowed = [v for v in allowed if not v.is_likely_lost(now_ms)]
+    elif routing.panics(len(allowed), len(able)):
+        allowed = [
+            view
+            for view in able
+            if view.breaker.allows(now_ms) or not view.is_likely_lost(now_ms)
+        ]
     fresh = [v for v in allowed if v.replica.replica_id not in needs.failed]
     # Draining replicas serve until their drain time ends if no other is left.
     fresh = [v for v in fresh if not v.availability.is_leaving] or fresh
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -106,6 +106,69 @@
     assert ids_of(ranked) == expected
 
 
+def fail_all(
+    views: list[replica_view.ReplicaView], now_ms: clock.Millis
+) -> None:
+    """Records failures that open the breakers of all replicas."""
+    for view in views:
+        for _ in range(3):
+            view.record_incomplete(now_ms)
+
+
+@pytest.mark.parametrize("reported", [True, False])
+def test_engines_that_failed_and_are_not_heard_receive_no_first_attempts(
+    make_replica: MakeReplica,
+    needs: replica_filters.RequestNeeds,
+    time: clock.ManualClock,
+    reported: bool,
+) -> None:
+    """Guards against attempts spent where all breakers are open."""
+    views = [view_of(make_replica(replica_id=f"i-{n}")) for n in range(3)]
+    for view in views:
+        if reported:
+            view.report, view.reported_ms = REPORT, time.now_ms()
+    fail_all(views, time.now_ms())
+    time.advance(1_000.0)
+    fail_all(views, time.now_ms())
+    time.advance(600.0)
+    assert upstream_choice.rank(views, needs, ANYWHERE, time.now_ms()) == []
+    # A report shows that an engine is back.
+    views[1].report, views[1].reported_ms = REPORT, time.now_ms()
+    ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-1"]
+    # So does a trial once the breakers let it through.
+    time.advance(1_000.0)
+    ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
+    assert sorted(ids_of(ranked)) == ["i-0", "i-1", "i-2"]
+
+
+def test_open_breakers_of_engines_in_contact_are_ignored(
+    make_replica: MakeReplica,
+    needs: replica_filters.RequestNeeds,
+    time: clock.ManualClock,
+) -> None:
+    views = [view_of(make_replica(replica_id=f"i-{n}")) for n in range(3)]
+    fail_all(views, time.now_ms())
+    time.advance(900.0)
+    for view in views:
+        view.report, view.reported_ms = REPORT, time.now_ms()
+    ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
+    assert len(ranked) == len(views)
+
+
+def test_open_breakers_of_plain_replicas_are_ignored(
+    make_replica: MakeReplica, time: clock.ManualClock
+) -> None:
+    views = [
+        view_of(make_replica(replica_id=f"d-{n}", weights=None))
+        for n in range(3)
+    ]
+    fail_all(views, time.now_ms())
+    time.advance(1_000.0)
+    ranked = upstream_choice.rank(views, WANTED, ANYWHERE, time.now_ms())
+    assert len(ranked) == len(views)
+
+
 def test_draining_replica_receives_no_requests(
     make_replica: MakeReplica, time: clock.ManualClock
 ) -> None:
--- a/tests/direct/calls/test_lost_replicas.py
+++ b/tests/direct/calls/test_lost_replicas.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from marlramp.core.replicas import replica_view
 from standins import raw_http
 from tests.direct import conftest
 from tests.direct.calls import test_silent_replicas
@@ -52,6 +53,21 @@
             peer.reset()
 
 
+def report(entry: conftest.Entry, address: str) -> None:
+    """Reports an idle engine that holds version 1."""
+    entry.table.handle_report(
+        replica_view.LoadReport(
+            address=address,
+            weights=1,
+            running=0,
+            waiting=0,
+            pace=1.0,
+            opens=True,
+        ),
+        entry.time.now_ms(),
+    )
+
+
 def fail_repeatedly(entry: conftest.Entry, replica_id: str) -> None:
     """Records failed requests that open a replica's breaker."""
     view = entry.table.get(replica_id)
@@ -101,3 +117,32 @@
         assert entry.time.now_ms() - started_ms < 1_000.0
 
     run_entry(test, only.serve)
+
+
+def test_request_is_refused_as_not_run_while_all_engines_are_lost(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against 502 and spent attempts while no engine listens."""
+    replicas = [ReturningReplica(), ReturningReplica()]
+
+    async def test(entry: conftest.Entry) -> None:
+        entry.serve_engines()
+        entry.name_version(1, 60_000.0)
+        views = list(entry.table)
+        for view in views:
+            report(entry, view.replica.address)
+        for _ in range(2):
+            for view in views:
+                fail_repeatedly(entry, view.replica.replica_id)
+            entry.time.suspended_ms += 800.0
+        answer = await test_silent_replicas.stream(entry)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"retry-after" in answer.lower()
+        assert [replica.lost for replica in replicas] == [0, 0]
+        replicas[1].is_back = True
+        report(entry, views[1].replica.address)
+        test_silent_replicas.assert_whole(
+            await test_silent_replicas.stream(entry)
+        )
+
+    run_entry(test, *(replica.serve for replica in replicas))
