--- a/src/marlramp/core/replicas/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -288,7 +288,7 @@
 
     Circuit breakers are ignored when they exclude most replicas, because the
     fault is then unlikely to lie with the replicas. Replicas that are likely
-    lost stay excluded, and so do all of them for a request that avoids these.
+    lost stay excluded. For a request that avoids these, no breaker is ignored.
 
     Args:
       views: replicas of the service.
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -121,8 +121,8 @@
     async def choose(self, call: call_module.Call) -> upstream_choice.Choice:
         """Returns the best replica; waits for a short time if none is open.
 
-        A request that may have run waits as long for a replica that is not
-        likely lost, and is then sent to any.
+        A request that may have run goes to no replica whose breaker is open
+        while it waits, and then to any that is not likely lost.
 
         Raises:
           CallError: if no replica can accept the request in time.
