--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 
 from marlramp import clock
 
@@ -26,6 +27,18 @@
 this entry knows the others."""
 
 
+class RetrySource(enum.Enum):
+    """What pays for a retry.
+
+    Attributes:
+      RATIO: the requests that this entry received.
+      SLACK: its part of the slack.
+    """
+
+    RATIO = "ratio"
+    SLACK = "slack"
+
+
 class RetryShare:
     """This entry's part of one service's retry budget."""
 
@@ -79,17 +92,25 @@
         if self._retries:
             self._retries.pop()
 
-    def try_spend(self, entries: int, now_ms: clock.Millis) -> bool:
-        """Spends one retry if there is one; returns whether there was.
+    def try_spend(
+        self, entries: int, now_ms: clock.Millis
+    ) -> RetrySource | None:
+        """Spends one retry if there is one.
 
         Args:
           entries: largest number of entries known recently, this one included.
           now_ms: the time.
+
+        Returns:
+          What pays for the retry, None if there is none.
         """
         if not self.has_retry(entries, now_ms):
-            return False
+            return None
         self._retries.append(now_ms)
-        return True
+        earned = len(self._requests) * self._ratio * RATIO_SAFETY
+        if len(self._retries) <= earned:
+            return RetrySource.RATIO
+        return RetrySource.SLACK
 
     def _drop_expired(self, now_ms: clock.Millis) -> None:
         start_ms = now_ms - self._window_ms
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -33,6 +33,7 @@
     REPLICA_LIMITS = "marlramp_replica_limits"
     REPLICA_PAUSES = "marlramp_replica_pauses"
     COLD_STATES = "marlramp_cold_states"
+    RETRY_BUDGET = "marlramp_retry_budget"
 
 
 class CounterValue(msgspec.Struct, frozen=True, array_like=True):
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -28,6 +28,7 @@
 from marlramp.direct.calls import own_answers
 from marlramp.direct.calls import rate_limits
 from marlramp.direct.calls import replica_signals
+from marlramp.direct.calls import retry_log
 from marlramp.direct.calls import running_attempts
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
@@ -138,6 +139,7 @@
             time,
         )
         self._retry_shares: dict[ids.ServiceId, retry_share.RetryShare] = {}
+        self._retry_log = retry_log.RetryLog(totals, time)
         self._wait_estimates: dict[
             tuple[str, float], caller_wait_estimate.CallerWaitEstimate
         ] = {}
@@ -182,9 +184,10 @@
         self._selector.set_cell(hosts)
 
     def tick(self) -> None:
-        """Closes connections that were idle too long; logs ended pauses."""
+        """Closes connections that were idle too long; writes lines due."""
         self._sender.tick()
         self._signals.tick()
+        self._retry_log.tick(self._state.entries)
 
     def forget(self, replica_ids: list[str]) -> None:
         """Forgets replicas that are gone or were restarted."""
@@ -217,6 +220,7 @@
             raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
         self._totals.add(counters.CounterName.REQUESTS, route.kind.value)
         self._retry_share(service_id).record_request(self._clock.now_ms())
+        self._retry_log.record_request(service_id)
         spent_ms = self._wait_estimate(route).spent_ms(info.wait_ms)
         return call_module.Call(
             request,
@@ -322,6 +326,7 @@
         if running:
             if result.unsent:
                 self._retry_share(call.service.service_id).refund()
+                self._retry_log.record_refunded(call.service.service_id)
             await self._relieve_silent(call, running)
             return True
         if result.unsent or failure is None:
@@ -363,6 +368,7 @@
         # A choice may reserve a send at a replica with a rate limit.
         share = self._retry_share(call.service.service_id)
         if not share.has_retry(self._state.entries, self._clock.now_ms()):
+            self._retry_log.record_denied(call.service.service_id)
             return
         try:
             choice = await running.first(self._selector.choose(call))
@@ -456,9 +462,13 @@
         self, call: call_module.Call
     ) -> retries.RetryDenial | None:
         """Spends a retry of the shared budget; returns why it can't."""
-        share = self._retry_share(call.service.service_id)
-        if share.try_spend(self._state.entries, self._clock.now_ms()):
+        service_id = call.service.service_id
+        share = self._retry_share(service_id)
+        source = share.try_spend(self._state.entries, self._clock.now_ms())
+        if source is not None:
+            self._retry_log.record_spent(service_id, source)
             return None
+        self._retry_log.record_denied(service_id)
         denial = retries.RetryDenial.BUDGET
         self._totals.add(counters.CounterName.REFUSALS, denial.value)
         return denial
