Retry budget: a process spends what it has earned, not a part that it starts with

Cause: a process began with its whole part of the slack and of the ratio's window, and remembered nothing of the process before it on its VM. The lines retry_budget show it: each life spent 9 to 18 by slack within its first two seconds.

Now half of the ratio is earned with each request, 0.4 of the slack over time, both by the life that spends them; 0.45 and 0.35 can be saved. A process may spend 0.08 of the slack of all entries in advance and repays it with what it earns. Lives on one VM do not overlap, so that their sum is bounded for every schedule. The number of entries is an estimate that is not too low: 256 while an entry knows nobody, the estimate of an entry that answers its introduction, data centres never heard counted as large as the others, and entries that are forgotten remembered for an hour.

Tests of direct/fleet, core and direct/calls pass.

--- a/src/marlramp/core/membership/roster.py
+++ b/src/marlramp/core/membership/roster.py
@@ -244,6 +244,14 @@
         )
         return known + (self.own.member.kind is kind)
 
+    def data_centres(self, kind: members.MemberKind) -> list[str]:
+        """Returns the data centre of each known process of a kind.
+
+        The list includes this process and those that are down.
+        """
+        listed = [self.own, *(r.update for r in self._records.values())]
+        return [u.member.data_centre for u in listed if u.member.kind is kind]
+
     def remembered(self, kind: members.MemberKind) -> list[str]:
         """Returns the VMs of a kind of process, with those long down.
 
--- a/src/marlramp/core/replicas/cold_shares.py
+++ b/src/marlramp/core/replicas/cold_shares.py
@@ -18,15 +18,10 @@
 
 from marlramp import clock
 from marlramp.core import rendezvous
+from marlramp.core.membership import fleet_size
 
-ENTRIES_ASSUMED = 256
-"""Number of entries that an entry assumes while it starts and knows few. It is
-at least the number of entries of a fleet: with 64, up to 53 requests a second
-were permitted to one replica when 150 entries started together."""
-
-START_MS = 1_500.0
-"""Time after its start for which an entry assumes `ENTRIES_ASSUMED`. The
-entries of a fleet of 120 know each other within 1.1 s."""
+ENTRIES_ASSUMED = fleet_size.ENTRIES_ASSUMED
+START_MS = fleet_size.START_MS
 
 
 class ColdShares:
--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -1,60 +1,99 @@
 """One retry budget per service, divided among entries without a coordinator.
 
 The retries of a service in any window are bounded by a ratio of its requests
-plus a fixed slack. Each entry spends the ratio of the requests that it received
-itself, and an equal part of the slack. The slack is divided by the largest
-number of entries known recently, so that the parts sum to no more than the
-slack when entries fail or are partitioned from each other.
+plus a fixed slack, summed over all entries. A process remembers nothing of the
+one that ran on its VM before, and any number of them may be killed at any time.
+What a process may spend is therefore bounded by what it has earned itself:
+
+- A part of the ratio is earned with each request. Processes that run one after
+  the other receive different requests, so that what they earn together is
+  bounded by the ratio, however often they restart.
+- A part of the slack is earned evenly over time, divided among the entries.
+  Processes of one VM do not run at the same time, so that this is bounded too.
+- What is not spent is saved up to a further part of the ratio and of the slack.
+  A process may spend its savings and be killed, and the next one earns again.
+- A process may spend its first retries in advance, before it has earned them.
+  What it earns afterwards repays the advance first.
 """
 
 from __future__ import annotations
 
 import collections
 import enum
+import math
 
 from marlramp import clock
 
-RATIO_SAFETY = 0.8
-"""Part of the ratio that is spent. The rest covers the difference between the
-time when an entry counts a request and the time when a retry arrives."""
+RATIO_EARNED = 0.5
+"""Part of the ratio that each request earns."""
 
-SLACK_SAFETY = 0.8
-"""Part of the slack that is spent. The rest is left to entries that this entry
-does not know yet."""
+RATIO_SAVED = 0.45
+"""Part of the ratio, of the requests in the last window, that can be saved."""
 
-ENTRIES_MIN = 8
-"""Least number of entries by which the slack is divided, for the time before
-this entry knows the others."""
+SLACK_EARNED = 0.4
+"""Part of the slack that all entries together earn in a window."""
+
+SLACK_SAVED = 0.35
+"""Part of the slack that all entries together can save."""
+
+SLACK_ADVANCED = 0.08
+"""Part of the slack that all entries together may spend in advance after they
+started. Processes earn as much in a fifth of the window, so that entries that
+restart no more often spend no more than entries that keep running."""
+
+HOLDERS_SAFETY = 0.75
+"""Part of the whole retries of a bound that are given to entries by chance. The
+number of entries that hold one varies."""
 
 
 class RetrySource(enum.Enum):
     """What pays for a retry.
 
     Attributes:
-      RATIO: the requests that this entry received.
-      SLACK: its part of the slack.
+      RATIO: the requests that this process received.
+      SLACK: its part of the slack, alone or with a part of the ratio.
+      ADVANCE: what it will earn after its start.
     """
 
     RATIO = "ratio"
     SLACK = "slack"
+    ADVANCE = "advance"
 
 
 class RetryShare:
-    """This entry's part of one service's retry budget."""
-
-    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+    """This process's part of one service's retry budget."""
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: float,
+        started_ms: clock.Millis,
+        rank: float = 0.0,
+    ) -> None:
         """Starts with no request and no retry counted.
 
         Args:
           ratio: retries allowed per request.
           slack: further retries allowed in a window, for all entries together.
           window_ms: length of the window.
+          started_ms: when this process started.
+          rank: a number in [0, 1) that is uniformly distributed over the
+            entries. Where there are fewer whole retries than entries, those
+            with the lowest ranks have them.
         """
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
+        self._started_ms = started_ms
+        self._rank = rank
         self._requests: collections.deque[float] = collections.deque()
-        self._retries: collections.deque[float] = collections.deque()
+        self._by_ratio = 0.0
+        self._by_slack = 0.0
+        self._debt = 0.0
+        self._updated_ms: float = started_ms
+        self.spent = 0
+        """Number of retries that were spent and not refunded."""
 
     def configure(self, ratio: float, slack: float) -> None:
         """Applies a changed ratio and slack."""
@@ -64,33 +103,16 @@
     def record_request(self, now_ms: clock.Millis) -> None:
         """Counts a request that a caller sent."""
         self._requests.append(now_ms)
-
-    def allowed(self, entries: int, now_ms: clock.Millis) -> float:
-        """Returns how many retries this entry may spend in the current window.
-
-        Args:
-          entries: largest number of entries known recently, this one included.
-          now_ms: the time.
-        """
-        self._drop_expired(now_ms)
-        slack = self._slack * SLACK_SAFETY / max(ENTRIES_MIN, entries)
-        return len(self._requests) * self._ratio * RATIO_SAFETY + slack
+        self._by_ratio += self._repay(self._ratio * RATIO_EARNED)
 
     def has_retry(self, entries: int, now_ms: clock.Millis) -> bool:
         """Returns whether `try_spend` would spend a retry.
 
         Args:
-          entries: largest number of entries known recently, this one included.
+          entries: number of entries that share the budget, at least 1.
           now_ms: the time.
         """
-        # Also drops expired retries, which must not be counted.
-        allowed = self.allowed(entries, now_ms)
-        return len(self._retries) + 1 <= allowed
-
-    def refund(self) -> None:
-        """Takes back the last retry, which was not sent."""
-        if self._retries:
-            self._retries.pop()
+        return self._source(entries, now_ms) is not None
 
     def try_spend(
         self, entries: int, now_ms: clock.Millis
@@ -98,22 +120,100 @@
         """Spends one retry if there is one.
 
         Args:
-          entries: largest number of entries known recently, this one included.
+          entries: number of entries that share the budget, at least 1.
           now_ms: the time.
 
         Returns:
           What pays for the retry, None if there is none.
         """
-        if not self.has_retry(entries, now_ms):
+        source = self._source(entries, now_ms)
+        if source is None:
             return None
-        self._retries.append(now_ms)
-        earned = len(self._requests) * self._ratio * RATIO_SAFETY
-        if len(self._retries) <= earned:
-            return RetrySource.RATIO
-        return RetrySource.SLACK
+        self.spent += 1
+        by_ratio = min(1.0, self._by_ratio)
+        by_slack = min(1.0 - by_ratio, self._by_slack)
+        self._by_ratio -= by_ratio
+        self._by_slack -= by_slack
+        self._debt += 1.0 - by_ratio - by_slack
+        return source
+
+    def refund(self) -> None:
+        """Takes back a retry that was spent and not sent."""
+        if self.spent:
+            self.spent -= 1
+            self._by_slack += self._repay(1.0)
 
-    def _drop_expired(self, now_ms: clock.Millis) -> None:
+    def wait_ms(self, count: int, entries: int, now_ms: clock.Millis) -> float:
+        """Returns the expected time until several retries can be spent.
+
+        Args:
+          count: number of retries, at least 1.
+          entries: number of entries that share the budget, at least 1.
+          now_ms: the time.
+
+        Returns:
+          The time in ms, infinite if too few can ever be saved.
+        """
+        self._update(entries, now_ms)
+        missing = count - self._by_ratio - self._by_slack + self._debt
+        if missing <= 0.0:
+            return 0.0
+        period_ms = min(self._window_ms, max(1.0, now_ms - self._started_ms))
+        per_ms = (
+            self._slack_share(SLACK_EARNED, entries) / self._window_ms
+            + len(self._requests) * self._ratio * RATIO_EARNED / period_ms
+        )
+        saved = self._ratio_saved_max() + self._slack_share(
+            SLACK_SAVED, entries
+        )
+        if per_ms <= 0.0 or saved < 1.0:
+            return math.inf
+        return missing / per_ms
+
+    def _source(self, entries: int, now_ms: clock.Millis) -> RetrySource | None:
+        self._update(entries, now_ms)
+        if self._by_ratio >= 1.0:
+            return RetrySource.RATIO
+        if self._by_ratio + self._by_slack >= 1.0:
+            return RetrySource.SLACK
+        if self.spent + 1.0 <= self._slack_share(SLACK_ADVANCED, entries):
+            return RetrySource.ADVANCE
+        return None
+
+    def _update(self, entries: int, now_ms: clock.Millis) -> None:
+        """Adds what was earned over time, and drops what can't be saved."""
         start_ms = now_ms - self._window_ms
-        for times in (self._requests, self._retries):
-            while times and times[0] < start_ms:
-                times.popleft()
+        while self._requests and self._requests[0] < start_ms:
+            self._requests.popleft()
+        elapsed_ms = max(0.0, now_ms - self._updated_ms)
+        self._updated_ms = now_ms
+        per_window = self._slack_share(SLACK_EARNED, entries)
+        earned = per_window * elapsed_ms / self._window_ms
+        self._by_slack += self._repay(earned)
+        self._by_ratio = min(self._by_ratio, self._ratio_saved_max())
+        self._by_slack = min(
+            self._by_slack, self._slack_share(SLACK_SAVED, entries)
+        )
+
+    def _ratio_saved_max(self) -> float:
+        return len(self._requests) * self._ratio * RATIO_SAVED
+
+    def _slack_share(self, part: float, entries: int) -> float:
+        """Returns this entry's share of a part of the slack.
+
+        The share is 0 or enough for at least one whole retry if all entries
+        could save fewer whole retries than there are entries.
+        """
+        whole = self._slack * min(part, SLACK_SAVED)
+        if entries <= whole:
+            return self._slack * part / entries
+        holders = whole * HOLDERS_SAFETY
+        if self._rank >= holders / entries:
+            return 0.0
+        return self._slack * part / whole
+
+    def _repay(self, earned: float) -> float:
+        """Repays the debt, and returns what is left of what was earned."""
+        repaid = min(self._debt, earned)
+        self._debt -= repaid
+        return earned - repaid
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -13,6 +13,7 @@
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
+from marlramp.core import rendezvous
 from marlramp.core.configuration import catalog
 from marlramp.core.configuration import fleet
 from marlramp.core.configuration import route_table
@@ -57,7 +58,7 @@
 
     @property
     def entries(self) -> int:
-        """The highest recent number of known entries."""
+        """Number of entries by which bounds over the fleet are divided."""
         ...
 
     def refuses(self) -> bool:
@@ -118,6 +119,7 @@
         self._totals = totals
         self._latencies = latencies
         self._clock = time
+        self._started_ms = time.now_ms()
         self._selector = selection.Selector(
             known,
             table,
@@ -246,7 +248,11 @@
         if share is None:
             bounds = self._settings.bounds
             share = retry_share.RetryShare(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_ms
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window_ms,
+                self._started_ms,
+                rendezvous.fraction(f"{service_id}\0{self._settings.vm_id}"),
             )
             self._retry_shares[service_id] = share
         return share
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -312,7 +312,7 @@
 
     @property
     def entries(self) -> int:
-        """The largest number of entries known recently."""
+        """Number of entries by which bounds over the fleet are divided."""
         return self._fleet.entry_count
 
     def refuses(self) -> bool:
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -17,6 +17,7 @@
 from marlramp.core.configuration import outage_detector
 from marlramp.core.configuration import store_completeness
 from marlramp.core.crashes import crash_record
+from marlramp.core.membership import fleet_size
 from marlramp.core.membership import members
 from marlramp.core.membership import reader_election
 from marlramp.core.replicas import replica_table
@@ -108,6 +109,7 @@
             incarnation,
             settings.seeds,
             settings.near_data_centres,
+            fleet_size.FleetSize(settings.regions, time),
             self,
             time,
             self._rng,
@@ -198,8 +200,8 @@
 
     @property
     def entry_count(self) -> int:
-        """Number of entries in the roster, with this and recently lost ones."""
-        return self.sync.roster.count(members.MemberKind.ENTRY)
+        """Number of entries by which bounds over the fleet are divided."""
+        return self.sync.estimated_entries()
 
     def known_entries(self) -> list[str]:
         """Returns the VMs of all entries known recently, with this one."""
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -17,6 +17,7 @@
 
 from marlramp import clock
 from marlramp import logs
+from marlramp.core.membership import fleet_size
 from marlramp.core.membership import gossip
 from marlramp.core.membership import members
 from marlramp.core.membership import prober
@@ -121,6 +122,7 @@
         incarnation: int,
         seeds: list[node.Address],
         near: Collection[str],
+        size: fleet_size.FleetSize,
         entry: EntryState,
         time: clock.Clock,
         rng: random.Random,
@@ -132,6 +134,7 @@
           incarnation: its incarnation, see `roster.Roster`.
           seeds: entries to contact first; some may be down.
           near: data centres of the own region.
+          size: estimates the number of entries.
           entry: the rest of the entry.
           time: the clock.
           rng: picks the entries to probe and to send updates to.
@@ -140,6 +143,7 @@
         self._own = own
         self._seeds = seeds
         self._near = near
+        self._size = size
         self._entry = entry
         self._clock = time
         self._rng = rng
@@ -149,6 +153,9 @@
         )
         self._links: Links | None = None
         self._started_ms = time.now_ms()
+        self._counted_changes = -1
+        self._entry_data_centres: list[str] = []
+        self._remembered_entries = 1
         self._compared_ms = float("-inf")
         self._seeds_ms = float("-inf")
         self._reported_ms: dict[str, float] = {}
@@ -194,6 +201,19 @@
         record = self.roster.get(member.vm_id)
         return None if record is None else record.update.state
 
+    def estimated_entries(self) -> int:
+        """Returns the number of entries to divide a bound over the fleet by."""
+        if self.roster.changes != self._counted_changes:
+            self._counted_changes = self.roster.changes
+            kind = members.MemberKind.ENTRY
+            self._entry_data_centres = self.roster.data_centres(kind)
+            self._remembered_entries = len(self.roster.remembered(kind))
+        return self._size.estimate(
+            self._entry_data_centres,
+            self._remembered_entries,
+            expects_others=bool(self.other_seeds),
+        )
+
     def is_near(self, member: members.Member) -> bool:
         """Returns whether a member is in the own region."""
         return member.data_centre in self._near
@@ -359,6 +379,7 @@
             self._open_links().close(name)
         if member.vm_id == self._own.vm_id:
             return
+        self._size.record_report(hello.entries)
         known = self.roster.get(member.vm_id)
         new = known is None or known.update.incarnation < hello.news.incarnation
         self._apply_direct(hello.news, now_ms)
@@ -515,7 +536,10 @@
             ]
             sample = self._rng.sample(known, min(SAMPLE_MAX, len(known)))
         return fleet_messages.Hello(
-            news=self.roster.own, sample=sample, reply=reply
+            news=self.roster.own,
+            sample=sample,
+            reply=reply,
+            entries=self.estimated_entries() if self._size.is_settled else 0,
         )
 
     def _ping(self) -> fleet_messages.Ping:
--- a/src/marlramp/protocol/fleet_messages.py
+++ b/src/marlramp/protocol/fleet_messages.py
@@ -63,11 +63,14 @@
       sample: some of the other members that the sender knows, but never all of
         them. A member that has only a seed's address discovers others from it.
       reply: whether the receiver must send its own `Hello` in return.
+      entries: number of entries by which the sender divides bounds over the
+        fleet, 0 if it does not know enough of them yet.
     """
 
     news: members.MemberUpdate
     sample: _News[members.MemberUpdate]
     reply: bool
+    entries: _Count = 0
 
 
 class MembersNews(_Message):
--- a/tests/direct/fleet/test_load_exchange.py
+++ b/tests/direct/fleet/test_load_exchange.py
@@ -11,6 +11,7 @@
 from marlramp import ids
 from marlramp.core.configuration import catalog
 from marlramp.core.configuration import fleet
+from marlramp.core.membership import fleet_size
 from marlramp.core.membership import members
 from marlramp.core.membership import roster
 from marlramp.core.replicas import peer_loads
@@ -47,6 +48,7 @@
             1,
             [],
             {"dc-1"},
+            fleet_size.FleetSize((), time),
             virtual_fleet.Alone(),
             time,
             random.Random(1),
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -15,6 +15,7 @@
 from marlramp.core.configuration import event_time
 from marlramp.core.configuration import fleet
 from marlramp.core.configuration import named_versions
+from marlramp.core.membership import fleet_size
 from marlramp.core.membership import members
 from marlramp.direct.fleet import agent_coordinator
 from marlramp.direct.fleet import catalog_sync
@@ -101,6 +102,7 @@
             1,
             [],
             {data_centre},
+            fleet_size.FleetSize((), time),
             virtual_fleet.Alone(),
             time,
             random.Random(1),
--- a/tests/direct/fleet/virtual_fleet.py
+++ b/tests/direct/fleet/virtual_fleet.py
@@ -15,6 +15,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp.core.crashes import crash_record
+from marlramp.core.membership import fleet_size
 from marlramp.core.membership import members
 from marlramp.core.replicas import replica_table
 from marlramp.direct.fleet import crash_backup
@@ -83,6 +84,7 @@
             incarnation,
             fleet.seeds,
             fleet.near(self.member.data_centre),
+            fleet_size.FleetSize(fleet.region_of, fleet.time),
             self,
             fleet.time,
             random.Random(f"{fleet.seed} {number}"),
