Retry budget: a retry that is not earned yet is waited for, unsent ones cost nothing

Cause: a request whose retry was not earned at that moment was refused, though its caller waits for a second or more, and an entry that starts knows neither the others nor its part for up to 1.5 s.

Now a request waits for its retry, for half of its caller's time at most, and half of its objective if it has not run; begun streams first, then those that can be in time. An entry knows the fleet once 400 ms pass without a new one.

--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -24,21 +24,21 @@
 
 from marlramp import clock
 
-RATIO_EARNED = 0.5
+RATIO_EARNED = 0.75
 """Part of the ratio that each request earns."""
 
-RATIO_SAVED = 0.45
+RATIO_SAVED = 0.2
 """Part of the ratio, of the requests in the last window, that can be saved."""
 
-SLACK_EARNED = 0.4
+SLACK_EARNED = 0.5
 """Part of the slack that all entries together earn in a window."""
 
-SLACK_SAVED = 0.35
+SLACK_SAVED = 0.25
 """Part of the slack that all entries together can save."""
 
 SLACK_ADVANCED = 0.08
 """Part of the slack that all entries together may spend in advance after they
-started. Processes earn as much in a fifth of the window, so that entries that
+started. Processes earn as much in a sixth of the window, so that entries that
 restart no more often spend no more than entries that keep running."""
 
 HOLDERS_SAFETY = 0.75
@@ -88,6 +88,7 @@
         self._started_ms = started_ms
         self._rank = rank
         self._requests: collections.deque[float] = collections.deque()
+        self._demands: collections.deque[float] = collections.deque()
         self._by_ratio = 0.0
         self._by_slack = 0.0
         self._debt = 0.0
@@ -105,6 +106,22 @@
         self._requests.append(now_ms)
         self._by_ratio += self._repay(self._ratio * RATIO_EARNED)
 
+    def record_demand(self, now_ms: clock.Millis) -> None:
+        """Counts a request that needs a retry, whether it gets one or not."""
+        self._demands.append(now_ms)
+
+    def covers_demand(self, entries: int, now_ms: clock.Millis) -> bool:
+        """Returns whether as many retries are earned as are needed.
+
+        Args:
+          entries: number of entries that share the budget, at least 1.
+          now_ms: the time.
+        """
+        self._update(entries, now_ms)
+        earned = self._slack_share(SLACK_EARNED, entries)
+        earned += len(self._requests) * self._ratio * RATIO_EARNED
+        return len(self._demands) <= earned
+
     def has_retry(self, entries: int, now_ms: clock.Millis) -> bool:
         """Returns whether `try_spend` would spend a retry.
 
@@ -183,8 +200,9 @@
     def _update(self, entries: int, now_ms: clock.Millis) -> None:
         """Adds what was earned over time, and drops what can't be saved."""
         start_ms = now_ms - self._window_ms
-        while self._requests and self._requests[0] < start_ms:
-            self._requests.popleft()
+        for times in (self._requests, self._demands):
+            while times and times[0] < start_ms:
+                times.popleft()
         elapsed_ms = max(0.0, now_ms - self._updated_ms)
         self._updated_ms = now_ms
         per_window = self._slack_share(SLACK_EARNED, entries)
--- a/src/marlramp/direct/calls/call.py
+++ b/src/marlramp/direct/calls/call.py
@@ -48,6 +48,8 @@
         its route.
       sends: number of replicas that the request was sent to.
       pauses: number of these that refused it and are paused since.
+      written: number of replicas that may have received the request.
+      retries_spent: number of retries of the budget that were spent on it.
       runs: number of replicas that may have run the request.
       maybe_ran: whether any replica may have run the request.
       failed_outcome: the last failure that a replica itself answered, None
@@ -89,6 +91,8 @@
         self.ends_ms = request.first_byte_ms + wait_ms
         self.sends = 0
         self.pauses = 0
+        self.written = 0
+        self.retries_spent = 0
         self.runs = 0
         self.maybe_ran = False
         self.failed_outcome: attempts.Outcome | None = None
@@ -134,6 +138,20 @@
         """Returns the time until the request times out."""
         return self.ends_ms - now_ms
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request."""
+        return self.relay.started or self.maybe_ran
+
+    @property
+    def has_unsent_retry(self) -> bool:
+        """Whether the budget already covers another send.
+
+        The first send that a replica may have received needs no retry, and
+        neither does one in place of a retry that was not written.
+        """
+        return self.written <= self.retries_spent
+
     def caller_wait_ms(self, now_ms: clock.Millis) -> float:
         """Returns how much longer the caller waits for the next data.
 
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -11,9 +11,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import errors
-from marlramp import ids
 from marlramp import logs
-from marlramp.core import rendezvous
 from marlramp.core.configuration import catalog
 from marlramp.core.configuration import fleet
 from marlramp.core.configuration import route_table
@@ -22,14 +20,13 @@
 from marlramp.core.replicas import upstream_choice
 from marlramp.core.requests import caller_wait_estimate
 from marlramp.core.requests import retries
-from marlramp.core.requests import retry_share
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import call as call_module
 from marlramp.direct.calls import crash_detector
 from marlramp.direct.calls import own_answers
 from marlramp.direct.calls import rate_limits
 from marlramp.direct.calls import replica_signals
-from marlramp.direct.calls import retry_log
+from marlramp.direct.calls import retry_budgets
 from marlramp.direct.calls import running_attempts
 from marlramp.direct.calls import selection
 from marlramp.direct.calls import sender
@@ -61,6 +58,11 @@
         """Number of entries by which bounds over the fleet are divided."""
         ...
 
+    @property
+    def entries_are_provisional(self) -> bool:
+        """Whether a better number of entries is due soon."""
+        ...
+
     def refuses(self) -> bool:
         """Returns whether this entry refuses new requests."""
         ...
@@ -119,7 +121,6 @@
         self._totals = totals
         self._latencies = latencies
         self._clock = time
-        self._started_ms = time.now_ms()
         self._selector = selection.Selector(
             known,
             table,
@@ -140,8 +141,9 @@
             self._selector,
             time,
         )
-        self._retry_shares: dict[ids.ServiceId, retry_share.RetryShare] = {}
-        self._retry_log = retry_log.RetryLog(totals, time)
+        self.retry_budgets = retry_budgets.RetryBudgets(
+            settings, state, totals, time
+        )
         self._wait_estimates: dict[
             tuple[str, float], caller_wait_estimate.CallerWaitEstimate
         ] = {}
@@ -169,6 +171,8 @@
             internal = errors.CallError(errors.ErrorKind.INTERNAL)
             self._fail(request_id, call, internal, responder)
         finally:
+            if call is not None:
+                self.retry_budgets.refund_unsent(call)
             self.active -= 1
 
     def set_settings(self, settings: node.NodeSettings) -> None:
@@ -176,10 +180,7 @@
         self._settings = settings
         self._selector.set_settings(settings)
         self._signals.set_drain(settings.bounds.drain_ms)
-        for share in self._retry_shares.values():
-            share.configure(
-                settings.bounds.retry_ratio, settings.bounds.retry_slack
-            )
+        self.retry_budgets.set_settings(settings)
 
     def set_cell(self, hosts: Collection[str]) -> None:
         """Sets the addresses of the VMs whose engines belong to the cell."""
@@ -189,7 +190,7 @@
         """Closes connections that were idle too long; writes lines due."""
         self._sender.tick()
         self._signals.tick()
-        self._retry_log.tick(self._state.entries)
+        self.retry_budgets.tick()
 
     def forget(self, replica_ids: list[str]) -> None:
         """Forgets replicas that are gone or were restarted."""
@@ -221,8 +222,7 @@
         if service is None:
             raise errors.CallError(errors.ErrorKind.NO_UPSTREAM)
         self._totals.add(counters.CounterName.REQUESTS, route.kind.value)
-        self._retry_share(service_id).record_request(self._clock.now_ms())
-        self._retry_log.record_request(service_id)
+        self.retry_budgets.record_request(service_id)
         spent_ms = self._wait_estimate(route).spent_ms(info.wait_ms)
         return call_module.Call(
             request,
@@ -243,20 +243,6 @@
             key, caller_wait_estimate.CallerWaitEstimate(route.timeout_ms)
         )
 
-    def _retry_share(self, service_id: ids.ServiceId) -> retry_share.RetryShare:
-        share = self._retry_shares.get(service_id)
-        if share is None:
-            bounds = self._settings.bounds
-            share = retry_share.RetryShare(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window_ms,
-                self._started_ms,
-                rendezvous.fraction(f"{service_id}\0{self._settings.vm_id}"),
-            )
-            self._retry_shares[service_id] = share
-        return share
-
     # Attempts and retries.
 
     async def _run(self, call: call_module.Call) -> None:
@@ -331,14 +317,13 @@
         await asyncio.sleep(0)
         if running:
             if result.unsent:
-                self._retry_share(call.service.service_id).refund()
-                self._retry_log.record_refunded(call.service.service_id)
+                self.retry_budgets.refund_unsent(call)
             await self._relieve_silent(call, running)
             return True
         if result.unsent or failure is None:
             await self._start_attempt(call, running)
             return True
-        reason = self._try_retry(call, failure)
+        reason = await self._try_retry(call, failure)
         if isinstance(reason, retries.RetryDenial):
             self._end_failed(call, result.outcome, reason)
             return False
@@ -372,9 +357,7 @@
         if self._retry_denial(call) or self._crashes.is_blocked(call.causes):
             return
         # A choice may reserve a send at a replica with a rate limit.
-        share = self._retry_share(call.service.service_id)
-        if not share.has_retry(self._state.entries, self._clock.now_ms()):
-            self._retry_log.record_denied(call.service.service_id)
+        if not self.retry_budgets.has_retry(call):
             return
         try:
             choice = await running.first(self._selector.choose(call))
@@ -389,7 +372,7 @@
         # The replica may have gone on meanwhile.
         if choice is None or not running.all_silent:
             return
-        if self._spend_retry(call) is None:
+        if self.retry_budgets.try_spend(call):
             self._totals.add(counters.CounterName.RETRIES, reason.value)
             self._start_at(call, running, choice)
 
@@ -432,7 +415,7 @@
         if attempt.silence_reported:
             self._totals.add(counters.CounterName.SILENCES, end)
 
-    def _try_retry(
+    async def _try_retry(
         self, call: call_module.Call, failure: errors.CallError
     ) -> retries.RetryReason | retries.RetryDenial:
         """Spends a retry, or returns why the request is not retried."""
@@ -442,7 +425,17 @@
             return (
                 retries.RetryDenial.TIME if late else retries.RetryDenial.UNSAFE
             )
-        return self._retry_denial(call) or self._spend_retry(call) or reason
+        denial = self._retry_denial(call)
+        if denial is not None:
+            return denial
+        if not await self.retry_budgets.spend(
+            call, lambda: self._selector.has_replica(call)
+        ):
+            denial = retries.RetryDenial.BUDGET
+            self._totals.add(counters.CounterName.REFUSALS, denial.value)
+            return denial
+        # The call may have waited.
+        return self._retry_denial(call) or reason
 
     def _retry_denial(
         self, call: call_module.Call
@@ -464,21 +457,6 @@
             return denial
         return None
 
-    def _spend_retry(
-        self, call: call_module.Call
-    ) -> retries.RetryDenial | None:
-        """Spends a retry of the shared budget; returns why it can't."""
-        service_id = call.service.service_id
-        share = self._retry_share(service_id)
-        source = share.try_spend(self._state.entries, self._clock.now_ms())
-        if source is not None:
-            self._retry_log.record_spent(service_id, source)
-            return None
-        self._retry_log.record_denied(service_id)
-        denial = retries.RetryDenial.BUDGET
-        self._totals.add(counters.CounterName.REFUSALS, denial.value)
-        return denial
-
     def _record_failure(
         self,
         call: call_module.Call,
--- a/src/marlramp/direct/calls/retry_log.py
+++ b/src/marlramp/direct/calls/retry_log.py
@@ -22,6 +22,8 @@
       spent: number of retries that were spent, by source.
       refunded: number of retries that were spent and not sent.
       denied: number of retries that the budget did not allow.
+      waited: number of retries that were spent after a wait.
+      wait_max_ms: longest of these waits.
       since_ms: when this period began.
     """
 
@@ -33,6 +35,8 @@
         )
         self.refunded = 0
         self.denied = 0
+        self.waited = 0
+        self.wait_max_ms = 0.0
         self.since_ms = now_ms
 
     @property
@@ -77,6 +81,15 @@
         self._totals.add(counters.CounterName.RETRY_BUDGET, "denied")
         self._of(service_id).denied += 1
 
+    def record_wait(self, service_id: ids.ServiceId, wait_ms: float) -> None:
+        """Counts a retry that was spent, if it was waited for."""
+        if wait_ms <= 0.0:
+            return
+        self._totals.add(counters.CounterName.RETRY_BUDGET, "waited")
+        retries = self._of(service_id)
+        retries.waited += 1
+        retries.wait_max_ms = max(retries.wait_max_ms, wait_ms)
+
     def tick(self, entries: int) -> None:
         """Writes the lines that are due.
 
@@ -99,6 +112,8 @@
                 },
                 refunded=retries.refunded,
                 denied=retries.denied,
+                waited=retries.waited,
+                wait_max_ms=round(retries.wait_max_ms),
                 period_ms=round(now_ms - retries.since_ms),
                 age_ms=round(now_ms - self._started_ms),
                 entries=entries,
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -132,7 +132,7 @@
         give_up_ms = self._give_up_ms(call)
         while True:
             now_ms = self._clock.now_ms()
-            avoids_lost = _has_begun(call) and now_ms < give_up_ms
+            avoids_lost = call.may_have_run and now_ms < give_up_ms
             decision = self._decide(call, now_ms, avoids_lost=avoids_lost)
             if isinstance(decision, upstream_choice.Choice):
                 if await self._wait_for_limit(call, decision):
@@ -148,9 +148,14 @@
                 raise self._no_upstream(call)
             await asyncio.sleep(CHOICE_POLL_MS / _MS)
 
+    def has_replica(self, call: call_module.Call) -> bool:
+        """Returns whether a replica could receive a call now."""
+        decision = self._decide(call, self._clock.now_ms())
+        return isinstance(decision, upstream_choice.Choice)
+
     def _give_up_ms(self, call: call_module.Call) -> float:
         """Returns until when a call waits for a replica, a clock reading."""
-        if _has_begun(call):
+        if call.may_have_run:
             now_ms = self._clock.now_ms()
             return now_ms + BEGUN_HOLD_SHARE * call.caller_wait_ms(now_ms)
         wait_ms = HOLD_SHARE_MAX * call.route.objective_ms
@@ -362,11 +367,6 @@
         return int(admission.jittered_ms(RETRY_AFTER_ENGINE_MS, self._rng))
 
 
-def _has_begun(call: call_module.Call) -> bool:
-    """Returns whether a replica may have run a call."""
-    return call.relay.started or call.maybe_ran
-
-
 def _opens_by(
     refusal: admission.Refusal, now_ms: clock.Millis, until_ms: float
 ) -> bool:
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -348,6 +348,7 @@
         call.backpressure.add(connection)
         try:
             monitor.begin(attempt)
+            call.written += 1
             connection.send(
                 call.request.method, head, call.request.body, attempt
             )
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -315,6 +315,11 @@
         """Number of entries by which bounds over the fleet are divided."""
         return self._fleet.entry_count
 
+    @property
+    def entries_are_provisional(self) -> bool:
+        """Whether a better number of entries is due soon."""
+        return self._fleet.entry_count_is_provisional
+
     def refuses(self) -> bool:
         """Returns whether this entry refuses new requests."""
         return (
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -203,6 +203,11 @@
         """Number of entries by which bounds over the fleet are divided."""
         return self.sync.estimated_entries()
 
+    @property
+    def entry_count_is_provisional(self) -> bool:
+        """Whether a better `entry_count` is due soon."""
+        return self.sync.estimate_is_provisional
+
     def known_entries(self) -> list[str]:
         """Returns the VMs of all entries known recently, with this one."""
         return self.sync.roster.remembered(members.MemberKind.ENTRY)
--- a/src/marlramp/direct/fleet/member_sync.py
+++ b/src/marlramp/direct/fleet/member_sync.py
@@ -208,11 +208,17 @@
             kind = members.MemberKind.ENTRY
             self._entry_data_centres = self.roster.data_centres(kind)
             self._remembered_entries = len(self.roster.remembered(kind))
-        return self._size.estimate(
+        self._size.observe(
             self._entry_data_centres,
             self._remembered_entries,
             expects_others=bool(self.other_seeds),
         )
+        return self._size.entries
+
+    @property
+    def estimate_is_provisional(self) -> bool:
+        """Whether a better estimate of the entries is due soon."""
+        return self._size.is_provisional
 
     def is_near(self, member: members.Member) -> bool:
         """Returns whether a member is in the own region."""
@@ -280,6 +286,7 @@
             self._reported_ms.pop(vm_id, None)
             self._probe_requesters.pop(vm_id, None)
         self._update_lost()
+        self.estimated_entries()
         self._send_updates(now_ms)
 
     def _queue_update(
@@ -526,6 +533,7 @@
 
     def _introduction(self, *, reply: bool) -> fleet_messages.Hello:
         """Returns an introduction; an answer lists some other entries too."""
+        entries = self.estimated_entries()
         sample: list[members.MemberUpdate] = []
         if not reply:
             known = [
@@ -539,7 +547,7 @@
             news=self.roster.own,
             sample=sample,
             reply=reply,
-            entries=self.estimated_entries() if self._size.is_settled else 0,
+            entries=entries if self._size.is_settled else 0,
         )
 
     def _ping(self) -> fleet_messages.Ping:
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -209,6 +209,7 @@
             CONFIG
         )
         self.entries = 1
+        self.entries_are_provisional = False
         self.closing = False
         self.unanswered_reasons: list[http1_server.UnansweredReason] = []
         self.catalog = catalog.Catalog()
--- a/tests/direct/fleet/test_retry_shares.py
+++ b/tests/direct/fleet/test_retry_shares.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from marlramp.core import rendezvous
 from marlramp.core.requests import retry_share
 from tests.direct.fleet import virtual_fleet
@@ -87,3 +89,27 @@
         entries.restart()
     entries.run(15_000.0)
     assert 0.0 < entries.most_slack() <= SLACK
+
+
+@pytest.mark.parametrize("count", [6, 43, 98])
+def test_starting_entries_divide_by_no_fewer_than_there_are(count: int) -> None:
+    fleet = virtual_fleet.VirtualFleet(count)
+    for _ in range(60):
+        fleet.run(STEP_MS)
+        parts = [
+            1.0 / entry.sync.estimated_entries()
+            for entry in fleet.entries.values()
+        ]
+        assert sum(parts) < 1.1
+    assert sum(parts) > 0.9
+
+
+def test_regions_that_restart_cut_off_from_each_other_share_the_slack() -> None:
+    fleet = virtual_fleet.VirtualFleet(42)
+    ones = fleet.in_data_centre("dc-0")
+    fleet.cut_between(ones, set(fleet.entries) - set(ones))
+    entries = RetryingEntries(fleet)
+    entries.run(6_000.0)
+    entries.restart()
+    entries.run(12_000.0)
+    assert 0.0 < entries.most_slack() <= SLACK
