Soak: failing replicas beside entries killed in quick succession (--failing)

The soak counted no repeats, so that no seed could show that entries exceed the retry budget of a service. The other faults of a seed stay.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -31,6 +31,7 @@
     placement: bool = False,
     silent: bool = False,
     endless: bool = False,
+    failing: bool = False,
 ) -> None:
     """Runs consecutive seeds and prints the guarantees that each violated.
 
@@ -49,6 +50,8 @@
         cold, with a route and a customer restricted to regions.
       silent: also let sound replicas fall silent for a second or so.
       endless: also let replicas send bytes without end.
+      failing: also let all replicas fail most of their requests, and kill
+        entries in quick succession.
     """
     seed_numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
@@ -59,6 +62,7 @@
         placement=placement,
         silent=silent,
         endless=endless,
+        failing=failing,
     )
     runs = _run_all(seed_numbers, at_once, folder, options)
     failed = asyncio.run(runs)
@@ -77,14 +81,16 @@
     placement: bool = False,
     silent: bool = False,
     endless: bool = False,
+    failing: bool = False,
 ) -> None:
     """Prints the faults of a seed."""
     plan = schedule.draw(
         seed,
-        schedule.Size(),
+        schedule.FAILING_SIZE if failing else schedule.Size(),
         placement=placement,
         silent=silent,
         endless=endless,
+        failing=failing,
     )
     for fault in plan.faults:
         print(
@@ -117,7 +123,8 @@
     """Runs a seed; returns whether no guarantee was violated."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        result = await run.play(folder, seed, schedule.Size(), options)
+        size = schedule.FAILING_SIZE if options.failing else schedule.Size()
+        result = await run.play(folder, seed, size, options)
         if not result.violations:
             print(
                 f"seed {seed}: passed, {len(result.plan.faults)} faults,"
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -261,6 +261,8 @@
       culprit_runs: executions of requests that crash replicas, from some time
         after the last fault.
       memory_bytes: peak of the resident memory by daemon.
+      retry_budget: the retries that each service allows, None if they are not
+        counted.
       network: observations that explain why calls were cut.
       placement: observations for the check of placement constraints, None if
         there are none.
@@ -279,6 +281,7 @@
     limits_broken: list[str] = []
     pauses_broken: list[str] = []
     memory_bytes: Mapping[str, int] = {}
+    retry_budget: direct_documents.RetryBudget | None = None
     network: Network = NO_FAULTS
     placement: Placement | None = None
 
@@ -343,6 +346,7 @@
     violations.extend(_check_keys(evidence))
     violations.extend(_check_memory(evidence))
     violations.extend(_check_processes(evidence))
+    violations.extend(_check_retries(evidence))
     if evidence.mixed_loads:
         detail = f"{evidence.mixed_loads} loads of incomplete weights"
         violations.append(Violation("whole_weights", detail))
@@ -372,6 +376,60 @@
     return violations
 
 
+def _check_retries(evidence: Evidence) -> Iterable[Violation]:
+    """Checks the arrivals beyond the first of each request, by service.
+
+    The requests of a window are those of the window itself, the one before it
+    or the one half a window before it, whichever has most.
+    """
+    budget = evidence.retry_budget
+    if budget is None:
+        return
+    window_ms = budget.window_s * _SECOND_MS
+    calls = [*evidence.calls, *evidence.last_calls]
+    for is_engine in (True, False):
+        sent_ms = [
+            call.sent_ms
+            for call in calls
+            if (call.kind is CallKind.STREAM) is is_engine
+        ]
+        arrivals = sorted(
+            (arrival.at_ms, arrival.request_id)
+            for arrival in evidence.network.arrivals
+            if arrival.proxy.startswith("engine") is is_engine
+        )
+        repeated_ms = _repeated_ms(arrivals)
+        for from_ms in repeated_ms:
+            repeats = _within(repeated_ms, from_ms, window_ms)
+            requests = max(
+                _within(sent_ms, from_ms - before_ms, window_ms)
+                for before_ms in (0.0, window_ms / 2, window_ms)
+            )
+            allowed = budget.ratio * requests + budget.slack
+            if repeats > allowed:
+                detail = (
+                    f"{repeats} repeats of {requests} requests from"
+                    f" {from_ms:.0f} ms, allowed {allowed:.0f}"
+                )
+                yield Violation("retry_budget", detail)
+                break
+
+
+def _repeated_ms(arrivals: list[tuple[float, str]]) -> list[float]:
+    """Returns the times of all arrivals but the first of each request."""
+    seen: set[str] = set()
+    repeated_ms = []
+    for at_ms, request_id in arrivals:
+        if request_id in seen:
+            repeated_ms.append(at_ms)
+        seen.add(request_id)
+    return repeated_ms
+
+
+def _within(times_ms: list[float], from_ms: float, window_ms: float) -> int:
+    return sum(from_ms <= at_ms < from_ms + window_ms for at_ms in times_ms)
+
+
 def _is_served(call: Call) -> bool:
     return call.status == _SUCCESS and call.whole
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,11 @@
 PAUSE_S = 2.0
 """Pause that the last engine and plain replica ask for when rejecting."""
 
+FAILED_SHARE = 0.6
+FAIL_AGAIN_MS = 100.0
+SMALL_BUDGET = direct_documents.RetryBudget(ratio=0.02, slack=40)
+"""Budget that the calls of one run can exceed."""
+
 CONSTRAINTS = direct_documents.Constraints(
     route_regions={"order": ["north", "south"]},
     customer_regions=["south", "west"],
@@ -100,6 +105,8 @@
         restricted to some of them, and cold starts.
       silent: whether sound replicas fall silent and go on.
       endless: whether replicas send bytes without end.
+      failing: whether all replicas fail most of their requests during the
+        faults, and entries are killed in quick succession.
     """
 
     culprit: Culprit = Culprit.NONE
@@ -108,6 +115,7 @@
     placement: bool = False
     silent: bool = False
     endless: bool = False
+    failing: bool = False
 
 
 class Run:
@@ -144,6 +152,9 @@
             proxied=True,
             regions=schedule.REGIONS if placement else direct_documents.REGIONS,
             constraints=CONSTRAINTS if placement else None,
+            retry_budget=SMALL_BUDGET
+            if options.failing
+            else direct_documents.RETRY_BUDGET,
         )
         self._started_s = time.monotonic()
         self._memory_bytes: dict[str, int] = {}
@@ -244,6 +255,7 @@
         if self._options.turning_away:
             for replica in self._rejecting_replicas:
                 replica.turning_away.start(f"{PAUSE_S}", share=0.5)
+        failing = asyncio.create_task(self._fail_most())
         if self._options.culprit is not Culprit.NONE:
             tasks.append(asyncio.create_task(self._send_culprit()))
         await asyncio.gather(
@@ -253,7 +265,8 @@
         self._limits_exceeded = self._find_limits_exceeded()
         self._pauses_violated = self._find_pauses_violated()
         self._announce_limits("")
-        for replica in self._rejecting_replicas:
+        failing.cancel()
+        for replica in self._fleet.replicas:
             replica.turning_away.stop()
         before = self._runs_of_culprit()
         await asyncio.sleep((SETTLE_MS - CULPRIT_KNOWN_MS) / _MS)
@@ -265,6 +278,13 @@
             caller.close()
         return [call for caller in all_callers for call in caller.calls]
 
+    async def _fail_most(self) -> None:
+        """Lets all replicas fail requests, also those that restart."""
+        while self._options.failing:
+            for replica in self._fleet.replicas:
+                replica.turning_away.start(share=FAILED_SHARE, status=500)
+            await asyncio.sleep(FAIL_AGAIN_MS / _MS)
+
     def _announce_limits(self, limit: str) -> None:
         for replica in (self._fleet.engines[0], self._fleet.desks[0]):
             replica.need.name(limit)
@@ -386,6 +406,7 @@
             limits_broken=self._limits_exceeded,
             pauses_broken=self._pauses_violated,
             memory_bytes=self._memory_bytes,
+            retry_budget=self._fleet.retry_budget,
             network=self._network_evidence([*calls, *last]),
             placement=self._placement_evidence()
             if self._options.placement
@@ -531,5 +552,6 @@
         placement=options.placement,
         silent=options.silent,
         endless=options.endless,
+        failing=options.failing,
     )
     return await Run(folder, plan, size, options).play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -83,6 +83,10 @@
     faults_mean: float = 9.0
 
 
+FAILING_SIZE = Size(entries=6)
+"""Size of runs with failing replicas: with few entries, the budget of retries
+is not exceeded by a few restarts."""
+
 REGIONS = {"dc-1": "north", "dc-2": "south", "dc-3": "west"}
 """Region by data centre in runs with placement constraints."""
 
@@ -139,6 +143,12 @@
 ADDED_KINDS = PLACEMENT_KINDS | {FaultKind.SILENT, FaultKind.ENDLESS}
 """Kinds that occur only in runs that ask for them."""
 
+KILLS_PAUSE_MS = (700.0, 2_500.0)
+"""Range of the time between two kills of a series."""
+
+KILLED_DOWN_MS = (100.0, 400.0)
+"""Range of the time until an entry of a series starts again."""
+
 SILENCE_MS = (800.0, 1_500.0)
 """Range of the silences of sound replicas."""
 
@@ -153,6 +163,7 @@
     placement: bool = False,
     silent: bool = False,
     endless: bool = False,
+    failing: bool = False,
 ) -> Plan:
     """Returns the faults of a seed, which determines them completely.
 
@@ -163,6 +174,7 @@
         other faults stay the same.
       silent: whether to add silences of replicas, likewise.
       endless: whether to add replicas that send bytes without end, likewise.
+      failing: whether to add kills of entries in quick succession, likewise.
     """
     rng = random.Random(seed)
     count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
@@ -173,6 +185,8 @@
         faults += _draw_silences(random.Random(f"{seed}:silent"), size)
     if endless:
         faults += _draw_endless(random.Random(f"{seed}:endless"), size)
+    if failing:
+        faults += _draw_kills(random.Random(f"{seed}:failing"), size)
     faults.sort(key=lambda fault: fault.at_ms)
     calm_ms = max(fault.at_ms + fault.for_ms for fault in faults)
     return Plan(seed, faults, calm_ms)
@@ -253,6 +267,26 @@
     return faults
 
 
+def _draw_kills(rng: random.Random, size: Size) -> list[Fault]:
+    """Returns a series of kills, each of one or more entries."""
+    faults: list[Fault] = []
+    entries = [f"entry-{number}" for number in range(size.entries)]
+    at_ms = rng.uniform(*KILLS_PAUSE_MS)
+    while at_ms < size.trouble_ms:
+        count = rng.choice([1, size.entries, size.entries])
+        faults += [
+            Fault(
+                at_ms=at_ms,
+                for_ms=rng.uniform(*KILLED_DOWN_MS),
+                kind=FaultKind.KILL,
+                target=name,
+            )
+            for name in rng.sample(entries, count)
+        ]
+        at_ms += rng.uniform(*KILLS_PAUSE_MS)
+    return faults
+
+
 def _draw_endless(rng: random.Random, size: Size) -> list[Fault]:
     """Returns periods in which replicas send bytes without end."""
     return [
--- a/standins/direct_documents.py
+++ b/standins/direct_documents.py
@@ -154,6 +154,23 @@
     return f"op/evacuate/{data_centre}"
 
 
+class RetryBudget(msgspec.Struct, frozen=True, kw_only=True):
+    """The retries of each service that all entries together may send.
+
+    Attributes:
+      ratio: retries per request.
+      slack: further retries in a window.
+      window_s: length of the window.
+    """
+
+    ratio: float = 0.2
+    slack: int = 104
+    window_s: int = 10
+
+
+RETRY_BUDGET = RetryBudget()
+
+
 def settings_text(
     name: str,
     host: str,
@@ -165,6 +182,7 @@
     data_centre: str = DATA_CENTRE,
     regions: Mapping[str, str] = REGIONS,
     constrained: bool = False,
+    retry_budget: RetryBudget = RETRY_BUDGET,
 ) -> str:
     """Returns the content of the settings file of one process.
 
@@ -178,6 +196,7 @@
       data_centre: data centre of its VM.
       regions: region by data centre.
       constrained: whether to include the bounds of placement constraints.
+      retry_budget: the retries that are allowed.
     """
     lines = [
         f"node_name={name}",
@@ -194,9 +213,9 @@
         "bounds.grace_s=8",
         "bounds.config_apply_ms=2000",
         "bounds.version_ms=4000",
-        "bounds.retry_ratio=0.2",
-        "bounds.retry_window_s=10",
-        "bounds.budget_slack=104",
+        f"bounds.retry_ratio={retry_budget.ratio}",
+        f"bounds.retry_window_s={retry_budget.window_s}",
+        f"bounds.budget_slack={retry_budget.slack}",
         "bounds.ttl_max_s=5",
     ]
     if constrained:
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -58,6 +58,9 @@
         proxied: bool = False,
         regions: Mapping[str, str] = direct_documents.REGIONS,
         constraints: direct_documents.Constraints | None = None,
+        retry_budget: direct_documents.RetryBudget = (
+            direct_documents.RETRY_BUDGET
+        ),
     ) -> None:
         """Initializes the fleet; nothing runs until the context is entered.
 
@@ -72,7 +75,9 @@
           regions: region by data centre. Entries, engines and desks are
             each distributed round-robin over the data centres.
           constraints: placement constraints, None for no constraints.
+          retry_budget: the retries of each service.
         """
+        self.retry_budget = retry_budget
         self._regions = regions
         self.constraints = constraints
         cold_start_s = constraints.cold_start_s if constraints else 0.0
@@ -332,6 +337,7 @@
                 data_centre=data_centre,
                 regions=self._regions,
                 constrained=self.constraints is not None,
+                retry_budget=self.retry_budget,
             )
         )
         with (self._folder / f"{name}.log").open("ab") as log:
--- a/standins/turning_away.py
+++ b/standins/turning_away.py
@@ -31,6 +31,9 @@
     entry: str
 
 
+_NOT_RUN_STATUSES = frozenset({429, 503})
+
+
 class TurningAway:
     """Rejections of one replica and the requests that arrive regardless.
 
@@ -66,7 +69,8 @@
         Args:
           retry_after: value of `Retry-After`, "" for none.
           share: fraction of requests to reject.
-          status: status code of a rejection.
+          status: status code of a rejection. With any other than 429 and 503
+            the request counts as run.
         """
         self._retry_after = retry_after
         self._share = share
@@ -105,8 +109,10 @@
         if self.leaving:
             headers["server_leaving"] = "1"
             self._leaving_told_s.setdefault(entry, _now_s())
-        if status:
+        if status in _NOT_RUN_STATUSES:
             headers["x_not_executed"] = "1"
+        elif status:
+            headers["x_replica_signature"] = "failed"
         if status and self._retry_after:
             headers["retry_after"] = self._retry_after
             self._record_pause(entry)
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -8,6 +8,7 @@
 import pytest
 
 from soak import promises
+from standins import direct_documents
 
 
 def call(kind: promises.CallKind, **fields: Any) -> promises.Call:
@@ -331,3 +332,27 @@
 def test_caller_that_leaves_is_not_reported() -> None:
     ending = promises.CallEnding.TIMED_OUT
     assert not is_reported(msgspec.structs.replace(CUT, ending=ending), {})
+
+
+@pytest.mark.parametrize(("repeats", "violated"), [(12, False), (13, True)])
+def test_repeats_beyond_the_budget_of_a_service_are_reported(
+    repeats: int, violated: bool
+) -> None:
+    budget = direct_documents.RetryBudget(ratio=1.0, slack=10, window_s=10)
+    arrivals = [arrival(at_ms=150.0 + n) for n in range(repeats + 1)]
+    # The repeats of another window and service count apart.
+    arrivals += [arrival(at_ms=20_000.0 + n) for n in range(10)]
+    arrivals += [arrival(proxy="engine-0", at_ms=160.0 + n) for n in range(9)]
+    evidence = msgspec.structs.replace(
+        GOOD,
+        calls=[call(ORDER), call(ORDER, request_id="a-3", sent_ms=900.0)],
+        last_calls=[],
+        retry_budget=budget,
+        network=msgspec.structs.replace(promises.NO_FAULTS, arrivals=arrivals),
+    )
+    found = [
+        violation
+        for violation in promises.check(evidence)
+        if violation.promise == "retry_budget"
+    ]
+    assert bool(found) is violated
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -23,6 +23,9 @@
 PLACEMENT_SEED = 1
 SILENT_SEED = 3
 ENDLESS_SEED = 1
+FAILING_SEED = 3
+"""A seed in which entries that forgot what they had spent at each restart sent
+54 repeats to the engines in 10 s, of 45 that were allowed."""
 
 
 def options_of(entry: dict[str, Any]) -> run.Options:
@@ -130,3 +133,18 @@
         )
     )
     assert result.violations == []
+
+
+def test_no_violation_with_failing_replicas_beside_kills(
+    tmp_path: pathlib.Path,
+) -> None:
+    result = asyncio.run(
+        run.play(
+            tmp_path,
+            FAILING_SEED,
+            schedule.FAILING_SIZE,
+            run.Options(failing=True),
+        )
+    )
+    assert result.violations == []
+    assert result.served
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -67,3 +67,14 @@
         drawn = set(plan.faults) - set(plain.faults)
         assert set(plan.faults) > set(plain.faults)
         assert {fault.kind for fault in drawn} == {schedule.FaultKind.ENDLESS}
+
+
+def test_kills_in_quick_succession_leave_the_other_faults_unchanged() -> None:
+    size = schedule.FAILING_SIZE
+    for seed in range(60):
+        plain = schedule.draw(seed, size)
+        plan = schedule.draw(seed, size, failing=True)
+        drawn = set(plan.faults) - set(plain.faults)
+        assert set(plan.faults) > set(plain.faults)
+        assert {fault.kind for fault in drawn} == {schedule.FaultKind.KILL}
+        assert len({fault.at_ms for fault in drawn}) >= 3
