Replica choice: no trial at an engine that is lost while its agent may report it

Cause: a breaker's trial is meant for replicas that nothing else tells of. An engine has an agent that reports its return within half a second. An engine that is likely lost now gets no trial for the 4 s for which its version is known; after that, its agent is likely lost too, and a trial goes there.

test_engines_that_failed_and_are_not_heard_receive_no_first_attempts expected the trial at 2.6 s, which is this fault; it expects none until 4 s now, and all three engines after (failed on the code before). tests/core/replicas, test_lost_replicas.py, test_forwarder.py, test_silent_replicas.py: 289 passed.

--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -286,12 +286,24 @@
         replica nor its agent has been heard meanwhile. A plain replica is not
         taken as lost, since no agent would report its return.
         """
+        return self._lost_ms(now_ms) >= REPORT_FRESH_MS
+
+    def awaits_report(self, now_ms: clock.Millis) -> bool:
+        """Returns whether a replica that is likely lost should get no trial.
+
+        Its agent may still report its return. A trial would cost its caller one
+        of few attempts.
+        """
+        return REPORT_FRESH_MS <= self._lost_ms(now_ms) < WEIGHTS_KNOWN_MS
+
+    def _lost_ms(self, now_ms: clock.Millis) -> float:
+        """Returns for how long requests have failed without a sign of life."""
         has_agent = self.report is not None or self.replica.weights is not None
         failing_since_ms = self.breaker.failing_since_ms
         if not has_agent or failing_since_ms is None:
-            return False
+            return 0.0
         sound_ms = max(self.reported_ms, self.heard_ms, failing_since_ms)
-        return now_ms - sound_ms >= REPORT_FRESH_MS
+        return now_ms - sound_ms
 
     def accepts_assigned(self, now_ms: clock.Millis) -> bool:
         """Returns whether a request assigned to the replica may be written."""
--- a/src/marlramp/core/replicas/upstream_choice.py
+++ b/src/marlramp/core/replicas/upstream_choice.py
@@ -288,7 +288,8 @@
 
     Circuit breakers are ignored when they exclude most replicas, because the
     fault is then unlikely to lie with the replicas. Replicas that are likely
-    lost stay excluded. For a request that avoids these, no breaker is ignored.
+    lost stay excluded, also from trials while their agents may still report
+    their return. For a request that avoids these, no breaker is ignored.
 
     Args:
       views: replicas of the service.
@@ -304,14 +305,18 @@
     able = able or _last_resort(views, needs, now_ms)
     # Rate limits apply even when breakers are ignored below.
     able = [view for view in able if _limit_admits(view, needs, now_ms)]
-    allowed = [view for view in able if view.breaker.allows(now_ms)]
+    allowed = [
+        view
+        for view in able
+        if view.breaker.allows(now_ms) and not view.awaits_report(now_ms)
+    ]
     if needs.avoids_lost:
         allowed = [v for v in allowed if not v.is_likely_lost(now_ms)]
     elif routing.panics(len(allowed), len(able)):
         allowed = [
             view
             for view in able
-            if view.breaker.allows(now_ms) or not view.is_likely_lost(now_ms)
+            if view in allowed or not view.is_likely_lost(now_ms)
         ]
     fresh = [v for v in allowed if v.replica.replica_id not in needs.failed]
     # Draining replicas serve until their drain time ends if no other is left.
--- a/tests/core/replicas/test_direct_decisions.py
+++ b/tests/core/replicas/test_direct_decisions.py
@@ -136,9 +136,14 @@
     views[1].report, views[1].reported_ms = REPORT, time.now_ms()
     ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
     assert ids_of(ranked) == ["i-1"]
-    # So does a trial once the breakers let it through.
+    # So does a trial, once the agents would have reported the other engines. A
+    # trial before that spent an attempt of its caller.
     time.advance(1_000.0)
     ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
+    assert ids_of(ranked) == ["i-1"]
+    time.advance(replica_view.WEIGHTS_KNOWN_MS - 2_600.0)
+    views[1].reported_ms = time.now_ms()
+    ranked = upstream_choice.rank(views, needs, ANYWHERE, time.now_ms())
     assert sorted(ids_of(ranked)) == ["i-0", "i-1", "i-2"]
 
 
