Retry budget: a begun stream waits for its retry also while too few are earned

A stream that has begun loses most by that: it is cut, while another request ends with an answer or a refusal and may come back. Where the retry cannot be earned by then it ends at once as before.

The new test failed before (the stream was cut).

--- a/src/marlramp/direct/calls/retry_budgets.py
+++ b/src/marlramp/direct/calls/retry_budgets.py
@@ -201,15 +201,18 @@
         """Returns how long a call may wait for a retry.
 
         While more retries are needed than are earned, each one that is waited
-        for is missing for a request that would not have to wait.
+        for is missing for a request that would not have to wait. A stream that
+        has begun waits all the same, since it would be cut.
         """
         wait_max_ms = WAIT_SHARE_MAX * call.caller_wait_ms(now_ms)
+        if call.relay.started:
+            return wait_max_ms
         if self._count.entries_are_provisional:
             few = len(service.waits) < PROVISIONAL_WAITS_MAX
             return wait_max_ms if few else 0.0
         if not service.share.covers_demand(self._count.entries, now_ms):
             return 0.0
-        if not call.may_have_run:
+        if not call.maybe_ran:
             objective_ms = call.route.objective_ms
             wait_max_ms = min(wait_max_ms, NOT_RUN_WAIT_SHARE * objective_ms)
         return wait_max_ms
--- a/tests/direct/calls/test_retry_budgets.py
+++ b/tests/direct/calls/test_retry_budgets.py
@@ -5,6 +5,8 @@
 from marlramp import counters
 from tests.direct import conftest
 from tests.direct.calls import test_forwarder
+from tests.direct.calls import test_lost_replicas
+from tests.direct.calls import test_silent_replicas
 
 RunEntry = conftest.RunEntry
 Replica = test_forwarder.Replica
@@ -116,6 +118,25 @@
     run_entry(use, refusing.refuse, serving.serve)
 
 
+def test_stream_that_has_begun_waits_also_while_too_few_retries_are_earned(
+    run_entry: RunEntry,
+) -> None:
+    other = test_silent_replicas.SilentReplica()
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.entries = FLEET
+        spend_retries(entry)
+        entry.time.suspended_ms += 1_900.0
+        share = entry.forwarder.retry_budgets.share_of(SERVICE_ID)
+        for _ in range(100):
+            share.record_demand(entry.time.now_ms())
+        test_silent_replicas.allow_time(entry)
+        answer = await test_silent_replicas.stream(entry)
+        test_silent_replicas.assert_whole(answer)
+
+    run_entry(use, test_lost_replicas.break_off, other.serve)
+
+
 def test_caller_that_leaves_ends_its_wait_for_a_retry(
     run_entry: RunEntry,
 ) -> None:
