--- a/soak/promises.py
+++ b/soak/promises.py
@@ -193,6 +193,8 @@
       attempts_max: failed attempts after which a stream may end. It is 1 if
         streams share a prompt part with requests that crash engines, since
         they may then be suspected and run once.
+      budget_spent: ids of the streams that an entry broke off since no retry
+        was left, in runs whose budget is smaller than they need.
       arrivals: requests that reached replicas.
       engines: names of the engines' proxies.
     """
@@ -203,6 +205,7 @@
     read: frozenset[str]
     attempts: Mapping[str, list[str]]
     attempts_max: int
+    budget_spent: frozenset[str] = frozenset()
     arrivals: list[Arrival]
     engines: list[str]
 
@@ -466,6 +469,7 @@
         or _is_over(call, evidence, f"callers:{call.entry}")
         or call.ended_ms - call.sent_ms > call.wait_ms - DEADLINE_MARGIN_MS
         or _replicas_have_failed(call, evidence)
+        or _lacked_a_retry(call, evidence)
     ):
         yield Violation(
             "answered",
@@ -476,6 +480,15 @@
         )
 
 
+def _lacked_a_retry(call: Call, evidence: Evidence) -> bool:
+    """Returns whether a replica broke a call off and no retry was left."""
+    network = evidence.network
+    return call.request_id in network.budget_spent and any(
+        _is_over(call, evidence, proxy)
+        for proxy in network.attempts.get(call.request_id, ())
+    )
+
+
 def _entry_has_ended(call: Call, evidence: Evidence) -> bool:
     """Returns whether the entry was killed, ended its grace or never read it.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -446,10 +446,22 @@
             attempts_max=ATTEMPTS_MAX
             if self._options.culprit is Culprit.NONE
             else 1,
+            budget_spent=self._budget_spent(logs),
             arrivals=arrivals,
             engines=self._names[: self._size.engines],
         )
 
+    def _budget_spent(self, logs: dict[str, str]) -> frozenset[str]:
+        """Returns the streams that ended since the small budget was spent."""
+        if not self._options.failing:
+            return frozenset()
+        broken = r"event=stream_broken request=(\S+) .*not_retried=retry_budget"
+        return frozenset(
+            request_id
+            for log in logs.values()
+            for request_id in re.findall(broken, log)
+        )
+
     @property
     def _refused(self) -> dict[str, set[int]]:
         """Ports of callers that no entry accepted, by proxy."""
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -267,6 +267,7 @@
 ONCE = {"attempts": {"a-1": ["e-0"]}}
 TWICE = {"attempts": {"a-1": ["e-0", "e-0"]}}
 BOTH = {"attempts": {"a-1": ["e-0", "e-1"]}}
+DENIED = {"budget_spent": frozenset({"a-1"})}
 LATE = msgspec.structs.replace(CUT, ended_ms=6_950.0)
 
 
@@ -282,6 +283,7 @@
         (CUT, outages("e-0", "e-1"), 1, []),
         (CUT, {**outages("e-0"), **TWICE}, 2, []),
         (CUT, {**outages("e-0"), **ONCE, "attempts_max": 1}, 1, []),
+        (CUT, {**outages("e-0"), **ONCE, **DENIED}, 1, []),
     ],
 )
 def test_cut_that_a_fault_explains_is_not_reported(
@@ -309,6 +311,7 @@
         (UNREAD, outages("e-0", "e-1"), 1, []),
         (CUT, outages("e-0"), 1, []),
         (CUT, {**outages("e-0"), **ONCE}, 1, []),
+        (CUT, {**outages("e-1"), **ONCE, **DENIED}, 1, []),
         (CUT, {**outages("e-0"), **BOTH}, 2, []),
         (CUT, {**outages("e-0", from_ms=-800.0), **TWICE}, 2, []),
         (
