Retry budget: a larger advance, so that a small new fleet has the retries it needs

The log of entry-0: 1.6 s after its start it met four pausing desks within 100 ms; three retries were there, the fourth was expected in over half of the objective (not_retried=retry_budget), so that the request was refused. Load had no part in it: the entry's own times say so.

The advance of a fleet of three was 2.8 retries an entry. With 0.12 of the slack instead of 0.08 it is 4.2, of six entries 2, of eight 1.5. A process earns as much in 2.4 s, so that entries that all restart each 1.5 s stay within the budget in the model (1, 3, 6, 8, 12, 43 entries, 0.5 to 17 requests a second each: 0 to 1,098 below it); each 1 s they exceed it by 35 at the most with few requests (by 86 below it with 6 entries at 17 a second).

--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -36,9 +36,9 @@
 SLACK_SAVED = 0.25
 """Part of the slack that all entries together can save."""
 
-SLACK_ADVANCED = 0.08
+SLACK_ADVANCED = 0.12
 """Part of the slack that all entries together may spend in advance after they
-started. Processes earn as much in a sixth of the window, so that entries that
+started. Processes earn as much in a quarter of the window, so that entries that
 restart no more often spend no more than entries that keep running."""
 
 HOLDERS_SAFETY = 0.75
