Take back: three retries of a service for a new process of the grants path

No bound over all entries is promised on that path, so that callers would pay for nothing. The burst of a new process stays in the table of bounds that begin anew, as open (docs/design/retry-budget.md).

--- a/src/marlramp/core/requests/retries.py
+++ b/src/marlramp/core/requests/retries.py
@@ -58,16 +58,11 @@
 }
 
 
-START_RETRIES = 3.0
-"""Retries that a process has when it starts, for one call that fails again and
-again. A process that restarts often then spends little beyond the ratio."""
-
-
 class RetryBudget:
     """Allows retries as a fraction of recent first attempts."""
 
     def __init__(self, ratio: float, burst: float) -> None:
-        """Creates a budget of `START_RETRIES`, or of `burst` if that is less.
+        """Creates a full budget.
 
         Args:
           ratio: retries that each first attempt earns.
@@ -75,7 +70,7 @@
         """
         self.ratio = ratio
         self._burst = burst
-        self._saved = min(burst, START_RETRIES)
+        self._saved = burst
 
     def record_request(self) -> None:
         """Counts a first attempt, which earns `ratio` of a retry."""
