Loading order: engines that are lost for a moment keep their positions

An agent whose engine does not answer counts as absent; when all engines fell silent each agent was left without peers, took the first position and loaded as soon as its pieces were staged (a trial with a line of these values: position 0.0 with 0 peers).

Change: a lost engine keeps its position in the loading order for 10 s. An agent in its first 1.5 s with a coordinator takes the position that it likely has, by its hash.

--- a/src/marlramp/core/weights/swap_schedule.py
+++ b/src/marlramp/core/weights/swap_schedule.py
@@ -51,6 +51,9 @@
 """Time before the version is mandatory by which every engine starts to load,
 since entries send no requests to an engine on the old version from then on."""
 
+LOST_PEER_MS = 10_000.0
+"""Time for which a lost engine keeps its position in the loading order."""
+
 
 def spread_ms(
     copy_bytes: int, link_bytes_per_s: float, bound_ms: float
@@ -150,3 +153,68 @@
     """
     order = rendezvous.order(key, {*vm_ids, vm_id})
     return order.index(vm_id) / max(1, len(order) - 1)
+
+
+def likely_position(vm_id: str, key: str) -> float:
+    """Returns the position of a VM's engine if the other VMs are not known.
+
+    The positions of all VMs are spread evenly from 0 to 1, in the order that
+    `order_position` gives.
+
+    Args:
+      vm_id: the VM.
+      key: name of the version.
+    """
+    return 1.0 - rendezvous.fraction(f"{key}\0{vm_id}")
+
+
+class LoadingOrder:
+    """The order in which the engines of a service load a version.
+
+    An engine that was lost a short time ago keeps its position. Engines that
+    all fall silent at once, for example, would otherwise each take themselves
+    for the only one, and all load at the same time when they respond again.
+    The same holds for agents that have just started.
+    """
+
+    def __init__(self, vm_id: str) -> None:
+        """Starts with the engine of one VM.
+
+        Args:
+          vm_id: the VM.
+        """
+        self._vm_id = vm_id
+        self._present: set[str] = set()
+        self._lost_ms: dict[str, clock.Millis] = {}
+
+    def set_peers(self, vm_ids: Collection[str], now_ms: clock.Millis) -> None:
+        """Sets the other VMs whose engines are present.
+
+        Args:
+          vm_ids: the VMs.
+          now_ms: the time.
+        """
+        for vm_id in self._present.difference(vm_ids):
+            self._lost_ms[vm_id] = now_ms
+        self._present = set(vm_ids)
+        for vm_id in self._present.intersection(self._lost_ms):
+            del self._lost_ms[vm_id]
+
+    def position(
+        self, key: str, now_ms: clock.Millis, *, peers_known: bool
+    ) -> float:
+        """Returns the position of the own engine, from 0 (first) to 1 (last).
+
+        Args:
+          key: name of the version; each version has another order.
+          now_ms: the time.
+          peers_known: whether this VM knows the others. Until then, the
+            position is the likely one among many engines.
+        """
+        if not peers_known:
+            return likely_position(self._vm_id, key)
+        for vm_id, lost_ms in list(self._lost_ms.items()):
+            if now_ms - lost_ms >= LOST_PEER_MS:
+                del self._lost_ms[vm_id]
+        vm_ids = self._present.union(self._lost_ms)
+        return order_position(self._vm_id, vm_ids, key)
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -121,7 +121,7 @@
         self._weights = named_weights.NamedWeights(
             self._set_origin, self._clock
         )
-        self._peers: dict[str, members.Member] = {}
+        self._loading_order = swap_schedule.LoadingOrder(settings.vm_id)
         self._may_cut = False
         self._is_reached: bool | None = None
         self._report: engine_state.EngineReport | None = None
@@ -286,8 +286,10 @@
           A time on the agent's clock, minus infinity if the engine may load at
           once.
         """
-        position = swap_schedule.order_position(
-            self._own.vm_id, list(self._peers), wanted.name
+        position = self._loading_order.position(
+            wanted.name,
+            self._clock.now_ms(),
+            peers_known=self._contacts.knows_neighbours,
         )
         return swap_schedule.load_start_ms(
             self._schedule(wanted), position, pieces_ready_ms
@@ -393,8 +395,8 @@
         )
 
     def _set_peers(self, peers: dict[str, members.Member]) -> None:
-        """Sets the other agents, by VM, as peers for the piece exchange."""
-        self._peers = peers
+        """Sets the other agents with an engine, by VM."""
+        self._loading_order.set_peers(peers, self._clock.now_ms())
         regions = self._settings.regions
         near = {
             name
--- a/src/marlramp/direct/fleet/entry_contacts.py
+++ b/src/marlramp/direct/fleet/entry_contacts.py
@@ -27,6 +27,10 @@
 report the same neighbours, and each change reassigns the pieces to fetch from
 the origin."""
 
+NEIGHBOURS_KNOWN_MS = 1_500.0
+"""Time after the first message of a coordinator by which the lists of all
+coordinators have arrived and are applied."""
+
 COORDINATORS_MAX = 16
 """Most coordinators whose lists are kept; usually there are three."""
 
@@ -87,6 +91,7 @@
         self._changed = False
         self._merged_ms = float("-inf")
         self._contacted_ms = float("-inf")
+        self._first_heard_ms: float | None = None
 
     def attach(self, links: member_sync.Links) -> None:
         """Sets the links to send messages on."""
@@ -110,6 +115,14 @@
         horizon_ms = self._clock.now_ms() - members.ALIVE_TO_AGENT_MS
         return any(view.heard_ms >= horizon_ms for view in self._views.values())
 
+    @property
+    def knows_neighbours(self) -> bool:
+        """Whether the neighbours are known, and no longer just arriving."""
+        if self._first_heard_ms is None:
+            return False
+        known_ms = self._first_heard_ms + NEIGHBOURS_KNOWN_MS
+        return self._clock.now_ms() >= known_ms
+
     @property
     def coordinators(self) -> list[str]:
         """VMs of the coordinators that this agent received something from.
@@ -181,6 +194,8 @@
         """Returns the lists of a coordinator, None if there are too many."""
         if name not in self._views and len(self._views) >= COORDINATORS_MAX:
             return None
+        if self._first_heard_ms is None:
+            self._first_heard_ms = now_ms
         return self._views.setdefault(name, _View(now_ms, agents={}))
 
     def _handle_guide(
--- a/tests/direct/fleet/test_entry_contacts.py
+++ b/tests/direct/fleet/test_entry_contacts.py
@@ -136,6 +136,22 @@
     ]
 
 
+def test_neighbours_are_known_a_while_after_the_first_coordinator_is_heard(
+    one: Agent,
+) -> None:
+    one.time.advance(60_000.0)
+    assert not one.contacts.knows_neighbours
+    one.list_neighbours(1, 1, [agent(1)])
+    assert not one.contacts.knows_neighbours
+    one.time.advance(entry_contacts.NEIGHBOURS_KNOWN_MS)
+    assert one.contacts.knows_neighbours
+
+    one.time.advance(members.ALIVE_TO_AGENT_MS)
+    one.contacts.tick()
+    assert not one.contacts.is_coordinated
+    assert one.contacts.knows_neighbours
+
+
 def test_missed_changes_are_requested(one: Agent) -> None:
     one.list_neighbours(1, 1, [agent(1)])
     one.take_sent()
