Retry budget: an advance that grows with the age of the process

Cause: a process had its whole advance (0.12 of the slack over all entries) at its start, which it earns in 2.4 s only, so that entries killed more often could spend it again in each life. In the model entries that are all killed each 1.2 s exceeded the budget by up to 25, each 1 s by up to 37.

Change: 0.08 of the slack right after the start, which is one retry for each of up to 8 entries, and 0.12 from an age of 1.6 s on. The time until a retry is expected counts the advance that still grows, so that requests wait for it.

--- a/src/marlramp/core/requests/retry_share.py
+++ b/src/marlramp/core/requests/retry_share.py
@@ -13,7 +13,8 @@
 - What is not spent is saved up to a further part of the ratio and of the slack.
   A process may spend its savings and be killed, and the next one earns again.
 - A process may spend its first retries in advance, before it has earned them.
-  What it earns afterwards repays the advance first.
+  The longer it runs, the more: otherwise processes that are killed soon could
+  spend the whole advance each time. What it earns afterwards repays it first.
 """
 
 from __future__ import annotations
@@ -36,10 +37,19 @@
 SLACK_SAVED = 0.25
 """Part of the slack that all entries together can save."""
 
+SLACK_ADVANCED_MIN = 0.08
+"""Part of the slack that all entries together may spend in advance right after
+they started."""
+
 SLACK_ADVANCED = 0.12
-"""Part of the slack that all entries together may spend in advance after they
-started. Processes earn as much in a quarter of the window, so that entries that
-restart no more often spend no more than entries that keep running."""
+"""Part of the slack that all entries together may spend in advance once they
+have run for `ADVANCE_GROWTH_MS`."""
+
+ADVANCE_GROWTH_MS = 1_600.0
+"""Time over which the advance of a process grows from nothing to all of it.
+Entries that restart as often as this, and that had saved retries before, stay
+within the slack. The least advance is exempt from this, so that entries that
+restart more often than each 1.1 s may exceed it."""
 
 HOLDERS_SAFETY = 0.75
 """Part of the whole retries of a bound that are given to entries by chance. The
@@ -185,9 +195,21 @@
         saved = self._ratio_saved_max() + self._slack_share(
             SLACK_SAVED, entries
         )
+        advanced_ms = self._advance_wait_ms(count, entries, now_ms)
         if per_ms <= 0.0 or saved < 1.0:
+            return advanced_ms
+        return min(advanced_ms, missing / per_ms)
+
+    def _advance_wait_ms(
+        self, count: int, entries: int, now_ms: clock.Millis
+    ) -> float:
+        """Returns the time until the advance covers several more retries."""
+        advanced = self._slack_share(SLACK_ADVANCED, entries)
+        needed = self.spent + count
+        if needed > advanced:
             return math.inf
-        return missing / per_ms
+        due_ms = self._started_ms + ADVANCE_GROWTH_MS * needed / advanced
+        return max(0.0, due_ms - now_ms)
 
     def _source(self, entries: int, now_ms: clock.Millis) -> RetrySource | None:
         self._update(entries, now_ms)
@@ -195,10 +217,16 @@
             return RetrySource.RATIO
         if self._by_ratio + self._by_slack >= 1.0:
             return RetrySource.SLACK
-        if self.spent + 1.0 <= self._slack_share(SLACK_ADVANCED, entries):
+        advanced = self._slack_share(self._advanced_part(now_ms), entries)
+        if self.spent + 1.0 <= advanced:
             return RetrySource.ADVANCE
         return None
 
+    def _advanced_part(self, now_ms: clock.Millis) -> float:
+        """Returns the part of the slack that may be spent in advance now."""
+        grown = (now_ms - self._started_ms) / ADVANCE_GROWTH_MS
+        return max(SLACK_ADVANCED_MIN, SLACK_ADVANCED * min(1.0, grown))
+
     def _update(self, entries: int, now_ms: clock.Millis) -> None:
         """Adds what was earned over time, and drops what can't be saved."""
         self._drop_expired(now_ms)
