Loading order: forget lost engines also when no version is loaded

Lost engines were forgotten only when a position was asked for, that is while a version is on its way, so that VMs which came and went between two rollouts were kept. They are now forgotten with each change of the peers as well; the tests of the order pass unchanged.

--- a/src/marlramp/core/weights/swap_schedule.py
+++ b/src/marlramp/core/weights/swap_schedule.py
@@ -197,8 +197,7 @@
         for vm_id in self._present.difference(vm_ids):
             self._lost_ms[vm_id] = now_ms
         self._present = set(vm_ids)
-        for vm_id in self._present.intersection(self._lost_ms):
-            del self._lost_ms[vm_id]
+        self._forget_lost(now_ms)
 
     def position(
         self, key: str, now_ms: clock.Millis, *, peers_known: bool
@@ -213,8 +212,14 @@
         """
         if not peers_known:
             return likely_position(self._vm_id, key)
-        for vm_id, lost_ms in list(self._lost_ms.items()):
-            if now_ms - lost_ms >= LOST_PEER_MS:
-                del self._lost_ms[vm_id]
+        self._forget_lost(now_ms)
         vm_ids = self._present.union(self._lost_ms)
         return order_position(self._vm_id, vm_ids, key)
+
+    def _forget_lost(self, now_ms: clock.Millis) -> None:
+        """Forgets lost engines that have returned or were lost too long ago."""
+        self._lost_ms = {
+            vm_id: lost_ms
+            for vm_id, lost_ms in self._lost_ms.items()
+            if vm_id not in self._present and now_ms - lost_ms < LOST_PEER_MS
+        }
