--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,13 +17,14 @@
 ENGINES = 9
 """As in the small deployment: one of nine VMs pauses, a share of 0.11."""
 
-PAUSE_AFTER_S = 0.1
-"""Time from the end of the check until the pause begins: the agent then waits
-up to 0.3 s for running streams to end before it orders the load."""
+ROT_AFTER_S = 0.05
+"""Time from the end of the check until pieces turn bad."""
+
+PAUSE_AFTER_S = 0.05
+"""Time from then until the pause begins. After the check the agent waits up to
+0.3 s for running streams to end before it orders the load."""
 
 PAUSE_S = 4.0
-ROT_AFTER_S = 0.2
-"""Time from the begin of the pause until pieces turn bad."""
 
 ROTTEN_PIECES = (5, 21, 40)
 """At most 0.06 of the 64 pieces turn bad."""
@@ -97,22 +98,23 @@
 async def _pause_agent(
     record: support.Record, fleet: direct_fleet.Fleet, engine: WatchedEngine
 ) -> None:
-    """Pauses the agent beside an engine, whose staged pieces turn bad."""
+    """Spoils staged pieces of an engine, and pauses its agent."""
     name = f"agent-{fleet.engines.index(engine)}"
     agent = fleet.processes[name]
     await engine.read_back.wait()
-    await asyncio.sleep(PAUSE_AFTER_S)
-    if engine.orders:
-        raise support.CaseError("the load was ordered before the pause")
-    agent.send_signal(signal.SIGSTOP)
-    record.write(f"{name} has read back all pieces; its VM pauses")
+    record.write(f"{name} has read back all pieces")
     await asyncio.sleep(ROT_AFTER_S)
     for index in ROTTEN_PIECES:
         engine.rot(index)
     record.write(
         f"staged pieces {ROTTEN_PIECES} of {engine.replica_id} turn bad"
     )
-    await asyncio.sleep(PAUSE_S - ROT_AFTER_S)
+    await asyncio.sleep(PAUSE_AFTER_S)
+    if engine.orders:
+        raise support.CaseError("the load was ordered before the pause")
+    agent.send_signal(signal.SIGSTOP)
+    record.write(f"the VM of {name} pauses")
+    await asyncio.sleep(PAUSE_S)
     agent.send_signal(signal.SIGCONT)
     record.write(f"the VM of {name} goes on after {PAUSE_S} s")
 
