--- a/review/support.py
+++ b/review/support.py
@@ -12,6 +12,7 @@
 import logging
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -103,10 +104,15 @@
     folder: pathlib.Path,
     case: Callable[[Record, pathlib.Path], Awaitable[bool]],
 ) -> int:
+    task = asyncio.current_task()
+    assert task is not None
+    # The processes of the case are ended as it is cancelled.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(CASE_S_MAX):
             held = await case(record, folder)
-    except (CaseError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:
+        # Whatever went wrong, the rule was not seen to be broken.
         record.write(f"the case could not run: {error!r}")
         return COULD_NOT_RUN
     record.write("the rule held" if held else "the rule was broken")
