Weights: log the age of the last read of staged pieces, and read them back after a load

No decision changes: load_ordered names the order number and the age of the last complete read, load_ended the number of pieces that do not match after the load.

--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -192,6 +192,7 @@
         self._staged_version: version_digests.ModelVersion | None = None
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
+        self._read_ms = time.now_ms()
         self._times = rollout_times.RolloutTimes(time)
         self._pieces_ready_ms: dict[version_digests.ModelVersion, float] = {}
         self.state = LoaderState.IDLE
@@ -274,6 +275,7 @@
     ) -> None:
         """Adopts the staged pieces whose digests match."""
         self._staged = set()
+        begun_ms = self._clock.now_ms()
         self._verified_ms = float("-inf")
         for index in await self._engine.staged(wanted.model):
             data = await self._engine.read_staged(
@@ -285,6 +287,7 @@
                 self._staged.add(index)
                 self._exchange.add(wanted, index, data)
         self._staged_version = wanted
+        self._read_ms = begun_ms
         if len(self._staged) == len(chunk_set.manifest.chunks):
             self._verified_ms = self._clock.now_ms()
         logs.log(
@@ -360,7 +363,12 @@
             self._set_state(LoaderState.IDLE)
             return
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
-        logs.log("load_ordered", name=wanted.name)
+        logs.log(
+            "load_ordered",
+            name=wanted.name,
+            order_number=report.order_number,
+            read_age_ms=round(self._clock.now_ms() - self._read_ms),
+        )
         self._times.record_phase(wanted, rollout_times.Phase.ORDERED)
         started_ms = self._clock.now_ms()
         try:
@@ -380,10 +388,12 @@
             # reports show whether it did.
             logs.log("load_unanswered", name=wanted.name, detail=error)
         loaded = await self._wait_loaded(wanted)
+        spoilt = await self._find_spoilt(wanted, chunk_set)
         logs.log(
             "load_ended",
             name=wanted.name,
             loaded=loaded,
+            spoilt=len(spoilt),
             taken_ms=round(self._clock.now_ms() - started_ms),
         )
         if loaded:
@@ -413,6 +423,7 @@
         """Reads back every staged piece and replaces corrupt ones."""
         if self._clock.now_ms() - self._verified_ms < VERIFIED_MAX_AGE_MS:
             return
+        self._read_ms = self._clock.now_ms()
         limit = asyncio.Semaphore(STAGE_PARALLEL)
 
         async def repair(index: int) -> None:
@@ -429,6 +440,24 @@
 
         await _run_all(repair(i) for i in range(len(chunk_set.manifest.chunks)))
 
+    async def _find_spoilt(
+        self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
+    ) -> list[int]:
+        """Returns the indexes of staged pieces whose digests do not match."""
+        limit = asyncio.Semaphore(STAGE_PARALLEL)
+        spoilt: list[int] = []
+
+        async def check(index: int) -> None:
+            async with limit:
+                data = await self._engine.read_staged(
+                    wanted.model, index, chunk_set.manifest.chunk_bytes
+                )
+            if not chunk_set.matches(index, data):
+                spoilt.append(index)
+
+        await _run_all(check(i) for i in range(len(chunk_set.manifest.chunks)))
+        return sorted(spoilt)
+
     async def _wait_loaded(self, wanted: version_digests.ModelVersion) -> bool:
         end_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
         while self._clock.now_ms() < end_ms:
