Weights: an engine is used only if its pieces were verified after it took them

An engine takes staged pieces as they are when it accepts an order; what was verified before could have changed: the agent was suspended in between, its check was as old as its end and not its first read, an order without an answer was accepted after another version had been staged, a piece was replaced and not read again. Then report, list and answers of the right version were believed.

The agent now verifies the pieces again once the order is accepted, and reports the version to entries only then (the order number names the load). Entries count a listed version or that of an answer only if no order was accepted or the agent has verified that load. An order without an answer is sent again under its number until that is used up, before anything else is staged. Corrupt pieces do not heal by themselves, so that a check after the acceptance shows what the engine took, whatever happened before.

Stand-in: orders in effect, ranges of layers, what runs on corrupt layers.

--- a/src/marlramp/core/configuration/fleet.py
+++ b/src/marlramp/core/configuration/fleet.py
@@ -207,6 +207,8 @@
       born_ms: Unix time of the replica's start, which distinguishes two starts
         under one id; None if the platform does not publish it.
       cold_left_ms: how much longer the replica is cold, as of this record.
+      order_number: number of orders that a model engine has accepted since its
+        start, as of this record.
     """
 
     replica_id: str
@@ -218,6 +220,7 @@
     weights: int | None
     born_ms: int | None = None
     cold_left_ms: float = 0.0
+    order_number: int = 0
 
 
 class WeightsTarget(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/marlramp/core/replicas/engine_state.py
+++ b/src/marlramp/core/replicas/engine_state.py
@@ -10,6 +10,7 @@
 
     Attributes:
       weights: version that all layers hold, 0 if they hold none or several.
+      partial_weights: version that only some layers hold, 0 if there is none.
       running: number of requests that hold a slot in the batch.
       waiting: number of requests that wait for a slot.
       pace: measured slowdown factor, 1 for an engine at its specified speed.
@@ -22,6 +23,7 @@
     """
 
     weights: int
+    partial_weights: int = 0
     running: int
     waiting: int
     pace: float
--- a/src/marlramp/core/replicas/replica_table.py
+++ b/src/marlramp/core/replicas/replica_table.py
@@ -170,7 +170,7 @@
                 # that were assigned to the earlier view observe it too.
                 view.cold = cold
                 view.suspect_cold(now_ms)
-            self._apply_report(view, report, now_ms)
+            view.record_report(report, now_ms, is_held=False)
         if restarted:
             self._group_by_service()
         return restarted
@@ -280,18 +280,7 @@
         if held is None or now_ms - held[1] >= replica_view.WEIGHTS_KNOWN_MS:
             return
         if not replica_view.is_newer_start(view.born_ms, held[0].born_ms):
-            self._apply_report(view, held[0], clock.Millis(held[1]))
-
-    def _apply_report(
-        self,
-        view: replica_view.ReplicaView,
-        report: replica_view.LoadReport,
-        now_ms: clock.Millis,
-    ) -> None:
-        view.born_ms = report.born_ms or view.born_ms
-        view.report = report
-        view.reported_ms = now_ms
-        view.record_load(report.running, report.waiting, now_ms)
+            view.record_report(held[0], clock.Millis(held[1]), is_held=True)
 
 
 def _is_outdated(
--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -98,7 +98,8 @@
 
     Attributes:
       address: "host:port" of the engine.
-      weights: version that all layers hold, 0 if they hold none or several.
+      weights: version that requests may run on, 0 if the layers hold none or
+        several, or may have been loaded from corrupt pieces.
       running: number of requests that hold a slot in the batch.
       waiting: number of requests that wait for a slot.
       pace: measured slowdown factor, 1 for an engine at its specified speed.
@@ -109,6 +110,10 @@
       born_ms: Unix time of the engine's start, None if the platform doesn't
         report it.
       leaving: whether the engine reports that it is leaving.
+      order_number: number of orders that the engine has accepted since its
+        start.
+      verified: whether the agent verified the pieces that the engine loaded;
+        False if they were loaded before the agent started.
     """
 
     address: Annotated[str, msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)]
@@ -120,6 +125,20 @@
     closes_in_ms: float | None = None
     born_ms: int | None = None
     leaving: bool = False
+    order_number: int = 0
+    verified: bool = True
+
+
+class VerifiedLoad(msgspec.Struct, frozen=True):
+    """Weights that an agent has verified after its engine loaded them.
+
+    Attributes:
+      weights: the version, 0 if the agent reported none.
+      order_number: number of orders that the engine had accepted.
+    """
+
+    weights: int
+    order_number: int
 
 
 def _ignore_change(replica_id: str) -> None:
@@ -136,6 +155,8 @@
       replica: the replica's record in the platform's list.
       report: the last report of the agent beside the replica.
       reported_ms: when the last report arrived.
+      verified: the last load that the agent has verified at this start of the
+        replica, None if no report says so.
       misdirected_ms: when the last request was sent to which the replica
         answered that it did not hold the expected weights.
       in_flight: number of this entry's requests at the replica.
@@ -186,6 +207,7 @@
     on_load_change: Callable[[str], None] = _ignore_change
     report: LoadReport | None = None
     reported_ms: float = float("-inf")
+    verified: VerifiedLoad | None = None
     misdirected_ms: float = float("-inf")
     in_flight: int = 0
     unread: int = 0
@@ -230,15 +252,67 @@
     )
 
     def weights(self, now_ms: clock.Millis) -> int:
-        """Returns the version that is believed to be loaded, 0 for none."""
+        """Returns the version that requests may run on, 0 for none.
+
+        An engine loads pieces without a check. A version that was loaded by an
+        order counts once the agent has verified it.
+        """
         report_age_ms = now_ms - self.reported_ms
         if self.report is not None and report_age_ms < REPORT_FRESH_MS:
+            reported = self._trusted_report_weights(self.report)
             if self.seen_ms > self.reported_ms:
-                return max(self.report.weights, self.seen_weights or 0)
-            return self.report.weights
-        listed = 0 if self._is_listed_older else self.replica.weights or 0
+                return max(reported, self._trusted_seen_weights())
+            return reported
+        listed = 0 if self._is_listed_older else self._trusted_listed_weights()
         late = self._late_weights(report_age_ms)
-        return max(listed, late, self.seen_weights or 0)
+        return max(listed, late, self._trusted_seen_weights())
+
+    def _trusted_report_weights(self, report: LoadReport) -> int:
+        """Returns the version in a report, 0 if it is not verified.
+
+        An agent that has just started does not know how its engine's weights
+        were loaded. They count unless another load was verified before.
+        """
+        load = VerifiedLoad(report.weights, report.order_number)
+        if report.verified or self.verified in (None, load):
+            return report.weights
+        return 0
+
+    def _trusted_listed_weights(self) -> int:
+        """Returns the version in the list, 0 if it is not verified."""
+        weights = self.replica.weights or 0
+        load = VerifiedLoad(weights, self.replica.order_number)
+        if self.replica.order_number == 0 or load == self.verified:
+            return weights
+        return 0
+
+    def _trusted_seen_weights(self) -> int:
+        """Returns the version in the last answer, 0 if it is not verified."""
+        seen = self.seen_weights or 0
+        if self.verified is not None and seen == self.verified.weights:
+            return seen
+        return seen if self.replica.order_number == 0 else 0
+
+    def record_report(
+        self, report: LoadReport, made_ms: clock.Millis, *, is_held: bool
+    ) -> None:
+        """Records a report of the agent beside the replica.
+
+        Args:
+          report: the report.
+          made_ms: when it was made, as far as is known.
+          is_held: whether it arrived before this start of the replica was
+            known, and may be of an earlier one.
+        """
+        self.born_ms = report.born_ms or self.born_ms
+        self.report = report
+        self.reported_ms = made_ms
+        if report.weights == 0:
+            self.verified = VerifiedLoad(0, report.order_number)
+            self.seen_weights = None
+        elif report.verified and not is_held:
+            self.verified = VerifiedLoad(report.weights, report.order_number)
+        self.record_load(report.running, report.waiting, made_ms)
 
     def _late_weights(self, report_age_ms: float) -> int:
         """Returns the version in a late report.
@@ -250,7 +324,7 @@
             return 0
         if self.misdirected_ms > self.reported_ms:
             return 0
-        return self.report.weights
+        return self._trusted_report_weights(self.report)
 
     @property
     def _is_listed_older(self) -> bool:
--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -18,6 +18,7 @@
     CHUNKS_REJECTED = "marlramp_chunks_rejected"
     CHUNKS_RECEIVED = "marlramp_chunks_received"
     ENGINE_ORDERS = "marlramp_engine_orders"
+    LOADS_CHECKED = "marlramp_loads_checked"
     PLATFORM_READS = "marlramp_platform_reads"
     REQUESTS = "marlramp_requests"
     SILENCES = "marlramp_replica_silences"
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -17,6 +17,7 @@
 from marlramp.core.membership import members
 from marlramp.core.replicas import engine_state
 from marlramp.core.replicas import replica_view
+from marlramp.core.weights import loaded_weights
 from marlramp.core.weights import swap_schedule
 from marlramp.direct import metrics
 from marlramp.direct import page_server
@@ -250,7 +251,9 @@
           The report, None if the engine cannot be reached.
         """
         try:
-            report = await self._engine.report()
+            engine = self._weights.engine
+            layers = None if engine is None else engine.layers
+            report = await self._engine.report(layers)
         except clients.PlatformError as error:
             if self._is_reached is not False:
                 logs.log("engine_lost", detail=error)
@@ -268,6 +271,7 @@
         if report.leaving and (before is None or not before.leaving):
             logs.log("engine_leaving", born_ms=report.born_ms)
             changed = True
+        self._loader.record_report(report)
         self._report = report
         if changed:
             self._report_to_all()
@@ -451,7 +455,10 @@
         loading = self._loader.state is weights_loader.LoaderState.LOADING
         return replica_view.LoadReport(
             address=str(self._replica),
-            weights=report.weights,
+            weights=self._loader.usable_weights(report),
+            order_number=report.order_number,
+            verified=self._loader.trust(report)
+            is loaded_weights.LoadTrust.VERIFIED,
             running=report.running,
             waiting=report.waiting,
             pace=report.pace,
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -1,8 +1,13 @@
 """Loads the named weights into the engine on this VM.
 
 Pieces are fetched, staged beside the engine as they arrive, and read back and
-verified right before the load order: staged pieces may have become corrupt, and
-an engine loads them without a check.
+verified before the load order: staged pieces may have become corrupt, and an
+engine loads them without a check. They are verified again once the engine has
+accepted the order, since it takes them as they are at that moment; see
+`core.weights.loaded_weights`.
+
+An order without an answer may be accepted at any later time. No other version
+is staged before the engine has accepted it or its number is used up.
 """
 
 from __future__ import annotations
@@ -14,10 +19,13 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
 from marlramp.core.replicas import engine_state
+from marlramp.core.weights import loaded_weights
 from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import rollout_times
@@ -43,9 +51,12 @@
 """Pieces that are staged or read back at once."""
 
 VERIFIED_MAX_AGE_MS = 1_000.0
-"""Maximum age of a verification of the staged pieces, after which they are read
-back again before the load order. Reading 64 pieces adds 0.06 s to an engine's
-outage."""
+"""Maximum age of a verification of the staged pieces, counted from its first
+read, after which they are read back again before the load order. Reading 64
+pieces adds 0.06 s to an engine's outage."""
+
+VERIFY_ATTEMPTS_MAX = 5
+"""Passes over the staged pieces until one finds all of them correct in time."""
 
 RETRY_MS = 200.0
 """Delay before a retry after an error of the platform."""
@@ -82,9 +93,25 @@
           cut: whether running requests may be cut off.
 
         Raises:
-          clients.OrderRefusedError: the engine has accepted another number of
-            orders than `order_number`, for example because it restarted.
-          clients.PlatformError: the engine did not answer.
+          clients.OrderRefusedError: the engine refused the order, for example
+            because it has accepted another number of orders than
+            `order_number`.
+          clients.PlatformError: the engine did not answer; it may accept the
+            order later.
+        """
+        ...
+
+    async def unload(self, model: str, version: int, order_number: int) -> None:
+        """Orders the engine to drop the weights that it holds.
+
+        Args:
+          model: the model.
+          version: the version that it holds.
+          order_number: as in `load`.
+
+        Raises:
+          clients.OrderRefusedError: as for `load`.
+          clients.PlatformError: as for `load`.
         """
         ...
 
@@ -156,6 +183,36 @@
         ...
 
 
+class _Order(msgspec.Struct):
+    """A load order whose outcome is not known yet.
+
+    Attributes:
+      wanted: the version that is staged and ordered.
+      chunk_set: its pieces.
+      report: the report that the order was decided on.
+      is_unanswered: whether an order of this number had no answer.
+      is_suspect: whether staged pieces may have been replaced after the engine
+        took them.
+    """
+
+    wanted: version_digests.ModelVersion
+    chunk_set: manifest.ChunkSet
+    report: engine_state.EngineReport
+    is_unanswered: bool = False
+    is_suspect: bool = False
+
+    def is_accepted(self, report: engine_state.EngineReport) -> bool:
+        """Returns whether the engine has accepted an order since."""
+        return report.order_number > self.report.order_number
+
+    def is_void(self, report: engine_state.EngineReport) -> bool:
+        """Returns whether the engine has restarted since."""
+        return (
+            report.born_ms != self.report.born_ms
+            or report.order_number < self.report.order_number
+        )
+
+
 class WeightsLoader:
     """Keeps the engine on this VM at the announced version.
 
@@ -192,7 +249,9 @@
         self._staged_version: version_digests.ModelVersion | None = None
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
-        self._read_ms = time.now_ms()
+        self._found_whole = True
+        self._order: _Order | None = None
+        self._loaded = loaded_weights.LoadedWeights()
         self._times = rollout_times.RolloutTimes(time)
         self._pieces_ready_ms: dict[version_digests.ModelVersion, float] = {}
         self.state = LoaderState.IDLE
@@ -207,6 +266,20 @@
         """
         return self._pieces_ready_ms.get(wanted)
 
+    def trust(
+        self, report: engine_state.EngineReport
+    ) -> loaded_weights.LoadTrust:
+        """Returns the trust in the weights of a report of the engine."""
+        return self._loaded.trust(report)
+
+    def usable_weights(self, report: engine_state.EngineReport) -> int:
+        """Returns the version that requests may run on, 0 for none."""
+        return self._loaded.usable_weights(report)
+
+    def record_report(self, report: engine_state.EngineReport) -> None:
+        """Records a report of the engine, before others learn of it."""
+        self._loaded.record_report(report)
+
     async def run(self) -> None:
         """Follows the announced version until cancelled."""
         # This resets the state after an error too: the engine must not stay
@@ -227,6 +300,9 @@
                 await asyncio.sleep(RETRY_MS / _MS)
 
     async def _step(self, wanted: version_digests.ModelVersion) -> None:
+        if self._order is not None:
+            await self._settle_order(self._order)
+            return
         self._times.record_phase(wanted, rollout_times.Phase.HEARD)
         chunk_set = await self._exchange.find_manifest(wanted)
         self._times.record_phase(wanted, rollout_times.Phase.DIGESTS)
@@ -251,21 +327,29 @@
         ):
             await self._adopt_staged(wanted, chunk_set)
             self._staged_born_ms = report.born_ms
-        if chunk_set.complete and report.weights == wanted.version:
+        if chunk_set.complete and not self._found_whole:
+            self._judge_found(wanted, report)
+        usable = self._loaded.usable_weights(report)
+        if chunk_set.complete and usable == wanted.version:
             self._set_state(LoaderState.IDLE)
             await asyncio.sleep(POLL_MS / _MS)
             return
         if not chunk_set.complete:
             self._set_state(LoaderState.FETCHING)
-            await self._stage_new(wanted, chunk_set)
+            if not self._holds_unverified(wanted, report):
+                await self._stage_new(wanted, chunk_set)
             await self._wait_changed()
             return
+        if wanted.version in (report.weights, report.partial_weights):
+            # An engine does not load a version again that it holds.
+            await self._unload(wanted, report)
+            return
         await self._stage_new(wanted, chunk_set)
         self._times.record_phase(wanted, rollout_times.Phase.COMPLETE)
         if wanted not in self._pieces_ready_ms:
             self._pieces_ready_ms = {wanted: self._clock.now_ms()}
-        if self._may_load(wanted, report):
-            await self._load(wanted, chunk_set, serving=report.weights > 0)
+        if self._may_load(wanted, report, usable):
+            await self._load(wanted, chunk_set, serving=usable > 0)
             return
         self._set_state(LoaderState.WAITING)
         await asyncio.sleep(LOAD_POLL_MS / _MS)
@@ -273,10 +357,16 @@
     async def _adopt_staged(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
     ) -> None:
-        """Adopts the staged pieces whose digests match."""
+        """Adopts the staged pieces whose digests match.
+
+        They also show whether weights that the engine held before this process
+        started were loaded whole: no version is staged over one whose load was
+        not verified, and none is staged again before the engine has dropped it.
+        """
         self._staged = set()
         begun_ms = self._clock.now_ms()
         self._verified_ms = float("-inf")
+        report = await self._agent.read_report()
         for index in await self._engine.staged(wanted.model):
             data = await self._engine.read_staged(
                 wanted.model, index, chunk_set.manifest.chunk_bytes
@@ -287,9 +377,12 @@
                 self._staged.add(index)
                 self._exchange.add(wanted, index, data)
         self._staged_version = wanted
-        self._read_ms = begun_ms
-        if len(self._staged) == len(chunk_set.manifest.chunks):
-            self._verified_ms = self._clock.now_ms()
+        is_whole = len(self._staged) == len(chunk_set.manifest.chunks)
+        if is_whole:
+            self._verified_ms = begun_ms
+        self._found_whole = is_whole
+        if is_whole and report is not None:
+            self._judge_found(wanted, report)
         logs.log(
             "staged_found",
             name=wanted.name,
@@ -297,6 +390,32 @@
             held=len(chunk_set.held),
         )
 
+    def _judge_found(
+        self,
+        wanted: version_digests.ModelVersion,
+        report: engine_state.EngineReport,
+    ) -> None:
+        """Judges weights that were loaded before this process started.
+
+        Called with corrupt pieces only once all correct ones are held: until
+        then the engine could not load anew.
+        """
+        is_found = self._loaded.trust(report) is loaded_weights.LoadTrust.FOUND
+        if is_found and report.weights == wanted.version:
+            self._record_check(report, wanted, spoilt=not self._found_whole)
+
+    def _holds_unverified(
+        self,
+        wanted: version_digests.ModelVersion,
+        report: engine_state.EngineReport,
+    ) -> bool:
+        """Returns whether staged pieces are evidence of what was loaded."""
+        trust = self._loaded.trust(report)
+        return (
+            report.weights == wanted.version
+            and trust is not loaded_weights.LoadTrust.VERIFIED
+        )
+
     async def _stage_new(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
     ) -> None:
@@ -326,11 +445,12 @@
         self,
         wanted: version_digests.ModelVersion,
         report: engine_state.EngineReport,
+        usable: int,
     ) -> bool:
         """Returns whether this engine may load now."""
         if report.busy:
             return False
-        if report.weights == 0:
+        if usable == 0:
             return True
         pieces_ready_ms = self._pieces_ready_ms[wanted]
         start_ms = self._agent.load_start_ms(wanted, pieces_ready_ms)
@@ -351,7 +471,7 @@
           serving: whether the engine serves another version, so that running
             requests are given time to end.
         """
-        await self._repair_staged(wanted, chunk_set)
+        await self._verify_staged(wanted, chunk_set)
         if self._agent.wanted() != wanted:
             return
         self._set_state(LoaderState.LOADING)
@@ -362,47 +482,165 @@
         if report is None or report.born_ms != self._staged_born_ms:
             self._set_state(LoaderState.IDLE)
             return
+        order = _Order(wanted, chunk_set, report)
+        await self._send_order(order)
+        if self._order is not None:
+            await self._settle_order(order)
+
+    async def _send_order(self, order: _Order) -> None:
+        """Orders a load right after a verification of the staged pieces.
+
+        Unless the order was refused, it is kept as `_order` until its outcome
+        is known.
+        """
+        wanted = order.wanted
+        replaced = await self._verify_staged(wanted, order.chunk_set)
+        if replaced and order.is_unanswered:
+            current = await self._agent.read_report()
+            if current is None or order.is_accepted(current):
+                order.is_suspect = True
+        self._order = order
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
         logs.log(
             "load_ordered",
             name=wanted.name,
-            order_number=report.order_number,
-            read_age_ms=round(self._clock.now_ms() - self._read_ms),
+            order_number=order.report.order_number,
+            verified_age_ms=round(self._clock.now_ms() - self._verified_ms),
         )
         self._times.record_phase(wanted, rollout_times.Phase.ORDERED)
-        started_ms = self._clock.now_ms()
         try:
             await self._engine.load(
                 wanted.model,
                 wanted.version,
-                report.order_number,
+                order.report.order_number,
                 cut=self._agent.may_cut(),
             )
         except clients.OrderRefusedError as error:
             logs.log("load_refused", name=wanted.name, detail=error)
-            self._set_state(LoaderState.IDLE)
+            if not order.is_unanswered:
+                self._order = None
+                self._set_state(LoaderState.IDLE)
             await asyncio.sleep(LOAD_POLL_MS / _MS)
-            return
         except clients.PlatformError as error:
-            # The engine may have accepted the order without an answer; its
-            # reports show whether it did.
             logs.log("load_unanswered", name=wanted.name, detail=error)
-        loaded = await self._wait_loaded(wanted)
-        spoilt = await self._find_spoilt(wanted, chunk_set)
+            order.is_unanswered = True
+            # The engine serves its old version until it accepts the order.
+            self._set_state(LoaderState.WAITING)
+
+    async def _settle_order(self, order: _Order) -> None:
+        """Waits until the outcome of an order is known.
+
+        An order without an answer is sent again under the same number, of which
+        the engine accepts one: the number is used up before another version is
+        staged, and an order that arrives later is refused.
+        """
+        started_ms = self._clock.now_ms()
+        spoilt: int | None = None
+        while self._clock.now_ms() - started_ms < LOAD_TIMEOUT_MS:
+            report = await self._agent.read_report()
+            if report is None:
+                break
+            if order.is_void(report):
+                self._forget_order()
+                return
+            if order.is_accepted(report):
+                self._set_state(LoaderState.LOADING)
+                unverified = loaded_weights.LoadTrust.UNVERIFIED
+                if self._loaded.trust(report) is unverified:
+                    spoilt = await self._check_taken(order, report)
+                if not report.busy:
+                    self._forget_order()
+                    break
+            elif order.is_unanswered:
+                await self._send_order(order)
+                continue
+            elif report.weights == order.wanted.version:
+                self._forget_order()
+                break
+            await asyncio.sleep(LOAD_POLL_MS / _MS)
+        else:
+            order.is_unanswered = True
+        self._set_state(LoaderState.IDLE)
+        self._log_load(order, spoilt, started_ms)
+
+    def _forget_order(self) -> None:
+        self._order = None
+        self._set_state(LoaderState.IDLE)
+
+    def _log_load(
+        self, order: _Order, spoilt: int | None, started_ms: clock.Millis
+    ) -> None:
+        report = self._agent.report()
+        loaded = (
+            report is not None
+            and self._loaded.usable_weights(report) == order.wanted.version
+        )
         logs.log(
             "load_ended",
-            name=wanted.name,
+            name=order.wanted.name,
             loaded=loaded,
-            spoilt=len(spoilt),
+            spoilt=spoilt,
             taken_ms=round(self._clock.now_ms() - started_ms),
         )
         if loaded:
-            self._times.record_phase(wanted, rollout_times.Phase.LOADED)
+            self._times.record_phase(order.wanted, rollout_times.Phase.LOADED)
             self._times.log_rollout(
-                self._agent.age_ms(wanted),
+                self._agent.age_ms(order.wanted),
                 self._agent.limit_ms(),
             )
-        self._set_state(LoaderState.IDLE)
+
+    async def _check_taken(
+        self, order: _Order, report: engine_state.EngineReport
+    ) -> int:
+        """Verifies the staged pieces after the engine has accepted an order.
+
+        Returns:
+          The number of pieces that are missing or corrupt.
+        """
+        spoilt = await self._find_spoilt(order.wanted, order.chunk_set)
+        is_own = report.order_number == order.report.order_number + 1
+        is_sound = not spoilt and is_own and not order.is_suspect
+        self._record_check(report, order.wanted, spoilt=not is_sound)
+        return len(spoilt)
+
+    def _record_check(
+        self,
+        report: engine_state.EngineReport,
+        wanted: version_digests.ModelVersion,
+        *,
+        spoilt: bool,
+    ) -> None:
+        self._loaded.record_check(report, spoilt=spoilt)
+        outcome = "spoilt" if spoilt else "verified"
+        self._totals.add(counters.CounterName.LOADS_CHECKED, outcome)
+        logs.log(
+            f"load_{outcome}",
+            name=wanted.name,
+            order_number=report.order_number,
+        )
+        self._state_changed()
+
+    async def _unload(
+        self,
+        wanted: version_digests.ModelVersion,
+        report: engine_state.EngineReport,
+    ) -> None:
+        """Makes the engine drop weights that it may have taken corrupt."""
+        if report.busy:
+            await asyncio.sleep(LOAD_POLL_MS / _MS)
+            return
+        self._totals.add(counters.CounterName.ENGINE_ORDERS, "unload")
+        logs.log(
+            "unload_ordered",
+            name=wanted.name,
+            order_number=report.order_number,
+            trust=self._loaded.trust(report).value,
+        )
+        await self._engine.unload(
+            wanted.model, wanted.version, report.order_number
+        )
+        await self._agent.read_report()
+        await asyncio.sleep(LOAD_POLL_MS / _MS)
 
     async def _drain(self, drain_ms: float) -> None:
         """Waits until no request runs or waits, for at most `drain_ms`.
@@ -417,28 +655,44 @@
                 return
             await asyncio.sleep(LOAD_POLL_MS / _MS)
 
-    async def _repair_staged(
+    async def _verify_staged(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
-    ) -> None:
-        """Reads back every staged piece and replaces corrupt ones."""
-        if self._clock.now_ms() - self._verified_ms < VERIFIED_MAX_AGE_MS:
-            return
-        self._read_ms = self._clock.now_ms()
-        limit = asyncio.Semaphore(STAGE_PARALLEL)
+    ) -> bool:
+        """Reads back every staged piece and replaces corrupt ones.
 
-        async def repair(index: int) -> None:
-            async with limit:
-                data = await self._engine.read_staged(
-                    wanted.model, index, chunk_set.manifest.chunk_bytes
-                )
-                held = chunk_set.get(index)
-                if held is None or chunk_set.matches(index, data):
-                    return
+        Returns at once if that was done a short time ago. Replaced pieces are
+        read back too, and all are read again if the process was suspended
+        meanwhile.
+
+        Returns:
+          Whether pieces were replaced.
+
+        Raises:
+          clients.PlatformError: the pieces do not stay correct.
+        """
+        replaced = False
+        for _ in range(VERIFY_ATTEMPTS_MAX):
+            if self._is_verified_lately():
+                return replaced
+            begun_ms = self._clock.now_ms()
+            spoilt = await self._find_spoilt(wanted, chunk_set)
+            if not spoilt:
+                self._verified_ms = begun_ms
+                continue
+            replaced = True
+            for index in spoilt:
                 logs.log("staged_piece_mended", name=wanted.name, index=index)
                 self._totals.add(counters.CounterName.CHUNKS_REJECTED, "staged")
-                await self._engine.stage(wanted.model, index, held)
+                data = chunk_set.get(index)
+                if data is not None:
+                    await self._engine.stage(wanted.model, index, data)
+        if not self._is_verified_lately():
+            raise clients.PlatformError("staged pieces do not stay correct")
+        return replaced
 
-        await _run_all(repair(i) for i in range(len(chunk_set.manifest.chunks)))
+    def _is_verified_lately(self) -> bool:
+        age_ms = self._clock.now_ms() - self._verified_ms
+        return age_ms < VERIFIED_MAX_AGE_MS
 
     async def _find_spoilt(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
@@ -458,17 +712,6 @@
         await _run_all(check(i) for i in range(len(chunk_set.manifest.chunks)))
         return sorted(spoilt)
 
-    async def _wait_loaded(self, wanted: version_digests.ModelVersion) -> bool:
-        end_ms = self._clock.now_ms() + LOAD_TIMEOUT_MS
-        while self._clock.now_ms() < end_ms:
-            report = await self._agent.read_report()
-            if report is None:
-                return False
-            if report.weights == wanted.version:
-                return True
-            await asyncio.sleep(LOAD_POLL_MS / _MS)
-        return False
-
     def _set_state(self, state: LoaderState) -> None:
         if state is not self.state:
             self.state = state
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -150,6 +150,18 @@
     return None
 
 
+def is_whole(layers: HeldLayers | None, layers_total: int | None) -> bool:
+    """Returns whether a range of layers has all layers of the model.
+
+    Args:
+      layers: the range, None if the replica reports none.
+      layers_total: number of layers of the model, None if it is unknown.
+    """
+    if layers is None or layers_total is None:
+        return True
+    return layers.source == 0 and layers.target >= layers_total
+
+
 class _ListedReplica(msgspec.Struct):
     service: str
     address: str
@@ -294,6 +306,7 @@
         weights=held_weights(raw.layers, raw.model_list),
         born_ms=None if raw.born is msgspec.UNSET else raw.born,
         cold_left_ms=raw.cold_left_ms,
+        order_number=raw.call_seq,
     )
 
 
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marlramp.core.configuration import fleet
 from marlramp.core.replicas import engine_state
 from marlramp.core.weights import manifest
 from marlramp.platform import calls
@@ -29,7 +30,7 @@
 MANIFEST_BYTES_MAX = 8_388_608
 """Largest manifest: `manifest.CHUNKS_MAX` digests of 64 digits take 4.4 MB."""
 
-_CONFLICT = 409
+_FIRST_VERSION = fleet.FIRST_VERSION
 
 
 class _Report(msgspec.Struct):
@@ -64,6 +65,9 @@
     swap_mode: str
     # Number of orders accepted so far; the replica refuses any other number.
     expect: int
+    # Layers to load, from `source` up to, excluding, `target`; all if unset.
+    source: int | msgspec.UnsetType = msgspec.UNSET
+    target: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class ReplicaApi:
@@ -78,9 +82,14 @@
         self._report_decoder = msgspec.json.Decoder(_Report)
         self._staged_decoder = msgspec.json.Decoder(_StagedPieces)
 
-    async def report(self) -> engine_state.EngineReport:
+    async def report(
+        self, layers: int | None = None
+    ) -> engine_state.EngineReport:
         """Returns the replica's state.
 
+        Args:
+          layers: number of layers of the model, None if it is unknown.
+
         Raises:
           PlatformError: if there is no usable answer.
         """
@@ -88,9 +97,11 @@
             "GET", f"{self._url}/v1/report", REPORT_TIMEOUT_MS
         )
         raw = _decode(self._report_decoder, answer.body)
-        held = documents.held_weights(raw.layers, raw.model_list)
+        held = documents.held_weights(raw.layers, raw.model_list) or 0
+        is_whole = documents.is_whole(raw.layers, layers)
         return engine_state.EngineReport(
-            weights=held or 0,
+            weights=held if is_whole else 0,
+            partial_weights=0 if is_whole else held,
             running=raw.active,
             waiting=raw.queued,
             pace=raw.pace,
@@ -143,12 +154,38 @@
           cut: whether running requests are aborted instead of finished.
 
         Raises:
-          OrderRefusedError: if the order conflicts with the replica's state.
-          PlatformError: if the replica did not accept the order. If there was
-            no answer, it may have accepted it.
+          OrderRefusedError: if the replica refused the order.
+          PlatformError: if there was no answer: the replica may have accepted
+            the order, or accept it later.
         """
         mode = "truncate" if cut else "queue"
-        order = _Order("start", model, version, mode, order_number)
+        await self._order(_Order("start", model, version, mode, order_number))
+
+    async def unload(self, model: str, version: int, order_number: int) -> None:
+        """Orders the replica to drop the weights that it holds.
+
+        The platform has no such order, and does nothing if the version that an
+        order names is in effect. One layer of another version replaces all
+        layers that are held; a replica with one layer runs no requests.
+
+        Args:
+          model: the model.
+          version: the version that is held.
+          order_number: as in `load`.
+
+        Raises:
+          OrderRefusedError: if the replica refused the order.
+          PlatformError: if there was no answer: the replica may have accepted
+            the order, or accept it later.
+        """
+        # Versions only increase: the previous one is never loaded again, so
+        # that this layer is not kept by a later load.
+        other = version - 1 if version > _FIRST_VERSION else version + 1
+        await self._order(
+            _Order("start", model, other, "truncate", order_number, 0, 1)
+        )
+
+    async def _order(self, order: _Order) -> None:
         try:
             await self._calls.make(
                 "POST",
@@ -157,9 +194,9 @@
                 msgspec.json.encode(order),
             )
         except calls.StatusError as error:
-            if error.status == _CONFLICT:
-                raise clients.OrderRefusedError(str(error)) from error
-            raise
+            raise clients.OrderRefusedError(
+                str(error), error.asked_ms
+            ) from error
 
 
 class OriginApi:
--- a/standins/direct_replicas.py
+++ b/standins/direct_replicas.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import json
 import time
 from typing import NamedTuple
@@ -22,6 +24,7 @@
 from standins import raw_http
 from standins import turning_away
 
+LAYERS = 16
 EVENTS = 6
 EVENT_S = 0.02
 DESK_S = 0.01
@@ -127,7 +130,11 @@
 
     Attributes:
       weights: loaded version, 0 for none.
-      mixed: number of loads with missing or wrong pieces.
+      mixed: number of complete loads with missing or wrong pieces.
+      spoilt: whether the loaded layers were taken from such pieces.
+      runs_on_spoilt: ids of requests that ran on such layers.
+      before_order: awaited between the arrival of an order and its
+        acceptance; the caller may have given up meanwhile.
       runs: number of executions by request id.
       begins: first tokens of responses, in order.
       crashes: crash state; requests with `CRASHING_BODY` or
@@ -166,6 +173,9 @@
         self.port = port
         self.weights = weights
         self.mixed = 0
+        self.spoilt = False
+        self.runs_on_spoilt: list[str] = []
+        self.before_order: Callable[[], Awaitable[None]] | None = None
         self.runs: dict[str, int] = {}
         self.begins: list[Begin] = []
         self.crashes = _Crashes()
@@ -182,6 +192,7 @@
         self._orders = 0
         self._born_ms = _unix_ms()
         self._loading = False
+        self._held_layers = LAYERS if weights else 0
         self._corrupted_s: dict[int, float] = {}
         self._staged = {
             index: direct_weights.piece(weights, index)
@@ -194,10 +205,11 @@
         """Registered address as "host:port"."""
         return f"{self.host}:{self.port}"
 
-    def rot(self, index: int) -> None:
-        """Corrupts a staged piece."""
+    def rot(self, index: int, age_s: float = 0.0) -> None:
+        """Corrupts a staged piece, as if that had happened `age_s` ago."""
         self._staged[index] = b"rotten"
-        self._corrupted_s[index] = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        self._corrupted_s[index] = now_s - age_s
 
     def missing(self, version: int) -> list[int]:
         """Returns the indices of pieces that are missing or wrong.
@@ -226,6 +238,8 @@
             self._staged = {}
         self.replica_id = replica_id
         self.weights = 0
+        self._held_layers = 0
+        self.spoilt = False
         self._orders = 0
         self._loading = False
         self.turning_away.started_anew()
@@ -289,7 +303,7 @@
                 await self._run(peer, request)
 
     def _layers(self) -> dict[str, int]:
-        layers = 16 if self.weights else 0
+        layers = self._held_layers if self.weights else 0
         return {"source": 0, "target": layers, "version": self.weights}
 
     def _report(self) -> dict[str, object]:
@@ -324,17 +338,29 @@
         self, peer: raw_http.Peer, request: raw_http.SeenRequest
     ) -> None:
         order = json.loads(request.body)
+        if self.before_order is not None:
+            await self.before_order()
         if order.get("expect", self._orders) != self._orders:
             await peer.answer(request, 409)
             return
+        version = int(order["version"])
+        layers = int(order.get("target", LAYERS))
+        if version == self.weights and layers <= self._held_layers:
+            await peer.answer(request, 200)
+            return
         self._orders += 1
         self._loading = True
-        await peer.answer(request, 202)
-        version = int(order["version"])
-        if self.missing(version):
-            self.mixed += 1
-        await asyncio.sleep(direct_documents.LOAD_S)
+        spoilt = bool(self.missing(version))
+        if layers == LAYERS:
+            self.mixed += spoilt
+        with contextlib.suppress(ConnectionError):
+            await peer.answer(request, 202)
+        await asyncio.sleep(direct_documents.LOAD_S * layers / LAYERS)
+        # Layers of the same version are kept.
+        kept = version == self.weights and self._held_layers > 0
+        self.spoilt = spoilt or (kept and self.spoilt)
         self.weights = version
+        self._held_layers = layers
         self._loading = False
         self.register()
 
@@ -350,6 +376,7 @@
         misdirected = (
             not matches_replica
             or expected != str(self.weights)
+            or self._held_layers < LAYERS
             or self._loading
         )
         self.arrivals.append(
@@ -363,6 +390,8 @@
             await peer.answer(request, status, b"", **headers)
             return
         self.runs[name] = self.runs.get(name, 0) + 1
+        if self.spoilt:
+            self.runs_on_spoilt.append(name)
         if request.body == CRASHING_BODY:
             await asyncio.sleep(CRASH_DELAY_S)
             # The connection ends with the replica, so it can't await this.
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
 import hashlib
 
 import pytest
@@ -10,9 +13,11 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp.core.replicas import engine_state
+from marlramp.core.weights import loaded_weights
 from marlramp.core.weights import manifest
 from marlramp.direct.weights import version_digests
 from marlramp.direct.weights import weights_loader
+from marlramp.platform import clients
 
 PIECES = [b"a" * 8, b"b" * 8]
 WANTED = version_digests.ModelVersion("m", 2)
@@ -197,3 +202,233 @@
         running.cancel()
 
     asyncio.run(main())
+
+
+NEWER = version_digests.ModelVersion("m", 3)
+NEWER_PIECES = [b"c" * 8, b"d" * 8]
+
+
+class SkippingClock(clock.SystemClock):
+    """A clock that skips the time for which a process is suspended."""
+
+    skipped_ms = 0.0
+
+    def now_ms(self) -> clock.Millis:
+        return clock.Millis(super().now_ms() + self.skipped_ms)
+
+
+class OrderedEngine(Engine):
+    """An engine that counts orders and takes the pieces that are staged.
+
+    Attributes:
+      orders: number of orders that were accepted.
+      taken: pieces that were taken by each load of all layers.
+      late: orders that had no answer and may still be accepted.
+      unanswered: number of orders that get no answer.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.available = True
+        self.weights = 1
+        self.partial = 0
+        self.orders = 1
+        self.taken: list[tuple[int, dict[int, bytes]]] = []
+        self.late: list[tuple[int, int]] = []
+        self.unanswered = 0
+        self.target = WANTED
+        self.loader: weights_loader.WeightsLoader
+        self.on_order: list[Callable[[], None]] = []
+
+    async def load(
+        self, model: str, version: int, order_number: int, *, cut: bool
+    ) -> None:
+        if self.on_order:
+            self.on_order.pop(0)()
+        if self.unanswered:
+            self.unanswered -= 1
+            self.late.append((version, order_number))
+            raise clients.PlatformError("no answer")
+        self.accept(version, order_number)
+
+    def accept(self, version: int, order_number: int) -> None:
+        if order_number != self.orders:
+            raise clients.OrderRefusedError("another number")
+        if version == self.weights:
+            return
+        self.orders += 1
+        self.weights, self.partial = version, 0
+        self.taken.append((version, dict(self.pieces)))
+
+    def accept_late(self) -> None:
+        for version, order_number in self.late:
+            with contextlib.suppress(clients.OrderRefusedError):
+                self.accept(version, order_number)
+        self.late.clear()
+
+    async def unload(self, model: str, version: int, order_number: int) -> None:
+        assert order_number == self.orders
+        self.orders += 1
+        self.weights, self.partial = 0, version - 1
+
+    def wanted(self) -> version_digests.ModelVersion:
+        return self.target
+
+    def report(self) -> engine_state.EngineReport:
+        return engine_state.EngineReport(
+            weights=self.weights,
+            partial_weights=self.partial,
+            running=0,
+            waiting=0,
+            pace=1.0,
+            busy=False,
+            order_number=self.orders,
+        )
+
+    async def read_report(self) -> engine_state.EngineReport:
+        self.loader.record_report(self.report())
+        return self.report()
+
+
+class NewerExchange(Exchange):
+    """Knows the digests of two versions and holds all of their pieces."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        newer = manifest.Manifest(
+            model="m",
+            version="3",
+            chunk_bytes=8,
+            total_bytes=16,
+            chunks=[hashlib.sha256(p).hexdigest() for p in NEWER_PIECES],
+            whole="",
+        )
+        self.newer = manifest.ChunkSet(newer, manifest.sha256_of)
+        for index in range(2):
+            self.newer.add(index, NEWER_PIECES[index])
+            self.chunk_set.add(index, PIECES[index])
+
+    async def find_manifest(
+        self, wanted: version_digests.ModelVersion
+    ) -> manifest.ChunkSet:
+        return self.newer if wanted == NEWER else self.chunk_set
+
+
+@contextlib.asynccontextmanager
+async def loading(
+    engine: OrderedEngine, time: clock.Clock
+) -> AsyncIterator[weights_loader.WeightsLoader]:
+    """Runs a loader beside an engine."""
+    engine.loader = weights_loader.WeightsLoader(
+        engine,
+        engine,
+        NewerExchange(),  # type: ignore[arg-type]
+        lambda: None,
+        counters.Counters(),
+        time,
+    )
+    running = asyncio.create_task(engine.loader.run())
+    yield engine.loader
+    running.cancel()
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+def ordered() -> OrderedEngine:
+    return OrderedEngine()
+
+
+def usable(engine: OrderedEngine) -> int:
+    return engine.loader.usable_weights(engine.report())
+
+
+def test_pieces_that_turn_corrupt_while_the_agent_is_suspended_are_not_loaded(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against a load order whose verification is old."""
+    time = SkippingClock()
+
+    class Suspended(type(ordered)):  # type: ignore[misc]
+        async def read_report(self) -> engine_state.EngineReport:
+            if self.pieces and not time.skipped_ms:
+                self.pieces[1] = b"rotten"
+                time.skipped_ms = 4_000.0
+            return await super().read_report()
+
+    async def main() -> None:
+        engine = Suspended()
+        async with loading(engine, time):
+            await until(lambda: usable(engine) == WANTED.version)
+        assert engine.taken == [(WANTED.version, dict(enumerate(PIECES)))]
+
+    asyncio.run(main())
+
+
+def test_engine_that_took_corrupt_pieces_is_not_used_until_it_loaded_again(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against spoilt weights that are believed by their version."""
+    seen: list[int] = []
+
+    def has_loaded_again(seen: list[int]) -> bool:
+        if len(ordered.taken) == 1:
+            seen.append(usable(ordered))
+        return len(ordered.taken) == 2
+
+    async def main() -> None:
+        ordered.on_order = [lambda: ordered.pieces.update({1: b"rotten"})]
+        async with loading(ordered, clock.SystemClock()):
+            await until(lambda: len(ordered.taken) == 1)
+            await until(lambda: has_loaded_again(seen))
+            await until(lambda: usable(ordered) == WANTED.version)
+        assert ordered.taken[-1][1] == dict(enumerate(PIECES))
+        assert set(seen) == {0}
+
+    asyncio.run(main())
+
+
+def test_order_that_is_accepted_late_takes_no_pieces_of_a_newer_version(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against another version that is staged under an open order."""
+
+    async def main() -> None:
+        ordered.unanswered = 3
+        async with loading(ordered, clock.SystemClock()):
+            await until(lambda: bool(ordered.late))
+            ordered.target = NEWER
+            await until(lambda: usable(ordered) == NEWER.version)
+            ordered.accept_late()
+        whole = {2: dict(enumerate(PIECES)), 3: dict(enumerate(NEWER_PIECES))}
+        assert ordered.taken == [(2, whole[2]), (3, whole[3])]
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("corrupt", [True, False])
+def test_weights_loaded_before_the_agent_started_are_verified(
+    ordered: OrderedEngine, corrupt: bool
+) -> None:
+    """Guards against a load that the agent's last process did not verify."""
+
+    async def main() -> None:
+        ordered.weights = WANTED.version
+        ordered.pieces = dict(enumerate(PIECES))
+        if corrupt:
+            ordered.pieces[0] = b"rotten"
+        async with loading(ordered, clock.SystemClock()) as loader:
+            await until(
+                lambda: (
+                    loader.trust(ordered.report())
+                    is loaded_weights.LoadTrust.VERIFIED
+                )
+            )
+        assert len(ordered.taken) == corrupt
+        assert ordered.pieces == dict(enumerate(PIECES))
+
+    asyncio.run(main())
