Odd entries: one of them hides no others, and deep nesting is malformed

Reported for systems like this one: another writer's odd entry (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. Here on the grants path: the VM list and the settings documents were decoded as one array, so that one odd entry made the whole answer unusable for as long as it stood there; a port of 70,000 was accepted.

Entries are split without recursion and decoded one by one; what a decoder may raise stands in one place. The store of the direct path decoded its items one by one already; its envelope is now guarded too.

--- a/src/marlramp/agent/engine_client.py
+++ b/src/marlramp/agent/engine_client.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marlramp import decoding
 from marlramp import ids
 from marlramp.core.grant_calls import guard
 from marlramp.core.weights import manifest
@@ -116,7 +117,7 @@
         reply = await self._call("GET", "/admin/state", b"", STATE_TIMEOUT_MS)
         try:
             return msgspec.json.decode(reply.body, type=guard.EngineState)
-        except msgspec.DecodeError as error:
+        except decoding.MALFORMED as error:
             raise EngineError(f"malformed state: {error}") from error
 
     async def load_report(self) -> LoadReport:
@@ -126,7 +127,7 @@
         )
         try:
             return msgspec.json.decode(reply.body, type=LoadReport)
-        except msgspec.DecodeError as error:
+        except decoding.MALFORMED as error:
             raise EngineError(f"malformed load report: {error}") from error
 
     async def stage(
--- a/src/marlramp/agent/runs.py
+++ b/src/marlramp/agent/runs.py
@@ -11,6 +11,7 @@
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import decoding
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
@@ -392,7 +393,7 @@
     def _check_version(self, event: bytes, version: ids.VersionId) -> None:
         try:
             stamped = self._version_decoder.decode(event[len(_DATA_PREFIX) :])
-        except msgspec.DecodeError as error:
+        except decoding.MALFORMED as error:
             raise errors.CallError(
                 errors.ErrorKind.UPSTREAM_FAILED, f"malformed event: {error}"
             ) from error
--- a/src/marlramp/core/weights/manifest.py
+++ b/src/marlramp/core/weights/manifest.py
@@ -8,6 +8,7 @@
 import blake3
 import msgspec
 
+from marlramp import decoding
 from marlramp import ids
 
 CHUNKS_MAX = 65_536
@@ -76,7 +77,7 @@
         )
     try:
         manifest = _decoder.decode(data)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         raise ManifestError(f"malformed: {error}") from error
     if manifest.chunk_bytes <= 0 or manifest.total_bytes <= 0:
         raise ManifestError(
--- a/src/marlramp/entry/admin_app.py
+++ b/src/marlramp/entry/admin_app.py
@@ -20,6 +20,7 @@
 from marlramp import __version__
 from marlramp import clock
 from marlramp import counters
+from marlramp import decoding
 from marlramp import errors
 from marlramp import ids
 from marlramp.entry import admin_documents
@@ -194,7 +195,7 @@
             order = msgspec.json.decode(body, type=admin_documents.DrainRequest)
         except errors.CallError as failure:
             return _refused(failure.kind, failure.detail)
-        except msgspec.DecodeError as error:
+        except decoding.MALFORMED as error:
             return _refused(errors.ErrorKind.INVALID_REQUEST, str(error))
         if not self._fleet.drain_vm(ids.VmId(order.vm), order.reason):
             return _refused(
--- a/src/marlramp/entry/caller_app.py
+++ b/src/marlramp/entry/caller_app.py
@@ -12,6 +12,7 @@
 from starlette import routing
 
 from marlramp import clock
+from marlramp import decoding
 from marlramp import errors
 from marlramp import ids
 from marlramp import logs
@@ -436,7 +437,7 @@
 def _decode_token_request(body: bytes) -> TokenRequest:
     try:
         return msgspec.json.decode(body, type=TokenRequest)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         raise errors.CallError(
             errors.ErrorKind.INVALID_REQUEST, f"body: {error}"
         ) from error
--- a/src/marlramp/entry/requests.py
+++ b/src/marlramp/entry/requests.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp import decoding
 from marlramp import errors
 from marlramp import ids
 from marlramp.core.grant_calls import calls
@@ -143,7 +144,7 @@
     """
     try:
         completion = msgspec.json.decode(body, type=CompletionRequest)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         raise _invalid(f"body: {error}") from error
     if completion.max_tokens < 1:
         raise _invalid("body: max_tokens must be at least 1")
--- a/src/marlramp/platform/clients.py
+++ b/src/marlramp/platform/clients.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 from typing import Protocol
 
 import msgspec
@@ -15,6 +16,8 @@
 
 UNAVAILABLE_RETRY_MS = 500.0
 
+_PORT_MAX = 65_535
+
 
 class PlatformError(Exception):
     """A call to the platform got no usable answer.
@@ -100,8 +103,8 @@
     data_centre: str
     service: str
     host: str
-    port: int
-    http_port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=_PORT_MAX)]
+    http_port: Annotated[int, msgspec.Meta(ge=0, le=_PORT_MAX)]
     state: VmState
 
 
--- a/src/marlramp/platform/documents.py
+++ b/src/marlramp/platform/documents.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp import decoding
 from marlramp import ids
 from marlramp.core.configuration import fleet
 from marlramp.settings import node
@@ -189,11 +190,6 @@
 _version_decoder = msgspec.json.Decoder(_WeightsVersion)
 
 
-_MALFORMED = (ValueError, RecursionError)
-"""Exceptions of decoding. Errors of msgspec are subclasses of `ValueError`;
-values that are nested too deeply raise `RecursionError`."""
-
-
 class DocumentFault(enum.Enum):
     """Reason for which a document is refused."""
 
@@ -243,7 +239,7 @@
                 idle_timeout_ms=raw.limits.idle_timeout_ms,
             ),
         )
-    except _MALFORMED as error:
+    except decoding.MALFORMED as error:
         raise _decode_error("configuration", error) from error
 
 
@@ -294,7 +290,7 @@
     """
     try:
         raw = _replica_decoder.decode(data)
-    except _MALFORMED as error:
+    except decoding.MALFORMED as error:
         raise _decode_error("replica", error) from error
     return fleet.Replica(
         replica_id=replica_id,
@@ -347,7 +343,7 @@
     """
     try:
         raw = _version_decoder.decode(data)
-    except _MALFORMED as error:
+    except decoding.MALFORMED as error:
         raise _decode_error("weights version", error) from error
     return fleet.WeightsTarget(model=raw.model_name, version=raw.version)
 
--- a/src/marlramp/platform/http_clients.py
+++ b/src/marlramp/platform/http_clients.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
+from typing import TypeVar
+
 import msgspec
 
+from marlramp import decoding
 from marlramp import ids
+from marlramp import logs
 from marlramp.platform import clients
 from marlramp.protocol import messages
 from marlramp.shell import http
@@ -13,6 +18,9 @@
 CHUNK_TIMEOUT_MS = 30_000.0
 WATCH_MARGIN_MS = 2_000.0
 _OK = 200
+_DETAIL_LENGTH_MAX = 200
+
+Value = TypeVar("Value")
 
 
 class HttpConfigurationClient:
@@ -22,7 +30,7 @@
         """Uses the service at `url`."""
         self._client = client
         self._url = url.rstrip("/")
-        self._decoder = msgspec.json.Decoder(list[_PublishedDocument])
+        self._decoder = msgspec.json.Decoder(_PublishedDocument)
 
     async def read(self, keys: list[str]) -> list[messages.Document]:
         """Returns the current documents of `keys` that exist."""
@@ -43,10 +51,7 @@
         self, url: str, timeout_ms: float
     ) -> list[messages.Document]:
         body = await _get(self._client, url, timeout_ms)
-        try:
-            published = self._decoder.decode(body)
-        except msgspec.DecodeError as error:
-            raise clients.PlatformError(f"malformed answer: {error}") from error
+        published = _decode_entries(self._decoder, body)
         return [
             messages.Document(document.key, document.revision, document.text)
             for document in published
@@ -66,15 +71,13 @@
         """Uses the VM list at `url`."""
         self._client = client
         self._url = url.rstrip("/")
-        self._decoder = msgspec.json.Decoder(list[clients.ListedVm])
+        self._decoder = msgspec.json.Decoder(clients.ListedVm)
 
     async def read(self) -> list[clients.ListedVm]:
         """Returns the VMs in the list."""
         body = await _get(self._client, f"{self._url}/v1/vms", READ_TIMEOUT_MS)
-        try:
-            return self._decoder.decode(body)
-        except msgspec.DecodeError as error:
-            raise clients.PlatformError(f"malformed answer: {error}") from error
+        listed = _decode_entries(self._decoder, body)
+        return [vm for vm in listed if _has_ip_address(vm)]
 
 
 class HttpWeightSource:
@@ -98,6 +101,41 @@
         )
 
 
+def _decode_entries(
+    decoder: msgspec.json.Decoder[Value], body: bytes
+) -> list[Value]:
+    """Returns the entries of an array; logs those that can't be used.
+
+    Another writer's odd entry must not hide the others.
+
+    Raises:
+      PlatformError: if the answer is no array.
+    """
+    entries: list[Value] = []
+    try:
+        for data in decoding.json_entries(body):
+            try:
+                entries.append(decoder.decode(data))
+            except decoding.MALFORMED as error:
+                _log_refusal(str(error))
+    except ValueError as error:
+        raise clients.PlatformError(f"malformed answer: {error}") from error
+    return entries
+
+
+def _has_ip_address(vm: clients.ListedVm) -> bool:
+    try:
+        ipaddress.IPv4Address(vm.host)
+    except ValueError as error:
+        _log_refusal(str(error))
+        return False
+    return True
+
+
+def _log_refusal(detail: str) -> None:
+    logs.log("entry_refused", detail=detail[:_DETAIL_LENGTH_MAX])
+
+
 async def _get(
     client: http.HttpClient,
     url: str,
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marlramp import decoding
 from marlramp.core.configuration import fleet
 from marlramp.core.replicas import engine_state
 from marlramp.core.weights import manifest
@@ -252,5 +253,5 @@
 def _decode(decoder: msgspec.json.Decoder[Value], body: bytes) -> Value:
     try:
         return decoder.decode(body)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         raise clients.PlatformError(f"malformed answer: {error}") from error
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from marlramp import counters
+from marlramp import decoding
 from marlramp import logs
 from marlramp.core.configuration import catalog
 from marlramp.core.configuration import fleet
@@ -194,7 +195,7 @@
 def _decode_answer(decode: Callable[[bytes], Value], body: bytes) -> Value:
     try:
         return decode(body)
-    except msgspec.DecodeError as error:
+    except decoding.MALFORMED as error:
         raise clients.UselessAnswerError(
             f"malformed answer: {error}", answering=True
         ) from error
@@ -217,7 +218,7 @@
         for raw in raw_items:
             try:
                 items.append(self._decoder.decode(raw))
-            except (ValueError, RecursionError) as error:
+            except decoding.MALFORMED as error:
                 self._report_refusal("", 0, "item", str(error))
         return items
 
--- a/src/marlramp/protocol/codec.py
+++ b/src/marlramp/protocol/codec.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from marlramp import decoding
 from marlramp.protocol import fleet_messages
 from marlramp.protocol import messages
 
@@ -74,7 +75,7 @@
             raise DecodeError("protocol_version", repr(data[:1]))
         try:
             return self._decoder.decode(memoryview(data)[1:])
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+        except decoding.MALFORMED as error:
             raise DecodeError("malformed", str(error)) from error
 
 
