Known red: a malformed line is named in one message

A line without exactly three parts ended the whole run of tests with an internal error. It is a usage error now that names the file, the line and what is expected, before any test is collected.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import pathlib
 import random
 
 import pytest
 
 from marlramp import clock
+from tests import known_red
 
 
 @pytest.fixture
@@ -22,15 +22,16 @@
     return random.Random(7)
 
 
-KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
-"""Tests that fail because of a known fault, one per line, written as
-`test | cause | issue`."""
+def _known_red() -> dict[str, str]:
+    try:
+        return known_red.read(known_red.FILE)
+    except ValueError as error:
+        raise pytest.UsageError(str(error)) from error
 
 
-def _known_red() -> dict[str, str]:
-    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
-    parts = [line.split(" | ") for line in lines if line.strip()]
-    return {test.strip(): cause for test, cause, _ in parts}
+def pytest_configure() -> None:
+    """Fails at once if the list of known failures is malformed."""
+    _known_red()
 
 
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
