Soak: one command plays the scripts of the independent review

python -m soak review plays each with and without its disruption where it lies, and prints a line each; it fails if a rule was broken or a script could not run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import cyclopts
 
+from soak import reviews
 from soak import run
 from soak import schedule
 
@@ -99,6 +100,30 @@
         )
 
 
+@application.command
+def review(times: int = 1) -> None:
+    """Plays the scripts of the independent review.
+
+    Each is played with and without its disruption.
+
+    Args:
+      times: how often each is played.
+    """
+    if not asyncio.run(_play_reviews(times)):
+        sys.exit("a rule was broken, or a script could not run")
+
+
+async def _play_reviews(times: int) -> bool:
+    """Prints a line for each play; returns whether all rules held."""
+    held = True
+    for script in reviews.scripts():
+        for disrupted in [True, False] * times:
+            played = await reviews.play(script, disrupted=disrupted)
+            print(played.line, flush=True)
+            held &= played.outcome is reviews.Outcome.HELD
+    return held
+
+
 async def _run_all(
     seed_numbers: list[int],
     at_once: int,
