Soak: a mode in which engines take corrupt pieces and late orders

--spoilt names versions in quick succession; beside them staged pieces turn corrupt while their agents are suspended for longer than corruption is excused, and engines handle load orders up to 9 s late. An engine may take corrupt pieces then, which no agent can prevent; the promise is that no request runs on them. In all other modes no load may take any, as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -33,6 +33,7 @@
     silent: bool = False,
     endless: bool = False,
     failing: bool = False,
+    spoilt: bool = False,
 ) -> None:
     """Runs consecutive seeds and prints the guarantees that each violated.
 
@@ -53,6 +54,8 @@
       endless: also let replicas send bytes without end.
       failing: also let all replicas fail most of their requests, and kill
         entries in quick succession.
+      spoilt: also let staged pieces turn corrupt while agents are suspended,
+        and engines hold load orders back, around several versions.
     """
     seed_numbers = list(range(first, first + seeds))
     folder = pathlib.Path(keep or ".")
@@ -64,6 +67,7 @@
         silent=silent,
         endless=endless,
         failing=failing,
+        spoilt=spoilt,
     )
     runs = _run_all(seed_numbers, at_once, folder, options)
     failed = asyncio.run(runs)
@@ -83,6 +87,7 @@
     silent: bool = False,
     endless: bool = False,
     failing: bool = False,
+    spoilt: bool = False,
 ) -> None:
     """Prints the faults of a seed."""
     plan = schedule.draw(
@@ -92,6 +97,7 @@
         silent=silent,
         endless=endless,
         failing=failing,
+        spoilt=spoilt,
     )
     for fault in plan.faults:
         print(
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -253,6 +253,7 @@
       calls: calls made during the faults.
       runs: number of executions by request id, over all replicas.
       mixed_loads: number of loads of incomplete weights.
+      spoilt_runs: number of requests that ran on incomplete weights.
       unexpected_exits: daemons that exited by themselves.
       stops: shutdowns of daemons.
       revoked: time of revocation by API key, in ms.
@@ -287,6 +288,7 @@
     retry_budget: direct_documents.RetryBudget | None = None
     network: Network = NO_FAULTS
     placement: Placement | None = None
+    spoilt_runs: int = 0
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -353,6 +355,9 @@
     if evidence.mixed_loads:
         detail = f"{evidence.mixed_loads} loads of incomplete weights"
         violations.append(Violation("whole_weights", detail))
+    if evidence.spoilt_runs:
+        detail = f"{evidence.spoilt_runs} requests ran on incomplete weights"
+        violations.append(Violation("whole_weights", detail))
     if evidence.culprit_runs > CULPRIT_RUNS_MAX:
         detail = (
             f"{evidence.culprit_runs} runs of a request that crashes replicas"
--- a/soak/run.py
+++ b/soak/run.py
@@ -107,6 +107,9 @@
       endless: whether replicas send bytes without end.
       failing: whether all replicas fail most of their requests during the
         faults, and entries are killed in quick succession.
+      spoilt: whether staged pieces turn corrupt around the loads of several
+        versions, and load orders are held back. An engine may take corrupt
+        pieces then; no request may run on them.
     """
 
     culprit: Culprit = Culprit.NONE
@@ -116,6 +119,7 @@
     silent: bool = False
     endless: bool = False
     failing: bool = False
+    spoilt: bool = False
 
 
 class Run:
@@ -395,7 +399,10 @@
         return promises.Evidence(
             calls=calls,
             runs=runs,
-            mixed_loads=sum(e.mixed for e in self._fleet.engines),
+            mixed_loads=0
+            if self._options.spoilt
+            else sum(e.mixed for e in self._fleet.engines),
+            spoilt_runs=sum(len(e.runs_on_spoilt) for e in self._fleet.engines),
             unexpected_exits=exits,
             stops=self._injector.stops,
             revoked=self._injector.revoked,
@@ -565,5 +572,6 @@
         silent=options.silent,
         endless=options.endless,
         failing=options.failing,
+        spoilt=options.spoilt,
     )
     return await Run(folder, plan, size, options).play()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -30,6 +30,8 @@
     EVACUATE_AGAIN = "evacuate_again"
     SILENT = "silent"
     ENDLESS = "endless"
+    SPOIL = "spoil"
+    LATE_ORDER = "late_order"
 
 
 class Fault(msgspec.Struct, frozen=True, kw_only=True):
@@ -140,7 +142,12 @@
 PLACEMENT_KINDS = frozenset({FaultKind.EVACUATE, FaultKind.EVACUATE_AGAIN})
 """Kinds that occur only in runs with placement constraints."""
 
-ADDED_KINDS = PLACEMENT_KINDS | {FaultKind.SILENT, FaultKind.ENDLESS}
+ADDED_KINDS = PLACEMENT_KINDS | {
+    FaultKind.SILENT,
+    FaultKind.ENDLESS,
+    FaultKind.SPOIL,
+    FaultKind.LATE_ORDER,
+}
 """Kinds that occur only in runs that ask for them."""
 
 KILLS_PAUSE_MS = (700.0, 2_500.0)
@@ -152,6 +159,21 @@
 SILENCE_MS = (800.0, 1_500.0)
 """Range of the silences of sound replicas."""
 
+SPOILT_MS = (3_200.0, 5_000.0)
+"""Range of the suspension of an agent whose staged pieces turn corrupt, longer
+than a corruption is excused."""
+
+LATE_ORDER_MS = (1_200.0, 9_000.0)
+"""Range of the time for which an engine holds a load order back, longer than
+its agent waits for the answer."""
+
+VERSION_PAUSE_MS = (1_500.0, 4_000.0)
+"""Range of the time between two versions in runs with corrupt pieces."""
+
+LOAD_AFTER_MS = (0.0, 2_500.0)
+"""Range of the time from a version until pieces turn corrupt or orders are held
+back."""
+
 SILENCE_PAUSE_MS = (100.0, 1_000.0)
 """Range of the time between two silences of a series."""
 
@@ -164,6 +186,7 @@
     silent: bool = False,
     endless: bool = False,
     failing: bool = False,
+    spoilt: bool = False,
 ) -> Plan:
     """Returns the faults of a seed, which determines them completely.
 
@@ -175,6 +198,8 @@
       silent: whether to add silences of replicas, likewise.
       endless: whether to add replicas that send bytes without end, likewise.
       failing: whether to add kills of entries in quick succession, likewise.
+      spoilt: whether to add versions whose staged pieces turn corrupt and whose
+        load orders are held back, likewise.
     """
     rng = random.Random(seed)
     count = max(1, round(rng.expovariate(1.0 / size.faults_mean)))
@@ -187,6 +212,8 @@
         faults += _draw_endless(random.Random(f"{seed}:endless"), size)
     if failing:
         faults += _draw_kills(random.Random(f"{seed}:failing"), size)
+    if spoilt:
+        faults += _draw_spoilt(random.Random(f"{seed}:spoilt"), size)
     faults.sort(key=lambda fault: fault.at_ms)
     calm_ms = max(fault.at_ms + fault.for_ms for fault in faults)
     return Plan(seed, faults, calm_ms)
@@ -287,6 +314,29 @@
     return faults
 
 
+def _draw_spoilt(rng: random.Random, size: Size) -> list[Fault]:
+    """Returns versions with corrupt pieces and late orders beside them."""
+    faults: list[Fault] = []
+    at_ms = 0.0
+    while at_ms < size.trouble_ms:
+        faults.append(Fault(at_ms=at_ms, for_ms=0.0, kind=FaultKind.WEIGHTS))
+        for kind, duration_ms in (
+            (FaultKind.SPOIL, SPOILT_MS),
+            (FaultKind.LATE_ORDER, LATE_ORDER_MS),
+        ):
+            for number in rng.sample(range(size.engines), size.engines // 2):
+                faults.append(
+                    Fault(
+                        at_ms=at_ms + rng.uniform(*LOAD_AFTER_MS),
+                        for_ms=rng.uniform(*duration_ms),
+                        kind=kind,
+                        target=str(number),
+                    )
+                )
+        at_ms += rng.uniform(*VERSION_PAUSE_MS)
+    return faults
+
+
 def _draw_endless(rng: random.Random, size: Size) -> list[Fault]:
     """Returns periods in which replicas send bytes without end."""
     return [
--- a/soak/strikes.py
+++ b/soak/strikes.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 import signal
 
+import msgspec
+
 from soak import promises
 from soak import schedule
 from standins import direct_documents
@@ -17,6 +19,9 @@
 REVOCABLE_KEYS = ["spare-key-0", "spare-key-1", "spare-key-2"]
 """API keys that a run may revoke; `direct_documents.KEY` is never revoked."""
 
+SPOILT_PIECES = (1, 4)
+"""Staged pieces that turn corrupt while their agent is suspended."""
+
 PROXY_DELAY_MS = 180.0
 STOP_WAIT_S = 10.0
 AGAIN_PAUSE_S = 0.4
@@ -91,6 +96,8 @@
             schedule.FaultKind.EVACUATE_AGAIN: self._evacuate_again,
             schedule.FaultKind.SILENT: self._silence,
             schedule.FaultKind.ENDLESS: self._send_without_end,
+            schedule.FaultKind.SPOIL: self._spoil,
+            schedule.FaultKind.LATE_ORDER: self._hold_order,
         }
 
     def publish(self) -> None:
@@ -278,6 +285,25 @@
     async def _corrupt_piece(self, fault: schedule.Fault) -> None:
         self._fleet.engines[int(fault.target)].rot(0)
 
+    async def _spoil(self, fault: schedule.Fault) -> None:
+        """Corrupts staged pieces while the agent is suspended."""
+        engine = self._fleet.engines[int(fault.target)]
+        for index in SPOILT_PIECES:
+            engine.rot(index)
+        agent = msgspec.structs.replace(fault, target=f"agent-{fault.target}")
+        await self._pause(agent)
+
+    async def _hold_order(self, fault: schedule.Fault) -> None:
+        """Lets an engine handle its next load order late."""
+        engine = self._fleet.engines[int(fault.target)]
+
+        async def hold() -> None:
+            engine.before_order = None
+            await asyncio.sleep(fault.for_ms / _MS)
+
+        engine.before_order = hold
+        await asyncio.sleep(fault.for_ms / _MS)
+
     # The operator.
 
     async def _change_config(self, fault: schedule.Fault) -> None:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -195,6 +195,7 @@
         ),
         ("config_applies", {"last_calls": [call(ORDER, key="old")]}),
         ("whole_weights", {"mixed_loads": 1}),
+        ("whole_weights", {"spoilt_runs": 1}),
         ("stays_up", {"unexpected_exits": ["agent-0"]}),
         ("stops_in_grace", {"stops": shutdowns(None, 9_000.0)}),
         ("stops_in_grace", {"stops": shutdowns(-15, 9_000.0)}),
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -23,6 +23,7 @@
 PLACEMENT_SEED = 1
 SILENT_SEED = 3
 ENDLESS_SEED = 1
+SPOILT_SEED = 3
 FAILING_SEED = 3
 """A seed in which entries that forgot what they had spent at each restart sent
 54 repeats to the engines in 10 s, of 45 that were allowed."""
@@ -148,3 +149,12 @@
     )
     assert result.violations == []
     assert result.served
+
+
+def test_no_request_runs_on_corrupt_weights(tmp_path: pathlib.Path) -> None:
+    result = asyncio.run(
+        run.play(
+            tmp_path, SPOILT_SEED, schedule.Size(), run.Options(spoilt=True)
+        )
+    )
+    assert result.violations == []
