--- a/src/marlramp/core/replicas/replica_view.py
+++ b/src/marlramp/core/replicas/replica_view.py
@@ -112,8 +112,9 @@
       leaving: whether the engine reports that it is leaving.
       order_number: number of orders that the engine has accepted since its
         start.
-      verified: whether the agent verified the pieces that the engine loaded;
-        False if they were loaded before the agent started.
+      verified: whether the agent verified the pieces that the engine took with
+        the last of these orders, which it may still load; False if it took
+        them before the agent started.
     """
 
     address: Annotated[str, msgspec.Meta(max_length=ids.KEY_LENGTH_MAX)]
@@ -130,17 +131,22 @@
 
 
 class VerifiedLoad(msgspec.Struct, frozen=True):
-    """Weights that an agent has verified after its engine loaded them.
+    """The last load that an agent is known to have verified.
 
     Attributes:
-      weights: the version, 0 if the agent reported none.
-      order_number: number of orders that the engine had accepted.
+      weights: version that the agent then reported, 0 for none.
+      order_number: number of orders that the engine had accepted, `UNVERIFIED`
+        if its last load is known not to be verified.
     """
 
     weights: int
     order_number: int
 
 
+UNVERIFIED = -1
+"""Order number of no load."""
+
+
 def _ignore_change(replica_id: str) -> None:
     """Ignores a change of load."""
 
@@ -273,24 +279,27 @@
         An agent that has just started does not know how its engine's weights
         were loaded. They count unless another load was verified before.
         """
-        load = VerifiedLoad(report.weights, report.order_number)
-        if report.verified or self.verified in (None, load):
+        if report.verified or self.verified is None:
             return report.weights
-        return 0
+        is_known = self.verified.order_number == report.order_number
+        return report.weights if is_known else 0
 
     def _trusted_listed_weights(self) -> int:
         """Returns the version in the list, 0 if it is not verified."""
-        weights = self.replica.weights or 0
-        load = VerifiedLoad(weights, self.replica.order_number)
-        if self.replica.order_number == 0 or load == self.verified:
-            return weights
+        order_number = self.replica.order_number
+        is_verified = (
+            self.verified is not None
+            and self.verified.order_number == order_number
+        )
+        if order_number == 0 or is_verified:
+            return self.replica.weights or 0
         return 0
 
     def _trusted_seen_weights(self) -> int:
         """Returns the version in the last answer, 0 if it is not verified."""
         seen = self.seen_weights or 0
-        if self.verified is not None and seen == self.verified.weights:
-            return seen
+        if self.verified is not None:
+            return seen if seen == self.verified.weights else 0
         return seen if self.replica.order_number == 0 else 0
 
     def record_report(
@@ -307,11 +316,10 @@
         self.born_ms = report.born_ms or self.born_ms
         self.report = report
         self.reported_ms = made_ms
-        if report.weights == 0:
-            self.verified = VerifiedLoad(0, report.order_number)
-            self.seen_weights = None
-        elif report.verified and not is_held:
+        if report.verified and not is_held:
             self.verified = VerifiedLoad(report.weights, report.order_number)
+        elif report.weights == 0:
+            self.verified = VerifiedLoad(0, UNVERIFIED)
         self.record_load(report.running, report.waiting, made_ms)
 
     def _late_weights(self, report_age_ms: float) -> int:
--- a/src/marlramp/core/weights/loaded_weights.py
+++ b/src/marlramp/core/weights/loaded_weights.py
@@ -64,6 +64,8 @@
             is ignored if another order was accepted since.
           spoilt: whether a piece was missing or corrupt.
         """
+        if self._order_number is None:
+            self.record_report(report)
         if (report.born_ms, report.order_number) == (
             self._born_ms,
             self._order_number,
@@ -74,6 +76,8 @@
         """Returns the trust in the weights of a report."""
         if report.order_number == 0:
             return LoadTrust.VERIFIED
+        if self._order_number is None:
+            return LoadTrust.FOUND
         if (report.born_ms, report.order_number) != (
             self._born_ms,
             self._order_number,
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -125,6 +125,8 @@
         self._loading_order = swap_schedule.LoadingOrder(settings.vm_id)
         self._may_cut = False
         self._is_reached: bool | None = None
+        self._reads = 0
+        self._applied_read = 0
         self._report: engine_state.EngineReport | None = None
         self._last_sent: replica_view.LoadReport | None = None
         self._last_sent_ms = float("-inf")
@@ -253,6 +255,8 @@
         try:
             engine = self._weights.engine
             layers = None if engine is None else engine.layers
+            self._reads += 1
+            read = self._reads
             report = await self._engine.report(layers)
         except clients.PlatformError as error:
             if self._is_reached is not False:
@@ -260,6 +264,10 @@
             self._is_reached = False
             self._report = None
             return None
+        if read < self._applied_read:
+            # A read that was begun later has ended already.
+            return self._report
+        self._applied_read = read
         if not self._is_reached:
             logs.log("engine_reached", weights=report.weights)
         self._is_reached = True
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -191,6 +191,7 @@
       chunk_set: its pieces.
       report: the report that the order was decided on.
       is_unanswered: whether an order of this number had no answer.
+      was_accepted: whether the engine was seen to have accepted it.
       is_suspect: whether staged pieces may have been replaced after the engine
         took them.
     """
@@ -199,6 +200,7 @@
     chunk_set: manifest.ChunkSet
     report: engine_state.EngineReport
     is_unanswered: bool = False
+    was_accepted: bool = False
     is_suspect: bool = False
 
     def is_accepted(self, report: engine_state.EngineReport) -> bool:
@@ -210,6 +212,7 @@
         return (
             report.born_ms != self.report.born_ms
             or report.order_number < self.report.order_number
+            or (self.was_accepted and not self.is_accepted(report))
         )
 
 
@@ -327,7 +330,7 @@
         ):
             await self._adopt_staged(wanted, chunk_set)
             self._staged_born_ms = report.born_ms
-        if chunk_set.complete and not self._found_whole:
+        if chunk_set.complete:
             self._judge_found(wanted, report)
         usable = self._loaded.usable_weights(report)
         if chunk_set.complete and usable == wanted.version:
@@ -340,6 +343,9 @@
                 await self._stage_new(wanted, chunk_set)
             await self._wait_changed()
             return
+        if report.busy and self._holds_unverified(wanted, report):
+            await asyncio.sleep(LOAD_POLL_MS / _MS)
+            return
         if wanted.version in (report.weights, report.partial_weights):
             # An engine does not load a version again that it holds.
             await self._unload(wanted, report)
@@ -366,7 +372,6 @@
         self._staged = set()
         begun_ms = self._clock.now_ms()
         self._verified_ms = float("-inf")
-        report = await self._agent.read_report()
         for index in await self._engine.staged(wanted.model):
             data = await self._engine.read_staged(
                 wanted.model, index, chunk_set.manifest.chunk_bytes
@@ -381,8 +386,6 @@
         if is_whole:
             self._verified_ms = begun_ms
         self._found_whole = is_whole
-        if is_whole and report is not None:
-            self._judge_found(wanted, report)
         logs.log(
             "staged_found",
             name=wanted.name,
@@ -409,12 +412,13 @@
         wanted: version_digests.ModelVersion,
         report: engine_state.EngineReport,
     ) -> bool:
-        """Returns whether staged pieces are evidence of what was loaded."""
-        trust = self._loaded.trust(report)
-        return (
-            report.weights == wanted.version
-            and trust is not loaded_weights.LoadTrust.VERIFIED
-        )
+        """Returns whether staged pieces are evidence of what was loaded.
+
+        An engine that still loads reports the version that it held before.
+        """
+        if self._loaded.trust(report) is loaded_weights.LoadTrust.VERIFIED:
+            return False
+        return report.busy or report.weights == wanted.version
 
     async def _stage_new(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
@@ -494,11 +498,7 @@
         is known.
         """
         wanted = order.wanted
-        replaced = await self._verify_staged(wanted, order.chunk_set)
-        if replaced and order.is_unanswered:
-            current = await self._agent.read_report()
-            if current is None or order.is_accepted(current):
-                order.is_suspect = True
+        await self._verify_ordered(order)
         self._order = order
         self._totals.add(counters.CounterName.ENGINE_ORDERS, "load")
         logs.log(
@@ -515,6 +515,7 @@
                 order.report.order_number,
                 cut=self._agent.may_cut(),
             )
+            order.is_unanswered = False
         except clients.OrderRefusedError as error:
             logs.log("load_refused", name=wanted.name, detail=error)
             if not order.is_unanswered:
@@ -527,6 +528,20 @@
             # The engine serves its old version until it accepts the order.
             self._set_state(LoaderState.WAITING)
 
+    async def _verify_ordered(self, order: _Order) -> None:
+        """Verifies the staged pieces of an order that may be accepted already.
+
+        Pieces that are replaced after the engine took corrupt ones would hide
+        them, unless a later report shows that it has accepted nothing.
+        """
+        order.is_suspect = order.is_unanswered
+        replaced = await self._verify_staged(order.wanted, order.chunk_set)
+        if replaced and order.is_unanswered:
+            report = await self._agent.read_report()
+            order.is_suspect = report is None or order.is_accepted(report)
+        else:
+            order.is_suspect = False
+
     async def _settle_order(self, order: _Order) -> None:
         """Waits until the outcome of an order is known.
 
@@ -539,11 +554,13 @@
         while self._clock.now_ms() - started_ms < LOAD_TIMEOUT_MS:
             report = await self._agent.read_report()
             if report is None:
+                await asyncio.sleep(POLL_MS / _MS)
                 break
             if order.is_void(report):
                 self._forget_order()
                 return
             if order.is_accepted(report):
+                order.was_accepted = True
                 self._set_state(LoaderState.LOADING)
                 unverified = loaded_weights.LoadTrust.UNVERIFIED
                 if self._loaded.trust(report) is unverified:
--- a/src/marlramp/platform/replica_api.py
+++ b/src/marlramp/platform/replica_api.py
@@ -31,6 +31,7 @@
 MANIFEST_BYTES_MAX = 8_388_608
 """Largest manifest: `manifest.CHUNKS_MAX` digests of 64 digits take 4.4 MB."""
 
+_NOT_FOUND = 404
 _FIRST_VERSION = fleet.FIRST_VERSION
 
 
@@ -127,7 +128,7 @@
         """Returns a staged piece, not verified.
 
         Returns:
-          The piece, empty if it is larger than `bytes_max`.
+          The piece, empty if it is missing or larger than `bytes_max`.
         """
         url = f"{self._url}/v1/stage-get/{model}?index={index}"
         try:
@@ -136,6 +137,10 @@
             )
         except clients.AnswerTooLargeError:
             return b""
+        except calls.StatusError as error:
+            if error.status == _NOT_FOUND:
+                return b""
+            raise
 
     async def stage(self, model: str, index: int, data: bytes) -> None:
         """Stages a piece; replaces a staged piece of the same index."""
