Direct path: an answer without a length needs a probe in every replica state

Another replica could have resumed the stream.

Cause: an answer without a length ends with its connection, as it does at a crash. `CrashDetector.answer_is_whole` probed only replicas that were listed as healthy, and took the answers of all others as whole.

Change: each such answer needs a replica that still listens, whatever its state.

--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -184,14 +184,13 @@
     async def answer_is_whole(self, view: replica_view.ReplicaView) -> bool:
         """Returns whether an answer whose end was not marked is whole.
 
-        It ended with its connection, as it also does if the replica crashes. A
-        replica that leaves may exit after its last answer.
+        It ended with its connection, as it also does if the replica crashes.
+        Only a replica that still listens shows that it ended the answer itself,
+        whatever state it is listed with: one that drains may crash too.
 
         Args:
           view: the replica.
         """
-        if view.replica.state is not fleet.ReplicaState.HEALTHY:
-            return True
         presence = await self._presence(_crash_id(view), view.replica.address)
         return presence is address_probe.Presence.THERE
 
--- /dev/null
+++ b/tests/direct/calls/test_answer_ends.py
@@ -0,0 +1,103 @@
+"""Answers without a length, whose end only their connection marks."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from marlramp.core.configuration import fleet
+from marlramp.shell import address_probe
+from standins import raw_http
+from tests.direct import conftest
+from tests.direct.calls import test_crashing_parts as crashing_parts
+
+RunEntry = conftest.RunEntry
+PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nx-replica-signature: s\r\n\r\n"
+STATES = list(fleet.ReplicaState)
+LOST = [address_probe.Presence.GONE, address_probe.Presence.UNKNOWN]
+
+
+def counts(seen: list[str], script: raw_http.Script) -> raw_http.Script:
+    """Returns a replica that records each connection to it."""
+
+    async def serve(peer: raw_http.Peer) -> None:
+        seen.append("connection")
+        await script(peer)
+
+    return serve
+
+
+async def call_during(
+    entry: conftest.Entry, path: str, method: str, state: fleet.ReplicaState
+) -> bytes:
+    """Returns an answer; its replica is listed with a state meanwhile."""
+    calling = asyncio.create_task(entry.call(path, method))
+    await asyncio.sleep(0.01)
+    (view,) = [view for view in entry.table if view.in_flight]
+    view.replica = msgspec.structs.replace(view.replica, state=state)
+    return await calling
+
+
+@pytest.mark.parametrize("state", STATES)
+@pytest.mark.parametrize("presence", LOST)
+def test_stream_cut_by_a_killed_replica_continues_whatever_its_state(
+    presence: address_probe.Presence,
+    state: fleet.ReplicaState,
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a cut stream of a draining replica that looks whole."""
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.presence = presence
+        answer = await call_during(entry, "/stream/x", "POST", state)
+        assert b"data: c" in answer
+        assert answer.endswith(b"0\r\n\r\n")
+
+    head, events = crashing_parts.OPEN_HEAD, crashing_parts.EVENTS
+    run_entry(use, crashing_parts.writes(head, events), crashing_parts.whole)
+
+
+@pytest.mark.parametrize("state", STATES)
+def test_stream_without_shown_end_is_broken_off_if_it_may_not_resume(
+    state: fleet.ReplicaState, run_entry: RunEntry
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        entry.presence = address_probe.Presence.GONE
+        answer = await call_during(entry, "/whole/x", "POST", state)
+        assert b"data: b" in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+
+    head, events = crashing_parts.OPEN_HEAD, crashing_parts.EVENTS
+    run_entry(use, crashing_parts.writes(head, events), crashing_parts.whole)
+
+
+@pytest.mark.parametrize("state", STATES)
+def test_non_idempotent_request_without_shown_end_is_cut_and_runs_once(
+    state: fleet.ReplicaState, run_entry: RunEntry
+) -> None:
+    """Its replica may have exited after the last byte of a whole answer."""
+    seen: list[str] = []
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.presence = address_probe.Presence.GONE
+        answer = await call_during(entry, "/once/x", "POST", state)
+        assert answer.startswith(b"HTTP/1.1 502")
+        assert b"x-not-executed" not in answer.lower()
+        assert len(seen) == 1
+
+    answers = crashing_parts.writes(PLAIN_HEAD, b"whole")
+    run_entry(use, *[counts(seen, answers) for _ in range(3)])
+
+
+@pytest.mark.parametrize("state", STATES)
+def test_answer_of_a_replica_that_still_listens_is_whole_whatever_its_state(
+    state: fleet.ReplicaState, run_entry: RunEntry
+) -> None:
+    async def use(entry: conftest.Entry) -> None:
+        answer = await call_during(entry, "/once/x", "POST", state)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"whole")
+
+    run_entry(use, crashing_parts.writes(PLAIN_HEAD, b"whole"))
