Direct path: a stream resumes when an attempt and its overtaker end together

Callers saw: a stream that broke off with an internal error though its route allowed another attempt. A silent replica went on while a second one had the request, and was lost right after its next event.

Cause: that event overtakes the second attempt. If the lost attempt is handled first, the overtaken one still counts as running, so the call waits for it, and then for an attempt that doesn't exist ("no attempt is running").

Change: `Forwarder._run` keeps the last failure. When an overtaken attempt was the last one, the call goes on after that failure: a retry within the route's attempts, the time and the budget, or a stream that is broken off.

Evidence: both cases of the new test failed on the code before, with one internal error each (events 1 to 3 of 6). Now the stream has all 6 events from the third replica with three attempts, and is broken off with two.

--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -246,6 +246,7 @@
     # Attempts and retries.
 
     async def _run(self, call: call_module.Call) -> None:
+        last_failure: sender.SendResult | None = None
         async with running_attempts.RunningAttempts() as running:
             await self._start_attempt(call, running)
             while True:
@@ -257,11 +258,18 @@
                 if result.overtaken:
                     self._count_silence(ended, "taken_over")
                     self._count_run(call, ended)
+                    if running or last_failure is None:
+                        continue
+                    # The attempt that overtook this one was lost before.
+                    if not await self._go_on(call, running, last_failure):
+                        return
                     continue
                 if result.outcome.failure is None:
                     self._count_silence(ended, "resumed")
                     self._succeed(call, result, ended.choice)
                     return
+                if not result.unsent:
+                    last_failure = result
                 if not await self._continue_after(call, running, ended, result):
                     return
 
@@ -320,6 +328,28 @@
                 self.retry_budgets.refund_unsent(call)
             await self._relieve_silent(call, running)
             return True
+        return await self._go_on(call, running, result)
+
+    async def _go_on(
+        self,
+        call: call_module.Call,
+        running: running_attempts.RunningAttempts,
+        result: sender.SendResult,
+    ) -> bool:
+        """Sends a request again of which no attempt runs any more.
+
+        Args:
+          call: the call.
+          running: its attempts, of which none is left.
+          result: the last result that decides whether the call may go on.
+
+        Returns:
+          Whether an attempt runs; otherwise, the call has ended.
+
+        Raises:
+          CallError: if the call ends without an answer by a replica.
+        """
+        failure = result.outcome.failure
         if result.unsent or failure is None:
             await self._start_attempt(call, running)
             return True
--- a/tests/direct/calls/test_attempt_races.py
+++ b/tests/direct/calls/test_attempt_races.py
@@ -5,8 +5,11 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 
+from marlramp import counters
+from marlramp.core.configuration import route_table
 from marlramp.shell import address_probe
 from standins import raw_http
 from tests.direct import conftest
@@ -275,3 +278,43 @@
         (events(5, 6), 0.01),
     )
     run_entry(use, first, late.serve, third.serve)
+
+
+@pytest.mark.parametrize("attempts_max", [2, 3])
+def test_stream_resumes_when_the_attempt_that_overtook_another_is_lost(
+    attempts_max: int, run_entry: RunEntry
+) -> None:
+    """Guards against an internal error once both attempts have ended."""
+    other, third = SilentReplica(0, 3.0), SilentReplica()
+
+    async def goes_on_and_is_lost(peer: raw_http.Peer) -> None:
+        if await peer.read() is not None:
+            await peer.write(HEAD + chunk(events(1, 2)))
+            await asyncio.sleep(silent_replicas.SILENCE_S)
+            await peer.write(chunk(events(3, 3)) + b"no chunk\r\n")
+
+    async def use(entry: conftest.Entry) -> None:
+        routes = [
+            msgspec.structs.replace(
+                route,
+                timeout_ms=silent_replicas.TIMEOUT_MS,
+                attempts_max=attempts_max,
+            )
+            for route in conftest.CONFIG.routes
+        ]
+        config = msgspec.structs.replace(conftest.CONFIG, routes=routes)
+        entry.routes = route_table.RouteTable(config)
+        answer = await silent_replicas.stream(entry)
+        assert len(other.seen) == 1
+        if attempts_max > 2:
+            silent_replicas.assert_whole(answer)
+            assert third.seen[0].headers["last-event-id"] == "3"
+        else:
+            assert silent_replicas.numbers_of(answer) == [1, 2, 3]
+            assert not answer.endswith(END)
+            assert not third.seen
+        name = counters.CounterName.INTERNAL_ERRORS
+        assert not entry.totals.total(name, "forwarder")
+        await assert_nothing_left(entry)
+
+    run_entry(use, goes_on_and_is_lost, other.serve, third.serve)
