Direct path: an answer without a length from a proxy isn't taken as whole

Callers saw: an answer that a replica behind a proxy had not finished, as whole.

Cause: an answer without a length counts as whole if its address still accepts connections, and a proxy accepts them whatever became of its replica.

Change: if such an answer has a `Via` header, which proxies add, nothing shows that it is whole, and it counts as cut. Answers with a length or chunks are forwarded as before.

Evidence: the new test failed on the code before (200 with part of a body), and gets 502 now. test_answer_ends.py, test_crashing_parts.py and tests/platform: 112 passed.

--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -413,19 +413,15 @@
         result: SendResult,
         observer: replica_observer.ReplicaObserver,
     ) -> None:
-        """Ends a stream whose answer is whole.
+        """Ends a stream whose answer is whole; breaks off one that isn't.
 
-        An answer whose end only the end of its connection marked is taken as
-        whole if the replica still listens, as broken off otherwise. Another
-        attempt may have continued the stream meanwhile.
+        Another attempt may have continued the stream meanwhile.
         """
         outcome = result.outcome
         answer = outcome.answer
         if outcome.failure is not None or answer is None:
             return
-        if not answer.delimited and not await self._crashes.answer_is_whole(
-            choice.view
-        ):
+        if not await self._is_whole(choice.view, answer):
             result.outcome = attempts.broken_off()
             return
         if attempt.overtaken:
@@ -436,6 +432,18 @@
             call.relay.end(attempt, answer)
         self._record_survival(call, observer)
 
+    async def _is_whole(
+        self, view: replica_view.ReplicaView, answer: wire.ReplicaAnswer
+    ) -> bool:
+        """Returns whether anything shows that an answer that ended is whole.
+
+        If only the end of its connection marked the end, the replica must still
+        listen. Nothing shows it behind a proxy, which listens in any case.
+        """
+        if answer.delimited:
+            return True
+        return not answer.proxied and await self._crashes.answer_is_whole(view)
+
     def _record_survival(
         self,
         call: call_module.Call,
--- a/src/marlramp/direct/calls/wire.py
+++ b/src/marlramp/direct/calls/wire.py
@@ -110,6 +110,8 @@
         none.
       delimited: whether the end of the body is marked, so that it is told from
         a crash of the replica.
+      proxied: whether a proxy passed the answer on, so that its connection says
+        nothing about the replica.
     """
 
     status: int
@@ -128,6 +130,7 @@
     cold_left_ms: float | None = None
     cold_unreadable: str = ""
     delimited: bool = True
+    proxied: bool = False
 
 
 class CallCodec(Protocol):
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -156,6 +156,7 @@
             cold_left_ms=cold_left_ms,
             cold_unreadable=cold_unreadable,
             delimited=head.delimited,
+            proxied=head.header(b"via") is not None,
             headers=[
                 (name, value)
                 for name, value in head.headers
--- a/tests/direct/calls/test_answer_ends.py
+++ b/tests/direct/calls/test_answer_ends.py
@@ -101,3 +101,16 @@
         assert answer.endswith(b"whole")
 
     run_entry(use, crashing_parts.writes(PLAIN_HEAD, b"whole"))
+
+
+def test_answer_of_a_proxy_that_ends_with_its_connection_is_cut(
+    run_entry: RunEntry,
+) -> None:
+    """The proxy listens also when the replica behind it was killed."""
+
+    async def use(entry: conftest.Entry) -> None:
+        answer = await entry.call("/once/x")
+        assert answer.startswith(b"HTTP/1.1 502")
+
+    head = PLAIN_HEAD.replace(b"\r\n\r\n", b"\r\nvia: 1.1 a\r\n\r\n")
+    run_entry(use, crashing_parts.writes(head, b"part of it"))
