Direct path: a later start at an address shows nothing about an earlier answer

Callers saw: a part of an answer without a length as whole, if its replica was killed and another process listened at the address by the time of the probe.

Cause: the probe finds whoever listens now. A replica may start again under its address, and after 2 s the platform may give the address to another one; an entry that was suspended, or whose caller did not read, sees the end that late.

Change: such an answer counts as cut if a later start is known at the address, or if the probe ends more than 2 s after the answer was last known to go on. A start within that time that the platform doesn't tell is not noticed (docs/guarantees.md).

--- a/src/marlramp/direct/calls/backpressure.py
+++ b/src/marlramp/direct/calls/backpressure.py
@@ -70,6 +70,14 @@
             return self._clock.now_ms()
         return max(received_ms, self._resumed_ms)
 
+    def was_read_since(self, since_ms: float) -> bool:
+        """Returns whether the connections were read all the time since.
+
+        Args:
+          since_ms: clock reading.
+        """
+        return not self._paused and self._resumed_ms < since_ms
+
     def _pause(self) -> None:
         self._paused = True
         for source in self._sources:
--- a/src/marlramp/direct/calls/selection.py
+++ b/src/marlramp/direct/calls/selection.py
@@ -263,6 +263,13 @@
             self._regions, call.allowed_regions, evacuated
         )
 
+    def has_started_again(self, view: replica_view.ReplicaView) -> bool:
+        """Returns whether a later start is known at a replica's address."""
+        return any(
+            replica_view.is_newer_start(other.born_ms, view.born_ms)
+            for other in self._table.at(view.replica.address)
+        )
+
     def may_write(
         self, call: call_module.Call, view: replica_view.ReplicaView
     ) -> bool:
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -66,6 +66,11 @@
 """Time from the first event to the latest one after which a run that goes on
 counts as one that a part of its prompt did not end."""
 
+END_SEEN_MAX_MS = 2_000.0
+"""Longest time after an answer was last known to go on, up to which a probe of
+its replica shows that it ended the answer itself. Later, another process may
+have taken over the address."""
+
 _CRASH_LOSSES = frozenset(
     {http1_client.LossKind.CLOSED, http1_client.LossKind.RESET}
 )
@@ -89,6 +94,7 @@
         without one.
       silent_ms: time without data from the replica up to a timeout, None if
         the attempt did not time out.
+      unfinished_ms: clock reading when the answer was last known to go on.
       path_latency_ms: assumed path latency to the replica; the larger of the
         values when the request was written and when it timed out.
     """
@@ -101,6 +107,7 @@
     first_event_ms: float | None = None
     writing_ms: float | None = None
     silent_ms: float | None = None
+    unfinished_ms: float = float("-inf")
     path_latency_ms: float = 0.0
 
     @property
@@ -112,7 +119,11 @@
 
 
 class SendRules(Protocol):
-    """Rules that are checked again before a request is written."""
+    """Rules that are checked again while a request is sent and answered."""
+
+    def has_started_again(self, view: replica_view.ReplicaView) -> bool:
+        """Returns whether a later start is known at a replica's address."""
+        ...
 
     def may_write(
         self, call: call_module.Call, view: replica_view.ReplicaView
@@ -368,6 +379,7 @@
         monitor: AttemptMonitor,
     ) -> SendResult:
         """Returns the result of an attempt whose request was written."""
+        unfinished_ms = checked_ms = self._clock.now_ms()
         while True:
             choice = self._rules.with_cutoffs(call, choice)
             if self._nears_withdrawal(call, choice, attempt):
@@ -376,6 +388,10 @@
             wait_ms = self._check_interval_ms(call, choice, attempt)
             pending = self._pending(call, choice, attempt)
             now_ms = self._clock.now_ms()
+            # An end that arrived is not seen while nothing is read.
+            if call.backpressure.was_read_since(checked_ms):
+                unfinished_ms = now_ms
+            checked_ms = now_ms
             for until_ms in (
                 attempt_timeouts.deadline_ms(pending),
                 attempt_timeouts.silent_from_ms(pending),
@@ -385,7 +401,11 @@
             await asyncio.wait([attempt.finished], timeout=wait_ms / _MS)
             if attempt.finished.done():
                 outcome = attempt.finished.result()
-                return SendResult(outcome, overtaken=outcome.overtaken)
+                return SendResult(
+                    outcome,
+                    overtaken=outcome.overtaken,
+                    unfinished_ms=max(unfinished_ms, attempt.progress_ms),
+                )
             now_ms = self._clock.now_ms()
             pending = self._pending(call, choice, attempt)
             if now_ms >= attempt_timeouts.deadline_ms(pending):
@@ -421,7 +441,7 @@
         answer = outcome.answer
         if outcome.failure is not None or answer is None:
             return
-        if not await self._is_whole(choice.view, answer):
+        if not await self._is_whole(choice.view, answer, result.unfinished_ms):
             result.outcome = attempts.broken_off()
             return
         if attempt.overtaken:
@@ -433,16 +453,28 @@
         self._record_survival(call, observer)
 
     async def _is_whole(
-        self, view: replica_view.ReplicaView, answer: wire.ReplicaAnswer
+        self,
+        view: replica_view.ReplicaView,
+        answer: wire.ReplicaAnswer,
+        unfinished_ms: float,
     ) -> bool:
         """Returns whether anything shows that an answer that ended is whole.
 
-        If only the end of its connection marked the end, the replica must still
-        listen. Nothing shows it behind a proxy, which listens in any case.
+        If only the end of its connection marked the end, the same start of the
+        replica must still listen. Nothing shows it behind a proxy, which
+        listens in any case.
+
+        Args:
+          view: the replica.
+          answer: head of the answer.
+          unfinished_ms: clock reading when the answer was last known to go on.
         """
         if answer.delimited:
             return True
-        return not answer.proxied and await self._crashes.answer_is_whole(view)
+        if answer.proxied or not await self._crashes.answer_is_whole(view):
+            return False
+        probed_late = self._clock.now_ms() - unfinished_ms > END_SEEN_MAX_MS
+        return not probed_late and not self._rules.has_started_again(view)
 
     def _record_survival(
         self,
--- a/tests/direct/calls/test_answer_ends.py
+++ b/tests/direct/calls/test_answer_ends.py
@@ -7,11 +7,13 @@
 import msgspec
 import pytest
 
+from marlramp.core.configuration import catalog
 from marlramp.core.configuration import fleet
 from marlramp.shell import address_probe
 from standins import raw_http
 from tests.direct import conftest
 from tests.direct.calls import test_crashing_parts as crashing_parts
+from tests.direct.calls import test_silent_replicas as silent_replicas
 
 RunEntry = conftest.RunEntry
 PLAIN_HEAD = b"HTTP/1.1 200 OK\r\nx-replica-signature: s\r\n\r\n"
@@ -114,3 +116,41 @@
 
     head = PLAIN_HEAD.replace(b"\r\n\r\n", b"\r\nvia: 1.1 a\r\n\r\n")
     run_entry(use, crashing_parts.writes(head, b"part of it"))
+
+
+@pytest.mark.parametrize("state", STATES)
+def test_answer_whose_replica_has_started_again_since_is_cut(
+    state: fleet.ReplicaState, run_entry: RunEntry
+) -> None:
+    """Another process listens at the address of the one that was killed."""
+
+    async def use(entry: conftest.Entry) -> None:
+        calling = asyncio.create_task(entry.call("/once/x"))
+        await asyncio.sleep(0.01)
+        (view,) = entry.table
+        view.born_ms = 1_000
+        replica = msgspec.structs.replace(
+            view.replica, born_ms=2_000, state=state
+        )
+        change = catalog.ReplicaChange(100, replica.replica_id, replica)
+        entry.catalog.apply([change], entry.time.now_ms())
+        entry.table.sync(entry.catalog, entry.time.now_ms())
+        assert (await calling).startswith(b"HTTP/1.1 502")
+
+    run_entry(use, crashing_parts.writes(PLAIN_HEAD, b"part of it"))
+
+
+def test_end_that_is_seen_late_is_not_shown_by_a_probe(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a later start that is found after a suspension."""
+
+    async def use(entry: conftest.Entry) -> None:
+        silent_replicas.allow_time(entry)
+        calling = asyncio.create_task(entry.call("/once/x", wait_ms=4_000))
+        await asyncio.sleep(0.1)
+        entry.time.suspended_ms += 2_500.0
+        assert (await calling).startswith(b"HTTP/1.1 502")
+
+    part = (PLAIN_HEAD + b"part of it", 0.2)
+    run_entry(use, silent_replicas.writes(part))
