Weights: a search for digests ends once the version is not wanted

After a loss of power, agents start from the first version until they hear of the announced one. If the origin no longer has that version, its digests come from nowhere: `VersionDigests.find` waited for ever, and the loader never looked whether a newer version was wanted.

A relay seeks digests while its entry knows the version as the newest, or for 2 s after an agent's request for them or a hello about the version; requests of other relays do not count, because these would keep each other searching. A version given up is dropped, and a later hello adds it again.

--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Iterable
 import random
 from typing import Protocol
@@ -236,17 +237,26 @@
         return True
 
     async def find_manifest(
-        self, wanted: version_digests.ModelVersion
-    ) -> manifest.ChunkSet:
+        self,
+        wanted: version_digests.ModelVersion,
+        is_wanted: Callable[[], bool],
+    ) -> manifest.ChunkSet | None:
         """Returns the pieces of a version once its digests are known.
 
         The digests come from the origin or from other agents.
+
+        Args:
+          wanted: the version.
+          is_wanted: returns whether the version is still wanted.
+
+        Returns:
+          None once the version is not wanted any longer.
         """
         # The links are opened first: without them all agents of a fleet could
         # learn the digests only from the origin, and request them at once.
         self._linked_version = wanted
         self._link_peers()
-        return await self._digests.find(wanted)
+        return await self._digests.find(wanted, is_wanted)
 
     def start_fetch(
         self, wanted: version_digests.ModelVersion, *, is_new: bool
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -52,7 +52,8 @@
 
 DEMAND_MAX_AGE_MS = 2_000.0
 """Time after the last request of an agent that lacks pieces during which a
-version that is not the newest may be fetched from the origin. It is about three
+version that is not the newest may be fetched from the origin, and time after
+the last request for its digests during which they are sought. It is about three
 times `relay_contacts.HELLO_MS`, the interval between an agent's requests."""
 
 VERSIONS_KEPT = 3
@@ -118,6 +119,8 @@
       start_task: task that finds the digests and then starts the fetches.
       hello_sent_ms: time of the last hello messages to the other entries.
       demand_ms: time of the last request of an agent that lacks pieces.
+      digests_demand_ms: time of the last sign that the digests are of use: an
+        agent's request for them, or a hello of any process, which knows them.
       seen: pieces that some process is known to hold.
     """
 
@@ -136,6 +139,7 @@
         self.start_task: asyncio.Task[None] | None = None
         self.hello_sent_ms = float("-inf")
         self.demand_ms = float("-inf")
+        self.digests_demand_ms = float("-inf")
         self.seen: set[int] = set()
 
     def record_holdings(
@@ -233,7 +237,7 @@
             case fleet_messages.FragmentReply():
                 self._on_fragment(name, message)
             case messages.ManifestRequest():
-                self._digests.on_request(name, message)
+                self._on_digest_request(name, message)
             case messages.ManifestReply():
                 self._digests.on_reply(message)
         self._wake.set()
@@ -269,6 +273,12 @@
             return True
         return self._clock.now_ms() - version.demand_ms < DEMAND_MAX_AGE_MS
 
+    def _needs_digests(self, version: _Version) -> bool:
+        """Returns whether the digests of a version are still of use."""
+        age_ms = self._clock.now_ms() - version.digests_demand_ms
+        is_announced = version.wanted in self._entry.wanted()
+        return is_announced or age_ms < DEMAND_MAX_AGE_MS
+
     def _add_version(self, wanted: version_digests.ModelVersion) -> _Version:
         """Returns the state of a version; adds the version if it is new.
 
@@ -305,8 +315,17 @@
         self._chunk_sets.pop(name, None)
 
     async def _start_fetch(self, version: _Version) -> None:
-        """Finds the digests of a version, then starts to fetch its pieces."""
-        chunk_set = await self._digests.find(version.wanted)
+        """Finds the digests of a version, then starts to fetch its pieces.
+
+        A version that is not wanted any longer before its digests are known is
+        dropped; a later request of an agent adds it again.
+        """
+        chunk_set = await self._digests.find(
+            version.wanted, lambda: self._needs_digests(version)
+        )
+        if chunk_set is None:
+            self._versions.pop(version.wanted.name, None)
+            return
         pieces = chunk_set.manifest.chunks
         version.pieces = len(pieces)
         version.downloads.set_version(
@@ -384,6 +403,7 @@
         now_ms = self._clock.now_ms()
         held = chunk_bitmap.from_bitmap(hello.held)
         seen = chunk_bitmap.from_bitmap(hello.seen)
+        version.digests_demand_ms = now_ms
         version.record_holdings(name, held, seen, now_ms)
         if not hello.reply:
             return
@@ -394,6 +414,14 @@
                 version.fetch.record_demand(now_ms)
         self._send(name, self._hello(hello.manifest, reply=False))
 
+    def _on_digest_request(
+        self, name: str, request: messages.ManifestRequest
+    ) -> None:
+        version = self._versions.get(request.manifest)
+        if version is not None and name not in self._locations:
+            version.digests_demand_ms = self._clock.now_ms()
+        self._digests.on_request(name, request)
+
     def _on_have(self, name: str, have: messages.PeerHave) -> None:
         version = self._versions.get(have.manifest)
         if version is None or version.fetch is None:
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -135,10 +135,21 @@
             collections.OrderedDict()
         )
 
-    async def find(self, wanted: ModelVersion) -> manifest.ChunkSet:
+    async def find(
+        self, wanted: ModelVersion, is_wanted: Callable[[], bool]
+    ) -> manifest.ChunkSet | None:
         """Returns the pieces of a version once its digests are known.
 
-        The digests come from the origin or from other processes.
+        The digests come from the origin or from other processes. No process may
+        have them any longer: the origin drops old versions.
+
+        Args:
+          wanted: the version.
+          is_wanted: returns whether the version is still wanted; it is checked
+            at least every `POLL_MS`.
+
+        Returns:
+          None once the version is not wanted any longer.
         """
         origin_schedule = origin_requests.OriginRequests(
             self._clock.now_ms(), self._rng
@@ -148,6 +159,9 @@
         try:
             self._send_requests(wanted, self._fetchers(wanted))
             while wanted.name not in self.chunk_sets:
+                if not is_wanted():
+                    logs.log("digests_not_wanted", name=wanted.name)
+                    return None
                 if self._near is None or origin_schedule.overdue(
                     self._clock.now_ms()
                 ):
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -304,7 +304,11 @@
             await self._settle_order(self._order)
             return
         self._times.record_phase(wanted, rollout_times.Phase.HEARD)
-        chunk_set = await self._exchange.find_manifest(wanted)
+        chunk_set = await self._exchange.find_manifest(
+            wanted, lambda: self._agent.wanted() == wanted
+        )
+        if chunk_set is None:
+            return
         self._times.record_phase(wanted, rollout_times.Phase.DIGESTS)
         if chunk_set.held:
             self._times.record_phase(wanted, rollout_times.Phase.FIRST_PIECE)
--- a/src/marlramp/experiments/spread.py
+++ b/src/marlramp/experiments/spread.py
@@ -346,7 +346,7 @@
         self, exchange: piece_exchange.PieceExchange
     ) -> None:
         wanted = version_digests.ModelVersion(MODEL, 2)
-        await exchange.find_manifest(wanted)
+        await exchange.find_manifest(wanted, lambda: True)
         for index, piece in enumerate(self.pieces):
             exchange.add(wanted, index, piece)
         exchange.start_fetch(wanted, is_new=False)
@@ -356,7 +356,8 @@
         wanted = version_digests.ModelVersion(MODEL, 2)
         delay_ms = self.rng.uniform(0.0, self.plan.heard_within_ms)
         await asyncio.sleep(delay_ms / _MS)
-        chunk_set = await exchange.find_manifest(wanted)
+        chunk_set = await exchange.find_manifest(wanted, lambda: True)
+        assert chunk_set is not None
         exchange.start_fetch(wanted, is_new=self.plan.holders == 0)
         while not chunk_set.complete:
             exchange.changed.clear()
--- a/tests/direct/weights/test_check_loop.py
+++ b/tests/direct/weights/test_check_loop.py
@@ -56,7 +56,7 @@
         agent("vm-1"), 1e6, counters.Counters(), time
     )
     found.set_origin(Origin())
-    asyncio.run(found.find_manifest(WANTED))
+    asyncio.run(found.find_manifest(WANTED, lambda: True))
     found.start_fetch(WANTED, is_new=False)
     return found
 
--- a/tests/direct/weights/test_digest_queries.py
+++ b/tests/direct/weights/test_digest_queries.py
@@ -76,7 +76,10 @@
             all_digests[name].origin = Origin()
         async with asyncio.timeout(2.0):
             await asyncio.gather(
-                *[each.find(WANTED) for each in all_digests.values()]
+                *[
+                    each.find(WANTED, lambda: True)
+                    for each in all_digests.values()
+                ]
             )
 
     asyncio.run(main())
--- a/tests/direct/weights/test_manifest_herd.py
+++ b/tests/direct/weights/test_manifest_herd.py
@@ -134,7 +134,9 @@
     for agent in agents:
         agent.set_origin(origin)
     async with asyncio.timeout(agents_s):
-        await asyncio.gather(*[a.find_manifest(WANTED) for a in agents])
+        await asyncio.gather(
+            *[a.find_manifest(WANTED, lambda: True) for a in agents]
+        )
 
 
 def test_all_learn_the_digests_without_overloading_the_origin() -> None:
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -8,6 +8,7 @@
 import hashlib
 
 import msgspec
+import pytest
 
 from marlramp import clock
 from marlramp import counters
@@ -65,6 +66,18 @@
         raise clients.UnreachedError("the origin is unreachable")
 
 
+class ForgetfulOrigin(Origin):
+    """Has dropped all versions, and records the requests for digests."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sought: list[int] = []
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        self.sought.append(version)
+        raise clients.PlatformError("status 410")
+
+
 class Entry:
     """A single entry in its region; records the messages of the relay."""
 
@@ -176,6 +189,30 @@
     run_relay(entry, origin, act)
 
 
+@pytest.mark.parametrize("requested", [True, False])
+def test_digests_of_an_old_version_are_sought_only_for_agents(
+    requested: bool,
+) -> None:
+    """Guards against a search without an end for what the origin dropped."""
+    entry, origin = Entry(), ForgetfulOrigin()
+    entry.named = [FIRST]
+    request = messages.ManifestRequest(manifest=FIRST.name)
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        await until(lambda: FIRST.version in origin.sought)
+        entry.named = [NEWEST]
+        if requested:
+            relay.on_message("vm-1", request)
+        await until(lambda: NEWEST.version in origin.sought)
+        await asyncio.sleep(0.2)
+        origin.sought.clear()
+        await asyncio.sleep(0.8)
+        assert NEWEST.version in origin.sought
+        assert (FIRST.version in origin.sought) is requested
+
+    run_relay(entry, origin, act)
+
+
 def test_version_of_an_unknown_model_is_not_fetched() -> None:
     entry, origin = Entry(), Origin()
 
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -12,9 +12,12 @@
 
 from marlramp import clock
 from marlramp import counters
+from marlramp import ids
+from marlramp.core.membership import members
 from marlramp.core.replicas import engine_state
 from marlramp.core.weights import loaded_weights
 from marlramp.core.weights import manifest
+from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
 from marlramp.direct.weights import weights_loader
 from marlramp.platform import clients
@@ -40,7 +43,9 @@
         self.changed = asyncio.Event()
 
     async def find_manifest(
-        self, wanted: version_digests.ModelVersion
+        self,
+        wanted: version_digests.ModelVersion,
+        is_wanted: Callable[[], bool],
     ) -> manifest.ChunkSet:
         return self.chunk_set
 
@@ -290,39 +295,45 @@
         return self.report()
 
 
+NEWER_FOUND = manifest.Manifest(
+    model="m",
+    version="3",
+    chunk_bytes=8,
+    total_bytes=16,
+    chunks=[hashlib.sha256(p).hexdigest() for p in NEWER_PIECES],
+    whole="",
+)
+
+
 class NewerExchange(Exchange):
     """Knows the digests of two versions and holds all of their pieces."""
 
     def __init__(self) -> None:
         super().__init__()
-        newer = manifest.Manifest(
-            model="m",
-            version="3",
-            chunk_bytes=8,
-            total_bytes=16,
-            chunks=[hashlib.sha256(p).hexdigest() for p in NEWER_PIECES],
-            whole="",
-        )
-        self.newer = manifest.ChunkSet(newer, manifest.sha256_of)
+        self.newer = manifest.ChunkSet(NEWER_FOUND, manifest.sha256_of)
         for index in range(2):
             self.newer.add(index, NEWER_PIECES[index])
             self.chunk_set.add(index, PIECES[index])
 
     async def find_manifest(
-        self, wanted: version_digests.ModelVersion
+        self,
+        wanted: version_digests.ModelVersion,
+        is_wanted: Callable[[], bool],
     ) -> manifest.ChunkSet:
         return self.newer if wanted == NEWER else self.chunk_set
 
 
 @contextlib.asynccontextmanager
 async def loading(
-    engine: OrderedEngine, time: clock.Clock
+    engine: OrderedEngine,
+    time: clock.Clock,
+    exchange: piece_exchange.PieceExchange | None = None,
 ) -> AsyncIterator[weights_loader.WeightsLoader]:
     """Runs a loader beside an engine."""
     engine.loader = weights_loader.WeightsLoader(
         engine,
         engine,
-        NewerExchange(),  # type: ignore[arg-type]
+        exchange or NewerExchange(),  # type: ignore[arg-type]
         lambda: None,
         counters.Counters(),
         time,
@@ -338,6 +349,20 @@
             await asyncio.sleep(0.005)
 
 
+class NewestOrigin:
+    """An origin that has no version but the newer one."""
+
+    async def manifest(self, model: str, version: int) -> manifest.Manifest:
+        if version != NEWER.version:
+            raise clients.PlatformError("status 410")
+        return NEWER_FOUND
+
+    async def piece(
+        self, model: str, version: int, index: int, bytes_max: int
+    ) -> bytes:
+        return NEWER_PIECES[index]
+
+
 @pytest.fixture
 def ordered() -> OrderedEngine:
     return OrderedEngine()
@@ -347,6 +372,34 @@
     return engine.loader.usable_weights(engine.report())
 
 
+def test_version_that_the_origin_dropped_does_not_hold_up_a_newer_one(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against a wait for digests that no process has any longer."""
+
+    async def main() -> None:
+        time = clock.SystemClock()
+        own = members.Member(
+            vm_id=ids.VmId("vm-1"),
+            kind=members.MemberKind.AGENT,
+            data_centre=ids.DataCentreId("dc-1"),
+            host="127.0.0.1",
+            port=1,
+        )
+        exchange = piece_exchange.PieceExchange(
+            own, 1e6, counters.Counters(), time
+        )
+        exchange.set_origin(NewestOrigin())
+        fetching = asyncio.create_task(exchange.run())
+        async with loading(ordered, time, exchange):
+            await asyncio.sleep(0.05)
+            ordered.target = NEWER
+            await until(lambda: usable(ordered) == NEWER.version)
+        fetching.cancel()
+
+    asyncio.run(main())
+
+
 def test_pieces_that_turn_corrupt_while_the_agent_is_suspended_are_not_loaded(
     ordered: OrderedEngine,
 ) -> None:
