Weights: unusable digests from another process are dropped with a log line

A reply with digests that another process sent was decoded without a check. Bytes that are malformed raised an error in the handler of the message, which the link counted and logged as an internal error. Digests whose sizes and count of pieces disagree, or with pieces of no bytes, were kept and passed on.

The reply is now decoded by the check that `manifest.decode` makes after it has compared the digest, moved to `decode_unverified`. What it refuses, and digests that name another version, are dropped and logged as `digests_refused`; the search goes on, and a later correct reply ends it.

Evidence: of the six replies of the test, five failed on the module before: three raised (DecodeError, ValidationError, ValueError), two were kept. The sixth, which names another version, was dropped before, too. tests/direct/weights/ test_digest_queries.py, test_weights_bounds.py, test_manifest_herd.py and tests/core/weights: 85 passed.

--- a/src/marlramp/core/weights/manifest.py
+++ b/src/marlramp/core/weights/manifest.py
@@ -74,6 +74,16 @@
         raise ManifestError(
             f"the digest is {digest_of(data)}, the published one is {expected}"
         )
+    return decode_unverified(data)
+
+
+def decode_unverified(data: bytes) -> Manifest:
+    """Returns the manifest that `data` encodes, whatever its digest.
+
+    Raises:
+      ManifestError: if `data` is malformed, or if its sizes and its chunk count
+        disagree.
+    """
     try:
         manifest = _decoder.decode(data)
     except msgspec.DecodeError as error:
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -194,15 +194,24 @@
     def on_reply(self, reply: messages.ManifestReply) -> None:
         """Adds the digests that another process sent, if they are sought.
 
-        Digests that nobody waits for would be kept without a bound.
+        Digests that nobody waits for would be kept without a bound. A reply
+        that is malformed or names another version is dropped, and the search
+        goes on.
         """
         if not reply.data or reply.manifest in self.chunk_sets:
             return
         if reply.manifest not in self._sought:
             return
-        found = msgspec.json.decode(reply.data, type=manifest.Manifest)
-        if ModelVersion(found.model, int(found.version)).name == reply.manifest:
-            self._add_manifest(reply.manifest, found)
+        try:
+            found = manifest.decode_unverified(reply.data)
+        except manifest.ManifestError as error:
+            logs.log("digests_refused", name=reply.manifest, detail=error)
+            return
+        found_name = f"{found.model}@{found.version}"
+        if found_name != reply.manifest:
+            logs.log("digests_refused", name=reply.manifest, detail=found_name)
+            return
+        self._add_manifest(reply.manifest, found)
 
     def _query_peers(self, wanted: ModelVersion) -> None:
         """Requests digests from some processes, which reply once they know."""
--- a/tests/direct/weights/test_digest_queries.py
+++ b/tests/direct/weights/test_digest_queries.py
@@ -6,6 +6,7 @@
 import random
 
 import msgspec
+import pytest
 
 from marlramp import clock
 from marlramp.core.weights import manifest
@@ -85,3 +86,35 @@
     asyncio.run(main())
     queried = version_digests.FETCHERS_QUERIED
     assert crossings <= REGIONS * queried * queried
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff",
+        b"{}",
+        manifest.encode(msgspec.structs.replace(FOUND, version="two")),
+        manifest.encode(msgspec.structs.replace(FOUND, version="3")),
+        manifest.encode(msgspec.structs.replace(FOUND, chunk_bytes=0)),
+        manifest.encode(msgspec.structs.replace(FOUND, chunks=[])),
+    ],
+)
+def test_unusable_digests_of_another_process_are_dropped(data: bytes) -> None:
+    """Guards against a reply whose bytes raise an error, or are kept."""
+
+    async def main() -> None:
+        digests = version_digests.VersionDigests(
+            "own", list, lambda *_: True, clock.SystemClock()
+        )
+        seeking = asyncio.create_task(digests.find(WANTED, lambda: True))
+        await asyncio.sleep(0)
+        for reply in (data, manifest.encode(FOUND)):
+            digests.on_reply(
+                messages.ManifestReply(manifest=WANTED.name, data=reply)
+            )
+        async with asyncio.timeout(2.0):
+            found = await seeking
+        assert found is not None
+        assert found.manifest == FOUND
+
+    asyncio.run(main())
