--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -135,10 +135,21 @@
             collections.OrderedDict()
         )
 
-    async def find(self, wanted: ModelVersion) -> manifest.ChunkSet:
+    async def find(
+        self, wanted: ModelVersion, is_wanted: Callable[[], bool]
+    ) -> manifest.ChunkSet | None:
         """Returns the pieces of a version once its digests are known.
 
-        The digests come from the origin or from other processes.
+        The digests come from the origin or from other processes. No process may
+        have them any longer: the origin drops old versions.
+
+        Args:
+          wanted: the version.
+          is_wanted: returns whether the version is still wanted; it is checked
+            at least every `POLL_MS`.
+
+        Returns:
+          None once the version is not wanted any longer.
         """
         origin_schedule = origin_requests.OriginRequests(
             self._clock.now_ms(), self._rng
@@ -148,6 +159,9 @@
         try:
             self._send_requests(wanted, self._fetchers(wanted))
             while wanted.name not in self.chunk_sets:
+                if not is_wanted():
+                    logs.log("digests_not_wanted", name=wanted.name)
+                    return None
                 if self._near is None or origin_schedule.overdue(
                     self._clock.now_ms()
                 ):
@@ -180,15 +194,24 @@
     def on_reply(self, reply: messages.ManifestReply) -> None:
         """Adds the digests that another process sent, if they are sought.
 
-        Digests that nobody waits for would be kept without a bound.
+        Digests that nobody waits for would be kept without a bound. A reply
+        that is malformed or names another version is dropped, and the search
+        goes on.
         """
         if not reply.data or reply.manifest in self.chunk_sets:
             return
         if reply.manifest not in self._sought:
             return
-        found = msgspec.json.decode(reply.data, type=manifest.Manifest)
-        if ModelVersion(found.model, int(found.version)).name == reply.manifest:
-            self._add_manifest(reply.manifest, found)
+        try:
+            found = manifest.decode_unverified(reply.data)
+        except manifest.ManifestError as error:
+            logs.log("digests_refused", name=reply.manifest, detail=error)
+            return
+        found_name = f"{found.model}@{found.version}"
+        if found_name != reply.manifest:
+            logs.log("digests_refused", name=reply.manifest, detail=found_name)
+            return
+        self._add_manifest(reply.manifest, found)
 
     def _query_peers(self, wanted: ModelVersion) -> None:
         """Requests digests from some processes, which reply once they know."""
