Store: one failed call is no outage, so a removed replica leaves at once

Cause: the reader recorded each failed call, also a cut watch, as a failure of the store, and the catalog keeps replicas that are removed in the 2.3 s after one. With a store that goes on cutting watches they would never have left.

A failed watch is now followed by a small current read. An outage is concluded if that gets no answer either, if nothing was answered for over 2.5 s, or if the call fails of an entry that has just taken over from failing readers. It ends with any part of an answer, or when the entry stops reading since another one is served. If reads are answered and watches are not, all is read.

Trial without the sign of the take-over: test_lapsed_replica_is_kept_after_an_outage_that_one_call_met fails.

test_store_counts_as_failing_until_its_first_answer asserts the same as before; its store now also fails the read after the cut watch, as one in an outage.

--- a/src/marlramp/core/configuration/catalog.py
+++ b/src/marlramp/core/configuration/catalog.py
@@ -20,7 +20,7 @@
 from marlramp.core.configuration import named_versions
 
 REPLICA_RETURN_MS = 2_300.0
-"""Time after the store's last failure during which a missing replica is kept. A
+"""Time after an outage of the store during which a missing replica is kept. A
 replica that is alive renews a record that expired while the store was down
 within about 2 s of the store's return; a replica whose record is still missing
 after that is gone."""
@@ -244,7 +244,11 @@
         return known.last
 
     def record_store_failure(self, now_ms: clock.Millis) -> None:
-        """Records that the store is unreliable at `now_ms`."""
+        """Records that an outage of the store lasts until `now_ms` or longer.
+
+        A replica that is removed less than `REPLICA_RETURN_MS` later may
+        return. A single failed call is no outage.
+        """
         self._store_failed_ms = now_ms
 
     def record_outage_sign(
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -4,6 +4,11 @@
 and send the changes to the others. An entry that receives no beacon of a
 working reader reads the store itself, as does one that is partitioned from the
 others.
+
+One failed call is no outage of the store, which may cut a watch that waits. The
+reader then checks by a plain read whether the store answers. If it does not, an
+outage lasts until any part of an answer arrives, and replicas whose records
+expired in it are kept (`catalog.REPLICA_RETURN_MS`).
 """
 
 from __future__ import annotations
@@ -46,6 +51,11 @@
 RETRY_MAX_MS = 600.0
 """Range of the random pause after a failed call."""
 
+UNANSWERED_MS = 2_500.0
+"""Time without any answer, with a failed call in it, after which the store
+counts as having been unavailable although the next call is answered. A watch
+that was lost and its retry take up to 2.2 s."""
+
 ARRIVING_AFTER_MS = WATCH_WAIT_MS + store.WATCH_MARGIN_MS
 """A call that takes longer than this is still receiving a large answer. In the
 meantime the reader requests changes from other entries."""
@@ -68,6 +78,10 @@
         """
         ...
 
+    async def check(self) -> None:
+        """Returns if the store answers a read that is small and current."""
+        ...
+
 
 Publish: TypeAlias = Callable[[int, list[catalog.Change]], None]
 
@@ -108,6 +122,13 @@
         self._clock = time
         self._answered_ms: float | None = None
         self._failing = False
+        # Whether the next call without an answer shows an outage.
+        self._suspected = False
+        self._took_over = False
+        # Whether the last call without an answer was a watch.
+        self._watch_failed = False
+        self._unavailable = False
+        self._unanswered_since_ms: float = time.now_ms()
         self._reads_all = False
         self._requested_ms: float | None = None
         self._silent_call: outage_detector.SilentCall | None = None
@@ -164,11 +185,16 @@
     async def run(self) -> None:
         """Reads the store while this process is elected to; never returns."""
         while True:
+            was_reading = self.reading
             self.reading = self._is_reader()
             if not self.reading:
                 self._silent_call = None
+                self._end_outage()
                 await asyncio.sleep(ELECTION_CHECK_MS / clock.MILLIS_PER_SECOND)
                 continue
+            if not was_reading and self._catalog.revision > 0:
+                # That the readers before this one failed is a first sign.
+                self._took_over = True
             try:
                 await self._step()
             except store.HistoryGoneError:
@@ -181,6 +207,9 @@
         if self._catalog.revision == 0 or self._reads_all:
             await self._read_all()
             return
+        checked = self._watch_failed
+        if checked:
+            await self._check()
         after = self._catalog.revision
         self._totals.add(counters.CounterName.PLATFORM_READS, "watch")
         requested_ms = self._clock.now_ms()
@@ -188,8 +217,17 @@
         paused = requested_ms - self.completeness.own.at_ms > PAUSED_MS
         answer_early = paused or self._failing
         wait_ms = FIRST_WAIT_MS if answer_early else WATCH_WAIT_MS
-        with self._pending_call(requested_ms):
-            snapshot = await self._source.watch(after, wait_ms)
+        try:
+            with self._pending_call(requested_ms):
+                snapshot = await self._source.watch(after, wait_ms)
+        except clients.PausedError:
+            raise
+        except clients.PlatformError as error:
+            if not error.answering:
+                self._watch_failed = True
+                # The store answers reads, but no watch.
+                self._reads_all = checked
+            raise
         now_ms = self._answered()
         # Other entries may have sent changes while the watch waited.
         before = self._catalog.revision
@@ -206,6 +244,19 @@
             self._publish(before, new)
             await asyncio.sleep(BATCH_MS / clock.MILLIS_PER_SECOND)
 
+    async def _check(self) -> None:
+        """Reads a little from the store after a failed call.
+
+        Raises:
+          PlatformError: if the store gives no usable answer.
+        """
+        self._totals.add(counters.CounterName.PLATFORM_READS, "check")
+        with self._pending_call(self._clock.now_ms()):
+            await self._source.check()
+        self._answered_ms = self._clock.now_ms()
+        self._silent_call = None
+        self._end_outage()
+
     async def _read_all(self) -> None:
         self._totals.add(counters.CounterName.PLATFORM_READS, "read")
         requested_ms = self._clock.now_ms()
@@ -236,14 +287,28 @@
         now_ms = self._clock.now_ms()
         if self._failing or self._answered_ms is None:
             logs.log("store_reached", revision=self._catalog.revision)
-        if self._failing:
-            # The store may have been unavailable until this answer.
-            self._catalog.record_store_failure(now_ms)
+        self._end_outage()
         self._failing = False
         self._silent_call = None
         self._answered_ms = now_ms
         return now_ms
 
+    def _end_outage(self) -> None:
+        """Ends the outage, if there is one, and all signs of one."""
+        now_ms = self._clock.now_ms()
+        unanswered_ms = now_ms - self._unanswered_since_ms
+        was_silent = self._suspected and unanswered_ms > UNANSWERED_MS
+        if self._unavailable or was_silent:
+            # The store may have been unavailable until now.
+            self._catalog.record_store_failure(now_ms)
+        if self._unavailable:
+            logs.log("store_outage_ended", revision=self._catalog.revision)
+        self._suspected = False
+        self._took_over = False
+        self._watch_failed = False
+        self._unavailable = False
+        self._unanswered_since_ms = now_ms
+
     def _aged(
         self, snapshot: catalog.Snapshot, now_ms: clock.Millis
     ) -> list[catalog.Change]:
@@ -290,23 +355,36 @@
         except clients.PausedError:
             raise
         except clients.PlatformError as error:
-            if self._failing and not error.answering:
+            if error.answering:
+                self._end_outage()
+                raise
+            if self._suspected:
                 self._silent_call = outage_detector.SilentCall(
                     requested_ms, self._clock.now_ms()
                 )
+            if self._suspected or self._took_over:
+                self._record_outage()
             raise
         finally:
             self._requested_ms = None
 
+    def _record_outage(self) -> None:
+        """Records that the store is unavailable to this reader."""
+        if not self._unavailable:
+            logs.log("store_outage", revision=self._catalog.revision)
+        self._unavailable = True
+        self._watch_failed = False
+        self._catalog.record_store_failure(self._clock.now_ms())
+
     async def _wait_after(self, error: clients.PlatformError) -> None:
         if not self._failing:
             logs.log("store_lost", detail=error)
         self._failing = True
+        self._suspected = True
         # Reading only the missing changes transfers less than reading all, so
         # all is read only if the answer to a watch was unusable.
         if isinstance(error, clients.UselessAnswerError):
             self._reads_all = True
         self._totals.add(counters.CounterName.PLATFORM_READS, "failed")
-        self._catalog.record_store_failure(self._clock.now_ms())
         wait_ms = random.uniform(RETRY_MIN_MS, RETRY_MAX_MS)
         await asyncio.sleep(wait_ms / clock.MILLIS_PER_SECOND)
--- a/src/marlramp/platform/store.py
+++ b/src/marlramp/platform/store.py
@@ -112,6 +112,14 @@
         """
         return await self._read("", stale=stale)
 
+    async def check(self) -> None:
+        """Returns if the store answers a read that is small and current.
+
+        Raises:
+          PlatformError: if the store gives no usable answer.
+        """
+        await self._read_page(documents.WEIGHTS_PREFIX, "", stale=False)
+
     async def read_targets(self) -> catalog.Snapshot:
         """Returns the target versions of weights, possibly seconds old.
 
--- a/tests/direct/fleet/store_fleet.py
+++ b/tests/direct/fleet/store_fleet.py
@@ -68,6 +68,9 @@
         await self._call(caller)
         return catalog.Snapshot(self.revision, list(self.changes.values()))
 
+    async def check(self, caller: str) -> None:
+        await self._call(caller)
+
     async def watch(
         self, caller: str, after: int, wait_ms: float
     ) -> catalog.Snapshot:
@@ -97,6 +100,9 @@
     async def read_all(self) -> catalog.Snapshot:
         return await self._store.read_all(self._caller)
 
+    async def check(self) -> None:
+        await self._store.check(self._caller)
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         return await self._store.watch(self._caller, after, wait_ms)
 
--- a/tests/direct/fleet/test_store_outage.py
+++ b/tests/direct/fleet/test_store_outage.py
@@ -33,6 +33,9 @@
     async def read_all(self) -> catalog.Snapshot:
         raise NotImplementedError
 
+    async def check(self) -> None:
+        raise NotImplementedError
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         raise NotImplementedError
 
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -56,6 +56,9 @@
     async def read_all(self) -> catalog.Snapshot:
         return self._next(self._reads)
 
+    async def check(self) -> None:
+        pass
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         self.watched.append(after)
         if not self._watches:
@@ -72,14 +75,16 @@
 
 
 def run_until(
-    source: FakeStore, done: Callable[[catalog.Catalog], bool]
+    source: store_reader.StoreSource,
+    done: Callable[[catalog.Catalog], bool],
+    known: catalog.Catalog | None = None,
 ) -> tuple[catalog.Catalog, list[int]]:
     """Reads until `done`.
 
     Returns:
       The catalog, and the revision before each publication.
     """
-    known = catalog.Catalog()
+    known = known or catalog.Catalog()
     published: list[int] = []
 
     async def main() -> None:
@@ -153,6 +158,9 @@
     async def read_all(self) -> catalog.Snapshot:
         return catalog.Snapshot(1, [])
 
+    async def check(self) -> None:
+        pass
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         if not self._answers:
             await asyncio.sleep(10)
@@ -180,6 +188,9 @@
             return catalog.Snapshot(1, [])
         raise clients.PlatformError("late", answering=self._answering)
 
+    async def check(self) -> None:
+        raise clients.PlatformError("late", answering=self._answering)
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         if not self._answers:
             raise clients.PlatformError("late", answering=self._answering)
@@ -327,14 +338,64 @@
     assert read(TrimmedStore(), catalog.Catalog(), 0.1).silent_call is None
 
 
+class CuttingStore:
+    """Cuts its first watches, and answers reads or cuts some of them too.
+
+    Attributes:
+      removed: whether the record of the replica is missing.
+    """
+
+    def __init__(self, cut: int, failed_checks: int = 0) -> None:
+        self._cut = cut
+        self._failed_checks = failed_checks
+        self.removed = False
+
+    async def read_all(self) -> catalog.Snapshot:
+        if self.removed:
+            return catalog.Snapshot(2, [])
+        return catalog.Snapshot(1, [REPLICA])
+
+    async def check(self) -> None:
+        if self._failed_checks:
+            self._failed_checks -= 1
+            raise clients.PlatformError("refused")
+
+    async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
+        self.removed = True
+        if self._cut:
+            self._cut -= 1
+            raise clients.PlatformError("closed")
+        if after >= 2:
+            await asyncio.sleep(10)
+        return catalog.Snapshot(2, [catalog.ReplicaChange(2, "i-1", None)])
+
+
+@pytest.mark.parametrize("cut", [1, 1_000], ids=["once", "again and again"])
+def test_replica_that_is_removed_after_a_cut_watch_is_gone_at_once(
+    cut: int,
+) -> None:
+    """It was sent requests for 2.3 s more, longer than its drain time."""
+    known, _ = run_until(CuttingStore(cut), lambda c: c.revision == 2)
+    assert known.replica("i-1") is None
+
+
+def test_lapsed_replica_is_kept_after_an_outage_that_one_call_met() -> None:
+    """A reader that had just taken over dropped all replicas that lapsed."""
+    known = catalog.Catalog()
+    known.apply_snapshot(catalog.Snapshot(1, [REPLICA]), clock.Millis(0.0))
+    run_until(CuttingStore(1), lambda c: c.revision == 2, known)
+    assert known.replica("i-1") is not None
+
+
+def test_changes_are_read_while_watches_are_cut_after_an_outage() -> None:
+    """A reader that only watched would learn of no change."""
+    source = CuttingStore(cut=1_000, failed_checks=1)
+    known, _ = run_until(source, lambda c: c.revision == 2)
+    assert known.replica("i-1") is not None
+
+
 def test_store_counts_as_failing_until_its_first_answer() -> None:
-    source = FakeStore(
-        reads=[catalog.Snapshot(1, [REPLICA])],
-        watches=[
-            clients.PlatformError("reset"),
-            catalog.Snapshot(2, [catalog.ReplicaChange(2, "i-1", None)]),
-        ],
-    )
+    source = CuttingStore(cut=1, failed_checks=1)
     known, _ = run_until(source, lambda c: c.revision == 2)
     # The replica's record may return, however long ago the last call failed.
     time = clock.SystemClock()
--- a/tests/direct/fleet/test_version_ages.py
+++ b/tests/direct/fleet/test_version_ages.py
@@ -51,6 +51,9 @@
     async def read_all(self) -> catalog.Snapshot:
         return catalog.Snapshot(1, [])
 
+    async def check(self) -> None:
+        raise NotImplementedError
+
     async def watch(self, after: int, wait_ms: float) -> catalog.Snapshot:
         self._watches += 1
         if self._watches == 1:
