HTTP client: a response whose header is cut or malformed is an error

What callers saw: a replica that stopped in the middle of its header and closed gave a 200 with an empty body, as if whole.

Cause: aiosonic takes the end of the connection, and any line without a colon, for the end of the header, and an empty or unknown length for an empty body.

Evidence: each header cut at each byte, read by `request`, `stream` and `body`, or `stream` and `events`. Before the change `request` and `stream`/`body` took as complete: 2 cuts within the value of `Content-Length: 12`, 6 of `Content-Length: 0` (also after the whole field), 8 within the value of `Transfer-Encoding`; `events` none. A header without a length gave none. Of eight malformed headers five were complete (`content-length:`, `+0`, a line that is no field, and the codings `chunke` and `gzip` beside a length).

Why it works: the connection sees each line as it was received, with its line break. A line without one means that the connection ended; only a blank line ends a header. Lengths must be digits and agree, and the only coding is `chunked`, without a length beside it (RFC 9112, section 6.3).

--- a/src/marlramp/shell/bounded_connection.py
+++ b/src/marlramp/shell/bounded_connection.py
@@ -1,15 +1,17 @@
 """Connection of the HTTP client with bounds on what a server sends.
 
 aiosonic limits a line, but neither the number of lines nor the size of a chunk.
-It also keeps a connection open whose call failed, whose response has no length,
-or after whose response more bytes came, and so gives a call the response to
-another one.
+It takes the end of the connection for the end of a header, and a length that it
+cannot read for an empty body. It also keeps a connection open whose call
+failed, whose response has no length, or after whose response more bytes came,
+and so gives a call the response to another one.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextvars
+import re
 from urllib import parse
 
 from aiosonic import connection
@@ -35,7 +37,51 @@
 )
 """Most bytes of one chunk of the response to the request that is sent."""
 
-_LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+_BLANK_LINES = frozenset({b"\r\n", b"\n"})
+_FIELD_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+
+
+class _HeaderLines:
+    """Checks the lines of one response header and how they frame the body."""
+
+    def __init__(self) -> None:
+        self._length: bytes | None = None
+        self._chunked = False
+
+    @property
+    def has_length(self) -> bool:
+        """Whether the header tells where the body ends."""
+        return self._chunked or self._length is not None
+
+    def check(self, line: bytes) -> None:
+        """Checks the next line, which includes its line break.
+
+        Raises:
+          exceptions.HttpParsingError: if the connection ended within the
+            header, or if a field is malformed or contradicts another one.
+        """
+        _check_ended(line)
+        if line in _BLANK_LINES:
+            return
+        name, colon, value = line.partition(b":")
+        if not colon or _FIELD_NAME.fullmatch(name) is None:
+            raise exceptions.HttpParsingError("malformed header line")
+        match name.lower():
+            case b"content-length":
+                self._set_length(value.strip(b" \t\r\n"))
+            case b"transfer-encoding":
+                self._set_coding(value.strip(b" \t\r\n"))
+
+    def _set_length(self, value: bytes) -> None:
+        repeated = self._length is not None and self._length != value
+        if not value.isdigit() or repeated or self._chunked:
+            raise exceptions.HttpParsingError("malformed content-length")
+        self._length = value
+
+    def _set_coding(self, value: bytes) -> None:
+        if value.lower() != b"chunked" or self.has_length:
+            raise exceptions.HttpParsingError("malformed transfer-encoding")
+        self._chunked = True
 
 
 class BoundedConnection(connection.Connection):  # type: ignore[misc]
@@ -47,14 +93,14 @@
         self._line_bytes_left = HEADER_BYTES_MAX
         self._framing_bytes_left = FRAMING_BYTES_MAX
         self._in_header = True
-        self._has_length = False
+        self._header_lines = _HeaderLines()
         self._chunk_bytes_max = 0
         self._idle_timer: asyncio.TimerHandle | None = None
 
     def write(self, data: bytes) -> None:
         """Writes bytes of a request, whose response is then expected."""
         self._in_header = True
-        self._has_length = False
+        self._header_lines = _HeaderLines()
         self._line_bytes_left = HEADER_BYTES_MAX
         self._framing_bytes_left = FRAMING_BYTES_MAX
         self._chunk_bytes_max = chunk_bytes_max.get()
@@ -73,14 +119,14 @@
 
         Raises:
           exceptions.HttpParsingError: if the header or the line is too large,
-            or if the lines between chunks are too large for what they frame.
+            if the header is malformed or incomplete, or if the lines between
+            chunks are too large for what they frame.
         """
         if not self._in_header:
             self._line_bytes_left = CHUNK_LINE_BYTES_MAX
         line = self._counted(await super().readline())
         if self._in_header:
-            name = line.partition(b":")[0].lower()
-            self._has_length = self._has_length or name in _LENGTH_HEADERS
+            self._header_lines.check(line)
             return line
         self._framing_bytes_left -= len(line)
         if self._framing_bytes_left < 0:
@@ -106,7 +152,7 @@
 
     def keep_alive(self) -> None:
         """Keeps the connection if the response tells where it ends."""
-        self.keep = self._has_length
+        self.keep = self._header_lines.has_length
 
     def reuse(self, urlparsed: parse.ParseResult, verify: bool) -> bool:
         """Returns whether the connection is open and nothing is unread."""
@@ -150,6 +196,16 @@
             self._idle_timer = None
 
 
+def _check_ended(line: bytes) -> None:
+    """Checks that a line was received to its end.
+
+    Raises:
+      exceptions.HttpParsingError: if the connection ended before the line did.
+    """
+    if not line.endswith(b"\n"):
+        raise exceptions.HttpParsingError("connection ended within the header")
+
+
 def _has_unread(reader: asyncio.StreamReader) -> bool:
     """Returns whether bytes wait, which asyncio tells only in private."""
     return bool(getattr(reader, "_buffer", b"")) or reader.at_eof()
