HTTP client: a chunked body is complete only with its last line

What callers saw: a chunked response whose connection ended right after the `0` of its last chunk was complete, though that digit may be the first of a larger size.

Cause: aiosonic reads a line between chunks up to its line break or the end of the connection, and takes both alike.

Evidence: a body of twelve bytes with its length, and in one chunk, cut at each byte. Before the change four cuts of the chunked one were complete (`0` and all that follow it) for `request`, `body` and `events`; none of the one with a length. The test failed so in 3 of its 6 cases.

Why it works: every line of a response must end in a line break, in the header as between chunks.

--- a/src/marlramp/shell/bounded_connection.py
+++ b/src/marlramp/shell/bounded_connection.py
@@ -57,10 +57,9 @@
         """Checks the next line, which includes its line break.
 
         Raises:
-          exceptions.HttpParsingError: if the connection ended within the
-            header, or if a field is malformed or contradicts another one.
+          exceptions.HttpParsingError: if a field is malformed or contradicts
+            another one.
         """
-        _check_ended(line)
         if line in _BLANK_LINES:
             return
         name, colon, value = line.partition(b":")
@@ -119,12 +118,13 @@
 
         Raises:
           exceptions.HttpParsingError: if the header or the line is too large,
-            if the header is malformed or incomplete, or if the lines between
-            chunks are too large for what they frame.
+            if the connection ended within it, if the header is malformed, or
+            if the lines between chunks are too large for what they frame.
         """
         if not self._in_header:
             self._line_bytes_left = CHUNK_LINE_BYTES_MAX
         line = self._counted(await super().readline())
+        _check_ended(line)
         if self._in_header:
             self._header_lines.check(line)
             return line
@@ -203,7 +203,7 @@
       exceptions.HttpParsingError: if the connection ended before the line did.
     """
     if not line.endswith(b"\n"):
-        raise exceptions.HttpParsingError("connection ended within the header")
+        raise exceptions.HttpParsingError("connection ended within a line")
 
 
 def _has_unread(reader: asyncio.StreamReader) -> bool:
--- a/tests/shell/test_http_cut.py
+++ b/tests/shell/test_http_cut.py
@@ -103,3 +103,20 @@
 def test_malformed_length_is_no_response(fields: bytes, read: Read) -> None:
     """Guards against a body that is taken as empty."""
     assert complete([STATUS + fields + b"\r\n"], read) == []
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"content-length: 12\r\n\r\ndata: abcd\n\n",
+        b"transfer-encoding: chunked\r\n\r\nc\r\ndata: abcd\n\n\r\n0\r\n\r\n",
+    ],
+)
+def test_body_that_is_cut_at_any_byte_is_no_response(
+    response: bytes, read: Read
+) -> None:
+    """Guards against a part of a body taken for the whole of it."""
+    whole = STATUS + response
+    begin = whole.index(b"\r\n\r\n") + 4
+    cuts = [whole[:size] for size in range(begin, len(whole))]
+    assert complete([*cuts, whole], read) == [whole]
