Rollout: an engine that was silent while its weights were staged needs permits

What callers saw: a replica that served could be reloaded without the permits of the entries, beside others that were out of service already.

Cause: that an engine serves nothing, and so needs no permit, was decided by its state during the staging, and not looked at again. One reading that an engine leaves unanswered for 1.5 s while it takes the pieces was enough. The state was read once more right before the order, without any effect.

Evidence: an engine of three, silent for 2.4 s while its weights are staged and serving again after it, with entries that permit nothing.

Why it works: the reading right before the order decides. An engine that serves the old version is loaded only on permits, one that serves the target, by an order that took effect late, not at all; either way the next step starts from that reading.

--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -365,6 +365,8 @@
                 return
             await self._serving.wait_idle()
             await self._observe()
+            if not self._may_load(needs_permits=needs_permits):
+                return
             self._staged = None
             await self._send_order(target, self._engine.load)
         finally:
@@ -372,6 +374,20 @@
             await self._observe()
             self._on_change()
 
+    def _may_load(self, *, needs_permits: bool) -> bool:
+        """Returns whether the engine's last report allows to load the target.
+
+        The engine may have been silent only when the swap was decided, or a
+        former order may have taken effect since.
+
+        Args:
+          needs_permits: whether the swap was decided while the engine served,
+            and so holds permits.
+        """
+        if self._verdict is guard.Verdict.SERVE_OLD:
+            return needs_permits
+        return self._verdict is guard.Verdict.CLOSED
+
     def _still_permitted(self) -> bool:
         return self._permits.state() is swap.AttemptState.PERMITTED
 
--- a/tests/agent/replicas.py
+++ b/tests/agent/replicas.py
@@ -76,7 +76,11 @@
 
 
 class Engine:
-    """An engine that holds one version; a load waits for `may_load`."""
+    """An engine that holds one version; a load waits for `may_load`.
+
+    Attributes:
+      stage_ms: time that staging takes.
+    """
 
     def __init__(self, version: str) -> None:
         self.version = ids.VersionId(version)
@@ -84,6 +88,7 @@
         self.may_load = asyncio.Event()
         self.may_load.set()
         self.goes_on_ms = float("-inf")
+        self.stage_ms = 0.0
 
     def fall_silent(self, silence_ms: float) -> None:
         """Answers no reading of the state for a while, as a stopped engine."""
@@ -105,7 +110,7 @@
     async def stage(
         self, version: ids.VersionId, chunk_set: manifest.ChunkSet
     ) -> None:
-        pass
+        await asyncio.sleep(self.stage_ms / clock.MILLIS_PER_SECOND)
 
     async def load(self, version: ids.VersionId, fencing: int) -> None:
         del fencing
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -146,3 +146,26 @@
         assert member.engine.loads == []
 
     run(scenario)
+
+
+def test_engine_that_was_silent_while_staging_is_not_swapped_unpermitted() -> (
+    None
+):
+    # The silence was taken for an engine that serves nothing, and so needs no
+    # permit, although it served again before the order.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        for entry in fleet.entries:
+            entry.lost = 1_000
+        member = fleet.members[0]
+        member.engine.stage_ms = 2_200.0
+        fleet.roll_out("v2", "v1")
+        await asyncio.sleep(0.1)
+        member.engine.fall_silent(2_400.0)
+        await asyncio.sleep(3.5)
+        assert member.engine.loads == []
+        assert member.controller.serving_version() == "v1"
+        for entry in fleet.entries:
+            entry.lost = 0
+        assert await fleet.until_served("v2", 20.0)
+
+    run(scenario)
