Rollout: no order is given for a target that was replaced meanwhile

What callers saw: a replica whose rollout changed while its last runs ended loaded the former target first, and was out of service for two loads.

Cause: a swap isn't interrupted once it has begun, and its order named the target of its beginning, though it may wait for runs before it.

Evidence: a rollout of v2 replaced by v3 while a run is in progress. Before the change the engine got both orders ("assert ['v2', 'v3'] == ['v3']").

Why it works: the target is compared right before the order to load, or to serve; a swap without its target ends, and serving resumes by the engine's next reading.

The order to serve has no test of its own.

--- a/src/marlramp/agent/rollout.py
+++ b/src/marlramp/agent/rollout.py
@@ -325,7 +325,8 @@
         self._serving.suspend()
         try:
             await self._serving.wait_idle()
-            await self._send_order(target, self._engine.serve)
+            if self._target is target:
+                await self._send_order(target, self._engine.serve)
         finally:
             self._swapping = False
             await self._observe()
@@ -365,7 +366,7 @@
                 return
             await self._serving.wait_idle()
             await self._observe()
-            if not self._may_load(needs_permits=needs_permits):
+            if not self._may_load(target, needs_permits=needs_permits):
                 return
             self._staged = None
             await self._send_order(target, self._engine.load)
@@ -374,16 +375,19 @@
             await self._observe()
             self._on_change()
 
-    def _may_load(self, *, needs_permits: bool) -> bool:
-        """Returns whether the engine's last report allows to load the target.
+    def _may_load(self, target: guard.Target, *, needs_permits: bool) -> bool:
+        """Returns whether the engine may still be ordered to load a target.
 
-        The engine may have been silent only when the swap was decided, or a
-        former order may have taken effect since.
+        Since the swap was decided the rollout may have changed, a former order
+        may have taken effect, or the engine may have ended a silence.
 
         Args:
+          target: the version to load.
           needs_permits: whether the swap was decided while the engine served,
             and so holds permits.
         """
+        if self._target is not target:
+            return False
         if self._verdict is guard.Verdict.SERVE_OLD:
             return needs_permits
         return self._verdict is guard.Verdict.CLOSED
--- a/tests/agent/replicas.py
+++ b/tests/agent/replicas.py
@@ -212,6 +212,7 @@
 
     Attributes:
       is_open: whether the replica accepts runs.
+      idle: set while the replica has no run in progress.
       suspended: how often the replica stopped serving.
       pauses_ms: pause of the process when it next suspends serving.
     """
@@ -220,6 +221,8 @@
         self.vm_id = ids.VmId(name)
         self.engine = Engine("v1")
         self.is_open = False
+        self.idle = asyncio.Event()
+        self.idle.set()
         self.suspended = 0
         self.pauses_ms = 0.0
         self._fleet = fleet
@@ -257,7 +260,7 @@
         self.is_open = True
 
     async def wait_idle(self) -> None:
-        pass
+        await self.idle.wait()
 
 
 class _Clock(clock.SystemClock):
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -169,3 +169,22 @@
         assert await fleet.until_served("v2", 20.0)
 
     run(scenario)
+
+
+def test_swap_that_waits_for_its_runs_gives_no_order_for_a_former_target() -> (
+    None
+):
+    # A rollout that was replaced while the runs of the agent ended was loaded
+    # all the same.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        member = fleet.members[0]
+        member.idle.clear()
+        fleet.roll_out("v2", "v1")
+        while member.controller.note != "swapping":
+            await asyncio.sleep(0.005)
+        fleet.roll_out("v3", "v1")
+        member.idle.set()
+        assert await fleet.until_served("v3", 20.0)
+        assert member.engine.loads == ["v3"]
+
+    run(scenario, members=2)
