--- a/tests/agent/replicas.py
+++ b/tests/agent/replicas.py
@@ -76,7 +76,11 @@
 
 
 class Engine:
-    """An engine that holds one version; a load waits for `may_load`."""
+    """An engine that holds one version; a load waits for `may_load`.
+
+    Attributes:
+      stage_ms: time that staging takes.
+    """
 
     def __init__(self, version: str) -> None:
         self.version = ids.VersionId(version)
@@ -84,6 +88,7 @@
         self.may_load = asyncio.Event()
         self.may_load.set()
         self.goes_on_ms = float("-inf")
+        self.stage_ms = 0.0
 
     def fall_silent(self, silence_ms: float) -> None:
         """Answers no reading of the state for a while, as a stopped engine."""
@@ -105,7 +110,7 @@
     async def stage(
         self, version: ids.VersionId, chunk_set: manifest.ChunkSet
     ) -> None:
-        pass
+        await asyncio.sleep(self.stage_ms / clock.MILLIS_PER_SECOND)
 
     async def load(self, version: ids.VersionId, fencing: int) -> None:
         del fencing
@@ -207,6 +212,7 @@
 
     Attributes:
       is_open: whether the replica accepts runs.
+      idle: set while the replica has no run in progress.
       suspended: how often the replica stopped serving.
       pauses_ms: pause of the process when it next suspends serving.
     """
@@ -215,6 +221,8 @@
         self.vm_id = ids.VmId(name)
         self.engine = Engine("v1")
         self.is_open = False
+        self.idle = asyncio.Event()
+        self.idle.set()
         self.suspended = 0
         self.pauses_ms = 0.0
         self._fleet = fleet
@@ -252,7 +260,7 @@
         self.is_open = True
 
     async def wait_idle(self) -> None:
-        pass
+        await self.idle.wait()
 
 
 class _Clock(clock.SystemClock):
--- a/tests/agent/test_rollout.py
+++ b/tests/agent/test_rollout.py
@@ -146,3 +146,45 @@
         assert member.engine.loads == []
 
     run(scenario)
+
+
+def test_engine_that_was_silent_while_staging_is_not_swapped_unpermitted() -> (
+    None
+):
+    # The silence was taken for an engine that serves nothing, and so needs no
+    # permit, although it served again before the order.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        for entry in fleet.entries:
+            entry.lost = 1_000
+        member = fleet.members[0]
+        member.engine.stage_ms = 2_200.0
+        fleet.roll_out("v2", "v1")
+        await asyncio.sleep(0.1)
+        member.engine.fall_silent(2_400.0)
+        await asyncio.sleep(3.5)
+        assert member.engine.loads == []
+        assert member.controller.serving_version() == "v1"
+        for entry in fleet.entries:
+            entry.lost = 0
+        assert await fleet.until_served("v2", 20.0)
+
+    run(scenario)
+
+
+def test_swap_that_waits_for_its_runs_gives_no_order_for_a_former_target() -> (
+    None
+):
+    # A rollout that was replaced while the runs of the agent ended was loaded
+    # all the same.
+    async def scenario(fleet: replicas.Fleet) -> None:
+        member = fleet.members[0]
+        member.idle.clear()
+        fleet.roll_out("v2", "v1")
+        while member.controller.note != "swapping":
+            await asyncio.sleep(0.005)
+        fleet.roll_out("v3", "v1")
+        member.idle.set()
+        assert await fleet.until_served("v3", 20.0)
+        assert member.engine.loads == ["v3"]
+
+    run(scenario, members=2)
