HTTP client: connections are closed before the event loop ends

make demo ended with tracebacks ("Event loop is closed") though all went well: pooled connections outlived the loop. The client has close(); the fleet of the experiments and the administration client call it.

--- a/src/marlramp/console/admin_client.py
+++ b/src/marlramp/console/admin_client.py
@@ -87,8 +87,9 @@
 async def _request(
     method: str, entry: str, path: str, body: bytes, key: str
 ) -> http.Reply:
+    client = http.HttpClient()
     try:
-        return await http.HttpClient().request(
+        return await client.request(
             method,
             f"{entry.rstrip('/')}/admin/v1/{path}",
             body=body,
@@ -99,3 +100,5 @@
         raise CommandError(
             exit_codes.ExitCode.UNREACHABLE, f"{entry}: {error}"
         ) from error
+    finally:
+        await client.close()
--- a/src/marlramp/experiments/fleet.py
+++ b/src/marlramp/experiments/fleet.py
@@ -107,6 +107,7 @@
         trace: types.TracebackType | None,
     ) -> None:
         """Ends every process of the fleet."""
+        await self.client.close()
         all_processes = [
             *self.entries.values(),
             *self.agents.values(),
--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -136,6 +136,10 @@
         """Creates the pool; connections are opened on demand."""
         self._client = _client(CONNECTIONS_MAX)
 
+    async def close(self) -> None:
+        """Closes the idle connections, before the event loop ends."""
+        await _close_client(self._client)
+
     async def request(
         self,
         method: str,
--- a/tests/shell/test_http_bounds.py
+++ b/tests/shell/test_http_bounds.py
@@ -71,6 +71,18 @@
     asyncio.run(main())
 
 
+def test_closed_client_leaves_no_connection_open() -> None:
+    """Guards against tracebacks of connections that outlive the event loop."""
+    server = Server(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    async def scenario(client: http.HttpClient) -> None:
+        await read_reply(client, server.url)
+        await client.close()
+        await server.until_closed()
+
+    play(server, scenario)
+
+
 async def read_reply(client: http.HttpClient, url: str) -> None:
     await client.request(
         "GET", url, timeout_ms=5_000.0, body_bytes_max=BODY_BYTES_MAX
