Direct path: an answer's end is shown by a probe that began after it

Callers could see a cut answer without a length as whole if it ended while the replica was being probed for an earlier answer: that probe, which all answers share, may have found the replica before it was killed.

Change: `CrashDetector.answer_is_whole` waits for a running probe and then takes part in the next one, which all answers that waited share.

Evidence: the new test failed on the code before (one probe for three ends), and passes now: three ends share two probes.

--- a/src/marlramp/direct/calls/crash_detector.py
+++ b/src/marlramp/direct/calls/crash_detector.py
@@ -191,7 +191,12 @@
         Args:
           view: the replica.
         """
-        presence = await self._presence(_crash_id(view), view.replica.address)
+        crash = _crash_id(view)
+        running = self._probes.get(crash)
+        if running is not None:
+            # It may have found the replica before the answer ended.
+            await asyncio.wait([running])
+        presence = await self._presence(crash, view.replica.address)
         return presence is address_probe.Presence.THERE
 
     async def handle_loss(
--- a/tests/direct/calls/test_answer_ends.py
+++ b/tests/direct/calls/test_answer_ends.py
@@ -154,3 +154,30 @@
 
     part = (PLAIN_HEAD + b"part of it", 0.2)
     run_entry(use, silent_replicas.writes(part))
+
+
+def test_end_during_a_probe_is_shown_by_a_later_one(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a probe that found the replica before it was killed."""
+    probes: list[asyncio.Future[address_probe.Presence]] = []
+
+    async def probe(_: str) -> address_probe.Presence:
+        probes.append(asyncio.get_running_loop().create_future())
+        return await probes[-1]
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.forwarder._crashes._probe = probe
+        (view,) = entry.table
+        ends = []
+        for _ in range(3):
+            end = entry.forwarder._crashes.answer_is_whole(view)
+            ends.append(asyncio.create_task(end))
+            await asyncio.sleep(0.01)
+        probes[0].set_result(address_probe.Presence.THERE)
+        await asyncio.sleep(0.01)
+        assert len(probes) == 2
+        probes[1].set_result(address_probe.Presence.GONE)
+        assert await asyncio.gather(*ends) == [True, False, False]
+
+    run_entry(use, crashing_parts.whole)
--- a/tests/direct/calls/test_backpressure.py
+++ b/tests/direct/calls/test_backpressure.py
@@ -60,3 +60,16 @@
     resumed_ms = time.now_ms()
     time.advance(100.0)
     assert sources.progress_ms(0.0) == resumed_ms
+
+
+def test_answer_counts_as_unread_until_after_its_caller_reads_again() -> None:
+    """Guards against an end that is seen late and counts as seen at once."""
+    caller, time = FakeCaller(), clock.ManualClock(100.0)
+    pressure = backpressure.Backpressure(caller, time)
+    assert pressure.was_read_since(50.0)
+    caller.pause()
+    assert not pressure.was_read_since(50.0)
+    time.advance(100.0)
+    caller.resume()
+    assert not pressure.was_read_since(150.0)
+    assert pressure.was_read_since(250.0)
