Tests: an answer's end is tested once its replica has begun to answer

Seen: four cases of test_answer_ends.py failed in two ways beside other work (3 of 15 in one run; the same one in 3 of 3 runs after). The tests changed the replica's state after 10 ms, at times before the request was written, which then went to another replica and was answered whole.

Change: the state changes once the head of the answer has arrived. What is checked stays the same.

--- a/tests/direct/calls/test_answer_ends.py
+++ b/tests/direct/calls/test_answer_ends.py
@@ -36,8 +36,10 @@
 ) -> bytes:
     """Returns an answer; its replica is listed with a state meanwhile."""
     calling = asyncio.create_task(entry.call(path, method))
-    await asyncio.sleep(0.01)
-    (view,) = [view for view in entry.table if view.in_flight]
+    # A request that is not written yet would go to another replica.
+    while not (views := [v for v in entry.table if v.heard_ms > 0.0]):
+        await asyncio.sleep(0.001)
+    (view,) = views
     view.replica = msgspec.structs.replace(view.replica, state=state)
     return await calling
 
@@ -126,8 +128,9 @@
 
     async def use(entry: conftest.Entry) -> None:
         calling = asyncio.create_task(entry.call("/once/x"))
-        await asyncio.sleep(0.01)
         (view,) = entry.table
+        while view.heard_ms < 0.0:
+            await asyncio.sleep(0.001)
         view.born_ms = 1_000
         replica = msgspec.structs.replace(
             view.replica, born_ms=2_000, state=state
