--- a/tests/direct/calls/test_answer_ends.py
+++ b/tests/direct/calls/test_answer_ends.py
@@ -36,8 +36,10 @@
 ) -> bytes:
     """Returns an answer; its replica is listed with a state meanwhile."""
     calling = asyncio.create_task(entry.call(path, method))
-    await asyncio.sleep(0.01)
-    (view,) = [view for view in entry.table if view.in_flight]
+    # A request that is not written yet would go to another replica.
+    while not (views := [v for v in entry.table if v.heard_ms > 0.0]):
+        await asyncio.sleep(0.001)
+    (view,) = views
     view.replica = msgspec.structs.replace(view.replica, state=state)
     return await calling
 
@@ -126,8 +128,9 @@
 
     async def use(entry: conftest.Entry) -> None:
         calling = asyncio.create_task(entry.call("/once/x"))
-        await asyncio.sleep(0.01)
         (view,) = entry.table
+        while view.heard_ms < 0.0:
+            await asyncio.sleep(0.001)
         view.born_ms = 1_000
         replica = msgspec.structs.replace(
             view.replica, born_ms=2_000, state=state
@@ -154,3 +157,30 @@
 
     part = (PLAIN_HEAD + b"part of it", 0.2)
     run_entry(use, silent_replicas.writes(part))
+
+
+def test_end_during_a_probe_is_shown_by_a_later_one(
+    run_entry: RunEntry,
+) -> None:
+    """Guards against a probe that found the replica before it was killed."""
+    probes: list[asyncio.Future[address_probe.Presence]] = []
+
+    async def probe(_: str) -> address_probe.Presence:
+        probes.append(asyncio.get_running_loop().create_future())
+        return await probes[-1]
+
+    async def use(entry: conftest.Entry) -> None:
+        entry.forwarder._crashes._probe = probe
+        (view,) = entry.table
+        ends = []
+        for _ in range(3):
+            end = entry.forwarder._crashes.answer_is_whole(view)
+            ends.append(asyncio.create_task(end))
+            await asyncio.sleep(0.01)
+        probes[0].set_result(address_probe.Presence.THERE)
+        await asyncio.sleep(0.01)
+        assert len(probes) == 2
+        probes[1].set_result(address_probe.Presence.GONE)
+        assert await asyncio.gather(*ends) == [True, False, False]
+
+    run_entry(use, crashing_parts.whole)
