Weights: pieces that do not match their digests are requested with a backoff

A piece whose bytes did not match its digest was requested again at once. With a wrong digest none ever matches: an agent asked the origin at each check for pieces, every 20 ms, and used up its link, which others wait for.

`core.weights.mismatch_backoff` counts the mismatches of each piece. The second request goes out at once, as corrupt bytes in transit are usual; later ones wait 0.1 s, doubled with each mismatch up to 3.2 s, whether the origin or another process is asked. A match ends the backoff. Other pieces are not delayed.

Not part of this: the digests are not asked for anew, and wrong ones are passed on as before.

--- a/src/marlramp/core/weights/relay_fetch.py
+++ b/src/marlramp/core/weights/relay_fetch.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from marlramp import clock
+from marlramp.core.weights import mismatch_backoff
 from marlramp.core.weights import origin_retry_slots
 from marlramp.core.weights import relay_assignment
 
@@ -143,6 +144,7 @@
         self._holders: dict[int, set[str]] = {}
         self._requests: dict[int, _Request] = {}
         self._origin_fetches: set[int] = set()
+        self._mismatches = mismatch_backoff.MismatchBackoff()
         self._backoff_until_ms: dict[str, float] = {}
         self._origin_not_before_ms = float("-inf")
         self._origin_failed_ms = float("-inf")
@@ -213,14 +215,28 @@
         self._held.add(index)
         self._requests.pop(index, None)
         self._slots_ms.pop(index, None)
+        self._mismatches.clear(index)
         if index in self._origin_fetches:
             self._origin_fetches.discard(index)
             self._update_ms = now_ms
 
+    def record_mismatch(
+        self, index: int, peer: str | None, now_ms: clock.Millis
+    ) -> None:
+        """Records that the bytes of a piece did not match its digest.
+
+        Args:
+          index: index of the piece.
+          peer: process that sent it, None for the origin.
+          now_ms: the current time.
+        """
+        self._mismatches.record_mismatch(index, now_ms)
+        self.record_failed_request(index, peer, now_ms)
+
     def record_failed_request(
         self, index: int, peer: str | None, now_ms: clock.Millis
     ) -> None:
-        """Records that a piece did not arrive, or arrived corrupt.
+        """Records that a piece did not arrive.
 
         Args:
           index: index of the piece.
@@ -302,6 +318,8 @@
         for index, assignment in self._assignments.items():
             if index in self._held or index in self._requests:
                 continue
+            if not self._mismatches.may_request(index, now_ms):
+                continue
             peer = self._source(index, assignment, now_ms)
             if peer is not None:
                 if (
--- a/src/marlramp/core/weights/swarm.py
+++ b/src/marlramp/core/weights/swarm.py
@@ -21,6 +21,7 @@
 from marlramp import clock
 from marlramp import ids
 from marlramp.core import rendezvous
+from marlramp.core.weights import mismatch_backoff
 
 ORIGIN_GROUPS = 256
 """Maximum number of groups in which chunks are assigned to fetchers."""
@@ -216,6 +217,7 @@
         self._holders = [0] * self._count
         self._fetching: set[int] = set()
         self._from_origin: dict[int, float] = {}
+        self._mismatches = mismatch_backoff.MismatchBackoff()
         self._ranks: list[int] = [0] * len(self._group_keys)
         self._is_root = False
         self._started_ms: float = now_ms
@@ -354,8 +356,10 @@
             if not valid:
                 self._record_corrupt_chunk(peer_id)
         if not valid:
+            self._mismatches.record_mismatch(index, now_ms)
             self._drop_fetch(index)
             return
+        self._mismatches.clear(index)
         self._fetching.discard(index)
         if index not in self._needed:
             return
@@ -489,6 +493,8 @@
                 break
             if index not in self._needed or index in self._fetching:
                 continue
+            if not self._mismatches.may_request(index, now_ms):
+                continue
             self._window_entry_ms.setdefault(index, now_ms)
             if self._may_fetch_from_origin(index, now_ms):
                 self._fetching.add(index)
@@ -617,7 +623,11 @@
     def _rarest(
         self, peer_id: ids.VmId, peer: Peer, now_ms: clock.Millis
     ) -> int | None:
-        candidates = (peer.held & self._needed) - self._fetching
+        candidates = {
+            index
+            for index in (peer.held & self._needed) - self._fetching
+            if self._mismatches.may_request(index, now_ms)
+        }
         is_far = self._near is not None and peer_id not in self._near
         if is_far and peer_id not in self._relays:
             if self._waits_for_relays(now_ms):
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -499,9 +499,7 @@
         if not chunk_set.add(index, data):
             self._totals.add(counters.CounterName.CHUNKS_REJECTED, source)
             logs.log("piece_corrupt", index=index, source=peer or source)
-            version.fetch.record_failed_request(
-                index, peer, self._clock.now_ms()
-            )
+            version.fetch.record_mismatch(index, peer, self._clock.now_ms())
             return
         self._totals.add(counters.CounterName.CHUNKS_RECEIVED, source)
         version.fetch.record_held(index, self._clock.now_ms())
--- a/tests/direct/weights/test_check_loop.py
+++ b/tests/direct/weights/test_check_loop.py
@@ -61,6 +61,33 @@
     return found
 
 
+def test_agent_fetches_a_piece_that_never_matches_seldom() -> None:
+    """Guards against a wrong digest that keeps the origin's link busy."""
+    fetched: list[int] = []
+
+    class CorruptOrigin(Origin):
+        async def piece(
+            self, model: str, version: int, index: int, bytes_max: int
+        ) -> bytes:
+            fetched.append(index)
+            return b"x"
+
+    async def main() -> None:
+        agent_exchange = piece_exchange.PieceExchange(
+            agent("vm-1"), 1e6, counters.Counters(), clock.SystemClock()
+        )
+        agent_exchange.set_origin(CorruptOrigin())
+        await agent_exchange.find_manifest(WANTED, lambda: True)
+        agent_exchange.start_fetch(WANTED, is_new=True)
+        running = asyncio.create_task(agent_exchange.run())
+        await asyncio.sleep(1.5)
+        running.cancel()
+
+    asyncio.run(main())
+    # Two without delay, then after 0.1, 0.2, 0.4 and 0.8 s.
+    assert len(PIECES) <= len(fetched) <= 6 * len(PIECES)
+
+
 def test_idle_agent_checks_seldom(
     time: clock.ManualClock,
 ) -> None:
--- a/tests/direct/weights/test_piece_relay.py
+++ b/tests/direct/weights/test_piece_relay.py
@@ -258,6 +258,20 @@
     assert len(origin.fetched) == 11
 
 
+def test_piece_that_never_matches_is_fetched_seldom() -> None:
+    """Guards against a wrong digest that keeps the origin's link busy."""
+    entry, origin = Entry(), Origin()
+    origin.corrupt_count = 1_000
+
+    async def act(relay: piece_relay.PieceRelay) -> None:
+        relay.on_message("vm-1", hello(NEWEST))
+        await asyncio.sleep(1.5)
+
+    run_relay(entry, origin, act)
+    # Two without delay, then after 0.1, 0.2, 0.4 and 0.8 s.
+    assert len(PIECES) <= len(origin.fetched) <= 6 * len(PIECES)
+
+
 def test_only_pieces_that_no_process_holds_are_retried_in_rotation() -> None:
     """In a rotation of all eight, each piece is retried every 0.8 s.
 
