--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -345,8 +345,11 @@
       removed: whether the record of the replica is missing.
     """
 
-    def __init__(self, cut: int, failed_checks: int = 0) -> None:
+    def __init__(
+        self, cut: int, failed_checks: int = 0, cut_after_ms: float = 0.0
+    ) -> None:
         self._cut = cut
+        self._cut_after_ms = cut_after_ms
         self._failed_checks = failed_checks
         self.removed = False
 
@@ -364,6 +367,7 @@
         self.removed = True
         if self._cut:
             self._cut -= 1
+            await asyncio.sleep(self._cut_after_ms / clock.MILLIS_PER_SECOND)
             raise clients.PlatformError("closed")
         if after >= 2:
             await asyncio.sleep(10)
@@ -387,6 +391,13 @@
     assert known.replica("i-1") is not None
 
 
+def test_lapsed_replica_is_kept_after_a_long_silence_of_one_call() -> None:
+    """An outage that ended before the second call was taken for a cut watch."""
+    source = CuttingStore(cut=1, cut_after_ms=store_reader.UNANSWERED_MS)
+    known, _ = run_until(source, lambda c: c.revision == 2)
+    assert known.replica("i-1") is not None
+
+
 def test_changes_are_read_while_watches_are_cut_after_an_outage() -> None:
     """A reader that only watched would learn of no change."""
     source = CuttingStore(cut=1_000, failed_checks=1)
