HTTP client: the events of an empty response read no further bytes

What callers saw: an upstream that answered a streamed call with an empty body made the next call on that connection fail, and its own call wait on.

Cause: aiosonic gives a connection back at once if there is no body, and reads a chunk from it all the same when asked for the chunks.

Evidence: `stream` and `events` of a response with `content-length: 0`, then `request` on the same client. Before the change the request failed with "readuntil() called while another coroutine is already waiting", and the events by the end of the connection.

Why it works: an empty response has no events, and one that only the end of its connection delimits is an error as it is for `body`.

--- a/src/marlramp/shell/http.py
+++ b/src/marlramp/shell/http.py
@@ -93,9 +93,13 @@
         """Yields each event, including the blank line that ends it.
 
         Raises:
-          HttpError: if the connection ends before the response does, or if an
-            event exceeds `EVENT_BYTES_MAX`.
+          HttpError: if the connection ends before the response does, if only
+            its end would delimit the response, or if an event exceeds
+            `EVENT_BYTES_MAX`.
         """
+        _check_delimited(self._response)
+        if _is_empty(self._response):
+            return
         buffer = bytearray()
         with _translate_errors(sent=True):
             async for chunk in self._response.read_chunks():
@@ -264,13 +268,8 @@
         the end of the connection. The client library treats such a body as
         empty.
     """
-    headers = response.headers
-    declared = headers.get("content-length", "")
-    delimited = "content-length" in headers or "transfer-encoding" in headers
-    if not delimited and response.status_code not in _BODYLESS:
-        raise HttpError(
-            "response has no content-length or transfer-encoding", sent=True
-        )
+    _check_delimited(response)
+    declared = response.headers.get("content-length", "")
     has_body = response.method.upper() != "HEAD"
     if has_body and declared.isdecimal() and int(declared) > bytes_max:
         raise HttpError("body exceeds the size limit", sent=True)
@@ -284,6 +283,34 @@
     return bytes(body)
 
 
+def _check_delimited(response: aiosonic.HttpResponse) -> None:
+    """Checks that a response tells where its body ends.
+
+    Raises:
+      HttpError: if only the end of the connection delimits the body.
+    """
+    headers = response.headers
+    delimited = "content-length" in headers or "transfer-encoding" in headers
+    if not delimited and response.status_code not in _BODYLESS:
+        raise HttpError(
+            "response has no content-length or transfer-encoding", sent=True
+        )
+
+
+def _is_empty(response: aiosonic.HttpResponse) -> bool:
+    """Returns whether a delimited response has no body.
+
+    The library has given its connection back, so that to read on would take
+    the bytes of another response.
+    """
+    headers = response.headers
+    if response.status_code in _BODYLESS or response.method.upper() == "HEAD":
+        return True
+    if "transfer-encoding" in headers:
+        return False
+    return int(headers["content-length"]) == 0
+
+
 def _retry_after_ms(headers: Mapping[str, str]) -> float | None:
     value = headers.get("retry-after")
     if value is None:
--- a/tests/shell/test_http_cut.py
+++ b/tests/shell/test_http_cut.py
@@ -120,3 +120,27 @@
     begin = whole.index(b"\r\n\r\n") + 4
     cuts = [whole[:size] for size in range(begin, len(whole))]
     assert complete([*cuts, whole], read) == [whole]
+
+
+def test_events_of_an_empty_response_take_no_bytes_of_the_next_one() -> None:
+    """Guards against reading on from a connection that was given back."""
+
+    async def script(peer: raw_http.Peer) -> None:
+        request = await peer.read()
+        while request is not None:
+            await peer.answer(request, 200, request.target[1:].encode())
+            request = await peer.read()
+
+    async def main() -> tuple[list[bytes], bytes]:
+        async with raw_http.ScriptedServer(script) as server:
+            client = http.HttpClient()
+            url = f"http://{server.address}/"
+            async with asyncio.timeout(2.0), asyncio.TaskGroup() as group:
+                events = group.create_task(read_events(client, url))
+                await asyncio.sleep(0.1)
+                reply = await client.request(
+                    "GET", f"{url}next", timeout_ms=1_000.0
+                )
+            return events.result(), reply.body
+
+    assert asyncio.run(main()) == ([], b"next")
