--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+import gc
 import random
 
 import pytest
@@ -22,6 +24,17 @@
     return random.Random(7)
 
 
+@pytest.fixture(autouse=True, scope="module")
+def collect_streams() -> Iterator[None]:
+    """Collects the open streams of a module's tests at its end.
+
+    CPython 3.11 fails to compile a module if a finalizer raises meanwhile, as
+    that of a stream of a closed event loop does.
+    """
+    yield
+    gc.collect()
+
+
 def _known_red() -> dict[str, str]:
     try:
         return known_red.read(known_red.FILE)
--- a/tests/shell/conftest.py
+++ b/tests/shell/conftest.py
@@ -6,13 +6,9 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterator
 import contextlib
-import gc
 from typing import TypeAlias
 
-import pytest
-
 from marlramp import clock
 from marlramp import errors
 from marlramp.core.configuration import fleet
@@ -27,17 +23,6 @@
 GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
-@pytest.fixture(autouse=True, scope="module")
-def collect_streams() -> Iterator[None]:
-    """Collects the open streams of a module's tests at its end.
-
-    CPython 3.11 fails to compile a module if a finalizer raises meanwhile, as
-    that of a stream of a closed event loop does.
-    """
-    yield
-    gc.collect()
-
-
 class FakeGate:
     """Provides test limits and records rejected requests."""
 
