--- a/src/marlramp/core/weights/manifest.py
+++ b/src/marlramp/core/weights/manifest.py
@@ -8,7 +8,6 @@
 import blake3
 import msgspec
 
-from marlramp import decoding
 from marlramp import ids
 
 CHUNKS_MAX = 65_536
@@ -87,7 +86,7 @@
     """
     try:
         manifest = _decoder.decode(data)
-    except decoding.MALFORMED as error:
+    except (ValueError, RecursionError) as error:
         raise ManifestError(f"malformed: {error}") from error
     if manifest.chunk_bytes <= 0 or manifest.total_bytes <= 0:
         raise ManifestError(
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -16,8 +16,8 @@
 from marlramp.core.membership import lifecycle
 from marlramp.core.membership import members
 from marlramp.core.replicas import engine_state
+from marlramp.core.replicas import loaded_weights
 from marlramp.core.replicas import replica_view
-from marlramp.core.weights import loaded_weights
 from marlramp.core.weights import swap_schedule
 from marlramp.direct import metrics
 from marlramp.direct import page_server
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -4,7 +4,7 @@
 verified before the load order: staged pieces may have become corrupt, and an
 engine loads them without a check. They are verified again once the engine has
 accepted the order, since it takes them as they are at that moment; see
-`core.weights.loaded_weights`.
+`core.replicas.loaded_weights`.
 
 An order without an answer may be accepted at any later time. No other version
 is staged before the engine has accepted it or its number is used up.
@@ -25,7 +25,7 @@
 from marlramp import counters
 from marlramp import logs
 from marlramp.core.replicas import engine_state
-from marlramp.core.weights import loaded_weights
+from marlramp.core.replicas import loaded_weights
 from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import rollout_times
--- a/tests/direct/weights/test_open_orders.py
+++ b/tests/direct/weights/test_open_orders.py
@@ -8,7 +8,7 @@
 
 from marlramp import clock
 from marlramp.core.replicas import engine_state
-from marlramp.core.weights import loaded_weights
+from marlramp.core.replicas import loaded_weights
 from marlramp.platform import clients
 from marlramp.platform import replica_api
 from marlramp.settings import node
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -15,7 +15,7 @@
 from marlramp import ids
 from marlramp.core.membership import members
 from marlramp.core.replicas import engine_state
-from marlramp.core.weights import loaded_weights
+from marlramp.core.replicas import loaded_weights
 from marlramp.core.weights import manifest
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import version_digests
