Weights: a load found corrupt is followed by a fresh check, not by a recent one

Read by the lead: pieces found corrupt after an acceptance left the time of the check before it in force for up to 1 s, so that the engine could load them again and again meanwhile. An unanswered order of a version in effect was resent, and a version that is no longer wanted after the drain was still ordered.

Measured: test_engine_that_took_corrupt_pieces_is_not_used_until_it_loaded_again with exactly two loads fails before and passes now; tests/direct/weights, 54.

--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -487,7 +487,11 @@
             pieces_ready_ms = self._pieces_ready_ms[wanted]
             await self._drain(self._agent.drain_ms(wanted, pieces_ready_ms))
         report = await self._agent.read_report()
-        if report is None or report.born_ms != self._staged_born_ms:
+        if (
+            report is None
+            or report.born_ms != self._staged_born_ms
+            or self._agent.wanted() != wanted
+        ):
             self._set_state(LoaderState.IDLE)
             return
         order = _Order(wanted, chunk_set, report)
@@ -572,12 +576,13 @@
                 if not report.busy:
                     self._forget_order()
                     break
-            elif order.is_unanswered:
-                await self._send_order(order)
-                continue
             elif report.weights == order.wanted.version:
+                # An order of a version in effect does nothing, also a late one.
                 self._forget_order()
                 break
+            elif order.is_unanswered:
+                await self._send_order(order)
+                continue
             await asyncio.sleep(LOAD_POLL_MS / _MS)
         else:
             order.is_unanswered = True
@@ -619,6 +624,8 @@
           The number of pieces that are missing or corrupt.
         """
         spoilt = await self._find_spoilt(order.wanted, order.chunk_set)
+        if spoilt:
+            self._verified_ms = float("-inf")
         is_own = report.order_number == order.report.order_number + 1
         is_sound = not spoilt and is_own and not order.is_suspect
         self._record_check(report, order.wanted, spoilt=not is_sound)
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -439,6 +439,7 @@
             await until(lambda: len(ordered.taken) == 1)
             await until(lambda: has_loaded_again(seen))
             await until(lambda: usable(ordered) == WANTED.version)
+        assert len(ordered.taken) == 2
         assert ordered.taken[-1][1] == dict(enumerate(PIECES))
         assert set(seen) == {0}
 
