Store: an outage that one entry sees alone keeps no removed replica

What callers saw: none was reported. An entry whose own calls to the store fail went on to send requests to a removed replica for as long as they failed, and 2.3 s longer, although it heard of the removal from an entry that the store serves. A reader that replaced one that had left or been restarted counted its first cut watch as an outage, with the same effect for 2.3 s.

Cause: an outage was concluded from the calls of one process alone.

Change: a missing record is awaited for 2.3 s from the first answer that the store gave to any entry, as far as beacons tell; a reader that takes over has a first sign of an outage only if another one reported that the store failed it.

--- a/src/marlramp/core/configuration/catalog.py
+++ b/src/marlramp/core/configuration/catalog.py
@@ -201,6 +201,7 @@
         self._evacuations: dict[ids.DataCentreId, EvacuationChange] = {}
         self.evacuated: frozenset[ids.DataCentreId] = frozenset()
         self._store_failed_ms = float("-inf")
+        self._served_since_ms: float | None = None
         self._outage = named_versions.Outage()
         self._knew_before = False
 
@@ -251,6 +252,30 @@
         """
         self._store_failed_ms = now_ms
 
+    def record_service(self, since_ms: float | None) -> None:
+        """Records since when the store has served other entries.
+
+        An outage that this process still observes is then one of its own path,
+        which keeps no replica from renewing its record.
+
+        Args:
+          since_ms: since when the store has served another entry without an
+            interruption, None if it serves none as far as is known.
+        """
+        self._served_since_ms = since_ms
+
+    def kept_until_ms(self) -> float:
+        """Returns until when a replica whose record is missing is kept.
+
+        Returns:
+          A time on the process's clock, in the past if no outage of the store
+          has lasted until a short time ago.
+        """
+        ended_ms = self._store_failed_ms
+        if self._served_since_ms is not None:
+            ended_ms = min(ended_ms, self._served_since_ms)
+        return ended_ms + REPLICA_RETURN_MS
+
     def record_outage_sign(
         self, bound_ms: float, sign_ms: float, known_ms: float | None = None
     ) -> None:
@@ -461,9 +486,9 @@
           Ids of the replicas that are considered gone now.
         """
         gone = []
-        trusted_ms = self._store_failed_ms + REPLICA_RETURN_MS
+        kept_until_ms = self.kept_until_ms()
         for replica_id, known in list(self._replicas.items()):
-            if known.missing_ms is not None and now_ms >= trusted_ms:
+            if known.missing_ms is not None and now_ms >= kept_until_ms:
                 known.missing_ms = None
                 known.removed_ms = now_ms
                 gone.append(replica_id)
@@ -596,7 +621,7 @@
             return True
         last = None if known is None or change.unreadable else known.last
         item = KnownReplica(None, change.revision, last)
-        if now_ms < self._store_failed_ms + REPLICA_RETURN_MS and last:
+        if now_ms < self.kept_until_ms() and last:
             item.missing_ms = now_ms
         else:
             item.removed_ms = now_ms
--- a/src/marlramp/core/membership/reader_election.py
+++ b/src/marlramp/core/membership/reader_election.py
@@ -83,6 +83,7 @@
         self._started_ms = now_ms
         self._beacons: dict[str, _Beacon] = {}
         self._last_working_ms: float = float("-inf")
+        self._served_since_ms: float | None = None
         self._has_taken_over = False
         self._data_centres: dict[str, str] = {}
         self._ordered: list[str] = []
@@ -108,6 +109,8 @@
             if beacon.received_ms < horizon_ms:
                 del self._beacons[name]
         answered_ms = now_ms - max(0.0, store_age_ms)
+        if self.served_since_ms(now_ms) is None:
+            self._served_since_ms = answered_ms if served else None
         self._beacons[vm_id] = _Beacon(now_ms, answered_ms, served)
         if self._works(vm_id, now_ms):
             self._last_working_ms = now_ms
@@ -164,6 +167,25 @@
         """Returns the other entries that watch the store and are served."""
         return [each for each in self._beacons if self._works(each, now_ms)]
 
+    def served_since_ms(self, now_ms: clock.Millis) -> float | None:
+        """Returns since when the store has served other entries.
+
+        Returns:
+          The time of the first answer since which at least one other entry has
+          counted as working at each moment, None if none does now.
+        """
+        if not self.working_readers(now_ms):
+            self._served_since_ms = None
+        return self._served_since_ms
+
+    def was_failure_reported(self, now_ms: clock.Millis) -> bool:
+        """Returns whether another entry reported that the store failed it."""
+        horizon_ms = now_ms - READER_STORE_AGE_MS
+        return any(
+            not beacon.served and beacon.received_ms >= horizon_ms
+            for beacon in self._beacons.values()
+        )
+
     def store_serves_none(
         self, others: Collection[str], now_ms: clock.Millis
     ) -> bool:
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -233,6 +233,7 @@
             self._fleet.publish,
             self._totals,
             self._clock,
+            self._fleet.was_store_failure_reported,
         )
         self._fleet.attach(
             self._links,
--- a/src/marlramp/direct/fleet/entry_fleet.py
+++ b/src/marlramp/direct/fleet/entry_fleet.py
@@ -238,6 +238,10 @@
             return False
         return self._election.is_reader(self._staying(), self._clock.now_ms())
 
+    def was_store_failure_reported(self) -> bool:
+        """Returns whether another entry reported that the store failed it."""
+        return self._election.was_failure_reported(self._clock.now_ms())
+
     def publish(self, after: int, changes: list[catalog.Change]) -> None:
         """Sends changes that were read from the store to the other entries.
 
@@ -463,6 +467,8 @@
         self._send_beacon()
 
     def _record_store_state(self) -> None:
+        served_since_ms = self._election.served_since_ms(self._clock.now_ms())
+        self._catalog.record_service(served_since_ms)
         call = None if self._reader is None else self._reader.silent_call
         silent_ms = self._outage_detector.outage_sign_ms(call)
         if silent_ms is not None:
--- a/src/marlramp/direct/fleet/store_reader.py
+++ b/src/marlramp/direct/fleet/store_reader.py
@@ -102,6 +102,7 @@
         publish: Publish,
         totals: counters.Counters,
         time: clock.Clock,
+        was_failure_reported: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates a reader that applies changes to `known`.
 
@@ -113,6 +114,8 @@
             with the changes that were new.
           totals: counters.
           time: the clock.
+          was_failure_reported: returns whether another reader reported that the
+            store failed it.
         """
         self._source = source
         self._catalog = known
@@ -120,6 +123,7 @@
         self._publish = publish
         self._totals = totals
         self._clock = time
+        self._was_failure_reported = was_failure_reported
         self._answered_ms: float | None = None
         self._failing = False
         # Whether the next call without an answer shows an outage.
@@ -193,8 +197,9 @@
                 await asyncio.sleep(ELECTION_CHECK_MS / clock.MILLIS_PER_SECOND)
                 continue
             if not was_reading and self._catalog.revision > 0:
-                # That the readers before this one failed is a first sign.
-                self._took_over = True
+                # That the store failed the readers before is a first sign. They
+                # may also have left or restarted.
+                self._took_over = self._was_failure_reported()
             try:
                 await self._step()
             except store.HistoryGoneError:
--- a/tests/direct/fleet/store_fleet.py
+++ b/tests/direct/fleet/store_fleet.py
@@ -149,6 +149,7 @@
             self._publish,
             counters.Counters(),
             fleet.time,
+            self.parts.was_store_failure_reported,
         )
         self.parts.attach(self, self.reader, lambda _: NoOrigin())
         self.sync = self.parts.sync
--- a/tests/direct/fleet/test_store_reader.py
+++ b/tests/direct/fleet/test_store_reader.py
@@ -78,6 +78,8 @@
     source: store_reader.StoreSource,
     done: Callable[[catalog.Catalog], bool],
     known: catalog.Catalog | None = None,
+    *,
+    failure_reported: bool = False,
 ) -> tuple[catalog.Catalog, list[int]]:
     """Reads until `done`.
 
@@ -95,6 +97,7 @@
             lambda after, _: published.append(after),
             counters.Counters(),
             clock.SystemClock(),
+            lambda: failure_reported,
         )
         task = asyncio.create_task(reader.run())
         async with asyncio.timeout(4):
@@ -387,10 +390,25 @@
     """A reader that had just taken over dropped all replicas that lapsed."""
     known = catalog.Catalog()
     known.apply_snapshot(catalog.Snapshot(1, [REPLICA]), clock.Millis(0.0))
-    run_until(CuttingStore(1), lambda c: c.revision == 2, known)
+    run_until(
+        CuttingStore(1),
+        lambda c: c.revision == 2,
+        known,
+        failure_reported=True,
+    )
     assert known.replica("i-1") is not None
 
 
+def test_cut_watch_of_a_reader_that_replaces_one_that_left_is_no_outage() -> (
+    None
+):
+    """A removed replica was sent requests for 2.3 s more by such a reader."""
+    known = catalog.Catalog()
+    known.apply_snapshot(catalog.Snapshot(1, [REPLICA]), clock.Millis(0.0))
+    run_until(CuttingStore(1), lambda c: c.revision == 2, known)
+    assert known.replica("i-1") is None
+
+
 def test_lapsed_replica_is_kept_after_a_long_silence_of_one_call() -> None:
     """An outage that ended before the second call was taken for a cut watch."""
     source = CuttingStore(cut=1, cut_after_ms=store_reader.UNANSWERED_MS)
