Weights: pieces of the last version are not read before those of the next are staged

What callers saw: none was reported.

Cause, from the agents' logs: once a version was named, the agent read the 64 staged pieces of the last one, one after another, before it staged the first new piece. That took 6.7 s there, so that the load came after the time at which the version is mandatory. No request runs at the engine then, and the drain ends at once.

Change: a process that staged the last version, and verified its load, keeps what both versions have in common without reading. Where it has to read, it reads as many pieces at once as elsewhere.

Evidence: test_pieces_of_the_last_version_do_not_delay_those_of_the_next fails before and passes; the loaders' tests pass.

--- a/src/marlramp/core/weights/manifest.py
+++ b/src/marlramp/core/weights/manifest.py
@@ -162,6 +162,13 @@
         self._chunks[index] = data
         return True
 
+    def common_indexes(self, other: ChunkSet) -> set[int]:
+        """Returns the indexes at which both manifests list the same chunk."""
+        pairs = zip(self.manifest.chunks, other.manifest.chunks, strict=False)
+        return {
+            index for index, (own, others) in enumerate(pairs) if own == others
+        }
+
     def copy_common_chunks(self, other: ChunkSet) -> int:
         """Copies the verified chunks that both manifests list.
 
--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -254,6 +254,7 @@
         self._clock = time
         self._staged: set[int] = set()
         self._staged_version: version_digests.ModelVersion | None = None
+        self._staged_set: manifest.ChunkSet | None = None
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
         self._pass_ms = float("inf")
@@ -337,7 +338,10 @@
             self._staged_version != wanted
             or self._staged_born_ms != report.born_ms
         ):
-            await self._adopt_staged(wanted, chunk_set)
+            if self._knows_staged(report):
+                self._keep_common(wanted, chunk_set)
+            else:
+                await self._adopt_staged(wanted, chunk_set)
             self._staged_born_ms = report.born_ms
         if chunk_set.complete:
             self._judge_found(wanted, report)
@@ -369,6 +373,31 @@
         self._set_state(LoaderState.WAITING)
         await asyncio.sleep(LOAD_POLL_MS / _MS)
 
+    def _knows_staged(self, report: engine_state.EngineReport) -> bool:
+        """Returns whether this process knows which pieces are staged.
+
+        Staged pieces are also evidence of what was loaded, and are then read.
+        """
+        return (
+            self._staged_version is not None
+            and self._staged_born_ms == report.born_ms
+            and self._loaded.trust(report) is loaded_weights.LoadTrust.VERIFIED
+        )
+
+    def _keep_common(
+        self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
+    ) -> None:
+        """Keeps the staged pieces that the next version has in common.
+
+        Reading all pieces of the last version instead would delay the first
+        pieces of the next one, by seconds on a slow VM.
+        """
+        before = self._staged_set
+        assert before is not None
+        is_same_model = before.manifest.model == wanted.model
+        common = before.common_indexes(chunk_set) if is_same_model else set()
+        self._set_staged(wanted, chunk_set, self._staged & common)
+
     async def _adopt_staged(
         self, wanted: version_digests.ModelVersion, chunk_set: manifest.ChunkSet
     ) -> None:
@@ -378,27 +407,42 @@
         started were loaded whole: no version is staged over one whose load was
         not verified, and none is staged again before the engine has dropped it.
         """
-        self._staged = set()
         begun_ms = self._clock.now_ms()
-        self._verified_ms = float("-inf")
-        for index in await self._engine.staged(wanted.model):
-            data = await self._engine.read_staged(
-                wanted.model, index, chunk_set.manifest.chunk_bytes
-            )
-            if 0 <= index < len(
-                chunk_set.manifest.chunks
-            ) and chunk_set.matches(index, data):
-                self._staged.add(index)
+        limit = asyncio.Semaphore(STAGE_PARALLEL)
+        matching: set[int] = set()
+
+        async def adopt(index: int) -> None:
+            async with limit:
+                data = await self._engine.read_staged(
+                    wanted.model, index, chunk_set.manifest.chunk_bytes
+                )
+            if chunk_set.matches(index, data):
+                matching.add(index)
                 self._exchange.add(wanted, index, data)
-        self._staged_version = wanted
-        is_whole = len(self._staged) == len(chunk_set.manifest.chunks)
-        if is_whole:
+
+        staged = await self._engine.staged(wanted.model)
+        known = range(len(chunk_set.manifest.chunks))
+        await _run_all(adopt(index) for index in staged if index in known)
+        self._set_staged(wanted, chunk_set, matching)
+        if self._found_whole:
             self._verified_ms = begun_ms
-        self._found_whole = is_whole
+
+    def _set_staged(
+        self,
+        wanted: version_digests.ModelVersion,
+        chunk_set: manifest.ChunkSet,
+        staged: set[int],
+    ) -> None:
+        """Sets which pieces of a version are staged, none of them verified."""
+        self._staged = staged
+        self._staged_version = wanted
+        self._staged_set = chunk_set
+        self._verified_ms = float("-inf")
+        self._found_whole = len(staged) == len(chunk_set.manifest.chunks)
         logs.log(
             "staged_found",
             name=wanted.name,
-            pieces=len(self._staged),
+            pieces=len(staged),
             held=len(chunk_set.held),
         )
 
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -508,3 +508,42 @@
         assert ordered.pieces == dict(enumerate(PIECES))
 
     asyncio.run(main())
+
+
+def test_pieces_of_the_last_version_do_not_delay_those_of_the_next(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against loads so late on a slow VM that no request is drained."""
+    reads: list[int] = []
+    staged: list[bytes] = []
+
+    class Recorded(type(ordered)):  # type: ignore[misc]
+        async def read_staged(
+            self, model: str, index: int, bytes_max: int
+        ) -> bytes:
+            if self.target == NEWER and not staged:
+                reads.append(index)
+            return await super().read_staged(model, index, bytes_max)
+
+        async def stage(self, model: str, index: int, data: bytes) -> None:
+            if data in NEWER_PIECES:
+                staged.append(data)
+            await super().stage(model, index, data)
+
+    async def main() -> None:
+        engine = Recorded()
+        async with loading(engine, clock.SystemClock()):
+            await until(lambda: engine.weights == WANTED.version)
+            loader = engine.loader
+            await until(
+                lambda: loader.usable_weights(engine.report()) == WANTED.version
+            )
+            engine.target = NEWER
+            await until(lambda: engine.weights == NEWER.version)
+        assert not reads
+        assert engine.taken[-1] == (
+            NEWER.version,
+            dict(enumerate(NEWER_PIECES)),
+        )
+
+    asyncio.run(main())
