Weights: digests that never match are asked for anew and not passed on

What callers saw: none was reported.

Cause: digests that were once received counted as right for ever.

Change: a digest is doubted after two mismatches of its piece. Its process then asks other processes and the origin in turn, once a second, replaces doubted digests only, and answers requests for the digests once none is doubted. A digest that a piece has matched is never replaced.

--- a/src/marlramp/core/weights/manifest.py
+++ b/src/marlramp/core/weights/manifest.py
@@ -13,6 +13,10 @@
 CHUNKS_MAX = 65_536
 """Maximum number of chunks in one manifest."""
 
+DOUBTED_MISMATCHES = 2
+"""Mismatches of one chunk after which its digest is doubted: bytes that arrive
+corrupt rarely do so twice in a row."""
+
 
 class ManifestError(Exception):
     """A manifest that cannot be used."""
@@ -130,6 +134,7 @@
         self.manifest = manifest
         self._digest = digest
         self._chunks: dict[int, bytes] = {}
+        self._mismatches: dict[int, int] = {}
 
     @property
     def held(self) -> set[int]:
@@ -141,6 +146,15 @@
         """Whether every chunk is held and verified."""
         return len(self._chunks) == len(self.manifest.chunks)
 
+    @property
+    def doubted(self) -> set[int]:
+        """Indexes of chunks whose digests may be wrong."""
+        return {
+            index
+            for index, count in self._mismatches.items()
+            if count >= DOUBTED_MISMATCHES
+        }
+
     def get(self, index: int) -> bytes | None:
         """Returns a verified chunk, or None if it is not held."""
         return self._chunks.get(index)
@@ -158,10 +172,42 @@
         if not 0 <= index < len(self.manifest.chunks):
             return False
         if not self.matches(index, data):
+            self._mismatches[index] = self._mismatches.get(index, 0) + 1
             return False
+        self._mismatches.pop(index, None)
         self._chunks[index] = data
         return True
 
+    def replace_doubted(self, found: Manifest, *, confirms: bool) -> set[int]:
+        """Replaces doubted digests by those of another copy of the manifest.
+
+        Digests that a chunk has matched are kept.
+
+        Args:
+          found: the other copy.
+          confirms: whether a digest that is equal in the copy is right.
+
+        Returns:
+          The indexes of the digests that were wrong.
+        """
+        own = self.manifest
+        if (found.chunk_bytes, found.total_bytes) != (
+            own.chunk_bytes,
+            own.total_bytes,
+        ):
+            return set()
+        chunks = list(own.chunks)
+        replaced = set()
+        for index in self.doubted:
+            if found.chunks[index] != chunks[index]:
+                chunks[index] = found.chunks[index]
+                replaced.add(index)
+            elif not confirms:
+                continue
+            del self._mismatches[index]
+        self.manifest = msgspec.structs.replace(own, chunks=chunks)
+        return replaced
+
     def common_indexes(self, other: ChunkSet) -> set[int]:
         """Returns the indexes at which both manifests list the same chunk."""
         pairs = zip(self.manifest.chunks, other.manifest.chunks, strict=False)
--- a/src/marlramp/direct/weights/piece_exchange.py
+++ b/src/marlramp/direct/weights/piece_exchange.py
@@ -455,6 +455,7 @@
         self._forget_strangers()
         if self._swarm is None or self._wanted is None:
             return
+        self._digests.check_doubted(self._wanted)
         self._announce(self._swarm, self._wanted)
         self._relays.tick(self._swarm)
         self._drop_silent(self._swarm)
--- a/src/marlramp/direct/weights/piece_relay.py
+++ b/src/marlramp/direct/weights/piece_relay.py
@@ -532,6 +532,7 @@
             return
         self._add_newest()
         for version in self._versions.values():
+            self._digests.check_doubted(version.wanted)
             self._request_holdings(version)
             self._announce(version)
             self._act(version)
--- a/src/marlramp/direct/weights/version_digests.py
+++ b/src/marlramp/direct/weights/version_digests.py
@@ -36,6 +36,9 @@
 """Processes at the front of the order of requests to the origin that are
 queried first, in the own region or in all regions: all processes query them."""
 
+RECHECK_MS = 1_000.0
+"""Minimum interval between two requests for digests that are doubted."""
+
 PENDING_VERSIONS_MAX = 4
 """Maximum number of versions with pending requests of other processes: the
 versions that were announced recently. Once it is reached, the next request
@@ -130,6 +133,9 @@
         self._pending_requests: dict[str, set[str]] = {}
         self._sought: list[str] = []
         self._learned = asyncio.Event()
+        self._recheck: asyncio.Task[None] | None = None
+        self._rechecked_ms = float("-inf")
+        self._asks_origin = False
         self.origin: Origin | None = None
         self.chunk_sets: collections.OrderedDict[str, manifest.ChunkSet] = (
             collections.OrderedDict()
@@ -181,8 +187,12 @@
         return self.chunk_sets[wanted.name]
 
     def on_request(self, name: str, request: messages.ManifestRequest) -> None:
-        """Replies to a request for digests, at once or when they are known."""
-        if request.manifest in self.chunk_sets:
+        """Replies to a request for digests, at once or when they are known.
+
+        Digests are not passed on while one of them is doubted.
+        """
+        known = self.chunk_sets.get(request.manifest)
+        if known is not None and not known.doubted:
             self._send_manifest(name, request.manifest)
             return
         if len(self._pending_requests) >= PENDING_VERSIONS_MAX:
@@ -194,13 +204,14 @@
     def on_reply(self, reply: messages.ManifestReply) -> None:
         """Adds the digests that another process sent, if they are sought.
 
-        Digests that nobody waits for would be kept without a bound. A reply
-        that is malformed or names another version is dropped, and the search
-        goes on.
+        They also replace digests that are doubted. Digests that nobody waits
+        for would be kept without a bound. A reply that is malformed or names
+        another version is dropped, and the search goes on.
         """
-        if not reply.data or reply.manifest in self.chunk_sets:
+        known = self.chunk_sets.get(reply.manifest)
+        if known is None and reply.manifest not in self._sought:
             return
-        if reply.manifest not in self._sought:
+        if not reply.data or (known is not None and not known.doubted):
             return
         try:
             found = manifest.decode_unverified(reply.data)
@@ -211,7 +222,53 @@
         if found_name != reply.manifest:
             logs.log("digests_refused", name=reply.manifest, detail=found_name)
             return
-        self._add_manifest(reply.manifest, found)
+        if known is None:
+            self._add_manifest(reply.manifest, found)
+        else:
+            self._replace_doubted(reply.manifest, found, confirms=False)
+
+    def check_doubted(self, wanted: ModelVersion) -> None:
+        """Requests the digests of a version anew while some are doubted.
+
+        Other processes and the origin are queried in turn.
+        """
+        chunk_set = self.chunk_sets.get(wanted.name)
+        if chunk_set is None:
+            return
+        if not chunk_set.doubted:
+            self._answer_pending(wanted.name)
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - self._rechecked_ms < RECHECK_MS:
+            return
+        self._rechecked_ms = now_ms
+        if self._asks_origin and self.origin is not None:
+            self._recheck = asyncio.create_task(self._read_again(wanted))
+        else:
+            self._query_peers(wanted)
+        self._asks_origin = not self._asks_origin
+
+    async def _read_again(self, wanted: ModelVersion) -> None:
+        if self.origin is None:
+            return
+        try:
+            found = await self.origin.manifest(wanted.model, wanted.version)
+        except clients.PlatformError as error:
+            logs.log("manifest_unavailable", name=wanted.name, detail=error)
+            return
+        self._replace_doubted(wanted.name, found, confirms=True)
+
+    def _replace_doubted(
+        self, name: str, found: manifest.Manifest, *, confirms: bool
+    ) -> None:
+        chunk_set = self.chunk_sets.get(name)
+        if chunk_set is None:
+            return
+        replaced = chunk_set.replace_doubted(found, confirms=confirms)
+        if replaced:
+            logs.log("digests_replaced", name=name, indexes=sorted(replaced))
+        if not chunk_set.doubted:
+            self._answer_pending(name)
 
     def _query_peers(self, wanted: ModelVersion) -> None:
         """Requests digests from some processes, which reply once they know."""
@@ -293,6 +350,9 @@
         self.chunk_sets[name] = chunk_set
         self._learned.set()
         logs.log("manifest_known", name=name, pieces_kept=kept)
+        self._answer_pending(name)
+
+    def _answer_pending(self, name: str) -> None:
         for peer in self._pending_requests.pop(name, ()):
             self._send_manifest(peer, name)
 
