--- a/src/marlramp/direct/fleet/catalog_log.py
+++ b/src/marlramp/direct/fleet/catalog_log.py
@@ -49,6 +49,7 @@
                 state=_state_of(change),
                 weights=None if replica is None else replica.weights,
                 source=source,
+                kept_ms=_kept_ms(change, known, now_ms),
             )
         case catalog.EvacuationChange():
             event = (
@@ -100,6 +101,19 @@
     return round(value_ms)
 
 
+def _kept_ms(
+    change: catalog.ReplicaChange, known: catalog.Catalog, now_ms: clock.Millis
+) -> int | None:
+    """Returns how long a removed replica is kept after an outage of the store.
+
+    Returns:
+      The time in ms from now, None if the replica is not kept.
+    """
+    if change.replica is not None or known.replica(change.replica_id) is None:
+        return None
+    return _rounded(known.kept_until_ms() - now_ms)
+
+
 def _state_of(change: catalog.ReplicaChange) -> str:
     if change.replica is not None:
         return change.replica.state.value
--- a/src/marlramp/direct/launch.py
+++ b/src/marlramp/direct/launch.py
@@ -16,7 +16,9 @@
 import time as blocking_time
 from typing import Protocol
 
+from marlramp import build_info
 from marlramp import clock
+from marlramp import interpreter
 from marlramp import logs
 from marlramp.platform import settings as platform_settings
 from marlramp.settings import node
@@ -104,6 +106,12 @@
             print(f"marlrampd: {problem}", file=sys.stderr)
         return EXIT_SETTINGS_REFUSED
     logs.start_logging(settings.vm_id, sys.stdout)
+    logs.log(
+        "process_started",
+        source_digest=build_info.source_digest(),
+        interpreter=interpreter.found(),
+        machine=os.uname().machine,
+    )
     try:
         asyncio.run(run(lambda: create(settings, _settings_loader(path))))
     finally:
