Weights: what an engine held at an agent's start is judged beside a newer version too

What callers saw: none was reported.

Cause: the pieces that the engine held at the start were judged only if their version was still wanted.

Change: the digests of the held version are sought for up to 1 s, and the staged pieces judged by them. Staged pieces of the wanted version show nothing: a process stages over verified loads only.

Evidence: test_found_weights_are_judged_while_a_newer_version_is_wanted fails for corrupt and for whole pieces before, and passes. The loaders' fake exchange knew digests of any version; it knows those of its own now.

--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -65,6 +65,10 @@
 RETRY_MS = 200.0
 """Delay before a retry after an error of the platform."""
 
+FOUND_DIGESTS_MS = 1_000.0
+"""Maximum time for which the digests of weights are sought that the engine held
+before this process started, while another version is wanted."""
+
 _MS = clock.MILLIS_PER_SECOND
 
 
@@ -259,6 +263,7 @@
         self._verified_ms = float("-inf")
         self._pass_ms = float("inf")
         self._found_whole = True
+        self._is_found_judged = False
         self._order: _Order | None = None
         self._loaded = loaded_weights.LoadedWeights()
         self._times = rollout_times.RolloutTimes(time)
@@ -334,6 +339,8 @@
             self._set_state(LoaderState.IDLE)
             await asyncio.sleep(POLL_MS / _MS)
             return
+        if not self._is_found_judged:
+            await self._judge_found_other(wanted, chunk_set, report)
         if (
             self._staged_version != wanted
             or self._staged_born_ms != report.born_ms
@@ -460,6 +467,45 @@
         if is_found and report.weights == wanted.version:
             self._record_check(report, wanted, spoilt=not self._found_whole)
 
+    async def _judge_found_other(
+        self,
+        wanted: version_digests.ModelVersion,
+        chunk_set: manifest.ChunkSet,
+        report: engine_state.EngineReport,
+    ) -> None:
+        """Judges weights of another version that the engine held at the start.
+
+        A process stages a version only over one whose load it has verified, so
+        that staged pieces of the wanted version show nothing against the other.
+
+        Args:
+          wanted: the wanted version.
+          chunk_set: its pieces.
+          report: the report of the engine.
+        """
+        self._is_found_judged = True
+        is_found = self._loaded.trust(report) is loaded_weights.LoadTrust.FOUND
+        if not is_found or report.weights in (0, wanted.version):
+            return
+        end_ms = self._clock.now_ms() + FOUND_DIGESTS_MS
+        held = version_digests.ModelVersion(wanted.model, report.weights)
+        held_set = await self._exchange.find_manifest(
+            held,
+            lambda: (
+                self._agent.wanted() == wanted and self._clock.now_ms() < end_ms
+            ),
+        )
+        if held_set is None:
+            return
+        spoilt = await self._find_spoilt(held, held_set)
+        for index in spoilt:
+            data = await self._engine.read_staged(
+                wanted.model, index, chunk_set.manifest.chunk_bytes
+            )
+            if chunk_set.matches(index, data):
+                return
+        self._record_check(report, held, spoilt=bool(spoilt))
+
     def _holds_unverified(
         self,
         wanted: version_digests.ModelVersion,
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -46,8 +46,8 @@
         self,
         wanted: version_digests.ModelVersion,
         is_wanted: Callable[[], bool],
-    ) -> manifest.ChunkSet:
-        return self.chunk_set
+    ) -> manifest.ChunkSet | None:
+        return self.chunk_set if wanted == WANTED else None
 
     def start_fetch(
         self, wanted: version_digests.ModelVersion, *, is_new: bool
@@ -319,8 +319,10 @@
         self,
         wanted: version_digests.ModelVersion,
         is_wanted: Callable[[], bool],
-    ) -> manifest.ChunkSet:
-        return self.newer if wanted == NEWER else self.chunk_set
+    ) -> manifest.ChunkSet | None:
+        if wanted == NEWER:
+            return self.newer
+        return await super().find_manifest(wanted, is_wanted)
 
 
 @contextlib.asynccontextmanager
@@ -510,6 +512,38 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize(
+    ("staged", "trust"),
+    [
+        (PIECES, loaded_weights.LoadTrust.VERIFIED),
+        ([b"rotten", PIECES[1]], loaded_weights.LoadTrust.SPOILT),
+        ([NEWER_PIECES[0], PIECES[1]], loaded_weights.LoadTrust.FOUND),
+    ],
+    ids=["whole", "corrupt", "partly newer"],
+)
+def test_found_weights_are_judged_while_a_newer_version_is_wanted(
+    ordered: OrderedEngine,
+    staged: list[bytes],
+    trust: loaded_weights.LoadTrust,
+) -> None:
+    """Guards against a corrupt load that a process left as it was killed."""
+
+    async def main() -> None:
+        ordered.weights, ordered.target = WANTED.version, NEWER
+        ordered.pieces = dict(enumerate(staged))
+        exchange = NewerExchange()
+        exchange.newer = manifest.ChunkSet(NEWER_FOUND, manifest.sha256_of)
+        async with loading(ordered, clock.SystemClock(), exchange) as loader:  # type: ignore[arg-type]
+            await asyncio.sleep(0.3)
+            assert loader.trust(ordered.report()) is trust
+            for index, piece in enumerate(NEWER_PIECES):
+                exchange.newer.add(index, piece)
+            await until(lambda: ordered.weights == NEWER.version)
+        assert ordered.pieces == dict(enumerate(NEWER_PIECES))
+
+    asyncio.run(main())
+
+
 def test_pieces_of_the_last_version_do_not_delay_those_of_the_next(
     ordered: OrderedEngine,
 ) -> None:
