--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -339,8 +339,9 @@
             self._set_state(LoaderState.IDLE)
             await asyncio.sleep(POLL_MS / _MS)
             return
-        if not self._is_found_judged:
+        if not self._is_found_judged and not report.busy:
             await self._judge_found_other(wanted, chunk_set, report)
+            self._is_found_judged = True
         if (
             self._staged_version != wanted
             or self._staged_born_ms != report.born_ms
@@ -476,14 +477,13 @@
         """Judges weights of another version that the engine held at the start.
 
         A process stages a version only over one whose load it has verified, so
-        that staged pieces of the wanted version show nothing against the other.
+        that staged pieces of a newer version show nothing against the other.
 
         Args:
           wanted: the wanted version.
           chunk_set: its pieces.
           report: the report of the engine.
         """
-        self._is_found_judged = True
         is_found = self._loaded.trust(report) is loaded_weights.LoadTrust.FOUND
         if not is_found or report.weights in (0, wanted.version):
             return
@@ -498,6 +498,9 @@
         if held_set is None:
             return
         spoilt = await self._find_spoilt(held, held_set)
+        if spoilt and wanted.version != held.version + 1:
+            # They may be pieces of a version in between.
+            return
         for index in spoilt:
             data = await self._engine.read_staged(
                 wanted.model, index, chunk_set.manifest.chunk_bytes
