Weights: a check of staged pieces that a suspension interrupts is repeated

What callers saw: none was reported.

Cause, from the agent's log: the agent was suspended within its first pass over the pieces. The piece had been read before. On a slow VM a check may be as old as two passes take, and the time of a pass was taken from that one: verified_age_ms=7635.

Change: timers show a suspension. A pass that spans one is repeated, once, since each pass may seem interrupted on a starved VM; a check from before a suspension counts as old.

--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -24,6 +24,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
+from marlramp.core import suspension
 from marlramp.core.replicas import engine_state
 from marlramp.core.replicas import loaded_weights
 from marlramp.core.weights import manifest
@@ -62,6 +63,9 @@
 VERIFY_ATTEMPTS_MAX = 5
 """Passes over the staged pieces until one finds all of them correct in time."""
 
+SUSPENSION_CHECK_MS = 100.0
+"""Interval between two checks whether this process was suspended."""
+
 RETRY_MS = 200.0
 """Delay before a retry after an error of the platform."""
 
@@ -261,7 +265,9 @@
         self._staged_set: manifest.ChunkSet | None = None
         self._staged_born_ms: int | None = None
         self._verified_ms = float("-inf")
+        self._verified_end_ms = float("-inf")
         self._pass_ms = float("inf")
+        self._suspensions = suspension.SuspensionDetector(time)
         self._found_whole = True
         self._is_found_judged = False
         self._order: _Order | None = None
@@ -300,6 +306,18 @@
         # closed for a load that will not happen.
         self._staged_version = None
         self._set_state(LoaderState.IDLE)
+        watch = asyncio.create_task(self._watch_suspensions())
+        try:
+            await self._follow()
+        finally:
+            watch.cancel()
+
+    async def _watch_suspensions(self) -> None:
+        while True:
+            self._suspensions.resumed_ms()
+            await asyncio.sleep(SUSPENSION_CHECK_MS / _MS)
+
+    async def _follow(self) -> None:
         while True:
             wanted = self._agent.wanted()
             if wanted is None:
@@ -434,6 +452,7 @@
         self._set_staged(wanted, chunk_set, matching)
         if self._found_whole:
             self._verified_ms = begun_ms
+            self._verified_end_ms = self._clock.now_ms()
 
     def _set_staged(
         self,
@@ -788,7 +807,7 @@
 
         Returns at once if that was done a short time ago. Replaced pieces are
         read back too, and all are read again if the process was suspended
-        meanwhile.
+        meanwhile: pieces that were read before may have become corrupt.
 
         Returns:
           Whether pieces were replaced.
@@ -797,16 +816,18 @@
           clients.PlatformError: the pieces do not stay correct.
         """
         replaced = False
+        may_repeat = True
         for _ in range(VERIFY_ATTEMPTS_MAX):
             if self._is_verified_lately():
                 return replaced
             begun_ms = self._clock.now_ms()
             spoilt = await self._find_spoilt(wanted, chunk_set)
-            # The shortest pass is one in which the process was not suspended.
-            taken_ms = self._clock.now_ms() - begun_ms
-            self._pass_ms = min(self._pass_ms, taken_ms)
+            interrupted = self._suspensions.resumed_ms() >= begun_ms
+            if not interrupted or not may_repeat:
+                self._record_pass(begun_ms, is_correct=not spoilt)
+            # On a starved VM each pass may seem interrupted.
+            may_repeat = may_repeat and not interrupted
             if not spoilt:
-                self._verified_ms = begun_ms
                 continue
             replaced = True
             for index in spoilt:
@@ -819,7 +840,17 @@
             raise clients.PlatformError("staged pieces do not stay correct")
         return replaced
 
+    def _record_pass(self, begun_ms: float, *, is_correct: bool) -> None:
+        """Records a pass over the staged pieces."""
+        taken_ms = self._clock.now_ms() - begun_ms
+        self._pass_ms = min(self._pass_ms, taken_ms)
+        if is_correct:
+            self._verified_ms = begun_ms
+            self._verified_end_ms = self._clock.now_ms()
+
     def _is_verified_lately(self) -> bool:
+        if self._suspensions.resumed_ms() > self._verified_end_ms:
+            return False
         max_age_ms = VERIFIED_MAX_AGE_MS
         if self._pass_ms < float("inf"):
             passes_ms = VERIFIED_MAX_AGE_PASSES * self._pass_ms
--- a/tests/direct/weights/test_weights_loader.py
+++ b/tests/direct/weights/test_weights_loader.py
@@ -425,6 +425,31 @@
     asyncio.run(main())
 
 
+def test_check_that_a_suspension_interrupts_is_repeated(
+    ordered: OrderedEngine,
+) -> None:
+    """Guards against pieces that turn corrupt after they were read."""
+    time = SkippingClock()
+
+    class Interrupted(type(ordered)):  # type: ignore[misc]
+        async def read_staged(
+            self, model: str, index: int, bytes_max: int
+        ) -> bytes:
+            data = await super().read_staged(model, index, bytes_max)
+            if index == 1 and not time.skipped_ms:
+                self.pieces[1] = b"rotten"
+                time.skipped_ms = 4_000.0
+            return data
+
+    async def main() -> None:
+        engine = Interrupted()
+        async with loading(engine, time):
+            await until(lambda: usable(engine) == WANTED.version)
+        assert engine.taken == [(WANTED.version, dict(enumerate(PIECES)))]
+
+    asyncio.run(main())
+
+
 def test_engine_whose_pieces_are_read_slowly_is_loaded(
     ordered: OrderedEngine,
 ) -> None:
