--- a/src/marlramp/direct/weights/weights_loader.py
+++ b/src/marlramp/direct/weights/weights_loader.py
@@ -24,10 +24,10 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
-from marlramp.core import suspension
 from marlramp.core.replicas import engine_state
 from marlramp.core.replicas import loaded_weights
 from marlramp.core.weights import manifest
+from marlramp.core.weights import suspension
 from marlramp.direct.weights import piece_exchange
 from marlramp.direct.weights import rollout_times
 from marlramp.direct.weights import version_digests
--- a/tests/core/test_suspension.py
+++ b/tests/core/weights/test_suspension.py
@@ -5,7 +5,7 @@
 import pytest
 
 from marlramp import clock
-from marlramp.core import suspension
+from marlramp.core.weights import suspension
 
 
 @pytest.fixture
