--- a/standins/direct_documents.py
+++ b/standins/direct_documents.py
@@ -95,6 +95,7 @@
     version: int = 1,
     keys: list[str] | None = None,
     constraints: Constraints | None = None,
+    caller_limits: Mapping[str, int] | None = None,
 ) -> dict[str, object]:
     """Returns a configuration with one streaming and two plain routes.
 
@@ -103,6 +104,7 @@
       version: version of the configuration.
       keys: API keys of its customer, None for `KEY` alone.
       constraints: placement constraints, None for no constraints.
+      caller_limits: limits on callers that differ from the defaults.
     """
     config: dict[str, object] = {
         "version": version,
@@ -141,7 +143,7 @@
             {"name": DESK_SERVICE, "max_conns": 64},
             {"name": "origin", "upstream": origin, "max_conns": 48},
         ],
-        "limits": {},
+        "limits": dict(caller_limits or {}),
         "tenants": [{"name": "c", "api_keys": keys or [KEY], "priority": 1}],
     }
     if constraints is not None:
@@ -171,6 +173,23 @@
 RETRY_BUDGET = RetryBudget()
 
 
+class VmLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What one process may use on its VM.
+
+    Attributes:
+      memory_mb: memory in megabytes.
+      descriptors: number of open descriptors, of which the platform reserves
+        `FILE_DESCRIPTORS` for files.
+    """
+
+    memory_mb: int = 300
+    descriptors: int = 4_100
+
+
+FILE_DESCRIPTORS = 200
+VM_LIMITS = VmLimits()
+
+
 def settings_text(
     name: str,
     host: str,
@@ -183,6 +202,7 @@
     regions: Mapping[str, str] = REGIONS,
     constrained: bool = False,
     retry_budget: RetryBudget = RETRY_BUDGET,
+    vm_limits: VmLimits = VM_LIMITS,
 ) -> str:
     """Returns the content of the settings file of one process.
 
@@ -197,6 +217,7 @@
       regions: region by data centre.
       constrained: whether to include the bounds of placement constraints.
       retry_budget: the retries that are allowed.
+      vm_limits: what the process may use on its VM.
     """
     lines = [
         f"node_name={name}",
@@ -207,6 +228,8 @@
         "port_range=7700,7715",
         "seed_nodes=" + ",".join(f"{seed}:8000" for seed in seeds),
         "limits.link_mbps=1000",
+        f"limits.memory_mb={vm_limits.memory_mb}",
+        f"limits.max_fds={vm_limits.descriptors}",
         f"heartbeat_ms={HEARTBEAT_MS:.0f}",
         f"platform.address={store}",
         "bounds.drain_ms=2000",
--- a/standins/direct_fleet.py
+++ b/standins/direct_fleet.py
@@ -61,6 +61,8 @@
         retry_budget: direct_documents.RetryBudget = (
             direct_documents.RETRY_BUDGET
         ),
+        vm_limits: direct_documents.VmLimits = direct_documents.VM_LIMITS,
+        caller_limits: Mapping[str, int] | None = None,
     ) -> None:
         """Initializes the fleet; nothing runs until the context is entered.
 
@@ -76,8 +78,12 @@
             each distributed round-robin over the data centres.
           constraints: placement constraints, None for no constraints.
           retry_budget: the retries of each service.
+          vm_limits: what each daemon may use on its VM.
+          caller_limits: limits on callers that differ from the defaults.
         """
         self.retry_budget = retry_budget
+        self.vm_limits = vm_limits
+        self._caller_limits = caller_limits
         self._regions = regions
         self.constraints = constraints
         cold_start_s = constraints.cold_start_s if constraints else 0.0
@@ -126,7 +132,9 @@
         self.store.put(
             "op/config",
             direct_documents.configuration(
-                self.origin_address, constraints=self.constraints
+                self.origin_address,
+                constraints=self.constraints,
+                caller_limits=self._caller_limits,
             ),
         )
         if self.constraints and self.constraints.cold_start_s:
@@ -338,6 +346,7 @@
                 regions=self._regions,
                 constrained=self.constraints is not None,
                 retry_budget=self.retry_budget,
+                vm_limits=self.vm_limits,
             )
         )
         with (self._folder / f"{name}.log").open("ab") as log:
--- a/tests/failures/direct_runs.py
+++ b/tests/failures/direct_runs.py
@@ -28,6 +28,8 @@
     proxied: bool = False,
     regions: Mapping[str, str] = direct_documents.REGIONS,
     constraints: direct_documents.Constraints | None = None,
+    vm_limits: direct_documents.VmLimits = direct_documents.VM_LIMITS,
+    caller_limits: Mapping[str, int] | None = None,
 ) -> RunFleet:
     """Returns a function that runs a scenario against a new fleet.
 
@@ -40,6 +42,8 @@
       proxied: whether connections pass through fault-injecting proxies.
       regions: region of each data centre.
       constraints: placement constraints of requests, None for none.
+      vm_limits: what each daemon may use on its VM.
+      caller_limits: limits on callers that differ from the defaults.
     """
 
     def run(scenario: Scenario) -> None:
@@ -53,6 +57,8 @@
                 proxied=proxied,
                 regions=regions,
                 constraints=constraints,
+                vm_limits=vm_limits,
+                caller_limits=caller_limits,
             )
             async with asyncio.timeout(TIMEOUT_S), fleet:
                 await scenario(fleet)
