HTTP server: a closed connection is freed at once, with all its requests hold

Callers saw: small crowds that came again and again ended the process, since each wave kept its bodies (85 to 100 MB for waves of 6, bound 80). Cause: four reference cycles that only the collector's oldest generation ends: a connection and its parser, on the server's and the client's side; a refusal that was kept with its traceback, whose frames hold the body; a stream's relay and its last attempt; an attempt and its cancelled task. Ruled out: asyncio's transport, which refers to itself on 3.11, drops its protocol and buffer at the end. Change: a closed connection drops its parser and what was read; a refusal is kept without its traceback and the body it refuses is dropped; attempts leave their relay and drop their task with the call.

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -201,6 +201,9 @@
         self._buffers.release(self)
         self._body = bytearray()
 
+    def leave(self) -> None:
+        """Drops what the attempt shares with others at the same request."""
+
     def on_complete(self) -> None:
         """Finishes the attempt with the outcome of a complete answer."""
         answer = self._answer
@@ -381,6 +384,10 @@
         self._streams = False
         relay.join(self)
 
+    def leave(self) -> None:
+        """Leaves the relay, which refers to its attempts."""
+        self._relay.leave(self)
+
     def overtake(self) -> None:
         """Ends the attempt, since another one has forwarded events."""
         self.overtaken = True
--- a/src/marlramp/direct/calls/running_attempts.py
+++ b/src/marlramp/direct/calls/running_attempts.py
@@ -56,6 +56,10 @@
             return False
         return self._attempt.progress_ms < self._silent_ms
 
+    def release(self) -> None:
+        """Drops the task, whose exception may refer to the attempt."""
+        del self.task
+
     # Called by the sender.
 
     def begin(self, attempt: attempts.Attempt) -> None:
@@ -73,6 +77,7 @@
 
     def __init__(self) -> None:
         """Starts without attempts."""
+        self._started: list[RunningAttempt] = []
         self._running: list[RunningAttempt] = []
         self._changed = asyncio.Event()
 
@@ -85,8 +90,12 @@
         tasks = [attempt.task for attempt in self._running]
         for task in tasks:
             task.cancel()
-        if tasks:
-            await asyncio.wait(tasks)
+        try:
+            if tasks:
+                await asyncio.wait(tasks)
+        finally:
+            for attempt in self._started:
+                attempt.release()
 
     def __bool__(self) -> bool:
         """Returns whether any attempt runs or has a result."""
@@ -121,6 +130,7 @@
         attempt = RunningAttempt(choice, self._changed.set)
         attempt.task = asyncio.create_task(send(attempt))
         attempt.task.add_done_callback(lambda _: self._changed.set())
+        self._started.append(attempt)
         self._running.append(attempt)
 
     async def wait(self) -> RunningAttempt | None:
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -367,6 +367,7 @@
             await self._check_end(call, choice, attempt, result, observer)
         finally:
             attempt.release()
+            attempt.leave()
             call.backpressure.remove(connection)
         return result
 
--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -151,6 +151,7 @@
     def abort(self) -> None:
         """Aborts the connection; the reader gets no further callbacks."""
         self._reader = None
+        self._parser = None
         if self._transport is not None and not self.closed:
             closing.abort(self._transport)
         self.closed = True
@@ -212,6 +213,7 @@
         """Reports a response that is incomplete."""
         self.closed = True
         if self._reader is None:
+            self._parser = None
             return
         if self._body_until_close and exc is None and self._head is not None:
             self._complete()
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -241,7 +241,10 @@
         self._clock = time
         self._connections = connections
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        # None once the connection is closed: the two refer to each other.
+        self._parser: httptools.HttpRequestParser | None = (
+            httptools.HttpRequestParser(self)
+        )
         self._queued: collections.deque[Request] = collections.deque()
         self._queued_bytes = 0
         # Received bytes that are not parsed yet.
@@ -404,11 +407,15 @@
             self._start_header_timer()
 
     def _feed_piece(self) -> None:
+        parser = self._parser
+        if parser is None:
+            self._unparsed = _NOTHING
+            return
         piece = self._unparsed[:PIECE_BYTES]
         self._unparsed = self._unparsed[PIECE_BYTES:]
         self._framing_bytes += len(piece)
         try:
-            self._parser.feed_data(piece)
+            parser.feed_data(piece)
             self._check_framing()
         except httptools.HttpParserUpgrade:
             # The request is answered as one without an upgrade.
@@ -459,6 +466,7 @@
         self._queued.clear()
         if self._task is not None:
             self._task.cancel()
+        self._release()
 
     def pause_writing(self) -> None:
         """Pauses the source of the response."""
@@ -522,16 +530,16 @@
 
     def on_message_complete(self) -> None:
         """Queues the request behind earlier ones on the connection."""
+        parser = self._parser
+        if parser is None:
+            return
         self._framing_bytes = 0
         self._cancel_timer()
         self._reading_message = False
-        keep_alive = (
-            self._parser.should_keep_alive()
-            and not self._parser.should_upgrade()
-        )
+        keep_alive = parser.should_keep_alive() and not parser.should_upgrade()
         self._complete = not keep_alive
         request = Request(
-            method=self._parser.get_method().decode("latin-1"),
+            method=parser.get_method().decode("latin-1"),
             target=self._target,
             headers=self._headers,
             body=bytes(self._body),
@@ -562,6 +570,12 @@
         self._in_body = False
         self._wants_continue = False
 
+    def _release(self) -> None:
+        """Drops what was read, so that it is freed with its last use."""
+        self._parser = None
+        self._unparsed = _NOTHING
+        self._reset_message()
+
     def _check_framing(self) -> None:
         """Refuses a message whose bytes beyond its body exceed the limit.
 
@@ -629,8 +643,10 @@
         """Stops reading; refuses the request once earlier ones are answered."""
         if self._lost or self._refusal is not None:
             return
-        self._refusal = error
+        # The frames of its traceback refer to the connection.
+        self._refusal = error.with_traceback(None)
         self._reading_message = False
+        self._reset_message()
         self._cancel_timer()
         self._stop_reading()
         self._gate.refused(error)
