Bounds over all holders of bytes: one mechanism for links and answers

Cause: links between members and buffers of answers each had a bound over all of them of their own; callers' connections need one as well. Change: SharedBytes measures holders, evicts those of highest rank and knows those that can't be evicted; links and answers use it with the limits they had. An evicted holder that records itself no longer starts another eviction inside the first.

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -13,6 +13,7 @@
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
+from marlramp.shell import shared_bytes
 
 PLAIN_BODY_BYTES_MAX = 8_388_608
 """Largest plain answer; it is buffered until it is complete."""
@@ -94,28 +95,17 @@
     return Outcome(failure=errors.CallError(kind, detail, ran=ran))
 
 
-class AnswerBuffers:
-    """Buffers of the plain answers that are being received."""
+def answer_buffers() -> shared_bytes.SharedBytes[Attempt]:
+    """Returns the buffers of the plain answers that are being received.
 
-    def __init__(self) -> None:
-        """Starts without buffers."""
-        self._sizes: dict[Attempt, int] = {}
-        self._total_bytes = 0
-
-    def record(self, attempt: Attempt, size_bytes: int) -> None:
-        """Records the size of a buffer.
-
-        The attempt with the largest answer is refused if all of them together
-        are too large.
-        """
-        self._total_bytes += size_bytes - self._sizes.get(attempt, 0)
-        self._sizes[attempt] = size_bytes
-        if self._total_bytes > BUFFERED_BYTES_MAX:
-            max(self._sizes, key=self._sizes.__getitem__).refuse()
-
-    def release(self, attempt: Attempt) -> None:
-        """Forgets the buffer of an attempt that has ended."""
-        self._total_bytes -= self._sizes.pop(attempt, 0)
+    The attempt with the largest answer is refused if all of them together are
+    too large.
+    """
+    return shared_bytes.SharedBytes(
+        BUFFERED_BYTES_MAX,
+        lambda attempt: attempt.buffered_bytes,
+        lambda attempt: attempt.refuse(),
+    )
 
 
 class Attempt:
@@ -137,7 +127,7 @@
         call: wire.RequestInfo,
         observer: Observer,
         time: clock.Clock,
-        buffers: AnswerBuffers,
+        buffers: shared_bytes.SharedBytes[Attempt],
     ) -> None:
         """Creates an attempt whose request is about to be sent."""
         self._codec = codec
@@ -159,6 +149,11 @@
         """Head of the answer, None until it has arrived."""
         return self._answer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the answer that are buffered."""
+        return len(self._body)
+
     def on_head(self, head: http1_client.ResponseHead) -> None:
         """Checks that the answer belongs to the request, and reports it."""
         self.progress_ms = self._clock.now_ms()
@@ -184,7 +179,7 @@
             self.refuse()
             return
         self._body += data
-        self._buffers.record(self, len(self._body))
+        self._buffers.record(self)
 
     def refuse(self) -> None:
         """Finishes the attempt because its answer is too large."""
@@ -198,8 +193,8 @@
 
     def release(self) -> None:
         """Drops what is buffered; nothing more is received."""
-        self._buffers.release(self)
         self._body = bytearray()
+        self._buffers.forget(self)
 
     def leave(self) -> None:
         """Drops what the attempt shares with others at the same request."""
@@ -372,7 +367,7 @@
         call: wire.RequestInfo,
         observer: Observer,
         time: clock.Clock,
-        buffers: AnswerBuffers,
+        buffers: shared_bytes.SharedBytes[Attempt],
         relay: StreamRelay,
     ) -> None:
         """Creates an attempt that continues the stream of `relay`."""
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -209,7 +209,7 @@
         self._rules = rules
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
-        self._buffers = attempts.AnswerBuffers()
+        self._buffers = attempts.answer_buffers()
         self._probes = latency_probes.LatencyProbes(time)
 
     def tick(self) -> None:
--- a/src/marlramp/shell/member_connection.py
+++ b/src/marlramp/shell/member_connection.py
@@ -14,6 +14,7 @@
 from marlramp import clock
 from marlramp import counters
 from marlramp import logs
+from marlramp.shell import shared_bytes
 from marlramp.shell import silence
 
 FRAME_BYTES_MAX = 8_388_608
@@ -85,49 +86,6 @@
         return self._lines <= FAULT_LINES_PER_S_MAX
 
 
-class BufferedBytes:
-    """Bounds the bytes that all links of a process hold for one purpose."""
-
-    def __init__(
-        self,
-        bytes_max: int,
-        reason: str,
-        measure: Callable[[Connection], int],
-    ) -> None:
-        """Starts without bytes.
-
-        Args:
-          bytes_max: the limit of all connections together.
-          reason: why a connection is closed beyond it.
-          measure: returns how many bytes a connection holds now.
-        """
-        self._measure = measure
-        self._bytes_max = bytes_max
-        self._reason = reason
-        self._sizes: dict[Connection, int] = {}
-        self._total = 0
-
-    def record(self, connection: Connection) -> None:
-        """Records how many bytes a connection holds now.
-
-        If all connections hold too much, the one that holds most is closed.
-        """
-        self._update(connection)
-        if self._total <= self._bytes_max:
-            return
-        for each in list(self._sizes):
-            self._update(each)
-        while self._total > self._bytes_max:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            largest.close(self._reason)
-
-    def _update(self, connection: Connection) -> None:
-        size = self._measure(connection)
-        self._total += size - self._sizes.pop(connection, 0)
-        if size:
-            self._sizes[connection] = size
-
-
 class LinkBounds:
     """What the links of a process share.
 
@@ -139,15 +97,15 @@
 
     def __init__(self, totals: counters.Counters, time: clock.Clock) -> None:
         """Starts without links."""
-        self.partial = BufferedBytes(
+        self.partial = shared_bytes.SharedBytes[Connection](
             PARTIAL_BYTES_MAX,
-            "partial_frames_too_large",
             lambda connection: connection.partial_bytes,
+            lambda connection: connection.close("partial_frames_too_large"),
         )
-        self.unsent = BufferedBytes(
+        self.unsent = shared_bytes.SharedBytes[Connection](
             UNSENT_BYTES_MAX,
-            "too_much_unsent",
             lambda connection: connection.unsent_bytes,
+            lambda connection: connection.close("too_much_unsent"),
         )
         self.fault_log = FaultLog(totals, time)
 
--- a/tests/direct/calls/test_stream_attempts.py
+++ b/tests/direct/calls/test_stream_attempts.py
@@ -52,7 +52,7 @@
                 CALL,
                 mock.create_autospec(attempts.Observer, instance=True),
                 time,
-                attempts.AnswerBuffers(),
+                attempts.answer_buffers(),
                 relay,
             )
             for _ in range(2)
