HTTP server: what callers hold together is bounded by the VM's memory

Cause: each connection had bounds, all of them together had none, and no code read the memory that the platform's settings name. Change: limits.memory_mb is read. CallerBounds counts over all connections of a process what was received, read, queued, is handled or unsent, with the kernel's buffer where reading pauses. Beyond half of the memory that the program leaves, those that held most for longest are refused with 503 and a Retry-After (entry_overloaded, not run), or closed if they read no answers. Connections of more than 64 KiB get three quarters, so that small requests are served beside large ones that run. An announced body that can't fit is refused with its head. The log names the request that was refused while being read, at most 100 lines a second. Ruled out: to pause reading instead; the bytes stay in the kernel and count.

--- a/src/marlramp/counters.py
+++ b/src/marlramp/counters.py
@@ -23,6 +23,7 @@
     REQUESTS = "marlramp_requests"
     SILENCES = "marlramp_replica_silences"
     UNANSWERED = "marlramp_requests_unanswered"
+    CONNECTIONS_EVICTED = "marlramp_connections_evicted"
     PAGES_UNANSWERED = "marlramp_pages_unanswered"
     LINK_BYTES = "marlramp_link_bytes"
     LINK_MESSAGES = "marlramp_link_messages"
--- a/src/marlramp/direct/agent_daemon.py
+++ b/src/marlramp/direct/agent_daemon.py
@@ -35,6 +35,7 @@
 from marlramp.protocol import codec
 from marlramp.protocol import fleet_messages
 from marlramp.settings import node
+from marlramp.shell import caller_bounds
 from marlramp.shell import http1_call
 from marlramp.shell import member_links
 from marlramp.shell import port_opener
@@ -113,11 +114,15 @@
         self._exchange = piece_exchange.PieceExchange(
             self._own, settings.link_bytes_per_s, self._totals, self._clock
         )
+        self._caller_bounds = caller_bounds.CallerBounds(
+            settings.vm_limits, self._totals, self._clock
+        )
         self._page_server = page_server.PageServer(
             page_server.metrics_pages(metrics.Metrics(self._totals).text),
             {"metrics": page_server.metrics_address(settings)},
             self._totals,
             self._clock,
+            self._caller_bounds,
         )
         self._weights = named_weights.NamedWeights(
             self._set_origin, self._clock
@@ -231,6 +236,7 @@
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Applies changed bounds and seeds; new addresses need a restart."""
         self._settings = settings
+        self._caller_bounds.set_limits(settings.vm_limits)
         self._contacts.set_seeds(settings.seeds)
 
     # Methods that the weights loader calls.
--- a/src/marlramp/direct/entry_daemon.py
+++ b/src/marlramp/direct/entry_daemon.py
@@ -36,13 +36,14 @@
 from marlramp.direct.calls import forwarder
 from marlramp.direct.fleet import entry_fleet
 from marlramp.direct.fleet import store_reader
-from marlramp.platform import headers
+from marlramp.platform import headers as platform_headers
 from marlramp.platform import lookup_pages
 from marlramp.platform import replica_api
 from marlramp.platform import store
 from marlramp.protocol import codec
 from marlramp.settings import node
 from marlramp.shell import address_probe
+from marlramp.shell import caller_bounds
 from marlramp.shell import http1_call
 from marlramp.shell import http1_server
 from marlramp.shell import member_links
@@ -150,7 +151,7 @@
             self,
             self._catalog,
             self._table,
-            headers.PlatformCallCodec(),
+            platform_headers.PlatformCallCodec(),
             settings,
             crash_detector.CrashDetector(
                 self._crashes,
@@ -165,8 +166,11 @@
             self._metrics,
             self._clock,
         )
+        self._caller_bounds = caller_bounds.CallerBounds(
+            settings.vm_limits, self._totals, self._clock
+        )
         self._callers = http1_server.CallerServer(
-            self._forwarder.handle, self, self._clock
+            self._forwarder.handle, self, self._clock, self._caller_bounds
         )
         self._page_server = self._build_page_server()
         self._leaving_since_ms: float | None = None
@@ -277,7 +281,7 @@
             "metrics": page_server.metrics_address(self._settings),
         }
         return page_server.PageServer(
-            pages, addresses, self._totals, self._clock
+            pages, addresses, self._totals, self._clock, self._caller_bounds
         )
 
     async def _leave(self) -> None:
@@ -297,6 +301,7 @@
     def _apply_settings(self, settings: node.NodeSettings) -> None:
         """Applies changed bounds and seeds; new addresses need a restart."""
         self._settings = settings
+        self._caller_bounds.set_limits(settings.vm_limits)
         self._fleet.set_settings(settings)
         self._forwarder.set_settings(settings)
 
@@ -343,10 +348,16 @@
             return fleet.CallerLimits()
         return self._catalog.config.limits
 
-    def refused(self, error: errors.CallError) -> None:
-        """Counts and logs a request that could not be parsed."""
+    def refused(
+        self, error: errors.CallError, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Counts and logs a request that was rejected while being read."""
         self._totals.add(counters.CounterName.REFUSALS, error.kind.value)
-        logs.log("request_unreadable", kind=error.kind.value)
+        logs.log(
+            "request_unreadable",
+            request=platform_headers.request_id_in(headers),
+            kind=error.kind.value,
+        )
 
     def unanswered(
         self,
@@ -362,7 +373,7 @@
         waited_ms = self._clock.now_ms() - request.first_byte_ms
         logs.log(
             event,
-            request=headers.request_id(request),
+            request=platform_headers.request_id(request),
             reason=reason.value,
             waited_ms=round(waited_ms),
         )
--- a/src/marlramp/direct/page_server.py
+++ b/src/marlramp/direct/page_server.py
@@ -21,6 +21,7 @@
 from marlramp import logs
 from marlramp.core.configuration import fleet
 from marlramp.settings import node
+from marlramp.shell import caller_bounds
 from marlramp.shell import http1_server
 from marlramp.shell import port_opener
 
@@ -89,6 +90,7 @@
         addresses: Mapping[str, node.Address],
         totals: counters.Counters,
         time: clock.Clock,
+        bounds: caller_bounds.CallerBounds | None = None,
     ) -> None:
         """Creates the servers; no port is bound before its opening is started.
 
@@ -97,12 +99,14 @@
           addresses: the addresses by name; the name appears in log lines.
           totals: counters.
           time: the clock.
+          bounds: bounds on the connections of all servers of the process,
+            None for bounds of each server.
         """
         self._pages = pages
         self._addresses = addresses
         self._totals = totals
         self._servers = {
-            name: http1_server.CallerServer(self._answer, self, time)
+            name: http1_server.CallerServer(self._answer, self, time, bounds)
             for name in addresses
         }
         self._stopped = False
@@ -134,8 +138,11 @@
         """Returns the limits on callers, which are constant."""
         return _LIMITS
 
-    def refused(self, error: errors.CallError) -> None:
-        """Logs a request that could not be parsed."""
+    def refused(
+        self, error: errors.CallError, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Logs a request that was rejected while being read."""
+        del headers
         logs.log("side_call_unreadable", kind=error.kind.value)
 
     def unanswered(
--- a/src/marlramp/errors.py
+++ b/src/marlramp/errors.py
@@ -50,6 +50,7 @@
     ANSWER_INCOMPLETE = "answer_incomplete"
     CANCELLED = "cancelled"
     ENTRY_LEAVING = "entry_leaving"
+    ENTRY_OVERLOADED = "entry_overloaded"
     SETTINGS_MISSING = "settings_missing"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     UPSTREAMS_LIMITED = "upstreams_limited"
@@ -166,6 +167,9 @@
     ErrorKind.ENTRY_LEAVING: Answer(
         503, Ran.NO, 0, "This entry is shutting down; use another."
     ),
+    ErrorKind.ENTRY_OVERLOADED: Answer(
+        503, Ran.NO, 500, "This entry has too little memory; try again."
+    ),
     ErrorKind.SETTINGS_MISSING: Answer(
         503, Ran.NO, 1000, "No settings have been received yet."
     ),
--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -20,6 +20,12 @@
 """Routine lines that a process writes per second. A line costs 30 us, so that
 they use at most 1% of a core."""
 
+REFUSAL_EVENTS = frozenset({"request_unreadable", "side_call_unreadable"})
+"""Events that callers can cause at any rate; counters hold them all."""
+
+REFUSAL_LINES_PER_S_MAX = 100
+"""Lines on refused requests that a process writes per second."""
+
 QUEUED_LINES_MAX = 4_000
 """Capacity of the queue of lines; a full queue holds about 1 MB."""
 
@@ -103,7 +109,7 @@
 
 
 class _LineRateLimit:
-    """Limits the number of routine lines per second."""
+    """Limits the number of lines per second."""
 
     def __init__(self, per_second_max: int) -> None:
         self._per_second_max = per_second_max
@@ -120,6 +126,7 @@
 
 
 _routine_limit = _LineRateLimit(ROUTINE_LINES_PER_S_MAX)
+_refusal_limit = _LineRateLimit(REFUSAL_LINES_PER_S_MAX)
 _writers: list[LineWriter] = []
 
 
@@ -152,6 +159,8 @@
     """Logs one event with its fields."""
     if event in ROUTINE_EVENTS and not _routine_limit.allows():
         return
+    if event in REFUSAL_EVENTS and not _refusal_limit.allows():
+        return
     eliot.log_message(message_type=event, **fields)
 
 
--- a/src/marlramp/platform/headers.py
+++ b/src/marlramp/platform/headers.py
@@ -9,6 +9,7 @@
 from marlramp import ids
 from marlramp.direct.calls import wire
 from marlramp.shell import http1_client
+from marlramp.shell import http1_request_reader
 from marlramp.shell import http1_server
 from marlramp.shell import retry_after
 
@@ -75,7 +76,13 @@
 
 def request_id(request: http1_server.Request) -> ids.RequestId:
     """Returns the id of a caller's request, "" if it has none."""
-    return ids.RequestId(request.header(_REQUEST_ID))
+    return request_id_in(request.headers)
+
+
+def request_id_in(headers: list[tuple[bytes, bytes]]) -> ids.RequestId:
+    """Returns the id among the headers of a request, "" if it is not there."""
+    value = http1_request_reader.header_value(headers, _REQUEST_ID)
+    return ids.RequestId(value)
 
 
 class PlatformCallCodec:
--- a/src/marlramp/platform/settings.py
+++ b/src/marlramp/platform/settings.py
@@ -7,6 +7,8 @@
 import pathlib
 from typing import TypeVar
 
+import msgspec
+
 from marlramp import clock
 from marlramp import ids
 from marlramp.settings import node
@@ -18,8 +20,12 @@
 
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1_000_000
+_BYTES_PER_MEGABYTE = 1_000_000
 _ZONE_PREFIX = "zones."
 
+FILE_DESCRIPTORS = 200
+"""Descriptors of a process that the platform reserves for files."""
+
 
 def settings_path() -> pathlib.Path | None:
     """Returns the path that the platform set, None if it set none."""
@@ -160,9 +166,24 @@
             data_centres=reader.count_or("fault_tolerance.zones", 0),
             regions=reader.count_or("fault_tolerance.max_region_loss", 0),
         ),
+        vm_limits=_decode_vm_limits(reader),
     )
 
 
+def _decode_vm_limits(reader: _FieldReader) -> node.VmLimits:
+    """Returns the limits of the process; those that are 0 are not known."""
+    memory_mb = reader.number_or("limits.memory_mb", 0.0)
+    descriptors = reader.count_or("limits.max_fds", 0)
+    limits = node.VmLimits()
+    if memory_mb:
+        memory_bytes = round(memory_mb * _BYTES_PER_MEGABYTE)
+        limits = msgspec.structs.replace(limits, memory_bytes=memory_bytes)
+    if descriptors:
+        sockets_max = max(1, descriptors - FILE_DESCRIPTORS)
+        limits = msgspec.structs.replace(limits, sockets_max=sockets_max)
+    return limits
+
+
 def _decode_entry(reader: _FieldReader) -> node.EntryAddresses:
     return node.EntryAddresses(
         callers=reader.address("listen.frontend"),
--- a/src/marlramp/settings/node.py
+++ b/src/marlramp/settings/node.py
@@ -110,6 +110,22 @@
     regions: int = 0
 
 
+MEMORY_BYTES_DEFAULT = 300_000_000
+SOCKETS_MAX_DEFAULT = 3_900
+
+
+class VmLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """What one process may use on its VM.
+
+    Attributes:
+      memory_bytes: resident memory beyond which the process is killed.
+      sockets_max: number of sockets that it may have open.
+    """
+
+    memory_bytes: int = MEMORY_BYTES_DEFAULT
+    sockets_max: int = SOCKETS_MAX_DEFAULT
+
+
 class EntryAddresses(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses on which an entry listens.
 
@@ -148,6 +164,7 @@
       replica: address of the replica on this VM, None for an entry.
       replica_service: service of that replica.
       fault_tolerance: simultaneous failures that must be tolerated.
+      vm_limits: what the process may use on this VM.
     """
 
     vm_id: ids.VmId
@@ -166,6 +183,7 @@
     replica: Address | None = None
     replica_service: ids.ServiceId = ids.ServiceId("")
     fault_tolerance: FaultTolerance = FaultTolerance()
+    vm_limits: VmLimits = VmLimits()
 
     @property
     def near_data_centres(self) -> frozenset[str]:
--- a/src/marlramp/shell/http1_request_reader.py
+++ b/src/marlramp/shell/http1_request_reader.py
@@ -16,6 +16,9 @@
 """Largest number of bytes that are parsed at once, since the parser can't be
 stopped within them."""
 
+HEADER_BYTES = 160
+"""Memory of a header beside its name and value."""
+
 _CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 
@@ -43,10 +46,22 @@
 
     def header(self, name: bytes) -> str:
         """Returns the first header with a lower-case name, else ""."""
-        return _header(self.headers, name)
+        return header_value(self.headers, name)
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes."""
+        head_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return (
+            len(self.target)
+            + head_bytes
+            + len(self.headers) * HEADER_BYTES
+            + len(self.body)
+        )
 
 
-def _header(headers: list[tuple[bytes, bytes]], name: bytes) -> str:
+def header_value(headers: list[tuple[bytes, bytes]], name: bytes) -> str:
+    """Returns the first header with a lower-case name, else ""."""
     for key, value in headers:
         if key == name:
             return value.decode("latin-1")
@@ -69,7 +84,11 @@
         ...
 
     def on_request_head(self) -> None:
-        """Handles the end of a head, before its body is read."""
+        """Handles the end of a head, before its body is read.
+
+        Raises:
+          CallError: if the request is refused.
+        """
         ...
 
     def on_request(self, request: Request) -> None:
@@ -82,6 +101,9 @@
 
     Attributes:
       reading: whether a request has begun that is not complete.
+      first_byte_ms: clock reading when its first byte was read.
+      headers: its headers so far.
+      announced_bytes: the length of its body, 0 if it is not announced.
       ended: whether a request was read after which the caller sends no other.
       wants_continue: whether the caller holds its body back until it is asked
         for it.
@@ -113,9 +135,14 @@
         self.ended = False
         self._reset()
 
-    def header(self, name: bytes) -> str:
-        """Returns a header of the unfinished request, "" without it."""
-        return _header(self._headers, name)
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the unfinished request takes."""
+        return (
+            self._head_bytes
+            + len(self.headers) * HEADER_BYTES
+            + self._body.__alloc__()
+        )
 
     def feed(
         self, piece: memoryview, read_ms: clock.Millis
@@ -178,16 +205,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collects a header; trailers are dropped."""
         if not self._in_body:
-            self._headers.append((name.lower(), value))
+            self.headers.append((name.lower(), value))
         self._add_head_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
         """Checks the announced body size before the body is read."""
         self._in_body = True
         limit = self._limits().body_bytes_max
-        for name, value in self._headers:
-            if name == b"content-length" and int(value) > limit:
-                raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
+        for name, value in self.headers:
+            if name == b"content-length":
+                self.announced_bytes = int(value)
+                if self.announced_bytes > limit:
+                    raise errors.CallError(errors.ErrorKind.BODY_TOO_LARGE)
             if name == b"expect" and value.lower() == b"100-continue":
                 self.wants_continue = True
         self._events.on_request_head()
@@ -221,9 +250,9 @@
         request = Request(
             method=parser.get_method().decode("latin-1"),
             target=self._target,
-            headers=self._headers,
+            headers=self.headers,
             body=bytes(self._body),
-            first_byte_ms=self._first_byte_ms,
+            first_byte_ms=self.first_byte_ms,
             received_ms=self._read_ms,
             keep_alive=keep_alive,
         )
@@ -231,12 +260,13 @@
         self._events.on_request(request)
 
     def _reset(self) -> None:
-        self._first_byte_ms = self._read_ms
+        self.first_byte_ms = self._read_ms
         self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
+        self.headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
         self._body = bytearray()
         self._body_bytes = 0
+        self.announced_bytes = 0
         self._chunk_start_bytes = 0
         self._in_body = False
         self.wants_continue = False
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -18,9 +18,12 @@
 from typing import TypeAlias
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import errors
 from marlramp import logs
 from marlramp.core.configuration import fleet
+from marlramp.settings import node
+from marlramp.shell import caller_bounds
 from marlramp.shell import closing
 from marlramp.shell import http1_request_reader
 from marlramp.shell import silence
@@ -35,6 +38,18 @@
 QUEUED_BYTES_MAX = 1_048_576
 """Bytes of queued bodies from which a connection is not read."""
 
+RECEIVE_BUFFER_BYTES = 131_072
+"""Bytes that the kernel may hold for a connection from which it is not read."""
+
+CONNECTION_BYTES = 16_384
+"""Memory of a connection without a request."""
+
+REQUEST_BYTES = 16_384
+"""Memory of a request that is handled, beside its head and body."""
+
+SEND_BUFFERS_BYTES = 131_072
+"""Most bytes of a body that are copied while it is sent to a replica."""
+
 IGNORED_BYTES_MAX = 65_536
 """Bytes after the last request of a connection that are read and dropped."""
 
@@ -68,6 +83,14 @@
 _LAST_CHUNK = b"0\r\n\r\n"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+_RETRIED = frozenset({429, 503})
+"""Statuses whose callers are told when a retry is useful."""
+
+_REFUSED_BODIES = frozenset(
+    {errors.ErrorKind.BODY_TOO_LARGE, errors.ErrorKind.ENTRY_OVERLOADED}
+)
+"""Errors that callers meet while they send a body."""
+
 REASONS = {
     200: b"OK",
     204: b"No Content",
@@ -117,8 +140,15 @@
         """Returns the limits in force."""
         ...
 
-    def refused(self, error: errors.CallError) -> None:
-        """Counts and logs a request that was rejected while being read."""
+    def refused(
+        self, error: errors.CallError, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Counts and logs a request that was rejected while being read.
+
+        Args:
+          error: why it was rejected.
+          headers: those of its headers that had been read.
+        """
         ...
 
     def unanswered(self, request: Request, reason: UnansweredReason) -> None:
@@ -202,12 +232,14 @@
         gate: Gate,
         time: clock.Clock,
         connections: set[ServerConnection],
+        bounds: caller_bounds.CallerBounds,
     ) -> None:
         """Creates a connection, listed in `connections` while it is open."""
         self._handler = handler
         self._gate = gate
         self._clock = time
         self._connections = connections
+        self._bounds = bounds
         self._transport: asyncio.Transport | None = None
         self._reader = http1_request_reader.RequestReader(
             self, gate.limits, time.now_ms()
@@ -230,6 +262,9 @@
         self._write_timer: asyncio.TimerHandle | None = None
         self._written_bytes = 0
         self._taken_bytes = 0
+        # Bytes that were sent when the caller last took some.
+        self._sent_bytes = 0
+        self._taken_ms = time.now_ms()
         self._writing_paused = False
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
@@ -239,6 +274,89 @@
         self._linger_left_bytes = 0
         self._ignored_bytes = 0
 
+    # What the bounds on all connections need.
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the connection takes."""
+        if self._lost or self._dropped:
+            return 0
+        held_bytes = (
+            CONNECTION_BYTES + self._unserved_bytes + self._unsent_bytes
+        )
+        request = self._serving
+        if request is not None:
+            copied_bytes = min(len(request.body), SEND_BUFFERS_BYTES)
+            held_bytes += REQUEST_BYTES + request.held_bytes + copied_bytes
+        return held_bytes
+
+    @property
+    def evictable_bytes(self) -> int:
+        """Part of it that is not needed by a request that may run."""
+        if self._lost or self._dropped:
+            return 0
+        evictable_bytes = self._unserved_bytes + self._unsent_bytes
+        return evictable_bytes + (CONNECTION_BYTES if self.idle else 0)
+
+    @property
+    def progress_ms(self) -> clock.Millis:
+        """Clock reading when what it holds was last of use to the caller."""
+        if self._unsent_bytes:
+            return self._taken_ms
+        if self._reader.reading:
+            return self._reader.first_byte_ms
+        if self._queued:
+            return self._queued[0].first_byte_ms
+        return self._idle_since_ms
+
+    def shed(self) -> None:
+        """Refuses requests that have not begun to run, or closes."""
+        if self._unsent_bytes > self._unserved_bytes:
+            self._give_up()
+        elif self.idle:
+            self.close()
+        else:
+            self._refuse_unserved()
+
+    @property
+    def _dropped(self) -> bool:
+        """Whether the connection is closed and nothing is left to send."""
+        return (
+            self._closed_for is not None
+            and self._task is None
+            and not self._unsent_bytes
+        )
+
+    @property
+    def _unserved_bytes(self) -> int:
+        """Memory of what was received and is not handled yet."""
+        received = self._unparsed.obj
+        return (
+            self._reader.held_bytes
+            + self._queued_bytes
+            + (len(received) if isinstance(received, bytes) else 0)
+            + (RECEIVE_BUFFER_BYTES if self._read_pauses else 0)
+        )
+
+    @property
+    def _read_pauses(self) -> bool:
+        """Whether the kernel keeps what the caller sends."""
+        transport = self._transport
+        return not (
+            transport is None
+            or transport.is_closing()
+            or transport.is_reading()
+        )
+
+    def _refuse_unserved(self) -> None:
+        """Refuses the first request that is not handled yet; closes then."""
+        queued = list(self._queued)
+        self._queued.clear()
+        self._queued_bytes = 0
+        for request in queued[1:]:
+            self._gate.unanswered(request, UnansweredReason.CLOSED)
+        self._reject(errors.CallError(errors.ErrorKind.ENTRY_OVERLOADED))
+
     @property
     def idle(self) -> bool:
         """Whether no request is being read or handled."""
@@ -265,8 +383,12 @@
             return
         self._transport.write(data)
         self._written_bytes += len(data)
-        if self._write_timer is None and self._unsent_bytes:
+        if not self._unsent_bytes:
+            return
+        self._record_taken()
+        if self._write_timer is None:
             self._watch_writing()
+        self._bounds.record(self)
 
     def abort(self) -> None:
         """Aborts the connection, discarding unsent data."""
@@ -312,6 +434,7 @@
         silence.bound_unacknowledged(transport, UNACKNOWLEDGED_MAX_MS)
         self._connections.add(self)
         self._wait_idle()
+        self._bounds.admit(self)
 
     def data_received(self, data: bytes) -> None:
         """Parses received data while the queue has space."""
@@ -342,6 +465,7 @@
             # The caller can't be late while it is not read.
             self._transport.pause_reading()
             self._cancel_timer()
+        self._bounds.record(self)
 
     @property
     def _is_full(self) -> bool:
@@ -406,6 +530,7 @@
             self._task.cancel()
         self._unparsed = _NOTHING
         self._reader.release()
+        self._bounds.forget(self)
 
     def pause_writing(self) -> None:
         """Pauses the source of the response."""
@@ -426,7 +551,9 @@
         self._start_header_timer()
 
     def on_request_head(self) -> None:
-        """Asks for a body that the caller holds back."""
+        """Asks for a body that the caller holds back, if there is room."""
+        if not self._bounds.may_hold(self._reader.announced_bytes):
+            raise errors.CallError(errors.ErrorKind.ENTRY_OVERLOADED)
         if self._task is None:
             self._send_continue()
 
@@ -434,7 +561,7 @@
         """Queues the request behind earlier ones on the connection."""
         self._cancel_timer()
         self._queued.append(request)
-        self._queued_bytes += len(request.body)
+        self._queued_bytes += request.held_bytes
         self._start_next()
 
     def _send_continue(self) -> None:
@@ -457,7 +584,7 @@
             self._wait_idle()
             return
         request = self._queued.popleft()
-        self._queued_bytes -= len(request.body)
+        self._queued_bytes -= request.held_bytes
         self._serving = request
         self._task = asyncio.get_running_loop().create_task(
             self._serve(request)
@@ -476,6 +603,7 @@
             self._task = None
             self._serving = None
             self._pause = self._resume = None
+            self._bounds.record(self)
         if self._lost:
             return
         if not responder.started and self._closed_for is None:
@@ -497,18 +625,24 @@
         if self._lost or self._refusal is not None:
             return
         self._refusal = error
+        headers = self._reader.headers
         self._reader.drop_request()
         self._cancel_timer()
         self._stop_reading()
-        self._gate.refused(error)
+        self._gate.refused(error, headers)
         self._start_next()
 
     def _refuse(self, error: errors.CallError) -> None:
-        self.write(
-            b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-            % (error.status, REASONS.get(error.status, b"Error"))
-        )
-        if error.kind is errors.ErrorKind.BODY_TOO_LARGE:
+        lines = [
+            b"HTTP/1.1 %d %s" % (error.status, REASONS[error.status]),
+            b"content-length: 0",
+            b"connection: close",
+        ]
+        if error.status in _RETRIED and error.retry_after_ms is not None:
+            seconds = error.retry_after_ms / clock.MILLIS_PER_SECOND
+            lines.append(b"retry-after: %.3f" % seconds)
+        self.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        if error.kind in _REFUSED_BODIES:
             self._linger()
         else:
             self.close()
@@ -545,6 +679,13 @@
             WRITE_STALL_MAX_MS / clock.MILLIS_PER_SECOND, self._check_writing
         )
 
+    def _record_taken(self) -> None:
+        """Records whether the caller has taken bytes of its responses."""
+        sent_bytes = self._written_bytes - self._unsent_bytes
+        if sent_bytes > self._sent_bytes:
+            self._sent_bytes = sent_bytes
+            self._taken_ms = self._clock.now_ms()
+
     def _check_writing(self) -> None:
         """Gives up a caller that has taken nothing since the last check."""
         self._write_timer = None
@@ -607,11 +748,28 @@
 class CallerServer:
     """HTTP server that accepts connections from callers."""
 
-    def __init__(self, handler: Handler, gate: Gate, time: clock.Clock) -> None:
-        """Passes each request to `handler`; binds no address until `start`."""
+    def __init__(
+        self,
+        handler: Handler,
+        gate: Gate,
+        time: clock.Clock,
+        bounds: caller_bounds.CallerBounds | None = None,
+    ) -> None:
+        """Creates a server; no address is bound until `start`.
+
+        Args:
+          handler: handles each request.
+          gate: the process that runs the server.
+          time: the clock.
+          bounds: bounds on the connections of all servers of the process,
+            None for those of this server alone, with the default limits.
+        """
         self._handler = handler
         self._gate = gate
         self._clock = time
+        self._bounds = bounds or caller_bounds.CallerBounds(
+            node.VmLimits(), counters.Counters(), time
+        )
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -624,7 +782,11 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(
-                self._handler, self._gate, self._clock, self._connections
+                self._handler,
+                self._gate,
+                self._clock,
+                self._connections,
+                self._bounds,
             ),
             host,
             port,
--- a/src/marlramp/shell/shared_bytes.py
+++ b/src/marlramp/shell/shared_bytes.py
@@ -4,10 +4,14 @@
 
 from collections.abc import Callable
 from typing import Generic
+from typing import TypeAlias
 from typing import TypeVar
 
 HolderT = TypeVar("HolderT")
 
+Measure: TypeAlias = Callable[[HolderT], int]
+"""Returns how many bytes a holder has now."""
+
 NOT_EVICTABLE = float("-inf")
 """Rank of a holder that has to keep its bytes."""
 
@@ -18,7 +22,7 @@
     def __init__(
         self,
         bytes_max: int,
-        measure: Callable[[HolderT], int],
+        measure: Measure[HolderT],
         evict: Callable[[HolderT], None],
         rank: Callable[[HolderT], float] | None = None,
         evict_to_share: float = 1.0,
@@ -66,9 +70,7 @@
         """Forgets a holder that has given up its bytes."""
         self.total_bytes -= self._sizes.pop(holder, 0)
 
-    def fits_beside(
-        self, size_bytes: int, fixed: Callable[[HolderT], int]
-    ) -> bool:
+    def fits_beside(self, size_bytes: int, fixed: Measure[HolderT]) -> bool:
         """Returns whether bytes fit beside those that can't be evicted.
 
         Args:
--- a/tests/direct/conftest.py
+++ b/tests/direct/conftest.py
@@ -277,7 +277,9 @@
         """Returns the limits on callers in force."""
         return CONFIG.limits
 
-    def refused(self, error: errors.CallError) -> None:
+    def refused(
+        self, error: errors.CallError, headers: list[tuple[bytes, bytes]]
+    ) -> None:
         """Ignores requests that could not be parsed."""
 
     def unanswered(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -59,6 +59,27 @@
     assert decoded.entry is None
 
 
+def test_limits_of_the_vm_are_decoded() -> None:
+    text = ENTRY + "limits.memory_mb=160\nlimits.max_fds=4100\n"
+    limits = settings.decode(text).vm_limits
+    assert limits.memory_bytes == 160_000_000
+    assert limits.sockets_max == 3_900
+
+
+@pytest.mark.parametrize("text", ["", "limits.memory_mb=0\nlimits.max_fds=0\n"])
+def test_limits_that_are_not_known_have_defaults(text: str) -> None:
+    """Guards against a VM without memory, on which nothing is served."""
+    assert settings.decode(ENTRY + text).vm_limits == node.VmLimits()
+
+
+@pytest.mark.parametrize(
+    "line", ["limits.memory_mb=-1", "limits.memory_mb=much", "limits.max_fds=x"]
+)
+def test_malformed_limits_are_reported(line: str) -> None:
+    with pytest.raises(node.NodeSettingsError, match=line.partition("=")[0]):
+        settings.decode(ENTRY + line + "\n")
+
+
 def test_all_problems_are_reported_at_once() -> None:
     """Guards against an error that only lists the first wrong field."""
     broken = (
--- a/tests/shell/conftest.py
+++ b/tests/shell/conftest.py
@@ -10,8 +10,11 @@
 from typing import TypeAlias
 
 from marlramp import clock
+from marlramp import counters
 from marlramp import errors
 from marlramp.core.configuration import fleet
+from marlramp.settings import node
+from marlramp.shell import caller_bounds
 from marlramp.shell import http1_server
 
 LIMITS = fleet.CallerLimits(
@@ -20,6 +23,7 @@
     header_timeout_ms=150.0,
     idle_timeout_ms=300.0,
 )
+DEFAULT_VM = node.VmLimits()
 GET = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
@@ -35,7 +39,9 @@
     def limits(self) -> fleet.CallerLimits:
         return self.limits_in_force
 
-    def refused(self, error: errors.CallError) -> None:
+    def refused(
+        self, error: errors.CallError, headers: list[tuple[bytes, bytes]]
+    ) -> None:
         self.refusals.append(error.kind)
 
     def unanswered(
@@ -57,12 +63,23 @@
 ]
 
 
+def bounds_of(limits: node.VmLimits) -> caller_bounds.CallerBounds:
+    """Returns bounds on the connections of a server on a VM."""
+    return caller_bounds.CallerBounds(
+        limits, counters.Counters(), clock.SystemClock()
+    )
+
+
 @contextlib.asynccontextmanager
 async def serving(
-    handler: http1_server.Handler, gate: FakeGate
+    handler: http1_server.Handler,
+    gate: FakeGate,
+    limits: node.VmLimits = DEFAULT_VM,
 ) -> AsyncIterator[tuple[http1_server.CallerServer, int]]:
     """Runs a server and yields it with its port."""
-    server = http1_server.CallerServer(handler, gate, clock.SystemClock())
+    server = http1_server.CallerServer(
+        handler, gate, clock.SystemClock(), bounds_of(limits)
+    )
     await server.start("127.0.0.1", 0)
     assert server._server is not None
     port = server._server.sockets[0].getsockname()[1]
@@ -76,9 +93,10 @@
     conversation: Conversation,
     handler: http1_server.Handler = echo,
     gate: FakeGate | None = None,
+    limits: node.VmLimits = DEFAULT_VM,
 ) -> bytes:
     async def run() -> bytes:
-        async with serving(handler, gate or FakeGate()) as (_, port):
+        async with serving(handler, gate or FakeGate(), limits) as (_, port):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             async with asyncio.timeout(3):
                 result = await conversation(reader, writer)
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -244,7 +244,11 @@
 def test_pressure_before_the_handler_registers_pauses_it() -> None:
     """Guards against a response that is read without end from its replica."""
     connection = http1_server.ServerConnection(
-        conftest.echo, conftest.FakeGate(), clock.SystemClock(), set()
+        conftest.echo,
+        conftest.FakeGate(),
+        clock.SystemClock(),
+        set(),
+        conftest.bounds_of(conftest.DEFAULT_VM),
     )
     calls = []
     connection.pause_writing()
--- /dev/null
+++ b/tests/shell/test_http1_server_memory.py
@@ -0,0 +1,173 @@
+"""What a server answers when callers hold too much together."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import TypeAlias
+
+import msgspec
+import pytest
+
+from marlramp import errors
+from marlramp.settings import node
+from marlramp.shell import caller_bounds
+from marlramp.shell import http1_server
+from tests.shell import conftest
+
+BODY_BYTES = 524_288
+SMALL_VM = node.VmLimits(memory_bytes=1)
+"""A VM on which callers have the least memory."""
+
+FIT = int(
+    caller_bounds.CALLERS_BYTES_MIN * caller_bounds.LARGE_SHARE / BODY_BYTES
+)
+"""Number of bodies that fit at most."""
+
+
+class Callers:
+    """Connections to a server."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def send(self, data: bytes) -> asyncio.StreamReader:
+        """Sends data on a new connection, which stays open."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+        self._writers.append(writer)
+        writer.write(data)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+        return reader
+
+    def close(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
+
+
+Conversation: TypeAlias = Callable[[Callers], Awaitable[None]]
+RunCallers: TypeAlias = Callable[..., None]
+
+
+@pytest.fixture
+def gate() -> conftest.FakeGate:
+    """Provides a limit on bodies of which few fit on the VM."""
+    gate = conftest.FakeGate()
+    gate.limits_in_force = msgspec.structs.replace(
+        conftest.LIMITS, body_bytes_max=BODY_BYTES, header_timeout_ms=5_000.0
+    )
+    return gate
+
+
+@pytest.fixture
+def run_callers(gate: conftest.FakeGate) -> RunCallers:
+    """Returns a function that runs callers of a server on a small VM."""
+
+    def run(
+        conversation: Conversation,
+        handler: http1_server.Handler = conftest.echo,
+    ) -> None:
+        async def main() -> None:
+            async with (
+                asyncio.timeout(10),
+                conftest.serving(handler, gate, SMALL_VM) as (_, port),
+            ):
+                callers = Callers(port)
+                await conversation(callers)
+                callers.close()
+
+        asyncio.run(main())
+
+    return run
+
+
+async def hold_large(
+    request: http1_server.Request, responder: http1_server.Responder
+) -> None:
+    """Answers small requests at once and never answers large ones."""
+    if len(request.body) == BODY_BYTES:
+        await asyncio.sleep(30)
+    responder.answer(200, [], b"")
+
+
+def post(size: int, *headers: bytes) -> bytes:
+    lines = [b"POST /a HTTP/1.1", b"content-length: %d" % size, *headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+UNFINISHED = post(BODY_BYTES) + bytes(BODY_BYTES - 1)
+SMALL = post(5, b"connection: close") + b"small"
+OVERLOADED = errors.ErrorKind.ENTRY_OVERLOADED
+
+
+def assert_refused(head: bytes) -> None:
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert b"connection: close" in head
+    assert b"retry-after: 0.500" in head
+
+
+def test_bodies_beyond_the_memory_are_refused_with_the_promise(
+    run_callers: RunCallers, gate: conftest.FakeGate
+) -> None:
+    """Guards against a status 413 for a body that the limits allow."""
+
+    async def conversation(callers: Callers) -> None:
+        first = await callers.send(UNFINISHED)
+        for _ in range(FIT + 2):
+            await callers.send(UNFINISHED)
+        assert_refused(await first.readuntil(b"\r\n\r\n"))
+        reader = await callers.send(SMALL)
+        assert (await reader.read()).endswith(b"/a small")
+
+    run_callers(conversation)
+    assert set(gate.refusals) == {OVERLOADED}
+
+
+def test_body_that_can_not_fit_is_refused_before_it_is_sent(
+    run_callers: RunCallers, gate: conftest.FakeGate
+) -> None:
+    """Guards against a caller that is asked for a body to no purpose."""
+
+    async def conversation(callers: Callers) -> None:
+        for _ in range(FIT):
+            await callers.send(post(BODY_BYTES) + bytes(BODY_BYTES))
+        await asyncio.sleep(0.2)
+        reader = await callers.send(post(BODY_BYTES, b"expect: 100-continue"))
+        assert_refused(await reader.readuntil(b"\r\n\r\n"))
+        reader = await callers.send(SMALL)
+        assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+
+    run_callers(conversation, hold_large)
+    assert set(gate.refusals) == {OVERLOADED}
+    assert not gate.unanswered_reasons
+
+
+def test_requests_behind_one_that_runs_are_refused_once_it_is_answered(
+    run_callers: RunCallers, gate: conftest.FakeGate
+) -> None:
+    """Guards against an answer that is lost with the requests behind it."""
+    finish = asyncio.Event()
+
+    async def answer(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        if request.target == b"/first":
+            await finish.wait()
+        responder.answer(200, [], request.target)
+
+    async def conversation(callers: Callers) -> None:
+        first = post(0).replace(b"/a", b"/first")
+        queued = (post(BODY_BYTES) + bytes(BODY_BYTES)) * 2
+        reader = await callers.send(first + queued)
+        for _ in range(FIT + 2):
+            await callers.send(UNFINISHED)
+        finish.set()
+        answers = await reader.read()
+        assert answers.startswith(b"HTTP/1.1 200 ")
+        assert_refused(answers.partition(b"/first")[2])
+        assert answers.count(b"HTTP/1.1 ") == 2
+
+    run_callers(conversation, answer)
