HTTP server: callers' connections are bounded by the process's sockets

Callers saw: while 600 idle connections were open to a process that may have 400 descriptors, an ordinary request got no answer. Cause: connections had no bound; accept fails once no descriptor is left, and so do connections to replicas, to the store and between members. Beyond that the longest unused connections are closed, those that never sent a request first; if a request runs on each, the new one is closed. At most 16 connections are accepted before others are handled; the kernel still queues 1,024. How many are open for a moment between two turns of the event loop was not measured.

--- a/src/marlramp/shell/caller_bounds.py
+++ b/src/marlramp/shell/caller_bounds.py
@@ -38,6 +38,13 @@
 """Part of a limit down to which connections are evicted beyond it, so that not
 each received byte looks for one."""
 
+SOCKETS_SHARE = 0.5
+"""Part of the sockets for callers. The rest is for replicas, which need as many
+as requests run, and for other members."""
+
+NEWCOMER_MS = 1_000.0
+"""Time after which a connection without any request is closed before others."""
+
 
 class CallerConnection(Protocol):
     """A connection of a caller."""
@@ -57,10 +64,24 @@
         """Clock reading when what it holds was last of use to the caller."""
         ...
 
+    @property
+    def serving(self) -> bool:
+        """Whether a request is handled or its answer is sent."""
+        ...
+
+    @property
+    def has_served(self) -> bool:
+        """Whether a request was ever answered on the connection."""
+        ...
+
     def shed(self) -> None:
         """Refuses requests that have not begun to run, or closes."""
         ...
 
+    def drop(self) -> None:
+        """Closes the connection at once, without an answer."""
+        ...
+
 
 class CallerBounds:
     """Bounds on the memory and the sockets of all callers' connections."""
@@ -81,6 +102,7 @@
         self._totals = totals
         self._clock = time
         self._connections: dict[CallerConnection, None] = {}
+        self._sockets_max = 0
         self._held = self._memory(lambda each: each.held_bytes)
         self._large = self._memory(_large_bytes)
         self.set_limits(limits)
@@ -91,10 +113,13 @@
         held_max = max(CALLERS_BYTES_MIN, int(free_bytes * CALLERS_SHARE))
         self._held.set_limit(held_max)
         self._large.set_limit(int(held_max * LARGE_SHARE))
+        self._sockets_max = max(1, int(limits.sockets_max * SOCKETS_SHARE))
 
     def admit(self, connection: CallerConnection) -> None:
-        """Adds a new connection."""
+        """Adds a new connection; closes others, or it, if it is too many."""
         self._connections[connection] = None
+        if len(self._connections) > self._sockets_max:
+            self._close_unused(connection)
         self.record(connection)
 
     def record(self, connection: CallerConnection) -> None:
@@ -135,6 +160,29 @@
         self._totals.add(counters.CounterName.CONNECTIONS_EVICTED, "memory")
         connection.shed()
 
+    def _close_unused(self, newcomer: CallerConnection) -> None:
+        """Closes connections on which no request runs."""
+        unused = [
+            each
+            for each in self._connections
+            if each is not newcomer and not each.serving
+        ]
+        unused.sort(key=self._use)
+        kept_max = int(self._sockets_max * EVICT_TO_SHARE)
+        excess = len(self._connections) - max(1, kept_max)
+        for connection in unused[:excess] or [newcomer]:
+            self._totals.add(
+                counters.CounterName.CONNECTIONS_EVICTED, "sockets"
+            )
+            self.forget(connection)
+            connection.drop()
+
+    def _use(self, connection: CallerConnection) -> tuple[bool, float]:
+        """Returns a key that is lowest for the connection of least use."""
+        idle_ms = self._clock.now_ms() - connection.progress_ms
+        is_unused = not connection.has_served and idle_ms >= NEWCOMER_MS
+        return (not is_unused, connection.progress_ms)
+
 
 def _large_bytes(connection: CallerConnection) -> int:
     held_bytes = connection.held_bytes
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
+import socket
 from typing import Protocol
 from typing import TypeAlias
 
@@ -41,6 +42,13 @@
 RECEIVE_BUFFER_BYTES = 131_072
 """Bytes that the kernel may hold for a connection from which it is not read."""
 
+LISTEN_BACKLOG = 1_024
+"""Connections that the kernel queues until they are accepted."""
+
+ACCEPTED_AT_ONCE = 16
+"""Connections that are accepted before others are handled, and closed if they
+are too many."""
+
 CONNECTION_BYTES = 16_384
 """Memory of a connection without a request."""
 
@@ -273,6 +281,7 @@
         # Bytes that are still read and dropped after a refusal.
         self._linger_left_bytes = 0
         self._ignored_bytes = 0
+        self._has_served = False
 
     # What the bounds on all connections need.
 
@@ -309,6 +318,16 @@
             return self._queued[0].first_byte_ms
         return self._idle_since_ms
 
+    @property
+    def serving(self) -> bool:
+        """Whether a request is handled."""
+        return self._task is not None
+
+    @property
+    def has_served(self) -> bool:
+        """Whether a request was ever answered on the connection."""
+        return self._has_served
+
     def shed(self) -> None:
         """Refuses requests that have not begun to run, or closes."""
         if self._unsent_bytes > self._unserved_bytes:
@@ -318,6 +337,12 @@
         else:
             self._refuse_unserved()
 
+    def drop(self) -> None:
+        """Closes the connection at once, without an answer."""
+        self._closed_for = self._closed_for or UnansweredReason.CLOSED
+        if self._transport is not None:
+            closing.abort(self._transport)
+
     @property
     def _dropped(self) -> bool:
         """Whether the connection is closed and nothing is left to send."""
@@ -614,6 +639,7 @@
             self.abort()
             return
         self._answered = request if self._unsent_bytes else None
+        self._has_served = True
         if self.ends_after(request):
             self.close()
         else:
@@ -745,6 +771,23 @@
             self._reject(errors.CallError(errors.ErrorKind.HEADER_TIMEOUT))
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    """Returns a socket that is bound to an address.
+
+    Raises:
+      OSError: if the address can't be bound.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 class CallerServer:
     """HTTP server that accepts connections from callers."""
 
@@ -780,18 +823,25 @@
           OSError: if the address can't be bound.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: ServerConnection(
-                self._handler,
-                self._gate,
-                self._clock,
-                self._connections,
-                self._bounds,
-            ),
-            host,
-            port,
-            reuse_address=True,
-            backlog=1024,
+        sock = _bind(host, port)
+        try:
+            self._server = await loop.create_server(
+                self._new_connection, sock=sock, backlog=ACCEPTED_AT_ONCE
+            )
+            # The event loop accepts as many connections at once as it lets
+            # the kernel queue.
+            sock.listen(LISTEN_BACKLOG)
+        except BaseException:
+            sock.close()
+            raise
+
+    def _new_connection(self) -> ServerConnection:
+        return ServerConnection(
+            self._handler,
+            self._gate,
+            self._clock,
+            self._connections,
+            self._bounds,
         )
 
     @property
--- a/tests/shell/test_caller_bounds.py
+++ b/tests/shell/test_caller_bounds.py
@@ -13,7 +13,9 @@
 CALLERS_BYTES = 16 * MIB
 LIMITS = node.VmLimits(
     memory_bytes=caller_bounds.PROCESS_BYTES + 2 * CALLERS_BYTES,
+    sockets_max=40,
 )
+CONNECTIONS_MAX = 20
 
 
 class Connection:
@@ -25,11 +27,14 @@
         progress_ms: float = 0.0,
         *,
         serving: bool = False,
+        has_served: bool = False,
     ) -> None:
         self.held_bytes = held_bytes
         self.progress_ms = clock.Millis(progress_ms)
         self.serving = serving
+        self.has_served = has_served
         self.was_shed = False
+        self.was_dropped = False
 
     @property
     def evictable_bytes(self) -> int:
@@ -39,6 +44,9 @@
         self.was_shed = True
         self.held_bytes = 0
 
+    def drop(self) -> None:
+        self.was_dropped = True
+
 
 @pytest.fixture
 def totals() -> counters.Counters:
@@ -129,3 +137,44 @@
     bounds.set_limits(node.VmLimits(memory_bytes=1))
     bounds.record(held)
     assert held.was_shed
+
+
+def test_unused_connections_are_closed_before_those_in_use(
+    bounds: caller_bounds.CallerBounds,
+    totals: counters.Counters,
+    time: clock.ManualClock,
+) -> None:
+    """Guards against a crowd that closes the connections of other callers."""
+    served = [Connection(has_served=True) for _ in range(10)]
+    serving = [Connection(serving=True) for _ in range(5)]
+    crowd = [Connection(progress_ms=500.0) for _ in range(5)]
+    admit(bounds, *served, *serving, *crowd)
+    time.advance(1_000.0)
+    newcomer = Connection(progress_ms=time.now_ms())
+    admit(bounds, newcomer)
+    assert sum(connection.was_dropped for connection in crowd) == 3
+    kept = [*served, *serving, newcomer]
+    assert not any(connection.was_dropped for connection in kept)
+    name = counters.CounterName.CONNECTIONS_EVICTED
+    assert totals.total(name, "sockets") == 3
+
+
+def test_newcomers_do_not_close_each_other(
+    bounds: caller_bounds.CallerBounds, time: clock.ManualClock
+) -> None:
+    """Guards against a burst of callers of which each closes the last."""
+    now_ms = time.now_ms()
+    old = [Connection(has_served=True) for _ in range(CONNECTIONS_MAX)]
+    new = [Connection(progress_ms=now_ms) for _ in range(CONNECTIONS_MAX // 2)]
+    admit(bounds, *old, *new)
+    assert not any(connection.was_dropped for connection in new)
+
+
+def test_newcomer_is_closed_beside_requests_that_run(
+    bounds: caller_bounds.CallerBounds,
+) -> None:
+    running = [Connection(serving=True) for _ in range(CONNECTIONS_MAX)]
+    newcomer = Connection()
+    admit(bounds, *running, newcomer)
+    assert newcomer.was_dropped
+    assert not any(connection.was_dropped for connection in running)
--- a/tests/shell/test_http1_server_memory.py
+++ b/tests/shell/test_http1_server_memory.py
@@ -171,3 +171,24 @@
         assert answers.count(b"HTTP/1.1 ") == 2
 
     run_callers(conversation, answer)
+
+
+def test_connections_beyond_the_sockets_are_closed(
+    gate: conftest.FakeGate,
+) -> None:
+    """Guards against callers that take all descriptors of the process."""
+    limits = node.VmLimits(sockets_max=20)
+
+    async def main() -> None:
+        async with (
+            asyncio.timeout(10),
+            conftest.serving(conftest.echo, gate, limits) as (_, port),
+        ):
+            callers = Callers(port)
+            idle = [await callers.send(b"") for _ in range(40)]
+            reader = await callers.send(SMALL)
+            assert (await reader.read()).endswith(b"/a small")
+            assert sum(each.at_eof() for each in idle) >= 30
+            callers.close()
+
+    asyncio.run(main())
