HTTP client: a long body is written piece by piece as its replica reads it

Callers saw: part of the memory that ended processes in crowds of whole bodies. Cause: head and body were joined for each send, and the transport copied what the replica did not read at once, so that a body of 4 MiB was held up to three times, again for each attempt. Change: bodies of more than 64 KiB are written in pieces of this size, each once the transport has room. A response before the whole body is written still ends the connection. Measured: 4 MiB to a replica that does not read: the new test failed with over 131,072 bytes in the transport, and passes; the body arrives whole and the connection is reused. Tests of the client and of the forwarder pass.

--- a/src/marlramp/shell/http1_client.py
+++ b/src/marlramp/shell/http1_client.py
@@ -41,6 +41,11 @@
 """Bytes that divide the body into chunks, for each byte of it: a chunk may be
 as small as one byte. At most `HEAD_BYTES_MAX` come at once, as in trailers."""
 
+WRITE_PIECE_BYTES = 65_536
+"""Size of the pieces in which a body is written, each once most of the last one
+is sent, so that a replica that reads slowly costs no second copy of it."""
+
+_NOTHING = memoryview(b"")
 _FINAL_STATUS_MIN = 200
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
@@ -121,7 +126,9 @@
         self._head: ResponseHead | None = None
         self._body_until_close = False
         self._reusable = False
-        self._ended_early = False
+        # What is left of the request's body.
+        self._unwritten = _NOTHING
+        self._writing_paused = False
         self.closed = False
         self.idle_since_ms = time.now_ms()
         self.idle_max_ms = IDLE_DEFAULT_MS
@@ -146,12 +153,18 @@
         self._body_parts = []
         self._body_until_close = False
         self._reusable = False
-        self._transport.write(head + body if body else head)
+        if len(body) <= WRITE_PIECE_BYTES:
+            self._transport.write(head + body if body else head)
+            return
+        self._transport.write(head)
+        self._unwritten = memoryview(body)
+        self._write_on()
 
     def abort(self) -> None:
         """Aborts the connection; the reader gets no further callbacks."""
         self._reader = None
         self._parser = None
+        self._unwritten = _NOTHING
         if self._transport is not None and not self.closed:
             closing.abort(self._transport)
         self.closed = True
@@ -209,9 +222,19 @@
             self._complete()
         return False
 
+    def pause_writing(self) -> None:
+        """Stops writing the body until the replica has read more."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Goes on writing the body."""
+        self._writing_paused = False
+        self._write_on()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Reports a response that is incomplete."""
         self.closed = True
+        self._unwritten = _NOTHING
         if self._reader is None:
             self._parser = None
             return
@@ -291,7 +314,10 @@
     def _complete(self) -> None:
         reader, self._reader = self._reader, None
         transport = self._transport
-        unsent = transport is not None and transport.get_write_buffer_size() > 0
+        unsent = bool(self._unwritten) or (
+            transport is not None and transport.get_write_buffer_size() > 0
+        )
+        self._unwritten = _NOTHING
         if not self._reusable or unsent or self._body_until_close:
             # A replica that responded before it read the whole request body
             # still expects the rest, so no other request may follow.
@@ -302,6 +328,14 @@
         if reader is not None:
             reader.on_complete()
 
+    def _write_on(self) -> None:
+        """Writes the body until the transport has enough to send."""
+        while self._unwritten and not self._writing_paused:
+            piece = self._unwritten[:WRITE_PIECE_BYTES]
+            self._unwritten = self._unwritten[WRITE_PIECE_BYTES:]
+            if self._transport is not None:
+                self._transport.write(piece)
+
     def _report_loss(self, kind: LossKind) -> None:
         reader = self._reader
         self.abort()
--- a/tests/shell/test_http1_client.py
+++ b/tests/shell/test_http1_client.py
@@ -190,6 +190,41 @@
     assert not connection.reusable
 
 
+def test_long_body_is_written_as_its_replica_reads_it() -> None:
+    """Guards against a second copy of each body that waits to be sent."""
+    body = bytes(range(256)) * 16_384
+    head = b"POST /a HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % len(body)
+    read_on = asyncio.Event()
+    received: list[bytes] = []
+
+    async def script(peer: raw_http.Peer) -> None:
+        await read_on.wait()
+        request = await peer.read()
+        assert request is not None
+        received.append(request.body)
+        await peer.answer(request, 200)
+
+    async def run() -> None:
+        async with raw_http.ScriptedServer(script) as server:
+            connection = await http1_client.connect(
+                "127.0.0.1", server.port, clock.SystemClock()
+            )
+            recorder = Recorder()
+            connection.send("POST", head, body, recorder)
+            transport = connection._transport
+            assert transport is not None
+            waiting_bytes = transport.get_write_buffer_size()
+            assert waiting_bytes <= 131_072
+            read_on.set()
+            async with asyncio.timeout(5):
+                await recorder.ended.wait()
+            assert recorder.complete
+            assert connection.reusable
+
+    asyncio.run(run())
+    assert received == [body]
+
+
 def test_idle_limit_follows_the_keep_alive_header() -> None:
     data = (
         b"HTTP/1.1 200 OK\r\nkeep-alive: timeout=2\r\ncontent-length: 0\r\n\r\n"
