HTTP server: connections that send much are parsed in turns

Cause: all that was received on a connection, up to 256 KiB, was parsed at once, and the event loop ran nothing else until each readable connection was done. Change: of what was received, 8 KiB are parsed at once; the rest in turns of 5 ms with the other connections, which are not read meanwhile. Requests of up to 8 KiB are parsed as before. An announced body must now also fit while it is read, with what is received at once.

--- a/src/marlramp/shell/caller_bounds.py
+++ b/src/marlramp/shell/caller_bounds.py
@@ -1,11 +1,12 @@
 """Bounds what the connections of all callers of a process hold.
 
 A caller that behaves sends a request, waits for its answer and reads it. One
-that does not may stop before the end of a body, read no answer, or open
-connections that it does not use; each of these is within the limits of one
-connection, but many of them together exceed the memory or the sockets of the
-VM. Connections that have held most for longest are then refused or closed
-first, so that short requests are served beside them.
+that does not may stop before the end of a body, read no answer, open
+connections that it does not use, or send chunks of one byte. Each of these is
+within the limits of one connection, but many together exceed the memory or the
+sockets of the VM, or take up the event loop. Connections that have held most
+for longest are then refused or closed first, so that short requests are served
+beside them, and long ones are parsed in turns.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from marlramp import counters
 from marlramp.settings import node
 from marlramp.shell import shared_bytes
+from marlramp.shell import turns
 
 PROCESS_BYTES = 50_000_000
 """Memory of the program and of its state of the fleet."""
@@ -84,7 +86,11 @@
 
 
 class CallerBounds:
-    """Bounds on the memory and the sockets of all callers' connections."""
+    """Bounds on the memory and the sockets of all callers' connections.
+
+    Attributes:
+      turns: divides the processor time for what callers send.
+    """
 
     def __init__(
         self,
@@ -101,6 +107,7 @@
         """
         self._totals = totals
         self._clock = time
+        self.turns = turns.Turns(time)
         self._connections: dict[CallerConnection, None] = {}
         self._sockets_max = 0
         self._held = self._memory(lambda each: each.held_bytes)
--- a/src/marlramp/shell/http1_request_reader.py
+++ b/src/marlramp/shell/http1_request_reader.py
@@ -19,6 +19,9 @@
 HEADER_BYTES = 160
 """Memory of a header beside its name and value."""
 
+BODY_GROWTH = 8
+"""A body that grows takes up to one part in so many beyond its size."""
+
 _CHUNK_HEAD = b"%x\r\n"
 _CHUNK_END = b"\r\n"
 
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -39,6 +39,9 @@
 QUEUED_BYTES_MAX = 1_048_576
 """Bytes of queued bodies from which a connection is not read."""
 
+PIECES_AT_ONCE = 4
+"""Pieces that are parsed as soon as they are received; others take turns."""
+
 RECEIVE_BUFFER_BYTES = 131_072
 """Bytes that the kernel may hold for a connection from which it is not read."""
 
@@ -49,6 +52,9 @@
 """Connections that are accepted before others are handled, and closed if they
 are too many."""
 
+RECEIVED_BYTES_MAX = 262_144
+"""Most bytes that are received at once."""
+
 CONNECTION_BYTES = 16_384
 """Memory of a connection without a request."""
 
@@ -231,6 +237,18 @@
         self._connection.set_pressure(pause, resume)
 
 
+def _needed_bytes(reader: http1_request_reader.RequestReader) -> int:
+    """Returns the most memory that an announced body takes while it is read."""
+    size_bytes = reader.announced_bytes
+    grown_bytes = size_bytes // http1_request_reader.BODY_GROWTH
+    return (
+        size_bytes
+        + grown_bytes
+        + min(size_bytes, RECEIVED_BYTES_MAX)
+        + min(size_bytes, RECEIVE_BUFFER_BYTES)
+    )
+
+
 class ServerConnection(asyncio.Protocol):
     """A connection from a caller."""
 
@@ -258,6 +276,8 @@
         self._unparsed = _NOTHING
         self._read_ms = time.now_ms()
         self._parsing = False
+        # Whether the next piece is parsed in a later turn.
+        self._awaits_turn = False
         self._task: asyncio.Task[None] | None = None
         self._serving: Request | None = None
         # The last request whose response is complete, while that is unsent.
@@ -478,18 +498,47 @@
         self._parse()
 
     def _parse(self) -> None:
-        """Parses what was received, piece by piece, until the queue is full."""
+        """Parses what was received, piece by piece, until the queue is full.
+
+        Other connections take turns with one that has sent much.
+        """
         self._parsing = True
-        while self._unparsed and not self._is_full:
+        for _ in range(PIECES_AT_ONCE):
+            if not self._unparsed or self._is_full:
+                break
             self._feed_piece()
         self._parsing = False
+        self._end_parsing()
+
+    def _parse_in_turn(self) -> bool:
+        """Parses the next piece; returns whether another turn is needed."""
+        if self._lost:
+            return False
+        self._parsing = True
+        if self._unparsed and not self._is_full:
+            self._feed_piece()
+        self._parsing = False
+        if self._unparsed and not self._is_full:
+            self._bounds.record(self)
+            return True
+        self._awaits_turn = False
+        self._end_parsing()
+        self._resume_reading()
+        return False
+
+    def _end_parsing(self) -> None:
+        """Pauses reading if there is more than can be parsed now."""
         if not self._unparsed:
             # An empty view of what was received would keep it in memory.
             self._unparsed = _NOTHING
-        if self._is_full and self._transport is not None:
-            # The caller can't be late while it is not read.
+        if self._transport is not None and (self._unparsed or self._is_full):
             self._transport.pause_reading()
-            self._cancel_timer()
+            if self._is_full:
+                # The caller can't be late while it is not read.
+                self._cancel_timer()
+            else:
+                self._awaits_turn = True
+                self._bounds.turns.add(self._parse_in_turn)
         self._bounds.record(self)
 
     @property
@@ -501,19 +550,28 @@
 
     def _read_on(self) -> None:
         """Goes on reading after the queue was full."""
-        if self._transport is None or self._reader.ended:
+        if self._parsing or self._awaits_turn or self._is_full:
             return
-        if self._refusal is not None:
+        if self._transport is None or self._transport.is_reading():
             return
-        if self._transport.is_reading() or self._parsing or self._is_full:
+        if self._may_read:
+            self._parse()
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._awaits_turn or self._is_full or not self._may_read:
             return
-        self._parse()
-        if self._is_full or self._refusal is not None or self._reader.ended:
+        if self._transport is None or self._transport.is_reading():
             return
         self._transport.resume_reading()
         if self._reader.reading:
             self._start_header_timer()
 
+    @property
+    def _may_read(self) -> bool:
+        """Whether the caller may send another request, or the rest of one."""
+        return self._refusal is None and not self._reader.ended
+
     def _feed_piece(self) -> None:
         piece = self._unparsed[: http1_request_reader.PIECE_BYTES]
         self._unparsed = self._unparsed[http1_request_reader.PIECE_BYTES :]
@@ -577,7 +635,7 @@
 
     def on_request_head(self) -> None:
         """Asks for a body that the caller holds back, if there is room."""
-        if not self._bounds.may_hold(self._reader.announced_bytes):
+        if not self._bounds.may_hold(_needed_bytes(self._reader)):
             raise errors.CallError(errors.ErrorKind.ENTRY_OVERLOADED)
         if self._task is None:
             self._send_continue()
