HTTP server: no further request is handled while its caller reads no answers

Callers saw: part of the memory of crowds that read no answers. Cause: only the answer that is being written is paused once a caller is too slow; whole answers to the requests behind it were added to what was unsent. Change: the next request starts once the caller has read most of what is unsent. Meanwhile it counts as queued, so that reading stops after a few. Measured: 60 requests with answers of 100 kB, none read: the new test failed with all of them handled, and passes; all are answered once they are read.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -622,10 +622,13 @@
             self._pause()
 
     def resume_writing(self) -> None:
-        """Resumes the source of the response."""
+        """Resumes the source of the response, or handles the next request."""
         self._writing_paused = False
         if self._resume is not None:
             self._resume()
+        if self._task is None and self._queued:
+            self._start_next()
+            self._read_on()
 
     # Callbacks of the reader.
 
@@ -666,6 +669,9 @@
                 return
             self._wait_idle()
             return
+        if self._writing_paused:
+            # A caller that reads no answers gets no more of them.
+            return
         request = self._queued.popleft()
         self._queued_bytes -= request.held_bytes
         self._serving = request
--- a/tests/shell/test_http1_server_memory.py
+++ b/tests/shell/test_http1_server_memory.py
@@ -229,3 +229,27 @@
 
     run_callers(conversation, answer)
     assert answered == [5, *[10_000] * 10]
+
+
+def test_requests_wait_while_their_caller_reads_no_answers(
+    run_callers: RunCallers,
+) -> None:
+    """Guards against answers to small requests that pile up."""
+    answer = bytes(100_000)
+    count = 60
+    handled: list[bytes] = []
+
+    async def respond(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        handled.append(request.target)
+        responder.answer(200, [], answer)
+
+    async def conversation(callers: Callers) -> None:
+        await callers.send(conftest.GET * count)
+        await asyncio.sleep(0.2)
+        assert len(handled) < count
+        reader = await callers.send(conftest.GET * (count - 1) + SMALL)
+        assert (await reader.read()).count(answer) == count
+
+    run_callers(conversation, respond)
