Logs: the queue of lines is bounded in characters too

Cause: 4,000 queued lines were taken for 1 MB, but a line may repeat an id of 8,000 characters that a caller sent. Change: the queue holds at most 2 MiB characters; routine lines half of it.

--- a/src/marlramp/logs.py
+++ b/src/marlramp/logs.py
@@ -27,7 +27,10 @@
 """Lines on refused requests that a process writes per second."""
 
 QUEUED_LINES_MAX = 4_000
-"""Capacity of the queue of lines; a full queue holds about 1 MB."""
+"""Capacity of the queue of lines."""
+
+QUEUED_CHARACTERS_MAX = 2_097_152
+"""Capacity of the queue in characters. A line may repeat what a caller sent."""
 
 ROUTINE_SHARE = 0.5
 """Fraction of the queue that routine lines may fill."""
@@ -60,6 +63,9 @@
         self._stream = stream
         self._lines_max = lines_max
         self._lines: collections.deque[str] = collections.deque()
+        # Each is changed by one thread only.
+        self._put_characters = 0
+        self._written_characters = 0
         self._ready = threading.Event()
         self._unreported = 0
         self.dropped = 0
@@ -67,12 +73,16 @@
 
     def put(self, line: str, *, routine: bool) -> None:
         """Queues a line, or drops it if the queue is full."""
-        queued = len(self._lines)
-        limit = self._lines_max * ROUTINE_SHARE if routine else self._lines_max
-        if queued >= limit:
+        share = ROUTINE_SHARE if routine else 1.0
+        characters = self._put_characters - self._written_characters
+        if (
+            len(self._lines) >= self._lines_max * share
+            or characters + len(line) > QUEUED_CHARACTERS_MAX * share
+        ):
             self.dropped += 1
             self._unreported += 1
             return
+        self._put_characters += len(line)
         self._lines.append(line)
         # Also needed if the queue was not empty: the thread may already have
         # copied its lines, and would not write this one.
@@ -105,7 +115,7 @@
             # The stream is closed, so that the failure can't be logged.
             self.dropped += len(lines)
         for _ in range(min(len(lines), len(self._lines))):
-            self._lines.popleft()
+            self._written_characters += len(self._lines.popleft())
 
 
 class _LineRateLimit:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -33,6 +33,19 @@
     assert writer.dropped == 5
 
 
+def test_long_lines_are_dropped_before_they_fill_the_memory() -> None:
+    """Guards against a queue of lines that repeat long ids of requests."""
+    writer = logs.LineWriter(io.StringIO())
+    line = "x" * 10_000 + "\n"
+    for _ in range(1_000):
+        writer.put(line, routine=False)
+    assert writer.dropped >= 1_000 - logs.QUEUED_CHARACTERS_MAX // len(line)
+    writer.flush(2.0)
+    dropped = writer.dropped
+    writer.put(line, routine=False)
+    assert writer.dropped == dropped
+
+
 def test_number_of_dropped_lines_is_written() -> None:
     stream = io.StringIO()
     writer = logs.LineWriter(stream, lines_max=4)
