Grants path: what callers hold and open is bounded over all connections

Callers saw: the same crowds ended an entry of the grants path: 326 to 344 MB of 160 for bodies, 454 to 464 for requests that are sent on while no answer is read, 389 sockets of 200. Cause: as on the direct path; besides, each pipelined request of what was received at once became an object with its own state, some thousands on a connection. Change: uvicorn's connections take part in CallerBounds, with the new settings [limits] memory_mb and sockets_max (the process's limit on descriptors by default, read again while it runs).

--- a/src/marlramp/console/commands/reference.py
+++ b/src/marlramp/console/commands/reference.py
@@ -54,6 +54,7 @@
         ("identity", process.Identity),
         ("links", process.Links),
         ("platform", process.Platform),
+        ("limits", process.Limits),
         ("entry", process.EntrySettings),
         ("upstream", process.UpstreamSettings),
     ]
--- a/src/marlramp/entry/daemon.py
+++ b/src/marlramp/entry/daemon.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import functools
 import random
+import resource
 
 import msgspec
 
@@ -35,9 +36,11 @@
 from marlramp.platform import clients
 from marlramp.platform import http_clients
 from marlramp.protocol import messages
+from marlramp.settings import node
 from marlramp.settings import process
 from marlramp.settings import schema
 from marlramp.settings import store
+from marlramp.shell import caller_bounds
 from marlramp.shell import http
 from marlramp.shell import links
 from marlramp.shell import membership
@@ -64,6 +67,27 @@
 """Time that the HTTP server gives open connections when it shuts down."""
 
 
+PROCESS_BYTES = 70_000_000
+"""Memory of the program and of its state of the fleet."""
+
+FILE_DESCRIPTORS = 200
+"""Descriptors that are left to files."""
+
+_BYTES_PER_MEGABYTE = 1_000_000
+
+
+def _vm_limits(limits: process.Limits) -> node.VmLimits:
+    """Returns what the process may use, in part by the operating system."""
+    sockets_max = limits.sockets_max
+    if sockets_max is None:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        sockets_max = max(1, descriptors - FILE_DESCRIPTORS)
+    return node.VmLimits(
+        memory_bytes=limits.memory_mb * _BYTES_PER_MEGABYTE,
+        sockets_max=sockets_max,
+    )
+
+
 class _SentHeartbeat(msgspec.Struct, frozen=True):
     """Demand and time of the last heartbeat to an agent."""
 
@@ -146,6 +170,12 @@
         )
         self._dispatcher.on_first_part = exporter.first_part.record
         unanswered_calls = unanswered.UnansweredCalls(self._totals)
+        self._caller_bounds = caller_bounds.CallerBounds(
+            _vm_limits(self._settings.limits),
+            self._totals,
+            self._clock,
+            PROCESS_BYTES,
+        )
         callers = caller_app.CallerApp(
             self._dispatcher,
             self._queries,
@@ -174,6 +204,7 @@
             caller_protocol.Limits(),
             unanswered_calls,
             CLOSE_GRACE_S,
+            self._caller_bounds,
         )
 
     def reload(self, reason: str) -> None:
@@ -476,6 +507,8 @@
 
     def _tick(self) -> None:
         self._lifecycle.serve()
+        # The limit on descriptors may change while the process runs.
+        self._caller_bounds.set_limits(_vm_limits(self._settings.limits))
         self._dispatcher.tick()
         for vm_id in self._table.timed_out(self._clock.now_ms()):
             self._agent_lost(vm_id)
--- a/src/marlramp/settings/process.py
+++ b/src/marlramp/settings/process.py
@@ -123,6 +123,19 @@
     link_bytes_per_s: Annotated[int, msgspec.Meta(ge=1_000)] | None = None
 
 
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What an entry may use on its VM.
+
+    Attributes:
+      memory_mb: resident memory in megabytes.
+      sockets_max: number of sockets, None for the limit of the process on
+        descriptors without those for files.
+    """
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=64, le=1_000_000)] = 160
+    sockets_max: Annotated[int, msgspec.Meta(ge=16, le=1_000_000)] | None = None
+
+
 class ProcessSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Contents of the settings file of one process."""
 
@@ -130,6 +143,7 @@
     identity: Identity
     links: Links
     platform: Platform
+    limits: Limits = Limits()
     entry: EntrySettings | None = None
     upstream: UpstreamSettings | None = None
 
--- a/src/marlramp/shell/caller_bounds.py
+++ b/src/marlramp/shell/caller_bounds.py
@@ -20,7 +20,7 @@
 from marlramp.shell import turns
 
 PROCESS_BYTES = 50_000_000
-"""Memory of the program and of its state of the fleet."""
+"""Memory of the program on the direct path and of its state of the fleet."""
 
 CALLERS_SHARE = 0.5
 """Part of the other memory for callers. The rest is for answers of replicas,
@@ -97,6 +97,7 @@
         limits: node.VmLimits,
         totals: counters.Counters,
         time: clock.Clock,
+        process_bytes: int = PROCESS_BYTES,
     ) -> None:
         """Starts without connections.
 
@@ -104,7 +105,9 @@
           limits: what the process may use.
           totals: counters.
           time: the clock.
+          process_bytes: memory of the program and of its state of the fleet.
         """
+        self._process_bytes = process_bytes
         self._totals = totals
         self._clock = time
         self.turns = turns.Turns(time)
@@ -116,11 +119,13 @@
 
     def set_limits(self, limits: node.VmLimits) -> None:
         """Sets what the process may use."""
-        free_bytes = limits.memory_bytes - PROCESS_BYTES
+        free_bytes = limits.memory_bytes - self._process_bytes
         held_max = max(CALLERS_BYTES_MIN, int(free_bytes * CALLERS_SHARE))
         self._held.set_limit(held_max)
         self._large.set_limit(int(held_max * LARGE_SHARE))
         self._sockets_max = max(1, int(limits.sockets_max * SOCKETS_SHARE))
+        if len(self._connections) > self._sockets_max:
+            self._close_unused()
 
     def admit(self, connection: CallerConnection) -> None:
         """Adds a new connection; closes others, or it, if it is too many."""
@@ -167,8 +172,12 @@
         self._totals.add(counters.CounterName.CONNECTIONS_EVICTED, "memory")
         connection.shed()
 
-    def _close_unused(self, newcomer: CallerConnection) -> None:
-        """Closes connections on which no request runs."""
+    def _close_unused(self, newcomer: CallerConnection | None = None) -> None:
+        """Closes connections on which no request runs.
+
+        Args:
+          newcomer: the connection that is closed only if there is no other.
+        """
         unused = [
             each
             for each in self._connections
@@ -177,7 +186,10 @@
         unused.sort(key=self._use)
         kept_max = int(self._sockets_max * EVICT_TO_SHARE)
         excess = len(self._connections) - max(1, kept_max)
-        for connection in unused[:excess] or [newcomer]:
+        closed = unused[:excess]
+        if newcomer is not None and not closed:
+            closed = [newcomer]
+        for connection in closed:
             self._totals.add(
                 counters.CounterName.CONNECTIONS_EVICTED, "sockets"
             )
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -14,7 +14,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import enum
-import socket
 from typing import Protocol
 from typing import TypeAlias
 
@@ -27,6 +26,7 @@
 from marlramp.shell import caller_bounds
 from marlramp.shell import closing
 from marlramp.shell import http1_request_reader
+from marlramp.shell import listening
 from marlramp.shell import silence
 
 WRITE_BUFFER_MAX_BYTES = 262_144
@@ -45,13 +45,6 @@
 RECEIVE_BUFFER_BYTES = 131_072
 """Bytes that the kernel may hold for a connection from which it is not read."""
 
-LISTEN_BACKLOG = 1_024
-"""Connections that the kernel queues until they are accepted."""
-
-ACCEPTED_AT_ONCE = 16
-"""Connections that are accepted before others are handled, and closed if they
-are too many."""
-
 RECEIVED_BYTES_MAX = 262_144
 """Most bytes that are received at once."""
 
@@ -835,23 +828,6 @@
             self._reject(errors.CallError(errors.ErrorKind.HEADER_TIMEOUT))
 
 
-def _bind(host: str, port: int) -> socket.socket:
-    """Returns a socket that is bound to an address.
-
-    Raises:
-      OSError: if the address can't be bound.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
 class CallerServer:
     """HTTP server that accepts connections from callers."""
 
@@ -886,18 +862,7 @@
         Raises:
           OSError: if the address can't be bound.
         """
-        loop = asyncio.get_running_loop()
-        sock = _bind(host, port)
-        try:
-            self._server = await loop.create_server(
-                self._new_connection, sock=sock, backlog=ACCEPTED_AT_ONCE
-            )
-            # The event loop accepts as many connections at once as it lets
-            # the kernel queue.
-            sock.listen(LISTEN_BACKLOG)
-        except BaseException:
-            sock.close()
-            raise
+        self._server = await listening.serve(self._new_connection, host, port)
 
     def _new_connection(self) -> ServerConnection:
         return ServerConnection(
--- a/tests/shell/test_caller_bounds.py
+++ b/tests/shell/test_caller_bounds.py
@@ -170,6 +170,15 @@
     assert not any(connection.was_dropped for connection in new)
 
 
+def test_fewer_sockets_apply_to_open_connections(
+    bounds: caller_bounds.CallerBounds,
+) -> None:
+    idle = [Connection() for _ in range(CONNECTIONS_MAX)]
+    admit(bounds, *idle)
+    bounds.set_limits(node.VmLimits(sockets_max=20))
+    assert sum(connection.was_dropped for connection in idle) == 11
+
+
 def test_newcomer_is_closed_beside_requests_that_run(
     bounds: caller_bounds.CallerBounds,
 ) -> None:
