HTTP servers: the kernel keeps at most 64 KiB of a connection that is not read

Callers would see: memory of the VM that no bound counts. Bytes that are received and not read count as the process's, and by default the kernel keeps megabytes of each connection from which reading pauses. Change: listening sockets have a receive buffer of 64 KiB, which accepted connections inherit (it takes 128 KiB, as the bounds count already).

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -42,8 +42,8 @@
 PIECES_AT_ONCE = 4
 """Pieces that are parsed as soon as they are received; others take turns."""
 
-RECEIVE_BUFFER_BYTES = 131_072
-"""Bytes that the kernel may hold for a connection from which it is not read."""
+PAUSED_BYTES = 2 * listening.RECEIVE_BUFFER_BYTES
+"""Memory of the kernel for a connection from which it is not read."""
 
 RECEIVED_BYTES_MAX = 262_144
 """Most bytes that are received at once."""
@@ -238,7 +238,7 @@
         size_bytes
         + grown_bytes
         + min(size_bytes, RECEIVED_BYTES_MAX)
-        + min(size_bytes, RECEIVE_BUFFER_BYTES)
+        + min(size_bytes, PAUSED_BYTES)
     )
 
 
@@ -373,7 +373,7 @@
             self._reader.held_bytes
             + self._queued_bytes
             + (len(received) if isinstance(received, bytes) else 0)
-            + (RECEIVE_BUFFER_BYTES if self._read_pauses else 0)
+            + (PAUSED_BYTES if self._read_pauses else 0)
         )
 
     @property
--- a/src/marlramp/shell/listening.py
+++ b/src/marlramp/shell/listening.py
@@ -9,6 +9,10 @@
 LISTEN_BACKLOG = 1_024
 """Connections that the kernel queues until they are accepted."""
 
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes that the kernel keeps of a connection from which it is not read; it
+takes twice as much memory. By default it may keep megabytes."""
+
 ACCEPTED_AT_ONCE = 16
 """Connections that are accepted before others are handled, and closed if they
 are too many."""
@@ -28,6 +32,10 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it.
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
         sock.bind((host, port))
     except BaseException:
         sock.close()
