Forwarder: buffered answers are bounded by the VM's memory

Callers would see: an entry that ends beside large answers on a VM with 160 MB: plain answers had 64 MiB, whatever the VM has. Change: a quarter of the memory that the program leaves, at least two of the largest answers and at most the 64 MiB of before; a changed settings file applies. Measured: tests of endless answers and the new test of the bound pass.

--- a/src/marlramp/direct/calls/attempts.py
+++ b/src/marlramp/direct/calls/attempts.py
@@ -11,6 +11,8 @@
 from marlramp import errors
 from marlramp.core.requests import event_stream
 from marlramp.direct.calls import wire
+from marlramp.settings import node
+from marlramp.shell import caller_bounds
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
 from marlramp.shell import shared_bytes
@@ -19,7 +21,14 @@
 """Largest plain answer; it is buffered until it is complete."""
 
 BUFFERED_BYTES_MAX = 67_108_864
-"""Largest size of all plain answers that an entry buffers at the same time."""
+"""Largest size of all plain answers that an entry buffers at the same time,
+however much memory its VM has."""
+
+BUFFERED_BYTES_MIN = 2 * PLAIN_BODY_BYTES_MAX
+"""That size on a VM with little memory."""
+
+BUFFERED_SHARE = 0.25
+"""Part of the memory beside that of the program for these answers."""
 
 _SUCCESS = range(200, 300)
 _SERVER_ERROR_MIN = 500
@@ -95,19 +104,31 @@
     return Outcome(failure=errors.CallError(kind, detail, ran=ran))
 
 
-def answer_buffers() -> shared_bytes.SharedBytes[Attempt]:
+def answer_buffers(
+    limits: node.VmLimits,
+) -> shared_bytes.SharedBytes[Attempt]:
     """Returns the buffers of the plain answers that are being received.
 
     The attempt with the largest answer is refused if all of them together are
     too large.
+
+    Args:
+      limits: what the process may use.
     """
     return shared_bytes.SharedBytes(
-        BUFFERED_BYTES_MAX,
+        buffered_bytes_max(limits),
         lambda attempt: attempt.buffered_bytes,
         lambda attempt: attempt.refuse(),
     )
 
 
+def buffered_bytes_max(limits: node.VmLimits) -> int:
+    """Returns the largest size of all plain answers on a VM, in bytes."""
+    free_bytes = limits.memory_bytes - caller_bounds.PROCESS_BYTES
+    share_bytes = int(free_bytes * BUFFERED_SHARE)
+    return max(BUFFERED_BYTES_MIN, min(BUFFERED_BYTES_MAX, share_bytes))
+
+
 class Attempt:
     """An attempt that buffers a plain answer, and the base of streams.
 
--- a/src/marlramp/direct/calls/forwarder.py
+++ b/src/marlramp/direct/calls/forwarder.py
@@ -139,6 +139,7 @@
             limits,
             self._signals,
             self._selector,
+            settings.vm_limits,
             time,
         )
         self.retry_budgets = retry_budgets.RetryBudgets(
@@ -179,6 +180,7 @@
         """Applies changed settings; retries already spent stay counted."""
         self._settings = settings
         self._selector.set_settings(settings)
+        self._sender.set_vm_limits(settings.vm_limits)
         self._signals.set_drain(settings.bounds.drain_ms)
         self.retry_budgets.set_settings(settings)
 
--- a/src/marlramp/direct/calls/sender.py
+++ b/src/marlramp/direct/calls/sender.py
@@ -29,6 +29,7 @@
 from marlramp.direct.calls import replica_observer
 from marlramp.direct.calls import replica_signals
 from marlramp.direct.calls import wire
+from marlramp.settings import node
 from marlramp.shell import http1_client
 
 FRESH_IDLE_SHARE = 0.5
@@ -190,6 +191,7 @@
         limits: rate_limits.RateLimits,
         signals: replica_signals.ReplicaSignals,
         rules: SendRules,
+        vm_limits: node.VmLimits,
         time: clock.Clock,
     ) -> None:
         """Creates a sender without connections.
@@ -200,6 +202,7 @@
           limits: records the rate limits that answers announce.
           signals: records pauses, refusals and leaving replicas.
           rules: cutoffs of versions, and where requests may run.
+          vm_limits: what the process may use.
           time: the clock.
         """
         self._codec = codec
@@ -209,9 +212,13 @@
         self._rules = rules
         self._clock = time
         self._pools: dict[str, http1_client.ConnectionPool] = {}
-        self._buffers = attempts.answer_buffers()
+        self._buffers = attempts.answer_buffers(vm_limits)
         self._probes = latency_probes.LatencyProbes(time)
 
+    def set_vm_limits(self, limits: node.VmLimits) -> None:
+        """Applies changed limits of the process."""
+        self._buffers.set_limit(attempts.buffered_bytes_max(limits))
+
     def tick(self) -> None:
         """Closes connections that were idle too long."""
         for pool in self._pools.values():
--- a/tests/direct/calls/test_stream_attempts.py
+++ b/tests/direct/calls/test_stream_attempts.py
@@ -5,6 +5,8 @@
 import asyncio
 from unittest import mock
 
+import pytest
+
 from marlramp import clock
 from marlramp import errors
 from marlramp import ids
@@ -12,6 +14,7 @@
 from marlramp.direct.calls import attempts
 from marlramp.direct.calls import wire
 from marlramp.platform import headers
+from marlramp.settings import node
 from marlramp.shell import http1_client
 from marlramp.shell import http1_server
 from tests import processor_time
@@ -52,7 +55,7 @@
                 CALL,
                 mock.create_autospec(attempts.Observer, instance=True),
                 time,
-                attempts.answer_buffers(),
+                attempts.answer_buffers(node.VmLimits()),
                 relay,
             )
             for _ in range(2)
@@ -69,3 +72,19 @@
         failure = asyncio.run(hold_back())
     assert failure is not None
     assert failure.kind is errors.ErrorKind.ANSWER_INVALID
+
+
+@pytest.mark.parametrize(
+    ("memory_bytes", "bytes_max"),
+    [
+        (1_000_000, 2 * attempts.PLAIN_BODY_BYTES_MAX),
+        (160_000_000, 27_500_000),
+        (552_000_000, attempts.BUFFERED_BYTES_MAX),
+    ],
+)
+def test_answers_are_bounded_by_the_memory_of_the_vm(
+    memory_bytes: int, bytes_max: int
+) -> None:
+    """Guards against large answers that fill a VM with little memory."""
+    limits = node.VmLimits(memory_bytes=memory_bytes)
+    assert attempts.buffered_bytes_max(limits) == bytes_max
