HTTP server: a caller that leaves after a long body is noticed, and its timeout holds

Callers would see, since bodies are parsed in turns: a request of more than 8 KiB with "connection: close" went on after its caller had left, and a body that came in parts of more than 8 KiB had the time of the limit for each part. Cause: reading stayed paused after the last turn if no further request could follow; the timeout for the head was started again with each turn. Change: reading goes on, what follows is dropped as before; the timeout is started only if a full queue had ended it. Found by reading the change; measured: both new tests failed before and pass.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -552,12 +552,19 @@
             self._resume_reading()
 
     def _resume_reading(self) -> None:
-        if self._awaits_turn or self._is_full or not self._may_read:
+        transport = self._transport
+        if transport is None or transport.is_reading() or self._awaits_turn:
             return
-        if self._transport is None or self._transport.is_reading():
+        if not self._may_read:
+            # What follows is dropped; only by reading is it noticed that the
+            # caller leaves.
+            if self._ignored_bytes <= IGNORED_BYTES_MAX:
+                transport.resume_reading()
             return
-        self._transport.resume_reading()
-        if self._reader.reading:
+        if self._is_full:
+            return
+        transport.resume_reading()
+        if self._reader.reading and self._timer is None:
             self._start_header_timer()
 
     @property
--- a/tests/shell/test_http1_server_memory.py
+++ b/tests/shell/test_http1_server_memory.py
@@ -43,6 +43,10 @@
             await writer.drain()
         return reader
 
+    def send_on(self, data: bytes) -> None:
+        """Sends more on the last connection."""
+        self._writers[-1].write(data)
+
     async def send_at_once(
         self, requests: list[bytes]
     ) -> list[asyncio.StreamReader]:
@@ -253,3 +257,56 @@
         assert (await reader.read()).count(answer) == count
 
     run_callers(conversation, respond)
+
+
+LONG = 20_000
+"""Size of a body that is parsed in turns."""
+
+
+def test_caller_that_leaves_after_a_long_body_is_noticed(
+    run_callers: RunCallers, gate: conftest.FakeGate
+) -> None:
+    """Guards against work that goes on for a caller that is gone."""
+    cancelled = asyncio.Event()
+
+    async def wait(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        del request, responder
+        try:
+            await asyncio.sleep(30)
+        finally:
+            cancelled.set()
+
+    async def conversation(callers: Callers) -> None:
+        await callers.send(post(LONG, b"connection: close") + bytes(LONG))
+        await asyncio.sleep(0.1)
+        callers.close()
+        await asyncio.wait_for(cancelled.wait(), 1)
+
+    run_callers(conversation, wait)
+    assert [reason.value for reason in gate.unanswered_reasons] == [
+        "caller_left"
+    ]
+
+
+def test_body_in_many_parts_has_no_more_time_than_another(
+    run_callers: RunCallers, gate: conftest.FakeGate
+) -> None:
+    """Guards against a timeout that each part starts again."""
+    gate.limits_in_force = msgspec.structs.replace(
+        gate.limits_in_force, header_timeout_ms=200.0
+    )
+
+    async def conversation(callers: Callers) -> None:
+        reader = await callers.send(post(BODY_BYTES))
+        for _ in range(16):
+            callers.send_on(bytes(LONG))
+            await asyncio.sleep(0.05)
+            if gate.refusals:
+                break
+        assert gate.refusals == [errors.ErrorKind.HEADER_TIMEOUT]
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 408 ")
+
+    run_callers(conversation)
