HTTP server: answers that are being read are not cut for memory

Callers could see: beside a crowd whose requests can't be refused any more, an answer that is sent and read was cut off for the few bytes of it that were unsent. By reading; the new test of such an answer passes before as well. Cause: what is unsent counted as free to drop, whoever reads it, and evictions went on to nine tenths of the limit even if that could not be reached. Change: an answer in progress may be cut only if its caller took nothing for a second; evictions over all connections end at 97 hundredths, for large ones and for sockets at nine tenths as before. Measured: tests/shell and test_forwarder pass.

--- a/src/marlramp/shell/caller_bounds.py
+++ b/src/marlramp/shell/caller_bounds.py
@@ -36,14 +36,20 @@
 """Part of the memory for callers that large connections may hold. The rest is
 left to small requests while bodies that can't be refused any more fill it."""
 
-EVICT_TO_SHARE = 0.9
+EVICT_TO_SHARE = 0.97
 """Part of a limit down to which connections are evicted beyond it, so that not
 each received byte looks for one."""
 
+EVICT_LARGE_TO_SHARE = 0.9
+"""The same for the limit of large connections."""
+
 SOCKETS_SHARE = 0.5
 """Part of the sockets for callers. The rest is for replicas, which need as many
 as requests run, and for other members."""
 
+CLOSE_TO_SHARE = 0.9
+"""Part of these sockets down to which unused connections are closed."""
+
 NEWCOMER_MS = 1_000.0
 """Time after which a connection without any request is closed before others."""
 
@@ -113,8 +119,8 @@
         self.turns = turns.Turns(time)
         self._connections: dict[CallerConnection, None] = {}
         self._sockets_max = 0
-        self._held = self._memory(lambda each: each.held_bytes)
-        self._large = self._memory(_large_bytes)
+        self._held = self._memory(_held_bytes, EVICT_TO_SHARE)
+        self._large = self._memory(_large_bytes, EVICT_LARGE_TO_SHARE)
         self.set_limits(limits)
 
     def set_limits(self, limits: node.VmLimits) -> None:
@@ -154,10 +160,12 @@
         )
 
     def _memory(
-        self, measure: shared_bytes.Measure[CallerConnection]
+        self,
+        measure: shared_bytes.Measure[CallerConnection],
+        evict_to_share: float,
     ) -> shared_bytes.SharedBytes[CallerConnection]:
         return shared_bytes.SharedBytes(
-            0, measure, self._shed, self._memory_rank, EVICT_TO_SHARE
+            0, measure, self._shed, self._memory_rank, evict_to_share
         )
 
     def _memory_rank(self, connection: CallerConnection) -> float:
@@ -184,7 +192,7 @@
             if each is not newcomer and not each.serving
         ]
         unused.sort(key=self._use)
-        kept_max = int(self._sockets_max * EVICT_TO_SHARE)
+        kept_max = int(self._sockets_max * CLOSE_TO_SHARE)
         excess = len(self._connections) - max(1, kept_max)
         closed = unused[:excess]
         if newcomer is not None and not closed:
@@ -203,6 +211,10 @@
         return (not is_unused, connection.progress_ms)
 
 
+def _held_bytes(connection: CallerConnection) -> int:
+    return connection.held_bytes
+
+
 def _large_bytes(connection: CallerConnection) -> int:
     held_bytes = connection.held_bytes
     return held_bytes if held_bytes > LARGE_BYTES else 0
--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -77,6 +77,9 @@
 """A caller that takes no byte of its response for this long, which is longer
 than a stream may run, is not waited for."""
 
+UNREAD_MS = 1_000.0
+"""Time without a byte taken after which an answer may be cut off for memory."""
+
 CLOSE_FLUSH_MAX_MS = 10_000.0
 """Time in which a caller has to take the rest before a connection closes."""
 
@@ -317,7 +320,9 @@
         """Part of it that is not needed by a request that may run."""
         if self._lost or self._dropped:
             return 0
-        evictable_bytes = self._unserved_bytes + self._unsent_bytes
+        evictable_bytes = self._unserved_bytes
+        if not self.serving or self._reads_nothing:
+            evictable_bytes += self._unsent_bytes
         return evictable_bytes + (CONNECTION_BYTES if self.idle else 0)
 
     @property
@@ -343,7 +348,8 @@
 
     def shed(self) -> None:
         """Refuses requests that have not begun to run, or closes."""
-        if self._unsent_bytes > self._unserved_bytes:
+        may_cut = not self.serving or self._reads_nothing
+        if may_cut and self._unsent_bytes > self._unserved_bytes:
             self._give_up()
         elif self.idle:
             self.close()
@@ -356,6 +362,12 @@
         if self._transport is not None:
             closing.abort(self._transport)
 
+    @property
+    def _reads_nothing(self) -> bool:
+        """Whether the caller takes no bytes of the answer that is sent."""
+        idle_ms = self._clock.now_ms() - self._taken_ms
+        return self._unsent_bytes > 0 and idle_ms >= UNREAD_MS
+
     @property
     def _dropped(self) -> bool:
         """Whether the connection is closed and nothing is left to send."""
--- a/tests/shell/test_http1_server_memory.py
+++ b/tests/shell/test_http1_server_memory.py
@@ -310,3 +310,33 @@
         assert head.startswith(b"HTTP/1.1 408 ")
 
     run_callers(conversation)
+
+
+def test_answer_that_is_being_read_is_not_cut_for_memory(
+    run_callers: RunCallers,
+) -> None:
+    """Guards against a crowd whose victims are callers that are served."""
+    finish = asyncio.Event()
+
+    async def answer(
+        request: http1_server.Request, responder: http1_server.Responder
+    ) -> None:
+        if request.target == b"/first":
+            responder.start(200, [], None)
+            while not finish.is_set():
+                responder.write(bytes(1_000))
+                await asyncio.sleep(0.005)
+            responder.end()
+            return
+        responder.answer(200, [], b"")
+
+    async def conversation(callers: Callers) -> None:
+        reader = await callers.send(
+            post(0, b"connection: close").replace(b"/a", b"/first")
+        )
+        for _ in range(2 * FIT):
+            await callers.send(UNFINISHED)
+        finish.set()
+        assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+
+    run_callers(conversation, answer)
