Grants path: a refused caller that still sends gets its refusal

Callers saw: a reset in place of the 503, since the connection was closed while bytes of the body were unread; with the smaller receive buffer each time. Change: after a refusal in the middle of a body the caller's bytes are read and dropped for up to a second; the answer's end is marked by the half-closed connection. What is unsent of an answer in progress may be dropped for memory only if its caller reads slowly.

--- a/src/marlramp/entry/caller_protocol.py
+++ b/src/marlramp/entry/caller_protocol.py
@@ -133,8 +133,10 @@
         if self._answered is not None:
             answered_bytes = self._body_bytes.get(self._answered, 0)
         unserved_bytes = sum(self._body_bytes.values()) - answered_bytes
-        unserved_bytes *= BODY_COPIES
-        return self._unsent_bytes + self._queued_bytes + unserved_bytes
+        evictable_bytes = self._queued_bytes + unserved_bytes * BODY_COPIES
+        if self._reads_slowly:
+            evictable_bytes += self._unsent_bytes
+        return evictable_bytes
 
     @property
     def progress_ms(self) -> clock.Millis:
@@ -156,8 +158,8 @@
 
     def shed(self) -> None:
         """Refuses requests that have not begun to run, or closes."""
-        unserved_bytes = self.evictable_bytes - self._unsent_bytes
-        if self._unsent_bytes > unserved_bytes:
+        may_cut = self._reads_slowly or not self.serving
+        if may_cut and self._unsent_bytes > self.evictable_bytes // 2:
             self.drop()
             return
         self._record_queued(unanswered.UnansweredReason.CLOSED)
@@ -169,6 +171,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    @property
+    def _reads_slowly(self) -> bool:
+        """Whether more of an answer is unsent than the transport wants."""
+        return self._write_timer is not None
+
     @property
     def _unsent_bytes(self) -> int:
         if self.transport is None:
@@ -424,7 +431,13 @@
             cycle.message_event.set()
         if self._begun and not started:
             self.transport.write(_refusal(kind, detail))
-        self.transport.close()
+        if self._in_body and not started:
+            # A caller that still sends when it is closed is reset, and loses
+            # its refusal.
+            self.transport.write_eof()
+            self.flow.resume_reading()
+        else:
+            self.transport.close()
         self._abort_after(LINGER_MS)
 
 
