HTTP server: faults of the bounds that were found by reading them

Callers could see, only while memory or sockets were short or the entry ended: an answer that is read steadily counted as unread, since progress was looked at only when more was written; a finished answer that is still being sent could be closed for a new connection; requests that wait for their turn were lost when the connection closed after an answer; a request of a connection that closes could start. Change: progress is looked at when it counts; what is unparsed counts as a request; one request starts while the caller is too slow, as before, and no second one. The other cases have no test of their own.

--- a/src/marlramp/shell/http1_server.py
+++ b/src/marlramp/shell/http1_server.py
@@ -290,6 +290,8 @@
         self._sent_bytes = 0
         self._taken_ms = time.now_ms()
         self._writing_paused = False
+        # Whether a request was started since the caller is too slow.
+        self._started_while_paused = False
         self._pause: Callable[[], None] | None = None
         self._resume: Callable[[], None] | None = None
         # The error that is sent once earlier requests are answered.
@@ -320,15 +322,18 @@
         """Part of it that is not needed by a request that may run."""
         if self._lost or self._dropped:
             return 0
-        evictable_bytes = self._unserved_bytes
-        if not self.serving or self._reads_nothing:
+        evictable_bytes = CONNECTION_BYTES if self.idle else 0
+        if self._may_read or self._queued:
+            evictable_bytes += self._unserved_bytes
+        if self._may_cut:
             evictable_bytes += self._unsent_bytes
-        return evictable_bytes + (CONNECTION_BYTES if self.idle else 0)
+        return evictable_bytes
 
     @property
     def progress_ms(self) -> clock.Millis:
         """Clock reading when what it holds was last of use to the caller."""
         if self._unsent_bytes:
+            self._record_taken()
             return self._taken_ms
         if self._reader.reading:
             return self._reader.first_byte_ms
@@ -338,8 +343,9 @@
 
     @property
     def serving(self) -> bool:
-        """Whether a request is handled."""
-        return self._task is not None
+        """Whether a request is handled, or its answer is being read."""
+        is_read = self._unsent_bytes > 0 and not self._reads_nothing
+        return self._task is not None or is_read
 
     @property
     def has_served(self) -> bool:
@@ -348,8 +354,7 @@
 
     def shed(self) -> None:
         """Refuses requests that have not begun to run, or closes."""
-        may_cut = not self.serving or self._reads_nothing
-        if may_cut and self._unsent_bytes > self._unserved_bytes:
+        if self._may_cut and self._unsent_bytes > self._unserved_bytes:
             self._give_up()
         elif self.idle:
             self.close()
@@ -362,9 +367,15 @@
         if self._transport is not None:
             closing.abort(self._transport)
 
+    @property
+    def _may_cut(self) -> bool:
+        """Whether what is unsent may be dropped for want of memory."""
+        return self._task is None or self._reads_nothing
+
     @property
     def _reads_nothing(self) -> bool:
         """Whether the caller takes no bytes of the answer that is sent."""
+        self._record_taken()
         idle_ms = self._clock.now_ms() - self._taken_ms
         return self._unsent_bytes > 0 and idle_ms >= UNREAD_MS
 
@@ -411,7 +422,10 @@
     def idle(self) -> bool:
         """Whether no request is being read or handled."""
         return (
-            self._task is None and not self._queued and not self._reader.reading
+            self._task is None
+            and not self._queued
+            and not self._reader.reading
+            and not self._unparsed
         )
 
     @property
@@ -424,6 +438,7 @@
         return (
             (not request.keep_alive or self._gate.closing)
             and not self._queued
+            and not self._unparsed
             and self._refusal is None
         )
 
@@ -517,7 +532,7 @@
 
     def _parse_in_turn(self) -> bool:
         """Parses the next piece; returns whether another turn is needed."""
-        if self._lost:
+        if self._lost or self._closed_for is not None:
             return False
         self._parsing = True
         if self._unparsed and not self._is_full:
@@ -582,7 +597,11 @@
     @property
     def _may_read(self) -> bool:
         """Whether the caller may send another request, or the rest of one."""
-        return self._refusal is None and not self._reader.ended
+        return (
+            self._closed_for is None
+            and self._refusal is None
+            and not self._reader.ended
+        )
 
     def _feed_piece(self) -> None:
         piece = self._unparsed[: http1_request_reader.PIECE_BYTES]
@@ -636,6 +655,7 @@
     def resume_writing(self) -> None:
         """Resumes the source of the response, or handles the next request."""
         self._writing_paused = False
+        self._started_while_paused = False
         if self._resume is not None:
             self._resume()
         if self._task is None and self._queued:
@@ -681,9 +701,10 @@
                 return
             self._wait_idle()
             return
-        if self._writing_paused:
+        if self._writing_paused and self._started_while_paused:
             # A caller that reads no answers gets no more of them.
             return
+        self._started_while_paused = self._writing_paused
         request = self._queued.popleft()
         self._queued_bytes -= request.held_bytes
         self._serving = request
--- a/tests/shell/test_http1_server_bounds.py
+++ b/tests/shell/test_http1_server_bounds.py
@@ -32,11 +32,13 @@
 
 
 @pytest.mark.parametrize(("count", "wait_s"), [(24, 0.03), (2_000, 0.0)])
+@pytest.mark.parametrize("closing", [False, True])
 def test_long_pipeline_is_answered_whole_and_in_order(
-    count: int, wait_s: float
+    count: int, wait_s: float, *, closing: bool
 ) -> None:
     """Guards against a connection that closes when its queue is full."""
     gate = conftest.FakeGate()
+    gate.closing = closing
     pipeline = b"".join(
         conftest.GET.replace(b"/a", b"/%d" % n) for n in range(count)
     )
