Grants path: no timer is left behind a closed connection, received bytes are not copied

Callers saw nothing. Cause: a request that was half received when its connection closed started the timeout for its head again, which kept the connection for 10 s; each parsed piece copied the rest of what was received. Change: the timer is cancelled after the last piece; pieces are views. Found by reading.

--- a/src/marlramp/entry/caller_protocol.py
+++ b/src/marlramp/entry/caller_protocol.py
@@ -49,6 +49,7 @@
 decoded, and as sent to an agent."""
 
 _MS = clock.MILLIS_PER_SECOND
+_NOTHING = memoryview(b"")
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -96,7 +97,7 @@
         self._left = False
         self._refused = False
         # Received bytes that are not parsed yet.
-        self._unparsed = b""
+        self._unparsed = _NOTHING
         # Bytes that were received at once, last.
         self._received_bytes = 0
         self._ignored_bytes = 0
@@ -120,7 +121,9 @@
     @property
     def _queued_bytes(self) -> int:
         """Memory of requests that wait for an earlier one, without bodies."""
-        return len(self._unparsed) + len(self.pipeline) * QUEUED_REQUEST_BYTES
+        received = self._unparsed.obj
+        received_bytes = len(received) if isinstance(received, bytes) else 0
+        return received_bytes + len(self.pipeline) * QUEUED_REQUEST_BYTES
 
     @property
     def evictable_bytes(self) -> int:
@@ -198,7 +201,6 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the request that is answered, and records those queued."""
-        self._cancel_read_timer()
         self._cancel_write_timer()
         if self._close_timer is not None:
             self._close_timer.cancel()
@@ -213,6 +215,7 @@
         # Requests that were received whole are recorded, too.
         while self._unparsed and not self._refused:
             self._feed_piece()
+        self._cancel_read_timer()
         self._record_queued(reason)
         super().connection_lost(exc)
         self.bounds.forget(self)
@@ -227,7 +230,7 @@
                 self.unanswered_calls.record(request_id, reason)
             self._body_bytes.pop(queued, None)
         self.pipeline.clear()
-        self._unparsed = b""
+        self._unparsed = _NOTHING
 
     # Requests.
 
@@ -237,7 +240,9 @@
             self._ignore(len(data))
             return
         self._received_bytes = len(data)
-        self._unparsed += data
+        if self._unparsed:
+            data = bytes(self._unparsed) + data
+        self._unparsed = memoryview(data)
         self._parse()
         self.bounds.record(self)
 
@@ -260,6 +265,9 @@
             self._feed_piece()
         if self._unparsed:
             self.flow.pause_reading()
+        else:
+            # An empty view of what was received would keep it in memory.
+            self._unparsed = _NOTHING
 
     def _feed_piece(self) -> None:
         data = self._unparsed[:PIECE_BYTES]
@@ -267,7 +275,7 @@
         self._read_bytes += len(data)
         if self._read_timer is None and not self._in_body:
             self._await_header()
-        super().data_received(data)
+        super().data_received(data)  # type: ignore[arg-type]
         if self.transport.is_closing():
             return
         if self.parser.should_upgrade() and self.cycle is not None:
@@ -418,7 +426,7 @@
         answer if it has begun and its handler has written nothing.
         """
         self._refused = True
-        self._unparsed = b""
+        self._unparsed = _NOTHING
         if self._answers_an_earlier_request() and self._answered is not None:
             self._answered.keep_alive = False
             self._cancel_read_timer()
