--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -10,4 +10,6 @@
 import standins.direct_store
 import standins.direct_weights
 import standins.raw_http
+import review.support
+import review.taken_key
 '
